Take an answer with a header line that lacks its colon for unreadable

Evidence: the program logged nothing, so a tally of odd answers is added, one line each 10 s. The library's response decoder ends a header's name at a space and then does not insist on a colon, so 'no colon here' was read as a header.

At fault: BackendPool.connect, which read answers with the plain HttpClientCodec.

--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -6,9 +6,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AsciiString;
 import willowdoor.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
@@ -16,13 +18,32 @@
 
   private final BackendPool pool;
   final BackendPool.Backend backend;
+  private final Tally tally;
+  private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
   private Attempt current;
   double idleSince;
 
-  BackendConnection(BackendPool pool, BackendPool.Backend backend) {
+  BackendConnection(BackendPool pool, BackendPool.Backend backend, Tally tally) {
     this.pool = pool;
     this.backend = backend;
+    this.tally = tally;
+  }
+
+  /** Reads answers; to be put into the channel's pipeline ahead of this. */
+  AnswerDecoder decoder() {
+    return decoder;
+  }
+
+  /** Takes no line without a colon for a header: the library lets one pass that holds a space. */
+  static final class AnswerDecoder extends HttpResponseDecoder {
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+      if (line[start + length] != ':') {
+        throw new IllegalArgumentException("no colon behind a header's name");
+      }
+      return super.splitHeaderName(line, start, length);
+    }
   }
 
   @Override
@@ -61,6 +82,7 @@
     current = null;
     // Junk: an answer that nobody asked for, or one that does not parse.
     if (attempt == null || !whole) {
+      tally.count(whole ? Tally.Event.ANSWER_UNASKED : Tally.Event.ANSWER_UNREADABLE);
       ctx.close();
       if (attempt != null) {
         attempt.end(attempt.broken(), null);
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -45,11 +45,13 @@
   private final Bootstrap bootstrap;
   private final double idleLimitMs;
   private final Map<Long, Backend> backends = new HashMap<>();
+  private final Tally tally;
   private int connections;
 
-  BackendPool(EventLoop loop, Clock clock, double connectLimitMs, double idleLimitMs) {
+  BackendPool(EventLoop loop, Clock clock, Tally tally, double connectLimitMs, double idleLimitMs) {
     this.loop = loop;
     this.clock = clock;
+    this.tally = tally;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
@@ -88,6 +90,11 @@
     }
   }
 
+  /** Open and opening connections, idle ones too. */
+  int connections() {
+    return connections;
+  }
+
   boolean knowsAny() {
     return !backends.isEmpty();
   }
@@ -125,11 +132,12 @@
   private void connect(Backend b, Attempt attempt) {
     connections++;
     b.connecting.add(attempt);
-    BackendConnection c = new BackendConnection(this, b);
+    BackendConnection c = new BackendConnection(this, b, tally);
     ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), c);
+        channel.pipeline().addLast(c.decoder(), new HttpRequestEncoder(),
+            new HttpObjectAggregator(MOST_BODY), c);
       }
     }).connect(b.place);
     connected.addListener((ChannelFuture f) -> {
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -135,6 +135,10 @@
     List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
   }
 
+  int open() {
+    return connections.size();
+  }
+
   boolean idle() {
     return connections.isEmpty();
   }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -19,6 +19,7 @@
   /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
   private static final long ANSWER_MS = 3_300;
   private static final long POLL_MS = 10;
+  private static final long TALLY_S = 10;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   private final EventLoop loop = group.next();
@@ -62,7 +63,9 @@
   }
 
   private void wire(Config config) {
-    BackendPool backends = new BackendPool(loop, clock, config.connectLimitMs(), config.idleLimitMs());
+    Tally tally = new Tally();
+    BackendPool backends = new BackendPool(loop, clock, tally, config.connectLimitMs(),
+        config.idleLimitMs());
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()));
@@ -71,6 +74,8 @@
     counter.start();
     driver.start(counter, config.known());
     new DiscoveryClient(loop, config.discovery(), config.known().version(), driver::onRoster).start();
+    loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
+        + backends.connections() + " held=" + driver.held()), TALLY_S, TALLY_S, TimeUnit.SECONDS);
   }
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -130,6 +130,15 @@
     assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
   }
 
+  /** A line without a colon is no header, and what follows it cannot be told apart from the body. */
+  @Test
+  void anAnswerWithALineThatIsNoHeaderIsNotServed() throws Exception {
+    peers.start();
+    peers.answer = (request, out) -> Peers.write(out,
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nfine");
+    assertNotEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
   @Test
   void aRefusedConnectionMeansARefusalThatIsHarmlessToRepeat() throws Exception {
     peers.backend.close();
