Free a back-end connection only once all that came with its answer is read

Bytes behind an answer that are no message yet were glued to the next answer.

At fault: BackendConnection.channelRead0, which released the connection before it reported the outcome and before the read was done. Both tests fail without the change (answers 'xx' and 'xH' for 'ok').

--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -1,5 +1,6 @@
 package willowdoor.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,7 +11,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import java.util.List;
 import willowdoor.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
@@ -22,6 +25,8 @@
   private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
   private Attempt current;
+  /** Answered in full, but what else the backend sent with that answer is not looked at yet. */
+  private boolean answered;
   double idleSince;
 
   BackendConnection(BackendPool pool, BackendPool.Backend backend, Tally tally) {
@@ -37,6 +42,16 @@
 
   /** Takes no line without a colon for a header: the library lets one pass that holds a space. */
   static final class AnswerDecoder extends HttpResponseDecoder {
+    private boolean insideMessage;
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+      super.decode(ctx, in, out);
+      if (!out.isEmpty()) {
+        insideMessage = !(out.get(out.size() - 1) instanceof LastHttpContent);
+      }
+    }
+
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
       if (line[start + length] != ':') {
@@ -44,6 +59,11 @@
       }
       return super.splitHeaderName(line, start, length);
     }
+
+    /** Whether more has come than whole answers. */
+    boolean holdsRest() {
+      return insideMessage || actualReadableBytes() > 0;
+    }
   }
 
   @Override
@@ -52,7 +72,7 @@
   }
 
   boolean usable() {
-    return channel.isActive();
+    return channel.isActive() && !decoder.holdsRest();
   }
 
   void close() {
@@ -82,6 +102,7 @@
     current = null;
     // Junk: an answer that nobody asked for, or one that does not parse.
     if (attempt == null || !whole) {
+      answered = false;
       tally.count(whole ? Tally.Event.ANSWER_UNASKED : Tally.Event.ANSWER_UNREADABLE);
       ctx.close();
       if (attempt != null) {
@@ -90,16 +111,32 @@
       return;
     }
     // An answer ahead of the request's end leaves the connection out of step.
-    boolean reusable = attempt.written && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
-    if (reusable) {
-      pool.release(this);
-    } else {
+    answered = attempt.written && !attempt.ended() && HttpUtil.isKeepAlive(answer)
+        && framed(answer);
+    if (!answered) {
       ctx.close();
     }
     Status status = status(answer);
     attempt.end(status, status == Status.OK ? answer : null);
   }
 
+  /**
+   * The connection is free only once all that came with the answer is read: whatever follows it was sent
+   * before the next request, and would be taken for that one's answer.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (answered) {
+      answered = false;
+      if (usable()) {
+        pool.release(this);
+      } else {
+        ctx.close();
+      }
+    }
+    ctx.fireChannelReadComplete();
+  }
+
   /** Without a length the end of the connection is the end of the body, and a cut would look like it. */
   private static boolean framed(FullHttpResponse answer) {
     return HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -139,6 +139,32 @@
     assertNotEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** The module sends again at the moment of the first outcome, before the rest of the read is seen. */
+  @Test
+  void aSecondAnswerIsNotTakenForThatOfTheFurtherAttempt() throws Exception {
+    peers.start();
+    AtomicInteger asked = new AtomicInteger();
+    peers.answer = (request, out) -> Peers.write(out, asked.incrementAndGet() == 1
+        ? "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n" + answer("xx") : answer("ok"));
+    assertEquals("ok", peers.client().ask(Peers.get("r1", 3000)).text());
+    assertEquals(2, asked.get());
+  }
+
+  /** Bytes behind an answer that are no whole message yet would become the start of the next answer. */
+  @Test
+  void aConnectionWithBytesBehindItsAnswerIsNotUsedAgain() throws Exception {
+    peers.start();
+    peers.answer = (request, out) -> Peers.write(out, answer("ok")
+        + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx");
+    Client client = peers.client();
+    assertEquals("ok", client.ask(Peers.get("r1", 3000)).text());
+    assertEquals("ok", client.ask(Peers.get("r2", 3000)).text());
+  }
+
+  private static String answer(String text) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text;
+  }
+
   @Test
   void aRefusedConnectionMeansARefusalThatIsHarmlessToRepeat() throws Exception {
     peers.backend.close();
