Do not serve an answer without a length, whose cut nobody can tell

BackendConnection.framed was asked of the put-together message, to which the aggregator adds a length, so it was always true, and a 200 answer that ends with its connection was served whole even if it was cut. The new test fails without the change.

--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -43,15 +44,25 @@
   /** Takes no line without a colon for a header: the library lets one pass that holds a space. */
   static final class AnswerDecoder extends HttpResponseDecoder {
     private boolean insideMessage;
+    private boolean framed;
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
       super.decode(ctx, in, out);
       if (!out.isEmpty()) {
         insideMessage = !(out.get(out.size() - 1) instanceof LastHttpContent);
+        framed = out.get(0) instanceof HttpResponse head ? framed(head) : framed;
       }
     }
 
+    /**
+     * Without a length the end of the connection is the end of the body, and a cut would look like it. Told
+     * here, as every message that is put together from its parts has a length.
+     */
+    private static boolean framed(HttpResponse head) {
+      return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
       if (line[start + length] != ':') {
@@ -95,7 +106,8 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
     Attempt attempt = current;
-    boolean whole = answer.decoderResult().isSuccess();
+    boolean cutUnseen = !decoder.framed && answer.status().equals(HttpResponseStatus.OK);
+    boolean whole = answer.decoderResult().isSuccess() && !cutUnseen;
     if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       return;
     }
@@ -112,7 +124,7 @@
     }
     // An answer ahead of the request's end leaves the connection out of step.
     answered = attempt.written && !attempt.ended() && HttpUtil.isKeepAlive(answer)
-        && framed(answer);
+        && decoder.framed;
     if (!answered) {
       ctx.close();
     }
@@ -137,11 +149,6 @@
     ctx.fireChannelReadComplete();
   }
 
-  /** Without a length the end of the connection is the end of the body, and a cut would look like it. */
-  private static boolean framed(FullHttpResponse answer) {
-    return HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
-  }
-
   private static Status status(FullHttpResponse answer) {
     HttpResponseStatus code = answer.status();
     if (code.equals(HttpResponseStatus.OK)) {
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -139,6 +139,17 @@
     assertNotEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** Where the end of the connection ends the body, nobody can tell a whole answer from a cut one. */
+  @Test
+  void anAnswerWithoutALengthIsNotServed() throws Exception {
+    peers.start();
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\n\r\nonly a part");
+      return false;
+    };
+    assertNotEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
   /** The module sends again at the moment of the first outcome, before the rest of the read is seen. */
   @Test
   void aSecondAnswerIsNotTakenForThatOfTheFurtherAttempt() throws Exception {
