--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -252,13 +252,13 @@
     Account a = job.account;
     double units = job.request.units();
     if (a.plan.openLimit() > 0 && a.out >= Math.max(1, a.plan.openLimit() / a.gateways)) {
-      beyondQuota(job);
+      beyondQuota(job, Refusal.OPEN_LIMIT);
     } else if (a.plan.rate() <= 0 && a.plan.ceilingRate() <= 0) {
       dispatch(job);
     } else if (!settings.allowed().sharedCount()) {
       decide(job, false);
     } else if (a.surelySpent(units)) {
-      beyondQuota(job);
+      beyondQuota(job, Refusal.SPENT);
     } else if (mayCall()) {
       call(a, job);
     } else {
@@ -408,7 +408,7 @@
     if (barred || !holdsCeiling(a, units, answered)) {
       a.owed -= job.added && !a.plain ? units : 0;
       job.added = false;
-      beyondQuota(job);
+      beyondQuota(job, answered ? Refusal.BEYOND : Refusal.UNCONFIRMED);
       return;
     }
     a.level -= units;
@@ -435,14 +435,14 @@
   }
 
   /** Beyond its quota a request goes on only where the plan earns by it, under no ceiling, fleet idle. */
-  private void beyondQuota(Job job) {
+  private void beyondQuota(Job job, Refusal why) {
     Plan plan = job.account.plan;
     if (plan.beyondEarns() > plan.beyondCost() && plan.ceilingRate() <= 0
         && expectedOfAim() < PRESSED_LOW - UNCONFIRMED) {
       dispatch(job);
     } else {
       double missing = job.request.units() - job.account.level;
-      refuse(job, plan.rate() > 0 ? Math.max(TICK_MS, missing / plan.rate() * 1000) : 0);
+      refuse(job, why, plan.rate() > 0 ? Math.max(TICK_MS, missing / plan.rate() * 1000) : 0);
     }
   }
 
@@ -714,8 +714,12 @@
     open.put(r.id(), job);
     double worth = job.worth();
     meanWorth = Double.isNaN(meanWorth) ? worth : meanWorth + 0.01 * (worth - meanWorth);
-    if (open.size() >= settings.allowed().open() || late(job) || pressed(job, 0)) {
-      refuse(job, 0);
+    if (open.size() >= settings.allowed().open()) {
+      refuse(job, Refusal.FULL, 0);
+    } else if (late(job)) {
+      refuse(job, Refusal.LATE, 0);
+    } else if (pressed(job, 0)) {
+      refuse(job, Refusal.PRESSED, 0);
     } else {
       check(job);
     }
@@ -842,20 +846,43 @@
     boolean harmless = !job.mayHaveRun || job.type.repeat() == Repeat.SAFE
         || job.type.repeat() == Repeat.KEYED && job.type.group() == Group.ALL && now < job.keyedUntil;
     if (harmless) {
-      refuse(job, 0);
+      refuse(job, job.attempts == 0 ? Refusal.NO_BACKEND : Refusal.GIVEN_UP, 0);
     } else {
       open.remove(job.request.id());
       out.add(new Fail(job.request.id()));
     }
   }
 
-  private void refuse(Job job, double holdOffMs) {
+  private void refuse(Job job, Refusal why, double holdOffMs) {
+    refused[why.ordinal()]++;
     takeBack(job);
     open.remove(job.request.id());
     Allowed a = settings.allowed();
     out.add(new Refuse(job.request.id(), a.holdOff() ? Math.min(holdOffMs, a.maxHoldOffMs()) : 0));
   }
 
+  // ---- What the log tells ----
+
+  /** Why requests are refused. */
+  private enum Refusal { FULL, LATE, PRESSED, OPEN_LIMIT, SPENT, BEYOND, UNCONFIRMED, NO_BACKEND, GIVEN_UP }
+
+  private static final Refusal[] REFUSALS = Refusal.values();
+  private final int[] refused = new int[REFUSALS.length];
+
+  /** What the guards see at present, and the refusals since this was last asked, for the log. */
+  public String figures() {
+    StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
+        "pressure=%.2f service=%.0f pace=%.2f calls_failed=%d serving=%d", expectedOfAim(), fleetService,
+        pace, callsFailed, serving.size()));
+    for (Refusal r : REFUSALS) {
+      if (refused[r.ordinal()] > 0) {
+        text.append(' ').append(r).append('=').append(refused[r.ordinal()]);
+        refused[r.ordinal()] = 0;
+      }
+    }
+    return text.toString();
+  }
+
   // ---- Timers ----
 
   private double wakeAt, stalledFrom, stalledUntil = Double.NEGATIVE_INFINITY;
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -75,7 +75,7 @@
     driver.start(counter, config.known());
     new DiscoveryClient(loop, config.discovery(), config.known().version(), driver::onRoster).start();
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
-        + backends.connections() + " held=" + driver.held()), TALLY_S, TALLY_S, TimeUnit.SECONDS);
+        + backends.connections() + " held=" + driver.held() + ' ' + driver.figures()), TALLY_S, TALLY_S, TimeUnit.SECONDS);
   }
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -119,6 +119,11 @@
     return heldBytes;
   }
 
+  /** What the module has to tell the log. */
+  String figures() {
+    return policy.figures();
+  }
+
   boolean holds(String id) {
     return live.containsKey(id);
   }
