Give a connection that cannot be opened its end on the loop, its place and its retry

After 40 s the tally shows 126 to 209 back-end connections on front doors that hold no request and have 256 descriptors in all, 230 of them clients': the count is wrong. And 'serving' stays at 9 for four minutes of a release.

When no descriptor is left the library makes no channel. Its future fails on a thread of its own, and the stand-in for the channel never closes. So BackendPool.connect never took the connection back off its count, and once that reaches the bound nothing is sent any more; it drove the module from a second thread; and DiscoveryClient.start, which waits for that close to try again, never watched the list again, so servers that left stayed in use.

Ruled out: a silent agent (the client replaces a watch after 5 s of silence; its test holds) and connections that are really open (see the descriptors).

Connections are counted where a channel is really made, and a connect that has already ended calls back at once.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -48,13 +49,14 @@
   private final int most;
   private int connections;
 
-  BackendPool(EventLoop loop, Clock clock, Tally tally, int most, double connectLimitMs, double idleLimitMs) {
+  BackendPool(EventLoop loop, Class<? extends SocketChannel> socket, Clock clock, Tally tally, int most,
+      double connectLimitMs, double idleLimitMs) {
     this.loop = loop;
     this.clock = clock;
     this.tally = tally;
     this.most = most;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
-    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
+    bootstrap = new Bootstrap().group(loop).channel(socket)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectLimitMs));
     loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -132,17 +134,18 @@
   }
 
   private void connect(Backend b, Attempt attempt) {
-    connections++;
     b.connecting.add(attempt);
     BackendConnection c = new BackendConnection(this, b, tally);
     ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
+        connections++;
+        channel.closeFuture().addListener(f -> connections--);
         channel.pipeline().addLast(c.decoder(), new HttpRequestEncoder(),
             new HttpObjectAggregator(MOST_BODY), c);
       }
     }).connect(b.place);
-    connected.addListener((ChannelFuture f) -> {
+    Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
       if (attempt.ended()) {
@@ -153,7 +156,6 @@
         attempt.end(Status.UNREACHABLE, null);
       }
     });
-    connected.channel().closeFuture().addListener(f -> connections--);
   }
 
   private static FullHttpRequest request(Backend b, Attempt attempt) {
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -167,7 +166,7 @@
     }
 
     void connect() {
-      bootstrap.clone().handler(this).connect().addListener((ChannelFuture f) -> {
+      Transport.whenConnected(bootstrap.clone().handler(this).connect(), f -> {
         if (f.isSuccess()) {
           channel = f.channel();
           heardAt = clock.now();
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -4,12 +4,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -47,12 +47,13 @@
   private long version;
   private double backoffMs = LEAST_BACKOFF_MS;
 
-  DiscoveryClient(EventLoop loop, InetSocketAddress agent, long version, Consumer<RosterNews> listener) {
+  DiscoveryClient(EventLoop loop, Class<? extends SocketChannel> socket, InetSocketAddress agent,
+      long version, Consumer<RosterNews> listener) {
     this.loop = loop;
     this.agent = agent;
     this.version = version;
     this.listener = listener;
-    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket()).remoteAddress(agent)
+    bootstrap = new Bootstrap().group(loop).channel(socket).remoteAddress(agent)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
         .handler(new ChannelInitializer<Channel>() {
           @Override
@@ -64,9 +65,11 @@
   }
 
   void start() {
-    bootstrap.connect().addListener((ChannelFuture f) -> {
-      f.channel().closeFuture().addListener(closed -> later());
-      if (f.isSuccess()) {
+    Transport.whenConnected(bootstrap.connect(), f -> {
+      if (!f.isSuccess()) {
+        later();
+      } else {
+        f.channel().closeFuture().addListener(closed -> later());
         DefaultFullHttpRequest watch = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
             "/discovery/hosts?stream=1&index=" + version);
         String host = agent.getAddress().getHostAddress() + ":" + agent.getPort();
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -65,8 +65,8 @@
   private void wire(Config config) {
     Tally tally = new Tally();
     Descriptors descriptors = config.descriptors();
-    BackendPool backends = new BackendPool(loop, clock, tally, descriptors.backends(),
-        config.connectLimitMs(), config.idleLimitMs());
+    BackendPool backends = new BackendPool(loop, Transport.BEST.socket(), clock, tally,
+        descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()),
@@ -75,7 +75,8 @@
         config.settings().allowed().countLimitMs(), driver::onCounted);
     counter.start();
     driver.start(counter, config.known());
-    new DiscoveryClient(loop, config.discovery(), config.known().version(), driver::onRoster).start();
+    new DiscoveryClient(loop, Transport.BEST.socket(), config.discovery(), config.known().version(),
+        driver::onRoster).start();
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
         + backends.connections() + " held=" + driver.held() + ' ' + driver.figures()), TALLY_S, TALLY_S,
         TimeUnit.SECONDS);
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -1,5 +1,6 @@
 package willowdoor.net;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollIoHandler;
@@ -10,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.function.Consumer;
 
 /**
  * The sockets that the event loop drives: native epoll, which took a quarter less CPU on a calm day, or NIO
@@ -21,4 +23,17 @@
   static final Transport BEST = Epoll.isAvailable()
       ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class);
+
+  /**
+   * Calls back on the event loop's thread, this one, once the connect has ended. Without a descriptor left no
+   * channel is made: the future has failed by now, its listeners would be called on a thread of the library's
+   * own, and its stand-in for a channel never closes.
+   */
+  static void whenConnected(ChannelFuture connect, Consumer<ChannelFuture> ended) {
+    if (connect.isDone()) {
+      ended.accept(connect);
+    } else {
+      connect.addListener((ChannelFuture f) -> ended.accept(f));
+    }
+  }
 }
