End clients that take over 2.5 s to send a request, idle ones after 30 s

At fault: the one ReadTimeoutHandler of ClientServer.listen. ReceiveLimit now bounds the time from the connect to the first whole request, and from the first bytes to the end of each later one; the answer is 408. The test of silent and trickling peers fails without it.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -36,6 +36,7 @@
   private static final long LINGER_MS = 500;
 
   private final ClientServer server;
+  private final ReceiveLimit receiveLimit = new ReceiveLimit(this::overdue);
   private Channel channel;
   /** One connection too many: its first request is refused, and it ends. */
   private boolean over;
@@ -51,6 +52,18 @@
     this.server = server;
   }
 
+  /** Guards the time that a request takes to come; to be put into the channel's pipeline ahead of this. */
+  ReceiveLimit receiveLimit() {
+    return receiveLimit;
+  }
+
+  private void overdue() {
+    if (current == null && !ending) {
+      server.slow();
+      endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
+    }
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -59,6 +72,7 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+    receiveLimit.whole();
     if (ending) {
       message.release();
     } else if (current != null) {
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -23,8 +23,8 @@
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
 
-  /** A client silent for so long, between requests or inside one, loses its connection. */
-  private static final int IDLE_S = 120;
+  /** A client silent for so long between requests loses its connection. */
+  private static final int IDLE_S = 30;
   private static final int MOST_HELD = 400;
   private static final int MOST_HELD_BYTES = 8 << 20;
   private static final int MOST_LINE = 8_192;
@@ -63,7 +63,7 @@
           @Override
           protected void initChannel(Channel channel) {
             ClientConnection connection = new ClientConnection(ClientServer.this);
-            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_S),
+            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_S), connection.receiveLimit(),
                 new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_BODY), new BoundedBody(connection),
                 connection);
           }
@@ -144,6 +144,11 @@
     idle.remove(connection);
   }
 
+  /** Counts a client that took too long to send its request. */
+  void slow() {
+    tally.count(Tally.Event.CLIENT_SLOW);
+  }
+
   void took(ClientConnection connection) {
     idle.remove(connection);
   }
