Move to the addresses of a replaced configuration on SIGHUP instead of ending

The program had no handler, and the runtime's own ends it.

FrontDoor.reload reads the file again; one that cannot be read is logged and changes nothing. The watch of the list goes on at the new address from the last version. Counter calls go to the new address once it answers the connect, those under way are still answered at the old one, and the calls for one name keep their order. A deployment without a counter no longer fails at the start. ReloadTest ends its own process without the handler.

--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -56,11 +56,14 @@
   }
 
   private final EventLoop loop;
+  private InetSocketAddress counter;
   private final Clock clock;
   private final double limitMs;
   private final Consumer<Counted> listener;
   private final Bootstrap bootstrap;
-  private final Link[] links = new Link[CONNECTIONS];
+  private Link[] links = {};
+  /** Connections to the address before: they end once those to the new one are up and nothing is owed. */
+  private Link[] leaving = {};
   /** Calls in the order of their starts, and so of their limits. */
   private final ArrayDeque<Call> pending = new ArrayDeque<>();
   private final Map<String, Call> lastOfName = new HashMap<>();
@@ -69,27 +72,48 @@
   CounterClient(EventLoop loop, Clock clock, InetSocketAddress counter, double limitMs,
       Consumer<Counted> listener) {
     this.loop = loop;
+    this.counter = counter;
     this.clock = clock;
     this.limitMs = limitMs;
     this.listener = listener;
-    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket()).remoteAddress(counter)
+    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 250);
   }
 
   void start() {
+    links = open();
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private Link[] open() {
+    Link[] opened = new Link[CONNECTIONS];
     for (int i = 0; i < CONNECTIONS; i++) {
-      links[i] = new Link();
-      links[i].connect();
+      opened[i] = new Link();
+      opened[i].connect();
     }
-    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    return opened;
+  }
+
+  /** From now on the counter is at another address. What is owed at the old one may still be answered. */
+  void moveTo(InetSocketAddress counter) {
+    this.counter = counter;
+    for (Link l : leaving) {
+      l.close();
+    }
+    leaving = links;
+    for (Link l : leaving) {
+      l.left = true;
+    }
+    links = open();
   }
 
   void add(String name, double amount, double ttlMs) {
     Call call = new Call(name, clock.now());
     Call before = lastOfName.get(name);
-    Link link = before != null ? before.link : leastOwing();
-    if (link == null || !link.open() || link.owed.size() >= MOST_OWED) {
+    Link link = before != null && before.link.open() ? before.link : leastOwing(links);
+    link = link != null ? link : leastOwing(leaving);
+    if (link == null || link.owed.size() >= MOST_OWED) {
       listener.accept(new Counted(name, Status.UNREACHABLE, 0, 0));
       return;
     }
@@ -107,9 +131,9 @@
     return BigDecimal.valueOf(amount).setScale(6, RoundingMode.HALF_UP).toPlainString();
   }
 
-  private Link leastOwing() {
+  private static Link leastOwing(Link[] among) {
     Link best = null;
-    for (Link l : links) {
+    for (Link l : among) {
       if (l.open() && (best == null || l.owed.size() < best.owed.size())) {
         best = l;
       }
@@ -152,6 +176,14 @@
     for (Link l : links) {
       l.check(now);
     }
+    boolean moved = leastOwing(links) != null;
+    for (Link l : leaving) {
+      if (moved && l.owed.isEmpty()) {
+        l.close();
+      } else {
+        l.check(now);
+      }
+    }
   }
 
   /** One kept connection and the answers that it owes, in order. */
@@ -160,14 +192,27 @@
     private Channel channel;
     private double heardAt;
     private double backoffMs = LEAST_BACKOFF_MS;
+    /** The counter has moved: this connection is not opened again. */
+    private boolean left;
 
     boolean open() {
       return channel != null && channel.isActive();
     }
 
+    void close() {
+      if (channel != null) {
+        channel.close();
+      }
+    }
+
     void connect() {
-      Transport.whenConnected(bootstrap.clone().handler(this).connect(), f -> {
-        if (f.isSuccess()) {
+      if (left) {
+        return;
+      }
+      Transport.whenConnected(bootstrap.clone().handler(this).connect(counter), f -> {
+        if (f.isSuccess() && left) {
+          f.channel().close();
+        } else if (f.isSuccess()) {
           channel = f.channel();
           heardAt = clock.now();
         } else {
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
@@ -41,11 +43,14 @@
   private static final double MOST_BACKOFF_MS = 2_000;
 
   private final EventLoop loop;
-  private final InetSocketAddress agent;
+  private InetSocketAddress agent;
   private final Consumer<RosterNews> listener;
   private final Bootstrap bootstrap;
   private long version;
   private double backoffMs = LEAST_BACKOFF_MS;
+  private Channel watch;
+  /** The next try to open a watch; null while there is one. */
+  private Future<?> retry;
 
   DiscoveryClient(EventLoop loop, Class<? extends SocketChannel> socket, InetSocketAddress agent,
       long version, Consumer<RosterNews> listener) {
@@ -53,7 +58,7 @@
     this.agent = agent;
     this.version = version;
     this.listener = listener;
-    bootstrap = new Bootstrap().group(loop).channel(socket).remoteAddress(agent)
+    bootstrap = new Bootstrap().group(loop).channel(socket)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
         .handler(new ChannelInitializer<Channel>() {
           @Override
@@ -65,7 +70,10 @@
   }
 
   void start() {
-    Transport.whenConnected(bootstrap.connect(), f -> {
+    retry = null;
+    ChannelFuture connect = bootstrap.connect(agent);
+    watch = connect.channel();
+    Transport.whenConnected(connect, f -> {
       if (!f.isSuccess()) {
         later();
       } else {
@@ -85,7 +93,18 @@
     }
     double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
     backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
-    loop.schedule(this::start, (long) wait, TimeUnit.MILLISECONDS);
+    retry = loop.schedule(this::start, (long) wait, TimeUnit.MILLISECONDS);
+  }
+
+  /** From now on the list comes from another address: what changed since the last version is asked there. */
+  void moveTo(InetSocketAddress agent) {
+    this.agent = agent;
+    backoffMs = LEAST_BACKOFF_MS;
+    if (retry == null) {
+      watch.close();
+    } else if (retry.cancel(false)) {
+      start();
+    }
   }
 
   /** Passes on the bytes of the answer's body, in which lines and chunks end where they like. */
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -9,11 +9,14 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import willowdoor.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
 public final class FrontDoor {
 
+  private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
   /** After SIGTERM new connections go on coming for up to 0.4 s. */
   private static final long ACCEPT_MS = 550;
   /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
@@ -27,6 +30,8 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private ModuleDriver driver;
   private ClientServer clients;
+  private CounterClient counter;
+  private DiscoveryClient discovery;
   private Channel listening;
 
   private FrontDoor() {
@@ -38,7 +43,9 @@
     if (file == null) {
       throw new IOException("GW_CONFIG is not set");
     }
-    FrontDoor door = start(Config.read(Path.of(file)));
+    Path path = Path.of(file);
+    FrontDoor door = start(Config.read(path));
+    door.reloadOnHangUp(path);
     Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
   }
 
@@ -71,17 +78,41 @@
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()),
         descriptors, tally);
-    CounterClient counter = new CounterClient(loop, clock, config.counter(),
+    counter = new CounterClient(loop, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
-    counter.start();
+    if (config.counter() != null) {
+      counter.start();
+    }
     driver.start(counter, config.known());
-    new DiscoveryClient(loop, Transport.BEST.socket(), config.discovery(), config.known().version(),
-        driver::onRoster).start();
+    discovery = new DiscoveryClient(loop, Transport.BEST.socket(), config.discovery(),
+        config.known().version(), driver::onRoster);
+    discovery.start();
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
         + backends.connections() + " held=" + driver.held() + ' ' + driver.figures()), TALLY_S, TALLY_S,
         TimeUnit.SECONDS);
   }
 
+  /** SIGHUP tells that the configuration was replaced; without a handler it would end the process. */
+  void reloadOnHangUp(Path file) {
+    HangUp.handle(() -> reload(file));
+  }
+
+  /** Moves to the addresses that the file names now; one that cannot be read changes nothing. */
+  private void reload(Path file) {
+    try {
+      Config config = Config.read(file);
+      loop.execute(() -> {
+        discovery.moveTo(config.discovery());
+        if (config.counter() != null) {
+          counter.moveTo(config.counter());
+        }
+      });
+      LOG.info(() -> "discovery is at " + config.discovery() + " now, the counter at " + config.counter());
+    } catch (IOException | RuntimeException e) {
+      LOG.log(Level.SEVERE, "the configuration cannot be read again, and stays as it was", e);
+    }
+  }
+
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void drain() {
     loop.execute(clients::beginDrain);
--- /dev/null
+++ b/src/test/java/willowdoor/net/ReloadTest.java
@@ -0,0 +1,50 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A configuration that is replaced while the front door serves. */
+@Timeout(30)
+class ReloadTest {
+
+  private final Peers before = new Peers();
+  private final Peers after = new Peers();
+  @TempDir
+  private Path folder;
+
+  @AfterEach
+  void close() throws Exception {
+    before.close();
+    after.close();
+  }
+
+  private static void hangUp() throws Exception {
+    String self = Long.toString(ProcessHandle.current().pid());
+    assertEquals(0, new ProcessBuilder("kill", "-HUP", self).start().waitFor());
+  }
+
+  @Test
+  void aHangUpMovesToTheNewAddressesAndServingGoesOn() throws Exception {
+    Path file = folder.resolve("config.json");
+    FrontDoor door = before.start();
+    Peers.next(before.watches);
+    door.reloadOnHangUp(file);
+
+    Files.writeString(file, "{\"listen\":");
+    hangUp();
+    Files.writeString(file, after.config());
+    hangUp();
+    assertTrue(Peers.next(after.watches).contains("index=7 "));
+    after.tell(Peers.list(8, true, Peers.entry("s-2", after.backend.getLocalPort(), "active")) + "\n");
+    for (int i = 0; after.atCounter.isEmpty() || after.atBackend.isEmpty(); i++) {
+      assertEquals(200, before.client().ask(Peers.get("r" + i, 3000)).status());
+    }
+  }
+}
