Take no line behind the counter's junk for an answer

Found on the path of the counter's answers; no recording shows it. After an answer without a number CounterClient.answered closed the connection, but the lines of the same read went on to be matched, and the next one gave its total to the call that the junk had answered. Such a connection is of no further use: all that it owes may have been added. The new test gets OK instead of RESET without the change.

--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -191,6 +191,8 @@
     private final ArrayDeque<Call> owed = new ArrayDeque<>();
     private Channel channel;
     private double heardAt;
+    /** Junk came: lines that were read with it are not answers to what is owed. */
+    private boolean outOfStep;
     private double backoffMs = LEAST_BACKOFF_MS;
     /** The counter has moved: this connection is not opened again. */
     private boolean left;
@@ -270,6 +272,9 @@
     }
 
     private void answered(String line) {
+      if (outOfStep) {
+        return;
+      }
       heardAt = clock.now();
       Call call = owed.poll();
       if (call != null && line.startsWith("ok ") && call.name != null) {
@@ -292,6 +297,7 @@
         return;
       }
       // Junk: answers and calls are out of step, and nothing that follows can be trusted.
+      outOfStep = true;
       if (call != null) {
         owed.addFirst(call);
       }
@@ -301,6 +307,7 @@
     /** What was not written whole added nothing; anything else may have been added. */
     private void lost() {
       channel = null;
+      outOfStep = false;
       while (!owed.isEmpty()) {
         Call call = owed.poll();
         finish(call, call.written ? Status.RESET : Status.UNREACHABLE, 0);
--- a/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/src/test/java/willowdoor/net/CounterClientTest.java
@@ -113,6 +113,17 @@
     assertEquals(Status.OK, Peers.next(ends).status());
   }
 
+  /** What comes in the same read behind junk is out of step, so it answers nothing. */
+  @Test
+  void nothingBehindJunkIsTakenForAnAnswer() throws Exception {
+    start(5_000);
+    peers.counting = line -> line.contains(" 1 ") ? null : "ok what?\r\nok 99";
+    add("a", 1);
+    add("a", 2);
+    assertEquals(Status.RESET, Peers.next(ends).status());
+    assertEquals(Status.RESET, Peers.next(ends).status());
+  }
+
   /** A silent connection is replaced: calls get through again though no old one was ever answered. */
   @Test
   void silentConnectionsAreReplaced() throws Exception {
