Take the pause that has just ended off the waits that the module measures

A front door on 0.30 of a core that compiles its code stands still for 70 ms of each 100; answers that wait to be read look like a full fleet, clients ask again at once, and that takes more CPU. The module took only pauses over 100 ms off, and booked the last one to whatever ended later. Now a pause from 30 ms on counts for the answers that are read right after it, for service times too. The log tells of the pauses and of how counter calls ended.

The test fails with the old bound. Start-up itself stays costly: open.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -29,6 +29,8 @@
   private static final double PULSE_MS = 250;
   /** A wake-up later than this means that this gateway stood still: far more than any load explains. */
   private static final double STALL_MS = 100;
+  /** A wake-up this late shows a pause, in which answers may have waited to be read. */
+  private static final double HELD_UP_MS = 30;
   /** A request waits for the counter at most this share of its aim; the rest is for the backends. */
   private static final double COUNT_WAIT_OF_AIM = 0.06;
   /** Calls failing in a row before the counter is taken to be away; fewer is a lost packet. */
@@ -329,6 +331,7 @@
   }
 
   private void judgeCounter(Counted e) {
+    callEnds[e.status().ordinal()]++;
     boolean away = callsFailed >= COUNTER_AWAY_AFTER;
     callsFailed = e.status() == Status.OK ? 0 : callsFailed + 1;
     if (e.status() != Status.OK) {
@@ -652,7 +655,8 @@
     if (e.status() == Status.OK) {
       b.trial = false;
       b.rests = b.failing < FAILING_SHARE / 4 ? 0 : b.rests;
-      double service = load != null && !Double.isNaN(load.serviceMs()) ? load.serviceMs() : e.latencyMs();
+      double service = load != null && !Double.isNaN(load.serviceMs()) ? load.serviceMs()
+          : e.latencyMs() - heldUp(attempt.sentAt);
       double known = b.serviceMs();
       b.service = known + NEWEST / 2 * (service - known);
       fleetService += NEWEST / 10 * (service - fleetService);
@@ -743,16 +747,15 @@
   }
 
   /**
-   * The time that this gateway itself stood still is not the fleet's. An attempt that timed out while others
+   * The time that this gateway itself was held up is not the fleet's. An attempt that timed out while others
    * were answered lost its answer: that tells of no wait. Harm: a few slow backends stay unseen here.
    */
   private void measureWait(Attempt attempt, Outcome e) {
     boolean lost = e.status() == Status.TIMED_OUT && okAt > attempt.sentAt;
     okAt = e.status() == Status.OK ? now : okAt;
     if (e.status() == Status.OK || e.status() == Status.REJECTED || e.status() == Status.TIMED_OUT && !lost) {
-      double stood = Math.max(0, stalledUntil - Math.max(stalledFrom, attempt.sentAt));
       double waited = e.status() == Status.REJECTED ? 1
-          : Math.max(fleetService, e.latencyMs() - stood) / attempt.job.aim();
+          : Math.max(fleetService, e.latencyMs() - heldUp(attempt.sentAt)) / attempt.job.aim();
       latencyOfAim.add(Math.min(2, waited), now);
       outThen.add(outNow, now);
     }
@@ -867,25 +870,35 @@
   private enum Refusal { FULL, LATE, PRESSED, OPEN_LIMIT, SPENT, BEYOND, UNCONFIRMED, NO_BACKEND, GIVEN_UP }
 
   private static final Refusal[] REFUSALS = Refusal.values();
+  private static final Status[] STATUSES = Status.values();
   private final int[] refused = new int[REFUSALS.length];
+  private final int[] callEnds = new int[STATUSES.length];
+  private double heldUpInAll;
 
-  /** What the guards see at present, and the refusals since this was last asked, for the log. */
+  /** For the log: what the guards see, and how calls ended and requests were refused since last asked. */
   public String figures() {
     StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
-        "pressure=%.2f service=%.0f pace=%.2f calls_failed=%d serving=%d", expectedOfAim(), fleetService,
-        pace, callsFailed, serving.size()));
-    for (Refusal r : REFUSALS) {
-      if (refused[r.ordinal()] > 0) {
-        text.append(' ').append(r).append('=').append(refused[r.ordinal()]);
-        refused[r.ordinal()] = 0;
+        "pressure=%.2f service=%.0f pace=%.2f serving=%d held_up_ms=%.0f calls", expectedOfAim(),
+        fleetService, pace, serving.size(), heldUpInAll));
+    appendCounts(text, STATUSES, callEnds);
+    appendCounts(text.append(" refused"), REFUSALS, refused);
+    return text.toString();
+  }
+
+  private static void appendCounts(StringBuilder text, Enum<?>[] names, int[] counts) {
+    for (Enum<?> name : names) {
+      if (counts[name.ordinal()] > 0) {
+        text.append(' ').append(name).append('=').append(counts[name.ordinal()]);
+        counts[name.ordinal()] = 0;
       }
     }
-    return text.toString();
   }
 
   // ---- Timers ----
 
-  private double wakeAt, stalledFrom, stalledUntil = Double.NEGATIVE_INFINITY;
+  private double wakeAt, stalledUntil = Double.NEGATIVE_INFINITY;
+  /** The last pause of this gateway. */
+  private double heldUpFrom, heldUpUntil = Double.NEGATIVE_INFINITY;
 
   private void onWoken(Woken e) {
     if (e.label().equals("follow")) {
@@ -906,13 +919,22 @@
    * and no wait seen over that time is booked to a backend or the counter. Harm: none but a later look.
    */
   private void noteStall() {
+    if (now - wakeAt > HELD_UP_MS && wakeAt > heldUpUntil) {
+      heldUpFrom = wakeAt;
+      heldUpUntil = now;
+      heldUpInAll += heldUpUntil - heldUpFrom;
+    }
     if (now - wakeAt > STALL_MS) {
       stalledUntil = now;
-      stalledFrom = wakeAt;
       wakeAt = now;
     }
   }
 
+  /** How long an answer to what was sent then may have waited to be read: the pause that has just ended. */
+  private double heldUp(double sentAt) {
+    return now - heldUpUntil < HELD_UP_MS ? Math.max(0, heldUpUntil - Math.max(heldUpFrom, sentAt)) : 0;
+  }
+
   private boolean stalled() {
     return now <= stalledUntil;
   }
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -419,6 +419,22 @@
     assertTrue(f.did(Refuse.class));
   }
 
+  /** An answer that waited to be read while the gateway itself paused tells of no full fleet. */
+  @Test
+  void aPauseOfItsOwnIsNotTheFleetsWait() {
+    Fixtures f = Fixtures.counted();
+    for (int i = 0; i < 90; i++) {
+      f.request("unsafe", "free", 1);
+      assertTrue(f.did(Send.class), "request " + i);
+      Send s = f.only(Send.class);
+      if (i >= 30) {
+        f.run(275).pass(25 + 70);
+        f.on(new Outcome(s.request(), 0, s.backend(), Status.OK, 370, true, 0, null));
+        f.on(new Woken("tick"));
+      }
+    }
+  }
+
   @Test
   void aRosterThatMustBeAskedForIsFollowedAndAskedForAgain() {
     Fixtures f = new Fixtures(Fixtures.settings(true, 2, true));
