Do not call the counter less because an answer of it could not be read

The pace guards a slow or full counter; such an answer came in time. At fault: QuotaPolicy.judgeCounter; the test fails without the change.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -334,6 +334,11 @@
     callEnds[e.status().ordinal()]++;
     boolean away = callsFailed >= COUNTER_AWAY_AFTER;
     callsFailed = e.status() == Status.OK ? 0 : callsFailed + 1;
+    if (e.status() == Status.RESET) {
+      // A broken or unreadable answer came in time: it tells of no load that calling less would relieve.
+      trialAt = callsFailed == COUNTER_AWAY_AFTER ? nextTrial() : trialAt;
+      return;
+    }
     if (e.status() != Status.OK) {
       pace *= now - pacedAt > settings.allowed().countLimitMs() ? PACE_CUT : 1;
       trialAt = callsFailed == COUNTER_AWAY_AFTER ? nextTrial() : trialAt;
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -151,6 +151,22 @@
     assertTrue(f.did(Send.class));
   }
 
+  /** What cannot be read was answered all the same: the counter is not full, so no request goes unasked. */
+  @Test
+  void unreadableAnswersDoNotSlowTheCalls() {
+    Fixtures f = Fixtures.counted();
+    for (int i = 0; i < 200; i++) {
+      f.pass(60).on(new Request("q" + i, "safe", "rated", 1000 + i, 2, 1, f.now + 4000));
+      assertTrue(f.did(Add.class), "request " + i);
+      if (i % 3 == 0) {
+        f.callFails(Status.RESET);
+      } else {
+        f.total(1);
+      }
+      f.outcome(f.only(Send.class), 0, Status.OK, true).on(new Woken("tick"));
+    }
+  }
+
   @Test
   void anAbsentCounterIsTriedRarelyAndComesBackAtOnce() {
     Fixtures f = Fixtures.counted();
