Split a plan's limit on open requests by each gateway's part of the use

A customer's requests come unevenly through its gateways, but each got an even part of the limit, rounded down: 1 of 7 for four. The shared totals tell how much of the use is this gateway's (the replica goes by it already), so the limit follows it, to the nearest whole number.

The test fails with the even split.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -160,6 +160,18 @@
       othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
+    /** What of the limit on open requests falls to this gateway by its part of the customer's use. */
+    double openHere() {
+      return Math.max(1, Math.round(plan.openLimit() * ownPart()));
+    }
+
+    /** This gateway's part of the customer's use as lately seen; an even one before anything was. */
+    double ownPart() {
+      double least = plan.rate() * 0.05;
+      return plan.rate() <= 0 ? 1.0 / gateways
+          : (ownRate + least) / (ownRate + othersRate + least * gateways);
+    }
+
     /** The share of a ceiling for gateways by themselves: all for two, for more a largest request each. */
     double ownShare() {
       return Math.min(1, Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst()));
@@ -189,8 +201,7 @@
         expectUse(dt);
         return;
       }
-      double least = plan.rate() * 0.05;
-      double share = (ownRate + least) / (ownRate + othersRate + least * gateways);
+      double share = ownPart();
       boolean shared = settings.allowed().sharedCount();
       double others = shared ? Math.min(othersRate, plan.rate() * (1 - share)) : othersRate;
       double cap = shared ? plan.burst() : plan.burst() / gateways;
@@ -253,7 +264,7 @@
   private void check(Job job) {
     Account a = job.account;
     double units = job.request.units();
-    if (a.plan.openLimit() > 0 && a.out >= Math.max(1, a.plan.openLimit() / a.gateways)) {
+    if (a.plan.openLimit() > 0 && a.out >= a.openHere()) {
       beyondQuota(job, Refusal.OPEN_LIMIT);
     } else if (a.plan.rate() <= 0 && a.plan.ceilingRate() <= 0) {
       dispatch(job);
--- a/src/test/java/willowdoor/Fixtures.java
+++ b/src/test/java/willowdoor/Fixtures.java
@@ -33,6 +33,7 @@
   static final Plan WIDE = new Plan("wide", 40, 100, 0, 1, 0, 1, 80, 200, 20);
   static final Plan BROAD = new Plan("broad", 40, 100, 0, 1, 0, 1, 0, 0, 0);
   static final Plan FREE = new Plan("free", 0, 0, 0, 1, 0, 1, 0, 0, 0);
+  static final Plan CAPPED = new Plan("capped", 40, 100, 4, 1, 0, 1, 0, 0, 0);
   static final Plan NARROW = new Plan("narrow", 0, 0, 2, 1, 0, 1, 0, 0, 0);
 
   final QuotaPolicy policy;
@@ -63,7 +64,7 @@
         new RequestClass("zone", 1, 0, 1000, 4000, Repeat.KEYED, Group.ZONE, 3000, false),
         new RequestClass("stream", 1, 0, 1000, 4000, Repeat.SAFE, Group.ALL, 0, true));
     return new Settings(gateways, self, "a", 4, 0, false, classes,
-        List.of(RATED, CEILED, FREE, NARROW, WIDE, BROAD),
+        List.of(RATED, CEILED, FREE, NARROW, CAPPED, WIDE, BROAD),
         new Allowed(counter, 30, true, false, 4, 1000, true, 2000, ask), new Rules(8, 0.2, 10_000, 3, 2000));
   }
 
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import willowdoor.GatewayApi.Add;
@@ -115,6 +117,22 @@
     assertTrue(f.did(Refuse.class));
   }
 
+  /** A customer whose use comes through one gateway alone has its whole limit there. */
+  @Test
+  void openLimitFollowsTheUse() {
+    Fixtures f = Fixtures.counted();
+    Map<String, Double> totals = new HashMap<>();
+    for (int i = 0; i < 60; i++) {
+      f.pass(100).on(new Woken("tick"));
+      String id = f.request("safe", "capped", 1);
+      Send s = f.total(totals.merge(f.lastAdd().name(), f.lastAdd().amount(), Double::sum)).only(Send.class);
+      assertEquals(id, s.request());
+      if (i < 57) {
+        f.outcome(s, 0, Status.OK, true);
+      }
+    }
+  }
+
   @Test
   void withoutACounterTheQuotaIsSplitEvenly() {
     Fixtures f = new Fixtures(Fixtures.settings(false, 2, false)).backends(4);
