--- a/src/main/java/willowdoor/net/RosterNews.java
+++ b/src/main/java/willowdoor/net/RosterNews.java
@@ -26,7 +26,11 @@
   static RosterNews parse(byte[] line) throws IOException {
     try (JsonParser in = JSON.createParser(line)) {
       in.nextToken();
-      return of(JsonFields.object(in));
+      Map<String, Object> message = JsonFields.object(in);
+      if (!(message.get("version") instanceof Number) || !(message.get("servers") instanceof List)) {
+        throw new IOException("a message without a version or a list of servers");
+      }
+      return of(message);
     }
   }
 
--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -105,6 +105,16 @@
     assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** A message that names no servers is not a list of none. */
+  @Test
+  void aMessageWithoutAListIsJunkToo() throws Exception {
+    peers.start();
+    Peers.next(peers.watches);
+    peers.tell("{\"version\":9,\"full\":true}\n");
+    assertTrue(Peers.next(peers.watches).contains("index=7 "));
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
   /** A machine that vanished resets nothing: the watch is replaced for its silence alone. */
   @Test
   void aSilentWatchIsReplaced() throws Exception {
