--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -82,7 +82,7 @@
     receiveLimit.whole();
     if (ending) {
       message.release();
-    } else if (current != null || !behind.isEmpty()) {
+    } else if (current != null) {
       behind.add(message);
       channel.config().setAutoRead(false);
     } else {
@@ -212,10 +212,6 @@
   }
 
   private void write(FullHttpResponse answer) {
-    if (ending) {
-      answer.release();
-      return;
-    }
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
     boolean keep = keepAlive && !server.draining();
     if (!keep) {
@@ -227,20 +223,16 @@
     if (keep) {
       server.answered(this);
     }
+    FullHttpRequest next = behind.poll();
     if (ending) {
       dropBehind();
-    } else if (!behind.isEmpty()) {
-      // Not at once: answers that come at once would nest as deep as the requests behind each other.
-      channel.eventLoop().execute(this::takeNext);
     }
-  }
-
-  /** What is read from here on comes behind the requests that wait, so reading goes on after the last one. */
-  private void takeNext() {
-    FullHttpRequest next = current == null ? behind.poll() : null;
-    if (next != null) {
-      handle(next);
+    if (next != null && !ending) {
       channel.config().setAutoRead(behind.isEmpty());
+      // Not at once: answers that come at once would nest as deep as the requests behind each other.
+      channel.eventLoop().execute(() -> handle(next));
+    } else if (next != null) {
+      next.release();
     }
   }
 
