Take a backend for restarted after three failed connects, not after one

Evidence: from 12 to 22 s the tally has NO_BACKEND=875, 282 and 307 on three front doors, 52 to 59 requests held, 1 to 4 connections to backends and no pressure, while 8 or 9 backends serve. A connect that failed marked its backend as freshly started for ColdMs (18 s).

At fault: QuotaPolicy.learn. One that has answered is now taken to be down after three failed connects without an answer between; one never heard is so at once, as before. Ruled out: quota and pressure (their refusals did not grow), the counter (4% unanswered).

The new test fails without the change.

--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -115,6 +115,8 @@
     double service = Double.NaN;
     double failing;
     int rests;
+    /** Connects that failed since its last answer. */
+    int unreached;
     boolean trial;
     double restUntil = Double.NEGATIVE_INFINITY;
     double fullUntil = Double.NEGATIVE_INFINITY;
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -57,6 +57,8 @@
   /** A backend failing more of its answers than this, as after three in a row, rests for a growing while. */
   private static final double FAILING_SHARE = 0.4;
   private static final double REST_MS = 1_000;
+  /** Connects failing without an answer between, as when a backend is down that answered before. */
+  private static final int DOWN_AFTER = 3;
   /** Backends that a gateway keeps to (subsetting), and gateways that each has at least: few connections. */
   private static final int SUBSET = 12;
   /** Backends compared for a request, over all gateways; two at least, as equal stale reports make a herd. */
@@ -661,6 +663,7 @@
     double forget = b.remembered();
     if (e.status() == Status.OK || e.status() == Status.ERROR || e.status() == Status.REJECTED) {
       b.answeredAt = now;
+      b.unreached = 0;
     }
     if (e.status() == Status.OK || bad) {
       b.failing *= forget;
@@ -679,7 +682,9 @@
     } else if (e.status() == Status.REJECTED) {
       b.fullUntil = now + 2 * fleetService;
     } else if (bad) {
-      if (e.status() == Status.UNREACHABLE && !b.cold(settings.rules(), now)) {
+      b.unreached += e.status() == Status.UNREACHABLE ? 1 : 0;
+      boolean down = b.unreached >= DOWN_AFTER || b.unreached > 0 && Double.isNaN(b.service);
+      if (down && !b.cold(settings.rules(), now)) {
         b.coldAt = b.startedMs = now;
         b.coldTokens = random.nextDouble();
       }
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -385,6 +385,18 @@
     assertTrue(cold < all / 8, "under half of a warm backend's quarter: " + cold + " of " + all);
   }
 
+  /** One connect that fails is no restart: the backend answers on, and is not held to a cold one's part. */
+  @Test
+  void aLostConnectDoesNotMakeABackendCold() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 2, false)).backends(1);
+    for (int i = 0; i < 40; i++) {
+      f.pass(20).request("unsafe", "free", 1);
+      assertTrue(f.did(Send.class), "request " + i);
+      Status status = i % 10 == 9 ? Status.UNREACHABLE : Status.OK;
+      f.outcome(f.only(Send.class), 0, status, true).on(new Woken("tick"));
+    }
+  }
+
   @Test
   void aBackendThatFailsFastRestsAndIsTriedAgain() {
     Fixtures f = Fixtures.counted();
