Answer operators' ready, evacuate and rejoin; one drain for them and SIGTERM

The management listener has an event loop, a descriptor share and a bound on callers of its own. Where a drain used to close every idle connection at once after 550 ms, it now closes them a few at a time and spares those that a part of a request has come on.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -251,6 +251,11 @@
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Whether neither a request is on it nor a part of one has come. */
+  boolean waits() {
+    return current == null && !receiveLimit.partial();
+  }
+
   /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
   void closeIfIdle() {
     if (current == null && !ending) {
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -16,8 +16,8 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import willowdoor.GatewayApi.Request;
 
 /** Accepts clients, and tells their connections what all of them share. */
@@ -27,6 +27,13 @@
   private static final int IDLE_S = 30;
   /** A new connection is opened for a request: one without any after this gives way first. */
   private static final double SILENT_MS = 500;
+  /**
+   * For so long after the beginning of a drain clients that are at work get their answer with the news that
+   * it is the last; new connections go on coming for the first 0.4 s. What is idle then is closed.
+   */
+  private static final double PARTING_MS = 550;
+  /** Idle connections are closed a few at a time: what came meanwhile is read in between. */
+  private static final int CLOSED_AT_ONCE = 8;
   private static final int MOST_HELD = 400;
   private static final int MOST_HELD_BYTES = 8 << 20;
   private static final int MOST_LINE = 8_192;
@@ -45,7 +52,10 @@
   private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
   private Channel listening;
   private boolean ready;
-  private boolean draining;
+  /** The two reasons for a drain: the operators', who may take it back, and the end of the process. */
+  private boolean evacuated;
+  private boolean ending;
+  private double drainingSince;
 
   ClientServer(Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Descriptors descriptors, Tally tally) {
@@ -107,11 +117,16 @@
   }
 
   boolean ready() {
-    return ready && !draining && backends.knowsAny();
+    return canServe() && !draining();
+  }
+
+  /** Whether it could serve, drained by the operators or not. */
+  boolean canServe() {
+    return ready && !ending && backends.knowsAny();
   }
 
   boolean draining() {
-    return draining;
+    return evacuated || ending;
   }
 
   /** Over these bounds requests are refused, so that the process stays within its memory. */
@@ -175,22 +190,44 @@
     idle.add(connection);
   }
 
-  /** From here on every answer ends its connection; new connections are still taken. */
-  void beginDrain() {
-    draining = true;
+  /** The operators' drain, or its end: from here on every answer ends its connection. */
+  void evacuate(boolean on) {
+    beginDrain();
+    evacuated = on;
+  }
+
+  /** The planned end: as a drain, and no new connections are taken once those on their way have come. */
+  void end() {
+    beginDrain();
+    ending = true;
   }
 
-  /** Takes no more connections, and ends those that no request is on. */
-  void stopAccepting() {
-    listening.close();
-    List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+  private void beginDrain() {
+    if (!draining()) {
+      drainingSince = clock.now();
+    }
+  }
+
+  /** Closes a few connections that no request is on, those that wait the longest first. */
+  void partWithIdle() {
+    if (!draining() || clock.now() - drainingSince < PARTING_MS) {
+      return;
+    }
+    if (ending && listening.isOpen()) {
+      listening.close();
+    }
+    double silentBefore = ending ? Double.POSITIVE_INFINITY : clock.now() - SILENT_MS;
+    Stream.concat(idle.stream(), fresh.stream().takeWhile(c -> c.openedAt() < silentBefore))
+        .filter(ClientConnection::waits).limit(CLOSED_AT_ONCE).toList()
+        .forEach(ClientConnection::closeIfIdle);
   }
 
   int open() {
     return connections.size();
   }
 
-  boolean idle() {
-    return connections.isEmpty();
+  /** The end has come: no more connections are taken and none is left. */
+  boolean ended() {
+    return ending && !listening.isOpen() && connections.isEmpty();
   }
 }
--- a/src/main/java/willowdoor/net/Descriptors.java
+++ b/src/main/java/willowdoor/net/Descriptors.java
@@ -11,9 +11,9 @@
 
   /**
    * The Java runtime's files and pollers, the listener, and the connections to the counter and to discovery,
-   * which are there twice for a moment when their addresses change.
+   * which are there twice for a moment when their addresses change; and the operators' share.
    */
-  private static final int OWN = 48;
+  private static final int OWN = 48 + Management.DESCRIPTORS;
   /** Connections over the clients' bound that are still told so. */
   private static final int REFUSED = 16;
   private static final int LEAST = 96;
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.file.Path;
@@ -14,25 +15,28 @@
 import willowdoor.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
-public final class FrontDoor {
+public final class FrontDoor implements Management.Operator {
 
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
-  /** After SIGTERM new connections go on coming for up to 0.4 s. */
-  private static final long ACCEPT_MS = 550;
   /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
   private static final long ANSWER_MS = 3_300;
-  private static final long POLL_MS = 10;
+  private static final long FAIL_MS = 275;
+  /** How often a drain goes on: idle connections are closed and the end is looked for. */
+  private static final long DRAIN_STEP_MS = 10;
   private static final long TALLY_S = 10;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   private final EventLoop loop = group.next();
   private final Clock clock = new Clock();
-  private final CountDownLatch drained = new CountDownLatch(1);
+  private final CountDownLatch ended = new CountDownLatch(1);
   private ModuleDriver driver;
   private ClientServer clients;
   private CounterClient counter;
   private DiscoveryClient discovery;
   private Channel listening;
+  private Management management;
+  /** Whether the process could serve, as the management's thread is told. */
+  private volatile boolean canServe;
 
   private FrontDoor() {
   }
@@ -46,22 +50,25 @@
     Path path = Path.of(file);
     FrontDoor door = start(Config.read(path));
     door.reloadOnHangUp(path);
-    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
+    Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
   }
 
   static FrontDoor start(Config config) throws IOException, InterruptedException {
     FrontDoor door = new FrontDoor();
     try {
+      if (config.management() != null) {
+        door.management = Management.listen(config.management(), door);
+      }
       door.loop.submit(() -> door.wire(config)).sync();
       door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
     } catch (RuntimeException e) {
-      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      door.stop();
       throw e;
     } catch (Exception e) {
-      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      door.stop();
       throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
-    door.loop.execute(door.clients::serve);
+    door.loop.submit(door::serving).sync();
     return door;
   }
 
@@ -69,6 +76,25 @@
     return listening.localAddress();
   }
 
+  SocketAddress managementAddress() {
+    return management == null ? null : management.address();
+  }
+
+  @Override
+  public boolean ready() {
+    return canServe;
+  }
+
+  @Override
+  public Future<?> drain(boolean on) {
+    return loop.submit(() -> {
+      if (clients == null) {
+        throw new IllegalStateException("still starting");
+      }
+      clients.evacuate(on);
+    });
+  }
+
   private void wire(Config config) {
     Tally tally = new Tally();
     Descriptors descriptors = config.descriptors();
@@ -113,19 +139,28 @@
     }
   }
 
+  private void serving() {
+    clients.serve();
+    watch();
+    loop.scheduleWithFixedDelay(this::watch, DRAIN_STEP_MS, DRAIN_STEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Goes on with a drain, and keeps what operators are told up to date. */
+  private void watch() {
+    canServe = clients.canServe();
+    clients.partWithIdle();
+    if (clients.ended()) {
+      ended.countDown();
+    }
+  }
+
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
-  void drain() {
-    loop.execute(clients::beginDrain);
-    loop.schedule(clients::stopAccepting, ACCEPT_MS, TimeUnit.MILLISECONDS);
-    loop.scheduleWithFixedDelay(() -> {
-      if (clients.idle()) {
-        drained.countDown();
-      }
-    }, ACCEPT_MS + POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
+  void end() {
+    loop.execute(clients::end);
     try {
-      if (!drained.await(ANSWER_MS, TimeUnit.MILLISECONDS)) {
+      if (!ended.await(ANSWER_MS, TimeUnit.MILLISECONDS)) {
         loop.submit(driver::failAll).sync();
-        drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
+        ended.await(FAIL_MS, TimeUnit.MILLISECONDS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -134,6 +169,9 @@
   }
 
   void stop() {
+    if (management != null) {
+      management.stop();
+    }
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 }
--- /dev/null
+++ b/src/main/java/willowdoor/net/Management.java
@@ -0,0 +1,202 @@
+package willowdoor.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The operators' address: one call a connection. It has an event loop of its own, so that calls are answered
+ * in time whatever the clients' side does. All on that loop's thread.
+ */
+final class Management {
+
+  /** The descriptors that it holds at most: its callers, one that is about to be turned away, its own. */
+  static final int DESCRIPTORS = 16;
+  private static final int MOST_CALLERS = 10;
+  /** A caller without a whole call loses its connection after this, or sooner where room is needed. */
+  private static final long CALL_MS = 4_500;
+  /** An answer is due within 1 s. */
+  private static final long ANSWER_MS = 850;
+  private static final int MOST_LINE = 1_024;
+  private static final int MOST_HEADERS = 4_096;
+  private static final int MOST_BODY = 4_096;
+
+  private static final Logger LOG = Logger.getLogger(Management.class.getName());
+
+  /** What operators may ask of the front door; a change ends once it is in force. */
+  interface Operator {
+    /** Whether this process is ready to serve. */
+    boolean ready();
+
+    Future<?> drain(boolean on);
+  }
+
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
+  private final EventLoop loop = group.next();
+  private final Operator operator;
+  /** Those without a whole call, the first to come ahead, and how many connections there are in all. */
+  private final LinkedHashSet<Caller> incomplete = new LinkedHashSet<>();
+  private int callers;
+  private Channel listening;
+
+  private Management(Operator operator) {
+    this.operator = operator;
+  }
+
+  static Management listen(InetSocketAddress address, Operator operator) throws IOException {
+    Management management = new Management(operator);
+    try {
+      management.listening = new ServerBootstrap().group(management.loop)
+          .channel(Transport.BEST.serverSocket())
+          .option(ChannelOption.SO_BACKLOG, 128)
+          .option(ChannelOption.SO_REUSEADDR, true)
+          .childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+              channel.pipeline().addLast(new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_BODY),
+                  new HttpObjectAggregator(MOST_BODY), management.new Caller());
+            }
+          }).bind(address).awaitUninterruptibly().channel();
+      if (!management.listening.isActive()) {
+        throw new IOException("cannot listen for operators on " + address);
+      }
+      return management;
+    } catch (IOException | RuntimeException e) {
+      management.stop();
+      throw e;
+    }
+  }
+
+  SocketAddress address() {
+    return listening.localAddress();
+  }
+
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  /** One connection and its one call. */
+  private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private Channel channel;
+    private boolean answered;
+
+    /** Callers that never finish their call give way to those that come, the first to come first. */
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      channel = ctx.channel();
+      callers++;
+      if (callers > MOST_CALLERS) {
+        Caller oldest = incomplete.isEmpty() ? this : incomplete.iterator().next();
+        oldest.channel.close();
+      }
+      if (channel.isOpen()) {
+        incomplete.add(this);
+        Future<?> limit = loop.schedule(() -> incomplete(HttpResponseStatus.REQUEST_TIMEOUT), CALL_MS,
+            TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(f -> limit.cancel(false));
+      }
+      ctx.fireChannelActive();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      callers--;
+      incomplete.remove(this);
+      ctx.fireChannelInactive();
+    }
+
+    private void incomplete(HttpResponseStatus status) {
+      if (incomplete.contains(this)) {
+        answer(status, status.reasonPhrase());
+      }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
+      if (!incomplete.remove(this)) {
+        return;
+      }
+      if (call.decoderResult().isFailure()) {
+        answer(HttpResponseStatus.BAD_REQUEST, "malformed request");
+        return;
+      }
+      boolean get = call.uri().equals("/api/ready");
+      HttpMethod method = get ? HttpMethod.GET : HttpMethod.PUT;
+      switch (call.uri()) {
+        case "/api/ready", "/api/evacuate", "/api/rejoin" -> {
+          if (!call.method().equals(method)) {
+            answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + method);
+          } else if (get) {
+            boolean ready = operator.ready();
+            answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                ready ? "ready" : "not ready");
+          } else {
+            changed(call.uri(), operator.drain(call.uri().equals("/api/evacuate")));
+          }
+        }
+        default -> answer(HttpResponseStatus.NOT_FOUND, "no such call");
+      }
+    }
+
+    /** Answers a change once it is in force, or in time that it is not yet. */
+    private void changed(String name, Future<?> change) {
+      loop.schedule(() -> answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "not in force yet: call again"),
+          ANSWER_MS, TimeUnit.MILLISECONDS);
+      change.addListener(f -> loop.execute(() -> {
+        if (f.isSuccess()) {
+          LOG.info(() -> "operators called " + name);
+          answer(HttpResponseStatus.OK, "done");
+        } else {
+          LOG.log(Level.SEVERE, "could not do " + name, f.cause());
+          answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed: see the log");
+        }
+      }));
+    }
+
+    private void answer(HttpResponseStatus status, String text) {
+      incomplete.remove(this);
+      if (answered) {
+        return;
+      }
+      answered = true;
+      FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+          Unpooled.copiedBuffer(text + "\n", StandardCharsets.US_ASCII));
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
+          .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- a/src/main/java/willowdoor/net/ReceiveLimit.java
+++ b/src/main/java/willowdoor/net/ReceiveLimit.java
@@ -17,6 +17,7 @@
   private final Runnable overdue;
   private Future<?> timer;
   private boolean whole;
+  private boolean partial;
 
   ReceiveLimit(Runnable overdue) {
     this.overdue = overdue;
@@ -31,8 +32,10 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     whole = false;
+    partial = true;
     ctx.fireChannelRead(message);
     if (whole) {
+      partial = false;
       disarm();
     } else if (timer == null) {
       arm(ctx);
@@ -50,6 +53,11 @@
     whole = true;
   }
 
+  /** Whether a part of a request has come and its rest has not. */
+  boolean partial() {
+    return partial;
+  }
+
   private void arm(ChannelHandlerContext ctx) {
     timer = ctx.executor().schedule(() -> {
       timer = null;
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -351,7 +351,7 @@
     Client busy = peers.client();
     busy.send(Peers.get("r1", 3000));
     Peers.next(peers.atBackend);
-    Thread end = new Thread(door::drain);
+    Thread end = new Thread(door::end);
     end.start();
     assertTrue(idle.ended());
     told.countDown();
--- /dev/null
+++ b/src/test/java/willowdoor/net/ManagementTest.java
@@ -0,0 +1,124 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+import willowdoor.net.Peers.Message;
+
+/** The calls of operators. */
+@Timeout(30)
+class ManagementTest {
+
+  private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private void start(String... entries) throws Exception {
+    peers.start(peers.config(entries).replace("\"settings\"", "\"management\":\"127.0.0.1:0\",\"settings\""));
+  }
+
+  private void start() throws Exception {
+    start(Peers.entry("s-1", peers.backend.getLocalPort(), "active"));
+  }
+
+  private int call(String call) throws IOException {
+    return call(call, "");
+  }
+
+  private int call(String call, String body) throws IOException {
+    try (Client operator = peers.operator()) {
+      Message answer = operator.ask(call + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length()
+          + "\r\n\r\n" + body);
+      assertTrue(operator.ended());
+      return answer.status();
+    }
+  }
+
+  @Test
+  void saysReadyOnceItKnowsABackend() throws Exception {
+    start(new String[0]);
+    assertEquals(503, call("GET /api/ready"));
+    Peers.next(peers.watches);
+    peers.tell(Peers.list(8, true, Peers.entry("s-1", peers.backend.getLocalPort(), "active")) + "\n");
+    while (call("GET /api/ready") != 200) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Test
+  void saysNoToWhatIsNoCall() throws Exception {
+    start();
+    assertEquals(404, call("GET /api/other"));
+    assertEquals(404, call("GET /up"));
+    assertEquals(405, call("PUT /api/ready"));
+    assertEquals(405, call("GET /api/evacuate"));
+    assertEquals(405, call("POST /api/rejoin"));
+    try (Client operator = peers.operator()) {
+      assertEquals(400, operator.ask("no http at all\r\n\r\n").status());
+    }
+    assertEquals(200, peers.client().ask(UP).status());
+  }
+
+  /** Neither silent callers nor those with half a call keep others from theirs; the first to come go. */
+  @Test
+  void callersWithoutAWholeCallGiveWay() throws Exception {
+    start();
+    List<Client> silent = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      silent.add(peers.operator());
+      silent.get(i).send(i % 2 == 0 ? "" : "PUT /api/evacuate HT");
+      assertEquals(200, call("GET /api/ready"));
+    }
+    assertTrue(silent.get(0).ended());
+  }
+
+  /** The drain: no more clients wanted, those that come are served, and idle connections end. */
+  @Test
+  void drainsAndRejoins() throws Exception {
+    start();
+    Client idle = peers.client();
+    assertEquals(200, idle.ask(Peers.get("r0", 3000)).status());
+    Client reading = peers.client();
+    String request = Peers.get("r1", 3000);
+    reading.send(request.substring(0, 60));
+    Client silent = peers.client();
+    assertEquals(200, call("PUT /api/evacuate"));
+    assertEquals(200, call("PUT /api/evacuate"));
+    assertEquals(503, peers.client().ask(UP).status());
+    assertEquals(200, call("GET /api/ready"));
+    Message late = peers.client().ask(Peers.get("r2", 3000));
+    assertEquals(200, late.status());
+    assertEquals("close", late.header("Connection"));
+    assertTrue(idle.ended());
+    assertTrue(silent.ended());
+    assertEquals(200, reading.ask(request.substring(60)).status());
+    assertTrue(reading.ended());
+    assertEquals(200, call("PUT /api/rejoin"));
+    assertEquals(200, call("PUT /api/rejoin"));
+    Client after = peers.client();
+    assertEquals(200, after.ask(UP).status());
+    assertEquals(200, after.ask(Peers.get("r3", 3000)).status());
+    assertEquals(200, after.ask(Peers.get("r4", 3000)).status());
+  }
+
+  /** Where the configuration names no address for operators there is none. */
+  @Test
+  void withoutAnAddressThereIsNoManagement() throws Exception {
+    FrontDoor door = peers.start();
+    assertNull(door.managementAddress());
+    assertEquals(200, peers.client().ask(UP).status());
+  }
+}
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -210,6 +210,13 @@
     return client;
   }
 
+  /** An operator's connection. */
+  Client operator() throws IOException {
+    Client client = new Client((InetSocketAddress) door.managementAddress());
+    open.add(client);
+    return client;
+  }
+
   static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
     T found = queue.poll(10, TimeUnit.SECONDS);
     if (found == null) {
