Take template servers out and put them back by a set of bans in the module

PUT /api/exclude and /api/include. A wrong guess on the way: forgetting the cell's failures was not what left a server unused after its return; the fleet's mean service, which an unmeasured server is taken to have, lies above the measured ones, so it was seldom the most promising. It is on trial until its first answer.

--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -62,6 +62,9 @@
 
   public record Roster(RosterForm form, List<BackendEntry> entries) implements Event { }
 
+  /** Operators take a backend out, whatever the roster says, until they put it back. */
+  public record Ban(long backend, boolean out) implements Event { }
+
   public record Request(String id, String className, String planName, long customer, int entryPoints,
       double units, double giveUpMs) implements Event { }
 
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -137,6 +137,8 @@
       onWoken(e);
     } else if (event instanceof Roster e) {
       onRoster(e);
+    } else if (event instanceof Ban e) {
+      onBan(e);
     } else if (event instanceof ClientLeft e) {
       onClientLeft(e.request());
     } else if (event instanceof StreamBegan e && open.containsKey(e.request())) {
@@ -500,6 +502,13 @@
       coldTokens = random.nextDouble();
     }
 
+    void place(String zone, int cell) {
+      this.zone = zone;
+      this.cell = cell;
+      zoneFailing = failingIn(zone);
+      cellFailing = failingIn(zone + "/" + cell);
+    }
+
     /** Requests here from all gateways; a report is trusted less as it ages, so no backend stays shunned. */
     double held() {
       double usual = outMean.value / Math.max(1, serving.size()) * (settings.gateways() - 1);
@@ -539,6 +548,8 @@
   private record Attempt(Job job, int number, Backend backend, double sentAt) { }
 
   private final TreeMap<Long, Backend> backends = new TreeMap<>();
+  /** Those that operators have taken out, whatever the roster says of them. */
+  private final Set<Long> banned = new HashSet<>();
   private final Map<String, Mean> failing = new HashMap<>();
   private double fleetService = UNKNOWN_SERVICE_MS;
   private final List<Backend> serving = new ArrayList<>();
@@ -559,18 +570,20 @@
       if (b.toldStart != x.startedMs() && b.phase != null) {
         backends.put(b.id, b = new Backend(b.id));
       }
-      b.zone = x.zone();
-      b.cell = x.cell();
-      b.zoneFailing = failing(x.zone());
-      b.cellFailing = failing(x.zone() + "/" + x.cell());
+      b.place(x.zone(), x.cell());
       b.phase = x.phase();
       b.startedMs = Math.max(b.startedMs, x.startedMs());
       b.toldStart = x.startedMs();
       b.told = settings.sizesTold() ? Math.max(x.size(), 1e-6) : 1;
     }
     backends.values().removeIf(b -> b.phase == Phase.REMOVED && b.out.isEmpty());
+    listServing();
+  }
+
+  /** Lists the backends that may be picked. */
+  private void listServing() {
     serving.clear();
-    backends.values().stream().filter(b -> b.phase == Phase.SERVING).forEach(serving::add);
+    backends.values().stream().filter(b -> b.phase == Phase.SERVING && !banned(b.id)).forEach(serving::add);
     double mean = serving.stream().mapToDouble(b -> b.told).average().orElse(1);
     serving.forEach(b -> b.size = b.told / mean);
     usual.clear();
@@ -580,7 +593,38 @@
     warmAt = Double.NEGATIVE_INFINITY;
   }
 
-  private Mean failing(String group) {
+  /** Whether operators have taken it out. */
+  public boolean banned(long backend) {
+    return banned.contains(backend);
+  }
+
+  /** Whether operators may name it: one of the roster, or one that they have taken out. */
+  public boolean knows(long backend) {
+    return banned(backend) || backends.containsKey(backend);
+  }
+
+  /**
+   * What is put back was restarted meanwhile, or may have been: cold, and nothing is known of it, so it is
+   * tried soon. Harm: where it is not well yet, one request that can be repeated finds out.
+   */
+  private void onBan(Ban e) {
+    Backend before = backends.get(e.backend());
+    if (e.out()) {
+      banned.add(e.backend());
+    } else if (banned.remove(e.backend()) && before != null) {
+      Backend b = new Backend(before.id);
+      b.place(before.zone, before.cell);
+      b.phase = before.phase;
+      b.startedMs = now;
+      b.toldStart = before.toldStart;
+      b.told = before.told;
+      b.trial = true;
+      backends.put(b.id, b);
+    }
+    listServing();
+  }
+
+  private Mean failingIn(String group) {
     return failing.computeIfAbsent(group, g -> new Mean(NEWEST, PRESSURE_LIFE_MS, now));
   }
 
@@ -837,7 +881,9 @@
     outNow--;
     measureWait(attempt, e);
     job.live = job.live == attempt ? null : job.live;
-    learn(attempt.backend, attempt, e);
+    if (!banned(attempt.backend.id)) {
+      learn(attempt.backend, attempt, e);
+    }
     if (e.status() == Status.OK) {
       settle(job, e.trueUnits());
     }
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Phase;
 import willowdoor.GatewayApi.Status;
@@ -32,11 +33,16 @@
 
   /** One backend's place and connections. */
   static final class Backend {
+    private final long id;
     private InetSocketAddress place;
     private double startedMs;
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
+
+    Backend(long id) {
+      this.id = id;
+    }
   }
 
   private final EventLoop loop;
@@ -48,12 +54,15 @@
   /** All connections to backends, idle ones too: their part of the descriptors that the process may hold. */
   private final int most;
   private int connections;
+  /** The module's word on backends that get nothing new. */
+  private final LongPredicate banned;
 
-  BackendPool(EventLoop loop, Class<? extends SocketChannel> socket, Clock clock, Tally tally, int most,
-      double connectLimitMs, double idleLimitMs) {
+  BackendPool(EventLoop loop, Class<? extends SocketChannel> socket, Clock clock, Tally tally,
+      LongPredicate banned, int most, double connectLimitMs, double idleLimitMs) {
     this.loop = loop;
     this.clock = clock;
     this.tally = tally;
+    this.banned = banned;
     this.most = most;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     bootstrap = new Bootstrap().group(loop).channel(socket)
@@ -71,7 +80,7 @@
         remove(e.id());
         continue;
       }
-      Backend b = backends.computeIfAbsent(e.id(), id -> new Backend());
+      Backend b = backends.computeIfAbsent(e.id(), Backend::new);
       InetSocketAddress place = news.places().get(e.id());
       if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
         List.copyOf(b.idle).forEach(BackendConnection::close);
@@ -86,7 +95,13 @@
 
   /** Guards the rule on drains: an attempt that still waits for its connection is not written any more. */
   private void remove(long id) {
-    Backend b = backends.remove(id);
+    cut(id);
+    backends.remove(id);
+  }
+
+  /** Ends all that has not reached the backend yet; what is under way goes on. */
+  void cut(long id) {
+    Backend b = backends.get(id);
     if (b != null) {
       List.copyOf(b.idle).forEach(BackendConnection::close);
       List.copyOf(b.connecting).forEach(a -> a.abandon(Status.UNREACHABLE));
@@ -105,7 +120,7 @@
   /** Starts an attempt on an idle connection, or on a new one. */
   void start(long id, Attempt attempt) {
     Backend b = backends.get(id);
-    if (b == null) {
+    if (b == null || banned.test(id)) {
       attempt.end(Status.UNREACHABLE, null);
       return;
     }
@@ -148,8 +163,9 @@
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
-      if (attempt.ended()) {
+      if (attempt.ended() || banned.test(b.id)) {
         f.channel().close();
+        attempt.end(Status.UNREACHABLE, null);
       } else if (f.isSuccess()) {
         c.carry(attempt, request(b, attempt));
       } else {
@@ -165,7 +181,7 @@
   }
 
   void release(BackendConnection c) {
-    if (backends.containsValue(c.backend)) {
+    if (backends.containsValue(c.backend) && !banned.test(c.backend.id)) {
       c.idleSince = clock.now();
       c.backend.idle.addLast(c);
     } else {
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -86,21 +87,33 @@
   }
 
   @Override
-  public Future<?> drain(boolean on) {
+  public Future<Boolean> drain(boolean on) {
+    return change(() -> {
+      clients.evacuate(on);
+      return true;
+    });
+  }
+
+  @Override
+  public Future<Boolean> ban(String host, boolean out) {
+    return change(() -> driver.ban(host, out));
+  }
+
+  private Future<Boolean> change(Callable<Boolean> change) {
     return loop.submit(() -> {
       if (clients == null) {
         throw new IllegalStateException("still starting");
       }
-      clients.evacuate(on);
+      return change.call();
     });
   }
 
   private void wire(Config config) {
     Tally tally = new Tally();
     Descriptors descriptors = config.descriptors();
-    BackendPool backends = new BackendPool(loop, Transport.BEST.socket(), clock, tally,
-        descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
+    BackendPool backends = new BackendPool(loop, Transport.BEST.socket(), clock, tally, policy::banned,
+        descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()),
         descriptors, tally);
--- a/src/main/java/willowdoor/net/Management.java
+++ b/src/main/java/willowdoor/net/Management.java
@@ -1,6 +1,10 @@
 package willowdoor.net;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -23,13 +27,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.JsonFields;
 
 /**
  * The operators' address: one call a connection. It has an event loop of its own, so that calls are answered
@@ -48,6 +56,8 @@
   private static final int MOST_HEADERS = 4_096;
   private static final int MOST_BODY = 4_096;
 
+  private static final JsonFactory JSON =
+      JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
   private static final Logger LOG = Logger.getLogger(Management.class.getName());
 
   /** What operators may ask of the front door; a change ends once it is in force. */
@@ -55,7 +65,10 @@
     /** Whether this process is ready to serve. */
     boolean ready();
 
-    Future<?> drain(boolean on);
+    Future<Boolean> drain(boolean on);
+
+    /** Takes a template server out or puts it back; false where it is not known. */
+    Future<Boolean> ban(String host, boolean out);
   }
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
@@ -148,30 +161,61 @@
         answer(HttpResponseStatus.BAD_REQUEST, "malformed request");
         return;
       }
-      boolean get = call.uri().equals("/api/ready");
-      HttpMethod method = get ? HttpMethod.GET : HttpMethod.PUT;
       switch (call.uri()) {
-        case "/api/ready", "/api/evacuate", "/api/rejoin" -> {
-          if (!call.method().equals(method)) {
-            answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + method);
-          } else if (get) {
+        case "/api/ready" -> {
+          if (uses(HttpMethod.GET, call)) {
             boolean ready = operator.ready();
             answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                 ready ? "ready" : "not ready");
-          } else {
+          }
+        }
+        case "/api/evacuate", "/api/rejoin" -> {
+          if (uses(HttpMethod.PUT, call)) {
             changed(call.uri(), operator.drain(call.uri().equals("/api/evacuate")));
           }
         }
+        case "/api/exclude", "/api/include" -> {
+          String host = uses(HttpMethod.PUT, call) ? host(call) : null;
+          if (host != null) {
+            changed(call.uri() + ' ' + host, operator.ban(host, call.uri().equals("/api/exclude")));
+          }
+        }
         default -> answer(HttpResponseStatus.NOT_FOUND, "no such call");
       }
     }
 
+    private boolean uses(HttpMethod method, FullHttpRequest call) {
+      boolean uses = call.method().equals(method);
+      if (!uses) {
+        answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + method);
+      }
+      return uses;
+    }
+
+    /** The template server that the call names; anything but {@code {"host":"ID"}} is answered here. */
+    private String host(FullHttpRequest call) {
+      try (JsonParser in = JSON.createParser((InputStream) new ByteBufInputStream(call.content()))) {
+        in.nextToken();
+        Map<String, Object> fields = JsonFields.object(in);
+        if (fields.keySet().equals(Set.of("host")) && fields.get("host") instanceof String host
+            && !host.isEmpty() && in.nextToken() == null) {
+          return host;
+        }
+      } catch (IOException e) {
+        // Falls through to the one message for all that is not the object.
+      }
+      answer(HttpResponseStatus.BAD_REQUEST, "expected {\"host\":\"ID\"}");
+      return null;
+    }
+
     /** Answers a change once it is in force, or in time that it is not yet. */
-    private void changed(String name, Future<?> change) {
+    private void changed(String name, Future<Boolean> change) {
       loop.schedule(() -> answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "not in force yet: call again"),
           ANSWER_MS, TimeUnit.MILLISECONDS);
       change.addListener(f -> loop.execute(() -> {
-        if (f.isSuccess()) {
+        if (f.isSuccess() && !change.getNow()) {
+          answer(HttpResponseStatus.NOT_FOUND, "no such template server");
+        } else if (f.isSuccess()) {
           LOG.info(() -> "operators called " + name);
           answer(HttpResponseStatus.OK, "done");
         } else {
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -14,6 +14,7 @@
 import java.util.logging.Logger;
 import willowdoor.GatewayApi.Action;
 import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Ban;
 import willowdoor.GatewayApi.Cancel;
 import willowdoor.GatewayApi.ClientLeft;
 import willowdoor.GatewayApi.Counted;
@@ -155,6 +156,19 @@
     deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
   }
 
+  /** Takes a backend out or puts it back; false where it is not known. */
+  boolean ban(String host, boolean out) {
+    long id = RosterNews.number(host);
+    if (!policy.knows(id)) {
+      return false;
+    }
+    deliver(new Ban(id, out));
+    if (out) {
+      backends.cut(id);
+    }
+    return true;
+  }
+
   /** Fails all that is still unanswered: the process is about to end. */
   void failAll() {
     List.copyOf(live.values()).forEach(this::fail);
--- a/src/main/java/willowdoor/net/RosterNews.java
+++ b/src/main/java/willowdoor/net/RosterNews.java
@@ -62,7 +62,7 @@
   }
 
   /** A backend's name as the number that the module knows it by: FNV-1a, alike at every front door. */
-  private static long number(String id) {
+  static long number(String id) {
     long hash = 0xcbf29ce484222325L;
     for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ b & 0xff) * 0x100000001b3L;
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Ban;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Cancel;
 import willowdoor.GatewayApi.ClientLeft;
@@ -366,6 +367,49 @@
     assertEquals(Set.of(2L, 3L), met);
   }
 
+  /** Operators' word stands above the list's, over all kinds of sends, until they take it back. */
+  @Test
+  void aBannedBackendGetsNothingWhateverTheRosterSays() {
+    Fixtures f = Fixtures.counted().backends(2);
+    f.on(new Ban(0, true)).on(new Ban(0, true));
+    assertTrue(f.policy.knows(0));
+    assertFalse(f.policy.knows(7));
+    for (RosterForm form : RosterForm.values()) {
+      f.on(new Roster(form, List.of(new BackendEntry(0, "a", 0, Phase.SERVING, 1, f.now),
+          new BackendEntry(1, "b", 1, Phase.SERVING, 1, 0))));
+      f.request("safe", "free", 1);
+      assertEquals(1, f.only(Send.class).backend());
+      f.outcome(f.only(Send.class), 0, Status.ERROR, false);
+      assertTrue(f.all.stream().allMatch(a -> !(a instanceof Send s) || s.backend() == 1));
+      f.run(4000);
+    }
+    f.on(new Roster(RosterForm.COMPLETE, List.of(new BackendEntry(1, "b", 1, Phase.SERVING, 1, 0))));
+    assertTrue(f.policy.knows(0), "one that left the list can still be put back");
+    f.on(new Ban(0, false));
+    assertFalse(f.policy.knows(0));
+  }
+
+  /** A ban ends with one call, and what failed before and during it is forgotten. */
+  @Test
+  void aBackendThatIsPutBackIsUsedAgainAsAColdOne() {
+    Fixtures f = Fixtures.counted();
+    failsFast(f, 100);
+    f.on(new Ban(0, true)).pass(100).on(new Ban(0, true)).pass(100).on(new Ban(0, false));
+    int again = 0;
+    int all = 0;
+    for (int i = 0; i < 200; i++) {
+      f.run(25).request("safe", "free", 1);
+      if (f.did(Send.class)) {
+        Send s = f.only(Send.class);
+        again += s.backend() == 0 ? 1 : 0;
+        all++;
+        f.outcome(s, 0, Status.OK, true);
+      }
+    }
+    assertTrue(again > 0, "it is used within 5 s");
+    assertTrue(again < all / 8, "no more than a cold one: " + again + " of " + all);
+  }
+
   @Test
   void aColdBackendGetsLittle() {
     Fixtures f = Fixtures.counted();
--- a/src/test/java/willowdoor/net/ManagementTest.java
+++ b/src/test/java/willowdoor/net/ManagementTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -72,6 +73,51 @@
     assertEquals(200, peers.client().ask(UP).status());
   }
 
+  @Test
+  void aTemplateServerMustBeNamedAndKnown() throws Exception {
+    start();
+    assertEquals(404, call("PUT /api/exclude", "{\"host\":\"s-9\"}"));
+    assertEquals(404, call("PUT /api/include", "{\"host\":\"s-9\"}"));
+    for (String bad : new String[] {"", "s-1", "{}", "{\"host\":1}", "{\"host\":\"s-1\"", "[]",
+        "{\"host\":\"s-1\",\"host\":\"s-1\"}", "{\"host\":\"s-1\",\"x\":1}", "{\"host\":\"s-1\"}}"}) {
+      assertEquals(400, call("PUT /api/exclude", bad), bad);
+    }
+    assertEquals(405, call("POST /api/exclude", "{\"host\":\"s-1\"}"));
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
+  /** A ban holds for kept connections and for one that is still coming up, and ends with one call. */
+  @Test
+  void aTemplateServerThatIsTakenOutGetsNothingNew() throws Exception {
+    AtomicInteger other = new AtomicInteger();
+    int port = peers.listen(50, (in, out, socket) -> {
+      while (true) {
+        Peers.read(in);
+        other.incrementAndGet();
+        Peers.write(out, Peers.OK);
+      }
+    }).getLocalPort();
+    start(Peers.entry("s-1", peers.backend.getLocalPort(), "active"), Peers.entry("s-2", port, "active"));
+    Client client = peers.client();
+    for (int i = 0; peers.atBackend.isEmpty() || other.get() == 0; i++) {
+      assertEquals(200, client.ask(Peers.get("a" + i, 3000)).status());
+    }
+    assertEquals(200, call("PUT /api/exclude", "{\"host\":\"s-1\"}"));
+    assertEquals(200, call("PUT /api/exclude", "{\"host\":\"s-1\"}"));
+    peers.atBackend.clear();
+    Peers.next(peers.watches);
+    peers.tell(Peers.list(8, true, Peers.entry("s-1", peers.backend.getLocalPort(), "active"),
+        Peers.entry("s-2", port, "active")) + "\n");
+    for (int i = 0; i < 40; i++) {
+      assertEquals(200, client.ask(Peers.get("b" + i, 3000)).status());
+    }
+    assertTrue(peers.atBackend.isEmpty());
+    assertEquals(200, call("PUT /api/include", "{\"host\":\"s-1\"}"));
+    for (int i = 0; peers.atBackend.isEmpty(); i++) {
+      assertEquals(200, client.ask(Peers.get("c" + i, 3000)).status());
+    }
+  }
+
   /** Neither silent callers nor those with half a call keep others from theirs; the first to come go. */
   @Test
   void callersWithoutAWholeCallGiveWay() throws Exception {
