--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -141,8 +141,8 @@
       onBan(e);
     } else if (event instanceof ClientLeft e) {
       onClientLeft(e.request());
-    } else if (event instanceof StreamBegan e && open.containsKey(e.request())) {
-      open.get(e.request()).streaming = true;
+    } else if (event instanceof StreamBegan e) {
+      onStreamBegan(e);
     }
     return out;
   }
@@ -896,7 +896,20 @@
     if (e.over()) {
       open.remove(e.request());
     } else if (open.containsKey(e.request())) {
-      again(job);
+      if (job.streaming) {
+        giveUp(job);
+      } else {
+        again(job);
+      }
+    }
+  }
+
+  /** From now on the attempt takes the client's time, and is the request's last. */
+  private void onStreamBegan(StreamBegan e) {
+    Attempt attempt = attempts.get(e.request() + "#" + e.attempt());
+    if (attempt != null) {
+      attempt.job.streaming = true;
+      attempt.backend.out.remove(attempt);
     }
   }
 
--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -1,14 +1,14 @@
 package willowdoor.net;
 
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import willowdoor.GatewayApi.Status;
 
 /** One attempt of a request at one backend, from the module's send to its one outcome. */
 abstract class Attempt {
 
-  final FullHttpRequest message;
+  final Outgoing message;
   final double timeoutMs;
   /** Null while the attempt has no connection yet. */
   BackendConnection connection;
@@ -18,7 +18,7 @@
   Future<?> timer;
   private boolean ended;
 
-  Attempt(FullHttpRequest message, double timeoutMs) {
+  Attempt(Outgoing message, double timeoutMs) {
     this.message = message;
     this.timeoutMs = timeoutMs;
   }
@@ -37,16 +37,24 @@
     return written ? Status.TIMED_OUT : Status.UNREACHABLE;
   }
 
+  final void stopTimer() {
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+  }
+
   /** Ends the attempt; later endings are ignored, so that the module gets exactly one outcome. */
-  final void end(Status status, FullHttpResponse answer) {
+  final void end(Status status, HttpResponse head, ByteBuf body) {
     if (ended) {
       return;
     }
     ended = true;
-    if (timer != null) {
-      timer.cancel(false);
+    stopTimer();
+    if (connection != null) {
+      message.detach(connection);
     }
-    onEnd(status, answer);
+    onEnd(status, head, body);
   }
 
   /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
@@ -55,12 +63,24 @@
       return;
     }
     BackendConnection used = connection;
-    end(status, null);
+    end(status, null, null);
     if (used != null) {
       used.close();
     }
   }
 
-  /** The answer is only lent, and null unless the status is OK. */
-  abstract void onEnd(Status status, FullHttpResponse answer);
+  /** The first piece behind the message's prefix is being written: there can be no other attempt. */
+  abstract void onSpent();
+
+  /** The last piece of a message that came in pieces is being written. */
+  abstract void onSent();
+
+  /** The head of an answer that is passed on as it comes; false where nobody waits for it any more. */
+  abstract boolean onBegin(HttpResponse head);
+
+  /** A piece of that answer, which is taken over. */
+  abstract void onPiece(ByteBuf piece);
+
+  /** The head and the body are only lent; they are null unless the status is OK, the body if it was begun. */
+  abstract void onEnd(Status status, HttpResponse head, ByteBuf body);
 }
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -1,12 +1,14 @@
 package willowdoor.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -18,7 +20,13 @@
 import willowdoor.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
-final class BackendConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements Outgoing.Sink {
+
+  /** Answers that tell a length up to this are passed on when whole, so that a cut one can be tried again. */
+  private static final int MOST_HELD = 64 * 1024;
+  /** So much of an answer that tells no length is held before it is passed on as it comes. */
+  private static final int HELD_UNTOLD = 16 * 1024;
+  private static final int MOST_PARTS = 1_024;
 
   private final BackendPool pool;
   final BackendPool.Backend backend;
@@ -26,6 +34,10 @@
   private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
   private Attempt current;
+  /** The answer that is being read: its head, what is held of its body, whether it is passed on already. */
+  private HttpResponse head;
+  private CompositeByteBuf held;
+  private boolean begun;
   /** Answered in full, but what else the backend sent with that answer is not looked at yet. */
   private boolean answered;
   double idleSince;
@@ -44,25 +56,15 @@
   /** Takes no line without a colon for a header: the library lets one pass that holds a space. */
   static final class AnswerDecoder extends HttpResponseDecoder {
     private boolean insideMessage;
-    private boolean framed;
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
       super.decode(ctx, in, out);
       if (!out.isEmpty()) {
         insideMessage = !(out.get(out.size() - 1) instanceof LastHttpContent);
-        framed = out.get(0) instanceof HttpResponse head ? framed(head) : framed;
       }
     }
 
-    /**
-     * Without a length the end of the connection is the end of the body, and a cut would look like it. Told
-     * here, as every message that is put together from its parts has a length.
-     */
-    private static boolean framed(HttpResponse head) {
-      return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
       if (line[start + length] != ':') {
@@ -90,46 +92,191 @@
     channel.close();
   }
 
+  /** Reads no more of an answer than its client takes. */
+  void read(boolean on) {
+    channel.config().setAutoRead(on);
+  }
+
   /** Writes the attempt's request; nothing below the module ever writes it again. */
-  void carry(Attempt attempt, FullHttpRequest request) {
+  void carry(Attempt attempt) {
     current = attempt;
     attempt.connection = this;
-    channel.writeAndFlush(request).addListener((ChannelFuture f) -> {
-      attempt.written = f.isSuccess();
+    if (attempt.message.whole()) {
+      written(attempt, channel.writeAndFlush(attempt.message.message(attempt.timeoutMs)), true);
+      return;
+    }
+    channel.write(attempt.message.message(attempt.timeoutMs));
+    written(attempt, channel.writeAndFlush(new DefaultHttpContent(attempt.message.prefix())), false);
+    if (!attempt.ended()) {
+      attempt.message.passTo(this);
+    }
+  }
+
+  private void written(Attempt attempt, ChannelFuture write, boolean last) {
+    write.addListener((ChannelFuture f) -> {
+      attempt.written = last && f.isSuccess();
       if (!f.isSuccess()) {
-        attempt.end(Status.UNREACHABLE, null);
+        attempt.end(Status.UNREACHABLE, null, null);
         channel.close();
       }
     });
   }
 
   @Override
-  protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+  public void piece(HttpContent piece) {
     Attempt attempt = current;
-    boolean cutUnseen = !decoder.framed && answer.status().equals(HttpResponseStatus.OK);
-    boolean whole = answer.decoderResult().isSuccess() && !cutUnseen;
-    if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+    boolean last = piece instanceof LastHttpContent;
+    attempt.onSpent();
+    written(attempt, channel.writeAndFlush(piece), last);
+    if (attempt.ended()) {
       return;
     }
-    current = null;
-    // Junk: an answer that nobody asked for, or one that does not parse.
-    if (attempt == null || !whole) {
-      answered = false;
-      tally.count(whole ? Tally.Event.ANSWER_UNASKED : Tally.Event.ANSWER_UNREADABLE);
-      ctx.close();
-      if (attempt != null) {
-        attempt.end(attempt.broken(), null);
+    if (last) {
+      attempt.message.detach(this);
+      attempt.onSent();
+    } else if (channel.isWritable()) {
+      attempt.message.wantMore();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (channel.isWritable() && current != null && current.message.passesTo(this)) {
+      current.message.wantMore();
+    }
+    ctx.fireChannelWritabilityChanged();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+    if (part.decoderResult().isFailure()) {
+      junk(Tally.Event.ANSWER_UNREADABLE);
+      return;
+    }
+    if (part instanceof HttpResponse response) {
+      if (current == null) {
+        junk(Tally.Event.ANSWER_UNASKED);
+        return;
+      }
+      head = response;
+      if (served() && !framed(head) && HttpUtil.isKeepAlive(head)) {
+        junk(Tally.Event.ANSWER_UNREADABLE);
+        return;
+      }
+      if (served() && length(head) > MOST_HELD) {
+        begin();
+      }
+    }
+    if (part instanceof HttpContent content && head != null) {
+      body(content);
+    }
+  }
+
+  private boolean served() {
+    return head.status().equals(HttpResponseStatus.OK);
+  }
+
+  private void body(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      head = last ? null : head;
+      return;
+    }
+    if (served() && content.content().isReadable()) {
+      if (begun) {
+        current.onPiece(content.content().retain());
+      } else {
+        hold(content.content());
       }
+    }
+    if (last && head != null) {
+      finish();
+    }
+  }
+
+  private void hold(ByteBuf piece) {
+    if (held == null) {
+      held = channel.alloc().compositeBuffer(MOST_PARTS);
+    }
+    held.addComponent(true, piece.retain());
+    if (length(head) < 0 && held.readableBytes() > HELD_UNTOLD) {
+      begin();
+    }
+  }
+
+  /** Passes the answer on from here on as it comes. */
+  private void begin() {
+    if (!current.onBegin(head)) {
+      Attempt attempt = current;
+      forget();
+      attempt.abandon(Status.CANCELLED);
+      channel.close();
       return;
     }
+    begun = true;
+    if (held != null) {
+      ByteBuf piece = held;
+      held = null;
+      current.onPiece(piece);
+    }
+  }
+
+  /** An answer that nobody asked for, or one that does not parse: nothing behind it can be read. */
+  private void junk(Tally.Event what) {
+    tally.count(what);
+    Attempt attempt = current;
+    forget();
+    channel.close();
+    if (attempt != null) {
+      attempt.end(attempt.broken(), null, null);
+    }
+  }
+
+  private void finish() {
+    Attempt attempt = current;
+    HttpResponse answer = head;
+    ByteBuf body = held;
+    held = null;
+    forget();
     // An answer ahead of the request's end leaves the connection out of step.
-    answered = attempt.written && !attempt.ended() && HttpUtil.isKeepAlive(answer)
-        && decoder.framed;
+    answered = attempt.written && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
     if (!answered) {
-      ctx.close();
+      channel.close();
+    } else {
+      read(true);
     }
     Status status = status(answer);
-    attempt.end(status, status == Status.OK ? answer : null);
+    try {
+      attempt.end(status, status == Status.OK ? answer : null, body);
+    } finally {
+      if (body != null) {
+        body.release();
+      }
+    }
+  }
+
+  private void forget() {
+    current = null;
+    head = null;
+    begun = false;
+    answered = false;
+    if (held != null) {
+      held.release();
+      held = null;
+    }
+  }
+
+  /** The body's length as told, or -1: then its chunks or the connection's end tell it. */
+  static long length(HttpResponse head) {
+    return HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
+  }
+
+  /**
+   * Whether a cut of the answer can be seen. Where the connection's end is the body's end, only a reset tells
+   * of one, so the backend must have said that it closes.
+   */
+  private static boolean framed(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
   }
 
   /**
@@ -149,7 +296,7 @@
     ctx.fireChannelReadComplete();
   }
 
-  private static Status status(FullHttpResponse answer) {
+  private static Status status(HttpResponse answer) {
     HttpResponseStatus code = answer.status();
     if (code.equals(HttpResponseStatus.OK)) {
       return Status.OK;
@@ -163,14 +310,21 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.closed(this);
-    if (current != null) {
-      current.end(current.broken(), null);
-    }
+    broken();
   }
 
-  /** A reset, an answer over the bound or a fault of ours: this connection is of no more use. */
+  /** A reset, or a fault of ours: this connection is of no more use, and its end ends no answer. */
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    broken();
     ctx.close();
   }
+
+  private void broken() {
+    Attempt attempt = current;
+    forget();
+    if (attempt != null) {
+      attempt.end(attempt.broken(), null, null);
+    }
+  }
 }
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -26,7 +24,6 @@
 /** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
 final class BackendPool {
 
-  static final int MOST_BODY = 64 * 1024;
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
   private static final long SWEEP_MS = 500;
@@ -67,6 +64,8 @@
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     bootstrap = new Bootstrap().group(loop).channel(socket)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.QUEUE)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, Transport.piece())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectLimitMs));
     loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
@@ -121,17 +120,17 @@
   void start(long id, Attempt attempt) {
     Backend b = backends.get(id);
     if (b == null || banned.test(id)) {
-      attempt.end(Status.UNREACHABLE, null);
+      attempt.end(Status.UNREACHABLE, null, null);
       return;
     }
     long timeout = Math.max(0, (long) (attempt.timeoutMs * 1000));
     attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), timeout, TimeUnit.MICROSECONDS);
     BackendConnection c = idle(b);
     if (c != null) {
-      c.carry(attempt, request(b, attempt));
+      c.carry(attempt);
     } else if (connections >= most && !dropIdle()) {
       tally.count(Tally.Event.BACKENDS_FULL);
-      attempt.end(Status.UNREACHABLE, null);
+      attempt.end(Status.UNREACHABLE, null, null);
     } else {
       connect(b, attempt);
     }
@@ -156,8 +155,7 @@
       protected void initChannel(Channel channel) {
         connections++;
         channel.closeFuture().addListener(f -> connections--);
-        channel.pipeline().addLast(c.decoder(), new HttpRequestEncoder(),
-            new HttpObjectAggregator(MOST_BODY), c);
+        channel.pipeline().addLast(c.decoder(), new HttpRequestEncoder(), c);
       }
     }).connect(b.place);
     Transport.whenConnected(connected, f -> {
@@ -165,21 +163,15 @@
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
       if (attempt.ended() || banned.test(b.id)) {
         f.channel().close();
-        attempt.end(Status.UNREACHABLE, null);
+        attempt.end(Status.UNREACHABLE, null, null);
       } else if (f.isSuccess()) {
-        c.carry(attempt, request(b, attempt));
+        c.carry(attempt);
       } else {
-        attempt.end(Status.UNREACHABLE, null);
+        attempt.end(Status.UNREACHABLE, null, null);
       }
     });
   }
 
-  private static FullHttpRequest request(Backend b, Attempt attempt) {
-    FullHttpRequest request = attempt.message.retainedDuplicate();
-    request.headers().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(attempt.timeoutMs)));
-    return request;
-  }
-
   void release(BackendConnection c) {
     if (backends.containsValue(c.backend) && !banned.test(c.backend.id)) {
       c.idleSince = clock.now();
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -1,40 +1,52 @@
 package willowdoor.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
-import io.netty.handler.timeout.ReadTimeoutException;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleStateEvent;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.GatewayApi.Request;
 
-/** One client's connection: a request at a time, each with the one final answer. */
-final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+/**
+ * One client's connection: a request at a time, each with the one final answer. It is read only as far as
+ * there is use for what comes: requests written behind the present one wait.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements ModuleDriver.Client {
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
   /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
   private static final long LINGER_MS = 500;
+  /** So much of a body is kept until no further attempt may need it. */
+  private static final int PREFIX = 64 * 1024;
+  private static final long MOST_BODY = 48L << 20;
+  private static final int MOST_PARTS = 1_024;
 
   private final ClientServer server;
   private final ReceiveLimit receiveLimit = new ReceiveLimit(this::overdue);
@@ -42,15 +54,24 @@
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
   private boolean over;
-  /** The request that is being worked on, and whether its connection is kept after it. */
-  private String current;
+  /** The request that is being read or answered, null between requests, and its target in origin form. */
+  private HttpRequest head;
+  private String target;
   private boolean keepAlive;
+  /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
+  private boolean receiving;
+  private long bodyBytes;
+  private CompositeByteBuf prefix;
+  private Outgoing onward;
+  /** Its id while the module works on it, and whether its answer is under way, or written in whole. */
+  private String current;
+  private BackendConnection answering;
+  private boolean answered;
   private boolean ending;
-  /** Requests written behind it, which wait their turn; nothing more is read meanwhile. */
-  private final ArrayDeque<FullHttpRequest> behind = new ArrayDeque<>(0);
+  /** A part was asked for that has not come. */
+  private boolean wanted;
 
   ClientConnection(ClientServer server) {
-    super(false);
     this.server = server;
   }
 
@@ -64,7 +85,7 @@
   }
 
   private void overdue() {
-    if (current == null && !ending) {
+    if (!ending && (head == null || receiving)) {
       server.slow();
       endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
     }
@@ -78,118 +99,203 @@
   }
 
   @Override
-  protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
-    receiveLimit.whole();
-    if (ending) {
-      message.release();
-    } else if (current != null) {
-      behind.add(message);
-      channel.config().setAutoRead(false);
-    } else {
-      handle(message);
+  public void channelActive(ChannelHandlerContext ctx) {
+    ctx.fireChannelActive();
+    read();
+  }
+
+  /** Asks for the next part: the pieces of a request, or the head of the next one. */
+  private void read() {
+    wanted = true;
+    channel.read();
+    if (receiving) {
+      receiveLimit.waits();
     }
   }
 
-  private void handle(FullHttpRequest message) {
+  /** What was read last may not have been a whole part. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (wanted) {
+      channel.read();
+    }
+    ctx.fireChannelReadComplete();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+    wanted = false;
+    if (ending) {
+      // Read, so that the peer can finish and see the answer, and dropped.
+      read();
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      endWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
+      return;
+    }
     try {
-      keepAlive = HttpUtil.isKeepAlive(message);
-      if (message.decoderResult().isFailure()) {
-        endWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
-      } else if (message.uri().equals("/up")) {
-        up(message);
-      } else if (over || server.full()) {
-        keepAlive &= !over;
-        refused(0);
-      } else {
-        take(message);
+      if (part instanceof HttpRequest request) {
+        head(request);
+      }
+      if (part instanceof HttpContent piece) {
+        piece(piece);
+      } else if (!ending) {
+        read();
       }
     } catch (RuntimeException e) {
       faulty(e);
-    } finally {
-      message.release();
+    }
+  }
+
+  private void head(HttpRequest request) {
+    receiveLimit.headCame();
+    server.took(this);
+    head = request;
+    target = RequestReader.originForm(request.uri());
+    keepAlive = HttpUtil.isKeepAlive(request);
+    receiving = true;
+    answered = false;
+    bodyBytes = 0;
+    onward = null;
+    HttpHeaders headers = request.headers();
+    String coding = headers.get(HttpHeaderNames.TRANSFER_ENCODING);
+    String expects = headers.get(HttpHeaderNames.EXPECT);
+    if (coding != null && !coding.equalsIgnoreCase("chunked")) {
+      endWith(HttpResponseStatus.NOT_IMPLEMENTED, "unknown transfer coding");
+    } else if (expects != null && !expects.equalsIgnoreCase("100-continue")) {
+      endWith(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
+    } else if (HttpUtil.getContentLength(request, 0L) > MOST_BODY) {
+      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+    } else if (target.equals("/up")) {
+      up();
+    } else if (over || server.full()) {
+      keepAlive &= !over;
+      refused(0);
+    } else if (expects != null) {
+      channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+          Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void piece(HttpContent piece) {
+    boolean last = piece instanceof LastHttpContent;
+    bodyBytes += piece.content().readableBytes();
+    if (last) {
+      receiving = false;
+      receiveLimit.bodyCame();
+    } else if (bodyBytes > MOST_BODY) {
+      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      return;
+    }
+    if (answered) {
+      next();
+    } else if (onward != null) {
+      if (current == null) {
+        // Its answer is under way already, and the rest of the request of no use.
+        if (!last) {
+          read();
+        }
+      } else {
+        onward.pass(piece.retain());
+      }
+    } else {
+      keep(piece.content());
+      if (last || prefix.readableBytes() >= PREFIX) {
+        take(last);
+        if (onward == null) {
+          more();
+        }
+      } else {
+        read();
+      }
+    }
+  }
+
+  private void keep(ByteBuf piece) {
+    if (prefix == null) {
+      prefix = channel.alloc().compositeBuffer(MOST_PARTS);
+    }
+    prefix.addComponent(true, piece.retain());
+  }
+
+  private void dropPrefix() {
+    if (prefix != null) {
+      prefix.release();
+      prefix = null;
     }
   }
 
   /** A fault of ours costs this request, not the connection or the process; its cause goes to the log. */
   private void faulty(RuntimeException cause) {
     LOG.log(Level.SEVERE, "request failed", cause);
-    if (current != null) {
-      server.driver().clientLeft(current);
-      current = null;
+    if (current != null && answering == null) {
+      leave();
       answer(HttpResponseStatus.INTERNAL_SERVER_ERROR);
     } else {
       channel.close();
     }
   }
 
-  private void up(FullHttpRequest message) {
-    boolean get = message.method().equals(HttpMethod.GET);
+  private void up() {
+    boolean get = head.method().equals(HttpMethod.GET);
     answer(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
         : server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
   }
 
-  private void take(FullHttpRequest message) {
+  /** Hands the request to the module: whole, or with as much of its body as can be kept. */
+  private void take(boolean whole) {
     Request request;
     try {
-      request = server.read(message);
+      request = server.read(head, target);
     } catch (RequestReader.BadRequest e) {
+      dropPrefix();
       answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
       return;
     }
-    FullHttpRequest onward = onward(message);
-    current = request.id();
-    server.took(this);
-    server.driver().take(request, onward, new ModuleDriver.Client() {
-      @Override
-      public void served(FullHttpResponse answer) {
-        current = null;
-        ClientConnection.this.served(answer);
-      }
-
-      @Override
-      public void refused(double holdOffMs) {
-        current = null;
-        ClientConnection.this.refused(holdOffMs);
-      }
-
-      @Override
-      public void failed() {
-        current = null;
-        answer(HttpResponseStatus.BAD_GATEWAY);
-      }
-    });
-    onward.release();
-  }
-
-  /** What goes on to a backend: the request line, the body and the headers that are passed on, unchanged. */
-  private static FullHttpRequest onward(FullHttpRequest message) {
-    HttpHeaders from = message.headers();
-    DefaultFullHttpRequest onward = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(),
-        message.uri(), message.content().retain());
+    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
     for (CharSequence name : new CharSequence[] {HttpHeaderNames.HOST, Headers.REQUEST_ID,
         Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE}) {
-      String value = from.get(name);
+      String value = head.headers().get(name);
       if (value != null) {
-        onward.headers().set(name, value);
+        headers.set(name, value);
       }
     }
-    if (message.content().isReadable() || message.method().equals(HttpMethod.POST)) {
-      onward.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+    Outgoing.frame(headers, head.headers(), whole, prefix.readableBytes(),
+        head.method().equals(HttpMethod.POST));
+    ByteBuf kept = prefix;
+    prefix = null;
+    onward = new Outgoing(head.method(), target, headers, kept, whole, this::more);
+    current = request.id();
+    server.driver().take(request, onward, this);
+  }
+
+  /** The backend has room for the next piece. */
+  private void more() {
+    if (receiving && !ending) {
+      read();
     }
-    return onward;
   }
 
-  private void served(FullHttpResponse from) {
+  @Override
+  public void served(HttpResponse from, ByteBuf body) {
+    current = null;
     DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-        from.content().retain());
+        body == null ? Unpooled.EMPTY_BUFFER : body.retain());
+    copyType(from, answer);
+    write(answer);
+  }
+
+  private static void copyType(HttpResponse from, HttpResponse to) {
     String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
     if (type != null) {
-      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+      to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
     }
-    write(answer);
   }
 
-  private void refused(double holdOffMs) {
+  @Override
+  public void refused(double holdOffMs) {
+    current = null;
     FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
         : HttpResponseStatus.SERVICE_UNAVAILABLE);
     if (holdOffMs > 0) {
@@ -198,6 +304,63 @@
     write(answer);
   }
 
+  @Override
+  public void failed() {
+    current = null;
+    answer(HttpResponseStatus.BAD_GATEWAY);
+  }
+
+  /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
+  @Override
+  public void begin(HttpResponse from, BackendConnection backend) {
+    answering = backend;
+    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    copyType(from, answer);
+    long length = BackendConnection.length(from);
+    if (length >= 0) {
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+    } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      HttpUtil.setTransferEncodingChunked(answer, true);
+    } else {
+      keepAlive = false;
+    }
+    tellWhetherKept(answer);
+    channel.write(answer);
+  }
+
+  @Override
+  public void piece(ByteBuf piece) {
+    channel.writeAndFlush(new DefaultHttpContent(piece));
+    if (!channel.isWritable()) {
+      answering.read(false);
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (answering != null && channel.isWritable()) {
+      answering.read(true);
+    }
+    ctx.fireChannelWritabilityChanged();
+  }
+
+  @Override
+  public void finish() {
+    current = null;
+    answering = null;
+    written(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  /** A reset tells even a client that takes the connection's end for the answer's. */
+  @Override
+  public void cut() {
+    current = null;
+    answering = null;
+    ending = true;
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
   private void answer(HttpResponseStatus status) {
     write(empty(status));
   }
@@ -213,82 +376,109 @@
 
   private void write(FullHttpResponse answer) {
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-    boolean keep = keepAlive && !server.draining();
-    if (!keep) {
-      ending = true;
-      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (head.method().equals(HttpMethod.HEAD)) {
+      answer.content().clear();
     }
-    channel.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE
-        : ChannelFutureListener.CLOSE);
-    if (keep) {
-      server.answered(this);
+    tellWhetherKept(answer);
+    written(answer);
+  }
+
+  private void tellWhetherKept(HttpResponse answer) {
+    keepAlive &= !server.draining();
+    if (!keepAlive) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    FullHttpRequest next = behind.poll();
-    if (ending) {
-      dropBehind();
+  }
+
+  /** The answer ends with this part. What is left of its request is read and dropped before the next one. */
+  private void written(HttpObject lastPart) {
+    answered = true;
+    channel.writeAndFlush(lastPart).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    if (!receiving) {
+      next();
+    } else if (onward != null) {
+      read();
     }
-    if (next != null && !ending) {
-      channel.config().setAutoRead(behind.isEmpty());
+  }
+
+  /** The present request is read and answered: its connection ends, or waits for the next one. */
+  private void next() {
+    if (receiving) {
+      read();
+    } else if (keepAlive) {
+      head = null;
+      answered = false;
+      server.answered(this);
       // Not at once: answers that come at once would nest as deep as the requests behind each other.
-      channel.eventLoop().execute(() -> handle(next));
-    } else if (next != null) {
-      next.release();
+      channel.eventLoop().execute(this::read);
+    } else {
+      ending = true;
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
   }
 
   /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
-  void endWith(HttpResponseStatus status, String reason) {
-    if (ending) {
+  private void endWith(HttpResponseStatus status, String reason) {
+    ending = true;
+    dropPrefix();
+    boolean begun = answering != null || answered;
+    leave();
+    if (begun) {
+      channel.close();
       return;
     }
-    ending = true;
-    dropBehind();
     ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
     FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    read();
   }
 
   /** Whether neither a request is on it nor a part of one has come. */
   boolean waits() {
-    return current == null && !receiveLimit.partial();
+    return head == null && !receiveLimit.partial();
   }
 
   /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
   void closeIfIdle() {
-    if (current == null && !ending) {
+    if (head == null && !ending) {
       ending = true;
       channel.close();
     }
   }
 
-  private void dropBehind() {
-    behind.forEach(FullHttpRequest::release);
-    behind.clear();
+  /** Nobody waits for the present request's answer any more. */
+  private void leave() {
+    answering = null;
+    if (current != null) {
+      String id = current;
+      current = null;
+      server.driver().clientLeft(id);
+    }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     ending = true;
-    dropBehind();
+    dropPrefix();
     server.closed(this);
-    if (current != null) {
-      server.driver().clientLeft(current);
-      current = null;
+    leave();
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof IdleStateEvent) {
+      ctx.close();
+    } else {
+      ctx.fireUserEventTriggered(event);
     }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (cause instanceof TooLongHttpContentException) {
-      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-      return;
-    }
-    boolean itsOwn = cause instanceof ReadTimeoutException
-        || cause instanceof PrematureChannelClosureException;
-    if (cause instanceof RuntimeException && !itsOwn) {
+    if (cause instanceof RuntimeException) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
     ctx.close();
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -3,28 +3,28 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.ServerSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.flow.FlowControlHandler;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import willowdoor.GatewayApi.Request;
 
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
 
-  /** A client silent for so long between requests loses its connection. */
+  /** A client's connection on which nothing moves for so long ends. */
   private static final int IDLE_S = 30;
   /** A new connection is opened for a request: one without any after this gives way first. */
   private static final double SILENT_MS = 500;
@@ -39,7 +39,7 @@
   private static final int MOST_HELD_BYTES = 8 << 20;
   private static final int MOST_LINE = 8_192;
   private static final int MOST_HEADERS = 16_384;
-  private static final int MOST_BODY = 64 * 1024;
+  private static final int MOST_PIECE = 32 * 1024;
 
   private final Clock clock;
   private final ModuleDriver driver;
@@ -90,29 +90,30 @@
         .option(ChannelOption.SO_BACKLOG, 512)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.AUTO_READ, false)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.QUEUE)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.piece())
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
             ClientConnection connection = new ClientConnection(ClientServer.this);
-            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_S), connection.receiveLimit(),
-                new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_BODY), new BoundedBody(connection),
-                connection);
+            channel.pipeline().addLast(new IdleStateHandler(true, 0, 0, IDLE_S, TimeUnit.SECONDS),
+                connection.receiveLimit(), new RequestDecoder(), new HttpResponseEncoder(),
+                new FlowControlHandler(), connection);
           }
         });
   }
 
-  /** Collects a message's body; one over the bound is answered 413, and the connection ends. */
-  private static final class BoundedBody extends HttpObjectAggregator {
-    private final ClientConnection connection;
+  /** Refuses requests whose end could be told in two ways. */
+  private static final class RequestDecoder extends HttpRequestDecoder {
 
-    BoundedBody(ClientConnection connection) {
-      super(MOST_BODY);
-      this.connection = connection;
+    RequestDecoder() {
+      super(MOST_LINE, MOST_HEADERS, MOST_PIECE);
     }
 
     @Override
-    protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-      connection.endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new IllegalArgumentException("both a length and chunks");
     }
   }
 
@@ -142,8 +143,8 @@
     return driver;
   }
 
-  Request read(FullHttpRequest message) throws RequestReader.BadRequest {
-    Request request = reader.read(message, clock.now());
+  Request read(HttpRequest message, String target) throws RequestReader.BadRequest {
+    Request request = reader.read(message, target, clock.now());
     if (driver.holds(request.id())) {
       throw new RequestReader.BadRequest("Request-Id is in use");
     }
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -1,8 +1,8 @@
 package willowdoor.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -27,6 +27,7 @@
 import willowdoor.GatewayApi.RosterForm;
 import willowdoor.GatewayApi.Send;
 import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.StreamBegan;
 import willowdoor.GatewayApi.WakeAt;
 import willowdoor.GatewayApi.Woken;
 import willowdoor.QuotaPolicy;
@@ -45,27 +46,43 @@
 
   /** Who waits for the one final answer. */
   interface Client {
-    void served(FullHttpResponse answer);
+    /** The whole answer; both are only lent, and the body is null where it is empty. */
+    void served(HttpResponse head, ByteBuf body);
 
     void refused(double holdOffMs);
 
     void failed();
+
+    /** An answer that comes in pieces, each of which is taken over; from is held back where they pile up. */
+    void begin(HttpResponse head, BackendConnection from);
+
+    void piece(ByteBuf piece);
+
+    void finish();
+
+    /** It will not be finished, and the client must see that. */
+    void cut();
   }
 
   /** One request from its taking until it is answered and none of its attempts is out. */
   private final class Live {
     final Request request;
-    final FullHttpRequest message;
+    final Outgoing message;
     final Client client;
     final List<Attempt> attempts = new ArrayList<>(1);
     Future<?> lastCall;
+    /** How long its client waits from its last byte on. */
+    final double timeMs;
     boolean finished;
     int out;
+    /** The attempt whose answer is being passed on as it comes. */
+    Attempt begun;
 
-    Live(Request request, FullHttpRequest message, Client client) {
+    Live(Request request, Outgoing message, Client client) {
       this.request = request;
       this.message = message;
       this.client = client;
+      timeMs = request.giveUpMs() - clock.now();
     }
 
     /** Marks the final answer; true for the first caller only. */
@@ -81,7 +98,7 @@
     /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
     void forgetIfDone() {
       if (finished && out == 0 && live.remove(request.id(), this)) {
-        heldBytes -= message.content().readableBytes();
+        heldBytes -= message.held();
         message.release();
       }
     }
@@ -129,20 +146,27 @@
     return live.containsKey(id);
   }
 
-  /** Takes a request; the message is kept until no attempt needs it. */
-  void take(Request request, FullHttpRequest message, Client client) {
-    Live r = new Live(request, message.retain(), client);
+  /** Takes a request and its message, which is kept until no attempt needs it. */
+  void take(Request request, Outgoing message, Client client) {
+    Live r = new Live(request, message, client);
     live.put(request.id(), r);
-    heldBytes += message.content().readableBytes();
-    double left = Math.max(0, request.giveUpMs() - LAST_CALL_MS - clock.now());
-    r.lastCall = loop.schedule(() -> fail(r), (long) (left * 1000), TimeUnit.MICROSECONDS);
+    heldBytes += message.held();
+    failAfter(r, request.giveUpMs() - clock.now());
     deliver(request);
   }
 
+  private void failAfter(Live r, double ms) {
+    double left = Math.max(0, ms - LAST_CALL_MS);
+    r.lastCall = loop.schedule(() -> fail(r), (long) (left * 1000), TimeUnit.MICROSECONDS);
+  }
+
   void clientLeft(String id) {
     Live r = live.get(id);
     if (r != null && r.finish()) {
       deliver(new ClientLeft(id));
+      if (r.begun != null || !r.message.whole()) {
+        List.copyOf(r.attempts).forEach(a -> a.abandon(Status.CANCELLED));
+      }
       r.forgetIfDone();
     }
   }
@@ -178,7 +202,12 @@
   /** The net under the module: a request that it left unanswered fails while its client still listens. */
   private void fail(Live r) {
     if (r.finish()) {
-      r.client.failed();
+      if (r.begun == null) {
+        r.client.failed();
+      } else {
+        r.client.cut();
+        r.begun.abandon(Status.CANCELLED);
+      }
       deliver(new ClientLeft(r.request.id()));
       r.forgetIfDone();
     }
@@ -257,7 +286,7 @@
       }
     } else if (action instanceof Cancel a) {
       Live r = live.get(a.request());
-      if (r != null && a.attempt() < r.attempts.size()) {
+      if (r != null && a.attempt() < r.attempts.size() && r.attempts.get(a.attempt()) != r.begun) {
         r.attempts.get(a.attempt()).abandon(Status.CANCELLED);
       }
     }
@@ -279,31 +308,91 @@
       return;
     }
     int number = r.attempts.size();
-    double sentAt = clock.now();
-    double timeout = a.timeoutMs() > 0 ? a.timeoutMs() : r.request.giveUpMs() - sentAt;
-    Attempt attempt = new Attempt(r.message, timeout) {
-      @Override
-      void onEnd(Status status, FullHttpResponse answer) {
-        attemptEnded(r, number, a.backend(), status, clock.now() - sentAt, answer);
-      }
-    };
+    double timeout = a.timeoutMs() > 0 ? a.timeoutMs() : r.request.giveUpMs() - clock.now();
+    Attempt attempt = new Sent(r, number, a.backend(), timeout);
     r.attempts.add(attempt);
     r.out++;
     backends.start(a.backend(), attempt);
   }
 
-  private void attemptEnded(Live r, int number, long backend, Status status, double latencyMs,
-      FullHttpResponse answer) {
-    r.out--;
-    double units = 0;
-    if (answer != null) {
-      units = units(answer.headers().get(Headers.UNITS_CHARGED));
-      if (r.finish()) {
-        r.client.served(answer);
+  /** An attempt of a request that is in the table. */
+  private final class Sent extends Attempt {
+    private final Live r;
+    private final int number;
+    private final long backend;
+    private double sentAt = clock.now();
+    /** When its answer began to be passed on: how long that takes is the client's matter. */
+    private double begunAt = Double.NaN;
+    private boolean streams;
+
+    Sent(Live r, int number, long backend, double timeoutMs) {
+      super(r.message, timeoutMs);
+      this.r = r;
+      this.number = number;
+      this.backend = backend;
+    }
+
+    /** No time runs while the client sends on. */
+    @Override
+    void onSpent() {
+      if (!streams) {
+        streams = true;
+        stopTimer();
+        r.lastCall.cancel(false);
+        deliver(new StreamBegan(r.request.id(), number));
       }
     }
-    deliver(new Outcome(r.request.id(), number, backend, status, latencyMs, r.finished, units, null));
-    r.forgetIfDone();
+
+    /** The request's time counts from its last byte. */
+    @Override
+    void onSent() {
+      sentAt = clock.now();
+      if (!r.finished && r.begun == null) {
+        failAfter(r, r.timeMs);
+        timer = loop.schedule(() -> abandon(overdue()), (long) (r.timeMs * 1000), TimeUnit.MICROSECONDS);
+      }
+    }
+
+    @Override
+    boolean onBegin(HttpResponse head) {
+      if (r.finished || r.begun != null) {
+        return false;
+      }
+      r.begun = this;
+      begunAt = clock.now();
+      stopTimer();
+      r.lastCall.cancel(false);
+      r.client.begin(head, connection);
+      deliver(new StreamBegan(r.request.id(), number));
+      return true;
+    }
+
+    @Override
+    void onPiece(ByteBuf piece) {
+      if (r.finished) {
+        piece.release();
+      } else {
+        r.client.piece(piece);
+      }
+    }
+
+    @Override
+    void onEnd(Status status, HttpResponse head, ByteBuf body) {
+      r.out--;
+      boolean last = r.begun == this ? r.finish() : status == Status.OK && r.finish();
+      if (last && r.begun != this) {
+        r.client.served(head, body);
+      } else if (last && status == Status.OK) {
+        r.client.finish();
+      } else if (last) {
+        r.client.cut();
+      }
+      double units = status == Status.OK ? units(head.headers().get(Headers.UNITS_CHARGED)) : 0;
+      double until = Double.isNaN(begunAt) ? clock.now() : begunAt;
+      deliver(new Outcome(r.request.id(), number, backend, status, Math.max(0, until - sentAt), r.finished,
+          units, null));
+      r.forgetIfDone();
+    }
   }
 
   private static double units(String header) {
--- /dev/null
+++ b/src/main/java/willowdoor/net/Outgoing.java
@@ -0,0 +1,124 @@
+package willowdoor.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * A request on its way to a backend: its head and the first bytes of its body, which can be sent again, and
+ * the rest, which passes by once, piece by piece as the backend takes it. Owned by the table of requests.
+ */
+final class Outgoing {
+
+  /** Where the pieces behind the prefix go. */
+  interface Sink {
+    /** Takes a piece over, and asks for the next one once there is room. */
+    void piece(HttpContent piece);
+  }
+
+  private final HttpMethod method;
+  private final String uri;
+  private final HttpHeaders headers;
+  private final ByteBuf prefix;
+  private final boolean whole;
+  private final Runnable more;
+  private Sink sink;
+  /** A piece that was asked for by an attempt which ended before it came. */
+  private HttpContent waiting;
+  private boolean released;
+
+  /** Takes the prefix over; more asks the client for the next piece, where the prefix is not all. */
+  Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf prefix, boolean whole, Runnable more) {
+    this.method = method;
+    this.uri = uri;
+    this.headers = headers;
+    this.prefix = prefix;
+    this.whole = whole;
+    this.more = more;
+  }
+
+  boolean whole() {
+    return whole;
+  }
+
+  int held() {
+    return prefix.readableBytes();
+  }
+
+  /** The head alone, or with the body where that is whole. */
+  HttpRequest message(double timeoutMs) {
+    HttpHeaders copy = headers.copy().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(timeoutMs)));
+    return whole ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, prefix.retainedDuplicate(),
+        copy, EmptyHttpHeaders.INSTANCE) : new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, copy);
+  }
+
+  ByteBuf prefix() {
+    return prefix.retainedDuplicate();
+  }
+
+  /** Lets the rest pass to the sink from now on. */
+  void passTo(Sink taker) {
+    sink = taker;
+    if (waiting != null) {
+      HttpContent piece = waiting;
+      waiting = null;
+      pass(piece);
+    } else {
+      more.run();
+    }
+  }
+
+  void detach(Sink taker) {
+    if (sink == taker) {
+      sink = null;
+    }
+  }
+
+  boolean passesTo(Sink taker) {
+    return sink == taker;
+  }
+
+  void wantMore() {
+    more.run();
+  }
+
+  /** A piece from the client, which is taken over. */
+  void pass(HttpContent piece) {
+    if (released) {
+      piece.release();
+    } else if (sink == null) {
+      waiting = piece;
+    } else {
+      sink.piece(piece);
+    }
+  }
+
+  void release() {
+    released = true;
+    prefix.release();
+    if (waiting != null) {
+      waiting.release();
+      waiting = null;
+    }
+  }
+
+  /** Tells how long the body is, as its client told. */
+  static void frame(HttpHeaders onward, HttpHeaders told, boolean whole, int length, boolean mayHaveBody) {
+    if (whole) {
+      if (length > 0 || mayHaveBody) {
+        onward.set(HttpHeaderNames.CONTENT_LENGTH, length);
+      }
+    } else if (told.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      onward.set(HttpHeaderNames.CONTENT_LENGTH, told.get(HttpHeaderNames.CONTENT_LENGTH));
+    } else {
+      onward.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
+    }
+  }
+}
--- a/src/main/java/willowdoor/net/ReceiveLimit.java
+++ b/src/main/java/willowdoor/net/ReceiveLimit.java
@@ -1,44 +1,60 @@
 package willowdoor.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Bounds the time that a client takes to send a request: the first one from the connect on, so that a silent
- * peer does not hold a descriptor, each later one from its first bytes on. More bytes do not extend it.
+ * Bounds the time that a client takes to send a request. Its head: the first one from the connect on, so that
+ * a silent peer does not hold a descriptor, each later one from its first bytes on; more bytes do not extend
+ * it. Its body: the time in which the client is waited for, which grows with the bytes that come.
  */
 final class ReceiveLimit extends ChannelInboundHandlerAdapter {
 
-  /** A peer without a proper request is owed an error or a close within 3 s. */
+  /** A peer without a proper request is owed an error or a close within 3 s; a proper one may take 2 s. */
   private static final long LIMIT_MS = 2_500;
+  /** Half the pace that is asked of clients. */
+  private static final double LEAST_BYTES_PER_MS = 32;
+  private static final long BODY_STEP_MS = 500;
 
   private final Runnable overdue;
+  private ChannelHandlerContext context;
   private Future<?> timer;
-  private boolean whole;
+  private boolean insideBody;
   private boolean partial;
+  /** Of the body that is being read: its bytes, the time waited for them, and since when it is waited now. */
+  private long bytes;
+  private double waitedMs;
+  private double waitsSince = Double.NaN;
 
   ReceiveLimit(Runnable overdue) {
     this.overdue = overdue;
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
-    arm(ctx);
+    arm(LIMIT_MS);
     ctx.fireChannelActive();
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    whole = false;
-    partial = true;
+    partial = !insideBody;
+    bytes += ((ByteBuf) message).readableBytes();
+    if (!Double.isNaN(waitsSince)) {
+      waitedMs += now() - waitsSince;
+      waitsSince = Double.NaN;
+    }
     ctx.fireChannelRead(message);
-    if (whole) {
-      partial = false;
-      disarm();
-    } else if (timer == null) {
-      arm(ctx);
+    if (partial && timer == null) {
+      arm(LIMIT_MS);
     }
   }
 
@@ -48,21 +64,53 @@
     ctx.fireChannelInactive();
   }
 
-  /** A whole request came with the bytes that are being read. */
-  void whole() {
-    whole = true;
-  }
-
-  /** Whether a part of a request has come and its rest has not. */
+  /** Whether a part of a request's head has come and its rest has not. */
   boolean partial() {
     return partial;
   }
 
-  private void arm(ChannelHandlerContext ctx) {
-    timer = ctx.executor().schedule(() -> {
+  void headCame() {
+    insideBody = true;
+    partial = false;
+    bytes = 0;
+    waitedMs = 0;
+    disarm();
+  }
+
+  /** More of the body is asked for, and has not come yet. */
+  void waits() {
+    if (insideBody && Double.isNaN(waitsSince)) {
+      waitsSince = now();
+      if (timer == null) {
+        arm(BODY_STEP_MS);
+      }
+    }
+  }
+
+  void bodyCame() {
+    insideBody = false;
+    waitsSince = Double.NaN;
+    disarm();
+  }
+
+  private boolean late() {
+    return !insideBody || !Double.isNaN(waitsSince)
+        && waitedMs + now() - waitsSince > LIMIT_MS + bytes / LEAST_BYTES_PER_MS;
+  }
+
+  private static double now() {
+    return System.nanoTime() / 1e6;
+  }
+
+  private void arm(long ms) {
+    timer = context.executor().schedule(() -> {
       timer = null;
-      overdue.run();
-    }, LIMIT_MS, TimeUnit.MILLISECONDS);
+      if (late()) {
+        overdue.run();
+      } else {
+        arm(BODY_STEP_MS);
+      }
+    }, ms, TimeUnit.MILLISECONDS);
   }
 
   private void disarm() {
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/src/main/java/willowdoor/net/RequestReader.java
@@ -1,8 +1,8 @@
 package willowdoor.net;
 
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
 import java.util.Map;
 import willowdoor.GatewayApi.Repeat;
@@ -36,14 +36,14 @@
     gateways = settings.gateways();
   }
 
-  Request read(FullHttpRequest message, double now) throws BadRequest {
+  Request read(HttpRequest message, String uri, double now) throws BadRequest {
     HttpHeaders headers = message.headers();
     String id = text(headers, Headers.REQUEST_ID);
     if (id.length() > MOST_ID) {
       throw new BadRequest("Request-Id is too long");
     }
     RequestClass type = classes.get(text(headers, Headers.REQUEST_CLASS));
-    if (type == null || !type.name().equals(firstPart(message.uri()))) {
+    if (type == null || !type.name().equals(firstPart(uri))) {
       throw new BadRequest("unknown class");
     }
     boolean safe = type.repeat() == Repeat.SAFE;
@@ -86,6 +86,20 @@
     return new Request(id, type, plan, customer, (int) Math.min(spread, gateways), units, giveUpMs);
   }
 
+  /** The target as a server is asked for it: clients may name the host in it as they do to a proxy. */
+  static String originForm(String target) {
+    String scheme = "http://";
+    if (!target.regionMatches(true, 0, scheme, 0, scheme.length())) {
+      return target;
+    }
+    int path = scheme.length();
+    while (path < target.length() && "/?#".indexOf(target.charAt(path)) < 0) {
+      path++;
+    }
+    String rest = target.substring(path);
+    return rest.startsWith("/") ? rest : '/' + rest;
+  }
+
   private static String firstPart(String uri) throws BadRequest {
     for (int i = 0; i < uri.length(); i++) {
       if (uri.charAt(i) <= ' ' || uri.charAt(i) > '~') {
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -1,7 +1,10 @@
 package willowdoor.net;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
@@ -25,6 +28,14 @@
       ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class);
 
+  /** How much may wait to be written to a peer before nothing more is read for it. */
+  static final WriteBufferWaterMark QUEUE = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
+
+  /** Reads 32 KiB at most at once. */
+  static RecvByteBufAllocator piece() {
+    return new AdaptiveRecvByteBufAllocator(512, 2_048, 32 * 1024);
+  }
+
   /**
    * A channel on the listening socket that the process has inherited as the descriptor. A blocking one would
    * hold the loop in accept whenever another process is quicker; the runtime's view of it is the only way to
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -256,6 +256,18 @@
     }
     Message bare = new Message(head.toString(), new byte[0]);
     String length = bare.header("Content-Length");
+    if ("chunked".equals(bare.header("Transfer-Encoding"))) {
+      ByteArrayOutputStream chunks = new ByteArrayOutputStream();
+      for (int size = chunk(in); size > 0; size = chunk(in)) {
+        byte[] piece = in.readNBytes(size);
+        chunks.write(piece);
+        line(in);
+        if (piece.length < size) {
+          throw new EOFException("body was cut");
+        }
+      }
+      return new Message(bare.head(), chunks.toByteArray());
+    }
     byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
     if (length != null && body.length < Integer.parseInt(length)) {
       throw new EOFException("body was cut");
@@ -263,6 +275,15 @@
     return new Message(bare.head(), body);
   }
 
+  /** The size of the next chunk; behind the last one its trailers are read too. */
+  private static int chunk(InputStream in) throws IOException {
+    int size = Integer.parseInt(line(in), 16);
+    while (size == 0 && !line(in).isEmpty()) {
+      continue;
+    }
+    return size;
+  }
+
   private static String line(InputStream in) throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     for (int b = in.read(); b != '\n'; b = in.read()) {
