Tell the module the time to an answer's head: slow bodies look like pressure

Ruled out: lost or failed requests (none), the counter (9% unanswered). Left: 10% of the time the front doors stand still for want of CPU, and open limits.

--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -75,6 +75,9 @@
   /** The last piece of a message that came in pieces is being written. */
   abstract void onSent();
 
+  /** The answer's head has come; how long its body takes to come tells nothing of the backend's load. */
+  abstract void onHead();
+
   /** The head of an answer that is passed on as it comes; false where nobody waits for it any more. */
   abstract boolean onBegin(HttpResponse head);
 
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -159,6 +159,9 @@
         return;
       }
       head = response;
+      if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+        current.onHead();
+      }
       if (served() && !framed(head) && HttpUtil.isKeepAlive(head)) {
         junk(Tally.Event.ANSWER_UNREADABLE);
         return;
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -106,6 +106,11 @@
     return management == null ? null : management.address();
   }
 
+  /** What the module tells the log, asked for on the loop. */
+  String figures() throws InterruptedException {
+    return loop.submit(driver::figures).sync().getNow();
+  }
+
   @Override
   public boolean ready() {
     return canServe;
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -321,8 +321,8 @@
     private final int number;
     private final long backend;
     private double sentAt = clock.now();
-    /** When its answer began to be passed on: how long that takes is the client's matter. */
-    private double begunAt = Double.NaN;
+    /** When its answer's head came. */
+    private double headAt = Double.NaN;
     private boolean streams;
 
     Sent(Live r, int number, long backend, double timeoutMs) {
@@ -353,13 +353,17 @@
       }
     }
 
+    @Override
+    void onHead() {
+      headAt = clock.now();
+    }
+
     @Override
     boolean onBegin(HttpResponse head) {
       if (r.finished || r.begun != null) {
         return false;
       }
       r.begun = this;
-      begunAt = clock.now();
       stopTimer();
       r.lastCall.cancel(false);
       r.client.begin(head, connection);
@@ -388,7 +392,7 @@
         r.client.cut();
       }
       double units = status == Status.OK ? units(head.headers().get(Headers.UNITS_CHARGED)) : 0;
-      double until = Double.isNaN(begunAt) ? clock.now() : begunAt;
+      double until = Double.isNaN(headAt) ? clock.now() : headAt;
       deliver(new Outcome(r.request.id(), number, backend, status, Math.max(0, until - sentAt), r.finished,
           units, null));
       r.forgetIfDone();
