Bound what all clients can have kept of requests that are still coming

The prefix of a body was kept in slices of the buffers that it was read into, so small pieces kept far more than their bytes, and only requests that the module had were counted against the 8 MB. Kept bytes are copied into one buffer now and counted from their first piece on. The new test fails without the count.

--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -1,7 +1,6 @@
 package willowdoor.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -26,7 +25,6 @@
   private static final int MOST_HELD = 64 * 1024;
   /** So much of an answer that tells no length is held before it is passed on as it comes. */
   private static final int HELD_UNTOLD = 16 * 1024;
-  private static final int MOST_PARTS = 1_024;
 
   private final BackendPool pool;
   final BackendPool.Backend backend;
@@ -36,7 +34,7 @@
   private Attempt current;
   /** The answer that is being read: its head, what is held of its body, whether it is passed on already. */
   private HttpResponse head;
-  private CompositeByteBuf held;
+  private ByteBuf held;
   private boolean begun;
   /** Answered in full, but what else the backend sent with that answer is not looked at yet. */
   private boolean answered;
@@ -199,9 +197,9 @@
 
   private void hold(ByteBuf piece) {
     if (held == null) {
-      held = channel.alloc().compositeBuffer(MOST_PARTS);
+      held = channel.alloc().buffer(piece.readableBytes());
     }
-    held.addComponent(true, piece.retain());
+    held.writeBytes(piece);
     if (length(head) < 0 && held.readableBytes() > HELD_UNTOLD) {
       begin();
     }
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -1,7 +1,6 @@
 package willowdoor.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -46,7 +45,6 @@
   /** So much of a body is kept until no further attempt may need it. */
   private static final int PREFIX = 64 * 1024;
   private static final long MOST_BODY = 48L << 20;
-  private static final int MOST_PARTS = 1_024;
 
   private final ClientServer server;
   private final ReceiveLimit receiveLimit = new ReceiveLimit(this::overdue);
@@ -61,7 +59,7 @@
   /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
   private boolean receiving;
   private long bodyBytes;
-  private CompositeByteBuf prefix;
+  private ByteBuf prefix = Unpooled.EMPTY_BUFFER;
   private Outgoing onward;
   /** Its id while the module works on it, and whether its answer is under way, or written in whole. */
   private String current;
@@ -212,18 +210,20 @@
     }
   }
 
+  /** Copied, as small pieces would keep the larger buffers that they were read into. */
   private void keep(ByteBuf piece) {
-    if (prefix == null) {
-      prefix = channel.alloc().compositeBuffer(MOST_PARTS);
+    if (piece.isReadable()) {
+      server.keeps(piece.readableBytes());
+      prefix = prefix.isReadable() ? prefix : channel.alloc().buffer(piece.readableBytes());
+      prefix.writeBytes(piece);
     }
-    prefix.addComponent(true, piece.retain());
   }
 
-  private void dropPrefix() {
-    if (prefix != null) {
-      prefix.release();
-      prefix = null;
-    }
+  private ByteBuf takePrefix() {
+    ByteBuf kept = prefix;
+    prefix = Unpooled.EMPTY_BUFFER;
+    server.keeps(-kept.readableBytes());
+    return kept;
   }
 
   /** A fault of ours costs this request, not the connection or the process; its cause goes to the log. */
@@ -249,7 +249,7 @@
     try {
       request = server.read(head, target);
     } catch (RequestReader.BadRequest e) {
-      dropPrefix();
+      takePrefix().release();
       answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
       return;
     }
@@ -263,8 +263,7 @@
     }
     Outgoing.frame(headers, head.headers(), whole, prefix.readableBytes(),
         head.method().equals(HttpMethod.POST));
-    ByteBuf kept = prefix;
-    prefix = null;
+    ByteBuf kept = takePrefix();
     onward = new Outgoing(head.method(), target, headers, kept, whole, this::more);
     current = request.id();
     server.driver().take(request, onward, this);
@@ -420,7 +419,7 @@
   /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
   private void endWith(HttpResponseStatus status, String reason) {
     ending = true;
-    dropPrefix();
+    takePrefix().release();
     boolean begun = answering != null || answered;
     leave();
     if (begun) {
@@ -462,7 +461,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     ending = true;
-    dropPrefix();
+    takePrefix().release();
     server.closed(this);
     leave();
   }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -51,6 +51,7 @@
   /** Those of them that no request is on, the longest idle first: without a request so far, and after one. */
   private final LinkedHashSet<ClientConnection> fresh = new LinkedHashSet<>();
   private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
+  private int kept;
   private Channel listening;
   /** Whether the listening socket is the platform's, and other processes accept on it too. */
   private boolean shared;
@@ -166,7 +167,12 @@
 
   /** Over these bounds requests are refused, so that the process stays within its memory. */
   boolean full() {
-    return driver.held() >= MOST_HELD || driver.heldBytes() >= MOST_HELD_BYTES;
+    return driver.held() >= MOST_HELD || driver.heldBytes() + kept >= MOST_HELD_BYTES;
+  }
+
+  /** Counts bytes of requests that are still coming, which are kept until those go to the module. */
+  void keeps(int bytes) {
+    kept += bytes;
   }
 
   /**
--- a/src/test/java/willowdoor/net/StreamingTest.java
+++ b/src/test/java/willowdoor/net/StreamingTest.java
@@ -107,6 +107,22 @@
     }
   }
 
+  /** Requests that do not come to their end count too: what all clients can have kept is bounded. */
+  @Test
+  void bodiesThatAreStillComingAreBoundedOverAllConnections() throws Exception {
+    peers.start();
+    String part = "x".repeat(60_000);
+    for (int i = 0; i < (8 << 20) / part.length() + 1; i++) {
+      peers.client().send(Peers.post("r" + i, "")
+          .replace("Content-Length: 0", "Content-Length: 64000") + part);
+    }
+    int status = 200;
+    for (int i = 0; status == 200 && i < 500; i++) {
+      status = peers.client().ask(Peers.get("g" + i, 3000)).status();
+    }
+    assertEquals(503, status);
+  }
+
   @Test
   void chunksInPiecesWithTrailersAreOneBody() throws Exception {
     peers.start();
