--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -139,9 +139,9 @@
       return Math.max(zoneFailing.fresh(now), cellFailing.fresh(now));
     }
 
-    /** Its place in the order of one gateway, which differs from the orders of others. */
-    long rank(long gateway) {
-      return mix(id + (gateway << 32));
+    /** Its place in the order of all backends, which is the same at every gateway. */
+    long rank() {
+      return mix(id);
     }
 
     boolean cold(Rules rules, double now) {
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -59,8 +59,12 @@
   private static final double REST_MS = 1_000;
   /** Connects failing without an answer between, as when a backend is down that answered before. */
   private static final int DOWN_AFTER = 3;
-  /** Backends that a gateway keeps to (subsetting), and gateways that each has at least: few connections. */
+  /**
+   * Backends that a gateway keeps to (subsetting), so that it meets each often enough to know it and needs
+   * few connections; and gateways that keep to each at least, so that it does not idle when one of them does.
+   */
   private static final int SUBSET = 12;
+  private static final int SHARED_BY = 4;
   /** Backends compared for a request, over all gateways; two at least, as equal stale reports make a herd. */
   private static final double FLEET_CANDIDATES = 30;
   /** Further attempts for each request, earned by first attempts, and how many the fleet may save up. */
@@ -586,13 +590,25 @@
     backends.values().stream().filter(b -> b.phase == Phase.SERVING && !banned(b.id)).forEach(serving::add);
     double mean = serving.stream().mapToDouble(b -> b.told).average().orElse(1);
     serving.forEach(b -> b.size = b.told / mean);
-    usual.clear();
-    serving.stream().sorted(Comparator.comparingLong(b -> b.rank(settings.self())))
-        .limit(Math.max(SUBSET, SUBSET * serving.size() / Math.max(1, settings.gateways())))
-        .forEach(usual::add);
+    listUsual();
     warmAt = Double.NEGATIVE_INFINITY;
   }
 
+  /**
+   * Deterministic subsetting: all gateways put the backends in the same order, and each keeps to the stretch
+   * that begins at its own place, so that every backend is kept to by equally many.
+   */
+  private void listUsual() {
+    int n = serving.size();
+    int gateways = Math.max(1, settings.gateways());
+    List<Backend> ring = serving.stream().sorted(Comparator.comparingLong(Backend::rank)).toList();
+    int from = settings.self() * n / gateways;
+    usual.clear();
+    for (int i = 0; i < Math.min(n, Math.max(SUBSET, SHARED_BY * n / gateways)); i++) {
+      usual.add(ring.get((from + i) % n));
+    }
+  }
+
   /** Whether operators have taken it out. */
   public boolean banned(long backend) {
     return banned.contains(backend);
--- a/src/test/java/willowdoor/FleetTest.java
+++ b/src/test/java/willowdoor/FleetTest.java
@@ -233,6 +233,28 @@
     return seen.size();
   }
 
+  // Guards against subsets drawn by each gateway alone: some backends kept to by many, and some by none.
+  @Test
+  void everyBackendIsKeptToByEquallyManyGateways() {
+    fleet(14, 60);
+    Map<Long, Set<Fixtures>> usedBy = new HashMap<>();
+    Map<Fixtures, Set<Long>> uses = new HashMap<>();
+    BiConsumer<Fixtures, Action> world = new BiConsumer<>() {
+      @Override
+      public void accept(Fixtures f, Action a) {
+        if (a instanceof Send s) {
+          usedBy.computeIfAbsent(s.backend(), b -> new HashSet<>()).add(f);
+          uses.computeIfAbsent(f, g -> new HashSet<>()).add(s.backend());
+          answer(f, s, Status.OK, this);
+        }
+      }
+    };
+    run(20, 600, "free", world);
+    assertEquals(60, usedBy.size());
+    usedBy.forEach((b, by) -> assertTrue(by.size() >= 3 && by.size() <= 5, b + " by " + by.size()));
+    uses.forEach((f, u) -> assertTrue(u.size() <= 20, "one gateway keeps to " + u.size()));
+  }
+
   // Guards against booking this gateway's own stand-still to the fleet, and acting before all was read.
   @Test
   void aGatewayThatStoodStillReadsFirstAndRefusesNobodyForIt() {
