Give cold servers their present part of what the servers kept to bear

A cold server was given its share of all a front door sends over ALL warm servers of the list, by each of the four front doors that now keep to it; so the fleet gave it 4 of 14 parts of a fair one. Fault: sendsPerBackend counted warm servers of the whole list.

Now a front door's sends are divided by what the servers it keeps to can bear at present; if fewer than half of those are warm, as if half were, so that cold ones are not pushed over.

Without the change the test's cold servers get 0.14 of the requests where 0.35 is fair.

Reports (depth) say 0 while the servers' slots share their cores, so they tell of load too late.

Not taken: a larger multiple for cold servers up to the rule's own, which the whole fleet shares and no front door sees.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -84,6 +84,8 @@
   private static final double PRESSURE_LIFE_MS = 4_000;
   /** A backend with fewer requests than this, of all gateways, is not taken to queue. */
   private static final double IDLE_HELD = 3;
+  /** However few are warm, a cold backend gets no more than if this share of those kept to were. */
+  private static final double LEAST_WARM = 0.5;
   /** Random spread of expected waits, so that gateways with the same reports pick different backends. */
   private static final double SPREAD = 0.15;
   /** How long a backend's measured speed and failures are worth much without a further answer. */
@@ -558,8 +560,7 @@
   private double fleetService = UNKNOWN_SERVICE_MS;
   private final List<Backend> serving = new ArrayList<>();
   private final List<Backend> usual = new ArrayList<>();
-  private int warm;
-  private double warmAt = Double.NEGATIVE_INFINITY, sendRate, sendsAt;
+  private double warm, warmAt = Double.NEGATIVE_INFINITY, sendRate, sendsAt;
 
   private void onRoster(Roster e) {
     if (e.form() == RosterForm.FAILED) {
@@ -696,9 +697,12 @@
     return b.coldTokens >= 1;
   }
 
+  /** What a warm backend gets from here, if those that this gateway keeps to share it by what they bear. */
   private double sendsPerBackend() {
     if (now - warmAt > 500) {
-      warm = (int) serving.stream().filter(b -> !b.cold(settings.rules(), now)).count();
+      double bears = usual.stream().mapToDouble(b -> b.cold(settings.rules(), now)
+          ? b.warmShare(settings.rules(), now) : 1).sum();
+      warm = Math.max(bears, usual.size() * LEAST_WARM);
       warmAt = now;
     }
     return warm == 0 ? 0 : sendRate * Math.exp((sendsAt - now) / PRESSURE_LIFE_MS) / warm;
--- a/src/test/java/willowdoor/FleetTest.java
+++ b/src/test/java/willowdoor/FleetTest.java
@@ -233,6 +233,35 @@
     return seen.size();
   }
 
+  // Guards against cold backends left idle, as each is kept to by a few gateways only, and against too much.
+  @Test
+  void replacedBackendsTakeTheirPartOfTheLoadAsTheyWarm() {
+    fleet(14, 60);
+    int[] sent = new int[2];
+    BiConsumer<Fixtures, Action> world = new BiConsumer<>() {
+      @Override
+      public void accept(Fixtures f, Action a) {
+        if (a instanceof Send s) {
+          sent[s.backend() < 24 ? 0 : 1]++;
+          answer(f, s, Status.OK, this);
+        }
+      }
+    };
+    run(10, 600, "free", world);
+    List<BackendEntry> entries = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      boolean old = i < 24;
+      entries.add(new BackendEntry(old ? i : 1000 + i, "a", i, Phase.SERVING, 1, old ? 0 : fleet.get(0).now));
+    }
+    fleet.forEach(f -> f.on(new Roster(RosterForm.COMPLETE, entries)));
+    sent[0] = sent[1] = 0;
+    run(4, 600, "free", world);
+    double bears = 36 * (0.2 + 0.8 * 2 / 10);
+    double part = bears / (24 + bears);
+    double cold = sent[1] / (double) (sent[0] + sent[1]);
+    assertTrue(cold > 0.65 * part && cold < 1.2 * part, "cold ones got " + cold + ", fair is " + part);
+  }
+
   // Guards against subsets drawn by each gateway alone: some backends kept to by many, and some by none.
   @Test
   void everyBackendIsKeptToByEquallyManyGateways() {
