Share a limit on open requests by what the count tells, not by parts of 14

A customer's limit of 14 open requests was cut into parts for 10 to 14 front doors; samples of the refusals show one request open here, and 4 to 10 expected elsewhere. Fault: openHere, a part rounded to one.

Now a front door may have open what the others leave of the limit. What they have open is what they added to the shared count within the time a request is out, which each answered call tells, plus two deviations; where the count was not seen lately or answers come late, the part holds as before. The time before anything was measured is a share of the mean aim, as deadlines differ by deployment.

Not taken: a count of open requests on the counter, which doubles its calls where it already turns 5 to 10% away.

--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -73,6 +73,8 @@
     /** The ceiling: what counted sends may use together, and this gateway's own part. */
     double counted;
     double own;
+    /** Units that others added of late, each faded by the time a request is out. */
+    double elsewhere;
     /** What this gateway may send on unasked. */
     double part;
     int out;
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -94,8 +94,8 @@
   private static final double REPORT_LIFE_MS = 700;
   /** Wait for any usable backend this share of the aim before refusing. */
   private static final double HOLD_OF_AIM = 0.4;
-  /** What a backend is taken to need before anything was seen of it. */
-  private static final double UNKNOWN_SERVICE_MS = 100;
+  /** What a backend is taken to need before anything was seen of it, as a share of the mean aim. */
+  private static final double UNKNOWN_SERVICE_OF_AIM = 0.1;
 
   private final Settings settings;
   private final SplittableRandom random;
@@ -111,6 +111,9 @@
     retryTokens = retriesSaved;
     settings.plans().forEach(p -> plans.put(p.name(), p));
     settings.classes().forEach(c -> classes.put(c.name(), c));
+    fleetService = UNKNOWN_SERVICE_OF_AIM * settings.classes().stream().mapToDouble(RequestClass::aimMs)
+        .filter(ms -> ms > 0).average().orElse(1000);
+    timeOut = fleetService;
   }
 
   /** To be called once, before any event. */
@@ -170,9 +173,36 @@
       othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
-    /** What of the limit on open requests falls to this gateway by its part of the customer's use. */
-    double openHere() {
-      return Math.max(1, Math.round(plan.openLimit() * ownPart()));
+    /**
+     * Whether this gateway may have no more requests open: its part of the limit by the customer's use is
+     * out, and so is what the others leave of it, where that is told. Parts alone waste a limit that is small
+     * for the number of gateways.
+     */
+    boolean openFull() {
+      double part = Math.max(1, Math.round(plan.openLimit() * ownPart()));
+      return plan.openLimit() > 0
+          && out >= (told() ? Math.max(part, plan.openLimit() - openElsewhere()) : part);
+    }
+
+    /**
+     * Whether the shared count was seen so lately that it held what the others have open, and answers come in
+     * time: what waits for a silent backend was added long ago.
+     */
+    boolean told() {
+      return now - syncedAt < timeOut && expectedOfAim() < PRESSED_LOW;
+    }
+
+    /** The most that others likely have open: what they added to the shared count while a request is out. */
+    double openElsewhere() {
+      double likely = elsewhere * Math.exp((syncedAt - now) / timeOut) / meanUnits;
+      return likely + 2 * Math.sqrt(likely + 1);
+    }
+
+    /** Takes what others have added since then, evenly over that time, and lets the earlier fade. */
+    void addElsewhere(double others, double sinceMs) {
+      double known = Double.isNaN(syncedAt) ? 0 : elsewhere * Math.exp((syncedAt - now) / timeOut);
+      double span = Math.max(1, sinceMs) / timeOut;
+      elsewhere = Math.max(0, known + others * (1 - Math.exp(-span)) / span);
     }
 
     /** This gateway's part of the customer's use as lately seen; an even one before anything was. */
@@ -274,7 +304,8 @@
   private void check(Job job) {
     Account a = job.account;
     double units = job.request.units();
-    if (a.plan.openLimit() > 0 && a.out >= a.openHere()) {
+    boolean unknown = settings.allowed().sharedCount() && a.plan.rate() > 0 && !a.told();
+    if (!unknown && a.openFull()) {
       beyondQuota(job, Refusal.OPEN_LIMIT);
     } else if (a.plan.rate() <= 0 && a.plan.ceilingRate() <= 0) {
       dispatch(job);
@@ -397,6 +428,7 @@
     a.seen = total;
     if (a.plain) {
       a.level = call.window == a.windowNow(now) ? a.plan.burst() - (total - call.job.asked) : a.level;
+      a.addElsewhere(others, since);
       learnRates(a, Math.max(0, others), since);
       return;
     }
@@ -413,6 +445,7 @@
     a.counted -= others;
     a.fillCeiling(0);
     a.assumed = 0;
+    a.addElsewhere(others, since);
     learnRates(a, others, since);
   }
 
@@ -434,10 +467,12 @@
     boolean unasked = settings.allowed().sharedCount() && !answered;
     boolean within = room >= units && (!unasked || !a.plain || a.part >= units);
     boolean barred = a.plan.rate() > 0 && !within || unasked && pressed(job, UNCONFIRMED);
-    if (barred || !holdsCeiling(a, units, answered)) {
-      a.owed -= job.added && !a.plain ? units : 0;
+    boolean openFull = a.openFull();
+    if (barred || openFull || !holdsCeiling(a, units, answered)) {
+      a.owed -= job.added && (!a.plain || !barred) ? units : 0;
       job.added = false;
-      beyondQuota(job, answered ? Refusal.BEYOND : Refusal.UNCONFIRMED);
+      beyondQuota(job, !barred && openFull ? Refusal.OPEN_LIMIT : answered ? Refusal.BEYOND
+          : Refusal.UNCONFIRMED);
       return;
     }
     a.level -= units;
@@ -557,7 +592,7 @@
   /** Those that operators have taken out, whatever the roster says of them. */
   private final Set<Long> banned = new HashSet<>();
   private final Map<String, Mean> failing = new HashMap<>();
-  private double fleetService = UNKNOWN_SERVICE_MS;
+  private double fleetService;
   private final List<Backend> serving = new ArrayList<>();
   private final List<Backend> usual = new ArrayList<>();
   private double warm, warmAt = Double.NEGATIVE_INFINITY, sendRate, sendsAt;
@@ -782,7 +817,9 @@
   private final Map<String, Attempt> attempts = new HashMap<>();
   private final double retriesSaved;
   private double retryTokens;
-  private double meanWorth = Double.NaN;
+  private double meanWorth = Double.NaN, meanUnits = 1;
+  /** How long an attempt is out, whatever its end. */
+  private double timeOut;
   private final Mean latencyOfAim = new Mean(PRESSURE_NEWEST, PRESSURE_LIFE_MS, now);
   private final Mean outThen = new Mean(PRESSURE_NEWEST, PRESSURE_LIFE_MS, now);
   private final Mean outMean = new Mean(0.3, 1000, now);
@@ -802,6 +839,7 @@
     Job job = new Job(r, type(r), account(r));
     open.put(r.id(), job);
     double worth = job.worth();
+    meanUnits += (Double.isNaN(meanWorth) ? 1 : 0.01) * (r.units() - meanUnits);
     meanWorth = Double.isNaN(meanWorth) ? worth : meanWorth + 0.01 * (worth - meanWorth);
     if (open.size() >= settings.allowed().open()) {
       refuse(job, Refusal.FULL, 0);
@@ -899,6 +937,7 @@
     attempt.backend.out.remove(attempt);
     job.account.out--;
     outNow--;
+    timeOut = Math.max(1, timeOut + NEWEST / 10 * (now - attempt.sentAt - timeOut));
     measureWait(attempt, e);
     job.live = job.live == attempt ? null : job.live;
     if (!banned(attempt.backend.id)) {
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -134,6 +134,30 @@
     }
   }
 
+  /** Of many gateways, one may have more than its part open while the count shows that others are idle. */
+  @Test
+  void whatOthersLeaveOfAnOpenLimitMayBeUsedHere() {
+    Fixtures idle = new Fixtures(Fixtures.settings(true, 14, false)).backends(60);
+    Fixtures busy = new Fixtures(Fixtures.settings(true, 14, false)).backends(60);
+    assertEquals(2, openAtOnce(idle, 1), "more than its part of 4 for 14, and room for chance");
+    assertEquals(1, openAtOnce(busy, 5), "the others use it");
+  }
+
+  /** How many of three requests that come at once are sent, after a second in which others added as much. */
+  private static int openAtOnce(Fixtures f, double totalPerAdd) {
+    int sent = 0;
+    double total = 0;
+    for (int i = 0; i < 3; i++) {
+      f.pass(10).on(new Request("r" + i, "safe", "capped", 42, 14, 1, f.now + 4000));
+      if (f.did(Add.class)) {
+        total += totalPerAdd;
+        f.total(total);
+      }
+      sent += f.did(Send.class) ? 1 : 0;
+    }
+    return sent;
+  }
+
   @Test
   void withoutACounterTheQuotaIsSplitEvenly() {
     Fixtures f = new Fixtures(Fixtures.settings(false, 2, false)).backends(4);
