Count unreadable lines of discovery, and let junk not bring the next watch sooner

The wait is now set back only by a line that can be read, and each other one is counted as DISCOVERY_UNREADABLE. The list and its version stay, as before.

Not taken: jitter on the watches themselves; the wait has it already.

--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -44,6 +44,7 @@
 
   private final EventLoop loop;
   private InetSocketAddress agent;
+  private final Tally tally;
   private final Consumer<RosterNews> listener;
   private final Bootstrap bootstrap;
   private long version;
@@ -53,10 +54,11 @@
   private Future<?> retry;
 
   DiscoveryClient(EventLoop loop, Class<? extends SocketChannel> socket, InetSocketAddress agent,
-      long version, Consumer<RosterNews> listener) {
+      long version, Tally tally, Consumer<RosterNews> listener) {
     this.loop = loop;
     this.agent = agent;
     this.version = version;
+    this.tally = tally;
     this.listener = listener;
     bootstrap = new Bootstrap().group(loop).channel(socket)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
@@ -125,15 +127,27 @@
   private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
-      backoffMs = LEAST_BACKOFF_MS;
       if (line.isReadable()) {
-        RosterNews news = RosterNews.parse(ByteBufUtil.getBytes(line));
+        RosterNews news = parse(line);
         version = news.version();
         listener.accept(news);
       }
+      backoffMs = LEAST_BACKOFF_MS;
+    }
+
+    private RosterNews parse(ByteBuf line) throws IOException {
+      try {
+        return RosterNews.parse(ByteBufUtil.getBytes(line));
+      } catch (IOException e) {
+        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
+        throw e;
+      }
     }
 
-    /** Junk, silence or a broken connection: a new watch from the last good version makes up for it. */
+    /**
+     * Junk, silence or a broken connection: a new watch from the last good version makes up for it, after a
+     * wait that grows until a line can be read, as all front doors may be sent the same junk.
+     */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       LOG.log(Level.FINE, "watch ended", cause);
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -176,7 +176,7 @@
       loop.scheduleWithFixedDelay(() -> follow(file.look()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
     discovery = new DiscoveryClient(loop, Transport.BEST.socket(), config.discovery(),
-        config.known().version(), driver::onRoster);
+        config.known().version(), tally, driver::onRoster);
     discovery.start();
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
         + backends.connections() + " held=" + driver.held() + ' ' + driver.figures()), TALLY_S, TALLY_S,
--- a/src/main/java/willowdoor/net/Tally.java
+++ b/src/main/java/willowdoor/net/Tally.java
@@ -14,6 +14,8 @@
   enum Event {
     /** Answers of backends that do not parse, and that nobody asked for. */
     ANSWER_UNREADABLE, ANSWER_UNASKED,
+    /** Lines of discovery that do not parse: the list stays as it was. */
+    DISCOVERY_UNREADABLE,
     /** Attempts without a connection as all are in use. */
     BACKENDS_FULL,
     /** Clients: idle ones that made room, refused as all are in use, and too slow with a request. */
--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -4,13 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -105,6 +113,38 @@
     assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** Junk is counted for the log, changes nothing, and is not what makes the next watch come sooner. */
+  @Test
+  void junkIsCounted() throws Exception {
+    MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
+    Logger logger = Logger.getLogger(Tally.class.getName());
+    BlockingQueue<String> logged = new LinkedBlockingQueue<>();
+    Handler handler = new StreamHandler() {
+      @Override
+      public void publish(LogRecord entry) {
+        logged.add(entry.getMessage());
+      }
+    };
+    logger.addHandler(handler);
+    try {
+      Tally tally = new Tally();
+      BlockingQueue<RosterNews> told = new LinkedBlockingQueue<>();
+      DiscoveryClient client = new DiscoveryClient(group.next(), Transport.BEST.socket(),
+          (InetSocketAddress) peers.discovery.getLocalSocketAddress(), 7, tally, told::add);
+      group.next().execute(client::start);
+      Peers.next(peers.watches);
+      peers.tell("{\"version\":8,\"servers\":[{\"id\":\n");
+      assertTrue(Peers.next(peers.watches).contains("index=7 "));
+      peers.tell(Peers.list(9, true) + "\n");
+      assertEquals(9, Peers.next(told).version());
+      group.next().submit(() -> tally.log("figures")).sync();
+      assertEquals("figures DISCOVERY_UNREADABLE=1", Peers.next(logged));
+    } finally {
+      logger.removeHandler(handler);
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    }
+  }
+
   /** A message that names no servers is not a list of none. */
   @Test
   void aMessageWithoutAListIsJunkToo() throws Exception {
