Give each request one time budget, tell servers what is left, and check the time at once

Need: a request's end was computed apart from the limits of its waits. The time told to a template server was set before the connect, so a slow connect was given twice; a malformed Request-Timeout-Ms was answered only behind the body, or by the limit of slow clients after 2.5 s; 17 digits got a 400, 16 passed as 300,000 years, a second value was ignored. Change: Budget holds a request's end on the monotonic clock and derives the limits of its waits; connects end with the attempt; the onward Request-Timeout-Ms is what is left at the write; the head is checked before the body comes; more than the class's DeadlineMs counts as that.

--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -9,7 +9,8 @@
 abstract class Attempt {
 
   final Outgoing message;
-  final double timeoutMs;
+  /** When it is given up, on the clock. */
+  final double endsAt;
   /** Null while the attempt has no connection yet. */
   BackendConnection connection;
   /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
@@ -18,9 +19,9 @@
   Future<?> timer;
   private boolean ended;
 
-  Attempt(Outgoing message, double timeoutMs) {
+  Attempt(Outgoing message, double endsAt) {
     this.message = message;
-    this.timeoutMs = timeoutMs;
+    this.endsAt = endsAt;
   }
 
   final boolean ended() {
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -99,11 +100,12 @@
   void carry(Attempt attempt) {
     current = attempt;
     attempt.connection = this;
+    HttpRequest request = attempt.message.message(pool.leftMs(attempt));
     if (attempt.message.whole()) {
-      written(attempt, channel.writeAndFlush(attempt.message.message(attempt.timeoutMs)), true);
+      written(attempt, channel.writeAndFlush(request), true);
       return;
     }
-    channel.write(attempt.message.message(attempt.timeoutMs));
+    channel.write(request);
     written(attempt, channel.writeAndFlush(new DefaultHttpContent(attempt.message.prefix())), false);
     if (!attempt.ended()) {
       attempt.message.passTo(this);
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -45,6 +45,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Bootstrap bootstrap;
+  private final double connectLimitMs;
   private final double idleLimitMs;
   private final Map<Long, Backend> backends = new HashMap<>();
   private final Tally tally;
@@ -61,12 +62,12 @@
     this.tally = tally;
     this.banned = banned;
     this.most = most;
+    this.connectLimitMs = connectLimitMs;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     bootstrap = new Bootstrap().group(loop).channel(socket)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.QUEUE)
-        .option(ChannelOption.RECVBUF_ALLOCATOR, Transport.piece())
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectLimitMs));
+        .option(ChannelOption.RECVBUF_ALLOCATOR, Transport.piece());
     loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -123,8 +124,8 @@
       attempt.end(Status.UNREACHABLE, null, null);
       return;
     }
-    long timeout = Math.max(0, (long) (attempt.timeoutMs * 1000));
-    attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), timeout, TimeUnit.MICROSECONDS);
+    attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), (long) (leftMs(attempt) * 1000),
+        TimeUnit.MICROSECONDS);
     BackendConnection c = idle(b);
     if (c != null) {
       c.carry(attempt);
@@ -136,6 +137,11 @@
     }
   }
 
+  /** What is left of an attempt's time. */
+  double leftMs(Attempt attempt) {
+    return Math.max(0, attempt.endsAt - clock.now());
+  }
+
   /** The connection used last, unless it stood idle so long that the backend may be closing it. */
   private BackendConnection idle(Backend b) {
     double before = clock.now() - idleLimitMs;
@@ -150,7 +156,9 @@
   private void connect(Backend b, Attempt attempt) {
     b.connecting.add(attempt);
     BackendConnection c = new BackendConnection(this, b, tally);
-    ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+    int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, leftMs(attempt))));
+    Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
+    ChannelFuture connected = limited.handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
         connections++;
@@ -161,7 +169,7 @@
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
-      if (attempt.ended() || banned.test(b.id)) {
+      if (attempt.ended() || banned.test(b.id) || leftMs(attempt) == 0) {
         f.channel().close();
         attempt.end(Status.UNREACHABLE, null, null);
       } else if (f.isSuccess()) {
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -31,7 +31,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.GatewayApi.Request;
+import willowdoor.net.RequestReader.Asked;
+import willowdoor.net.RequestReader.BadRequest;
 
 /**
  * One client's connection: a request at a time, each with the one final answer. It is read only as far as
@@ -55,6 +56,7 @@
   /** The request that is being read or answered, null between requests, and its target in origin form. */
   private HttpRequest head;
   private String target;
+  private Asked asked;
   private boolean keepAlive;
   /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
   private boolean receiving;
@@ -170,7 +172,20 @@
     } else if (over || server.full()) {
       keepAlive &= !over;
       refused(0);
-    } else if (expects != null) {
+    } else {
+      ask(expects != null);
+    }
+  }
+
+  /** What is not a request is told so at once, whatever is still to come of it. */
+  private void ask(boolean expects) {
+    try {
+      asked = server.read(head, target);
+    } catch (BadRequest e) {
+      answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      return;
+    }
+    if (expects) {
       channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
           Unpooled.EMPTY_BUFFER));
     }
@@ -245,12 +260,9 @@
 
   /** Hands the request to the module: whole, or with as much of its body as can be kept. */
   private void take(boolean whole) {
-    Request request;
-    try {
-      request = server.read(head, target);
-    } catch (RequestReader.BadRequest e) {
+    if (server.driver().holds(asked.id())) {
       takePrefix().release();
-      answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      answer(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
       return;
     }
     HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
@@ -265,8 +277,8 @@
         head.method().equals(HttpMethod.POST));
     ByteBuf kept = takePrefix();
     onward = new Outgoing(head.method(), target, headers, kept, whole, this::more);
-    current = request.id();
-    server.driver().take(request, onward, this);
+    current = asked.id();
+    server.driver().take(asked, onward, this);
   }
 
   /** The backend has room for the next piece. */
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -19,7 +19,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import willowdoor.GatewayApi.Request;
+import willowdoor.net.RequestReader.Asked;
+import willowdoor.net.RequestReader.BadRequest;
 
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
@@ -144,12 +145,8 @@
     return driver;
   }
 
-  Request read(HttpRequest message, String target) throws RequestReader.BadRequest {
-    Request request = reader.read(message, target, clock.now());
-    if (driver.holds(request.id())) {
-      throw new RequestReader.BadRequest("Request-Id is in use");
-    }
-    return request;
+  Asked read(HttpRequest message, String target) throws BadRequest {
+    return reader.read(message, target);
   }
 
   boolean ready() {
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -31,6 +31,7 @@
 import willowdoor.GatewayApi.WakeAt;
 import willowdoor.GatewayApi.Woken;
 import willowdoor.QuotaPolicy;
+import willowdoor.net.RequestReader.Asked;
 
 /**
  * Takes events to the module and its actions to the sockets; the only caller of the module. Holds the table
@@ -39,8 +40,6 @@
 final class ModuleDriver {
 
   private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
-  /** The last moment for a final answer, ahead of the client's own: later than any answer of the module. */
-  private static final double LAST_CALL_MS = 6;
   /** A module that failed on its wake-up is woken again after this. */
   private static final long WAKE_AGAIN_MS = 100;
 
@@ -66,23 +65,28 @@
 
   /** One request from its taking until it is answered and none of its attempts is out. */
   private final class Live {
-    final Request request;
+    final Asked asked;
     final Outgoing message;
     final Client client;
     final List<Attempt> attempts = new ArrayList<>(1);
+    /** From its last byte on; until that has come, from the moment it was taken. */
+    Budget budget;
     Future<?> lastCall;
-    /** How long its client waits from its last byte on. */
-    final double timeMs;
     boolean finished;
     int out;
     /** The attempt whose answer is being passed on as it comes. */
     Attempt begun;
 
-    Live(Request request, Outgoing message, Client client) {
-      this.request = request;
+    Live(Asked asked, Outgoing message, Client client) {
+      this.asked = asked;
       this.message = message;
       this.client = client;
-      timeMs = request.giveUpMs() - clock.now();
+    }
+
+    /** Its time begins. */
+    void begins() {
+      budget = Budget.of(clock.now(), asked.timeoutMs());
+      lastCall = after(budget.lastCallMs(clock.now()), () -> fail(this));
     }
 
     /** Marks the final answer; true for the first caller only. */
@@ -97,7 +101,7 @@
 
     /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
     void forgetIfDone() {
-      if (finished && out == 0 && live.remove(request.id(), this)) {
+      if (finished && out == 0 && live.remove(asked.id(), this)) {
         heldBytes -= message.held();
         message.release();
       }
@@ -147,17 +151,16 @@
   }
 
   /** Takes a request and its message, which is kept until no attempt needs it. */
-  void take(Request request, Outgoing message, Client client) {
-    Live r = new Live(request, message, client);
-    live.put(request.id(), r);
+  void take(Asked asked, Outgoing message, Client client) {
+    Live r = new Live(asked, message, client);
+    live.put(asked.id(), r);
     heldBytes += message.held();
-    failAfter(r, request.giveUpMs() - clock.now());
-    deliver(request);
+    r.begins();
+    deliver(asked.within(r.budget));
   }
 
-  private void failAfter(Live r, double ms) {
-    double left = Math.max(0, ms - LAST_CALL_MS);
-    r.lastCall = loop.schedule(() -> fail(r), (long) (left * 1000), TimeUnit.MICROSECONDS);
+  private Future<?> after(double ms, Runnable task) {
+    return loop.schedule(task, (long) (ms * 1000), TimeUnit.MICROSECONDS);
   }
 
   void clientLeft(String id) {
@@ -208,7 +211,7 @@
         r.client.cut();
         r.begun.abandon(Status.CANCELLED);
       }
-      deliver(new ClientLeft(r.request.id()));
+      deliver(new ClientLeft(r.asked.id()));
       r.forgetIfDone();
     }
   }
@@ -308,8 +311,9 @@
       return;
     }
     int number = r.attempts.size();
-    double timeout = a.timeoutMs() > 0 ? a.timeoutMs() : r.request.giveUpMs() - clock.now();
-    Attempt attempt = new Sent(r, number, a.backend(), timeout);
+    double now = clock.now();
+    double own = a.timeoutMs() > 0 ? a.timeoutMs() : Double.POSITIVE_INFINITY;
+    Attempt attempt = new Sent(r, number, a.backend(), now + r.budget.limitMs(own, now));
     r.attempts.add(attempt);
     r.out++;
     backends.start(a.backend(), attempt);
@@ -325,8 +329,8 @@
     private double headAt = Double.NaN;
     private boolean streams;
 
-    Sent(Live r, int number, long backend, double timeoutMs) {
-      super(r.message, timeoutMs);
+    Sent(Live r, int number, long backend, double endsAt) {
+      super(r.message, endsAt);
       this.r = r;
       this.number = number;
       this.backend = backend;
@@ -339,7 +343,7 @@
         streams = true;
         stopTimer();
         r.lastCall.cancel(false);
-        deliver(new StreamBegan(r.request.id(), number));
+        deliver(new StreamBegan(r.asked.id(), number));
       }
     }
 
@@ -348,8 +352,8 @@
     void onSent() {
       sentAt = clock.now();
       if (!r.finished && r.begun == null) {
-        failAfter(r, r.timeMs);
-        timer = loop.schedule(() -> abandon(overdue()), (long) (r.timeMs * 1000), TimeUnit.MICROSECONDS);
+        r.begins();
+        timer = after(r.budget.limitMs(Double.POSITIVE_INFINITY, sentAt), () -> abandon(overdue()));
       }
     }
 
@@ -367,7 +371,7 @@
       stopTimer();
       r.lastCall.cancel(false);
       r.client.begin(head, connection);
-      deliver(new StreamBegan(r.request.id(), number));
+      deliver(new StreamBegan(r.asked.id(), number));
       return true;
     }
 
@@ -393,7 +397,7 @@
       }
       double units = status == Status.OK ? units(head.headers().get(Headers.UNITS_CHARGED)) : 0;
       double until = Double.isNaN(headAt) ? clock.now() : headAt;
-      deliver(new Outcome(r.request.id(), number, backend, status, Math.max(0, until - sentAt), r.finished,
+      deliver(new Outcome(r.asked.id(), number, backend, status, Math.max(0, until - sentAt), r.finished,
           units, null));
       r.forgetIfDone();
     }
--- a/src/main/java/willowdoor/net/Outgoing.java
+++ b/src/main/java/willowdoor/net/Outgoing.java
@@ -52,9 +52,9 @@
     return prefix.readableBytes();
   }
 
-  /** The head alone, or with the body where that is whole. */
-  HttpRequest message(double timeoutMs) {
-    HttpHeaders copy = headers.copy().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(timeoutMs)));
+  /** The head alone, or with the body where that is whole; it tells no more time than there is. */
+  HttpRequest message(double leftMs) {
+    HttpHeaders copy = headers.copy().set(Headers.TIMEOUT_MS, Long.toString((long) Math.max(1, leftMs)));
     return whole ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, prefix.retainedDuplicate(),
         copy, EmptyHttpHeaders.INSTANCE) : new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, copy);
   }
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/src/main/java/willowdoor/net/RequestReader.java
@@ -14,6 +14,17 @@
 final class RequestReader {
 
   private static final int MOST_ID = 128;
+  /** The longest time that a request may take where its class tells none. */
+  private static final double MOST_TIMEOUT_MS = 3_600_000;
+
+  /** A request as its head tells it; what is left of its time is known once its last byte has come. */
+  record Asked(String id, String className, String plan, long customer, int entryPoints, double units,
+      double timeoutMs) {
+
+    Request within(Budget budget) {
+      return new Request(id, className, plan, customer, entryPoints, units, budget.endMs());
+    }
+  }
 
   /** A message that is no request of this protocol. */
   static final class BadRequest extends Exception {
@@ -36,7 +47,7 @@
     gateways = settings.gateways();
   }
 
-  Request read(HttpRequest message, String uri, double now) throws BadRequest {
+  Asked read(HttpRequest message, String uri) throws BadRequest {
     HttpHeaders headers = message.headers();
     String id = text(headers, Headers.REQUEST_ID);
     if (id.length() > MOST_ID) {
@@ -57,16 +68,33 @@
     if (!plans.containsKey(plan)) {
       throw new BadRequest("unknown plan");
     }
-    double timeout = number(text(headers, Headers.TIMEOUT_MS), 10, Headers.TIMEOUT_MS);
-    if (timeout <= 0) {
+    double timeout = timeout(headers, type);
+    long customer = number(text(headers, Headers.CUSTOMER), 16, Headers.CUSTOMER);
+    return quota(text(headers, Headers.QUOTA), id, type.name(), plan, customer, timeout);
+  }
+
+  /** How long the client will wait: no longer than any client of the class does over all its tries. */
+  private static double timeout(HttpHeaders headers, RequestClass type) throws BadRequest {
+    String text = text(headers, Headers.TIMEOUT_MS);
+    if (headers.getAll(Headers.TIMEOUT_MS).size() > 1) {
+      throw new BadRequest("Request-Timeout-Ms is given twice");
+    }
+    double timeout = 0;
+    for (int i = 0; i < text.length(); i++) {
+      int digit = text.charAt(i) - '0';
+      if (digit < 0 || digit > 9) {
+        throw new BadRequest("Request-Timeout-Ms is not a whole number");
+      }
+      timeout = Math.min(MOST_TIMEOUT_MS, 10 * timeout + digit);
+    }
+    if (timeout == 0) {
       throw new BadRequest("Request-Timeout-Ms is not positive");
     }
-    long customer = number(text(headers, Headers.CUSTOMER), 16, Headers.CUSTOMER);
-    return quota(text(headers, Headers.QUOTA), id, type.name(), plan, customer, now + timeout);
+    return type.deadlineMs() > 0 ? Math.min(type.deadlineMs(), timeout) : timeout;
   }
 
   /** The field {@code units=2,spread=3,first=1}. */
-  private Request quota(String field, String id, String type, String plan, long customer, double giveUpMs)
+  private Asked quota(String field, String id, String type, String plan, long customer, double timeoutMs)
       throws BadRequest {
     long units = 0;
     long spread = gateways;
@@ -83,7 +111,7 @@
     if (units <= 0 || spread <= 0) {
       throw new BadRequest("X-Quota is broken");
     }
-    return new Request(id, type, plan, customer, (int) Math.min(spread, gateways), units, giveUpMs);
+    return new Asked(id, type, plan, customer, (int) Math.min(spread, gateways), units, timeoutMs);
   }
 
   /** The target as a server is asked for it: clients may name the host in it as they do to a proxy. */
--- /dev/null
+++ b/src/test/java/willowdoor/net/BudgetTest.java
@@ -0,0 +1,39 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** Limits of waits as they follow from a request's time. */
+class BudgetTest {
+
+  private final Budget budget = Budget.of(1_000, 400);
+
+  @Test
+  void aWaitEndsByItsOwnLimitOrByTheRequestsEndWhicheverIsSooner() {
+    assertEquals(50, budget.limitMs(50, 1_000));
+    assertEquals(30, budget.limitMs(50, 1_370));
+    assertEquals(0, budget.limitMs(50, 1_400));
+    assertEquals(0, budget.limitMs(50, 9_000));
+  }
+
+  @Test
+  void theLastCallComesAheadOfTheEndAndNeverLate() {
+    assertEquals(394, budget.lastCallMs(1_000));
+    assertEquals(0, budget.lastCallMs(1_395));
+  }
+
+  @Test
+  void theShareLeftFallsFromOneToNought() {
+    assertEquals(1, budget.shareLeft(990));
+    assertEquals(0.25, budget.shareLeft(1_300));
+    assertEquals(0, budget.shareLeft(2_000));
+    assertEquals(0, Budget.of(1_000, 0).shareLeft(1_000));
+  }
+
+  @Test
+  void whatEndsEarlierCutsItAndWhatEndsLaterDoesNotExtendIt() {
+    assertEquals(new Budget(1_000, 1_200), budget.cutAt(1_200));
+    assertEquals(budget, budget.cutAt(5_000));
+  }
+}
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -180,13 +180,7 @@
   @Test
   void aConnectThatNeverComesUpEndsByItsOwnLimit() throws Exception {
     try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      List<SocketChannel> fill = new ArrayList<>();
-      for (int i = 0; i < 8; i++) {
-        SocketChannel c = SocketChannel.open();
-        c.configureBlocking(false);
-        c.connect(full.getLocalSocketAddress());
-        fill.add(c);
-      }
+      List<SocketChannel> fill = Peers.fill(full);
       peers.start(peers.config(Peers.entry("s-1", full.getLocalPort(), "active")));
       long from = System.nanoTime();
       assertEquals(503, peers.client().ask(Peers.post("r1", "b")).status());
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -106,6 +107,18 @@
     }
   }
 
+  /** Fills a listener's queue, so that no further connect comes up until these are closed. */
+  static List<SocketChannel> fill(ServerSocket listener) throws IOException {
+    List<SocketChannel> queued = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      SocketChannel c = SocketChannel.open();
+      c.configureBlocking(false);
+      c.connect(listener.getLocalSocketAddress());
+      queued.add(c);
+    }
+    return queued;
+  }
+
   private interface Work {
     void run() throws IOException;
   }
