Count a request's time from when it can have come, not from when it was read

Seen: a request that waited 400 ms in the socket while the loop stood still got its whole time again; with 400 ms it was sent on, though its client had left. Change: Looks notes when the loop looks at its sockets, Arrival derives from that the earliest moment of a request's last byte, and Budget begins there.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -48,7 +48,8 @@
   private static final long MOST_BODY = 48L << 20;
 
   private final ClientServer server;
-  private final ReceiveLimit receiveLimit = new ReceiveLimit(this::overdue);
+  private final Arrival arrival;
+  private final ReceiveLimit receiveLimit;
   private Channel channel;
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
@@ -71,8 +72,10 @@
   /** A part was asked for that has not come. */
   private boolean wanted;
 
-  ClientConnection(ClientServer server) {
+  ClientConnection(ClientServer server, Arrival arrival) {
     this.server = server;
+    this.arrival = arrival;
+    receiveLimit = new ReceiveLimit(arrival, this::overdue);
   }
 
   /** Guards the time that a request takes to come; to be put into the channel's pipeline ahead of this. */
@@ -288,6 +291,11 @@
     }
   }
 
+  @Override
+  public double cameAt() {
+    return arrival.cameAt();
+  }
+
   @Override
   public void served(HttpResponse from, ByteBuf body) {
     current = null;
@@ -404,6 +412,7 @@
   /** The answer ends with this part. What is left of its request is read and dropped before the next one. */
   private void written(HttpObject lastPart) {
     answered = true;
+    arrival.answered(server.now());
     channel.writeAndFlush(lastPart).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     if (!receiving) {
       next();
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -43,6 +43,7 @@
   private static final int MOST_PIECE = 32 * 1024;
 
   private final Clock clock;
+  private final Looks looks;
   private final ModuleDriver driver;
   private final BackendPool backends;
   private final RequestReader reader;
@@ -63,9 +64,10 @@
   private boolean ending;
   private double drainingSince;
 
-  ClientServer(Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
+  ClientServer(Clock clock, Looks looks, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Descriptors descriptors, Tally tally) {
     this.clock = clock;
+    this.looks = looks;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
@@ -98,7 +100,7 @@
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            ClientConnection connection = new ClientConnection(ClientServer.this);
+            ClientConnection connection = new ClientConnection(ClientServer.this, new Arrival(looks));
             channel.pipeline().addLast(new IdleStateHandler(true, 0, 0, IDLE_S, TimeUnit.SECONDS),
                 connection.receiveLimit(), new RequestDecoder(), new HttpResponseEncoder(),
                 new FlowControlHandler(), connection);
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -30,9 +29,10 @@
   /** How often the operators' file is looked at, for what the other process was told. */
   private static final long LOOK_MS = 50;
 
-  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
-  private final EventLoop loop = group.next();
   private final Clock clock = new Clock();
+  private final Looks looks = new Looks(clock.now());
+  private final EventLoopGroup group = new LoopGroup(Transport.BEST.ioHandler(), clock, looks);
+  private final EventLoop loop = group.next();
   private final CountDownLatch ended = new CountDownLatch(1);
   private ModuleDriver driver;
   private ClientServer clients;
@@ -106,6 +106,10 @@
     return management == null ? null : management.address();
   }
 
+  EventLoop loop() {
+    return loop;
+  }
+
   /** What the module tells the log, asked for on the loop. */
   String figures() throws InterruptedException {
     return loop.submit(driver::figures).sync().getNow();
@@ -163,7 +167,7 @@
     BackendPool backends = new BackendPool(loop, Transport.BEST.socket(), clock, tally, policy::banned,
         descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     driver = new ModuleDriver(loop, clock, policy, backends);
-    clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()),
+    clients = new ClientServer(clock, looks, driver, backends, new RequestReader(config.settings()),
         descriptors, tally);
     counter = new CounterClient(loop, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -45,6 +45,9 @@
 
   /** Who waits for the one final answer. */
   interface Client {
+    /** When the last bytes that were read of the request can have come at the earliest. */
+    double cameAt();
+
     /** The whole answer; both are only lent, and the body is null where it is empty. */
     void served(HttpResponse head, ByteBuf body);
 
@@ -85,7 +88,7 @@
 
     /** Its time begins. */
     void begins() {
-      budget = Budget.of(clock.now(), asked.timeoutMs());
+      budget = Budget.of(client.cameAt(), asked.timeoutMs());
       lastCall = after(budget.lastCallMs(clock.now()), () -> fail(this));
     }
 
--- a/src/main/java/willowdoor/net/ReceiveLimit.java
+++ b/src/main/java/willowdoor/net/ReceiveLimit.java
@@ -1,17 +1,18 @@
 package willowdoor.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Bounds the time that a client takes to send a request. Its head: the first one from the connect on, so that
  * a silent peer does not hold a descriptor, each later one from its first bytes on; more bytes do not extend
- * it. Its body: the time in which the client is waited for, which grows with the bytes that come.
+ * it. Its body: the time in which the client is waited for, which grows with the bytes that come. Tells
+ * when what was read can have come.
  */
-final class ReceiveLimit extends ChannelInboundHandlerAdapter {
+final class ReceiveLimit extends ChannelDuplexHandler {
 
   /** A peer without a proper request is owed an error or a close within 3 s; a proper one may take 2 s. */
   private static final long LIMIT_MS = 2_500;
@@ -19,6 +20,7 @@
   private static final double LEAST_BYTES_PER_MS = 32;
   private static final long BODY_STEP_MS = 500;
 
+  private final Arrival arrival;
   private final Runnable overdue;
   private ChannelHandlerContext context;
   private Future<?> timer;
@@ -29,7 +31,8 @@
   private double waitedMs;
   private double waitsSince = Double.NaN;
 
-  ReceiveLimit(Runnable overdue) {
+  ReceiveLimit(Arrival arrival, Runnable overdue) {
+    this.arrival = arrival;
     this.overdue = overdue;
   }
 
@@ -44,10 +47,19 @@
     ctx.fireChannelActive();
   }
 
+  @Override
+  public void read(ChannelHandlerContext ctx) {
+    arrival.asked();
+    ctx.read();
+  }
+
+  /** A buffer that is not full has taken all that there was. */
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    ByteBuf read = (ByteBuf) message;
+    arrival.read(read.isWritable());
     partial = !insideBody;
-    bytes += ((ByteBuf) message).readableBytes();
+    bytes += read.readableBytes();
     if (!Double.isNaN(waitsSince)) {
       waitedMs += now() - waitsSince;
       waitsSince = Double.NaN;
--- a/src/test/java/willowdoor/net/RequestTimeTest.java
+++ b/src/test/java/willowdoor/net/RequestTimeTest.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -86,6 +87,38 @@
     }
   }
 
+  /** A client's time runs while its request waits in the socket of a front door that stands still. */
+  @Test
+  void theTimeInWhichTheLoopStoodStillIsNotGivenAgain() throws Exception {
+    FrontDoor door = peers.start();
+    Client kept = peers.client();
+    assertEquals(200, kept.ask(Peers.get("r0", 3000)).status());
+    Peers.next(peers.atBackend);
+    CountDownLatch stands = new CountDownLatch(1);
+    CountDownLatch sent = new CountDownLatch(1);
+    door.loop().execute(() -> {
+      stands.countDown();
+      try {
+        sent.await();
+        TimeUnit.MILLISECONDS.sleep(400);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    stands.await();
+    Client fresh = peers.client();
+    kept.send(Peers.get("r1", 400));
+    fresh.send(Peers.get("r2", 3000));
+    sent.countDown();
+    assertEquals(503, kept.receive().status());
+    assertEquals(200, fresh.receive().status());
+    Message onward = Peers.next(peers.atBackend);
+    assertEquals("r2", onward.header("Request-Id"));
+    int told = Integer.parseInt(onward.header("Request-Timeout-Ms"));
+    assertTrue(told <= 3000 - 400, "told: " + told);
+    assertNull(peers.atBackend.poll());
+  }
+
   /** The request that comes over it, or null: one of those that filled the queue. */
   private static Message read(Socket socket) {
     try (socket) {
