End with a request's answer all that has not reached a server, and cut budgets at SIGTERM

Need: an attempt whose connect came up after its client had left was still written, and its body was kept until then; a request that came while the process ended was told its whole time, and all were failed together at 3.3 s, whatever deadlines the settings tell. Change: the final answer ends unwritten attempts (as never sent) with their connects and releases the body; SIGTERM cuts each budget at the longest deadline (3 s at most) and 0.3 s; the table of requests owns the attempts' timers, and sees servers and counter through two small interfaces.

--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import willowdoor.GatewayApi.Status;
@@ -11,7 +12,8 @@
   final Outgoing message;
   /** When it is given up, on the clock. */
   final double endsAt;
-  /** Null while the attempt has no connection yet. */
+  /** The connection that is being opened for it, and the one that it is on. */
+  Channel connecting;
   BackendConnection connection;
   /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
   boolean written;
@@ -67,6 +69,8 @@
     end(status, null, null);
     if (used != null) {
       used.close();
+    } else if (connecting != null) {
+      connecting.close();
     }
   }
 
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -22,7 +22,7 @@
 import willowdoor.GatewayApi.Status;
 
 /** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
-final class BackendPool {
+final class BackendPool implements ModuleDriver.Servers {
 
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
@@ -42,7 +42,6 @@
     }
   }
 
-  private final EventLoop loop;
   private final Clock clock;
   private final Bootstrap bootstrap;
   private final double connectLimitMs;
@@ -57,7 +56,6 @@
 
   BackendPool(EventLoop loop, Class<? extends SocketChannel> socket, Clock clock, Tally tally,
       LongPredicate banned, int most, double connectLimitMs, double idleLimitMs) {
-    this.loop = loop;
     this.clock = clock;
     this.tally = tally;
     this.banned = banned;
@@ -72,7 +70,8 @@
   }
 
   /** Takes the places that discovery tells; backends that drain or are gone lose their unused connections. */
-  void onRoster(RosterNews news) {
+  @Override
+  public void onRoster(RosterNews news) {
     Set<Long> named = new HashSet<>();
     for (BackendEntry e : news.entries()) {
       named.add(e.id());
@@ -100,7 +99,8 @@
   }
 
   /** Ends all that has not reached the backend yet; what is under way goes on. */
-  void cut(long id) {
+  @Override
+  public void cut(long id) {
     Backend b = backends.get(id);
     if (b != null) {
       List.copyOf(b.idle).forEach(BackendConnection::close);
@@ -118,14 +118,13 @@
   }
 
   /** Starts an attempt on an idle connection, or on a new one. */
-  void start(long id, Attempt attempt) {
+  @Override
+  public void start(long id, Attempt attempt) {
     Backend b = backends.get(id);
     if (b == null || banned.test(id)) {
       attempt.end(Status.UNREACHABLE, null, null);
       return;
     }
-    attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), (long) (leftMs(attempt) * 1000),
-        TimeUnit.MICROSECONDS);
     BackendConnection c = idle(b);
     if (c != null) {
       c.carry(attempt);
@@ -166,6 +165,7 @@
         channel.pipeline().addLast(c.decoder(), new HttpRequestEncoder(), c);
       }
     }).connect(b.place);
+    attempt.connecting = connected.channel();
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
--- a/src/main/java/willowdoor/net/Clock.java
+++ b/src/main/java/willowdoor/net/Clock.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import java.time.Instant;
+import java.util.function.LongSupplier;
 
 /**
  * Unix time in milliseconds that never goes back: the system's time once, and the monotonic clock since. The
@@ -8,16 +9,21 @@
  */
 final class Clock {
 
+  private final LongSupplier nanos;
   private final double startMs;
   private final long startNanos;
 
   Clock() {
-    Instant start = Instant.now();
-    startNanos = System.nanoTime();
+    this(Instant.now(), System::nanoTime);
+  }
+
+  Clock(Instant start, LongSupplier nanos) {
+    this.nanos = nanos;
+    startNanos = nanos.getAsLong();
     startMs = start.getEpochSecond() * 1e3 + start.getNano() / 1e6;
   }
 
   double now() {
-    return startMs + (System.nanoTime() - startNanos) / 1e6;
+    return startMs + (nanos.getAsLong() - startNanos) / 1e6;
   }
 }
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -27,7 +27,7 @@
  * answers owed, so that one slow part of the counter holds up only what already waits behind it; calls for
  * one name keep their order.
  */
-final class CounterClient {
+final class CounterClient implements ModuleDriver.Calls {
 
   private static final int CONNECTIONS = 12;
   /** Answers that one connection may owe; beyond that a call is turned away here. */
@@ -110,7 +110,8 @@
     links = open();
   }
 
-  void add(String name, double amount, double ttlMs) {
+  @Override
+  public void add(String name, double amount, double ttlMs) {
     Call call = new Call(name, clock.now());
     Call before = lastOfName.get(name);
     Link link = before != null && before.link.open() ? before.link : leastOwing(links);
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -14,15 +14,20 @@
 import java.util.function.UnaryOperator;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.GatewayApi.RequestClass;
 import willowdoor.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
 public final class FrontDoor implements Management.Operator {
 
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
-  /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
-  private static final long ANSWER_MS = 3_300;
-  private static final long FAIL_MS = 275;
+  /**
+   * SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
+   * 0.7 s: all is answered by then, and the answers are on their way.
+   */
+  private static final double MOST_DEADLINE_MS = 3_000;
+  private static final double ANSWER_MS = 300;
+  private static final double LEAVE_MS = 275;
   /** How often a drain goes on: idle connections are closed and the end is looked for. */
   private static final long DRAIN_STEP_MS = 10;
   private static final long TALLY_S = 10;
@@ -45,6 +50,8 @@
   /** What operators have asked for as it is in force, and where it is kept. */
   private OperatorFile.State operators = OperatorFile.State.NONE;
   private OperatorFile file;
+  /** How long after the process is told to end all is answered. */
+  private double endMs;
 
   private FrontDoor() {
   }
@@ -161,6 +168,8 @@
   }
 
   private void wire(Config config) {
+    endMs = ANSWER_MS + config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs)
+        .map(ms -> ms > 0 ? Math.min(ms, MOST_DEADLINE_MS) : MOST_DEADLINE_MS).max().orElse(MOST_DEADLINE_MS);
     Tally tally = new Tally();
     Descriptors descriptors = config.descriptors();
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
@@ -226,12 +235,12 @@
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void end() {
-    loop.execute(clients::end);
+    loop.execute(() -> {
+      clients.end();
+      driver.endWithin(endMs);
+    });
     try {
-      if (!ended.await(ANSWER_MS, TimeUnit.MILLISECONDS)) {
-        loop.submit(driver::failAll).sync();
-        ended.await(FAIL_MS, TimeUnit.MILLISECONDS);
-      }
+      ended.await((long) (endMs + LEAVE_MS), TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -43,6 +43,21 @@
   /** A module that failed on its wake-up is woken again after this. */
   private static final long WAKE_AGAIN_MS = 100;
 
+  /** Where attempts go, each to its one end. */
+  interface Servers {
+    void onRoster(RosterNews news);
+
+    /** Ends all that has not reached the backend yet. */
+    void cut(long backend);
+
+    void start(long backend, Attempt attempt);
+  }
+
+  /** Where calls to the counter go; the end of each comes back as an event. */
+  interface Calls {
+    void add(String name, double amount, double ttlMs);
+  }
+
   /** Who waits for the one final answer. */
   interface Client {
     /** When the last bytes that were read of the request can have come at the earliest. */
@@ -75,6 +90,7 @@
     /** From its last byte on; until that has come, from the moment it was taken. */
     Budget budget;
     Future<?> lastCall;
+    final int held;
     boolean finished;
     int out;
     /** The attempt whose answer is being passed on as it comes. */
@@ -84,29 +100,47 @@
       this.asked = asked;
       this.message = message;
       this.client = client;
+      held = message.held();
     }
 
-    /** Its time begins. */
+    /** Its time begins; it ends with the process at the latest. */
     void begins() {
-      budget = Budget.of(client.cameAt(), asked.timeoutMs());
+      budget = Budget.of(client.cameAt(), asked.timeoutMs()).cutAt(processEndsAt);
       lastCall = after(budget.lastCallMs(clock.now()), () -> fail(this));
     }
 
-    /** Marks the final answer; true for the first caller only. */
+    /** The process ends: so does the time, unless none runs as a stream is under way. */
+    void cut() {
+      budget = budget.cutAt(processEndsAt);
+      if (lastCall.cancel(false)) {
+        lastCall = after(budget.lastCallMs(clock.now()), () -> fail(this));
+      }
+    }
+
+    /**
+     * Marks the final answer; true for the first caller only. What has not reached a backend whole by now
+     * never will, and nothing is kept to be sent again.
+     */
     boolean finish() {
       if (finished) {
         return false;
       }
       finished = true;
       lastCall.cancel(false);
+      for (Attempt a : List.copyOf(attempts)) {
+        if (!a.written) {
+          a.abandon(Status.NOT_SENT);
+        }
+      }
+      heldBytes -= held;
+      message.release();
       return true;
     }
 
     /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
     void forgetIfDone() {
-      if (finished && out == 0 && live.remove(asked.id(), this)) {
-        heldBytes -= message.held();
-        message.release();
+      if (finished && out == 0) {
+        live.remove(asked.id(), this);
       }
     }
   }
@@ -114,21 +148,22 @@
   private final EventLoop loop;
   private final Clock clock;
   private final QuotaPolicy policy;
-  private final BackendPool backends;
-  private CounterClient counter;
+  private final Servers backends;
+  private Calls counter;
   private final Map<String, Live> live = new HashMap<>();
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
   private int heldBytes;
   private boolean delivering;
+  private double processEndsAt = Double.POSITIVE_INFINITY;
 
-  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, BackendPool backends) {
+  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends) {
     this.loop = loop;
     this.clock = clock;
     this.policy = policy;
     this.backends = backends;
   }
 
-  void start(CounterClient counter, RosterNews known) {
+  void start(Calls counter, RosterNews known) {
     this.counter = counter;
     policy.start(clock.now()).forEach(this::execute);
     backends.onRoster(known);
@@ -157,7 +192,7 @@
   void take(Asked asked, Outgoing message, Client client) {
     Live r = new Live(asked, message, client);
     live.put(asked.id(), r);
-    heldBytes += message.held();
+    heldBytes += r.held;
     r.begins();
     deliver(asked.within(r.budget));
   }
@@ -200,9 +235,11 @@
     }
   }
 
-  /** Fails all that is still unanswered: the process is about to end. */
-  void failAll() {
-    List.copyOf(live.values()).forEach(this::fail);
+  /** The process is about to end: all that is unanswered by then fails, and so does what still comes. */
+  void endWithin(double ms) {
+    processEndsAt = clock.now() + ms;
+    live.values().forEach(Live::cut);
+    after(ms, () -> List.copyOf(live.values()).forEach(this::fail));
   }
 
   /** The net under the module: a request that it left unanswered fails while its client still listens. */
@@ -316,7 +353,9 @@
     int number = r.attempts.size();
     double now = clock.now();
     double own = a.timeoutMs() > 0 ? a.timeoutMs() : Double.POSITIVE_INFINITY;
-    Attempt attempt = new Sent(r, number, a.backend(), now + r.budget.limitMs(own, now));
+    double limit = r.budget.limitMs(own, now);
+    Attempt attempt = new Sent(r, number, a.backend(), now + limit);
+    attempt.timer = after(limit, () -> attempt.abandon(attempt.overdue()));
     r.attempts.add(attempt);
     r.out++;
     backends.start(a.backend(), attempt);
