Log where requests were when their time ran out, and what attempts had left

Need: the log counted refusals as LATE only on arrival; requests that ran out of time while held, connecting or waiting for an answer could not be told apart, nor retries that began with no time.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -844,6 +844,7 @@
     if (open.size() >= settings.allowed().open()) {
       refuse(job, Refusal.FULL, 0);
     } else if (late(job)) {
+      expired[Stage.ARRIVAL.ordinal()]++;
       refuse(job, Refusal.LATE, 0);
     } else if (pressed(job, 0)) {
       refuse(job, Refusal.PRESSED, 0);
@@ -985,6 +986,10 @@
 
   /** The final answer when no attempt will follow: a refusal where that promise holds, else a failure. */
   private void giveUp(Job job) {
+    if (late(job)) {
+      Stage before = job.called ? Stage.COUNTER : Stage.HELD;
+      expired[(job.attempts == 0 ? before : job.unreached ? Stage.CONNECT : Stage.ANSWER).ordinal()]++;
+    }
     boolean harmless = !job.mayHaveRun || job.type.repeat() == Repeat.SAFE
         || job.type.repeat() == Repeat.KEYED && job.type.group() == Group.ALL && now < job.keyedUntil;
     if (harmless) {
@@ -1008,19 +1013,25 @@
   /** Why requests are refused. */
   private enum Refusal { FULL, LATE, PRESSED, OPEN_LIMIT, SPENT, BEYOND, UNCONFIRMED, NO_BACKEND, GIVEN_UP }
 
+  /** What a request came to or waited for as its time ran out. */
+  private enum Stage { ARRIVAL, COUNTER, HELD, CONNECT, ANSWER }
+
   private static final Refusal[] REFUSALS = Refusal.values();
+  private static final Stage[] STAGES = Stage.values();
   private static final Status[] STATUSES = Status.values();
   private final int[] refused = new int[REFUSALS.length];
+  private final int[] expired = new int[STAGES.length];
   private final int[] callEnds = new int[STATUSES.length];
   private double heldUpInAll;
 
-  /** For the log: what the guards see, and how calls ended and requests were refused since last asked. */
+  /** For the log: what the guards see, and how calls and requests ended since last asked. */
   public String figures() {
     StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
         "pressure=%.2f service=%.0f pace=%.2f serving=%d held_up_ms=%.0f calls", expectedOfAim(),
         fleetService, pace, serving.size(), heldUpInAll));
     appendCounts(text, STATUSES, callEnds);
     appendCounts(text.append(" refused"), REFUSALS, refused);
+    appendCounts(text.append(" expired"), STAGES, expired);
     return text.toString();
   }
 
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -89,7 +89,7 @@
 
   private void overdue() {
     if (!ending && (head == null || receiving)) {
-      server.slow();
+      server.count(Tally.Event.CLIENT_SLOW);
       endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
     }
   }
@@ -490,6 +490,9 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof IdleStateEvent) {
+      if (answering != null || receiving) {
+        server.count(Tally.Event.STREAM_IDLE);
+      }
       ctx.close();
     } else {
       ctx.fireUserEventTriggered(event);
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -214,9 +214,9 @@
     idle.remove(connection);
   }
 
-  /** Counts a client that took too long to send its request. */
-  void slow() {
-    tally.count(Tally.Event.CLIENT_SLOW);
+  /** Counts what a client's connection ended of. */
+  void count(Tally.Event event) {
+    tally.count(event);
   }
 
   void took(ClientConnection connection) {
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -175,7 +175,7 @@
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     BackendPool backends = new BackendPool(loop, Transport.BEST.socket(), clock, tally, policy::banned,
         descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
-    driver = new ModuleDriver(loop, clock, policy, backends);
+    driver = new ModuleDriver(loop, clock, policy, backends, tally);
     clients = new ClientServer(clock, looks, driver, backends, new RequestReader(config.settings()),
         descriptors, tally);
     counter = new CounterClient(loop, clock, config.counter(),
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -106,14 +106,14 @@
     /** Its time begins; it ends with the process at the latest. */
     void begins() {
       budget = Budget.of(client.cameAt(), asked.timeoutMs()).cutAt(processEndsAt);
-      lastCall = after(budget.lastCallMs(clock.now()), () -> fail(this));
+      lastCall = after(budget.lastCallMs(clock.now()), () -> lastCall(this));
     }
 
     /** The process ends: so does the time, unless none runs as a stream is under way. */
     void cut() {
       budget = budget.cutAt(processEndsAt);
       if (lastCall.cancel(false)) {
-        lastCall = after(budget.lastCallMs(clock.now()), () -> fail(this));
+        lastCall = after(budget.lastCallMs(clock.now()), () -> lastCall(this));
       }
     }
 
@@ -127,9 +127,9 @@
       }
       finished = true;
       lastCall.cancel(false);
-      for (Attempt a : List.copyOf(attempts)) {
-        if (!a.written) {
-          a.abandon(Status.NOT_SENT);
+      for (int i = 0; i < attempts.size(); i++) {
+        if (!attempts.get(i).written) {
+          attempts.get(i).abandon(Status.NOT_SENT);
         }
       }
       heldBytes -= held;
@@ -149,6 +149,7 @@
   private final Clock clock;
   private final QuotaPolicy policy;
   private final Servers backends;
+  private final Tally tally;
   private Calls counter;
   private final Map<String, Live> live = new HashMap<>();
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
@@ -156,7 +157,8 @@
   private boolean delivering;
   private double processEndsAt = Double.POSITIVE_INFINITY;
 
-  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends) {
+  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
+    this.tally = tally;
     this.loop = loop;
     this.clock = clock;
     this.policy = policy;
@@ -242,6 +244,11 @@
     after(ms, () -> List.copyOf(live.values()).forEach(this::fail));
   }
 
+  private void lastCall(Live r) {
+    tally.count(Tally.Event.LAST_CALL);
+    fail(r);
+  }
+
   /** The net under the module: a request that it left unanswered fails while its client still listens. */
   private void fail(Live r) {
     if (r.finish()) {
@@ -354,6 +361,7 @@
     double now = clock.now();
     double own = a.timeoutMs() > 0 ? a.timeoutMs() : Double.POSITIVE_INFINITY;
     double limit = r.budget.limitMs(own, now);
+    tally.began(r.budget.shareLeft(now));
     Attempt attempt = new Sent(r, number, a.backend(), now + limit);
     attempt.timer = after(limit, () -> attempt.abandon(attempt.overdue()));
     r.attempts.add(attempt);
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/src/main/java/willowdoor/net/RequestReader.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import willowdoor.GatewayApi.Repeat;
 import willowdoor.GatewayApi.Request;
@@ -75,8 +76,9 @@
 
   /** How long the client will wait: no longer than any client of the class does over all its tries. */
   private static double timeout(HttpHeaders headers, RequestClass type) throws BadRequest {
-    String text = text(headers, Headers.TIMEOUT_MS);
-    if (headers.getAll(Headers.TIMEOUT_MS).size() > 1) {
+    Iterator<String> values = headers.valueStringIterator(Headers.TIMEOUT_MS);
+    String text = values.hasNext() ? values.next() : "";
+    if (values.hasNext()) {
       throw new BadRequest("Request-Timeout-Ms is given twice");
     }
     double timeout = 0;
@@ -88,7 +90,7 @@
       timeout = Math.min(MOST_TIMEOUT_MS, 10 * timeout + digit);
     }
     if (timeout == 0) {
-      throw new BadRequest("Request-Timeout-Ms is not positive");
+      throw new BadRequest("Request-Timeout-Ms is missing or nought");
     }
     return type.deadlineMs() > 0 ? Math.min(type.deadlineMs(), timeout) : timeout;
   }
--- a/src/main/java/willowdoor/net/Tally.java
+++ b/src/main/java/willowdoor/net/Tally.java
@@ -19,19 +19,36 @@
     /** Attempts without a connection as all are in use. */
     BACKENDS_FULL,
     /** Clients: idle ones that made room, refused as all are in use, and too slow with a request. */
-    CLIENT_EVICTED, CLIENT_REFUSED, CLIENT_SLOW
+    CLIENT_EVICTED, CLIENT_REFUSED, CLIENT_SLOW,
+    /** Bodies and answers on their way on which nothing moved any more. */
+    STREAM_IDLE,
+    /** Requests failed at the last moment of their time, as no other answer had come. */
+    LAST_CALL
   }
 
   private static final Event[] EVENTS = Event.values();
 
+  /** Attempts are told apart by how many of these parts of the request's time were left. */
+  private static final int PARTS = 4;
+
   private final long[] counts = new long[EVENTS.length];
+  private final long[] began = new long[PARTS];
 
   void count(Event event) {
     counts[event.ordinal()]++;
   }
 
+  /** Counts an attempt that began with so much of the request's time left, from 0 to 1. */
+  void began(double shareLeft) {
+    began[(int) Math.min(PARTS - 1, shareLeft * PARTS)]++;
+  }
+
   /** Writes what was counted since the last line behind the caller's present figures. */
   void log(String present) {
+    LOG.info(line(present));
+  }
+
+  String line(String present) {
     StringBuilder line = new StringBuilder(present);
     for (Event e : EVENTS) {
       if (counts[e.ordinal()] > 0) {
@@ -39,6 +56,12 @@
         counts[e.ordinal()] = 0;
       }
     }
-    LOG.info(line::toString);
+    for (int i = PARTS - 1; i >= 0; i--) {
+      if (began[i] > 0) {
+        line.append(" began_with_").append(100 * i / PARTS).append("%=").append(began[i]);
+        began[i] = 0;
+      }
+    }
+    return line.toString();
   }
 }
--- a/src/test/java/willowdoor/net/WaitLimitsTest.java
+++ b/src/test/java/willowdoor/net/WaitLimitsTest.java
@@ -44,6 +44,8 @@
   private final List<Attempt> started = new ArrayList<>();
   private Consumer<Attempt> server = a -> { };
   private boolean counterAnswers = true;
+  private final Tally tally = new Tally();
+  private QuotaPolicy policy;
   private ModuleDriver driver;
 
   /** A client that notes how it was answered, and when. */
@@ -132,8 +134,8 @@
       Config config = Peers.parse(peers.config(entries).replace("\"Profiles\":[",
           "\"Profiles\":[{\"Name\":\"seal\",\"Repeat\":\"side_effect\",\"AimMs\":1500,\"DeadlineMs\":4000,"
           + "\"Value\":5},"));
-      QuotaPolicy policy = new QuotaPolicy(config.settings(), 7);
-      driver = new ModuleDriver(channel.eventLoop(), clock, policy, new Servers());
+      policy = new QuotaPolicy(config.settings(), 7);
+      driver = new ModuleDriver(channel.eventLoop(), clock, policy, new Servers(), tally);
       driver.start(this::count, config.known());
     }
   }
@@ -212,6 +214,32 @@
     }
   }
 
+  /** The log tells where requests were as their time ran out. */
+  @ParameterizedTest
+  @CsvSource({"SILENT, true, 300, 290, ARRIVAL", "NO_SERVER, false, 80, 0, COUNTER",
+      "NO_SERVER, true, 300, 0, HELD", "CONNECTING, true, 300, 0, CONNECT", "SILENT, true, 300, 0, ANSWER"})
+  void theStageAtWhichTimeRanOutIsCounted(Trouble trouble, boolean counted, int timeout, int age,
+      String stage) throws Exception {
+    set(trouble);
+    counterAnswers = counted;
+    assertFalse(policy.figures().contains("expired " + stage));
+    take("r1", "seal", timeout, age);
+    pass(timeout);
+    assertTrue(policy.figures().endsWith("expired " + stage + "=1"));
+    assertTrue(policy.figures().endsWith("expired"));
+  }
+
+  @Test
+  void howMuchTimeWasLeftAsAttemptsBeganIsCounted() throws Exception {
+    set(Trouble.SILENT);
+    for (int age : new int[] {0, 100, 300, 600, 600}) {
+      take("r" + age + started.size(), "quote", 1_000, age);
+      channel.runPendingTasks();
+    }
+    assertEquals("now began_with_75%=2 began_with_50%=1 began_with_25%=2", tally.line("now"));
+    assertEquals("then", tally.line("then"));
+  }
+
   /** A body beyond what is kept has no end while it comes; its time begins with its last byte. */
   @Test
   void theTimeOfALargeBodyBeginsWithItsLastByte() {
