Say ready only once discovery has told what changed since the configured list

Cause, read in the code: ClientServer.canServe asks only whether any server is known, and the configuration's list, which may be old, names some; so /up says yes before the watch, opened on the same slow start, has told its first change. Change: /up and ready wait for the first list, or 0.1 s after discovery's answer began where nothing is new, 1 s at most where it is silent; the log tells which. Result: a front door whose discovery tells of a drain 0.4 s late is not up before and sends nothing there; without the change the test fails.

--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -18,6 +18,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import willowdoor.net.RequestReader.Asked;
 import willowdoor.net.RequestReader.BadRequest;
@@ -49,6 +50,8 @@
   private final RequestReader reader;
   private final Descriptors descriptors;
   private final Tally tally;
+  /** Whether the list of template servers is as new as can be had. */
+  private final BooleanSupplier caughtUp;
   private final Set<ClientConnection> connections = new HashSet<>();
   /** Those of them that no request is on, the longest idle first: without a request so far, and after one. */
   private final LinkedHashSet<ClientConnection> fresh = new LinkedHashSet<>();
@@ -65,7 +68,7 @@
   private double drainingSince;
 
   ClientServer(Clock clock, Looks looks, ModuleDriver driver, BackendPool backends, RequestReader reader,
-      Descriptors descriptors, Tally tally) {
+      Descriptors descriptors, Tally tally, BooleanSupplier caughtUp) {
     this.clock = clock;
     this.looks = looks;
     this.driver = driver;
@@ -73,6 +76,7 @@
     this.reader = reader;
     this.descriptors = descriptors;
     this.tally = tally;
+    this.caughtUp = caughtUp;
   }
 
   ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
@@ -157,7 +161,7 @@
 
   /** Whether it could serve, drained by the operators or not. */
   boolean canServe() {
-    return ready && !ending && backends.knowsAny();
+    return ready && !ending && caughtUp.getAsBoolean() && backends.knowsAny();
   }
 
   boolean draining() {
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -39,6 +39,12 @@
   private static final int MOST_LINE = 4 << 20;
   /** Empty lines come every 2 s; a watch silent for more than two of them is replaced. */
   private static final long SILENT_MS = 5_000;
+  /**
+   * Before the first word the list may be as old as the configuration's. The agent answers at once with what
+   * changed since, if anything did; where nobody answers at all, that list has to do.
+   */
+  private static final long NEWS_MS = 100;
+  private static final long ANSWER_MS = 1_000;
   private static final double LEAST_BACKOFF_MS = 100;
   private static final double MOST_BACKOFF_MS = 2_000;
 
@@ -52,6 +58,7 @@
   private Channel watch;
   /** The next try to open a watch; null while there is one. */
   private Future<?> retry;
+  private boolean caughtUp;
 
   DiscoveryClient(EventLoop loop, Class<? extends SocketChannel> socket, InetSocketAddress agent,
       long version, Tally tally, Consumer<RosterNews> listener) {
@@ -72,6 +79,24 @@
   }
 
   void start() {
+    loop.schedule(() -> caughtUp("discovery has not answered: the list is the configured one"), ANSWER_MS,
+        TimeUnit.MILLISECONDS);
+    open();
+  }
+
+  /** Whether the list is as new as can be had. */
+  boolean caughtUp() {
+    return caughtUp;
+  }
+
+  private void caughtUp(String how) {
+    if (!caughtUp) {
+      caughtUp = true;
+      LOG.info(how);
+    }
+  }
+
+  private void open() {
     retry = null;
     ChannelFuture connect = bootstrap.connect(agent);
     watch = connect.channel();
@@ -95,7 +120,7 @@
     }
     double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
     backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
-    retry = loop.schedule(this::start, (long) wait, TimeUnit.MILLISECONDS);
+    retry = loop.schedule(this::open, (long) wait, TimeUnit.MILLISECONDS);
   }
 
   /** From now on the list comes from another address: what changed since the last version is asked there. */
@@ -105,16 +130,19 @@
     if (retry == null) {
       watch.close();
     } else if (retry.cancel(false)) {
-      start();
+      open();
     }
   }
 
   /** Passes on the bytes of the answer's body, in which lines and chunks end where they like. */
-  private static final class Unwrapper extends SimpleChannelInboundHandler<HttpObject> {
+  private final class Unwrapper extends SimpleChannelInboundHandler<HttpObject> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
       boolean good = part.decoderResult().isSuccess()
           && !(part instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK));
+      if (good && part instanceof HttpResponse) {
+        loop.schedule(() -> caughtUp("discovery has nothing new"), NEWS_MS, TimeUnit.MILLISECONDS);
+      }
       if (good && part instanceof HttpContent content && content.content().isReadable()) {
         ctx.fireChannelRead(content.content().retain());
       }
@@ -131,6 +159,7 @@
         RosterNews news = parse(line);
         version = news.version();
         listener.accept(news);
+        caughtUp("discovery's first list has come");
       }
       backoffMs = LEAST_BACKOFF_MS;
     }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -177,7 +177,7 @@
         descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     driver = new ModuleDriver(loop, clock, policy, backends, tally);
     clients = new ClientServer(clock, looks, driver, backends, new RequestReader(config.settings()),
-        descriptors, tally);
+        descriptors, tally, () -> discovery.caughtUp());
     counter = new CounterClient(loop, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
     if (config.counter() != null) {
--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -10,11 +10,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.channels.SocketChannel;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -22,13 +25,20 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import willowdoor.net.Peers.Client;
 
 /** The list of backends: how changes arrive, and what follows from them. */
 @Timeout(40)
 class DiscoveryTest {
 
+  private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
   private final Peers peers = new Peers();
+  @TempDir
+  private Path folder;
 
   @AfterEach
   void close() throws Exception {
@@ -113,6 +123,69 @@
     assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** The configuration's list may be old: clients come only once discovery has told what changed since. */
+  @Test
+  void itIsNotUpWithAnOldListWhileDiscoveryIsAboutToTellTheNews() throws Exception {
+    CountDownLatch asked = new CountDownLatch(1);
+    int agent = peers.listen(50, (in, out, socket) -> {
+      Peers.read(in);
+      asked.countDown();
+      pause(400);
+      String news = Peers.list(8, false, Peers.entry("s-1", peers.backend.getLocalPort(), "leaving")) + "\n";
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(news.length()) + "\r\n" + news + "\r\n");
+      in.read();
+    }).getLocalPort();
+    AtomicInteger served = new AtomicInteger();
+    int other = peers.listen(50, (in, out, socket) -> {
+      while (true) {
+        Peers.read(in);
+        served.incrementAndGet();
+        Peers.write(out, Peers.OK);
+      }
+    }).getLocalPort();
+    peers.begin(withDiscovery(agent, Peers.entry("s-1", peers.backend.getLocalPort(), "active"),
+        Peers.entry("s-2", other, "active")), folder.resolve("operators.json"));
+    asked.await();
+    Client client = peers.client();
+    assertEquals(503, client.ask(UP).status());
+    while (client.ask(UP).status() != 200) {
+      Thread.onSpinWait();
+    }
+    for (int i = 0; i < 20; i++) {
+      assertEquals(200, client.ask(Peers.get("r" + i, 3000)).status());
+    }
+    assertEquals(20, served.get());
+  }
+
+  /** Where discovery is silent, or says that nothing is new, the configuration's list has to do. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"})
+  void itIsUpWithoutNewsAfterAWhile(String answer) throws Exception {
+    int agent = peers.listen(50, (in, out, socket) -> {
+      Peers.read(in);
+      Peers.write(out, answer);
+      in.read();
+    }).getLocalPort();
+    peers.start(withDiscovery(agent, Peers.entry("s-1", peers.backend.getLocalPort(), "active")));
+    Client client = peers.client();
+    assertEquals(200, client.ask(UP).status());
+    assertEquals(200, client.ask(Peers.get("r1", 3000)).status());
+  }
+
+  private String withDiscovery(int port, String... entries) {
+    return peers.config(entries).replaceFirst("\"discovery\":\"[^\"]*\"",
+        "\"discovery\":\"127.0.0.1:" + port + "\"");
+  }
+
+  private static void pause(long ms) throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
   /** Junk is counted for the log, changes nothing, and is not what makes the next watch come sooner. */
   @Test
   void junkIsCounted() throws Exception {
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -214,10 +214,18 @@
     return start(config, Files.createTempDirectory("willowdoor").resolve("operators.json"));
   }
 
+  /** Starts a front door, and waits until it can serve where its configuration names a backend. */
   FrontDoor start(String config, Path operators) throws Exception {
+    begin(config, operators);
+    while (config.contains("\"active\"") && !door.ready()) {
+      Thread.onSpinWait();
+    }
+    return door;
+  }
+
+  void begin(String config, Path operators) throws Exception {
     door = FrontDoor.start(parse(config), null, operators);
     doors.add(door);
-    return door;
   }
 
   static Config parse(String json) throws IOException {
