--- a/src/main/java/willowdoor/net/Config.java
+++ b/src/main/java/willowdoor/net/Config.java
@@ -9,6 +9,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
+import willowdoor.Address;
 import willowdoor.GatewayApi.Settings;
 import willowdoor.JsonFields;
 import willowdoor.WireSettings;
@@ -63,7 +64,7 @@
 
   private static InetSocketAddress address(Map<String, Object> fields, String name) throws IOException {
     String text = JsonFields.text(fields, name);
-    InetSocketAddress address = RosterNews.address(text);
+    InetSocketAddress address = Address.parse(text);
     if (address == null) {
       throw new IOException(name + " is not an address and port: '" + text + "'");
     }
--- a/src/main/java/willowdoor/net/RosterNews.java
+++ b/src/main/java/willowdoor/net/RosterNews.java
@@ -2,16 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import willowdoor.Address;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Phase;
 import willowdoor.JsonFields;
@@ -48,7 +46,7 @@
         case "left" -> Phase.REMOVED;
         default -> Phase.DRAINING;
       };
-      InetSocketAddress address = address(JsonFields.text(s, "addr"));
+      InetSocketAddress address = Address.parse(JsonFields.text(s, "addr"));
       if (address != null) {
         places.put(id, address);
       } else if (phase == Phase.SERVING) {
@@ -69,16 +67,4 @@
     }
     return hash >>> 1;
   }
-
-  /** A numeric address and port, or null; names are not looked up, as there is no DNS. */
-  static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-    try {
-      int port = ip == null ? -1 : Integer.parseInt(text.substring(colon + 1));
-      return port < 0 || port > 65_535 ? null : new InetSocketAddress(InetAddress.getByAddress(ip), port);
-    } catch (NumberFormatException | UnknownHostException e) {
-      return null;
-    }
-  }
 }
