Tell a rarely met customer's store by the totals of long windows, begun exactly

Ruled out: guessed costs (none on this site), late answers (4 and 12 ms alike). Cause: windows of one burst (windowMs, plain): a customer who asks for more counts as spent until its window's edge while its store refills; and the replica where 5 to 16 share a customer. And pressed(): with 2 or 3 out, the ratio of out now to out then swings by half. Four requests are added to both sides of the wait's ratio.

--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -49,10 +49,10 @@
     final Plan plan;
     /** Through how many gateways its requests may come. */
     final int gateways;
-    /** Shift and length of its counts' windows; plain: one burst a window, no bucket followed. */
+    /** Shift and length of its counts' windows; met too rarely to follow its bucket, which totals tell. */
     double phase;
     double windowMs;
-    boolean plain;
+    boolean byTotal;
     /** Units in the bucket as estimated, and when. */
     double level;
     double levelAt;
@@ -75,6 +75,8 @@
     double own;
     /** Units that others added of late, each faded by the time a request is out. */
     double elsewhere;
+    /** The share of its requests that are worth asking about, as the answers went. */
+    double hopeful = 1;
     /** What this gateway may send on unasked. */
     double part;
     int out;
@@ -90,8 +92,8 @@
       return (long) Math.floor((now + phase) / windowMs);
     }
 
-    double windowStart(double now) {
-      return windowNow(now) * windowMs - phase;
+    double windowStart(long ofWindow) {
+      return ofWindow * windowMs - phase;
     }
 
     String name(long ofWindow) {
@@ -165,8 +167,9 @@
     boolean waiting;
     boolean called;
     boolean added;
-    /** Units that its call adds. */
+    /** Units that its call adds, and to which window's count. */
     double asked;
+    long window;
     boolean inQuota;
     boolean held;
     boolean streaming;
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -20,8 +20,19 @@
   private static final double FOLLOWING = 3;
   /** What a customer is taken to use of its rate before anything is known: most stay well under it. */
   private static final double USUAL_USE = 0.5;
-  /** Counts estimated to be past the limit by this share of it are not asked for: the answer is known. */
-  private static final double SURELY_SPENT = 0.5;
+  /** Window of a count that tells the level: so that the window before is still known as one begins. */
+  private static final double TOTAL_WINDOW_MS = 45_000;
+  /** A total so many bursts below what the rate has refilled is raised: a store holds one burst at most. */
+  private static final double UNUSED_BURSTS = 0.25;
+  /** So many bursts are unused only where a window has begun that its first caller is still to put right. */
+  private static final double BEGINNING_BURSTS = 3;
+  private static final double BEGINNING_TOLD = 0.05;
+  /** The share of looks that raise it, as some come before another's raise has arrived. */
+  private static final double UNUSED_TOLD = 0.3;
+  /** The part of what a window ended with that the next begins with: what was counted twice is forgotten. */
+  private static final double CARRIED = 0.7;
+  /** Totals are worked off so much faster than the rate, as some of what was counted took nothing. */
+  private static final double FORGIVEN = 0.06;
   private static final double COUNT_TTL_MS = 60_000;
   /** How often waiting requests are looked at: well under what a person or an aim notices. */
   private static final double TICK_MS = 25;
@@ -47,6 +58,9 @@
   /** Where calling resumes when an absent counter is back, so that all gateways together do not flood it. */
   private static final double PACE_BACK = 0.3;
   /** A customer known to be spent is still asked about this often, as refunds of others may have come. */
+  /** By these the share asked about falls and rises, so that of ten answers some nine let a request in. */
+  private static final double HOPE_CUT = 0.5;
+  private static final double HOPE_GROWN = 1.1;
   private static final double SPENT_RECHECK_MS = 400;
   /** How long the spending of a customer is remembered for its rates: longer than a burst, a few refills. */
   private static final double RATE_MEMORY_MS = 5_000;
@@ -84,6 +98,11 @@
   private static final double PRESSURE_LIFE_MS = 4_000;
   /** A backend with fewer requests than this, of all gateways, is not taken to queue. */
   private static final double IDLE_HELD = 3;
+  /**
+   * So many requests more are taken to be out, now and then: of the few that one of many gateways has out, a
+   * change by two or three is chance and tells nothing of the fleet.
+   */
+  private static final double OUT_UNSURE = 4;
   /** However few are warm, a cold backend gets no more than if this share of those kept to were. */
   private static final double LEAST_WARM = 0.5;
   /** Random spread of expected waits, so that gateways with the same reports pick different backends. */
@@ -165,12 +184,14 @@
       double refillMs = plan.rate() > 0 ? 1000 * plan.burst() / plan.rate() : 0;
       double followed = plan.ceilingRate() > 0 ? WINDOW_MS : WINDOW_MS * FOLLOWING / this.gateways;
       windowMs = Math.max(refillMs, Math.min(WINDOW_MS, followed));
-      plain = windowMs < 2 * refillMs && settings.allowed().sharedCount();
-      phase = Math.floorMod(customer * 0x9E3779B97F4A7C15L, (long) WINDOW_MS);
+      boolean rarelyMet = this.gateways > FOLLOWING + 1 || windowMs < 2 * refillMs;
+      byTotal = rarelyMet && refillMs > 0 && plan.ceilingRate() <= 0 && settings.allowed().sharedCount();
+      windowMs = byTotal ? TOTAL_WINDOW_MS : windowMs;
+      phase = Math.floorMod(customer * 0x9E3779B97F4A7C15L, (long) (byTotal ? windowMs : WINDOW_MS));
       level = settings.allowed().sharedCount() ? plan.burst() : plan.burst() / this.gateways;
       fillCeiling((now - startedAt) / 1000);
       part = random.nextDouble() * settings.maxUnits();
-      othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
+      othersRate = plan.rate() * (byTotal ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
     /**
@@ -237,10 +258,6 @@
         return;
       }
       fillPart(dt);
-      if (plain) {
-        expectUse(dt);
-        return;
-      }
       double share = ownPart();
       boolean shared = settings.allowed().sharedCount();
       double others = shared ? Math.min(othersRate, plan.rate() * (1 - share)) : othersRate;
@@ -251,21 +268,30 @@
       fillCeiling(dt);
     }
 
-    /** Room left in this window, less what the others are expected to use; a new window starts at nought. */
-    void expectUse(double dt) {
-      double begun = now - windowStart(now);
-      double span = Math.min(begun, dt * 1000);
-      level = span == begun ? plan.burst() : level;
-      double usual = USUAL_USE * plan.rate();
-      double known = Double.isNaN(syncedAt) ? 0 : Math.exp((syncedAt - now) / SPELL_MS);
-      level -= (usual + known * (othersRate - usual)) * span / 1000;
+    /** The rate by which totals are worked off: what was counted and not used is forgotten in time. */
+    double forgiven() {
+      return plan.rate() * (1 + FORGIVEN);
+    }
+
+    /**
+     * Units in the bucket by a window's total, as if all that the rate gave since the window began were kept:
+     * more than a burst where the customer used less.
+     */
+    double levelBy(double total, long ofWindow) {
+      return plan.burst() + forgiven() * (now - windowStart(ofWindow)) / 1000 - total;
     }
 
     /** Whether the customer is known to be spent, so that a call would only add to the counter's load. */
     boolean surelySpent(double units) {
-      boolean told = window == windowNow(now) && seen >= plan.burst();
-      return plain ? level < (told ? units : -SURELY_SPENT * plan.burst())
-          : most() < units && now - syncedAt < SPENT_RECHECK_MS;
+      return most() < units && now - syncedAt < SPENT_RECHECK_MS;
+    }
+
+    /**
+     * The share of its requests to ask about: of a customer that asks for much more than it may have, most
+     * are refused whoever asks, and calls that are refused cost two. Grows back while nothing is heard.
+     */
+    double hopeful() {
+      return Double.isNaN(syncedAt) ? 1 : 1 - (1 - hopeful) * Math.exp((syncedAt - now) / SPELL_MS);
     }
 
     /** The most the bucket can hold if the others have spent nothing since the last answer. */
@@ -274,8 +300,17 @@
     }
   }
 
-  /** One call to the counter: what it adds, and the request that waits for it. */
-  private record Call(Account account, long window, double amount, Job job) { }
+  /** One call to the counter: what it adds, and the request that waits for it, if one does. */
+  private record Call(Account account, long window, double amount, Job job) {
+    double asked() {
+      return job == null ? 0 : job.asked;
+    }
+
+    /** Whether it only reads what a window ended with. */
+    boolean endOfWindow() {
+      return job == null && amount == 0;
+    }
+  }
 
   /** In order of use, so that the longest idle is dropped when another is met: nothing grows for ever. */
   private final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
@@ -311,7 +346,7 @@
       dispatch(job);
     } else if (!settings.allowed().sharedCount()) {
       decide(job, false);
-    } else if (a.surelySpent(units)) {
+    } else if (a.surelySpent(units) || a.byTotal && random.nextDouble() >= a.hopeful()) {
       beyondQuota(job, Refusal.SPENT);
     } else if (mayCall()) {
       call(a, job);
@@ -340,14 +375,24 @@
     double units = job.request.units();
     job.waiting = true;
     job.called = true;
-    job.asked = a.plain || a.level >= units ? units : 0;
-    Call call = new Call(a, a.windowNow(now), job.asked + a.owed, job);
-    calls.computeIfAbsent(a.name(call.window), n -> new ArrayDeque<>()).add(call);
-    out.add(new Add(a.name(call.window), call.amount, COUNT_TTL_MS));
+    job.asked = a.byTotal || a.level >= units ? units : 0;
+    job.window = a.windowNow(now);
+    add(new Call(a, job.window, job.asked + a.owed, job));
     a.flying += job.asked;
     a.owed = 0;
   }
 
+  private void add(Call call) {
+    String name = call.account.name(call.window);
+    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+    out.add(new Add(name, call.amount, COUNT_TTL_MS));
+  }
+
+  /** Adds what no request waits for. */
+  private void correct(Account a, long window, double amount) {
+    add(new Call(a, window, amount, null));
+  }
+
   private void onCounted(Counted e) {
     ArrayDeque<Call> queue = calls.get(e.name());
     if (queue == null) {
@@ -360,17 +405,22 @@
     Account a = call.account;
     Job job = call.job;
     a.advance();
-    a.flying -= job.asked;
+    a.flying -= call.asked();
     if (!stalled() || e.status() == Status.OK) {
       judgeCounter(e);
     }
     boolean added = !e.status().provesNotRun();
-    if (e.status() == Status.OK) {
+    if (e.status() == Status.OK && call.endOfWindow()) {
+      beginWindow(a, call.window + 1, a.levelBy(e.total(), call.window));
+    } else if (e.status() == Status.OK) {
       observe(a, call, e.total());
     } else if (added) {
       a.maybe += call.amount;
     } else {
-      a.owed += call.amount - job.asked;
+      a.owed += call.amount - call.asked();
+    }
+    if (job == null) {
+      return;
     }
     job.called = false;
     if (!job.waiting) {
@@ -418,7 +468,7 @@
     boolean fresh = a.window != call.window;
     double growth = fresh ? total : total - a.seen;
     boolean carried = !Double.isNaN(a.syncedAt);
-    double started = call.window * a.windowMs - a.phase;
+    double started = a.windowStart(call.window);
     double since = now - (fresh || !carried ? started : a.syncedAt);
     double others = growth - call.amount;
     if (!fresh && others < 0 && total < a.seen / 2) {
@@ -426,10 +476,11 @@
     }
     a.window = call.window;
     a.seen = total;
-    if (a.plain) {
-      a.level = call.window == a.windowNow(now) ? a.plan.burst() - (total - call.job.asked) : a.level;
-      a.addElsewhere(others, since);
-      learnRates(a, Math.max(0, others), since);
+    if (a.byTotal) {
+      readLevel(a, call, total);
+      double used = Math.min(Math.max(0, others), a.plan.burst() + a.plan.rate() * since / 1000);
+      a.addElsewhere(used, since);
+      learnRates(a, used, since);
       return;
     }
     double mine = Math.min(a.maybe, Math.max(0, others));
@@ -449,9 +500,36 @@
     learnRates(a, others, since);
   }
 
+  /**
+   * Works the bucket's level out of a total, alike at every gateway. Two things that only the totals' history
+   * tells are put into the count itself, each by whom it concerns first: what was still owed as the window
+   * before ended, by the first to add to a window; and the rate's refill beyond a full bucket, by whoever
+   * sees much of it, half at a time, as another may see it too. An emptied counter looks like such a refill.
+   */
+  private void readLevel(Account a, Call call, double total) {
+    double burst = a.plan.burst();
+    if (call.job != null && call.amount > 0 && total == call.amount) {
+      add(new Call(a, call.window - 1, 0, null));
+    }
+    double level = a.levelBy(total - call.asked(), call.window);
+    double unused = level / burst - 1;
+    if (call.job != null && unused > UNUSED_BURSTS
+        && random.nextDouble() < (unused > BEGINNING_BURSTS ? BEGINNING_TOLD : UNUSED_TOLD)) {
+      correct(a, call.window, Math.min((level - burst) / 2, burst));
+    }
+    a.level = Math.min(burst, level);
+    a.assumed = 0;
+  }
+
+  /** Puts into a window's count what makes it tell the level that the bucket has by the window before. */
+  private void beginWindow(Account a, long window, double levelBefore) {
+    double used = Math.max(0, Math.min(1, 1 - levelBefore / a.plan.burst())) * a.plan.burst();
+    correct(a, window, Math.max(0, a.levelBy(0, window) - a.plan.burst()) + CARRIED * used);
+  }
+
   private void learnRates(Account a, double others, double sinceMs) {
     double age = Double.isNaN(a.syncedAt) ? sinceMs : now - a.syncedAt;
-    double keep = Math.exp(-(a.plain ? age : sinceMs) / (a.plain ? SPELL_MS / 3 : RATE_MEMORY_MS));
+    double keep = Math.exp(-(a.byTotal ? age : sinceMs) / (a.byTotal ? SPELL_MS / 3 : RATE_MEMORY_MS));
     double seconds = Math.max(0.001, sinceMs / 1000);
     a.othersRate = Math.max(0, keep * a.othersRate + (1 - keep) * others / seconds);
     a.ownRate = keep * a.ownRate + (1 - keep) * a.ownSince / seconds;
@@ -463,13 +541,18 @@
   private void decide(Job job, boolean answered) {
     Account a = job.account;
     double units = job.request.units();
-    double room = answered || a.plain ? a.level : a.level - a.flying + (job.called ? job.asked : 0);
+    double room = answered ? a.level : a.level - a.flying + (job.called ? job.asked : 0);
     boolean unasked = settings.allowed().sharedCount() && !answered;
-    boolean within = room >= units && (!unasked || !a.plain || a.part >= units);
+    boolean within = room >= units && (!unasked || !a.byTotal || a.part >= units);
+    a.hopeful = answered ? Math.min(1, a.hopeful * (within ? HOPE_GROWN : HOPE_CUT)) : a.hopeful;
     boolean barred = a.plan.rate() > 0 && !within || unasked && pressed(job, UNCONFIRMED);
     boolean openFull = a.openFull();
     if (barred || openFull || !holdsCeiling(a, units, answered)) {
-      a.owed -= job.added && (!a.plain || !barred) ? units : 0;
+      if (job.added && answered && a.byTotal) {
+        correct(a, job.window, -units);
+      } else if (job.added) {
+        a.owed -= units;
+      }
       job.added = false;
       beyondQuota(job, !barred && openFull ? Refusal.OPEN_LIMIT : answered ? Refusal.BEYOND
           : Refusal.UNCONFIRMED);
@@ -866,7 +949,9 @@
   private double expectedOfAim() {
     double held = settings.gateways() / (double) Math.max(1, serving.size());
     double more = IDLE_HELD / Math.max(1, serving.size());
-    double ratio = (outMean.value * held + more) / (Math.max(outThen.value * held, IDLE_HELD) + more);
+    double unsure = OUT_UNSURE * held;
+    double ratio = (outMean.value * held + unsure + more)
+        / (Math.max(outThen.value * held, IDLE_HELD) + unsure + more);
     return latencyOfAim.fresh(now) * ratio;
   }
 
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -15,6 +15,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.GatewayApi.RequestClass;
+import willowdoor.GatewayApi.Settings;
 import willowdoor.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
@@ -32,8 +33,8 @@
   private static final long DRAIN_STEP_MS = 10;
   private static final long TALLY_S = 10;
   /** Requests of a rehearsal, and how long it may take on a busy core: a new process is given 6 s. */
-  private static final int REHEARSED = 300;
-  private static final long REHEARSAL_MS = 2_000;
+  private static final int REHEARSED = 80;
+  private static final long REHEARSAL_MS = 1_500;
   /** How often the operators' file is looked at, for what the other process was told. */
   private static final long LOOK_MS = 50;
 
@@ -72,7 +73,8 @@
     Path path = Path.of(file);
     Config config = Config.read(path);
     Path operators = Path.of(System.getProperty("java.io.tmpdir"), "willowdoor-" + config.name() + ".json");
-    FrontDoor door = start(Transport.BEST, config, inherited(), operators, () -> rehearse(config, REHEARSED));
+    FrontDoor door = new FrontDoor(Transport.BEST);
+    door.begin(config, inherited(), operators, () -> rehearse(config, REHEARSED));
     door.reloadOnHangUp(path);
     Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
   }
@@ -91,32 +93,32 @@
   /** Listens on the configured address where no socket is inherited; the file is what its processes share. */
   static FrontDoor start(Config config, ServerSocketChannel inherited, Path operators)
       throws IOException, InterruptedException {
-    return start(Transport.BEST, config, inherited, operators, () -> { });
+    FrontDoor door = new FrontDoor(Transport.BEST);
+    door.begin(config, inherited, operators, () -> { });
+    return door;
   }
 
   /** Operators are answered from the first; clients, servers and discovery come once it is prepared. */
-  private static FrontDoor start(Transport transport, Config config, ServerSocketChannel inherited,
-      Path operators, Runnable preparation) throws IOException, InterruptedException {
-    FrontDoor door = new FrontDoor(transport);
+  private void begin(Config config, ServerSocketChannel inherited, Path operators, Runnable preparation)
+      throws IOException, InterruptedException {
     try {
       if (config.management() != null) {
-        door.management = Management.listen(config.management(), door);
+        management = Management.listen(config.management(), this);
       }
-      door.file = new OperatorFile(operators);
+      file = new OperatorFile(operators);
       preparation.run();
-      door.loop.submit(() -> door.wire(config)).sync();
-      ChannelFuture listens = inherited == null ? door.clients.listen(door.group, config.listen())
-          : door.clients.adopt(door.group, inherited);
-      door.listening = listens.sync().channel();
+      loop.submit(() -> wire(config)).sync();
+      ChannelFuture listens = inherited == null ? clients.listen(group, config.listen())
+          : clients.adopt(group, inherited);
+      listening = listens.sync().channel();
     } catch (RuntimeException e) {
-      door.stop();
+      stop();
       throw e;
     } catch (Exception e) {
-      door.stop();
+      stop();
       throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
-    door.loop.submit(door::serving).sync();
-    return door;
+    loop.submit(this::serving).sync();
   }
 
   /**
@@ -125,21 +127,19 @@
    * were answered.
    */
   static int rehearse(Config config, int requests) {
+    FrontDoor door = new FrontDoor(Transport.INSIDE);
     try {
-      Rehearsal rehearsal = new Rehearsal(config.settings());
-      FrontDoor door = start(Transport.INSIDE, rehearsal.among(config), null, Path.of(""), () -> { });
-      try {
-        int answered = rehearsal.play(requests, REHEARSAL_MS);
-        LOG.info(() -> "rehearsed with " + answered + " requests inside the process");
-        return answered;
-      } finally {
-        rehearsal.end();
-        door.stop();
-      }
+      Rehearsal rehearsal = new Rehearsal(config.settings(), door.group);
+      door.begin(rehearsal.among(config), null, Path.of(""), () -> { });
+      int answered = rehearsal.play(requests, REHEARSAL_MS);
+      LOG.info(() -> "rehearsed with " + answered + " requests inside the process");
+      return answered;
     } catch (IOException | RuntimeException e) {
       LOG.log(Level.WARNING, "the rehearsal failed: the first requests will be slow", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } finally {
+      door.stop();
     }
     return 0;
   }
@@ -216,13 +216,17 @@
         descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     driver = new ModuleDriver(loop, clock, policy, backends, tally);
     clients = new ClientServer(transport, clock, looks, driver, backends,
-        new RequestReader(config.settings()), descriptors, tally, () -> discovery == null || discovery.caughtUp());
+        new RequestReader(config.settings()), descriptors, tally,
+        () -> discovery == null || discovery.caughtUp());
     counter = new CounterClient(loop, transport, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
     if (config.counter() != null) {
       counter.start();
     }
     driver.start(counter, config.known());
+    if (transport.tcp()) {
+      LOG.info(() -> describe(config.settings()));
+    }
     if (management != null) {
       follow(file.look());
       loop.scheduleWithFixedDelay(() -> follow(file.look()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -237,6 +241,17 @@
         TimeUnit.SECONDS);
   }
 
+  /** What the front door goes by, in a line; times in milliseconds, quotas in units a second and a burst. */
+  private static String describe(Settings settings) {
+    StringBuilder text = new StringBuilder("front door ").append(settings.self()).append(" of ")
+        .append(settings.gateways()).append(", calls ").append(settings.allowed().countLimitMs());
+    settings.classes().forEach(c -> text.append(", ").append(c.name()).append(' ').append(c.aimMs())
+        .append('/').append(c.deadlineMs()));
+    settings.plans().forEach(p -> text.append(", ").append(p.name()).append(' ').append(p.rate()).append('/')
+        .append(p.burst()).append(" open ").append(p.openLimit()));
+    return text.toString();
+  }
+
   /** SIGHUP tells that the configuration was replaced; without a handler it would end the process. */
   void reloadOnHangUp(Path file) {
     HangUp.handle(() -> reload(file));
--- a/src/main/java/willowdoor/net/Rehearsal.java
+++ b/src/main/java/willowdoor/net/Rehearsal.java
@@ -1,5 +1,6 @@
 package willowdoor.net;
 
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.local.LocalAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -26,9 +27,10 @@
   private final StandIns peers;
   private final SocketAddress door = new LocalAddress(Rehearsal.class);
 
-  Rehearsal(Settings settings) throws InterruptedException {
+  /** The peers are on the front door's own loop: no thread waits for another. */
+  Rehearsal(Settings settings, EventLoopGroup group) throws InterruptedException {
     this.settings = settings;
-    peers = new StandIns();
+    peers = new StandIns(group);
   }
 
   /** The same front door, listening within the process, with the peers there. */
@@ -59,8 +61,4 @@
         + Headers.QUOTA + ": units=1,spread=" + settings.gateways() + ",first=0\r\n"
         + (safe ? "\r\n" : "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY);
   }
-
-  void end() {
-    peers.close();
-  }
 }
--- a/src/main/java/willowdoor/start/StandIns.java
+++ b/src/main/java/willowdoor/start/StandIns.java
@@ -11,11 +11,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
-import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -27,7 +25,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.Closeable;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -42,7 +39,7 @@
  * The peers of a front door that rehearses: one template server that answers at once, a counter and clients,
  * on channels within the process. They open no socket, and nothing that they are sent leaves the process.
  */
-public final class StandIns implements Closeable {
+public final class StandIns {
 
   private static final int MOST_LINE = 256;
   private static final int MOST_BODY = 64 * 1024;
@@ -50,12 +47,14 @@
   /** As a rendered template: long enough that it is copied in pieces. */
   private static final byte[] ANSWER = new byte[2_000];
 
-  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+  private final EventLoopGroup group;
   private final Map<String, Double> totals = new HashMap<>();
   private final SocketAddress server;
   private final SocketAddress counter;
 
-  public StandIns() throws InterruptedException {
+  /** The peers live on a loop for channels within the process, and end with it. */
+  public StandIns(EventLoopGroup group) throws InterruptedException {
+    this.group = group;
     server = listen(() -> new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
         new TemplateServer()});
     counter = listen(() -> new ChannelHandler[] {new LineBasedFrameDecoder(MOST_LINE), new Counter()});
@@ -109,12 +108,6 @@
     return answered.get();
   }
 
-  /** Ends them before it returns, so that the front door sees its peers go. */
-  @Override
-  public void close() {
-    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-  }
-
   private static final class TemplateServer extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
--- /dev/null
+++ b/src/test/java/willowdoor/StoreModel.java
@@ -0,0 +1,369 @@
+package willowdoor;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import willowdoor.GatewayApi.Action;
+import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Allowed;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Event;
+import willowdoor.GatewayApi.Fail;
+import willowdoor.GatewayApi.Group;
+import willowdoor.GatewayApi.Outcome;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Plan;
+import willowdoor.GatewayApi.Refuse;
+import willowdoor.GatewayApi.Repeat;
+import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.RequestClass;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+import willowdoor.GatewayApi.Rules;
+import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Settings;
+import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
+
+/**
+ * Customers of several habits before many gateways, a counter that answers a little late, servers with cores
+ * and a waiting room, and beside them the true store of each customer, which no gateway sees.
+ */
+final class StoreModel {
+
+  /** What came of the tries, in units; the room is the true store's at that moment. */
+  static final class Result {
+    double sent;
+    double sentBeyond;
+    double sentOverOpen;
+    double offeredInside;
+    long tries;
+    long triesHalfFull;
+    long calls;
+    double inTime;
+    long answered;
+    double waits;
+
+    /** Of the units sent on, those that the true store did not hold. */
+    double beyondShare() {
+      return sentBeyond / Math.max(1, sent);
+    }
+
+    /** Of all tries, those refused with half of the store unused. */
+    double halfFullShare() {
+      return triesHalfFull / (double) Math.max(1, tries);
+    }
+
+    /** Worth those that one gateway which saw all would have let in. */
+    double servedShare() {
+      return inTime / Math.max(1, offeredInside);
+    }
+
+    double callsPerTry() {
+      return calls / (double) Math.max(1, tries);
+    }
+
+    @Override
+    public String toString() {
+      return String.format(Locale.ROOT, "served %.3f beyond %.3f (open %.3f) refused-half-full %.3f"
+          + " calls/try %.2f tries %d wait %.0f", servedShare(), beyondShare(), sentOverOpen / Math.max(1, sent),
+          halfFullShare(), callsPerTry(), tries, waits / Math.max(1, answered));
+    }
+  }
+
+  /** Plans, and how many customers each has, as on a day of the whole fleet. */
+  private static final List<Plan> PLANS = List.of(new Plan("starter", 1.1, 8, 0, 1, 0, 1, 0, 0, 0),
+      new Plan("business", 5, 8, 0, 1, 0, 1, 0, 0, 0), new Plan("enterprise", 20, 57, 11, 1, 0, 1, 0, 0, 0));
+  private static final int[] CUSTOMERS = {450, 65, 26};
+  private static final double SERVICE_MS = 420;
+  private static final int CORES = 3;
+  private static final int WAITING_ROOM = 24;
+
+  /** Cores that serve in turn; where more than the room holds wait, requests are turned away. */
+  private static final class Server {
+    int busy;
+    final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+  }
+  private static final double CALL_MS = 12;
+  private static final Map<String, Double> AIM = Map.of("preview", 3872.0, "sign", 1549.0, "seal", 3098.0);
+  private static final Map<String, Double> DEADLINE =
+      Map.of("preview", 9680.0, "sign", 4646.0, "seal", 7744.0);
+
+  /** A store that fills at the rate and holds the burst. */
+  private static final class Store {
+    private final Plan plan;
+    private double level;
+    private double at;
+
+    Store(Plan plan, double now) {
+      this.plan = plan;
+      level = plan.burst();
+      at = now;
+    }
+
+    double level(double now) {
+      level = Math.min(plan.burst(), level + plan.rate() * (now - at) / 1000);
+      at = now;
+      return level;
+    }
+
+    boolean take(double units, double now) {
+      if (level(now) < units) {
+        return false;
+      }
+      level -= units;
+      return true;
+    }
+  }
+
+  private static final class Customer {
+    final long id;
+    final Plan plan;
+    final String habit;
+    final double use;
+    final Store store;
+    final Store ideal;
+    int out;
+    final double spikeEveryMs;
+    final double spikeMs;
+    final double spikePhase;
+    final int first;
+    final int spread;
+
+    Customer(long id, Plan plan, SplittableRandom random, double now, int gateways) {
+      this.id = id;
+      this.plan = plan;
+      double kind = random.nextDouble();
+      habit = kind < 0.16 ? "full" : kind < 0.25 ? "heavy" : kind < 0.44 ? "spiky" : "calm";
+      use = switch (habit) {
+        case "full" -> 0.9 + 0.1 * random.nextDouble();
+        case "heavy" -> 1.6 + 3 * random.nextDouble();
+        default -> 0.15 + 0.35 * random.nextDouble();
+      };
+      store = new Store(plan, now);
+      ideal = new Store(plan, now);
+      spikeEveryMs = 10_000 + 15_000 * random.nextDouble();
+      spikeMs = 700 + 3_000 * random.nextDouble();
+      spikePhase = spikeEveryMs * random.nextDouble();
+      int through = (int) Math.round(gateways * (0.3 + 0.7 * random.nextDouble()));
+      spread = Math.max(Math.min(2, gateways), through);
+      first = random.nextInt(gateways);
+    }
+
+    double rate(double now) {
+      boolean spike = habit.equals("spiky") && (now + spikePhase) % spikeEveryMs < spikeMs;
+      return plan.rate() * (spike ? 5 : use);
+    }
+  }
+
+  private record Due(double at, long order, Runnable what) { }
+
+  private record Try(Customer customer, double units, double trueUnits, int number, String kind,
+      double since) {
+    double worth() {
+      return units * (kind.equals("preview") ? 1 : 5);
+    }
+  }
+
+  private final SplittableRandom random;
+  private final PriorityQueue<Due> queue =
+      new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
+  private final List<QuotaPolicy> fleet = new ArrayList<>();
+  private final List<Customer> customers = new ArrayList<>();
+  private final Map<String, Double> counts = new HashMap<>();
+  private final Map<String, Try> open = new HashMap<>();
+  private final Result result = new Result();
+  private final double guessSpread;
+  private final List<Server> servers = new ArrayList<>();
+  private double now = 1_000_000;
+  private double measureFrom;
+  private long next;
+
+  StoreModel(int gateways, int howManyServers, double guessSpread, long seed) {
+    random = new SplittableRandom(seed);
+    this.guessSpread = guessSpread;
+    for (int i = 0; i < howManyServers; i++) {
+      servers.add(new Server());
+    }
+    List<RequestClass> classes = List.of(
+        new RequestClass("preview", 1, 0, 3872, 9680, Repeat.SAFE, Group.ALL, 0, false),
+        new RequestClass("sign", 5, 0, 1549, 4646, Repeat.KEYED, Group.CELL, 9700, false),
+        new RequestClass("seal", 5, 0, 3098, 7744, Repeat.UNSAFE, Group.ALL, 0, false));
+    for (int i = 0; i < gateways; i++) {
+      Settings s = new Settings(gateways, i, "a", 4, 0, false, classes, PLANS,
+          new Allowed(true, 50, true, false, 4, 1000, true, 2000, false), new Rules(8, 0.2, 10_000, 3, 2000));
+      fleet.add(new QuotaPolicy(s, seed * 1000 + i));
+    }
+    for (int p = 0; p < PLANS.size(); p++) {
+      for (int i = 0; i < CUSTOMERS[p]; i++) {
+        customers.add(new Customer(random.nextLong() >>> 31, PLANS.get(p), random, now, gateways));
+      }
+    }
+  }
+
+  Result run(double warmS, double seconds) {
+    List<BackendEntry> list = new ArrayList<>();
+    for (int i = 0; i < servers.size(); i++) {
+      list.add(new BackendEntry(i, "a", i % 4, Phase.SERVING, 1, 0));
+    }
+    for (int i = 0; i < fleet.size(); i++) {
+      act(i, fleet.get(i).start(now));
+      on(i, new Roster(RosterForm.REMEMBERED, list));
+    }
+    customers.forEach(this::arrive);
+    measureFrom = now + 1000 * warmS;
+    double end = measureFrom + 1000 * seconds;
+    for (Due due = queue.poll(); due != null && due.at < end; due = queue.poll()) {
+      now = due.at;
+      due.what.run();
+    }
+    return result;
+  }
+
+  private void in(double ms, Runnable what) {
+    queue.add(new Due(now + ms, next++, what));
+  }
+
+  private void arrive(Customer c) {
+    double most = 5 * c.plan.rate();
+    in(-Math.log(1 - random.nextDouble()) * 1000 / (most / 2.5), () -> {
+      if (random.nextDouble() < c.rate(now) / most) {
+        double draw = random.nextDouble();
+        String kind = draw < 0.49 ? "preview" : draw < 0.77 ? "sign" : "seal";
+        double truth = 1 + random.nextInt(4);
+        double guess = Math.min(4, Math.max(1, Math.rint(truth * Math.exp(guessSpread * gauss()))));
+        Try first = new Try(c, guess, truth, 0, kind, now);
+        if (c.ideal.take(guess, now)) {
+          c.ideal.level -= truth - guess;
+          tell(r -> r.offeredInside += first.worth());
+        }
+        ask(first);
+      }
+      arrive(c);
+    });
+  }
+
+  private double gauss() {
+    double sum = -6;
+    for (int i = 0; i < 12; i++) {
+      sum += random.nextDouble();
+    }
+    return sum;
+  }
+
+  private void tell(Consumer<Result> what) {
+    if (now >= measureFrom) {
+      what.accept(result);
+    }
+  }
+
+  private void ask(Try t) {
+    Customer c = t.customer;
+    int at = Math.floorMod(c.first + random.nextInt(c.spread), fleet.size());
+    String id = "m" + next++;
+    open.put(id, t);
+    tell(r -> r.tries++);
+    on(at, new Request(id, t.kind, c.plan.name(), c.id, c.spread, t.units, now + DEADLINE.get(t.kind)));
+  }
+
+  private void on(int gateway, Event event) {
+    act(gateway, fleet.get(gateway).on(now, event));
+  }
+
+  private void act(int gateway, List<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof WakeAt a) {
+        in(Math.max(0, a.atMs() - now) + 0.01, () -> on(gateway, new Woken(a.label())));
+      } else if (action instanceof Add a) {
+        tell(r -> r.calls++);
+        in(CALL_MS / 2, () -> {
+          double total = counts.merge(a.name(), a.amount(), Double::sum);
+          in(CALL_MS / 2, () -> on(gateway, new Counted(a.name(), Status.OK, total, CALL_MS)));
+        });
+      } else if (action instanceof Send a) {
+        sent(gateway, a);
+      } else if (action instanceof Refuse a) {
+        refused(a.request());
+      } else if (action instanceof Fail a) {
+        open.remove(a.request());
+      }
+    }
+  }
+
+  private final Map<String, Integer> attempts = new HashMap<>();
+
+  private void sent(int gateway, Send s) {
+    Try t = open.get(s.request());
+    int number = attempts.merge(s.request(), 1, Integer::sum) - 1;
+    boolean room = t.customer.plan.openLimit() == 0 || t.customer.out < t.customer.plan.openLimit();
+    boolean inside = number == 0 && room && t.customer.store.take(t.units, now);
+    t.customer.out++;
+    if (number == 0) {
+      tell(r -> {
+        r.sent += t.units;
+        r.sentBeyond += inside ? 0 : t.units;
+        r.sentOverOpen += room ? 0 : t.units;
+      });
+    }
+    double sentAt = now;
+    Server server = servers.get((int) s.backend());
+    double needs = (t.kind.equals("sign") ? 0.6 : 1) * SERVICE_MS * (0.73 + 0.54 * random.nextDouble());
+    Runnable work = () -> in(needs, () -> {
+      server.busy--;
+      if (!server.waiting.isEmpty()) {
+        server.busy++;
+        server.waiting.poll().run();
+      }
+      t.customer.out--;
+      boolean first = open.remove(s.request()) != null;
+      if (inside) {
+        t.customer.store.level(now);
+        t.customer.store.level -= t.trueUnits - t.units;
+      }
+      if (first) {
+        tell(r -> {
+          r.inTime += inside && now - t.since <= AIM.get(t.kind) ? t.worth() : 0;
+          r.answered++;
+          r.waits += now - sentAt;
+        });
+      }
+      on(gateway, new Outcome(s.request(), number, s.backend(), Status.OK, now - sentAt, true, t.trueUnits,
+          null));
+    });
+    if (server.busy < CORES) {
+      server.busy++;
+      work.run();
+    } else if (server.waiting.size() < WAITING_ROOM) {
+      server.waiting.add(work);
+    } else {
+      t.customer.out--;
+      in(2, () -> on(gateway,
+          new Outcome(s.request(), number, s.backend(), Status.REJECTED, 2, false, 0, null)));
+    }
+  }
+
+  /** A client comes again up to three times, through another gateway. */
+  private void refused(String id) {
+    Try t = open.remove(id);
+    if (t == null) {
+      return;
+    }
+    double level = t.customer.store.level(now);
+    tell(r -> {
+      r.triesHalfFull += level >= t.customer.plan.burst() / 2 ? 1 : 0;
+    });
+    if (t.number < 3) {
+      in(400 + 800 * random.nextDouble() * (1 << t.number), () -> ask(new Try(t.customer, t.units,
+          t.trueUnits, t.number + 1, t.kind, t.since)));
+    }
+  }
+}
