--- a/src/test/java/willowdoor/StoreErrorTest.java
+++ b/src/test/java/willowdoor/StoreErrorTest.java
@@ -14,7 +14,7 @@
 class StoreErrorTest {
 
   private static Result play(int gateways, double guessSpread) {
-    return new StoreModel(gateways, 60, guessSpread, 7).run(1, 40);
+    return new StoreModel(gateways, 60, guessSpread, 20_000, 7).run(1, 40);
   }
 
   private static void holds(Result r, double served, double beyond, double halfFull, double calls) {
@@ -67,4 +67,10 @@
   void guessedCostsAreSettledWell() {
     holds(play(100, 0.4), 0.9, 0.11, 0.25, 1.2);
   }
+
+  // A counter that bears half of the calls: those that no request waits for must not crowd out the others.
+  @Test
+  void aShortCounterIsSharedOut() {
+    holds(new StoreModel(100, 60, 0, 550, 7).run(1, 40), 0.84, 0.14, 0.4, 0.8);
+  }
 }
--- a/src/test/java/willowdoor/StoreModel.java
+++ b/src/test/java/willowdoor/StoreModel.java
@@ -74,9 +74,10 @@
 
     @Override
     public String toString() {
-      return String.format(Locale.ROOT, "served %.3f beyond %.3f (open %.3f) refused-half-full %.3f"
-          + " calls/try %.2f tries %d wait %.0f", servedShare(), beyondShare(), sentOverOpen / Math.max(1, sent),
-          halfFullShare(), callsPerTry(), tries, waits / Math.max(1, answered));
+      return String.format(Locale.ROOT,
+          "served %.3f beyond %.3f (open %.3f) refused-half-full %.3f calls/try %.2f tries %d wait %.0f",
+          servedShare(), beyondShare(), sentOverOpen / Math.max(1, sent), halfFullShare(), callsPerTry(),
+          tries, waits / Math.max(1, answered));
     }
   }
 
@@ -94,6 +95,9 @@
     final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
   }
   private static final double CALL_MS = 12;
+  /** Parts of the counter, and how long a part's line may be before it turns calls away. */
+  private static final int PARTS = 2;
+  private static final double MOST_LINE_MS = 40;
   private static final Map<String, Double> AIM = Map.of("preview", 3872.0, "sign", 1549.0, "seal", 3098.0);
   private static final Map<String, Double> DEADLINE =
       Map.of("preview", 9680.0, "sign", 4646.0, "seal", 7744.0);
@@ -183,12 +187,17 @@
   private final Map<String, Try> open = new HashMap<>();
   private final Result result = new Result();
   private final double guessSpread;
+  private final double callMs;
+  /** When each part of the counter has done what waits in its line. */
+  private final double[] partFreeAt = new double[PARTS];
   private final List<Server> servers = new ArrayList<>();
   private double now = 1_000_000;
   private double measureFrom;
   private long next;
 
-  StoreModel(int gateways, int howManyServers, double guessSpread, long seed) {
+  /** The counter bears so many calls a second, on all its parts. */
+  StoreModel(int gateways, int howManyServers, double guessSpread, double callsPerSecond, long seed) {
+    callMs = 1000 * PARTS / callsPerSecond;
     random = new SplittableRandom(seed);
     this.guessSpread = guessSpread;
     for (int i = 0; i < howManyServers; i++) {
@@ -285,10 +294,7 @@
         in(Math.max(0, a.atMs() - now) + 0.01, () -> on(gateway, new Woken(a.label())));
       } else if (action instanceof Add a) {
         tell(r -> r.calls++);
-        in(CALL_MS / 2, () -> {
-          double total = counts.merge(a.name(), a.amount(), Double::sum);
-          in(CALL_MS / 2, () -> on(gateway, new Counted(a.name(), Status.OK, total, CALL_MS)));
-        });
+        in(CALL_MS / 2, () -> count(gateway, a));
       } else if (action instanceof Send a) {
         sent(gateway, a);
       } else if (action instanceof Refuse a) {
@@ -301,6 +307,18 @@
 
   private final Map<String, Integer> attempts = new HashMap<>();
 
+  private void count(int gateway, Add a) {
+    int part = Math.floorMod(a.name().hashCode(), PARTS);
+    double doneAt = Math.max(now, partFreeAt[part]) + callMs;
+    if (doneAt - now > MOST_LINE_MS) {
+      in(CALL_MS / 2, () -> on(gateway, new Counted(a.name(), Status.REJECTED, 0, CALL_MS)));
+      return;
+    }
+    partFreeAt[part] = doneAt;
+    double total = counts.merge(a.name(), a.amount(), Double::sum);
+    in(doneAt - now + CALL_MS / 2, () -> on(gateway, new Counted(a.name(), Status.OK, total, CALL_MS)));
+  }
+
   private void sent(int gateway, Send s) {
     Try t = open.get(s.request());
     int number = attempts.merge(s.request(), 1, Integer::sum) - 1;
