State the store model's classes once, and name what its counter bears

Need: aims, deadlines and worth of the model's classes stood in the settings and again in two maps and a condition; a nested class and a field stood among unrelated ones; one test built the model by itself, under a comment that claimed more than it checks. Bounds and draws are as they were.

--- a/src/test/java/willowdoor/StoreModel.java
+++ b/src/test/java/willowdoor/StoreModel.java
@@ -63,7 +63,7 @@
       return triesHalfFull / (double) Math.max(1, tries);
     }
 
-    /** Worth those that one gateway which saw all would have let in. */
+    /** Worth answered in its aim and inside the store, over what one gateway that saw all would let in. */
     double servedShare() {
       return inTime / Math.max(1, offeredInside);
     }
@@ -89,18 +89,22 @@
   private static final int CORES = 3;
   private static final int WAITING_ROOM = 24;
 
+  private static final double CALL_MS = 12;
+  /** Parts of the counter, and how long a part's line may be before it turns calls away. */
+  private static final int PARTS = 2;
+  private static final double MOST_LINE_MS = 40;
+  private static final RequestClass PREVIEW =
+      new RequestClass("preview", 1, 0, 3872, 9680, Repeat.SAFE, Group.ALL, 0, false);
+  private static final RequestClass SIGN =
+      new RequestClass("sign", 5, 0, 1549, 4646, Repeat.KEYED, Group.CELL, 9700, false);
+  private static final RequestClass SEAL =
+      new RequestClass("seal", 5, 0, 3098, 7744, Repeat.UNSAFE, Group.ALL, 0, false);
+
   /** Cores that serve in turn; where more than the room holds wait, requests are turned away. */
   private static final class Server {
     int busy;
     final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
   }
-  private static final double CALL_MS = 12;
-  /** Parts of the counter, and how long a part's line may be before it turns calls away. */
-  private static final int PARTS = 2;
-  private static final double MOST_LINE_MS = 40;
-  private static final Map<String, Double> AIM = Map.of("preview", 3872.0, "sign", 1549.0, "seal", 3098.0);
-  private static final Map<String, Double> DEADLINE =
-      Map.of("preview", 9680.0, "sign", 4646.0, "seal", 7744.0);
 
   /** A store that fills at the rate and holds the burst. */
   private static final class Store {
@@ -171,10 +175,10 @@
 
   private record Due(double at, long order, Runnable what) { }
 
-  private record Try(Customer customer, double units, double trueUnits, int number, String kind,
+  private record Try(Customer customer, double units, double trueUnits, int number, RequestClass type,
       double since) {
     double worth() {
-      return units * (kind.equals("preview") ? 1 : 5);
+      return units * type.value();
     }
   }
 
@@ -185,6 +189,7 @@
   private final List<Customer> customers = new ArrayList<>();
   private final Map<String, Double> counts = new HashMap<>();
   private final Map<String, Try> open = new HashMap<>();
+  private final Map<String, Integer> attempts = new HashMap<>();
   private final Result result = new Result();
   private final double guessSpread;
   private final double callMs;
@@ -203,10 +208,7 @@
     for (int i = 0; i < howManyServers; i++) {
       servers.add(new Server());
     }
-    List<RequestClass> classes = List.of(
-        new RequestClass("preview", 1, 0, 3872, 9680, Repeat.SAFE, Group.ALL, 0, false),
-        new RequestClass("sign", 5, 0, 1549, 4646, Repeat.KEYED, Group.CELL, 9700, false),
-        new RequestClass("seal", 5, 0, 3098, 7744, Repeat.UNSAFE, Group.ALL, 0, false));
+    List<RequestClass> classes = List.of(PREVIEW, SIGN, SEAL);
     for (int i = 0; i < gateways; i++) {
       Settings s = new Settings(gateways, i, "a", 4, 0, false, classes, PLANS,
           new Allowed(true, 50, true, false, 4, 1000, true, 2000, false), new Rules(8, 0.2, 10_000, 3, 2000));
@@ -247,10 +249,10 @@
     in(-Math.log(1 - random.nextDouble()) * 1000 / (most / 2.5), () -> {
       if (random.nextDouble() < c.rate(now) / most) {
         double draw = random.nextDouble();
-        String kind = draw < 0.49 ? "preview" : draw < 0.77 ? "sign" : "seal";
+        RequestClass type = draw < 0.49 ? PREVIEW : draw < 0.77 ? SIGN : SEAL;
         double truth = 1 + random.nextInt(4);
         double guess = Math.min(4, Math.max(1, Math.rint(truth * Math.exp(guessSpread * gauss()))));
-        Try first = new Try(c, guess, truth, 0, kind, now);
+        Try first = new Try(c, guess, truth, 0, type, now);
         if (c.ideal.take(guess, now)) {
           c.ideal.level -= truth - guess;
           tell(r -> r.offeredInside += first.worth());
@@ -281,7 +283,8 @@
     String id = "m" + next++;
     open.put(id, t);
     tell(r -> r.tries++);
-    on(at, new Request(id, t.kind, c.plan.name(), c.id, c.spread, t.units, now + DEADLINE.get(t.kind)));
+    on(at, new Request(id, t.type.name(), c.plan.name(), c.id, c.spread, t.units,
+        now + t.type.deadlineMs()));
   }
 
   private void on(int gateway, Event event) {
@@ -305,8 +308,6 @@
     }
   }
 
-  private final Map<String, Integer> attempts = new HashMap<>();
-
   private void count(int gateway, Add a) {
     int part = Math.floorMod(a.name().hashCode(), PARTS);
     double doneAt = Math.max(now, partFreeAt[part]) + callMs;
@@ -334,7 +335,7 @@
     }
     double sentAt = now;
     Server server = servers.get((int) s.backend());
-    double needs = (t.kind.equals("sign") ? 0.6 : 1) * SERVICE_MS * (0.73 + 0.54 * random.nextDouble());
+    double needs = (t.type == SIGN ? 0.6 : 1) * SERVICE_MS * (0.73 + 0.54 * random.nextDouble());
     Runnable work = () -> in(needs, () -> {
       server.busy--;
       if (!server.waiting.isEmpty()) {
@@ -349,7 +350,7 @@
       }
       if (first) {
         tell(r -> {
-          r.inTime += inside && now - t.since <= AIM.get(t.kind) ? t.worth() : 0;
+          r.inTime += inside && now - t.since <= t.type.aimMs() ? t.worth() : 0;
           r.answered++;
           r.waits += now - sentAt;
         });
@@ -376,12 +377,10 @@
       return;
     }
     double level = t.customer.store.level(now);
-    tell(r -> {
-      r.triesHalfFull += level >= t.customer.plan.burst() / 2 ? 1 : 0;
-    });
+    tell(r -> r.triesHalfFull += level >= t.customer.plan.burst() / 2 ? 1 : 0);
     if (t.number < 3) {
       in(400 + 800 * random.nextDouble() * (1 << t.number), () -> ask(new Try(t.customer, t.units,
-          t.trueUnits, t.number + 1, t.kind, t.since)));
+          t.trueUnits, t.number + 1, t.type, t.since)));
     }
   }
 }
