Read discovery's objects by their braces, not by lines, as lists may come indented

Need: lists may come indented, an object over several lines. Cause: DiscoveryClient put a LineBasedFrameDecoder before its parser, so the first line of an indented list was junk: the watch was closed and opened anew for ever, and the list stayed as it was.

ListScanner ends an object where its braces do, whatever the lines and reads, and takes white space between objects for the sign of life that it is. An object that is cut for good is counted as unreadable when its watch ends. takesAnIndentedListThatIsCutAnywhere fails on the reader by lines (broken pipe: the watch was closed); ListScannerTest cuts an indented list at each byte.

--- a/front/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/front/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -35,7 +34,6 @@
 final class DiscoveryClient {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
-  private static final int MOST_LINE = 4 << 20;
   /** Empty lines come every 2 s; a watch silent for more than two of them is replaced. */
   private static final long SILENT_MS = 5_000;
   /**
@@ -72,7 +70,7 @@
           @Override
           protected void initChannel(Channel channel) {
             channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
-                new HttpClientCodec(), new Unwrapper(), new LineBasedFrameDecoder(MOST_LINE), new Lines());
+                new HttpClientCodec(), new Unwrapper(), new Objects());
           }
         });
   }
@@ -151,21 +149,38 @@
     }
   }
 
-  private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+  private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
+    private final ListScanner scanner = new ListScanner();
+
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
-      if (line.isReadable()) {
-        RosterNews news = parse(line);
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf part) throws IOException {
+      for (byte[] object : scanner.read(ByteBufUtil.getBytes(part))) {
+        RosterNews news = parse(object);
         version = news.version();
         listener.accept(news);
         caughtUp("discovery's first list has come");
       }
-      backoffMs = LEAST_BACKOFF_MS;
+      if (scanner.junk()) {
+        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
+        throw new IOException("neither an object nor white space");
+      }
+      if (!scanner.inside()) {
+        backoffMs = LEAST_BACKOFF_MS;
+      }
+    }
+
+    /** An object that was cut for good. */
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (scanner.inside()) {
+        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
+      }
+      ctx.fireChannelInactive();
     }
 
-    private RosterNews parse(ByteBuf line) throws IOException {
+    private RosterNews parse(byte[] object) throws IOException {
       try {
-        return RosterNews.parse(ByteBufUtil.getBytes(line));
+        return RosterNews.parse(object);
       } catch (IOException e) {
         tally.count(Tally.Event.DISCOVERY_UNREADABLE);
         throw e;
@@ -174,7 +189,7 @@
 
     /**
      * Junk, silence or a broken connection: a new watch from the last good version makes up for it, after a
-     * wait that grows until a line can be read, as all front doors may be sent the same junk.
+     * wait that grows until an object can be read, as all front doors may be sent the same junk.
      */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/front/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/front/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -81,6 +81,21 @@
     }
   }
 
+  /** An object may be laid out over many lines, and cut anywhere. */
+  @Test
+  void takesAnIndentedListThatIsCutAnywhere() throws Exception {
+    int second = namedBackend("2").getLocalPort();
+    peers.start();
+    Peers.next(peers.watches);
+    String list = Peers.list(8, true, Peers.entry("s-2", second, "active"));
+    String indented = list.replace("{", "{\n  ").replace(",", ",\n  ").replace("}", "\n}") + "\n";
+    for (int from = 0; from < indented.length(); from += 7) {
+      peers.tell(indented.substring(from, Math.min(indented.length(), from + 7)));
+    }
+    askUntil("2");
+    assertEquals(0, peers.watches.size());
+  }
+
   /** An attempt whose connection is still coming up when its backend drains is not written any more. */
   @Test
   void whatWaitsForAConnectionIsNotWrittenToADrainedBackend() throws Exception {
--- /dev/null
+++ b/front/src/test/java/willowdoor/net/ListScannerTest.java
@@ -0,0 +1,54 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ListScannerTest {
+
+  private static final String INDENTED = "{\n  \"version\": 8,\n  \"full\": true,\n  \"servers\": [\n"
+      + "    {\n      \"id\": \"s-{\\\"}]\\\\\",\n      \"addr\": \"127.0.0.1:80\", \"state\": \"active\"\n"
+      + "    }\n  ]\n}";
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Over several lines, with braces and quotes inside a name, and cut at each place in turn. */
+  @Test
+  void anIndentedListIsWholeWhereverItIsCut() throws Exception {
+    byte[] all = bytes("\n" + INDENTED + "\r\n\n" + Peers.list(9, false) + "\n");
+    for (int cut = 0; cut <= all.length; cut++) {
+      ListScanner scanner = new ListScanner();
+      List<byte[]> found = new ArrayList<>(scanner.read(Arrays.copyOf(all, cut)));
+      found.addAll(scanner.read(Arrays.copyOfRange(all, cut, all.length)));
+      assertEquals(2, found.size());
+      assertEquals(RosterNews.number("s-{\"}]\\"), RosterNews.parse(found.get(0)).entries().get(0).id());
+      assertEquals(9, RosterNews.parse(found.get(1)).version());
+      assertFalse(scanner.inside() || scanner.junk());
+    }
+  }
+
+  @Test
+  void whatIsNoObjectIsJunkBehindWhatWasWhole() {
+    ListScanner scanner = new ListScanner();
+    assertEquals(1, scanner.read(bytes("{}\n]{}")).size());
+    assertTrue(scanner.junk());
+  }
+
+  @Test
+  void anObjectWithoutAnEndIsJunkBeyondItsBound() {
+    ListScanner scanner = new ListScanner();
+    for (int mb = 0; mb < 4; mb++) {
+      assertFalse(scanner.junk());
+      scanner.read(bytes("{" + " ".repeat(1 << 20)));
+    }
+    assertTrue(scanner.junk());
+  }
+}
