Keep the list's clock in a pure class, and ask a silent agent again within the grace

Need: what a silent watch misses counts as told 6 s after it fell silent; after that, and in a new process, what the agent has counts at once, with 1.05 s to act.

Watch takes times and what came, and tells what to open, close and deliver; DiscoveryClient carries it out. An open watch is broken after 2.5 s, a try after 0.5 s without a connect, a head or the rest of an object, and tries are 0.3 to 0.7 s apart; a limit counts at the second look that finds it passed. docs/design.md has the table. WatchTest plays each row on a clock moved by hand; with the old 5 s the second opening comes after 10.2 s, with the old waits an outage's end is seen after 2.5 s, and both fail.

--- a/front/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/front/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -1,13 +1,11 @@
 package willowdoor.net;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -20,177 +18,154 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
+import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Watches the list of backends; while the watch is down the last list stays in use. */
+/**
+ * The sockets of the watch of the list, which {@link Watch} decides on; while there is none the last list
+ * stays in use. All on the event loop's thread.
+ */
 final class DiscoveryClient {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
-  /** Empty lines come every 2 s; a watch silent for more than two of them is replaced. */
-  private static final long SILENT_MS = 5_000;
-  /**
-   * Before the first word the list may be as old as the configuration's. The agent answers at once with what
-   * changed since, if anything did; where nobody answers at all, that list has to do.
-   */
-  private static final long NEWS_MS = 100;
-  private static final long ANSWER_MS = 1_000;
-  private static final double LEAST_BACKOFF_MS = 100;
-  private static final double MOST_BACKOFF_MS = 2_000;
+  private static final long LOOK_MS = 25;
 
   private final EventLoop loop;
-  private InetSocketAddress agent;
+  private final Clock clock;
   private final Tally tally;
   private final Consumer<RosterNews> listener;
   private final Bootstrap bootstrap;
-  private long version;
-  private double backoffMs = LEAST_BACKOFF_MS;
-  private Channel watch;
-  /** The next try to open a watch; null while there is one. */
-  private Future<?> retry;
-  private boolean caughtUp;
+  private final Watch watch;
+  private final Promise<Void> caughtUp;
+  private InetSocketAddress agent;
+  /** The present try's; null between tries. */
+  private Channel channel;
 
-  DiscoveryClient(EventLoop loop, Transport transport, InetSocketAddress agent,
+  DiscoveryClient(EventLoop loop, Transport transport, Clock clock, InetSocketAddress agent,
       long version, Tally tally, Consumer<RosterNews> listener) {
     this.loop = loop;
+    this.clock = clock;
     this.agent = agent;
-    this.version = version;
     this.tally = tally;
     this.listener = listener;
+    caughtUp = loop.newPromise();
+    watch = new Watch(version, () -> ThreadLocalRandom.current().nextDouble());
     bootstrap = new Bootstrap().group(loop).channel(transport.socket())
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
         .handler(new ChannelInitializer<Channel>() {
           @Override
-          protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
-                new HttpClientCodec(), new Unwrapper(), new Objects());
+          protected void initChannel(Channel opened) {
+            opened.pipeline().addLast(new HttpClientCodec(), new Answer());
           }
         });
   }
 
   void start() {
-    loop.schedule(() -> caughtUp("discovery has not answered: the list is the configured one"), ANSWER_MS,
+    take(() -> watch.start(clock.now()));
+    loop.scheduleWithFixedDelay(() -> take(() -> watch.look(clock.now())), LOOK_MS, LOOK_MS,
         TimeUnit.MILLISECONDS);
-    open();
   }
 
-  /** Whether the list is as new as can be had. */
-  boolean caughtUp() {
+  /** Comes to pass once the list is as new as can be had. */
+  Future<Void> caughtUp() {
     return caughtUp;
   }
 
-  private void caughtUp(String how) {
-    if (!caughtUp) {
-      caughtUp = true;
-      LOG.info(how);
+  /** From now on the list comes from another address. */
+  void moveTo(InetSocketAddress next) {
+    agent = next;
+    take(() -> watch.moved(clock.now()));
+  }
+
+  /** Carries out what the watch decides on; a fault in that costs the present try, and never the looks. */
+  private void take(Supplier<List<Watch.Effect>> decision) {
+    try {
+      decision.get().forEach(this::execute);
+      if (watch.caughtUp() != null && caughtUp.trySuccess(null)) {
+        LOG.info(watch.caughtUp());
+      }
+    } catch (RuntimeException e) {
+      LOG.log(Level.SEVERE, "the watch failed", e);
+      watch.ended(clock.now()).forEach(this::execute);
+    }
+  }
+
+  private void execute(Watch.Effect effect) {
+    if (effect instanceof Watch.Effect.Open open) {
+      connect(open.version());
+    } else if (effect instanceof Watch.Effect.Deliver deliver) {
+      listener.accept(deliver.news());
+    } else if (effect instanceof Watch.Effect.Close close) {
+      if (close.unreadable()) {
+        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
+      }
+      Channel ending = channel;
+      channel = null;
+      if (ending != null) {
+        ending.close();
+      }
     }
   }
 
-  private void open() {
-    retry = null;
+  private void connect(long version) {
     ChannelFuture connect = bootstrap.connect(agent);
-    watch = connect.channel();
+    Channel opened = connect.channel();
+    channel = opened;
     Transport.whenConnected(connect, f -> {
-      if (!f.isSuccess()) {
-        later();
+      if (opened != channel) {
+        opened.close();
+      } else if (!f.isSuccess()) {
+        take(() -> watch.ended(clock.now()));
       } else {
-        f.channel().closeFuture().addListener(closed -> later());
-        DefaultFullHttpRequest watch = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+        opened.closeFuture().addListener(closed -> ended(opened));
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
             "/discovery/hosts?stream=1&index=" + version);
-        String host = agent.getAddress().getHostAddress() + ":" + agent.getPort();
-        watch.headers().set(HttpHeaderNames.HOST, host);
-        f.channel().writeAndFlush(watch);
+        request.headers().set(HttpHeaderNames.HOST,
+            agent.getAddress().getHostAddress() + ":" + agent.getPort());
+        watch.connected(clock.now());
+        opened.writeAndFlush(request);
       }
     });
   }
 
-  private void later() {
-    if (loop.isShuttingDown()) {
-      return;
-    }
-    double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
-    backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
-    retry = loop.schedule(this::open, (long) wait, TimeUnit.MILLISECONDS);
-  }
-
-  /** From now on the list comes from another address: what changed since the last version is asked there. */
-  void moveTo(InetSocketAddress agent) {
-    this.agent = agent;
-    backoffMs = LEAST_BACKOFF_MS;
-    if (retry == null) {
-      watch.close();
-    } else if (retry.cancel(false)) {
-      open();
+  /** A try that was given up ends without consequence. */
+  private void ended(Channel ending) {
+    if (ending == channel) {
+      take(() -> watch.ended(clock.now()));
     }
   }
 
-  /** Passes on the bytes of the answer's body, in which lines and chunks end where they like. */
-  private final class Unwrapper extends SimpleChannelInboundHandler<HttpObject> {
+  /** Passes on the bytes of the answer's body, in which lines, objects and chunks end where they like. */
+  private final class Answer extends SimpleChannelInboundHandler<HttpObject> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-      boolean good = part.decoderResult().isSuccess()
-          && !(part instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK));
-      if (good && part instanceof HttpResponse) {
-        loop.schedule(() -> caughtUp("discovery has nothing new"), NEWS_MS, TimeUnit.MILLISECONDS);
+      if (ctx.channel() != channel) {
+        return;
       }
-      if (good && part instanceof HttpContent content && content.content().isReadable()) {
-        ctx.fireChannelRead(content.content().retain());
+      if (part.decoderResult().isFailure()
+          || part instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK)) {
+        ended(ctx.channel());
+        return;
       }
-      if (!good || part instanceof LastHttpContent) {
-        ctx.close();
+      if (part instanceof HttpResponse) {
+        watch.answered(clock.now());
       }
-    }
-  }
-
-  private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
-    private final ListScanner scanner = new ListScanner();
-
-    @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf part) throws IOException {
-      for (byte[] object : scanner.read(ByteBufUtil.getBytes(part))) {
-        RosterNews news = parse(object);
-        version = news.version();
-        listener.accept(news);
-        caughtUp("discovery's first list has come");
+      if (part instanceof HttpContent content && content.content().isReadable()) {
+        byte[] bytes = ByteBufUtil.getBytes(content.content());
+        take(() -> watch.body(clock.now(), bytes));
       }
-      if (scanner.junk()) {
-        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
-        throw new IOException("neither an object nor white space");
-      }
-      if (!scanner.inside()) {
-        backoffMs = LEAST_BACKOFF_MS;
-      }
-    }
-
-    /** An object that was cut for good. */
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-      if (scanner.inside()) {
-        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
-      }
-      ctx.fireChannelInactive();
-    }
-
-    private RosterNews parse(byte[] object) throws IOException {
-      try {
-        return RosterNews.parse(object);
-      } catch (IOException e) {
-        tally.count(Tally.Event.DISCOVERY_UNREADABLE);
-        throw e;
+      if (part instanceof LastHttpContent) {
+        ended(ctx.channel());
       }
     }
 
-    /**
-     * Junk, silence or a broken connection: a new watch from the last good version makes up for it, after a
-     * wait that grows until an object can be read, as all front doors may be sent the same junk.
-     */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       LOG.log(Level.FINE, "watch ended", cause);
--- a/front/src/main/java/willowdoor/net/FrontDoor.java
+++ b/front/src/main/java/willowdoor/net/FrontDoor.java
@@ -217,7 +217,7 @@
     driver = new ModuleDriver(loop, clock, policy, backends, tally);
     clients = new ClientServer(transport, clock, looks, driver, backends,
         new RequestReader(config.settings()), descriptors, tally,
-        () -> discovery == null || discovery.caughtUp());
+        () -> discovery == null || discovery.caughtUp().isDone());
     counter = new CounterClient(loop, transport, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
     if (config.counter() != null) {
@@ -232,8 +232,8 @@
       loop.scheduleWithFixedDelay(() -> follow(file.look()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
     if (config.discovery() != null) {
-      discovery = new DiscoveryClient(loop, transport, config.discovery(), config.known().version(), tally,
-          driver::onRoster);
+      discovery = new DiscoveryClient(loop, transport, clock, config.discovery(), config.known().version(),
+          tally, driver::onRoster);
       discovery.start();
     }
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
--- /dev/null
+++ b/front/src/test/java/willowdoor/net/WatchTest.java
@@ -0,0 +1,245 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import willowdoor.net.Watch.Effect;
+import willowdoor.net.Watch.Effect.Close;
+import willowdoor.net.Watch.Effect.Deliver;
+import willowdoor.net.Watch.Effect.Open;
+
+/** The rows of the table "The list's clock" in docs/design.md, on a clock moved by hand. */
+class WatchTest {
+
+  /** What a silent watch misses counts as told after this, what the next address has after a SIGHUP. */
+  private static final double TOLD_MS = 6_000;
+  private static final double TOLD_AFTER_HANG_UP_MS = 4_000;
+  /** A drain is kept within this of its being told. */
+  private static final double GRACE_MS = 1_000;
+  private static final double LOOK_MS = 25;
+
+  /** The longest waits that chance can bring. */
+  private final Watch watch = new Watch(7, () -> 1.0);
+  private final List<Effect> done = new ArrayList<>();
+  private double now = 1e12;
+
+  private void does(List<Effect> effects) {
+    done.addAll(effects);
+  }
+
+  /** Looks on until one of this kind is done, and gives the time that took. */
+  private double until(Class<? extends Effect> kind) {
+    double from = now;
+    done.clear();
+    while (done.stream().noneMatch(kind::isInstance)) {
+      assertTrue(now - from < 60_000, "nothing more is done");
+      now += LOOK_MS;
+      does(watch.look(now));
+    }
+    return now - from;
+  }
+
+  private void pass(double ms) {
+    for (double end = now + ms; now < end;) {
+      now = Math.min(end, now + LOOK_MS);
+      does(watch.look(now));
+    }
+  }
+
+  private void body(String text) {
+    does(watch.body(now, text.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** A watch that has brought its first list. */
+  private void living() {
+    does(watch.start(now));
+    watch.connected(now);
+    watch.answered(now);
+    body(Peers.list(8, true) + "\n");
+    done.clear();
+  }
+
+  /** How far a try comes before it falls silent. */
+  private void goesSilent(String at) {
+    if (!at.equals("connect")) {
+      watch.connected(now);
+    }
+    if (at.equals("head") || at.equals("half")) {
+      watch.answered(now);
+    }
+    if (at.equals("half")) {
+      body("{\"version\":9,\n");
+    }
+  }
+
+  @Test
+  void silenceJustUnderTheLimitIsNoneAndJustOverItEndsTheWatch() {
+    living();
+    pass(Watch.SILENT_MS - 1);
+    body("\n");
+    pass(Watch.SILENT_MS - 1);
+    assertEquals(List.of(), done);
+    pass(1 + LOOK_MS);
+    assertEquals(List.of(new Close(false)), done);
+  }
+
+  /** Open or cut by the far end, and though the next try falls silent as well, wherever that does. */
+  @ParameterizedTest
+  @ValueSource(strings = {"connect", "request", "head", "half"})
+  void aSilentWatchIsOpenAgainInTimeThoughOneTryIsSilentToo(String at) {
+    living();
+    double taken = until(Open.class);
+    goesSilent(at);
+    taken += until(Open.class);
+    assertEquals(new Open(8), done.get(done.size() - 1));
+    assertTrue(taken <= TOLD_MS - 800, at + ": " + taken);
+  }
+
+  @Test
+  void halfALineAndThenSilenceIsCountedAndAskedForAgain() {
+    living();
+    body("{\"version\":9,\"full\":false,\n");
+    double taken = until(Open.class);
+    assertEquals(List.of(new Close(true), new Open(8)), done);
+    assertTrue(taken <= GRACE_MS, "" + taken);
+  }
+
+  @Test
+  void anObjectThatDripsIsGivenUpInTime() {
+    living();
+    body("{");
+    double from = now;
+    while (done.isEmpty()) {
+      pass(400);
+      body(done.isEmpty() ? " " : "");
+    }
+    assertTrue(done.contains(new Close(true)));
+    assertTrue(now - from < TOLD_MS, "" + (now - from));
+  }
+
+  /** Indented and in pieces as small as can be: no try ends over it. */
+  @Test
+  void aListThatComesIndentedAndCutAnywhereIsDelivered() {
+    living();
+    for (char c : "\n{\n  \"version\": 9,\n  \"full\": true,\n  \"servers\": [\n  ]\n}\n".toCharArray()) {
+      pass(50);
+      body(String.valueOf(c));
+    }
+    assertEquals(1, done.size());
+    assertEquals(9, ((Deliver) done.get(0)).news().version());
+  }
+
+  /** The outage is over longer than the watches are silent: what the agent is told then counts at once. */
+  @ParameterizedTest
+  @ValueSource(strings = {"connect", "request"})
+  void inAnOutageItAsksSoOftenThatItsEndIsSeenWithinTheGrace(String at) {
+    living();
+    until(Open.class);
+    for (int i = 0; i < 20; i++) {
+      goesSilent(at);
+      double apart = until(Open.class);
+      assertTrue(apart <= GRACE_MS - 300, "" + apart);
+      assertTrue(apart >= 200, "" + apart);
+    }
+  }
+
+  /** Refused or answered with junk at once: all front doors may be, so tries keep their distance. */
+  @Test
+  void triesThatFailAtOnceKeepTheirDistanceAndBeingUsefulSavesIt() {
+    living();
+    pass(2_000);
+    does(watch.ended(now));
+    assertTrue(until(Open.class) <= 2 * Watch.AGAIN_MS);
+    for (int i = 0; i < 20; i++) {
+      does(watch.ended(now));
+      double apart = until(Open.class);
+      assertTrue(apart >= 200 && apart <= GRACE_MS - 300, "" + apart);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"connect", "request"})
+  void silenceAtTheStartIsTakenForAnOutageAfterAWholeTryAndASecond(String at) {
+    does(watch.start(now));
+    goesSilent(at);
+    pass(Watch.KNOWN_MS - 1);
+    assertNull(watch.caughtUp());
+    pass(1 + LOOK_MS);
+    assertNotNull(watch.caughtUp());
+    assertTrue(until(Open.class) <= GRACE_MS - 300);
+  }
+
+  /** Nothing behind the head is nothing new, unless an object has begun, or this process stood still. */
+  @Test
+  void itIsCaughtUpOnceNothingFollowsTheHead() {
+    does(watch.start(now));
+    watch.connected(now);
+    watch.answered(now);
+    now += 500;
+    does(watch.look(now));
+    assertNull(watch.caughtUp());
+    body("{\"version\":8,\"full\":false,");
+    pass(Watch.NEWS_MS + 4 * LOOK_MS);
+    assertNull(watch.caughtUp());
+    body("\"servers\":[]}\n");
+    assertEquals("discovery's first list has come", watch.caughtUp());
+
+    Watch other = new Watch(7, () -> 0.0);
+    other.start(0);
+    other.connected(0);
+    other.answered(0);
+    other.look(Watch.NEWS_MS);
+    other.look(Watch.NEWS_MS + LOOK_MS);
+    assertEquals("discovery has nothing new", other.caughtUp());
+  }
+
+  /** A watch that has been silent for a while, and the next address silent at first. */
+  @ParameterizedTest
+  @ValueSource(strings = {"connect", "request", "head", "half"})
+  void silenceAcrossAHangUpIsSeenInTime(String at) {
+    living();
+    pass(Watch.SILENT_MS - 1);
+    does(watch.moved(now));
+    assertEquals(List.of(new Close(false), new Open(8)), done);
+    goesSilent(at);
+    assertTrue(until(Open.class) <= TOLD_AFTER_HANG_UP_MS - 1_000);
+  }
+
+  @Test
+  void aHangUpBetweenTwoTriesOpensAtOnce() {
+    living();
+    does(watch.ended(now));
+    done.clear();
+    does(watch.moved(now));
+    assertEquals(List.of(new Open(8)), done);
+  }
+
+  /** What came meanwhile is read between two looks. */
+  @Test
+  void aPauseOfThisProcessIsNotTheAgentsSilence() {
+    living();
+    now += 20_000;
+    does(watch.look(now));
+    body("\n");
+    pass(Watch.SILENT_MS - 1);
+    assertEquals(List.of(), done);
+  }
+
+  @Test
+  void junkEndsTheTryBehindWhatCouldBeRead() {
+    living();
+    body(Peers.list(9, false) + "\n{\"version\":10}\n");
+    assertEquals(2, done.size());
+    assertEquals(new Close(true), done.get(1));
+    until(Open.class);
+    assertEquals(new Open(9), done.get(0));
+  }
+}
