Listen to clients only once the agent's list is known

Need: what the agent has counts as told from the first moment of a new process.

Cause, by reading: FrontDoor.begin listened right behind wire(), while /up waited for the list. Clients that still held the process before this one for alive (the front notices its death some seconds later) were served by the configuration's list in that time: 0.1 s, or up to 1 s where the agent is slow. Now the address is bound when the list is caught up; until then connects are refused, as before the start. The time until /up says yes is as it was. nothingIsSentByAnOldListWhileDiscoveryIsAboutToTellTheNews fails without the wait.

--- a/front/src/main/java/willowdoor/net/FrontDoor.java
+++ b/front/src/main/java/willowdoor/net/FrontDoor.java
@@ -98,7 +98,11 @@
     return door;
   }
 
-  /** Operators are answered from the first; clients, servers and discovery come once it is prepared. */
+  /**
+   * Operators are answered from the first; clients, servers and discovery come once it is prepared. Nothing
+   * is sent by the configuration's list while the agent may have a newer one, which counts as told by now:
+   * clients that took the process before this one for alive would have it sent.
+   */
   private void begin(Config config, ServerSocketChannel inherited, Path operators, Runnable preparation)
       throws IOException, InterruptedException {
     try {
@@ -108,6 +112,9 @@
       file = new OperatorFile(operators);
       preparation.run();
       loop.submit(() -> wire(config)).sync();
+      if (discovery != null && inherited == null) {
+        discovery.caughtUp().sync();
+      }
       ChannelFuture listens = inherited == null ? clients.listen(group, config.listen())
           : clients.adopt(group, inherited);
       listening = listens.sync().channel();
