Hear SIGHUP and SIGTERM before the process says that it is ready

By reading: FrontDoor.serve took up both signals after begin() had opened /up, and the platform may send SIGHUP from the moment that the process is ready; without the handler it ends the process. Found by reading, not seen; there is no test for an order of a few milliseconds.

--- a/front/src/main/java/willowdoor/net/FrontDoor.java
+++ b/front/src/main/java/willowdoor/net/FrontDoor.java
@@ -75,8 +75,10 @@
     Path operators = Path.of(System.getProperty("java.io.tmpdir"), "willowdoor-" + config.name() + ".json");
     FrontDoor door = new FrontDoor(Transport.BEST);
     door.begin(config, inherited(), operators, () -> rehearse(config, REHEARSED));
+    // The platform may send either signal once the process has said that it is ready.
     door.reloadOnHangUp(path);
     Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
+    door.open();
   }
 
   /** The clients' listening socket where the platform holds it, else null. */
@@ -95,6 +97,7 @@
       throws IOException, InterruptedException {
     FrontDoor door = new FrontDoor(Transport.BEST);
     door.begin(config, inherited, operators, () -> { });
+    door.open();
     return door;
   }
 
@@ -125,6 +128,10 @@
       stop();
       throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
+  }
+
+  /** From here on it says that it is ready where it is. */
+  private void open() throws InterruptedException {
     loop.submit(this::serving).sync();
   }
 
@@ -138,6 +145,7 @@
     try {
       Rehearsal rehearsal = new Rehearsal(config.settings(), door.group);
       door.begin(rehearsal.among(config), null, Path.of(""), () -> { });
+      door.open();
       int answered = rehearsal.play(requests, REHEARSAL_MS);
       LOG.info(() -> "rehearsed with " + answered + " requests inside the process");
       return answered;
