Close nothing in a drain right behind a pause, nor early where operators drained before

Need: clients send on every connection that stays open after SIGTERM, and new ones come for 0.4 s.

Cause, by reading (ClientServer): partWithIdle ran on a timer that fires behind a pause of the process in the same turn of the loop, before connections and requests that came meanwhile were accepted and read, and closed the listening socket and connections with them; a connection just accepted had no time for its first request; and end() kept the beginning of an older drain, so with the operators' drain on the listening socket was closed 10 ms after SIGTERM. Rounds passes over the round behind a pause, a new connection has 0.1 s, and the end begins its own time.

--- a/front/src/main/java/willowdoor/net/ClientServer.java
+++ b/front/src/main/java/willowdoor/net/ClientServer.java
@@ -35,6 +35,8 @@
    * it is the last; new connections go on coming for the first 0.4 s. What is idle then is closed.
    */
   private static final double PARTING_MS = 550;
+  /** A connection that was made shortly before the end gets so long for its request. */
+  private static final double FIRST_MS = 100;
   /** Idle connections are closed a few at a time: what came meanwhile is read in between. */
   private static final int CLOSED_AT_ONCE = 8;
   private static final int MOST_HELD = 400;
@@ -67,6 +69,7 @@
   private boolean evacuated;
   private boolean ending;
   private double drainingSince;
+  private final Rounds rounds = new Rounds();
 
   ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver, BackendPool backends,
       RequestReader reader, Descriptors descriptors, Tally tally, BooleanSupplier caughtUp) {
@@ -235,37 +238,35 @@
 
   /** The operators' drain, or its end: from here on every answer ends its connection. */
   void evacuate(boolean on) {
-    beginDrain();
+    if (!draining()) {
+      drainingSince = clock.now();
+    }
     evacuated = on;
   }
 
   /**
-   * The planned end: as a drain, and no new connections are taken: from now on where another process takes
-   * them, else once those on their way have come.
+   * The planned end: as a drain that begins now, also where the operators' has been on for long, and no new
+   * connections are taken: from now on where another process takes them, else once those on their way have
+   * come.
    */
   void end() {
-    beginDrain();
+    drainingSince = clock.now();
     ending = true;
     if (shared) {
       stopAccepting();
     }
   }
 
-  private void beginDrain() {
-    if (!draining()) {
-      drainingSince = clock.now();
-    }
-  }
-
   /** Closes a few connections that no request is on, those that wait the longest first. */
   void partWithIdle() {
-    if (!draining() || clock.now() - drainingSince < PARTING_MS) {
+    double now = clock.now();
+    if (!rounds.acts(now) || !draining() || now - drainingSince < PARTING_MS) {
       return;
     }
     if (ending && accepting) {
       stopAccepting();
     }
-    double silentBefore = ending ? Double.POSITIVE_INFINITY : clock.now() - SILENT_MS;
+    double silentBefore = now - (ending ? FIRST_MS : SILENT_MS);
     Stream.concat(idle.stream(), fresh.stream().takeWhile(c -> c.openedAt() < silentBefore))
         .filter(ClientConnection::waits).limit(CLOSED_AT_ONCE).toList()
         .forEach(ClientConnection::closeIfIdle);
--- /dev/null
+++ b/front/src/test/java/willowdoor/net/RoundsTest.java
@@ -0,0 +1,18 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class RoundsTest {
+
+  @Test
+  void aProcessThatIsAlwaysSlowStillEnds() {
+    Rounds rounds = new Rounds();
+    int acted = 0;
+    for (int i = 0; i < 10; i++) {
+      acted += rounds.acts(100 * i) ? 1 : 0;
+    }
+    assertEquals(5, acted);
+  }
+}
