Split the decision module into the package willowdoor.policy, one concern a file

The one class of 1,107 lines held quota, counter, pressure, choice of server and attempts together, so none could be tested alone.

--- a/front/src/main/java/willowdoor/BenchLink.java
+++ b/front/src/main/java/willowdoor/BenchLink.java
@@ -17,29 +17,30 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Cancel;
-import willowdoor.GatewayApi.ClientLeft;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Event;
-import willowdoor.GatewayApi.Fail;
-import willowdoor.GatewayApi.FollowRoster;
-import willowdoor.GatewayApi.Load;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.StreamBegan;
-import willowdoor.GatewayApi.WakeAt;
-import willowdoor.GatewayApi.Woken;
-
-/** Turns the bench's wire into events of {@link GatewayApi} and the actions back into the wire; no more. */
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Cancel;
+import willowdoor.policy.GatewayApi.ClientLeft;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Event;
+import willowdoor.policy.GatewayApi.Fail;
+import willowdoor.policy.GatewayApi.FollowRoster;
+import willowdoor.policy.GatewayApi.Load;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Refuse;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.StreamBegan;
+import willowdoor.policy.GatewayApi.WakeAt;
+import willowdoor.policy.GatewayApi.Woken;
+import willowdoor.policy.QuotaPolicy;
+
+/** Turns the bench's wire into the policy's events and its actions back into the wire; no more. */
 final class BenchLink {
 
   private static final Map<String, Status> STATUSES = Map.of("OK", Status.OK, "INTERNAL", Status.ERROR,
--- a/front/src/main/java/willowdoor/WireSettings.java
+++ b/front/src/main/java/willowdoor/WireSettings.java
@@ -9,13 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import willowdoor.GatewayApi.Allowed;
-import willowdoor.GatewayApi.Group;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Rules;
-import willowdoor.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Allowed;
+import willowdoor.policy.GatewayApi.Group;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Settings;
 
 /** The settings object as the wire names it; the adapter and the real front door read the same one. */
 public final class WireSettings {
--- a/front/src/main/java/willowdoor/net/Attempt.java
+++ b/front/src/main/java/willowdoor/net/Attempt.java
@@ -4,7 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Status;
 
 /** One attempt of a request at one backend, from the module's send to its one outcome. */
 abstract class Attempt {
--- a/front/src/main/java/willowdoor/net/BackendConnection.java
+++ b/front/src/main/java/willowdoor/net/BackendConnection.java
@@ -17,7 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements Outgoing.Sink {
--- a/front/src/main/java/willowdoor/net/BackendPool.java
+++ b/front/src/main/java/willowdoor/net/BackendPool.java
@@ -16,9 +16,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Status;
 
 /** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
 final class BackendPool implements ModuleDriver.Servers {
--- a/front/src/main/java/willowdoor/net/Config.java
+++ b/front/src/main/java/willowdoor/net/Config.java
@@ -11,9 +11,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 import willowdoor.Address;
-import willowdoor.GatewayApi.Settings;
 import willowdoor.JsonFields;
 import willowdoor.WireSettings;
+import willowdoor.policy.GatewayApi.Settings;
 
 /** What a front door is told: the file that {@code GW_CONFIG} names. */
 record Config(String name, SocketAddress listen, InetSocketAddress management,
--- a/front/src/main/java/willowdoor/net/CounterClient.java
+++ b/front/src/main/java/willowdoor/net/CounterClient.java
@@ -19,8 +19,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Status;
 
 /**
  * Calls to the counter, pipelined on a few kept connections. A call goes to the connection with the fewest
--- a/front/src/main/java/willowdoor/net/FrontDoor.java
+++ b/front/src/main/java/willowdoor/net/FrontDoor.java
@@ -14,9 +14,9 @@
 import java.util.function.UnaryOperator;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Settings;
-import willowdoor.QuotaPolicy;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.policy.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
 public final class FrontDoor implements Management.Operator {
--- a/front/src/main/java/willowdoor/net/Rehearsal.java
+++ b/front/src/main/java/willowdoor/net/Rehearsal.java
@@ -7,12 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Settings;
 import willowdoor.start.StandIns;
 
 /** What a front door serves within the process before it says ready: its peers there, and their requests. */
--- a/front/src/main/java/willowdoor/net/RequestReader.java
+++ b/front/src/main/java/willowdoor/net/RequestReader.java
@@ -6,10 +6,10 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Settings;
 
 /** Reads a client's message as a request for the module; what is not one is refused here with its reason. */
 final class RequestReader {
--- a/front/src/main/java/willowdoor/net/RosterNews.java
+++ b/front/src/main/java/willowdoor/net/RosterNews.java
@@ -11,9 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import willowdoor.Address;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
 import willowdoor.JsonFields;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
 
 /** One message of discovery: the entries for the module, and where each backend listens, seen from here. */
 record RosterNews(long version, boolean full, List<BackendEntry> entries,
--- a/front/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/front/src/test/java/willowdoor/net/CounterClientTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Status;
 
 /** The counter's client against a scripted counter. */
 @Timeout(30)
--- a/front/src/test/java/willowdoor/net/WaitLimitsTest.java
+++ b/front/src/test/java/willowdoor/net/WaitLimitsTest.java
@@ -26,10 +26,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Status;
-import willowdoor.QuotaPolicy;
 import willowdoor.net.RequestReader.Asked;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.QuotaPolicy;
 
 /** Every wait of a request ends within its time, with the clock moved by hand and the real module. */
 class WaitLimitsTest {
--- a/policy/src/main/java/willowdoor/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import java.util.List;
 
--- a/policy/src/test/java/willowdoor/CeilingTest.java
+++ b/policy/src/test/java/willowdoor/policy/CeilingTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
 
 /** Several gateways against one count that fails in every way: the ceiling's store must hold. */
 class CeilingTest {
--- /dev/null
+++ b/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
@@ -0,0 +1,39 @@
+package willowdoor.policy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a backend that has just started gets of a steady stream of sends; time is moved by hand. */
+class ColdRoomTest {
+
+  @Test
+  void aColdBackendGetsTheShareThatTheRulesPromise() {
+    Context ctx = new Context(Fixtures.settings(true, 100, false), 5);
+    ctx.now = 1_000_000;
+    List<Backend> usual = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      usual.add(new Backend(ctx, i));
+    }
+    ColdRoom room = new ColdRoom(ctx, usual);
+    for (int i = 0; i < 2000; i++) {
+      ctx.now += 10;
+      room.sent(usual.get(i % 10));
+      assertTrue(room.has(usual.get(1)), "a warm one always has room");
+    }
+    Backend cold = usual.get(0);
+    cold.startedMs = cold.coldAt = ctx.now;
+    room.listed();
+    int sent = 0;
+    for (int i = 0; i < 500; i++) {
+      ctx.now += 10;
+      boolean has = room.has(cold);
+      room.sent(has ? cold : usual.get(1));
+      sent += has ? 1 : 0;
+    }
+    // 500 sends for ten, of which one bears 0.2 to 0.6 of a warm one's: an even part is 50, the promise some 21.
+    assertTrue(sent >= 17 && sent <= 25, sent + " sent to the cold one");
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/willowdoor/policy/CounterPaceTest.java
@@ -0,0 +1,52 @@
+package willowdoor.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import willowdoor.policy.GatewayApi.Status;
+
+/** How many requests call a counter that fails, is away, and comes back; time is moved by hand. */
+class CounterPaceTest {
+
+  private final Context ctx = new Context(Fixtures.settings(true, 100, false), 5);
+  private final CounterPace pace = new CounterPace(ctx);
+
+  private void ends(Status status) {
+    ctx.now += 31;
+    pace.judge(status);
+  }
+
+  private int calls(int tries, double stepMs) {
+    int calls = 0;
+    for (int i = 0; i < tries; i++) {
+      ctx.now += stepMs;
+      calls += pace.mayCall() ? 1 : 0;
+    }
+    return calls;
+  }
+
+  @Test
+  void failuresCutTheShareOncePerLimitAndAnswersRaiseIt() {
+    ends(Status.TIMED_OUT);
+    pace.judge(Status.TIMED_OUT);
+    assertEquals(0.7, pace.pace, 1e-9, "two at the same time are one sign of load");
+    int calls = calls(1000, 0);
+    assertTrue(calls > 640 && calls < 760, calls + " of 1000 call");
+    ends(Status.RESET);
+    assertEquals(0.7, pace.pace, 1e-9, "a broken answer tells of no load");
+    ends(Status.OK);
+    assertTrue(pace.pace > 0.7 && pace.pace < 0.8);
+  }
+
+  @Test
+  void anAbsentCounterIsTriedNowAndThenAndComesBackSlowly() {
+    for (int i = 0; i < 4; i++) {
+      ends(Status.TIMED_OUT);
+    }
+    int trials = calls(4000, 5);
+    assertTrue(trials >= 30 && trials <= 54, "trials in 20 s, spaced by 375 to 625 ms: " + trials);
+    ends(Status.OK);
+    assertEquals(0.3, pace.pace, 1e-9);
+  }
+}
--- a/policy/src/test/java/willowdoor/Fixtures.java
+++ b/policy/src/test/java/willowdoor/policy/Fixtures.java
@@ -1,29 +1,29 @@
-package willowdoor;
+package willowdoor.policy;
 
 import java.util.ArrayList;
 import java.util.List;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.Allowed;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Event;
-import willowdoor.GatewayApi.Group;
-import willowdoor.GatewayApi.Load;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Rules;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Settings;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.WakeAt;
-import willowdoor.GatewayApi.Woken;
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.Allowed;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Event;
+import willowdoor.policy.GatewayApi.Group;
+import willowdoor.policy.GatewayApi.Load;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.WakeAt;
+import willowdoor.policy.GatewayApi.Woken;
 
 /** A gateway under test: its module, a clock, and all that the module asked for. */
 final class Fixtures {
--- a/policy/src/test/java/willowdoor/FleetTest.java
+++ b/policy/src/test/java/willowdoor/policy/FleetTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -14,21 +14,21 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Cancel;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Fail;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.Woken;
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Cancel;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Fail;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Refuse;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Woken;
 
 /** Many gateways at once, with fixed seeds: what one may do alone is multiplied by all, so the sums count. */
 class FleetTest {
--- a/policy/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,24 +11,24 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.Ban;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Cancel;
-import willowdoor.GatewayApi.ClientLeft;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Fail;
-import willowdoor.GatewayApi.FollowRoster;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.StreamBegan;
-import willowdoor.GatewayApi.Woken;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Ban;
+import willowdoor.policy.GatewayApi.Cancel;
+import willowdoor.policy.GatewayApi.ClientLeft;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Fail;
+import willowdoor.policy.GatewayApi.FollowRoster;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Refuse;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.StreamBegan;
+import willowdoor.policy.GatewayApi.Woken;
 
 class QuotaPolicyTest {
 
--- a/policy/src/test/java/willowdoor/StoreErrorTest.java
+++ b/policy/src/test/java/willowdoor/policy/StoreErrorTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,10 +7,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Status;
-import willowdoor.StoreModel.Result;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Refuse;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.StoreModel.Result;
 
 /** What the module's estimate of each customer's store is worth, against the store itself. */
 class StoreErrorTest {
