Take each answer's own wait as pressure, and give each class its part of what passes

ColdRoom.has let a credit of at most one request build up, and what a front door sends a cold server is 0.24 a second: chance left a third of the room unused. Pressure.ended took the fleet's service time, a mean of the last 50 answers (12 s), as the least wait of any answer: the wait it went by stayed at 0.25 to 0.29 of the aim where answers took 0.14 to 0.2, so requests were refused for a wait that was not there. Each answer's own wait is the sample now, and the bounds come down by the 1.2 that the floor had added on a calm fleet (0.21 and 0.34 for 0.25 and 0.4).

--- a/policy/src/main/java/willowdoor/policy/Account.java
+++ b/policy/src/main/java/willowdoor/policy/Account.java
@@ -19,13 +19,14 @@
   /** A customer known to be spent is still asked about this often, as refunds of others may have come. */
   private static final double SPENT_RECHECK_MS = 400;
   /** How long the spending of a customer is remembered for its rates: longer than a burst, a few refills. */
-  private static final double RATE_MEMORY_MS = 5_000;
+  static final double RATE_MEMORY_MS = 5_000;
   /** How long a rarely met customer is taken to go on as last seen: heavy use comes in long spells. */
   private static final double SPELL_MS = 15_000;
 
   private final Context ctx;
   private final long customer;
   final Plan plan;
+  private final Mean letIn; // the share of its plan's requests that the answers of late let in
   private final int gateways; // through how many its requests may come
   /** Shift and length of its counts' windows; met too rarely to follow its bucket, which totals tell. */
   private final double phase, windowMs;
@@ -43,8 +44,9 @@
   private double part; // this gateway's even part of the quota, which it may send on unasked
   int out; // attempts
 
-  Account(Context ctx, long customer, Plan plan, int entryPoints) {
+  Account(Context ctx, long customer, Plan plan, Mean letIn, int entryPoints) {
     this.ctx = ctx;
+    this.letIn = letIn;
     this.customer = customer;
     this.plan = plan;
     gateways = Math.max(1, Math.min(entryPoints, ctx.settings.gateways()));
@@ -146,11 +148,24 @@
   /** Whether there is room by the answered total, or else by the replica and what may be sent on unasked. */
   boolean within(double units, boolean answered, double ownFlying) {
     double room = answered ? level : level - flying + ownFlying;
-    boolean within = room >= units && (answered || !byTotal || part >= units);
-    hopeful = answered ? Math.min(1, hopeful * (within ? HOPE_GROWN : HOPE_CUT)) : hopeful;
+    boolean within = room >= units && (answered || !byTotal || part >= units || worthUnasked() > 0);
+    if (answered) {
+      hopeful = Math.min(1, hopeful * (within ? HOPE_GROWN : HOPE_CUT));
+      letIn.add(within ? 1 : 0, ctx.now);
+    }
     return within;
   }
 
+  boolean earnsBeyond() { return plan.beyondEarns() > plan.beyondCost() && plan.ceilingRate() <= 0; }
+
+  /** What a request that nobody confirmed brings in the mean, as a share of its worth: as likely inside the
+   * quota as those of its plan that were asked about. Without answers that falls to what lies beyond. Nothing
+   * where open requests are limited, as no answer tells how many the others have out. */
+  private double worthUnasked() {
+    double inside = letIn.fresh(ctx.now) * hopeful();
+    return plan.openLimit() > 0 ? 0 : inside + (1 - inside) * (plan.beyondEarns() - plan.beyondCost());
+  }
+
   void take(double units) {
     level -= units;
     part = Math.max(0, part - units);
--- a/policy/src/main/java/willowdoor/policy/Admission.java
+++ b/policy/src/main/java/willowdoor/policy/Admission.java
@@ -17,7 +17,7 @@
     } else if (job.late(ctx.now)) {
       ctx.figures.expired[Stage.ARRIVAL.ordinal()]++;
       attempts.refuse(job, Refusal.LATE, 0);
-    } else if (ctx.pressure.pressed(job.worth(), 0, ctx.now)) {
+    } else if (ctx.pressure.sheds(r.className(), job.worth(), ctx.now)) {
       attempts.refuse(job, Refusal.PRESSED, 0);
     } else {
       check(job);
@@ -43,9 +43,7 @@
 
   void onCounted(Counted e) {
     Job job = count.onCounted(e);
-    if (job != null) {
-      decide(job, e.status() == Status.OK);
-    }
+    if (job != null) { decide(job, e.status() == Status.OK); }
   }
 
   /** By the answered total, or else by the replica with the share of the refill this gateway is used to. */
@@ -75,13 +73,12 @@
 
   /** Beyond its quota a request goes on only where the plan earns by it, under no ceiling, fleet idle. */
   private void beyondQuota(Job job, Refusal why) {
-    Plan plan = job.account.plan;
-    if (plan.beyondEarns() > plan.beyondCost() && plan.ceilingRate() <= 0
-        && ctx.pressure.expectedOfAim(ctx.now) < Pressure.LOW - Pressure.UNCONFIRMED) {
+    double rate = job.account.plan.rate(), wait = ctx.pressure.expectedOfAim(ctx.now);
+    if (job.account.earnsBeyond() && wait < Pressure.LOW - Pressure.UNCONFIRMED) {
       attempts.dispatch(job);
     } else {
       double missing = job.request.units() - job.account.level;
-      attempts.refuse(job, why, plan.rate() > 0 ? Math.max(Job.TICK_MS, missing / plan.rate() * 1000) : 0);
+      attempts.refuse(job, why, rate > 0 ? Math.max(Job.TICK_MS, missing / rate * 1000) : 0);
     }
   }
 
--- a/policy/src/main/java/willowdoor/policy/Attempts.java
+++ b/policy/src/main/java/willowdoor/policy/Attempts.java
@@ -79,9 +79,7 @@
     double heldUp = ctx.stalls.heldUp(attempt.sentAt(), ctx.now);
     ctx.pressure.ended(e, attempt.sentAt(), job.aim(), heldUp, ctx.now);
     job.live = job.live == attempt ? null : job.live;
-    if (!fleet.banned(backend.id)) {
-      backend.learn(e, attempt.sentAt(), heldUp);
-    }
+    if (!fleet.banned(backend.id)) { backend.learn(e, attempt.sentAt(), heldUp); }
     if (e.status() == Status.OK && job.inQuota && e.trueUnits() > 0) {
       job.account.settle(e.trueUnits() - job.request.units());
     }
@@ -121,8 +119,8 @@
   /** The final answer when no attempt will follow: a refusal where that promise holds, else a failure. */
   private void giveUp(Job job) {
     if (job.late(ctx.now)) {
-      Stage before = job.called ? Stage.COUNTER : Stage.HELD;
-      Stage stage = job.attempts == 0 ? before : job.unreached ? Stage.CONNECT : Stage.ANSWER;
+      Stage stage = job.attempts == 0 ? job.called ? Stage.COUNTER : Stage.HELD
+          : job.unreached ? Stage.CONNECT : Stage.ANSWER;
       ctx.figures.expired[stage.ordinal()]++;
     }
     boolean harmless = !job.mayHaveRun || job.type.repeat() == Repeat.SAFE
--- a/policy/src/main/java/willowdoor/policy/ColdRoom.java
+++ b/policy/src/main/java/willowdoor/policy/ColdRoom.java
@@ -25,12 +25,14 @@
   }
 
   /** Guards a backend that has just started, for whatever cause: it gets no more than its present part of
-   * what a warm one gets, attempts of every kind included. Harm: slower use of a fleet that comes back. */
+   * what a warm one gets, attempts of every kind included, and as much more at once as chance brings: the
+   * root of what that is in the time that the rules name. Harm: slower use of a fleet that comes back. */
   boolean has(Backend b) {
     if (!b.cold()) { return true; }
     double floor = 1000 / Math.max(1, ctx.pressure.service) / ctx.settings.gateways();
-    double rate = Math.max(sendsPerBackend(), 0.5 * floor) * b.warmShare();
-    b.coldTokens = Math.min(1, b.coldTokens + rate * (ctx.now - b.coldAt) / 1000);
+    double rate = Math.max(sendsPerBackend(), 0.5 * floor) * b.warmShare() / 1000;
+    double most = 1 + Math.sqrt(rate * ctx.settings.rules().tipAfterMs());
+    b.coldTokens = Math.min(most, b.coldTokens + rate * (ctx.now - b.coldAt));
     b.coldAt = ctx.now;
     return b.coldTokens >= 1;
   }
--- a/policy/src/main/java/willowdoor/policy/Fleet.java
+++ b/policy/src/main/java/willowdoor/policy/Fleet.java
@@ -26,9 +26,7 @@
       ctx.out.add(new WakeAt(ctx.now + 1000, "follow"));
       return;
     }
-    if (e.form() != RosterForm.CHANGES) {
-      backends.values().forEach(b -> b.phase = Phase.REMOVED);
-    }
+    if (e.form() != RosterForm.CHANGES) { backends.values().forEach(b -> b.phase = Phase.REMOVED); }
     for (BackendEntry x : e.entries()) {
       Backend b = backends.computeIfAbsent(x.id(), id -> new Backend(ctx, id));
       if (b.entry != null && b.entry.startedMs() != x.startedMs()) {
@@ -49,7 +47,7 @@
   }
 
   private Mean failingIn(String group) {
-    return failing.computeIfAbsent(group, g -> new Mean(Backend.NEWEST, Pressure.LIFE_MS, ctx.now));
+    return failing.computeIfAbsent(group, g -> new Mean(Backend.NEWEST, Pressure.LIFE_MS, ctx.now, 0));
   }
 
   private void listServing() {
--- a/policy/src/main/java/willowdoor/policy/Job.java
+++ b/policy/src/main/java/willowdoor/policy/Job.java
@@ -4,10 +4,8 @@
 
 /** One request taken and not yet finally answered. */
 final class Job {
-  /** How often waiting requests are looked at: well under what a person or an aim notices. */
-  static final double TICK_MS = 25;
-  /** Answer this long before the client gives up, so that the answer itself is in time. */
-  static final double GUARD_MS = 15;
+  /** Waiting requests are looked at this often, and answered so long before their end. */
+  static final double TICK_MS = 25, GUARD_MS = 15;
 
   final Request request;
   final RequestClass type;
--- a/policy/src/main/java/willowdoor/policy/Mean.java
+++ b/policy/src/main/java/willowdoor/policy/Mean.java
@@ -6,10 +6,11 @@
   private double at;
   double value;
 
-  Mean(double weight, double lifeMs, double now) {
+  Mean(double weight, double lifeMs, double now, double value) {
     this.weight = weight;
     this.lifeMs = lifeMs;
     this.at = now;
+    this.value = value;
   }
 
   void add(double sample, double now) {
--- a/policy/src/main/java/willowdoor/policy/Pressure.java
+++ b/policy/src/main/java/willowdoor/policy/Pressure.java
@@ -1,13 +1,16 @@
 package willowdoor.policy;
 
+import java.util.*;
 import willowdoor.policy.GatewayApi.*;
 
 /** The wait for an answer that a request must expect, as this gateway's own attempts tell. */
 final class Pressure {
   /** The least promising wait accepted, as shares of the aim, for the least and the most worthy request. */
-  static final double LOW = 0.25, HIGH = 0.4;
+  static final double LOW = 0.21, HIGH = 0.34;
   /** So much less is accepted for a request that no answer of the counter has confirmed. */
   static final double UNCONFIRMED = 0.1;
+  /** Pressure lets pass at least this part of each class of what it lets pass of all; so much is carried. */
+  private static final double CLASS_PART = 0.8, CLASS_CARRIED = 4;
   /** Weight of the newest answer in the fleet's wait: the last twenty count, or the last few seconds. */
   static final double NEWEST = 0.05, LIFE_MS = 4_000;
   /** A backend with fewer requests than this, of all gateways, is not taken to queue. */
@@ -21,8 +24,11 @@
   private final int gateways;
   int serving, outNow; // backends that serve; attempts out
   double service, timeOut; // mean service time of all; how long an attempt is out, whatever its end
-  final Mean outMean = new Mean(0.3, 1000, 0); // as new requests met them
-  private final Mean latencyOfAim = new Mean(NEWEST, LIFE_MS, 0), outThen = new Mean(NEWEST, LIFE_MS, 0);
+  final Mean outMean = new Mean(0.3, 1000, 0, 0); // as new requests met them
+  private final Mean latencyOfAim = new Mean(NEWEST, LIFE_MS, 0, 0);
+  private final Mean outThen = new Mean(NEWEST, LIFE_MS, 0, 0);
+  private final Mean passing = new Mean(0.02, LIFE_MS, 0, 1); // of all, those let pass
+  private final Map<String, double[]> owed = new HashMap<>(); // to each class, in requests
   private double okAt = Double.NEGATIVE_INFINITY, meanWorth = Double.NaN;
   double meanUnits = 1; // of requests
 
@@ -45,11 +51,21 @@
     return expectedOfAim(now) > LOW + (HIGH - LOW) * rank - less;
   }
 
+  /** Whether pressure refuses a request of the class, which no class bears beyond its part: a class that is
+   * let pass less than its part of what all are is owed the difference. Harm: less room for the worthy. */
+  boolean sheds(String className, double worth, double now) {
+    double[] credit = owed.computeIfAbsent(className, c -> new double[1]);
+    credit[0] = Math.min(CLASS_CARRIED, credit[0] + CLASS_PART * passing.value);
+    boolean sheds = credit[0] < 1 && pressed(worth, 0, now);
+    credit[0] = sheds ? credit[0] : Math.max(-CLASS_CARRIED, credit[0] - 1);
+    passing.add(sheds ? 0 : 1, now);
+    return sheds;
+  }
+
   /** Expected wait as a share of the aim: as lately measured, scaled by how many more are out by now. */
   double expectedOfAim(double now) {
-    double held = gateways / (double) Math.max(1, serving);
+    double held = gateways / (double) Math.max(1, serving), unsure = OUT_UNSURE * held;
     double more = IDLE_HELD / Math.max(1, serving);
-    double unsure = OUT_UNSURE * held;
     double ratio = (outMean.value * held + unsure + more)
         / (Math.max(outThen.value * held, IDLE_HELD) + unsure + more);
     return latencyOfAim.fresh(now) * ratio;
@@ -64,7 +80,7 @@
     boolean silent = e.status() == Status.TIMED_OUT && okAt <= sentAt;
     okAt = ok ? now : okAt;
     if (ok || rejected || silent) {
-      double waited = rejected ? 1 : Math.max(service, e.latencyMs() - heldUpMs) / aim;
+      double waited = rejected ? 1 : Math.max(0, e.latencyMs() - heldUpMs) / aim;
       latencyOfAim.add(Math.min(2, waited), now);
       outThen.add(outNow, now);
     }
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -29,9 +29,7 @@
   public List<Action> start(double nowMs) {
     ctx.now = ctx.startedAt = nowMs;
     arm(Job.TICK_MS);
-    if (ctx.settings.allowed().rosterOnRequest()) {
-      ctx.out.add(new FollowRoster());
-    }
+    if (ctx.settings.allowed().rosterOnRequest()) { ctx.out.add(new FollowRoster()); }
     return ctx.out;
   }
 
@@ -42,9 +40,7 @@
     ctx.stalls.note(nowMs);
     if (event instanceof Request e) {
       admission.onRequest(e);
-      if (ctx.stalls.wakeAt > nowMs + Job.TICK_MS && !attempts.open.isEmpty()) {
-        arm(Job.TICK_MS);
-      }
+      if (ctx.stalls.wakeAt > nowMs + Job.TICK_MS && !attempts.open.isEmpty()) { arm(Job.TICK_MS); }
     } else if (event instanceof Outcome e) {
       attempts.onOutcome(e);
     } else if (event instanceof Counted e) {
@@ -68,9 +64,7 @@
       ctx.out.add(new FollowRoster());
     } else if (ctx.now >= ctx.stalls.wakeAt) {
       boolean stalled = ctx.stalls.stalled(ctx.now);
-      for (Job job : stalled ? List.<Job>of() : List.copyOf(attempts.open.values())) {
-        admission.look(job);
-      }
+      for (Job job : stalled ? List.<Job>of() : List.copyOf(attempts.open.values())) { admission.look(job); }
       arm(stalled ? 1 : attempts.open.isEmpty() ? PULSE_MS : Job.TICK_MS);
     }
   }
--- a/policy/src/main/java/willowdoor/policy/SharedCount.java
+++ b/policy/src/main/java/willowdoor/policy/SharedCount.java
@@ -23,6 +23,7 @@
   private final Context ctx;
   final CounterPace pace;
   private final Map<String, Plan> plans = new HashMap<>();
+  private final Map<String, Mean> letIn = new HashMap<>(); // of each plan's requests, by the answers of late
   private final Map<String, ArrayDeque<Call>> calls = new HashMap<>();
   /** In order of use, so that the longest idle is dropped when another is met: nothing grows for ever. */
   private final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
@@ -39,8 +40,11 @@
   }
 
   Account account(Request r) {
-    Account a = accounts.computeIfAbsent(r.customer(), c -> new Account(ctx, c,
-        plans.getOrDefault(r.planName(), mostCarefulPlan()), r.entryPoints()));
+    Account a = accounts.computeIfAbsent(r.customer(), c -> {
+      Plan plan = plans.getOrDefault(r.planName(), mostCarefulPlan());
+      Mean of = letIn.computeIfAbsent(plan.name(), n -> new Mean(0.02, Account.RATE_MEMORY_MS, ctx.now, 0.5));
+      return new Account(ctx, c, plan, of, r.entryPoints());
+    });
     a.advance();
     return a;
   }
@@ -75,23 +79,19 @@
     ArrayDeque<Call> queue = calls.get(e.name());
     if (queue == null) { return null; }
     Call call = queue.poll();
-    if (queue.isEmpty()) {
-      calls.remove(e.name());
-    }
+    if (queue.isEmpty()) { calls.remove(e.name()); }
     Account a = call.account;
     Job job = call.job;
     boolean ok = e.status() == Status.OK, added = !e.status().provesNotRun();
     a.advance();
     a.flying -= call.asked();
-    if (!ctx.stalls.stalled(ctx.now) || ok) {
-      pace.judge(e.status());
-    }
+    if (!ctx.stalls.stalled(ctx.now) || ok) { pace.judge(e.status()); }
     if (ok && job == null && call.amount == 0) { // it only read what the window ended with
       beginWindow(a, call.window + 1, a.levelBy(e.total(), call.window));
     } else if (ok) {
       observe(a, call, e.total());
     } else if (added) {
-      a.maybe += call.amount;
+      a.maybe += a.byTotal ? 0 : call.amount; // a total tells it by itself
     } else {
       a.owed += call.amount - call.asked();
     }
@@ -134,9 +134,7 @@
    * whoever sees much of it, half at a time, as another may too. An emptied counter looks like a refill. */
   private void readLevel(Account a, Call call, double total) {
     double burst = a.plan.burst();
-    if (call.job != null && call.amount > 0 && total == call.amount) {
-      correct(a, call.window - 1, 0);
-    }
+    if (call.job != null && call.amount > 0 && total == call.amount) { correct(a, call.window - 1, 0); }
     double level = a.levelBy(total - call.asked(), call.window);
     double unused = level / burst - 1;
     if (call.job != null && unused > UNUSED_BURSTS
--- a/policy/src/main/java/willowdoor/policy/Stalls.java
+++ b/policy/src/main/java/willowdoor/policy/Stalls.java
@@ -2,10 +2,8 @@
 
 /** Pauses of this gateway itself, which show as wake-ups that come late. */
 final class Stalls {
-  /** A wake-up later than this means that this gateway stood still: far more than any load explains. */
-  private static final double STALL_MS = 100;
-  /** A wake-up this late shows a pause, in which answers may have waited to be read. */
-  private static final double HELD_UP_MS = 30;
+  /** A wake-up this late: this gateway stood still; and: was held up, and answers may have waited. */
+  private static final double STALL_MS = 100, HELD_UP_MS = 30;
 
   double wakeAt, stalledUntil = Double.NEGATIVE_INFINITY, heldUpInAll;
   private double heldUpFrom, heldUpUntil = Double.NEGATIVE_INFINITY; // the last pause
@@ -18,9 +16,7 @@
       heldUpUntil = now;
       heldUpInAll += heldUpUntil - heldUpFrom;
     }
-    if (now - wakeAt > STALL_MS) {
-      stalledUntil = wakeAt = now;
-    }
+    if (now - wakeAt > STALL_MS) { stalledUntil = wakeAt = now; }
   }
 
   /** How long an answer to what was sent then may have waited to be read: the pause that has just ended. */
