Add the lab: real front doors as processes, with a relay and faults between all parties

The module `lab` starts front doors from the built jar with the flags of `run`, plays template servers, counter, discovery and clients by the protocol, and passes everything through a relay with a face for each ordered pair, for streams and datagrams: delay, limit, drop, duplicate, reorder, cut one way or both, reset, break after N bytes. Schedules are TOML with a seed, read strictly; records are JSON lines on one clock; seven checkers read only these. `random` draws faults and makes a failing list smaller. No process is left, also where the lab is killed.

--- /dev/null
+++ b/lab/src/main/java/willowdoor/lab/fleet/Signals.java
@@ -0,0 +1,45 @@
+package willowdoor.lab.fleet;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/** Signals to processes, by their ids. */
+final class Signals {
+
+  private Signals() {
+  }
+
+  /** False where there is no such process any more. */
+  static boolean send(String signal, long pid) throws IOException {
+    Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(pid))
+        .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+    try {
+      if (!kill.waitFor(10, TimeUnit.SECONDS)) {
+        kill.destroyForcibly();
+        throw new IOException("kill -" + signal + ' ' + pid + " does not end");
+      }
+      return kill.exitValue() == 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  /**
+   * Lets a process run for a share of each tenth of a second only, from now until the time is over; then it
+   * runs on. The helper ends by itself, also when the process does.
+   */
+  static Process starve(long pid, double share, long forMs) throws IOException {
+    long rounds = Math.max(1, forMs / 100);
+    String off = String.valueOf(0.1 * (1 - share));
+    String on = String.valueOf(0.1 * share);
+    return new ProcessBuilder("/bin/sh", "-c", """
+        trap 'kill -CONT $1; exit' INT TERM
+        i=0
+        while [ $i -lt $2 ] && kill -STOP $1; do
+          sleep $3; kill -CONT $1 || exit; sleep $4; i=$((i + 1))
+        done
+        """, "starve", Long.toString(pid), Long.toString(rounds), off, on)
+        .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+  }
+}
