Know which front doors are there: SWIM with Lifeguard's extensions, as a module without I/O

Front doors that share customers, purges and readers must know of each other, and what to do while they disagree. The module members holds roster, view, failure detection and the codec as plain state machines on a hand-moved clock; docs/members.md tells the protocol.

--- /dev/null
+++ b/members/src/main/java/willowdoor/members/CborReader.java
@@ -0,0 +1,115 @@
+package willowdoor.members;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads nested arrays strictly: anything but what is asked for is an IOException. */
+final class CborReader implements AutoCloseable {
+
+  /** Reads one item of a list. */
+  interface Item<T> {
+    T read(CborReader in) throws IOException;
+  }
+
+  private final JsonParser in;
+  /** Looked at, and not yet taken. */
+  private JsonToken next;
+
+  CborReader(byte[] bytes, int offset, int length) throws IOException {
+    in = Codec.CBOR.createParser(bytes, offset, length);
+  }
+
+  private void expect(JsonToken token) throws IOException {
+    JsonToken found = next == null ? in.nextToken() : next;
+    next = null;
+    if (found != token) {
+      throw new IOException("expected " + token + ", found " + found);
+    }
+  }
+
+  void begin() throws IOException {
+    expect(JsonToken.START_ARRAY);
+  }
+
+  void end() throws IOException {
+    expect(JsonToken.END_ARRAY);
+  }
+
+  /** Whether the array goes on. */
+  boolean more() throws IOException {
+    if (next == null) {
+      next = in.nextToken();
+    }
+    return next != JsonToken.END_ARRAY;
+  }
+
+  String text(int most) throws IOException {
+    expect(JsonToken.VALUE_STRING);
+    String text = in.getText();
+    if (text.isEmpty() || text.length() > most) {
+      throw new IOException("a text of " + text.length() + " characters");
+    }
+    return text;
+  }
+
+  long number() throws IOException {
+    return number(Long.MIN_VALUE, Long.MAX_VALUE);
+  }
+
+  int whole(int least) throws IOException {
+    return (int) number(least, Integer.MAX_VALUE - 1);
+  }
+
+  long number(long least, long most) throws IOException {
+    expect(JsonToken.VALUE_NUMBER_INT);
+    if (in.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+      throw new IOException("a number out of bounds");
+    }
+    long number = in.getLongValue();
+    if (number < least || number > most) {
+      throw new IOException("a number out of bounds");
+    }
+    return number;
+  }
+
+  byte[] bytes(int most) throws IOException {
+    expect(JsonToken.VALUE_EMBEDDED_OBJECT);
+    byte[] bytes = in.getBinaryValue();
+    if (bytes.length > most) {
+      throw new IOException("too many bytes");
+    }
+    return bytes;
+  }
+
+  /** An array of so many items at most; those that are read as null are left out. */
+  <T> List<T> list(int most, Item<T> item) throws IOException {
+    begin();
+    List<T> items = new ArrayList<>();
+    for (int i = 0; more(); i++) {
+      if (i == most) {
+        throw new IOException("too many items");
+      }
+      T read = item.read(this);
+      if (read != null) {
+        items.add(read);
+      }
+    }
+    end();
+    return items;
+  }
+
+  /** Nothing follows. */
+  void atEnd() throws IOException {
+    if (in.nextToken() != null) {
+      throw new IOException("more than one message");
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    in.close();
+  }
+}
--- /dev/null
+++ b/members/src/main/java/willowdoor/members/Tags.java
@@ -0,0 +1,73 @@
+package willowdoor.members;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What other parts let a member tell of itself: names with a few bytes each. Immutable, at most 8 names of 1 to 16
+ * ASCII characters and 128 bytes in all, names included. They spread with the member's statement, a change is a new
+ * incarnation.
+ */
+public final class Tags {
+
+  public static final Tags NONE = new Tags(new TreeMap<>());
+  static final int MOST = 8;
+  static final int MOST_NAME = 16;
+  static final int MOST_BYTES = 128;
+
+  private final TreeMap<String, byte[]> values;
+
+  private Tags(TreeMap<String, byte[]> values) {
+    this.values = values;
+  }
+
+  /** Copies the map; IllegalArgumentException where it is over a bound. */
+  public static Tags of(Map<String, byte[]> values) {
+    TreeMap<String, byte[]> copy = new TreeMap<>();
+    int bytes = 0;
+    for (Map.Entry<String, byte[]> e : values.entrySet()) {
+      String name = e.getKey();
+      if (name.isEmpty() || name.length() > MOST_NAME || !StandardCharsets.US_ASCII.newEncoder().canEncode(name)) {
+        throw new IllegalArgumentException("a tag's name is not 1 to 16 ASCII characters: '" + name + "'");
+      }
+      bytes += name.length() + e.getValue().length;
+      copy.put(name, e.getValue().clone());
+    }
+    if (bytes > MOST_BYTES || copy.size() > MOST) {
+      throw new IllegalArgumentException("more than " + MOST + " tags or " + MOST_BYTES + " bytes of them");
+    }
+    return copy.isEmpty() ? NONE : new Tags(copy);
+  }
+
+  /** These and one more; null takes it away. */
+  public Tags with(String name, byte[] value) {
+    Map<String, byte[]> changed = new TreeMap<>(values);
+    if (value == null) {
+      changed.remove(name);
+    } else {
+      changed.put(name, value);
+    }
+    return of(changed);
+  }
+
+  /** A copy of the bytes, or null. */
+  public byte[] get(String name) {
+    byte[] value = values.get(name);
+    return value == null ? null : value.clone();
+  }
+
+  /** In the order of names; the bytes are not to be changed. */
+  Map<String, byte[]> values() {
+    return values;
+  }
+
+  /** What they take in a datagram at most. */
+  int size() {
+    int size = 1;
+    for (Map.Entry<String, byte[]> e : values.entrySet()) {
+      size += 1 + e.getKey().length() + 2 + e.getValue().length;
+    }
+    return size;
+  }
+}
--- /dev/null
+++ b/members/src/main/java/willowdoor/members/View.java
@@ -0,0 +1,126 @@
+package willowdoor.members;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The newest statement of each member of the roster, with digests of all of it and of its pages that are kept up
+ * with each change.
+ */
+final class View {
+
+  static final int MOST_PAGES = 256;
+  /** A page's print: enough to tell pages apart, as the next exchange salts it anew. */
+  static final int PRINT_BYTES = 2;
+
+  private final Statement[] statements;
+  private final long[] pages;
+  private final int pageSize;
+  private final int[] counts = new int[MemberState.count()];
+  private long digest;
+
+  View(Roster roster) {
+    int size = roster.size();
+    pageSize = (size + MOST_PAGES - 1) / MOST_PAGES;
+    pages = new long[(size + pageSize - 1) / pageSize];
+    statements = new Statement[size];
+    for (int i = 0; i < size; i++) {
+      statements[i] = roster.unheard(i);
+      counts[statements[i].state().ordinal()]++;
+      digest(statements[i]);
+    }
+  }
+
+  int size() {
+    return statements.length;
+  }
+
+  Statement get(int member) {
+    return statements[member];
+  }
+
+  /** Takes it whatever was known before; that comes back. */
+  Statement put(Statement is) {
+    Statement was = statements[is.member()];
+    statements[is.member()] = is;
+    counts[was.state().ordinal()]--;
+    counts[is.state().ordinal()]++;
+    if (!was.sameLife(is) || was.state() != is.state()) {
+      undigest(was);
+      digest(is);
+    }
+    return was;
+  }
+
+  int count(MemberState state) {
+    return counts[state.ordinal()];
+  }
+
+  int present() {
+    return size() - count(MemberState.FAILED) - count(MemberState.LEFT);
+  }
+
+  /** How many count for a majority. */
+  int reached() {
+    return count(MemberState.ALIVE) + count(MemberState.SUSPECT);
+  }
+
+  long digest() {
+    return digest;
+  }
+
+  /** Short prints of the pages' digests, in order. */
+  byte[] prints(long salt) {
+    ByteBuffer prints = ByteBuffer.allocate(pages.length * PRINT_BYTES);
+    for (long page : pages) {
+      prints.putShort((short) mix(page ^ mix(salt)));
+    }
+    return prints.array();
+  }
+
+  /** The pages whose prints differ from those of another view; all where that has other pages. */
+  List<Integer> differing(byte[] others, long salt) {
+    byte[] own = prints(salt);
+    List<Integer> found = new ArrayList<>();
+    for (int i = 0; i < pages.length; i++) {
+      int at = i * PRINT_BYTES;
+      if (others.length != own.length
+          || !Arrays.equals(own, at, at + PRINT_BYTES, others, at, at + PRINT_BYTES)) {
+        found.add(i);
+      }
+    }
+    return found;
+  }
+
+  List<Statement> page(int page) {
+    int begin = page * pageSize;
+    return List.of(Arrays.copyOfRange(statements, begin, Math.min(size(), begin + pageSize)));
+  }
+
+  private void digest(Statement s) {
+    long word = word(s);
+    digest += word;
+    pages[s.member() / pageSize] += word;
+  }
+
+  private void undigest(Statement s) {
+    long word = word(s);
+    digest -= word;
+    pages[s.member() / pageSize] -= word;
+  }
+
+  private static long word(Statement s) {
+    return mix(mix(mix(s.member() + 1L) ^ s.generation())
+        + (long) s.incarnation() * MemberState.count() + s.state().ordinal());
+  }
+
+  /** The finaliser of MurmurHash3, 64 bit. */
+  private static long mix(long word) {
+    long h = word;
+    h = (h ^ h >>> 33) * 0xff51afd7ed558ccdL;
+    h = (h ^ h >>> 33) * 0xc4ceb9fe1a85ec53L;
+    return h ^ h >>> 33;
+  }
+}
--- /dev/null
+++ b/members/src/test/java/willowdoor/members/CodecTest.java
@@ -0,0 +1,163 @@
+package willowdoor.members;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+
+/** What goes over the wire, and what of it is let through. */
+class CodecTest {
+
+  private final ModelFleet fleet = fleet();
+  private final Roster roster = fleet.roster;
+  private final Counts counts = new Counts();
+  private final Codec sender = new Codec(roster, 0, counts);
+  private final Codec codec = new Codec(roster, 1, counts);
+  private final Message.Header header = new Message.Header(0, 1, 1L << 60, -3, 1, roster.hash());
+
+  private static ModelFleet fleet() {
+    try {
+      return ModelFleet.calm(5, 1);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private List<Message> one() {
+    Statement plain = new Statement(2, 5L << 20, 1, MemberState.ALIVE, List.of(), Tags.NONE);
+    Statement tagged = new Statement(3, 7L << 20, 0, MemberState.SUSPECT, List.of(0, 4),
+        Tags.of(Map.of("a", new byte[3], "b", new byte[0])));
+    List<Message.Body> bodies = List.of(new Message.Ping(1), new Message.Ack(2, 1), new Message.PingRequest(3, 4, 90),
+        new Message.Nack(4, 2), new Message.News(), new Message.Exchange(5, new byte[] {1, -2}),
+        new Message.Pages(6, 1, 2, 3), new Message.Better(7));
+    return bodies.stream().map(b -> new Message(header, b, List.of(plain, tagged))).toList();
+  }
+
+  private Count dropped(Codec by, byte[] datagram, int from) {
+    return assertThrows(Codec.Dropped.class, () -> by.decode(datagram, datagram.length, from)).reason;
+  }
+
+  @Test
+  void whatIsWrittenIsReadAgain() throws Exception {
+    for (Message message : one()) {
+      byte[] datagram = sender.encode(message);
+      Message read = codec.decode(datagram, datagram.length, 0);
+      assertEquals(header, read.header());
+      assertEquals(message.news().get(0), read.news().get(0));
+      assertEquals(List.of(0, 4), read.news().get(1).accusers());
+      assertEquals(List.of("a", "b"), new ArrayList<>(read.news().get(1).tags().values().keySet()));
+      assertTrue(Arrays.equals(datagram, sender.encode(read)));
+    }
+  }
+
+  @Test
+  void whatIsNotForThisMemberIsDroppedByItsReason() {
+    byte[] datagram = sender.encode(one().get(0));
+    assertEquals(Count.OTHER_NAME, dropped(codec, datagram, 2));
+    assertEquals(Count.NOT_FOR_ME, dropped(new Codec(roster, 2, counts), datagram, 0));
+    Roster other = new Roster("other", 1, List.of(roster.peer(0), roster.peer(1)));
+    assertEquals(Count.OTHER_FLEET, dropped(new Codec(other, 1, counts), datagram, 0));
+    assertEquals(Count.TOO_LONG, dropped(codec, new byte[Sizes.DATAGRAM + 1], 0));
+    datagram[5] ^= 3;
+    assertEquals(Count.CHECKSUM, dropped(codec, datagram, 0));
+    assertEquals(Count.OTHER_PROTOCOL, dropped(codec, Codec.seal(datagram, datagram.length), 0));
+  }
+
+  @Test
+  void namesOfAnotherRosterAreLeftOut() throws Exception {
+    Roster smaller = new Roster("model", 2, List.of(roster.peer(0), roster.peer(1), roster.peer(3)));
+    byte[] datagram = sender.encode(one().get(0));
+    Message read = new Codec(smaller, 1, counts).decode(datagram, datagram.length, 0);
+    assertEquals(List.of(2), read.news().stream().map(Statement::member).toList());
+    assertEquals(List.of(0), read.news().get(0).accusers());
+    assertEquals(1, counts.get(Count.UNKNOWN_MEMBER));
+  }
+
+  @Test
+  void theLongestNamesTagsAndListsKeepToOneDatagram() throws Exception {
+    List<Roster.Peer> peers = new ArrayList<>();
+    for (int i = 0; i < 600; i++) {
+      peers.add(new Roster.Peer("m".repeat(28) + (1_000 + i), i, "10.1." + i / 250 + '.' + i % 250, 7_946));
+    }
+    Roster long600 = new Roster("f".repeat(32), 1, peers);
+    Tags tags = Tags.of(Map.of("n".repeat(16), new byte[112]));
+    List<Integer> most = new ArrayList<>();
+    Effects effects = new Effects() {
+      @Override
+      public void send(int to, Message message) {
+        most.add(new Codec(long600, 0, counts).encode(message).length);
+      }
+
+      @Override
+      public void changed(Statement was, Statement is) {
+      }
+
+      @Override
+      public void cutOff(boolean cutOff) {
+      }
+
+      @Override
+      public void twin(boolean superseded) {
+      }
+    };
+    Membership member = new Membership(long600, 0, Timing.of(Map.of("urgent_bytes", 1_000L)), 1L << 40,
+        new SplittableRandom(1), effects, counts, 0);
+    for (int i = 1; i < 600; i++) {
+      Message.Header from = new Message.Header(i, 0, 1L << 60, 0, 1, long600.hash());
+      Statement s = new Statement(i, 1L << 60, 1 << 29, MemberState.SUSPECT,
+          List.of(1, 2, 3, 4, 5, 6, 7, 8), tags);
+      member.receive(new Message(from, new Message.Exchange(Long.MAX_VALUE, new byte[0]), List.of(s)), i * 1_000L);
+      member.tick(i * 1_000L);
+    }
+    assertTrue(most.size() > 1_000 && Collections.max(most) <= Sizes.DATAGRAM, "longest " + Collections.max(most));
+  }
+
+  /** Feeds many mutations of whole datagrams; how many were let through. */
+  private int fed(UnaryOperator<byte[]> change) {
+    int taken = 0;
+    for (int i = 0; i < 40_000; i++) {
+      byte[] datagram = change.apply(sender.encode(one().get(i % 8)));
+      try {
+        fleet.node(1).member.receive(codec.decode(datagram, datagram.length, 0), fleet.now);
+        taken++;
+      } catch (Codec.Dropped e) {
+        counts.add(e.reason);
+      }
+    }
+    return taken;
+  }
+
+  @Test
+  void garbageNeverThrowsAndChangesNoView() {
+    SplittableRandom random = new SplittableRandom(11);
+    long digest = fleet.node(1).member.digest();
+    assertEquals(0, fed(d -> {
+      byte[] noise = new byte[random.nextInt(1_500)];
+      random.nextBytes(noise);
+      return noise;
+    }));
+    assertEquals(0, fed(d -> Arrays.copyOf(d, random.nextInt(d.length))));
+    assertEquals(0, fed(d -> mutated(d, random)));
+    assertEquals(digest, fleet.node(1).member.digest());
+    // Under a right checksum the rest of the reader meets it, and the member what is let through.
+    assertTrue(fed(d -> Codec.seal(mutated(d, random), d.length)) > 0);
+    assertTrue(fed(d -> Codec.seal(Arrays.copyOf(d, 5 + random.nextInt(d.length - 5)), 5)) >= 0);
+    assertTrue(counts.get(Count.MALFORMED) > 10_000);
+  }
+
+  private static byte[] mutated(byte[] datagram, SplittableRandom random) {
+    for (int i = 1 + random.nextInt(4); i > 0; i--) {
+      datagram[random.nextInt(datagram.length)] ^= (byte) (1 + random.nextInt(255));
+    }
+    return datagram;
+  }
+}
--- /dev/null
+++ b/members/src/test/java/willowdoor/members/Measure.java
@@ -0,0 +1,135 @@
+package willowdoor.members;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+/** Measures a fleet of the model: {@code Measure members|cuts|loss SIZE [key=value...]}. Not a test. */
+final class Measure {
+
+  private Measure() {
+  }
+
+  public static void main(String[] args) throws IOException {
+    int size = Integer.parseInt(args[1]);
+    Map<String, Object> timing = new java.util.HashMap<>();
+    Arrays.stream(args).skip(2).map(a -> a.split("=")).forEach(a -> timing.put(a[0],
+        a[1].contains(".") ? (Object) Double.valueOf(a[1]) : Long.valueOf(a[1])));
+    switch (args[0]) {
+      case "members" -> members(size, timing);
+      case "cuts" -> cuts(size, timing);
+      default -> loss(size, timing);
+    }
+  }
+
+  /** Bytes a second and member, calm, and how long until a kill is known to all. */
+  private static void members(int size, Map<String, Object> timing) throws IOException {
+    ModelFleet fleet = size <= 200 ? ModelFleet.calm(size, 1, timing) : known(size, timing);
+    fleet.run(60_000);
+    fleet.bytes = 0;
+    fleet.datagrams = 0;
+    fleet.run(10_000);
+    System.out.printf("%d members, calm: %.0f bytes/s and %.1f datagrams/s a member%n", size,
+        fleet.bytes / 10.0 / size, fleet.datagrams / 10.0 / size);
+    int kills = size <= 200 ? 200 : size <= 2_000 ? 60 : 20;
+    long[] first = new long[kills];
+    long[] all = new long[kills];
+    long[] known = new long[1];
+    for (int i = 0; i < kills; i++) {
+      int victim = fleet.random.nextInt(size);
+      int left = fleet.nodes.size() - 1;
+      fleet.kill(victim);
+      long began = fleet.now;
+      long[] seen = {0, 0};
+      fleet.watcher = (node, was, is) -> {
+        if (is.member() == victim && is.state() == MemberState.FAILED) {
+          seen[0] = seen[0] == 0 ? fleet.now - began : seen[0];
+          seen[1]++;
+          known[0] = fleet.now - began;
+        }
+      };
+      while (seen[1] < left && fleet.now - began < 60_000) {
+        fleet.run(100);
+      }
+      first[i] = seen[0];
+      all[i] = known[0];
+      fleet.start(victim, 0);
+      fleet.run(6_000);
+    }
+    System.out.printf("killed, %d times: first finds it in the middle %d ms, all know: middle %d, p99 %d ms%n", kills,
+        ModelFleet.quantile(first, 0.5), ModelFleet.quantile(all, 0.5), ModelFleet.quantile(all, 0.99));
+  }
+
+  /** A fleet that is told of itself, as all start at once. */
+  private static ModelFleet known(int size, Map<String, Object> timing) throws IOException {
+    ModelFleet fleet = new ModelFleet(size, 1, timing);
+    List<Statement> all = new ArrayList<>();
+    fleet.path = (from, to) -> false;
+    for (int i = 0; i < size; i++) {
+      Statement s = fleet.start(i, 0).member.statement(i);
+      all.add(s.as(MemberState.ALIVE));
+    }
+    for (ModelFleet.Node node : fleet.nodes) {
+      node.member.tick(fleet.now);
+      int from = node.place == 0 ? 1 : 0;
+      node.member.receive(new Message(new Message.Header(from, node.place, all.get(from).generation(), 0, 1,
+          fleet.roster.hash()), new Message.Pages(1, 0, 1, 0), all), fleet.now);
+      node.wake();
+    }
+    fleet.path = (from, to) -> true;
+    return fleet;
+  }
+
+  /** How long until all views are equal after a cut in two, and the bytes of that time against calm. */
+  private static void cuts(int size, Map<String, Object> timing) throws IOException {
+    for (int part : new int[] {size / 2, size * 49 / 100, 1}) {
+      ModelFleet fleet = ModelFleet.calm(size, 2, timing);
+      fleet.run(60_000);
+      fleet.bytes = 0;
+      fleet.run(10_000);
+      double calm = fleet.bytes / 10.0;
+      int cuts = 20;
+      long[] healed = new long[cuts];
+      double[] ratio = new double[cuts];
+      long[] noticed = new long[cuts];
+      for (int i = 0; i < cuts; i++) {
+        fleet.path = (from, to) -> from < part == to < part;
+        long began = fleet.now;
+        while (fleet.now - began < 40_000) {
+          fleet.run(100);
+          if (noticed[i] == 0 && fleet.nodes.stream().filter(n -> n.place < part).allMatch(n -> n.member.cutOff())) {
+            noticed[i] = fleet.now - began;
+          }
+        }
+        fleet.path = (from, to) -> true;
+        fleet.bytes = 0;
+        healed[i] = fleet.untilEqual(60_000);
+        long healing = fleet.bytes;
+        ratio[i] = healing / (Math.max(1, healed[i]) / 1e3) / calm;
+        fleet.run(20_000);
+      }
+      System.out.printf("%d|%d: the smaller side knows that it is cut off after %d ms at most; healed: middle %d,"
+          + " p99 %d ms; bytes/s against calm: middle %.1f, most %.1f%n", part, size - part,
+          ModelFleet.quantile(noticed, 1), ModelFleet.quantile(healed, 0.5), ModelFleet.quantile(healed, 0.99),
+          Arrays.stream(ratio).sorted().skip(cuts / 2).findFirst().orElse(0), Arrays.stream(ratio).max().orElse(0));
+    }
+  }
+
+  /** False accusations and failures in ten minutes of loss. */
+  private static void loss(int size, Map<String, Object> timing) throws IOException {
+    for (boolean lifeguard : new boolean[] {true, false}) {
+      for (double loss : new double[] {0.05, 0.3}) {
+        timing.put("lifeguard", lifeguard);
+        ModelFleet fleet = ModelFleet.calm(size, 3, timing);
+        fleet.loss = loss;
+        fleet.delayMs = loss > 0.1 ? 200 : 2;
+        fleet.run(600_000);
+        System.out.printf("loss %.2f, Lifeguard %s, 10 min: accused %d, found failed %d, refuted %d%n", loss,
+            lifeguard ? "on" : "off", fleet.count(Count.ACCUSED), fleet.count(Count.FOUND_FAILED),
+            fleet.count(Count.REFUTED));
+      }
+    }
+  }
+}
