--- /dev/null
+++ b/notices/src/main/java/willowdoor/notices/PeerLink.java
@@ -0,0 +1,199 @@
+package willowdoor.notices;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * What goes to one other front door: for each stream how far it is. Nothing is queued: notices are taken
+ * from what is kept when the peer has confirmed enough of what is under way. A link that comes up anew
+ * offers all its streams again.
+ */
+final class PeerLink {
+  private static final long IDLE_MS = 30_000;
+  private static final long SLOW_MS = 1_000;
+
+  private record Sent(long seq, int cost, long atMs) {}
+
+  private static final class Cursor {
+    private final Stream stream;
+    /** The next count to pass, -1 until the peer has said what it wants. */
+    private long next = -1;
+    private boolean endSaid;
+    private long offeredMs;
+    private final ArrayDeque<Sent> out = new ArrayDeque<>();
+
+    private Cursor(Stream stream) {
+      this.stream = stream;
+    }
+  }
+
+  private final int peer;
+  private final int self;
+  private final Limits limits;
+  private final Consumer<Effect> effects;
+  private final Map<StreamId, Cursor> cursors = new LinkedHashMap<>();
+  /** Streams that may have something to pass, in the order of their turns. */
+  private final Set<Cursor> ready = new LinkedHashSet<>();
+  private boolean up;
+  private long unconfirmed;
+  private long neededMs;
+
+  PeerLink(int peer, int self, Limits limits, Consumer<Effect> effects, long nowMs) {
+    this.peer = peer;
+    this.self = self;
+    this.limits = limits;
+    this.effects = effects;
+    this.neededMs = nowMs;
+  }
+
+  boolean isUp() {
+    return up;
+  }
+
+  boolean passes(StreamId id) {
+    return cursors.containsKey(id);
+  }
+
+  /** Begins to pass a stream, or says anew who keeps it. */
+  void offer(Stream stream, long nowMs) {
+    Cursor cursor = cursors.computeIfAbsent(stream.id, id -> new Cursor(stream));
+    neededMs = nowMs;
+    if (up) {
+      cursor.offeredMs = nowMs;
+      send(new PeerMessage.Offer(stream.customer, stream.id, keeper(stream)));
+    }
+  }
+
+  private int keeper(Stream stream) {
+    return stream.own ? stream.keeper : self;
+  }
+
+  void drop(StreamId id) {
+    Cursor cursor = cursors.remove(id);
+    if (cursor != null) {
+      cursor.out.forEach(sent -> unconfirmed -= sent.cost());
+      ready.remove(cursor);
+      pump(cursor.offeredMs);
+    }
+  }
+
+  void up(long nowMs) {
+    down();
+    up = true;
+    for (Cursor cursor : cursors.values()) {
+      offer(cursor.stream, nowMs);
+    }
+  }
+
+  /** What was under way is sent again from where the peer says it is. */
+  void down() {
+    up = false;
+    unconfirmed = 0;
+    ready.clear();
+    for (Cursor cursor : cursors.values()) {
+      cursor.next = -1;
+      cursor.endSaid = false;
+      cursor.out.clear();
+    }
+  }
+
+  void want(PeerMessage.Want want, long nowMs) {
+    Cursor cursor = cursors.get(want.stream());
+    if (cursor == null || !up) {
+      return;
+    }
+    cursor.out.forEach(sent -> unconfirmed -= sent.cost());
+    cursor.out.clear();
+    cursor.endSaid = false;
+    Stream stream = cursor.stream;
+    if (want.after() == PeerMessage.Want.BY_AGE) {
+      // Its reader came at the earliest that long before the offer went out, whatever the way took.
+      long since = cursor.offeredMs - want.ageMs();
+      long after = Math.min(stream.before(since), stream.sendable(peer));
+      // Where what is kept no more may have come since then, the last of it is begun with, and told as a gap.
+      boolean lacks = stream.droppedMs() >= since && after == stream.first() - 1;
+      after = lacks ? after - 1 : after;
+      send(new PeerMessage.Begin(stream.customer, stream.id, after, keeper(stream)));
+      cursor.next = after + 1;
+    } else {
+      cursor.next = want.after() + 1;
+    }
+    ready.add(cursor);
+    pump(nowMs);
+  }
+
+  void have(PeerMessage.Have have, long nowMs) {
+    Cursor cursor = cursors.get(have.stream());
+    if (cursor == null) {
+      return;
+    }
+    while (!cursor.out.isEmpty() && cursor.out.peek().seq() <= have.upTo()) {
+      unconfirmed -= cursor.out.remove().cost();
+    }
+    pump(nowMs);
+  }
+
+  /** A stream has more to pass. */
+  void more(StreamId id, long nowMs) {
+    Cursor cursor = cursors.get(id);
+    if (cursor != null && cursor.next >= 0) {
+      ready.add(cursor);
+      pump(nowMs);
+    }
+  }
+
+  private void pump(long nowMs) {
+    while (up && unconfirmed < limits.linkBytes() && !ready.isEmpty()) {
+      Cursor cursor = ready.iterator().next();
+      ready.remove(cursor);
+      Stream stream = cursor.stream;
+      if (cursor.next < stream.first() && cursor.next <= stream.sendable(peer)) {
+        send(new PeerMessage.Gap(stream.id, stream.first() - 1));
+        cursor.next = stream.first();
+        ready.add(cursor);
+      } else if (cursor.next <= stream.sendable(peer)) {
+        Notice notice = stream.get(cursor.next++);
+        send(new PeerMessage.Pass(notice));
+        unconfirmed += notice.cost();
+        cursor.out.add(new Sent(notice.seq(), notice.cost(), nowMs));
+        ready.add(cursor);
+      } else if (!stream.own && !cursor.endSaid) {
+        cursor.endSaid = true;
+        send(new PeerMessage.End(stream.id, stream.last()));
+      }
+    }
+  }
+
+  void send(PeerMessage message) {
+    effects.accept(new Effect.Send(peer, message));
+  }
+
+  /** Whether the peer has left something unconfirmed for over a second. */
+  boolean slow(long nowMs) {
+    for (Cursor cursor : cursors.values()) {
+      if (!cursor.out.isEmpty() && nowMs - cursor.out.peek().atMs() > SLOW_MS) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether nothing has needed it for a while. */
+  boolean idle(long nowMs) {
+    neededMs = cursors.isEmpty() ? neededMs : nowMs;
+    return nowMs - neededMs > IDLE_MS;
+  }
+
+  /** A fetch needs it. */
+  void needed(long nowMs) {
+    neededMs = nowMs;
+  }
+
+  long unconfirmed() {
+    return unconfirmed;
+  }
+}
--- /dev/null
+++ b/notices/src/main/java/willowdoor/notices/PeerMessage.java
@@ -0,0 +1,47 @@
+package willowdoor.notices;
+
+import java.util.List;
+
+/**
+ * What front doors say to each other about streams. Counts are of the stream, from 1; 0 means before the
+ * first.
+ */
+public sealed interface PeerMessage {
+  /** What goes back on the link that the other front door opened. */
+  sealed interface Back extends PeerMessage {}
+
+  /** I have this stream; {@code keeper} is the number of who keeps a copy, -1 where nobody does. */
+  record Offer(long customer, StreamId stream, int keeper) implements PeerMessage {}
+
+  /** Pass me what comes after; or, where {@code after} is {@link #BY_AGE}, what you took in that many ms. */
+  record Want(StreamId stream, long after, long ageMs) implements Back {
+    static final long BY_AGE = -1;
+  }
+
+  /** To a {@code Want} by age: the stream begins for you after this count. */
+  record Begin(long customer, StreamId stream, long after, int keeper) implements PeerMessage {}
+
+  record Pass(Notice notice) implements PeerMessage {}
+
+  /** What you still lack up to this count is not kept any more. */
+  record Gap(StreamId stream, long to) implements PeerMessage {}
+
+  /** The stream's front door has failed, and this is the last it confirmed. */
+  record End(StreamId stream, long last) implements PeerMessage {}
+
+  /** I hold all up to this count. */
+  record Have(StreamId stream, long upTo) implements Back {}
+
+  /** One of my readers lacks these: after one count, up to the other. */
+  record Fetch(StreamId stream, long after, long upTo) implements PeerMessage {}
+
+  /**
+   * Some of what was fetched: what lies up to {@code gapTo} is not kept any more, then these in their
+   * order.
+   */
+  record Fetched(StreamId stream, long after, long gapTo, List<Notice> notices) implements Back {
+    public Fetched {
+      notices = List.copyOf(notices);
+    }
+  }
+}
--- /dev/null
+++ b/notices/src/main/java/willowdoor/notices/Publishing.java
@@ -0,0 +1,108 @@
+package willowdoor.notices;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The notices that this front door takes: each answered when a second front door holds it. */
+final class Publishing {
+  private record Pending(long call, StreamId stream, long seq, long untilMs) {}
+
+  private final int self;
+  private final long generation;
+  private final Passing passing;
+  private final Consumer<Effect> effects;
+  private final Passing.Watcher watcher;
+  private final Map<Long, StreamId> own = new HashMap<>();
+  private final ArrayDeque<Pending> pending = new ArrayDeque<>();
+  private int serial;
+
+  Publishing(int self, long generation, Passing passing, Consumer<Effect> effects, Passing.Watcher watcher) {
+    this.self = self;
+    this.generation = generation;
+    this.passing = passing;
+    this.effects = effects;
+    this.watcher = watcher;
+  }
+
+  /** Takes a notice. @param call named in the {@link Effect.Answer} */
+  void publish(long call, long customer, byte[] body, long nowMs) {
+    Retained retained = passing.retained(customer);
+    if (retained == null || pending.size() >= Limits.MAX_PENDING) {
+      refuse(call, "too many notices are under way here");
+      return;
+    }
+    Stream stream = stream(retained, customer, nowMs);
+    if (stream.keeper < 0) {
+      refuse(call, "no second front door is there to keep the notice");
+      return;
+    }
+    Notice notice = new Notice(customer, stream.id, stream.last() + 1, body);
+    stream.append(notice, nowMs);
+    pending.add(new Pending(call, stream.id, notice.seq(), nowMs + Limits.CONFIRM_MS));
+    passing.more(stream, nowMs);
+  }
+
+  private void refuse(long call, String why) {
+    effects.accept(new Effect.Answer(call, 503, null, why + "; nothing was kept, try again"));
+  }
+
+  private Stream stream(Retained retained, long customer, long nowMs) {
+    StreamId id = own.get(customer);
+    Stream stream = id == null ? null : passing.stream(id);
+    // Others forget a stream after twice this time: one that is used again is another.
+    if (stream == null || nowMs - stream.lastMs > Limits.IDLE_STREAM_MS) {
+      stream = passing.open(retained, new StreamId(self, generation, ++serial), 0, true, nowMs);
+      own.put(customer, stream.id);
+      passing.refresh(stream, nowMs);
+    }
+    return stream;
+  }
+
+  /** A peer holds a stream up to a count; if it keeps it, that is confirmed. */
+  void have(int peer, PeerMessage.Have have, long nowMs) {
+    Stream stream = passing.stream(have.stream());
+    if (stream == null || !stream.own || stream.keeper != peer) {
+      return;
+    }
+    long upTo = Math.min(have.upTo(), stream.last());
+    if (upTo <= stream.committed) {
+      return;
+    }
+    long bytes = 0;
+    Retained retained = passing.retained(stream.customer);
+    while (stream.committed < upTo) {
+      Notice notice = stream.get(++stream.committed);
+      bytes += notice.cost();
+      retained.list(notice, nowMs);
+    }
+    for (Iterator<Pending> all = pending.iterator(); all.hasNext();) {
+      Pending call = all.next();
+      if (call.stream().equals(stream.id) && call.seq() <= upTo) {
+        all.remove();
+        effects.accept(new Effect.Answer(call.call(), 200, id(call), "published"));
+      }
+    }
+    passing.more(stream, nowMs);
+    watcher.appended(stream.customer, bytes, nowMs);
+  }
+
+  private static String id(Pending call) {
+    return call.stream().text() + '.' + Long.toString(call.seq(), 36);
+  }
+
+  void tick(long nowMs) {
+    while (!pending.isEmpty() && pending.peek().untilMs() <= nowMs) {
+      Pending call = pending.remove();
+      effects.accept(new Effect.Answer(call.call(), 503, id(call),
+          "not confirmed by a second front door yet; it may still come, under this id"));
+    }
+    own.values().removeIf(id -> passing.stream(id) == null);
+  }
+
+  int pending() {
+    return pending.size();
+  }
+}
--- /dev/null
+++ b/notices/src/main/java/willowdoor/notices/Ring.java
@@ -0,0 +1,65 @@
+package willowdoor.notices;
+
+/** A queue whose items keep the number they were added under, so they can be reached by it. */
+final class Ring<T> {
+  private Object[] items = new Object[8];
+  private long first;
+  private long end;
+
+  Ring(long first) {
+    this.first = first;
+    this.end = first;
+  }
+
+  /** The number of the oldest item, or that of the next to come where there is none. */
+  long first() {
+    return first;
+  }
+
+  /** The number that the next item gets. */
+  long end() {
+    return end;
+  }
+
+  boolean isEmpty() {
+    return first == end;
+  }
+
+  T get(long number) {
+    if (number < first || number >= end) {
+      throw new IndexOutOfBoundsException(number + " is not in " + first + " to " + end);
+    }
+    return at(number);
+  }
+
+  void add(T item) {
+    if (end - first == items.length) {
+      Object[] more = new Object[items.length * 2];
+      for (long n = first; n < end; n++) {
+        more[(int) (n & (more.length - 1))] = items[(int) (n & (items.length - 1))];
+      }
+      items = more;
+    }
+    items[(int) (end & (items.length - 1))] = item;
+    end++;
+  }
+
+  T removeFirst() {
+    T item = get(first);
+    items[(int) (first & (items.length - 1))] = null;
+    first++;
+    return item;
+  }
+
+  /** Drops all; the next item gets this number. */
+  void restart(long number) {
+    items = new Object[8];
+    first = number;
+    end = number;
+  }
+
+  @SuppressWarnings("unchecked")
+  private T at(long number) {
+    return (T) items[(int) (number & (items.length - 1))];
+  }
+}
