Play front doors, readers and faults on a hand-moved clock

A simulation of whole doors with cuts, deaths, restarts and slow links found five faults, mended here: links ended for the wrong peer, gaps of several streams told in pieces, offers passed over before the view came, resumed readers not told what was dropped, and streams of dead doors unknown to a new one.

--- a/notices/src/main/java/willowdoor/notices/Alone.java
+++ b/notices/src/main/java/willowdoor/notices/Alone.java
@@ -36,7 +36,8 @@
 
   /** One that resumes from what it says. */
   static Alone resume(ServerSentEvents events, Position at, Retained retained) {
-    Alone alone = new Alone(events, at, retained.first());
+    // Before the first event held, so that what is held no more is looked at first.
+    Alone alone = new Alone(events, at, retained.first() - 1);
     for (Stream stream : retained.streams()) {
       if (at.of(stream.id) < stream.base) {
         alone.elsewhere.put(stream.id, new Lack(stream.id, at.of(stream.id) + 1, stream.base));
@@ -169,6 +170,7 @@
   }
 
   long lagMs(Retained retained, long nowMs) {
-    return order >= retained.end() ? 0 : nowMs - retained.get(Math.max(order, retained.first())).atMs();
+    long next = Math.max(order, retained.first());
+    return next >= retained.end() ? 0 : nowMs - retained.get(next).atMs();
   }
 }
--- a/notices/src/main/java/willowdoor/notices/Group.java
+++ b/notices/src/main/java/willowdoor/notices/Group.java
@@ -1,5 +1,6 @@
 package willowdoor.notices;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -57,7 +58,7 @@
       fullMs = -1;
       return false;
     }
-    if (order < retained.first()) {
+    if (order < retained.first() && bytes < limits.windowBytes()) {
       skip(retained, nowMs);
     }
     while (bytes < limits.windowBytes() && order < retained.end()) {
@@ -70,12 +71,19 @@
     return window.end() > before;
   }
 
-  /** Tells what the front door had to let go of before the group came to it. */
+  /**
+   * Tells what the front door had to let go of before the group came to it: one piece, since a reader
+   * between two of them would be neither before nor after what is gone.
+   */
   private void skip(Retained retained, long nowMs) {
-    order = retained.first();
+    ByteArrayOutputStream gaps = new ByteArrayOutputStream();
     for (Alone.Lack lack : Alone.lacks(at, retained)) {
       at = at.with(lack.stream(), lack.to());
-      add(events.gap(lack.stream(), lack.from(), lack.to(), at), nowMs);
+      gaps.writeBytes(events.gap(lack.stream(), lack.from(), lack.to(), at));
+    }
+    order = retained.first();
+    if (gaps.size() > 0) {
+      add(gaps.toByteArray(), nowMs);
     }
   }
 
--- a/notices/src/main/java/willowdoor/notices/Limits.java
+++ b/notices/src/main/java/willowdoor/notices/Limits.java
@@ -24,7 +24,7 @@
   static final long END_WAIT_MS = 3_000;
   static final long FETCH_MS = 2_000;
   /** A stream on which nothing came for so long is closed by its door; others forget it after twice that. */
-  static final long IDLE_STREAM_MS = 600_000;
+  static final long IDLE_STREAM_MS = 6 * 3_600_000L;
   static final long HOPELESS_MS = 20_000;
   /** How often {@link NoticesDoor#tick} is to be called. */
   public static final long TICK_MS = 100;
--- a/notices/src/main/java/willowdoor/notices/Passing.java
+++ b/notices/src/main/java/willowdoor/notices/Passing.java
@@ -76,12 +76,12 @@
       boolean there = stream.own || view.alive(stream.id.member(), stream.id.generation());
       stream.orphanMs = there ? -1 : stream.orphanMs < 0 ? nowMs : stream.orphanMs;
       stream.ended &= !there;
+      stream.complete &= !there;
       refresh(stream, nowMs);
     }
-    for (Map.Entry<Integer, PeerLink> link : new ArrayList<>(links.entrySet())) {
-      if (view.member(link.getKey()) == null) {
-        links.remove(link.getKey()).down();
-        effects.accept(new Effect.Disconnect(link.getKey()));
+    for (int peer : new ArrayList<>(links.keySet())) {
+      if (view.member(peer) == null) {
+        disconnect(peer);
       }
     }
   }
@@ -98,7 +98,8 @@
 
   /** Sees to it that a stream goes to those it concerns, and to nobody else. */
   void refresh(Stream stream, long nowMs) {
-    boolean keeping = stream.keeper == self && stream.orphanMs >= 0;
+    // Where its keeper is gone too, all that hold it pass it on: whoever comes anew may know nothing of it.
+    boolean keeping = stream.orphanMs >= 0 && (stream.keeper == self || view.member(stream.keeper) == null);
     boolean renamed = stream.own && nameKeeper(stream);
     for (FleetView.Member member : view.members()) {
       int peer = member.number();
@@ -246,14 +247,18 @@
         }
       }
     }
-    for (Map.Entry<Integer, PeerLink> link : new ArrayList<>(links.entrySet())) {
-      if (link.getValue().idle(nowMs)) {
-        links.remove(link.getKey());
-        effects.accept(new Effect.Disconnect(link.getKey()));
+    for (int peer : new ArrayList<>(links.keySet())) {
+      if (links.get(peer).idle(nowMs)) {
+        disconnect(peer);
       }
     }
   }
 
+  private void disconnect(int peer) {
+    links.remove(peer);
+    effects.accept(new Effect.Disconnect(peer));
+  }
+
   private void trim(long held) {
     long bytes = held;
     while (bytes > limits.doorBytes()) {
--- a/notices/src/main/java/willowdoor/notices/PeerLink.java
+++ b/notices/src/main/java/willowdoor/notices/PeerLink.java
@@ -161,7 +161,7 @@
         unconfirmed += notice.cost();
         cursor.out.add(new Sent(notice.seq(), notice.cost(), nowMs));
         ready.add(cursor);
-      } else if (!stream.own && !cursor.endSaid) {
+      } else if (!stream.own && !cursor.endSaid && (stream.keeper == self || stream.complete)) {
         cursor.endSaid = true;
         send(new PeerMessage.End(stream.id, stream.last()));
       }
--- a/notices/src/main/java/willowdoor/notices/Reader.java
+++ b/notices/src/main/java/willowdoor/notices/Reader.java
@@ -47,11 +47,15 @@
   PaceClass slow;
   /** Whether it was sent here as that. */
   boolean guest;
+  /** Streams it has had something of and this front door does not know, at the position it came with. */
+  Position unproven = Position.NONE;
   MoveOrder order;
   long orderMs;
   boolean closing;
   private final ArrayDeque<Piece> out = new ArrayDeque<>();
   private long outBytes;
+  /** Pieces under way that are a group's, perhaps of one it has left. */
+  private int outShared;
   private long offset;
 
   Reader(long id, long customer, long key, int home, long moves, Position at, long nowMs) {
@@ -68,6 +72,7 @@
   void write(Piece piece, Consumer<Effect> effects) {
     out.add(piece);
     outBytes += piece.bytes.length;
+    outShared += piece.group == null ? 0 : 1;
     at = piece.after;
     effects.accept(new Effect.Write(id, piece.bytes));
   }
@@ -82,6 +87,7 @@
     while (!out.isEmpty() && offset >= out.peek().bytes.length) {
       Piece piece = out.remove();
       offset -= piece.bytes.length;
+      outShared -= piece.group == null ? 0 : 1;
       if (piece.group != null && piece.group == group) {
         group.done(this);
         finished = true;
@@ -90,6 +96,13 @@
     return finished;
   }
 
+  /**
+   * Whether it could be in a group: nothing of an earlier one is under way, which would count for this one.
+   */
+  boolean joinable() {
+    return outShared == 0;
+  }
+
   /** Bytes that are under way to it. */
   long outBytes() {
     return outBytes;
--- a/notices/src/main/java/willowdoor/notices/Readers.java
+++ b/notices/src/main/java/willowdoor/notices/Readers.java
@@ -77,6 +77,11 @@
     alone.add(reader);
     reader.alone = resume == null ? new Alone(events, retained.seen(), retained.end())
         : Alone.resume(events, resume, retained);
+    for (int i = 0; resume != null && i < resume.size(); i++) {
+      if (retained.stream(resume.id(i)) == null) {
+        reader.unproven = reader.unproven.with(resume.id(i), resume.count(i));
+      }
+    }
     reader.write(new Reader.Piece(events.open(reader.key, reader.at), reader.at, null, 0, nowMs), effects);
     pump(reader, nowMs);
   }
@@ -116,8 +121,10 @@
     boolean finished = reader.took(bytes);
     if (group == null) {
       pump(reader, nowMs);
-    } else if (finished) {
-      advance(group, nowMs);
+    } else {
+      if (finished) {
+        advance(group, nowMs);
+      }
       group.feed(reader, effects);
     }
   }
@@ -138,7 +145,7 @@
       if (lack != null && !around.fetch(lack)) {
         reader.alone.gone();
       }
-      if (!reader.alone.lacksElsewhere() && reader.outBytes() == 0 && join(reader, nowMs)) {
+      if (!reader.alone.lacksElsewhere() && reader.joinable() && join(reader, nowMs)) {
         return;
       }
       Reader.Piece piece = reader.alone.next(retained, nowMs);
@@ -188,6 +195,9 @@
       long lag = lagMs(reader, nowMs);
       reader.pace.look(reader.outBytes() > 0, lag, nowMs);
       lagging += reader.slow == null && lag > ALIKE_MS ? 1 : 0;
+      if (reader.unproven != Position.NONE && nowMs - reader.sinceMs >= Limits.END_WAIT_MS) {
+        tellUnproven(reader, nowMs);
+      }
     }
     if (limits.regroup()) {
       if (!doorSlow) {
@@ -205,22 +215,34 @@
     return new Look(all.size(), burst ? 0 : lagging);
   }
 
+  /** Tells a reader of streams that nobody has offered here: what came on them since is not to be had. */
+  private void tellUnproven(Reader reader, long nowMs) {
+    for (int i = 0; i < reader.unproven.size() && !reader.closing; i++) {
+      StreamId id = reader.unproven.id(i);
+      if (retained.stream(id) == null) {
+        byte[] bytes = events.gap(id, reader.unproven.count(i) + 1, Entry.OPEN, reader.at);
+        reader.write(new Reader.Piece(bytes, reader.at, null, 0, nowMs), effects);
+      }
+    }
+    reader.unproven = Position.NONE;
+  }
+
   private long lagMs(Reader reader, long nowMs) {
     return reader.group != null ? reader.group.lagMs(reader, nowMs) : reader.alone.lagMs(retained, nowMs);
   }
 
   private void judge(Group group, long nowMs) {
+    // Beside its members, those that read alone without being slow: one that is ahead, as the group is held
+    // up, tells what pace is possible; one that is behind is judged like a member.
     List<Reader> measured = new ArrayList<>(group.readers());
     int members = measured.size();
     for (Reader reader : alone) {
-      // One that is ahead of its group, as the group is held up, tells what pace is possible.
-      if (group == main && reader.slow == null && !reader.alone.lacksElsewhere()
-          && reader.alone.order() > group.order()) {
+      if (group == main && reader.slow == null && !reader.alone.lacksElsewhere()) {
         measured.add(reader);
       }
     }
     int n = measured.size();
-    if (members == 0 || n < 2) {
+    if (n < 2) {
       return;
     }
     long[] lagMs = new long[n];
@@ -235,13 +257,13 @@
     Pace.Middle middle = Pace.Middle.of(lagMs.clone(), lagBytes.clone(), rate);
     boolean held = group.heldUp(nowMs);
     List<Reader> leave = new ArrayList<>();
-    for (int i = 0; i < members; i++) {
+    for (int i = 0; i < n; i++) {
       Reader reader = measured.get(i);
       if (reader.pace.slow(lagMs[i], lagBytes[i], middle, limits.windowBytes(), nowMs)) {
         reader.slow = PaceClass.of(reader.pace.rate());
         reader.guest = false;
         leave.add(reader);
-      } else if (held && lagMs[i] == 0) {
+      } else if (held && lagMs[i] == 0 && i < members) {
         // Most of its group are slow: it goes ahead of them, by itself.
         leave.add(reader);
       }
@@ -269,7 +291,8 @@
       reader.guest = false;
       aside(reader, nowMs);
     } else if (back || doorSlow || reader.slow != null && reader.group == null && !reader.guest) {
-      if (reader.outBytes() <= limits.inflightBytes() / 8) {
+      // What is kept under way to a slow one, and the piece that went over it.
+      if (reader.outBytes() <= limits.inflightBytes() / 8 + Limits.MAX_BODY / 4) {
         reader.order = assignment.decide(reader.key, retained.customer, back ? null : reader.slow, doorSlow,
             reader.home, reader.moves, nowMs - reader.sinceMs, nowMs);
         reader.orderMs = nowMs;
--- a/notices/src/main/java/willowdoor/notices/Receiving.java
+++ b/notices/src/main/java/willowdoor/notices/Receiving.java
@@ -20,9 +20,6 @@
   }
 
   void message(int peer, PeerMessage message, long nowMs) {
-    if (passing.view().member(peer) == null) {
-      return;
-    }
     if (message instanceof PeerMessage.Offer offer) {
       offer(peer, offer, nowMs);
     } else if (message instanceof PeerMessage.Begin begin) {
@@ -37,8 +34,10 @@
       }
     } else if (message instanceof PeerMessage.End end) {
       Stream stream = others(end.stream());
-      if (stream != null && stream.keeper == peer && stream.last() >= end.last()) {
+      if (stream != null && (stream.keeper == peer || passing.view().member(stream.keeper) == null)
+          && stream.last() >= end.last()) {
         stream.ended = true;
+        stream.complete = true;
       }
     } else if (message instanceof PeerMessage.Fetch fetch) {
       reply(peer, passing.answer(fetch));
--- a/notices/src/main/java/willowdoor/notices/Stream.java
+++ b/notices/src/main/java/willowdoor/notices/Stream.java
@@ -15,6 +15,8 @@
   long lastMs;
   /** Since when its front door is gone, -1 while it is there. */
   long orphanMs = -1;
+  /** Whether its keeper has said that this was the last. */
+  boolean complete;
   /** Whether it is known here how it ended, or the readers were told that it is not. */
   boolean ended;
   private final Ring<Held> held;
--- /dev/null
+++ b/notices/src/test/java/willowdoor/notices/NoticesDoorTest.java
@@ -0,0 +1,223 @@
+package willowdoor.notices;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Whole front doors, their readers and faults between them, on a hand-moved clock. */
+class NoticesDoorTest {
+  private static final long CUSTOMER = 7;
+
+  private static Sim five(Limits limits, long seed) {
+    Sim sim = new Sim(5, limits, seed).start();
+    sim.run(2_500);
+    return sim;
+  }
+
+  private static void publishFor(Sim sim, long forMs, long everyMs, int bytes) {
+    for (long ms = 1; ms < forMs; ms += everyMs) {
+      sim.at(sim.nowMs + ms, () -> {
+        int to = sim.random.nextInt(sim.doors);
+        if (sim.door[to] != null) {
+          sim.publish(to, CUSTOMER, bytes);
+        }
+      });
+    }
+  }
+
+  private static void nothingWrong(Sim sim) {
+    assertEquals(List.of(), sim.wrong(r -> !sim.unhealthy.contains(r)).stream().limit(5).toList());
+    assertTrue(sim.taken.size() > 0);
+  }
+
+  @Test
+  void healthyReadersDoNotWaitForSlowOnes() {
+    Sim calm = NoticesFigures.play(500, 2, 0, true, 30_000, 3);
+    Sim regrouped = NoticesFigures.play(500, 2, 0.02, true, 30_000, 3);
+    Sim not = NoticesFigures.play(500, 2, 0.02, false, 30_000, 3);
+    nothingWrong(calm);
+    nothingWrong(regrouped);
+    assertEquals(List.of(), not.wrong(r -> false));
+    assertTrue(regrouped.quantile(0.99) <= 1.2 * calm.quantile(0.99));
+    assertTrue(not.quantile(0.99) > 5 * calm.quantile(0.99), not.quantile(0.99) + " " + calm.quantile(0.99));
+    assertTrue(regrouped.readers.stream().anyMatch(r -> r.moves > 0));
+  }
+
+  @Test
+  void closesReadersThatStopOrTakeAByteASecond() {
+    Sim sim = five(Limits.standard(), 1);
+    List<SimReader> hopeless = List.of(sim.reader(CUSTOMER, 0), sim.reader(CUSTOMER, 0.001));
+    for (int i = 0; i < 20; i++) {
+      sim.reader(CUSTOMER, 200);
+    }
+    sim.unhealthy.addAll(hopeless);
+    publishFor(sim, 40_000, 20, 500);
+    sim.run(45_000);
+    nothingWrong(sim);
+    assertTrue(hopeless.stream().allMatch(r -> r.connection > 22), "closed, and came again");
+    assertTrue(sim.quantile(1) < 100, "nobody waited for them: " + sim.quantile(1));
+  }
+
+  @Test
+  void bringsSlowReadersTogetherAndBackOnceTheyKeepPace() {
+    Sim sim = five(Limits.standard(), 2);
+    for (int i = 0; i < 60; i++) {
+      sim.reader(CUSTOMER, 200);
+    }
+    List<SimReader> slow = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      slow.add(sim.reader(CUSTOMER, 1.5));
+    }
+    sim.unhealthy.addAll(slow);
+    publishFor(sim, 80_000, 50, 500);
+    sim.run(25_000);
+    assertEquals(1, slow.stream().mapToInt(r -> r.door).distinct().count(), "all at one front door");
+    assertTrue(slow.stream().mapToInt(r -> r.moves).sum() >= 4);
+    slow.forEach(r -> r.bytesPerMs = 200);
+    sim.run(60_000);
+    assertTrue(slow.stream().mapToInt(r -> r.door).distinct().count() > 1, "back where they came first");
+    assertEquals(List.of(), sim.wrong(r -> true).stream().limit(5).toList());
+  }
+
+  @Test
+  void movesNobodyWhereAllAreSlowAndTellsWhatTheyMiss() {
+    Sim sim = five(Limits.standard().withRetained(100_000, 60_000), 3);
+    for (int i = 0; i < 30; i++) {
+      sim.unhealthy.add(sim.reader(CUSTOMER, 2));
+    }
+    publishFor(sim, 30_000, 20, 500);
+    sim.run(80_000);
+    assertEquals(0, sim.readers.stream().mapToInt(r -> r.moves).sum());
+    assertTrue(sim.readers.stream().allMatch(r -> r.gaps > 0));
+    assertEquals(List.of(), sim.wrong(r -> false).stream().limit(5).toList());
+    assertTrue(sim.mostHeld < 2 * Limits.standard().windowBytes());
+  }
+
+  @Test
+  void losesNothingWhereTheTargetOfMovesDies() {
+    Sim sim = five(Limits.standard(), 4);
+    for (int i = 0; i < 40; i++) {
+      sim.reader(CUSTOMER, i < 8 ? 1.5 : 200);
+    }
+    publishFor(sim, 40_000, 50, 500);
+    int target = new Places(IntStream.range(0, 5).mapToObj(i -> new FleetView.Member(i, 1, "d")).toList())
+        .of(CUSTOMER, PaceClass.SLOW);
+    while (sim.readers.stream().noneMatch(r -> r.order != null)) {
+      sim.run(1);
+    }
+    sim.kill(target, 1_500);
+    sim.run(20_000);
+    sim.readers.forEach(r -> r.bytesPerMs = 200);
+    sim.run(40_000);
+    nothingWrong(sim);
+  }
+
+  /** The door dies n ms after the POST came: what was answered 200 is got, what was not may be. */
+  @Test
+  void keepsWhatItAcknowledgedWhereTheDoorDiesAtOnce() {
+    int acknowledged = 0;
+    for (int ms = 0; ms < 8; ms++) {
+      Sim sim = five(Limits.standard(), 5);
+      for (int i = 0; i < 25; i++) {
+        sim.reader(CUSTOMER, 200);
+      }
+      publishFor(sim, 2_000, 100, 300);
+      sim.run(2_500);
+      java.util.Arrays.fill(sim.linkMs[0], 2);
+      int before = sim.taken.size();
+      for (int n = 0; n < 10; n++) {
+        sim.publish(0, CUSTOMER, 300);
+      }
+      sim.run(ms);
+      sim.kill(0, 500);
+      acknowledged += sim.taken.size() - before;
+      sim.run(10_000);
+      nothingWrong(sim);
+    }
+    assertTrue(acknowledged > 0 && acknowledged < 80, "some died before, some after: " + acknowledged);
+  }
+
+  @Test
+  void tellsAGapWithoutAnEndWhereKeeperAndTakerDie() {
+    Sim sim = five(Limits.standard(), 6);
+    SimReader reader = sim.reader(CUSTOMER, 200);
+    int at = reader.door;
+    int taker = (at + 1) % 5;
+    sim.run(200);
+    sim.publish(taker, CUSTOMER, 100);
+    sim.run(500);
+    // The reader's own door is the keeper, as it has readers; another one comes to a third door.
+    SimReader other = null;
+    while (other == null || other.door == at || other.door == taker) {
+      other = sim.reader(CUSTOMER, 200);
+    }
+    sim.run(500);
+    sim.publish(taker, CUSTOMER, 100);
+    sim.run(500);
+    sim.kill(taker, 300);
+    sim.kill(at, 300);
+    sim.run(6_000);
+    assertTrue(other.streams.values().stream().anyMatch(k -> k.openEnd));
+  }
+
+  @Test
+  void refusesWhereNoSecondDoorIsThere() {
+    Sim sim = new Sim(1, Limits.standard(), 1).start();
+    sim.publish(0, CUSTOMER, 100);
+    assertEquals(1, sim.refused);
+  }
+
+  @Test
+  void getsEveryNoticeOverThirtyRandomHistories() {
+    for (int seed = 1; seed <= 30; seed++) {
+      Sim sim = history(new Sim(5, Limits.standard().withRetained(200_000, 20_000), seed));
+      assertEquals(List.of(), sim.wrong(r -> true).stream().limit(3).toList(), "seed " + seed);
+      assertTrue(sim.taken.size() > 500, "taken " + sim.taken.size());
+    }
+  }
+
+  /** 60 readers, four of them slow for a while, and six faults in 30 s, then calm. */
+  static Sim history(Sim sim) {
+    sim.start().run(2_500);
+    for (int i = 0; i < 60; i++) {
+      boolean slow = i % 15 == 0;
+      SimReader reader = sim.reader(CUSTOMER + i % 2, slow ? 1 : 200);
+      if (slow) {
+        sim.at(25_000, () -> reader.bytesPerMs = 200);
+      }
+    }
+    publishFor(sim, 30_000, 30, 400);
+    for (int n = 0; n < 6; n++) {
+      int one = sim.random.nextInt(5);
+      int other = (one + 1 + sim.random.nextInt(4)) % 5;
+      int kind = sim.random.nextInt(3);
+      sim.at(3_000 + sim.random.nextInt(20_000), () -> fault(sim, kind, one, other));
+    }
+    sim.run(70_000);
+    return sim;
+  }
+
+  private static void fault(Sim sim, int kind, int one, int other) {
+    if (kind == 0 && sim.door[one] != null) {
+      sim.kill(one, 600);
+      sim.at(sim.nowMs + 1_000 + sim.random.nextInt(4_000), () -> {
+        sim.restart(one);
+        sim.views(100);
+      });
+    } else if (kind == 1) {
+      sim.cut(one, other, true);
+      sim.views(800);
+      sim.at(sim.nowMs + 3_000, () -> {
+        sim.cut(one, other, false);
+        sim.views(100);
+      });
+    } else if (kind == 2) {
+      sim.linkMs[one][other] = 300;
+      sim.at(sim.nowMs + 4_000, () -> sim.linkMs[one][other] = 1);
+    }
+  }
+}
--- /dev/null
+++ b/notices/src/test/java/willowdoor/notices/Sim.java
@@ -0,0 +1,407 @@
+package willowdoor.notices;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.WeakHashMap;
+
+/** Front doors, what lies between them, publishers and readers, on a hand-moved clock with steps of 1 ms. */
+final class Sim {
+  private record Due(long atMs, long order, Runnable what) {}
+
+  /** A notice that was taken. */
+  record Taken(long customer, String stream, long seq, long begunMs) {}
+
+  final int doors;
+  final Limits limits;
+  final Random random;
+  final NoticesDoor[] door;
+  final long[] generation;
+  final boolean[][] cut;
+  final long[][] linkMs;
+  final List<SimReader> readers = new ArrayList<>();
+  final Map<Long, Taken> taken = new LinkedHashMap<>();
+  private final Map<Long, Long> begun = new HashMap<>();
+  private final Map<Long, Long> customerOf = new HashMap<>();
+  int refused;
+  long nowMs;
+  /** Deliveries to readers that are not slow, by ms. */
+  final long[] delivered = new long[200_001];
+  final Set<SimReader> unhealthy = new LinkedHashSet<>();
+  long mostHeld;
+  /** Another kind of assignment or rendering, for deliberate defects. */
+  java.util.function.IntFunction<Assignment> assignments;
+  ServerSentEvents events = new ServerSentEvents();
+  private final FleetView[] views;
+  private final long[][] session;
+  private final boolean[][] wanted;
+  private long epoch = 1;
+  private long calls;
+  private long connections;
+  private long orders;
+  private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.atMs() != b.atMs()
+      ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
+  private final Map<Long, SimReader> byConnection = new HashMap<>();
+  private final Set<SimReader> active = new LinkedHashSet<>();
+  /** By identity: arrays have no other equality. */
+  private final Map<byte[], List<SimReader.Seen>> parsed = new WeakHashMap<>();
+  private final ArrayDeque<Runnable> effects = new ArrayDeque<>();
+
+  Sim(int doors, Limits limits, long seed) {
+    this.doors = doors;
+    this.limits = limits;
+    this.random = new Random(seed);
+    this.door = new NoticesDoor[doors];
+    this.generation = new long[doors];
+    this.views = new FleetView[doors];
+    this.cut = new boolean[doors][doors];
+    this.linkMs = new long[doors][doors];
+    this.session = new long[doors][doors];
+    this.wanted = new boolean[doors][doors];
+    this.assignments = self -> new Assignment(self, limits);
+  }
+
+  Sim start() {
+    for (int i = 0; i < doors; i++) {
+      java.util.Arrays.fill(linkMs[i], 1);
+      restart(i);
+    }
+    views(0);
+    return this;
+  }
+
+  void restart(int i) {
+    generation[i]++;
+    views[i] = null;
+    door[i] = new NoticesDoor(i, generation[i], limits, random::nextLong,
+        e -> effects.add(() -> effect(i, e)), assignments.apply(i), events);
+  }
+
+  void at(long ms, Runnable what) {
+    due.add(new Due(ms, orders++, what));
+  }
+
+  /** A process dies without a word; others see it after so many ms, each at its own moment. */
+  void kill(int i, long seenMs) {
+    door[i] = null;
+    for (int j = 0; j < doors; j++) {
+      down(i, j);
+      down(j, i);
+    }
+    for (SimReader reader : readers) {
+      if (reader.door == i) {
+        away(reader, 100 + random.nextInt(100));
+      }
+    }
+    views(seenMs);
+  }
+
+  /** Tells each door who is there as it can know it: those that it is not cut off from. */
+  void views(long inMs) {
+    epoch++;
+    for (int i = 0; i < doors; i++) {
+      if (door[i] == null) {
+        continue;
+      }
+      List<FleetView.Member> members = new ArrayList<>();
+      long digest = 0;
+      for (int j = 0; j < doors; j++) {
+        if (door[j] != null && !cut[i][j]) {
+          members.add(new FleetView.Member(j, generation[j], "d" + j));
+          digest = digest * 31 + j * 7L + generation[j];
+        }
+      }
+      FleetView view = new FleetView(epoch, digest, members.size() * 2 <= doors, members);
+      int self = i;
+      at(nowMs + inMs + (inMs == 0 ? 0 : random.nextInt(200)), () -> {
+        if (door[self] != null && (views[self] == null || views[self].epoch() < view.epoch())) {
+          views[self] = view;
+          door[self].view(view, nowMs);
+          drain();
+        }
+      });
+    }
+  }
+
+  private void down(int from, int to) {
+    if (session[from][to] != 0) {
+      session[from][to] = 0;
+      if (door[from] != null) {
+        door[from].linkDown(to, nowMs);
+      }
+      connect(from, to);
+    }
+  }
+
+  private void connect(int from, int to) {
+    at(nowMs + 20 + random.nextInt(20), () -> {
+      if (!wanted[from][to] || door[from] == null || session[from][to] != 0) {
+        return;
+      }
+      if (door[to] == null || cut[from][to] || cut[to][from]) {
+        connect(from, to);
+      } else {
+        session[from][to] = ++orders;
+        door[from].linkUp(to, nowMs);
+        drain();
+      }
+    });
+  }
+
+  /** Cuts or mends the way between two doors, both ways. */
+  void cut(int a, int b, boolean off) {
+    cut[a][b] = off;
+    cut[b][a] = off;
+    down(a, b);
+    down(b, a);
+  }
+
+  private void effect(int i, Effect effect) {
+    if (effect instanceof Effect.Connect connect) {
+      wanted[i][connect.peer()] = true;
+      connect(i, connect.peer());
+    } else if (effect instanceof Effect.Disconnect gone) {
+      wanted[i][gone.peer()] = false;
+      session[i][gone.peer()] = 0;
+    } else if (effect instanceof Effect.Send send) {
+      send(i, send.peer(), send.message());
+    } else if (effect instanceof Effect.Write write) {
+      SimReader reader = byConnection.get(write.reader());
+      if (reader != null) {
+        reader.write(write.bytes());
+        active.add(reader);
+      }
+    } else if (effect instanceof Effect.Close close) {
+      close(i, close.reader());
+    } else if (effect instanceof Effect.Answer answer) {
+      int dot = answer.id() == null ? -1 : answer.id().lastIndexOf('.');
+      if (answer.status() == 200) {
+        taken.put(answer.call(), new Taken(customerOf.get(answer.call()), answer.id().substring(0, dot),
+            Long.parseLong(answer.id().substring(dot + 1), 36), begun.get(answer.call())));
+      } else {
+        refused++;
+      }
+    }
+  }
+
+  private void send(int from, int to, PeerMessage message) {
+    boolean back = message instanceof PeerMessage.Back;
+    int opener = back ? to : from;
+    int other = back ? from : to;
+    long sent = session[opener][other];
+    if (sent != 0) {
+      at(nowMs + linkMs[from][to], () -> {
+        if (session[opener][other] == sent && door[to] != null) {
+          door[to].message(from, message, nowMs);
+          drain();
+        }
+      });
+    }
+  }
+
+  private void close(int i, long connection) {
+    SimReader reader = byConnection.get(connection);
+    if (reader == null) {
+      return;
+    }
+    reader.closing = true;
+    at(nowMs + 2_000, () -> {
+      if (reader.connection == connection && reader.closing) {
+        end(reader, i);
+      }
+    });
+  }
+
+  private void end(SimReader reader, int i) {
+    long connection = reader.connection;
+    away(reader, reader.order != null ? 5 : 3_000);
+    if (door[i] != null) {
+      door[i].gone(connection, nowMs);
+      drain();
+    }
+  }
+
+  private void away(SimReader reader, long forMs) {
+    byConnection.remove(reader.connection);
+    active.remove(reader);
+    reader.door = -1;
+    reader.closing = false;
+    at(nowMs + forMs, () -> come(reader));
+  }
+
+  /** A reader comes: to where it was told to, or to any door. */
+  void come(SimReader reader) {
+    MoveOrder order = reader.order;
+    reader.order = null;
+    int to = order != null && door[order.target()] != null ? order.target() : random.nextInt(doors);
+    if (door[to] == null) {
+      at(nowMs + 20, () -> come(reader));
+      return;
+    }
+    MoveOrder told = order != null && to == order.target() ? order : null;
+    reader.connected(to, ++connections);
+    byConnection.put(reader.connection, reader);
+    NoticesApi.Read read = new NoticesApi.Read(reader.customer, reader.lastId, told);
+    String refusal = door[to].read(reader.connection, read, nowMs);
+    if (refusal != null) {
+      throw new IllegalStateException(refusal);
+    }
+    drain();
+  }
+
+  SimReader reader(long customer, double bytesPerMs) {
+    SimReader reader = new SimReader(readers.size(), customer, bytesPerMs);
+    readers.add(reader);
+    come(reader);
+    return reader;
+  }
+
+  /** A POST to a door; the notice tells when. */
+  long publish(int to, long customer, int bytes) {
+    long call = ++calls;
+    begun.put(call, nowMs);
+    customerOf.put(call, customer);
+    StringBuilder text = new StringBuilder(nowMs + " " + call + " ");
+    text.append("x".repeat(Math.max(0, bytes - text.length())));
+    byte[] body = text.toString().getBytes(StandardCharsets.UTF_8);
+    door[to].publish(call, new NoticesApi.Publish(customer, body), nowMs);
+    drain();
+    return call;
+  }
+
+  void drain() {
+    while (!effects.isEmpty()) {
+      effects.remove().run();
+    }
+  }
+
+  void run(long forMs) {
+    for (long until = nowMs + forMs; nowMs < until;) {
+      nowMs++;
+      while (!due.isEmpty() && due.peek().atMs() <= nowMs) {
+        due.remove().what().run();
+        drain();
+      }
+      for (SimReader reader : new ArrayList<>(active)) {
+        step(reader);
+      }
+      for (int i = 0; i < doors; i++) {
+        if (door[i] != null && nowMs % Limits.TICK_MS == i) {
+          door[i].tick(nowMs);
+          drain();
+          mostHeld = Math.max(mostHeld, door[i].figures().groupBytes());
+        }
+      }
+      if (nowMs % 50 == 0) {
+        exchange();
+      }
+    }
+  }
+
+  private void exchange() {
+    for (int i = 0; i < doors; i++) {
+      for (int j = 0; j < doors; j++) {
+        if (i != j && door[i] != null && door[j] != null && !cut[i][j]) {
+          door[j].interest(door[i].interest().since(door[j].interest().known(i, generation[i])), nowMs);
+          drain();
+        }
+      }
+    }
+  }
+
+  private void step(SimReader reader) {
+    long connection = reader.connection;
+    int at = reader.door;
+    long bytes = reader.read(event -> see(reader, event));
+    if (bytes > 0 && reader.door == at && at >= 0) {
+      door[at].taken(connection, bytes, nowMs);
+      drain();
+    }
+    if (reader.idle()) {
+      active.remove(reader);
+      if (reader.closing) {
+        end(reader, at);
+      }
+    }
+  }
+
+  private void see(SimReader reader, byte[] bytes) {
+    for (SimReader.Seen event : parsed.computeIfAbsent(bytes, SimReader.Seen::all)) {
+      see(reader, event);
+    }
+  }
+
+  private void see(SimReader reader, SimReader.Seen event) {
+    reader.see(event, nowMs);
+    if (event.type().equals("notice") && !unhealthy.contains(reader)) {
+      delivered[(int) Math.min(delivered.length - 1, nowMs + reader.latencyMs - event.publishedMs())]++;
+    }
+    if (event.order() != null) {
+      reader.moves++;
+      if (event.order().count() > reader.highestCount) {
+        reader.highestCount = event.order().count();
+        reader.order = event.order();
+      }
+    }
+  }
+
+  /** Counts what healthy readers are still owed as if it came now. */
+  Sim countOwed() {
+    for (Taken notice : taken.values()) {
+      for (SimReader reader : readers) {
+        SimReader.Known known = reader.streams.get(notice.stream());
+        if (reader.customer == notice.customer() && !unhealthy.contains(reader) && reader.openedMs >= 0
+            && notice.begunMs() >= reader.openedMs && (known == null || known.last < notice.seq())) {
+          delivered[(int) Math.min(delivered.length - 1, nowMs - notice.begunMs())]++;
+        }
+      }
+    }
+    return this;
+  }
+
+  long quantile(double q) {
+    long all = 0;
+    for (long n : delivered) {
+      all += n;
+    }
+    long left = (long) Math.ceil(all * q);
+    for (int ms = 0; ms < delivered.length; ms++) {
+      left -= delivered[ms];
+      if (left <= 0) {
+        return ms;
+      }
+    }
+    return delivered.length;
+  }
+
+  /**
+   * All that is wrong with what readers got, of notices that were taken.
+   *
+   * @param complete who must have had all
+   */
+  List<String> wrong(java.util.function.Predicate<SimReader> complete) {
+    List<String> wrong = new ArrayList<>();
+    Map<Long, List<Taken>> byCustomer = new HashMap<>();
+    taken.values().forEach(t -> byCustomer.computeIfAbsent(t.customer(), c -> new ArrayList<>()).add(t));
+    for (SimReader reader : readers) {
+      wrong.addAll(reader.wrong);
+      for (Taken notice : byCustomer.getOrDefault(reader.customer, List.of())) {
+        SimReader.Known known = reader.streams.get(notice.stream());
+        boolean owed = reader.openedMs >= 0 && notice.begunMs() >= reader.openedMs;
+        if (owed && complete.test(reader) && (known == null || known.first > notice.seq()
+            || known.last < notice.seq() && !known.openEnd)) {
+          wrong.add(reader.index + " never got " + notice);
+        }
+      }
+    }
+    return wrong;
+  }
+}
--- /dev/null
+++ b/notices/src/test/java/willowdoor/notices/SimReader.java
@@ -0,0 +1,149 @@
+package willowdoor.notices;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A customer's system that reads: takes bytes at its rate, follows moves, comes back, and checks what it
+ * gets.
+ */
+final class SimReader {
+  /** An event as a reader sees it; of those that many share one is made. */
+  record Seen(String type, String id, String stream, long from, long to, long publishedMs, int target,
+      MoveOrder order) {
+    static List<Seen> all(byte[] bytes) {
+      return Arrays.stream(new String(bytes, StandardCharsets.UTF_8).split("\n\n")).map(Seen::of).toList();
+    }
+
+    private static Seen of(String text) {
+      Map<String, String> fields = new HashMap<>();
+      for (String line : text.split("\n")) {
+        String[] parts = line.split(": ", 2);
+        fields.putIfAbsent(parts[0], parts[1]);
+      }
+      String type = fields.getOrDefault("event", "notice");
+      String id = fields.get("id");
+      String data = fields.get("data");
+      if (type.equals("notice")) {
+        String own = id.split("_")[0];
+        int dot = own.lastIndexOf('.');
+        long seq = Long.parseLong(own.substring(dot + 1), 36);
+        long publishedMs = Long.parseLong(data.split(" ")[0]);
+        return new Seen(type, id, own.substring(0, dot), seq, seq, publishedMs, -1, null);
+      }
+      String[] quoted = data.split("\"");
+      if (type.equals("gap")) {
+        String to = data.replaceAll(".*\"to\":|}", "");
+        return new Seen(type, id, quoted[3], Long.parseLong(data.replaceAll(".*\"from\":|,.*", "")),
+            to.equals("null") ? Entry.OPEN : Long.parseLong(to), 0, -1, null);
+      }
+      return type.equals("move") ? new Seen(type, id, null, 0, 0, 0, Integer.parseInt(quoted[3].substring(1)),
+          MoveOrder.parse(quoted[7])) : new Seen(type, id, null, 0, 0, 0, -1, null);
+    }
+  }
+
+  /** What a reader knows of one stream: it has, or was told that it lacks, all from the first to the last. */
+  static final class Known {
+    long first;
+    long last;
+    boolean openEnd;
+  }
+
+  final long customer;
+  final int index;
+  double bytesPerMs;
+  long latencyMs = 5;
+  int door = -1;
+  long connection;
+  String lastId;
+  MoveOrder order;
+  long openedMs = -1;
+  int repeats;
+  int gaps;
+  int moves;
+  int closes;
+  long lacking;
+  long highestCount;
+  final Map<String, Known> streams = new HashMap<>();
+  final List<String> wrong = new ArrayList<>();
+  private final ArrayDeque<byte[]> under = new ArrayDeque<>();
+  private double credit;
+  private int offset;
+  boolean closing;
+
+  SimReader(int index, long customer, double bytesPerMs) {
+    this.index = index;
+    this.customer = customer;
+    this.bytesPerMs = bytesPerMs;
+  }
+
+  void connected(int to, long number) {
+    door = to;
+    connection = number;
+    under.clear();
+    credit = 0;
+    offset = 0;
+    closing = false;
+  }
+
+  void write(byte[] bytes) {
+    under.add(bytes);
+  }
+
+  boolean idle() {
+    return under.isEmpty();
+  }
+
+  /** One ms of reading. @return bytes taken; what is whole goes to {@code seen} */
+  long read(java.util.function.Consumer<byte[]> seen) {
+    credit = Math.min(credit + bytesPerMs, Math.max(1, 2 * bytesPerMs));
+    long taken = 0;
+    while (!under.isEmpty() && credit >= 1) {
+      int part = (int) Math.min(credit, under.peek().length - offset);
+      offset += part;
+      credit -= part;
+      taken += part;
+      if (offset == under.peek().length) {
+        offset = 0;
+        seen.accept(under.remove());
+      }
+    }
+    return taken;
+  }
+
+  /** Checks an event against all before: nothing missing that was not told. */
+  void see(Seen event, long nowMs) {
+    lastId = event.id();
+    openedMs = event.type().equals("open") && openedMs < 0 ? nowMs : openedMs;
+    if (event.type().equals("closed")) {
+      closes++;
+    }
+    if (event.stream() == null) {
+      return;
+    }
+    Known known = streams.computeIfAbsent(event.stream(), s -> {
+      Known begun = new Known();
+      begun.first = event.from();
+      begun.last = event.from() - 1;
+      return begun;
+    });
+    boolean gap = event.type().equals("gap");
+    gaps += gap ? 1 : 0;
+    if (event.from() > known.last + 1) {
+      wrong.add(index + " lost " + (known.last + 1) + " to " + (event.from() - 1) + " of " + event.stream());
+    }
+    if (gap && event.to() == Entry.OPEN) {
+      known.openEnd = true;
+    } else if (event.to() <= known.last) {
+      repeats++;
+    } else {
+      lacking += gap ? event.to() - known.last : 0;
+      known.last = event.to();
+    }
+  }
+}
