--- a/notices/src/main/java/willowdoor/notices/Assignment.java
+++ b/notices/src/main/java/willowdoor/notices/Assignment.java
@@ -43,7 +43,12 @@
 
   /** Whether anybody may be moved now. */
   boolean settled(long nowMs) {
-    return !view.cutOff() && view.member(self) != null && nowMs - changedMs >= limits.settleMs();
+    return allowed() && nowMs - changedMs >= limits.settleMs();
+  }
+
+  /** Whether this front door may move readers in such a view. */
+  boolean allowed() {
+    return !view.cutOff() && view.member(self) != null;
   }
 
   /** Whether an order was decided under the view that holds here. */
@@ -122,7 +127,8 @@
     return true;
   }
 
-  private boolean fresh(MoveOrder order) {
+  /** Whether an order is newer than all that were seen of that reader. */
+  boolean fresh(MoveOrder order) {
     return order.count() > counts.getOrDefault(order.key(), 0L);
   }
 
--- a/notices/src/main/java/willowdoor/notices/NoticesDoor.java
+++ b/notices/src/main/java/willowdoor/notices/NoticesDoor.java
@@ -70,9 +70,10 @@
         }
       }
     };
-    this.passing = new Passing(self, limits, interest, effects, watcher);
+    Keeper keeper = new Keeper(self, generation);
+    this.passing = new Passing(keeper, limits, interest, effects, watcher);
     this.publishing = new Publishing(self, generation, passing, effects, watcher);
-    this.receiving = new Receiving(self, passing, publishing, effects, watcher);
+    this.receiving = new Receiving(keeper, passing, publishing, effects, watcher);
   }
 
   /** Which customers have readers here, for the members' exchange; to be changed by this class alone. */
--- a/notices/src/main/java/willowdoor/notices/Passing.java
+++ b/notices/src/main/java/willowdoor/notices/Passing.java
@@ -19,7 +19,7 @@
     void fetched(long customer, PeerMessage.Fetched answer, long nowMs);
   }
 
-  private final int self;
+  private final Keeper self;
   private final Limits limits;
   private final Interest interest;
   private final Consumer<Effect> effects;
@@ -29,7 +29,7 @@
   private final Map<Integer, PeerLink> links = new TreeMap<>();
   private FleetView view = FleetView.none();
 
-  Passing(int self, Limits limits, Interest interest, Consumer<Effect> effects, Watcher watcher) {
+  Passing(Keeper self, Limits limits, Interest interest, Consumer<Effect> effects, Watcher watcher) {
     this.self = self;
     this.limits = limits;
     this.interest = interest;
@@ -99,12 +99,12 @@
   /** Sees to it that a stream goes to those it concerns, and to nobody else. */
   void refresh(Stream stream, long nowMs) {
     // Where its keeper is gone too, all that hold it pass it on: whoever comes anew may know nothing of it.
-    boolean keeping = stream.orphanMs >= 0 && (stream.keeper == self || view.member(stream.keeper) == null);
+    boolean keeping = stream.orphanMs >= 0 && (stream.keeper.equals(self) || !stream.keeper.there(view));
     boolean renamed = stream.own && nameKeeper(stream);
     for (FleetView.Member member : view.members()) {
       int peer = member.number();
-      boolean gets = peer != self && (stream.own || keeping)
-          && (interest.has(peer, stream.customer) || stream.own && stream.keeper == peer);
+      boolean gets = peer != self.member() && (stream.own || keeping)
+          && (interest.has(peer, stream.customer) || stream.own && stream.keeper.member() == peer);
       PeerLink link = links.get(peer);
       if (gets && (link == null || !link.passes(stream.id) || renamed)) {
         link(peer, nowMs).offer(stream, nowMs);
@@ -120,17 +120,17 @@
    * @return whether it is another
    */
   private boolean nameKeeper(Stream stream) {
-    if (stream.keeper >= 0 && view.member(stream.keeper) != null) {
+    if (stream.keeper.there(view)) {
       return false;
     }
-    int best = -1;
+    Keeper best = Keeper.NONE;
     for (FleetView.Member member : view.members()) {
       int number = member.number();
-      if (number != self && (best < 0 || better(number, best, stream.customer))) {
-        best = number;
+      if (number != self.member() && (best.member() < 0 || better(number, best.member(), stream.customer))) {
+        best = new Keeper(number, member.generation());
       }
     }
-    boolean changed = best != stream.keeper;
+    boolean changed = !best.equals(stream.keeper);
     stream.keeper = best;
     return changed;
   }
@@ -180,8 +180,8 @@
   boolean fetch(Alone.Lack lack, long nowMs) {
     Stream stream = streams.get(lack.stream());
     int from = view.alive(lack.stream().member(), lack.stream().generation()) ? lack.stream().member()
-        : stream == null ? -1 : stream.keeper;
-    if (from == self || view.member(from) == null) {
+        : stream == null || !stream.keeper.there(view) ? -1 : stream.keeper.member();
+    if (from == self.member() || view.member(from) == null) {
       return false;
     }
     PeerLink link = link(from, nowMs);
@@ -238,8 +238,8 @@
     trim(bytes);
     for (Stream stream : new ArrayList<>(streams.values())) {
       Retained retained = kept.get(stream.customer);
-      if (stream.orphanMs >= 0 && !stream.ended && stream.keeper != self
-          && (nowMs - stream.orphanMs >= Limits.END_WAIT_MS || view.member(stream.keeper) == null)) {
+      if (stream.orphanMs >= 0 && !stream.ended && !stream.keeper.equals(self)
+          && (nowMs - stream.orphanMs >= Limits.END_WAIT_MS || !stream.keeper.there(view))) {
         stream.ended = true;
         if (retained.hasReaders()) {
           retained.gap(stream, Entry.OPEN, nowMs);
--- a/notices/src/main/java/willowdoor/notices/PeerLink.java
+++ b/notices/src/main/java/willowdoor/notices/PeerLink.java
@@ -32,7 +32,7 @@
   }
 
   private final int peer;
-  private final int self;
+  private final Keeper self;
   private final Limits limits;
   private final Consumer<Effect> effects;
   private final Map<StreamId, Cursor> cursors = new LinkedHashMap<>();
@@ -42,7 +42,7 @@
   private long unconfirmed;
   private long neededMs;
 
-  PeerLink(int peer, int self, Limits limits, Consumer<Effect> effects, long nowMs) {
+  PeerLink(int peer, Keeper self, Limits limits, Consumer<Effect> effects, long nowMs) {
     this.peer = peer;
     this.self = self;
     this.limits = limits;
@@ -68,7 +68,7 @@
     }
   }
 
-  private int keeper(Stream stream) {
+  private Keeper keeper(Stream stream) {
     return stream.own ? stream.keeper : self;
   }
 
@@ -110,13 +110,14 @@
     cursor.out.clear();
     cursor.endSaid = false;
     Stream stream = cursor.stream;
-    if (want.after() == PeerMessage.Want.BY_AGE) {
+    if (want.ageMs() != PeerMessage.Want.NO_MATTER) {
       // Its reader came at the earliest that long before the offer went out, whatever the way took.
       long since = cursor.offeredMs - want.ageMs();
       long after = Math.min(stream.before(since), stream.sendable(peer));
       // Where what is kept no more may have come since then, the last of it is begun with, and told as a gap.
       boolean lacks = stream.droppedMs() >= since && after == stream.first() - 1;
       after = lacks ? after - 1 : after;
+      after = want.after() == PeerMessage.Want.NO_MATTER ? after : Math.min(after, want.after());
       send(new PeerMessage.Begin(stream.customer, stream.id, after, keeper(stream)));
       cursor.next = after + 1;
     } else {
@@ -161,7 +162,7 @@
         unconfirmed += notice.cost();
         cursor.out.add(new Sent(notice.seq(), notice.cost(), nowMs));
         ready.add(cursor);
-      } else if (!stream.own && !cursor.endSaid && (stream.keeper == self || stream.complete)) {
+      } else if (!stream.own && !cursor.endSaid && (stream.keeper.equals(self) || stream.complete)) {
         cursor.endSaid = true;
         send(new PeerMessage.End(stream.id, stream.last()));
       }
--- a/notices/src/main/java/willowdoor/notices/PeerMessage.java
+++ b/notices/src/main/java/willowdoor/notices/PeerMessage.java
@@ -10,16 +10,19 @@
   /** What goes back on the link that the other front door opened. */
   sealed interface Back extends PeerMessage {}
 
-  /** I have this stream; {@code keeper} is the number of who keeps a copy, -1 where nobody does. */
-  record Offer(long customer, StreamId stream, int keeper) implements PeerMessage {}
+  /** I have this stream, and that process keeps a copy. */
+  record Offer(long customer, StreamId stream, Keeper keeper) implements PeerMessage {}
 
-  /** Pass me what comes after; or, where {@code after} is {@link #BY_AGE}, what you took in that many ms. */
+  /**
+   * Pass me what comes after that count, and what you took in that many ms before you offered it; either
+   * may be {@link #NO_MATTER}. Where an age is given the answer is a {@code Begin}.
+   */
   record Want(StreamId stream, long after, long ageMs) implements Back {
-    static final long BY_AGE = -1;
+    static final long NO_MATTER = -1;
   }
 
-  /** To a {@code Want} by age: the stream begins for you after this count. */
-  record Begin(long customer, StreamId stream, long after, int keeper) implements PeerMessage {}
+  /** To a {@code Want} with an age: the stream begins for you after this count. */
+  record Begin(long customer, StreamId stream, long after, Keeper keeper) implements PeerMessage {}
 
   record Pass(Notice notice) implements PeerMessage {}
 
--- a/notices/src/main/java/willowdoor/notices/Publishing.java
+++ b/notices/src/main/java/willowdoor/notices/Publishing.java
@@ -35,7 +35,7 @@
       return;
     }
     Stream stream = stream(retained, customer, nowMs);
-    if (stream.keeper < 0) {
+    if (stream.keeper.member() < 0) {
       refuse(call, "no second front door is there to keep the notice");
       return;
     }
@@ -64,7 +64,7 @@
   /** A peer holds a stream up to a count; if it keeps it, that is confirmed. */
   void have(int peer, PeerMessage.Have have, long nowMs) {
     Stream stream = passing.stream(have.stream());
-    if (stream == null || !stream.own || stream.keeper != peer) {
+    if (stream == null || !stream.own || stream.keeper.member() != peer) {
       return;
     }
     long upTo = Math.min(have.upTo(), stream.last());
--- a/notices/src/main/java/willowdoor/notices/Receiving.java
+++ b/notices/src/main/java/willowdoor/notices/Receiving.java
@@ -4,13 +4,13 @@
 
 /** What other front doors say of their streams, and what they answer to this one's. */
 final class Receiving {
-  private final int self;
+  private final Keeper self;
   private final Passing passing;
   private final Consumer<Effect> effects;
   private final Passing.Watcher watcher;
   private final Publishing publishing;
 
-  Receiving(int self, Passing passing, Publishing publishing, Consumer<Effect> effects,
+  Receiving(Keeper self, Passing passing, Publishing publishing, Consumer<Effect> effects,
       Passing.Watcher watcher) {
     this.self = self;
     this.passing = passing;
@@ -34,7 +34,7 @@
       }
     } else if (message instanceof PeerMessage.End end) {
       Stream stream = others(end.stream());
-      if (stream != null && (stream.keeper == peer || passing.view().member(stream.keeper) == null)
+      if (stream != null && (stream.keeper.member() == peer || !stream.keeper.there(passing.view()))
           && stream.last() >= end.last()) {
         stream.ended = true;
         stream.complete = true;
@@ -73,27 +73,32 @@
 
   private void offer(int peer, PeerMessage.Offer offer, long nowMs) {
     Stream stream = passing.stream(offer.stream());
-    Retained retained = stream != null || offer.keeper() == self || readers(offer.customer())
+    Retained retained = stream != null || offer.keeper().equals(self) || readers(offer.customer())
         ? passing.retained(offer.customer()) : null;
-    if (retained == null || offer.stream().member() == self
+    if (retained == null || own(offer.stream())
         || stream != null && stream.customer != offer.customer()) {
       return;
     }
     boolean fromTaker = peer == offer.stream().member();
     if (stream == null) {
-      PeerMessage.Want want = retained.want(offer.stream(), offer.keeper() == self, nowMs);
-      if (want.after() != PeerMessage.Want.BY_AGE) {
+      PeerMessage.Want want = retained.want(offer.stream(), offer.keeper().equals(self), nowMs);
+      if (want.ageMs() == PeerMessage.Want.NO_MATTER) {
         stream = passing.open(retained, offer.stream(), want.after(), false, nowMs);
       }
       reply(peer, want);
     } else {
-      reply(peer, new PeerMessage.Want(stream.id, stream.last(), 0));
+      reply(peer, new PeerMessage.Want(stream.id, stream.last(), PeerMessage.Want.NO_MATTER));
     }
-    if (stream != null && (fromTaker || stream.keeper < 0)) {
+    if (stream != null && (fromTaker || stream.keeper.member() < 0)) {
       stream.keeper = offer.keeper();
     }
   }
 
+  /** Whether a stream is this process's, whoever speaks of it; one of a process before it is another's. */
+  private boolean own(StreamId id) {
+    return id.member() == self.member() && id.generation() == self.generation();
+  }
+
   private boolean readers(long customer) {
     Retained retained = passing.retained(customer);
     return retained != null && retained.hasReaders();
@@ -101,16 +106,15 @@
 
   private void begin(int peer, PeerMessage.Begin begin, long nowMs) {
     Retained retained = passing.retained(begin.customer());
-    if (retained == null || begin.stream().member() == self || passing.stream(begin.stream()) != null
+    if (retained == null || own(begin.stream()) || passing.stream(begin.stream()) != null
         || !retained.hasReaders()) {
       return;
     }
     PeerMessage.Want want = retained.want(begin.stream(), false, nowMs);
-    if (want.after() == PeerMessage.Want.BY_AGE) {
+    if (want.after() == PeerMessage.Want.NO_MATTER || want.after() >= begin.after()) {
       passing.open(retained, begin.stream(), begin.after(), false, nowMs).keeper = begin.keeper();
     } else {
       // A reader has resumed here since this was asked for, and needs more.
-      passing.open(retained, begin.stream(), want.after(), false, nowMs).keeper = begin.keeper();
       reply(peer, want);
     }
   }
@@ -126,7 +130,7 @@
       watcher.appended(stream.customer, notice.cost(), nowMs);
     } else if (notice.seq() > stream.last() + 1) {
       // Something on the way went missing: begin again from what is here.
-      reply(peer, new PeerMessage.Want(stream.id, stream.last(), 0));
+      reply(peer, new PeerMessage.Want(stream.id, stream.last(), PeerMessage.Want.NO_MATTER));
       return;
     }
     reply(peer, new PeerMessage.Have(stream.id, stream.last()));
--- a/notices/src/main/java/willowdoor/notices/Retained.java
+++ b/notices/src/main/java/willowdoor/notices/Retained.java
@@ -176,9 +176,10 @@
 
   /** What to ask for of a stream that is offered for the first time. */
   PeerMessage.Want want(StreamId id, boolean keeper, long nowMs) {
-    if (keeper || needed != null) {
-      return new PeerMessage.Want(id, keeper ? 0 : needed.of(id), 0);
+    if (keeper) {
+      return new PeerMessage.Want(id, 0, PeerMessage.Want.NO_MATTER);
     }
-    return new PeerMessage.Want(id, PeerMessage.Want.BY_AGE, nowMs - readersMs);
+    long after = needed == null ? PeerMessage.Want.NO_MATTER : needed.of(id);
+    return new PeerMessage.Want(id, after, nowMs - readersMs);
   }
 }
--- a/notices/src/main/java/willowdoor/notices/Stream.java
+++ b/notices/src/main/java/willowdoor/notices/Stream.java
@@ -8,8 +8,8 @@
   final long base;
   /** Whether this front door takes its notices. */
   final boolean own;
-  /** The member that keeps a copy, -1 where none does. */
-  int keeper = -1;
+  /** Who keeps a copy. */
+  Keeper keeper = Keeper.NONE;
   /** Of an own stream: the last that a second front door holds. */
   long committed;
   long lastMs;
@@ -78,7 +78,7 @@
 
   /** What others may be passed: of an own stream only what a second front door holds. */
   long sendable(int peer) {
-    return own && peer != keeper ? committed : last();
+    return own && peer != keeper.member() ? committed : last();
   }
 
   /** The count before the first notice taken at that time or later, as far as they are held. */
--- /dev/null
+++ b/notices/src/test/java/willowdoor/notices/AssignmentModelTest.java
@@ -0,0 +1,258 @@
+package willowdoor.notices;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.IntFunction;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Every interleaving, to a stated depth, of what three members and a reader can do while the view changes,
+ * over the real {@link Assignment}: views arrive at each member when they will, one of them cut off; orders
+ * are decided, told later, followed late or twice; time passes.
+ */
+class AssignmentModelTest {
+  private static final int DEPTH = 9;
+  private static final Limits LIMITS = Limits.standard();
+  private static final FleetView ALL = view(1, false, 0, 1, 2);
+  /**
+   * What each member sees later: 2 is cut off; or 1 and 2 are, and 0 goes on with others that play no part.
+   */
+  private static final FleetView[][] LATER = {
+      {view(2, false, 0, 1), view(2, false, 0, 1), view(2, true, 2)},
+      {view(2, false, 0), view(2, true, 1, 2), view(2, true, 1, 2)}};
+  private static final long KEY = 99;
+  /** One whose slow readers go to 2, but to 1 where 0 and 1 are left. */
+  private static final long CUSTOMER = LongStream.range(1, 1_000).filter(c -> target(ALL, c) == 2
+      && target(LATER[0][0], c) == 1 && target(LATER[1][1], c) == 2).findFirst().orElseThrow();
+
+  private static int target(FleetView view, long customer) {
+    return new Places(view.members()).of(customer, PaceClass.SLOW);
+  }
+
+  private static FleetView view(long epoch, boolean cutOff, int... members) {
+    long digest = epoch * 1_000 + Arrays.hashCode(members);
+    return new FleetView(epoch, digest, cutOff,
+        Arrays.stream(members).mapToObj(i -> new FleetView.Member(i, 1, "d" + i)).toList());
+  }
+
+  /** One state, reached by its actions from the start. */
+  private static final class World {
+    final Assignment[] member = new Assignment[3];
+    final FleetView[] later;
+    final FleetView[] view = {ALL, ALL, ALL};
+    final long[] changedMs = new long[3];
+    long nowMs = LIMITS.settleMs();
+    /** Where the reader is; -1 while it is under way. */
+    int at;
+    long count;
+    boolean guest;
+    MoveOrder pending;
+    /** What it was told, newest last: it may follow any of them, also an old one again. */
+    final List<MoveOrder> told = new ArrayList<>();
+    final List<Long> accepted = new ArrayList<>();
+    String broken;
+
+    World(IntFunction<Assignment> made, FleetView[] later) {
+      this.later = later;
+      for (int i = 0; i < 3; i++) {
+        member[i] = made.apply(i);
+        member[i].view(ALL, 0);
+      }
+    }
+
+    /** Does an action. @return whether it could be done */
+    boolean act(int action) {
+      if (action < 3) {
+        if (view[action] != ALL) {
+          return false;
+        }
+        view[action] = later[action];
+        changedMs[action] = nowMs;
+        member[action].view(view[action], nowMs);
+        return true;
+      }
+      switch (action) {
+        case 3:
+          nowMs += LIMITS.settleMs() / 2;
+          return nowMs < 4 * LIMITS.settleMs();
+        case 4:
+          return decide();
+        case 5:
+          return tell();
+        case 6:
+          return follow(told.size() - 1);
+        case 7:
+          return follow(0);
+        default:
+          return come(action - 8);
+      }
+    }
+
+    private boolean decide() {
+      if (at < 0 || pending != null || guest) {
+        return false;
+      }
+      long rested = LIMITS.restMs() * 16;
+      pending = member[at].decide(KEY, CUSTOMER, PaceClass.SLOW, false, 0, count, rested, nowMs);
+      return pending != null;
+    }
+
+    private boolean tell() {
+      if (pending == null) {
+        return false;
+      }
+      MoveOrder order = pending;
+      pending = null;
+      if (member[at].tell(order, nowMs)) {
+        check("tells", at, order);
+        told.add(order);
+        at = -1;
+      }
+      return true;
+    }
+
+    /** The reader goes where it was told; it may be late, or do so again though it is somewhere by now. */
+    private boolean follow(int which) {
+      if (which < 0 || which >= told.size() || told.size() > 3) {
+        return false;
+      }
+      MoveOrder order = told.get(which);
+      boolean taken = member[order.target()].arrive(order, nowMs);
+      if (taken) {
+        check("takes in", order.target(), order);
+        if (accepted.contains(order.target() * 100L + order.count())) {
+          broken = "member " + order.target() + " takes in order " + order.count() + " twice";
+        }
+        accepted.add(order.target() * 100L + order.count());
+      }
+      at = order.target();
+      count = order.count();
+      guest = taken;
+      pending = null;
+      return true;
+    }
+
+    /** Without an order, as after a connection that broke. */
+    private boolean come(int to) {
+      at = to;
+      count = 0;
+      guest = false;
+      pending = null;
+      return true;
+    }
+
+    private void check(String what, int by, MoveOrder order) {
+      String who = "member " + by + " " + what + " an order of view " + order.epoch();
+      if (view[by].cutOff()) {
+        broken = who + ", and is cut off";
+      } else if (order.epoch() != view[by].epoch() || order.digest() != view[by].digest()) {
+        broken = who + ", and is in view " + view[by].epoch();
+      } else if (view[by] != ALL && nowMs - changedMs[by] < LIMITS.settleMs()) {
+        broken = who + ", which is not settled";
+      }
+    }
+
+    String state() {
+      StringBuilder told = new StringBuilder();
+      this.told.forEach(order -> told.append(order.epoch()).append(order.count()).append(order.target()));
+      return nowMs + "," + at + count + guest + (pending == null ? "" : pending.epoch()) + told + accepted
+          + Arrays.stream(view).map(FleetView::digest).toList() + Arrays.toString(changedMs);
+    }
+  }
+
+  private record Found(int states, List<Integer> trace, String broken) {}
+
+  private static Found search(IntFunction<Assignment> made) {
+    Found first = search(made, LATER[0]);
+    Found second = first.broken() != null ? first : search(made, LATER[1]);
+    return new Found(first.states() + second.states(), second.trace(), second.broken());
+  }
+
+  private static Found search(IntFunction<Assignment> made, FleetView[] later) {
+    Set<String> known = new HashSet<>();
+    ArrayDeque<List<Integer>> open = new ArrayDeque<>();
+    open.add(List.of());
+    while (!open.isEmpty()) {
+      List<Integer> path = open.remove();
+      for (int action = 0; action < 11; action++) {
+        World world = new World(made, later);
+        path.forEach(world::act);
+        if (!world.act(action)) {
+          continue;
+        }
+        List<Integer> longer = new ArrayList<>(path);
+        longer.add(action);
+        if (world.broken != null) {
+          return new Found(known.size(), longer, world.broken);
+        }
+        if (known.add(world.state()) && longer.size() < DEPTH) {
+          open.add(longer);
+        }
+      }
+    }
+    return new Found(known.size(), List.of(), null);
+  }
+
+  @Test
+  void noOrderIsActedOnOutOfItsView() {
+    Found found = search(i -> new Assignment(i, LIMITS));
+    System.out.println("assignments: " + found.states() + " states, every interleaving to depth " + DEPTH);
+    assertEquals(null, found.broken(), () -> "by " + found.trace());
+    assertTrue(found.states() > 1_000, "states " + found.states());
+  }
+
+  @Test
+  void findsThatTheNumberIsIgnored() {
+    caught(search(i -> new Assignment(i, LIMITS) {
+      @Override
+      boolean current(MoveOrder order) {
+        return true;
+      }
+    }));
+  }
+
+  @Test
+  void findsThatACutOffSideMovesReaders() {
+    caught(search(i -> new Assignment(i, LIMITS) {
+      @Override
+      boolean allowed() {
+        return true;
+      }
+    }));
+  }
+
+  @Test
+  void findsThatAnOrderIsTakenTwice() {
+    caught(search(i -> new Assignment(i, LIMITS) {
+      @Override
+      boolean fresh(MoveOrder order) {
+        return true;
+      }
+    }));
+  }
+
+  @Test
+  void findsThatTheViewHasNotSettled() {
+    caught(search(i -> new Assignment(i, LIMITS) {
+      @Override
+      boolean settled(long nowMs) {
+        return allowed();
+      }
+    }));
+  }
+
+  private static void caught(Found found) {
+    System.out.println("found: " + found.broken() + ", by " + found.trace());
+    assertNotNull(found.broken());
+    assertTrue(found.trace().size() <= DEPTH);
+  }
+}
