--- a/purge/src/main/java/willowdoor/purge/Callers.java
+++ b/purge/src/main/java/willowdoor/purge/Callers.java
@@ -9,7 +9,8 @@
 final class Callers {
   static final int MOST = 4_096;
 
-  record Caller(long caller, String customer, long deadline) { }
+  /** {@code asks}: it only asks how the purge goes. */
+  record Caller(long caller, String customer, boolean asks, long deadline) { }
 
   /** The lists are never changed. */
   private final LinkedHashMap<PurgeId, List<Caller>> byId = new LinkedHashMap<>();
--- a/purge/src/main/java/willowdoor/purge/Coordinator.java
+++ b/purge/src/main/java/willowdoor/purge/Coordinator.java
@@ -86,7 +86,7 @@
       if (refused != null) {
         effects.add(new Effect.Answer(caller, refused));
       } else {
-        callers.add(id, new Caller(caller, scope.customer(), deadline));
+        callers.add(id, new Caller(caller, scope.customer(), false, deadline));
         effects.addAll(rounds.start(now));
       }
     }
@@ -109,7 +109,7 @@
     } else if (callers.full() || round == null && questions.size() >= MAX_QUESTIONS) {
       effects.add(new Effect.Answer(caller, new Outcome.Unavailable(id, Outcome.Why.BUSY)));
     } else {
-      callers.add(id, new Caller(caller, customer, deadline));
+      callers.add(id, new Caller(caller, customer, true, deadline));
       if (round == null && !questions.containsKey(id)) {
         Ask ask = new Ask(++numbers, id);
         Repeat question = new Repeat(ask, fleet.keepers(), now, fleet.timing(), Integer.MAX_VALUE);
@@ -221,18 +221,25 @@
     answer(id, new Outcome.Unavailable(id, why), effects);
   }
 
-  /** A caller's time is over: of a committed run it alone goes, of any other all that wait for the id. */
+  /**
+   * A caller's time is over. Where it called for a purge that is not committed, all that wait for the id are
+   * told that it is not taken; any other goes alone.
+   */
   private void late(long now, PurgeId id, List<Effect> effects) {
     Round round = rounds.find(id);
-    if (round == null || !round.committed()) {
+    boolean committed = round != null && round.committed();
+    List<Caller> list = callers.take(id);
+    if (round == null || !committed && list.stream().anyMatch(one -> !one.asks() && one.deadline() <= now)) {
+      list.forEach(one -> callers.add(id, one));
       fail(id, round != null && !round.started() ? Outcome.Why.BUSY : Outcome.Why.NO_MAJORITY, effects);
       return;
     }
-    for (Caller one : callers.take(id)) {
-      if (one.deadline() <= now) {
-        effects.add(new Effect.Answer(one.caller(), new Outcome.Pending(id)));
-      } else {
+    for (Caller one : list) {
+      if (one.deadline() > now) {
         callers.add(id, one);
+      } else {
+        effects.add(new Effect.Answer(one.caller(), committed
+            ? new Outcome.Pending(id) : new Outcome.Unavailable(id, Outcome.Why.NO_MAJORITY)));
       }
     }
   }
--- a/purge/src/main/java/willowdoor/purge/Holder.java
+++ b/purge/src/main/java/willowdoor/purge/Holder.java
@@ -33,9 +33,13 @@
   private final Rules rules;
   private long number;
   private final long[] sentAt;
-  /** By the keeper's place: until when its last grant counts, and the runs that came with its last word. */
+  /**
+   * By the keeper's place: until when its last grant counts, the runs that came with its last word, and the
+   * number of its latest.
+   */
   private final long[] until;
   private final List<List<Long>> carried;
+  private final long[] heard;
   /** Until when a majority of grants counts. */
   private long end;
   private long term;
@@ -52,6 +56,7 @@
     for (int i = 0; i < until.length; i++) {
       carried.add(List.of());
     }
+    heard = new long[until.length];
     log = new PurgeLog();
     applied = new LinkedHashSet<>();
   }
@@ -64,6 +69,7 @@
     sentAt = other.sentAt.clone();
     until = other.until.clone();
     carried = new ArrayList<>(other.carried);
+    heard = other.heard.clone();
     end = other.end;
     term = other.term;
     log = new PurgeLog(other.log);
@@ -76,7 +82,7 @@
     sentAt[(int) (number % RENEWALS)] = now;
     List<Effect> effects = new ArrayList<>();
     for (int i = 0; i < until.length; i++) {
-      effects.add(new Effect.Send(fleet.keepers().get(i), new Renew(boot, number, carried.get(i))));
+      effects.add(new Effect.Send(fleet.keepers().get(i), new Renew(boot, number, heard[i], carried.get(i))));
     }
     return effects;
   }
@@ -102,8 +108,9 @@
     if (grant.number() < 1 || grant.number() > number || grant.number() <= number - RENEWALS) {
       return;
     }
+    heard[keeper] = Math.max(heard[keeper], grant.number());
     if (grant.more()) {
-      effects.add(new Effect.Send(from, new Renew(boot, grant.number(), runs)));
+      effects.add(new Effect.Send(from, new Renew(boot, grant.number(), heard[keeper], runs)));
       return;
     }
     boolean held = now < end;
--- a/purge/src/main/java/willowdoor/purge/Keeper.java
+++ b/purge/src/main/java/willowdoor/purge/Keeper.java
@@ -31,6 +31,8 @@
   private static final int MAX_LIVE = 256;
   private static final int MAX_LIVE_OF_CUSTOMER = 32;
   private static final int MAX_BOOTS = 2;
+  /** Whoever has missed more answers than this gets no lease until it hears one: it may be deaf. */
+  private static final int MAX_MISSED = 3;
   /** What the runs of one grant may take of a datagram, and what each takes beside its text. */
   private static final int GRANT_ROOM = 1_300;
   private static final int RUN_ROOM = 24;
@@ -116,9 +118,6 @@
   private void forget(long now) {
     leases.values().removeIf(until -> until <= now);
     live.values().removeIf(held -> held.seenAt + fleet.timing().keepMs() <= now);
-    for (Live held : live.values()) {
-      held.bare.values().removeIf(until -> until <= now);
-    }
   }
 
   private void renew(long now, int from, Renew renew, List<Effect> effects) {
@@ -134,7 +133,7 @@
       }
     }
     List<Purge> purges = new ArrayList<>();
-    boolean more = false;
+    boolean more = renew.number() - renew.heard() > MAX_MISSED;
     int room = GRANT_ROOM;
     for (Live held : live.values()) {
       if (!rules.carries() || held.applied.contains(holder)) {
@@ -180,6 +179,7 @@
       live.put(run, held);
     }
     held.seenAt = now;
+    held.bare.values().removeIf(until -> until <= now);
     for (Claim claim : accept.claims()) {
       if (known.get(claim.id()) == null) {
         known.put(now, claim.id(), new Known(accept.purge().scope(), claim.mark(), null));
--- a/purge/src/main/java/willowdoor/purge/Message.java
+++ b/purge/src/main/java/willowdoor/purge/Message.java
@@ -40,8 +40,11 @@
 
   enum State { DONE, OPEN, UNKNOWN, NOT_READY }
 
-  /** Holder to keeper. {@code applied}: the runs of this keeper's last grant, which are carried out. */
-  record Renew(long boot, long number, List<Long> applied) implements Message {
+  /**
+   * Holder to keeper. {@code heard}: the number of this keeper's latest answer, 0 before any; {@code
+   * applied}: the runs of its last grant, which are carried out.
+   */
+  record Renew(long boot, long number, long heard, List<Long> applied) implements Message {
     public Renew {
       applied = List.copyOf(applied);
     }
--- a/purge/src/main/java/willowdoor/purge/Rounds.java
+++ b/purge/src/main/java/willowdoor/purge/Rounds.java
@@ -14,7 +14,7 @@
   static final int MAX_OUT = 128;
   static final int MAX_OUT_OF_CUSTOMER = 4;
   static final int MAX_WAITING = 512;
-  static final int MAX_WAITING_OF_CUSTOMER = 8;
+  static final int MAX_WAITING_OF_CUSTOMER = 32;
 
   private final Fleet fleet;
   private final int self;
--- /dev/null
+++ b/purge/src/main/java/willowdoor/purge/UdpDatagrams.java
@@ -0,0 +1,86 @@
+package willowdoor.purge;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * UDP between the addresses of a roster, on one event loop; all methods are called on it, but for the start.
+ */
+public final class UdpDatagrams implements Datagrams, AutoCloseable {
+  private final Map<Integer, InetSocketAddress> addresses;
+  private final Map<InetSocketAddress, Integer> members = new HashMap<>();
+  private Channel channel;
+  private long strangers;
+  private long unsent;
+
+  /** {@code addresses}: by member, resolved. */
+  public UdpDatagrams(Map<Integer, InetSocketAddress> addresses) {
+    this.addresses = Map.copyOf(addresses);
+    addresses.forEach((member, address) -> members.put(address, member));
+  }
+
+  /** Listens at its own address; {@code receiver} gets the member and the bytes, on the loop. */
+  public ChannelFuture listen(EventLoop loop, Class<? extends DatagramChannel> type, int self,
+      BiConsumer<Integer, byte[]> receiver) {
+    Bootstrap bootstrap = new Bootstrap().group(loop).channel(type)
+        .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+          @Override
+          protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            Integer member = members.get(packet.sender());
+            if (member == null) {
+              strangers++;
+            } else {
+              receiver.accept(member, ByteBufUtil.getBytes(packet.content()));
+            }
+          }
+
+          @Override
+          public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A port that nobody listens at any more is told here: no more than a datagram that is lost.
+            unsent++;
+          }
+        });
+    ChannelFuture bound = bootstrap.bind(addresses.get(self));
+    channel = bound.channel();
+    return bound;
+  }
+
+  @Override
+  public void send(int member, byte[] datagram) {
+    InetSocketAddress to = addresses.get(member);
+    if (to == null || channel == null || !channel.isWritable()) {
+      unsent++;
+      return;
+    }
+    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to), channel.voidPromise());
+  }
+
+  /** Datagrams from addresses that are not in the roster, which are dropped. */
+  public long strangers() {
+    return strangers;
+  }
+
+  /** Datagrams that could not be handed to the kernel. */
+  public long unsent() {
+    return unsent;
+  }
+
+  @Override
+  public void close() {
+    if (channel != null) {
+      channel.close();
+    }
+  }
+}
--- a/purge/src/test/java/willowdoor/purge/Image.java
+++ b/purge/src/test/java/willowdoor/purge/Image.java
@@ -61,11 +61,12 @@
 
   private Object field(String name, Object value) {
     switch (name) {
+      case "heard":
       case "until":
         long[] until = (long[]) value;
         Object[] ends = new Object[until.length];
         for (int i = 0; i < ends.length; i++) {
-          ends[keepers[i]] = until[i] <= now ? 0 : until[i];
+          ends[keepers[i]] = name.equals("until") && until[i] <= now ? 0 : until[i];
         }
         return Arrays.asList(ends);
       case "carried":
@@ -79,6 +80,7 @@
         ((Map<?, ?>) value).forEach((keeper, witness) -> witnesses.put(keepers[(Integer) keeper], witness));
         return of(witnesses);
       case "waits":
+      case "bare":
         return ((Map<?, ?>) value).entrySet().stream().filter(wait -> (Long) wait.getValue() > now)
             .map(Object::toString).toList();
       case "end":
