--- a/policy/src/main/java/willowdoor/policy/Admission.java
+++ b/policy/src/main/java/willowdoor/policy/Admission.java
@@ -17,7 +17,7 @@
     } else if (job.late(ctx.now)) {
       ctx.figures.expired[Stage.ARRIVAL.ordinal()]++;
       attempts.refuse(job, Refusal.LATE, 0);
-    } else if (ctx.pressure.sheds(r.className(), job.worth(), ctx.now)) {
+    } else if (ctx.pressure.pressed(job.worth(), 0, ctx.now)) {
       attempts.refuse(job, Refusal.PRESSED, 0);
     } else {
       check(job);
--- a/policy/src/main/java/willowdoor/policy/Pressure.java
+++ b/policy/src/main/java/willowdoor/policy/Pressure.java
@@ -1,6 +1,5 @@
 package willowdoor.policy;
 
-import java.util.*;
 import willowdoor.policy.GatewayApi.*;
 
 /** The wait for an answer that a request must expect, as this gateway's own attempts tell. */
@@ -9,8 +8,6 @@
   static final double LOW = 0.25, HIGH = 0.4;
   /** So much less is accepted for a request that no answer of the counter has confirmed. */
   static final double UNCONFIRMED = 0.1;
-  /** Pressure lets pass at least this part of each class of what it lets pass of all; so much is carried. */
-  private static final double CLASS_PART = 0.8, CLASS_CARRIED = 4;
   /** Weight of the newest answer in the fleet's wait: the last twenty count, or the last few seconds. */
   static final double NEWEST = 0.05, LIFE_MS = 4_000;
   /** A backend with fewer requests than this, of all gateways, is not taken to queue. */
@@ -27,8 +24,6 @@
   final Mean outMean = new Mean(0.3, 1000, 0, 0); // as new requests met them
   private final Mean latencyOfAim = new Mean(NEWEST, LIFE_MS, 0, 0);
   private final Mean outThen = new Mean(NEWEST, LIFE_MS, 0, 0), serviceMean;
-  private final Mean passing = new Mean(0.02, LIFE_MS, 0, 1); // of all, those let pass
-  private final Map<String, double[]> owed = new HashMap<>(); // to each class, in requests
   private double okAt = Double.NEGATIVE_INFINITY, meanWorth = Double.NaN;
   double meanUnits = 1; // of requests
 
@@ -55,17 +50,6 @@
     return expectedOfAim(now) > LOW + (HIGH - LOW) * rank - less;
   }
 
-  /** Whether pressure refuses a request of the class, which no class bears beyond its part: a class that is
-   * let pass less than its part of what all are is owed the difference. Harm: less room for the worthy. */
-  boolean sheds(String className, double worth, double now) {
-    double[] credit = owed.computeIfAbsent(className, c -> new double[1]);
-    credit[0] = Math.min(CLASS_CARRIED, credit[0] + CLASS_PART * passing.value);
-    boolean sheds = credit[0] < 1 && pressed(worth, 0, now);
-    credit[0] = sheds ? credit[0] : Math.max(-CLASS_CARRIED, credit[0] - 1);
-    passing.add(sheds ? 0 : 1, now);
-    return sheds;
-  }
-
   /** Expected wait as a share of the aim: as lately measured, scaled by how many more are out by now. */
   double expectedOfAim(double now) {
     double held = gateways / (double) Math.max(1, serving), unsure = OUT_UNSURE * held;
