Cut the arrows that run back up among the front door's classes

Need: the one package of the front door is to become several with arrows one way, and five of its uses run back up: an attempt knew the servers' connection class, clients knew the pool of servers and its connections, the table of requests knew the clients' reader, the rehearsal knew the configuration, and the dealing out of descriptors knew the operators' listener.

Change: an attempt knows an interface of what carries it and keeps its state to itself; Asked is a value of its own; clients are told by one question whether servers are listed; the rehearsal tells its peers, from which the front door makes the configuration; the operators' share of descriptors stands with the others; how long a body is told to be is read beside the protocol's headers. No behaviour changes.

--- /dev/null
+++ b/front/src/main/java/willowdoor/net/Asked.java
@@ -0,0 +1,12 @@
+package willowdoor.net;
+
+import willowdoor.GatewayApi.Request;
+
+/** A request as its head tells it; what is left of its time is known once its last byte has come. */
+record Asked(String id, String className, String plan, long customer, int entryPoints, double units,
+    double timeoutMs) {
+
+  Request within(Budget budget) {
+    return new Request(id, className, plan, customer, entryPoints, units, budget.endMs());
+  }
+}
--- a/front/src/main/java/willowdoor/net/Attempt.java
+++ b/front/src/main/java/willowdoor/net/Attempt.java
@@ -9,27 +9,72 @@
 /** One attempt of a request at one backend, from the module's send to its one outcome. */
 abstract class Attempt {
 
-  final Outgoing message;
+  /** The connection that takes an attempt to its backend, and the answer back. */
+  interface Carrier extends Outgoing.Sink {
+    /** Reads on, or no more for now: what is not read holds back the backend. */
+    void read(boolean on);
+
+    void close();
+  }
+
+  private final Outgoing message;
   /** When it is given up, on the clock. */
-  final double endsAt;
+  private final double endsAt;
   /** The connection that is being opened for it, and the one that it is on. */
-  Channel connecting;
-  BackendConnection connection;
-  /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
-  boolean written;
+  private Channel connecting;
+  private Carrier carrier;
+  private boolean written;
   /** Fires when the attempt's time is up. */
-  Future<?> timer;
+  private Future<?> timer;
   private boolean ended;
 
-  Attempt(Outgoing message, double endsAt) {
+  protected Attempt(Outgoing message, double endsAt) {
     this.message = message;
     this.endsAt = endsAt;
   }
 
+  final Outgoing message() {
+    return message;
+  }
+
+  /** When it is given up, on the clock, in milliseconds. */
+  final double endsAt() {
+    return endsAt;
+  }
+
+  /** A connection is being opened for it. */
+  final void connecting(Channel channel) {
+    connecting = channel;
+  }
+
+  /** From now on it is on this connection. */
+  final void carriedBy(Carrier by) {
+    carrier = by;
+  }
+
+  /** The connection that it is on, or null. */
+  final Carrier carrier() {
+    return carrier;
+  }
+
+  /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
+  final boolean written() {
+    return written;
+  }
+
+  /** A write has ended: with the request's last byte at the kernel, or not. */
+  final void written(boolean whole) {
+    written = whole;
+  }
+
   final boolean ended() {
     return ended;
   }
 
+  final void startTimer(Future<?> started) {
+    timer = started;
+  }
+
   /** How a broken connection ends this attempt: whether it may have run is told by the write alone. */
   final Status broken() {
     return written ? Status.RESET : Status.UNREACHABLE;
@@ -54,8 +99,8 @@
     }
     ended = true;
     stopTimer();
-    if (connection != null) {
-      message.detach(connection);
+    if (carrier != null) {
+      message.detach(carrier);
     }
     onEnd(status, head, body);
   }
@@ -65,7 +110,7 @@
     if (ended) {
       return;
     }
-    BackendConnection used = connection;
+    Carrier used = carrier;
     end(status, null, null);
     if (used != null) {
       used.close();
@@ -75,20 +120,20 @@
   }
 
   /** The first piece behind the message's prefix is being written: there can be no other attempt. */
-  abstract void onSpent();
+  public abstract void onSpent();
 
   /** The last piece of a message that came in pieces is being written. */
-  abstract void onSent();
+  public abstract void onSent();
 
   /** The answer's head has come; how long its body takes to come tells nothing of the backend's load. */
-  abstract void onHead();
+  public abstract void onHead();
 
   /** The head of an answer that is passed on as it comes; false where nobody waits for it any more. */
-  abstract boolean onBegin(HttpResponse head);
+  public abstract boolean onBegin(HttpResponse head);
 
   /** A piece of that answer, which is taken over. */
-  abstract void onPiece(ByteBuf piece);
+  public abstract void onPiece(ByteBuf piece);
 
   /** The head and the body are only lent; they are null unless the status is OK, the body if it was begun. */
-  abstract void onEnd(Status status, HttpResponse head, ByteBuf body);
+  protected abstract void onEnd(Status status, HttpResponse head, ByteBuf body);
 }
--- a/front/src/main/java/willowdoor/net/BackendConnection.java
+++ b/front/src/main/java/willowdoor/net/BackendConnection.java
@@ -20,7 +20,7 @@
 import willowdoor.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
-final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements Outgoing.Sink {
+final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements Attempt.Carrier {
 
   /** Answers that tell a length up to this are passed on when whole, so that a cut one can be tried again. */
   private static final int MOST_HELD = 64 * 1024;
@@ -87,34 +87,35 @@
     return channel.isActive() && !decoder.holdsRest();
   }
 
-  void close() {
+  @Override
+  public void close() {
     channel.close();
   }
 
-  /** Reads no more of an answer than its client takes. */
-  void read(boolean on) {
+  @Override
+  public void read(boolean on) {
     channel.config().setAutoRead(on);
   }
 
   /** Writes the attempt's request; nothing below the module ever writes it again. */
   void carry(Attempt attempt) {
     current = attempt;
-    attempt.connection = this;
-    HttpRequest request = attempt.message.message(pool.leftMs(attempt));
-    if (attempt.message.whole()) {
+    attempt.carriedBy(this);
+    HttpRequest request = attempt.message().message(pool.leftMs(attempt));
+    if (attempt.message().whole()) {
       written(attempt, channel.writeAndFlush(request), true);
       return;
     }
     channel.write(request);
-    written(attempt, channel.writeAndFlush(new DefaultHttpContent(attempt.message.prefix())), false);
+    written(attempt, channel.writeAndFlush(new DefaultHttpContent(attempt.message().prefix())), false);
     if (!attempt.ended()) {
-      attempt.message.passTo(this);
+      attempt.message().passTo(this);
     }
   }
 
   private void written(Attempt attempt, ChannelFuture write, boolean last) {
     write.addListener((ChannelFuture f) -> {
-      attempt.written = last && f.isSuccess();
+      attempt.written(last && f.isSuccess());
       if (!f.isSuccess()) {
         attempt.end(Status.UNREACHABLE, null, null);
         channel.close();
@@ -132,17 +133,17 @@
       return;
     }
     if (last) {
-      attempt.message.detach(this);
+      attempt.message().detach(this);
       attempt.onSent();
     } else if (channel.isWritable()) {
-      attempt.message.wantMore();
+      attempt.message().wantMore();
     }
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (channel.isWritable() && current != null && current.message.passesTo(this)) {
-      current.message.wantMore();
+    if (channel.isWritable() && current != null && current.message().passesTo(this)) {
+      current.message().wantMore();
     }
     ctx.fireChannelWritabilityChanged();
   }
@@ -166,7 +167,7 @@
         junk(Tally.Event.ANSWER_UNREADABLE);
         return;
       }
-      if (served() && length(head) > MOST_HELD) {
+      if (served() && Headers.bodyLength(head) > MOST_HELD) {
         begin();
       }
     }
@@ -202,7 +203,7 @@
       held = channel.alloc().buffer(piece.readableBytes());
     }
     held.writeBytes(piece);
-    if (length(head) < 0 && held.readableBytes() > HELD_UNTOLD) {
+    if (Headers.bodyLength(head) < 0 && held.readableBytes() > HELD_UNTOLD) {
       begin();
     }
   }
@@ -242,7 +243,7 @@
     held = null;
     forget();
     // An answer ahead of the request's end leaves the connection out of step.
-    answered = attempt.written && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
+    answered = attempt.written() && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
     if (!answered) {
       channel.close();
     } else {
@@ -269,11 +270,6 @@
     }
   }
 
-  /** The body's length as told, or -1: then its chunks or the connection's end tell it. */
-  static long length(HttpResponse head) {
-    return HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
-  }
-
   /**
    * Whether a cut of the answer can be seen. Where the connection's end is the body's end, only a reset tells
    * of one, so the backend must have said that it closes.
--- a/front/src/main/java/willowdoor/net/BackendPool.java
+++ b/front/src/main/java/willowdoor/net/BackendPool.java
@@ -136,7 +136,7 @@
 
   /** What is left of an attempt's time. */
   double leftMs(Attempt attempt) {
-    return Math.max(0, attempt.endsAt - clock.now());
+    return Math.max(0, attempt.endsAt() - clock.now());
   }
 
   /** The connection used last, unless it stood idle so long that the backend may be closing it. */
@@ -163,7 +163,7 @@
         channel.pipeline().addLast(c.decoder(), new HttpRequestEncoder(), c);
       }
     }).connect(b.place);
-    attempt.connecting = connected.channel();
+    attempt.connecting(connected.channel());
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
--- a/front/src/main/java/willowdoor/net/ClientConnection.java
+++ b/front/src/main/java/willowdoor/net/ClientConnection.java
@@ -31,7 +31,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.net.RequestReader.Asked;
 import willowdoor.net.RequestReader.BadRequest;
 
 /**
@@ -66,7 +65,7 @@
   private Outgoing onward;
   /** Its id while the module works on it, and whether its answer is under way, or written in whole. */
   private String current;
-  private BackendConnection answering;
+  private Attempt.Carrier answering;
   private boolean answered;
   private boolean ending;
   /** A part was asked for that has not come. */
@@ -331,11 +330,11 @@
 
   /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
   @Override
-  public void begin(HttpResponse from, BackendConnection backend) {
-    answering = backend;
+  public void begin(HttpResponse from, Attempt.Carrier carrier) {
+    answering = carrier;
     HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     copyType(from, answer);
-    long length = BackendConnection.length(from);
+    long length = Headers.bodyLength(from);
     if (length >= 0) {
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
     } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
--- a/front/src/main/java/willowdoor/net/ClientServer.java
+++ b/front/src/main/java/willowdoor/net/ClientServer.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-import willowdoor.net.RequestReader.Asked;
 import willowdoor.net.RequestReader.BadRequest;
 
 /** Accepts clients, and tells their connections what all of them share. */
@@ -47,12 +46,11 @@
   private final Clock clock;
   private final Looks looks;
   private final ModuleDriver driver;
-  private final BackendPool backends;
   private final RequestReader reader;
   private final Descriptors descriptors;
   private final Tally tally;
-  /** Whether the list of template servers is as new as can be had. */
-  private final BooleanSupplier caughtUp;
+  /** Whether the list of template servers is as new as can be had, and names any. */
+  private final BooleanSupplier listed;
   private final Set<ClientConnection> connections = new HashSet<>();
   /** Those of them that no request is on, the longest idle first: without a request so far, and after one. */
   private final LinkedHashSet<ClientConnection> fresh = new LinkedHashSet<>();
@@ -68,17 +66,16 @@
   private boolean ending;
   private double drainingSince;
 
-  ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver, BackendPool backends,
-      RequestReader reader, Descriptors descriptors, Tally tally, BooleanSupplier caughtUp) {
+  ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver, RequestReader reader,
+      Descriptors descriptors, Tally tally, BooleanSupplier listed) {
     this.transport = transport;
     this.clock = clock;
     this.looks = looks;
     this.driver = driver;
-    this.backends = backends;
     this.reader = reader;
     this.descriptors = descriptors;
     this.tally = tally;
-    this.caughtUp = caughtUp;
+    this.listed = listed;
   }
 
   ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
@@ -160,7 +157,7 @@
 
   /** Whether it could serve, drained by the operators or not. */
   boolean canServe() {
-    return ready && !ending && caughtUp.getAsBoolean() && backends.knowsAny();
+    return ready && !ending && listed.getAsBoolean();
   }
 
   boolean draining() {
--- a/front/src/main/java/willowdoor/net/Descriptors.java
+++ b/front/src/main/java/willowdoor/net/Descriptors.java
@@ -9,11 +9,13 @@
  */
 record Descriptors(int clients, int refused, int backends) {
 
+  /** For the operators' address: its callers, one that is about to be turned away, its own. */
+  static final int OPERATORS = 16;
   /**
    * The Java runtime's files and pollers, the listener, and the connections to the counter and to discovery,
    * which are there twice for a moment when their addresses change; and the operators' share.
    */
-  private static final int OWN = 48 + Management.DESCRIPTORS;
+  private static final int OWN = 48 + OPERATORS;
   /** Connections over the clients' bound that are still told so. */
   private static final int REFUSED = 16;
   private static final int LEAST = 96;
--- a/front/src/main/java/willowdoor/net/FrontDoor.java
+++ b/front/src/main/java/willowdoor/net/FrontDoor.java
@@ -130,7 +130,8 @@
     FrontDoor door = new FrontDoor(Transport.INSIDE);
     try {
       Rehearsal rehearsal = new Rehearsal(config.settings(), door.group);
-      door.begin(rehearsal.among(config), null, Path.of(""), () -> { });
+      Config inside = config.among(rehearsal.door(), rehearsal.counter(), rehearsal.servers());
+      door.begin(inside, null, Path.of(""), () -> { });
       int answered = rehearsal.play(requests, REHEARSAL_MS);
       LOG.info(() -> "rehearsed with " + answered + " requests inside the process");
       return answered;
@@ -215,9 +216,8 @@
     BackendPool backends = new BackendPool(loop, transport, clock, tally, policy::banned,
         descriptors.backends(), config.connectLimitMs(), config.idleLimitMs());
     driver = new ModuleDriver(loop, clock, policy, backends, tally);
-    clients = new ClientServer(transport, clock, looks, driver, backends,
-        new RequestReader(config.settings()), descriptors, tally,
-        () -> discovery == null || discovery.caughtUp());
+    clients = new ClientServer(transport, clock, looks, driver, new RequestReader(config.settings()),
+        descriptors, tally, () -> (discovery == null || discovery.caughtUp()) && backends.knowsAny());
     counter = new CounterClient(loop, transport, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
     if (config.counter() != null) {
--- a/front/src/main/java/willowdoor/net/Headers.java
+++ b/front/src/main/java/willowdoor/net/Headers.java
@@ -1,8 +1,10 @@
 package willowdoor.net;
 
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AsciiString;
 
-/** The protocol's own header names. */
+/** The protocol's own header names, and what headers tell of a body. */
 final class Headers {
 
   static final AsciiString REQUEST_ID = AsciiString.cached("Request-Id");
@@ -17,4 +19,9 @@
 
   private Headers() {
   }
+
+  /** The body's length in bytes as told, or -1: then its chunks or the connection's end tell it. */
+  static long bodyLength(HttpResponse head) {
+    return HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
+  }
 }
--- a/front/src/main/java/willowdoor/net/Management.java
+++ b/front/src/main/java/willowdoor/net/Management.java
@@ -45,9 +45,8 @@
  */
 final class Management {
 
-  /** The descriptors that it holds at most: its callers, one that is about to be turned away, its own. */
-  static final int DESCRIPTORS = 16;
-  private static final int MOST_CALLERS = 10;
+  /** Of its descriptors the rest is for one that is about to be turned away, and its own. */
+  private static final int MOST_CALLERS = Descriptors.OPERATORS - 6;
   /** A caller without a whole call loses its connection after this, or sooner where room is needed. */
   private static final long CALL_MS = 4_500;
   /** An answer is due within 1 s. */
--- a/front/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/net/ModuleDriver.java
@@ -31,7 +31,6 @@
 import willowdoor.GatewayApi.WakeAt;
 import willowdoor.GatewayApi.Woken;
 import willowdoor.QuotaPolicy;
-import willowdoor.net.RequestReader.Asked;
 
 /**
  * Takes events to the module and its actions to the sockets; the only caller of the module. Holds the table
@@ -71,7 +70,7 @@
     void failed();
 
     /** An answer that comes in pieces, each of which is taken over; from is held back where they pile up. */
-    void begin(HttpResponse head, BackendConnection from);
+    void begin(HttpResponse head, Attempt.Carrier from);
 
     void piece(ByteBuf piece);
 
@@ -128,7 +127,7 @@
       finished = true;
       lastCall.cancel(false);
       for (int i = 0; i < attempts.size(); i++) {
-        if (!attempts.get(i).written) {
+        if (!attempts.get(i).written()) {
           attempts.get(i).abandon(Status.NOT_SENT);
         }
       }
@@ -363,7 +362,7 @@
     double limit = r.budget.limitMs(own, now);
     tally.began(r.budget.shareLeft(now));
     Attempt attempt = new Sent(r, number, a.backend(), now + limit);
-    attempt.timer = after(limit, () -> attempt.abandon(attempt.overdue()));
+    attempt.startTimer(after(limit, () -> attempt.abandon(attempt.overdue())));
     r.attempts.add(attempt);
     r.out++;
     backends.start(a.backend(), attempt);
@@ -388,7 +387,7 @@
 
     /** No time runs while the client sends on. */
     @Override
-    void onSpent() {
+    public void onSpent() {
       if (!streams) {
         streams = true;
         stopTimer();
@@ -399,34 +398,34 @@
 
     /** The request's time counts from its last byte. */
     @Override
-    void onSent() {
+    public void onSent() {
       sentAt = clock.now();
       if (!r.finished && r.begun == null) {
         r.begins();
-        timer = after(r.budget.limitMs(Double.POSITIVE_INFINITY, sentAt), () -> abandon(overdue()));
+        startTimer(after(r.budget.limitMs(Double.POSITIVE_INFINITY, sentAt), () -> abandon(overdue())));
       }
     }
 
     @Override
-    void onHead() {
+    public void onHead() {
       headAt = clock.now();
     }
 
     @Override
-    boolean onBegin(HttpResponse head) {
+    public boolean onBegin(HttpResponse head) {
       if (r.finished || r.begun != null) {
         return false;
       }
       r.begun = this;
       stopTimer();
       r.lastCall.cancel(false);
-      r.client.begin(head, connection);
+      r.client.begin(head, carrier());
       deliver(new StreamBegan(r.asked.id(), number));
       return true;
     }
 
     @Override
-    void onPiece(ByteBuf piece) {
+    public void onPiece(ByteBuf piece) {
       if (r.finished) {
         piece.release();
       } else {
@@ -435,7 +434,7 @@
     }
 
     @Override
-    void onEnd(Status status, HttpResponse head, ByteBuf body) {
+    protected void onEnd(Status status, HttpResponse head, ByteBuf body) {
       r.out--;
       boolean last = r.begun == this ? r.finish() : status == Status.OK && r.finish();
       if (last && r.begun != this) {
--- a/front/src/main/java/willowdoor/net/Outgoing.java
+++ b/front/src/main/java/willowdoor/net/Outgoing.java
@@ -18,7 +18,7 @@
 final class Outgoing {
 
   /** Where the pieces behind the prefix go. */
-  interface Sink {
+  public interface Sink {
     /** Takes a piece over, and asks for the next one once there is room. */
     void piece(HttpContent piece);
   }
--- a/front/src/main/java/willowdoor/net/Rehearsal.java
+++ b/front/src/main/java/willowdoor/net/Rehearsal.java
@@ -33,15 +33,24 @@
     peers = new StandIns(group);
   }
 
-  /** The same front door, listening within the process, with the peers there. */
-  Config among(Config config) {
+  /** Where the front door is to listen. */
+  SocketAddress door() {
+    return door;
+  }
+
+  SocketAddress counter() {
+    return peers.counter();
+  }
+
+  /** The template servers that it is to use. */
+  RosterNews servers() {
     List<BackendEntry> entries = new ArrayList<>();
     Map<Long, SocketAddress> places = new HashMap<>();
     for (long id = 0; id < SERVERS; id++) {
       entries.add(new BackendEntry(id, settings.zone(), 0, Phase.SERVING, 1, 0));
       places.put(id, peers.server());
     }
-    return config.among(door, peers.counter(), new RosterNews(0, true, entries, places));
+    return new RosterNews(0, true, entries, places);
   }
 
   /** How many requests of all classes and plans were answered, of so many, within the time. */
--- a/front/src/main/java/willowdoor/net/RequestReader.java
+++ b/front/src/main/java/willowdoor/net/RequestReader.java
@@ -7,7 +7,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.Request;
 import willowdoor.GatewayApi.RequestClass;
 import willowdoor.GatewayApi.Settings;
 
@@ -18,15 +17,6 @@
   /** The longest time that a request may take where its class tells none. */
   private static final double MOST_TIMEOUT_MS = 3_600_000;
 
-  /** A request as its head tells it; what is left of its time is known once its last byte has come. */
-  record Asked(String id, String className, String plan, long customer, int entryPoints, double units,
-      double timeoutMs) {
-
-    Request within(Budget budget) {
-      return new Request(id, className, plan, customer, entryPoints, units, budget.endMs());
-    }
-  }
-
   /** A message that is no request of this protocol. */
   static final class BadRequest extends Exception {
     private static final long serialVersionUID = 1;
--- a/front/src/test/java/willowdoor/net/Peers.java
+++ b/front/src/test/java/willowdoor/net/Peers.java
@@ -229,9 +229,13 @@
   }
 
   static Config parse(String json) throws IOException {
+    return Config.of(fields(json));
+  }
+
+  static Map<String, Object> fields(String json) throws IOException {
     try (JsonParser in = new JsonFactory().createParser(json)) {
       in.nextToken();
-      return Config.of(JsonFields.object(in));
+      return JsonFields.object(in);
     }
   }
 
--- a/front/src/test/java/willowdoor/net/WaitLimitsTest.java
+++ b/front/src/test/java/willowdoor/net/WaitLimitsTest.java
@@ -18,6 +18,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,8 +29,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import willowdoor.GatewayApi.Counted;
 import willowdoor.GatewayApi.Status;
+import willowdoor.JsonFields;
 import willowdoor.QuotaPolicy;
-import willowdoor.net.RequestReader.Asked;
+import willowdoor.WireSettings;
 
 /** Every wait of a request ends within its time, with the clock moved by hand and the real module. */
 class WaitLimitsTest {
@@ -84,7 +86,7 @@
     }
 
     @Override
-    public void begin(HttpResponse head, BackendConnection from) {
+    public void begin(HttpResponse head, Attempt.Carrier from) {
       throw new AssertionError("no answer comes in pieces here");
     }
 
@@ -131,12 +133,12 @@
       entries[i] = Peers.entry("s-" + i, 7000 + i, "active");
     }
     try (Peers peers = new Peers()) {
-      Config config = Peers.parse(peers.config(entries).replace("\"Profiles\":[",
+      Map<String, Object> config = Peers.fields(peers.config(entries).replace("\"Profiles\":[",
           "\"Profiles\":[{\"Name\":\"seal\",\"Repeat\":\"side_effect\",\"AimMs\":1500,\"DeadlineMs\":4000,"
           + "\"Value\":5},"));
-      policy = new QuotaPolicy(config.settings(), 7);
+      policy = new QuotaPolicy(WireSettings.read(JsonFields.child(config, "settings")), 7);
       driver = new ModuleDriver(channel.eventLoop(), clock, policy, new Servers(), tally);
-      driver.start(this::count, config.known());
+      driver.start(this::count, RosterNews.of(JsonFields.child(config, "known")));
     }
   }
 
@@ -172,7 +174,7 @@
       case NO_SERVER -> begin(0);
       case UNREACHABLE -> server = a -> channel.eventLoop().execute(() ->
           a.end(Status.UNREACHABLE, null, null));
-      case SILENT -> server = a -> a.written = true;
+      case SILENT -> server = a -> a.written(true);
       case TURNED_AWAY -> server = a -> answer(a, Status.REJECTED);
       case FAILING -> server = a -> answer(a, Status.ERROR);
       default -> { }
@@ -180,7 +182,7 @@
   }
 
   private void answer(Attempt attempt, Status status) {
-    attempt.written = true;
+    attempt.written(true);
     channel.eventLoop().execute(() -> attempt.end(status, null, null));
   }
 
@@ -201,9 +203,10 @@
             assertEquals(1, client.answers.size(), what + " " + client.answers);
             assertTrue(client.at <= Math.max(endsAt, client.cameAt + age), what + " " + client.at);
             assertFalse(client.answers.contains("served"), what);
-            boolean mayHaveRun = started.stream().anyMatch(a -> a.written) && trouble != Trouble.TURNED_AWAY;
+            boolean written = started.stream().anyMatch(Attempt::written);
+            boolean mayHaveRun = written && trouble != Trouble.TURNED_AWAY;
             assertFalse(mayHaveRun && type.equals("seal") && client.answers.contains("refused"), what);
-            assertTrue(started.stream().allMatch(a -> a.endsAt <= endsAt), what);
+            assertTrue(started.stream().allMatch(a -> a.endsAt() <= endsAt), what);
             assertTrue(started.isEmpty() || age < timeout, what);
             pass(4_000);
             assertEquals(0, driver.held(), what);
@@ -257,7 +260,7 @@
     pass(10_000);
     assertEquals(List.of(), client.answers);
     double lastByte = clock.now() - 100;
-    started.get(0).written = true;
+    started.get(0).written(true);
     started.get(0).onSent();
     pass(800);
     assertEquals(List.of(), client.answers);
@@ -276,7 +279,7 @@
     Heard after = take("r2", "seal", timeout, 0);
     double told = clock.now();
     pass(510);
-    assertTrue(started.get(1).endsAt <= told + 500);
+    assertTrue(started.get(1).endsAt() <= told + 500);
     for (Heard client : List.of(before, after)) {
       assertEquals(List.of("failed"), client.answers);
       assertTrue(client.at <= told + answeredBy, "answered after " + (client.at - told));
@@ -291,7 +294,7 @@
       started.clear();
       Heard client = take("r" + i, "quote", 2_000, 0);
       channel.runPendingTasks();
-      started.get(0).written = reached;
+      started.get(0).written(reached);
       driver.clientLeft("r" + i);
       assertEquals(!reached, started.get(0).ended());
       assertEquals(0, driver.heldBytes());
