--- a/front/src/main/java/willowdoor/BenchLink.java
+++ b/front/src/main/java/willowdoor/benchlink/BenchLink.java
@@ -1,10 +1,10 @@
-package willowdoor;
+package willowdoor.benchlink;
 
-import static willowdoor.JsonFields.child;
-import static willowdoor.JsonFields.children;
-import static willowdoor.JsonFields.flag;
-import static willowdoor.JsonFields.number;
-import static willowdoor.JsonFields.text;
+import static willowdoor.wire.JsonFields.child;
+import static willowdoor.wire.JsonFields.children;
+import static willowdoor.wire.JsonFields.flag;
+import static willowdoor.wire.JsonFields.number;
+import static willowdoor.wire.JsonFields.text;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -39,9 +39,11 @@
 import willowdoor.policy.GatewayApi.WakeAt;
 import willowdoor.policy.GatewayApi.Woken;
 import willowdoor.policy.QuotaPolicy;
+import willowdoor.wire.JsonFields;
+import willowdoor.wire.WireSettings;
 
 /** Turns the bench's wire into the policy's events and its actions back into the wire; no more. */
-final class BenchLink {
+public final class BenchLink {
 
   private static final Map<String, Status> STATUSES = Map.of("OK", Status.OK, "INTERNAL", Status.ERROR,
       "RESOURCE_EXHAUSTED", Status.REJECTED, "DEADLINE_EXCEEDED", Status.TIMED_OUT,
@@ -53,7 +55,7 @@
   private final Map<Integer, QuotaPolicy> policies = new HashMap<>();
   private final Map<Integer, List<BackendEntry>> lists = new HashMap<>();
 
-  BenchLink(InputStream input, OutputStream output) throws IOException {
+  public BenchLink(InputStream input, OutputStream output) throws IOException {
     JsonFactory factory = new JsonFactory();
     in = factory.createParser(input);
     out = factory.createGenerator(new BufferedOutputStream(output, 1 << 16));
@@ -62,7 +64,7 @@
   }
 
   /** Answers batches until the input ends. */
-  void run() throws IOException {
+  public void run() throws IOException {
     double now = 0;
     long number = 0;
     boolean faulty = false;
--- a/front/src/main/java/willowdoor/discovery/ListJson.java
+++ b/front/src/main/java/willowdoor/discovery/ListJson.java
@@ -16,9 +16,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import willowdoor.Address;
-import willowdoor.JsonFields;
 import willowdoor.discovery.Entry.State;
+import willowdoor.wire.Address;
+import willowdoor.wire.JsonFields;
 
 /** The list as discovery words it, read strictly: what is missing or wrong is told in plain words. */
 final class ListJson {
--- a/front/src/main/java/willowdoor/net/Config.java
+++ b/front/src/main/java/willowdoor/front/Config.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,10 +10,12 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
-import willowdoor.Address;
-import willowdoor.JsonFields;
-import willowdoor.WireSettings;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.loop.Descriptors;
 import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.wire.Address;
+import willowdoor.wire.JsonFields;
+import willowdoor.wire.WireSettings;
 
 /** What a front door is told: the file that {@code GW_CONFIG} names. */
 record Config(String name, SocketAddress listen, InetSocketAddress management,
--- a/front/src/main/java/willowdoor/net/FrontDoor.java
+++ b/front/src/main/java/willowdoor/front/FrontDoor.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -14,12 +14,27 @@
 import java.util.function.UnaryOperator;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.front.clients.ClientServer;
+import willowdoor.front.clients.RequestReader;
+import willowdoor.front.counter.CounterClient;
+import willowdoor.front.discovery.DiscoveryClient;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Descriptors;
+import willowdoor.front.loop.Looks;
+import willowdoor.front.loop.LoopGroup;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
+import willowdoor.front.operators.Management;
+import willowdoor.front.operators.OperatorFile;
+import willowdoor.front.requests.ModuleDriver;
+import willowdoor.front.servers.BackendPool;
+import willowdoor.front.start.Rehearsal;
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.GatewayApi.Settings;
 import willowdoor.policy.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
-public final class FrontDoor implements Management.Operator {
+final class FrontDoor implements Management.Operator {
 
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
   /**
@@ -65,7 +80,7 @@
   }
 
   /** Reads the configuration that the environment names, and serves until the process is told to end. */
-  public static void serve() throws IOException, InterruptedException {
+  static void serve() throws IOException, InterruptedException {
     String file = System.getenv("GW_CONFIG");
     if (file == null) {
       throw new IOException("GW_CONFIG is not set");
--- a/front/src/main/java/willowdoor/net/HangUp.java
+++ b/front/src/main/java/willowdoor/front/HangUp.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
--- a/front/src/main/java/willowdoor/Main.java
+++ b/front/src/main/java/willowdoor/front/Main.java
@@ -1,7 +1,7 @@
-package willowdoor;
+package willowdoor.front;
 
 import java.io.IOException;
-import willowdoor.net.FrontDoor;
+import willowdoor.benchlink.BenchLink;
 
 /** Runs the module as a real front door, or on the bench's wire over standard input and output. */
 public final class Main {
--- a/front/src/main/java/willowdoor/net/Arrival.java
+++ b/front/src/main/java/willowdoor/front/clients/Arrival.java
@@ -1,4 +1,6 @@
-package willowdoor.net;
+package willowdoor.front.clients;
+
+import willowdoor.front.loop.Looks;
 
 /**
  * When the bytes that were last read from a client can have come at the earliest, as far as it was seen.
--- a/front/src/main/java/willowdoor/net/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,7 +31,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.net.RequestReader.BadRequest;
+import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.requests.Asked;
+import willowdoor.front.requests.Attempt;
+import willowdoor.front.requests.Headers;
+import willowdoor.front.requests.ModuleDriver;
+import willowdoor.front.requests.Outgoing;
 
 /**
  * One client's connection: a request at a time, each with the one final answer. It is read only as far as
--- a/front/src/main/java/willowdoor/net/ClientServer.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientServer.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -20,10 +20,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-import willowdoor.net.RequestReader.BadRequest;
+import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Descriptors;
+import willowdoor.front.loop.Looks;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
+import willowdoor.front.requests.Asked;
+import willowdoor.front.requests.ModuleDriver;
 
 /** Accepts clients, and tells their connections what all of them share. */
-final class ClientServer {
+public final class ClientServer {
 
   /** A client's connection on which nothing moves for so long ends. */
   private static final int IDLE_S = 30;
@@ -69,8 +76,8 @@
   private double drainingSince;
   private final Rounds rounds = new Rounds();
 
-  ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver, RequestReader reader,
-      Descriptors descriptors, Tally tally, BooleanSupplier listed) {
+  public ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver,
+      RequestReader reader, Descriptors descriptors, Tally tally, BooleanSupplier listed) {
     this.transport = transport;
     this.clock = clock;
     this.looks = looks;
@@ -81,14 +88,14 @@
     this.listed = listed;
   }
 
-  ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
+  public ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
     ChannelFuture bound = bootstrap(group).channel(transport.serverSocket()).bind(address);
     listening = bound.channel();
     return bound;
   }
 
   /** Adopts a listening socket; nothing is accepted on it before this process can serve. */
-  ChannelFuture adopt(EventLoopGroup group, ServerSocketChannel socket) {
+  public ChannelFuture adopt(EventLoopGroup group, ServerSocketChannel socket) {
     shared = true;
     accepting = false;
     listening = socket;
@@ -124,12 +131,12 @@
     }
   }
 
-  void serve() {
+  public void serve() {
     ready = true;
   }
 
   /** Begins to accept on an adopted socket once it can serve. */
-  void acceptIfReady() {
+  public void acceptIfReady() {
     if (!accepting && canServe()) {
       accepting = true;
       listening.config().setAutoRead(true);
@@ -159,7 +166,7 @@
   }
 
   /** Whether it could serve, drained by the operators or not. */
-  boolean canServe() {
+  public boolean canServe() {
     return ready && !ending && listed.getAsBoolean();
   }
 
@@ -234,7 +241,7 @@
   }
 
   /** The operators' drain, or its end: from here on every answer ends its connection. */
-  void evacuate(boolean on) {
+  public void evacuate(boolean on) {
     if (!draining()) {
       drainingSince = clock.now();
     }
@@ -246,7 +253,7 @@
    * connections are taken: from now on where another process takes them, else once those on their way have
    * come.
    */
-  void end() {
+  public void end() {
     drainingSince = clock.now();
     ending = true;
     if (shared) {
@@ -255,7 +262,7 @@
   }
 
   /** Closes a few connections that no request is on, those that wait the longest first. */
-  void partWithIdle() {
+  public void partWithIdle() {
     double now = clock.now();
     if (!rounds.acts(now) || !draining() || now - drainingSince < PARTING_MS) {
       return;
@@ -269,12 +276,12 @@
         .forEach(ClientConnection::closeIfIdle);
   }
 
-  int open() {
+  public int open() {
     return connections.size();
   }
 
   /** The end has come: no more connections are taken and none is left. */
-  boolean ended() {
+  public boolean ended() {
     return ending && !accepting && connections.isEmpty();
   }
 }
--- a/front/src/main/java/willowdoor/net/ReceiveLimit.java
+++ b/front/src/main/java/willowdoor/front/clients/ReceiveLimit.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
--- a/front/src/main/java/willowdoor/net/RequestReader.java
+++ b/front/src/main/java/willowdoor/front/clients/RequestReader.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -6,12 +6,14 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import willowdoor.front.requests.Asked;
+import willowdoor.front.requests.Headers;
 import willowdoor.policy.GatewayApi.Repeat;
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.GatewayApi.Settings;
 
 /** Reads a client's message as a request for the module; what is not one is refused here with its reason. */
-final class RequestReader {
+public final class RequestReader {
 
   private static final int MOST_ID = 128;
   /** The longest time that a request may take where its class tells none. */
@@ -30,7 +32,7 @@
   private final Map<String, ?> plans;
   private final int gateways;
 
-  RequestReader(Settings settings) {
+  public RequestReader(Settings settings) {
     settings.classes().forEach(c -> classes.put(c.name(), c));
     Map<String, Object> named = new HashMap<>();
     settings.plans().forEach(p -> named.put(p.name(), p));
--- a/front/src/main/java/willowdoor/net/Rounds.java
+++ b/front/src/main/java/willowdoor/front/clients/Rounds.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 /**
  * Which rounds of a drain act. A round closes what no request seems to be on, and after a pause of this
--- a/front/src/main/java/willowdoor/net/CounterClient.java
+++ b/front/src/main/java/willowdoor/front/counter/CounterClient.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.counter;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -19,6 +19,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Transport;
+import willowdoor.front.requests.ModuleDriver;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
 
@@ -27,7 +30,7 @@
  * answers owed, so that one slow part of the counter holds up only what already waits behind it; calls for
  * one name keep their order.
  */
-final class CounterClient implements ModuleDriver.Calls {
+public final class CounterClient implements ModuleDriver.Calls {
 
   private static final int CONNECTIONS = 12;
   /** Answers that one connection may owe; beyond that a call is turned away here. */
@@ -71,8 +74,8 @@
   private final Map<String, Call> lastOfName = new HashMap<>();
   private boolean watching;
 
-  CounterClient(EventLoop loop, Transport transport, Clock clock, SocketAddress counter, double limitMs,
-      Consumer<Counted> listener) {
+  public CounterClient(EventLoop loop, Transport transport, Clock clock, SocketAddress counter,
+      double limitMs, Consumer<Counted> listener) {
     this.loop = loop;
     this.counter = counter;
     this.clock = clock;
@@ -82,7 +85,7 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 250);
   }
 
-  void start() {
+  public void start() {
     links = open();
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
@@ -97,7 +100,7 @@
   }
 
   /** From now on the counter is at another address. What is owed at the old one may still be answered. */
-  void moveTo(SocketAddress counter) {
+  public void moveTo(SocketAddress counter) {
     this.counter = counter;
     for (Link l : leaving) {
       l.close();
--- a/front/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/front/src/main/java/willowdoor/front/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.discovery;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -28,12 +28,15 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
 
 /**
  * The sockets of the watch of the list, which {@link Watch} decides on; while there is none the last list
  * stays in use. All on the event loop's thread.
  */
-final class DiscoveryClient {
+public final class DiscoveryClient {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
   private static final long LOOK_MS = 25;
@@ -49,7 +52,7 @@
   /** The present try's; null between tries. */
   private Channel channel;
 
-  DiscoveryClient(EventLoop loop, Transport transport, Clock clock, InetSocketAddress agent,
+  public DiscoveryClient(EventLoop loop, Transport transport, Clock clock, InetSocketAddress agent,
       long version, Tally tally, Consumer<RosterNews> listener) {
     this.loop = loop;
     this.clock = clock;
@@ -67,19 +70,19 @@
         });
   }
 
-  void start() {
+  public void start() {
     take(() -> watch.start(clock.now()));
     loop.scheduleWithFixedDelay(() -> take(() -> watch.look(clock.now())), LOOK_MS, LOOK_MS,
         TimeUnit.MILLISECONDS);
   }
 
   /** Comes to pass once the list is as new as can be had. */
-  Future<Void> caughtUp() {
+  public Future<Void> caughtUp() {
     return caughtUp;
   }
 
   /** From now on the list comes from another address. */
-  void moveTo(InetSocketAddress next) {
+  public void moveTo(InetSocketAddress next) {
     agent = next;
     take(() -> watch.moved(clock.now()));
   }
--- a/front/src/main/java/willowdoor/net/ListScanner.java
+++ b/front/src/main/java/willowdoor/front/discovery/ListScanner.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.discovery;
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
--- a/front/src/main/java/willowdoor/net/RosterNews.java
+++ b/front/src/main/java/willowdoor/front/discovery/RosterNews.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,19 +10,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import willowdoor.Address;
-import willowdoor.JsonFields;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.wire.Address;
+import willowdoor.wire.JsonFields;
 
 /** One message of discovery: the entries for the module, and where each backend listens, seen from here. */
-record RosterNews(long version, boolean full, List<BackendEntry> entries,
+public record RosterNews(long version, boolean full, List<BackendEntry> entries,
     Map<Long, SocketAddress> places) {
 
   private static final JsonFactory JSON = new JsonFactory();
   private static final int MOST_BACKENDS = 10_000;
 
-  static RosterNews parse(byte[] line) throws IOException {
+  public static RosterNews parse(byte[] line) throws IOException {
     try (JsonParser in = JSON.createParser(line)) {
       in.nextToken();
       Map<String, Object> message = JsonFields.object(in);
@@ -33,7 +33,7 @@
     }
   }
 
-  static RosterNews of(Map<String, Object> message) throws IOException {
+  public static RosterNews of(Map<String, Object> message) throws IOException {
     List<Map<String, Object>> servers = JsonFields.children(message, "servers");
     if (servers.size() > MOST_BACKENDS) {
       throw new IOException("a list of " + servers.size() + " backends");
@@ -61,7 +61,7 @@
   }
 
   /** A backend's name as the number that the module knows it by: FNV-1a, alike at every front door. */
-  static long number(String id) {
+  public static long number(String id) {
     long hash = 0xcbf29ce484222325L;
     for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ b & 0xff) * 0x100000001b3L;
--- a/front/src/main/java/willowdoor/net/Watch.java
+++ b/front/src/main/java/willowdoor/front/discovery/Watch.java
@@ -1,12 +1,12 @@
-package willowdoor.net;
+package willowdoor.front.discovery;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.DoubleSupplier;
-import willowdoor.net.Watch.Effect.Close;
-import willowdoor.net.Watch.Effect.Deliver;
-import willowdoor.net.Watch.Effect.Open;
+import willowdoor.front.discovery.Watch.Effect.Close;
+import willowdoor.front.discovery.Watch.Effect.Deliver;
+import willowdoor.front.discovery.Watch.Effect.Open;
 
 /**
  * When the watch of the list is opened, taken for broken and opened anew: one try at a time. Times are
--- a/front/src/main/java/willowdoor/net/Descriptors.java
+++ b/front/src/main/java/willowdoor/front/loop/Descriptors.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.loop;
 
 import java.io.IOException;
 
@@ -7,10 +7,10 @@
  * take all: then no client is accepted, no backend is reached, and no lost connection comes back. Clients
  * hold a third of all for their requests at most, and each of those needs one connection to a backend.
  */
-record Descriptors(int clients, int refused, int backends) {
+public record Descriptors(int clients, int refused, int backends) {
 
   /** For the operators' address: its callers, one that is about to be turned away, its own. */
-  static final int OPERATORS = 16;
+  public static final int OPERATORS = 16;
   /**
    * The Java runtime's files and pollers, the listener, and the connections to the counter and to discovery,
    * which are there twice for a moment when their addresses change; and the operators' share.
@@ -20,7 +20,7 @@
   private static final int REFUSED = 16;
   private static final int LEAST = 96;
 
-  static Descriptors of(int sockets) throws IOException {
+  public static Descriptors of(int sockets) throws IOException {
     if (sockets < LEAST) {
       throw new IOException("limits.sockets is under " + LEAST + ": " + sockets);
     }
--- a/front/src/main/java/willowdoor/net/Looks.java
+++ b/front/src/main/java/willowdoor/front/loop/Looks.java
@@ -1,10 +1,10 @@
-package willowdoor.net;
+package willowdoor.front.loop;
 
 /**
  * When the event loop looked at its sockets. What it reads now was not there at the look before: that one
  * would have found it. So however long the process stood still, what came meanwhile is no older than that.
  */
-final class Looks {
+public final class Looks {
 
   private long count;
   private double begunAt;
@@ -12,34 +12,34 @@
   private double quietAt;
   private double since;
 
-  Looks(double now) {
+  public Looks(double now) {
     begunAt = now;
     quietAt = now;
     since = now;
   }
 
-  void begins(double now) {
+  public void begins(double now) {
     count++;
     since = Math.max(begunAt, quietAt);
     begunAt = now;
   }
 
   /** The look that began last ended now, and found nothing. */
-  void foundNothing(double now) {
+  public void foundNothing(double now) {
     quietAt = now;
   }
 
   /** How many have begun. */
-  long count() {
+  public long count() {
     return count;
   }
 
-  double begunAt() {
+  public double begunAt() {
     return begunAt;
   }
 
   /** The earliest moment at which that can have come which the present look finds. */
-  double since() {
+  public double since() {
     return since;
   }
 }
--- a/front/src/main/java/willowdoor/net/LoopGroup.java
+++ b/front/src/main/java/willowdoor/front/loop/LoopGroup.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.loop;
 
 import io.netty.channel.IoEventLoop;
 import io.netty.channel.IoHandlerFactory;
@@ -8,9 +8,9 @@
 import java.util.concurrent.ThreadFactory;
 
 /** The front door's one event loop, which notes when it looks at its sockets. */
-final class LoopGroup extends MultiThreadIoEventLoopGroup {
+public final class LoopGroup extends MultiThreadIoEventLoopGroup {
 
-  LoopGroup(IoHandlerFactory ioHandler, Clock clock, Looks looks) {
+  public LoopGroup(IoHandlerFactory ioHandler, Clock clock, Looks looks) {
     super(1, (ThreadFactory) null, ioHandler, clock, looks);
   }
 
--- a/front/src/main/java/willowdoor/net/Tally.java
+++ b/front/src/main/java/willowdoor/front/loop/Tally.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.loop;
 
 import java.util.logging.Logger;
 
@@ -6,12 +6,12 @@
  * Counts what is worth knowing on a bad day, and writes one line of it now and then: what did not happen
  * since the last line is left out. On the event loop's thread.
  */
-final class Tally {
+public final class Tally {
 
   private static final Logger LOG = Logger.getLogger(Tally.class.getName());
 
   /** What is counted. */
-  enum Event {
+  public enum Event {
     /** Answers of backends that do not parse, and that nobody asked for. */
     ANSWER_UNREADABLE, ANSWER_UNASKED,
     /** Lines of discovery that do not parse: the list stays as it was. */
@@ -34,21 +34,21 @@
   private final long[] counts = new long[EVENTS.length];
   private final long[] began = new long[PARTS];
 
-  void count(Event event) {
+  public void count(Event event) {
     counts[event.ordinal()]++;
   }
 
   /** Counts an attempt that began with so much of the request's time left, from 0 to 1. */
-  void began(double shareLeft) {
+  public void began(double shareLeft) {
     began[(int) Math.min(PARTS - 1, shareLeft * PARTS)]++;
   }
 
   /** Writes what was counted since the last line behind the caller's present figures. */
-  void log(String present) {
+  public void log(String present) {
     LOG.info(line(present));
   }
 
-  String line(String present) {
+  public String line(String present) {
     StringBuilder line = new StringBuilder(present);
     for (Event e : EVENTS) {
       if (counts[e.ordinal()] > 0) {
--- a/front/src/main/java/willowdoor/net/Transport.java
+++ b/front/src/main/java/willowdoor/front/loop/Transport.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.loop;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -30,38 +30,38 @@
  * The sockets that the event loop drives: native epoll, which took a quarter less CPU on a calm day, or NIO
  * where its library cannot be loaded.
  */
-record Transport(IoHandlerFactory ioHandler, Class<? extends Channel> socket,
+public record Transport(IoHandlerFactory ioHandler, Class<? extends Channel> socket,
     Class<? extends ServerChannel> serverSocket, boolean tcp) {
 
-  static final Transport BEST = Epoll.isAvailable()
+  public static final Transport BEST = Epoll.isAvailable()
       ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class,
           true)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class, true);
 
   /** Channels within the process, for a rehearsal: no socket is opened. */
-  static final Transport INSIDE =
+  public static final Transport INSIDE =
       new Transport(LocalIoHandler.newFactory(), LocalChannel.class, LocalServerChannel.class, false);
 
   private static final int BACKLOG = 512;
 
   /** How much may wait to be written to a peer before nothing more is read for it. */
-  static final WriteBufferWaterMark QUEUE = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
+  public static final WriteBufferWaterMark QUEUE = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
 
   /** For connections from here: what is written goes out at once. */
-  Bootstrap client(EventLoop loop) {
+  public Bootstrap client(EventLoop loop) {
     Bootstrap client = new Bootstrap().group(loop).channel(socket);
     return tcp ? client.option(ChannelOption.TCP_NODELAY, true) : client;
   }
 
   /** For connections to here, likewise. */
-  ServerBootstrap server(EventLoopGroup group) {
+  public ServerBootstrap server(EventLoopGroup group) {
     ServerBootstrap server = new ServerBootstrap().group(group);
     return !tcp ? server : server.option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true);
   }
 
   /** Reads 32 KiB at most at once. */
-  static RecvByteBufAllocator piece() {
+  public static RecvByteBufAllocator piece() {
     return new AdaptiveRecvByteBufAllocator(512, 2_048, 32 * 1024);
   }
 
@@ -70,7 +70,7 @@
    * hold the loop in accept whenever another process is quicker; the runtime's view of it is the only way to
    * change that, and is kept open, since closing it would redirect the standard streams.
    */
-  static ServerSocketChannel adopt(int descriptor) throws IOException {
+  public static ServerSocketChannel adopt(int descriptor) throws IOException {
     if (descriptor != 0
         || !(System.inheritedChannel() instanceof java.nio.channels.ServerSocketChannel view)) {
       throw new IOException("descriptor " + descriptor + " is no inherited listening socket");
@@ -84,7 +84,7 @@
    * channel is made: the future has failed by now, its listeners would be called on a thread of the library's
    * own, and its stand-in for a channel never closes.
    */
-  static void whenConnected(ChannelFuture connect, Consumer<ChannelFuture> ended) {
+  public static void whenConnected(ChannelFuture connect, Consumer<ChannelFuture> ended) {
     if (connect.isDone()) {
       ended.accept(connect);
     } else {
--- a/front/src/main/java/willowdoor/net/Management.java
+++ b/front/src/main/java/willowdoor/front/operators/Management.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.operators;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -37,13 +37,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.JsonFields;
+import willowdoor.front.loop.Descriptors;
+import willowdoor.front.loop.Transport;
+import willowdoor.wire.JsonFields;
 
 /**
  * The operators' address: one call a connection. It has an event loop of its own, so that calls are answered
  * in time whatever the clients' side does. All on that loop's thread.
  */
-final class Management {
+public final class Management {
 
   /** Of its descriptors the rest is for one that is about to be turned away, and its own. */
   private static final int MOST_CALLERS = Descriptors.OPERATORS - 6;
@@ -60,7 +62,7 @@
   private static final Logger LOG = Logger.getLogger(Management.class.getName());
 
   /** What operators may ask of the front door; a change ends once it is in force. */
-  interface Operator {
+  public interface Operator {
     /** Whether this process is ready to serve. */
     boolean ready();
 
@@ -82,7 +84,7 @@
     this.operator = operator;
   }
 
-  static Management listen(InetSocketAddress address, Operator operator) throws IOException {
+  public static Management listen(InetSocketAddress address, Operator operator) throws IOException {
     Management management = new Management(operator);
     try {
       management.listening = new ServerBootstrap().group(management.loop)
@@ -106,11 +108,11 @@
     }
   }
 
-  SocketAddress address() {
+  public SocketAddress address() {
     return listening.localAddress();
   }
 
-  void stop() {
+  public void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 
--- a/front/src/main/java/willowdoor/net/OperatorFile.java
+++ b/front/src/main/java/willowdoor/front/operators/OperatorFile.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.operators;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -21,27 +21,27 @@
 import java.util.function.UnaryOperator;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.JsonFields;
+import willowdoor.wire.JsonFields;
 
 /**
  * What operators have asked for, in a small file that a front door's processes share: the one that serves and
  * the one that replaces it. A file that cannot be read is logged, and leaves things as they are.
  */
-final class OperatorFile {
+public final class OperatorFile {
 
   private static final Logger LOG = Logger.getLogger(OperatorFile.class.getName());
   private static final JsonFactory JSON = new JsonFactory();
 
   /** The operators' drain, and the template servers that they have taken out. */
-  record State(boolean drained, Set<String> excluded) {
+  public record State(boolean drained, Set<String> excluded) {
 
-    static final State NONE = new State(false, Set.of());
+    public static final State NONE = new State(false, Set.of());
 
-    State drained(boolean on) {
+    public State drained(boolean on) {
       return new State(on, excluded);
     }
 
-    State excluded(String host, boolean out) {
+    public State excluded(String host, boolean out) {
       Set<String> hosts = new TreeSet<>(excluded);
       if (out) {
         hosts.add(host);
@@ -57,12 +57,12 @@
   private State state = State.NONE;
   private Object version;
 
-  OperatorFile(Path file) {
+  public OperatorFile(Path file) {
     this.file = file;
   }
 
   /** What is in the file now if that changed since it was last looked at, else what it was. */
-  State look() {
+  public State look() {
     Object found = version();
     if (!Objects.equals(found, version)) {
       version = found;
@@ -72,7 +72,7 @@
   }
 
   /** Changes the file, whole or not at all; what the other process wrote meanwhile is kept. */
-  State change(UnaryOperator<State> change) throws IOException {
+  public State change(UnaryOperator<State> change) throws IOException {
     try (FileChannel channel = FileChannel.open(beside(".lock"), StandardOpenOption.CREATE,
         StandardOpenOption.WRITE); FileLock held = channel.lock()) {
       Objects.requireNonNull(held);
--- a/front/src/main/java/willowdoor/net/Asked.java
+++ b/front/src/main/java/willowdoor/front/requests/Asked.java
@@ -1,9 +1,9 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import willowdoor.policy.GatewayApi.Request;
 
 /** A request as its head tells it; what is left of its time is known once its last byte has come. */
-record Asked(String id, String className, String plan, long customer, int entryPoints, double units,
+public record Asked(String id, String className, String plan, long customer, int entryPoints, double units,
     double timeoutMs) {
 
   Request within(Budget budget) {
--- a/front/src/main/java/willowdoor/net/Attempt.java
+++ b/front/src/main/java/willowdoor/front/requests/Attempt.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -7,10 +7,10 @@
 import willowdoor.policy.GatewayApi.Status;
 
 /** One attempt of a request at one backend, from the module's send to its one outcome. */
-abstract class Attempt {
+public abstract class Attempt {
 
   /** The connection that takes an attempt to its backend, and the answer back. */
-  interface Carrier extends Outgoing.Sink {
+  public interface Carrier extends Outgoing.Sink {
     /** Reads on, or no more for now: what is not read holds back the backend. */
     void read(boolean on);
 
@@ -33,22 +33,22 @@
     this.endsAt = endsAt;
   }
 
-  final Outgoing message() {
+  public final Outgoing message() {
     return message;
   }
 
   /** When it is given up, on the clock, in milliseconds. */
-  final double endsAt() {
+  public final double endsAt() {
     return endsAt;
   }
 
   /** A connection is being opened for it. */
-  final void connecting(Channel channel) {
+  public final void connecting(Channel channel) {
     connecting = channel;
   }
 
   /** From now on it is on this connection. */
-  final void carriedBy(Carrier by) {
+  public final void carriedBy(Carrier by) {
     carrier = by;
   }
 
@@ -58,16 +58,16 @@
   }
 
   /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
-  final boolean written() {
+  public final boolean written() {
     return written;
   }
 
   /** A write has ended: with the request's last byte at the kernel, or not. */
-  final void written(boolean whole) {
+  public final void written(boolean whole) {
     written = whole;
   }
 
-  final boolean ended() {
+  public final boolean ended() {
     return ended;
   }
 
@@ -76,7 +76,7 @@
   }
 
   /** How a broken connection ends this attempt: whether it may have run is told by the write alone. */
-  final Status broken() {
+  public final Status broken() {
     return written ? Status.RESET : Status.UNREACHABLE;
   }
 
@@ -93,7 +93,7 @@
   }
 
   /** Ends the attempt; later endings are ignored, so that the module gets exactly one outcome. */
-  final void end(Status status, HttpResponse head, ByteBuf body) {
+  public final void end(Status status, HttpResponse head, ByteBuf body) {
     if (ended) {
       return;
     }
@@ -106,7 +106,7 @@
   }
 
   /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
-  final void abandon(Status status) {
+  public final void abandon(Status status) {
     if (ended) {
       return;
     }
--- a/front/src/main/java/willowdoor/net/Budget.java
+++ b/front/src/main/java/willowdoor/front/requests/Budget.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 /**
  * The time that a client gives its request, on the monotonic clock: set once, when the request's last byte
--- a/front/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -12,6 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
 import willowdoor.policy.GatewayApi.Action;
 import willowdoor.policy.GatewayApi.Add;
 import willowdoor.policy.GatewayApi.Ban;
@@ -36,14 +39,14 @@
  * Takes events to the module and its actions to the sockets; the only caller of the module. Holds the table
  * of requests taken and attempts out. All on the event loop's thread.
  */
-final class ModuleDriver {
+public final class ModuleDriver {
 
   private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
   /** A module that failed on its wake-up is woken again after this. */
   private static final long WAKE_AGAIN_MS = 100;
 
   /** Where attempts go, each to its one end. */
-  interface Servers {
+  public interface Servers {
     void onRoster(RosterNews news);
 
     /** Ends all that has not reached the backend yet. */
@@ -53,12 +56,12 @@
   }
 
   /** Where calls to the counter go; the end of each comes back as an event. */
-  interface Calls {
+  public interface Calls {
     void add(String name, double amount, double ttlMs);
   }
 
   /** Who waits for the one final answer. */
-  interface Client {
+  public interface Client {
     /** When the last bytes that were read of the request can have come at the earliest. */
     double cameAt();
 
@@ -156,7 +159,7 @@
   private boolean delivering;
   private double processEndsAt = Double.POSITIVE_INFINITY;
 
-  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
+  public ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
     this.tally = tally;
     this.loop = loop;
     this.clock = clock;
@@ -164,33 +167,33 @@
     this.backends = backends;
   }
 
-  void start(Calls counter, RosterNews known) {
+  public void start(Calls counter, RosterNews known) {
     this.counter = counter;
     policy.start(clock.now()).forEach(this::execute);
     backends.onRoster(known);
     deliver(new Roster(RosterForm.REMEMBERED, known.entries()));
   }
 
-  int held() {
+  public int held() {
     return live.size();
   }
 
   /** Bytes of the bodies held. */
-  int heldBytes() {
+  public int heldBytes() {
     return heldBytes;
   }
 
   /** What the module has to tell the log. */
-  String figures() {
+  public String figures() {
     return policy.figures();
   }
 
-  boolean holds(String id) {
+  public boolean holds(String id) {
     return live.containsKey(id);
   }
 
   /** Takes a request and its message, which is kept until no attempt needs it. */
-  void take(Asked asked, Outgoing message, Client client) {
+  public void take(Asked asked, Outgoing message, Client client) {
     Live r = new Live(asked, message, client);
     live.put(asked.id(), r);
     heldBytes += r.held;
@@ -202,7 +205,7 @@
     return loop.schedule(task, (long) (ms * 1000), TimeUnit.MICROSECONDS);
   }
 
-  void clientLeft(String id) {
+  public void clientLeft(String id) {
     Live r = live.get(id);
     if (r != null && r.finish()) {
       deliver(new ClientLeft(id));
@@ -213,22 +216,22 @@
     }
   }
 
-  void onCounted(Counted counted) {
+  public void onCounted(Counted counted) {
     deliver(counted);
   }
 
-  void onRoster(RosterNews news) {
+  public void onRoster(RosterNews news) {
     backends.onRoster(news);
     deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
   }
 
   /** Whether operators may name this backend. */
-  boolean knows(String host) {
+  public boolean knows(String host) {
     return policy.knows(RosterNews.number(host));
   }
 
   /** Takes a backend out or puts it back. */
-  void ban(String host, boolean out) {
+  public void ban(String host, boolean out) {
     long id = RosterNews.number(host);
     deliver(new Ban(id, out));
     if (out) {
@@ -237,7 +240,7 @@
   }
 
   /** The process is about to end: all that is unanswered by then fails, and so does what still comes. */
-  void endWithin(double ms) {
+  public void endWithin(double ms) {
     processEndsAt = clock.now() + ms;
     live.values().forEach(Live::cut);
     after(ms, () -> List.copyOf(live.values()).forEach(this::fail));
--- a/front/src/main/java/willowdoor/net/Outgoing.java
+++ b/front/src/main/java/willowdoor/front/requests/Outgoing.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -15,7 +15,7 @@
  * A request on its way to a backend: its head and the first bytes of its body, which can be sent again, and
  * the rest, which passes by once, piece by piece as the backend takes it. Owned by the table of requests.
  */
-final class Outgoing {
+public final class Outgoing {
 
   /** Where the pieces behind the prefix go. */
   public interface Sink {
@@ -35,7 +35,8 @@
   private boolean released;
 
   /** Takes the prefix over; more asks the client for the next piece, where the prefix is not all. */
-  Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf prefix, boolean whole, Runnable more) {
+  public Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf prefix, boolean whole,
+      Runnable more) {
     this.method = method;
     this.uri = uri;
     this.headers = headers;
@@ -44,7 +45,7 @@
     this.more = more;
   }
 
-  boolean whole() {
+  public boolean whole() {
     return whole;
   }
 
@@ -53,18 +54,18 @@
   }
 
   /** The head alone, or with the body where that is whole; it tells no more time than there is. */
-  HttpRequest message(double leftMs) {
+  public HttpRequest message(double leftMs) {
     HttpHeaders copy = headers.copy().set(Headers.TIMEOUT_MS, Long.toString((long) Math.max(1, leftMs)));
     return whole ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, prefix.retainedDuplicate(),
         copy, EmptyHttpHeaders.INSTANCE) : new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, copy);
   }
 
-  ByteBuf prefix() {
+  public ByteBuf prefix() {
     return prefix.retainedDuplicate();
   }
 
   /** Lets the rest pass to the sink from now on. */
-  void passTo(Sink taker) {
+  public void passTo(Sink taker) {
     sink = taker;
     if (waiting != null) {
       HttpContent piece = waiting;
@@ -75,22 +76,22 @@
     }
   }
 
-  void detach(Sink taker) {
+  public void detach(Sink taker) {
     if (sink == taker) {
       sink = null;
     }
   }
 
-  boolean passesTo(Sink taker) {
+  public boolean passesTo(Sink taker) {
     return sink == taker;
   }
 
-  void wantMore() {
+  public void wantMore() {
     more.run();
   }
 
   /** A piece from the client, which is taken over. */
-  void pass(HttpContent piece) {
+  public void pass(HttpContent piece) {
     if (released) {
       piece.release();
     } else if (sink == null) {
@@ -110,7 +111,8 @@
   }
 
   /** Tells how long the body is, as its client told. */
-  static void frame(HttpHeaders onward, HttpHeaders told, boolean whole, int length, boolean mayHaveBody) {
+  public static void frame(HttpHeaders onward, HttpHeaders told, boolean whole, int length,
+      boolean mayHaveBody) {
     if (whole) {
       if (length > 0 || mayHaveBody) {
         onward.set(HttpHeaderNames.CONTENT_LENGTH, length);
--- a/front/src/main/java/willowdoor/net/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.servers;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -17,6 +17,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.requests.Attempt;
+import willowdoor.front.requests.Headers;
 import willowdoor.policy.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
--- a/front/src/main/java/willowdoor/net/BackendPool.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendPool.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.servers;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -16,12 +16,18 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
+import willowdoor.front.requests.Attempt;
+import willowdoor.front.requests.ModuleDriver;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Status;
 
 /** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
-final class BackendPool implements ModuleDriver.Servers {
+public final class BackendPool implements ModuleDriver.Servers {
 
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
@@ -53,7 +59,7 @@
   /** The module's word on backends that get nothing new. */
   private final LongPredicate banned;
 
-  BackendPool(EventLoop loop, Transport transport, Clock clock, Tally tally,
+  public BackendPool(EventLoop loop, Transport transport, Clock clock, Tally tally,
       LongPredicate banned, int most, double connectLimitMs, double idleLimitMs) {
     this.clock = clock;
     this.tally = tally;
@@ -107,11 +113,11 @@
   }
 
   /** Open and opening connections, idle ones too. */
-  int connections() {
+  public int connections() {
     return connections;
   }
 
-  boolean knowsAny() {
+  public boolean knowsAny() {
     return !backends.isEmpty();
   }
 
--- a/front/src/main/java/willowdoor/net/Rehearsal.java
+++ b/front/src/main/java/willowdoor/front/start/Rehearsal.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.start;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.local.LocalAddress;
@@ -7,16 +7,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.requests.Headers;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Plan;
 import willowdoor.policy.GatewayApi.Repeat;
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.GatewayApi.Settings;
-import willowdoor.start.StandIns;
 
 /** What a front door serves within the process before it says ready: its peers there, and their requests. */
-final class Rehearsal {
+public final class Rehearsal {
 
   private static final int SERVERS = 8;
   /** Few enough that some spend their quota, so that refusals are rehearsed too. */
@@ -28,22 +29,22 @@
   private final SocketAddress door = new LocalAddress(Rehearsal.class);
 
   /** The peers are on the front door's own loop: no thread waits for another. */
-  Rehearsal(Settings settings, EventLoopGroup group) throws InterruptedException {
+  public Rehearsal(Settings settings, EventLoopGroup group) throws InterruptedException {
     this.settings = settings;
     peers = new StandIns(group);
   }
 
   /** Where the front door is to listen. */
-  SocketAddress door() {
+  public SocketAddress door() {
     return door;
   }
 
-  SocketAddress counter() {
+  public SocketAddress counter() {
     return peers.counter();
   }
 
   /** The template servers that it is to use. */
-  RosterNews servers() {
+  public RosterNews servers() {
     List<BackendEntry> entries = new ArrayList<>();
     Map<Long, SocketAddress> places = new HashMap<>();
     for (long id = 0; id < SERVERS; id++) {
@@ -54,7 +55,7 @@
   }
 
   /** How many requests of all classes and plans were answered, of so many, within the time. */
-  int play(int requests, long limitMs) throws InterruptedException {
+  public int play(int requests, long limitMs) throws InterruptedException {
     return peers.play(door, this::request, requests, limitMs);
   }
 
--- a/front/src/main/java/willowdoor/start/StandIns.java
+++ b/front/src/main/java/willowdoor/front/start/StandIns.java
@@ -1,4 +1,4 @@
-package willowdoor.start;
+package willowdoor.front.start;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -39,7 +39,7 @@
  * The peers of a front door that rehearses: one template server that answers at once, a counter and clients,
  * on channels within the process. They open no socket, and nothing that they are sent leaves the process.
  */
-public final class StandIns {
+final class StandIns {
 
   private static final int MOST_LINE = 256;
   private static final int MOST_BODY = 64 * 1024;
--- a/front/src/main/java/willowdoor/Address.java
+++ b/front/src/main/java/willowdoor/wire/Address.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.wire;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
--- a/front/src/main/java/willowdoor/JsonFields.java
+++ b/front/src/main/java/willowdoor/wire/JsonFields.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.wire;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/front/src/main/java/willowdoor/WireSettings.java
+++ b/front/src/main/java/willowdoor/wire/WireSettings.java
@@ -1,10 +1,10 @@
-package willowdoor;
+package willowdoor.wire;
 
-import static willowdoor.JsonFields.child;
-import static willowdoor.JsonFields.children;
-import static willowdoor.JsonFields.flag;
-import static willowdoor.JsonFields.number;
-import static willowdoor.JsonFields.text;
+import static willowdoor.wire.JsonFields.child;
+import static willowdoor.wire.JsonFields.children;
+import static willowdoor.wire.JsonFields.flag;
+import static willowdoor.wire.JsonFields.number;
+import static willowdoor.wire.JsonFields.text;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/front/src/test/java/willowdoor/BenchLinkTest.java
+++ b/front/src/test/java/willowdoor/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/front/src/test/java/willowdoor/net/AnswerTimeTest.java
+++ b/front/src/test/java/willowdoor/front/AnswerTimeTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.net.Peers.Client;
+import willowdoor.front.Peers.Client;
 
 /** What the module is told of the time that an answer took. */
 @Timeout(30)
--- a/front/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/front/src/test/java/willowdoor/front/DiscoveryTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -27,7 +27,12 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import willowdoor.net.Peers.Client;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.discovery.DiscoveryClient;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
 
 /** The list of backends: how changes arrive, and what follows from them. */
 @Timeout(40)
--- a/front/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/front/src/test/java/willowdoor/front/FrontDoorTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -20,8 +20,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.net.Peers.Client;
-import willowdoor.net.Peers.Message;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.Peers.Message;
+import willowdoor.front.loop.Descriptors;
 
 /** The real front door between small peers on loopback. */
 @Timeout(30)
--- a/front/src/test/java/willowdoor/net/ManagementTest.java
+++ b/front/src/test/java/willowdoor/front/ManagementTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import willowdoor.net.Peers.Client;
-import willowdoor.net.Peers.Message;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.Peers.Message;
 
 /** The calls of operators. */
 @Timeout(30)
--- a/front/src/test/java/willowdoor/net/Peers.java
+++ b/front/src/test/java/willowdoor/front/Peers.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -27,10 +27,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
-import willowdoor.JsonFields;
+import willowdoor.wire.JsonFields;
 
 /** Small peers of a front door on loopback, each with its script: backends, counter, discovery, clients. */
-final class Peers implements Closeable {
+public final class Peers implements Closeable {
 
   static final String OK = "HTTP/1.1 200 OK\r\nX-Units-Charged: 2\r\nContent-Length: 4\r\n\r\nfine";
   static final String NOT_STARTED =
@@ -68,16 +68,16 @@
   }
 
   final BlockingQueue<Message> atBackend = new LinkedBlockingQueue<>();
-  final BlockingQueue<String> atCounter = new LinkedBlockingQueue<>();
-  final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
+  public final BlockingQueue<String> atCounter = new LinkedBlockingQueue<>();
+  public final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
   final List<OutputStream> watchers = new CopyOnWriteArrayList<>();
   volatile Answer answer = (request, out) -> write(out, OK);
-  volatile UnaryOperator<String> counting = this::count;
+  public volatile UnaryOperator<String> counting = this::count;
   private final Map<String, Double> counts = new ConcurrentHashMap<>();
   private final List<Closeable> open = new CopyOnWriteArrayList<>();
-  final ServerSocket backend = listen(50, this::serveBackend);
-  final ServerSocket counter = listen(50, this::serveCounter);
-  final ServerSocket discovery = listen(50, this::serveDiscovery);
+  public final ServerSocket backend = listen(50, this::serveBackend);
+  public final ServerSocket counter = listen(50, this::serveCounter);
+  public final ServerSocket discovery = listen(50, this::serveDiscovery);
   private final List<FrontDoor> doors = new ArrayList<>();
   /** The newest. */
   private FrontDoor door;
@@ -161,7 +161,7 @@
     }
   }
 
-  String count(String line) {
+  public String count(String line) {
     String[] parts = line.split(" ");
     return "ok " + counts.merge(parts[1], Double.valueOf(parts[2]), Double::sum);
   }
@@ -178,18 +178,18 @@
     write(watchers.get(watchers.size() - 1), Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n");
   }
 
-  static String entry(String id, int port, String state) {
+  public static String entry(String id, int port, String state) {
     return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:" + port + "\",\"zone\":\"a\",\"kind\":\"k\","
         + "\"cell\":0,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
   }
 
-  static String list(int version, boolean full, String... entries) {
+  public static String list(int version, boolean full, String... entries) {
     return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
         + String.join(",", entries) + "]}";
   }
 
   /** The configuration, with the given backends in its list. */
-  String config(String... entries) {
+  public String config(String... entries) {
     return """
         {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","counter":"127.0.0.1:%d",
          "seed":"8c1f30d27a5be964","known":%s,
@@ -232,7 +232,7 @@
     return Config.of(fields(json));
   }
 
-  static Map<String, Object> fields(String json) throws IOException {
+  public static Map<String, Object> fields(String json) throws IOException {
     try (JsonParser in = new JsonFactory().createParser(json)) {
       in.nextToken();
       return JsonFields.object(in);
@@ -252,7 +252,7 @@
     return client;
   }
 
-  static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+  public static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
     T found = queue.poll(10, TimeUnit.SECONDS);
     if (found == null) {
       throw new AssertionError("nothing came in 10 s");
--- a/front/src/test/java/willowdoor/net/RehearsalTest.java
+++ b/front/src/test/java/willowdoor/front/RehearsalTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/front/src/test/java/willowdoor/net/ReplaceTest.java
+++ b/front/src/test/java/willowdoor/front/ReplaceTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -25,8 +25,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import willowdoor.net.Peers.Client;
-import willowdoor.net.Peers.Message;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.Peers.Message;
 
 /** One process replaces another, both on the one listening socket that a third holds. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -48,7 +48,7 @@
       exec 9<&0
       while read -r config <&$1; do
         GW_CONFIG=$config GW_ACCEPT_FD=0 "$JAVA" -cp "$CLASSES" -Xshare:auto -XX:TieredStopAtLevel=1 \
-          -Djava.io.tmpdir="$TMPDIR" willowdoor.Main serve <&9 9<&- &
+          -Djava.io.tmpdir="$TMPDIR" willowdoor.front.Main serve <&9 9<&- &
         echo "pid $!"
       done
       wait
--- a/front/src/test/java/willowdoor/net/RequestTimeTest.java
+++ b/front/src/test/java/willowdoor/front/RequestTimeTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import willowdoor.net.Peers.Client;
-import willowdoor.net.Peers.Message;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.Peers.Message;
 
 /** What a request tells of its time, and what a backend is told of it. */
 @Timeout(30)
--- a/front/src/test/java/willowdoor/net/SlowClientTest.java
+++ b/front/src/test/java/willowdoor/front/SlowClientTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,7 +8,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.net.Peers.Client;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.loop.Descriptors;
 
 /** Clients that take their time over a request. */
 @Timeout(30)
--- a/front/src/test/java/willowdoor/net/StreamingTest.java
+++ b/front/src/test/java/willowdoor/front/StreamingTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.net.Peers.Client;
-import willowdoor.net.Peers.Message;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.Peers.Message;
 
 /** Messages of all sizes and forms. */
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
--- a/front/src/test/java/willowdoor/net/TimeFiguresTest.java
+++ b/front/src/test/java/willowdoor/front/TimeFiguresTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -22,7 +22,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import willowdoor.net.Peers.Client;
+import willowdoor.front.Peers.Client;
 
 /** Figures of time limits over real sockets: what they come to is printed, what must not be is asserted. */
 @Timeout(60)
--- a/front/src/test/java/willowdoor/net/ArrivalTest.java
+++ b/front/src/test/java/willowdoor/front/clients/ArrivalTest.java
@@ -1,8 +1,9 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import org.junit.jupiter.api.Test;
+import willowdoor.front.loop.Looks;
 
 /** From when a request's time is counted, with the looks of the loop moved by hand. */
 class ArrivalTest {
--- a/front/src/test/java/willowdoor/net/ClientDrainTest.java
+++ b/front/src/test/java/willowdoor/front/clients/ClientDrainTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,6 +11,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Looks;
+import willowdoor.front.loop.Transport;
 
 /** How long a drain takes new connections, on a clock moved by hand. */
 class ClientDrainTest {
--- a/front/src/test/java/willowdoor/net/RoundsTest.java
+++ b/front/src/test/java/willowdoor/front/clients/RoundsTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/front/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.counter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -14,6 +14,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import willowdoor.front.Peers;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Transport;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
 
--- a/front/src/test/java/willowdoor/net/ListScannerTest.java
+++ b/front/src/test/java/willowdoor/front/discovery/ListScannerTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import willowdoor.front.Peers;
 
 class ListScannerTest {
 
--- a/front/src/test/java/willowdoor/net/WatchTest.java
+++ b/front/src/test/java/willowdoor/front/discovery/WatchTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -11,10 +11,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import willowdoor.net.Watch.Effect;
-import willowdoor.net.Watch.Effect.Close;
-import willowdoor.net.Watch.Effect.Deliver;
-import willowdoor.net.Watch.Effect.Open;
+import willowdoor.front.Peers;
+import willowdoor.front.discovery.Watch.Effect;
+import willowdoor.front.discovery.Watch.Effect.Close;
+import willowdoor.front.discovery.Watch.Effect.Deliver;
+import willowdoor.front.discovery.Watch.Effect.Open;
 
 /** The rows of the table "The list's clock" in docs/design.md, on a clock moved by hand. */
 class WatchTest {
--- a/front/src/test/java/willowdoor/net/OperatorFileTest.java
+++ b/front/src/test/java/willowdoor/front/operators/OperatorFileTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.operators;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,7 +7,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import willowdoor.net.OperatorFile.State;
+import willowdoor.front.operators.OperatorFile.State;
 
 /** What operators have asked for, as the processes of one front door share it. */
 class OperatorFileTest {
--- a/front/src/test/java/willowdoor/net/BudgetTest.java
+++ b/front/src/test/java/willowdoor/front/requests/BudgetTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/front/src/test/java/willowdoor/net/WaitLimitsTest.java
+++ b/front/src/test/java/willowdoor/front/requests/WaitLimitsTest.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -27,11 +27,15 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import willowdoor.JsonFields;
-import willowdoor.WireSettings;
+import willowdoor.front.Peers;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
 import willowdoor.policy.QuotaPolicy;
+import willowdoor.wire.JsonFields;
+import willowdoor.wire.WireSettings;
 
 /** Every wait of a request ends within its time, with the clock moved by hand and the real module. */
 class WaitLimitsTest {
