--- a/front/src/main/java/willowdoor/net/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,8 +31,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.net.RequestReader.Asked;
-import willowdoor.net.RequestReader.BadRequest;
+import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.requests.Asked;
+import willowdoor.front.requests.Attempt;
+import willowdoor.front.requests.Headers;
+import willowdoor.front.requests.ModuleDriver;
+import willowdoor.front.requests.Outgoing;
 
 /**
  * One client's connection: a request at a time, each with the one final answer. It is read only as far as
@@ -66,7 +71,7 @@
   private Outgoing onward;
   /** Its id while the module works on it, and whether its answer is under way, or written in whole. */
   private String current;
-  private BackendConnection answering;
+  private Attempt.Carrier answering;
   private boolean answered;
   private boolean ending;
   /** A part was asked for that has not come. */
@@ -331,11 +336,11 @@
 
   /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
   @Override
-  public void begin(HttpResponse from, BackendConnection backend) {
-    answering = backend;
+  public void begin(HttpResponse from, Attempt.Carrier carrier) {
+    answering = carrier;
     HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     copyType(from, answer);
-    long length = BackendConnection.length(from);
+    long length = Headers.bodyLength(from);
     if (length >= 0) {
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
     } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
--- a/front/src/main/java/willowdoor/net/ClientServer.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientServer.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.clients;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -20,11 +20,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-import willowdoor.net.RequestReader.Asked;
-import willowdoor.net.RequestReader.BadRequest;
+import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Descriptors;
+import willowdoor.front.loop.Looks;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
+import willowdoor.front.requests.Asked;
+import willowdoor.front.requests.ModuleDriver;
 
 /** Accepts clients, and tells their connections what all of them share. */
-final class ClientServer {
+public final class ClientServer {
 
   /** A client's connection on which nothing moves for so long ends. */
   private static final int IDLE_S = 30;
@@ -49,12 +55,11 @@
   private final Clock clock;
   private final Looks looks;
   private final ModuleDriver driver;
-  private final BackendPool backends;
   private final RequestReader reader;
   private final Descriptors descriptors;
   private final Tally tally;
-  /** Whether the list of template servers is as new as can be had. */
-  private final BooleanSupplier caughtUp;
+  /** Whether the list of template servers is as new as can be had, and names any. */
+  private final BooleanSupplier listed;
   private final Set<ClientConnection> connections = new HashSet<>();
   /** Those of them that no request is on, the longest idle first: without a request so far, and after one. */
   private final LinkedHashSet<ClientConnection> fresh = new LinkedHashSet<>();
@@ -71,27 +76,26 @@
   private double drainingSince;
   private final Rounds rounds = new Rounds();
 
-  ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver, BackendPool backends,
-      RequestReader reader, Descriptors descriptors, Tally tally, BooleanSupplier caughtUp) {
+  public ClientServer(Transport transport, Clock clock, Looks looks, ModuleDriver driver,
+      RequestReader reader, Descriptors descriptors, Tally tally, BooleanSupplier listed) {
     this.transport = transport;
     this.clock = clock;
     this.looks = looks;
     this.driver = driver;
-    this.backends = backends;
     this.reader = reader;
     this.descriptors = descriptors;
     this.tally = tally;
-    this.caughtUp = caughtUp;
+    this.listed = listed;
   }
 
-  ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
+  public ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
     ChannelFuture bound = bootstrap(group).channel(transport.serverSocket()).bind(address);
     listening = bound.channel();
     return bound;
   }
 
   /** Adopts a listening socket; nothing is accepted on it before this process can serve. */
-  ChannelFuture adopt(EventLoopGroup group, ServerSocketChannel socket) {
+  public ChannelFuture adopt(EventLoopGroup group, ServerSocketChannel socket) {
     shared = true;
     accepting = false;
     listening = socket;
@@ -127,12 +131,12 @@
     }
   }
 
-  void serve() {
+  public void serve() {
     ready = true;
   }
 
   /** Begins to accept on an adopted socket once it can serve. */
-  void acceptIfReady() {
+  public void acceptIfReady() {
     if (!accepting && canServe()) {
       accepting = true;
       listening.config().setAutoRead(true);
@@ -162,8 +166,8 @@
   }
 
   /** Whether it could serve, drained by the operators or not. */
-  boolean canServe() {
-    return ready && !ending && caughtUp.getAsBoolean() && backends.knowsAny();
+  public boolean canServe() {
+    return ready && !ending && listed.getAsBoolean();
   }
 
   boolean draining() {
@@ -237,7 +241,7 @@
   }
 
   /** The operators' drain, or its end: from here on every answer ends its connection. */
-  void evacuate(boolean on) {
+  public void evacuate(boolean on) {
     if (!draining()) {
       drainingSince = clock.now();
     }
@@ -249,7 +253,7 @@
    * connections are taken: from now on where another process takes them, else once those on their way have
    * come.
    */
-  void end() {
+  public void end() {
     drainingSince = clock.now();
     ending = true;
     if (shared) {
@@ -258,7 +262,7 @@
   }
 
   /** Closes a few connections that no request is on, those that wait the longest first. */
-  void partWithIdle() {
+  public void partWithIdle() {
     double now = clock.now();
     if (!rounds.acts(now) || !draining() || now - drainingSince < PARTING_MS) {
       return;
@@ -272,12 +276,12 @@
         .forEach(ClientConnection::closeIfIdle);
   }
 
-  int open() {
+  public int open() {
     return connections.size();
   }
 
   /** The end has come: no more connections are taken and none is left. */
-  boolean ended() {
+  public boolean ended() {
     return ending && !accepting && connections.isEmpty();
   }
 }
--- a/front/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.requests;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -12,7 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.net.RequestReader.Asked;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
 import willowdoor.policy.GatewayApi.Action;
 import willowdoor.policy.GatewayApi.Add;
 import willowdoor.policy.GatewayApi.Ban;
@@ -37,14 +39,14 @@
  * Takes events to the module and its actions to the sockets; the only caller of the module. Holds the table
  * of requests taken and attempts out. All on the event loop's thread.
  */
-final class ModuleDriver {
+public final class ModuleDriver {
 
   private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
   /** A module that failed on its wake-up is woken again after this. */
   private static final long WAKE_AGAIN_MS = 100;
 
   /** Where attempts go, each to its one end. */
-  interface Servers {
+  public interface Servers {
     void onRoster(RosterNews news);
 
     /** Ends all that has not reached the backend yet. */
@@ -54,12 +56,12 @@
   }
 
   /** Where calls to the counter go; the end of each comes back as an event. */
-  interface Calls {
+  public interface Calls {
     void add(String name, double amount, double ttlMs);
   }
 
   /** Who waits for the one final answer. */
-  interface Client {
+  public interface Client {
     /** When the last bytes that were read of the request can have come at the earliest. */
     double cameAt();
 
@@ -71,7 +73,7 @@
     void failed();
 
     /** An answer that comes in pieces, each of which is taken over; from is held back where they pile up. */
-    void begin(HttpResponse head, BackendConnection from);
+    void begin(HttpResponse head, Attempt.Carrier from);
 
     void piece(ByteBuf piece);
 
@@ -128,7 +130,7 @@
       finished = true;
       lastCall.cancel(false);
       for (int i = 0; i < attempts.size(); i++) {
-        if (!attempts.get(i).written) {
+        if (!attempts.get(i).written()) {
           attempts.get(i).abandon(Status.NOT_SENT);
         }
       }
@@ -157,7 +159,7 @@
   private boolean delivering;
   private double processEndsAt = Double.POSITIVE_INFINITY;
 
-  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
+  public ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
     this.tally = tally;
     this.loop = loop;
     this.clock = clock;
@@ -165,33 +167,33 @@
     this.backends = backends;
   }
 
-  void start(Calls counter, RosterNews known) {
+  public void start(Calls counter, RosterNews known) {
     this.counter = counter;
     policy.start(clock.now()).forEach(this::execute);
     backends.onRoster(known);
     deliver(new Roster(RosterForm.REMEMBERED, known.entries()));
   }
 
-  int held() {
+  public int held() {
     return live.size();
   }
 
   /** Bytes of the bodies held. */
-  int heldBytes() {
+  public int heldBytes() {
     return heldBytes;
   }
 
   /** What the module has to tell the log. */
-  String figures() {
+  public String figures() {
     return policy.figures();
   }
 
-  boolean holds(String id) {
+  public boolean holds(String id) {
     return live.containsKey(id);
   }
 
   /** Takes a request and its message, which is kept until no attempt needs it. */
-  void take(Asked asked, Outgoing message, Client client) {
+  public void take(Asked asked, Outgoing message, Client client) {
     Live r = new Live(asked, message, client);
     live.put(asked.id(), r);
     heldBytes += r.held;
@@ -203,7 +205,7 @@
     return loop.schedule(task, (long) (ms * 1000), TimeUnit.MICROSECONDS);
   }
 
-  void clientLeft(String id) {
+  public void clientLeft(String id) {
     Live r = live.get(id);
     if (r != null && r.finish()) {
       deliver(new ClientLeft(id));
@@ -214,22 +216,22 @@
     }
   }
 
-  void onCounted(Counted counted) {
+  public void onCounted(Counted counted) {
     deliver(counted);
   }
 
-  void onRoster(RosterNews news) {
+  public void onRoster(RosterNews news) {
     backends.onRoster(news);
     deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
   }
 
   /** Whether operators may name this backend. */
-  boolean knows(String host) {
+  public boolean knows(String host) {
     return policy.knows(RosterNews.number(host));
   }
 
   /** Takes a backend out or puts it back. */
-  void ban(String host, boolean out) {
+  public void ban(String host, boolean out) {
     long id = RosterNews.number(host);
     deliver(new Ban(id, out));
     if (out) {
@@ -238,7 +240,7 @@
   }
 
   /** The process is about to end: all that is unanswered by then fails, and so does what still comes. */
-  void endWithin(double ms) {
+  public void endWithin(double ms) {
     processEndsAt = clock.now() + ms;
     live.values().forEach(Live::cut);
     after(ms, () -> List.copyOf(live.values()).forEach(this::fail));
@@ -363,7 +365,7 @@
     double limit = r.budget.limitMs(own, now);
     tally.began(r.budget.shareLeft(now));
     Attempt attempt = new Sent(r, number, a.backend(), now + limit);
-    attempt.timer = after(limit, () -> attempt.abandon(attempt.overdue()));
+    attempt.startTimer(after(limit, () -> attempt.abandon(attempt.overdue())));
     r.attempts.add(attempt);
     r.out++;
     backends.start(a.backend(), attempt);
@@ -388,7 +390,7 @@
 
     /** No time runs while the client sends on. */
     @Override
-    void onSpent() {
+    public void onSpent() {
       if (!streams) {
         streams = true;
         stopTimer();
@@ -399,34 +401,34 @@
 
     /** The request's time counts from its last byte. */
     @Override
-    void onSent() {
+    public void onSent() {
       sentAt = clock.now();
       if (!r.finished && r.begun == null) {
         r.begins();
-        timer = after(r.budget.limitMs(Double.POSITIVE_INFINITY, sentAt), () -> abandon(overdue()));
+        startTimer(after(r.budget.limitMs(Double.POSITIVE_INFINITY, sentAt), () -> abandon(overdue())));
       }
     }
 
     @Override
-    void onHead() {
+    public void onHead() {
       headAt = clock.now();
     }
 
     @Override
-    boolean onBegin(HttpResponse head) {
+    public boolean onBegin(HttpResponse head) {
       if (r.finished || r.begun != null) {
         return false;
       }
       r.begun = this;
       stopTimer();
       r.lastCall.cancel(false);
-      r.client.begin(head, connection);
+      r.client.begin(head, carrier());
       deliver(new StreamBegan(r.asked.id(), number));
       return true;
     }
 
     @Override
-    void onPiece(ByteBuf piece) {
+    public void onPiece(ByteBuf piece) {
       if (r.finished) {
         piece.release();
       } else {
@@ -435,7 +437,7 @@
     }
 
     @Override
-    void onEnd(Status status, HttpResponse head, ByteBuf body) {
+    protected void onEnd(Status status, HttpResponse head, ByteBuf body) {
       r.out--;
       boolean last = r.begun == this ? r.finish() : status == Status.OK && r.finish();
       if (last && r.begun != this) {
--- a/front/src/main/java/willowdoor/net/Rehearsal.java
+++ b/front/src/main/java/willowdoor/front/start/Rehearsal.java
@@ -1,4 +1,4 @@
-package willowdoor.net;
+package willowdoor.front.start;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.local.LocalAddress;
@@ -7,16 +7,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.front.requests.Headers;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Plan;
 import willowdoor.policy.GatewayApi.Repeat;
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.GatewayApi.Settings;
-import willowdoor.start.StandIns;
 
 /** What a front door serves within the process before it says ready: its peers there, and their requests. */
-final class Rehearsal {
+public final class Rehearsal {
 
   private static final int SERVERS = 8;
   /** Few enough that some spend their quota, so that refusals are rehearsed too. */
@@ -28,24 +29,33 @@
   private final SocketAddress door = new LocalAddress(Rehearsal.class);
 
   /** The peers are on the front door's own loop: no thread waits for another. */
-  Rehearsal(Settings settings, EventLoopGroup group) throws InterruptedException {
+  public Rehearsal(Settings settings, EventLoopGroup group) throws InterruptedException {
     this.settings = settings;
     peers = new StandIns(group);
   }
 
-  /** The same front door, listening within the process, with the peers there. */
-  Config among(Config config) {
+  /** Where the front door is to listen. */
+  public SocketAddress door() {
+    return door;
+  }
+
+  public SocketAddress counter() {
+    return peers.counter();
+  }
+
+  /** The template servers that it is to use. */
+  public RosterNews servers() {
     List<BackendEntry> entries = new ArrayList<>();
     Map<Long, SocketAddress> places = new HashMap<>();
     for (long id = 0; id < SERVERS; id++) {
       entries.add(new BackendEntry(id, settings.zone(), 0, Phase.SERVING, 1, 0));
       places.put(id, peers.server());
     }
-    return config.among(door, peers.counter(), new RosterNews(0, true, entries, places));
+    return new RosterNews(0, true, entries, places);
   }
 
   /** How many requests of all classes and plans were answered, of so many, within the time. */
-  int play(int requests, long limitMs) throws InterruptedException {
+  public int play(int requests, long limitMs) throws InterruptedException {
     return peers.play(door, this::request, requests, limitMs);
   }
 
