--- a/notices/src/main/java/willowdoor/notices/Readers.java
+++ b/notices/src/main/java/willowdoor/notices/Readers.java
@@ -14,6 +14,8 @@
  */
 final class Readers {
   private static final long ORDER_MS = 10_000;
+  /** Of a customer at a slow front door; those that are to go are not written to until they can be told. */
+  private static final int MAX_LEAVING = 5;
   /** A customer's readers count as lagging alike above this median, ms. */
   private static final long ALIKE_MS = 1_000;
 
@@ -42,6 +44,7 @@
   private double arrivalsNow;
   private double arrivalsLong;
   private long lookedMs;
+  private int leaving;
 
   Readers(Retained retained, Limits limits, ServerSentEvents events, Assignment assignment, Around around,
       Consumer<Effect> effects, long nowMs) {
@@ -204,6 +207,7 @@
         judge(main, nowMs);
         slow.values().forEach(group -> judge(group, nowMs));
       }
+      leaving = (int) all.stream().filter(reader -> reader.order != null).count();
       for (Reader reader : new ArrayList<>(all)) {
         regroup(reader, doorSlow, nowMs);
       }
@@ -291,12 +295,14 @@
       reader.guest = false;
       aside(reader, nowMs);
     } else if (back || doorSlow || reader.slow != null && reader.group == null && !reader.guest) {
-      // What is kept under way to a slow one, and the piece that went over it.
-      if (reader.outBytes() <= limits.inflightBytes() / 8 + Limits.MAX_BODY / 4) {
+      // Little is kept under way to one that reads alone, and a piece may have gone over that.
+      if (reader.outBytes() <= limits.inflightBytes() / 8 + Limits.MAX_BODY / 4
+          || doorSlow && leaving < MAX_LEAVING) {
         reader.order = assignment.decide(reader.key, retained.customer, back ? null : reader.slow, doorSlow,
             reader.home, reader.moves, nowMs - reader.sinceMs, nowMs);
         reader.orderMs = nowMs;
         if (reader.order != null) {
+          leaving++;
           aside(reader, nowMs);
         }
       }
--- a/notices/src/test/java/willowdoor/notices/NoticesDoorTest.java
+++ b/notices/src/test/java/willowdoor/notices/NoticesDoorTest.java
@@ -97,6 +97,37 @@
     assertTrue(sim.mostHeld < 2 * Limits.standard().windowBytes());
   }
 
+  @Test
+  void tellsASlowDoorAndABurstAndASlowLinkApartFromSlowReaders() {
+    Sim sim = five(Limits.standard(), 8);
+    for (int i = 0; i < 100; i++) {
+      sim.reader(CUSTOMER + i % 2, 200);
+    }
+    publishFor(sim, 60_000, 40, 500);
+    for (long ms = 1; ms < 60_000; ms += 40) {
+      sim.at(sim.nowMs + ms, () -> sim.publish(1, CUSTOMER + 1, 500));
+    }
+    sim.run(20_000);
+    for (int n = 0; n < 400; n++) {
+      sim.publish(2, CUSTOMER, 500);
+    }
+    java.util.Arrays.fill(sim.linkMs[3], 2_000);
+    sim.run(5_000);
+    assertEquals(0, sim.readers.stream().mapToInt(r -> r.moves).sum(), "a burst and a slow link move nobody");
+    assertTrue(sim.door[3].slowLinks(sim.nowMs).size() > 0 && sim.door[1].slowLinks(sim.nowMs).contains(3));
+    java.util.Arrays.fill(sim.linkMs[3], 1);
+    List<SimReader> there = sim.readers.stream().filter(r -> r.door == 0).toList();
+    for (int ms = 0; ms < 30_000; ms++) {
+      there.forEach(r -> r.bytesPerMs = r.door == 0 ? 4 : 200);
+      sim.run(1);
+    }
+    assertTrue(there.stream().filter(r -> r.moves > 0).count() > there.size() / 4, "moved away from it");
+    assertEquals(0, sim.readers.stream().filter(r -> !there.contains(r)).mapToInt(r -> r.moves).sum());
+    there.forEach(r -> r.bytesPerMs = 200);
+    sim.run(20_000);
+    nothingWrong(sim);
+  }
+
   @Test
   void losesNothingWhereTheTargetOfMovesDies() {
     Sim sim = five(Limits.standard(), 4);
