Lab: garbled, replayed and stray datagrams, signals to many at once, and no request taken that never arrived

Clients' faces now refuse until the process is ready, and the relay tells which connection's bytes never got to the other side.

`kill` of many processes is one call. `doors.only` changes one front door's configuration, `peer_streams` may be left out alone, so that 100 front doors' datagram faces fit into the descriptors.

--- a/lab/src/main/java/willowdoor/lab/Main.java
+++ b/lab/src/main/java/willowdoor/lab/Main.java
@@ -4,6 +4,7 @@
 import java.io.PrintWriter;
 import java.net.URISyntaxException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -35,7 +36,8 @@
   public static void main(String[] args) {
     CommandLine line = new CommandLine(new Main());
     line.setExecutionExceptionHandler((e, command, result) -> {
-      String reason = e instanceof BadSchedule || e instanceof IOException ? e.getMessage() : e.toString();
+      String reason = e instanceof NoSuchFileException ? "there is no file " + e.getMessage()
+          : e instanceof BadSchedule || e instanceof IOException ? e.getMessage() : e.toString();
       command.getErr().println("willowdoor-lab: " + reason);
       return CommandLine.ExitCode.USAGE;
     });
--- a/lab/src/main/java/willowdoor/lab/fleet/Door.java
+++ b/lab/src/main/java/willowdoor/lab/fleet/Door.java
@@ -112,20 +112,27 @@
     return true;
   }
 
-  /** Sends the signal, and false where no process runs; those that end one are told with its life. */
-  synchronized boolean signal(String name) throws IOException {
+  synchronized boolean isReady() {
+    return alive() && life.ready > 0;
+  }
+
+  /** Notes a signal that is about to be sent; the process's id, or -1 where none runs. */
+  synchronized long signalled(String name) {
     if (!alive()) {
-      return false;
+      return -1;
     }
     if (name.equals("KILL") || name.equals("TERM")) {
       life.how = life.how.equals("TERM") && name.equals("KILL") ? "TERM, KILL" : name;
     }
-    return Signals.send(name, life.process.pid());
+    return life.process.pid();
   }
 
   /** Ends the process whatever it is doing, and returns once its life was told. */
   void end() throws IOException {
-    signal("KILL");
+    long pid = signalled("KILL");
+    if (pid >= 0) {
+      Signals.send("KILL", List.of(pid));
+    }
     CompletableFuture<Void> over;
     synchronized (this) {
       over = life == null ? CompletableFuture.completedFuture(null) : life.over;
--- a/lab/src/main/java/willowdoor/lab/fleet/Fleet.java
+++ b/lab/src/main/java/willowdoor/lab/fleet/Fleet.java
@@ -131,10 +131,20 @@
         .thenApply(OneCall.Answer::status);
   }
 
-  /** Sends a front door's process a signal by its name, without the SIG. */
-  public void signal(String id, String name) throws IOException {
-    if (!doors.get(id).signal(name)) {
-      throw new IOException(id + " does not run");
+  /** Sends these front doors' processes a signal by its name, without the SIG, at once. */
+  public void signal(Collection<String> ids, String name) throws IOException {
+    List<Long> pids = new ArrayList<>();
+    for (String id : ids) {
+      long pid = doors.get(id).signalled(name);
+      if (pid >= 0) {
+        pids.add(pid);
+      }
+    }
+    if (!pids.isEmpty()) {
+      Signals.send(name, pids);
+    }
+    if (pids.size() < ids.size()) {
+      throw new IOException("of " + ids + " only " + pids.size() + " ran");
     }
   }
 
@@ -151,6 +161,11 @@
     return doors.get(id).alive();
   }
 
+  /** Whether its process was ready once. */
+  public boolean ready(String id) {
+    return doors.get(id).isReady();
+  }
+
   private void ended(Entry.Life life) {
     records.write(life);
     try {
@@ -163,16 +178,22 @@
     }
   }
 
-  /** Ends all in order, as at a planned restart: SIGTERM, then wait until all are gone or it is over. */
+  /** Ends all as at a planned restart, without telling listeners: SIGTERM, and a wait for their ends. */
   public void end(long limitMs) throws IOException, InterruptedException {
+    closing = true;
+    List<String> running = doors.keySet().stream().filter(this::alive).toList();
     List<Process> ending = new ArrayList<>();
-    for (Door door : doors.values()) {
-      Process process = door.process();
+    running.forEach(id -> {
+      Process process = doors.get(id).process();
       if (process != null) {
-        door.signal("CONT");
-        door.signal("TERM");
         ending.add(process);
       }
+    });
+    try {
+      signal(running, "CONT");
+      signal(running, "TERM");
+    } catch (IOException e) {
+      LOG.info("some ended by themselves: {}", e.getMessage());
     }
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
     for (Process process : ending) {
--- a/lab/src/main/java/willowdoor/lab/fleet/Signals.java
+++ b/lab/src/main/java/willowdoor/lab/fleet/Signals.java
@@ -1,6 +1,8 @@
 package willowdoor.lab.fleet;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** Signals to processes, by their ids. */
@@ -9,16 +11,17 @@
   private Signals() {
   }
 
-  /** False where there is no such process any more. */
-  static boolean send(String signal, long pid) throws IOException {
-    Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(pid))
+  /** Sends it to all of them at once; one that is gone by then is passed over. */
+  static void send(String signal, List<Long> pids) throws IOException {
+    List<String> command = new ArrayList<>(List.of("kill", "-" + signal));
+    pids.forEach(pid -> command.add(pid.toString()));
+    Process kill = new ProcessBuilder(command)
         .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
     try {
       if (!kill.waitFor(10, TimeUnit.SECONDS)) {
         kill.destroyForcibly();
-        throw new IOException("kill -" + signal + ' ' + pid + " does not end");
+        throw new IOException(command + " does not end");
       }
-      return kill.exitValue() == 0;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new IOException("interrupted", e);
--- a/lab/src/main/java/willowdoor/lab/load/Clients.java
+++ b/lab/src/main/java/willowdoor/lab/load/Clients.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -12,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.HdrHistogram.Histogram;
@@ -54,9 +56,13 @@
   private boolean stopped;
   private int open;
 
-  /** Clients of these front doors, in the order that customers' sets count them; nothing begins yet. */
-  public Clients(LoadSpec spec, JsonNode settings, Map<String, InetSocketAddress> doors, Recorder records,
-      long seed) {
+  /**
+   * Clients of these front doors, in the order that customers' sets count them; nothing begins yet.
+   *
+   * @param unreached whether a connection from that address never got what was last written to it to its door
+   */
+  public Clients(LoadSpec spec, JsonNode settings, Map<String, InetSocketAddress> doors,
+      Predicate<SocketAddress> unreached, Recorder records, long seed) {
     this.spec = spec;
     this.records = records;
     this.doors = List.copyOf(doors.keySet());
@@ -75,7 +81,8 @@
       customers.computeIfAbsent(customer.plan(), p -> new ArrayList<>()).add(customer);
     }
     doors.forEach((id, address) -> connections.put(id,
-        new Connections(own, address, spec.connections(), records.clock(), this::ended)));
+        new Connections(own, address, spec.connections(), records.clock(), unreached,
+            this::ended)));
     types.keySet().forEach(t -> figures.put(t, new Figures(new Histogram(MOST_US, 3), new TreeMap<>())));
   }
 
--- a/lab/src/main/java/willowdoor/lab/load/Connections.java
+++ b/lab/src/main/java/willowdoor/lab/load/Connections.java
@@ -17,11 +17,13 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import willowdoor.lab.net.OwnLoop;
 import willowdoor.lab.record.LabClock;
 
@@ -45,16 +47,19 @@
   private final InetSocketAddress door;
   private final int most;
   private final LabClock clock;
+  private final Predicate<SocketAddress> unreached;
   private final Ended ended;
   private final ArrayDeque<Kept> idle = new ArrayDeque<>();
   private final Set<Kept> open = new HashSet<>();
 
-  Connections(OwnLoop own, InetSocketAddress door, int most, LabClock clock, Ended ended) {
+  Connections(OwnLoop own, InetSocketAddress door, int most, LabClock clock,
+      Predicate<SocketAddress> unreached, Ended ended) {
     this.own = own;
     loop = own.loop();
     this.door = door;
     this.most = most;
     this.clock = clock;
+    this.unreached = unreached;
     this.ended = ended;
   }
 
@@ -91,9 +96,10 @@
     kept.channel.closeFuture().addListener(closed -> open.remove(kept));
     connect.addListener(done -> {
       if (done.isSuccess()) {
+        kept.local = kept.channel.localAddress();
         kept.write(ask);
       } else {
-        ended.ended(ask, 0, ask.resent > 0 ? "broken" : "unreachable", "");
+        ended.ended(ask, 0, ask.taken ? "broken" : "unreachable", "");
       }
     });
   }
@@ -101,6 +107,7 @@
   private final class Kept extends SimpleChannelInboundHandler<FullHttpResponse> {
     private Channel channel;
     private Ask asked;
+    private SocketAddress local;
     private Future<?> limit;
     private boolean heard;
     private int answered;
@@ -141,15 +148,19 @@
     /** A close may have crossed the request: then it goes out once more, on a new connection. */
     private void broken() {
       Ask ask = asked;
+      boolean lost = unreached.test(local) && ask != null;
+      if (lost) {
+        ask.taken = false;
+      }
       boolean crossed = ask != null && answered > 0 && !heard && ask.resent == 0
-          && clock.nowUs() - ask.begin < CROSSING_US;
+          && (lost || clock.nowUs() - ask.begin < CROSSING_US);
       if (crossed) {
         asked = null;
         limit.cancel(false);
         ask.resent = clock.nowUs();
         connect(ask);
       } else {
-        finish(0, "broken", "");
+        finish(0, ask != null && ask.taken ? "broken" : "unreachable", "");
       }
     }
 
--- a/lab/src/main/java/willowdoor/lab/relay/Crossing.java
+++ b/lab/src/main/java/willowdoor/lab/relay/Crossing.java
@@ -10,6 +10,7 @@
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import willowdoor.lab.net.OwnLoop;
 
 /**
@@ -24,18 +25,26 @@
   private final Pipe back;
   private final InetSocketAddress target;
   private final OwnLoop own;
+  private final Unreached unreached;
+  private final SocketAddress caller;
   private final StreamWay out;
   private final Runnable goOn = this::goOn;
   private StreamWay in;
   private Channel far;
+  /** Whether the caller's bytes were the last that came, and whether the other side has ended. */
+  private boolean owed;
+  private boolean calledEnded;
   private boolean ended;
 
-  Crossing(Channel near, Pipe there, Pipe back, InetSocketAddress target, OwnLoop own) {
+  Crossing(Channel near, Pipe there, Pipe back, InetSocketAddress target, OwnLoop own,
+      Unreached unreached) {
     this.near = near;
     this.there = there;
     this.back = back;
     this.target = target;
     this.own = own;
+    this.unreached = unreached;
+    caller = near.remoteAddress();
     out = new StreamWay(there, near, this::reset, this::closeIfFinished);
     near.pipeline().addLast(new Side(out));
     near.closeFuture().addListener(closed -> end());
@@ -64,6 +73,7 @@
     far = own.keep(connects.channel());
     connects.addListener(done -> {
       if (!done.isSuccess() || ended) {
+        unreached.add(caller);
         reset();
         return;
       }
@@ -112,6 +122,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object data) {
+      owed = way == out;
+      if (owed && calledEnded) {
+        unreached.add(caller);
+      }
       way.read((ByteBuf) data);
     }
 
@@ -124,15 +138,26 @@
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
       if (event == ChannelInputShutdownEvent.INSTANCE && !told) {
         told = true;
+        ends();
         way.finish();
       }
     }
 
+    private void ends() {
+      if (way == in) {
+        calledEnded = true;
+        if (!owed) {
+          unreached.add(caller);
+        }
+      }
+    }
+
     /** Broken, or gone altogether after its end was passed on: nobody takes what the other side sends. */
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       if (!ended) {
         told = true;
+        ends();
         way.reset();
       }
     }
--- a/lab/src/main/java/willowdoor/lab/relay/DatagramWay.java
+++ b/lab/src/main/java/willowdoor/lab/relay/DatagramWay.java
@@ -1,6 +1,7 @@
 package willowdoor.lab.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -8,6 +9,8 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,6 +21,7 @@
  */
 final class DatagramWay extends SimpleChannelInboundHandler<DatagramPacket> {
 
+  private static final int MOST_FIRST = 8;
   private static final int MOST_ON_THE_WAY = 8_192;
   private static final long MOST_BACKLOG_NS = 1_000_000_000L;
   /** One that is to be passed goes on after this even if none comes behind it. */
@@ -32,6 +36,8 @@
   private ByteBuf held;
   private Future<?> release;
   private int onTheWay;
+  /** The first that came, to be sent again much later. */
+  private final List<byte[]> first = new ArrayList<>();
   private long strangers;
 
   DatagramWay(EventLoop loop, Pipe pipe, InetSocketAddress sender, InetSocketAddress receiver) {
@@ -55,17 +61,27 @@
     if (packet.sender().equals(sender)) {
       pipe.datagrams++;
       pipe.datagramBytes += packet.content().readableBytes();
+      if (first.size() < MOST_FIRST) {
+        first.add(ByteBufUtil.getBytes(packet.content()));
+      }
       send(packet.content());
     } else {
       strangers++;
     }
   }
 
+  List<byte[]> first() {
+    return first;
+  }
+
   /** Sends what the sender sent, or what is to look as if it had. */
   void send(ByteBuf data) {
     if (pipe.faults.cut() || pipe.happens(pipe.faults.drop())) {
       return;
     }
+    if (pipe.happens(pipe.faults.garble())) {
+      garble(data);
+    }
     int copies = pipe.happens(pipe.faults.duplicate()) ? 2 : 1;
     for (int i = 0; i < copies; i++) {
       if (held == null && pipe.happens(pipe.faults.reorder())) {
@@ -78,6 +94,14 @@
     }
   }
 
+  /** One to four bytes become others. */
+  private void garble(ByteBuf data) {
+    for (int i = pipe.random.nextInt(4); i >= 0 && data.isReadable(); i--) {
+      int at = data.readerIndex() + pipe.random.nextInt(data.readableBytes());
+      data.setByte(at, data.getByte(at) ^ 1 + pipe.random.nextInt(255));
+    }
+  }
+
   private void passHeld() {
     if (held != null) {
       release.cancel(false);
--- a/lab/src/main/java/willowdoor/lab/relay/Relay.java
+++ b/lab/src/main/java/willowdoor/lab/relay/Relay.java
@@ -14,6 +14,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -25,6 +26,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -75,6 +77,7 @@
   /** Opened and closed by the calling threads, one at a time. */
   private final List<Listener> listeners = new ArrayList<>();
   private final Map<Pair, Set<Crossing>> crossings = new HashMap<>();
+  private final Unreached unreached = new Unreached();
   private int connections;
 
   /** Each pair draws from the seed and its names, so its draws do not hang on what others do. */
@@ -138,10 +141,11 @@
     });
   }
 
-  /** While a party is down nobody can connect to it: its faces refuse as its own address does. */
-  public synchronized void refuse(String party, boolean down) throws IOException {
+  /** While a party is down these callers cannot connect to it: its faces refuse as its own address does. */
+  public synchronized void refuse(String party, Predicate<String> callers, boolean down) throws IOException {
     for (Listener listener : listeners) {
-      if (listener.pair.to().equals(party) && down == (listener.channel != null)) {
+      if (listener.pair.to().equals(party) && callers.test(listener.pair.from())
+          && down == (listener.channel != null)) {
         if (down) {
           listener.channel.close().awaitUninterruptibly();
           listener.channel = null;
@@ -152,6 +156,11 @@
     }
   }
 
+  /** Whether what this caller's connection last sent never got to the other side; to be asked for once. */
+  public boolean unreached(SocketAddress caller) {
+    return unreached.take(caller);
+  }
+
   /** Sends the receiver a datagram as if it came from the sender; faults hold for it too. */
   public void forge(Pair pair, byte[] data) throws IOException {
     call(() -> {
@@ -159,11 +168,16 @@
       if (way == null) {
         throw new IOException("no datagrams pass from " + pair.from() + " to " + pair.to());
       }
-      way.send(Unpooled.wrappedBuffer(data));
+      way.send(Unpooled.copiedBuffer(data));
       return null;
     });
   }
 
+  /** The first datagrams that the one of a pair sent the other, eight at most. */
+  public List<byte[]> first(Pair pair) throws IOException {
+    return call(() -> datagrams.containsKey(pair) ? List.copyOf(datagrams.get(pair).first()) : List.of());
+  }
+
   /** What each party has sent so far. */
   public Map<String, Sent> sent() throws IOException {
     return call(() -> {
@@ -212,7 +226,7 @@
     }
     connections++;
     own.keep(near);
-    Crossing crossing = new Crossing(near, there, back, listener.target, own);
+    Crossing crossing = new Crossing(near, there, back, listener.target, own, unreached);
     Set<Crossing> open = crossings.computeIfAbsent(listener.pair, p -> new LinkedHashSet<>());
     open.add(crossing);
     near.closeFuture().addListener(closed -> {
--- a/lab/src/main/java/willowdoor/lab/run/Action.java
+++ b/lab/src/main/java/willowdoor/lab/run/Action.java
@@ -18,7 +18,10 @@
   DROP(Kind.ANY, Arg.TO, Arg.WAY, Arg.number("share", 0, 1)),
   DUPLICATE(Kind.ANY, Arg.TO, Arg.WAY, Arg.number("share", 0, 1)),
   REORDER(Kind.ANY, Arg.TO, Arg.WAY, Arg.number("share", 0, 1)),
+  GARBLE(Kind.ANY, Arg.TO, Arg.WAY, Arg.number("share", 0, 1)),
   BREAK_AFTER(Kind.ANY, Arg.TO, Arg.WAY, Arg.number("bytes", 0, 1e12)),
+  /** Sends the first datagrams of each way once more, from where they came or from where nobody is. */
+  REPLAY(Kind.DOORS, Arg.TO), STRAY(Kind.DOORS, Arg.TO),
 
   /** Template servers: how they work from now on, their ends and starts, and what discovery says of them. */
   SERVE(Kind.SERVERS, Arg.optional("slow", 0.01, 1_000), Arg.optional("failing", 0, 1),
--- a/lab/src/main/java/willowdoor/lab/run/Actions.java
+++ b/lab/src/main/java/willowdoor/lab/run/Actions.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -51,7 +53,7 @@
     List<String> targets = schedule.parties.resolve(step.targets(), List.of(), random);
     switch (step.action()) {
       case KILL, TERM, STOP, CONT, START, STARVE -> processes(step, targets, begin);
-      case CUT, HEAL, RESET, DELAY, LIMIT, DROP, DUPLICATE, REORDER, BREAK_AFTER ->
+      case CUT, HEAL, RESET, DELAY, LIMIT, DROP, DUPLICATE, REORDER, GARBLE, BREAK_AFTER, REPLAY, STRAY ->
           network(step, targets, random, begin);
       default -> {
         peers(step, targets);
@@ -61,15 +63,21 @@
   }
 
   private void processes(Step step, List<String> doors, long begin) throws IOException {
-    for (String door : doors) {
-      switch (step.action()) {
-        case START -> stage.fleet().start(door);
-        case STARVE -> stage.fleet().starve(door, step.number("share", 1), (long) step.number("for_ms", 0));
-        default -> stage.fleet().signal(door, step.action().name());
+    switch (step.action()) {
+      case START -> {
+        for (String door : doors) {
+          stage.fleet().start(door);
+        }
       }
-      if (step.action() != Action.STOP && step.action() != Action.TERM) {
-        log.goOn(door);
+      case STARVE -> {
+        for (String door : doors) {
+          stage.fleet().starve(door, step.number("share", 1), (long) step.number("for_ms", 0));
+        }
       }
+      default -> stage.fleet().signal(doors, step.action().name());
+    }
+    if (step.action() == Action.CONT || step.action() == Action.KILL) {
+      doors.forEach(log::goOn);
     }
     if (step.action() == Action.STOP) {
       log.stopped(begin, step, doors);
@@ -101,16 +109,37 @@
     Map<String, Object> args = new HashMap<>(step.args());
     args.put("to", to);
     Step resolved = new Step(step.atMs(), step.action(), targets, args);
-    if (step.action() == Action.RESET) {
-      stage.relay().reset(ways);
-      log.done(begin, stage.clock().nowUs(), resolved, targets);
-    } else if (step.action() == Action.HEAL) {
-      stage.relay().change(ways, f -> Faults.NONE);
-      log.healed(ways);
-      log.done(begin, stage.clock().nowUs(), resolved, targets);
-    } else {
-      stage.relay().change(ways, change(step));
-      log.ways(begin, resolved, targets, ways);
+    switch (step.action()) {
+      case RESET -> stage.relay().reset(ways);
+      case REPLAY -> {
+        for (Pair each : ways) {
+          for (byte[] data : stage.relay().first(each)) {
+            stage.relay().forge(each, data);
+          }
+        }
+      }
+      case STRAY -> stray(ways);
+      case HEAL -> {
+        stage.relay().change(ways, f -> Faults.NONE);
+        log.healed(ways);
+      }
+      default -> {
+        stage.relay().change(ways, change(step));
+        log.ways(begin, resolved, targets, ways);
+        return;
+      }
+    }
+    log.done(begin, stage.clock().nowUs(), resolved, targets);
+  }
+
+  /** What others had sent comes to the receivers' own addresses from one that is in nobody's roster. */
+  private void stray(Set<Pair> ways) throws IOException {
+    try (DatagramSocket stranger = new DatagramSocket(stage.net().own("stranger", Loopback.PEERS))) {
+      for (Pair way : ways) {
+        for (byte[] data : stage.relay().first(way)) {
+          stranger.send(new DatagramPacket(data, data.length, stage.net().own(way.to(), Loopback.PEERS)));
+        }
+      }
     }
   }
 
@@ -123,6 +152,7 @@
       case DROP -> f -> f.drop(share);
       case DUPLICATE -> f -> f.duplicate(share);
       case REORDER -> f -> f.reorder(share);
+      case GARBLE -> f -> f.garble(share);
       case BREAK_AFTER -> f -> f.breakAfter((long) step.number("bytes", 0));
       default -> throw new IllegalArgumentException(step.toString());
     };
@@ -135,14 +165,14 @@
           step.number("refusing", 0) > 0)));
       case SERVER_STOP -> {
         for (String server : targets) {
-          stage.relay().refuse(server, true);
+          stage.relay().refuse(server, c -> true, true);
           stage.servers().stop(server);
         }
       }
       case SERVER_START -> {
         for (String server : targets) {
           stage.servers().restart(server);
-          stage.relay().refuse(server, false);
+          stage.relay().refuse(server, c -> true, false);
           stage.discovery().state(server, "active", System.currentTimeMillis());
         }
       }
--- a/lab/src/main/java/willowdoor/lab/run/LabRun.java
+++ b/lab/src/main/java/willowdoor/lab/run/LabRun.java
@@ -84,7 +84,8 @@
       }
       wiring.peers(doors);
       clients = keep(new Clients(schedule.load, schedule.settings,
-          wiring.clientsSee(doors.subList(0, schedule.doors.count())), records, schedule.seed));
+          wiring.clientsSee(doors.subList(0, schedule.doors.count())), relay::unreached, records,
+          schedule.seed));
       fleet.listen(clients);
       fleet.listen(new Faces());
       actions = new Actions(schedule, new Actions.Stage(fleet, relay, servers, counter, discovery,
@@ -106,7 +107,10 @@
     return part;
   }
 
-  /** A front door that is gone refuses connections, at its faces as at its own address. */
+  /**
+   * A front door that is gone refuses connections, at its faces as at its own address; clients are refused
+   * until it is ready, as it does not listen to them before.
+   */
   private final class Faces implements Fleet.Listener {
     @Override
     public void begun(String door) {
@@ -125,7 +129,8 @@
 
     private synchronized void follow(String door) {
       try {
-        relay.refuse(door, !fleet.alive(door));
+        relay.refuse(door, Parties.CLIENTS::equals, !fleet.ready(door));
+        relay.refuse(door, caller -> !caller.equals(Parties.CLIENTS), !fleet.alive(door));
       } catch (IOException e) {
         LOG.error("the relay's faces of {} cannot be changed", door, e);
       }
--- a/lab/src/main/java/willowdoor/lab/run/RandomFaults.java
+++ b/lab/src/main/java/willowdoor/lab/run/RandomFaults.java
@@ -41,7 +41,7 @@
     long end = random.nextLong(begin + 300, lastMs);
     String door = oneOf(schedule.parties.doors().subList(0, schedule.doors.count()));
     String server = oneOf(schedule.parties.servers());
-    return switch (random.nextInt(14)) {
+    return switch (random.nextInt(15)) {
       case 0, 1 -> pair(begin, Action.KILL, door, Map.of(), end, Action.START, Map.of());
       case 2 -> pair(begin, Action.STOP, door, Map.of(), end, Action.CONT, Map.of());
       case 3 -> List.of(new Step(begin, Action.STARVE, List.of(door),
@@ -51,6 +51,7 @@
       case 6 -> way(begin, end, Action.DROP, Map.of("share", share(0.05, 0.5)));
       case 7 -> way(begin, end, Action.DUPLICATE, Map.of("share", share(0.05, 0.5)));
       case 8 -> way(begin, end, Action.REORDER, Map.of("share", share(0.05, 0.5)));
+      case 14 -> way(begin, end, Action.GARBLE, Map.of("share", share(0.05, 0.5)));
       case 9 -> List.of(new Step(begin, Action.RESET, List.of(door),
           Map.of("to", List.of("servers", "counter"))));
       case 10 -> pair(begin, Action.SERVER_STOP, server, Map.of(), end, Action.SERVER_START, Map.of());
--- a/lab/src/main/java/willowdoor/lab/run/Schedule.java
+++ b/lab/src/main/java/willowdoor/lab/run/Schedule.java
@@ -23,15 +23,19 @@
  */
 public final class Schedule {
 
-  private static final Set<String> LINKS = Set.of("clients", "servers", "counter", "discovery", "peers");
+  private static final Set<String> LINKS = Set.of("clients", "servers", "counter", "discovery", "peers",
+      "peer_streams");
   private static final long MOST_RUN_MS = 3_600_000;
 
   /** A further party with the name of a front door, on addresses of its own; it is started by a step only. */
   record Twin(String id, String of) { }
 
-  /** The front doors, and how many of them start at once. */
+  /**
+   * The front doors, how many of them start at once, and what is put into their configurations: into all, and
+   * then by name.
+   */
   record Doors(int count, List<Twin> twins, int together, List<String> flags, ObjectNode limits,
-      ObjectNode extra) { }
+      ObjectNode extra, Map<String, ObjectNode> only) { }
 
   record Servers(int count, int zones, ServerSpec spec) { }
 
@@ -88,6 +92,9 @@
         "least_served", checked.number("least_served", 0, 1, 0.1));
     checked.done();
     parties = new Parties(doors.count(), doors.twins().stream().map(Twin::id).toList(), servers.count());
+    if (!parties.doors().containsAll(doors.only().keySet())) {
+      throw new BadSchedule("doors.only: there are no other front doors than " + parties.doors());
+    }
     steps = new ArrayList<>();
     for (Keys k : keys.list("steps")) {
       steps.add(step(k));
@@ -151,8 +158,13 @@
         .put("memory_mb", limits.whole("memory_mb", 16, 4_096, 192))
         .put("sockets", limits.whole("sockets", 64, 4_096, 384));
     limits.done();
+    Map<String, ObjectNode> only = new LinkedHashMap<>();
+    for (Keys k : keys.list("only")) {
+      only.put(k.text("id", null), k.raw("extra"));
+      k.done();
+    }
     Doors doors = new Doors(count, twins, (int) keys.whole("together", 1, 150, 8),
-        keys.texts("flags", List.of()), limited, keys.raw("extra"));
+        keys.texts("flags", List.of()), limited, keys.raw("extra"), only);
     keys.done();
     return doors;
   }
@@ -208,7 +220,7 @@
   }
 
   /** Tables are merged, all else is replaced. */
-  private static void merge(ObjectNode into, ObjectNode from) {
+  static void merge(ObjectNode into, ObjectNode from) {
     from.fields().forEachRemaining(field -> {
       if (field.getValue() instanceof ObjectNode table
           && into.get(field.getKey()) instanceof ObjectNode old) {
--- a/lab/src/main/java/willowdoor/lab/run/Wiring.java
+++ b/lab/src/main/java/willowdoor/lab/run/Wiring.java
@@ -71,18 +71,18 @@
     open("clients", Parties.CLIENTS, id, net.own(id, Loopback.CLIENTS));
   }
 
-  /** Opens the ways between front doors, streams and datagrams at the same faces. */
+  /** Opens the ways between front doors, for datagrams and streams at the same faces. */
   void peers(List<String> doors) throws IOException {
-    if (!relayed("peers")) {
-      return;
-    }
     for (int i = 0; i < doors.size(); i++) {
       String a = doors.get(i);
       for (String b : doors.subList(i + 1, doors.size())) {
-        relay.datagrams(a, net.own(a, Loopback.PEERS), net.face(a, b), b, net.own(b, Loopback.PEERS),
-            net.face(b, a));
-        relay.stream(a, b, net.face(a, b), net.own(b, Loopback.PEERS));
-        relay.stream(b, a, net.face(b, a), net.own(a, Loopback.PEERS));
+        InetSocketAddress addressOfA = net.own(a, Loopback.PEERS);
+        InetSocketAddress addressOfB = net.own(b, Loopback.PEERS);
+        if (relayed("peers")) {
+          relay.datagrams(a, addressOfA, net.face(a, b), b, addressOfB, net.face(b, a));
+        }
+        open("peer_streams", a, b, addressOfB);
+        open("peer_streams", b, a, addressOfA);
       }
     }
   }
@@ -122,7 +122,9 @@
     config.set("limits", schedule.doors.limits());
     config.set("known", discovery.known(id));
     config.set("settings", settings(index));
-    config.setAll((ObjectNode) extra(id).fill(schedule.doors.extra()));
+    ObjectNode extra = schedule.doors.extra().deepCopy();
+    Schedule.merge(extra, schedule.doors.only().getOrDefault(id, JSON.createObjectNode()));
+    Schedule.merge(config, (ObjectNode) template(id).fill(extra));
     return config;
   }
 
@@ -140,7 +142,7 @@
     return Integer.parseInt(name(id).substring(1));
   }
 
-  private ConfigTemplate extra(String id) {
+  private ConfigTemplate template(String id) {
     List<Map<String, String>> peers = new ArrayList<>();
     for (int i = 0; i < schedule.doors.count(); i++) {
       String peer = "n" + i;
--- a/lab/src/test/java/willowdoor/lab/check/CheckersTest.java
+++ b/lab/src/test/java/willowdoor/lab/check/CheckersTest.java
@@ -86,6 +86,7 @@
     finds("AnsweredInTime", broken);
     assertEquals(List.of(), found(broken, killed));
     finds("AnsweredInTime", broken, new Entry.Life(0, 115_000, "n1", 6, 1, "KILL", 137));
+    finds("AnsweredInTime", broken, new Entry.Life(0, 115_000, "n0", 6, 1, "TERM", 143));
     Entry held = new Entry.HeldUp(300_000, 320_000, "clients");
     assertEquals(List.of(), found(late, held), "20 ms of it were the lab's own");
     Entry.Fault stopped = new Entry.Fault(90_000, 900_000, "stop", List.of("n0"), Map.of());
--- a/lab/src/test/java/willowdoor/lab/relay/RelayTest.java
+++ b/lab/src/test/java/willowdoor/lab/relay/RelayTest.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -182,15 +183,27 @@
       assertThrows(SocketException.class, () -> caller.getInputStream().read());
       assertThrows(SocketException.class, () -> called.getInputStream().read());
     }
-    relay.refuse("b", true);
+    relay.refuse("b", caller -> true, true);
     assertThrows(ConnectException.class, this::call);
-    relay.refuse("b", false);
+    relay.refuse("b", caller -> caller.equals("c"), false);
+    assertThrows(ConnectException.class, this::call);
+    relay.refuse("b", caller -> caller.equals("a"), false);
     try (Socket caller = call(); Socket called = server.accept()) {
       write(called, "back");
       assertEquals("back", read(caller, 4));
     }
   }
 
+  @Test
+  void tellsWhatNeverGotToTheOther() throws IOException {
+    server.close();
+    try (Socket caller = call()) {
+      assertThrows(SocketException.class, () -> caller.getInputStream().read());
+      assertTrue(relay.unreached(caller.getLocalSocketAddress()));
+      assertFalse(relay.unreached(caller.getLocalSocketAddress()), "asked for once");
+    }
+  }
+
   @Test
   void cutDatagramsAreLost() throws IOException {
     faults(THERE, f -> f.cut(true));
@@ -219,6 +232,20 @@
     assertEquals("4", hear(), "goes on even if none comes behind");
   }
 
+  @Test
+  void garblesAndKeepsTheFirstForAReplay() throws IOException {
+    faults(THERE, f -> f.garble(1));
+    say("something");
+    String garbled = hear();
+    assertEquals(9, garbled.length());
+    assertFalse(garbled.equals("something"));
+    for (byte[] first : relay.first(THERE)) {
+      faults(THERE, f -> f.garble(0));
+      relay.forge(THERE, first);
+    }
+    assertEquals("something", hear(), "as it was sent");
+  }
+
   @Test
   void datagramsAreDelayed() throws IOException {
     faults(THERE, f -> f.delay(100, 0));
--- a/lab/src/test/java/willowdoor/lab/run/ScheduleTest.java
+++ b/lab/src/test/java/willowdoor/lab/run/ScheduleTest.java
@@ -32,6 +32,7 @@
       "name = 'x';observe = 3                 | observe is not a list of tables",
       "name = 'x';servers = 3                 | servers is not a table",
       "name = 'x';name = 'y'                  | the schedule is not TOML",
+      "name = 'x';doors.only = [{id = 'n5'}]  | doors.only: there are no other front doors than [n0, n1, n2]",
       "name = 'x';doors.twins = [{id='n1', of='n0'}]   | doors.twins[0].id is not a short word",
       "name = 'x';doors.twins = [{id='t', of='n7'}] | doors.twins[0].of is not the name of a front door: n7"})
   void whatIsWrongIsToldWithItsKey(String toml, String message) {
