Wait in the reload test until the first signal has read half a file

It failed once on a busy machine (broken pipe): both signals found the whole file, the second moved the watch again, and the test told the news to the first watch. It waits for the log line of the unread file now.

--- a/front/src/test/java/willowdoor/front/ReloadTest.java
+++ b/front/src/test/java/willowdoor/front/ReloadTest.java
@@ -5,6 +5,12 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -30,6 +36,25 @@
     assertEquals(0, new ProcessBuilder("kill", "-HUP", self).start().waitFor());
   }
 
+  private static Handler onSevere(Runnable told) {
+    return new Handler() {
+      @Override
+      public void publish(LogRecord line) {
+        if (line.getLevel() == Level.SEVERE) {
+          told.run();
+        }
+      }
+
+      @Override
+      public void flush() {
+      }
+
+      @Override
+      public void close() {
+      }
+    };
+  }
+
   @Test
   void aHangUpMovesToTheNewAddressesAndServingGoesOn() throws Exception {
     Path file = folder.resolve("config.json");
@@ -38,7 +63,14 @@
     door.reloadOnHangUp(file);
 
     Files.writeString(file, "{\"listen\":");
+    CountDownLatch unread = new CountDownLatch(1);
+    Logger log = Logger.getLogger(FrontDoor.class.getName());
+    Handler handler = onSevere(unread::countDown);
+    log.addHandler(handler);
     hangUp();
+    // Else both signals may find the whole file, and the second moves away from the watch that the first opened.
+    assertTrue(unread.await(10, TimeUnit.SECONDS));
+    log.removeHandler(handler);
     Files.writeString(file, after.config());
     hangUp();
     assertTrue(Peers.next(after.watches).contains("index=7 "));
