--- a/notices/src/test/java/willowdoor/notices/NoticesFigures.java
+++ b/notices/src/test/java/willowdoor/notices/NoticesFigures.java
@@ -37,7 +37,8 @@
       }
     }
     sim.run(forMs + 3_000);
-    return sim.countOwed();
+    sim.countOwed();
+    return sim;
   }
 
   /** Arguments: readers, customers, seconds, seed. */
--- a/notices/src/test/java/willowdoor/notices/Sim.java
+++ b/notices/src/test/java/willowdoor/notices/Sim.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -14,12 +13,9 @@
 import java.util.WeakHashMap;
 
 /** Front doors, what lies between them, publishers and readers, on a hand-moved clock with steps of 1 ms. */
-final class Sim {
+final class Sim extends SimRecords {
   private record Due(long atMs, long order, Runnable what) {}
 
-  /** A notice that was taken. */
-  record Taken(long customer, String stream, long seq, long begunMs) {}
-
   final int doors;
   final Limits limits;
   final Random random;
@@ -27,15 +23,9 @@
   final long[] generation;
   final boolean[][] cut;
   final long[][] linkMs;
-  final List<SimReader> readers = new ArrayList<>();
-  final Map<Long, Taken> taken = new LinkedHashMap<>();
   private final Map<Long, Long> begun = new HashMap<>();
   private final Map<Long, Long> customerOf = new HashMap<>();
   int refused;
-  long nowMs;
-  /** Deliveries to readers that are not slow, by ms. */
-  final long[] delivered = new long[200_001];
-  final Set<SimReader> unhealthy = new LinkedHashSet<>();
   long mostHeld;
   /** Another kind of assignment or rendering, for deliberate defects. */
   java.util.function.IntFunction<Assignment> assignments;
@@ -352,56 +342,4 @@
       }
     }
   }
-
-  /** Counts what healthy readers are still owed as if it came now. */
-  Sim countOwed() {
-    for (Taken notice : taken.values()) {
-      for (SimReader reader : readers) {
-        SimReader.Known known = reader.streams.get(notice.stream());
-        if (reader.customer == notice.customer() && !unhealthy.contains(reader) && reader.openedMs >= 0
-            && notice.begunMs() >= reader.openedMs && (known == null || known.last < notice.seq())) {
-          delivered[(int) Math.min(delivered.length - 1, nowMs - notice.begunMs())]++;
-        }
-      }
-    }
-    return this;
-  }
-
-  long quantile(double q) {
-    long all = 0;
-    for (long n : delivered) {
-      all += n;
-    }
-    long left = (long) Math.ceil(all * q);
-    for (int ms = 0; ms < delivered.length; ms++) {
-      left -= delivered[ms];
-      if (left <= 0) {
-        return ms;
-      }
-    }
-    return delivered.length;
-  }
-
-  /**
-   * All that is wrong with what readers got, of notices that were taken.
-   *
-   * @param complete who must have had all
-   */
-  List<String> wrong(java.util.function.Predicate<SimReader> complete) {
-    List<String> wrong = new ArrayList<>();
-    Map<Long, List<Taken>> byCustomer = new HashMap<>();
-    taken.values().forEach(t -> byCustomer.computeIfAbsent(t.customer(), c -> new ArrayList<>()).add(t));
-    for (SimReader reader : readers) {
-      wrong.addAll(reader.wrong);
-      for (Taken notice : byCustomer.getOrDefault(reader.customer, List.of())) {
-        SimReader.Known known = reader.streams.get(notice.stream());
-        boolean owed = reader.openedMs >= 0 && notice.begunMs() >= reader.openedMs;
-        if (owed && complete.test(reader) && (known == null || known.first > notice.seq()
-            || known.last < notice.seq() && !known.openEnd)) {
-          wrong.add(reader.index + " never got " + notice);
-        }
-      }
-    }
-    return wrong;
-  }
 }
--- /dev/null
+++ b/notices/src/test/java/willowdoor/notices/SimRecords.java
@@ -0,0 +1,73 @@
+package willowdoor.notices;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What a simulation has seen, and what is wrong with it. */
+abstract class SimRecords {
+  /** A notice that was taken. */
+  record Taken(long customer, String stream, long seq, long begunMs) {}
+
+  final List<SimReader> readers = new ArrayList<>();
+  final Map<Long, Taken> taken = new LinkedHashMap<>();
+  long nowMs;
+  /** Deliveries to readers that are not slow, by ms. */
+  final long[] delivered = new long[200_001];
+  final Set<SimReader> unhealthy = new LinkedHashSet<>();
+
+  /** Counts what healthy readers are still owed as if it came now. */
+  void countOwed() {
+    for (Taken notice : taken.values()) {
+      for (SimReader reader : readers) {
+        SimReader.Known known = reader.streams.get(notice.stream());
+        if (reader.customer == notice.customer() && !unhealthy.contains(reader) && reader.openedMs >= 0
+            && notice.begunMs() >= reader.openedMs && (known == null || known.last < notice.seq())) {
+          delivered[(int) Math.min(delivered.length - 1, nowMs - notice.begunMs())]++;
+        }
+      }
+    }
+  }
+
+  long quantile(double q) {
+    long all = 0;
+    for (long n : delivered) {
+      all += n;
+    }
+    long left = (long) Math.ceil(all * q);
+    for (int ms = 0; ms < delivered.length; ms++) {
+      left -= delivered[ms];
+      if (left <= 0) {
+        return ms;
+      }
+    }
+    return delivered.length;
+  }
+
+  /**
+   * All that is wrong with what readers got, of notices that were taken.
+   *
+   * @param complete who must have had all
+   */
+  List<String> wrong(java.util.function.Predicate<SimReader> complete) {
+    List<String> wrong = new ArrayList<>();
+    Map<Long, List<Taken>> byCustomer = new HashMap<>();
+    taken.values().forEach(t -> byCustomer.computeIfAbsent(t.customer(), c -> new ArrayList<>()).add(t));
+    for (SimReader reader : readers) {
+      wrong.addAll(reader.wrong);
+      for (Taken notice : byCustomer.getOrDefault(reader.customer, List.of())) {
+        SimReader.Known known = reader.streams.get(notice.stream());
+        boolean owed = reader.openedMs >= 0 && notice.begunMs() >= reader.openedMs;
+        if (owed && complete.test(reader) && (known == null || known.first > notice.seq()
+            || known.last < notice.seq() && !known.openEnd)) {
+          wrong.add(reader.index + " never got " + notice);
+        }
+      }
+    }
+    return wrong;
+  }
+}
