--- a/front/src/test/java/willowdoor/front/ReloadTest.java
+++ b/front/src/test/java/willowdoor/front/ReloadTest.java
@@ -68,7 +68,7 @@
     Handler handler = onSevere(unread::countDown);
     log.addHandler(handler);
     hangUp();
-    // Else both signals may find the whole file, and the second moves away from the watch that the first opened.
+    // Else both signals may find the whole file, and the second moves away from the first one's watch.
     assertTrue(unread.await(10, TimeUnit.SECONDS));
     log.removeHandler(handler);
     Files.writeString(file, after.config());
