Close a given-up attempt's connection before the module hears, with what it holds

Cause: Attempt.abandon told the module of the end first and closed the connection after; the module may send the request again at once, so a copy could be written while the first was out on an open connection. And an ordinary close lets the kernel deliver what it still holds of a long request, whenever the server reads, so the last byte of an attempt given up could arrive after the final answer or the window of repeats. An early answer with writes pending ended its attempt as unreachable, and a write's end could be told after the attempt's.

Now the connection is closed first, whatever ends the attempt; over a request that is with the kernel whole and longer than TCP's first flight it is reset (SO_LINGER 0), which drops what has not left. A write that is done is noted at once.

--- a/front/src/main/java/willowdoor/front/requests/Attempt.java
+++ b/front/src/main/java/willowdoor/front/requests/Attempt.java
@@ -14,7 +14,8 @@
     /** Reads on, or no more for now: what is not read holds back the backend. */
     void read(boolean on);
 
-    void close();
+    /** Gives the connection up: none of the request's bytes that have not left yet leaves any more. */
+    void abort();
   }
 
   private final Outgoing message;
@@ -94,29 +95,43 @@
 
   /** Ends the attempt; later endings are ignored, so that the module gets exactly one outcome. */
   public final void end(Status status, HttpResponse head, ByteBuf body) {
-    if (ended) {
-      return;
+    if (stop()) {
+      onEnd(status, head, body);
     }
-    ended = true;
-    stopTimer();
-    if (carrier != null) {
-      message.detach(carrier);
-    }
-    onEnd(status, head, body);
   }
 
   /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
   public final void abandon(Status status) {
-    if (ended) {
+    endClosed(status, null, null);
+  }
+
+  /**
+   * Ends the attempt with its connection. That is closed before the module hears of the end, as it may send
+   * the request again at once, and a copy must not be out while this one is on an open connection.
+   */
+  public final void endClosed(Status status, HttpResponse head, ByteBuf body) {
+    if (!stop()) {
       return;
     }
-    Carrier used = carrier;
-    end(status, null, null);
-    if (used != null) {
-      used.close();
+    if (carrier != null) {
+      carrier.abort();
     } else if (connecting != null) {
       connecting.close();
     }
+    onEnd(status, head, body);
+  }
+
+  /** True for the first caller only. */
+  private boolean stop() {
+    if (ended) {
+      return false;
+    }
+    ended = true;
+    stopTimer();
+    if (carrier != null) {
+      message.detach(carrier);
+    }
+    return true;
   }
 
   /** The first piece behind the message's prefix is being written: there can be no other attempt. */
--- a/front/src/main/java/willowdoor/front/requests/Outgoing.java
+++ b/front/src/main/java/willowdoor/front/requests/Outgoing.java
@@ -23,6 +23,9 @@
     void piece(HttpContent piece);
   }
 
+  /** Bytes of a body: ten segments of 1,460 bytes, less room for the head. */
+  private static final int FIRST_FLIGHT = 8_000;
+
   private final HttpMethod method;
   private final String uri;
   private final HttpHeaders headers;
@@ -53,6 +56,14 @@
     return prefix.readableBytes();
   }
 
+  /**
+   * Whether TCP sends all of it at once on a connection on which nothing else is under way: that is ten
+   * segments (RFC 6928). More waits for the other side, and goes out behind a close too, whenever that reads.
+   */
+  public boolean leavesAtOnce() {
+    return whole && prefix.readableBytes() <= FIRST_FLIGHT;
+  }
+
   /** The head alone, or with the body where that is whole; it tells no more time than there is. */
   public HttpRequest message(double leftMs) {
     HttpHeaders copy = headers.copy().set(Headers.TIMEOUT_MS, Long.toString((long) Math.max(1, leftMs)));
--- a/front/src/main/java/willowdoor/front/servers/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -2,8 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -36,6 +38,8 @@
   private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
   private Attempt current;
+  /** The one that was carried last, also when it has ended. */
+  private Attempt latest;
   /** The answer that is being read: its head, what is held of its body, whether it is passed on already. */
   private HttpResponse head;
   private ByteBuf held;
@@ -90,8 +94,20 @@
     return channel.isActive() && !decoder.holdsRest();
   }
 
+  void close() {
+    channel.close();
+  }
+
+  /** What the kernel still holds of a long request would leave behind an ordinary close, at any later time. */
   @Override
-  public void close() {
+  public void abort() {
+    if (latest != null && latest.written() && !latest.message().leavesAtOnce()) {
+      try {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      } catch (ChannelException e) {
+        // It is closed already, or the system knows no such close.
+      }
+    }
     channel.close();
   }
 
@@ -103,6 +119,7 @@
   /** Writes the attempt's request; nothing below the module ever writes it again. */
   void carry(Attempt attempt) {
     current = attempt;
+    latest = attempt;
     attempt.carriedBy(this);
     HttpRequest request = attempt.message().message(pool.leftMs(attempt));
     if (attempt.message().whole()) {
@@ -117,13 +134,18 @@
   }
 
   private void written(Attempt attempt, ChannelFuture write, boolean last) {
-    write.addListener((ChannelFuture f) -> {
-      attempt.written(last && f.isSuccess());
-      if (!f.isSuccess()) {
-        attempt.end(Status.UNREACHABLE, null, null);
-        channel.close();
-      }
-    });
+    if (write.isDone()) { // listeners may be called later, and what ends the attempt meanwhile must know
+      writeEnded(attempt, write, last);
+    } else {
+      write.addListener((ChannelFuture f) -> writeEnded(attempt, f, last));
+    }
+  }
+
+  private void writeEnded(Attempt attempt, ChannelFuture write, boolean last) {
+    attempt.written(last && write.isSuccess());
+    if (!write.isSuccess()) {
+      attempt.abandon(Status.UNREACHABLE);
+    }
   }
 
   @Override
@@ -217,7 +239,7 @@
       Attempt attempt = current;
       forget();
       attempt.abandon(Status.CANCELLED);
-      channel.close();
+      abort();
       return;
     }
     begun = true;
@@ -231,12 +253,7 @@
   /** An answer that nobody asked for, or one that does not parse: nothing behind it can be read. */
   private void junk(Tally.Event what) {
     tally.count(what);
-    Attempt attempt = current;
-    forget();
-    channel.close();
-    if (attempt != null) {
-      attempt.end(attempt.broken(), null, null);
-    }
+    broken();
   }
 
   private void finish() {
@@ -247,14 +264,16 @@
     forget();
     // An answer ahead of the request's end leaves the connection out of step.
     answered = attempt.written() && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
-    if (!answered) {
-      channel.close();
-    } else {
-      read(true);
-    }
     Status status = status(answer);
+    HttpResponse told = status == Status.OK ? answer : null;
     try {
-      attempt.end(status, status == Status.OK ? answer : null, body);
+      if (answered) {
+        read(true);
+        attempt.end(status, told, body);
+      } else {
+        attempt.endClosed(status, told, body);
+        abort();
+      }
     } finally {
       if (body != null) {
         body.release();
@@ -319,14 +338,14 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     broken();
-    ctx.close();
   }
 
   private void broken() {
     Attempt attempt = current;
     forget();
     if (attempt != null) {
-      attempt.end(attempt.broken(), null, null);
+      attempt.abandon(attempt.broken());
     }
+    abort();
   }
 }
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
@@ -0,0 +1,130 @@
+package willowdoor.front.servers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import willowdoor.front.Peers;
+import willowdoor.policy.GatewayApi.Status;
+
+/** Attempts that are given up: their connection is closed on the wire first, and nothing follows on it. */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class GivenUpTest {
+
+  private PoolPeers peers;
+
+  @BeforeEach
+  void open() throws Exception {
+    peers = new PoolPeers();
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    peers.close();
+  }
+
+  /** Whether the connection has ended for the server, told while the loop stands still. */
+  private static String seen(Socket socket) {
+    try {
+      socket.setSoTimeout(500);
+      return socket.getInputStream().read() < 0 ? "ended" : "bytes";
+    } catch (SocketTimeoutException e) {
+      return "open";
+    } catch (SocketException e) {
+      return "ended";
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** As the module may send the request again at once, a copy would be out on an open connection. */
+  @ParameterizedTest
+  @ValueSource(strings = {"time", "junk", "chunk", "closing"})
+  void theConnectionIsClosedBeforeTheModuleHears(String why) throws Exception {
+    ServerSocket server = peers.listen(50, 0);
+    long id = peers.tell(PoolPeers.entry(server, "active"));
+    NotedAttempt attempt = peers.attempt(10);
+    BlockingQueue<String> found = new LinkedBlockingQueue<>();
+    peers.start(id, attempt);
+    Socket socket = peers.accept(server);
+    PoolPeers.read(socket, 10);
+    attempt.next = status -> found.add(status + " " + seen(socket));
+    Status expected = Status.RESET;
+    switch (why) {
+      case "time" -> {
+        expected = Status.TIMED_OUT;
+        peers.run(() -> attempt.abandon(Status.TIMED_OUT));
+      }
+      case "junk" -> PoolPeers.write(socket, "what?\r\n\r\n");
+      case "chunk" -> PoolPeers.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+      default -> {
+        expected = Status.ERROR;
+        PoolPeers.write(socket, "HTTP/1.1 500 Oops\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+      }
+    }
+    assertEquals(expected + " ended", Peers.next(found));
+  }
+
+  /** What the kernel holds of a long request would reach the server behind a close, whenever that reads. */
+  @Test
+  void whatTheSystemStillHoldsOfARequestNeverArrives() throws Exception {
+    ServerSocket server = peers.listen(50, 4_096);
+    long id = peers.tell(PoolPeers.entry(server, "active"));
+    int length = 64_000;
+    NotedAttempt attempt = peers.start(id, peers.attempt(length));
+    Socket socket = peers.accept(server);
+    peers.awaitWritten(attempt);
+    peers.run(() -> attempt.abandon(Status.TIMED_OUT));
+    int came = PoolPeers.drain(socket);
+    assertTrue(came < length, came + " bytes of a request given up");
+  }
+
+  /** A connection that is being opened for it is closed too, and nothing is written should it come up. */
+  @Test
+  void whatWaitsForItsConnectionIsNeverWritten() throws Exception {
+    ServerSocket server = peers.listen(50, 0);
+    long id = peers.tell(PoolPeers.entry(server, "active"));
+    NotedAttempt attempt = peers.attempt(10);
+    attempt.next = status -> attempt.ends.add("heard");
+    // The kernel has connected, and the loop looks for its word only after the attempt was given up.
+    peers.run(() -> {
+      peers.pool.start(id, attempt);
+      behind(3, () -> {
+        Socket socket = accepted(server);
+        attempt.abandon(Status.NOT_SENT);
+        attempt.ends.add(seen(socket));
+      });
+    });
+    assertEquals("NOT_SENT", Peers.next(attempt.ends));
+    assertEquals("heard", Peers.next(attempt.ends));
+    assertEquals("ended", Peers.next(attempt.ends));
+    assertEquals(null, attempt.ends.poll(100, TimeUnit.MILLISECONDS));
+    peers.run(() -> assertEquals(0, peers.pool.connections()));
+  }
+
+  /** Runs on the loop behind so many rounds of its tasks, before it looks at its sockets. */
+  private void behind(int rounds, Runnable task) {
+    peers.loop.execute(rounds == 0 ? task : () -> behind(rounds - 1, task));
+  }
+
+  private Socket accepted(ServerSocket server) {
+    try {
+      return peers.accept(server);
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/servers/NotedAttempt.java
@@ -0,0 +1,63 @@
+package willowdoor.front.servers;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import willowdoor.front.requests.Attempt;
+import willowdoor.front.requests.Outgoing;
+import willowdoor.policy.GatewayApi.Status;
+
+/** An attempt that notes its end, without the table of requests above it. */
+final class NotedAttempt extends Attempt {
+
+  /** Each end, with the answer's body behind it where there is one. */
+  final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+  /** What the module does on its end. */
+  Consumer<Status> next = status -> { };
+
+  NotedAttempt(Outgoing message, double endsAt) {
+    super(message, endsAt);
+  }
+
+  /** Of a request that is whole, with so many bytes of body. */
+  static Outgoing message(int length) {
+    DefaultHttpHeaders headers = new DefaultHttpHeaders();
+    Outgoing.frame(headers, headers, true, length, true);
+    return new Outgoing(HttpMethod.POST, "/buy", headers, Unpooled.copiedBuffer(new byte[length]), true,
+        () -> { });
+  }
+
+  @Override
+  public void onSpent() {
+  }
+
+  @Override
+  public void onSent() {
+  }
+
+  @Override
+  public void onHead() {
+  }
+
+  @Override
+  public boolean onBegin(HttpResponse head) {
+    return false;
+  }
+
+  @Override
+  public void onPiece(ByteBuf piece) {
+    piece.release();
+  }
+
+  @Override
+  protected void onEnd(Status status, HttpResponse head, ByteBuf body) {
+    ends.add(status + (body == null ? "" : " " + body.toString(StandardCharsets.ISO_8859_1)));
+    next.accept(status);
+  }
+}
