Hold the window of repeats at the write of a repeat's last byte

Ruled out: the start of the window, which is the decision of the first attempt that may have run and so earlier than its last byte.

A Send now tells by when its last byte must be written: the window's end less GUARD_MS, the way to the server; the 50 ms of the sockets' rules are left. The pool writes nothing past it, on an idle connection or behind a connect, and ends the connect there. What the kernel does not take whole at once is given up, and so is a long repeat whose answer has not begun by then, with its connection reset; a repeat whose end has still to come from its client is not begun.

--- a/front/src/main/java/willowdoor/front/requests/Attempt.java
+++ b/front/src/main/java/willowdoor/front/requests/Attempt.java
@@ -19,8 +19,9 @@
   }
 
   private final Outgoing message;
-  /** When it is given up, on the clock. */
+  /** When it is given up, and by when its last byte must be written, on the clock in milliseconds. */
   private final double endsAt;
+  private final double writtenBy;
   /** The connection that is being opened for it, and the one that it is on. */
   private Channel connecting;
   private Carrier carrier;
@@ -29,9 +30,10 @@
   private Future<?> timer;
   private boolean ended;
 
-  protected Attempt(Outgoing message, double endsAt) {
+  protected Attempt(Outgoing message, double endsAt, double writtenBy) {
     this.message = message;
     this.endsAt = endsAt;
+    this.writtenBy = writtenBy;
   }
 
   public final Outgoing message() {
@@ -43,6 +45,14 @@
     return endsAt;
   }
 
+  /**
+   * By when its last byte must be written or else never be, on the clock, in milliseconds; infinite where any
+   * time will do. A repeat has such a time (rule 2 of the wire).
+   */
+  public final double writtenBy() {
+    return writtenBy;
+  }
+
   /** A connection is being opened for it. */
   public final void connecting(Channel channel) {
     connecting = channel;
--- a/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -364,10 +364,13 @@
     double own = a.timeoutMs() > 0 ? a.timeoutMs() : Double.POSITIVE_INFINITY;
     double limit = r.budget.limitMs(own, now);
     tally.began(r.budget.shareLeft(now));
-    Attempt attempt = new Sent(r, number, a.backend(), now + limit);
+    Sent attempt = new Sent(r, number, a.backend(), now + limit, a.writtenByMs());
     attempt.startTimer(after(limit, () -> attempt.abandon(attempt.overdue())));
     r.attempts.add(attempt);
     r.out++;
+    if (a.writtenByMs() < now + limit) {
+      after(Math.max(0, a.writtenByMs() - now), attempt::lastByteDue);
+    }
     backends.start(a.backend(), attempt);
   }
 
@@ -381,13 +384,23 @@
     private double headAt = Double.NaN;
     private boolean streams;
 
-    Sent(Live r, int number, long backend, double endsAt) {
-      super(r.message, endsAt);
+    Sent(Live r, int number, long backend, double endsAt, double writtenBy) {
+      super(r.message, endsAt, writtenBy);
       this.r = r;
       this.number = number;
       this.backend = backend;
     }
 
+    /**
+     * From now on its last byte must not arrive any more. A short one that is with the kernel has arrived; of
+     * a long one only the answer tells.
+     */
+    void lastByteDue() {
+      if (!written() || !r.message.leavesAtOnce() && Double.isNaN(headAt)) {
+        abandon(overdue());
+      }
+    }
+
     /** No time runs while the client sends on. */
     @Override
     public void onSpent() {
--- a/front/src/main/java/willowdoor/front/servers/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -124,6 +124,10 @@
     HttpRequest request = attempt.message().message(pool.leftMs(attempt));
     if (attempt.message().whole()) {
       written(attempt, channel.writeAndFlush(request), true);
+      // What the kernel takes later would be written at a time that nobody looks at.
+      if (!attempt.written() && attempt.writtenBy() < Double.POSITIVE_INFINITY) {
+        attempt.abandon(Status.UNREACHABLE);
+      }
       return;
     }
     channel.write(request);
--- a/front/src/main/java/willowdoor/front/servers/BackendPool.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendPool.java
@@ -125,7 +125,7 @@
   @Override
   public void start(long id, Attempt attempt) {
     Backend b = backends.get(id);
-    if (b == null || banned.test(id)) {
+    if (b == null || banned.test(id) || tooLate(attempt)) {
       attempt.end(Status.UNREACHABLE, null, null);
       return;
     }
@@ -145,6 +145,12 @@
     return Math.max(0, attempt.endsAt() - clock.now());
   }
 
+  /** Whether it must not be written any more; one whose end has still to come from its client can be late. */
+  private boolean tooLate(Attempt attempt) {
+    boolean bound = attempt.writtenBy() < Double.POSITIVE_INFINITY;
+    return leftMs(attempt) == 0 || clock.now() > attempt.writtenBy() || bound && !attempt.message().whole();
+  }
+
   /** The connection used last, unless it stood idle so long that the backend may be closing it. */
   private BackendConnection idle(Backend b) {
     double before = clock.now() - idleLimitMs;
@@ -159,7 +165,8 @@
   private void connect(Backend b, Attempt attempt) {
     b.connecting.add(attempt);
     BackendConnection c = new BackendConnection(this, b, tally);
-    int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, leftMs(attempt))));
+    double left = Math.min(leftMs(attempt), attempt.writtenBy() - clock.now());
+    int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, left)));
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
     ChannelFuture connected = limited.handler(new ChannelInitializer<Channel>() {
       @Override
@@ -173,7 +180,7 @@
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
-      if (attempt.ended() || banned.test(b.id) || leftMs(attempt) == 0) {
+      if (attempt.ended() || banned.test(b.id) || tooLate(attempt)) {
         f.channel().close();
         attempt.end(Status.UNREACHABLE, null, null);
       } else if (f.isSuccess()) {
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/RepeatWindowTest.java
@@ -0,0 +1,93 @@
+package willowdoor.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The window of repeats on sockets, through the whole front door. */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class RepeatWindowTest {
+
+  private final Peers peers = new Peers();
+  private final List<Socket> accepted = new ArrayList<>();
+
+  @AfterEach
+  void close() throws IOException {
+    for (Socket s : accepted) {
+      s.close();
+    }
+    peers.close();
+  }
+
+  private Socket accept(ServerSocket server) throws IOException {
+    Socket socket = server.accept();
+    socket.setSoTimeout(10_000);
+    accepted.add(socket);
+    return socket;
+  }
+
+  /** The repeat's connect comes up only when its window is over: it is not written, and its client hears. */
+  @ParameterizedTest
+  @CsvSource({"all, 300, 3000", "cell, 300, 3000", "all, 200, 300", "all, 0, 3000", "zone, 0, 3000"})
+  void aRepeatThatItsConnectHoldsUpIsNotSent(String group, int window, int deadline) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      peers.start(peers.config(Peers.entry("s-1", server.getLocalPort(), "active"))
+          .replace("\"Group\":\"all\",\n", "\"Group\":\"" + group + "\",\n")
+          .replace("\"RepeatWindowMs\":4000", "\"RepeatWindowMs\":" + window)
+          .replace("\"DialTimeoutMs\":250", "\"DialTimeoutMs\":2500"));
+      Peers.Client client = peers.client();
+      long from = System.nanoTime();
+      client.send(Peers.post("r1", "body").replace("Timeout-Ms: 3000", "Timeout-Ms: " + deadline));
+      Socket first = accept(server);
+      InputStream in = first.getInputStream();
+      assertEquals("body", Peers.read(in).text());
+      List<SocketChannel> queue = Peers.fill(server);
+      Peers.write(first.getOutputStream(), "HTTP/1.1 500 Oops\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+      int status = client.receive().status();
+      // A refusal promises that another try is harmless: only the group of all and an open window bear that.
+      assertTrue(status == 502 || status == 503 && group.equals("all") && window > 0, "answered " + status);
+      long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+      assertTrue(tookMs < 1_000, "answered after " + tookMs + " ms");
+      for (SocketChannel c : queue) {
+        c.close();
+      }
+      // What a retry of the connect's first packet brings, 1 s on, would carry the repeat.
+      server.setSoTimeout(1_500);
+      for (String came = next(server); came != null; came = next(server)) {
+        assertFalse(came.contains("r1"), came);
+      }
+    }
+  }
+
+  /** What comes on the next connection, or null where none comes. */
+  private String next(ServerSocket server) throws IOException {
+    try {
+      Socket socket = accept(server);
+      socket.setSoTimeout(300);
+      byte[] bytes = new byte[2_000];
+      int read = socket.getInputStream().read(bytes);
+      return new String(bytes, 0, Math.max(0, read), StandardCharsets.ISO_8859_1);
+    } catch (SocketTimeoutException e) {
+      return null;
+    } catch (IOException e) {
+      return ""; // reset
+    }
+  }
+}
--- a/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
+++ b/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
@@ -102,7 +102,7 @@
     // The kernel has connected, and the loop looks for its word only after the attempt was given up.
     peers.run(() -> {
       peers.pool.start(id, attempt);
-      behind(3, () -> {
+      peers.behind(3, () -> {
         Socket socket = accepted(server);
         attempt.abandon(Status.NOT_SENT);
         attempt.ends.add(seen(socket));
@@ -115,11 +115,6 @@
     peers.run(() -> assertEquals(0, peers.pool.connections()));
   }
 
-  /** Runs on the loop behind so many rounds of its tasks, before it looks at its sockets. */
-  private void behind(int rounds, Runnable task) {
-    peers.loop.execute(rounds == 0 ? task : () -> behind(rounds - 1, task));
-  }
-
   private Socket accepted(ServerSocket server) {
     try {
       return peers.accept(server);
--- a/front/src/test/java/willowdoor/front/servers/NotedAttempt.java
+++ b/front/src/test/java/willowdoor/front/servers/NotedAttempt.java
@@ -22,14 +22,27 @@
   Consumer<Status> next = status -> { };
 
   NotedAttempt(Outgoing message, double endsAt) {
-    super(message, endsAt);
+    this(message, endsAt, Double.POSITIVE_INFINITY);
   }
 
-  /** Of a request that is whole, with so many bytes of body. */
+  NotedAttempt(Outgoing message, double endsAt, double writtenBy) {
+    super(message, endsAt, writtenBy);
+  }
+
+  /** A request that is whole, with so many bytes of body. */
   static Outgoing message(int length) {
+    return message(length, true);
+  }
+
+  /** A request of which the rest has still to come. */
+  static Outgoing inPieces() {
+    return message(10, false);
+  }
+
+  private static Outgoing message(int length, boolean whole) {
     DefaultHttpHeaders headers = new DefaultHttpHeaders();
-    Outgoing.frame(headers, headers, true, length, true);
-    return new Outgoing(HttpMethod.POST, "/buy", headers, Unpooled.copiedBuffer(new byte[length]), true,
+    Outgoing.frame(headers, headers, whole, length, true);
+    return new Outgoing(HttpMethod.POST, "/buy", headers, Unpooled.copiedBuffer(new byte[length]), whole,
         () -> { });
   }
 
--- a/front/src/test/java/willowdoor/front/servers/PoolPeers.java
+++ b/front/src/test/java/willowdoor/front/servers/PoolPeers.java
@@ -92,6 +92,16 @@
     return new NotedAttempt(NotedAttempt.message(length), clock.now() + 5_000);
   }
 
+  /** A repeat, whose last byte must be written within so long. */
+  NotedAttempt repeat(int length, double withinMs) {
+    return new NotedAttempt(NotedAttempt.message(length), clock.now() + 5_000, clock.now() + withinMs);
+  }
+
+  /** Runs on the loop behind so many rounds of its tasks, before it looks at its sockets. */
+  void behind(int rounds, Runnable task) {
+    loop.execute(rounds == 0 ? task : () -> behind(rounds - 1, task));
+  }
+
   NotedAttempt start(long backend, NotedAttempt attempt) throws InterruptedException {
     run(() -> pool.start(backend, attempt));
     return attempt;
--- a/policy/src/main/java/willowdoor/policy/Attempts.java
+++ b/policy/src/main/java/willowdoor/policy/Attempts.java
@@ -57,7 +57,7 @@
     ctx.pressure.outNow++;
     b.out.add(attempt);
     attempts.put(job.request.id() + "#" + attempt.number(), attempt);
-    ctx.out.add(new Send(job.request.id(), b.id, left));
+    ctx.out.add(new Send(job.request.id(), b.id, left, job.keyedUntil - Job.GUARD_MS));
   }
 
   /** A request that ended while it waited for the counter must not be sent when the answer comes. */
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -86,8 +86,9 @@
   /** What a module has its gateway do. */
   public sealed interface Action { }
 
-  /** Start an attempt; the n-th Send of a request, from 0, is its attempt n. */
-  public record Send(String request, long backend, double timeoutMs) implements Action { }
+  /** Start an attempt; the n-th Send of a request, from 0, is its attempt n. Its last byte must be with the
+   * network by then on the clock (endless where any time will do), or else it must never be. */
+  public record Send(String request, long backend, double timeoutMs, double writtenByMs) implements Action { }
 
   /** Final answer: refused, trying again is harmless; holdOffMs of 0 gives no advice. */
   public record Refuse(String request, double holdOffMs) implements Action { }
--- a/policy/src/main/java/willowdoor/policy/Job.java
+++ b/policy/src/main/java/willowdoor/policy/Job.java
@@ -18,7 +18,7 @@
   boolean inQuota, held, streaming, mayHaveRun, abandoned;
   boolean unreached; // its last attempt found no connection
   Backend keyedTo, lastBackend;
-  double keyedUntil = Double.POSITIVE_INFINITY;
+  double keyedUntil = Double.POSITIVE_INFINITY; // a repeat has arrived; its way there is in GUARD_MS
   int attempts;
   Attempt live;
 
