--- a/front/src/main/java/willowdoor/front/requests/Attempt.java
+++ b/front/src/main/java/willowdoor/front/requests/Attempt.java
@@ -14,12 +14,14 @@
     /** Reads on, or no more for now: what is not read holds back the backend. */
     void read(boolean on);
 
-    void close();
+    /** Gives the connection up: none of the request's bytes that have not left yet leaves any more. */
+    void abort();
   }
 
   private final Outgoing message;
-  /** When it is given up, on the clock. */
+  /** When it is given up, and by when its last byte must be written, on the clock in milliseconds. */
   private final double endsAt;
+  private final double writtenBy;
   /** The connection that is being opened for it, and the one that it is on. */
   private Channel connecting;
   private Carrier carrier;
@@ -28,9 +30,10 @@
   private Future<?> timer;
   private boolean ended;
 
-  protected Attempt(Outgoing message, double endsAt) {
+  protected Attempt(Outgoing message, double endsAt, double writtenBy) {
     this.message = message;
     this.endsAt = endsAt;
+    this.writtenBy = writtenBy;
   }
 
   public final Outgoing message() {
@@ -42,6 +45,14 @@
     return endsAt;
   }
 
+  /**
+   * By when its last byte must be written or else never be, on the clock, in milliseconds; infinite where any
+   * time will do. A repeat has such a time (rule 2 of the wire).
+   */
+  public final double writtenBy() {
+    return writtenBy;
+  }
+
   /** A connection is being opened for it. */
   public final void connecting(Channel channel) {
     connecting = channel;
@@ -94,29 +105,43 @@
 
   /** Ends the attempt; later endings are ignored, so that the module gets exactly one outcome. */
   public final void end(Status status, HttpResponse head, ByteBuf body) {
-    if (ended) {
-      return;
-    }
-    ended = true;
-    stopTimer();
-    if (carrier != null) {
-      message.detach(carrier);
+    if (stop()) {
+      onEnd(status, head, body);
     }
-    onEnd(status, head, body);
   }
 
   /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
   public final void abandon(Status status) {
-    if (ended) {
+    endClosed(status, null, null);
+  }
+
+  /**
+   * Ends the attempt with its connection. That is closed before the module hears of the end, as it may send
+   * the request again at once, and a copy must not be out while this one is on an open connection.
+   */
+  public final void endClosed(Status status, HttpResponse head, ByteBuf body) {
+    if (!stop()) {
       return;
     }
-    Carrier used = carrier;
-    end(status, null, null);
-    if (used != null) {
-      used.close();
+    if (carrier != null) {
+      carrier.abort();
     } else if (connecting != null) {
       connecting.close();
     }
+    onEnd(status, head, body);
+  }
+
+  /** True for the first caller only. */
+  private boolean stop() {
+    if (ended) {
+      return false;
+    }
+    ended = true;
+    stopTimer();
+    if (carrier != null) {
+      message.detach(carrier);
+    }
+    return true;
   }
 
   /** The first piece behind the message's prefix is being written: there can be no other attempt. */
