Keep the counter's calls when SIGHUP names the address that it has

Seen: two moves to the same address, as two SIGHUPs in a row bring them, end calls that are out: CounterClient.moveTo makes the connections in use the leaving ones, and the second move closes those with what they owe (the call ended as RESET in the new test). A move to the address that is in force changes nothing now. Ruled out by the tests that exist: an answer without a number and lines behind junk (junkEndsTheConnection..., nothingBehindJunk...), a call given up (keeps its place), a silent counter (silentConnectionsAreReplaced).

--- a/front/src/main/java/willowdoor/front/counter/CounterClient.java
+++ b/front/src/main/java/willowdoor/front/counter/CounterClient.java
@@ -101,6 +101,9 @@
 
   /** From now on the counter is at another address. What is owed at the old one may still be answered. */
   public void moveTo(SocketAddress counter) {
+    if (counter.equals(this.counter)) {
+      return;
+    }
     this.counter = counter;
     for (Link l : leaving) {
       l.close();
--- a/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
+++ b/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
@@ -178,6 +178,26 @@
     } while (Peers.next(ends).status() != Status.OK);
   }
 
+  /** Two SIGHUPs that name the same address, an old one or a new one, cost no call that is out. */
+  @Test
+  void aMoveToTheSameAddressLeavesWhatIsOwed() throws Exception {
+    start(5_000);
+    CountDownLatch go = new CountDownLatch(1);
+    peers.counting = line -> {
+      await(go);
+      return peers.count(line);
+    };
+    add("a", 1);
+    Peers.next(peers.atCounter);
+    InetSocketAddress same = (InetSocketAddress) peers.counter.getLocalSocketAddress();
+    group.next().submit(() -> {
+      client.moveTo(same);
+      client.moveTo(same);
+    }).sync();
+    go.countDown();
+    assertEquals(Status.OK, Peers.next(ends).status());
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await(10, TimeUnit.SECONDS);
