Take a watch without a descriptor for a failed try, and send what it asks at once

Seen: while no descriptor is left each try of the watch logged a fault of the watch with its stack (three tries, three SEVERE lines in the new test): the library's stand-in for the channel cannot be closed, DiscoveryClient.execute closed it, and the try ended in the handler for faults instead. Only a channel that is open is closed now. The watch's Bootstrap was made beside Transport.client, so TCP_NODELAY was the library's default and not ours; it comes from there now (test on a socket that starts without it). Ruled out: a connect that never comes up is closed with its try.

--- a/front/src/main/java/willowdoor/front/discovery/DiscoveryClient.java
+++ b/front/src/main/java/willowdoor/front/discovery/DiscoveryClient.java
@@ -61,7 +61,7 @@
     this.listener = listener;
     caughtUp = loop.newPromise();
     watch = new Watch(version, () -> ThreadLocalRandom.current().nextDouble());
-    bootstrap = new Bootstrap().group(loop).channel(transport.socket())
+    bootstrap = transport.client(loop)
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel opened) {
@@ -111,7 +111,8 @@
       }
       Channel ending = channel;
       channel = null;
-      if (ending != null) {
+      // Without a descriptor left there was none, and its stand-in cannot be closed.
+      if (ending != null && ending.isOpen()) {
         ending.close();
       }
     }
--- a/front/src/test/java/willowdoor/front/Peers.java
+++ b/front/src/test/java/willowdoor/front/Peers.java
@@ -111,7 +111,7 @@
   }
 
   /** Fills a listener's queue, so that no further connect comes up until these are closed. */
-  static List<SocketChannel> fill(ServerSocket listener) throws IOException {
+  public static List<SocketChannel> fill(ServerSocket listener) throws IOException {
     List<SocketChannel> queued = new ArrayList<>();
     for (int i = 0; i < 8; i++) {
       SocketChannel c = SocketChannel.open();
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/discovery/DiscoveryClientTest.java
@@ -0,0 +1,121 @@
+package willowdoor.front.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.front.Peers;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
+import willowdoor.front.loop.Transport;
+
+/** The sockets of the watch: what each try opens, and what becomes of it. */
+@Timeout(30)
+class DiscoveryClientTest {
+
+  private static final BlockingQueue<Noted> MADE = new LinkedBlockingQueue<>();
+  private static final AtomicInteger FAILING = new AtomicInteger();
+
+  /** A socket of which the test knows, which cannot be opened a given number of times. */
+  public static final class Noted extends NioSocketChannel {
+    public Noted() {
+      if (FAILING.getAndDecrement() > 0) {
+        throw new ChannelException("Too many open files");
+      }
+      // The library's own default is on.
+      config().setTcpNoDelay(false);
+      MADE.add(this);
+    }
+  }
+
+  private static final Transport NOTED =
+      new Transport(NioIoHandler.newFactory(), Noted.class, NioServerSocketChannel.class, true);
+
+  private final Peers peers = new Peers();
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<RosterNews> told = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> severe = new LinkedBlockingQueue<>();
+  private final Logger log = Logger.getLogger(DiscoveryClient.class.getName());
+  private final Handler handler = new StreamHandler() {
+    @Override
+    public void publish(LogRecord line) {
+      if (line.getLevel() == Level.SEVERE) {
+        severe.add(line.getMessage());
+      }
+    }
+  };
+
+  @BeforeEach
+  void listen() {
+    MADE.clear();
+    FAILING.set(0);
+    log.addHandler(handler);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    log.removeHandler(handler);
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    peers.close();
+  }
+
+  private void start(ServerSocket agent) throws InterruptedException {
+    InetSocketAddress address = (InetSocketAddress) agent.getLocalSocketAddress();
+    DiscoveryClient client =
+        new DiscoveryClient(group.next(), NOTED, new Clock(), address, 7, new Tally(), told::add);
+    group.next().submit(client::start).sync();
+  }
+
+  /** Where no descriptor is left each try ends as one that was refused, and no fault of the watch's. */
+  @Test
+  void aTryWithoutADescriptorIsOneThatFailed() throws Exception {
+    FAILING.set(3);
+    start(peers.discovery);
+    assertTrue(Peers.next(peers.watches).contains("index=6 "));
+    assertEquals(7, Peers.next(told).version());
+    assertTrue(severe.isEmpty(), () -> "logged: " + severe);
+  }
+
+  @Test
+  void whatIsAskedGoesOutAtOnce() throws Exception {
+    start(peers.discovery);
+    Peers.next(peers.watches);
+    assertTrue(Peers.next(MADE).config().isTcpNoDelay());
+  }
+
+  /** A connect that never came up is closed once its try is given up: it cannot come up behind the next. */
+  @Test
+  void aConnectThatDoesNotComeUpIsClosed() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      var queued = Peers.fill(full);
+      start(full);
+      Noted first = Peers.next(MADE);
+      Noted second = Peers.next(MADE);
+      assertTrue(!first.isOpen() && second.isOpen());
+      for (var channel : queued) {
+        channel.close();
+      }
+    }
+  }
+}
