Hear SIGHUP and SIGTERM from the first moment, and let the newest configuration win

Seen: SIGHUP ended a process that had not said ready, as its handler was installed behind the start (FrontDoor.serve); a SIGTERM between the bind and the hook would have ended it with clients waiting. Two SIGHUPs in a row read on a thread each: where the first one's read was held up, the older file was applied last and stayed (FrontDoor.reload).

Changed: both are installed before the configuration is read. A configuration that comes before anything is wired is kept and followed once it is; a process told to end before clients can come ends at once, and does not begin to listen. HangUp reads one file at a time, so the last applied is the newest. The log's line names the wrong key.

--- a/front/src/main/java/willowdoor/front/Config.java
+++ b/front/src/main/java/willowdoor/front/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import io.netty.channel.socket.ServerSocketChannel;
 import java.io.IOException;
 import java.math.BigInteger;
 import java.net.InetSocketAddress;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import willowdoor.front.discovery.RosterNews;
 import willowdoor.front.loop.Descriptors;
+import willowdoor.front.loop.Transport;
 import willowdoor.policy.GatewayApi.Settings;
 import willowdoor.wire.Address;
 import willowdoor.wire.JsonFields;
@@ -37,6 +39,17 @@
     return of(fields);
   }
 
+  /** The clients' listening socket where the platform holds it, else null. */
+  static ServerSocketChannel inherited() throws IOException {
+    String descriptor = System.getenv("GW_ACCEPT_FD");
+    try {
+      return descriptor == null || descriptor.isEmpty() ? null
+          : Transport.adopt(Integer.parseInt(descriptor));
+    } catch (NumberFormatException e) {
+      throw new IOException("GW_ACCEPT_FD is not a number: '" + descriptor + "'", e);
+    }
+  }
+
   static Config of(Map<String, Object> fields) throws IOException {
     Map<String, Object> settings = JsonFields.child(fields, "settings");
     Settings parsed = WireSettings.read(settings);
@@ -62,6 +75,17 @@
         idleLimitMs, servers);
   }
 
+  /** What the front door goes by, in a line; times in milliseconds, quotas in units a second and a burst. */
+  String describe() {
+    StringBuilder text = new StringBuilder("front door ").append(settings.self()).append(" of ")
+        .append(settings.gateways()).append(", calls ").append(settings.allowed().countLimitMs());
+    settings.classes().forEach(c -> text.append(", ").append(c.name()).append(' ').append(c.aimMs())
+        .append('/').append(c.deadlineMs()));
+    settings.plans().forEach(p -> text.append(", ").append(p.name()).append(' ').append(p.rate()).append('/')
+        .append(p.burst()).append(" open ").append(p.openLimit()));
+    return text.toString();
+  }
+
   private static long seed(Map<String, Object> fields) throws IOException {
     String seed = JsonFields.text(fields, "seed");
     try {
--- a/front/src/main/java/willowdoor/front/FrontDoor.java
+++ b/front/src/main/java/willowdoor/front/FrontDoor.java
@@ -10,6 +10,7 @@
 import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import java.util.logging.Level;
@@ -30,7 +31,6 @@
 import willowdoor.front.servers.BackendPool;
 import willowdoor.front.start.Rehearsal;
 import willowdoor.policy.GatewayApi.RequestClass;
-import willowdoor.policy.GatewayApi.Settings;
 import willowdoor.policy.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
@@ -41,7 +41,7 @@
    * SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
    * 0.7 s: all is answered by then, and the answers are on their way.
    */
-  private static final double MOST_DEADLINE_MS = 3_000;
+  private static final long MOST_DEADLINE_MS = 3_000;
   private static final double ANSWER_MS = 300;
   private static final double LEAVE_MS = 275;
   /** How often a drain goes on: idle connections are closed and the end is looked for. */
@@ -72,6 +72,11 @@
   private OperatorFile file;
   /** How long after the process is told to end all is answered. */
   private double endMs;
+  /** The configuration that came with a SIGHUP before anything was wired. */
+  private Config replacing;
+  /** Whether clients can come, and whether the process was told to end. */
+  private boolean listens;
+  private boolean ending;
 
   private FrontDoor(Transport transport) {
     this.transport = transport;
@@ -86,27 +91,16 @@
       throw new IOException("GW_CONFIG is not set");
     }
     Path path = Path.of(file);
-    Config config = Config.read(path);
-    Path operators = Path.of(System.getProperty("java.io.tmpdir"), "willowdoor-" + config.name() + ".json");
     FrontDoor door = new FrontDoor(Transport.BEST);
-    door.begin(config, inherited(), operators, () -> rehearse(config, REHEARSED));
-    // The platform may send either signal once the process has said that it is ready.
+    // Either signal may come at any time: SIGHUP would end the process, SIGTERM with clients waiting.
     door.reloadOnHangUp(path);
     Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
+    Config config = Config.read(path);
+    Path operators = Path.of(System.getProperty("java.io.tmpdir"), "willowdoor-" + config.name() + ".json");
+    door.begin(config, Config.inherited(), operators, () -> rehearse(config, REHEARSED));
     door.open();
   }
 
-  /** The clients' listening socket where the platform holds it, else null. */
-  private static ServerSocketChannel inherited() throws IOException {
-    String descriptor = System.getenv("GW_ACCEPT_FD");
-    try {
-      return descriptor == null || descriptor.isEmpty() ? null
-          : Transport.adopt(Integer.parseInt(descriptor));
-    } catch (NumberFormatException e) {
-      throw new IOException("GW_ACCEPT_FD is not a number: '" + descriptor + "'", e);
-    }
-  }
-
   /** Listens on the configured address where no socket is inherited; the file is what its processes share. */
   static FrontDoor start(Config config, ServerSocketChannel inherited, Path operators)
       throws IOException, InterruptedException {
@@ -133,9 +127,7 @@
       if (discovery != null && inherited == null) {
         discovery.caughtUp().sync();
       }
-      ChannelFuture listens = inherited == null ? clients.listen(group, config.listen())
-          : clients.adopt(group, inherited);
-      listening = listens.sync().channel();
+      listening = loop.submit(() -> listen(config, inherited)).sync().getNow().sync().channel();
     } catch (RuntimeException e) {
       stop();
       throw e;
@@ -145,6 +137,14 @@
     }
   }
 
+  private ChannelFuture listen(Config config, ServerSocketChannel inherited) {
+    if (ending) {
+      throw new IllegalStateException("told to end before it was ready");
+    }
+    listens = true;
+    return inherited == null ? clients.listen(group, config.listen()) : clients.adopt(group, inherited);
+  }
+
   /** From here on it says that it is ready where it is. */
   private void open() throws InterruptedException {
     loop.submit(this::serving).sync();
@@ -256,7 +256,7 @@
     }
     driver.start(counter, config.known());
     if (transport.tcp()) {
-      LOG.info(() -> describe(config.settings()));
+      LOG.info(config::describe);
     }
     if (management != null) {
       follow(file.look());
@@ -267,41 +267,29 @@
           tally, driver::onRoster);
       discovery.start();
     }
+    if (replacing != null) {
+      moveTo(replacing);
+    }
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
         + backends.connections() + " held=" + driver.held() + ' ' + driver.figures()), TALLY_S, TALLY_S,
         TimeUnit.SECONDS);
   }
 
-  /** What the front door goes by, in a line; times in milliseconds, quotas in units a second and a burst. */
-  private static String describe(Settings settings) {
-    StringBuilder text = new StringBuilder("front door ").append(settings.self()).append(" of ")
-        .append(settings.gateways()).append(", calls ").append(settings.allowed().countLimitMs());
-    settings.classes().forEach(c -> text.append(", ").append(c.name()).append(' ').append(c.aimMs())
-        .append('/').append(c.deadlineMs()));
-    settings.plans().forEach(p -> text.append(", ").append(p.name()).append(' ').append(p.rate()).append('/')
-        .append(p.burst()).append(" open ").append(p.openLimit()));
-    return text.toString();
-  }
-
   /** SIGHUP tells that the configuration was replaced; without a handler it would end the process. */
   void reloadOnHangUp(Path file) {
-    HangUp.handle(() -> reload(file));
+    HangUp.reload(file, config -> loop.execute(() -> moveTo(config)));
   }
 
-  /** Moves to the addresses that the file names now; one that cannot be read changes nothing. */
-  private void reload(Path file) {
-    try {
-      Config config = Config.read(file);
-      loop.execute(() -> {
-        discovery.moveTo(config.discovery());
-        if (config.counter() != null) {
-          counter.moveTo(config.counter());
-        }
-      });
-      LOG.info(() -> "discovery is at " + config.discovery() + " now, the counter at " + config.counter());
-    } catch (IOException | RuntimeException e) {
-      LOG.log(Level.SEVERE, "the configuration cannot be read again, and stays as it was", e);
+  /** Moves to the addresses that a configuration names which came with a SIGHUP. */
+  private void moveTo(Config config) {
+    replacing = config;
+    if (discovery != null) {
+      discovery.moveTo(config.discovery());
+    }
+    if (counter != null && config.counter() != null) {
+      counter.moveTo(config.counter());
     }
+    LOG.info(() -> "discovery is at " + config.discovery() + " now, the counter at " + config.counter());
   }
 
   private void serving() {
@@ -322,18 +310,30 @@
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void end() {
-    loop.execute(() -> {
-      clients.end();
-      driver.endWithin(endMs);
-    });
     try {
-      ended.await((long) (endMs + LEAVE_MS), TimeUnit.MILLISECONDS);
+      Future<Double> begun = loop.submit(this::beginEnd);
+      if (begun.await(MOST_DEADLINE_MS, TimeUnit.MILLISECONDS)) {
+        ended.await(begun.getNow().longValue(), TimeUnit.MILLISECONDS);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (RejectedExecutionException e) {
+      LOG.log(Level.FINE, "it has ended already", e);
     }
     stop();
   }
 
+  /** How long the rest may take, in milliseconds: nothing where no client can have come yet. */
+  private double beginEnd() {
+    ending = true;
+    if (!listens) {
+      return 0;
+    }
+    clients.end();
+    driver.endWithin(endMs);
+    return endMs + LEAVE_MS;
+  }
+
   void stop() {
     if (management != null) {
       management.stop();
--- a/front/src/main/java/willowdoor/front/HangUp.java
+++ b/front/src/main/java/willowdoor/front/HangUp.java
@@ -1,7 +1,12 @@
 package willowdoor.front;
 
+import java.io.IOException;
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /**
  * Hears SIGHUP, which would end the process otherwise. The only interface to signals is one that the
@@ -9,9 +14,31 @@
  */
 final class HangUp {
 
+  private static final Logger LOG = Logger.getLogger(HangUp.class.getName());
+
   private HangUp() {
   }
 
+  /**
+   * Reads the file anew at each SIGHUP from now on; one that cannot be read is logged and changes nothing.
+   * Each signal comes on a thread of its own: they read one at a time, so the last passed on is the newest.
+   *
+   * @param next is given each configuration in the order of their reading, and is not to wait
+   */
+  static void reload(Path file, Consumer<Config> next) {
+    Object reading = new Object();
+    handle(() -> {
+      synchronized (reading) {
+        try {
+          next.accept(Config.read(file));
+        } catch (IOException | RuntimeException e) {
+          LOG.log(Level.SEVERE, "the configuration cannot be read again, and stays as it was: "
+              + e.getMessage(), e);
+        }
+      }
+    });
+  }
+
   /** Runs the action, on a thread of the runtime's, at each SIGHUP from now on. */
   static void handle(Runnable action) {
     try {
--- a/front/src/test/java/willowdoor/front/ReloadTest.java
+++ b/front/src/test/java/willowdoor/front/ReloadTest.java
@@ -3,18 +3,27 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A configuration that is replaced while the front door serves. */
 @Timeout(30)
@@ -36,12 +45,12 @@
     assertEquals(0, new ProcessBuilder("kill", "-HUP", self).start().waitFor());
   }
 
-  private static Handler onSevere(Runnable told) {
+  private static Handler onSevere(Consumer<String> told) {
     return new Handler() {
       @Override
       public void publish(LogRecord line) {
         if (line.getLevel() == Level.SEVERE) {
-          told.run();
+          told.accept(line.getMessage());
         }
       }
 
@@ -64,8 +73,8 @@
 
     Files.writeString(file, "{\"listen\":");
     CountDownLatch unread = new CountDownLatch(1);
-    Logger log = Logger.getLogger(FrontDoor.class.getName());
-    Handler handler = onSevere(unread::countDown);
+    Logger log = Logger.getLogger(HangUp.class.getName());
+    Handler handler = onSevere(line -> unread.countDown());
     log.addHandler(handler);
     hangUp();
     // Else both signals may find the whole file, and the second moves away from the first one's watch.
@@ -79,4 +88,69 @@
       assertEquals(200, before.client().ask(Peers.get("r" + i, 3000)).status());
     }
   }
+
+  /** What was there stays in force, and the log says which key is wrong. */
+  @ParameterizedTest
+  @CsvSource({"discovery, other", "counter, other", "'\"counter\":\"127.0.0.1:', '\"counter\":\"nowhere:'",
+      "'\"discovery\":\"127.0.0.1:', '\"discovery\":\"127.0.0.1:x'"})
+  void aConfigurationThatNamesNoAddressLeavesTheOldOneAndItsKeyIsLogged(String right, String wrong)
+      throws Exception {
+    Path file = folder.resolve("config.json");
+    FrontDoor door = before.start();
+    Peers.next(before.watches);
+    door.reloadOnHangUp(file);
+    BlockingQueue<String> logged = new LinkedBlockingQueue<>();
+    Handler handler = onSevere(logged::add);
+    Logger log = Logger.getLogger(HangUp.class.getName());
+    log.addHandler(handler);
+    try {
+      Files.writeString(file, after.config().replace(right, wrong));
+      hangUp();
+      String key = right.contains("discovery") ? "discovery" : "counter";
+      assertTrue(Peers.next(logged).contains(key + " is not an address and port"));
+    } finally {
+      log.removeHandler(handler);
+    }
+    assertEquals(200, before.client().ask(Peers.get("r1", 3000)).status());
+    before.tell(Peers.list(8, false) + "\n");
+    assertEquals(200, before.client().ask(Peers.get("r2", 3000)).status());
+    assertTrue(after.watches.isEmpty() && before.watches.isEmpty());
+  }
+
+  /** The first signal's read is held up, the second one's file is there by then: the newer one holds. */
+  @Test
+  void theNewerOfTwoHangUpsWins() throws Exception {
+    Path file = folder.resolve("config.json");
+    assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+    FrontDoor door = before.start();
+    Peers.next(before.watches);
+    door.reloadOnHangUp(file);
+    hangUp();
+    try (OutputStream older = Files.newOutputStream(file)) {
+      Path newer = folder.resolve("newer.json");
+      Files.writeString(newer, after.config());
+      Files.move(newer, file, StandardCopyOption.REPLACE_EXISTING);
+      hangUp();
+      // The second signal is at work: it waits for the first, or has moved already.
+      while (after.watches.isEmpty() && handlers().noneMatch(t -> t.getState() == Thread.State.BLOCKED)) {
+        Thread.onSpinWait();
+      }
+      older.write(before.config().getBytes(StandardCharsets.UTF_8));
+    }
+    while (handlers().findAny().isPresent()) {
+      Thread.onSpinWait();
+    }
+    door.loop().submit(() -> { }).sync();
+    assertTrue(Peers.next(after.watches).contains("index=6 "));
+    after.tell(Peers.list(8, true, Peers.entry("s-2", after.backend.getLocalPort(), "active")) + "\n");
+    for (int i = 0; after.atBackend.isEmpty(); i++) {
+      assertTrue(i < 500, "the older configuration is in force");
+      assertEquals(200, before.client().ask(Peers.get("r" + i, 3000)).status());
+    }
+  }
+
+  /** The runtime's threads that carry out a SIGHUP. */
+  private static Stream<Thread> handlers() {
+    return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().equals("SIGHUP handler"));
+  }
 }
