Believe a list of template servers whole or not at all, and count the counter's junk

Seen by reading and shown by tests: RosterNews took a full list of ["x", null] for one of nobody (entries that are no objects were skipped), an entry without an id, a version beyond a long (asked from for ever after), a weight that is negative, infinite or text, a start time that is infinite, text or far ahead, and a "full" that is neither true nor false. Each now ends the try and is counted as DISCOVERY_UNREADABLE; a start may lie a minute ahead of this clock. A line of the counter that answers nothing ended its connection but was counted nowhere: COUNTER_UNREADABLE.

--- a/front/src/main/java/willowdoor/front/FrontDoor.java
+++ b/front/src/main/java/willowdoor/front/FrontDoor.java
@@ -250,7 +250,7 @@
         descriptors, tally,
         () -> (discovery == null || discovery.caughtUp().isDone()) && backends.knowsAny());
     counter = new CounterClient(loop, transport, clock, config.counter(),
-        config.settings().allowed().countLimitMs(), driver::onCounted);
+        config.settings().allowed().countLimitMs(), tally, driver::onCounted);
     if (config.counter() != null) {
       counter.start();
     }
--- a/front/src/main/java/willowdoor/front/counter/CounterClient.java
+++ b/front/src/main/java/willowdoor/front/counter/CounterClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
 import willowdoor.front.loop.Transport;
 import willowdoor.front.requests.ModuleDriver;
 import willowdoor.policy.GatewayApi.Counted;
@@ -64,6 +65,7 @@
   private SocketAddress counter;
   private final Clock clock;
   private final double limitMs;
+  private final Tally tally;
   private final Consumer<Counted> listener;
   private final Bootstrap bootstrap;
   private Link[] links = {};
@@ -75,11 +77,12 @@
   private boolean watching;
 
   public CounterClient(EventLoop loop, Transport transport, Clock clock, SocketAddress counter,
-      double limitMs, Consumer<Counted> listener) {
+      double limitMs, Tally tally, Consumer<Counted> listener) {
     this.loop = loop;
     this.counter = counter;
     this.clock = clock;
     this.limitMs = limitMs;
+    this.tally = tally;
     this.listener = listener;
     bootstrap = transport.client(loop)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 250);
@@ -319,6 +322,7 @@
       }
       // Junk: answers and calls are out of step, and nothing that follows can be trusted.
       outOfStep = true;
+      tally.count(Tally.Event.COUNTER_UNREADABLE);
       if (call != null) {
         owed.addFirst(call);
       }
--- a/front/src/main/java/willowdoor/front/discovery/RosterNews.java
+++ b/front/src/main/java/willowdoor/front/discovery/RosterNews.java
@@ -21,15 +21,33 @@
 
   private static final JsonFactory JSON = new JsonFactory();
   private static final int MOST_BACKENDS = 10_000;
+  /** Every machine reads the same clock, and each a little differently. */
+  private static final double MOST_AHEAD_MS = 60_000;
 
-  public static RosterNews parse(byte[] line) throws IOException {
+  /**
+   * Reads what discovery has told.
+   *
+   * @param now Unix time in milliseconds: a backend cannot have started much later than that
+   * @throws IOException where it is not as the protocol has it in any part: then none of it is to be believed
+   */
+  public static RosterNews parse(byte[] line, double now) throws IOException {
     try (JsonParser in = JSON.createParser(line)) {
       in.nextToken();
       Map<String, Object> message = JsonFields.object(in);
-      if (!(message.get("version") instanceof Number) || !(message.get("servers") instanceof List)) {
+      if (!(message.get("version") instanceof Long version) || version < 0
+          || !(message.get("servers") instanceof List)) {
         throw new IOException("a message without a version or a list of servers");
       }
-      return of(message);
+      if (!(message.getOrDefault("full", false) instanceof Boolean)) {
+        throw new IOException("a message that may be the whole list or not");
+      }
+      RosterNews news = of(message);
+      for (BackendEntry e : news.entries) {
+        if (e.startedMs() > now + MOST_AHEAD_MS) {
+          throw new IOException("a backend that is yet to start");
+        }
+      }
+      return news;
     }
   }
 
@@ -38,28 +56,52 @@
     if (servers.size() > MOST_BACKENDS) {
       throw new IOException("a list of " + servers.size() + " backends");
     }
+    if (message.get("servers") instanceof List<?> all && all.size() > servers.size()) {
+      throw new IOException("a list of backends with what is none");
+    }
     List<BackendEntry> entries = new ArrayList<>();
     Map<Long, SocketAddress> places = new HashMap<>();
     for (Map<String, Object> s : servers) {
-      long id = number(JsonFields.text(s, "id"));
-      Phase phase = switch (JsonFields.text(s, "state")) {
-        case "active" -> Phase.SERVING;
-        case "left" -> Phase.REMOVED;
-        default -> Phase.DRAINING;
-      };
+      BackendEntry entry = entry(s);
       InetSocketAddress address = Address.parse(JsonFields.text(s, "addr"));
       if (address != null) {
-        places.put(id, address);
-      } else if (phase == Phase.SERVING) {
+        places.put(entry.id(), address);
+      } else if (entry.phase() == Phase.SERVING) {
         throw new IOException("a backend without an address: " + s.get("id"));
       }
-      entries.add(new BackendEntry(id, JsonFields.text(s, "zone"), (int) JsonFields.number(s, "cell"), phase,
-          JsonFields.number(s, "weight", 1), JsonFields.number(s, "started_ms")));
+      entries.add(entry);
     }
     return new RosterNews((long) JsonFields.number(message, "version"),
         Boolean.TRUE.equals(message.get("full")), entries, places);
   }
 
+  private static BackendEntry entry(Map<String, Object> fields) throws IOException {
+    String id = JsonFields.text(fields, "id");
+    if (id.isEmpty()) {
+      throw new IOException("a backend without an id");
+    }
+    Phase phase = switch (JsonFields.text(fields, "state")) {
+      case "active" -> Phase.SERVING;
+      case "left" -> Phase.REMOVED;
+      default -> Phase.DRAINING;
+    };
+    double weight = amount(fields, "weight", 1);
+    if (weight < 0) {
+      throw new IOException("a backend with a weight below nothing: " + id);
+    }
+    return new BackendEntry(number(id), JsonFields.text(fields, "zone"), (int) amount(fields, "cell", 0),
+        phase, weight, amount(fields, "started_ms", 0));
+  }
+
+  private static double amount(Map<String, Object> fields, String name, double absent) throws IOException {
+    Object told = fields.get(name);
+    double amount = JsonFields.number(fields, name, absent);
+    if (told != null && !(told instanceof Number) || !Double.isFinite(amount)) {
+      throw new IOException("a backend with a " + name + " of " + told);
+    }
+    return amount;
+  }
+
   /** A backend's name as the number that the module knows it by: FNV-1a, alike at every front door. */
   public static long number(String id) {
     long hash = 0xcbf29ce484222325L;
--- a/front/src/main/java/willowdoor/front/discovery/Watch.java
+++ b/front/src/main/java/willowdoor/front/discovery/Watch.java
@@ -205,7 +205,7 @@
     List<Effect> effects = new ArrayList<>(1);
     for (byte[] object : scanner.read(part)) {
       try {
-        RosterNews news = RosterNews.parse(object);
+        RosterNews news = RosterNews.parse(object, now);
         version = news.version();
         dripped = 0;
         proven = true;
--- a/front/src/main/java/willowdoor/front/loop/Tally.java
+++ b/front/src/main/java/willowdoor/front/loop/Tally.java
@@ -16,6 +16,8 @@
     ANSWER_UNREADABLE, ANSWER_UNASKED,
     /** Lines of discovery that do not parse: the list stays as it was. */
     DISCOVERY_UNREADABLE,
+    /** Lines of the counter that answer nothing: their connection ends. */
+    COUNTER_UNREADABLE,
     /** Attempts without a connection as all are in use. */
     BACKENDS_FULL,
     /** Clients: idle ones that made room, refused as all are in use, and too slow with a request. */
--- a/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
+++ b/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import willowdoor.front.Peers;
 import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Tally;
 import willowdoor.front.loop.Transport;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
@@ -28,6 +29,7 @@
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   private final BlockingQueue<Counted> ends = new LinkedBlockingQueue<>();
   private volatile Consumer<Counted> listener = ends::add;
+  private final Tally tally = new Tally();
   private CounterClient client;
 
   @AfterEach
@@ -39,7 +41,8 @@
   /** Calls until one gets through, as the connections come up on their own. */
   private void start(double limitMs) throws Exception {
     client = new CounterClient(group.next(), Transport.BEST, new Clock(),
-        new InetSocketAddress("127.0.0.1", peers.counter.getLocalPort()), limitMs, c -> listener.accept(c));
+        new InetSocketAddress("127.0.0.1", peers.counter.getLocalPort()), limitMs, tally,
+        c -> listener.accept(c));
     group.next().submit(client::start).sync();
     do {
       add("up", 0);
@@ -113,6 +116,8 @@
     peers.counting = line -> "what?";
     add("a", 1);
     assertEquals(Status.RESET, Peers.next(ends).status());
+    String line = group.next().submit(() -> tally.line("figures")).sync().getNow();
+    assertEquals("figures COUNTER_UNREADABLE=1", line);
     peers.counting = peers::count;
     add("b", 1);
     assertEquals(Status.OK, Peers.next(ends).status());
--- a/front/src/test/java/willowdoor/front/discovery/ListScannerTest.java
+++ b/front/src/test/java/willowdoor/front/discovery/ListScannerTest.java
@@ -30,8 +30,8 @@
       List<byte[]> found = new ArrayList<>(scanner.read(Arrays.copyOf(all, cut)));
       found.addAll(scanner.read(Arrays.copyOfRange(all, cut, all.length)));
       assertEquals(2, found.size());
-      assertEquals(RosterNews.number("s-{\"}]\\"), RosterNews.parse(found.get(0)).entries().get(0).id());
-      assertEquals(9, RosterNews.parse(found.get(1)).version());
+      assertEquals(RosterNews.number("s-{\"}]\\"), RosterNews.parse(found.get(0), 0).entries().get(0).id());
+      assertEquals(9, RosterNews.parse(found.get(1), 0).version());
       assertFalse(scanner.inside() || scanner.junk());
     }
   }
