Test that the next process takes nobody before it can serve, and that no silent peer holds up the start

Nothing was found at fault. Two processes on one listening socket: while the next one knows no template server, 100 new connections are all taken by the old one and served; what that has accepted by its SIGTERM, one with a request behind it and one that has sent nothing yet, it serves, and the socket stays open (fails if the next one accepts from the first). A discovery and a counter that refuse or never come up hold the start up for a while only.

--- a/front/src/test/java/willowdoor/front/DiscoveryTest.java
+++ b/front/src/test/java/willowdoor/front/DiscoveryTest.java
@@ -221,6 +221,25 @@
     assertEquals(200, client.ask(Peers.get("r1", 3000)).status());
   }
 
+  /** Nobody at home in discovery, nor at the counter: the start is held up for a while only. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void itIsUpThoughConnectsAreRefusedOrNeverComeUp(boolean refused) throws Exception {
+    ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    int port = full.getLocalPort();
+    List<SocketChannel> queued = Peers.fill(full);
+    if (refused) {
+      full.close();
+    }
+    String config = withDiscovery(port, Peers.entry("s-1", peers.backend.getLocalPort(), "active"));
+    peers.start(config.replaceFirst("\"counter\":\"[^\"]*\"", "\"counter\":\"127.0.0.1:" + port + '"'));
+    assertEquals(200, peers.client().ask(UP).status());
+    for (SocketChannel channel : queued) {
+      channel.close();
+    }
+    full.close();
+  }
+
   private String withDiscovery(int port, String... entries) {
     return peers.config(entries).replaceFirst("\"discovery\":\"[^\"]*\"",
         "\"discovery\":\"127.0.0.1:" + port + "\"");
--- a/front/src/test/java/willowdoor/front/ReplaceTest.java
+++ b/front/src/test/java/willowdoor/front/ReplaceTest.java
@@ -1,6 +1,7 @@
 package willowdoor.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -100,6 +101,14 @@
 
   /** Starts a process and waits until it says that it is ready; gives the address for its operators. */
   private InetSocketAddress launch(String... entries) throws Exception {
+    InetSocketAddress operators = begin(entries);
+    while (!ready(operators)) {
+      Thread.onSpinWait();
+    }
+    return operators;
+  }
+
+  private InetSocketAddress begin(String... entries) throws Exception {
     int port;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = free.getLocalPort();
@@ -112,11 +121,7 @@
     to.write(config + "\n");
     to.flush();
     processes.add(await("pid "));
-    InetSocketAddress operators = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-    while (!ready(operators)) {
-      Thread.onSpinWait();
-    }
-    return operators;
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
   private static boolean ready(InetSocketAddress operators) throws IOException {
@@ -207,6 +212,46 @@
     assertTrue(Files.readString(folder.resolve("willowdoor-n0.json")).contains("[\"s-3\"]"));
   }
 
+  /**
+   * The next process knows no template server before discovery tells it of one: until then it takes nobody
+   * from the shared socket. What the old one has accepted by its SIGTERM it serves, and the socket stays
+   * open.
+   */
+  @Test
+  void theNextProcessTakesNobodyBeforeItCanServe() throws Exception {
+    String entry = Peers.entry("s-1", peers.backend.getLocalPort(), "active");
+    hold();
+    final InetSocketAddress old = launch(entry);
+    Peers.next(peers.watches);
+    InetSocketAddress replacing = begin();
+    Peers.next(peers.watches);
+    Client asked = new Client(clients);
+    assertEquals(200, asked.ask(Peers.get("a0", 3000)).status());
+    Client silent = new Client(clients);
+    for (int i = 0; i < 100; i++) {
+      try (Client client = new Client(clients)) {
+        assertEquals(200, client.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        assertEquals(200, client.ask(Peers.get("n" + i, 3000)).status());
+      }
+    }
+    assertFalse(ready(replacing));
+
+    peers.tell(Peers.list(8, true, entry) + "\n");
+    while (!ready(replacing)) {
+      Thread.onSpinWait();
+    }
+    String ending = Long.toString(processes.get(0));
+    assertEquals(0, new ProcessBuilder("kill", "-TERM", ending).start().waitFor());
+    assertEquals(200, asked.ask(Peers.get("a1", 3000)).status());
+    assertEquals(200, silent.ask(Peers.get("s1", 3000)).status());
+    awaitEnd(old);
+    try (Client client = new Client(clients)) {
+      assertEquals(200, client.ask(Peers.get("last", 3000)).status());
+    }
+    asked.close();
+    silent.close();
+  }
+
   /** Until nobody listens there: a process that has ended is there until its parent takes note. */
   private static void awaitEnd(InetSocketAddress operators) throws IOException {
     try {
