Close a busy or opening connection behind its server's move, restart or ban

Cause: BackendPool.release looked only whether the server was still listed, and a move closed only what was idle; a connection that was busy while its server got another address or started anew went back among the idle ones and carried the next request to the old place, and one that was coming up carried its own there.

Each server has a generation now, which a move, a restart, a drain and a ban raise; a connection of an earlier one is closed at its release, and attempts that wait for one end as unreachable at once. What was written goes on.

--- a/front/src/main/java/willowdoor/front/servers/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -34,6 +34,8 @@
 
   private final BackendPool pool;
   final BackendPool.Backend backend;
+  /** The backend's as this connection was begun. */
+  final int generation;
   private final Tally tally;
   private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
@@ -48,9 +50,10 @@
   private boolean answered;
   double idleSince;
 
-  BackendConnection(BackendPool pool, BackendPool.Backend backend, Tally tally) {
+  BackendConnection(BackendPool pool, BackendPool.Backend backend, int generation, Tally tally) {
     this.pool = pool;
     this.backend = backend;
+    this.generation = generation;
     this.tally = tally;
   }
 
--- a/front/src/main/java/willowdoor/front/servers/BackendPool.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendPool.java
@@ -38,6 +38,8 @@
     private final long id;
     private SocketAddress place;
     private double startedMs;
+    /** Goes up whenever what is open ends its use: a connection of an earlier one carries nothing new. */
+    private int generation;
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
@@ -86,9 +88,9 @@
       Backend b = backends.computeIfAbsent(e.id(), Backend::new);
       SocketAddress place = news.places().get(e.id());
       if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
-        List.copyOf(b.idle).forEach(BackendConnection::close);
         b.place = place;
         b.startedMs = e.startedMs();
+        cut(e.id());
       }
     }
     if (news.full()) {
@@ -107,6 +109,7 @@
   public void cut(long id) {
     Backend b = backends.get(id);
     if (b != null) {
+      b.generation++;
       List.copyOf(b.idle).forEach(BackendConnection::close);
       List.copyOf(b.connecting).forEach(a -> a.abandon(Status.UNREACHABLE));
     }
@@ -164,7 +167,7 @@
 
   private void connect(Backend b, Attempt attempt) {
     b.connecting.add(attempt);
-    BackendConnection c = new BackendConnection(this, b, tally);
+    BackendConnection c = new BackendConnection(this, b, b.generation, tally);
     double left = Math.min(leftMs(attempt), attempt.writtenBy() - clock.now());
     int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, left)));
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
@@ -192,9 +195,10 @@
   }
 
   void release(BackendConnection c) {
-    if (backends.containsValue(c.backend) && !banned.test(c.backend.id)) {
+    Backend b = c.backend;
+    if (backends.get(b.id) == b && c.generation == b.generation && !banned.test(b.id)) {
       c.idleSince = clock.now();
-      c.backend.idle.addLast(c);
+      b.idle.addLast(c);
     } else {
       c.close();
     }
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/servers/MovedServerTest.java
@@ -0,0 +1,122 @@
+package willowdoor.front.servers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import willowdoor.front.Peers;
+import willowdoor.front.discovery.RosterNews;
+import willowdoor.policy.GatewayApi.Status;
+
+/** The list says something new of a server while a connection to it is busy or coming up. */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class MovedServerTest {
+
+  private enum News { MOVED, STARTED_ANEW, GONE_AND_BACK, DRAINED_AND_BACK, TAKEN_OUT_AND_BACK }
+
+  private PoolPeers peers;
+  private ServerSocket before;
+  private ServerSocket after;
+  private long id;
+
+  @BeforeEach
+  void open() throws Exception {
+    peers = new PoolPeers();
+    before = peers.listen(50, 0);
+    after = before;
+    id = peers.tell(PoolPeers.entry(before, "active"));
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    peers.close();
+  }
+
+  /** The messages that tell it, one after another. */
+  private RosterNews[] told(News news) throws IOException {
+    String entry = PoolPeers.entry(before, "active");
+    switch (news) {
+      case MOVED -> {
+        after = peers.listen(50, 0);
+        return new RosterNews[] {peers.news(false, PoolPeers.entry(after, "active"))};
+      }
+      case STARTED_ANEW -> {
+        return new RosterNews[] {peers.news(false, entry.replace("started_ms\":0", "started_ms\":5"))};
+      }
+      case DRAINED_AND_BACK -> {
+        return new RosterNews[] {peers.news(false, PoolPeers.entry(before, "leaving")),
+            peers.news(false, entry)};
+      }
+      default -> {
+        return new RosterNews[] {peers.news(true, entry.replace("s-1", "s-2")), peers.news(true, entry)};
+      }
+    }
+  }
+
+  /** Tells it, on the loop. */
+  private void tell(News news, RosterNews... messages) {
+    if (news == News.TAKEN_OUT_AND_BACK) {
+      peers.banned.add(id);
+      peers.pool.cut(id);
+      peers.banned.remove(id);
+    } else {
+      for (RosterNews message : messages) {
+        peers.pool.onRoster(message);
+      }
+    }
+  }
+
+  /** What was under way goes on, and its connection carries nothing after that. */
+  @ParameterizedTest
+  @EnumSource
+  void aConnectionThatWasBusyMeanwhileCarriesNothingMore(News news) throws Exception {
+    oneRequestOnly(news, true);
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void aConnectionThatWasIdleMeanwhileCarriesNothingMore(News news) throws Exception {
+    oneRequestOnly(news, false);
+  }
+
+  private void oneRequestOnly(News news, boolean busy) throws Exception {
+    NotedAttempt first = peers.start(id, peers.attempt());
+    Socket old = peers.accept(before);
+    PoolPeers.read(old);
+    if (!busy) {
+      PoolPeers.write(old, PoolPeers.OK);
+      assertEquals("OK fine", Peers.next(first.ends));
+    }
+    RosterNews[] messages = told(news);
+    peers.run(() -> tell(news, messages));
+    if (busy) {
+      PoolPeers.write(old, PoolPeers.OK);
+      assertEquals("OK fine", Peers.next(first.ends));
+    }
+    peers.pass(1_000);
+    NotedAttempt next = peers.start(id, peers.attempt());
+    assertEquals("OK fine", PoolPeers.serve(peers.accept(after), next));
+    assertEquals(0, PoolPeers.drain(old));
+  }
+
+  /** The kernel has connected, and the news is read before the loop has its word. */
+  @ParameterizedTest
+  @EnumSource
+  void aConnectionThatWasComingUpMeanwhileCarriesNothing(News news) throws Exception {
+    RosterNews[] messages = told(news);
+    NotedAttempt attempt = peers.attempt();
+    peers.run(() -> {
+      peers.pool.start(id, attempt);
+      peers.behind(3, () -> tell(news, messages));
+    });
+    assertEquals(Status.UNREACHABLE.toString(), Peers.next(attempt.ends));
+    assertEquals(0, PoolPeers.drain(peers.accept(before)));
+    peers.run(() -> assertEquals(0, peers.pool.connections()));
+  }
+}
--- a/front/src/test/java/willowdoor/front/servers/NotedAttempt.java
+++ b/front/src/test/java/willowdoor/front/servers/NotedAttempt.java
@@ -16,6 +16,9 @@
 /** An attempt that notes its end, without the table of requests above it. */
 final class NotedAttempt extends Attempt {
 
+  /** Bytes of body of an ordinary request. */
+  static final int LENGTH = 10;
+
   /** Each end, with the answer's body behind it where there is one. */
   final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
   /** What the module does on its end. */
--- a/front/src/test/java/willowdoor/front/servers/PoolPeers.java
+++ b/front/src/test/java/willowdoor/front/servers/PoolPeers.java
@@ -88,6 +88,10 @@
     nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(ms));
   }
 
+  NotedAttempt attempt() {
+    return attempt(NotedAttempt.LENGTH);
+  }
+
   NotedAttempt attempt(int length) {
     return new NotedAttempt(NotedAttempt.message(length), clock.now() + 5_000);
   }
@@ -113,6 +117,13 @@
     }
   }
 
+  /** Has the attempt's request come on the connection and answered; its end. */
+  static String serve(Socket socket, NotedAttempt attempt) throws Exception {
+    read(socket, NotedAttempt.LENGTH);
+    write(socket, OK);
+    return Peers.next(attempt.ends);
+  }
+
   /** Reads a request of that many bytes of body; its head. */
   static String read(Socket socket, int length) throws IOException {
     InputStream in = socket.getInputStream();
@@ -130,6 +141,10 @@
     return head.toString(StandardCharsets.ISO_8859_1);
   }
 
+  static String read(Socket socket) throws IOException {
+    return read(socket, NotedAttempt.LENGTH);
+  }
+
   static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
