Rest a connection 20 ms behind an answer, and look at it before it is used again

Cause: a second answer, or half a line, that came behind an answer in the moment in which the connection took its next request was taken for that request's answer: BackendPool.idle asked only what the loop had read. No field of the protocol ties an answer to its request, so there is no sound rule without a bound on the lateness.

Bound: what a server sends behind an answer has come within 20 ms of it, or twice as late as anything of that server was seen to be late (up to 200 ms). A connection rests so long, others or new ones are used meanwhile, and the kernel is asked (one recv of a byte, epoll only) before the write: bytes, an end or a reset that the loop has not read yet mean another connection. Half a line on an idle one closes it at once. A 200 before the request's last byte is written is not believed on a connection used before, or for a request that is whole.

The test that connections are kept lets them rest between requests, and still wants one connection for five.

--- a/front/src/main/java/willowdoor/front/servers/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.unix.Socket;
+import io.netty.channel.unix.UnixChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -18,6 +20,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.List;
 import willowdoor.front.loop.Tally;
 import willowdoor.front.requests.Attempt;
@@ -32,6 +36,9 @@
   /** So much of an answer that tells no length is held before it is passed on as it comes. */
   private static final int HELD_UNTOLD = 16 * 1024;
 
+  /** What a look reads is of no use: the connection is closed behind it. */
+  private static final ByteBuffer LOOK = ByteBuffer.allocateDirect(1);
+
   private final BackendPool pool;
   final BackendPool.Backend backend;
   /** The backend's as this connection was begun. */
@@ -48,6 +55,8 @@
   private boolean begun;
   /** Answered in full, but what else the backend sent with that answer is not looked at yet. */
   private boolean answered;
+  /** It has carried a request before the one that it carries. */
+  private boolean used;
   double idleSince;
 
   BackendConnection(BackendPool pool, BackendPool.Backend backend, int generation, Tally tally) {
@@ -97,6 +106,16 @@
     return channel.isActive() && !decoder.holdsRest();
   }
 
+  /** Whether the kernel has neither bytes nor an end of it: the loop may not have looked since they came. */
+  boolean silent() {
+    try {
+      return !(channel instanceof UnixChannel u && u.fd() instanceof Socket socket)
+          || socket.recv(LOOK, 0, LOOK.capacity()) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   void close() {
     channel.close();
   }
@@ -195,6 +214,10 @@
       if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
         current.onHead();
       }
+      if (served() && !current.written() && (used || current.message().whole())) {
+        junk(Tally.Event.ANSWER_UNASKED); // a backend begins a request once its last byte has come
+        return;
+      }
       if (served() && !framed(head) && HttpUtil.isKeepAlive(head)) {
         junk(Tally.Event.ANSWER_UNREADABLE);
         return;
@@ -260,6 +283,7 @@
   /** An answer that nobody asked for, or one that does not parse: nothing behind it can be read. */
   private void junk(Tally.Event what) {
     tally.count(what);
+    pool.unasked(this);
     broken();
   }
 
@@ -269,6 +293,7 @@
     ByteBuf body = held;
     held = null;
     forget();
+    used = true;
     // An answer ahead of the request's end leaves the connection out of step.
     answered = attempt.written() && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
     Status status = status(answer);
@@ -320,6 +345,8 @@
       } else {
         ctx.close();
       }
+    } else if (current == null && decoder.holdsRest()) {
+      junk(Tally.Event.ANSWER_UNASKED);
     }
     ctx.fireChannelReadComplete();
   }
--- a/front/src/main/java/willowdoor/front/servers/BackendPool.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendPool.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,6 +33,13 @@
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
   private static final long SWEEP_MS = 500;
+  /**
+   * A connection rests so long behind an answer before it carries another request, in milliseconds: nothing in
+   * the protocol ties an answer to its request, and a second one may come some milliseconds late.
+   */
+  static final double REST_MS = 20;
+  /** What comes unasked on a connection that rested longer is no late answer, but word of its closing. */
+  private static final double LATE_MS = 200;
 
   /** One backend's place and connections. */
   static final class Backend {
@@ -40,17 +48,22 @@
     private double startedMs;
     /** Goes up whenever what is open ends its use: a connection of an earlier one carries nothing new. */
     private int generation;
+    /** Twice as long as anything of it was late, if that was seen. */
+    private double restMs;
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
 
-    Backend(long id) {
+    Backend(long id, double restMs) {
       this.id = id;
+      this.restMs = restMs;
     }
   }
 
   private final Clock clock;
   private final Bootstrap bootstrap;
+  /** Within a process nothing is late. */
+  private final double restMs;
   private final double connectLimitMs;
   private final double idleLimitMs;
   private final Map<Long, Backend> backends = new HashMap<>();
@@ -67,6 +80,7 @@
     this.tally = tally;
     this.banned = banned;
     this.most = most;
+    restMs = transport.tcp() ? REST_MS : 0;
     this.connectLimitMs = connectLimitMs;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     bootstrap = transport.client(loop)
@@ -85,7 +99,7 @@
         remove(e.id());
         continue;
       }
-      Backend b = backends.computeIfAbsent(e.id(), Backend::new);
+      Backend b = backends.computeIfAbsent(e.id(), id -> new Backend(id, restMs));
       SocketAddress place = news.places().get(e.id());
       if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
         b.place = place;
@@ -154,15 +168,28 @@
     return leftMs(attempt) == 0 || clock.now() > attempt.writtenBy() || bound && !attempt.message().whole();
   }
 
-  /** The connection used last, unless it stood idle so long that the backend may be closing it. */
+  /** Of those that have rested the one used last, unless the backend may be closing it after so long. */
   private BackendConnection idle(Backend b) {
-    double before = clock.now() - idleLimitMs;
-    BackendConnection c = b.idle.pollLast();
-    while (c != null && (!c.usable() || c.idleSince < before)) {
-      c.close();
-      c = b.idle.pollLast();
+    double now = clock.now();
+    for (Iterator<BackendConnection> all = b.idle.descendingIterator(); all.hasNext();) {
+      BackendConnection c = all.next();
+      if (now - c.idleSince >= b.restMs) {
+        all.remove();
+        if (now - c.idleSince <= idleLimitMs && c.usable() && c.silent()) {
+          return c;
+        }
+        c.close();
+      }
+    }
+    return null;
+  }
+
+  /** Something came on it that nobody asked for. */
+  void unasked(BackendConnection c) {
+    double late = clock.now() - c.idleSince;
+    if (c.backend.idle.remove(c) && late <= LATE_MS) {
+      c.backend.restMs = Math.max(c.backend.restMs, 2 * late);
     }
-    return c;
   }
 
   private void connect(Backend b, Attempt attempt) {
--- a/front/src/test/java/willowdoor/front/FrontDoorTest.java
+++ b/front/src/test/java/willowdoor/front/FrontDoorTest.java
@@ -67,6 +67,7 @@
     for (int i = 0; i < 5; i++) {
       assertEquals("fine", client.ask(Peers.get("r" + i, 3000)).text());
       assertEquals("GET /quote/17?a=%20b&c HTTP/1.1", Peers.next(peers.atBackend).firstLine());
+      Thread.sleep(100); // it rests behind an answer, far shorter than this
     }
     assertEquals(1, connections.get());
   }
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/servers/LateAnswerTest.java
@@ -0,0 +1,114 @@
+package willowdoor.front.servers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import willowdoor.front.Peers;
+
+/** What comes behind an answer never becomes the answer of the next request on that connection. */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class LateAnswerTest {
+
+  private static final int REST_MS = (int) BackendPool.REST_MS;
+
+  private PoolPeers peers;
+  private ServerSocket server;
+  private long id;
+  private Socket used;
+
+  /** A connection that has just carried its first request. */
+  @BeforeEach
+  void open() throws Exception {
+    peers = new PoolPeers();
+    server = peers.listen(50, 0);
+    id = peers.tell(PoolPeers.entry(server, "active"));
+    NotedAttempt first = peers.start(id, peers.attempt());
+    used = peers.accept(server);
+    assertEquals("OK fine", PoolPeers.serve(used, first));
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    peers.close();
+  }
+
+  private void isServedOn(Socket socket, NotedAttempt attempt) throws Exception {
+    PoolPeers.read(socket);
+    PoolPeers.write(socket, PoolPeers.OK.replace("fine", "next"));
+    assertEquals("OK next", Peers.next(attempt.ends));
+  }
+
+  @Test
+  void aConnectionRestsBeforeItCarriesTheNextRequest() throws Exception {
+    peers.pass(REST_MS - 1);
+    NotedAttempt early = peers.start(id, peers.attempt());
+    isServedOn(peers.accept(server), early);
+    peers.pass(1);
+    isServedOn(used, peers.start(id, peers.attempt()));
+  }
+
+  /** It is with the kernel as the next request comes, and the loop has not looked since. */
+  @ParameterizedTest
+  @ValueSource(strings = {"answer", "half a line", "end", "reset"})
+  void whatTheLoopHasNotReadYetIsSeenBeforeTheConnectionIsUsed(String what) throws Exception {
+    NotedAttempt next = peers.attempt();
+    peers.run(() -> {
+      send(what);
+      peers.pass(REST_MS);
+      peers.pool.start(id, next);
+    });
+    isServedOn(peers.accept(server), next);
+  }
+
+  private void send(String what) {
+    try {
+      switch (what) {
+        case "answer" -> PoolPeers.write(used, PoolPeers.OK);
+        case "half a line" -> PoolPeers.write(used, "HTTP/1.1 20");
+        case "end" -> used.close();
+        default -> {
+          used.setSoLinger(true, 0);
+          used.close();
+        }
+      }
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** A server whose second answer was late has its connections rest twice as long from then on. */
+  @ParameterizedTest
+  @CsvSource({"60, 120, answer", "60, 120, half a line", "1000, 20, answer"})
+  void aConnectionRestsLongerWhereSomethingWasLater(int lateMs, int restMs, String what) throws Exception {
+    peers.pass(lateMs);
+    send(what);
+    assertEquals(0, PoolPeers.drain(used));
+    NotedAttempt second = peers.start(id, peers.attempt());
+    Socket fresh = peers.accept(server);
+    isServedOn(fresh, second);
+    peers.pass(restMs - 1);
+    NotedAttempt third = peers.start(id, peers.attempt());
+    isServedOn(peers.accept(server), third);
+    peers.pass(1);
+    isServedOn(fresh, peers.start(id, peers.attempt()));
+  }
+
+  /** A server begins a request once its last byte has come: what comes before is not its answer. */
+  @Test
+  void anAnswerBeforeTheRequestsLastByteIsNotBelieved() throws Exception {
+    peers.pass(REST_MS);
+    NotedAttempt next = peers.start(id, peers.attempt(32 << 20));
+    PoolPeers.read(used, 10);
+    PoolPeers.write(used, PoolPeers.OK);
+    assertEquals("UNREACHABLE", Peers.next(next.ends));
+  }
+}
