Word a client's answers in a class of their own

Its answers, and whether the connection is kept behind each, move to AnswerWriter. No change of behaviour.

--- /dev/null
+++ b/front/src/main/java/willowdoor/front/clients/AnswerWriter.java
@@ -0,0 +1,151 @@
+package willowdoor.front.clients;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import willowdoor.front.requests.Headers;
+
+/** Words a client's answers, and decides with each whether its connection is kept behind it. */
+final class AnswerWriter {
+
+  private final Channel channel;
+  private final BooleanSupplier mayBeKept;
+  private boolean head;
+  private boolean chunks;
+  private boolean keepAlive;
+
+  /** It may be kept for as long as that says so when an answer begins. */
+  AnswerWriter(Channel channel, BooleanSupplier mayBeKept) {
+    this.channel = channel;
+    this.mayBeKept = mayBeKept;
+  }
+
+  /** The next answer is to this one. */
+  void answers(HttpRequest request) {
+    head = request.method().equals(HttpMethod.HEAD);
+    chunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+    keepAlive = HttpUtil.isKeepAlive(request);
+  }
+
+  /** The connection ends behind the next answer. */
+  void last() {
+    keepAlive = false;
+  }
+
+  boolean keepAlive() {
+    return keepAlive;
+  }
+
+  void goOn() {
+    channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+        Unpooled.EMPTY_BUFFER));
+  }
+
+  /** A template server's answer; both are only lent, and the body is null where it is empty. */
+  void served(HttpResponse from, ByteBuf body) {
+    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+        body == null ? Unpooled.EMPTY_BUFFER : body.retain());
+    copyType(from, answer);
+    write(answer);
+  }
+
+  private static void copyType(HttpResponse from, HttpResponse to) {
+    String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
+    if (type != null) {
+      to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    }
+  }
+
+  void refused(double holdOffMs) {
+    FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
+        : HttpResponseStatus.SERVICE_UNAVAILABLE);
+    if (holdOffMs > 0) {
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffMs / 1000));
+    }
+    write(answer);
+  }
+
+  void status(HttpResponseStatus status) {
+    write(empty(status));
+  }
+
+  void status(HttpResponseStatus status, String reason) {
+    write(worded(status, reason));
+  }
+
+  /** What cannot be read any further is answered so, whatever it was: the connection ends. */
+  ChannelFuture end(HttpResponseStatus status, String reason) {
+    FullHttpResponse answer = worded(status, reason);
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return channel.writeAndFlush(answer);
+  }
+
+  private static FullHttpResponse worded(HttpResponseStatus status, String reason) {
+    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
+    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
+  }
+
+  private static FullHttpResponse empty(HttpResponseStatus status) {
+    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+  }
+
+  private void write(FullHttpResponse answer) {
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+    if (head) {
+      answer.content().clear();
+    }
+    tellWhetherKept(answer);
+    channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
+  void begin(HttpResponse from) {
+    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    copyType(from, answer);
+    long length = Headers.bodyLength(from);
+    if (length >= 0) {
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+    } else if (chunks) {
+      HttpUtil.setTransferEncodingChunked(answer, true);
+    } else {
+      keepAlive = false;
+    }
+    tellWhetherKept(answer);
+    channel.write(answer);
+  }
+
+  void piece(ByteBuf piece) {
+    channel.writeAndFlush(new DefaultHttpContent(piece));
+  }
+
+  void finish() {
+    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  private void tellWhetherKept(HttpResponse answer) {
+    keepAlive &= mayBeKept.getAsBoolean();
+    if (!keepAlive) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+}
--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -8,14 +8,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -23,11 +18,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -56,6 +48,7 @@
   private final Arrival arrival;
   private final ReceiveLimit receiveLimit;
   private Channel channel;
+  private AnswerWriter answers;
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
   private boolean over;
@@ -63,7 +56,6 @@
   private HttpRequest head;
   private String target;
   private Asked asked;
-  private boolean keepAlive;
   /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
   private boolean receiving;
   private long bodyBytes;
@@ -102,6 +94,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    answers = new AnswerWriter(channel, () -> !server.draining());
     openedAt = server.now();
     over = server.opened(this);
   }
@@ -161,7 +154,7 @@
     server.took(this);
     head = request;
     target = RequestReader.originForm(request.uri());
-    keepAlive = HttpUtil.isKeepAlive(request);
+    answers.answers(request);
     receiving = true;
     answered = false;
     bodyBytes = 0;
@@ -178,7 +171,9 @@
     } else if (target.equals("/up")) {
       up();
     } else if (over || server.full()) {
-      keepAlive &= !over;
+      if (over) {
+        answers.last();
+      }
       refused(0);
     } else {
       ask(expects != null);
@@ -190,12 +185,12 @@
     try {
       asked = server.read(head, target);
     } catch (BadRequest e) {
-      answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      answers.status(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      written();
       return;
     }
     if (expects) {
-      channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-          Unpooled.EMPTY_BUFFER));
+      answers.goOn();
     }
   }
 
@@ -270,7 +265,8 @@
   private void take(boolean whole) {
     if (server.driver().holds(asked.id())) {
       takePrefix().release();
-      answer(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
+      answers.status(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
+      written();
       return;
     }
     HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
@@ -304,28 +300,15 @@
   @Override
   public void served(HttpResponse from, ByteBuf body) {
     current = null;
-    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-        body == null ? Unpooled.EMPTY_BUFFER : body.retain());
-    copyType(from, answer);
-    write(answer);
-  }
-
-  private static void copyType(HttpResponse from, HttpResponse to) {
-    String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    if (type != null) {
-      to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-    }
+    answers.served(from, body);
+    written();
   }
 
   @Override
   public void refused(double holdOffMs) {
     current = null;
-    FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
-        : HttpResponseStatus.SERVICE_UNAVAILABLE);
-    if (holdOffMs > 0) {
-      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffMs / 1000));
-    }
-    write(answer);
+    answers.refused(holdOffMs);
+    written();
   }
 
   @Override
@@ -334,27 +317,15 @@
     answer(HttpResponseStatus.BAD_GATEWAY);
   }
 
-  /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
   @Override
   public void begin(HttpResponse from, Attempt.Carrier carrier) {
     answering = carrier;
-    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    copyType(from, answer);
-    long length = Headers.bodyLength(from);
-    if (length >= 0) {
-      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-      HttpUtil.setTransferEncodingChunked(answer, true);
-    } else {
-      keepAlive = false;
-    }
-    tellWhetherKept(answer);
-    channel.write(answer);
+    answers.begin(from);
   }
 
   @Override
   public void piece(ByteBuf piece) {
-    channel.writeAndFlush(new DefaultHttpContent(piece));
+    answers.piece(piece);
     if (!channel.isWritable()) {
       answering.read(false);
     }
@@ -372,7 +343,8 @@
   public void finish() {
     current = null;
     answering = null;
-    written(LastHttpContent.EMPTY_LAST_CONTENT);
+    answers.finish();
+    written();
   }
 
   /** A reset tells even a client that takes the connection's end for the answer's. */
@@ -386,39 +358,14 @@
   }
 
   private void answer(HttpResponseStatus status) {
-    write(empty(status));
-  }
-
-  private void answer(HttpResponseStatus status, String reason) {
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text));
-  }
-
-  private static FullHttpResponse empty(HttpResponseStatus status) {
-    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-  }
-
-  private void write(FullHttpResponse answer) {
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-    if (head.method().equals(HttpMethod.HEAD)) {
-      answer.content().clear();
-    }
-    tellWhetherKept(answer);
-    written(answer);
-  }
-
-  private void tellWhetherKept(HttpResponse answer) {
-    keepAlive &= !server.draining();
-    if (!keepAlive) {
-      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
+    answers.status(status);
+    written();
   }
 
-  /** The answer ends with this part. What is left of its request is read and dropped before the next one. */
-  private void written(HttpObject lastPart) {
+  /** The answer is written. What is left of its request is read and dropped before the next one. */
+  private void written() {
     answered = true;
     arrival.answered(server.now());
-    channel.writeAndFlush(lastPart).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     if (!receiving) {
       next();
     } else if (onward != null) {
@@ -430,7 +377,7 @@
   private void next() {
     if (receiving) {
       read();
-    } else if (keepAlive) {
+    } else if (answers.keepAlive()) {
       head = null;
       answered = false;
       server.answered(this);
@@ -452,11 +399,7 @@
       channel.close();
       return;
     }
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
-    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
+    answers.end(status, reason).addListener(f -> ((SocketChannel) channel).shutdownOutput());
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     read();
   }
