End every client's connection by one lingering close, and read on behind its requests

Cause: connections were closed outright or on a timer (closeIfIdle, next, endWith, idle time-out), each in its own way. Bytes that had come and were not read made the system send a reset: seen as "Connection reset" by a client that was refused with half a line behind its request, and by one whose request (or part of one) was in the socket when its idle connection was evicted. A second request that had been read behind one answered with `Connection: close` in a drain was dropped. Half a head behind an answer had no time limit but the 30 s of idle connections. And a client that left while its request waited was not noticed when its end lay behind more bytes than the socket takes, as nothing was read meanwhile: a further attempt was begun for it.

Change: LingeringClose alone ends a connection: what was written goes out, the sending ends, what comes is read and dropped until the client has ended its side or 500 ms have passed, or until the process ends. A cut answer stays a reset. ReadAhead reads on while a request is worked on, and keeps as much as one whole request may have; what comes beyond that is dropped, and the connection ends behind what is kept. The rest of a body that nobody takes is still left unread. An idle connection is read once more before it is ended. In a drain the connection is kept for requests that have come already. Lingering connections count as open, may hold half of the descriptors beyond the clients' bound, and the oldest is closed outright when those run out. A second end() changes nothing.

--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -3,11 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -16,14 +14,16 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Looks;
 import willowdoor.front.loop.Tally;
 import willowdoor.front.requests.Asked;
 import willowdoor.front.requests.Attempt;
@@ -32,22 +32,24 @@
 import willowdoor.front.requests.Outgoing;
 
 /**
- * One client's connection: a request at a time, each with the one final answer. It is read only as far as
- * there is use for what comes: requests written behind the present one wait.
+ * One client's connection: a request at a time, each with the one final answer. Requests written behind the
+ * present one wait. What it reads comes from {@link ReadAhead}, what it answers goes through
+ * {@link AnswerWriter}, and it is ended by {@link LingeringClose} alone.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements ModuleDriver.Client {
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-  /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
-  private static final long LINGER_MS = 500;
   /** So much of a body is kept until no further attempt may need it. */
   private static final int PREFIX = 64 * 1024;
   private static final long MOST_BODY = 48L << 20;
 
   private final ClientServer server;
   private final Arrival arrival;
+  private final ReadAhead input;
   private final ReceiveLimit receiveLimit;
+  private final RequestDecoder decoder = new RequestDecoder();
   private Channel channel;
+  private LingeringClose closing;
   private AnswerWriter answers;
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
@@ -65,19 +67,22 @@
   private String current;
   private Attempt.Carrier answering;
   private boolean answered;
-  private boolean ending;
   /** A part was asked for that has not come. */
   private boolean wanted;
+  /** How many requests have come to their turn. */
+  private long heads;
 
-  ClientConnection(ClientServer server, Arrival arrival) {
+  ClientConnection(ClientServer server, Looks looks) {
     this.server = server;
-    this.arrival = arrival;
-    receiveLimit = new ReceiveLimit(arrival, this::overdue);
+    arrival = new Arrival(looks);
+    input = new ReadAhead(looks, arrival, () -> receiving, server::keeps);
+    receiveLimit = new ReceiveLimit(this::overdue);
   }
 
-  /** Guards the time that a request takes to come; to be put into the channel's pipeline ahead of this. */
-  ReceiveLimit receiveLimit() {
-    return receiveLimit;
+  /** The bytes' way to this and back. */
+  ChannelHandler[] handlers() {
+    return new ChannelHandler[] {input, receiveLimit, decoder, new HttpResponseEncoder(),
+        new FlowControlHandler(), this};
   }
 
   double openedAt() {
@@ -85,7 +90,7 @@
   }
 
   private void overdue() {
-    if (!ending && (head == null || receiving)) {
+    if (!closing.begun() && (head == null || receiving)) {
       server.count(Tally.Event.CLIENT_SLOW);
       endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
     }
@@ -94,7 +99,8 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
-    answers = new AnswerWriter(channel, () -> !server.draining());
+    closing = new LingeringClose(channel, input);
+    answers = new AnswerWriter(channel, this::mayBeKept);
     openedAt = server.now();
     over = server.opened(this);
   }
@@ -126,9 +132,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     wanted = false;
-    if (ending) {
-      // Read, so that the peer can finish and see the answer, and dropped.
-      read();
+    if (closing.begun()) {
       return;
     }
     if (part.decoderResult().isFailure()) {
@@ -141,7 +145,7 @@
       }
       if (part instanceof HttpContent piece) {
         piece(piece);
-      } else if (!ending) {
+      } else if (!closing.begun()) {
         read();
       }
     } catch (RuntimeException e) {
@@ -153,6 +157,7 @@
     receiveLimit.headCame();
     server.took(this);
     head = request;
+    heads++;
     target = RequestReader.originForm(request.uri());
     answers.answers(request);
     receiving = true;
@@ -200,6 +205,7 @@
     if (last) {
       receiving = false;
       receiveLimit.bodyCame();
+      input.watch();
     } else if (bodyBytes > MOST_BODY) {
       endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
@@ -251,7 +257,7 @@
       leave();
       answer(HttpResponseStatus.INTERNAL_SERVER_ERROR);
     } else {
-      channel.close();
+      closing.outright();
     }
   }
 
@@ -287,7 +293,7 @@
 
   /** The backend has room for the next piece. */
   private void more() {
-    if (receiving && !ending) {
+    if (receiving && !closing.begun()) {
       read();
     }
   }
@@ -347,14 +353,11 @@
     written();
   }
 
-  /** A reset tells even a client that takes the connection's end for the answer's. */
   @Override
   public void cut() {
     current = null;
     answering = null;
-    ending = true;
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    closing.reset();
   }
 
   private void answer(HttpResponseStatus status) {
@@ -377,46 +380,86 @@
   private void next() {
     if (receiving) {
       read();
-    } else if (answers.keepAlive()) {
+    } else if (answers.keepAlive() && (!input.overflowed() || begunBehind())) {
       head = null;
       answered = false;
       server.answered(this);
       // Not at once: answers that come at once would nest as deep as the requests behind each other.
-      channel.eventLoop().execute(this::read);
+      channel.eventLoop().execute(this::readNext);
     } else {
-      ending = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      end();
+    }
+  }
+
+  private void readNext() {
+    if (!closing.begun()) {
+      read();
+      if (head == null && decoder.begun()) {
+        receiveLimit.begunAhead();
+      }
     }
   }
 
+  /** In a drain the connection is kept for what has come already, and ends behind that. */
+  private boolean mayBeKept() {
+    return !server.draining() && !input.overflowed() || begunBehind();
+  }
+
+  /** Whether anything has come behind the present request. */
+  private boolean begunBehind() {
+    return decoder.heads() > heads || decoder.begun() || input.holds();
+  }
+
   /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
   private void endWith(HttpResponseStatus status, String reason) {
-    ending = true;
     takePrefix().release();
-    boolean begun = answering != null || answered;
+    boolean begun = answering != null;
     leave();
     if (begun) {
-      channel.close();
-      return;
+      closing.reset();
+    } else if (answered) {
+      end();
+    } else {
+      answers.end(status, reason);
+      server.lingers(this);
+      closing.beginWithin();
     }
-    answers.end(status, reason).addListener(f -> ((SocketChannel) channel).shutdownOutput());
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-    read();
+  }
+
+  private void end() {
+    server.lingers(this);
+    closing.begin();
   }
 
   /** Whether neither a request is on it nor a part of one has come. */
   boolean waits() {
-    return head == null && !receiveLimit.partial();
+    return unasked() && !receiveLimit.partial();
   }
 
   /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
   void closeIfIdle() {
-    if (head == null && !ending) {
-      ending = true;
-      channel.close();
+    if (waits() && !input.lastRead()) {
+      end();
+    }
+  }
+
+  /** Ends the connection though a part of a request may have come. */
+  void closeIfUnasked() {
+    if (unasked()) {
+      end();
     }
   }
 
+  /** Whether no whole head of a request is on it. */
+  boolean unasked() {
+    return head == null && !closing.begun();
+  }
+
+  /** Ends it at once, as descriptors run out. */
+  void closeOutright() {
+    closing.outright();
+  }
+
   /** Nobody waits for the present request's answer any more. */
   private void leave() {
     answering = null;
@@ -429,7 +472,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    ending = true;
+    closing.over();
     takePrefix().release();
     server.closed(this);
     leave();
@@ -441,7 +484,11 @@
       if (answering != null || receiving) {
         server.count(Tally.Event.STREAM_IDLE);
       }
-      ctx.close();
+      if (unasked()) {
+        end();
+      } else {
+        closing.outright();
+      }
     } else {
       ctx.fireUserEventTriggered(event);
     }
@@ -452,6 +499,6 @@
     if (cause instanceof RuntimeException) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
-    ctx.close();
+    closing.outright();
   }
 }
--- a/front/src/main/java/willowdoor/front/clients/ClientServer.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientServer.java
@@ -7,11 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.ServerSocketChannel;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.SocketAddress;
 import java.util.HashSet;
@@ -45,11 +41,10 @@
   private static final double FIRST_MS = 100;
   /** Idle connections are closed a few at a time: what came meanwhile is read in between. */
   private static final int CLOSED_AT_ONCE = 8;
+  /** So many of those that might make room for a new connection are tried. */
+  private static final int MOST_TRIED = 8;
   private static final int MOST_HELD = 400;
   private static final int MOST_HELD_BYTES = 8 << 20;
-  private static final int MOST_LINE = 8_192;
-  private static final int MOST_HEADERS = 16_384;
-  private static final int MOST_PIECE = 32 * 1024;
 
   private final Transport transport;
   private final Clock clock;
@@ -61,6 +56,8 @@
   /** Whether the list of template servers is as new as can be had, and names any. */
   private final BooleanSupplier listed;
   private final Set<ClientConnection> connections = new HashSet<>();
+  /** Those that are being closed, the first of them first: they give way where descriptors run out. */
+  private final LinkedHashSet<ClientConnection> lingering = new LinkedHashSet<>();
   /** Those of them that no request is on, the longest idle first: without a request so far, and after one. */
   private final LinkedHashSet<ClientConnection> fresh = new LinkedHashSet<>();
   private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
@@ -110,27 +107,12 @@
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            ClientConnection connection = new ClientConnection(ClientServer.this, new Arrival(looks));
-            channel.pipeline().addLast(new IdleStateHandler(true, 0, 0, IDLE_S, TimeUnit.SECONDS),
-                connection.receiveLimit(), new RequestDecoder(), new HttpResponseEncoder(),
-                new FlowControlHandler(), connection);
+            channel.pipeline().addLast(new IdleStateHandler(true, 0, 0, IDLE_S, TimeUnit.SECONDS))
+                .addLast(new ClientConnection(ClientServer.this, looks).handlers());
           }
         });
   }
 
-  /** Refuses requests whose end could be told in two ways. */
-  private static final class RequestDecoder extends HttpRequestDecoder {
-
-    RequestDecoder() {
-      super(MOST_LINE, MOST_HEADERS, MOST_PIECE);
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException("both a length and chunks");
-    }
-  }
-
   public void serve() {
     ready = true;
   }
@@ -185,21 +167,24 @@
   }
 
   /**
-   * Makes room by closing a connection without a request. True when there is none and the new one is one too
-   * many; far beyond that it ends at once, as descriptors run out.
+   * Makes room by ending a connection without a request. True when there is none and the new one is one too
+   * many; far beyond that it ends at once, as descriptors run out. Those that are being closed hold half of
+   * what is left beyond the bound.
    */
   boolean opened(ClientConnection connection) {
-    ClientConnection spare = connections.size() < descriptors.clients() ? null : spare();
-    if (spare != null) {
-      closed(spare);
-      spare.closeIfIdle();
-      tally.count(Tally.Event.CLIENT_EVICTED);
+    if (connections.size() >= descriptors.clients()) {
+      evict();
     }
     connections.add(connection);
     fresh.add(connection);
     boolean over = connections.size() > descriptors.clients();
-    if (connections.size() > descriptors.clients() + descriptors.refused()) {
-      connection.closeIfIdle();
+    while (!lingering.isEmpty() && open() > descriptors.clients() + descriptors.refused() / 2) {
+      ClientConnection first = lingering.iterator().next();
+      lingering.remove(first);
+      first.closeOutright();
+    }
+    if (open() > descriptors.clients() + descriptors.refused()) {
+      connection.closeOutright();
     }
     if (over) {
       tally.count(Tally.Event.CLIENT_REFUSED);
@@ -207,6 +192,26 @@
     return over;
   }
 
+  /** Those on which something has come in this very moment go last, those with a whole request stay. */
+  private void evict() {
+    ClientConnection begun = null;
+    ClientConnection spare = spare();
+    for (int i = 0; i < MOST_TRIED && spare != null; i++) {
+      spare.closeIfIdle();
+      if (!connections.contains(spare)) {
+        tally.count(Tally.Event.CLIENT_EVICTED);
+        return;
+      }
+      begun = begun == null && spare.unasked() ? spare : begun;
+      took(spare);
+      spare = spare();
+    }
+    if (begun != null) {
+      begun.closeIfUnasked();
+      tally.count(Tally.Event.CLIENT_EVICTED);
+    }
+  }
+
   /** One that has sent nothing though it had the time to, or else the longest idle, or the first to come. */
   private ClientConnection spare() {
     ClientConnection first = fresh.isEmpty() ? null : fresh.iterator().next();
@@ -220,10 +225,19 @@
 
   void closed(ClientConnection connection) {
     connections.remove(connection);
+    lingering.remove(connection);
     fresh.remove(connection);
     idle.remove(connection);
   }
 
+  /** It is being closed, and takes no more requests. */
+  void lingers(ClientConnection connection) {
+    if (connections.contains(connection)) {
+      closed(connection);
+      lingering.add(connection);
+    }
+  }
+
   /** Counts what a client's connection ended of. */
   void count(Tally.Event event) {
     tally.count(event);
@@ -254,6 +268,9 @@
    * come.
    */
   public void end() {
+    if (ending) {
+      return;
+    }
     drainingSince = clock.now();
     ending = true;
     if (shared) {
@@ -277,11 +294,11 @@
   }
 
   public int open() {
-    return connections.size();
+    return connections.size() + lingering.size();
   }
 
   /** The end has come: no more connections are taken and none is left. */
   public boolean ended() {
-    return ending && !accepting && connections.isEmpty();
+    return ending && !accepting && open() == 0;
   }
 }
--- a/front/src/main/java/willowdoor/front/clients/ReceiveLimit.java
+++ b/front/src/main/java/willowdoor/front/clients/ReceiveLimit.java
@@ -1,18 +1,17 @@
 package willowdoor.front.clients;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Bounds the time that a client takes to send a request. Its head: the first one from the connect on, so that
  * a silent peer does not hold a descriptor, each later one from its first bytes on; more bytes do not extend
- * it. Its body: the time in which the client is waited for, which grows with the bytes that come. Tells
- * when what was read can have come.
+ * it. Its body: the time in which the client is waited for, which grows with the bytes that come.
  */
-final class ReceiveLimit extends ChannelDuplexHandler {
+final class ReceiveLimit extends ChannelInboundHandlerAdapter {
 
   /** A peer without a proper request is owed an error or a close within 3 s; a proper one may take 2 s. */
   private static final long LIMIT_MS = 2_500;
@@ -20,7 +19,6 @@
   private static final double LEAST_BYTES_PER_MS = 32;
   private static final long BODY_STEP_MS = 500;
 
-  private final Arrival arrival;
   private final Runnable overdue;
   private ChannelHandlerContext context;
   private Future<?> timer;
@@ -31,8 +29,7 @@
   private double waitedMs;
   private double waitsSince = Double.NaN;
 
-  ReceiveLimit(Arrival arrival, Runnable overdue) {
-    this.arrival = arrival;
+  ReceiveLimit(Runnable overdue) {
     this.overdue = overdue;
   }
 
@@ -47,17 +44,9 @@
     ctx.fireChannelActive();
   }
 
-  @Override
-  public void read(ChannelHandlerContext ctx) {
-    arrival.asked();
-    ctx.read();
-  }
-
-  /** A buffer that is not full has taken all that there was. */
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     ByteBuf read = (ByteBuf) message;
-    arrival.read(read.isWritable());
     partial = !insideBody;
     bytes += read.readableBytes();
     if (!Double.isNaN(waitsSince)) {
@@ -105,6 +94,14 @@
     disarm();
   }
 
+  /** The answer is written, and the beginning of the next head has come already. */
+  void begunAhead() {
+    partial = true;
+    if (timer == null) {
+      arm(LIMIT_MS);
+    }
+  }
+
   private boolean late() {
     return !insideBody || !Double.isNaN(waitsSince)
         && waitedMs + now() - waitsSince > LIMIT_MS + bytes / LEAST_BYTES_PER_MS;
