Accept all that the system has accepted before listening ends

Cause: at the planned end ClientServer.stopAccepting closed the listening socket, which resets the connections that wait in its queue: seen as "Connection reset" by a client that had connected and written its request while the loop was in the round that ends listening. Where the socket is shared it stays open, and nothing is lost.

Change: the queue is emptied just before the close. Connections accepted so go the way of all others.

--- a/front/src/main/java/willowdoor/front/clients/ClientServer.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientServer.java
@@ -6,15 +6,21 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.channel.unix.Socket;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Stream;
 import willowdoor.front.clients.RequestReader.BadRequest;
 import willowdoor.front.loop.Clock;
@@ -28,6 +34,7 @@
 /** Accepts clients, and tells their connections what all of them share. */
 public final class ClientServer {
 
+  private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
   /** A client's connection on which nothing moves for so long ends. */
   private static final int IDLE_S = 30;
   /** A new connection is opened for a request: one without any after this gives way first. */
@@ -46,6 +53,9 @@
   private static final int MOST_HELD = 400;
   private static final int MOST_HELD_BYTES = 8 << 20;
 
+  /** Bytes that tell a peer's address of any family, with their count. */
+  private static final int MOST_ADDRESS = 26;
+
   private final Transport transport;
   private final Clock clock;
   private final Looks looks;
@@ -131,10 +141,28 @@
     if (shared) {
       listening.config().setAutoRead(false);
     } else {
+      acceptLast();
       listening.close();
     }
   }
 
+  /** Closing the socket would reset what the system has accepted for it. */
+  private void acceptLast() {
+    if (!(listening instanceof EpollServerSocketChannel epoll)) {
+      return;
+    }
+    Socket socket = (Socket) epoll.fd();
+    byte[] peer = new byte[MOST_ADDRESS];
+    try {
+      for (int fd = socket.accept(peer); fd >= 0; fd = socket.accept(peer)) {
+        listening.pipeline().fireChannelRead(new EpollSocketChannel(fd));
+      }
+    } catch (IOException e) {
+      LOG.log(Level.WARNING, "could not accept all that had come", e);
+    }
+    listening.pipeline().fireChannelReadComplete();
+  }
+
   ModuleDriver driver() {
     return driver;
   }
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/clients/ReadAheadTest.java
@@ -0,0 +1,142 @@
+package willowdoor.front.clients;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import willowdoor.front.loop.Clock;
+import willowdoor.front.loop.Looks;
+import willowdoor.front.loop.LoopGroup;
+import willowdoor.front.loop.Transport;
+
+/** What is read while nobody asks for it, on both transports; the taker asks for nothing by itself. */
+@Timeout(30)
+class ReadAheadTest {
+
+  private static final Transport NIO = new Transport(NioIoHandler.newFactory(), NioSocketChannel.class,
+      NioServerSocketChannel.class, true);
+
+  private final Looks looks = new Looks(0);
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private final StringBuilder taken = new StringBuilder();
+  private volatile boolean insideBody;
+  private volatile int counted;
+  private volatile int most;
+  private volatile Channel accepted;
+  private ReadAhead input;
+  private EventLoopGroup group;
+  private Socket client;
+
+  private void start(Transport transport) throws Exception {
+    group = new LoopGroup(transport.ioHandler(), new Clock(), looks);
+    InetSocketAddress address = (InetSocketAddress) transport.server(group).channel(transport.serverSocket())
+        .childOption(ChannelOption.AUTO_READ, false)
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            input = new ReadAhead(looks, new Arrival(looks), () -> insideBody, ReadAheadTest.this::count);
+            channel.pipeline().addLast(input, new Taker());
+            accepted = channel;
+          }
+        }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel().localAddress();
+    client = new Socket(address.getAddress(), address.getPort());
+  }
+
+  private void count(int bytes) {
+    counted += bytes;
+    most = Math.max(most, counted);
+  }
+
+  /** Asks once, for the beginning. */
+  private final class Taker extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      ctx.read();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      ByteBuf bytes = (ByteBuf) message;
+      taken.append(bytes.toString(StandardCharsets.US_ASCII));
+      bytes.release();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      ended.countDown();
+    }
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    client.close();
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+  }
+
+  private void send(int bytes) throws Exception {
+    client.getOutputStream().write(new byte[bytes]);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"false, 0", "false, 3000", "false, 4000000", "true, 0", "true, 3000", "true, 4000000"})
+  void theClientsEndIsSeenBehindWhatItSentAhead(boolean best, int bytes) throws Exception {
+    start(best ? Transport.BEST : NIO);
+    send(10);
+    send(bytes);
+    client.close();
+    assertTrue(ended.await(10, TimeUnit.SECONDS));
+    assertTrue(most <= ReadAhead.MOST_AHEAD);
+    assertEquals(0, counted);
+  }
+
+  /** Its rest is not read, and the system tells of the end all the same. */
+  @Test
+  void theClientsEndIsSeenBehindABodyThatNobodyTakes() throws Exception {
+    insideBody = true;
+    start(Transport.BEST);
+    send(50_000);
+    client.close();
+    assertTrue(ended.await(10, TimeUnit.SECONDS));
+    assertEquals(0, most);
+  }
+
+  /** In its order, whenever it is asked for. */
+  @Test
+  void whatCameAheadIsPassedOn() throws Exception {
+    start(Transport.BEST);
+    client.getOutputStream().write("first,".getBytes(StandardCharsets.US_ASCII));
+    while (!group.next().submit(() -> taken.length() == 6).sync().getNow()) {
+      Thread.onSpinWait();
+    }
+    client.getOutputStream().write("second,third".getBytes(StandardCharsets.US_ASCII));
+    while (!group.next().submit(input::holds).sync().getNow()) {
+      Thread.onSpinWait();
+    }
+    group.next().submit(() -> accepted.read()).sync();
+    while (group.next().submit(() -> taken.length() < 18).sync().getNow()) {
+      group.next().submit(() -> accepted.read()).sync();
+    }
+    assertEquals("first,second,third", taken.toString());
+    assertEquals(0, counted);
+  }
+}
