--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -3,35 +3,27 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
-import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Looks;
 import willowdoor.front.loop.Tally;
 import willowdoor.front.requests.Asked;
 import willowdoor.front.requests.Attempt;
@@ -40,22 +32,25 @@
 import willowdoor.front.requests.Outgoing;
 
 /**
- * One client's connection: a request at a time, each with the one final answer. It is read only as far as
- * there is use for what comes: requests written behind the present one wait.
+ * One client's connection: a request at a time, each with the one final answer. Requests written behind the
+ * present one wait. What it reads comes from {@link ReadAhead}, what it answers goes through
+ * {@link AnswerWriter}, and it is ended by {@link LingeringClose} alone.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements ModuleDriver.Client {
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-  /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
-  private static final long LINGER_MS = 500;
   /** So much of a body is kept until no further attempt may need it. */
   private static final int PREFIX = 64 * 1024;
   private static final long MOST_BODY = 48L << 20;
 
   private final ClientServer server;
   private final Arrival arrival;
+  private final ReadAhead input;
   private final ReceiveLimit receiveLimit;
+  private final RequestDecoder decoder = new RequestDecoder();
   private Channel channel;
+  private LingeringClose closing;
+  private AnswerWriter answers;
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
   private boolean over;
@@ -63,7 +58,6 @@
   private HttpRequest head;
   private String target;
   private Asked asked;
-  private boolean keepAlive;
   /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
   private boolean receiving;
   private long bodyBytes;
@@ -73,19 +67,22 @@
   private String current;
   private Attempt.Carrier answering;
   private boolean answered;
-  private boolean ending;
   /** A part was asked for that has not come. */
   private boolean wanted;
+  /** How many requests have come to their turn. */
+  private long heads;
 
-  ClientConnection(ClientServer server, Arrival arrival) {
+  ClientConnection(ClientServer server, Looks looks) {
     this.server = server;
-    this.arrival = arrival;
-    receiveLimit = new ReceiveLimit(arrival, this::overdue);
+    arrival = new Arrival(looks);
+    input = new ReadAhead(looks, arrival, () -> receiving, server::keeps);
+    receiveLimit = new ReceiveLimit(this::overdue);
   }
 
-  /** Guards the time that a request takes to come; to be put into the channel's pipeline ahead of this. */
-  ReceiveLimit receiveLimit() {
-    return receiveLimit;
+  /** The bytes' way to this and back. */
+  ChannelHandler[] handlers() {
+    return new ChannelHandler[] {input, receiveLimit, decoder, new HttpResponseEncoder(),
+        new FlowControlHandler(), this};
   }
 
   double openedAt() {
@@ -93,7 +90,7 @@
   }
 
   private void overdue() {
-    if (!ending && (head == null || receiving)) {
+    if (!closing.begun() && (head == null || receiving)) {
       server.count(Tally.Event.CLIENT_SLOW);
       endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
     }
@@ -102,6 +99,8 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    closing = new LingeringClose(channel, input);
+    answers = new AnswerWriter(channel, this::mayBeKept);
     openedAt = server.now();
     over = server.opened(this);
   }
@@ -133,9 +132,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     wanted = false;
-    if (ending) {
-      // Read, so that the peer can finish and see the answer, and dropped.
-      read();
+    if (closing.begun()) {
       return;
     }
     if (part.decoderResult().isFailure()) {
@@ -148,7 +145,7 @@
       }
       if (part instanceof HttpContent piece) {
         piece(piece);
-      } else if (!ending) {
+      } else if (!closing.begun()) {
         read();
       }
     } catch (RuntimeException e) {
@@ -160,8 +157,9 @@
     receiveLimit.headCame();
     server.took(this);
     head = request;
+    heads++;
     target = RequestReader.originForm(request.uri());
-    keepAlive = HttpUtil.isKeepAlive(request);
+    answers.answers(request);
     receiving = true;
     answered = false;
     bodyBytes = 0;
@@ -178,7 +176,9 @@
     } else if (target.equals("/up")) {
       up();
     } else if (over || server.full()) {
-      keepAlive &= !over;
+      if (over) {
+        answers.last();
+      }
       refused(0);
     } else {
       ask(expects != null);
@@ -190,12 +190,12 @@
     try {
       asked = server.read(head, target);
     } catch (BadRequest e) {
-      answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      answers.status(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      written();
       return;
     }
     if (expects) {
-      channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-          Unpooled.EMPTY_BUFFER));
+      answers.goOn();
     }
   }
 
@@ -205,6 +205,7 @@
     if (last) {
       receiving = false;
       receiveLimit.bodyCame();
+      input.watch();
     } else if (bodyBytes > MOST_BODY) {
       endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
@@ -256,7 +257,7 @@
       leave();
       answer(HttpResponseStatus.INTERNAL_SERVER_ERROR);
     } else {
-      channel.close();
+      closing.outright();
     }
   }
 
@@ -270,7 +271,8 @@
   private void take(boolean whole) {
     if (server.driver().holds(asked.id())) {
       takePrefix().release();
-      answer(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
+      answers.status(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
+      written();
       return;
     }
     HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
@@ -291,7 +293,7 @@
 
   /** The backend has room for the next piece. */
   private void more() {
-    if (receiving && !ending) {
+    if (receiving && !closing.begun()) {
       read();
     }
   }
@@ -304,28 +306,15 @@
   @Override
   public void served(HttpResponse from, ByteBuf body) {
     current = null;
-    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-        body == null ? Unpooled.EMPTY_BUFFER : body.retain());
-    copyType(from, answer);
-    write(answer);
-  }
-
-  private static void copyType(HttpResponse from, HttpResponse to) {
-    String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    if (type != null) {
-      to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-    }
+    answers.served(from, body);
+    written();
   }
 
   @Override
   public void refused(double holdOffMs) {
     current = null;
-    FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
-        : HttpResponseStatus.SERVICE_UNAVAILABLE);
-    if (holdOffMs > 0) {
-      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffMs / 1000));
-    }
-    write(answer);
+    answers.refused(holdOffMs);
+    written();
   }
 
   @Override
@@ -334,27 +323,15 @@
     answer(HttpResponseStatus.BAD_GATEWAY);
   }
 
-  /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
   @Override
   public void begin(HttpResponse from, Attempt.Carrier carrier) {
     answering = carrier;
-    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    copyType(from, answer);
-    long length = Headers.bodyLength(from);
-    if (length >= 0) {
-      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-      HttpUtil.setTransferEncodingChunked(answer, true);
-    } else {
-      keepAlive = false;
-    }
-    tellWhetherKept(answer);
-    channel.write(answer);
+    answers.begin(from);
   }
 
   @Override
   public void piece(ByteBuf piece) {
-    channel.writeAndFlush(new DefaultHttpContent(piece));
+    answers.piece(piece);
     if (!channel.isWritable()) {
       answering.read(false);
     }
@@ -372,53 +349,26 @@
   public void finish() {
     current = null;
     answering = null;
-    written(LastHttpContent.EMPTY_LAST_CONTENT);
+    answers.finish();
+    written();
   }
 
-  /** A reset tells even a client that takes the connection's end for the answer's. */
   @Override
   public void cut() {
     current = null;
     answering = null;
-    ending = true;
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    closing.reset();
   }
 
   private void answer(HttpResponseStatus status) {
-    write(empty(status));
+    answers.status(status);
+    written();
   }
 
-  private void answer(HttpResponseStatus status, String reason) {
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text));
-  }
-
-  private static FullHttpResponse empty(HttpResponseStatus status) {
-    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-  }
-
-  private void write(FullHttpResponse answer) {
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-    if (head.method().equals(HttpMethod.HEAD)) {
-      answer.content().clear();
-    }
-    tellWhetherKept(answer);
-    written(answer);
-  }
-
-  private void tellWhetherKept(HttpResponse answer) {
-    keepAlive &= !server.draining();
-    if (!keepAlive) {
-      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-  }
-
-  /** The answer ends with this part. What is left of its request is read and dropped before the next one. */
-  private void written(HttpObject lastPart) {
+  /** The answer is written. What is left of its request is read and dropped before the next one. */
+  private void written() {
     answered = true;
     arrival.answered(server.now());
-    channel.writeAndFlush(lastPart).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     if (!receiving) {
       next();
     } else if (onward != null) {
@@ -430,50 +380,86 @@
   private void next() {
     if (receiving) {
       read();
-    } else if (keepAlive) {
+    } else if (answers.keepAlive() && (!input.overflowed() || begunBehind())) {
       head = null;
       answered = false;
       server.answered(this);
       // Not at once: answers that come at once would nest as deep as the requests behind each other.
-      channel.eventLoop().execute(this::read);
+      channel.eventLoop().execute(this::readNext);
     } else {
-      ending = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      end();
     }
   }
 
+  private void readNext() {
+    if (!closing.begun()) {
+      read();
+      if (head == null && decoder.begun()) {
+        receiveLimit.begunAhead();
+      }
+    }
+  }
+
+  /** In a drain the connection is kept for what has come already, and ends behind that. */
+  private boolean mayBeKept() {
+    return !server.draining() && !input.overflowed() || begunBehind();
+  }
+
+  /** Whether anything has come behind the present request. */
+  private boolean begunBehind() {
+    return decoder.heads() > heads || decoder.begun() || input.holds();
+  }
+
   /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
   private void endWith(HttpResponseStatus status, String reason) {
-    ending = true;
     takePrefix().release();
-    boolean begun = answering != null || answered;
+    boolean begun = answering != null;
     leave();
     if (begun) {
-      channel.close();
-      return;
+      closing.reset();
+    } else if (answered) {
+      end();
+    } else {
+      answers.end(status, reason);
+      server.lingers(this);
+      closing.beginWithin();
     }
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
-    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-    read();
+  }
+
+  private void end() {
+    server.lingers(this);
+    closing.begin();
   }
 
   /** Whether neither a request is on it nor a part of one has come. */
   boolean waits() {
-    return head == null && !receiveLimit.partial();
+    return unasked() && !receiveLimit.partial();
   }
 
   /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
   void closeIfIdle() {
-    if (head == null && !ending) {
-      ending = true;
-      channel.close();
+    if (waits() && !input.lastRead()) {
+      end();
     }
   }
 
+  /** Ends the connection though a part of a request may have come. */
+  void closeIfUnasked() {
+    if (unasked()) {
+      end();
+    }
+  }
+
+  /** Whether no whole head of a request is on it. */
+  boolean unasked() {
+    return head == null && !closing.begun();
+  }
+
+  /** Ends it at once, as descriptors run out. */
+  void closeOutright() {
+    closing.outright();
+  }
+
   /** Nobody waits for the present request's answer any more. */
   private void leave() {
     answering = null;
@@ -486,7 +472,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    ending = true;
+    closing.over();
     takePrefix().release();
     server.closed(this);
     leave();
@@ -498,7 +484,11 @@
       if (answering != null || receiving) {
         server.count(Tally.Event.STREAM_IDLE);
       }
-      ctx.close();
+      if (unasked()) {
+        end();
+      } else {
+        closing.outright();
+      }
     } else {
       ctx.fireUserEventTriggered(event);
     }
@@ -509,6 +499,6 @@
     if (cause instanceof RuntimeException) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
-    ctx.close();
+    closing.outright();
   }
 }
