--- a/front/src/test/java/willowdoor/front/SettingsShapesTest.java
+++ b/front/src/test/java/willowdoor/front/SettingsShapesTest.java
@@ -42,8 +42,9 @@
   private static final String UNSAFE = "{'Name':'sign','Repeat':'side_effect','AimMs':900,'DeadlineMs':3000,"
       + "'Value':5,'Group':'all','RepeatWindowMs':5000}";
 
-  /** Requests of the warm-up: each class on each plan comes. */
-  private static final int REHEARSED = 16;
+  /** Requests of the warm-up, so that each class on each plan comes, and a limit for a slow machine. */
+  private static final int WARM_UP_REQUESTS = 16;
+  private static final long WARM_UP_MS = 30_000;
 
   /** What a shape changes in the configuration of {@link Peers}; null takes a key away. */
   private enum Shape {
@@ -320,17 +321,12 @@
     }
   }
 
-  /**
-   * What is served inside the process before it says ready fits the settings as well. It is given 1.5 s, so
-   * on a slow machine it may take a further go.
-   */
+  /** What is served inside the process before it says ready fits the settings as well. */
   @ParameterizedTest
   @EnumSource
   void isWarmedUp(Shape shape) throws Exception {
     Config config = config(shape);
-    while (FrontDoor.rehearse(config, REHEARSED) < REHEARSED) {
-      assertEquals(List.of(), failures);
-    }
+    assertEquals(WARM_UP_REQUESTS, FrontDoor.warmUp(config, WARM_UP_REQUESTS, WARM_UP_MS));
     assertEquals(List.of(), failures);
     assertTrue(atServer.isEmpty() && peers.atCounter.isEmpty() && peers.watches.isEmpty());
   }
--- a/front/src/test/java/willowdoor/front/servers/PoolPeers.java
+++ b/front/src/test/java/willowdoor/front/servers/PoolPeers.java
@@ -73,7 +73,8 @@
   }
 
   RosterNews news(boolean full, String... entries) throws IOException {
-    return RosterNews.parse(Peers.list(version++, full, entries).getBytes(StandardCharsets.UTF_8));
+    return RosterNews.parse(Peers.list(version++, full, entries).getBytes(StandardCharsets.UTF_8),
+        clock.now());
   }
 
   static String entry(ServerSocket server, String state) {
