--- a/front/src/main/java/willowdoor/front/FrontDoor.java
+++ b/front/src/main/java/willowdoor/front/FrontDoor.java
@@ -29,7 +29,7 @@
 import willowdoor.front.operators.OperatorFile;
 import willowdoor.front.requests.ModuleDriver;
 import willowdoor.front.servers.BackendPool;
-import willowdoor.front.start.Rehearsal;
+import willowdoor.front.start.WarmUp;
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.QuotaPolicy;
 
@@ -47,9 +47,9 @@
   /** How often a drain goes on: idle connections are closed and the end is looked for. */
   private static final long DRAIN_STEP_MS = 10;
   private static final long TALLY_S = 10;
-  /** Requests of a rehearsal, and how long it may take on a busy core: a new process is given 6 s. */
-  private static final int REHEARSED = 80;
-  private static final long REHEARSAL_MS = 1_500;
+  /** Requests of a warm-up, and how long it may take on a busy core: a new process is given 6 s. */
+  private static final int WARM_UP_REQUESTS = 80;
+  private static final long WARM_UP_MS = 1_500;
   /** How often the operators' file is looked at, for what the other process was told. */
   private static final long LOOK_MS = 50;
 
@@ -97,7 +97,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
     Config config = Config.read(path);
     Path operators = Path.of(System.getProperty("java.io.tmpdir"), "willowdoor-" + config.name() + ".json");
-    door.begin(config, Config.inherited(), operators, () -> rehearse(config, REHEARSED, REHEARSAL_MS));
+    door.begin(config, Config.inherited(), operators, () -> warmUp(config, WARM_UP_REQUESTS, WARM_UP_MS));
     door.open();
   }
 
@@ -155,18 +155,18 @@
    * request before the first one comes. What goes wrong costs time later, and nothing else. Tells how many
    * were answered.
    */
-  static int rehearse(Config config, int requests, long limitMs) {
+  static int warmUp(Config config, int requests, long limitMs) {
     FrontDoor door = new FrontDoor(Transport.INSIDE);
     try {
-      Rehearsal rehearsal = new Rehearsal(config.settings(), door.group);
-      Config inside = config.among(rehearsal.door(), rehearsal.counter(), rehearsal.servers());
+      WarmUp warmUp = new WarmUp(config.settings(), door.group);
+      Config inside = config.among(warmUp.door(), warmUp.counter(), warmUp.servers());
       door.begin(inside, null, Path.of(""), () -> { });
       door.open();
-      int answered = rehearsal.play(requests, limitMs);
-      LOG.info(() -> "rehearsed with " + answered + " requests inside the process");
+      int answered = warmUp.play(requests, limitMs);
+      LOG.info(() -> "warmed up with " + answered + " requests inside the process");
       return answered;
     } catch (IOException | RuntimeException e) {
-      LOG.log(Level.WARNING, "the rehearsal failed: the first requests will be slow", e);
+      LOG.log(Level.WARNING, "the warm-up failed: the first requests will be slow", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
--- a/front/src/main/java/willowdoor/front/loop/Transport.java
+++ b/front/src/main/java/willowdoor/front/loop/Transport.java
@@ -38,7 +38,7 @@
           true)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class, true);
 
-  /** Channels within the process, for a rehearsal: no socket is opened. */
+  /** Channels within the process, for a warm-up: no socket is opened. */
   public static final Transport INSIDE =
       new Transport(LocalIoHandler.newFactory(), LocalChannel.class, LocalServerChannel.class, false);
 
--- a/front/src/main/java/willowdoor/front/start/Rehearsal.java
+++ b/front/src/main/java/willowdoor/front/start/WarmUp.java
@@ -17,21 +17,21 @@
 import willowdoor.policy.GatewayApi.Settings;
 
 /** What a front door serves within the process before it says ready: its peers there, and their requests. */
-public final class Rehearsal {
+public final class WarmUp {
 
   private static final int SERVERS = 8;
-  /** Few enough that some spend their quota, so that refusals are rehearsed too. */
+  /** Few enough that some spend their quota, so that refusals are warmed up too. */
   private static final int CUSTOMERS = 24;
-  private static final String BODY = "{\"template\":\"lease\",\"fields\":{\"name\":\"rehearsal\"}}";
+  private static final String BODY = "{\"template\":\"lease\",\"fields\":{\"name\":\"warm-up\"}}";
 
   private final Settings settings;
-  private final StandIns peers;
-  private final SocketAddress door = new LocalAddress(Rehearsal.class);
+  private final WarmUpPeers peers;
+  private final SocketAddress door = new LocalAddress(WarmUp.class);
 
   /** The peers are on the front door's own loop: no thread waits for another. */
-  public Rehearsal(Settings settings, EventLoopGroup group) throws InterruptedException {
+  public WarmUp(Settings settings, EventLoopGroup group) throws InterruptedException {
     this.settings = settings;
-    peers = new StandIns(group);
+    peers = new WarmUpPeers(group);
   }
 
   /** Where the front door is to listen. */
@@ -63,8 +63,8 @@
     RequestClass type = settings.classes().get(number % settings.classes().size());
     Plan plan = settings.plans().get(number / settings.classes().size() % settings.plans().size());
     boolean safe = type.repeat() == Repeat.SAFE;
-    return (safe ? "GET /" : "POST /") + type.name() + "/rehearsal HTTP/1.1\r\nHost: rehearsal\r\n"
-        + Headers.REQUEST_ID + ": rehearsal-" + number + "\r\n" + Headers.REQUEST_CLASS + ": " + type.name()
+    return (safe ? "GET /" : "POST /") + type.name() + "/warm-up HTTP/1.1\r\nHost: warm-up\r\n"
+        + Headers.REQUEST_ID + ": warm-up-" + number + "\r\n" + Headers.REQUEST_CLASS + ": " + type.name()
         + "\r\n" + Headers.PLAN + ": " + plan.name() + "\r\n" + Headers.CUSTOMER + ": "
         + Integer.toHexString(number % CUSTOMERS) + "\r\n" + Headers.TIMEOUT_MS + ": 10000\r\n"
         + (type.repeat() == Repeat.KEYED ? Headers.IDEMPOTENCY_KEY + ": " + number + "\r\n" : "")
--- a/front/src/main/java/willowdoor/front/start/StandIns.java
+++ b/front/src/main/java/willowdoor/front/start/WarmUpPeers.java
@@ -36,10 +36,10 @@
 import java.util.function.Supplier;
 
 /**
- * The peers of a front door that rehearses: one template server that answers at once, a counter and clients,
+ * The peers of a front door that warms up: one template server that answers at once, a counter and clients,
  * on channels within the process. They open no socket, and nothing that they are sent leaves the process.
  */
-final class StandIns {
+final class WarmUpPeers {
 
   private static final int MOST_LINE = 256;
   private static final int MOST_BODY = 64 * 1024;
@@ -53,7 +53,7 @@
   private final SocketAddress counter;
 
   /** The peers live on a loop for channels within the process, and end with it. */
-  public StandIns(EventLoopGroup group) throws InterruptedException {
+  public WarmUpPeers(EventLoopGroup group) throws InterruptedException {
     this.group = group;
     server = listen(() -> new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
         new TemplateServer()});
@@ -71,7 +71,7 @@
 
   private SocketAddress listen(Supplier<ChannelHandler[]> handlers) throws InterruptedException {
     return new ServerBootstrap().group(group).channel(LocalServerChannel.class).childHandler(piped(handlers))
-        .bind(new LocalAddress(StandIns.class)).sync().channel().localAddress();
+        .bind(new LocalAddress(WarmUpPeers.class)).sync().channel().localAddress();
   }
 
   private static ChannelInitializer<Channel> piped(Supplier<ChannelHandler[]> handlers) {
