Test that a reset is no end of a body without a length, in forced orders

Ruled out: that a reset ends a close-delimited answer. The epoll transport gives ECONNRESET from the read before the channel's end, with bytes unread, with reading off and with nothing read yet; exceptionCaught ends the attempt as reset, and the decoder's last content at the channel's end then finds no answer. An end of sending still ends such an answer.

--- a/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
+++ b/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
@@ -122,4 +122,28 @@
       throw new AssertionError(e);
     }
   }
+
+  /** The body's bytes and the reset are both with the kernel before the loop reads. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 4, 10_000})
+  void aResetIsNoEndOfABodyWithoutALength(int length) throws Exception {
+    ServerSocket server = peers.listen(50, 0);
+    long id = peers.tell(PoolPeers.entry(server, "active"));
+    for (boolean reset : new boolean[] {true, false}) {
+      NotedAttempt attempt = peers.start(id, peers.attempt());
+      Socket socket = peers.accept(server);
+      PoolPeers.read(socket);
+      String body = "x".repeat(length);
+      peers.run(() -> {
+        try {
+          PoolPeers.write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body);
+          socket.setSoLinger(reset, 0);
+          socket.close();
+        } catch (IOException e) {
+          throw new AssertionError(e);
+        }
+      });
+      assertEquals(reset ? "RESET" : length > 0 ? "OK " + body : "OK", Peers.next(attempt.ends));
+    }
+  }
 }
