Split the requests' table, their attempts and the answers' decoder into files of their own

A request in the table (Live), its attempt on sockets (Sent) and AnswerDecoder, with what an answer's status says, are classes of their own now; no behaviour changes.

--- a/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +29,6 @@
 import willowdoor.policy.GatewayApi.RosterForm;
 import willowdoor.policy.GatewayApi.Send;
 import willowdoor.policy.GatewayApi.Status;
-import willowdoor.policy.GatewayApi.StreamBegan;
 import willowdoor.policy.GatewayApi.WakeAt;
 import willowdoor.policy.GatewayApi.Woken;
 import willowdoor.policy.QuotaPolicy;
@@ -83,70 +81,6 @@
     void cut();
   }
 
-  /** One request from its taking until it is answered and none of its attempts is out. */
-  private final class Live {
-    final Asked asked;
-    final Outgoing message;
-    final Client client;
-    final List<Attempt> attempts = new ArrayList<>(1);
-    /** From its last byte on; until that has come, from the moment it was taken. */
-    Budget budget;
-    Future<?> lastCall;
-    final int held;
-    boolean finished;
-    int out;
-    /** The attempt whose answer is being passed on as it comes. */
-    Attempt begun;
-
-    Live(Asked asked, Outgoing message, Client client) {
-      this.asked = asked;
-      this.message = message;
-      this.client = client;
-      held = message.held();
-    }
-
-    /** Its time begins; it ends with the process at the latest. */
-    void begins() {
-      budget = Budget.of(client.cameAt(), asked.timeoutMs()).cutAt(processEndsAt);
-      lastCall = after(budget.lastCallMs(clock.now()), () -> lastCall(this));
-    }
-
-    /** The process ends: so does the time, unless none runs as a stream is under way. */
-    void cut() {
-      budget = budget.cutAt(processEndsAt);
-      if (lastCall.cancel(false)) {
-        lastCall = after(budget.lastCallMs(clock.now()), () -> lastCall(this));
-      }
-    }
-
-    /**
-     * Marks the final answer; true for the first caller only. What has not reached a backend whole by now
-     * never will, and nothing is kept to be sent again.
-     */
-    boolean finish() {
-      if (finished) {
-        return false;
-      }
-      finished = true;
-      lastCall.cancel(false);
-      for (int i = 0; i < attempts.size(); i++) {
-        if (!attempts.get(i).written()) {
-          attempts.get(i).abandon(Status.NOT_SENT);
-        }
-      }
-      heldBytes -= held;
-      message.release();
-      return true;
-    }
-
-    /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
-    void forgetIfDone() {
-      if (finished && out == 0) {
-        live.remove(asked.id(), this);
-      }
-    }
-  }
-
   private final EventLoop loop;
   private final Clock clock;
   private final QuotaPolicy policy;
@@ -194,14 +128,32 @@
 
   /** Takes a request and its message, which is kept until no attempt needs it. */
   public void take(Asked asked, Outgoing message, Client client) {
-    Live r = new Live(asked, message, client);
+    Live r = new Live(this, asked, message, client);
     live.put(asked.id(), r);
     heldBytes += r.held;
     r.begins();
     deliver(asked.within(r.budget));
   }
 
-  private Future<?> after(double ms, Runnable task) {
+  double now() {
+    return clock.now();
+  }
+
+  /** When the process ends at the latest, on the clock. */
+  double processEndsAt() {
+    return processEndsAt;
+  }
+
+  /** So many bytes of bodies are kept no more. */
+  void freed(int bytes) {
+    heldBytes -= bytes;
+  }
+
+  void forget(Live r) {
+    live.remove(r.asked.id(), r);
+  }
+
+  Future<?> after(double ms, Runnable task) {
     return loop.schedule(task, (long) (ms * 1000), TimeUnit.MICROSECONDS);
   }
 
@@ -246,7 +198,7 @@
     after(ms, () -> List.copyOf(live.values()).forEach(this::fail));
   }
 
-  private void lastCall(Live r) {
+  void lastCall(Live r) {
     tally.count(Tally.Event.LAST_CALL);
     fail(r);
   }
@@ -266,7 +218,7 @@
   }
 
   /** Events that come up while an event is worked on wait for their turn: the module is not re-entered. */
-  private void deliver(Event event) {
+  void deliver(Event event) {
     inbox.add(event);
     if (delivering) {
       return;
@@ -373,107 +325,4 @@
     }
     backends.start(a.backend(), attempt);
   }
-
-  /** An attempt of a request that is in the table. */
-  private final class Sent extends Attempt {
-    private final Live r;
-    private final int number;
-    private final long backend;
-    private double sentAt = clock.now();
-    /** When its answer's head came. */
-    private double headAt = Double.NaN;
-    private boolean streams;
-
-    Sent(Live r, int number, long backend, double endsAt, double writtenBy) {
-      super(r.message, endsAt, writtenBy);
-      this.r = r;
-      this.number = number;
-      this.backend = backend;
-    }
-
-    /**
-     * From now on its last byte must not arrive any more. A short one that is with the kernel has arrived; of
-     * a long one only the answer tells.
-     */
-    void lastByteDue() {
-      if (!written() || !r.message.leavesAtOnce() && Double.isNaN(headAt)) {
-        abandon(overdue());
-      }
-    }
-
-    /** No time runs while the client sends on. */
-    @Override
-    public void onSpent() {
-      if (!streams) {
-        streams = true;
-        stopTimer();
-        r.lastCall.cancel(false);
-        deliver(new StreamBegan(r.asked.id(), number));
-      }
-    }
-
-    /** The request's time counts from its last byte. */
-    @Override
-    public void onSent() {
-      sentAt = clock.now();
-      if (!r.finished && r.begun == null) {
-        r.begins();
-        startTimer(after(r.budget.limitMs(Double.POSITIVE_INFINITY, sentAt), () -> abandon(overdue())));
-      }
-    }
-
-    @Override
-    public void onHead() {
-      headAt = clock.now();
-    }
-
-    @Override
-    public boolean onBegin(HttpResponse head) {
-      if (r.finished || r.begun != null) {
-        return false;
-      }
-      r.begun = this;
-      stopTimer();
-      r.lastCall.cancel(false);
-      r.client.begin(head, carrier());
-      deliver(new StreamBegan(r.asked.id(), number));
-      return true;
-    }
-
-    @Override
-    public void onPiece(ByteBuf piece) {
-      if (r.finished) {
-        piece.release();
-      } else {
-        r.client.piece(piece);
-      }
-    }
-
-    @Override
-    protected void onEnd(Status status, HttpResponse head, ByteBuf body) {
-      r.out--;
-      boolean last = r.begun == this ? r.finish() : status == Status.OK && r.finish();
-      if (last && r.begun != this) {
-        r.client.served(head, body);
-      } else if (last && status == Status.OK) {
-        r.client.finish();
-      } else if (last) {
-        r.client.cut();
-      }
-      double units = status == Status.OK ? units(head.headers().get(Headers.UNITS_CHARGED)) : 0;
-      double until = Double.isNaN(headAt) ? clock.now() : headAt;
-      deliver(new Outcome(r.asked.id(), number, backend, status, Math.max(0, until - sentAt), r.finished,
-          units, null));
-      r.forgetIfDone();
-    }
-  }
-
-  private static double units(String header) {
-    try {
-      double units = header == null ? 0 : Double.parseDouble(header);
-      return Double.isFinite(units) && units > 0 ? units : 0;
-    } catch (NumberFormatException e) {
-      return 0;
-    }
-  }
 }
--- /dev/null
+++ b/front/src/main/java/willowdoor/front/servers/AnswerDecoder.java
@@ -0,0 +1,50 @@
+package willowdoor.front.servers;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import java.util.List;
+import willowdoor.front.requests.Headers;
+import willowdoor.policy.GatewayApi.Status;
+
+/** Takes no line without a colon for a header: the library lets one pass that holds a space. */
+final class AnswerDecoder extends HttpResponseDecoder {
+  private boolean insideMessage;
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    super.decode(ctx, in, out);
+    if (!out.isEmpty()) {
+      insideMessage = !(out.get(out.size() - 1) instanceof LastHttpContent);
+    }
+  }
+
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    if (line[start + length] != ':') {
+      throw new IllegalArgumentException("no colon behind a header's name");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
+  /** Whether more has come than whole answers. */
+  boolean holdsRest() {
+    return insideMessage || actualReadableBytes() > 0;
+  }
+
+  /** What a whole answer says of its attempt. */
+  static Status status(HttpResponse answer) {
+    HttpResponseStatus code = answer.status();
+    if (code.equals(HttpResponseStatus.OK)) {
+      return Status.OK;
+    }
+    boolean turnedAway = (code.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        || code.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
+        && "1".equals(answer.headers().get(Headers.NOT_STARTED));
+    return turnedAway ? Status.REJECTED : Status.ERROR;
+  }
+}
--- a/front/src/main/java/willowdoor/front/servers/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -14,15 +14,12 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.AsciiString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.List;
 import willowdoor.front.loop.Tally;
 import willowdoor.front.requests.Attempt;
 import willowdoor.front.requests.Headers;
@@ -71,32 +68,6 @@
     return decoder;
   }
 
-  /** Takes no line without a colon for a header: the library lets one pass that holds a space. */
-  static final class AnswerDecoder extends HttpResponseDecoder {
-    private boolean insideMessage;
-
-    @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-      super.decode(ctx, in, out);
-      if (!out.isEmpty()) {
-        insideMessage = !(out.get(out.size() - 1) instanceof LastHttpContent);
-      }
-    }
-
-    @Override
-    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-      if (line[start + length] != ':') {
-        throw new IllegalArgumentException("no colon behind a header's name");
-      }
-      return super.splitHeaderName(line, start, length);
-    }
-
-    /** Whether more has come than whole answers. */
-    boolean holdsRest() {
-      return insideMessage || actualReadableBytes() > 0;
-    }
-  }
-
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -296,7 +267,7 @@
     used = true;
     // An answer ahead of the request's end leaves the connection out of step.
     answered = attempt.written() && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
-    Status status = status(answer);
+    Status status = AnswerDecoder.status(answer);
     HttpResponse told = status == Status.OK ? answer : null;
     try {
       if (answered) {
@@ -351,17 +322,6 @@
     ctx.fireChannelReadComplete();
   }
 
-  private static Status status(HttpResponse answer) {
-    HttpResponseStatus code = answer.status();
-    if (code.equals(HttpResponseStatus.OK)) {
-      return Status.OK;
-    }
-    boolean turnedAway = (code.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        || code.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
-        && "1".equals(answer.headers().get(Headers.NOT_STARTED));
-    return turnedAway ? Status.REJECTED : Status.ERROR;
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.closed(this);
