Tell the module a list before the ends of the attempts which that list ends

Cause: ModuleDriver.onRoster let the connections take the list first, which ends attempts that wait for a connection to a drained server, and the module, which had not heard of the list, sent them at once to another server that the same list drains, using up MaxAttempts. Now those ends wait behind the list.

WaitLimitsTest 20 of 20; without the change whatADrainEndsIsNotSentThereAgain fails (2 sends).

--- a/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -172,9 +172,20 @@
     deliver(counted);
   }
 
+  /**
+   * The connections know the list first, as the module sends by it at once; the module knows it before it
+   * hears of the attempts that the list ends, or it would send them to the same places again.
+   */
   public void onRoster(RosterNews news) {
-    backends.onRoster(news);
-    deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
+    inbox.add(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
+    boolean within = delivering;
+    delivering = true;
+    try {
+      backends.onRoster(news);
+    } finally {
+      delivering = within;
+    }
+    drain();
   }
 
   /** Whether operators may name this backend. */
@@ -220,6 +231,10 @@
   /** Events that come up while an event is worked on wait for their turn: the module is not re-entered. */
   void deliver(Event event) {
     inbox.add(event);
+    drain();
+  }
+
+  private void drain() {
     if (delivering) {
       return;
     }
--- a/front/src/test/java/willowdoor/front/requests/WaitLimitsTest.java
+++ b/front/src/test/java/willowdoor/front/requests/WaitLimitsTest.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -113,6 +114,7 @@
   private final class Servers implements ModuleDriver.Servers {
     @Override
     public void onRoster(RosterNews news) {
+      List.copyOf(started).forEach(a -> a.abandon(Status.UNREACHABLE));
     }
 
     @Override
@@ -324,6 +326,20 @@
     assertTrue(adds.get(1).endsWith(" 0.0"), adds.toString());
   }
 
+  /** What the list ends is not sent to another server that the same list drains. */
+  @Test
+  void whatADrainEndsIsNotSentThereAgain() throws Exception {
+    begin(2);
+    Heard client = take("r1", "quote", 2_000, 0);
+    channel.runPendingTasks();
+    String news = Peers.list(8, false, Peers.entry("s-0", 7000, "leaving"), Peers.entry("s-1", 7001, "leaving"));
+    driver.onRoster(RosterNews.parse(news.getBytes(StandardCharsets.UTF_8)));
+    assertEquals(1, started.size());
+    pass(2_000);
+    assertEquals(1, started.size());
+    assertEquals(List.of("refused"), client.answers);
+  }
+
   /** Only the monotonic clock moves it: here that runs by hand, and far from the wall clock's time. */
   @Test
   void theWallClockMovesNothing() {
