Split a client's connection from the exchange on it, and linger only once all is sent

Reason for the one change of behaviour: a connection that is to end counted as lingering from the first, and the oldest lingering one is closed outright where descriptors run out, so an answer that a slow client was still reading could have been cut. It counts as lingering only once the answer has gone out.

--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -1,47 +1,29 @@
 package willowdoor.front.clients;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.front.clients.RequestReader.BadRequest;
 import willowdoor.front.loop.Looks;
 import willowdoor.front.loop.Tally;
-import willowdoor.front.requests.Asked;
-import willowdoor.front.requests.Attempt;
-import willowdoor.front.requests.Headers;
-import willowdoor.front.requests.ModuleDriver;
-import willowdoor.front.requests.Outgoing;
 
 /**
  * One client's connection: a request at a time, each with the one final answer. Requests written behind the
  * present one wait. What it reads comes from {@link ReadAhead}, what it answers goes through
  * {@link AnswerWriter}, and it is ended by {@link LingeringClose} alone.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements ModuleDriver.Client {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-  /** So much of a body is kept until no further attempt may need it. */
-  private static final int PREFIX = 64 * 1024;
-  private static final long MOST_BODY = 48L << 20;
 
   private final ClientServer server;
   private final Arrival arrival;
@@ -51,22 +33,10 @@
   private Channel channel;
   private LingeringClose closing;
   private AnswerWriter answers;
+  private Exchange exchange;
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
   private boolean over;
-  /** The request that is being read or answered, null between requests, and its target in origin form. */
-  private HttpRequest head;
-  private String target;
-  private Asked asked;
-  /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
-  private boolean receiving;
-  private long bodyBytes;
-  private ByteBuf prefix = Unpooled.EMPTY_BUFFER;
-  private Outgoing onward;
-  /** Its id while the module works on it, and whether its answer is under way, or written in whole. */
-  private String current;
-  private Attempt.Carrier answering;
-  private boolean answered;
   /** A part was asked for that has not come. */
   private boolean wanted;
   /** How many requests have come to their turn. */
@@ -75,7 +45,7 @@
   ClientConnection(ClientServer server, Looks looks) {
     this.server = server;
     arrival = new Arrival(looks);
-    input = new ReadAhead(looks, arrival, () -> receiving, server::keeps);
+    input = new ReadAhead(looks, arrival, this::receiving, server::keeps);
     receiveLimit = new ReceiveLimit(this::overdue);
   }
 
@@ -90,7 +60,7 @@
   }
 
   private void overdue() {
-    if (!closing.begun() && (head == null || receiving)) {
+    if (!closing.begun() && (!exchange.open() || exchange.receiving())) {
       server.count(Tally.Event.CLIENT_SLOW);
       endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
     }
@@ -99,8 +69,9 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
-    closing = new LingeringClose(channel, input);
+    closing = new LingeringClose(channel, input, () -> server.lingers(this));
     answers = new AnswerWriter(channel, this::mayBeKept);
+    exchange = new Exchange(server, this, channel, arrival, answers);
     openedAt = server.now();
     over = server.opened(this);
   }
@@ -111,11 +82,15 @@
     read();
   }
 
+  private boolean receiving() {
+    return exchange.receiving();
+  }
+
   /** Asks for the next part: the pieces of a request, or the head of the next one. */
-  private void read() {
+  void read() {
     wanted = true;
     channel.read();
-    if (receiving) {
+    if (exchange.receiving()) {
       receiveLimit.waits();
     }
   }
@@ -141,248 +116,38 @@
     }
     try {
       if (part instanceof HttpRequest request) {
-        head(request);
+        receiveLimit.headCame();
+        server.took(this);
+        heads++;
+        exchange.head(request, over);
       }
       if (part instanceof HttpContent piece) {
-        piece(piece);
+        exchange.piece(piece);
       } else if (!closing.begun()) {
         read();
       }
     } catch (RuntimeException e) {
-      faulty(e);
-    }
-  }
-
-  private void head(HttpRequest request) {
-    receiveLimit.headCame();
-    server.took(this);
-    head = request;
-    heads++;
-    target = RequestReader.originForm(request.uri());
-    answers.answers(request);
-    receiving = true;
-    answered = false;
-    bodyBytes = 0;
-    onward = null;
-    HttpHeaders headers = request.headers();
-    String coding = headers.get(HttpHeaderNames.TRANSFER_ENCODING);
-    String expects = headers.get(HttpHeaderNames.EXPECT);
-    if (coding != null && !coding.equalsIgnoreCase("chunked")) {
-      endWith(HttpResponseStatus.NOT_IMPLEMENTED, "unknown transfer coding");
-    } else if (expects != null && !expects.equalsIgnoreCase("100-continue")) {
-      endWith(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
-    } else if (HttpUtil.getContentLength(request, 0L) > MOST_BODY) {
-      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-    } else if (target.equals("/up")) {
-      up();
-    } else if (over || server.full()) {
-      if (over) {
-        answers.last();
-      }
-      refused(0);
-    } else {
-      ask(expects != null);
-    }
-  }
-
-  /** What is not a request is told so at once, whatever is still to come of it. */
-  private void ask(boolean expects) {
-    try {
-      asked = server.read(head, target);
-    } catch (BadRequest e) {
-      answers.status(HttpResponseStatus.BAD_REQUEST, e.getMessage());
-      written();
-      return;
-    }
-    if (expects) {
-      answers.goOn();
-    }
-  }
-
-  private void piece(HttpContent piece) {
-    boolean last = piece instanceof LastHttpContent;
-    bodyBytes += piece.content().readableBytes();
-    if (last) {
-      receiving = false;
-      receiveLimit.bodyCame();
-      input.watch();
-    } else if (bodyBytes > MOST_BODY) {
-      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-      return;
-    }
-    if (answered) {
-      next();
-    } else if (onward != null) {
-      if (current == null) {
-        // Its answer is under way already, and the rest of the request of no use.
-        if (!last) {
-          read();
-        }
-      } else {
-        onward.pass(piece.retain());
-      }
-    } else {
-      keep(piece.content());
-      if (last || prefix.readableBytes() >= PREFIX) {
-        take(last);
-        if (onward == null) {
-          more();
-        }
-      } else {
-        read();
-      }
-    }
-  }
-
-  /** Copied, as small pieces would keep the larger buffers that they were read into. */
-  private void keep(ByteBuf piece) {
-    if (piece.isReadable()) {
-      server.keeps(piece.readableBytes());
-      prefix = prefix.isReadable() ? prefix : channel.alloc().buffer(piece.readableBytes());
-      prefix.writeBytes(piece);
-    }
-  }
-
-  private ByteBuf takePrefix() {
-    ByteBuf kept = prefix;
-    prefix = Unpooled.EMPTY_BUFFER;
-    server.keeps(-kept.readableBytes());
-    return kept;
-  }
-
-  /** A fault of ours costs this request, not the connection or the process; its cause goes to the log. */
-  private void faulty(RuntimeException cause) {
-    LOG.log(Level.SEVERE, "request failed", cause);
-    if (current != null && answering == null) {
-      leave();
-      answer(HttpResponseStatus.INTERNAL_SERVER_ERROR);
-    } else {
-      closing.outright();
-    }
-  }
-
-  private void up() {
-    boolean get = head.method().equals(HttpMethod.GET);
-    answer(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
-        : server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-  }
-
-  /** Hands the request to the module: whole, or with as much of its body as can be kept. */
-  private void take(boolean whole) {
-    if (server.driver().holds(asked.id())) {
-      takePrefix().release();
-      answers.status(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
-      written();
-      return;
-    }
-    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-    for (CharSequence name : new CharSequence[] {HttpHeaderNames.HOST, Headers.REQUEST_ID,
-        Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE}) {
-      String value = head.headers().get(name);
-      if (value != null) {
-        headers.set(name, value);
-      }
-    }
-    Outgoing.frame(headers, head.headers(), whole, prefix.readableBytes(),
-        head.method().equals(HttpMethod.POST));
-    ByteBuf kept = takePrefix();
-    onward = new Outgoing(head.method(), target, headers, kept, whole, this::more);
-    current = asked.id();
-    server.driver().take(asked, onward, this);
-  }
-
-  /** The backend has room for the next piece. */
-  private void more() {
-    if (receiving && !closing.begun()) {
-      read();
-    }
-  }
-
-  @Override
-  public double cameAt() {
-    return arrival.cameAt();
-  }
-
-  @Override
-  public void served(HttpResponse from, ByteBuf body) {
-    current = null;
-    answers.served(from, body);
-    written();
-  }
-
-  @Override
-  public void refused(double holdOffMs) {
-    current = null;
-    answers.refused(holdOffMs);
-    written();
-  }
-
-  @Override
-  public void failed() {
-    current = null;
-    answer(HttpResponseStatus.BAD_GATEWAY);
-  }
-
-  @Override
-  public void begin(HttpResponse from, Attempt.Carrier carrier) {
-    answering = carrier;
-    answers.begin(from);
-  }
-
-  @Override
-  public void piece(ByteBuf piece) {
-    answers.piece(piece);
-    if (!channel.isWritable()) {
-      answering.read(false);
+      exchange.faulty(e);
     }
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (answering != null && channel.isWritable()) {
-      answering.read(true);
+    if (channel.isWritable()) {
+      exchange.writable();
     }
     ctx.fireChannelWritabilityChanged();
   }
 
-  @Override
-  public void finish() {
-    current = null;
-    answering = null;
-    answers.finish();
-    written();
-  }
-
-  @Override
-  public void cut() {
-    current = null;
-    answering = null;
-    closing.reset();
-  }
-
-  private void answer(HttpResponseStatus status) {
-    answers.status(status);
-    written();
-  }
-
-  /** The answer is written. What is left of its request is read and dropped before the next one. */
-  private void written() {
-    answered = true;
-    arrival.answered(server.now());
-    if (!receiving) {
-      next();
-    } else if (onward != null) {
-      read();
-    }
+  /** The body of the present request has come whole. */
+  void bodyCame() {
+    receiveLimit.bodyCame();
+    input.watch();
   }
 
-  /** The present request is read and answered: its connection ends, or waits for the next one. */
-  private void next() {
-    if (receiving) {
-      read();
-    } else if (answers.keepAlive() && (!input.overflowed() || begunBehind())) {
-      head = null;
-      answered = false;
+  /** The present request is read and answered: the connection ends, or waits for the next one. */
+  void next(boolean kept) {
+    if (kept && (!input.overflowed() || begunBehind())) {
       server.answered(this);
       // Not at once: answers that come at once would nest as deep as the requests behind each other.
       channel.eventLoop().execute(this::readNext);
@@ -394,7 +159,7 @@
   private void readNext() {
     if (!closing.begun()) {
       read();
-      if (head == null && decoder.begun()) {
+      if (!exchange.open() && decoder.begun()) {
         receiveLimit.begunAhead();
       }
     }
@@ -411,36 +176,48 @@
   }
 
   /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
-  private void endWith(HttpResponseStatus status, String reason) {
-    takePrefix().release();
-    boolean begun = answering != null;
-    leave();
+  void endWith(HttpResponseStatus status, String reason) {
+    exchange.release();
+    boolean begun = exchange.answering();
+    exchange.leave();
     if (begun) {
       closing.reset();
-    } else if (answered) {
+    } else if (exchange.answered()) {
       end();
     } else {
+      server.took(this);
       answers.end(status, reason);
-      server.lingers(this);
       closing.beginWithin();
     }
   }
 
   private void end() {
-    server.lingers(this);
+    server.took(this);
     closing.begin();
   }
 
+  /** Ends it so that its client sees that the answer is not whole. */
+  void cut() {
+    closing.reset();
+  }
+
+  /** Whether its end has begun. */
+  boolean ending() {
+    return closing.begun();
+  }
+
   /** Whether neither a request is on it nor a part of one has come. */
   boolean waits() {
     return unasked() && !receiveLimit.partial();
   }
 
-  /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
-  void closeIfIdle() {
-    if (waits() && !input.lastRead()) {
+  /** Ends the connection if no request is on it, and tells whether that is so. */
+  boolean closeIfIdle() {
+    boolean idle = waits() && !input.lastRead();
+    if (idle) {
       end();
     }
+    return idle;
   }
 
   /** Ends the connection though a part of a request may have come. */
@@ -452,7 +229,7 @@
 
   /** Whether no whole head of a request is on it. */
   boolean unasked() {
-    return head == null && !closing.begun();
+    return !exchange.open() && !closing.begun();
   }
 
   /** Ends it at once, as descriptors run out. */
@@ -460,28 +237,18 @@
     closing.outright();
   }
 
-  /** Nobody waits for the present request's answer any more. */
-  private void leave() {
-    answering = null;
-    if (current != null) {
-      String id = current;
-      current = null;
-      server.driver().clientLeft(id);
-    }
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     closing.over();
-    takePrefix().release();
+    exchange.release();
     server.closed(this);
-    leave();
+    exchange.leave();
   }
 
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof IdleStateEvent) {
-      if (answering != null || receiving) {
+      if (exchange.answering() || exchange.receiving()) {
         server.count(Tally.Event.STREAM_IDLE);
       }
       if (unasked()) {
--- a/front/src/main/java/willowdoor/front/clients/ClientServer.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientServer.java
@@ -225,8 +225,7 @@
     ClientConnection begun = null;
     ClientConnection spare = spare();
     for (int i = 0; i < MOST_TRIED && spare != null; i++) {
-      spare.closeIfIdle();
-      if (!connections.contains(spare)) {
+      if (spare.closeIfIdle()) {
         tally.count(Tally.Event.CLIENT_EVICTED);
         return;
       }
@@ -258,7 +257,7 @@
     idle.remove(connection);
   }
 
-  /** It is being closed, and takes no more requests. */
+  /** All is sent on it, and only the client's end is waited for. */
   void lingers(ClientConnection connection) {
     if (connections.contains(connection)) {
       closed(connection);
--- a/front/src/main/java/willowdoor/front/clients/LingeringClose.java
+++ b/front/src/main/java/willowdoor/front/clients/LingeringClose.java
@@ -20,12 +20,15 @@
 
   private final Channel channel;
   private final ReadAhead input;
+  private final Runnable sent;
   private Future<?> timer;
   private boolean begun;
 
-  LingeringClose(Channel channel, ReadAhead input) {
+  /** Tells when all is sent and only the client's end is waited for. */
+  LingeringClose(Channel channel, ReadAhead input, Runnable sent) {
     this.channel = channel;
     this.input = input;
+    this.sent = sent;
   }
 
   boolean begun() {
@@ -51,6 +54,7 @@
   private void endSending(boolean written) {
     if (written && channel instanceof SocketChannel socket) {
       arm();
+      sent.run();
       socket.shutdownOutput();
     } else {
       channel.close();
