Test that bad clients are told so in whole words and cost nobody a request

Eleven kinds of what is no request, each with 400 kB behind it, peers that send much at once and go, that send byte by byte, and that rest on all connections there may be.

--- /dev/null
+++ b/front/src/test/java/willowdoor/front/BadClientTest.java
@@ -0,0 +1,143 @@
+package willowdoor.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import willowdoor.front.Peers.Client;
+import willowdoor.front.Peers.Message;
+import willowdoor.front.loop.Descriptors;
+
+/** Peers that send no proper requests: each is told so, and costs nobody else a request. */
+@Timeout(30)
+class BadClientTest {
+
+  private static final int SOCKETS = 128;
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private static String bad(String kind) {
+    String post = Peers.post("bad", "body");
+    return switch (kind) {
+      case "no request" -> "\u0016\u0003\u0001 hello\r\n\r\n";
+      case "no version" -> "GET /quote/17\r\n\r\n";
+      case "long line" -> "GET /" + "x".repeat(9_000) + " HTTP/1.1\r\n\r\n";
+      case "long head" -> "GET /quote HTTP/1.1\r\n" + "X-Filler: 0123456789abcdef\r\n".repeat(700) + "\r\n";
+      case "two lengths" -> post.replace("Content-Length: 4\r\n",
+          "Content-Length: 4\r\nContent-Length: 5\r\n");
+      case "length and chunks" -> post.replace("Content-Length: 4\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n");
+      case "negative length" -> post.replace("Content-Length: 4\r\n", "Content-Length: -4\r\n");
+      case "bad chunk" -> post.replace("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n")
+          .replace("\r\n\r\nbody", "\r\n\r\nzz\r\nbody\r\n");
+      case "unknown coding" -> post.replace("Content-Length: 4\r\n", "Transfer-Encoding: gzip\r\n");
+      case "unknown expectation" -> post.replace("Content-Length: 4\r\n",
+          "Content-Length: 4\r\nExpect: magic\r\n");
+      case "too large" -> post.replace("Content-Length: 4\r\n", "Content-Length: 60000000\r\n");
+      default -> throw new IllegalArgumentException(kind);
+    };
+  }
+
+  /** The error is in plain words, whole, and followed by the connection's end without a reset. */
+  @ParameterizedTest
+  @CsvSource({"no request", "no version", "long line", "long head", "two lengths", "length and chunks",
+      "negative length", "bad chunk", "unknown coding", "unknown expectation", "too large"})
+  void whatIsNoRequestIsToldSoWhateverComesBehindIt(String kind) throws Exception {
+    peers.start();
+    CountDownLatch told = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      ClientLeavesTest.await(told);
+      return Peers.write(out, Peers.OK);
+    };
+    Client proper = peers.client();
+    proper.send(Peers.get("proper", 9000));
+    Peers.next(peers.atBackend);
+    Client client = peers.client();
+    client.send(bad(kind) + "x".repeat(400_000));
+    Message answer = client.receive();
+    assertTrue(answer.status() >= 400 && answer.status() < 502, answer.head());
+    assertEquals("close", answer.header("Connection"));
+    assertFalse(answer.text().isBlank());
+    assertTrue(client.ended());
+    told.countDown();
+    assertEquals(200, proper.receive().status());
+    assertTrue(peers.atBackend.isEmpty());
+  }
+
+  /** Much at once, and gone: neither what they sent nor their number is in anybody's way. */
+  @ParameterizedTest
+  @CsvSource({"CLOSES", "RESETS"})
+  void peersThatSendMuchAndGoAreForgotten(ClientLeavesTest.Way way) throws Exception {
+    peers.start(withFewDescriptors());
+    Client proper = peers.client();
+    for (int i = 0; i < 3 * SOCKETS; i++) {
+      Client client = peers.client();
+      client.send("x".repeat(100_000));
+      way.leave(client);
+    }
+    assertEquals(200, proper.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
+  private String withFewDescriptors() {
+    return peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"))
+        .replace("\"settings\"", "\"limits\":{\"sockets\":" + SOCKETS + "},\"settings\"");
+  }
+
+  /** Heads that come byte by byte are requests as others are, and give way to those that come whole. */
+  @Test
+  void peersThatSendBytesOneByOneCostNobodyARequest() throws Exception {
+    peers.start(withFewDescriptors());
+    String request = Peers.get("slow", 3000);
+    List<Client> trickling = new ArrayList<>();
+    for (int i = 0; i < 2 * Descriptors.of(SOCKETS).clients(); i++) {
+      trickling.add(peers.client());
+      trickling.get(i).send(request.substring(0, 1));
+    }
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+    Client last = peers.client();
+    for (int i = 0; i < request.length(); i++) {
+      last.send(request.substring(i, i + 1));
+    }
+    assertEquals(200, last.receive().status());
+    for (Client c : trickling) {
+      assertTrue(toldOrEnded(c));
+    }
+  }
+
+  private static boolean toldOrEnded(Client client) throws IOException {
+    try {
+      return client.receive().status() == 408 && client.ended();
+    } catch (java.io.EOFException e) {
+      return true;
+    }
+  }
+
+  /** Clients that rest on all connections there may be make room for one that works, again and again. */
+  @Test
+  void restingClientsMakeRoomForThoseThatWork() throws Exception {
+    peers.start(withFewDescriptors());
+    for (int i = 0; i < 2 * Descriptors.of(SOCKETS).clients(); i++) {
+      assertEquals(200, peers.client().ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+    }
+    Client working = peers.client();
+    for (int i = 0; i < 2 * Descriptors.of(SOCKETS).clients(); i++) {
+      assertEquals(200, working.ask(Peers.get("r" + i, 3000)).status());
+      assertEquals(200, peers.client().ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+    }
+  }
+}
