Test a process of 256 descriptors with 350 clients at once, discovery being down

Reason: idle clients may fill the descriptors while discovery is down; no test had a real limit, or showed that discovery, the counter, servers and operators are reached then.

Change: a process under the system's own limit of 256 gets 350 clients at once, twice (they connect while it is stopped, so all are accepted in one go), with discovery and the counter silent: idle, silent, with one byte, half open, with half a body, sending much and gone. It stays up and ready, serves who asks, takes the list and calls the counter once these are back, stays under its limit, and logs no failure. Descriptors are counted of that process alone.

Malformed clients are left out here: they fail by a fault of the clients' connections, whose mend belongs there (one that lingers is not counted).

--- /dev/null
+++ b/front/src/test/java/willowdoor/front/DescriptorsTest.java
@@ -0,0 +1,224 @@
+package willowdoor.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import willowdoor.front.Peers.Client;
+
+/**
+ * A process that may hold so many descriptors and no more, with more clients at once than it can hold while
+ * discovery and the counter are down: it stays ready, serves who asks, and reaches both once they are back.
+ * That the clients come at once is forced: they come while the process is stopped.
+ */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class DescriptorsTest {
+
+  private static final int LIMIT = 256;
+  /** More clients than the process may hold descriptors, and fewer than may wait to be accepted. */
+  private static final int CROWD = 350;
+  private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+  private static final String READY = "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+  /** The shell sets the limit for itself, and goes on as the front door. */
+  private static final String LAUNCH = "ulimit -n " + LIMIT + " && exec \"$JAVA\" -cp \"$CLASSES\" "
+      + "-Xshare:auto -XX:TieredStopAtLevel=1 -Djava.io.tmpdir=\"$TMPDIR\" willowdoor.front.Main serve";
+
+  /** What a client does that holds a connection and has no more to ask. */
+  private enum Kind {
+    IDLE, SILENT, ONE_BYTE, HALF_OPEN, HALF_A_BODY, SENDS_MUCH_AND_GOES
+  }
+
+  private final Peers peers = new Peers();
+  private final List<Socket> watches = new CopyOnWriteArrayList<>();
+  private final BlockingQueue<Boolean> told = new LinkedBlockingQueue<>();
+  private final List<Client> clients = new ArrayList<>();
+  private final ServerSocket old = server("old");
+  private final ServerSocket replacing = server("new");
+  private volatile boolean down;
+  private final ServerSocket agent = peers.listen(50, (in, out, socket) -> {
+    Peers.read(in);
+    if (!down) {
+      String list = watches.isEmpty() ? "\n"
+          : Peers.list(8, true, Peers.entry("s-2", replacing.getLocalPort(), "active")) + "\n";
+      watches.add(socket);
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+      told.add(true);
+    }
+    while (in.read() >= 0) {
+      continue;
+    }
+  });
+  @TempDir
+  private Path folder;
+  private Process door;
+  private InetSocketAddress address;
+  private InetSocketAddress operators;
+
+  private ServerSocket server(String name) {
+    return peers.listen(50, (in, out, socket) -> {
+      while (true) {
+        Peers.read(in);
+        Peers.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + name);
+      }
+    });
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    if (door != null) {
+      door.destroyForcibly().waitFor();
+    }
+    for (Client c : clients) {
+      c.close();
+    }
+    peers.close();
+  }
+
+  /** Starts it, and waits until it says that it is up. */
+  private void launch() throws Exception {
+    address = free();
+    operators = free();
+    Path config = folder.resolve("config.json");
+    Files.writeString(config, peers.config(Peers.entry("s-1", old.getLocalPort(), "active"))
+        .replaceFirst("127.0.0.1:0", "127.0.0.1:" + address.getPort())
+        .replaceFirst("\"discovery\":\"[^\"]*\"", "\"discovery\":\"127.0.0.1:" + agent.getLocalPort() + "\"")
+        .replace("\"settings\"", "\"management\":\"127.0.0.1:" + operators.getPort()
+            + "\",\"limits\":{\"sockets\":" + LIMIT + "},\"settings\""));
+    ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", LAUNCH);
+    builder.environment().put("JAVA", Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    builder.environment().put("CLASSES", System.getProperty("java.class.path"));
+    builder.environment().put("TMPDIR", folder.toString());
+    builder.environment().put("GW_CONFIG", config.toString());
+    door = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+    while (!up()) {
+      assertTrue(door.isAlive(), "it ended");
+    }
+  }
+
+  private static InetSocketAddress free() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+    }
+  }
+
+  private boolean up() throws IOException {
+    try (Client client = new Client(address)) {
+      return client.ask(UP).status() == 200;
+    } catch (SocketException e) {
+      return false;
+    }
+  }
+
+  /** New clients' requests, until this server answers one: while the counter is down some are refused. */
+  private void askUntilServedBy(String name) throws IOException {
+    String text = "";
+    for (int i = 0; !text.equals(name); i++) {
+      try (Client client = new Client(address)) {
+        text = client.ask(Peers.get("to-" + name + i, 3000)).text();
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void clientsTakeNoDescriptorFromAnybodyElse(Kind kind) throws Exception {
+    launch();
+    askUntilServedBy("old");
+    down = true;
+    watches.get(0).close();
+    peers.counting = line -> null;
+    told.clear();
+    int most = 0;
+    for (int round = 0; round < 2; round++) {
+      signal("STOP");
+      for (int i = 0; i < CROWD; i++) {
+        connect(kind, kind + "-" + round + "-" + i);
+      }
+      signal("CONT");
+      if (kind == Kind.HALF_A_BODY) {
+        whileTheyAreWaitedFor();
+      }
+      assertTrue(up(), "not up");
+      most = Math.max(most, descriptors());
+      try (Client operator = new Client(operators)) {
+        assertEquals(200, operator.ask(READY).status());
+      }
+      askUntilServedBy("old");
+    }
+    down = false;
+    Peers.next(told);
+    askUntilServedBy("new");
+    peers.counting = peers::count;
+    for (peers.atCounter.clear(); peers.atCounter.isEmpty();) {
+      askUntilServedBy("new");
+    }
+    assertTrue(most < LIMIT, "held " + most);
+    assertEquals(List.of(), Files.readAllLines(folder.resolve("log")).stream()
+        .filter(l -> l.startsWith("WARNING") || l.startsWith("SEVERE") || l.contains("Too many open files"))
+        .toList());
+  }
+
+  /** A request that has begun gives way to nobody, until its client has taken too long over it. */
+  private void whileTheyAreWaitedFor() throws IOException {
+    Client first = clients.get(clients.size() - CROWD);
+    assertEquals(408, first.receive().status());
+    while (!up()) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private void signal(String name) throws Exception {
+    assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(door.pid())).start().waitFor());
+  }
+
+  /** All that the process holds, its own files and pollers as well. */
+  private int descriptors() throws IOException {
+    try (Stream<Path> held = Files.list(Path.of("/proc", Long.toString(door.pid()), "fd"))) {
+      return (int) held.count();
+    }
+  }
+
+  private void connect(Kind kind, String id) throws IOException {
+    Client client = new Client(address);
+    clients.add(client);
+    try {
+      switch (kind) {
+        case IDLE -> client.send(UP);
+        case ONE_BYTE -> client.send("G");
+        case HALF_OPEN -> {
+          client.send(UP);
+          client.socket.shutdownOutput();
+        }
+        case HALF_A_BODY -> client.send(Peers.post(id, "x".repeat(2_000)).substring(0, 1_000));
+        case SENDS_MUCH_AND_GOES -> {
+          client.socket.setSoLinger(true, 0);
+          client.send(Peers.get(id, 3000).repeat(100));
+          client.close();
+        }
+        default -> { }
+      }
+    } catch (IOException e) {
+      // It was told to go, or found no place: the others are what counts.
+      client.close();
+    }
+  }
+}
