Say of a configuration that cannot be read at which key, and refuse one with a rest

Reason: one that cannot be read has to say which key. Malformed JSON gave the parser's words alone; a broken server in `known` did not name that list; a class or plan without a name left all its requests to be answered 400, and a limit of descriptors that was no number stood for the largest one, without a word; a file with a rest behind its end (a shorter one written over a longer) was believed.

Cause: Config.read handed on the parser's message, and JsonFields.object stops at the object's end; what is missing or of another kind is absent to JsonFields.

Change: JsonFields.document reads the one object of a text, with the key's path in what it throws; Config asks for the names and for a number, and names `known`.

--- a/front/src/main/java/willowdoor/front/Config.java
+++ b/front/src/main/java/willowdoor/front/Config.java
@@ -29,8 +29,7 @@
   static Config read(Path file) throws IOException {
     Map<String, Object> fields;
     try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
-      in.nextToken();
-      fields = JsonFields.object(in);
+      fields = JsonFields.document(in);
     } catch (NoSuchFileException e) {
       throw new IOException("there is no file " + file, e);
     }
@@ -43,17 +42,18 @@
     if (parsed.classes().isEmpty() || parsed.plans().isEmpty()) {
       throw new IOException("settings name no classes or no plans");
     }
+    requireNames(settings, "Profiles");
+    requireNames(settings, "Tariffs");
     Map<String, Object> bounds = JsonFields.child(settings, "Bounds");
     InetSocketAddress counter = fields.get("counter") == null && !parsed.allowed().sharedCount() ? null
         : address(fields, "counter");
     InetSocketAddress management = fields.get("management") == null ? null
         : address(fields, "management");
-    Map<String, Object> limits = JsonFields.child(fields, "limits");
     return new Config(JsonFields.text(fields, "name"), address(fields, "listen"), management,
         address(fields, "discovery"), counter, seed(fields),
-        Descriptors.of((int) JsonFields.number(limits, "sockets", MOST_SOCKETS)), parsed,
+        descriptors(JsonFields.child(fields, "limits")), parsed,
         JsonFields.number(bounds, "DialTimeoutMs", 250), JsonFields.number(bounds, "ConnIdleMs", 15_000),
-        RosterNews.of(JsonFields.child(fields, "known")));
+        known(JsonFields.child(fields, "known")));
   }
 
   /** The same front door among other peers, without operators and discovery. */
@@ -62,6 +62,32 @@
         idleLimitMs, servers);
   }
 
+  private static void requireNames(Map<String, Object> settings, String list) throws IOException {
+    int place = 0;
+    for (Map<String, Object> item : JsonFields.children(settings, list)) {
+      if (JsonFields.text(item, "Name").isEmpty()) {
+        throw new IOException("settings." + list + "[" + place + "].Name is missing");
+      }
+      place++;
+    }
+  }
+
+  private static Descriptors descriptors(Map<String, Object> limits) throws IOException {
+    Object sockets = limits.get("sockets");
+    if (sockets != null && !(sockets instanceof Number)) {
+      throw new IOException("limits.sockets is not a number: " + sockets);
+    }
+    return Descriptors.of((int) JsonFields.number(limits, "sockets", MOST_SOCKETS));
+  }
+
+  private static RosterNews known(Map<String, Object> list) throws IOException {
+    try {
+      return RosterNews.of(list);
+    } catch (IOException e) {
+      throw new IOException("known: " + e.getMessage(), e);
+    }
+  }
+
   private static long seed(Map<String, Object> fields) throws IOException {
     String seed = JsonFields.text(fields, "seed");
     try {
--- a/front/src/main/java/willowdoor/wire/JsonFields.java
+++ b/front/src/main/java/willowdoor/wire/JsonFields.java
@@ -1,5 +1,6 @@
 package willowdoor.wire;
 
+import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
@@ -14,6 +15,35 @@
   private JsonFields() {
   }
 
+  /**
+   * Reads the one object that a text holds.
+   *
+   * @throws IOException where it breaks off, is malformed or has more behind it; tells at which key
+   */
+  public static Map<String, Object> document(JsonParser in) throws IOException {
+    Map<String, Object> fields;
+    try {
+      in.nextToken();
+      fields = object(in);
+    } catch (JacksonException e) {
+      String at = in.getParsingContext().pathAsPointer().toString();
+      throw new IOException("malformed JSON at " + (at.isEmpty() ? "its beginning" : at) + ": "
+          + e.getOriginalMessage(), e);
+    }
+    if (hasMore(in)) {
+      throw new IOException("there is more behind the object's end");
+    }
+    return fields;
+  }
+
+  private static boolean hasMore(JsonParser in) throws IOException {
+    try {
+      return in.nextToken() != null;
+    } catch (JacksonException e) {
+      return true;
+    }
+  }
+
   /** Reads the object at the parser's place; anything else is malformed. */
   public static Map<String, Object> object(JsonParser in) throws IOException {
     if (in.currentToken() != JsonToken.START_OBJECT) {
