Test the counter's half line and its move with a call owed

Nothing was found at fault: half a line in front of a connection's end is no answer, and after a move the old address still answers what it owes, holds up no call to the new one, and has its connections closed then.

--- a/front/src/test/java/willowdoor/front/Peers.java
+++ b/front/src/test/java/willowdoor/front/Peers.java
@@ -61,7 +61,7 @@
   }
 
   /** What a peer does with a connection. */
-  interface Script {
+  public interface Script {
     void run(InputStream in, OutputStream out, Socket socket) throws IOException;
   }
 
@@ -76,6 +76,8 @@
   final List<OutputStream> watchers = new CopyOnWriteArrayList<>();
   volatile Answer answer = (request, out) -> write(out, OK);
   public volatile UnaryOperator<String> counting = this::count;
+  /** Called for each connection to the counter that the front door ends. */
+  public volatile Runnable onCounterEnd = () -> { };
   private final Map<String, Double> counts = new ConcurrentHashMap<>();
   private final List<Closeable> open = new CopyOnWriteArrayList<>();
   public final ServerSocket backend = listen(50, this::serveBackend);
@@ -85,14 +87,14 @@
   /** The newest. */
   private FrontDoor door;
 
-  static boolean write(OutputStream out, String text) throws IOException {
+  public static boolean write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
     return true;
   }
 
   /** Listens on a port of its own and runs the script for each connection. */
-  ServerSocket listen(int backlog, Script script) {
+  public ServerSocket listen(int backlog, Script script) {
     try {
       ServerSocket server = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
       open.add(server);
@@ -151,7 +153,13 @@
 
   private void serveCounter(InputStream in, OutputStream out, Socket socket) throws IOException {
     while (true) {
-      String line = line(in);
+      String line;
+      try {
+        line = line(in);
+      } catch (EOFException e) {
+        onCounterEnd.run();
+        throw e;
+      }
       if (line.equals("ping")) {
         write(out, "pong\r\n");
         continue;
--- a/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
+++ b/front/src/test/java/willowdoor/front/counter/CounterClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -183,17 +184,68 @@
     } while (Peers.next(ends).status() != Status.OK);
   }
 
-  /** Two SIGHUPs that name the same address, an old one or a new one, cost no call that is out. */
+  /** What was cut is no answer, though it reads as one: "ok 12" may have been to be "ok 120". */
   @Test
-  void aMoveToTheSameAddressLeavesWhatIsOwed() throws Exception {
+  void halfALineAndThenTheEndIsNoAnswer() throws Exception {
     start(5_000);
+    InetSocketAddress cutting = (InetSocketAddress) peers.listen(50, (in, out, socket) -> {
+      in.read();
+      Peers.write(out, "ok 12");
+      socket.close();
+    }).getLocalSocketAddress();
+    group.next().submit(() -> client.moveTo(cutting)).sync();
+    do {
+      add("a", 1);
+    } while (Peers.next(ends).status() == Status.OK);
+    for (int i = 0; i < 20; i++) {
+      add("a" + i, 1);
+      assertNotEquals(12, Peers.next(ends).total());
+    }
+  }
+
+  /** A call for "a" that is at the counter, and answered once the latch is open. */
+  private CountDownLatch owesOneAnswer() throws InterruptedException {
     CountDownLatch go = new CountDownLatch(1);
     peers.counting = line -> {
-      await(go);
+      if (line.startsWith("incr a ")) {
+        await(go);
+      }
       return peers.count(line);
     };
     add("a", 1);
     Peers.next(peers.atCounter);
+    return go;
+  }
+
+  /** What is owed at the old address is still answered there; its connections end with that. */
+  @Test
+  void aMoveLetsTheOldAddressAnswerWhatItOwes() throws Exception {
+    start(20_000);
+    CountDownLatch go = owesOneAnswer();
+    CountDownLatch ended = new CountDownLatch(1);
+    try (Peers next = new Peers()) {
+      InetSocketAddress address = (InetSocketAddress) next.counter.getLocalSocketAddress();
+      group.next().submit(() -> client.moveTo(address)).sync();
+      peers.onCounterEnd = ended::countDown;
+      while (next.atCounter.isEmpty()) {
+        add("b", 1);
+        Peers.next(ends);
+      }
+      add("c", 1);
+      assertEquals("c", Peers.next(ends).name());
+      go.countDown();
+      Counted owed = Peers.next(ends);
+      assertEquals("a", owed.name());
+      assertEquals(Status.OK, owed.status());
+      assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+  }
+
+  /** Two SIGHUPs that name the same address, an old one or a new one, cost no call that is out. */
+  @Test
+  void aMoveToTheSameAddressLeavesWhatIsOwed() throws Exception {
+    start(5_000);
+    CountDownLatch go = owesOneAnswer();
     InetSocketAddress same = (InetSocketAddress) peers.counter.getLocalSocketAddress();
     group.next().submit(() -> {
       client.moveTo(same);
