Draw the change and SIGHUPs of the property test where they hurt most

Seen: with the change at any moment of 12 s the property let through a watch that waits 4.7 s for an object that drips, one that gives a new try 2.4 s, and one that asks in the old form only.

--- a/front/src/test/java/willowdoor/front/discovery/ModelAgent.java
+++ b/front/src/test/java/willowdoor/front/discovery/ModelAgent.java
@@ -39,8 +39,10 @@
   private static final int CHANGED = 9;
 
   private final Queue<Treatment> treatments;
-  /** When the agent gets the change. */
-  private final double changeAt;
+  /** The agent gets the change when so many tries have gone bad, or all that are to. */
+  private int badBeforeChange;
+  double changeAt = Double.POSITIVE_INFINITY;
+  /** How long after the change SIGHUPs come. */
   private final Queue<Double> hangUps;
   private final Watch watch;
   private double now;
@@ -52,9 +54,9 @@
   double toldAt = Double.POSITIVE_INFINITY;
   double caughtUpAt = Double.POSITIVE_INFINITY;
 
-  ModelAgent(List<Treatment> treatments, double changeAt, List<Double> hangUps, Watch watch) {
+  ModelAgent(List<Treatment> treatments, int badBeforeChange, List<Double> hangUps, Watch watch) {
     this.treatments = new ArrayDeque<>(treatments);
-    this.changeAt = changeAt;
+    this.badBeforeChange = badBeforeChange;
     this.hangUps = new ArrayDeque<>(hangUps);
     this.watch = watch;
   }
@@ -66,7 +68,10 @@
       if (present != null) {
         present.step();
       }
-      if (!hangUps.isEmpty() && now >= hangUps.peek()) {
+      if (badBeforeChange <= 0 || treatments.isEmpty() && now > STEP_MS) {
+        changeAt = Math.min(changeAt, now);
+      }
+      if (!hangUps.isEmpty() && now >= changeAt + hangUps.peek()) {
         hangUps.poll();
         execute(watch.moved(now));
       }
@@ -85,6 +90,7 @@
         Treatment treatment = treatments.poll();
         if (treatment != null) {
           badly.add(now);
+          badBeforeChange -= treatment.goodMs == 0 ? 1 : 0;
         }
         present = new Try(treatment, open.version());
       } else if (effect instanceof Effect.Close) {
@@ -107,6 +113,7 @@
     private long told;
     private boolean connected;
     private boolean answered;
+    private boolean bad;
     private boolean spoilt;
     private double headAt = Double.POSITIVE_INFINITY;
     private double lastAt;
@@ -137,6 +144,8 @@
       if (answered && (treatment == null || now < headAt + treatment.goodMs)) {
         good();
       } else if (answered) {
+        badBeforeChange -= bad || treatment.goodMs == 0 ? 0 : 1;
+        bad = true;
         bad();
       }
     }
--- a/front/src/test/java/willowdoor/front/discovery/WatchTest.java
+++ b/front/src/test/java/willowdoor/front/discovery/WatchTest.java
@@ -149,6 +149,27 @@
     assertEquals(1, slow);
   }
 
+  /** However patient it has become: what comes after the last bad try is due soon enough. */
+  @Test
+  void noTryDripsForLongerThanAHangUpAllows() {
+    living();
+    until(Open.class);
+    for (int i = 0; i < 6; i++) {
+      final double from = now;
+      watch.connected(now);
+      watch.answered(now);
+      body("{");
+      done.clear();
+      for (int looks = 1; done.stream().noneMatch(Open.class::isInstance); looks++) {
+        pass(LOOK_MS);
+        if (done.isEmpty() && looks % 16 == 0) {
+          body(" ");
+        }
+      }
+      assertTrue(now - from < TOLD_AFTER_HANG_UP_MS, "" + (now - from));
+    }
+  }
+
   /** A list that takes longer than the first tries are given comes through in the end. */
   @Test
   void aListThatAlwaysDripsComesThrough() {
