Read what came in a pause of the process before anything is sent behind it

Cause: after a pause longer than the grace the loop took a request, or a connect that had come up, in the same round before it read the drain that had been told meanwhile, and sent to the drained server. Ruled out: a drain that the loop has read; it ends what is connecting, also when the kernel has connected already (GivenUpTest, MovedServerTest).

The module is woken every 250 ms at least. When it was not for 500 ms its events wait until the round has read all that came, and a list goes first. A connect that is told over 50 ms past its limit is not used.

--- a/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -42,6 +42,8 @@
   private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
   /** A module that failed on its wake-up is woken again after this. */
   private static final long WAKE_AGAIN_MS = 100;
+  /** The module is woken every 250 ms at least: when it was not for so long, the process stood still. */
+  private static final double STOOD_STILL_MS = 500;
 
   /** Where attempts go, each to its one end. */
   public interface Servers {
@@ -91,6 +93,8 @@
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
   private int heldBytes;
   private boolean delivering;
+  private double deliveredAt;
+  private boolean holding;
   private double processEndsAt = Double.POSITIVE_INFINITY;
 
   public ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
@@ -99,6 +103,7 @@
     this.clock = clock;
     this.policy = policy;
     this.backends = backends;
+    deliveredAt = clock.now();
   }
 
   public void start(Calls counter, RosterNews known) {
@@ -177,7 +182,7 @@
    * hears of the attempts that the list ends, or it would send them to the same places again.
    */
   public void onRoster(RosterNews news) {
-    inbox.add(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
+    inbox.addFirst(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
     boolean within = delivering;
     delivering = true;
     try {
@@ -234,8 +239,22 @@
     drain();
   }
 
+  /**
+   * Behind a pause of the process nothing is decided before all that came meanwhile is read, and a list goes
+   * first: a drain that was told before the pause would bind what is sent behind it.
+   */
   private void drain() {
-    if (delivering) {
+    if (delivering || holding) {
+      return;
+    }
+    double now = clock.now();
+    holding = now - deliveredAt > STOOD_STILL_MS;
+    deliveredAt = now;
+    if (holding) {
+      loop.execute(() -> {
+        holding = false;
+        drain();
+      });
       return;
     }
     delivering = true;
--- a/front/src/main/java/willowdoor/front/servers/BackendPool.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendPool.java
@@ -33,6 +33,8 @@
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
   private static final long SWEEP_MS = 500;
+  /** A connect that is told so long after its limit waited for this process: what it is for may have changed. */
+  private static final double CONNECT_SLACK_MS = 50;
   /**
    * A connection rests so long behind an answer before it carries another request, in milliseconds: nothing in
    * the protocol ties an answer to its request, and a second one may come some milliseconds late.
@@ -197,6 +199,7 @@
     BackendConnection c = new BackendConnection(this, b, b.generation, tally);
     double left = Math.min(leftMs(attempt), attempt.writtenBy() - clock.now());
     int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, left)));
+    double upBy = clock.now() + limit + CONNECT_SLACK_MS;
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
     ChannelFuture connected = limited.handler(new ChannelInitializer<Channel>() {
       @Override
@@ -209,8 +212,9 @@
     attempt.connecting(connected.channel());
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
-      // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
-      if (attempt.ended() || banned.test(b.id) || tooLate(attempt)) {
+      // Guards against writing what has timed out, was cancelled or must not reach a drained backend, also
+      // one of whose drain the loop has still to read behind a pause.
+      if (attempt.ended() || banned.test(b.id) || tooLate(attempt) || clock.now() > upBy) {
         f.channel().close();
         attempt.end(Status.UNREACHABLE, null, null);
       } else if (f.isSuccess()) {
--- a/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
+++ b/front/src/test/java/willowdoor/front/servers/GivenUpTest.java
@@ -146,4 +146,24 @@
       assertEquals(reset ? "RESET" : length > 0 ? "OK " + body : "OK", Peers.next(attempt.ends));
     }
   }
+
+  /** It came up in time, and the process stood still before it had the kernel's word. */
+  @ParameterizedTest
+  @ValueSource(ints = {PoolPeers.CONNECT_MS, PoolPeers.CONNECT_MS + 51})
+  void aConnectThatIsToldLongAfterItsLimitIsNotUsed(int laterMs) throws Exception {
+    ServerSocket server = peers.listen(50, 0);
+    long id = peers.tell(PoolPeers.entry(server, "active"));
+    NotedAttempt attempt = peers.attempt();
+    peers.run(() -> {
+      peers.pool.start(id, attempt);
+      peers.behind(3, () -> peers.pass(laterMs));
+    });
+    Socket socket = peers.accept(server);
+    if (laterMs == PoolPeers.CONNECT_MS) {
+      assertEquals("OK fine", PoolPeers.serve(socket, attempt));
+    } else {
+      assertEquals("UNREACHABLE", Peers.next(attempt.ends));
+      assertEquals(0, PoolPeers.drain(socket));
+    }
+  }
 }
--- a/front/src/test/java/willowdoor/front/servers/PoolPeers.java
+++ b/front/src/test/java/willowdoor/front/servers/PoolPeers.java
@@ -32,6 +32,8 @@
 
   static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine";
 
+  static final int CONNECT_MS = 1_000;
+
   private final AtomicLong nanos = new AtomicLong();
   final Clock clock = new Clock(Instant.ofEpochSecond(1_800_000_000), nanos::get);
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
@@ -43,7 +45,7 @@
   private int version = 7;
 
   PoolPeers() throws Exception {
-    pool = new BackendPool(loop, Transport.BEST, clock, tally, banned::contains, 100, 5_000, 15_000);
+    pool = new BackendPool(loop, Transport.BEST, clock, tally, banned::contains, 100, CONNECT_MS, 15_000);
   }
 
   ServerSocket listen(int backlog, int receiveBuffer) throws IOException {
