--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -251,10 +251,10 @@
       if (exchange.answering() || exchange.receiving()) {
         server.count(Tally.Event.STREAM_IDLE);
       }
-      if (unasked()) {
-        end();
-      } else {
+      if (!unasked()) {
         closing.outright();
+      } else if (!input.lastRead()) {
+        end();
       }
     } else {
       ctx.fireUserEventTriggered(event);
