Let credit for cold servers expire, so that all front doors together keep to the budget

Its rate came from sends, so tries at servers that were away counted as what warm ones carry; front doors that do not keep to a server earned for it as well, as did one that came to keep to it.

Credit is now earned in whole requests at a phase of each front door's own, spread evenly over all of them, and expires: what all hold and earn within TipAfterMs is N and half of the chance in the mean, however many they are. A restart brings a phase, no credit. The rate is what was answered, by size; the floor holds only where under half of those kept to are warm. Only those that keep to the server send to it while it is cold; a cold server with credit is always looked at, and goes first among equals, so that credit is used before it expires.

ColdRoomTest feeds answers too, as the rate is theirs, and the number that serve; its bounds are as they were.

--- a/policy/src/main/java/willowdoor/policy/Backend.java
+++ b/policy/src/main/java/willowdoor/policy/Backend.java
@@ -21,20 +21,21 @@
   final LinkedHashSet<Job.Attempt> out = new LinkedHashSet<>();
   BackendEntry entry; // as last told
   Phase phase;
-  double size, startedMs; // relative to the mean of all; when it started, as taken to be
+  double size = 1, startedMs; // relative to the mean of all; when it started, as taken to be
   Mean zoneFailing, cellFailing; // shared by the backends of a zone, and of a cell
   private double service = Double.NaN, failing;
   private int rests, unreached; // connects that failed since its last answer
-  boolean trial;
+  boolean trial, kept = true; // left to one request that tries it; kept to by this gateway
   private double restUntil = Double.NEGATIVE_INFINITY, fullUntil = Double.NEGATIVE_INFINITY;
   private double reported = Double.NaN, reportedOwn, reportedAt; // requests held, of them from here, when
-  double answeredAt, coldTokens, coldAt;
+  double answeredAt, coldAt, coldEarned, coldSpent; // while cold: requests it may get from here, and got
 
   Backend(Context ctx, long id) {
     this.ctx = ctx;
     this.id = id;
     answeredAt = coldAt = ctx.now;
-    coldTokens = ctx.random.nextDouble();
+    double own = ctx.random.nextDouble() / Math.max(1, ctx.settings.gateways());
+    coldEarned = (0.618034 * ctx.settings.self() + 0.754878 * id + own) % 1; // spread evenly: golden ratio
   }
 
   double toldSize() { return ctx.settings.sizesTold() ? Math.max(entry.size(), 1e-6) : 1; }
@@ -126,10 +127,7 @@
     } else if (bad) {
       unreached += e.status() == Status.UNREACHABLE ? 1 : 0;
       boolean down = unreached >= DOWN_AFTER || unreached > 0 && Double.isNaN(service);
-      if (down && !cold()) {
-        coldAt = startedMs = ctx.now;
-        coldTokens = ctx.random.nextDouble();
-      }
+      startedMs = down && !cold() ? ctx.now : startedMs;
       if (failing > FAILING_SHARE || trial) {
         restUntil = ctx.now + REST_MS * (1 << Math.min(rests, 3)) * (1 + 0.3 * ctx.random.nextDouble());
         rests++;
--- a/policy/src/main/java/willowdoor/policy/Choice.java
+++ b/policy/src/main/java/willowdoor/policy/Choice.java
@@ -11,7 +11,8 @@
   private static final double SPREAD = 0.15;
 
   /** The most promising of a few backends drawn by chance (power of two choices): with many gateways, equal
-   * stale reports would send all to the same one. Rests are ignored where all drawn rest. */
+   * stale reports would send all to the same one. Beside them all cold ones that have room, and among equals
+   * these, as what they may get expires. Rests are ignored where all drawn rest. */
   Backend pick(Job job) {
     boolean bound = job.keyedTo != null && job.type.group() != Group.ALL;
     List<Backend> among = bound ? fleet.serving.stream().filter(b -> inGroup(b, job)).toList() : fleet.usual;
@@ -30,13 +31,14 @@
     Backend best = null;
     double bestWait = Double.POSITIVE_INFINITY;
     boolean all = among.size() <= wanted;
-    int draws = all ? among.size() : 3 * wanted;
-    for (int i = 0, found = 0; i < draws && found < wanted; i++) {
-      Backend b = among.get(all ? i : ctx.random.nextInt(among.size()));
-      if (b.open() && (ignoreRest || !b.resting(job.type.repeat())) && fleet.coldRoom.has(b)) {
+    int draws = all ? 0 : 3 * wanted;
+    for (int i = 0, found = 0; i < draws + among.size(); i++) {
+      Backend b = among.get(i < draws ? ctx.random.nextInt(among.size()) : i - draws);
+      boolean looked = i < draws ? found < wanted : all || b.cold();
+      if (looked && b.open() && (ignoreRest || !b.resting(job.type.repeat())) && fleet.coldRoom.has(b)) {
         found++;
         double again = b == job.lastBackend ? 4 : 1;
-        double w = b.wait(job.aim()) * (1 + SPREAD * ctx.random.nextDouble()) * again;
+        double w = b.wait(job.aim()) * (1 + SPREAD * ctx.random.nextDouble() * (b.cold() ? -1 : 1)) * again;
         best = w < bestWait ? b : best;
         bestWait = Math.min(w, bestWait);
       }
--- a/policy/src/main/java/willowdoor/policy/ColdRoom.java
+++ b/policy/src/main/java/willowdoor/policy/ColdRoom.java
@@ -9,7 +9,7 @@
 
   private final Context ctx;
   private final List<Backend> usual; // those that this gateway keeps to, as they are at any moment
-  private double warm, warmAt = Double.NEGATIVE_INFINITY, sendRate, sendsAt;
+  private double bears, unknown, warmAt = Double.NEGATIVE_INFINITY;
 
   ColdRoom(Context ctx, List<Backend> usual) {
     this.ctx = ctx;
@@ -18,32 +18,32 @@
 
   void listed() { warmAt = Double.NEGATIVE_INFINITY; }
 
-  void sent(Backend b) {
-    b.coldTokens -= b.cold() ? 1 : 0;
-    sendRate = sendRate * Math.exp((sendsAt - ctx.now) / Pressure.LIFE_MS) + 1000 / Pressure.LIFE_MS;
-    sendsAt = ctx.now;
-  }
+  void sent(Backend b) { b.coldSpent += b.cold() ? 1 : 0; }
 
-  /** Guards a backend that has just started, for whatever cause: it gets no more than its present part of
-   * what a warm one gets, attempts of every kind included, and as much more at once as chance brings: the
-   * root of what that is in the time that the rules name. Harm: slower use of a fleet that comes back. */
+  /** Guards a backend that has just started (WIRE, rule 4): only gateways that keep to it send there. They
+   * earn its part of what a warm one gets, in whole requests that expire, each at its own phase: what all
+   * hold and earn in TipAfterMs is in the budget and half its chance. Harm: a fleet comes back slower. */
   boolean has(Backend b) {
-    if (!b.cold()) { return true; }
-    double floor = 1000 / Math.max(1, ctx.pressure.service) / ctx.settings.gateways();
-    double rate = Math.max(sendsPerBackend(), 0.5 * floor) * b.warmShare() / 1000;
-    double most = 1 + Math.sqrt(rate * ctx.settings.rules().tipAfterMs());
-    b.coldTokens = Math.min(most, b.coldTokens + rate * (ctx.now - b.coldAt));
+    if (!b.cold() || !b.kept) { return !b.cold(); }
+    double keepers = Math.max(1, ctx.settings.gateways() * usual.size() / (double) ctx.pressure.serving);
+    double rate = earnedPerMs(b, keepers), multiple = ctx.settings.rules().tipMultiple();
+    double brings = rate * ctx.settings.rules().tipAfterMs();
+    double shared = (multiple - 1) * brings + (1 + Math.sqrt(multiple * brings * keepers)) / 2 / keepers;
+    b.coldEarned += rate * Math.max(0, ctx.now - Math.max(b.coldAt, b.startedMs));
     b.coldAt = ctx.now;
-    return b.coldTokens >= 1;
+    b.coldSpent = Math.max(b.coldSpent, Math.floor(b.coldEarned - Math.min(1 + Math.sqrt(brings), shared)));
+    return Math.floor(b.coldEarned) > b.coldSpent;
   }
 
-  /** What a warm backend gets from here, if those that this gateway keeps to share it by what they bear. */
-  private double sendsPerBackend() {
+  /** By what is answered from here, shared as each bears; with no warm ones, by one request at a time. */
+  private double earnedPerMs(Backend b, double keepers) {
     if (ctx.now - warmAt > 500) {
-      double bears = usual.stream().mapToDouble(b -> b.cold() ? b.warmShare() : 1).sum();
-      warm = Math.max(bears, usual.size() * LEAST_WARM);
+      bears = usual.stream().mapToDouble(u -> u.size * (u.cold() ? u.warmShare() : 1)).sum();
+      unknown = Math.max(0, 1 - usual.stream().filter(u -> !u.cold()).count() / (LEAST_WARM * usual.size()));
       warmAt = ctx.now;
     }
-    return warm == 0 ? 0 : sendRate * Math.exp((sendsAt - ctx.now) / Pressure.LIFE_MS) / warm;
+    double floor = 0.5 * unknown * 1000 / Math.max(1, ctx.pressure.service) / keepers;
+    double warm = ctx.pressure.answersPerS(ctx.now) / Math.max(bears, usual.size() * LEAST_WARM);
+    return Math.max(warm, floor) * b.size * b.warmShare() / 1000;
   }
 }
--- a/policy/src/main/java/willowdoor/policy/Fleet.java
+++ b/policy/src/main/java/willowdoor/policy/Fleet.java
@@ -68,8 +68,11 @@
     List<Backend> ring = serving.stream().sorted(Comparator.comparingLong(Backend::rank)).toList();
     int from = ctx.settings.self() * n / gateways;
     usual.clear();
-    for (int i = 0; i < Math.min(n, Math.max(SUBSET, SHARED_BY * n / gateways)); i++) {
-      usual.add(ring.get((from + i) % n));
+    for (int i = 0; i < n; i++) {
+      Backend b = ring.get((from + i) % n);
+      b.coldAt = b.kept ? b.coldAt : ctx.now;
+      b.kept = i < Math.max(SUBSET, SHARED_BY * n / gateways);
+      if (b.kept) { usual.add(b); }
     }
   }
 
--- a/policy/src/main/java/willowdoor/policy/Pressure.java
+++ b/policy/src/main/java/willowdoor/policy/Pressure.java
@@ -24,7 +24,7 @@
   final Mean outMean = new Mean(0.3, 1000, 0, 0); // as new requests met them
   private final Mean latencyOfAim = new Mean(NEWEST, LIFE_MS, 0, 0);
   private final Mean outThen = new Mean(NEWEST, LIFE_MS, 0, 0), serviceMean;
-  private double okAt = Double.NEGATIVE_INFINITY, meanWorth = Double.NaN;
+  private double okAt = Double.NEGATIVE_INFINITY, meanWorth = Double.NaN, answers, answeredAt;
   double meanUnits = 1; // of requests
 
   Pressure(Settings settings) {
@@ -35,7 +35,13 @@
   }
 
   /** Of few answers, those of the last seconds count: a front door's last fifty are of before a release. */
-  void served(double tookMs, double now) { service = serviceMean.add(tookMs, now); }
+  void served(double tookMs, double now) {
+    service = serviceMean.add(tookMs, now);
+    answers = answersPerS(now) + 1000 / LIFE_MS;
+    answeredAt = now;
+  }
+
+  double answersPerS(double now) { return answers * Math.exp((answeredAt - now) / LIFE_MS); }
 
   void met(double worth, double units, double now) {
     outMean.add(outNow, now);
--- a/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
+++ b/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
@@ -13,6 +13,7 @@
   void aColdBackendGetsTheShareThatTheRulesPromise() {
     Context ctx = new Context(Fixtures.settings(true, 100, false), 5);
     ctx.now = 1_000_000;
+    ctx.pressure.serving = 10;
     List<Backend> usual = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       usual.add(new Backend(ctx, i));
@@ -21,6 +22,7 @@
     for (int i = 0; i < 2000; i++) {
       ctx.now += 10;
       room.sent(usual.get(i % 10));
+      ctx.pressure.served(100, ctx.now);
       assertTrue(room.has(usual.get(1)), "a warm one always has room");
     }
     Backend cold = usual.get(0);
@@ -31,6 +33,7 @@
       ctx.now += 10;
       boolean has = room.has(cold);
       room.sent(has ? cold : usual.get(1));
+      ctx.pressure.served(100, ctx.now);
       sent += has ? 1 : 0;
     }
     // 500 sends for ten, of which one bears 0.2 to 0.6 of a warm one: an even part is 50, the promise 21.
