Take a server to be cold from the last connect that failed, not from the first

One away for 9 of 10 s of ColdMs was taken to be nine tenths warm at the first request it took, as connects that failed later left its start where it was. It cannot have started before the last of them. ColdRoomTest: the share 2 s after the first failed connect was 0.36 where 0.2 is promised.

--- a/policy/src/main/java/willowdoor/policy/Backend.java
+++ b/policy/src/main/java/willowdoor/policy/Backend.java
@@ -127,7 +127,7 @@
     } else if (bad) {
       unreached += e.status() == Status.UNREACHABLE ? 1 : 0;
       boolean down = unreached >= DOWN_AFTER || unreached > 0 && Double.isNaN(service);
-      startedMs = down && !cold() ? ctx.now : startedMs;
+      startedMs = down ? ctx.now : startedMs; // at the earliest, as it is not up yet
       if (failing > FAILING_SHARE || trial) {
         restUntil = ctx.now + REST_MS * (1 << Math.min(rests, 3)) * (1 + 0.3 * ctx.random.nextDouble());
         rests++;
--- a/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
+++ b/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
@@ -1,10 +1,13 @@
 package willowdoor.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Status;
 
 /** What a backend that has just started gets of a steady stream of sends; time is moved by hand. */
 class ColdRoomTest {
@@ -39,4 +42,18 @@
     // 500 sends for ten, of which one bears 0.2 to 0.6 of a warm one: an even part is 50, the promise 21.
     assertTrue(sent >= 17 && sent <= 25, sent + " sent to the cold one");
   }
+
+  // It starts after the last connect that failed, not after the first: it may have been away for long.
+  @Test
+  void aBackendIsColdFromTheLastConnectThatFailed() {
+    Context ctx = new Context(Fixtures.settings(true, 100, false), 5);
+    ctx.now = 1_000_000;
+    Backend away = new Backend(ctx, 1);
+    away.zoneFailing = away.cellFailing = new Mean(Backend.NEWEST, Pressure.LIFE_MS, ctx.now, 0);
+    for (int i = 0; i < 5; i++) {
+      away.learn(new Outcome("r" + i, 0, 1, Status.UNREACHABLE, 5, false, 0, null), ctx.now, 0);
+      assertEquals(ctx.settings.rules().coldFrom(), away.warmShare(), 1e-9);
+      ctx.now += 2000;
+    }
+  }
 }
