Spread the phases of cold credit by a server's rank, as ids of 63 bits take fractions

Reason: a fraction that is added to an id of 63 bits is lost in a double, so the phases of all front doors at a server were nought: their credit came at the same moments. Seen in the new case of ColdRoomTest (phase 5 of 100 at 0.0).

Change: the id's part of the phase is the top 53 bits of its rank. ColdRoomTest and ColdFleetTest are green.

--- a/policy/src/main/java/willowdoor/policy/Backend.java
+++ b/policy/src/main/java/willowdoor/policy/Backend.java
@@ -35,7 +35,7 @@
     this.id = id;
     answeredAt = coldAt = ctx.now;
     double own = ctx.random.nextDouble() / Math.max(1, ctx.settings.gateways());
-    coldEarned = (0.618034 * ctx.settings.self() + 0.754878 * id + own) % 1; // spread evenly: golden ratio
+    coldEarned = (0.618034 * ctx.settings.self() + (rank() >>> 11) * 0x1p-53 + own) % 1; // golden ratio
   }
 
   double toldSize() { return ctx.settings.sizesTold() ? Math.max(entry.size(), 1e-6) : 1; }
--- a/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
+++ b/policy/src/test/java/willowdoor/policy/ColdRoomTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import willowdoor.policy.GatewayApi.Outcome;
@@ -56,4 +57,20 @@
       ctx.now += 2000;
     }
   }
+
+  // Real ids fill 63 bits: what is added to one as a fraction must not be lost.
+  @Test
+  void theFleetsPhasesAtABackendAreSpreadEvenlyWhateverItsId() {
+    for (long id : new long[] {3, 0x7c1f_30d2_7a5b_e964L, Long.MAX_VALUE}) {
+      double[] phases = new double[100];
+      for (int self = 0; self < phases.length; self++) {
+        Context ctx = new Context(Fixtures.settings(true, phases.length, false, self), 5 + self);
+        phases[self] = new Backend(ctx, id).coldEarned;
+      }
+      Arrays.sort(phases);
+      for (int i = 0; i < phases.length; i++) {
+        assertEquals((i + 0.5) / phases.length, phases[i], 0.05, "phase " + i + " at " + id);
+      }
+    }
+  }
 }
