--- a/policy/src/test/java/willowdoor/policy/ColdFleetTest.java
+++ b/policy/src/test/java/willowdoor/policy/ColdFleetTest.java
@@ -285,8 +285,8 @@
             m.uneven();
           }
           double share = shareOfDue(m, several);
-          double least = processes > 30 ? 0.35 : 0.65;
-          checks.add(() -> assertTrue(share > least && share < 1.3, several + " cold, "
+          double least = processes > 30 ? 0.38 : 0.72;
+          checks.add(() -> assertTrue(share > least && share < 1.2, several + " cold, "
               + perSecond + " a second, uneven " + uneven + ": " + share + " of their share"));
         }
       }
