Hold events behind a pause over a whole look at the sockets

Cause: the hold behind a pause was lifted by a task of the loop, and where a timer's event noticed the pause first that task ran before the loop had looked at its sockets: PauseTest failed in 1 of 20 runs, with the request sent. The hold is lifted by a timer now, which comes behind the next look.

--- a/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
+++ b/front/src/main/java/willowdoor/front/requests/ModuleDriver.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,8 +41,6 @@
   private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
   /** A module that failed on its wake-up is woken again after this. */
   private static final long WAKE_AGAIN_MS = 100;
-  /** The module is woken every 250 ms at least: when it was not for so long, the process stood still. */
-  private static final double STOOD_STILL_MS = 500;
 
   /** Where attempts go, each to its one end. */
   public interface Servers {
@@ -90,11 +87,8 @@
   private final Tally tally;
   private Calls counter;
   private final Map<String, Live> live = new HashMap<>();
-  private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+  private final Inbox inbox;
   private int heldBytes;
-  private boolean delivering;
-  private double deliveredAt;
-  private boolean holding;
   private double processEndsAt = Double.POSITIVE_INFINITY;
 
   public ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, Servers backends, Tally tally) {
@@ -103,7 +97,7 @@
     this.clock = clock;
     this.policy = policy;
     this.backends = backends;
-    deliveredAt = clock.now();
+    inbox = new Inbox(loop, clock, this::step);
   }
 
   public void start(Calls counter, RosterNews known) {
@@ -182,15 +176,8 @@
    * hears of the attempts that the list ends, or it would send them to the same places again.
    */
   public void onRoster(RosterNews news) {
-    inbox.addFirst(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
-    boolean within = delivering;
-    delivering = true;
-    try {
-      backends.onRoster(news);
-    } finally {
-      delivering = within;
-    }
-    drain();
+    inbox.addList(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()),
+        () -> backends.onRoster(news));
   }
 
   /** Whether operators may name this backend. */
@@ -233,38 +220,8 @@
     }
   }
 
-  /** Events that come up while an event is worked on wait for their turn: the module is not re-entered. */
   void deliver(Event event) {
     inbox.add(event);
-    drain();
-  }
-
-  /**
-   * Behind a pause of the process nothing is decided before all that came meanwhile is read, and a list goes
-   * first: a drain that was told before the pause would bind what is sent behind it.
-   */
-  private void drain() {
-    if (delivering || holding) {
-      return;
-    }
-    double now = clock.now();
-    holding = now - deliveredAt > STOOD_STILL_MS;
-    deliveredAt = now;
-    if (holding) {
-      loop.execute(() -> {
-        holding = false;
-        drain();
-      });
-      return;
-    }
-    delivering = true;
-    try {
-      for (Event e = inbox.poll(); e != null; e = inbox.poll()) {
-        step(e);
-      }
-    } finally {
-      delivering = false;
-    }
   }
 
   private void step(Event event) {
