Let a client's next request wait while it does not read the answers before

Cause: ClientConnection took the next request as soon as the answer before was written, whether or not that had gone out. A client that writes many requests behind each other and reads no answer had them all answered into the process's memory: 300 answers of 60 kB were all asked for and kept, beyond what the sockets took.

Change: the next request waits until the channel can be written again.

BadClientTest.requestsBehindAnswersThatAreNotReadWait fails without the change ("all were sent on") and passes with it. The module's check passes.

--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -39,6 +39,8 @@
   private boolean over;
   /** A part was asked for that has not come. */
   private boolean wanted;
+  /** The next request waits until there is room for its answer. */
+  private boolean full;
   /** How many requests have come to their turn. */
   private long heads;
 
@@ -135,6 +137,9 @@
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     if (channel.isWritable()) {
       exchange.writable();
+      if (full) {
+        readNext();
+      }
     }
     ctx.fireChannelWritabilityChanged();
   }
@@ -156,8 +161,10 @@
     }
   }
 
+  /** Once the client has read its answers so far, but for what the sockets take. */
   private void readNext() {
-    if (!closing.begun()) {
+    full = !channel.isWritable();
+    if (!closing.begun() && !full) {
       read();
       if (!exchange.open() && decoder.begun()) {
         receiveLimit.begunAhead();
@@ -208,7 +215,7 @@
 
   /** Whether neither a request is on it nor a part of one has come. */
   boolean waits() {
-    return unasked() && !receiveLimit.partial();
+    return unasked() && !receiveLimit.partial() && !begunBehind();
   }
 
   /** Ends the connection if no request is on it, and tells whether that is so. */
@@ -251,7 +258,7 @@
       if (exchange.answering() || exchange.receiving()) {
         server.count(Tally.Event.STREAM_IDLE);
       }
-      if (!unasked()) {
+      if (!unasked() || full) {
         closing.outright();
       } else if (!input.lastRead()) {
         end();
--- a/front/src/test/java/willowdoor/front/BadClientTest.java
+++ b/front/src/test/java/willowdoor/front/BadClientTest.java
@@ -22,6 +22,8 @@
 class BadClientTest {
 
   private static final int SOCKETS = 128;
+  /** Their answers are more than the sockets take, and they themselves fit in what is read ahead. */
+  private static final int UNREAD = 300;
 
   private final Peers peers = new Peers();
 
@@ -140,4 +142,30 @@
       assertEquals(200, peers.client().ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
     }
   }
+
+  /** Answers that nobody reads pile up no further than one beyond what the sockets take. */
+  @Test
+  void requestsBehindAnswersThatAreNotReadWait() throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(60_000);
+    peers.answer = (request, out) -> Peers.write(out, answer);
+    peers.start();
+    Client client = peers.client();
+    StringBuilder requests = new StringBuilder();
+    for (int i = 0; i < UNREAD; i++) {
+      requests.append(Peers.get("r" + i, 4000));
+    }
+    client.send(requests.toString());
+    Peers.next(peers.atBackend);
+    Client other = peers.client();
+    for (int before = -1; before < peers.atBackend.size(); ) {
+      before = peers.atBackend.size();
+      for (int i = 0; i < 300; i++) {
+        other.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+      }
+    }
+    assertTrue(peers.atBackend.size() < UNREAD - 1, "all were sent on");
+    for (int i = 0; i < UNREAD; i++) {
+      assertTrue(client.receive().status() >= 200);
+    }
+  }
 }
