Wire a process that got SIGHUP at its start to the new addresses only

Seen: aHangUpBeforeTheStartIsOverCounts failed in 1 of 20 runs: six calls went to the old file's counter. The process was wired to the old addresses and then moved, and calls go to connections of the old address until those to the new one are up. It is wired to the newest addresses now.

--- a/front/src/main/java/willowdoor/front/FrontDoor.java
+++ b/front/src/main/java/willowdoor/front/FrontDoor.java
@@ -249,9 +249,10 @@
     clients = new ClientServer(transport, clock, looks, driver, new RequestReader(config.settings()),
         descriptors, tally,
         () -> (discovery == null || discovery.caughtUp().isDone()) && backends.knowsAny());
-    counter = new CounterClient(loop, transport, clock, config.counter(),
+    Config newest = replacing == null ? config : replacing;
+    counter = new CounterClient(loop, transport, clock, newest.counter(),
         config.settings().allowed().countLimitMs(), tally, driver::onCounted);
-    if (config.counter() != null) {
+    if (newest.counter() != null) {
       counter.start();
     }
     driver.start(counter, config.known());
@@ -262,14 +263,11 @@
       follow(file.look());
       loop.scheduleWithFixedDelay(() -> follow(file.look()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
-    if (config.discovery() != null) {
-      discovery = new DiscoveryClient(loop, transport, clock, config.discovery(), config.known().version(),
+    if (newest.discovery() != null) {
+      discovery = new DiscoveryClient(loop, transport, clock, newest.discovery(), config.known().version(),
           tally, driver::onRoster);
       discovery.start();
     }
-    if (replacing != null) {
-      moveTo(replacing);
-    }
     loop.scheduleWithFixedDelay(() -> tally.log("clients=" + clients.open() + " backends="
         + backends.connections() + " held=" + driver.held() + ' ' + driver.figures()), TALLY_S, TALLY_S,
         TimeUnit.SECONDS);
