--- a/front/src/test/java/willowdoor/front/DescriptorsTest.java
+++ b/front/src/test/java/willowdoor/front/DescriptorsTest.java
@@ -43,7 +43,7 @@
 
   /** What a client does that holds a connection and has no more to ask. */
   private enum Kind {
-    IDLE, SILENT, ONE_BYTE, HALF_OPEN, HALF_A_BODY, SENDS_MUCH_AND_GOES
+    IDLE, SILENT, ONE_BYTE, HALF_OPEN, HALF_A_BODY, SENDS_MUCH_AND_GOES, MALFORMED
   }
 
   private final Peers peers = new Peers();
@@ -214,6 +214,7 @@
           client.send(Peers.get(id, 3000).repeat(100));
           client.close();
         }
+        case MALFORMED -> client.send("no request\r\n\r\n");
         default -> { }
       }
     } catch (IOException e) {
