Pass lists that came in a pause to the module in their order

Cause: behind a pause of the process the inbox put each list before what waits, so of two lists that were read in one round the older one was heard last, and the module held servers for what they no longer were. Found by reading.

Change: lists wait in a queue of their own, which goes first. InboxTest: 2 of 2; without the change 1 fails.

--- a/front/src/main/java/willowdoor/front/requests/Inbox.java
+++ b/front/src/main/java/willowdoor/front/requests/Inbox.java
@@ -21,6 +21,8 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Consumer<Event> module;
+  /** Lists go before all else, in their order. */
+  private final ArrayDeque<Event> lists = new ArrayDeque<>(1);
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private boolean delivering;
   private boolean holding;
@@ -40,7 +42,7 @@
 
   /** The events that come up as others take the list go behind it. */
   void addList(Roster list, Runnable others) {
-    events.addFirst(list);
+    lists.add(list);
     boolean within = delivering;
     delivering = true;
     try {
@@ -68,11 +70,15 @@
     }
     delivering = true;
     try {
-      for (Event e = events.poll(); e != null; e = events.poll()) {
+      for (Event e = next(); e != null; e = next()) {
         module.accept(e);
       }
     } finally {
       delivering = false;
     }
   }
+
+  private Event next() {
+    return lists.isEmpty() ? events.poll() : lists.poll();
+  }
 }
--- /dev/null
+++ b/front/src/test/java/willowdoor/front/requests/InboxTest.java
@@ -0,0 +1,56 @@
+package willowdoor.front.requests;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import willowdoor.front.loop.Clock;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Event;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Woken;
+
+/** The order in which the module hears of what came, on a clock moved by hand. */
+class InboxTest {
+
+  private long nanos;
+  private final Clock clock = new Clock(Instant.EPOCH, () -> nanos);
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final List<Event> heard = new ArrayList<>();
+  private final Inbox inbox = new Inbox(channel.eventLoop(), clock, heard::add);
+
+  @AfterEach
+  void close() {
+    channel.close();
+  }
+
+  private static Roster list(Phase phase) {
+    return new Roster(RosterForm.CHANGES, List.of(new BackendEntry(1, "a", 0, phase, 1, 0)));
+  }
+
+  @Test
+  void listsThatCameInAPauseGoFirstInTheirOrder() {
+    nanos += TimeUnit.SECONDS.toNanos(1);
+    Woken event = new Woken("tick");
+    inbox.add(event);
+    inbox.addList(list(Phase.SERVING), () -> { });
+    inbox.addList(list(Phase.DRAINING), () -> { });
+    assertEquals(List.of(), heard);
+    channel.runScheduledPendingTasks();
+    assertEquals(List.of(list(Phase.SERVING), list(Phase.DRAINING), event), heard);
+  }
+
+  @Test
+  void whatAListEndsIsHeardBehindIt() {
+    Woken event = new Woken("ended");
+    inbox.addList(list(Phase.DRAINING), () -> inbox.add(event));
+    assertEquals(List.of(list(Phase.DRAINING), event), heard);
+  }
+}
