--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,7 +6,7 @@
 mvn -q -B -pl front -am -DskipTests package
 rm -f front/target/willowdoor.jsa front/target/classes.lst
 # Whether a test passes is the test command's business: one that fails here has loaded its classes all the same.
-mvn -q -B -pl front -am test -Dtest=FrontDoorTest,StreamingTest,ManagementTest,WarmUpTest \
+mvn -q -B -pl front -am test -DforkCount=1 -Dtest=FrontDoorTest,StreamingTest,ManagementTest,WarmUpTest \
   -Dsurefire.failIfNoSpecifiedTests=false -Dmaven.test.failure.ignore=true \
   "-DargLine=-XX:DumpLoadedClassList=$PWD/front/target/classes.lst" > front/target/archive.log 2>&1 &&
   java -Xshare:dump -XX:+UseSerialGC -Xlog:disable -Xlog:all=off -XX:SharedClassListFile=front/target/classes.lst \
