--- a/front/src/main/java/willowdoor/front/Config.java
+++ b/front/src/main/java/willowdoor/front/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import io.netty.channel.socket.ServerSocketChannel;
 import java.io.IOException;
 import java.math.BigInteger;
 import java.net.InetSocketAddress;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import willowdoor.front.discovery.RosterNews;
 import willowdoor.front.loop.Descriptors;
+import willowdoor.front.loop.Transport;
 import willowdoor.policy.GatewayApi.Settings;
 import willowdoor.wire.Address;
 import willowdoor.wire.JsonFields;
@@ -29,31 +31,42 @@
   static Config read(Path file) throws IOException {
     Map<String, Object> fields;
     try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
-      in.nextToken();
-      fields = JsonFields.object(in);
+      fields = JsonFields.document(in);
     } catch (NoSuchFileException e) {
       throw new IOException("there is no file " + file, e);
     }
     return of(fields);
   }
 
+  /** The clients' listening socket where the platform holds it, else null. */
+  static ServerSocketChannel inherited() throws IOException {
+    String descriptor = System.getenv("GW_ACCEPT_FD");
+    try {
+      return descriptor == null || descriptor.isEmpty() ? null
+          : Transport.adopt(Integer.parseInt(descriptor));
+    } catch (NumberFormatException e) {
+      throw new IOException("GW_ACCEPT_FD is not a number: '" + descriptor + "'", e);
+    }
+  }
+
   static Config of(Map<String, Object> fields) throws IOException {
     Map<String, Object> settings = JsonFields.child(fields, "settings");
     Settings parsed = WireSettings.read(settings);
     if (parsed.classes().isEmpty() || parsed.plans().isEmpty()) {
       throw new IOException("settings name no classes or no plans");
     }
+    requireNames(settings, "Profiles");
+    requireNames(settings, "Tariffs");
     Map<String, Object> bounds = JsonFields.child(settings, "Bounds");
     InetSocketAddress counter = fields.get("counter") == null && !parsed.allowed().sharedCount() ? null
         : address(fields, "counter");
     InetSocketAddress management = fields.get("management") == null ? null
         : address(fields, "management");
-    Map<String, Object> limits = JsonFields.child(fields, "limits");
     return new Config(JsonFields.text(fields, "name"), address(fields, "listen"), management,
         address(fields, "discovery"), counter, seed(fields),
-        Descriptors.of((int) JsonFields.number(limits, "sockets", MOST_SOCKETS)), parsed,
+        descriptors(JsonFields.child(fields, "limits")), parsed,
         JsonFields.number(bounds, "DialTimeoutMs", 250), JsonFields.number(bounds, "ConnIdleMs", 15_000),
-        RosterNews.of(JsonFields.child(fields, "known")));
+        known(JsonFields.child(fields, "known")));
   }
 
   /** The same front door among other peers, without operators and discovery. */
@@ -62,6 +75,43 @@
         idleLimitMs, servers);
   }
 
+  /** What the front door goes by, in a line; times in milliseconds, quotas in units a second and a burst. */
+  String describe() {
+    StringBuilder text = new StringBuilder("front door ").append(settings.self()).append(" of ")
+        .append(settings.gateways()).append(", calls ").append(settings.allowed().countLimitMs());
+    settings.classes().forEach(c -> text.append(", ").append(c.name()).append(' ').append(c.aimMs())
+        .append('/').append(c.deadlineMs()));
+    settings.plans().forEach(p -> text.append(", ").append(p.name()).append(' ').append(p.rate()).append('/')
+        .append(p.burst()).append(" open ").append(p.openLimit()));
+    return text.toString();
+  }
+
+  private static void requireNames(Map<String, Object> settings, String list) throws IOException {
+    int place = 0;
+    for (Map<String, Object> item : JsonFields.children(settings, list)) {
+      if (JsonFields.text(item, "Name").isEmpty()) {
+        throw new IOException("settings." + list + "[" + place + "].Name is missing");
+      }
+      place++;
+    }
+  }
+
+  private static Descriptors descriptors(Map<String, Object> limits) throws IOException {
+    Object sockets = limits.get("sockets");
+    if (sockets != null && !(sockets instanceof Number)) {
+      throw new IOException("limits.sockets is not a number: " + sockets);
+    }
+    return Descriptors.of((int) JsonFields.number(limits, "sockets", MOST_SOCKETS));
+  }
+
+  private static RosterNews known(Map<String, Object> list) throws IOException {
+    try {
+      return RosterNews.of(list);
+    } catch (IOException e) {
+      throw new IOException("known: " + e.getMessage(), e);
+    }
+  }
+
   private static long seed(Map<String, Object> fields) throws IOException {
     String seed = JsonFields.text(fields, "seed");
     try {
--- a/front/src/main/java/willowdoor/front/clients/ClientConnection.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientConnection.java
@@ -1,91 +1,58 @@
 package willowdoor.front.clients;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
-import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.front.clients.RequestReader.BadRequest;
+import willowdoor.front.loop.Looks;
 import willowdoor.front.loop.Tally;
-import willowdoor.front.requests.Asked;
-import willowdoor.front.requests.Attempt;
-import willowdoor.front.requests.Headers;
-import willowdoor.front.requests.ModuleDriver;
-import willowdoor.front.requests.Outgoing;
 
 /**
- * One client's connection: a request at a time, each with the one final answer. It is read only as far as
- * there is use for what comes: requests written behind the present one wait.
+ * One client's connection: a request at a time, each with the one final answer. Requests written behind the
+ * present one wait. What it reads comes from {@link ReadAhead}, what it answers goes through
+ * {@link AnswerWriter}, and it is ended by {@link LingeringClose} alone.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements ModuleDriver.Client {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-  /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
-  private static final long LINGER_MS = 500;
-  /** So much of a body is kept until no further attempt may need it. */
-  private static final int PREFIX = 64 * 1024;
-  private static final long MOST_BODY = 48L << 20;
 
   private final ClientServer server;
   private final Arrival arrival;
+  private final ReadAhead input;
   private final ReceiveLimit receiveLimit;
+  private final RequestDecoder decoder = new RequestDecoder();
   private Channel channel;
+  private LingeringClose closing;
+  private AnswerWriter answers;
+  private Exchange exchange;
   private double openedAt;
   /** One connection too many: its first request is refused, and it ends. */
   private boolean over;
-  /** The request that is being read or answered, null between requests, and its target in origin form. */
-  private HttpRequest head;
-  private String target;
-  private Asked asked;
-  private boolean keepAlive;
-  /** Its body has not ended; the bytes of it so far; those that are kept; and where the rest goes. */
-  private boolean receiving;
-  private long bodyBytes;
-  private ByteBuf prefix = Unpooled.EMPTY_BUFFER;
-  private Outgoing onward;
-  /** Its id while the module works on it, and whether its answer is under way, or written in whole. */
-  private String current;
-  private Attempt.Carrier answering;
-  private boolean answered;
-  private boolean ending;
   /** A part was asked for that has not come. */
   private boolean wanted;
+  /** How many requests have come to their turn. */
+  private long heads;
 
-  ClientConnection(ClientServer server, Arrival arrival) {
+  ClientConnection(ClientServer server, Looks looks) {
     this.server = server;
-    this.arrival = arrival;
-    receiveLimit = new ReceiveLimit(arrival, this::overdue);
+    arrival = new Arrival(looks);
+    input = new ReadAhead(looks, arrival, this::receiving, server::keeps);
+    receiveLimit = new ReceiveLimit(this::overdue);
   }
 
-  /** Guards the time that a request takes to come; to be put into the channel's pipeline ahead of this. */
-  ReceiveLimit receiveLimit() {
-    return receiveLimit;
+  /** The bytes' way to this and back. */
+  ChannelHandler[] handlers() {
+    return new ChannelHandler[] {input, receiveLimit, decoder, new HttpResponseEncoder(),
+        new FlowControlHandler(), this};
   }
 
   double openedAt() {
@@ -93,7 +60,7 @@
   }
 
   private void overdue() {
-    if (!ending && (head == null || receiving)) {
+    if (!closing.begun() && (!exchange.open() || exchange.receiving())) {
       server.count(Tally.Event.CLIENT_SLOW);
       endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request did not come in time");
     }
@@ -102,6 +69,9 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    closing = new LingeringClose(channel, input, () -> server.lingers(this));
+    answers = new AnswerWriter(channel, this::mayBeKept);
+    exchange = new Exchange(server, this, channel, arrival, answers);
     openedAt = server.now();
     over = server.opened(this);
   }
@@ -112,11 +82,15 @@
     read();
   }
 
+  private boolean receiving() {
+    return exchange.receiving();
+  }
+
   /** Asks for the next part: the pieces of a request, or the head of the next one. */
-  private void read() {
+  void read() {
     wanted = true;
     channel.read();
-    if (receiving) {
+    if (exchange.receiving()) {
       receiveLimit.waits();
     }
   }
@@ -133,9 +107,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     wanted = false;
-    if (ending) {
-      // Read, so that the peer can finish and see the answer, and dropped.
-      read();
+    if (closing.begun()) {
       return;
     }
     if (part.decoderResult().isFailure()) {
@@ -144,361 +116,146 @@
     }
     try {
       if (part instanceof HttpRequest request) {
-        head(request);
+        receiveLimit.headCame();
+        server.took(this);
+        heads++;
+        exchange.head(request, over);
       }
       if (part instanceof HttpContent piece) {
-        piece(piece);
-      } else if (!ending) {
+        exchange.piece(piece);
+      } else if (!closing.begun()) {
         read();
       }
     } catch (RuntimeException e) {
-      faulty(e);
-    }
-  }
-
-  private void head(HttpRequest request) {
-    receiveLimit.headCame();
-    server.took(this);
-    head = request;
-    target = RequestReader.originForm(request.uri());
-    keepAlive = HttpUtil.isKeepAlive(request);
-    receiving = true;
-    answered = false;
-    bodyBytes = 0;
-    onward = null;
-    HttpHeaders headers = request.headers();
-    String coding = headers.get(HttpHeaderNames.TRANSFER_ENCODING);
-    String expects = headers.get(HttpHeaderNames.EXPECT);
-    if (coding != null && !coding.equalsIgnoreCase("chunked")) {
-      endWith(HttpResponseStatus.NOT_IMPLEMENTED, "unknown transfer coding");
-    } else if (expects != null && !expects.equalsIgnoreCase("100-continue")) {
-      endWith(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
-    } else if (HttpUtil.getContentLength(request, 0L) > MOST_BODY) {
-      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-    } else if (target.equals("/up")) {
-      up();
-    } else if (over || server.full()) {
-      keepAlive &= !over;
-      refused(0);
-    } else {
-      ask(expects != null);
-    }
-  }
-
-  /** What is not a request is told so at once, whatever is still to come of it. */
-  private void ask(boolean expects) {
-    try {
-      asked = server.read(head, target);
-    } catch (BadRequest e) {
-      answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
-      return;
-    }
-    if (expects) {
-      channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-          Unpooled.EMPTY_BUFFER));
-    }
-  }
-
-  private void piece(HttpContent piece) {
-    boolean last = piece instanceof LastHttpContent;
-    bodyBytes += piece.content().readableBytes();
-    if (last) {
-      receiving = false;
-      receiveLimit.bodyCame();
-    } else if (bodyBytes > MOST_BODY) {
-      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-      return;
-    }
-    if (answered) {
-      next();
-    } else if (onward != null) {
-      if (current == null) {
-        // Its answer is under way already, and the rest of the request of no use.
-        if (!last) {
-          read();
-        }
-      } else {
-        onward.pass(piece.retain());
-      }
-    } else {
-      keep(piece.content());
-      if (last || prefix.readableBytes() >= PREFIX) {
-        take(last);
-        if (onward == null) {
-          more();
-        }
-      } else {
-        read();
-      }
+      exchange.faulty(e);
     }
   }
 
-  /** Copied, as small pieces would keep the larger buffers that they were read into. */
-  private void keep(ByteBuf piece) {
-    if (piece.isReadable()) {
-      server.keeps(piece.readableBytes());
-      prefix = prefix.isReadable() ? prefix : channel.alloc().buffer(piece.readableBytes());
-      prefix.writeBytes(piece);
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (channel.isWritable()) {
+      exchange.writable();
     }
+    ctx.fireChannelWritabilityChanged();
   }
 
-  private ByteBuf takePrefix() {
-    ByteBuf kept = prefix;
-    prefix = Unpooled.EMPTY_BUFFER;
-    server.keeps(-kept.readableBytes());
-    return kept;
+  /** The body of the present request has come whole. */
+  void bodyCame() {
+    receiveLimit.bodyCame();
+    input.watch();
   }
 
-  /** A fault of ours costs this request, not the connection or the process; its cause goes to the log. */
-  private void faulty(RuntimeException cause) {
-    LOG.log(Level.SEVERE, "request failed", cause);
-    if (current != null && answering == null) {
-      leave();
-      answer(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+  /** The present request is read and answered: the connection ends, or waits for the next one. */
+  void next(boolean kept) {
+    if (kept && (!input.overflowed() || begunBehind())) {
+      server.answered(this);
+      // Not at once: answers that come at once would nest as deep as the requests behind each other.
+      channel.eventLoop().execute(this::readNext);
     } else {
-      channel.close();
-    }
-  }
-
-  private void up() {
-    boolean get = head.method().equals(HttpMethod.GET);
-    answer(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
-        : server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-  }
-
-  /** Hands the request to the module: whole, or with as much of its body as can be kept. */
-  private void take(boolean whole) {
-    if (server.driver().holds(asked.id())) {
-      takePrefix().release();
-      answer(HttpResponseStatus.BAD_REQUEST, "Request-Id is in use");
-      return;
-    }
-    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-    for (CharSequence name : new CharSequence[] {HttpHeaderNames.HOST, Headers.REQUEST_ID,
-        Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE}) {
-      String value = head.headers().get(name);
-      if (value != null) {
-        headers.set(name, value);
-      }
+      end();
     }
-    Outgoing.frame(headers, head.headers(), whole, prefix.readableBytes(),
-        head.method().equals(HttpMethod.POST));
-    ByteBuf kept = takePrefix();
-    onward = new Outgoing(head.method(), target, headers, kept, whole, this::more);
-    current = asked.id();
-    server.driver().take(asked, onward, this);
   }
 
-  /** The backend has room for the next piece. */
-  private void more() {
-    if (receiving && !ending) {
+  private void readNext() {
+    if (!closing.begun()) {
       read();
+      if (!exchange.open() && decoder.begun()) {
+        receiveLimit.begunAhead();
+      }
     }
   }
 
-  @Override
-  public double cameAt() {
-    return arrival.cameAt();
-  }
-
-  @Override
-  public void served(HttpResponse from, ByteBuf body) {
-    current = null;
-    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-        body == null ? Unpooled.EMPTY_BUFFER : body.retain());
-    copyType(from, answer);
-    write(answer);
-  }
-
-  private static void copyType(HttpResponse from, HttpResponse to) {
-    String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    if (type != null) {
-      to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-    }
-  }
-
-  @Override
-  public void refused(double holdOffMs) {
-    current = null;
-    FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
-        : HttpResponseStatus.SERVICE_UNAVAILABLE);
-    if (holdOffMs > 0) {
-      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffMs / 1000));
-    }
-    write(answer);
+  /** In a drain the connection is kept for what has come already, and ends behind that. */
+  private boolean mayBeKept() {
+    return !server.draining() && !input.overflowed() || begunBehind();
   }
 
-  @Override
-  public void failed() {
-    current = null;
-    answer(HttpResponseStatus.BAD_GATEWAY);
+  /** Whether anything has come behind the present request. */
+  private boolean begunBehind() {
+    return decoder.heads() > heads || decoder.begun() || input.holds();
   }
 
-  /** Begins an answer that is passed on as it comes, framed as it was told, or in chunks. */
-  @Override
-  public void begin(HttpResponse from, Attempt.Carrier carrier) {
-    answering = carrier;
-    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    copyType(from, answer);
-    long length = Headers.bodyLength(from);
-    if (length >= 0) {
-      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-      HttpUtil.setTransferEncodingChunked(answer, true);
+  /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
+  void endWith(HttpResponseStatus status, String reason) {
+    exchange.release();
+    boolean begun = exchange.answering();
+    exchange.leave();
+    if (begun) {
+      closing.reset();
+    } else if (exchange.answered()) {
+      end();
     } else {
-      keepAlive = false;
-    }
-    tellWhetherKept(answer);
-    channel.write(answer);
-  }
-
-  @Override
-  public void piece(ByteBuf piece) {
-    channel.writeAndFlush(new DefaultHttpContent(piece));
-    if (!channel.isWritable()) {
-      answering.read(false);
-    }
-  }
-
-  @Override
-  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (answering != null && channel.isWritable()) {
-      answering.read(true);
+      server.took(this);
+      answers.end(status, reason);
+      closing.beginWithin();
     }
-    ctx.fireChannelWritabilityChanged();
-  }
-
-  @Override
-  public void finish() {
-    current = null;
-    answering = null;
-    written(LastHttpContent.EMPTY_LAST_CONTENT);
   }
 
-  /** A reset tells even a client that takes the connection's end for the answer's. */
-  @Override
-  public void cut() {
-    current = null;
-    answering = null;
-    ending = true;
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
-  }
-
-  private void answer(HttpResponseStatus status) {
-    write(empty(status));
-  }
-
-  private void answer(HttpResponseStatus status, String reason) {
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text));
-  }
-
-  private static FullHttpResponse empty(HttpResponseStatus status) {
-    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+  private void end() {
+    server.took(this);
+    closing.begin();
   }
 
-  private void write(FullHttpResponse answer) {
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-    if (head.method().equals(HttpMethod.HEAD)) {
-      answer.content().clear();
-    }
-    tellWhetherKept(answer);
-    written(answer);
+  /** Ends it so that its client sees that the answer is not whole. */
+  void cut() {
+    closing.reset();
   }
 
-  private void tellWhetherKept(HttpResponse answer) {
-    keepAlive &= !server.draining();
-    if (!keepAlive) {
-      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
+  /** Whether its end has begun. */
+  boolean ending() {
+    return closing.begun();
   }
 
-  /** The answer ends with this part. What is left of its request is read and dropped before the next one. */
-  private void written(HttpObject lastPart) {
-    answered = true;
-    arrival.answered(server.now());
-    channel.writeAndFlush(lastPart).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-    if (!receiving) {
-      next();
-    } else if (onward != null) {
-      read();
-    }
+  /** Whether neither a request is on it nor a part of one has come. */
+  boolean waits() {
+    return unasked() && !receiveLimit.partial();
   }
 
-  /** The present request is read and answered: its connection ends, or waits for the next one. */
-  private void next() {
-    if (receiving) {
-      read();
-    } else if (keepAlive) {
-      head = null;
-      answered = false;
-      server.answered(this);
-      // Not at once: answers that come at once would nest as deep as the requests behind each other.
-      channel.eventLoop().execute(this::read);
-    } else {
-      ending = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  /** Ends the connection if no request is on it, and tells whether that is so. */
+  boolean closeIfIdle() {
+    boolean idle = waits() && !input.lastRead();
+    if (idle) {
+      end();
     }
+    return idle;
   }
 
-  /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
-  private void endWith(HttpResponseStatus status, String reason) {
-    ending = true;
-    takePrefix().release();
-    boolean begun = answering != null || answered;
-    leave();
-    if (begun) {
-      channel.close();
-      return;
+  /** Ends the connection though a part of a request may have come. */
+  void closeIfUnasked() {
+    if (unasked()) {
+      end();
     }
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
-    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-    read();
   }
 
-  /** Whether neither a request is on it nor a part of one has come. */
-  boolean waits() {
-    return head == null && !receiveLimit.partial();
+  /** Whether no whole head of a request is on it. */
+  boolean unasked() {
+    return !exchange.open() && !closing.begun();
   }
 
-  /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
-  void closeIfIdle() {
-    if (head == null && !ending) {
-      ending = true;
-      channel.close();
-    }
-  }
-
-  /** Nobody waits for the present request's answer any more. */
-  private void leave() {
-    answering = null;
-    if (current != null) {
-      String id = current;
-      current = null;
-      server.driver().clientLeft(id);
-    }
+  /** Ends it at once, as descriptors run out. */
+  void closeOutright() {
+    closing.outright();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    ending = true;
-    takePrefix().release();
+    closing.over();
+    exchange.release();
     server.closed(this);
-    leave();
+    exchange.leave();
   }
 
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof IdleStateEvent) {
-      if (answering != null || receiving) {
+      if (exchange.answering() || exchange.receiving()) {
         server.count(Tally.Event.STREAM_IDLE);
       }
-      ctx.close();
+      if (!unasked()) {
+        closing.outright();
+      } else if (!input.lastRead()) {
+        end();
+      }
     } else {
       ctx.fireUserEventTriggered(event);
     }
@@ -509,6 +266,6 @@
     if (cause instanceof RuntimeException) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
-    ctx.close();
+    closing.outright();
   }
 }
--- a/front/src/main/java/willowdoor/front/clients/ClientServer.java
+++ b/front/src/main/java/willowdoor/front/clients/ClientServer.java
@@ -6,19 +6,21 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ServerSocketChannel;
-import io.netty.handler.codec.http.HttpMessage;
+import io.netty.channel.unix.Socket;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Stream;
 import willowdoor.front.clients.RequestReader.BadRequest;
 import willowdoor.front.loop.Clock;
@@ -32,6 +34,7 @@
 /** Accepts clients, and tells their connections what all of them share. */
 public final class ClientServer {
 
+  private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
   /** A client's connection on which nothing moves for so long ends. */
   private static final int IDLE_S = 30;
   /** A new connection is opened for a request: one without any after this gives way first. */
@@ -45,11 +48,13 @@
   private static final double FIRST_MS = 100;
   /** Idle connections are closed a few at a time: what came meanwhile is read in between. */
   private static final int CLOSED_AT_ONCE = 8;
+  /** So many of those that might make room for a new connection are tried. */
+  private static final int MOST_TRIED = 8;
   private static final int MOST_HELD = 400;
   private static final int MOST_HELD_BYTES = 8 << 20;
-  private static final int MOST_LINE = 8_192;
-  private static final int MOST_HEADERS = 16_384;
-  private static final int MOST_PIECE = 32 * 1024;
+
+  /** Bytes that tell a peer's address of any family, with their count. */
+  private static final int MOST_ADDRESS = 26;
 
   private final Transport transport;
   private final Clock clock;
@@ -61,6 +66,8 @@
   /** Whether the list of template servers is as new as can be had, and names any. */
   private final BooleanSupplier listed;
   private final Set<ClientConnection> connections = new HashSet<>();
+  /** Those that are being closed, the first of them first: they give way where descriptors run out. */
+  private final LinkedHashSet<ClientConnection> lingering = new LinkedHashSet<>();
   /** Those of them that no request is on, the longest idle first: without a request so far, and after one. */
   private final LinkedHashSet<ClientConnection> fresh = new LinkedHashSet<>();
   private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
@@ -110,27 +117,12 @@
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            ClientConnection connection = new ClientConnection(ClientServer.this, new Arrival(looks));
-            channel.pipeline().addLast(new IdleStateHandler(true, 0, 0, IDLE_S, TimeUnit.SECONDS),
-                connection.receiveLimit(), new RequestDecoder(), new HttpResponseEncoder(),
-                new FlowControlHandler(), connection);
+            channel.pipeline().addLast(new IdleStateHandler(true, 0, 0, IDLE_S, TimeUnit.SECONDS))
+                .addLast(new ClientConnection(ClientServer.this, looks).handlers());
           }
         });
   }
 
-  /** Refuses requests whose end could be told in two ways. */
-  private static final class RequestDecoder extends HttpRequestDecoder {
-
-    RequestDecoder() {
-      super(MOST_LINE, MOST_HEADERS, MOST_PIECE);
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException("both a length and chunks");
-    }
-  }
-
   public void serve() {
     ready = true;
   }
@@ -149,10 +141,28 @@
     if (shared) {
       listening.config().setAutoRead(false);
     } else {
+      acceptLast();
       listening.close();
     }
   }
 
+  /** Closing the socket would reset what the system has accepted for it. */
+  private void acceptLast() {
+    if (!(listening instanceof EpollServerSocketChannel epoll)) {
+      return;
+    }
+    Socket socket = (Socket) epoll.fd();
+    byte[] peer = new byte[MOST_ADDRESS];
+    try {
+      for (int fd = socket.accept(peer); fd >= 0; fd = socket.accept(peer)) {
+        listening.pipeline().fireChannelRead(new EpollSocketChannel(fd));
+      }
+    } catch (IOException e) {
+      LOG.log(Level.WARNING, "could not accept all that had come", e);
+    }
+    listening.pipeline().fireChannelReadComplete();
+  }
+
   ModuleDriver driver() {
     return driver;
   }
@@ -185,21 +195,24 @@
   }
 
   /**
-   * Makes room by closing a connection without a request. True when there is none and the new one is one too
-   * many; far beyond that it ends at once, as descriptors run out.
+   * Makes room by ending a connection without a request. True when there is none and the new one is one too
+   * many; far beyond that it ends at once, as descriptors run out. Those that are being closed hold half of
+   * what is left beyond the bound.
    */
   boolean opened(ClientConnection connection) {
-    ClientConnection spare = connections.size() < descriptors.clients() ? null : spare();
-    if (spare != null) {
-      closed(spare);
-      spare.closeIfIdle();
-      tally.count(Tally.Event.CLIENT_EVICTED);
+    if (connections.size() >= descriptors.clients()) {
+      evict();
     }
     connections.add(connection);
     fresh.add(connection);
     boolean over = connections.size() > descriptors.clients();
-    if (connections.size() > descriptors.clients() + descriptors.refused()) {
-      connection.closeIfIdle();
+    while (!lingering.isEmpty() && open() > descriptors.clients() + descriptors.refused() / 2) {
+      ClientConnection first = lingering.iterator().next();
+      lingering.remove(first);
+      first.closeOutright();
+    }
+    if (open() > descriptors.clients() + descriptors.refused()) {
+      connection.closeOutright();
     }
     if (over) {
       tally.count(Tally.Event.CLIENT_REFUSED);
@@ -207,6 +220,25 @@
     return over;
   }
 
+  /** Those on which something has come in this very moment go last, those with a whole request stay. */
+  private void evict() {
+    ClientConnection begun = null;
+    ClientConnection spare = spare();
+    for (int i = 0; i < MOST_TRIED && spare != null; i++) {
+      if (spare.closeIfIdle()) {
+        tally.count(Tally.Event.CLIENT_EVICTED);
+        return;
+      }
+      begun = begun == null && spare.unasked() ? spare : begun;
+      took(spare);
+      spare = spare();
+    }
+    if (begun != null) {
+      begun.closeIfUnasked();
+      tally.count(Tally.Event.CLIENT_EVICTED);
+    }
+  }
+
   /** One that has sent nothing though it had the time to, or else the longest idle, or the first to come. */
   private ClientConnection spare() {
     ClientConnection first = fresh.isEmpty() ? null : fresh.iterator().next();
@@ -220,10 +252,19 @@
 
   void closed(ClientConnection connection) {
     connections.remove(connection);
+    lingering.remove(connection);
     fresh.remove(connection);
     idle.remove(connection);
   }
 
+  /** All is sent on it, and only the client's end is waited for. */
+  void lingers(ClientConnection connection) {
+    if (connections.contains(connection)) {
+      closed(connection);
+      lingering.add(connection);
+    }
+  }
+
   /** Counts what a client's connection ended of. */
   void count(Tally.Event event) {
     tally.count(event);
@@ -254,6 +295,9 @@
    * come.
    */
   public void end() {
+    if (ending) {
+      return;
+    }
     drainingSince = clock.now();
     ending = true;
     if (shared) {
@@ -277,11 +321,11 @@
   }
 
   public int open() {
-    return connections.size();
+    return connections.size() + lingering.size();
   }
 
   /** The end has come: no more connections are taken and none is left. */
   public boolean ended() {
-    return ending && !accepting && connections.isEmpty();
+    return ending && !accepting && open() == 0;
   }
 }
--- a/front/src/main/java/willowdoor/front/servers/BackendConnection.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendConnection.java
@@ -2,21 +2,24 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.unix.Socket;
+import io.netty.channel.unix.UnixChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.AsciiString;
-import java.util.List;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import willowdoor.front.loop.Tally;
 import willowdoor.front.requests.Attempt;
 import willowdoor.front.requests.Headers;
@@ -30,23 +33,33 @@
   /** So much of an answer that tells no length is held before it is passed on as it comes. */
   private static final int HELD_UNTOLD = 16 * 1024;
 
+  /** What a look reads is of no use: the connection is closed behind it. */
+  private static final ByteBuffer LOOK = ByteBuffer.allocateDirect(1);
+
   private final BackendPool pool;
   final BackendPool.Backend backend;
+  /** The backend's as this connection was begun. */
+  final int generation;
   private final Tally tally;
   private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
   private Attempt current;
+  /** The one that was carried last, also when it has ended. */
+  private Attempt latest;
   /** The answer that is being read: its head, what is held of its body, whether it is passed on already. */
   private HttpResponse head;
   private ByteBuf held;
   private boolean begun;
   /** Answered in full, but what else the backend sent with that answer is not looked at yet. */
   private boolean answered;
+  /** It has carried a request before the one that it carries. */
+  private boolean used;
   double idleSince;
 
-  BackendConnection(BackendPool pool, BackendPool.Backend backend, Tally tally) {
+  BackendConnection(BackendPool pool, BackendPool.Backend backend, int generation, Tally tally) {
     this.pool = pool;
     this.backend = backend;
+    this.generation = generation;
     this.tally = tally;
   }
 
@@ -55,32 +68,6 @@
     return decoder;
   }
 
-  /** Takes no line without a colon for a header: the library lets one pass that holds a space. */
-  static final class AnswerDecoder extends HttpResponseDecoder {
-    private boolean insideMessage;
-
-    @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-      super.decode(ctx, in, out);
-      if (!out.isEmpty()) {
-        insideMessage = !(out.get(out.size() - 1) instanceof LastHttpContent);
-      }
-    }
-
-    @Override
-    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-      if (line[start + length] != ':') {
-        throw new IllegalArgumentException("no colon behind a header's name");
-      }
-      return super.splitHeaderName(line, start, length);
-    }
-
-    /** Whether more has come than whole answers. */
-    boolean holdsRest() {
-      return insideMessage || actualReadableBytes() > 0;
-    }
-  }
-
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -90,8 +77,30 @@
     return channel.isActive() && !decoder.holdsRest();
   }
 
+  /** Whether the kernel has neither bytes nor an end of it: the loop may not have looked since they came. */
+  boolean silent() {
+    try {
+      return !(channel instanceof UnixChannel u && u.fd() instanceof Socket socket)
+          || socket.recv(LOOK, 0, LOOK.capacity()) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  /** What the kernel holds of a long request would leave behind an ordinary close, at any later time. */
   @Override
-  public void close() {
+  public void abort() {
+    if (latest != null && latest.written() && !latest.message().leavesAtOnce()) {
+      try {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      } catch (ChannelException e) {
+        // It is closed already, or the system knows no such close.
+      }
+    }
     channel.close();
   }
 
@@ -103,10 +112,15 @@
   /** Writes the attempt's request; nothing below the module ever writes it again. */
   void carry(Attempt attempt) {
     current = attempt;
+    latest = attempt;
     attempt.carriedBy(this);
     HttpRequest request = attempt.message().message(pool.leftMs(attempt));
     if (attempt.message().whole()) {
       written(attempt, channel.writeAndFlush(request), true);
+      // What the kernel takes later would be written at a time that nobody looks at.
+      if (!attempt.written() && attempt.writtenBy() < Double.POSITIVE_INFINITY) {
+        attempt.abandon(Status.UNREACHABLE);
+      }
       return;
     }
     channel.write(request);
@@ -117,13 +131,18 @@
   }
 
   private void written(Attempt attempt, ChannelFuture write, boolean last) {
-    write.addListener((ChannelFuture f) -> {
-      attempt.written(last && f.isSuccess());
-      if (!f.isSuccess()) {
-        attempt.end(Status.UNREACHABLE, null, null);
-        channel.close();
-      }
-    });
+    if (write.isDone()) { // listeners may be called later, and what ends the attempt meanwhile must know
+      writeEnded(attempt, write, last);
+    } else {
+      write.addListener((ChannelFuture f) -> writeEnded(attempt, f, last));
+    }
+  }
+
+  private void writeEnded(Attempt attempt, ChannelFuture write, boolean last) {
+    attempt.written(last && write.isSuccess());
+    if (!write.isSuccess()) {
+      attempt.abandon(Status.UNREACHABLE);
+    }
   }
 
   @Override
@@ -166,6 +185,10 @@
       if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
         current.onHead();
       }
+      if (served() && !current.written() && (used || current.message().whole())) {
+        junk(Tally.Event.ANSWER_UNASKED); // a backend begins a request once its last byte has come
+        return;
+      }
       if (served() && !framed(head) && HttpUtil.isKeepAlive(head)) {
         junk(Tally.Event.ANSWER_UNREADABLE);
         return;
@@ -217,7 +240,7 @@
       Attempt attempt = current;
       forget();
       attempt.abandon(Status.CANCELLED);
-      channel.close();
+      abort();
       return;
     }
     begun = true;
@@ -231,12 +254,8 @@
   /** An answer that nobody asked for, or one that does not parse: nothing behind it can be read. */
   private void junk(Tally.Event what) {
     tally.count(what);
-    Attempt attempt = current;
-    forget();
-    channel.close();
-    if (attempt != null) {
-      attempt.end(attempt.broken(), null, null);
-    }
+    pool.unasked(this);
+    broken();
   }
 
   private void finish() {
@@ -245,16 +264,19 @@
     ByteBuf body = held;
     held = null;
     forget();
+    used = true;
     // An answer ahead of the request's end leaves the connection out of step.
     answered = attempt.written() && !attempt.ended() && HttpUtil.isKeepAlive(answer) && framed(answer);
-    if (!answered) {
-      channel.close();
-    } else {
-      read(true);
-    }
-    Status status = status(answer);
+    Status status = AnswerDecoder.status(answer);
+    HttpResponse told = status == Status.OK ? answer : null;
     try {
-      attempt.end(status, status == Status.OK ? answer : null, body);
+      if (answered) {
+        read(true);
+        attempt.end(status, told, body);
+      } else {
+        attempt.endClosed(status, told, body);
+        abort();
+      }
     } finally {
       if (body != null) {
         body.release();
@@ -294,21 +316,12 @@
       } else {
         ctx.close();
       }
+    } else if (current == null && decoder.holdsRest()) {
+      junk(Tally.Event.ANSWER_UNASKED);
     }
     ctx.fireChannelReadComplete();
   }
 
-  private static Status status(HttpResponse answer) {
-    HttpResponseStatus code = answer.status();
-    if (code.equals(HttpResponseStatus.OK)) {
-      return Status.OK;
-    }
-    boolean turnedAway = (code.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        || code.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
-        && "1".equals(answer.headers().get(Headers.NOT_STARTED));
-    return turnedAway ? Status.REJECTED : Status.ERROR;
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.closed(this);
@@ -319,14 +332,14 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     broken();
-    ctx.close();
   }
 
   private void broken() {
     Attempt attempt = current;
     forget();
     if (attempt != null) {
-      attempt.end(attempt.broken(), null, null);
+      attempt.abandon(attempt.broken());
     }
+    abort();
   }
 }
--- a/front/src/main/java/willowdoor/front/servers/BackendPool.java
+++ b/front/src/main/java/willowdoor/front/servers/BackendPool.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,23 +33,39 @@
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
   private static final long SWEEP_MS = 500;
+  /** A connect that is told so long after its limit waited for this process: the list may be a new one. */
+  private static final double CONNECT_SLACK_MS = 50;
+  /**
+   * A connection rests so long behind an answer before it carries another request, in milliseconds: nothing
+   * in the protocol ties an answer to its request, and a second one may come some milliseconds late.
+   */
+  static final double REST_MS = 20;
+  /** What comes unasked on a connection that rested longer is no late answer, but word of its closing. */
+  private static final double LATE_MS = 200;
 
   /** One backend's place and connections. */
   static final class Backend {
     private final long id;
     private SocketAddress place;
     private double startedMs;
+    /** Goes up whenever what is open ends its use: a connection of an earlier one carries nothing new. */
+    private int generation;
+    /** Twice as long as anything of it was late, if that was seen. */
+    private double restMs;
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
 
-    Backend(long id) {
+    Backend(long id, double restMs) {
       this.id = id;
+      this.restMs = restMs;
     }
   }
 
   private final Clock clock;
   private final Bootstrap bootstrap;
+  /** Within a process nothing is late. */
+  private final double restMs;
   private final double connectLimitMs;
   private final double idleLimitMs;
   private final Map<Long, Backend> backends = new HashMap<>();
@@ -65,6 +82,7 @@
     this.tally = tally;
     this.banned = banned;
     this.most = most;
+    restMs = transport.tcp() ? REST_MS : 0;
     this.connectLimitMs = connectLimitMs;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     bootstrap = transport.client(loop)
@@ -83,12 +101,12 @@
         remove(e.id());
         continue;
       }
-      Backend b = backends.computeIfAbsent(e.id(), Backend::new);
+      Backend b = backends.computeIfAbsent(e.id(), id -> new Backend(id, restMs));
       SocketAddress place = news.places().get(e.id());
       if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
-        List.copyOf(b.idle).forEach(BackendConnection::close);
         b.place = place;
         b.startedMs = e.startedMs();
+        cut(e.id());
       }
     }
     if (news.full()) {
@@ -107,6 +125,7 @@
   public void cut(long id) {
     Backend b = backends.get(id);
     if (b != null) {
+      b.generation++;
       List.copyOf(b.idle).forEach(BackendConnection::close);
       List.copyOf(b.connecting).forEach(a -> a.abandon(Status.UNREACHABLE));
     }
@@ -125,7 +144,7 @@
   @Override
   public void start(long id, Attempt attempt) {
     Backend b = backends.get(id);
-    if (b == null || banned.test(id)) {
+    if (b == null || banned.test(id) || tooLate(attempt)) {
       attempt.end(Status.UNREACHABLE, null, null);
       return;
     }
@@ -145,21 +164,42 @@
     return Math.max(0, attempt.endsAt() - clock.now());
   }
 
-  /** The connection used last, unless it stood idle so long that the backend may be closing it. */
+  /** Whether it must not be written any more; one whose end has still to come from its client can be late. */
+  private boolean tooLate(Attempt attempt) {
+    boolean bound = attempt.writtenBy() < Double.POSITIVE_INFINITY;
+    return leftMs(attempt) == 0 || clock.now() > attempt.writtenBy() || bound && !attempt.message().whole();
+  }
+
+  /** Of those that have rested the one used last, unless the backend may be closing it after so long. */
   private BackendConnection idle(Backend b) {
-    double before = clock.now() - idleLimitMs;
-    BackendConnection c = b.idle.pollLast();
-    while (c != null && (!c.usable() || c.idleSince < before)) {
-      c.close();
-      c = b.idle.pollLast();
+    double now = clock.now();
+    for (Iterator<BackendConnection> all = b.idle.descendingIterator(); all.hasNext();) {
+      BackendConnection c = all.next();
+      if (now - c.idleSince >= b.restMs) {
+        all.remove();
+        if (now - c.idleSince <= idleLimitMs && c.usable() && c.silent()) {
+          return c;
+        }
+        c.close();
+      }
+    }
+    return null;
+  }
+
+  /** Something came on it that nobody asked for. */
+  void unasked(BackendConnection c) {
+    double late = clock.now() - c.idleSince;
+    if (c.backend.idle.remove(c) && late <= LATE_MS) {
+      c.backend.restMs = Math.max(c.backend.restMs, 2 * late);
     }
-    return c;
   }
 
   private void connect(Backend b, Attempt attempt) {
     b.connecting.add(attempt);
-    BackendConnection c = new BackendConnection(this, b, tally);
-    int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, leftMs(attempt))));
+    BackendConnection c = new BackendConnection(this, b, b.generation, tally);
+    double left = Math.min(leftMs(attempt), attempt.writtenBy() - clock.now());
+    int limit = (int) Math.ceil(Math.min(connectLimitMs, Math.max(1, left)));
+    double upBy = clock.now() + limit + CONNECT_SLACK_MS;
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
     ChannelFuture connected = limited.handler(new ChannelInitializer<Channel>() {
       @Override
@@ -172,8 +212,9 @@
     attempt.connecting(connected.channel());
     Transport.whenConnected(connected, f -> {
       b.connecting.remove(attempt);
-      // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
-      if (attempt.ended() || banned.test(b.id) || leftMs(attempt) == 0) {
+      // Guards against writing what has timed out, was cancelled or must not reach a drained backend, also
+      // one of whose drain the loop has still to read behind a pause.
+      if (attempt.ended() || banned.test(b.id) || tooLate(attempt) || clock.now() > upBy) {
         f.channel().close();
         attempt.end(Status.UNREACHABLE, null, null);
       } else if (f.isSuccess()) {
@@ -185,9 +226,10 @@
   }
 
   void release(BackendConnection c) {
-    if (backends.containsValue(c.backend) && !banned.test(c.backend.id)) {
+    Backend b = c.backend;
+    if (backends.get(b.id) == b && c.generation == b.generation && !banned.test(b.id)) {
       c.idleSince = clock.now();
-      c.backend.idle.addLast(c);
+      b.idle.addLast(c);
     } else {
       c.close();
     }
--- a/front/src/test/java/willowdoor/front/Peers.java
+++ b/front/src/test/java/willowdoor/front/Peers.java
@@ -36,6 +36,9 @@
   static final String NOT_STARTED =
       "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
 
+  /** The version of the configuration's list, and of discovery's: whoever asks from before is told so. */
+  private static final int KNOWN = 7;
+
   /** A message as it came: first line with headers, and body. */
   record Message(String head, byte[] body) {
     String firstLine() {
@@ -58,7 +61,7 @@
   }
 
   /** What a peer does with a connection. */
-  interface Script {
+  public interface Script {
     void run(InputStream in, OutputStream out, Socket socket) throws IOException;
   }
 
@@ -73,6 +76,8 @@
   final List<OutputStream> watchers = new CopyOnWriteArrayList<>();
   volatile Answer answer = (request, out) -> write(out, OK);
   public volatile UnaryOperator<String> counting = this::count;
+  /** Called for each connection to the counter that the front door ends. */
+  public volatile Runnable onCounterEnd = () -> { };
   private final Map<String, Double> counts = new ConcurrentHashMap<>();
   private final List<Closeable> open = new CopyOnWriteArrayList<>();
   public final ServerSocket backend = listen(50, this::serveBackend);
@@ -82,14 +87,14 @@
   /** The newest. */
   private FrontDoor door;
 
-  static boolean write(OutputStream out, String text) throws IOException {
+  public static boolean write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
     return true;
   }
 
   /** Listens on a port of its own and runs the script for each connection. */
-  ServerSocket listen(int backlog, Script script) {
+  public ServerSocket listen(int backlog, Script script) {
     try {
       ServerSocket server = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
       open.add(server);
@@ -108,7 +113,7 @@
   }
 
   /** Fills a listener's queue, so that no further connect comes up until these are closed. */
-  static List<SocketChannel> fill(ServerSocket listener) throws IOException {
+  public static List<SocketChannel> fill(ServerSocket listener) throws IOException {
     List<SocketChannel> queued = new ArrayList<>();
     for (int i = 0; i < 8; i++) {
       SocketChannel c = SocketChannel.open();
@@ -148,7 +153,13 @@
 
   private void serveCounter(InputStream in, OutputStream out, Socket socket) throws IOException {
     while (true) {
-      String line = line(in);
+      String line;
+      try {
+        line = line(in);
+      } catch (EOFException e) {
+        onCounterEnd.run();
+        throw e;
+      }
       if (line.equals("ping")) {
         write(out, "pong\r\n");
         continue;
@@ -169,13 +180,20 @@
   private void serveDiscovery(InputStream in, OutputStream out, Socket socket) throws IOException {
     Message request = read(in);
     write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (request.firstLine().contains("index=" + (KNOWN - 1) + ' ')) {
+      write(out, chunk(list(KNOWN, false) + "\n"));
+    }
     watchers.add(out);
     watches.add(request.firstLine());
   }
 
   /** Sends bytes of the list as one chunk to the newest watch. */
   void tell(String bytes) throws IOException {
-    write(watchers.get(watchers.size() - 1), Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n");
+    write(watchers.get(watchers.size() - 1), chunk(bytes));
+  }
+
+  private static String chunk(String bytes) {
+    return Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n";
   }
 
   public static String entry(String id, int port, String state) {
@@ -202,7 +220,7 @@
            {"Name":"buy","Repeat":"token","AimMs":1500,"DeadlineMs":4000,"Value":5,"Group":"all",
             "RepeatWindowMs":4000}],
           "Tariffs":[{"Name":"basic","Refill":400,"PeakUnits":4000,"WorthFactor":1,"OverrunCost":1}]}}
-        """.formatted(discovery.getLocalPort(), counter.getLocalPort(), list(7, true, entries));
+        """.formatted(discovery.getLocalPort(), counter.getLocalPort(), list(KNOWN, true, entries));
   }
 
   /** Starts the front door with this test's one backend. */
