Lay out the tier's modules and the words between them

Cause: the tier's parts are built side by side, so what passes between them has to stand first. Measured: they compile; nothing runs yet.

--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/words/Ballot.java
@@ -0,0 +1,7 @@
+package elmsail.inner.words;
+
+/** An attempt at a key: compared by round, then by who tries; round 0 is none. */
+public final class Ballot {
+  public long round;
+  public long who;
+}
--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/words/Blob.java
@@ -0,0 +1,7 @@
+package elmsail.inner.words;
+
+/** An immutable piece of data, kept beside a key until that is dropped. */
+public final class Blob {
+  public String name = "";
+  public byte[] bytes = {};
+}
--- /dev/null
+++ b/register/src/main/java/elmsail/register/Views.java
@@ -0,0 +1,22 @@
+package elmsail.register;
+
+/** What a keeper folds from its records; called on its loop, before the answer that tells of the vote leaves. */
+public interface Views {
+  /** With a first round: takes what the asker says of the change to come, and tells what it has to tell. */
+  default byte[] noted(String key, byte[] note) {
+    return null;
+  }
+
+  /** Whether the value may be taken here. */
+  default boolean admits(String key, byte[] value) {
+    return true;
+  }
+
+  /** The value was taken and is on disk, or was read from the disk at the start or copied from another. */
+  default void taken(String key, byte[] value) {
+  }
+
+  /** The key was dropped. */
+  default void dropped(String key) {
+  }
+}
--- /dev/null
+++ b/station/src/main/java/elmsail/station/Code.java
@@ -0,0 +1,31 @@
+package elmsail.station;
+
+/** What can go wrong, by its type: logs count these, answers and exit codes are made from them. */
+public enum Code {
+  /** The settings or the command line cannot be used. */
+  BAD_SETTINGS,
+  /** A configuration or another call of an operator or client is not as the protocol says. */
+  BAD_CALL,
+  /** No byte of the call left this process. */
+  UNSENT,
+  /** The call was sent, and its connection broke before an answer. */
+  BROKEN,
+  /** The call was sent, and no answer came in time. */
+  SILENT,
+  /** The peer has no room for the call; it did nothing. */
+  FULL,
+  /** The peer cannot answer: it has lost its memory, or holds no seat. */
+  NOT_SEATED,
+  /** Fewer than a majority answered, and nothing was asked to be taken: nothing has changed. */
+  NOT_REACHED,
+  /** A value was sent out to be taken, and fewer than a majority said that they took it: it may hold or not. */
+  UNCLEAR,
+  /** Another change was there first. */
+  LOST_RACE,
+  /** The disk refused, is full, or holds what cannot be read. */
+  DISK,
+  /** A frame or message that is none. */
+  GARBLED,
+  /** A fault of our own. */
+  FAULT
+}
--- /dev/null
+++ b/station/src/main/java/elmsail/station/Timers.java
@@ -0,0 +1,16 @@
+package elmsail.station;
+
+/** The loop's clock and timers; tests move them by hand ({@code elmsail.rehearsal.HandTimers}). */
+public interface Timers extends Steady {
+
+  /** Runs once, in so many ms, on the loop; a negative time counts as 0. */
+  Timer after(long ms, Runnable then);
+
+  /** Runs behind what the loop is doing now; may be called from other threads. */
+  void soon(Runnable then);
+
+  /** A timer that was set. */
+  interface Timer {
+    void cancel();
+  }
+}
--- /dev/null
+++ b/station/src/main/java/elmsail/station/http/HttpCall.java
@@ -0,0 +1,14 @@
+package elmsail.station.http;
+
+import java.util.Map;
+
+/**
+ * A small call, whole in memory.
+ *
+ * @param path without the query, as it came
+ * @param query decoded names and values
+ * @param headers names in lower case
+ */
+public record HttpCall(String method, String path, Map<String, String> query, Map<String, String> headers,
+    byte[] body) {
+}
--- /dev/null
+++ b/station/src/main/java/elmsail/station/http/HttpReply.java
@@ -0,0 +1,7 @@
+package elmsail.station.http;
+
+import java.util.Map;
+
+/** A small answer, whole in memory; header names in lower case where it was received. */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+}
--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of both programs. */
+package elmsail.tier;
--- /dev/null
+++ b/timetable/src/main/java/elmsail/timetable/Service.java
@@ -0,0 +1,5 @@
+package elmsail.timetable;
+
+/** One service ({@code postal_lines}): connections that a server takes from all, requests at once, tokens in memory. */
+public record Service(String name, String health, int connections, int berths, long kvTokens) {
+}
