--- a/disk/src/main/java/elmsail/disk/Records.java
+++ b/disk/src/main/java/elmsail/disk/Records.java
@@ -5,7 +5,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A folder of named records that outlive the process and the power. Changes are gathered while the disk is busy,
+ * A folder of named records that outlive the process and the power. Changes are gathered while the disk is
+ * busy,
  * then written as one file of a new version: written aside, synced, renamed, its folder synced; only then are
  * their futures completed (on the executor given). Called from one thread.
  */
--- a/inner/src/main/java/elmsail/inner/words/CopyTold.java
+++ b/inner/src/main/java/elmsail/inner/words/CopyTold.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The page: records as the disk holds them, in the order of their names; {@code end} if nothing is behind it. */
+/**
+ * The page: records as the disk holds them, in the order of their names; {@code end} if nothing is behind
+ * it.
+ */
 public final class CopyTold {
   public List<Blob> records = new ArrayList<>();
   public boolean end;
--- a/inner/src/main/java/elmsail/inner/words/PrepareAsk.java
+++ b/inner/src/main/java/elmsail/inner/words/PrepareAsk.java
@@ -10,6 +10,8 @@
   public Ballot ballot = new Ballot();
   public Seating seating = new Seating();
   public List<Blob> blobs = new ArrayList<>();
-  /** What the keeper of the views needs to know before this is decided (waiting tokens): null or its bytes. */
+  /**
+   * What the keeper of the views needs to know before this is decided (waiting tokens): null or its bytes.
+   */
   public byte[] note;
 }
--- a/register/src/main/java/elmsail/register/Register.java
+++ b/register/src/main/java/elmsail/register/Register.java
@@ -13,7 +13,10 @@
   record Versioned(Ballot ballot, byte[] value) {
   }
 
-  /** What a change wants: {@code value} null leaves the key as it is ("declined"), and the future gives that. */
+  /**
+   * What a change wants: {@code value} null leaves the key as it is ("declined"), and the future gives
+   * that.
+   */
   record Wanted(byte[] value, List<Blob> blobs) {
   }
 
@@ -26,13 +29,16 @@
   }
 
   /**
-   * The value that a majority holds, newer than or equal to all that was decided when this was called. Fails with
-   * NOT_REACHED or SILENT. {@code known} spares the bytes (value null, same ballot) if nothing is newer; may be null.
+   * The value that a majority holds, newer than or equal to all that was decided when this was called.
+   * Fails with
+   * NOT_REACHED or SILENT. {@code known} spares the bytes (value null, same ballot) if nothing is newer;
+   * may be null.
    */
   CompletableFuture<Versioned> read(String key, Ballot known, long timeoutMs);
 
   /**
-   * Changes the key: the function may be called again after a lost race, always with what is current. Fails with
+   * Changes the key: the function may be called again after a lost race, always with what is current. Fails
+   * with
    * NOT_REACHED (nothing was sent to be taken) or UNCLEAR (it may hold or not).
    * A value found half taken is finished first, as the function's {@code Found}.
    *
@@ -42,6 +48,9 @@
   CompletableFuture<Held> change(String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note,
       long timeoutMs);
 
-  /** A blob from whoever has it, the nearest first; null only if a majority with memory say that there is none. */
+  /**
+   * A blob from whoever has it, the nearest first; null only if a majority with memory say that there is
+   * none.
+   */
   CompletableFuture<byte[]> blob(String key, String name, long timeoutMs);
 }
--- a/register/src/main/java/elmsail/register/Views.java
+++ b/register/src/main/java/elmsail/register/Views.java
@@ -1,6 +1,9 @@
 package elmsail.register;
 
-/** What a keeper folds from its records; called on its loop, before the answer that tells of the vote leaves. */
+/**
+ * What a keeper folds from its records; called on its loop, before the answer that tells of the vote
+ * leaves.
+ */
 public interface Views {
   /** With a first round: takes what the asker says of the change to come, and tells what it has to tell. */
   default byte[] noted(String key, byte[] note) {
--- a/station/src/main/java/elmsail/station/Settings.java
+++ b/station/src/main/java/elmsail/station/Settings.java
@@ -13,9 +13,10 @@
  * @param dataDir null where the machine has no disk
  * @param carrier null where there is none
  */
-public record Settings(String station, String role, String machineClass, Set<String> serves, String ip, String zone,
-    String region, Map<String, String> zones, Map<String, String> slots, int innerFirst, int innerLast,
-    List<String> seeds, boolean firstStart, boolean counted, Limits limits, String dataDir, Set<String> clauses,
+public record Settings(String station, String role, String machineClass, Set<String> serves, String ip,
+    String zone, String region, Map<String, String> zones, Map<String, String> slots, int innerFirst,
+    int innerLast, List<String> seeds, boolean firstStart, boolean counted, Limits limits, String dataDir,
+    Set<String> clauses,
     int bearMachines, Bounds bounds, Carrier carrier) {
 
   /** What the machine gives; cores and MB of 2^20 bytes. */
@@ -23,8 +24,9 @@
   }
 
   /** Milliseconds, but for the ratio. */
-  public record Bounds(long inTouchMs, long ackMs, long catchUpMs, long drainMs, long graceMs, long lostSlackMs,
-      long inForceMs, long passMs, long statusMs, long cancelMs, long settleMs, double quotaOver, long reuseAfterMs) {
+  public record Bounds(long inTouchMs, long ackMs, long catchUpMs, long drainMs, long graceMs,
+      long lostSlackMs, long inForceMs, long passMs, long statusMs, long cancelMs, long settleMs,
+      double quotaOver, long reuseAfterMs) {
   }
 
   /** The platform's list of servers: "ip:port", calls a second from all processes together, ms behind. */
--- a/timetable/src/main/java/elmsail/timetable/Service.java
+++ b/timetable/src/main/java/elmsail/timetable/Service.java
@@ -1,5 +1,8 @@
 package elmsail.timetable;
 
-/** One service ({@code postal_lines}): connections that a server takes from all, requests at once, tokens in memory. */
+/**
+ * One service ({@code postal_lines}): connections that a server takes from all, requests at once, tokens in
+ * memory.
+ */
 public record Service(String name, String health, int connections, int berths, long kvTokens) {
 }
--- a/timetable/src/main/java/elmsail/timetable/Timetable.java
+++ b/timetable/src/main/java/elmsail/timetable/Timetable.java
@@ -6,7 +6,10 @@
 public interface Timetable {
   long edition();
 
-  /** The route of the host whose prefix begins the path and is longest, or null. {@code host} may have a port. */
+  /**
+   * The route of the host whose prefix begins the path and is longest, or null. {@code host} may have a
+   * port.
+   */
   Route find(String host, String path);
 
   Route named(String name);
