--- /dev/null
+++ b/station/src/main/java/elmsail/station/Addresses.java
@@ -0,0 +1,74 @@
+package elmsail.station;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses by number, {@code ip:port}: nothing is ever looked up by name. */
+public final class Addresses {
+
+  private Addresses() {
+  }
+
+  /** Whether it is four numbers of 0 to 255 with dots between them. */
+  public static boolean isIp(String text) {
+    return ip(text) != null;
+  }
+
+  public static boolean isAddress(String text) {
+    int colon = text.indexOf(':');
+    return colon > 0 && isIp(text.substring(0, colon)) && port(text, colon + 1) >= 0;
+  }
+
+  /** @throws ElmsailException BAD_CALL if it is not {@code ip:port} */
+  public static InetSocketAddress of(String address) {
+    int colon = address.indexOf(':');
+    byte[] ip = colon < 0 ? null : ip(address.substring(0, colon));
+    int port = ip == null ? -1 : port(address, colon + 1);
+    if (port < 0) {
+      throw new ElmsailException(Code.BAD_CALL, "not an address ip:port: " + address);
+    }
+    try {
+      return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+    } catch (UnknownHostException e) {
+      throw new ElmsailException(Code.FAULT, "four bytes are no address", e);
+    }
+  }
+
+  private static byte[] ip(String text) {
+    byte[] ip = new byte[4];
+    int part = 0;
+    int value = -1;
+    for (int i = 0; i <= text.length(); i++) {
+      char c = i < text.length() ? text.charAt(i) : '.';
+      if (c == '.') {
+        if (value < 0 || part == 4) {
+          return null;
+        }
+        ip[part++] = (byte) value;
+        value = -1;
+      } else if (c >= '0' && c <= '9') {
+        value = Math.max(value, 0) * 10 + c - '0';
+        if (value > 255) {
+          return null;
+        }
+      } else {
+        return null;
+      }
+    }
+    return part == 4 ? ip : null;
+  }
+
+  /** The port from there to the end; -1 if it is none. */
+  private static int port(String text, int from) {
+    int port = from < text.length() ? 0 : -1;
+    for (int i = from; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c < '0' || c > '9' || port > 65_535) {
+        return -1;
+      }
+      port = port * 10 + c - '0';
+    }
+    return port > 65_535 ? -1 : port;
+  }
+}
--- /dev/null
+++ b/station/src/main/java/elmsail/station/http/StrictRequestDecoder.java
@@ -0,0 +1,70 @@
+package elmsail.station.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
+import java.util.List;
+
+/**
+ * Decodes requests, refusing those whose end could be told in two ways: a length beside chunks, several lengths,
+ * header lines without a colon or folded. One refused comes out with a failed {@code decoderResult}, and
+ * nothing behind it is decoded: the connection is to be closed.
+ */
+public class StrictRequestDecoder extends HttpRequestDecoder {
+
+  private final Framing framing = new Framing();
+
+  /** Bytes of the first line, of all header lines, and of one piece of a body. */
+  public StrictRequestDecoder(int mostLine, int mostHead, int mostPiece) {
+    super(Framing.config(mostLine, mostHead, mostPiece));
+  }
+
+  /** Whether part of a message has come. */
+  public final boolean inside() {
+    return framing.inside() || actualReadableBytes() > 0;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    if (framing.refused()) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
+    if (framing.folded(in)) {
+      refuse("a folded line", in, out);
+      return;
+    }
+    int before = out.size();
+    super.decode(ctx, in, out);
+    String fault = framing.passed(out, before);
+    if (fault != null) {
+      while (out.size() > before) {
+        ReferenceCountUtil.release(out.remove(out.size() - 1));
+      }
+      refuse(fault, in, out);
+    }
+  }
+
+  private void refuse(String fault, ByteBuf in, List<Object> out) {
+    framing.refuse();
+    HttpMessage none = createInvalidMessage();
+    none.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(fault)));
+    out.add(none);
+    in.skipBytes(in.readableBytes());
+  }
+
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    Framing.colon(line, start + length);
+    return super.splitHeaderName(line, start, length);
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw Framing.lengthAndChunks();
+  }
+}
