Carry the inner calls over TCP

Cause: the processes have no way to call each other. Change: InnerLinks with frames, one connection a peer, bounds, pings and own calls; its codec.

--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/Codec.java
@@ -0,0 +1,82 @@
+package elmsail.inner;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import io.protostuff.LinkedBuffer;
+import io.protostuff.ProtostuffIOUtil;
+import io.protostuff.Schema;
+import io.protostuff.runtime.RuntimeSchema;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+
+/**
+ * Messages to bytes and back. Null fields are left out, so they come back with the default of their class.
+ * Used from one thread.
+ */
+public final class Codec {
+
+  private static final int BUFFER_BYTES = 1024;
+
+  private final Schema<?>[] schemas = new Schema<?>[Kinds.size()];
+  private final LinkedBuffer buffer = LinkedBuffer.allocate(BUFFER_BYTES);
+
+  /** The number of the message's type; fails with FAULT if it has none. */
+  int number(Object message) {
+    int number = message == null ? Kinds.NONE : Kinds.number(message.getClass());
+    if (number == Kinds.NONE) {
+      throw new ElmsailException(Code.FAULT, "no message: "
+          + (message == null ? "null" : message.getClass().getName()));
+    }
+    return number;
+  }
+
+  /** Writes a message whose type has that number. */
+  void write(int number, Object message, OutputStream out) {
+    try {
+      ProtostuffIOUtil.writeTo(out, message, schema(number), buffer);
+    } catch (IOException | RuntimeException e) {
+      throw new ElmsailException(Code.FAULT, "message cannot be written", e);
+    } finally {
+      buffer.clear();
+    }
+  }
+
+  /** Fails with GARBLED if the type is not known or the bytes are no such message. */
+  Object read(int number, byte[] bytes, int offset, int length) {
+    Schema<Object> schema = schema(number);
+    if (schema == null) {
+      throw new ElmsailException(Code.GARBLED, "unknown type " + number);
+    }
+    Object message = schema.newMessage();
+    try {
+      ProtostuffIOUtil.mergeFrom(bytes, offset, length, message, schema);
+    } catch (RuntimeException e) {
+      throw new ElmsailException(Code.GARBLED, "message of type " + number, e);
+    }
+    return message;
+  }
+
+  /** A message that shares nothing with this one, as a peer would receive it. */
+  public <T> T copy(T message) {
+    int number = number(message);
+    ByteArrayOutputStream out = new ByteArrayOutputStream(BUFFER_BYTES);
+    write(number, message, out);
+    byte[] bytes = out.toByteArray();
+    @SuppressWarnings("unchecked")
+    T copy = (T) read(number, bytes, 0, bytes.length);
+    return copy;
+  }
+
+  @SuppressWarnings("unchecked")
+  private Schema<Object> schema(int number) {
+    Class<?> type = Kinds.type(number);
+    if (type == null) {
+      return null;
+    }
+    if (schemas[number] == null) {
+      schemas[number] = RuntimeSchema.getSchema(type);
+    }
+    return (Schema<Object>) schemas[number];
+  }
+}
--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/Frame.java
@@ -0,0 +1,96 @@
+package elmsail.inner;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+
+/**
+ * What goes over a connection: int length of the rest, byte kind, long call, short type, int CRC32C of
+ * kind, call, type and payload, and the payload.
+ *
+ * @param call the number of the call, of its asker's choosing; 0 for pings
+ * @param type of {@link Kinds}
+ */
+record Frame(int kind, long call, int type, byte[] payload) {
+
+  static final int ASK = 1;
+  static final int ANSWER = 2;
+  /** The payload is the code's name. */
+  static final int FAILURE = 3;
+  static final int PING = 4;
+  static final int PONG = 5;
+
+  static final int LENGTH_BYTES = 4;
+  /** Behind the length, before the payload. */
+  static final int HEAD_BYTES = 1 + 8 + 2 + 4;
+  /** Where the check begins in the head. */
+  static final int CHECK_AT = HEAD_BYTES - 4;
+  /** The longest frame, without its length's own bytes. */
+  static final int MOST_BYTES = 16 << 20;
+
+  private static final int FIRST_BYTES = 256;
+
+  /** Fails with FULL if the message is too long, and FAULT if it is none. */
+  static ByteBuf message(Codec codec, int kind, long call, Object message) {
+    int type = codec.number(message);
+    ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(FIRST_BYTES);
+    boolean whole = false;
+    try {
+      head(out, kind, call, type);
+      codec.write(type, message, new ByteBufOutputStream(out));
+      finish(out);
+      whole = true;
+    } finally {
+      if (!whole) {
+        out.release();
+      }
+    }
+    return out;
+  }
+
+  static ByteBuf failure(long call, Code code) {
+    ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(FIRST_BYTES);
+    head(out, FAILURE, call, Kinds.NONE);
+    out.writeBytes(code.name().getBytes(StandardCharsets.US_ASCII));
+    finish(out);
+    return out;
+  }
+
+  static ByteBuf bare(int kind, long call) {
+    ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(LENGTH_BYTES + HEAD_BYTES);
+    head(out, kind, call, Kinds.NONE);
+    finish(out);
+    return out;
+  }
+
+  /** The code of a FAILURE; a name that is not known here is a FAULT. */
+  Code code() {
+    String name = new String(payload, StandardCharsets.US_ASCII);
+    for (Code code : Code.values()) {
+      if (code.name().equals(name)) {
+        return code;
+      }
+    }
+    return Code.FAULT;
+  }
+
+  private static void head(ByteBuf out, int kind, long call, int type) {
+    out.writeInt(0).writeByte(kind).writeLong(call).writeShort(type).writeInt(0);
+  }
+
+  private static void finish(ByteBuf out) {
+    int length = out.readableBytes() - LENGTH_BYTES;
+    if (length > MOST_BYTES) {
+      throw new ElmsailException(Code.FULL, "message of " + length + " bytes");
+    }
+    out.setInt(0, length);
+    CRC32C check = new CRC32C();
+    check.update(out.nioBuffer(LENGTH_BYTES, CHECK_AT));
+    check.update(out.nioBuffer(LENGTH_BYTES + HEAD_BYTES, length - HEAD_BYTES));
+    out.setInt(LENGTH_BYTES + CHECK_AT, (int) check.getValue());
+  }
+}
--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/InnerLinks.java
@@ -0,0 +1,414 @@
+package elmsail.inner;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+/**
+ * Inner calls over TCP: one connection to each peer, opened when needed, for all calls to it. Everything,
+ * the constructor and {@code on} apart, is called on the loop, and all futures complete there.
+ */
+public final class InnerLinks implements Caller, Answering, AutoCloseable {
+
+  /** All in ms. */
+  static final long CONNECT_WITHIN = 700;
+  static final long SWEEP_SOON = 200;
+  static final long SWEEP_LATER = 1_000;
+  /** A timer that is later than that tells of a process that was held up. */
+  static final long HELD_UP = 100;
+
+  static final int MOST_ACCEPTED = 4_096;
+  private static final int BACKLOG = 512;
+
+  private final EventLoop loop;
+  private final Timers timers;
+  private final Codec codec = new Codec();
+  private final InnerCounts counts = new InnerCounts();
+  private final Answers answers = new Answers();
+  private final Map<String, Peer> peers = new HashMap<>();
+  private final Set<Link> accepted = new LinkedHashSet<>();
+  private final Link.Owner owner = new Hub();
+  private String ownAddress;
+  private Channel listener;
+  private boolean closed;
+  private long numbers;
+  private int ownCalls;
+  private Timers.Timer sweepTimer;
+  private long sweepAt;
+
+  /**
+   * @param ownAddress "ip:port" to listen at; port 0 lets the system choose, see {@link #address()}
+   */
+  public InnerLinks(EventLoop loop, Timers timers, String ownAddress) {
+    this.loop = loop;
+    this.timers = timers;
+    this.ownAddress = ownAddress;
+  }
+
+  public InnerCounts counts() {
+    return counts;
+  }
+
+  /** Where this process answers. */
+  public String address() {
+    return ownAddress;
+  }
+
+  @Override
+  public <Q, A> void on(Class<Q> ask, Function<Q, ? extends CompletionStage<A>> handler) {
+    answers.on(ask, handler);
+  }
+
+  /** Done once others can connect; fails with BAD_SETTINGS if the address cannot be listened at. */
+  public CompletableFuture<Void> listen() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new Accepting());
+    ChannelFuture bound;
+    try {
+      bound = server.bind(socketAddress(ownAddress));
+    } catch (ElmsailException e) {
+      done.completeExceptionally(e);
+      return done;
+    }
+    listener = bound.channel();
+    bound.addListener((ChannelFuture f) -> {
+      if (f.isSuccess()) {
+        int port = ((InetSocketAddress) f.channel().localAddress()).getPort();
+        ownAddress = ownAddress.substring(0, ownAddress.lastIndexOf(':') + 1) + port;
+        done.complete(null);
+      } else {
+        done.completeExceptionally(
+            new ElmsailException(Code.BAD_SETTINGS, "cannot listen at " + ownAddress, f.cause()));
+      }
+    });
+    return done;
+  }
+
+  @Override
+  public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
+    counts.calls++;
+    long wait = Math.max(0, timeoutMs);
+    OpenCall call = new OpenCall(++numbers, answer, timers.now() + wait, counts);
+    call.timer = timers.after(wait, () -> due(peer, call));
+    if (closed) {
+      failSoon(call, Code.UNSENT, "closed");
+    } else {
+      try {
+        if (peer.equals(ownAddress)) {
+          callSelf(call, codec.copy(ask));
+        } else {
+          call.frame = Frame.message(codec, Frame.ASK, call.number, ask);
+          send(peer, call);
+        }
+      } catch (ElmsailException e) {
+        failSoon(call, e.code(), "not a message that can be sent");
+      }
+    }
+    @SuppressWarnings("unchecked")
+    CompletableFuture<A> future = (CompletableFuture<A>) call.future;
+    return future;
+  }
+
+  private void send(String address, OpenCall call) {
+    long now = timers.now();
+    Peer peer = peers.get(address);
+    if (peer == null) {
+      peer = new Peer(address, now);
+      peers.put(address, peer);
+    }
+    if (peer.link != null) {
+      if (peer.link.send(call, call.frame)) {
+        call.frame = null;
+        watchSoon();
+      } else {
+        failSoon(call, Code.FULL, "too much on its way to the peer");
+      }
+    } else if (!peer.connecting && now < peer.retryAt) {
+      failSoon(call, Code.UNSENT, "peer could not be reached a moment ago");
+    } else if (!peer.queue(call)) {
+      failSoon(call, Code.FULL, "too much waits for the connection");
+    } else if (!peer.connecting) {
+      peer.connecting = true;
+      Peer found = peer;
+      loop.execute(() -> connect(found));
+    }
+  }
+
+  private void callSelf(OpenCall call, Object ask) {
+    if (ownCalls >= Link.MOST_ASKS) {
+      failSoon(call, Code.FULL, "too many calls to oneself");
+      return;
+    }
+    ownCalls++;
+    timers.soon(() -> {
+      if (closed) {
+        ownCalls--;
+        call.fail(Code.BROKEN, "closed");
+        return;
+      }
+      counts.asks++;
+      answers.handle(ask).whenComplete((answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
+    });
+  }
+
+  private void ownAnswer(OpenCall call, Object answer, Throwable thrown) {
+    ownCalls--;
+    if (thrown != null) {
+      call.refused(ElmsailException.codeOf(thrown));
+      return;
+    }
+    try {
+      call.answered(codec.copy(answer));
+    } catch (ElmsailException e) {
+      call.refused(e.code());
+    }
+  }
+
+  private void failSoon(OpenCall call, Code code, String detail) {
+    call.timer.cancel();
+    timers.soon(() -> call.fail(code, detail));
+  }
+
+  private void due(String address, OpenCall call) {
+    if (!call.looked && timers.now() - call.dueAt > HELD_UP) {
+      call.looked = true;
+      call.timer = timers.after(Link.LOOK_FOR, () -> due(address, call));
+      return;
+    }
+    if (call.link != null) {
+      call.link.forget(call);
+    } else if (call.frame != null) {
+      Peer peer = peers.get(address);
+      if (peer != null) {
+        peer.unqueue(call);
+      }
+      call.fail(Code.UNSENT, "no connection in time");
+      return;
+    }
+    call.fail(Code.SILENT, "no answer in time");
+  }
+
+  private void connect(Peer peer) {
+    if (closed) {
+      unreachable(peer, "closed");
+      return;
+    }
+    InetSocketAddress address;
+    try {
+      address = socketAddress(peer.address);
+    } catch (ElmsailException e) {
+      unreachable(peer, "no address");
+      return;
+    }
+    Link link = new Link(peer, owner, timers, codec, counts);
+    ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
+        .option(ChannelOption.TCP_NODELAY, true).handler(link).connect(address);
+    Channel channel = opening.channel();
+    peer.channel = channel;
+    peer.looked = false;
+    peer.connectDueAt = timers.now() + CONNECT_WITHIN;
+    peer.connectTimer = timers.after(CONNECT_WITHIN, () -> connectDue(peer, channel));
+    opening.addListener((ChannelFuture f) -> connected(peer, link, f));
+  }
+
+  private void connectDue(Peer peer, Channel channel) {
+    if (!peer.looked && timers.now() - peer.connectDueAt > HELD_UP) {
+      peer.looked = true;
+      peer.connectTimer = timers.after(Link.LOOK_FOR, () -> connectDue(peer, channel));
+    } else {
+      channel.close();
+    }
+  }
+
+  private void connected(Peer peer, Link link, ChannelFuture opening) {
+    peer.connectTimer.cancel();
+    peer.channel = null;
+    if (closed || !opening.isSuccess() || !opening.channel().isActive()) {
+      opening.channel().close();
+      counts.refusedConnects++;
+      unreachable(peer, "no connection");
+      return;
+    }
+    counts.links++;
+    peer.connecting = false;
+    peer.link = link;
+    for (OpenCall call : peer.takeWaiting()) {
+      if (link.send(call, call.frame)) {
+        call.frame = null;
+      } else {
+        call.fail(Code.FULL, "too much on its way to the peer");
+      }
+    }
+    watchSoon();
+  }
+
+  private void unreachable(Peer peer, String detail) {
+    peer.connecting = false;
+    peer.rest(timers.now());
+    watchSoon();
+    for (OpenCall call : peer.takeWaiting()) {
+      call.fail(Code.UNSENT, detail);
+    }
+  }
+
+  /** Sees to it that the links are looked after before long. */
+  private void watchSoon() {
+    long at = timers.now() + SWEEP_SOON;
+    if (!closed && (sweepTimer == null || sweepAt > at)) {
+      watch(at);
+    }
+  }
+
+  private void watch(long at) {
+    if (sweepTimer != null) {
+      sweepTimer.cancel();
+    }
+    sweepAt = at;
+    sweepTimer = timers.after(at - timers.now(), this::sweep);
+  }
+
+  private void sweep() {
+    sweepTimer = null;
+    long now = timers.now();
+    long late = now - sweepAt;
+    List<Link> links = new ArrayList<>(accepted);
+    Iterator<Peer> all = peers.values().iterator();
+    while (all.hasNext()) {
+      Peer peer = all.next();
+      if (peer.link != null) {
+        links.add(peer.link);
+      } else if (peer.unused(now)) {
+        all.remove();
+      }
+    }
+    boolean busy = false;
+    for (Link link : links) {
+      if (late > HELD_UP) {
+        link.forgive(late);
+      }
+      busy |= link.sweep();
+    }
+    if (!links.isEmpty() || !peers.isEmpty()) {
+      watch(now + (busy ? SWEEP_SOON : SWEEP_LATER));
+    }
+  }
+
+  /** Closes all connections; open calls fail soon after, with BROKEN, those that wait with UNSENT. */
+  @Override
+  public void close() {
+    closed = true;
+    if (sweepTimer != null) {
+      sweepTimer.cancel();
+    }
+    if (listener != null) {
+      listener.close();
+    }
+    for (Link link : new ArrayList<>(accepted)) {
+      link.close();
+    }
+    for (Peer peer : new ArrayList<>(peers.values())) {
+      if (peer.link != null) {
+        peer.link.close();
+      }
+      if (peer.channel != null) {
+        peer.channel.close();
+      }
+    }
+  }
+
+  private static InetSocketAddress socketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
+    try {
+      if (ip != null) {
+        return new InetSocketAddress(InetAddress.getByAddress(ip),
+            Integer.parseInt(address.substring(colon + 1)));
+      }
+    } catch (UnknownHostException | IllegalArgumentException e) {
+      throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address, e);
+    }
+    throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address);
+  }
+
+  private final class Hub implements Link.Owner {
+    @Override
+    public void asked(Link link, Frame frame) {
+      Object ask = codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
+      counts.asks++;
+      if (!link.beginAsk()) {
+        link.refuse(frame.call());
+        return;
+      }
+      answers.handle(ask).whenComplete((answer, thrown) -> {
+        if (loop.inEventLoop()) {
+          answer(link, frame.call(), answer, thrown);
+        } else {
+          loop.execute(() -> answer(link, frame.call(), answer, thrown));
+        }
+      });
+    }
+
+    private void answer(Link link, long call, Object answer, Throwable thrown) {
+      if (thrown == null) {
+        link.answer(call, answer);
+      } else {
+        link.fail(call, ElmsailException.codeOf(thrown));
+      }
+    }
+
+    @Override
+    public void closed(Link link) {
+      if (link.peer == null) {
+        accepted.remove(link);
+      } else if (link.peer.link == link) {
+        link.peer.link = null;
+        if (link.everHeard()) {
+          link.peer.welcome();
+          link.peer.retryAt = timers.now();
+        } else {
+          link.peer.rest(timers.now());
+        }
+      }
+    }
+  }
+
+  private final class Accepting extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      if (closed || accepted.size() >= MOST_ACCEPTED) {
+        channel.close();
+        return;
+      }
+      Link link = new Link(null, owner, timers, codec, counts);
+      accepted.add(link);
+      channel.pipeline().addLast(link);
+      watchSoon();
+    }
+  }
+}
--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/OpenCall.java
@@ -0,0 +1,74 @@
+package elmsail.inner;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import io.netty.buffer.ByteBuf;
+import java.util.concurrent.CompletableFuture;
+
+/** A call that has neither failed nor been answered. */
+final class OpenCall {
+  final long number;
+  final long dueAt;
+  final CompletableFuture<Object> future = new CompletableFuture<>();
+  private final Class<?> answer;
+  private final InnerCounts counts;
+  Timers.Timer timer;
+  /** The connection that it was sent over; null before, and for calls to oneself. */
+  Link link;
+  /** Whether the sockets were looked at since it fell due, the process having been held up. */
+  boolean looked;
+  /** The frame while the connection is not there yet; owned by this call. */
+  ByteBuf frame;
+
+  OpenCall(long number, Class<?> answer, long dueAt, InnerCounts counts) {
+    this.number = number;
+    this.answer = answer;
+    this.dueAt = dueAt;
+    this.counts = counts;
+  }
+
+  void answered(Object message) {
+    if (future.isDone()) {
+      counts.late++;
+      return;
+    }
+    timer.cancel();
+    if (answer.isInstance(message)) {
+      counts.answers++;
+      future.complete(message);
+    } else {
+      future.completeExceptionally(new ElmsailException(Code.GARBLED, "answer of another type"));
+    }
+  }
+
+  /** The peer said that it failed. */
+  void refused(Code code) {
+    if (future.isDone()) {
+      counts.late++;
+      return;
+    }
+    timer.cancel();
+    counts.failures++;
+    future.completeExceptionally(new ElmsailException(code, "told by the peer"));
+  }
+
+  void fail(Code code, String detail) {
+    if (future.isDone()) {
+      return;
+    }
+    timer.cancel();
+    if (frame != null) {
+      frame.release();
+      frame = null;
+    }
+    switch (code) {
+      case UNSENT -> counts.unsent++;
+      case BROKEN -> counts.broken++;
+      case SILENT -> counts.silent++;
+      case FULL -> counts.full++;
+      default -> counts.failures++;
+    }
+    future.completeExceptionally(new ElmsailException(code, detail));
+  }
+}
