--- /dev/null
+++ b/inner/src/test/java/elmsail/inner/CodecTest.java
@@ -0,0 +1,236 @@
+package elmsail.inner;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.sameInstance;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import elmsail.inner.words.AcceptAsk;
+import elmsail.inner.words.Ballot;
+import elmsail.inner.words.Blob;
+import elmsail.inner.words.Note;
+import elmsail.inner.words.PrepareAsk;
+import elmsail.inner.words.PullTold;
+import elmsail.inner.words.Roster;
+import elmsail.inner.words.Seat;
+import elmsail.inner.words.Seating;
+import elmsail.inner.words.VoteTold;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.io.ByteArrayOutputStream;
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Every word survives the wire, filled, bare, and with fields that are null. */
+class CodecTest {
+
+  private final Codec codec = new Codec();
+
+  static Stream<Class<?>> words() {
+    return IntStream.range(1, Kinds.size()).mapToObj(Kinds::type);
+  }
+
+  @ParameterizedTest
+  @MethodSource("words")
+  void filledWordComesBackTheSame(Class<?> type) throws ReflectiveOperationException {
+    Random random = new Random(type.getName().hashCode());
+    for (int i = 0; i < 50; i++) {
+      Object word = filled(type, random, 0);
+      Object copy = codec.copy(word);
+      assertThat(copy, is(not(sameInstance(word))));
+      assertSame(type.getSimpleName(), word, copy);
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("words")
+  void newWordComesBackTheSame(Class<?> type) throws ReflectiveOperationException {
+    Object word = type.getDeclaredConstructor().newInstance();
+    assertSame(type.getSimpleName(), word, codec.copy(word));
+  }
+
+  @ParameterizedTest
+  @MethodSource("words")
+  void nullFieldComesBackAsTheDefaultOfItsClass(Class<?> type) throws ReflectiveOperationException {
+    Object word = type.getDeclaredConstructor().newInstance();
+    for (Field field : fields(type)) {
+      if (!field.getType().isPrimitive()) {
+        field.set(word, null);
+      }
+    }
+    assertSame(type.getSimpleName(), type.getDeclaredConstructor().newInstance(), codec.copy(word));
+  }
+
+  @ParameterizedTest
+  @MethodSource("words")
+  void numberIsThatOfTheTable(Class<?> type) throws ReflectiveOperationException {
+    int number = codec.number(type.getDeclaredConstructor().newInstance());
+    assertThat(Kinds.type(number), equalTo((Object) type));
+  }
+
+  @Test
+  void numbersStayAsTheyWereGiven() {
+    List<String> names = new ArrayList<>();
+    words().forEach(type -> names.add(type.getSimpleName()));
+    assertThat(names.subList(0, 16), contains("PullAsk", "PullTold", "PrepareAsk", "AcceptAsk", "ReadAsk",
+        "VoteTold", "ClaimAsk", "ClaimTold", "CopyAsk", "CopyTold", "Note", "Ballot", "Blob", "Roster",
+        "Seat", "Seating"));
+  }
+
+  @Test
+  void nullAndEmptyBytesAreToldApartWhereNoDefaultStands() {
+    VoteTold vote = new VoteTold();
+    assertThat(codec.copy(vote).value, is(nullValue()));
+    vote.value = new byte[0];
+    assertThat(codec.copy(vote).value, is(notNullValue()));
+    PrepareAsk ask = new PrepareAsk();
+    assertThat(codec.copy(ask).note, is(nullValue()));
+    ask.note = new byte[0];
+    assertThat(codec.copy(ask).note, equalTo(new byte[0]));
+  }
+
+  @Test
+  void emptyListsComeBackEmpty() {
+    assertThat(codec.copy(new AcceptAsk()).blobs, is(empty()));
+    assertThat(codec.copy(new Seating()).seats, is(empty()));
+    assertThat(codec.copy(new Roster()).clerks, is(empty()));
+    Seating bare = new Seating();
+    bare.seats.add(new Seat());
+    assertThat(codec.copy(bare).seats.size(), is(1));
+  }
+
+  @Test
+  void copySharesNothing() {
+    AcceptAsk ask = new AcceptAsk();
+    ask.value = new byte[] {1, 2};
+    ask.ballot.round = 7;
+    AcceptAsk copy = codec.copy(ask);
+    ask.value[0] = 9;
+    ask.ballot.round = 8;
+    assertThat(copy.value[0], is((byte) 1));
+    assertThat(copy.ballot.round, is(7L));
+  }
+
+  @Test
+  void bigArraysSurvive() {
+    Note note = new Note();
+    note.bytes = new byte[5 << 20];
+    new Random(3).nextBytes(note.bytes);
+    assertThat(codec.copy(note).bytes, equalTo(note.bytes));
+  }
+
+  @Test
+  void whatHasNoNumberIsAFault() {
+    assertThat(assertThrows(ElmsailException.class, () -> codec.copy("word")).code(), is(Code.FAULT));
+    assertThat(assertThrows(ElmsailException.class, () -> codec.copy(null)).code(), is(Code.FAULT));
+  }
+
+  @Test
+  void unknownNumbersAreGarbled() {
+    for (int number : new int[] {-1, 0, Kinds.size(), 0x7fff}) {
+      assertThat(assertThrows(ElmsailException.class, () -> codec.read(number, new byte[0], 0, 0)).code(),
+          is(Code.GARBLED));
+    }
+  }
+
+  @Test
+  void bentBytesAreReadOrGarbledAndLeaveTheCodecWhole() throws ReflectiveOperationException {
+    Random random = new Random(11);
+    for (int i = 0; i < 3_000; i++) {
+      int number = 1 + random.nextInt(Kinds.size() - 1);
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      codec.write(number, filled(Kinds.type(number), random, 0), out);
+      byte[] bytes = out.toByteArray();
+      for (int j = 0; j < 3 && bytes.length > 0; j++) {
+        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      }
+      try {
+        codec.read(number, bytes, 0, random.nextInt(bytes.length + 1));
+      } catch (ElmsailException e) {
+        assertThat(e.code(), is(Code.GARBLED));
+      }
+    }
+    PullTold word = new PullTold();
+    word.edition = 5;
+    assertThat(codec.copy(word).edition, is(5L));
+  }
+
+  private static Object filled(Class<?> type, Random random, int depth) throws ReflectiveOperationException {
+    Object word = type.getDeclaredConstructor().newInstance();
+    for (Field field : fields(type)) {
+      Class<?> of = field.getType();
+      if (of == long.class) {
+        field.setLong(word, random.nextLong());
+      } else if (of == int.class) {
+        field.setInt(word, random.nextInt());
+      } else if (of == boolean.class) {
+        field.setBoolean(word, random.nextBoolean());
+      } else if (of == String.class) {
+        field.set(word, "\u00e4" + Long.toString(random.nextLong(), 36));
+      } else if (of == byte[].class) {
+        byte[] bytes = new byte[random.nextInt(3_000)];
+        random.nextBytes(bytes);
+        field.set(word, bytes);
+      } else if (of == List.class) {
+        field.set(word, list(field.getName(), random, depth));
+      } else {
+        field.set(word, filled(of, random, depth + 1));
+      }
+    }
+    return word;
+  }
+
+  private static List<Object> list(String name, Random random, int depth)
+      throws ReflectiveOperationException {
+    List<Object> list = new ArrayList<>();
+    for (int i = random.nextInt(4); i > 0; i--) {
+      switch (name) {
+        case "seats" -> list.add(filled(Seat.class, random, depth + 1));
+        case "blobs", "records" -> list.add(filled(Blob.class, random, depth + 1));
+        case "clerks" -> list.add("10.0.0." + random.nextInt());
+        default -> throw new AssertionError("a list that this test does not know: " + name);
+      }
+    }
+    return list;
+  }
+
+  private static void assertSame(String path, Object expected, Object found)
+      throws ReflectiveOperationException {
+    if (expected instanceof List<?> list) {
+      assertThat(path, ((List<?>) found).size(), is(list.size()));
+      for (int i = 0; i < list.size(); i++) {
+        assertSame(path + i, list.get(i), ((List<?>) found).get(i));
+      }
+    } else if (expected != null && expected.getClass().getPackage() == Ballot.class.getPackage()) {
+      for (Field field : fields(expected.getClass())) {
+        assertSame(path + "." + field.getName(), field.get(expected), field.get(found));
+      }
+    } else {
+      assertThat(path, found, equalTo(expected));
+    }
+  }
+
+  private static List<Field> fields(Class<?> type) {
+    List<Field> fields = new ArrayList<>();
+    for (Field field : type.getDeclaredFields()) {
+      if (!Modifier.isStatic(field.getModifiers())) {
+        fields.add(field);
+      }
+    }
+    return fields;
+  }
+}
