Keep records in a folder of version files

Cause: the register and the lots need records that outlive the power. Change: group commit into one file a version, compaction in steps, checks of every byte when opened.

--- /dev/null
+++ b/disk/src/main/java/elmsail/disk/ByteCache.java
@@ -0,0 +1,42 @@
+package elmsail.disk;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The bytes of big values used last, by their sequence number. Guarded by the lock of the records. */
+final class ByteCache {
+  static final int MOST_BYTES = 4 * 1024 * 1024;
+
+  private final LinkedHashMap<Long, byte[]> values = new LinkedHashMap<>(16, 0.75f, true);
+  private int bytes;
+
+  byte[] get(long seq) {
+    return values.get(seq);
+  }
+
+  void put(long seq, byte[] value) {
+    if (value.length > MOST_BYTES / 2) {
+      return;
+    }
+    remove(seq);
+    values.put(seq, value);
+    bytes += value.length;
+    Iterator<Map.Entry<Long, byte[]>> oldest = values.entrySet().iterator();
+    while (bytes > MOST_BYTES) {
+      bytes -= oldest.next().getValue().length;
+      oldest.remove();
+    }
+  }
+
+  void remove(long seq) {
+    byte[] value = values.remove(seq);
+    if (value != null) {
+      bytes -= value.length;
+    }
+  }
+
+  int bytes() {
+    return bytes;
+  }
+}
--- /dev/null
+++ b/disk/src/main/java/elmsail/disk/Files.java
@@ -0,0 +1,39 @@
+package elmsail.disk;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/** What the records ask of a file system; tests put a simulated one in its place. */
+interface Files {
+
+  /** Makes the folder where it does not stand yet. */
+  void makeFolder(Path folder) throws IOException;
+
+  /** The plain names in a folder, in any order. */
+  List<String> list(Path folder) throws IOException;
+
+  /** An empty file, open for appending; one of that name is emptied. */
+  Appender create(Path file) throws IOException;
+
+  void rename(Path from, Path to) throws IOException;
+
+  /** Also when there is no such file. */
+  void remove(Path file) throws IOException;
+
+  /** Makes renamed and removed names last. */
+  void syncFolder(Path folder) throws IOException;
+
+  /** Reads until {@code length} bytes are there or the file ends; returns how many. Called by two threads. */
+  int read(Path file, long at, byte[] to, int from, int length) throws IOException;
+
+  long size(Path file) throws IOException;
+
+  /** A file that is being written. */
+  interface Appender extends Closeable {
+    void append(byte[] bytes, int from, int length) throws IOException;
+
+    void sync() throws IOException;
+  }
+}
--- /dev/null
+++ b/disk/src/main/java/elmsail/disk/FolderFiles.java
@@ -0,0 +1,143 @@
+package elmsail.disk;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The file system itself, without locks, links or mappings; bytes pass through small direct buffers. */
+final class FolderFiles implements Files {
+  private static final Logger LOG = LoggerFactory.getLogger(FolderFiles.class);
+  private static final int CHUNK_BYTES = 64 * 1024;
+
+  private final ThreadLocal<ByteBuffer> chunks = new ThreadLocal<>();
+
+  private ByteBuffer chunk() {
+    ByteBuffer chunk = chunks.get();
+    if (chunk == null) {
+      chunk = ByteBuffer.allocateDirect(CHUNK_BYTES);
+      chunks.set(chunk);
+    }
+    chunk.clear();
+    return chunk;
+  }
+
+  @Override
+  public void makeFolder(Path folder) throws IOException {
+    Deque<Path> missing = new ArrayDeque<>();
+    for (Path p = folder.toAbsolutePath(); p != null && !java.nio.file.Files.isDirectory(p); p = p.getParent()) {
+      missing.push(p);
+    }
+    for (Path p : missing) {
+      java.nio.file.Files.createDirectories(p);
+      try {
+        syncFolder(p.getParent());
+      } catch (IOException e) {
+        // The folder above the data is not ours: it may not be opened. A lost folder is a lost disk.
+        LOG.info("the folder above {} cannot be synced: {}", p, e.toString());
+      }
+    }
+  }
+
+  @Override
+  public List<String> list(Path folder) throws IOException {
+    List<String> names = new ArrayList<>();
+    try (DirectoryStream<Path> files = java.nio.file.Files.newDirectoryStream(folder)) {
+      for (Path file : files) {
+        names.add(file.getFileName().toString());
+      }
+    } catch (java.nio.file.DirectoryIteratorException e) {
+      throw e.getCause();
+    }
+    return names;
+  }
+
+  @Override
+  public Appender create(Path file) throws IOException {
+    FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+        StandardOpenOption.TRUNCATE_EXISTING);
+    return new ChannelAppender(channel);
+  }
+
+  @Override
+  public void rename(Path from, Path to) throws IOException {
+    java.nio.file.Files.move(from, to, StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  @Override
+  public void remove(Path file) throws IOException {
+    java.nio.file.Files.deleteIfExists(file);
+  }
+
+  @Override
+  public void syncFolder(Path folder) throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
+  }
+
+  @Override
+  public int read(Path file, long at, byte[] to, int from, int length) throws IOException {
+    int done = 0;
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+      while (done < length) {
+        ByteBuffer chunk = chunk();
+        chunk.limit(Math.min(CHUNK_BYTES, length - done));
+        int got = channel.read(chunk, at + done);
+        if (got <= 0) {
+          break;
+        }
+        chunk.flip();
+        chunk.get(to, from + done, got);
+        done += got;
+      }
+    }
+    return done;
+  }
+
+  @Override
+  public long size(Path file) throws IOException {
+    return java.nio.file.Files.size(file);
+  }
+
+  private final class ChannelAppender implements Appender {
+    private final FileChannel channel;
+
+    ChannelAppender(FileChannel channel) {
+      this.channel = channel;
+    }
+
+    @Override
+    public void append(byte[] bytes, int from, int length) throws IOException {
+      int done = 0;
+      while (done < length) {
+        ByteBuffer chunk = chunk();
+        int part = Math.min(CHUNK_BYTES, length - done);
+        chunk.put(bytes, from + done, part).flip();
+        while (chunk.hasRemaining()) {
+          channel.write(chunk);
+        }
+        done += part;
+      }
+    }
+
+    @Override
+    public void sync() throws IOException {
+      channel.force(true);
+    }
+
+    @Override
+    public void close() throws IOException {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/disk/src/main/java/elmsail/disk/FolderRecords.java
@@ -0,0 +1,332 @@
+package elmsail.disk;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Records in a folder of version files. One thread calls, one of its own writes; what both know is behind one
+ * lock, and no disk is waited for under it, except by a {@link #read} of a big record, which waits without it.
+ *
+ * <p>After a failed batch, everything that waits, and everything written until the failure has been told on the
+ * executor, fails too: it may have been made from what was read as being written. Later writes are taken.
+ */
+public final class FolderRecords implements Records {
+  private static final Logger LOG = LoggerFactory.getLogger(FolderRecords.class);
+  /** Bytes that may wait for a disk that hangs. */
+  static final long WAITING_BYTES = 64L * 1024 * 1024;
+  private static final long BATCH_BYTES = 4L * 1024 * 1024;
+  private static final int NAME_BYTES = 1024;
+  private static final int CLOSE_MS = 2_000;
+  private static final int READS = 4;
+
+  private final Object lock = new Object();
+  private final Index index = new Index();
+  private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+  private final Executor completions;
+  private final Folder folder;
+  private final long mostBytes;
+  private final DiskWork work;
+  private Thread thread;
+  /** Of what waits, that being written included. */
+  private long waitingBytes;
+  private long nextSeq;
+  private ElmsailException failing;
+  private List<Waiting> failedSince = new ArrayList<>();
+  private boolean closed;
+
+  private FolderRecords(Path dir, long mostBytes, Executor completions, Files files, long newLife) {
+    this.completions = completions;
+    this.mostBytes = mostBytes;
+    folder = new Folder(dir, files);
+    folder.open(index, newLife);
+    nextSeq = folder.nextSeq();
+    work = new DiskWork(this, folder, index, lock, mostBytes);
+  }
+
+  /**
+   * Opens a folder, which is made if it is not there; waits for the disk.
+   *
+   * @param mostBytes of the disk, in bytes; a tenth of it is kept free for compaction
+   * @param completions runs what completes the futures, in order: the caller's loop
+   * @throws ElmsailException of code DISK: the disk refuses, or a file is not as it was written
+   */
+  public static FolderRecords open(Path dir, long mostBytes, Executor completions) {
+    return open(dir, mostBytes, completions, new FolderFiles());
+  }
+
+  static FolderRecords open(Path dir, long mostBytes, Executor completions, Files files) {
+    FolderRecords records = byHand(dir, mostBytes, completions, files, new SecureRandom().nextLong() | 1);
+    records.thread = new Thread(records::run, "disk");
+    records.thread.setDaemon(true);
+    records.thread.start();
+    return records;
+  }
+
+  /** Without a thread: {@link #turn} does its work. */
+  static FolderRecords byHand(Path dir, long mostBytes, Executor completions, Files files, long newLife) {
+    return new FolderRecords(dir, mostBytes, completions, files, newLife);
+  }
+
+  /** One turn of the disk's thread; false if there was nothing to do. */
+  boolean turn() {
+    return work.turn();
+  }
+
+  @Override
+  public long life() {
+    return folder.life();
+  }
+
+  @Override
+  public boolean fresh() {
+    return folder.fresh();
+  }
+
+  @Override
+  public CompletableFuture<Void> write(List<Change> changes) {
+    Waiting waiting = new Waiting();
+    byte[][] utf = new byte[changes.size()][];
+    boolean values = false;
+    for (int i = 0; i < utf.length; i++) {
+      Change change = changes.get(i);
+      utf[i] = VersionWriter.utf(change.name());
+      if (utf[i].length == 0 || utf[i].length > NAME_BYTES) {
+        throw new ElmsailException(Code.FAULT, "a record's name of " + utf[i].length + " bytes");
+      }
+      values |= change.bytes() != null;
+      waiting.bytes += VersionWriter.recordBytes(utf[i], change.bytes());
+    }
+    synchronized (lock) {
+      if (closed) {
+        return CompletableFuture.failedFuture(new ElmsailException(Code.DISK, "the records are closed"));
+      }
+      if (failing != null) {
+        failedSince.add(waiting);
+        return waiting.done;
+      }
+      long waits = waitingBytes + waiting.bytes;
+      if (waits > (values ? WAITING_BYTES : WAITING_BYTES + BATCH_BYTES)
+          || values && index.liveBytes() + waits > mostBytes / 10 * 9) {
+        return CompletableFuture.failedFuture(new ElmsailException(Code.FULL, "no room on the disk"));
+      }
+      for (int i = 0; i < utf.length; i++) {
+        Named named = index.named(changes.get(i).name());
+        named.waitingSeq = nextSeq++;
+        named.waiting = changes.get(i).bytes();
+        waiting.items.add(new Waiting.Item(named, utf[i], named.waitingSeq, named.waiting));
+      }
+      waitingBytes = waits;
+      queue.add(waiting);
+      lock.notifyAll();
+    }
+    return waiting.done;
+  }
+
+  /** Its array is not to be changed, as those given to {@link #write}. */
+  @Override
+  public byte[] read(String name) {
+    for (int tries = 1;; tries++) {
+      Place place;
+      synchronized (lock) {
+        Named named = index.names.get(name);
+        if (named == null || !named.there()) {
+          return null;
+        }
+        if (named.waitingSeq != 0) {
+          return named.waiting;
+        }
+        place = named.safe;
+        byte[] bytes = place.bytes() != null ? place.bytes() : index.cache.get(place.seq());
+        if (bytes != null) {
+          return bytes;
+        }
+      }
+      try {
+        byte[] bytes = folder.read(name, place);
+        synchronized (lock) {
+          Named named = index.names.get(name);
+          if (named != null && named.safe != null && named.safe.seq() == place.seq()) {
+            index.cache.put(place.seq(), bytes);
+          }
+        }
+        return bytes;
+      } catch (IOException e) {
+        if (tries == READS || !movedFrom(name, place)) {
+          throw new ElmsailException(Code.DISK, "a record cannot be read: " + e, e);
+        }
+      }
+    }
+  }
+
+  private boolean movedFrom(String name, Place place) {
+    synchronized (lock) {
+      Named named = index.names.get(name);
+      return named == null || named.safe != place;
+    }
+  }
+
+  @Override
+  public Map<String, byte[]> page(String after, int mostBytes) {
+    Map<String, byte[]> page = new LinkedHashMap<>();
+    String name = after == null ? "" : after;
+    long bytes = 0;
+    while (bytes < mostBytes) {
+      synchronized (lock) {
+        name = index.names.higherKey(name);
+      }
+      if (name == null) {
+        break;
+      }
+      byte[] value = read(name);
+      if (value != null) {
+        page.put(name, value);
+        bytes += name.length() + value.length;
+      }
+    }
+    return page;
+  }
+
+  /** As they stand now: changes made while it is gone through are not seen. */
+  @Override
+  public Iterable<String> names(String prefix) {
+    List<String> found = new ArrayList<>();
+    synchronized (lock) {
+      for (Named named : index.names.tailMap(prefix, true).values()) {
+        if (!named.name.startsWith(prefix)) {
+          break;
+        }
+        if (named.there()) {
+          found.add(named.name);
+        }
+      }
+    }
+    return found;
+  }
+
+  @Override
+  public long bytesOnDisk() {
+    synchronized (lock) {
+      return index.diskBytes();
+    }
+  }
+
+  /** Waits for what was written before it, 2 s at most; nothing is taken afterwards. */
+  @Override
+  public void close() {
+    synchronized (lock) {
+      closed = true;
+      lock.notifyAll();
+    }
+    if (thread != null) {
+      try {
+        thread.join(CLOSE_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  private void run() {
+    try {
+      turns();
+    } catch (RejectedExecutionException e) {
+      LOG.info("the disk's thread ends with the loop");
+    } catch (Error e) {
+      failed(List.of(), new ElmsailException(Code.FAULT, "the disk's thread ended", e));
+      throw e;
+    }
+  }
+
+  private void turns() {
+    while (true) {
+      if (!work.turn()) {
+        synchronized (lock) {
+          while (queue.isEmpty()) {
+            if (closed) {
+              return;
+            }
+            try {
+              lock.wait();
+            } catch (InterruptedException e) {
+              return;
+            }
+          }
+        }
+      }
+    }
+  }
+
+  long nextSeq() {
+    synchronized (lock) {
+      return nextSeq;
+    }
+  }
+
+  /** The next batch for the disk's thread; empty if nothing waits. */
+  List<Waiting> take() {
+    List<Waiting> batch = new ArrayList<>();
+    long bytes = 0;
+    synchronized (lock) {
+      while (!queue.isEmpty() && (batch.isEmpty() || bytes + queue.peek().bytes <= BATCH_BYTES)) {
+        bytes += queue.peek().bytes;
+        batch.add(queue.poll());
+      }
+    }
+    return batch;
+  }
+
+  void written(List<Waiting> batch) {
+    synchronized (lock) {
+      for (Waiting waiting : batch) {
+        waitingBytes -= waiting.bytes;
+      }
+    }
+    completions.execute(() -> {
+      for (Waiting waiting : batch) {
+        waiting.done.complete(null);
+      }
+    });
+  }
+
+  void failed(List<Waiting> batch, ElmsailException why) {
+    List<Waiting> all = new ArrayList<>(batch);
+    synchronized (lock) {
+      failing = why;
+      all.addAll(queue);
+      queue.clear();
+      waitingBytes = 0;
+      for (Waiting waiting : all) {
+        for (Waiting.Item item : waiting.items) {
+          item.named().waitingSeq = 0;
+          item.named().waiting = null;
+          index.tidy(item.named());
+        }
+      }
+    }
+    completions.execute(() -> tellFailed(all, why));
+  }
+
+  private void tellFailed(List<Waiting> all, ElmsailException why) {
+    synchronized (lock) {
+      failing = null;
+      all.addAll(failedSince);
+      failedSince = new ArrayList<>();
+    }
+    for (Waiting waiting : all) {
+      waiting.done.completeExceptionally(why);
+    }
+  }
+}
--- /dev/null
+++ b/disk/src/main/java/elmsail/disk/Named.java
@@ -0,0 +1,22 @@
+package elmsail.disk;
+
+/** What is known of one name: the newest safe change, the newest one waiting, and how often it lies on disk. */
+final class Named {
+  final String name;
+  /** Null if there is none. */
+  Place safe;
+  /** 0 when nothing waits. */
+  long waitingSeq;
+  /** Null for a removal that waits. */
+  byte[] waiting;
+  /** Values of this name, old ones too, in files that may still be there after a loss of power. */
+  int copies;
+
+  Named(String name) {
+    this.name = name;
+  }
+
+  boolean there() {
+    return waitingSeq != 0 ? waiting != null : safe != null && safe.value();
+  }
+}
--- /dev/null
+++ b/disk/src/main/java/elmsail/disk/VersionWriter.java
@@ -0,0 +1,112 @@
+package elmsail.disk;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+
+/**
+ * Writes one file of a version: a head (magic, format, version, life, the next sequence number, versions that
+ * are void), the records, each with a checksum of its own, and an end with their number and a checksum over
+ * all checksums, which so covers every byte.
+ */
+final class VersionWriter {
+  static final int MAGIC = 0x656C6D73;
+  static final int FORMAT = 1;
+  static final byte END = 0;
+  static final byte VALUE = 1;
+  static final byte REMOVAL = 2;
+  /** Magic, format, version, life, next sequence number, number of void versions. */
+  static final int HEAD_BYTES = 4 + 4 + 8 + 8 + 8 + 4;
+  /** Kind, sequence number, length of the name, length of the bytes. */
+  static final int RECORD_HEAD_BYTES = 1 + 8 + 2 + 4;
+  static final int END_BYTES = 1 + 4 + 4;
+  private static final int CHUNK_BYTES = 64 * 1024;
+
+  private final Files.Appender out;
+  private final ByteBuffer chunk = ByteBuffer.allocate(CHUNK_BYTES);
+  private final CRC32C crc = new CRC32C();
+  private final CRC32C overAll = new CRC32C();
+  private long appended;
+  private int records;
+
+  VersionWriter(Files.Appender out, long version, long life, long nextSeq, long[] voids) throws IOException {
+    this.out = out;
+    ByteBuffer head = ByteBuffer.allocate(HEAD_BYTES + 8 * voids.length);
+    head.putInt(MAGIC).putInt(FORMAT).putLong(version).putLong(life).putLong(nextSeq).putInt(voids.length);
+    for (long v : voids) {
+      head.putLong(v);
+    }
+    checked(head.array());
+    sum();
+  }
+
+  /** Bytes that a record takes in a file. */
+  static int recordBytes(byte[] name, byte[] bytes) {
+    return RECORD_HEAD_BYTES + name.length + (bytes == null ? 0 : bytes.length) + 4;
+  }
+
+  static byte[] utf(String name) {
+    return name.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Returns where the record begins. */
+  long record(byte[] name, long seq, byte[] bytes) throws IOException {
+    long at = appended + chunk.position();
+    ByteBuffer head = ByteBuffer.allocate(RECORD_HEAD_BYTES);
+    head.put(bytes == null ? REMOVAL : VALUE).putLong(seq).putShort((short) name.length)
+        .putInt(bytes == null ? 0 : bytes.length);
+    checked(head.array());
+    checked(name);
+    if (bytes != null) {
+      checked(bytes);
+    }
+    sum();
+    records++;
+    return at;
+  }
+
+  /** Writes the end and syncs; returns the file's length. */
+  long finish() throws IOException {
+    ByteBuffer end = ByteBuffer.allocate(END_BYTES);
+    end.put(END).putInt(records);
+    overAll.update(end.array(), 0, 5);
+    end.putInt((int) overAll.getValue());
+    put(end.array());
+    flush();
+    out.sync();
+    return appended;
+  }
+
+  private void checked(byte[] bytes) throws IOException {
+    crc.update(bytes, 0, bytes.length);
+    put(bytes);
+  }
+
+  private void sum() throws IOException {
+    byte[] sum = ByteBuffer.allocate(4).putInt((int) crc.getValue()).array();
+    crc.reset();
+    overAll.update(sum, 0, 4);
+    put(sum);
+  }
+
+  private void put(byte[] bytes) throws IOException {
+    if (bytes.length > chunk.remaining()) {
+      flush();
+    }
+    if (bytes.length > CHUNK_BYTES) {
+      out.append(bytes, 0, bytes.length);
+      appended += bytes.length;
+    } else {
+      chunk.put(bytes);
+    }
+  }
+
+  private void flush() throws IOException {
+    if (chunk.position() > 0) {
+      out.append(chunk.array(), 0, chunk.position());
+      appended += chunk.position();
+      chunk.clear();
+    }
+  }
+}
