--- a/inner/src/main/java/elmsail/inner/words/CopyTold.java
+++ b/inner/src/main/java/elmsail/inner/words/CopyTold.java
@@ -11,4 +11,6 @@
   public List<Blob> records = new ArrayList<>();
   public boolean end;
   public boolean seated;
+  /** The life that answers: another one than that which acknowledged the claim is no source. */
+  public long life;
 }
--- a/inner/src/main/java/elmsail/inner/words/ReadAsk.java
+++ b/inner/src/main/java/elmsail/inner/words/ReadAsk.java
@@ -5,4 +5,7 @@
   public String set = "";
   public String key = "";
   public Ballot known = new Ballot();
+  public Seating seating = new Seating();
+  /** Only the ballot is wanted, never the value. */
+  public boolean bare;
 }
--- a/inner/src/main/java/elmsail/inner/words/VoteTold.java
+++ b/inner/src/main/java/elmsail/inner/words/VoteTold.java
@@ -19,4 +19,9 @@
   public Seating seating = new Seating();
   /** What the keeper of the views has to tell with a promise (the count); null or its bytes. */
   public byte[] note;
+  /**
+   * What was accepted was copied from another seat and not voted for here: it counts as found, but not
+   * towards a majority that took it.
+   */
+  public boolean copied;
 }
--- /dev/null
+++ b/register/src/main/java/elmsail/register/Copying.java
@@ -0,0 +1,145 @@
+package elmsail.register;
+
+import elmsail.disk.Records;
+import elmsail.disk.Records.Change;
+import elmsail.inner.Caller;
+import elmsail.inner.words.Blob;
+import elmsail.inner.words.CopyAsk;
+import elmsail.inner.words.CopyTold;
+import elmsail.inner.words.Seat;
+import elmsail.station.Timers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/**
+ * All records of a set, from some holders at once: from each one page of keys and one of blobs in flight at
+ * most, and the next is asked for while the last is being written.
+ */
+final class Copying {
+  private static final int PAGE_BYTES = 1 << 20;
+  private static final long PAGE_CALL_MS = 2_000;
+  private static final long AGAIN_MS = 50;
+  private static final int MOST_FAILURES = 5;
+
+  private final String set;
+  private final KeptNames names;
+  private final SetKeeper keeper;
+  private final Records records;
+  private final Caller caller;
+  private final Timers timers;
+  private final List<Seat> holders;
+  private final BooleanSupplier wanted;
+  private final Consumer<Boolean> then;
+  private int open;
+  private int failures;
+  private boolean over;
+
+  /**
+   * @param wanted asked before each step: false ends it, without a word
+   * @param then told once: whether all is copied and on disk
+   */
+  Copying(String set, KeptNames names, SetKeeper keeper, Records records, Caller caller, Timers timers,
+      List<Seat> holders, BooleanSupplier wanted, Consumer<Boolean> then) {
+    this.set = set;
+    this.names = names;
+    this.keeper = keeper;
+    this.records = records;
+    this.caller = caller;
+    this.timers = timers;
+    this.holders = holders;
+    this.wanted = wanted;
+    this.then = then;
+  }
+
+  void start() {
+    open = 2 * holders.size();
+    if (open == 0) {
+      end(true);
+    }
+    for (Seat holder : holders) {
+      ask(holder, names.keys(), CompletableFuture.completedFuture(null));
+      ask(holder, names.blobs(), CompletableFuture.completedFuture(null));
+    }
+  }
+
+  private void ask(Seat holder, String after, CompletableFuture<Void> written) {
+    CopyAsk ask = new CopyAsk();
+    ask.set = set;
+    ask.after = after;
+    ask.mostBytes = PAGE_BYTES;
+    ask.seating = keeper.seating();
+    caller.call(holder.address, ask, CopyTold.class, PAGE_CALL_MS).whenComplete((told, failure) -> {
+      if (over || !wanted.getAsBoolean()) {
+        over = true;
+      } else if (failure != null) {
+        if (++failures > MOST_FAILURES) {
+          end(false);
+        } else {
+          timers.after(AGAIN_MS, () -> ask(holder, after, written));
+        }
+      } else if (!told.seated || told.life != holder.life) {
+        end(false);
+      } else {
+        // No more than one page of each is being written while the next is on its way.
+        written.whenComplete((none, fault) -> took(holder, after, told, fault));
+      }
+    });
+  }
+
+  private void took(Seat holder, String after, CopyTold told, Throwable fault) {
+    if (over || !wanted.getAsBoolean()) {
+      over = true;
+      return;
+    }
+    if (fault != null) {
+      end(false);
+      return;
+    }
+    CompletableFuture<Void> written = keep(told.records);
+    if (!told.end && !told.records.isEmpty()) {
+      ask(holder, told.records.get(told.records.size() - 1).name, written);
+      return;
+    }
+    written.whenComplete((none, failure) -> {
+      if (failure != null) {
+        end(false);
+      } else if (--open == 0) {
+        end(true);
+      }
+    });
+  }
+
+  private CompletableFuture<Void> keep(List<Blob> page) {
+    List<Change> changes = new ArrayList<>();
+    for (Blob one : page) {
+      if (!names.holdsKey(one.name)) {
+        if (!names.has(records, one.name)) {
+          changes.add(new Change(one.name, one.bytes));
+        }
+        continue;
+      }
+      byte[] ours = records.read(one.name);
+      if (ours == null) {
+        KeyState theirs = KeyState.of(one.bytes);
+        changes.add(new Change(one.name, KeyState.EMPTY.withCopyOf(theirs).bytes()));
+        continue;
+      }
+      KeyState before = KeyState.of(ours);
+      KeyState merged = before.withCopyOf(KeyState.of(one.bytes));
+      if (merged.accepted() != before.accepted() || merged.promised() != before.promised()) {
+        changes.add(new Change(one.name, merged.bytes()));
+      }
+    }
+    return changes.isEmpty() ? CompletableFuture.completedFuture(null) : keeper.write(changes);
+  }
+
+  private void end(boolean whole) {
+    if (!over) {
+      over = true;
+      then.accept(whole);
+    }
+  }
+}
--- /dev/null
+++ b/register/src/main/java/elmsail/register/KeyState.java
@@ -0,0 +1,55 @@
+package elmsail.register;
+
+import elmsail.inner.words.Ballot;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.nio.ByteBuffer;
+
+/**
+ * What one voter holds of one key.
+ *
+ * @param promised never below {@code accepted}
+ * @param copied {@code accepted} came from another seat's record when this seat was claimed
+ * @param value null if nothing was accepted
+ */
+record KeyState(Ballot promised, Ballot accepted, boolean copied, byte[] value) {
+  private static final int HEAD = 4 * Long.BYTES + 1;
+
+  static final KeyState EMPTY = new KeyState(new Ballot(), new Ballot(), false, null);
+
+  byte[] bytes() {
+    ByteBuffer out = ByteBuffer.allocate(HEAD + (value == null ? 0 : value.length));
+    out.putLong(promised.round).putLong(promised.who).putLong(accepted.round).putLong(accepted.who);
+    out.put((byte) ((value == null ? 0 : 1) | (copied ? 2 : 0)));
+    if (value != null) {
+      out.put(value);
+    }
+    return out.array();
+  }
+
+  static KeyState of(byte[] bytes) {
+    if (bytes == null) {
+      return EMPTY;
+    }
+    if (bytes.length < HEAD) {
+      throw new ElmsailException(Code.DISK, "a key's record of " + bytes.length + " bytes");
+    }
+    ByteBuffer in = ByteBuffer.wrap(bytes);
+    Ballot promised = Ballots.of(in.getLong(), in.getLong());
+    Ballot accepted = Ballots.of(in.getLong(), in.getLong());
+    int flags = in.get();
+    byte[] value = null;
+    if ((flags & 1) != 0) {
+      value = new byte[in.remaining()];
+      in.get(value);
+    }
+    return new KeyState(promised, accepted, (flags & 2) != 0, value);
+  }
+
+  /** This, and what another seat holds of the same key: the highest promise, the highest accepted. */
+  KeyState withCopyOf(KeyState other) {
+    boolean theirs = Ballots.compare(other.accepted, accepted) > 0;
+    return new KeyState(Ballots.higher(promised, other.promised), theirs ? other.accepted : accepted,
+        theirs || copied, theirs ? other.value : value);
+  }
+}
--- /dev/null
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -0,0 +1,348 @@
+package elmsail.register;
+
+import elmsail.disk.Records;
+import elmsail.disk.Records.Change;
+import elmsail.inner.Answering;
+import elmsail.inner.Caller;
+import elmsail.inner.words.AcceptAsk;
+import elmsail.inner.words.Blob;
+import elmsail.inner.words.BlobAsk;
+import elmsail.inner.words.BlobTold;
+import elmsail.inner.words.ClaimAsk;
+import elmsail.inner.words.ClaimTold;
+import elmsail.inner.words.CopyAsk;
+import elmsail.inner.words.CopyTold;
+import elmsail.inner.words.PrepareAsk;
+import elmsail.inner.words.ReadAsk;
+import elmsail.inner.words.Seating;
+import elmsail.inner.words.VoteTold;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The voter's side of one set: the records of its keys, its seating, and whether this process votes. An
+ * answer leaves only once all that it relies on is safe on disk. One keeper at most for each {@link Answering}.
+ */
+public final class SetKeeper {
+  private static final Logger LOG = LoggerFactory.getLogger(SetKeeper.class);
+
+  private final String set;
+  private final Records records;
+  private final Views views;
+  private final Membership membership;
+  private final KeptNames names;
+  private final Newcomer newcomer;
+  private final List<Runnable> watchers = new ArrayList<>();
+  private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
+  private boolean faulty;
+  private boolean toldSeated;
+
+  /** Reads its records; votes at once if this life was seated when it ended. */
+  public SetKeeper(String set, Records records, Views views, Answering answering, Caller caller,
+      Timers timers, String ownAddress, String station) {
+    this.set = set;
+    this.records = records;
+    this.views = views;
+    names = new KeptNames(set);
+    byte[] seated = records.read(names.seated());
+    membership = new Membership(ownAddress, station, records.life(),
+        SeatingBytes.seating(records.read(names.seating())), KeptNames.incarnation(seated));
+    newcomer = new Newcomer(set, this, membership, records, caller, timers);
+    toldSeated = membership.seated();
+    if (toldSeated) {
+      tellValues();
+    }
+    answering.on(PrepareAsk.class, this::prepare);
+    answering.on(AcceptAsk.class, this::accept);
+    answering.on(ReadAsk.class, this::read);
+    answering.on(BlobAsk.class, this::blob);
+    answering.on(ClaimAsk.class, this::claimed);
+    answering.on(CopyAsk.class, this::copied);
+    timers.soon(newcomer::consider);
+  }
+
+  /**
+   * The first seating of all: taken only while nothing is known here and if it names this life at incarnation
+   * 1. A life ends with its disk's content, so one that is named so never voted before; it votes as soon as
+   * this is on disk.
+   */
+  public void found(Seating founding) {
+    int seat = SeatingRules.ofLife(founding, membership.life());
+    if (membership.seating().seats.isEmpty() && seat >= 0
+        && founding.seats.get(seat).incarnation == 1) {
+      learn(founding);
+    }
+  }
+
+  public boolean seated() {
+    return membership.seated();
+  }
+
+  /** As known here; without seats if nothing is known. */
+  public Seating seating() {
+    return membership.seating();
+  }
+
+  /**
+   * Merged by the higher incarnation of each seat, on disk before any vote that relies on it. Where another
+   * life of this address or station holds a seat, that is claimed; where this life's seat is another's now,
+   * it votes no more.
+   */
+  public void learn(Seating told) {
+    if (membership.learn(told)) {
+      seatingChanged();
+    }
+    newcomer.consider();
+  }
+
+  /** Takes over the seat of another; nothing happens if this process has or claims one, or knows of more. */
+  public void claim(int seat, int incarnation) {
+    newcomer.claim(seat, incarnation);
+  }
+
+  /** Forgets the key and its blobs: only for keys that nobody changes or reads any more. */
+  public void drop(String key) {
+    List<Change> changes = new ArrayList<>();
+    changes.add(new Change(names.key(key), null));
+    for (String name : records.names(names.blobs(key))) {
+      changes.add(new Change(name, null));
+    }
+    write(changes);
+    views.dropped(key);
+  }
+
+  /** Keys that have a record, also those that were only promised. */
+  public Iterable<String> keys() {
+    return () -> new Iterator<>() {
+      private final Iterator<String> found = records.names(names.keys()).iterator();
+
+      @Override
+      public boolean hasNext() {
+        return found.hasNext();
+      }
+
+      @Override
+      public String next() {
+        return names.keyOf(found.next());
+      }
+    };
+  }
+
+  /** The value accepted here last, decided or not; null if there is none. */
+  public byte[] value(String key) {
+    return state(key).value();
+  }
+
+  /** Null if it isn't kept here. */
+  public byte[] blob(String key, String name) {
+    return records.read(names.blob(key, name));
+  }
+
+  /** Called on the loop after {@link #seated()} became another. */
+  public void whenSeatedChanges(Runnable then) {
+    watchers.add(then);
+  }
+
+  KeyState state(String key) {
+    return KeyState.of(records.read(names.key(key)));
+  }
+
+  /** Ordered: once one is safe, all before it are. After a failure of the disk nothing is voted any more. */
+  CompletableFuture<Void> write(List<Change> changes) {
+    CompletableFuture<Void> written = records.write(changes);
+    lastWrite = written;
+    written.whenComplete((none, failure) -> {
+      if (failure != null && ElmsailException.codeOf(failure) != Code.FULL && !faulty) {
+        faulty = true;
+        LOG.error("{}: the disk failed, no more votes", set, failure);
+      }
+    });
+    return written;
+  }
+
+  /** Writes the seating as it is now, and tells the watchers if this process stopped voting by it. */
+  CompletableFuture<Void> seatingChanged() {
+    List<Change> changes = new ArrayList<>();
+    changes.add(new Change(names.seating(), SeatingBytes.of(membership.seating())));
+    if (membership.founded()) {
+      membership.caughtUp(1);
+      changes.add(new Change(names.seated(), KeptNames.bytes(1)));
+    } else if (membership.caughtUp() == 0 && records.read(names.seated()) != null) {
+      changes.add(new Change(names.seated(), null));
+    }
+    CompletableFuture<Void> written = write(changes);
+    tellSeated();
+    return written;
+  }
+
+  /** All that had to be copied is on disk. */
+  void caughtUp(int incarnation) {
+    tellValues();
+    membership.caughtUp(incarnation);
+    write(List.of(new Change(names.seated(), KeptNames.bytes(incarnation)))).whenComplete((none, failure) -> {
+      if (failure == null) {
+        tellSeated();
+      }
+    });
+  }
+
+  private void tellSeated() {
+    boolean seated = membership.seated();
+    if (seated != toldSeated) {
+      toldSeated = seated;
+      LOG.info("{}: {}", set, seated ? "seated" : "not seated");
+      for (Runnable watcher : watchers) {
+        watcher.run();
+      }
+    }
+  }
+
+  private void tellValues() {
+    for (String key : keys()) {
+      byte[] value = value(key);
+      if (value != null) {
+        views.taken(key, value);
+      }
+    }
+  }
+
+  private CompletableFuture<VoteTold> prepare(PrepareAsk ask) {
+    VoteTold refused = refusal(ask.set, ask.seating);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    Acceptor.Decision decision = Acceptor.prepare(state(ask.key), ask.ballot);
+    if (decision.answer().code != VoteTold.DONE) {
+      return CompletableFuture.completedFuture(decision.answer());
+    }
+    return safely(changes(ask.key, decision, ask.blobs), () -> {
+      if (ask.note != null) {
+        decision.answer().note = views.noted(ask.key, ask.note);
+      }
+      return decision.answer();
+    });
+  }
+
+  private CompletableFuture<VoteTold> accept(AcceptAsk ask) {
+    VoteTold refused = refusal(ask.set, ask.seating);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    Acceptor.Decision decision = Acceptor.accept(state(ask.key), ask.ballot, ask.next, ask.value);
+    if (decision.answer().code == VoteTold.DONE && decision.write() != null
+        && !views.admits(ask.key, ask.value)) {
+      VoteTold told = new VoteTold();
+      told.code = VoteTold.NOT_ADMITTED;
+      return CompletableFuture.completedFuture(told);
+    }
+    if (decision.answer().code != VoteTold.DONE) {
+      return CompletableFuture.completedFuture(decision.answer());
+    }
+    return safely(changes(ask.key, decision, ask.blobs), () -> {
+      if (decision.write() != null) {
+        views.taken(ask.key, ask.value);
+      }
+      return decision.answer();
+    });
+  }
+
+  private CompletableFuture<VoteTold> read(ReadAsk ask) {
+    VoteTold refused = refusal(ask.set, ask.seating);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    VoteTold told = Acceptor.read(state(ask.key), ask.known, ask.bare);
+    return safely(List.of(), () -> told);
+  }
+
+  private CompletableFuture<BlobTold> blob(BlobAsk ask) {
+    VoteTold refused = refusal(ask.set, ask.seating);
+    BlobTold told = new BlobTold();
+    told.seated = refused == null;
+    told.seating = refused == null ? told.seating : refused.seating;
+    if (refused == null || refused.code == VoteTold.OLD_SEATING && membership.seated()) {
+      told.bytes = blob(ask.key, ask.name);
+      told.known = told.bytes != null;
+    }
+    return told.known ? safely(List.of(), () -> told) : CompletableFuture.completedFuture(told);
+  }
+
+  private CompletableFuture<ClaimTold> claimed(ClaimAsk ask) {
+    if (!set.equals(ask.set)) {
+      return CompletableFuture.failedFuture(new ElmsailException(Code.NOT_SEATED, ask.set));
+    }
+    Seating before = membership.seating();
+    Membership.Claimed claimed = membership.claim(ask);
+    if (membership.seating() != before) {
+      LOG.info("{}: seat {} claimed by {}, incarnation {}", set, ask.seat, ask.holder.address,
+          ask.holder.incarnation);
+      seatingChanged();
+    }
+    ClaimTold told = new ClaimTold();
+    told.held = claimed != Membership.Claimed.REFUSED;
+    told.seating = membership.seating();
+    return safely(List.of(), () -> told);
+  }
+
+  private CompletableFuture<CopyTold> copied(CopyAsk ask) {
+    CopyTold told = new CopyTold();
+    told.life = membership.life();
+    told.end = true;
+    if (!set.equals(ask.set) || refusal(ask.set, ask.seating) != null) {
+      return CompletableFuture.completedFuture(told);
+    }
+    told.seated = true;
+    names.page(records, ask.after, Math.min(Math.max(ask.mostBytes, 1), 1 << 20), told);
+    return safely(List.of(), () -> told);
+  }
+
+  /** Null if an ask under that seating may be voted on; what it knows that is newer is taken first. */
+  private VoteTold refusal(String askedSet, Seating asked) {
+    if (faulty) {
+      throw new ElmsailException(Code.DISK, "the disk failed before");
+    }
+    if (!set.equals(askedSet)) {
+      throw new ElmsailException(Code.NOT_SEATED, askedSet);
+    }
+    int code = membership.vote(asked);
+    if (code != VoteTold.OLD_SEATING && SeatingRules.newer(asked, membership.seating())) {
+      learn(asked);
+      code = membership.vote(asked);
+    }
+    if (code == VoteTold.DONE) {
+      return null;
+    }
+    VoteTold told = new VoteTold();
+    told.code = code;
+    told.seating = membership.seating();
+    return told;
+  }
+
+  private List<Change> changes(String key, Acceptor.Decision decision, List<Blob> blobs) {
+    List<Change> changes = new ArrayList<>();
+    for (Blob blob : blobs) {
+      String name = names.blob(key, blob.name);
+      if (!names.has(records, name)) {
+        changes.add(new Change(name, blob.bytes));
+      }
+    }
+    if (decision.write() != null) {
+      changes.add(new Change(names.key(key), decision.write().bytes()));
+    }
+    return changes;
+  }
+
+  /** Answers once the changes, and all before them, are safe. */
+  private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
+    CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
+    return safe.thenApply(none -> answer.get());
+  }
+}
