--- a/inner/src/main/java/elmsail/inner/Kinds.java
+++ b/inner/src/main/java/elmsail/inner/Kinds.java
@@ -3,6 +3,8 @@
 import elmsail.inner.words.AcceptAsk;
 import elmsail.inner.words.Ballot;
 import elmsail.inner.words.Blob;
+import elmsail.inner.words.BlobAsk;
+import elmsail.inner.words.BlobTold;
 import elmsail.inner.words.ClaimAsk;
 import elmsail.inner.words.ClaimTold;
 import elmsail.inner.words.CopyAsk;
@@ -41,6 +43,8 @@
     Roster.class,
     Seat.class,
     Seating.class,
+    BlobAsk.class,
+    BlobTold.class,
   };
 
   private Kinds() {
--- a/register/src/main/java/elmsail/register/Changing.java
+++ b/register/src/main/java/elmsail/register/Changing.java
@@ -53,6 +53,7 @@
         return;
       }
       // What was kept may be old: a change is declined only on what a majority tells.
+      client.keep(key, new RegisterClient.Kept(null, new Ballot(), null, seating));
     }
     new Attempt(seating, client.nextBallot(), kept != null).prepare();
   }
--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -29,7 +29,8 @@
 
 /**
  * The voter's side of one set: the records of its keys, its seating, and whether this process votes. An
- * answer leaves only once all that it relies on is safe on disk. One keeper at most for each {@link Answering}.
+ * answer leaves only once all that it relies on is safe on disk. One
+ * keeper at most for each {@link Answering}.
  */
 public final class SetKeeper {
   private static final Logger LOG = LoggerFactory.getLogger(SetKeeper.class);
@@ -42,7 +43,8 @@
   private final Newcomer newcomer;
   private final List<Runnable> watchers = new ArrayList<>();
   private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
-  private boolean faulty;
+  /** Whether the disk has, or is being given, the seating and {@code seated} as they are in memory. */
+  private boolean membershipGiven = true;
   private boolean toldSeated;
 
   /** Reads its records; votes at once if this life was seated when it ended. */
@@ -155,14 +157,16 @@
     return KeyState.of(records.read(names.key(key)));
   }
 
-  /** Ordered: once one is safe, all before it are. After a failure of the disk nothing is voted any more. */
+  /** Ordered: once one is safe, all before it are; where one fails, what was read as written is undone. */
   CompletableFuture<Void> write(List<Change> changes) {
     CompletableFuture<Void> written = records.write(changes);
+    if (written.isCompletedExceptionally()) {
+      return written;
+    }
     lastWrite = written;
     written.whenComplete((none, failure) -> {
-      if (failure != null && ElmsailException.codeOf(failure) != Code.FULL && !faulty) {
-        faulty = true;
-        LOG.error("{}: the disk failed, no more votes", set, failure);
+      if (failure != null && lastWrite == written) {
+        lastWrite = CompletableFuture.completedFuture(null);
       }
     });
     return written;
@@ -170,15 +174,10 @@
 
   /** Writes the seating as it is now, and tells the watchers if this process stopped voting by it. */
   CompletableFuture<Void> seatingChanged() {
-    List<Change> changes = new ArrayList<>();
-    changes.add(new Change(names.seating(), SeatingBytes.of(membership.seating())));
     if (membership.founded()) {
       membership.caughtUp(1);
-      changes.add(new Change(names.seated(), KeptNames.bytes(1)));
-    } else if (membership.caughtUp() == 0 && records.read(names.seated()) != null) {
-      changes.add(new Change(names.seated(), null));
     }
-    CompletableFuture<Void> written = write(changes);
+    CompletableFuture<Void> written = writeMembership();
     tellSeated();
     return written;
   }
@@ -187,13 +186,29 @@
   void caughtUp(int incarnation) {
     tellValues();
     membership.caughtUp(incarnation);
-    write(List.of(new Change(names.seated(), KeptNames.bytes(incarnation)))).whenComplete((none, failure) -> {
+    writeMembership().whenComplete((none, failure) -> {
       if (failure == null) {
         tellSeated();
       }
     });
   }
 
+  /** Both together: a vote is written behind them, so that a life that voted never takes itself for new. */
+  private CompletableFuture<Void> writeMembership() {
+    int caughtUp = membership.caughtUp();
+    CompletableFuture<Void> written = write(List.of(
+        new Change(names.seating(), SeatingBytes.of(membership.seating())),
+        new Change(names.seated(), caughtUp == 0 ? null : KeptNames.bytes(caughtUp))));
+    membershipGiven = true;
+    written.whenComplete((none, failure) -> {
+      if (failure != null) {
+        membershipGiven = false;
+        LOG.warn("{}: the seating could not be written: {}", set, ElmsailException.codeOf(failure));
+      }
+    });
+    return written;
+  }
+
   private void tellSeated() {
     boolean seated = membership.seated();
     if (seated != toldSeated) {
@@ -279,6 +294,9 @@
     if (!set.equals(ask.set)) {
       return CompletableFuture.failedFuture(new ElmsailException(Code.NOT_SEATED, ask.set));
     }
+    if (!membershipGiven) {
+      writeMembership();
+    }
     Seating before = membership.seating();
     Membership.Claimed claimed = membership.claim(ask);
     if (membership.seating() != before) {
@@ -306,9 +324,6 @@
 
   /** Null if an ask under that seating may be voted on; what it knows that is newer is taken first. */
   private VoteTold refusal(String askedSet, Seating asked) {
-    if (faulty) {
-      throw new ElmsailException(Code.DISK, "the disk failed before");
-    }
     if (!set.equals(askedSet)) {
       throw new ElmsailException(Code.NOT_SEATED, askedSet);
     }
@@ -317,6 +332,9 @@
       learn(asked);
       code = membership.vote(asked);
     }
+    if (!membershipGiven) {
+      writeMembership();
+    }
     if (code == VoteTold.DONE) {
       return null;
     }
