--- /dev/null
+++ b/timetable/src/main/java/elmsail/timetable/CheckedTimetable.java
@@ -0,0 +1,79 @@
+package elmsail.timetable;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** A configuration's routes by name and, longest prefix first, by host. Immutable. */
+final class CheckedTimetable implements Timetable {
+  private final long edition;
+  private final Map<String, Route> byName = new LinkedHashMap<>();
+  private final Map<String, List<Route>> byHost = new HashMap<>();
+  private final Map<String, Service> services;
+  private final ClientLimits limits;
+
+  CheckedTimetable(long edition, List<Route> routes, Map<String, Service> services, ClientLimits limits) {
+    this.edition = edition;
+    this.services = Collections.unmodifiableMap(services);
+    this.limits = limits;
+    for (Route route : routes) {
+      byName.put(route.name(), route);
+      byHost.computeIfAbsent(route.host(), host -> new ArrayList<>(1)).add(route);
+    }
+    for (List<Route> ofHost : byHost.values()) {
+      ofHost.sort(Comparator.comparingInt(route -> -route.prefix().length()));
+    }
+  }
+
+  /** In lower case, without a port and the brackets of an IPv6 address's port. */
+  static String plainHost(String host) {
+    int colon = host.lastIndexOf(':');
+    String bare = colon >= 0 && host.indexOf(']', colon) < 0 ? host.substring(0, colon) : host;
+    return bare.toLowerCase(Locale.ROOT);
+  }
+
+  @Override
+  public long edition() {
+    return edition;
+  }
+
+  @Override
+  public Route find(String host, String path) {
+    if (host == null) {
+      return null;
+    }
+    List<Route> ofHost = byHost.get(host);
+    if (ofHost == null) {
+      ofHost = byHost.get(plainHost(host));
+    }
+    if (ofHost == null) {
+      return null;
+    }
+    for (int i = 0; i < ofHost.size(); i++) {
+      if (path.startsWith(ofHost.get(i).prefix())) {
+        return ofHost.get(i);
+      }
+    }
+    return null;
+  }
+
+  @Override
+  public Route named(String name) {
+    return byName.get(name);
+  }
+
+  @Override
+  public Map<String, Service> services() {
+    return services;
+  }
+
+  @Override
+  public ClientLimits limits() {
+    return limits;
+  }
+}
--- /dev/null
+++ b/timetable/src/main/java/elmsail/timetable/Digest.java
@@ -0,0 +1,22 @@
+package elmsail.timetable;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Tells whether two configurations are the same, byte for byte. */
+public final class Digest {
+  private Digest() {
+  }
+
+  /** SHA-256 in 64 lower-case hex digits: the same in every process and release. */
+  public static String of(byte[] bytes) {
+    try {
+      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+    } catch (NoSuchAlgorithmException e) {
+      throw new ElmsailException(Code.FAULT, "every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/timetable/src/main/java/elmsail/timetable/StrictJson.java
@@ -0,0 +1,82 @@
+package elmsail.timetable;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigFactory;
+import com.typesafe.config.ConfigObject;
+import com.typesafe.config.ConfigParseOptions;
+import com.typesafe.config.ConfigSyntax;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * One JSON object from the first byte to the last, and nothing else. Typesafe Config lets duplicate keys,
+ * comments and more pass, so the text goes through a strict reader before it.
+ */
+final class StrictJson {
+  private static final int DEEPEST = 50;
+  private static final JsonFactory JSON = new JsonFactoryBuilder()
+      .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build())
+      .build();
+  private static final ConfigParseOptions AS_JSON = ConfigParseOptions.defaults()
+      .setSyntax(ConfigSyntax.JSON).setOriginDescription("configuration");
+
+  private StrictJson() {
+  }
+
+  /** Fails with BAD_CALL if the bytes are not one whole JSON object in UTF-8 with each key once. */
+  static ConfigObject read(byte[] bytes) {
+    String text = text(bytes);
+    check(text);
+    try {
+      return ConfigFactory.parseString(text, AS_JSON).root();
+    } catch (ConfigException e) {
+      throw new ElmsailException(Code.BAD_CALL, "the configuration cannot be read: " + e.getMessage(), e);
+    }
+  }
+
+  private static String text(byte[] bytes) {
+    try {
+      return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+    } catch (CharacterCodingException e) {
+      throw new ElmsailException(Code.BAD_CALL, "the configuration is not UTF-8", e);
+    }
+  }
+
+  private static void check(String text) {
+    try (JsonParser in = JSON.createParser(text)) {
+      if (in.nextToken() != JsonToken.START_OBJECT) {
+        throw new ElmsailException(Code.BAD_CALL, "the configuration is not a JSON object");
+      }
+      int open = 1;
+      while (open > 0) {
+        JsonToken token = in.nextToken();
+        if (token == null) {
+          throw new ElmsailException(Code.BAD_CALL, "the configuration is cut short");
+        }
+        if (token.isStructStart()) {
+          open++;
+        } else if (token.isStructEnd()) {
+          open--;
+        } else if (token == JsonToken.VALUE_STRING) {
+          in.getTextLength();
+        }
+      }
+      if (in.nextToken() != null) {
+        throw new ElmsailException(Code.BAD_CALL, "the configuration has more behind its end");
+      }
+    } catch (IOException e) {
+      throw new ElmsailException(Code.BAD_CALL, "the configuration is not whole JSON: " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/timetable/src/main/java/elmsail/timetable/pull/Rendezvous.java
@@ -0,0 +1,48 @@
+package elmsail.timetable.pull;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Rendezvous hashing: each station ranks the candidates in an order of its own, the same everywhere. */
+public final class Rendezvous {
+  private Rendezvous() {
+  }
+
+  /**
+   * The first {@code n} candidates (fewer if there are fewer) in the station's order; the candidates' own
+   * order does not matter, and doubles count once. One that comes or goes displaces at most one of a choice.
+   */
+  public static List<String> choose(String station, List<String> candidates, int n) {
+    List<String> ranked = new ArrayList<>();
+    List<Long> scores = new ArrayList<>();
+    long own = hash(0, station);
+    for (String candidate : candidates) {
+      if (ranked.contains(candidate)) {
+        continue;
+      }
+      long score = hash(own, candidate);
+      int at = 0;
+      while (at < ranked.size() && before(scores.get(at), ranked.get(at), score, candidate)) {
+        at++;
+      }
+      ranked.add(at, candidate);
+      scores.add(at, score);
+    }
+    return List.copyOf(ranked.subList(0, Math.max(0, Math.min(n, ranked.size()))));
+  }
+
+  private static boolean before(long score, String name, long otherScore, String other) {
+    return score != otherScore ? score > otherScore : name.compareTo(other) < 0;
+  }
+
+  /** FNV-1a over the characters, then the finalizer of SplitMix64 to spread near names. */
+  private static long hash(long seed, String text) {
+    long h = 0xcbf29ce484222325L ^ seed;
+    for (int i = 0; i < text.length(); i++) {
+      h = (h ^ text.charAt(i)) * 0x100000001b3L;
+    }
+    h = (h ^ h >>> 30) * 0xbf58476d1ce4e5b9L;
+    h = (h ^ h >>> 27) * 0x94d049bb133111ebL;
+    return h ^ h >>> 31;
+  }
+}
