--- a/inner/src/main/java/elmsail/inner/Kinds.java
+++ b/inner/src/main/java/elmsail/inner/Kinds.java
@@ -9,6 +9,10 @@
 import elmsail.inner.words.ClaimTold;
 import elmsail.inner.words.CopyAsk;
 import elmsail.inner.words.CopyTold;
+import elmsail.inner.words.HelloAsk;
+import elmsail.inner.words.HelloTold;
+import elmsail.inner.words.LeaseAsk;
+import elmsail.inner.words.LeaseTold;
 import elmsail.inner.words.Note;
 import elmsail.inner.words.PrepareAsk;
 import elmsail.inner.words.PullAsk;
@@ -45,6 +49,10 @@
     Seating.class,
     BlobAsk.class,
     BlobTold.class,
+    HelloAsk.class,
+    HelloTold.class,
+    LeaseAsk.class,
+    LeaseTold.class,
   };
 
   private Kinds() {
