Carry clients' requests, streams and items to servers

Cause: the tier has no data plane. Change: the clerk's counter (clients), servers (connections, choice) and requests (tries, outcomes, resume, items).

--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/counter/Front.java
@@ -0,0 +1,165 @@
+package elmsail.clerk.counter;
+
+import elmsail.clerk.requests.Desk;
+import elmsail.clerk.words.Tally;
+import elmsail.station.Addresses;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import elmsail.timetable.Known;
+import elmsail.timetable.Timetable;
+import elmsail.timetable.Timetable.ClientLimits;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/** The address that clients connect to, and their connections. All on the loop. */
+public final class Front {
+  private static final int BACKLOG = 1_024;
+  private static final ClientLimits BEFORE_ANY = new ClientLimits(16_384, 4 << 20, 3_000, 15_000);
+  /** Descriptors that are kept for all but clients. */
+  private static final int KEPT_DESCRIPTORS = 600;
+  private static final int LEAST_CONNECTIONS = 200;
+  /** Bodies of requests under way, all together. */
+  private static final long MOST_BODY_BYTES = 48L << 20;
+
+  private final Timers timers;
+  private final Known known;
+  private final Desk desk;
+  private final Tally tally;
+  private final int most;
+  private final Set<ClientConnection> open = new LinkedHashSet<>();
+  private Channel listening;
+  private long bodyBytes;
+  private boolean ending;
+
+  private Front(Timers timers, Known known, Desk desk, Tally tally, int fds) {
+    this.timers = timers;
+    this.known = known;
+    this.desk = desk;
+    this.tally = tally;
+    most = Math.max(LEAST_CONNECTIONS, fds - KEPT_DESCRIPTORS);
+  }
+
+  /**
+   * Completes on the loop once the address is bound; fails with BAD_SETTINGS.
+   *
+   * @param fds descriptors that the process may hold
+   */
+  public static CompletableFuture<Front> listen(Timers timers, EventLoop loop, String address, Known known,
+      Desk desk, Tally tally, int fds) {
+    Front front = new Front(timers, known, desk, tally, fds);
+    CompletableFuture<Front> bound = new CompletableFuture<>();
+    ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            front.opened(channel);
+          }
+        }).bind(Addresses.of(address));
+    binding.addListener(done -> {
+      if (done.isSuccess()) {
+        front.listening = binding.channel();
+        bound.complete(front);
+      } else {
+        bound.completeExceptionally(
+            new ElmsailException(Code.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
+      }
+    });
+    return bound;
+  }
+
+  private void opened(Channel channel) {
+    if (open.size() >= most) {
+      channel.close();
+      return;
+    }
+    ClientConnection connection = new ClientConnection(this);
+    open.add(connection);
+    connection.into(channel.pipeline());
+  }
+
+  void closed(ClientConnection connection) {
+    open.remove(connection);
+  }
+
+  Timers timers() {
+    return timers;
+  }
+
+  Desk desk() {
+    return desk;
+  }
+
+  Tally tally() {
+    return tally;
+  }
+
+  ClientLimits limits() {
+    Timetable now = known.timetable();
+    return now == null || now.limits() == null ? BEFORE_ANY : now.limits();
+  }
+
+  /** Whether answers are to say that the connection ends. */
+  boolean ending() {
+    return ending;
+  }
+
+  /** Whether a body of so many bytes more can be kept. */
+  boolean takesBody(int bytes) {
+    if (bodyBytes + bytes > MOST_BODY_BYTES) {
+      return false;
+    }
+    bodyBytes += bytes;
+    return true;
+  }
+
+  void gaveBody(int bytes) {
+    bodyBytes -= bytes;
+  }
+
+  /** Where it listens, ip:port. */
+  public String address() {
+    InetSocketAddress local = (InetSocketAddress) listening.localAddress();
+    return local.getAddress().getHostAddress() + ":" + local.getPort();
+  }
+
+  /** How many connections are open. */
+  public int connections() {
+    return open.size();
+  }
+
+  /** From here on each answer ends its connection. */
+  public void beginEnd() {
+    ending = true;
+  }
+
+  /** Takes no new connections, and ends those that no request is on. */
+  public void closeIdle() {
+    listening.close();
+    for (ClientConnection c : new ArrayList<>(open)) {
+      c.closeIfIdle();
+    }
+  }
+
+  /** Ends what is left. */
+  public void closeAll() {
+    for (ClientConnection c : new ArrayList<>(open)) {
+      c.close();
+    }
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/requests/Answering.java
@@ -0,0 +1,30 @@
+package elmsail.clerk.requests;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** The client's side of one request. Just one final answer; calls behind a client's leave do nothing. */
+public interface Answering {
+
+  /** An answer that is whole. */
+  void whole(int status, HttpHeaders headers, ByteBuf body);
+
+  /**
+   * The head of an answer whose body comes as it is made.
+   *
+   * @param length of the body in bytes, or -1 for chunks
+   */
+  void head(int status, HttpHeaders headers, long length);
+
+  /** A piece of it; released here. Goes out when the loop has nothing more to read for it. */
+  void data(ByteBuf piece);
+
+  /** Its proper end. */
+  void end();
+
+  /** Ends the connection so that no answer, or the begun one, can look complete. */
+  void breakOff();
+
+  /** Whether more can be written without being queued for long; told again by {@link Taken#writable}. */
+  boolean writable();
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/requests/EventSplitter.java
@@ -0,0 +1,179 @@
+package elmsail.clerk.requests;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * Cuts a series of events ({@code text/event-stream}) into its events, bytes unchanged. An event ends with an
+ * empty line; lines end with LF, CR LF, or CR that is not the last byte so far.
+ */
+final class EventSplitter {
+  /** An event longer than this is none. */
+  static final int MOST_BYTES = 1 << 20;
+
+  /** Gets each whole event; returns false to be told no more. */
+  interface Sink {
+    /**
+     * One event.
+     *
+     * @param id of its {@code id} line, or -1 without one that is a number
+     * @param raw all its bytes, the empty line included; the sink's to release
+     */
+    boolean event(long id, ByteBuf raw);
+  }
+
+  private final Sink sink;
+  private ByteBuf rest = Unpooled.EMPTY_BUFFER;
+
+  EventSplitter(Sink sink) {
+    this.sink = sink;
+  }
+
+  /** Takes and releases the piece; false where an event is too long or the sink wants no more. */
+  boolean feed(ByteBuf piece) {
+    ByteBuf all;
+    if (rest.isReadable()) {
+      all = Unpooled.buffer(rest.readableBytes() + piece.readableBytes());
+      all.writeBytes(rest).writeBytes(piece);
+      rest.release();
+      piece.release();
+    } else {
+      all = piece;
+    }
+    rest = Unpooled.EMPTY_BUFFER;
+    try {
+      int end = end(all);
+      while (end >= 0) {
+        ByteBuf raw = all.readRetainedSlice(end - all.readerIndex());
+        if (!sink.event(id(raw), raw)) {
+          return false;
+        }
+        end = end(all);
+      }
+      if (all.readableBytes() > MOST_BYTES) {
+        return false;
+      }
+      rest = all.isReadable() ? Unpooled.copiedBuffer(all) : Unpooled.EMPTY_BUFFER;
+      return true;
+    } finally {
+      all.release();
+    }
+  }
+
+  /** Whether bytes of an event that is not whole have come. */
+  boolean partial() {
+    return rest.isReadable();
+  }
+
+  void clear() {
+    rest.release();
+    rest = Unpooled.EMPTY_BUFFER;
+  }
+
+  /** The index behind the first event, or -1. */
+  private static int end(ByteBuf in) {
+    boolean lineBegun = false;
+    int to = in.writerIndex();
+    for (int i = in.readerIndex(); i < to; i++) {
+      byte b = in.getByte(i);
+      if (b != '\n' && b != '\r') {
+        lineBegun = true;
+        continue;
+      }
+      int next = i + 1;
+      if (b == '\r') {
+        if (next == to) {
+          return -1; // a line feed may follow
+        }
+        if (in.getByte(next) == '\n') {
+          next++;
+        }
+      }
+      if (!lineBegun) {
+        return next;
+      }
+      lineBegun = false;
+      i = next - 1;
+    }
+    return -1;
+  }
+
+  private static long id(ByteBuf raw) {
+    long id = -1;
+    int at = raw.readerIndex();
+    int to = raw.writerIndex();
+    while (at < to) {
+      int end = lineEnd(raw, at);
+      if (end - at > 3 && raw.getByte(at) == 'i' && raw.getByte(at + 1) == 'd' && raw.getByte(at + 2) == ':') {
+        id = number(raw, at + 3, end);
+      }
+      at = end + 1;
+    }
+    return id;
+  }
+
+  private static long number(ByteBuf raw, int from, int to) {
+    long value = -1;
+    for (int i = from; i < to; i++) {
+      int digit = raw.getByte(i) - '0';
+      if (digit >= 0 && digit <= 9 && value < Long.MAX_VALUE / 20) {
+        value = Math.max(0, value) * 10 + digit;
+      } else if (raw.getByte(i) != ' ') {
+        return -1;
+      }
+    }
+    return value;
+  }
+
+  private static int lineEnd(ByteBuf raw, int from) {
+    int i = from;
+    while (i < raw.writerIndex() && raw.getByte(i) != '\n' && raw.getByte(i) != '\r') {
+      i++;
+    }
+    return i;
+  }
+
+  /** The {@code data} lines of an event, joined by line feeds; null where it has none. */
+  static byte[] data(ByteBuf raw) {
+    byte[] joined = new byte[raw.readableBytes()];
+    int length = 0;
+    boolean any = false;
+    int at = raw.readerIndex();
+    while (at < raw.writerIndex()) {
+      int end = lineEnd(raw, at);
+      int from = behind(raw, at, end);
+      if (from >= 0) {
+        if (any) {
+          joined[length++] = '\n';
+        }
+        any = true;
+        raw.getBytes(from, joined, length, end - from);
+        length += end - from;
+      }
+      at = end + 1;
+    }
+    return any ? java.util.Arrays.copyOf(joined, length) : null;
+  }
+
+  /** Where the value of a {@code data} line begins, or -1 for other lines. */
+  private static int behind(ByteBuf raw, int at, int end) {
+    String name = "data";
+    if (end - at < name.length()) {
+      return -1;
+    }
+    for (int i = 0; i < name.length(); i++) {
+      if (raw.getByte(at + i) != name.charAt(i)) {
+        return -1;
+      }
+    }
+    int from = at + name.length();
+    if (from == end) {
+      return end;
+    }
+    if (raw.getByte(from) != ':') {
+      return -1;
+    }
+    from++;
+    return from < end && raw.getByte(from) == ' ' ? from + 1 : from;
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/requests/Forward.java
@@ -0,0 +1,197 @@
+package elmsail.clerk.requests;
+
+import elmsail.clerk.servers.Server;
+import elmsail.clerk.servers.Try;
+import elmsail.clerk.servers.TryHeard;
+import elmsail.clerk.words.Headers;
+import elmsail.clerk.words.Tally;
+import elmsail.station.Timers.Timer;
+import elmsail.timetable.Route;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * One client's request from its choice of a first server to its one final answer. What may have run is never
+ * run again unless it may be repeated, and never answered with a promise that it has not run.
+ */
+final class Forward implements Taken, TryHeard {
+  /** Tries that never left and do not count for the route's own bound. */
+  private static final int MOST_UNSENT = 6;
+
+  private final Course course;
+  private final Route route;
+  private final Letter letter;
+  private final Passing passing;
+  private final Set<Server> been = new HashSet<>();
+  private final long endsAt;
+  private Timer end;
+  private Try now;
+  private int sentTo;
+  private int unsent;
+  private boolean mayHaveRun;
+  private boolean over;
+
+  Forward(Course course, Route route, Asked asked, String id, long endsAt, Answering client) {
+    this.course = course;
+    this.route = route;
+    this.endsAt = endsAt;
+    letter = new Letter(id, asked.method(), asked.uri(), asked.headers(), asked.body(),
+        Math.min(4, Math.max(0, route.precedence())), false, course.timers(), endsAt);
+    passing = new Passing(client, route.repeatable() && route.kind() == Route.Kind.STREAM);
+  }
+
+  void start() {
+    long left = endsAt - course.timers().now();
+    if (left <= 0) {
+      refuse(Tally.Event.REFUSED_NOT_RUN);
+      return;
+    }
+    end = course.timers().after(left, this::timeOver);
+    next();
+  }
+
+  private void next() {
+    boolean spent = sentTo >= Math.max(1, route.tries()) || unsent >= MOST_UNSENT
+        || mayHaveRun && !route.repeatable();
+    Server server = spent ? null : course.servers().choose(route, letter.prompt(), been);
+    if (server == null) {
+      giveUp();
+      return;
+    }
+    been.add(server);
+    if (passing.lastEvent() >= 0) {
+      letter.goOnBehind(passing.lastEvent());
+      course.tally().count(Tally.Event.RESUMED);
+    }
+    passing.nextTry();
+    now = course.servers().start(server, letter, this);
+    now.pause(!passing.wanted());
+  }
+
+  private void giveUp() {
+    if (passing.begun()) {
+      breakOff();
+    } else if (mayHaveRun) {
+      own(Outcome.ownStatus(true, false), Tally.Event.BAD_GATEWAY);
+    } else {
+      refuse(sentTo > 0 ? Tally.Event.REFUSED_NOT_RUN : Tally.Event.REFUSED_NO_SERVER);
+    }
+  }
+
+  private void timeOver() {
+    if (over) {
+      return;
+    }
+    boolean sent = now != null && now.sent();
+    if (now != null) {
+      now.cancel();
+    }
+    course.tally().count(Tally.Event.TIMED_OUT);
+    if (passing.begun()) {
+      breakOff();
+    } else {
+      int status = Outcome.ownStatus(mayHaveRun || sent, true);
+      own(status, status == 503 ? Tally.Event.REFUSED_NOT_RUN : Tally.Event.BAD_GATEWAY);
+    }
+  }
+
+  private void refuse(Tally.Event why) {
+    own(503, why);
+  }
+
+  private void own(int status, Tally.Event why) {
+    finish();
+    course.tally().count(why);
+    Replies.own(passing.client(), status, letter.id(), status == 503 ? Replies.soon(course.chance()) : 0);
+  }
+
+  private void breakOff() {
+    finish();
+    course.tally().count(Tally.Event.BROKEN_OFF);
+    passing.client().breakOff();
+  }
+
+  private void finish() {
+    over = true;
+    now = null;
+    passing.drop();
+    if (end != null) {
+      end.cancel();
+    }
+  }
+
+  @Override
+  public void left() {
+    if (!over) {
+      course.tally().count(Tally.Event.CLIENT_LEFT);
+      if (now != null) {
+        now.cancel();
+      }
+      finish();
+    }
+  }
+
+  @Override
+  public void writable(boolean on) {
+    if (now != null && !over) {
+      now.pause(!on);
+    }
+  }
+
+  @Override
+  public void head(HttpResponse head) {
+    if (!passing.head(head)) {
+      fault();
+    }
+  }
+
+  @Override
+  public void data(ByteBuf piece) {
+    if (!passing.data(piece)) {
+      fault();
+    }
+  }
+
+  /** What came is not to be passed on: the try is as good as broken. */
+  private void fault() {
+    if (now != null) {
+      now.cancel();
+    }
+    failed(true);
+  }
+
+  @Override
+  public void whole() {
+    switch (passing.whole()) {
+      case ANSWERED -> {
+        finish();
+        course.tally().count(Tally.Event.SERVED);
+      }
+      case NOT_RUN -> {
+        course.tally().count(Tally.Event.TRY_NOT_RUN);
+        sentTo++;
+        next();
+      }
+      default -> failed(true);
+    }
+  }
+
+  @Override
+  public void failed(boolean sent) {
+    if (over) {
+      return;
+    }
+    now = null;
+    course.tally().count(sent ? Tally.Event.TRY_SENT_FAILED : Tally.Event.TRY_UNSENT);
+    mayHaveRun |= sent;
+    sentTo += sent ? 1 : 0;
+    unsent += sent ? 0 : 1;
+    if (passing.outOfOrder()) {
+      breakOff();
+    } else {
+      next();
+    }
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/requests/ItemRun.java
@@ -0,0 +1,114 @@
+package elmsail.clerk.requests;
+
+import elmsail.clerk.servers.Try;
+import elmsail.clerk.servers.TryHeard;
+import elmsail.clerk.words.Headers;
+import elmsail.lots.ItemServers.Ended;
+import elmsail.lots.ItemServers.Heard;
+import elmsail.lots.ItemServers.Running;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** One run of an item at one server: whole events are told as they come, in their order. */
+final class ItemRun implements Running, TryHeard {
+  private final Heard heard;
+  private final EventSplitter events = new EventSplitter(this::event);
+  private Try one;
+  private Outcome outcome;
+  private int status;
+  private boolean stream;
+  private long last;
+  private boolean over;
+
+  ItemRun(long lastEventId, Heard heard) {
+    this.last = lastEventId;
+    this.heard = heard;
+  }
+
+  void on(Try begun) {
+    one = begun;
+  }
+
+  @Override
+  public void cancel() {
+    if (!over) {
+      over = true;
+      events.clear();
+      one.cancel();
+    }
+  }
+
+  @Override
+  public void head(HttpResponse head) {
+    status = head.status().code();
+    outcome = Outcome.answered(status, head.headers().contains(Headers.NOT_RUN),
+        head.headers().contains(Headers.POSTMARK));
+    String type = head.headers().get("Content-Type");
+    boolean success = status >= 200 && status < 300;
+    stream = success && outcome == Outcome.ANSWERED && type != null
+        && type.startsWith(Headers.EVENT_STREAM);
+    if (success && !stream) {
+      broken();
+    }
+  }
+
+  @Override
+  public void data(ByteBuf piece) {
+    if (!stream) {
+      piece.release();
+    } else if (!events.feed(piece) && !over) {
+      broken();
+    }
+  }
+
+  /** Each event follows the one before it; the first of all may bear any number. */
+  private boolean event(long id, ByteBuf raw) {
+    byte[] data = EventSplitter.data(raw);
+    raw.release();
+    if (over) {
+      return false;
+    }
+    if (id < 0) {
+      return data == null; // a comment; data that stands nowhere cannot be joined
+    }
+    if (last >= 0 && id != last + 1) {
+      return false;
+    }
+    last = id;
+    heard.event(id, data == null ? new byte[0] : data);
+    return !over;
+  }
+
+  private void broken() {
+    one.cancel();
+    end(Ended.BROKEN);
+  }
+
+  @Override
+  public void whole() {
+    if (stream) {
+      end(events.partial() ? Ended.BROKEN : Ended.WHOLE);
+    } else if (outcome == Outcome.NOT_RUN) {
+      end(Ended.NOT_RUN);
+    } else if (outcome == Outcome.ANSWERED && status == 500) {
+      end(Ended.FAILED);
+    } else if (outcome == Outcome.ANSWERED && status == 422) {
+      end(Ended.NEVER);
+    } else {
+      end(Ended.BROKEN);
+    }
+  }
+
+  @Override
+  public void failed(boolean sent) {
+    end(sent ? Ended.BROKEN : Ended.NOT_RUN);
+  }
+
+  private void end(Ended how) {
+    if (!over) {
+      over = true;
+      events.clear();
+      heard.ended(how);
+    }
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/requests/Items.java
@@ -0,0 +1,69 @@
+package elmsail.clerk.requests;
+
+import elmsail.clerk.servers.Prompt;
+import elmsail.clerk.servers.Server;
+import elmsail.clerk.words.Headers;
+import elmsail.clerk.words.Tally;
+import elmsail.lots.ItemServers;
+import elmsail.lots.Piece;
+import elmsail.timetable.Route;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Runs lots' items in the places that plain requests leave. */
+public final class Items implements ItemServers {
+  private static final int PRIORITY = 8;
+
+  private final Course course;
+
+  public Items(Course course) {
+    this.course = course;
+  }
+
+  @Override
+  public int room(Route route) {
+    long now = course.timers().now();
+    int doors = Math.max(1, course.known().roster().clerks.size());
+    int sum = 0;
+    for (Server s : course.servers().of(route)) {
+      sum += s.itemRoom(now, doors);
+    }
+    return sum;
+  }
+
+  @Override
+  public Running start(Route route, Piece piece, long lastEventId, Heard heard) {
+    long now = course.timers().now();
+    int doors = Math.max(1, course.known().roster().clerks.size());
+    List<Server> open = course.servers().of(route);
+    Set<Server> full = new HashSet<>();
+    for (Server s : open) {
+      if (s.itemRoom(now, doors) <= 0) {
+        full.add(s);
+      }
+    }
+    HttpHeaders headers = new DefaultHttpHeaders();
+    for (Map.Entry<String, String> e : piece.envelope().entrySet()) {
+      headers.set(e.getKey(), e.getValue());
+    }
+    headers.set("Host", route.host());
+    Prompt prompt = Prompt.read(headers.get(Headers.PROMPT_PREFIX), headers.get(Headers.TOKENS));
+    Server server = course.servers().choose(route, prompt, full);
+    if (server == null) {
+      return null;
+    }
+    course.tally().count(Tally.Event.ITEM);
+    Letter letter = new Letter(piece.id(), "POST", piece.lane(), headers, piece.contents(), PRIORITY, true,
+        course.timers(), Long.MAX_VALUE);
+    if (lastEventId >= 0) {
+      letter.goOnBehind(lastEventId);
+    }
+    ItemRun run = new ItemRun(lastEventId, heard);
+    run.on(course.servers().start(server, letter, run));
+    return run;
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/requests/Replies.java
@@ -0,0 +1,53 @@
+package elmsail.clerk.requests;
+
+import elmsail.clerk.words.Headers;
+import elmsail.lots.LotCalls;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.random.RandomGenerator;
+
+/** Answers of our own. */
+public final class Replies {
+  private static final double LEAST_RETRY_S = 0.05;
+  private static final double SPREAD_S = 0.15;
+
+  private Replies() {
+  }
+
+  /** When a client that was refused is to come back, in seconds. */
+  static double soon(RandomGenerator chance) {
+    return LEAST_RETRY_S + SPREAD_S * chance.nextDouble();
+  }
+
+  /** An empty answer. */
+  public static void own(Answering client, int status, String id, double retryAfterS) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    if (id != null) {
+      headers.set(Headers.REQUEST_ID, id);
+    }
+    retry(headers, retryAfterS);
+    client.whole(status, headers, Unpooled.EMPTY_BUFFER);
+  }
+
+  /** One about a lot; a body that begins like JSON is told as such. */
+  static void lot(Answering client, LotCalls.Reply reply) {
+    if (reply.status() == 0) {
+      client.breakOff();
+      return;
+    }
+    HttpHeaders headers = new DefaultHttpHeaders();
+    byte[] body = reply.body() == null ? new byte[0] : reply.body();
+    if (body.length > 0) {
+      headers.set("Content-Type", body[0] == '{' ? "application/json" : "application/octet-stream");
+    }
+    retry(headers, reply.retryAfterS());
+    client.whole(reply.status(), headers, Unpooled.wrappedBuffer(body));
+  }
+
+  private static void retry(HttpHeaders headers, double seconds) {
+    if (seconds > 0) {
+      headers.set(Headers.RETRY_AFTER, Double.toString(Math.max(1, Math.round(seconds * 1_000)) / 1_000.0));
+    }
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/servers/Choice.java
@@ -0,0 +1,71 @@
+package elmsail.clerk.servers;
+
+import java.util.List;
+
+/** Which of some servers is to get a request: the one where it costs least, in ms. */
+public final class Choice {
+  /** Prompt tokens that a server reads in a ms. */
+  static final double TOKENS_PER_MS = 100;
+  /** Each request that runs beside makes all tokens come later. */
+  static final double RUNNING_MS = 1.5;
+  /** Each request that waits there for a place. */
+  static final double WAITING_MS = 25;
+  /** Beyond this share of its places a server slows down and may refuse. */
+  static final double NEARLY_FULL = 0.8;
+  static final double FULL_MS = 80;
+  /** For the way to another zone and back, and what its bytes are priced. */
+  static final double OTHER_ZONE_MS = 4;
+  /** Of what a server holds by the doors' common reckoning this share is counted on. */
+  static final double HOME_SHARE = 0.5;
+  /** A server that failed lately, or is silent, is taken only where there is no other. */
+  static final double AVOIDED_MS = 100_000;
+
+  /**
+   * One server as it stands.
+   *
+   * @param knownTokens of the prompt that it was sent before
+   * @param homeTokens of the prompt that other doors will have sent there, 0 unless it is the prompt's home
+   * @param running estimate of requests running, all doors'
+   * @param waiting estimate of requests waiting there
+   * @param readingTokens tokens of this door's requests there that have no answer yet
+   */
+  public record View(int knownTokens, int homeTokens, double running, double waiting, int berths,
+      int readingTokens, boolean sameZone, boolean avoided) {
+  }
+
+  private Choice() {
+  }
+
+  /** The estimated ms until the request's first token, with what it takes from others. */
+  public static double cost(View v, int promptTokens) {
+    double held = Math.max(v.knownTokens(), v.homeTokens() * HOME_SHARE);
+    double anew = Math.max(0, promptTokens - held);
+    double cost = (anew + v.readingTokens()) / TOKENS_PER_MS;
+    cost += v.running() * RUNNING_MS + v.waiting() * WAITING_MS;
+    double full = v.berths() * NEARLY_FULL;
+    if (v.berths() > 0 && v.running() + v.waiting() > full) {
+      cost += FULL_MS * Math.min(2, (v.running() + v.waiting() - full) / (v.berths() - full));
+    }
+    cost += v.sameZone() ? 0 : OTHER_ZONE_MS;
+    return v.avoided() ? cost + AVOIDED_MS : cost;
+  }
+
+  /**
+   * The index of the cheapest, or -1 of none.
+   *
+   * @param turn spreads those that cost the same
+   */
+  public static int pick(List<View> views, int promptTokens, int turn) {
+    int best = -1;
+    double least = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < views.size(); i++) {
+      int at = Math.floorMod(turn + i, views.size());
+      double cost = cost(views.get(at), promptTokens);
+      if (cost < least) {
+        least = cost;
+        best = at;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/servers/QuietSocketChannel.java
@@ -0,0 +1,26 @@
+package elmsail.clerk.servers;
+
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** A connection that can be looked at between two rounds of the loop. */
+public final class QuietSocketChannel extends NioSocketChannel {
+  private static final ByteBuffer LOOK = ByteBuffer.allocateDirect(1);
+
+  /**
+   * Whether it is open and neither bytes nor an end have come that the loop has not read yet. What is read
+   * here is lost, so where this is false the connection is to be closed.
+   */
+  boolean quiet() {
+    if (!isActive()) {
+      return false;
+    }
+    try {
+      LOOK.clear();
+      return javaChannel().read(LOOK) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/servers/Servers.java
@@ -0,0 +1,321 @@
+package elmsail.clerk.servers;
+
+import elmsail.clerk.words.Tally;
+import elmsail.station.Addresses;
+import elmsail.station.Timers;
+import elmsail.timetable.Known;
+import elmsail.timetable.Route;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.Service;
+import elmsail.timetable.Timetable;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/** The servers that may get something, their connections, and the choice among them. All on the loop. */
+public final class Servers {
+  /** No connect may take longer before another server is tried. */
+  private static final int CONNECT_MS = 300;
+  private static final long SWEEP_MS = 500;
+  /** A connection rests so long behind an answer, as an extra one may come late. */
+  private static final long REST_MS = 20;
+  private static final int LEAST_CONNECTIONS = 4;
+  private static final int DEFAULT_CONNECTIONS = 64;
+  private static final int DEFAULT_TOKENS = 200_000;
+
+  private final Timers timers;
+  private final Known known;
+  private final String zone;
+  private final Tally tally;
+  private final RandomGenerator chance;
+  private final Bootstrap bootstrap;
+  private final Map<String, Server> byId = new LinkedHashMap<>();
+  private int turn;
+  private boolean stopped;
+
+  public Servers(Timers timers, EventLoop loop, Known known, String zone, Tally tally,
+      RandomGenerator chance) {
+    this.timers = timers;
+    this.known = known;
+    this.zone = zone;
+    this.tally = tally;
+    this.chance = chance;
+    bootstrap = new Bootstrap().group(loop).channel(QuietSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024));
+    known.whenChanged(this::refresh);
+    refresh();
+    timers.after(SWEEP_MS, this::sweep);
+  }
+
+  Timers timers() {
+    return timers;
+  }
+
+  Tally tally() {
+    return tally;
+  }
+
+  /** Whether any server is open to requests. */
+  public boolean any() {
+    return !byId.isEmpty();
+  }
+
+  /** Takes the newest list: servers that close or are gone get nothing new from here on. */
+  private void refresh() {
+    Set<String> open = new HashSet<>();
+    for (ServerEntry e : known.servers()) {
+      if (!e.closing()) {
+        open.add(e.id());
+        Server s = byId.get(e.id());
+        if (s != null && !s.entry().address().equals(e.address())) {
+          byId.remove(e.id());
+          leave(s);
+          s = null;
+        }
+        if (s == null) {
+          byId.put(e.id(), new Server(e, kvTokens(e.service())));
+        }
+      }
+    }
+    for (Iterator<Server> all = byId.values().iterator(); all.hasNext();) {
+      Server s = all.next();
+      if (!open.contains(s.id())) {
+        all.remove();
+        leave(s);
+      }
+    }
+  }
+
+  /** What has not been written yet is not written any more; what runs goes on. */
+  private static void leave(Server s) {
+    s.leave();
+    for (ServerConnection c : new ArrayList<>(s.idle)) {
+      c.close();
+    }
+    for (Try t : s.tries()) {
+      if (!t.sent()) {
+        t.failed();
+      }
+    }
+  }
+
+  private long kvTokens(String service) {
+    Timetable now = known.timetable();
+    Service s = now == null ? null : now.services().get(service);
+    return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens();
+  }
+
+  /** How many connections to a server this door may have, so that all doors together keep within its cap. */
+  int most(Server s) {
+    Timetable now = known.timetable();
+    Service service = now == null ? null : now.services().get(s.entry().service());
+    int cap = service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
+    return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.roster().clerks.size()));
+  }
+
+  /** Whether a connection for one more request can be had. */
+  boolean room(Server s) {
+    return !s.idle.isEmpty() || s.connections < most(s);
+  }
+
+  /** The open servers of a service. */
+  List<Server> of(String service) {
+    List<Server> found = new ArrayList<>();
+    for (Server s : byId.values()) {
+      if (s.entry().service().equals(service)) {
+        found.add(s);
+      }
+    }
+    return found;
+  }
+
+  /** The open servers of all the route's services. */
+  public List<Server> of(Route route) {
+    List<Server> found = new ArrayList<>();
+    for (Route.Share share : route.shares()) {
+      if (share.weight() > 0) {
+        found.addAll(of(share.service()));
+      }
+    }
+    return found;
+  }
+
+  /** A server for the request that is not among those it has been at, or null. */
+  public Server choose(Route route, Prompt prompt, Set<Server> not) {
+    List<Route.Share> shares = new ArrayList<>(route.shares());
+    while (!shares.isEmpty()) {
+      Route.Share share = drawn(shares);
+      shares.remove(share);
+      Server s = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
+      if (s != null) {
+        return s;
+      }
+    }
+    return null;
+  }
+
+  private Route.Share drawn(List<Route.Share> shares) {
+    if (shares.size() == 1) {
+      return shares.get(0);
+    }
+    double sum = 0;
+    for (Route.Share s : shares) {
+      sum += Math.max(0, s.weight());
+    }
+    double at = chance.nextDouble() * sum;
+    for (Route.Share s : shares) {
+      at -= Math.max(0, s.weight());
+      if (at < 0) {
+        return s;
+      }
+    }
+    return shares.get(shares.size() - 1);
+  }
+
+  /** The best of these with room for a connection, or null. */
+  public Server best(List<Server> among, Prompt prompt, Set<Server> not) {
+    long now = timers.now();
+    List<Server> open = new ArrayList<>(among.size());
+    for (Server s : among) {
+      if (!not.contains(s) && !s.gone() && room(s)) {
+        open.add(s);
+      }
+    }
+    Server home = home(open, prompt);
+    List<Choice.View> views = new ArrayList<>(open.size());
+    for (Server s : open) {
+      views.add(new Choice.View(s.memory().known(prompt), s == home ? prompt.sharedTokens() : 0,
+          s.running(now), s.waiting(now), s.entry().berths(), s.readingTokens(),
+          zone.equals(s.entry().zone()), s.avoided(now)));
+    }
+    int at = Choice.pick(views, prompt.total(), turn++);
+    return at < 0 ? null : open.get(at);
+  }
+
+  /** All doors name the same server for the prompt's shared part, as long as the list stays. */
+  private static Server home(List<Server> open, Prompt prompt) {
+    long key = prompt.sharedKey();
+    Server first = null;
+    long most = Long.MIN_VALUE;
+    for (Server s : open) {
+      long rank = Prompt.mix(key ^ Prompt.mix(s.id().hashCode()));
+      if (key != 0 && (first == null || rank > most)) {
+        first = s;
+        most = rank;
+      }
+    }
+    return first;
+  }
+
+  /** Begins a try; what is heard of it comes later, never within this call. */
+  public Try start(Server server, Outgoing out, TryHeard heard) {
+    tally.count(Tally.Event.TRY);
+    Try one = new Try(server, out, heard, timers.now());
+    server.begun(one);
+    server.memory().add(out.prompt());
+    ServerConnection c = rested(server);
+    if (c != null) {
+      c.carry(one);
+    } else {
+      connect(server, one);
+    }
+    return one;
+  }
+
+  private ServerConnection rested(Server s) {
+    long now = timers.now();
+    boolean full = s.connections >= most(s);
+    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext();) {
+      ServerConnection c = all.next();
+      if (now - c.idleSince() >= REST_MS || full) {
+        all.remove();
+        if (c.usable(now)) {
+          return c;
+        }
+        c.close();
+      }
+    }
+    return null;
+  }
+
+  private void connect(Server server, Try one) {
+    ServerConnection c = new ServerConnection(this, server);
+    server.connections++;
+    ChannelFuture connect = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        c.into(channel.pipeline());
+      }
+    }).connect(Addresses.of(server.entry().address()));
+    one.on(connect.channel());
+    connect.channel().closeFuture().addListener(f -> server.connections--);
+    if (connect.isDone()) {
+      timers.soon(() -> connected(connect, server, c, one)); // not within the call that begins the try
+    } else {
+      connect.addListener((ChannelFuture f) -> connected(f, server, c, one));
+    }
+  }
+
+  private void connected(ChannelFuture f, Server server, ServerConnection c, Try one) {
+    if (!f.isSuccess()) {
+      f.channel().close();
+      tally.count(Tally.Event.CONNECT_FAILED);
+      if (!one.over()) { // a cancelled one says nothing of the server
+        server.failed(timers.now());
+        one.failed();
+      }
+      return;
+    }
+    tally.count(Tally.Event.CONNECTED);
+    if (one.over() || server.gone()) {
+      f.channel().close();
+      one.failed();
+    } else {
+      c.carry(one);
+    }
+  }
+
+  private void sweep() {
+    long now = timers.now();
+    for (Server s : byId.values()) {
+      for (ServerConnection c : new ArrayList<>(s.idle)) {
+        if (!c.fresh(now)) {
+          c.close();
+        }
+      }
+    }
+    if (!stopped) {
+      timers.after(SWEEP_MS, this::sweep);
+    }
+  }
+
+  /** Closes the idle connections; what runs goes on. */
+  public void stop() {
+    stopped = true;
+    for (Server s : byId.values()) {
+      for (ServerConnection c : new ArrayList<>(s.idle)) {
+        c.close();
+      }
+    }
+  }
+
+  /** Whether answered connections are kept. */
+  boolean keeps(Server s) {
+    return !stopped && !s.gone();
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/servers/Try.java
@@ -0,0 +1,121 @@
+package elmsail.clerk.servers;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** One request at one server, from the wait for a connection to its answer's end. All on the loop. */
+public final class Try {
+  private final Server server;
+  private final Outgoing out;
+  private final TryHeard heard;
+  private final long since;
+  private Channel channel;
+  private boolean sent;
+  private boolean over;
+  private boolean paused;
+  private boolean answered;
+
+  Try(Server server, Outgoing out, TryHeard heard, long since) {
+    this.server = server;
+    this.out = out;
+    this.heard = heard;
+    this.since = since;
+  }
+
+  public Server server() {
+    return server;
+  }
+
+  Outgoing out() {
+    return out;
+  }
+
+  /** When it began, on the loop's clock. */
+  long since() {
+    return since;
+  }
+
+  /** Whether a byte of it may have left. */
+  public boolean sent() {
+    return sent;
+  }
+
+  /** Whether anything more is to be heard of it. */
+  boolean over() {
+    return over;
+  }
+
+  boolean answered() {
+    return answered;
+  }
+
+  boolean paused() {
+    return paused;
+  }
+
+  void on(Channel c) {
+    channel = c;
+  }
+
+  void sending() {
+    sent = true;
+  }
+
+  /** Closes the connection, so the server drops the request; nothing more is heard. */
+  public void cancel() {
+    if (!over) {
+      end();
+      if (channel != null) {
+        channel.close();
+      }
+    }
+  }
+
+  /** Reads no more of the answer for now, or goes on reading. */
+  public void pause(boolean on) {
+    paused = on;
+    if (channel != null && !over) {
+      channel.config().setAutoRead(!on);
+    }
+  }
+
+  void head(HttpResponse head) {
+    begun();
+    heard.head(head);
+  }
+
+  void data(ByteBuf piece) {
+    if (over) {
+      piece.release();
+    } else {
+      heard.data(piece);
+    }
+  }
+
+  void whole() {
+    if (!over) {
+      end();
+      heard.whole();
+    }
+  }
+
+  void failed() {
+    if (!over) {
+      end();
+      heard.failed(sent);
+    }
+  }
+
+  private void begun() {
+    if (!answered) {
+      answered = true;
+      server.answering(this);
+    }
+  }
+
+  private void end() {
+    over = true;
+    server.ended(this);
+  }
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/servers/TryHeard.java
@@ -0,0 +1,23 @@
+package elmsail.clerk.servers;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** What is heard of one try, in order; behind {@code whole}, {@code failed} or a cancel nothing comes. */
+public interface TryHeard {
+  /** The head of an answer that bears the request's id and tells its end. */
+  void head(HttpResponse head);
+
+  /** A piece of its body, to be released by the one who gets it. */
+  void data(ByteBuf piece);
+
+  /** The answer has come to its proper end. */
+  void whole();
+
+  /**
+   * There will be no whole answer.
+   *
+   * @param sent whether a byte of it may have left, so that it may have run
+   */
+  void failed(boolean sent);
+}
--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/words/Headers.java
@@ -0,0 +1,80 @@
+package elmsail.clerk.words;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Iterator;
+import java.util.Locale;
+import java.util.Map;
+
+/** Names of the protocol's headers, and what of a message's headers goes further. */
+public final class Headers {
+  public static final String REQUEST_ID = "Elmsail-Request-Id";
+  public static final String DEADLINE_MS = "Elmsail-Deadline-Ms";
+  public static final String EXPECT_SERVER = "Elmsail-Expect-Server";
+  public static final String POSTMARK = "Elmsail-Postmark";
+  public static final String NOT_RUN = "Elmsail-Not-Run";
+  public static final String SERVER_LOAD = "Elmsail-Server-Load";
+  public static final String PROMPT_PREFIX = "Elmsail-Prompt-Prefix";
+  public static final String TOKENS = "Elmsail-Tokens";
+  public static final String WAIT_MS = "Elmsail-Wait-Ms";
+  public static final String LAST_EVENT_ID = "Last-Event-Id";
+  public static final String PRIORITY = "Priority";
+  public static final String RETRY_AFTER = "Retry-After";
+  public static final String EVENT_STREAM = "text/event-stream";
+
+  private Headers() {
+  }
+
+  /** A copy without the headers that concern one connection only, and without the length of the body. */
+  public static HttpHeaders endToEnd(HttpHeaders headers) {
+    HttpHeaders kept = new DefaultHttpHeaders();
+    String named = "";
+    for (String value : headers.getAll("Connection")) {
+      named += "," + value.toLowerCase(Locale.ROOT);
+    }
+    for (Iterator<Map.Entry<String, String>> all = headers.iteratorAsString(); all.hasNext();) {
+      Map.Entry<String, String> one = all.next();
+      if (!ofConnection(one.getKey().toLowerCase(Locale.ROOT), named)) {
+        kept.add(one.getKey(), one.getValue());
+      }
+    }
+    return kept;
+  }
+
+  private static boolean ofConnection(String name, String named) {
+    switch (name) {
+      case "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+          "expect" -> {
+        return true;
+      }
+      default -> {
+        return name.startsWith("proxy-") || !named.isEmpty() && names(named, name);
+      }
+    }
+  }
+
+  private static boolean names(String list, String name) {
+    for (String one : list.split(",")) {
+      if (one.trim().equals(name)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** A whole number of 0 or more, or what to take where there is none. */
+  public static long number(String text, long otherwise) {
+    if (text == null || text.isEmpty() || text.length() > 18) {
+      return otherwise;
+    }
+    long value = 0;
+    for (int i = 0; i < text.length(); i++) {
+      int digit = text.charAt(i) - '0';
+      if (digit < 0 || digit > 9) {
+        return otherwise;
+      }
+      value = 10 * value + digit;
+    }
+    return value;
+  }
+}
