Test the clerk over loopback, with a clock that tests move

Cause: outcomes, framing faults, resume, drain and limits had no test. Change: a rig with stand-in servers spoken byte by byte; the clerk takes its clock apart from the loop.

--- a/clerk/src/main/java/elmsail/clerk/Clerk.java
+++ b/clerk/src/main/java/elmsail/clerk/Clerk.java
@@ -10,6 +10,7 @@
 import elmsail.lots.LotCalls;
 import elmsail.station.NettyLoop;
 import elmsail.station.Settings;
+import elmsail.station.Timers;
 import elmsail.station.http.HttpReply;
 import elmsail.station.http.HttpServing;
 import elmsail.timetable.Known;
@@ -30,6 +31,7 @@
   private static final long STOP_LOOK_MS = 20;
 
   private final NettyLoop loop;
+  private final Timers timers;
   private final Known known;
   private final Settings settings;
   private final Tally tally = new Tally();
@@ -41,13 +43,14 @@
   private boolean stopping;
   private String toldLast = "";
 
-  private Clerk(Settings settings, NettyLoop loop, Known known, LotCalls lots) {
+  private Clerk(Settings settings, NettyLoop loop, Timers timers, Known known, LotCalls lots) {
     this.loop = loop;
+    this.timers = timers;
     this.known = known;
     this.settings = settings;
     SplittableRandom chance = new SplittableRandom();
-    servers = new Servers(loop, loop.events(), known, settings.zone(), tally, chance);
-    Course course = new Course(loop, known, servers, tally, chance);
+    servers = new Servers(timers, loop.events(), known, settings.zone(), tally, chance);
+    Course course = new Course(timers, known, servers, tally, chance);
     items = new Items(course);
     desk = new Desk(course, lots);
   }
@@ -59,11 +62,17 @@
    */
   public static CompletableFuture<Clerk> start(Settings settings, NettyLoop loop, Known known,
       LotCalls lots) {
-    return new Clerk(settings, loop, known, lots).listen();
+    return start(settings, loop, loop, known, lots);
+  }
+
+  /** Likewise by another clock. */
+  static CompletableFuture<Clerk> start(Settings settings, NettyLoop loop, Timers timers, Known known,
+      LotCalls lots) {
+    return new Clerk(settings, loop, timers, known, lots).listen();
   }
 
   private CompletableFuture<Clerk> listen() {
-    CompletableFuture<Front> fronted = Front.listen(loop, loop.events(), settings.slots().get("front"),
+    CompletableFuture<Front> fronted = Front.listen(timers, loop.events(), settings.slots().get("front"),
         known, desk, tally, settings.limits().fds());
     CompletableFuture<HttpServing> looked = HttpServing.listen(loop, settings.slots().get("ready"), call ->
         CompletableFuture.completedFuture(new HttpReply(
@@ -72,7 +81,7 @@
     return fronted.thenCombine(looked, (f, r) -> {
       front = f;
       ready = r;
-      loop.after(TELL_MS, this::tell);
+      timers.after(TELL_MS, this::tell);
       return this;
     });
   }
@@ -116,8 +125,8 @@
     LOG.info("stopping; {} connections of clients are open", front.connections());
     front.beginEnd();
     long halfGrace = Math.max(STOP_LOOK_MS, settings.bounds().graceMs() / 2 - 300);
-    long end = loop.now() + halfGrace;
-    loop.after(Math.min(STILL_SENT_MS, halfGrace / 2), () -> {
+    long end = timers.now() + halfGrace;
+    timers.after(Math.min(STILL_SENT_MS, halfGrace / 2), () -> {
       front.closeIdle();
       whenEmpty(end, done);
     });
@@ -125,8 +134,8 @@
   }
 
   private void whenEmpty(long end, CompletableFuture<Void> done) {
-    if (front.connections() > 0 && loop.now() < end) {
-      loop.after(STOP_LOOK_MS, () -> whenEmpty(end, done));
+    if (front.connections() > 0 && timers.now() < end) {
+      timers.after(STOP_LOOK_MS, () -> whenEmpty(end, done));
       return;
     }
     front.closeAll();
@@ -143,7 +152,7 @@
       toldLast = now;
     }
     if (!stopping) {
-      loop.after(TELL_MS, this::tell);
+      timers.after(TELL_MS, this::tell);
     }
   }
 }
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/CounterTest.java
@@ -0,0 +1,215 @@
+package elmsail.clerk;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import elmsail.clerk.Wire.Message;
+import elmsail.lots.LotCalls.Reply;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What clients, the platform and calls about lots get without a server. */
+class CounterTest {
+  private Rig rig;
+
+  @BeforeEach
+  void open() throws Exception {
+    rig = new Rig();
+  }
+
+  @AfterEach
+  void close() {
+    rig.close();
+  }
+
+  private Message ready() {
+    try (Wire wire = Wire.to(rig.clerk.readyAddress())) {
+      return wire.write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").message();
+    }
+  }
+
+  @Test
+  void isReadyWithAConfigurationAndServers() throws Exception {
+    assertThat(ready().status(), is(200));
+    rig.list(List.of());
+    assertThat(ready().status(), is(503));
+    rig.serve(rig.first);
+    rig.known.configured = false;
+    assertThat(ready().status(), is(503));
+  }
+
+  @Test
+  void beforeTheFirstConfigurationNothingIsDenied() {
+    rig.known.configured = false;
+    Message told = rig.ask("nowhere", "a1").message();
+    assertThat(told.status(), is(503));
+    assertThat(told.header("Retry-After"), is(notNullValue()));
+  }
+
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+      "404 | POST /nowhere/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 0~~",
+      "404 | POST /safe/x HTTP/1.1~Host: other.example~Elmsail-Request-Id: a~Content-Length: 0~~",
+      "400 | POST /safe/x HTTP/1.1~Elmsail-Request-Id: a~Content-Length: 0~~",
+      "400 | POST /safe/x HTTP/1.1~Host: a~Host: b~Elmsail-Request-Id: a~Content-Length: 0~~",
+      "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 0~~",
+      "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Content-Length: 2~~a",
+      "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Transfer-Encoding: chunked~~a",
+      "400 | POST /safe/x HTTP/1.1~Host nony24.example~~",
+      "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 4097~~",
+      "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Transfer-Encoding: chunked~~1fff~"
+  })
+  void whatCannotBeTakenIsRefusedAndNotSentOn(int status, String request) {
+    Wire client = rig.client().write(request.replace("~", "\r\n") + (request.contains("1fff")
+        ? "x".repeat(0x1fff) : ""));
+    assertThat(client.message().status(), is(status));
+    assertThat(rig.first.alone(), is(true));
+  }
+
+  @Test
+  void aHeadThatIsTooLongIsRefused() {
+    Wire client = rig.client().write("POST /safe/x HTTP/1.1\r\nX: " + "y".repeat(4_000) + "\r\n\r\n");
+    assertThat(client.message().status(), is(431));
+  }
+
+  @Test
+  void aRequestThatDoesNotComeIsNotWaitedForLong() {
+    Wire client = rig.client().write("POST /safe/x HTTP/1.1\r\nHo");
+    // The part has been read before the clock moves: the loop answers another client behind it.
+    assertThat(rig.ask("nowhere", "a").message().status(), is(404));
+    rig.timers.pass(3_100);
+    Message told = client.message();
+    assertThat(told.status(), is(408));
+    assertThat(told.header("Connection"), is("close"));
+  }
+
+  @Test
+  void anIdleConnectionEndsLaterThanItsClientWasTold() {
+    Wire client = rig.ask("nowhere", "a1");
+    assertThat(client.message().header("Keep-Alive"), is("timeout=14"));
+    rig.timers.pass(14_500);
+    client.write(Rig.request("nowhere", "a2"));
+    assertThat(client.message().status(), is(404));
+    rig.timers.pass(17_000);
+    assertThat(client.ended(), is(true));
+  }
+
+  @Test
+  void requestsBehindEachOtherAreAnsweredInTurn() {
+    Wire client = rig.client().write(Rig.request("unsafe", "a1") + Rig.request("unsafe", "a2")
+        + Rig.request("nowhere", "a3"));
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.answer(200, "a1", "one", "Elmsail-Postmark: p", "Connection: close"));
+    assertThat(client.message().body(), is("one"));
+    Wire next = rig.first.accept();
+    assertThat(next.message().header("Elmsail-Request-Id"), is("a2"));
+    next.write(Rig.good("a2", "two"));
+    assertThat(client.message().body(), is("two"));
+    assertThat(client.message().status(), is(404));
+  }
+
+  @Test
+  void aClientMayAskForTheEndOfItsConnection() {
+    Wire client = rig.ask("nowhere", "a1", "Connection: close");
+    Message told = client.message();
+    assertThat(told.header("Connection"), is("close"));
+    assertThat(client.ended(), is(true));
+  }
+
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+      "POST /sack/x | handIn sack L1 4",
+      "GET /lots/L7?after=12 | read L7 12 900",
+      "GET /lots/L7 | read L7 0 900",
+      "DELETE /lots/L7 | end L7",
+      "GET /items/L7?id=e5 | item L7 e5"
+  })
+  void callsAboutLotsAreMade(String call, String made) {
+    rig.lots.reply = new Reply(200, "{}".getBytes(StandardCharsets.US_ASCII), 0);
+    Wire client = rig.client().write(call + " HTTP/1.1\r\nHost: " + FakeKnown.HOST
+        + "\r\nElmsail-Request-Id: L1\r\nElmsail-Wait-Ms: 900\r\nContent-Length: 4\r\n\r\nbody");
+    Message told = client.message();
+    assertThat(told.status(), is(200));
+    assertThat(told.body(), is("{}"));
+    assertThat(rig.lots.asked, is(made));
+  }
+
+  @Test
+  void anUnclearOutcomeOfALotIsNoAnswer() {
+    rig.lots.reply = new Reply(0, new byte[0], 0);
+    assertThat(rig.ask("sack", "L1").message(), is(nullValue()));
+  }
+
+  @Test
+  void aRefusedLotIsToldWhenToComeBack() {
+    rig.lots.reply = new Reply(429, new byte[0], 0.25);
+    Message told = rig.ask("sack", "L1").message();
+    assertThat(told.status(), is(429));
+    assertThat(told.header("Retry-After"), is("0.25"));
+  }
+
+  @Test
+  void whileItStopsItServesWhatIsOpenAndWhatComes() throws Exception {
+    Wire busy = rig.ask("stream", "a1");
+    Wire idle = rig.ask("nowhere", "a0");
+    idle.message();
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
+    busy.head();
+    busy.chunk();
+    CompletableFuture<Void> stopped = rig.onLoop(rig.clerk::stop);
+    assertThat(ready().status(), is(503));
+    Message told = idle.write(Rig.request("nowhere", "a2")).message();
+    assertThat(told.status(), is(404));
+    assertThat(told.header("Connection"), is("close"));
+    assertThat(idle.ended(), is(true));
+    Wire late = rig.ask("nowhere", "a3");
+    assertThat(late.message().status(), is(404));
+    Wire silent = rig.client();
+    rig.timers.pass(2_600);
+    assertThat(silent.ended(), is(true));
+    server.write(Rig.chunk(Rig.event(1))).write("0\r\n\r\n");
+    assertThat(busy.chunk(), is(Rig.event(1)));
+    assertThat(busy.chunk(), is(""));
+    stopped.get(5, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void itsStopIsOverBeforeHalfOfTheGraceTime() throws Exception {
+    Wire busy = rig.ask("stream", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    CompletableFuture<Void> stopped = rig.onLoop(rig.clerk::stop);
+    rig.timers.pass(2_600);
+    rig.timers.pass(1_300);
+    stopped.get(5, TimeUnit.SECONDS);
+    assertThat(busy.message(), is(nullValue()));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 40})
+  void aClientThatDoesNotReadHoldsTheServerBack(int bursts) {
+    Wire client = rig.ask("stream", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("a1", "p"));
+    String big = "id: 0\ndata: " + "z".repeat(4_000) + "\n\n";
+    for (int i = 0; i < bursts; i++) {
+      server.write(Rig.chunk(big));
+    }
+    server.write("0\r\n\r\n");
+    assertThat(client.message().body().length(), is(bursts * big.length()));
+  }
+}
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/FakeKnown.java
@@ -0,0 +1,86 @@
+package elmsail.clerk;
+
+import elmsail.inner.words.Roster;
+import elmsail.timetable.Known;
+import elmsail.timetable.Route;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.Service;
+import elmsail.timetable.Timetable;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a test says is known. */
+public final class FakeKnown implements Known, Timetable {
+  public static final String HOST = "nony24.example";
+
+  public final Map<String, Route> routes = new HashMap<>();
+  public final Map<String, Service> services = new HashMap<>();
+  public volatile List<ServerEntry> servers = List.of();
+  public volatile boolean configured = true;
+  public ClientLimits limits = new ClientLimits(2_048, 4_096, 3_000, 15_000);
+  public final Roster roster = new Roster();
+  private final List<Runnable> listeners = new ArrayList<>();
+
+  /** A route of the name and prefix {@code /name/} to service "s". */
+  public void route(String name, Route.Kind kind, int tries, boolean resume) {
+    routes.put("/" + name + "/", new Route(name, HOST, "/" + name + "/", kind, 5_000, 250, 1,
+        List.of(new Route.Share("s", 1)), tries, resume, 150, 0, 0, 0));
+  }
+
+  public void changed() {
+    listeners.forEach(Runnable::run);
+  }
+
+  @Override
+  public Timetable timetable() {
+    return configured ? this : null;
+  }
+
+  @Override
+  public List<ServerEntry> servers() {
+    return servers;
+  }
+
+  @Override
+  public long listAgeMs() {
+    return 0;
+  }
+
+  @Override
+  public Roster roster() {
+    return roster;
+  }
+
+  @Override
+  public void whenChanged(Runnable then) {
+    listeners.add(then);
+  }
+
+  @Override
+  public long edition() {
+    return 1;
+  }
+
+  @Override
+  public Route find(String host, String path) {
+    int end = path.indexOf('/', 1);
+    return !HOST.equals(host) || end < 0 ? null : routes.get(path.substring(0, end + 1));
+  }
+
+  @Override
+  public Route named(String name) {
+    return routes.get("/" + name + "/");
+  }
+
+  @Override
+  public Map<String, Service> services() {
+    return services;
+  }
+
+  @Override
+  public ClientLimits limits() {
+    return limits;
+  }
+}
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/ItemsTest.java
@@ -0,0 +1,182 @@
+package elmsail.clerk;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import elmsail.clerk.Wire.Message;
+import elmsail.lots.ItemServers.Ended;
+import elmsail.lots.ItemServers.Heard;
+import elmsail.lots.ItemServers.Running;
+import elmsail.lots.Piece;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Lots' items at stand-in servers. */
+class ItemsTest {
+  private static final Piece PIECE = new Piece("e5", "/sack/3/91", Map.of("Elmsail-Tokens", "540,400"),
+      new byte[] {7, 8}, 940);
+
+  private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+  private final Heard heard = new Heard() {
+    @Override
+    public void event(long id, byte[] data) {
+      told.add(id + ":" + new String(data, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void ended(Ended how) {
+      told.add(how.name());
+    }
+  };
+  private Rig rig;
+
+  @BeforeEach
+  void open() throws Exception {
+    rig = new Rig();
+  }
+
+  @AfterEach
+  void close() {
+    rig.close();
+  }
+
+  private Running start(long behind) throws Exception {
+    return rig.onLoop(() -> rig.clerk.itemServers().start(rig.known.named("sack"), PIECE, behind, heard));
+  }
+
+  private String next() throws Exception {
+    return told.poll(5, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void anItemIsAskedForAndItsEventsAreTold() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    Message asked = server.message();
+    assertThat(asked.first(), is("POST /sack/3/91 HTTP/1.1"));
+    assertThat(asked.header("Host"), is(FakeKnown.HOST));
+    assertThat(asked.header("Elmsail-Request-Id"), is("e5"));
+    assertThat(asked.header("Elmsail-Tokens"), is("540,400"));
+    assertThat(asked.header("Elmsail-Expect-Server"), is("i-0"));
+    assertThat(asked.header("Priority"), is("8"));
+    assertThat(asked.header("Last-Event-Id"), is(nullValue()));
+    assertThat(asked.body(), is("\u0007\b"));
+    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk("id: 0\ndata: a\ndata: b\n\nid: 1\nda"));
+    assertThat(next(), is("0:a\nb"));
+    server.write(Rig.chunk("ta: c\n\n")).write("0\r\n\r\n");
+    assertThat(next(), is("1:c"));
+    assertThat(next(), is("WHOLE"));
+  }
+
+  @Test
+  void itGoesOnBehindTheEventThatIsThere() throws Exception {
+    start(3);
+    Wire server = rig.first.accept();
+    assertThat(server.message().header("Last-Event-Id"), is("3"));
+    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk(Rig.event(4))).write("0\r\n\r\n");
+    assertThat(next(), is("4:e4"));
+    assertThat(next(), is("WHOLE"));
+  }
+
+  @Test
+  void eventsOutOfOrderBreakIt() throws Exception {
+    start(3);
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk(Rig.event(5)));
+    assertThat(next(), is("BROKEN"));
+    assertThat(server.ended(), is(true));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"500, FAILED", "422, NEVER", "421, NOT_RUN", "504, BROKEN", "503, BROKEN", "404, BROKEN"})
+  void answersEndIt(int status, String how) throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.answer(status, "e5", ""));
+    assertThat(next(), is(how));
+  }
+
+  @Test
+  void whatDidNotRunIsSaidSo() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.notRun(503, "e5"));
+    assertThat(next(), is("NOT_RUN"));
+  }
+
+  @Test
+  void aCutIsNoEnd() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk(Rig.event(0)));
+    assertThat(next(), is("0:e0"));
+    server.close();
+    assertThat(next(), is("BROKEN"));
+  }
+
+  @Test
+  void aSuccessWithoutAStampIsNone() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.answer(200, "e5", Rig.event(0), "Content-Type: text/event-stream"));
+    assertThat(next(), is("BROKEN"));
+  }
+
+  @Test
+  void aServerThatCannotBeReachedDidNotRunIt() throws Exception {
+    rig.first.close();
+    start(-1);
+    assertThat(next(), is("NOT_RUN"));
+  }
+
+  @Test
+  void aCancelledOneIsDroppedAndSilent() throws Exception {
+    Running run = start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    rig.onLoop(() -> {
+      run.cancel();
+      return null;
+    });
+    assertThat(server.ended(), is(true));
+    assertThat(told.isEmpty(), is(true));
+  }
+
+  @Test
+  void thereIsRoomOnlyForSome() throws Exception {
+    int room = rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack")));
+    assertThat(room, is(13));
+    for (int i = 0; i < room; i++) {
+      assertThat(start(-1), is(notNullValue()));
+    }
+    assertThat(start(-1), is(nullValue()));
+  }
+
+  @Test
+  void noneIsStartedWhereRequestsWait() throws Exception {
+    Wire client = rig.ask("unsafe", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.answer(200, "a1", "x", "Elmsail-Postmark: p", "Elmsail-Server-Load: 24,3,24"));
+    client.message();
+    assertThat(rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack"))), is(0));
+    rig.list(List.of());
+    assertThat(start(-1), is(nullValue()));
+  }
+}
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/PassedTimers.java
@@ -0,0 +1,75 @@
+package elmsail.clerk;
+
+import elmsail.station.Timers;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Another's timers, which a test may move ahead: what falls due on the way runs on the loop. */
+public final class PassedTimers implements Timers {
+
+  private final class One implements Timer {
+    private final long at;
+    private final Runnable then;
+    private Timer real;
+    private boolean over;
+
+    One(long at, Runnable then) {
+      this.at = at;
+      this.then = then;
+    }
+
+    private void run() {
+      if (!over) {
+        cancel();
+        then.run();
+      }
+    }
+
+    @Override
+    public void cancel() {
+      over = true;
+      waiting.remove(this);
+      if (real != null) {
+        real.cancel();
+      }
+    }
+  }
+
+  private final Timers timers;
+  private final List<One> waiting = new ArrayList<>();
+  private volatile long passed;
+
+  PassedTimers(Timers timers) {
+    this.timers = timers;
+  }
+
+  @Override
+  public long now() {
+    return timers.now() + passed;
+  }
+
+  @Override
+  public Timer after(long ms, Runnable then) {
+    One one = new One(now() + ms, then);
+    waiting.add(one);
+    one.real = timers.after(ms, one::run);
+    return one;
+  }
+
+  @Override
+  public void soon(Runnable then) {
+    timers.soon(then);
+  }
+
+  /** From a test's thread. */
+  public void pass(long ms) {
+    soon(() -> {
+      passed += ms;
+      for (One one : new ArrayList<>(waiting)) {
+        if (one.at <= now()) {
+          one.run();
+        }
+      }
+    });
+  }
+}
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/Wire.java
@@ -0,0 +1,215 @@
+package elmsail.clerk;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** One end of a connection over loopback, spoken byte by byte; each wait is bounded. */
+public final class Wire implements AutoCloseable {
+  public static final int WAIT_MS = 5_000;
+
+  private final Socket socket;
+
+  private Wire(Socket socket) throws IOException {
+    this.socket = socket;
+    socket.setSoTimeout(WAIT_MS);
+    socket.setTcpNoDelay(true);
+  }
+
+  /** A message with a whole body. */
+  public record Message(String first, Map<String, String> headers, String body) {
+    public String header(String name) {
+      return headers.get(name.toLowerCase(Locale.ROOT));
+    }
+
+    public int status() {
+      return Integer.parseInt(first.split(" ")[1]);
+    }
+  }
+
+  public static Wire to(String address) {
+    try {
+      int colon = address.indexOf(':');
+      Socket socket = new Socket();
+      socket.connect(new InetSocketAddress(address.substring(0, colon),
+          Integer.parseInt(address.substring(colon + 1))), WAIT_MS);
+      return new Wire(socket);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Where a stand-in server listens. */
+  public static final class Stall implements AutoCloseable {
+    private final ServerSocket listening;
+
+    public Stall() {
+      try {
+        listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    public String address() {
+      return "127.0.0.1:" + listening.getLocalPort();
+    }
+
+    public Wire accept() {
+      try {
+        listening.setSoTimeout(WAIT_MS);
+        return new Wire(listening.accept());
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    /** Whether nobody has connected so far. */
+    public boolean alone() {
+      try {
+        listening.setSoTimeout(1);
+        listening.accept().close();
+        return false;
+      } catch (SocketTimeoutException e) {
+        return true;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    @Override
+    public void close() {
+      try {
+        listening.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  public Wire write(String text) {
+    try {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      return this;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private int read() {
+    try {
+      return socket.getInputStream().read();
+    } catch (SocketTimeoutException e) {
+      throw new UncheckedIOException("nothing came", e);
+    } catch (IOException e) {
+      return -1; // a reset is an end as well
+    }
+  }
+
+  /** The next line without its end; null at the end of the connection. */
+  public String line() {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = read(); b != '\n'; b = read()) {
+      if (b < 0) {
+        return null;
+      }
+      line.write(b);
+    }
+    String text = line.toString(StandardCharsets.ISO_8859_1);
+    return text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
+  }
+
+  /** Exactly so many bytes. */
+  public String bytes(int count) {
+    ByteArrayOutputStream some = new ByteArrayOutputStream();
+    while (some.size() < count) {
+      int b = read();
+      if (b < 0) {
+        throw new UncheckedIOException(new IOException("cut after " + some));
+      }
+      some.write(b);
+    }
+    return some.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** The head of a message; its body is still to be read. Null at the connection's end. */
+  public Message head() {
+    String first = line();
+    if (first == null) {
+      return null;
+    }
+    Map<String, String> headers = new LinkedHashMap<>();
+    for (String line = line(); line != null && !line.isEmpty(); line = line()) {
+      int colon = line.indexOf(':');
+      headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+    }
+    return new Message(first, headers, "");
+  }
+
+  /** A whole message; null at the connection's end before it. */
+  public Message message() {
+    Message head = head();
+    if (head == null) {
+      return null;
+    }
+    String length = head.header("Content-Length");
+    String body = "";
+    if (length != null) {
+      body = bytes(Integer.parseInt(length));
+    } else if ("chunked".equals(head.header("Transfer-Encoding"))) {
+      StringBuilder all = new StringBuilder();
+      for (String chunk = chunk(); chunk == null || !chunk.isEmpty(); chunk = chunk()) {
+        if (chunk == null) {
+          throw new UncheckedIOException(new IOException("cut after " + all));
+        }
+        all.append(chunk);
+      }
+      body = all.toString();
+    }
+    return new Message(head.first(), head.headers(), body);
+  }
+
+  /** The next chunk, empty for the last; null at the connection's end. */
+  public String chunk() {
+    String size = line();
+    if (size == null) {
+      return null;
+    }
+    String data = bytes(Integer.parseInt(size.trim(), 16));
+    line();
+    return data;
+  }
+
+  /** Whether the peer has ended the connection and sent nothing more. */
+  public boolean ended() {
+    return read() < 0;
+  }
+
+  @Override
+  public void close() {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Ends it by a reset. */
+  public void reset() {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
