Lots: accept against the shared count, read, list, run, take over

Cause: the tier needs lots: acceptance within the count, results that keep their positions, runs. Change: records and codec, the keeper's views, the door's calls, the runner and its watch.

--- /dev/null
+++ b/lots/src/main/java/elmsail/lots/door/HandIn.java
@@ -0,0 +1,164 @@
+package elmsail.lots.door;
+
+import elmsail.inner.words.Blob;
+import elmsail.lots.LotCalls.Reply;
+import elmsail.lots.Piece;
+import elmsail.lots.run.LotRunner;
+import elmsail.lots.store.LotStore;
+import elmsail.lots.store.Tools;
+import elmsail.lots.words.Count;
+import elmsail.lots.words.Kinds;
+import elmsail.lots.words.LotBody;
+import elmsail.lots.words.LotRecord;
+import elmsail.register.Register;
+import elmsail.timetable.Route;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One try to hand a lot in. The lot's tokens are added to the count at a majority of keepers with the first
+ * round, which tells what else waits. Far below the limit the lot is accepted at once. Else the counts are
+ * read at a majority once more, now that the add surely stands at one: of two lots that wait to be accepted,
+ * the one whose add stood last sees the other.
+ */
+final class HandIn {
+  private static final long CHANGE_MS = 1_500;
+  private static final long LEAST_MS = 150;
+  private static final long AGAIN_MS = 60;
+  /** Up to this part of the limit one round is enough: what lots miss of each other is below the slack. */
+  private static final int FAR = 20;
+
+  private enum Verdict {
+    THERE, FITS, NEAR, FULL
+  }
+
+  private final Tools tools;
+  private final LotStore store;
+  private final LotRunner runner;
+  private final Replies replies;
+  private final String lot;
+  private final Route route;
+  private final List<Piece> pieces;
+  private final Count.Add add;
+  private final LotRecord wanted;
+  private final Blob body = new Blob();
+  private final long until;
+  private final CompletableFuture<Reply> reply = new CompletableFuture<>();
+  private Verdict verdict;
+  /** The count of both rounds: what either round told. */
+  private Count seen = new Count();
+  private boolean maySent;
+  /** Whether the function has asked for the lot to be taken: then one that is found may be this try's. */
+  private boolean proposed;
+  private long began;
+
+  HandIn(Tools tools, LotStore store, LotRunner runner, Replies replies, String lot, Route route,
+      List<Piece> pieces, long deadlineMs) {
+    this.tools = tools;
+    this.store = store;
+    this.runner = runner;
+    this.replies = replies;
+    this.lot = lot;
+    this.route = route;
+    this.pieces = pieces;
+    this.until = tools.timers().now() + deadlineMs;
+    long tokens = 0;
+    List<LotRecord.Item> items = new ArrayList<>(pieces.size());
+    for (Piece piece : pieces) {
+      items.add(new LotRecord.Item(piece.id(), piece.tokens()));
+      tokens += piece.tokens();
+    }
+    add = new Count.Add(route.name(), lot, tokens, tools.chance().nextLong());
+    body.bytes = LotBody.packed(pieces);
+    body.name = LotBody.nameOf(body.bytes);
+    wanted = new LotRecord(1, route.name(), route.host(), tools.known().timetable().edition(), route.runDueMs(),
+        route.shelfMs(), body.name, items, List.of(), false, tools.self(), 1, 0);
+  }
+
+  int bytes() {
+    return body.bytes.length;
+  }
+
+  CompletableFuture<Reply> begin() {
+    round(false);
+    return reply;
+  }
+
+  private void round(boolean second) {
+    long left = until - tools.timers().now();
+    if (left < LEAST_MS) {
+      refuse(maySent ? Replies.UNCLEAR : replies.unable());
+      return;
+    }
+    began = tools.timers().now();
+    tools.register()
+        .change(LotRecord.keyOf(lot), found -> decide(found, second), List.of(), add.packed(),
+            Math.min(CHANGE_MS, left))
+        .whenComplete((held, failed) -> {
+          if (failed != null) {
+            failed(failed);
+          } else {
+            held(held);
+          }
+        });
+  }
+
+  /** May be called again after a lost race. */
+  private Register.Wanted decide(Register.Found found, boolean second) {
+    if (found.value() != null) {
+      verdict = Verdict.THERE;
+      return new Register.Wanted(null, List.of());
+    }
+    seen.putAll(found.notes());
+    long limit = limit();
+    long sum = seen.without(lot) + add.tokens();
+    if (limit == 0 || sum <= (second ? limit : limit / FAR)) {
+      verdict = Verdict.FITS;
+      proposed = true;
+      return new Register.Wanted(wanted.packed(), List.of(body));
+    }
+    verdict = sum <= limit ? Verdict.NEAR : Verdict.FULL;
+    return new Register.Wanted(null, List.of());
+  }
+
+  /** Of the newest configuration here; a route that is gone takes nothing more than it did. */
+  private long limit() {
+    Route now = tools.known().timetable().named(route.name());
+    return now == null ? route.mostWaiting() : now.mostWaiting();
+  }
+
+  private void held(Register.Held held) {
+    if (held.now().value() != null) {
+      LotRecord record = store.decided(lot, held.now());
+      boolean own = record.version() == 1 && record.runner().equals(tools.self()) && proposed;
+      if (own) {
+        store.keep(lot, pieces, bytes());
+        runner.adopt(lot, record, 0, began);
+      }
+      reply.complete(Replies.ACCEPTED);
+    } else if (verdict == Verdict.NEAR) {
+      round(true);
+    } else {
+      refuse(replies.full());
+    }
+  }
+
+  private void failed(Throwable failed) {
+    maySent |= Replies.mayHold(failed);
+    if (until - tools.timers().now() < 2 * LEAST_MS) {
+      refuse(maySent ? Replies.UNCLEAR : replies.unable());
+    } else {
+      seen = new Count();
+      tools.timers().after(tools.about(AGAIN_MS), () -> round(false));
+    }
+  }
+
+  private void refuse(Reply how) {
+    if (how.status() != Replies.UNCLEAR.status()) {
+      tools.askKeepers(Kinds.note(Kinds.WITHDRAW, add.packed()), CHANGE_MS, (seat, answer) -> {
+      });
+    }
+    reply.complete(how);
+  }
+}
--- /dev/null
+++ b/lots/src/main/java/elmsail/lots/run/RunningLot.java
@@ -0,0 +1,109 @@
+package elmsail.lots.run;
+
+import elmsail.lots.Piece;
+import elmsail.lots.words.LotRecord;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/** One lot that this door runs, in one term. */
+final class RunningLot implements Comparable<RunningLot> {
+  /** An item that is done and not listed yet; the text is empty where it is undeliverable. */
+  record Finished(LotRecord.Result result, byte[] text) {
+  }
+
+  final String id;
+  final long term;
+  /** Of the steady clock here: when the lot was accepted, or later. */
+  final long acceptedAt;
+  LotRecord record;
+  /** Null until they are fetched. */
+  List<Piece> pieces;
+  boolean fetching;
+  final ItemRun[] items;
+  /** Items to be started, the first of the lot first. */
+  final PriorityQueue<Integer> ready = new PriorityQueue<>();
+  final Map<Integer, Finished> finished = new LinkedHashMap<>();
+  int underWay;
+  boolean listing;
+  boolean listingSet;
+  long listedAt;
+  /** Of the steady clock: at this moment the lot surely was open and ours. */
+  long confirmedAt;
+  boolean reading;
+  boolean stopped;
+
+  RunningLot(String id, LotRecord record, long acceptedAt, long confirmedAt) {
+    this.id = id;
+    this.record = record;
+    this.term = record.term();
+    this.acceptedAt = acceptedAt;
+    this.confirmedAt = confirmedAt;
+    this.listedAt = acceptedAt;
+    this.items = new ItemRun[record.items().size()];
+    BitSet listed = record.listed();
+    for (int i = 0; i < items.length; i++) {
+      items[i] = new ItemRun(i);
+      if (listed.get(i)) {
+        items[i].done = true;
+      } else {
+        ready.add(i);
+      }
+    }
+  }
+
+  long dueAt() {
+    return acceptedAt + record.runDueMs();
+  }
+
+  /** At the least. */
+  long ageMs(long now) {
+    return now - acceptedAt;
+  }
+
+  void confirmed(long at) {
+    confirmedAt = Math.max(confirmedAt, at);
+  }
+
+  /** Puts the item's result to those to be listed. */
+  void finish(ItemRun item, boolean delivered) {
+    byte[] text = delivered ? item.text() : new byte[0];
+    item.forgetText();
+    item.done = true;
+    finished.put(item.index,
+        new Finished(new LotRecord.Result(item.index, delivered, term, text.length), text));
+  }
+
+  /** Nothing runs, nothing is ready, nothing waits for its next try: only the listing is left. */
+  boolean allDone() {
+    for (ItemRun item : items) {
+      if (!item.done) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The next ones to be listed, of so many bytes in all, and one at least. */
+  List<Finished> batch(int mostBytes) {
+    List<Finished> batch = new ArrayList<>();
+    int bytes = 0;
+    for (Finished one : finished.values()) {
+      bytes += one.text().length;
+      if (!batch.isEmpty() && bytes > mostBytes) {
+        break;
+      }
+      batch.add(one);
+    }
+    return batch;
+  }
+
+  @Override
+  public int compareTo(RunningLot other) {
+    int byDue = Long.compare(dueAt(), other.dueAt());
+    return byDue != 0 ? byDue : id.compareTo(other.id);
+  }
+}
--- /dev/null
+++ b/lots/src/main/java/elmsail/lots/words/Digest.java
@@ -0,0 +1,23 @@
+package elmsail.lots.words;
+
+import java.nio.charset.StandardCharsets;
+
+/** A 64-bit hash (FNV-1a, mixed at the end), alike in all processes: for names and ranks, not for secrecy. */
+public final class Digest {
+  private Digest() {
+  }
+
+  public static long of(byte[] bytes) {
+    long hash = 0xcbf29ce484222325L;
+    for (byte one : bytes) {
+      hash = (hash ^ (one & 0xff)) * 0x100000001b3L;
+    }
+    hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
+    hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
+    return hash ^ hash >>> 33;
+  }
+
+  public static long of(String text) {
+    return of(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/lots/src/main/java/elmsail/lots/words/LotBody.java
@@ -0,0 +1,49 @@
+package elmsail.lots.words;
+
+import elmsail.lots.Piece;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The pieces of a lot as one blob, written when it is accepted and never changed. */
+public final class LotBody {
+  private LotBody() {
+  }
+
+  public static byte[] packed(List<Piece> pieces) {
+    Packer to = new Packer().number(pieces.size());
+    for (Piece piece : pieces) {
+      to.text(piece.id()).text(piece.lane()).number(piece.tokens()).bytes(piece.contents());
+      to.number(piece.envelope().size());
+      for (Map.Entry<String, String> header : piece.envelope().entrySet()) {
+        to.text(header.getKey()).text(header.getValue());
+      }
+    }
+    return to.packed();
+  }
+
+  /** Named by what it holds, so that no two bodies share a name. */
+  public static String nameOf(byte[] packed) {
+    return "body-" + Long.toHexString(Digest.of(packed));
+  }
+
+  /** Fails with GARBLED. */
+  public static List<Piece> unpacked(byte[] bytes) {
+    Unpacker from = new Unpacker(bytes);
+    int count = from.count();
+    List<Piece> pieces = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      String id = from.text();
+      String lane = from.text();
+      long tokens = from.number();
+      byte[] contents = from.bytes();
+      Map<String, String> envelope = new LinkedHashMap<>();
+      for (int left = from.count(); left > 0; left--) {
+        envelope.put(from.text(), from.text());
+      }
+      pieces.add(new Piece(id, lane, envelope, contents, tokens));
+    }
+    return pieces;
+  }
+}
--- /dev/null
+++ b/lots/src/main/java/elmsail/lots/words/LotRecord.java
@@ -0,0 +1,155 @@
+package elmsail.lots.words;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+/**
+ * What is decided of one lot: its items, which of them are listed in which order, who runs it. A value: each
+ * change gives a new one with the next version.
+ *
+ * @param version 1 at the acceptance, up by one with each change
+ * @param route the name of the route that it was handed in on, on which its tokens are counted
+ * @param edition the configuration's, at the acceptance: an older one says nothing of its routes
+ * @param runDueMs ms after the acceptance; results are due
+ * @param shelfMs ms after the acceptance; then items may be given up
+ * @param body the name of the blob that holds its pieces
+ * @param results in the order of their positions, for ever
+ * @param ended whether its client has ended it
+ * @param runner the inner address of the door that runs it
+ * @param term up by one with each runner
+ * @param ageMs how old the lot was, at the least, at this change
+ */
+public record LotRecord(long version, String route, String host, long edition, long runDueMs, long shelfMs,
+    String body, List<Item> items, List<Result> results, boolean ended, String runner, long term,
+    long ageMs) {
+
+  /** An item's id and the tokens it waits with. */
+  public record Item(String id, long tokens) {
+  }
+
+  /**
+   * A listed result.
+   *
+   * @param index the item's place in the lot
+   * @param term of the runner that listed it; its text is the blob {@code textName}
+   * @param textBytes length of the text, 0 where undeliverable
+   */
+  public record Result(int index, boolean delivered, long term, int textBytes) {
+    public String textName() {
+      return nameOf(index, term);
+    }
+  }
+
+  /** The name of an item's text, as the runner of that term had it. */
+  public static String nameOf(int index, long term) {
+    return "r-" + index + "-" + term;
+  }
+
+  public static String keyOf(String lotId) {
+    return "lot/" + lotId;
+  }
+
+  public boolean complete() {
+    return results.size() >= items.size();
+  }
+
+  /** Whether items of it are to be run. */
+  public boolean open() {
+    return !ended && !complete();
+  }
+
+  public BitSet listed() {
+    BitSet listed = new BitSet(items.size());
+    for (Result one : results) {
+      listed.set(one.index());
+    }
+    return listed;
+  }
+
+  /** The tokens of items that wait. */
+  public long waiting() {
+    if (ended) {
+      return 0;
+    }
+    BitSet listed = listed();
+    long sum = 0;
+    for (int i = 0; i < items.size(); i++) {
+      sum += listed.get(i) ? 0 : items.get(i).tokens();
+    }
+    return sum;
+  }
+
+  /** Lists those of the results whose items are not listed yet: the first listed stays. */
+  public LotRecord listing(List<Result> more, long age) {
+    BitSet listed = listed();
+    List<Result> all = new ArrayList<>(results);
+    for (Result one : more) {
+      if (one.index() >= 0 && one.index() < items.size() && !listed.get(one.index())) {
+        listed.set(one.index());
+        all.add(one);
+      }
+    }
+    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, all, ended, runner,
+        term, Math.max(ageMs, age));
+  }
+
+  public LotRecord endedNow() {
+    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, true,
+        runner, term, ageMs);
+  }
+
+  public LotRecord runBy(String door, long age) {
+    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
+        door, term + 1, Math.max(ageMs, age));
+  }
+
+  /** The same, written once more so that keepers that missed a change get it. */
+  public LotRecord again() {
+    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
+        runner, term, ageMs);
+  }
+
+  public byte[] packed() {
+    Packer to = new Packer().number(1).number(version).text(route).text(host).number(edition).number(runDueMs)
+        .number(shelfMs).text(body).flag(ended).text(runner).number(term).number(ageMs);
+    to.number(items.size());
+    for (Item item : items) {
+      to.text(item.id()).number(item.tokens());
+    }
+    to.number(results.size());
+    for (Result one : results) {
+      to.number(one.index()).flag(one.delivered()).number(one.term()).number(one.textBytes());
+    }
+    return to.packed();
+  }
+
+  /** Fails with GARBLED. */
+  public static LotRecord unpacked(byte[] bytes) {
+    Unpacker from = new Unpacker(bytes);
+    from.number();
+    long version = from.number();
+    String route = from.text();
+    String host = from.text();
+    long edition = from.number();
+    long runDueMs = from.number();
+    long shelfMs = from.number();
+    String body = from.text();
+    boolean ended = from.flag();
+    String runner = from.text();
+    long term = from.number();
+    long ageMs = from.number();
+    int count = from.count();
+    List<Item> items = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      items.add(new Item(from.text(), from.number()));
+    }
+    count = from.count();
+    List<Result> results = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      results.add(new Result((int) from.number(), from.flag(), from.number(), (int) from.number()));
+    }
+    return new LotRecord(version, route, host, edition, runDueMs, shelfMs, body, List.copyOf(items),
+        List.copyOf(results), ended, runner, term, ageMs);
+  }
+}
--- /dev/null
+++ b/lots/src/main/java/elmsail/lots/words/Unpacker.java
@@ -0,0 +1,65 @@
+package elmsail.lots.words;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Reads what a {@code Packer} wrote; anything else fails with GARBLED. */
+public final class Unpacker {
+  private final byte[] bytes;
+  private int at;
+
+  public Unpacker(byte[] bytes) {
+    this.bytes = bytes;
+  }
+
+  public long number() {
+    long value = 0;
+    for (int shift = 0; shift < 64; shift += 7) {
+      byte one = bytes[need(1)];
+      value |= (long) (one & 0x7F) << shift;
+      if (one >= 0) {
+        return value;
+      }
+    }
+    throw new ElmsailException(Code.GARBLED, "a number without an end");
+  }
+
+  /** A number of things still to come, each of a byte at least. */
+  public int count() {
+    long value = number();
+    if (value < 0 || value > bytes.length - at) {
+      throw new ElmsailException(Code.GARBLED, "a count beyond the bytes");
+    }
+    return (int) value;
+  }
+
+  public boolean flag() {
+    return number() != 0;
+  }
+
+  public String text() {
+    int length = count();
+    return new String(bytes, need(length), length, StandardCharsets.UTF_8);
+  }
+
+  public byte[] bytes() {
+    int length = count();
+    int from = need(length);
+    return Arrays.copyOfRange(bytes, from, from + length);
+  }
+
+  public boolean more() {
+    return at < bytes.length;
+  }
+
+  private int need(int length) {
+    if (bytes.length - at < length) {
+      throw new ElmsailException(Code.GARBLED, "cut off at " + bytes.length);
+    }
+    int from = at;
+    at += length;
+    return from;
+  }
+}
