--- a/station/src/main/java/elmsail/station/Ends.java
+++ b/station/src/main/java/elmsail/station/Ends.java
@@ -9,8 +9,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What the platform says to a running process: SIGTERM, and SIGHUP or a changed settings file. Both are passed
- * onto the loop. A settings file that cannot be used is logged, and the settings before it stay.
+ * What the platform says to a running process: SIGTERM, and SIGHUP or a changed settings file. Both are
+ * passed onto the loop. A settings file that cannot be used is logged, and the settings before it stay.
  */
 public final class Ends {
 
--- a/station/src/main/java/elmsail/station/http/Framing.java
+++ b/station/src/main/java/elmsail/station/http/Framing.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
@@ -79,6 +80,8 @@
     String fault = null;
     for (int i = from; i < out.size(); i++) {
       Object one = out.get(i);
+      // The codec drops the rest by itself then.
+      refused |= one instanceof HttpObject object && object.decoderResult().isFailure();
       if (one instanceof HttpMessage message) {
         inHead = false;
         lineSeen = false;
--- a/station/src/main/java/elmsail/station/http/HttpServing.java
+++ b/station/src/main/java/elmsail/station/http/HttpServing.java
@@ -14,8 +14,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * An address for small calls, whole in memory: operators' and the platform's. Framing is strict, bodies, heads
- * and connections are bounded, and those that idle are closed. All on the loop.
+ * An address for small calls, whole in memory: operators' and the platform's. Framing is strict; bodies,
+ * heads and connections are bounded; those that idle are closed. All on the loop.
  */
 public final class HttpServing {
 
--- /dev/null
+++ b/station/src/test/java/elmsail/station/EndsTest.java
@@ -0,0 +1,84 @@
+package elmsail.station;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class EndsTest {
+
+  @TempDir
+  private Path folder;
+  private final MovedClock clock = new MovedClock();
+  private final List<Integer> borne = new ArrayList<>();
+  private int terms;
+  private Path file;
+  private Ends ends;
+
+  @BeforeEach
+  void begin() throws Exception {
+    file = folder.resolve("settings.json");
+    write(1, 1_000);
+    ends = new Ends(clock, file, SettingsFile.read(file), () -> terms++, s -> borne.add(s.bearMachines()))
+        .listen();
+  }
+
+  private void write(int bear, long at) throws Exception {
+    Files.writeString(file, SettingsFileTest.with("\"bear_losses\":{\"machines\":" + bear + "}"));
+    Files.setLastModifiedTime(file, FileTime.fromMillis(at));
+  }
+
+  @Test
+  void tellsOfAChangedFileWithoutASignal() throws Exception {
+    clock.pass(10_000);
+    assertThat(borne, empty());
+    write(2, 2_000);
+    clock.pass(2_000);
+    assertThat(borne, contains(2));
+    write(2, 3_000);
+    clock.pass(10_000);
+    assertThat(borne, contains(2));
+  }
+
+  @Test
+  void tellsAtASignalAtOnceAndOnce() throws Exception {
+    write(3, 1_000);
+    ends.read();
+    ends.read();
+    assertThat(borne, contains(3));
+  }
+
+  @Test
+  void keepsTheOldOnesWhileAFileCannotBeUsedAndReadsItOnceItCan() throws Exception {
+    Files.writeString(file, "{\"station\":");
+    Files.setLastModifiedTime(file, FileTime.fromMillis(2_000));
+    clock.pass(2_000);
+    ends.read();
+    assertThat(borne, empty());
+    write(2, 2_000);
+    clock.pass(2_000);
+    assertThat(borne, contains(2));
+    Files.delete(file);
+    ends.read();
+    clock.pass(10_000);
+    write(4, 2_000);
+    clock.pass(2_000);
+    assertThat(borne, contains(2, 4));
+  }
+
+  @Test
+  void endsOnce() {
+    ends.term();
+    ends.term();
+    assertThat(terms, is(1));
+  }
+}
--- /dev/null
+++ b/station/src/test/java/elmsail/station/http/ServedTest.java
@@ -0,0 +1,227 @@
+package elmsail.station.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.MovedClock;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ServedTest {
+
+  private static final int MOST_BODY = 20;
+
+  private final MovedClock clock = new MovedClock();
+  private final List<HttpCall> calls = new ArrayList<>();
+  private final List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+
+  ServedTest() {
+    Served.pipeline(channel, clock, call -> {
+      calls.add(call);
+      replies.add(new CompletableFuture<>());
+      return replies.get(replies.size() - 1);
+    }, MOST_BODY);
+    channel.pipeline().fireChannelActive();
+  }
+
+  @AfterEach
+  void end() {
+    channel.finishAndReleaseAll();
+    assertThat("timers left", clock.waiting(), is(0));
+  }
+
+  private void send(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text.replace("|", "\r\n"), StandardCharsets.ISO_8859_1));
+  }
+
+  private String sent() {
+    StringBuilder all = new StringBuilder();
+    for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+      all.append(out.toString(StandardCharsets.ISO_8859_1));
+      out.release();
+    }
+    return all.toString();
+  }
+
+  private void answer(int call, String body) {
+    replies.get(call).complete(new HttpReply(200, Map.of("content-type", "text/plain"),
+        body.getBytes(StandardCharsets.US_ASCII)));
+    channel.runPendingTasks();
+  }
+
+  @Test
+  void givesTheCallWhole() {
+    send("POST /a%20b?x=1%202&y=&x=9 HTTP/1.1|Host: h|Elmsail-Based-On: 5|Content-Length: 4||bo");
+    assertThat(calls, empty());
+    send("dy");
+    HttpCall call = calls.get(0);
+    assertThat(call.method(), is("POST"));
+    assertThat(call.path(), is("/a%20b"));
+    assertThat(call.query(), is(Map.of("x", "1 2", "y", "")));
+    assertThat(call.headers().get("elmsail-based-on"), is("5"));
+    assertThat(new String(call.body(), StandardCharsets.US_ASCII), is("body"));
+  }
+
+  @Test
+  void answersOneBehindTheOtherOnAConnectionThatIsKept() {
+    send("GET /a HTTP/1.1|Host: h||GET /b HTTP/1.1|Host: h||GET /c HTTP/1.1|Host: h|Connection: close||");
+    assertThat("one at a time", calls.size(), is(1));
+    answer(0, "A");
+    assertThat(sent(), is("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 1\r\n\r\nA"));
+    assertThat(calls.size(), is(2));
+    answer(1, "B");
+    answer(2, "C");
+    assertThat(sent(), containsString("connection: close\r\n\r\nC"));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(calls.size(), is(3));
+  }
+
+  @Test
+  void reordersNothingWhenRepliesAreThereAtOnce() {
+    List<String> paths = new ArrayList<>();
+    EmbeddedChannel quick = new EmbeddedChannel();
+    Served.pipeline(quick, clock, call -> {
+      paths.add(call.path());
+      return CompletableFuture.completedFuture(new HttpReply(200, Map.of(), new byte[0]));
+    }, MOST_BODY);
+    String rest = " HTTP/1.1\r\n\r\n";
+    quick.writeInbound(Unpooled.copiedBuffer("GET /1" + rest + "GET /2" + rest + "GET /3" + rest,
+        StandardCharsets.US_ASCII));
+    assertThat(paths, contains("/1", "/2", "/3"));
+    quick.finishAndReleaseAll();
+  }
+
+  @Test
+  void answersAFailure503AndGoesOn() {
+    send("GET /a HTTP/1.1||");
+    replies.get(0).completeExceptionally(new ElmsailException(Code.NOT_REACHED, "no majority"));
+    assertThat(sent(), startsWith("HTTP/1.1 503 "));
+    assertThat(channel.isOpen(), is(true));
+    send("GET /b HTTP/1.1||");
+    answer(1, "");
+    assertThat(sent(), startsWith("HTTP/1.1 200 "));
+  }
+
+  @Test
+  void turnsAwayBodiesBeyondTheBound() {
+    send("POST / HTTP/1.1|Content-Length: 21||");
+    assertThat(sent(), startsWith("HTTP/1.1 413 "));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(calls, empty());
+  }
+
+  @Test
+  void turnsAwayPiecesBeyondTheBound() {
+    send("POST / HTTP/1.1|Transfer-Encoding: chunked||a|0123456789|a|0123456789|");
+    assertThat(sent(), is(""));
+    send("1|x|0||");
+    assertThat(sent(), startsWith("HTTP/1.1 413 "));
+    assertThat(calls, empty());
+  }
+
+  @Test
+  void takesABodyOfJustTheBound() {
+    send("POST / HTTP/1.1|Transfer-Encoding: chunked||a|0123456789|a|0123456789|0||");
+    assertThat(calls.get(0).body().length, is(MOST_BODY));
+  }
+
+  @Test
+  void turnsAwayHeadsBeyondTheBound() {
+    send("GET / HTTP/1.1|A: " + "a".repeat(Served.MOST_HEAD) + "||");
+    assertThat(sent(), startsWith("HTTP/1.1 431 "));
+    assertThat(channel.isOpen(), is(false));
+  }
+
+  @Test
+  void turnsAwayWhatIsMalformedAndNothingBehindItIsACall() {
+    send("POST / HTTP/1.1|Content-Length: 5|Transfer-Encoding: chunked||0||GET /smuggled HTTP/1.1||");
+    assertThat(sent(), startsWith("HTTP/1.1 400 "));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(calls, empty());
+  }
+
+  @Test
+  void turnsAwayABadPieceAndTwoHosts() {
+    send("POST / HTTP/1.1|Transfer-Encoding: chunked||zz|");
+    assertThat(sent(), startsWith("HTTP/1.1 400 "));
+    assertThat(calls, empty());
+  }
+
+  @Test
+  void turnsAwayTwoHosts() {
+    send("GET / HTTP/1.1|Host: a|Host: b||");
+    assertThat(sent(), startsWith("HTTP/1.1 400 "));
+    assertThat(calls, empty());
+  }
+
+  @Test
+  void turnsAwayABadEscapeInTheQuery() {
+    send("GET /?a=%zz HTTP/1.1||");
+    assertThat(sent(), startsWith("HTTP/1.1 400 "));
+  }
+
+  @Test
+  void asksForABodyThatWaitsToBeAskedFor() {
+    send("POST / HTTP/1.1|Expect: 100-continue|Content-Length: 2||");
+    assertThat(sent(), startsWith("HTTP/1.1 100 "));
+    send("ab");
+    answer(0, "done");
+    assertThat(sent(), startsWith("HTTP/1.1 200 "));
+  }
+
+  @Test
+  void closesAConnectionThatIdles() {
+    clock.pass(Served.IDLE_MS - 1);
+    assertThat(channel.isOpen(), is(true));
+    clock.pass(1);
+    assertThat(channel.isOpen(), is(false));
+  }
+
+  @Test
+  void closesAConnectionWhoseCallNeverComesWhole() {
+    clock.pass(10_000);
+    send("POST / HTTP/1.1|Content-Length: 10||");
+    for (int i = 0; i < 9; i++) {
+      clock.pass(1_600);
+      send("x");
+    }
+    assertThat(channel.isOpen(), is(true));
+    clock.pass(1_600);
+    assertThat(channel.isOpen(), is(false));
+    assertThat(calls, empty());
+  }
+
+  @Test
+  void keepsAConnectionWhoseCallIsBeingAnswered() {
+    send("GET / HTTP/1.1||");
+    clock.pass(3 * Served.IDLE_MS);
+    answer(0, "late");
+    assertThat(sent(), containsString("late"));
+    clock.pass(Served.IDLE_MS);
+    assertThat(channel.isOpen(), is(false));
+  }
+
+  @Test
+  void dropsAnAnswerToAConnectionThatIsGone() {
+    send("GET / HTTP/1.1||GET /behind HTTP/1.1||");
+    channel.close();
+    answer(0, "late");
+    assertThat(sent(), is(""));
+    assertThat(calls.size(), is(1));
+  }
+}
