Simulate network and disk for tests

Cause: the modules above the inner calls need a world to be tested in. Change: SimNet (delay, loss, cuts, resets, refusals, deaths, frozen processes) and SimDisk, from seeds.

--- /dev/null
+++ b/rehearsal/src/main/java/elmsail/rehearsal/SimDisk.java
@@ -0,0 +1,251 @@
+package elmsail.rehearsal;
+
+import elmsail.disk.Records;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A disk in a test, on a clock moved by hand: it writes one batch at a time, gathers changes meanwhile, and
+ * outlives the processes that use it one after the other. Deterministic from its seed.
+ */
+public final class SimDisk implements Records {
+
+  private static final class Batch {
+    private final List<Change> changes = new ArrayList<>();
+    private final List<CompletableFuture<Void>> futures = new ArrayList<>();
+  }
+
+  private final Random random;
+  private final HandTimers timers;
+  private final TreeMap<String, byte[]> safe = new TreeMap<>();
+  private final TreeMap<String, byte[]> view = new TreeMap<>();
+  private Timers owner;
+  private Batch writing;
+  private Batch gathering = new Batch();
+  private Timers.Timer sync;
+  private long leastMs = 1;
+  private long mostMs = 10;
+  private long stalledUntil;
+  private boolean refusing;
+  private boolean closed;
+  private boolean fresh = true;
+  /** Whether no process has opened it since it was new. */
+  private boolean blank = true;
+  private long life;
+  private long syncs;
+
+  public SimDisk(long seed, HandTimers timers) {
+    this.random = new Random(seed);
+    this.timers = timers;
+    this.owner = timers;
+    this.life = random.nextLong();
+  }
+
+  /** Ms that a sync takes, drawn for each. */
+  public void syncTime(long least, long most) {
+    leastMs = least;
+    mostMs = most;
+  }
+
+  /** No batch is done within the next ms. */
+  public void stall(long ms) {
+    stalledUntil = Math.max(stalledUntil, timers.now() + ms);
+  }
+
+  /** From now on batches fail with DISK, the one being written too, and change nothing. */
+  public void refuse() {
+    refusing = true;
+  }
+
+  /** Ends the refusal. */
+  public void accept() {
+    refusing = false;
+  }
+
+  /** The process dies with its machine: the batch that was being written is there, or is not, as drawn. */
+  public void powerLoss() {
+    if (sync != null) {
+      sync.cancel();
+      sync = null;
+    }
+    if (writing != null && !refusing && random.nextBoolean()) {
+      apply(safe, writing.changes);
+    }
+    writing = null;
+    gathering = new Batch();
+    view.clear();
+    view.putAll(safe);
+    closed = false;
+    fresh = false;
+    blank = false;
+  }
+
+  /** The disk is replaced by an empty one: a new life, and nothing on it. */
+  public void wipe() {
+    powerLoss();
+    safe.clear();
+    view.clear();
+    fresh = true;
+    blank = true;
+    refusing = false;
+    stalledUntil = 0;
+    life = random.nextLong();
+  }
+
+  /**
+   * A new process opens the disk, on whose timers its writes complete from now on; what the one before it
+   * had not completed is as after {@link #powerLoss()}.
+   */
+  public SimDisk open(Timers process) {
+    boolean first = blank;
+    powerLoss();
+    fresh = first;
+    owner = process;
+    return this;
+  }
+
+  /** Batches that were made safe. */
+  public long syncs() {
+    return syncs;
+  }
+
+  @Override
+  public long life() {
+    return life;
+  }
+
+  @Override
+  public boolean fresh() {
+    return fresh;
+  }
+
+  @Override
+  public CompletableFuture<Void> write(List<Change> changes) {
+    CompletableFuture<Void> future = new CompletableFuture<>();
+    if (closed) {
+      fail(future, "closed");
+      return future;
+    }
+    List<Change> copies = new ArrayList<>();
+    for (Change change : changes) {
+      copies.add(new Change(change.name(), change.bytes() == null ? null : change.bytes().clone()));
+    }
+    apply(view, copies);
+    gathering.changes.addAll(copies);
+    gathering.futures.add(future);
+    begin();
+    return future;
+  }
+
+  @Override
+  public byte[] read(String name) {
+    byte[] bytes = view.get(name);
+    return bytes == null ? null : bytes.clone();
+  }
+
+  @Override
+  public Map<String, byte[]> page(String after, int mostBytes) {
+    Map<String, byte[]> page = new LinkedHashMap<>();
+    long bytes = 0;
+    for (Map.Entry<String, byte[]> entry : view.tailMap(after, false).entrySet()) {
+      if (bytes >= mostBytes && !page.isEmpty()) {
+        break;
+      }
+      page.put(entry.getKey(), entry.getValue().clone());
+      bytes += entry.getKey().length() + entry.getValue().length;
+    }
+    return page;
+  }
+
+  @Override
+  public Iterable<String> names(String prefix) {
+    List<String> names = new ArrayList<>();
+    for (String name : view.tailMap(prefix, true).keySet()) {
+      if (!name.startsWith(prefix)) {
+        break;
+      }
+      names.add(name);
+    }
+    return names;
+  }
+
+  @Override
+  public long bytesOnDisk() {
+    long bytes = 0;
+    for (Map.Entry<String, byte[]> entry : safe.entrySet()) {
+      bytes += entry.getKey().length() + entry.getValue().length;
+    }
+    return bytes;
+  }
+
+  /** What was not written yet fails with DISK; the disk can be opened again. */
+  @Override
+  public void close() {
+    closed = true;
+    for (CompletableFuture<Void> future : gathering.futures) {
+      fail(future, "closed");
+    }
+    gathering = new Batch();
+  }
+
+  private void begin() {
+    if (writing != null || gathering.futures.isEmpty()) {
+      return;
+    }
+    writing = gathering;
+    gathering = new Batch();
+    syncIn(leastMs + (long) (random.nextDouble() * (mostMs - leastMs + 1)));
+  }
+
+  private void syncIn(long ms) {
+    sync = timers.after(ms, this::synced);
+  }
+
+  private void synced() {
+    if (timers.now() < stalledUntil) {
+      syncIn(stalledUntil - timers.now());
+      return;
+    }
+    sync = null;
+    Batch done = writing;
+    writing = null;
+    if (refusing) {
+      view.clear();
+      view.putAll(safe);
+      apply(view, gathering.changes);
+    } else {
+      apply(safe, done.changes);
+      syncs++;
+    }
+    for (CompletableFuture<Void> future : done.futures) {
+      if (refusing) {
+        fail(future, "refused");
+      } else {
+        owner.soon(() -> future.complete(null));
+      }
+    }
+    begin();
+  }
+
+  private void fail(CompletableFuture<Void> future, String detail) {
+    owner.soon(() -> future.completeExceptionally(new ElmsailException(Code.DISK, detail)));
+  }
+
+  private static void apply(Map<String, byte[]> records, List<Change> changes) {
+    for (Change change : changes) {
+      if (change.bytes() == null) {
+        records.remove(change.name());
+      } else {
+        records.put(change.name(), change.bytes());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/elmsail/rehearsal/SimNet.java
@@ -0,0 +1,342 @@
+package elmsail.rehearsal;
+
+import elmsail.inner.Codec;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A network of processes in one test, all of it from one seed and on one clock that is moved by hand. Faults
+ * are of directed links: what goes from one address to another, asks and answers alike. Messages may
+ * overtake each other. All are copied through the codec, so nothing is shared.
+ */
+public final class SimNet {
+
+  /** Ms until a call to a machine without power fails, as its connection does not come about. */
+  public static final long CONNECT_WITHIN = 700;
+
+  private enum Fault { NONE, CUT, RESET, REFUSE }
+
+  private static final class Way {
+    private long leastMs;
+    private long mostMs;
+    private double loss;
+    private Fault fault = Fault.NONE;
+  }
+
+  private record Ends(String from, String to) {
+  }
+
+  private final Random random;
+  private final HandTimers timers;
+  private final Codec codec = new Codec();
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final Map<Ends, Way> ways = new LinkedHashMap<>();
+  /** Addresses of processes that died without a word. */
+  private final Map<String, Boolean> dark = new LinkedHashMap<>();
+  private long leastMs = 1;
+  private long mostMs = 5;
+  private double loss;
+  private long sent;
+  private long lost;
+  private long digest;
+
+  public SimNet(long seed, HandTimers timers) {
+    this.random = new Random(seed);
+    this.timers = timers;
+  }
+
+  /** Starts a process at that address; one that runs there is killed first. */
+  public Node node(String address) {
+    if (nodes.containsKey(address)) {
+      kill(address);
+    }
+    dark.remove(address);
+    Node node = new Node(this, address, timers);
+    nodes.put(address, node);
+    return node;
+  }
+
+  /** The process that runs at the address, or null. */
+  public Node at(String address) {
+    return nodes.get(address);
+  }
+
+  /** The clock that all share. */
+  public HandTimers timers() {
+    return timers;
+  }
+
+  /** Ms one way, drawn for each message, for all links that have not their own. */
+  public void delay(long least, long most) {
+    leastMs = least;
+    mostMs = most;
+    for (Way way : ways.values()) {
+      way.leastMs = least;
+      way.mostMs = most;
+    }
+  }
+
+  public void delay(String from, String to, long least, long most) {
+    Way way = way(from, to);
+    way.leastMs = least;
+    way.mostMs = most;
+  }
+
+  /** The part of messages, 0 to 1, that vanish on all links. */
+  public void loss(double part) {
+    loss = part;
+    for (Way way : ways.values()) {
+      way.loss = part;
+    }
+  }
+
+  public void loss(String from, String to, double part) {
+    way(from, to).loss = part;
+  }
+
+  /** Messages that way vanish, also those under way. */
+  public void cut(String from, String to) {
+    way(from, to).fault = Fault.CUT;
+  }
+
+  public void cutBoth(String one, String other) {
+    cut(one, other);
+    cut(other, one);
+  }
+
+  /** Cuts all links from and to the address of processes that are known. */
+  public void isolate(String address) {
+    for (String other : new ArrayList<>(nodes.keySet())) {
+      if (!other.equals(address)) {
+        cutBoth(address, other);
+      }
+    }
+  }
+
+  /**
+   * Calls that way, also open ones, break at once; whether the ask reaches the peer nonetheless is drawn.
+   */
+  public void reset(String from, String to) {
+    way(from, to).fault = Fault.RESET;
+    breakOpen(from, to);
+  }
+
+  /** Open calls that way break once; later ones are sound. */
+  public void breakOnce(String from, String to) {
+    breakOpen(from, to);
+  }
+
+  /** Calls that way fail UNSENT at once; open ones go on. */
+  public void refuse(String from, String to) {
+    way(from, to).fault = Fault.REFUSE;
+  }
+
+  /** Ends a cut, reset or refusal; delay and loss stay. */
+  public void heal(String from, String to) {
+    way(from, to).fault = Fault.NONE;
+  }
+
+  public void healBoth(String one, String other) {
+    heal(one, other);
+    heal(other, one);
+  }
+
+  public void healAll() {
+    for (Way way : ways.values()) {
+      way.fault = Fault.NONE;
+    }
+  }
+
+  /** Kills the process; whether those who called it are told is drawn. */
+  public void kill(String address) {
+    kill(address, random.nextBoolean());
+  }
+
+  /**
+   * Kills the process: nothing of it runs any more, and its messages under way are lost or not.
+   *
+   * @param told true: open calls to it break, later ones are UNSENT at once (the process died); false: open
+   *     ones are SILENT, later ones UNSENT after {@link #CONNECT_WITHIN} (the machine lost its power)
+   */
+  public void kill(String address, boolean told) {
+    Node node = nodes.remove(address);
+    if (node == null) {
+      return;
+    }
+    node.die();
+    dark.put(address, !told);
+    if (told) {
+      for (Node other : new ArrayList<>(nodes.values())) {
+        breakOpen(other.address(), address);
+      }
+    }
+  }
+
+  public void freeze(String address) {
+    nodes.get(address).freeze();
+  }
+
+  /** What was held runs at the present time, in its order. */
+  public void thaw(String address) {
+    nodes.get(address).thaw();
+  }
+
+  public long sent() {
+    return sent;
+  }
+
+  public long lost() {
+    return lost;
+  }
+
+  /** Of all that was sent, when, and to whom: equal for two runs that went alike. */
+  public long digest() {
+    return digest;
+  }
+
+  <A> CompletableFuture<A> call(Node from, String to, Object ask, Class<A> answer, long timeoutMs) {
+    SimCall call = new SimCall(from, to, answer);
+    @SuppressWarnings("unchecked")
+    CompletableFuture<A> future = (CompletableFuture<A>) call.future;
+    if (!from.alive()) {
+      return future;
+    }
+    from.open.add(call);
+    call.timer = from.timers().after(Math.max(0, timeoutMs), () -> call.fail(Code.SILENT));
+    Object copy;
+    try {
+      copy = codec.copy(ask);
+    } catch (ElmsailException e) {
+      from.timers().soon(() -> call.fail(e.code()));
+      return future;
+    }
+    if (from.address().equals(to)) {
+      from.timers().soon(() -> handle(call, from, copy));
+    } else {
+      send(call, copy);
+    }
+    return future;
+  }
+
+  private void send(SimCall call, Object ask) {
+    Node from = call.from;
+    Way way = way(from.address(), call.to);
+    Node target = nodes.get(call.to);
+    note(from.address(), call.to, ask);
+    if (way.fault == Fault.REFUSE) {
+      from.timers().soon(() -> call.fail(Code.UNSENT));
+    } else if (way.fault == Fault.RESET) {
+      from.timers().soon(() -> call.fail(Code.BROKEN));
+      if (random.nextBoolean()) {
+        carry(from.address(), call.to, () -> arrive(call, target, ask));
+      }
+    } else if (way.fault == Fault.NONE && target == null) {
+      boolean silent = dark.getOrDefault(call.to, false);
+      from.timers().after(silent ? CONNECT_WITHIN : draw(way), () -> call.fail(Code.UNSENT));
+    } else {
+      carry(from.address(), call.to, () -> arrive(call, target, ask));
+    }
+  }
+
+  /** The connection led to that one process: another at the same address does not know it. */
+  private void arrive(SimCall call, Node target, Object ask) {
+    if (target == null || !target.alive()) {
+      if (!dark.getOrDefault(call.to, false)) {
+        carry(call.to, call.from.address(), () -> call.from.deliver(() -> call.fail(Code.BROKEN)));
+      }
+      return;
+    }
+    target.deliver(() -> handle(call, target, ask));
+  }
+
+  private void handle(SimCall call, Node target, Object ask) {
+    target.answers().handle(ask).whenComplete((answer, thrown) -> {
+      if (!target.alive()) {
+        return;
+      }
+      Code code = null;
+      Object copy = null;
+      if (thrown != null) {
+        code = ElmsailException.codeOf(thrown);
+      } else {
+        try {
+          copy = codec.copy(answer);
+        } catch (ElmsailException e) {
+          code = e.code();
+        }
+      }
+      answer(call, target, copy, code);
+    });
+  }
+
+  private void answer(SimCall call, Node target, Object answer, Code code) {
+    Runnable end = () -> {
+      if (code != null) {
+        call.fail(code);
+      } else {
+        call.answered(answer);
+      }
+    };
+    if (call.from == target) {
+      target.timers().soon(end);
+    } else {
+      note(target.address(), call.from.address(), answer);
+      carry(target.address(), call.from.address(), () -> call.from.deliver(end));
+    }
+  }
+
+  private void carry(String from, String to, Runnable arrival) {
+    Way way = way(from, to);
+    sent++;
+    boolean vanishes = random.nextDouble() < way.loss;
+    long ms = draw(way);
+    if (vanishes || way.fault == Fault.CUT) {
+      lost++;
+      return;
+    }
+    timers.after(ms, () -> {
+      if (way.fault == Fault.CUT) {
+        lost++;
+      } else {
+        arrival.run();
+      }
+    });
+  }
+
+  private void breakOpen(String from, String to) {
+    Node node = nodes.get(from);
+    if (node == null) {
+      return;
+    }
+    for (SimCall call : new ArrayList<>(node.open)) {
+      if (call.to.equals(to)) {
+        timers.soon(() -> node.deliver(() -> call.fail(Code.BROKEN)));
+      }
+    }
+  }
+
+  private long draw(Way way) {
+    return way.leastMs + (long) (random.nextDouble() * (way.mostMs - way.leastMs + 1));
+  }
+
+  private Way way(String from, String to) {
+    return ways.computeIfAbsent(new Ends(from, to), ends -> {
+      Way way = new Way();
+      way.leastMs = leastMs;
+      way.mostMs = mostMs;
+      way.loss = loss;
+      return way;
+    });
+  }
+
+  private void note(String from, String to, Object message) {
+    String type = message == null ? "" : message.getClass().getSimpleName();
+    digest = digest * 31 + (from + to + type).hashCode();
+    digest = digest * 31 + timers.now();
+  }
+}
--- /dev/null
+++ b/rehearsal/src/test/java/elmsail/rehearsal/SimDiskTest.java
@@ -0,0 +1,216 @@
+package elmsail.rehearsal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.emptyIterable;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import elmsail.disk.Records.Change;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+
+/** What the simulated disk keeps through losses of power, and when it tells. */
+class SimDiskTest {
+
+  private final HandTimers timers = new HandTimers();
+  private final SimDisk disk = new SimDisk(3, timers);
+
+  private static Change put(String name, int value) {
+    return new Change(name, new byte[] {(byte) value});
+  }
+
+  private static Code codeOf(CompletableFuture<?> write) {
+    assertThat(write.isCompletedExceptionally(), is(true));
+    return ElmsailException.codeOf(assertThrows(CompletionException.class, write::join));
+  }
+
+  @Test
+  void writeIsReadAtOnceAndDoneAfterItsSync() {
+    disk.syncTime(20, 20);
+    CompletableFuture<Void> write = disk.write(List.of(put("a", 1), put("b", 2)));
+    assertThat(disk.read("a"), equalTo(new byte[] {1}));
+    timers.pass(19);
+    assertThat(write.isDone(), is(false));
+    assertThat(disk.bytesOnDisk(), is(0L));
+    timers.pass(1);
+    write.join();
+    assertThat(disk.bytesOnDisk(), is(4L));
+    CompletableFuture<Void> removal = disk.write(List.of(new Change("a", null)));
+    assertThat(disk.read("a"), is(nullValue()));
+    timers.pass(20);
+    removal.join();
+    assertThat(disk.names(""), contains("b"));
+  }
+
+  @Test
+  void changesAreGatheredWhileTheDiskIsBusy() {
+    disk.syncTime(20, 20);
+    disk.write(List.of(put("a", 1)));
+    CompletableFuture<Void> second = disk.write(List.of(put("b", 1)));
+    CompletableFuture<Void> third = disk.write(List.of(put("c", 1)));
+    timers.pass(20);
+    assertThat(second.isDone(), is(false));
+    timers.pass(20);
+    second.join();
+    third.join();
+    assertThat(disk.syncs(), is(2L));
+  }
+
+  @Test
+  void completedWritesOutliveEveryLossOfPower() {
+    for (int i = 0; i < 50; i++) {
+      CompletableFuture<Void> write = disk.write(List.of(put("a", i)));
+      timers.pass(10);
+      write.join();
+      disk.write(List.of(put("b", i)));
+      disk.powerLoss();
+      assertThat(disk.read("a"), equalTo(new byte[] {(byte) i}));
+    }
+  }
+
+  @Test
+  void batchUnderWayIsThereWholeOrNotAtAllAndLaterOnesAreGone() {
+    int there = 0;
+    for (int i = 0; i < 100; i++) {
+      CompletableFuture<Void> first = disk.write(List.of(put("x" + i, 1), put("y" + i, 1)));
+      CompletableFuture<Void> second = disk.write(List.of(put("z" + i, 1)));
+      disk.powerLoss();
+      timers.pass(100);
+      assertThat(first.isDone(), is(false));
+      assertThat(second.isDone(), is(false));
+      assertThat(disk.read("z" + i), is(nullValue()));
+      assertThat(disk.read("x" + i) == null, is(disk.read("y" + i) == null));
+      there += disk.read("x" + i) == null ? 0 : 1;
+    }
+    assertThat(there, is(allOf(greaterThan(25), lessThan(75))));
+  }
+
+  @Test
+  void lifeStaysUntilTheDiskIsWiped() {
+    long life = disk.life();
+    assertThat(disk.open(timers).fresh(), is(true));
+    disk.write(List.of(put("a", 1)));
+    timers.pass(10);
+    assertThat(disk.open(timers).fresh(), is(false));
+    disk.powerLoss();
+    assertThat(disk.life(), is(life));
+    assertThat(disk.fresh(), is(false));
+    disk.wipe();
+    assertThat(disk.open(timers).fresh(), is(true));
+    assertThat(disk.life(), is(not(life)));
+    assertThat(disk.names(""), is(emptyIterable()));
+    assertThat(disk.open(timers).fresh(), is(false));
+  }
+
+  @Test
+  void openedOnceButEmptyIsNotFreshAgain() {
+    assertThat(disk.open(timers).fresh(), is(true));
+    assertThat(disk.open(timers).fresh(), is(false));
+  }
+
+  @Test
+  void stalledDiskCompletesLater() {
+    disk.syncTime(5, 5);
+    CompletableFuture<Void> write = disk.write(List.of(put("a", 1)));
+    disk.stall(3_000);
+    timers.pass(2_999);
+    assertThat(write.isDone(), is(false));
+    timers.pass(1);
+    write.join();
+  }
+
+  @Test
+  void refusedWritesFailAndChangeNothing() {
+    disk.write(List.of(put("a", 1)));
+    timers.pass(10);
+    disk.refuse();
+    CompletableFuture<Void> write = disk.write(List.of(put("a", 2)));
+    timers.pass(10);
+    assertThat(codeOf(write), is(Code.DISK));
+    assertThat(disk.read("a"), equalTo(new byte[] {1}));
+    disk.accept();
+    CompletableFuture<Void> next = disk.write(List.of(put("a", 3)));
+    timers.pass(10);
+    next.join();
+    assertThat(disk.read("a"), equalTo(new byte[] {3}));
+  }
+
+  @Test
+  void writesOfADeadProcessNeverComplete() {
+    SimNet net = new SimNet(1, timers);
+    Node node = net.node("n");
+    disk.open(node.timers());
+    CompletableFuture<Void> write = disk.write(List.of(put("a", 1)));
+    net.kill("n");
+    timers.pass(100);
+    assertThat(write.isDone(), is(false));
+  }
+
+  @Test
+  void closedDiskRefusesAndCanBeOpenedAgain() {
+    disk.close();
+    CompletableFuture<Void> write = disk.write(List.of(put("a", 1)));
+    timers.pass(0);
+    assertThat(codeOf(write), is(Code.DISK));
+    disk.open(timers);
+    CompletableFuture<Void> next = disk.write(List.of(put("a", 1)));
+    timers.pass(10);
+    next.join();
+  }
+
+  @Test
+  void pagesAreInOrderAndGoOnBehindTheLast() {
+    for (String name : List.of("c", "a", "b", "d")) {
+      disk.write(List.of(new Change(name, new byte[10])));
+    }
+    assertThat(disk.page("", 15).keySet(), contains("a", "b"));
+    assertThat(disk.page("b", 1).keySet(), contains("c"));
+    assertThat(disk.page("d", 100).keySet(), is(empty()));
+    assertThat(disk.names("b"), contains("b"));
+  }
+
+  @Test
+  void nothingIsShared() {
+    byte[] bytes = {1};
+    disk.write(List.of(new Change("a", bytes)));
+    bytes[0] = 2;
+    disk.read("a")[0] = 3;
+    disk.page("", 10).get("a")[0] = 4;
+    assertThat(disk.read("a"), equalTo(new byte[] {1}));
+  }
+
+  @Test
+  void equalSeedsGoAlike() {
+    assertThat(run(1), is(run(1)));
+    assertThat(run(1), is(not(run(2))));
+  }
+
+  private static List<String> run(long seed) {
+    HandTimers timers = new HandTimers();
+    SimDisk disk = new SimDisk(seed, timers);
+    List<String> log = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      String name = "r" + i;
+      disk.write(List.of(put(name, 1))).thenRun(() -> log.add(timers.now() + name));
+      timers.pass(3);
+      if (i % 7 == 6) {
+        disk.powerLoss();
+        log.add(disk.names("").toString());
+      }
+    }
+    return log;
+  }
+}
