Try lots against three keepers over simulated links

Cause: the lots' rules need trials under the faults that they are meant for. Change: a simulated register, keepers, doors and servers on the hand clock; tests of the count, the hand-in, the runs, the takeover, the reads and the keeper.

--- /dev/null
+++ b/lots/src/test/java/elmsail/lots/HandInTest.java
@@ -0,0 +1,236 @@
+package elmsail.lots;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.lots.LotCalls.Reply;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class HandInTest {
+
+  private static int runsOf(SimWorld world, String lot) {
+    int runs = 0;
+    for (SimWorld.Door door : world.doors) {
+      for (SimServers.Run run : door.servers.runs) {
+        runs += run.piece.id().startsWith(lot + "-") ? 1 : 0;
+      }
+    }
+    return runs;
+  }
+
+  @Test
+  void aLotIsAcceptedOnceFromTwoDoorsAtOnce() {
+    for (int seed = 0; seed < 40; seed++) {
+      SimWorld world = new SimWorld(seed, 2, 100);
+      world.doors.forEach(door -> door.servers.serveMs = 30);
+      CompletableFuture<Reply> one = world.hand(0, "a", 3, 20);
+      CompletableFuture<Reply> other = world.hand(1, "a", 3, 20);
+      assertThat(world.status(one), is(202));
+      assertThat(world.status(other), is(202));
+      world.timers.pass(500);
+      assertThat("runs with seed " + seed, runsOf(world, "a"), is(3));
+      assertThat(world.read(1, "a", 0), containsString("\"total\":3,\"next_token\":3"));
+    }
+  }
+
+  @Test
+  void aLotSentAgainIsAcceptedAgainAndCountedOnce() {
+    SimWorld world = new SimWorld(1, 3, 100);
+    assertThat(world.status(world.hand(0, "a", 6, 10)), is(202));
+    assertThat(world.status(world.hand(1, "a", 6, 10)), is(202));
+    assertThat(world.status(world.hand(2, "a", 6, 10)), is(202));
+    assertThat(world.status(world.hand(1, "b", 4, 10)), is(202));
+    assertThat(world.status(world.hand(2, "c", 1, 1)), is(429));
+  }
+
+  @Test
+  void beyondTheLimitALotIsRefusedAndNeverRuns() {
+    SimWorld world = new SimWorld(2, 2, 100);
+    world.doors.forEach(door -> door.servers.serveMs = 400);
+    assertThat(world.status(world.hand(0, "a", 8, 10)), is(202));
+    Reply refused = world.await(world.hand(1, "b", 3, 10));
+    assertThat(refused.status(), is(429));
+    assertThat(refused.retryAfterS(), greaterThan(0.0));
+    world.timers.pass(20_000);
+    assertThat(runsOf(world, "b"), is(0));
+    assertThat(world.read(0, "b", 0), containsString("404"));
+  }
+
+  @Test
+  void withoutALimitAllFit() {
+    SimWorld world = new SimWorld(3, 2, 0);
+    assertThat(world.status(world.hand(0, "a", 8, 1_000_000)), is(202));
+    assertThat(world.status(world.hand(1, "b", 8, 1_000_000)), is(202));
+  }
+
+  @Test
+  void theCountFallsAsItemsAreListed() {
+    SimWorld world = new SimWorld(4, 2, 100);
+    assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
+    assertThat(world.status(world.hand(1, "b", 5, 10)), is(429));
+    world.timers.pass(50);
+    for (int i = 0; i < 5; i++) {
+      world.doors.get(0).servers.runs.get(i).serve();
+    }
+    world.timers.pass(200);
+    assertThat(world.status(world.hand(1, "b", 5, 10)), is(202));
+    assertThat(world.status(world.hand(1, "c", 1, 1)), is(429));
+  }
+
+  @Test
+  void theCountFallsAsALotIsEnded() {
+    SimWorld world = new SimWorld(5, 2, 100);
+    assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
+    assertThat(world.status(world.hand(1, "b", 5, 10)), is(429));
+    assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+    assertThat(world.status(world.hand(1, "b", 10, 10)), is(202));
+  }
+
+  @Test
+  void threeLotsWhichEachMissAnotherDoNotPassTheLimitTogether() {
+    int refused = 0;
+    for (int seed = 0; seed < 200; seed++) {
+      SimWorld world = new SimWorld(seed, 3, 100);
+      for (int i = 0; i < 3; i++) {
+        String door = world.doors.get(i).address;
+        world.delays.put(door + ">" + world.keepers.get(i).address, 2L);
+        world.delays.put(door + ">" + world.keepers.get((i + 1) % 3).address, 4L);
+        world.delays.put(door + ">" + world.keepers.get((i + 2) % 3).address, 60L);
+      }
+      List<CompletableFuture<Reply>> replies = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        replies.add(world.hand(i, "lot" + i, 4, 10));
+      }
+      int accepted = 0;
+      for (CompletableFuture<Reply> reply : replies) {
+        accepted += world.status(reply) == 202 ? 1 : 0;
+      }
+      refused += 3 - accepted;
+      assertThat("accepted of three lots of 40 at a limit of 100, seed " + seed, accepted, lessThanOrEqualTo(2));
+    }
+    assertThat(refused, greaterThanOrEqualTo(200));
+  }
+
+  @Test
+  void manyDoorsAtOnceStayWithinTheLimitAndItsSlack() {
+    for (int seed = 0; seed < 60; seed++) {
+      SimWorld world = new SimWorld(seed, 6, 1_000);
+      List<CompletableFuture<Reply>> replies = new ArrayList<>();
+      List<Long> tokens = new ArrayList<>();
+      for (int i = 0; i < 40; i++) {
+        long each = 5 + world.chance.nextInt(60);
+        tokens.add(each);
+        replies.add(world.hand(i % 6, "lot" + i, 1, each));
+        world.timers.pass(world.chance.nextInt(6));
+      }
+      long waiting = 0;
+      for (int i = 0; i < 40; i++) {
+        waiting += world.status(replies.get(i)) == 202 ? tokens.get(i) : 0;
+      }
+      assertThat("seed " + seed, waiting, lessThanOrEqualTo(1_100L));
+      assertThat("seed " + seed, waiting, greaterThan(600L));
+    }
+  }
+
+  @Test
+  void aKeeperThatComesBackCountsWhatItHas() {
+    SimWorld world = new SimWorld(6, 2, 100);
+    assertThat(world.status(world.hand(0, "a", 8, 10)), is(202));
+    world.keepers.get(0).restart();
+    world.keepers.get(1).up = false;
+    assertThat(world.status(world.hand(1, "b", 3, 10)), is(429));
+  }
+
+  @Test
+  void withoutAMajorityALotIsRefusedWithAPromiseThatHolds() {
+    SimWorld world = new SimWorld(7, 2, 100);
+    world.keepers.get(0).up = false;
+    world.keepers.get(1).up = false;
+    Reply refused = world.await(world.hand(0, "a", 3, 10));
+    assertThat(refused.status(), is(503));
+    assertThat(refused.retryAfterS(), greaterThan(0.0));
+    world.keepers.get(0).up = true;
+    world.keepers.get(1).up = true;
+    world.timers.pass(20_000);
+    assertThat(runsOf(world, "a"), is(0));
+    assertThat(world.read(1, "a", 0), containsString("404"));
+  }
+
+  @Test
+  void whatMayHaveBeenTakenIsNeverRefusedWithAPromise() {
+    int unclear = 0;
+    for (int seed = 0; seed < 300; seed++) {
+      SimWorld world = new SimWorld(seed, 2, seed % 2 == 0 ? 0 : 100);
+      CompletableFuture<Reply> reply = world.hand(0, "a", 3, 10);
+      world.timers.pass(2 + seed % 25);
+      String door = world.doors.get(0).address;
+      world.keepers.forEach(keeper -> world.cut.add(keeper.address + ">" + door));
+      int status = world.status(reply);
+      world.cut.clear();
+      world.timers.pass(8_000);
+      boolean ran = runsOf(world, "a") > 0;
+      unclear += status == 504 ? 1 : 0;
+      if (status == 503 || status == 429) {
+        assertThat("seed " + seed + " answered " + status, ran, is(false));
+      } else if (status == 202) {
+        assertThat("seed " + seed, ran, is(true));
+      }
+    }
+    assertThat(unclear, greaterThan(10));
+  }
+
+  @Test
+  void ofALotThatIsRefusedEverywhereNothingRunsLater() {
+    for (int seed = 0; seed < 60; seed++) {
+      SimWorld world = new SimWorld(seed, 3, 100);
+      assertThat(world.status(world.hand(0, "a", 9, 10)), is(202));
+      List<CompletableFuture<Reply>> tries = new ArrayList<>();
+      for (int door = 0; door < 3; door++) {
+        tries.add(world.hand(door, "b", 2, 10));
+      }
+      List<Integer> statuses = new ArrayList<>();
+      tries.forEach(one -> statuses.add(world.status(one)));
+      assertThat(statuses, everyItem(is(429)));
+      world.timers.pass(10_000);
+      assertThat(runsOf(world, "b"), is(0));
+    }
+  }
+
+  @Test
+  void aDoorThatIsCutOffRefuses() {
+    SimWorld world = new SimWorld(8, 2, 100);
+    world.keepers.forEach(keeper -> world.cut(world.doors.get(0).address, keeper.address, true));
+    assertThat(world.status(world.hand(0, "a", 1, 1)), is(503));
+    assertThat(world.status(world.hand(1, "a", 1, 1)), is(202));
+  }
+
+  @Test
+  void malformedLotsAreRefusedForGood() {
+    SimWorld world = new SimWorld(9, 1, 100);
+    LotCalls calls = world.doors.get(0).calls;
+    assertThat(world.status(calls.handIn(world.route(), "a", "{".getBytes(), 1_000)), is(400));
+    byte[] elsewhere = new String(SimWorld.lot("a", 1, 1)).replace("/lots1/", "/other/").getBytes();
+    assertThat(world.status(calls.handIn(world.route(), "a", elsewhere, 1_000)), is(400));
+    assertThat(world.status(calls.handIn(world.route(), "a", SimWorld.lot("a", 201, 1), 1_000)), is(400));
+    assertThat(world.status(calls.handIn(world.route(), "a/b", SimWorld.lot("a", 1, 1), 1_000)), is(400));
+    assertThat(world.doors.get(0).servers.runs, is(empty()));
+  }
+
+  @Test
+  void theLimitIsThatOfTheNewestConfiguration() {
+    SimWorld world = new SimWorld(10, 2, 100);
+    world.doors.get(1).timetable = new SimTimetable(2, List.of(SimWorld.route(200)));
+    assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
+    assertThat(world.status(world.hand(0, "b", 1, 10)), is(429));
+    assertThat(world.status(world.hand(1, "b", 1, 10)), is(202));
+  }
+}
--- /dev/null
+++ b/lots/src/test/java/elmsail/lots/RunsTest.java
@@ -0,0 +1,369 @@
+package elmsail.lots;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import elmsail.lots.ItemServers.Ended;
+import elmsail.lots.LotCalls.Reply;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class RunsTest {
+  private static final String NONE = "\"next_token\":0,\"deliveries\":[]";
+
+  private static SimWorld accepted(long seed, int doors, int pieces) {
+    SimWorld world = new SimWorld(seed, doors, 1_000);
+    assertThat(world.status(world.hand(0, "a", pieces, 10)), is(202));
+    world.timers.pass(30);
+    return world;
+  }
+
+  @Test
+  void aWholeRunIsListedWithItsTextAtEveryDoor() {
+    SimWorld world = accepted(1, 2, 1);
+    world.doors.get(0).servers.last().serve();
+    world.timers.pass(100);
+    assertThat(world.read(0, "a", 0), is("200 {\"total\":1,\"next_token\":1,\"deliveries\":[{\"id\":\"a-0\","
+        + "\"state\":\"delivered\",\"message\":\"a-0/0\\u000aa-0/1\"}]}"));
+    assertThat(world.read(1, "a", 0), is(world.read(0, "a", 0)));
+    assertThat(world.read(1, "a", 1), is("200 {\"total\":1,\"next_token\":1,\"deliveries\":[]}"));
+  }
+
+  @Test
+  void aCutRunGoesOnBehindTheLastEvent() {
+    SimWorld world = accepted(2, 1, 1);
+    world.doors.get(0).servers.last().event(0, "one");
+    world.doors.get(0).servers.last().end(Ended.BROKEN);
+    world.timers.pass(400);
+    assertThat(world.doors.get(0).servers.last().last, is(0L));
+    world.doors.get(0).servers.last().event(1, "two");
+    world.doors.get(0).servers.last().end(Ended.WHOLE);
+    world.timers.pass(100);
+    assertThat(world.read(0, "a", 0), containsString("\"message\":\"one\\u000atwo\""));
+  }
+
+  @Test
+  void aGapOrARepeatSpoilsTheRunAndNothingOfItIsKept() {
+    for (long wrong : new long[] {0, 2, 7}) {
+      SimWorld world = accepted(3, 1, 1);
+      SimServers servers = world.doors.get(0).servers;
+      servers.last().event(0, "one");
+      servers.last().event(wrong, "wrong");
+      assertThat(servers.last().cancelled, is(true));
+      servers.last().end(Ended.WHOLE);
+      world.timers.pass(400);
+      assertThat(servers.runs, hasSize(2));
+      assertThat(servers.last().last, is(-1L));
+      servers.last().serve();
+      world.timers.pass(100);
+      assertThat(world.read(0, "a", 0), containsString("\"message\":\"a-0/0\\u000aa-0/1\""));
+    }
+  }
+
+  @Test
+  void aRunThatGoesOnAtTheWrongPlaceIsNotJoined() {
+    for (long wrong : new long[] {0, 1, 3}) {
+      SimWorld world = accepted(4, 1, 1);
+      SimServers servers = world.doors.get(0).servers;
+      servers.last().event(0, "one");
+      servers.last().event(1, "two");
+      servers.last().end(Ended.BROKEN);
+      world.timers.pass(400);
+      servers.last().event(wrong, "else");
+      servers.last().end(Ended.WHOLE);
+      world.timers.pass(400);
+      servers.last().serve();
+      world.timers.pass(100);
+      assertThat(world.read(0, "a", 0), containsString("\"message\":\"a-0/0\\u000aa-0/1\""));
+    }
+  }
+
+  @Test
+  void aServerThatDidNotRunItCostsNoAttempt() {
+    SimWorld world = accepted(5, 1, 1);
+    SimServers servers = world.doors.get(0).servers;
+    for (int i = 0; i < 10; i++) {
+      servers.last().end(Ended.NOT_RUN);
+      world.timers.pass(400);
+    }
+    assertThat(servers.runs, hasSize(11));
+    assertThat(world.read(0, "a", 0), containsString(NONE));
+  }
+
+  @Test
+  void onlySoManyFailuresMakeAnItemUndeliverable() {
+    SimWorld world = accepted(6, 1, 1);
+    SimServers servers = world.doors.get(0).servers;
+    servers.last().end(Ended.FAILED);
+    world.timers.pass(400);
+    assertThat(world.read(0, "a", 0), containsString(NONE));
+    servers.last().end(Ended.BROKEN);
+    world.timers.pass(400);
+    assertThat(world.read(0, "a", 0), containsString(NONE));
+    servers.last().end(Ended.FAILED);
+    world.timers.pass(100);
+    assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\",\"message\":\"\""));
+  }
+
+  @Test
+  void whatCanNeverBeDoneIsUndeliverableAtOnce() {
+    SimWorld world = accepted(7, 1, 1);
+    world.doors.get(0).servers.last().end(Ended.NEVER);
+    world.timers.pass(100);
+    assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\""));
+  }
+
+  @Test
+  void anItemIsGivenUpBehindItsShelfLifeAndNotBefore() {
+    SimWorld world = new SimWorld(8, 1, 1_000);
+    world.doors.get(0).servers.room = 0;
+    assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
+    world.timers.pass(59_000);
+    assertThat(world.read(0, "a", 0), containsString(NONE));
+    world.timers.pass(2_000);
+    assertThat(world.read(0, "a", 0), containsString("\"next_token\":2"));
+  }
+
+  @Test
+  void withoutItsRouteAnItemIsUndeliverableButNotByAnOlderConfiguration() {
+    SimWorld world = new SimWorld(9, 1, 1_000);
+    SimServers servers = world.doors.get(0).servers;
+    servers.room = 0;
+    assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
+    world.doors.get(0).timetable = new SimTimetable(1, List.of());
+    world.timers.pass(1_000);
+    assertThat(world.read(0, "a", 0), containsString(NONE));
+    world.doors.get(0).timetable = new SimTimetable(2, List.of());
+    world.timers.pass(1_000);
+    assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\""));
+    assertThat(servers.runs, hasSize(0));
+  }
+
+  @Test
+  void anEndedLotStopsAtOnceAtItsRunner() {
+    SimWorld world = new SimWorld(10, 2, 1_000);
+    SimServers servers = world.doors.get(0).servers;
+    servers.room = 2;
+    assertThat(world.status(world.hand(0, "a", 9, 10)), is(202));
+    world.timers.pass(100);
+    assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+    world.timers.pass(20);
+    assertThat(servers.open(), is(0));
+    world.timers.pass(5_000);
+    assertThat(servers.runs, hasSize(2));
+    assertThat(world.status(world.doors.get(0).calls.end("a")), is(200));
+    assertThat(world.status(world.doors.get(0).calls.end("never")), is(404));
+  }
+
+  @Test
+  void anEndThatTheRunnerIsNotToldOfStopsItInTime() {
+    for (int seed = 0; seed < 30; seed++) {
+      SimWorld world = new SimWorld(seed, 2, 1_000);
+      SimWorld.Door runner = world.doors.get(0);
+      runner.servers.room = 1;
+      runner.servers.serveMs = 60;
+      assertThat(world.status(world.hand(0, "a", 200, 1)), is(202));
+      world.timers.pass(200);
+      world.cut(runner.address, world.doors.get(1).address, true);
+      if (seed % 2 == 0) {
+        world.keepers.forEach(keeper -> world.cut(runner.address, keeper.address, true));
+      }
+      assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+      long ended = world.timers.now();
+      world.timers.pass(10_000);
+      assertThat("seed " + seed, runner.servers.last().at - ended, lessThanOrEqualTo(2_400L));
+    }
+  }
+
+  @Test
+  void aRunnerThatLosesItsLeaseStartsNothingMore() {
+    SimWorld world = new SimWorld(11, 1, 1_000);
+    SimWorld.Door runner = world.doors.get(0);
+    runner.servers.room = 1;
+    runner.servers.serveMs = 50;
+    assertThat(world.status(world.hand(0, "a", 200, 1)), is(202));
+    world.timers.pass(300);
+    world.keepers.forEach(keeper -> world.cut(runner.address, keeper.address, true));
+    long cutAt = world.timers.now();
+    world.timers.pass(6_000);
+    assertThat(runner.servers.last().at - cutAt, lessThanOrEqualTo(1_800L));
+    world.cut.clear();
+    int before = runner.servers.runs.size();
+    world.timers.pass(3_000);
+    assertThat(runner.servers.runs.size(), greaterThan(before));
+  }
+
+  @Test
+  void aLotWhoseRunnerDiedIsTakenOverAndItsListingStays() {
+    for (int seed = 0; seed < 20; seed++) {
+      SimWorld world = new SimWorld(seed, 3, 1_000);
+      world.doors.get(0).servers.room = 2;
+      assertThat(world.status(world.hand(0, "a", 5, 10)), is(202));
+      world.timers.pass(50);
+      world.doors.get(0).servers.runs.get(1).serve();
+      world.timers.pass(200);
+      String first = world.read(1, "a", 0);
+      assertThat(first, containsString("\"next_token\":1"));
+      world.doors.get(0).up = false;
+      world.doors.get(1).servers.serveMs = 40;
+      world.doors.get(2).servers.serveMs = 40;
+      world.timers.pass(6_000);
+      String later = world.read(2, "a", 0);
+      assertThat(later, containsString("\"next_token\":5"));
+      assertThat(later.substring(later.indexOf('[')),
+          startsWith(first.substring(first.indexOf('['), first.length() - 2)));
+      int runs = world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size();
+      assertThat("each left once, seed " + seed, runs, is(4));
+    }
+  }
+
+  @Test
+  void theFormerRunnerListsNothingMoreAndTextsAreNotMixed() {
+    SimWorld world = new SimWorld(12, 2, 1_000);
+    SimWorld.Door former = world.doors.get(0);
+    assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
+    world.timers.pass(30);
+    former.servers.last().event(0, "former");
+    world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
+    world.timers.pass(5_000);
+    SimServers later = world.doors.get(1).servers;
+    assertThat(later.runs, hasSize(1));
+    former.servers.runs.get(0).event(1, "former");
+    former.servers.runs.get(0).end(Ended.WHOLE);
+    later.last().serve();
+    world.timers.pass(200);
+    String listed = world.read(1, "a", 0);
+    assertThat(listed, containsString("a-0/0"));
+    world.cut.clear();
+    world.timers.pass(5_000);
+    assertThat(world.read(0, "a", 0), is(listed));
+    assertThat(world.read(1, "a", 0), is(listed));
+    assertThat(former.calls.running(), is(0));
+  }
+
+  @Test
+  void aLiveRunnerIsNotRobbedWhenAKeeperRestarts() {
+    SimWorld world = new SimWorld(13, 3, 1_000);
+    assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
+    for (int i = 0; i < 12; i++) {
+      world.keepers.get(i % 3).restart();
+      world.timers.pass(1_000);
+    }
+    world.keepers.get(0).up = false;
+    world.timers.pass(10_000);
+    assertThat(world.doors.get(0).servers.runs, hasSize(1));
+    assertThat(world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size(), is(0));
+  }
+
+  @Test
+  void orphansAreSpreadOverTheDoors() {
+    SimWorld world = new SimWorld(14, 4, 0);
+    for (int i = 0; i < 30; i++) {
+      assertThat(world.status(world.hand(0, "lot" + i, 1, 10)), is(202));
+    }
+    world.doors.get(0).up = false;
+    world.timers.pass(12_000);
+    for (int door = 1; door < 4; door++) {
+      assertThat(world.doors.get(door).servers.runs.size(), greaterThan(3));
+    }
+  }
+
+  @Test
+  void aHeldReadIsAnsweredAsSoonAsSomethingIsListed() {
+    SimWorld world = accepted(15, 1, 2);
+    CompletableFuture<Reply> held = world.doors.get(0).calls.read("a", 0, 1_000);
+    world.timers.pass(300);
+    assertThat(held.isDone(), is(false));
+    world.doors.get(0).servers.last().serve();
+    world.timers.pass(90);
+    assertThat(held.isDone(), is(true));
+    assertThat(new String(held.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
+    CompletableFuture<Reply> empty = world.doors.get(0).calls.read("a", 1, 5_000);
+    world.timers.pass(1_100);
+    assertThat(new String(empty.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
+  }
+
+  @Test
+  void withoutAMajorityAReadIsUnsureAndOnlyASureDoorSaysThereIsNone() {
+    SimWorld world = accepted(16, 2, 1);
+    assertThat(world.read(1, "b", 0), startsWith("404"));
+    world.keepers.get(0).up = false;
+    world.keepers.get(1).up = false;
+    assertThat(world.read(1, "a", 0), startsWith("503"));
+    assertThat(world.read(1, "b", 0), startsWith("503"));
+    assertThat(world.status(world.doors.get(1).calls.item("b", "b-0")), is(503));
+  }
+
+  @Test
+  void aBodyIsGivenByteForByteAtEveryDoor() {
+    SimWorld world = accepted(17, 2, 3);
+    for (SimWorld.Door door : world.doors) {
+      Reply reply = world.await(door.calls.item("a", "a-2"));
+      assertThat(new String(reply.body(), StandardCharsets.UTF_8), is("body a2"));
+      assertThat(world.status(door.calls.item("a", "b-2")), is(404));
+    }
+    assertThat(world.status(world.doors.get(1).calls.item("b", "b-2")), is(404));
+  }
+
+  @Test
+  void aLongLotIsReadInPartsBelowTheLargestAnswer() {
+    SimWorld world = accepted(18, 1, 3);
+    String big = "\"".repeat(300_000);
+    for (SimServers.Run run : List.copyOf(world.doors.get(0).servers.runs)) {
+      run.event(0, big);
+      run.end(Ended.WHOLE);
+    }
+    world.timers.pass(300);
+    Reply reply = world.await(world.doors.get(0).calls.read("a", 0, 0));
+    assertThat(reply.body().length, lessThanOrEqualTo(1 << 20));
+    assertThat(new String(reply.body(), StandardCharsets.UTF_8), not(containsString("\"next_token\":3")));
+    assertThat(world.read(0, "a", 2), containsString("\"next_token\":3"));
+  }
+
+  @Test
+  void positionsNeverChangeUnderRandomTrouble() {
+    for (int seed = 0; seed < 25; seed++) {
+      SimWorld world = new SimWorld(seed, 3, 0);
+      world.doors.forEach(door -> {
+        door.servers.serveMs = 300;
+        door.servers.room = 3;
+      });
+      assertThat(world.status(world.hand(0, "a", 20, 10)), is(202));
+      String before = "";
+      for (int step = 0; step < 40; step++) {
+        world.cut.clear();
+        world.keepers.forEach(keeper -> keeper.up = true);
+        world.keepers.get(world.chance.nextInt(3)).up = world.chance.nextBoolean();
+        SimWorld.Door cutOff = world.doors.get(world.chance.nextInt(3));
+        if (step % 8 < 5) {
+          world.keepers.forEach(keeper -> world.cut(cutOff.address, keeper.address, true));
+        }
+        world.timers.pass(700);
+        String now = world.read(step % 3, "a", 0);
+        if (now.startsWith("200")) {
+          String list = now.substring(now.indexOf('[') + 1, now.length() - 2);
+          assertThat("seed " + seed, list, startsWith(before));
+          before = list;
+        }
+      }
+      world.cut.clear();
+      world.keepers.forEach(keeper -> keeper.up = true);
+      world.timers.pass(20_000);
+      String end = world.read(0, "a", 0);
+      assertThat("seed " + seed, end, containsString("\"next_token\":20"));
+      for (int i = 0; i < 20; i++) {
+        String message = "{\"id\":\"a-" + i + "\",\"state\":\"delivered\",\"message\":\"a-" + i + "/0\\u000aa-" + i
+            + "/1\"}";
+        assertThat("seed " + seed, end, containsString(message));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/lots/src/test/java/elmsail/lots/SimRegister.java
@@ -0,0 +1,169 @@
+package elmsail.lots;
+
+import elmsail.inner.words.Ballot;
+import elmsail.inner.words.Blob;
+import elmsail.register.Register;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** A door's register over simulated links: prepare and accept at a majority, as published for CASPaxos. */
+final class SimRegister implements Register {
+  private final SimWorld world;
+  private final String door;
+  private final long who;
+  private long round;
+
+  SimRegister(SimWorld world, String door, long who) {
+    this.world = world;
+    this.door = door;
+    this.who = who;
+  }
+
+  private final class Change {
+    final String key;
+    final Function<Found, Wanted> change;
+    final List<Blob> blobs;
+    final byte[] note;
+    final CompletableFuture<Held> held = new CompletableFuture<>();
+    boolean sent;
+
+    Change(String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note, long timeoutMs) {
+      this.key = key;
+      this.change = change;
+      this.blobs = blobs;
+      this.note = note;
+      world.timers.after(timeoutMs, this::fail);
+    }
+
+    void fail() {
+      held.completeExceptionally(new ElmsailException(sent ? Code.UNCLEAR : Code.NOT_REACHED, key));
+    }
+
+    void again() {
+      world.timers.after(1 + world.chance.nextInt(20), this::begin);
+    }
+
+    void begin() {
+      if (held.isDone()) {
+        return;
+      }
+      Ballot ballot = new Ballot();
+      ballot.round = ++round;
+      ballot.who = who;
+      List<SimKeeper.Told> promises = new ArrayList<>();
+      boolean[] over = new boolean[1];
+      for (SimKeeper keeper : world.keepers) {
+        send(keeper, () -> keeper.prepare(key, ballot, blobs, note), told -> {
+          round = Math.max(round, told.promised().round);
+          if (!told.done() && !over[0]) {
+            over[0] = true;
+            again();
+          } else if (told.done() && promises.add(told) && promises.size() == world.majority() && !over[0]) {
+            over[0] = true;
+            promised(ballot, promises);
+          }
+        });
+      }
+    }
+
+    void promised(Ballot ballot, List<SimKeeper.Told> promises) {
+      if (held.isDone()) {
+        return;
+      }
+      Ballot newest = new Ballot();
+      byte[] value = null;
+      List<byte[]> notes = new ArrayList<>();
+      int same = 0;
+      for (SimKeeper.Told one : promises) {
+        notes.add(one.note());
+        if (SimKeeper.less(newest, one.accepted())) {
+          newest = one.accepted();
+          value = one.value();
+        }
+      }
+      for (SimKeeper.Told one : promises) {
+        same += one.accepted().round == newest.round && one.accepted().who == newest.who ? 1 : 0;
+      }
+      Wanted wanted = change.apply(new Found(value, notes));
+      if (wanted.value() != null) {
+        accept(ballot, wanted.value(), wanted.blobs(), true);
+      } else if (same < world.majority() && value != null) {
+        accept(ballot, value, List.of(), false);
+      } else {
+        held.complete(new Held(new Versioned(newest, value), false));
+      }
+    }
+
+    void accept(Ballot ballot, byte[] value, List<Blob> with, boolean changed) {
+      sent = true;
+      int[] counts = new int[2];
+      for (SimKeeper keeper : world.keepers) {
+        send(keeper, () -> keeper.accept(key, ballot, value, with), told -> {
+          round = Math.max(round, told.promised().round);
+          if (told.done() && ++counts[0] == world.majority()) {
+            held.complete(new Held(new Versioned(ballot, value), changed));
+          } else if (!told.done() && ++counts[1] == world.keepers.size() - world.majority() + 1) {
+            again();
+          }
+        });
+      }
+    }
+  }
+
+  private <T> void send(SimKeeper keeper, java.util.function.Supplier<T> handle, Consumer<T> heard) {
+    world.carry(door, keeper.address, () -> {
+      T told = handle.get();
+      world.carry(keeper.address, door, () -> heard.accept(told));
+    });
+  }
+
+  @Override
+  public CompletableFuture<Versioned> read(String key, Ballot known, long timeoutMs) {
+    CompletableFuture<Versioned> read = new CompletableFuture<>();
+    change(key, found -> new Wanted(null, List.of()), List.of(), null, timeoutMs).whenComplete((held, failed) -> {
+      if (failed != null) {
+        read.completeExceptionally(new ElmsailException(Code.NOT_REACHED, key));
+      } else if (known != null && known.round == held.now().ballot().round
+          && known.who == held.now().ballot().who) {
+        read.complete(new Versioned(known, null));
+      } else {
+        read.complete(held.now());
+      }
+    });
+    return read;
+  }
+
+  @Override
+  public CompletableFuture<Held> change(String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note,
+      long timeoutMs) {
+    Change one = new Change(key, change, blobs, note, timeoutMs);
+    world.timers.soon(one::begin);
+    return one.held;
+  }
+
+  @Override
+  public CompletableFuture<byte[]> blob(String key, String name, long timeoutMs) {
+    CompletableFuture<byte[]> blob = new CompletableFuture<>();
+    world.timers.after(timeoutMs, () -> blob.completeExceptionally(new ElmsailException(Code.NOT_REACHED, name)));
+    int[] none = new int[1];
+    for (SimKeeper keeper : world.keepers) {
+      send(keeper, () -> {
+        SimKeeper.Cell cell = keeper.cells.get(key);
+        byte[] bytes = cell == null ? null : cell.blobs.get(name);
+        return java.util.Optional.ofNullable(bytes);
+      }, found -> {
+        if (found.isPresent()) {
+          blob.complete(found.get());
+        } else if (++none[0] == world.majority()) {
+          blob.complete(null);
+        }
+      });
+    }
+    return blob;
+  }
+}
--- /dev/null
+++ b/lots/src/test/java/elmsail/lots/SimServers.java
@@ -0,0 +1,94 @@
+package elmsail.lots;
+
+import elmsail.rehearsal.HandTimers;
+import elmsail.timetable.Route;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Servers of one door: every start is written down, and ended by the test or by themselves. */
+final class SimServers implements ItemServers {
+
+  /** One start. */
+  static final class Run implements Running {
+    final Piece piece;
+    final long last;
+    final Heard heard;
+    final long at;
+    boolean over;
+    boolean cancelled;
+
+    Run(Piece piece, long last, Heard heard, long at) {
+      this.piece = piece;
+      this.last = last;
+      this.heard = heard;
+      this.at = at;
+    }
+
+    void event(long id, String data) {
+      if (!cancelled) {
+        heard.event(id, data.getBytes(StandardCharsets.UTF_8));
+      }
+    }
+
+    void end(Ended how) {
+      if (!cancelled && !over) {
+        over = true;
+        heard.ended(how);
+      }
+    }
+
+    /** The whole output: two events, by the item's id. */
+    void serve() {
+      for (long id = last + 1; id < 2; id++) {
+        event(id, piece.id() + "/" + id);
+      }
+      end(Ended.WHOLE);
+    }
+
+    @Override
+    public void cancel() {
+      cancelled |= !over;
+    }
+  }
+
+  final List<Run> runs = new ArrayList<>();
+  private final HandTimers timers;
+  int room = 1_000;
+  /** After so many ms a run is served; -1: by the test alone. */
+  long serveMs = -1;
+
+  SimServers(HandTimers timers) {
+    this.timers = timers;
+  }
+
+  @Override
+  public int room(Route route) {
+    return room - open();
+  }
+
+  int open() {
+    int open = 0;
+    for (Run run : runs) {
+      open += run.over || run.cancelled ? 0 : 1;
+    }
+    return open;
+  }
+
+  @Override
+  public Running start(Route route, Piece piece, long lastEventId, Heard heard) {
+    if (room(route) <= 0) {
+      return null;
+    }
+    Run run = new Run(piece, lastEventId, heard, timers.now());
+    runs.add(run);
+    if (serveMs >= 0) {
+      timers.after(serveMs, run::serve);
+    }
+    return run;
+  }
+
+  Run last() {
+    return runs.get(runs.size() - 1);
+  }
+}
--- /dev/null
+++ b/lots/src/test/java/elmsail/lots/SimWorld.java
@@ -0,0 +1,250 @@
+package elmsail.lots;
+
+import elmsail.inner.Caller;
+import elmsail.inner.words.Note;
+import elmsail.inner.words.Roster;
+import elmsail.inner.words.Seat;
+import elmsail.lots.door.LotsDoor;
+import elmsail.rehearsal.HandTimers;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import elmsail.timetable.Known;
+import elmsail.timetable.Route;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.Timetable;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** Doors, keepers and the links between them, all moved by one hand clock and one seed. */
+final class SimWorld {
+  static final long STATUS_MS = 120_000;
+  static final String HOST = "h.example";
+
+  /** A door with its servers; a killed one hears and says nothing more. */
+  static final class Door {
+    final String address;
+    LotsDoor calls;
+    SimServers servers;
+    SimTimetable timetable;
+    boolean up = true;
+
+    Door(String address) {
+      this.address = address;
+    }
+  }
+
+  final HandTimers timers = new HandTimers();
+  final Random chance;
+  final List<SimKeeper> keepers = new ArrayList<>();
+  final List<Door> doors = new ArrayList<>();
+  final Roster roster = new Roster();
+  /** Links that are cut: "from>to". */
+  final Set<String> cut = new HashSet<>();
+  /** Links with a time of their own, in ms; else 1 to 5. */
+  final Map<String, Long> delays = new HashMap<>();
+  final SimTimetable timetable;
+
+  SimWorld(long seed, int doorCount, long mostWaiting) {
+    chance = new Random(seed);
+    timetable = new SimTimetable(1, List.of(route(mostWaiting)));
+    for (int i = 0; i < 3; i++) {
+      SimKeeper keeper = new SimKeeper("10.0.1." + i + ":7000", this);
+      keepers.add(keeper);
+      Seat seat = new Seat();
+      seat.address = keeper.address;
+      roster.shelf.seats.add(seat);
+    }
+    for (int i = 0; i < doorCount; i++) {
+      roster.clerks.add("10.0.2." + i + ":7000");
+    }
+    for (int i = 0; i < doorCount; i++) {
+      doors.add(open(new Door(roster.clerks.get(i)), i));
+    }
+  }
+
+  static Route route(long mostWaiting) {
+    return new Route("r-lots", HOST, "/lots1/", Route.Kind.SACK, 4_000, 500, 20,
+        List.of(new Route.Share("s", 1)), 2, false, 150, 10_000, 60_000, mostWaiting);
+  }
+
+  Route route() {
+    return timetable.named("r-lots");
+  }
+
+  private Door open(Door door, int number) {
+    Known known = new Known() {
+      @Override
+      public Timetable timetable() {
+        return door.timetable;
+      }
+
+      @Override
+      public List<ServerEntry> servers() {
+        return List.of();
+      }
+
+      @Override
+      public long listAgeMs() {
+        return 0;
+      }
+
+      @Override
+      public Roster roster() {
+        return roster;
+      }
+
+      @Override
+      public void whenChanged(Runnable then) {
+      }
+    };
+    door.timetable = timetable;
+    door.servers = new SimServers(timers);
+    Timers own = own(door);
+    door.calls = new LotsDoor(new SimRegister(this, door.address, number + 1), caller(door.address), own, known,
+        door.address, chance.nextLong(), 3_000);
+    door.calls.setServers(door.servers);
+    door.calls.start();
+    return door;
+  }
+
+  /** Timers that go off only while the door is up. */
+  private Timers own(Door door) {
+    return new Timers() {
+      @Override
+      public Timer after(long ms, Runnable then) {
+        return timers.after(ms, () -> {
+          if (door.up) {
+            then.run();
+          }
+        });
+      }
+
+      @Override
+      public void soon(Runnable then) {
+        after(0, then);
+      }
+
+      @Override
+      public long now() {
+        return timers.now();
+      }
+    };
+  }
+
+  int majority() {
+    return keepers.size() / 2 + 1;
+  }
+
+  private boolean up(String address) {
+    for (SimKeeper keeper : keepers) {
+      if (keeper.address.equals(address)) {
+        return keeper.up;
+      }
+    }
+    for (Door door : doors) {
+      if (door.address.equals(address)) {
+        return door.up;
+      }
+    }
+    return false;
+  }
+
+  /** Carries a message, unless the link is cut or the receiver is down when it comes. */
+  void carry(String from, String to, Runnable message) {
+    if (!up(from)) {
+      return;
+    }
+    long delay = delays.getOrDefault(from + ">" + to, 1L + chance.nextInt(5));
+    timers.after(delay, () -> {
+      if (up(to) && !cut.contains(from + ">" + to)) {
+        message.run();
+      }
+    });
+  }
+
+  void cut(String one, String other, boolean off) {
+    for (String link : List.of(one + ">" + other, other + ">" + one)) {
+      if (off) {
+        cut.add(link);
+      } else {
+        cut.remove(link);
+      }
+    }
+  }
+
+  private CompletionStage<Note> answer(String peer, Note ask) {
+    for (SimKeeper keeper : keepers) {
+      if (keeper.address.equals(peer)) {
+        return keeper.views.answer(ask);
+      }
+    }
+    for (Door door : doors) {
+      if (door.address.equals(peer)) {
+        return door.calls.answer(ask);
+      }
+    }
+    return CompletableFuture.failedFuture(new ElmsailException(Code.UNSENT, peer));
+  }
+
+  private Caller caller(String from) {
+    return new Caller() {
+      @Override
+      public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
+        CompletableFuture<A> told = new CompletableFuture<>();
+        timers.after(timeoutMs, () -> told.completeExceptionally(new ElmsailException(Code.SILENT, peer)));
+        carry(from, peer, () -> answer(peer, (Note) ask).whenComplete((note, failed) -> carry(peer, from, () -> {
+          if (failed == null) {
+            told.complete(answer.cast(note));
+          } else {
+            told.completeExceptionally(failed);
+          }
+        })));
+        return told;
+      }
+    };
+  }
+
+  /** The JSON of a lot whose pieces have the ids LOT-0, LOT-1 and so on. */
+  static byte[] lot(String id, int pieces, long tokens) {
+    StringBuilder json = new StringBuilder("{\"pieces\":[");
+    for (int i = 0; i < pieces; i++) {
+      json.append(i == 0 ? "" : ",").append("{\"id\":\"").append(id).append('-').append(i)
+          .append("\",\"lane\":\"/lots1/x/").append(i).append("\",\"envelope\":{\"Elmsail-Model\":\"m\"},")
+          .append("\"contents\":\"")
+          .append(Base64.getEncoder().encodeToString(("body " + id + i).getBytes(StandardCharsets.UTF_8)))
+          .append("\",\"tokens\":").append(tokens).append('}');
+    }
+    return json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  CompletableFuture<LotCalls.Reply> hand(int door, String id, int pieces, long tokens) {
+    return doors.get(door).calls.handIn(route(), id, lot(id, pieces, tokens), 3_000);
+  }
+
+  /** Moves the clock until the reply is there, for 10 s at most. */
+  LotCalls.Reply await(CompletableFuture<LotCalls.Reply> reply) {
+    for (int i = 0; i < 10_000 && !reply.isDone(); i++) {
+      timers.pass(1);
+    }
+    return reply.join();
+  }
+
+  int status(CompletableFuture<LotCalls.Reply> reply) {
+    return await(reply).status();
+  }
+
+  String read(int door, String id, long after) {
+    LotCalls.Reply reply = await(doors.get(door).calls.read(id, after, 0));
+    return reply.status() + " " + new String(reply.body(), StandardCharsets.UTF_8);
+  }
+}
