Lose the power at every operation of the disk

Cause: group commit and compaction were not tried against a loss of power, a refusal or a hang. Change: a file system that loses, tears and refuses; stories held against what was acknowledged; bounds.

--- a/disk/src/main/java/elmsail/disk/DiskWork.java
+++ b/disk/src/main/java/elmsail/disk/DiskWork.java
@@ -23,6 +23,7 @@
   private final long mostBytes;
   /** After a failed step, until a batch was written again. */
   private boolean held;
+  private int steps;
   private boolean refused;
 
   DiskWork(FolderRecords records, Folder folder, Index index, Object lock, long mostBytes) {
@@ -111,10 +112,10 @@
   }
 
   private void makeRoom(long bytes, boolean values) {
-    int steps = 0;
+    int mostSteps = steps + MOST_STEPS;
     held = false;
-    while (diskBytes() + bytes > mostBytes / 10 * 9 && steps < MOST_STEPS && step(true)) {
-      steps++;
+    while (diskBytes() + bytes > mostBytes / 10 * 9 && steps < mostSteps && step(true)) {
+      held = false;
     }
     if (values && diskBytes() + bytes > mostBytes) {
       throw new ElmsailException(Code.FULL, "the disk's share is used up");
@@ -147,6 +148,7 @@
       }
       removeEmpty();
       held = false;
+      steps++;
     } catch (IOException e) {
       told(e);
     }
@@ -212,6 +214,11 @@
     }
   }
 
+  /** Steps of compaction done. */
+  int steps() {
+    return steps;
+  }
+
   private void told(IOException refusal) {
     if (refusal != null && !refused) {
       LOG.warn("the disk refuses: {}", refusal.toString());
--- a/disk/src/main/java/elmsail/disk/Files.java
+++ b/disk/src/main/java/elmsail/disk/Files.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** What the records ask of a file system; tests put a simulated one in its place. */
-interface Files {
+public interface Files {
 
   /** Makes the folder where it does not stand yet. */
   void makeFolder(Path folder) throws IOException;
--- a/disk/src/main/java/elmsail/disk/Folder.java
+++ b/disk/src/main/java/elmsail/disk/Folder.java
@@ -3,6 +3,7 @@
 import elmsail.station.Code;
 import elmsail.station.ElmsailException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -27,6 +28,8 @@
 
   private final Path folder;
   private final Files files;
+  /** Gathers small records, so that they cost one call of the system. */
+  private final ByteBuffer chunk = ByteBuffer.allocate(VersionWriter.CHUNK_BYTES);
   private final TreeSet<Long> voids = new TreeSet<>();
   private final List<Long> voidsRemoved = new ArrayList<>();
   private long life;
@@ -101,7 +104,7 @@
     boolean safe = false;
     try {
       try (Files.Appender out = files.create(part)) {
-        VersionWriter to = new VersionWriter(out, version, life, seqAfter, voidVersions());
+        VersionWriter to = new VersionWriter(out, chunk, version, life, seqAfter, voidVersions());
         filler.fill(to);
         bytes = to.finish();
       }
--- a/disk/src/main/java/elmsail/disk/FolderRecords.java
+++ b/disk/src/main/java/elmsail/disk/FolderRecords.java
@@ -67,7 +67,8 @@
     return open(dir, mostBytes, completions, new FolderFiles());
   }
 
-  static FolderRecords open(Path dir, long mostBytes, Executor completions, Files files) {
+  /** With another file system in the place of the real one. */
+  public static FolderRecords open(Path dir, long mostBytes, Executor completions, Files files) {
     FolderRecords records = byHand(dir, mostBytes, completions, files, new SecureRandom().nextLong() | 1);
     records.thread = new Thread(records::run, "disk");
     records.thread.setDaemon(true);
@@ -269,6 +270,17 @@
     }
   }
 
+  int compactions() {
+    return work.steps();
+  }
+
+  /** Names in memory, those of removals that are still needed included. */
+  int indexed() {
+    synchronized (lock) {
+      return index.names.size();
+    }
+  }
+
   long nextSeq() {
     synchronized (lock) {
       return nextSeq;
--- a/disk/src/main/java/elmsail/disk/VersionWriter.java
+++ b/disk/src/main/java/elmsail/disk/VersionWriter.java
@@ -21,17 +21,19 @@
   /** Kind, sequence number, length of the name, length of the bytes. */
   static final int RECORD_HEAD_BYTES = 1 + 8 + 2 + 4;
   static final int END_BYTES = 1 + 4 + 4;
-  private static final int CHUNK_BYTES = 64 * 1024;
+  static final int CHUNK_BYTES = 64 * 1024;
 
   private final Files.Appender out;
-  private final ByteBuffer chunk = ByteBuffer.allocate(CHUNK_BYTES);
+  private final ByteBuffer chunk;
   private final CRC32C crc = new CRC32C();
   private final CRC32C overAll = new CRC32C();
   private long appended;
   private int records;
 
-  VersionWriter(Files.Appender out, long version, long life, long nextSeq, long[] voids) throws IOException {
+  VersionWriter(Files.Appender out, ByteBuffer chunk, long version, long life, long nextSeq, long[] voids)
+      throws IOException {
     this.out = out;
+    this.chunk = chunk.clear();
     ByteBuffer head = ByteBuffer.allocate(HEAD_BYTES + 8 * voids.length);
     head.putInt(MAGIC).putInt(FORMAT).putLong(version).putLong(life).putLong(nextSeq).putInt(voids.length);
     for (long v : voids) {
--- /dev/null
+++ b/disk/src/test/java/elmsail/disk/Story.java
@@ -0,0 +1,202 @@
+package elmsail.disk;
+
+import elmsail.disk.Records.Change;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Writes by chance to records on a file system that loses its power, and holds what is found afterwards
+ * against what was acknowledged: exactly that, or with it the first few of the writes under way, or of those
+ * of one failed batch that nothing was acknowledged after.
+ */
+final class Story {
+  private static final int[] SIZES = {0, 8, 300, Index.SMALL_BYTES, Index.SMALL_BYTES + 1, 9_000};
+
+  final TornFiles files;
+  private final Random random;
+  private final long mostBytes;
+  private final int names;
+  private final int sizes;
+  private final ArrayDeque<Runnable> told = new ArrayDeque<>();
+  private final List<Write> underWay = new ArrayList<>();
+  /** Failed since something was acknowledged last, by the failure that took them. */
+  private final List<List<Write>> failed = new ArrayList<>();
+  private Map<String, byte[]> acknowledged = new TreeMap<>();
+  private FolderRecords records;
+  private long life;
+  private int number;
+  int acknowledgements;
+  int failures;
+
+  private record Write(List<Change> changes, CompletableFuture<Void> done) {
+  }
+
+  Story(TornFiles files, long seed, long mostBytes, int names, int sizes) {
+    this.sizes = sizes;
+    this.files = files;
+    this.mostBytes = mostBytes;
+    this.names = names;
+    random = new Random(seed);
+  }
+
+  void open() {
+    told.clear();
+    records = FolderRecords.byHand(Path.of("records"), mostBytes, told::add, files, random.nextLong() | 1);
+  }
+
+  /** One write by chance, and some turns of the disk. */
+  void step() {
+    List<Change> changes = new ArrayList<>();
+    for (int i = random.nextInt(3); i >= 0; i--) {
+      String name = "n/" + random.nextInt(names);
+      changes.add(new Change(name, random.nextInt(4) == 0 ? null : bytes()));
+    }
+    Write write = new Write(changes, records.write(changes));
+    underWay.add(write);
+    if (!write.done.isDone()) {
+      same(seen(write), records, "read at once");
+    }
+    turns(random.nextInt(3));
+    tell();
+  }
+
+  private Map<String, byte[]> seen(Write write) {
+    Map<String, byte[]> seen = new TreeMap<>();
+    apply(seen, write);
+    return seen;
+  }
+
+  void turns(int count) {
+    int i = 0;
+    while (i < count && records.turn()) {
+      i++;
+    }
+  }
+
+  private byte[] bytes() {
+    byte[] bytes = new byte[8 + SIZES[random.nextInt(sizes)]];
+    Arrays.fill(bytes, (byte) number);
+    java.nio.ByteBuffer.wrap(bytes).putInt(number++);
+    return bytes;
+  }
+
+  void tell() {
+    while (!told.isEmpty()) {
+      told.poll().run();
+    }
+    List<Write> fell = new ArrayList<>();
+    while (!underWay.isEmpty() && underWay.get(0).done.isDone()) {
+      Write write = underWay.remove(0);
+      if (write.done.isCompletedExceptionally()) {
+        fell.add(write);
+        failures++;
+      } else {
+        if (!fell.isEmpty()) {
+          throw new AssertionError("acknowledged behind a failed write before that was told");
+        }
+        failed.clear();
+        apply(acknowledged, write);
+        acknowledgements++;
+      }
+    }
+    if (!fell.isEmpty()) {
+      failed.add(fell);
+    }
+  }
+
+  private static void apply(Map<String, byte[]> to, Write write) {
+    for (Change change : write.changes) {
+      if (change.bytes() == null) {
+        to.remove(change.name());
+      } else {
+        to.put(change.name(), change.bytes());
+      }
+    }
+  }
+
+  /** What reads show now, with nothing waiting. */
+  void checkRead() {
+    same(acknowledged, records, "read");
+    Map<String, byte[]> paged = new TreeMap<>();
+    records.page(null, Integer.MAX_VALUE).forEach(paged::put);
+    if (!equal(acknowledged, paged)) {
+      throw new AssertionError("pages show other records");
+    }
+  }
+
+  private static void same(Map<String, byte[]> wanted, FolderRecords records, String when) {
+    for (Map.Entry<String, byte[]> e : wanted.entrySet()) {
+      if (!Arrays.equals(e.getValue(), records.read(e.getKey()))) {
+        throw new AssertionError(when + ": " + e.getKey() + " is not as it was written");
+      }
+    }
+  }
+
+  /** Opens after a loss of power or the end of the process, and checks what is there. */
+  void reopen() {
+    long before = life;
+    open();
+    life = records.life();
+    if (before != 0 && before != life) {
+      throw new AssertionError("another life");
+    }
+    Map<String, byte[]> found = new TreeMap<>();
+    for (String name : records.names("")) {
+      found.put(name, records.read(name));
+    }
+    boolean good = matches(found, underWay);
+    for (List<Write> fell : failed) {
+      good |= matches(found, fell);
+    }
+    if (!good) {
+      throw new AssertionError("found " + shown(found) + ", acknowledged " + shown(acknowledged));
+    }
+    acknowledged = found;
+    underWay.clear();
+    failed.clear();
+  }
+
+  private static String shown(Map<String, byte[]> state) {
+    StringBuilder text = new StringBuilder();
+    state.forEach((name, bytes) -> text.append(name).append('=')
+        .append(java.nio.ByteBuffer.wrap(bytes).getInt()).append(' '));
+    return text.toString();
+  }
+
+  private boolean matches(Map<String, byte[]> found, List<Write> first) {
+    Map<String, byte[]> state = new TreeMap<>(acknowledged);
+    if (equal(state, found)) {
+      return true;
+    }
+    for (Write write : first) {
+      apply(state, write);
+      if (equal(state, found)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean equal(Map<String, byte[]> one, Map<String, byte[]> other) {
+    if (!one.keySet().equals(other.keySet())) {
+      return false;
+    }
+    for (Map.Entry<String, byte[]> e : one.entrySet()) {
+      if (!Arrays.equals(e.getValue(), other.get(e.getKey()))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  int compactions() {
+    return records == null ? 0 : records.compactions();
+  }
+}
--- /dev/null
+++ b/disk/src/test/java/elmsail/disk/TornFiles.java
@@ -0,0 +1,256 @@
+package elmsail.disk;
+
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A file system that can lose its power: before operation {@code lossAt}. What it holds afterwards is what was
+ * synced, and of the rest each write and each name kept, lost or torn. It can refuse operations, with or
+ * without having done them, and leave out its syncs (a defect that tests have to notice).
+ */
+final class TornFiles implements Files {
+  /** The machine has no power from here on. */
+  static final class PowerLost extends Error {
+    private static final long serialVersionUID = 1;
+
+    PowerLost() {
+      super("power lost", null, false, false);
+    }
+  }
+
+  /** What becomes of that which was not synced. */
+  enum Rest { KEPT, LOST, TORN }
+
+  private static final class Inode {
+    byte[] bytes = new byte[0];
+    int synced;
+    final List<int[]> unsynced = new ArrayList<>();
+  }
+
+  private record NameChange(String from, String to, Inode created) {
+  }
+
+  private Map<String, Inode> names = new TreeMap<>();
+  private Map<String, Inode> lasting = new TreeMap<>();
+  private final List<NameChange> changes = new ArrayList<>();
+  private final Random random;
+  int operations;
+  int lossAt = Integer.MAX_VALUE;
+  /** Chance that an operation is refused. */
+  double refusing;
+  boolean fileSyncsLeftOut;
+  boolean folderSyncsLeftOut;
+  boolean made;
+
+  TornFiles(long seed) {
+    random = new Random(seed);
+  }
+
+  private synchronized void begin() throws IOException {
+    if (++operations >= lossAt) {
+      throw new PowerLost();
+    }
+    if (refusing > 0 && random.nextDouble() < refusing) {
+      throw new IOException("refused");
+    }
+  }
+
+  private void end() throws IOException {
+    if (refusing > 0 && random.nextDouble() < refusing) {
+      throw new IOException("refused after it was done");
+    }
+  }
+
+  /** The power goes and returns. */
+  synchronized void losePower(Rest rest) {
+    Map<String, Inode> left = new TreeMap<>(lasting);
+    for (NameChange change : changes) {
+      if (rest == Rest.LOST || rest == Rest.TORN && random.nextBoolean()) {
+        continue;
+      }
+      if (change.created != null) {
+        left.put(change.to, change.created);
+      } else {
+        Inode moved = left.remove(change.from);
+        if (moved != null && change.to != null) {
+          left.put(change.to, moved);
+        }
+      }
+    }
+    changes.clear();
+    for (Inode inode : left.values()) {
+      if (rest == Rest.LOST) {
+        inode.bytes = Arrays.copyOf(inode.bytes, inode.synced);
+      } else if (rest == Rest.TORN) {
+        tear(inode);
+      }
+      inode.synced = inode.bytes.length;
+      inode.unsynced.clear();
+    }
+    names = left;
+    lasting = new TreeMap<>(left);
+    lossAt = Integer.MAX_VALUE;
+    operations = 0;
+  }
+
+  private void tear(Inode inode) {
+    byte[] torn = Arrays.copyOf(inode.bytes, inode.synced);
+    for (int[] part : inode.unsynced) {
+      int kept = switch (random.nextInt(3)) {
+        case 0 -> 0;
+        case 1 -> part[1];
+        default -> random.nextInt(part[1] + 1);
+      };
+      if (kept > 0) {
+        torn = Arrays.copyOf(torn, Math.max(torn.length, part[0] + kept));
+        System.arraycopy(inode.bytes, part[0], torn, part[0], kept);
+      }
+    }
+    inode.bytes = torn;
+  }
+
+  /** For tests that spoil what lies there. */
+  synchronized Map<String, byte[]> contents() {
+    Map<String, byte[]> all = new TreeMap<>();
+    names.forEach((name, inode) -> all.put(name, inode.bytes));
+    return all;
+  }
+
+  synchronized void put(String name, byte[] bytes) {
+    Inode inode = new Inode();
+    inode.bytes = bytes;
+    inode.synced = bytes.length;
+    names.put(name, inode);
+    lasting.put(name, inode);
+    made = true;
+  }
+
+  private static String plain(Path file) {
+    return file.getFileName().toString();
+  }
+
+  private Inode inode(Path file) throws IOException {
+    Inode inode = names.get(plain(file));
+    if (inode == null) {
+      throw new NoSuchFileException(plain(file));
+    }
+    return inode;
+  }
+
+  @Override
+  public synchronized void makeFolder(Path folder) throws IOException {
+    begin();
+    made = true;
+  }
+
+  @Override
+  public synchronized List<String> list(Path folder) throws IOException {
+    begin();
+    if (!made) {
+      throw new NoSuchFileException(folder.toString());
+    }
+    return new ArrayList<>(names.keySet());
+  }
+
+  @Override
+  public synchronized Appender create(Path file) throws IOException {
+    begin();
+    Inode inode = new Inode();
+    names.put(plain(file), inode);
+    changes.add(new NameChange(null, plain(file), inode));
+    end();
+    return new InodeAppender(inode);
+  }
+
+  @Override
+  public synchronized void rename(Path from, Path to) throws IOException {
+    begin();
+    Inode inode = inode(from);
+    names.remove(plain(from));
+    names.put(plain(to), inode);
+    changes.add(new NameChange(plain(from), plain(to), null));
+    end();
+  }
+
+  @Override
+  public synchronized void remove(Path file) throws IOException {
+    begin();
+    if (names.remove(plain(file)) != null) {
+      changes.add(new NameChange(plain(file), null, null));
+    }
+    end();
+  }
+
+  @Override
+  public synchronized void syncFolder(Path folder) throws IOException {
+    begin();
+    if (!folderSyncsLeftOut) {
+      changes.clear();
+      lasting = new TreeMap<>(names);
+    }
+    end();
+  }
+
+  @Override
+  public synchronized int read(Path file, long at, byte[] to, int from, int length) throws IOException {
+    Inode inode = inode(file);
+    int part = (int) Math.max(0, Math.min(length, inode.bytes.length - at));
+    System.arraycopy(inode.bytes, (int) at, to, from, part);
+    return part;
+  }
+
+  @Override
+  public synchronized long size(Path file) throws IOException {
+    return inode(file).bytes.length;
+  }
+
+  private final class InodeAppender implements Appender {
+    private final Inode inode;
+
+    InodeAppender(Inode inode) {
+      this.inode = inode;
+    }
+
+    @Override
+    public void append(byte[] bytes, int from, int length) throws IOException {
+      synchronized (TornFiles.this) {
+        begin();
+        int at = inode.bytes.length;
+        inode.bytes = Arrays.copyOf(inode.bytes, at + length);
+        System.arraycopy(bytes, from, inode.bytes, at, length);
+        inode.unsynced.add(new int[] {at, length});
+        end();
+      }
+    }
+
+    @Override
+    public void sync() throws IOException {
+      synchronized (TornFiles.this) {
+        begin();
+        if (!fileSyncsLeftOut) {
+          inode.synced = inode.bytes.length;
+          inode.unsynced.clear();
+          // A new file lasts with its own sync.
+          for (NameChange change : changes) {
+            if (change.created == inode) {
+              lasting.put(change.to, inode);
+            }
+          }
+          changes.removeIf(c -> c.created == inode);
+        }
+        end();
+      }
+    }
+
+    @Override
+    public void close() {
+    }
+  }
+}
