--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -29,15 +29,18 @@
 
 /**
  * The voter's side of one set: the records of its keys, its seating, and whether this process votes. An
- * answer leaves only once all that it relies on is safe on disk. One
- * keeper at most for each {@link Answering}.
+ * answer leaves only once all that it relies on is safe on disk. One keeper
+ * at most for each {@link Answering}.
  */
 public final class SetKeeper {
   private static final Logger LOG = LoggerFactory.getLogger(SetKeeper.class);
 
+  private static final long REWRITE_MS = 300;
+
   private final String set;
   private final Records records;
   private final Views views;
+  private final Timers timers;
   private final Membership membership;
   private final KeptNames names;
   private final Newcomer newcomer;
@@ -53,6 +56,7 @@
     this.set = set;
     this.records = records;
     this.views = views;
+    this.timers = timers;
     names = new KeptNames(set);
     byte[] seated = records.read(names.seated());
     membership = new Membership(ownAddress, station, records.life(),
@@ -203,12 +207,20 @@
     written.whenComplete((none, failure) -> {
       if (failure != null) {
         membershipGiven = false;
+        timers.after(REWRITE_MS, this::rewriteMembership);
         LOG.warn("{}: the seating could not be written: {}", set, ElmsailException.codeOf(failure));
       }
     });
     return written;
   }
 
+  /** After a failed write, in time or before what relies on it. */
+  private void rewriteMembership() {
+    if (!membershipGiven) {
+      writeMembership();
+    }
+  }
+
   private void tellSeated() {
     boolean seated = membership.seated();
     if (seated != toldSeated) {
@@ -294,9 +306,7 @@
     if (!set.equals(ask.set)) {
       return CompletableFuture.failedFuture(new ElmsailException(Code.NOT_SEATED, ask.set));
     }
-    if (!membershipGiven) {
-      writeMembership();
-    }
+    rewriteMembership();
     Seating before = membership.seating();
     Membership.Claimed claimed = membership.claim(ask);
     if (membership.seating() != before) {
@@ -332,9 +342,7 @@
       learn(asked);
       code = membership.vote(asked);
     }
-    if (!membershipGiven) {
-      writeMembership();
-    }
+    rewriteMembership();
     if (code == VoteTold.DONE) {
       return null;
     }
@@ -360,6 +368,9 @@
 
   /** Answers once the changes, and all before them, are safe. */
   private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
+    if (!membershipGiven) {
+      return CompletableFuture.failedFuture(new ElmsailException(Code.DISK, "the seating is not on disk"));
+    }
     CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
     return safe.thenApply(none -> answer.get());
   }
--- /dev/null
+++ b/register/src/test/java/elmsail/register/Chain.java
@@ -0,0 +1,67 @@
+package elmsail.register;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A checker for a key whose value is a list of marks, each appended once: this is linearizable just if all
+ * values seen are beginnings of one list, and each value seen holds all that was told before it was asked for.
+ */
+final class Chain {
+  private String longest = "";
+  /** What had been told as held by which time: of the longest value, at each time. */
+  private final TreeMap<Long, String> toldBy = new TreeMap<>();
+  private final Map<String, String> denied = new TreeMap<>();
+  final List<String> faults = new ArrayList<>();
+
+  static String text(byte[] value) {
+    return value == null ? "" : new String(value, StandardCharsets.US_ASCII);
+  }
+
+  /** A value was told at the end of a call that began at {@code from}. */
+  void seen(long from, long now, byte[] bytes) {
+    String value = text(bytes);
+    if (!value.startsWith(longest) && !longest.startsWith(value)) {
+      faults.add("two lists: " + longest + " and " + value);
+    }
+    Map.Entry<Long, String> before = toldBy.lowerEntry(from);
+    if (before != null && value.length() < before.getValue().length()) {
+      faults.add("old at " + now + ": " + value + " where " + before.getValue() + " was told before " + from);
+    }
+    if (value.length() > longest.length()) {
+      longest = value;
+    }
+    Map.Entry<Long, String> last = toldBy.floorEntry(now);
+    if (last == null || last.getValue().length() < value.length()) {
+      toldBy.put(now, value);
+    }
+  }
+
+  /** This mark's change was told not to have been sent at all. */
+  void denied(String mark) {
+    denied.put(mark, mark);
+  }
+
+  void end(byte[] last) {
+    String value = text(last);
+    if (!value.startsWith(longest)) {
+      faults.add("at the end " + value + " is without " + longest);
+    }
+    for (String mark : denied.keySet()) {
+      if (value.contains(mark)) {
+        faults.add("denied, and there: " + mark);
+      }
+    }
+    String[] marks = value.split(";");
+    for (int i = 0; i < marks.length; i++) {
+      for (int j = 0; j < i; j++) {
+        if (marks[i].equals(marks[j])) {
+          faults.add("twice: " + marks[i]);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/register/src/test/java/elmsail/register/HistoriesTest.java
@@ -0,0 +1,36 @@
+package elmsail.register;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class HistoriesTest {
+  private static final int SEEDS = Integer.getInteger("register.seeds", 200);
+
+  @Test
+  void everyHistoryIsLinearizable() {
+    List<String> faults = new ArrayList<>();
+    int[] sums = new int[6];
+    for (int seed = 0; seed < SEEDS; seed++) {
+      History history = new History(seed).run();
+      for (String fault : history.chain.faults) {
+        faults.add("seed " + seed + ": " + fault);
+      }
+      sums[0] += history.changed;
+      sums[1] += history.read;
+      sums[2] += history.failed;
+      sums[3] += history.crashes;
+      sums[4] += history.wipes;
+      sums[5] += history.replacements;
+    }
+    System.out.println(SEEDS + " histories: " + sums[0] + " changes, " + sums[1] + " reads, " + sums[2]
+        + " failed, " + sums[3] + " crashes, " + sums[4] + " of them wipes, " + sums[5] + " replacements");
+    assertThat(faults, empty());
+    assertThat(sums[4], greaterThan(SEEDS / 2));
+    assertThat(sums[5], greaterThan(SEEDS / 2));
+  }
+}
--- /dev/null
+++ b/register/src/test/java/elmsail/register/History.java
@@ -0,0 +1,199 @@
+package elmsail.register;
+
+import elmsail.inner.Caller;
+import elmsail.inner.words.Seating;
+import elmsail.register.Register.Held;
+import elmsail.register.Register.Versioned;
+import elmsail.register.Register.Wanted;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/** One random run: clients that append and read, and trouble all the while; then quiet, and a last read. */
+final class History {
+  private static final int CLIENTS = 3;
+  private static final long TROUBLE_MS = 12_000;
+
+  final World world;
+  final Chain chain = new Chain();
+  final RegisterClient[] clients = new RegisterClient[CLIENTS];
+  Consumer<World.Node> afterWipe = node -> { };
+  UnaryOperator<Caller> clientsCaller = caller -> caller;
+  int changed;
+  int read;
+  int failed;
+  int wipes;
+  int crashes;
+  int replacements;
+  private long end;
+  private int marks;
+  private World.Node spare;
+
+  History(long seed) {
+    world = new World(seed);
+  }
+
+  History run() {
+    Seating founding = world.found("a", "b", "c");
+    spare = world.new Node("s");
+    spare.start();
+    world.timers.pass(100);
+    world.loss = world.chance.nextInt(3) * 0.03;
+    world.repeats = world.chance.nextInt(3) * 0.05;
+    world.mostDelayMs = 2 + world.chance.nextInt(30);
+    end = world.timers.now() + TROUBLE_MS;
+    for (int i = 0; i < CLIENTS; i++) {
+      clients[i] = world.client("client" + i, 100 + i, founding, clientsCaller);
+      work(i);
+    }
+    trouble();
+    gossip();
+    world.timers.pass(TROUBLE_MS);
+    world.loss = 0;
+    world.repeats = 0;
+    world.cut.clear();
+    for (World.Node node : world.nodes.values()) {
+      if (!node.up) {
+        node.start();
+      }
+    }
+    world.timers.pass(12_000);
+    if (!world.whole()) {
+      chain.faults.add("not seated again: " + world.state());
+    }
+    long from = world.timers.now();
+    try {
+      Versioned last = world.await(clients[0].read("key", null, 8_000), 9_000);
+      chain.seen(from, world.timers.now(), last.value());
+      chain.end(last.value());
+    } catch (RuntimeException e) {
+      chain.faults.add("no last read: " + e);
+    }
+    return this;
+  }
+
+  private void gossip() {
+    world.gossip();
+    world.timers.after(100, this::gossip);
+  }
+
+  private void work(int client) {
+    if (world.timers.now() >= end) {
+      return;
+    }
+    long from = world.timers.now();
+    CompletableFuture<?> done;
+    if (world.chance.nextInt(3) == 0) {
+      done = clients[client].read("key", null, 3_000).whenComplete((told, failure) -> {
+        if (told != null) {
+          read++;
+          chain.seen(from, world.timers.now(), told.value());
+        }
+      });
+    } else {
+      String mark = "m" + client + "." + marks++ + ";";
+      done = clients[client].change("key", found -> append(found.value(), mark), List.of(), null, 3_000)
+          .whenComplete((held, failure) -> told(mark, from, held, failure));
+    }
+    done.whenComplete((told, failure) ->
+        world.timers.after(world.chance.nextInt(60), () -> work(client)));
+  }
+
+  private static Wanted append(byte[] value, String mark) {
+    String now = Chain.text(value);
+    return now.contains(mark) ? new Wanted(null, List.of())
+        : new Wanted((now + mark).getBytes(StandardCharsets.US_ASCII), List.of());
+  }
+
+  private void told(String mark, long from, Held held, Throwable failure) {
+    if (held != null) {
+      changed++;
+      chain.seen(from, world.timers.now(), held.now().value());
+      if (!Chain.text(held.now().value()).contains(mark)) {
+        chain.faults.add("held without its mark: " + mark);
+      }
+      return;
+    }
+    failed++;
+    if (ElmsailException.codeOf(failure) == Code.NOT_REACHED) {
+      chain.denied(mark);
+    } else if (ElmsailException.codeOf(failure) != Code.UNCLEAR) {
+      chain.faults.add("failed with " + failure);
+    }
+  }
+
+  private void trouble() {
+    if (world.timers.now() >= end) {
+      return;
+    }
+    String[] names = {"a", "b", "c", "s"};
+    World.Node node = world.nodes.get(names[world.chance.nextInt(4)]);
+    boolean whole = world.whole();
+    switch (world.chance.nextInt(5)) {
+      case 0 -> crash(node, false);
+      case 1 -> crash(node, whole);
+      case 2 -> {
+        world.cutOff(node.address, true);
+        world.timers.after(world.chance.nextInt(1_500), () -> world.cutOff(node.address, false));
+      }
+      case 3 -> replace(whole);
+      default -> {
+        if (node.up) {
+          node.records.failing = 1;
+        }
+      }
+    }
+    world.timers.after(world.chance.nextInt(700), this::trouble);
+  }
+
+  private void crash(World.Node node, boolean wiped) {
+    if (!node.up) {
+      return;
+    }
+    boolean wipe = wiped;
+    node.crash();
+    if (wipe) {
+      wipes++;
+      node.wipe();
+      afterWipe.accept(node);
+    }
+    crashes++;
+    world.timers.after(20 + world.chance.nextInt(600), () -> {
+      if (!node.up) {
+        node.start();
+      }
+    });
+  }
+
+  /** A process without a seat takes the seat of one that is cut off or down, which comes back later. */
+  private void replace(boolean whole) {
+    World.Node idle = null;
+    for (World.Node node : world.nodes.values()) {
+      if (node.up && !node.keeper.seated()) {
+        idle = node;
+      }
+    }
+    if (!whole || idle == null || idle.keeper.seating().seats.isEmpty()) {
+      return;
+    }
+    int seat = world.chance.nextInt(3);
+    World.Node old = world.nodes.get(idle.keeper.seating().seats.get(seat).address);
+    if (world.chance.nextBoolean()) {
+      world.cutOff(old.address, true);
+      world.timers.after(1_000, () -> world.cutOff(old.address, false));
+    } else if (old.up) {
+      old.crash();
+      world.timers.after(1_000, () -> {
+        if (!old.up) {
+          old.start();
+        }
+      });
+    }
+    replacements++;
+    idle.keeper.claim(seat, idle.keeper.seating().seats.get(seat).incarnation + 1);
+  }
+}
