Keep the clerks last heard of when every notary is silent

Cause: with all notaries silent, the words of one silent for long came back among the clerks. Change: only what was heard lately is joined; with nothing heard the last union stays.

--- a/timetable/src/main/java/elmsail/timetable/pull/Lines.java
+++ b/timetable/src/main/java/elmsail/timetable/pull/Lines.java
@@ -84,17 +84,15 @@
     }
   }
 
-  /** The clerks that each notary told last, but for those silent while others speak. */
+  /** The clerks that each notary told last, but for those silent; empty if none was heard lately. */
   List<List<String>> clerks() {
     List<List<String>> fresh = new ArrayList<>();
-    List<List<String>> all = new ArrayList<>();
     for (Line line : lines.values()) {
-      all.add(line.clerks);
-      if (timers.now() - line.lastSign() <= SILENT_MS) {
+      if (line.heardAt >= 0 && timers.now() - line.heardAt <= SILENT_MS) {
         fresh.add(line.clerks);
       }
     }
-    return fresh.isEmpty() ? all : fresh;
+    return fresh;
   }
 
   long heardAgoMs(String address) {
--- a/timetable/src/main/java/elmsail/timetable/pull/Puller.java
+++ b/timetable/src/main/java/elmsail/timetable/pull/Puller.java
@@ -266,7 +266,8 @@
     Roster merged = new Roster();
     merged.head = head;
     merged.shelf = shelf;
-    merged.clerks = Rosters.union(lines.clerks());
+    List<List<String>> words = lines.clerks();
+    merged.clerks = words.isEmpty() ? roster.clerks : Rosters.union(words);
     if (Rosters.same(roster, merged)) {
       return false;
     }
--- a/timetable/src/test/java/elmsail/timetable/TimetableReaderTest.java
+++ b/timetable/src/test/java/elmsail/timetable/TimetableReaderTest.java
@@ -11,6 +11,7 @@
 import elmsail.station.ElmsailException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -46,7 +47,7 @@
     assertThat(stream.shares(), hasSize(2));
     assertThat(stream.shares().get(0).weight(), closeTo(90, 0));
     Route lots = timetable.named("r-2");
-    assertThat(lots.shares(), equalTo(java.util.List.of(new Route.Share("huvo11a", 1))));
+    assertThat(lots.shares(), equalTo(List.of(new Route.Share("huvo11a", 1))));
     assertThat(lots.shelfMs(), equalTo(7_500L));
     assertThat(lots.runDueMs(), equalTo(4_000L));
     assertThat(lots.mostWaiting(), equalTo(9_000L));
--- /dev/null
+++ b/timetable/src/test/java/elmsail/timetable/pull/FallbackTest.java
@@ -0,0 +1,167 @@
+package elmsail.timetable.pull;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.inner.words.Roster;
+import elmsail.rehearsal.HandTimers;
+import elmsail.station.http.HttpAsker;
+import elmsail.station.http.HttpReply;
+import elmsail.timetable.CarrierCall;
+import elmsail.timetable.Examples;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.ServerList;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class FallbackTest {
+  private static final String A = "10.1.0.13:7721";
+  private static final List<ServerEntry> OWN = List.of(Examples.server("i-own"));
+  private static final List<ServerEntry> TOLD = List.of(Examples.server("i-told"));
+
+  private final HandTimers timers = new HandTimers();
+  private final Links links = new Links(timers);
+  private final List<Long> asked = new ArrayList<>();
+  private int status = 200;
+
+  private Puller puller(String role, long life) {
+    HttpAsker asker = (address, path, timeoutMs) -> {
+      asked.add(timers.now());
+      CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+      timers.after(10, () -> reply.complete(new HttpReply(status, Map.of(), ServerList.encode(OWN))));
+      return reply;
+    };
+    CarrierCall call = new CarrierCall(asker, "10.200.0.79:8169", timers);
+    return new Puller(links, timers, PullerTest.settings(Set.of("counter")), role, life,
+        () -> VaultPart.NONE, call);
+  }
+
+  @Test
+  void withoutAnyListTheCarrierIsAskedThreeSecondsAfterTheStart() {
+    Puller puller = puller("clerk", 77);
+    puller.start();
+    timers.pass(2_999);
+    assertThat(asked, empty());
+    timers.pass(1_300);
+    assertThat(asked, hasSize(1));
+    assertThat(puller.servers(), equalTo(OWN));
+    assertThat(puller.listEpoch(), equalTo(0L));
+    assertThat(puller.listVersion(), equalTo(0L));
+    assertThat(puller.listAgeMs(), equalTo(timers.now() - asked.get(0)));
+  }
+
+  @Test
+  void othersThanClerksNeverAskIt() {
+    for (String role : List.of("vault", "notary")) {
+      puller(role, 77).start();
+    }
+    timers.pass(20_000);
+    assertThat(asked, empty());
+  }
+
+  @Test
+  void whileTheListIsKeptYoungNothingIsAsked() {
+    Sources a = links.notary(A);
+    Puller puller = puller("clerk", 77);
+    puller.start();
+    for (int i = 0; i < 20; i++) {
+      a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
+      timers.pass(1_000);
+    }
+    assertThat(asked, empty());
+    assertThat(puller.servers(), equalTo(TOLD));
+  }
+
+  @Test
+  void anOldListIsReplacedUntilAYoungerOneIsTold() {
+    Sources a = links.notary(A);
+    a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
+    Puller puller = puller("clerk", 77);
+    puller.start();
+    timers.pass(2_500);
+    assertThat(asked, empty());
+    timers.pass(1_500);
+    assertThat(asked, hasSize(1));
+    assertThat(puller.servers(), equalTo(OWN));
+    assertThat(puller.listVersion(), equalTo(1L));
+    a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
+    timers.pass(1_100);
+    assertThat(puller.servers(), equalTo(TOLD));
+  }
+
+  @Test
+  void asOftenAsItsShareOfTheRateAllows() {
+    Sources a = links.notary(A);
+    a.setRoster(ask -> {
+      Roster roster = new Roster();
+      for (int i = 0; i < 80; i++) {
+        roster.clerks.add("c" + i);
+      }
+      return roster;
+    });
+    puller("clerk", 77).start();
+    timers.pass(60_000);
+    assertThat(asked.size(), greaterThan(6));
+    for (int i = 1; i < asked.size(); i++) {
+      assertThat(asked.get(i) - asked.get(i - 1), greaterThanOrEqualTo(6_000L));
+    }
+  }
+
+  @Test
+  void aloneItAsksAsSoonAsTheListIsOldAgain() {
+    Puller puller = puller("clerk", 77);
+    puller.start();
+    timers.pass(4_300);
+    for (int i = 0; i < 100; i++) {
+      timers.pass(100);
+      assertThat(puller.listAgeMs(), lessThanOrEqualTo(4_000L));
+    }
+  }
+
+  @Test
+  void refusalsAreNotAnsweredInHaste() {
+    status = 429;
+    puller("clerk", 77).start();
+    timers.pass(13_000);
+    assertThat(asked.size(), lessThanOrEqualTo(10));
+    assertThat(asked.size(), greaterThan(3));
+    for (int i = 1; i < asked.size(); i++) {
+      assertThat(asked.get(i) - asked.get(i - 1), greaterThanOrEqualTo(1_000L));
+    }
+  }
+
+  @Test
+  void manyDoorsSpreadTheirAsks() {
+    Set<Long> times = new HashSet<>();
+    for (int life = 0; life < 50; life++) {
+      puller("clerk", life * 7_919L).start();
+    }
+    timers.pass(4_300);
+    times.addAll(asked);
+    assertThat(asked, hasSize(50));
+    assertThat(times.size(), greaterThan(35));
+    assertThat(asked.get(49) - asked.get(0), lessThan(1_100L));
+  }
+
+  @Test
+  void afterTheCloseNothingIsAsked() {
+    Puller puller = puller("clerk", 77);
+    puller.start();
+    timers.pass(3_100);
+    puller.close();
+    int before = asked.size();
+    timers.pass(20_000);
+    assertThat(asked, hasSize(before));
+  }
+}
