--- a/notary/src/main/java/elmsail/notary/Duty.java
+++ b/notary/src/main/java/elmsail/notary/Duty.java
@@ -154,10 +154,14 @@
     return lease != null && lease.held(timers.now()) ? term : 0;
   }
 
+  /** Gives the lease up, so that another needn't wait for its end. */
   void close() {
-    closed = true;
-    if (lease != null) {
-      lease.drop();
+    if (lease != null && !closed) {
+      long round = lease.drop();
+      if (round != 0) {
+        ask(round, head.get());
+      }
     }
+    closed = true;
   }
 }
--- a/notary/src/main/java/elmsail/notary/HeadFounding.java
+++ b/notary/src/main/java/elmsail/notary/HeadFounding.java
@@ -8,6 +8,7 @@
 import elmsail.station.Timers;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -31,6 +32,7 @@
   private final Consumer<Seating> learn;
   private final TreeMap<String, HelloTold> lives = new TreeMap<>();
   private long pause = EVERY_MS;
+  private boolean founded;
   private boolean closed;
 
   /**
@@ -47,7 +49,7 @@
     this.caller = caller;
     this.timers = timers;
     this.own = own;
-    this.seeds = List.copyOf(new java.util.TreeSet<>(seeds));
+    this.seeds = List.copyOf(new TreeSet<>(seeds));
     this.seating = seating;
     this.found = found;
     this.learn = learn;
@@ -89,7 +91,7 @@
   }
 
   private void heard(String seed, HelloTold told) {
-    if (closed || !seating.get().seats.isEmpty()) {
+    if (closed || founded || !seating.get().seats.isEmpty()) {
       return;
     }
     if (told.seating != null && !told.seating.seats.isEmpty()) {
@@ -104,6 +106,7 @@
       for (HelloTold one : lives.values()) {
         first.seats.add(SeatingValues.seat(one.address, one.station, one.life, 1));
       }
+      founded = true;
       found.accept(first);
     }
   }
--- a/notary/src/main/java/elmsail/notary/Lease.java
+++ b/notary/src/main/java/elmsail/notary/Lease.java
@@ -89,10 +89,12 @@
     }
   }
 
-  /** Gives it up at once; the voters' memory of it runs out by itself. */
-  void drop() {
+  /** Gives it up at once: the number of the last round, negative, to be told to all voters; 0 for none. */
+  long drop() {
     until = Long.MIN_VALUE;
     won = true;
     voters = 0;
+    nextAt = Long.MAX_VALUE;
+    return -round;
   }
 }
--- /dev/null
+++ b/notary/src/main/java/elmsail/notary/ListDuty.java
@@ -0,0 +1,96 @@
+package elmsail.notary;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import elmsail.timetable.CarrierCall;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.ServerList;
+import elmsail.timetable.pull.Sources;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** Asks the carrier for the list of servers for as long as this process holds the duty. */
+final class ListDuty {
+  private static final long EVERY_MS = 500;
+  private static final long MOST_MS = 4_000;
+  /** Of the carrier's rate: the rest is for those whom this list doesn't reach. */
+  private static final double SHARE = 0.5;
+  /** What a server has left to be cold is told in whole steps, so that not each list is a new one. */
+  private static final long COLD_STEP_MS = 1_000;
+
+  private final CarrierCall carrier;
+  private final double perSecond;
+  private final Timers timers;
+  private final Sources sources;
+  private final LongSupplier term;
+  private long epoch;
+  private long version;
+  private byte[] last;
+  private long pause = EVERY_MS;
+  private boolean closed;
+
+  /**
+   * Makes one.
+   *
+   * @param perSecond calls that the carrier takes from all processes together
+   * @param term in which the duty is held at this moment, or 0
+   */
+  ListDuty(CarrierCall carrier, double perSecond, Timers timers, Sources sources, LongSupplier term) {
+    this.carrier = carrier;
+    this.perSecond = perSecond;
+    this.timers = timers;
+    this.sources = sources;
+    this.term = term;
+  }
+
+  void start() {
+    if (closed) {
+      return;
+    }
+    long inTerm = term.getAsLong();
+    if (inTerm == 0) {
+      pause = EVERY_MS;
+      timers.after(EVERY_MS / 5, this::start);
+      return;
+    }
+    carrier.fetch().whenComplete((servers, failed) -> {
+      if (failed == null) {
+        pause = EVERY_MS;
+        take(inTerm, servers);
+      } else {
+        boolean full = ElmsailException.codeOf(failed) == Code.FULL;
+        pause = Math.min(MOST_MS, full ? pause * 2 : Math.max(EVERY_MS, pause * 3 / 2));
+      }
+      long least = perSecond > 0 ? (long) (carrier.lastPages() * 1_000 / (perSecond * SHARE)) : MOST_MS;
+      timers.after(Math.max(pause, least), this::start);
+    });
+  }
+
+  private void take(long inTerm, List<ServerEntry> servers) {
+    if (closed || term.getAsLong() != inTerm) {
+      return;
+    }
+    List<ServerEntry> stepped = new ArrayList<>(servers.size());
+    for (ServerEntry one : servers) {
+      long cold = (one.coldLeftMs() + COLD_STEP_MS - 1) / COLD_STEP_MS * COLD_STEP_MS;
+      stepped.add(new ServerEntry(one.id(), one.service(), one.address(), one.zone(), one.berths(),
+          one.closing(), cold));
+    }
+    byte[] bytes = ServerList.encode(stepped);
+    if (inTerm != epoch) {
+      epoch = inTerm;
+      version = 1;
+    } else if (!Arrays.equals(bytes, last)) {
+      version++;
+    }
+    last = bytes;
+    sources.setServers(epoch, version, bytes, carrier.takenAt());
+  }
+
+  void close() {
+    closed = true;
+  }
+}
--- a/notary/src/main/java/elmsail/notary/RetireCalls.java
+++ b/notary/src/main/java/elmsail/notary/RetireCalls.java
@@ -3,6 +3,7 @@
 import elmsail.inner.words.Seat;
 import elmsail.inner.words.Seating;
 import elmsail.register.Register;
+import elmsail.register.SeatingRules;
 import elmsail.station.Timers;
 import elmsail.station.http.HttpCall;
 import elmsail.station.http.HttpHandler;
@@ -135,7 +136,7 @@
     for (Seat seat : seating.seats) {
       Heard.Vault holder = heard.vault(seat.address);
       if (seat.station.equals(node) || holder == null || now - holder.lastAt() > JUST_NOW_MS
-          || !holder.seated() || holder.life() != seat.life || !SeatingValues.same(holder.shelf(), seating)) {
+          || !holder.seated() || holder.life() != seat.life || !SeatingRules.same(holder.shelf(), seating)) {
         return false;
       }
     }
--- a/notary/src/main/java/elmsail/notary/SeatingValues.java
+++ b/notary/src/main/java/elmsail/notary/SeatingValues.java
@@ -10,7 +10,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 
-/** Seatings as values: bytes, merged, compared. None is ever changed once it was passed on. */
+/** Seatings as a register's values. None is ever changed once it was passed on. */
 final class SeatingValues {
   private static final int MOST_SEATS = 64;
 
@@ -63,40 +63,6 @@
     return seat;
   }
 
-  /** Seat by seat the higher incarnation; the first one itself where the second has nothing newer. */
-  static Seating merged(Seating a, Seating b) {
-    if (a.seats.isEmpty()) {
-      return b;
-    }
-    Seating merged = null;
-    for (int i = 0; i < a.seats.size() && i < b.seats.size(); i++) {
-      if (b.seats.get(i).incarnation > a.seats.get(i).incarnation) {
-        if (merged == null) {
-          merged = new Seating();
-          merged.seats.addAll(a.seats);
-        }
-        merged.seats.set(i, b.seats.get(i));
-      }
-    }
-    return merged == null ? a : merged;
-  }
-
-  static boolean same(Seating a, Seating b) {
-    if (a.seats.size() != b.seats.size()) {
-      return false;
-    }
-    for (int i = 0; i < a.seats.size(); i++) {
-      if (!same(a.seats.get(i), b.seats.get(i))) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  static boolean same(Seat a, Seat b) {
-    return a.incarnation == b.incarnation && a.life == b.life && a.address.equals(b.address);
-  }
-
   /** The seat that the process at that address holds, or -1. */
   static int seatOf(Seating seating, String address) {
     for (int i = 0; i < seating.seats.size(); i++) {
