--- a/station/src/test/java/elmsail/station/SettingsFileTest.java
+++ b/station/src/test/java/elmsail/station/SettingsFileTest.java
@@ -142,8 +142,8 @@
   }
 
   @ParameterizedTest
-  @CsvSource(delimiter = '|', quoteCharacter = '\0', value = {"x|", "x|[]", "x|{\"station\":", "x|{station:1}",
-      "x|{\"station\":${HOME}}", "x|{} {}"})
+  @CsvSource(delimiter = '|', quoteCharacter = '\0', value = {"x|", "x|[]", "x|{\"station\":",
+      "x|{station:1}", "x|{\"station\":${HOME}}", "x|{} {}"})
   void refusesWhatIsNoJsonObject(String x, String text) {
     ElmsailException fault =
         assertThrows(ElmsailException.class, () -> SettingsFile.parse(text == null ? "" : text));
--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/Launch.java
@@ -0,0 +1,135 @@
+package elmsail.tier;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Ends;
+import elmsail.station.NettyLoop;
+import elmsail.station.Settings;
+import elmsail.station.SettingsFile;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The command line that the programs share, and a program's life from its settings to its end. */
+final class Launch {
+
+  /** All went well, or SIGTERM was heard and everything was brought to its end. */
+  static final int DONE = 0;
+  /** It could not start, or a rehearsal failed. */
+  static final int FAILED = 1;
+  /** The command line or the settings cannot be used. */
+  static final int UNUSABLE = 2;
+
+  private static final String SETTINGS = "settings";
+  private static final String CHECK = "check";
+  private static final String HELP = "help";
+  /** For the build alone: see {@link Rehearsal}. */
+  private static final String REHEARSE = "rehearse";
+
+  private final Program program;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  Launch(Program program, PrintStream out, PrintStream err) {
+    this.program = program;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Runs to the process's end, and exits: nothing that still waits on another thread holds that up. */
+  static void main(Program program, String[] args) {
+    System.exit(new Launch(program, System.out, System.err).run(args));
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(Option.builder().longOpt(SETTINGS).hasArg().argName("FILE")
+            .desc("the settings, JSON; by default the file that " + SettingsFile.VARIABLE + " names").build())
+        .addOption(Option.builder().longOpt(CHECK).desc("check the settings, print their fault, end").build())
+        .addOption(Option.builder().longOpt(HELP).desc("print this").build());
+  }
+
+  /** @return the exit code */
+  int run(String... args) {
+    CommandLine line;
+    boolean rehearse = args.length == 1 && args[0].equals("--" + REHEARSE);
+    try {
+      line = new DefaultParser(false).parse(options(), rehearse ? new String[0] : args, false);
+      if (!line.getArgList().isEmpty()) {
+        throw new ParseException("not an option: " + line.getArgList().get(0));
+      }
+    } catch (ParseException e) {
+      err.println(program.name() + ": " + e.getMessage() + "; see --" + HELP);
+      return UNUSABLE;
+    }
+    if (line.hasOption(HELP)) {
+      help();
+      return DONE;
+    }
+    if (rehearse) {
+      return Rehearsal.run(program, err);
+    }
+    String file = line.getOptionValue(SETTINGS, System.getenv(SettingsFile.VARIABLE));
+    if (file == null) {
+      err.println(program.name() + ": no settings: give --" + SETTINGS + " or set " + SettingsFile.VARIABLE);
+      return UNUSABLE;
+    }
+    Settings settings;
+    try {
+      settings = SettingsFile.read(Path.of(file));
+    } catch (ElmsailException e) {
+      err.println(program.name() + ": " + e.getMessage());
+      return UNUSABLE;
+    }
+    if (line.hasOption(CHECK)) {
+      out.println("the settings can be used");
+      return DONE;
+    }
+    return live(Path.of(file), settings);
+  }
+
+  private int live(Path file, Settings settings) {
+    Logger log = LoggerFactory.getLogger("elmsail." + program.name());
+    NettyLoop loop = new NettyLoop();
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    loop.soon(() -> {
+      try {
+        Program.Running running = program.start(settings, loop);
+        new Ends(loop, file, settings, () -> running.end(() -> ended.complete(null)), running::changed)
+            .listen();
+        log.info("started");
+      } catch (RuntimeException e) {
+        ended.completeExceptionally(e);
+      }
+    });
+    try {
+      ended.join();
+      log.info("ended");
+      return DONE;
+    } catch (CompletionException e) {
+      log.error("could not start", e.getCause());
+      return ElmsailException.codeOf(e) == Code.BAD_SETTINGS ? UNUSABLE : FAILED;
+    } finally {
+      loop.stop().awaitUninterruptibly(1_000);
+    }
+  }
+
+  private void help() {
+    PrintWriter text = new PrintWriter(out, true);
+    HelpFormatter form = new HelpFormatter();
+    form.printHelp(text, 100, "java -cp target/elmsail.jar elmsail.tier." + program.getClass().getSimpleName(),
+        null, options(), 2, 2, "Exit codes: " + DONE + " all went well, or ended by SIGTERM; " + FAILED
+            + " could not start; " + UNUSABLE + " the command line or the settings cannot be used.", true);
+    text.flush();
+  }
+}
--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/Program.java
@@ -0,0 +1,30 @@
+package elmsail.tier;
+
+import elmsail.station.NettyLoop;
+import elmsail.station.Settings;
+
+/** What one of the programs does between its start and its end. */
+interface Program {
+
+  /** Its name on the command line and in logs. */
+  String name();
+
+  /**
+   * Listens and joins the others; called on the loop. What it throws, with BAD_SETTINGS or not, ends the
+   * process.
+   */
+  Running start(Settings settings, NettyLoop loop);
+
+  /** A program under way; called on the loop. */
+  interface Running {
+
+    /** The settings have changed (SIGHUP, or the file by itself). */
+    void changed(Settings settings);
+
+    /** SIGTERM came.
+     *
+     * @param ended to be run once nothing is left to do; the process then exits with 0
+     */
+    void end(Runnable ended);
+  }
+}
--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/Rehearsal.java
@@ -0,0 +1,129 @@
+package elmsail.tier;
+
+import elmsail.station.Ends;
+import elmsail.station.NettyLoop;
+import elmsail.station.Settings;
+import elmsail.station.SettingsFile;
+import elmsail.station.http.HttpAsk;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * The build's run of a program: started with made-up settings on loopback, asked a few things, and ended, so
+ * that the runtime can keep an archive of the classes that a start needs.
+ */
+final class Rehearsal {
+
+  private static final long LIMIT_MS = 20_000;
+  private static final long ASK_MS = 2_000;
+  private static final String[] PATHS = {"/ready", "/Timetable.Read", "/none?of=these", "/lots/7c41e09b52d6a3f8"};
+
+  private Rehearsal() {
+  }
+
+  /** @return the exit code */
+  static int run(Program program, PrintStream err) {
+    Path folder = null;
+    NettyLoop loop = new NettyLoop();
+    try {
+      folder = Files.createTempDirectory("elmsail");
+      Path file = Files.writeString(folder.resolve("settings.json"), settings(program.name(), folder));
+      Settings settings = SettingsFile.read(file);
+      CompletableFuture<Void> done = new CompletableFuture<>();
+      loop.soon(() -> {
+        try {
+          Program.Running running = program.start(settings, loop);
+          new Ends(loop, file, settings, () -> running.end(() -> done.complete(null)), running::changed)
+              .listen();
+          loop.after(200, () -> ask(loop, settings, running, done));
+        } catch (RuntimeException e) {
+          done.completeExceptionally(e);
+        }
+      });
+      done.orTimeout(LIMIT_MS, TimeUnit.MILLISECONDS).join();
+      return Launch.DONE;
+    } catch (IOException | CompletionException e) {
+      e.printStackTrace(err);
+      return Launch.FAILED;
+    } finally {
+      loop.stop().awaitUninterruptibly(1_000);
+      remove(folder);
+    }
+  }
+
+  /** Asks at each address, then tells the program of changed settings and lets it end. */
+  private static void ask(NettyLoop loop, Settings settings, Program.Running running,
+      CompletableFuture<Void> done) {
+    HttpAsk asker = new HttpAsk(loop);
+    List<CompletableFuture<?>> asked = new ArrayList<>();
+    for (String address : settings.slots().values()) {
+      for (String path : PATHS) {
+        // What is answered, or whether, is the tests' business.
+        asked.add(asker.get(address, path, ASK_MS).exceptionally(failure -> null));
+      }
+    }
+    CompletableFuture.allOf(asked.toArray(new CompletableFuture<?>[0])).thenRun(() -> {
+      running.changed(settings);
+      running.end(() -> done.complete(null));
+    });
+  }
+
+  private static String settings(String program, Path folder) throws IOException {
+    boolean clerk = program.equals("clerk");
+    int[] ports = ports(6);
+    String here = "127.0.0.1:";
+    return "{\"station\":\"rehearsed\",\"role\":\"" + program + "\",\"machine_class\":\"counter\",\"serves\":["
+        + (clerk ? "\"counter\"" : "\"head_office\"") + "],\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"region\":\"r\","
+        + "\"zones\":{\"z\":\"r\"},\"mail_slots\":{" + (clerk
+            ? "\"front\":\"" + here + ports[0] + "\",\"ready\":\"" + here + ports[1] + "\""
+            : "\"control\":\"" + here + ports[2] + "\"")
+        + "},\"inner_ports\":[" + ports[3] + "," + (ports[3] + 1) + "],\"seed_stations\":[\"" + here + ports[2]
+        + "\"],\"first_start\":true,\"counted\":true,\"limits\":{\"cpu_share\":0.4,\"memory_mb\":256,"
+        + "\"fds\":1024,\"link_mbps\":1000.0,\"disk_mb\":64}" + (clerk ? "" : ",\"data_dir\":\""
+            + folder.resolve("data").toString().replace("\\", "/") + "\"")
+        + ",\"clauses\":[\"base\",\"batch\",\"stream\"],\"bear_losses\":{\"machines\":0},\"bounds\":{},"
+        + "\"carrier_api\":{\"address\":\"" + here + ports[5] + "\",\"per_s\":40,\"lag_ms\":800}}";
+  }
+
+  /** Ports that were free just now; behind each, the next one most likely is too. */
+  private static int[] ports(int count) throws IOException {
+    int[] ports = new int[count];
+    List<ServerSocket> held = new ArrayList<>();
+    try {
+      for (int i = 0; i < count; i++) {
+        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        held.add(socket);
+        ports[i] = Math.min(socket.getLocalPort(), 65_534);
+      }
+    } finally {
+      for (ServerSocket socket : held) {
+        socket.close();
+      }
+    }
+    return ports;
+  }
+
+  private static void remove(Path folder) {
+    if (folder == null) {
+      return;
+    }
+    try (Stream<Path> inside = Files.walk(folder)) {
+      for (Path path : inside.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(path);
+      }
+    } catch (IOException e) {
+      folder.toFile().deleteOnExit();
+    }
+  }
+}
