Play whole notaries and vaults over simulated links

Cause: the assembly was not played. Change: a world of notaries, vaults and clerks on one moved clock, with the carrier; foundings, races, wipes, power loss, retiring.

--- /dev/null
+++ b/notary/src/test/java/elmsail/notary/HeadOfficeTest.java
@@ -0,0 +1,268 @@
+package elmsail.notary;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import elmsail.station.http.HttpReply;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** Whole notaries over simulated links and disks. */
+class HeadOfficeTest {
+  private final World world = new World(7, 3);
+
+  private void head() {
+    world.notary("n1", true);
+    world.notary("n2", true);
+    world.notary("n3", true);
+  }
+
+  private void all(int vaults) {
+    head();
+    for (int i = 1; i <= vaults; i++) {
+      world.vault("v" + i, true);
+    }
+  }
+
+  private void founded(int vaults) {
+    all(vaults);
+    assertThat(world.until(5_000, () -> world.shelf("v1").equals("v1/1 v2/1 v3/1")), is(true));
+  }
+
+  @Test
+  void aConfigurationIsTakenSoonAfterTheStartAndReachesTheClerks() {
+    head();
+    world.clerk("c1");
+    assertThat(world.replaceAnywhere(0, 3), is(200));
+    assertThat(world.timers.now(), lessThan(3_500L));
+    assertThat(world.until(500, () -> world.clerks.get("c1").timetable() != null), is(true));
+    assertThat(world.clerks.get("c1").timetable().edition(), is(3L));
+    assertThat(world.read("n3"), equalTo(World.timetable(3)));
+    assertThat(world.replace("n2", 3, 9), is(200));
+    assertThat(world.until(300, () -> world.clerks.get("c1").timetable().edition() == 9), is(true));
+  }
+
+  @Test
+  void theNotariesFoundInAnyOrderOfTheirStarts() {
+    for (int order = 0; order < 6; order++) {
+      World one = new World(order, 3);
+      int first = order % 3 + 1;
+      int second = order < 3 ? first % 3 + 1 : (first + 1) % 3 + 1;
+      one.notary("n" + first, true);
+      one.timers.pass(100);
+      one.notary("n" + second, true);
+      one.timers.pass(200);
+      one.notary("n" + (6 - first - second), true);
+      assertThat("order " + order, one.replaceAnywhere(0, 3), is(200));
+    }
+  }
+
+  @Test
+  void fewerSeedsFoundAsManyAsThereAre() {
+    World one = new World(1, 1);
+    one.notary("n1", true);
+    assertThat(one.replaceAnywhere(0, 3), is(200));
+    assertThat(one.read("n1"), equalTo(World.timetable(3)));
+  }
+
+  @Test
+  void twoAtTwoNotariesOnTopOfTheSameGiveOneWinner() {
+    head();
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    long current = 1;
+    for (int i = 0; i < 20; i++) {
+      String base = String.valueOf(current);
+      long a = current + 1;
+      long b = current + 2;
+      CompletableFuture<HttpReply> one = world.begin("n1", "POST", "/Timetable.Replace", base, World.timetable(a));
+      world.timers.pass(i % 4);
+      CompletableFuture<HttpReply> two = world.begin("n2", "POST", "/Timetable.Replace", base, World.timetable(b));
+      int statusOne = world.status(one);
+      int statusTwo = world.status(two);
+      assertThat(statusOne + " " + statusTwo, anyOf(equalTo("200 412"), equalTo("412 200")));
+      current = statusOne == 200 ? a : b;
+      assertThat(world.read("n3"), equalTo(World.timetable(current)));
+      assertThat("sent again anywhere", world.replace("n3", Long.parseLong(base), current), is(200));
+    }
+  }
+
+  @Test
+  void withoutAMajorityNothingIsTakenAndTheRepeatIsOnceAllAreBack() {
+    head();
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    world.kill("n2");
+    world.kill("n3");
+    assertThat(world.replace("n1", 1, 2), anyOf(is(503), is(504)));
+    assertThat(world.read("n1"), equalTo("503"));
+    world.notary("n2", false);
+    world.notary("n3", false);
+    assertThat(world.replaceAnywhere(1, 2), is(200));
+    assertThat(world.read("n2"), equalTo(World.timetable(2)));
+  }
+
+  @Test
+  void allLosePowerRightAfterAnAcknowledgement() {
+    head();
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    assertThat(world.replaceAnywhere(1, 5), is(200));
+    for (int i = 1; i <= 3; i++) {
+      world.net.kill(world.address("n" + i), false);
+      world.disks.get("n" + i).powerLoss();
+    }
+    for (int i = 1; i <= 3; i++) {
+      world.notary("n" + i, false);
+    }
+    assertThat(world.until(3_000, () -> world.read("n1").equals(World.timetable(5))), is(true));
+    world.clerk("c1");
+    assertThat(world.until(1_000, () -> world.clerks.get("c1").timetable() != null), is(true));
+  }
+
+  @Test
+  void aWipedNotaryComesBackThenAnotherMayBeWiped() {
+    head();
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    for (int i = 1; i <= 3; i++) {
+      String name = "n" + i;
+      world.wipe(name);
+      world.timers.pass(500);
+      world.notary(name, false);
+      world.timers.pass(5_000);
+      assertThat("after " + name, world.read(name), equalTo(World.timetable(1)));
+    }
+    assertThat(world.replaceAnywhere(1, 2), is(200));
+  }
+
+  @Test
+  void aNotaryWithoutADiskPassesCallsOn() {
+    head();
+    world.notary("n4", true, false);
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    assertThat(world.until(2_000, () -> world.replace("n4", 1, 2) == 200), is(true));
+    assertThat(world.read("n4"), equalTo(World.timetable(2)));
+    CompletableFuture<HttpReply> sentOn = world.begin("n4", "GET", "/Retire.Read/v1", null, "");
+    assertThat(world.status(sentOn), is(307));
+    assertThat(sentOn.join().headers().get("location"), containsString(":8166/Retire.Read/v1"));
+  }
+
+  @Test
+  void theListIsAskedByOneAndReachesAll() {
+    head();
+    world.clerk("c1");
+    world.carrierSays = "{\"servers\":[{\"postal_line\":\"p\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\","
+        + "\"edition\":\"v1\",\"berths\":4,\"state\":\"open_for_post\",\"cold_left_ms\":0,\"id\":\"i-1\"}],"
+        + "\"next_token\":null}";
+    assertThat(world.until(3_000, () -> world.clerks.get("c1").servers().size() == 1), is(true));
+    world.timers.pass(5_000);
+    int before = world.carrierCalls;
+    world.timers.pass(10_000);
+    assertThat(world.carrierCalls - before, lessThan(22));
+    assertThat(world.carrierCalls - before, greaterThan(17));
+    assertThat(world.clerks.get("c1").listAgeMs(), lessThan(2_200L));
+    world.carrierSays = world.carrierSays.replace("open_for_post", "closing");
+    assertThat(world.until(700, () -> world.clerks.get("c1").servers().get(0).closing()), is(true));
+  }
+
+  @Test
+  void anotherAsksTheCarrierOnceTheHolderIsGone() {
+    head();
+    world.clerk("c1");
+    world.timers.pass(3_000);
+    world.net.kill(world.address("n1"), false);
+    world.timers.pass(5_000);
+    int before = world.carrierCalls;
+    world.timers.pass(5_000);
+    assertThat(world.carrierCalls - before, greaterThan(7));
+    assertThat(world.clerks.get("c1").listAgeMs(), lessThan(2_200L));
+  }
+
+  @Test
+  void theVaultsAreFoundedOnceAndStaySeatedOverARestartOfAll() {
+    founded(4);
+    assertThat(world.vaults.get("v4").keeper().seated(), is(false));
+    for (int i = 1; i <= 3; i++) {
+      world.kill("n" + i);
+    }
+    for (int i = 1; i <= 4; i++) {
+      world.kill("v" + i);
+    }
+    for (int i = 1; i <= 3; i++) {
+      world.notary("n" + i, false);
+    }
+    for (int i = 1; i <= 4; i++) {
+      world.vault("v" + i, false);
+    }
+    world.timers.pass(6_000);
+    assertThat(world.shelf("v1"), equalTo("v1/1 v2/1 v3/1"));
+  }
+
+  @Test
+  void fewerVaultsThanSeatsAreFoundedAfterAWhile() {
+    all(2);
+    assertThat(world.until(5_000, () -> !world.shelf("v1").isEmpty()), is(false));
+    assertThat(world.until(3_000, () -> world.shelf("v1").equals("v1/1 v2/1")), is(true));
+  }
+
+  @Test
+  void aSpareTakesTheSeatOfAVaultThatIsGone() {
+    founded(4);
+    world.timers.pass(2_000);
+    world.net.kill(world.address("v2"), false);
+    assertThat(world.until(6_000, () -> world.shelf("v1").equals("v1/1 v4/2 v3/1")), is(true));
+    world.vault("v2", false);
+    world.timers.pass(4_000);
+    assertThat(world.shelf("v1"), equalTo("v1/1 v4/2 v3/1"));
+    assertThat(world.vaults.get("v2").keeper().seated(), is(false));
+  }
+
+  @Test
+  void aWipedVaultTakesItsOwnSeatAgain() {
+    founded(3);
+    world.timers.pass(1_000);
+    world.wipe("v2");
+    world.vault("v2", false);
+    assertThat(world.until(3_000, () -> world.shelf("v1").equals("v1/1 v2/2 v3/1")), is(true));
+  }
+
+  @Test
+  void retiringOneOfFourMovesItsSeatAndSaysSo() {
+    founded(4);
+    world.timers.pass(3_000);
+    assertThat(world.retire("n2", "v9"), is(404));
+    assertThat(world.retire("n2", "v2"), is(200));
+    assertThat(world.retire("n3", "v2"), is(200));
+    String delivered = "{\"state\":\"delivered\"}";
+    assertThat(world.until(8_000, () -> world.retired("n3", "v2").equals(delivered)), is(true));
+    assertThat(world.shelf("v1"), equalTo("v1/1 v4/2 v3/1"));
+    assertThat(world.retired("n3", "v1"), equalTo("{\"state\":\"in_service\"}"));
+    assertThat("too few would remain", world.retire("n1", "v3"), is(409));
+  }
+
+  @Test
+  void retiringOneOfThreeIsRefused() {
+    founded(3);
+    world.timers.pass(3_500);
+    assertThat(world.retire("n1", "v2"), is(409));
+    assertThat(world.retired("n1", "v2"), equalTo("{\"state\":\"in_service\"}"));
+  }
+
+  @Test
+  void deliveredIsNotSaidBeforeTheTakerHasCopiedAll() {
+    founded(4);
+    world.timers.pass(3_000);
+    world.disks.get("v4").stall(5_000);
+    assertThat(world.retire("n1", "v2"), is(200));
+    long end = world.timers.now() + 4_500;
+    while (world.timers.now() < end) {
+      assertThat(world.retired("n1", "v2"), equalTo("{\"state\":\"in_service\"}"));
+      world.timers.pass(100);
+    }
+    String delivered = "{\"state\":\"delivered\"}";
+    assertThat(world.until(8_000, () -> world.retired("n1", "v2").equals(delivered)), is(true));
+    assertThat(world.vaults.get("v4").keeper().seated(), is(true));
+  }
+}
