--- a/disk/src/main/java/elmsail/disk/Folder.java
+++ b/disk/src/main/java/elmsail/disk/Folder.java
@@ -3,6 +3,7 @@
 import elmsail.station.Code;
 import elmsail.station.ElmsailException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -14,8 +15,8 @@
 /**
  * The version files in a folder: reads them when it is opened, writes new ones. Used by one thread at a time.
  *
- * <p>What a loss of power may leave, and what is made of it: a file gets its last name only after all of it was
- * synced, so one under its last name that fails its check tells of a broken disk, also when it is the newest;
+ * <p>What a loss of power may leave, and what is made of it: a file gets its last name only after all of it
+ * was synced, so one under its last name that fails its check tells of a broken disk, also when it is the newest;
  * the folder is then not opened. A name that was given but not yet synced may be there or not: nothing in it
  * was acknowledged. A version whose writing failed may be there later; until its removal is safe, every later
  * version calls it void.
@@ -27,6 +28,8 @@
 
   private final Path folder;
   private final Files files;
+  /** Gathers small records, so that they cost one call of the system. */
+  private final ByteBuffer chunk = ByteBuffer.allocate(VersionWriter.CHUNK_BYTES);
   private final TreeSet<Long> voids = new TreeSet<>();
   private final List<Long> voidsRemoved = new ArrayList<>();
   private long life;
@@ -101,7 +104,7 @@
     boolean safe = false;
     try {
       try (Files.Appender out = files.create(part)) {
-        VersionWriter to = new VersionWriter(out, version, life, seqAfter, voidVersions());
+        VersionWriter to = new VersionWriter(out, chunk, version, life, seqAfter, voidVersions());
         filler.fill(to);
         bytes = to.finish();
       }
