--- a/tier/src/main/java/elmsail/tier/Counter.java
+++ b/tier/src/main/java/elmsail/tier/Counter.java
@@ -10,7 +10,7 @@
 import elmsail.station.NettyLoop;
 import elmsail.station.Settings;
 import elmsail.station.http.HttpAsk;
-import elmsail.timetable.pull.CarrierCall;
+import elmsail.timetable.CarrierCall;
 import elmsail.timetable.pull.Puller;
 import elmsail.timetable.pull.VaultPart;
 import java.security.SecureRandom;
