Watch over silent links after a look at the sockets

Cause: stale timers of a process that was held up must judge nothing; links needed tests of silence.

--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/Connector.java
@@ -0,0 +1,107 @@
+package elmsail.inner;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import elmsail.station.Timers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+
+/** Opens the connections to the peers that are called. */
+final class Connector {
+
+  /** Ms. */
+  static final long CONNECT_WITHIN = 700;
+
+  private final EventLoop loop;
+  private final Timers timers;
+  private final Codec codec;
+  private final InnerCounts counts;
+  private final Link.Owner owner;
+  /** Run when there is something to look after. */
+  private final Runnable watch;
+  private boolean closed;
+
+  Connector(EventLoop loop, Timers timers, Codec codec, InnerCounts counts, Link.Owner owner,
+      Runnable watch) {
+    this.loop = loop;
+    this.timers = timers;
+    this.codec = codec;
+    this.counts = counts;
+    this.owner = owner;
+    this.watch = watch;
+  }
+
+  /** No connection is opened any more. */
+  void close() {
+    closed = true;
+  }
+
+  /** Opens the peer's connection; the calls that wait for it go out, or fail UNSENT. */
+  void connect(Peer peer) {
+    if (closed) {
+      unreachable(peer, "closed");
+      return;
+    }
+    InetSocketAddress address;
+    try {
+      address = InnerAddress.parse(peer.address);
+    } catch (ElmsailException e) {
+      unreachable(peer, "no address");
+      return;
+    }
+    Link link = new Link(peer, owner, timers, codec, counts);
+    ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
+        .option(ChannelOption.TCP_NODELAY, true).handler(link).connect(address);
+    Channel channel = opening.channel();
+    peer.channel = channel;
+    peer.looked = false;
+    peer.connectDueAt = timers.now() + CONNECT_WITHIN;
+    peer.connectTimer = timers.after(CONNECT_WITHIN, () -> connectDue(peer, channel));
+    opening.addListener((ChannelFuture f) -> connected(peer, link, f));
+  }
+
+  private void connectDue(Peer peer, Channel channel) {
+    if (!peer.looked && timers.now() - peer.connectDueAt > InnerLinks.HELD_UP) {
+      peer.looked = true;
+      peer.connectTimer = timers.after(Link.LOOK_FOR, () -> connectDue(peer, channel));
+    } else {
+      channel.close();
+    }
+  }
+
+  private void connected(Peer peer, Link link, ChannelFuture opening) {
+    peer.connectTimer.cancel();
+    peer.channel = null;
+    if (closed || !opening.isSuccess() || !opening.channel().isActive()) {
+      opening.channel().close();
+      counts.refusedConnects++;
+      unreachable(peer, "no connection");
+      return;
+    }
+    counts.links++;
+    peer.connecting = false;
+    peer.link = link;
+    for (OpenCall call : peer.takeWaiting()) {
+      if (link.send(call, call.frame)) {
+        call.frame = null;
+      } else {
+        call.fail(Code.FULL, "too much on its way to the peer");
+      }
+    }
+    watch.run();
+  }
+
+  private void unreachable(Peer peer, String detail) {
+    peer.connecting = false;
+    peer.rest(timers.now());
+    watch.run();
+    for (OpenCall call : peer.takeWaiting()) {
+      call.fail(Code.UNSENT, detail);
+    }
+  }
+}
--- /dev/null
+++ b/inner/src/main/java/elmsail/inner/InnerAddress.java
@@ -0,0 +1,30 @@
+package elmsail.inner;
+
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses as "ip:port"; names are never looked up. */
+final class InnerAddress {
+
+  private InnerAddress() {
+  }
+
+  /** Fails with BAD_SETTINGS. */
+  static InetSocketAddress parse(String address) {
+    int colon = address.lastIndexOf(':');
+    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
+    try {
+      if (ip != null) {
+        return new InetSocketAddress(InetAddress.getByAddress(ip),
+            Integer.parseInt(address.substring(colon + 1)));
+      }
+    } catch (UnknownHostException | IllegalArgumentException e) {
+      throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address, e);
+    }
+    throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address);
+  }
+}
--- a/inner/src/main/java/elmsail/inner/InnerCounts.java
+++ b/inner/src/main/java/elmsail/inner/InnerCounts.java
@@ -22,4 +22,6 @@
   public long links;
   public long refusedConnects;
   public long pings;
+  public long bytesIn;
+  public long bytesOut;
 }
--- a/inner/src/main/java/elmsail/inner/InnerLinks.java
+++ b/inner/src/main/java/elmsail/inner/InnerLinks.java
@@ -3,20 +3,14 @@
 import elmsail.station.Code;
 import elmsail.station.ElmsailException;
 import elmsail.station.Timers;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.NetUtil;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -35,7 +29,6 @@
 public final class InnerLinks implements Caller, Answering, AutoCloseable {
 
   /** All in ms. */
-  static final long CONNECT_WITHIN = 700;
   static final long SWEEP_SOON = 200;
   static final long SWEEP_LATER = 1_000;
   /** A timer that is later than that tells of a process that was held up. */
@@ -52,6 +45,7 @@
   private final Map<String, Peer> peers = new HashMap<>();
   private final Set<Link> accepted = new LinkedHashSet<>();
   private final Link.Owner owner = new Hub();
+  private final Connector connector;
   private String ownAddress;
   private Channel listener;
   private boolean closed;
@@ -67,6 +61,7 @@
     this.loop = loop;
     this.timers = timers;
     this.ownAddress = ownAddress;
+    this.connector = new Connector(loop, timers, codec, counts, owner, this::watchSoon);
   }
 
   public InnerCounts counts() {
@@ -91,7 +86,7 @@
         .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new Accepting());
     ChannelFuture bound;
     try {
-      bound = server.bind(socketAddress(ownAddress));
+      bound = server.bind(InnerAddress.parse(ownAddress));
     } catch (ElmsailException e) {
       done.completeExceptionally(e);
       return done;
@@ -156,7 +151,7 @@
     } else if (!peer.connecting) {
       peer.connecting = true;
       Peer found = peer;
-      loop.execute(() -> connect(found));
+      loop.execute(() -> connector.connect(found));
     }
   }
 
@@ -173,7 +168,8 @@
         return;
       }
       counts.asks++;
-      answers.handle(ask).whenComplete((answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
+      answers.handle(ask).whenComplete(
+          (answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
     });
   }
 
@@ -214,69 +210,6 @@
     call.fail(Code.SILENT, "no answer in time");
   }
 
-  private void connect(Peer peer) {
-    if (closed) {
-      unreachable(peer, "closed");
-      return;
-    }
-    InetSocketAddress address;
-    try {
-      address = socketAddress(peer.address);
-    } catch (ElmsailException e) {
-      unreachable(peer, "no address");
-      return;
-    }
-    Link link = new Link(peer, owner, timers, codec, counts);
-    ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
-        .option(ChannelOption.TCP_NODELAY, true).handler(link).connect(address);
-    Channel channel = opening.channel();
-    peer.channel = channel;
-    peer.looked = false;
-    peer.connectDueAt = timers.now() + CONNECT_WITHIN;
-    peer.connectTimer = timers.after(CONNECT_WITHIN, () -> connectDue(peer, channel));
-    opening.addListener((ChannelFuture f) -> connected(peer, link, f));
-  }
-
-  private void connectDue(Peer peer, Channel channel) {
-    if (!peer.looked && timers.now() - peer.connectDueAt > HELD_UP) {
-      peer.looked = true;
-      peer.connectTimer = timers.after(Link.LOOK_FOR, () -> connectDue(peer, channel));
-    } else {
-      channel.close();
-    }
-  }
-
-  private void connected(Peer peer, Link link, ChannelFuture opening) {
-    peer.connectTimer.cancel();
-    peer.channel = null;
-    if (closed || !opening.isSuccess() || !opening.channel().isActive()) {
-      opening.channel().close();
-      counts.refusedConnects++;
-      unreachable(peer, "no connection");
-      return;
-    }
-    counts.links++;
-    peer.connecting = false;
-    peer.link = link;
-    for (OpenCall call : peer.takeWaiting()) {
-      if (link.send(call, call.frame)) {
-        call.frame = null;
-      } else {
-        call.fail(Code.FULL, "too much on its way to the peer");
-      }
-    }
-    watchSoon();
-  }
-
-  private void unreachable(Peer peer, String detail) {
-    peer.connecting = false;
-    peer.rest(timers.now());
-    watchSoon();
-    for (OpenCall call : peer.takeWaiting()) {
-      call.fail(Code.UNSENT, detail);
-    }
-  }
-
   /** Sees to it that the links are looked after before long. */
   private void watchSoon() {
     long at = timers.now() + SWEEP_SOON;
@@ -323,6 +256,7 @@
   @Override
   public void close() {
     closed = true;
+    connector.close();
     if (sweepTimer != null) {
       sweepTimer.cancel();
     }
@@ -342,20 +276,6 @@
     }
   }
 
-  private static InetSocketAddress socketAddress(String address) {
-    int colon = address.lastIndexOf(':');
-    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
-    try {
-      if (ip != null) {
-        return new InetSocketAddress(InetAddress.getByAddress(ip),
-            Integer.parseInt(address.substring(colon + 1)));
-      }
-    } catch (UnknownHostException | IllegalArgumentException e) {
-      throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address, e);
-    }
-    throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address);
-  }
-
   private final class Hub implements Link.Owner {
     @Override
     public void asked(Link link, Frame frame) {
--- a/inner/src/main/java/elmsail/inner/Link.java
+++ b/inner/src/main/java/elmsail/inner/Link.java
@@ -31,6 +31,8 @@
   static final long CLOSE_AFTER = 1_200;
   static final long IN_USE_FOR = 5_000;
   static final long IDLE_FOR = 60_000;
+  /** An accepted connection that its opener has not used, nor closed. */
+  static final long LEFT_FOR = 2 * IDLE_FOR;
   /** An accepted connection whose answers nobody takes. */
   static final long STUCK_FOR = 10_000;
   static final long LOOK_FOR = 10;
@@ -148,14 +150,19 @@
   }
 
   void close() {
+    if (!closed) {
+      closed = true;
+      owner.closed(this);
+    }
     channel.close();
   }
 
   /** The process was held up for so long: what the peer said meanwhile has not been looked at. */
   void forgive(long ms) {
-    lastHeard += ms;
+    long now = timers.now();
+    lastHeard = Math.min(now, lastHeard + ms);
     if (since >= 0) {
-      since += ms;
+      since = Math.min(now, since + ms);
     }
   }
 
@@ -165,8 +172,8 @@
     progress(now);
     if (peer == null) {
       long quiet = now - lastHeard;
-      if (quiet >= IDLE_FOR || quiet >= STUCK_FOR && queued > 0) {
-        channel.close();
+      if (quiet >= LEFT_FOR || quiet >= STUCK_FOR && queued > 0) {
+        close();
       }
       return false;
     }
@@ -174,7 +181,7 @@
       since = -1;
       if (now - lastUsed >= IN_USE_FOR) {
         if (now - lastUsed >= IDLE_FOR) {
-          channel.close();
+          close();
         }
         return false;
       }
@@ -185,7 +192,8 @@
     if (quiet >= CLOSE_AFTER && outstanding()) {
       if (!suspected) {
         suspected = true;
-        timers.after(LOOK_FOR, this::judge);
+        long at = now + LOOK_FOR;
+        timers.after(LOOK_FOR, () -> judge(at));
       }
     } else if (quiet >= PING_AFTER && !pinged) {
       ping(now);
@@ -202,13 +210,17 @@
     write(Frame.bare(Frame.PING, 0));
   }
 
-  private void judge() {
-    suspected = false;
+  private void judge(long at) {
     long now = timers.now();
+    if (now - at > InnerLinks.HELD_UP) {
+      timers.after(LOOK_FOR, () -> judge(now + LOOK_FOR));
+      return;
+    }
+    suspected = false;
     progress(now);
     if (!closed && outstanding() && now - Math.max(lastHeard, since) >= CLOSE_AFTER) {
       counts.silentLinks++;
-      channel.close();
+      close();
     }
   }
 
@@ -236,7 +248,7 @@
   private void writeSmall(ByteBuf frame) {
     write(frame);
     if (queued > 2 * MOST_QUEUED_BYTES + Frame.MOST_BYTES) {
-      channel.close();
+      close();
     }
   }
 
@@ -244,10 +256,11 @@
     int bytes = frame.readableBytes();
     queued += bytes;
     accepted += bytes;
+    counts.bytesOut += bytes;
     channel.write(frame).addListener((ChannelFuture f) -> {
       queued -= bytes;
       if (!f.isSuccess()) {
-        channel.close();
+        close();
       }
     });
     if (!flushing) {
@@ -265,6 +278,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     ByteBuf in = (ByteBuf) message;
     try {
+      counts.bytesIn += in.readableBytes();
       everHeard = true;
       pinged = false;
       lastHeard = timers.now();
@@ -275,8 +289,7 @@
       }
     } catch (ElmsailException e) {
       counts.garbled++;
-      closed = true;
-      ctx.close();
+      close();
     } finally {
       in.release();
     }
@@ -313,8 +326,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    closed = true;
-    owner.closed(this);
+    close();
     OpenCall[] open = calls.values().toArray(new OpenCall[0]);
     calls.clear();
     for (OpenCall call : open) {
@@ -324,6 +336,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    ctx.close();
+    close();
   }
 }
--- a/inner/src/test/java/elmsail/inner/CodecTest.java
+++ b/inner/src/test/java/elmsail/inner/CodecTest.java
@@ -24,6 +24,7 @@
 import elmsail.station.Code;
 import elmsail.station.ElmsailException;
 import java.io.ByteArrayOutputStream;
+import java.io.File;
 import java.lang.reflect.Field;
 import java.lang.reflect.Modifier;
 import java.util.ArrayList;
@@ -91,6 +92,21 @@
         "Seat", "Seating"));
   }
 
+  @Test
+  void everyClassOfTheWordsHasANumber() throws Exception {
+    File folder = new File(Ballot.class.getResource("Ballot.class").toURI()).getParentFile();
+    int found = 0;
+    for (String file : folder.list()) {
+      if (!file.endsWith(".class") || file.equals("package-info.class")) {
+        continue;
+      }
+      String name = Ballot.class.getPackageName() + "." + file.substring(0, file.length() - 6);
+      assertThat(name, Kinds.number(Class.forName(name)), is(not(Kinds.NONE)));
+      found++;
+    }
+    assertThat(found, is(Kinds.size() - 1));
+  }
+
   @Test
   void nullAndEmptyBytesAreToldApartWhereNoDefaultStands() {
     VoteTold vote = new VoteTold();
