Take whole lists from the nearest notary while it keeps them young

Cause: three notaries sent every new list to each clerk, and vaults had lists that they do not use; bytes between zones are priced. A start's remaining time alone made each fetched list a new one. Change: a clerk asks the others for the age only, unless the list is older than 1.5 s or the nearest is silent; a vault asks for none; ServerList.sameButForWarming; the fetched list is in the order of ids.

--- a/timetable/src/main/java/elmsail/timetable/CarrierCall.java
+++ b/timetable/src/main/java/elmsail/timetable/CarrierCall.java
@@ -7,10 +7,9 @@
 import elmsail.station.http.HttpReply;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
 /** Fetches the carrier's whole list of servers, page by page, one fetch at a time. */
@@ -36,9 +35,9 @@
   }
 
   /**
-   * All servers, each id once. While one fetch runs, others join it. Fails with FULL if the carrier has
-   * had too many calls (429), GARBLED on any other answer but a whole page, or on more than 500 pages, and
-   * as the asker does.
+   * All servers, each id once, in the order of their ids. While one fetch runs, others join it. Fails with
+   * FULL if the carrier has had too many calls (429), GARBLED on any other answer but a whole page, or on
+   * more than 500 pages, and as the asker does.
    */
   public CompletableFuture<List<ServerEntry>> fetch() {
     if (running != null) {
@@ -46,7 +45,7 @@
     }
     CompletableFuture<List<ServerEntry>> mine = new CompletableFuture<>();
     running = mine;
-    found = new LinkedHashMap<>();
+    found = new TreeMap<>();
     begunAt = timers.now();
     pages = 0;
     ask(null);
@@ -90,7 +89,7 @@
     if (page.nextToken() == null) {
       takenAt = begunAt;
       lastPages = pages;
-      List<ServerEntry> all = List.copyOf(new ArrayList<>(found.values()));
+      List<ServerEntry> all = List.copyOf(found.values());
       end().complete(all);
     } else if (pages >= MOST_PAGES) {
       end().completeExceptionally(
--- a/timetable/src/main/java/elmsail/timetable/ServerList.java
+++ b/timetable/src/main/java/elmsail/timetable/ServerList.java
@@ -84,6 +84,26 @@
     return page(bytes).servers();
   }
 
+  /**
+   * Whether nothing changed that others have to hear: all is the same, in the same order, but for what is
+   * left of a start that goes on in both. The end of a start is a change.
+   */
+  public static boolean sameButForWarming(List<ServerEntry> one, List<ServerEntry> other) {
+    if (one.size() != other.size()) {
+      return false;
+    }
+    for (int i = 0; i < one.size(); i++) {
+      ServerEntry a = one.get(i);
+      ServerEntry b = other.get(i);
+      if (a.coldLeftMs() > 0 != b.coldLeftMs() > 0 || a.closing() != b.closing() || a.berths() != b.berths()
+          || !a.id().equals(b.id()) || !a.address().equals(b.address())
+          || !a.service().equals(b.service()) || !a.zone().equals(b.zone())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static List<ServerEntry> entries(JsonParser in) throws IOException {
     List<ServerEntry> all = new ArrayList<>();
     while (in.nextToken() == JsonToken.START_OBJECT) {
--- a/timetable/src/main/java/elmsail/timetable/pull/Lines.java
+++ b/timetable/src/main/java/elmsail/timetable/pull/Lines.java
@@ -25,6 +25,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Lines.class);
   private static final int MOST = 3;
   private static final int MOST_REMEMBERED = 64;
+  private static final long LATELY_MS = 1_500;
   private static final long CALL_MS = 1_800;
   private static final long PASSED_OVER_MS = 30_000;
 
@@ -95,6 +96,37 @@
     return fresh;
   }
 
+  /**
+   * The line that whole lists are best taken from, of those heard lately: by how much of the address is this
+   * process's own (same machine, same net), then in their order. Null if none was heard lately.
+   */
+  Line nearest() {
+    Line best = null;
+    int most = -1;
+    for (Line line : lines.values()) {
+      int near = near(line.address);
+      if (line.heardAt >= 0 && timers.now() - line.heardAt <= LATELY_MS && near > most) {
+        best = line;
+        most = near;
+      }
+    }
+    return best;
+  }
+
+  /** How many parts of the ip, from its front, are the same. */
+  private int near(String address) {
+    int parts = 0;
+    for (int i = 0; i < self.length() && i < address.length(); i++) {
+      if (self.charAt(i) != address.charAt(i)) {
+        break;
+      }
+      if (self.charAt(i) == '.' || self.charAt(i) == ':') {
+        parts++;
+      }
+    }
+    return parts;
+  }
+
   long heardAgoMs(String address) {
     Long at = heardAt.get(address);
     return at == null ? Long.MAX_VALUE : timers.now() - at;
--- a/timetable/src/main/java/elmsail/timetable/pull/Puller.java
+++ b/timetable/src/main/java/elmsail/timetable/pull/Puller.java
@@ -25,6 +25,9 @@
  */
 public final class Puller implements Known {
   private static final long WAIT_MS = 1_000;
+  private static final long YOUNG_MS = 1_500;
+  /** An epoch above all: nothing is newer. */
+  private static final long NO_LIST = Long.MAX_VALUE;
   private static final long REVIEW_MS = 1_000;
 
   /** Told that this process shall claim a seat of the shelf with an incarnation. */
@@ -197,13 +200,26 @@
     ask.emptied = part.emptied();
     ask.shelf = part.shelf();
     ask.edition = edition();
-    ask.listEpoch = servers.epoch();
+    ask.listEpoch = wantsList(line) ? servers.epoch() : NO_LIST;
     ask.listVersion = servers.version();
     ask.rosterVersion = line.rosterVersion;
     ask.waitMs = WAIT_MS;
     return ask;
   }
 
+  /**
+   * Bytes between zones are priced, and three notaries have the same list: a clerk takes it from the nearest
+   * while that keeps it young, and from the others its age only. Notaries take it from all, so that no two
+   * wait for each other. Vaults send no requests to servers and take none.
+   */
+  private boolean wantsList(Line line) {
+    if (!role.equals("clerk")) {
+      return !role.equals("vault");
+    }
+    Line nearest = lines.nearest();
+    return nearest == null || nearest == line || listAgeMs() > YOUNG_MS;
+  }
+
   /** False if a part could not be read; the other parts are taken all the same. */
   private boolean heard(PullTold told) {
     long now = timers.now();
--- a/timetable/src/test/java/elmsail/timetable/ServerListTest.java
+++ b/timetable/src/test/java/elmsail/timetable/ServerListTest.java
@@ -77,6 +77,25 @@
     assertThat(ServerList.decode(ServerList.encode(List.of())), equalTo(List.of()));
   }
 
+  @Test
+  void onlyAStartThatGoesOnIsNoChange() {
+    ServerEntry cold = new ServerEntry("i-1", "s", "10.0.0.1:1", "z", 3, false, 900);
+    ServerEntry colder = new ServerEntry("i-1", "s", "10.0.0.1:1", "z", 3, false, 1_900);
+    ServerEntry warm = new ServerEntry("i-1", "s", "10.0.0.1:1", "z", 3, false, 0);
+    assertThat(ServerList.sameButForWarming(List.of(cold), List.of(colder)), equalTo(true));
+    assertThat(ServerList.sameButForWarming(List.of(warm), List.of(warm)), equalTo(true));
+    assertThat(ServerList.sameButForWarming(List.of(cold), List.of(cold, cold)), equalTo(false));
+    for (ServerEntry other : List.of(warm,
+        new ServerEntry("i-2", "s", "10.0.0.1:1", "z", 3, false, 900),
+        new ServerEntry("i-1", "t", "10.0.0.1:1", "z", 3, false, 900),
+        new ServerEntry("i-1", "s", "10.0.0.2:1", "z", 3, false, 900),
+        new ServerEntry("i-1", "s", "10.0.0.1:1", "y", 3, false, 900),
+        new ServerEntry("i-1", "s", "10.0.0.1:1", "z", 4, false, 900),
+        new ServerEntry("i-1", "s", "10.0.0.1:1", "z", 3, true, 900))) {
+      assertThat(ServerList.sameButForWarming(List.of(cold), List.of(other)), equalTo(false));
+    }
+  }
+
   @Test
   void aStateNotKnownTakesNothingNew() {
     assertThat(ServerList.page(Examples.bytes(PAGE.replace("open_for_post", "odd"))).servers().get(0)
--- a/timetable/src/test/java/elmsail/timetable/pull/FallbackTest.java
+++ b/timetable/src/test/java/elmsail/timetable/pull/FallbackTest.java
@@ -43,7 +43,7 @@
       return reply;
     };
     CarrierCall call = new CarrierCall(asker, "10.200.0.79:8169", timers);
-    return new Puller(links, timers, PullerTest.settings(Set.of("counter")), role, life,
+    return new Puller(links, timers, PullerRig.settings(Set.of("counter")), role, life,
         () -> VaultPart.NONE, call);
   }
 
--- /dev/null
+++ b/timetable/src/test/java/elmsail/timetable/pull/PullerListTest.java
@@ -0,0 +1,125 @@
+package elmsail.timetable.pull;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.timetable.ServerList;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PullerListTest extends PullerRig {
+  private int lists;
+
+  /** Counts the answers that bring a whole list. */
+  private void count(String address, Sources notary) {
+    links.notaries.put(address, ask -> notary.ask(ask).thenApply(told -> {
+      lists += told.servers == null ? 0 : 1;
+      return told;
+    }));
+  }
+
+  /** How many whole lists the notaries send within a second of a new version. */
+  private int listsTold(long version, Sources... notaries) {
+    lists = 0;
+    for (Sources notary : notaries) {
+      notary.setServers(1, version, list("i-" + version), timers.now());
+    }
+    timers.pass(1_000);
+    return lists;
+  }
+
+  @BeforeEach
+  void countLists() {
+    count(A, a);
+    count(B, b);
+    count(C, c);
+  }
+
+  @Test
+  void theListsAgeIsKeptFromWhatIsTold() {
+    a.setServers(1, 1, list("i-1"), timers.now() - 400);
+    puller.start();
+    timers.pass(10);
+    assertThat(puller.listAgeMs(), equalTo(405L));
+    assertThat(puller.listTakenAt(), equalTo(605L));
+    timers.pass(600);
+    assertThat(puller.listAgeMs(), equalTo(1_005L));
+    int before = changes;
+    a.setServers(1, 1, list("i-1"), timers.now());
+    timers.pass(900);
+    assertThat(puller.listAgeMs(), lessThanOrEqualTo(1_000L));
+    assertThat(changes, equalTo(before));
+  }
+
+  @Test
+  void aListOfALowerEpochIsIgnored() {
+    a.setServers(2, 1, list("i-2"), timers.now());
+    b.setServers(1, 50, list("i-1"), timers.now());
+    puller.start();
+    timers.pass(2_000);
+    assertThat(puller.servers(), equalTo(ServerList.decode(list("i-2"))));
+    assertThat(puller.listEpoch(), equalTo(2L));
+    assertThat(puller.listVersion(), equalTo(1L));
+    puller.offerServers(2, 2, list("i-3"), timers.now());
+    assertThat(puller.servers(), equalTo(ServerList.decode(list("i-3"))));
+    assertThat(puller.listBytes(), equalTo(list("i-3")));
+  }
+
+  @Test
+  void aClerkTakesListsFromTheNearestWhileItIsYoung() {
+    puller.start();
+    for (int version = 1; version <= 3; version++) {
+      listsTold(version, a, b, c);
+    }
+    for (int version = 4; version <= 9; version++) {
+      assertThat(listsTold(version, a, b, c), equalTo(1));
+      assertThat(puller.listVersion(), equalTo((long) version));
+      assertThat(links.last(A).listEpoch, equalTo(1L));
+      assertThat(links.last(B).listEpoch, equalTo(Long.MAX_VALUE));
+      assertThat(links.last(C).listEpoch, equalTo(Long.MAX_VALUE));
+    }
+  }
+
+  @Test
+  void aNearestThatIsCutOffOrBehindIsNotWaitedFor() {
+    puller.start();
+    for (int version = 1; version <= 3; version++) {
+      listsTold(version, a, b, c);
+    }
+    for (int version = 4; version <= 9; version++) {
+      listsTold(version, b, c);
+      assertThat(puller.listAgeMs(), lessThan(2_500L));
+    }
+    assertThat(puller.listVersion(), greaterThan(7L));
+    links.cutBack.add(A);
+    for (int version = 10; version <= 15; version++) {
+      listsTold(version, a, b, c);
+      assertThat(puller.listAgeMs(), lessThan(2_500L));
+    }
+    assertThat(puller.listVersion(), equalTo(15L));
+  }
+
+  @Test
+  void aVaultTakesNoListAndANotaryTakesItFromAll() {
+    a.setServers(1, 1, list("i-1"), timers.now());
+    Puller vault = puller("vault", Set.of("vault"), () -> VaultPart.NONE);
+    vault.start();
+    timers.pass(1_500);
+    assertThat(vault.servers(), empty());
+    Puller notary = puller("notary", Set.of("head_office"), () -> VaultPart.NONE);
+    notary.start();
+    timers.pass(1_500);
+    b.setServers(1, 1, list("i-1"), timers.now());
+    timers.pass(10);
+    assertThat(notary.servers(), hasSize(1));
+    c.setServers(1, 2, list("i-2"), timers.now());
+    timers.pass(10);
+    assertThat(notary.listVersion(), equalTo(2L));
+  }
+}
