Play stories of trouble around the configuration

Cause: races, unclear answers and lost disks have to hold together, not just one by one. Change: two operators against notaries that are killed, frozen, cut off or wiped, from one seed; a vault starts with its lots' keeper.

--- a/notary/src/main/java/elmsail/notary/Duty.java
+++ b/notary/src/main/java/elmsail/notary/Duty.java
@@ -19,8 +19,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The one duty of the head office: asking the carrier and directing the vaults' seats. Whoever holds its lease
- * takes a new term from the register first; the list's epochs are these terms.
+ * The one duty of the head office: asking the carrier and directing the vaults' seats. Whoever holds its
+ * lease takes a new term from the register first; the list's epochs are these terms.
  */
 final class Duty {
   static final String KEY = "duty";
--- a/notary/src/main/java/elmsail/notary/HeadOffice.java
+++ b/notary/src/main/java/elmsail/notary/HeadOffice.java
@@ -128,6 +128,11 @@
     return operators;
   }
 
+  /** The newest value of the key "timetable" that was seen decided here; null before the first. */
+  byte[] decidedTimetable() {
+    return timetable.value();
+  }
+
   private CompletableFuture<PullTold> pulled(PullAsk ask) {
     heard.note(ask, timers.now());
     if ("vault".equals(ask.role) && ask.shelf != null) {
--- a/notary/src/main/java/elmsail/notary/Notary.java
+++ b/notary/src/main/java/elmsail/notary/Notary.java
@@ -2,8 +2,8 @@
 
 import elmsail.disk.Records;
 import elmsail.inner.InnerLinks;
+import elmsail.lots.keep.LotsKeeper;
 import elmsail.register.SetKeeper;
-import elmsail.register.Views;
 import elmsail.station.NettyLoop;
 import elmsail.station.Settings;
 import elmsail.station.http.HttpAsk;
@@ -16,8 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A notary with its sockets, in one of two shapes: at the head office, where operators call, or at a vault. The
- * inner links, the records and the loop are the caller's, who closes them after {@link #end()}.
+ * A notary with its sockets, in one of two shapes: at the head office, where operators call, or at a vault.
+ * The inner links, the records and the loop are the caller's, who closes them after {@link #end()}.
  */
 public final class Notary {
   private static final int MOST_BODY = 8 << 20;
@@ -57,15 +57,19 @@
   }
 
   /**
-   * Starts one at a vault; called on the loop, before or after {@code links.listen()}.
+   * Starts one at a vault, keeping lots; called on the loop, before or after {@code links.listen()}.
    *
-   * @param views of what is kept, told from the start on
+   * @param records with a disk, always
    */
-  public static Notary startVault(Settings settings, NettyLoop loop, InnerLinks links, Records records,
-      Views views) {
-    VaultHouse house = new VaultHouse(settings, loop, links, links, records, views);
-    house.start();
-    return new Notary(loop, null, house);
+  public static Notary startVault(Settings settings, NettyLoop loop, InnerLinks links, Records records) {
+    VaultHouse[] house = {null};
+    LotsKeeper lots = new LotsKeeper(loop, () -> house[0] != null && house[0].keeper().seated(),
+        key -> house[0].keeper().drop(key), settings.bounds().statusMs());
+    house[0] = new VaultHouse(settings, loop, links, links, records, lots);
+    lots.listen(links);
+    lots.start();
+    house[0].start();
+    return new Notary(loop, null, house[0]);
   }
 
   /** A vault's keeper; null at the head office. */
@@ -79,8 +83,8 @@
   }
 
   private CompletableFuture<HttpReply> counted(HttpHandler handler, HttpCall call) {
-    inHand++;
     CompletableFuture<HttpReply> reply = handler.handle(call);
+    inHand++;
     reply.whenComplete((done, failed) -> inHand--);
     return reply;
   }
--- a/notary/src/main/java/elmsail/notary/Registrar.java
+++ b/notary/src/main/java/elmsail/notary/Registrar.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 
 /**
- * Decides who sits in the vaults' seats, from what was heard: the founding, and which spare takes a seat whose
- * holder is gone or is to be retired. Pure; all times are steady ms.
+ * Decides who sits in the vaults' seats, from what was heard: the founding, and which spare takes a seat
+ * whose holder is gone or is to be retired. Pure; all times are steady ms.
  */
 final class Registrar {
   static final long GONE_MS = 2_500;
--- a/notary/src/main/java/elmsail/notary/ReplaceCall.java
+++ b/notary/src/main/java/elmsail/notary/ReplaceCall.java
@@ -132,7 +132,8 @@
     if (held.changed()) {
       tell.accept(order.edition);
     }
-    order.reply.complete(order.status == 200 ? Replies.json(200, "{}") : Replies.why(order.status, order.why));
+    order.reply.complete(
+        order.status == 200 ? Replies.json(200, "{}") : Replies.why(order.status, order.why));
   }
 
   private static long number(String text) {
--- /dev/null
+++ b/notary/src/test/java/elmsail/notary/ConfigStoryTest.java
@@ -0,0 +1,236 @@
+package elmsail.notary;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import elmsail.station.http.HttpReply;
+import elmsail.timetable.pull.Puller;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two operators change the configuration while notaries are killed, frozen, cut off, lose their power or a
+ * disk. What was acknowledged is never lost, no two are on top of the same one, and no clerk ever sees one
+ * that isn't there in the end.
+ */
+class ConfigStoryTest {
+  private static final int STORIES = 12;
+
+  /** One call of an operator. */
+  private record Sent(long basedOn, long edition, CompletableFuture<HttpReply> reply) {
+  }
+
+  private World world;
+  private Random chance;
+  private final List<Sent> open = new ArrayList<>();
+  /** What each acknowledged edition was based on. */
+  private final Map<Long, Long> acknowledged = new TreeMap<>();
+  private final Set<Long> refusedOnce = new HashSet<>();
+  private final Set<Long> unclear = new HashSet<>();
+  private final Set<Long> seen = new HashSet<>();
+  private final Map<String, Long> lastSeen = new HashMap<>();
+  private long numbers;
+  private long current;
+
+  @Test
+  void storiesOfTrouble() {
+    int taken = 0;
+    int refused = 0;
+    for (int seed = 1; seed <= STORIES; seed++) {
+      play(seed);
+      taken += acknowledged.size();
+      refused += refusedOnce.size();
+    }
+    assertThat("acknowledged", taken, greaterThan(STORIES * 5));
+    assertThat("lost races", refused, greaterThan(STORIES));
+  }
+
+  private void play(int seed) {
+    world = new World(seed, 3);
+    chance = new Random(seed);
+    open.clear();
+    acknowledged.clear();
+    refusedOnce.clear();
+    unclear.clear();
+    seen.clear();
+    lastSeen.clear();
+    numbers = 0;
+    current = 0;
+    world.net.delay(1, 15);
+    for (int i = 1; i <= 3; i++) {
+      world.notary("n" + i, true);
+      world.timers.pass(chance.nextInt(150));
+    }
+    world.clerk("c1");
+    world.clerk("c2");
+    String trouble = null;
+    long troubleEnds = 0;
+    for (int step = 0; step < 800; step++) {
+      world.timers.pass(1 + chance.nextInt(60));
+      if (trouble == null && chance.nextInt(80) == 0) {
+        trouble = "n" + (1 + chance.nextInt(3));
+        begin(trouble);
+        troubleEnds = world.timers.now() + 200 + chance.nextInt(4_000);
+      } else if (trouble != null && world.timers.now() >= troubleEnds) {
+        end(trouble);
+        trouble = null;
+      }
+      if (open.size() < 2 && chance.nextInt(16) == 0) {
+        send();
+      }
+      hear(seed);
+      look(seed);
+    }
+    if (trouble != null) {
+      end(trouble);
+    }
+    world.timers.pass(6_000);
+    hear(seed);
+    look(seed);
+    finish(seed);
+  }
+
+  private int fault;
+
+  private void begin(String name) {
+    fault = chance.nextInt(5);
+    switch (fault) {
+      case 0 -> world.kill(name);
+      case 1 -> {
+        world.net.kill(world.address(name), false);
+        world.disks.get(name).powerLoss();
+      }
+      case 2 -> world.wipe(name);
+      case 3 -> world.net.freeze(world.address(name));
+      default -> world.net.isolate(world.address(name));
+    }
+  }
+
+  private void end(String name) {
+    if (fault <= 2) {
+      world.notary(name, false);
+      // A disk is lost one at a time: the next only once this one has all copied.
+      world.until(fault == 2 ? 8_000 : 0, () -> world.read(name).startsWith("{"));
+    } else if (fault == 3) {
+      world.net.thaw(world.address(name));
+    } else {
+      world.net.healAll();
+    }
+  }
+
+  private void send() {
+    String to = "n" + (1 + chance.nextInt(3));
+    if (world.net.at(world.address(to)) == null || !world.net.at(world.address(to)).alive()
+        || world.net.at(world.address(to)).frozen()) {
+      return;
+    }
+    numbers += 1 + chance.nextInt(3);
+    open.add(new Sent(current, numbers, world.sent(to, String.valueOf(current), numbers)));
+    if (chance.nextBoolean()) {
+      String other = "n" + (1 + chance.nextInt(3));
+      if (world.net.at(world.address(other)) != null && !world.net.at(world.address(other)).frozen()
+          && world.net.at(world.address(other)).alive()) {
+        numbers += 1 + chance.nextInt(3);
+        open.add(new Sent(current, numbers, world.sent(other, String.valueOf(current), numbers)));
+      }
+    }
+  }
+
+  private void hear(int seed) {
+    List<Sent> done = new ArrayList<>();
+    for (Sent sent : open) {
+      if (sent.reply().isDone() || world.timers.now() % 7 == 0 && chance.nextInt(40) == 0) {
+        done.add(sent);
+      }
+    }
+    open.removeAll(done);
+    for (Sent sent : done) {
+      int status = sent.reply().isDone() ? sent.reply().join().status() : -1;
+      if (status == 200) {
+        Long other = sameBase(sent.basedOn());
+        assertThat("seed " + seed + ": two on top of " + sent.basedOn() + ": " + other + " and "
+            + sent.edition(), other == null, is(true));
+        acknowledged.put(sent.edition(), sent.basedOn());
+        current = Math.max(current, sent.edition());
+      } else if (status == 412 || status == 400) {
+        refusedOnce.add(sent.edition());
+        refresh();
+      } else {
+        unclear.add(sent.edition());
+        refresh();
+      }
+    }
+  }
+
+  private Long sameBase(long basedOn) {
+    for (Map.Entry<Long, Long> one : acknowledged.entrySet()) {
+      if (one.getValue() == basedOn) {
+        return one.getKey();
+      }
+    }
+    return null;
+  }
+
+  /** The operator takes what a clerk has as current, as an unclear one may have been taken. */
+  private void refresh() {
+    for (Puller clerk : world.clerks.values()) {
+      if (clerk.timetable() != null) {
+        current = Math.max(current, clerk.timetable().edition());
+      }
+    }
+  }
+
+  private void look(int seed) {
+    for (Map.Entry<String, Puller> clerk : world.clerks.entrySet()) {
+      if (clerk.getValue().timetable() != null) {
+        long edition = clerk.getValue().timetable().edition();
+        assertThat("seed " + seed, edition >= lastSeen.getOrDefault(clerk.getKey(), 0L), is(true));
+        lastSeen.put(clerk.getKey(), edition);
+        seen.add(edition);
+      }
+    }
+  }
+
+  private void finish(int seed) {
+    String[] read = {""};
+    assertThat("seed " + seed, world.until(5_000, () -> {
+      read[0] = world.read("n" + (1 + chance.nextInt(3)));
+      return read[0].startsWith("{");
+    }), is(true));
+    byte[] value = null;
+    for (HeadOffice office : world.offices.values()) {
+      Editions editions = Editions.of(office.decidedTimetable());
+      if (World.timetable(editions.edition()).equals(read[0])) {
+        value = office.decidedTimetable();
+      }
+    }
+    Editions last = Editions.of(value);
+    assertThat("seed " + seed, read[0], is(World.timetable(last.edition())));
+    assertThat("all are kept", last.recentEditions().length < Editions.KEPT, is(true));
+    for (long edition : acknowledged.keySet()) {
+      assertThat("seed " + seed + ": lost " + edition, has(last, edition), is(true));
+    }
+    for (long edition : seen) {
+      assertThat("seed " + seed + ": seen, not there " + edition, has(last, edition), is(true));
+    }
+    for (long edition : refusedOnce) {
+      assertThat("seed " + seed + ": refused, yet there " + edition, has(last, edition), is(not(true)));
+    }
+  }
+
+  private static boolean has(Editions last, long edition) {
+    byte[] sent = World.timetable(edition).getBytes(StandardCharsets.UTF_8);
+    return last.taken(edition, Editions.digest(sent));
+  }
+}
--- a/notary/src/test/java/elmsail/notary/FakeRegister.java
+++ b/notary/src/test/java/elmsail/notary/FakeRegister.java
@@ -81,7 +81,8 @@
       if (wanted.value() != null && fate != Fate.UNCLEAR_LOST) {
         put(key, wanted.value());
       }
-      Held held = new Held(values.getOrDefault(key, new Versioned(new Ballot(), null)), wanted.value() != null);
+      Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
+      Held held = new Held(now, wanted.value() != null);
       if (fate == Fate.UNCLEAR_TAKEN || fate == Fate.UNCLEAR_LOST) {
         timers.after(Math.min(300, timeoutMs), () -> fail(future, Code.UNCLEAR));
       } else {
--- a/notary/src/test/java/elmsail/notary/HeadOfficeTest.java
+++ b/notary/src/test/java/elmsail/notary/HeadOfficeTest.java
@@ -79,9 +79,9 @@
       String base = String.valueOf(current);
       long a = current + 1;
       long b = current + 2;
-      CompletableFuture<HttpReply> one = world.begin("n1", "POST", "/Timetable.Replace", base, World.timetable(a));
+      CompletableFuture<HttpReply> one = world.sent("n1", base, a);
       world.timers.pass(i % 4);
-      CompletableFuture<HttpReply> two = world.begin("n2", "POST", "/Timetable.Replace", base, World.timetable(b));
+      CompletableFuture<HttpReply> two = world.sent("n2", base, b);
       int statusOne = world.status(one);
       int statusTwo = world.status(two);
       assertThat(statusOne + " " + statusTwo, anyOf(equalTo("200 412"), equalTo("412 200")));
--- a/notary/src/test/java/elmsail/notary/LeaseTest.java
+++ b/notary/src/test/java/elmsail/notary/LeaseTest.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** Three voters that ask as well, under frozen askers, lost and late messages, and voters that start again. */
+/** Three voters that ask as well; some freeze, start again, or have their messages lost or late. */
 class LeaseTest {
   private static final int N = 3;
 
--- a/notary/src/test/java/elmsail/notary/OperatorCallsTest.java
+++ b/notary/src/test/java/elmsail/notary/OperatorCallsTest.java
@@ -67,7 +67,8 @@
 
   private static HttpCall call(String basedOn, String body) {
     Map<String, String> headers = basedOn == null ? Map.of() : Map.of("elmsail-based-on", basedOn);
-    return new HttpCall("POST", "/Timetable.Replace", Map.of(), headers, body.getBytes(StandardCharsets.UTF_8));
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    return new HttpCall("POST", "/Timetable.Replace", Map.of(), headers, bytes);
   }
 
   private int put(String basedOn, String body) {
@@ -85,8 +86,10 @@
   }
 
   private String readBack() {
-    HttpReply reply = answer(read.handle(new HttpCall("GET", "/Timetable.Read", Map.of(), Map.of(), new byte[0])));
-    return reply.status() + " " + (reply.status() == 200 ? new String(reply.body(), StandardCharsets.UTF_8) : "");
+    HttpCall call = new HttpCall("GET", "/Timetable.Read", Map.of(), Map.of(), new byte[0]);
+    HttpReply reply = answer(read.handle(call));
+    String body = reply.status() == 200 ? new String(reply.body(), StandardCharsets.UTF_8) : "";
+    return reply.status() + " " + body;
   }
 
   @Test
--- a/notary/src/test/java/elmsail/notary/World.java
+++ b/notary/src/test/java/elmsail/notary/World.java
@@ -59,9 +59,11 @@
     boolean vault = name.startsWith("v");
     return new Settings(name, "r", vault ? "vault" : "counter",
         Set.of(head ? "head_office" : vault ? "vault" : "counter"), ip(name), "z" + name.substring(1), "r",
-        Map.of(), head ? Map.of("control", ip(name) + ":8166") : Map.of(), 7720, 7735, seeds, firstStart, true,
+        Map.of(), head ? Map.of("control", ip(name) + ":8166") : Map.of(), 7720, 7735, seeds, firstStart,
+        true,
         new Settings.Limits(1, 400, 4_000, 1_000, 64), disk ? "/data" : null, Set.of(), 1,
-        new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000),
+        new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
+            2_000),
         new Settings.Carrier("10.9.0.1:8169", 40, 800));
   }
 
@@ -144,6 +146,10 @@
         new HttpCall(method, path, Map.of(), headers, body.getBytes(StandardCharsets.UTF_8)));
   }
 
+  CompletableFuture<HttpReply> sent(String notary, String basedOn, long edition) {
+    return begin(notary, "POST", "/Timetable.Replace", basedOn, timetable(edition));
+  }
+
   /** Status, or -1 if there was no answer within a second. */
   int status(CompletableFuture<HttpReply> reply) {
     return until(1_000, reply::isDone) ? reply.join().status() : -1;
@@ -195,7 +201,8 @@
   static String timetable(long edition) {
     return "{\"edition\":" + edition + ",\"routes\":[{\"name\":\"r" + edition
         + "\",\"depot\":\"a.example\",\"lane_prefix\":\"/a/\",\"route_class\":\"safe\",\"give_up_ms\":2000,"
-        + "\"due_ms\":250,\"precedence\":0,\"postal_line\":\"p\",\"tries\":2}],\"postal_lines\":[{\"name\":\"p\","
+        + "\"due_ms\":250,\"precedence\":0,\"postal_line\":\"p\",\"tries\":2}],\"postal_lines\":[{\"name\":"
+        + "\"p\","
         + "\"health\":\"/health\",\"berth_cap\":210,\"protocol\":\"h1\",\"sealed\":false}],\"limits\":"
         + "{\"envelope_bytes\":16384,\"parcel_bytes\":4194304,\"envelope_ms\":3000,\"idle_ms\":15000}}";
   }
