Avoid silent servers, refuse only long waits, test the pure parts

Cause: a dark server kept its connections and got requests; parts '1','2' and '12' of a prompt had one key. Change: health by silence and breaks, doubtful servers get a fresh connection, what may be repeated leaves a dark server, a wait of twice the objective is refused at once; keys of prompts tell where a part ends.

--- a/clerk/src/main/java/elmsail/clerk/requests/EventSplitter.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/EventSplitter.java
@@ -104,7 +104,8 @@
     int to = raw.writerIndex();
     while (at < to) {
       int end = lineEnd(raw, at);
-      if (end - at > 3 && raw.getByte(at) == 'i' && raw.getByte(at + 1) == 'd' && raw.getByte(at + 2) == ':') {
+      if (end - at > 3 && raw.getByte(at) == 'i' && raw.getByte(at + 1) == 'd'
+          && raw.getByte(at + 2) == ':') {
         id = number(raw, at + 3, end);
       }
       at = end + 1;
--- a/clerk/src/main/java/elmsail/clerk/requests/Forward.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Forward.java
@@ -19,6 +19,13 @@
 final class Forward implements Taken, TryHeard {
   /** Tries that never left and do not count for the route's own bound. */
   private static final int MOST_UNSENT = 6;
+  /** With less time left nothing more is sent. */
+  private static final long LEAST_MS = 5;
+  /** A request that would wait for more than so many times its objective is refused at once. */
+  private static final double MOST_WAIT = 2;
+  private static final long WATCH_MS = 200;
+  /** A look that comes so late says more of this process than of any server. */
+  private static final long LATE_MS = 150;
 
   private final Course course;
   private final Route route;
@@ -27,6 +34,7 @@
   private final Set<Server> been = new HashSet<>();
   private final long endsAt;
   private Timer end;
+  private Timer watch;
   private Try now;
   private int sentTo;
   private int unsent;
@@ -50,16 +58,45 @@
     }
     end = course.timers().after(left, this::timeOver);
     next();
+    if (!over && route.repeatable()) {
+      watch(course.timers().now());
+    }
+  }
+
+  /** Looks now and then whether the server has gone dark, so that the rest may be had elsewhere. */
+  private void watch(long lastLook) {
+    watch = course.timers().after(WATCH_MS, () -> {
+      long at = course.timers().now();
+      boolean late = at - lastLook > WATCH_MS + LATE_MS;
+      if (!late && now != null && now.sent() && now.server().dark(at) && mayGoOn()) {
+        course.tally().count(Tally.Event.GONE_DARK);
+        now.timedOut(at);
+        failed(true);
+      }
+      if (!over) {
+        watch(at);
+      }
+    });
+  }
+
+  /** Whether one more server is allowed and there. */
+  private boolean mayGoOn() {
+    Server other = sentTo + 1 < route.tries() ? course.servers().choose(route, letter.prompt(), been) : null;
+    return other != null && !course.servers().avoided(other);
   }
 
   private void next() {
     boolean spent = sentTo >= Math.max(1, route.tries()) || unsent >= MOST_UNSENT
-        || mayHaveRun && !route.repeatable();
+        || mayHaveRun && !route.repeatable() || endsAt - course.timers().now() < LEAST_MS;
     Server server = spent ? null : course.servers().choose(route, letter.prompt(), been);
     if (server == null) {
       giveUp();
       return;
     }
+    if (been.isEmpty() && course.servers().waitMs(server) > route.dueMs() * MOST_WAIT && route.dueMs() > 0) {
+      refuse(Tally.Event.REFUSED_FULL);
+      return;
+    }
     been.add(server);
     if (passing.lastEvent() >= 0) {
       letter.goOnBehind(passing.lastEvent());
@@ -86,7 +123,7 @@
     }
     boolean sent = now != null && now.sent();
     if (now != null) {
-      now.cancel();
+      now.timedOut(course.timers().now());
     }
     course.tally().count(Tally.Event.TIMED_OUT);
     if (passing.begun()) {
@@ -120,6 +157,9 @@
     if (end != null) {
       end.cancel();
     }
+    if (watch != null) {
+      watch.cancel();
+    }
   }
 
   @Override
--- a/clerk/src/main/java/elmsail/clerk/requests/Passing.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Passing.java
@@ -10,8 +10,8 @@
 
 /**
  * The answers of a request's tries on their way to the client: short ones are held until they are whole, so
- * that a cut one can be tried again; streams go on as they come, from their first bytes on. Where a stream may
- * be resumed only whole events go on, and the answer stays one: head and stamp are those of the first server.
+ * that a cut one can be tried again; streams go on as they come, from their first bytes on. Where one may be
+ * resumed only whole events go on, and the answer stays one: head and stamp are those of the first server.
  */
 final class Passing {
   /** Up to so many bytes an answer that is no stream is held. */
--- a/clerk/src/main/java/elmsail/clerk/servers/Choice.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Choice.java
@@ -7,9 +7,9 @@
   /** Prompt tokens that a server reads in a ms. */
   static final double TOKENS_PER_MS = 100;
   /** Each request that runs beside makes all tokens come later. */
-  static final double RUNNING_MS = 1.5;
+  static final double RUNNING_MS = 0.5;
   /** Each request that waits there for a place. */
-  static final double WAITING_MS = 25;
+  static final double WAITING_MS = 20;
   /** Beyond this share of its places a server slows down and may refuse. */
   static final double NEARLY_FULL = 0.8;
   static final double FULL_MS = 80;
@@ -40,8 +40,7 @@
   public static double cost(View v, int promptTokens) {
     double held = Math.max(v.knownTokens(), v.homeTokens() * HOME_SHARE);
     double anew = Math.max(0, promptTokens - held);
-    double cost = (anew + v.readingTokens()) / TOKENS_PER_MS;
-    cost += v.running() * RUNNING_MS + v.waiting() * WAITING_MS;
+    double cost = anew / TOKENS_PER_MS + waitMs(v) + v.running() * RUNNING_MS;
     double full = v.berths() * NEARLY_FULL;
     if (v.berths() > 0 && v.running() + v.waiting() > full) {
       cost += FULL_MS * Math.min(2, (v.running() + v.waiting() - full) / (v.berths() - full));
@@ -50,6 +49,11 @@
     return v.avoided() ? cost + AVOIDED_MS : cost;
   }
 
+  /** The estimated ms until what waits there is read; those of this door may be among those told. */
+  public static double waitMs(View v) {
+    return Math.max(v.readingTokens() / TOKENS_PER_MS, v.waiting() * WAITING_MS);
+  }
+
   /**
    * The index of the cheapest, or -1 of none.
    *
--- a/clerk/src/main/java/elmsail/clerk/servers/Prompt.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Prompt.java
@@ -14,7 +14,7 @@
 
   public static final Prompt NONE = new Prompt(new long[0], new int[0], 0);
 
-  /** Reads {@code ID:TOKENS,ID:TOKENS...} and {@code IN,OUT}; either may be null, what cannot be read is 0. */
+  /** Reads {@code ID:TOKENS,ID:TOKENS...} and {@code IN,OUT}; either may be null, what is no number is 0. */
   public static Prompt read(String parts, String inAndOut) {
     int total = inAndOut == null ? 0 : number(inAndOut, 0, end(inAndOut, 0, ','));
     if (parts == null || parts.isEmpty()) {
@@ -38,6 +38,7 @@
           key = mix(key * 31 + parts.charAt(c));
         }
       }
+      key = mix(key + 0x9e3779b97f4a7c15L); // where one part ends matters
       keys[i] = key;
       tokens[i] = colon < to ? number(parts, colon + 1, to) : 0;
       sum += tokens[i];
--- a/clerk/src/main/java/elmsail/clerk/servers/Server.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Server.java
@@ -11,13 +11,20 @@
 public final class Server {
   private static final long FIRST_AVOID_MS = 250;
   private static final long MOST_AVOID_MS = 3_000;
-  /** A told load counts half as much after so long. */
-  private static final double HALF_LIFE_MS = 700;
-  /** Where nothing was heard for so long while requests wait for their answer, the server may be dark. */
-  private static final long QUIET_MS = 900;
+  /** A told number of running requests counts half as much after so long. */
+  private static final double RUNNING_HALF_LIFE_MS = 700;
+  /** Likewise of waiting ones: a queue of prompts passes faster. */
+  private static final double WAITING_HALF_LIFE_MS = 200;
+  /** Where nothing was heard for so long while requests are open there, the server may be dark. */
+  static final long QUIET_MS = 450;
+  /** And after so long what may be repeated goes elsewhere. */
+  static final long DARK_MS = 800;
+  /** Answers that break off one after the other before the server is avoided: single ones happen. */
+  private static final int BREAKS = 2;
 
   /** Items are started while no more than this share of the places is taken. */
   private static final double ITEMS_UP_TO = 0.6;
+  private static final double ITEMS_WAIT = 0.5;
 
   private final ServerEntry entry;
   private final PrefixMemory memory;
@@ -31,6 +38,7 @@
   private boolean gone;
   private long avoidedUntil = Long.MIN_VALUE;
   private long avoidMs;
+  private int breaks;
   private long heardAt = Long.MIN_VALUE;
   private long loadAt = Long.MIN_VALUE;
   private int toldRunning;
@@ -105,6 +113,7 @@
   /** An answer of it began: it lives. */
   void heard(long now) {
     heardAt = now;
+    breaks = 0;
     avoidMs = 0;
     avoidedUntil = Long.MIN_VALUE;
   }
@@ -114,12 +123,23 @@
     heardAt = now;
   }
 
-  /** A connect or a request failed. */
+  /** No connection could be had, or a request got no answer in its time. */
   void failed(long now) {
     if (now >= avoidedUntil) {
       avoidMs = Math.min(MOST_AVOID_MS, Math.max(FIRST_AVOID_MS, 2 * avoidMs));
       avoidedUntil = now + avoidMs;
     }
+    for (ServerConnection c : new ArrayList<>(idle)) {
+      c.close(); // they may be dead as well: the next request finds out before it is sent
+    }
+  }
+
+  /** A connection broke under a request. */
+  void broke(long now) {
+    breaks++;
+    if (breaks >= BREAKS) {
+      failed(now);
+    }
   }
 
   /** Takes {@code RUNNING,WAITING,SLOTS}; what cannot be read is passed over. */
@@ -141,17 +161,27 @@
 
   /** Whether to take it only where there is no other. */
   boolean avoided(long now) {
-    return now < avoidedUntil || silent(now);
+    return now < avoidedUntil || quietMs(now) > QUIET_MS;
+  }
+
+  /** Whether it failed so lately that an idle connection is not to be trusted. */
+  boolean doubtful(long now) {
+    return avoidMs > 0 || quietMs(now) > QUIET_MS;
+  }
+
+  /** Whether it has said nothing to anything for so long that it will hardly go on. */
+  public boolean dark(long now) {
+    return quietMs(now) > DARK_MS;
   }
 
-  /** Whether it has said nothing at all for long to requests that wait for their answer. */
-  public boolean silent(long now) {
+  /** For how long it has said nothing at all though requests are open there. */
+  private long quietMs(long now) {
     for (Try t : tries) {
-      if (t.sent() && !t.answered()) {
-        return now - Math.max(t.since(), heardAt) > QUIET_MS; // the oldest one that waits
+      if (t.sent()) {
+        return now - Math.max(t.since(), heardAt); // the oldest one
       }
     }
-    return false;
+    return 0;
   }
 
   /** Estimate of the requests that run there, of all doors. */
@@ -159,18 +189,18 @@
     if (loadAt == Long.MIN_VALUE) {
       return open();
     }
-    double weight = weight(now);
+    double weight = weight(now, RUNNING_HALF_LIFE_MS);
     double told = Math.max(0, toldRunning + open() - ownWhenTold);
     return Math.max(open(), told * weight);
   }
 
   /** Estimate of the requests that wait there. */
   double waiting(long now) {
-    return loadAt == Long.MIN_VALUE ? 0 : toldWaiting * weight(now);
+    return loadAt == Long.MIN_VALUE ? 0 : toldWaiting * weight(now, WAITING_HALF_LIFE_MS);
   }
 
-  private double weight(long now) {
-    return HALF_LIFE_MS / (HALF_LIFE_MS + now - loadAt);
+  private double weight(long now, double halfLifeMs) {
+    return halfLifeMs / (halfLifeMs + now - loadAt);
   }
 
   /**
@@ -179,7 +209,7 @@
    * @param doors that start items, this one too
    */
   public int itemRoom(long now, int doors) {
-    if (gone || avoided(now) || waiting(now) >= 1) {
+    if (gone || avoided(now) || waiting(now) >= ITEMS_WAIT) {
       return 0;
     }
     int own = Math.max(2, entry.berths() / 2 / doors + 1) - items;
--- a/clerk/src/main/java/elmsail/clerk/servers/ServerConnection.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/ServerConnection.java
@@ -8,7 +8,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -26,16 +29,24 @@
   private static final int MOST_PIECE = 32 * 1024;
   /** An idle connection is not used any more so long before the server closes it. */
   private static final long BEFORE_END_MS = 1_000;
-  /** Where the server told no time. */
-  private static final long UNTOLD_MS = 4_000;
+  /** Or so large a part of short times. */
+  private static final double PART_BEFORE_END = 0.4;
+  /** Where the server told no time, it may be less than the second that can be told. */
+  private static final long UNTOLD_MS = 1_000;
 
   private final Servers servers;
   private final Server server;
-  private final StrictAnswerDecoder decoder = new StrictAnswerDecoder(MOST_LINE, MOST_HEAD, MOST_PIECE);
+  private final StrictAnswerDecoder decoder = new StrictAnswerDecoder(MOST_LINE, MOST_HEAD, MOST_PIECE) {
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+      return headOnly || super.isContentAlwaysEmpty(message);
+    }
+  };
   private Channel channel;
   private Try current;
   private boolean inAnswer;
   private boolean informing;
+  private boolean headOnly;
   private boolean keep;
   /** Answered, but what came with the answer is not looked at yet. */
   private boolean answered;
@@ -58,7 +69,7 @@
 
   /** Whether the server will not close it just now. */
   boolean fresh(long now) {
-    return now - idleSince < idleMs - BEFORE_END_MS;
+    return now - idleSince < idleMs - Math.min(BEFORE_END_MS, idleMs * PART_BEFORE_END);
   }
 
   boolean usable(long now) {
@@ -77,7 +88,9 @@
     one.on(channel);
     one.sending();
     channel.config().setAutoRead(!one.paused());
-    ChannelFuture write = channel.writeAndFlush(one.out().message(server.id()));
+    FullHttpRequest message = one.out().message(server.id());
+    headOnly = message.method().equals(HttpMethod.HEAD);
+    ChannelFuture write = channel.writeAndFlush(message);
     if (write.isDone() && !write.isSuccess()) {
       servers.timers().soon(() -> unwritten(one)); // not within the call that begins the try
     } else {
@@ -226,7 +239,7 @@
     close();
     if (one != null && !one.over()) {
       servers.tally().count(why);
-      server.failed(servers.timers().now());
+      server.broke(servers.timers().now());
       one.failed();
     }
   }
--- a/clerk/src/main/java/elmsail/clerk/servers/Servers.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Servers.java
@@ -29,6 +29,8 @@
 public final class Servers {
   /** No connect may take longer before another server is tried. */
   private static final int CONNECT_MS = 300;
+  /** Nor to one that has failed lately. */
+  private static final int DOUBTFUL_CONNECT_MS = 120;
   private static final long SWEEP_MS = 500;
   /** A connection rests so long behind an answer, as an extra one may come late. */
   private static final long REST_MS = 20;
@@ -55,7 +57,6 @@
     this.chance = chance;
     bootstrap = new Bootstrap().group(loop).channel(QuietSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024));
     known.whenChanged(this::refresh);
     refresh();
@@ -199,14 +200,28 @@
     Server home = home(open, prompt);
     List<Choice.View> views = new ArrayList<>(open.size());
     for (Server s : open) {
-      views.add(new Choice.View(s.memory().known(prompt), s == home ? prompt.sharedTokens() : 0,
-          s.running(now), s.waiting(now), s.entry().berths(), s.readingTokens(),
-          zone.equals(s.entry().zone()), s.avoided(now)));
+      views.add(view(s, prompt, s == home, now));
     }
     int at = Choice.pick(views, prompt.total(), turn++);
     return at < 0 ? null : open.get(at);
   }
 
+  private Choice.View view(Server s, Prompt prompt, boolean home, long now) {
+    return new Choice.View(s.memory().known(prompt), home ? prompt.sharedTokens() : 0, s.running(now),
+        s.waiting(now), s.entry().berths(), s.readingTokens(), zone.equals(s.entry().zone()),
+        s.avoided(now));
+  }
+
+  /** The estimated ms that a request waits there until it is read. */
+  public double waitMs(Server s) {
+    return Choice.waitMs(view(s, Prompt.NONE, false, timers.now()));
+  }
+
+  /** Whether it failed lately or is silent. */
+  public boolean avoided(Server s) {
+    return s.avoided(timers.now());
+  }
+
   /** All doors name the same server for the prompt's shared part, as long as the list stays. */
   private static Server home(List<Server> open, Prompt prompt) {
     long key = prompt.sharedKey();
@@ -228,7 +243,8 @@
     Try one = new Try(server, out, heard, timers.now());
     server.begun(one);
     server.memory().add(out.prompt());
-    ServerConnection c = rested(server);
+    ServerConnection c = server.doubtful(timers.now()) && server.connections < most(server)
+        ? null : rested(server);
     if (c != null) {
       c.carry(one);
     } else {
@@ -256,7 +272,9 @@
   private void connect(Server server, Try one) {
     ServerConnection c = new ServerConnection(this, server);
     server.connections++;
-    ChannelFuture connect = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+    int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
+    Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
+    ChannelFuture connect = limited.handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
         c.into(channel.pipeline());
--- a/clerk/src/main/java/elmsail/clerk/servers/Try.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Try.java
@@ -62,6 +62,14 @@
     sent = true;
   }
 
+  /** It got no answer in its time: closes the connection, and the server is avoided for a while. */
+  public void timedOut(long now) {
+    if (!over && !answered && now - since >= Server.QUIET_MS && server.avoided(now)) {
+      server.failed(now);
+    }
+    cancel();
+  }
+
   /** Closes the connection, so the server drops the request; nothing more is heard. */
   public void cancel() {
     if (!over) {
--- a/clerk/src/test/java/elmsail/clerk/CounterTest.java
+++ b/clerk/src/test/java/elmsail/clerk/CounterTest.java
@@ -67,7 +67,8 @@
       "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Transfer-Encoding: chunked~~a",
       "400 | POST /safe/x HTTP/1.1~Host nony24.example~~",
       "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 4097~~",
-      "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Transfer-Encoding: chunked~~1fff~"
+      "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~"
+          + "Transfer-Encoding: chunked~~1fff~"
   })
   void whatCannotBeTakenIsRefusedAndNotSentOn(int status, String request) {
     Wire client = rig.client().write(request.replace("~", "\r\n") + (request.contains("1fff")
--- a/clerk/src/test/java/elmsail/clerk/ForwardTest.java
+++ b/clerk/src/test/java/elmsail/clerk/ForwardTest.java
@@ -160,7 +160,8 @@
     Wire client = rig.ask("safe", "a1");
     Wire server = rig.first.accept();
     server.message();
-    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\nContent-Length: 9\r\n\r\n12");
+    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+        + "Content-Length: 9\r\n\r\n12");
     server.reset();
     Wire other = rig.second.accept();
     other.message();
@@ -189,7 +190,8 @@
           + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
       "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n\r\nx",
       "garbage garbage\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"
   })
   void whatIsNoAnswerIsNotPassedOn(String bytes) {
     Wire client = rig.ask("unsafe", "a1");
@@ -347,4 +349,53 @@
     assertThat(client.message().body(), is("x"));
     assertThat(server.ended(), is(true));
   }
+
+  @Test
+  void whatMayBeRepeatedLeavesAServerThatHasGoneDark() throws Exception {
+    rig.serve(rig.first, rig.second);
+    Wire client = rig.ask("resume", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
+    client.head();
+    client.chunk();
+    for (int i = 0; i < 6; i++) {
+      rig.timers.pass(210);
+    }
+    Wire other = rig.second.accept();
+    assertThat(other.message().header("Last-Event-Id"), is("0"));
+    other.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(1))).write("0\r\n\r\n");
+    assertThat(client.chunk(), is(Rig.event(1)));
+    assertThat(client.chunk(), is(""));
+    assertThat(server.ended(), is(true));
+  }
+
+  @Test
+  void whatMayNotBeRepeatedStaysWithASilentServer() throws Exception {
+    rig.serve(rig.first, rig.second);
+    Wire client = rig.ask("stream", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    for (int i = 0; i < 6; i++) {
+      rig.timers.pass(210);
+    }
+    server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0))).write("0\r\n\r\n");
+    assertThat(client.message().body(), is(Rig.event(0)));
+    assertThat(rig.second.alone(), is(true));
+  }
+
+  @Test
+  void afterASilenceANewConnectionIsTriedBeforeAnythingIsSent() throws Exception {
+    Wire client = rig.ask("unsafe", "a1", "Elmsail-Deadline-Ms: 1000");
+    Wire server = rig.first.accept();
+    server.message();
+    rig.timers.pass(900);
+    rig.timers.pass(200);
+    assertThat(client.message().status(), is(504));
+    client.write(Rig.request("unsafe", "a2"));
+    Wire next = rig.first.accept();
+    assertThat(next.message().header("Elmsail-Request-Id"), is("a2"));
+    next.write(Rig.good("a2", "x"));
+    assertThat(client.message().body(), is("x"));
+  }
 }
