--- a/tier/src/main/java/elmsail/tier/ClerkMain.java
+++ b/tier/src/main/java/elmsail/tier/ClerkMain.java
@@ -18,9 +18,9 @@
     return "clerk";
   }
 
-  /** Here the clerk is put together. */
+  /** Listens, and joins the others. */
   @Override
   public Running start(Settings settings, NettyLoop loop) {
-    return new Unready(settings, loop, "front", "ready");
+    return new Counter(settings, loop);
   }
 }
--- a/tier/src/main/java/elmsail/tier/NotaryMain.java
+++ b/tier/src/main/java/elmsail/tier/NotaryMain.java
@@ -18,9 +18,9 @@
     return "notary";
   }
 
-  /** Here the notary is put together. */
+  /** Listens, and joins the others. */
   @Override
   public Running start(Settings settings, NettyLoop loop) {
-    return new Unready(settings, loop, "control");
+    return new Office(settings, loop);
   }
 }
