--- a/tier/src/main/java/elmsail/tier/Office.java
+++ b/tier/src/main/java/elmsail/tier/Office.java
@@ -3,9 +3,7 @@
 import elmsail.disk.FolderRecords;
 import elmsail.disk.Records;
 import elmsail.inner.InnerLinks;
-import elmsail.lots.keep.LotsKeeper;
 import elmsail.notary.Notary;
-import elmsail.register.SetKeeper;
 import elmsail.station.NettyLoop;
 import elmsail.station.Settings;
 import java.nio.file.Path;
@@ -34,14 +32,7 @@
         throw new CompletionException(failed);
       });
     } else {
-      LotsKeeper[] keeper = new LotsKeeper[1];
-      SetKeeper[] seats = new SetKeeper[1];
-      keeper[0] = new LotsKeeper(loop, () -> seats[0] != null && seats[0].seated(), key -> seats[0].drop(key),
-          settings.bounds().statusMs());
-      notary = Notary.startVault(settings, loop, links, records, keeper[0]);
-      seats[0] = notary.keeper();
-      keeper[0].listen(links);
-      keeper[0].start();
+      notary = Notary.startVault(settings, loop, links, records);
       links.listen().thenRun(() -> LOG.info("listening at {}", settings.innerAddress()));
     }
   }
