Give SLF4J its set-up log at once

Cause: Logback's search for configurators, files and versions was a good part of what was left of the start. Change: a provider of our own, named before the first logger.

--- a/tier/src/main/java/elmsail/tier/Launch.java
+++ b/tier/src/main/java/elmsail/tier/Launch.java
@@ -49,6 +49,7 @@
 
   /** Runs to the process's end, and exits: nothing that still waits on another thread holds that up. */
   static void main(Program program, String[] args) {
+    LogProvider.choose();
     System.exit(new Launch(program, System.out, System.err).run(args));
   }
 
@@ -77,10 +78,10 @@
       help();
       return DONE;
     }
+    String file = line.getOptionValue(SETTINGS, System.getenv(SettingsFile.VARIABLE));
     if (rehearse) {
       return Rehearsal.run(program, err);
     }
-    String file = line.getOptionValue(SETTINGS, System.getenv(SettingsFile.VARIABLE));
     if (file == null) {
       err.println(program.name() + ": no settings: give --" + SETTINGS + " or set " + SettingsFile.VARIABLE);
       return UNUSABLE;
