--- a/tier/src/main/java/elmsail/tier/Launch.java
+++ b/tier/src/main/java/elmsail/tier/Launch.java
@@ -160,7 +160,8 @@
     PrintWriter text = new PrintWriter(out, true);
     HelpFormatter form = new HelpFormatter();
     String start = "java -cp target/elmsail.jar elmsail.tier." + program.getClass().getSimpleName();
-    String codes = "Exit codes: " + DONE + " all went well, or ended by SIGTERM; " + FAILED + " could not start; "
+    String codes = "Exit codes: " + DONE + " all went well, or ended by SIGTERM; " + FAILED
+        + " could not start; "
         + UNUSABLE + " the command line or the settings cannot be used.";
     form.printHelp(text, 100, start, null, options(), 2, 2, codes, true);
     text.flush();
