Keep the faults of handlers for the tests

Cause: a handler that threw in the simulated network showed only as a code. Change: SimNet.faults(); a direction's state is a class of its own.

--- a/rehearsal/src/main/java/elmsail/rehearsal/SimNet.java
+++ b/rehearsal/src/main/java/elmsail/rehearsal/SimNet.java
@@ -5,6 +5,7 @@
 import elmsail.station.ElmsailException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -19,15 +20,6 @@
   /** Ms until a call to a machine without power fails, as its connection does not come about. */
   public static final long CONNECT_WITHIN = 700;
 
-  private enum Fault { NONE, CUT, RESET, REFUSE }
-
-  private static final class Way {
-    private long leastMs;
-    private long mostMs;
-    private double loss;
-    private Fault fault = Fault.NONE;
-  }
-
   private record Ends(String from, String to) {
   }
 
@@ -44,6 +36,7 @@
   private long sent;
   private long lost;
   private long digest;
+  private final List<Throwable> faults = new ArrayList<>();
 
   public SimNet(long seed, HandTimers timers) {
     this.random = new Random(seed);
@@ -76,15 +69,12 @@
     leastMs = least;
     mostMs = most;
     for (Way way : ways.values()) {
-      way.leastMs = least;
-      way.mostMs = most;
+      way.delay(least, most);
     }
   }
 
   public void delay(String from, String to, long least, long most) {
-    Way way = way(from, to);
-    way.leastMs = least;
-    way.mostMs = most;
+    way(from, to).delay(least, most);
   }
 
   /** The part of messages, 0 to 1, that vanish on all links. */
@@ -101,7 +91,7 @@
 
   /** Messages that way vanish, also those under way. */
   public void cut(String from, String to) {
-    way(from, to).fault = Fault.CUT;
+    way(from, to).fault = Way.Fault.CUT;
   }
 
   public void cutBoth(String one, String other) {
@@ -122,7 +112,7 @@
    * Calls that way, also open ones, break at once; whether the ask reaches the peer nonetheless is drawn.
    */
   public void reset(String from, String to) {
-    way(from, to).fault = Fault.RESET;
+    way(from, to).fault = Way.Fault.RESET;
     breakOpen(from, to);
   }
 
@@ -133,12 +123,12 @@
 
   /** Calls that way fail UNSENT at once; open ones go on. */
   public void refuse(String from, String to) {
-    way(from, to).fault = Fault.REFUSE;
+    way(from, to).fault = Way.Fault.REFUSE;
   }
 
   /** Ends a cut, reset or refusal; delay and loss stay. */
   public void heal(String from, String to) {
-    way(from, to).fault = Fault.NONE;
+    way(from, to).fault = Way.Fault.NONE;
   }
 
   public void healBoth(String one, String other) {
@@ -148,7 +138,7 @@
 
   public void healAll() {
     for (Way way : ways.values()) {
-      way.fault = Fault.NONE;
+      way.fault = Way.Fault.NONE;
     }
   }
 
@@ -194,6 +184,11 @@
     return lost;
   }
 
+  /** What handlers failed with that is no {@link ElmsailException}: a good run has none. */
+  public List<Throwable> faults() {
+    return faults;
+  }
+
   /** Of all that was sent, when, and to whom: equal for two runs that went alike. */
   public long digest() {
     return digest;
@@ -228,16 +223,16 @@
     Way way = way(from.address(), call.to);
     Node target = nodes.get(call.to);
     note(from.address(), call.to, ask);
-    if (way.fault == Fault.REFUSE) {
+    if (way.fault == Way.Fault.REFUSE) {
       from.timers().soon(() -> call.fail(Code.UNSENT));
-    } else if (way.fault == Fault.RESET) {
+    } else if (way.fault == Way.Fault.RESET) {
       from.timers().soon(() -> call.fail(Code.BROKEN));
       if (random.nextBoolean()) {
         carry(from.address(), call.to, () -> arrive(call, target, ask));
       }
-    } else if (way.fault == Fault.NONE && target == null) {
+    } else if (way.fault == Way.Fault.NONE && target == null) {
       boolean silent = dark.getOrDefault(call.to, false);
-      from.timers().after(silent ? CONNECT_WITHIN : draw(way), () -> call.fail(Code.UNSENT));
+      from.timers().after(silent ? CONNECT_WITHIN : way.draw(random), () -> call.fail(Code.UNSENT));
     } else {
       carry(from.address(), call.to, () -> arrive(call, target, ask));
     }
@@ -263,6 +258,7 @@
       Object copy = null;
       if (thrown != null) {
         code = ElmsailException.codeOf(thrown);
+        keepFault(thrown);
       } else {
         try {
           copy = codec.copy(answer);
@@ -274,6 +270,16 @@
     });
   }
 
+  private void keepFault(Throwable thrown) {
+    Throwable cause = thrown;
+    while (cause != null && !(cause instanceof ElmsailException)) {
+      cause = cause.getCause();
+    }
+    if (cause == null) {
+      faults.add(thrown);
+    }
+  }
+
   private void answer(SimCall call, Node target, Object answer, Code code) {
     Runnable end = () -> {
       if (code != null) {
@@ -294,13 +300,13 @@
     Way way = way(from, to);
     sent++;
     boolean vanishes = random.nextDouble() < way.loss;
-    long ms = draw(way);
-    if (vanishes || way.fault == Fault.CUT) {
+    long ms = way.draw(random);
+    if (vanishes || way.fault == Way.Fault.CUT) {
       lost++;
       return;
     }
     timers.after(ms, () -> {
-      if (way.fault == Fault.CUT) {
+      if (way.fault == Way.Fault.CUT) {
         lost++;
       } else {
         arrival.run();
@@ -320,15 +326,10 @@
     }
   }
 
-  private long draw(Way way) {
-    return way.leastMs + (long) (random.nextDouble() * (way.mostMs - way.leastMs + 1));
-  }
-
   private Way way(String from, String to) {
     return ways.computeIfAbsent(new Ends(from, to), ends -> {
       Way way = new Way();
-      way.leastMs = leastMs;
-      way.mostMs = mostMs;
+      way.delay(leastMs, mostMs);
       way.loss = loss;
       return way;
     });
--- a/rehearsal/src/test/java/elmsail/rehearsal/SimNetTest.java
+++ b/rehearsal/src/test/java/elmsail/rehearsal/SimNetTest.java
@@ -86,6 +86,18 @@
     assertThat(codeOf(call), is(Code.NOT_SEATED));
   }
 
+  @Test
+  void faultsOfHandlersAreKeptForTheTest() {
+    IllegalStateException fault = new IllegalStateException("a fault");
+    b.answering().on(Note.class, ask -> {
+      throw fault;
+    });
+    CompletableFuture<Note> call = ask();
+    timers.pass(4);
+    assertThat(codeOf(call), is(Code.FAULT));
+    assertThat(net.faults(), contains(fault));
+  }
+
   @Test
   void cutWayIsSilentAndTheOtherWayIsNot() {
     net.cut(B, A);
