Wait for a peer that takes a long ask slowly

Cause: with the system's large send buffers, what a slow peer took showed too late to count as heard. Change: inner sockets send from 256 KB.

--- a/inner/src/main/java/elmsail/inner/Connector.java
+++ b/inner/src/main/java/elmsail/inner/Connector.java
@@ -56,7 +56,8 @@
     }
     Link link = new Link(peer, owner, timers, codec, counts);
     ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
-        .option(ChannelOption.TCP_NODELAY, true).handler(link).connect(address);
+        .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.SO_SNDBUF, Link.SEND_BYTES)
+        .handler(link).connect(address);
     Channel channel = opening.channel();
     peer.channel = channel;
     peer.looked = false;
--- a/inner/src/main/java/elmsail/inner/InnerLinks.java
+++ b/inner/src/main/java/elmsail/inner/InnerLinks.java
@@ -83,7 +83,8 @@
     CompletableFuture<Void> done = new CompletableFuture<>();
     ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new Accepting());
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.SO_SNDBUF, Link.SEND_BYTES).childHandler(new Accepting());
     ChannelFuture bound;
     try {
       bound = server.bind(InnerAddress.parse(ownAddress));
--- a/inner/src/main/java/elmsail/inner/Link.java
+++ b/inner/src/main/java/elmsail/inner/Link.java
@@ -38,6 +38,8 @@
   static final long LOOK_FOR = 10;
 
   static final long MOST_QUEUED_BYTES = 8 << 20;
+  /** Small, so that what a slow peer has taken shows soon. */
+  static final int SEND_BYTES = 256 << 10;
   static final int MOST_CALLS = 4_096;
   static final int MOST_ASKS = 1_024;
 
--- a/inner/src/test/java/elmsail/inner/SilenceTest.java
+++ b/inner/src/test/java/elmsail/inner/SilenceTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -172,6 +173,32 @@
     assertThat(a.counts().silentLinks, is(0L));
   }
 
+  @Test
+  void peerThatTakesALongAskSlowlyIsWaitedForUntilItStops() throws IOException {
+    server.setOption(StandardSocketOptions.SO_RCVBUF, 128 << 10);
+    Note ask = new Note();
+    ask.bytes = new byte[7 << 20];
+    CompletableFuture<Note> call = a.call(address, ask, Note.class, 60_000);
+    world.turnUntil(this::accepted);
+    ByteBuffer part = ByteBuffer.allocate(400 << 10);
+    for (int i = 0; i < 8; i++) {
+      part.clear();
+      world.turnUntil(() -> {
+        try {
+          peer.read(part);
+        } catch (IOException e) {
+          throw new AssertionError(e);
+        }
+        return !part.hasRemaining();
+      });
+      world.pass(500);
+      assertThat("after part " + i, call.isDone(), is(false));
+    }
+    world.pass(Link.CLOSE_AFTER + 2 * InnerLinks.SWEEP_SOON + Link.LOOK_FOR);
+    assertThat(codeOf(call), is(Code.BROKEN));
+    assertThat(a.counts().silentLinks, is(1L));
+  }
+
   @Test
   void processThatWasHeldUpLooksAtItsSocketsFirst() throws IOException {
     CompletableFuture<Note> call = call(3_000);
