--- a/disk/src/main/java/elmsail/disk/Folder.java
+++ b/disk/src/main/java/elmsail/disk/Folder.java
@@ -16,10 +16,10 @@
  * The version files in a folder: reads them when it is opened, writes new ones. Used by one thread at a time.
  *
  * <p>What a loss of power may leave, and what is made of it: a file gets its last name only after all of it
- * was synced, so one under its last name that fails its check tells of a broken disk, also when it is the newest;
- * the folder is then not opened. A name that was given but not yet synced may be there or not: nothing in it
- * was acknowledged. A version whose writing failed may be there later; until its removal is safe, every later
- * version calls it void.
+ * was synced, so one under its last name that fails its check tells of a broken disk, also when it is the
+ * newest; the folder is then not opened. A name that was given but not yet synced may be there or not:
+ * nothing in it was acknowledged. A version whose writing failed may be there later; until its removal is
+ * safe, every later version calls it void.
  */
 final class Folder {
   private static final String PREFIX = "v-";
