--- a/disk/src/test/java/elmsail/disk/WaitingTest.java
+++ b/disk/src/test/java/elmsail/disk/WaitingTest.java
@@ -100,6 +100,21 @@
     assertThat(open(1 << 20).read("a").length, is(1));
   }
 
+  @Test
+  void whatWaitsBehindAFailedBatchFailsWithIt() {
+    FolderRecords records = open(1L << 30);
+    CompletableFuture<Void> first = records.write(put("a", 3 << 20));
+    CompletableFuture<Void> behind = records.write(put("b", 3 << 20));
+    files.refusing = 1;
+    records.turn();
+    files.refusing = 0;
+    assertThat(records.turn(), is(false));
+    tell();
+    assertThat(code(first), is(Code.DISK));
+    assertThat(code(behind), is(Code.DISK));
+    assertThat(records.read("b"), nullValue());
+  }
+
   @Test
   void aFullDiskRefusesAtOnceAndTakesRemovals() {
     long most = 1 << 20;
