--- a/register/src/main/java/elmsail/register/Newcomer.java
+++ b/register/src/main/java/elmsail/register/Newcomer.java
@@ -10,7 +10,7 @@
 import elmsail.station.Timers;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -58,6 +58,7 @@
   private final Caller caller;
   private final Timers timers;
   private final KeptNames names;
+  private final SplittableRandom chance;
   private Round round;
   private long waitMs = FIRST_WAIT_MS;
 
@@ -70,6 +71,7 @@
     this.caller = caller;
     this.timers = timers;
     names = new KeptNames(set);
+    chance = new SplittableRandom(membership.life());
   }
 
   /** Goes on with a claim of this life, or claims the seat of an earlier life of this place. */
@@ -127,7 +129,7 @@
     if (round != from) {
       return;
     }
-    long wait = waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs / 2 + 1);
+    long wait = waitMs / 2 + chance.nextLong(waitMs / 2 + 1);
     waitMs = Math.min(MOST_WAIT_MS, waitMs * 2);
     timers.after(wait, () -> {
       if (round == from) {
--- a/register/src/main/java/elmsail/register/RegisterClient.java
+++ b/register/src/main/java/elmsail/register/RegisterClient.java
@@ -11,8 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
 
@@ -44,6 +44,7 @@
       return size() > MOST_KEPT;
     }
   };
+  private final SplittableRandom chance;
   private long highestRound;
 
   /**
@@ -58,6 +59,7 @@
     this.timers = timers;
     this.seatings = seatings;
     this.who = who;
+    chance = new SplittableRandom(who);
     this.distance = address -> address.equals(ownAddress) ? Integer.MIN_VALUE : distance.applyAsInt(address);
   }
 
@@ -136,9 +138,9 @@
   }
 
   /** A random wait before try number {@code tries}, growing from 5 to 40 up to 150 ms. */
-  static long backoff(int tries) {
+  long backoff(int tries) {
     long most = Math.min(MOST_WAIT_MS, FIRST_WAIT_MS << Math.min(tries, 4));
-    return ThreadLocalRandom.current().nextLong(LEAST_WAIT_MS, most + 1);
+    return chance.nextLong(LEAST_WAIT_MS, most + 1);
   }
 
   static ElmsailException failure(Code code, String set, String key) {
--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -48,6 +48,7 @@
   private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
   /** Whether the disk has, or is being given, the seating and {@code seated} as they are in memory. */
   private boolean membershipGiven = true;
+  private long failedWrites;
   private boolean toldSeated;
 
   /** Reads its records; votes at once if this life was seated when it ended. */
@@ -169,20 +170,25 @@
     }
     lastWrite = written;
     written.whenComplete((none, failure) -> {
-      if (failure != null && lastWrite == written) {
-        lastWrite = CompletableFuture.completedFuture(null);
+      if (failure != null) {
+        failedWrites++;
+        if (lastWrite == written) {
+          lastWrite = CompletableFuture.completedFuture(null);
+        }
       }
     });
     return written;
   }
 
-  /** Writes the seating as it is now, and tells the watchers if this process stopped voting by it. */
+  /** Writes the seating as it is now, and tells the watchers: at once if this process stopped voting by it. */
   CompletableFuture<Void> seatingChanged() {
     if (membership.founded()) {
       membership.caughtUp(1);
     }
     CompletableFuture<Void> written = writeMembership();
-    tellSeated();
+    if (!membership.seated()) {
+      tellSeated();
+    }
     return written;
   }
 
@@ -190,11 +196,7 @@
   void caughtUp(int incarnation) {
     tellValues();
     membership.caughtUp(incarnation);
-    writeMembership().whenComplete((none, failure) -> {
-      if (failure == null) {
-        tellSeated();
-      }
-    });
+    writeMembership();
   }
 
   /** Both together: a vote is written behind them, so that a life that voted never takes itself for new. */
@@ -205,7 +207,9 @@
         new Change(names.seated(), caughtUp == 0 ? null : KeptNames.bytes(caughtUp))));
     membershipGiven = true;
     written.whenComplete((none, failure) -> {
-      if (failure != null) {
+      if (failure == null) {
+        tellSeated();
+      } else {
         membershipGiven = false;
         timers.after(REWRITE_MS, this::rewriteMembership);
         LOG.warn("{}: the seating could not be written: {}", set, ElmsailException.codeOf(failure));
@@ -366,12 +370,18 @@
     return changes;
   }
 
-  /** Answers once the changes, and all before them, are safe. */
+  /** Answers once the changes, and all before them, are safe; never if one of those failed meanwhile. */
   private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
+    long failed = failedWrites;
     if (!membershipGiven) {
       return CompletableFuture.failedFuture(new ElmsailException(Code.DISK, "the seating is not on disk"));
     }
     CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
-    return safe.thenApply(none -> answer.get());
+    return safe.thenApply(none -> {
+      if (failedWrites != failed) {
+        throw new ElmsailException(Code.DISK, "what this relies on could not be written");
+      }
+      return answer.get();
+    });
   }
 }
--- a/register/src/main/java/elmsail/register/Trying.java
+++ b/register/src/main/java/elmsail/register/Trying.java
@@ -76,7 +76,7 @@
   /** After a random wait, which grows. */
   final void backOff() {
     attempt++;
-    client.timers.after(RegisterClient.backoff(tries++), this::again);
+    client.timers.after(client.backoff(tries++), this::again);
   }
 
   /** Takes a newer seating; true if there was one, and the attempt under the older has been ended. */
--- a/register/src/test/java/elmsail/register/History.java
+++ b/register/src/test/java/elmsail/register/History.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
@@ -21,7 +22,8 @@
   final World world;
   final Chain chain = new Chain();
   final RegisterClient[] clients = new RegisterClient[CLIENTS];
-  Consumer<World.Node> afterWipe = node -> { };
+  Consumer<World.Node> whenMade = node -> { };
+  BiConsumer<World.Node, LossyRecords.Platter> afterWipe = (node, before) -> { };
   UnaryOperator<Caller> clientsCaller = caller -> caller;
   int changed;
   int read;
@@ -31,7 +33,6 @@
   int replacements;
   private long end;
   private int marks;
-  private World.Node spare;
 
   History(long seed) {
     world = new World(seed);
@@ -39,8 +40,11 @@
 
   History run() {
     Seating founding = world.found("a", "b", "c");
-    spare = world.new Node("s");
+    World.Node spare = world.new Node("s");
     spare.start();
+    for (World.Node node : world.nodes.values()) {
+      whenMade.accept(node);
+    }
     world.timers.pass(100);
     world.loss = world.chance.nextInt(3) * 0.03;
     world.repeats = world.chance.nextInt(3) * 0.05;
@@ -158,8 +162,9 @@
     node.crash();
     if (wipe) {
       wipes++;
+      LossyRecords.Platter before = node.platter;
       node.wipe();
-      afterWipe.accept(node);
+      afterWipe.accept(node, before);
     }
     crashes++;
     world.timers.after(20 + world.chance.nextInt(600), () -> {
--- /dev/null
+++ b/register/src/test/java/elmsail/register/Model.java
@@ -0,0 +1,380 @@
+package elmsail.register;
+
+import elmsail.inner.words.Ballot;
+import elmsail.inner.words.ClaimAsk;
+import elmsail.inner.words.Seat;
+import elmsail.inner.words.Seating;
+import elmsail.inner.words.VoteTold;
+import java.util.ArrayDeque;
+
+/**
+ * All that can happen, in whatever order, with one key of three seats (A, B, C), a newcomer N that claims A's
+ * seat while A may live on, and three ballots of two askers: calls and answers are lost, late and repeated, N
+ * may be restarted in the middle. The voters' decisions are the production classes'. The second ballot may be
+ * the first's {@code next}. Each ballot's value is what was found with a mark added, so that of two
+ * decided values the later holds the earlier.
+ */
+final class Model {
+  private static final int A = 0;
+  private static final int N = 3;
+  private static final int BALLOTS = 3;
+  /** Fields of a process: promised, accepted, marks, copied, knows the claim. */
+  private static final int FIELDS = 5;
+  private static final int NEWCOMER = 4 * FIELDS;
+  private static final int BEGUN = NEWCOMER;
+  private static final int ACKED = NEWCOMER + 1;
+  private static final int COPIED = NEWCOMER + 2;
+  private static final int SEATED = NEWCOMER + 3;
+  private static final int RESTARTED = NEWCOMER + 4;
+  private static final int FORGOT = NEWCOMER + 5;
+  private static final int ASKERS = NEWCOMER + 6;
+  /** Fields of a ballot: phase, seating, promises, best ballot, best marks, accepts, next promised. */
+  private static final int ASKER = 7;
+  private static final int SIZE = ASKERS + BALLOTS * ASKER;
+  private static final int[] BITS = bits();
+  private static final String[] NAMES = {"a", "b", "c", "n"};
+
+  /** What is done otherwise than it ought to be. */
+  enum Defect {
+    NONE, AMNESIA, ONE_ACKNOWLEDGER, COPY_BEFORE_CLAIM, PROMISES_NOT_COPIED, SEATING_CHANGES_BETWEEN_ROUNDS,
+    PROMISE_OUTLIVES_INCARNATION, COPIES_COUNT_AS_VOTES
+  }
+
+  private final Defect defect;
+  private final int ballots;
+  private final boolean sticky;
+  private final Seating before = new Seating();
+  private final Seating after;
+  private final LongPairs seen = new LongPairs();
+  private final ArrayDeque<long[]> open = new ArrayDeque<>();
+  private String fault;
+
+  /** @param sticky the second ballot is promised with the first one's accepts, and has no first round */
+  Model(Defect defect, int ballots, boolean sticky) {
+    this.defect = defect;
+    this.ballots = ballots;
+    this.sticky = sticky;
+    for (int i = 0; i < N; i++) {
+      before.seats.add(seat(i, 1));
+    }
+    after = SeatingRules.with(before, A, seat(N, 2));
+  }
+
+  private static int[] bits() {
+    int[] bits = new int[SIZE];
+    for (int i = 0; i < NEWCOMER; i++) {
+      bits[i] = new int[] {2, 2, 3, 1, 1}[i % FIELDS];
+    }
+    System.arraycopy(new int[] {1, 2, 2, 1, 1, 1}, 0, bits, NEWCOMER, 6);
+    for (int i = ASKERS; i < SIZE; i++) {
+      bits[i] = new int[] {2, 1, 3, 2, 3, 3, 3}[(i - ASKERS) % ASKER];
+    }
+    return bits;
+  }
+
+  private static Seat seat(int process, int incarnation) {
+    Seat seat = new Seat();
+    seat.address = NAMES[process];
+    seat.station = NAMES[process];
+    seat.life = process + 1;
+    seat.incarnation = incarnation;
+    return seat;
+  }
+
+  /** Goes through all states, at most so many; null if none breaks a rule. */
+  String check(int most) {
+    push(new int[SIZE]);
+    while (!open.isEmpty() && fault == null) {
+      if (seen.size() > most) {
+        throw new IllegalStateException("more than " + most + " states");
+      }
+      int[] state = unpacked(open.pollLast());
+      judge(state);
+      newcomer(state);
+      for (int b = 0; b < ballots; b++) {
+        asker(state, b);
+      }
+    }
+    return fault;
+  }
+
+  int states() {
+    return seen.size();
+  }
+
+  private void push(int[] state) {
+    long[] packed = {0, 0};
+    int at = 0;
+    for (int i = 0; i < SIZE; i++) {
+      int word = at + BITS[i] > 64 || at >= 64 ? 1 : 0;
+      if (word == 1 && at < 64) {
+        at = 64;
+      }
+      packed[word] |= (long) state[i] << (at - 64 * word);
+      at += BITS[i];
+    }
+    if (seen.add(packed[0], packed[1])) {
+      open.addLast(packed);
+    }
+  }
+
+  private static int[] unpacked(long[] packed) {
+    int[] state = new int[SIZE];
+    int at = 0;
+    for (int i = 0; i < SIZE; i++) {
+      int word = at + BITS[i] > 64 || at >= 64 ? 1 : 0;
+      if (word == 1 && at < 64) {
+        at = 64;
+      }
+      state[i] = (int) (packed[word] >>> (at - 64 * word)) & ((1 << BITS[i]) - 1);
+      at += BITS[i];
+    }
+    return state;
+  }
+
+  private static Ballot ballot(int round) {
+    return Ballots.of(round, round == 0 ? 0 : 7);
+  }
+
+  private static KeyState key(int[] state, int process) {
+    int at = process * FIELDS;
+    byte[] value = state[at + 1] == 0 ? null : new byte[] {(byte) state[at + 2]};
+    return new KeyState(ballot(state[at]), ballot(state[at + 1]), state[at + 3] == 1, value);
+  }
+
+  private static void put(int[] state, int process, KeyState key) {
+    int at = process * FIELDS;
+    state[at] = (int) key.promised().round;
+    state[at + 1] = (int) key.accepted().round;
+    state[at + 2] = key.value() == null ? 0 : key.value()[0];
+    state[at + 3] = key.copied() ? 1 : 0;
+  }
+
+  private Membership membership(int[] state, int process) {
+    boolean knows = state[process * FIELDS + 4] == 1;
+    int caughtUp = process < N ? 1 : 2 * state[SEATED];
+    return new Membership(NAMES[process], NAMES[process], process + 1, knows ? after : before, caughtUp);
+  }
+
+  /** What the keeper does with an ask under a seating: true if it votes; it may have learnt on the way. */
+  private boolean votes(int[] state, int process, boolean claimed) {
+    Membership membership = membership(state, process);
+    Seating asked = claimed ? after : before;
+    if (membership.vote(asked) != VoteTold.OLD_SEATING && membership.learn(asked)) {
+      state[process * FIELDS + 4] = 1;
+    }
+    return membership.vote(asked) == VoteTold.DONE;
+  }
+
+  private void newcomer(int[] state) {
+    if (defect == Defect.AMNESIA) {
+      if (state[FORGOT] == 0) {
+        int[] next = state.clone();
+        next[FORGOT] = 1;
+        put(next, A, KeyState.EMPTY);
+        push(next);
+      }
+      return;
+    }
+    if (state[BEGUN] == 0) {
+      int[] next = state.clone();
+      next[BEGUN] = 1;
+      next[N * FIELDS + 4] = 1;
+      push(next);
+      return;
+    }
+    int need = defect == Defect.ONE_ACKNOWLEDGER ? 1 : SeatingRules.blocking(N);
+    for (int other = 0; other < N; other++) {
+      if (state[other * FIELDS + 4] == 0) {
+        int[] next = state.clone();
+        next[other * FIELDS + 4] = 1;
+        push(next);
+      }
+      if (other == A || state[SEATED] == 1) {
+        continue;
+      }
+      int bit = 1 << other - 1;
+      acknowledge(state, other, bit);
+      boolean claimed = Integer.bitCount(state[ACKED]) >= need && (state[ACKED] & bit) != 0;
+      if (claimed || defect == Defect.COPY_BEFORE_CLAIM) {
+        int[] next = state.clone();
+        KeyState theirs = key(state, other);
+        if (defect == Defect.PROMISES_NOT_COPIED || defect == Defect.PROMISE_OUTLIVES_INCARNATION) {
+          theirs = new KeyState(theirs.accepted(), theirs.accepted(), theirs.copied(), theirs.value());
+        }
+        put(next, N, key(state, N).withCopyOf(theirs));
+        next[COPIED] |= bit;
+        push(next);
+      }
+    }
+    if (state[SEATED] == 0 && Integer.bitCount(state[ACKED]) >= need
+        && (state[COPIED] & state[ACKED]) == state[ACKED]) {
+      int[] next = state.clone();
+      next[SEATED] = 1;
+      next[ACKED] = 0;
+      next[COPIED] = 0;
+      push(next);
+    }
+    if (state[SEATED] == 0 && state[RESTARTED] == 0) {
+      int[] next = state.clone();
+      next[RESTARTED] = 1;
+      next[ACKED] = 0;
+      next[COPIED] = 0;
+      put(next, N, KeyState.EMPTY);
+      push(next);
+    }
+  }
+
+  private void acknowledge(int[] state, int other, int bit) {
+    ClaimAsk ask = new ClaimAsk();
+    ask.seat = A;
+    ask.holder = after.seats.get(A);
+    if ((state[ACKED] & bit) == 0 && membership(state, other).claim(ask) != Membership.Claimed.REFUSED) {
+      int[] next = state.clone();
+      next[other * FIELDS + 4] = 1;
+      next[ACKED] |= bit;
+      push(next);
+    }
+  }
+
+  private void asker(int[] state, int b) {
+    int at = ASKERS + b * ASKER;
+    if (state[at] == 0) {
+      start(state, b, at);
+      return;
+    }
+    if (state[at] == 1 && Integer.bitCount(state[at + 2]) >= SeatingRules.majority(N)) {
+      int[] next = state.clone();
+      next[at] = 2;
+      next[at + 2] = 0;
+      next[at + 4] |= 1 << b;
+      push(next);
+    }
+    boolean moves = defect == Defect.SEATING_CHANGES_BETWEEN_ROUNDS
+        || defect == Defect.PROMISE_OUTLIVES_INCARNATION;
+    if (moves && !decided(state, b) && state[BEGUN] == 1 && state[at + 1] == 0 && state[at] == 2) {
+      int[] next = state.clone();
+      next[at + 1] = 1;
+      next[at + 5] &= ~1;
+      push(next);
+    }
+    for (int seat = 0; seat < N; seat++) {
+      int holder = seat == A && state[at + 1] == 1 ? N : seat;
+      if (!(sticky && b == 1)) {
+        prepare(state, b, at, seat, holder);
+      }
+      if (state[at] == 2) {
+        accept(state, b, at, seat, holder);
+      }
+    }
+  }
+
+  private void start(int[] state, int b, int at) {
+    if (sticky && b == 1) {
+      int first = ASKERS;
+      if (Integer.bitCount(state[first + 6]) >= SeatingRules.majority(N)) {
+        int[] next = state.clone();
+        next[at] = 2;
+        next[at + 1] = state[first + 1];
+        next[at + 4] = state[first + 4] | 1 << b;
+        push(next);
+      }
+      return;
+    }
+    for (int seating = 0; seating <= state[BEGUN]; seating++) {
+      int[] next = state.clone();
+      next[at] = 1;
+      next[at + 1] = seating;
+      push(next);
+    }
+  }
+
+  private void prepare(int[] state, int b, int at, int seat, int holder) {
+    int[] next = state.clone();
+    if (votes(next, holder, state[at + 1] == 1)) {
+      Acceptor.Decision decision = Acceptor.prepare(key(next, holder), ballot(b + 1));
+      if (decision.write() != null) {
+        put(next, holder, decision.write());
+      }
+      if (decision.answer().code == VoteTold.DONE && state[at] == 1 && (state[at + 2] >> seat & 1) == 0) {
+        int[] told = next.clone();
+        told[at + 2] |= 1 << seat;
+        VoteTold answer = decision.answer();
+        if (answer.accepted.round > told[at + 3]) {
+          told[at + 3] = (int) answer.accepted.round;
+          told[at + 4] = answer.value[0];
+        }
+        push(told);
+      }
+    }
+    // The answer is lost, or is late.
+    push(next);
+  }
+
+  private void accept(int[] state, int b, int at, int seat, int holder) {
+    int[] next = state.clone();
+    if (votes(next, holder, state[at + 1] == 1)) {
+      Ballot after1 = sticky && b == 0 ? ballot(2) : new Ballot();
+      Acceptor.Decision decision = Acceptor.accept(key(next, holder), ballot(b + 1), after1,
+          new byte[] {(byte) state[at + 4]});
+      if (decision.write() != null) {
+        put(next, holder, decision.write());
+      }
+      if (decision.answer().code == VoteTold.DONE) {
+        next[at + 5] |= 1 << seat;
+        if (sticky && b == 0 && decision.answer().promised.round == 2) {
+          next[at + 6] |= 1 << seat;
+        }
+      }
+    }
+    push(next);
+  }
+
+  private void judge(int[] state) {
+    int newest = 0;
+    for (int b = 0; b < ballots; b++) {
+      if (!decided(state, b)) {
+        continue;
+      }
+      newest = b + 1;
+      for (int later = b + 1; later < ballots; later++) {
+        int marks = state[ASKERS + later * ASKER + 4];
+        if (decided(state, later) && (marks & (1 << b + 1) - 1) != state[ASKERS + b * ASKER + 4]) {
+          fault = "ballot " + (later + 1) + " was decided without what ballot " + (b + 1) + " decided";
+        }
+      }
+    }
+    for (int seating = 0; seating <= state[BEGUN]; seating++) {
+      for (int without = 0; without < N; without++) {
+        read(state, seating, without, newest);
+      }
+    }
+  }
+
+  /** A read by two seats at once. */
+  private void read(int[] state, int seating, int without, int newest) {
+    int found = -1;
+    for (int seat = 0; seat < N; seat++) {
+      int holder = seat == A && seating == 1 ? N : seat;
+      if (seat == without) {
+        continue;
+      }
+      KeyState key = key(state, holder);
+      boolean counts = !key.copied() || defect == Defect.COPIES_COUNT_AS_VOTES;
+      int told = (int) key.accepted().round;
+      if (!votes(state.clone(), holder, seating == 1) || !counts || found >= 0 && told != found) {
+        return;
+      }
+      found = told;
+    }
+    if (found < newest) {
+      fault = "a majority tells of ballot " + found + " where " + newest + " is decided";
+    } else if (defect != Defect.COPIES_COUNT_AS_VOTES && found > 0 && !decided(state, found - 1)) {
+      fault = "a majority tells of ballot " + found + ", which isn't decided";
+    }
+  }
+
+  private static boolean decided(int[] state, int b) {
+    return Integer.bitCount(state[ASKERS + b * ASKER + 5]) >= SeatingRules.majority(N);
+  }
+}
--- a/register/src/test/java/elmsail/register/World.java
+++ b/register/src/test/java/elmsail/register/World.java
@@ -226,16 +226,21 @@
     }
   }
 
-  /** Whether each seat, as the newest that any knows of it, is held by a process that is up and votes. */
-  boolean whole() {
+  /** The seating as anyone knows it, on disks too. */
+  Seating newest() {
     Seating newest = new Seating();
     for (Node node : nodes.values()) {
       newest = SeatingRules.merge(newest, SeatingBytes.seating(node.platter.safe.get("set/seating")));
-      if (node.up) {
+      if (node.up && node.keeper != null) {
         newest = SeatingRules.merge(newest, node.keeper.seating());
       }
     }
-    for (Seat seat : newest.seats) {
+    return newest;
+  }
+
+  /** Whether each seat, as the newest that any knows of it, is held by a process that is up and votes. */
+  boolean whole() {
+    for (Seat seat : newest().seats) {
       Node node = nodes.get(seat.address);
       if (!node.up || node.platter.life != seat.life || !node.keeper.seated()
           || node.records.read("set/seated") == null || !node.records.idle()) {
