--- a/inner/src/main/java/elmsail/inner/words/CopyAsk.java
+++ b/inner/src/main/java/elmsail/inner/words/CopyAsk.java
@@ -6,4 +6,6 @@
   public String after = "";
   public int mostBytes;
   public Seating seating = new Seating();
+  /** Blobs' names without their bytes. */
+  public boolean bare;
 }
--- a/register/src/main/java/elmsail/register/KeptNames.java
+++ b/register/src/main/java/elmsail/register/KeptNames.java
@@ -12,6 +12,8 @@
  * SET/seated. A "%" or "/" in a key is written %25 or %2F there, so that no key's blobs are another's.
  */
 final class KeptNames {
+  private static final int MOST_NAMES = 5_000;
+
   private final String seated;
   private final String seating;
   private final String keys;
@@ -55,8 +57,7 @@
   }
 
   String keyOf(String record) {
-    String written = record.substring(keys.length());
-    return written.indexOf('%') < 0 ? written : written.replace("%2F", "/").replace("%25", "%");
+    return written(record.substring(keys.length()));
   }
 
   boolean holdsKey(String record) {
@@ -88,6 +89,36 @@
     }
   }
 
+  /** Names of the blobs behind {@code after}, so many at most. */
+  void barePage(Records records, String after, CopyTold told) {
+    told.end = true;
+    if (!after.startsWith(allBlobs)) {
+      return;
+    }
+    for (String name : records.names(allBlobs)) {
+      if (name.compareTo(after) <= 0) {
+        continue;
+      }
+      if (told.records.size() == MOST_NAMES) {
+        told.end = false;
+        return;
+      }
+      Blob one = new Blob();
+      one.name = name;
+      told.records.add(one);
+    }
+  }
+
+  /** The key of a blob's record. */
+  String keyOfBlob(String record) {
+    return written(record.substring(allBlobs.length(), record.indexOf('/', allBlobs.length())));
+  }
+
+  /** The name that a blob's record has beside its key. */
+  String nameOfBlob(String record) {
+    return record.substring(record.indexOf('/', allBlobs.length()) + 1);
+  }
+
   static byte[] bytes(int incarnation) {
     return ByteBuffer.allocate(Integer.BYTES).putInt(incarnation).array();
   }
@@ -96,6 +127,10 @@
     return bytes == null || bytes.length != Integer.BYTES ? 0 : ByteBuffer.wrap(bytes).getInt();
   }
 
+  private static String written(String plain) {
+    return plain.indexOf('%') < 0 ? plain : plain.replace("%2F", "/").replace("%25", "%");
+  }
+
   private static String plain(String key) {
     return key.indexOf('/') < 0 && key.indexOf('%') < 0 ? key
         : key.replace("%", "%25").replace("/", "%2F");
--- /dev/null
+++ b/register/src/main/java/elmsail/register/SafeRecords.java
@@ -0,0 +1,83 @@
+package elmsail.register;
+
+import elmsail.disk.Records;
+import elmsail.disk.Records.Change;
+import elmsail.inner.words.Blob;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** One set's records, and answers that leave only once all that was written before them is safe. */
+final class SafeRecords {
+  private final Records records;
+  private final KeptNames names;
+  private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
+  private long failedWrites;
+
+  SafeRecords(Records records, KeptNames names) {
+    this.records = records;
+    this.names = names;
+  }
+
+  KeyState state(String key) {
+    return KeyState.of(records.read(names.key(key)));
+  }
+
+  /** Ordered: once one is safe, all before it are; where one fails, what was read as written is undone. */
+  CompletableFuture<Void> write(List<Change> changes) {
+    CompletableFuture<Void> written = records.write(changes);
+    if (written.isCompletedExceptionally()) {
+      return written;
+    }
+    lastWrite = written;
+    written.whenComplete((none, failure) -> {
+      if (failure != null) {
+        failedWrites++;
+        if (lastWrite == written) {
+          lastWrite = CompletableFuture.completedFuture(null);
+        }
+      }
+    });
+    return written;
+  }
+
+  /** What a vote has to write: blobs that aren't there yet, and the key's state if that changes. */
+  List<Change> changes(String key, Acceptor.Decision decision, List<Blob> blobs) {
+    List<Change> changes = new ArrayList<>();
+    for (Blob blob : blobs) {
+      String name = names.blob(key, blob.name);
+      if (!names.has(records, name)) {
+        changes.add(new Change(name, blob.bytes));
+      }
+    }
+    if (decision.write() != null) {
+      changes.add(new Change(names.key(key), decision.write().bytes()));
+    }
+    return changes;
+  }
+
+  /** Removes the key's state and its blobs. */
+  void drop(String key) {
+    List<Change> changes = new ArrayList<>();
+    changes.add(new Change(names.key(key), null));
+    for (String name : records.names(names.blobs(key))) {
+      changes.add(new Change(name, null));
+    }
+    write(changes);
+  }
+
+  /** Answers once the changes, and all before them, are safe; never if one of those failed meanwhile. */
+  <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
+    long failed = failedWrites;
+    CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
+    return safe.thenApply(none -> {
+      if (failedWrites != failed) {
+        throw new ElmsailException(Code.DISK, "what this relies on could not be written");
+      }
+      return answer.get();
+    });
+  }
+}
--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -5,7 +5,6 @@
 import elmsail.inner.Answering;
 import elmsail.inner.Caller;
 import elmsail.inner.words.AcceptAsk;
-import elmsail.inner.words.Blob;
 import elmsail.inner.words.BlobAsk;
 import elmsail.inner.words.BlobTold;
 import elmsail.inner.words.ClaimAsk;
@@ -36,6 +35,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(SetKeeper.class);
 
   private static final long REWRITE_MS = 300;
+  private static final int MOST_PAGE_BYTES = 1 << 20;
 
   private final String set;
   private final Records records;
@@ -43,12 +43,11 @@
   private final Timers timers;
   private final Membership membership;
   private final KeptNames names;
+  private final SafeRecords safe;
   private final Newcomer newcomer;
   private final List<Runnable> watchers = new ArrayList<>();
-  private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
   /** Whether the disk has, or is being given, the seating and {@code seated} as they are in memory. */
   private boolean membershipGiven = true;
-  private long failedWrites;
   private boolean toldSeated;
 
   /** Reads its records; votes at once if this life was seated when it ended. */
@@ -59,6 +58,7 @@
     this.views = views;
     this.timers = timers;
     names = new KeptNames(set);
+    safe = new SafeRecords(records, names);
     byte[] seated = records.read(names.seated());
     membership = new Membership(ownAddress, station, records.life(),
         SeatingBytes.seating(records.read(names.seating())), KeptNames.incarnation(seated));
@@ -89,8 +89,9 @@
     }
   }
 
+  /** Whether it votes, and its disk says so. */
   public boolean seated() {
-    return membership.seated();
+    return toldSeated && membership.seated();
   }
 
   /** As known here; without seats if nothing is known. */
@@ -117,12 +118,7 @@
 
   /** Forgets the key and its blobs: only for keys that nobody changes or reads any more. */
   public void drop(String key) {
-    List<Change> changes = new ArrayList<>();
-    changes.add(new Change(names.key(key), null));
-    for (String name : records.names(names.blobs(key))) {
-      changes.add(new Change(name, null));
-    }
-    write(changes);
+    safe.drop(key);
     views.dropped(key);
   }
 
@@ -145,7 +141,7 @@
 
   /** The value accepted here last, decided or not; null if there is none. */
   public byte[] value(String key) {
-    return state(key).value();
+    return safe.state(key).value();
   }
 
   /** Null if it isn't kept here. */
@@ -158,29 +154,11 @@
     watchers.add(then);
   }
 
-  KeyState state(String key) {
-    return KeyState.of(records.read(names.key(key)));
-  }
-
-  /** Ordered: once one is safe, all before it are; where one fails, what was read as written is undone. */
   CompletableFuture<Void> write(List<Change> changes) {
-    CompletableFuture<Void> written = records.write(changes);
-    if (written.isCompletedExceptionally()) {
-      return written;
-    }
-    lastWrite = written;
-    written.whenComplete((none, failure) -> {
-      if (failure != null) {
-        failedWrites++;
-        if (lastWrite == written) {
-          lastWrite = CompletableFuture.completedFuture(null);
-        }
-      }
-    });
-    return written;
+    return safe.write(changes);
   }
 
-  /** Writes the seating as it is now, and tells the watchers: at once if this process stopped voting by it. */
+  /** Writes the seating as it is now; the watchers hear at once if this process stopped voting by it. */
   CompletableFuture<Void> seatingChanged() {
     if (membership.founded()) {
       membership.caughtUp(1);
@@ -250,11 +228,11 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    Acceptor.Decision decision = Acceptor.prepare(state(ask.key), ask.ballot);
+    Acceptor.Decision decision = Acceptor.prepare(safe.state(ask.key), ask.ballot);
     if (decision.answer().code != VoteTold.DONE) {
       return CompletableFuture.completedFuture(decision.answer());
     }
-    return safely(changes(ask.key, decision, ask.blobs), () -> {
+    return safely(safe.changes(ask.key, decision, ask.blobs), () -> {
       if (ask.note != null) {
         decision.answer().note = views.noted(ask.key, ask.note);
       }
@@ -267,7 +245,7 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    Acceptor.Decision decision = Acceptor.accept(state(ask.key), ask.ballot, ask.next, ask.value);
+    Acceptor.Decision decision = Acceptor.accept(safe.state(ask.key), ask.ballot, ask.next, ask.value);
     if (decision.answer().code == VoteTold.DONE && decision.write() != null
         && !views.admits(ask.key, ask.value)) {
       VoteTold told = new VoteTold();
@@ -277,7 +255,7 @@
     if (decision.answer().code != VoteTold.DONE) {
       return CompletableFuture.completedFuture(decision.answer());
     }
-    return safely(changes(ask.key, decision, ask.blobs), () -> {
+    return safely(safe.changes(ask.key, decision, ask.blobs), () -> {
       if (decision.write() != null) {
         views.taken(ask.key, ask.value);
       }
@@ -290,7 +268,7 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    VoteTold told = Acceptor.read(state(ask.key), ask.known, ask.bare);
+    VoteTold told = Acceptor.read(safe.state(ask.key), ask.known, ask.bare);
     return safely(List.of(), () -> told);
   }
 
@@ -332,7 +310,11 @@
       return CompletableFuture.completedFuture(told);
     }
     told.seated = true;
-    names.page(records, ask.after, Math.min(Math.max(ask.mostBytes, 1), 1 << 20), told);
+    if (ask.bare) {
+      names.barePage(records, ask.after, told);
+    } else {
+      names.page(records, ask.after, Math.min(Math.max(ask.mostBytes, 1), MOST_PAGE_BYTES), told);
+    }
     return safely(List.of(), () -> told);
   }
 
@@ -356,32 +338,10 @@
     return told;
   }
 
-  private List<Change> changes(String key, Acceptor.Decision decision, List<Blob> blobs) {
-    List<Change> changes = new ArrayList<>();
-    for (Blob blob : blobs) {
-      String name = names.blob(key, blob.name);
-      if (!names.has(records, name)) {
-        changes.add(new Change(name, blob.bytes));
-      }
-    }
-    if (decision.write() != null) {
-      changes.add(new Change(names.key(key), decision.write().bytes()));
-    }
-    return changes;
-  }
-
-  /** Answers once the changes, and all before them, are safe; never if one of those failed meanwhile. */
   private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
-    long failed = failedWrites;
     if (!membershipGiven) {
       return CompletableFuture.failedFuture(new ElmsailException(Code.DISK, "the seating is not on disk"));
     }
-    CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
-    return safe.thenApply(none -> {
-      if (failedWrites != failed) {
-        throw new ElmsailException(Code.DISK, "what this relies on could not be written");
-      }
-      return answer.get();
-    });
+    return safe.safely(changes, answer);
   }
 }
--- a/register/src/test/java/elmsail/register/Defects.java
+++ b/register/src/test/java/elmsail/register/Defects.java
@@ -46,7 +46,8 @@
         int last = -1;
         for (int i = 0; i < newest.seats.size(); i++) {
           boolean other = !(ask instanceof ClaimAsk claim) || claim.seat != i;
-          if (other && (last < 0 || newest.seats.get(i).address.compareTo(newest.seats.get(last).address) > 0)) {
+          String address = newest.seats.get(i).address;
+          if (other && (last < 0 || address.compareTo(newest.seats.get(last).address) > 0)) {
             last = i;
           }
         }
--- a/register/src/test/java/elmsail/register/LossyRecords.java
+++ b/register/src/test/java/elmsail/register/LossyRecords.java
@@ -13,7 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
-/** A disk whose writes take a while; a crash loses those that were not told to be safe, from some point on. */
+/** A disk whose writes take a while; a crash loses those not told to be safe, from some point on. */
 final class LossyRecords implements Records {
   private record Waiting(List<Change> changes, CompletableFuture<Void> done) {
   }
--- a/register/src/test/java/elmsail/register/ModelTest.java
+++ b/register/src/test/java/elmsail/register/ModelTest.java
@@ -41,7 +41,7 @@
     Model model = new Model(defect, ballots, sticky);
     long from = System.nanoTime();
     String fault = model.check(MOST);
-    System.out.println(defect + ", " + ballots + " ballots" + (sticky ? ", the second promised ahead" : "") + ": "
+    System.out.println(defect + ", " + ballots + " ballots" + (sticky ? ", one promised ahead" : "") + ": "
         + model.states() + " states in " + (System.nanoTime() - from) / 1_000_000 + " ms, "
         + (fault == null ? "no fault" : fault));
     return fault;
--- /dev/null
+++ b/register/src/test/java/elmsail/register/RegisterTest.java
@@ -0,0 +1,335 @@
+package elmsail.register;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import elmsail.inner.words.AcceptAsk;
+import elmsail.inner.words.Blob;
+import elmsail.inner.words.PrepareAsk;
+import elmsail.inner.words.VoteTold;
+import elmsail.rehearsal.Node;
+import elmsail.register.Register.Held;
+import elmsail.register.Register.Versioned;
+import elmsail.register.Register.Wanted;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+
+class RegisterTest {
+  private final SimSet set = new SimSet();
+
+  private CompletableFuture<Held> put(Register client, String key, String value) {
+    return client.change(key, found -> new Wanted(value.getBytes(), List.of()), List.of(), null, 3_000);
+  }
+
+  private String read(Register client, String key) {
+    byte[] value = set.await(client.read(key, null, 3_000)).value();
+    return value == null ? null : new String(value);
+  }
+
+  private Code failure(CompletableFuture<?> future) {
+    return ElmsailException.codeOf(assertThrows(CompletionException.class, () -> set.await(future)));
+  }
+
+  private static Blob blob(String name, int bytes) {
+    Blob blob = new Blob();
+    blob.name = name;
+    blob.bytes = new byte[bytes];
+    return blob;
+  }
+
+  @Test
+  void aFoundingSeatsAtOnceAndOnlyOnce() {
+    assertThat(set.keepers[0].seated(), is(false));
+    set.founded();
+    assertThat(set.keepers[0].seated() && set.keepers[1].seated() && set.keepers[2].seated(), is(true));
+    assertThat(set.keepers[3].seated(), is(false));
+    set.disks[0].wipe();
+    set.start(0);
+    set.keepers[0].found(set.founding);
+    set.timers.pass(20);
+    assertThat(set.keepers[0].seated(), is(false));
+  }
+
+  @Test
+  void whatIsChangedIsReadByOthers() {
+    set.founded();
+    assertThat(read(set.client(set.founding), "key"), nullValue());
+    assertThat(set.await(put(set.client(set.founding), "key", "one")).changed(), is(true));
+    Register other = set.client(set.founding);
+    assertThat(read(other, "key"), is("one"));
+    Versioned now = set.await(other.read("key", null, 1_000));
+    assertThat(set.await(other.read("key", now.ballot(), 1_000)).value(), nullValue());
+  }
+
+  @Test
+  void aRepeatedChangerNeedsOneRound() {
+    set.founded();
+    Register client = set.client(set.founding);
+    set.await(put(client, "key", "1"));
+    set.await(put(client, "key", "2"));
+    assertThat(set.asked.get("PrepareAsk"), is(6));
+    set.await(put(client, "key", "3"));
+    set.await(put(client, "key", "4"));
+    assertThat(set.asked.get("PrepareAsk"), is(6));
+    Register other = set.client(set.founding);
+    set.await(put(other, "key", "5"));
+    Held held = set.await(client.change("key",
+        found -> new Wanted((new String(found.value()) + "6").getBytes(), List.of()), List.of(), null, 3_000));
+    assertThat(new String(held.now().value()), is("56"));
+  }
+
+  @Test
+  void aDeclinedChangeTellsWhatHolds() {
+    set.founded();
+    Register client = set.client(set.founding);
+    set.await(put(client, "key", "1"));
+    Held held = set.await(client.change("key", found -> new Wanted(null, List.of()), List.of(), null, 1_000));
+    assertThat(held.changed(), is(false));
+    assertThat(new String(held.now().value()), is("1"));
+  }
+
+  @Test
+  void aValueThatOneHolderTookIsFinishedByAReader() {
+    set.founded();
+    Node asker = set.net.node("10.0.2.1:7");
+    PrepareAsk prepare = new PrepareAsk();
+    prepare.set = "set";
+    prepare.key = "key";
+    prepare.ballot = Ballots.of(1, 5);
+    prepare.seating = set.founding;
+    AcceptAsk accept = new AcceptAsk();
+    accept.set = "set";
+    accept.key = "key";
+    accept.ballot = Ballots.of(1, 5);
+    accept.seating = set.founding;
+    accept.value = "half".getBytes();
+    set.await(asker.call(SimSet.AT[0], prepare, VoteTold.class, 500));
+    set.await(asker.call(SimSet.AT[1], prepare, VoteTold.class, 500));
+    set.await(asker.call(SimSet.AT[0], accept, VoteTold.class, 500));
+    set.kill(2);
+    assertThat(read(set.client(set.founding), "key"), is("half"));
+    set.kill(0);
+    set.start(2);
+    set.timers.pass(100);
+    assertThat(read(set.client(set.founding), "key"), is("half"));
+  }
+
+  @Test
+  void withoutAMajorityNothingWasSentOrItIsUnclear() {
+    set.founded();
+    set.kill(0);
+    set.kill(1);
+    assertThat(failure(put(set.client(set.founding), "key", "1")), is(Code.NOT_REACHED));
+    assertThat(failure(set.client(set.founding).read("key", null, 700)), is(Code.NOT_REACHED));
+    set.start(0);
+    set.start(1);
+    set.timers.pass(100);
+    Register client = set.client(set.founding);
+    CompletableFuture<Held> change = client.change("key", found -> {
+      set.kill(0);
+      set.kill(1);
+      return new Wanted("2".getBytes(), List.of());
+    }, List.of(), null, 1_000);
+    assertThat(failure(change), is(Code.UNCLEAR));
+  }
+
+  @Test
+  void aClientLearnsOfANewerSeating() {
+    set.founded();
+    Register client = set.client(set.founding);
+    set.await(put(client, "key", "1"));
+    set.kill(0);
+    set.disks[0].wipe();
+    set.start(0);
+    set.keepers[0].learn(set.keepers[1].seating());
+    set.awaitSeated(0, 2_000);
+    assertThat(set.keepers[0].seating().seats.get(0).incarnation, is(2));
+    assertThat(new String(set.keepers[0].value("key")), is("1"));
+    set.await(put(client, "key", "2"));
+    assertThat(read(client, "key"), is("2"));
+  }
+
+  @Test
+  void blobsGoWithTheFirstRoundAndAreKeptWhereItIsTaken() {
+    set.founded();
+    Register client = set.client(set.founding);
+    set.kill(2);
+    Held held = set.await(client.change("lot/1", found -> new Wanted("v".getBytes(), List.of(blob("two", 9))),
+        List.of(blob("one", 5_000)), null, 3_000));
+    assertThat(held.changed(), is(true));
+    for (int i = 0; i < 2; i++) {
+      assertThat(set.keepers[i].blob("lot/1", "one").length, is(5_000));
+      assertThat(set.keepers[i].blob("lot/1", "two").length, is(9));
+    }
+    assertThat(set.await(client.blob("lot/1", "one", 3_000)).length, is(5_000));
+    assertThat(set.await(client.blob("lot/1", "none", 3_000)), nullValue());
+    set.kill(1);
+    assertThat(failure(client.blob("lot/1", "none", 1_000)), is(Code.NOT_REACHED));
+    List<String> keys = new ArrayList<>();
+    set.keepers[0].keys().forEach(keys::add);
+    assertThat(keys, contains("lot/1"));
+    set.keepers[0].drop("lot/1");
+    assertThat(set.keepers[0].blob("lot/1", "one"), nullValue());
+    assertThat(set.keepers[0].keys().iterator().hasNext(), is(false));
+  }
+
+  @Test
+  void tenMegabytesAreRejoinedWellWithinTwoSeconds() {
+    set.founded();
+    Register client = set.client(set.founding);
+    for (int i = 0; i < 100; i++) {
+      set.await(client.change("lot/" + i, found -> new Wanted(new byte[200], List.of()),
+          List.of(blob("body", 100_000)), null, 3_000));
+    }
+    set.timers.pass(500);
+    set.kill(1);
+    set.disks[1].wipe();
+    set.start(1);
+    long from = set.timers.now();
+    set.keepers[1].learn(set.keepers[0].seating());
+    set.awaitSeated(1, 10_000);
+    assertThat(set.timers.now() - from, lessThan(1_000L));
+    for (int i = 0; i < 100; i++) {
+      assertThat(set.keepers[1].value("lot/" + i).length, is(200));
+      assertThat(set.keepers[1].blob("lot/" + i, "body").length, is(100_000));
+    }
+  }
+
+  @Test
+  void aNewcomerThatLosesPowerGoesOnAfterwards() {
+    set.founded();
+    Register client = set.client(set.founding);
+    set.await(client.change("key", found -> new Wanted("1".getBytes(), List.of()), List.of(blob("b", 50)), null,
+        3_000));
+    set.kill(1);
+    set.disks[1].wipe();
+    set.start(1);
+    set.net.cutBoth(SimSet.AT[1], SimSet.AT[2]);
+    set.keepers[1].learn(set.keepers[0].seating());
+    set.timers.pass(1_500);
+    assertThat(set.keepers[1].seated(), is(false));
+    long life = set.disks[1].life();
+    set.kill(1);
+    set.net.healAll();
+    set.start(1);
+    set.awaitSeated(1, 3_000);
+    assertThat(set.disks[1].life(), is(life));
+    assertThat(set.keepers[1].seated(), is(true));
+    assertThat(new String(set.keepers[1].value("key")), is("1"));
+  }
+
+  @Test
+  void aSpareTakesASeatAndTheOldHolderVotesNoMore() {
+    set.founded();
+    Register client = set.client(set.founding);
+    set.await(put(client, "key", "1"));
+    List<Boolean> told = new ArrayList<>();
+    set.keepers[3].whenSeatedChanges(() -> told.add(set.keepers[3].seated()));
+    set.kill(0);
+    set.keepers[3].learn(set.keepers[1].seating());
+    set.keepers[3].claim(0, 2);
+    set.awaitSeated(3, 3_000);
+    assertThat(told, contains(true));
+    set.start(0);
+    set.timers.pass(20);
+    assertThat(set.keepers[0].seated(), is(true));
+    set.kill(1);
+    Held held = set.await(client.change("key",
+        found -> new Wanted((new String(found.value()) + "2").getBytes(), List.of()), List.of(), null, 3_000));
+    assertThat(new String(held.now().value()), is("12"));
+    set.keepers[0].learn(set.keepers[2].seating());
+    assertThat(set.keepers[0].seated(), is(false));
+    assertThat(set.keepers[0].seating().seats.get(0).address, is(SimSet.AT[3]));
+  }
+
+  @Test
+  void aSpareIsNotSeatedByOneAcknowledgement() {
+    set.founded();
+    set.kill(0);
+    set.kill(1);
+    set.keepers[3].learn(set.keepers[2].seating());
+    set.keepers[3].claim(0, 2);
+    set.timers.pass(10_000);
+    assertThat(set.keepers[3].seated(), is(false));
+    set.start(1);
+    set.awaitSeated(3, 3_000);
+    assertThat(set.keepers[3].seated(), is(true));
+  }
+
+  @Test
+  void valuesThatTheViewsRefuseAreTriedThriceAndNoMore() {
+    set.founded();
+    for (int i = 0; i < 3; i++) {
+      set.views[i] = new Views() {
+        @Override
+        public byte[] noted(String key, byte[] note) {
+          return new byte[] {(byte) (note[0] + 1)};
+        }
+
+        @Override
+        public boolean admits(String key, byte[] value) {
+          return false;
+        }
+      };
+      set.start(i);
+    }
+    set.timers.pass(20);
+    List<Integer> notes = new ArrayList<>();
+    CompletableFuture<Held> change = set.client(set.founding).change("key", found -> {
+      for (byte[] note : found.notes()) {
+        notes.add((int) note[0]);
+      }
+      return new Wanted("x".getBytes(), List.of());
+    }, List.of(), new byte[] {4}, 10_000);
+    assertThat(failure(change), is(Code.UNCLEAR));
+    assertThat(notes, equalTo(List.of(5, 5, 5, 5, 5, 5)));
+  }
+
+  @Test
+  void aDiskThatRefusesGivesNoVote() {
+    set.founded();
+    set.disks[0].refuse();
+    set.disks[1].refuse();
+    Register client = set.client(set.founding);
+    assertThat(failure(put(client, "key", "1")), is(Code.NOT_REACHED));
+    set.disks[0].accept();
+    set.disks[1].accept();
+    set.timers.pass(400);
+    assertThat(set.await(put(client, "key", "2")).changed(), is(true));
+    assertThat(set.net.faults(), empty());
+  }
+
+  @Test
+  void manyChangersAtOnceAllHold() {
+    set.founded();
+    List<CompletableFuture<Held>> all = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      char mark = (char) ('a' + i);
+      all.add(set.client(set.founding).change("key", found -> {
+        String now = found.value() == null ? "" : new String(found.value());
+        return now.indexOf(mark) >= 0 ? new Wanted(null, List.of())
+            : new Wanted((now + mark).getBytes(), List.of());
+      }, List.of(), null, 10_000));
+    }
+    long from = set.timers.now();
+    for (CompletableFuture<Held> one : all) {
+      set.await(one);
+    }
+    System.out.println("five changers of one key: " + (set.timers.now() - from) + " ms");
+    assertThat(read(set.client(set.founding), "key").length(), is(5));
+    assertThat(set.timers.now() - from, lessThan(2_000L));
+    assertThat(set.asked.get("AcceptAsk"), greaterThanOrEqualTo(15));
+  }
+}
