--- a/register/src/main/java/elmsail/register/BlobSearch.java
+++ b/register/src/main/java/elmsail/register/BlobSearch.java
@@ -49,6 +49,10 @@
       ask.name = name;
       ask.seating = seating;
       int seat = order[asked++];
+      if (!SeatingRules.counts(seating, seat)) {
+        answered(null);
+        return;
+      }
       int atMost = asked;
       client.caller.call(seating.seats.get(seat).address, ask, BlobTold.class, callMs())
           .whenComplete((told, failure) -> answered(told));
--- a/register/src/main/java/elmsail/register/Changing.java
+++ b/register/src/main/java/elmsail/register/Changing.java
@@ -98,11 +98,18 @@
       promises = new VoteTold[seats];
       answered = new boolean[seats];
       acceptSentTo = new boolean[seats];
+      for (int i = 0; i < seats; i++) {
+        acceptSentTo[i] = !SeatingRules.counts(seating, i);
+      }
+      refused = SeatingRules.vacant(seating);
     }
 
     void prepare() {
       prepared = true;
       for (int i = 0; i < seats; i++) {
+        if (!SeatingRules.counts(seating, i)) {
+          continue;
+        }
         PrepareAsk ask = new PrepareAsk();
         ask.set = client.set();
         ask.key = key;
@@ -192,7 +199,7 @@
       acceptSent = true;
       changed = changing;
       done = 0;
-      refused = 0;
+      refused = SeatingRules.vacant(seating);
       accept = new AcceptAsk();
       accept.set = client.set();
       accept.key = key;
--- a/register/src/main/java/elmsail/register/Newcomer.java
+++ b/register/src/main/java/elmsail/register/Newcomer.java
@@ -147,9 +147,10 @@
         return;
       }
       List<Seat> seats = membership.seating().seats;
-      waiting = seats.size() - 1;
+      Seating known = membership.seating();
+      waiting = seats.size() - 1 - SeatingRules.vacant(known);
       for (int i = 0; i < seats.size(); i++) {
-        if (i == seat) {
+        if (i == seat || !SeatingRules.counts(known, i)) {
           continue;
         }
         ClaimAsk ask = new ClaimAsk();
@@ -160,7 +161,7 @@
         caller.call(seats.get(i).address, ask, ClaimTold.class, CLAIM_CALL_MS)
             .whenComplete((told, failure) -> answered(other, told));
       }
-      if (waiting == 0) {
+      if (waiting <= 0) {
         // The only seat: there is nobody to have it from.
         later(this, false);
       }
--- a/register/src/main/java/elmsail/register/Reading.java
+++ b/register/src/main/java/elmsail/register/Reading.java
@@ -71,12 +71,16 @@
       seats = seating.seats.size();
       majority = SeatingRules.majority(seats);
       told = new VoteTold[seats];
+      refused = SeatingRules.vacant(seating);
     }
 
     void ask() {
       int[] order = client.nearestFirst(seating);
       for (int at = 0; at < seats; at++) {
         int seat = order[at];
+        if (!SeatingRules.counts(seating, seat)) {
+          continue;
+        }
         client.caller.call(seating.seats.get(seat).address, ask(at > 0), VoteTold.class, callMs())
             .whenComplete((vote, failure) -> answered(seat, vote));
       }
--- a/register/src/main/java/elmsail/register/SeatingRules.java
+++ b/register/src/main/java/elmsail/register/SeatingRules.java
@@ -66,6 +66,23 @@
     return merged;
   }
 
+  /**
+   * Whether the seat's votes count: a life that is told of in two seats has only the first, else one process
+   * would vote twice.
+   */
+  static boolean counts(Seating seating, int seat) {
+    return ofLife(seating, seating.seats.get(seat).life) == seat;
+  }
+
+  /** How many seats' votes don't count. */
+  static int vacant(Seating seating) {
+    int vacant = 0;
+    for (int i = 0; i < seating.seats.size(); i++) {
+      vacant += counts(seating, i) ? 0 : 1;
+    }
+    return vacant;
+  }
+
   /** {@code known} with another holder in one seat. */
   static Seating with(Seating known, int seat, Seat holder) {
     Seating changed = new Seating();
--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -40,7 +40,7 @@
   private final Records records;
   private final Views views;
   private final Timers timers;
-  private final Membership membership;
+  final Membership membership;
   private final KeptNames names;
   private final SafeRecords safe;
   private final Newcomer newcomer;
@@ -48,6 +48,8 @@
   /** Whether the disk has, or is being given, the seating and {@code seated} as they are in memory. */
   private boolean membershipGiven = true;
   private boolean toldSeated;
+  /** As it is on disk: what isn't safe is told to nobody, so that no claim is known that its maker forgot. */
+  private Seating toldSeating;
 
   /** Reads its records; votes at once if this life was seated when it ended. */
   public SetKeeper(String set, Records records, Views views, Answering answering, Caller caller,
@@ -63,6 +65,7 @@
         SeatingBytes.seating(records.read(names.seating())), KeptNames.incarnation(seated));
     newcomer = new Newcomer(set, this, membership, records, caller, timers);
     toldSeated = membership.seated();
+    toldSeating = membership.seating();
     if (toldSeated) {
       tellValues();
     }
@@ -93,9 +96,9 @@
     return toldSeated && membership.seated();
   }
 
-  /** As known here; without seats if nothing is known. */
+  /** As known here and safe; without seats if nothing is known. */
   public Seating seating() {
-    return membership.seating();
+    return toldSeating;
   }
 
   /**
@@ -175,12 +178,14 @@
   /** Both together: a vote is written behind them, so that a life that voted never takes itself for new. */
   private CompletableFuture<Void> writeMembership() {
     int caughtUp = membership.caughtUp();
+    Seating given = membership.seating();
     CompletableFuture<Void> written = write(List.of(
-        new Change(names.seating(), SeatingBytes.of(membership.seating())),
+        new Change(names.seating(), SeatingBytes.of(given)),
         new Change(names.seated(), caughtUp == 0 ? null : KeptNames.bytes(caughtUp))));
     membershipGiven = true;
     written.whenComplete((none, failure) -> {
       if (failure == null) {
+        toldSeating = given;
         tellSeated();
       } else {
         membershipGiven = false;
@@ -293,8 +298,10 @@
     }
     ClaimTold told = new ClaimTold();
     told.held = claimed != Membership.Claimed.REFUSED;
-    told.seating = membership.seating();
-    return safely(List.of(), () -> told);
+    return safely(List.of(), () -> {
+      told.seating = toldSeating;
+      return told;
+    });
   }
 
   private CompletableFuture<CopyTold> copied(CopyAsk ask) {
@@ -329,7 +336,7 @@
     }
     VoteTold told = new VoteTold();
     told.code = code;
-    told.seating = membership.seating();
+    told.seating = toldSeating;
     return told;
   }
 
--- a/register/src/test/java/elmsail/register/History.java
+++ b/register/src/test/java/elmsail/register/History.java
@@ -73,6 +73,9 @@
       }
     }
     world.timers.pass(12_000);
+    if (world.twice) {
+      chain.faults.add("a life in two seats");
+    }
     if (!world.whole(0)) {
       chain.faults.add("not seated again: " + world.state());
     }
--- a/register/src/test/java/elmsail/register/RegisterTest.java
+++ b/register/src/test/java/elmsail/register/RegisterTest.java
@@ -275,6 +275,7 @@
     assertThat(append(client, "2"), is("12"));
     set.keepers[0].learn(set.keepers[2].seating());
     assertThat(set.keepers[0].seated(), is(false));
+    set.timers.pass(20);
     assertThat(set.keepers[0].seating().seats.get(0).address, is(SimSet.AT[3]));
   }
 
--- a/register/src/test/java/elmsail/register/World.java
+++ b/register/src/test/java/elmsail/register/World.java
@@ -30,6 +30,8 @@
   double repeats;
   int mostDelayMs = 6;
   long calls;
+  /** Whether one life was ever known in two seats. */
+  boolean twice;
   UnaryOperator<Caller> keepersCaller = caller -> caller;
 
   World(long seed) {
@@ -232,13 +234,16 @@
     for (Node node : nodes.values()) {
       newest = SeatingRules.merge(newest, SeatingBytes.seating(node.platter.safe.get("set/seating")));
       if (node.up && node.keeper != null) {
-        newest = SeatingRules.merge(newest, node.keeper.seating());
+        newest = SeatingRules.merge(newest, node.keeper.membership.seating());
       }
     }
+    if (SeatingRules.vacant(newest) > 0) {
+      twice = true;
+    }
     return newest;
   }
 
-  /** Whether each seat but so many, as the newest that any knows, is held by a process that is up and votes. */
+  /** Whether each seat but so many, as the newest that any knows, has a holder that is up and votes. */
   boolean whole(int butFor) {
     int missing = 0;
     for (Seat seat : newest().seats) {
