--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -5,7 +5,6 @@
 import elmsail.inner.Answering;
 import elmsail.inner.Caller;
 import elmsail.inner.words.AcceptAsk;
-import elmsail.inner.words.Blob;
 import elmsail.inner.words.BlobAsk;
 import elmsail.inner.words.BlobTold;
 import elmsail.inner.words.ClaimAsk;
@@ -20,7 +19,6 @@
 import elmsail.station.ElmsailException;
 import elmsail.station.Timers;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -36,19 +34,22 @@
   private static final Logger LOG = LoggerFactory.getLogger(SetKeeper.class);
 
   private static final long REWRITE_MS = 300;
+  private static final int MOST_PAGE_BYTES = 1 << 20;
 
   private final String set;
   private final Records records;
   private final Views views;
   private final Timers timers;
-  private final Membership membership;
+  final Membership membership;
   private final KeptNames names;
+  private final SafeRecords safe;
   private final Newcomer newcomer;
   private final List<Runnable> watchers = new ArrayList<>();
-  private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
   /** Whether the disk has, or is being given, the seating and {@code seated} as they are in memory. */
   private boolean membershipGiven = true;
   private boolean toldSeated;
+  /** As it is on disk: what isn't safe is told to nobody, so that no claim is known that its maker forgot. */
+  private Seating toldSeating;
 
   /** Reads its records; votes at once if this life was seated when it ended. */
   public SetKeeper(String set, Records records, Views views, Answering answering, Caller caller,
@@ -58,11 +59,13 @@
     this.views = views;
     this.timers = timers;
     names = new KeptNames(set);
+    safe = new SafeRecords(records, names);
     byte[] seated = records.read(names.seated());
     membership = new Membership(ownAddress, station, records.life(),
         SeatingBytes.seating(records.read(names.seating())), KeptNames.incarnation(seated));
     newcomer = new Newcomer(set, this, membership, records, caller, timers);
     toldSeated = membership.seated();
+    toldSeating = membership.seating();
     if (toldSeated) {
       tellValues();
     }
@@ -88,13 +91,14 @@
     }
   }
 
+  /** Whether it votes, and its disk says so. */
   public boolean seated() {
-    return membership.seated();
+    return toldSeated && membership.seated();
   }
 
-  /** As known here; without seats if nothing is known. */
+  /** As known here and safe; without seats if nothing is known. */
   public Seating seating() {
-    return membership.seating();
+    return toldSeating;
   }
 
   /**
@@ -116,35 +120,18 @@
 
   /** Forgets the key and its blobs: only for keys that nobody changes or reads any more. */
   public void drop(String key) {
-    List<Change> changes = new ArrayList<>();
-    changes.add(new Change(names.key(key), null));
-    for (String name : records.names(names.blobs(key))) {
-      changes.add(new Change(name, null));
-    }
-    write(changes);
+    safe.drop(key);
     views.dropped(key);
   }
 
   /** Keys that have a record, also those that were only promised. */
   public Iterable<String> keys() {
-    return () -> new Iterator<>() {
-      private final Iterator<String> found = records.names(names.keys()).iterator();
-
-      @Override
-      public boolean hasNext() {
-        return found.hasNext();
-      }
-
-      @Override
-      public String next() {
-        return names.keyOf(found.next());
-      }
-    };
+    return names.keys(records);
   }
 
   /** The value accepted here last, decided or not; null if there is none. */
   public byte[] value(String key) {
-    return state(key).value();
+    return safe.state(key).value();
   }
 
   /** Null if it isn't kept here. */
@@ -157,32 +144,27 @@
     watchers.add(then);
   }
 
-  KeyState state(String key) {
-    return KeyState.of(records.read(names.key(key)));
+  /** Before copying: what an earlier seat left, and what was copied by an earlier try. */
+  void forget() {
+    for (String key : keys()) {
+      views.dropped(key);
+    }
+    safe.forget();
   }
 
-  /** Ordered: once one is safe, all before it are; where one fails, what was read as written is undone. */
   CompletableFuture<Void> write(List<Change> changes) {
-    CompletableFuture<Void> written = records.write(changes);
-    if (written.isCompletedExceptionally()) {
-      return written;
-    }
-    lastWrite = written;
-    written.whenComplete((none, failure) -> {
-      if (failure != null && lastWrite == written) {
-        lastWrite = CompletableFuture.completedFuture(null);
-      }
-    });
-    return written;
+    return safe.write(changes);
   }
 
-  /** Writes the seating as it is now, and tells the watchers if this process stopped voting by it. */
+  /** Writes the seating as it is now; the watchers hear at once if this process stopped voting by it. */
   CompletableFuture<Void> seatingChanged() {
     if (membership.founded()) {
       membership.caughtUp(1);
     }
     CompletableFuture<Void> written = writeMembership();
-    tellSeated();
+    if (!membership.seated()) {
+      tellSeated();
+    }
     return written;
   }
 
@@ -190,22 +172,22 @@
   void caughtUp(int incarnation) {
     tellValues();
     membership.caughtUp(incarnation);
-    writeMembership().whenComplete((none, failure) -> {
-      if (failure == null) {
-        tellSeated();
-      }
-    });
+    writeMembership();
   }
 
   /** Both together: a vote is written behind them, so that a life that voted never takes itself for new. */
   private CompletableFuture<Void> writeMembership() {
     int caughtUp = membership.caughtUp();
+    Seating given = membership.seating();
     CompletableFuture<Void> written = write(List.of(
-        new Change(names.seating(), SeatingBytes.of(membership.seating())),
+        new Change(names.seating(), SeatingBytes.of(given)),
         new Change(names.seated(), caughtUp == 0 ? null : KeptNames.bytes(caughtUp))));
     membershipGiven = true;
     written.whenComplete((none, failure) -> {
-      if (failure != null) {
+      if (failure == null) {
+        toldSeating = given;
+        tellSeated();
+      } else {
         membershipGiven = false;
         timers.after(REWRITE_MS, this::rewriteMembership);
         LOG.warn("{}: the seating could not be written: {}", set, ElmsailException.codeOf(failure));
@@ -246,11 +228,11 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    Acceptor.Decision decision = Acceptor.prepare(state(ask.key), ask.ballot);
+    Acceptor.Decision decision = Acceptor.prepare(safe.state(ask.key), ask.ballot);
     if (decision.answer().code != VoteTold.DONE) {
       return CompletableFuture.completedFuture(decision.answer());
     }
-    return safely(changes(ask.key, decision, ask.blobs), () -> {
+    return safely(safe.changes(ask.key, decision, ask.blobs), () -> {
       if (ask.note != null) {
         decision.answer().note = views.noted(ask.key, ask.note);
       }
@@ -263,7 +245,7 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    Acceptor.Decision decision = Acceptor.accept(state(ask.key), ask.ballot, ask.next, ask.value);
+    Acceptor.Decision decision = Acceptor.accept(safe.state(ask.key), ask.ballot, ask.next, ask.value);
     if (decision.answer().code == VoteTold.DONE && decision.write() != null
         && !views.admits(ask.key, ask.value)) {
       VoteTold told = new VoteTold();
@@ -273,7 +255,7 @@
     if (decision.answer().code != VoteTold.DONE) {
       return CompletableFuture.completedFuture(decision.answer());
     }
-    return safely(changes(ask.key, decision, ask.blobs), () -> {
+    return safely(safe.changes(ask.key, decision, ask.blobs), () -> {
       if (decision.write() != null) {
         views.taken(ask.key, ask.value);
       }
@@ -286,7 +268,7 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    VoteTold told = Acceptor.read(state(ask.key), ask.known, ask.bare);
+    VoteTold told = Acceptor.read(safe.state(ask.key), ask.known, ask.bare);
     return safely(List.of(), () -> told);
   }
 
@@ -316,8 +298,10 @@
     }
     ClaimTold told = new ClaimTold();
     told.held = claimed != Membership.Claimed.REFUSED;
-    told.seating = membership.seating();
-    return safely(List.of(), () -> told);
+    return safely(List.of(), () -> {
+      told.seating = toldSeating;
+      return told;
+    });
   }
 
   private CompletableFuture<CopyTold> copied(CopyAsk ask) {
@@ -328,7 +312,11 @@
       return CompletableFuture.completedFuture(told);
     }
     told.seated = true;
-    names.page(records, ask.after, Math.min(Math.max(ask.mostBytes, 1), 1 << 20), told);
+    if (ask.bare) {
+      names.barePage(records, ask.after, told);
+    } else {
+      names.page(records, ask.after, Math.min(Math.max(ask.mostBytes, 1), MOST_PAGE_BYTES), told);
+    }
     return safely(List.of(), () -> told);
   }
 
@@ -348,30 +336,14 @@
     }
     VoteTold told = new VoteTold();
     told.code = code;
-    told.seating = membership.seating();
+    told.seating = toldSeating;
     return told;
   }
 
-  private List<Change> changes(String key, Acceptor.Decision decision, List<Blob> blobs) {
-    List<Change> changes = new ArrayList<>();
-    for (Blob blob : blobs) {
-      String name = names.blob(key, blob.name);
-      if (!names.has(records, name)) {
-        changes.add(new Change(name, blob.bytes));
-      }
-    }
-    if (decision.write() != null) {
-      changes.add(new Change(names.key(key), decision.write().bytes()));
-    }
-    return changes;
-  }
-
-  /** Answers once the changes, and all before them, are safe. */
   private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
     if (!membershipGiven) {
       return CompletableFuture.failedFuture(new ElmsailException(Code.DISK, "the seating is not on disk"));
     }
-    CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
-    return safe.thenApply(none -> answer.get());
+    return safe.safely(changes, answer);
   }
 }
