Play vaults' losses and a notary over loopback

Cause: seats that move, retiring and the sockets were only tested apart. Change: stories of a writer at the shelf under losses, wipes and retiring; one notary with sockets and disk over a restart; a starting notary tells nothing unread, one cut off takes nothing.

--- a/notary/src/test/java/elmsail/notary/HeadOfficeTest.java
+++ b/notary/src/test/java/elmsail/notary/HeadOfficeTest.java
@@ -105,6 +105,39 @@
     assertThat(world.read("n2"), equalTo(World.timetable(2)));
   }
 
+  @Test
+  void aNotaryThatStartsTellsNothingBeforeItHasReadAtAMajority() {
+    head();
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    for (int i = 1; i <= 3; i++) {
+      world.kill("n" + i);
+    }
+    world.notary("n1", false);
+    world.clerk("c1");
+    world.timers.pass(3_000);
+    assertThat(world.clerks.get("c1").roster().head.seats.isEmpty(), is(true));
+    assertThat(world.clerks.get("c1").timetable() == null, is(true));
+    world.notary("n2", false);
+    assertThat(world.until(2_000, () -> world.clerks.get("c1").timetable() != null), is(true));
+  }
+
+  @Test
+  void aNotaryCutOffGoesOnTellingWhatWasDecided() {
+    head();
+    world.clerk("c1");
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+    world.timers.pass(1_000);
+    world.net.cutBoth(world.address("n1"), world.address("n2"));
+    world.net.cutBoth(world.address("n1"), world.address("n3"));
+    assertThat(world.replace("n1", 1, 2), anyOf(is(503), is(504)));
+    assertThat(world.replace("n2", 1, 3), is(200));
+    assertThat(world.until(1_000, () -> world.clerks.get("c1").timetable().edition() == 3), is(true));
+    assertThat(world.read("n1"), equalTo("503"));
+    world.net.healAll();
+    assertThat(world.until(3_000, () -> world.read("n1").equals(World.timetable(3))), is(true));
+    assertThat(world.replace("n1", 1, 2), is(412));
+  }
+
   @Test
   void allLosePowerRightAfterAnAcknowledgement() {
     head();
--- /dev/null
+++ b/notary/src/test/java/elmsail/notary/NotaryTest.java
@@ -0,0 +1,119 @@
+package elmsail.notary;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.disk.FolderRecords;
+import elmsail.inner.InnerLinks;
+import elmsail.station.NettyLoop;
+import elmsail.station.Settings;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One notary with its sockets and its disk, over loopback. */
+class NotaryTest {
+  @TempDir
+  Path dir;
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static Settings settings(Path dir, boolean firstStart, int controlPort, int innerPort) {
+    String control = "127.0.0.1:" + controlPort;
+    return new Settings("n1", "notary", "counter", Set.of("head_office"), "127.0.0.1", "z", "r", Map.of(),
+        Map.of("control", control), innerPort - 1, innerPort, List.of(control), firstStart, true,
+        new Settings.Limits(1, 400, 4_000, 1_000, 64), dir.toString(), Set.of(), 1,
+        new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
+            2_000),
+        null);
+  }
+
+  private static String call(String control, String method, String path, String body) throws IOException {
+    HttpURLConnection http =
+        (HttpURLConnection) URI.create("http://" + control + path).toURL().openConnection();
+    http.setRequestMethod(method);
+    http.setReadTimeout(5_000);
+    http.setRequestProperty("Connection", "close");
+    if (body != null) {
+      http.setDoOutput(true);
+      http.setRequestProperty("Elmsail-Based-On", "0");
+      try (OutputStream out = http.getOutputStream()) {
+        out.write(body.getBytes(StandardCharsets.UTF_8));
+      }
+    }
+    int status = http.getResponseCode();
+    if (status != 200) {
+      return String.valueOf(status);
+    }
+    return new String(http.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+  }
+
+  private interface Calls {
+    void to(String control) throws IOException;
+  }
+
+  private static void running(Settings settings, Calls calls) throws Exception {
+    NettyLoop loop = new NettyLoop();
+    InnerLinks links = new InnerLinks(loop.events(), loop, settings.innerAddress());
+    FolderRecords records = FolderRecords.open(Path.of(settings.dataDir()), 64 << 20, loop::soon);
+    CompletableFuture<Notary> started = new CompletableFuture<>();
+    loop.soon(() -> links.listen().thenCompose(
+        none -> Notary.startHeadOffice(settings, loop, links, records)).whenComplete((notary, failed) -> {
+          if (failed == null) {
+            started.complete(notary);
+          } else {
+            started.completeExceptionally(failed);
+          }
+        }));
+    try {
+      Notary notary = started.get(10, TimeUnit.SECONDS);
+      calls.to(settings.slots().get("control"));
+      CompletableFuture<Void> ended = new CompletableFuture<>();
+      loop.soon(() -> notary.end().thenRun(() -> ended.complete(null)));
+      ended.get(1, TimeUnit.SECONDS);
+    } finally {
+      loop.soon(links::close);
+      records.close();
+      loop.stop().get(5, TimeUnit.SECONDS);
+    }
+  }
+
+  @Test
+  @Timeout(60)
+  void takesAndKeepsAConfigurationOverARestart() throws Exception {
+    int controlPort = freePort();
+    int inner = freePort();
+    running(settings(dir, true, controlPort, inner), control -> {
+      assertThat(call(control, "GET", "/Nothing", null), equalTo("404"));
+      // The seat is founded within some hundred ms; each call waits for it for up to 0.9 s.
+      String taken = call(control, "POST", "/Timetable.Replace", World.timetable(4));
+      for (int i = 0; i < 5 && !taken.equals("{}"); i++) {
+        taken = call(control, "POST", "/Timetable.Replace", World.timetable(4));
+      }
+      assertThat(taken, is("{}"));
+      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.timetable(4)));
+    });
+    running(settings(dir, false, controlPort, inner), control -> {
+      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.timetable(4)));
+      assertThat(call(control, "POST", "/Timetable.Replace", World.timetable(4)), is("{}"));
+    });
+  }
+}
--- /dev/null
+++ b/notary/src/test/java/elmsail/notary/ShelfStoryTest.java
@@ -0,0 +1,213 @@
+package elmsail.notary;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.inner.words.Seat;
+import elmsail.inner.words.Seating;
+import elmsail.register.Register;
+import elmsail.register.RegisterClient;
+import elmsail.register.SeatingRules;
+import elmsail.register.Seatings;
+import elmsail.rehearsal.Node;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A writer counts at keys of the shelf while vaults are lost, wiped, retired and added, one trouble at a time
+ * and the notaries' lease holder now and then with it: what was acknowledged is read back, and a machine that
+ * was told to be delivered is removed at once.
+ */
+class ShelfStoryTest {
+  private static final int STORIES = 6;
+  private static final int KEYS = 4;
+
+  private World world;
+  private Random chance;
+  private Register writer;
+  private Seating known;
+  private final long[] acknowledged = new long[KEYS];
+  private final boolean[] busy = new boolean[KEYS];
+  private final List<String> running = new ArrayList<>();
+  private final Set<String> removed = new HashSet<>();
+  private int vaults;
+  private int moves;
+
+  @Test
+  void storiesOfVaults() {
+    for (int seed = 1; seed <= STORIES; seed++) {
+      play(seed);
+    }
+    assertThat("seats that moved", moves, greaterThan(STORIES));
+  }
+
+  private void play(int seed) {
+    world = new World(seed, 3);
+    chance = new Random(seed);
+    running.clear();
+    removed.clear();
+    vaults = 0;
+    known = new Seating();
+    world.net.delay(1, 10);
+    for (int i = 1; i <= 3; i++) {
+      world.notary("n" + i, true);
+    }
+    for (int i = 0; i < 4; i++) {
+      add(true);
+    }
+    writer();
+    assertThat("seed " + seed, world.until(8_000, this::allSeated), is(true));
+    for (int i = 0; i < KEYS; i++) {
+      acknowledged[i] = 0;
+      busy[i] = false;
+    }
+    for (int round = 0; round < 8; round++) {
+      write(1_000);
+      trouble(seed);
+      write(2_000);
+      boolean seated = world.until(15_000, this::allSeated);
+      assertThat("seed " + seed + " round " + round + " " + shelf(), seated, is(true));
+    }
+    world.timers.pass(2_000);
+    for (int i = 0; i < KEYS; i++) {
+      CompletableFuture<Register.Versioned> read = writer.read("lot/" + i, null, 2_000);
+      assertThat("seed " + seed, world.until(3_000, read::isDone), is(true));
+      assertThat("seed " + seed + " key " + i, number(read.join().value()) >= acknowledged[i], is(true));
+      assertThat(acknowledged[i], greaterThan(5L));
+    }
+  }
+
+  private void add(boolean first) {
+    String name = "v" + ++vaults;
+    running.add(name);
+    world.vault(name, first);
+  }
+
+  private void writer() {
+    Node node = world.net.node("10.3.0.9:7720");
+    Seatings seatings = new Seatings() {
+      @Override
+      public Seating of() {
+        for (String name : running) {
+          known = SeatingRules.merge(known, world.vaults.get(name).keeper().seating());
+        }
+        return known;
+      }
+
+      @Override
+      public void told(Seating newer) {
+        known = SeatingRules.merge(known, newer);
+      }
+    };
+    writer = new RegisterClient("shelf", node.caller(), node.timers(), seatings, 77, "", address -> 1);
+  }
+
+  private void write(long ms) {
+    long end = world.timers.now() + ms;
+    while (world.timers.now() < end) {
+      int key = chance.nextInt(KEYS);
+      if (!busy[key]) {
+        busy[key] = true;
+        long[] wanted = {0};
+        writer.change("lot/" + key, found -> {
+          wanted[0] = number(found.value()) + 1;
+          return new Register.Wanted(ByteBuffer.allocate(8).putLong(wanted[0]).array(), List.of());
+        }, List.of(), null, 1_500).whenComplete((held, failed) -> {
+          busy[key] = false;
+          if (failed == null) {
+            assertThat(wanted[0], greaterThan(acknowledged[key]));
+            acknowledged[key] = wanted[0];
+          }
+        });
+      }
+      world.timers.pass(20 + chance.nextInt(60));
+    }
+  }
+
+  private static long number(byte[] value) {
+    return value == null ? 0 : ByteBuffer.wrap(value).getLong();
+  }
+
+  private void trouble(int seed) {
+    String name = running.get(chance.nextInt(running.size()));
+    String before = shelf();
+    switch (chance.nextInt(5)) {
+      case 0 -> {
+        world.net.kill(world.address(name), false);
+        world.disks.get(name).powerLoss();
+        write(chance.nextInt(6_000));
+        world.vault(name, false);
+      }
+      case 1 -> {
+        world.wipe(name);
+        write(chance.nextInt(5_000));
+        world.vault(name, false);
+      }
+      case 2 -> {
+        world.net.freeze(world.address(name));
+        write(chance.nextInt(6_000));
+        world.net.thaw(world.address(name));
+      }
+      case 3 -> {
+        String notary = "n" + (1 + chance.nextInt(3));
+        world.net.kill(world.address(notary), false);
+        world.net.kill(world.address(name), false);
+        write(7_000);
+        world.notary(notary, false);
+        world.vault(name, false);
+      }
+      default -> retire(seed, name);
+    }
+    moves += before.equals(shelf()) ? 0 : 1;
+  }
+
+  private void retire(int seed, String name) {
+    if (running.size() < 5) {
+      add(false);
+      write(1_000);
+    }
+    assertThat("seed " + seed, world.until(4_000, () -> world.retire("n1", name) == 200), is(true));
+    String delivered = "{\"state\":\"delivered\"}";
+    long end = world.timers.now() + 12_000;
+    while (!world.retired("n2", name).equals(delivered) && world.timers.now() < end) {
+      write(100);
+    }
+    assertThat("seed " + seed, world.retired("n2", name), equalTo(delivered));
+    world.wipe(name);
+    running.remove(name);
+    removed.add(name);
+    // Right after it another disk may be lost.
+    String other = running.get(chance.nextInt(running.size()));
+    world.wipe(other);
+    world.vault(other, false);
+  }
+
+  private boolean allSeated() {
+    Seating newest = new Seating();
+    for (String name : running) {
+      newest = SeatingRules.merge(newest, world.vaults.get(name).keeper().seating());
+    }
+    for (Seat seat : newest.seats) {
+      if (!running.contains(seat.station) || !world.vaults.get(seat.station).keeper().seated()) {
+        return false;
+      }
+    }
+    return newest.seats.size() == 3;
+  }
+
+  private String shelf() {
+    StringBuilder all = new StringBuilder();
+    for (String name : running) {
+      all.append(name).append('[').append(world.shelf(name)).append("] ");
+    }
+    return all.toString();
+  }
+}
