--- a/clerk/src/main/java/elmsail/clerk/Clerk.java
+++ b/clerk/src/main/java/elmsail/clerk/Clerk.java
@@ -29,6 +29,8 @@
   /** The platform stops sending after two looks a second apart; from then on idle connections end. */
   private static final long STILL_SENT_MS = 2_500;
   private static final long STOP_LOOK_MS = 20;
+  /** A request is cut only where its server was still at work in the second half of the grace time. */
+  private static final long BEYOND_HALF_MS = 250;
 
   private final NettyLoop loop;
   private final Timers timers;
@@ -111,7 +113,8 @@
   }
 
   /**
-   * Is not ready from now on, serves what is open and still comes, and ends before half of the grace time.
+   * Is not ready from now on, serves what is open and still comes, and ends soon after half of the grace
+   * time.
    *
    * @return completes on the loop when nothing is open any more
    */
@@ -124,9 +127,9 @@
     stopping = true;
     LOG.info("stopping; {} connections of clients are open", front.connections());
     front.beginEnd();
-    long halfGrace = Math.max(STOP_LOOK_MS, settings.bounds().graceMs() / 2 - 300);
-    long end = timers.now() + halfGrace;
-    timers.after(Math.min(STILL_SENT_MS, halfGrace / 2), () -> {
+    long halfGrace = settings.bounds().graceMs() / 2;
+    long end = timers.now() + halfGrace + BEYOND_HALF_MS;
+    timers.after(Math.min(STILL_SENT_MS, halfGrace * 3 / 4), () -> {
       front.closeIdle();
       whenEmpty(end, done);
     });
--- a/clerk/src/main/java/elmsail/clerk/counter/ClientConnection.java
+++ b/clerk/src/main/java/elmsail/clerk/counter/ClientConnection.java
@@ -39,6 +39,7 @@
   private static final int BYTES_PER_SECOND = 64 * 1024;
   /** A connection is closed so much later than its client was told. */
   private static final long TOLD_EARLIER_MS = 1_000;
+  private static final long LEAST_LOOK_MS = 50;
 
   private final Front front;
   private final ClientLimits limits;
@@ -111,7 +112,8 @@
         return;
       }
     }
-    look = front.timers().after(Math.max(left, 50), this::look);
+    // A head may begin to come right behind this look.
+    look = front.timers().after(Math.max(LEAST_LOOK_MS, Math.min(left, limits.headMs())), this::look);
   }
 
   /** Whole seconds that the client is told it may leave the connection idle. */
--- a/clerk/src/main/java/elmsail/clerk/requests/Forward.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Forward.java
@@ -3,7 +3,6 @@
 import elmsail.clerk.servers.Server;
 import elmsail.clerk.servers.Try;
 import elmsail.clerk.servers.TryHeard;
-import elmsail.clerk.words.Headers;
 import elmsail.clerk.words.Tally;
 import elmsail.station.Timers.Timer;
 import elmsail.timetable.Route;
@@ -23,6 +22,8 @@
   private static final long LEAST_MS = 5;
   /** A request that would wait for more than so many times its objective is refused at once. */
   private static final double MOST_WAIT = 2;
+  /** Behind this stand those that set none, and lots' items. */
+  private static final int LEAST_URGENT = 4;
   private static final long WATCH_MS = 200;
   /** A look that comes so late says more of this process than of any server. */
   private static final long LATE_MS = 150;
@@ -46,7 +47,7 @@
     this.route = route;
     this.endsAt = endsAt;
     letter = new Letter(id, asked.method(), asked.uri(), asked.headers(), asked.body(),
-        Math.min(4, Math.max(0, route.precedence())), false, course.timers(), endsAt);
+        Math.min(LEAST_URGENT, 1 + Math.max(0, route.precedence())), false, course.timers(), endsAt);
     passing = new Passing(client, route.repeatable() && route.kind() == Route.Kind.STREAM);
   }
 
--- a/clerk/src/main/java/elmsail/clerk/requests/Letter.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Letter.java
@@ -19,7 +19,7 @@
   private final HttpHeaders headers;
   private final byte[] body;
   private final Prompt prompt;
-  private final int priority;
+  private int priority;
   private final boolean item;
   private final Steady clock;
   /** On the loop's clock; Long.MAX_VALUE: none is told. */
@@ -40,9 +40,12 @@
     this.endsAt = endsAt;
   }
 
-  /** The run goes on behind this event. */
+  /** The run goes on behind this event; what a client has begun to get is the most urgent. */
   void goOnBehind(long eventId) {
     lastEventId = eventId;
+    if (!item) {
+      priority = 0;
+    }
   }
 
   @Override
--- a/clerk/src/main/java/elmsail/clerk/servers/Servers.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Servers.java
@@ -16,7 +16,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
