Keep shared parts of prompts within a zone, and bound connects at 150 ms

Cause: the common home of a shared part was mostly in another zone, whose bytes are dear, so it was rarely used. Change: the home is drawn among the servers of the door's own zone; a door reckons with half of a server's memory; tests of the choice among services, connections and homes.

--- a/clerk/src/main/java/elmsail/clerk/servers/Servers.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Servers.java
@@ -27,9 +27,9 @@
 /** The servers that may get something, their connections, and the choice among them. All on the loop. */
 public final class Servers {
   /** No connect may take longer before another server is tried. */
-  private static final int CONNECT_MS = 300;
+  private static final int CONNECT_MS = 150;
   /** Nor to one that has failed lately. */
-  private static final int DOUBTFUL_CONNECT_MS = 120;
+  private static final int DOUBTFUL_CONNECT_MS = 80;
   private static final long SWEEP_MS = 500;
   /** A connection rests so long behind an answer, as an extra one may come late. */
   private static final long REST_MS = 20;
@@ -117,7 +117,8 @@
   private long kvTokens(String service) {
     Timetable now = known.timetable();
     Service s = now == null ? null : now.services().get(service);
-    return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens();
+    // About half of it is taken by requests that run.
+    return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens() / 2;
   }
 
   /** How many connections to a server this door may have, so that all doors together keep within its cap. */
@@ -221,15 +222,21 @@
     return s.avoided(timers.now());
   }
 
-  /** All doors name the same server for the prompt's shared part, as long as the list stays. */
-  private static Server home(List<Server> open, Prompt prompt) {
+  /**
+   * All doors of a zone name the same server of it for the prompt's shared part, as long as the list stays;
+   * where the zone has none, all servers count.
+   */
+  private Server home(List<Server> open, Prompt prompt) {
     long key = prompt.sharedKey();
     Server first = null;
+    boolean firstNear = false;
     long most = Long.MIN_VALUE;
     for (Server s : open) {
+      boolean near = zone.equals(s.entry().zone());
       long rank = Prompt.mix(key ^ Prompt.mix(s.id().hashCode()));
-      if (key != 0 && (first == null || rank > most)) {
+      if (key != 0 && (first == null || near && !firstNear || near == firstNear && rank > most)) {
         first = s;
+        firstNear = near;
         most = rank;
       }
     }
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/servers/ServersTest.java
@@ -0,0 +1,138 @@
+package elmsail.clerk.servers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.sameInstance;
+
+import elmsail.clerk.FakeKnown;
+import elmsail.clerk.words.Tally;
+import elmsail.rehearsal.HandTimers;
+import elmsail.station.NettyLoop;
+import elmsail.timetable.Route;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.Service;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Which server is chosen, with nothing sent. */
+class ServersTest {
+  private final NettyLoop loop = new NettyLoop();
+  private final HandTimers timers = new HandTimers();
+  private final FakeKnown known = new FakeKnown();
+  private final Servers servers = door("z1");
+
+  private Servers door(String zone) {
+    return new Servers(timers, loop.events(), known, zone, new Tally(), new SplittableRandom(3));
+  }
+
+  @AfterEach
+  void close() {
+    loop.stop();
+  }
+
+  private static ServerEntry entry(String id, String service, String zone, boolean closing) {
+    return new ServerEntry(id, service, "127.0.0.1:1", zone, 24, closing, 0);
+  }
+
+  private static Route route(Route.Share... shares) {
+    return new Route("r", "h", "/r/", Route.Kind.SAFE, 1_000, 100, 0, List.of(shares), 1, false, 0, 0, 0, 0);
+  }
+
+  private void list(ServerEntry... entries) {
+    known.servers = List.of(entries);
+    known.changed();
+  }
+
+  private Server choose(Route route) {
+    return servers.choose(route, Prompt.NONE, Set.of());
+  }
+
+  @Test
+  void closingServersAndThoseOfOtherServicesAreNotChosen() {
+    list(entry("a", "s", "z1", true), entry("b", "other", "z1", false));
+    assertThat(choose(route(new Route.Share("s", 1))), is(nullValue()));
+    assertThat(servers.any(), is(true));
+    list(entry("a", "s", "z1", true));
+    assertThat(servers.any(), is(false));
+  }
+
+  @Test
+  void aServerThatReturnsUnderAnotherAddressIsAnotherOne() {
+    list(entry("a", "s", "z1", false));
+    Server before = choose(route(new Route.Share("s", 1)));
+    list(new ServerEntry("a", "s", "127.0.0.1:2", "z1", 24, false, 0));
+    assertThat(before.gone(), is(true));
+    assertThat(choose(route(new Route.Share("s", 1))).gone(), is(false));
+  }
+
+  @Test
+  void servicesAreDrawnByTheirWeights() {
+    list(entry("a", "s", "z1", false), entry("b", "t", "z1", false));
+    Route route = route(new Route.Share("s", 90), new Route.Share("t", 10), new Route.Share("u", 0));
+    int first = 0;
+    for (int i = 0; i < 2_000; i++) {
+      first += choose(route).id().equals("a") ? 1 : 0;
+    }
+    assertThat(first / 2_000.0, is(closeTo(0.9, 0.03)));
+  }
+
+  @Test
+  void aServiceWithoutServersLeavesItsShareToTheOther() {
+    list(entry("b", "t", "z1", false));
+    assertThat(choose(route(new Route.Share("s", 90), new Route.Share("t", 10))).id(), is("b"));
+    assertThat(choose(route(new Route.Share("s", 90), new Route.Share("t", 0))), is(nullValue()));
+  }
+
+  @Test
+  void whereThereIsNoConnectionLeftThereIsNoRoom() {
+    known.services.put("s", new Service("s", "/health", 90, 24, 0));
+    known.roster.clerks.addAll(List.of("c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8", "c9"));
+    list(entry("a", "s", "z1", false));
+    Server a = choose(route(new Route.Share("s", 1)));
+    assertThat(servers.most(a), is(10));
+    a.connections = 10;
+    assertThat(choose(route(new Route.Share("s", 1))), is(nullValue()));
+    a.connections = 9;
+    assertThat(choose(route(new Route.Share("s", 1))), is(sameInstance(a)));
+  }
+
+  @Test
+  void aServerIsNotAskedTwice() {
+    list(entry("a", "s", "z1", false), entry("b", "s", "z1", false));
+    Set<Server> been = new HashSet<>();
+    Route route = route(new Route.Share("s", 1));
+    for (int i = 0; i < 2; i++) {
+      been.add(servers.choose(route, Prompt.NONE, been));
+    }
+    assertThat(been.size(), is(2));
+    assertThat(servers.choose(route, Prompt.NONE, been), is(nullValue()));
+  }
+
+  @Test
+  void doorsOfAZoneAgreeWhereASharedPartIsKept() {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int i = 0; i < 9; i++) {
+      entries.add(entry("i-" + i, "s", "z" + i % 3, false));
+    }
+    list(entries.toArray(new ServerEntry[0]));
+    Servers other = door("z1");
+    Set<String> homes = new HashSet<>();
+    for (int i = 0; i < 60; i++) {
+      Prompt prompt = Prompt.read("top:300,part" + i + ":600,own" + i + ":100", null);
+      Route route = route(new Route.Share("s", 1));
+      Server mine = servers.choose(route, prompt, Set.of());
+      Server others = other.choose(route, Prompt.read("top:300,part" + i + ":600,else:100", null), Set.of());
+      assertThat(mine.id(), is(others.id()));
+      assertThat(mine.entry().zone(), is("z1"));
+      homes.add(mine.id());
+    }
+    assertThat(homes.size(), is(3));
+  }
+}
