Pass successes of streams as they come, whatever their type

Cause: a stream whose answer names another type was held up to 64 KiB, and an item's was taken for broken. Change: the route decides; events are parsed only where the type says so and the route may be resumed.

--- a/clerk/src/main/java/elmsail/clerk/requests/Forward.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Forward.java
@@ -48,7 +48,8 @@
     this.endsAt = endsAt;
     letter = new Letter(id, asked.method(), asked.uri(), asked.headers(), asked.body(),
         Math.min(LEAST_URGENT, 1 + Math.max(0, route.precedence())), false, course.timers(), endsAt);
-    passing = new Passing(client, route.repeatable() && route.kind() == Route.Kind.STREAM);
+    boolean stream = route.kind() == Route.Kind.STREAM;
+    passing = new Passing(client, stream, stream && route.resume());
   }
 
   void start() {
--- a/clerk/src/main/java/elmsail/clerk/requests/ItemRun.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/ItemRun.java
@@ -43,10 +43,8 @@
     status = head.status().code();
     outcome = Outcome.answered(status, head.headers().contains(Headers.NOT_RUN),
         head.headers().contains(Headers.POSTMARK));
-    String type = head.headers().get("Content-Type");
     boolean success = status >= 200 && status < 300;
-    stream = success && outcome == Outcome.ANSWERED && type != null
-        && type.startsWith(Headers.EVENT_STREAM);
+    stream = success && outcome == Outcome.ANSWERED;
     if (success && !stream) {
       broken();
     }
--- a/clerk/src/main/java/elmsail/clerk/requests/Passing.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Passing.java
@@ -22,6 +22,7 @@
   }
 
   private final Answering client;
+  private final boolean stream;
   private final boolean resumable;
   private EventSplitter events = new EventSplitter(this::event);
   private HttpResponse head;
@@ -33,8 +34,14 @@
   private boolean joins;
   private boolean outOfOrder;
 
-  Passing(Answering client, boolean resumable) {
+  /**
+   * For one request.
+   *
+   * @param stream whether successes go on as they come, whatever their type
+   */
+  Passing(Answering client, boolean stream, boolean resumable) {
     this.client = client;
+    this.stream = stream;
     this.resumable = resumable;
   }
 
@@ -91,9 +98,9 @@
       return false;
     }
     String type = headers.get("Content-Type");
-    boolean stream = success && type != null && type.startsWith(Headers.EVENT_STREAM);
-    if (stream) {
-      mode = resumable ? Mode.EVENTS : Mode.RAW;
+    boolean events = type != null && type.startsWith(Headers.EVENT_STREAM);
+    if (success && (events || stream)) {
+      mode = events && resumable ? Mode.EVENTS : Mode.RAW;
     } else {
       mode = Mode.HOLD;
     }
@@ -160,11 +167,10 @@
 
   /** The answer of the present try is whole: what it means, passed on if it is to be. */
   Outcome whole() {
-    boolean stream = mode == Mode.RAW || mode == Mode.EVENTS;
     if (mode == Mode.EVENTS && events.partial()) {
       return Outcome.SENT;
     }
-    if (stream && begun) {
+    if (begun && (mode == Mode.RAW || mode == Mode.EVENTS)) {
       client.end();
       return Outcome.ANSWERED;
     }
--- a/clerk/src/test/java/elmsail/clerk/ForwardTest.java
+++ b/clerk/src/test/java/elmsail/clerk/ForwardTest.java
@@ -398,4 +398,55 @@
     next.write(Rig.good("a2", "x"));
     assertThat(client.message().body(), is("x"));
   }
+
+  @Test
+  void aStreamOfAnotherTypePassesAsItComes() {
+    Wire client = rig.ask("resume", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("a1", "p").replace("text/event-stream", "text/plain")).write(Rig.chunk("ab"));
+    assertThat(client.head().header("Content-Type"), is("text/plain"));
+    assertThat(client.chunk(), is("ab"));
+    server.write("0\r\n\r\n");
+    assertThat(client.chunk(), is(""));
+  }
+
+  @Test
+  void aLongAnswerPassesBeforeItIsWhole() {
+    Wire client = rig.ask("safe", "a1");
+    Wire server = rig.first.accept();
+    server.message();
+    String half = "x".repeat(40_000);
+    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+        + "Content-Length: 120000\r\n\r\n" + half + half);
+    assertThat(client.head().header("Content-Length"), is("120000"));
+    assertThat(client.bytes(70_000).length(), is(70_000));
+    server.write(half);
+    assertThat(client.bytes(50_000).length(), is(50_000));
+  }
+
+  @Test
+  void anAnswerToHeadHasNoBody() {
+    Wire client = rig.client().write(Rig.request("safe", "a1").replace("POST", "HEAD"));
+    Wire server = rig.first.accept();
+    assertThat(server.message().first(), is("HEAD /safe/2f HTTP/1.1"));
+    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+        + "Content-Length: 120\r\n\r\n");
+    assertThat(client.head().status(), is(200));
+    client.write(Rig.request("nowhere", "a2"));
+    assertThat(client.message().status(), is(404));
+  }
+
+  @Test
+  void aStreamIsCutAtTheEndOfItsTime() {
+    Wire client = rig.ask("stream", "a1", "Elmsail-Deadline-Ms: 4000");
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
+    client.head();
+    client.chunk();
+    rig.timers.pass(4_000);
+    assertThat(client.chunk(), is(nullValue()));
+    assertThat(server.ended(), is(true));
+  }
 }
