Serve one made-up stream for the build's archive of classes

Cause: the first request loads the classes of the servers' side on a part of a core. Change: Drill serves one stream past a stand-in server over loopback; the build's rehearsal may call it. Measured: DrillTest passes.

--- /dev/null
+++ b/clerk/src/main/java/elmsail/clerk/Drill.java
@@ -0,0 +1,185 @@
+package elmsail.clerk;
+
+import elmsail.inner.words.Roster;
+import elmsail.lots.LotCalls;
+import elmsail.station.Addresses;
+import elmsail.station.NettyLoop;
+import elmsail.station.Settings;
+import elmsail.station.http.HttpReply;
+import elmsail.station.http.HttpServing;
+import elmsail.timetable.Known;
+import elmsail.timetable.Route;
+import elmsail.timetable.ServerEntry;
+import elmsail.timetable.Service;
+import elmsail.timetable.Timetable;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Serves one made-up stream past a stand-in server over loopback, so that a build can keep an archive of the
+ * classes that a first request needs. Not for a process in service.
+ */
+public final class Drill {
+  private static final String LOOPBACK = "127.0.0.1:0";
+  private static final String HOST = "drill.example";
+  private static final byte[] EVENTS =
+      "id: 0\ndata: a\n\nid: 1\ndata: b\n\n".getBytes(StandardCharsets.US_ASCII);
+
+  private Drill() {
+  }
+
+  /**
+   * To be called on the loop.
+   *
+   * @return completes on the loop with what the client got, at its connection's end
+   */
+  public static CompletableFuture<String> run(NettyLoop loop) {
+    CompletableFuture<String> got = new CompletableFuture<>();
+    HttpServing.listen(loop, LOOPBACK, call -> CompletableFuture.completedFuture(new HttpReply(200,
+        Map.of("Elmsail-Request-Id", String.valueOf(call.headers().get("elmsail-request-id")),
+            "Elmsail-Postmark", "drill", "Content-Type", "text/event-stream",
+            "Elmsail-Server-Load", "1,0,24"),
+        EVENTS)), 1 << 16).thenCompose(server ->
+            Clerk.start(settings(), loop, new OneServer(server.address()), new NoLots()))
+        .whenComplete((clerk, fault) -> {
+          if (fault == null) {
+            ask(loop, clerk, got);
+          } else {
+            got.completeExceptionally(fault);
+          }
+        });
+    return got;
+  }
+
+  private static void ask(NettyLoop loop, Clerk clerk, CompletableFuture<String> got) {
+    StringBuilder all = new StringBuilder();
+    new Bootstrap().group(loop.events()).channel(NioSocketChannel.class)
+        .handler(new SimpleChannelInboundHandler<ByteBuf>() {
+          @Override
+          public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(Unpooled.copiedBuffer("POST /drill/1 HTTP/1.1\r\nHost: " + HOST
+                + "\r\nElmsail-Request-Id: d1\r\nElmsail-Deadline-Ms: 2000\r\nElmsail-Tokens: 30,4\r\n"
+                + "Elmsail-Prompt-Prefix: a1:10,b2:10,c3:10\r\nConnection: close\r\n"
+                + "Content-Length: 4\r\n\r\nbody",
+                StandardCharsets.US_ASCII));
+          }
+
+          @Override
+          protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+            all.append(bytes.toString(StandardCharsets.US_ASCII));
+          }
+
+          @Override
+          public void channelInactive(ChannelHandlerContext ctx) {
+            got.complete(all.toString());
+          }
+        }).connect(Addresses.of(clerk.frontAddress())).addListener(f -> {
+          if (!f.isSuccess()) {
+            got.completeExceptionally(f.cause());
+          }
+        });
+  }
+
+  private static Settings settings() {
+    return new Settings("drill", "clerk", "counter", Set.of("counter"), "127.0.0.1", "z", "r", Map.of(),
+        Map.of("front", LOOPBACK, "ready", LOOPBACK), 0, 0, List.of(), true, true,
+        new Settings.Limits(1, 256, 1_024, 1, 0), null, Set.of(), 0,
+        new Settings.Bounds(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0), null);
+  }
+
+  /** A configuration of one route, and a list of one server. */
+  private static final class OneServer implements Known, Timetable {
+    private final List<ServerEntry> servers;
+    private final Route route = new Route("drill", HOST, "/drill/", Route.Kind.STREAM, 2_000, 250, 0,
+        List.of(new Route.Share("drill", 1)), 2, true, 150, 0, 0, 0);
+
+    OneServer(String address) {
+      servers = List.of(new ServerEntry("i-drill", "drill", address, "z", 24, false, 0));
+    }
+
+    @Override
+    public Timetable timetable() {
+      return this;
+    }
+
+    @Override
+    public List<ServerEntry> servers() {
+      return servers;
+    }
+
+    @Override
+    public long listAgeMs() {
+      return 0;
+    }
+
+    @Override
+    public Roster roster() {
+      return new Roster();
+    }
+
+    @Override
+    public void whenChanged(Runnable then) {
+    }
+
+    @Override
+    public long edition() {
+      return 1;
+    }
+
+    @Override
+    public Route find(String host, String path) {
+      return route;
+    }
+
+    @Override
+    public Route named(String name) {
+      return route;
+    }
+
+    @Override
+    public Map<String, Service> services() {
+      return Map.of();
+    }
+
+    @Override
+    public ClientLimits limits() {
+      return new ClientLimits(16_384, 1 << 20, 3_000, 15_000);
+    }
+  }
+
+  /** Knows of none. */
+  private static final class NoLots implements LotCalls {
+    private static CompletableFuture<Reply> none() {
+      return CompletableFuture.completedFuture(new Reply(503, new byte[0], 1));
+    }
+
+    @Override
+    public CompletableFuture<Reply> handIn(Route route, String lotId, byte[] body, long deadlineMs) {
+      return none();
+    }
+
+    @Override
+    public CompletableFuture<Reply> read(String lotId, long after, long waitMs) {
+      return none();
+    }
+
+    @Override
+    public CompletableFuture<Reply> item(String lotId, String itemId) {
+      return none();
+    }
+
+    @Override
+    public CompletableFuture<Reply> end(String lotId) {
+      return none();
+    }
+  }
+}
--- /dev/null
+++ b/clerk/src/test/java/elmsail/clerk/DrillTest.java
@@ -0,0 +1,33 @@
+package elmsail.clerk;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.startsWith;
+
+import elmsail.station.NettyLoop;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class DrillTest {
+
+  @Test
+  void aStreamIsServed() throws Exception {
+    NettyLoop loop = new NettyLoop();
+    try {
+      CompletableFuture<String> got = new CompletableFuture<>();
+      loop.soon(() -> Drill.run(loop).whenComplete((text, fault) -> {
+        if (fault == null) {
+          got.complete(text);
+        } else {
+          got.completeExceptionally(fault);
+        }
+      }));
+      assertThat(got.get(10, TimeUnit.SECONDS), allOf(startsWith("HTTP/1.1 200"),
+          containsString("data: a"), containsString("data: b"), containsString("\r\n0\r\n\r\n")));
+    } finally {
+      loop.stop().awaitUninterruptibly(5, TimeUnit.SECONDS);
+    }
+  }
+}
