Keep a lot's add counted while its record is being written

Cause: between the admission of a first record and its sync a keeper's add could run out, or be withdrawn by another try, so a stalled disk left the lot uncounted there. A keeper without room for adds told nothing and went unnoticed. Change: an admitted add stays for 30 s; a door needs the counts of a majority; places are looked for every 40 ms. Tests of a former runner's return, of a runner that one keeper does not hear, and of a keeper that missed the end.

--- a/lots/src/main/java/elmsail/lots/door/HandIn.java
+++ b/lots/src/main/java/elmsail/lots/door/HandIn.java
@@ -30,7 +30,7 @@
   private static final int FAR = 20;
 
   private enum Verdict {
-    THERE, FITS, NEAR, FULL
+    THERE, FITS, NEAR, FULL, UNCOUNTED
   }
 
   private final Tools tools;
@@ -110,6 +110,11 @@
       verdict = Verdict.THERE;
       return new Register.Wanted(null, List.of());
     }
+    if (found.notes().size() < tools.majority()) {
+      // A keeper that tells no count has no room for the add either.
+      verdict = Verdict.UNCOUNTED;
+      return new Register.Wanted(null, List.of());
+    }
     seen.putAll(found.notes());
     long limit = limit();
     long sum = seen.without(lot) + add.tokens();
@@ -140,7 +145,7 @@
     } else if (verdict == Verdict.NEAR) {
       round(true);
     } else {
-      refuse(replies.full());
+      refuse(verdict == Verdict.UNCOUNTED ? replies.unable() : replies.full());
     }
   }
 
--- a/lots/src/main/java/elmsail/lots/keep/Shelf.java
+++ b/lots/src/main/java/elmsail/lots/keep/Shelf.java
@@ -18,6 +18,8 @@
   static final long ADD_MS = 5_000;
   /** Lots that no longer wait are told of for so long, in ms, to overrule keepers that missed it. */
   private static final long TELL_ENDED_MS = 120_000;
+  /** Adds whose lot is being written stay for so long, in ms: a disk may stall. */
+  private static final long WRITE_MS = 30_000;
   private static final int MOST_ADDS = 4_096;
 
   /** The fold of one lot's records. */
@@ -40,7 +42,8 @@
     }
   }
 
-  private record Pending(Count.Add add, long until) {
+  /** @param admitted whether its lot is being written, so that only the time takes it off */
+  private record Pending(Count.Add add, long until, boolean admitted) {
   }
 
   private final Map<String, Lot> lots = new HashMap<>();
@@ -53,8 +56,9 @@
       if (adds.size() >= MOST_ADDS && !adds.containsKey(add.lot())) {
         return null;
       }
-      adds.remove(add.lot());
-      adds.put(add.lot(), new Pending(add, now + ADD_MS));
+      Pending before = adds.remove(add.lot());
+      boolean admitted = before != null && before.admitted();
+      adds.put(add.lot(), new Pending(add, now + (admitted ? WRITE_MS : ADD_MS), admitted));
     }
     Count count = new Count();
     for (Lot lot : lots.values()) {
@@ -72,7 +76,7 @@
 
   void withdrawn(Count.Add add) {
     Pending there = adds.get(add.lot());
-    if (there != null && there.add().who() == add.who()) {
+    if (there != null && !there.admitted() && there.add().who() == add.who()) {
       adds.remove(add.lot());
     }
   }
@@ -80,9 +84,15 @@
   /** A lot's first record needs its add to be on this count; later ones follow from a decided one. */
   boolean admits(String lot, LotRecord record, long now) {
     expire(now);
+    if (record.version() > 1 || lots.containsKey(lot)) {
+      return true;
+    }
     Pending add = adds.get(lot);
-    return record.version() > 1 || lots.containsKey(lot)
-        || add != null && add.add().route().equals(record.route()) && add.add().tokens() >= record.waiting();
+    if (add == null || !add.add().route().equals(record.route()) || add.add().tokens() < record.waiting()) {
+      return false;
+    }
+    adds.put(lot, new Pending(add.add(), now + WRITE_MS, true));
+    return true;
   }
 
   void taken(String id, LotRecord record, long now) {
@@ -159,10 +169,9 @@
   private void expire(long now) {
     Iterator<Pending> each = adds.values().iterator();
     while (each.hasNext()) {
-      if (each.next().until() > now) {
-        break;
+      if (each.next().until() <= now) {
+        each.remove();
       }
-      each.remove();
     }
   }
 }
--- a/lots/src/main/java/elmsail/lots/run/LotRunner.java
+++ b/lots/src/main/java/elmsail/lots/run/LotRunner.java
@@ -19,6 +19,8 @@
  * others, gathers their texts, and gives them to be listed.
  */
 public final class LotRunner {
+  /** How soon places are looked for again, where there were none; a run that ends looks at once. */
+  private static final long LOOK_MS = 40;
   private static final long AGAIN_MS = 20;
   private static final long FETCH_MS = 1_500;
   private static final int MOST_FETCHES = 2;
@@ -160,7 +162,7 @@
       }
     }
     if (left) {
-      pumpSoon(AGAIN_MS);
+      pumpSoon(LOOK_MS);
     }
   }
 
--- a/lots/src/test/java/elmsail/lots/RunsTest.java
+++ b/lots/src/test/java/elmsail/lots/RunsTest.java
@@ -249,6 +249,67 @@
     assertThat(former.calls.running(), is(0));
   }
 
+  @Test
+  void aFormerRunnerThatComesBackFirstListsNothing() {
+    SimWorld world = new SimWorld(20, 2, 1_000);
+    SimWorld.Door former = world.doors.get(0);
+    assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
+    world.timers.pass(30);
+    world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
+    world.timers.pass(4_000);
+    assertThat(world.doors.get(1).calls.running(), is(1));
+    former.servers.runs.forEach(run -> run.heard.event(0, "former".getBytes(StandardCharsets.UTF_8)));
+    former.servers.runs.get(0).serve();
+    world.cut.clear();
+    world.timers.pass(3_000);
+    assertThat(world.read(1, "a", 0), containsString(NONE));
+    assertThat(former.calls.running(), is(0));
+  }
+
+  @Test
+  void aFormerRunnerWithNothingToListStopsToo() {
+    SimWorld world = new SimWorld(21, 2, 1_000);
+    SimWorld.Door former = world.doors.get(0);
+    former.servers.room = 0;
+    assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
+    world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
+    world.timers.pass(5_000);
+    world.cut.clear();
+    world.timers.pass(2_000);
+    assertThat(former.calls.running(), is(0));
+    assertThat(world.doors.get(1).calls.running(), is(1));
+  }
+
+  @Test
+  void aRunnerThatOneKeeperDoesNotHearIsNotRobbed() {
+    SimWorld world = new SimWorld(22, 3, 1_000);
+    SimWorld.Door runner = world.doors.get(0);
+    assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
+    world.timers.pass(30);
+    world.cut(runner.address, world.keepers.get(1).address, true);
+    world.timers.pass(20_000);
+    assertThat(runner.calls.running(), is(1));
+    assertThat(world.doors.get(1).calls.running() + world.doors.get(2).calls.running(), is(0));
+    runner.servers.runs.get(0).serve();
+    world.timers.pass(200);
+    assertThat(world.read(2, "a", 0), containsString("\"next_token\":1"));
+  }
+
+  @Test
+  void aKeeperThatMissedTheEndOfALotIsTold() {
+    SimWorld world = new SimWorld(23, 2, 1_000);
+    assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
+    world.timers.pass(30);
+    SimKeeper stale = world.keepers.get(2);
+    world.doors.forEach(door -> world.cut(door.address, stale.address, true));
+    world.doors.get(0).servers.runs.forEach(SimServers.Run::serve);
+    world.timers.pass(3_000);
+    assertThat(SimWorld.waiting(stale), is(20L));
+    world.cut.clear();
+    world.timers.pass(12_000);
+    assertThat(SimWorld.waiting(stale), is(0L));
+  }
+
   @Test
   void aLiveRunnerIsNotRobbedWhenAKeeperRestarts() {
     SimWorld world = new SimWorld(13, 3, 1_000);
--- a/lots/src/test/java/elmsail/lots/SimWorld.java
+++ b/lots/src/test/java/elmsail/lots/SimWorld.java
@@ -5,6 +5,7 @@
 import elmsail.inner.words.Roster;
 import elmsail.inner.words.Seat;
 import elmsail.lots.door.LotsDoor;
+import elmsail.lots.words.Count;
 import elmsail.rehearsal.HandTimers;
 import elmsail.station.Code;
 import elmsail.station.ElmsailException;
@@ -239,6 +240,13 @@
     return reply.join();
   }
 
+  /** The tokens that wait on the lots' route by this keeper's count. */
+  static long waiting(SimKeeper keeper) {
+    Count count = new Count();
+    count.putAll(List.of(keeper.views.noted("lot/probe", new Count.Add("r-lots", "probe", 0, 1).packed())));
+    return count.without("probe");
+  }
+
   int status(CompletableFuture<LotCalls.Reply> reply) {
     return await(reply).status();
   }
