--- a/register/src/main/java/elmsail/register/Membership.java
+++ b/register/src/main/java/elmsail/register/Membership.java
@@ -117,6 +117,11 @@
     return holder;
   }
 
+  /** Gives up a claim for another's of the same incarnation. */
+  void yield(int seat, Seat rival) {
+    seating = SeatingRules.with(seating, seat, rival);
+  }
+
   /** A seat of this place that another life of it held, or -1. */
   int lostSeat() {
     return ownSeat() >= 0 ? -1 : SeatingRules.ofPlace(seating, address, station);
--- a/register/src/main/java/elmsail/register/Newcomer.java
+++ b/register/src/main/java/elmsail/register/Newcomer.java
@@ -98,6 +98,7 @@
     if (membership.ownSeat() < 0 && seat >= 0 && seat < known.seats.size()
         && incarnation > known.seats.get(seat).incarnation) {
       begin(seat, incarnation);
+      round.spare = true;
     }
   }
 
@@ -124,6 +125,7 @@
     timers.after(wait, () -> {
       if (round == from) {
         begin(from.seat, from.holder.incarnation + (higher ? 1 : 0));
+        round.spare = from.spare;
       }
     });
   }
@@ -134,7 +136,9 @@
     private final Seat holder;
     private final List<Seat> acknowledgers = new ArrayList<>();
     private int waiting;
-    private boolean outbid;
+    /** Sent to take another's seat: leaves it to a rival of the same incarnation, who may be seated. */
+    private boolean spare;
+    private Seat rival;
     private boolean copying;
 
     Round(int seat, Seat holder) {
@@ -174,7 +178,9 @@
       waiting--;
       if (told != null && told.seating.seats.size() == membership.seating().seats.size()) {
         Seat theirs = told.seating.seats.get(seat);
-        outbid |= theirs.incarnation == holder.incarnation && theirs.life != holder.life;
+        if (theirs.incarnation == holder.incarnation && theirs.life != holder.life) {
+          rival = theirs;
+        }
         keeper.learn(told.seating);
         if (round != this) {
           return;
@@ -188,7 +194,13 @@
         copy();
       } else if (acknowledgers.size() + waiting < need) {
         copying = true;
-        later(this, outbid);
+        if (rival != null && spare) {
+          round = null;
+          membership.yield(seat, rival);
+          keeper.seatingChanged();
+        } else {
+          later(this, rival != null);
+        }
       }
     }
 
