--- a/notary/src/main/java/elmsail/notary/HeadFounding.java
+++ b/notary/src/main/java/elmsail/notary/HeadFounding.java
@@ -15,8 +15,8 @@
 
 /**
  * How a notary comes by the seating of "head": it asks the seeds until one knows it, or, at the first
- * start of all, until all of them have told their lives; from these each computes the same. A life that did not begin
- * at the first start founds nothing, and nothing is founded with it.
+ * start of all, until all of them have told their lives; from these each computes the same. A life that did
+ * not begin at the first start founds nothing, and nothing is founded with it.
  */
 final class HeadFounding {
   private static final long EVERY_MS = 100;
