--- a/lots/src/main/java/elmsail/lots/keep/Shelf.java
+++ b/lots/src/main/java/elmsail/lots/keep/Shelf.java
@@ -12,12 +12,18 @@
 import java.util.List;
 import java.util.Map;
 
-/** What one keeper knows of its lots, folded from what it took and heard; the time is given with each event. */
+/**
+ * What one keeper knows of its lots, folded from what it took and heard; the time is given with each
+ * event.
+ */
 final class Shelf {
   /** Adds that are not followed by their lot are forgotten after so long, in ms. */
   static final long ADD_MS = 5_000;
   /** Lots that no longer wait are told of for so long, in ms, to overrule keepers that missed it. */
   private static final long TELL_ENDED_MS = 120_000;
+  /** Adds whose lot is being written stay for so long, in ms: a disk may stall. */
+  private static final long WRITE_MS = 30_000;
+  private static final long UNTAKEN_MS = 60_000;
   private static final int MOST_ADDS = 4_096;
 
   /** The fold of one lot's records. */
@@ -40,11 +46,14 @@
     }
   }
 
-  private record Pending(Count.Add add, long until) {
+  /** @param admitted whether its lot is being written, so that only the time takes it off */
+  private record Pending(Count.Add add, long until, boolean admitted) {
   }
 
   private final Map<String, Lot> lots = new HashMap<>();
   private final Map<String, Pending> adds = new LinkedHashMap<>();
+  /** When lots that were never taken here were added last: what came with their first rounds is litter. */
+  private final Map<String, Long> untaken = new HashMap<>();
 
   /** Notes the add and tells the count of its route; null if there are too many adds. */
   byte[] added(Count.Add add, long now) {
@@ -53,8 +62,10 @@
       if (adds.size() >= MOST_ADDS && !adds.containsKey(add.lot())) {
         return null;
       }
-      adds.remove(add.lot());
-      adds.put(add.lot(), new Pending(add, now + ADD_MS));
+      Pending before = adds.remove(add.lot());
+      boolean admitted = before != null && before.admitted();
+      adds.put(add.lot(), new Pending(add, now + (admitted ? WRITE_MS : ADD_MS), admitted));
+      untaken.put(add.lot(), now);
     }
     Count count = new Count();
     for (Lot lot : lots.values()) {
@@ -72,7 +83,7 @@
 
   void withdrawn(Count.Add add) {
     Pending there = adds.get(add.lot());
-    if (there != null && there.add().who() == add.who()) {
+    if (there != null && !there.admitted() && there.add().who() == add.who()) {
       adds.remove(add.lot());
     }
   }
@@ -80,9 +91,15 @@
   /** A lot's first record needs its add to be on this count; later ones follow from a decided one. */
   boolean admits(String lot, LotRecord record, long now) {
     expire(now);
+    if (record.version() > 1 || lots.containsKey(lot)) {
+      return true;
+    }
     Pending add = adds.get(lot);
-    return record.version() > 1 || lots.containsKey(lot)
-        || add != null && add.add().route().equals(record.route()) && add.add().tokens() >= record.waiting();
+    if (add == null || !add.add().route().equals(record.route()) || add.add().tokens() < record.waiting()) {
+      return false;
+    }
+    adds.put(lot, new Pending(add.add(), now + WRITE_MS, true));
+    return true;
   }
 
   void taken(String id, LotRecord record, long now) {
@@ -103,11 +120,13 @@
     lot.changed = now;
     lot.heard = now;
     adds.remove(id);
+    untaken.remove(id);
   }
 
   void dropped(String id) {
     lots.remove(id);
     adds.remove(id);
+    untaken.remove(id);
   }
 
   /** Hears a runner; the answers stand in the order of its lots. */
@@ -141,6 +160,7 @@
 
   /** Lots that nobody needs any more: the caller drops them. */
   List<String> outlived(long statusMs, long slackMs, long now) {
+    expire(now);
     List<String> outlived = new ArrayList<>();
     for (Map.Entry<String, Lot> one : lots.entrySet()) {
       Lot lot = one.getValue();
@@ -149,6 +169,12 @@
         outlived.add(one.getKey());
       }
     }
+    for (Map.Entry<String, Long> one : untaken.entrySet()) {
+      // Without its add a first record is not admitted, so no promise is needed against it.
+      if (now - one.getValue() > UNTAKEN_MS && !adds.containsKey(one.getKey())) {
+        outlived.add(one.getKey());
+      }
+    }
     return outlived;
   }
 
@@ -159,10 +185,9 @@
   private void expire(long now) {
     Iterator<Pending> each = adds.values().iterator();
     while (each.hasNext()) {
-      if (each.next().until() > now) {
-        break;
+      if (each.next().until() <= now) {
+        each.remove();
       }
-      each.remove();
     }
   }
 }
