Take a first list without the duty, fill the servers with items, tell when to return

Items got two places a server and door, so lots took 17 s where the servers stood half empty. Change: a notary that knows no list asks once without the duty; a door that still lacks configuration or list says 0.6 to 0.9 s; items of one door take up to 0.6 of a server's places while 0.85 of them are not taken.

--- a/clerk/src/main/java/elmsail/clerk/requests/Desk.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Desk.java
@@ -110,7 +110,7 @@
 
   private Taken own(Answering client, int status, String id, Tally.Event why) {
     course.tally().count(why);
-    Replies.own(client, status, id, status == 503 ? Replies.soon(course.chance()) : 0);
+    Replies.own(client, status, id, status == 503 ? Replies.starting(course.chance()) : 0);
     return Taken.NONE;
   }
 }
--- a/clerk/src/main/java/elmsail/clerk/requests/Forward.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Forward.java
@@ -143,7 +143,8 @@
   private void own(int status, Tally.Event why) {
     finish();
     course.tally().count(why);
-    Replies.own(passing.client(), status, letter.id(), status == 503 ? Replies.soon(course.chance()) : 0);
+    double back = course.servers().any() ? Replies.soon(course.chance()) : Replies.starting(course.chance());
+    Replies.own(passing.client(), status, letter.id(), status == 503 ? back : 0);
   }
 
   private void breakOff() {
--- a/clerk/src/main/java/elmsail/clerk/requests/Items.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Items.java
@@ -27,10 +27,9 @@
   @Override
   public int room(Route route) {
     long now = course.timers().now();
-    int doors = Math.max(1, course.known().roster().clerks.size());
     int sum = 0;
     for (Server s : course.servers().of(route)) {
-      sum += s.itemRoom(now, doors);
+      sum += s.itemRoom(now);
     }
     return sum;
   }
@@ -38,11 +37,10 @@
   @Override
   public Running start(Route route, Piece piece, long lastEventId, Heard heard) {
     long now = course.timers().now();
-    int doors = Math.max(1, course.known().roster().clerks.size());
     List<Server> open = course.servers().of(route);
     Set<Server> full = new HashSet<>();
     for (Server s : open) {
-      if (s.itemRoom(now, doors) <= 0) {
+      if (s.itemRoom(now) <= 0) {
         full.add(s);
       }
     }
--- a/clerk/src/main/java/elmsail/clerk/requests/Replies.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Replies.java
@@ -11,6 +11,7 @@
 public final class Replies {
   private static final double LEAST_RETRY_S = 0.05;
   private static final double SPREAD_S = 0.15;
+  private static final double STARTING_S = 0.6;
 
   private Replies() {
   }
@@ -20,6 +21,11 @@
     return LEAST_RETRY_S + SPREAD_S * chance.nextDouble();
   }
 
+  /** Likewise from a door that has not heard yet what it needs: a client waits a third of its time at most. */
+  static double starting(RandomGenerator chance) {
+    return STARTING_S + 2 * SPREAD_S * chance.nextDouble();
+  }
+
   /** An empty answer. */
   public static void own(Answering client, int status, String id, double retryAfterS) {
     HttpHeaders headers = new DefaultHttpHeaders();
--- a/clerk/src/main/java/elmsail/clerk/servers/Server.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Server.java
@@ -23,7 +23,9 @@
   private static final int BREAKS = 2;
 
   /** Items are started while no more than this share of the places is taken. */
-  private static final double ITEMS_UP_TO = 0.6;
+  private static final double ITEMS_UP_TO = 0.85;
+  /** Of a server's places one door's items may take this share: lots are at few doors at a time. */
+  private static final double ITEMS_OF_ONE_DOOR = 0.6;
   private static final double ITEMS_WAIT = 0.5;
 
   private final ServerEntry entry;
@@ -204,15 +206,14 @@
   }
 
   /**
-   * How many items of lots may be started here now: in the places that plain requests leave.
-   *
-   * @param doors that start items, this one too
+   * How many items of lots may be started here now: in the places that plain requests leave. What several doors
+   * start at once beyond these waits behind the plain requests, which are more urgent.
    */
-  public int itemRoom(long now, int doors) {
+  public int itemRoom(long now) {
     if (gone || avoided(now) || waiting(now) >= ITEMS_WAIT) {
       return 0;
     }
-    int own = Math.max(2, entry.berths() / 2 / doors + 1) - items;
+    int own = Math.max(2, (int) (entry.berths() * ITEMS_OF_ONE_DOOR)) - items;
     int free = (int) (entry.berths() * ITEMS_UP_TO - running(now));
     return Math.max(0, Math.min(own, free));
   }
--- a/notary/src/main/java/elmsail/notary/ListDuty.java
+++ b/notary/src/main/java/elmsail/notary/ListDuty.java
@@ -30,6 +30,11 @@
   private long version;
   private byte[] last;
   private long pause = EVERY_MS;
+  /** A first list without the duty, so that nobody waits for a lease after all have ended at once. */
+  private static final long FIRST_MS = 100;
+  private static final long FIRST_TERM = 0;
+
+  private boolean firstAsked;
   private boolean closed;
 
   /**
@@ -47,13 +52,31 @@
   }
 
   void start() {
+    timers.after(FIRST_MS, this::first);
+    look();
+  }
+
+  /** Asked once where the others have told none yet; any list of the duty's holder is newer. */
+  private void first() {
+    if (closed || firstAsked || sources.hasServers() || term.getAsLong() != 0) {
+      return;
+    }
+    firstAsked = true;
+    carrier.fetch().whenComplete((servers, failed) -> {
+      if (failed == null && !closed && !sources.hasServers()) {
+        sources.setServers(FIRST_TERM, 1, ServerList.encode(stepped(servers)), carrier.takenAt());
+      }
+    });
+  }
+
+  private void look() {
     if (closed) {
       return;
     }
     long inTerm = term.getAsLong();
     if (inTerm == 0) {
       pause = EVERY_MS;
-      timers.after(EVERY_MS / 5, this::start);
+      timers.after(EVERY_MS / 5, this::look);
       return;
     }
     carrier.fetch().whenComplete((servers, failed) -> {
@@ -65,7 +88,7 @@
         pause = Math.min(MOST_MS, full ? pause * 2 : Math.max(EVERY_MS, pause * 3 / 2));
       }
       long least = perSecond > 0 ? (long) (carrier.lastPages() * 1_000 / (perSecond * SHARE)) : MOST_MS;
-      timers.after(Math.max(pause, least), this::start);
+      timers.after(Math.max(pause, least), this::look);
     });
   }
 
@@ -73,13 +96,7 @@
     if (closed || term.getAsLong() != inTerm) {
       return;
     }
-    List<ServerEntry> stepped = new ArrayList<>(servers.size());
-    for (ServerEntry one : servers) {
-      long cold = (one.coldLeftMs() + COLD_STEP_MS - 1) / COLD_STEP_MS * COLD_STEP_MS;
-      stepped.add(new ServerEntry(one.id(), one.service(), one.address(), one.zone(), one.berths(),
-          one.closing(), cold));
-    }
-    byte[] bytes = ServerList.encode(stepped);
+    byte[] bytes = ServerList.encode(stepped(servers));
     if (inTerm != epoch) {
       epoch = inTerm;
       version = 1;
@@ -90,6 +107,16 @@
     sources.setServers(epoch, version, bytes, carrier.takenAt());
   }
 
+  private static List<ServerEntry> stepped(List<ServerEntry> servers) {
+    List<ServerEntry> stepped = new ArrayList<>(servers.size());
+    for (ServerEntry one : servers) {
+      long cold = (one.coldLeftMs() + COLD_STEP_MS - 1) / COLD_STEP_MS * COLD_STEP_MS;
+      stepped.add(new ServerEntry(one.id(), one.service(), one.address(), one.zone(), one.berths(),
+          one.closing(), cold));
+    }
+    return stepped;
+  }
+
   void close() {
     closed = true;
   }
--- a/timetable/src/main/java/elmsail/timetable/pull/Sources.java
+++ b/timetable/src/main/java/elmsail/timetable/pull/Sources.java
@@ -72,6 +72,11 @@
     }
   }
 
+  /** Whether there is a list to tell. */
+  public boolean hasServers() {
+    return servers != null;
+  }
+
   /** How each asker's roster is made; it may differ by asker (a seat to claim). */
   public void setRoster(Function<PullAsk, Roster> newRosters) {
     rosters = newRosters;
