Look at configurations and data folders offline

Cause: an operator learnt only the first fault of a configuration, and nothing of a data folder, without a process.

--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/CheckMain.java
@@ -0,0 +1,137 @@
+package elmsail.tier;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import elmsail.station.ElmsailException;
+import elmsail.timetable.TimetableReader;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** Looks at a configuration or a data folder without taking part in anything. */
+public final class CheckMain {
+  private static final String TIMETABLE = "timetable";
+  private static final String DATA = "data";
+  private static final String JSON = "json";
+  private static final String HELP = "help";
+
+  private final PrintStream out;
+  private final PrintStream err;
+
+  CheckMain(PrintStream out, PrintStream err) {
+    this.out = out;
+    this.err = err;
+  }
+
+  public static void main(String[] args) {
+    LogProvider.choose();
+    System.exit(new CheckMain(System.out, System.err).run(args));
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(Option.builder().longOpt(TIMETABLE).hasArg().argName("FILE")
+            .desc("a configuration: print its faults, each with its path").build())
+        .addOption(Option.builder().longOpt(DATA).hasArg().argName("DIR")
+            .desc("a data folder: print what it holds; it is read in a copy").build())
+        .addOption(Option.builder().longOpt(JSON).desc("print JSON").build())
+        .addOption(Option.builder().longOpt(HELP).desc("print this").build());
+  }
+
+  /** @return the exit code */
+  int run(String... args) {
+    CommandLine line;
+    try {
+      line = new DefaultParser(false).parse(options(), args, false);
+      if (!line.getArgList().isEmpty()) {
+        throw new ParseException("not an option: " + line.getArgList().get(0));
+      }
+      if (!line.hasOption(HELP) && line.hasOption(TIMETABLE) == line.hasOption(DATA)) {
+        throw new ParseException("give one of --" + TIMETABLE + " and --" + DATA);
+      }
+    } catch (ParseException e) {
+      err.println("check: " + e.getMessage() + "; see --" + HELP);
+      return Launch.UNUSABLE;
+    }
+    if (line.hasOption(HELP)) {
+      help();
+      return Launch.DONE;
+    }
+    try {
+      return line.hasOption(DATA) ? data(Path.of(line.getOptionValue(DATA)), line.hasOption(JSON))
+          : timetable(Path.of(line.getOptionValue(TIMETABLE)), line.hasOption(JSON));
+    } catch (ElmsailException | IOException e) {
+      err.println("check: " + (e instanceof IOException ? e.toString() : e.getMessage()));
+      return Launch.FAILED;
+    }
+  }
+
+  private int timetable(Path file, boolean json) throws IOException {
+    byte[] bytes = Files.readAllBytes(file);
+    List<String> faults = TimetableFaults.of(bytes);
+    long edition = faults.isEmpty() ? TimetableReader.read(bytes).edition() : 0;
+    if (json) {
+      json(to -> {
+        to.writeStartObject();
+        to.writeBooleanField("valid", faults.isEmpty());
+        if (faults.isEmpty()) {
+          to.writeNumberField("edition", edition);
+        }
+        to.writeArrayFieldStart("faults");
+        for (String fault : faults) {
+          to.writeString(fault);
+        }
+        to.writeEndArray();
+        to.writeEndObject();
+      });
+    } else if (faults.isEmpty()) {
+      out.println("edition " + edition + " is valid by itself");
+    } else {
+      faults.forEach(out::println);
+    }
+    return faults.isEmpty() ? Launch.DONE : Launch.UNUSABLE;
+  }
+
+  private int data(Path folder, boolean json) throws IOException {
+    DataFolder read = DataFolder.read(folder);
+    if (json) {
+      json(read::write);
+    } else {
+      read.print(out);
+    }
+    return Launch.DONE;
+  }
+
+  /** Writes one JSON value. */
+  private interface Written {
+    void to(JsonGenerator json) throws IOException;
+  }
+
+  private void json(Written written) throws IOException {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator to = new JsonFactory().createGenerator(text)) {
+      written.to(to);
+    }
+    out.println(text);
+  }
+
+  private void help() {
+    PrintWriter text = new PrintWriter(out, true);
+    String codes = "Exit codes: " + Launch.DONE + " read, and the configuration is valid; " + Launch.FAILED
+        + " the file or folder cannot be read; " + Launch.UNUSABLE
+        + " the configuration is invalid, or the command line cannot be used.";
+    new HelpFormatter().printHelp(text, 100, "java -cp target/elmsail.jar elmsail.tier.CheckMain", null,
+        options(), 2, 2, codes, true);
+    text.flush();
+  }
+}
--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/DataFolder.java
@@ -0,0 +1,153 @@
+package elmsail.tier;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import elmsail.disk.FolderRecords;
+import elmsail.inner.words.Ballot;
+import elmsail.inner.words.Seat;
+import elmsail.register.KeptSet;
+import elmsail.station.Code;
+import elmsail.station.ElmsailException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a data folder holds. It is read in a copy, as opening a folder tidies it up.
+ *
+ * @param files the versions' files, those being written left out
+ * @param bytes of all files
+ */
+record DataFolder(long life, int files, long bytes, int records, List<KeptSet> sets) {
+  private static final String PREFIX = "v-";
+  private static final String PART = ".part";
+  /** Nothing is written, so any share of the disk will do. */
+  private static final long MOST_BYTES = 1L << 50;
+
+  /**
+   * @throws ElmsailException DISK: there are no records, or they cannot be read, or the folder changed
+   *     while it was copied
+   */
+  static DataFolder read(Path folder) {
+    Path copy = null;
+    try {
+      copy = Files.createTempDirectory("elmsail-data");
+      return copied(folder, copy);
+    } catch (IOException e) {
+      throw new ElmsailException(Code.DISK, "the folder cannot be copied (is its process running?): " + e, e);
+    } finally {
+      remove(copy);
+    }
+  }
+
+  private static DataFolder copied(Path folder, Path copy) throws IOException {
+    int files = 0;
+    long bytes = 0;
+    try (DirectoryStream<Path> all = Files.newDirectoryStream(folder)) {
+      for (Path file : all) {
+        String name = file.getFileName().toString();
+        if (name.startsWith(PREFIX) && !name.endsWith(PART)) {
+          Files.copy(file, copy.resolve(name));
+          bytes += Files.size(copy.resolve(name));
+          files++;
+        }
+      }
+    }
+    if (files == 0) {
+      throw new ElmsailException(Code.DISK, "no records in " + folder);
+    }
+    try (FolderRecords records = FolderRecords.open(copy, MOST_BYTES, Runnable::run)) {
+      int count = 0;
+      for (String name : records.names("")) {
+        count += name.isEmpty() ? 0 : 1;
+      }
+      return new DataFolder(records.life(), files, bytes, count, KeptSet.of(records));
+    }
+  }
+
+  private static void remove(Path copy) {
+    if (copy == null) {
+      return;
+    }
+    List<Path> files = new ArrayList<>();
+    try {
+      try (DirectoryStream<Path> all = Files.newDirectoryStream(copy)) {
+        all.forEach(files::add);
+      }
+      for (Path file : files) {
+        Files.deleteIfExists(file);
+      }
+      Files.deleteIfExists(copy);
+    } catch (IOException e) {
+      // Left to whoever tidies the temporary folder.
+    }
+  }
+
+  void print(PrintStream out) {
+    out.println("life " + Long.toHexString(life) + ", " + files + " files, " + bytes + " bytes, " + records
+        + " records");
+    for (KeptSet set : sets) {
+      out.println("set " + set.set() + ": " + (set.ownSeat() < 0 ? "holds no seat"
+          : "seat " + set.ownSeat() + (set.votes() ? ", votes" : ", does not vote")));
+      for (int i = 0; i < set.seating().seats.size(); i++) {
+        Seat seat = set.seating().seats.get(i);
+        out.println("  seat " + i + ": " + seat.address + " " + seat.station + ", life "
+            + Long.toHexString(seat.life) + ", incarnation " + seat.incarnation);
+      }
+      for (KeptSet.Key key : set.keys()) {
+        out.println("  key " + key.name() + ": promised " + of(key.promised()) + ", accepted "
+            + of(key.accepted()) + (key.copied() ? " (copied)" : "") + ", "
+            + (key.valueBytes() < 0 ? "no value" : "value of " + key.valueBytes() + " bytes") + ", "
+            + key.blobs() + " blobs");
+      }
+    }
+  }
+
+  void write(JsonGenerator json) throws IOException {
+    json.writeStartObject();
+    json.writeStringField("life", Long.toHexString(life));
+    json.writeNumberField("files", files);
+    json.writeNumberField("bytes", bytes);
+    json.writeNumberField("records", records);
+    json.writeArrayFieldStart("sets");
+    for (KeptSet set : sets) {
+      json.writeStartObject();
+      json.writeStringField("set", set.set());
+      json.writeNumberField("own_seat", set.ownSeat());
+      json.writeNumberField("caught_up", set.caughtUp());
+      json.writeBooleanField("votes", set.votes());
+      json.writeArrayFieldStart("seats");
+      for (Seat seat : set.seating().seats) {
+        json.writeStartObject();
+        json.writeStringField("address", seat.address);
+        json.writeStringField("station", seat.station);
+        json.writeStringField("life", Long.toHexString(seat.life));
+        json.writeNumberField("incarnation", seat.incarnation);
+        json.writeEndObject();
+      }
+      json.writeEndArray();
+      json.writeArrayFieldStart("keys");
+      for (KeptSet.Key key : set.keys()) {
+        json.writeStartObject();
+        json.writeStringField("key", key.name());
+        json.writeStringField("promised", of(key.promised()));
+        json.writeStringField("accepted", of(key.accepted()));
+        json.writeBooleanField("copied", key.copied());
+        json.writeNumberField("value_bytes", key.valueBytes());
+        json.writeNumberField("blobs", key.blobs());
+        json.writeEndObject();
+      }
+      json.writeEndArray();
+      json.writeEndObject();
+    }
+    json.writeEndArray();
+    json.writeEndObject();
+  }
+
+  private static String of(Ballot ballot) {
+    return ballot.round + "." + Long.toHexString(ballot.who);
+  }
+}
--- /dev/null
+++ b/tier/src/main/java/elmsail/tier/TimetableFaults.java
@@ -0,0 +1,137 @@
+package elmsail.tier;
+
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigFactory;
+import com.typesafe.config.ConfigList;
+import com.typesafe.config.ConfigObject;
+import com.typesafe.config.ConfigParseOptions;
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigSyntax;
+import com.typesafe.config.ConfigValue;
+import com.typesafe.config.ConfigValueFactory;
+import elmsail.station.ElmsailException;
+import elmsail.timetable.TimetableReader;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What is wrong with a configuration: the first fault of each route, each service, the limits and the edition.
+ * The reader stops at the first of all, so it reads what is left without the parts found bad, again and again.
+ */
+final class TimetableFaults {
+  private static final String EDITION = "edition";
+  private static final String LIMITS = "limits";
+  private static final String ROUTES = "routes";
+  private static final String SERVICES = "postal_lines";
+  private static final ConfigValue NOTHING = ConfigValueFactory.fromIterable(List.of());
+
+  private final Set<String> found = new LinkedHashSet<>();
+  private final ConfigObject root;
+
+  private TimetableFaults(ConfigObject root) {
+    this.root = root;
+  }
+
+  /** Each on one line, with the path of its key; none if the configuration is valid by itself. */
+  static List<String> of(byte[] bytes) {
+    String whole = faultOf(bytes);
+    if (whole == null) {
+      return List.of();
+    }
+    ConfigObject root;
+    try {
+      root = ConfigFactory.parseString(new String(bytes, StandardCharsets.UTF_8),
+          ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON)).root();
+    } catch (ConfigException e) {
+      return List.of(whole);
+    }
+    TimetableFaults faults = new TimetableFaults(root);
+    faults.found.add(whole);
+    faults.look();
+    return List.copyOf(faults.found);
+  }
+
+  private static String faultOf(byte[] bytes) {
+    try {
+      TimetableReader.read(bytes);
+      return null;
+    } catch (ElmsailException e) {
+      String code = e.code() + ": ";
+      String text = e.getMessage().replace('\n', ' ').replace('\r', ' ');
+      return text.startsWith(code) ? text.substring(code.length()) : text;
+    }
+  }
+
+  private static String faultOf(ConfigObject part) {
+    return faultOf(part.render(ConfigRenderOptions.concise()).getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void look() {
+    ConfigObject bare = ConfigValueFactory.fromMap(Map.of(EDITION, 1)).withValue(SERVICES, NOTHING)
+        .withValue(ROUTES, NOTHING);
+    note(faultOf(with(bare.withoutKey(EDITION), EDITION)));
+    note(faultOf(with(bare, LIMITS)));
+    parts(bare, SERVICES);
+    parts(bare.withValue(SERVICES, known()), ROUTES);
+  }
+
+  private ConfigObject with(ConfigObject part, String key) {
+    return root.containsKey(key) ? part.withValue(key, root.get(key)) : part;
+  }
+
+  private void note(String fault) {
+    if (fault != null) {
+      found.add(fault);
+    }
+  }
+
+  /** A plain service of each name there is, so that a route is not at fault for its service's faults. */
+  private ConfigValue known() {
+    Set<String> names = new LinkedHashSet<>();
+    if (root.get(SERVICES) instanceof ConfigList services) {
+      for (ConfigValue service : services) {
+        if (service instanceof ConfigObject one && one.get("name") != null
+            && one.get("name").unwrapped() instanceof String name && !name.isEmpty()) {
+          names.add(name);
+        }
+      }
+    }
+    List<Map<String, String>> plain = new ArrayList<>(names.size());
+    for (String name : names) {
+      plain.add(Map.of("name", name));
+    }
+    return ConfigValueFactory.fromIterable(plain);
+  }
+
+  /** The faults of one list's parts, told by their places in the whole list. */
+  private void parts(ConfigObject around, String key) {
+    if (!(root.get(key) instanceof ConfigList all)) {
+      note(faultOf(with(around.withoutKey(key), key)));
+      return;
+    }
+    List<ConfigValue> left = new ArrayList<>(all);
+    List<Integer> places = new ArrayList<>(left.size());
+    for (int i = 0; i < left.size(); i++) {
+      places.add(i);
+    }
+    while (true) {
+      String fault = faultOf(around.withValue(key, ConfigValueFactory.fromIterable(left)));
+      if (fault == null) {
+        return;
+      }
+      int end = fault.indexOf(']');
+      if (!fault.startsWith(key + "[") || end < 0) {
+        found.add(fault);
+        return;
+      }
+      int at = Integer.parseInt(fault.substring(key.length() + 1, end));
+      found.add(key + "[" + places.get(at) + fault.substring(end));
+      left.remove(at);
+      places.remove(at);
+    }
+  }
+}
--- /dev/null
+++ b/tier/src/test/java/elmsail/tier/CheckMainTest.java
@@ -0,0 +1,213 @@
+package elmsail.tier;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import elmsail.disk.FolderRecords;
+import elmsail.disk.Records.Change;
+import elmsail.inner.Answering;
+import elmsail.inner.Caller;
+import elmsail.inner.words.Seat;
+import elmsail.inner.words.Seating;
+import elmsail.register.KeptSet;
+import elmsail.register.SetKeeper;
+import elmsail.register.Views;
+import elmsail.rehearsal.HandTimers;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(60)
+class CheckMainTest {
+  private static final String GOOD = "{\"edition\":7,\"postal_lines\":[{\"name\":\"a\"}],\"routes\":["
+      + "{\"name\":\"r\",\"depot\":\"h.example\",\"lane_prefix\":\"/x/\",\"route_class\":\"safe\","
+      + "\"give_up_ms\":5,\"postal_line\":\"a\"}]}";
+  private static final String BAD = "{\"edition\":0,\"limits\":{\"idle_ms\":\"x\"},"
+      + "\"postal_lines\":[{\"name\":\"a\"},{\"name\":\"b\",\"health\":1},{\"name\":\"a\"}],\"routes\":["
+      + "{\"name\":\"r\",\"depot\":\"h.example\",\"lane_prefix\":\"/x/\",\"route_class\":\"safe\","
+      + "\"give_up_ms\":0,\"postal_line\":\"a\"},"
+      + "{\"name\":\"s\",\"depot\":\"h.example\",\"lane_prefix\":\"/y/\",\"route_class\":\"safe\","
+      + "\"give_up_ms\":5,\"postal_line\":\"b\"},"
+      + "{\"name\":\"t\",\"depot\":\"h.example\",\"lane_prefix\":\"/y/\",\"route_class\":\"safe\","
+      + "\"give_up_ms\":5,\"postal_line\":\"b\"},"
+      + "{\"name\":\"u\",\"depot\":\"h.example\",\"lane_prefix\":\"/z/\",\"route_class\":\"safe\","
+      + "\"give_up_ms\":5,\"postal_line\":\"c\"}]}";
+
+  @TempDir
+  private Path folder;
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  private int run(String... args) {
+    return new CheckMain(new PrintStream(out, true, StandardCharsets.UTF_8),
+        new PrintStream(err, true, StandardCharsets.UTF_8)).run(args);
+  }
+
+  private String told() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  private String file(String json) throws IOException {
+    return Files.writeString(folder.resolve("timetable.json"), json).toString();
+  }
+
+  @Test
+  void aValidConfigurationIsSaidSo() throws Exception {
+    assertThat(run("--timetable", file(GOOD)), is(Launch.DONE));
+    assertThat(run("--timetable", file(GOOD), "--json"), is(Launch.DONE));
+    assertThat(told().lines().toList(), contains("edition 7 is valid by itself",
+        "{\"valid\":true,\"edition\":7,\"faults\":[]}"));
+  }
+
+  @Test
+  void allPartsAtFaultAreNamedByTheirPlaceInTheWhole() throws Exception {
+    assertThat(run("--timetable", file(BAD)), is(Launch.UNUSABLE));
+    assertThat(told().lines().toList(), contains(
+        "edition: is not a whole number above 0",
+        "limits.idle_ms: is not a number",
+        "postal_lines[1].health: is not a text",
+        "postal_lines[2].name: two services are called a",
+        "routes[0].give_up_ms: is 0",
+        "routes[2].lane_prefix: two routes have h.example and /y/",
+        "routes[3].postal_line: the service c is not known"));
+    out.reset();
+    assertThat(run("--timetable", file(BAD), "--json"), is(Launch.UNUSABLE));
+    assertThat(told(), allOf(containsString("\"valid\":false"), containsString("\"limits.idle_ms: "),
+        containsString("\"routes[3].postal_line: ")));
+  }
+
+  @Test
+  void whatIsNoWholeConfigurationIsOneFault() throws Exception {
+    assertThat(run("--timetable", file(GOOD.substring(0, 30))), is(Launch.UNUSABLE));
+    assertThat(told().lines().count(), is(1L));
+    out.reset();
+    assertThat(run("--timetable", file("{\"edition\":1,\"routes\":3}")), is(Launch.UNUSABLE));
+    assertThat(told().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
+    out.reset();
+    assertThat(run("--timetable", file(GOOD.replace("\"give_up_ms\":5", "\"give_up_ms\":5,\"give_up_ms\":6"))),
+        is(Launch.UNUSABLE));
+    assertThat(told().lines().count(), is(1L));
+    assertThat(told(), containsString("Duplicate field 'give_up_ms'"));
+  }
+
+  @Test
+  void aDataFolderIsReadAndLeftAsItWas() throws Exception {
+    Path data = folder.resolve("data");
+    long life = write(data);
+    Files.write(data.resolve("v-0000000000000099.part"), new byte[] {1});
+    Map<String, ByteBuffer> before = bytes(data);
+    assertThat(run("--data", data.toString()), is(Launch.DONE));
+    assertThat(told(), allOf(containsString("life " + Long.toHexString(life) + ", "),
+        containsString("set head: seat 0, votes"),
+        containsString("  seat 0: 127.0.0.1:7721 n1, life " + Long.toHexString(life) + ", incarnation 1"),
+        containsString("  seat 1: 127.0.0.2:7721 n2, life 5, incarnation 1"),
+        containsString("  key time/table: promised 3.4, accepted 2.4, value of 2 bytes, 1 blobs")));
+    assertThat(told(), not(containsString("set notary")));
+    out.reset();
+    assertThat(run("--data", data.toString(), "--json"), is(Launch.DONE));
+    assertThat(told(), allOf(containsString("\"own_seat\":0,\"caught_up\":1,\"votes\":true"),
+        containsString("{\"key\":\"time/table\",\"promised\":\"3.4\",\"accepted\":\"2.4\",\"copied\":false,"
+            + "\"value_bytes\":2,\"blobs\":1}")));
+    assertThat(bytes(data), is(before));
+  }
+
+  /** A keeper writes its seating; a key's record is laid beside it as register's KeyState writes it. */
+  private static long write(Path data) {
+    HandTimers timers = new HandTimers();
+    try (FolderRecords records = FolderRecords.open(data, 1 << 24, Runnable::run)) {
+      SetKeeper keeper = new SetKeeper("head", records, new Views() { }, new NoAnswers(), new NoCalls(),
+          timers, "127.0.0.1:7721", "n1");
+      Seating seating = new Seating();
+      seating.seats.add(seat("127.0.0.1:7721", "n1", records.life()));
+      seating.seats.add(seat("127.0.0.2:7721", "n2", 5));
+      seating.seats.add(seat("127.0.0.3:7721", "n3", 6));
+      keeper.found(seating);
+      byte[] state = ByteBuffer.allocate(35).putLong(3).putLong(4).putLong(2).putLong(4).put((byte) 1)
+          .put((byte) 8).put((byte) 9).array();
+      records.write(List.of(new Change("head/k/time%2Ftable", state),
+          new Change("head/b/time%2Ftable/one", new byte[9]), new Change("notary/born", new byte[] {1})))
+          .join();
+      assertThat(KeptSet.of(records).size(), is(1));
+      return records.life();
+    }
+  }
+
+  private static Seat seat(String address, String station, long life) {
+    Seat seat = new Seat();
+    seat.address = address;
+    seat.station = station;
+    seat.life = life;
+    seat.incarnation = 1;
+    return seat;
+  }
+
+  private static final class NoAnswers implements Answering {
+    @Override
+    public <Q, A> void on(Class<Q> ask,
+        Function<Q, ? extends CompletionStage<A>> handler) {
+      // Nobody asks.
+    }
+  }
+
+  private static final class NoCalls implements Caller {
+    @Override
+    public <A> CompletableFuture<A> call(String address, Object ask, Class<A> answer, long timeoutMs) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  private static Map<String, ByteBuffer> bytes(Path data) throws IOException {
+    Map<String, ByteBuffer> all = new TreeMap<>();
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(data)) {
+      for (Path file : files) {
+        all.put(file.getFileName().toString(), ByteBuffer.wrap(Files.readAllBytes(file)));
+      }
+    }
+    return all;
+  }
+
+  @Test
+  void whatCannotBeReadIsSaidSo() throws Exception {
+    assertThat(run("--data", folder.resolve("none").toString()), is(Launch.FAILED));
+    Path empty = Files.createDirectory(folder.resolve("empty"));
+    assertThat(run("--data", empty.toString()), is(Launch.FAILED));
+    assertThat(bytes(empty).size(), is(0));
+    Path data = folder.resolve("data");
+    write(data);
+    String last = ((TreeMap<String, ByteBuffer>) bytes(data)).lastKey();
+    byte[] whole = Files.readAllBytes(data.resolve(last));
+    Files.write(data.resolve(last), Arrays.copyOf(whole, whole.length - 3));
+    assertThat(run("--data", data.toString()), is(Launch.FAILED));
+    assertThat(run("--timetable", folder.resolve("none").toString()), is(Launch.FAILED));
+    assertThat(err.toString(StandardCharsets.UTF_8), allOf(containsString("no records in"),
+        containsString("is torn"), containsString("NoSuchFile")));
+  }
+
+  @Test
+  void theCommandLineIsChecked() {
+    assertThat(run(), is(Launch.UNUSABLE));
+    assertThat(run("--data", "a", "--timetable", "b"), is(Launch.UNUSABLE));
+    assertThat(run("--data", "a", "more"), is(Launch.UNUSABLE));
+    assertThat(run("--help"), is(Launch.DONE));
+    assertThat(told(), containsString("Exit codes"));
+  }
+}
