--- a/register/src/main/java/elmsail/register/KeptSet.java
+++ b/register/src/main/java/elmsail/register/KeptSet.java
@@ -25,7 +25,8 @@
    * @param copied the value came from another seat when this seat was claimed, and counts as no vote
    * @param valueBytes -1 if nothing was accepted
    */
-  public record Key(String name, Ballot promised, Ballot accepted, boolean copied, int valueBytes, int blobs) {
+  public record Key(String name, Ballot promised, Ballot accepted, boolean copied, int valueBytes,
+      int blobs) {
   }
 
   /**
--- a/tier/src/main/java/elmsail/tier/TimetableFaults.java
+++ b/tier/src/main/java/elmsail/tier/TimetableFaults.java
@@ -19,8 +19,9 @@
 import java.util.Set;
 
 /**
- * What is wrong with a configuration: the first fault of each route, each service, the limits and the edition.
- * The reader stops at the first of all, so it reads what is left without the parts found bad, again and again.
+ * What is wrong with a configuration: the first fault of each route, each service, the limits and the
+ * edition. The reader stops at the first of all, so it reads what is left without the parts found bad, again
+ * and again.
  */
 final class TimetableFaults {
   private static final String EDITION = "edition";
--- a/tier/src/test/java/elmsail/tier/CheckMainTest.java
+++ b/tier/src/test/java/elmsail/tier/CheckMainTest.java
@@ -103,8 +103,8 @@
     assertThat(run("--timetable", file("{\"edition\":1,\"routes\":3}")), is(Launch.UNUSABLE));
     assertThat(told().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
     out.reset();
-    assertThat(run("--timetable", file(GOOD.replace("\"give_up_ms\":5", "\"give_up_ms\":5,\"give_up_ms\":6"))),
-        is(Launch.UNUSABLE));
+    String twice = GOOD.replace("\"give_up_ms\":5", "\"give_up_ms\":5,\"give_up_ms\":6");
+    assertThat(run("--timetable", file(twice)), is(Launch.UNUSABLE));
     assertThat(told().lines().count(), is(1L));
     assertThat(told(), containsString("Duplicate field 'give_up_ms'"));
   }
