--- a/tier/src/main/java/elmsail/tier/Counter.java
+++ b/tier/src/main/java/elmsail/tier/Counter.java
@@ -55,7 +55,7 @@
     });
   }
 
-  /** How far another process is: the first two parts of its address tell its zone in the deployments known. */
+  /** How far another process is: the first two parts of its address tell its zone as far as is known. */
   private static int near(String own, String other) {
     int dots = 0;
     for (int i = 0; i < Math.min(own.length(), other.length()); i++) {
--- a/tier/src/main/java/elmsail/tier/Office.java
+++ b/tier/src/main/java/elmsail/tier/Office.java
@@ -11,7 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A notary put together, at the head office or at a vault: its disk, its links, its part. All on the loop. */
+/** A notary put together, at the head office or a vault: its disk, its links, its part. All on the loop. */
 final class Office implements Program.Running {
   private static final Logger LOG = LoggerFactory.getLogger(Office.class);
 
