Begin items one after the other, leave misplaced servers, keep to the own zone more

Change: a door begins one item in 80 ms at a server, up to half of its places while 0.7 of all are not taken; a 421 takes the server out until the list drops it; another zone counts 12 ms, as its bytes are priced. The tests of these bounds state the new ones, and the pace beside them.

--- a/clerk/src/main/java/elmsail/clerk/servers/Choice.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Choice.java
@@ -14,7 +14,7 @@
   static final double NEARLY_FULL = 0.8;
   static final double FULL_MS = 80;
   /** For the way to another zone and back, and what its bytes are priced. */
-  static final double OTHER_ZONE_MS = 4;
+  static final double OTHER_ZONE_MS = 12;
   /** Of what a server holds by the doors' common reckoning this share is counted on. */
   static final double HOME_SHARE = 0.5;
   /** A server that failed lately, or is silent, is taken only where there is no other. */
--- a/clerk/src/main/java/elmsail/clerk/servers/Server.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Server.java
@@ -23,9 +23,11 @@
   private static final int BREAKS = 2;
 
   /** Items are started while no more than this share of the places is taken. */
-  private static final double ITEMS_UP_TO = 0.85;
+  private static final double ITEMS_UP_TO = 0.7;
   /** Of a server's places one door's items may take this share: lots are at few doors at a time. */
-  private static final double ITEMS_OF_ONE_DOOR = 0.6;
+  private static final double ITEMS_OF_ONE_DOOR = 0.5;
+  /** Prompts that begin together are read between all others' tokens, which then come too late. */
+  private static final long ITEM_PACE_MS = 80;
   private static final double ITEMS_WAIT = 0.5;
 
   private final ServerEntry entry;
@@ -36,6 +38,8 @@
   /** Open, opening and idle ones. */
   int connections;
   private int items;
+  private long lastItemAt = Long.MIN_VALUE / 2;
+  private boolean misplaced;
   private int readingTokens;
   private boolean gone;
   private long avoidedUntil = Long.MIN_VALUE;
@@ -69,6 +73,15 @@
     return gone;
   }
 
+  /** Another has its address: nothing more is sent to it, whatever the list says. */
+  void misplace() {
+    misplaced = true;
+  }
+
+  boolean misplaced() {
+    return misplaced;
+  }
+
   void leave() {
     gone = true;
   }
@@ -92,7 +105,10 @@
 
   void begun(Try one) {
     tries.add(one);
-    items += one.out().item() ? 1 : 0;
+    if (one.out().item()) {
+      items++;
+      lastItemAt = one.since();
+    }
     readingTokens += anew(one);
   }
 
@@ -210,7 +226,7 @@
    * start at once beyond these waits behind the plain requests, which are more urgent.
    */
   public int itemRoom(long now) {
-    if (gone || avoided(now) || waiting(now) >= ITEMS_WAIT) {
+    if (gone || misplaced || now - lastItemAt < ITEM_PACE_MS || avoided(now) || waiting(now) >= ITEMS_WAIT) {
       return 0;
     }
     int own = Math.max(2, (int) (entry.berths() * ITEMS_OF_ONE_DOOR)) - items;
--- a/clerk/src/main/java/elmsail/clerk/servers/ServerConnection.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/ServerConnection.java
@@ -24,6 +24,7 @@
  * present request, whole and in its place, closes it.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private static final int MISDIRECTED = 421;
   private static final int MOST_LINE = 4_096;
   private static final int MOST_HEAD = 16_384;
   private static final int MOST_PIECE = 32 * 1024;
@@ -151,6 +152,9 @@
     idleMs = told == null ? UNTOLD_MS : toldMs(told);
     long now = servers.timers().now();
     server.heard(now);
+    if (code == MISDIRECTED) {
+      server.misplace();
+    }
     String load = head.headers().get(Headers.SERVER_LOAD);
     if (load != null) {
       server.load(load, now);
--- a/clerk/src/main/java/elmsail/clerk/servers/Servers.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Servers.java
@@ -193,7 +193,7 @@
     long now = timers.now();
     List<Server> open = new ArrayList<>(among.size());
     for (Server s : among) {
-      if (!not.contains(s) && !s.gone() && room(s)) {
+      if (!not.contains(s) && !s.gone() && !s.misplaced() && room(s)) {
         open.add(s);
       }
     }
--- a/clerk/src/test/java/elmsail/clerk/ItemsTest.java
+++ b/clerk/src/test/java/elmsail/clerk/ItemsTest.java
@@ -161,11 +161,14 @@
   @Test
   void thereIsRoomOnlyForSome() throws Exception {
     int room = rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack")));
-    assertThat(room, is(13));
-    for (int i = 0; i < room; i++) {
+    assertThat(room, is(12));
+    for (int left = room; left > room - 4; left--) {
+      int now = left;
+      assertThat(rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack"))), is(now));
       assertThat(start(-1), is(notNullValue()));
+      assertThat("prompts are not begun together", start(-1), is(nullValue()));
+      rig.timers.pass(80);
     }
-    assertThat(start(-1), is(nullValue()));
   }
 
   @Test
--- a/clerk/src/test/java/elmsail/clerk/servers/ChoiceTest.java
+++ b/clerk/src/test/java/elmsail/clerk/servers/ChoiceTest.java
@@ -44,7 +44,9 @@
   void theOwnZoneIsPreferredSlightly() {
     View far = new View(0, 0, 0, 0, 24, 0, false, false);
     assertThat(Choice.pick(List.of(far, EMPTY), 2_000, 0), is(1));
-    View farAndKnown = new View(1_000, 0, 0, 0, 24, 0, false, false);
+    View farAndHardlyKnown = new View(1_000, 0, 0, 0, 24, 0, false, false);
+    assertThat(Choice.pick(List.of(EMPTY, farAndHardlyKnown), 2_000, 1), is(0));
+    View farAndKnown = new View(1_500, 0, 0, 0, 24, 0, false, false);
     assertThat(Choice.pick(List.of(EMPTY, farAndKnown), 2_000, 0), is(1));
   }
 
--- a/clerk/src/test/java/elmsail/clerk/servers/ServerTest.java
+++ b/clerk/src/test/java/elmsail/clerk/servers/ServerTest.java
@@ -162,16 +162,19 @@
 
   @Test
   void itemsGetTheRoomThatIsLeft() {
-    assertThat(server.itemRoom(1_000), is(14));
+    assertThat(server.itemRoom(1_000), is(12));
     server.load("12,0,24", 1_000);
-    assertThat(server.itemRoom(1_000), is(8));
+    assertThat(server.itemRoom(1_000), is(4));
     server.load("20,0,24", 1_000);
     assertThat(server.itemRoom(1_000), is(0));
     server.load("2,3,24", 1_000);
     assertThat(server.itemRoom(1_000), is(0));
     server.load("0,0,24", 1_000);
     begin(1_000, true);
-    assertThat(server.itemRoom(1_000), is(13));
+    assertThat("prompts are not begun together", server.itemRoom(1_079), is(0));
+    assertThat(server.itemRoom(1_080), is(11));
+    server.misplace();
+    assertThat("another has its address", server.itemRoom(1_080), is(0));
     server.leave();
     assertThat(server.itemRoom(1_000), is(0));
   }
