Let a replaced holder stand in for a spare that isn't seated, and a spare stay one

Cause: a spare's unfinished claim and the loss of another holder's memory left three seats without a majority, though the replaced holder was alive; a restarted spare outbid a rival; SimDisk wrote what had been gathered behind a refused batch; a client whose silent seats answered first never learnt of the newer seating. Change: Seat names the one before; ClaimAnswers counts an unseated holder and the one before as one; SET/spare is kept; SimDisk fails all until the failure is told; late answers still tell the seating.

--- a/register/src/main/java/elmsail/register/BlobSearch.java
+++ b/register/src/main/java/elmsail/register/BlobSearch.java
@@ -65,6 +65,9 @@
 
     private void answered(BlobTold told) {
       if (!current(number)) {
+        if (told != null) {
+          late(told.seating);
+        }
         return;
       }
       answered++;
--- a/register/src/main/java/elmsail/register/Changing.java
+++ b/register/src/main/java/elmsail/register/Changing.java
@@ -135,7 +135,11 @@
         sendAccept(seat, yes);
         return;
       }
-      if (accepting || !current(number) || renewed(seating, told)) {
+      if (!current(number)) {
+        late(told);
+        return;
+      }
+      if (accepting || renewed(seating, told)) {
         return;
       }
       if (yes) {
@@ -254,6 +258,7 @@
         promisedNext++;
       }
       if (!current(number)) {
+        late(told);
         return;
       }
       if (yes) {
--- a/register/src/main/java/elmsail/register/KeptNames.java
+++ b/register/src/main/java/elmsail/register/KeptNames.java
@@ -10,20 +10,23 @@
 import java.util.Map;
 
 /**
- * How the records of one set are called: SET/k/KEY the key's state, SET/b/KEY/NAME a blob, SET/seating and
- * SET/seated. A "%" or "/" in a key is written %25 or %2F there, so that no key's blobs are another's.
+ * How the records of one set are called: SET/k/KEY the key's state, SET/b/KEY/NAME a blob, SET/seating,
+ * SET/seated and SET/spare. A "%" or "/" in a key is written %25 or %2F there, so that no key's blobs are
+ * another's.
  */
 final class KeptNames {
   private static final int MOST_NAMES = 5_000;
 
   private final String seated;
   private final String seating;
+  private final String spare;
   private final String keys;
   private final String allBlobs;
 
   KeptNames(String set) {
     seated = set + "/seated";
     seating = set + "/seating";
+    spare = set + "/spare";
     keys = set + "/k/";
     allBlobs = set + "/b/";
   }
@@ -36,6 +39,11 @@
     return seating;
   }
 
+  /** Is there while a claim goes on that was made as a spare. */
+  String spare() {
+    return spare;
+  }
+
   /** What all keys' records begin with. */
   String keys() {
     return keys;
--- a/register/src/main/java/elmsail/register/Membership.java
+++ b/register/src/main/java/elmsail/register/Membership.java
@@ -1,6 +1,7 @@
 package elmsail.register;
 
 import elmsail.inner.words.ClaimAsk;
+import elmsail.inner.words.ClaimTold;
 import elmsail.inner.words.Seat;
 import elmsail.inner.words.Seating;
 import elmsail.inner.words.VoteTold;
@@ -16,6 +17,7 @@
   private Seating seating;
   /** The incarnation with which this life was founded, or has copied all that it had to; 0: none. */
   private int caughtUp;
+  private boolean spare;
 
   Membership(String address, String station, long life, Seating seating, int caughtUp) {
     this.address = address;
@@ -52,6 +54,34 @@
     caughtUp = incarnation;
   }
 
+  /** Whether the claim under way is of another's seat: it leaves that to a rival of the same incarnation. */
+  boolean spare() {
+    return spare;
+  }
+
+  void spare(boolean is) {
+    spare = is;
+  }
+
+  /** The seat whose present holder names this life, which was seated there, as the one before; or -1. */
+  int replacedSeat() {
+    if (caughtUp == 0 || ownSeat() >= 0) {
+      return -1;
+    }
+    for (int i = 0; i < seating.seats.size(); i++) {
+      Seat seat = seating.seats.get(i);
+      if (seat.beforeLife == life && seat.beforeIncarnation == caughtUp) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  /** Has whole records of votes that count, but casts none any more. */
+  boolean replaced() {
+    return replacedSeat() >= 0;
+  }
+
   /** True if something was newer: it is to be written. */
   boolean learn(Seating told) {
     Seating merged = SeatingRules.merge(seating, told);
@@ -80,21 +110,42 @@
     ADOPTED,
     /** The very same claim is known already. */
     KNOWN,
+    /** Known here from now on, but this life isn't seated: see {@link Newcomer}. */
+    NOTED,
     /** Outbid, or this one is in no position to acknowledge. */
     REFUSED
   }
 
+  /** To be told, with the seating, once what it changed here is on disk. */
+  ClaimTold answer(ClaimAsk ask) {
+    Claimed claimed = claim(ask);
+    ClaimTold told = new ClaimTold();
+    told.life = life;
+    told.held = claimed == Claimed.ADOPTED || claimed == Claimed.KNOWN;
+    told.noted = claimed == Claimed.NOTED;
+    told.replaced = told.noted && replaced();
+    return told;
+  }
+
+  /** Whether a newcomer may copy from here, where a vote was answered so: seated, or replaced. */
+  boolean serves(int code) {
+    return code == VoteTold.DONE || code == VoteTold.NOT_SEATED && replaced();
+  }
+
   /**
    * A claim counts only from a seated holder, whose records are whole, and only above the incarnation known:
    * of two claims of one incarnation just one can be acknowledged by enough.
    */
   Claimed claim(ClaimAsk ask) {
-    if (!seated() || ask.seat < 0 || ask.seat >= seating.seats.size()) {
+    boolean votes = seated();
+    boolean claiming = !votes && ownSeat() >= 0;
+    if (ask.seat < 0 || ask.seat >= seating.seats.size() || claiming && ask.seat == ownSeat()
+        || !votes && !claiming && !replaced()) {
       return Claimed.REFUSED;
     }
     Seat known = seating.seats.get(ask.seat);
     if (SeatingRules.same(known, ask.holder)) {
-      return ask.holder.life == life ? Claimed.REFUSED : Claimed.KNOWN;
+      return ask.holder.life == life ? Claimed.REFUSED : votes ? Claimed.KNOWN : Claimed.NOTED;
     }
     int other = SeatingRules.ofLife(seating, ask.holder.life);
     if (ask.holder.incarnation <= known.incarnation || other >= 0 && other != ask.seat) {
@@ -102,7 +153,7 @@
     }
     boolean own = ask.seat == ownSeat();
     seating = SeatingRules.with(seating, ask.seat, ask.holder);
-    return own ? Claimed.REFUSED : Claimed.ADOPTED;
+    return own ? Claimed.REFUSED : votes ? Claimed.ADOPTED : Claimed.NOTED;
   }
 
   /** This life's own claim of a seat: taken over here first, and not voting. */
@@ -112,6 +163,16 @@
     holder.station = station;
     holder.life = life;
     holder.incarnation = incarnation;
+    Seat known = seating.seats.get(seat);
+    if (known.life == life && known.incarnation == incarnation) {
+      holder.beforeAddress = known.beforeAddress;
+      holder.beforeLife = known.beforeLife;
+      holder.beforeIncarnation = known.beforeIncarnation;
+    } else if (known.life != life && known.incarnation == incarnation - 1) {
+      holder.beforeAddress = known.address;
+      holder.beforeLife = known.life;
+      holder.beforeIncarnation = known.incarnation;
+    }
     seating = SeatingRules.with(seating, seat, holder);
     caughtUp = 0;
     return holder;
@@ -120,6 +181,7 @@
   /** Gives up a claim for another's of the same incarnation. */
   void yield(int seat, Seat rival) {
     seating = SeatingRules.with(seating, seat, rival);
+    spare = false;
   }
 
   /** A seat of this place that another life of it held, or -1. */
--- a/register/src/main/java/elmsail/register/Newcomer.java
+++ b/register/src/main/java/elmsail/register/Newcomer.java
@@ -4,10 +4,11 @@
 import elmsail.inner.Caller;
 import elmsail.inner.words.ClaimAsk;
 import elmsail.inner.words.ClaimTold;
+import elmsail.inner.words.ReadAsk;
 import elmsail.inner.words.Seat;
 import elmsail.inner.words.Seating;
+import elmsail.inner.words.VoteTold;
 import elmsail.station.Timers;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
@@ -43,6 +44,32 @@
  * its memory meanwhile, so that nothing copied earlier is relied on.
  * <li>An acknowledger that is no longer seated, or answers with another life, makes it start over.
  * </ul>
+ *
+ * <p>A seat whose new holder isn't seated yet would otherwise be in the way of a second newcomer for good, if
+ * that one's seat was lost too: each would wait for the other. In the place of one seated holder, a claim is
+ * therefore also acknowledged by one such seat's two lives together: its new holder S, and the one R that was
+ * seated there right before; and R is copied from. Why that is as good, let k be the incarnation of R and
+ * k + 1 that of S:
+ * <ul>
+ * <li>S answers that it isn't seated, and has the claim on its disk: S has cast no vote in this seat, and
+ * will cast none under a seating without the claim.
+ * <li>R answers that it was seated under k, is seated no more (or is, and acknowledges as such), and has the
+ * claim on its disk. It voted only under k, votes under no seating that has S, and its records are all that
+ * those votes made: they are dropped only behind its own claim of a seat, which is on its disk first and ends
+ * what it answers here; and it claims another seat only once S told that it votes. If R doesn't know of S
+ * yet, its later votes are under seatings with this claim, so they needn't be copied; the copying makes it
+ * learn of S.
+ * <li>Nobody else voted in the seat, nor will: there is no incarnation between k and k + 1; of two lives that
+ * claim k only one can be seated, and R was. A rival of S in k + 1, or whoever claims a later one, that was
+ * seated or will be without knowing this claim had acknowledgements from N - q + 1 seats. So did this claim:
+ * N - q of these are seated holders in the N - 2 seats besides both, where the other's are N - q at least,
+ * and 2 (N - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which it knew to
+ * hold the seat, and never goes back: so it can't have known the rival first, and acknowledges none later but
+ * telling this claim along with it.
+ * <li>For that overlap only one seat may be acknowledged so, and all who are seated must have told of just S.
+ * <li>What S copies later from this newcomer has all that was decided, as from any that is seated.
+ * </ul>
+ * If S is gone for good, this doesn't help: that it didn't vote is known to it alone.
  */
 final class Newcomer {
   private static final Logger LOG = LoggerFactory.getLogger(Newcomer.class);
@@ -87,6 +114,7 @@
       round = null;
       int lost = membership.lostSeat();
       if (lost >= 0) {
+        membership.spare(false);
         begin(lost, membership.seating().seats.get(lost).incarnation + 1);
       }
     }
@@ -95,11 +123,30 @@
   /** Takes the seat of another life. */
   void claim(int seat, int incarnation) {
     Seating known = membership.seating();
-    if (membership.ownSeat() < 0 && seat >= 0 && seat < known.seats.size()
-        && incarnation > known.seats.get(seat).incarnation) {
+    if (membership.ownSeat() >= 0 || seat < 0 || seat >= known.seats.size()
+        || incarnation <= known.seats.get(seat).incarnation) {
+      return;
+    }
+    int replaced = membership.replacedSeat();
+    if (replaced < 0 || replaced == seat) {
+      membership.spare(true);
       begin(seat, incarnation);
-      round.spare = true;
+      return;
     }
+    // Its records may be the only ones of the seat it left, until its successor votes there.
+    ReadAsk ask = new ReadAsk();
+    ask.set = set;
+    ask.seating = known;
+    ask.bare = true;
+    caller.call(known.seats.get(replaced).address, ask, VoteTold.class, CLAIM_CALL_MS)
+        .whenComplete((told, failure) -> {
+          if (told != null && told.code == VoteTold.DONE && membership.ownSeat() < 0
+              && membership.replacedSeat() == replaced
+              && incarnation > membership.seating().seats.get(seat).incarnation) {
+            membership.spare(true);
+            begin(seat, incarnation);
+          }
+        });
   }
 
   private void begin(int seat, int incarnation) {
@@ -125,7 +172,6 @@
     timers.after(wait, () -> {
       if (round == from) {
         begin(from.seat, from.holder.incarnation + (higher ? 1 : 0));
-        round.spare = from.spare;
       }
     });
   }
@@ -134,10 +180,7 @@
   private final class Round {
     private final int seat;
     private final Seat holder;
-    private final List<Seat> acknowledgers = new ArrayList<>();
-    private int waiting;
-    /** Sent to take another's seat: leaves it to a rival of the same incarnation, who may be seated. */
-    private boolean spare;
+    private ClaimAnswers answers;
     private Seat rival;
     private boolean copying;
 
@@ -150,32 +193,39 @@
       if (round != this) {
         return;
       }
-      List<Seat> seats = membership.seating().seats;
       Seating known = membership.seating();
-      waiting = seats.size() - 1 - SeatingRules.vacant(known);
-      for (int i = 0; i < seats.size(); i++) {
-        if (i == seat || !SeatingRules.counts(known, i)) {
-          continue;
-        }
-        ClaimAsk ask = new ClaimAsk();
-        ask.set = set;
-        ask.seat = seat;
-        ask.holder = holder;
+      answers = new ClaimAnswers(known, seat, membership.life());
+      ClaimAsk ask = new ClaimAsk();
+      ask.set = set;
+      ask.seat = seat;
+      ask.holder = holder;
+      for (int i = 0; i < known.seats.size(); i++) {
         int other = i;
-        caller.call(seats.get(i).address, ask, ClaimTold.class, CLAIM_CALL_MS)
-            .whenComplete((told, failure) -> answered(other, told));
+        Seat one = known.seats.get(i);
+        if (answers.asks(i)) {
+          caller.call(one.address, ask, ClaimTold.class, CLAIM_CALL_MS)
+              .whenComplete((told, failure) -> answered(other, false, told));
+        }
+        if (answers.asksBefore(i)) {
+          caller.call(one.beforeAddress, ask, ClaimTold.class, CLAIM_CALL_MS)
+              .whenComplete((told, failure) -> answered(other, true, told));
+        }
       }
-      if (waiting <= 0) {
+      if (answers.hopeless()) {
         // The only seat: there is nobody to have it from.
         later(this, false);
       }
     }
 
-    private void answered(int other, ClaimTold told) {
+    private void answered(int other, boolean before, ClaimTold told) {
       if (round != this || copying) {
         return;
       }
-      waiting--;
+      if (before) {
+        answers.toldBefore(other, told);
+      } else {
+        answers.told(other, told);
+      }
       if (told != null && told.seating.seats.size() == membership.seating().seats.size()) {
         Seat theirs = told.seating.seats.get(seat);
         if (theirs.incarnation == holder.incarnation && theirs.life != holder.life) {
@@ -185,16 +235,13 @@
         if (round != this) {
           return;
         }
-        if (told.held) {
-          acknowledgers.add(told.seating.seats.get(other));
-        }
       }
-      int need = SeatingRules.blocking(membership.seating().seats.size());
-      if (acknowledgers.size() >= need) {
-        copy();
-      } else if (acknowledgers.size() + waiting < need) {
+      List<Seat> sources = answers.sources();
+      if (sources != null) {
+        copy(sources);
+      } else if (answers.hopeless()) {
         copying = true;
-        if (rival != null && spare) {
+        if (rival != null && membership.spare()) {
           round = null;
           membership.yield(seat, rival);
           keeper.seatingChanged();
@@ -204,10 +251,10 @@
       }
     }
 
-    private void copy() {
+    private void copy(List<Seat> sources) {
       copying = true;
       keeper.forget();
-      new Copying(set, names, keeper, records, caller, timers, acknowledgers, () -> round == this, whole -> {
+      new Copying(set, names, keeper, records, caller, timers, sources, () -> round == this, whole -> {
         if (round != this) {
           return;
         }
--- a/register/src/main/java/elmsail/register/Reading.java
+++ b/register/src/main/java/elmsail/register/Reading.java
@@ -97,7 +97,11 @@
     }
 
     private void answered(int seat, VoteTold vote) {
-      if (!current(number) || settled || renewed(seating, vote)) {
+      if (!current(number)) {
+        late(vote);
+        return;
+      }
+      if (settled || renewed(seating, vote)) {
         return;
       }
       if (vote == null || vote.code != VoteTold.DONE) {
--- a/register/src/main/java/elmsail/register/SeatingBytes.java
+++ b/register/src/main/java/elmsail/register/SeatingBytes.java
@@ -26,6 +26,11 @@
         out.writeLong(seat.life);
         out.writeInt(seat.incarnation);
       }
+      for (Seat seat : seating.seats) {
+        out.writeUTF(seat.beforeAddress);
+        out.writeLong(seat.beforeLife);
+        out.writeInt(seat.beforeIncarnation);
+      }
     } catch (IOException e) {
       throw new ElmsailException(Code.FAULT, "a seating that cannot be written", e);
     }
@@ -48,6 +53,12 @@
         seat.incarnation = in.readInt();
         seating.seats.add(seat);
       }
+      for (int i = 0; i < seats && in.available() > 0; i++) {
+        Seat seat = seating.seats.get(i);
+        seat.beforeAddress = in.readUTF();
+        seat.beforeLife = in.readLong();
+        seat.beforeIncarnation = in.readInt();
+      }
     } catch (IOException e) {
       throw new ElmsailException(Code.DISK, "a seating that cannot be read", e);
     }
--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -26,9 +26,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The voter's side of one set: the records of its keys, its seating, and whether this process votes. An
- * answer leaves only once all that it relies on is safe on disk. One keeper
- * at most for each {@link Answering}.
+ * The voter's side of one set: records of its keys, its seating, and whether this process votes. An answer
+ * leaves only once all that it relies on is safe on disk. One keeper at most for each {@link Answering}.
  */
 public final class SetKeeper {
   private static final Logger LOG = LoggerFactory.getLogger(SetKeeper.class);
@@ -63,6 +62,7 @@
     byte[] seated = records.read(names.seated());
     membership = new Membership(ownAddress, station, records.life(),
         SeatingBytes.seating(records.read(names.seating())), KeptNames.incarnation(seated));
+    membership.spare(records.read(names.spare()) != null);
     newcomer = new Newcomer(set, this, membership, records, caller, timers);
     toldSeated = membership.seated();
     toldSeating = membership.seating();
@@ -172,6 +172,7 @@
   void caughtUp(int incarnation) {
     tellValues();
     membership.caughtUp(incarnation);
+    membership.spare(false);
     writeMembership();
   }
 
@@ -181,7 +182,8 @@
     Seating given = membership.seating();
     CompletableFuture<Void> written = write(List.of(
         new Change(names.seating(), SeatingBytes.of(given)),
-        new Change(names.seated(), caughtUp == 0 ? null : KeptNames.bytes(caughtUp))));
+        new Change(names.seated(), caughtUp == 0 ? null : KeptNames.bytes(caughtUp)),
+        new Change(names.spare(), membership.spare() ? KeptNames.bytes(1) : null)));
     membershipGiven = true;
     written.whenComplete((none, failure) -> {
       if (failure == null) {
@@ -275,9 +277,9 @@
   private CompletableFuture<BlobTold> blob(BlobAsk ask) {
     VoteTold refused = refusal(ask.set, ask.seating);
     BlobTold told = new BlobTold();
-    told.seated = refused == null;
+    told.seated = refused == null || membership.serves(refused.code);
     told.seating = refused == null ? told.seating : refused.seating;
-    if (refused == null || refused.code == VoteTold.OLD_SEATING && membership.seated()) {
+    if (told.seated || refused.code == VoteTold.OLD_SEATING && membership.seated()) {
       told.bytes = blob(ask.key, ask.name);
       told.known = told.bytes != null;
     }
@@ -290,14 +292,12 @@
     }
     rewriteMembership();
     Seating before = membership.seating();
-    Membership.Claimed claimed = membership.claim(ask);
+    ClaimTold told = membership.answer(ask);
     if (membership.seating() != before) {
       LOG.info("{}: seat {} claimed by {}, incarnation {}", set, ask.seat, ask.holder.address,
           ask.holder.incarnation);
       seatingChanged();
     }
-    ClaimTold told = new ClaimTold();
-    told.held = claimed != Membership.Claimed.REFUSED;
     return safely(List.of(), () -> {
       told.seating = toldSeating;
       return told;
@@ -308,7 +308,8 @@
     CopyTold told = new CopyTold();
     told.life = membership.life();
     told.end = true;
-    if (!set.equals(ask.set) || refusal(ask.set, ask.seating) != null) {
+    VoteTold refused = set.equals(ask.set) ? refusal(ask.set, ask.seating) : new VoteTold();
+    if (refused != null && !membership.serves(refused.code)) {
       return CompletableFuture.completedFuture(told);
     }
     told.seated = true;
--- a/register/src/main/java/elmsail/register/Trying.java
+++ b/register/src/main/java/elmsail/register/Trying.java
@@ -98,6 +98,19 @@
         && renewed(under, told.seating);
   }
 
+  /** Of an answer that is too late for its attempt: silent seats may have ended that before. */
+  final void late(VoteTold told) {
+    if (told != null && (told.code == VoteTold.OLD_SEATING || told.code == VoteTold.NOT_SEATED)) {
+      late(told.seating);
+    }
+  }
+
+  final void late(Seating told) {
+    if (SeatingRules.newer(told, client.seatings.of())) {
+      client.seatings.told(told);
+    }
+  }
+
   final void done(R value) {
     overdue.cancel();
     result.complete(value);
--- a/rehearsal/src/main/java/elmsail/rehearsal/SimDisk.java
+++ b/rehearsal/src/main/java/elmsail/rehearsal/SimDisk.java
@@ -14,7 +14,8 @@
 
 /**
  * A disk in a test, on a clock moved by hand: it writes one batch at a time, gathers changes meanwhile, and
- * outlives the processes that use it one after the other. Deterministic from its seed.
+ * outlives the processes that use it one after the other. After a refused batch, all that waits, and all that
+ * is written until the failure was told, fails too, as on a real one. Deterministic from its seed.
  */
 public final class SimDisk implements Records {
 
@@ -35,6 +36,8 @@
   private long mostMs = 10;
   private long stalledUntil;
   private boolean refusing;
+  /** What fails, until that is told; null: nothing. */
+  private List<CompletableFuture<Void>> failing;
   private boolean closed;
   private boolean fresh = true;
   /** Whether no process has opened it since it was new. */
@@ -81,6 +84,7 @@
     }
     writing = null;
     gathering = new Batch();
+    failing = null;
     view.clear();
     view.putAll(safe);
     closed = false;
@@ -134,6 +138,10 @@
       fail(future, "closed");
       return future;
     }
+    if (failing != null) {
+      failing.add(future);
+      return future;
+    }
     List<Change> copies = new ArrayList<>();
     for (Change change : changes) {
       copies.add(new Change(change.name(), change.bytes() == null ? null : change.bytes().clone()));
@@ -218,23 +226,35 @@
     Batch done = writing;
     writing = null;
     if (refusing) {
-      view.clear();
-      view.putAll(safe);
-      apply(view, gathering.changes);
-    } else {
-      apply(safe, done.changes);
-      syncs++;
+      refused(done);
+      return;
     }
+    apply(safe, done.changes);
+    syncs++;
     for (CompletableFuture<Void> future : done.futures) {
-      if (refusing) {
-        fail(future, "refused");
-      } else {
-        owner.soon(() -> future.complete(null));
-      }
+      owner.soon(() -> future.complete(null));
     }
     begin();
   }
 
+  private void refused(Batch batch) {
+    List<CompletableFuture<Void>> failed = new ArrayList<>(batch.futures);
+    failed.addAll(gathering.futures);
+    gathering = new Batch();
+    failing = failed;
+    view.clear();
+    view.putAll(safe);
+    owner.soon(() -> {
+      if (failing != failed) {
+        return;
+      }
+      failing = null;
+      for (CompletableFuture<Void> future : failed) {
+        future.completeExceptionally(new ElmsailException(Code.DISK, "refused"));
+      }
+    });
+  }
+
   private void fail(CompletableFuture<Void> future, String detail) {
     owner.soon(() -> future.completeExceptionally(new ElmsailException(Code.DISK, detail)));
   }
--- a/rehearsal/src/test/java/elmsail/rehearsal/SimDiskTest.java
+++ b/rehearsal/src/test/java/elmsail/rehearsal/SimDiskTest.java
@@ -148,6 +148,60 @@
     assertThat(disk.read("a"), equalTo(new byte[] {3}));
   }
 
+  @Test
+  void whatWaitsBehindARefusedBatchFailsWithIt() {
+    disk.syncTime(10, 10);
+    disk.write(List.of(put("a", 1)));
+    timers.pass(10);
+    disk.refuse();
+    CompletableFuture<Void> first = disk.write(List.of(put("a", 2)));
+    CompletableFuture<Void> gathered = disk.write(List.of(put("b", 2)));
+    timers.pass(5);
+    disk.write(List.of(put("c", 2)));
+    timers.pass(5);
+    disk.accept();
+    assertThat(codeOf(first), is(Code.DISK));
+    assertThat(codeOf(gathered), is(Code.DISK));
+    assertThat(disk.names(""), contains("a"));
+    assertThat(disk.read("a"), equalTo(new byte[] {1}));
+    timers.pass(100);
+    assertThat(disk.syncs(), is(1L));
+  }
+
+  @Test
+  void whatIsWrittenUntilTheFailureIsToldFailsToo() {
+    disk.syncTime(10, 10);
+    disk.refuse();
+    CompletableFuture<Void> first = disk.write(List.of(put("a", 1)));
+    List<CompletableFuture<Void>> between = new ArrayList<>();
+    // Due at the same time as the sync, behind it, and before the failure is told.
+    timers.after(10, () -> {
+      disk.accept();
+      assertThat(first.isDone(), is(false));
+      between.add(disk.write(List.of(put("b", 1))));
+    });
+    timers.pass(10);
+    assertThat(codeOf(first), is(Code.DISK));
+    assertThat(codeOf(between.get(0)), is(Code.DISK));
+    CompletableFuture<Void> next = disk.write(List.of(put("c", 1)));
+    timers.pass(10);
+    next.join();
+    assertThat(disk.names(""), contains("c"));
+  }
+
+  @Test
+  void aFailureThatIsNotToldBeforeTheProcessEndsIsForgotten() {
+    disk.syncTime(10, 10);
+    disk.refuse();
+    disk.write(List.of(put("a", 1)));
+    timers.after(10, () -> disk.open(timers).accept());
+    timers.pass(10);
+    CompletableFuture<Void> next = disk.write(List.of(put("b", 1)));
+    timers.pass(10);
+    next.join();
+    assertThat(disk.names(""), contains("b"));
+  }
+
   @Test
   void writesOfADeadProcessNeverComplete() {
     SimNet net = new SimNet(1, timers);
