--- a/register/src/main/java/elmsail/register/Newcomer.java
+++ b/register/src/main/java/elmsail/register/Newcomer.java
@@ -62,8 +62,8 @@
  * <li>Nobody else voted in the seat, nor will: there is no incarnation between k and k + 1; of two lives that
  * claim k only one can be seated, and R was. A rival of S in k + 1, or whoever claims a later one, that was
  * seated or will be without knowing this claim had acknowledgements from N - q + 1 seats. So did this claim:
- * N - q of these are seated holders in the N - 2 seats besides both, where the other's are N - q at least,
- * and 2 (N - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which it knew to
+ * N - q of these are seated holders in the N - 2 seats besides both, where the other has N - q at least, and
+ * 2 (N - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which it knew to
  * hold the seat, and never goes back: so it can't have known the rival first, and acknowledges none later but
  * telling this claim along with it.
  * <li>For that overlap only one seat may be acknowledged so, and all who are seated must have told of just S.
--- a/register/src/test/java/elmsail/register/HistoriesTest.java
+++ b/register/src/test/java/elmsail/register/HistoriesTest.java
@@ -21,11 +21,29 @@
     play(SEEDS / 4, 5);
   }
 
+  @Test
+  void norDoesAnUnfinishedClaimOfASpareLoseAThing() {
+    play(SEEDS, 3, true);
+  }
+
+  @Test
+  void norOneAtFiveSeats() {
+    play(SEEDS / 4, 5, true);
+  }
+
   private static void play(int seeds, int seats) {
+    play(seeds, seats, false);
+  }
+
+  private static void play(int seeds, int seats, boolean unfinished) {
     List<String> faults = new ArrayList<>();
-    int[] sums = new int[6];
+    int[] sums = new int[8];
     for (int seed = 0; seed < seeds; seed++) {
-      History history = new History(seed, seats).run();
+      History history = new History(seed, seats);
+      if (unfinished) {
+        history.withUnfinishedClaims();
+      }
+      history.run();
       for (String fault : history.chain.faults) {
         faults.add("seed " + seed + ": " + fault);
       }
@@ -35,12 +53,19 @@
       sums[3] += history.crashes;
       sums[4] += history.wipes;
       sums[5] += history.replacements;
+      sums[6] += history.unfinished;
+      sums[7] += history.wipedMeanwhile;
     }
     System.out.println(seeds + " histories of " + seats + " seats: "
         + sums[0] + " changes, " + sums[1] + " reads, " + sums[2]
-        + " failed, " + sums[3] + " crashes, " + sums[4] + " of them wipes, " + sums[5] + " replacements");
+        + " failed, " + sums[3] + " crashes, " + sums[4] + " of them wipes, " + sums[5] + " replacements"
+        + (unfinished ? ", " + sums[6]
+        + " unfinished claims, with " + sums[7] + " wipes of another meanwhile" : ""));
     assertThat(faults, empty());
     assertThat(sums[4], greaterThan(seeds / 2));
     assertThat(sums[5], greaterThan(seeds / 2));
+    if (unfinished) {
+      assertThat(sums[7], greaterThan(seeds / 8));
+    }
   }
 }
--- a/register/src/test/java/elmsail/register/History.java
+++ b/register/src/test/java/elmsail/register/History.java
@@ -8,6 +8,7 @@
 import elmsail.station.Code;
 import elmsail.station.ElmsailException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,10 @@
   int wipes;
   int crashes;
   int replacements;
+  /** Spares' claims that don't come through, and then the loss of another holder's memory. */
+  int unfinished;
+  int wipedMeanwhile;
+  private boolean spares;
   private final String[] addresses;
   private long end;
   private int marks;
@@ -45,6 +50,11 @@
     addresses = Arrays.copyOf(new String[] {"a", "b", "c", "d", "e"}, seats);
   }
 
+  History withUnfinishedClaims() {
+    spares = true;
+    return this;
+  }
+
   History run() {
     Seating founding = world.found(addresses);
     World.Node spare = world.new Node("s");
@@ -147,7 +157,7 @@
     int pick = world.chance.nextInt(addresses.length + 1);
     World.Node node = world.nodes.get(pick < addresses.length ? addresses[pick] : "s");
     boolean whole = world.whole(addresses.length / 2 - 1);
-    switch (world.chance.nextInt(5)) {
+    switch (world.chance.nextInt(spares ? 8 : 5)) {
       case 0 -> crash(node, false);
       case 1 -> crash(node, whole);
       case 2 -> {
@@ -155,6 +165,7 @@
         world.timers.after(world.chance.nextInt(1_500), () -> world.cutOff(node.address, false));
       }
       case 3 -> replace(whole);
+      case 5, 6, 7 -> claimWithoutEnd(whole);
       default -> {
         if (node.up) {
           node.records.failing = 1;
@@ -164,6 +175,43 @@
     world.timers.after(world.chance.nextInt(700), this::trouble);
   }
 
+  /** A spare that reaches all but one or two of those it needs; then one of these may lose its memory. */
+  private void claimWithoutEnd(boolean whole) {
+    World.Node spare = world.idle();
+    if (!whole || spare == null) {
+      return;
+    }
+    int seat = world.chance.nextInt(addresses.length);
+    Seating known = world.newest();
+    spare.keeper.learn(known);
+    List<World.Node> cut = new ArrayList<>();
+    for (int i = 1; i <= SeatingRules.blocking(addresses.length) - 1; i++) {
+      cut.add(world.nodes.get(known.seats.get((seat + i) % addresses.length).address));
+    }
+    for (World.Node one : cut) {
+      world.cutOff(spare.address, one.address, true);
+    }
+    unfinished++;
+    spare.keeper.claim(seat, known.seats.get(seat).incarnation + 1);
+    world.timers.after(50 + world.chance.nextInt(400), () -> {
+      World.Node lost = cut.get(world.chance.nextInt(cut.size()));
+      if (lost.up && world.covered(lost)) {
+        wipedMeanwhile++;
+        crash(lost, true);
+      }
+    });
+    if (world.chance.nextInt(3) == 0) {
+      World.Node one = world.chance.nextBoolean() ? spare
+          : world.nodes.get(known.seats.get(seat).address);
+      world.timers.after(50 + world.chance.nextInt(800), () -> crash(one, false));
+    }
+    world.timers.after(200 + world.chance.nextInt(1_000), () -> {
+      for (World.Node one : cut) {
+        world.cutOff(spare.address, one.address, false);
+      }
+    });
+  }
+
   private void crash(World.Node node, boolean wiped) {
     if (!node.up) {
       return;
@@ -186,12 +234,7 @@
 
   /** A process without a seat takes the seat of one that is cut off or down, which comes back later. */
   private void replace(boolean whole) {
-    World.Node idle = null;
-    for (World.Node node : world.nodes.values()) {
-      if (node.up && !node.keeper.seated()) {
-        idle = node;
-      }
-    }
+    World.Node idle = world.idle();
     if (!whole || idle == null || idle.keeper.seating().seats.isEmpty()) {
       return;
     }
--- a/register/src/test/java/elmsail/register/World.java
+++ b/register/src/test/java/elmsail/register/World.java
@@ -120,6 +120,27 @@
     }
   }
 
+  void cutOff(String one, String other, boolean off) {
+    for (String way : new String[] {one + ">" + other, other + ">" + one}) {
+      if (off) {
+        cut.add(way);
+      } else {
+        cut.remove(way);
+      }
+    }
+  }
+
+  /** One that is up and doesn't vote, or null. */
+  Node idle() {
+    Node idle = null;
+    for (Node node : nodes.values()) {
+      if (node.up && !node.keeper.seated()) {
+        idle = node;
+      }
+    }
+    return idle;
+  }
+
   Caller caller(String from, Timers own) {
     return new Caller() {
       @Override
@@ -256,6 +277,38 @@
     return missing <= butFor;
   }
 
+  /**
+   * Whether the set must bear the loss of that holder's memory: of the other seats just one may have a holder
+   * that isn't seated, and there the one before has its records, claims nothing, and its successor lives.
+   */
+  boolean covered(Node lost) {
+    Seating newest = newest();
+    int missing = 0;
+    for (Seat seat : newest.seats) {
+      Node node = nodes.get(seat.address);
+      if (node == lost || safelySeated(node, seat)) {
+        continue;
+      }
+      Node before = nodes.get(seat.beforeAddress);
+      if (before == null || before == lost || before.platter.life != seat.beforeLife
+          || node.platter.life != seat.life
+          || KeptNames.incarnation(before.platter.safe.get("set/seated")) != seat.beforeIncarnation
+          || SeatingRules.ofLife(newest, before.platter.life) >= 0) {
+        return false;
+      }
+      missing++;
+    }
+    return missing <= 1;
+  }
+
+  /** As its disk has it, whether it is up or not. */
+  private static boolean safelySeated(Node node, Seat seat) {
+    Seating known = SeatingBytes.seating(node.platter.safe.get("set/seating"));
+    int own = SeatingRules.ofLife(known, node.platter.life);
+    return node.platter.life == seat.life && own >= 0 && known.seats.get(own).incarnation == seat.incarnation
+        && KeptNames.incarnation(node.platter.safe.get("set/seated")) == seat.incarnation;
+  }
+
   String state() {
     StringBuilder state = new StringBuilder();
     for (Node node : nodes.values()) {
