Copy from a replaced holder only where it was counted as one

Cause: a check of all states found that one which was replaced unawares, by a holder that votes, could be copied from since replaced holders answer copies; before that, a lost message let the copy of one page be made under an older seating than the next. Change: CopyAsk and BlobAsk say whether a replaced holder will do; copies are asked for under the newest seating that was heard of; ClaimsModel plays two claims at once with the production decisions.

--- a/inner/src/main/java/elmsail/inner/words/BlobAsk.java
+++ b/inner/src/main/java/elmsail/inner/words/BlobAsk.java
@@ -6,4 +6,6 @@
   public String key = "";
   public String name = "";
   public Seating seating = new Seating();
+  /** Also from one that knows to be replaced: its successor in the seat isn't seated. */
+  public boolean ofReplaced;
 }
--- a/inner/src/main/java/elmsail/inner/words/CopyAsk.java
+++ b/inner/src/main/java/elmsail/inner/words/CopyAsk.java
@@ -8,4 +8,6 @@
   public Seating seating = new Seating();
   /** Blobs' names without their bytes. */
   public boolean bare;
+  /** Also from one that knows to be replaced: its successor in the seat isn't seated. */
+  public boolean ofReplaced;
 }
--- a/register/src/main/java/elmsail/register/ClaimAnswers.java
+++ b/register/src/main/java/elmsail/register/ClaimAnswers.java
@@ -21,6 +21,7 @@
   private final boolean[] kept;
   private final boolean[] open;
   private final boolean[] openBefore;
+  private Seat replaced;
 
   /** @param asked as known when the claim is sent */
   ClaimAnswers(Seating asked, int seat, long ownLife) {
@@ -93,11 +94,17 @@
         before.life = holder.beforeLife;
         before.incarnation = holder.beforeIncarnation;
         sources.add(before);
+        replaced = before;
       }
     }
     return sources.size() >= need ? sources : null;
   }
 
+  /** Which of the {@link #sources()} is a replaced holder, or null; the others must be seated still. */
+  Seat replaced() {
+    return replaced;
+  }
+
   /** Whether the answers that are still open can't be enough. */
   boolean hopeless() {
     int possible = 0;
--- a/register/src/main/java/elmsail/register/Copying.java
+++ b/register/src/main/java/elmsail/register/Copying.java
@@ -21,7 +21,8 @@
 /**
  * All records of a set, from some holders at once: one page of keys and one of blobs from each in flight, and
  * the next is asked for while the last is being written. Blobs' bytes come from the first; of the others the
- * names do, and then what the first had not.
+ * names do, and then what the first had not. All is asked for under the newest seating that was heard of, be
+ * it on disk here yet or not: one that has been replaced unawares hears of it so, and refuses.
  */
 final class Copying {
   private static final int PAGE_BYTES = 1 << 20;
@@ -37,6 +38,7 @@
   private final Caller caller;
   private final Timers timers;
   private final List<Seat> holders;
+  private final Seat replaced;
   private final BooleanSupplier wanted;
   private final Consumer<Boolean> then;
   /** Blobs' records that a holder told of, and who did. */
@@ -46,11 +48,12 @@
   private boolean over;
 
   /**
+   * @param replaced the one of the holders that needn't be seated, or null
    * @param wanted asked before each step: false ends it, without a word
    * @param then told once: whether all is copied and on disk
    */
   Copying(String set, KeptNames names, SetKeeper keeper, Records records, Caller caller, Timers timers,
-      List<Seat> holders, BooleanSupplier wanted, Consumer<Boolean> then) {
+      List<Seat> holders, Seat replaced, BooleanSupplier wanted, Consumer<Boolean> then) {
     this.set = set;
     this.names = names;
     this.keeper = keeper;
@@ -58,6 +61,7 @@
     this.caller = caller;
     this.timers = timers;
     this.holders = holders;
+    this.replaced = replaced;
     this.wanted = wanted;
     this.then = then;
   }
@@ -79,7 +83,8 @@
     ask.after = after;
     ask.mostBytes = PAGE_BYTES;
     ask.bare = bare;
-    ask.seating = keeper.seating();
+    ask.ofReplaced = holder == replaced;
+    ask.seating = keeper.membership.seating();
     caller.call(holder.address, ask, CopyTold.class, PAGE_CALL_MS).whenComplete((told, failure) -> {
       if (over || !wanted.getAsBoolean()) {
         over = true;
@@ -155,7 +160,8 @@
     ask.set = set;
     ask.key = names.keyOfBlob(name);
     ask.name = names.nameOfBlob(name);
-    ask.seating = keeper.seating();
+    ask.seating = keeper.membership.seating();
+    ask.ofReplaced = holder == replaced;
     caller.call(holder.address, ask, BlobTold.class, PAGE_CALL_MS).whenComplete((told, failure) -> {
       if (over || !wanted.getAsBoolean()) {
         over = true;
--- a/register/src/main/java/elmsail/register/Membership.java
+++ b/register/src/main/java/elmsail/register/Membership.java
@@ -127,9 +127,9 @@
     return told;
   }
 
-  /** Whether a newcomer may copy from here, where a vote was answered so: seated, or replaced. */
-  boolean serves(int code) {
-    return code == VoteTold.DONE || code == VoteTold.NOT_SEATED && replaced();
+  /** Whether a newcomer may copy from here, where a vote is answered so; a replaced holder may do. */
+  boolean serves(int code, boolean ofReplaced) {
+    return code == VoteTold.DONE || code == VoteTold.NOT_SEATED && ofReplaced && replaced();
   }
 
   /**
--- a/register/src/main/java/elmsail/register/Newcomer.java
+++ b/register/src/main/java/elmsail/register/Newcomer.java
@@ -66,6 +66,9 @@
  * 2 (N - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which it knew to
  * hold the seat, and never goes back: so it can't have known the rival first, and acknowledges none later but
  * telling this claim along with it.
+ * <li>Only the one that was counted so is copied from though it is replaced. Any other source must be seated
+ * under what this newcomer learnt from all answers: one that acknowledged without knowing of its successor,
+ * which votes, doesn't count.
  * <li>For that overlap only one seat may be acknowledged so, and all who are seated must have told of just S.
  * <li>What S copies later from this newcomer has all that was decided, as from any that is seated.
  * </ul>
@@ -254,18 +257,21 @@
     private void copy(List<Seat> sources) {
       copying = true;
       keeper.forget();
-      new Copying(set, names, keeper, records, caller, timers, sources, () -> round == this, whole -> {
-        if (round != this) {
-          return;
-        }
-        if (whole) {
-          waitMs = FIRST_WAIT_MS;
-          round = null;
-          keeper.caughtUp(holder.incarnation);
-        } else {
-          later(this, false);
-        }
-      }).start();
+      new Copying(set, names, keeper, records, caller, timers, sources, answers.replaced(),
+          () -> round == this, this::copied).start();
+    }
+
+    private void copied(boolean whole) {
+      if (round != this) {
+        return;
+      }
+      if (whole) {
+        waitMs = FIRST_WAIT_MS;
+        round = null;
+        keeper.caughtUp(holder.incarnation);
+      } else {
+        later(this, false);
+      }
     }
   }
 }
--- a/register/src/main/java/elmsail/register/SetKeeper.java
+++ b/register/src/main/java/elmsail/register/SetKeeper.java
@@ -277,7 +277,7 @@
   private CompletableFuture<BlobTold> blob(BlobAsk ask) {
     VoteTold refused = refusal(ask.set, ask.seating);
     BlobTold told = new BlobTold();
-    told.seated = refused == null || membership.serves(refused.code);
+    told.seated = refused == null || membership.serves(refused.code, ask.ofReplaced);
     told.seating = refused == null ? told.seating : refused.seating;
     if (told.seated || refused.code == VoteTold.OLD_SEATING && membership.seated()) {
       told.bytes = blob(ask.key, ask.name);
@@ -309,7 +309,7 @@
     told.life = membership.life();
     told.end = true;
     VoteTold refused = set.equals(ask.set) ? refusal(ask.set, ask.seating) : new VoteTold();
-    if (refused != null && !membership.serves(refused.code)) {
+    if (refused != null && !membership.serves(refused.code, ask.ofReplaced)) {
       return CompletableFuture.completedFuture(told);
     }
     told.seated = true;
--- /dev/null
+++ b/register/src/test/java/elmsail/register/ClaimsModelTest.java
@@ -0,0 +1,42 @@
+package elmsail.register;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** All states of one ballot and two claims at once; with -Dregister.claimBallots=2 those of two ballots. */
+class ClaimsModelTest {
+  private static final int MOST = 20_000_000;
+  private static final int BALLOTS = Integer.getInteger("register.claimBallots", 1);
+
+  @Test
+  void twoNewcomersAtOnceLoseNothing() {
+    assertThat(run(ClaimsModel.Defect.NONE, BALLOTS, false), nullValue());
+  }
+
+  @Test
+  void norIfTheyAreRestartedInTheMiddle() {
+    assertThat(run(ClaimsModel.Defect.NONE, 1, true), nullValue());
+  }
+
+  @ParameterizedTest
+  @EnumSource(value = ClaimsModel.Defect.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  void aDefectIsFound(ClaimsModel.Defect defect) {
+    assertThat(run(defect, 1, false), notNullValue());
+  }
+
+  private static String run(ClaimsModel.Defect defect, int ballots, boolean restarts) {
+    ClaimsModel model = new ClaimsModel(defect, ballots, restarts);
+    long from = System.nanoTime();
+    String fault = model.check(MOST);
+    System.out.println(defect + ", two claims, " + ballots + " ballots"
+        + (restarts ? ", restarts" : "") + ": "
+        + model.states() + " states in " + (System.nanoTime() - from) / 1_000_000 + " ms, "
+        + (fault == null ? "no fault" : fault));
+    return fault;
+  }
+}
--- a/register/src/test/java/elmsail/register/ReplacedHolderTest.java
+++ b/register/src/test/java/elmsail/register/ReplacedHolderTest.java
@@ -145,6 +145,29 @@
     assertThat(read(), is("new"));
   }
 
+  /** It acknowledges as who it was, and has nothing of what its successor voted for. */
+  @Test
+  void aReplacedHolderThatDoesNotKnowItIsNoSourceOnceItsSuccessorVotes() {
+    set.founded();
+    put("old");
+    set.keepers[3].learn(set.founding);
+    set.keepers[3].claim(0, 2);
+    set.awaitSeated(3, 5_000);
+    assertThat(set.keepers[0].seated() && set.keepers[3].seated(), is(true));
+    set.kill(1);
+    put("new");
+    set.start(1);
+    set.timers.pass(20);
+    set.kill(2);
+    set.disks[2].wipe();
+    set.start(2);
+    set.keepers[2].learn(set.founding);
+    set.awaitSeated(2, 10_000);
+    assertThat(set.keepers[2].seated(), is(true));
+    set.kill(3);
+    assertThat(read(), is("new"));
+  }
+
   /** Else it would raise its incarnation, and take the seat from one that has just been seated. */
   @Test
   void aRestartedSpareStillLeavesTheSeatToARival() {
