--- a/tier/src/main/java/elmsail/tier/Counter.java
+++ b/tier/src/main/java/elmsail/tier/Counter.java
@@ -15,7 +15,6 @@
 import elmsail.timetable.pull.VaultPart;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,9 +49,7 @@
       if (ending) {
         finish();
       }
-    }).exceptionally(failed -> {
-      throw new CompletionException(failed);
-    });
+    }).exceptionally(Launch::fatal);
   }
 
   /** How far another process is: the first two parts of its address tell its zone as far as is known. */
--- a/tier/src/main/java/elmsail/tier/Launch.java
+++ b/tier/src/main/java/elmsail/tier/Launch.java
@@ -156,6 +156,14 @@
     }
   }
 
+  /** An address that can't be had, or another fault behind the start: ends the process, from any thread. */
+  static Void fatal(Throwable fault) {
+    LoggerFactory.getLogger(Launch.class).error("could not start", fault);
+    int code = ElmsailException.codeOf(fault) == Code.BAD_SETTINGS ? UNUSABLE : FAILED;
+    new Thread(() -> System.exit(code), "exit").start();
+    return null;
+  }
+
   private void help() {
     PrintWriter text = new PrintWriter(out, true);
     HelpFormatter form = new HelpFormatter();
--- a/tier/src/main/java/elmsail/tier/Office.java
+++ b/tier/src/main/java/elmsail/tier/Office.java
@@ -7,7 +7,6 @@
 import elmsail.station.NettyLoop;
 import elmsail.station.Settings;
 import java.nio.file.Path;
-import java.util.concurrent.CompletionException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,16 +23,15 @@
     records = settings.dataDir() == null ? null : FolderRecords.open(Path.of(settings.dataDir()),
         (long) settings.limits().diskMb() << 20, loop::soon);
     if (settings.serves().contains("head_office")) {
-      links.listen();
+      links.listen().exceptionally(Launch::fatal);
       Notary.startHeadOffice(settings, loop, links, records).thenAccept(started -> {
         notary = started;
         LOG.info("listening at {} and {}", settings.slots().get("control"), settings.innerAddress());
-      }).exceptionally(failed -> {
-        throw new CompletionException(failed);
-      });
+      }).exceptionally(Launch::fatal);
     } else {
       notary = Notary.startVault(settings, loop, links, records);
-      links.listen().thenRun(() -> LOG.info("listening at {}", settings.innerAddress()));
+      links.listen().thenRun(() -> LOG.info("listening at {}", settings.innerAddress()))
+          .exceptionally(Launch::fatal);
     }
   }
 
