--- a/clerk/src/main/java/elmsail/clerk/requests/Replies.java
+++ b/clerk/src/main/java/elmsail/clerk/requests/Replies.java
@@ -21,7 +21,7 @@
     return LEAST_RETRY_S + SPREAD_S * chance.nextDouble();
   }
 
-  /** Likewise from a door that has not heard yet what it needs: a client waits a third of its time at most. */
+  /** Likewise from a door that hasn't heard yet what it needs: a client waits a third of its time at most. */
   static double starting(RandomGenerator chance) {
     return STARTING_S + 2 * SPREAD_S * chance.nextDouble();
   }
--- a/clerk/src/main/java/elmsail/clerk/servers/Server.java
+++ b/clerk/src/main/java/elmsail/clerk/servers/Server.java
@@ -222,11 +222,12 @@
   }
 
   /**
-   * How many items of lots may be started here now: in the places that plain requests leave. What several doors
-   * start at once beyond these waits behind the plain requests, which are more urgent.
+   * How many items of lots may be started here now: in the places that plain requests leave. What several
+   * doors start at once beyond these waits behind the plain requests, which are more urgent.
    */
   public int itemRoom(long now) {
-    if (gone || misplaced || now - lastItemAt < ITEM_PACE_MS || avoided(now) || waiting(now) >= ITEMS_WAIT) {
+    boolean pacing = now - lastItemAt < ITEM_PACE_MS;
+    if (gone || misplaced || pacing || avoided(now) || waiting(now) >= ITEMS_WAIT) {
       return 0;
     }
     int own = Math.max(2, (int) (entry.berths() * ITEMS_OF_ONE_DOOR)) - items;
