--- a/tier/src/main/java/elmsail/tier/CheckMain.java
+++ b/app/src/main/java/elmsail/app/CheckMain.java
@@ -1,9 +1,9 @@
-package elmsail.tier;
+package elmsail.app;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import elmsail.station.ElmsailException;
-import elmsail.timetable.TimetableReader;
+import elmsail.runtime.ElmsailException;
+import elmsail.config.RoutingConfigReader;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
@@ -69,17 +69,17 @@
     }
     try {
       return line.hasOption(DATA) ? data(Path.of(line.getOptionValue(DATA)), line.hasOption(JSON))
-          : timetable(Path.of(line.getOptionValue(TIMETABLE)), line.hasOption(JSON));
+          : config(Path.of(line.getOptionValue(TIMETABLE)), line.hasOption(JSON));
     } catch (ElmsailException | IOException e) {
       err.println("check: " + (e instanceof IOException ? e.toString() : e.getMessage()));
       return Launch.FAILED;
     }
   }
 
-  private int timetable(Path file, boolean json) throws IOException {
+  private int config(Path file, boolean json) throws IOException {
     byte[] bytes = Files.readAllBytes(file);
-    List<String> faults = TimetableFaults.of(bytes);
-    long edition = faults.isEmpty() ? TimetableReader.read(bytes).edition() : 0;
+    List<String> faults = ConfigDiagnostics.of(bytes);
+    long edition = faults.isEmpty() ? RoutingConfigReader.read(bytes).edition() : 0;
     if (json) {
       json(to -> {
         to.writeStartObject();
@@ -103,7 +103,7 @@
   }
 
   private int data(Path folder, boolean json) throws IOException {
-    DataFolder read = DataFolder.read(folder);
+    DataDirectoryReport read = DataDirectoryReport.read(folder);
     if (json) {
       json(read::write);
     } else {
@@ -130,7 +130,7 @@
     String codes = "Exit codes: " + Launch.DONE + " read, and the configuration is valid; " + Launch.FAILED
         + " the file or folder cannot be read; " + Launch.UNUSABLE
         + " the configuration is invalid, or the command line cannot be used.";
-    new HelpFormatter().printHelp(text, 100, "java -cp target/elmsail.jar elmsail.tier.CheckMain", null,
+    new HelpFormatter().printHelp(text, 100, "java -cp target/elmsail.jar elmsail.app.CheckMain", null,
         options(), 2, 2, codes, true);
     text.flush();
   }
--- a/tier/src/main/java/elmsail/tier/TimetableFaults.java
+++ b/app/src/main/java/elmsail/app/ConfigDiagnostics.java
@@ -1,4 +1,4 @@
-package elmsail.tier;
+package elmsail.app;
 
 import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigFactory;
@@ -9,8 +9,8 @@
 import com.typesafe.config.ConfigSyntax;
 import com.typesafe.config.ConfigValue;
 import com.typesafe.config.ConfigValueFactory;
-import elmsail.station.ElmsailException;
-import elmsail.timetable.TimetableReader;
+import elmsail.runtime.ElmsailException;
+import elmsail.config.RoutingConfigReader;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -23,7 +23,7 @@
  * edition. The reader stops at the first of all, so it reads what is left without the parts found bad, again
  * and again.
  */
-final class TimetableFaults {
+final class ConfigDiagnostics {
   private static final String EDITION = "edition";
   private static final String LIMITS = "limits";
   private static final String ROUTES = "routes";
@@ -33,7 +33,7 @@
   private final Set<String> found = new LinkedHashSet<>();
   private final ConfigObject root;
 
-  private TimetableFaults(ConfigObject root) {
+  private ConfigDiagnostics(ConfigObject root) {
     this.root = root;
   }
 
@@ -50,7 +50,7 @@
     } catch (ConfigException e) {
       return List.of(whole);
     }
-    TimetableFaults faults = new TimetableFaults(root);
+    ConfigDiagnostics faults = new ConfigDiagnostics(root);
     faults.found.add(whole);
     faults.look();
     return List.copyOf(faults.found);
@@ -58,7 +58,7 @@
 
   private static String faultOf(byte[] bytes) {
     try {
-      TimetableReader.read(bytes);
+      RoutingConfigReader.read(bytes);
       return null;
     } catch (ElmsailException e) {
       String code = e.code() + ": ";
--- /dev/null
+++ b/app/src/main/java/elmsail/app/ControlPlaneMain.java
@@ -0,0 +1,26 @@
+package elmsail.app;
+
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+
+/** The control plane's program: serves {@code head_office}, or keeps jobs at a {@code vault}. */
+public final class ControlPlaneMain implements Program {
+
+  private ControlPlaneMain() {
+  }
+
+  public static void main(String[] args) {
+    Launch.main(new ControlPlaneMain(), args);
+  }
+
+  @Override
+  public String name() {
+    return "controlplane";
+  }
+
+  /** Listens, and joins the others. */
+  @Override
+  public Running start(Settings settings, NettyLoop loop) {
+    return new ControlPlaneProcess(settings, loop);
+  }
+}
--- /dev/null
+++ b/app/src/main/java/elmsail/app/ControlPlaneProcess.java
@@ -0,0 +1,59 @@
+package elmsail.app;
+
+import elmsail.storage.DirectoryRecordStore;
+import elmsail.storage.RecordStore;
+import elmsail.rpc.RpcEndpoint;
+import elmsail.controlplane.ControlPlane;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import java.nio.file.Path;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A control-plane node put together, at the head office or a store: its disk, its links, its part. All on the loop. */
+final class ControlPlaneProcess implements Program.Running {
+  private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneProcess.class);
+
+  private final RpcEndpoint links;
+  private final RecordStore records;
+  private ControlPlane controlPlane;
+
+  ControlPlaneProcess(Settings settings, NettyLoop loop) {
+    links = new RpcEndpoint(loop.events(), loop, settings.innerAddress());
+    records = settings.dataDir() == null ? null : DirectoryRecordStore.open(Path.of(settings.dataDir()),
+        (long) settings.limits().diskMb() << 20, loop::soon);
+    if (settings.serves().contains("head_office")) {
+      links.listen().exceptionally(Launch::fatal);
+      ControlPlane.startHeadOffice(settings, loop, links, records).thenAccept(started -> {
+        controlPlane = started;
+        LOG.info("listening at {} and {}", settings.slots().get("control"), settings.innerAddress());
+      }).exceptionally(Launch::fatal);
+    } else {
+      controlPlane = ControlPlane.startVault(settings, loop, links, records);
+      links.listen().thenRun(() -> LOG.info("listening at {}", settings.innerAddress()))
+          .exceptionally(Launch::fatal);
+    }
+  }
+
+  @Override
+  public void changed(Settings settings) {
+    LOG.info("settings have changed; what a running notary needs of them stays as it was");
+  }
+
+  @Override
+  public void end(Runnable ended) {
+    if (controlPlane == null) {
+      close(ended);
+      return;
+    }
+    controlPlane.end().whenComplete((done, failed) -> close(ended));
+  }
+
+  private void close(Runnable ended) {
+    links.close();
+    if (records != null) {
+      records.close();
+    }
+    ended.run();
+  }
+}
--- a/tier/src/main/java/elmsail/tier/DataFolder.java
+++ b/app/src/main/java/elmsail/app/DataDirectoryReport.java
@@ -1,12 +1,12 @@
-package elmsail.tier;
+package elmsail.app;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import elmsail.disk.FolderRecords;
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Seat;
-import elmsail.register.KeptSet;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.storage.DirectoryRecordStore;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Voter;
+import elmsail.consensus.RestoredReplica;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.DirectoryStream;
@@ -21,7 +21,7 @@
  * @param files the versions' files, those being written left out
  * @param bytes of all files
  */
-record DataFolder(long life, int files, long bytes, int records, List<KeptSet> sets) {
+record DataDirectoryReport(long instanceId, int files, long bytes, int records, List<RestoredReplica> sets) {
   private static final String PREFIX = "v-";
   private static final String PART = ".part";
   /** Nothing is written, so any share of the disk will do. */
@@ -31,19 +31,19 @@
    * @throws ElmsailException DISK: there are no records, or they cannot be read, or the folder changed
    *     while it was copied
    */
-  static DataFolder read(Path folder) {
+  static DataDirectoryReport read(Path folder) {
     Path copy = null;
     try {
       copy = Files.createTempDirectory("elmsail-data");
       return copied(folder, copy);
     } catch (IOException e) {
-      throw new ElmsailException(Code.DISK, "the folder cannot be copied (is its process running?): " + e, e);
+      throw new ElmsailException(ErrorCode.DISK, "the folder cannot be copied (is its process running?): " + e, e);
     } finally {
       remove(copy);
     }
   }
 
-  private static DataFolder copied(Path folder, Path copy) throws IOException {
+  private static DataDirectoryReport copied(Path folder, Path copy) throws IOException {
     int files = 0;
     long bytes = 0;
     try (DirectoryStream<Path> all = Files.newDirectoryStream(folder)) {
@@ -57,14 +57,14 @@
       }
     }
     if (files == 0) {
-      throw new ElmsailException(Code.DISK, "no records in " + folder);
+      throw new ElmsailException(ErrorCode.DISK, "no records in " + folder);
     }
-    try (FolderRecords records = FolderRecords.open(copy, MOST_BYTES, Runnable::run)) {
+    try (DirectoryRecordStore records = DirectoryRecordStore.open(copy, MOST_BYTES, Runnable::run)) {
       int count = 0;
       for (String name : records.names("")) {
         count += name.isEmpty() ? 0 : 1;
       }
-      return new DataFolder(records.life(), files, bytes, count, KeptSet.of(records));
+      return new DataDirectoryReport(records.instanceId(), files, bytes, count, RestoredReplica.of(records));
     }
   }
 
@@ -87,17 +87,17 @@
   }
 
   void print(PrintStream out) {
-    out.println("life " + Long.toHexString(life) + ", " + files + " files, " + bytes + " bytes, " + records
+    out.println("life " + Long.toHexString(instanceId) + ", " + files + " files, " + bytes + " bytes, " + records
         + " records");
-    for (KeptSet set : sets) {
-      out.println("set " + set.set() + ": " + (set.ownSeat() < 0 ? "holds no seat"
-          : "seat " + set.ownSeat() + (set.votes() ? ", votes" : ", does not vote")));
-      for (int i = 0; i < set.seating().seats.size(); i++) {
-        Seat seat = set.seating().seats.get(i);
-        out.println("  seat " + i + ": " + seat.address + " " + seat.station + ", life "
-            + Long.toHexString(seat.life) + ", incarnation " + seat.incarnation);
+    for (RestoredReplica set : sets) {
+      out.println("set " + set.set() + ": " + (set.ownSlot() < 0 ? "holds no seat"
+          : "seat " + set.ownSlot() + (set.votes() ? ", votes" : ", does not vote")));
+      for (int i = 0; i < set.voterSet().voters.size(); i++) {
+        Voter slot = set.voterSet().voters.get(i);
+        out.println("  seat " + i + ": " + slot.address + " " + slot.station + ", life "
+            + Long.toHexString(slot.instanceId) + ", incarnation " + slot.epoch);
       }
-      for (KeptSet.Key key : set.keys()) {
+      for (RestoredReplica.Key key : set.keys()) {
         out.println("  key " + key.name() + ": promised " + of(key.promised()) + ", accepted "
             + of(key.accepted()) + (key.copied() ? " (copied)" : "") + ", "
             + (key.valueBytes() < 0 ? "no value" : "value of " + key.valueBytes() + " bytes") + ", "
@@ -108,29 +108,29 @@
 
   void write(JsonGenerator json) throws IOException {
     json.writeStartObject();
-    json.writeStringField("life", Long.toHexString(life));
+    json.writeStringField("life", Long.toHexString(instanceId));
     json.writeNumberField("files", files);
     json.writeNumberField("bytes", bytes);
     json.writeNumberField("records", records);
     json.writeArrayFieldStart("sets");
-    for (KeptSet set : sets) {
+    for (RestoredReplica set : sets) {
       json.writeStartObject();
       json.writeStringField("set", set.set());
-      json.writeNumberField("own_seat", set.ownSeat());
+      json.writeNumberField("own_seat", set.ownSlot());
       json.writeNumberField("caught_up", set.caughtUp());
       json.writeBooleanField("votes", set.votes());
       json.writeArrayFieldStart("seats");
-      for (Seat seat : set.seating().seats) {
+      for (Voter slot : set.voterSet().voters) {
         json.writeStartObject();
-        json.writeStringField("address", seat.address);
-        json.writeStringField("station", seat.station);
-        json.writeStringField("life", Long.toHexString(seat.life));
-        json.writeNumberField("incarnation", seat.incarnation);
+        json.writeStringField("address", slot.address);
+        json.writeStringField("station", slot.station);
+        json.writeStringField("life", Long.toHexString(slot.instanceId));
+        json.writeNumberField("incarnation", slot.epoch);
         json.writeEndObject();
       }
       json.writeEndArray();
       json.writeArrayFieldStart("keys");
-      for (KeptSet.Key key : set.keys()) {
+      for (RestoredReplica.Key key : set.keys()) {
         json.writeStartObject();
         json.writeStringField("key", key.name());
         json.writeStringField("promised", of(key.promised()));
--- /dev/null
+++ b/app/src/main/java/elmsail/app/GatewayMain.java
@@ -0,0 +1,26 @@
+package elmsail.app;
+
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+
+/** The data plane's program: serves {@code counter}. */
+public final class GatewayMain implements Program {
+
+  private GatewayMain() {
+  }
+
+  public static void main(String[] args) {
+    Launch.main(new GatewayMain(), args);
+  }
+
+  @Override
+  public String name() {
+    return "gateway";
+  }
+
+  /** Listens, and joins the others. */
+  @Override
+  public Running start(Settings settings, NettyLoop loop) {
+    return new GatewayProcess(settings, loop);
+  }
+}
--- /dev/null
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -0,0 +1,116 @@
+package elmsail.app;
+
+import elmsail.gateway.Gateway;
+import elmsail.rpc.RpcEndpoint;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.batch.api.BatchApi;
+import elmsail.consensus.RegisterClient;
+import elmsail.consensus.VoterSets;
+import elmsail.consensus.VoterSetSource;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.http.NettyHttpClient;
+import elmsail.config.PlatformClient;
+import elmsail.config.watch.ConfigWatcher;
+import elmsail.config.watch.StoreStatus;
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A gateway put together: its links, what it knows, its jobs and its clients. All on the loop. */
+final class GatewayProcess implements Program.Running {
+  private static final Logger LOG = LoggerFactory.getLogger(GatewayProcess.class);
+
+  private final RpcEndpoint links;
+  private final ConfigWatcher known;
+  private Gateway gateway;
+  private boolean ending;
+  private Runnable whenEnded;
+
+  GatewayProcess(Settings settings, NettyLoop loop) {
+    long who = new SecureRandom().nextLong();
+    String own = settings.innerAddress();
+    links = new RpcEndpoint(loop.events(), loop, own);
+    PlatformClient platform = settings.platform() == null ? null
+        : new PlatformClient(new NettyHttpClient(loop), settings.platform().address(), loop);
+    known = new ConfigWatcher(links, loop, settings, "gateway", who, () -> StoreStatus.NONE, platform);
+    RegisterClient storeSet = new RegisterClient("shelf", links, loop, new StoreVoters(known), who, own,
+        address -> near(own, address));
+    BatchApi jobs = new BatchApi(storeSet, links, loop, known, own, who, settings.bounds().cancelMs());
+    jobs.listen(links);
+    CompletableFuture<Void> listening = links.listen();
+    known.start();
+    Gateway.start(settings, loop, known, jobs).thenAcceptBoth(listening, (started, nothing) -> {
+      gateway = started;
+      jobs.setServers(started.itemServers());
+      jobs.start();
+      LOG.info("listening at {} and {}", settings.slots().get("front"), own);
+      if (ending) {
+        finish();
+      }
+    }).exceptionally(Launch::fatal);
+  }
+
+  /** How far another process is: the first two parts of its address tell its zone as far as is known. */
+  private static int near(String own, String other) {
+    int dots = 0;
+    for (int i = 0; i < Math.min(own.length(), other.length()); i++) {
+      if (own.charAt(i) != other.charAt(i)) {
+        return 1;
+      }
+      if (own.charAt(i) == '.' && ++dots == 2) {
+        return 0;
+      }
+    }
+    return 0;
+  }
+
+  @Override
+  public void changed(Settings settings) {
+    LOG.info("settings have changed; what a running clerk needs of them stays as it was");
+  }
+
+  @Override
+  public void end(Runnable ended) {
+    whenEnded = ended;
+    ending = true;
+    if (gateway != null) {
+      finish();
+    } else {
+      ended.run();
+    }
+  }
+
+  private void finish() {
+    gateway.stop().whenComplete((done, failed) -> {
+      known.close();
+      links.close();
+      whenEnded.run();
+    });
+  }
+
+  /** The stores' voter slots: what the control-plane nodes and the stores themselves told, the newer of each. */
+  private static final class StoreVoters implements VoterSetSource {
+    private final ConfigWatcher known;
+    private VoterSet response = new VoterSet();
+
+    StoreVoters(ConfigWatcher known) {
+      this.known = known;
+    }
+
+    @Override
+    public VoterSet of() {
+      VoterSet view = known.view().storeSet;
+      if (VoterSets.newer(view, response)) {
+        response = VoterSets.merge(response, view);
+      }
+      return response;
+    }
+
+    @Override
+    public void response(VoterSet newer) {
+      response = VoterSets.merge(response, newer);
+    }
+  }
+}
--- a/tier/src/main/java/elmsail/tier/Launch.java
+++ b/app/src/main/java/elmsail/app/Launch.java
@@ -1,11 +1,11 @@
-package elmsail.tier;
-
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Ends;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.station.SettingsFile;
+package elmsail.app;
+
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ProcessSignals;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.SettingsFile;
 import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.nio.file.Path;
@@ -34,7 +34,7 @@
   private static final String SETTINGS = "settings";
   private static final String CHECK = "check";
   private static final String HELP = "help";
-  /** For the build alone: see {@link Rehearsal}. */
+  /** For the build alone: see {@link StartupRehearsal}. */
   private static final String REHEARSE = "rehearse";
 
   private final Program program;
@@ -80,7 +80,7 @@
     }
     String file = line.getOptionValue(SETTINGS, System.getenv(SettingsFile.VARIABLE));
     if (rehearse) {
-      return Rehearsal.run(program, err);
+      return StartupRehearsal.run(program, err);
     }
     if (file == null) {
       err.println(program.name() + ": no settings: give --" + SETTINGS + " or set " + SettingsFile.VARIABLE);
@@ -118,7 +118,7 @@
       try {
         // The signals first: SIGHUP would end the process until it is heard.
         Held held = new Held(ended);
-        new Ends(loop, file, settings, held::end, held::changed).listen();
+        new ProcessSignals(loop, file, settings, held::end, held::changed).listen();
         held.running = program.start(settings, loop);
         log.info("started, {} ms after its main began", (System.nanoTime() - BEGAN) / 1_000_000);
         started.with(held::end, loop);
@@ -132,7 +132,7 @@
       return DONE;
     } catch (CompletionException e) {
       log.error("could not start", e.getCause());
-      return ElmsailException.codeOf(e) == Code.BAD_SETTINGS ? UNUSABLE : FAILED;
+      return ElmsailException.codeOf(e) == ErrorCode.BAD_SETTINGS ? UNUSABLE : FAILED;
     } finally {
       loop.stop().awaitUninterruptibly(1_000);
     }
@@ -159,7 +159,7 @@
   /** An address that can't be had, or another fault behind the start: ends the process, from any thread. */
   static Void fatal(Throwable fault) {
     LoggerFactory.getLogger(Launch.class).error("could not start", fault);
-    int code = ElmsailException.codeOf(fault) == Code.BAD_SETTINGS ? UNUSABLE : FAILED;
+    int code = ElmsailException.codeOf(fault) == ErrorCode.BAD_SETTINGS ? UNUSABLE : FAILED;
     new Thread(() -> System.exit(code), "exit").start();
     return null;
   }
@@ -167,7 +167,7 @@
   private void help() {
     PrintWriter text = new PrintWriter(out, true);
     HelpFormatter form = new HelpFormatter();
-    String start = "java -cp target/elmsail.jar elmsail.tier." + program.getClass().getSimpleName();
+    String start = "java -cp target/elmsail.jar elmsail.app." + program.getClass().getSimpleName();
     String codes = "Exit codes: " + DONE + " all went well, or ended by SIGTERM; " + FAILED
         + " could not start; "
         + UNUSABLE + " the command line or the settings cannot be used.";
--- a/tier/src/main/java/elmsail/tier/LogLines.java
+++ b/app/src/main/java/elmsail/app/LogLines.java
@@ -1,4 +1,4 @@
-package elmsail.tier;
+package elmsail.app;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
--- a/tier/src/main/java/elmsail/tier/LogProvider.java
+++ b/app/src/main/java/elmsail/app/LogProvider.java
@@ -1,4 +1,4 @@
-package elmsail.tier;
+package elmsail.app;
 
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.util.LogbackMDCAdapter;
@@ -18,7 +18,7 @@
   /** Has SLF4J take this one: to be called before the first logger is asked for. */
   static void choose() {
     System.setProperty("slf4j.internal.verbosity", "WARN");
-    System.setProperty("slf4j.provider", "elmsail.tier.LogProvider");
+    System.setProperty("slf4j.provider", "elmsail.app.LogProvider");
   }
 
   @Override
--- a/tier/src/main/java/elmsail/tier/LogSetup.java
+++ b/app/src/main/java/elmsail/app/LogSetup.java
@@ -1,4 +1,4 @@
-package elmsail.tier;
+package elmsail.app;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
--- a/tier/src/main/java/elmsail/tier/Program.java
+++ b/app/src/main/java/elmsail/app/Program.java
@@ -1,7 +1,7 @@
-package elmsail.tier;
+package elmsail.app;
 
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
 
 /** What one of the programs does between its start and its end. */
 interface Program {
--- a/tier/src/main/java/elmsail/tier/Rehearsal.java
+++ b/app/src/main/java/elmsail/app/StartupRehearsal.java
@@ -1,9 +1,9 @@
-package elmsail.tier;
+package elmsail.app;
 
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.station.SettingsFile;
-import elmsail.station.http.HttpAsk;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.SettingsFile;
+import elmsail.runtime.http.NettyHttpClient;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
@@ -20,7 +20,7 @@
  * The build's run of a program: started with made-up settings on loopback, asked a few things, and ended, so
  * that the runtime can keep an archive of the classes that a start needs.
  */
-final class Rehearsal {
+final class StartupRehearsal {
 
   private static final long LIMIT_MS = 20_000;
   private static final long BEFORE_MS = 200;
@@ -28,7 +28,7 @@
   private static final String[] PATHS = {"/ready", "/Timetable.Read", "/none?of=these",
       "/lots/7c41e09b52d6a3f8"};
 
-  private Rehearsal() {
+  private StartupRehearsal() {
   }
 
   /** @return the exit code */
@@ -40,7 +40,7 @@
       Settings settings = SettingsFile.read(file);
       return Launch.live(program, file, settings, (end, loop) -> {
         loop.after(LIMIT_MS, () -> Runtime.getRuntime().halt(Launch.FAILED));
-        loop.after(BEFORE_MS, () -> ask(end, loop, settings));
+        loop.after(BEFORE_MS, () -> request(end, loop, settings));
       });
     } catch (IOException e) {
       e.printStackTrace(err);
@@ -51,8 +51,8 @@
   }
 
   /** Asks at each address, then has the program end. */
-  private static void ask(Runnable end, NettyLoop loop, Settings settings) {
-    HttpAsk asker = new HttpAsk(loop);
+  private static void request(Runnable end, NettyLoop loop, Settings settings) {
+    NettyHttpClient asker = new NettyHttpClient(loop);
     List<CompletableFuture<?>> asked = new ArrayList<>();
     for (String address : settings.slots().values()) {
       for (String path : PATHS) {
@@ -65,14 +65,14 @@
   }
 
   private static String settings(String program, Path folder) throws IOException {
-    boolean clerk = program.equals("clerk");
+    boolean gateway = program.equals("gateway");
     int[] ports = ports(5);
     String here = "\"127.0.0.1:";
-    String slots = clerk ? "\"front\":" + here + ports[0] + "\",\"ready\":" + here + ports[1] + "\""
+    String slots = gateway ? "\"front\":" + here + ports[0] + "\",\"ready\":" + here + ports[1] + "\""
         : "\"control\":" + here + ports[2] + "\"";
-    String disk = clerk ? "" : "\"data_dir\":\"" + folder.resolve("data") + "\",";
+    String disk = gateway ? "" : "\"data_dir\":\"" + folder.resolve("data") + "\",";
     return "{\"station\":\"rehearsed\",\"role\":\"" + program + "\",\"machine_class\":\"counter\","
-        + "\"serves\":[" + (clerk ? "\"counter\"" : "\"head_office\"") + "],"
+        + "\"serves\":[" + (gateway ? "\"counter\"" : "\"head_office\"") + "],"
         + "\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"region\":\"r\",\"zones\":{\"z\":\"r\"},"
         + "\"mail_slots\":{" + slots + "},\"inner_ports\":[" + ports[3] + "," + (ports[3] + 1) + "],"
         + "\"seed_stations\":[" + here + ports[2] + "\"],\"first_start\":true,\"counted\":true," + disk
--- a/tier/src/main/java/elmsail/tier/package-info.java
+++ b/app/src/main/java/elmsail/app/package-info.java
@@ -1,2 +1,2 @@
 /** The command line of both programs. */
-package elmsail.tier;
+package elmsail.app;
--- a/tier/src/test/java/elmsail/tier/CheckMainTest.java
+++ b/app/src/test/java/elmsail/app/CheckMainTest.java
@@ -1,4 +1,4 @@
-package elmsail.tier;
+package elmsail.app;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
@@ -7,16 +7,16 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import elmsail.disk.FolderRecords;
-import elmsail.disk.Records.Change;
-import elmsail.inner.Answering;
-import elmsail.inner.Caller;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.register.KeptSet;
-import elmsail.register.SetKeeper;
-import elmsail.register.Views;
-import elmsail.rehearsal.HandTimers;
+import elmsail.storage.DirectoryRecordStore;
+import elmsail.storage.RecordStore.Change;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.RestoredReplica;
+import elmsail.consensus.Replica;
+import elmsail.consensus.ReplicaListener;
+import elmsail.simulation.ManualTimers;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -62,7 +62,7 @@
         new PrintStream(err, true, StandardCharsets.UTF_8)).run(args);
   }
 
-  private String told() {
+  private String response() {
     return out.toString(StandardCharsets.UTF_8);
   }
 
@@ -74,14 +74,14 @@
   void aValidConfigurationIsSaidSo() throws Exception {
     assertThat(run("--timetable", file(GOOD)), is(Launch.DONE));
     assertThat(run("--timetable", file(GOOD), "--json"), is(Launch.DONE));
-    assertThat(told().lines().toList(), contains("edition 7 is valid by itself",
+    assertThat(response().lines().toList(), contains("edition 7 is valid by itself",
         "{\"valid\":true,\"edition\":7,\"faults\":[]}"));
   }
 
   @Test
   void allPartsAtFaultAreNamedByTheirPlaceInTheWhole() throws Exception {
     assertThat(run("--timetable", file(BAD)), is(Launch.UNUSABLE));
-    assertThat(told().lines().toList(), contains(
+    assertThat(response().lines().toList(), contains(
         "edition: is not a whole number above 0",
         "limits.idle_ms: is not a number",
         "postal_lines[1].health: is not a text",
@@ -91,78 +91,78 @@
         "routes[3].postal_line: the service c is not known"));
     out.reset();
     assertThat(run("--timetable", file(BAD), "--json"), is(Launch.UNUSABLE));
-    assertThat(told(), allOf(containsString("\"valid\":false"), containsString("\"limits.idle_ms: "),
+    assertThat(response(), allOf(containsString("\"valid\":false"), containsString("\"limits.idle_ms: "),
         containsString("\"routes[3].postal_line: ")));
   }
 
   @Test
   void whatIsNoWholeConfigurationIsOneFault() throws Exception {
     assertThat(run("--timetable", file(GOOD.substring(0, 30))), is(Launch.UNUSABLE));
-    assertThat(told().lines().count(), is(1L));
+    assertThat(response().lines().count(), is(1L));
     out.reset();
     assertThat(run("--timetable", file("{\"edition\":1,\"routes\":3}")), is(Launch.UNUSABLE));
-    assertThat(told().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
+    assertThat(response().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
     out.reset();
     String twice = GOOD.replace("\"give_up_ms\":5", "\"give_up_ms\":5,\"give_up_ms\":6");
     assertThat(run("--timetable", file(twice)), is(Launch.UNUSABLE));
-    assertThat(told().lines().count(), is(1L));
-    assertThat(told(), containsString("Duplicate field 'give_up_ms'"));
+    assertThat(response().lines().count(), is(1L));
+    assertThat(response(), containsString("Duplicate field 'give_up_ms'"));
   }
 
   @Test
   void aDataFolderIsReadAndLeftAsItWas() throws Exception {
     Path data = folder.resolve("data");
-    long life = write(data);
+    long instanceId = write(data);
     Files.write(data.resolve("v-0000000000000099.part"), new byte[] {1});
     Map<String, ByteBuffer> before = bytes(data);
     assertThat(run("--data", data.toString()), is(Launch.DONE));
-    assertThat(told(), allOf(containsString("life " + Long.toHexString(life) + ", "),
+    assertThat(response(), allOf(containsString("life " + Long.toHexString(instanceId) + ", "),
         containsString("set head: seat 0, votes"),
-        containsString("  seat 0: 127.0.0.1:7721 n1, life " + Long.toHexString(life) + ", incarnation 1"),
+        containsString("  seat 0: 127.0.0.1:7721 n1, life " + Long.toHexString(instanceId) + ", incarnation 1"),
         containsString("  seat 1: 127.0.0.2:7721 n2, life 5, incarnation 1"),
         containsString("  key time/table: promised 3.4, accepted 2.4, value of 2 bytes, 1 blobs")));
-    assertThat(told(), not(containsString("set notary")));
+    assertThat(response(), not(containsString("set notary")));
     out.reset();
     assertThat(run("--data", data.toString(), "--json"), is(Launch.DONE));
-    assertThat(told(), allOf(containsString("\"own_seat\":0,\"caught_up\":1,\"votes\":true"),
+    assertThat(response(), allOf(containsString("\"own_seat\":0,\"caught_up\":1,\"votes\":true"),
         containsString("{\"key\":\"time/table\",\"promised\":\"3.4\",\"accepted\":\"2.4\",\"copied\":false,"
             + "\"value_bytes\":2,\"blobs\":1}")));
     assertThat(bytes(data), is(before));
   }
 
-  /** A keeper writes its seating; a key's record is laid beside it as register's KeyState writes it. */
+  /** A keeper writes its voter set; a key's record is laid beside it as register's KeyState writes it. */
   private static long write(Path data) {
-    HandTimers timers = new HandTimers();
-    try (FolderRecords records = FolderRecords.open(data, 1 << 24, Runnable::run)) {
-      SetKeeper keeper = new SetKeeper("head", records, new Views() { }, new NoAnswers(), new NoCalls(),
+    ManualTimers timers = new ManualTimers();
+    try (DirectoryRecordStore records = DirectoryRecordStore.open(data, 1 << 24, Runnable::run)) {
+      Replica keeper = new Replica("head", records, new ReplicaListener() { }, new NoAnswers(), new NoCalls(),
           timers, "127.0.0.1:7721", "n1");
-      Seating seating = new Seating();
-      seating.seats.add(seat("127.0.0.1:7721", "n1", records.life()));
-      seating.seats.add(seat("127.0.0.2:7721", "n2", 5));
-      seating.seats.add(seat("127.0.0.3:7721", "n3", 6));
-      keeper.found(seating);
+      VoterSet voterSet = new VoterSet();
+      voterSet.voters.add(slot("127.0.0.1:7721", "n1", records.instanceId()));
+      voterSet.voters.add(slot("127.0.0.2:7721", "n2", 5));
+      voterSet.voters.add(slot("127.0.0.3:7721", "n3", 6));
+      keeper.found(voterSet);
       byte[] state = ByteBuffer.allocate(35).putLong(3).putLong(4).putLong(2).putLong(4).put((byte) 1)
           .put((byte) 8).put((byte) 9).array();
       records.write(List.of(new Change("head/k/time%2Ftable", state),
           new Change("head/b/time%2Ftable/one", new byte[9]), new Change("notary/born", new byte[] {1})))
           .join();
-      assertThat(KeptSet.of(records).size(), is(1));
-      return records.life();
+      assertThat(RestoredReplica.of(records).size(), is(1));
+      return records.instanceId();
     }
   }
 
-  private static Seat seat(String address, String station, long life) {
-    Seat seat = new Seat();
-    seat.address = address;
-    seat.station = station;
-    seat.life = life;
-    seat.incarnation = 1;
-    return seat;
+  private static Voter slot(String address, String station, long instanceId) {
+    Voter slot = new Voter();
+    slot.address = address;
+    slot.station = station;
+    slot.instanceId = instanceId;
+    slot.epoch = 1;
+    return slot;
   }
 
-  private static final class NoAnswers implements Answering {
+  private static final class NoAnswers implements RequestHandlers {
     @Override
-    public <Q, A> void on(Class<Q> ask,
+    public <Q, A> void on(Class<Q> request,
         Function<Q, ? extends CompletionStage<A>> handler) {
       // Nobody asks.
     }
@@ -170,7 +170,7 @@
 
   private static final class NoCalls implements Caller {
     @Override
-    public <A> CompletableFuture<A> call(String address, Object ask, Class<A> answer, long timeoutMs) {
+    public <A> CompletableFuture<A> call(String address, Object request, Class<A> answer, long timeoutMs) {
       return new CompletableFuture<>();
     }
   }
@@ -208,6 +208,6 @@
     assertThat(run("--data", "a", "--timetable", "b"), is(Launch.UNUSABLE));
     assertThat(run("--data", "a", "more"), is(Launch.UNUSABLE));
     assertThat(run("--help"), is(Launch.DONE));
-    assertThat(told(), containsString("Exit codes"));
+    assertThat(response(), containsString("Exit codes"));
   }
 }
--- a/tier/src/test/java/elmsail/tier/LaunchTest.java
+++ b/app/src/test/java/elmsail/app/LaunchTest.java
@@ -1,14 +1,14 @@
-package elmsail.tier;
+package elmsail.app;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.station.SettingsFile;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.SettingsFile;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -29,7 +29,7 @@
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
-  /** Ends as soon as it is told to, or cannot start. */
+  /** ProcessSignals as soon as it is told to, or cannot start. */
   private static final class Brief implements Program, Program.Running {
     private final RuntimeException fault;
     private int ends;
@@ -122,9 +122,9 @@
   void tellsWhyItCouldNotStart() throws Exception {
     Path file = Path.of(settings(LEAST));
     Settings settings = SettingsFile.read(file);
-    assertThat(Launch.live(new Brief(new ElmsailException(Code.BAD_SETTINGS, "no such slot")), file, settings,
+    assertThat(Launch.live(new Brief(new ElmsailException(ErrorCode.BAD_SETTINGS, "no such slot")), file, settings,
         (end, loop) -> end.run()), is(Launch.UNUSABLE));
-    assertThat(Launch.live(new Brief(new ElmsailException(Code.DISK, "full")), file, settings,
+    assertThat(Launch.live(new Brief(new ElmsailException(ErrorCode.DISK, "full")), file, settings,
         (end, loop) -> end.run()), is(Launch.FAILED));
     assertThat(Launch.live(new Brief(new IllegalStateException("ours")), file, settings,
         (end, loop) -> end.run()), is(Launch.FAILED));
--- a/tier/src/test/java/elmsail/tier/LogLinesTest.java
+++ b/app/src/test/java/elmsail/app/LogLinesTest.java
@@ -1,4 +1,4 @@
-package elmsail.tier;
+package elmsail.app;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -23,7 +23,7 @@
     LogLines lines = new LogLines(new PrintStream(out, false, StandardCharsets.UTF_8));
     lines.setContext(context);
     lines.start();
-    logger = context.getLogger("elmsail.tier.Launch");
+    logger = context.getLogger("elmsail.app.Launch");
     logger.setLevel(Level.INFO);
     logger.addAppender(lines);
   }
--- a/lots/src/main/java/elmsail/lots/LotCalls.java
+++ b/batch/src/main/java/elmsail/batch/BatchCalls.java
@@ -1,10 +1,10 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.timetable.Route;
+import elmsail.config.Route;
 import java.util.concurrent.CompletableFuture;
 
-/** The calls of clients about lots, as a clerk serves them; futures complete on the loop and never fail. */
-public interface LotCalls {
+/** The calls of clients about jobs, as a gateway serves them; futures complete on the loop and never fail. */
+public interface BatchCalls {
 
   /**
    * An answer. Status 0: the outcome is unclear, so the connection is to be closed without an answer.
@@ -16,14 +16,14 @@
   }
 
   /** {@code POST} under a sack route's prefix. */
-  CompletableFuture<Reply> handIn(Route route, String lotId, byte[] body, long deadlineMs);
+  CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs);
 
   /** {@code GET /lots/ID?after=N}. */
-  CompletableFuture<Reply> read(String lotId, long after, long waitMs);
+  CompletableFuture<Reply> read(String jobId, long after, long waitMs);
 
   /** {@code GET /items/LOT?id=ITEM}. */
-  CompletableFuture<Reply> item(String lotId, String itemId);
+  CompletableFuture<Reply> item(String jobId, String itemId);
 
   /** {@code DELETE /lots/ID}. */
-  CompletableFuture<Reply> end(String lotId);
+  CompletableFuture<Reply> end(String jobId);
 }
--- a/lots/src/main/java/elmsail/lots/ItemServers.java
+++ b/batch/src/main/java/elmsail/batch/ItemServers.java
@@ -1,8 +1,8 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.timetable.Route;
+import elmsail.config.Route;
 
-/** The servers, as the runner of lots' items sees them: given by the clerk. All on the loop. */
+/** The servers, as the runner of jobs' items sees them: given by the gateway. All on the loop. */
 public interface ItemServers {
   /** How many items of the route may be started now without harm to plain requests. */
   int room(Route route);
@@ -13,7 +13,7 @@
    * @param lastEventId the last event that the caller has, or -1 to run from the start
    * @return null if nothing was sent, as there is no room
    */
-  Running start(Route route, Piece piece, long lastEventId, Heard heard);
+  Running start(Route route, BatchItem piece, long lastEventId, RunListener heard);
 
   /** A run under way. */
   interface Running {
@@ -22,7 +22,7 @@
   }
 
   /** What a run tells, in order; {@code ended} once. */
-  interface Heard {
+  interface RunListener {
     void event(long id, byte[] data);
 
     void ended(Ended how);
--- /dev/null
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -0,0 +1,238 @@
+package elmsail.batch.api;
+
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.batch.ItemServers;
+import elmsail.batch.BatchCalls;
+import elmsail.batch.BatchItem;
+import elmsail.batch.run.JobRunner;
+import elmsail.batch.run.FailoverMonitor;
+import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.client.BatchContext;
+import elmsail.batch.messages.BatchMessageTypes;
+import elmsail.batch.messages.JobRequestReader;
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.ByteReader;
+import elmsail.consensus.Register;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** The calls about jobs at one gateway, and the running of those that are this gateway's. All on the loop. */
+public final class BatchApi implements BatchCalls {
+  private static final long MOST_HAND_IN_MS = 3_000;
+  private static final long MOST_WAIT_MS = 1_000;
+  private static final long CALL_MS = 1_500;
+  private static final int MOST_ID = 200;
+  /** Bytes of bodies that are being handed in, and calls held, at most. */
+  private static final long MOST_BYTES = 24L << 20;
+  private static final int MOST_READINGS = 2_000;
+
+  private final BatchContext tools;
+  private final Replies replies;
+  private final BatchJobClient store;
+  private final JobRunner runner;
+  private final FailoverMonitor watch;
+  private final Map<String, List<ReadHandler>> readings = new HashMap<>();
+  private int held;
+  private long bytes;
+
+  /**
+   * @param register of the set "shelf"
+   * @param innerAddress this gateway's own, as it stands in the roster
+   * @param cancelMs the bound {@code cancel_ms}
+   */
+  public BatchApi(Register register, Caller caller, Timers timers, ClusterState known, String innerAddress,
+      long seed,
+      long cancelMs) {
+    Random chance = new Random(seed);
+    tools = new BatchContext(register, caller, timers, known, innerAddress, chance, cancelMs);
+    replies = new Replies(chance);
+    store = new BatchJobClient(register);
+    runner = new JobRunner(tools, store, this::changed);
+    watch = new FailoverMonitor(tools, store, runner);
+  }
+
+  /** Before it nothing runs. */
+  public void setServers(ItemServers servers) {
+    runner.setServers(servers);
+  }
+
+  /** Starts the beats to the keepers and the looking for jobs that nobody runs. */
+  public void start() {
+    watch.start();
+  }
+
+  /** HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with others. */
+  public void listen(RequestHandlers answering) {
+    answering.on(OpaqueMessage.class, this::answer);
+  }
+
+  public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
+    if (!request.kind.equals(BatchMessageTypes.ENDED)) {
+      return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind));
+    }
+    ended(new ByteReader(request.bytes).text());
+    return CompletableFuture.completedFuture(BatchMessageTypes.note(BatchMessageTypes.ENDED, Replies.EMPTY));
+  }
+
+  /** How many jobs this gateway runs. */
+  public int running() {
+    return runner.size();
+  }
+
+  @Override
+  public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
+    RoutingConfig config = tools.known().config();
+    if (config == null || bytes + body.length > MOST_BYTES) {
+      return CompletableFuture.completedFuture(replies.unable());
+    }
+    if (!proper(jobId)) {
+      return CompletableFuture.completedFuture(Replies.MALFORMED);
+    }
+    List<BatchItem> pieces;
+    try {
+      pieces = JobRequestReader.read(body);
+    } catch (ElmsailException malformed) {
+      return CompletableFuture.completedFuture(Replies.MALFORMED);
+    }
+    for (BatchItem piece : pieces) {
+      if (config.find(route.host(), piece.lane()) == null) {
+        return CompletableFuture.completedFuture(Replies.MALFORMED);
+      }
+    }
+    SubmitHandler call = new SubmitHandler(tools, store, runner, replies, jobId, route, pieces,
+        Math.min(deadlineMs, MOST_HAND_IN_MS));
+    int held = call.bytes();
+    bytes += held;
+    return call.begin().whenComplete((reply, failed) -> bytes -= held);
+  }
+
+  @Override
+  public CompletableFuture<Reply> read(String jobId, long after, long waitMs) {
+    if (!proper(jobId)) {
+      return CompletableFuture.completedFuture(Replies.NONE);
+    }
+    if (held >= MOST_READINGS) {
+      return CompletableFuture.completedFuture(replies.unable());
+    }
+    ReadHandler reading = new ReadHandler(tools, store, replies, jobId, Math.max(0, after),
+        Math.max(0, Math.min(waitMs, MOST_WAIT_MS)));
+    readings.computeIfAbsent(jobId, id -> new ArrayList<>()).add(reading);
+    held++;
+    return reading.begin().whenComplete((reply, failed) -> {
+      held--;
+      List<ReadHandler> of = readings.get(jobId);
+      of.remove(reading);
+      if (of.isEmpty()) {
+        readings.remove(jobId);
+      }
+    });
+  }
+
+  @Override
+  public CompletableFuture<Reply> item(String jobId, String itemId) {
+    if (!proper(jobId) || itemId == null) {
+      return CompletableFuture.completedFuture(Replies.NONE);
+    }
+    return store.read(jobId, CALL_MS).thenCompose(record -> {
+      if (record == null) {
+        return CompletableFuture.completedFuture(Replies.NONE);
+      }
+      return store.pieces(jobId, record, CALL_MS).thenApply(pieces -> {
+        for (BatchItem piece : pieces) {
+          if (piece.id().equals(itemId)) {
+            return new Reply(200, piece.contents(), 0);
+          }
+        }
+        return Replies.NONE;
+      });
+    }).exceptionally(failed -> replies.unable());
+  }
+
+  @Override
+  public CompletableFuture<Reply> end(String jobId) {
+    if (!proper(jobId)) {
+      return CompletableFuture.completedFuture(Replies.NONE);
+    }
+    return end(jobId, 2).exceptionally(
+        failed -> Replies.mayHold(failed) ? Replies.UNCLEAR : replies.unable());
+  }
+
+  private CompletableFuture<Reply> end(String jobId, int tries) {
+    CompletableFuture<Reply> reply = new CompletableFuture<>();
+    tools.register().change(JobRecord.keyOf(jobId), found -> {
+      JobRecord record = found.value() == null ? null : JobRecord.unpacked(found.value());
+      return new Register.Wanted(record == null || record.ended() ? null : record.endedNow().packed(),
+          List.of());
+    }, List.of(), null, CALL_MS).whenComplete((now, failed) -> {
+      if (failed == null) {
+        reply.complete(ended(jobId, now));
+      } else if (tries > 1) {
+        end(jobId, tries - 1).whenComplete((later, failedToo) -> {
+          if (failedToo == null) {
+            reply.complete(later);
+          } else {
+            reply.completeExceptionally(Replies.mayHold(failed) ? failed : failedToo);
+          }
+        });
+      } else {
+        reply.completeExceptionally(failed);
+      }
+    });
+    return reply;
+  }
+
+  private Reply ended(String jobId, Register.Held now) {
+    JobRecord record = store.decided(jobId, now.now());
+    if (record == null) {
+      return Replies.NONE;
+    }
+    ended(jobId);
+    if (!record.runner().equals(tools.self())) {
+      tools.caller().call(record.runner(), BatchMessageTypes.note(BatchMessageTypes.ENDED, new ByteWriter().text(jobId).packed()),
+          OpaqueMessage.class,
+          CALL_MS);
+    }
+    return Replies.DONE;
+  }
+
+  private void ended(String jobId) {
+    runner.stop(jobId);
+    changed(jobId);
+  }
+
+  private void changed(String jobId) {
+    List<ReadHandler> of = readings.get(jobId);
+    if (of != null) {
+      for (ReadHandler reading : List.copyOf(of)) {
+        reading.wake();
+      }
+    }
+  }
+
+  private static boolean proper(String jobId) {
+    if (jobId == null || jobId.isEmpty() || jobId.length() > MOST_ID) {
+      return false;
+    }
+    for (int i = 0; i < jobId.length(); i++) {
+      char one = jobId.charAt(i);
+      if (one <= ' ' || one > '~' || one == '/') {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/lots/src/main/java/elmsail/lots/door/Reading.java
+++ b/batch/src/main/java/elmsail/batch/api/ReadHandler.java
@@ -1,26 +1,26 @@
-package elmsail.lots.door;
+package elmsail.batch.api;
 
-import elmsail.lots.LotCalls.Reply;
-import elmsail.lots.store.LotStore;
-import elmsail.lots.store.Tools;
-import elmsail.lots.words.LotRecord;
-import elmsail.station.Timers;
+import elmsail.batch.BatchCalls.Reply;
+import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.client.BatchContext;
+import elmsail.batch.messages.JobRecord;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-/** One read of a lot's results from a position on, held for a while where there is none yet. */
-final class Reading {
+/** One read of a job's results from a position on, held for a while where there is none yet. */
+final class ReadHandler {
   private static final long READ_MS = 1_200;
   private static final long POLL_MS = 250;
   private static final int MOST_BYTES = 900_000;
   private static final int MOST_RESULTS = 64;
   private static final byte[] NO_TEXT = {};
 
-  private final Tools tools;
-  private final LotStore store;
+  private final BatchContext tools;
+  private final BatchJobClient store;
   private final Replies replies;
-  private final String lot;
+  private final String job;
   private final long after;
   private final long until;
   private final CompletableFuture<Reply> reply = new CompletableFuture<>();
@@ -28,11 +28,11 @@
   private boolean under;
   private boolean again;
 
-  Reading(Tools tools, LotStore store, Replies replies, String lot, long after, long waitMs) {
+  ReadHandler(BatchContext tools, BatchJobClient store, Replies replies, String job, long after, long waitMs) {
     this.tools = tools;
     this.store = store;
     this.replies = replies;
-    this.lot = lot;
+    this.job = job;
     this.after = after;
     this.until = tools.timers().now() + waitMs;
   }
@@ -42,7 +42,7 @@
     return reply;
   }
 
-  /** The lot has changed: looks at once. */
+  /** The job has changed: looks at once. */
   void wake() {
     if (reply.isDone()) {
       return;
@@ -59,7 +59,7 @@
     poll = null;
     under = true;
     again = false;
-    store.read(lot, READ_MS).whenComplete((record, failed) -> {
+    store.read(job, READ_MS).whenComplete((record, failed) -> {
       under = false;
       if (failed != null) {
         reply.complete(replies.unable());
@@ -71,7 +71,7 @@
     });
   }
 
-  private void found(LotRecord record) {
+  private void found(JobRecord record) {
     long left = until - tools.timers().now();
     if (record.results().size() > after || !record.open() || left <= 0) {
       give(record);
@@ -82,12 +82,12 @@
     }
   }
 
-  private void give(LotRecord record) {
-    List<LotRecord.Result> results = record.results();
-    List<LotRecord.Result> given = new ArrayList<>();
+  private void give(JobRecord record) {
+    List<JobRecord.Result> results = record.results();
+    List<JobRecord.Result> given = new ArrayList<>();
     long bytes = 0;
     for (long i = after; i < results.size() && given.size() < MOST_RESULTS; i++) {
-      LotRecord.Result one = results.get((int) i);
+      JobRecord.Result one = results.get((int) i);
       bytes += one.textBytes();
       if (!given.isEmpty() && bytes > MOST_BYTES) {
         break;
@@ -97,11 +97,11 @@
     byte[][] texts = new byte[given.size()][];
     int[] missing = {given.size()};
     if (given.isEmpty()) {
-      reply.complete(new Reply(200, Deliveries.json(record, after, given, texts), 0));
+      reply.complete(new Reply(200, ResultPage.json(record, after, given, texts), 0));
     }
     for (int i = 0; i < texts.length; i++) {
       int place = i;
-      CompletableFuture<byte[]> text = given.get(i).delivered() ? store.text(lot, given.get(i), READ_MS)
+      CompletableFuture<byte[]> text = given.get(i).delivered() ? store.text(job, given.get(i), READ_MS)
           : CompletableFuture.completedFuture(NO_TEXT);
       text.whenComplete((there, failed) -> {
         if (failed != null) {
@@ -110,7 +110,7 @@
         }
         texts[place] = there;
         if (--missing[0] == 0) {
-          reply.complete(new Reply(200, Deliveries.json(record, after, given, texts), 0));
+          reply.complete(new Reply(200, ResultPage.json(record, after, given, texts), 0));
         }
       });
     }
--- a/lots/src/main/java/elmsail/lots/door/Replies.java
+++ b/batch/src/main/java/elmsail/batch/api/Replies.java
@@ -1,8 +1,8 @@
-package elmsail.lots.door;
+package elmsail.batch.api;
 
-import elmsail.lots.LotCalls.Reply;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.batch.BatchCalls.Reply;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.Random;
 
 /** The answers that are alike for all calls. */
@@ -33,7 +33,7 @@
 
   /** Where nothing was to be changed, any failure is a 503. */
   static boolean mayHold(Throwable failed) {
-    Code code = ElmsailException.codeOf(failed);
-    return code != Code.NOT_REACHED && code != Code.UNSENT && code != Code.FULL && code != Code.NOT_SEATED;
+    ErrorCode code = ElmsailException.codeOf(failed);
+    return code != ErrorCode.NOT_REACHED && code != ErrorCode.UNSENT && code != ErrorCode.FULL && code != ErrorCode.NOT_SEATED;
   }
 }
--- a/lots/src/main/java/elmsail/lots/door/Deliveries.java
+++ b/batch/src/main/java/elmsail/batch/api/ResultPage.java
@@ -1,19 +1,19 @@
-package elmsail.lots.door;
+package elmsail.batch.api;
 
-import elmsail.lots.words.LotRecord;
+import elmsail.batch.messages.JobRecord;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /** The JSON of a read: as many of the results as stay below 1 MB, and one at least. */
-final class Deliveries {
+final class ResultPage {
   private static final int MOST_BYTES = 1_000_000;
   private static final byte[] HEX = "0123456789abcdef".getBytes(StandardCharsets.US_ASCII);
 
-  private Deliveries() {
+  private ResultPage() {
   }
 
-  static byte[] json(LotRecord record, long after, List<LotRecord.Result> given, byte[][] texts) {
+  static byte[] json(JobRecord record, long after, List<JobRecord.Result> given, byte[][] texts) {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     int count = 0;
     for (int i = 0; i < texts.length; i++) {
--- a/lots/src/main/java/elmsail/lots/door/HandIn.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -1,28 +1,28 @@
-package elmsail.lots.door;
+package elmsail.batch.api;
 
-import elmsail.inner.words.Blob;
-import elmsail.lots.LotCalls.Reply;
-import elmsail.lots.Piece;
-import elmsail.lots.run.LotRunner;
-import elmsail.lots.store.LotStore;
-import elmsail.lots.store.Tools;
-import elmsail.lots.words.Count;
-import elmsail.lots.words.Kinds;
-import elmsail.lots.words.LotBody;
-import elmsail.lots.words.LotRecord;
-import elmsail.register.Register;
-import elmsail.timetable.Route;
+import elmsail.rpc.messages.Blob;
+import elmsail.batch.BatchCalls.Reply;
+import elmsail.batch.BatchItem;
+import elmsail.batch.run.JobRunner;
+import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.client.BatchContext;
+import elmsail.batch.messages.TokenCount;
+import elmsail.batch.messages.BatchMessageTypes;
+import elmsail.batch.messages.JobBody;
+import elmsail.batch.messages.JobRecord;
+import elmsail.consensus.Register;
+import elmsail.config.Route;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * One try to hand a lot in. The lot's tokens are added to the count at a majority of keepers, which tell
+ * One try to hand a job in. The job's tokens are added to the count at a majority of keepers, which tell
  * what else waits. If it fits, the counts are read at a majority once more, now that the add surely stands
- * at one: of all lots that are being accepted, the one whose add stood last sees the others. This second
- * look brings the body, so that it is at a majority before anyone is asked to take the lot.
+ * at one: of all jobs that are being accepted, the one whose add stood last sees the others. This second
+ * look brings the body, so that it is at a majority before anyone is asked to take the job.
  */
-final class HandIn {
+final class SubmitHandler {
   private static final long CHANGE_MS = 1_500;
   private static final long LEAST_MS = 150;
   private static final long AGAIN_MS = 60;
@@ -31,46 +31,46 @@
     THERE, FITS, FULL, UNCOUNTED
   }
 
-  private final Tools tools;
-  private final LotStore store;
-  private final LotRunner runner;
+  private final BatchContext tools;
+  private final BatchJobClient store;
+  private final JobRunner runner;
   private final Replies replies;
-  private final String lot;
+  private final String job;
   private final Route route;
-  private final List<Piece> pieces;
-  private final Count.Add add;
-  private final LotRecord wanted;
+  private final List<BatchItem> pieces;
+  private final TokenCount.Add add;
+  private final JobRecord wanted;
   private final Blob body = new Blob();
   private final long until;
   private final CompletableFuture<Reply> reply = new CompletableFuture<>();
   private Verdict verdict;
   /** The count of both rounds: what either round told. */
-  private Count seen = new Count();
+  private TokenCount seen = new TokenCount();
   private boolean maySent;
-  /** Whether the function has asked for the lot to be taken: then one that is found may be this try's. */
+  /** Whether the function has asked for the job to be taken: then one that is found may be this try's. */
   private boolean proposed;
   private long began;
 
-  HandIn(Tools tools, LotStore store, LotRunner runner, Replies replies, String lot, Route route,
-      List<Piece> pieces, long deadlineMs) {
+  SubmitHandler(BatchContext tools, BatchJobClient store, JobRunner runner, Replies replies, String job, Route route,
+      List<BatchItem> pieces, long deadlineMs) {
     this.tools = tools;
     this.store = store;
     this.runner = runner;
     this.replies = replies;
-    this.lot = lot;
+    this.job = job;
     this.route = route;
     this.pieces = pieces;
     this.until = tools.timers().now() + deadlineMs;
     long tokens = 0;
-    List<LotRecord.Item> items = new ArrayList<>(pieces.size());
-    for (Piece piece : pieces) {
-      items.add(new LotRecord.Item(piece.id(), piece.tokens()));
+    List<JobRecord.Item> items = new ArrayList<>(pieces.size());
+    for (BatchItem piece : pieces) {
+      items.add(new JobRecord.Item(piece.id(), piece.tokens()));
       tokens += piece.tokens();
     }
-    add = new Count.Add(route.name(), lot, tokens, tools.chance().nextLong());
-    body.bytes = LotBody.packed(pieces);
-    body.name = LotBody.nameOf(body.bytes);
-    wanted = new LotRecord(1, route.name(), route.host(), tools.known().timetable().edition(),
+    add = new TokenCount.Add(route.name(), job, tokens, tools.chance().nextLong());
+    body.bytes = JobBody.packed(pieces);
+    body.name = JobBody.nameOf(body.bytes);
+    wanted = new JobRecord(1, route.name(), route.host(), tools.known().config().edition(),
         route.runDueMs(),
         route.shelfMs(), body.name, items, List.of(), false, tools.self(), 1, 0);
   }
@@ -92,7 +92,7 @@
     }
     began = tools.timers().now();
     tools.register()
-        .change(LotRecord.keyOf(lot), found -> decide(found, second), second ? List.of(body) : List.of(),
+        .change(JobRecord.keyOf(job), found -> decide(found, second), second ? List.of(body) : List.of(),
             add.packed(), Math.min(CHANGE_MS, left))
         .whenComplete((held, failed) -> {
           if (failed != null) {
@@ -116,7 +116,7 @@
     }
     seen.putAll(found.notes());
     long limit = limit();
-    long sum = seen.without(lot) + add.tokens();
+    long sum = seen.without(job) + add.tokens();
     verdict = limit == 0 || sum <= limit ? Verdict.FITS : Verdict.FULL;
     proposed |= second && verdict == Verdict.FITS;
     return new Register.Wanted(second && verdict == Verdict.FITS ? wanted.packed() : null, List.of());
@@ -124,17 +124,17 @@
 
   /** Of the newest configuration here; a route that is gone takes nothing more than it did. */
   private long limit() {
-    Route now = tools.known().timetable().named(route.name());
+    Route now = tools.known().config().named(route.name());
     return now == null ? route.mostWaiting() : now.mostWaiting();
   }
 
   private void held(Register.Held held, boolean second) {
     if (held.now().value() != null) {
-      LotRecord record = store.decided(lot, held.now());
+      JobRecord record = store.decided(job, held.now());
       boolean own = record.version() == 1 && record.runner().equals(tools.self()) && proposed;
       if (own) {
-        store.keep(lot, pieces, bytes());
-        runner.adopt(lot, record, 0, began);
+        store.keep(job, pieces, bytes());
+        runner.adopt(job, record, 0, began);
       }
       reply.complete(Replies.ACCEPTED);
     } else if (verdict == Verdict.FITS && !second) {
@@ -149,14 +149,14 @@
     if (until - tools.timers().now() < 2 * LEAST_MS) {
       refuse(maySent ? Replies.UNCLEAR : replies.unable());
     } else {
-      seen = new Count();
+      seen = new TokenCount();
       tools.timers().after(tools.about(AGAIN_MS), () -> round(limit() == 0));
     }
   }
 
   private void refuse(Reply how) {
     if (how.status() != Replies.UNCLEAR.status()) {
-      tools.askKeepers(Kinds.note(Kinds.WITHDRAW, add.packed()), CHANGE_MS, (seat, answer) -> {
+      tools.askKeepers(BatchMessageTypes.note(BatchMessageTypes.WITHDRAW, add.packed()), CHANGE_MS, (slot, answer) -> {
       });
     }
     reply.complete(how);
--- /dev/null
+++ b/batch/src/main/java/elmsail/batch/client/BatchContext.java
@@ -0,0 +1,44 @@
+package elmsail.batch.client;
+
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.rpc.messages.Voter;
+import elmsail.consensus.Register;
+import elmsail.runtime.Timers;
+import elmsail.config.ClusterState;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiConsumer;
+
+/**
+ * What a gateway's parts work with, all on the loop.
+ *
+ * @param self this gateway's inner address
+ * @param cancelMs within which no item of an ended job may be sent any more
+ */
+public record BatchContext(Register register, Caller caller, Timers timers, ClusterState known, String self, Random chance,
+    long cancelMs) {
+
+  public List<Voter> keepers() {
+    return known.view().storeSet.voters;
+  }
+
+  /** How many keepers are a majority; 1 where there are none, so that nothing is ever agreed. */
+  public int majority() {
+    return keepers().size() / 2 + 1;
+  }
+
+  /** Asks every keeper; {@code told} hears a null for each that gave no answer, so as many as there are. */
+  public void askKeepers(OpaqueMessage request, long timeoutMs, BiConsumer<Voter, OpaqueMessage> response) {
+    for (Voter slot : keepers()) {
+      caller.call(slot.address, request, OpaqueMessage.class, timeoutMs)
+          .whenComplete((answer, failed) ->
+              response.accept(slot, failed == null && request.kind.equals(answer.kind) ? answer : null));
+    }
+  }
+
+  /** Between half as long and half again. */
+  public long about(long ms) {
+    return ms / 2 + (long) (chance.nextDouble() * ms);
+  }
+}
--- /dev/null
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -0,0 +1,121 @@
+package elmsail.batch.client;
+
+import elmsail.rpc.messages.Ballot;
+import elmsail.batch.BatchItem;
+import elmsail.batch.messages.JobBody;
+import elmsail.batch.messages.JobRecord;
+import elmsail.consensus.Register;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Jobs' decided records, bodies and texts, as read at the keepers, with bounded caches of each. */
+public final class BatchJobClient {
+  private static final long RECORDS_BYTES = 4L << 20;
+  private static final long BODIES_BYTES = 8L << 20;
+  private static final long TEXTS_BYTES = 8L << 20;
+  private static final int ITEM_BYTES = 120;
+
+  private record Seen(Ballot ballot, JobRecord record) {
+  }
+
+  private record Body(List<BatchItem> pieces, int bytes) {
+  }
+
+  private final Register register;
+  private final LruCache<Seen> records = new LruCache<>(RECORDS_BYTES,
+      s -> 200 + s.record().items().size() * ITEM_BYTES);
+  private final LruCache<Body> bodies = new LruCache<>(BODIES_BYTES, Body::bytes);
+  private final LruCache<byte[]> texts = new LruCache<>(TEXTS_BYTES, t -> t.length + 100);
+  private final Map<String, CompletableFuture<byte[]>> fetching = new HashMap<>();
+
+  public BatchJobClient(Register register) {
+    this.register = register;
+  }
+
+  /** The decided record, at least as new as this call; null if there is surely none. */
+  public CompletableFuture<JobRecord> read(String job, long timeoutMs) {
+    Seen seen = records.get(job);
+    return register.read(JobRecord.keyOf(job), seen == null ? null : seen.ballot(), timeoutMs)
+        .thenApply(now -> taken(job, seen, now));
+  }
+
+  /** Takes what a read or a change said is decided; null if there is none. */
+  public JobRecord decided(String job, Register.Versioned now) {
+    return taken(job, records.get(job), now);
+  }
+
+  private JobRecord taken(String job, Seen seen, Register.Versioned now) {
+    if (now.value() == null) {
+      return seen != null && same(seen.ballot(), now.ballot()) ? seen.record() : null;
+    }
+    JobRecord record = JobRecord.unpacked(now.value());
+    Seen newest = records.get(job);
+    if (newest == null || newest.record().version() <= record.version()) {
+      records.put(job, new Seen(now.ballot(), record));
+    }
+    return record;
+  }
+
+  private static boolean same(Ballot one, Ballot other) {
+    return one != null && other != null && one.round == other.round && one.who == other.who;
+  }
+
+  /** The pieces of a job that is there; fails if nobody who has them answers. */
+  public CompletableFuture<List<BatchItem>> pieces(String job, JobRecord record, long timeoutMs) {
+    Body there = bodies.get(job);
+    if (there != null) {
+      return CompletableFuture.completedFuture(there.pieces());
+    }
+    return fetch(job, record.body(), timeoutMs).thenApply(bytes -> {
+      List<BatchItem> pieces = JobBody.unpacked(bytes);
+      keep(job, pieces, bytes.length);
+      return pieces;
+    });
+  }
+
+  public void keep(String job, List<BatchItem> pieces, int bytes) {
+    bodies.put(job, new Body(pieces, bytes + 100));
+  }
+
+  /** The text of a listed result; fails if nobody who has it answers. */
+  public CompletableFuture<byte[]> text(String job, JobRecord.Result result, long timeoutMs) {
+    String name = job + "/" + result.textName();
+    byte[] there = texts.get(name);
+    if (there != null) {
+      return CompletableFuture.completedFuture(there);
+    }
+    return fetch(job, result.textName(), timeoutMs).thenApply(bytes -> {
+      if (bytes.length != result.textBytes()) {
+        throw new ElmsailException(ErrorCode.GARBLED, "a text of " + bytes.length + " bytes");
+      }
+      texts.put(name, bytes);
+      return bytes;
+    });
+  }
+
+  public void keepText(String job, JobRecord.Result result, byte[] text) {
+    texts.put(job + "/" + result.textName(), text);
+  }
+
+  private CompletableFuture<byte[]> fetch(String job, String name, long timeoutMs) {
+    String whole = job + "/" + name;
+    CompletableFuture<byte[]> under = fetching.get(whole);
+    if (under != null) {
+      return under;
+    }
+    CompletableFuture<byte[]> fetched = register.blob(JobRecord.keyOf(job), name, timeoutMs)
+        .thenApply(bytes -> {
+      if (bytes == null) {
+        throw new ElmsailException(ErrorCode.NOT_REACHED, "no keeper has " + name);
+      }
+      return bytes;
+    });
+    fetching.put(whole, fetched);
+    fetched.whenComplete((bytes, failed) -> fetching.remove(whole));
+    return fetched;
+  }
+}
--- a/lots/src/main/java/elmsail/lots/store/Lru.java
+++ b/batch/src/main/java/elmsail/batch/client/LruCache.java
@@ -1,4 +1,4 @@
-package elmsail.lots.store;
+package elmsail.batch.client;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -6,14 +6,14 @@
 import java.util.function.ToIntFunction;
 
 /** A map of bounded weight: what was asked for least lately goes first. */
-final class Lru<V> {
+final class LruCache<V> {
   private final long most;
   private final ToIntFunction<V> weigher;
   private final LinkedHashMap<String, V> map = new LinkedHashMap<>(16, 0.75f, true);
   private long weight;
 
   /** @param most the weight of all, in what the weigher gives */
-  Lru(long most, ToIntFunction<V> weigher) {
+  LruCache(long most, ToIntFunction<V> weigher) {
     this.most = most;
     this.weigher = weigher;
   }
--- a/lots/src/main/java/elmsail/lots/words/Unpacker.java
+++ b/batch/src/main/java/elmsail/batch/messages/ByteReader.java
@@ -1,16 +1,16 @@
-package elmsail.lots.words;
+package elmsail.batch.messages;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-/** Reads what a {@code Packer} wrote; anything else fails with GARBLED. */
-public final class Unpacker {
+/** Reads what a {@code ByteWriter} wrote; anything else fails with GARBLED. */
+public final class ByteReader {
   private final byte[] bytes;
   private int at;
 
-  public Unpacker(byte[] bytes) {
+  public ByteReader(byte[] bytes) {
     this.bytes = bytes;
   }
 
@@ -23,14 +23,14 @@
         return value;
       }
     }
-    throw new ElmsailException(Code.GARBLED, "a number without an end");
+    throw new ElmsailException(ErrorCode.GARBLED, "a number without an end");
   }
 
   /** A number of things still to come, each of a byte at least. */
   public int count() {
     long value = number();
     if (value < 0 || value > bytes.length - at) {
-      throw new ElmsailException(Code.GARBLED, "a count beyond the bytes");
+      throw new ElmsailException(ErrorCode.GARBLED, "a count beyond the bytes");
     }
     return (int) value;
   }
@@ -56,7 +56,7 @@
 
   private int need(int length) {
     if (bytes.length - at < length) {
-      throw new ElmsailException(Code.GARBLED, "cut off at " + bytes.length);
+      throw new ElmsailException(ErrorCode.GARBLED, "cut off at " + bytes.length);
     }
     int from = at;
     at += length;
--- a/lots/src/main/java/elmsail/lots/words/Packer.java
+++ b/batch/src/main/java/elmsail/batch/messages/ByteWriter.java
@@ -1,15 +1,15 @@
-package elmsail.lots.words;
+package elmsail.batch.messages;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /** Writes numbers (seven bits a byte, the lowest first), texts and bytes, each with its length before it. */
-public final class Packer {
+public final class ByteWriter {
   private byte[] bytes = new byte[256];
   private int size;
 
   /** A number that is not negative is short; others take ten bytes. */
-  public Packer number(long value) {
+  public ByteWriter number(long value) {
     room(10);
     long left = value;
     while ((left & ~0x7FL) != 0) {
@@ -20,15 +20,15 @@
     return this;
   }
 
-  public Packer flag(boolean value) {
+  public ByteWriter flag(boolean value) {
     return number(value ? 1 : 0);
   }
 
-  public Packer text(String value) {
+  public ByteWriter text(String value) {
     return bytes(value.getBytes(StandardCharsets.UTF_8));
   }
 
-  public Packer bytes(byte[] value) {
+  public ByteWriter bytes(byte[] value) {
     number(value.length);
     room(value.length);
     System.arraycopy(value, 0, bytes, size, value.length);
--- a/lots/src/main/java/elmsail/lots/words/Digest.java
+++ b/batch/src/main/java/elmsail/batch/messages/ContentDigest.java
@@ -1,10 +1,10 @@
-package elmsail.lots.words;
+package elmsail.batch.messages;
 
 import java.nio.charset.StandardCharsets;
 
 /** A 64-bit hash (FNV-1a, mixed at the end), alike in all processes: for names and ranks, not for secrecy. */
-public final class Digest {
-  private Digest() {
+public final class ContentDigest {
+  private ContentDigest() {
   }
 
   public static long of(byte[] bytes) {
--- a/lots/src/main/java/elmsail/lots/words/LotBody.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobBody.java
@@ -1,19 +1,19 @@
-package elmsail.lots.words;
+package elmsail.batch.messages;
 
-import elmsail.lots.Piece;
+import elmsail.batch.BatchItem;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** The pieces of a lot as one blob, written when it is accepted and never changed. */
-public final class LotBody {
-  private LotBody() {
+/** The pieces of a job as one blob, written when it is accepted and never changed. */
+public final class JobBody {
+  private JobBody() {
   }
 
-  public static byte[] packed(List<Piece> pieces) {
-    Packer to = new Packer().number(pieces.size());
-    for (Piece piece : pieces) {
+  public static byte[] packed(List<BatchItem> pieces) {
+    ByteWriter to = new ByteWriter().number(pieces.size());
+    for (BatchItem piece : pieces) {
       to.text(piece.id()).text(piece.lane()).number(piece.tokens()).bytes(piece.contents());
       to.number(piece.envelope().size());
       for (Map.Entry<String, String> header : piece.envelope().entrySet()) {
@@ -23,16 +23,16 @@
     return to.packed();
   }
 
-  /** Named by what it holds, so that no two bodies share a name. */
+  /** IndexEntry by what it holds, so that no two bodies share a name. */
   public static String nameOf(byte[] packed) {
-    return "body-" + Long.toHexString(Digest.of(packed));
+    return "body-" + Long.toHexString(ContentDigest.of(packed));
   }
 
   /** Fails with GARBLED. */
-  public static List<Piece> unpacked(byte[] bytes) {
-    Unpacker from = new Unpacker(bytes);
+  public static List<BatchItem> unpacked(byte[] bytes) {
+    ByteReader from = new ByteReader(bytes);
     int count = from.count();
-    List<Piece> pieces = new ArrayList<>(count);
+    List<BatchItem> pieces = new ArrayList<>(count);
     for (int i = 0; i < count; i++) {
       String id = from.text();
       String lane = from.text();
@@ -42,7 +42,7 @@
       for (int left = from.count(); left > 0; left--) {
         envelope.put(from.text(), from.text());
       }
-      pieces.add(new Piece(id, lane, envelope, contents, tokens));
+      pieces.add(new BatchItem(id, lane, envelope, contents, tokens));
     }
     return pieces;
   }
--- a/lots/src/main/java/elmsail/lots/words/LotRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -1,11 +1,11 @@
-package elmsail.lots.words;
+package elmsail.batch.messages;
 
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 
 /**
- * What is decided of one lot: its items, which of them are listed in which order, who runs it. A value: each
+ * What is decided of one job: its items, which of them are listed in which order, who runs it. A value: each
  * change gives a new one with the next version.
  *
  * @param version 1 at the acceptance, up by one with each change
@@ -16,11 +16,11 @@
  * @param body the name of the blob that holds its pieces
  * @param results in the order of their positions, for ever
  * @param ended whether its client has ended it
- * @param runner the inner address of the door that runs it
+ * @param runner the inner address of the gateway that runs it
  * @param term up by one with each runner
- * @param ageMs how old the lot was, at the least, at this change
+ * @param ageMs how old the job was, at the least, at this change
  */
-public record LotRecord(long version, String route, String host, long edition, long runDueMs, long shelfMs,
+public record JobRecord(long version, String route, String host, long edition, long runDueMs, long shelfMs,
     String body, List<Item> items, List<Result> results, boolean ended, String runner, long term,
     long ageMs) {
 
@@ -31,7 +31,7 @@
   /**
    * A listed result.
    *
-   * @param index the item's place in the lot
+   * @param index the item's place in the job
    * @param term of the runner that listed it; its text is the blob {@code textName}
    * @param textBytes length of the text, 0 where undeliverable
    */
@@ -46,8 +46,8 @@
     return "r-" + index + "-" + term;
   }
 
-  public static String keyOf(String lotId) {
-    return "lot/" + lotId;
+  public static String keyOf(String jobId) {
+    return "lot/" + jobId;
   }
 
   public boolean complete() {
@@ -81,7 +81,7 @@
   }
 
   /** Lists those of the results whose items are not listed yet: the first listed stays. */
-  public LotRecord listing(List<Result> more, long age) {
+  public JobRecord listing(List<Result> more, long age) {
     BitSet listed = listed();
     List<Result> all = new ArrayList<>(results);
     for (Result one : more) {
@@ -90,29 +90,29 @@
         all.add(one);
       }
     }
-    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, all, ended,
+    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, all, ended,
         runner,
         term, Math.max(ageMs, age));
   }
 
-  public LotRecord endedNow() {
-    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, true,
+  public JobRecord endedNow() {
+    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, true,
         runner, term, ageMs);
   }
 
-  public LotRecord runBy(String door, long age) {
-    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
+  public JobRecord runBy(String door, long age) {
+    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
         door, term + 1, Math.max(ageMs, age));
   }
 
   /** The same, written once more so that keepers that missed a change get it. */
-  public LotRecord again() {
-    return new LotRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
+  public JobRecord again() {
+    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
         runner, term, ageMs);
   }
 
   public byte[] packed() {
-    Packer to = new Packer().number(1).number(version).text(route).text(host).number(edition).number(runDueMs)
+    ByteWriter to = new ByteWriter().number(1).number(version).text(route).text(host).number(edition).number(runDueMs)
         .number(shelfMs).text(body).flag(ended).text(runner).number(term).number(ageMs);
     to.number(items.size());
     for (Item item : items) {
@@ -126,8 +126,8 @@
   }
 
   /** Fails with GARBLED. */
-  public static LotRecord unpacked(byte[] bytes) {
-    Unpacker from = new Unpacker(bytes);
+  public static JobRecord unpacked(byte[] bytes) {
+    ByteReader from = new ByteReader(bytes);
     from.number();
     long version = from.number();
     String route = from.text();
@@ -150,7 +150,7 @@
     for (int i = 0; i < count; i++) {
       results.add(new Result((int) from.number(), from.flag(), from.number(), (int) from.number()));
     }
-    return new LotRecord(version, route, host, edition, runDueMs, shelfMs, body, List.copyOf(items),
+    return new JobRecord(version, route, host, edition, runDueMs, shelfMs, body, List.copyOf(items),
         List.copyOf(results), ended, runner, term, ageMs);
   }
 }
--- a/lots/src/main/java/elmsail/lots/words/LotReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
@@ -1,11 +1,11 @@
-package elmsail.lots.words;
+package elmsail.batch.messages;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import elmsail.lots.Piece;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.batch.BatchItem;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -16,21 +16,21 @@
 import java.util.Set;
 
 /**
- * Reads the JSON of a lot that a client hands in; whatever is not as the protocol says fails with
+ * Reads the JSON of a job that a client hands in; whatever is not as the protocol says fails with
  * BAD_CALL.
  */
-public final class LotReader {
+public final class JobRequestReader {
   public static final int MOST_PIECES = 200;
   private static final JsonFactory JSON = JsonFactory.builder()
       .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
 
-  private LotReader() {
+  private JobRequestReader() {
   }
 
-  public static List<Piece> read(byte[] body) {
+  public static List<BatchItem> read(byte[] body) {
     try (JsonParser from = JSON.createParser(body)) {
       expect(from.nextToken() == JsonToken.START_OBJECT, "an object");
-      List<Piece> pieces = null;
+      List<BatchItem> pieces = null;
       while (from.nextToken() != JsonToken.END_OBJECT) {
         String name = name(from);
         from.nextToken();
@@ -44,16 +44,16 @@
       expect(pieces != null && !pieces.isEmpty(), "pieces");
       return pieces;
     } catch (IOException | IllegalArgumentException malformed) {
-      throw new ElmsailException(Code.BAD_CALL, "a lot that cannot be read", malformed);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "a lot that cannot be read", malformed);
     }
   }
 
-  private static List<Piece> pieces(JsonParser from) throws IOException {
+  private static List<BatchItem> pieces(JsonParser from) throws IOException {
     expect(from.currentToken() == JsonToken.START_ARRAY, "a list of pieces");
-    List<Piece> pieces = new ArrayList<>();
+    List<BatchItem> pieces = new ArrayList<>();
     Set<String> ids = new HashSet<>();
     while (from.nextToken() != JsonToken.END_ARRAY) {
-      Piece piece = piece(from);
+      BatchItem piece = piece(from);
       expect(ids.add(piece.id()), "ids that differ");
       pieces.add(piece);
       expect(pieces.size() <= MOST_PIECES, "at most " + MOST_PIECES + " pieces");
@@ -61,7 +61,7 @@
     return pieces;
   }
 
-  private static Piece piece(JsonParser from) throws IOException {
+  private static BatchItem piece(JsonParser from) throws IOException {
     expect(from.currentToken() == JsonToken.START_OBJECT, "a piece");
     String id = null;
     String lane = null;
@@ -87,7 +87,7 @@
     expect(id != null && !id.isEmpty() && id.length() <= 256 && plain(id, false), "an id");
     expect(lane != null && lane.startsWith("/") && plain(lane, false), "a lane");
     expect(envelope != null && contents != null && tokens >= 0, "all fields of a piece");
-    return new Piece(id, lane, envelope, contents, tokens);
+    return new BatchItem(id, lane, envelope, contents, tokens);
   }
 
   private static Map<String, String> envelope(JsonParser from) throws IOException {
@@ -126,7 +126,7 @@
 
   private static void expect(boolean met, String what) {
     if (!met) {
-      throw new ElmsailException(Code.BAD_CALL, "a lot needs " + what);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "a lot needs " + what);
     }
   }
 }
--- a/lots/src/main/java/elmsail/lots/run/ItemRun.java
+++ b/batch/src/main/java/elmsail/batch/run/ItemRun.java
@@ -1,6 +1,6 @@
-package elmsail.lots.run;
+package elmsail.batch.run;
 
-import elmsail.lots.ItemServers;
+import elmsail.batch.ItemServers;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
@@ -62,7 +62,7 @@
     last = -1;
   }
 
-  /** Ends the run under way, unheard from now on. */
+  /** ProcessSignals the run under way, unheard from now on. */
   void cancel() {
     run++;
     underWay = false;
--- a/lots/src/main/java/elmsail/lots/run/LotRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -1,12 +1,12 @@
-package elmsail.lots.run;
+package elmsail.batch.run;
 
-import elmsail.lots.ItemServers;
-import elmsail.lots.Piece;
-import elmsail.lots.store.LotStore;
-import elmsail.lots.store.Tools;
-import elmsail.lots.words.LotRecord;
-import elmsail.timetable.Route;
-import elmsail.timetable.Timetable;
+import elmsail.batch.ItemServers;
+import elmsail.batch.BatchItem;
+import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.client.BatchContext;
+import elmsail.batch.messages.JobRecord;
+import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,10 +15,10 @@
 import java.util.function.Consumer;
 
 /**
- * Runs the items of this door's lots: starts them as there is room, the lots that are due first before the
+ * Runs the items of this gateway's jobs: starts them as there is room, the jobs that are due first before the
  * others, gathers their texts, and gives them to be listed.
  */
-public final class LotRunner {
+public final class JobRunner {
   /** How soon places are looked for again, where there were none; a run that ends looks at once. */
   private static final long LOOK_MS = 40;
   private static final long AGAIN_MS = 20;
@@ -27,11 +27,11 @@
   private static final long MOST_HELD = 16L << 20;
   private static final long MOST_BACKOFF_MS = 200;
 
-  private final Tools tools;
-  private final LotStore store;
-  private final Listing listing;
-  private final Map<String, RunningLot> lots = new HashMap<>();
-  private final TreeMap<RunningLot, RunningLot> byDue = new TreeMap<>();
+  private final BatchContext tools;
+  private final BatchJobClient store;
+  private final ResultRecorder listing;
+  private final Map<String, RunningJob> jobs = new HashMap<>();
+  private final TreeMap<RunningJob, RunningJob> byDue = new TreeMap<>();
   private final long startMs;
   private final long letMs;
   private ItemServers servers;
@@ -39,11 +39,11 @@
   private int fetches;
   private long held;
 
-  /** @param changed hears the id of each lot in which something was listed or that was stopped */
-  public LotRunner(Tools tools, LotStore store, Consumer<String> changed) {
+  /** @param changed hears the id of each job in which something was listed or that was stopped */
+  public JobRunner(BatchContext tools, BatchJobClient store, Consumer<String> changed) {
     this.tools = tools;
     this.store = store;
-    this.listing = new Listing(tools, store, this, changed);
+    this.listing = new ResultRecorder(tools, store, this, changed);
     this.startMs = tools.cancelMs() * 6 / 10;
     this.letMs = tools.cancelMs() * 8 / 10;
   }
@@ -54,78 +54,78 @@
   }
 
   /**
-   * Runs the lot from now on: the record says that this door does.
+   * Runs the job from now on: the record says that this gateway does.
    *
-   * @param ageMs the lot's, at the least
-   * @param confirmedAt when it surely was open and this door's, by the steady clock
+   * @param ageMs the job's, at the least
+   * @param confirmedAt when it surely was open and this gateway's, by the steady clock
    */
-  public void adopt(String id, LotRecord record, long ageMs, long confirmedAt) {
-    RunningLot before = lots.get(id);
+  public void adopt(String id, JobRecord record, long ageMs, long confirmedAt) {
+    RunningJob before = jobs.get(id);
     if (before != null && before.term >= record.term() || !record.open()) {
       return;
     }
     stop(id);
-    RunningLot lot = new RunningLot(id, record, tools.timers().now() - ageMs, confirmedAt);
-    lots.put(id, lot);
-    byDue.put(lot, lot);
+    RunningJob job = new RunningJob(id, record, tools.timers().now() - ageMs, confirmedAt);
+    jobs.put(id, job);
+    byDue.put(job, job);
     pumpSoon(0);
   }
 
   /** Stops running it: its runs are cut off, and what is not listed yet is left. */
   public void stop(String id) {
-    RunningLot lot = lots.remove(id);
-    if (lot == null) {
+    RunningJob job = jobs.remove(id);
+    if (job == null) {
       return;
     }
-    byDue.remove(lot);
-    lot.stopped = true;
-    for (ItemRun item : lot.items) {
+    byDue.remove(job);
+    job.stopped = true;
+    for (ItemRun item : job.items) {
       held -= item.bytes();
       item.forgetText();
       item.cancel();
     }
-    for (RunningLot.Finished one : lot.finished.values()) {
+    for (RunningJob.Finished one : job.finished.values()) {
       held -= one.text().length;
     }
-    lot.finished.clear();
+    job.finished.clear();
   }
 
-  /** Takes a decided record read after the moment given: goes on if the lot is still open and ours. */
-  public void heard(String id, LotRecord record, long readAt) {
-    RunningLot lot = lots.get(id);
-    if (lot == null) {
+  /** Takes a decided record read after the moment given: goes on if the job is still open and ours. */
+  public void heard(String id, JobRecord record, long readAt) {
+    RunningJob job = jobs.get(id);
+    if (job == null) {
       return;
     }
-    if (record == null || !record.open() || record.term() != lot.term) {
+    if (record == null || !record.open() || record.term() != job.term) {
       stop(id);
       return;
     }
-    lot.confirmed(readAt);
+    job.confirmed(readAt);
     pumpSoon(0);
   }
 
   public boolean runs(String id) {
-    return lots.containsKey(id);
+    return jobs.containsKey(id);
   }
 
   public int size() {
-    return lots.size();
+    return jobs.size();
   }
 
-  List<RunningLot> running() {
+  List<RunningJob> running() {
     return new ArrayList<>(byDue.keySet());
   }
 
-  /** Cuts runs that may not have reached a server yet, of lots long not known to be ours. */
-  void letGo(RunningLot lot) {
-    if (tools.timers().now() - lot.confirmedAt <= letMs) {
+  /** Cuts runs that may not have reached a server yet, of jobs long not known to be ours. */
+  void letGo(RunningJob job) {
+    if (tools.timers().now() - job.confirmedAt <= letMs) {
       return;
     }
-    for (ItemRun item : lot.items) {
+    for (ItemRun item : job.items) {
       if (item.underWay && !item.heard) {
         item.cancel();
-        lot.underWay--;
-        lot.ready.add(item.index);
+        job.underWay--;
+        job.ready.add(item.index);
       }
     }
   }
@@ -145,20 +145,20 @@
   }
 
   private void pump() {
-    Timetable timetable = tools.known().timetable();
-    if (servers == null || timetable == null || lots.isEmpty()) {
+    RoutingConfig config = tools.known().config();
+    if (servers == null || config == null || jobs.isEmpty()) {
       return;
     }
     Map<String, Integer> room = new HashMap<>();
     boolean left = false;
-    for (RunningLot lot : running()) {
-      if (!lot.stopped && !lot.ready.isEmpty()) {
-        if (lot.pieces == null) {
-          fetch(lot);
+    for (RunningJob job : running()) {
+      if (!job.stopped && !job.ready.isEmpty()) {
+        if (job.pieces == null) {
+          fetch(job);
         } else {
-          startSome(lot, timetable, room);
+          startSome(job, config, room);
         }
-        left |= !lot.stopped && !lot.ready.isEmpty();
+        left |= !job.stopped && !job.ready.isEmpty();
       }
     }
     if (left) {
@@ -166,44 +166,44 @@
     }
   }
 
-  private void fetch(RunningLot lot) {
-    if (lot.fetching || fetches >= MOST_FETCHES) {
+  private void fetch(RunningJob job) {
+    if (job.fetching || fetches >= MOST_FETCHES) {
       return;
     }
-    lot.fetching = true;
+    job.fetching = true;
     fetches++;
-    store.pieces(lot.id, lot.record, FETCH_MS).whenComplete((pieces, failed) -> {
+    store.pieces(job.id, job.record, FETCH_MS).whenComplete((pieces, failed) -> {
       fetches--;
       if (failed == null) {
-        lot.fetching = false;
-        lot.pieces = pieces;
+        job.fetching = false;
+        job.pieces = pieces;
         pumpSoon(0);
       } else {
         tools.timers().after(tools.about(MOST_BACKOFF_MS), () -> {
-          lot.fetching = false;
+          job.fetching = false;
           pumpSoon(0);
         });
       }
     });
   }
 
-  private void startSome(RunningLot lot, Timetable timetable, Map<String, Integer> room) {
+  private void startSome(RunningJob job, RoutingConfig config, Map<String, Integer> room) {
     long now = tools.timers().now();
-    boolean confirmed = now - lot.confirmedAt <= startMs;
-    while (!lot.stopped && !lot.ready.isEmpty()) {
-      ItemRun item = lot.items[lot.ready.peek()];
+    boolean confirmed = now - job.confirmedAt <= startMs;
+    while (!job.stopped && !job.ready.isEmpty()) {
+      ItemRun item = job.items[job.ready.peek()];
       if (item.done || item.underWay) {
-        lot.ready.poll();
+        job.ready.poll();
         continue;
       }
-      Piece piece = lot.pieces.get(item.index);
-      Route route = timetable.find(lot.record.host(), piece.lane());
-      if (route == null && timetable.edition() <= lot.record.edition()) {
+      BatchItem piece = job.pieces.get(item.index);
+      Route route = config.find(job.record.host(), piece.lane());
+      if (route == null && config.edition() <= job.record.edition()) {
         return;
       }
-      if (route == null || lot.record.shelfMs() > 0 && lot.ageMs(now) > lot.record.shelfMs()) {
-        lot.ready.poll();
-        finish(lot, item, false);
+      if (route == null || job.record.shelfMs() > 0 && job.ageMs(now) > job.record.shelfMs()) {
+        job.ready.poll();
+        finish(job, item, false);
         continue;
       }
       Integer places = room.get(route.name());
@@ -214,27 +214,27 @@
         room.put(route.name(), places);
         return;
       }
-      lot.ready.poll();
-      if (start(lot, item, route, piece)) {
+      job.ready.poll();
+      if (start(job, item, route, piece)) {
         room.put(route.name(), places - 1);
       } else {
-        lot.ready.add(item.index);
+        job.ready.add(item.index);
         room.put(route.name(), 0);
         return;
       }
     }
   }
 
-  private boolean start(RunningLot lot, ItemRun item, Route route, Piece piece) {
+  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem piece) {
     int run = ++item.run;
     item.underWay = true;
     item.heard = false;
-    lot.underWay++;
-    ItemServers.Running running = servers.start(route, piece, item.last, new ItemServers.Heard() {
+    job.underWay++;
+    ItemServers.Running running = servers.start(route, piece, item.last, new ItemServers.RunListener() {
       @Override
       public void event(long id, byte[] data) {
         if (item.run == run) {
-          kept(lot, item, id, data);
+          kept(job, item, id, data);
         }
       }
 
@@ -243,8 +243,8 @@
         if (item.run == run) {
           item.running = null;
           item.cancel();
-          lot.underWay--;
-          over(lot, item, how, route);
+          job.underWay--;
+          over(job, item, how, route);
         }
       }
     });
@@ -252,7 +252,7 @@
       if (item.run == run) {
         item.run++;
         item.underWay = false;
-        lot.underWay--;
+        job.underWay--;
       }
       return false;
     }
@@ -264,7 +264,7 @@
     return true;
   }
 
-  private void kept(RunningLot of, ItemRun to, long id, byte[] data) {
+  private void kept(RunningJob of, ItemRun to, long id, byte[] data) {
     int before = to.bytes();
     boolean next = to.event(id, data);
     held += to.bytes() - before;
@@ -277,42 +277,42 @@
     }
   }
 
-  private void over(RunningLot lot, ItemRun item, ItemServers.Ended how, Route route) {
+  private void over(RunningJob job, ItemRun item, ItemServers.Ended how, Route route) {
     switch (how) {
       case WHOLE -> {
         if (item.any()) {
-          finish(lot, item, true);
+          finish(job, item, true);
         } else {
-          again(lot, item);
+          again(job, item);
         }
       }
-      case NEVER -> finish(lot, item, false);
+      case NEVER -> finish(job, item, false);
       case FAILED -> {
         item.failures++;
         if (item.failures >= Math.max(1, route.tries())) {
-          finish(lot, item, false);
+          finish(job, item, false);
         } else {
-          again(lot, item);
+          again(job, item);
         }
       }
-      default -> again(lot, item);
+      default -> again(job, item);
     }
     pumpSoon(0);
   }
 
-  private void finish(RunningLot lot, ItemRun item, boolean delivered) {
+  private void finish(RunningJob job, ItemRun item, boolean delivered) {
     held -= item.bytes();
-    lot.finish(item, delivered);
-    held += lot.finished.get(item.index).text().length;
-    listing.soon(lot);
+    job.finish(item, delivered);
+    held += job.finished.get(item.index).text().length;
+    listing.soon(job);
   }
 
-  private void again(RunningLot lot, ItemRun item) {
+  private void again(RunningJob job, ItemRun item) {
     item.vain = item.heard ? 0 : item.vain + 1;
     long backoff = Math.min(MOST_BACKOFF_MS, AGAIN_MS << Math.min(item.vain, 5));
     tools.timers().after(tools.about(backoff), () -> {
-      if (!lot.stopped && !item.done && !item.underWay) {
-        lot.ready.add(item.index);
+      if (!job.stopped && !item.done && !item.underWay) {
+        job.ready.add(item.index);
         pumpSoon(0);
       }
     });
--- a/lots/src/main/java/elmsail/lots/run/RunningLot.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -1,7 +1,7 @@
-package elmsail.lots.run;
+package elmsail.batch.run;
 
-import elmsail.lots.Piece;
-import elmsail.lots.words.LotRecord;
+import elmsail.batch.BatchItem;
+import elmsail.batch.messages.JobRecord;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
@@ -9,34 +9,34 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 
-/** One lot that this door runs, in one term. */
-final class RunningLot implements Comparable<RunningLot> {
+/** One job that this gateway runs, in one term. */
+final class RunningJob implements Comparable<RunningJob> {
   /** An item that is done and not listed yet; the text is empty where it is undeliverable. */
-  record Finished(LotRecord.Result result, byte[] text) {
+  record Finished(JobRecord.Result result, byte[] text) {
   }
 
   final String id;
   final long term;
-  /** Of the steady clock here: when the lot was accepted, or later. */
+  /** Of the steady clock here: when the job was accepted, or later. */
   final long acceptedAt;
-  LotRecord record;
+  JobRecord record;
   /** Null until they are fetched. */
-  List<Piece> pieces;
+  List<BatchItem> pieces;
   boolean fetching;
   final ItemRun[] items;
-  /** Items to be started, the first of the lot first. */
+  /** ItemDispatcher to be started, the first of the job first. */
   final PriorityQueue<Integer> ready = new PriorityQueue<>();
   final Map<Integer, Finished> finished = new LinkedHashMap<>();
   int underWay;
   boolean listing;
   boolean listingSet;
   long listedAt;
-  /** Of the steady clock: at this moment the lot surely was open and ours. */
+  /** Of the steady clock: at this moment the job surely was open and ours. */
   long confirmedAt;
   boolean reading;
   boolean stopped;
 
-  RunningLot(String id, LotRecord record, long acceptedAt, long confirmedAt) {
+  RunningJob(String id, JobRecord record, long acceptedAt, long confirmedAt) {
     this.id = id;
     this.record = record;
     this.term = record.term();
@@ -74,7 +74,7 @@
     item.forgetText();
     item.done = true;
     finished.put(item.index,
-        new Finished(new LotRecord.Result(item.index, delivered, term, text.length), text));
+        new Finished(new JobRecord.Result(item.index, delivered, term, text.length), text));
   }
 
   /** Nothing runs, nothing is ready, nothing waits for its next try: only the listing is left. */
@@ -102,7 +102,7 @@
   }
 
   @Override
-  public int compareTo(RunningLot other) {
+  public int compareTo(RunningJob other) {
     int byDue = Long.compare(dueAt(), other.dueAt());
     return byDue != 0 ? byDue : id.compareTo(other.id);
   }
--- /dev/null
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -0,0 +1,131 @@
+package elmsail.batch.store;
+
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.batch.messages.HeartbeatMessage;
+import elmsail.batch.messages.TokenCount;
+import elmsail.batch.messages.BatchMessageTypes;
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.AbandonedJob;
+import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.ByteReader;
+import elmsail.consensus.ReplicaListener;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/**
+ * The views of a process that keeps jobs: the count of waiting tokens, and when each open job's runner was
+ * heard last. On the loop.
+ */
+public final class JobRetention implements ReplicaListener {
+  private static final String PREFIX = "lot/";
+  private static final long LOOK_MS = 5_000;
+  private static final long DROP_SLACK_MS = 30_000;
+  private static final int MOST_ORPHANS = 64;
+  private static final byte[] NOTHING = {};
+
+  private final Timers timers;
+  private final BooleanSupplier voting;
+  private final Consumer<String> drop;
+  private final long statusMs;
+  private final JobStore storeSet = new JobStore();
+
+  /**
+   * @param seated whether this process holds a voter slot and has its memory; else it answers no note
+   * @param drop drops a key and its blobs here ({@code Replica.drop}); may call {@code dropped}
+   * @param statusMs for how long a job may be read after it was sent
+   */
+  public JobRetention(Timers timers, BooleanSupplier voting, Consumer<String> drop, long statusMs) {
+    this.timers = timers;
+    this.voting = voting;
+    this.drop = drop;
+    this.statusMs = statusMs;
+  }
+
+  /** Starts the looking for jobs to drop. */
+  public void start() {
+    timers.after(LOOK_MS, this::look);
+  }
+
+  /** HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with others. */
+  public void listen(RequestHandlers answering) {
+    answering.on(OpaqueMessage.class, this::answer);
+  }
+
+  public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
+    if (!voting.getAsBoolean()) {
+      return CompletableFuture.completedFuture(BatchMessageTypes.note(BatchMessageTypes.NOT_SEATED, NOTHING));
+    }
+    try {
+      byte[] response = switch (request.kind) {
+        case BatchMessageTypes.BEAT -> heartbeat(HeartbeatMessage.unpacked(request.bytes));
+        case BatchMessageTypes.ORPHANS -> AbandonedJob.packed(
+            storeSet.orphans(new ByteReader(request.bytes).number(), MOST_ORPHANS, timers.now()));
+        case BatchMessageTypes.WITHDRAW -> withdraw(TokenCount.Add.unpacked(request.bytes));
+        default -> throw new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind);
+      };
+      return CompletableFuture.completedFuture(BatchMessageTypes.note(request.kind, response));
+    } catch (ElmsailException garbled) {
+      return CompletableFuture.failedFuture(garbled);
+    }
+  }
+
+  @Override
+  public byte[] noted(String key, byte[] note) {
+    if (!key.startsWith(PREFIX) || note == null || note.length == 0) {
+      return null;
+    }
+    return storeSet.added(TokenCount.Add.unpacked(note), timers.now());
+  }
+
+  @Override
+  public boolean admits(String key, byte[] value) {
+    return !key.startsWith(PREFIX)
+        || storeSet.admits(key.substring(PREFIX.length()), JobRecord.unpacked(value), timers.now());
+  }
+
+  @Override
+  public void taken(String key, byte[] value) {
+    if (key.startsWith(PREFIX) && value != null) {
+      storeSet.taken(key.substring(PREFIX.length()), JobRecord.unpacked(value), timers.now());
+    }
+  }
+
+  @Override
+  public void dropped(String key) {
+    if (key.startsWith(PREFIX)) {
+      storeSet.dropped(key.substring(PREFIX.length()));
+    }
+  }
+
+  /** How many jobs this process keeps. */
+  public int size() {
+    return storeSet.size();
+  }
+
+  private byte[] heartbeat(HeartbeatMessage heartbeat) {
+    ByteWriter response = new ByteWriter();
+    for (int one : storeSet.heard(heartbeat, timers.now())) {
+      response.number(one);
+    }
+    return response.packed();
+  }
+
+  private byte[] withdraw(TokenCount.Add add) {
+    storeSet.withdrawn(add);
+    return NOTHING;
+  }
+
+  private void look() {
+    for (String job : storeSet.outlived(statusMs, DROP_SLACK_MS, timers.now())) {
+      drop.accept(PREFIX + job);
+      storeSet.dropped(job);
+    }
+    timers.after(LOOK_MS, this::look);
+  }
+}
--- /dev/null
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -0,0 +1,193 @@
+package elmsail.batch.store;
+
+import elmsail.batch.messages.HeartbeatMessage;
+import elmsail.batch.messages.TokenCount;
+import elmsail.batch.messages.ContentDigest;
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.AbandonedJob;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one keeper knows of its jobs, folded from what it took and heard; the time is given with each
+ * event.
+ */
+final class JobStore {
+  /** Adds that are not followed by their job are forgotten after so long, in ms. */
+  static final long ADD_MS = 5_000;
+  /** Jobs that no longer wait are told of for so long, in ms, to overrule keepers that missed it. */
+  private static final long TELL_ENDED_MS = 120_000;
+  /** Adds whose job is being written stay for so long, in ms: a disk may stall. */
+  private static final long WRITE_MS = 30_000;
+  private static final long UNTAKEN_MS = 60_000;
+  private static final int MOST_ADDS = 4_096;
+
+  /** The fold of one job's records. */
+  private static final class Lot {
+    final long digest;
+    final long firstSeen;
+    long version;
+    String route = "";
+    long waiting;
+    boolean open;
+    String runner = "";
+    long term;
+    long shelfMs;
+    long changed;
+    long heard;
+
+    Lot(long digest, long now) {
+      this.digest = digest;
+      this.firstSeen = now;
+    }
+  }
+
+  /** @param admitted whether its job is being written, so that only the time takes it off */
+  private record Pending(TokenCount.Add add, long until, boolean admitted) {
+  }
+
+  private final Map<String, Lot> jobs = new HashMap<>();
+  private final Map<String, Pending> adds = new LinkedHashMap<>();
+  /** When jobs that were never taken here were added last: what came with their first rounds is litter. */
+  private final Map<String, Long> untaken = new HashMap<>();
+
+  /** Notes the add and tells the count of its route; null if there are too many adds. */
+  byte[] added(TokenCount.Add add, long now) {
+    expire(now);
+    if (!jobs.containsKey(add.job())) {
+      if (adds.size() >= MOST_ADDS && !adds.containsKey(add.job())) {
+        return null;
+      }
+      Pending before = adds.remove(add.job());
+      boolean admitted = before != null && before.admitted();
+      adds.put(add.job(), new Pending(add, now + (admitted ? WRITE_MS : ADD_MS), admitted));
+      untaken.put(add.job(), now);
+    }
+    TokenCount count = new TokenCount();
+    for (Lot job : jobs.values()) {
+      if (job.route.equals(add.route()) && (job.waiting > 0 || now - job.changed < TELL_ENDED_MS)) {
+        count.put(job.digest, job.version, job.waiting);
+      }
+    }
+    for (Pending one : adds.values()) {
+      if (one.add().route().equals(add.route())) {
+        count.put(ContentDigest.of(one.add().job()), 0, one.add().tokens());
+      }
+    }
+    return count.packed();
+  }
+
+  void withdrawn(TokenCount.Add add) {
+    Pending there = adds.get(add.job());
+    if (there != null && !there.admitted() && there.add().who() == add.who()) {
+      adds.remove(add.job());
+    }
+  }
+
+  /** A job's first record needs its add to be on this count; later ones follow from a decided one. */
+  boolean admits(String job, JobRecord record, long now) {
+    expire(now);
+    if (record.version() > 1 || jobs.containsKey(job)) {
+      return true;
+    }
+    Pending add = adds.get(job);
+    if (add == null || !add.add().route().equals(record.route()) || add.add().tokens() < record.waiting()) {
+      return false;
+    }
+    adds.put(job, new Pending(add.add(), now + WRITE_MS, true));
+    return true;
+  }
+
+  void taken(String id, JobRecord record, long now) {
+    Lot job = jobs.get(id);
+    if (job == null) {
+      job = new Lot(ContentDigest.of(id), now);
+      jobs.put(id, job);
+    } else if (record.version() < job.version) {
+      return;
+    }
+    job.version = record.version();
+    job.route = record.route();
+    job.waiting = record.waiting();
+    job.open = record.open();
+    job.runner = record.runner();
+    job.term = record.term();
+    job.shelfMs = record.shelfMs();
+    job.changed = now;
+    job.heard = now;
+    adds.remove(id);
+    untaken.remove(id);
+  }
+
+  void dropped(String id) {
+    jobs.remove(id);
+    adds.remove(id);
+    untaken.remove(id);
+  }
+
+  /** Hears a runner; the answers stand in the order of its jobs. */
+  int[] heard(HeartbeatMessage heartbeat, long now) {
+    int[] response = new int[heartbeat.runs().size()];
+    for (int i = 0; i < response.length; i++) {
+      HeartbeatMessage.Run run = heartbeat.runs().get(i);
+      Lot job = jobs.get(run.job());
+      if (job == null || job.term < run.term()) {
+        response[i] = HeartbeatMessage.UNKNOWN;
+      } else if (job.term == run.term() && job.runner.equals(heartbeat.door()) && job.open) {
+        job.heard = now;
+        response[i] = HeartbeatMessage.YOURS;
+      } else {
+        response[i] = HeartbeatMessage.GONE;
+      }
+    }
+    return response;
+  }
+
+  List<AbandonedJob> orphans(long unheardMs, int most, long now) {
+    List<AbandonedJob> orphans = new ArrayList<>();
+    for (Map.Entry<String, Lot> one : jobs.entrySet()) {
+      Lot job = one.getValue();
+      if (job.open && now - job.heard >= unheardMs && orphans.size() < most) {
+        orphans.add(new AbandonedJob(one.getKey(), job.term, now - job.heard));
+      }
+    }
+    return orphans;
+  }
+
+  /** Jobs that nobody needs any more: the caller drops them. */
+  List<String> outlived(long statusMs, long slackMs, long now) {
+    expire(now);
+    List<String> outlived = new ArrayList<>();
+    for (Map.Entry<String, Lot> one : jobs.entrySet()) {
+      Lot job = one.getValue();
+      long kept = (job.open ? Math.max(job.shelfMs, 0) : 0) + statusMs + slackMs;
+      if (now - job.firstSeen > kept && (!job.open || now - job.heard > statusMs)) {
+        outlived.add(one.getKey());
+      }
+    }
+    for (Map.Entry<String, Long> one : untaken.entrySet()) {
+      // Without its add a first record is not admitted, so no promise is needed against it.
+      if (now - one.getValue() > UNTAKEN_MS && !adds.containsKey(one.getKey())) {
+        outlived.add(one.getKey());
+      }
+    }
+    return outlived;
+  }
+
+  int size() {
+    return jobs.size();
+  }
+
+  private void expire(long now) {
+    Iterator<Pending> each = adds.values().iterator();
+    while (each.hasNext()) {
+      if (each.next().until() <= now) {
+        each.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -0,0 +1,237 @@
+package elmsail.batch;
+
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.batch.api.BatchApi;
+import elmsail.batch.store.JobRetention;
+import elmsail.consensus.RegisterClient;
+import elmsail.consensus.VoterSetSource;
+import elmsail.consensus.Replica;
+import elmsail.simulation.ManualTimers;
+import elmsail.simulation.Node;
+import elmsail.simulation.SimDisk;
+import elmsail.simulation.SimNet;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.config.RoutingConfig;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/** Doors and stores as they are, over simulated links and disks, on one clock and one seed. */
+final class JobStoreWorld {
+  static final String SET = "shelf";
+
+  /** A store's machine: the disk stays. */
+  final class Vault {
+    final String address;
+    final SimDisk disk;
+    Node node;
+    Replica keeper;
+    JobRetention jobs;
+    boolean up;
+
+    Vault(int number) {
+      address = "10.0.1." + number + ":7720";
+      disk = new SimDisk(seed * 31 + number, timers);
+    }
+
+    void start() {
+      up = true;
+      node = net.node(address);
+      jobs = new JobRetention(node.timers(), () -> keeper != null && keeper.voting(), key -> keeper.drop(key),
+          120_000);
+      keeper = new Replica(SET, disk.open(node.timers()), jobs, node.answering(), node.caller(),
+          node.timers(), address, "st-" + address);
+      jobs.listen(node.answering());
+      jobs.start();
+    }
+
+    void kill(boolean wipe) {
+      up = false;
+      net.kill(address);
+      if (wipe) {
+        disk.wipe();
+      }
+    }
+  }
+
+  /** A gateway; each start is a new life with servers of its own. */
+  final class Door {
+    final String address;
+    Node node;
+    BatchApi calls;
+    SimServers servers;
+    boolean up;
+
+    Door(int number) {
+      address = "10.0.2." + number + ":7720";
+    }
+
+    void start() {
+      up = true;
+      node = net.node(address);
+      VoterSet[] known = {voterSet()};
+      RegisterClient register = new RegisterClient(SET, node.caller(), node.timers(), new VoterSetSource() {
+        @Override
+        public VoterSet of() {
+          return known[0];
+        }
+
+        @Override
+        public void response(VoterSet newer) {
+          known[0] = newer;
+        }
+      }, chance.nextLong(), address, other -> other.hashCode());
+      calls = new BatchApi(register, node.caller(), node.timers(), known(known), address, chance.nextLong(),
+          3_000);
+      servers = new SimServers(timers);
+      servers.room = 3;
+      servers.serveMs = 700;
+      servers.served = served;
+      all.add(servers);
+      calls.setServers(servers);
+      calls.listen(node.answering());
+      calls.start();
+    }
+
+    /** Its servers drop what it had sent them. */
+    void kill() {
+      up = false;
+      net.kill(address);
+      servers.drop();
+    }
+  }
+
+  final long seed;
+  final ManualTimers timers = new ManualTimers();
+  final Random chance;
+  final SimNet net;
+  final List<Vault> stores = new ArrayList<>();
+  final List<Door> doors = new ArrayList<>();
+  /** Of all gateways' lives. */
+  final List<SimServers> all = new ArrayList<>();
+  /** ItemDispatcher that a server has finished. */
+  final Set<String> served = new HashSet<>();
+  final ClusterView view = new ClusterView();
+  final SimConfig config;
+
+  JobStoreWorld(long seed, int doorCount, long mostWaiting) {
+    this.seed = seed;
+    chance = new Random(seed);
+    net = new SimNet(seed, timers);
+    config = new SimConfig(1, List.of(SimWorld.route(mostWaiting)));
+    VoterSet founding = new VoterSet();
+    for (int i = 0; i < 3; i++) {
+      Vault store = new Vault(i);
+      stores.add(store);
+      store.start();
+      Voter slot = new Voter();
+      slot.address = store.address;
+      slot.station = "st-" + store.address;
+      slot.instanceId = store.disk.instanceId();
+      slot.epoch = 1;
+      founding.voters.add(slot);
+    }
+    view.storeSet = founding;
+    stores.forEach(store -> store.keeper.found(founding));
+    timers.pass(100);
+    for (int i = 0; i < doorCount; i++) {
+      doors.add(new Door(i));
+      view.gateways.add(doors.get(i).address);
+    }
+    doors.forEach(Door::start);
+    gossip();
+  }
+
+  /** What the pulls do: stores and gateways hear of the newest voter set. */
+  private void gossip() {
+    VoterSet newest = voterSet();
+    view.storeSet = newest;
+    for (Vault store : stores) {
+      if (store.up) {
+        store.keeper.learn(newest);
+      }
+    }
+    timers.after(300, this::gossip);
+  }
+
+  private VoterSet voterSet() {
+    VoterSet newest = view.storeSet;
+    int best = sum(newest);
+    for (Vault store : stores) {
+      if (store.up && sum(store.keeper.voterSet()) > best) {
+        newest = store.keeper.voterSet();
+        best = sum(newest);
+      }
+    }
+    return newest;
+  }
+
+  private static int sum(VoterSet voterSet) {
+    int sum = 0;
+    for (Voter slot : voterSet.voters) {
+      sum += slot.epoch;
+    }
+    return sum;
+  }
+
+  private ClusterState known(VoterSet[] voterSet) {
+    return new ClusterState() {
+      @Override
+      public RoutingConfig config() {
+        return config;
+      }
+
+      @Override
+      public List<ServerEntry> servers() {
+        return List.of();
+      }
+
+      @Override
+      public long listAgeMs() {
+        return 0;
+      }
+
+      @Override
+      public ClusterView view() {
+        voterSet[0] = sum(view.storeSet) > sum(voterSet[0]) ? view.storeSet : voterSet[0];
+        return view;
+      }
+
+      @Override
+      public void whenChanged(Runnable then) {
+      }
+    };
+  }
+
+  boolean calm() {
+    for (Vault store : stores) {
+      if (!store.up || !store.keeper.voting()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  Route route() {
+    return config.named("r-lots");
+  }
+
+  CompletableFuture<BatchCalls.Reply> hand(Door door, String id, int pieces, long tokens) {
+    return door.calls.submit(route(), id, SimWorld.job(id, pieces, tokens), 3_000);
+  }
+
+  /** Null where no answer comes within 6 s, as the gateway has died. */
+  BatchCalls.Reply await(CompletableFuture<BatchCalls.Reply> reply) {
+    for (int i = 0; i < 6_000 && !reply.isDone(); i++) {
+      timers.pass(1);
+    }
+    return reply.isDone() ? reply.join() : null;
+  }
+}
--- a/lots/src/test/java/elmsail/lots/LeaseTest.java
+++ b/batch/src/test/java/elmsail/batch/LeaseTest.java
@@ -1,4 +1,4 @@
-package elmsail.lots;
+package elmsail.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -8,7 +8,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.startsWith;
 
-import elmsail.lots.ItemServers.Ended;
+import elmsail.batch.ItemServers.Ended;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
@@ -168,7 +168,7 @@
     SimWorld world = new SimWorld(23, 2, 1_000);
     assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
     world.timers.pass(30);
-    SimKeeper stale = world.keepers.get(2);
+    SimJobStore stale = world.keepers.get(2);
     world.doors.forEach(door -> world.cut(door.address, stale.address, true));
     world.doors.get(0).servers.runs.forEach(SimServers.Run::serve);
     world.timers.pass(3_000);
--- a/lots/src/test/java/elmsail/lots/RunsTest.java
+++ b/batch/src/test/java/elmsail/batch/RunsTest.java
@@ -1,4 +1,4 @@
-package elmsail.lots;
+package elmsail.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -8,8 +8,8 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
-import elmsail.lots.ItemServers.Ended;
-import elmsail.lots.LotCalls.Reply;
+import elmsail.batch.ItemServers.Ended;
+import elmsail.batch.BatchCalls.Reply;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -137,10 +137,10 @@
     SimServers servers = world.doors.get(0).servers;
     servers.room = 0;
     assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
-    world.doors.get(0).timetable = new SimTimetable(1, List.of());
+    world.doors.get(0).config = new SimConfig(1, List.of());
     world.timers.pass(1_000);
     assertThat(world.read(0, "a", 0), containsString(NONE));
-    world.doors.get(0).timetable = new SimTimetable(2, List.of());
+    world.doors.get(0).config = new SimConfig(2, List.of());
     world.timers.pass(1_000);
     assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\""));
     assertThat(servers.runs, hasSize(0));
--- a/lots/src/test/java/elmsail/lots/ShelfStoryTest.java
+++ b/batch/src/test/java/elmsail/batch/ShelfStoryTest.java
@@ -1,4 +1,4 @@
-package elmsail.lots;
+package elmsail.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -18,13 +18,13 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-/** Lots on the register that the tier has, with doors and vaults that die, forget, freeze and are cut off. */
+/** Jobs on the register that the tier has, with gateways and stores that die, forget, freeze and are cut off. */
 class ShelfStoryTest {
   private static final long LIMIT = 100;
   private static final long TOKENS = 10;
   private static final int PIECES = 5;
 
-  /** What clients saw of one lot. */
+  /** What clients saw of one job. */
   private static final class Seen {
     final List<Integer> statuses = new ArrayList<>();
     boolean accepted;
@@ -35,26 +35,26 @@
 
   /** One day of clients and trouble. */
   private static final class Day {
-    final ShelfWorld world;
-    final Map<String, Seen> lots = new LinkedHashMap<>();
+    final JobStoreWorld world;
+    final Map<String, Seen> jobs = new LinkedHashMap<>();
     final List<Throwable> broken = new ArrayList<>();
     int numbers;
 
     Day(long seed) {
-      world = new ShelfWorld(seed, 3, LIMIT);
+      world = new JobStoreWorld(seed, 3, LIMIT);
     }
 
-    ShelfWorld.Door door() {
-      ShelfWorld.Door door = world.doors.get(world.chance.nextInt(3));
+    JobStoreWorld.Door door() {
+      JobStoreWorld.Door door = world.doors.get(world.chance.nextInt(3));
       return door.up ? door : null;
     }
 
     void hand(String id) {
-      ShelfWorld.Door door = door();
+      JobStoreWorld.Door door = door();
       if (door == null) {
         return;
       }
-      Seen seen = lots.computeIfAbsent(id, lot -> new Seen());
+      Seen seen = jobs.computeIfAbsent(id, job -> new Seen());
       int try1 = seen.statuses.size();
       seen.statuses.add(0);
       hear(world.hand(door, id, PIECES, TOKENS), reply -> {
@@ -67,7 +67,7 @@
     }
 
     /** Keeps what the check found, as futures swallow it. */
-    private void hear(CompletableFuture<LotCalls.Reply> reply, Consumer<LotCalls.Reply> check) {
+    private void hear(CompletableFuture<BatchCalls.Reply> reply, Consumer<BatchCalls.Reply> check) {
       reply.thenAccept(check).exceptionally(thrown -> {
         broken.add(thrown);
         return null;
@@ -76,7 +76,7 @@
 
     void checkQuota() {
       long waiting = 0;
-      for (Map.Entry<String, Seen> one : lots.entrySet()) {
+      for (Map.Entry<String, Seen> one : jobs.entrySet()) {
         if (one.getValue().accepted && !one.getValue().endAsked) {
           for (int i = 0; i < PIECES; i++) {
             waiting += world.served.contains(one.getKey() + "-" + i) ? 0 : TOKENS;
@@ -87,9 +87,9 @@
     }
 
     void end(String id) {
-      ShelfWorld.Door door = door();
+      JobStoreWorld.Door door = door();
       if (door != null) {
-        Seen seen = lots.get(id);
+        Seen seen = jobs.get(id);
         seen.endAsked = true;
         hear(door.calls.end(id), reply -> {
           if (reply.status() == 200 && seen.endedAt < 0) {
@@ -101,14 +101,14 @@
     }
 
     void read(String id) {
-      ShelfWorld.Door door = door();
+      JobStoreWorld.Door door = door();
       if (door != null) {
         hear(door.calls.read(id, 0, 0), reply -> check(id, reply));
       }
     }
 
-    void check(String id, LotCalls.Reply reply) {
-      Seen seen = lots.get(id);
+    void check(String id, BatchCalls.Reply reply) {
+      Seen seen = jobs.get(id);
       assertThat(id + " seed " + world.seed, reply.status(), not(is(404)));
       if (reply.status() == 200) {
         String body = new String(reply.body(), StandardCharsets.UTF_8);
@@ -121,29 +121,29 @@
       }
     }
 
-    /** Trouble at one vault at a time, and at any doors. */
+    /** Trouble at one store at a time, and at any gateways. */
     void trouble() {
-      ShelfWorld.Vault vault = world.vaults.get(world.chance.nextInt(3));
-      ShelfWorld.Door door = world.doors.get(world.chance.nextInt(3));
+      JobStoreWorld.Vault store = world.stores.get(world.chance.nextInt(3));
+      JobStoreWorld.Door door = world.doors.get(world.chance.nextInt(3));
       switch (world.chance.nextInt(7)) {
-        case 0 -> vault.kill(false);
-        case 1 -> vault.kill(true);
-        case 2 -> world.net.isolate(vault.address);
-        case 3 -> vault.disk.stall(1_500);
+        case 0 -> store.kill(false);
+        case 1 -> store.kill(true);
+        case 2 -> world.net.isolate(store.address);
+        case 3 -> store.disk.stall(1_500);
         case 4 -> door.kill();
         case 5 -> world.net.isolate(door.address);
-        default -> world.net.breakOnce(door.address, vault.address);
+        default -> world.net.breakOnce(door.address, store.address);
       }
     }
 
     void heal() {
       world.net.healAll();
-      for (ShelfWorld.Vault vault : world.vaults) {
-        if (!vault.up) {
-          vault.start();
+      for (JobStoreWorld.Vault store : world.stores) {
+        if (!store.up) {
+          store.start();
         }
       }
-      for (ShelfWorld.Door door : world.doors) {
+      for (JobStoreWorld.Door door : world.doors) {
         if (!door.up) {
           door.start();
         }
@@ -155,7 +155,7 @@
         if (world.chance.nextInt(3) > 0) {
           hand("lot" + numbers++);
         }
-        for (Map.Entry<String, Seen> one : lots.entrySet()) {
+        for (Map.Entry<String, Seen> one : jobs.entrySet()) {
           if (!one.getValue().accepted && world.chance.nextBoolean()) {
             hand(one.getKey());
           } else if (one.getValue().accepted && world.chance.nextInt(4) == 0) {
@@ -180,12 +180,12 @@
   }
 
   private static void checkEnd(Day day) {
-    ShelfWorld world = day.world;
+    JobStoreWorld world = day.world;
     String where = ", seed " + world.seed;
     for (SimServers servers : world.all) {
       for (SimServers.Run run : servers.runs) {
         String id = run.piece.id().substring(0, run.piece.id().indexOf('-'));
-        Seen seen = day.lots.get(id);
+        Seen seen = day.jobs.get(id);
         boolean promised = !seen.statuses.stream().anyMatch(s -> s != 429 && s != 503);
         assertThat(id + " ran though each try was refused" + where, promised, is(false));
         if (seen.endedAt >= 0) {
@@ -193,9 +193,9 @@
         }
       }
     }
-    for (Map.Entry<String, Seen> one : day.lots.entrySet()) {
+    for (Map.Entry<String, Seen> one : day.jobs.entrySet()) {
       if (one.getValue().accepted) {
-        LotCalls.Reply reply = world.await(world.doors.get(0).calls.read(one.getKey(), 0, 0));
+        BatchCalls.Reply reply = world.await(world.doors.get(0).calls.read(one.getKey(), 0, 0));
         assertThat(one.getKey() + where, reply.status(), is(200));
         day.check(one.getKey(), reply);
         String body = new String(reply.body(), StandardCharsets.UTF_8);
@@ -207,7 +207,7 @@
                 + item + "/0\\u000a" + item + "/1\"}"));
           }
         }
-        LotCalls.Reply item = world.await(world.doors.get(1).calls.item(one.getKey(), one.getKey() + "-1"));
+        BatchCalls.Reply item = world.await(world.doors.get(1).calls.item(one.getKey(), one.getKey() + "-1"));
         assertThat(item.status() + new String(item.body(), StandardCharsets.UTF_8) + where,
             is("200body " + one.getKey() + "1" + where));
       }
@@ -225,7 +225,7 @@
       assertThat("faults, seed " + seed, day.world.net.faults(), is(empty()));
       assertThat("seed " + seed, day.broken, is(empty()));
       checkEnd(day);
-      for (Seen seen : day.lots.values()) {
+      for (Seen seen : day.jobs.values()) {
         accepted += seen.accepted ? 1 : 0;
         ended += seen.endedAt >= 0 ? 1 : 0;
         refused += seen.statuses.contains(429) ? 1 : 0;
@@ -239,14 +239,14 @@
   @Test
   void anAcceptedLotOutlivesItsDoorAndAnyOneDisk() {
     for (int seed = 0; seed < 9; seed++) {
-      ShelfWorld world = new ShelfWorld(seed, 3, LIMIT);
-      ShelfWorld.Door door = world.doors.get(0);
-      CompletableFuture<LotCalls.Reply> reply = world.hand(door, "a", PIECES, TOKENS);
+      JobStoreWorld world = new JobStoreWorld(seed, 3, LIMIT);
+      JobStoreWorld.Door door = world.doors.get(0);
+      CompletableFuture<BatchCalls.Reply> reply = world.hand(door, "a", PIECES, TOKENS);
       assertThat(world.await(reply).status(), is(202));
       door.kill();
-      world.vaults.get(seed % 3).kill(true);
+      world.stores.get(seed % 3).kill(true);
       world.timers.pass(200);
-      world.vaults.get(seed % 3).start();
+      world.stores.get(seed % 3).start();
       world.timers.pass(9_000);
       String body = new String(world.await(world.doors.get(1).calls.read("a", 0, 0)).body(),
           StandardCharsets.UTF_8);
--- a/lots/src/test/java/elmsail/lots/SimTimetable.java
+++ b/batch/src/test/java/elmsail/batch/SimConfig.java
@@ -1,13 +1,13 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.timetable.Route;
-import elmsail.timetable.Service;
-import elmsail.timetable.Timetable;
+import elmsail.config.Route;
+import elmsail.config.Service;
+import elmsail.config.RoutingConfig;
 import java.util.List;
 import java.util.Map;
 
 /** A configuration of some routes. */
-record SimTimetable(long edition, List<Route> routes) implements Timetable {
+record SimConfig(long edition, List<Route> routes) implements RoutingConfig {
   @Override
   public Route find(String host, String path) {
     for (Route route : routes) {
--- a/lots/src/test/java/elmsail/lots/SimKeeper.java
+++ b/batch/src/test/java/elmsail/batch/SimJobStore.java
@@ -1,14 +1,14 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Blob;
-import elmsail.lots.keep.LotsKeeper;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
+import elmsail.batch.store.JobRetention;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** A voter with the views of a lots' keeper; what is in it outlives {@code restart}, but for the views. */
-final class SimKeeper {
+/** A voter with the views of a jobs' keeper; what is in it outlives {@code restart}, but for the views. */
+final class SimJobStore {
 
   /** What it holds of one key. */
   static final class Cell {
@@ -24,10 +24,10 @@
   final String address;
   final Map<String, Cell> cells = new HashMap<>();
   final SimWorld world;
-  LotsKeeper views;
+  JobRetention views;
   boolean up = true;
 
-  SimKeeper(String address, SimWorld world) {
+  SimJobStore(String address, SimWorld world) {
     this.address = address;
     this.world = world;
     restart();
@@ -35,7 +35,7 @@
 
   /** A new process on the same disk. */
   void restart() {
-    views = new LotsKeeper(world.timers, () -> up, cells::remove, SimWorld.STATUS_MS);
+    views = new JobRetention(world.timers, () -> up, cells::remove, SimWorld.STATUS_MS);
     views.start();
     for (Map.Entry<String, Cell> one : cells.entrySet()) {
       if (one.getValue().value != null) {
--- a/lots/src/test/java/elmsail/lots/SimRegister.java
+++ b/batch/src/test/java/elmsail/batch/SimRegister.java
@@ -1,17 +1,17 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Blob;
-import elmsail.register.Register;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
+import elmsail.consensus.Register;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
-/** A door's register over simulated links: prepare and accept at a majority, as published for CASPaxos. */
+/** A gateway's register over simulated links: prepare and accept at a majority, as published for CASPaxos. */
 final class SimRegister implements Register {
   private final SimWorld world;
   private final String door;
@@ -41,7 +41,7 @@
     }
 
     void fail() {
-      held.completeExceptionally(new ElmsailException(sent ? Code.UNCLEAR : Code.NOT_REACHED, key));
+      held.completeExceptionally(new ElmsailException(sent ? ErrorCode.UNCLEAR : ErrorCode.NOT_REACHED, key));
     }
 
     void again() {
@@ -55,15 +55,15 @@
       Ballot ballot = new Ballot();
       ballot.round = ++round;
       ballot.who = who;
-      List<SimKeeper.Told> promises = new ArrayList<>();
+      List<SimJobStore.Told> promises = new ArrayList<>();
       boolean[] over = new boolean[1];
-      for (SimKeeper keeper : world.keepers) {
-        send(keeper, () -> keeper.prepare(key, ballot, blobs, note), told -> {
-          round = Math.max(round, told.promised().round);
-          if (!told.done() && !over[0]) {
+      for (SimJobStore keeper : world.keepers) {
+        send(keeper, () -> keeper.prepare(key, ballot, blobs, note), response -> {
+          round = Math.max(round, response.promised().round);
+          if (!response.done() && !over[0]) {
             over[0] = true;
             again();
-          } else if (told.done() && promises.add(told) && promises.size() == world.majority() && !over[0]) {
+          } else if (response.done() && promises.add(response) && promises.size() == world.majority() && !over[0]) {
             over[0] = true;
             promised(ballot, promises);
           }
@@ -71,7 +71,7 @@
       }
     }
 
-    void promised(Ballot ballot, List<SimKeeper.Told> promises) {
+    void promised(Ballot ballot, List<SimJobStore.Told> promises) {
       if (held.isDone()) {
         return;
       }
@@ -79,14 +79,14 @@
       byte[] value = null;
       List<byte[]> notes = new ArrayList<>();
       int same = 0;
-      for (SimKeeper.Told one : promises) {
+      for (SimJobStore.Told one : promises) {
         notes.add(one.note());
-        if (SimKeeper.less(newest, one.accepted())) {
+        if (SimJobStore.less(newest, one.accepted())) {
           newest = one.accepted();
           value = one.value();
         }
       }
-      for (SimKeeper.Told one : promises) {
+      for (SimJobStore.Told one : promises) {
         same += one.accepted().round == newest.round && one.accepted().who == newest.who ? 1 : 0;
       }
       Wanted wanted = change.apply(new Found(value, notes));
@@ -102,12 +102,12 @@
     void accept(Ballot ballot, byte[] value, List<Blob> with, boolean changed) {
       sent = true;
       int[] counts = new int[2];
-      for (SimKeeper keeper : world.keepers) {
-        send(keeper, () -> keeper.accept(key, ballot, value, with), told -> {
-          round = Math.max(round, told.promised().round);
-          if (told.done() && ++counts[0] == world.majority()) {
+      for (SimJobStore keeper : world.keepers) {
+        send(keeper, () -> keeper.accept(key, ballot, value, with), response -> {
+          round = Math.max(round, response.promised().round);
+          if (response.done() && ++counts[0] == world.majority()) {
             held.complete(new Held(new Versioned(ballot, value), changed));
-          } else if (!told.done() && ++counts[1] == world.keepers.size() - world.majority() + 1) {
+          } else if (!response.done() && ++counts[1] == world.keepers.size() - world.majority() + 1) {
             again();
           }
         });
@@ -115,10 +115,10 @@
     }
   }
 
-  private <T> void send(SimKeeper keeper, java.util.function.Supplier<T> handle, Consumer<T> heard) {
+  private <T> void send(SimJobStore keeper, java.util.function.Supplier<T> handle, Consumer<T> heard) {
     world.carry(door, keeper.address, () -> {
-      T told = handle.get();
-      world.carry(keeper.address, door, () -> heard.accept(told));
+      T response = handle.get();
+      world.carry(keeper.address, door, () -> heard.accept(response));
     });
   }
 
@@ -128,7 +128,7 @@
     change(key, found -> new Wanted(null, List.of()), List.of(), null, timeoutMs)
         .whenComplete((held, failed) -> {
       if (failed != null) {
-        read.completeExceptionally(new ElmsailException(Code.NOT_REACHED, key));
+        read.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED, key));
       } else if (known != null && known.round == held.now().ballot().round
           && known.who == held.now().ballot().who) {
         read.complete(new Versioned(known, null));
@@ -151,12 +151,12 @@
   @Override
   public CompletableFuture<byte[]> blob(String key, String name, long timeoutMs) {
     CompletableFuture<byte[]> blob = new CompletableFuture<>();
-    world.timers.after(timeoutMs, () -> blob.completeExceptionally(new ElmsailException(Code.NOT_REACHED,
+    world.timers.after(timeoutMs, () -> blob.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED,
         name)));
     int[] none = new int[1];
-    for (SimKeeper keeper : world.keepers) {
+    for (SimJobStore keeper : world.keepers) {
       send(keeper, () -> {
-        SimKeeper.Cell cell = keeper.cells.get(key);
+        SimJobStore.Cell cell = keeper.cells.get(key);
         byte[] bytes = cell == null ? null : cell.blobs.get(name);
         return java.util.Optional.ofNullable(bytes);
       }, found -> {
--- a/lots/src/test/java/elmsail/lots/SimServers.java
+++ b/batch/src/test/java/elmsail/batch/SimServers.java
@@ -1,26 +1,26 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.rehearsal.HandTimers;
-import elmsail.timetable.Route;
+import elmsail.simulation.ManualTimers;
+import elmsail.config.Route;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
-/** Servers of one door: every start is written down, and ended by the test or by themselves. */
+/** Servers of one gateway: every start is written down, and ended by the test or by themselves. */
 final class SimServers implements ItemServers {
 
   /** One start. */
   final class Run implements Running {
-    final Piece piece;
+    final BatchItem piece;
     final long last;
-    final Heard heard;
+    final RunListener heard;
     final long at;
     boolean over;
     boolean cancelled;
 
-    Run(Piece piece, long last, Heard heard, long at) {
+    Run(BatchItem piece, long last, RunListener heard, long at) {
       this.piece = piece;
       this.last = last;
       this.heard = heard;
@@ -58,14 +58,14 @@
   }
 
   final List<Run> runs = new ArrayList<>();
-  private final HandTimers timers;
+  private final ManualTimers timers;
   int room = 1_000;
-  /** Items that were finished. */
+  /** ItemDispatcher that were finished. */
   Set<String> served = new HashSet<>();
   /** After so many ms a run is served; -1: by the test alone. */
   long serveMs = -1;
 
-  SimServers(HandTimers timers) {
+  SimServers(ManualTimers timers) {
     this.timers = timers;
   }
 
@@ -83,7 +83,7 @@
   }
 
   @Override
-  public Running start(Route route, Piece piece, long lastEventId, Heard heard) {
+  public Running start(Route route, BatchItem piece, long lastEventId, RunListener heard) {
     if (room(route) <= 0) {
       return null;
     }
@@ -95,7 +95,7 @@
     return run;
   }
 
-  /** The door has died: its connections close, and nothing is heard. */
+  /** The gateway has died: its connections close, and nothing is heard. */
   void drop() {
     runs.forEach(Run::cancel);
   }
--- a/lots/src/test/java/elmsail/lots/SimWorld.java
+++ b/batch/src/test/java/elmsail/batch/SimWorld.java
@@ -1,19 +1,19 @@
-package elmsail.lots;
+package elmsail.batch;
 
-import elmsail.inner.Caller;
-import elmsail.inner.words.Note;
-import elmsail.inner.words.Roster;
-import elmsail.inner.words.Seat;
-import elmsail.lots.door.LotsDoor;
-import elmsail.lots.words.Count;
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
-import elmsail.timetable.Known;
-import elmsail.timetable.Route;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.Timetable;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.batch.api.BatchApi;
+import elmsail.batch.messages.TokenCount;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.config.RoutingConfig;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -31,12 +31,12 @@
   static final long STATUS_MS = 120_000;
   static final String HOST = "h.example";
 
-  /** A door with its servers; a killed one hears and says nothing more. */
+  /** A gateway with its servers; a killed one hears and says nothing more. */
   static final class Door {
     final String address;
-    LotsDoor calls;
+    BatchApi calls;
     SimServers servers;
-    SimTimetable timetable;
+    SimConfig config;
     boolean up = true;
 
     Door(String address) {
@@ -44,32 +44,32 @@
     }
   }
 
-  final HandTimers timers = new HandTimers();
+  final ManualTimers timers = new ManualTimers();
   final Random chance;
-  final List<SimKeeper> keepers = new ArrayList<>();
+  final List<SimJobStore> keepers = new ArrayList<>();
   final List<Door> doors = new ArrayList<>();
-  final Roster roster = new Roster();
+  final ClusterView view = new ClusterView();
   /** Links that are cut: "from>to". */
   final Set<String> cut = new HashSet<>();
   /** Links with a time of their own, in ms; else 1 to 5. */
   final Map<String, Long> delays = new HashMap<>();
-  final SimTimetable timetable;
+  final SimConfig config;
 
   SimWorld(long seed, int doorCount, long mostWaiting) {
     chance = new Random(seed);
-    timetable = new SimTimetable(1, List.of(route(mostWaiting)));
+    config = new SimConfig(1, List.of(route(mostWaiting)));
     for (int i = 0; i < 3; i++) {
-      SimKeeper keeper = new SimKeeper("10.0.1." + i + ":7000", this);
+      SimJobStore keeper = new SimJobStore("10.0.1." + i + ":7000", this);
       keepers.add(keeper);
-      Seat seat = new Seat();
-      seat.address = keeper.address;
-      roster.shelf.seats.add(seat);
+      Voter slot = new Voter();
+      slot.address = keeper.address;
+      view.storeSet.voters.add(slot);
     }
     for (int i = 0; i < doorCount; i++) {
-      roster.clerks.add("10.0.2." + i + ":7000");
+      view.gateways.add("10.0.2." + i + ":7000");
     }
     for (int i = 0; i < doorCount; i++) {
-      doors.add(open(new Door(roster.clerks.get(i)), i));
+      doors.add(open(new Door(view.gateways.get(i)), i));
     }
   }
 
@@ -79,14 +79,14 @@
   }
 
   Route route() {
-    return timetable.named("r-lots");
+    return config.named("r-lots");
   }
 
   private Door open(Door door, int number) {
-    Known known = new Known() {
+    ClusterState known = new ClusterState() {
       @Override
-      public Timetable timetable() {
-        return door.timetable;
+      public RoutingConfig config() {
+        return door.config;
       }
 
       @Override
@@ -100,18 +100,18 @@
       }
 
       @Override
-      public Roster roster() {
-        return roster;
+      public ClusterView view() {
+        return view;
       }
 
       @Override
       public void whenChanged(Runnable then) {
       }
     };
-    door.timetable = timetable;
+    door.config = config;
     door.servers = new SimServers(timers);
     Timers own = own(door);
-    door.calls = new LotsDoor(new SimRegister(this, door.address, number + 1), caller(door.address), own,
+    door.calls = new BatchApi(new SimRegister(this, door.address, number + 1), caller(door.address), own,
         known,
         door.address, chance.nextLong(), 3_000);
     door.calls.setServers(door.servers);
@@ -119,7 +119,7 @@
     return door;
   }
 
-  /** Timers that go off only while the door is up. */
+  /** Timers that go off only while the gateway is up. */
   private Timers own(Door door) {
     return new Timers() {
       @Override
@@ -148,7 +148,7 @@
   }
 
   private boolean up(String address) {
-    for (SimKeeper keeper : keepers) {
+    for (SimJobStore keeper : keepers) {
       if (keeper.address.equals(address)) {
         return keeper.up;
       }
@@ -184,41 +184,41 @@
     }
   }
 
-  private CompletionStage<Note> answer(String peer, Note ask) {
-    for (SimKeeper keeper : keepers) {
+  private CompletionStage<OpaqueMessage> answer(String peer, OpaqueMessage request) {
+    for (SimJobStore keeper : keepers) {
       if (keeper.address.equals(peer)) {
-        return keeper.views.answer(ask);
+        return keeper.views.answer(request);
       }
     }
     for (Door door : doors) {
       if (door.address.equals(peer)) {
-        return door.calls.answer(ask);
+        return door.calls.answer(request);
       }
     }
-    return CompletableFuture.failedFuture(new ElmsailException(Code.UNSENT, peer));
+    return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.UNSENT, peer));
   }
 
   private Caller caller(String from) {
     return new Caller() {
       @Override
-      public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
-        CompletableFuture<A> told = new CompletableFuture<>();
-        timers.after(timeoutMs, () -> told.completeExceptionally(new ElmsailException(Code.SILENT, peer)));
-        carry(from, peer, () -> answer(peer, (Note) ask)
+      public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
+        CompletableFuture<A> response = new CompletableFuture<>();
+        timers.after(timeoutMs, () -> response.completeExceptionally(new ElmsailException(ErrorCode.SILENT, peer)));
+        carry(from, peer, () -> answer(peer, (OpaqueMessage) request)
             .whenComplete((note, failed) -> carry(peer, from, () -> {
           if (failed == null) {
-            told.complete(answer.cast(note));
+            response.complete(answer.cast(note));
           } else {
-            told.completeExceptionally(failed);
+            response.completeExceptionally(failed);
           }
         })));
-        return told;
+        return response;
       }
     };
   }
 
-  /** The JSON of a lot whose pieces have the ids LOT-0, LOT-1 and so on. */
-  static byte[] lot(String id, int pieces, long tokens) {
+  /** The JSON of a job whose pieces have the ids LOT-0, LOT-1 and so on. */
+  static byte[] job(String id, int pieces, long tokens) {
     StringBuilder json = new StringBuilder("{\"pieces\":[");
     for (int i = 0; i < pieces; i++) {
       json.append(i == 0 ? "" : ",").append("{\"id\":\"").append(id).append('-').append(i)
@@ -230,41 +230,41 @@
     return json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
   }
 
-  CompletableFuture<LotCalls.Reply> hand(int door, String id, int pieces, long tokens) {
-    return doors.get(door).calls.handIn(route(), id, lot(id, pieces, tokens), 3_000);
+  CompletableFuture<BatchCalls.Reply> hand(int door, String id, int pieces, long tokens) {
+    return doors.get(door).calls.submit(route(), id, job(id, pieces, tokens), 3_000);
   }
 
   /** Moves the clock until the reply is there, for 10 s at most. */
-  LotCalls.Reply await(CompletableFuture<LotCalls.Reply> reply) {
+  BatchCalls.Reply await(CompletableFuture<BatchCalls.Reply> reply) {
     for (int i = 0; i < 10_000 && !reply.isDone(); i++) {
       timers.pass(1);
     }
     return reply.join();
   }
 
-  /** The tokens that wait on the lots' route by this keeper's count. */
-  static long waiting(SimKeeper keeper) {
-    Count count = new Count();
-    count.putAll(List.of(keeper.views.noted("lot/probe", new Count.Add("r-lots", "probe", 0, 1).packed())));
+  /** The tokens that wait on the jobs' route by this keeper's count. */
+  static long waiting(SimJobStore keeper) {
+    TokenCount count = new TokenCount();
+    count.putAll(List.of(keeper.views.noted("lot/probe", new TokenCount.Add("r-lots", "probe", 0, 1).packed())));
     return count.without("probe");
   }
 
   /** How many keepers have the blob. */
   int having(String key, String blob) {
     int having = 0;
-    for (SimKeeper keeper : keepers) {
-      SimKeeper.Cell cell = keeper.cells.get(key);
+    for (SimJobStore keeper : keepers) {
+      SimJobStore.Cell cell = keeper.cells.get(key);
       having += cell != null && cell.blobs.containsKey(blob) ? 1 : 0;
     }
     return having;
   }
 
-  int status(CompletableFuture<LotCalls.Reply> reply) {
+  int status(CompletableFuture<BatchCalls.Reply> reply) {
     return await(reply).status();
   }
 
   String read(int door, String id, long after) {
-    LotCalls.Reply reply = await(doors.get(door).calls.read(id, after, 0));
+    BatchCalls.Reply reply = await(doors.get(door).calls.read(id, after, 0));
     return reply.status() + " " + new String(reply.body(), StandardCharsets.UTF_8);
   }
 }
--- a/lots/src/test/java/elmsail/lots/HandInTest.java
+++ b/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
@@ -1,4 +1,4 @@
-package elmsail.lots;
+package elmsail.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -9,20 +9,20 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.lots.LotCalls.Reply;
-import elmsail.lots.words.LotRecord;
+import elmsail.batch.BatchCalls.Reply;
+import elmsail.batch.messages.JobRecord;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
-class HandInTest {
+class SubmitHandlerTest {
 
-  private static int runsOf(SimWorld world, String lot) {
+  private static int runsOf(SimWorld world, String job) {
     int runs = 0;
     for (SimWorld.Door door : world.doors) {
       for (SimServers.Run run : door.servers.runs) {
-        runs += run.piece.id().startsWith(lot + "-") ? 1 : 0;
+        runs += run.piece.id().startsWith(job + "-") ? 1 : 0;
       }
     }
     return runs;
@@ -215,12 +215,12 @@
       world.hand(0, "a", 3, 10);
       for (int ms = 0; ms < 200; ms++) {
         world.timers.pass(1);
-        for (SimKeeper keeper : world.keepers) {
-          SimKeeper.Cell cell = keeper.cells.get("lot/a");
+        for (SimJobStore keeper : world.keepers) {
+          SimJobStore.Cell cell = keeper.cells.get("lot/a");
           if (cell != null && cell.value != null) {
-            LotRecord record = LotRecord.unpacked(cell.value);
+            JobRecord record = JobRecord.unpacked(cell.value);
             assertThat("seed " + seed, world.having("lot/a", record.body()), greaterThanOrEqualTo(2));
-            for (LotRecord.Result one : record.results()) {
+            for (JobRecord.Result one : record.results()) {
               assertThat("seed " + seed, world.having("lot/a", one.textName()), greaterThanOrEqualTo(2));
             }
           }
@@ -241,19 +241,19 @@
   @Test
   void malformedLotsAreRefusedForGood() {
     SimWorld world = new SimWorld(9, 1, 100);
-    LotCalls calls = world.doors.get(0).calls;
-    assertThat(world.status(calls.handIn(world.route(), "a", "{".getBytes(), 1_000)), is(400));
-    byte[] elsewhere = new String(SimWorld.lot("a", 1, 1)).replace("/lots1/", "/other/").getBytes();
-    assertThat(world.status(calls.handIn(world.route(), "a", elsewhere, 1_000)), is(400));
-    assertThat(world.status(calls.handIn(world.route(), "a", SimWorld.lot("a", 201, 1), 1_000)), is(400));
-    assertThat(world.status(calls.handIn(world.route(), "a/b", SimWorld.lot("a", 1, 1), 1_000)), is(400));
+    BatchCalls calls = world.doors.get(0).calls;
+    assertThat(world.status(calls.submit(world.route(), "a", "{".getBytes(), 1_000)), is(400));
+    byte[] elsewhere = new String(SimWorld.job("a", 1, 1)).replace("/lots1/", "/other/").getBytes();
+    assertThat(world.status(calls.submit(world.route(), "a", elsewhere, 1_000)), is(400));
+    assertThat(world.status(calls.submit(world.route(), "a", SimWorld.job("a", 201, 1), 1_000)), is(400));
+    assertThat(world.status(calls.submit(world.route(), "a/b", SimWorld.job("a", 1, 1), 1_000)), is(400));
     assertThat(world.doors.get(0).servers.runs, is(empty()));
   }
 
   @Test
   void theLimitIsThatOfTheNewestConfiguration() {
     SimWorld world = new SimWorld(10, 2, 100);
-    world.doors.get(1).timetable = new SimTimetable(2, List.of(SimWorld.route(200)));
+    world.doors.get(1).config = new SimConfig(2, List.of(SimWorld.route(200)));
     assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
     assertThat(world.status(world.hand(0, "b", 1, 10)), is(429));
     assertThat(world.status(world.hand(1, "b", 1, 10)), is(202));
--- a/timetable/src/main/java/elmsail/timetable/Digest.java
+++ b/config/src/main/java/elmsail/config/ConfigDigest.java
@@ -1,14 +1,14 @@
-package elmsail.timetable;
+package elmsail.config;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
 /** Tells whether two configurations are the same, byte for byte. */
-public final class Digest {
-  private Digest() {
+public final class ConfigDigest {
+  private ConfigDigest() {
   }
 
   /** SHA-256 in 64 lower-case hex digits: the same in every process and release. */
@@ -16,7 +16,7 @@
     try {
       return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
     } catch (NoSuchAlgorithmException e) {
-      throw new ElmsailException(Code.FAULT, "every Java platform has SHA-256", e);
+      throw new ElmsailException(ErrorCode.FAULT, "every Java platform has SHA-256", e);
     }
   }
 }
--- a/timetable/src/main/java/elmsail/timetable/Fields.java
+++ b/config/src/main/java/elmsail/config/Fields.java
@@ -1,11 +1,11 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import com.typesafe.config.ConfigList;
 import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigValue;
 import com.typesafe.config.ConfigValueType;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -26,7 +26,7 @@
   }
 
   ElmsailException fault(String key, String words) {
-    return new ElmsailException(Code.BAD_CALL, at(key) + ": " + words);
+    return new ElmsailException(ErrorCode.BAD_CALL, at(key) + ": " + words);
   }
 
   boolean has(String key) {
--- a/timetable/src/main/java/elmsail/timetable/CarrierCall.java
+++ b/config/src/main/java/elmsail/config/PlatformClient.java
@@ -1,10 +1,10 @@
-package elmsail.timetable;
+package elmsail.config;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
-import elmsail.station.http.HttpAsker;
-import elmsail.station.http.HttpReply;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import elmsail.runtime.http.HttpClient;
+import elmsail.runtime.http.HttpReply;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -12,12 +12,12 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
-/** Fetches the carrier's whole list of servers, page by page, one fetch at a time. */
-public final class CarrierCall {
+/** Fetches the platform's whole list of servers, page by page, one fetch at a time. */
+public final class PlatformClient {
   private static final int MOST_PAGES = 500;
   private static final long PAGE_MS = 700;
 
-  private final HttpAsker asker;
+  private final HttpClient asker;
   private final String address;
   private final Timers timers;
   private CompletableFuture<List<ServerEntry>> running;
@@ -27,8 +27,8 @@
   private int pages;
   private int lastPages = 1;
 
-  /** {@code address}: the carrier's "ip:port". */
-  public CarrierCall(HttpAsker asker, String address, Timers timers) {
+  /** {@code address}: the platform's "ip:port". */
+  public PlatformClient(HttpClient asker, String address, Timers timers) {
     this.asker = asker;
     this.address = address;
     this.timers = timers;
@@ -36,7 +36,7 @@
 
   /**
    * All servers, each id once, in the order of their ids. While one fetch runs, others join it. Fails with
-   * FULL if the carrier has had too many calls (429), GARBLED on any other answer but a whole page, or on
+   * FULL if the platform has had too many calls (429), GARBLED on any other answer but a whole page, or on
    * more than 500 pages, and as the asker does.
    */
   public CompletableFuture<List<ServerEntry>> fetch() {
@@ -48,7 +48,7 @@
     found = new TreeMap<>();
     begunAt = timers.now();
     pages = 0;
-    ask(null);
+    request(null);
     return mine;
   }
 
@@ -62,7 +62,7 @@
     return lastPages;
   }
 
-  private void ask(String token) {
+  private void request(String token) {
     pages++;
     String path = token == null ? "/servers"
         : "/servers?page_token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
@@ -93,18 +93,18 @@
       end().complete(all);
     } else if (pages >= MOST_PAGES) {
       end().completeExceptionally(
-          new ElmsailException(Code.GARBLED, "the list of servers has more than " + MOST_PAGES + " pages"));
+          new ElmsailException(ErrorCode.GARBLED, "the list of servers has more than " + MOST_PAGES + " pages"));
     } else {
-      ask(page.nextToken());
+      request(page.nextToken());
     }
   }
 
   private static ServerList.Page page(HttpReply reply) {
     if (reply.status() == 429) {
-      throw new ElmsailException(Code.FULL, "the carrier has had too many calls");
+      throw new ElmsailException(ErrorCode.FULL, "the platform has had too many calls");
     }
     if (reply.status() != 200) {
-      throw new ElmsailException(Code.GARBLED, "the carrier answered " + reply.status());
+      throw new ElmsailException(ErrorCode.GARBLED, "the platform answered " + reply.status());
     }
     return ServerList.page(reply.body());
   }
--- a/timetable/src/main/java/elmsail/timetable/Route.java
+++ b/config/src/main/java/elmsail/config/Route.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import java.util.List;
 
@@ -8,9 +8,9 @@
  * @param host {@code depot}, lower case
  * @param prefix {@code lane_prefix}
  * @param shares the services and their weights (one with weight 1 for {@code postal_line})
- * @param tries servers that one try of a client may be sent to; for a lot's item, answers of 500 before it
+ * @param tries servers that one try of a client may be sent to; for a job's item, answers of 500 before it
  * is dead
- * @param mostWaiting tokens of lots that may wait, 0: no limit
+ * @param mostWaiting tokens of jobs that may wait, 0: no limit
  */
 public record Route(String name, String host, String prefix, Kind kind, long giveUpMs, long dueMs,
     int precedence,
--- a/timetable/src/main/java/elmsail/timetable/Timetable.java
+++ b/config/src/main/java/elmsail/config/RoutingConfig.java
@@ -1,9 +1,9 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import java.util.Map;
 
-/** A configuration, checked: made by {@code TimetableReader.read(byte[])}, looked up by host and path. */
-public interface Timetable {
+/** A configuration, checked: made by {@code RoutingConfigReader.read(byte[])}, looked up by host and path. */
+public interface RoutingConfig {
   long edition();
 
   /**
--- a/timetable/src/main/java/elmsail/timetable/TimetableReader.java
+++ b/config/src/main/java/elmsail/config/RoutingConfigReader.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -11,20 +11,20 @@
  * Reads an operator's configuration and checks all that makes one invalid by itself. Whether its edition is
  * higher than the current one, and what it builds on, the caller checks. Fields not known are passed over.
  */
-public final class TimetableReader {
+public final class RoutingConfigReader {
   /** What holds where {@code limits} are not told: as the protocol's example has them. */
-  private static final Timetable.ClientLimits USUAL =
-      new Timetable.ClientLimits(16_384, 4_194_304, 3_000, 15_000);
+  private static final RoutingConfig.ClientLimits USUAL =
+      new RoutingConfig.ClientLimits(16_384, 4_194_304, 3_000, 15_000);
 
-  private TimetableReader() {
+  private RoutingConfigReader() {
   }
 
   /**
    * Fails with BAD_CALL, and the path of the key at fault, if the configuration is invalid: not whole, a
    * service not known, two routes at one place or of one name, no weight, no {@code give_up_ms} above 0
-   * (routes of lots need none), no edition, a prefix without its slashes, a field of a wrong type.
+   * (routes of jobs need none), no edition, a prefix without its slashes, a field of a wrong type.
    */
-  public static Timetable read(byte[] bytes) {
+  public static RoutingConfig read(byte[] bytes) {
     Fields root = Fields.root(StrictJson.read(bytes));
     long edition = root.wholeAboveZero("edition");
     Map<String, Service> services = new LinkedHashMap<>();
@@ -47,7 +47,7 @@
       }
       routes.add(route);
     }
-    return new CheckedTimetable(edition, routes, services, limits(root));
+    return new ValidatedConfig(edition, routes, services, limits(root));
   }
 
   private static Service service(Fields fields) {
@@ -64,7 +64,7 @@
 
   private static Route route(Fields fields, Map<String, Service> services) {
     String name = fields.text("name");
-    String host = CheckedTimetable.plainHost(fields.text("depot"));
+    String host = ValidatedConfig.plainHost(fields.text("depot"));
     if (host.isEmpty() || host.indexOf('/') >= 0) {
       throw fields.fault("depot", "is no host");
     }
@@ -133,23 +133,23 @@
     return service;
   }
 
-  private static Timetable.ClientLimits limits(Fields root) {
+  private static RoutingConfig.ClientLimits limits(Fields root) {
     if (!root.has("limits")) {
       return USUAL;
     }
-    Fields told = root.inner("limits");
-    return new Timetable.ClientLimits(
-        above(told.countOr("envelope_bytes", 0), USUAL.headBytes()),
-        above(told.countOr("parcel_bytes", 0), USUAL.bodyBytes()),
-        above(told.amountOr("envelope_ms", 0), USUAL.headMs()),
-        above(told.amountOr("idle_ms", 0), USUAL.idleMs()));
+    Fields response = root.inner("limits");
+    return new RoutingConfig.ClientLimits(
+        above(response.countOr("envelope_bytes", 0), USUAL.headBytes()),
+        above(response.countOr("parcel_bytes", 0), USUAL.bodyBytes()),
+        above(response.amountOr("envelope_ms", 0), USUAL.headMs()),
+        above(response.amountOr("idle_ms", 0), USUAL.idleMs()));
   }
 
-  private static int above(int told, int usual) {
-    return told > 0 ? told : usual;
+  private static int above(int response, int usual) {
+    return response > 0 ? response : usual;
   }
 
-  private static long above(long told, long usual) {
-    return told > 0 ? told : usual;
+  private static long above(long response, long usual) {
+    return response > 0 ? response : usual;
   }
 }
--- a/timetable/src/main/java/elmsail/timetable/ServerEntry.java
+++ b/config/src/main/java/elmsail/config/ServerEntry.java
@@ -1,6 +1,6 @@
-package elmsail.timetable;
+package elmsail.config;
 
-/** One server as the carrier lists it. */
+/** One server as the platform lists it. */
 public record ServerEntry(String id, String service, String address, String zone, int berths, boolean closing,
     long coldLeftMs) {
 }
--- a/timetable/src/main/java/elmsail/timetable/ServerList.java
+++ b/config/src/main/java/elmsail/config/ServerList.java
@@ -1,17 +1,17 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
-/** The carrier's JSON for servers, read and written. Fields not known are passed over. */
+/** The platform's JSON for servers, read and written. Fields not known are passed over. */
 public final class ServerList {
   private static final JsonFactory JSON = new JsonFactory();
   private static final String OPEN = "open_for_post";
@@ -50,7 +50,7 @@
       need(servers != null, "the page has no servers");
       return new Page(List.copyOf(servers), next);
     } catch (IOException e) {
-      throw new ElmsailException(Code.GARBLED, "the list of servers is no JSON: " + e.getMessage(), e);
+      throw new ElmsailException(ErrorCode.GARBLED, "the list of servers is no JSON: " + e.getMessage(), e);
     }
   }
 
@@ -74,7 +74,7 @@
       out.writeEndArray();
       out.writeEndObject();
     } catch (IOException e) {
-      throw new ElmsailException(Code.FAULT, "writing to memory failed", e);
+      throw new ElmsailException(ErrorCode.FAULT, "writing to memory failed", e);
     }
     return bytes.toByteArray();
   }
@@ -173,7 +173,7 @@
 
   private static void need(boolean holds, String words) {
     if (!holds) {
-      throw new ElmsailException(Code.GARBLED, "the list of servers: " + words);
+      throw new ElmsailException(ErrorCode.GARBLED, "the list of servers: " + words);
     }
   }
 }
--- a/timetable/src/main/java/elmsail/timetable/Service.java
+++ b/config/src/main/java/elmsail/config/Service.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 /**
  * One service ({@code postal_lines}): connections that a server takes from all, requests at once, tokens in
--- a/timetable/src/main/java/elmsail/timetable/StrictJson.java
+++ b/config/src/main/java/elmsail/config/StrictJson.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonFactoryBuilder;
@@ -11,8 +11,8 @@
 import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigParseOptions;
 import com.typesafe.config.ConfigSyntax;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
@@ -41,7 +41,7 @@
     try {
       return ConfigFactory.parseString(text, AS_JSON).root();
     } catch (ConfigException e) {
-      throw new ElmsailException(Code.BAD_CALL, "the configuration cannot be read: " + e.getMessage(), e);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration cannot be read: " + e.getMessage(), e);
     }
   }
 
@@ -49,20 +49,20 @@
     try {
       return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
     } catch (CharacterCodingException e) {
-      throw new ElmsailException(Code.BAD_CALL, "the configuration is not UTF-8", e);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration is not UTF-8", e);
     }
   }
 
   private static void check(String text) {
     try (JsonParser in = JSON.createParser(text)) {
       if (in.nextToken() != JsonToken.START_OBJECT) {
-        throw new ElmsailException(Code.BAD_CALL, "the configuration is not a JSON object");
+        throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration is not a JSON object");
       }
       int open = 1;
       while (open > 0) {
         JsonToken token = in.nextToken();
         if (token == null) {
-          throw new ElmsailException(Code.BAD_CALL, "the configuration is cut short");
+          throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration is cut short");
         }
         if (token.isStructStart()) {
           open++;
@@ -73,10 +73,10 @@
         }
       }
       if (in.nextToken() != null) {
-        throw new ElmsailException(Code.BAD_CALL, "the configuration has more behind its end");
+        throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration has more behind its end");
       }
     } catch (IOException e) {
-      throw new ElmsailException(Code.BAD_CALL, "the configuration is not whole JSON: " + e.getMessage(), e);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration is not whole JSON: " + e.getMessage(), e);
     }
   }
 }
--- a/timetable/src/main/java/elmsail/timetable/CheckedTimetable.java
+++ b/config/src/main/java/elmsail/config/ValidatedConfig.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -10,14 +10,14 @@
 import java.util.Map;
 
 /** A configuration's routes by name and, longest prefix first, by host. Immutable. */
-final class CheckedTimetable implements Timetable {
+final class ValidatedConfig implements RoutingConfig {
   private final long edition;
   private final Map<String, Route> byName = new LinkedHashMap<>();
   private final Map<String, List<Route>> byHost = new HashMap<>();
   private final Map<String, Service> services;
   private final ClientLimits limits;
 
-  CheckedTimetable(long edition, List<Route> routes, Map<String, Service> services, ClientLimits limits) {
+  ValidatedConfig(long edition, List<Route> routes, Map<String, Service> services, ClientLimits limits) {
     this.edition = edition;
     this.services = Collections.unmodifiableMap(services);
     this.limits = limits;
--- a/timetable/src/main/java/elmsail/timetable/pull/Fallback.java
+++ b/config/src/main/java/elmsail/config/watch/DirectDiscovery.java
@@ -1,15 +1,15 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
-import elmsail.station.Timers;
-import elmsail.timetable.CarrierCall;
-import elmsail.timetable.ServerEntry;
+import elmsail.runtime.Timers;
+import elmsail.config.PlatformClient;
+import elmsail.config.ServerEntry;
 import java.util.List;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
-/** A clerk's own asking of the carrier while the notaries' list is too old: sparingly, as all may do so. */
-final class Fallback {
+/** A gateway's own asking of the platform while the control-plane nodes' list is too old: sparingly, as all may do so. */
+final class DirectDiscovery {
   private static final long LOOK_MS = 250;
   private static final long OLD_MS = 2_500;
   private static final long START_MS = 3_000;
@@ -21,7 +21,7 @@
   }
 
   private final Timers timers;
-  private final CarrierCall carrier;
+  private final PlatformClient platform;
   private final double perSecond;
   private final RandomGenerator chance;
   private final LongSupplier ageMs;
@@ -32,10 +32,10 @@
   private long notBefore;
   private boolean closed;
 
-  Fallback(Timers timers, CarrierCall carrier, double perSecond, RandomGenerator chance, LongSupplier ageMs,
+  DirectDiscovery(Timers timers, PlatformClient platform, double perSecond, RandomGenerator chance, LongSupplier ageMs,
       IntSupplier doors, Taker taker) {
     this.timers = timers;
-    this.carrier = carrier;
+    this.platform = platform;
     this.perSecond = perSecond;
     this.chance = chance;
     this.ageMs = ageMs;
@@ -67,29 +67,29 @@
       return;
     }
     long pause = Math.max(chance.nextLong(SPREAD_MS + 1), notBefore - timers.now());
-    next = timers.after(pause, this::ask);
+    next = timers.after(pause, this::request);
   }
 
-  private void ask() {
+  private void request() {
     if (!needed()) {
       look();
       return;
     }
     notBefore = timers.now() + apartMs();
-    carrier.fetch().whenComplete((servers, thrown) -> {
+    platform.fetch().whenComplete((servers, thrown) -> {
       if (closed) {
         return;
       }
       if (thrown == null) {
-        taker.take(servers, carrier.takenAt());
+        taker.take(servers, platform.takenAt());
       }
       next = timers.after(LOOK_MS, this::look);
     });
   }
 
-  /** All doors together keep to a third of the carrier's rate, each page being a call. */
+  /** All gateways together keep to a third of the platform's rate, each page being a call. */
   private long apartMs() {
-    double calls = 3.0 * Math.max(1, doors.getAsInt()) * carrier.lastPages();
+    double calls = 3.0 * Math.max(1, doors.getAsInt()) * platform.lastPages();
     return perSecond > 0 ? Math.max(1_000, (long) Math.ceil(calls * 1_000 / perSecond)) : 60_000;
   }
 }
--- a/timetable/src/main/java/elmsail/timetable/pull/KnownServers.java
+++ b/config/src/main/java/elmsail/config/watch/KnownServers.java
@@ -1,7 +1,7 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.ServerList;
+import elmsail.config.ServerEntry;
+import elmsail.config.ServerList;
 import java.util.List;
 
 /**
@@ -50,7 +50,7 @@
    * Takes a list that is told, or its age only (null). A lower version never comes back; the same one only
    * gets younger. Returns whether the servers changed. Fails with GARBLED, changing nothing.
    */
-  boolean told(long newEpoch, long newVersion, byte[] list, long takenAt) {
+  boolean response(long newEpoch, long newVersion, byte[] list, long takenAt) {
     List<ServerEntry> before = servers();
     int order = newEpoch != epoch ? Long.compare(newEpoch, epoch) : Long.compare(newVersion, version);
     if (bytes != null && order == 0) {
--- a/timetable/src/main/java/elmsail/timetable/pull/Rendezvous.java
+++ b/config/src/main/java/elmsail/config/watch/RendezvousHash.java
@@ -1,11 +1,11 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
 import java.util.ArrayList;
 import java.util.List;
 
-/** Rendezvous hashing: each station ranks the candidates in an order of its own, the same everywhere. */
-public final class Rendezvous {
-  private Rendezvous() {
+/** RendezvousHash hashing: each station ranks the candidates in an order of its own, the same everywhere. */
+public final class RendezvousHash {
+  private RendezvousHash() {
   }
 
   /**
--- /dev/null
+++ b/config/src/main/java/elmsail/config/watch/StoreStatus.java
@@ -0,0 +1,15 @@
+package elmsail.config.watch;
+
+import elmsail.rpc.messages.VoterSet;
+
+/**
+ * What a store tells of itself with each pull.
+ *
+ * @param seated whether it holds a voter slot and has caught up
+ * @param emptied whether no job needs its disk any more
+ * @param storeSet the voter set that it knows
+ */
+public record StoreStatus(boolean voting, boolean emptied, VoterSet storeSet) {
+  /** What processes without a store tell. */
+  public static final StoreStatus NONE = new StoreStatus(false, false, new VoterSet());
+}
--- a/timetable/src/main/java/elmsail/timetable/pull/Line.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStream.java
@@ -1,28 +1,28 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
-import elmsail.inner.words.PullTold;
-import elmsail.station.Timers;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
 
-/** The pull held open at one notary: its pace, and that notary's own versions. Times in ms. */
-final class Line {
+/** The pull held open at one control-plane node: its pace, and that control-plane node's own versions. Times in ms. */
+final class WatchStream {
   private static final long APART_MS = 20;
   private static final long FIRST_PAUSE_MS = 100;
   private static final long LONGEST_PAUSE_MS = 500;
 
   final String address;
   final long openedAt;
-  /** Of this notary's rosters; those of different notaries, or of its lives, are not comparable. */
-  long rosterVersion;
-  List<String> clerks = new ArrayList<>();
+  /** Of this control-plane node's rosters; those of different control-plane nodes, or of its lives, are not comparable. */
+  long viewVersion;
+  List<String> gateways = new ArrayList<>();
   long heardAt = -1;
   boolean open = true;
   Timers.Timer next;
   private long askedAt;
   private long pauseMs = FIRST_PAUSE_MS;
 
-  Line(String address, long now) {
+  WatchStream(String address, long now) {
     this.address = address;
     this.openedAt = now;
   }
@@ -44,14 +44,14 @@
     return pause;
   }
 
-  /** Takes this notary's version: if it has gone on without a roster, the next ask fetches the roster. */
-  void heard(PullTold told, long now) {
+  /** Takes this control-plane node's version: if it has gone on without a roster, the next ask fetches the roster. */
+  void heard(PullResponse response, long now) {
     heardAt = now;
-    if (told.roster != null) {
-      rosterVersion = told.rosterVersion;
-      clerks = told.roster.clerks;
-    } else if (told.rosterVersion != rosterVersion) {
-      rosterVersion = 0;
+    if (response.view != null) {
+      viewVersion = response.viewVersion;
+      gateways = response.view.gateways;
+    } else if (response.viewVersion != viewVersion) {
+      viewVersion = 0;
     }
   }
 
--- a/timetable/src/main/java/elmsail/timetable/pull/Lines.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -1,12 +1,12 @@
-package elmsail.timetable.pull;
-
-import elmsail.inner.Caller;
-import elmsail.inner.words.PullAsk;
-import elmsail.inner.words.PullTold;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.station.Settings;
-import elmsail.station.Timers;
+package elmsail.config.watch;
+
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.PullRequest;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Settings;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -17,12 +17,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Which notaries are asked, and the asking: one pull open at each. Times in ms. */
-final class Lines {
-  /** A notary silent for so long gives way to another, and its word on the clerks is forgotten. */
+/** Which control-plane nodes are asked, and the asking: one pull open at each. Times in ms. */
+final class WatchStreams {
+  /** A control-plane node silent for so long gives way to another, and its word on the gateways is forgotten. */
   static final long SILENT_MS = 5_000;
 
-  private static final Logger LOG = LoggerFactory.getLogger(Lines.class);
+  private static final Logger LOG = LoggerFactory.getLogger(WatchStreams.class);
   private static final int MOST = 3;
   private static final int MOST_REMEMBERED = 64;
   private static final long LATELY_MS = 1_500;
@@ -31,7 +31,7 @@
 
   /** Takes an answer; false if a part of it could not be read. */
   interface Taker {
-    boolean take(Line line, PullTold told);
+    boolean take(WatchStream line, PullResponse response);
   }
 
   private final Caller caller;
@@ -39,16 +39,16 @@
   private final String station;
   private final String self;
   private final List<String> seeds = new ArrayList<>();
-  private final Function<Line, PullAsk> asks;
+  private final Function<WatchStream, PullRequest> asks;
   private final Taker taker;
-  private final Map<String, Line> lines = new LinkedHashMap<>();
+  private final Map<String, WatchStream> lines = new LinkedHashMap<>();
   private final Map<String, Long> heardAt = new LinkedHashMap<>();
   private final Map<String, Long> passedOverUntil = new HashMap<>();
   private long lastHeardAt;
   private boolean closed;
   private long failures;
 
-  Lines(Caller caller, Timers timers, Settings settings, Function<Line, PullAsk> asks, Taker taker) {
+  WatchStreams(Caller caller, Timers timers, Settings settings, Function<WatchStream, PullRequest> asks, Taker taker) {
     this.caller = caller;
     this.timers = timers;
     this.asks = asks;
@@ -61,16 +61,16 @@
     lastHeardAt = timers.now();
   }
 
-  /** Those of the head's seats, or the seeds before they are known and while nobody answers. */
-  void choose(Seating head) {
+  /** Those of the head's voter slots, or the seeds before they are known and while nobody answers. */
+  void choose(VoterSet head) {
     if (closed) {
       return;
     }
     long now = timers.now();
     List<String> chosen = chosen(head, now);
-    Iterator<Line> open = lines.values().iterator();
+    Iterator<WatchStream> open = lines.values().iterator();
     while (open.hasNext()) {
-      Line line = open.next();
+      WatchStream line = open.next();
       if (!chosen.contains(line.address)) {
         line.close();
         open.remove();
@@ -78,19 +78,19 @@
     }
     for (String address : chosen) {
       if (!lines.containsKey(address)) {
-        Line line = new Line(address, now);
+        WatchStream line = new WatchStream(address, now);
         lines.put(address, line);
-        ask(line);
+        request(line);
       }
     }
   }
 
-  /** The clerks that each notary told last, but for those silent; empty if none was heard lately. */
-  List<List<String>> clerks() {
+  /** The gateways that each control-plane node told last, but for those silent; empty if none was heard lately. */
+  List<List<String>> gateways() {
     List<List<String>> fresh = new ArrayList<>();
-    for (Line line : lines.values()) {
+    for (WatchStream line : lines.values()) {
       if (line.heardAt >= 0 && timers.now() - line.heardAt <= SILENT_MS) {
-        fresh.add(line.clerks);
+        fresh.add(line.gateways);
       }
     }
     return fresh;
@@ -100,10 +100,10 @@
    * The line that whole lists are best taken from, of those heard lately: by how much of the address is this
    * process's own (same machine, same net), then in their order. Null if none was heard lately.
    */
-  Line nearest() {
-    Line best = null;
+  WatchStream nearest() {
+    WatchStream best = null;
     int most = -1;
-    for (Line line : lines.values()) {
+    for (WatchStream line : lines.values()) {
       int near = near(line.address);
       if (line.heardAt >= 0 && timers.now() - line.heardAt <= LATELY_MS && near > most) {
         best = line;
@@ -142,22 +142,22 @@
 
   void close() {
     closed = true;
-    for (Line line : lines.values()) {
+    for (WatchStream line : lines.values()) {
       line.close();
     }
     lines.clear();
   }
 
-  private List<String> chosen(Seating head, long now) {
+  private List<String> chosen(VoterSet head, long now) {
     List<String> candidates = new ArrayList<>();
-    for (Seat seat : head.seats) {
-      candidates.add(seat.address);
+    for (Voter slot : head.voters) {
+      candidates.add(slot.address);
     }
     if (candidates.isEmpty() || now - lastHeardAt > SILENT_MS) {
       candidates.addAll(seeds);
     }
     candidates.removeIf(address -> address.isEmpty() || address.equals(self));
-    List<String> ranked = Rendezvous.choose(station, candidates, candidates.size());
+    List<String> ranked = RendezvousHash.choose(station, candidates, candidates.size());
     passedOverUntil.keySet().retainAll(candidates);
     if (ranked.size() <= MOST) {
       return ranked;
@@ -172,7 +172,7 @@
   }
 
   private boolean passedOver(String address, long now) {
-    Line line = lines.get(address);
+    WatchStream line = lines.get(address);
     if (line != null && now - line.lastSign() > SILENT_MS) {
       passedOverUntil.put(address, now + PASSED_OVER_MS);
     }
@@ -180,29 +180,29 @@
     return until != null && now < until;
   }
 
-  private void ask(Line line) {
+  private void request(WatchStream line) {
     if (closed || !line.open) {
       return;
     }
     line.asked(timers.now());
-    caller.call(line.address, asks.apply(line), PullTold.class, CALL_MS).whenComplete((told, thrown) -> {
+    caller.call(line.address, asks.apply(line), PullResponse.class, CALL_MS).whenComplete((response, thrown) -> {
       if (closed || !line.open) {
         return;
       }
-      boolean used = thrown == null && heard(line, told);
+      boolean used = thrown == null && heard(line, response);
       if (!used) {
         failures++;
       }
       if (!closed && line.open) {
         line.next = timers.after(used ? line.afterAnswer(timers.now()) : line.afterFailure(),
-            () -> ask(line));
+            () -> request(line));
       }
     });
   }
 
-  private boolean heard(Line line, PullTold told) {
+  private boolean heard(WatchStream line, PullResponse response) {
     long now = timers.now();
-    line.heard(told, now);
+    line.heard(response, now);
     lastHeardAt = now;
     passedOverUntil.remove(line.address);
     heardAt.remove(line.address);
@@ -211,7 +211,7 @@
       heardAt.remove(heardAt.keySet().iterator().next());
     }
     try {
-      return taker.take(line, told);
+      return taker.take(line, response);
     } catch (RuntimeException e) {
       LOG.error("an answer of {} was not taken whole", line.address, e);
       return false;
--- a/timetable/src/test/java/elmsail/timetable/Examples.java
+++ b/config/src/test/java/elmsail/config/Examples.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import java.nio.charset.StandardCharsets;
 
@@ -12,7 +12,7 @@
   }
 
   /** Two routes and one service. */
-  public static String timetable(long edition) {
+  public static String config(long edition) {
     return """
         {"edition":%d,"routes":[
         {"name":"r-1","depot":"nony24.example","lane_prefix":"/lohu930/","route_class":"stream",
--- a/timetable/src/test/java/elmsail/timetable/FindTest.java
+++ b/config/src/test/java/elmsail/config/FindTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 class FindTest {
-  private static Timetable of(String... places) {
+  private static RoutingConfig of(String... places) {
     StringBuilder routes = new StringBuilder();
     for (String place : places) {
       int slash = place.indexOf('/');
@@ -25,38 +25,38 @@
           .append(place.substring(slash))
           .append("\",\"route_class\":\"safe\",\"give_up_ms\":1,\"postal_line\":\"s\"}");
     }
-    return TimetableReader.read(Examples.bytes(
+    return RoutingConfigReader.read(Examples.bytes(
         "{\"edition\":1,\"postal_lines\":[{\"name\":\"s\"}],\"routes\":[" + routes + "]}"));
   }
 
-  private static String found(Timetable timetable, String host, String path) {
-    Route route = timetable.find(host, path);
+  private static String found(RoutingConfig config, String host, String path) {
+    Route route = config.find(host, path);
     return route == null ? null : route.name();
   }
 
   @Test
   void theLongestPrefixWins() {
-    Timetable timetable = of("a.example/x/", "a.example/x/y/z/", "a.example/x/y/", "b.example/x/y/");
-    assertThat(found(timetable, "a.example", "/x/y/z/1"), equalTo("a.example/x/y/z/"));
-    assertThat(found(timetable, "a.example", "/x/y/z"), equalTo("a.example/x/y/"));
-    assertThat(found(timetable, "a.example", "/x/y"), equalTo("a.example/x/"));
-    assertThat(found(timetable, "a.example", "/x/"), equalTo("a.example/x/"));
-    assertThat(found(timetable, "a.example", "/x"), nullValue());
-    assertThat(found(timetable, "a.example", "/X/"), nullValue());
-    assertThat(found(timetable, "b.example", "/x/z/"), nullValue());
-    assertThat(found(timetable, "c.example", "/x/"), nullValue());
-    assertThat(found(timetable, null, "/x/"), nullValue());
+    RoutingConfig config = of("a.example/x/", "a.example/x/y/z/", "a.example/x/y/", "b.example/x/y/");
+    assertThat(found(config, "a.example", "/x/y/z/1"), equalTo("a.example/x/y/z/"));
+    assertThat(found(config, "a.example", "/x/y/z"), equalTo("a.example/x/y/"));
+    assertThat(found(config, "a.example", "/x/y"), equalTo("a.example/x/"));
+    assertThat(found(config, "a.example", "/x/"), equalTo("a.example/x/"));
+    assertThat(found(config, "a.example", "/x"), nullValue());
+    assertThat(found(config, "a.example", "/X/"), nullValue());
+    assertThat(found(config, "b.example", "/x/z/"), nullValue());
+    assertThat(found(config, "c.example", "/x/"), nullValue());
+    assertThat(found(config, null, "/x/"), nullValue());
   }
 
   @Test
   void theHostsCaseAndPortDoNotMatter() {
-    Timetable timetable = of("a.example/");
-    assertThat(found(timetable, "A.Example", "/"), equalTo("a.example/"));
-    assertThat(found(timetable, "a.example:8161", "/q"), equalTo("a.example/"));
-    assertThat(found(timetable, "A.EXAMPLE:", "/q"), equalTo("a.example/"));
-    assertThat(found(timetable, "a.example.", "/q"), nullValue());
-    assertThat(found(timetable, "a.example", "*"), nullValue());
-    assertThat(found(timetable, ":", "/"), nullValue());
+    RoutingConfig config = of("a.example/");
+    assertThat(found(config, "A.Example", "/"), equalTo("a.example/"));
+    assertThat(found(config, "a.example:8161", "/q"), equalTo("a.example/"));
+    assertThat(found(config, "A.EXAMPLE:", "/q"), equalTo("a.example/"));
+    assertThat(found(config, "a.example.", "/q"), nullValue());
+    assertThat(found(config, "a.example", "*"), nullValue());
+    assertThat(found(config, ":", "/"), nullValue());
     assertThat(found(of("[::1]/"), "[::1]", "/"), equalTo("[::1]/"));
     assertThat(found(of("[::1]/"), "[::1]:80", "/"), equalTo("[::1]/"));
   }
@@ -87,7 +87,7 @@
         best = "h" + prefix;
       }
     }
-    Timetable timetable = of(new ArrayList<>(places).toArray(new String[0]));
-    assertThat(found(timetable, "h", path), equalTo(best));
+    RoutingConfig config = of(new ArrayList<>(places).toArray(new String[0]));
+    assertThat(found(config, "h", path), equalTo(best));
   }
 }
--- a/timetable/src/test/java/elmsail/timetable/CarrierCallTest.java
+++ b/config/src/test/java/elmsail/config/PlatformClientTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -6,11 +6,11 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.sameInstance;
 
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.http.HttpAsker;
-import elmsail.station.http.HttpReply;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.http.HttpClient;
+import elmsail.runtime.http.HttpReply;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -18,18 +18,18 @@
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Test;
 
-class CarrierCallTest {
-  private final HandTimers timers = new HandTimers();
+class PlatformClientTest {
+  private final ManualTimers timers = new ManualTimers();
   private final List<String> asked = new ArrayList<>();
   private final List<CompletableFuture<HttpReply>> open = new ArrayList<>();
-  private final HttpAsker asker = (address, path, timeoutMs) -> {
+  private final HttpClient asker = (address, path, timeoutMs) -> {
     assertThat(address, equalTo("10.200.0.79:8169"));
     assertThat(timeoutMs, equalTo(700L));
     asked.add(path);
     open.add(new CompletableFuture<>());
     return open.get(open.size() - 1);
   };
-  private final CarrierCall call = new CarrierCall(asker, "10.200.0.79:8169", timers);
+  private final PlatformClient call = new PlatformClient(asker, "10.200.0.79:8169", timers);
 
   private void answer(int status, String body) {
     open.get(open.size() - 1).complete(new HttpReply(status, Map.of(), Examples.bytes(body)));
@@ -52,7 +52,7 @@
     return ids;
   }
 
-  private static Code code(CompletableFuture<List<ServerEntry>> failed) {
+  private static ErrorCode code(CompletableFuture<List<ServerEntry>> failed) {
     try {
       failed.join();
     } catch (CompletionException e) {
@@ -90,7 +90,7 @@
     CompletableFuture<List<ServerEntry>> all = call.fetch();
     answer(200, page("p", "i-1"));
     answer(429, "");
-    assertThat(code(all), equalTo(Code.FULL));
+    assertThat(code(all), equalTo(ErrorCode.FULL));
     CompletableFuture<List<ServerEntry>> again = call.fetch();
     answer(200, page(null, "i-2"));
     assertThat(ids(again), contains("i-2"));
@@ -100,13 +100,13 @@
   void otherAnswersAndSilenceFail() {
     CompletableFuture<List<ServerEntry>> all = call.fetch();
     answer(500, page(null));
-    assertThat(code(all), equalTo(Code.GARBLED));
+    assertThat(code(all), equalTo(ErrorCode.GARBLED));
     all = call.fetch();
     answer(200, "{\"servers\":[");
-    assertThat(code(all), equalTo(Code.GARBLED));
+    assertThat(code(all), equalTo(ErrorCode.GARBLED));
     all = call.fetch();
-    open.get(2).completeExceptionally(new ElmsailException(Code.SILENT, "no answer"));
-    assertThat(code(all), equalTo(Code.SILENT));
+    open.get(2).completeExceptionally(new ElmsailException(ErrorCode.SILENT, "no answer"));
+    assertThat(code(all), equalTo(ErrorCode.SILENT));
   }
 
   @Test
@@ -116,7 +116,7 @@
       assertThat(all.isDone(), equalTo(false));
       answer(200, page("p", "i-" + i));
     }
-    assertThat(code(all), equalTo(Code.GARBLED));
+    assertThat(code(all), equalTo(ErrorCode.GARBLED));
     assertThat(asked, hasSize(500));
   }
 }
