--- a/timetable/src/test/java/elmsail/timetable/TimetableReaderTest.java
+++ b/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
@@ -7,8 +7,8 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -17,16 +17,16 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class TimetableReaderTest {
-  private static final String GOOD = Examples.timetable(7);
+class RoutingConfigReaderTest {
+  private static final String GOOD = Examples.config(7);
 
-  private static Timetable read(String text) {
-    return TimetableReader.read(Examples.bytes(text));
+  private static RoutingConfig read(String text) {
+    return RoutingConfigReader.read(Examples.bytes(text));
   }
 
   private static String refusal(byte[] bytes) {
-    ElmsailException thrown = assertThrows(ElmsailException.class, () -> TimetableReader.read(bytes));
-    assertThat(thrown.code(), equalTo(Code.BAD_CALL));
+    ElmsailException thrown = assertThrows(ElmsailException.class, () -> RoutingConfigReader.read(bytes));
+    assertThat(thrown.code(), equalTo(ErrorCode.BAD_CALL));
     return thrown.getMessage();
   }
 
@@ -37,39 +37,39 @@
 
   @Test
   void readsAllThatIsTold() {
-    Timetable timetable = read(GOOD);
-    assertThat(timetable.edition(), equalTo(7L));
-    Route stream = timetable.named("r-1");
+    RoutingConfig config = read(GOOD);
+    assertThat(config.edition(), equalTo(7L));
+    Route stream = config.named("r-1");
     assertThat(stream.kind(), equalTo(Route.Kind.STREAM));
     assertThat(stream.host(), equalTo("nony24.example"));
     assertThat(stream.giveUpMs(), equalTo(2_000L));
     assertThat(stream.gapAimMs(), equalTo(150L));
     assertThat(stream.shares(), hasSize(2));
     assertThat(stream.shares().get(0).weight(), closeTo(90, 0));
-    Route lots = timetable.named("r-2");
-    assertThat(lots.shares(), equalTo(List.of(new Route.Share("huvo11a", 1))));
-    assertThat(lots.shelfMs(), equalTo(7_500L));
-    assertThat(lots.runDueMs(), equalTo(4_000L));
-    assertThat(lots.mostWaiting(), equalTo(9_000L));
-    assertThat(lots.precedence(), equalTo(2));
-    assertThat(lots.tries(), equalTo(2));
-    assertThat(timetable.services().get("huvo11a"),
+    Route jobs = config.named("r-2");
+    assertThat(jobs.shares(), equalTo(List.of(new Route.Share("huvo11a", 1))));
+    assertThat(jobs.shelfMs(), equalTo(7_500L));
+    assertThat(jobs.runDueMs(), equalTo(4_000L));
+    assertThat(jobs.mostWaiting(), equalTo(9_000L));
+    assertThat(jobs.precedence(), equalTo(2));
+    assertThat(jobs.tries(), equalTo(2));
+    assertThat(config.services().get("huvo11a"),
         equalTo(new Service("huvo11a", "/health", 200, 24, 305_000)));
-    assertThat(timetable.limits(), equalTo(new Timetable.ClientLimits(16_384, 4_194_304, 3_000, 15_000)));
+    assertThat(config.limits(), equalTo(new RoutingConfig.ClientLimits(16_384, 4_194_304, 3_000, 15_000)));
   }
 
   @Test
   void whatIsNotToldHasUsualValues() {
-    Timetable timetable = read("""
+    RoutingConfig config = read("""
         {"edition":1,"postal_lines":[{"name":"s"}],"routes":[{"name":"r","depot":"H.example:80",
         "lane_prefix":"/","route_class":"safe","give_up_ms":0.5,"postal_line":"s","resume":null}]}""");
-    Route route = timetable.named("r");
+    Route route = config.named("r");
     assertThat(route.host(), equalTo("h.example"));
     assertThat(route.tries(), equalTo(1));
     assertThat(route.precedence(), equalTo(0));
     assertThat(route.giveUpMs(), equalTo(1L));
-    assertThat(timetable.limits().idleMs(), equalTo(15_000L));
-    assertThat(timetable.services().get("s"), equalTo(new Service("s", "/health", 0, 0, 0)));
+    assertThat(config.limits().idleMs(), equalTo(15_000L));
+    assertThat(config.services().get("s"), equalTo(new Service("s", "/health", 0, 0, 0)));
   }
 
   @Test
@@ -208,8 +208,8 @@
 
   @Test
   void theDigestIsOfTheBytes() {
-    assertThat(Digest.of(new byte[0]),
+    assertThat(ConfigDigest.of(new byte[0]),
         equalTo("e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"));
-    assertThat(Digest.of(Examples.bytes(GOOD)).equals(Digest.of(Examples.bytes(GOOD + " "))), equalTo(false));
+    assertThat(ConfigDigest.of(Examples.bytes(GOOD)).equals(ConfigDigest.of(Examples.bytes(GOOD + " "))), equalTo(false));
   }
 }
--- a/timetable/src/test/java/elmsail/timetable/ServerListTest.java
+++ b/config/src/test/java/elmsail/config/ServerListTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable;
+package elmsail.config;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -6,8 +6,8 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -22,7 +22,7 @@
 
   private static void garbled(byte[] bytes) {
     assertThat(assertThrows(ElmsailException.class, () -> ServerList.page(bytes)).code(),
-        equalTo(Code.GARBLED));
+        equalTo(ErrorCode.GARBLED));
   }
 
   @Test
--- /dev/null
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
@@ -0,0 +1,85 @@
+package elmsail.config.watch;
+
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.Settings;
+import elmsail.config.Examples;
+import elmsail.config.ServerEntry;
+import elmsail.config.ServerList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A watcher, three control-plane nodes and links that tests cut; the clock is moved by hand. */
+abstract class ConfigWatcherRig {
+  static final String A = "10.1.0.13:7721";
+  static final String B = "10.2.0.30:7721";
+  static final String C = "10.3.0.36:7721";
+
+  final ManualTimers timers = new ManualTimers();
+  final Links links = new Links(timers);
+  final UpdateSources a = links.controlPlane(A);
+  final UpdateSources b = links.controlPlane(B);
+  final UpdateSources c = links.controlPlane(C);
+  final ConfigWatcher puller = puller("gateway", Set.of("counter"), () -> StoreStatus.NONE);
+  int changes;
+
+  static Settings settings(Set<String> serves) {
+    return new Settings("counter-x-1", "r", "counter", serves, "10.1.0.13", "x", "u", Map.of(), Map.of(),
+        7720, 7735, List.of("10.1.0.13:8166", "10.2.0.30:8166", "10.3.0.36:8166"), true, true, null, null,
+        Set.of(), 1, null, new Settings.Platform("10.200.0.79:8169", 40, 800));
+  }
+
+  ConfigWatcher puller(String role, Set<String> serves, Supplier<StoreStatus> store) {
+    return new ConfigWatcher(links, timers, settings(serves), role, 77, store, null);
+  }
+
+  @BeforeEach
+  void count() {
+    puller.whenChanged(() -> changes++);
+  }
+
+  static byte[] config(long edition) {
+    return Examples.bytes(Examples.config(edition));
+  }
+
+  static byte[] list(String... ids) {
+    List<ServerEntry> servers = new ArrayList<>();
+    for (String id : ids) {
+      servers.add(Examples.server(id));
+    }
+    return ServerList.encode(servers);
+  }
+
+  static VoterSet voterSet(Object... addressesAndIncarnations) {
+    VoterSet voterSet = new VoterSet();
+    for (int i = 0; i < addressesAndIncarnations.length; i += 2) {
+      Voter slot = new Voter();
+      slot.address = (String) addressesAndIncarnations[i];
+      slot.epoch = (Integer) addressesAndIncarnations[i + 1];
+      voterSet.voters.add(slot);
+    }
+    return voterSet;
+  }
+
+  static ClusterView view(VoterSet head, VoterSet storeSet, String... gateways) {
+    ClusterView view = new ClusterView();
+    view.head = head;
+    view.storeSet = storeSet;
+    view.gateways.addAll(List.of(gateways));
+    return view;
+  }
+
+  static List<String> addresses(VoterSet voterSet) {
+    List<String> all = new ArrayList<>();
+    for (Voter slot : voterSet.voters) {
+      all.add(slot.address + "#" + slot.epoch);
+    }
+    return all;
+  }
+}
--- a/timetable/src/test/java/elmsail/timetable/pull/PullerListTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherServersTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -8,27 +8,27 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.timetable.ServerList;
+import elmsail.config.ServerList;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-class PullerListTest extends PullerRig {
+class ConfigWatcherServersTest extends ConfigWatcherRig {
   private int lists;
 
   /** Counts the answers that bring a whole list. */
-  private void count(String address, Sources notary) {
-    links.notaries.put(address, ask -> notary.ask(ask).thenApply(told -> {
-      lists += told.servers == null ? 0 : 1;
-      return told;
+  private void count(String address, UpdateSources controlPlane) {
+    links.notaries.put(address, request -> controlPlane.request(request).thenApply(response -> {
+      lists += response.servers == null ? 0 : 1;
+      return response;
     }));
   }
 
-  /** How many whole lists the notaries send within a second of a new version. */
-  private int listsTold(long version, Sources... notaries) {
+  /** How many whole lists the control-plane nodes send within a second of a new version. */
+  private int listsTold(long version, UpdateSources... notaries) {
     lists = 0;
-    for (Sources notary : notaries) {
-      notary.setServers(1, version, list("i-" + version), timers.now());
+    for (UpdateSources controlPlane : notaries) {
+      controlPlane.setServers(1, version, list("i-" + version), timers.now());
     }
     timers.pass(1_000);
     return lists;
@@ -108,18 +108,18 @@
   @Test
   void aVaultTakesNoListAndANotaryTakesItFromAll() {
     a.setServers(1, 1, list("i-1"), timers.now());
-    Puller vault = puller("vault", Set.of("vault"), () -> VaultPart.NONE);
-    vault.start();
+    ConfigWatcher store = puller("store", Set.of("vault"), () -> StoreStatus.NONE);
+    store.start();
     timers.pass(1_500);
-    assertThat(vault.servers(), empty());
-    Puller notary = puller("notary", Set.of("head_office"), () -> VaultPart.NONE);
-    notary.start();
+    assertThat(store.servers(), empty());
+    ConfigWatcher controlPlane = puller("controlplane", Set.of("head_office"), () -> StoreStatus.NONE);
+    controlPlane.start();
     timers.pass(1_500);
     b.setServers(1, 1, list("i-1"), timers.now());
     timers.pass(10);
-    assertThat(notary.servers(), hasSize(1));
+    assertThat(controlPlane.servers(), hasSize(1));
     c.setServers(1, 2, list("i-2"), timers.now());
     timers.pass(10);
-    assertThat(notary.listVersion(), equalTo(2L));
+    assertThat(controlPlane.listVersion(), equalTo(2L));
   }
 }
--- a/timetable/src/test/java/elmsail/timetable/pull/PullerTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -10,50 +10,50 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.inner.words.PullAsk;
-import elmsail.inner.words.PullTold;
-import elmsail.inner.words.Seating;
+import elmsail.rpc.messages.PullRequest;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.VoterSet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
-class PullerTest extends PullerRig {
+class ConfigWatcherTest extends ConfigWatcherRig {
   @Test
   void asksEachSeedAndSaysWhoItIs() {
     puller.start();
     assertThat(puller.asked(), containsInAnyOrder(A, B, C));
-    PullAsk ask = links.last(A);
-    assertThat(ask.station, equalTo("counter-x-1"));
-    assertThat(ask.address, equalTo("10.1.0.13:7720"));
-    assertThat(ask.role, equalTo("clerk"));
-    assertThat(ask.life, equalTo(77L));
-    assertThat(ask.waitMs, equalTo(1_000L));
-    assertThat(puller.timetable(), nullValue());
+    PullRequest request = links.last(A);
+    assertThat(request.station, equalTo("counter-x-1"));
+    assertThat(request.address, equalTo("10.1.0.13:7720"));
+    assertThat(request.role, equalTo("gateway"));
+    assertThat(request.instanceId, equalTo(77L));
+    assertThat(request.waitMs, equalTo(1_000L));
+    assertThat(puller.config(), nullValue());
     assertThat(puller.servers(), empty());
     assertThat(puller.listAgeMs(), equalTo(Long.MAX_VALUE));
   }
 
   @Test
   void aNotaryDoesNotAskItself() {
-    Puller notary = puller("notary", Set.of("head_office"), () -> VaultPart.NONE);
-    notary.start();
-    assertThat(notary.asked(), containsInAnyOrder(B, C));
+    ConfigWatcher controlPlane = puller("controlplane", Set.of("head_office"), () -> StoreStatus.NONE);
+    controlPlane.start();
+    assertThat(controlPlane.asked(), containsInAnyOrder(B, C));
   }
 
   @Test
   void aVaultTellsItsPartAsItIsAtEachAsk() {
-    List<VaultPart> part = new ArrayList<>(List.of(VaultPart.NONE));
-    Puller vault = puller("vault", Set.of("vault"), () -> part.get(0));
-    vault.start();
-    assertThat(links.last(A).seated, equalTo(false));
-    Seating shelf = seating("v:1", 4);
-    part.set(0, new VaultPart(true, true, shelf));
+    List<StoreStatus> part = new ArrayList<>(List.of(StoreStatus.NONE));
+    ConfigWatcher store = puller("store", Set.of("vault"), () -> part.get(0));
+    store.start();
+    assertThat(links.last(A).voting, equalTo(false));
+    VoterSet storeSet = voterSet("v:1", 4);
+    part.set(0, new StoreStatus(true, true, storeSet));
     timers.pass(1_100);
-    assertThat(links.last(A).seated, equalTo(true));
+    assertThat(links.last(A).voting, equalTo(true));
     assertThat(links.last(A).emptied, equalTo(true));
-    assertThat(links.last(A).shelf, equalTo(shelf));
+    assertThat(links.last(A).storeSet, equalTo(storeSet));
   }
 
   @Test
@@ -61,46 +61,46 @@
     puller.start();
     timers.pass(300);
     int before = changes;
-    for (Sources notary : List.of(a, b, c)) {
-      notary.setTimetable(7, timetable(7));
+    for (UpdateSources controlPlane : List.of(a, b, c)) {
+      controlPlane.setConfig(7, config(7));
     }
     timers.pass(5);
-    assertThat(puller.timetable().edition(), equalTo(7L));
-    assertThat(puller.timetableBytes(), equalTo(timetable(7)));
+    assertThat(puller.config().edition(), equalTo(7L));
+    assertThat(puller.configBytes(), equalTo(config(7)));
     timers.pass(2_000);
     assertThat(changes, equalTo(before + 1));
   }
 
   @Test
   void anOlderEditionNeverWins() {
-    a.setTimetable(9, timetable(9));
-    b.setTimetable(7, timetable(7));
+    a.setConfig(9, config(9));
+    b.setConfig(7, config(7));
     puller.start();
     timers.pass(100);
-    assertThat(puller.timetable().edition(), equalTo(9L));
-    c.setTimetable(8, timetable(8));
-    links.notary(A).setTimetable(5, timetable(5));
+    assertThat(puller.config().edition(), equalTo(9L));
+    c.setConfig(8, config(8));
+    links.controlPlane(A).setConfig(5, config(5));
     timers.pass(5_000);
-    assertThat(puller.timetable().edition(), equalTo(9L));
-    puller.offerTimetable(timetable(8));
-    assertThat(puller.timetable().edition(), equalTo(9L));
-    puller.offerTimetable(timetable(10));
-    assertThat(puller.timetable().edition(), equalTo(10L));
+    assertThat(puller.config().edition(), equalTo(9L));
+    puller.offerConfig(config(8));
+    assertThat(puller.config().edition(), equalTo(9L));
+    puller.offerConfig(config(10));
+    assertThat(puller.config().edition(), equalTo(10L));
   }
 
   @Test
   void anOlderEditionThatComesLateIsPassedOver() {
-    CompletableFuture<PullTold> late = new CompletableFuture<>();
-    links.notaries.put(A, ask -> late);
-    b.setTimetable(9, timetable(9));
+    CompletableFuture<PullResponse> late = new CompletableFuture<>();
+    links.notaries.put(A, request -> late);
+    b.setConfig(9, config(9));
     puller.start();
     timers.pass(100);
-    PullTold told = new PullTold();
-    told.edition = 8;
-    told.timetable = timetable(8);
-    late.complete(told);
+    PullResponse response = new PullResponse();
+    response.edition = 8;
+    response.config = config(8);
+    late.complete(response);
     timers.pass(100);
-    assertThat(puller.timetable().edition(), equalTo(9L));
+    assertThat(puller.config().edition(), equalTo(9L));
   }
 
   @Test
@@ -110,7 +110,7 @@
     List<Long> times = links.times(A);
     assertThat(times.subList(0, 2), contains(1_000L, 1_020L));
     assertThat(times, hasSize(2));
-    a.setTimetable(7, timetable(7));
+    a.setConfig(7, config(7));
     timers.pass(5);
     assertThat(links.times(A), hasSize(3));
     assertThat(links.times(A).get(2), equalTo(1_305L));
@@ -133,13 +133,13 @@
     timers.pass(100);
     links.cutBack.add(A);
     a.setServers(1, 1, list("i-1"), timers.now());
-    a.setTimetable(7, timetable(7));
+    a.setConfig(7, config(7));
     timers.pass(2_500);
-    assertThat(puller.timetable(), nullValue());
+    assertThat(puller.config(), nullValue());
     assertThat(puller.heardAgoMs(A), greaterThan(2_400L));
-    b.setTimetable(7, timetable(7));
+    b.setConfig(7, config(7));
     timers.pass(10);
-    assertThat(puller.timetable().edition(), equalTo(7L));
+    assertThat(puller.config().edition(), equalTo(7L));
     assertThat(a.heardWithin(2_000), hasSize(1));
     links.cutBack.clear();
     timers.pass(4_000);
@@ -152,13 +152,13 @@
 
   @Test
   void whatCannotBeReadIsNotTakenAndNotAskedForInHaste() {
-    a.setTimetable(7, new byte[] {'{'});
+    a.setConfig(7, new byte[] {'{'});
     a.setServers(1, 1, list("i-1"), timers.now());
-    b.setTimetable(6, timetable(6));
+    b.setConfig(6, config(6));
     links.notaries.remove(C);
     puller.start();
     timers.pass(3_000);
-    assertThat(puller.timetable().edition(), equalTo(6L));
+    assertThat(puller.config().edition(), equalTo(6L));
     assertThat(puller.servers(), hasSize(1));
     assertThat(puller.unreadable(), greaterThan(3L));
     assertThat(links.times(A).size(), lessThan(12));
@@ -166,10 +166,10 @@
 
   @Test
   void anotherEditionThanToldIsNotTaken() {
-    a.setTimetable(9, timetable(7));
+    a.setConfig(9, config(7));
     puller.start();
     timers.pass(500);
-    assertThat(puller.timetable(), nullValue());
+    assertThat(puller.config(), nullValue());
     assertThat(puller.unreadable(), greaterThan(0L));
   }
 
@@ -178,12 +178,12 @@
     puller.whenChanged(() -> {
       throw new IllegalStateException("a listener's fault");
     });
-    a.setTimetable(7, timetable(7));
+    a.setConfig(7, config(7));
     puller.start();
     timers.pass(500);
-    a.setTimetable(8, timetable(8));
+    a.setConfig(8, config(8));
     timers.pass(500);
-    assertThat(puller.timetable().edition(), equalTo(8L));
+    assertThat(puller.config().edition(), equalTo(8L));
   }
 
   @Test
@@ -192,10 +192,10 @@
     timers.pass(500);
     puller.close();
     int asks = links.sent.size();
-    a.setTimetable(7, timetable(7));
+    a.setConfig(7, config(7));
     timers.pass(10_000);
     assertThat(links.sent, hasSize(asks));
-    assertThat(puller.timetable(), nullValue());
+    assertThat(puller.config(), nullValue());
     assertThat(timers.step(), equalTo(false));
   }
 }
--- /dev/null
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherViewTest.java
@@ -0,0 +1,162 @@
+package elmsail.config.watch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.not;
+
+import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.VoterSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class ConfigWatcherViewTest extends ConfigWatcherRig {
+  @Test
+  void seatsAreMergedByIncarnationAndClerksJoined() {
+    VoterSet head = voterSet(A, 1, B, 1, C, 1);
+    a.setView(request -> view(head, voterSet("v1:1", 1, "v2:1", 3, "v3:1", 1), "c1:1", "c2:1"));
+    b.setView(request -> view(head, voterSet("v4:1", 2, "v2:1", 1, "v3:1", 1), "c2:1", "c3:1"));
+    c.setView(request -> view(head, new VoterSet(), "c4:1"));
+    puller.start();
+    timers.pass(100);
+    assertThat(addresses(puller.view().storeSet), contains("v4:1#2", "v2:1#3", "v3:1#1"));
+    assertThat(addresses(puller.view().head), contains(A + "#1", B + "#1", C + "#1"));
+    assertThat(puller.view().gateways, contains("c1:1", "c2:1", "c3:1", "c4:1"));
+    a.setView(request -> view(head, voterSet("v1:1", 1, "v2:1", 1, "v3:1", 1), "c1:1"));
+    b.setView(request -> view(head, new VoterSet()));
+    timers.pass(100);
+    assertThat(addresses(puller.view().storeSet), contains("v4:1#2", "v2:1#3", "v3:1#1"));
+    assertThat(puller.view().gateways, contains("c1:1", "c4:1"));
+  }
+
+  @Test
+  void aNotaryGoneSilentIsNotHeardOnTheClerks() {
+    a.setView(request -> view(new VoterSet(), new VoterSet(), "c1:1"));
+    b.setView(request -> view(new VoterSet(), new VoterSet(), "c2:1"));
+    puller.start();
+    timers.pass(100);
+    assertThat(puller.view().gateways, contains("c1:1", "c2:1"));
+    links.notaries.remove(A);
+    timers.pass(8_000);
+    assertThat(puller.view().gateways, contains("c2:1"));
+    links.notaries.clear();
+    timers.pass(10_000);
+    assertThat(puller.view().gateways, contains("c2:1"));
+  }
+
+  @Test
+  void aNotaryStartedAnewIsBelievedThoughItsVersionsAreLower() {
+    long[] version = {500};
+    String[] gateway = {"c1:1"};
+    links.notaries.put(A, request -> {
+      PullResponse response = new PullResponse();
+      response.viewVersion = version[0];
+      response.view = request.viewVersion == version[0] ? null : view(new VoterSet(), new VoterSet(), gateway);
+      CompletableFuture<PullResponse> answer = new CompletableFuture<>();
+      timers.after(response.view == null ? request.waitMs : 0, () -> answer.complete(response));
+      return answer;
+    });
+    puller.start();
+    timers.pass(100);
+    assertThat(links.last(A).viewVersion, equalTo(500L));
+    version[0] = 1;
+    gateway[0] = "c9:1";
+    timers.pass(2_200);
+    assertThat(puller.view().gateways, contains("c9:1"));
+    assertThat(links.last(A).viewVersion, equalTo(1L));
+  }
+
+  @Test
+  void aLowerVersionWithoutARosterIsAskedAgain() {
+    long[] version = {500};
+    links.notaries.put(A, request -> {
+      PullResponse response = new PullResponse();
+      response.viewVersion = version[0];
+      response.view = request.viewVersion >= version[0] ? null
+          : view(new VoterSet(), new VoterSet(), "v" + version[0]);
+      CompletableFuture<PullResponse> answer = new CompletableFuture<>();
+      timers.after(response.view == null ? request.waitMs : 0, () -> answer.complete(response));
+      return answer;
+    });
+    puller.start();
+    timers.pass(100);
+    version[0] = 1;
+    timers.pass(2_500);
+    assertThat(puller.view().gateways, contains("v1"));
+  }
+
+  @Test
+  void aClaimIsPassedOnFromWhoeverSaysSo() {
+    List<String> joins = new ArrayList<>();
+    puller.whenJoinOrdered((slot, epoch) -> joins.add(slot + "#" + epoch));
+    puller.start();
+    timers.pass(100);
+    assertThat(joins, empty());
+    b.setView(request -> {
+      ClusterView view = new ClusterView();
+      view.joinSlot = 0;
+      view.joinEpoch = 3;
+      return view;
+    });
+    timers.pass(10);
+    assertThat(joins, contains("0#3"));
+  }
+
+  @Test
+  void theHeadsSeatsTakeTheSeedsPlace() {
+    String moved = "10.9.0.1:7721";
+    UpdateSources other = links.controlPlane(moved);
+    a.setView(request -> view(voterSet(A, 1, B, 1, moved, 2), new VoterSet()));
+    puller.start();
+    timers.pass(50);
+    assertThat(puller.asked(), containsInAnyOrder(A, B, moved));
+    other.setConfig(7, config(7));
+    timers.pass(50);
+    assertThat(puller.config().edition(), equalTo(7L));
+    int asksOfC = links.times(C).size();
+    timers.pass(3_000);
+    assertThat(links.times(C), hasSize(asksOfC));
+  }
+
+  @Test
+  void theSeedsAreTriedAgainWhileNobodyAnswers() {
+    a.setView(request -> view(voterSet("10.9.0.1:1", 1, "10.9.0.2:1", 1, "10.9.0.3:1", 1), new VoterSet()));
+    puller.start();
+    timers.pass(50);
+    assertThat(puller.asked(), not(hasItem(A)));
+    a.setView(request -> view(voterSet(A, 2, B, 2, C, 2), new VoterSet()));
+    timers.pass(40_000);
+    assertThat(puller.asked(), containsInAnyOrder(A, B, C));
+  }
+
+  @Test
+  void ofFiveThreeAreAskedAndASilentOneIsReplaced() {
+    String d = "10.4.0.1:7721";
+    String e = "10.5.0.1:7721";
+    links.controlPlane(d);
+    links.controlPlane(e);
+    a.setView(request -> view(voterSet(A, 1, B, 1, C, 1, d, 1, e, 1), new VoterSet()));
+    puller.start();
+    timers.pass(2_000);
+    List<String> first = puller.asked();
+    assertThat(first, hasSize(3));
+    String gone = first.get(0);
+    links.cutThere.add(gone);
+    timers.pass(9_000);
+    assertThat(puller.asked(), hasSize(3));
+    assertThat(puller.asked(), not(hasItem(gone)));
+    for (String stays : first.subList(1, 3)) {
+      assertThat(puller.asked(), hasItem(stays));
+    }
+    links.cutThere.clear();
+    timers.pass(32_000);
+    assertThat(puller.asked(), containsInAnyOrder(first.toArray()));
+  }
+}
--- a/timetable/src/test/java/elmsail/timetable/pull/FallbackTest.java
+++ b/config/src/test/java/elmsail/config/watch/DirectDiscoveryTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -9,14 +9,14 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.inner.words.Roster;
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.http.HttpAsker;
-import elmsail.station.http.HttpReply;
-import elmsail.timetable.CarrierCall;
-import elmsail.timetable.Examples;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.ServerList;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.http.HttpClient;
+import elmsail.runtime.http.HttpReply;
+import elmsail.config.PlatformClient;
+import elmsail.config.Examples;
+import elmsail.config.ServerEntry;
+import elmsail.config.ServerList;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -25,31 +25,31 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
-class FallbackTest {
+class DirectDiscoveryTest {
   private static final String A = "10.1.0.13:7721";
   private static final List<ServerEntry> OWN = List.of(Examples.server("i-own"));
   private static final List<ServerEntry> TOLD = List.of(Examples.server("i-told"));
 
-  private final HandTimers timers = new HandTimers();
+  private final ManualTimers timers = new ManualTimers();
   private final Links links = new Links(timers);
   private final List<Long> asked = new ArrayList<>();
   private int status = 200;
 
-  private Puller puller(String role, long life) {
-    HttpAsker asker = (address, path, timeoutMs) -> {
+  private ConfigWatcher puller(String role, long instanceId) {
+    HttpClient asker = (address, path, timeoutMs) -> {
       asked.add(timers.now());
       CompletableFuture<HttpReply> reply = new CompletableFuture<>();
       timers.after(10, () -> reply.complete(new HttpReply(status, Map.of(), ServerList.encode(OWN))));
       return reply;
     };
-    CarrierCall call = new CarrierCall(asker, "10.200.0.79:8169", timers);
-    return new Puller(links, timers, PullerRig.settings(Set.of("counter")), role, life,
-        () -> VaultPart.NONE, call);
+    PlatformClient call = new PlatformClient(asker, "10.200.0.79:8169", timers);
+    return new ConfigWatcher(links, timers, ConfigWatcherRig.settings(Set.of("counter")), role, instanceId,
+        () -> StoreStatus.NONE, call);
   }
 
   @Test
   void withoutAnyListTheCarrierIsAskedThreeSecondsAfterTheStart() {
-    Puller puller = puller("clerk", 77);
+    ConfigWatcher puller = puller("gateway", 77);
     puller.start();
     timers.pass(2_999);
     assertThat(asked, empty());
@@ -63,7 +63,7 @@
 
   @Test
   void othersThanClerksNeverAskIt() {
-    for (String role : List.of("vault", "notary")) {
+    for (String role : List.of("store", "controlplane")) {
       puller(role, 77).start();
     }
     timers.pass(20_000);
@@ -72,8 +72,8 @@
 
   @Test
   void whileTheListIsKeptYoungNothingIsAsked() {
-    Sources a = links.notary(A);
-    Puller puller = puller("clerk", 77);
+    UpdateSources a = links.controlPlane(A);
+    ConfigWatcher puller = puller("gateway", 77);
     puller.start();
     for (int i = 0; i < 20; i++) {
       a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
@@ -85,9 +85,9 @@
 
   @Test
   void anOldListIsReplacedUntilAYoungerOneIsTold() {
-    Sources a = links.notary(A);
+    UpdateSources a = links.controlPlane(A);
     a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
-    Puller puller = puller("clerk", 77);
+    ConfigWatcher puller = puller("gateway", 77);
     puller.start();
     timers.pass(2_500);
     assertThat(asked, empty());
@@ -102,15 +102,15 @@
 
   @Test
   void asOftenAsItsShareOfTheRateAllows() {
-    Sources a = links.notary(A);
-    a.setRoster(ask -> {
-      Roster roster = new Roster();
+    UpdateSources a = links.controlPlane(A);
+    a.setView(request -> {
+      ClusterView view = new ClusterView();
       for (int i = 0; i < 80; i++) {
-        roster.clerks.add("c" + i);
+        view.gateways.add("c" + i);
       }
-      return roster;
+      return view;
     });
-    puller("clerk", 77).start();
+    puller("gateway", 77).start();
     timers.pass(60_000);
     assertThat(asked.size(), greaterThan(6));
     for (int i = 1; i < asked.size(); i++) {
@@ -120,7 +120,7 @@
 
   @Test
   void aloneItAsksAsSoonAsTheListIsOldAgain() {
-    Puller puller = puller("clerk", 77);
+    ConfigWatcher puller = puller("gateway", 77);
     puller.start();
     timers.pass(4_300);
     for (int i = 0; i < 100; i++) {
@@ -132,7 +132,7 @@
   @Test
   void refusalsAreNotAnsweredInHaste() {
     status = 429;
-    puller("clerk", 77).start();
+    puller("gateway", 77).start();
     timers.pass(13_000);
     assertThat(asked.size(), lessThanOrEqualTo(10));
     assertThat(asked.size(), greaterThan(3));
@@ -144,8 +144,8 @@
   @Test
   void manyDoorsSpreadTheirAsks() {
     Set<Long> times = new HashSet<>();
-    for (int life = 0; life < 50; life++) {
-      puller("clerk", life * 7_919L).start();
+    for (int instanceId = 0; instanceId < 50; instanceId++) {
+      puller("gateway", instanceId * 7_919L).start();
     }
     timers.pass(4_300);
     times.addAll(asked);
@@ -156,7 +156,7 @@
 
   @Test
   void afterTheCloseNothingIsAsked() {
-    Puller puller = puller("clerk", 77);
+    ConfigWatcher puller = puller("gateway", 77);
     puller.start();
     timers.pass(3_100);
     puller.close();
--- a/timetable/src/test/java/elmsail/timetable/pull/RendezvousTest.java
+++ b/config/src/test/java/elmsail/config/watch/RendezvousHashTest.java
@@ -1,4 +1,4 @@
-package elmsail.timetable.pull;
+package elmsail.config.watch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
@@ -22,20 +22,20 @@
 import net.jqwik.api.constraints.StringLength;
 import org.junit.jupiter.api.Test;
 
-class RendezvousTest {
+class RendezvousHashTest {
 
   @Property(tries = 300)
   void choosesSoManyWhateverTheirOrder(@ForAll String station,
       @ForAll @Size(max = 12) List<@StringLength(max = 8) String> candidates,
       @ForAll @IntRange(max = 5) int n, @ForAll long seed) {
-    List<String> chosen = Rendezvous.choose(station, candidates, n);
+    List<String> chosen = RendezvousHash.choose(station, candidates, n);
     Set<String> distinct = new HashSet<>(candidates);
     assertThat(chosen, hasSize(Math.min(n, distinct.size())));
     assertThat(new HashSet<>(chosen), hasSize(chosen.size()));
     assertThat(distinct.containsAll(chosen), equalTo(true));
     List<String> shuffled = new ArrayList<>(candidates);
     Collections.shuffle(shuffled, new Random(seed));
-    assertThat(Rendezvous.choose(station, shuffled, n), equalTo(chosen));
+    assertThat(RendezvousHash.choose(station, shuffled, n), equalTo(chosen));
   }
 
   @Property(tries = 300)
@@ -46,8 +46,8 @@
     String gone = before.get(pick % before.size());
     List<String> after = new ArrayList<>(before);
     after.remove(gone);
-    List<String> chosen = new ArrayList<>(Rendezvous.choose(station, before, n));
-    List<String> now = Rendezvous.choose(station, after, n);
+    List<String> chosen = new ArrayList<>(RendezvousHash.choose(station, before, n));
+    List<String> now = RendezvousHash.choose(station, after, n);
     chosen.remove(gone);
     assertThat(now.subList(0, chosen.size()), equalTo(chosen));
   }
@@ -60,7 +60,7 @@
     }
     Map<String, Integer> counts = new HashMap<>();
     for (int i = 0; i < 3_000; i++) {
-      for (String one : Rendezvous.choose("counter-bayanzurkh-hall-" + i, candidates, 3)) {
+      for (String one : RendezvousHash.choose("counter-bayanzurkh-hall-" + i, candidates, 3)) {
         counts.merge(one, 1, Integer::sum);
       }
     }
--- a/register/src/main/java/elmsail/register/Ballots.java
+++ b/consensus/src/main/java/elmsail/consensus/Ballots.java
@@ -1,6 +1,6 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.words.Ballot;
+import elmsail.rpc.messages.Ballot;
 
 /** Ballots in their order: by round, then by who tries; round 0 is none. */
 final class Ballots {
--- a/register/src/main/java/elmsail/register/SafeRecords.java
+++ b/consensus/src/main/java/elmsail/consensus/DurableRecords.java
@@ -1,23 +1,23 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.disk.Records;
-import elmsail.disk.Records.Change;
-import elmsail.inner.words.Blob;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.storage.RecordStore;
+import elmsail.storage.RecordStore.Change;
+import elmsail.rpc.messages.Blob;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
 /** One set's records, and answers that leave only once all that was written before them is safe. */
-final class SafeRecords {
-  private final Records records;
-  private final KeptNames names;
+final class DurableRecords {
+  private final RecordStore records;
+  private final RecordNames names;
   private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
   private long failedWrites;
 
-  SafeRecords(Records records, KeptNames names) {
+  DurableRecords(RecordStore records, RecordNames names) {
     this.records = records;
     this.names = names;
   }
@@ -82,13 +82,13 @@
     }
   }
 
-  /** Answers once the changes, and all before them, are safe; never if one of those failed meanwhile. */
+  /** HandlerTable once the changes, and all before them, are safe; never if one of those failed meanwhile. */
   <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
     long failed = failedWrites;
     CompletableFuture<Void> safe = changes.isEmpty() ? lastWrite : write(changes);
     return safe.thenApply(none -> {
       if (failedWrites != failed) {
-        throw new ElmsailException(Code.DISK, "what this relies on could not be written");
+        throw new ElmsailException(ErrorCode.DISK, "what this relies on could not be written");
       }
       return answer.get();
     });
--- a/register/src/main/java/elmsail/register/KeyState.java
+++ b/consensus/src/main/java/elmsail/consensus/KeyState.java
@@ -1,15 +1,15 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.words.Ballot;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.Ballot;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.nio.ByteBuffer;
 
 /**
  * What one voter holds of one key.
  *
  * @param promised never below {@code accepted}
- * @param copied {@code accepted} came from another seat's record when this seat was claimed
+ * @param copied {@code accepted} came from another voter slot's record when this voter slot was claimed
  * @param value null if nothing was accepted
  */
 record KeyState(Ballot promised, Ballot accepted, boolean copied, byte[] value) {
@@ -32,7 +32,7 @@
       return EMPTY;
     }
     if (bytes.length < HEAD) {
-      throw new ElmsailException(Code.DISK, "a key's record of " + bytes.length + " bytes");
+      throw new ElmsailException(ErrorCode.DISK, "a key's record of " + bytes.length + " bytes");
     }
     ByteBuffer in = ByteBuffer.wrap(bytes);
     Ballot promised = Ballots.of(in.getLong(), in.getLong());
@@ -46,7 +46,7 @@
     return new KeyState(promised, accepted, (flags & 2) != 0, value);
   }
 
-  /** This, and what another seat holds of the same key: the highest promise, the highest accepted. */
+  /** This, and what another voter slot holds of the same key: the highest promise, the highest accepted. */
   KeyState withCopyOf(KeyState other) {
     boolean theirs = Ballots.compare(other.accepted, accepted) > 0;
     return new KeyState(Ballots.higher(promised, other.promised), theirs ? other.accepted : accepted,
--- a/register/src/main/java/elmsail/register/Trying.java
+++ b/consensus/src/main/java/elmsail/consensus/QuorumOperation.java
@@ -1,23 +1,23 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.words.Seating;
-import elmsail.inner.words.VoteTold;
-import elmsail.station.Code;
-import elmsail.station.Timers;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Timers;
 import java.util.concurrent.CompletableFuture;
 
 /** One call of a client: attempts until one decides or its time is over. */
-abstract class Trying<R> {
+abstract class QuorumOperation<R> {
   final RegisterClient client;
   final String key;
   private final CompletableFuture<R> result = new CompletableFuture<>();
   private final long deadline;
   private Timers.Timer overdue;
   private int tries;
-  /** Answers to earlier attempts carry an earlier number, and are passed over. */
+  /** HandlerTable to earlier attempts carry an earlier number, and are passed over. */
   private int attempt;
 
-  Trying(RegisterClient client, String key, long timeoutMs) {
+  QuorumOperation(RegisterClient client, String key, long timeoutMs) {
     this.client = client;
     this.key = key;
     deadline = client.timers.now() + timeoutMs;
@@ -33,11 +33,11 @@
     client.timers.soon(this::again);
   }
 
-  /** A fresh attempt under that seating, which has seats. */
-  abstract void attempt(Seating seating);
+  /** A fresh attempt under that voter set, which has voter slots. */
+  abstract void attempt(VoterSet voterSet);
 
   /** How it ends if the time is over. */
-  abstract Code codeIfOver();
+  abstract ErrorCode codeIfOver();
 
   final int number() {
     return attempt;
@@ -65,11 +65,11 @@
       return;
     }
     attempt++;
-    Seating seating = client.seatings.of();
-    if (seating.seats.isEmpty()) {
+    VoterSet voterSet = client.voterSets.of();
+    if (voterSet.voters.isEmpty()) {
       backOff();
     } else {
-      attempt(seating);
+      attempt(voterSet);
     }
   }
 
@@ -79,13 +79,13 @@
     client.timers.after(client.backoff(tries++), this::again);
   }
 
-  /** Takes a newer seating; true if there was one, and the attempt under the older has been ended. */
-  final boolean renewed(Seating under, Seating told) {
-    if (!SeatingRules.newer(told, under)) {
+  /** Takes a newer voter set; true if there was one, and the attempt under the older has been ended. */
+  final boolean renewed(VoterSet under, VoterSet response) {
+    if (!VoterSets.newer(response, under)) {
       return false;
     }
-    client.seatings.told(told);
-    if (SeatingRules.newer(client.seatings.of(), under)) {
+    client.voterSets.response(response);
+    if (VoterSets.newer(client.voterSets.of(), under)) {
       again();
     } else {
       backOff();
@@ -93,21 +93,21 @@
     return true;
   }
 
-  final boolean renewed(Seating under, VoteTold told) {
-    return told != null && (told.code == VoteTold.OLD_SEATING || told.code == VoteTold.NOT_SEATED)
-        && renewed(under, told.seating);
+  final boolean renewed(VoterSet under, VoteResponse response) {
+    return response != null && (response.code == VoteResponse.OLD_SEATING || response.code == VoteResponse.NOT_SEATED)
+        && renewed(under, response.voterSet);
   }
 
-  /** Of an answer that is too late for its attempt: silent seats may have ended that before. */
-  final void late(VoteTold told) {
-    if (told != null && (told.code == VoteTold.OLD_SEATING || told.code == VoteTold.NOT_SEATED)) {
-      late(told.seating);
+  /** Of an answer that is too late for its attempt: silent voter slots may have ended that before. */
+  final void late(VoteResponse response) {
+    if (response != null && (response.code == VoteResponse.OLD_SEATING || response.code == VoteResponse.NOT_SEATED)) {
+      late(response.voterSet);
     }
   }
 
-  final void late(Seating told) {
-    if (SeatingRules.newer(told, client.seatings.of())) {
-      client.seatings.told(told);
+  final void late(VoterSet response) {
+    if (VoterSets.newer(response, client.voterSets.of())) {
+      client.voterSets.response(response);
     }
   }
 
--- a/register/src/main/java/elmsail/register/Reading.java
+++ b/consensus/src/main/java/elmsail/consensus/QuorumRead.java
@@ -1,38 +1,38 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.ReadAsk;
-import elmsail.inner.words.Seating;
-import elmsail.inner.words.VoteTold;
-import elmsail.register.Register.Held;
-import elmsail.register.Register.Versioned;
-import elmsail.register.Register.Wanted;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.ReadRequest;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.consensus.Register.Held;
+import elmsail.consensus.Register.Versioned;
+import elmsail.consensus.Register.Wanted;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * One read: decided at once where a majority took the same ballot last, or none took any; otherwise what was
- * found is finished by a change that changes nothing. Only the nearest seat is asked for the value.
+ * found is finished by a change that changes nothing. Only the nearest voter slot is asked for the value.
  */
-final class Reading extends Trying<Versioned> {
+final class QuorumRead extends QuorumOperation<Versioned> {
   private static final long FINISH_AFTER_MS = 15;
   private final Ballot known;
 
-  Reading(RegisterClient client, String key, Ballot known, long timeoutMs) {
+  QuorumRead(RegisterClient client, String key, Ballot known, long timeoutMs) {
     super(client, key, timeoutMs);
     this.known = known;
   }
 
   @Override
-  Code codeIfOver() {
-    return Code.NOT_REACHED;
+  ErrorCode codeIfOver() {
+    return ErrorCode.NOT_REACHED;
   }
 
   @Override
-  void attempt(Seating seating) {
-    new Attempt(seating).ask();
+  void attempt(VoterSet voterSet) {
+    new Attempt(voterSet).request();
   }
 
   private void finish() {
@@ -46,7 +46,7 @@
       if (held != null) {
         tell(held.now().ballot(), held.now().value());
       } else {
-        failed(new ElmsailException(Code.NOT_REACHED, client.set() + " " + key, failure));
+        failed(new ElmsailException(ErrorCode.NOT_REACHED, client.set() + " " + key, failure));
       }
     });
   }
@@ -58,65 +58,65 @@
 
   private final class Attempt {
     private final int number = number();
-    private final Seating seating;
-    private final int seats;
+    private final VoterSet voterSet;
+    private final int voters;
     private final int majority;
-    private final VoteTold[] told;
+    private final VoteResponse[] response;
     private int answered;
     private int refused;
     private boolean settled;
 
-    Attempt(Seating seating) {
-      this.seating = seating;
-      seats = seating.seats.size();
-      majority = SeatingRules.majority(seats);
-      told = new VoteTold[seats];
-      refused = SeatingRules.vacant(seating);
+    Attempt(VoterSet voterSet) {
+      this.voterSet = voterSet;
+      voters = voterSet.voters.size();
+      majority = VoterSets.majority(voters);
+      response = new VoteResponse[voters];
+      refused = VoterSets.vacant(voterSet);
     }
 
-    void ask() {
-      int[] order = client.nearestFirst(seating);
-      for (int at = 0; at < seats; at++) {
-        int seat = order[at];
-        if (!SeatingRules.counts(seating, seat)) {
+    void request() {
+      int[] order = client.nearestFirst(voterSet);
+      for (int at = 0; at < voters; at++) {
+        int slot = order[at];
+        if (!VoterSets.counts(voterSet, slot)) {
           continue;
         }
-        client.caller.call(seating.seats.get(seat).address, ask(at > 0), VoteTold.class, callMs())
-            .whenComplete((vote, failure) -> answered(seat, vote));
+        client.caller.call(voterSet.voters.get(slot).address, request(at > 0), VoteResponse.class, callMs())
+            .whenComplete((vote, failure) -> answered(slot, vote));
       }
     }
 
-    private ReadAsk ask(boolean bare) {
-      ReadAsk ask = new ReadAsk();
-      ask.set = client.set();
-      ask.key = key;
-      ask.known = known;
-      ask.seating = seating;
-      ask.bare = bare;
-      return ask;
+    private ReadRequest request(boolean bare) {
+      ReadRequest request = new ReadRequest();
+      request.set = client.set();
+      request.key = key;
+      request.known = known;
+      request.voterSet = voterSet;
+      request.bare = bare;
+      return request;
     }
 
-    private void answered(int seat, VoteTold vote) {
+    private void answered(int slot, VoteResponse vote) {
       if (!current(number)) {
         late(vote);
         return;
       }
-      if (settled || renewed(seating, vote)) {
+      if (settled || renewed(voterSet, vote)) {
         return;
       }
-      if (vote == null || vote.code != VoteTold.DONE) {
-        if (++refused > seats - majority) {
+      if (vote == null || vote.code != VoteResponse.DONE) {
+        if (++refused > voters - majority) {
           backOff();
         }
         return;
       }
       client.seen(vote.promised);
-      told[seat] = vote;
+      response[slot] = vote;
       answered++;
       if (agreed(vote.accepted)) {
         settled = true;
         settle(vote.accepted);
-      } else if (answered + refused == seats) {
+      } else if (answered + refused == voters) {
         settled = true;
         finish();
       } else if (answered >= majority) {
@@ -136,7 +136,7 @@
 
     private boolean agreed(Ballot accepted) {
       int same = 0;
-      for (VoteTold one : told) {
+      for (VoteResponse one : response) {
         if (one != null && Ballots.same(one.accepted, accepted) && (!one.copied || Ballots.none(accepted))) {
           same++;
         }
@@ -150,21 +150,21 @@
         return;
       }
       int holder = -1;
-      for (int i = 0; i < seats; i++) {
-        if (told[i] != null && Ballots.same(told[i].accepted, accepted)) {
-          if (told[i].value != null) {
-            tell(accepted, told[i].value);
+      for (int i = 0; i < voters; i++) {
+        if (response[i] != null && Ballots.same(response[i].accepted, accepted)) {
+          if (response[i].value != null) {
+            tell(accepted, response[i].value);
             return;
           }
           holder = i;
         }
       }
-      client.caller.call(seating.seats.get(holder).address, ask(false), VoteTold.class, callMs())
+      client.caller.call(voterSet.voters.get(holder).address, request(false), VoteResponse.class, callMs())
           .whenComplete((vote, failure) -> {
             if (!current(number)) {
               return;
             }
-            boolean same = vote != null && vote.code == VoteTold.DONE
+            boolean same = vote != null && vote.code == VoteResponse.DONE
                 && Ballots.same(vote.accepted, accepted) && vote.value != null;
             if (same) {
               tell(accepted, vote.value);
--- a/register/src/main/java/elmsail/register/KeptNames.java
+++ b/consensus/src/main/java/elmsail/consensus/RecordNames.java
@@ -1,8 +1,8 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.disk.Records;
-import elmsail.inner.words.Blob;
-import elmsail.inner.words.CopyTold;
+import elmsail.storage.RecordStore;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.StateTransferResponse;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -10,33 +10,33 @@
 import java.util.Map;
 
 /**
- * How the records of one set are called: SET/k/KEY the key's state, SET/b/KEY/NAME a blob, SET/seating,
- * SET/seated and SET/spare. A "%" or "/" in a key is written %25 or %2F there, so that no key's blobs are
+ * How the records of one set are called: SET/k/KEY the key's state, SET/b/KEY/NAME a blob, SET/voter set,
+ * SET/voting and SET/spare. A "%" or "/" in a key is written %25 or %2F there, so that no key's blobs are
  * another's.
  */
-final class KeptNames {
+final class RecordNames {
   private static final int MOST_NAMES = 5_000;
 
-  private final String seated;
-  private final String seating;
+  private final String voting;
+  private final String voterSet;
   private final String spare;
   private final String keys;
   private final String allBlobs;
 
-  KeptNames(String set) {
-    seated = set + "/seated";
-    seating = set + "/seating";
+  RecordNames(String set) {
+    voting = set + "/seated";
+    voterSet = set + "/seating";
     spare = set + "/spare";
     keys = set + "/k/";
     allBlobs = set + "/b/";
   }
 
-  String seated() {
-    return seated;
+  String voting() {
+    return voting;
   }
 
-  String seating() {
-    return seating;
+  String voterSet() {
+    return voterSet;
   }
 
   /** Is there while a claim goes on that was made as a spare. */
@@ -71,7 +71,7 @@
   }
 
   /** The keys that have a record. */
-  List<String> keys(Records records) {
+  List<String> keys(RecordStore records) {
     List<String> found = new ArrayList<>();
     for (String record : records.names(keys)) {
       found.add(keyOf(record));
@@ -83,34 +83,34 @@
     return record.startsWith(keys);
   }
 
-  boolean has(Records records, String name) {
+  boolean has(RecordStore records, String name) {
     Iterator<String> found = records.names(name).iterator();
     return found.hasNext() && found.next().equals(name);
   }
 
   /** The records behind {@code after} among those of its kind, keys or blobs. */
-  void page(Records records, String after, int mostBytes, CopyTold told) {
+  void page(RecordStore records, String after, int mostBytes, StateTransferResponse response) {
     String kind = after.startsWith(keys) ? keys : after.startsWith(allBlobs) ? allBlobs : null;
     if (kind == null) {
       return;
     }
     Map<String, byte[]> page = records.page(after, mostBytes);
-    told.end = page.isEmpty();
+    response.end = page.isEmpty();
     for (Map.Entry<String, byte[]> record : page.entrySet()) {
       if (!record.getKey().startsWith(kind)) {
-        told.end = true;
+        response.end = true;
         return;
       }
       Blob one = new Blob();
       one.name = record.getKey();
       one.bytes = record.getValue();
-      told.records.add(one);
+      response.records.add(one);
     }
   }
 
   /** Names of the blobs behind {@code after}, so many at most. */
-  void barePage(Records records, String after, CopyTold told) {
-    told.end = true;
+  void barePage(RecordStore records, String after, StateTransferResponse response) {
+    response.end = true;
     if (!after.startsWith(allBlobs)) {
       return;
     }
@@ -118,13 +118,13 @@
       if (name.compareTo(after) <= 0) {
         continue;
       }
-      if (told.records.size() == MOST_NAMES) {
-        told.end = false;
+      if (response.records.size() == MOST_NAMES) {
+        response.end = false;
         return;
       }
       Blob one = new Blob();
       one.name = name;
-      told.records.add(one);
+      response.records.add(one);
     }
   }
 
@@ -138,11 +138,11 @@
     return record.substring(record.indexOf('/', allBlobs.length()) + 1);
   }
 
-  static byte[] bytes(int incarnation) {
-    return ByteBuffer.allocate(Integer.BYTES).putInt(incarnation).array();
+  static byte[] bytes(int epoch) {
+    return ByteBuffer.allocate(Integer.BYTES).putInt(epoch).array();
   }
 
-  static int incarnation(byte[] bytes) {
+  static int epoch(byte[] bytes) {
     return bytes == null || bytes.length != Integer.BYTES ? 0 : ByteBuffer.wrap(bytes).getInt();
   }
 
--- a/register/src/main/java/elmsail/register/Register.java
+++ b/consensus/src/main/java/elmsail/consensus/Register.java
@@ -1,7 +1,7 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Blob;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
--- a/register/src/main/java/elmsail/register/RegisterClient.java
+++ b/consensus/src/main/java/elmsail/consensus/RegisterClient.java
@@ -1,13 +1,13 @@
-package elmsail.register;
-
-import elmsail.inner.Caller;
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Blob;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+package elmsail.consensus;
+
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,13 +27,13 @@
   private static final long LEAST_WAIT_MS = 5;
 
   /** What this client's last change of a key left behind; {@code next} null: no promise to go on with. */
-  record Kept(Ballot next, Ballot accepted, byte[] value, Seating seating) {
+  record Kept(Ballot next, Ballot accepted, byte[] value, VoterSet voterSet) {
   }
 
   private final String set;
   final Caller caller;
   final Timers timers;
-  final Seatings seatings;
+  final VoterSetSource voterSets;
   private final long who;
   private final ToIntFunction<String> distance;
   private final Map<String, Kept> kept = new LinkedHashMap<>(16, 0.75f, true) {
@@ -52,12 +52,12 @@
    * @param ownAddress a keeper there is asked first
    * @param distance of an inner address: the lower, the earlier it is asked for bytes
    */
-  public RegisterClient(String set, Caller caller, Timers timers, Seatings seatings, long who,
+  public RegisterClient(String set, Caller caller, Timers timers, VoterSetSource voterSets, long who,
       String ownAddress, ToIntFunction<String> distance) {
     this.set = set;
     this.caller = caller;
     this.timers = timers;
-    this.seatings = seatings;
+    this.voterSets = voterSets;
     this.who = who;
     chance = new SplittableRandom(who);
     this.distance = address -> address.equals(ownAddress) ? Integer.MIN_VALUE : distance.applyAsInt(address);
@@ -65,7 +65,7 @@
 
   @Override
   public CompletableFuture<Versioned> read(String key, Ballot known, long timeoutMs) {
-    Reading reading = new Reading(this, key, known == null ? new Ballot() : known, timeoutMs);
+    QuorumRead reading = new QuorumRead(this, key, known == null ? new Ballot() : known, timeoutMs);
     reading.start();
     return reading.result();
   }
@@ -73,14 +73,14 @@
   @Override
   public CompletableFuture<Held> change(String key, Function<Found, Wanted> change, List<Blob> blobs,
       byte[] note, long timeoutMs) {
-    Changing changing = new Changing(this, key, change, blobs == null ? List.of() : blobs, note, timeoutMs);
+    Proposer changing = new Proposer(this, key, change, blobs == null ? List.of() : blobs, note, timeoutMs);
     changing.start();
     return changing.result();
   }
 
   @Override
   public CompletableFuture<byte[]> blob(String key, String name, long timeoutMs) {
-    BlobSearch search = new BlobSearch(this, key, name, timeoutMs);
+    BlobRead search = new BlobRead(this, key, name, timeoutMs);
     search.start();
     return search.result();
   }
@@ -118,17 +118,17 @@
 
   void keep(String key, Kept one) {
     boolean big = one.value != null && one.value.length > BIGGEST_KEPT;
-    kept.put(key, big ? new Kept(null, new Ballot(), null, one.seating) : one);
+    kept.put(key, big ? new Kept(null, new Ballot(), null, one.voterSet) : one);
   }
 
-  /** Positions of the seats, the nearest first. */
-  int[] nearestFirst(Seating seating) {
-    List<Seat> seats = seating.seats;
-    int[] order = new int[seats.size()];
+  /** Positions of the voter slots, the nearest first. */
+  int[] nearestFirst(VoterSet voterSet) {
+    List<Voter> voters = voterSet.voters;
+    int[] order = new int[voters.size()];
     for (int i = 0; i < order.length; i++) {
       int at = i;
-      int far = distance.applyAsInt(seats.get(i).address);
-      while (at > 0 && distance.applyAsInt(seats.get(order[at - 1]).address) > far) {
+      int far = distance.applyAsInt(voters.get(i).address);
+      while (at > 0 && distance.applyAsInt(voters.get(order[at - 1]).address) > far) {
         order[at] = order[at - 1];
         at--;
       }
@@ -143,7 +143,7 @@
     return chance.nextLong(LEAST_WAIT_MS, most + 1);
   }
 
-  static ElmsailException failure(Code code, String set, String key) {
+  static ElmsailException failure(ErrorCode code, String set, String key) {
     return new ElmsailException(code, set + " " + key);
   }
 }
--- /dev/null
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -0,0 +1,350 @@
+package elmsail.consensus;
+
+import elmsail.storage.RecordStore;
+import elmsail.storage.RecordStore.Change;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.AcceptRequest;
+import elmsail.rpc.messages.BlobRequest;
+import elmsail.rpc.messages.BlobResponse;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.JoinResponse;
+import elmsail.rpc.messages.StateTransferRequest;
+import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.PrepareRequest;
+import elmsail.rpc.messages.ReadRequest;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The voter's side of one set: records of its keys, its voter set, and whether this process votes. An answer
+ * leaves only once all that it relies on is safe on disk. One keeper at most for each {@link RequestHandlers}.
+ */
+public final class Replica {
+  private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
+
+  private static final long REWRITE_MS = 300;
+  private static final int MOST_PAGE_BYTES = 1 << 20;
+
+  private final String set;
+  private final RecordStore records;
+  private final ReplicaListener views;
+  private final Timers timers;
+  final Membership membership;
+  private final RecordNames names;
+  private final DurableRecords safe;
+  private final ReplicaJoin newcomer;
+  private final List<Runnable> watchers = new ArrayList<>();
+  /** Whether the disk has, or is being given, the voter set and {@code seated} as they are in memory. */
+  private boolean membershipGiven = true;
+  private boolean publishedVoting;
+  /** As it is on disk: what isn't safe is told to nobody, so that no claim is known that its maker forgot. */
+  private VoterSet publishedVoterSet;
+
+  /** Reads its records; votes at once if this life was voting when it ended. */
+  public Replica(String set, RecordStore records, ReplicaListener views, RequestHandlers answering, Caller caller,
+      Timers timers, String ownAddress, String station) {
+    this.set = set;
+    this.records = records;
+    this.views = views;
+    this.timers = timers;
+    names = new RecordNames(set);
+    safe = new DurableRecords(records, names);
+    byte[] voting = records.read(names.voting());
+    membership = new Membership(ownAddress, station, records.instanceId(),
+        VoterSetCodec.voterSet(records.read(names.voterSet())), RecordNames.epoch(voting));
+    membership.spare(records.read(names.spare()) != null);
+    newcomer = new ReplicaJoin(set, this, membership, records, caller, timers);
+    publishedVoting = membership.voting();
+    publishedVoterSet = membership.voterSet();
+    if (publishedVoting) {
+      tellValues();
+    }
+    answering.on(PrepareRequest.class, this::prepare);
+    answering.on(AcceptRequest.class, this::accept);
+    answering.on(ReadRequest.class, this::read);
+    answering.on(BlobRequest.class, this::blob);
+    answering.on(JoinRequest.class, this::joined);
+    answering.on(StateTransferRequest.class, this::copied);
+    timers.soon(newcomer::consider);
+  }
+
+  /**
+   * The first voter set of all: taken only while nothing is known here and if it names this life at epoch
+   * 1. A life ends with its disk's content, so one that is named so never voted before; it votes as soon as
+   * this is on disk.
+   */
+  public void found(VoterSet founding) {
+    int slot = VoterSets.ofInstance(founding, membership.instanceId());
+    if (membership.voterSet().voters.isEmpty() && slot >= 0
+        && founding.voters.get(slot).epoch == 1) {
+      learn(founding);
+    }
+  }
+
+  /** Whether it votes, and its disk says so. */
+  public boolean voting() {
+    return publishedVoting && membership.voting();
+  }
+
+  /** As known here and safe; without voter slots if nothing is known. */
+  public VoterSet voterSet() {
+    return publishedVoterSet;
+  }
+
+  /**
+   * Merged by the higher epoch of each voter slot, on disk before any vote that relies on it. Where another
+   * life of this address or station holds a voter slot, that is claimed; where this life's voter slot is another's now,
+   * it votes no more.
+   */
+  public void learn(VoterSet response) {
+    if (membership.learn(response)) {
+      voterSetChanged();
+    }
+    newcomer.consider();
+  }
+
+  /** Takes over the voter slot of another; nothing happens if this process has or claims one, or knows of more. */
+  public void join(int slot, int epoch) {
+    newcomer.join(slot, epoch);
+  }
+
+  /** Forgets the key and its blobs: only for keys that nobody changes or reads any more. */
+  public void drop(String key) {
+    safe.drop(key);
+    views.dropped(key);
+  }
+
+  /** Keys that have a record, also those that were only promised. */
+  public Iterable<String> keys() {
+    return names.keys(records);
+  }
+
+  /** The value accepted here last, decided or not; null if there is none. */
+  public byte[] value(String key) {
+    return safe.state(key).value();
+  }
+
+  /** Null if it isn't kept here. */
+  public byte[] blob(String key, String name) {
+    return records.read(names.blob(key, name));
+  }
+
+  /** Called on the loop after {@link #seated()} became another. */
+  public void whenVotingChanges(Runnable then) {
+    watchers.add(then);
+  }
+
+  /** Before copying: what an earlier voter slot left, and what was copied by an earlier try. */
+  void forget() {
+    for (String key : keys()) {
+      views.dropped(key);
+    }
+    safe.forget();
+  }
+
+  CompletableFuture<Void> write(List<Change> changes) {
+    return safe.write(changes);
+  }
+
+  /** Writes the voter set as it is now; the watchers hear at once if this process stopped voting by it. */
+  CompletableFuture<Void> voterSetChanged() {
+    if (membership.founded()) {
+      membership.caughtUp(1);
+    }
+    CompletableFuture<Void> written = writeMembership();
+    if (!membership.voting()) {
+      publishVoting();
+    }
+    return written;
+  }
+
+  /** All that had to be copied is on disk. */
+  void caughtUp(int epoch) {
+    tellValues();
+    membership.caughtUp(epoch);
+    membership.spare(false);
+    writeMembership();
+  }
+
+  /** Both together: a vote is written behind them, so that a life that voted never takes itself for new. */
+  private CompletableFuture<Void> writeMembership() {
+    int caughtUp = membership.caughtUp();
+    VoterSet given = membership.voterSet();
+    CompletableFuture<Void> written = write(List.of(
+        new Change(names.voterSet(), VoterSetCodec.of(given)),
+        new Change(names.voting(), caughtUp == 0 ? null : RecordNames.bytes(caughtUp)),
+        new Change(names.spare(), membership.spare() ? RecordNames.bytes(1) : null)));
+    membershipGiven = true;
+    written.whenComplete((none, failure) -> {
+      if (failure == null) {
+        publishedVoterSet = given;
+        publishVoting();
+      } else {
+        membershipGiven = false;
+        timers.after(REWRITE_MS, this::rewriteMembership);
+        LOG.warn("{}: the seating could not be written: {}", set, ElmsailException.codeOf(failure));
+      }
+    });
+    return written;
+  }
+
+  /** After a failed write, in time or before what relies on it. */
+  private void rewriteMembership() {
+    if (!membershipGiven) {
+      writeMembership();
+    }
+  }
+
+  private void publishVoting() {
+    boolean voting = membership.voting();
+    if (voting != publishedVoting) {
+      publishedVoting = voting;
+      LOG.info("{}: {}", set, voting ? "seated" : "not seated");
+      for (Runnable watcher : watchers) {
+        watcher.run();
+      }
+    }
+  }
+
+  private void tellValues() {
+    for (String key : keys()) {
+      byte[] value = value(key);
+      if (value != null) {
+        views.taken(key, value);
+      }
+    }
+  }
+
+  private CompletableFuture<VoteResponse> prepare(PrepareRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    Acceptor.Decision decision = Acceptor.prepare(safe.state(request.key), request.ballot);
+    if (decision.answer().code != VoteResponse.DONE) {
+      return CompletableFuture.completedFuture(decision.answer());
+    }
+    return safely(safe.changes(request.key, decision, request.blobs), () -> {
+      if (request.note != null) {
+        decision.answer().note = views.noted(request.key, request.note);
+      }
+      return decision.answer();
+    });
+  }
+
+  private CompletableFuture<VoteResponse> accept(AcceptRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    Acceptor.Decision decision = Acceptor.accept(safe.state(request.key), request.ballot, request.next, request.value);
+    if (decision.answer().code == VoteResponse.DONE && decision.write() != null
+        && !views.admits(request.key, request.value)) {
+      VoteResponse response = new VoteResponse();
+      response.code = VoteResponse.NOT_ADMITTED;
+      return CompletableFuture.completedFuture(response);
+    }
+    if (decision.answer().code != VoteResponse.DONE) {
+      return CompletableFuture.completedFuture(decision.answer());
+    }
+    return safely(safe.changes(request.key, decision, request.blobs), () -> {
+      if (decision.write() != null) {
+        views.taken(request.key, request.value);
+      }
+      return decision.answer();
+    });
+  }
+
+  private CompletableFuture<VoteResponse> read(ReadRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    VoteResponse response = Acceptor.read(safe.state(request.key), request.known, request.bare);
+    return safely(List.of(), () -> response);
+  }
+
+  private CompletableFuture<BlobResponse> blob(BlobRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    BlobResponse response = new BlobResponse();
+    response.voting = refused == null || membership.serves(refused.code, request.ofReplaced);
+    response.voterSet = refused == null ? response.voterSet : refused.voterSet;
+    if (response.voting || refused.code == VoteResponse.OLD_SEATING && membership.voting()) {
+      response.bytes = blob(request.key, request.name);
+      response.known = response.bytes != null;
+    }
+    return response.known ? safely(List.of(), () -> response) : CompletableFuture.completedFuture(response);
+  }
+
+  private CompletableFuture<JoinResponse> joined(JoinRequest request) {
+    if (!set.equals(request.set)) {
+      return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.NOT_SEATED, request.set));
+    }
+    rewriteMembership();
+    VoterSet before = membership.voterSet();
+    JoinResponse response = membership.answer(request);
+    if (membership.voterSet() != before) {
+      LOG.info("{}: seat {} claimed by {}, incarnation {}", set, request.slot, request.holder.address,
+          request.holder.epoch);
+      voterSetChanged();
+    }
+    return safely(List.of(), () -> {
+      response.voterSet = publishedVoterSet;
+      return response;
+    });
+  }
+
+  private CompletableFuture<StateTransferResponse> copied(StateTransferRequest request) {
+    StateTransferResponse response = new StateTransferResponse();
+    response.instanceId = membership.instanceId();
+    response.end = true;
+    VoteResponse refused = set.equals(request.set) ? refusal(request.set, request.voterSet) : new VoteResponse();
+    if (refused != null && !membership.serves(refused.code, request.ofReplaced)) {
+      return CompletableFuture.completedFuture(response);
+    }
+    response.voting = true;
+    if (request.bare) {
+      names.barePage(records, request.after, response);
+    } else {
+      names.page(records, request.after, Math.min(Math.max(request.mostBytes, 1), MOST_PAGE_BYTES), response);
+    }
+    return safely(List.of(), () -> response);
+  }
+
+  /** Null if an ask under that voter set may be voted on; what it knows that is newer is taken first. */
+  private VoteResponse refusal(String askedSet, VoterSet asked) {
+    if (!set.equals(askedSet)) {
+      throw new ElmsailException(ErrorCode.NOT_SEATED, askedSet);
+    }
+    int code = membership.vote(asked);
+    if (code != VoteResponse.OLD_SEATING && VoterSets.newer(asked, membership.voterSet())) {
+      learn(asked);
+      code = membership.vote(asked);
+    }
+    rewriteMembership();
+    if (code == VoteResponse.DONE) {
+      return null;
+    }
+    VoteResponse response = new VoteResponse();
+    response.code = code;
+    response.voterSet = publishedVoterSet;
+    return response;
+  }
+
+  private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
+    if (!membershipGiven) {
+      return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.DISK, "the seating is not on disk"));
+    }
+    return safe.safely(changes, answer);
+  }
+}
--- a/register/src/main/java/elmsail/register/Views.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
@@ -1,10 +1,10 @@
-package elmsail.register;
+package elmsail.consensus;
 
 /**
  * What a keeper folds from its records; called on its loop, before the answer that tells of the vote
  * leaves.
  */
-public interface Views {
+public interface ReplicaListener {
   /** With a first round: takes what the asker says of the change to come, and tells what it has to tell. */
   default byte[] noted(String key, byte[] note) {
     return null;
--- a/register/src/main/java/elmsail/register/Copying.java
+++ b/consensus/src/main/java/elmsail/consensus/StateTransfer.java
@@ -1,15 +1,15 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.disk.Records;
-import elmsail.disk.Records.Change;
-import elmsail.inner.Caller;
-import elmsail.inner.words.Blob;
-import elmsail.inner.words.BlobAsk;
-import elmsail.inner.words.BlobTold;
-import elmsail.inner.words.CopyAsk;
-import elmsail.inner.words.CopyTold;
-import elmsail.inner.words.Seat;
-import elmsail.station.Timers;
+import elmsail.storage.RecordStore;
+import elmsail.storage.RecordStore.Change;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.BlobRequest;
+import elmsail.rpc.messages.BlobResponse;
+import elmsail.rpc.messages.StateTransferRequest;
+import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.Voter;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,10 +21,10 @@
 /**
  * All records of a set, from some holders at once: one page of keys and one of blobs from each in flight, and
  * the next is asked for while the last is being written. Blobs' bytes come from the first; of the others the
- * names do, and then what the first had not. All is asked for under the newest seating that was heard of, be
+ * names do, and then what the first had not. All is asked for under the newest voter set that was heard of, be
  * it on disk here yet or not: one that has been replaced unawares hears of it so, and refuses.
  */
-final class Copying {
+final class StateTransfer {
   private static final int PAGE_BYTES = 1 << 20;
   private static final long PAGE_CALL_MS = 2_000;
   private static final long AGAIN_MS = 50;
@@ -32,28 +32,28 @@
   private static final int MOST_BLOB_CALLS = 6;
 
   private final String set;
-  private final KeptNames names;
-  private final SetKeeper keeper;
-  private final Records records;
+  private final RecordNames names;
+  private final Replica keeper;
+  private final RecordStore records;
   private final Caller caller;
   private final Timers timers;
-  private final List<Seat> holders;
-  private final Seat replaced;
+  private final List<Voter> holders;
+  private final Voter replaced;
   private final BooleanSupplier wanted;
   private final Consumer<Boolean> then;
   /** Blobs' records that a holder told of, and who did. */
-  private final Map<String, Seat> listed = new LinkedHashMap<>();
+  private final Map<String, Voter> listed = new LinkedHashMap<>();
   private int open;
   private int failures;
   private boolean over;
 
   /**
-   * @param replaced the one of the holders that needn't be seated, or null
+   * @param replaced the one of the holders that needn't be voting, or null
    * @param wanted asked before each step: false ends it, without a word
    * @param then told once: whether all is copied and on disk
    */
-  Copying(String set, KeptNames names, SetKeeper keeper, Records records, Caller caller, Timers timers,
-      List<Seat> holders, Seat replaced, BooleanSupplier wanted, Consumer<Boolean> then) {
+  StateTransfer(String set, RecordNames names, Replica keeper, RecordStore records, Caller caller, Timers timers,
+      List<Voter> holders, Voter replaced, BooleanSupplier wanted, Consumer<Boolean> then) {
     this.set = set;
     this.names = names;
     this.keeper = keeper;
@@ -71,39 +71,39 @@
     if (open == 0) {
       end(true);
     }
-    for (Seat holder : holders) {
-      ask(holder, names.keys(), false, CompletableFuture.completedFuture(null));
-      ask(holder, names.blobs(), holder != holders.get(0), CompletableFuture.completedFuture(null));
+    for (Voter holder : holders) {
+      request(holder, names.keys(), false, CompletableFuture.completedFuture(null));
+      request(holder, names.blobs(), holder != holders.get(0), CompletableFuture.completedFuture(null));
     }
   }
 
-  private void ask(Seat holder, String after, boolean bare, CompletableFuture<Void> written) {
-    CopyAsk ask = new CopyAsk();
-    ask.set = set;
-    ask.after = after;
-    ask.mostBytes = PAGE_BYTES;
-    ask.bare = bare;
-    ask.ofReplaced = holder == replaced;
-    ask.seating = keeper.membership.seating();
-    caller.call(holder.address, ask, CopyTold.class, PAGE_CALL_MS).whenComplete((told, failure) -> {
+  private void request(Voter holder, String after, boolean bare, CompletableFuture<Void> written) {
+    StateTransferRequest request = new StateTransferRequest();
+    request.set = set;
+    request.after = after;
+    request.mostBytes = PAGE_BYTES;
+    request.bare = bare;
+    request.ofReplaced = holder == replaced;
+    request.voterSet = keeper.membership.voterSet();
+    caller.call(holder.address, request, StateTransferResponse.class, PAGE_CALL_MS).whenComplete((response, failure) -> {
       if (over || !wanted.getAsBoolean()) {
         over = true;
       } else if (failure != null) {
         if (++failures > MOST_FAILURES) {
           end(false);
         } else {
-          timers.after(AGAIN_MS, () -> ask(holder, after, bare, written));
+          timers.after(AGAIN_MS, () -> request(holder, after, bare, written));
         }
-      } else if (!told.seated || told.life != holder.life) {
+      } else if (!response.voting || response.instanceId != holder.instanceId) {
         end(false);
       } else {
         // No more than one page of each is being written while the next is on its way.
-        written.whenComplete((none, fault) -> took(holder, bare, told, fault));
+        written.whenComplete((none, fault) -> took(holder, bare, response, fault));
       }
     });
   }
 
-  private void took(Seat holder, boolean bare, CopyTold told, Throwable fault) {
+  private void took(Voter holder, boolean bare, StateTransferResponse response, Throwable fault) {
     if (over || !wanted.getAsBoolean()) {
       over = true;
       return;
@@ -114,14 +114,14 @@
     }
     CompletableFuture<Void> written = CompletableFuture.completedFuture(null);
     if (bare) {
-      for (Blob one : told.records) {
+      for (Blob one : response.records) {
         listed.put(one.name, holder);
       }
     } else {
-      written = keep(told.records);
+      written = keep(response.records);
     }
-    if (!told.end && !told.records.isEmpty()) {
-      ask(holder, told.records.get(told.records.size() - 1).name, bare, written);
+    if (!response.end && !response.records.isEmpty()) {
+      request(holder, response.records.get(response.records.size() - 1).name, bare, written);
       return;
     }
     written.whenComplete((none, failure) -> {
@@ -148,32 +148,32 @@
         end(true);
       }
     } else {
-      Map.Entry<String, Seat> next = listed.entrySet().iterator().next();
+      Map.Entry<String, Voter> next = listed.entrySet().iterator().next();
       listed.remove(next.getKey());
       open++;
       fetch(next.getKey(), next.getValue());
     }
   }
 
-  private void fetch(String name, Seat holder) {
-    BlobAsk ask = new BlobAsk();
-    ask.set = set;
-    ask.key = names.keyOfBlob(name);
-    ask.name = names.nameOfBlob(name);
-    ask.seating = keeper.membership.seating();
-    ask.ofReplaced = holder == replaced;
-    caller.call(holder.address, ask, BlobTold.class, PAGE_CALL_MS).whenComplete((told, failure) -> {
+  private void fetch(String name, Voter holder) {
+    BlobRequest request = new BlobRequest();
+    request.set = set;
+    request.key = names.keyOfBlob(name);
+    request.name = names.nameOfBlob(name);
+    request.voterSet = keeper.membership.voterSet();
+    request.ofReplaced = holder == replaced;
+    caller.call(holder.address, request, BlobResponse.class, PAGE_CALL_MS).whenComplete((response, failure) -> {
       if (over || !wanted.getAsBoolean()) {
         over = true;
       } else if (failure != null && ++failures <= MOST_FAILURES) {
         timers.after(AGAIN_MS, () -> fetch(name, holder));
-      } else if (failure != null || !told.seated) {
+      } else if (failure != null || !response.voting) {
         end(false);
-      } else if (!told.known) {
+      } else if (!response.known) {
         // Dropped there meanwhile.
         fetched(null);
       } else {
-        keeper.write(List.of(new Change(name, told.bytes))).whenComplete((none, fault) -> fetched(fault));
+        keeper.write(List.of(new Change(name, response.bytes))).whenComplete((none, fault) -> fetched(fault));
       }
     });
   }
--- a/register/src/test/java/elmsail/register/Defects.java
+++ b/consensus/src/test/java/elmsail/consensus/Defects.java
@@ -1,11 +1,11 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.Caller;
-import elmsail.inner.words.ClaimAsk;
-import elmsail.inner.words.ClaimTold;
-import elmsail.inner.words.CopyAsk;
-import elmsail.inner.words.CopyTold;
-import elmsail.inner.words.Seating;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.JoinResponse;
+import elmsail.rpc.messages.StateTransferRequest;
+import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.VoterSet;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongFunction;
@@ -26,7 +26,7 @@
   static History votesAfterAmnesia(long seed) {
     History history = new History(seed);
     history.afterWipe = (node, before) -> {
-      node.platter.life = before.life;
+      node.platter.instanceId = before.instanceId;
       node.platter.everOpened = true;
       for (String kept : new String[] {"set/seating", "set/seated"}) {
         node.platter.safe.put(kept, before.safe.get(kept));
@@ -41,35 +41,35 @@
     World world = history.world;
     world.keepersCaller = caller -> new Caller() {
       @Override
-      public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
-        Seating newest = world.newest();
+      public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
+        VoterSet newest = world.newest();
         int last = -1;
-        for (int i = 0; i < newest.seats.size(); i++) {
-          boolean other = !(ask instanceof ClaimAsk claim) || claim.seat != i;
-          String address = newest.seats.get(i).address;
-          if (other && (last < 0 || address.compareTo(newest.seats.get(last).address) > 0)) {
+        for (int i = 0; i < newest.voters.size(); i++) {
+          boolean other = !(request instanceof JoinRequest join) || join.slot != i;
+          String address = newest.voters.get(i).address;
+          if (other && (last < 0 || address.compareTo(newest.voters.get(last).address) > 0)) {
             last = i;
           }
         }
-        if (last >= 0 && newest.seats.get(last).address.equals(peer)) {
-          CompletableFuture<A> told = new CompletableFuture<>();
-          if (ask instanceof ClaimAsk claim) {
-            ClaimTold held = new ClaimTold();
+        if (last >= 0 && newest.voters.get(last).address.equals(peer)) {
+          CompletableFuture<A> response = new CompletableFuture<>();
+          if (request instanceof JoinRequest join) {
+            JoinResponse held = new JoinResponse();
             held.held = true;
-            held.seating = SeatingRules.with(newest, claim.seat, claim.holder);
-            world.timers.after(1, () -> told.complete(answer.cast(held)));
-            return told;
+            held.voterSet = VoterSets.with(newest, join.slot, join.holder);
+            world.timers.after(1, () -> response.complete(answer.cast(held)));
+            return response;
           }
-          if (ask instanceof CopyAsk) {
-            CopyTold empty = new CopyTold();
-            empty.seated = true;
+          if (request instanceof StateTransferRequest) {
+            StateTransferResponse empty = new StateTransferResponse();
+            empty.voting = true;
             empty.end = true;
-            empty.life = newest.seats.get(last).life;
-            world.timers.after(1, () -> told.complete(answer.cast(empty)));
-            return told;
+            empty.instanceId = newest.voters.get(last).instanceId;
+            world.timers.after(1, () -> response.complete(answer.cast(empty)));
+            return response;
           }
         }
-        return caller.call(peer, ask, answer, timeoutMs);
+        return caller.call(peer, request, answer, timeoutMs);
       }
     };
     return history;
--- a/register/src/test/java/elmsail/register/DefectsTest.java
+++ b/consensus/src/test/java/elmsail/consensus/DefectsTest.java
@@ -1,4 +1,4 @@
-package elmsail.register;
+package elmsail.consensus;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
--- a/register/src/test/java/elmsail/register/HistoriesTest.java
+++ b/consensus/src/test/java/elmsail/consensus/HistoriesTest.java
@@ -1,4 +1,4 @@
-package elmsail.register;
+package elmsail.consensus;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -31,15 +31,15 @@
     play(SEEDS / 4, 5, true);
   }
 
-  private static void play(int seeds, int seats) {
-    play(seeds, seats, false);
+  private static void play(int seeds, int voters) {
+    play(seeds, voters, false);
   }
 
-  private static void play(int seeds, int seats, boolean unfinished) {
+  private static void play(int seeds, int voters, boolean unfinished) {
     List<String> faults = new ArrayList<>();
     int[] sums = new int[8];
     for (int seed = 0; seed < seeds; seed++) {
-      History history = new History(seed, seats);
+      History history = new History(seed, voters);
       if (unfinished) {
         history.withUnfinishedClaims();
       }
@@ -56,7 +56,7 @@
       sums[6] += history.unfinished;
       sums[7] += history.wipedMeanwhile;
     }
-    System.out.println(seeds + " histories of " + seats + " seats: "
+    System.out.println(seeds + " histories of " + voters + " seats: "
         + sums[0] + " changes, " + sums[1] + " reads, " + sums[2]
         + " failed, " + sums[3] + " crashes, " + sums[4] + " of them wipes, " + sums[5] + " replacements"
         + (unfinished ? ", " + sums[6]
--- a/register/src/test/java/elmsail/register/History.java
+++ b/consensus/src/test/java/elmsail/consensus/History.java
@@ -1,12 +1,12 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.Caller;
-import elmsail.inner.words.Seating;
-import elmsail.register.Register.Held;
-import elmsail.register.Register.Versioned;
-import elmsail.register.Register.Wanted;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.Register.Held;
+import elmsail.consensus.Register.Versioned;
+import elmsail.consensus.Register.Wanted;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -45,9 +45,9 @@
     this(seed, 3);
   }
 
-  History(long seed, int seats) {
+  History(long seed, int voters) {
     world = new World(seed);
-    addresses = Arrays.copyOf(new String[] {"a", "b", "c", "d", "e"}, seats);
+    addresses = Arrays.copyOf(new String[] {"a", "b", "c", "d", "e"}, voters);
   }
 
   History withUnfinishedClaims() {
@@ -56,7 +56,7 @@
   }
 
   History run() {
-    Seating founding = world.found(addresses);
+    VoterSet founding = world.found(addresses);
     World.Node spare = world.new Node("s");
     spare.start();
     for (World.Node node : world.nodes.values()) {
@@ -112,18 +112,18 @@
     long from = world.timers.now();
     CompletableFuture<?> done;
     if (world.chance.nextInt(3) == 0) {
-      done = clients[client].read("key", null, 3_000).whenComplete((told, failure) -> {
-        if (told != null) {
+      done = clients[client].read("key", null, 3_000).whenComplete((response, failure) -> {
+        if (response != null) {
           read++;
-          chain.seen(from, world.timers.now(), told.value());
+          chain.seen(from, world.timers.now(), response.value());
         }
       });
     } else {
       String mark = "m" + client + "." + marks++ + ";";
       done = clients[client].change("key", found -> append(found.value(), mark), List.of(), null, 3_000)
-          .whenComplete((held, failure) -> told(mark, from, held, failure));
+          .whenComplete((held, failure) -> response(mark, from, held, failure));
     }
-    done.whenComplete((told, failure) ->
+    done.whenComplete((response, failure) ->
         world.timers.after(world.chance.nextInt(60), () -> work(client)));
   }
 
@@ -133,7 +133,7 @@
         : new Wanted((now + mark).getBytes(StandardCharsets.US_ASCII), List.of());
   }
 
-  private void told(String mark, long from, Held held, Throwable failure) {
+  private void response(String mark, long from, Held held, Throwable failure) {
     if (held != null) {
       changed++;
       chain.seen(from, world.timers.now(), held.now().value());
@@ -143,9 +143,9 @@
       return;
     }
     failed++;
-    if (ElmsailException.codeOf(failure) == Code.NOT_REACHED) {
+    if (ElmsailException.codeOf(failure) == ErrorCode.NOT_REACHED) {
       chain.denied(mark);
-    } else if (ElmsailException.codeOf(failure) != Code.UNCLEAR) {
+    } else if (ElmsailException.codeOf(failure) != ErrorCode.UNCLEAR) {
       chain.faults.add("failed with " + failure);
     }
   }
@@ -181,18 +181,18 @@
     if (!whole || spare == null) {
       return;
     }
-    int seat = world.chance.nextInt(addresses.length);
-    Seating known = world.newest();
+    int slot = world.chance.nextInt(addresses.length);
+    VoterSet known = world.newest();
     spare.keeper.learn(known);
     List<World.Node> cut = new ArrayList<>();
-    for (int i = 1; i <= SeatingRules.blocking(addresses.length) - 1; i++) {
-      cut.add(world.nodes.get(known.seats.get((seat + i) % addresses.length).address));
+    for (int i = 1; i <= VoterSets.blocking(addresses.length) - 1; i++) {
+      cut.add(world.nodes.get(known.voters.get((slot + i) % addresses.length).address));
     }
     for (World.Node one : cut) {
       world.cutOff(spare.address, one.address, true);
     }
     unfinished++;
-    spare.keeper.claim(seat, known.seats.get(seat).incarnation + 1);
+    spare.keeper.join(slot, known.voters.get(slot).epoch + 1);
     world.timers.after(50 + world.chance.nextInt(400), () -> {
       World.Node lost = cut.get(world.chance.nextInt(cut.size()));
       if (lost.up && world.covered(lost)) {
@@ -202,7 +202,7 @@
     });
     if (world.chance.nextInt(3) == 0) {
       World.Node one = world.chance.nextBoolean() ? spare
-          : world.nodes.get(known.seats.get(seat).address);
+          : world.nodes.get(known.voters.get(slot).address);
       world.timers.after(50 + world.chance.nextInt(800), () -> crash(one, false));
     }
     world.timers.after(200 + world.chance.nextInt(1_000), () -> {
@@ -232,14 +232,14 @@
     });
   }
 
-  /** A process without a seat takes the seat of one that is cut off or down, which comes back later. */
+  /** A process without a voter slot takes the voter slot of one that is cut off or down, which comes back later. */
   private void replace(boolean whole) {
     World.Node idle = world.idle();
-    if (!whole || idle == null || idle.keeper.seating().seats.isEmpty()) {
+    if (!whole || idle == null || idle.keeper.voterSet().voters.isEmpty()) {
       return;
     }
-    int seat = world.chance.nextInt(addresses.length);
-    World.Node old = world.nodes.get(idle.keeper.seating().seats.get(seat).address);
+    int slot = world.chance.nextInt(addresses.length);
+    World.Node old = world.nodes.get(idle.keeper.voterSet().voters.get(slot).address);
     if (world.chance.nextBoolean()) {
       world.cutOff(old.address, true);
       world.timers.after(1_000, () -> world.cutOff(old.address, false));
@@ -252,6 +252,6 @@
       });
     }
     replacements++;
-    idle.keeper.claim(seat, idle.keeper.seating().seats.get(seat).incarnation + 1);
+    idle.keeper.join(slot, idle.keeper.voterSet().voters.get(slot).epoch + 1);
   }
 }
--- a/register/src/test/java/elmsail/register/ClaimsModel.java
+++ b/consensus/src/test/java/elmsail/consensus/JoinModel.java
@@ -1,20 +1,20 @@
-package elmsail.register;
-
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.ClaimAsk;
-import elmsail.inner.words.ClaimTold;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.inner.words.VoteTold;
+package elmsail.consensus;
+
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.JoinResponse;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
 import java.util.ArrayDeque;
 import java.util.List;
 
 /**
- * All that can happen, in whatever order, with one key of three seats (A, B, C) and two claims at once: S
- * takes A's seat, X takes C's. A and C may live on, or be silent for good from any moment on, which is what
+ * All that can happen, in whatever order, with one key of three voter slots (A, B, C) and two claims at once: S
+ * takes A's voter slot, X takes C's. A and C may live on, or be silent for good from any moment on, which is what
  * the loss of their memory is. Decisions on claims, sources and votes are the production classes'.
  */
-final class ClaimsModel {
+final class JoinModel {
   private static final int SEATS = 3;
   private static final int S = 3;
   private static final int X = 4;
@@ -28,16 +28,16 @@
   private static final int ASKED = 2;
   /** 1: B acknowledged; 2: and knew the other claim. */
   private static final int OF_B = 3;
-  /** 1: the other seat's holder acknowledged; 2: it isn't seated, and noted it. */
+  /** 1: the other voter slot's holder acknowledged; 2: it isn't voting, and noted it. */
   private static final int OF_OTHER = 4;
-  /** 1: the one before in the other seat acknowledged; 2: it is replaced, and noted it. */
+  /** 1: the one before in the other voter slot acknowledged; 2: it is replaced, and noted it. */
   private static final int OF_BEFORE = 5;
   private static final int COPIED_B = 6;
   private static final int COPIED_OTHER = 7;
   private static final int RESTARTED = 8;
   private static final int ROUND = 9;
   private static final int ASKERS = ROUNDS + 2 * ROUND;
-  /** Fields of a ballot: phase, seating, promises, best ballot, best marks, accepts. */
+  /** Fields of a ballot: phase, voter set, promises, best ballot, best marks, accepts. */
   private static final int ASKER = 6;
   private static final int BALLOTS = 2;
   private static final int SIZE = ASKERS + BALLOTS * ASKER;
@@ -65,58 +65,58 @@
   private final Defect defect;
   private final int ballots;
   private final boolean restarts;
-  private final Seating[] seatings = new Seating[4];
+  private final VoterSet[] voterSets = new VoterSet[4];
   private final LongPairs seen = new LongPairs();
   private final ArrayDeque<long[]> open = new ArrayDeque<>();
   private String fault;
 
   /** @param restarts each newcomer may end once in the middle of its claim, and begin it again */
-  ClaimsModel(Defect defect, int ballots, boolean restarts) {
+  JoinModel(Defect defect, int ballots, boolean restarts) {
     this.defect = defect;
     this.ballots = ballots;
     this.restarts = restarts;
-    Seating founding = new Seating();
+    VoterSet founding = new VoterSet();
     for (int i = 0; i < SEATS; i++) {
-      founding.seats.add(seat(i, 1));
+      founding.voters.add(slot(i, 1));
     }
     for (int known = 0; known < 4; known++) {
-      seatings[known] = founding;
-      for (int claim = S; claim <= X; claim++) {
-        if ((known & bit(claim)) != 0) {
-          Seat holder = seat(claim, 2);
-          Seat before = founding.seats.get(seatOf(claim));
-          holder.beforeAddress = before.address;
-          holder.beforeLife = before.life;
-          holder.beforeIncarnation = before.incarnation;
-          seatings[known] = SeatingRules.with(seatings[known], seatOf(claim), holder);
+      voterSets[known] = founding;
+      for (int join = S; join <= X; join++) {
+        if ((known & bit(join)) != 0) {
+          Voter holder = slot(join, 2);
+          Voter before = founding.voters.get(slotOf(join));
+          holder.previousAddress = before.address;
+          holder.previousInstanceId = before.instanceId;
+          holder.previousEpoch = before.epoch;
+          voterSets[known] = VoterSets.with(voterSets[known], slotOf(join), holder);
         }
       }
     }
   }
 
-  private static Seat seat(int process, int incarnation) {
-    Seat seat = new Seat();
-    seat.address = NAMES[process];
-    seat.station = NAMES[process];
-    seat.life = process + 1;
-    seat.incarnation = incarnation;
-    return seat;
+  private static Voter slot(int process, int epoch) {
+    Voter slot = new Voter();
+    slot.address = NAMES[process];
+    slot.station = NAMES[process];
+    slot.instanceId = process + 1;
+    slot.epoch = epoch;
+    return slot;
   }
 
-  private static int bit(int claim) {
-    return 1 << claim - S;
+  private static int bit(int join) {
+    return 1 << join - S;
   }
 
-  private static int seatOf(int claim) {
-    return claim == S ? 0 : 2;
+  private static int slotOf(int join) {
+    return join == S ? 0 : 2;
   }
 
-  private static int holder(int seat, int known) {
-    return seat == 0 && (known & 1) != 0 ? S : seat == 2 && (known & 2) != 0 ? X : seat;
+  private static int holder(int slot, int known) {
+    return slot == 0 && (known & 1) != 0 ? S : slot == 2 && (known & 2) != 0 ? X : slot;
   }
 
-  private static int at(int claim) {
-    return ROUNDS + (claim - S) * ROUND;
+  private static int at(int join) {
+    return ROUNDS + (join - S) * ROUND;
   }
 
   /** Goes through all states, at most so many; null if none breaks a rule. */
@@ -195,13 +195,13 @@
     }
   }
 
-  private static int known(Seating seating) {
-    return (seating.seats.get(0).life == S + 1 ? 1 : 0) | (seating.seats.get(2).life == X + 1 ? 2 : 0);
+  private static int known(VoterSet voterSet) {
+    return (voterSet.voters.get(0).instanceId == S + 1 ? 1 : 0) | (voterSet.voters.get(2).instanceId == X + 1 ? 2 : 0);
   }
 
   private Membership membership(int[] state, int process) {
     int caughtUp = process < S ? 1 : 2 * state[at(process) + SEATED];
-    return new Membership(NAMES[process], NAMES[process], process + 1, seatings[knows(state, process)],
+    return new Membership(NAMES[process], NAMES[process], process + 1, voterSets[knows(state, process)],
         caughtUp);
   }
 
@@ -209,28 +209,28 @@
     return process >= S && state[at(process) + BEGUN] == 0;
   }
 
-  /** How a voter answers an ask under that seating, which it may learn on the way. */
+  /** How a voter answers an ask under that voter set, which it may learn on the way. */
   private int vote(int[] state, int process, int asked) {
     Membership membership = membership(state, process);
-    if (membership.vote(seatings[asked]) != VoteTold.OLD_SEATING && membership.learn(seatings[asked])) {
+    if (membership.vote(voterSets[asked]) != VoteResponse.OLD_SEATING && membership.learn(voterSets[asked])) {
       learn(state, process, asked);
     }
-    return membership.vote(seatings[asked]);
+    return membership.vote(voterSets[asked]);
   }
 
   private boolean votes(int[] state, int process, int asked) {
-    return !absent(state, process) && vote(state, process, asked) == VoteTold.DONE;
+    return !absent(state, process) && vote(state, process, asked) == VoteResponse.DONE;
   }
 
-  private void newcomer(int[] state, int claim) {
-    int at = at(claim);
+  private void newcomer(int[] state, int join) {
+    int at = at(join);
     if (state[at + BEGUN] == 0) {
-      int other = claim == S ? X : S;
+      int other = join == S ? X : S;
       for (int knowing = 0; knowing <= state[at(other) + BEGUN]; knowing++) {
         int[] next = state.clone();
         next[at + BEGUN] = 1;
         next[at + ASKED] = knowing;
-        learn(next, claim, bit(claim) | knowing * bit(other));
+        learn(next, join, bit(join) | knowing * bit(other));
         push(next);
       }
       return;
@@ -238,17 +238,17 @@
     if (state[at + SEATED] == 1) {
       return;
     }
-    ClaimAnswers answers = answers(state, claim);
-    List<Seat> sources = answers.sources();
+    JoinQuorum answers = answers(state, join);
+    List<Voter> sources = answers.sources();
     if (sources == null) {
       for (int field = OF_B; field <= OF_BEFORE; field++) {
-        ask(state, claim, field);
+        request(state, join, field);
       }
     } else {
-      for (Seat source : sources) {
-        copy(state, claim, (int) source.life - 1, source == answers.replaced(), knows(state, claim));
+      for (Voter source : sources) {
+        copy(state, join, (int) source.instanceId - 1, source == answers.replaced(), knows(state, join));
         if (defect == Defect.COPY_UNDER_OLD_SEATING) {
-          copy(state, claim, (int) source.life - 1, source == answers.replaced(), bit(claim));
+          copy(state, join, (int) source.instanceId - 1, source == answers.replaced(), bit(join));
         }
       }
       if (state[at + COPIED_B] == 1 && state[at + COPIED_OTHER] == 1) {
@@ -262,8 +262,8 @@
       int[] next = state.clone();
       ended(next, at);
       next[at + RESTARTED] = 1;
-      next[at + ASKED] = (knows(state, claim) & ~bit(claim)) == 0 ? 0 : 1;
-      put(next, claim, KeyState.EMPTY);
+      next[at + ASKED] = (knows(state, join) & ~bit(join)) == 0 ? 0 : 1;
+      put(next, join, KeyState.EMPTY);
       push(next);
     }
   }
@@ -274,83 +274,83 @@
     }
   }
 
-  /** Whom a claim asks: the seat of B, the other claimed seat's holder, or the one before in that. */
-  private static int asked(int[] state, int claim, int field) {
-    int other = claim == S ? X : S;
+  /** Whom a claim asks: the voter slot of B, the other claimed voter slot's holder, or the one before in that. */
+  private static int asked(int[] state, int join, int field) {
+    int other = join == S ? X : S;
     if (field == OF_B) {
       return 1;
     }
-    return field == OF_OTHER && state[at(claim) + ASKED] == 1 ? other : seatOf(other);
+    return field == OF_OTHER && state[at(join) + ASKED] == 1 ? other : slotOf(other);
   }
 
-  private ClaimAnswers answers(int[] state, int claim) {
-    int at = at(claim);
-    int other = claim == S ? X : S;
-    int all = bit(claim) | bit(other);
-    int known = bit(claim) | state[at + ASKED] * bit(other);
-    ClaimAnswers answers = new ClaimAnswers(seatings[known], seatOf(claim), claim + 1);
+  private JoinQuorum answers(int[] state, int join) {
+    int at = at(join);
+    int other = join == S ? X : S;
+    int all = bit(join) | bit(other);
+    int known = bit(join) | state[at + ASKED] * bit(other);
+    JoinQuorum answers = new JoinQuorum(voterSets[known], slotOf(join), join + 1);
     if (state[at + OF_B] != 0) {
-      answers.told(1, told(1, true, state[at + OF_B] == 2 ? all : bit(claim)));
+      answers.response(1, response(1, true, state[at + OF_B] == 2 ? all : bit(join)));
     }
     if (state[at + OF_OTHER] != 0) {
-      answers.told(seatOf(other), told(asked(state, claim, OF_OTHER), state[at + OF_OTHER] == 1, known));
+      answers.response(slotOf(other), response(asked(state, join, OF_OTHER), state[at + OF_OTHER] == 1, known));
     } else if (defect == Defect.SUCCESSOR_NOT_ASKED && state[at + ASKED] == 1) {
-      answers.told(seatOf(other), told(other, false, known));
+      answers.response(slotOf(other), response(other, false, known));
     }
-    int before = seatOf(other);
+    int before = slotOf(other);
     if (state[at + OF_BEFORE] != 0) {
-      answers.toldBefore(before, told(before, state[at + OF_BEFORE] == 1,
-          state[at + OF_BEFORE] == 1 ? bit(claim) : all));
+      answers.toldBefore(before, response(before, state[at + OF_BEFORE] == 1,
+          state[at + OF_BEFORE] == 1 ? bit(join) : all));
     }
     return answers;
   }
 
-  private ClaimTold told(int by, boolean held, int known) {
-    ClaimTold told = new ClaimTold();
-    told.life = by + 1;
-    told.held = held;
-    told.noted = !held;
-    told.replaced = !held && by < S;
-    told.seating = seatings[known];
-    return told;
+  private JoinResponse response(int by, boolean held, int known) {
+    JoinResponse response = new JoinResponse();
+    response.instanceId = by + 1;
+    response.held = held;
+    response.noted = !held;
+    response.replaced = !held && by < S;
+    response.voterSet = voterSets[known];
+    return response;
   }
 
-  private void ask(int[] state, int claim, int field) {
-    int at = at(claim);
-    int process = asked(state, claim, field);
+  private void request(int[] state, int join, int field) {
+    int at = at(join);
+    int process = asked(state, join, field);
     if (state[at + field] != 0 || field == OF_BEFORE && state[at + ASKED] == 0 || absent(state, process)) {
       return;
     }
-    ClaimAsk ask = new ClaimAsk();
-    ask.seat = seatOf(claim);
-    ask.holder = seatings[bit(claim)].seats.get(ask.seat);
+    JoinRequest request = new JoinRequest();
+    request.slot = slotOf(join);
+    request.holder = voterSets[bit(join)].voters.get(request.slot);
     Membership membership = membership(state, process);
-    ClaimTold told = membership.answer(ask);
+    JoinResponse response = membership.answer(request);
     int[] next = state.clone();
-    if (!(defect == Defect.SUCCESSOR_NOTES_NOTHING && told.noted && !told.replaced)) {
-      learn(next, process, known(membership.seating()));
+    if (!(defect == Defect.SUCCESSOR_NOTES_NOTHING && response.noted && !response.replaced)) {
+      learn(next, process, known(membership.voterSet()));
     }
     push(next.clone());
-    learn(next, claim, known(membership.seating()));
-    if (told.held && field == OF_B) {
-      next[at + field] = known(membership.seating()) == 3 ? 2 : 1;
-    } else if (told.held) {
+    learn(next, join, known(membership.voterSet()));
+    if (response.held && field == OF_B) {
+      next[at + field] = known(membership.voterSet()) == 3 ? 2 : 1;
+    } else if (response.held) {
       next[at + field] = 1;
-    } else if (field == OF_BEFORE ? told.noted && told.replaced : told.noted && !told.replaced) {
+    } else if (field == OF_BEFORE ? response.noted && response.replaced : response.noted && !response.replaced) {
       next[at + field] = 2;
     }
     push(next);
   }
 
-  private void copy(int[] state, int claim, int process, boolean ofReplaced, int seating) {
+  private void copy(int[] state, int join, int process, boolean ofReplaced, int voterSet) {
     int[] next = state.clone();
-    int code = vote(next, process, seating);
+    int code = vote(next, process, voterSet);
     if (membership(next, process).serves(code, ofReplaced || defect == Defect.STALE_SOURCE)) {
-      put(next, claim, key(next, claim).withCopyOf(key(next, process)));
-      next[at(claim) + (process == 1 ? COPIED_B : COPIED_OTHER)] = 1;
+      put(next, join, key(next, join).withCopyOf(key(next, process)));
+      next[at(join) + (process == 1 ? COPIED_B : COPIED_OTHER)] = 1;
     }
     if (defect == Defect.REPLACED_NOT_ASKED && process < S && process != 1) {
-      next[at(claim) + COPIED_OTHER] = 1;
+      next[at(join) + COPIED_OTHER] = 1;
     }
     push(next);
   }
@@ -358,63 +358,63 @@
   private void asker(int[] state, int b) {
     int at = ASKERS + b * ASKER;
     if (state[at] == 0) {
-      for (int seating = 0; seating < 4; seating++) {
-        if ((seating & ~(state[at(S) + BEGUN] | 2 * state[at(X) + BEGUN])) == 0) {
+      for (int voterSet = 0; voterSet < 4; voterSet++) {
+        if ((voterSet & ~(state[at(S) + BEGUN] | 2 * state[at(X) + BEGUN])) == 0) {
           int[] next = state.clone();
           next[at] = 1;
-          next[at + 1] = seating;
+          next[at + 1] = voterSet;
           push(next);
         }
       }
       return;
     }
-    if (state[at] == 1 && Integer.bitCount(state[at + 2]) >= SeatingRules.majority(SEATS)) {
+    if (state[at] == 1 && Integer.bitCount(state[at + 2]) >= VoterSets.majority(SEATS)) {
       int[] next = state.clone();
       next[at] = 2;
       next[at + 2] = 0;
       next[at + 4] |= 1 << b;
       push(next);
     }
-    for (int seat = 0; seat < SEATS; seat++) {
-      prepare(state, b, at, seat);
+    for (int slot = 0; slot < SEATS; slot++) {
+      prepare(state, b, at, slot);
       if (state[at] == 2) {
-        accept(state, b, at, seat);
+        accept(state, b, at, slot);
       }
     }
   }
 
-  private void prepare(int[] state, int b, int at, int seat) {
+  private void prepare(int[] state, int b, int at, int slot) {
     int[] next = state.clone();
-    int process = holder(seat, state[at + 1]);
+    int process = holder(slot, state[at + 1]);
     if (votes(next, process, state[at + 1])) {
       Acceptor.Decision decision = Acceptor.prepare(key(next, process), ballot(b + 1));
       if (decision.write() != null) {
         put(next, process, decision.write());
       }
-      if (decision.answer().code == VoteTold.DONE && state[at] == 1 && (state[at + 2] >> seat & 1) == 0) {
-        int[] told = next.clone();
-        told[at + 2] |= 1 << seat;
-        if (decision.answer().accepted.round > told[at + 3]) {
-          told[at + 3] = (int) decision.answer().accepted.round;
-          told[at + 4] = decision.answer().value[0];
+      if (decision.answer().code == VoteResponse.DONE && state[at] == 1 && (state[at + 2] >> slot & 1) == 0) {
+        int[] response = next.clone();
+        response[at + 2] |= 1 << slot;
+        if (decision.answer().accepted.round > response[at + 3]) {
+          response[at + 3] = (int) decision.answer().accepted.round;
+          response[at + 4] = decision.answer().value[0];
         }
-        push(told);
+        push(response);
       }
     }
     push(next);
   }
 
-  private void accept(int[] state, int b, int at, int seat) {
+  private void accept(int[] state, int b, int at, int slot) {
     int[] next = state.clone();
-    int process = holder(seat, state[at + 1]);
+    int process = holder(slot, state[at + 1]);
     if (votes(next, process, state[at + 1])) {
       Acceptor.Decision decision = Acceptor.accept(key(next, process), ballot(b + 1), new Ballot(),
           new byte[] {(byte) state[at + 4]});
       if (decision.write() != null) {
         put(next, process, decision.write());
       }
-      if (decision.answer().code == VoteTold.DONE) {
-        next[at + 5] |= 1 << seat;
+      if (decision.answer().code == VoteResponse.DONE) {
+        next[at + 5] |= 1 << slot;
       }
     }
     push(next);
@@ -428,27 +428,27 @@
     if (newest == 2 && decided(state, 0) && (state[ASKERS + ASKER + 4] & 1) == 0) {
       fault = "ballot 2 was decided without what ballot 1 decided";
     }
-    for (int seating = 0; seating < 4; seating++) {
+    for (int voterSet = 0; voterSet < 4; voterSet++) {
       for (int without = 0; without < SEATS; without++) {
-        read(state, seating, without, newest);
+        read(state, voterSet, without, newest);
       }
     }
   }
 
-  /** A read by two seats at once. */
-  private void read(int[] state, int seating, int without, int newest) {
+  /** A read by two voter slots at once. */
+  private void read(int[] state, int voterSet, int without, int newest) {
     int found = -1;
-    for (int seat = 0; seat < SEATS; seat++) {
-      if (seat == without) {
+    for (int slot = 0; slot < SEATS; slot++) {
+      if (slot == without) {
         continue;
       }
-      int process = holder(seat, seating);
+      int process = holder(slot, voterSet);
       KeyState key = key(state, process);
-      int told = (int) key.accepted().round;
-      if (!votes(state.clone(), process, seating) || key.copied() || found >= 0 && told != found) {
+      int response = (int) key.accepted().round;
+      if (!votes(state.clone(), process, voterSet) || key.copied() || found >= 0 && response != found) {
         return;
       }
-      found = told;
+      found = response;
     }
     if (found < newest) {
       fault = "a majority tells of ballot " + found + " where " + newest + " is decided";
@@ -458,6 +458,6 @@
   }
 
   private static boolean decided(int[] state, int b) {
-    return Integer.bitCount(state[ASKERS + b * ASKER + 5]) >= SeatingRules.majority(SEATS);
+    return Integer.bitCount(state[ASKERS + b * ASKER + 5]) >= VoterSets.majority(SEATS);
   }
 }
--- a/register/src/test/java/elmsail/register/ClaimsModelTest.java
+++ b/consensus/src/test/java/elmsail/consensus/JoinModelTest.java
@@ -1,4 +1,4 @@
-package elmsail.register;
+package elmsail.consensus;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.notNullValue;
@@ -9,28 +9,28 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** All states of one ballot and two claims at once; with -Dregister.claimBallots=2 those of two ballots. */
-class ClaimsModelTest {
+class JoinModelTest {
   private static final int MOST = 20_000_000;
   private static final int BALLOTS = Integer.getInteger("register.claimBallots", 1);
 
   @Test
   void twoNewcomersAtOnceLoseNothing() {
-    assertThat(run(ClaimsModel.Defect.NONE, BALLOTS, false), nullValue());
+    assertThat(run(JoinModel.Defect.NONE, BALLOTS, false), nullValue());
   }
 
   @Test
   void norIfTheyAreRestartedInTheMiddle() {
-    assertThat(run(ClaimsModel.Defect.NONE, 1, true), nullValue());
+    assertThat(run(JoinModel.Defect.NONE, 1, true), nullValue());
   }
 
   @ParameterizedTest
-  @EnumSource(value = ClaimsModel.Defect.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
-  void aDefectIsFound(ClaimsModel.Defect defect) {
+  @EnumSource(value = JoinModel.Defect.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  void aDefectIsFound(JoinModel.Defect defect) {
     assertThat(run(defect, 1, false), notNullValue());
   }
 
-  private static String run(ClaimsModel.Defect defect, int ballots, boolean restarts) {
-    ClaimsModel model = new ClaimsModel(defect, ballots, restarts);
+  private static String run(JoinModel.Defect defect, int ballots, boolean restarts) {
+    JoinModel model = new JoinModel(defect, ballots, restarts);
     long from = System.nanoTime();
     String fault = model.check(MOST);
     System.out.println(defect + ", two claims, " + ballots + " ballots"
--- a/register/src/test/java/elmsail/register/LongPairs.java
+++ b/consensus/src/test/java/elmsail/consensus/LongPairs.java
@@ -1,4 +1,4 @@
-package elmsail.register;
+package elmsail.consensus;
 
 import java.util.Arrays;
 
--- a/register/src/test/java/elmsail/register/LossyRecords.java
+++ b/consensus/src/test/java/elmsail/consensus/LossyRecords.java
@@ -1,9 +1,9 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.disk.Records;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.storage.RecordStore;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -14,13 +14,13 @@
 import java.util.concurrent.CompletableFuture;
 
 /** A disk whose writes take a while; a crash loses those not told to be safe, from some point on. */
-final class LossyRecords implements Records {
-  private record Waiting(List<Change> changes, CompletableFuture<Void> done) {
+final class LossyRecords implements RecordStore {
+  private record PendingWrite(List<Change> changes, CompletableFuture<Void> done) {
   }
 
   /** What is on the disk itself. */
   static final class Platter {
-    long life;
+    long instanceId;
     boolean everOpened;
     TreeMap<String, byte[]> safe = new TreeMap<>();
     /** The defect: futures complete before anything is safe. */
@@ -32,7 +32,7 @@
   private final Random chance;
   private final boolean fresh;
   private final TreeMap<String, byte[]> seen;
-  private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+  private final ArrayDeque<PendingWrite> queue = new ArrayDeque<>();
   private boolean busy;
   /** So many of the next writes fail, with all that waits behind them. */
   int failing;
@@ -43,7 +43,7 @@
     this.chance = chance;
     fresh = !platter.everOpened;
     if (fresh) {
-      platter.life = chance.nextLong() | 1;
+      platter.instanceId = chance.nextLong() | 1;
       platter.everOpened = true;
     }
     seen = new TreeMap<>(platter.safe);
@@ -54,8 +54,8 @@
   }
 
   @Override
-  public long life() {
-    return platter.life;
+  public long instanceId() {
+    return platter.instanceId;
   }
 
   @Override
@@ -66,7 +66,7 @@
   @Override
   public CompletableFuture<Void> write(List<Change> changes) {
     apply(seen, changes);
-    Waiting waiting = new Waiting(List.copyOf(changes), new CompletableFuture<>());
+    PendingWrite waiting = new PendingWrite(List.copyOf(changes), new CompletableFuture<>());
     queue.add(waiting);
     if (platter.tellsEarly) {
       timers.soon(() -> waiting.done.complete(null));
@@ -88,26 +88,26 @@
         return;
       }
       int batch = 1 + chance.nextInt(queue.size());
-      List<Waiting> written = new ArrayList<>();
+      List<PendingWrite> written = new ArrayList<>();
       for (int i = 0; i < batch; i++) {
-        Waiting one = queue.poll();
+        PendingWrite one = queue.poll();
         apply(platter.safe, one.changes);
         written.add(one);
       }
       next();
-      for (Waiting one : written) {
+      for (PendingWrite one : written) {
         one.done.complete(null);
       }
     });
   }
 
   private void fail() {
-    List<Waiting> failed = new ArrayList<>(queue);
+    List<PendingWrite> failed = new ArrayList<>(queue);
     queue.clear();
     seen.clear();
     seen.putAll(platter.safe);
-    for (Waiting one : failed) {
-      one.done.completeExceptionally(new ElmsailException(Code.DISK, "refused"));
+    for (PendingWrite one : failed) {
+      one.done.completeExceptionally(new ElmsailException(ErrorCode.DISK, "refused"));
     }
   }
 
--- a/register/src/test/java/elmsail/register/Model.java
+++ b/consensus/src/test/java/elmsail/consensus/Model.java
@@ -1,15 +1,15 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.ClaimAsk;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.inner.words.VoteTold;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
 import java.util.ArrayDeque;
 
 /**
- * All that can happen, in whatever order, with one key of three seats (A, B, C), a newcomer N that claims A's
- * seat while A may live on, and three ballots of two askers: calls and answers are lost, late and repeated, N
+ * All that can happen, in whatever order, with one key of three voter slots (A, B, C), a newcomer N that claims A's
+ * voter slot while A may live on, and three ballots of two askers: calls and answers are lost, late and repeated, N
  * may be restarted in the middle. The voters' decisions are the production classes'. The second ballot may be
  * the first's {@code next}. Each ballot's value is what was found with a mark added, so that of two
  * decided values the later holds the earlier.
@@ -28,7 +28,7 @@
   private static final int RESTARTED = NEWCOMER + 4;
   private static final int FORGOT = NEWCOMER + 5;
   private static final int ASKERS = NEWCOMER + 6;
-  /** Fields of a ballot: phase, seating, promises, best ballot, best marks, accepts, next promised. */
+  /** Fields of a ballot: phase, voter set, promises, best ballot, best marks, accepts, next promised. */
   private static final int ASKER = 7;
   private static final int SIZE = ASKERS + BALLOTS * ASKER;
   private static final int[] BITS = bits();
@@ -43,8 +43,8 @@
   private final Defect defect;
   private final int ballots;
   private final boolean sticky;
-  private final Seating before = new Seating();
-  private final Seating after;
+  private final VoterSet before = new VoterSet();
+  private final VoterSet after;
   private final LongPairs seen = new LongPairs();
   private final ArrayDeque<long[]> open = new ArrayDeque<>();
   private String fault;
@@ -55,9 +55,9 @@
     this.ballots = ballots;
     this.sticky = sticky;
     for (int i = 0; i < N; i++) {
-      before.seats.add(seat(i, 1));
+      before.voters.add(slot(i, 1));
     }
-    after = SeatingRules.with(before, A, seat(N, 2));
+    after = VoterSets.with(before, A, slot(N, 2));
   }
 
   private static int[] bits() {
@@ -72,13 +72,13 @@
     return bits;
   }
 
-  private static Seat seat(int process, int incarnation) {
-    Seat seat = new Seat();
-    seat.address = NAMES[process];
-    seat.station = NAMES[process];
-    seat.life = process + 1;
-    seat.incarnation = incarnation;
-    return seat;
+  private static Voter slot(int process, int epoch) {
+    Voter slot = new Voter();
+    slot.address = NAMES[process];
+    slot.station = NAMES[process];
+    slot.instanceId = process + 1;
+    slot.epoch = epoch;
+    return slot;
   }
 
   /** Goes through all states, at most so many; null if none breaks a rule. */
@@ -156,14 +156,14 @@
     return new Membership(NAMES[process], NAMES[process], process + 1, knows ? after : before, caughtUp);
   }
 
-  /** What the keeper does with an ask under a seating: true if it votes; it may have learnt on the way. */
-  private boolean votes(int[] state, int process, boolean claimed) {
+  /** What the keeper does with an ask under a voter set: true if it votes; it may have learnt on the way. */
+  private boolean votes(int[] state, int process, boolean joined) {
     Membership membership = membership(state, process);
-    Seating asked = claimed ? after : before;
-    if (membership.vote(asked) != VoteTold.OLD_SEATING && membership.learn(asked)) {
+    VoterSet asked = joined ? after : before;
+    if (membership.vote(asked) != VoteResponse.OLD_SEATING && membership.learn(asked)) {
       state[process * FIELDS + 4] = 1;
     }
-    return membership.vote(asked) == VoteTold.DONE;
+    return membership.vote(asked) == VoteResponse.DONE;
   }
 
   private void newcomer(int[] state) {
@@ -183,7 +183,7 @@
       push(next);
       return;
     }
-    int need = defect == Defect.ONE_ACKNOWLEDGER ? 1 : SeatingRules.blocking(N);
+    int need = defect == Defect.ONE_ACKNOWLEDGER ? 1 : VoterSets.blocking(N);
     for (int other = 0; other < N; other++) {
       if (state[other * FIELDS + 4] == 0) {
         int[] next = state.clone();
@@ -195,8 +195,8 @@
       }
       int bit = 1 << other - 1;
       acknowledge(state, other, bit);
-      boolean claimed = Integer.bitCount(state[ACKED]) >= need && (state[ACKED] & bit) != 0;
-      if (claimed || defect == Defect.COPY_BEFORE_CLAIM) {
+      boolean joined = Integer.bitCount(state[ACKED]) >= need && (state[ACKED] & bit) != 0;
+      if (joined || defect == Defect.COPY_BEFORE_CLAIM) {
         int[] next = state.clone();
         KeyState theirs = key(state, other);
         if (defect == Defect.PROMISES_NOT_COPIED || defect == Defect.PROMISE_OUTLIVES_INCARNATION) {
@@ -226,10 +226,10 @@
   }
 
   private void acknowledge(int[] state, int other, int bit) {
-    ClaimAsk ask = new ClaimAsk();
-    ask.seat = A;
-    ask.holder = after.seats.get(A);
-    if ((state[ACKED] & bit) == 0 && membership(state, other).claim(ask) != Membership.Claimed.REFUSED) {
+    JoinRequest request = new JoinRequest();
+    request.slot = A;
+    request.holder = after.voters.get(A);
+    if ((state[ACKED] & bit) == 0 && membership(state, other).join(request) != Membership.Claimed.REFUSED) {
       int[] next = state.clone();
       next[other * FIELDS + 4] = 1;
       next[ACKED] |= bit;
@@ -243,7 +243,7 @@
       start(state, b, at);
       return;
     }
-    if (state[at] == 1 && Integer.bitCount(state[at + 2]) >= SeatingRules.majority(N)) {
+    if (state[at] == 1 && Integer.bitCount(state[at + 2]) >= VoterSets.majority(N)) {
       int[] next = state.clone();
       next[at] = 2;
       next[at + 2] = 0;
@@ -258,13 +258,13 @@
       next[at + 5] &= ~1;
       push(next);
     }
-    for (int seat = 0; seat < N; seat++) {
-      int holder = seat == A && state[at + 1] == 1 ? N : seat;
+    for (int slot = 0; slot < N; slot++) {
+      int holder = slot == A && state[at + 1] == 1 ? N : slot;
       if (!(sticky && b == 1)) {
-        prepare(state, b, at, seat, holder);
+        prepare(state, b, at, slot, holder);
       }
       if (state[at] == 2) {
-        accept(state, b, at, seat, holder);
+        accept(state, b, at, slot, holder);
       }
     }
   }
@@ -272,7 +272,7 @@
   private void start(int[] state, int b, int at) {
     if (sticky && b == 1) {
       int first = ASKERS;
-      if (Integer.bitCount(state[first + 6]) >= SeatingRules.majority(N)) {
+      if (Integer.bitCount(state[first + 6]) >= VoterSets.majority(N)) {
         int[] next = state.clone();
         next[at] = 2;
         next[at + 1] = state[first + 1];
@@ -281,37 +281,37 @@
       }
       return;
     }
-    for (int seating = 0; seating <= state[BEGUN]; seating++) {
+    for (int voterSet = 0; voterSet <= state[BEGUN]; voterSet++) {
       int[] next = state.clone();
       next[at] = 1;
-      next[at + 1] = seating;
+      next[at + 1] = voterSet;
       push(next);
     }
   }
 
-  private void prepare(int[] state, int b, int at, int seat, int holder) {
+  private void prepare(int[] state, int b, int at, int slot, int holder) {
     int[] next = state.clone();
     if (votes(next, holder, state[at + 1] == 1)) {
       Acceptor.Decision decision = Acceptor.prepare(key(next, holder), ballot(b + 1));
       if (decision.write() != null) {
         put(next, holder, decision.write());
       }
-      if (decision.answer().code == VoteTold.DONE && state[at] == 1 && (state[at + 2] >> seat & 1) == 0) {
-        int[] told = next.clone();
-        told[at + 2] |= 1 << seat;
-        VoteTold answer = decision.answer();
-        if (answer.accepted.round > told[at + 3]) {
-          told[at + 3] = (int) answer.accepted.round;
-          told[at + 4] = answer.value[0];
+      if (decision.answer().code == VoteResponse.DONE && state[at] == 1 && (state[at + 2] >> slot & 1) == 0) {
+        int[] response = next.clone();
+        response[at + 2] |= 1 << slot;
+        VoteResponse answer = decision.answer();
+        if (answer.accepted.round > response[at + 3]) {
+          response[at + 3] = (int) answer.accepted.round;
+          response[at + 4] = answer.value[0];
         }
-        push(told);
+        push(response);
       }
     }
     // The answer is lost, or is late.
     push(next);
   }
 
-  private void accept(int[] state, int b, int at, int seat, int holder) {
+  private void accept(int[] state, int b, int at, int slot, int holder) {
     int[] next = state.clone();
     if (votes(next, holder, state[at + 1] == 1)) {
       Ballot after1 = sticky && b == 0 ? ballot(2) : new Ballot();
@@ -320,10 +320,10 @@
       if (decision.write() != null) {
         put(next, holder, decision.write());
       }
-      if (decision.answer().code == VoteTold.DONE) {
-        next[at + 5] |= 1 << seat;
+      if (decision.answer().code == VoteResponse.DONE) {
+        next[at + 5] |= 1 << slot;
         if (sticky && b == 0 && decision.answer().promised.round == 2) {
-          next[at + 6] |= 1 << seat;
+          next[at + 6] |= 1 << slot;
         }
       }
     }
@@ -344,28 +344,28 @@
         }
       }
     }
-    for (int seating = 0; seating <= state[BEGUN]; seating++) {
+    for (int voterSet = 0; voterSet <= state[BEGUN]; voterSet++) {
       for (int without = 0; without < N; without++) {
-        read(state, seating, without, newest);
+        read(state, voterSet, without, newest);
       }
     }
   }
 
-  /** A read by two seats at once. */
-  private void read(int[] state, int seating, int without, int newest) {
+  /** A read by two voter slots at once. */
+  private void read(int[] state, int voterSet, int without, int newest) {
     int found = -1;
-    for (int seat = 0; seat < N; seat++) {
-      int holder = seat == A && seating == 1 ? N : seat;
-      if (seat == without) {
+    for (int slot = 0; slot < N; slot++) {
+      int holder = slot == A && voterSet == 1 ? N : slot;
+      if (slot == without) {
         continue;
       }
       KeyState key = key(state, holder);
       boolean counts = !key.copied() || defect == Defect.COPIES_COUNT_AS_VOTES;
-      int told = (int) key.accepted().round;
-      if (!votes(state.clone(), holder, seating == 1) || !counts || found >= 0 && told != found) {
+      int response = (int) key.accepted().round;
+      if (!votes(state.clone(), holder, voterSet == 1) || !counts || found >= 0 && response != found) {
         return;
       }
-      found = told;
+      found = response;
     }
     if (found < newest) {
       fault = "a majority tells of ballot " + found + " where " + newest + " is decided";
@@ -375,6 +375,6 @@
   }
 
   private static boolean decided(int[] state, int b) {
-    return Integer.bitCount(state[ASKERS + b * ASKER + 5]) >= SeatingRules.majority(N);
+    return Integer.bitCount(state[ASKERS + b * ASKER + 5]) >= VoterSets.majority(N);
   }
 }
--- a/register/src/test/java/elmsail/register/RegisterTest.java
+++ b/consensus/src/test/java/elmsail/consensus/RegisterTest.java
@@ -1,4 +1,4 @@
-package elmsail.register;
+package elmsail.consensus;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -10,16 +10,16 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.inner.words.AcceptAsk;
-import elmsail.inner.words.Blob;
-import elmsail.inner.words.PrepareAsk;
-import elmsail.inner.words.VoteTold;
-import elmsail.rehearsal.Node;
-import elmsail.register.Register.Held;
-import elmsail.register.Register.Versioned;
-import elmsail.register.Register.Wanted;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.AcceptRequest;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.PrepareRequest;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.simulation.Node;
+import elmsail.consensus.Register.Held;
+import elmsail.consensus.Register.Versioned;
+import elmsail.consensus.Register.Wanted;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -44,7 +44,7 @@
     return new String(held.now().value());
   }
 
-  private Code failure(CompletableFuture<?> future) {
+  private ErrorCode failure(CompletableFuture<?> future) {
     return ElmsailException.codeOf(assertThrows(CompletionException.class, () -> set.await(future)));
   }
 
@@ -57,15 +57,15 @@
 
   @Test
   void aFoundingSeatsAtOnceAndOnlyOnce() {
-    assertThat(set.keepers[0].seated(), is(false));
+    assertThat(set.keepers[0].voting(), is(false));
     set.founded();
-    assertThat(set.keepers[0].seated() && set.keepers[1].seated() && set.keepers[2].seated(), is(true));
-    assertThat(set.keepers[3].seated(), is(false));
+    assertThat(set.keepers[0].voting() && set.keepers[1].voting() && set.keepers[2].voting(), is(true));
+    assertThat(set.keepers[3].voting(), is(false));
     set.disks[0].wipe();
     set.start(0);
     set.keepers[0].found(set.founding);
     set.timers.pass(20);
-    assertThat(set.keepers[0].seated(), is(false));
+    assertThat(set.keepers[0].voting(), is(false));
   }
 
   @Test
@@ -104,7 +104,7 @@
 
   @Test
   void theOnlySeatIsNeverTakenWithoutMemory() {
-    set.founding.seats.subList(1, 3).clear();
+    set.founding.voters.subList(1, 3).clear();
     set.keepers[0].found(set.founding);
     set.timers.pass(30);
     set.await(put(set.client(set.founding), "key", "1"));
@@ -113,7 +113,7 @@
     set.start(0);
     set.keepers[0].learn(set.founding);
     set.timers.pass(10_000);
-    assertThat(set.keepers[0].seated(), is(false));
+    assertThat(set.keepers[0].voting(), is(false));
   }
 
   @Test
@@ -130,20 +130,20 @@
   void aValueThatOneHolderTookIsFinishedByAReader() {
     set.founded();
     Node asker = set.net.node("10.0.2.1:7");
-    PrepareAsk prepare = new PrepareAsk();
+    PrepareRequest prepare = new PrepareRequest();
     prepare.set = "set";
     prepare.key = "key";
     prepare.ballot = Ballots.of(1, 5);
-    prepare.seating = set.founding;
-    AcceptAsk accept = new AcceptAsk();
+    prepare.voterSet = set.founding;
+    AcceptRequest accept = new AcceptRequest();
     accept.set = "set";
     accept.key = "key";
     accept.ballot = Ballots.of(1, 5);
-    accept.seating = set.founding;
+    accept.voterSet = set.founding;
     accept.value = "half".getBytes();
-    set.await(asker.call(SimSet.AT[0], prepare, VoteTold.class, 500));
-    set.await(asker.call(SimSet.AT[1], prepare, VoteTold.class, 500));
-    set.await(asker.call(SimSet.AT[0], accept, VoteTold.class, 500));
+    set.await(asker.call(SimSet.AT[0], prepare, VoteResponse.class, 500));
+    set.await(asker.call(SimSet.AT[1], prepare, VoteResponse.class, 500));
+    set.await(asker.call(SimSet.AT[0], accept, VoteResponse.class, 500));
     set.kill(2);
     assertThat(read(set.client(set.founding), "key"), is("half"));
     set.kill(0);
@@ -157,8 +157,8 @@
     set.founded();
     set.kill(0);
     set.kill(1);
-    assertThat(failure(put(set.client(set.founding), "key", "1")), is(Code.NOT_REACHED));
-    assertThat(failure(set.client(set.founding).read("key", null, 700)), is(Code.NOT_REACHED));
+    assertThat(failure(put(set.client(set.founding), "key", "1")), is(ErrorCode.NOT_REACHED));
+    assertThat(failure(set.client(set.founding).read("key", null, 700)), is(ErrorCode.NOT_REACHED));
     set.start(0);
     set.start(1);
     set.timers.pass(100);
@@ -168,7 +168,7 @@
       set.kill(1);
       return new Wanted("2".getBytes(), List.of());
     }, List.of(), null, 1_000);
-    assertThat(failure(change), is(Code.UNCLEAR));
+    assertThat(failure(change), is(ErrorCode.UNCLEAR));
   }
 
   @Test
@@ -179,9 +179,9 @@
     set.kill(0);
     set.disks[0].wipe();
     set.start(0);
-    set.keepers[0].learn(set.keepers[1].seating());
+    set.keepers[0].learn(set.keepers[1].voterSet());
     set.awaitSeated(0, 2_000);
-    assertThat(set.keepers[0].seating().seats.get(0).incarnation, is(2));
+    assertThat(set.keepers[0].voterSet().voters.get(0).epoch, is(2));
     assertThat(new String(set.keepers[0].value("key")), is("1"));
     set.await(put(client, "key", "2"));
     assertThat(read(client, "key"), is("2"));
@@ -202,7 +202,7 @@
     assertThat(set.await(client.blob("lot/1", "one", 3_000)).length, is(5_000));
     assertThat(set.await(client.blob("lot/1", "none", 3_000)), nullValue());
     set.kill(1);
-    assertThat(failure(client.blob("lot/1", "none", 1_000)), is(Code.NOT_REACHED));
+    assertThat(failure(client.blob("lot/1", "none", 1_000)), is(ErrorCode.NOT_REACHED));
     List<String> keys = new ArrayList<>();
     set.keepers[0].keys().forEach(keys::add);
     assertThat(keys, contains("lot/1"));
@@ -224,7 +224,7 @@
     set.disks[1].wipe();
     set.start(1);
     long from = set.timers.now();
-    set.keepers[1].learn(set.keepers[0].seating());
+    set.keepers[1].learn(set.keepers[0].voterSet());
     set.awaitSeated(1, 10_000);
     assertThat(set.timers.now() - from, lessThan(1_000L));
     for (int i = 0; i < 100; i++) {
@@ -243,16 +243,16 @@
     set.disks[1].wipe();
     set.start(1);
     set.net.cutBoth(SimSet.AT[1], SimSet.AT[2]);
-    set.keepers[1].learn(set.keepers[0].seating());
+    set.keepers[1].learn(set.keepers[0].voterSet());
     set.timers.pass(1_500);
-    assertThat(set.keepers[1].seated(), is(false));
-    long life = set.disks[1].life();
+    assertThat(set.keepers[1].voting(), is(false));
+    long instanceId = set.disks[1].instanceId();
     set.kill(1);
     set.net.healAll();
     set.start(1);
     set.awaitSeated(1, 3_000);
-    assertThat(set.disks[1].life(), is(life));
-    assertThat(set.keepers[1].seated(), is(true));
+    assertThat(set.disks[1].instanceId(), is(instanceId));
+    assertThat(set.keepers[1].voting(), is(true));
     assertThat(new String(set.keepers[1].value("key")), is("1"));
   }
 
@@ -261,22 +261,22 @@
     set.founded();
     Register client = set.client(set.founding);
     set.await(put(client, "key", "1"));
-    List<Boolean> told = new ArrayList<>();
-    set.keepers[3].whenSeatedChanges(() -> told.add(set.keepers[3].seated()));
+    List<Boolean> response = new ArrayList<>();
+    set.keepers[3].whenVotingChanges(() -> response.add(set.keepers[3].voting()));
     set.kill(0);
-    set.keepers[3].learn(set.keepers[1].seating());
-    set.keepers[3].claim(0, 2);
+    set.keepers[3].learn(set.keepers[1].voterSet());
+    set.keepers[3].join(0, 2);
     set.awaitSeated(3, 3_000);
-    assertThat(told, contains(true));
+    assertThat(response, contains(true));
     set.start(0);
     set.timers.pass(20);
-    assertThat(set.keepers[0].seated(), is(true));
+    assertThat(set.keepers[0].voting(), is(true));
     set.kill(1);
     assertThat(append(client, "2"), is("12"));
-    set.keepers[0].learn(set.keepers[2].seating());
-    assertThat(set.keepers[0].seated(), is(false));
+    set.keepers[0].learn(set.keepers[2].voterSet());
+    assertThat(set.keepers[0].voting(), is(false));
     set.timers.pass(20);
-    assertThat(set.keepers[0].seating().seats.get(0).address, is(SimSet.AT[3]));
+    assertThat(set.keepers[0].voterSet().voters.get(0).address, is(SimSet.AT[3]));
   }
 
   @Test
@@ -284,20 +284,20 @@
     set.founded();
     set.kill(0);
     set.kill(1);
-    set.keepers[3].learn(set.keepers[2].seating());
-    set.keepers[3].claim(0, 2);
+    set.keepers[3].learn(set.keepers[2].voterSet());
+    set.keepers[3].join(0, 2);
     set.timers.pass(10_000);
-    assertThat(set.keepers[3].seated(), is(false));
+    assertThat(set.keepers[3].voting(), is(false));
     set.start(1);
     set.awaitSeated(3, 3_000);
-    assertThat(set.keepers[3].seated(), is(true));
+    assertThat(set.keepers[3].voting(), is(true));
   }
 
   @Test
   void valuesThatTheViewsRefuseAreTriedThriceAndNoMore() {
     set.founded();
     for (int i = 0; i < 3; i++) {
-      set.views[i] = new Views() {
+      set.views[i] = new ReplicaListener() {
         @Override
         public byte[] noted(String key, byte[] note) {
           return new byte[] {(byte) (note[0] + 1)};
@@ -318,7 +318,7 @@
       }
       return new Wanted("x".getBytes(), List.of());
     }, List.of(), new byte[] {4}, 10_000);
-    assertThat(failure(change), is(Code.UNCLEAR));
+    assertThat(failure(change), is(ErrorCode.UNCLEAR));
     assertThat(notes, equalTo(List.of(5, 5, 5, 5, 5, 5)));
   }
 
@@ -328,7 +328,7 @@
     set.disks[0].refuse();
     set.disks[1].refuse();
     Register client = set.client(set.founding);
-    assertThat(failure(put(client, "key", "1")), is(Code.NOT_REACHED));
+    assertThat(failure(put(client, "key", "1")), is(ErrorCode.NOT_REACHED));
     set.disks[0].accept();
     set.disks[1].accept();
     set.timers.pass(400);
--- a/register/src/test/java/elmsail/register/ReplacedHolderTest.java
+++ b/consensus/src/test/java/elmsail/consensus/ReplacedVoterTest.java
@@ -1,4 +1,4 @@
-package elmsail.register;
+package elmsail.consensus;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -7,16 +7,16 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.inner.words.Blob;
-import elmsail.inner.words.ClaimTold;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.register.Register.Wanted;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.JoinResponse;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.Register.Wanted;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** A spare's claim that can't be finished, and another holder that loses its memory. */
-class ReplacedHolderTest {
+class ReplacedVoterTest {
   private final SimSet set = new SimSet();
 
   private void put(String value) {
@@ -31,7 +31,7 @@
     return new String(set.await(set.client(set.founding).read("key", null, 3_000)).value());
   }
 
-  /** What the last change made is only at seats 0 and 2; the spare's claim of seat 0 is known at 1 alone. */
+  /** What the last change made is only at voter slots 0 and 2; the spare's claim of voter slot 0 is known at 1 alone. */
   private void claimOfTheSpareAtOneHolder() {
     set.founded();
     put("old");
@@ -41,23 +41,23 @@
     set.timers.pass(20);
     set.net.cutBoth(SimSet.AT[3], SimSet.AT[2]);
     set.keepers[3].learn(set.founding);
-    set.keepers[3].claim(0, 2);
+    set.keepers[3].join(0, 2);
     set.timers.pass(1_500);
-    assertThat(set.keepers[1].seating().seats.get(0).address, is(SimSet.AT[3]));
-    assertThat(set.keepers[3].seated(), is(false));
+    assertThat(set.keepers[1].voterSet().voters.get(0).address, is(SimSet.AT[3]));
+    assertThat(set.keepers[3].voting(), is(false));
   }
 
   private void wipe(int i) {
     set.kill(i);
     set.disks[i].wipe();
     set.start(i);
-    set.keepers[i].learn(set.keepers[1].seating());
+    set.keepers[i].learn(set.keepers[1].voterSet());
   }
 
   private void allSeatedAgainAndNothingLost() {
     set.awaitSeated(2, 10_000);
     set.awaitSeated(3, 10_000);
-    assertThat(set.keepers[2].seated() && set.keepers[3].seated(), is(true));
+    assertThat(set.keepers[2].voting() && set.keepers[3].voting(), is(true));
     assertThat(read(), is("new"));
     set.kill(1);
     set.kill(0);
@@ -78,9 +78,9 @@
   @Test
   void alsoIfItKnowsAlreadyThatItIsReplaced() {
     claimOfTheSpareAtOneHolder();
-    set.keepers[0].learn(set.keepers[1].seating());
+    set.keepers[0].learn(set.keepers[1].voterSet());
     set.timers.pass(20);
-    assertThat(set.keepers[0].seated(), is(false));
+    assertThat(set.keepers[0].voting(), is(false));
     set.kill(0);
     set.start(0);
     wipe(2);
@@ -105,14 +105,14 @@
   @Test
   void aReplacedHolderWithoutItsMemoryDoesNot() {
     claimOfTheSpareAtOneHolder();
-    set.keepers[0].learn(set.keepers[1].seating());
+    set.keepers[0].learn(set.keepers[1].voterSet());
     set.kill(0);
     set.disks[0].wipe();
     set.start(0);
     wipe(2);
     set.net.healAll();
     set.timers.pass(10_000);
-    assertThat(set.keepers[2].seated() || set.keepers[3].seated(), is(false));
+    assertThat(set.keepers[2].voting() || set.keepers[3].voting(), is(false));
   }
 
   @Test
@@ -122,7 +122,7 @@
     wipe(2);
     set.net.healAll();
     set.timers.pass(10_000);
-    assertThat(set.keepers[2].seated(), is(false));
+    assertThat(set.keepers[2].voting(), is(false));
     set.start(3);
     allSeatedAgainAndNothingLost();
   }
@@ -130,18 +130,18 @@
   @Test
   void aReplacedHolderTakesAnotherSeatOnlyOnceItsSuccessorVotes() {
     claimOfTheSpareAtOneHolder();
-    set.keepers[0].learn(set.keepers[1].seating());
-    set.keepers[0].claim(1, 2);
+    set.keepers[0].learn(set.keepers[1].voterSet());
+    set.keepers[0].join(1, 2);
     set.timers.pass(1_000);
-    assertThat(set.keepers[0].membership.ownSeat(), is(-1));
+    assertThat(set.keepers[0].membership.ownSlot(), is(-1));
     assertThat(set.keepers[0].value("key"), is("new".getBytes()));
     set.net.healAll();
     set.awaitSeated(3, 5_000);
-    set.keepers[0].learn(set.keepers[3].seating());
-    set.keepers[0].claim(1, 2);
+    set.keepers[0].learn(set.keepers[3].voterSet());
+    set.keepers[0].join(1, 2);
     set.awaitSeated(0, 5_000);
-    assertThat(set.keepers[0].seating().seats.get(1).address, is(SimSet.AT[0]));
-    assertThat(set.keepers[0].seated(), is(true));
+    assertThat(set.keepers[0].voterSet().voters.get(1).address, is(SimSet.AT[0]));
+    assertThat(set.keepers[0].voting(), is(true));
     assertThat(read(), is("new"));
   }
 
@@ -151,9 +151,9 @@
     set.founded();
     put("old");
     set.keepers[3].learn(set.founding);
-    set.keepers[3].claim(0, 2);
+    set.keepers[3].join(0, 2);
     set.awaitSeated(3, 5_000);
-    assertThat(set.keepers[0].seated() && set.keepers[3].seated(), is(true));
+    assertThat(set.keepers[0].voting() && set.keepers[3].voting(), is(true));
     set.kill(1);
     put("new");
     set.start(1);
@@ -163,12 +163,12 @@
     set.start(2);
     set.keepers[2].learn(set.founding);
     set.awaitSeated(2, 10_000);
-    assertThat(set.keepers[2].seated(), is(true));
+    assertThat(set.keepers[2].voting(), is(true));
     set.kill(3);
     assertThat(read(), is("new"));
   }
 
-  /** Else it would raise its incarnation, and take the seat from one that has just been seated. */
+  /** Else it would raise its epoch, and take the voter slot from one that has just been voting. */
   @Test
   void aRestartedSpareStillLeavesTheSeatToARival() {
     set.founded();
@@ -176,28 +176,28 @@
     set.net.cutBoth(SimSet.AT[3], SimSet.AT[1]);
     set.net.cutBoth(SimSet.AT[3], SimSet.AT[2]);
     set.keepers[3].learn(set.founding);
-    set.keepers[3].claim(0, 2);
+    set.keepers[3].join(0, 2);
     set.timers.pass(500);
     wipe(0);
     set.awaitSeated(0, 5_000);
-    assertThat(set.keepers[0].seated(), is(true));
+    assertThat(set.keepers[0].voting(), is(true));
     set.kill(3);
     set.start(3);
     set.net.healAll();
     set.timers.pass(10_000);
-    assertThat(set.keepers[0].seated(), is(true));
-    assertThat(set.keepers[0].seating().seats.get(0).incarnation, is(2));
-    assertThat(set.keepers[3].seating().seats.get(0).address, is(SimSet.AT[0]));
+    assertThat(set.keepers[0].voting(), is(true));
+    assertThat(set.keepers[0].voterSet().voters.get(0).epoch, is(2));
+    assertThat(set.keepers[3].voterSet().voters.get(0).address, is(SimSet.AT[0]));
   }
 
-  /** The two that are gone refuse its calls before the third tells it of the newer seating. */
+  /** The two that are gone refuse its calls before the third tells it of the newer voter set. */
   @Test
   void aClientLearnsOfANewerSeatingFromALateAnswer() {
     set.founded();
     put("new");
     set.kill(0);
-    set.keepers[3].learn(set.keepers[1].seating());
-    set.keepers[3].claim(0, 2);
+    set.keepers[3].learn(set.keepers[1].voterSet());
+    set.keepers[3].join(0, 2);
     set.awaitSeated(3, 3_000);
     set.kill(1);
     set.net.delay(20, 20);
@@ -207,44 +207,44 @@
     }
   }
 
-  private static Seat seat(String name, int incarnation) {
-    Seat seat = new Seat();
-    seat.address = name;
-    seat.life = name.hashCode();
-    seat.incarnation = incarnation;
-    return seat;
+  private static Voter slot(String name, int epoch) {
+    Voter slot = new Voter();
+    slot.address = name;
+    slot.instanceId = name.hashCode();
+    slot.epoch = epoch;
+    return slot;
   }
 
-  private static ClaimTold told(Seat by, Seating knows, boolean held, boolean replaced) {
-    ClaimTold told = new ClaimTold();
-    told.life = by.life;
-    told.seating = knows;
-    told.held = held;
-    told.noted = !held;
-    told.replaced = replaced;
-    return told;
+  private static JoinResponse response(Voter by, VoterSet knows, boolean held, boolean replaced) {
+    JoinResponse response = new JoinResponse();
+    response.instanceId = by.instanceId;
+    response.voterSet = knows;
+    response.held = held;
+    response.noted = !held;
+    response.replaced = replaced;
+    return response;
   }
 
   @Test
   void aSeatedHolderThatKnowsOfAnotherSuccessorIsInTheWay() {
-    Seating known = new Seating();
-    Seat spare = seat("s", 2);
-    Seat before = seat("a", 1);
-    spare.beforeAddress = before.address;
-    spare.beforeLife = before.life;
-    spare.beforeIncarnation = before.incarnation;
-    known.seats.addAll(List.of(spare, seat("b", 1), seat("x", 2)));
-    Seating rivals = SeatingRules.with(known, 0, seat("r", 2));
-    for (Seating knows : List.of(known, rivals)) {
-      ClaimAnswers answers = new ClaimAnswers(known, 2, known.seats.get(2).life);
+    VoterSet known = new VoterSet();
+    Voter spare = slot("s", 2);
+    Voter before = slot("a", 1);
+    spare.previousAddress = before.address;
+    spare.previousInstanceId = before.instanceId;
+    spare.previousEpoch = before.epoch;
+    known.voters.addAll(List.of(spare, slot("b", 1), slot("x", 2)));
+    VoterSet rivals = VoterSets.with(known, 0, slot("r", 2));
+    for (VoterSet knows : List.of(known, rivals)) {
+      JoinQuorum answers = new JoinQuorum(known, 2, known.voters.get(2).instanceId);
       assertThat(answers.asks(2), is(false));
-      answers.toldBefore(0, told(before, known, false, true));
-      answers.told(0, told(spare, known, false, false));
+      answers.toldBefore(0, response(before, known, false, true));
+      answers.response(0, response(spare, known, false, false));
       assertThat(answers.sources(), nullValue());
-      answers.told(1, told(known.seats.get(1), knows, true, false));
+      answers.response(1, response(known.voters.get(1), knows, true, false));
       if (knows == known) {
         assertThat(answers.sources(), hasSize(2));
-        assertThat(answers.sources().get(1).life, is(before.life));
+        assertThat(answers.sources().get(1).instanceId, is(before.instanceId));
       } else {
         assertThat(answers.sources(), nullValue());
         assertThat(answers.hopeless(), is(true));
@@ -254,22 +254,22 @@
 
   @Test
   void twoReplacedHoldersAreNotEnough() {
-    Seating known = new Seating();
-    Seating old = new Seating();
+    VoterSet known = new VoterSet();
+    VoterSet old = new VoterSet();
     for (int i = 0; i < 2; i++) {
-      Seat one = seat("s" + i, 2);
-      Seat before = seat("a" + i, 1);
-      one.beforeAddress = before.address;
-      one.beforeLife = before.life;
-      one.beforeIncarnation = before.incarnation;
-      known.seats.add(one);
-      old.seats.add(before);
+      Voter one = slot("s" + i, 2);
+      Voter before = slot("a" + i, 1);
+      one.previousAddress = before.address;
+      one.previousInstanceId = before.instanceId;
+      one.previousEpoch = before.epoch;
+      known.voters.add(one);
+      old.voters.add(before);
     }
-    known.seats.add(seat("x", 2));
-    ClaimAnswers answers = new ClaimAnswers(known, 2, known.seats.get(2).life);
+    known.voters.add(slot("x", 2));
+    JoinQuorum answers = new JoinQuorum(known, 2, known.voters.get(2).instanceId);
     for (int i = 0; i < 2; i++) {
-      answers.told(i, told(known.seats.get(i), known, false, false));
-      answers.toldBefore(i, told(old.seats.get(i), known, false, true));
+      answers.response(i, response(known.voters.get(i), known, false, false));
+      answers.toldBefore(i, response(old.voters.get(i), known, false, true));
     }
     assertThat(answers.sources(), nullValue());
     assertThat(answers.asks(0), is(not(true)));
--- a/register/src/test/java/elmsail/register/SimSet.java
+++ b/consensus/src/test/java/elmsail/consensus/SimSet.java
@@ -1,40 +1,40 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.Caller;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.rehearsal.HandTimers;
-import elmsail.rehearsal.Node;
-import elmsail.rehearsal.SimDisk;
-import elmsail.rehearsal.SimNet;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.simulation.ManualTimers;
+import elmsail.simulation.Node;
+import elmsail.simulation.SimDisk;
+import elmsail.simulation.SimNet;
 import java.util.concurrent.CompletableFuture;
 
 /** Three keepers and a spare on the simulated network and disks. */
 final class SimSet {
   static final String[] AT = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7", "10.0.0.4:7"};
 
-  final HandTimers timers = new HandTimers();
+  final ManualTimers timers = new ManualTimers();
   final SimNet net = new SimNet(11, timers);
   final SimDisk[] disks = new SimDisk[AT.length];
-  final SetKeeper[] keepers = new SetKeeper[AT.length];
-  final Views[] views = new Views[AT.length];
-  final Seating founding = new Seating();
+  final Replica[] keepers = new Replica[AT.length];
+  final ReplicaListener[] views = new ReplicaListener[AT.length];
+  final VoterSet founding = new VoterSet();
   private int clients;
 
   SimSet() {
     net.delay(1, 3);
     for (int i = 0; i < AT.length; i++) {
       disks[i] = new SimDisk(i + 1, timers);
-      views[i] = new Views() { };
+      views[i] = new ReplicaListener() { };
       start(i);
     }
     for (int i = 0; i < 3; i++) {
-      Seat seat = new Seat();
-      seat.address = AT[i];
-      seat.station = "s" + i;
-      seat.life = disks[i].life();
-      seat.incarnation = 1;
-      founding.seats.add(seat);
+      Voter slot = new Voter();
+      slot.address = AT[i];
+      slot.station = "s" + i;
+      slot.instanceId = disks[i].instanceId();
+      slot.epoch = 1;
+      founding.voters.add(slot);
     }
   }
 
@@ -48,7 +48,7 @@
 
   void start(int i) {
     Node node = net.node(AT[i]);
-    keepers[i] = new SetKeeper("set", disks[i].open(node.timers()), views[i], node.answering(), node.caller(),
+    keepers[i] = new Replica("set", disks[i].open(node.timers()), views[i], node.answering(), node.caller(),
         node.timers(), AT[i], "s" + i);
   }
 
@@ -58,19 +58,19 @@
   }
 
   /** A client at an address of its own; the counts are of its calls by kind of ask. */
-  RegisterClient client(Seating known) {
+  RegisterClient client(VoterSet known) {
     String address = "10.0.1." + ++clients + ":7";
     Node node = net.node(address);
-    Seating[] held = {known};
-    return new RegisterClient("set", new Counting(node.caller()), node.timers(), new Seatings() {
+    VoterSet[] held = {known};
+    return new RegisterClient("set", new Counting(node.caller()), node.timers(), new VoterSetSource() {
       @Override
-      public Seating of() {
+      public VoterSet of() {
         return held[0];
       }
 
       @Override
-      public void told(Seating newer) {
-        held[0] = SeatingRules.merge(held[0], newer);
+      public void response(VoterSet newer) {
+        held[0] = VoterSets.merge(held[0], newer);
       }
     }, 1_000 + clients, address, to -> to.charAt(7) - '0');
   }
@@ -85,9 +85,9 @@
     }
 
     @Override
-    public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
-      asked.merge(ask.getClass().getSimpleName(), 1, Integer::sum);
-      return caller.call(peer, ask, answer, timeoutMs);
+    public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
+      asked.merge(request.getClass().getSimpleName(), 1, Integer::sum);
+      return caller.call(peer, request, answer, timeoutMs);
     }
   }
 
@@ -101,7 +101,7 @@
 
   void awaitSeated(int i, long mostMs) {
     long end = timers.now() + mostMs;
-    while (!keepers[i].seated() && timers.now() < end && timers.step()) {
+    while (!keepers[i].voting() && timers.now() < end && timers.step()) {
       continue;
     }
   }
--- a/register/src/test/java/elmsail/register/World.java
+++ b/consensus/src/test/java/elmsail/consensus/World.java
@@ -1,13 +1,13 @@
-package elmsail.register;
+package elmsail.consensus;
 
-import elmsail.inner.Answering;
-import elmsail.inner.Caller;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,7 +22,7 @@
 
 /** Keepers and clients of one set on one clock, over a network that loses, repeats, delays and cuts. */
 final class World {
-  final HandTimers timers = new HandTimers();
+  final ManualTimers timers = new ManualTimers();
   final Random chance;
   final Map<String, Node> nodes = new HashMap<>();
   final Set<String> cut = new HashSet<>();
@@ -30,7 +30,7 @@
   double repeats;
   int mostDelayMs = 6;
   long calls;
-  /** Whether one life was ever known in two seats. */
+  /** Whether one life was ever known in two voter slots. */
   boolean twice;
   UnaryOperator<Caller> keepersCaller = caller -> caller;
 
@@ -39,11 +39,11 @@
   }
 
   /** A process with a disk. */
-  final class Node implements Answering {
+  final class Node implements RequestHandlers {
     final String address;
     LossyRecords.Platter platter = new LossyRecords.Platter();
     LossyRecords records;
-    SetKeeper keeper;
+    Replica keeper;
     Map<Class<?>, Function<Object, CompletionStage<?>>> handlers = new HashMap<>();
     int starts;
     boolean up;
@@ -60,7 +60,7 @@
       Timers own = timers(this);
       records = new LossyRecords(platter, own, chance);
       Caller caller = keepersCaller.apply(caller(address, own));
-      keeper = new SetKeeper("set", records, new Views() { }, this, caller, own, address, "st-" + address);
+      keeper = new Replica("set", records, new ReplicaListener() { }, this, caller, own, address, "st-" + address);
     }
 
     void crash() {
@@ -74,8 +74,8 @@
     }
 
     @Override
-    public <Q, A> void on(Class<Q> ask, Function<Q, ? extends CompletionStage<A>> handler) {
-      handlers.put(ask, q -> handler.apply(ask.cast(q)));
+    public <Q, A> void on(Class<Q> request, Function<Q, ? extends CompletionStage<A>> handler) {
+      handlers.put(request, q -> handler.apply(request.cast(q)));
     }
   }
 
@@ -134,7 +134,7 @@
   Node idle() {
     Node idle = null;
     for (Node node : nodes.values()) {
-      if (node.up && !node.keeper.seated()) {
+      if (node.up && !node.keeper.voting()) {
         idle = node;
       }
     }
@@ -144,13 +144,13 @@
   Caller caller(String from, Timers own) {
     return new Caller() {
       @Override
-      public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
+      public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
         calls++;
         CompletableFuture<A> result = new CompletableFuture<>();
-        own.after(timeoutMs, () -> result.completeExceptionally(new ElmsailException(Code.SILENT, peer)));
+        own.after(timeoutMs, () -> result.completeExceptionally(new ElmsailException(ErrorCode.SILENT, peer)));
         int copies = chance.nextDouble() < repeats ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-          timers.after(delay(), () -> deliver(from, peer, ask, own, answer, result));
+          timers.after(delay(), () -> deliver(from, peer, request, own, answer, result));
         }
         return result;
       }
@@ -162,24 +162,24 @@
     return 1 + chance.nextInt(mostDelayMs) + (chance.nextInt(40) == 0 ? chance.nextInt(2_500) : 0);
   }
 
-  private <A> void deliver(String from, String peer, Object ask, Timers own, Class<A> answer,
+  private <A> void deliver(String from, String peer, Object request, Timers own, Class<A> answer,
       CompletableFuture<A> result) {
     Node node = nodes.get(peer);
     if (chance.nextDouble() < loss || !reaches(from, peer)) {
       return;
     }
     if (node == null || !node.up) {
-      own.after(1, () -> result.completeExceptionally(new ElmsailException(Code.UNSENT, peer)));
+      own.after(1, () -> result.completeExceptionally(new ElmsailException(ErrorCode.UNSENT, peer)));
       return;
     }
     CompletionStage<?> stage;
     try {
-      stage = node.handlers.get(ask.getClass()).apply(ask);
+      stage = node.handlers.get(request.getClass()).apply(request);
     } catch (ElmsailException e) {
       stage = CompletableFuture.failedFuture(e);
     }
     int start = node.starts;
-    stage.whenComplete((told, failure) -> {
+    stage.whenComplete((response, failure) -> {
       if (node.starts != start || chance.nextDouble() < loss || !reaches(peer, from)) {
         return;
       }
@@ -187,49 +187,49 @@
         if (failure != null) {
           result.completeExceptionally(failure);
         } else {
-          result.complete(answer.cast(told));
+          result.complete(answer.cast(response));
         }
       });
     });
   }
 
   /** Founds the set on these addresses and lets it settle. */
-  Seating found(String... addresses) {
-    Seating seating = new Seating();
+  VoterSet found(String... addresses) {
+    VoterSet voterSet = new VoterSet();
     for (String address : addresses) {
       Node node = new Node(address);
       node.start();
-      Seat seat = new Seat();
-      seat.address = address;
-      seat.station = "st-" + address;
-      seat.life = node.platter.life;
-      seat.incarnation = 1;
-      seating.seats.add(seat);
+      Voter slot = new Voter();
+      slot.address = address;
+      slot.station = "st-" + address;
+      slot.instanceId = node.platter.instanceId;
+      slot.epoch = 1;
+      voterSet.voters.add(slot);
     }
     for (String address : addresses) {
-      nodes.get(address).keeper.found(seating);
+      nodes.get(address).keeper.found(voterSet);
     }
     timers.pass(50);
-    return seating;
+    return voterSet;
   }
 
-  /** A client that knows this seating, and lasts. */
-  RegisterClient client(String name, long who, Seating known, UnaryOperator<Caller> wrapped) {
-    Seating[] held = {known};
-    return new RegisterClient("set", wrapped.apply(caller(name, timers)), timers, new Seatings() {
+  /** A client that knows this voter set, and lasts. */
+  RegisterClient client(String name, long who, VoterSet known, UnaryOperator<Caller> wrapped) {
+    VoterSet[] held = {known};
+    return new RegisterClient("set", wrapped.apply(caller(name, timers)), timers, new VoterSetSource() {
       @Override
-      public Seating of() {
+      public VoterSet of() {
         return held[0];
       }
 
       @Override
-      public void told(Seating newer) {
-        held[0] = SeatingRules.merge(held[0], newer);
+      public void response(VoterSet newer) {
+        held[0] = VoterSets.merge(held[0], newer);
       }
     }, who, "", address -> address.charAt(0));
   }
 
-  RegisterClient client(String name, long who, Seating known) {
+  RegisterClient client(String name, long who, VoterSet known) {
     return client(name, who, known, caller -> caller);
   }
 
@@ -244,32 +244,32 @@
     for (Node node : up) {
       Node other = up.get(chance.nextInt(up.size()));
       if (reaches(other.address, node.address) && chance.nextDouble() >= loss) {
-        node.keeper.learn(other.keeper.seating());
+        node.keeper.learn(other.keeper.voterSet());
       }
     }
   }
 
-  /** The seating as anyone knows it, on disks too. */
-  Seating newest() {
-    Seating newest = new Seating();
+  /** The voter set as anyone knows it, on disks too. */
+  VoterSet newest() {
+    VoterSet newest = new VoterSet();
     for (Node node : nodes.values()) {
-      newest = SeatingRules.merge(newest, SeatingBytes.seating(node.platter.safe.get("set/seating")));
+      newest = VoterSets.merge(newest, VoterSetCodec.voterSet(node.platter.safe.get("set/seating")));
       if (node.up && node.keeper != null) {
-        newest = SeatingRules.merge(newest, node.keeper.membership.seating());
+        newest = VoterSets.merge(newest, node.keeper.membership.voterSet());
       }
     }
-    if (SeatingRules.vacant(newest) > 0) {
+    if (VoterSets.vacant(newest) > 0) {
       twice = true;
     }
     return newest;
   }
 
-  /** Whether each seat but so many, as the newest that any knows, has a holder that is up and votes. */
+  /** Whether each voter slot but so many, as the newest that any knows, has a holder that is up and votes. */
   boolean whole(int butFor) {
     int missing = 0;
-    for (Seat seat : newest().seats) {
-      Node node = nodes.get(seat.address);
-      if (!node.up || node.platter.life != seat.life || !node.keeper.seated()
+    for (Voter slot : newest().voters) {
+      Node node = nodes.get(slot.address);
+      if (!node.up || node.platter.instanceId != slot.instanceId || !node.keeper.voting()
           || node.records.read("set/seated") == null || !node.records.idle()) {
         missing++;
       }
@@ -278,22 +278,22 @@
   }
 
   /**
-   * Whether the set must bear the loss of that holder's memory: of the other seats just one may have a holder
-   * that isn't seated, and there the one before has its records, claims nothing, and its successor lives.
+   * Whether the set must bear the loss of that holder's memory: of the other voter slots just one may have a holder
+   * that isn't voting, and there the one before has its records, claims nothing, and its successor lives.
    */
   boolean covered(Node lost) {
-    Seating newest = newest();
+    VoterSet newest = newest();
     int missing = 0;
-    for (Seat seat : newest.seats) {
-      Node node = nodes.get(seat.address);
-      if (node == lost || safelySeated(node, seat)) {
+    for (Voter slot : newest.voters) {
+      Node node = nodes.get(slot.address);
+      if (node == lost || safelySeated(node, slot)) {
         continue;
       }
-      Node before = nodes.get(seat.beforeAddress);
-      if (before == null || before == lost || before.platter.life != seat.beforeLife
-          || node.platter.life != seat.life
-          || KeptNames.incarnation(before.platter.safe.get("set/seated")) != seat.beforeIncarnation
-          || SeatingRules.ofLife(newest, before.platter.life) >= 0) {
+      Node before = nodes.get(slot.previousAddress);
+      if (before == null || before == lost || before.platter.instanceId != slot.previousInstanceId
+          || node.platter.instanceId != slot.instanceId
+          || RecordNames.epoch(before.platter.safe.get("set/seated")) != slot.previousEpoch
+          || VoterSets.ofInstance(newest, before.platter.instanceId) >= 0) {
         return false;
       }
       missing++;
@@ -302,11 +302,11 @@
   }
 
   /** As its disk has it, whether it is up or not. */
-  private static boolean safelySeated(Node node, Seat seat) {
-    Seating known = SeatingBytes.seating(node.platter.safe.get("set/seating"));
-    int own = SeatingRules.ofLife(known, node.platter.life);
-    return node.platter.life == seat.life && own >= 0 && known.seats.get(own).incarnation == seat.incarnation
-        && KeptNames.incarnation(node.platter.safe.get("set/seated")) == seat.incarnation;
+  private static boolean safelySeated(Node node, Voter slot) {
+    VoterSet known = VoterSetCodec.voterSet(node.platter.safe.get("set/seating"));
+    int own = VoterSets.ofInstance(known, node.platter.instanceId);
+    return node.platter.instanceId == slot.instanceId && own >= 0 && known.voters.get(own).epoch == slot.epoch
+        && RecordNames.epoch(node.platter.safe.get("set/seated")) == slot.epoch;
   }
 
   String state() {
@@ -314,12 +314,12 @@
     for (Node node : nodes.values()) {
       state.append('\n').append(node.address).append(node.up ? " up" : " down");
       if (node.up) {
-        state.append(node.keeper.seated() ? " seated, knows" : " knows");
-        for (Seat seat : node.keeper.seating().seats) {
-          state.append(' ').append(seat.address).append('#').append(seat.incarnation).append('/')
-              .append(seat.life & 0xff);
+        state.append(node.keeper.voting() ? " seated, knows" : " knows");
+        for (Voter slot : node.keeper.voterSet().voters) {
+          state.append(' ').append(slot.address).append('#').append(slot.epoch).append('/')
+              .append(slot.instanceId & 0xff);
         }
-        state.append(", is ").append(node.platter.life & 0xff);
+        state.append(", is ").append(node.platter.instanceId & 0xff);
       }
     }
     return state.toString();
--- a/notary/src/main/java/elmsail/notary/Decided.java
+++ b/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
@@ -1,8 +1,8 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.inner.words.Ballot;
-import elmsail.register.Register;
-import elmsail.station.Timers;
+import elmsail.rpc.messages.Ballot;
+import elmsail.consensus.Register;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -11,7 +11,7 @@
  * One key of the register as this process last saw it decided: read at a majority every so often, which
  * costs no bytes while nothing is newer. All on the loop.
  */
-final class Decided {
+final class CommittedValue {
   private static final long READ_TIMEOUT_MS = 600;
 
   private final Register register;
@@ -28,7 +28,7 @@
   private Timers.Timer timer;
   private long readableSince = Long.MAX_VALUE;
 
-  Decided(Register register, String key, Timers timers, long everyMs) {
+  CommittedValue(Register register, String key, Timers timers, long everyMs) {
     this.register = register;
     this.key = key;
     this.timers = timers;
--- a/notary/src/main/java/elmsail/notary/Editions.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ConfigHistory.java
@@ -1,7 +1,7 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -20,15 +20,15 @@
  * @param recentEditions at most {@value #KEPT}, rising; the last is {@code edition}
  * @param digests of the bytes of each
  */
-record Editions(long edition, byte[] bytes, long[] recentEditions, byte[][] digests) {
-  static final Editions NONE = new Editions(0, new byte[0], new long[0], new byte[0][]);
+record ConfigHistory(long edition, byte[] bytes, long[] recentEditions, byte[][] digests) {
+  static final ConfigHistory NONE = new ConfigHistory(0, new byte[0], new long[0], new byte[0][]);
 
   static final int KEPT = 64;
 
   private static final int DIGEST_BYTES = 16;
 
   /** Reads a register's value; null is none. */
-  static Editions of(byte[] value) {
+  static ConfigHistory of(byte[] value) {
     if (value == null) {
       return NONE;
     }
@@ -36,7 +36,7 @@
       long edition = in.readLong();
       int count = in.readInt();
       if (count < 0 || count > KEPT) {
-        throw new ElmsailException(Code.GARBLED, "editions kept: " + count);
+        throw new ElmsailException(ErrorCode.GARBLED, "editions kept: " + count);
       }
       long[] recent = new long[count];
       byte[][] digests = new byte[count][];
@@ -44,9 +44,9 @@
         recent[i] = in.readLong();
         digests[i] = in.readNBytes(DIGEST_BYTES);
       }
-      return new Editions(edition, in.readAllBytes(), recent, digests);
+      return new ConfigHistory(edition, in.readAllBytes(), recent, digests);
     } catch (IOException e) {
-      throw new ElmsailException(Code.GARBLED, "editions", e);
+      throw new ElmsailException(ErrorCode.GARBLED, "editions", e);
     }
   }
 
@@ -61,7 +61,7 @@
       }
       out.write(bytes);
     } catch (IOException e) {
-      throw new ElmsailException(Code.FAULT, "editions", e);
+      throw new ElmsailException(ErrorCode.FAULT, "editions", e);
     }
     return bytesOut.toByteArray();
   }
@@ -77,21 +77,21 @@
   }
 
   /** The value after this one. */
-  Editions followedBy(long number, byte[] sent, byte[] digest) {
+  ConfigHistory followedBy(long number, byte[] sent, byte[] digest) {
     int from = Math.max(0, recentEditions.length + 1 - KEPT);
     int count = recentEditions.length - from;
     long[] recent = Arrays.copyOfRange(recentEditions, from, from + count + 1);
     byte[][] kept = Arrays.copyOfRange(digests, from, from + count + 1);
     recent[count] = number;
     kept[count] = digest;
-    return new Editions(number, sent, recent, kept);
+    return new ConfigHistory(number, sent, recent, kept);
   }
 
   static byte[] digest(byte[] sent) {
     try {
       return Arrays.copyOf(MessageDigest.getInstance("SHA-256").digest(sent), DIGEST_BYTES);
     } catch (NoSuchAlgorithmException e) {
-      throw new ElmsailException(Code.FAULT, "SHA-256", e);
+      throw new ElmsailException(ErrorCode.FAULT, "SHA-256", e);
     }
   }
 }
--- a/notary/src/main/java/elmsail/notary/Notary.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
@@ -1,36 +1,36 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.disk.Records;
-import elmsail.inner.InnerLinks;
-import elmsail.lots.keep.LotsKeeper;
-import elmsail.register.SetKeeper;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.station.http.HttpAsk;
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpHandler;
-import elmsail.station.http.HttpReply;
-import elmsail.station.http.HttpServing;
-import elmsail.timetable.Known;
+import elmsail.storage.RecordStore;
+import elmsail.rpc.RpcEndpoint;
+import elmsail.batch.store.JobRetention;
+import elmsail.consensus.Replica;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.http.NettyHttpClient;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpHandler;
+import elmsail.runtime.http.HttpReply;
+import elmsail.runtime.http.HttpServer;
+import elmsail.config.ClusterState;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A notary with its sockets, in one of two shapes: at the head office, where operators call, or at a vault.
+ * A control-plane node with its sockets, in one of two shapes: at the head office, where operators call, or at a store.
  * The inner links, the records and the loop are the caller's, who closes them after {@link #end()}.
  */
-public final class Notary {
+public final class ControlPlane {
   private static final int MOST_BODY = 8 << 20;
   private static final long END_WITHIN_MS = 800;
   private static final long LOOK_MS = 10;
 
   private final NettyLoop loop;
-  private final HeadOffice office;
-  private final VaultHouse house;
-  private HttpServing serving;
+  private final ControlPlaneNode office;
+  private final StoreNode house;
+  private HttpServer serving;
   private int inHand;
 
-  private Notary(NettyLoop loop, HeadOffice office, VaultHouse house) {
+  private ControlPlane(NettyLoop loop, ControlPlaneNode office, StoreNode house) {
     this.loop = loop;
     this.office = office;
     this.house = house;
@@ -42,43 +42,43 @@
    * @param records null where the machine has no disk: calls are passed on, and there is no vote
    * @return done once the control address is bound; fails with BAD_SETTINGS if it can't be
    */
-  public static CompletableFuture<Notary> startHeadOffice(Settings settings, NettyLoop loop, InnerLinks links,
-      Records records) {
-    HeadOffice office = new HeadOffice(settings, loop, links, links, records, new HttpAsk(loop),
+  public static CompletableFuture<ControlPlane> startHeadOffice(Settings settings, NettyLoop loop, RpcEndpoint links,
+      RecordStore records) {
+    ControlPlaneNode office = new ControlPlaneNode(settings, loop, links, links, records, new NettyHttpClient(loop),
         new SecureRandom().nextLong());
-    Notary notary = new Notary(loop, office, null);
+    ControlPlane controlPlane = new ControlPlane(loop, office, null);
     HttpHandler operators = office.operators();
-    return HttpServing.listen(loop, settings.slots().get("control"), call -> notary.counted(operators, call),
+    return HttpServer.listen(loop, settings.slots().get("control"), call -> controlPlane.counted(operators, call),
         MOST_BODY).thenApply(serving -> {
-          notary.serving = serving;
+          controlPlane.serving = serving;
           office.start();
-          return notary;
+          return controlPlane;
         });
   }
 
   /**
-   * Starts one at a vault, keeping lots; called on the loop, before or after {@code links.listen()}.
+   * Starts one at a store, keeping jobs; called on the loop, before or after {@code links.listen()}.
    *
    * @param records with a disk, always
    */
-  public static Notary startVault(Settings settings, NettyLoop loop, InnerLinks links, Records records) {
-    VaultHouse[] house = {null};
-    LotsKeeper lots = new LotsKeeper(loop, () -> house[0] != null && house[0].keeper().seated(),
+  public static ControlPlane startVault(Settings settings, NettyLoop loop, RpcEndpoint links, RecordStore records) {
+    StoreNode[] house = {null};
+    JobRetention jobs = new JobRetention(loop, () -> house[0] != null && house[0].keeper().voting(),
         key -> house[0].keeper().drop(key), settings.bounds().statusMs());
-    house[0] = new VaultHouse(settings, loop, links, links, records, lots);
-    lots.listen(links);
-    lots.start();
+    house[0] = new StoreNode(settings, loop, links, links, records, jobs);
+    jobs.listen(links);
+    jobs.start();
     house[0].start();
-    return new Notary(loop, null, house[0]);
+    return new ControlPlane(loop, null, house[0]);
   }
 
-  /** A vault's keeper; null at the head office. */
-  public SetKeeper keeper() {
+  /** A store's keeper; null at the head office. */
+  public Replica keeper() {
     return house == null ? null : house.keeper();
   }
 
-  /** What a vault knows; null at the head office. */
-  public Known known() {
+  /** What a store knows; null at the head office. */
+  public ClusterState known() {
     return house == null ? null : house.puller();
   }
 
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -0,0 +1,276 @@
+package elmsail.controlplane;
+
+import elmsail.storage.RecordStore;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.rpc.messages.PullRequest;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.Register;
+import elmsail.consensus.RegisterClient;
+import elmsail.consensus.VoterSets;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Settings;
+import elmsail.runtime.Timers;
+import elmsail.runtime.http.HttpClient;
+import elmsail.runtime.http.HttpHandler;
+import elmsail.config.PlatformClient;
+import elmsail.config.RoutingConfigReader;
+import elmsail.config.watch.ConfigWatcher;
+import elmsail.config.watch.UpdateSources;
+import elmsail.config.watch.StoreStatus;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A control-plane node that serves the operators, without the sockets: all on the loop. */
+final class ControlPlaneNode {
+  private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneNode.class);
+
+  private static final String SHELF_KEY = "shelf";
+  private static final long TIMETABLE_EVERY_MS = 300;
+  private static final long OTHERS_EVERY_MS = 1_000;
+  private static final long TICK_MS = 200;
+  private static final long CLERK_MS = 4_000;
+  /** A store is heard at least so often; the others hear of changes at once anyway. */
+  private static final long VAULT_WAIT_MS = 400;
+  private static final long NOTE_MS = 300;
+  private static final long FOUND_MS = 900;
+
+  private final Settings settings;
+  private final Timers timers;
+  private final Caller caller;
+  private final RequestHandlers answering;
+  private final ControlPlaneVoters voters;
+  private final Register register;
+  private final CommittedValue config;
+  private final CommittedValue retiring;
+  private final CommittedValue founded;
+  private final HeartbeatTable heard = new HeartbeatTable();
+  private final UpdateSources sources;
+  private final ConfigWatcher puller;
+  private final SingletonLease duty;
+  private final ServerDiscovery list;
+  private final PlacementController registrar;
+  private final LeaseVoter voter;
+  private final OperatorApi operators;
+  private VoterSet storeSet = new VoterSet();
+  private VoterSet headKnown = new VoterSet();
+  private List<String> gateways = List.of();
+  private PlacementController.Order order;
+  private boolean founding;
+  private boolean closed;
+
+  /**
+   * Makes one; it answers and asks nothing before {@link #start()}.
+   *
+   * @param records null where this process has no disk
+   * @param platform for the list of servers
+   * @param who drawn at random at each start
+   */
+  ControlPlaneNode(Settings settings, Timers timers, Caller caller, RequestHandlers answering, RecordStore records,
+      HttpClient platform, long who) {
+    this.settings = settings;
+    this.timers = timers;
+    this.caller = caller;
+    this.answering = answering;
+    String own = settings.innerAddress();
+    voters = new ControlPlaneVoters(settings, timers, caller, answering, records);
+    register = new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
+    config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, TIMETABLE_EVERY_MS);
+    retiring = new CommittedValue(register, DecommissionList.KEY, timers, OTHERS_EVERY_MS);
+    founded = new CommittedValue(register, SHELF_KEY, timers, OTHERS_EVERY_MS);
+    sources = new UpdateSources(timers);
+    puller = new ConfigWatcher(caller, timers, settings, "controlplane", records == null ? who : records.instanceId(),
+        () -> StoreStatus.NONE, null);
+    duty = new SingletonLease(caller, timers, register, voters::of, own, who);
+    list = settings.platform() == null ? null
+        : new ServerDiscovery(new PlatformClient(platform, settings.platform().address(), timers),
+            settings.platform().perSecond(), timers, sources, duty::term);
+    int stores = 2 * settings.bearMachines() + 1;
+    registrar = new PlacementController(stores, timers.now());
+    boolean firstProcess = records != null && settings.firstStart() && records.fresh();
+    voter = new LeaseVoter(timers.now(), firstProcess);
+    DecommissionHandler retire = new DecommissionHandler(register, timers, heard, () -> storeSet, retiring, stores);
+    operators = new OperatorApi(
+        new ReplaceConfigHandler(register, RoutingConfigReader::read, timers, config, edition -> tell("decided")),
+        new ReadConfigHandler(register, config),
+        new VoterRedirect(retire, settings, voters, puller));
+  }
+
+  void start() {
+    config.whenNewer(this::taken);
+    retiring.whenNewer(value -> tell("retire"));
+    founded.whenNewer(value -> learnStores(VoterSetValue.of(value)));
+    sources.setView(this::view);
+    answering.on(PullRequest.class, this::pulled);
+    answering.on(OpaqueMessage.class, this::noted);
+    SingletonLease.vote(answering, timers, voter, voters::voting);
+    puller.whenChanged(this::relay);
+    voters.start(answering);
+    config.refresh();
+    retiring.refresh();
+    founded.refresh();
+    duty.start();
+    if (list != null) {
+      list.start();
+    }
+    puller.start();
+    tick();
+  }
+
+  HttpHandler operators() {
+    return operators;
+  }
+
+  /** The newest value of the key "timetable" that was seen decided here; null before the first. */
+  byte[] committedConfig() {
+    return config.value();
+  }
+
+  private CompletableFuture<PullResponse> pulled(PullRequest request) {
+    heard.note(request, timers.now());
+    if ("store".equals(request.role) && request.storeSet != null) {
+      learnStores(request.storeSet);
+    }
+    if (closed || !config.read()) {
+      return CompletableFuture.failedFuture(
+          new ElmsailException(ErrorCode.NOT_SEATED, "not known yet what is decided"));
+    }
+    if ("store".equals(request.role)) {
+      request.waitMs = Math.min(request.waitMs, VAULT_WAIT_MS);
+    }
+    return sources.request(request);
+  }
+
+  private CompletableFuture<OpaqueMessage> noted(OpaqueMessage note) {
+    switch (note.kind) {
+      case "decided" -> config.refresh();
+      case "retire" -> retiring.refresh();
+      default -> {
+        return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.GARBLED, "a note of another kind"));
+      }
+    }
+    OpaqueMessage response = new OpaqueMessage();
+    response.kind = note.kind;
+    return CompletableFuture.completedFuture(response);
+  }
+
+  /** Has the other voter slots read the register at once; who misses it reads it soon anyway. */
+  private void tell(String kind) {
+    OpaqueMessage note = new OpaqueMessage();
+    note.kind = kind;
+    for (Voter slot : voters.of().voters) {
+      if (!slot.address.equals(settings.innerAddress())) {
+        caller.call(slot.address, note, OpaqueMessage.class, NOTE_MS);
+      }
+    }
+  }
+
+  private void taken(byte[] value) {
+    ConfigHistory now = ConfigHistory.of(value);
+    sources.setConfig(now.edition(), now.bytes());
+    try {
+      puller.offerConfig(now.bytes());
+    } catch (ElmsailException e) {
+      LOG.error("edition {} was decided and cannot be read here: {}", now.edition(), e.getMessage());
+    }
+  }
+
+  /** What other control-plane nodes know that is newer goes on to whoever asks here. */
+  private void relay() {
+    if (puller.configBytes() != null) {
+      sources.setConfig(puller.config().edition(), puller.configBytes());
+    }
+    if (puller.listBytes() != null) {
+      sources.setServers(puller.listEpoch(), puller.listVersion(), puller.listBytes(), puller.listTakenAt());
+    }
+    learnStores(puller.view().storeSet);
+    if (!puller.view().head.voters.isEmpty()) {
+      voters.response(puller.view().head);
+    }
+  }
+
+  private void learnStores(VoterSet response) {
+    VoterSet merged = VoterSets.merge(storeSet, response);
+    if (merged != storeSet) {
+      storeSet = merged;
+      sources.viewChanged();
+    }
+  }
+
+  private ClusterView view(PullRequest request) {
+    ClusterView view = new ClusterView();
+    view.head = voters.of();
+    view.storeSet = storeSet;
+    view.gateways = gateways;
+    if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
+      view.joinSlot = order.slot();
+      view.joinEpoch = order.epoch();
+    }
+    return view;
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    timers.after(TICK_MS, this::tick);
+    long now = timers.now();
+    boolean directs = duty.term() > 0 && config.readableSince() != Long.MAX_VALUE;
+    if (directs && storeSet.voters.isEmpty() && founded.read() && founded.value() == null && voters.born()) {
+      found(now);
+    }
+    PlacementController.Order before = order;
+    order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    List<String> clerksNow = heard.gateways(now, CLERK_MS);
+    boolean headMoved = !VoterSets.same(headKnown, voters.of());
+    if (order != null && !order.equals(before)) {
+      LOG.info("{} shall take seat {} of the shelf, incarnation {}", order.address(), order.slot(),
+          order.epoch());
+    }
+    if (order != before && (order == null || !order.equals(before)) || headMoved
+        || !clerksNow.equals(gateways)) {
+      headKnown = voters.of();
+      gateways = clerksNow;
+      sources.viewChanged();
+    }
+    relay();
+  }
+
+  private void found(long now) {
+    VoterSet first = founding ? null : registrar.founding(heard, now);
+    if (first == null) {
+      return;
+    }
+    founding = true;
+    register.change(SHELF_KEY,
+        found -> new Register.Wanted(found.value() != null ? null : VoterSetValue.bytes(first), List.of()),
+        List.of(), null, FOUND_MS).whenComplete((held, failed) -> {
+          founding = false;
+          if (failed == null) {
+            LOG.info("the shelf is founded");
+            founded.take(held.now());
+          }
+        });
+  }
+
+  /** Asks and directs nothing any more; what comes in is still answered. */
+  void close() {
+    closed = true;
+    duty.close();
+    if (list != null) {
+      list.close();
+    }
+    voters.close();
+    puller.close();
+    config.close();
+    retiring.close();
+    founded.close();
+  }
+}
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -0,0 +1,107 @@
+package elmsail.controlplane;
+
+import elmsail.storage.RecordStore;
+import elmsail.storage.RecordStore.Change;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.HelloResponse;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.VoterSetSource;
+import elmsail.consensus.VoterSets;
+import elmsail.consensus.Replica;
+import elmsail.consensus.ReplicaListener;
+import elmsail.runtime.Settings;
+import elmsail.runtime.Timers;
+import java.util.ArrayList;
+import java.util.List;
+
+/** This process's part in the set "head": a keeper where it has a disk, just the knowledge where not. */
+final class ControlPlaneVoters implements VoterSetSource {
+  static final String SET = "head";
+
+  /** On disk: this life began at the first start of the whole system. */
+  private static final String BORN = "notary/born";
+
+  private final Settings settings;
+  private final Timers timers;
+  private final Caller caller;
+  private final RecordStore records;
+  private final Replica keeper;
+  private ClusterBootstrap founding;
+  private VoterSet learned = new VoterSet();
+  private boolean born;
+
+  /**
+   * Makes one.
+   *
+   * @param records null where this process has no disk: it has no vote
+   */
+  ControlPlaneVoters(Settings settings, Timers timers, Caller caller, RequestHandlers answering, RecordStore records) {
+    this.settings = settings;
+    this.timers = timers;
+    this.caller = caller;
+    this.records = records;
+    this.keeper = records == null ? null : new Replica(SET, records, new ReplicaListener() { }, answering, caller,
+        timers, settings.innerAddress(), settings.station());
+    this.born = records != null && (settings.firstStart() || records.read(BORN) != null);
+  }
+
+  /** HandlerTable the others only once it is on the disk whether this life may found. */
+  void start(RequestHandlers answering) {
+    if (born && records.read(BORN) == null) {
+      records.write(List.of(new Change(BORN, new byte[] {1}))).thenRun(() -> begin(answering));
+    } else {
+      begin(answering);
+    }
+  }
+
+  private void begin(RequestHandlers answering) {
+    HelloResponse own = new HelloResponse();
+    own.station = settings.station();
+    own.address = settings.innerAddress();
+    own.instanceId = records == null ? 0 : records.instanceId();
+    own.firstStart = born;
+    List<String> seeds = new ArrayList<>();
+    for (String seed : settings.seeds()) {
+      seeds.add(settings.headInner(seed));
+    }
+    founding = new ClusterBootstrap(caller, timers, own, seeds, this::of, voterSet -> keeper.found(voterSet),
+        this::response);
+    founding.start(answering);
+  }
+
+  /** Whether this life, or the memory of this disk, began at the first start of all. */
+  boolean born() {
+    return born;
+  }
+
+  /** Whether this process votes now. */
+  boolean voting() {
+    return keeper != null && keeper.voting();
+  }
+
+  /** Whether it holds a voter slot, voting or not yet. */
+  boolean holdsSlot() {
+    return keeper != null && VoterSetValue.slotOf(of(), settings.innerAddress()) >= 0;
+  }
+
+  @Override
+  public VoterSet of() {
+    return keeper == null ? learned : keeper.voterSet();
+  }
+
+  @Override
+  public void response(VoterSet newer) {
+    if (keeper == null) {
+      learned = VoterSets.merge(learned, newer);
+    } else if (VoterSets.newer(newer, keeper.voterSet())) {
+      keeper.learn(newer);
+    }
+  }
+
+  void close() {
+    if (founding != null) {
+      founding.close();
+    }
+  }
+}
