--- a/notary/src/main/java/elmsail/notary/RetireCalls.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionHandler.java
@@ -1,13 +1,13 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.register.Register;
-import elmsail.register.SeatingRules;
-import elmsail.station.Timers;
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpHandler;
-import elmsail.station.http.HttpReply;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.Register;
+import elmsail.consensus.VoterSets;
+import elmsail.runtime.Timers;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpHandler;
+import elmsail.runtime.http.HttpReply;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -16,9 +16,9 @@
 
 /**
  * {@code POST /Retire.Begin/NODE} and {@code GET /Retire.Read/NODE}. "delivered" is said only when every
- * holder of a seat has told just now that it has caught up under one and the same seating, and none is NODE.
+ * holder of a voter slot has told just now that it has caught up under one and the same voter set, and none is NODE.
  */
-final class RetireCalls implements HttpHandler {
+final class DecommissionHandler implements HttpHandler {
   static final String BEGIN = "/Retire.Begin/";
   static final String READ = "/Retire.Read/";
 
@@ -27,32 +27,32 @@
   private static final long LISTEN_MS = 3_000;
   private static final long THERE_MS = 2_500;
   private static final long JUST_NOW_MS = 1_500;
-  /** A vault unheard for that long does not come back by itself. */
+  /** A store unheard for that long does not come back by itself. */
   private static final long PERHAPS_MS = 30_000;
 
   private final Register register;
   private final Timers timers;
-  private final Heard heard;
-  private final Supplier<Seating> shelf;
-  private final Decided retiring;
-  private final int seats;
+  private final HeartbeatTable heard;
+  private final Supplier<VoterSet> storeSet;
+  private final CommittedValue retiring;
+  private final int voters;
   private final long start;
   private final Set<String> delivered = new HashSet<>();
 
   /**
    * Makes one.
    *
-   * @param shelf the newest seating of the vaults that is known; without seats before the founding
-   * @param seats how many it has, or will have
+   * @param storeSet the newest voter set of the stores that is known; without voter slots before the founding
+   * @param voters how many it has, or will have
    */
-  RetireCalls(Register register, Timers timers, Heard heard, Supplier<Seating> shelf, Decided retiring,
-      int seats) {
+  DecommissionHandler(Register register, Timers timers, HeartbeatTable heard, Supplier<VoterSet> storeSet, CommittedValue retiring,
+      int voters) {
     this.register = register;
     this.timers = timers;
     this.heard = heard;
-    this.shelf = shelf;
+    this.storeSet = storeSet;
     this.retiring = retiring;
-    this.seats = seats;
+    this.voters = voters;
     this.start = timers.now();
   }
 
@@ -71,11 +71,11 @@
     if (node.isEmpty()) {
       return false;
     }
-    if (heard.station(node) != null || Stations.of(retiring.value()).contains(node)) {
+    if (heard.station(node) != null || DecommissionList.of(retiring.value()).contains(node)) {
       return true;
     }
-    for (Seat seat : shelf.get().seats) {
-      if (seat.station.equals(node)) {
+    for (Voter slot : storeSet.get().voters) {
+      if (slot.station.equals(node)) {
         return true;
       }
     }
@@ -84,11 +84,11 @@
 
   private CompletableFuture<HttpReply> begin(String node) {
     int[] status = {200};
-    return register.change(Stations.KEY, found -> {
-      Set<String> names = Stations.of(found.value());
+    return register.change(DecommissionList.KEY, found -> {
+      Set<String> names = DecommissionList.of(found.value());
       status[0] = names.contains(node) ? 200 : room(node, names);
       boolean add = status[0] == 200 && !names.contains(node);
-      return new Register.Wanted(add ? Stations.with(names, node) : null, List.of());
+      return new Register.Wanted(add ? DecommissionList.with(names, node) : null, List.of());
     }, List.of(), null, ANSWER_WITHIN_MS).handle((held, failed) -> {
       if (failed != null) {
         return Replies.why(503, "not reached");
@@ -102,19 +102,19 @@
     });
   }
 
-  /** 200 if enough vaults remain, 503 if they perhaps do, 409 if they don't. */
+  /** 200 if enough stores remain, 503 if they perhaps do, 409 if they don't. */
   private int room(String node, Set<String> names) {
     long now = timers.now();
     int there = 0;
     int perhaps = 0;
-    for (Heard.Vault vault : heard.vaults()) {
-      if (!vault.station().equals(node) && !names.contains(vault.station())) {
-        long ago = now - vault.lastAt();
+    for (HeartbeatTable.Vault store : heard.stores()) {
+      if (!store.station().equals(node) && !names.contains(store.station())) {
+        long ago = now - store.lastAt();
         there += ago <= THERE_MS ? 1 : 0;
         perhaps += ago <= PERHAPS_MS ? 1 : 0;
       }
     }
-    int needed = shelf.get().seats.isEmpty() ? seats : shelf.get().seats.size();
+    int needed = storeSet.get().voters.isEmpty() ? voters : storeSet.get().voters.size();
     if (there >= needed) {
       return 200;
     }
@@ -122,7 +122,7 @@
   }
 
   private HttpReply read(String node) {
-    boolean asked = Stations.of(retiring.value()).contains(node);
+    boolean asked = DecommissionList.of(retiring.value()).contains(node);
     if (asked && (delivered.contains(node) || emptied(node))) {
       delivered.add(node);
       return Replies.json(200, "{\"state\":\"delivered\"}");
@@ -132,16 +132,16 @@
 
   private boolean emptied(String node) {
     long now = timers.now();
-    Seating seating = shelf.get();
-    for (Seat seat : seating.seats) {
-      Heard.Vault holder = heard.vault(seat.address);
-      if (seat.station.equals(node) || holder == null || now - holder.lastAt() > JUST_NOW_MS
-          || !holder.seated() || holder.life() != seat.life || !SeatingRules.same(holder.shelf(), seating)) {
+    VoterSet voterSet = storeSet.get();
+    for (Voter slot : voterSet.voters) {
+      HeartbeatTable.Vault holder = heard.store(slot.address);
+      if (slot.station.equals(node) || holder == null || now - holder.lastAt() > JUST_NOW_MS
+          || !holder.voting() || holder.instanceId() != slot.instanceId || !VoterSets.same(holder.storeSet(), voterSet)) {
         return false;
       }
     }
-    Heard.Vault itself = heard.station(node);
-    boolean stillSeated = itself != null && now - itself.lastAt() <= JUST_NOW_MS && itself.seated();
-    return !seating.seats.isEmpty() && !stillSeated;
+    HeartbeatTable.Vault itself = heard.station(node);
+    boolean stillSeated = itself != null && now - itself.lastAt() <= JUST_NOW_MS && itself.voting();
+    return !voterSet.voters.isEmpty() && !stillSeated;
   }
 }
--- a/notary/src/main/java/elmsail/notary/Stations.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionList.java
@@ -1,7 +1,7 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -12,12 +12,12 @@
 import java.util.TreeSet;
 
 /** The value of the register's key "retire": the stations that are to be emptied; it only grows. */
-final class Stations {
+final class DecommissionList {
   static final String KEY = "retire";
 
   private static final int MOST = 10_000;
 
-  private Stations() {
+  private DecommissionList() {
   }
 
   /** Null is none. */
@@ -29,13 +29,13 @@
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(value))) {
       int count = in.readInt();
       if (count < 0 || count > MOST) {
-        throw new ElmsailException(Code.GARBLED, "stations: " + count);
+        throw new ElmsailException(ErrorCode.GARBLED, "stations: " + count);
       }
       for (int i = 0; i < count; i++) {
         names.add(in.readUTF());
       }
     } catch (IOException e) {
-      throw new ElmsailException(Code.GARBLED, "stations", e);
+      throw new ElmsailException(ErrorCode.GARBLED, "stations", e);
     }
     return Collections.unmodifiableSet(names);
   }
@@ -49,7 +49,7 @@
       }
       out.writeUTF(one);
     } catch (IOException e) {
-      throw new ElmsailException(Code.FAULT, "stations", e);
+      throw new ElmsailException(ErrorCode.FAULT, "stations", e);
     }
     return bytes.toByteArray();
   }
--- a/notary/src/main/java/elmsail/notary/Lease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/Lease.java
@@ -1,4 +1,4 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 /**
  * The asker's side of one duty's lease. It is held from before a round was sent until the voters' time less a
@@ -66,7 +66,7 @@
     return round;
   }
 
-  /** A voter (its place in the seating) has granted it in that round; true if that made it held anew. */
+  /** A voter (its place in the voter set) has granted it in that round; true if that made it held anew. */
   boolean granted(long inRound, int voter, long now) {
     if (inRound != round || voter >= voters) {
       return false;
--- a/notary/src/main/java/elmsail/notary/LeaseVoter.java
+++ b/controlplane/src/main/java/elmsail/controlplane/LeaseVoter.java
@@ -1,6 +1,6 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-/** One voter's memory of one duty's lease; it has none on disk, so it waits out those of its life before. */
+/** One voter's memory of one duty's lease; it has none on disk, so it waits out those of its instanceId before. */
 final class LeaseVoter {
   static final long LEASE_MS = 2_000;
 
@@ -24,7 +24,7 @@
    *
    * @param round of the asker, rising
    */
-  long ask(long who, long round, long now) {
+  long request(long who, long round, long now) {
     boolean same = granted && holder == who;
     if (now < until && !same) {
       return until - now;
--- a/notary/src/main/java/elmsail/notary/Operators.java
+++ b/controlplane/src/main/java/elmsail/controlplane/OperatorApi.java
@@ -1,12 +1,12 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpHandler;
-import elmsail.station.http.HttpReply;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpHandler;
+import elmsail.runtime.http.HttpReply;
 import java.util.concurrent.CompletableFuture;
 
 /** The control address: which handler a call goes to. */
-record Operators(HttpHandler replace, HttpHandler read, HttpHandler retire) implements HttpHandler {
+record OperatorApi(HttpHandler replace, HttpHandler read, HttpHandler retire) implements HttpHandler {
 
   @Override
   public CompletableFuture<HttpReply> handle(HttpCall call) {
@@ -19,10 +19,10 @@
     if ("/Timetable.Read".equals(path)) {
       return get ? read.handle(call) : Replies.now(Replies.why(405, "GET"));
     }
-    if (path.startsWith(RetireCalls.BEGIN)) {
+    if (path.startsWith(DecommissionHandler.BEGIN)) {
       return post ? retire.handle(call) : Replies.now(Replies.why(405, "POST"));
     }
-    if (path.startsWith(RetireCalls.READ)) {
+    if (path.startsWith(DecommissionHandler.READ)) {
       return get ? retire.handle(call) : Replies.now(Replies.why(405, "GET"));
     }
     return Replies.now(Replies.why(404, "no such call"));
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -0,0 +1,195 @@
+package elmsail.controlplane;
+
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Decides who sits in the stores' voter slots, from what was heard: the founding, and which spare takes a voter slot
+ * whose holder is gone or is to be retired. Pure; all times are steady ms.
+ */
+final class PlacementController {
+  static final long GONE_MS = 2_500;
+  static final long SPARE_MS = 800;
+
+  private static final long FOUND_FEWER_MS = 6_000;
+  private static final long ZONES_WAIT_MS = 1_000;
+  /** A registrar that did not look for so long was held up itself, and listens anew. */
+  private static final long HELD_UP_MS = 700;
+
+  private final int voters;
+  private long listening;
+  private long lastLook;
+  private Order order;
+  private int orders;
+  private long orderedLife;
+  private int orderedFrom;
+
+  /** Which store is to claim which voter slot, and as what. */
+  record Order(int slot, String address, int epoch) {
+  }
+
+  /** Makes one for so many voter slots, listening from now on. */
+  PlacementController(int voters, long now) {
+    this.voters = voters;
+    this.listening = now;
+    this.lastLook = now;
+  }
+
+  /** The first voter set, or null as long as it is not time; asked only while there is none. */
+  VoterSet founding(HeartbeatTable heard, long now) {
+    List<HeartbeatTable.Vault> there = new ArrayList<>();
+    long first = Long.MAX_VALUE;
+    Set<String> zones = new HashSet<>();
+    for (HeartbeatTable.Vault store : heard.stores()) {
+      if (!store.voting() && store.storeSet().voters.isEmpty() && now - store.lastAt() <= GONE_MS) {
+        there.add(store);
+        zones.add(store.zone());
+        first = Math.min(first, store.firstAt());
+      }
+    }
+    boolean enough = there.size() >= voters && (zones.size() >= voters || now - first >= ZONES_WAIT_MS);
+    if (there.isEmpty() || !enough && now - first < FOUND_FEWER_MS) {
+      return null;
+    }
+    List<HeartbeatTable.Vault> chosen = spread(there);
+    VoterSet voterSet = new VoterSet();
+    for (HeartbeatTable.Vault store : chosen) {
+      voterSet.voters.add(VoterSetValue.slot(store.address(), store.station(), store.instanceId(), 1));
+    }
+    return voterSet;
+  }
+
+  /** One of each zone first, then others; in the order of their addresses. */
+  private List<HeartbeatTable.Vault> spread(List<HeartbeatTable.Vault> there) {
+    List<HeartbeatTable.Vault> chosen = new ArrayList<>();
+    Set<String> zones = new HashSet<>();
+    for (HeartbeatTable.Vault store : there) {
+      if (chosen.size() < voters && zones.add(store.zone())) {
+        chosen.add(store);
+      }
+    }
+    for (HeartbeatTable.Vault store : there) {
+      if (chosen.size() < voters && !chosen.contains(store)) {
+        chosen.add(store);
+      }
+    }
+    chosen.sort(Comparator.comparing(HeartbeatTable.Vault::address));
+    return chosen;
+  }
+
+  /**
+   * What is to be claimed at present, or null. Called often, also while the lease is not held.
+   *
+   * @param mayDirect whether this control-plane node holds the lease and reads the head's register at a majority
+   * @param retiring stations that are to be emptied
+   */
+  Order order(HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, boolean mayDirect, long now) {
+    if (!mayDirect || now - lastLook > HELD_UP_MS) {
+      listening = now;
+    }
+    lastLook = now;
+    if (!mayDirect) {
+      order = null;
+      return null;
+    }
+    forgetDone(storeSet);
+    int slot = order != null && wanted(heard, storeSet, retiring, order.slot(), now) ? order.slot() : -1;
+    for (int i = 0; i < storeSet.voters.size() && slot < 0; i++) {
+      if (wanted(heard, storeSet, retiring, i, now)) {
+        slot = i;
+      }
+    }
+    if (slot < 0) {
+      order = null;
+      return null;
+    }
+    if (order != null && order.slot() == slot && heardWithin(heard, order.address(), GONE_MS, now)) {
+      return order;
+    }
+    HeartbeatTable.Vault spare = spare(heard, storeSet, retiring, slot, now);
+    order = spare == null ? null : new Order(slot, spare.address(), epoch(storeSet, slot));
+    return order;
+  }
+
+  private void forgetDone(VoterSet storeSet) {
+    if (order != null && (order.slot() >= storeSet.voters.size()
+        || storeSet.voters.get(order.slot()).epoch >= order.epoch())) {
+      order = null;
+    }
+  }
+
+  /** Above the present holder's, and above that of each spare that was sent for the voter slot before. */
+  private int epoch(VoterSet storeSet, int slot) {
+    Voter holder = storeSet.voters.get(slot);
+    boolean sameHolder = holder.instanceId == orderedLife && slot == orderedFrom;
+    orders = sameHolder ? orders + 1 : 1;
+    orderedLife = holder.instanceId;
+    orderedFrom = slot;
+    return holder.epoch + orders;
+  }
+
+  /** Whether the voter slot is to be taken by another, and no other voter slot is in change. */
+  private boolean wanted(HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
+    Voter holder = storeSet.voters.get(slot);
+    boolean gone = gone(heard, holder, now);
+    if (!gone && !retiring.contains(holder.station)) {
+      return false;
+    }
+    int voting = 0;
+    int away = 0;
+    for (int i = 0; i < storeSet.voters.size(); i++) {
+      if (i == slot) {
+        continue;
+      }
+      Voter other = storeSet.voters.get(i);
+      HeartbeatTable.Vault store = heard.store(other.address);
+      if (gone(heard, other, now)) {
+        away++;
+      } else if (store != null && store.voting() && store.instanceId() == other.instanceId) {
+        voting++;
+      } else {
+        return false;
+      }
+    }
+    int quorum = storeSet.voters.size() / 2 + 1;
+    return voting >= Math.max(1, storeSet.voters.size() - quorum + 1) && (gone || away == 0);
+  }
+
+  private boolean gone(HeartbeatTable heard, Voter holder, long now) {
+    HeartbeatTable.Vault store = heard.store(holder.address);
+    long last = store == null ? listening : Math.max(listening, store.lastAt());
+    return now - last > GONE_MS;
+  }
+
+  private static boolean heardWithin(HeartbeatTable heard, String address, long ms, long now) {
+    HeartbeatTable.Vault store = heard.store(address);
+    return store != null && now - store.lastAt() <= ms;
+  }
+
+  /** In a zone where no other voter slot is, if there is such a one. */
+  private static HeartbeatTable.Vault spare(HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
+    Set<String> zones = new HashSet<>();
+    for (int i = 0; i < storeSet.voters.size(); i++) {
+      HeartbeatTable.Vault holder = heard.store(storeSet.voters.get(i).address);
+      if (i != slot && holder != null) {
+        zones.add(holder.zone());
+      }
+    }
+    HeartbeatTable.Vault any = null;
+    for (HeartbeatTable.Vault store : heard.stores()) {
+      if (now - store.lastAt() <= SPARE_MS && VoterSetValue.slotOf(storeSet, store.address()) < 0
+          && !retiring.contains(store.station())) {
+        if (!zones.contains(store.zone())) {
+          return store;
+        }
+        any = any == null ? store : any;
+      }
+    }
+    return any;
+  }
+}
--- a/notary/src/main/java/elmsail/notary/ReplaceCall.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
@@ -1,23 +1,23 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.register.Register;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpHandler;
-import elmsail.station.http.HttpReply;
-import elmsail.timetable.Timetable;
+import elmsail.consensus.Register;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpHandler;
+import elmsail.runtime.http.HttpReply;
+import elmsail.config.RoutingConfig;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
 
 /**
- * {@code POST /Timetable.Replace}: checks the body, then changes the register. Every retry goes through a
+ * {@code POST /RoutingConfig.Replace}: checks the body, then changes the register. Every retry goes through a
  * first round of its own, which settles what became of the try before: so 412 and 400 are sure.
  */
-final class ReplaceCall implements HttpHandler {
+final class ReplaceConfigHandler implements HttpHandler {
   static final String KEY = "timetable";
 
   /** The operator moves on after a second without an answer. */
@@ -26,9 +26,9 @@
   private static final long BETWEEN_TRIES_MS = 20;
 
   private final Register register;
-  private final Function<byte[], Timetable> reader;
+  private final Function<byte[], RoutingConfig> reader;
   private final Timers timers;
-  private final Decided decided;
+  private final CommittedValue decided;
   private final LongConsumer tell;
 
   /**
@@ -37,7 +37,7 @@
    * @param reader throws BAD_CALL for a configuration that is invalid
    * @param tell told of the edition that this call got decided
    */
-  ReplaceCall(Register register, Function<byte[], Timetable> reader, Timers timers, Decided decided,
+  ReplaceConfigHandler(Register register, Function<byte[], RoutingConfig> reader, Timers timers, CommittedValue decided,
       LongConsumer tell) {
     this.register = register;
     this.reader = reader;
@@ -62,7 +62,7 @@
       this.edition = edition;
       this.basedOn = basedOn;
       this.sent = sent;
-      this.digest = Editions.digest(sent);
+      this.digest = ConfigHistory.digest(sent);
       this.end = end;
     }
   }
@@ -77,7 +77,7 @@
     try {
       edition = reader.apply(call.body()).edition();
     } catch (ElmsailException e) {
-      if (e.code() != Code.BAD_CALL && e.code() != Code.GARBLED) {
+      if (e.code() != ErrorCode.BAD_CALL && e.code() != ErrorCode.GARBLED) {
         throw e;
       }
       return Replies.now(Replies.why(400, e.getMessage()));
@@ -101,7 +101,7 @@
   }
 
   private static Register.Wanted wanted(Order order, Register.Found found) {
-    Editions current = Editions.of(found.value());
+    ConfigHistory current = ConfigHistory.of(found.value());
     if (current.taken(order.edition, order.digest)) {
       order.status = 200;
       return new Register.Wanted(null, List.of());
@@ -123,8 +123,8 @@
 
   private void done(Order order, Register.Held held, Throwable failed) {
     if (failed != null) {
-      Code code = ElmsailException.codeOf(failed);
-      order.unclear |= code != Code.NOT_REACHED && code != Code.UNSENT && code != Code.NOT_SEATED;
+      ErrorCode code = ElmsailException.codeOf(failed);
+      order.unclear |= code != ErrorCode.NOT_REACHED && code != ErrorCode.UNSENT && code != ErrorCode.NOT_SEATED;
       timers.after(BETWEEN_TRIES_MS, () -> attempt(order));
       return;
     }
--- a/notary/src/main/java/elmsail/notary/Replies.java
+++ b/controlplane/src/main/java/elmsail/controlplane/Replies.java
@@ -1,11 +1,11 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.station.http.HttpReply;
+import elmsail.runtime.http.HttpReply;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-/** Answers to operators. */
+/** HandlerTable to operators. */
 final class Replies {
   private static final Map<String, String> JSON = Map.of("content-type", "application/json");
 
--- a/notary/src/main/java/elmsail/notary/ListDuty.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
@@ -1,30 +1,30 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
-import elmsail.timetable.CarrierCall;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.ServerList;
-import elmsail.timetable.pull.Sources;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import elmsail.config.PlatformClient;
+import elmsail.config.ServerEntry;
+import elmsail.config.ServerList;
+import elmsail.config.watch.UpdateSources;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.LongSupplier;
 
-/** Asks the carrier for the list of servers for as long as this process holds the duty. */
-final class ListDuty {
+/** Asks the platform for the list of servers for as long as this process holds the duty. */
+final class ServerDiscovery {
   private static final long EVERY_MS = 500;
   private static final long MOST_MS = 4_000;
-  /** Of the carrier's rate: the rest is for those whom this list doesn't reach. */
+  /** Of the platform's rate: the rest is for those whom this list doesn't reach. */
   private static final double SHARE = 0.5;
   /** What a server has left to be cold is told in whole steps, so that not each list is a new one. */
   private static final long COLD_STEP_MS = 1_000;
 
-  private final CarrierCall carrier;
+  private final PlatformClient platform;
   private final double perSecond;
   private final Timers timers;
-  private final Sources sources;
+  private final UpdateSources sources;
   private final LongSupplier term;
   private long epoch;
   private long version;
@@ -40,11 +40,11 @@
   /**
    * Makes one.
    *
-   * @param perSecond calls that the carrier takes from all processes together
+   * @param perSecond calls that the platform takes from all processes together
    * @param term in which the duty is held at this moment, or 0
    */
-  ListDuty(CarrierCall carrier, double perSecond, Timers timers, Sources sources, LongSupplier term) {
-    this.carrier = carrier;
+  ServerDiscovery(PlatformClient platform, double perSecond, Timers timers, UpdateSources sources, LongSupplier term) {
+    this.platform = platform;
     this.perSecond = perSecond;
     this.timers = timers;
     this.sources = sources;
@@ -62,9 +62,9 @@
       return;
     }
     firstAsked = true;
-    carrier.fetch().whenComplete((servers, failed) -> {
+    platform.fetch().whenComplete((servers, failed) -> {
       if (failed == null && !closed && !sources.hasServers()) {
-        sources.setServers(FIRST_TERM, 1, ServerList.encode(stepped(servers)), carrier.takenAt());
+        sources.setServers(FIRST_TERM, 1, ServerList.encode(stepped(servers)), platform.takenAt());
       }
     });
   }
@@ -79,15 +79,15 @@
       timers.after(EVERY_MS / 5, this::look);
       return;
     }
-    carrier.fetch().whenComplete((servers, failed) -> {
+    platform.fetch().whenComplete((servers, failed) -> {
       if (failed == null) {
         pause = EVERY_MS;
         take(inTerm, servers);
       } else {
-        boolean full = ElmsailException.codeOf(failed) == Code.FULL;
+        boolean full = ElmsailException.codeOf(failed) == ErrorCode.FULL;
         pause = Math.min(MOST_MS, full ? pause * 2 : Math.max(EVERY_MS, pause * 3 / 2));
       }
-      long least = perSecond > 0 ? (long) (carrier.lastPages() * 1_000 / (perSecond * SHARE)) : MOST_MS;
+      long least = perSecond > 0 ? (long) (platform.lastPages() * 1_000 / (perSecond * SHARE)) : MOST_MS;
       timers.after(Math.max(pause, least), this::look);
     });
   }
@@ -104,7 +104,7 @@
       version++;
     }
     last = bytes;
-    sources.setServers(epoch, version, bytes, carrier.takenAt());
+    sources.setServers(epoch, version, bytes, platform.takenAt());
   }
 
   private static List<ServerEntry> stepped(List<ServerEntry> servers) {
--- a/notary/src/main/java/elmsail/notary/Duty.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -1,15 +1,15 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.inner.Answering;
-import elmsail.inner.Caller;
-import elmsail.inner.words.LeaseAsk;
-import elmsail.inner.words.LeaseTold;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.register.Register;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.LeaseRequest;
+import elmsail.rpc.messages.LeaseResponse;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.Register;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -19,13 +19,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The one duty of the head office: asking the carrier and directing the vaults' seats. Whoever holds its
+ * The one duty of the head office: asking the platform and directing the stores' voter slots. Whoever holds its
  * lease takes a new term from the register first; the list's epochs are these terms.
  */
-final class Duty {
+final class SingletonLease {
   static final String KEY = "duty";
 
-  private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
+  private static final Logger LOG = LoggerFactory.getLogger(SingletonLease.class);
   private static final long LOOK_MS = 100;
   private static final long ASK_TIMEOUT_MS = 500;
   private static final long TERM_TIMEOUT_MS = 800;
@@ -33,7 +33,7 @@
   private final Caller caller;
   private final Timers timers;
   private final Register register;
-  private final Supplier<Seating> head;
+  private final Supplier<VoterSet> head;
   private final String ownAddress;
   private final long who;
   private Lease lease;
@@ -48,7 +48,7 @@
    *
    * @param who drawn anew at each start
    */
-  Duty(Caller caller, Timers timers, Register register, Supplier<Seating> head, String ownAddress, long who) {
+  SingletonLease(Caller caller, Timers timers, Register register, Supplier<VoterSet> head, String ownAddress, long who) {
     this.caller = caller;
     this.timers = timers;
     this.register = register;
@@ -57,20 +57,20 @@
     this.who = who;
   }
 
-  /** Answers the askers of the lease, while this process votes. */
-  static void vote(Answering answering, Timers timers, LeaseVoter voter, BooleanSupplier seated) {
-    answering.on(LeaseAsk.class, ask -> {
-      if (!seated.getAsBoolean()) {
-        return CompletableFuture.failedFuture(new ElmsailException(Code.NOT_SEATED, "no vote"));
+  /** HandlerTable the askers of the lease, while this process votes. */
+  static void vote(RequestHandlers answering, Timers timers, LeaseVoter voter, BooleanSupplier voting) {
+    answering.on(LeaseRequest.class, request -> {
+      if (!voting.getAsBoolean()) {
+        return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.NOT_SEATED, "no vote"));
       }
-      LeaseTold told = new LeaseTold();
-      if (ask.forMs <= 0) {
-        voter.release(ask.who, ask.round, timers.now());
+      LeaseResponse response = new LeaseResponse();
+      if (request.forMs <= 0) {
+        voter.release(request.who, request.round, timers.now());
       } else {
-        told.leftMs = voter.ask(ask.who, ask.round, timers.now());
-        told.granted = told.leftMs == 0;
+        response.leftMs = voter.request(request.who, request.round, timers.now());
+        response.granted = response.leftMs == 0;
       }
-      return CompletableFuture.completedFuture(told);
+      return CompletableFuture.completedFuture(response);
     });
   }
 
@@ -79,8 +79,8 @@
       return;
     }
     timers.after(LOOK_MS, this::start);
-    Seating seating = head.get();
-    int place = SeatingValues.seatOf(seating, ownAddress);
+    VoterSet voterSet = head.get();
+    int place = VoterSetValue.slotOf(voterSet, ownAddress);
     if (place < 0) {
       return;
     }
@@ -92,29 +92,29 @@
       term = 0;
       LOG.info("the duty's lease is lost");
     }
-    long round = lease.begin(now, seating.seats.size());
+    long round = lease.begin(now, voterSet.voters.size());
     if (round != 0) {
-      ask(round, seating);
+      request(round, voterSet);
     }
   }
 
   /** Sends the round, or the giving up of it where it is negative. */
-  private void ask(long round, Seating seating) {
-    LeaseAsk ask = new LeaseAsk();
-    ask.duty = KEY;
-    ask.who = who;
-    ask.forMs = round > 0 ? LeaseVoter.LEASE_MS : 0;
-    ask.round = Math.abs(round);
-    for (int i = 0; i < seating.seats.size(); i++) {
+  private void request(long round, VoterSet voterSet) {
+    LeaseRequest request = new LeaseRequest();
+    request.duty = KEY;
+    request.who = who;
+    request.forMs = round > 0 ? LeaseVoter.LEASE_MS : 0;
+    request.round = Math.abs(round);
+    for (int i = 0; i < voterSet.voters.size(); i++) {
       int voter = i;
-      Seat seat = seating.seats.get(i);
-      caller.call(seat.address, ask, LeaseTold.class, ASK_TIMEOUT_MS).thenAccept(told -> {
+      Voter slot = voterSet.voters.get(i);
+      caller.call(slot.address, request, LeaseResponse.class, ASK_TIMEOUT_MS).thenAccept(response -> {
         if (closed || round < 0) {
           return;
         }
         long now = timers.now();
-        if (!told.granted) {
-          lease.refused(round, told.leftMs);
+        if (!response.granted) {
+          lease.refused(round, response.leftMs);
         } else if (lease.granted(round, voter, now)) {
           term = 0;
           won++;
@@ -159,7 +159,7 @@
     if (lease != null && !closed) {
       long round = lease.drop();
       if (round != 0) {
-        ask(round, head.get());
+        request(round, head.get());
       }
     }
     closed = true;
--- a/notary/src/main/java/elmsail/notary/SeatedOnly.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
@@ -1,34 +1,34 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.inner.words.Seat;
-import elmsail.station.Settings;
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpHandler;
-import elmsail.station.http.HttpReply;
-import elmsail.timetable.pull.Puller;
+import elmsail.rpc.messages.Voter;
+import elmsail.runtime.Settings;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpHandler;
+import elmsail.runtime.http.HttpReply;
+import elmsail.config.watch.ConfigWatcher;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Calls that only the holders of the head's seats can answer, as the vaults speak just to these. Others send
+ * Calls that only the holders of the head's voter slots can answer, as the stores speak just to these. Others send
  * the caller there: the control port is the same on all machines.
  */
-record SeatedOnly(HttpHandler handler, Settings settings, HeadSeats seats, Puller puller)
+record VoterRedirect(HttpHandler handler, Settings settings, ControlPlaneVoters voters, ConfigWatcher puller)
     implements HttpHandler {
   private static final long LATELY_MS = 2_500;
 
   @Override
   public CompletableFuture<HttpReply> handle(HttpCall call) {
-    if (seats.holdsSeat()) {
+    if (voters.holdsSlot()) {
       return handler.handle(call);
     }
     String nearest = null;
     long least = LATELY_MS;
-    for (Seat seat : seats.of().seats) {
-      long ago = puller.heardAgoMs(seat.address);
+    for (Voter slot : voters.of().voters) {
+      long ago = puller.heardAgoMs(slot.address);
       if (ago < least) {
         least = ago;
-        nearest = seat.address;
+        nearest = slot.address;
       }
     }
     String control = settings.slots().get("control");
--- a/notary/src/test/java/elmsail/notary/ConfigStoryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ConfigStoryTest.java
@@ -1,12 +1,12 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import elmsail.station.http.HttpReply;
-import elmsail.timetable.pull.Puller;
+import elmsail.runtime.http.HttpReply;
+import elmsail.config.watch.ConfigWatcher;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,8 +20,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Two operators change the configuration while notaries are killed, frozen, cut off, lose their power or a
- * disk. What was acknowledged is never lost, no two are on top of the same one, and no clerk ever sees one
+ * Two operators change the configuration while control-plane nodes are killed, frozen, cut off, lose their power or a
+ * disk. What was acknowledged is never lost, no two are on top of the same one, and no gateway ever sees one
  * that isn't there in the end.
  */
 class ConfigStoryTest {
@@ -69,11 +69,11 @@
     current = 0;
     world.net.delay(1, 15);
     for (int i = 1; i <= 3; i++) {
-      world.notary("n" + i, true);
+      world.controlPlane("n" + i, true);
       world.timers.pass(chance.nextInt(150));
     }
-    world.clerk("c1");
-    world.clerk("c2");
+    world.gateway("c1");
+    world.gateway("c2");
     String trouble = null;
     long troubleEnds = 0;
     for (int step = 0; step < 800; step++) {
@@ -119,7 +119,7 @@
 
   private void end(String name) {
     if (fault <= 2) {
-      world.notary(name, false);
+      world.controlPlane(name, false);
       // A disk is lost one at a time: the next only once this one has all copied.
       world.until(fault == 2 ? 8_000 : 0, () -> world.read(name).startsWith("{"));
     } else if (fault == 3) {
@@ -182,21 +182,21 @@
     return null;
   }
 
-  /** The operator takes what a clerk has as current, as an unclear one may have been taken. */
+  /** The operator takes what a gateway has as current, as an unclear one may have been taken. */
   private void refresh() {
-    for (Puller clerk : world.clerks.values()) {
-      if (clerk.timetable() != null) {
-        current = Math.max(current, clerk.timetable().edition());
+    for (ConfigWatcher gateway : world.gateways.values()) {
+      if (gateway.config() != null) {
+        current = Math.max(current, gateway.config().edition());
       }
     }
   }
 
   private void look(int seed) {
-    for (Map.Entry<String, Puller> clerk : world.clerks.entrySet()) {
-      if (clerk.getValue().timetable() != null) {
-        long edition = clerk.getValue().timetable().edition();
-        assertThat("seed " + seed, edition >= lastSeen.getOrDefault(clerk.getKey(), 0L), is(true));
-        lastSeen.put(clerk.getKey(), edition);
+    for (Map.Entry<String, ConfigWatcher> gateway : world.gateways.entrySet()) {
+      if (gateway.getValue().config() != null) {
+        long edition = gateway.getValue().config().edition();
+        assertThat("seed " + seed, edition >= lastSeen.getOrDefault(gateway.getKey(), 0L), is(true));
+        lastSeen.put(gateway.getKey(), edition);
         seen.add(edition);
       }
     }
@@ -209,15 +209,15 @@
       return read[0].startsWith("{");
     }), is(true));
     byte[] value = null;
-    for (HeadOffice office : world.offices.values()) {
-      Editions editions = Editions.of(office.decidedTimetable());
-      if (World.timetable(editions.edition()).equals(read[0])) {
-        value = office.decidedTimetable();
+    for (ControlPlaneNode office : world.offices.values()) {
+      ConfigHistory editions = ConfigHistory.of(office.committedConfig());
+      if (World.config(editions.edition()).equals(read[0])) {
+        value = office.committedConfig();
       }
     }
-    Editions last = Editions.of(value);
-    assertThat("seed " + seed, read[0], is(World.timetable(last.edition())));
-    assertThat("all are kept", last.recentEditions().length < Editions.KEPT, is(true));
+    ConfigHistory last = ConfigHistory.of(value);
+    assertThat("seed " + seed, read[0], is(World.config(last.edition())));
+    assertThat("all are kept", last.recentEditions().length < ConfigHistory.KEPT, is(true));
     for (long edition : acknowledged.keySet()) {
       assertThat("seed " + seed + ": lost " + edition, has(last, edition), is(true));
     }
@@ -229,8 +229,8 @@
     }
   }
 
-  private static boolean has(Editions last, long edition) {
-    byte[] sent = World.timetable(edition).getBytes(StandardCharsets.UTF_8);
-    return last.taken(edition, Editions.digest(sent));
+  private static boolean has(ConfigHistory last, long edition) {
+    byte[] sent = World.config(edition).getBytes(StandardCharsets.UTF_8);
+    return last.taken(edition, ConfigHistory.digest(sent));
   }
 }
--- a/notary/src/test/java/elmsail/notary/HeadOfficeTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneNodeTest.java
@@ -1,4 +1,4 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.anyOf;
@@ -8,43 +8,43 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
-import elmsail.station.http.HttpReply;
+import elmsail.runtime.http.HttpReply;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
-/** Whole notaries over simulated links and disks. */
-class HeadOfficeTest {
+/** Whole control-plane nodes over simulated links and disks. */
+class ControlPlaneNodeTest {
   private final World world = new World(7, 3);
 
   private void head() {
-    world.notary("n1", true);
-    world.notary("n2", true);
-    world.notary("n3", true);
+    world.controlPlane("n1", true);
+    world.controlPlane("n2", true);
+    world.controlPlane("n3", true);
   }
 
-  private void all(int vaults) {
+  private void all(int stores) {
     head();
-    for (int i = 1; i <= vaults; i++) {
-      world.vault("v" + i, true);
+    for (int i = 1; i <= stores; i++) {
+      world.store("v" + i, true);
     }
   }
 
-  private void founded(int vaults) {
-    all(vaults);
-    assertThat(world.until(5_000, () -> world.shelf("v1").equals("v1/1 v2/1 v3/1")), is(true));
+  private void founded(int stores) {
+    all(stores);
+    assertThat(world.until(5_000, () -> world.storeSet("v1").equals("v1/1 v2/1 v3/1")), is(true));
   }
 
   @Test
   void aConfigurationIsTakenSoonAfterTheStartAndReachesTheClerks() {
     head();
-    world.clerk("c1");
+    world.gateway("c1");
     assertThat(world.replaceAnywhere(0, 3), is(200));
     assertThat(world.timers.now(), lessThan(3_500L));
-    assertThat(world.until(500, () -> world.clerks.get("c1").timetable() != null), is(true));
-    assertThat(world.clerks.get("c1").timetable().edition(), is(3L));
-    assertThat(world.read("n3"), equalTo(World.timetable(3)));
+    assertThat(world.until(500, () -> world.gateways.get("c1").config() != null), is(true));
+    assertThat(world.gateways.get("c1").config().edition(), is(3L));
+    assertThat(world.read("n3"), equalTo(World.config(3)));
     assertThat(world.replace("n2", 3, 9), is(200));
-    assertThat(world.until(300, () -> world.clerks.get("c1").timetable().edition() == 9), is(true));
+    assertThat(world.until(300, () -> world.gateways.get("c1").config().edition() == 9), is(true));
   }
 
   @Test
@@ -53,11 +53,11 @@
       World one = new World(order, 3);
       int first = order % 3 + 1;
       int second = order < 3 ? first % 3 + 1 : (first + 1) % 3 + 1;
-      one.notary("n" + first, true);
+      one.controlPlane("n" + first, true);
       one.timers.pass(100);
-      one.notary("n" + second, true);
+      one.controlPlane("n" + second, true);
       one.timers.pass(200);
-      one.notary("n" + (6 - first - second), true);
+      one.controlPlane("n" + (6 - first - second), true);
       assertThat("order " + order, one.replaceAnywhere(0, 3), is(200));
     }
   }
@@ -65,9 +65,9 @@
   @Test
   void fewerSeedsFoundAsManyAsThereAre() {
     World one = new World(1, 1);
-    one.notary("n1", true);
+    one.controlPlane("n1", true);
     assertThat(one.replaceAnywhere(0, 3), is(200));
-    assertThat(one.read("n1"), equalTo(World.timetable(3)));
+    assertThat(one.read("n1"), equalTo(World.config(3)));
   }
 
   @Test
@@ -86,7 +86,7 @@
       int statusTwo = world.status(two);
       assertThat(statusOne + " " + statusTwo, anyOf(equalTo("200 412"), equalTo("412 200")));
       current = statusOne == 200 ? a : b;
-      assertThat(world.read("n3"), equalTo(World.timetable(current)));
+      assertThat(world.read("n3"), equalTo(World.config(current)));
       assertThat("sent again anywhere", world.replace("n3", Long.parseLong(base), current), is(200));
     }
   }
@@ -99,10 +99,10 @@
     world.kill("n3");
     assertThat(world.replace("n1", 1, 2), anyOf(is(503), is(504)));
     assertThat(world.read("n1"), equalTo("503"));
-    world.notary("n2", false);
-    world.notary("n3", false);
+    world.controlPlane("n2", false);
+    world.controlPlane("n3", false);
     assertThat(world.replaceAnywhere(1, 2), is(200));
-    assertThat(world.read("n2"), equalTo(World.timetable(2)));
+    assertThat(world.read("n2"), equalTo(World.config(2)));
   }
 
   @Test
@@ -112,29 +112,29 @@
     for (int i = 1; i <= 3; i++) {
       world.kill("n" + i);
     }
-    world.notary("n1", false);
-    world.clerk("c1");
+    world.controlPlane("n1", false);
+    world.gateway("c1");
     world.timers.pass(3_000);
-    assertThat(world.clerks.get("c1").roster().head.seats.isEmpty(), is(true));
-    assertThat(world.clerks.get("c1").timetable() == null, is(true));
-    world.notary("n2", false);
-    assertThat(world.until(2_000, () -> world.clerks.get("c1").timetable() != null), is(true));
+    assertThat(world.gateways.get("c1").view().head.voters.isEmpty(), is(true));
+    assertThat(world.gateways.get("c1").config() == null, is(true));
+    world.controlPlane("n2", false);
+    assertThat(world.until(2_000, () -> world.gateways.get("c1").config() != null), is(true));
   }
 
   @Test
   void aNotaryCutOffGoesOnTellingWhatWasDecided() {
     head();
-    world.clerk("c1");
+    world.gateway("c1");
     assertThat(world.replaceAnywhere(0, 1), is(200));
     world.timers.pass(1_000);
     world.net.cutBoth(world.address("n1"), world.address("n2"));
     world.net.cutBoth(world.address("n1"), world.address("n3"));
     assertThat(world.replace("n1", 1, 2), anyOf(is(503), is(504)));
     assertThat(world.replace("n2", 1, 3), is(200));
-    assertThat(world.until(1_000, () -> world.clerks.get("c1").timetable().edition() == 3), is(true));
+    assertThat(world.until(1_000, () -> world.gateways.get("c1").config().edition() == 3), is(true));
     assertThat(world.read("n1"), equalTo("503"));
     world.net.healAll();
-    assertThat(world.until(3_000, () -> world.read("n1").equals(World.timetable(3))), is(true));
+    assertThat(world.until(3_000, () -> world.read("n1").equals(World.config(3))), is(true));
     assertThat(world.replace("n1", 1, 2), is(412));
   }
 
@@ -148,11 +148,11 @@
       world.disks.get("n" + i).powerLoss();
     }
     for (int i = 1; i <= 3; i++) {
-      world.notary("n" + i, false);
+      world.controlPlane("n" + i, false);
     }
-    assertThat(world.until(3_000, () -> world.read("n1").equals(World.timetable(5))), is(true));
-    world.clerk("c1");
-    assertThat(world.until(1_000, () -> world.clerks.get("c1").timetable() != null), is(true));
+    assertThat(world.until(3_000, () -> world.read("n1").equals(World.config(5))), is(true));
+    world.gateway("c1");
+    assertThat(world.until(1_000, () -> world.gateways.get("c1").config() != null), is(true));
   }
 
   @Test
@@ -163,9 +163,9 @@
       String name = "n" + i;
       world.wipe(name);
       world.timers.pass(500);
-      world.notary(name, false);
+      world.controlPlane(name, false);
       world.timers.pass(5_000);
-      assertThat("after " + name, world.read(name), equalTo(World.timetable(1)));
+      assertThat("after " + name, world.read(name), equalTo(World.config(1)));
     }
     assertThat(world.replaceAnywhere(1, 2), is(200));
   }
@@ -173,10 +173,10 @@
   @Test
   void aNotaryWithoutADiskPassesCallsOn() {
     head();
-    world.notary("n4", true, false);
+    world.controlPlane("n4", true, false);
     assertThat(world.replaceAnywhere(0, 1), is(200));
     assertThat(world.until(2_000, () -> world.replace("n4", 1, 2) == 200), is(true));
-    assertThat(world.read("n4"), equalTo(World.timetable(2)));
+    assertThat(world.read("n4"), equalTo(World.config(2)));
     CompletableFuture<HttpReply> sentOn = world.begin("n4", "GET", "/Retire.Read/v1", null, "");
     assertThat(world.status(sentOn), is(307));
     assertThat(sentOn.join().headers().get("location"), containsString(":8166/Retire.Read/v1"));
@@ -185,38 +185,38 @@
   @Test
   void theListIsAskedByOneAndReachesAll() {
     head();
-    world.clerk("c1");
+    world.gateway("c1");
     world.carrierSays = "{\"servers\":[{\"postal_line\":\"p\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\","
         + "\"edition\":\"v1\",\"berths\":4,\"state\":\"open_for_post\",\"cold_left_ms\":0,\"id\":\"i-1\"}],"
         + "\"next_token\":null}";
-    assertThat(world.until(3_000, () -> world.clerks.get("c1").servers().size() == 1), is(true));
+    assertThat(world.until(3_000, () -> world.gateways.get("c1").servers().size() == 1), is(true));
     world.timers.pass(5_000);
     int before = world.carrierCalls;
     world.timers.pass(10_000);
     assertThat(world.carrierCalls - before, lessThan(22));
     assertThat(world.carrierCalls - before, greaterThan(17));
-    assertThat(world.clerks.get("c1").listAgeMs(), lessThan(2_200L));
+    assertThat(world.gateways.get("c1").listAgeMs(), lessThan(2_200L));
     world.carrierSays = world.carrierSays.replace("open_for_post", "closing");
-    assertThat(world.until(700, () -> world.clerks.get("c1").servers().get(0).closing()), is(true));
+    assertThat(world.until(700, () -> world.gateways.get("c1").servers().get(0).closing()), is(true));
   }
 
   @Test
   void anotherAsksTheCarrierOnceTheHolderIsGone() {
     head();
-    world.clerk("c1");
+    world.gateway("c1");
     world.timers.pass(3_000);
     world.net.kill(world.address("n1"), false);
     world.timers.pass(5_000);
     int before = world.carrierCalls;
     world.timers.pass(5_000);
     assertThat(world.carrierCalls - before, greaterThan(7));
-    assertThat(world.clerks.get("c1").listAgeMs(), lessThan(2_200L));
+    assertThat(world.gateways.get("c1").listAgeMs(), lessThan(2_200L));
   }
 
   @Test
   void theVaultsAreFoundedOnceAndStaySeatedOverARestartOfAll() {
     founded(4);
-    assertThat(world.vaults.get("v4").keeper().seated(), is(false));
+    assertThat(world.stores.get("v4").keeper().voting(), is(false));
     for (int i = 1; i <= 3; i++) {
       world.kill("n" + i);
     }
@@ -224,20 +224,20 @@
       world.kill("v" + i);
     }
     for (int i = 1; i <= 3; i++) {
-      world.notary("n" + i, false);
+      world.controlPlane("n" + i, false);
     }
     for (int i = 1; i <= 4; i++) {
-      world.vault("v" + i, false);
+      world.store("v" + i, false);
     }
     world.timers.pass(6_000);
-    assertThat(world.shelf("v1"), equalTo("v1/1 v2/1 v3/1"));
+    assertThat(world.storeSet("v1"), equalTo("v1/1 v2/1 v3/1"));
   }
 
   @Test
   void fewerVaultsThanSeatsAreFoundedAfterAWhile() {
     all(2);
-    assertThat(world.until(5_000, () -> !world.shelf("v1").isEmpty()), is(false));
-    assertThat(world.until(3_000, () -> world.shelf("v1").equals("v1/1 v2/1")), is(true));
+    assertThat(world.until(5_000, () -> !world.storeSet("v1").isEmpty()), is(false));
+    assertThat(world.until(3_000, () -> world.storeSet("v1").equals("v1/1 v2/1")), is(true));
   }
 
   @Test
@@ -245,11 +245,11 @@
     founded(4);
     world.timers.pass(2_000);
     world.net.kill(world.address("v2"), false);
-    assertThat(world.until(6_000, () -> world.shelf("v1").equals("v1/1 v4/2 v3/1")), is(true));
-    world.vault("v2", false);
+    assertThat(world.until(6_000, () -> world.storeSet("v1").equals("v1/1 v4/2 v3/1")), is(true));
+    world.store("v2", false);
     world.timers.pass(4_000);
-    assertThat(world.shelf("v1"), equalTo("v1/1 v4/2 v3/1"));
-    assertThat(world.vaults.get("v2").keeper().seated(), is(false));
+    assertThat(world.storeSet("v1"), equalTo("v1/1 v4/2 v3/1"));
+    assertThat(world.stores.get("v2").keeper().voting(), is(false));
   }
 
   @Test
@@ -257,8 +257,8 @@
     founded(3);
     world.timers.pass(1_000);
     world.wipe("v2");
-    world.vault("v2", false);
-    assertThat(world.until(3_000, () -> world.shelf("v1").equals("v1/1 v2/2 v3/1")), is(true));
+    world.store("v2", false);
+    assertThat(world.until(3_000, () -> world.storeSet("v1").equals("v1/1 v2/2 v3/1")), is(true));
   }
 
   @Test
@@ -270,7 +270,7 @@
     assertThat(world.retire("n3", "v2"), is(200));
     String delivered = "{\"state\":\"delivered\"}";
     assertThat(world.until(8_000, () -> world.retired("n3", "v2").equals(delivered)), is(true));
-    assertThat(world.shelf("v1"), equalTo("v1/1 v4/2 v3/1"));
+    assertThat(world.storeSet("v1"), equalTo("v1/1 v4/2 v3/1"));
     assertThat(world.retired("n3", "v1"), equalTo("{\"state\":\"in_service\"}"));
     assertThat("too few would remain", world.retire("n1", "v3"), is(409));
   }
@@ -296,6 +296,6 @@
     }
     String delivered = "{\"state\":\"delivered\"}";
     assertThat(world.until(8_000, () -> world.retired("n1", "v2").equals(delivered)), is(true));
-    assertThat(world.vaults.get("v4").keeper().seated(), is(true));
+    assertThat(world.stores.get("v4").keeper().voting(), is(true));
   }
 }
--- a/notary/src/test/java/elmsail/notary/NotaryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
@@ -1,13 +1,13 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.disk.FolderRecords;
-import elmsail.inner.InnerLinks;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
+import elmsail.storage.DirectoryRecordStore;
+import elmsail.rpc.RpcEndpoint;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.HttpURLConnection;
@@ -25,8 +25,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** One notary with its sockets and its disk, over loopback. */
-class NotaryTest {
+/** One control-plane node with its sockets and its disk, over loopback. */
+class ControlPlaneTest {
   @TempDir
   Path dir;
 
@@ -38,7 +38,7 @@
 
   private static Settings settings(Path dir, boolean firstStart, int controlPort, int innerPort) {
     String control = "127.0.0.1:" + controlPort;
-    return new Settings("n1", "notary", "counter", Set.of("head_office"), "127.0.0.1", "z", "r", Map.of(),
+    return new Settings("n1", "controlplane", "counter", Set.of("head_office"), "127.0.0.1", "z", "r", Map.of(),
         Map.of("control", control), innerPort - 1, innerPort, List.of(control), firstStart, true,
         new Settings.Limits(1, 400, 4_000, 1_000, 64), dir.toString(), Set.of(), 1,
         new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
@@ -72,22 +72,22 @@
 
   private static void running(Settings settings, Calls calls) throws Exception {
     NettyLoop loop = new NettyLoop();
-    InnerLinks links = new InnerLinks(loop.events(), loop, settings.innerAddress());
-    FolderRecords records = FolderRecords.open(Path.of(settings.dataDir()), 64 << 20, loop::soon);
-    CompletableFuture<Notary> started = new CompletableFuture<>();
+    RpcEndpoint links = new RpcEndpoint(loop.events(), loop, settings.innerAddress());
+    DirectoryRecordStore records = DirectoryRecordStore.open(Path.of(settings.dataDir()), 64 << 20, loop::soon);
+    CompletableFuture<ControlPlane> started = new CompletableFuture<>();
     loop.soon(() -> links.listen().thenCompose(
-        none -> Notary.startHeadOffice(settings, loop, links, records)).whenComplete((notary, failed) -> {
+        none -> ControlPlane.startHeadOffice(settings, loop, links, records)).whenComplete((controlPlane, failed) -> {
           if (failed == null) {
-            started.complete(notary);
+            started.complete(controlPlane);
           } else {
             started.completeExceptionally(failed);
           }
         }));
     try {
-      Notary notary = started.get(10, TimeUnit.SECONDS);
+      ControlPlane controlPlane = started.get(10, TimeUnit.SECONDS);
       calls.to(settings.slots().get("control"));
       CompletableFuture<Void> ended = new CompletableFuture<>();
-      loop.soon(() -> notary.end().thenRun(() -> ended.complete(null)));
+      loop.soon(() -> controlPlane.end().thenRun(() -> ended.complete(null)));
       ended.get(1, TimeUnit.SECONDS);
     } finally {
       loop.soon(links::close);
@@ -103,17 +103,17 @@
     int inner = freePort();
     running(settings(dir, true, controlPort, inner), control -> {
       assertThat(call(control, "GET", "/Nothing", null), equalTo("404"));
-      // The seat is founded within some hundred ms; each call waits for it for up to 0.9 s.
-      String taken = call(control, "POST", "/Timetable.Replace", World.timetable(4));
+      // The voter slot is founded within some hundred ms; each call waits for it for up to 0.9 s.
+      String taken = call(control, "POST", "/Timetable.Replace", World.config(4));
       for (int i = 0; i < 5 && !taken.equals("{}"); i++) {
-        taken = call(control, "POST", "/Timetable.Replace", World.timetable(4));
+        taken = call(control, "POST", "/Timetable.Replace", World.config(4));
       }
       assertThat(taken, is("{}"));
-      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.timetable(4)));
+      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
     });
     running(settings(dir, false, controlPort, inner), control -> {
-      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.timetable(4)));
-      assertThat(call(control, "POST", "/Timetable.Replace", World.timetable(4)), is("{}"));
+      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
+      assertThat(call(control, "POST", "/Timetable.Replace", World.config(4)), is("{}"));
     });
   }
 }
--- a/notary/src/test/java/elmsail/notary/FakeRegister.java
+++ b/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
@@ -1,11 +1,11 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Blob;
-import elmsail.register.Register;
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
+import elmsail.consensus.Register;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -36,10 +36,10 @@
   byte[] overtakes;
   int reads;
   int bytesRead;
-  private final HandTimers timers;
+  private final ManualTimers timers;
   private long rounds;
 
-  FakeRegister(HandTimers timers) {
+  FakeRegister(ManualTimers timers) {
     this.timers = timers;
   }
 
@@ -48,7 +48,7 @@
     reads++;
     CompletableFuture<Versioned> future = new CompletableFuture<>();
     if (unreachable) {
-      timers.after(timeoutMs, () -> fail(future, Code.NOT_REACHED));
+      timers.after(timeoutMs, () -> fail(future, ErrorCode.NOT_REACHED));
       return future;
     }
     timers.after(2, () -> {
@@ -69,7 +69,7 @@
     CompletableFuture<Held> future = new CompletableFuture<>();
     Fate fate = fates.isEmpty() ? Fate.DONE : fates.poll();
     if (unreachable || fate == Fate.NOT_REACHED) {
-      timers.after(Math.min(300, timeoutMs), () -> fail(future, Code.NOT_REACHED));
+      timers.after(Math.min(300, timeoutMs), () -> fail(future, ErrorCode.NOT_REACHED));
       return future;
     }
     timers.after(5, () -> {
@@ -84,7 +84,7 @@
       Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
       Held held = new Held(now, wanted.value() != null);
       if (fate == Fate.UNCLEAR_TAKEN || fate == Fate.UNCLEAR_LOST) {
-        timers.after(Math.min(300, timeoutMs), () -> fail(future, Code.UNCLEAR));
+        timers.after(Math.min(300, timeoutMs), () -> fail(future, ErrorCode.UNCLEAR));
       } else {
         timers.after(5, () -> future.complete(held));
       }
@@ -108,7 +108,7 @@
     values.put(key, new Versioned(ballot, value));
   }
 
-  private static void fail(CompletableFuture<?> future, Code code) {
+  private static void fail(CompletableFuture<?> future, ErrorCode code) {
     future.completeExceptionally(new ElmsailException(code, "told to"));
   }
 }
--- a/notary/src/test/java/elmsail/notary/LeaseTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
@@ -1,11 +1,11 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.rehearsal.HandTimers;
+import elmsail.simulation.ManualTimers;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +13,7 @@
 class LeaseTest {
   private static final int N = 3;
 
-  private final HandTimers timers = new HandTimers();
+  private final ManualTimers timers = new ManualTimers();
   private final LeaseVoter[] voters = new LeaseVoter[N];
   private final Lease[] leases = new Lease[N];
   private final long[] frozenUntil = new long[N];
@@ -53,7 +53,7 @@
       voters[voter].release(whose, -round, timers.now());
       return;
     }
-    long left = voters[voter].ask(whose, round, timers.now());
+    long left = voters[voter].request(whose, round, timers.now());
     timers.after(back, () -> answered(voter, asker, lease, round, left));
   }
 
--- a/notary/src/test/java/elmsail/notary/OperatorCallsTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
@@ -1,18 +1,18 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpReply;
-import elmsail.timetable.Route;
-import elmsail.timetable.Service;
-import elmsail.timetable.Timetable;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpReply;
+import elmsail.config.Route;
+import elmsail.config.Service;
+import elmsail.config.RoutingConfig;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,22 +22,22 @@
 
 /** Replace and Read against the register's contract, its failures and its races. */
 class OperatorCallsTest {
-  private final HandTimers timers = new HandTimers();
+  private final ManualTimers timers = new ManualTimers();
   private final FakeRegister register = new FakeRegister(timers);
-  private final List<Long> told = new ArrayList<>();
-  private final Decided decided = new Decided(register, ReplaceCall.KEY, timers, 300);
-  private final ReplaceCall replace = new ReplaceCall(register, OperatorCallsTest::reader, timers, decided,
-      told::add);
-  private final ReadCall read = new ReadCall(register, decided);
+  private final List<Long> response = new ArrayList<>();
+  private final CommittedValue decided = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, 300);
+  private final ReplaceConfigHandler replace = new ReplaceConfigHandler(register, OperatorCallsTest::reader, timers, decided,
+      response::add);
+  private final ReadConfigHandler read = new ReadConfigHandler(register, decided);
 
   /** "7 anything": the edition is the number in front; "bad" is no configuration. */
-  private static Timetable reader(byte[] bytes) {
+  private static RoutingConfig reader(byte[] bytes) {
     String text = new String(bytes, StandardCharsets.UTF_8);
     if (text.startsWith("bad")) {
-      throw new ElmsailException(Code.BAD_CALL, "routes[0].depot");
+      throw new ElmsailException(ErrorCode.BAD_CALL, "routes[0].depot");
     }
     long edition = Long.parseLong(text.split(" ")[0]);
-    return new Timetable() {
+    return new RoutingConfig() {
       @Override
       public long edition() {
         return edition;
@@ -98,7 +98,7 @@
     assertThat(put("0", "3 a"), is(200));
     assertThat(put("3", "7 {\"b\" :  1}"), is(200));
     assertThat(readBack(), equalTo("200 7 {\"b\" :  1}"));
-    assertThat(told, equalTo(List.of(3L, 7L)));
+    assertThat(response, equalTo(List.of(3L, 7L)));
   }
 
   @Test
@@ -112,7 +112,7 @@
     assertThat("garbled base", put("3x", "4 b"), is(400));
     assertThat("invalid", put("3", "bad"), is(400));
     assertThat(readBack(), equalTo("200 3 a"));
-    assertThat(told, equalTo(List.of(3L)));
+    assertThat(response, equalTo(List.of(3L)));
   }
 
   @Test
@@ -123,15 +123,15 @@
     assertThat("an older one that was taken", put("0", "3 a"), is(200));
     assertThat("another under its number", put("0", "3 z"), is(412));
     assertThat(readBack(), equalTo("200 5 b"));
-    assertThat(told, equalTo(List.of(3L, 5L)));
+    assertThat(response, equalTo(List.of(3L, 5L)));
   }
 
   @Test
   void twoOnTopOfTheSameOneGiveOneWinner() {
     assertThat(put("0", "3 a"), is(200));
-    Editions current = Editions.of(register.values.get("timetable").value());
+    ConfigHistory current = ConfigHistory.of(register.values.get("timetable").value());
     byte[] sent = "4 other".getBytes(StandardCharsets.UTF_8);
-    register.overtakes = current.followedBy(4, sent, Editions.digest(sent)).value();
+    register.overtakes = current.followedBy(4, sent, ConfigHistory.digest(sent)).value();
     register.fates.add(FakeRegister.Fate.OVERTAKEN);
     assertThat(put("3", "5 mine"), is(412));
     assertThat(readBack(), equalTo("200 4 other"));
@@ -167,7 +167,7 @@
 
   @Test
   void moreThanKeptEditionsAreForgottenOneByOne() {
-    for (int i = 1; i <= Editions.KEPT + 2; i++) {
+    for (int i = 1; i <= ConfigHistory.KEPT + 2; i++) {
       assertThat(put(String.valueOf(i - 1), i + " x"), is(200));
     }
     assertThat(put("0", "3 x"), is(200));
--- a/notary/src/test/java/elmsail/notary/RegistrarTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
@@ -1,66 +1,66 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.inner.words.PullAsk;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
+import elmsail.rpc.messages.PullRequest;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.StringJoiner;
 import org.junit.jupiter.api.Test;
 
-class RegistrarTest {
-  private final Heard heard = new Heard();
-  private final Registrar registrar = new Registrar(3, 0);
+class PlacementControllerTest {
+  private final HeartbeatTable heard = new HeartbeatTable();
+  private final PlacementController registrar = new PlacementController(3, 0);
   private final Set<String> retiring = new HashSet<>();
-  private Seating shelf = new Seating();
+  private VoterSet storeSet = new VoterSet();
   private long now;
 
-  private void hear(String name, String zone, boolean seated) {
-    heard.note(ask(name, zone, seated, shelf), now);
+  private void hear(String name, String zone, boolean voting) {
+    heard.note(request(name, zone, voting, storeSet), now);
   }
 
-  static PullAsk ask(String name, String zone, boolean seated, Seating shelf) {
-    PullAsk ask = new PullAsk();
-    ask.role = "vault";
-    ask.station = name;
-    ask.address = name + ":1";
-    ask.zone = zone;
-    ask.life = name.hashCode();
-    ask.seated = seated;
-    ask.shelf = shelf;
-    return ask;
+  static PullRequest request(String name, String zone, boolean voting, VoterSet storeSet) {
+    PullRequest request = new PullRequest();
+    request.role = "store";
+    request.station = name;
+    request.address = name + ":1";
+    request.zone = zone;
+    request.instanceId = name.hashCode();
+    request.voting = voting;
+    request.storeSet = storeSet;
+    return request;
   }
 
-  private static String names(Seating seating) {
+  private static String names(VoterSet voterSet) {
     StringJoiner names = new StringJoiner(" ");
-    for (Seat seat : seating.seats) {
-      names.add(seat.station + seat.incarnation);
+    for (Voter slot : voterSet.voters) {
+      names.add(slot.station + slot.epoch);
     }
     return names.toString();
   }
 
   private void founded(String... names) {
-    shelf = new Seating();
+    storeSet = new VoterSet();
     for (String name : names) {
-      shelf.seats.add(SeatingValues.seat(name + ":1", name, name.hashCode(), 1));
+      storeSet.voters.add(VoterSetValue.slot(name + ":1", name, name.hashCode(), 1));
     }
   }
 
-  /** Time passes in steps, as those named are heard, seated where they hold a seat. */
-  private Registrar.Order pass(long ms, String... names) {
-    Registrar.Order order = null;
+  /** Time passes in steps, as those named are heard, voting where they hold a voter slot. */
+  private PlacementController.Order pass(long ms, String... names) {
+    PlacementController.Order order = null;
     long end = now + ms;
     while (now < end) {
       now += 100;
       for (String name : names) {
-        hear(name, "z" + name, SeatingValues.seatOf(shelf, name + ":1") >= 0);
+        hear(name, "z" + name, VoterSetValue.slotOf(storeSet, name + ":1") >= 0);
       }
-      order = registrar.order(heard, shelf, retiring, true, now);
+      order = registrar.order(heard, storeSet, retiring, true, now);
     }
     return order;
   }
@@ -121,8 +121,8 @@
     founded("a", "b", "c");
     assertThat(pass(5_000, "a", "b", "c", "d"), is(nullValue()));
     assertThat(pass(2_500, "a", "b", "d"), is(nullValue()));
-    Registrar.Order order = pass(100, "a", "b", "d");
-    assertThat(order, equalTo(new Registrar.Order(2, "d:1", 2)));
+    PlacementController.Order order = pass(100, "a", "b", "d");
+    assertThat(order, equalTo(new PlacementController.Order(2, "d:1", 2)));
     assertThat("the same spare until it is done", pass(1_000, "a", "b", "d", "e"), equalTo(order));
   }
 
@@ -138,15 +138,15 @@
   @Test
   void onewhoComesBackKeepsItsSeat() {
     founded("a", "b", "c");
-    assertThat(pass(3_000, "a", "b", "d"), equalTo(new Registrar.Order(2, "d:1", 2)));
+    assertThat(pass(3_000, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
     assertThat(pass(200, "a", "b", "c", "d"), is(nullValue()));
   }
 
   @Test
   void aSecondSpareClaimsAboveTheFirst() {
     founded("a", "b", "c");
-    assertThat(pass(3_000, "a", "b", "d"), equalTo(new Registrar.Order(2, "d:1", 2)));
-    assertThat(pass(3_000, "a", "b", "e"), equalTo(new Registrar.Order(2, "e:1", 3)));
+    assertThat(pass(3_000, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
+    assertThat(pass(3_000, "a", "b", "e"), equalTo(new PlacementController.Order(2, "e:1", 3)));
   }
 
   @Test
@@ -154,7 +154,7 @@
     founded("a", "b", "c");
     retiring.add("b");
     assertThat(pass(500, "a", "b", "c"), is(nullValue()));
-    assertThat(pass(500, "a", "b", "c", "d"), equalTo(new Registrar.Order(1, "d:1", 2)));
+    assertThat(pass(500, "a", "b", "c", "d"), equalTo(new PlacementController.Order(1, "d:1", 2)));
   }
 
   @Test
@@ -162,7 +162,7 @@
     founded("a", "b", "c");
     retiring.add("a");
     pass(500, "a", "b", "c", "d");
-    shelf.seats.set(0, SeatingValues.seat("d:1", "d", "d".hashCode(), 2));
+    storeSet.voters.set(0, VoterSetValue.slot("d:1", "d", "d".hashCode(), 2));
     retiring.add("b");
     for (int i = 0; i < 10; i++) {
       now += 100;
@@ -171,9 +171,9 @@
       hear("c", "zc", true);
       hear("d", "zd", false);
       hear("e", "ze", false);
-      assertThat(registrar.order(heard, shelf, retiring, true, now), is(nullValue()));
+      assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
     }
-    assertThat(pass(300, "a", "b", "c", "d", "e"), equalTo(new Registrar.Order(1, "e:1", 2)));
+    assertThat(pass(300, "a", "b", "c", "d", "e"), equalTo(new PlacementController.Order(1, "e:1", 2)));
   }
 
   @Test
@@ -187,9 +187,9 @@
   void twoGoneOfFiveAreReplacedOneByOne() {
     founded("a", "b", "c", "d", "e");
     pass(1_000, "a", "b", "c", "d", "e", "f");
-    assertThat(pass(3_000, "a", "b", "c", "f"), equalTo(new Registrar.Order(3, "f:1", 2)));
-    shelf.seats.set(3, SeatingValues.seat("f:1", "f", "f".hashCode(), 2));
-    assertThat(pass(300, "a", "b", "c", "f", "g"), equalTo(new Registrar.Order(4, "g:1", 2)));
+    assertThat(pass(3_000, "a", "b", "c", "f"), equalTo(new PlacementController.Order(3, "f:1", 2)));
+    storeSet.voters.set(3, VoterSetValue.slot("f:1", "f", "f".hashCode(), 2));
+    assertThat(pass(300, "a", "b", "c", "f", "g"), equalTo(new PlacementController.Order(4, "g:1", 2)));
   }
 
   @Test
@@ -202,7 +202,7 @@
       hear("b", "zb", true);
       hear("c", "zc", false);
       hear("d", "zd", false);
-      assertThat(registrar.order(heard, shelf, retiring, true, now), is(nullValue()));
+      assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
     }
   }
 
@@ -214,9 +214,9 @@
     hear("a", "za", true);
     hear("b", "zb", true);
     hear("d", "zd", false);
-    assertThat(registrar.order(heard, shelf, retiring, true, now), is(nullValue()));
+    assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
-    assertThat(pass(300, "a", "b", "d"), equalTo(new Registrar.Order(2, "d:1", 2)));
+    assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
   }
 
   @Test
@@ -228,9 +228,9 @@
       hear("a", "za", true);
       hear("b", "zb", true);
       hear("d", "zd", false);
-      assertThat(registrar.order(heard, shelf, retiring, false, now), is(nullValue()));
+      assertThat(registrar.order(heard, storeSet, retiring, false, now), is(nullValue()));
     }
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
-    assertThat(pass(300, "a", "b", "d"), equalTo(new Registrar.Order(2, "d:1", 2)));
+    assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
   }
 }
--- a/notary/src/test/java/elmsail/notary/ShelfStoryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ShelfStoryTest.java
@@ -1,17 +1,17 @@
-package elmsail.notary;
+package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.register.Register;
-import elmsail.register.RegisterClient;
-import elmsail.register.SeatingRules;
-import elmsail.register.Seatings;
-import elmsail.rehearsal.Node;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.consensus.Register;
+import elmsail.consensus.RegisterClient;
+import elmsail.consensus.VoterSets;
+import elmsail.consensus.VoterSetSource;
+import elmsail.simulation.Node;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -22,8 +22,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * A writer counts at keys of the shelf while vaults are lost, wiped, retired and added, one trouble at a time
- * and the notaries' lease holder now and then with it: what was acknowledged is read back, and a machine that
+ * A writer counts at keys of the store set while stores are lost, wiped, retired and added, one trouble at a time
+ * and the control-plane nodes' lease holder now and then with it: what was acknowledged is read back, and a machine that
  * was told to be delivered is removed at once.
  */
 class ShelfStoryTest {
@@ -33,12 +33,12 @@
   private World world;
   private Random chance;
   private Register writer;
-  private Seating known;
+  private VoterSet known;
   private final long[] acknowledged = new long[KEYS];
   private final boolean[] busy = new boolean[KEYS];
   private final List<String> running = new ArrayList<>();
   private final Set<String> removed = new HashSet<>();
-  private int vaults;
+  private int stores;
   private int moves;
 
   @Test
@@ -54,11 +54,11 @@
     chance = new Random(seed);
     running.clear();
     removed.clear();
-    vaults = 0;
-    known = new Seating();
+    stores = 0;
+    known = new VoterSet();
     world.net.delay(1, 10);
     for (int i = 1; i <= 3; i++) {
-      world.notary("n" + i, true);
+      world.controlPlane("n" + i, true);
     }
     for (int i = 0; i < 4; i++) {
       add(true);
@@ -73,8 +73,8 @@
       write(1_000);
       trouble(seed);
       write(2_000);
-      boolean seated = world.until(15_000, this::allSeated);
-      assertThat("seed " + seed + " round " + round + " " + shelf(), seated, is(true));
+      boolean voting = world.until(15_000, this::allSeated);
+      assertThat("seed " + seed + " round " + round + " " + storeSet(), voting, is(true));
     }
     world.timers.pass(2_000);
     for (int i = 0; i < KEYS; i++) {
@@ -86,28 +86,28 @@
   }
 
   private void add(boolean first) {
-    String name = "v" + ++vaults;
+    String name = "v" + ++stores;
     running.add(name);
-    world.vault(name, first);
+    world.store(name, first);
   }
 
   private void writer() {
     Node node = world.net.node("10.3.0.9:7720");
-    Seatings seatings = new Seatings() {
+    VoterSetSource voterSets = new VoterSetSource() {
       @Override
-      public Seating of() {
+      public VoterSet of() {
         for (String name : running) {
-          known = SeatingRules.merge(known, world.vaults.get(name).keeper().seating());
+          known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
         }
         return known;
       }
 
       @Override
-      public void told(Seating newer) {
-        known = SeatingRules.merge(known, newer);
+      public void response(VoterSet newer) {
+        known = VoterSets.merge(known, newer);
       }
     };
-    writer = new RegisterClient("shelf", node.caller(), node.timers(), seatings, 77, "", address -> 1);
+    writer = new RegisterClient("shelf", node.caller(), node.timers(), voterSets, 77, "", address -> 1);
   }
 
   private void write(long ms) {
@@ -138,18 +138,18 @@
 
   private void trouble(int seed) {
     String name = running.get(chance.nextInt(running.size()));
-    String before = shelf();
+    String before = storeSet();
     switch (chance.nextInt(5)) {
       case 0 -> {
         world.net.kill(world.address(name), false);
         world.disks.get(name).powerLoss();
         write(chance.nextInt(6_000));
-        world.vault(name, false);
+        world.store(name, false);
       }
       case 1 -> {
         world.wipe(name);
         write(chance.nextInt(5_000));
-        world.vault(name, false);
+        world.store(name, false);
       }
       case 2 -> {
         world.net.freeze(world.address(name));
@@ -157,16 +157,16 @@
         world.net.thaw(world.address(name));
       }
       case 3 -> {
-        String notary = "n" + (1 + chance.nextInt(3));
-        world.net.kill(world.address(notary), false);
+        String controlPlane = "n" + (1 + chance.nextInt(3));
+        world.net.kill(world.address(controlPlane), false);
         world.net.kill(world.address(name), false);
         write(7_000);
-        world.notary(notary, false);
-        world.vault(name, false);
+        world.controlPlane(controlPlane, false);
+        world.store(name, false);
       }
       default -> retire(seed, name);
     }
-    moves += before.equals(shelf()) ? 0 : 1;
+    moves += before.equals(storeSet()) ? 0 : 1;
   }
 
   private void retire(int seed, String name) {
@@ -187,26 +187,26 @@
     // Right after it another disk may be lost.
     String other = running.get(chance.nextInt(running.size()));
     world.wipe(other);
-    world.vault(other, false);
+    world.store(other, false);
   }
 
   private boolean allSeated() {
-    Seating newest = new Seating();
+    VoterSet newest = new VoterSet();
     for (String name : running) {
-      newest = SeatingRules.merge(newest, world.vaults.get(name).keeper().seating());
+      newest = VoterSets.merge(newest, world.stores.get(name).keeper().voterSet());
     }
-    for (Seat seat : newest.seats) {
-      if (!running.contains(seat.station) || !world.vaults.get(seat.station).keeper().seated()) {
+    for (Voter slot : newest.voters) {
+      if (!running.contains(slot.station) || !world.stores.get(slot.station).keeper().voting()) {
         return false;
       }
     }
-    return newest.seats.size() == 3;
+    return newest.voters.size() == 3;
   }
 
-  private String shelf() {
+  private String storeSet() {
     StringBuilder all = new StringBuilder();
     for (String name : running) {
-      all.append(name).append('[').append(world.shelf(name)).append("] ");
+      all.append(name).append('[').append(world.storeSet(name)).append("] ");
     }
     return all.toString();
   }
--- a/notary/src/test/java/elmsail/notary/World.java
+++ b/controlplane/src/test/java/elmsail/controlplane/World.java
@@ -1,16 +1,16 @@
-package elmsail.notary;
-
-import elmsail.inner.words.Seat;
-import elmsail.register.Views;
-import elmsail.rehearsal.HandTimers;
-import elmsail.rehearsal.Node;
-import elmsail.rehearsal.SimDisk;
-import elmsail.rehearsal.SimNet;
-import elmsail.station.Settings;
-import elmsail.station.http.HttpCall;
-import elmsail.station.http.HttpReply;
-import elmsail.timetable.pull.Puller;
-import elmsail.timetable.pull.VaultPart;
+package elmsail.controlplane;
+
+import elmsail.rpc.messages.Voter;
+import elmsail.consensus.ReplicaListener;
+import elmsail.simulation.ManualTimers;
+import elmsail.simulation.Node;
+import elmsail.simulation.SimDisk;
+import elmsail.simulation.SimNet;
+import elmsail.runtime.Settings;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpReply;
+import elmsail.config.watch.ConfigWatcher;
+import elmsail.config.watch.StoreStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,16 +20,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
-/** Notaries, vaults and clerks on simulated links and disks, on one clock moved by hand. */
+/** Control-plane nodes, stores and gateways on simulated links and disks, on one clock moved by hand. */
 final class World {
   static final String EMPTY = "{\"servers\":[],\"next_token\":null}";
 
-  final HandTimers timers = new HandTimers();
+  final ManualTimers timers = new ManualTimers();
   final SimNet net;
   final Map<String, SimDisk> disks = new TreeMap<>();
-  final Map<String, HeadOffice> offices = new TreeMap<>();
-  final Map<String, VaultHouse> vaults = new TreeMap<>();
-  final Map<String, Puller> clerks = new TreeMap<>();
+  final Map<String, ControlPlaneNode> offices = new TreeMap<>();
+  final Map<String, StoreNode> stores = new TreeMap<>();
+  final Map<String, ConfigWatcher> gateways = new TreeMap<>();
   final Map<String, Node> nodes = new TreeMap<>();
   String carrierSays = EMPTY;
   int carrierCalls;
@@ -56,15 +56,15 @@
 
   private Settings settings(String name, boolean firstStart, boolean disk) {
     boolean head = name.startsWith("n");
-    boolean vault = name.startsWith("v");
-    return new Settings(name, "r", vault ? "vault" : "counter",
-        Set.of(head ? "head_office" : vault ? "vault" : "counter"), ip(name), "z" + name.substring(1), "r",
+    boolean store = name.startsWith("v");
+    return new Settings(name, "r", store ? "vault" : "counter",
+        Set.of(head ? "head_office" : store ? "vault" : "counter"), ip(name), "z" + name.substring(1), "r",
         Map.of(), head ? Map.of("control", ip(name) + ":8166") : Map.of(), 7720, 7735, seeds, firstStart,
         true,
         new Settings.Limits(1, 400, 4_000, 1_000, 64), disk ? "/data" : null, Set.of(), 1,
         new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
             2_000),
-        new Settings.Carrier("10.9.0.1:8169", 40, 800));
+        new Settings.Platform("10.9.0.1:8169", 40, 800));
   }
 
   private SimDisk disk(String name, Node node) {
@@ -86,19 +86,19 @@
     return node;
   }
 
-  void notary(String name, boolean firstStart) {
-    notary(name, firstStart, true);
+  void controlPlane(String name, boolean firstStart) {
+    controlPlane(name, firstStart, true);
   }
 
-  void notary(String name, boolean firstStart, boolean disk) {
+  void controlPlane(String name, boolean firstStart, boolean disk) {
     Node node = node(name);
-    HeadOffice office = new HeadOffice(settings(name, firstStart, disk), node.timers(), node.caller(),
-        node.answering(), disk ? disk(name, node) : null, this::carrier, whos++);
+    ControlPlaneNode office = new ControlPlaneNode(settings(name, firstStart, disk), node.timers(), node.caller(),
+        node.answering(), disk ? disk(name, node) : null, this::platform, whos++);
     offices.put(name, office);
     office.start();
   }
 
-  private CompletableFuture<HttpReply> carrier(String address, String path, long timeoutMs) {
+  private CompletableFuture<HttpReply> platform(String address, String path, long timeoutMs) {
     carrierCalls++;
     CompletableFuture<HttpReply> reply = new CompletableFuture<>();
     byte[] body = carrierSays.getBytes(StandardCharsets.UTF_8);
@@ -106,19 +106,19 @@
     return reply;
   }
 
-  void vault(String name, boolean firstStart) {
+  void store(String name, boolean firstStart) {
     Node node = node(name);
-    VaultHouse house = new VaultHouse(settings(name, firstStart, true), node.timers(), node.caller(),
-        node.answering(), disk(name, node), new Views() { });
-    vaults.put(name, house);
+    StoreNode house = new StoreNode(settings(name, firstStart, true), node.timers(), node.caller(),
+        node.answering(), disk(name, node), new ReplicaListener() { });
+    stores.put(name, house);
     house.start();
   }
 
-  void clerk(String name) {
+  void gateway(String name) {
     Node node = node(name);
-    Puller puller = new Puller(node.caller(), node.timers(), settings(name, true, false), "clerk", whos++,
-        () -> VaultPart.NONE, null);
-    clerks.put(name, puller);
+    ConfigWatcher puller = new ConfigWatcher(node.caller(), node.timers(), settings(name, true, false), "gateway", whos++,
+        () -> StoreStatus.NONE, null);
+    gateways.put(name, puller);
     puller.start();
   }
 
@@ -140,14 +140,14 @@
     return holds.getAsBoolean();
   }
 
-  CompletableFuture<HttpReply> begin(String notary, String method, String path, String basedOn, String body) {
+  CompletableFuture<HttpReply> begin(String controlPlane, String method, String path, String basedOn, String body) {
     Map<String, String> headers = basedOn == null ? Map.of() : Map.of("elmsail-based-on", basedOn);
-    return offices.get(notary).operators().handle(
+    return offices.get(controlPlane).operators().handle(
         new HttpCall(method, path, Map.of(), headers, body.getBytes(StandardCharsets.UTF_8)));
   }
 
-  CompletableFuture<HttpReply> sent(String notary, String basedOn, long edition) {
-    return begin(notary, "POST", "/Timetable.Replace", basedOn, timetable(edition));
+  CompletableFuture<HttpReply> sent(String controlPlane, String basedOn, long edition) {
+    return begin(controlPlane, "POST", "/Timetable.Replace", basedOn, config(edition));
   }
 
   /** Status, or -1 if there was no answer within a second. */
@@ -155,11 +155,11 @@
     return until(1_000, reply::isDone) ? reply.join().status() : -1;
   }
 
-  int replace(String notary, long basedOn, long edition) {
-    return status(begin(notary, "POST", "/Timetable.Replace", String.valueOf(basedOn), timetable(edition)));
+  int replace(String controlPlane, long basedOn, long edition) {
+    return status(begin(controlPlane, "POST", "/Timetable.Replace", String.valueOf(basedOn), config(edition)));
   }
 
-  /** The operator goes from door to door. */
+  /** The operator goes from gateway to gateway. */
   int replaceAnywhere(long basedOn, long edition) {
     for (int i = 0; i < 30; i++) {
       int status = replace("n" + (i % seeds.size() + 1), basedOn, edition);
@@ -171,34 +171,34 @@
     return -1;
   }
 
-  String read(String notary) {
-    CompletableFuture<HttpReply> reply = begin(notary, "GET", "/Timetable.Read", null, "");
+  String read(String controlPlane) {
+    CompletableFuture<HttpReply> reply = begin(controlPlane, "GET", "/Timetable.Read", null, "");
     int status = status(reply);
     return status == 200 ? new String(reply.join().body(), StandardCharsets.UTF_8) : String.valueOf(status);
   }
 
-  int retire(String notary, String vault) {
-    return status(begin(notary, "POST", "/Retire.Begin/" + vault, null, "{\"over_s\":10}"));
+  int retire(String controlPlane, String store) {
+    return status(begin(controlPlane, "POST", "/Retire.Begin/" + store, null, "{\"over_s\":10}"));
   }
 
-  String retired(String notary, String vault) {
-    CompletableFuture<HttpReply> reply = begin(notary, "GET", "/Retire.Read/" + vault, null, "");
+  String retired(String controlPlane, String store) {
+    CompletableFuture<HttpReply> reply = begin(controlPlane, "GET", "/Retire.Read/" + store, null, "");
     int status = status(reply);
     return status == 200 ? new String(reply.join().body(), StandardCharsets.UTF_8) : String.valueOf(status);
   }
 
-  /** Stations and incarnations of the seats as the vault knows them, with a star where one is not seated. */
-  String shelf(String vault) {
-    StringBuilder seats = new StringBuilder();
-    for (Seat seat : vaults.get(vault).keeper().seating().seats) {
-      VaultHouse house = vaults.get(seat.station);
-      seats.append(seats.isEmpty() ? "" : " ").append(seat.station).append('/').append(seat.incarnation);
-      seats.append(house != null && house.keeper().seated() ? "" : "*");
+  /** DecommissionList and epochs of the voter slots as the store knows them, with a star where one is not voting. */
+  String storeSet(String store) {
+    StringBuilder voters = new StringBuilder();
+    for (Voter slot : stores.get(store).keeper().voterSet().voters) {
+      StoreNode house = stores.get(slot.station);
+      voters.append(voters.isEmpty() ? "" : " ").append(slot.station).append('/').append(slot.epoch);
+      voters.append(house != null && house.keeper().voting() ? "" : "*");
     }
-    return seats.toString();
+    return voters.toString();
   }
 
-  static String timetable(long edition) {
+  static String config(long edition) {
     return "{\"edition\":" + edition + ",\"routes\":[{\"name\":\"r" + edition
         + "\",\"depot\":\"a.example\",\"lane_prefix\":\"/a/\",\"route_class\":\"safe\",\"give_up_ms\":2000,"
         + "\"due_ms\":250,\"precedence\":0,\"postal_line\":\"p\",\"tries\":2}],\"postal_lines\":[{\"name\":"
--- a/deploy/system.sh
+++ b/deploy/system.sh
@@ -3,10 +3,10 @@
 # Without an archive the program runs all the same, with a dearer start; the runtime refuses one that is not of
 # this jar, path and runtime.
 set -e
-mvn -q -B -DskipTests -pl tier -am package
+mvn -q -B -DskipTests -pl app -am package
 mkdir -p target
-rm -f target/clerk.jsa target/notary.jsa
-cp tier/target/elmsail-tier-*-all.jar target/elmsail.jar
+rm -f target/gateway.jsa target/controlplane.jsa
+cp app/target/elmsail-app-*-all.jar target/elmsail.jar
 archive() {
   timeout 60 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k -XX:-UsePerfData \
     -XX:ArchiveClassesAtExit="target/$1.jsa" -Dio.netty.leakDetection.level=disabled \
@@ -14,5 +14,5 @@
     -cp target/elmsail.jar "$2" --rehearse > "target/$1-archive.log" 2>&1 ||
     echo "no archive of class data for $1: see target/$1-archive.log" >&2
 }
-archive clerk elmsail.tier.ClerkMain
-archive notary elmsail.tier.NotaryMain
+archive gateway elmsail.app.GatewayMain
+archive controlplane elmsail.app.ControlPlaneMain
--- a/clerk/src/main/java/elmsail/clerk/Clerk.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -1,19 +1,19 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
-import elmsail.clerk.counter.Front;
-import elmsail.clerk.requests.Course;
-import elmsail.clerk.requests.Desk;
-import elmsail.clerk.requests.Items;
-import elmsail.clerk.servers.Servers;
-import elmsail.clerk.words.Tally;
-import elmsail.lots.ItemServers;
-import elmsail.lots.LotCalls;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.station.Timers;
-import elmsail.station.http.HttpReply;
-import elmsail.station.http.HttpServing;
-import elmsail.timetable.Known;
+import elmsail.gateway.frontend.ClientListener;
+import elmsail.gateway.requests.RequestProgress;
+import elmsail.gateway.requests.RequestDispatcher;
+import elmsail.gateway.requests.ItemDispatcher;
+import elmsail.gateway.servers.Servers;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.batch.ItemServers;
+import elmsail.batch.BatchCalls;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.Timers;
+import elmsail.runtime.http.HttpReply;
+import elmsail.runtime.http.HttpServer;
+import elmsail.config.ClusterState;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -21,8 +21,8 @@
 import org.slf4j.LoggerFactory;
 
 /** The data plane of one process, as a whole. All on the loop. */
-public final class Clerk {
-  private static final Logger LOG = LoggerFactory.getLogger(Clerk.class);
+public final class Gateway {
+  private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
   private static final long TELL_MS = 10_000;
   private static final int MOST_READY_BODY = 1_024;
   private static final byte[] NOTHING = new byte[0];
@@ -34,27 +34,27 @@
 
   private final NettyLoop loop;
   private final Timers timers;
-  private final Known known;
+  private final ClusterState known;
   private final Settings settings;
-  private final Tally tally = new Tally();
+  private final RequestCounters counters = new RequestCounters();
   private final Servers servers;
-  private final Items items;
-  private final Desk desk;
-  private Front front;
-  private HttpServing ready;
+  private final ItemDispatcher items;
+  private final RequestDispatcher desk;
+  private ClientListener front;
+  private HttpServer ready;
   private boolean stopping;
   private String toldLast = "";
 
-  private Clerk(Settings settings, NettyLoop loop, Timers timers, Known known, LotCalls lots) {
+  private Gateway(Settings settings, NettyLoop loop, Timers timers, ClusterState known, BatchCalls jobs) {
     this.loop = loop;
     this.timers = timers;
     this.known = known;
     this.settings = settings;
     SplittableRandom chance = new SplittableRandom();
-    servers = new Servers(timers, loop.events(), known, settings.zone(), tally, chance);
-    Course course = new Course(timers, known, servers, tally, chance);
-    items = new Items(course);
-    desk = new Desk(course, lots);
+    servers = new Servers(timers, loop.events(), known, settings.zone(), counters, chance);
+    RequestProgress course = new RequestProgress(timers, known, servers, counters, chance);
+    items = new ItemDispatcher(course);
+    desk = new RequestDispatcher(course, jobs);
   }
 
   /**
@@ -62,21 +62,21 @@
    *
    * @return completes on the loop once both are bound; fails with BAD_SETTINGS
    */
-  public static CompletableFuture<Clerk> start(Settings settings, NettyLoop loop, Known known,
-      LotCalls lots) {
-    return start(settings, loop, loop, known, lots);
+  public static CompletableFuture<Gateway> start(Settings settings, NettyLoop loop, ClusterState known,
+      BatchCalls jobs) {
+    return start(settings, loop, loop, known, jobs);
   }
 
   /** Likewise by another clock. */
-  static CompletableFuture<Clerk> start(Settings settings, NettyLoop loop, Timers timers, Known known,
-      LotCalls lots) {
-    return new Clerk(settings, loop, timers, known, lots).listen();
+  static CompletableFuture<Gateway> start(Settings settings, NettyLoop loop, Timers timers, ClusterState known,
+      BatchCalls jobs) {
+    return new Gateway(settings, loop, timers, known, jobs).listen();
   }
 
-  private CompletableFuture<Clerk> listen() {
-    CompletableFuture<Front> fronted = Front.listen(timers, loop.events(), settings.slots().get("front"),
-        known, desk, tally, settings.limits().fds());
-    CompletableFuture<HttpServing> looked = HttpServing.listen(loop, settings.slots().get("ready"), call ->
+  private CompletableFuture<Gateway> listen() {
+    CompletableFuture<ClientListener> fronted = ClientListener.listen(timers, loop.events(), settings.slots().get("front"),
+        known, desk, counters, settings.limits().fds());
+    CompletableFuture<HttpServer> looked = HttpServer.listen(loop, settings.slots().get("ready"), call ->
         CompletableFuture.completedFuture(new HttpReply(
             call.path().equals("/ready") ? isReady() ? 200 : 503 : 404, Map.of(), NOTHING)),
         MOST_READY_BODY);
@@ -90,16 +90,16 @@
 
   /** Whether the platform is to send clients here. */
   public boolean isReady() {
-    return !stopping && known.timetable() != null && servers.any();
+    return !stopping && known.config() != null && servers.any();
   }
 
-  /** For the runner of lots' items. */
+  /** For the runner of jobs' items. */
   public ItemServers itemServers() {
     return items;
   }
 
-  public Tally tally() {
-    return tally;
+  public RequestCounters counters() {
+    return counters;
   }
 
   /** Where clients connect to, ip:port. */
@@ -144,12 +144,12 @@
     front.closeAll();
     servers.stop();
     ready.close();
-    LOG.info("stopped: {}", tally);
+    LOG.info("stopped: {}", counters);
     done.complete(null);
   }
 
   private void tell() {
-    String now = tally.toString();
+    String now = counters.toString();
     if (!now.equals(toldLast)) {
       LOG.info("counts: {}", now);
       toldLast = now;
--- a/clerk/src/main/java/elmsail/clerk/Drill.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -1,17 +1,17 @@
-package elmsail.clerk;
-
-import elmsail.inner.words.Roster;
-import elmsail.lots.LotCalls;
-import elmsail.station.Addresses;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.station.http.HttpReply;
-import elmsail.station.http.HttpServing;
-import elmsail.timetable.Known;
-import elmsail.timetable.Route;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.Service;
-import elmsail.timetable.Timetable;
+package elmsail.gateway;
+
+import elmsail.rpc.messages.ClusterView;
+import elmsail.batch.BatchCalls;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.runtime.http.HttpReply;
+import elmsail.runtime.http.HttpServer;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.config.Service;
+import elmsail.config.RoutingConfig;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -28,13 +28,13 @@
  * Serves one made-up stream past a stand-in server over loopback, so that a build can keep an archive of the
  * classes that a first request needs. Not for a process in service.
  */
-public final class Drill {
+public final class GatewayWarmUp {
   private static final String LOOPBACK = "127.0.0.1:0";
   private static final String HOST = "drill.example";
   private static final byte[] EVENTS =
       "id: 0\ndata: a\n\nid: 1\ndata: b\n\n".getBytes(StandardCharsets.US_ASCII);
 
-  private Drill() {
+  private GatewayWarmUp() {
   }
 
   /**
@@ -44,15 +44,15 @@
    */
   public static CompletableFuture<String> run(NettyLoop loop) {
     CompletableFuture<String> got = new CompletableFuture<>();
-    HttpServing.listen(loop, LOOPBACK, call -> CompletableFuture.completedFuture(new HttpReply(200,
+    HttpServer.listen(loop, LOOPBACK, call -> CompletableFuture.completedFuture(new HttpReply(200,
         Map.of("Elmsail-Request-Id", String.valueOf(call.headers().get("elmsail-request-id")),
             "Elmsail-Postmark", "drill", "Content-Type", "text/event-stream",
             "Elmsail-Server-Load", "1,0,24"),
         EVENTS)), 1 << 16).thenCompose(server ->
-            Clerk.start(settings(), loop, new OneServer(server.address()), new NoLots()))
-        .whenComplete((clerk, fault) -> {
+            Gateway.start(settings(), loop, new OneServer(server.address()), new NoLots()))
+        .whenComplete((gateway, fault) -> {
           if (fault == null) {
-            ask(loop, clerk, got);
+            request(loop, gateway, got);
           } else {
             got.completeExceptionally(fault);
           }
@@ -60,7 +60,7 @@
     return got;
   }
 
-  private static void ask(NettyLoop loop, Clerk clerk, CompletableFuture<String> got) {
+  private static void request(NettyLoop loop, Gateway gateway, CompletableFuture<String> got) {
     StringBuilder all = new StringBuilder();
     new Bootstrap().group(loop.events()).channel(NioSocketChannel.class)
         .handler(new SimpleChannelInboundHandler<ByteBuf>() {
@@ -82,7 +82,7 @@
           public void channelInactive(ChannelHandlerContext ctx) {
             got.complete(all.toString());
           }
-        }).connect(Addresses.of(clerk.frontAddress())).addListener(f -> {
+        }).connect(Addresses.of(gateway.frontAddress())).addListener(f -> {
           if (!f.isSuccess()) {
             got.completeExceptionally(f.cause());
           }
@@ -90,14 +90,14 @@
   }
 
   private static Settings settings() {
-    return new Settings("drill", "clerk", "counter", Set.of("counter"), "127.0.0.1", "z", "r", Map.of(),
+    return new Settings("drill", "gateway", "counter", Set.of("counter"), "127.0.0.1", "z", "r", Map.of(),
         Map.of("front", LOOPBACK, "ready", LOOPBACK), 0, 0, List.of(), true, true,
         new Settings.Limits(1, 256, 1_024, 1, 0), null, Set.of(), 0,
         new Settings.Bounds(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0), null);
   }
 
   /** A configuration of one route, and a list of one server. */
-  private static final class OneServer implements Known, Timetable {
+  private static final class OneServer implements ClusterState, RoutingConfig {
     private final List<ServerEntry> servers;
     private final Route route = new Route("drill", HOST, "/drill/", Route.Kind.STREAM, 2_000, 250, 0,
         List.of(new Route.Share("drill", 1)), 2, true, 150, 0, 0, 0);
@@ -107,7 +107,7 @@
     }
 
     @Override
-    public Timetable timetable() {
+    public RoutingConfig config() {
       return this;
     }
 
@@ -122,8 +122,8 @@
     }
 
     @Override
-    public Roster roster() {
-      return new Roster();
+    public ClusterView view() {
+      return new ClusterView();
     }
 
     @Override
@@ -157,28 +157,28 @@
   }
 
   /** Knows of none. */
-  private static final class NoLots implements LotCalls {
+  private static final class NoLots implements BatchCalls {
     private static CompletableFuture<Reply> none() {
       return CompletableFuture.completedFuture(new Reply(503, new byte[0], 1));
     }
 
     @Override
-    public CompletableFuture<Reply> handIn(Route route, String lotId, byte[] body, long deadlineMs) {
+    public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
       return none();
     }
 
     @Override
-    public CompletableFuture<Reply> read(String lotId, long after, long waitMs) {
+    public CompletableFuture<Reply> read(String jobId, long after, long waitMs) {
       return none();
     }
 
     @Override
-    public CompletableFuture<Reply> item(String lotId, String itemId) {
+    public CompletableFuture<Reply> item(String jobId, String itemId) {
       return none();
     }
 
     @Override
-    public CompletableFuture<Reply> end(String lotId) {
+    public CompletableFuture<Reply> end(String jobId) {
       return none();
     }
   }
--- a/clerk/src/main/java/elmsail/clerk/counter/ClientConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
@@ -1,12 +1,12 @@
-package elmsail.clerk.counter;
+package elmsail.gateway.frontend;
 
-import elmsail.clerk.requests.Asked;
-import elmsail.clerk.requests.Replies;
-import elmsail.clerk.requests.Taken;
-import elmsail.clerk.words.Tally;
-import elmsail.station.Timers.Timer;
-import elmsail.station.http.StrictRequestDecoder;
-import elmsail.timetable.Timetable.ClientLimits;
+import elmsail.gateway.requests.RequestLine;
+import elmsail.gateway.requests.Replies;
+import elmsail.gateway.requests.RequestHandle;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Timers.Timer;
+import elmsail.runtime.http.StrictRequestDecoder;
+import elmsail.config.RoutingConfig.ClientLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -41,7 +41,7 @@
   private static final long TOLD_EARLIER_MS = 1_000;
   private static final long LEAST_LOOK_MS = 50;
 
-  private final Front front;
+  private final ClientListener front;
   private final ClientLimits limits;
   private final StrictRequestDecoder decoder;
   private final ArrayDeque<HttpObject> behind = new ArrayDeque<>();
@@ -49,15 +49,15 @@
   private HttpRequest head;
   private ByteBuf body;
   private int keptBytes;
-  private Answer answer;
-  private Taken taken = Taken.NONE;
+  private ClientResponse answer;
+  private RequestHandle taken = RequestHandle.NONE;
   private long arrivedMs;
   private long idleSince;
   private boolean inRequest;
   private boolean closing;
   private Timer look;
 
-  ClientConnection(Front front) {
+  ClientConnection(ClientListener front) {
     super(false);
     this.front = front;
     limits = front.limits();
@@ -89,7 +89,7 @@
     ctx.fireChannelActive();
   }
 
-  /** Ends the connection of a client that is too slow, or sends nothing for long. */
+  /** ProcessSignals the connection of a client that is too slow, or sends nothing for long. */
   private void look() {
     if (closing) {
       return;
@@ -101,7 +101,7 @@
       left = arrivedMs + limits.headMs() + bytes * 1_000L / BYTES_PER_SECOND
           + (head == null ? 0 : limits.headMs()) - now;
       if (left <= 0) {
-        front.tally().count(Tally.Event.CLIENT_SLOW);
+        front.counters().count(RequestCounters.Event.CLIENT_SLOW);
         refuse(408);
         return;
       }
@@ -136,7 +136,7 @@
   private void take(HttpObject part) {
     try {
       if (part.decoderResult().isFailure()) {
-        front.tally().count(Tally.Event.BAD_REQUEST);
+        front.counters().count(RequestCounters.Event.BAD_REQUEST);
         refuse(part.decoderResult().cause() instanceof TooLongFrameException ? 431 : 400);
         return;
       }
@@ -154,7 +154,7 @@
   private void begin(HttpRequest request) {
     head = request;
     if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
-      front.tally().count(Tally.Event.TOO_LARGE);
+      front.counters().count(RequestCounters.Event.TOO_LARGE);
       refuse(413);
     } else if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
@@ -166,13 +166,13 @@
     int bytes = piece.content().readableBytes();
     int before = body == null ? 0 : body.readableBytes();
     if (before + bytes > limits.bodyBytes()) {
-      front.tally().count(Tally.Event.TOO_LARGE);
+      front.counters().count(RequestCounters.Event.TOO_LARGE);
       refuse(413);
       return;
     }
     if (bytes > 0) {
       if (!front.takesBody(bytes)) {
-        front.tally().count(Tally.Event.REFUSED_NO_SERVER);
+        front.counters().count(RequestCounters.Event.REFUSED_NO_SERVER);
         refuse(503);
         return;
       }
@@ -192,14 +192,14 @@
     if (body != null) {
       bytes = body.array().length == body.readableBytes() ? body.array() : readBytes();
     }
-    Asked asked = new Asked(head.method().name(), head.uri(), head.headers(), bytes, arrivedMs);
+    RequestLine asked = new RequestLine(head.method().name(), head.uri(), head.headers(), bytes, arrivedMs);
     boolean keep = HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
-    Answer one = new Answer(this, front, channel, keep,
+    ClientResponse one = new ClientResponse(this, front, channel, keep,
         head.protocolVersion().equals(HttpVersion.HTTP_1_1), head.method().name().equals("HEAD"));
     answer = one;
     head = null;
     body = null;
-    Taken begun = front.desk().take(asked, one);
+    RequestHandle begun = front.desk().take(asked, one);
     if (answer == one) {
       taken = begun;
     }
@@ -212,12 +212,12 @@
   }
 
   /** The answer is written: the connection ends with it, or waits for the next request. */
-  void answered(Answer one, boolean kept) {
+  void answered(ClientResponse one, boolean kept) {
     if (answer != one) {
       return;
     }
     answer = null;
-    taken = Taken.NONE;
+    taken = RequestHandle.NONE;
     freeBody();
     idleSince = front.timers().now();
     inRequest = false;
@@ -242,9 +242,9 @@
     }
   }
 
-  /** Answers what is no request that can be taken; it has not been read whole, so it has not run. */
+  /** HandlerTable what is no request that can be taken; it has not been read whole, so it has not run. */
   private void refuse(int status) {
-    Answer one = new Answer(this, front, channel, false, true, false);
+    ClientResponse one = new ClientResponse(this, front, channel, false, true, false);
     one.linger();
     answer = one;
     head = null;
@@ -263,7 +263,7 @@
     }
   }
 
-  /** Ends it if no request is on it, nor a part of one. */
+  /** ProcessSignals it if no request is on it, nor a part of one. */
   void closeIfIdle() {
     if (answer == null && !decoder.inside()) {
       close();
@@ -290,8 +290,8 @@
     dropBehind();
     freeBody();
     body = null;
-    Taken leaving = taken;
-    taken = Taken.NONE;
+    RequestHandle leaving = taken;
+    taken = RequestHandle.NONE;
     if (answer != null) {
       answer.gone();
       answer = null;
@@ -305,7 +305,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof java.io.IOException)) {
-      front.tally().count(Tally.Event.FAULT);
+      front.counters().count(RequestCounters.Event.FAULT);
     }
     close();
   }
--- a/clerk/src/main/java/elmsail/clerk/counter/Front.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
@@ -1,14 +1,14 @@
-package elmsail.clerk.counter;
-
-import elmsail.clerk.requests.Desk;
-import elmsail.clerk.words.Tally;
-import elmsail.station.Addresses;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
-import elmsail.timetable.Known;
-import elmsail.timetable.Timetable;
-import elmsail.timetable.Timetable.ClientLimits;
+package elmsail.gateway.frontend;
+
+import elmsail.gateway.requests.RequestDispatcher;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
+import elmsail.config.ClusterState;
+import elmsail.config.RoutingConfig;
+import elmsail.config.RoutingConfig.ClientLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -24,7 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /** The address that clients connect to, and their connections. All on the loop. */
-public final class Front {
+public final class ClientListener {
   private static final int BACKLOG = 1_024;
   private static final ClientLimits BEFORE_ANY = new ClientLimits(16_384, 4 << 20, 3_000, 15_000);
   /** Descriptors that are kept for all but clients. */
@@ -34,20 +34,20 @@
   private static final long MOST_BODY_BYTES = 48L << 20;
 
   private final Timers timers;
-  private final Known known;
-  private final Desk desk;
-  private final Tally tally;
+  private final ClusterState known;
+  private final RequestDispatcher desk;
+  private final RequestCounters counters;
   private final int most;
   private final Set<ClientConnection> open = new LinkedHashSet<>();
   private Channel listening;
   private long bodyBytes;
   private boolean ending;
 
-  private Front(Timers timers, Known known, Desk desk, Tally tally, int fds) {
+  private ClientListener(Timers timers, ClusterState known, RequestDispatcher desk, RequestCounters counters, int fds) {
     this.timers = timers;
     this.known = known;
     this.desk = desk;
-    this.tally = tally;
+    this.counters = counters;
     most = Math.max(LEAST_CONNECTIONS, fds - KEPT_DESCRIPTORS);
   }
 
@@ -56,10 +56,10 @@
    *
    * @param fds descriptors that the process may hold
    */
-  public static CompletableFuture<Front> listen(Timers timers, EventLoop loop, String address, Known known,
-      Desk desk, Tally tally, int fds) {
-    Front front = new Front(timers, known, desk, tally, fds);
-    CompletableFuture<Front> bound = new CompletableFuture<>();
+  public static CompletableFuture<ClientListener> listen(Timers timers, EventLoop loop, String address, ClusterState known,
+      RequestDispatcher desk, RequestCounters counters, int fds) {
+    ClientListener front = new ClientListener(timers, known, desk, counters, fds);
+    CompletableFuture<ClientListener> bound = new CompletableFuture<>();
     ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
@@ -77,7 +77,7 @@
         bound.complete(front);
       } else {
         bound.completeExceptionally(
-            new ElmsailException(Code.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
+            new ElmsailException(ErrorCode.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
       }
     });
     return bound;
@@ -101,16 +101,16 @@
     return timers;
   }
 
-  Desk desk() {
+  RequestDispatcher desk() {
     return desk;
   }
 
-  Tally tally() {
-    return tally;
+  RequestCounters counters() {
+    return counters;
   }
 
   ClientLimits limits() {
-    Timetable now = known.timetable();
+    RoutingConfig now = known.config();
     return now == null || now.limits() == null ? BEFORE_ANY : now.limits();
   }
 
@@ -156,7 +156,7 @@
     }
   }
 
-  /** Ends what is left. */
+  /** ProcessSignals what is left. */
   public void closeAll() {
     for (ClientConnection c : new ArrayList<>(open)) {
       c.close();
--- a/clerk/src/main/java/elmsail/clerk/counter/Answer.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientResponse.java
@@ -1,6 +1,6 @@
-package elmsail.clerk.counter;
+package elmsail.gateway.frontend;
 
-import elmsail.clerk.requests.Answering;
+import elmsail.gateway.requests.ResponseSink;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -19,12 +19,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /** The one answer to one request. An answer that is not ended never looks complete. */
-final class Answer implements Answering {
+final class ClientResponse implements ResponseSink {
   /** So long a client that is still sending has to read the answer and end its side. */
   private static final long LINGER_MS = 500;
 
   private final ClientConnection connection;
-  private final Front front;
+  private final ClientListener front;
   private final Channel channel;
   private final boolean keep;
   private final boolean chunks;
@@ -34,7 +34,7 @@
   private boolean kept;
   private boolean flushing;
 
-  Answer(ClientConnection connection, Front front, Channel channel, boolean keep, boolean chunks,
+  ClientResponse(ClientConnection connection, ClientListener front, Channel channel, boolean keep, boolean chunks,
       boolean headOnly) {
     this.connection = connection;
     this.front = front;
--- a/clerk/src/main/java/elmsail/clerk/words/Headers.java
+++ b/gateway/src/main/java/elmsail/gateway/http/Headers.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.words;
+package elmsail.gateway.http;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
--- a/clerk/src/main/java/elmsail/clerk/words/Tally.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -1,7 +1,7 @@
-package elmsail.clerk.words;
+package elmsail.gateway.http;
 
 /** Counts of what happened since the start; told every so often. */
-public final class Tally {
+public final class RequestCounters {
 
   /** What is counted. */
   public enum Event {
--- a/clerk/src/main/java/elmsail/clerk/requests/Letter.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
@@ -1,9 +1,9 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
-import elmsail.clerk.servers.Outgoing;
-import elmsail.clerk.servers.Prompt;
-import elmsail.clerk.words.Headers;
-import elmsail.station.Steady;
+import elmsail.gateway.servers.OutgoingRequest;
+import elmsail.gateway.servers.Prompt;
+import elmsail.gateway.http.Headers;
+import elmsail.runtime.SteadyClock;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -12,7 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** One request as it is sent to servers: method, target, headers and body as the client gave them. */
-final class Letter implements Outgoing {
+final class ClientRequest implements OutgoingRequest {
   private final String id;
   private final HttpMethod method;
   private final String uri;
@@ -21,13 +21,13 @@
   private final Prompt prompt;
   private int priority;
   private final boolean item;
-  private final Steady clock;
+  private final SteadyClock clock;
   /** On the loop's clock; Long.MAX_VALUE: none is told. */
   private final long endsAt;
   private long lastEventId = -1;
 
-  Letter(String id, String method, String uri, HttpHeaders headers, byte[] body, int priority, boolean item,
-      Steady clock, long endsAt) {
+  ClientRequest(String id, String method, String uri, HttpHeaders headers, byte[] body, int priority, boolean item,
+      SteadyClock clock, long endsAt) {
     this.id = id;
     this.method = HttpMethod.valueOf(method);
     this.uri = uri;
--- a/clerk/src/main/java/elmsail/clerk/requests/EventSplitter.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/clerk/src/main/java/elmsail/clerk/requests/Items.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -1,12 +1,12 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
-import elmsail.clerk.servers.Prompt;
-import elmsail.clerk.servers.Server;
-import elmsail.clerk.words.Headers;
-import elmsail.clerk.words.Tally;
-import elmsail.lots.ItemServers;
-import elmsail.lots.Piece;
-import elmsail.timetable.Route;
+import elmsail.gateway.servers.Prompt;
+import elmsail.gateway.servers.Server;
+import elmsail.gateway.http.Headers;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.batch.ItemServers;
+import elmsail.batch.BatchItem;
+import elmsail.config.Route;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
@@ -14,13 +14,13 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Runs lots' items in the places that plain requests leave. */
-public final class Items implements ItemServers {
+/** Runs jobs' items in the places that plain requests leave. */
+public final class ItemDispatcher implements ItemServers {
   private static final int PRIORITY = 8;
 
-  private final Course course;
+  private final RequestProgress course;
 
-  public Items(Course course) {
+  public ItemDispatcher(RequestProgress course) {
     this.course = course;
   }
 
@@ -35,7 +35,7 @@
   }
 
   @Override
-  public Running start(Route route, Piece piece, long lastEventId, Heard heard) {
+  public Running start(Route route, BatchItem piece, long lastEventId, RunListener heard) {
     long now = course.timers().now();
     List<Server> open = course.servers().of(route);
     Set<Server> full = new HashSet<>();
@@ -54,8 +54,8 @@
     if (server == null) {
       return null;
     }
-    course.tally().count(Tally.Event.ITEM);
-    Letter letter = new Letter(piece.id(), "POST", piece.lane(), headers, piece.contents(), PRIORITY, true,
+    course.counters().count(RequestCounters.Event.ITEM);
+    ClientRequest letter = new ClientRequest(piece.id(), "POST", piece.lane(), headers, piece.contents(), PRIORITY, true,
         course.timers(), Long.MAX_VALUE);
     if (lastEventId >= 0) {
       letter.goOnBehind(lastEventId);
--- a/clerk/src/main/java/elmsail/clerk/requests/ItemRun.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
@@ -1,31 +1,31 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
-import elmsail.clerk.servers.Try;
-import elmsail.clerk.servers.TryHeard;
-import elmsail.clerk.words.Headers;
-import elmsail.lots.ItemServers.Ended;
-import elmsail.lots.ItemServers.Heard;
-import elmsail.lots.ItemServers.Running;
+import elmsail.gateway.servers.Attempt;
+import elmsail.gateway.servers.AttemptListener;
+import elmsail.gateway.http.Headers;
+import elmsail.batch.ItemServers.Ended;
+import elmsail.batch.ItemServers.RunListener;
+import elmsail.batch.ItemServers.Running;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
 /** One run of an item at one server: whole events are told as they come, in their order. */
-final class ItemRun implements Running, TryHeard {
-  private final Heard heard;
+final class ItemRun implements Running, AttemptListener {
+  private final RunListener heard;
   private final EventSplitter events = new EventSplitter(this::event);
-  private Try one;
+  private Attempt one;
   private Outcome outcome;
   private int status;
   private boolean stream;
   private long last;
   private boolean over;
 
-  ItemRun(long lastEventId, Heard heard) {
+  ItemRun(long lastEventId, RunListener heard) {
     this.last = lastEventId;
     this.heard = heard;
   }
 
-  void on(Try begun) {
+  void on(Attempt begun) {
     one = begun;
   }
 
--- a/clerk/src/main/java/elmsail/clerk/requests/Outcome.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
 /** What one try at a server came to. */
 public enum Outcome {
--- a/clerk/src/main/java/elmsail/clerk/requests/Replies.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Replies.java
@@ -1,13 +1,13 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
-import elmsail.clerk.words.Headers;
-import elmsail.lots.LotCalls;
+import elmsail.gateway.http.Headers;
+import elmsail.batch.BatchCalls;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.random.RandomGenerator;
 
-/** Answers of our own. */
+/** HandlerTable of our own. */
 public final class Replies {
   private static final double LEAST_RETRY_S = 0.05;
   private static final double SPREAD_S = 0.15;
@@ -21,13 +21,13 @@
     return LEAST_RETRY_S + SPREAD_S * chance.nextDouble();
   }
 
-  /** Likewise from a door that hasn't heard yet what it needs: a client waits a third of its time at most. */
+  /** Likewise from a gateway that hasn't heard yet what it needs: a client waits a third of its time at most. */
   static double starting(RandomGenerator chance) {
     return STARTING_S + 2 * SPREAD_S * chance.nextDouble();
   }
 
   /** An empty answer. */
-  public static void own(Answering client, int status, String id, double retryAfterS) {
+  public static void own(ResponseSink client, int status, String id, double retryAfterS) {
     HttpHeaders headers = new DefaultHttpHeaders();
     if (id != null) {
       headers.set(Headers.REQUEST_ID, id);
@@ -36,8 +36,8 @@
     client.whole(status, headers, Unpooled.EMPTY_BUFFER);
   }
 
-  /** One about a lot; a body that begins like JSON is told as such. */
-  static void lot(Answering client, LotCalls.Reply reply) {
+  /** One about a job; a body that begins like JSON is told as such. */
+  static void job(ResponseSink client, BatchCalls.Reply reply) {
     if (reply.status() == 0) {
       client.breakOff();
       return;
--- a/clerk/src/main/java/elmsail/clerk/requests/Forward.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -1,11 +1,11 @@
-package elmsail.clerk.requests;
-
-import elmsail.clerk.servers.Server;
-import elmsail.clerk.servers.Try;
-import elmsail.clerk.servers.TryHeard;
-import elmsail.clerk.words.Tally;
-import elmsail.station.Timers.Timer;
-import elmsail.timetable.Route;
+package elmsail.gateway.requests;
+
+import elmsail.gateway.servers.Server;
+import elmsail.gateway.servers.Attempt;
+import elmsail.gateway.servers.AttemptListener;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Timers.Timer;
+import elmsail.config.Route;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
@@ -15,47 +15,47 @@
  * One client's request from its choice of a first server to its one final answer. What may have run is never
  * run again unless it may be repeated, and never answered with a promise that it has not run.
  */
-final class Forward implements Taken, TryHeard {
+final class RequestForwarder implements RequestHandle, AttemptListener {
   /** Tries that never left and do not count for the route's own bound. */
   private static final int MOST_UNSENT = 6;
   /** With less time left nothing more is sent. */
   private static final long LEAST_MS = 5;
   /** A request that would wait for more than so many times its objective is refused at once. */
   private static final double MOST_WAIT = 2;
-  /** Behind this stand those that set none, and lots' items. */
+  /** Behind this stand those that set none, and jobs' items. */
   private static final int LEAST_URGENT = 4;
   private static final long WATCH_MS = 200;
   /** A look that comes so late says more of this process than of any server. */
   private static final long LATE_MS = 150;
 
-  private final Course course;
+  private final RequestProgress course;
   private final Route route;
-  private final Letter letter;
-  private final Passing passing;
+  private final ClientRequest letter;
+  private final ResponseRelay passing;
   private final Set<Server> been = new HashSet<>();
   private final long endsAt;
   private Timer end;
   private Timer watch;
-  private Try now;
+  private Attempt now;
   private int sentTo;
   private int unsent;
   private boolean mayHaveRun;
   private boolean over;
 
-  Forward(Course course, Route route, Asked asked, String id, long endsAt, Answering client) {
+  RequestForwarder(RequestProgress course, Route route, RequestLine asked, String id, long endsAt, ResponseSink client) {
     this.course = course;
     this.route = route;
     this.endsAt = endsAt;
-    letter = new Letter(id, asked.method(), asked.uri(), asked.headers(), asked.body(),
+    letter = new ClientRequest(id, asked.method(), asked.uri(), asked.headers(), asked.body(),
         Math.min(LEAST_URGENT, 1 + Math.max(0, route.precedence())), false, course.timers(), endsAt);
     boolean stream = route.kind() == Route.Kind.STREAM;
-    passing = new Passing(client, stream, stream && route.resume());
+    passing = new ResponseRelay(client, stream, stream && route.resume());
   }
 
   void start() {
     long left = endsAt - course.timers().now();
     if (left <= 0) {
-      refuse(Tally.Event.REFUSED_NOT_RUN);
+      refuse(RequestCounters.Event.REFUSED_NOT_RUN);
       return;
     }
     end = course.timers().after(left, this::timeOver);
@@ -71,7 +71,7 @@
       long at = course.timers().now();
       boolean late = at - lastLook > WATCH_MS + LATE_MS;
       if (!late && now != null && now.sent() && now.server().dark(at) && mayGoOn()) {
-        course.tally().count(Tally.Event.GONE_DARK);
+        course.counters().count(RequestCounters.Event.GONE_DARK);
         now.timedOut(at);
         failed(true);
       }
@@ -96,13 +96,13 @@
       return;
     }
     if (been.isEmpty() && course.servers().waitMs(server) > route.dueMs() * MOST_WAIT && route.dueMs() > 0) {
-      refuse(Tally.Event.REFUSED_FULL);
+      refuse(RequestCounters.Event.REFUSED_FULL);
       return;
     }
     been.add(server);
     if (passing.lastEvent() >= 0) {
       letter.goOnBehind(passing.lastEvent());
-      course.tally().count(Tally.Event.RESUMED);
+      course.counters().count(RequestCounters.Event.RESUMED);
     }
     passing.nextTry();
     now = course.servers().start(server, letter, this);
@@ -113,9 +113,9 @@
     if (passing.begun()) {
       breakOff();
     } else if (mayHaveRun) {
-      own(Outcome.ownStatus(true, false), Tally.Event.BAD_GATEWAY);
+      own(Outcome.ownStatus(true, false), RequestCounters.Event.BAD_GATEWAY);
     } else {
-      refuse(sentTo > 0 ? Tally.Event.REFUSED_NOT_RUN : Tally.Event.REFUSED_NO_SERVER);
+      refuse(sentTo > 0 ? RequestCounters.Event.REFUSED_NOT_RUN : RequestCounters.Event.REFUSED_NO_SERVER);
     }
   }
 
@@ -127,29 +127,29 @@
     if (now != null) {
       now.timedOut(course.timers().now());
     }
-    course.tally().count(Tally.Event.TIMED_OUT);
+    course.counters().count(RequestCounters.Event.TIMED_OUT);
     if (passing.begun()) {
       breakOff();
     } else {
       int status = Outcome.ownStatus(mayHaveRun || sent, true);
-      own(status, status == 503 ? Tally.Event.REFUSED_NOT_RUN : Tally.Event.BAD_GATEWAY);
+      own(status, status == 503 ? RequestCounters.Event.REFUSED_NOT_RUN : RequestCounters.Event.BAD_GATEWAY);
     }
   }
 
-  private void refuse(Tally.Event why) {
+  private void refuse(RequestCounters.Event why) {
     own(503, why);
   }
 
-  private void own(int status, Tally.Event why) {
+  private void own(int status, RequestCounters.Event why) {
     finish();
-    course.tally().count(why);
+    course.counters().count(why);
     double back = course.servers().any() ? Replies.soon(course.chance()) : Replies.starting(course.chance());
     Replies.own(passing.client(), status, letter.id(), status == 503 ? back : 0);
   }
 
   private void breakOff() {
     finish();
-    course.tally().count(Tally.Event.BROKEN_OFF);
+    course.counters().count(RequestCounters.Event.BROKEN_OFF);
     passing.client().breakOff();
   }
 
@@ -168,7 +168,7 @@
   @Override
   public void left() {
     if (!over) {
-      course.tally().count(Tally.Event.CLIENT_LEFT);
+      course.counters().count(RequestCounters.Event.CLIENT_LEFT);
       if (now != null) {
         now.cancel();
       }
@@ -210,10 +210,10 @@
     switch (passing.whole()) {
       case ANSWERED -> {
         finish();
-        course.tally().count(Tally.Event.SERVED);
+        course.counters().count(RequestCounters.Event.SERVED);
       }
       case NOT_RUN -> {
-        course.tally().count(Tally.Event.TRY_NOT_RUN);
+        course.counters().count(RequestCounters.Event.TRY_NOT_RUN);
         sentTo++;
         next();
       }
@@ -227,7 +227,7 @@
       return;
     }
     now = null;
-    course.tally().count(sent ? Tally.Event.TRY_SENT_FAILED : Tally.Event.TRY_UNSENT);
+    course.counters().count(sent ? RequestCounters.Event.TRY_SENT_FAILED : RequestCounters.Event.TRY_UNSENT);
     mayHaveRun |= sent;
     sentTo += sent ? 1 : 0;
     unsent += sent ? 0 : 1;
--- a/clerk/src/main/java/elmsail/clerk/requests/Taken.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestHandle.java
@@ -1,7 +1,7 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
 /** A request under way, as its client's connection sees it. */
-public interface Taken {
+public interface RequestHandle {
   /** The client has left: what it asked for is cancelled. */
   void left();
 
@@ -9,7 +9,7 @@
   void writable(boolean now);
 
   /** One that needs neither. */
-  Taken NONE = new Taken() {
+  RequestHandle NONE = new RequestHandle() {
     @Override
     public void left() {
     }
--- a/clerk/src/main/java/elmsail/clerk/requests/Passing.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
@@ -1,6 +1,6 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
-import elmsail.clerk.words.Headers;
+import elmsail.gateway.http.Headers;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,7 +13,7 @@
  * that a cut one can be tried again; streams go on as they come, from their first bytes on. Where one may be
  * resumed only whole events go on, and the answer stays one: head and stamp are those of the first server.
  */
-final class Passing {
+final class ResponseRelay {
   /** Up to so many bytes an answer that is no stream is held. */
   static final int MOST_HELD = 64 * 1024;
 
@@ -21,7 +21,7 @@
     NONE, HOLD, RAW, EVENTS
   }
 
-  private final Answering client;
+  private final ResponseSink client;
   private final boolean stream;
   private final boolean resumable;
   private EventSplitter events = new EventSplitter(this::event);
@@ -39,13 +39,13 @@
    *
    * @param stream whether successes go on as they come, whatever their type
    */
-  Passing(Answering client, boolean stream, boolean resumable) {
+  ResponseRelay(ResponseSink client, boolean stream, boolean resumable) {
     this.client = client;
     this.stream = stream;
     this.resumable = resumable;
   }
 
-  Answering client() {
+  ResponseSink client() {
     return client;
   }
 
--- a/clerk/src/main/java/elmsail/clerk/requests/Answering.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
@@ -1,10 +1,10 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** The client's side of one request. Just one final answer; calls behind a client's leave do nothing. */
-public interface Answering {
+public interface ResponseSink {
 
   /** An answer that is whole. */
   void whole(int status, HttpHeaders headers, ByteBuf body);
@@ -22,9 +22,9 @@
   /** Its proper end. */
   void end();
 
-  /** Ends the connection so that no answer, or the begun one, can look complete. */
+  /** ProcessSignals the connection so that no answer, or the begun one, can look complete. */
   void breakOff();
 
-  /** Whether more can be written without being queued for long; told again by {@link Taken#writable}. */
+  /** Whether more can be written without being queued for long; told again by {@link RequestHandle#writable}. */
   boolean writable();
 }
--- a/clerk/src/main/java/elmsail/clerk/servers/Try.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
@@ -1,14 +1,14 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
 
 /** One request at one server, from the wait for a connection to its answer's end. All on the loop. */
-public final class Try {
+public final class Attempt {
   private final Server server;
-  private final Outgoing out;
-  private final TryHeard heard;
+  private final OutgoingRequest out;
+  private final AttemptListener heard;
   private final long since;
   private Channel channel;
   private boolean sent;
@@ -16,7 +16,7 @@
   private boolean paused;
   private boolean answered;
 
-  Try(Server server, Outgoing out, TryHeard heard, long since) {
+  Attempt(Server server, OutgoingRequest out, AttemptListener heard, long since) {
     this.server = server;
     this.out = out;
     this.heard = heard;
@@ -27,7 +27,7 @@
     return server;
   }
 
-  Outgoing out() {
+  OutgoingRequest out() {
     return out;
   }
 
--- a/clerk/src/main/java/elmsail/clerk/servers/Outgoing.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/OutgoingRequest.java
@@ -1,15 +1,15 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import io.netty.handler.codec.http.FullHttpRequest;
 
 /** A request as it goes to a server. */
-public interface Outgoing {
+public interface OutgoingRequest {
   /** Its {@code Elmsail-Request-Id}. */
   String id();
 
   Prompt prompt();
 
-  /** Whether it is an item of a lot. */
+  /** Whether it is an item of a job. */
   boolean item();
 
   /** Made just before it is written, so that the time left in it is right. */
--- a/clerk/src/main/java/elmsail/clerk/servers/PrefixMemory.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/PrefixMemory.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
--- a/clerk/src/main/java/elmsail/clerk/servers/Prompt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Prompt.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 /**
  * What a request's prompt is made of: parts in order, each named by a key that stands for it and all before
--- a/clerk/src/main/java/elmsail/clerk/servers/QuietSocketChannel.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/QuietSocketChannel.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
--- a/clerk/src/main/java/elmsail/clerk/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -1,13 +1,13 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
-import elmsail.timetable.ServerEntry;
+import elmsail.config.ServerEntry;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
-/** One incarnation of a server: its connections, and what is known of its load and health. */
+/** One epoch of a server: its connections, and what is known of its load and health. */
 public final class Server {
   private static final long FIRST_AVOID_MS = 250;
   private static final long MOST_AVOID_MS = 3_000;
@@ -19,12 +19,12 @@
   static final long QUIET_MS = 450;
   /** And after so long what may be repeated goes elsewhere. */
   static final long DARK_MS = 800;
-  /** Answers that break off one after the other before the server is avoided: single ones happen. */
+  /** HandlerTable that break off one after the other before the server is avoided: single ones happen. */
   private static final int BREAKS = 2;
 
-  /** Items are started while no more than this share of the places is taken. */
+  /** ItemDispatcher are started while no more than this share of the places is taken. */
   private static final double ITEMS_UP_TO = 0.7;
-  /** Of a server's places one door's items may take this share: lots are at few doors at a time. */
+  /** Of a server's places one gateway's items may take this share: jobs are at few gateways at a time. */
   private static final double ITEMS_OF_ONE_DOOR = 0.5;
   /** Prompts that begin together are read between all others' tokens, which then come too late. */
   private static final long ITEM_PACE_MS = 80;
@@ -34,7 +34,7 @@
   private final PrefixMemory memory;
   final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
   /** Tries that run or wait for a connection. */
-  private final Set<Try> tries = new LinkedHashSet<>();
+  private final Set<Attempt> tries = new LinkedHashSet<>();
   /** Open, opening and idle ones. */
   int connections;
   private int items;
@@ -87,7 +87,7 @@
   }
 
   /** Tries that may be cancelled while one looks at them. */
-  List<Try> tries() {
+  List<Attempt> tries() {
     return new ArrayList<>(tries);
   }
 
@@ -103,7 +103,7 @@
     return readingTokens;
   }
 
-  void begun(Try one) {
+  void begun(Attempt one) {
     tries.add(one);
     if (one.out().item()) {
       items++;
@@ -112,18 +112,18 @@
     readingTokens += anew(one);
   }
 
-  void answering(Try one) {
+  void answering(Attempt one) {
     readingTokens -= anew(one);
   }
 
-  void ended(Try one) {
+  void ended(Attempt one) {
     if (tries.remove(one)) {
       items -= one.out().item() ? 1 : 0;
       readingTokens -= one.answered() ? 0 : anew(one);
     }
   }
 
-  private static int anew(Try one) {
+  private static int anew(Attempt one) {
     Prompt p = one.out().prompt();
     return p.total() - p.sharedTokens();
   }
@@ -161,15 +161,15 @@
   }
 
   /** Takes {@code RUNNING,WAITING,SLOTS}; what cannot be read is passed over. */
-  void load(String told, long now) {
-    int first = told.indexOf(',');
-    int second = told.indexOf(',', first + 1);
+  void load(String response, long now) {
+    int first = response.indexOf(',');
+    int second = response.indexOf(',', first + 1);
     if (first <= 0 || second < 0) {
       return;
     }
     try {
-      toldRunning = Integer.parseInt(told.substring(0, first).trim());
-      toldWaiting = Integer.parseInt(told.substring(first + 1, second).trim());
+      toldRunning = Integer.parseInt(response.substring(0, first).trim());
+      toldWaiting = Integer.parseInt(response.substring(first + 1, second).trim());
       loadAt = now;
       ownWhenTold = open();
     } catch (NumberFormatException e) {
@@ -194,7 +194,7 @@
 
   /** For how long it has said nothing at all though requests are open there. */
   private long quietMs(long now) {
-    for (Try t : tries) {
+    for (Attempt t : tries) {
       if (t.sent()) {
         return now - Math.max(t.since(), heardAt); // the oldest one
       }
@@ -202,14 +202,14 @@
     return 0;
   }
 
-  /** Estimate of the requests that run there, of all doors. */
+  /** Estimate of the requests that run there, of all gateways. */
   double running(long now) {
     if (loadAt == Long.MIN_VALUE) {
       return open();
     }
     double weight = weight(now, RUNNING_HALF_LIFE_MS);
-    double told = Math.max(0, toldRunning + open() - ownWhenTold);
-    return Math.max(open(), told * weight);
+    double response = Math.max(0, toldRunning + open() - ownWhenTold);
+    return Math.max(open(), response * weight);
   }
 
   /** Estimate of the requests that wait there. */
@@ -222,8 +222,8 @@
   }
 
   /**
-   * How many items of lots may be started here now: in the places that plain requests leave. What several
-   * doors start at once beyond these waits behind the plain requests, which are more urgent.
+   * How many items of jobs may be started here now: in the places that plain requests leave. What several
+   * gateways start at once beyond these waits behind the plain requests, which are more urgent.
    */
   public int itemRoom(long now) {
     boolean pacing = now - lastItemAt < ITEM_PACE_MS;
--- a/clerk/src/main/java/elmsail/clerk/servers/ServerConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
@@ -1,8 +1,8 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
-import elmsail.clerk.words.Headers;
-import elmsail.clerk.words.Tally;
-import elmsail.station.http.StrictAnswerDecoder;
+import elmsail.gateway.http.Headers;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.http.StrictAnswerDecoder;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -44,7 +44,7 @@
     }
   };
   private Channel channel;
-  private Try current;
+  private Attempt current;
   private boolean inAnswer;
   private boolean informing;
   private boolean headOnly;
@@ -84,7 +84,7 @@
   }
 
   /** Writes the request; from here on it counts as sent. */
-  void carry(Try one) {
+  void carry(Attempt one) {
     current = one;
     one.on(channel);
     one.sending();
@@ -103,20 +103,20 @@
     }
   }
 
-  private void unwritten(Try one) {
+  private void unwritten(Attempt one) {
     if (current == one) {
-      broken(Tally.Event.CLOSED_BY_SERVER);
+      broken(RequestCounters.Event.CLOSED_BY_SERVER);
     }
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     if (part.decoderResult().isFailure()) {
-      broken(Tally.Event.UNREADABLE_ANSWER);
+      broken(RequestCounters.Event.UNREADABLE_ANSWER);
       return;
     }
     if (current == null || current.over()) {
-      broken(Tally.Event.FOREIGN_ANSWER);
+      broken(RequestCounters.Event.FOREIGN_ANSWER);
       return;
     }
     if (part instanceof HttpResponse head && !begin(head)) {
@@ -131,25 +131,25 @@
     informing = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informing) {
       if (head.status().code() == 101) {
-        broken(Tally.Event.UNREADABLE_ANSWER);
+        broken(RequestCounters.Event.UNREADABLE_ANSWER);
         return false;
       }
       return true;
     }
     if (!current.out().id().equals(head.headers().get(Headers.REQUEST_ID))) {
-      broken(Tally.Event.FOREIGN_ANSWER);
+      broken(RequestCounters.Event.FOREIGN_ANSWER);
       return false;
     }
     int code = head.status().code();
     boolean empty = code == 204 || code == 304;
     if (!empty && !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
-      broken(Tally.Event.UNREADABLE_ANSWER);
+      broken(RequestCounters.Event.UNREADABLE_ANSWER);
       return false;
     }
     inAnswer = true;
     keep = HttpUtil.isKeepAlive(head);
-    String told = head.headers().get("Keep-Alive");
-    idleMs = told == null ? UNTOLD_MS : toldMs(told);
+    String response = head.headers().get("Keep-Alive");
+    idleMs = response == null ? UNTOLD_MS : toldMs(response);
     long now = servers.timers().now();
     server.heard(now);
     if (code == MISDIRECTED) {
@@ -185,7 +185,7 @@
     if (!inAnswer) {
       return;
     }
-    Try one = current;
+    Attempt one = current;
     if (piece.content().isReadable()) {
       server.stirred(servers.timers().now());
       one.data(piece.content().retain());
@@ -202,7 +202,7 @@
       if (!keep) {
         channel.close();
       }
-      servers.tally().count(Tally.Event.TRY_ANSWERED);
+      servers.counters().count(RequestCounters.Event.TRY_ANSWERED);
       one.whole();
     }
   }
@@ -219,30 +219,30 @@
         channel.close();
       }
     } else if (current == null && decoder.inside()) {
-      broken(Tally.Event.FOREIGN_ANSWER);
+      broken(RequestCounters.Event.FOREIGN_ANSWER);
     }
     ctx.fireChannelReadComplete();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    broken(Tally.Event.CLOSED_BY_SERVER);
+    broken(RequestCounters.Event.CLOSED_BY_SERVER);
     ctx.fireChannelInactive();
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    broken(cause instanceof java.io.IOException ? Tally.Event.CLOSED_BY_SERVER : Tally.Event.FAULT);
+    broken(cause instanceof java.io.IOException ? RequestCounters.Event.CLOSED_BY_SERVER : RequestCounters.Event.FAULT);
   }
 
-  private void broken(Tally.Event why) {
-    Try one = current;
+  private void broken(RequestCounters.Event why) {
+    Attempt one = current;
     current = null;
     answered = false;
     inAnswer = false;
     close();
     if (one != null && !one.over()) {
-      servers.tally().count(why);
+      servers.counters().count(why);
       server.broke(servers.timers().now());
       one.failed();
     }
--- a/clerk/src/main/java/elmsail/clerk/servers/Choice.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerSelector.java
@@ -1,9 +1,9 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import java.util.List;
 
 /** Which of some servers is to get a request: the one where it costs least, in ms. */
-public final class Choice {
+public final class ServerSelector {
   /** Prompt tokens that a server reads in a ms. */
   static final double TOKENS_PER_MS = 100;
   /** Each request that runs beside makes all tokens come later. */
@@ -15,7 +15,7 @@
   static final double FULL_MS = 80;
   /** For the way to another zone and back, and what its bytes are priced. */
   static final double OTHER_ZONE_MS = 12;
-  /** Of what a server holds by the doors' common reckoning this share is counted on. */
+  /** Of what a server holds by the gateways' common reckoning this share is counted on. */
   static final double HOME_SHARE = 0.5;
   /** A server that failed lately, or is silent, is taken only where there is no other. */
   static final double AVOIDED_MS = 100_000;
@@ -24,16 +24,16 @@
    * One server as it stands.
    *
    * @param knownTokens of the prompt that it was sent before
-   * @param homeTokens of the prompt that other doors will have sent there, 0 unless it is the prompt's home
-   * @param running estimate of requests running, all doors'
+   * @param homeTokens of the prompt that other gateways will have sent there, 0 unless it is the prompt's home
+   * @param running estimate of requests running, all gateways'
    * @param waiting estimate of requests waiting there
-   * @param readingTokens tokens of this door's requests there that have no answer yet
+   * @param readingTokens tokens of this gateway's requests there that have no answer yet
    */
   public record View(int knownTokens, int homeTokens, double running, double waiting, int berths,
       int readingTokens, boolean sameZone, boolean avoided) {
   }
 
-  private Choice() {
+  private ServerSelector() {
   }
 
   /** The estimated ms until the request's first token, with what it takes from others. */
@@ -49,7 +49,7 @@
     return v.avoided() ? cost + AVOIDED_MS : cost;
   }
 
-  /** The estimated ms until what waits there is read; those of this door may be among those told. */
+  /** The estimated ms until what waits there is read; those of this gateway may be among those told. */
   public static double waitMs(View v) {
     return Math.max(v.readingTokens() / TOKENS_PER_MS, v.waiting() * WAITING_MS);
   }
--- a/clerk/src/main/java/elmsail/clerk/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -1,13 +1,13 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
-import elmsail.clerk.words.Tally;
-import elmsail.station.Addresses;
-import elmsail.station.Timers;
-import elmsail.timetable.Known;
-import elmsail.timetable.Route;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.Service;
-import elmsail.timetable.Timetable;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.Timers;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.config.Service;
+import elmsail.config.RoutingConfig;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -38,21 +38,21 @@
   private static final int DEFAULT_TOKENS = 200_000;
 
   private final Timers timers;
-  private final Known known;
+  private final ClusterState known;
   private final String zone;
-  private final Tally tally;
+  private final RequestCounters counters;
   private final RandomGenerator chance;
   private final Bootstrap bootstrap;
   private final Map<String, Server> byId = new LinkedHashMap<>();
   private int turn;
   private boolean stopped;
 
-  public Servers(Timers timers, EventLoop loop, Known known, String zone, Tally tally,
+  public Servers(Timers timers, EventLoop loop, ClusterState known, String zone, RequestCounters counters,
       RandomGenerator chance) {
     this.timers = timers;
     this.known = known;
     this.zone = zone;
-    this.tally = tally;
+    this.counters = counters;
     this.chance = chance;
     bootstrap = new Bootstrap().group(loop).channel(QuietSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
@@ -66,8 +66,8 @@
     return timers;
   }
 
-  Tally tally() {
-    return tally;
+  RequestCounters counters() {
+    return counters;
   }
 
   /** Whether any server is open to requests. */
@@ -107,7 +107,7 @@
     for (ServerConnection c : new ArrayList<>(s.idle)) {
       c.close();
     }
-    for (Try t : s.tries()) {
+    for (Attempt t : s.tries()) {
       if (!t.sent()) {
         t.failed();
       }
@@ -115,18 +115,18 @@
   }
 
   private long kvTokens(String service) {
-    Timetable now = known.timetable();
+    RoutingConfig now = known.config();
     Service s = now == null ? null : now.services().get(service);
     // About half of it is taken by requests that run.
     return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens() / 2;
   }
 
-  /** How many connections to a server this door may have, so that all doors together keep within its cap. */
+  /** How many connections to a server this gateway may have, so that all gateways together keep within its cap. */
   int most(Server s) {
-    Timetable now = known.timetable();
+    RoutingConfig now = known.config();
     Service service = now == null ? null : now.services().get(s.entry().service());
     int cap = service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
-    return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.roster().clerks.size()));
+    return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.view().gateways.size()));
   }
 
   /** Whether a connection for one more request can be had. */
@@ -198,23 +198,23 @@
       }
     }
     Server home = home(open, prompt);
-    List<Choice.View> views = new ArrayList<>(open.size());
+    List<ServerSelector.View> views = new ArrayList<>(open.size());
     for (Server s : open) {
       views.add(view(s, prompt, s == home, now));
     }
-    int at = Choice.pick(views, prompt.total(), turn++);
+    int at = ServerSelector.pick(views, prompt.total(), turn++);
     return at < 0 ? null : open.get(at);
   }
 
-  private Choice.View view(Server s, Prompt prompt, boolean home, long now) {
-    return new Choice.View(s.memory().known(prompt), home ? prompt.sharedTokens() : 0, s.running(now),
+  private ServerSelector.View view(Server s, Prompt prompt, boolean home, long now) {
+    return new ServerSelector.View(s.memory().known(prompt), home ? prompt.sharedTokens() : 0, s.running(now),
         s.waiting(now), s.entry().berths(), s.readingTokens(), zone.equals(s.entry().zone()),
         s.avoided(now));
   }
 
   /** The estimated ms that a request waits there until it is read. */
   public double waitMs(Server s) {
-    return Choice.waitMs(view(s, Prompt.NONE, false, timers.now()));
+    return ServerSelector.waitMs(view(s, Prompt.NONE, false, timers.now()));
   }
 
   /** Whether it failed lately or is silent. */
@@ -223,7 +223,7 @@
   }
 
   /**
-   * All doors of a zone name the same server of it for the prompt's shared part, as long as the list stays;
+   * All gateways of a zone name the same server of it for the prompt's shared part, as long as the list stays;
    * where the zone has none, all servers count.
    */
   private Server home(List<Server> open, Prompt prompt) {
@@ -244,9 +244,9 @@
   }
 
   /** Begins a try; what is heard of it comes later, never within this call. */
-  public Try start(Server server, Outgoing out, TryHeard heard) {
-    tally.count(Tally.Event.TRY);
-    Try one = new Try(server, out, heard, timers.now());
+  public Attempt start(Server server, OutgoingRequest out, AttemptListener heard) {
+    counters.count(RequestCounters.Event.TRY);
+    Attempt one = new Attempt(server, out, heard, timers.now());
     server.begun(one);
     server.memory().add(out.prompt());
     ServerConnection c = server.doubtful(timers.now()) && server.connections < most(server)
@@ -275,7 +275,7 @@
     return null;
   }
 
-  private void connect(Server server, Try one) {
+  private void connect(Server server, Attempt one) {
     ServerConnection c = new ServerConnection(this, server);
     server.connections++;
     int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
@@ -295,17 +295,17 @@
     }
   }
 
-  private void connected(ChannelFuture f, Server server, ServerConnection c, Try one) {
+  private void connected(ChannelFuture f, Server server, ServerConnection c, Attempt one) {
     if (!f.isSuccess()) {
       f.channel().close();
-      tally.count(Tally.Event.CONNECT_FAILED);
+      counters.count(RequestCounters.Event.CONNECT_FAILED);
       if (!one.over()) { // a cancelled one says nothing of the server
         server.failed(timers.now());
         one.failed();
       }
       return;
     }
-    tally.count(Tally.Event.CONNECTED);
+    counters.count(RequestCounters.Event.CONNECTED);
     if (one.over() || server.gone()) {
       f.channel().close();
       one.failed();
--- a/clerk/src/test/java/elmsail/clerk/FakeKnown.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeKnown.java
@@ -1,18 +1,18 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
-import elmsail.inner.words.Roster;
-import elmsail.timetable.Known;
-import elmsail.timetable.Route;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.Service;
-import elmsail.timetable.Timetable;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.config.Service;
+import elmsail.config.RoutingConfig;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /** What a test says is known. */
-public final class FakeKnown implements Known, Timetable {
+public final class FakeKnown implements ClusterState, RoutingConfig {
   public static final String HOST = "nony24.example";
 
   public final Map<String, Route> routes = new HashMap<>();
@@ -20,7 +20,7 @@
   public volatile List<ServerEntry> servers = List.of();
   public volatile boolean configured = true;
   public ClientLimits limits = new ClientLimits(2_048, 4_096, 3_000, 15_000);
-  public final Roster roster = new Roster();
+  public final ClusterView view = new ClusterView();
   private final List<Runnable> listeners = new ArrayList<>();
 
   /** A route of the name and prefix {@code /name/} to service "s". */
@@ -34,7 +34,7 @@
   }
 
   @Override
-  public Timetable timetable() {
+  public RoutingConfig config() {
     return configured ? this : null;
   }
 
@@ -49,8 +49,8 @@
   }
 
   @Override
-  public Roster roster() {
-    return roster;
+  public ClusterView view() {
+    return view;
   }
 
   @Override
--- a/clerk/src/test/java/elmsail/clerk/CounterTest.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
@@ -1,12 +1,12 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.clerk.Wire.Message;
-import elmsail.lots.LotCalls.Reply;
+import elmsail.gateway.Wire.Message;
+import elmsail.batch.BatchCalls.Reply;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -18,8 +18,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What clients, the platform and calls about lots get without a server. */
-class CounterTest {
+/** What clients, the platform and calls about jobs get without a server. */
+class GatewayHttpTest {
   private Rig rig;
 
   @BeforeEach
@@ -33,7 +33,7 @@
   }
 
   private Message ready() {
-    try (Wire wire = Wire.to(rig.clerk.readyAddress())) {
+    try (Wire wire = Wire.to(rig.gateway.readyAddress())) {
       return wire.write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").message();
     }
   }
@@ -51,9 +51,9 @@
   @Test
   void beforeTheFirstConfigurationNothingIsDenied() {
     rig.known.configured = false;
-    Message told = rig.ask("nowhere", "a1").message();
-    assertThat(told.status(), is(503));
-    assertThat(told.header("Retry-After"), is(notNullValue()));
+    Message response = rig.request("nowhere", "a1").message();
+    assertThat(response.status(), is(503));
+    assertThat(response.header("Retry-After"), is(notNullValue()));
   }
 
   @ParameterizedTest
@@ -88,19 +88,19 @@
     Wire client = rig.client().write("POST /safe/x HTTP/1.1\r\nHo");
     // Where the first of these comes before the part, the second one is behind it.
     rig.timers.pass(3_100);
-    assertThat(rig.ask("nowhere", "a").message().status(), is(404));
+    assertThat(rig.request("nowhere", "a").message().status(), is(404));
     rig.timers.pass(3_100);
-    Message told = client.message();
-    assertThat(told.status(), is(408));
-    assertThat(told.header("Connection"), is("close"));
+    Message response = client.message();
+    assertThat(response.status(), is(408));
+    assertThat(response.header("Connection"), is("close"));
   }
 
   @Test
   void anIdleConnectionEndsLaterThanItsClientWasTold() {
-    Wire client = rig.ask("nowhere", "a1");
+    Wire client = rig.request("nowhere", "a1");
     assertThat(client.message().header("Keep-Alive"), is("timeout=14"));
     rig.timers.pass(14_500);
-    client.write(Rig.request("nowhere", "a2"));
+    client.write(Rig.requestText("nowhere", "a2"));
     assertThat(client.message().status(), is(404));
     rig.timers.pass(17_000);
     assertThat(client.ended(), is(true));
@@ -108,8 +108,8 @@
 
   @Test
   void requestsBehindEachOtherAreAnsweredInTurn() {
-    Wire client = rig.client().write(Rig.request("unsafe", "a1") + Rig.request("unsafe", "a2")
-        + Rig.request("nowhere", "a3"));
+    Wire client = rig.client().write(Rig.requestText("unsafe", "a1") + Rig.requestText("unsafe", "a2")
+        + Rig.requestText("nowhere", "a3"));
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.answer(200, "a1", "one", "Elmsail-Postmark: p", "Connection: close"));
@@ -123,9 +123,9 @@
 
   @Test
   void aClientMayAskForTheEndOfItsConnection() {
-    Wire client = rig.ask("nowhere", "a1", "Connection: close");
-    Message told = client.message();
-    assertThat(told.header("Connection"), is("close"));
+    Wire client = rig.request("nowhere", "a1", "Connection: close");
+    Message response = client.message();
+    assertThat(response.header("Connection"), is("close"));
     assertThat(client.ended(), is(true));
   }
 
@@ -138,46 +138,46 @@
       "GET /items/L7?id=e5 | item L7 e5"
   })
   void callsAboutLotsAreMade(String call, String made) {
-    rig.lots.reply = new Reply(200, "{}".getBytes(StandardCharsets.US_ASCII), 0);
+    rig.jobs.reply = new Reply(200, "{}".getBytes(StandardCharsets.US_ASCII), 0);
     Wire client = rig.client().write(call + " HTTP/1.1\r\nHost: " + FakeKnown.HOST
         + "\r\nElmsail-Request-Id: L1\r\nElmsail-Wait-Ms: 900\r\nContent-Length: 4\r\n\r\nbody");
-    Message told = client.message();
-    assertThat(told.status(), is(200));
-    assertThat(told.body(), is("{}"));
-    assertThat(rig.lots.asked, is(made));
+    Message response = client.message();
+    assertThat(response.status(), is(200));
+    assertThat(response.body(), is("{}"));
+    assertThat(rig.jobs.asked, is(made));
   }
 
   @Test
   void anUnclearOutcomeOfALotIsNoAnswer() {
-    rig.lots.reply = new Reply(0, new byte[0], 0);
-    assertThat(rig.ask("sack", "L1").message(), is(nullValue()));
+    rig.jobs.reply = new Reply(0, new byte[0], 0);
+    assertThat(rig.request("sack", "L1").message(), is(nullValue()));
   }
 
   @Test
   void aRefusedLotIsToldWhenToComeBack() {
-    rig.lots.reply = new Reply(429, new byte[0], 0.25);
-    Message told = rig.ask("sack", "L1").message();
-    assertThat(told.status(), is(429));
-    assertThat(told.header("Retry-After"), is("0.25"));
+    rig.jobs.reply = new Reply(429, new byte[0], 0.25);
+    Message response = rig.request("sack", "L1").message();
+    assertThat(response.status(), is(429));
+    assertThat(response.header("Retry-After"), is("0.25"));
   }
 
   @Test
   void whileItStopsItServesWhatIsOpenAndWhatComes() throws Exception {
-    Wire busy = rig.ask("stream", "a1");
-    Wire idle = rig.ask("nowhere", "a0");
+    Wire busy = rig.request("stream", "a1");
+    Wire idle = rig.request("nowhere", "a0");
     idle.message();
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     busy.head();
     busy.chunk();
-    CompletableFuture<Void> stopped = rig.onLoop(rig.clerk::stop);
+    CompletableFuture<Void> stopped = rig.onLoop(rig.gateway::stop);
     assertThat(ready().status(), is(503));
-    Message told = idle.write(Rig.request("nowhere", "a2")).message();
-    assertThat(told.status(), is(404));
-    assertThat(told.header("Connection"), is("close"));
+    Message response = idle.write(Rig.requestText("nowhere", "a2")).message();
+    assertThat(response.status(), is(404));
+    assertThat(response.header("Connection"), is("close"));
     assertThat(idle.ended(), is(true));
-    Wire late = rig.ask("nowhere", "a3");
+    Wire late = rig.request("nowhere", "a3");
     assertThat(late.message().status(), is(404));
     Wire silent = rig.client();
     rig.timers.pass(2_600);
@@ -190,10 +190,10 @@
 
   @Test
   void itsStopIsOverSoonAfterHalfOfTheGraceTimeAndNotBefore() throws Exception {
-    Wire busy = rig.ask("stream", "a1");
+    Wire busy = rig.request("stream", "a1");
     Wire server = rig.first.accept();
     server.message();
-    CompletableFuture<Void> stopped = rig.onLoop(rig.clerk::stop);
+    CompletableFuture<Void> stopped = rig.onLoop(rig.gateway::stop);
     rig.timers.pass(2_600);
     rig.timers.pass(1_380);
     assertThat(rig.onLoop(stopped::isDone), is(false));
@@ -205,7 +205,7 @@
   @ParameterizedTest
   @ValueSource(ints = {1, 40})
   void aClientThatDoesNotReadHoldsTheServerBack(int bursts) {
-    Wire client = rig.ask("stream", "a1");
+    Wire client = rig.request("stream", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p"));
--- a/clerk/src/test/java/elmsail/clerk/DrillTest.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayWarmUpTest.java
@@ -1,23 +1,23 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.startsWith;
 
-import elmsail.station.NettyLoop;
+import elmsail.runtime.NettyLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class DrillTest {
+class GatewayWarmUpTest {
 
   @Test
   void aStreamIsServed() throws Exception {
     NettyLoop loop = new NettyLoop();
     try {
       CompletableFuture<String> got = new CompletableFuture<>();
-      loop.soon(() -> Drill.run(loop).whenComplete((text, fault) -> {
+      loop.soon(() -> GatewayWarmUp.run(loop).whenComplete((text, fault) -> {
         if (fault == null) {
           got.complete(text);
         } else {
--- a/clerk/src/test/java/elmsail/clerk/ItemsTest.java
+++ b/gateway/src/test/java/elmsail/gateway/ItemsTest.java
@@ -1,15 +1,15 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.clerk.Wire.Message;
-import elmsail.lots.ItemServers.Ended;
-import elmsail.lots.ItemServers.Heard;
-import elmsail.lots.ItemServers.Running;
-import elmsail.lots.Piece;
+import elmsail.gateway.Wire.Message;
+import elmsail.batch.ItemServers.Ended;
+import elmsail.batch.ItemServers.RunListener;
+import elmsail.batch.ItemServers.Running;
+import elmsail.batch.BatchItem;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -22,21 +22,21 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Lots' items at stand-in servers. */
+/** Jobs' items at stand-in servers. */
 class ItemsTest {
-  private static final Piece PIECE = new Piece("e5", "/sack/3/91", Map.of("Elmsail-Tokens", "540,400"),
+  private static final BatchItem PIECE = new BatchItem("e5", "/sack/3/91", Map.of("Elmsail-Tokens", "540,400"),
       new byte[] {7, 8}, 940);
 
-  private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
-  private final Heard heard = new Heard() {
+  private final BlockingQueue<String> response = new LinkedBlockingQueue<>();
+  private final RunListener heard = new RunListener() {
     @Override
     public void event(long id, byte[] data) {
-      told.add(id + ":" + new String(data, StandardCharsets.ISO_8859_1));
+      response.add(id + ":" + new String(data, StandardCharsets.ISO_8859_1));
     }
 
     @Override
     public void ended(Ended how) {
-      told.add(how.name());
+      response.add(how.name());
     }
   };
   private Rig rig;
@@ -52,11 +52,11 @@
   }
 
   private Running start(long behind) throws Exception {
-    return rig.onLoop(() -> rig.clerk.itemServers().start(rig.known.named("sack"), PIECE, behind, heard));
+    return rig.onLoop(() -> rig.gateway.itemServers().start(rig.known.named("sack"), PIECE, behind, heard));
   }
 
   private String next() throws Exception {
-    return told.poll(5, TimeUnit.SECONDS);
+    return response.poll(5, TimeUnit.SECONDS);
   }
 
   @Test
@@ -155,16 +155,16 @@
       return null;
     });
     assertThat(server.ended(), is(true));
-    assertThat(told.isEmpty(), is(true));
+    assertThat(response.isEmpty(), is(true));
   }
 
   @Test
   void thereIsRoomOnlyForSome() throws Exception {
-    int room = rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack")));
+    int room = rig.onLoop(() -> rig.gateway.itemServers().room(rig.known.named("sack")));
     assertThat(room, is(12));
     for (int left = room; left > room - 4; left--) {
       int now = left;
-      assertThat(rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack"))), is(now));
+      assertThat(rig.onLoop(() -> rig.gateway.itemServers().room(rig.known.named("sack"))), is(now));
       assertThat(start(-1), is(notNullValue()));
       assertThat("prompts are not begun together", start(-1), is(nullValue()));
       rig.timers.pass(80);
@@ -173,12 +173,12 @@
 
   @Test
   void noneIsStartedWhereRequestsWait() throws Exception {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.answer(200, "a1", "x", "Elmsail-Postmark: p", "Elmsail-Server-Load: 24,3,24"));
     client.message();
-    assertThat(rig.onLoop(() -> rig.clerk.itemServers().room(rig.known.named("sack"))), is(0));
+    assertThat(rig.onLoop(() -> rig.gateway.itemServers().room(rig.known.named("sack"))), is(0));
     rig.list(List.of());
     assertThat(start(-1), is(nullValue()));
   }
--- a/clerk/src/test/java/elmsail/clerk/PassedTimers.java
+++ b/gateway/src/test/java/elmsail/gateway/PassedTimers.java
@@ -1,6 +1,6 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
-import elmsail.station.Timers;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/clerk/src/test/java/elmsail/clerk/ForwardTest.java
+++ b/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
@@ -1,4 +1,4 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
@@ -8,7 +8,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.clerk.Wire.Message;
+import elmsail.gateway.Wire.Message;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -16,8 +16,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Requests over sockets, from a client past the clerk to stand-in servers. */
-class ForwardTest {
+/** Requests over sockets, from a client past the gateway to stand-in servers. */
+class RequestForwarderTest {
   private Rig rig;
 
   @BeforeEach
@@ -32,7 +32,7 @@
 
   @Test
   void requestAndAnswerPassUnchanged() {
-    Wire client = rig.ask("unsafe", "a1", "Elmsail-Deadline-Ms: 2000", "X-Own: 7", "Connection: x-hop",
+    Wire client = rig.request("unsafe", "a1", "Elmsail-Deadline-Ms: 2000", "X-Own: 7", "Connection: x-hop",
         "X-Hop: 1", "TE: trailers", "Proxy-Thing: 1");
     Wire server = rig.first.accept();
     Message asked = server.message();
@@ -49,23 +49,23 @@
         allOf(greaterThan(0), lessThanOrEqualTo(2_000)));
     server.write(Rig.answer(200, "a1", "bytes", "Elmsail-Postmark: p.1", "X-Server: 3",
         "Keep-Alive: timeout=9"));
-    Message told = client.message();
-    assertThat(told.status(), is(200));
-    assertThat(told.body(), is("bytes"));
-    assertThat(told.header("Elmsail-Postmark"), is("p.1"));
-    assertThat(told.header("X-Server"), is("3"));
-    assertThat(told.header("Keep-Alive"), is("timeout=14"));
+    Message response = client.message();
+    assertThat(response.status(), is(200));
+    assertThat(response.body(), is("bytes"));
+    assertThat(response.header("Elmsail-Postmark"), is("p.1"));
+    assertThat(response.header("X-Server"), is("3"));
+    assertThat(response.header("Keep-Alive"), is("timeout=14"));
   }
 
   @Test
   void connectionsOfBothSidesAreKept() throws Exception {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.answer(200, "a1", "one", "Elmsail-Postmark: p", "Keep-Alive: timeout=9"));
     assertThat(client.message().body(), is("one"));
     rig.timers.pass(100);
-    client.write(Rig.request("unsafe", "a2"));
+    client.write(Rig.requestText("unsafe", "a2"));
     assertThat(server.message().header("Elmsail-Request-Id"), is("a2"));
     server.write(Rig.good("a2", "two"));
     assertThat(client.message().body(), is("two"));
@@ -85,7 +85,7 @@
 
   @Test
   void eventsPassAsTheyCome() {
-    Wire client = rig.ask("stream", "a1");
+    Wire client = rig.request("stream", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
@@ -101,7 +101,7 @@
   @ValueSource(ints = {503, 429, 421, 408, 504})
   void whatDidNotRunGoesToAnotherServer(int status) throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(status == 421 ? Rig.answer(421, "a1", "") : Rig.notRun(status, "a1"));
@@ -114,18 +114,18 @@
   @Test
   void whatNoServerRanIsRefusedWithATime() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     rig.first.accept().write(Rig.notRun(503, "a1")).message();
     rig.second.accept().write(Rig.notRun(503, "a1")).message();
-    Message told = client.message();
-    assertThat(told.status(), is(503));
-    assertThat(Double.parseDouble(told.header("Retry-After")), is(greaterThan(0.0)));
+    Message response = client.message();
+    assertThat(response.status(), is(503));
+    assertThat(Double.parseDouble(response.header("Retry-After")), is(greaterThan(0.0)));
   }
 
   @Test
   void noMoreServersThanTheRouteAllows() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("once", "a1");
+    Wire client = rig.request("once", "a1");
     rig.first.accept().write(Rig.notRun(503, "a1")).message();
     assertThat(client.message().status(), is(503));
     assertThat(rig.second.alone(), is(true));
@@ -134,7 +134,7 @@
   @Test
   void whatMayHaveRunIsNeitherRepeatedNorRefused() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.reset();
@@ -146,7 +146,7 @@
   @ValueSource(ints = {503, 429, 408})
   void aPromiseThatTheServerDidNotGiveIsNotPassedOn(int status) throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.answer(status, "a1", ""));
@@ -157,7 +157,7 @@
   @Test
   void safeRequestsAreRepeated() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("safe", "a1");
+    Wire client = rig.request("safe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
@@ -172,13 +172,13 @@
   @ParameterizedTest
   @ValueSource(ints = {500, 422, 504, 400, 404})
   void theServersOwnStatusesPass(int status) {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.answer(status, "a1", "why", "Elmsail-Postmark: p"));
-    Message told = client.message();
-    assertThat(told.status(), is(status));
-    assertThat(told.body(), is("why"));
+    Message response = client.message();
+    assertThat(response.status(), is(status));
+    assertThat(response.body(), is("why"));
   }
 
   @ParameterizedTest
@@ -194,7 +194,7 @@
           + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"
   })
   void whatIsNoAnswerIsNotPassedOn(String bytes) {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(bytes);
@@ -204,13 +204,13 @@
 
   @Test
   void bytesBehindAnAnswerEndTheConnection() throws Exception {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.good("a1", "x") + Rig.good("a1", "extra"));
     assertThat(client.message().body(), is("x"));
     assertThat(server.ended(), is(true));
-    client.write(Rig.request("unsafe", "a2"));
+    client.write(Rig.requestText("unsafe", "a2"));
     Wire next = rig.first.accept();
     next.message();
     next.write(Rig.good("a2", "right"));
@@ -219,7 +219,7 @@
 
   @Test
   void anExtraAnswerOnAnIdleConnectionEndsIt() {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.good("a1", "x"));
@@ -230,7 +230,7 @@
 
   @Test
   void aCutStreamNeverLooksComplete() {
-    Wire client = rig.ask("stream", "a1");
+    Wire client = rig.request("stream", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
@@ -243,7 +243,7 @@
   @Test
   void aCutStreamGoesOnAtAnotherServerWithinOneAnswer() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("resume", "a1");
+    Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p-first"))
@@ -265,7 +265,7 @@
   @Test
   void aRunThatDoesNotGoOnWhereItShouldIsNotJoined() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("resume", "a1");
+    Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
@@ -282,7 +282,7 @@
   @Test
   void aStreamWithoutAnEventYetRunsAnewWhereItMay() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("resume", "a1");
+    Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p-first")).write(Rig.chunk("id: 0\nda"));
@@ -290,14 +290,14 @@
     Wire other = rig.second.accept();
     assertThat(other.message().header("Last-Event-Id"), is(nullValue()));
     other.write(Rig.streamHead("a1", "p-second")).write(Rig.chunk(Rig.event(0))).write("0\r\n\r\n");
-    Message told = client.message();
-    assertThat(told.header("Elmsail-Postmark"), is("p-second"));
-    assertThat(told.body(), is(Rig.event(0)));
+    Message response = client.message();
+    assertThat(response.header("Elmsail-Postmark"), is("p-second"));
+    assertThat(response.body(), is(Rig.event(0)));
   }
 
   @Test
   void aClientThatLeavesEndsTheRunAtItsServer() {
-    Wire client = rig.ask("stream", "a1");
+    Wire client = rig.request("stream", "a1");
     Wire server = rig.first.accept();
     server.message();
     client.close();
@@ -306,7 +306,7 @@
 
   @Test
   void atTheEndOfItsTimeWhatWasSentIsAnsweredAsSuch() {
-    Wire client = rig.ask("unsafe", "a1", "Elmsail-Deadline-Ms: 4000");
+    Wire client = rig.request("unsafe", "a1", "Elmsail-Deadline-Ms: 4000");
     Wire server = rig.first.accept();
     server.message();
     rig.timers.pass(4_000);
@@ -318,7 +318,7 @@
   void aServerThatDoesNotTakeConnectionsIsPassedOver() throws Exception {
     rig.serve(rig.first, rig.second);
     rig.first.close();
-    Wire client = rig.ask("once", "a1");
+    Wire client = rig.request("once", "a1");
     Wire other = rig.second.accept();
     assertThat(other.message(), is(notNullValue()));
     other.write(Rig.good("a1", "x"));
@@ -327,22 +327,22 @@
 
   @Test
   void aServerThatLeavesGetsNothingNewAndItsIdleConnectionsEnd() throws Exception {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.good("a1", "x"));
     client.message();
     rig.list(List.of());
     assertThat(server.ended(), is(true));
-    client.write(Rig.request("unsafe", "a2"));
-    Message told = client.message();
-    assertThat(told.status(), is(503));
-    assertThat(told.header("Retry-After"), is(notNullValue()));
+    client.write(Rig.requestText("unsafe", "a2"));
+    Message response = client.message();
+    assertThat(response.status(), is(503));
+    assertThat(response.header("Retry-After"), is(notNullValue()));
   }
 
   @Test
   void whatRunsAtALeavingServerGoesOn() throws Exception {
-    Wire client = rig.ask("unsafe", "a1");
+    Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
     server.message();
     rig.list(List.of());
@@ -354,7 +354,7 @@
   @Test
   void whatMayBeRepeatedLeavesAServerThatHasGoneDark() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("resume", "a1");
+    Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
@@ -374,7 +374,7 @@
   @Test
   void whatMayNotBeRepeatedStaysWithASilentServer() throws Exception {
     rig.serve(rig.first, rig.second);
-    Wire client = rig.ask("stream", "a1");
+    Wire client = rig.request("stream", "a1");
     Wire server = rig.first.accept();
     server.message();
     for (int i = 0; i < 6; i++) {
@@ -387,12 +387,12 @@
 
   @Test
   void afterASilenceANewConnectionIsTriedBeforeAnythingIsSent() throws Exception {
-    Wire client = rig.ask("unsafe", "a1", "Elmsail-Deadline-Ms: 4000");
+    Wire client = rig.request("unsafe", "a1", "Elmsail-Deadline-Ms: 4000");
     Wire server = rig.first.accept();
     server.message();
     rig.timers.pass(4_000);
     assertThat(client.message().status(), is(504));
-    client.write(Rig.request("unsafe", "a2"));
+    client.write(Rig.requestText("unsafe", "a2"));
     Wire next = rig.first.accept();
     assertThat(next.message().header("Elmsail-Request-Id"), is("a2"));
     next.write(Rig.good("a2", "x"));
@@ -401,7 +401,7 @@
 
   @Test
   void aStreamOfAnotherTypePassesAsItComes() {
-    Wire client = rig.ask("resume", "a1");
+    Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p").replace("text/event-stream", "text/plain")).write(Rig.chunk("ab"));
@@ -413,7 +413,7 @@
 
   @Test
   void aLongAnswerPassesBeforeItIsWhole() {
-    Wire client = rig.ask("safe", "a1");
+    Wire client = rig.request("safe", "a1");
     Wire server = rig.first.accept();
     server.message();
     String half = "x".repeat(40_000);
@@ -427,19 +427,19 @@
 
   @Test
   void anAnswerToHeadHasNoBody() {
-    Wire client = rig.client().write(Rig.request("safe", "a1").replace("POST", "HEAD"));
+    Wire client = rig.client().write(Rig.requestText("safe", "a1").replace("POST", "HEAD"));
     Wire server = rig.first.accept();
     assertThat(server.message().first(), is("HEAD /safe/2f HTTP/1.1"));
     server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
         + "Content-Length: 120\r\n\r\n");
     assertThat(client.head().status(), is(200));
-    client.write(Rig.request("nowhere", "a2"));
+    client.write(Rig.requestText("nowhere", "a2"));
     assertThat(client.message().status(), is(404));
   }
 
   @Test
   void aStreamIsCutAtTheEndOfItsTime() {
-    Wire client = rig.ask("stream", "a1", "Elmsail-Deadline-Ms: 4000");
+    Wire client = rig.request("stream", "a1", "Elmsail-Deadline-Ms: 4000");
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
--- a/clerk/src/test/java/elmsail/clerk/Rig.java
+++ b/gateway/src/test/java/elmsail/gateway/Rig.java
@@ -1,10 +1,10 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
-import elmsail.lots.LotCalls;
-import elmsail.station.NettyLoop;
-import elmsail.station.Settings;
-import elmsail.timetable.Route;
-import elmsail.timetable.ServerEntry;
+import elmsail.batch.BatchCalls;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,46 +13,46 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/** A clerk over loopback with two stand-in servers that the test speaks for. */
+/** A gateway over loopback with two stand-in servers that the test speaks for. */
 public final class Rig implements AutoCloseable {
   public final NettyLoop loop = new NettyLoop();
   /** The loop's, ahead by what the test has passed. */
   public final PassedTimers timers = new PassedTimers(loop);
   public final FakeKnown known = new FakeKnown();
-  public final FakeLots lots = new FakeLots();
+  public final FakeLots jobs = new FakeLots();
   public final Wire.Stall first = new Wire.Stall();
   public final Wire.Stall second = new Wire.Stall();
-  public final Clerk clerk;
+  public final Gateway gateway;
   private final List<Wire> clients = new ArrayList<>();
 
-  /** Answers calls about lots with what the test has set. */
-  public static final class FakeLots implements LotCalls {
+  /** HandlerTable calls about jobs with what the test has set. */
+  public static final class FakeLots implements BatchCalls {
     public volatile Reply reply = new Reply(202, new byte[0], 0);
     public volatile String asked = "";
 
-    private CompletableFuture<Reply> told(String what) {
+    private CompletableFuture<Reply> response(String what) {
       asked = what;
       return CompletableFuture.completedFuture(reply);
     }
 
     @Override
-    public CompletableFuture<Reply> handIn(Route route, String lotId, byte[] body, long deadlineMs) {
-      return told("handIn " + route.name() + " " + lotId + " " + body.length);
+    public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
+      return response("handIn " + route.name() + " " + jobId + " " + body.length);
     }
 
     @Override
-    public CompletableFuture<Reply> read(String lotId, long after, long waitMs) {
-      return told("read " + lotId + " " + after + " " + waitMs);
+    public CompletableFuture<Reply> read(String jobId, long after, long waitMs) {
+      return response("read " + jobId + " " + after + " " + waitMs);
     }
 
     @Override
-    public CompletableFuture<Reply> item(String lotId, String itemId) {
-      return told("item " + lotId + " " + itemId);
+    public CompletableFuture<Reply> item(String jobId, String itemId) {
+      return response("item " + jobId + " " + itemId);
     }
 
     @Override
-    public CompletableFuture<Reply> end(String lotId) {
-      return told("end " + lotId);
+    public CompletableFuture<Reply> end(String jobId) {
+      return response("end " + jobId);
     }
   }
 
@@ -65,12 +65,12 @@
     known.route("lots", Route.Kind.SACK, 2, false);
     known.route("sack", Route.Kind.SACK, 2, false);
     serve(first);
-    Settings settings = new Settings("c1", "clerk", "counter", Set.of("counter"), "127.0.0.1", "z", "r",
+    Settings settings = new Settings("c1", "gateway", "counter", Set.of("counter"), "127.0.0.1", "z", "r",
         Map.of(), Map.of("front", "127.0.0.1:0", "ready", "127.0.0.1:0"), 0, 0, List.of(), true, true,
         new Settings.Limits(1, 256, 4_000, 100, 0), null, Set.of(), 1,
         new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
             2_000), null);
-    clerk = onLoop(() -> Clerk.start(settings, loop, timers, known, lots)).get(5, TimeUnit.SECONDS);
+    gateway = onLoop(() -> Gateway.start(settings, loop, timers, known, jobs)).get(5, TimeUnit.SECONDS);
   }
 
   /** Runs on the loop and waits for it. */
@@ -86,7 +86,7 @@
     return done.get(5, TimeUnit.SECONDS);
   }
 
-  /** The list has these, as i-0, i-1... The first one is in the clerk's zone, so it is chosen first. */
+  /** The list has these, as i-0, i-1... The first one is in the gateway's zone, so it is chosen first. */
   public void serve(Wire.Stall... stalls) throws Exception {
     List<ServerEntry> entries = new ArrayList<>();
     for (int i = 0; i < stalls.length; i++) {
@@ -104,17 +104,17 @@
   }
 
   public Wire client() {
-    Wire wire = Wire.to(clerk.frontAddress());
+    Wire wire = Wire.to(gateway.frontAddress());
     clients.add(wire);
     return wire;
   }
 
   /** A client that has asked on a route. */
-  public Wire ask(String route, String id, String... headers) {
-    return client().write(request(route, id, headers));
+  public Wire request(String route, String id, String... headers) {
+    return client().write(requestText(route, id, headers));
   }
 
-  public static String request(String route, String id, String... headers) {
+  public static String requestText(String route, String id, String... headers) {
     StringBuilder text = new StringBuilder("POST /" + route + "/2f HTTP/1.1\r\nHost: " + FakeKnown.HOST
         + "\r\nElmsail-Request-Id: " + id + "\r\n");
     for (String h : headers) {
--- a/clerk/src/test/java/elmsail/clerk/TroubleTest.java
+++ b/gateway/src/test/java/elmsail/gateway/TroubleTest.java
@@ -1,4 +1,4 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -7,7 +7,7 @@
 import static org.hamcrest.Matchers.oneOf;
 import static org.hamcrest.Matchers.startsWith;
 
-import elmsail.clerk.Wire.Message;
+import elmsail.gateway.Wire.Message;
 import java.io.UncheckedIOException;
 import java.util.HashMap;
 import java.util.List;
@@ -54,7 +54,7 @@
         }
       }
     } catch (UncheckedIOException e) {
-      return; // the clerk has closed it
+      return; // the gateway has closed it
     }
   }
 
@@ -136,7 +136,7 @@
       for (int i = 0; i < REQUESTS; i++) {
         String route = routes[chance.nextInt(routes.length)];
         String id = route + i;
-        client.write(Rig.request(route, id));
+        client.write(Rig.requestText(route, id));
         boolean kept = check(client, route, id);
         served.merge(route + (kept ? "" : " cut"), 1, Integer::sum);
         if (!kept) {
--- a/clerk/src/test/java/elmsail/clerk/Wire.java
+++ b/gateway/src/test/java/elmsail/gateway/Wire.java
@@ -1,4 +1,4 @@
-package elmsail.clerk;
+package elmsail.gateway;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -203,7 +203,7 @@
     }
   }
 
-  /** Ends it by a reset. */
+  /** ProcessSignals it by a reset. */
   public void reset() {
     try {
       socket.setSoLinger(true, 0);
--- a/clerk/src/test/java/elmsail/clerk/requests/EventSplitterTest.java
+++ b/gateway/src/test/java/elmsail/gateway/requests/EventSplitterTest.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.requests;
+package elmsail.gateway.requests;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
--- a/clerk/src/test/java/elmsail/clerk/servers/PromptTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/PromptTest.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
--- a/clerk/src/test/java/elmsail/clerk/servers/ServerTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerTest.java
@@ -1,11 +1,11 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
-import elmsail.timetable.ServerEntry;
+import elmsail.config.ServerEntry;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -19,7 +19,7 @@
   private final Server server = new Server(
       new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
 
-  private static final class Silent implements Outgoing, TryHeard {
+  private static final class Silent implements OutgoingRequest, AttemptListener {
     private final boolean item;
 
     Silent(boolean item) {
@@ -64,9 +64,9 @@
     }
   }
 
-  private Try begin(long now, boolean item) {
+  private Attempt begin(long now, boolean item) {
     Silent one = new Silent(item);
-    Try begun = new Try(server, one, one, now);
+    Attempt begun = new Attempt(server, one, one, now);
     server.begun(begun);
     begun.sending();
     return begun;
@@ -108,7 +108,7 @@
   @Test
   void silenceWithRequestsOpenIsNoticed() {
     assertThat(server.avoided(9_000), is(false));
-    Try one = begin(1_000, false);
+    Attempt one = begin(1_000, false);
     assertThat(server.avoided(1_000 + Server.QUIET_MS), is(false));
     assertThat(server.avoided(1_001 + Server.QUIET_MS), is(true));
     server.stirred(1_400);
@@ -121,7 +121,7 @@
 
   @Test
   void aTimeOutBesideOthersThatAreServedSaysNothing() {
-    Try one = begin(1_000, false);
+    Attempt one = begin(1_000, false);
     server.stirred(2_900);
     one.timedOut(3_000);
     assertThat(server.avoided(3_000), is(false));
@@ -149,7 +149,7 @@
 
   @Test
   void whatIsReadThereIsCountedUntilItsAnswerBegins() {
-    Try one = begin(1_000, false);
+    Attempt one = begin(1_000, false);
     assertThat(server.readingTokens(), is(500));
     one.head(head());
     assertThat(server.readingTokens(), is(0));
