--- a/clerk/src/test/java/elmsail/clerk/servers/ServersTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
@@ -1,4 +1,4 @@
-package elmsail.clerk.servers;
+package elmsail.gateway.servers;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
@@ -6,13 +6,13 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.hamcrest.Matchers.sameInstance;
 
-import elmsail.clerk.FakeKnown;
-import elmsail.clerk.words.Tally;
-import elmsail.rehearsal.HandTimers;
-import elmsail.station.NettyLoop;
-import elmsail.timetable.Route;
-import elmsail.timetable.ServerEntry;
-import elmsail.timetable.Service;
+import elmsail.gateway.FakeKnown;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.simulation.ManualTimers;
+import elmsail.runtime.NettyLoop;
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.config.Service;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -24,12 +24,12 @@
 /** Which server is chosen, with nothing sent. */
 class ServersTest {
   private final NettyLoop loop = new NettyLoop();
-  private final HandTimers timers = new HandTimers();
+  private final ManualTimers timers = new ManualTimers();
   private final FakeKnown known = new FakeKnown();
   private final Servers servers = door("z1");
 
   private Servers door(String zone) {
-    return new Servers(timers, loop.events(), known, zone, new Tally(), new SplittableRandom(3));
+    return new Servers(timers, loop.events(), known, zone, new RequestCounters(), new SplittableRandom(3));
   }
 
   @AfterEach
@@ -93,7 +93,7 @@
   @Test
   void whereThereIsNoConnectionLeftThereIsNoRoom() {
     known.services.put("s", new Service("s", "/health", 90, 24, 0));
-    known.roster.clerks.addAll(List.of("c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8", "c9"));
+    known.view.gateways.addAll(List.of("c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8", "c9"));
     list(entry("a", "s", "z1", false));
     Server a = choose(route(new Route.Share("s", 1)));
     assertThat(servers.most(a), is(10));
--- a/inner/src/main/java/elmsail/inner/Caller.java
+++ b/rpc/src/main/java/elmsail/rpc/Caller.java
@@ -1,4 +1,4 @@
-package elmsail.inner;
+package elmsail.rpc;
 
 import java.util.concurrent.CompletableFuture;
 
@@ -9,5 +9,5 @@
  */
 public interface Caller {
   /** Calls the process whose inner address is {@code peer} ("ip:port"). */
-  <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs);
+  <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs);
 }
--- a/inner/src/main/java/elmsail/inner/Codec.java
+++ b/rpc/src/main/java/elmsail/rpc/Codec.java
@@ -1,7 +1,7 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import io.protostuff.LinkedBuffer;
 import io.protostuff.ProtostuffIOUtil;
 import io.protostuff.Schema;
@@ -18,14 +18,14 @@
 
   private static final int BUFFER_BYTES = 1024;
 
-  private final Schema<?>[] schemas = new Schema<?>[Kinds.size()];
+  private final Schema<?>[] schemas = new Schema<?>[MessageTypes.size()];
   private final LinkedBuffer buffer = LinkedBuffer.allocate(BUFFER_BYTES);
 
   /** The number of the message's type; fails with FAULT if it has none. */
   int number(Object message) {
-    int number = message == null ? Kinds.NONE : Kinds.number(message.getClass());
-    if (number == Kinds.NONE) {
-      throw new ElmsailException(Code.FAULT, "no message: "
+    int number = message == null ? MessageTypes.NONE : MessageTypes.number(message.getClass());
+    if (number == MessageTypes.NONE) {
+      throw new ElmsailException(ErrorCode.FAULT, "no message: "
           + (message == null ? "null" : message.getClass().getName()));
     }
     return number;
@@ -36,7 +36,7 @@
     try {
       ProtostuffIOUtil.writeTo(out, message, schema(number), buffer);
     } catch (IOException | RuntimeException e) {
-      throw new ElmsailException(Code.FAULT, "message cannot be written", e);
+      throw new ElmsailException(ErrorCode.FAULT, "message cannot be written", e);
     } finally {
       buffer.clear();
     }
@@ -46,13 +46,13 @@
   Object read(int number, byte[] bytes, int offset, int length) {
     Schema<Object> schema = schema(number);
     if (schema == null) {
-      throw new ElmsailException(Code.GARBLED, "unknown type " + number);
+      throw new ElmsailException(ErrorCode.GARBLED, "unknown type " + number);
     }
     Object message = schema.newMessage();
     try {
       ProtostuffIOUtil.mergeFrom(bytes, offset, length, message, schema);
     } catch (RuntimeException e) {
-      throw new ElmsailException(Code.GARBLED, "message of type " + number, e);
+      throw new ElmsailException(ErrorCode.GARBLED, "message of type " + number, e);
     }
     return message;
   }
@@ -70,7 +70,7 @@
 
   @SuppressWarnings("unchecked")
   private Schema<Object> schema(int number) {
-    Class<?> type = Kinds.type(number);
+    Class<?> type = MessageTypes.type(number);
     if (type == null) {
       return null;
     }
--- a/inner/src/main/java/elmsail/inner/Connector.java
+++ b/rpc/src/main/java/elmsail/rpc/Connector.java
@@ -1,8 +1,8 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -20,13 +20,13 @@
   private final EventLoop loop;
   private final Timers timers;
   private final Codec codec;
-  private final InnerCounts counts;
-  private final Link.Owner owner;
+  private final RpcCounters counts;
+  private final RpcConnection.Owner owner;
   /** Run when there is something to look after. */
   private final Runnable watch;
   private boolean closed;
 
-  Connector(EventLoop loop, Timers timers, Codec codec, InnerCounts counts, Link.Owner owner,
+  Connector(EventLoop loop, Timers timers, Codec codec, RpcCounters counts, RpcConnection.Owner owner,
       Runnable watch) {
     this.loop = loop;
     this.timers = timers;
@@ -49,14 +49,14 @@
     }
     InetSocketAddress address;
     try {
-      address = InnerAddress.parse(peer.address);
+      address = RpcAddress.parse(peer.address);
     } catch (ElmsailException e) {
       unreachable(peer, "no address");
       return;
     }
-    Link link = new Link(peer, owner, timers, codec, counts);
+    RpcConnection link = new RpcConnection(peer, owner, timers, codec, counts);
     ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
-        .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.SO_SNDBUF, Link.SEND_BYTES)
+        .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES)
         .handler(link).connect(address);
     Channel channel = opening.channel();
     peer.channel = channel;
@@ -67,15 +67,15 @@
   }
 
   private void connectDue(Peer peer, Channel channel) {
-    if (!peer.looked && timers.now() - peer.connectDueAt > InnerLinks.HELD_UP) {
+    if (!peer.looked && timers.now() - peer.connectDueAt > RpcEndpoint.HELD_UP) {
       peer.looked = true;
-      peer.connectTimer = timers.after(Link.LOOK_FOR, () -> connectDue(peer, channel));
+      peer.connectTimer = timers.after(RpcConnection.LOOK_FOR, () -> connectDue(peer, channel));
     } else {
       channel.close();
     }
   }
 
-  private void connected(Peer peer, Link link, ChannelFuture opening) {
+  private void connected(Peer peer, RpcConnection link, ChannelFuture opening) {
     peer.connectTimer.cancel();
     peer.channel = null;
     if (closed || !opening.isSuccess() || !opening.channel().isActive()) {
@@ -87,11 +87,11 @@
     counts.links++;
     peer.connecting = false;
     peer.link = link;
-    for (OpenCall call : peer.takeWaiting()) {
+    for (PendingCall call : peer.takeWaiting()) {
       if (link.send(call, call.frame)) {
         call.frame = null;
       } else {
-        call.fail(Code.FULL, "too much on its way to the peer");
+        call.fail(ErrorCode.FULL, "too much on its way to the peer");
       }
     }
     watch.run();
@@ -101,8 +101,8 @@
     peer.connecting = false;
     peer.rest(timers.now());
     watch.run();
-    for (OpenCall call : peer.takeWaiting()) {
-      call.fail(Code.UNSENT, detail);
+    for (PendingCall call : peer.takeWaiting()) {
+      call.fail(ErrorCode.UNSENT, detail);
     }
   }
 }
--- a/inner/src/main/java/elmsail/inner/Frame.java
+++ b/rpc/src/main/java/elmsail/rpc/Frame.java
@@ -1,7 +1,7 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufOutputStream;
@@ -13,7 +13,7 @@
  * kind, call, type and payload, and the payload.
  *
  * @param call the number of the call, of its asker's choosing; 0 for pings
- * @param type of {@link Kinds}
+ * @param type of {@link MessageTypes}
  */
 record Frame(int kind, long call, int type, byte[] payload) {
 
@@ -52,9 +52,9 @@
     return out;
   }
 
-  static ByteBuf failure(long call, Code code) {
+  static ByteBuf failure(long call, ErrorCode code) {
     ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(FIRST_BYTES);
-    head(out, FAILURE, call, Kinds.NONE);
+    head(out, FAILURE, call, MessageTypes.NONE);
     out.writeBytes(code.name().getBytes(StandardCharsets.US_ASCII));
     finish(out);
     return out;
@@ -62,20 +62,20 @@
 
   static ByteBuf bare(int kind, long call) {
     ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(LENGTH_BYTES + HEAD_BYTES);
-    head(out, kind, call, Kinds.NONE);
+    head(out, kind, call, MessageTypes.NONE);
     finish(out);
     return out;
   }
 
   /** The code of a FAILURE; a name that is not known here is a FAULT. */
-  Code code() {
+  ErrorCode code() {
     String name = new String(payload, StandardCharsets.US_ASCII);
-    for (Code code : Code.values()) {
+    for (ErrorCode code : ErrorCode.values()) {
       if (code.name().equals(name)) {
         return code;
       }
     }
-    return Code.FAULT;
+    return ErrorCode.FAULT;
   }
 
   private static void head(ByteBuf out, int kind, long call, int type) {
@@ -85,7 +85,7 @@
   private static void finish(ByteBuf out) {
     int length = out.readableBytes() - LENGTH_BYTES;
     if (length > MOST_BYTES) {
-      throw new ElmsailException(Code.FULL, "message of " + length + " bytes");
+      throw new ElmsailException(ErrorCode.FULL, "message of " + length + " bytes");
     }
     out.setInt(0, length);
     CRC32C check = new CRC32C();
--- a/inner/src/main/java/elmsail/inner/FrameReader.java
+++ b/rpc/src/main/java/elmsail/rpc/FrameReader.java
@@ -1,7 +1,7 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import io.netty.buffer.ByteBuf;
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
@@ -29,7 +29,7 @@
       int kind = head[Frame.LENGTH_BYTES];
       if (length < Frame.HEAD_BYTES || length > Frame.MOST_BYTES || kind < Frame.ASK
           || kind > Frame.PONG) {
-        throw new ElmsailException(Code.GARBLED, "frame of " + length + " bytes, kind " + kind);
+        throw new ElmsailException(ErrorCode.GARBLED, "frame of " + length + " bytes, kind " + kind);
       }
       payload = length == Frame.HEAD_BYTES ? EMPTY : new byte[length - Frame.HEAD_BYTES];
       filled = 0;
@@ -49,7 +49,7 @@
     check.update(bytes, 0, bytes.length);
     ByteBuffer fields = ByteBuffer.wrap(head);
     if (fields.getInt(Frame.LENGTH_BYTES + Frame.CHECK_AT) != (int) check.getValue()) {
-      throw new ElmsailException(Code.GARBLED, "checksum");
+      throw new ElmsailException(ErrorCode.GARBLED, "checksum");
     }
     return new Frame(head[Frame.LENGTH_BYTES], fields.getLong(Frame.LENGTH_BYTES + 1),
         fields.getShort(Frame.LENGTH_BYTES + 9), bytes);
--- a/inner/src/main/java/elmsail/inner/Answers.java
+++ b/rpc/src/main/java/elmsail/rpc/HandlerTable.java
@@ -1,7 +1,7 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -11,34 +11,34 @@
 import org.slf4j.LoggerFactory;
 
 /** The handlers of a process, by the class of the ask. */
-public final class Answers implements Answering {
+public final class HandlerTable implements RequestHandlers {
 
-  private static final Logger LOG = LoggerFactory.getLogger(Answers.class);
+  private static final Logger LOG = LoggerFactory.getLogger(HandlerTable.class);
   private static final int MOST_LOGGED = 20;
 
   private final Map<Class<?>, Function<?, ?>> handlers = new HashMap<>();
   private int logged;
 
   @Override
-  public <Q, A> void on(Class<Q> ask, Function<Q, ? extends CompletionStage<A>> handler) {
-    handlers.put(ask, handler);
+  public <Q, A> void on(Class<Q> request, Function<Q, ? extends CompletionStage<A>> handler) {
+    handlers.put(request, handler);
   }
 
   /** Never throws; fails with FAULT if nothing was put here for the ask, or its handler threw. */
-  public CompletionStage<Object> handle(Object ask) {
+  public CompletionStage<Object> handle(Object request) {
     @SuppressWarnings("unchecked")
     Function<Object, CompletionStage<Object>> handler =
-        (Function<Object, CompletionStage<Object>>) handlers.get(ask.getClass());
+        (Function<Object, CompletionStage<Object>>) handlers.get(request.getClass());
     if (handler == null) {
-      return failed(new ElmsailException(Code.FAULT, "no handler of " + ask.getClass().getSimpleName()));
+      return failed(new ElmsailException(ErrorCode.FAULT, "no handler of " + request.getClass().getSimpleName()));
     }
     try {
-      CompletionStage<Object> answer = handler.apply(ask);
-      return answer != null ? answer : failed(new ElmsailException(Code.FAULT, "no answer"));
+      CompletionStage<Object> answer = handler.apply(request);
+      return answer != null ? answer : failed(new ElmsailException(ErrorCode.FAULT, "no answer"));
     } catch (RuntimeException e) {
-      if (ElmsailException.codeOf(e) == Code.FAULT && logged < MOST_LOGGED) {
+      if (ElmsailException.codeOf(e) == ErrorCode.FAULT && logged < MOST_LOGGED) {
         logged++;
-        LOG.error("Handler of {} failed", ask.getClass().getSimpleName(), e);
+        LOG.error("Handler of {} failed", request.getClass().getSimpleName(), e);
       }
       return failed(e);
     }
--- /dev/null
+++ b/rpc/src/main/java/elmsail/rpc/MessageTypes.java
@@ -0,0 +1,80 @@
+package elmsail.rpc;
+
+import elmsail.rpc.messages.AcceptRequest;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.BlobRequest;
+import elmsail.rpc.messages.BlobResponse;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.JoinResponse;
+import elmsail.rpc.messages.StateTransferRequest;
+import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.HelloRequest;
+import elmsail.rpc.messages.HelloResponse;
+import elmsail.rpc.messages.LeaseRequest;
+import elmsail.rpc.messages.LeaseResponse;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.rpc.messages.PrepareRequest;
+import elmsail.rpc.messages.PullRequest;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.ReadRequest;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
+
+/** The numbers of the messages' types on the wire: a type's place in the table; append only. */
+final class MessageTypes {
+
+  /** No type: frames without a message. */
+  static final int NONE = 0;
+
+  private static final Class<?>[] TABLE = {
+    null,
+    PullRequest.class,
+    PullResponse.class,
+    PrepareRequest.class,
+    AcceptRequest.class,
+    ReadRequest.class,
+    VoteResponse.class,
+    JoinRequest.class,
+    JoinResponse.class,
+    StateTransferRequest.class,
+    StateTransferResponse.class,
+    OpaqueMessage.class,
+    Ballot.class,
+    Blob.class,
+    ClusterView.class,
+    Voter.class,
+    VoterSet.class,
+    BlobRequest.class,
+    BlobResponse.class,
+    HelloRequest.class,
+    HelloResponse.class,
+    LeaseRequest.class,
+    LeaseResponse.class,
+  };
+
+  private MessageTypes() {
+  }
+
+  /** One more than the highest number. */
+  static int size() {
+    return TABLE.length;
+  }
+
+  /** Null if no type has that number. */
+  static Class<?> type(int number) {
+    return number > NONE && number < TABLE.length ? TABLE[number] : null;
+  }
+
+  /** NONE if the type has no number. */
+  static int number(Class<?> type) {
+    for (int i = 1; i < TABLE.length; i++) {
+      if (TABLE[i] == type) {
+        return i;
+      }
+    }
+    return NONE;
+  }
+}
--- a/inner/src/main/java/elmsail/inner/Peer.java
+++ b/rpc/src/main/java/elmsail/rpc/Peer.java
@@ -1,6 +1,6 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Timers;
+import elmsail.runtime.Timers;
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 
@@ -13,13 +13,13 @@
   static final int MOST_WAITING = 256;
 
   final String address;
-  Link link;
+  RpcConnection link;
   boolean connecting;
   Channel channel;
   Timers.Timer connectTimer;
   long connectDueAt;
   boolean looked;
-  final ArrayDeque<OpenCall> waiting = new ArrayDeque<>();
+  final ArrayDeque<PendingCall> waiting = new ArrayDeque<>();
   private long waitingBytes;
   private long pause;
   /** No attempt before that time. */
@@ -31,10 +31,10 @@
   }
 
   /** False if too much waits already. */
-  boolean queue(OpenCall call) {
+  boolean queue(PendingCall call) {
     int bytes = call.frame.readableBytes();
     if (waiting.size() >= MOST_WAITING
-        || !waiting.isEmpty() && waitingBytes + bytes > Link.MOST_QUEUED_BYTES) {
+        || !waiting.isEmpty() && waitingBytes + bytes > RpcConnection.MOST_QUEUED_BYTES) {
       return false;
     }
     waitingBytes += bytes;
@@ -42,14 +42,14 @@
     return true;
   }
 
-  void unqueue(OpenCall call) {
+  void unqueue(PendingCall call) {
     if (waiting.remove(call)) {
       waitingBytes -= call.frame.readableBytes();
     }
   }
 
-  OpenCall[] takeWaiting() {
-    OpenCall[] all = waiting.toArray(new OpenCall[0]);
+  PendingCall[] takeWaiting() {
+    PendingCall[] all = waiting.toArray(new PendingCall[0]);
     waiting.clear();
     waitingBytes = 0;
     return all;
@@ -67,6 +67,6 @@
   }
 
   boolean unused(long now) {
-    return link == null && !connecting && now - retryAt >= Link.IDLE_FOR;
+    return link == null && !connecting && now - retryAt >= RpcConnection.IDLE_FOR;
   }
 }
--- a/inner/src/main/java/elmsail/inner/OpenCall.java
+++ b/rpc/src/main/java/elmsail/rpc/PendingCall.java
@@ -1,27 +1,27 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import io.netty.buffer.ByteBuf;
 import java.util.concurrent.CompletableFuture;
 
 /** A call that has neither failed nor been answered. */
-final class OpenCall {
+final class PendingCall {
   final long number;
   final long dueAt;
   final CompletableFuture<Object> future = new CompletableFuture<>();
   private final Class<?> answer;
-  private final InnerCounts counts;
+  private final RpcCounters counts;
   Timers.Timer timer;
   /** The connection that it was sent over; null before, and for calls to oneself. */
-  Link link;
+  RpcConnection link;
   /** Whether the sockets were looked at since it fell due, the process having been held up. */
   boolean looked;
   /** The frame while the connection is not there yet; owned by this call. */
   ByteBuf frame;
 
-  OpenCall(long number, Class<?> answer, long dueAt, InnerCounts counts) {
+  PendingCall(long number, Class<?> answer, long dueAt, RpcCounters counts) {
     this.number = number;
     this.answer = answer;
     this.dueAt = dueAt;
@@ -38,12 +38,12 @@
       counts.answers++;
       future.complete(message);
     } else {
-      future.completeExceptionally(new ElmsailException(Code.GARBLED, "answer of another type"));
+      future.completeExceptionally(new ElmsailException(ErrorCode.GARBLED, "answer of another type"));
     }
   }
 
   /** The peer said that it failed. */
-  void refused(Code code) {
+  void refused(ErrorCode code) {
     if (future.isDone()) {
       counts.late++;
       return;
@@ -53,7 +53,7 @@
     future.completeExceptionally(new ElmsailException(code, "told by the peer"));
   }
 
-  void fail(Code code, String detail) {
+  void fail(ErrorCode code, String detail) {
     if (future.isDone()) {
       return;
     }
--- a/inner/src/main/java/elmsail/inner/InnerAddress.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcAddress.java
@@ -1,16 +1,16 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 
 /** Addresses as "ip:port"; names are never looked up. */
-final class InnerAddress {
+final class RpcAddress {
 
-  private InnerAddress() {
+  private RpcAddress() {
   }
 
   /** Fails with BAD_SETTINGS. */
@@ -23,8 +23,8 @@
             Integer.parseInt(address.substring(colon + 1)));
       }
     } catch (UnknownHostException | IllegalArgumentException e) {
-      throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address, e);
+      throw new ElmsailException(ErrorCode.BAD_SETTINGS, "no address: " + address, e);
     }
-    throw new ElmsailException(Code.BAD_SETTINGS, "no address: " + address);
+    throw new ElmsailException(ErrorCode.BAD_SETTINGS, "no address: " + address);
   }
 }
--- a/inner/src/main/java/elmsail/inner/Link.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcConnection.java
@@ -1,8 +1,8 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -16,14 +16,14 @@
  * One connection. The side that opened it watches over it: it pings when nothing was heard, and closes it
  * when that brings nothing; the other side answers, and closes only what has long been left.
  */
-final class Link extends ChannelInboundHandlerAdapter {
+final class RpcConnection extends ChannelInboundHandlerAdapter {
 
   /** Who the links belong to. */
   interface Owner {
     /** Fails with GARBLED if the ask cannot be read. */
-    void asked(Link link, Frame ask);
+    void asked(RpcConnection link, Frame request);
 
-    void closed(Link link);
+    void closed(RpcConnection link);
   }
 
   /** All in ms. */
@@ -48,9 +48,9 @@
   private final Owner owner;
   private final Timers timers;
   private final Codec codec;
-  private final InnerCounts counts;
+  private final RpcCounters counts;
   private final FrameReader reader = new FrameReader();
-  private final Map<Long, OpenCall> calls = new LinkedHashMap<>();
+  private final Map<Long, PendingCall> calls = new LinkedHashMap<>();
   private Channel channel;
   private boolean closed;
   private boolean everHeard;
@@ -68,7 +68,7 @@
   private long taken;
   private boolean backlog;
 
-  Link(Peer peer, Owner owner, Timers timers, Codec codec, InnerCounts counts) {
+  RpcConnection(Peer peer, Owner owner, Timers timers, Codec codec, RpcCounters counts) {
     this.peer = peer;
     this.owner = owner;
     this.timers = timers;
@@ -88,7 +88,7 @@
   }
 
   /** Whether the call could be queued; the frame is taken over if so. */
-  boolean send(OpenCall call, ByteBuf frame) {
+  boolean send(PendingCall call, ByteBuf frame) {
     if (closed || calls.size() >= MOST_CALLS || !fits(frame.readableBytes())) {
       return false;
     }
@@ -103,7 +103,7 @@
   }
 
   /** The call has failed: its answer is not waited for. */
-  void forget(OpenCall call) {
+  void forget(PendingCall call) {
     calls.remove(call.number);
   }
 
@@ -133,11 +133,11 @@
       write(frame);
     } else {
       frame.release();
-      writeSmall(Frame.failure(call, Code.FULL));
+      writeSmall(Frame.failure(call, ErrorCode.FULL));
     }
   }
 
-  void fail(long call, Code code) {
+  void fail(long call, ErrorCode code) {
     asks--;
     if (closed) {
       counts.unheard++;
@@ -148,7 +148,7 @@
 
   /** An ask that there was no room for. */
   void refuse(long call) {
-    writeSmall(Frame.failure(call, Code.FULL));
+    writeSmall(Frame.failure(call, ErrorCode.FULL));
   }
 
   void close() {
@@ -214,7 +214,7 @@
 
   private void judge(long at) {
     long now = timers.now();
-    if (now - at > InnerLinks.HELD_UP) {
+    if (now - at > RpcEndpoint.HELD_UP) {
       timers.after(LOOK_FOR, () -> judge(now + LOOK_FOR));
       return;
     }
@@ -312,7 +312,7 @@
         calls.remove(frame.call()).answered(answer);
       }
       case Frame.FAILURE -> {
-        OpenCall call = calls.remove(frame.call());
+        PendingCall call = calls.remove(frame.call());
         if (call == null) {
           counts.late++;
         } else {
@@ -329,10 +329,10 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     close();
-    OpenCall[] open = calls.values().toArray(new OpenCall[0]);
+    PendingCall[] open = calls.values().toArray(new PendingCall[0]);
     calls.clear();
-    for (OpenCall call : open) {
-      call.fail(Code.BROKEN, "connection closed");
+    for (PendingCall call : open) {
+      call.fail(ErrorCode.BROKEN, "connection closed");
     }
   }
 
--- a/inner/src/main/java/elmsail/inner/InnerCounts.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcCounters.java
@@ -1,7 +1,7 @@
-package elmsail.inner;
+package elmsail.rpc;
 
 /** How inner calls went, since the start; read on the loop. */
-public final class InnerCounts {
+public final class RpcCounters {
   public long calls;
   public long answers;
   /** Calls that the peer answered with a code. */
@@ -10,9 +10,9 @@
   public long broken;
   public long silent;
   public long full;
-  /** Answers to calls that had already failed. */
+  /** HandlerTable to calls that had already failed. */
   public long late;
-  /** Answers that were ready after their link had closed. */
+  /** HandlerTable that were ready after their link had closed. */
   public long unheard;
   /** Links closed for a frame that was none. */
   public long garbled;
--- a/inner/src/main/java/elmsail/inner/InnerLinks.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
@@ -1,8 +1,8 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -26,7 +26,7 @@
  * Inner calls over TCP: one connection to each peer, opened when needed, for all calls to it. Everything,
  * the constructor and {@code on} apart, is called on the loop, and all futures complete there.
  */
-public final class InnerLinks implements Caller, Answering, AutoCloseable {
+public final class RpcEndpoint implements Caller, RequestHandlers, AutoCloseable {
 
   /** All in ms. */
   static final long SWEEP_SOON = 200;
@@ -40,11 +40,11 @@
   private final EventLoop loop;
   private final Timers timers;
   private final Codec codec = new Codec();
-  private final InnerCounts counts = new InnerCounts();
-  private final Answers answers = new Answers();
+  private final RpcCounters counts = new RpcCounters();
+  private final HandlerTable answers = new HandlerTable();
   private final Map<String, Peer> peers = new HashMap<>();
-  private final Set<Link> accepted = new LinkedHashSet<>();
-  private final Link.Owner owner = new Hub();
+  private final Set<RpcConnection> accepted = new LinkedHashSet<>();
+  private final RpcConnection.Owner owner = new Hub();
   private final Connector connector;
   private String ownAddress;
   private Channel listener;
@@ -57,14 +57,14 @@
   /**
    * @param ownAddress "ip:port" to listen at; port 0 lets the system choose, see {@link #address()}
    */
-  public InnerLinks(EventLoop loop, Timers timers, String ownAddress) {
+  public RpcEndpoint(EventLoop loop, Timers timers, String ownAddress) {
     this.loop = loop;
     this.timers = timers;
     this.ownAddress = ownAddress;
     this.connector = new Connector(loop, timers, codec, counts, owner, this::watchSoon);
   }
 
-  public InnerCounts counts() {
+  public RpcCounters counts() {
     return counts;
   }
 
@@ -74,8 +74,8 @@
   }
 
   @Override
-  public <Q, A> void on(Class<Q> ask, Function<Q, ? extends CompletionStage<A>> handler) {
-    answers.on(ask, handler);
+  public <Q, A> void on(Class<Q> request, Function<Q, ? extends CompletionStage<A>> handler) {
+    answers.on(request, handler);
   }
 
   /** Done once others can connect; fails with BAD_SETTINGS if the address cannot be listened at. */
@@ -84,10 +84,10 @@
     ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.SO_SNDBUF, Link.SEND_BYTES).childHandler(new Accepting());
+        .childOption(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES).childHandler(new Accepting());
     ChannelFuture bound;
     try {
-      bound = server.bind(InnerAddress.parse(ownAddress));
+      bound = server.bind(RpcAddress.parse(ownAddress));
     } catch (ElmsailException e) {
       done.completeExceptionally(e);
       return done;
@@ -100,26 +100,26 @@
         done.complete(null);
       } else {
         done.completeExceptionally(
-            new ElmsailException(Code.BAD_SETTINGS, "cannot listen at " + ownAddress, f.cause()));
+            new ElmsailException(ErrorCode.BAD_SETTINGS, "cannot listen at " + ownAddress, f.cause()));
       }
     });
     return done;
   }
 
   @Override
-  public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
+  public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
     counts.calls++;
     long wait = Math.max(0, timeoutMs);
-    OpenCall call = new OpenCall(++numbers, answer, timers.now() + wait, counts);
+    PendingCall call = new PendingCall(++numbers, answer, timers.now() + wait, counts);
     call.timer = timers.after(wait, () -> due(peer, call));
     if (closed) {
-      failSoon(call, Code.UNSENT, "closed");
+      failSoon(call, ErrorCode.UNSENT, "closed");
     } else {
       try {
         if (peer.equals(ownAddress)) {
-          callSelf(call, codec.copy(ask));
+          callSelf(call, codec.copy(request));
         } else {
-          call.frame = Frame.message(codec, Frame.ASK, call.number, ask);
+          call.frame = Frame.message(codec, Frame.ASK, call.number, request);
           send(peer, call);
         }
       } catch (ElmsailException e) {
@@ -131,7 +131,7 @@
     return future;
   }
 
-  private void send(String address, OpenCall call) {
+  private void send(String address, PendingCall call) {
     long now = timers.now();
     Peer peer = peers.get(address);
     if (peer == null) {
@@ -143,12 +143,12 @@
         call.frame = null;
         watchSoon();
       } else {
-        failSoon(call, Code.FULL, "too much on its way to the peer");
+        failSoon(call, ErrorCode.FULL, "too much on its way to the peer");
       }
     } else if (!peer.connecting && now < peer.retryAt) {
-      failSoon(call, Code.UNSENT, "peer could not be reached a moment ago");
+      failSoon(call, ErrorCode.UNSENT, "peer could not be reached a moment ago");
     } else if (!peer.queue(call)) {
-      failSoon(call, Code.FULL, "too much waits for the connection");
+      failSoon(call, ErrorCode.FULL, "too much waits for the connection");
     } else if (!peer.connecting) {
       peer.connecting = true;
       Peer found = peer;
@@ -156,25 +156,25 @@
     }
   }
 
-  private void callSelf(OpenCall call, Object ask) {
-    if (ownCalls >= Link.MOST_ASKS) {
-      failSoon(call, Code.FULL, "too many calls to oneself");
+  private void callSelf(PendingCall call, Object request) {
+    if (ownCalls >= RpcConnection.MOST_ASKS) {
+      failSoon(call, ErrorCode.FULL, "too many calls to oneself");
       return;
     }
     ownCalls++;
     timers.soon(() -> {
       if (closed) {
         ownCalls--;
-        call.fail(Code.BROKEN, "closed");
+        call.fail(ErrorCode.BROKEN, "closed");
         return;
       }
       counts.asks++;
-      answers.handle(ask).whenComplete(
+      answers.handle(request).whenComplete(
           (answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
     });
   }
 
-  private void ownAnswer(OpenCall call, Object answer, Throwable thrown) {
+  private void ownAnswer(PendingCall call, Object answer, Throwable thrown) {
     ownCalls--;
     if (thrown != null) {
       call.refused(ElmsailException.codeOf(thrown));
@@ -187,15 +187,15 @@
     }
   }
 
-  private void failSoon(OpenCall call, Code code, String detail) {
+  private void failSoon(PendingCall call, ErrorCode code, String detail) {
     call.timer.cancel();
     timers.soon(() -> call.fail(code, detail));
   }
 
-  private void due(String address, OpenCall call) {
+  private void due(String address, PendingCall call) {
     if (!call.looked && timers.now() - call.dueAt > HELD_UP) {
       call.looked = true;
-      call.timer = timers.after(Link.LOOK_FOR, () -> due(address, call));
+      call.timer = timers.after(RpcConnection.LOOK_FOR, () -> due(address, call));
       return;
     }
     if (call.link != null) {
@@ -205,10 +205,10 @@
       if (peer != null) {
         peer.unqueue(call);
       }
-      call.fail(Code.UNSENT, "no connection in time");
+      call.fail(ErrorCode.UNSENT, "no connection in time");
       return;
     }
-    call.fail(Code.SILENT, "no answer in time");
+    call.fail(ErrorCode.SILENT, "no answer in time");
   }
 
   /** Sees to it that the links are looked after before long. */
@@ -231,7 +231,7 @@
     sweepTimer = null;
     long now = timers.now();
     long late = now - sweepAt;
-    List<Link> links = new ArrayList<>(accepted);
+    List<RpcConnection> links = new ArrayList<>(accepted);
     Iterator<Peer> all = peers.values().iterator();
     while (all.hasNext()) {
       Peer peer = all.next();
@@ -242,7 +242,7 @@
       }
     }
     boolean busy = false;
-    for (Link link : links) {
+    for (RpcConnection link : links) {
       if (late > HELD_UP) {
         link.forgive(late);
       }
@@ -264,7 +264,7 @@
     if (listener != null) {
       listener.close();
     }
-    for (Link link : new ArrayList<>(accepted)) {
+    for (RpcConnection link : new ArrayList<>(accepted)) {
       link.close();
     }
     for (Peer peer : new ArrayList<>(peers.values())) {
@@ -277,16 +277,16 @@
     }
   }
 
-  private final class Hub implements Link.Owner {
+  private final class Hub implements RpcConnection.Owner {
     @Override
-    public void asked(Link link, Frame frame) {
-      Object ask = codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
+    public void asked(RpcConnection link, Frame frame) {
+      Object request = codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
       counts.asks++;
       if (!link.beginAsk()) {
         link.refuse(frame.call());
         return;
       }
-      answers.handle(ask).whenComplete((answer, thrown) -> {
+      answers.handle(request).whenComplete((answer, thrown) -> {
         if (loop.inEventLoop()) {
           answer(link, frame.call(), answer, thrown);
         } else {
@@ -295,7 +295,7 @@
       });
     }
 
-    private void answer(Link link, long call, Object answer, Throwable thrown) {
+    private void answer(RpcConnection link, long call, Object answer, Throwable thrown) {
       if (thrown == null) {
         link.answer(call, answer);
       } else {
@@ -304,7 +304,7 @@
     }
 
     @Override
-    public void closed(Link link) {
+    public void closed(RpcConnection link) {
       if (link.peer == null) {
         accepted.remove(link);
       } else if (link.peer.link == link) {
@@ -326,7 +326,7 @@
         channel.close();
         return;
       }
-      Link link = new Link(null, owner, timers, codec, counts);
+      RpcConnection link = new RpcConnection(null, owner, timers, codec, counts);
       accepted.add(link);
       channel.pipeline().addLast(link);
       watchSoon();
--- a/inner/src/main/java/elmsail/inner/words/Blob.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/Blob.java
@@ -1,4 +1,4 @@
-package elmsail.inner.words;
+package elmsail.rpc.messages;
 
 /** An immutable piece of data, kept beside a key until that is dropped. */
 public final class Blob {
--- a/inner/src/main/java/elmsail/inner/words/BlobAsk.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/BlobRequest.java
@@ -1,11 +1,11 @@
-package elmsail.inner.words;
+package elmsail.rpc.messages;
 
 /** A blob kept beside a key. */
-public final class BlobAsk {
+public final class BlobRequest {
   public String set = "";
   public String key = "";
   public String name = "";
-  public Seating seating = new Seating();
-  /** Also from one that knows to be replaced: its successor in the seat isn't seated. */
+  public VoterSet voterSet = new VoterSet();
+  /** Also from one that knows to be replaced: its successor in the voter slot isn't voting. */
   public boolean ofReplaced;
 }
--- a/inner/src/main/java/elmsail/inner/words/LeaseAsk.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/LeaseRequest.java
@@ -1,7 +1,7 @@
-package elmsail.inner.words;
+package elmsail.rpc.messages;
 
 /** Asks a voter for the lease of a duty, or to renew it; or gives up what was granted in vain. */
-public final class LeaseAsk {
+public final class LeaseRequest {
   public String duty = "";
   /** The process that asks, drawn anew at each start. */
   public long who;
--- a/inner/src/main/java/elmsail/inner/words/Note.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/OpaqueMessage.java
@@ -1,7 +1,7 @@
-package elmsail.inner.words;
+package elmsail.rpc.messages;
 
 /** A call that needs no more words: a kind and its bytes, for what one module alone speaks. */
-public final class Note {
+public final class OpaqueMessage {
   public String kind = "";
   public byte[] bytes = {};
 }
--- a/inner/src/main/java/elmsail/inner/words/PullAsk.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
@@ -1,21 +1,21 @@
-package elmsail.inner.words;
+package elmsail.rpc.messages;
 
 /** Who asks, and what it has: held open until something is newer, or the wait is over. */
-public final class PullAsk {
+public final class PullRequest {
   public String station = "";
   public String address = "";
   public String zone = "";
-  /** "clerk", "vault" or "notary". */
+  /** "gateway", "vault" or "controlplane". */
   public String role = "";
-  public long life;
-  /** A vault's: whether it holds a seat and has caught up; the seating it knows. */
-  public boolean seated;
+  public long instanceId;
+  /** A store's: whether it holds a voter slot and has caught up; the voter set it knows. */
+  public boolean voting;
   public boolean emptied;
-  public Seating shelf = new Seating();
+  public VoterSet storeSet = new VoterSet();
   /** Versions known, one for each source. */
   public long edition;
   public long listEpoch;
   public long listVersion;
-  public long rosterVersion;
+  public long viewVersion;
   public long waitMs;
 }
--- a/inner/src/main/java/elmsail/inner/words/CopyTold.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/StateTransferResponse.java
@@ -1,4 +1,4 @@
-package elmsail.inner.words;
+package elmsail.rpc.messages;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,10 +7,10 @@
  * The page: records as the disk holds them, in the order of their names; {@code end} if nothing is behind
  * it.
  */
-public final class CopyTold {
+public final class StateTransferResponse {
   public List<Blob> records = new ArrayList<>();
   public boolean end;
-  public boolean seated;
+  public boolean voting;
   /** The life that answers: another one than that which acknowledged the claim is no source. */
-  public long life;
+  public long instanceId;
 }
--- a/inner/src/test/java/elmsail/inner/CodecTest.java
+++ b/rpc/src/test/java/elmsail/rpc/CodecTest.java
@@ -1,4 +1,4 @@
-package elmsail.inner;
+package elmsail.rpc;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -11,18 +11,18 @@
 import static org.hamcrest.Matchers.sameInstance;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.inner.words.AcceptAsk;
-import elmsail.inner.words.Ballot;
-import elmsail.inner.words.Blob;
-import elmsail.inner.words.Note;
-import elmsail.inner.words.PrepareAsk;
-import elmsail.inner.words.PullTold;
-import elmsail.inner.words.Roster;
-import elmsail.inner.words.Seat;
-import elmsail.inner.words.Seating;
-import elmsail.inner.words.VoteTold;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.AcceptRequest;
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.rpc.messages.PrepareRequest;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.ByteArrayOutputStream;
 import java.io.File;
 import java.lang.reflect.Field;
@@ -42,7 +42,7 @@
   private final Codec codec = new Codec();
 
   static Stream<Class<?>> words() {
-    return IntStream.range(1, Kinds.size()).mapToObj(Kinds::type);
+    return IntStream.range(1, MessageTypes.size()).mapToObj(MessageTypes::type);
   }
 
   @ParameterizedTest
@@ -80,7 +80,7 @@
   @MethodSource("words")
   void numberIsThatOfTheTable(Class<?> type) throws ReflectiveOperationException {
     int number = codec.number(type.getDeclaredConstructor().newInstance());
-    assertThat(Kinds.type(number), equalTo((Object) type));
+    assertThat(MessageTypes.type(number), equalTo((Object) type));
   }
 
   @Test
@@ -101,49 +101,49 @@
         continue;
       }
       String name = Ballot.class.getPackageName() + "." + file.substring(0, file.length() - 6);
-      assertThat(name, Kinds.number(Class.forName(name)), is(not(Kinds.NONE)));
+      assertThat(name, MessageTypes.number(Class.forName(name)), is(not(MessageTypes.NONE)));
       found++;
     }
-    assertThat(found, is(Kinds.size() - 1));
+    assertThat(found, is(MessageTypes.size() - 1));
   }
 
   @Test
   void nullAndEmptyBytesAreToldApartWhereNoDefaultStands() {
-    VoteTold vote = new VoteTold();
+    VoteResponse vote = new VoteResponse();
     assertThat(codec.copy(vote).value, is(nullValue()));
     vote.value = new byte[0];
     assertThat(codec.copy(vote).value, is(notNullValue()));
-    PrepareAsk ask = new PrepareAsk();
-    assertThat(codec.copy(ask).note, is(nullValue()));
-    ask.note = new byte[0];
-    assertThat(codec.copy(ask).note, equalTo(new byte[0]));
+    PrepareRequest request = new PrepareRequest();
+    assertThat(codec.copy(request).note, is(nullValue()));
+    request.note = new byte[0];
+    assertThat(codec.copy(request).note, equalTo(new byte[0]));
   }
 
   @Test
   void emptyListsComeBackEmpty() {
-    assertThat(codec.copy(new AcceptAsk()).blobs, is(empty()));
-    assertThat(codec.copy(new Seating()).seats, is(empty()));
-    assertThat(codec.copy(new Roster()).clerks, is(empty()));
-    Seating bare = new Seating();
-    bare.seats.add(new Seat());
-    assertThat(codec.copy(bare).seats.size(), is(1));
+    assertThat(codec.copy(new AcceptRequest()).blobs, is(empty()));
+    assertThat(codec.copy(new VoterSet()).voters, is(empty()));
+    assertThat(codec.copy(new ClusterView()).gateways, is(empty()));
+    VoterSet bare = new VoterSet();
+    bare.voters.add(new Voter());
+    assertThat(codec.copy(bare).voters.size(), is(1));
   }
 
   @Test
   void copySharesNothing() {
-    AcceptAsk ask = new AcceptAsk();
-    ask.value = new byte[] {1, 2};
-    ask.ballot.round = 7;
-    AcceptAsk copy = codec.copy(ask);
-    ask.value[0] = 9;
-    ask.ballot.round = 8;
+    AcceptRequest request = new AcceptRequest();
+    request.value = new byte[] {1, 2};
+    request.ballot.round = 7;
+    AcceptRequest copy = codec.copy(request);
+    request.value[0] = 9;
+    request.ballot.round = 8;
     assertThat(copy.value[0], is((byte) 1));
     assertThat(copy.ballot.round, is(7L));
   }
 
   @Test
   void bigArraysSurvive() {
-    Note note = new Note();
+    OpaqueMessage note = new OpaqueMessage();
     note.bytes = new byte[5 << 20];
     new Random(3).nextBytes(note.bytes);
     assertThat(codec.copy(note).bytes, equalTo(note.bytes));
@@ -151,15 +151,15 @@
 
   @Test
   void whatHasNoNumberIsAFault() {
-    assertThat(assertThrows(ElmsailException.class, () -> codec.copy("word")).code(), is(Code.FAULT));
-    assertThat(assertThrows(ElmsailException.class, () -> codec.copy(null)).code(), is(Code.FAULT));
+    assertThat(assertThrows(ElmsailException.class, () -> codec.copy("word")).code(), is(ErrorCode.FAULT));
+    assertThat(assertThrows(ElmsailException.class, () -> codec.copy(null)).code(), is(ErrorCode.FAULT));
   }
 
   @Test
   void unknownNumbersAreGarbled() {
-    for (int number : new int[] {-1, 0, Kinds.size(), 0x7fff}) {
+    for (int number : new int[] {-1, 0, MessageTypes.size(), 0x7fff}) {
       assertThat(assertThrows(ElmsailException.class, () -> codec.read(number, new byte[0], 0, 0)).code(),
-          is(Code.GARBLED));
+          is(ErrorCode.GARBLED));
     }
   }
 
@@ -167,9 +167,9 @@
   void bentBytesAreReadOrGarbledAndLeaveTheCodecWhole() throws ReflectiveOperationException {
     Random random = new Random(11);
     for (int i = 0; i < 3_000; i++) {
-      int number = 1 + random.nextInt(Kinds.size() - 1);
+      int number = 1 + random.nextInt(MessageTypes.size() - 1);
       ByteArrayOutputStream out = new ByteArrayOutputStream();
-      codec.write(number, filled(Kinds.type(number), random, 0), out);
+      codec.write(number, filled(MessageTypes.type(number), random, 0), out);
       byte[] bytes = out.toByteArray();
       for (int j = 0; j < 3 && bytes.length > 0; j++) {
         bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
@@ -177,10 +177,10 @@
       try {
         codec.read(number, bytes, 0, random.nextInt(bytes.length + 1));
       } catch (ElmsailException e) {
-        assertThat(e.code(), is(Code.GARBLED));
+        assertThat(e.code(), is(ErrorCode.GARBLED));
       }
     }
-    PullTold word = new PullTold();
+    PullResponse word = new PullResponse();
     word.edition = 5;
     assertThat(codec.copy(word).edition, is(5L));
   }
@@ -215,7 +215,7 @@
     List<Object> list = new ArrayList<>();
     for (int i = random.nextInt(4); i > 0; i--) {
       switch (name) {
-        case "seats" -> list.add(filled(Seat.class, random, depth + 1));
+        case "seats" -> list.add(filled(Voter.class, random, depth + 1));
         case "blobs", "records" -> list.add(filled(Blob.class, random, depth + 1));
         case "clerks" -> list.add("10.0.0." + random.nextInt());
         default -> throw new AssertionError("a list that this test does not know: " + name);
--- a/inner/src/test/java/elmsail/inner/FrameTest.java
+++ b/rpc/src/test/java/elmsail/rpc/FrameTest.java
@@ -1,4 +1,4 @@
-package elmsail.inner;
+package elmsail.rpc;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
@@ -7,9 +7,9 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.inner.words.Note;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.ArrayList;
@@ -22,8 +22,8 @@
 
   private final Codec codec = new Codec();
 
-  private byte[] ask(long call, int bytes) {
-    Note note = new Note();
+  private byte[] request(long call, int bytes) {
+    OpaqueMessage note = new OpaqueMessage();
     note.kind = "k";
     note.bytes = new byte[bytes];
     return bytes(Frame.message(codec, Frame.ASK, call, note));
@@ -36,7 +36,7 @@
     return bytes;
   }
 
-  private static Code codeOf(byte[] bytes) {
+  private static ErrorCode codeOf(byte[] bytes) {
     ElmsailException e = assertThrows(ElmsailException.class,
         () -> new FrameReader().next(Unpooled.wrappedBuffer(bytes)));
     return e.code();
@@ -50,7 +50,7 @@
       int many = 1 + random.nextInt(6);
       for (int i = 0; i < many; i++) {
         boolean ping = random.nextInt(4) == 0;
-        all.writeBytes(ping ? bytes(Frame.bare(Frame.PING, i)) : ask(i, random.nextInt(99)));
+        all.writeBytes(ping ? bytes(Frame.bare(Frame.PING, i)) : request(i, random.nextInt(99)));
       }
       FrameReader reader = new FrameReader();
       List<Long> calls = new ArrayList<>();
@@ -71,7 +71,7 @@
 
   @Test
   void everyBitOfAFrameIsGuarded() {
-    byte[] good = ask(77, 20);
+    byte[] good = request(77, 20);
     for (int bit = 0; bit < 8 * good.length; bit++) {
       byte[] bent = good.clone();
       bent[bit / 8] ^= (byte) (1 << bit % 8);
@@ -79,7 +79,7 @@
       try {
         frame = new FrameReader().next(Unpooled.wrappedBuffer(bent));
       } catch (ElmsailException e) {
-        assertThat(e.code(), is(Code.GARBLED));
+        assertThat(e.code(), is(ErrorCode.GARBLED));
         continue;
       }
       assertThat("bit " + bit + ": a longer one still waits", frame, is(nullValue()));
@@ -90,39 +90,39 @@
   @Test
   void lengthsOutOfBoundsAreGarbledBeforeAnythingIsKept() {
     for (int length : new int[] {-1, 0, Frame.HEAD_BYTES - 1, Frame.MOST_BYTES + 1, Integer.MAX_VALUE}) {
-      ByteBuf bent = Unpooled.wrappedBuffer(ask(1, 3));
+      ByteBuf bent = Unpooled.wrappedBuffer(request(1, 3));
       bent.setInt(0, length);
-      assertThat(codeOf(bytes(bent)), is(Code.GARBLED));
+      assertThat(codeOf(bytes(bent)), is(ErrorCode.GARBLED));
     }
   }
 
   @Test
   void unknownKindsOfFrameAreGarbled() {
     for (int kind : new int[] {0, 6, -1}) {
-      assertThat(codeOf(bytes(Frame.bare(kind, 1))), is(Code.GARBLED));
+      assertThat(codeOf(bytes(Frame.bare(kind, 1))), is(ErrorCode.GARBLED));
     }
   }
 
   @Test
   void longestMessageFitsAndALongerOneIsFull() {
-    int over = ask(1, 1 << 20).length - (1 << 20);
+    int over = request(1, 1 << 20).length - (1 << 20);
     int most = Frame.LENGTH_BYTES + Frame.MOST_BYTES - over;
-    byte[] longest = ask(1, most - 8);
+    byte[] longest = request(1, most - 8);
     Frame frame = new FrameReader().next(Unpooled.wrappedBuffer(longest));
-    Note note = (Note) codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
+    OpaqueMessage note = (OpaqueMessage) codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
     assertThat(note.bytes.length, is(most - 8));
-    ElmsailException e = assertThrows(ElmsailException.class, () -> ask(1, most + 8));
-    assertThat(e.code(), is(Code.FULL));
+    ElmsailException e = assertThrows(ElmsailException.class, () -> request(1, most + 8));
+    assertThat(e.code(), is(ErrorCode.FULL));
   }
 
   @Test
   void failuresCarryTheirCodeAndUnknownOnesAreFaults() {
-    for (Code code : Code.values()) {
+    for (ErrorCode code : ErrorCode.values()) {
       Frame frame = new FrameReader().next(Unpooled.wrappedBuffer(bytes(Frame.failure(9, code))));
       assertThat(frame.kind(), is(Frame.FAILURE));
       assertThat(frame.call(), is(9L));
       assertThat(frame.code(), is(code));
     }
-    assertThat(new Frame(Frame.FAILURE, 1, 0, new byte[] {'?'}).code(), equalTo(Code.FAULT));
+    assertThat(new Frame(Frame.FAILURE, 1, 0, new byte[] {'?'}).code(), equalTo(ErrorCode.FAULT));
   }
 }
--- a/inner/src/test/java/elmsail/inner/MovedTimers.java
+++ b/rpc/src/test/java/elmsail/rpc/MovedTimers.java
@@ -1,6 +1,6 @@
-package elmsail.inner;
+package elmsail.rpc;
 
-import elmsail.station.Timers;
+import elmsail.runtime.Timers;
 import java.util.PriorityQueue;
 
 /** A clock moved by hand, which can also jump, as it does for a process that was held up. */
--- a/inner/src/test/java/elmsail/inner/SilenceTest.java
+++ b/rpc/src/test/java/elmsail/rpc/SilenceTest.java
@@ -1,12 +1,12 @@
-package elmsail.inner;
+package elmsail.rpc;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.inner.words.Note;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
@@ -29,7 +29,7 @@
 
   private final World world = new World();
   private final Codec codec = new Codec();
-  private final InnerLinks a = world.links();
+  private final RpcEndpoint a = world.links();
   private ServerSocketChannel server;
   private String address;
   private SocketChannel peer;
@@ -53,8 +53,8 @@
     world.close();
   }
 
-  private CompletableFuture<Note> call(long timeoutMs) {
-    CompletableFuture<Note> call = a.call(address, new Note(), Note.class, timeoutMs);
+  private CompletableFuture<OpaqueMessage> call(long timeoutMs) {
+    CompletableFuture<OpaqueMessage> call = a.call(address, new OpaqueMessage(), OpaqueMessage.class, timeoutMs);
     if (peer == null || !peer.isOpen()) {
       world.turnUntil(this::accepted);
     }
@@ -120,36 +120,36 @@
     }
   }
 
-  private static Code codeOf(CompletableFuture<?> call) {
+  private static ErrorCode codeOf(CompletableFuture<?> call) {
     assertThat(call.isCompletedExceptionally(), is(true));
     return ElmsailException.codeOf(assertThrows(CompletionException.class, call::join));
   }
 
   @Test
   void silentPeerIsPingedThenItsLinkIsClosedAndItsCallsBreak() {
-    CompletableFuture<Note> call = call(10_000);
+    CompletableFuture<OpaqueMessage> call = call(10_000);
     assertThat(take().kind(), is(Frame.ASK));
-    world.pass(Link.PING_AFTER + InnerLinks.SWEEP_SOON);
+    world.pass(RpcConnection.PING_AFTER + RpcEndpoint.SWEEP_SOON);
     assertThat(take().kind(), is(Frame.PING));
-    world.pass(Link.CLOSE_AFTER - Link.PING_AFTER - 2 * InnerLinks.SWEEP_SOON);
+    world.pass(RpcConnection.CLOSE_AFTER - RpcConnection.PING_AFTER - 2 * RpcEndpoint.SWEEP_SOON);
     assertThat(call.isDone(), is(false));
-    world.pass(2 * InnerLinks.SWEEP_SOON + Link.LOOK_FOR);
-    assertThat(codeOf(call), is(Code.BROKEN));
+    world.pass(2 * RpcEndpoint.SWEEP_SOON + RpcConnection.LOOK_FOR);
+    assertThat(codeOf(call), is(ErrorCode.BROKEN));
     assertThat(a.counts().silentLinks, is(1L));
     world.turnUntil(this::closedByA);
   }
 
   @Test
   void peerThatAnswersPingsIsWaitedFor() throws IOException {
-    CompletableFuture<Note> call = call(60_000);
+    CompletableFuture<OpaqueMessage> call = call(60_000);
     long asked = take().call();
     for (int i = 0; i < 10; i++) {
-      world.pass(Link.PING_AFTER + InnerLinks.SWEEP_SOON);
+      world.pass(RpcConnection.PING_AFTER + RpcEndpoint.SWEEP_SOON);
       assertThat(take().kind(), is(Frame.PING));
       say(Frame.bare(Frame.PONG, 0));
       assertThat(call.isDone(), is(false));
     }
-    say(Frame.message(codec, Frame.ANSWER, asked, new Note()));
+    say(Frame.message(codec, Frame.ANSWER, asked, new OpaqueMessage()));
     world.turnUntil(call::isDone);
     call.join();
     assertThat(a.counts().silentLinks, is(0L));
@@ -157,15 +157,15 @@
 
   @Test
   void bytesOfAnUnfinishedFrameAreHeard() throws IOException {
-    CompletableFuture<Note> call = call(60_000);
+    CompletableFuture<OpaqueMessage> call = call(60_000);
     long asked = take().call();
-    Note answer = new Note();
+    OpaqueMessage answer = new OpaqueMessage();
     answer.bytes = new byte[400];
     ByteBuf frame = Frame.message(codec, Frame.ANSWER, asked, answer);
     while (frame.isReadable()) {
       say(frame.readRetainedSlice(Math.min(20, frame.readableBytes())));
       world.turn();
-      world.pass(Link.CLOSE_AFTER - InnerLinks.SWEEP_SOON);
+      world.pass(RpcConnection.CLOSE_AFTER - RpcEndpoint.SWEEP_SOON);
     }
     frame.release();
     world.turnUntil(call::isDone);
@@ -176,9 +176,9 @@
   @Test
   void peerThatTakesALongAskSlowlyIsWaitedForUntilItStops() throws IOException {
     server.setOption(StandardSocketOptions.SO_RCVBUF, 128 << 10);
-    Note ask = new Note();
-    ask.bytes = new byte[7 << 20];
-    CompletableFuture<Note> call = a.call(address, ask, Note.class, 60_000);
+    OpaqueMessage request = new OpaqueMessage();
+    request.bytes = new byte[7 << 20];
+    CompletableFuture<OpaqueMessage> call = a.call(address, request, OpaqueMessage.class, 60_000);
     world.turnUntil(this::accepted);
     ByteBuffer part = ByteBuffer.allocate(400 << 10);
     for (int i = 0; i < 8; i++) {
@@ -194,16 +194,16 @@
       world.pass(500);
       assertThat("after part " + i, call.isDone(), is(false));
     }
-    world.pass(Link.CLOSE_AFTER + 2 * InnerLinks.SWEEP_SOON + Link.LOOK_FOR);
-    assertThat(codeOf(call), is(Code.BROKEN));
+    world.pass(RpcConnection.CLOSE_AFTER + 2 * RpcEndpoint.SWEEP_SOON + RpcConnection.LOOK_FOR);
+    assertThat(codeOf(call), is(ErrorCode.BROKEN));
     assertThat(a.counts().silentLinks, is(1L));
   }
 
   @Test
   void processThatWasHeldUpLooksAtItsSocketsFirst() throws IOException {
-    CompletableFuture<Note> call = call(3_000);
+    CompletableFuture<OpaqueMessage> call = call(3_000);
     long asked = take().call();
-    write(Frame.message(codec, Frame.ANSWER, asked, new Note()));
+    write(Frame.message(codec, Frame.ANSWER, asked, new OpaqueMessage()));
     world.timers.jump(8_000);
     assertThat("stale timers judge nothing", call.isDone(), is(false));
     world.turnUntil(call::isDone);
@@ -214,81 +214,81 @@
 
   @Test
   void heldUpProcessGivesAnOpenCallsPeerTimeToAnswerAPing() throws IOException {
-    CompletableFuture<Note> call = call(60_000);
+    CompletableFuture<OpaqueMessage> call = call(60_000);
     take();
     world.timers.jump(8_000);
-    world.pass(Link.LOOK_FOR * 2);
+    world.pass(RpcConnection.LOOK_FOR * 2);
     assertThat(call.isDone(), is(false));
-    world.pass(Link.PING_AFTER + InnerLinks.SWEEP_SOON);
+    world.pass(RpcConnection.PING_AFTER + RpcEndpoint.SWEEP_SOON);
     assertThat(take().kind(), is(Frame.PING));
-    world.pass(Link.CLOSE_AFTER + InnerLinks.SWEEP_SOON);
-    assertThat(codeOf(call), is(Code.BROKEN));
+    world.pass(RpcConnection.CLOSE_AFTER + RpcEndpoint.SWEEP_SOON);
+    assertThat(codeOf(call), is(ErrorCode.BROKEN));
   }
 
   @Test
   void heldUpProcessStillFailsWhatWasNotAnswered() {
-    CompletableFuture<Note> call = call(3_000);
+    CompletableFuture<OpaqueMessage> call = call(3_000);
     world.timers.jump(8_000);
-    world.pass(Link.LOOK_FOR);
-    assertThat(codeOf(call), is(Code.SILENT));
+    world.pass(RpcConnection.LOOK_FOR);
+    assertThat(codeOf(call), is(ErrorCode.SILENT));
   }
 
   @Test
   void usedLinkIsPingedForAWhileAndClosedWhenItIsIdle() throws IOException {
-    CompletableFuture<Note> call = call(1_000);
-    say(Frame.message(codec, Frame.ANSWER, take().call(), new Note()));
+    CompletableFuture<OpaqueMessage> call = call(1_000);
+    say(Frame.message(codec, Frame.ANSWER, take().call(), new OpaqueMessage()));
     world.turnUntil(call::isDone);
-    world.pass(Link.PING_AFTER + InnerLinks.SWEEP_SOON);
+    world.pass(RpcConnection.PING_AFTER + RpcEndpoint.SWEEP_SOON);
     assertThat(take().kind(), is(Frame.PING));
     say(Frame.bare(Frame.PONG, 0));
     world.turn();
-    world.pass(Link.IN_USE_FOR);
+    world.pass(RpcConnection.IN_USE_FOR);
     long pings = a.counts().pings;
     world.turnUntil(() -> !closedByA());
-    world.pass(Link.IDLE_FOR - 2 * Link.IN_USE_FOR);
+    world.pass(RpcConnection.IDLE_FOR - 2 * RpcConnection.IN_USE_FOR);
     assertThat(a.counts().pings, is(pings));
-    world.pass(2 * Link.IN_USE_FOR);
+    world.pass(2 * RpcConnection.IN_USE_FOR);
     world.turnUntil(this::closedByA);
   }
 
   @Test
   void linkUsedAgainAfterARestIsNotSilentAtOnce() throws IOException {
-    CompletableFuture<Note> first = call(1_000);
-    say(Frame.message(codec, Frame.ANSWER, take().call(), new Note()));
+    CompletableFuture<OpaqueMessage> first = call(1_000);
+    say(Frame.message(codec, Frame.ANSWER, take().call(), new OpaqueMessage()));
     world.turnUntil(first::isDone);
     long used = world.timers.now();
-    while (world.timers.now() - used < Link.IN_USE_FOR + InnerLinks.SWEEP_SOON) {
+    while (world.timers.now() - used < RpcConnection.IN_USE_FOR + RpcEndpoint.SWEEP_SOON) {
       long pings = a.counts().pings;
-      world.pass(InnerLinks.SWEEP_SOON);
+      world.pass(RpcEndpoint.SWEEP_SOON);
       if (a.counts().pings > pings) {
         assertThat(take().kind(), is(Frame.PING));
         say(Frame.bare(Frame.PONG, 0));
       }
     }
     world.pass(20_000);
-    CompletableFuture<Note> second = call(5_000);
-    world.pass(Link.CLOSE_AFTER - InnerLinks.SWEEP_SOON);
+    CompletableFuture<OpaqueMessage> second = call(5_000);
+    world.pass(RpcConnection.CLOSE_AFTER - RpcEndpoint.SWEEP_SOON);
     assertThat(second.isDone(), is(false));
     assertThat(a.counts().silentLinks, is(0L));
-    world.pass(3 * InnerLinks.SWEEP_SOON);
-    assertThat(codeOf(second), is(Code.BROKEN));
+    world.pass(3 * RpcEndpoint.SWEEP_SOON);
+    assertThat(codeOf(second), is(ErrorCode.BROKEN));
   }
 
   @Test
   void garbledAnswerClosesTheLinkAndIsCounted() throws IOException {
-    CompletableFuture<Note> call = call(5_000);
+    CompletableFuture<OpaqueMessage> call = call(5_000);
     take();
     say(Unpooled.copiedBuffer(new byte[Frame.LENGTH_BYTES + Frame.HEAD_BYTES]));
     world.turnUntil(call::isDone);
-    assertThat(codeOf(call), is(Code.BROKEN));
+    assertThat(codeOf(call), is(ErrorCode.BROKEN));
     assertThat(a.counts().garbled, is(1L));
     world.turnUntil(this::closedByA);
   }
 
   @Test
   void garbledAsksCloseTheirLinkAndOthersGoOn() throws IOException {
-    a.on(Note.class, ask -> CompletableFuture.completedFuture(ask));
-    Note note = new Note();
+    a.on(OpaqueMessage.class, request -> CompletableFuture.completedFuture(request));
+    OpaqueMessage note = new OpaqueMessage();
     ByteBuf unknown = Frame.bare(Frame.ASK, 1);
     ByteBuf bent = Frame.message(codec, Frame.ASK, 1, note);
     bent.setByte(bent.writerIndex() - 1, bent.getByte(bent.writerIndex() - 1) + 1);
@@ -303,8 +303,8 @@
       world.turnUntil(this::closedByA);
       peer.close();
     }
-    InnerLinks b = world.links();
-    CompletableFuture<Note> call = b.call(a.address(), note, Note.class, 1_000);
+    RpcEndpoint b = world.links();
+    CompletableFuture<OpaqueMessage> call = b.call(a.address(), note, OpaqueMessage.class, 1_000);
     world.turnUntil(call::isDone);
     call.join();
     b.close();
@@ -317,7 +317,7 @@
     peer.configureBlocking(false);
     say(Frame.bare(Frame.PING, 0));
     assertThat(take().kind(), is(Frame.PONG));
-    world.pass(Link.LEFT_FOR - 1_000);
+    world.pass(RpcConnection.LEFT_FOR - 1_000);
     assertThat(closedByA(), is(false));
     world.pass(2_000);
     world.turnUntil(this::closedByA);
@@ -325,18 +325,18 @@
 
   @Test
   void askerThatDoesNotReadIsClosedAfterAWhile() throws IOException {
-    a.on(Note.class, ask -> {
-      Note answer = new Note();
+    a.on(OpaqueMessage.class, request -> {
+      OpaqueMessage answer = new OpaqueMessage();
       answer.bytes = new byte[6 << 20];
       return CompletableFuture.completedFuture(answer);
     });
     peer = SocketChannel.open(new InetSocketAddress("127.0.0.1",
         Integer.parseInt(a.address().substring(10))));
     for (int i = 0; i < 4; i++) {
-      say(Frame.message(codec, Frame.ASK, i, new Note()));
+      say(Frame.message(codec, Frame.ASK, i, new OpaqueMessage()));
     }
     world.turnUntil(() -> a.counts().asks == 4);
-    world.pass(Link.STUCK_FOR + 2_000);
+    world.pass(RpcConnection.STUCK_FOR + 2_000);
     peer.configureBlocking(false);
     world.turnUntil(() -> {
       heard.clear();
@@ -358,13 +358,13 @@
       other.connect(server.getLocalAddress());
       others.add(other);
     }
-    CompletableFuture<Note> call = a.call(address, new Note(), Note.class, 30_000);
+    CompletableFuture<OpaqueMessage> call = a.call(address, new OpaqueMessage(), OpaqueMessage.class, 30_000);
     world.turn();
     world.pass(Connector.CONNECT_WITHIN - 10);
     assertThat(call.isDone(), is(false));
     world.pass(10);
     world.turnUntil(call::isDone);
-    assertThat(codeOf(call), is(Code.UNSENT));
+    assertThat(codeOf(call), is(ErrorCode.UNSENT));
     assertThat(a.counts().refusedConnects, is(1L));
     for (SocketChannel other : others) {
       other.close();
--- a/inner/src/test/java/elmsail/inner/World.java
+++ b/rpc/src/test/java/elmsail/rpc/World.java
@@ -1,4 +1,4 @@
-package elmsail.inner;
+package elmsail.rpc;
 
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -15,8 +15,8 @@
   final ManualIoEventLoop loop = new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
   final MovedTimers timers = new MovedTimers();
 
-  InnerLinks links() {
-    InnerLinks links = new InnerLinks(loop, timers, "127.0.0.1:0");
+  RpcEndpoint links() {
+    RpcEndpoint links = new RpcEndpoint(loop, timers, "127.0.0.1:0");
     turnUntil(links.listen()::isDone);
     return links;
   }
--- a/station/src/main/java/elmsail/station/Addresses.java
+++ b/runtime/src/main/java/elmsail/runtime/Addresses.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -26,12 +26,12 @@
     byte[] ip = colon < 0 ? null : ip(address.substring(0, colon));
     int port = ip == null ? -1 : port(address, colon + 1);
     if (port < 0) {
-      throw new ElmsailException(Code.BAD_CALL, "not an address ip:port: " + address);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "not an address ip:port: " + address);
     }
     try {
       return new InetSocketAddress(InetAddress.getByAddress(ip), port);
     } catch (UnknownHostException e) {
-      throw new ElmsailException(Code.FAULT, "four bytes are no address", e);
+      throw new ElmsailException(ErrorCode.FAULT, "four bytes are no address", e);
     }
   }
 
--- a/station/src/main/java/elmsail/station/Counters.java
+++ b/runtime/src/main/java/elmsail/runtime/Counters.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -6,7 +6,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Named counters, used on the loop alone. Those that changed are logged in one line every 10 s, with their
+ * IndexEntry counters, used on the loop alone. Those that changed are logged in one line every 10 s, with their
  * values. Names are few and fixed: never made of what others send.
  */
 public final class Counters {
@@ -15,11 +15,11 @@
   private static final long EVERY_MS = 10_000;
 
   /** One number: hold on to it where it is counted often. */
-  public static final class Counter {
+  public static final class GatewayProcess {
     private long value;
-    private long told;
+    private long response;
 
-    private Counter() {
+    private GatewayProcess() {
     }
 
     public void add(long more) {
@@ -37,17 +37,17 @@
   }
 
   private final Timers timers;
-  private final Map<String, Counter> counters = new LinkedHashMap<>();
+  private final Map<String, GatewayProcess> counters = new LinkedHashMap<>();
 
   public Counters(Timers timers) {
     this.timers = timers;
     timers.after(EVERY_MS, this::tell);
   }
 
-  public Counter of(String name) {
-    Counter counter = counters.get(name);
+  public GatewayProcess of(String name) {
+    GatewayProcess counter = counters.get(name);
     if (counter == null) {
-      counter = new Counter();
+      counter = new GatewayProcess();
       counters.put(name, counter);
     }
     return counter;
@@ -69,10 +69,10 @@
   /** {@code name=value} of those changed since it was last asked, with spaces; null if none is. */
   String changed() {
     StringBuilder line = null;
-    for (Map.Entry<String, Counter> entry : counters.entrySet()) {
-      Counter counter = entry.getValue();
-      if (counter.value != counter.told) {
-        counter.told = counter.value;
+    for (Map.Entry<String, GatewayProcess> entry : counters.entrySet()) {
+      GatewayProcess counter = entry.getValue();
+      if (counter.value != counter.response) {
+        counter.response = counter.value;
         line = line == null ? new StringBuilder() : line.append(' ');
         line.append(entry.getKey()).append('=').append(counter.value);
       }
--- a/station/src/main/java/elmsail/station/Code.java
+++ b/runtime/src/main/java/elmsail/runtime/ErrorCode.java
@@ -1,7 +1,7 @@
-package elmsail.station;
+package elmsail.runtime;
 
 /** What can go wrong, by its type: logs count these, answers and exit codes are made from them. */
-public enum Code {
+public enum ErrorCode {
   /** The settings or the command line cannot be used. */
   BAD_SETTINGS,
   /** A configuration or another call of an operator or client is not as the protocol says. */
@@ -14,7 +14,7 @@
   SILENT,
   /** The peer has no room for the call; it did nothing. */
   FULL,
-  /** The peer cannot answer: it has lost its memory, or holds no seat. */
+  /** The peer cannot answer: it has lost its memory, or holds no voter slot. */
   NOT_SEATED,
   /** Fewer than a majority answered, and nothing was asked to be taken: nothing has changed. */
   NOT_REACHED,
--- a/station/src/main/java/elmsail/station/Fields.java
+++ b/runtime/src/main/java/elmsail/runtime/Fields.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -144,6 +144,6 @@
   }
 
   static ElmsailException fault(String path, String detail) {
-    return new ElmsailException(Code.BAD_SETTINGS, path + ": " + detail);
+    return new ElmsailException(ErrorCode.BAD_SETTINGS, path + ": " + detail);
   }
 }
--- a/station/src/main/java/elmsail/station/NettyLoop.java
+++ b/runtime/src/main/java/elmsail/runtime/NettyLoop.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -30,7 +30,7 @@
 
   @Override
   public long now() {
-    return Steady.SYSTEM.now();
+    return SteadyClock.SYSTEM.now();
   }
 
   @Override
@@ -65,7 +65,7 @@
     }
   }
 
-  /** Ends the loop: nothing set or sent afterwards is run. */
+  /** ProcessSignals the loop: nothing set or sent afterwards is run. */
   public Future<?> stop() {
     return group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
--- a/station/src/main/java/elmsail/station/Ends.java
+++ b/runtime/src/main/java/elmsail/runtime/ProcessSignals.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,9 +12,9 @@
  * What the platform says to a running process: SIGTERM, and SIGHUP or a changed settings file. Both are
  * passed onto the loop. A settings file that cannot be used is logged, and the settings before it stay.
  */
-public final class Ends {
+public final class ProcessSignals {
 
-  private static final Logger LOG = LoggerFactory.getLogger(Ends.class);
+  private static final Logger LOG = LoggerFactory.getLogger(ProcessSignals.class);
   private static final long LOOK_MS = 2_000;
 
   private final Timers timers;
@@ -30,7 +30,7 @@
    * @param term run once, on the loop, at the first SIGTERM
    * @param changed given the new settings, on the loop, where they differ from those before
    */
-  public Ends(Timers timers, Path file, Settings current, Runnable term, Consumer<Settings> changed) {
+  public ProcessSignals(Timers timers, Path file, Settings current, Runnable term, Consumer<Settings> changed) {
     this.timers = timers;
     this.file = file;
     this.current = current;
@@ -40,7 +40,7 @@
   }
 
   /** Listens for the signals, and looks at the file's time now and then. */
-  public Ends listen() {
+  public ProcessSignals listen() {
     Signals.handle("TERM", () -> timers.soon(this::term));
     Signals.handle("HUP", () -> timers.soon(this::read));
     timers.after(LOOK_MS, this::look);
--- a/station/src/main/java/elmsail/station/Settings.java
+++ b/runtime/src/main/java/elmsail/runtime/Settings.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.util.List;
 import java.util.Map;
@@ -9,15 +9,15 @@
  * passed over (DEPLOY.md, "Settings of a process").
  *
  * @param slots from {@code mail_slots}: "front", "ready", "control" to "ip:port"
- * @param seeds "ip:port" of the control addresses of some notaries
+ * @param seeds "ip:port" of the control addresses of some control-plane nodes
  * @param dataDir null where the machine has no disk
- * @param carrier null where there is none
+ * @param platform null where there is none
  */
 public record Settings(String station, String role, String machineClass, Set<String> serves, String ip,
     String zone, String region, Map<String, String> zones, Map<String, String> slots, int innerFirst,
     int innerLast, List<String> seeds, boolean firstStart, boolean counted, Limits limits, String dataDir,
     Set<String> clauses,
-    int bearMachines, Bounds bounds, Carrier carrier) {
+    int bearMachines, Bounds bounds, Platform platform) {
 
   /** What the machine gives; cores and MB of 2^20 bytes. */
   public record Limits(double cpuShare, int memoryMb, int fds, double linkMbps, int diskMb) {
@@ -30,7 +30,7 @@
   }
 
   /** The platform's list of servers: "ip:port", calls a second from all processes together, ms behind. */
-  public record Carrier(String address, double perSecond, long lagMs) {
+  public record Platform(String address, double perSecond, long lagMs) {
   }
 
   /** Whether this process holds a vote on the configuration: it answers operators and has a disk. */
@@ -46,7 +46,7 @@
     return serves.contains("head_office") ? headInner(ip) : ip + ":" + innerFirst;
   }
 
-  /** The inner address of the notary of a control address or a bare ip. */
+  /** The inner address of the control-plane node of a control address or a bare ip. */
   public String headInner(String address) {
     int colon = address.indexOf(':');
     return (colon < 0 ? address : address.substring(0, colon)) + ":" + (innerFirst + 1);
--- a/station/src/main/java/elmsail/station/SettingsFile.java
+++ b/runtime/src/main/java/elmsail/runtime/SettingsFile.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigFactory;
@@ -34,11 +34,11 @@
     String text;
     try {
       if (Files.size(file) > MOST_BYTES) {
-        throw new ElmsailException(Code.BAD_SETTINGS, file + " is too large");
+        throw new ElmsailException(ErrorCode.BAD_SETTINGS, file + " is too large");
       }
       text = Files.readString(file, StandardCharsets.UTF_8);
     } catch (IOException e) {
-      throw new ElmsailException(Code.BAD_SETTINGS, "cannot read " + file + ": " + e, e);
+      throw new ElmsailException(ErrorCode.BAD_SETTINGS, "cannot read " + file + ": " + e, e);
     }
     return parse(text);
   }
@@ -50,7 +50,7 @@
       root = ConfigFactory.parseString(json, ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON))
           .root().unwrapped();
     } catch (ConfigException e) {
-      throw new ElmsailException(Code.BAD_SETTINGS, "not JSON: " + e.getMessage(), e);
+      throw new ElmsailException(ErrorCode.BAD_SETTINGS, "not JSON: " + e.getMessage(), e);
     }
     return settings(new Fields("", root));
   }
@@ -74,7 +74,7 @@
         root.yes("counted", true), limits(root.child("limits")), root.textOr("data_dir", null),
         names(root.path("clauses"), root.listOrEmpty("clauses")),
         (int) root.child("bear_losses").wholeOr("machines", 1, 0, 1_000),
-        bounds(root.child("bounds")), carrier(root.childOrNull("carrier_api")));
+        bounds(root.child("bounds")), platform(root.childOrNull("carrier_api")));
   }
 
   private static String ip(Fields root) {
@@ -120,12 +120,12 @@
         bounds.numberOr("quota_over", 0.1, 0, 1_000), bounds.seconds("reuse_after_s", 2));
   }
 
-  private static Settings.Carrier carrier(Fields carrier) {
-    if (carrier == null) {
+  private static Settings.Platform platform(Fields platform) {
+    if (platform == null) {
       return null;
     }
-    return new Settings.Carrier(address(carrier.path("address"), carrier.text("address")),
-        carrier.numberOr("per_s", 10, 0.001, 1e9), carrier.ms("lag_ms", 1_000));
+    return new Settings.Platform(address(platform.path("address"), platform.text("address")),
+        platform.numberOr("per_s", 10, 0.001, 1e9), platform.ms("lag_ms", 1_000));
   }
 
   private static Set<String> names(String path, List<Object> given) {
--- a/station/src/main/java/elmsail/station/Signals.java
+++ b/runtime/src/main/java/elmsail/runtime/Signals.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Method;
@@ -29,7 +29,7 @@
       signal.getMethod("handle", signal, handler).invoke(null,
           signal.getConstructor(String.class).newInstance(name), run);
     } catch (ReflectiveOperationException e) {
-      throw new ElmsailException(Code.FAULT, "this runtime does not tell of SIG" + name, e);
+      throw new ElmsailException(ErrorCode.FAULT, "this runtime does not tell of SIG" + name, e);
     }
   }
 
--- a/station/src/main/java/elmsail/station/Timers.java
+++ b/runtime/src/main/java/elmsail/runtime/Timers.java
@@ -1,7 +1,7 @@
-package elmsail.station;
+package elmsail.runtime;
 
-/** The loop's clock and timers; tests move them by hand ({@code elmsail.rehearsal.HandTimers}). */
-public interface Timers extends Steady {
+/** The loop's clock and timers; tests move them by hand ({@code elmsail.simulation.ManualTimers}). */
+public interface Timers extends SteadyClock {
 
   /** Runs once, in so many ms, on the loop; a negative time counts as 0. */
   Timer after(long ms, Runnable then);
--- a/station/src/main/java/elmsail/station/http/HttpAsker.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpClient.java
@@ -1,9 +1,9 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import java.util.concurrent.CompletableFuture;
 
 /** Small calls to others' addresses. */
-public interface HttpAsker {
+public interface HttpClient {
   /** Fails with UNSENT, BROKEN, SILENT or GARBLED. The connection is closed afterwards. */
   CompletableFuture<HttpReply> get(String address, String pathAndQuery, long timeoutMs);
 }
--- a/station/src/main/java/elmsail/station/http/Framing.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpFraming.java
@@ -1,4 +1,4 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -13,7 +13,7 @@
  * What both decoders refuse beyond the codec's own checks: heads with folded lines, and messages whose end
  * could be told in two ways. Follows where the decoder stands, from what it has put out.
  */
-final class Framing {
+final class HttpFraming {
 
   private boolean inHead = true;
   private boolean lineSeen;
--- a/station/src/main/java/elmsail/station/http/HttpHandler.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpHandler.java
@@ -1,4 +1,4 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/station/src/main/java/elmsail/station/http/HttpServing.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpServer.java
@@ -1,9 +1,9 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
-import elmsail.station.Addresses;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.NettyLoop;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.NettyLoop;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -14,10 +14,10 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * An address for small calls, whole in memory: operators' and the platform's. Framing is strict; bodies,
+ * An address for small calls, whole in memory: operators' and the platform's. HttpFraming is strict; bodies,
  * heads and connections are bounded; those that idle are closed. All on the loop.
  */
-public final class HttpServing {
+public final class HttpServer {
 
   static final int MOST_CONNECTIONS = 256;
   private static final int BACKLOG = 512;
@@ -29,7 +29,7 @@
   private int open;
   private long turnedAway;
 
-  private HttpServing(NettyLoop loop, HttpHandler handler, int mostBody) {
+  private HttpServer(NettyLoop loop, HttpHandler handler, int mostBody) {
     this.loop = loop;
     this.handler = handler;
     this.mostBody = mostBody;
@@ -42,10 +42,10 @@
    * @param mostBodyBytes beyond which a call is answered 413
    * @return fails with BAD_SETTINGS if the address cannot be bound
    */
-  public static CompletableFuture<HttpServing> listen(NettyLoop loop, String address, HttpHandler handler,
+  public static CompletableFuture<HttpServer> listen(NettyLoop loop, String address, HttpHandler handler,
       int mostBodyBytes) {
-    HttpServing serving = new HttpServing(loop, handler, mostBodyBytes);
-    CompletableFuture<HttpServing> bound = new CompletableFuture<>();
+    HttpServer serving = new HttpServer(loop, handler, mostBodyBytes);
+    CompletableFuture<HttpServer> bound = new CompletableFuture<>();
     ChannelFuture binding = new ServerBootstrap().group(loop.events())
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -59,7 +59,7 @@
         bound.complete(serving);
       } else {
         bound.completeExceptionally(
-            new ElmsailException(Code.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
+            new ElmsailException(ErrorCode.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
       }
     });
     return bound;
@@ -96,7 +96,7 @@
       }
       open++;
       channel.closeFuture().addListener(closed -> open--);
-      Served.pipeline(channel, loop, handler, mostBody);
+      HttpServerConnection.pipeline(channel, loop, handler, mostBody);
     }
   }
 }
--- a/station/src/main/java/elmsail/station/http/Served.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpServerConnection.java
@@ -1,8 +1,8 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -33,7 +33,7 @@
  * One connection: a call at a time, those behind it wait undecoded as far as they were not read yet. On the
  * loop.
  */
-final class Served extends ChannelInboundHandlerAdapter {
+final class HttpServerConnection extends ChannelInboundHandlerAdapter {
 
   static final long IDLE_MS = 15_000;
   static final int MOST_LINE = 8_192;
@@ -53,7 +53,7 @@
   private long limit;
   private Timers.Timer idle;
 
-  private Served(Timers timers, HttpHandler handler, int mostBody) {
+  private HttpServerConnection(Timers timers, HttpHandler handler, int mostBody) {
     this.timers = timers;
     this.handler = handler;
     this.mostBody = mostBody;
@@ -61,7 +61,7 @@
 
   static void pipeline(Channel channel, Timers timers, HttpHandler handler, int mostBody) {
     channel.pipeline().addLast(new StrictRequestDecoder(MOST_LINE, MOST_HEAD, MOST_PIECE),
-        new HttpResponseEncoder(), new Served(timers, handler, mostBody));
+        new HttpResponseEncoder(), new HttpServerConnection(timers, handler, mostBody));
   }
 
   @Override
@@ -199,7 +199,7 @@
       body.readBytes(bytes);
     }
     return new HttpCall(head.method().name(), mark < 0 ? uri : uri.substring(0, mark), query,
-        HttpAsk.headers(head.headers()), bytes);
+        NettyHttpClient.headers(head.headers()), bytes);
   }
 
   private void answer(ChannelHandlerContext ctx, HttpReply answer, Throwable failure, boolean keep,
@@ -210,7 +210,7 @@
     answering = false;
     HttpReply sent = answer;
     if (failure != null || answer == null) {
-      Code code = failure == null ? Code.FAULT : ElmsailException.codeOf(failure);
+      ErrorCode code = failure == null ? ErrorCode.FAULT : ElmsailException.codeOf(failure);
       sent = new HttpReply(503, Map.of("elmsail-fault", code.name()), NOTHING);
     }
     write(ctx, sent, keep, bodiless);
@@ -226,7 +226,7 @@
     }
   }
 
-  /** Answers what is no call, and closes: nothing behind it can be told apart. */
+  /** HandlerTable what is no call, and closes: nothing behind it can be told apart. */
   private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
     forget();
     write(ctx, new HttpReply(status.code(), Map.of(), NOTHING), false, false);
--- a/station/src/main/java/elmsail/station/http/HttpAsk.java
+++ b/runtime/src/main/java/elmsail/runtime/http/NettyHttpClient.java
@@ -1,10 +1,10 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
-import elmsail.station.Addresses;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.NettyLoop;
-import elmsail.station.Timers;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -28,7 +28,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /** Small calls, each on a connection of its own that is closed afterwards. On the loop. */
-public final class HttpAsk implements HttpAsker {
+public final class NettyHttpClient implements HttpClient {
 
   private static final int MOST_LINE = 4_096;
   private static final int MOST_HEAD = 16_384;
@@ -38,7 +38,7 @@
 
   private final NettyLoop loop;
 
-  public HttpAsk(NettyLoop loop) {
+  public NettyHttpClient(NettyLoop loop) {
     this.loop = loop;
   }
 
@@ -57,7 +57,7 @@
         }).connect(Addresses.of(address));
     connecting.addListener(done -> {
       if (!done.isSuccess()) {
-        asked.fail(Code.UNSENT, "no connection");
+        asked.fail(ErrorCode.UNSENT, "no connection");
       }
     });
     Timers.Timer limit = loop.after(timeoutMs, asked::late);
@@ -95,7 +95,7 @@
       for (int i = 0; i < pathAndQuery.length(); i++) {
         char c = pathAndQuery.charAt(i);
         if (c <= ' ' || c > '~') {
-          throw new ElmsailException(Code.BAD_CALL, "not a path: " + pathAndQuery);
+          throw new ElmsailException(ErrorCode.BAD_CALL, "not a path: " + pathAndQuery);
         }
       }
       request = "GET " + pathAndQuery + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n";
@@ -125,18 +125,18 @@
     private void take(Object part) {
       if (part instanceof HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-          fail(Code.GARBLED, "no answer in the protocol");
+          fail(ErrorCode.GARBLED, "no answer in the protocol");
           return;
         }
         head = response;
       }
       if (part instanceof HttpContent content) {
         if (content.decoderResult().isFailure()) {
-          fail(Code.GARBLED, "no body in the protocol");
+          fail(ErrorCode.GARBLED, "no body in the protocol");
           return;
         }
         if (body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
-          fail(Code.GARBLED, "too long a body");
+          fail(ErrorCode.GARBLED, "too long a body");
           return;
         }
         keep(content.content());
@@ -159,19 +159,19 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      fail(Code.BROKEN, "closed before its answer was whole");
+      fail(ErrorCode.BROKEN, "closed before its answer was whole");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      fail(Code.BROKEN, "broke: " + cause);
+      fail(ErrorCode.BROKEN, "broke: " + cause);
     }
 
     void late() {
-      fail(sent ? Code.SILENT : Code.UNSENT, "no answer in time");
+      fail(sent ? ErrorCode.SILENT : ErrorCode.UNSENT, "no answer in time");
     }
 
-    void fail(Code code, String detail) {
+    void fail(ErrorCode code, String detail) {
       if (!reply.isDone()) {
         reply.completeExceptionally(new ElmsailException(code, detail + ": " + address));
       }
--- a/station/src/main/java/elmsail/station/http/StrictAnswerDecoder.java
+++ b/runtime/src/main/java/elmsail/runtime/http/StrictAnswerDecoder.java
@@ -1,4 +1,4 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,11 +16,11 @@
  */
 public class StrictAnswerDecoder extends HttpResponseDecoder {
 
-  private final Framing framing = new Framing();
+  private final HttpFraming framing = new HttpFraming();
 
   /** Bytes of the first line, of all header lines, and of one piece of a body. */
   public StrictAnswerDecoder(int mostLine, int mostHead, int mostPiece) {
-    super(Framing.config(mostLine, mostHead, mostPiece));
+    super(HttpFraming.config(mostLine, mostHead, mostPiece));
   }
 
   /** Whether part of a message has come. */
@@ -59,12 +59,12 @@
 
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-    Framing.colon(line, start + length);
+    HttpFraming.colon(line, start + length);
     return super.splitHeaderName(line, start, length);
   }
 
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-    throw Framing.lengthAndChunks();
+    throw HttpFraming.lengthAndChunks();
   }
 }
--- a/station/src/test/java/elmsail/station/AddressesTest.java
+++ b/runtime/src/test/java/elmsail/runtime/AddressesTest.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
--- a/station/src/test/java/elmsail/station/CountersTest.java
+++ b/runtime/src/test/java/elmsail/runtime/CountersTest.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -12,7 +12,7 @@
   void tellsThoseThatChanged() {
     MovedClock clock = new MovedClock();
     Counters counters = new Counters(clock);
-    Counters.Counter calls = counters.of("calls");
+    Counters.GatewayProcess calls = counters.of("calls");
     calls.add(3);
     counters.add("lost");
     counters.of("idle");
--- a/station/src/test/java/elmsail/station/EndsTest.java
+++ b/runtime/src/test/java/elmsail/runtime/EndsTest.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -22,13 +22,13 @@
   private final List<Integer> borne = new ArrayList<>();
   private int terms;
   private Path file;
-  private Ends ends;
+  private ProcessSignals ends;
 
   @BeforeEach
   void begin() throws Exception {
     file = folder.resolve("settings.json");
     write(1, 1_000);
-    ends = new Ends(clock, file, SettingsFile.read(file), () -> terms++, s -> borne.add(s.bearMachines()))
+    ends = new ProcessSignals(clock, file, SettingsFile.read(file), () -> terms++, s -> borne.add(s.bearMachines()))
         .listen();
   }
 
--- a/station/src/test/java/elmsail/station/MovedClock.java
+++ b/runtime/src/test/java/elmsail/runtime/MovedClock.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/station/src/test/java/elmsail/station/SettingsFileTest.java
+++ b/runtime/src/test/java/elmsail/runtime/SettingsFileTest.java
@@ -1,4 +1,4 @@
-package elmsail.station;
+package elmsail.runtime;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
@@ -62,7 +62,7 @@
     assertThat(s.bearMachines(), is(2));
     assertThat(s.bounds(), is(new Settings.Bounds(3100, 4001, 4900, 3200, 8000, 210, 2100, 130, 121_000,
         3300, 1100, 0.2, 2000)));
-    assertThat(s.carrier(), is(new Settings.Carrier("10.200.0.79:8169", 40, 800)));
+    assertThat(s.platform(), is(new Settings.Platform("10.200.0.79:8169", 40, 800)));
     assertThat(s.votes(), is(true));
     assertThat(s.innerAddress(), is("10.1.0.13:7721"));
   }
@@ -76,7 +76,7 @@
     assertThat(s.firstStart(), is(false));
     assertThat(s.counted(), is(true));
     assertThat(s.dataDir(), is(nullValue()));
-    assertThat(s.carrier(), is(nullValue()));
+    assertThat(s.platform(), is(nullValue()));
     assertThat(s.bearMachines(), is(1));
     assertThat(s.bounds().statusMs(), is(120_000L));
     assertThat(s.innerAddress(), is("10.1.0.13:7720"));
@@ -86,7 +86,7 @@
   void takesNullForMissing() {
     Settings s = SettingsFile.parse(with("\"data_dir\":null,\"carrier_api\":null,\"bounds\":null"));
     assertThat(s.dataDir(), is(nullValue()));
-    assertThat(s.carrier(), is(nullValue()));
+    assertThat(s.platform(), is(nullValue()));
     assertThat(s.bounds().inTouchMs(), is(3_000L));
   }
 
@@ -128,7 +128,7 @@
       "carrier_api.per_s      | \"carrier_api\":{\"address\":\"10.0.0.1:80\",\"per_s\":0}"})
   void namesThePathOfAFault(String path, String field) {
     ElmsailException fault = assertThrows(ElmsailException.class, () -> SettingsFile.parse(with(field)));
-    assertThat(fault.code(), is(Code.BAD_SETTINGS));
+    assertThat(fault.code(), is(ErrorCode.BAD_SETTINGS));
     assertThat(fault.getMessage(), containsString(" " + path + ": "));
   }
 
@@ -137,7 +137,7 @@
   void namesWhatIsMissing(String name) {
     String without = LEAST.replace("\"" + name + "\":", "\"other\":");
     ElmsailException fault = assertThrows(ElmsailException.class, () -> SettingsFile.parse(without));
-    assertThat(fault.code(), is(Code.BAD_SETTINGS));
+    assertThat(fault.code(), is(ErrorCode.BAD_SETTINGS));
     assertThat(fault.getMessage(), containsString(name + ": is missing"));
   }
 
@@ -147,20 +147,20 @@
   void refusesWhatIsNoJsonObject(String x, String text) {
     ElmsailException fault =
         assertThrows(ElmsailException.class, () -> SettingsFile.parse(text == null ? "" : text));
-    assertThat(fault.code(), is(Code.BAD_SETTINGS));
+    assertThat(fault.code(), is(ErrorCode.BAD_SETTINGS));
   }
 
   @Test
   void refusesAFileThatIsNotThereOrNoText(@TempDir Path folder) throws Exception {
     Path file = folder.resolve("settings.json");
-    assertThat(code(file), is(Code.BAD_SETTINGS));
+    assertThat(code(file), is(ErrorCode.BAD_SETTINGS));
     Files.write(file, new byte[] {'{', (byte) 0xff, '}'});
-    assertThat(code(file), is(Code.BAD_SETTINGS));
+    assertThat(code(file), is(ErrorCode.BAD_SETTINGS));
     Files.writeString(file, WHOLE);
     assertThat(SettingsFile.read(file), is(SettingsFile.parse(WHOLE)));
   }
 
-  private static Code code(Path file) {
+  private static ErrorCode code(Path file) {
     return assertThrows(ElmsailException.class, () -> SettingsFile.read(file)).code();
   }
 
--- a/station/src/test/java/elmsail/station/http/HttpLoopbackTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/HttpLoopbackTest.java
@@ -1,12 +1,12 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.NettyLoop;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.NettyLoop;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -28,20 +28,20 @@
   private static final long LIMIT_MS = 20_000;
 
   private final NettyLoop loop = new NettyLoop();
-  private final HttpAsk asker = new HttpAsk(loop);
+  private final NettyHttpClient asker = new NettyHttpClient(loop);
 
   @AfterEach
   void end() throws Exception {
     loop.stop().get();
   }
 
-  private HttpServing serve() {
-    return HttpServing.listen(loop, "127.0.0.1:0", call -> CompletableFuture.completedFuture(
+  private HttpServer serve() {
+    return HttpServer.listen(loop, "127.0.0.1:0", call -> CompletableFuture.completedFuture(
         new HttpReply(200, Map.of("X-Path", call.path()), call.query().toString().getBytes(
             StandardCharsets.UTF_8))), 100).join();
   }
 
-  private Code failure(String address, long limitMs) {
+  private ErrorCode failure(String address, long limitMs) {
     CompletionException failed =
         assertThrows(CompletionException.class, () -> asker.get(address, "/", limitMs).join());
     return ElmsailException.codeOf(failed);
@@ -59,18 +59,18 @@
   void failsToListenWhereSomeoneDoes() throws Exception {
     try (ServerSocket taken = new ServerSocket(0, 1, HERE)) {
       CompletionException failed = assertThrows(CompletionException.class,
-          () -> HttpServing.listen(loop, "127.0.0.1:" + taken.getLocalPort(), call -> null, 1).join());
-      assertThat(ElmsailException.codeOf(failed), is(Code.BAD_SETTINGS));
+          () -> HttpServer.listen(loop, "127.0.0.1:" + taken.getLocalPort(), call -> null, 1).join());
+      assertThat(ElmsailException.codeOf(failed), is(ErrorCode.BAD_SETTINGS));
     }
   }
 
   @Test
   void closesConnectionsThatAreTooMany() throws Exception {
-    HttpServing serving = serve();
+    HttpServer serving = serve();
     int port = Integer.parseInt(serving.address().split(":")[1]);
     List<Socket> open = new ArrayList<>();
     try {
-      for (int i = 0; i < HttpServing.MOST_CONNECTIONS; i++) {
+      for (int i = 0; i < HttpServer.MOST_CONNECTIONS; i++) {
         open.add(new Socket(HERE, port));
       }
       // The last of them has been taken on once it is answered.
@@ -93,25 +93,25 @@
     try (ServerSocket socket = new ServerSocket(0, 1, HERE)) {
       free = socket.getLocalPort();
     }
-    assertThat(failure("127.0.0.1:" + free, LIMIT_MS), is(Code.UNSENT));
+    assertThat(failure("127.0.0.1:" + free, LIMIT_MS), is(ErrorCode.UNSENT));
   }
 
   @Test
   void tellsSilenceAndABreakAndBytesThatAreNoAnswer() throws Exception {
     try (ServerSocket server = new ServerSocket(0, 50, HERE)) {
       String address = "127.0.0.1:" + server.getLocalPort();
-      assertThat(failure(address, 100), is(Code.SILENT));
+      assertThat(failure(address, 100), is(ErrorCode.SILENT));
       server.accept().close();
       assertThat(answered(server, address, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal"),
-          is(Code.BROKEN));
-      assertThat(answered(server, address, ""), is(Code.BROKEN));
-      assertThat(answered(server, address, "rubbish\r\n\r\n"), is(Code.GARBLED));
+          is(ErrorCode.BROKEN));
+      assertThat(answered(server, address, ""), is(ErrorCode.BROKEN));
+      assertThat(answered(server, address, "rubbish\r\n\r\n"), is(ErrorCode.GARBLED));
       assertThat(answered(server, address,
-          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx"), is(Code.GARBLED));
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx"), is(ErrorCode.GARBLED));
     }
   }
 
-  private Code answered(ServerSocket server, String address, String bytes) throws Exception {
+  private ErrorCode answered(ServerSocket server, String address, String bytes) throws Exception {
     CompletableFuture<HttpReply> reply = asker.get(address, "/", LIMIT_MS);
     try (Socket socket = server.accept()) {
       InputStream in = socket.getInputStream();
--- a/station/src/test/java/elmsail/station/http/ServedTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/ServedTest.java
@@ -1,4 +1,4 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -7,9 +7,9 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.MovedClock;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.MovedClock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -31,7 +31,7 @@
   private final EmbeddedChannel channel = new EmbeddedChannel();
 
   ServedTest() {
-    Served.pipeline(channel, clock, call -> {
+    HttpServerConnection.pipeline(channel, clock, call -> {
       calls.add(call);
       replies.add(new CompletableFuture<>());
       return replies.get(replies.size() - 1);
@@ -95,7 +95,7 @@
   void reordersNothingWhenRepliesAreThereAtOnce() {
     List<String> paths = new ArrayList<>();
     EmbeddedChannel quick = new EmbeddedChannel();
-    Served.pipeline(quick, clock, call -> {
+    HttpServerConnection.pipeline(quick, clock, call -> {
       paths.add(call.path());
       return CompletableFuture.completedFuture(new HttpReply(200, Map.of(), new byte[0]));
     }, MOST_BODY);
@@ -109,7 +109,7 @@
   @Test
   void answersAFailure503AndGoesOn() {
     send("GET /a HTTP/1.1||");
-    replies.get(0).completeExceptionally(new ElmsailException(Code.NOT_REACHED, "no majority"));
+    replies.get(0).completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED, "no majority"));
     assertThat(sent(), startsWith("HTTP/1.1 503 "));
     assertThat(channel.isOpen(), is(true));
     send("GET /b HTTP/1.1||");
@@ -142,7 +142,7 @@
 
   @Test
   void turnsAwayHeadsBeyondTheBound() {
-    send("GET / HTTP/1.1|A: " + "a".repeat(Served.MOST_HEAD) + "||");
+    send("GET / HTTP/1.1|A: " + "a".repeat(HttpServerConnection.MOST_HEAD) + "||");
     assertThat(sent(), startsWith("HTTP/1.1 431 "));
     assertThat(channel.isOpen(), is(false));
   }
@@ -186,7 +186,7 @@
 
   @Test
   void closesAConnectionThatIdles() {
-    clock.pass(Served.IDLE_MS - 1);
+    clock.pass(HttpServerConnection.IDLE_MS - 1);
     assertThat(channel.isOpen(), is(true));
     clock.pass(1);
     assertThat(channel.isOpen(), is(false));
@@ -209,10 +209,10 @@
   @Test
   void keepsAConnectionWhoseCallIsBeingAnswered() {
     send("GET / HTTP/1.1||");
-    clock.pass(3 * Served.IDLE_MS);
+    clock.pass(3 * HttpServerConnection.IDLE_MS);
     answer(0, "late");
     assertThat(sent(), containsString("late"));
-    clock.pass(Served.IDLE_MS);
+    clock.pass(HttpServerConnection.IDLE_MS);
     assertThat(channel.isOpen(), is(false));
   }
 
--- a/station/src/test/java/elmsail/station/http/StrictDecodersTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/StrictDecodersTest.java
@@ -1,4 +1,4 @@
-package elmsail.station.http;
+package elmsail.runtime.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
--- a/rehearsal/src/main/java/elmsail/rehearsal/HandTimers.java
+++ b/simulation/src/main/java/elmsail/simulation/ManualTimers.java
@@ -1,10 +1,10 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
-import elmsail.station.Timers;
+import elmsail.runtime.Timers;
 import java.util.PriorityQueue;
 
 /** A clock that stands still until it is moved, and timers that go off as it passes them, in order. */
-public final class HandTimers implements Timers {
+public final class ManualTimers implements Timers {
 
   private record Due(long at, long number, Runnable then) implements Comparable<Due> {
     @Override
--- a/rehearsal/src/main/java/elmsail/rehearsal/Node.java
+++ b/simulation/src/main/java/elmsail/simulation/Node.java
@@ -1,9 +1,9 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
-import elmsail.inner.Answering;
-import elmsail.inner.Answers;
-import elmsail.inner.Caller;
-import elmsail.station.Timers;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.HandlerTable;
+import elmsail.rpc.Caller;
+import elmsail.runtime.Timers;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -21,7 +21,7 @@
 
   private final SimNet net;
   private final String address;
-  private final Answers answers = new Answers();
+  private final HandlerTable answers = new HandlerTable();
   private final Timers base;
   private final Timers timers = new OwnTimers();
   private final Queue<Runnable> heldMessages = new ArrayDeque<>();
@@ -52,7 +52,7 @@
     return this;
   }
 
-  public Answering answering() {
+  public RequestHandlers answering() {
     return answers;
   }
 
@@ -63,11 +63,11 @@
 
   /** Of a dead process it never completes. */
   @Override
-  public <A> CompletableFuture<A> call(String peer, Object ask, Class<A> answer, long timeoutMs) {
-    return net.call(this, peer, ask, answer, timeoutMs);
+  public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
+    return net.call(this, peer, request, answer, timeoutMs);
   }
 
-  Answers answers() {
+  HandlerTable answers() {
     return answers;
   }
 
--- a/rehearsal/src/main/java/elmsail/rehearsal/SimCall.java
+++ b/simulation/src/main/java/elmsail/simulation/SimCall.java
@@ -1,8 +1,8 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.util.concurrent.CompletableFuture;
 
 /** A call on its way through a {@link SimNet}. */
@@ -25,13 +25,13 @@
 
   void answered(Object message) {
     if (!answer.isInstance(message)) {
-      fail(Code.GARBLED);
+      fail(ErrorCode.GARBLED);
     } else if (end()) {
       future.complete(message);
     }
   }
 
-  void fail(Code code) {
+  void fail(ErrorCode code) {
     if (end()) {
       future.completeExceptionally(new ElmsailException(code, from.address() + " to " + to));
     }
--- a/rehearsal/src/main/java/elmsail/rehearsal/SimDisk.java
+++ b/simulation/src/main/java/elmsail/simulation/SimDisk.java
@@ -1,9 +1,9 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
-import elmsail.disk.Records;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.storage.RecordStore;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +17,7 @@
  * outlives the processes that use it one after the other. After a refused batch, all that waits, and all that
  * is written until the failure was told, fails too, as on a real one. Deterministic from its seed.
  */
-public final class SimDisk implements Records {
+public final class SimDisk implements RecordStore {
 
   private static final class Batch {
     private final List<Change> changes = new ArrayList<>();
@@ -25,7 +25,7 @@
   }
 
   private final Random random;
-  private final HandTimers timers;
+  private final ManualTimers timers;
   private final TreeMap<String, byte[]> safe = new TreeMap<>();
   private final TreeMap<String, byte[]> view = new TreeMap<>();
   private Timers owner;
@@ -42,14 +42,14 @@
   private boolean fresh = true;
   /** Whether no process has opened it since it was new. */
   private boolean blank = true;
-  private long life;
+  private long instanceId;
   private long syncs;
 
-  public SimDisk(long seed, HandTimers timers) {
+  public SimDisk(long seed, ManualTimers timers) {
     this.random = new Random(seed);
     this.timers = timers;
     this.owner = timers;
-    this.life = random.nextLong();
+    this.instanceId = random.nextLong();
   }
 
   /** Ms that a sync takes, drawn for each. */
@@ -68,7 +68,7 @@
     refusing = true;
   }
 
-  /** Ends the refusal. */
+  /** ProcessSignals the refusal. */
   public void accept() {
     refusing = false;
   }
@@ -101,7 +101,7 @@
     blank = true;
     refusing = false;
     stalledUntil = 0;
-    life = random.nextLong();
+    instanceId = random.nextLong();
   }
 
   /**
@@ -122,8 +122,8 @@
   }
 
   @Override
-  public long life() {
-    return life;
+  public long instanceId() {
+    return instanceId;
   }
 
   @Override
@@ -250,13 +250,13 @@
       }
       failing = null;
       for (CompletableFuture<Void> future : failed) {
-        future.completeExceptionally(new ElmsailException(Code.DISK, "refused"));
+        future.completeExceptionally(new ElmsailException(ErrorCode.DISK, "refused"));
       }
     });
   }
 
   private void fail(CompletableFuture<Void> future, String detail) {
-    owner.soon(() -> future.completeExceptionally(new ElmsailException(Code.DISK, detail)));
+    owner.soon(() -> future.completeExceptionally(new ElmsailException(ErrorCode.DISK, detail)));
   }
 
   private static void apply(Map<String, byte[]> records, List<Change> changes) {
--- a/rehearsal/src/main/java/elmsail/rehearsal/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -1,8 +1,8 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
-import elmsail.inner.Codec;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.rpc.Codec;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,14 +20,14 @@
   /** Ms until a call to a machine without power fails, as its connection does not come about. */
   public static final long CONNECT_WITHIN = 700;
 
-  private record Ends(String from, String to) {
+  private record ProcessSignals(String from, String to) {
   }
 
   private final Random random;
-  private final HandTimers timers;
+  private final ManualTimers timers;
   private final Codec codec = new Codec();
   private final Map<String, Node> nodes = new LinkedHashMap<>();
-  private final Map<Ends, Way> ways = new LinkedHashMap<>();
+  private final Map<ProcessSignals, SimPath> ways = new LinkedHashMap<>();
   /** Addresses of processes that died without a word. */
   private final Map<String, Boolean> dark = new LinkedHashMap<>();
   private long leastMs = 1;
@@ -38,7 +38,7 @@
   private long digest;
   private final List<Throwable> faults = new ArrayList<>();
 
-  public SimNet(long seed, HandTimers timers) {
+  public SimNet(long seed, ManualTimers timers) {
     this.random = new Random(seed);
     this.timers = timers;
   }
@@ -60,7 +60,7 @@
   }
 
   /** The clock that all share. */
-  public HandTimers timers() {
+  public ManualTimers timers() {
     return timers;
   }
 
@@ -68,7 +68,7 @@
   public void delay(long least, long most) {
     leastMs = least;
     mostMs = most;
-    for (Way way : ways.values()) {
+    for (SimPath way : ways.values()) {
       way.delay(least, most);
     }
   }
@@ -80,7 +80,7 @@
   /** The part of messages, 0 to 1, that vanish on all links. */
   public void loss(double part) {
     loss = part;
-    for (Way way : ways.values()) {
+    for (SimPath way : ways.values()) {
       way.loss = part;
     }
   }
@@ -91,7 +91,7 @@
 
   /** Messages that way vanish, also those under way. */
   public void cut(String from, String to) {
-    way(from, to).fault = Way.Fault.CUT;
+    way(from, to).fault = SimPath.Fault.CUT;
   }
 
   public void cutBoth(String one, String other) {
@@ -112,7 +112,7 @@
    * Calls that way, also open ones, break at once; whether the ask reaches the peer nonetheless is drawn.
    */
   public void reset(String from, String to) {
-    way(from, to).fault = Way.Fault.RESET;
+    way(from, to).fault = SimPath.Fault.RESET;
     breakOpen(from, to);
   }
 
@@ -123,12 +123,12 @@
 
   /** Calls that way fail UNSENT at once; open ones go on. */
   public void refuse(String from, String to) {
-    way(from, to).fault = Way.Fault.REFUSE;
+    way(from, to).fault = SimPath.Fault.REFUSE;
   }
 
-  /** Ends a cut, reset or refusal; delay and loss stay. */
+  /** ProcessSignals a cut, reset or refusal; delay and loss stay. */
   public void heal(String from, String to) {
-    way(from, to).fault = Way.Fault.NONE;
+    way(from, to).fault = SimPath.Fault.NONE;
   }
 
   public void healBoth(String one, String other) {
@@ -137,8 +137,8 @@
   }
 
   public void healAll() {
-    for (Way way : ways.values()) {
-      way.fault = Way.Fault.NONE;
+    for (SimPath way : ways.values()) {
+      way.fault = SimPath.Fault.NONE;
     }
   }
 
@@ -150,17 +150,17 @@
   /**
    * Kills the process: nothing of it runs any more, and its messages under way are lost or not.
    *
-   * @param told true: open calls to it break, later ones are UNSENT at once (the process died); false: open
+   * @param response true: open calls to it break, later ones are UNSENT at once (the process died); false: open
    *     ones are SILENT, later ones UNSENT after {@link #CONNECT_WITHIN} (the machine lost its power)
    */
-  public void kill(String address, boolean told) {
+  public void kill(String address, boolean response) {
     Node node = nodes.remove(address);
     if (node == null) {
       return;
     }
     node.die();
-    dark.put(address, !told);
-    if (told) {
+    dark.put(address, !response);
+    if (response) {
       for (Node other : new ArrayList<>(nodes.values())) {
         breakOpen(other.address(), address);
       }
@@ -194,7 +194,7 @@
     return digest;
   }
 
-  <A> CompletableFuture<A> call(Node from, String to, Object ask, Class<A> answer, long timeoutMs) {
+  <A> CompletableFuture<A> call(Node from, String to, Object request, Class<A> answer, long timeoutMs) {
     SimCall call = new SimCall(from, to, answer);
     @SuppressWarnings("unchecked")
     CompletableFuture<A> future = (CompletableFuture<A>) call.future;
@@ -202,10 +202,10 @@
       return future;
     }
     from.open.add(call);
-    call.timer = from.timers().after(Math.max(0, timeoutMs), () -> call.fail(Code.SILENT));
+    call.timer = from.timers().after(Math.max(0, timeoutMs), () -> call.fail(ErrorCode.SILENT));
     Object copy;
     try {
-      copy = codec.copy(ask);
+      copy = codec.copy(request);
     } catch (ElmsailException e) {
       from.timers().soon(() -> call.fail(e.code()));
       return future;
@@ -218,43 +218,43 @@
     return future;
   }
 
-  private void send(SimCall call, Object ask) {
+  private void send(SimCall call, Object request) {
     Node from = call.from;
-    Way way = way(from.address(), call.to);
+    SimPath way = way(from.address(), call.to);
     Node target = nodes.get(call.to);
-    note(from.address(), call.to, ask);
-    if (way.fault == Way.Fault.REFUSE) {
-      from.timers().soon(() -> call.fail(Code.UNSENT));
-    } else if (way.fault == Way.Fault.RESET) {
-      from.timers().soon(() -> call.fail(Code.BROKEN));
+    note(from.address(), call.to, request);
+    if (way.fault == SimPath.Fault.REFUSE) {
+      from.timers().soon(() -> call.fail(ErrorCode.UNSENT));
+    } else if (way.fault == SimPath.Fault.RESET) {
+      from.timers().soon(() -> call.fail(ErrorCode.BROKEN));
       if (random.nextBoolean()) {
-        carry(from.address(), call.to, () -> arrive(call, target, ask));
+        carry(from.address(), call.to, () -> arrive(call, target, request));
       }
-    } else if (way.fault == Way.Fault.NONE && target == null) {
+    } else if (way.fault == SimPath.Fault.NONE && target == null) {
       boolean silent = dark.getOrDefault(call.to, false);
-      from.timers().after(silent ? CONNECT_WITHIN : way.draw(random), () -> call.fail(Code.UNSENT));
+      from.timers().after(silent ? CONNECT_WITHIN : way.draw(random), () -> call.fail(ErrorCode.UNSENT));
     } else {
-      carry(from.address(), call.to, () -> arrive(call, target, ask));
+      carry(from.address(), call.to, () -> arrive(call, target, request));
     }
   }
 
   /** The connection led to that one process: another at the same address does not know it. */
-  private void arrive(SimCall call, Node target, Object ask) {
+  private void arrive(SimCall call, Node target, Object request) {
     if (target == null || !target.alive()) {
       if (!dark.getOrDefault(call.to, false)) {
-        carry(call.to, call.from.address(), () -> call.from.deliver(() -> call.fail(Code.BROKEN)));
+        carry(call.to, call.from.address(), () -> call.from.deliver(() -> call.fail(ErrorCode.BROKEN)));
       }
       return;
     }
-    target.deliver(() -> handle(call, target, ask));
+    target.deliver(() -> handle(call, target, request));
   }
 
-  private void handle(SimCall call, Node target, Object ask) {
-    target.answers().handle(ask).whenComplete((answer, thrown) -> {
+  private void handle(SimCall call, Node target, Object request) {
+    target.answers().handle(request).whenComplete((answer, thrown) -> {
       if (!target.alive()) {
         return;
       }
-      Code code = null;
+      ErrorCode code = null;
       Object copy = null;
       if (thrown != null) {
         code = ElmsailException.codeOf(thrown);
@@ -280,7 +280,7 @@
     }
   }
 
-  private void answer(SimCall call, Node target, Object answer, Code code) {
+  private void answer(SimCall call, Node target, Object answer, ErrorCode code) {
     Runnable end = () -> {
       if (code != null) {
         call.fail(code);
@@ -297,16 +297,16 @@
   }
 
   private void carry(String from, String to, Runnable arrival) {
-    Way way = way(from, to);
+    SimPath way = way(from, to);
     sent++;
     boolean vanishes = random.nextDouble() < way.loss;
     long ms = way.draw(random);
-    if (vanishes || way.fault == Way.Fault.CUT) {
+    if (vanishes || way.fault == SimPath.Fault.CUT) {
       lost++;
       return;
     }
     timers.after(ms, () -> {
-      if (way.fault == Way.Fault.CUT) {
+      if (way.fault == SimPath.Fault.CUT) {
         lost++;
       } else {
         arrival.run();
@@ -321,14 +321,14 @@
     }
     for (SimCall call : new ArrayList<>(node.open)) {
       if (call.to.equals(to)) {
-        timers.soon(() -> node.deliver(() -> call.fail(Code.BROKEN)));
+        timers.soon(() -> node.deliver(() -> call.fail(ErrorCode.BROKEN)));
       }
     }
   }
 
-  private Way way(String from, String to) {
-    return ways.computeIfAbsent(new Ends(from, to), ends -> {
-      Way way = new Way();
+  private SimPath way(String from, String to) {
+    return ways.computeIfAbsent(new ProcessSignals(from, to), ends -> {
+      SimPath way = new SimPath();
       way.delay(leastMs, mostMs);
       way.loss = loss;
       return way;
--- a/rehearsal/src/main/java/elmsail/rehearsal/Way.java
+++ b/simulation/src/main/java/elmsail/simulation/SimPath.java
@@ -1,9 +1,9 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
 import java.util.Random;
 
 /** One direction between two addresses of a {@link SimNet}. */
-final class Way {
+final class SimPath {
 
   enum Fault { NONE, CUT, RESET, REFUSE }
 
--- a/rehearsal/src/test/java/elmsail/rehearsal/SimDiskTest.java
+++ b/simulation/src/test/java/elmsail/simulation/SimDiskTest.java
@@ -1,4 +1,4 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
@@ -13,9 +13,9 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.disk.Records.Change;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.storage.RecordStore.Change;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -25,14 +25,14 @@
 /** What the simulated disk keeps through losses of power, and when it tells. */
 class SimDiskTest {
 
-  private final HandTimers timers = new HandTimers();
+  private final ManualTimers timers = new ManualTimers();
   private final SimDisk disk = new SimDisk(3, timers);
 
   private static Change put(String name, int value) {
     return new Change(name, new byte[] {(byte) value});
   }
 
-  private static Code codeOf(CompletableFuture<?> write) {
+  private static ErrorCode codeOf(CompletableFuture<?> write) {
     assertThat(write.isCompletedExceptionally(), is(true));
     return ElmsailException.codeOf(assertThrows(CompletionException.class, write::join));
   }
@@ -100,17 +100,17 @@
 
   @Test
   void lifeStaysUntilTheDiskIsWiped() {
-    long life = disk.life();
+    long instanceId = disk.instanceId();
     assertThat(disk.open(timers).fresh(), is(true));
     disk.write(List.of(put("a", 1)));
     timers.pass(10);
     assertThat(disk.open(timers).fresh(), is(false));
     disk.powerLoss();
-    assertThat(disk.life(), is(life));
+    assertThat(disk.instanceId(), is(instanceId));
     assertThat(disk.fresh(), is(false));
     disk.wipe();
     assertThat(disk.open(timers).fresh(), is(true));
-    assertThat(disk.life(), is(not(life)));
+    assertThat(disk.instanceId(), is(not(instanceId)));
     assertThat(disk.names(""), is(emptyIterable()));
     assertThat(disk.open(timers).fresh(), is(false));
   }
@@ -139,7 +139,7 @@
     disk.refuse();
     CompletableFuture<Void> write = disk.write(List.of(put("a", 2)));
     timers.pass(10);
-    assertThat(codeOf(write), is(Code.DISK));
+    assertThat(codeOf(write), is(ErrorCode.DISK));
     assertThat(disk.read("a"), equalTo(new byte[] {1}));
     disk.accept();
     CompletableFuture<Void> next = disk.write(List.of(put("a", 3)));
@@ -160,8 +160,8 @@
     disk.write(List.of(put("c", 2)));
     timers.pass(5);
     disk.accept();
-    assertThat(codeOf(first), is(Code.DISK));
-    assertThat(codeOf(gathered), is(Code.DISK));
+    assertThat(codeOf(first), is(ErrorCode.DISK));
+    assertThat(codeOf(gathered), is(ErrorCode.DISK));
     assertThat(disk.names(""), contains("a"));
     assertThat(disk.read("a"), equalTo(new byte[] {1}));
     timers.pass(100);
@@ -181,8 +181,8 @@
       between.add(disk.write(List.of(put("b", 1))));
     });
     timers.pass(10);
-    assertThat(codeOf(first), is(Code.DISK));
-    assertThat(codeOf(between.get(0)), is(Code.DISK));
+    assertThat(codeOf(first), is(ErrorCode.DISK));
+    assertThat(codeOf(between.get(0)), is(ErrorCode.DISK));
     CompletableFuture<Void> next = disk.write(List.of(put("c", 1)));
     timers.pass(10);
     next.join();
@@ -218,7 +218,7 @@
     disk.close();
     CompletableFuture<Void> write = disk.write(List.of(put("a", 1)));
     timers.pass(0);
-    assertThat(codeOf(write), is(Code.DISK));
+    assertThat(codeOf(write), is(ErrorCode.DISK));
     disk.open(timers);
     CompletableFuture<Void> next = disk.write(List.of(put("a", 1)));
     timers.pass(10);
@@ -253,7 +253,7 @@
   }
 
   private static List<String> run(long seed) {
-    HandTimers timers = new HandTimers();
+    ManualTimers timers = new ManualTimers();
     SimDisk disk = new SimDisk(seed, timers);
     List<String> log = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
--- a/rehearsal/src/test/java/elmsail/rehearsal/SimNetTest.java
+++ b/simulation/src/test/java/elmsail/simulation/SimNetTest.java
@@ -1,4 +1,4 @@
-package elmsail.rehearsal;
+package elmsail.simulation;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -10,10 +10,10 @@
 import static org.hamcrest.Matchers.sameInstance;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.inner.words.Note;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
-import elmsail.station.Timers;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -27,11 +27,11 @@
   private static final String A = "10.0.0.1:7";
   private static final String B = "10.0.0.2:7";
 
-  private final HandTimers timers = new HandTimers();
+  private final ManualTimers timers = new ManualTimers();
   private final SimNet net = new SimNet(5, timers);
   private Node a;
   private Node b;
-  private final List<Note> heard = new ArrayList<>();
+  private final List<OpaqueMessage> heard = new ArrayList<>();
 
   @BeforeEach
   void start() {
@@ -42,23 +42,23 @@
   }
 
   private void echo(Node node) {
-    node.answering().on(Note.class, ask -> {
-      heard.add(ask);
-      return CompletableFuture.completedFuture(ask);
+    node.answering().on(OpaqueMessage.class, request -> {
+      heard.add(request);
+      return CompletableFuture.completedFuture(request);
     });
   }
 
-  private static Note note(String kind) {
-    Note note = new Note();
+  private static OpaqueMessage note(String kind) {
+    OpaqueMessage note = new OpaqueMessage();
     note.kind = kind;
     return note;
   }
 
-  private CompletableFuture<Note> ask() {
-    return a.caller().call(B, note("x"), Note.class, 1_000);
+  private CompletableFuture<OpaqueMessage> request() {
+    return a.caller().call(B, note("x"), OpaqueMessage.class, 1_000);
   }
 
-  private static Code codeOf(CompletableFuture<?> call) {
+  private static ErrorCode codeOf(CompletableFuture<?> call) {
     assertThat(call.isCompletedExceptionally(), is(true));
     return ElmsailException.codeOf(assertThrows(CompletionException.class, call::join));
   }
@@ -66,8 +66,8 @@
   @Test
   void callTakesTheDelayOfBothWaysAndSharesNothing() {
     net.delay(B, A, 5, 5);
-    Note asked = note("x");
-    CompletableFuture<Note> call = a.caller().call(B, asked, Note.class, 1_000);
+    OpaqueMessage asked = note("x");
+    CompletableFuture<OpaqueMessage> call = a.caller().call(B, asked, OpaqueMessage.class, 1_000);
     timers.pass(6);
     assertThat(heard.size(), is(1));
     assertThat(call.isDone(), is(false));
@@ -79,49 +79,49 @@
 
   @Test
   void failedHandlerFailsTheCallWithItsCode() {
-    b.answering().on(Note.class,
-        ask -> CompletableFuture.failedFuture(new ElmsailException(Code.NOT_SEATED, "x")));
-    CompletableFuture<Note> call = ask();
+    b.answering().on(OpaqueMessage.class,
+        request -> CompletableFuture.failedFuture(new ElmsailException(ErrorCode.NOT_SEATED, "x")));
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(4);
-    assertThat(codeOf(call), is(Code.NOT_SEATED));
+    assertThat(codeOf(call), is(ErrorCode.NOT_SEATED));
   }
 
   @Test
   void faultsOfHandlersAreKeptForTheTest() {
     IllegalStateException fault = new IllegalStateException("a fault");
-    b.answering().on(Note.class, ask -> {
+    b.answering().on(OpaqueMessage.class, request -> {
       throw fault;
     });
-    CompletableFuture<Note> call = ask();
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(4);
-    assertThat(codeOf(call), is(Code.FAULT));
+    assertThat(codeOf(call), is(ErrorCode.FAULT));
     assertThat(net.faults(), contains(fault));
   }
 
   @Test
   void cutWayIsSilentAndTheOtherWayIsNot() {
     net.cut(B, A);
-    CompletableFuture<Note> call = ask();
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(999);
     assertThat("the ask gets there", heard.size(), is(1));
     assertThat(call.isDone(), is(false));
     timers.pass(1);
-    assertThat(codeOf(call), is(Code.SILENT));
+    assertThat(codeOf(call), is(ErrorCode.SILENT));
     net.heal(B, A);
     net.cut(A, B);
-    CompletableFuture<Note> next = ask();
+    CompletableFuture<OpaqueMessage> next = request();
     timers.pass(1_000);
-    assertThat(codeOf(next), is(Code.SILENT));
+    assertThat(codeOf(next), is(ErrorCode.SILENT));
     assertThat(heard.size(), is(1));
     net.healAll();
-    CompletableFuture<Note> last = ask();
+    CompletableFuture<OpaqueMessage> last = request();
     timers.pass(4);
     assertThat(last.join().kind, is("x"));
   }
 
   @Test
   void cutTakesWhatIsUnderWay() {
-    ask();
+    request();
     timers.pass(1);
     net.isolate(A);
     timers.pass(10);
@@ -131,15 +131,15 @@
 
   @Test
   void resetBreaksAtOnceAndTheAskMayArrive() {
-    CompletableFuture<Note> open = ask();
+    CompletableFuture<OpaqueMessage> open = request();
     net.reset(A, B);
     assertThat(open.isDone(), is(false));
     timers.pass(0);
-    assertThat(codeOf(open), is(Code.BROKEN));
+    assertThat(codeOf(open), is(ErrorCode.BROKEN));
     for (int i = 0; i < 40; i++) {
-      CompletableFuture<Note> call = ask();
+      CompletableFuture<OpaqueMessage> call = request();
       timers.pass(0);
-      assertThat(codeOf(call), is(Code.BROKEN));
+      assertThat(codeOf(call), is(ErrorCode.BROKEN));
     }
     timers.pass(10);
     assertThat(heard.size(), is(greaterThan(5)));
@@ -148,30 +148,30 @@
 
   @Test
   void brokenOnceIsSoundAfterwards() {
-    CompletableFuture<Note> open = ask();
+    CompletableFuture<OpaqueMessage> open = request();
     net.breakOnce(A, B);
-    CompletableFuture<Note> next = ask();
+    CompletableFuture<OpaqueMessage> next = request();
     timers.pass(4);
-    assertThat(codeOf(open), is(Code.BROKEN));
+    assertThat(codeOf(open), is(ErrorCode.BROKEN));
     assertThat(next.join().kind, is("x"));
   }
 
   @Test
   void refusedIsUnsentAtOnceAndNothingArrives() {
     net.refuse(A, B);
-    CompletableFuture<Note> call = ask();
+    CompletableFuture<OpaqueMessage> call = request();
     assertThat(call.isDone(), is(false));
     timers.pass(0);
-    assertThat(codeOf(call), is(Code.UNSENT));
+    assertThat(codeOf(call), is(ErrorCode.UNSENT));
     timers.pass(100);
     assertThat(heard, is(empty()));
   }
 
   @Test
   void callToNobodyIsUnsent() {
-    CompletableFuture<Note> call = a.caller().call("10.0.0.9:7", note("x"), Note.class, 1_000);
+    CompletableFuture<OpaqueMessage> call = a.caller().call("10.0.0.9:7", note("x"), OpaqueMessage.class, 1_000);
     timers.pass(2);
-    assertThat(codeOf(call), is(Code.UNSENT));
+    assertThat(codeOf(call), is(ErrorCode.UNSENT));
   }
 
   @Test
@@ -179,10 +179,10 @@
     net.loss(0.5);
     int answered = 0;
     for (int i = 0; i < 400; i++) {
-      CompletableFuture<Note> call = ask();
+      CompletableFuture<OpaqueMessage> call = request();
       timers.pass(1_000);
       if (call.isCompletedExceptionally()) {
-        assertThat(codeOf(call), is(Code.SILENT));
+        assertThat(codeOf(call), is(ErrorCode.SILENT));
       } else {
         answered++;
       }
@@ -194,29 +194,29 @@
 
   @Test
   void killedProcessWithAWordBreaksItsCallers() {
-    b.answering().on(Note.class, ask -> new CompletableFuture<>());
-    CompletableFuture<Note> open = ask();
+    b.answering().on(OpaqueMessage.class, request -> new CompletableFuture<>());
+    CompletableFuture<OpaqueMessage> open = request();
     timers.pass(5);
     net.kill(B, true);
     timers.pass(0);
-    assertThat(codeOf(open), is(Code.BROKEN));
-    CompletableFuture<Note> next = ask();
+    assertThat(codeOf(open), is(ErrorCode.BROKEN));
+    CompletableFuture<OpaqueMessage> next = request();
     timers.pass(2);
-    assertThat(codeOf(next), is(Code.UNSENT));
+    assertThat(codeOf(next), is(ErrorCode.UNSENT));
   }
 
   @Test
   void machineWithoutPowerIsSilent() {
-    CompletableFuture<Note> open = ask();
+    CompletableFuture<OpaqueMessage> open = request();
     timers.pass(1);
     net.kill(B, false);
     timers.pass(500);
     assertThat(open.isDone(), is(false));
-    CompletableFuture<Note> next = ask();
+    CompletableFuture<OpaqueMessage> next = request();
     timers.pass(500);
-    assertThat(codeOf(open), is(Code.SILENT));
+    assertThat(codeOf(open), is(ErrorCode.SILENT));
     timers.pass(SimNet.CONNECT_WITHIN - 500);
-    assertThat(codeOf(next), is(Code.UNSENT));
+    assertThat(codeOf(next), is(ErrorCode.UNSENT));
     assertThat(heard, is(empty()));
   }
 
@@ -224,12 +224,12 @@
   void nothingOfADeadProcessRuns() {
     List<String> ran = new ArrayList<>();
     b.timers().after(10, () -> ran.add("timer"));
-    a.answering().on(Note.class, ask -> new CompletableFuture<>());
-    CompletableFuture<Note> own = b.caller().call(A, note("x"), Note.class, 50);
-    own.whenComplete((told, thrown) -> ran.add("call"));
-    CompletableFuture<Note> held = new CompletableFuture<>();
-    b.answering().on(Note.class, ask -> held);
-    CompletableFuture<Note> call = ask();
+    a.answering().on(OpaqueMessage.class, request -> new CompletableFuture<>());
+    CompletableFuture<OpaqueMessage> own = b.caller().call(A, note("x"), OpaqueMessage.class, 50);
+    own.whenComplete((response, thrown) -> ran.add("call"));
+    CompletableFuture<OpaqueMessage> held = new CompletableFuture<>();
+    b.answering().on(OpaqueMessage.class, request -> held);
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(5);
     net.kill(B, false);
     held.complete(note("late"));
@@ -237,14 +237,14 @@
     timers.pass(900);
     assertThat(ran, is(empty()));
     assertThat(call.isDone(), is(false));
-    assertThat(b.caller().call(A, note("x"), Note.class, 5).isDone(), is(false));
+    assertThat(b.caller().call(A, note("x"), OpaqueMessage.class, 5).isDone(), is(false));
     timers.pass(100);
-    assertThat(codeOf(call), is(Code.SILENT));
+    assertThat(codeOf(call), is(ErrorCode.SILENT));
   }
 
   @Test
   void newProcessAtTheAddressDoesNotGetTheOldOnesMessages() {
-    CompletableFuture<Note> call = ask();
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(1);
     Node again = net.node(B);
     echo(again);
@@ -252,7 +252,7 @@
     timers.pass(1_000);
     assertThat(call.isCompletedExceptionally(), is(true));
     assertThat(heard, is(empty()));
-    CompletableFuture<Note> next = ask();
+    CompletableFuture<OpaqueMessage> next = request();
     timers.pass(4);
     assertThat(next.join().kind, is("x"));
   }
@@ -260,17 +260,17 @@
   @Test
   void frozenProcessRunsWhatWasHeldMessagesFirst() {
     List<String> ran = new ArrayList<>();
-    b.answering().on(Note.class, ask -> {
+    b.answering().on(OpaqueMessage.class, request -> {
       ran.add("message");
-      return CompletableFuture.completedFuture(ask);
+      return CompletableFuture.completedFuture(request);
     });
     Timers.Timer cancelled = b.timers().after(3, () -> ran.add("cancelled"));
     b.timers().after(1, () -> ran.add("first"));
     b.timers().after(50, () -> ran.add("second"));
     net.freeze(B);
-    CompletableFuture<Note> call = ask();
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(1_000);
-    assertThat(codeOf(call), is(Code.SILENT));
+    assertThat(codeOf(call), is(ErrorCode.SILENT));
     assertThat(ran, is(empty()));
     cancelled.cancel();
     net.thaw(B);
@@ -280,7 +280,7 @@
 
   @Test
   void frozenCallerFindsTheAnswerBeforeItsStaleTimer() {
-    CompletableFuture<Note> call = ask();
+    CompletableFuture<OpaqueMessage> call = request();
     timers.pass(1);
     net.freeze(A);
     timers.pass(5_000);
@@ -294,7 +294,7 @@
   void ownCallsGoThroughNoNetwork() {
     echo(a);
     net.loss(1);
-    CompletableFuture<Note> call = a.caller().call(A, note("own"), Note.class, 10);
+    CompletableFuture<OpaqueMessage> call = a.caller().call(A, note("own"), OpaqueMessage.class, 10);
     assertThat(call.isDone(), is(false));
     timers.pass(0);
     assertThat(call.join().kind, is("own"));
@@ -308,19 +308,19 @@
   }
 
   private static List<String> run(long seed) {
-    HandTimers timers = new HandTimers();
+    ManualTimers timers = new ManualTimers();
     SimNet net = new SimNet(seed, timers);
     net.delay(1, 30);
     net.loss(0.2);
     List<String> log = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
-      net.node("n" + i).answering().on(Note.class, ask -> CompletableFuture.completedFuture(ask));
+      net.node("n" + i).answering().on(OpaqueMessage.class, request -> CompletableFuture.completedFuture(request));
     }
     for (int i = 0; i < 60; i++) {
       String to = "n" + i % 3;
       String name = "call " + i;
-      net.at("n" + (i + 1) % 3).caller().call(to, note(name), Note.class, 200)
-          .whenComplete((told, thrown) -> log.add(timers.now() + name + (told == null ? "failed" : "told")));
+      net.at("n" + (i + 1) % 3).caller().call(to, note(name), OpaqueMessage.class, 200)
+          .whenComplete((response, thrown) -> log.add(timers.now() + name + (response == null ? "failed" : "told")));
       timers.pass(3);
       if (i == 30) {
         net.kill("n1");
--- a/disk/src/main/java/elmsail/disk/ByteCache.java
+++ b/storage/src/main/java/elmsail/storage/ByteCache.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
--- a/disk/src/main/java/elmsail/disk/Compaction.java
+++ b/storage/src/main/java/elmsail/storage/Compaction.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -22,12 +22,12 @@
     deadBytes = Math.min(DEAD_BYTES, mostBytes / 20);
   }
 
-  /** Records to be written into one new file; files of which nothing live is left go after that. */
-  record Step(List<Named> moved, long movedBytes) {
+  /** RecordStore to be written into one new file; files of which nothing live is left go after that. */
+  record Step(List<IndexEntry> moved, long movedBytes) {
   }
 
   /** Null if nothing is to be gained. {@code pressed}: the room is needed by what waits. */
-  Step next(Index index, boolean pressed) {
+  Step next(RecordIndex index, boolean pressed) {
     long dead = index.diskBytes() - index.liveBytes();
     if (pressed || dead > index.liveBytes() + deadBytes) {
       Step step = emptiest(index);
@@ -39,21 +39,21 @@
   }
 
   /** From the file with the smallest live part, and all others that fit into the step. */
-  private Step emptiest(Index index) {
-    List<VersionOnDisk> files = candidates(index);
+  private Step emptiest(RecordIndex index) {
+    List<VersionFile> files = candidates(index);
     files.removeIf(f -> f.deadBytes() - FRAME_BYTES <= f.bytes / 20);
-    files.sort(Comparator.comparingDouble((VersionOnDisk f) -> (double) f.liveBytes / f.bytes)
+    files.sort(Comparator.comparingDouble((VersionFile f) -> (double) f.liveBytes / f.bytes)
         .thenComparingLong(f -> f.version));
     if (files.isEmpty()) {
       return null;
     }
-    List<Named> moved = new ArrayList<>();
+    List<IndexEntry> moved = new ArrayList<>();
     long bytes = 0;
-    for (VersionOnDisk file : files) {
+    for (VersionFile file : files) {
       if (bytes > 0 && bytes + file.liveBytes > stepBytes) {
         break;
       }
-      for (Named named : index.live(file)) {
+      for (IndexEntry named : index.live(file)) {
         int length = named.safe.length();
         if (bytes > 0 && bytes + length > stepBytes) {
           return new Step(moved, bytes);
@@ -66,14 +66,14 @@
   }
 
   /** The smallest whole files that fit into the step, if they are at least two or hold nothing live. */
-  private Step smallest(Index index) {
-    List<VersionOnDisk> files = candidates(index);
-    files.sort(Comparator.comparingLong((VersionOnDisk f) -> f.liveBytes).thenComparingLong(f -> f.version));
-    List<Named> moved = new ArrayList<>();
+  private Step smallest(RecordIndex index) {
+    List<VersionFile> files = candidates(index);
+    files.sort(Comparator.comparingLong((VersionFile f) -> f.liveBytes).thenComparingLong(f -> f.version));
+    List<IndexEntry> moved = new ArrayList<>();
     long bytes = 0;
     int whole = 0;
     boolean empty = false;
-    for (VersionOnDisk file : files) {
+    for (VersionFile file : files) {
       if (bytes + file.liveBytes > stepBytes) {
         break;
       }
@@ -86,9 +86,9 @@
   }
 
   /** The newest stays: it tells the numbers that were used, and what is void. */
-  private static List<VersionOnDisk> candidates(Index index) {
-    List<VersionOnDisk> files = new ArrayList<>();
-    for (VersionOnDisk file : index.files.headMap(index.files.lastKey()).values()) {
+  private static List<VersionFile> candidates(RecordIndex index) {
+    List<VersionFile> files = new ArrayList<>();
+    for (VersionFile file : index.files.headMap(index.files.lastKey()).values()) {
       if (!file.unreadable) {
         files.add(file);
       }
--- a/disk/src/main/java/elmsail/disk/FolderRecords.java
+++ b/storage/src/main/java/elmsail/storage/DirectoryRecordStore.java
@@ -1,7 +1,7 @@
-package elmsail.disk;
+package elmsail.storage;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -17,14 +17,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Records in a folder of version files. One thread calls, one of its own writes; what both know is behind one
+ * RecordStore in a folder of version files. One thread calls, one of its own writes; what both know is behind one
  * lock, under which no disk is waited for; a {@link #read} of a big record waits for the disk.
  *
  * <p>After a failed batch, all that waits, and all that is written until the failure has been told on the
  * executor, fails too: it may have been made from what was read as being written. Later writes are taken.
  */
-public final class FolderRecords implements Records {
-  private static final Logger LOG = LoggerFactory.getLogger(FolderRecords.class);
+public final class DirectoryRecordStore implements RecordStore {
+  private static final Logger LOG = LoggerFactory.getLogger(DirectoryRecordStore.class);
   /** Bytes that may wait for a disk that hangs. */
   static final long WAITING_BYTES = 64L * 1024 * 1024;
   private static final long BATCH_BYTES = 4L * 1024 * 1024;
@@ -33,27 +33,27 @@
   private static final int READS = 4;
 
   private final Object lock = new Object();
-  private final Index index = new Index();
-  private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+  private final RecordIndex index = new RecordIndex();
+  private final ArrayDeque<PendingWrite> queue = new ArrayDeque<>();
   private final Executor completions;
-  private final Folder folder;
+  private final StorageDirectory folder;
   private final long mostBytes;
-  private final DiskWork work;
+  private final DiskWorker work;
   private Thread thread;
   /** Of what waits, that being written included. */
   private long waitingBytes;
   private long nextSeq;
   private ElmsailException failing;
-  private List<Waiting> failedSince = new ArrayList<>();
+  private List<PendingWrite> failedSince = new ArrayList<>();
   private boolean closed;
 
-  private FolderRecords(Path dir, long mostBytes, Executor completions, Files files, long newLife) {
+  private DirectoryRecordStore(Path dir, long mostBytes, Executor completions, Files files, long newLife) {
     this.completions = completions;
     this.mostBytes = mostBytes;
-    folder = new Folder(dir, files);
+    folder = new StorageDirectory(dir, files);
     folder.open(index, newLife);
     nextSeq = folder.nextSeq();
-    work = new DiskWork(this, folder, index, lock, mostBytes);
+    work = new DiskWorker(this, folder, index, lock, mostBytes);
   }
 
   /**
@@ -63,13 +63,13 @@
    * @param completions runs what completes the futures, in order: the caller's loop
    * @throws ElmsailException of code DISK: the disk refuses, or a file is not as it was written
    */
-  public static FolderRecords open(Path dir, long mostBytes, Executor completions) {
-    return open(dir, mostBytes, completions, new FolderFiles());
+  public static DirectoryRecordStore open(Path dir, long mostBytes, Executor completions) {
+    return open(dir, mostBytes, completions, new LocalFiles());
   }
 
   /** With another file system in the place of the real one. */
-  public static FolderRecords open(Path dir, long mostBytes, Executor completions, Files files) {
-    FolderRecords records = byHand(dir, mostBytes, completions, files, new SecureRandom().nextLong() | 1);
+  public static DirectoryRecordStore open(Path dir, long mostBytes, Executor completions, Files files) {
+    DirectoryRecordStore records = byHand(dir, mostBytes, completions, files, new SecureRandom().nextLong() | 1);
     records.thread = new Thread(records::run, "disk");
     records.thread.setDaemon(true);
     records.thread.start();
@@ -77,8 +77,8 @@
   }
 
   /** Without a thread: {@link #turn} does its work. */
-  static FolderRecords byHand(Path dir, long mostBytes, Executor completions, Files files, long newLife) {
-    return new FolderRecords(dir, mostBytes, completions, files, newLife);
+  static DirectoryRecordStore byHand(Path dir, long mostBytes, Executor completions, Files files, long newLife) {
+    return new DirectoryRecordStore(dir, mostBytes, completions, files, newLife);
   }
 
   /** One turn of the disk's thread; false if there was nothing to do. */
@@ -87,8 +87,8 @@
   }
 
   @Override
-  public long life() {
-    return folder.life();
+  public long instanceId() {
+    return folder.instanceId();
   }
 
   @Override
@@ -98,21 +98,21 @@
 
   @Override
   public CompletableFuture<Void> write(List<Change> changes) {
-    Waiting waiting = new Waiting();
+    PendingWrite waiting = new PendingWrite();
     byte[][] utf = new byte[changes.size()][];
     boolean values = false;
     for (int i = 0; i < utf.length; i++) {
       Change change = changes.get(i);
       utf[i] = VersionWriter.utf(change.name());
       if (utf[i].length == 0 || utf[i].length > NAME_BYTES) {
-        throw new ElmsailException(Code.FAULT, "a record's name of " + utf[i].length + " bytes");
+        throw new ElmsailException(ErrorCode.FAULT, "a record's name of " + utf[i].length + " bytes");
       }
       values |= change.bytes() != null;
       waiting.bytes += VersionWriter.recordBytes(utf[i], change.bytes());
     }
     synchronized (lock) {
       if (closed) {
-        return CompletableFuture.failedFuture(new ElmsailException(Code.DISK, "the records are closed"));
+        return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.DISK, "the records are closed"));
       }
       if (failing != null) {
         failedSince.add(waiting);
@@ -121,13 +121,13 @@
       long waits = waitingBytes + waiting.bytes;
       if (waits > (values ? WAITING_BYTES : WAITING_BYTES + BATCH_BYTES)
           || values && index.liveBytes() + waits > mostBytes / 10 * 9) {
-        return CompletableFuture.failedFuture(new ElmsailException(Code.FULL, "no room on the disk"));
+        return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.FULL, "no room on the disk"));
       }
       for (int i = 0; i < utf.length; i++) {
-        Named named = index.named(changes.get(i).name());
+        IndexEntry named = index.named(changes.get(i).name());
         named.waitingSeq = nextSeq++;
         named.waiting = changes.get(i).bytes();
-        waiting.items.add(new Waiting.Item(named, utf[i], named.waitingSeq, named.waiting));
+        waiting.items.add(new PendingWrite.Item(named, utf[i], named.waitingSeq, named.waiting));
       }
       waitingBytes = waits;
       queue.add(waiting);
@@ -140,9 +140,9 @@
   @Override
   public byte[] read(String name) {
     for (int tries = 1;; tries++) {
-      Place place;
+      RecordLocation place;
       synchronized (lock) {
-        Named named = index.names.get(name);
+        IndexEntry named = index.names.get(name);
         if (named == null || !named.there()) {
           return null;
         }
@@ -158,7 +158,7 @@
       try {
         byte[] bytes = folder.read(name, place);
         synchronized (lock) {
-          Named named = index.names.get(name);
+          IndexEntry named = index.names.get(name);
           if (named != null && named.safe != null && named.safe.seq() == place.seq()) {
             index.cache.put(place.seq(), bytes);
           }
@@ -166,15 +166,15 @@
         return bytes;
       } catch (IOException e) {
         if (tries == READS || !movedFrom(name, place)) {
-          throw new ElmsailException(Code.DISK, "a record cannot be read: " + e, e);
+          throw new ElmsailException(ErrorCode.DISK, "a record cannot be read: " + e, e);
         }
       }
     }
   }
 
-  private boolean movedFrom(String name, Place place) {
+  private boolean movedFrom(String name, RecordLocation place) {
     synchronized (lock) {
-      Named named = index.names.get(name);
+      IndexEntry named = index.names.get(name);
       return named == null || named.safe != place;
     }
   }
@@ -205,7 +205,7 @@
   public Iterable<String> names(String prefix) {
     List<String> found = new ArrayList<>();
     synchronized (lock) {
-      for (Named named : index.names.tailMap(prefix, true).values()) {
+      for (IndexEntry named : index.names.tailMap(prefix, true).values()) {
         if (!named.name.startsWith(prefix)) {
           break;
         }
@@ -246,7 +246,7 @@
     } catch (RejectedExecutionException e) {
       LOG.info("the disk's thread ends with the loop");
     } catch (Error e) {
-      failed(List.of(), new ElmsailException(Code.FAULT, "the disk's thread ended", e));
+      failed(List.of(), new ElmsailException(ErrorCode.FAULT, "the disk's thread ended", e));
       throw e;
     }
   }
@@ -288,8 +288,8 @@
   }
 
   /** The next batch for the disk's thread; empty if nothing waits. */
-  List<Waiting> take() {
-    List<Waiting> batch = new ArrayList<>();
+  List<PendingWrite> take() {
+    List<PendingWrite> batch = new ArrayList<>();
     long bytes = 0;
     synchronized (lock) {
       while (!queue.isEmpty() && (batch.isEmpty() || bytes + queue.peek().bytes <= BATCH_BYTES)) {
@@ -300,28 +300,28 @@
     return batch;
   }
 
-  void written(List<Waiting> batch) {
+  void written(List<PendingWrite> batch) {
     synchronized (lock) {
-      for (Waiting waiting : batch) {
+      for (PendingWrite waiting : batch) {
         waitingBytes -= waiting.bytes;
       }
     }
     completions.execute(() -> {
-      for (Waiting waiting : batch) {
+      for (PendingWrite waiting : batch) {
         waiting.done.complete(null);
       }
     });
   }
 
-  void failed(List<Waiting> batch, ElmsailException why) {
-    List<Waiting> all = new ArrayList<>(batch);
+  void failed(List<PendingWrite> batch, ElmsailException why) {
+    List<PendingWrite> all = new ArrayList<>(batch);
     synchronized (lock) {
       failing = why;
       all.addAll(queue);
       queue.clear();
       waitingBytes = 0;
-      for (Waiting waiting : all) {
-        for (Waiting.Item item : waiting.items) {
+      for (PendingWrite waiting : all) {
+        for (PendingWrite.Item item : waiting.items) {
           item.named().waitingSeq = 0;
           item.named().waiting = null;
           index.tidy(item.named());
@@ -331,13 +331,13 @@
     completions.execute(() -> tellFailed(all, why));
   }
 
-  private void tellFailed(List<Waiting> all, ElmsailException why) {
+  private void tellFailed(List<PendingWrite> all, ElmsailException why) {
     synchronized (lock) {
       failing = null;
       all.addAll(failedSince);
       failedSince = new ArrayList<>();
     }
-    for (Waiting waiting : all) {
+    for (PendingWrite waiting : all) {
       waiting.done.completeExceptionally(why);
     }
   }
--- a/disk/src/main/java/elmsail/disk/DiskWork.java
+++ b/storage/src/main/java/elmsail/storage/DiskWorker.java
@@ -1,7 +1,7 @@
-package elmsail.disk;
+package elmsail.storage;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -11,13 +11,13 @@
 import org.slf4j.LoggerFactory;
 
 /** What the disk's thread does, turn by turn: a batch of what waits, then at most one step of compaction. */
-final class DiskWork {
-  private static final Logger LOG = LoggerFactory.getLogger(DiskWork.class);
+final class DiskWorker {
+  private static final Logger LOG = LoggerFactory.getLogger(DiskWorker.class);
   private static final int MOST_STEPS = 64;
 
-  private final FolderRecords records;
-  private final Folder folder;
-  private final Index index;
+  private final DirectoryRecordStore records;
+  private final StorageDirectory folder;
+  private final RecordIndex index;
   private final Object lock;
   private final Compaction compaction;
   private final long mostBytes;
@@ -26,7 +26,7 @@
   private int steps;
   private boolean refused;
 
-  DiskWork(FolderRecords records, Folder folder, Index index, Object lock, long mostBytes) {
+  DiskWorker(DirectoryRecordStore records, StorageDirectory folder, RecordIndex index, Object lock, long mostBytes) {
     this.records = records;
     this.folder = folder;
     this.index = index;
@@ -37,24 +37,24 @@
 
   /** Whether there was anything to do. */
   boolean turn() {
-    List<Waiting> batch = records.take();
+    List<PendingWrite> batch = records.take();
     if (batch.isEmpty()) {
       return step(false);
     }
     try {
       write(batch);
       held = false;
-      told(null);
+      response(null);
     } catch (IOException e) {
-      told(e);
-      records.failed(batch, new ElmsailException(Code.DISK, "the disk refused: " + e, e));
+      response(e);
+      records.failed(batch, new ElmsailException(ErrorCode.DISK, "the disk refused: " + e, e));
       return true;
     } catch (ElmsailException e) {
       records.failed(batch, e);
       return true;
     } catch (RuntimeException e) {
       LOG.error("a batch could not be written", e);
-      records.failed(batch, new ElmsailException(Code.FAULT, "a batch could not be written: " + e, e));
+      records.failed(batch, new ElmsailException(ErrorCode.FAULT, "a batch could not be written: " + e, e));
       return true;
     }
     records.written(batch);
@@ -62,12 +62,12 @@
     return true;
   }
 
-  private void write(List<Waiting> batch) throws IOException {
-    Map<String, Waiting.Item> newest = new LinkedHashMap<>();
+  private void write(List<PendingWrite> batch) throws IOException {
+    Map<String, PendingWrite.Item> newest = new LinkedHashMap<>();
     long bytes = 0;
     boolean values = false;
-    for (Waiting waiting : batch) {
-      for (Waiting.Item item : waiting.items) {
+    for (PendingWrite waiting : batch) {
+      for (PendingWrite.Item item : waiting.items) {
         newest.put(item.named().name, item);
         values |= item.bytes() != null;
       }
@@ -78,33 +78,33 @@
     }
     makeRoom(bytes, values);
     long[] at = new long[newest.size()];
-    VersionOnDisk file = folder.write(records.nextSeq(), to -> {
+    VersionFile file = folder.write(records.nextSeq(), to -> {
       int i = 0;
-      for (Waiting.Item item : newest.values()) {
+      for (PendingWrite.Item item : newest.values()) {
         at[i++] = to.record(item.utf(), item.seq(), item.bytes());
       }
     });
     synchronized (lock) {
       index.fileIsSafe(file);
       int i = 0;
-      for (Waiting.Item item : newest.values()) {
+      for (PendingWrite.Item item : newest.values()) {
         land(item, file, at[i++]);
       }
       index.folderIsSynced();
-      for (Waiting.Item item : newest.values()) {
+      for (PendingWrite.Item item : newest.values()) {
         index.tidy(item.named());
       }
     }
   }
 
-  private void land(Waiting.Item item, VersionOnDisk file, long at) {
+  private void land(PendingWrite.Item item, VersionFile file, long at) {
     byte[] bytes = item.bytes();
-    boolean big = bytes != null && bytes.length > Index.SMALL_BYTES;
+    boolean big = bytes != null && bytes.length > RecordIndex.SMALL_BYTES;
     if (item.named().waitingSeq == item.seq()) {
       item.named().waitingSeq = 0;
       item.named().waiting = null;
     }
-    index.recordIsSafe(item.named(), new Place(item.seq(), bytes != null, big ? null : bytes, file, at,
+    index.recordIsSafe(item.named(), new RecordLocation(item.seq(), bytes != null, big ? null : bytes, file, at,
         VersionWriter.recordBytes(item.utf(), bytes)));
     if (big) {
       index.cache.put(item.seq(), bytes);
@@ -118,7 +118,7 @@
       held = false;
     }
     if (values && diskBytes() + bytes > mostBytes) {
-      throw new ElmsailException(Code.FULL, "the disk's share is used up");
+      throw new ElmsailException(ErrorCode.FULL, "the disk's share is used up");
     }
   }
 
@@ -150,32 +150,32 @@
       held = false;
       steps++;
     } catch (IOException e) {
-      told(e);
+      response(e);
     }
     return !held;
   }
 
-  private void move(List<Named> moved) throws IOException {
+  private void move(List<IndexEntry> moved) throws IOException {
     long[] at = new long[moved.size()];
-    VersionOnDisk file = folder.write(records.nextSeq(), to -> {
+    VersionFile file = folder.write(records.nextSeq(), to -> {
       for (int i = 0; i < at.length; i++) {
-        Named named = moved.get(i);
+        IndexEntry named = moved.get(i);
         at[i] = to.record(VersionWriter.utf(named.name), named.safe.seq(), bytes(named));
       }
     });
     synchronized (lock) {
       index.fileIsSafe(file);
       for (int i = 0; i < at.length; i++) {
-        Place old = moved.get(i).safe;
-        index.recordIsSafe(moved.get(i), new Place(old.seq(), old.value(), old.bytes(), file, at[i],
+        RecordLocation old = moved.get(i).safe;
+        index.recordIsSafe(moved.get(i), new RecordLocation(old.seq(), old.value(), old.bytes(), file, at[i],
             old.length()));
       }
       index.folderIsSynced();
     }
   }
 
-  private byte[] bytes(Named named) throws IOException {
-    Place place = named.safe;
+  private byte[] bytes(IndexEntry named) throws IOException {
+    RecordLocation place = named.safe;
     if (!place.value()) {
       return null;
     }
@@ -198,15 +198,15 @@
   }
 
   private void removeEmpty() throws IOException {
-    List<VersionOnDisk> empty = new ArrayList<>();
+    List<VersionFile> empty = new ArrayList<>();
     synchronized (lock) {
-      for (VersionOnDisk file : index.files.headMap(index.files.lastKey()).values()) {
+      for (VersionFile file : index.files.headMap(index.files.lastKey()).values()) {
         if (file.liveBytes == 0) {
           empty.add(file);
         }
       }
     }
-    for (VersionOnDisk file : empty) {
+    for (VersionFile file : empty) {
       folder.remove(file);
       synchronized (lock) {
         index.fileIsRemoved(file);
@@ -219,7 +219,7 @@
     return steps;
   }
 
-  private void told(IOException refusal) {
+  private void response(IOException refusal) {
     if (refusal != null && !refused) {
       LOG.warn("the disk refuses: {}", refusal.toString());
     } else if (refusal == null && refused) {
--- a/disk/src/main/java/elmsail/disk/Files.java
+++ b/storage/src/main/java/elmsail/storage/Files.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/disk/src/main/java/elmsail/disk/Named.java
+++ b/storage/src/main/java/elmsail/storage/IndexEntry.java
@@ -1,10 +1,10 @@
-package elmsail.disk;
+package elmsail.storage;
 
 /** What is known of one name: the newest safe change, the newest waiting, how often it is on disk. */
-final class Named {
+final class IndexEntry {
   final String name;
   /** Null if there is none. */
-  Place safe;
+  RecordLocation safe;
   /** 0 when nothing waits. */
   long waitingSeq;
   /** Null for a removal that waits. */
@@ -12,7 +12,7 @@
   /** Values of this name, old ones too, in files that may still be there after a loss of power. */
   int copies;
 
-  Named(String name) {
+  IndexEntry(String name) {
     this.name = name;
   }
 
--- a/disk/src/main/java/elmsail/disk/FolderFiles.java
+++ b/storage/src/main/java/elmsail/storage/LocalFiles.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -15,8 +15,8 @@
 import org.slf4j.LoggerFactory;
 
 /** The file system itself, without locks, links or mappings; bytes pass through small direct buffers. */
-final class FolderFiles implements Files {
-  private static final Logger LOG = LoggerFactory.getLogger(FolderFiles.class);
+final class LocalFiles implements Files {
+  private static final Logger LOG = LoggerFactory.getLogger(LocalFiles.class);
   private static final int CHUNK_BYTES = 64 * 1024;
 
   private final ThreadLocal<ByteBuffer> chunks = new ThreadLocal<>();
--- a/disk/src/main/java/elmsail/disk/Index.java
+++ b/storage/src/main/java/elmsail/storage/RecordIndex.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -6,19 +6,19 @@
 import java.util.TreeMap;
 
 /**
- * All names and where their bytes are. Guarded by the lock of {@link FolderRecords}.
+ * All names and where their bytes are. Guarded by the lock of {@link DirectoryRecordStore}.
  *
  * <p>A removal is kept, on disk too, while a value of its name lies in any file that is there or could be
  * there again after a loss of power: files removed count until their folder was synced.
  */
-final class Index {
+final class RecordIndex {
   /** Values up to this are kept in memory. */
   static final int SMALL_BYTES = 4 * 1024;
 
-  final TreeMap<String, Named> names = new TreeMap<>();
-  final TreeMap<Long, VersionOnDisk> files = new TreeMap<>();
+  final TreeMap<String, IndexEntry> names = new TreeMap<>();
+  final TreeMap<Long, VersionFile> files = new TreeMap<>();
   final ByteCache cache = new ByteCache();
-  private final List<VersionOnDisk> removedUnsynced = new ArrayList<>();
+  private final List<VersionFile> removedUnsynced = new ArrayList<>();
   private long diskBytes;
   private long liveBytes;
 
@@ -30,30 +30,30 @@
     return liveBytes;
   }
 
-  Named named(String name) {
-    Named known = names.get(name);
+  IndexEntry named(String name) {
+    IndexEntry known = names.get(name);
     if (known == null) {
-      known = new Named(name);
+      known = new IndexEntry(name);
       names.put(name, known);
     }
     return known;
   }
 
-  void fileIsSafe(VersionOnDisk file) {
+  void fileIsSafe(VersionFile file) {
     files.put(file.version, file);
     diskBytes += file.bytes;
   }
 
   /** A record that lies in a safe file; it is the newest of its name if none has a higher number. */
-  void recordIsSafe(Named named, Place place) {
-    VersionOnDisk file = place.file();
+  void recordIsSafe(IndexEntry named, RecordLocation place) {
+    VersionFile file = place.file();
     if (place.value()) {
       named.copies++;
       file.values.add(named);
     } else {
       file.removals.add(named);
     }
-    Place before = named.safe;
+    RecordLocation before = named.safe;
     if (before != null && before.seq() > place.seq()) {
       return;
     }
@@ -69,7 +69,7 @@
   }
 
   /** The file's name was removed from the folder, which was not synced yet. */
-  void fileIsRemoved(VersionOnDisk file) {
+  void fileIsRemoved(VersionFile file) {
     files.remove(file.version);
     diskBytes -= file.bytes;
     removedUnsynced.add(file);
@@ -77,8 +77,8 @@
 
   /** What was removed from the folder cannot come back from here on. */
   void folderIsSynced() {
-    for (VersionOnDisk file : removedUnsynced) {
-      for (Named named : file.values) {
+    for (VersionFile file : removedUnsynced) {
+      for (IndexEntry named : file.values) {
         named.copies--;
         tidy(named);
       }
@@ -87,7 +87,7 @@
   }
 
   /** Forgets a removal that nothing needs any more, and a name of which nothing is left. */
-  void tidy(Named named) {
+  void tidy(IndexEntry named) {
     if (named.copies > 0) {
       return;
     }
@@ -102,21 +102,21 @@
 
   /** After the folder was read: drops what is needed no more. */
   void tidyAll() {
-    Iterator<Named> all = new ArrayList<>(names.values()).iterator();
+    Iterator<IndexEntry> all = new ArrayList<>(names.values()).iterator();
     while (all.hasNext()) {
       tidy(all.next());
     }
   }
 
   /** The live records of a file, in the order written; values first. */
-  List<Named> live(VersionOnDisk file) {
-    List<Named> live = new ArrayList<>();
-    for (Named named : file.values) {
+  List<IndexEntry> live(VersionFile file) {
+    List<IndexEntry> live = new ArrayList<>();
+    for (IndexEntry named : file.values) {
       if (named.safe != null && named.safe.file() == file) {
         live.add(named);
       }
     }
-    for (Named named : file.removals) {
+    for (IndexEntry named : file.removals) {
       if (named.safe != null && named.safe.file() == file) {
         live.add(named);
       }
@@ -124,7 +124,7 @@
     return live;
   }
 
-  private void unsettle(Place place) {
+  private void unsettle(RecordLocation place) {
     place.file().liveBytes -= place.length();
     liveBytes -= place.length();
   }
--- a/disk/src/main/java/elmsail/disk/Records.java
+++ b/storage/src/main/java/elmsail/storage/RecordStore.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.util.List;
 import java.util.Map;
@@ -10,14 +10,14 @@
  * then written as one file of a new version: written aside, synced, renamed, its folder synced; only then are
  * their futures completed (on the executor given). Called from one thread.
  */
-public interface Records extends AutoCloseable {
+public interface RecordStore extends AutoCloseable {
 
   /** A change: null bytes remove the record. Big ones are kept on disk alone and read when asked for. */
   record Change(String name, byte[] bytes) {
   }
 
   /** Drawn at random when the folder was empty, and kept in it. */
-  long life();
+  long instanceId();
 
   /** Whether the folder was empty when it was opened. */
   boolean fresh();
--- a/disk/src/main/java/elmsail/disk/Folder.java
+++ b/storage/src/main/java/elmsail/storage/StorageDirectory.java
@@ -1,7 +1,7 @@
-package elmsail.disk;
+package elmsail.storage;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
@@ -21,7 +21,7 @@
  * nothing in it was acknowledged. A version whose writing failed may be there later; until its removal is
  * safe, every later version calls it void.
  */
-final class Folder {
+final class StorageDirectory {
   private static final String PREFIX = "v-";
   private static final String PART = ".part";
   private static final int DIGITS = 16;
@@ -32,18 +32,18 @@
   private final ByteBuffer chunk = ByteBuffer.allocate(VersionWriter.CHUNK_BYTES);
   private final TreeSet<Long> voids = new TreeSet<>();
   private final List<Long> voidsRemoved = new ArrayList<>();
-  private long life;
+  private long instanceId;
   private boolean fresh;
   private long nextVersion = 1;
   private long nextSeq = 1;
 
-  Folder(Path folder, Files files) {
+  StorageDirectory(Path folder, Files files) {
     this.folder = folder;
     this.files = files;
   }
 
-  long life() {
-    return life;
+  long instanceId() {
+    return instanceId;
   }
 
   boolean fresh() {
@@ -65,7 +65,7 @@
    *
    * @throws ElmsailException of code DISK: a file is torn, or the disk refuses
    */
-  void open(Index into, long newLife) {
+  void open(RecordIndex into, long newLife) {
     try {
       files.makeFolder(folder);
       List<Long> versions = versions();
@@ -73,13 +73,13 @@
       if (versions.isEmpty()) {
         files.syncFolder(folder);
         fresh = true;
-        life = newLife;
+        instanceId = newLife;
         into.fileIsSafe(write(nextSeq, to -> { }));
         return;
       }
       Collections.sort(versions, Collections.reverseOrder());
       nextVersion = versions.get(0) + 1;
-      life = 0;
+      instanceId = 0;
       Set<Long> isVoid = new HashSet<>();
       for (long version : versions) {
         if (isVoid.contains(version)) {
@@ -90,13 +90,13 @@
       }
       files.syncFolder(folder);
     } catch (IOException e) {
-      throw new ElmsailException(Code.DISK, "the folder of records cannot be opened: " + e, e);
+      throw new ElmsailException(ErrorCode.DISK, "the folder of records cannot be opened: " + e, e);
     }
     into.tidyAll();
   }
 
   /** A safe file of the next version; throws if it may not be safe, and calls the version void. */
-  VersionOnDisk write(long seqAfter, Filler filler) throws IOException {
+  VersionFile write(long seqAfter, Filler filler) throws IOException {
     long version = nextVersion++;
     removeVoids();
     Path part = folder.resolve(name(version) + PART);
@@ -104,7 +104,7 @@
     boolean safe = false;
     try {
       try (Files.Appender out = files.create(part)) {
-        VersionWriter to = new VersionWriter(out, chunk, version, life, seqAfter, voidVersions());
+        VersionWriter to = new VersionWriter(out, chunk, version, instanceId, seqAfter, voidVersions());
         filler.fill(to);
         bytes = to.finish();
       }
@@ -117,15 +117,15 @@
       }
     }
     voids.removeAll(voidsRemoved);
-    return new VersionOnDisk(version, bytes);
+    return new VersionFile(version, bytes);
   }
 
-  void remove(VersionOnDisk file) throws IOException {
+  void remove(VersionFile file) throws IOException {
     files.remove(path(file.version));
   }
 
   /** Reads a big value; called by the thread of the caller as well. */
-  byte[] read(String name, Place place) throws IOException {
+  byte[] read(String name, RecordLocation place) throws IOException {
     return VersionReader.one(files, path(place.file().version), place.at(), place.length(), name,
         place.seq());
   }
@@ -165,27 +165,27 @@
         try {
           versions.add(Long.parseLong(name.substring(PREFIX.length())));
         } catch (NumberFormatException e) {
-          throw new ElmsailException(Code.DISK, "a file that is none of ours: " + name, e);
+          throw new ElmsailException(ErrorCode.DISK, "a file that is none of ours: " + name, e);
         }
       }
     }
     return versions;
   }
 
-  private void read(long version, Index into, Set<Long> isVoid) throws IOException {
+  private void read(long version, RecordIndex into, Set<Long> isVoid) throws IOException {
     VersionReader reader = new VersionReader(files, path(version));
-    if (reader.version != version || life != 0 && reader.life != life) {
-      throw new ElmsailException(Code.DISK, name(version) + " is not of this folder");
+    if (reader.version != version || instanceId != 0 && reader.instanceId != instanceId) {
+      throw new ElmsailException(ErrorCode.DISK, name(version) + " is not of this folder");
     }
-    life = reader.life;
+    instanceId = reader.instanceId;
     nextSeq = Math.max(nextSeq, reader.nextSeq);
     for (long v : reader.voids) {
       isVoid.add(v);
     }
-    VersionOnDisk file = new VersionOnDisk(version, reader.size());
+    VersionFile file = new VersionFile(version, reader.size());
     into.fileIsSafe(file);
-    reader.records(Index.SMALL_BYTES, (name, seq, value, bytes, at, length) ->
-        into.recordIsSafe(into.named(name), new Place(seq, value, bytes, file, at, length)));
+    reader.records(RecordIndex.SMALL_BYTES, (name, seq, value, bytes, at, length) ->
+        into.recordIsSafe(into.named(name), new RecordLocation(seq, value, bytes, file, at, length)));
   }
 
   private Path path(long version) {
--- a/disk/src/main/java/elmsail/disk/VersionOnDisk.java
+++ b/storage/src/main/java/elmsail/storage/VersionFile.java
@@ -1,21 +1,21 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** One file of a version that is safe. */
-final class VersionOnDisk {
+final class VersionFile {
   final long version;
   final long bytes;
   /** Names of the records that were written here, whether newer ones lie elsewhere or not. */
-  final List<Named> values = new ArrayList<>();
-  final List<Named> removals = new ArrayList<>();
+  final List<IndexEntry> values = new ArrayList<>();
+  final List<IndexEntry> removals = new ArrayList<>();
   /** Bytes of records that are still the newest of their names. */
   long liveBytes;
   /** A record of it could not be read: it stays as it is. */
   boolean unreadable;
 
-  VersionOnDisk(long version, long bytes) {
+  VersionFile(long version, long bytes) {
     this.version = version;
     this.bytes = bytes;
   }
--- a/disk/src/main/java/elmsail/disk/VersionReader.java
+++ b/storage/src/main/java/elmsail/storage/VersionReader.java
@@ -1,7 +1,7 @@
-package elmsail.disk;
+package elmsail.storage;
 
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -23,7 +23,7 @@
   private int taken;
 
   final long version;
-  final long life;
+  final long instanceId;
   final long nextSeq;
   final long[] voids;
 
@@ -40,7 +40,7 @@
     ByteBuffer head = ByteBuffer.wrap(checked(VersionWriter.HEAD_BYTES));
     check(head.getInt() == VersionWriter.MAGIC && head.getInt() == VersionWriter.FORMAT);
     version = head.getLong();
-    life = head.getLong();
+    instanceId = head.getLong();
     nextSeq = head.getLong();
     int count = head.getInt();
     check(count >= 0 && 8L * count <= size - position());
@@ -104,7 +104,7 @@
     if (got != length || record.getInt(length - 4) != (int) crc.getValue()
         || record.get(0) != VersionWriter.VALUE || record.getLong(1) != seq
         || record.getInt(11) != length - before - 4) {
-      throw new ElmsailException(Code.DISK, "a record of " + file.getFileName() + " is spoiled");
+      throw new ElmsailException(ErrorCode.DISK, "a record of " + file.getFileName() + " is spoiled");
     }
     return java.util.Arrays.copyOfRange(all, before, length - 4);
   }
@@ -115,7 +115,7 @@
 
   private void check(boolean holds) {
     if (!holds) {
-      throw new ElmsailException(Code.DISK, file.getFileName() + " is torn or not one of ours");
+      throw new ElmsailException(ErrorCode.DISK, file.getFileName() + " is torn or not one of ours");
     }
   }
 
@@ -161,8 +161,8 @@
   private void sum() throws IOException {
     int is = (int) crc.getValue();
     crc.reset();
-    byte[] told = plain(4);
-    check(ByteBuffer.wrap(told).getInt() == is);
-    overAll.update(told, 0, 4);
+    byte[] response = plain(4);
+    check(ByteBuffer.wrap(response).getInt() == is);
+    overAll.update(response, 0, 4);
   }
 }
--- a/disk/src/main/java/elmsail/disk/VersionWriter.java
+++ b/storage/src/main/java/elmsail/storage/VersionWriter.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -30,12 +30,12 @@
   private long appended;
   private int records;
 
-  VersionWriter(Files.Appender out, ByteBuffer chunk, long version, long life, long nextSeq, long[] voids)
+  VersionWriter(Files.Appender out, ByteBuffer chunk, long version, long instanceId, long nextSeq, long[] voids)
       throws IOException {
     this.out = out;
     this.chunk = chunk.clear();
     ByteBuffer head = ByteBuffer.allocate(HEAD_BYTES + 8 * voids.length);
-    head.putInt(MAGIC).putInt(FORMAT).putLong(version).putLong(life).putLong(nextSeq).putInt(voids.length);
+    head.putInt(MAGIC).putInt(FORMAT).putLong(version).putLong(instanceId).putLong(nextSeq).putInt(voids.length);
     for (long v : voids) {
       head.putLong(v);
     }
--- a/disk/src/test/java/elmsail/disk/FolderRecordsTest.java
+++ b/storage/src/test/java/elmsail/storage/DirectoryRecordStoreTest.java
@@ -1,11 +1,11 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.disk.Records.Change;
+import elmsail.storage.RecordStore.Change;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The records in a folder of the real file system, with their thread. */
-class FolderRecordsTest {
+class DirectoryRecordStoreTest {
   @TempDir
   Path temp;
 
@@ -27,18 +27,18 @@
   @Test
   void whatWasWrittenIsThereAfterwards() throws Exception {
     Path dir = temp.resolve("data/records");
-    long life;
-    try (FolderRecords records = FolderRecords.open(dir, 64 << 20, Runnable::run)) {
-      life = records.life();
+    long instanceId;
+    try (DirectoryRecordStore records = DirectoryRecordStore.open(dir, 64 << 20, Runnable::run)) {
+      instanceId = records.instanceId();
       assertThat(records.fresh(), is(true));
       records.write(List.of(new Change("a/1", filled(10, 1)), new Change("a/2", filled(300_000, 2))));
       records.write(List.of(new Change("b", new byte[0])));
       records.write(List.of(new Change("a/1", null))).get(10, TimeUnit.SECONDS);
       assertThat(records.read("a/2"), is(filled(300_000, 2)));
     }
-    try (FolderRecords records = FolderRecords.open(dir, 64 << 20, Runnable::run)) {
+    try (DirectoryRecordStore records = DirectoryRecordStore.open(dir, 64 << 20, Runnable::run)) {
       assertThat(records.fresh(), is(false));
-      assertThat(records.life(), is(life));
+      assertThat(records.instanceId(), is(instanceId));
       assertThat(records.read("a/1"), nullValue());
       assertThat(records.read("a/2"), is(filled(300_000, 2)));
       assertThat(records.read("b"), is(new byte[0]));
--- a/disk/src/test/java/elmsail/disk/WaitingTest.java
+++ b/storage/src/test/java/elmsail/storage/PendingWriteTest.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -7,9 +7,9 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.disk.Records.Change;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.storage.RecordStore.Change;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -21,19 +21,19 @@
 import org.junit.jupiter.api.Test;
 
 /** A disk that hangs, refuses or is full, and the hand-over between the two threads. */
-class WaitingTest {
+class PendingWriteTest {
   private static final Path DIR = Path.of("records");
 
   private final TornFiles files = new TornFiles(1);
-  private final ArrayDeque<Runnable> told = new ArrayDeque<>();
+  private final ArrayDeque<Runnable> response = new ArrayDeque<>();
 
-  private FolderRecords open(long mostBytes) {
-    return FolderRecords.byHand(DIR, mostBytes, told::add, files, 7);
+  private DirectoryRecordStore open(long mostBytes) {
+    return DirectoryRecordStore.byHand(DIR, mostBytes, response::add, files, 7);
   }
 
   private void tell() {
-    while (!told.isEmpty()) {
-      told.poll().run();
+    while (!response.isEmpty()) {
+      response.poll().run();
     }
   }
 
@@ -41,21 +41,21 @@
     return List.of(new Change(name, new byte[bytes]));
   }
 
-  private static Code code(CompletableFuture<Void> failed) {
+  private static ErrorCode code(CompletableFuture<Void> failed) {
     Throwable why = failed.handle((done, e) -> e).join();
     return why == null ? null : ElmsailException.codeOf(why);
   }
 
   @Test
   void whileTheDiskHangsWritesWaitAndAreBounded() {
-    FolderRecords records = open(1L << 40);
+    DirectoryRecordStore records = open(1L << 40);
     byte[] big = new byte[8 << 20];
     List<CompletableFuture<Void>> waiting = new ArrayList<>();
     for (int i = 0; i < 7; i++) {
       waiting.add(records.write(List.of(new Change("big" + i, big))));
     }
     CompletableFuture<Void> tooMuch = records.write(List.of(new Change("big7", big)));
-    assertThat(code(tooMuch), is(Code.FULL));
+    assertThat(code(tooMuch), is(ErrorCode.FULL));
     assertThat(records.read("big6").length, is(big.length));
     assertThat(records.read("big7"), nullValue());
     for (CompletableFuture<Void> each : waiting) {
@@ -76,7 +76,7 @@
 
   @Test
   void whatMayBuildOnAFailedWriteFailsToo() {
-    FolderRecords records = open(1 << 20);
+    DirectoryRecordStore records = open(1 << 20);
     CompletableFuture<Void> before = records.write(put("a", 1));
     records.turn();
     CompletableFuture<Void> first = records.write(put("a", 2));
@@ -90,8 +90,8 @@
     assertThat(records.read("b"), nullValue());
     tell();
     assertThat(code(before), nullValue());
-    assertThat(code(first), is(Code.DISK));
-    assertThat(code(untold), is(Code.DISK));
+    assertThat(code(first), is(ErrorCode.DISK));
+    assertThat(code(untold), is(ErrorCode.DISK));
     CompletableFuture<Void> later = records.write(put("b", 4));
     records.turn();
     tell();
@@ -102,7 +102,7 @@
 
   @Test
   void whatWaitsBehindAFailedBatchFailsWithIt() {
-    FolderRecords records = open(1L << 30);
+    DirectoryRecordStore records = open(1L << 30);
     CompletableFuture<Void> first = records.write(put("a", 3 << 20));
     CompletableFuture<Void> behind = records.write(put("b", 3 << 20));
     files.refusing = 1;
@@ -110,20 +110,20 @@
     files.refusing = 0;
     assertThat(records.turn(), is(false));
     tell();
-    assertThat(code(first), is(Code.DISK));
-    assertThat(code(behind), is(Code.DISK));
+    assertThat(code(first), is(ErrorCode.DISK));
+    assertThat(code(behind), is(ErrorCode.DISK));
     assertThat(records.read("b"), nullValue());
   }
 
   @Test
   void aFullDiskRefusesAtOnceAndTakesRemovals() {
     long most = 1 << 20;
-    FolderRecords records = open(most);
+    DirectoryRecordStore records = open(most);
     int kept = 0;
     while (true) {
       CompletableFuture<Void> done = records.write(put("r/" + kept, 10_000));
       if (done.isDone()) {
-        assertThat(code(done), is(Code.FULL));
+        assertThat(code(done), is(ErrorCode.FULL));
         break;
       }
       kept++;
@@ -150,7 +150,7 @@
 
   @Test
   void removalsLeaveNothingBehind() {
-    FolderRecords records = open(1 << 20);
+    DirectoryRecordStore records = open(1 << 20);
     for (int i = 0; i < 2_000; i++) {
       records.write(put("lot/" + i, 500));
       records.turn();
@@ -174,7 +174,7 @@
     Random random = new Random(11);
     TreeMap<String, byte[]> model = new TreeMap<>();
     CompletableFuture<Void> last = null;
-    try (FolderRecords records = FolderRecords.open(DIR, 2 << 20, Runnable::run, own)) {
+    try (DirectoryRecordStore records = DirectoryRecordStore.open(DIR, 2 << 20, Runnable::run, own)) {
       for (int i = 0; i < 20_000; i++) {
         String name = "n/" + random.nextInt(40);
         if (random.nextBoolean()) {
@@ -199,7 +199,7 @@
       assertThat(records.compactions(), greaterThan(10));
       assertThat(records.page(null, Integer.MAX_VALUE).keySet(), is(model.keySet()));
     }
-    FolderRecords again = FolderRecords.byHand(DIR, 2 << 20, Runnable::run, own, 5);
+    DirectoryRecordStore again = DirectoryRecordStore.byHand(DIR, 2 << 20, Runnable::run, own, 5);
     for (String name : model.keySet()) {
       assertThat(again.read(name), is(model.get(name)));
     }
--- a/disk/src/test/java/elmsail/disk/PowerLossTest.java
+++ b/storage/src/test/java/elmsail/storage/PowerLossTest.java
@@ -1,14 +1,14 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import elmsail.disk.TornFiles.PowerLost;
-import elmsail.disk.TornFiles.Rest;
-import elmsail.station.Code;
-import elmsail.station.ElmsailException;
+import elmsail.storage.TornFiles.PowerLost;
+import elmsail.storage.TornFiles.Rest;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ElmsailException;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -18,7 +18,7 @@
   private static final int TORN = 4;
 
   /** Returns whether the power was lost before the story's end. */
-  private static boolean told(Script script, int lossAt, Rest rest, long chance, Totals totals) {
+  private static boolean response(Script script, int lossAt, Rest rest, long chance, Totals totals) {
     TornFiles files = new TornFiles(script.seed * 31 + chance);
     script.spoiled.accept(files);
     files.lossAt = lossAt;
@@ -67,10 +67,10 @@
   private static Totals everywhere(int from, Script script) {
     Totals totals = new Totals();
     for (int lossAt = from;; lossAt++) {
-      boolean lost = told(script, lossAt, Rest.KEPT, 0, totals);
-      told(script, lossAt, Rest.LOST, 0, totals);
+      boolean lost = response(script, lossAt, Rest.KEPT, 0, totals);
+      response(script, lossAt, Rest.LOST, 0, totals);
       for (int chance = 0; chance < TORN; chance++) {
-        told(script, lossAt, Rest.TORN, chance, totals);
+        response(script, lossAt, Rest.TORN, chance, totals);
       }
       if (!lost) {
         return totals;
@@ -118,7 +118,7 @@
       TornFiles files = new TornFiles(seed);
       Story story = new Story(files, seed, 200_000, 6, 6);
       story.open();
-      for (int life = 0; life < 4; life++) {
+      for (int instanceId = 0; instanceId < 4; instanceId++) {
         files.lossAt = files.operations + 20 + (int) (seed * 7 % 300);
         try {
           for (int i = 0; i < 60; i++) {
@@ -129,10 +129,10 @@
           story.tell();
         }
         files.refusing = 0;
-        if ((seed + life) % 4 == 0) {
+        if ((seed + instanceId) % 4 == 0) {
           files.lossAt = Integer.MAX_VALUE;
         } else {
-          files.losePower(Rest.values()[(int) ((seed + life) % 3)]);
+          files.losePower(Rest.values()[(int) ((seed + instanceId) % 3)]);
         }
         story.reopen();
       }
@@ -173,8 +173,8 @@
 
   private static void refused(TornFiles files, String name, byte[] bytes) {
     files.put(name, bytes);
-    ElmsailException e = assertThrows(ElmsailException.class, () -> FolderRecords.byHand(
+    ElmsailException e = assertThrows(ElmsailException.class, () -> DirectoryRecordStore.byHand(
         java.nio.file.Path.of("records"), 200_000, Runnable::run, files, 9));
-    assertThat(e.code(), is(Code.DISK));
+    assertThat(e.code(), is(ErrorCode.DISK));
   }
 }
--- a/disk/src/test/java/elmsail/disk/Story.java
+++ b/storage/src/test/java/elmsail/storage/Story.java
@@ -1,6 +1,6 @@
-package elmsail.disk;
+package elmsail.storage;
 
-import elmsail.disk.Records.Change;
+import elmsail.storage.RecordStore.Change;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -17,20 +17,20 @@
  * of one failed batch that nothing was acknowledged after.
  */
 final class Story {
-  private static final int[] SIZES = {0, 8, 300, Index.SMALL_BYTES, Index.SMALL_BYTES + 1, 9_000};
+  private static final int[] SIZES = {0, 8, 300, RecordIndex.SMALL_BYTES, RecordIndex.SMALL_BYTES + 1, 9_000};
 
   final TornFiles files;
   private final Random random;
   private final long mostBytes;
   private final int names;
   private final int sizes;
-  private final ArrayDeque<Runnable> told = new ArrayDeque<>();
+  private final ArrayDeque<Runnable> response = new ArrayDeque<>();
   private final List<Write> underWay = new ArrayList<>();
   /** Failed since something was acknowledged last, by the failure that took them. */
   private final List<List<Write>> failed = new ArrayList<>();
   private Map<String, byte[]> acknowledged = new TreeMap<>();
-  private FolderRecords records;
-  private long life;
+  private DirectoryRecordStore records;
+  private long instanceId;
   private int number;
   int acknowledgements;
   int failures;
@@ -47,8 +47,8 @@
   }
 
   void open() {
-    told.clear();
-    records = FolderRecords.byHand(Path.of("records"), mostBytes, told::add, files, random.nextLong() | 1);
+    response.clear();
+    records = DirectoryRecordStore.byHand(Path.of("records"), mostBytes, response::add, files, random.nextLong() | 1);
   }
 
   /** One write by chance, and some turns of the disk. */
@@ -88,8 +88,8 @@
   }
 
   void tell() {
-    while (!told.isEmpty()) {
-      told.poll().run();
+    while (!response.isEmpty()) {
+      response.poll().run();
     }
     List<Write> fell = new ArrayList<>();
     while (!underWay.isEmpty() && underWay.get(0).done.isDone()) {
@@ -131,7 +131,7 @@
     }
   }
 
-  private static void same(Map<String, byte[]> wanted, FolderRecords records, String when) {
+  private static void same(Map<String, byte[]> wanted, DirectoryRecordStore records, String when) {
     for (Map.Entry<String, byte[]> e : wanted.entrySet()) {
       if (!Arrays.equals(e.getValue(), records.read(e.getKey()))) {
         throw new AssertionError(when + ": " + e.getKey() + " is not as it was written");
@@ -141,10 +141,10 @@
 
   /** Opens after a loss of power or the end of the process, and checks what is there. */
   void reopen() {
-    long before = life;
+    long before = instanceId;
     open();
-    life = records.life();
-    if (before != 0 && before != life) {
+    instanceId = records.instanceId();
+    if (before != 0 && before != instanceId) {
       throw new AssertionError("another life");
     }
     Map<String, byte[]> found = new TreeMap<>();
--- a/disk/src/test/java/elmsail/disk/TornFiles.java
+++ b/storage/src/test/java/elmsail/storage/TornFiles.java
@@ -1,4 +1,4 @@
-package elmsail.disk;
+package elmsail.storage;
 
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
