--- a/app/src/main/java/elmsail/app/CheckMain.java
+++ b/app/src/main/java/elmsail/app/CheckMain.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import elmsail.runtime.ElmsailException;
 import elmsail.config.RoutingConfigReader;
+import elmsail.runtime.ElmsailException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
@@ -40,15 +40,27 @@
 
   private static Options options() {
     return new Options()
-        .addOption(Option.builder().longOpt(TIMETABLE).hasArg().argName("FILE")
-            .desc("a configuration: print its faults, each with its path").build())
-        .addOption(Option.builder().longOpt(DATA).hasArg().argName("DIR")
-            .desc("a data folder: print what it holds; it is read in a copy").build())
+        .addOption(
+            Option.builder()
+                .longOpt(TIMETABLE)
+                .hasArg()
+                .argName("FILE")
+                .desc("a configuration: print its faults, each with its path")
+                .build())
+        .addOption(
+            Option.builder()
+                .longOpt(DATA)
+                .hasArg()
+                .argName("DIR")
+                .desc("a data folder: print what it holds; it is read in a copy")
+                .build())
         .addOption(Option.builder().longOpt(JSON).desc("print JSON").build())
         .addOption(Option.builder().longOpt(HELP).desc("print this").build());
   }
 
-  /** @return the exit code */
+  /**
+   * @return the exit code
+   */
   int run(String... args) {
     CommandLine line;
     try {
@@ -68,7 +80,8 @@
       return Launch.DONE;
     }
     try {
-      return line.hasOption(DATA) ? data(Path.of(line.getOptionValue(DATA)), line.hasOption(JSON))
+      return line.hasOption(DATA)
+          ? data(Path.of(line.getOptionValue(DATA)), line.hasOption(JSON))
           : config(Path.of(line.getOptionValue(TIMETABLE)), line.hasOption(JSON));
     } catch (ElmsailException | IOException e) {
       err.println("check: " + (e instanceof IOException ? e.toString() : e.getMessage()));
@@ -81,19 +94,20 @@
     List<String> faults = ConfigDiagnostics.of(bytes);
     long edition = faults.isEmpty() ? RoutingConfigReader.read(bytes).edition() : 0;
     if (json) {
-      json(to -> {
-        to.writeStartObject();
-        to.writeBooleanField("valid", faults.isEmpty());
-        if (faults.isEmpty()) {
-          to.writeNumberField("edition", edition);
-        }
-        to.writeArrayFieldStart("faults");
-        for (String fault : faults) {
-          to.writeString(fault);
-        }
-        to.writeEndArray();
-        to.writeEndObject();
-      });
+      json(
+          to -> {
+            to.writeStartObject();
+            to.writeBooleanField("valid", faults.isEmpty());
+            if (faults.isEmpty()) {
+              to.writeNumberField("edition", edition);
+            }
+            to.writeArrayFieldStart("faults");
+            for (String fault : faults) {
+              to.writeString(fault);
+            }
+            to.writeEndArray();
+            to.writeEndObject();
+          });
     } else if (faults.isEmpty()) {
       out.println("edition " + edition + " is valid by itself");
     } else {
@@ -127,11 +141,25 @@
 
   private void help() {
     PrintWriter text = new PrintWriter(out, true);
-    String codes = "Exit codes: " + Launch.DONE + " read, and the configuration is valid; " + Launch.FAILED
-        + " the file or folder cannot be read; " + Launch.UNUSABLE
-        + " the configuration is invalid, or the command line cannot be used.";
-    new HelpFormatter().printHelp(text, 100, "java -cp target/elmsail.jar elmsail.app.CheckMain", null,
-        options(), 2, 2, codes, true);
+    String codes =
+        "Exit codes: "
+            + Launch.DONE
+            + " read, and the configuration is valid; "
+            + Launch.FAILED
+            + " the file or folder cannot be read; "
+            + Launch.UNUSABLE
+            + " the configuration is invalid, or the command line cannot be used.";
+    new HelpFormatter()
+        .printHelp(
+            text,
+            100,
+            "java -cp target/elmsail.jar elmsail.app.CheckMain",
+            null,
+            options(),
+            2,
+            2,
+            codes,
+            true);
     text.flush();
   }
 }
--- a/app/src/main/java/elmsail/app/ConfigDiagnostics.java
+++ b/app/src/main/java/elmsail/app/ConfigDiagnostics.java
@@ -9,8 +9,8 @@
 import com.typesafe.config.ConfigSyntax;
 import com.typesafe.config.ConfigValue;
 import com.typesafe.config.ConfigValueFactory;
-import elmsail.runtime.ElmsailException;
 import elmsail.config.RoutingConfigReader;
+import elmsail.runtime.ElmsailException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -19,9 +19,9 @@
 import java.util.Set;
 
 /**
- * What is wrong with a configuration: the first fault of each route, each service, the limits and the
- * edition. The reader stops at the first of all, so it reads what is left without the parts found bad, again
- * and again.
+ * What is wrong with a configuration: the first fault of each route, each service, the limits and
+ * the edition. The reader stops at the first of all, so it reads what is left without the parts
+ * found bad, again and again.
  */
 final class ConfigDiagnostics {
   private static final String EDITION = "edition";
@@ -45,8 +45,11 @@
     }
     ConfigObject root;
     try {
-      root = ConfigFactory.parseString(new String(bytes, StandardCharsets.UTF_8),
-          ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON)).root();
+      root =
+          ConfigFactory.parseString(
+                  new String(bytes, StandardCharsets.UTF_8),
+                  ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON))
+              .root();
     } catch (ConfigException e) {
       return List.of(whole);
     }
@@ -72,8 +75,10 @@
   }
 
   private void look() {
-    ConfigObject bare = ConfigValueFactory.fromMap(Map.of(EDITION, 1)).withValue(SERVICES, NOTHING)
-        .withValue(ROUTES, NOTHING);
+    ConfigObject bare =
+        ConfigValueFactory.fromMap(Map.of(EDITION, 1))
+            .withValue(SERVICES, NOTHING)
+            .withValue(ROUTES, NOTHING);
     note(faultOf(with(bare.withoutKey(EDITION), EDITION)));
     note(faultOf(with(bare, LIMITS)));
     parts(bare, SERVICES);
@@ -90,13 +95,18 @@
     }
   }
 
-  /** A plain service of each name there is, so that a route is not at fault for its service's faults. */
+  /**
+   * A plain service of each name there is, so that a route is not at fault for its service's
+   * faults.
+   */
   private ConfigValue known() {
     Set<String> names = new LinkedHashSet<>();
     if (root.get(SERVICES) instanceof ConfigList services) {
       for (ConfigValue service : services) {
-        if (service instanceof ConfigObject one && one.get("name") != null
-            && one.get("name").unwrapped() instanceof String name && !name.isEmpty()) {
+        if (service instanceof ConfigObject one
+            && one.get("name") != null
+            && one.get("name").unwrapped() instanceof String name
+            && !name.isEmpty()) {
           names.add(name);
         }
       }
--- a/app/src/main/java/elmsail/app/ControlPlaneMain.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneMain.java
@@ -6,8 +6,7 @@
 /** The control plane's program: serves {@code head_office}, or keeps jobs at a {@code vault}. */
 public final class ControlPlaneMain implements Program {
 
-  private ControlPlaneMain() {
-  }
+  private ControlPlaneMain() {}
 
   public static void main(String[] args) {
     Launch.main(new ControlPlaneMain(), args);
--- a/app/src/main/java/elmsail/app/ControlPlaneProcess.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneProcess.java
@@ -1,16 +1,19 @@
 package elmsail.app;
 
-import elmsail.storage.DirectoryRecordStore;
-import elmsail.storage.RecordStore;
-import elmsail.rpc.RpcEndpoint;
 import elmsail.controlplane.ControlPlane;
+import elmsail.rpc.RpcEndpoint;
 import elmsail.runtime.NettyLoop;
 import elmsail.runtime.Settings;
+import elmsail.storage.DirectoryRecordStore;
+import elmsail.storage.RecordStore;
 import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A control-plane node put together, at the head office or a store: its disk, its links, its part. All on the loop. */
+/**
+ * A control-plane node put together, at the head office or a store: its disk, its links, its part.
+ * All on the loop.
+ */
 final class ControlPlaneProcess implements Program.Running {
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneProcess.class);
 
@@ -20,17 +23,28 @@
 
   ControlPlaneProcess(Settings settings, NettyLoop loop) {
     links = new RpcEndpoint(loop.events(), loop, settings.innerAddress());
-    records = settings.dataDir() == null ? null : DirectoryRecordStore.open(Path.of(settings.dataDir()),
-        (long) settings.limits().diskMb() << 20, loop::soon);
+    records =
+        settings.dataDir() == null
+            ? null
+            : DirectoryRecordStore.open(
+                Path.of(settings.dataDir()), (long) settings.limits().diskMb() << 20, loop::soon);
     if (settings.serves().contains("head_office")) {
       links.listen().exceptionally(Launch::fatal);
-      ControlPlane.startHeadOffice(settings, loop, links, records).thenAccept(started -> {
-        controlPlane = started;
-        LOG.info("listening at {} and {}", settings.slots().get("control"), settings.innerAddress());
-      }).exceptionally(Launch::fatal);
+      ControlPlane.startHeadOffice(settings, loop, links, records)
+          .thenAccept(
+              started -> {
+                controlPlane = started;
+                LOG.info(
+                    "listening at {} and {}",
+                    settings.slots().get("control"),
+                    settings.innerAddress());
+              })
+          .exceptionally(Launch::fatal);
     } else {
       controlPlane = ControlPlane.startVault(settings, loop, links, records);
-      links.listen().thenRun(() -> LOG.info("listening at {}", settings.innerAddress()))
+      links
+          .listen()
+          .thenRun(() -> LOG.info("listening at {}", settings.innerAddress()))
           .exceptionally(Launch::fatal);
     }
   }
--- a/app/src/main/java/elmsail/app/DataDirectoryReport.java
+++ b/app/src/main/java/elmsail/app/DataDirectoryReport.java
@@ -1,12 +1,12 @@
 package elmsail.app;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import elmsail.storage.DirectoryRecordStore;
+import elmsail.consensus.RestoredReplica;
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.Voter;
-import elmsail.consensus.RestoredReplica;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.storage.DirectoryRecordStore;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.DirectoryStream;
@@ -21,15 +21,17 @@
  * @param files the versions' files, those being written left out
  * @param bytes of all files
  */
-record DataDirectoryReport(long instanceId, int files, long bytes, int records, List<RestoredReplica> sets) {
+record DataDirectoryReport(
+    long instanceId, int files, long bytes, int records, List<RestoredReplica> sets) {
   private static final String PREFIX = "v-";
   private static final String PART = ".part";
+
   /** Nothing is written, so any share of the disk will do. */
   private static final long MOST_BYTES = 1L << 50;
 
   /**
-   * @throws ElmsailException DISK: there are no records, or they cannot be read, or the folder changed
-   *     while it was copied
+   * @throws ElmsailException DISK: there are no records, or they cannot be read, or the folder
+   *     changed while it was copied
    */
   static DataDirectoryReport read(Path folder) {
     Path copy = null;
@@ -37,7 +39,8 @@
       copy = Files.createTempDirectory("elmsail-data");
       return copied(folder, copy);
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.DISK, "the folder cannot be copied (is its process running?): " + e, e);
+      throw new ElmsailException(
+          ErrorCode.DISK, "the folder cannot be copied (is its process running?): " + e, e);
     } finally {
       remove(copy);
     }
@@ -59,12 +62,14 @@
     if (files == 0) {
       throw new ElmsailException(ErrorCode.DISK, "no records in " + folder);
     }
-    try (DirectoryRecordStore records = DirectoryRecordStore.open(copy, MOST_BYTES, Runnable::run)) {
+    try (DirectoryRecordStore records =
+        DirectoryRecordStore.open(copy, MOST_BYTES, Runnable::run)) {
       int count = 0;
       for (String name : records.names("")) {
         count += name.isEmpty() ? 0 : 1;
       }
-      return new DataDirectoryReport(records.instanceId(), files, bytes, count, RestoredReplica.of(records));
+      return new DataDirectoryReport(
+          records.instanceId(), files, bytes, count, RestoredReplica.of(records));
     }
   }
 
@@ -87,21 +92,52 @@
   }
 
   void print(PrintStream out) {
-    out.println("life " + Long.toHexString(instanceId) + ", " + files + " files, " + bytes + " bytes, " + records
-        + " records");
+    out.println(
+        "life "
+            + Long.toHexString(instanceId)
+            + ", "
+            + files
+            + " files, "
+            + bytes
+            + " bytes, "
+            + records
+            + " records");
     for (RestoredReplica set : sets) {
-      out.println("set " + set.set() + ": " + (set.ownSlot() < 0 ? "holds no seat"
-          : "seat " + set.ownSlot() + (set.votes() ? ", votes" : ", does not vote")));
+      out.println(
+          "set "
+              + set.set()
+              + ": "
+              + (set.ownSlot() < 0
+                  ? "holds no seat"
+                  : "seat " + set.ownSlot() + (set.votes() ? ", votes" : ", does not vote")));
       for (int i = 0; i < set.voterSet().voters.size(); i++) {
         Voter slot = set.voterSet().voters.get(i);
-        out.println("  seat " + i + ": " + slot.address + " " + slot.station + ", life "
-            + Long.toHexString(slot.instanceId) + ", incarnation " + slot.epoch);
+        out.println(
+            "  seat "
+                + i
+                + ": "
+                + slot.address
+                + " "
+                + slot.station
+                + ", life "
+                + Long.toHexString(slot.instanceId)
+                + ", incarnation "
+                + slot.epoch);
       }
       for (RestoredReplica.Key key : set.keys()) {
-        out.println("  key " + key.name() + ": promised " + of(key.promised()) + ", accepted "
-            + of(key.accepted()) + (key.copied() ? " (copied)" : "") + ", "
-            + (key.valueBytes() < 0 ? "no value" : "value of " + key.valueBytes() + " bytes") + ", "
-            + key.blobs() + " blobs");
+        out.println(
+            "  key "
+                + key.name()
+                + ": promised "
+                + of(key.promised())
+                + ", accepted "
+                + of(key.accepted())
+                + (key.copied() ? " (copied)" : "")
+                + ", "
+                + (key.valueBytes() < 0 ? "no value" : "value of " + key.valueBytes() + " bytes")
+                + ", "
+                + key.blobs()
+                + " blobs");
       }
     }
   }
--- a/app/src/main/java/elmsail/app/GatewayMain.java
+++ b/app/src/main/java/elmsail/app/GatewayMain.java
@@ -6,8 +6,7 @@
 /** The data plane's program: serves {@code counter}. */
 public final class GatewayMain implements Program {
 
-  private GatewayMain() {
-  }
+  private GatewayMain() {}
 
   public static void main(String[] args) {
     Launch.main(new GatewayMain(), args);
--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -1,18 +1,18 @@
 package elmsail.app;
 
-import elmsail.gateway.Gateway;
-import elmsail.rpc.RpcEndpoint;
-import elmsail.rpc.messages.VoterSet;
 import elmsail.batch.api.BatchApi;
+import elmsail.config.PlatformClient;
+import elmsail.config.watch.ConfigWatcher;
+import elmsail.config.watch.StoreStatus;
 import elmsail.consensus.RegisterClient;
-import elmsail.consensus.VoterSets;
 import elmsail.consensus.VoterSetSource;
+import elmsail.consensus.VoterSets;
+import elmsail.gateway.Gateway;
+import elmsail.rpc.RpcEndpoint;
+import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.NettyLoop;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.NettyHttpClient;
-import elmsail.config.PlatformClient;
-import elmsail.config.watch.ConfigWatcher;
-import elmsail.config.watch.StoreStatus;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
@@ -32,27 +32,39 @@
     long who = new SecureRandom().nextLong();
     String own = settings.innerAddress();
     links = new RpcEndpoint(loop.events(), loop, own);
-    PlatformClient platform = settings.platform() == null ? null
-        : new PlatformClient(new NettyHttpClient(loop), settings.platform().address(), loop);
-    known = new ConfigWatcher(links, loop, settings, "gateway", who, () -> StoreStatus.NONE, platform);
-    RegisterClient storeSet = new RegisterClient("shelf", links, loop, new StoreVoters(known), who, own,
-        address -> near(own, address));
-    BatchApi jobs = new BatchApi(storeSet, links, loop, known, own, who, settings.bounds().cancelMs());
+    PlatformClient platform =
+        settings.platform() == null
+            ? null
+            : new PlatformClient(new NettyHttpClient(loop), settings.platform().address(), loop);
+    known =
+        new ConfigWatcher(links, loop, settings, "gateway", who, () -> StoreStatus.NONE, platform);
+    RegisterClient storeSet =
+        new RegisterClient(
+            "shelf", links, loop, new StoreVoters(known), who, own, address -> near(own, address));
+    BatchApi jobs =
+        new BatchApi(storeSet, links, loop, known, own, who, settings.bounds().cancelMs());
     jobs.listen(links);
     CompletableFuture<Void> listening = links.listen();
     known.start();
-    Gateway.start(settings, loop, known, jobs).thenAcceptBoth(listening, (started, nothing) -> {
-      gateway = started;
-      jobs.setServers(started.itemServers());
-      jobs.start();
-      LOG.info("listening at {} and {}", settings.slots().get("front"), own);
-      if (ending) {
-        finish();
-      }
-    }).exceptionally(Launch::fatal);
+    Gateway.start(settings, loop, known, jobs)
+        .thenAcceptBoth(
+            listening,
+            (started, nothing) -> {
+              gateway = started;
+              jobs.setServers(started.itemServers());
+              jobs.start();
+              LOG.info("listening at {} and {}", settings.slots().get("front"), own);
+              if (ending) {
+                finish();
+              }
+            })
+        .exceptionally(Launch::fatal);
   }
 
-  /** How far another process is: the first two parts of its address tell its zone as far as is known. */
+  /**
+   * How far another process is: the first two parts of its address tell its zone as far as is
+   * known.
+   */
   private static int near(String own, String other) {
     int dots = 0;
     for (int i = 0; i < Math.min(own.length(), other.length()); i++) {
@@ -83,14 +95,20 @@
   }
 
   private void finish() {
-    gateway.stop().whenComplete((done, failed) -> {
-      known.close();
-      links.close();
-      whenEnded.run();
-    });
+    gateway
+        .stop()
+        .whenComplete(
+            (done, failed) -> {
+              known.close();
+              links.close();
+              whenEnded.run();
+            });
   }
 
-  /** The stores' voter slots: what the control-plane nodes and the stores themselves told, the newer of each. */
+  /**
+   * The stores' voter slots: what the control-plane nodes and the stores themselves told, the newer
+   * of each.
+   */
   private static final class StoreVoters implements VoterSetSource {
     private final ConfigWatcher known;
     private VoterSet response = new VoterSet();
--- a/app/src/main/java/elmsail/app/Launch.java
+++ b/app/src/main/java/elmsail/app/Launch.java
@@ -1,9 +1,9 @@
 package elmsail.app;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
-import elmsail.runtime.ProcessSignals;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessSignals;
 import elmsail.runtime.Settings;
 import elmsail.runtime.SettingsFile;
 import java.io.PrintStream;
@@ -25,8 +25,10 @@
 
   /** All went well, or SIGTERM was heard and everything was brought to its end. */
   static final int DONE = 0;
+
   /** It could not start, or a rehearsal failed. */
   static final int FAILED = 1;
+
   /** The command line or the settings cannot be used. */
   static final int UNUSABLE = 2;
 
@@ -34,6 +36,7 @@
   private static final String SETTINGS = "settings";
   private static final String CHECK = "check";
   private static final String HELP = "help";
+
   /** For the build alone: see {@link StartupRehearsal}. */
   private static final String REHEARSE = "rehearse";
 
@@ -47,7 +50,9 @@
     this.err = err;
   }
 
-  /** Runs to the process's end, and exits: nothing that still waits on another thread holds that up. */
+  /**
+   * Runs to the process's end, and exits: nothing that still waits on another thread holds that up.
+   */
   static void main(Program program, String[] args) {
     LogProvider.choose();
     System.exit(new Launch(program, System.out, System.err).run(args));
@@ -55,13 +60,27 @@
 
   private static Options options() {
     return new Options()
-        .addOption(Option.builder().longOpt(SETTINGS).hasArg().argName("FILE")
-            .desc("the settings, JSON; by default the file that " + SettingsFile.VARIABLE + " names").build())
-        .addOption(Option.builder().longOpt(CHECK).desc("check the settings, print their fault, end").build())
+        .addOption(
+            Option.builder()
+                .longOpt(SETTINGS)
+                .hasArg()
+                .argName("FILE")
+                .desc(
+                    "the settings, JSON; by default the file that "
+                        + SettingsFile.VARIABLE
+                        + " names")
+                .build())
+        .addOption(
+            Option.builder()
+                .longOpt(CHECK)
+                .desc("check the settings, print their fault, end")
+                .build())
         .addOption(Option.builder().longOpt(HELP).desc("print this").build());
   }
 
-  /** @return the exit code */
+  /**
+   * @return the exit code
+   */
   int run(String... args) {
     CommandLine line;
     boolean rehearse = args.length == 1 && args[0].equals("--" + REHEARSE);
@@ -83,7 +102,12 @@
       return StartupRehearsal.run(program, err);
     }
     if (file == null) {
-      err.println(program.name() + ": no settings: give --" + SETTINGS + " or set " + SettingsFile.VARIABLE);
+      err.println(
+          program.name()
+              + ": no settings: give --"
+              + SETTINGS
+              + " or set "
+              + SettingsFile.VARIABLE);
       return UNUSABLE;
     }
     Settings settings;
@@ -101,10 +125,12 @@
   }
 
   private int live(Path file, Settings settings) {
-    return live(program, file, settings, (end, loop) -> { });
+    return live(program, file, settings, (end, loop) -> {});
   }
 
-  /** What is done with a program that has started; on the loop. Running {@code end} is as a SIGTERM. */
+  /**
+   * What is done with a program that has started; on the loop. Running {@code end} is as a SIGTERM.
+   */
   @FunctionalInterface
   interface Started {
     void with(Runnable end, NettyLoop loop);
@@ -114,18 +140,20 @@
     Logger log = LoggerFactory.getLogger("elmsail." + program.name());
     NettyLoop loop = new NettyLoop();
     CompletableFuture<Void> ended = new CompletableFuture<>();
-    loop.soon(() -> {
-      try {
-        // The signals first: SIGHUP would end the process until it is heard.
-        Held held = new Held(ended);
-        new ProcessSignals(loop, file, settings, held::end, held::changed).listen();
-        held.running = program.start(settings, loop);
-        log.info("started, {} ms after its main began", (System.nanoTime() - BEGAN) / 1_000_000);
-        started.with(held::end, loop);
-      } catch (RuntimeException e) {
-        ended.completeExceptionally(e);
-      }
-    });
+    loop.soon(
+        () -> {
+          try {
+            // The signals first: SIGHUP would end the process until it is heard.
+            Held held = new Held(ended);
+            new ProcessSignals(loop, file, settings, held::end, held::changed).listen();
+            held.running = program.start(settings, loop);
+            log.info(
+                "started, {} ms after its main began", (System.nanoTime() - BEGAN) / 1_000_000);
+            started.with(held::end, loop);
+          } catch (RuntimeException e) {
+            ended.completeExceptionally(e);
+          }
+        });
     try {
       ended.join();
       log.info("ended");
@@ -156,7 +184,10 @@
     }
   }
 
-  /** An address that can't be had, or another fault behind the start: ends the process, from any thread. */
+  /**
+   * An address that can't be had, or another fault behind the start: ends the process, from any
+   * thread.
+   */
   static Void fatal(Throwable fault) {
     LoggerFactory.getLogger(Launch.class).error("could not start", fault);
     int code = ElmsailException.codeOf(fault) == ErrorCode.BAD_SETTINGS ? UNUSABLE : FAILED;
@@ -168,9 +199,14 @@
     PrintWriter text = new PrintWriter(out, true);
     HelpFormatter form = new HelpFormatter();
     String start = "java -cp target/elmsail.jar elmsail.app." + program.getClass().getSimpleName();
-    String codes = "Exit codes: " + DONE + " all went well, or ended by SIGTERM; " + FAILED
-        + " could not start; "
-        + UNUSABLE + " the command line or the settings cannot be used.";
+    String codes =
+        "Exit codes: "
+            + DONE
+            + " all went well, or ended by SIGTERM; "
+            + FAILED
+            + " could not start; "
+            + UNUSABLE
+            + " the command line or the settings cannot be used.";
     form.printHelp(text, 100, start, null, options(), 2, 2, codes, true);
     text.flush();
   }
--- a/app/src/main/java/elmsail/app/LogLines.java
+++ b/app/src/main/java/elmsail/app/LogLines.java
@@ -8,8 +8,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Writes each event as one line: ms since the log began, level, the logger's last name, message; and for what
- * was thrown a line for each cause with the nearest places in the code.
+ * Writes each event as one line: ms since the log began, level, the logger's last name, message;
+ * and for what was thrown a line for each cause with the nearest places in the code.
  */
 final class LogLines extends UnsynchronizedAppenderBase<ILoggingEvent> {
 
@@ -27,8 +27,12 @@
   protected void append(ILoggingEvent event) {
     StringBuilder line = new StringBuilder(160);
     String name = event.getLoggerName();
-    line.append((System.nanoTime() - began) / 1_000_000).append(' ').append(event.getLevel()).append(' ')
-        .append(name, name.lastIndexOf('.') + 1, name.length()).append(' ');
+    line.append((System.nanoTime() - began) / 1_000_000)
+        .append(' ')
+        .append(event.getLevel())
+        .append(' ')
+        .append(name, name.lastIndexOf('.') + 1, name.length())
+        .append(' ');
     onOneLine(line, event.getFormattedMessage());
     line.append('\n');
     IThrowableProxy thrown = event.getThrowableProxy();
--- a/app/src/main/java/elmsail/app/LogProvider.java
+++ b/app/src/main/java/elmsail/app/LogProvider.java
@@ -8,7 +8,10 @@
 import org.slf4j.spi.MDCAdapter;
 import org.slf4j.spi.SLF4JServiceProvider;
 
-/** Gives SLF4J a Logback that is set up at once: without looking for configurators, files and versions. */
+/**
+ * Gives SLF4J a Logback that is set up at once: without looking for configurators, files and
+ * versions.
+ */
 public final class LogProvider implements SLF4JServiceProvider {
 
   private final LoggerContext context = new LoggerContext();
--- a/app/src/main/java/elmsail/app/LogSetup.java
+++ b/app/src/main/java/elmsail/app/LogSetup.java
@@ -8,8 +8,8 @@
 import ch.qos.logback.core.status.NopStatusListener;
 
 /**
- * Sets the log up in code, as reading a file and a pattern for it would cost more than the rest of the start:
- * plain lines to standard output. Found by Logback as a service.
+ * Sets the log up in code, as reading a file and a pattern for it would cost more than the rest of
+ * the start: plain lines to standard output. Found by Logback as a service.
  */
 public final class LogSetup extends ContextAwareBase implements Configurator {
 
--- a/app/src/main/java/elmsail/app/Program.java
+++ b/app/src/main/java/elmsail/app/Program.java
@@ -10,8 +10,8 @@
   String name();
 
   /**
-   * Listens and joins the others; called on the loop. What it throws, with BAD_SETTINGS or not, ends the
-   * process.
+   * Listens and joins the others; called on the loop. What it throws, with BAD_SETTINGS or not,
+   * ends the process.
    */
   Running start(Settings settings, NettyLoop loop);
 
--- a/app/src/main/java/elmsail/app/StartupRehearsal.java
+++ b/app/src/main/java/elmsail/app/StartupRehearsal.java
@@ -17,31 +17,38 @@
 import java.util.stream.Stream;
 
 /**
- * The build's run of a program: started with made-up settings on loopback, asked a few things, and ended, so
- * that the runtime can keep an archive of the classes that a start needs.
+ * The build's run of a program: started with made-up settings on loopback, asked a few things, and
+ * ended, so that the runtime can keep an archive of the classes that a start needs.
  */
 final class StartupRehearsal {
 
   private static final long LIMIT_MS = 20_000;
   private static final long BEFORE_MS = 200;
   private static final long ASK_MS = 2_000;
-  private static final String[] PATHS = {"/ready", "/Timetable.Read", "/none?of=these",
-      "/lots/7c41e09b52d6a3f8"};
+  private static final String[] PATHS = {
+    "/ready", "/Timetable.Read", "/none?of=these", "/lots/7c41e09b52d6a3f8"
+  };
 
-  private StartupRehearsal() {
-  }
+  private StartupRehearsal() {}
 
-  /** @return the exit code */
+  /**
+   * @return the exit code
+   */
   static int run(Program program, PrintStream err) {
     Path folder = null;
     try {
       folder = Files.createTempDirectory("elmsail");
-      Path file = Files.writeString(folder.resolve("settings.json"), settings(program.name(), folder));
+      Path file =
+          Files.writeString(folder.resolve("settings.json"), settings(program.name(), folder));
       Settings settings = SettingsFile.read(file);
-      return Launch.live(program, file, settings, (end, loop) -> {
-        loop.after(LIMIT_MS, () -> Runtime.getRuntime().halt(Launch.FAILED));
-        loop.after(BEFORE_MS, () -> request(end, loop, settings));
-      });
+      return Launch.live(
+          program,
+          file,
+          settings,
+          (end, loop) -> {
+            loop.after(LIMIT_MS, () -> Runtime.getRuntime().halt(Launch.FAILED));
+            loop.after(BEFORE_MS, () -> request(end, loop, settings));
+          });
     } catch (IOException e) {
       e.printStackTrace(err);
       return Launch.FAILED;
@@ -60,25 +67,42 @@
         asked.add(asker.get(address, path, ASK_MS).exceptionally(failure -> null));
       }
     }
-    CompletableFuture.allOf(asked.toArray(new CompletableFuture<?>[0]))
-        .thenRun(end);
+    CompletableFuture.allOf(asked.toArray(new CompletableFuture<?>[0])).thenRun(end);
   }
 
   private static String settings(String program, Path folder) throws IOException {
     boolean gateway = program.equals("gateway");
     int[] ports = ports(5);
     String here = "\"127.0.0.1:";
-    String slots = gateway ? "\"front\":" + here + ports[0] + "\",\"ready\":" + here + ports[1] + "\""
-        : "\"control\":" + here + ports[2] + "\"";
+    String slots =
+        gateway
+            ? "\"front\":" + here + ports[0] + "\",\"ready\":" + here + ports[1] + "\""
+            : "\"control\":" + here + ports[2] + "\"";
     String disk = gateway ? "" : "\"data_dir\":\"" + folder.resolve("data") + "\",";
-    return "{\"station\":\"rehearsed\",\"role\":\"" + program + "\",\"machine_class\":\"counter\","
-        + "\"serves\":[" + (gateway ? "\"counter\"" : "\"head_office\"") + "],"
+    return "{\"station\":\"rehearsed\",\"role\":\""
+        + program
+        + "\",\"machine_class\":\"counter\","
+        + "\"serves\":["
+        + (gateway ? "\"counter\"" : "\"head_office\"")
+        + "],"
         + "\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"region\":\"r\",\"zones\":{\"z\":\"r\"},"
-        + "\"mail_slots\":{" + slots + "},\"inner_ports\":[" + ports[3] + "," + (ports[3] + 1) + "],"
-        + "\"seed_stations\":[" + here + ports[2] + "\"],\"first_start\":true,\"counted\":true," + disk
+        + "\"mail_slots\":{"
+        + slots
+        + "},\"inner_ports\":["
+        + ports[3]
+        + ","
+        + (ports[3] + 1)
+        + "],"
+        + "\"seed_stations\":["
+        + here
+        + ports[2]
+        + "\"],\"first_start\":true,\"counted\":true,"
+        + disk
         + "\"limits\":{\"cpu_share\":0.4,\"memory_mb\":256,\"fds\":1024,\"link_mbps\":1000.0,"
         + "\"disk_mb\":64},\"clauses\":[\"base\",\"batch\",\"stream\"],\"bear_losses\":{\"machines\":0},"
-        + "\"bounds\":{\"grace_s\":8},\"carrier_api\":{\"address\":" + here + ports[4]
+        + "\"bounds\":{\"grace_s\":8},\"carrier_api\":{\"address\":"
+        + here
+        + ports[4]
         + "\",\"per_s\":40,\"lag_ms\":800}}";
   }
 
--- a/app/src/test/java/elmsail/app/CheckMainTest.java
+++ b/app/src/test/java/elmsail/app/CheckMainTest.java
@@ -7,16 +7,16 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import elmsail.storage.DirectoryRecordStore;
-import elmsail.storage.RecordStore.Change;
-import elmsail.rpc.RequestHandlers;
+import elmsail.consensus.Replica;
+import elmsail.consensus.ReplicaListener;
+import elmsail.consensus.RestoredReplica;
 import elmsail.rpc.Caller;
+import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.consensus.RestoredReplica;
-import elmsail.consensus.Replica;
-import elmsail.consensus.ReplicaListener;
 import elmsail.simulation.ManualTimers;
+import elmsail.storage.DirectoryRecordStore;
+import elmsail.storage.RecordStore.Change;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -38,28 +38,31 @@
 
 @Timeout(60)
 class CheckMainTest {
-  private static final String GOOD = "{\"edition\":7,\"postal_lines\":[{\"name\":\"a\"}],\"routes\":["
-      + "{\"name\":\"r\",\"depot\":\"h.example\",\"lane_prefix\":\"/x/\",\"route_class\":\"safe\","
-      + "\"give_up_ms\":5,\"postal_line\":\"a\"}]}";
-  private static final String BAD = "{\"edition\":0,\"limits\":{\"idle_ms\":\"x\"},"
-      + "\"postal_lines\":[{\"name\":\"a\"},{\"name\":\"b\",\"health\":1},{\"name\":\"a\"}],\"routes\":["
-      + "{\"name\":\"r\",\"depot\":\"h.example\",\"lane_prefix\":\"/x/\",\"route_class\":\"safe\","
-      + "\"give_up_ms\":0,\"postal_line\":\"a\"},"
-      + "{\"name\":\"s\",\"depot\":\"h.example\",\"lane_prefix\":\"/y/\",\"route_class\":\"safe\","
-      + "\"give_up_ms\":5,\"postal_line\":\"b\"},"
-      + "{\"name\":\"t\",\"depot\":\"h.example\",\"lane_prefix\":\"/y/\",\"route_class\":\"safe\","
-      + "\"give_up_ms\":5,\"postal_line\":\"b\"},"
-      + "{\"name\":\"u\",\"depot\":\"h.example\",\"lane_prefix\":\"/z/\",\"route_class\":\"safe\","
-      + "\"give_up_ms\":5,\"postal_line\":\"c\"}]}";
-
-  @TempDir
-  private Path folder;
+  private static final String GOOD =
+      "{\"edition\":7,\"postal_lines\":[{\"name\":\"a\"}],\"routes\":["
+          + "{\"name\":\"r\",\"depot\":\"h.example\",\"lane_prefix\":\"/x/\",\"route_class\":\"safe\","
+          + "\"give_up_ms\":5,\"postal_line\":\"a\"}]}";
+  private static final String BAD =
+      "{\"edition\":0,\"limits\":{\"idle_ms\":\"x\"},"
+          + "\"postal_lines\":[{\"name\":\"a\"},{\"name\":\"b\",\"health\":1},{\"name\":\"a\"}],\"routes\":["
+          + "{\"name\":\"r\",\"depot\":\"h.example\",\"lane_prefix\":\"/x/\",\"route_class\":\"safe\","
+          + "\"give_up_ms\":0,\"postal_line\":\"a\"},"
+          + "{\"name\":\"s\",\"depot\":\"h.example\",\"lane_prefix\":\"/y/\",\"route_class\":\"safe\","
+          + "\"give_up_ms\":5,\"postal_line\":\"b\"},"
+          + "{\"name\":\"t\",\"depot\":\"h.example\",\"lane_prefix\":\"/y/\",\"route_class\":\"safe\","
+          + "\"give_up_ms\":5,\"postal_line\":\"b\"},"
+          + "{\"name\":\"u\",\"depot\":\"h.example\",\"lane_prefix\":\"/z/\",\"route_class\":\"safe\","
+          + "\"give_up_ms\":5,\"postal_line\":\"c\"}]}";
+
+  @TempDir private Path folder;
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
   private int run(String... args) {
-    return new CheckMain(new PrintStream(out, true, StandardCharsets.UTF_8),
-        new PrintStream(err, true, StandardCharsets.UTF_8)).run(args);
+    return new CheckMain(
+            new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8))
+        .run(args);
   }
 
   private String response() {
@@ -74,25 +77,32 @@
   void aValidConfigurationIsSaidSo() throws Exception {
     assertThat(run("--timetable", file(GOOD)), is(Launch.DONE));
     assertThat(run("--timetable", file(GOOD), "--json"), is(Launch.DONE));
-    assertThat(response().lines().toList(), contains("edition 7 is valid by itself",
-        "{\"valid\":true,\"edition\":7,\"faults\":[]}"));
+    assertThat(
+        response().lines().toList(),
+        contains("edition 7 is valid by itself", "{\"valid\":true,\"edition\":7,\"faults\":[]}"));
   }
 
   @Test
   void allPartsAtFaultAreNamedByTheirPlaceInTheWhole() throws Exception {
     assertThat(run("--timetable", file(BAD)), is(Launch.UNUSABLE));
-    assertThat(response().lines().toList(), contains(
-        "edition: is not a whole number above 0",
-        "limits.idle_ms: is not a number",
-        "postal_lines[1].health: is not a text",
-        "postal_lines[2].name: two services are called a",
-        "routes[0].give_up_ms: is 0",
-        "routes[2].lane_prefix: two routes have h.example and /y/",
-        "routes[3].postal_line: the service c is not known"));
+    assertThat(
+        response().lines().toList(),
+        contains(
+            "edition: is not a whole number above 0",
+            "limits.idle_ms: is not a number",
+            "postal_lines[1].health: is not a text",
+            "postal_lines[2].name: two services are called a",
+            "routes[0].give_up_ms: is 0",
+            "routes[2].lane_prefix: two routes have h.example and /y/",
+            "routes[3].postal_line: the service c is not known"));
     out.reset();
     assertThat(run("--timetable", file(BAD), "--json"), is(Launch.UNUSABLE));
-    assertThat(response(), allOf(containsString("\"valid\":false"), containsString("\"limits.idle_ms: "),
-        containsString("\"routes[3].postal_line: ")));
+    assertThat(
+        response(),
+        allOf(
+            containsString("\"valid\":false"),
+            containsString("\"limits.idle_ms: "),
+            containsString("\"routes[3].postal_line: ")));
   }
 
   @Test
@@ -101,7 +111,8 @@
     assertThat(response().lines().count(), is(1L));
     out.reset();
     assertThat(run("--timetable", file("{\"edition\":1,\"routes\":3}")), is(Launch.UNUSABLE));
-    assertThat(response().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
+    assertThat(
+        response().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
     out.reset();
     String twice = GOOD.replace("\"give_up_ms\":5", "\"give_up_ms\":5,\"give_up_ms\":6");
     assertThat(run("--timetable", file(twice)), is(Launch.UNUSABLE));
@@ -116,35 +127,69 @@
     Files.write(data.resolve("v-0000000000000099.part"), new byte[] {1});
     Map<String, ByteBuffer> before = bytes(data);
     assertThat(run("--data", data.toString()), is(Launch.DONE));
-    assertThat(response(), allOf(containsString("life " + Long.toHexString(instanceId) + ", "),
-        containsString("set head: seat 0, votes"),
-        containsString("  seat 0: 127.0.0.1:7721 n1, life " + Long.toHexString(instanceId) + ", incarnation 1"),
-        containsString("  seat 1: 127.0.0.2:7721 n2, life 5, incarnation 1"),
-        containsString("  key time/table: promised 3.4, accepted 2.4, value of 2 bytes, 1 blobs")));
+    assertThat(
+        response(),
+        allOf(
+            containsString("life " + Long.toHexString(instanceId) + ", "),
+            containsString("set head: seat 0, votes"),
+            containsString(
+                "  seat 0: 127.0.0.1:7721 n1, life "
+                    + Long.toHexString(instanceId)
+                    + ", incarnation 1"),
+            containsString("  seat 1: 127.0.0.2:7721 n2, life 5, incarnation 1"),
+            containsString(
+                "  key time/table: promised 3.4, accepted 2.4, value of 2 bytes, 1 blobs")));
     assertThat(response(), not(containsString("set notary")));
     out.reset();
     assertThat(run("--data", data.toString(), "--json"), is(Launch.DONE));
-    assertThat(response(), allOf(containsString("\"own_seat\":0,\"caught_up\":1,\"votes\":true"),
-        containsString("{\"key\":\"time/table\",\"promised\":\"3.4\",\"accepted\":\"2.4\",\"copied\":false,"
-            + "\"value_bytes\":2,\"blobs\":1}")));
+    assertThat(
+        response(),
+        allOf(
+            containsString("\"own_seat\":0,\"caught_up\":1,\"votes\":true"),
+            containsString(
+                "{\"key\":\"time/table\",\"promised\":\"3.4\",\"accepted\":\"2.4\",\"copied\":false,"
+                    + "\"value_bytes\":2,\"blobs\":1}")));
     assertThat(bytes(data), is(before));
   }
 
-  /** A keeper writes its voter set; a key's record is laid beside it as register's KeyState writes it. */
+  /**
+   * A keeper writes its voter set; a key's record is laid beside it as register's KeyState writes
+   * it.
+   */
   private static long write(Path data) {
     ManualTimers timers = new ManualTimers();
     try (DirectoryRecordStore records = DirectoryRecordStore.open(data, 1 << 24, Runnable::run)) {
-      Replica keeper = new Replica("head", records, new ReplicaListener() { }, new NoAnswers(), new NoCalls(),
-          timers, "127.0.0.1:7721", "n1");
+      Replica keeper =
+          new Replica(
+              "head",
+              records,
+              new ReplicaListener() {},
+              new NoAnswers(),
+              new NoCalls(),
+              timers,
+              "127.0.0.1:7721",
+              "n1");
       VoterSet voterSet = new VoterSet();
       voterSet.voters.add(slot("127.0.0.1:7721", "n1", records.instanceId()));
       voterSet.voters.add(slot("127.0.0.2:7721", "n2", 5));
       voterSet.voters.add(slot("127.0.0.3:7721", "n3", 6));
       keeper.found(voterSet);
-      byte[] state = ByteBuffer.allocate(35).putLong(3).putLong(4).putLong(2).putLong(4).put((byte) 1)
-          .put((byte) 8).put((byte) 9).array();
-      records.write(List.of(new Change("head/k/time%2Ftable", state),
-          new Change("head/b/time%2Ftable/one", new byte[9]), new Change("notary/born", new byte[] {1})))
+      byte[] state =
+          ByteBuffer.allocate(35)
+              .putLong(3)
+              .putLong(4)
+              .putLong(2)
+              .putLong(4)
+              .put((byte) 1)
+              .put((byte) 8)
+              .put((byte) 9)
+              .array();
+      records
+          .write(
+              List.of(
+                  new Change("head/k/time%2Ftable", state),
+                  new Change("head/b/time%2Ftable/one", new byte[9]),
+                  new Change("notary/born", new byte[] {1})))
           .join();
       assertThat(RestoredReplica.of(records).size(), is(1));
       return records.instanceId();
@@ -162,15 +207,15 @@
 
   private static final class NoAnswers implements RequestHandlers {
     @Override
-    public <Q, A> void on(Class<Q> request,
-        Function<Q, ? extends CompletionStage<A>> handler) {
+    public <Q, A> void on(Class<Q> request, Function<Q, ? extends CompletionStage<A>> handler) {
       // Nobody asks.
     }
   }
 
   private static final class NoCalls implements Caller {
     @Override
-    public <A> CompletableFuture<A> call(String address, Object request, Class<A> answer, long timeoutMs) {
+    public <A> CompletableFuture<A> call(
+        String address, Object request, Class<A> answer, long timeoutMs) {
       return new CompletableFuture<>();
     }
   }
@@ -198,8 +243,12 @@
     Files.write(data.resolve(last), Arrays.copyOf(whole, whole.length - 3));
     assertThat(run("--data", data.toString()), is(Launch.FAILED));
     assertThat(run("--timetable", folder.resolve("none").toString()), is(Launch.FAILED));
-    assertThat(err.toString(StandardCharsets.UTF_8), allOf(containsString("no records in"),
-        containsString("is torn"), containsString("NoSuchFile")));
+    assertThat(
+        err.toString(StandardCharsets.UTF_8),
+        allOf(
+            containsString("no records in"),
+            containsString("is torn"),
+            containsString("NoSuchFile")));
   }
 
   @Test
--- a/app/src/test/java/elmsail/app/LaunchTest.java
+++ b/app/src/test/java/elmsail/app/LaunchTest.java
@@ -4,8 +4,8 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.NettyLoop;
 import elmsail.runtime.Settings;
 import elmsail.runtime.SettingsFile;
@@ -21,11 +21,11 @@
 @Timeout(60)
 class LaunchTest {
 
-  private static final String LEAST = "{\"station\":\"c\",\"serves\":[],\"ip\":\"127.0.0.1\",\"zone\":\"z\","
-      + "\"inner_ports\":[7720,7735]}";
+  private static final String LEAST =
+      "{\"station\":\"c\",\"serves\":[],\"ip\":\"127.0.0.1\",\"zone\":\"z\","
+          + "\"inner_ports\":[7720,7735]}";
 
-  @TempDir
-  private Path folder;
+  @TempDir private Path folder;
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
@@ -64,8 +64,11 @@
   }
 
   private int run(String... args) {
-    return new Launch(new Brief(null), new PrintStream(out, true, StandardCharsets.UTF_8),
-        new PrintStream(err, true, StandardCharsets.UTF_8)).run(args);
+    return new Launch(
+            new Brief(null),
+            new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8))
+        .run(args);
   }
 
   private String settings(String json) throws Exception {
@@ -80,7 +83,9 @@
   void checksSettings() throws Exception {
     assertThat(run("--check", "--settings", settings(LEAST)), is(Launch.DONE));
     assertThat(errors(), is(""));
-    assertThat(run("--settings", settings(LEAST.replace("7735", "\"x\"")), "--check"), is(Launch.UNUSABLE));
+    assertThat(
+        run("--settings", settings(LEAST.replace("7735", "\"x\"")), "--check"),
+        is(Launch.UNUSABLE));
     assertThat(errors(), containsString("inner_ports.1: expected a number"));
   }
 
@@ -122,12 +127,24 @@
   void tellsWhyItCouldNotStart() throws Exception {
     Path file = Path.of(settings(LEAST));
     Settings settings = SettingsFile.read(file);
-    assertThat(Launch.live(new Brief(new ElmsailException(ErrorCode.BAD_SETTINGS, "no such slot")), file, settings,
-        (end, loop) -> end.run()), is(Launch.UNUSABLE));
-    assertThat(Launch.live(new Brief(new ElmsailException(ErrorCode.DISK, "full")), file, settings,
-        (end, loop) -> end.run()), is(Launch.FAILED));
-    assertThat(Launch.live(new Brief(new IllegalStateException("ours")), file, settings,
-        (end, loop) -> end.run()), is(Launch.FAILED));
+    assertThat(
+        Launch.live(
+            new Brief(new ElmsailException(ErrorCode.BAD_SETTINGS, "no such slot")),
+            file,
+            settings,
+            (end, loop) -> end.run()),
+        is(Launch.UNUSABLE));
+    assertThat(
+        Launch.live(
+            new Brief(new ElmsailException(ErrorCode.DISK, "full")),
+            file,
+            settings,
+            (end, loop) -> end.run()),
+        is(Launch.FAILED));
+    assertThat(
+        Launch.live(
+            new Brief(new IllegalStateException("ours")), file, settings, (end, loop) -> end.run()),
+        is(Launch.FAILED));
   }
 
   @Test
--- a/app/src/test/java/elmsail/app/LogLinesTest.java
+++ b/app/src/test/java/elmsail/app/LogLinesTest.java
@@ -36,23 +36,28 @@
   void writesALine() {
     logger.info("listening at {}", "127.0.0.1:1");
     logger.debug("not this");
-    assertThat(String.join("|", written()),
+    assertThat(
+        String.join("|", written()),
         matchesPattern("\\d+ INFO Launch listening at 127\\.0\\.0\\.1:1"));
   }
 
   @Test
   void makesNoLinesOfWhatOthersSent() {
     logger.warn("refused {}", "a\r\n1 INFO Launch forged");
-    assertThat(String.join("|", written()),
+    assertThat(
+        String.join("|", written()),
         matchesPattern("\\d+ WARN Launch refused a  1 INFO Launch forged"));
   }
 
   @Test
   void tellsCausesAndPlaces() {
-    logger.error("failed", new IllegalStateException("outer", new IllegalArgumentException("inner\nmore")));
+    logger.error(
+        "failed", new IllegalStateException("outer", new IllegalArgumentException("inner\nmore")));
     String[] lines = written();
     assertThat(lines[1], startsWith("  java.lang.IllegalStateException: outer"));
     assertThat(lines[2], containsString("LogLinesTest"));
-    assertThat(String.join("|", lines), containsString("|  java.lang.IllegalArgumentException: inner more|"));
+    assertThat(
+        String.join("|", lines),
+        containsString("|  java.lang.IllegalArgumentException: inner more|"));
   }
 }
--- a/batch/src/main/java/elmsail/batch/BatchCalls.java
+++ b/batch/src/main/java/elmsail/batch/BatchCalls.java
@@ -3,17 +3,20 @@
 import elmsail.config.Route;
 import java.util.concurrent.CompletableFuture;
 
-/** The calls of clients about jobs, as a gateway serves them; futures complete on the loop and never fail. */
+/**
+ * The calls of clients about jobs, as a gateway serves them; futures complete on the loop and never
+ * fail.
+ */
 public interface BatchCalls {
 
   /**
-   * An answer. Status 0: the outcome is unclear, so the connection is to be closed without an answer.
+   * An answer. Status 0: the outcome is unclear, so the connection is to be closed without an
+   * answer.
    *
    * @param body JSON or bytes, may be empty
    * @param retryAfterS seconds, or 0 for none
    */
-  record Reply(int status, byte[] body, double retryAfterS) {
-  }
+  record Reply(int status, byte[] body, double retryAfterS) {}
 
   /** {@code POST} under a sack route's prefix. */
   CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs);
--- a/batch/src/main/java/elmsail/batch/BatchItem.java
+++ b/batch/src/main/java/elmsail/batch/BatchItem.java
@@ -3,5 +3,5 @@
 import java.util.Map;
 
 /** One item of a job: its id, path, headers, decoded body and tokens (prompt and most out). */
-public record BatchItem(String id, String lane, Map<String, String> envelope, byte[] contents, long tokens) {
-}
+public record BatchItem(
+    String id, String lane, Map<String, String> envelope, byte[] contents, long tokens) {}
--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -1,27 +1,27 @@
 package elmsail.batch.api;
 
-import elmsail.rpc.RequestHandlers;
-import elmsail.rpc.Caller;
-import elmsail.rpc.messages.OpaqueMessage;
-import elmsail.batch.ItemServers;
 import elmsail.batch.BatchCalls;
 import elmsail.batch.BatchItem;
-import elmsail.batch.run.JobRunner;
-import elmsail.batch.run.FailoverMonitor;
-import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.ItemServers;
 import elmsail.batch.client.BatchContext;
+import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.BatchMessageTypes;
-import elmsail.batch.messages.JobRequestReader;
-import elmsail.batch.messages.JobRecord;
-import elmsail.batch.messages.ByteWriter;
 import elmsail.batch.messages.ByteReader;
-import elmsail.consensus.Register;
-import elmsail.runtime.ErrorCode;
-import elmsail.runtime.ElmsailException;
-import elmsail.runtime.Timers;
+import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.JobRequestReader;
+import elmsail.batch.run.FailoverMonitor;
+import elmsail.batch.run.JobRunner;
 import elmsail.config.ClusterState;
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
+import elmsail.consensus.Register;
+import elmsail.rpc.Caller;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -30,14 +30,19 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-/** The calls about jobs at one gateway, and the running of those that are this gateway's. All on the loop. */
+/**
+ * The calls about jobs at one gateway, and the running of those that are this gateway's. All on the
+ * loop.
+ */
 public final class BatchApi implements BatchCalls {
   private static final long MOST_HAND_IN_MS = 3_000;
   private static final long MOST_WAIT_MS = 1_000;
   private static final long CALL_MS = 1_500;
   private static final int MOST_ID = 200;
+
   /** Bytes of bodies that are being handed in, and calls held, at most. */
   private static final long MOST_BYTES = 24L << 20;
+
   private static final int MOST_READINGS = 2_000;
 
   private final BatchContext tools;
@@ -54,7 +59,12 @@
    * @param innerAddress this gateway's own, as it stands in the roster
    * @param cancelMs the bound {@code cancel_ms}
    */
-  public BatchApi(Register register, Caller caller, Timers timers, ClusterState known, String innerAddress,
+  public BatchApi(
+      Register register,
+      Caller caller,
+      Timers timers,
+      ClusterState known,
+      String innerAddress,
       long seed,
       long cancelMs) {
     Random chance = new Random(seed);
@@ -75,17 +85,22 @@
     watch.start();
   }
 
-  /** HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with others. */
+  /**
+   * HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with
+   * others.
+   */
   public void listen(RequestHandlers answering) {
     answering.on(OpaqueMessage.class, this::answer);
   }
 
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!request.kind.equals(BatchMessageTypes.ENDED)) {
-      return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind));
+      return CompletableFuture.failedFuture(
+          new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind));
     }
     ended(new ByteReader(request.bytes).text());
-    return CompletableFuture.completedFuture(BatchMessageTypes.note(BatchMessageTypes.ENDED, Replies.EMPTY));
+    return CompletableFuture.completedFuture(
+        BatchMessageTypes.note(BatchMessageTypes.ENDED, Replies.EMPTY));
   }
 
   /** How many jobs this gateway runs. */
@@ -113,8 +128,16 @@
         return CompletableFuture.completedFuture(Replies.MALFORMED);
       }
     }
-    SubmitHandler call = new SubmitHandler(tools, store, runner, replies, jobId, route, pieces,
-        Math.min(deadlineMs, MOST_HAND_IN_MS));
+    SubmitHandler call =
+        new SubmitHandler(
+            tools,
+            store,
+            runner,
+            replies,
+            jobId,
+            route,
+            pieces,
+            Math.min(deadlineMs, MOST_HAND_IN_MS));
     int held = call.bytes();
     bytes += held;
     return call.begin().whenComplete((reply, failed) -> bytes -= held);
@@ -128,18 +151,27 @@
     if (held >= MOST_READINGS) {
       return CompletableFuture.completedFuture(replies.unable());
     }
-    ReadHandler reading = new ReadHandler(tools, store, replies, jobId, Math.max(0, after),
-        Math.max(0, Math.min(waitMs, MOST_WAIT_MS)));
+    ReadHandler reading =
+        new ReadHandler(
+            tools,
+            store,
+            replies,
+            jobId,
+            Math.max(0, after),
+            Math.max(0, Math.min(waitMs, MOST_WAIT_MS)));
     readings.computeIfAbsent(jobId, id -> new ArrayList<>()).add(reading);
     held++;
-    return reading.begin().whenComplete((reply, failed) -> {
-      held--;
-      List<ReadHandler> of = readings.get(jobId);
-      of.remove(reading);
-      if (of.isEmpty()) {
-        readings.remove(jobId);
-      }
-    });
+    return reading
+        .begin()
+        .whenComplete(
+            (reply, failed) -> {
+              held--;
+              List<ReadHandler> of = readings.get(jobId);
+              of.remove(reading);
+              if (of.isEmpty()) {
+                readings.remove(jobId);
+              }
+            });
   }
 
   @Override
@@ -147,19 +179,26 @@
     if (!proper(jobId) || itemId == null) {
       return CompletableFuture.completedFuture(Replies.NONE);
     }
-    return store.read(jobId, CALL_MS).thenCompose(record -> {
-      if (record == null) {
-        return CompletableFuture.completedFuture(Replies.NONE);
-      }
-      return store.pieces(jobId, record, CALL_MS).thenApply(pieces -> {
-        for (BatchItem piece : pieces) {
-          if (piece.id().equals(itemId)) {
-            return new Reply(200, piece.contents(), 0);
-          }
-        }
-        return Replies.NONE;
-      });
-    }).exceptionally(failed -> replies.unable());
+    return store
+        .read(jobId, CALL_MS)
+        .thenCompose(
+            record -> {
+              if (record == null) {
+                return CompletableFuture.completedFuture(Replies.NONE);
+              }
+              return store
+                  .pieces(jobId, record, CALL_MS)
+                  .thenApply(
+                      pieces -> {
+                        for (BatchItem piece : pieces) {
+                          if (piece.id().equals(itemId)) {
+                            return new Reply(200, piece.contents(), 0);
+                          }
+                        }
+                        return Replies.NONE;
+                      });
+            })
+        .exceptionally(failed -> replies.unable());
   }
 
   @Override
@@ -167,31 +206,43 @@
     if (!proper(jobId)) {
       return CompletableFuture.completedFuture(Replies.NONE);
     }
-    return end(jobId, 2).exceptionally(
-        failed -> Replies.mayHold(failed) ? Replies.UNCLEAR : replies.unable());
+    return end(jobId, 2)
+        .exceptionally(failed -> Replies.mayHold(failed) ? Replies.UNCLEAR : replies.unable());
   }
 
   private CompletableFuture<Reply> end(String jobId, int tries) {
     CompletableFuture<Reply> reply = new CompletableFuture<>();
-    tools.register().change(JobRecord.keyOf(jobId), found -> {
-      JobRecord record = found.value() == null ? null : JobRecord.unpacked(found.value());
-      return new Register.Wanted(record == null || record.ended() ? null : record.endedNow().packed(),
-          List.of());
-    }, List.of(), null, CALL_MS).whenComplete((now, failed) -> {
-      if (failed == null) {
-        reply.complete(ended(jobId, now));
-      } else if (tries > 1) {
-        end(jobId, tries - 1).whenComplete((later, failedToo) -> {
-          if (failedToo == null) {
-            reply.complete(later);
-          } else {
-            reply.completeExceptionally(Replies.mayHold(failed) ? failed : failedToo);
-          }
-        });
-      } else {
-        reply.completeExceptionally(failed);
-      }
-    });
+    tools
+        .register()
+        .change(
+            JobRecord.keyOf(jobId),
+            found -> {
+              JobRecord record = found.value() == null ? null : JobRecord.unpacked(found.value());
+              return new Register.Wanted(
+                  record == null || record.ended() ? null : record.endedNow().packed(), List.of());
+            },
+            List.of(),
+            null,
+            CALL_MS)
+        .whenComplete(
+            (now, failed) -> {
+              if (failed == null) {
+                reply.complete(ended(jobId, now));
+              } else if (tries > 1) {
+                end(jobId, tries - 1)
+                    .whenComplete(
+                        (later, failedToo) -> {
+                          if (failedToo == null) {
+                            reply.complete(later);
+                          } else {
+                            reply.completeExceptionally(
+                                Replies.mayHold(failed) ? failed : failedToo);
+                          }
+                        });
+              } else {
+                reply.completeExceptionally(failed);
+              }
+            });
     return reply;
   }
 
@@ -202,9 +253,14 @@
     }
     ended(jobId);
     if (!record.runner().equals(tools.self())) {
-      tools.caller().call(record.runner(), BatchMessageTypes.note(BatchMessageTypes.ENDED, new ByteWriter().text(jobId).packed()),
-          OpaqueMessage.class,
-          CALL_MS);
+      tools
+          .caller()
+          .call(
+              record.runner(),
+              BatchMessageTypes.note(
+                  BatchMessageTypes.ENDED, new ByteWriter().text(jobId).packed()),
+              OpaqueMessage.class,
+              CALL_MS);
     }
     return Replies.DONE;
   }
--- a/batch/src/main/java/elmsail/batch/api/ReadHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/ReadHandler.java
@@ -1,8 +1,8 @@
 package elmsail.batch.api;
 
 import elmsail.batch.BatchCalls.Reply;
-import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.client.BatchContext;
+import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.JobRecord;
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
@@ -28,7 +28,13 @@
   private boolean under;
   private boolean again;
 
-  ReadHandler(BatchContext tools, BatchJobClient store, Replies replies, String job, long after, long waitMs) {
+  ReadHandler(
+      BatchContext tools,
+      BatchJobClient store,
+      Replies replies,
+      String job,
+      long after,
+      long waitMs) {
     this.tools = tools;
     this.store = store;
     this.replies = replies;
@@ -59,16 +65,19 @@
     poll = null;
     under = true;
     again = false;
-    store.read(job, READ_MS).whenComplete((record, failed) -> {
-      under = false;
-      if (failed != null) {
-        reply.complete(replies.unable());
-      } else if (record == null) {
-        reply.complete(Replies.NONE);
-      } else {
-        found(record);
-      }
-    });
+    store
+        .read(job, READ_MS)
+        .whenComplete(
+            (record, failed) -> {
+              under = false;
+              if (failed != null) {
+                reply.complete(replies.unable());
+              } else if (record == null) {
+                reply.complete(Replies.NONE);
+              } else {
+                found(record);
+              }
+            });
   }
 
   private void found(JobRecord record) {
@@ -78,7 +87,8 @@
     } else if (again) {
       look();
     } else {
-      poll = tools.timers().after(Math.min(left, POLL_MS / 2 + tools.about(POLL_MS / 2)), this::look);
+      poll =
+          tools.timers().after(Math.min(left, POLL_MS / 2 + tools.about(POLL_MS / 2)), this::look);
     }
   }
 
@@ -101,18 +111,21 @@
     }
     for (int i = 0; i < texts.length; i++) {
       int place = i;
-      CompletableFuture<byte[]> text = given.get(i).delivered() ? store.text(job, given.get(i), READ_MS)
-          : CompletableFuture.completedFuture(NO_TEXT);
-      text.whenComplete((there, failed) -> {
-        if (failed != null) {
-          reply.complete(replies.unable());
-          return;
-        }
-        texts[place] = there;
-        if (--missing[0] == 0) {
-          reply.complete(new Reply(200, ResultPage.json(record, after, given, texts), 0));
-        }
-      });
+      CompletableFuture<byte[]> text =
+          given.get(i).delivered()
+              ? store.text(job, given.get(i), READ_MS)
+              : CompletableFuture.completedFuture(NO_TEXT);
+      text.whenComplete(
+          (there, failed) -> {
+            if (failed != null) {
+              reply.complete(replies.unable());
+              return;
+            }
+            texts[place] = there;
+            if (--missing[0] == 0) {
+              reply.complete(new Reply(200, ResultPage.json(record, after, given, texts), 0));
+            }
+          });
     }
   }
 }
--- a/batch/src/main/java/elmsail/batch/api/Replies.java
+++ b/batch/src/main/java/elmsail/batch/api/Replies.java
@@ -1,8 +1,8 @@
 package elmsail.batch.api;
 
 import elmsail.batch.BatchCalls.Reply;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.util.Random;
 
 /** The answers that are alike for all calls. */
@@ -12,6 +12,7 @@
   static final Reply DONE = new Reply(200, EMPTY, 0);
   static final Reply MALFORMED = new Reply(400, EMPTY, 0);
   static final Reply NONE = new Reply(404, EMPTY, 0);
+
   /** May have been done or not: makes no promise. */
   static final Reply UNCLEAR = new Reply(504, EMPTY, 0);
 
@@ -34,6 +35,9 @@
   /** Where nothing was to be changed, any failure is a 503. */
   static boolean mayHold(Throwable failed) {
     ErrorCode code = ElmsailException.codeOf(failed);
-    return code != ErrorCode.NOT_REACHED && code != ErrorCode.UNSENT && code != ErrorCode.FULL && code != ErrorCode.NOT_SEATED;
+    return code != ErrorCode.NOT_REACHED
+        && code != ErrorCode.UNSENT
+        && code != ErrorCode.FULL
+        && code != ErrorCode.NOT_SEATED;
   }
 }
--- a/batch/src/main/java/elmsail/batch/api/ResultPage.java
+++ b/batch/src/main/java/elmsail/batch/api/ResultPage.java
@@ -10,14 +10,14 @@
   private static final int MOST_BYTES = 1_000_000;
   private static final byte[] HEX = "0123456789abcdef".getBytes(StandardCharsets.US_ASCII);
 
-  private ResultPage() {
-  }
+  private ResultPage() {}
 
   static byte[] json(JobRecord record, long after, List<JobRecord.Result> given, byte[][] texts) {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     int count = 0;
     for (int i = 0; i < texts.length; i++) {
-      byte[] one = one(record.items().get(given.get(i).index()).id(), given.get(i).delivered(), texts[i]);
+      byte[] one =
+          one(record.items().get(given.get(i).index()).id(), given.get(i).delivered(), texts[i]);
       if (count > 0 && all.size() + one.length + 100 > MOST_BYTES) {
         break;
       }
@@ -27,8 +27,13 @@
       all.writeBytes(one);
     }
     ByteArrayOutputStream whole = new ByteArrayOutputStream(all.size() + 100);
-    plain(whole, "{\"total\":" + record.items().size() + ",\"next_token\":" + (after + count)
-        + ",\"deliveries\":[");
+    plain(
+        whole,
+        "{\"total\":"
+            + record.items().size()
+            + ",\"next_token\":"
+            + (after + count)
+            + ",\"deliveries\":[");
     whole.writeBytes(all.toByteArray());
     plain(whole, "]}");
     return whole.toByteArray();
@@ -38,8 +43,11 @@
     ByteArrayOutputStream to = new ByteArrayOutputStream(text.length + 100);
     plain(to, "{\"id\":\"");
     escaped(to, id.getBytes(StandardCharsets.UTF_8));
-    plain(to, delivered ? "\",\"state\":\"delivered\",\"message\":\""
-        : "\",\"state\":\"undeliverable\",\"message\":\"");
+    plain(
+        to,
+        delivered
+            ? "\",\"state\":\"delivered\",\"message\":\""
+            : "\",\"state\":\"undeliverable\",\"message\":\"");
     escaped(to, text);
     plain(to, "\"}");
     return to.toByteArray();
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -1,26 +1,27 @@
 package elmsail.batch.api;
 
-import elmsail.rpc.messages.Blob;
 import elmsail.batch.BatchCalls.Reply;
 import elmsail.batch.BatchItem;
-import elmsail.batch.run.JobRunner;
-import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.client.BatchContext;
-import elmsail.batch.messages.TokenCount;
+import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.BatchMessageTypes;
 import elmsail.batch.messages.JobBody;
 import elmsail.batch.messages.JobRecord;
-import elmsail.consensus.Register;
+import elmsail.batch.messages.TokenCount;
+import elmsail.batch.run.JobRunner;
 import elmsail.config.Route;
+import elmsail.consensus.Register;
+import elmsail.rpc.messages.Blob;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * One try to hand a job in. The job's tokens are added to the count at a majority of keepers, which tell
- * what else waits. If it fits, the counts are read at a majority once more, now that the add surely stands
- * at one: of all jobs that are being accepted, the one whose add stood last sees the others. This second
- * look brings the body, so that it is at a majority before anyone is asked to take the job.
+ * One try to hand a job in. The job's tokens are added to the count at a majority of keepers, which
+ * tell what else waits. If it fits, the counts are read at a majority once more, now that the add
+ * surely stands at one: of all jobs that are being accepted, the one whose add stood last sees the
+ * others. This second look brings the body, so that it is at a majority before anyone is asked to
+ * take the job.
  */
 final class SubmitHandler {
   private static final long CHANGE_MS = 1_500;
@@ -28,7 +29,10 @@
   private static final long AGAIN_MS = 60;
 
   private enum Verdict {
-    THERE, FITS, FULL, UNCOUNTED
+    THERE,
+    FITS,
+    FULL,
+    UNCOUNTED
   }
 
   private final BatchContext tools;
@@ -44,15 +48,29 @@
   private final long until;
   private final CompletableFuture<Reply> reply = new CompletableFuture<>();
   private Verdict verdict;
+
   /** The count of both rounds: what either round told. */
   private TokenCount seen = new TokenCount();
+
   private boolean maySent;
-  /** Whether the function has asked for the job to be taken: then one that is found may be this try's. */
+
+  /**
+   * Whether the function has asked for the job to be taken: then one that is found may be this
+   * try's.
+   */
   private boolean proposed;
+
   private long began;
 
-  SubmitHandler(BatchContext tools, BatchJobClient store, JobRunner runner, Replies replies, String job, Route route,
-      List<BatchItem> pieces, long deadlineMs) {
+  SubmitHandler(
+      BatchContext tools,
+      BatchJobClient store,
+      JobRunner runner,
+      Replies replies,
+      String job,
+      Route route,
+      List<BatchItem> pieces,
+      long deadlineMs) {
     this.tools = tools;
     this.store = store;
     this.runner = runner;
@@ -70,9 +88,21 @@
     add = new TokenCount.Add(route.name(), job, tokens, tools.chance().nextLong());
     body.bytes = JobBody.packed(pieces);
     body.name = JobBody.nameOf(body.bytes);
-    wanted = new JobRecord(1, route.name(), route.host(), tools.known().config().edition(),
-        route.runDueMs(),
-        route.shelfMs(), body.name, items, List.of(), false, tools.self(), 1, 0);
+    wanted =
+        new JobRecord(
+            1,
+            route.name(),
+            route.host(),
+            tools.known().config().edition(),
+            route.runDueMs(),
+            route.shelfMs(),
+            body.name,
+            items,
+            List.of(),
+            false,
+            tools.self(),
+            1,
+            0);
   }
 
   int bytes() {
@@ -91,16 +121,22 @@
       return;
     }
     began = tools.timers().now();
-    tools.register()
-        .change(JobRecord.keyOf(job), found -> decide(found, second), second ? List.of(body) : List.of(),
-            add.packed(), Math.min(CHANGE_MS, left))
-        .whenComplete((held, failed) -> {
-          if (failed != null) {
-            failed(failed);
-          } else {
-            held(held, second);
-          }
-        });
+    tools
+        .register()
+        .change(
+            JobRecord.keyOf(job),
+            found -> decide(found, second),
+            second ? List.of(body) : List.of(),
+            add.packed(),
+            Math.min(CHANGE_MS, left))
+        .whenComplete(
+            (held, failed) -> {
+              if (failed != null) {
+                failed(failed);
+              } else {
+                held(held, second);
+              }
+            });
   }
 
   /** May be called again after a lost race. */
@@ -119,7 +155,8 @@
     long sum = seen.without(job) + add.tokens();
     verdict = limit == 0 || sum <= limit ? Verdict.FITS : Verdict.FULL;
     proposed |= second && verdict == Verdict.FITS;
-    return new Register.Wanted(second && verdict == Verdict.FITS ? wanted.packed() : null, List.of());
+    return new Register.Wanted(
+        second && verdict == Verdict.FITS ? wanted.packed() : null, List.of());
   }
 
   /** Of the newest configuration here; a route that is gone takes nothing more than it did. */
@@ -156,8 +193,10 @@
 
   private void refuse(Reply how) {
     if (how.status() != Replies.UNCLEAR.status()) {
-      tools.askKeepers(BatchMessageTypes.note(BatchMessageTypes.WITHDRAW, add.packed()), CHANGE_MS, (slot, answer) -> {
-      });
+      tools.askKeepers(
+          BatchMessageTypes.note(BatchMessageTypes.WITHDRAW, add.packed()),
+          CHANGE_MS,
+          (slot, answer) -> {});
     }
     reply.complete(how);
   }
--- a/batch/src/main/java/elmsail/batch/client/BatchContext.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchContext.java
@@ -1,11 +1,11 @@
 package elmsail.batch.client;
 
+import elmsail.config.ClusterState;
+import elmsail.consensus.Register;
 import elmsail.rpc.Caller;
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.rpc.messages.Voter;
-import elmsail.consensus.Register;
 import elmsail.runtime.Timers;
-import elmsail.config.ClusterState;
 import java.util.List;
 import java.util.Random;
 import java.util.function.BiConsumer;
@@ -16,7 +16,13 @@
  * @param self this gateway's inner address
  * @param cancelMs within which no item of an ended job may be sent any more
  */
-public record BatchContext(Register register, Caller caller, Timers timers, ClusterState known, String self, Random chance,
+public record BatchContext(
+    Register register,
+    Caller caller,
+    Timers timers,
+    ClusterState known,
+    String self,
+    Random chance,
     long cancelMs) {
 
   public List<Voter> keepers() {
@@ -28,12 +34,19 @@
     return keepers().size() / 2 + 1;
   }
 
-  /** Asks every keeper; {@code told} hears a null for each that gave no answer, so as many as there are. */
-  public void askKeepers(OpaqueMessage request, long timeoutMs, BiConsumer<Voter, OpaqueMessage> response) {
+  /**
+   * Asks every keeper; {@code told} hears a null for each that gave no answer, so as many as there
+   * are.
+   */
+  public void askKeepers(
+      OpaqueMessage request, long timeoutMs, BiConsumer<Voter, OpaqueMessage> response) {
     for (Voter slot : keepers()) {
-      caller.call(slot.address, request, OpaqueMessage.class, timeoutMs)
-          .whenComplete((answer, failed) ->
-              response.accept(slot, failed == null && request.kind.equals(answer.kind) ? answer : null));
+      caller
+          .call(slot.address, request, OpaqueMessage.class, timeoutMs)
+          .whenComplete(
+              (answer, failed) ->
+                  response.accept(
+                      slot, failed == null && request.kind.equals(answer.kind) ? answer : null));
     }
   }
 
--- a/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -1,12 +1,12 @@
 package elmsail.batch.client;
 
-import elmsail.rpc.messages.Ballot;
 import elmsail.batch.BatchItem;
 import elmsail.batch.messages.JobBody;
 import elmsail.batch.messages.JobRecord;
 import elmsail.consensus.Register;
-import elmsail.runtime.ErrorCode;
+import elmsail.rpc.messages.Ballot;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,15 +19,13 @@
   private static final long TEXTS_BYTES = 8L << 20;
   private static final int ITEM_BYTES = 120;
 
-  private record Seen(Ballot ballot, JobRecord record) {
-  }
+  private record Seen(Ballot ballot, JobRecord record) {}
 
-  private record Body(List<BatchItem> pieces, int bytes) {
-  }
+  private record Body(List<BatchItem> pieces, int bytes) {}
 
   private final Register register;
-  private final LruCache<Seen> records = new LruCache<>(RECORDS_BYTES,
-      s -> 200 + s.record().items().size() * ITEM_BYTES);
+  private final LruCache<Seen> records =
+      new LruCache<>(RECORDS_BYTES, s -> 200 + s.record().items().size() * ITEM_BYTES);
   private final LruCache<Body> bodies = new LruCache<>(BODIES_BYTES, Body::bytes);
   private final LruCache<byte[]> texts = new LruCache<>(TEXTS_BYTES, t -> t.length + 100);
   private final Map<String, CompletableFuture<byte[]>> fetching = new HashMap<>();
@@ -39,7 +37,8 @@
   /** The decided record, at least as new as this call; null if there is surely none. */
   public CompletableFuture<JobRecord> read(String job, long timeoutMs) {
     Seen seen = records.get(job);
-    return register.read(JobRecord.keyOf(job), seen == null ? null : seen.ballot(), timeoutMs)
+    return register
+        .read(JobRecord.keyOf(job), seen == null ? null : seen.ballot(), timeoutMs)
         .thenApply(now -> taken(job, seen, now));
   }
 
@@ -70,11 +69,13 @@
     if (there != null) {
       return CompletableFuture.completedFuture(there.pieces());
     }
-    return fetch(job, record.body(), timeoutMs).thenApply(bytes -> {
-      List<BatchItem> pieces = JobBody.unpacked(bytes);
-      keep(job, pieces, bytes.length);
-      return pieces;
-    });
+    return fetch(job, record.body(), timeoutMs)
+        .thenApply(
+            bytes -> {
+              List<BatchItem> pieces = JobBody.unpacked(bytes);
+              keep(job, pieces, bytes.length);
+              return pieces;
+            });
   }
 
   public void keep(String job, List<BatchItem> pieces, int bytes) {
@@ -88,13 +89,16 @@
     if (there != null) {
       return CompletableFuture.completedFuture(there);
     }
-    return fetch(job, result.textName(), timeoutMs).thenApply(bytes -> {
-      if (bytes.length != result.textBytes()) {
-        throw new ElmsailException(ErrorCode.GARBLED, "a text of " + bytes.length + " bytes");
-      }
-      texts.put(name, bytes);
-      return bytes;
-    });
+    return fetch(job, result.textName(), timeoutMs)
+        .thenApply(
+            bytes -> {
+              if (bytes.length != result.textBytes()) {
+                throw new ElmsailException(
+                    ErrorCode.GARBLED, "a text of " + bytes.length + " bytes");
+              }
+              texts.put(name, bytes);
+              return bytes;
+            });
   }
 
   public void keepText(String job, JobRecord.Result result, byte[] text) {
@@ -107,13 +111,16 @@
     if (under != null) {
       return under;
     }
-    CompletableFuture<byte[]> fetched = register.blob(JobRecord.keyOf(job), name, timeoutMs)
-        .thenApply(bytes -> {
-      if (bytes == null) {
-        throw new ElmsailException(ErrorCode.NOT_REACHED, "no keeper has " + name);
-      }
-      return bytes;
-    });
+    CompletableFuture<byte[]> fetched =
+        register
+            .blob(JobRecord.keyOf(job), name, timeoutMs)
+            .thenApply(
+                bytes -> {
+                  if (bytes == null) {
+                    throw new ElmsailException(ErrorCode.NOT_REACHED, "no keeper has " + name);
+                  }
+                  return bytes;
+                });
     fetching.put(whole, fetched);
     fetched.whenComplete((bytes, failed) -> fetching.remove(whole));
     return fetched;
--- a/batch/src/main/java/elmsail/batch/client/LruCache.java
+++ b/batch/src/main/java/elmsail/batch/client/LruCache.java
@@ -12,7 +12,9 @@
   private final LinkedHashMap<String, V> map = new LinkedHashMap<>(16, 0.75f, true);
   private long weight;
 
-  /** @param most the weight of all, in what the weigher gives */
+  /**
+   * @param most the weight of all, in what the weigher gives
+   */
   LruCache(long most, ToIntFunction<V> weigher) {
     this.most = most;
     this.weigher = weigher;
--- a/batch/src/main/java/elmsail/batch/messages/ByteReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/ByteReader.java
@@ -1,7 +1,7 @@
 package elmsail.batch.messages;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
--- a/batch/src/main/java/elmsail/batch/messages/ByteWriter.java
+++ b/batch/src/main/java/elmsail/batch/messages/ByteWriter.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-/** Writes numbers (seven bits a byte, the lowest first), texts and bytes, each with its length before it. */
+/**
+ * Writes numbers (seven bits a byte, the lowest first), texts and bytes, each with its length
+ * before it.
+ */
 public final class ByteWriter {
   private byte[] bytes = new byte[256];
   private int size;
--- a/batch/src/main/java/elmsail/batch/messages/ContentDigest.java
+++ b/batch/src/main/java/elmsail/batch/messages/ContentDigest.java
@@ -2,10 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 
-/** A 64-bit hash (FNV-1a, mixed at the end), alike in all processes: for names and ranks, not for secrecy. */
+/**
+ * A 64-bit hash (FNV-1a, mixed at the end), alike in all processes: for names and ranks, not for
+ * secrecy.
+ */
 public final class ContentDigest {
-  private ContentDigest() {
-  }
+  private ContentDigest() {}
 
   public static long of(byte[] bytes) {
     long hash = 0xcbf29ce484222325L;
--- a/batch/src/main/java/elmsail/batch/messages/JobBody.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobBody.java
@@ -8,8 +8,7 @@
 
 /** The pieces of a job as one blob, written when it is accepted and never changed. */
 public final class JobBody {
-  private JobBody() {
-  }
+  private JobBody() {}
 
   public static byte[] packed(List<BatchItem> pieces) {
     ByteWriter to = new ByteWriter().number(pieces.size());
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * What is decided of one job: its items, which of them are listed in which order, who runs it. A value: each
- * change gives a new one with the next version.
+ * What is decided of one job: its items, which of them are listed in which order, who runs it. A
+ * value: each change gives a new one with the next version.
  *
  * @param version 1 at the acceptance, up by one with each change
  * @param route the name of the route that it was handed in on, on which its tokens are counted
@@ -20,13 +20,23 @@
  * @param term up by one with each runner
  * @param ageMs how old the job was, at the least, at this change
  */
-public record JobRecord(long version, String route, String host, long edition, long runDueMs, long shelfMs,
-    String body, List<Item> items, List<Result> results, boolean ended, String runner, long term,
+public record JobRecord(
+    long version,
+    String route,
+    String host,
+    long edition,
+    long runDueMs,
+    long shelfMs,
+    String body,
+    List<Item> items,
+    List<Result> results,
+    boolean ended,
+    String runner,
+    long term,
     long ageMs) {
 
   /** An item's id and the tokens it waits with. */
-  public record Item(String id, long tokens) {
-  }
+  public record Item(String id, long tokens) {}
 
   /**
    * A listed result.
@@ -90,30 +100,89 @@
         all.add(one);
       }
     }
-    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, all, ended,
+    return new JobRecord(
+        version + 1,
+        route,
+        host,
+        edition,
+        runDueMs,
+        shelfMs,
+        body,
+        items,
+        all,
+        ended,
         runner,
-        term, Math.max(ageMs, age));
+        term,
+        Math.max(ageMs, age));
   }
 
   public JobRecord endedNow() {
-    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, true,
-        runner, term, ageMs);
+    return new JobRecord(
+        version + 1,
+        route,
+        host,
+        edition,
+        runDueMs,
+        shelfMs,
+        body,
+        items,
+        results,
+        true,
+        runner,
+        term,
+        ageMs);
   }
 
   public JobRecord runBy(String door, long age) {
-    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
-        door, term + 1, Math.max(ageMs, age));
+    return new JobRecord(
+        version + 1,
+        route,
+        host,
+        edition,
+        runDueMs,
+        shelfMs,
+        body,
+        items,
+        results,
+        ended,
+        door,
+        term + 1,
+        Math.max(ageMs, age));
   }
 
   /** The same, written once more so that keepers that missed a change get it. */
   public JobRecord again() {
-    return new JobRecord(version + 1, route, host, edition, runDueMs, shelfMs, body, items, results, ended,
-        runner, term, ageMs);
+    return new JobRecord(
+        version + 1,
+        route,
+        host,
+        edition,
+        runDueMs,
+        shelfMs,
+        body,
+        items,
+        results,
+        ended,
+        runner,
+        term,
+        ageMs);
   }
 
   public byte[] packed() {
-    ByteWriter to = new ByteWriter().number(1).number(version).text(route).text(host).number(edition).number(runDueMs)
-        .number(shelfMs).text(body).flag(ended).text(runner).number(term).number(ageMs);
+    ByteWriter to =
+        new ByteWriter()
+            .number(1)
+            .number(version)
+            .text(route)
+            .text(host)
+            .number(edition)
+            .number(runDueMs)
+            .number(shelfMs)
+            .text(body)
+            .flag(ended)
+            .text(runner)
+            .number(term)
+            .number(ageMs);
     to.number(items.size());
     for (Item item : items) {
       to.text(item.id()).number(item.tokens());
@@ -150,7 +219,19 @@
     for (int i = 0; i < count; i++) {
       results.add(new Result((int) from.number(), from.flag(), from.number(), (int) from.number()));
     }
-    return new JobRecord(version, route, host, edition, runDueMs, shelfMs, body, List.copyOf(items),
-        List.copyOf(results), ended, runner, term, ageMs);
+    return new JobRecord(
+        version,
+        route,
+        host,
+        edition,
+        runDueMs,
+        shelfMs,
+        body,
+        List.copyOf(items),
+        List.copyOf(results),
+        ended,
+        runner,
+        term,
+        ageMs);
   }
 }
--- a/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
@@ -4,8 +4,8 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import elmsail.batch.BatchItem;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -21,11 +21,12 @@
  */
 public final class JobRequestReader {
   public static final int MOST_PIECES = 200;
-  private static final JsonFactory JSON = JsonFactory.builder()
-      .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+  private static final JsonFactory JSON =
+      JsonFactory.builder()
+          .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .build();
 
-  private JobRequestReader() {
-  }
+  private JobRequestReader() {}
 
   public static List<BatchItem> read(byte[] body) {
     try (JsonParser from = JSON.createParser(body)) {
@@ -97,17 +98,25 @@
       String name = name(from);
       from.nextToken();
       String value = text(from);
-      expect(!name.isEmpty() && name.indexOf(':') < 0 && plain(name, false) && plain(value, true), "headers");
+      expect(
+          !name.isEmpty() && name.indexOf(':') < 0 && plain(name, false) && plain(value, true),
+          "headers");
       envelope.put(name, value);
     }
     return envelope;
   }
 
-  /** No control characters, so nothing can end a line of a request; spaces only where they may stand. */
+  /**
+   * No control characters, so nothing can end a line of a request; spaces only where they may
+   * stand.
+   */
   private static boolean plain(String text, boolean spaces) {
     for (int i = 0; i < text.length(); i++) {
       char one = text.charAt(i);
-      if (one < ' ' && one != '\t' || one == '\t' && !spaces || one == 127 || one == ' ' && !spaces) {
+      if (one < ' ' && one != '\t'
+          || one == '\t' && !spaces
+          || one == 127
+          || one == ' ' && !spaces) {
         return false;
       }
     }
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -5,14 +5,15 @@
 import java.util.Map;
 
 /**
- * PendingWrite tokens of a route's jobs, as one keeper has them or as the union of several: per job the entry of
- * the highest version. A job about to be accepted stands in it with version 0.
+ * PendingWrite tokens of a route's jobs, as one keeper has them or as the union of several: per job
+ * the entry of the highest version. A job about to be accepted stands in it with version 0.
  */
 public final class TokenCount {
   private final Map<Long, long[]> jobs = new HashMap<>();
 
   /**
-   * What a gateway says with a first round: this job is about to wait on that route with so many tokens.
+   * What a gateway says with a first round: this job is about to wait on that route with so many
+   * tokens.
    *
    * @param who drawn for this try, so that a withdrawal takes back no other's add
    */
--- a/batch/src/main/java/elmsail/batch/run/ItemRun.java
+++ b/batch/src/main/java/elmsail/batch/run/ItemRun.java
@@ -9,17 +9,25 @@
   private static final int MOST_TEXT = 4 << 20;
 
   final int index;
+
   /** The last event kept, -1: none. */
   long last = -1;
+
   int failures;
+
   /** Tries that led nowhere in a row, for the backoff. */
   int vain;
+
   ItemServers.Running running;
+
   /** Goes up with each run and each cancel, so that what a former run tells is not heard. */
   int run;
+
   boolean underWay;
+
   /** Whether this run told of an event. */
   boolean heard;
+
   boolean done;
   private ByteArrayOutputStream text;
 
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -1,9 +1,9 @@
 package elmsail.batch.run;
 
-import elmsail.batch.ItemServers;
 import elmsail.batch.BatchItem;
-import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.ItemServers;
 import elmsail.batch.client.BatchContext;
+import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.JobRecord;
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
@@ -15,12 +15,13 @@
 import java.util.function.Consumer;
 
 /**
- * Runs the items of this gateway's jobs: starts them as there is room, the jobs that are due first before the
- * others, gathers their texts, and gives them to be listed.
+ * Runs the items of this gateway's jobs: starts them as there is room, the jobs that are due first
+ * before the others, gathers their texts, and gives them to be listed.
  */
 public final class JobRunner {
   /** How soon places are looked for again, where there were none; a run that ends looks at once. */
   private static final long LOOK_MS = 40;
+
   private static final long AGAIN_MS = 20;
   private static final long FETCH_MS = 1_500;
   private static final int MOST_FETCHES = 2;
@@ -39,7 +40,9 @@
   private int fetches;
   private long held;
 
-  /** @param changed hears the id of each job in which something was listed or that was stopped */
+  /**
+   * @param changed hears the id of each job in which something was listed or that was stopped
+   */
   public JobRunner(BatchContext tools, BatchJobClient store, Consumer<String> changed) {
     this.tools = tools;
     this.store = store;
@@ -90,7 +93,9 @@
     job.finished.clear();
   }
 
-  /** Takes a decided record read after the moment given: goes on if the job is still open and ours. */
+  /**
+   * Takes a decided record read after the moment given: goes on if the job is still open and ours.
+   */
   public void heard(String id, JobRecord record, long readAt) {
     RunningJob job = jobs.get(id);
     if (job == null) {
@@ -137,10 +142,14 @@
   void pumpSoon(long ms) {
     if (!pumpSet) {
       pumpSet = true;
-      tools.timers().after(ms, () -> {
-        pumpSet = false;
-        pump();
-      });
+      tools
+          .timers()
+          .after(
+              ms,
+              () -> {
+                pumpSet = false;
+                pump();
+              });
     }
   }
 
@@ -172,19 +181,26 @@
     }
     job.fetching = true;
     fetches++;
-    store.pieces(job.id, job.record, FETCH_MS).whenComplete((pieces, failed) -> {
-      fetches--;
-      if (failed == null) {
-        job.fetching = false;
-        job.pieces = pieces;
-        pumpSoon(0);
-      } else {
-        tools.timers().after(tools.about(MOST_BACKOFF_MS), () -> {
-          job.fetching = false;
-          pumpSoon(0);
-        });
-      }
-    });
+    store
+        .pieces(job.id, job.record, FETCH_MS)
+        .whenComplete(
+            (pieces, failed) -> {
+              fetches--;
+              if (failed == null) {
+                job.fetching = false;
+                job.pieces = pieces;
+                pumpSoon(0);
+              } else {
+                tools
+                    .timers()
+                    .after(
+                        tools.about(MOST_BACKOFF_MS),
+                        () -> {
+                          job.fetching = false;
+                          pumpSoon(0);
+                        });
+              }
+            });
   }
 
   private void startSome(RunningJob job, RoutingConfig config, Map<String, Integer> room) {
@@ -230,24 +246,29 @@
     item.underWay = true;
     item.heard = false;
     job.underWay++;
-    ItemServers.Running running = servers.start(route, piece, item.last, new ItemServers.RunListener() {
-      @Override
-      public void event(long id, byte[] data) {
-        if (item.run == run) {
-          kept(job, item, id, data);
-        }
-      }
+    ItemServers.Running running =
+        servers.start(
+            route,
+            piece,
+            item.last,
+            new ItemServers.RunListener() {
+              @Override
+              public void event(long id, byte[] data) {
+                if (item.run == run) {
+                  kept(job, item, id, data);
+                }
+              }
 
-      @Override
-      public void ended(ItemServers.Ended how) {
-        if (item.run == run) {
-          item.running = null;
-          item.cancel();
-          job.underWay--;
-          over(job, item, how, route);
-        }
-      }
-    });
+              @Override
+              public void ended(ItemServers.Ended how) {
+                if (item.run == run) {
+                  item.running = null;
+                  item.cancel();
+                  job.underWay--;
+                  over(job, item, how, route);
+                }
+              }
+            });
     if (running == null) {
       if (item.run == run) {
         item.run++;
@@ -310,11 +331,15 @@
   private void again(RunningJob job, ItemRun item) {
     item.vain = item.heard ? 0 : item.vain + 1;
     long backoff = Math.min(MOST_BACKOFF_MS, AGAIN_MS << Math.min(item.vain, 5));
-    tools.timers().after(tools.about(backoff), () -> {
-      if (!job.stopped && !item.done && !item.underWay) {
-        job.ready.add(item.index);
-        pumpSoon(0);
-      }
-    });
+    tools
+        .timers()
+        .after(
+            tools.about(backoff),
+            () -> {
+              if (!job.stopped && !item.done && !item.underWay) {
+                job.ready.add(item.index);
+                pumpSoon(0);
+              }
+            });
   }
 }
--- a/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
+++ b/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
@@ -1,24 +1,26 @@
 package elmsail.batch.run;
 
-import elmsail.rpc.messages.Blob;
-import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.client.BatchContext;
+import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.JobRecord;
 import elmsail.consensus.Register;
+import elmsail.rpc.messages.Blob;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import java.util.function.Consumer;
 
 /**
- * Lists finished items: one change of a job's record at a time. The texts go with the first round, so that
- * they are at a majority before anyone is asked to take the listing: whoever finishes it finds them there.
+ * Lists finished items: one change of a job's record at a time. The texts go with the first round,
+ * so that they are at a majority before anyone is asked to take the listing: whoever finishes it
+ * finds them there.
  */
 final class ResultRecorder {
   private static final long GATHER_MS = 40;
   private static final long CHANGE_MS = 2_000;
   private static final long BACKOFF_MS = 150;
   private static final int MOST_BYTES = 1 << 20;
+
   /** With a note there is always a first round. */
   private static final byte[] NO_NOTE = {};
 
@@ -27,7 +29,8 @@
   private final JobRunner runner;
   private final Consumer<String> changed;
 
-  ResultRecorder(BatchContext tools, BatchJobClient store, JobRunner runner, Consumer<String> changed) {
+  ResultRecorder(
+      BatchContext tools, BatchJobClient store, JobRunner runner, Consumer<String> changed) {
     this.tools = tools;
     this.store = store;
     this.runner = runner;
@@ -44,10 +47,14 @@
       tools.timers().soon(() -> list(job));
     } else if (!job.listingSet) {
       job.listingSet = true;
-      tools.timers().after(wait, () -> {
-        job.listingSet = false;
-        list(job);
-      });
+      tools
+          .timers()
+          .after(
+              wait,
+              () -> {
+                job.listingSet = false;
+                list(job);
+              });
     }
   }
 
@@ -58,20 +65,26 @@
     job.listing = true;
     long began = tools.timers().now();
     List<RunningJob.Finished> batch = job.batch(MOST_BYTES);
-    tools.register()
-        .change(JobRecord.keyOf(job.id), found -> wanted(job, batch, found), texts(batch), NO_NOTE,
+    tools
+        .register()
+        .change(
+            JobRecord.keyOf(job.id),
+            found -> wanted(job, batch, found),
+            texts(batch),
+            NO_NOTE,
             CHANGE_MS)
-        .whenComplete((held, failed) -> {
-          job.listing = false;
-          if (job.stopped) {
-            return;
-          }
-          if (failed == null) {
-            listed(job, batch, held.now(), began);
-          } else {
-            tools.timers().after(tools.about(BACKOFF_MS), () -> list(job));
-          }
-        });
+        .whenComplete(
+            (held, failed) -> {
+              job.listing = false;
+              if (job.stopped) {
+                return;
+              }
+              if (failed == null) {
+                listed(job, batch, held.now(), began);
+              } else {
+                tools.timers().after(tools.about(BACKOFF_MS), () -> list(job));
+              }
+            });
   }
 
   private static List<Blob> texts(List<RunningJob.Finished> batch) {
@@ -97,7 +110,8 @@
     return ours && !record.ended() ? record : null;
   }
 
-  private Register.Wanted wanted(RunningJob job, List<RunningJob.Finished> batch, Register.Found found) {
+  private Register.Wanted wanted(
+      RunningJob job, List<RunningJob.Finished> batch, Register.Found found) {
     JobRecord record = ours(job, found.value());
     if (record == null || job.stopped) {
       return new Register.Wanted(null, List.of());
@@ -112,10 +126,12 @@
     if (more.isEmpty()) {
       return new Register.Wanted(null, List.of());
     }
-    return new Register.Wanted(record.listing(more, job.ageMs(tools.timers().now())).packed(), List.of());
+    return new Register.Wanted(
+        record.listing(more, job.ageMs(tools.timers().now())).packed(), List.of());
   }
 
-  private void listed(RunningJob job, List<RunningJob.Finished> batch, Register.Versioned now, long began) {
+  private void listed(
+      RunningJob job, List<RunningJob.Finished> batch, Register.Versioned now, long began) {
     store.decided(job.id, now);
     JobRecord record = ours(job, now.value());
     if (record == null) {
--- a/batch/src/main/java/elmsail/batch/run/RunningJob.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -12,27 +12,34 @@
 /** One job that this gateway runs, in one term. */
 final class RunningJob implements Comparable<RunningJob> {
   /** An item that is done and not listed yet; the text is empty where it is undeliverable. */
-  record Finished(JobRecord.Result result, byte[] text) {
-  }
+  record Finished(JobRecord.Result result, byte[] text) {}
 
   final String id;
   final long term;
+
   /** Of the steady clock here: when the job was accepted, or later. */
   final long acceptedAt;
+
   JobRecord record;
+
   /** Null until they are fetched. */
   List<BatchItem> pieces;
+
   boolean fetching;
   final ItemRun[] items;
+
   /** ItemDispatcher to be started, the first of the job first. */
   final PriorityQueue<Integer> ready = new PriorityQueue<>();
+
   final Map<Integer, Finished> finished = new LinkedHashMap<>();
   int underWay;
   boolean listing;
   boolean listingSet;
   long listedAt;
+
   /** Of the steady clock: at this moment the job surely was open and ours. */
   long confirmedAt;
+
   boolean reading;
   boolean stopped;
 
@@ -73,7 +80,8 @@
     byte[] text = delivered ? item.text() : new byte[0];
     item.forgetText();
     item.done = true;
-    finished.put(item.index,
+    finished.put(
+        item.index,
         new Finished(new JobRecord.Result(item.index, delivered, term, text.length), text));
   }
 
--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -1,17 +1,17 @@
 package elmsail.batch.store;
 
-import elmsail.rpc.RequestHandlers;
-import elmsail.rpc.messages.OpaqueMessage;
-import elmsail.batch.messages.HeartbeatMessage;
-import elmsail.batch.messages.TokenCount;
-import elmsail.batch.messages.BatchMessageTypes;
-import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.AbandonedJob;
-import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.BatchMessageTypes;
 import elmsail.batch.messages.ByteReader;
+import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.HeartbeatMessage;
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.TokenCount;
 import elmsail.consensus.ReplicaListener;
-import elmsail.runtime.ErrorCode;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -19,8 +19,8 @@
 import java.util.function.Consumer;
 
 /**
- * The views of a process that keeps jobs: the count of waiting tokens, and when each open job's runner was
- * heard last. On the loop.
+ * The views of a process that keeps jobs: the count of waiting tokens, and when each open job's
+ * runner was heard last. On the loop.
  */
 public final class JobRetention implements ReplicaListener {
   private static final String PREFIX = "lot/";
@@ -36,7 +36,8 @@
   private final JobStore storeSet = new JobStore();
 
   /**
-   * @param seated whether this process holds a voter slot and has its memory; else it answers no note
+   * @param seated whether this process holds a voter slot and has its memory; else it answers no
+   *     note
    * @param drop drops a key and its blobs here ({@code Replica.drop}); may call {@code dropped}
    * @param statusMs for how long a job may be read after it was sent
    */
@@ -52,23 +53,31 @@
     timers.after(LOOK_MS, this::look);
   }
 
-  /** HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with others. */
+  /**
+   * HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with
+   * others.
+   */
   public void listen(RequestHandlers answering) {
     answering.on(OpaqueMessage.class, this::answer);
   }
 
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!voting.getAsBoolean()) {
-      return CompletableFuture.completedFuture(BatchMessageTypes.note(BatchMessageTypes.NOT_SEATED, NOTHING));
+      return CompletableFuture.completedFuture(
+          BatchMessageTypes.note(BatchMessageTypes.NOT_SEATED, NOTHING));
     }
     try {
-      byte[] response = switch (request.kind) {
-        case BatchMessageTypes.BEAT -> heartbeat(HeartbeatMessage.unpacked(request.bytes));
-        case BatchMessageTypes.ORPHANS -> AbandonedJob.packed(
-            storeSet.orphans(new ByteReader(request.bytes).number(), MOST_ORPHANS, timers.now()));
-        case BatchMessageTypes.WITHDRAW -> withdraw(TokenCount.Add.unpacked(request.bytes));
-        default -> throw new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind);
-      };
+      byte[] response =
+          switch (request.kind) {
+            case BatchMessageTypes.BEAT -> heartbeat(HeartbeatMessage.unpacked(request.bytes));
+            case BatchMessageTypes.ORPHANS ->
+                AbandonedJob.packed(
+                    storeSet.orphans(
+                        new ByteReader(request.bytes).number(), MOST_ORPHANS, timers.now()));
+            case BatchMessageTypes.WITHDRAW -> withdraw(TokenCount.Add.unpacked(request.bytes));
+            default ->
+                throw new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind);
+          };
       return CompletableFuture.completedFuture(BatchMessageTypes.note(request.kind, response));
     } catch (ElmsailException garbled) {
       return CompletableFuture.failedFuture(garbled);
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -1,10 +1,10 @@
 package elmsail.batch.store;
 
-import elmsail.batch.messages.HeartbeatMessage;
-import elmsail.batch.messages.TokenCount;
+import elmsail.batch.messages.AbandonedJob;
 import elmsail.batch.messages.ContentDigest;
+import elmsail.batch.messages.HeartbeatMessage;
 import elmsail.batch.messages.JobRecord;
-import elmsail.batch.messages.AbandonedJob;
+import elmsail.batch.messages.TokenCount;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -13,16 +13,21 @@
 import java.util.Map;
 
 /**
- * What one keeper knows of its jobs, folded from what it took and heard; the time is given with each
- * event.
+ * What one keeper knows of its jobs, folded from what it took and heard; the time is given with
+ * each event.
  */
 final class JobStore {
   /** Adds that are not followed by their job are forgotten after so long, in ms. */
   static final long ADD_MS = 5_000;
-  /** Jobs that no longer wait are told of for so long, in ms, to overrule keepers that missed it. */
+
+  /**
+   * Jobs that no longer wait are told of for so long, in ms, to overrule keepers that missed it.
+   */
   private static final long TELL_ENDED_MS = 120_000;
+
   /** Adds whose job is being written stay for so long, in ms: a disk may stall. */
   private static final long WRITE_MS = 30_000;
+
   private static final long UNTAKEN_MS = 60_000;
   private static final int MOST_ADDS = 4_096;
 
@@ -46,13 +51,18 @@
     }
   }
 
-  /** @param admitted whether its job is being written, so that only the time takes it off */
-  private record Pending(TokenCount.Add add, long until, boolean admitted) {
-  }
+  /**
+   * @param admitted whether its job is being written, so that only the time takes it off
+   */
+  private record Pending(TokenCount.Add add, long until, boolean admitted) {}
 
   private final Map<String, Lot> jobs = new HashMap<>();
   private final Map<String, Pending> adds = new LinkedHashMap<>();
-  /** When jobs that were never taken here were added last: what came with their first rounds is litter. */
+
+  /**
+   * When jobs that were never taken here were added last: what came with their first rounds is
+   * litter.
+   */
   private final Map<String, Long> untaken = new HashMap<>();
 
   /** Notes the add and tells the count of its route; null if there are too many adds. */
@@ -88,14 +98,18 @@
     }
   }
 
-  /** A job's first record needs its add to be on this count; later ones follow from a decided one. */
+  /**
+   * A job's first record needs its add to be on this count; later ones follow from a decided one.
+   */
   boolean admits(String job, JobRecord record, long now) {
     expire(now);
     if (record.version() > 1 || jobs.containsKey(job)) {
       return true;
     }
     Pending add = adds.get(job);
-    if (add == null || !add.add().route().equals(record.route()) || add.add().tokens() < record.waiting()) {
+    if (add == null
+        || !add.add().route().equals(record.route())
+        || add.add().tokens() < record.waiting()) {
       return false;
     }
     adds.put(job, new Pending(add.add(), now + WRITE_MS, true));
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -5,15 +5,15 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.rpc.messages.OpaqueMessage;
-import elmsail.batch.store.JobRetention;
-import elmsail.batch.messages.HeartbeatMessage;
-import elmsail.batch.messages.TokenCount;
-import elmsail.batch.messages.BatchMessageTypes;
-import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.AbandonedJob;
-import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.BatchMessageTypes;
 import elmsail.batch.messages.ByteReader;
+import elmsail.batch.messages.ByteWriter;
+import elmsail.batch.messages.HeartbeatMessage;
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.TokenCount;
+import elmsail.batch.store.JobRetention;
+import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,14 +26,26 @@
   private final JobRetention keeper = new JobRetention(timers, () -> voting, dropped::add, 120_000);
 
   private static JobRecord record(long tokens) {
-    return new JobRecord(1, "r", "h", 1, 10_000, 60_000, "body-1",
-        List.of(new JobRecord.Item("i0", tokens), new JobRecord.Item("i1", tokens)), List.of(), false,
-            "door", 1, 0);
+    return new JobRecord(
+        1,
+        "r",
+        "h",
+        1,
+        10_000,
+        60_000,
+        "body-1",
+        List.of(new JobRecord.Item("i0", tokens), new JobRecord.Item("i1", tokens)),
+        List.of(),
+        false,
+        "door",
+        1,
+        0);
   }
 
   private long others(String route) {
     TokenCount count = new TokenCount();
-    count.putAll(List.of(keeper.noted("lot/probe", new TokenCount.Add(route, "probe", 0, 1).packed())));
+    count.putAll(
+        List.of(keeper.noted("lot/probe", new TokenCount.Add(route, "probe", 0, 1).packed())));
     return count.without("probe");
   }
 
@@ -42,7 +54,8 @@
   }
 
   private List<AbandonedJob> orphans() {
-    return AbandonedJob.unpacked(request(BatchMessageTypes.ORPHANS, new ByteWriter().number(2_000).packed()).bytes);
+    return AbandonedJob.unpacked(
+        request(BatchMessageTypes.ORPHANS, new ByteWriter().number(2_000).packed()).bytes);
   }
 
   @Test
@@ -122,25 +135,34 @@
   @Test
   void aRunnerThatIsHeardKeepsItsLots() {
     keeper.taken("lot/a", record(10).packed());
-    byte[] heartbeat = new HeartbeatMessage("door", List.of(new HeartbeatMessage.Run("a", 1), new HeartbeatMessage.Run("b", 1))).packed();
+    byte[] heartbeat =
+        new HeartbeatMessage(
+                "door", List.of(new HeartbeatMessage.Run("a", 1), new HeartbeatMessage.Run("b", 1)))
+            .packed();
     for (int i = 0; i < 10; i++) {
       timers.pass(1_000);
       ByteReader response = new ByteReader(request(BatchMessageTypes.BEAT, heartbeat).bytes);
-      assertThat(List.of(response.number(), response.number()), contains((long) HeartbeatMessage.YOURS, (long) HeartbeatMessage.UNKNOWN));
+      assertThat(
+          List.of(response.number(), response.number()),
+          contains((long) HeartbeatMessage.YOURS, (long) HeartbeatMessage.UNKNOWN));
     }
     timers.pass(1_999);
     assertThat(orphans(), hasSize(0));
     timers.pass(1);
     assertThat(orphans(), contains(new AbandonedJob("a", 1, 2_000)));
     keeper.taken("lot/a", record(10).runBy("other", 0).packed());
-    assertThat(new ByteReader(request(BatchMessageTypes.BEAT, heartbeat).bytes).number(), is((long) HeartbeatMessage.GONE));
+    assertThat(
+        new ByteReader(request(BatchMessageTypes.BEAT, heartbeat).bytes).number(),
+        is((long) HeartbeatMessage.GONE));
   }
 
   @Test
   void withoutASeatItSaysNothing() {
     keeper.taken("lot/a", record(10).packed());
     voting = false;
-    assertThat(request(BatchMessageTypes.ORPHANS, new ByteWriter().number(0).packed()).kind, is(BatchMessageTypes.NOT_SEATED));
+    assertThat(
+        request(BatchMessageTypes.ORPHANS, new ByteWriter().number(0).packed()).kind,
+        is(BatchMessageTypes.NOT_SEATED));
   }
 
   @Test
@@ -158,8 +180,11 @@
   @Test
   void lotsAreDroppedOnceNobodyMayAskForThem() {
     keeper.start();
-    JobRecord whole = record(10).listing(
-        List.of(new JobRecord.Result(0, false, 1, 0), new JobRecord.Result(1, false, 1, 0)), 0);
+    JobRecord whole =
+        record(10)
+            .listing(
+                List.of(new JobRecord.Result(0, false, 1, 0), new JobRecord.Result(1, false, 1, 0)),
+                0);
     keeper.taken("lot/a", whole.packed());
     keeper.taken("lot/b", record(10).packed());
     timers.pass(150_000);
--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -1,21 +1,21 @@
 package elmsail.batch;
 
-import elmsail.rpc.messages.ClusterView;
-import elmsail.rpc.messages.Voter;
-import elmsail.rpc.messages.VoterSet;
 import elmsail.batch.api.BatchApi;
 import elmsail.batch.store.JobRetention;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
+import elmsail.config.ServerEntry;
 import elmsail.consensus.RegisterClient;
-import elmsail.consensus.VoterSetSource;
 import elmsail.consensus.Replica;
+import elmsail.consensus.VoterSetSource;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
 import elmsail.simulation.ManualTimers;
 import elmsail.simulation.Node;
 import elmsail.simulation.SimDisk;
 import elmsail.simulation.SimNet;
-import elmsail.config.ClusterState;
-import elmsail.config.Route;
-import elmsail.config.ServerEntry;
-import elmsail.config.RoutingConfig;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -44,10 +44,22 @@
     void start() {
       up = true;
       node = net.node(address);
-      jobs = new JobRetention(node.timers(), () -> keeper != null && keeper.voting(), key -> keeper.drop(key),
-          120_000);
-      keeper = new Replica(SET, disk.open(node.timers()), jobs, node.answering(), node.caller(),
-          node.timers(), address, "st-" + address);
+      jobs =
+          new JobRetention(
+              node.timers(),
+              () -> keeper != null && keeper.voting(),
+              key -> keeper.drop(key),
+              120_000);
+      keeper =
+          new Replica(
+              SET,
+              disk.open(node.timers()),
+              jobs,
+              node.answering(),
+              node.caller(),
+              node.timers(),
+              address,
+              "st-" + address);
       jobs.listen(node.answering());
       jobs.start();
     }
@@ -77,19 +89,34 @@
       up = true;
       node = net.node(address);
       VoterSet[] known = {voterSet()};
-      RegisterClient register = new RegisterClient(SET, node.caller(), node.timers(), new VoterSetSource() {
-        @Override
-        public VoterSet of() {
-          return known[0];
-        }
-
-        @Override
-        public void response(VoterSet newer) {
-          known[0] = newer;
-        }
-      }, chance.nextLong(), address, other -> other.hashCode());
-      calls = new BatchApi(register, node.caller(), node.timers(), known(known), address, chance.nextLong(),
-          3_000);
+      RegisterClient register =
+          new RegisterClient(
+              SET,
+              node.caller(),
+              node.timers(),
+              new VoterSetSource() {
+                @Override
+                public VoterSet of() {
+                  return known[0];
+                }
+
+                @Override
+                public void response(VoterSet newer) {
+                  known[0] = newer;
+                }
+              },
+              chance.nextLong(),
+              address,
+              other -> other.hashCode());
+      calls =
+          new BatchApi(
+              register,
+              node.caller(),
+              node.timers(),
+              known(known),
+              address,
+              chance.nextLong(),
+              3_000);
       servers = new SimServers(timers);
       servers.room = 3;
       servers.serveMs = 700;
@@ -114,10 +141,13 @@
   final SimNet net;
   final List<Vault> stores = new ArrayList<>();
   final List<Door> doors = new ArrayList<>();
+
   /** Of all gateways' lives. */
   final List<SimServers> all = new ArrayList<>();
+
   /** ItemDispatcher that a server has finished. */
   final Set<String> served = new HashSet<>();
+
   final ClusterView view = new ClusterView();
   final SimConfig config;
 
@@ -205,8 +235,7 @@
       }
 
       @Override
-      public void whenChanged(Runnable then) {
-      }
+      public void whenChanged(Runnable then) {}
     };
   }
 
--- a/batch/src/test/java/elmsail/batch/LeaseTest.java
+++ b/batch/src/test/java/elmsail/batch/LeaseTest.java
@@ -86,7 +86,8 @@
       world.timers.pass(6_000);
       String later = world.read(2, "a", 0);
       assertThat(later, containsString("\"next_token\":5"));
-      assertThat(later.substring(later.indexOf('[')),
+      assertThat(
+          later.substring(later.indexOf('[')),
           startsWith(first.substring(first.indexOf('['), first.length() - 2)));
       int runs = world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size();
       assertThat("each left once, seed " + seed, runs, is(4));
@@ -126,7 +127,8 @@
     world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
     world.timers.pass(4_000);
     assertThat(world.doors.get(1).calls.running(), is(1));
-    former.servers.runs.forEach(run -> run.heard.event(0, "former".getBytes(StandardCharsets.UTF_8)));
+    former.servers.runs.forEach(
+        run -> run.heard.event(0, "former".getBytes(StandardCharsets.UTF_8)));
     former.servers.runs.get(0).serve();
     world.cut.clear();
     world.timers.pass(3_000);
@@ -189,7 +191,8 @@
     world.keepers.get(0).up = false;
     world.timers.pass(10_000);
     assertThat(world.doors.get(0).servers.runs, hasSize(1));
-    assertThat(world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size(), is(0));
+    assertThat(
+        world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size(), is(0));
   }
 
   @Test
@@ -209,10 +212,11 @@
   void positionsNeverChangeUnderRandomTrouble() {
     for (int seed = 0; seed < 25; seed++) {
       SimWorld world = new SimWorld(seed, 3, 0);
-      world.doors.forEach(door -> {
-        door.servers.serveMs = 300;
-        door.servers.room = 3;
-      });
+      world.doors.forEach(
+          door -> {
+            door.servers.serveMs = 300;
+            door.servers.room = 3;
+          });
       assertThat(world.status(world.hand(0, "a", 20, 10)), is(202));
       String before = "";
       for (int step = 0; step < 40; step++) {
@@ -237,9 +241,14 @@
       String end = world.read(0, "a", 0);
       assertThat("seed " + seed, end, containsString("\"next_token\":20"));
       for (int i = 0; i < 20; i++) {
-        String message = "{\"id\":\"a-" + i + "\",\"state\":\"delivered\",\"message\":\"a-" + i
-            + "/0\\u000aa-" + i
-            + "/1\"}";
+        String message =
+            "{\"id\":\"a-"
+                + i
+                + "\",\"state\":\"delivered\",\"message\":\"a-"
+                + i
+                + "/0\\u000aa-"
+                + i
+                + "/1\"}";
         assertThat("seed " + seed, end, containsString(message));
       }
     }
--- a/batch/src/test/java/elmsail/batch/MessageCodecTest.java
+++ b/batch/src/test/java/elmsail/batch/MessageCodecTest.java
@@ -6,21 +6,22 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import elmsail.batch.messages.ByteReader;
+import elmsail.batch.messages.ByteWriter;
 import elmsail.batch.messages.JobBody;
-import elmsail.batch.messages.JobRequestReader;
 import elmsail.batch.messages.JobRecord;
-import elmsail.batch.messages.ByteWriter;
-import elmsail.batch.messages.ByteReader;
-import elmsail.runtime.ErrorCode;
+import elmsail.batch.messages.JobRequestReader;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class MessageCodecTest {
-  private static final String PIECE = "{\"id\":\"x\",\"lane\":\"/p/1\",\"envelope\":{\"A\":\"b c\"},"
-      + "\"contents\":\"q83vEjRWeJA=\",\"tokens\":940}";
+  private static final String PIECE =
+      "{\"id\":\"x\",\"lane\":\"/p/1\",\"envelope\":{\"A\":\"b c\"},"
+          + "\"contents\":\"q83vEjRWeJA=\",\"tokens\":940}";
 
   private static List<BatchItem> read(String json) {
     return JobRequestReader.read(json.getBytes(StandardCharsets.UTF_8));
@@ -45,15 +46,34 @@
 
   @Test
   void whatIsNotALotIsNotRead() {
-    List<String> malformed = List.of("", "[]", "{}", "{\"pieces\":[]}", "{\"pieces\":{}}", "{\"pieces\":[1]}",
-        "{\"pieces\":[" + PIECE + "," + PIECE + "]}", "{\"pieces\":[" + PIECE + "]", with("\"x\"", "7"),
-        "{\"pieces\":[" + PIECE + "]} {}", with("/p/1", "p/1"), with("/p/1", "/p 1"), with("/p/1",
-            "/p\\r\\n"),
-        with("b c", "b\\r\\nC: d"), with("\"A\"", "\"A\\n\""), with("940", "-1"), with("940", "1.5"),
-        with("940", "\"940\""), with("940", "99999999999999999999"), with("q83vEjRWeJA=", "q83vE*"),
-        with("\"id\":\"x\",", ""), with("\"lane\":\"/p/1\",", ""), with(",\"tokens\":940", ""),
-        with("\"contents\":\"q83vEjRWeJA=\",", ""), with("\"envelope\":{\"A\":\"b c\"},", ""),
-        with("\"id\":\"x\"", "\"id\":\"x\",\"id\":\"y\""));
+    List<String> malformed =
+        List.of(
+            "",
+            "[]",
+            "{}",
+            "{\"pieces\":[]}",
+            "{\"pieces\":{}}",
+            "{\"pieces\":[1]}",
+            "{\"pieces\":[" + PIECE + "," + PIECE + "]}",
+            "{\"pieces\":[" + PIECE + "]",
+            with("\"x\"", "7"),
+            "{\"pieces\":[" + PIECE + "]} {}",
+            with("/p/1", "p/1"),
+            with("/p/1", "/p 1"),
+            with("/p/1", "/p\\r\\n"),
+            with("b c", "b\\r\\nC: d"),
+            with("\"A\"", "\"A\\n\""),
+            with("940", "-1"),
+            with("940", "1.5"),
+            with("940", "\"940\""),
+            with("940", "99999999999999999999"),
+            with("q83vEjRWeJA=", "q83vE*"),
+            with("\"id\":\"x\",", ""),
+            with("\"lane\":\"/p/1\",", ""),
+            with(",\"tokens\":940", ""),
+            with("\"contents\":\"q83vEjRWeJA=\",", ""),
+            with("\"envelope\":{\"A\":\"b c\"},", ""),
+            with("\"id\":\"x\"", "\"id\":\"x\",\"id\":\"y\""));
     for (String json : malformed) {
       ElmsailException thrown = assertThrows(ElmsailException.class, () -> read(json), json);
       assertThat(json, thrown.code(), is(ErrorCode.BAD_CALL));
@@ -62,22 +82,48 @@
 
   @Test
   void aRecordIsTheSameOncePackedAndUnpacked() {
-    JobRecord record = new JobRecord(3, "r", "h.example", 5, 10_000, 60_000, "body-7",
-        List.of(new JobRecord.Item("a", 1L << 39), new JobRecord.Item("ü", 0)),
-        List.of(new JobRecord.Result(1, true, 2, 77)), true, "10.0.0.1:7", 2, 1_234);
+    JobRecord record =
+        new JobRecord(
+            3,
+            "r",
+            "h.example",
+            5,
+            10_000,
+            60_000,
+            "body-7",
+            List.of(new JobRecord.Item("a", 1L << 39), new JobRecord.Item("ü", 0)),
+            List.of(new JobRecord.Result(1, true, 2, 77)),
+            true,
+            "10.0.0.1:7",
+            2,
+            1_234);
     assertThat(JobRecord.unpacked(record.packed()), is(record));
     byte[] packed = record.packed();
     for (int cut = 0; cut < packed.length; cut++) {
       byte[] part = Arrays.copyOf(packed, cut);
-      assertThat(assertThrows(ElmsailException.class, () -> JobRecord.unpacked(part)).code(),
+      assertThat(
+          assertThrows(ElmsailException.class, () -> JobRecord.unpacked(part)).code(),
           is(ErrorCode.GARBLED));
     }
   }
 
   @Test
   void whatIsListedFirstStays() {
-    JobRecord record = new JobRecord(1, "r", "h", 1, 1, 1, "b",
-        List.of(new JobRecord.Item("a", 5), new JobRecord.Item("b", 7)), List.of(), false, "d", 1, 0);
+    JobRecord record =
+        new JobRecord(
+            1,
+            "r",
+            "h",
+            1,
+            1,
+            1,
+            "b",
+            List.of(new JobRecord.Item("a", 5), new JobRecord.Item("b", 7)),
+            List.of(),
+            false,
+            "d",
+            1,
+            0);
     JobRecord.Result first = new JobRecord.Result(1, true, 1, 3);
     JobRecord.Result again = new JobRecord.Result(1, false, 2, 0);
     JobRecord listed = record.listing(List.of(first), 10).listing(List.of(again, again), 5);
--- a/batch/src/test/java/elmsail/batch/RunsTest.java
+++ b/batch/src/test/java/elmsail/batch/RunsTest.java
@@ -8,8 +8,8 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
-import elmsail.batch.ItemServers.Ended;
 import elmsail.batch.BatchCalls.Reply;
+import elmsail.batch.ItemServers.Ended;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -30,8 +30,11 @@
     SimWorld world = accepted(1, 2, 1);
     world.doors.get(0).servers.last().serve();
     world.timers.pass(100);
-    assertThat(world.read(0, "a", 0), is("200 {\"total\":1,\"next_token\":1,\"deliveries\":[{\"id\":\"a-0\","
-        + "\"state\":\"delivered\",\"message\":\"a-0/0\\u000aa-0/1\"}]}"));
+    assertThat(
+        world.read(0, "a", 0),
+        is(
+            "200 {\"total\":1,\"next_token\":1,\"deliveries\":[{\"id\":\"a-0\","
+                + "\"state\":\"delivered\",\"message\":\"a-0/0\\u000aa-0/1\"}]}"));
     assertThat(world.read(1, "a", 0), is(world.read(0, "a", 0)));
     assertThat(world.read(1, "a", 1), is("200 {\"total\":1,\"next_token\":1,\"deliveries\":[]}"));
   }
@@ -109,7 +112,8 @@
     assertThat(world.read(0, "a", 0), containsString(NONE));
     servers.last().end(Ended.FAILED);
     world.timers.pass(100);
-    assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\",\"message\":\"\""));
+    assertThat(
+        world.read(0, "a", 0), containsString("\"state\":\"undeliverable\",\"message\":\"\""));
   }
 
   @Test
@@ -155,10 +159,13 @@
     world.doors.get(0).servers.last().serve();
     world.timers.pass(90);
     assertThat(held.isDone(), is(true));
-    assertThat(new String(held.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
+    assertThat(
+        new String(held.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
     CompletableFuture<Reply> empty = world.doors.get(0).calls.read("a", 1, 5_000);
     world.timers.pass(1_100);
-    assertThat(new String(empty.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
+    assertThat(
+        new String(empty.join().body(), StandardCharsets.UTF_8),
+        containsString("\"next_token\":1"));
   }
 
   @Test
@@ -194,7 +201,8 @@
     world.timers.pass(300);
     Reply reply = world.await(world.doors.get(0).calls.read("a", 0, 0));
     assertThat(reply.body().length, lessThanOrEqualTo(1 << 20));
-    assertThat(new String(reply.body(), StandardCharsets.UTF_8), not(containsString("\"next_token\":3")));
+    assertThat(
+        new String(reply.body(), StandardCharsets.UTF_8), not(containsString("\"next_token\":3")));
     assertThat(world.read(0, "a", 2), containsString("\"next_token\":3"));
   }
 }
--- a/batch/src/test/java/elmsail/batch/ShelfStoryTest.java
+++ b/batch/src/test/java/elmsail/batch/ShelfStoryTest.java
@@ -18,7 +18,10 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-/** Jobs on the register that the tier has, with gateways and stores that die, forget, freeze and are cut off. */
+/**
+ * Jobs on the register that the tier has, with gateways and stores that die, forget, freeze and are
+ * cut off.
+ */
 class ShelfStoryTest {
   private static final long LIMIT = 100;
   private static final long TOKENS = 10;
@@ -57,21 +60,26 @@
       Seen seen = jobs.computeIfAbsent(id, job -> new Seen());
       int try1 = seen.statuses.size();
       seen.statuses.add(0);
-      hear(world.hand(door, id, PIECES, TOKENS), reply -> {
-        seen.statuses.set(try1, reply.status());
-        if (reply.status() == 202) {
-          seen.accepted = true;
-          checkQuota();
-        }
-      });
+      hear(
+          world.hand(door, id, PIECES, TOKENS),
+          reply -> {
+            seen.statuses.set(try1, reply.status());
+            if (reply.status() == 202) {
+              seen.accepted = true;
+              checkQuota();
+            }
+          });
     }
 
     /** Keeps what the check found, as futures swallow it. */
     private void hear(CompletableFuture<BatchCalls.Reply> reply, Consumer<BatchCalls.Reply> check) {
-      reply.thenAccept(check).exceptionally(thrown -> {
-        broken.add(thrown);
-        return null;
-      });
+      reply
+          .thenAccept(check)
+          .exceptionally(
+              thrown -> {
+                broken.add(thrown);
+                return null;
+              });
     }
 
     void checkQuota() {
@@ -91,12 +99,14 @@
       if (door != null) {
         Seen seen = jobs.get(id);
         seen.endAsked = true;
-        hear(door.calls.end(id), reply -> {
-          if (reply.status() == 200 && seen.endedAt < 0) {
-            seen.endedAt = world.timers.now();
-          }
-          assertThat("the end of " + id, reply.status(), not(is(404)));
-        });
+        hear(
+            door.calls.end(id),
+            reply -> {
+              if (reply.status() == 200 && seen.endedAt < 0) {
+                seen.endedAt = world.timers.now();
+              }
+              assertThat("the end of " + id, reply.status(), not(is(404)));
+            });
       }
     }
 
@@ -115,7 +125,9 @@
         assertThat(body, containsString("\"total\":" + PIECES));
         String results = body.substring(body.indexOf('[') + 1, body.length() - 2);
         boolean longer = results.length() >= seen.results.length();
-        assertThat("results of " + id + ", seed " + world.seed, longer ? results : seen.results,
+        assertThat(
+            "results of " + id + ", seed " + world.seed,
+            longer ? results : seen.results,
             startsWith(longer ? seen.results : results));
         seen.results = longer ? results : seen.results;
       }
@@ -189,7 +201,8 @@
         boolean promised = !seen.statuses.stream().anyMatch(s -> s != 429 && s != 503);
         assertThat(id + " ran though each try was refused" + where, promised, is(false));
         if (seen.endedAt >= 0) {
-          assertThat(id + " ran after its end" + where, run.at - seen.endedAt, lessThanOrEqualTo(3_000L));
+          assertThat(
+              id + " ran after its end" + where, run.at - seen.endedAt, lessThanOrEqualTo(3_000L));
         }
       }
     }
@@ -202,13 +215,23 @@
         if (!one.getValue().endAsked) {
           for (int i = 0; i < PIECES; i++) {
             String item = one.getKey() + "-" + i;
-            assertThat(where, body, containsString("{\"id\":\"" + item
-                + "\",\"state\":\"delivered\",\"message\":\""
-                + item + "/0\\u000a" + item + "/1\"}"));
+            assertThat(
+                where,
+                body,
+                containsString(
+                    "{\"id\":\""
+                        + item
+                        + "\",\"state\":\"delivered\",\"message\":\""
+                        + item
+                        + "/0\\u000a"
+                        + item
+                        + "/1\"}"));
           }
         }
-        BatchCalls.Reply item = world.await(world.doors.get(1).calls.item(one.getKey(), one.getKey() + "-1"));
-        assertThat(item.status() + new String(item.body(), StandardCharsets.UTF_8) + where,
+        BatchCalls.Reply item =
+            world.await(world.doors.get(1).calls.item(one.getKey(), one.getKey() + "-1"));
+        assertThat(
+            item.status() + new String(item.body(), StandardCharsets.UTF_8) + where,
             is("200body " + one.getKey() + "1" + where));
       }
     }
@@ -248,8 +271,9 @@
       world.timers.pass(200);
       world.stores.get(seed % 3).start();
       world.timers.pass(9_000);
-      String body = new String(world.await(world.doors.get(1).calls.read("a", 0, 0)).body(),
-          StandardCharsets.UTF_8);
+      String body =
+          new String(
+              world.await(world.doors.get(1).calls.read("a", 0, 0)).body(), StandardCharsets.UTF_8);
       assertThat("seed " + seed, body, containsString("\"next_token\":" + PIECES));
     }
   }
--- a/batch/src/test/java/elmsail/batch/SimConfig.java
+++ b/batch/src/test/java/elmsail/batch/SimConfig.java
@@ -1,8 +1,8 @@
 package elmsail.batch;
 
 import elmsail.config.Route;
-import elmsail.config.Service;
 import elmsail.config.RoutingConfig;
+import elmsail.config.Service;
 import java.util.List;
 import java.util.Map;
 
--- a/batch/src/test/java/elmsail/batch/SimJobStore.java
+++ b/batch/src/test/java/elmsail/batch/SimJobStore.java
@@ -1,13 +1,16 @@
 package elmsail.batch;
 
+import elmsail.batch.store.JobRetention;
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.Blob;
-import elmsail.batch.store.JobRetention;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** A voter with the views of a jobs' keeper; what is in it outlives {@code restart}, but for the views. */
+/**
+ * A voter with the views of a jobs' keeper; what is in it outlives {@code restart}, but for the
+ * views.
+ */
 final class SimJobStore {
 
   /** What it holds of one key. */
@@ -18,8 +21,7 @@
     final Map<String, byte[]> blobs = new HashMap<>();
   }
 
-  record Told(boolean done, Ballot promised, Ballot accepted, byte[] value, byte[] note) {
-  }
+  record Told(boolean done, Ballot promised, Ballot accepted, byte[] value, byte[] note) {}
 
   final String address;
   final Map<String, Cell> cells = new HashMap<>();
@@ -51,7 +53,8 @@
     }
     cell.promised = ballot;
     keep(cell, blobs);
-    return new Told(true, ballot, cell.accepted, cell.value, note == null ? null : views.noted(key, note));
+    return new Told(
+        true, ballot, cell.accepted, cell.value, note == null ? null : views.noted(key, note));
   }
 
   Told accept(String key, Ballot ballot, byte[] value, List<Blob> blobs) {
--- a/batch/src/test/java/elmsail/batch/SimRegister.java
+++ b/batch/src/test/java/elmsail/batch/SimRegister.java
@@ -1,17 +1,20 @@
 package elmsail.batch;
 
+import elmsail.consensus.Register;
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.Blob;
-import elmsail.consensus.Register;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
-/** A gateway's register over simulated links: prepare and accept at a majority, as published for CASPaxos. */
+/**
+ * A gateway's register over simulated links: prepare and accept at a majority, as published for
+ * CASPaxos.
+ */
 final class SimRegister implements Register {
   private final SimWorld world;
   private final String door;
@@ -32,7 +35,8 @@
     final CompletableFuture<Held> held = new CompletableFuture<>();
     boolean sent;
 
-    Change(String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note, long timeoutMs) {
+    Change(
+        String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note, long timeoutMs) {
       this.key = key;
       this.change = change;
       this.blobs = blobs;
@@ -41,7 +45,8 @@
     }
 
     void fail() {
-      held.completeExceptionally(new ElmsailException(sent ? ErrorCode.UNCLEAR : ErrorCode.NOT_REACHED, key));
+      held.completeExceptionally(
+          new ElmsailException(sent ? ErrorCode.UNCLEAR : ErrorCode.NOT_REACHED, key));
     }
 
     void again() {
@@ -58,16 +63,22 @@
       List<SimJobStore.Told> promises = new ArrayList<>();
       boolean[] over = new boolean[1];
       for (SimJobStore keeper : world.keepers) {
-        send(keeper, () -> keeper.prepare(key, ballot, blobs, note), response -> {
-          round = Math.max(round, response.promised().round);
-          if (!response.done() && !over[0]) {
-            over[0] = true;
-            again();
-          } else if (response.done() && promises.add(response) && promises.size() == world.majority() && !over[0]) {
-            over[0] = true;
-            promised(ballot, promises);
-          }
-        });
+        send(
+            keeper,
+            () -> keeper.prepare(key, ballot, blobs, note),
+            response -> {
+              round = Math.max(round, response.promised().round);
+              if (!response.done() && !over[0]) {
+                over[0] = true;
+                again();
+              } else if (response.done()
+                  && promises.add(response)
+                  && promises.size() == world.majority()
+                  && !over[0]) {
+                over[0] = true;
+                promised(ballot, promises);
+              }
+            });
       }
     }
 
@@ -103,46 +114,55 @@
       sent = true;
       int[] counts = new int[2];
       for (SimJobStore keeper : world.keepers) {
-        send(keeper, () -> keeper.accept(key, ballot, value, with), response -> {
-          round = Math.max(round, response.promised().round);
-          if (response.done() && ++counts[0] == world.majority()) {
-            held.complete(new Held(new Versioned(ballot, value), changed));
-          } else if (!response.done() && ++counts[1] == world.keepers.size() - world.majority() + 1) {
-            again();
-          }
-        });
+        send(
+            keeper,
+            () -> keeper.accept(key, ballot, value, with),
+            response -> {
+              round = Math.max(round, response.promised().round);
+              if (response.done() && ++counts[0] == world.majority()) {
+                held.complete(new Held(new Versioned(ballot, value), changed));
+              } else if (!response.done()
+                  && ++counts[1] == world.keepers.size() - world.majority() + 1) {
+                again();
+              }
+            });
       }
     }
   }
 
-  private <T> void send(SimJobStore keeper, java.util.function.Supplier<T> handle, Consumer<T> heard) {
-    world.carry(door, keeper.address, () -> {
-      T response = handle.get();
-      world.carry(keeper.address, door, () -> heard.accept(response));
-    });
+  private <T> void send(
+      SimJobStore keeper, java.util.function.Supplier<T> handle, Consumer<T> heard) {
+    world.carry(
+        door,
+        keeper.address,
+        () -> {
+          T response = handle.get();
+          world.carry(keeper.address, door, () -> heard.accept(response));
+        });
   }
 
   @Override
   public CompletableFuture<Versioned> read(String key, Ballot known, long timeoutMs) {
     CompletableFuture<Versioned> read = new CompletableFuture<>();
     change(key, found -> new Wanted(null, List.of()), List.of(), null, timeoutMs)
-        .whenComplete((held, failed) -> {
-      if (failed != null) {
-        read.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED, key));
-      } else if (known != null && known.round == held.now().ballot().round
-          && known.who == held.now().ballot().who) {
-        read.complete(new Versioned(known, null));
-      } else {
-        read.complete(held.now());
-      }
-    });
+        .whenComplete(
+            (held, failed) -> {
+              if (failed != null) {
+                read.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED, key));
+              } else if (known != null
+                  && known.round == held.now().ballot().round
+                  && known.who == held.now().ballot().who) {
+                read.complete(new Versioned(known, null));
+              } else {
+                read.complete(held.now());
+              }
+            });
     return read;
   }
 
   @Override
-  public CompletableFuture<Held> change(String key, Function<Found, Wanted> change, List<Blob> blobs,
-      byte[] note,
-      long timeoutMs) {
+  public CompletableFuture<Held> change(
+      String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note, long timeoutMs) {
     Change one = new Change(key, change, blobs, note, timeoutMs);
     world.timers.soon(one::begin);
     return one.held;
@@ -151,21 +171,25 @@
   @Override
   public CompletableFuture<byte[]> blob(String key, String name, long timeoutMs) {
     CompletableFuture<byte[]> blob = new CompletableFuture<>();
-    world.timers.after(timeoutMs, () -> blob.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED,
-        name)));
+    world.timers.after(
+        timeoutMs,
+        () -> blob.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED, name)));
     int[] none = new int[1];
     for (SimJobStore keeper : world.keepers) {
-      send(keeper, () -> {
-        SimJobStore.Cell cell = keeper.cells.get(key);
-        byte[] bytes = cell == null ? null : cell.blobs.get(name);
-        return java.util.Optional.ofNullable(bytes);
-      }, found -> {
-        if (found.isPresent()) {
-          blob.complete(found.get());
-        } else if (++none[0] == world.majority()) {
-          blob.complete(null);
-        }
-      });
+      send(
+          keeper,
+          () -> {
+            SimJobStore.Cell cell = keeper.cells.get(key);
+            byte[] bytes = cell == null ? null : cell.blobs.get(name);
+            return java.util.Optional.ofNullable(bytes);
+          },
+          found -> {
+            if (found.isPresent()) {
+              blob.complete(found.get());
+            } else if (++none[0] == world.majority()) {
+              blob.complete(null);
+            }
+          });
     }
     return blob;
   }
--- a/batch/src/test/java/elmsail/batch/SimServers.java
+++ b/batch/src/test/java/elmsail/batch/SimServers.java
@@ -1,7 +1,7 @@
 package elmsail.batch;
 
-import elmsail.simulation.ManualTimers;
 import elmsail.config.Route;
+import elmsail.simulation.ManualTimers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -60,8 +60,10 @@
   final List<Run> runs = new ArrayList<>();
   private final ManualTimers timers;
   int room = 1_000;
+
   /** ItemDispatcher that were finished. */
   Set<String> served = new HashSet<>();
+
   /** After so many ms a run is served; -1: by the test alone. */
   long serveMs = -1;
 
--- a/batch/src/test/java/elmsail/batch/SimWorld.java
+++ b/batch/src/test/java/elmsail/batch/SimWorld.java
@@ -1,19 +1,19 @@
 package elmsail.batch;
 
-import elmsail.rpc.Caller;
-import elmsail.rpc.messages.OpaqueMessage;
-import elmsail.rpc.messages.ClusterView;
-import elmsail.rpc.messages.Voter;
 import elmsail.batch.api.BatchApi;
 import elmsail.batch.messages.TokenCount;
-import elmsail.simulation.ManualTimers;
-import elmsail.runtime.ErrorCode;
-import elmsail.runtime.ElmsailException;
-import elmsail.runtime.Timers;
 import elmsail.config.ClusterState;
 import elmsail.config.Route;
-import elmsail.config.ServerEntry;
 import elmsail.config.RoutingConfig;
+import elmsail.config.ServerEntry;
+import elmsail.rpc.Caller;
+import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.rpc.messages.Voter;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Timers;
+import elmsail.simulation.ManualTimers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -49,10 +49,13 @@
   final List<SimJobStore> keepers = new ArrayList<>();
   final List<Door> doors = new ArrayList<>();
   final ClusterView view = new ClusterView();
+
   /** Links that are cut: "from>to". */
   final Set<String> cut = new HashSet<>();
+
   /** Links with a time of their own, in ms; else 1 to 5. */
   final Map<String, Long> delays = new HashMap<>();
+
   final SimConfig config;
 
   SimWorld(long seed, int doorCount, long mostWaiting) {
@@ -74,8 +77,21 @@
   }
 
   static Route route(long mostWaiting) {
-    return new Route("r-lots", HOST, "/lots1/", Route.Kind.SACK, 4_000, 500, 20,
-        List.of(new Route.Share("s", 1)), 2, false, 150, 10_000, 60_000, mostWaiting);
+    return new Route(
+        "r-lots",
+        HOST,
+        "/lots1/",
+        Route.Kind.SACK,
+        4_000,
+        500,
+        20,
+        List.of(new Route.Share("s", 1)),
+        2,
+        false,
+        150,
+        10_000,
+        60_000,
+        mostWaiting);
   }
 
   Route route() {
@@ -83,37 +99,43 @@
   }
 
   private Door open(Door door, int number) {
-    ClusterState known = new ClusterState() {
-      @Override
-      public RoutingConfig config() {
-        return door.config;
-      }
+    ClusterState known =
+        new ClusterState() {
+          @Override
+          public RoutingConfig config() {
+            return door.config;
+          }
 
-      @Override
-      public List<ServerEntry> servers() {
-        return List.of();
-      }
+          @Override
+          public List<ServerEntry> servers() {
+            return List.of();
+          }
 
-      @Override
-      public long listAgeMs() {
-        return 0;
-      }
+          @Override
+          public long listAgeMs() {
+            return 0;
+          }
 
-      @Override
-      public ClusterView view() {
-        return view;
-      }
+          @Override
+          public ClusterView view() {
+            return view;
+          }
 
-      @Override
-      public void whenChanged(Runnable then) {
-      }
-    };
+          @Override
+          public void whenChanged(Runnable then) {}
+        };
     door.config = config;
     door.servers = new SimServers(timers);
     Timers own = own(door);
-    door.calls = new BatchApi(new SimRegister(this, door.address, number + 1), caller(door.address), own,
-        known,
-        door.address, chance.nextLong(), 3_000);
+    door.calls =
+        new BatchApi(
+            new SimRegister(this, door.address, number + 1),
+            caller(door.address),
+            own,
+            known,
+            door.address,
+            chance.nextLong(),
+            3_000);
     door.calls.setServers(door.servers);
     door.calls.start();
     return door;
@@ -124,11 +146,13 @@
     return new Timers() {
       @Override
       public Timer after(long ms, Runnable then) {
-        return timers.after(ms, () -> {
-          if (door.up) {
-            then.run();
-          }
-        });
+        return timers.after(
+            ms,
+            () -> {
+              if (door.up) {
+                then.run();
+              }
+            });
       }
 
       @Override
@@ -167,11 +191,13 @@
       return;
     }
     long delay = delays.getOrDefault(from + ">" + to, 1L + chance.nextInt(5));
-    timers.after(delay, () -> {
-      if (up(to) && !cut.contains(from + ">" + to)) {
-        message.run();
-      }
-    });
+    timers.after(
+        delay,
+        () -> {
+          if (up(to) && !cut.contains(from + ">" + to)) {
+            message.run();
+          }
+        });
   }
 
   void cut(String one, String other, boolean off) {
@@ -201,17 +227,29 @@
   private Caller caller(String from) {
     return new Caller() {
       @Override
-      public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
+      public <A> CompletableFuture<A> call(
+          String peer, Object request, Class<A> answer, long timeoutMs) {
         CompletableFuture<A> response = new CompletableFuture<>();
-        timers.after(timeoutMs, () -> response.completeExceptionally(new ElmsailException(ErrorCode.SILENT, peer)));
-        carry(from, peer, () -> answer(peer, (OpaqueMessage) request)
-            .whenComplete((note, failed) -> carry(peer, from, () -> {
-          if (failed == null) {
-            response.complete(answer.cast(note));
-          } else {
-            response.completeExceptionally(failed);
-          }
-        })));
+        timers.after(
+            timeoutMs,
+            () -> response.completeExceptionally(new ElmsailException(ErrorCode.SILENT, peer)));
+        carry(
+            from,
+            peer,
+            () ->
+                answer(peer, (OpaqueMessage) request)
+                    .whenComplete(
+                        (note, failed) ->
+                            carry(
+                                peer,
+                                from,
+                                () -> {
+                                  if (failed == null) {
+                                    response.complete(answer.cast(note));
+                                  } else {
+                                    response.completeExceptionally(failed);
+                                  }
+                                })));
         return response;
       }
     };
@@ -221,11 +259,21 @@
   static byte[] job(String id, int pieces, long tokens) {
     StringBuilder json = new StringBuilder("{\"pieces\":[");
     for (int i = 0; i < pieces; i++) {
-      json.append(i == 0 ? "" : ",").append("{\"id\":\"").append(id).append('-').append(i)
-          .append("\",\"lane\":\"/lots1/x/").append(i).append("\",\"envelope\":{\"Elmsail-Model\":\"m\"},")
+      json.append(i == 0 ? "" : ",")
+          .append("{\"id\":\"")
+          .append(id)
+          .append('-')
+          .append(i)
+          .append("\",\"lane\":\"/lots1/x/")
+          .append(i)
+          .append("\",\"envelope\":{\"Elmsail-Model\":\"m\"},")
           .append("\"contents\":\"")
-          .append(Base64.getEncoder().encodeToString(("body " + id + i).getBytes(StandardCharsets.UTF_8)))
-          .append("\",\"tokens\":").append(tokens).append('}');
+          .append(
+              Base64.getEncoder()
+                  .encodeToString(("body " + id + i).getBytes(StandardCharsets.UTF_8)))
+          .append("\",\"tokens\":")
+          .append(tokens)
+          .append('}');
     }
     return json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
   }
@@ -245,7 +293,9 @@
   /** The tokens that wait on the jobs' route by this keeper's count. */
   static long waiting(SimJobStore keeper) {
     TokenCount count = new TokenCount();
-    count.putAll(List.of(keeper.views.noted("lot/probe", new TokenCount.Add("r-lots", "probe", 0, 1).packed())));
+    count.putAll(
+        List.of(
+            keeper.views.noted("lot/probe", new TokenCount.Add("r-lots", "probe", 0, 1).packed())));
     return count.without("probe");
   }
 
--- a/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
+++ b/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
@@ -116,7 +116,9 @@
         accepted += world.status(reply) == 202 ? 1 : 0;
       }
       refused += 3 - accepted;
-      assertThat("accepted of three lots of 40 at a limit of 100, seed " + seed, accepted,
+      assertThat(
+          "accepted of three lots of 40 at a limit of 100, seed " + seed,
+          accepted,
           lessThanOrEqualTo(2));
     }
     assertThat(refused, greaterThanOrEqualTo(200));
@@ -219,9 +221,11 @@
           SimJobStore.Cell cell = keeper.cells.get("lot/a");
           if (cell != null && cell.value != null) {
             JobRecord record = JobRecord.unpacked(cell.value);
-            assertThat("seed " + seed, world.having("lot/a", record.body()), greaterThanOrEqualTo(2));
+            assertThat(
+                "seed " + seed, world.having("lot/a", record.body()), greaterThanOrEqualTo(2));
             for (JobRecord.Result one : record.results()) {
-              assertThat("seed " + seed, world.having("lot/a", one.textName()), greaterThanOrEqualTo(2));
+              assertThat(
+                  "seed " + seed, world.having("lot/a", one.textName()), greaterThanOrEqualTo(2));
             }
           }
         }
@@ -245,8 +249,10 @@
     assertThat(world.status(calls.submit(world.route(), "a", "{".getBytes(), 1_000)), is(400));
     byte[] elsewhere = new String(SimWorld.job("a", 1, 1)).replace("/lots1/", "/other/").getBytes();
     assertThat(world.status(calls.submit(world.route(), "a", elsewhere, 1_000)), is(400));
-    assertThat(world.status(calls.submit(world.route(), "a", SimWorld.job("a", 201, 1), 1_000)), is(400));
-    assertThat(world.status(calls.submit(world.route(), "a/b", SimWorld.job("a", 1, 1), 1_000)), is(400));
+    assertThat(
+        world.status(calls.submit(world.route(), "a", SimWorld.job("a", 201, 1), 1_000)), is(400));
+    assertThat(
+        world.status(calls.submit(world.route(), "a/b", SimWorld.job("a", 1, 1), 1_000)), is(400));
     assertThat(world.doors.get(0).servers.runs, is(empty()));
   }
 
--- a/config/src/main/java/elmsail/config/ClusterState.java
+++ b/config/src/main/java/elmsail/config/ClusterState.java
@@ -3,9 +3,15 @@
 import elmsail.rpc.messages.ClusterView;
 import java.util.List;
 
-/** What this process knows at present; kept up by the watcher on the loop, read anywhere on the loop. */
+/**
+ * What this process knows at present; kept up by the watcher on the loop, read anywhere on the
+ * loop.
+ */
 public interface ClusterState {
-  /** The newest configuration that this life has seen, or null before the first: never an older one again. */
+  /**
+   * The newest configuration that this life has seen, or null before the first: never an older one
+   * again.
+   */
   RoutingConfig config();
 
   /** All servers listed, closing ones too; empty before the first list. */
--- a/config/src/main/java/elmsail/config/ConfigDigest.java
+++ b/config/src/main/java/elmsail/config/ConfigDigest.java
@@ -1,15 +1,14 @@
 package elmsail.config;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
 /** Tells whether two configurations are the same, byte for byte. */
 public final class ConfigDigest {
-  private ConfigDigest() {
-  }
+  private ConfigDigest() {}
 
   /** SHA-256 in 64 lower-case hex digits: the same in every process and release. */
   public static String of(byte[] bytes) {
--- a/config/src/main/java/elmsail/config/Fields.java
+++ b/config/src/main/java/elmsail/config/Fields.java
@@ -4,14 +4,14 @@
 import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigValue;
 import com.typesafe.config.ConfigValueType;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * The fields of one object of a configuration, each of its type: a text is never taken as a number. A field
- * that is null counts as not given. Faults are BAD_CALL and name the path of the key.
+ * The fields of one object of a configuration, each of its type: a text is never taken as a number.
+ * A field that is null counts as not given. Faults are BAD_CALL and name the path of the key.
  */
 record Fields(String path, ConfigObject object) {
   /** The largest whole number that JSON readers agree on. */
@@ -56,14 +56,17 @@
     if (!has(key)) {
       return other;
     }
-    double number = ((Number) typed(key, ConfigValueType.NUMBER, "a number").unwrapped()).doubleValue();
+    double number =
+        ((Number) typed(key, ConfigValueType.NUMBER, "a number").unwrapped()).doubleValue();
     if (!Double.isFinite(number)) {
       throw fault(key, "is too large a number");
     }
     return number;
   }
 
-  /** A number of at least 0 that need not be whole; rounded up, so that what is above 0 stays there. */
+  /**
+   * A number of at least 0 that need not be whole; rounded up, so that what is above 0 stays there.
+   */
   long amountOr(String key, long other) {
     double number = numberOr(key, other);
     if (number < 0) {
--- a/config/src/main/java/elmsail/config/PlatformClient.java
+++ b/config/src/main/java/elmsail/config/PlatformClient.java
@@ -1,7 +1,7 @@
 package elmsail.config;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import elmsail.runtime.http.HttpClient;
 import elmsail.runtime.http.HttpReply;
@@ -35,9 +35,9 @@
   }
 
   /**
-   * All servers, each id once, in the order of their ids. While one fetch runs, others join it. Fails with
-   * FULL if the platform has had too many calls (429), GARBLED on any other answer but a whole page, or on
-   * more than 500 pages, and as the asker does.
+   * All servers, each id once, in the order of their ids. While one fetch runs, others join it.
+   * Fails with FULL if the platform has had too many calls (429), GARBLED on any other answer but a
+   * whole page, or on more than 500 pages, and as the asker does.
    */
   public CompletableFuture<List<ServerEntry>> fetch() {
     if (running != null) {
@@ -64,8 +64,10 @@
 
   private void request(String token) {
     pages++;
-    String path = token == null ? "/servers"
-        : "/servers?page_token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
+    String path =
+        token == null
+            ? "/servers"
+            : "/servers?page_token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
     asker.get(address, path, PAGE_MS).whenComplete(this::heard);
   }
 
@@ -92,8 +94,10 @@
       List<ServerEntry> all = List.copyOf(found.values());
       end().complete(all);
     } else if (pages >= MOST_PAGES) {
-      end().completeExceptionally(
-          new ElmsailException(ErrorCode.GARBLED, "the list of servers has more than " + MOST_PAGES + " pages"));
+      end()
+          .completeExceptionally(
+              new ElmsailException(
+                  ErrorCode.GARBLED, "the list of servers has more than " + MOST_PAGES + " pages"));
     } else {
       request(page.nextToken());
     }
--- a/config/src/main/java/elmsail/config/RoutingConfigReader.java
+++ b/config/src/main/java/elmsail/config/RoutingConfigReader.java
@@ -8,21 +8,22 @@
 import java.util.Set;
 
 /**
- * Reads an operator's configuration and checks all that makes one invalid by itself. Whether its edition is
- * higher than the current one, and what it builds on, the caller checks. Fields not known are passed over.
+ * Reads an operator's configuration and checks all that makes one invalid by itself. Whether its
+ * edition is higher than the current one, and what it builds on, the caller checks. Fields not
+ * known are passed over.
  */
 public final class RoutingConfigReader {
   /** What holds where {@code limits} are not told: as the protocol's example has them. */
   private static final RoutingConfig.ClientLimits USUAL =
       new RoutingConfig.ClientLimits(16_384, 4_194_304, 3_000, 15_000);
 
-  private RoutingConfigReader() {
-  }
+  private RoutingConfigReader() {}
 
   /**
-   * Fails with BAD_CALL, and the path of the key at fault, if the configuration is invalid: not whole, a
-   * service not known, two routes at one place or of one name, no weight, no {@code give_up_ms} above 0
-   * (routes of jobs need none), no edition, a prefix without its slashes, a field of a wrong type.
+   * Fails with BAD_CALL, and the path of the key at fault, if the configuration is invalid: not
+   * whole, a service not known, two routes at one place or of one name, no weight, no {@code
+   * give_up_ms} above 0 (routes of jobs need none), no edition, a prefix without its slashes, a
+   * field of a wrong type.
    */
   public static RoutingConfig read(byte[] bytes) {
     Fields root = Fields.root(StrictJson.read(bytes));
@@ -43,7 +44,8 @@
         throw fields.fault("name", "two routes are called " + route.name());
       }
       if (!places.add(route.host() + route.prefix())) {
-        throw fields.fault("lane_prefix", "two routes have " + route.host() + " and " + route.prefix());
+        throw fields.fault(
+            "lane_prefix", "two routes have " + route.host() + " and " + route.prefix());
       }
       routes.add(route);
     }
@@ -58,8 +60,12 @@
       berths = engine.countOr("berths", 0);
       kvTokens = engine.amountOr("kv_tokens", 0);
     }
-    return new Service(fields.text("name"), fields.textOr("health", "/health"),
-        fields.countOr("berth_cap", 0), berths, kvTokens);
+    return new Service(
+        fields.text("name"),
+        fields.textOr("health", "/health"),
+        fields.countOr("berth_cap", 0),
+        berths,
+        kvTokens);
   }
 
   private static Route route(Fields fields, Map<String, Service> services) {
@@ -81,10 +87,21 @@
     if (shelfS < 0) {
       throw fields.fault("shelf_s", "is below 0");
     }
-    return new Route(name, host, prefix, kind, giveUpMs, fields.amountOr("due_ms", 0),
-        fields.countOr("precedence", 0), shares(fields, services), Math.max(1, fields.countOr("tries", 1)),
-        fields.flag("resume"), fields.amountOr("gap_aim_ms", 0), fields.amountOr("run_due_ms", 0),
-        (long) Math.ceil(shelfS * 1_000), fields.amountOr("most_waiting", 0));
+    return new Route(
+        name,
+        host,
+        prefix,
+        kind,
+        giveUpMs,
+        fields.amountOr("due_ms", 0),
+        fields.countOr("precedence", 0),
+        shares(fields, services),
+        Math.max(1, fields.countOr("tries", 1)),
+        fields.flag("resume"),
+        fields.amountOr("gap_aim_ms", 0),
+        fields.amountOr("run_due_ms", 0),
+        (long) Math.ceil(shelfS * 1_000),
+        fields.amountOr("most_waiting", 0));
   }
 
   private static Route.Kind kind(Fields fields) {
--- a/config/src/main/java/elmsail/config/ServerList.java
+++ b/config/src/main/java/elmsail/config/ServerList.java
@@ -4,8 +4,8 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -16,16 +16,14 @@
   private static final JsonFactory JSON = new JsonFactory();
   private static final String OPEN = "open_for_post";
 
-  private ServerList() {
-  }
+  private ServerList() {}
 
   /**
    * One page of the list.
    *
    * @param nextToken of the following page, null on the last
    */
-  public record Page(List<ServerEntry> servers, String nextToken) {
-  }
+  public record Page(List<ServerEntry> servers, String nextToken) {}
 
   /** Fails with GARBLED if the page is not whole, or any entry lacks what is needed of it. */
   public static Page page(byte[] bytes) {
@@ -40,17 +38,22 @@
           need(value == JsonToken.START_ARRAY, "servers is no list");
           servers = entries(in);
         } else if (key.equals("next_token")) {
-          need(value == JsonToken.VALUE_STRING || value == JsonToken.VALUE_NULL, "next_token is no text");
+          need(
+              value == JsonToken.VALUE_STRING || value == JsonToken.VALUE_NULL,
+              "next_token is no text");
           next = value == JsonToken.VALUE_NULL || in.getText().isEmpty() ? null : in.getText();
         } else {
           in.skipChildren();
         }
       }
-      need(in.currentToken() == JsonToken.END_OBJECT && in.nextToken() == null, "the page is not whole");
+      need(
+          in.currentToken() == JsonToken.END_OBJECT && in.nextToken() == null,
+          "the page is not whole");
       need(servers != null, "the page has no servers");
       return new Page(List.copyOf(servers), next);
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.GARBLED, "the list of servers is no JSON: " + e.getMessage(), e);
+      throw new ElmsailException(
+          ErrorCode.GARBLED, "the list of servers is no JSON: " + e.getMessage(), e);
     }
   }
 
@@ -85,8 +88,8 @@
   }
 
   /**
-   * Whether nothing changed that others have to hear: all is the same, in the same order, but for what is
-   * left of a start that goes on in both. The end of a start is a change.
+   * Whether nothing changed that others have to hear: all is the same, in the same order, but for
+   * what is left of a start that goes on in both. The end of a start is a change.
    */
   public static boolean sameButForWarming(List<ServerEntry> one, List<ServerEntry> other) {
     if (one.size() != other.size()) {
@@ -95,9 +98,13 @@
     for (int i = 0; i < one.size(); i++) {
       ServerEntry a = one.get(i);
       ServerEntry b = other.get(i);
-      if (a.coldLeftMs() > 0 != b.coldLeftMs() > 0 || a.closing() != b.closing() || a.berths() != b.berths()
-          || !a.id().equals(b.id()) || !a.address().equals(b.address())
-          || !a.service().equals(b.service()) || !a.zone().equals(b.zone())) {
+      if (a.coldLeftMs() > 0 != b.coldLeftMs() > 0
+          || a.closing() != b.closing()
+          || a.berths() != b.berths()
+          || !a.id().equals(b.id())
+          || !a.address().equals(b.address())
+          || !a.service().equals(b.service())
+          || !a.zone().equals(b.zone())) {
         return false;
       }
     }
@@ -142,11 +149,14 @@
   }
 
   private static String text(JsonParser in, String key) throws IOException {
-    need(in.currentToken() == JsonToken.VALUE_STRING && in.getTextLength() > 0, key + " is no text");
+    need(
+        in.currentToken() == JsonToken.VALUE_STRING && in.getTextLength() > 0, key + " is no text");
     return in.getText();
   }
 
-  /** A number of at least 0; what is left of a server's start may have been rounded or may be null. */
+  /**
+   * A number of at least 0; what is left of a server's start may have been rounded or may be null.
+   */
   private static long amount(JsonParser in, String key) throws IOException {
     if (in.currentToken() == JsonToken.VALUE_NULL) {
       return 0;
--- a/config/src/main/java/elmsail/config/StrictJson.java
+++ b/config/src/main/java/elmsail/config/StrictJson.java
@@ -11,28 +11,30 @@
 import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigParseOptions;
 import com.typesafe.config.ConfigSyntax;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 
 /**
- * One JSON object from the first byte to the last, and nothing else. Typesafe Config lets duplicate keys,
- * comments and more pass, so the text goes through a strict reader before it.
+ * One JSON object from the first byte to the last, and nothing else. Typesafe Config lets duplicate
+ * keys, comments and more pass, so the text goes through a strict reader before it.
  */
 final class StrictJson {
   private static final int DEEPEST = 50;
-  private static final JsonFactory JSON = new JsonFactoryBuilder()
-      .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build())
-      .build();
-  private static final ConfigParseOptions AS_JSON = ConfigParseOptions.defaults()
-      .setSyntax(ConfigSyntax.JSON).setOriginDescription("configuration");
+  private static final JsonFactory JSON =
+      new JsonFactoryBuilder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build())
+          .build();
+  private static final ConfigParseOptions AS_JSON =
+      ConfigParseOptions.defaults()
+          .setSyntax(ConfigSyntax.JSON)
+          .setOriginDescription("configuration");
 
-  private StrictJson() {
-  }
+  private StrictJson() {}
 
   /** Fails with BAD_CALL if the bytes are not one whole JSON object in UTF-8 with each key once. */
   static ConfigObject read(byte[] bytes) {
@@ -41,7 +43,8 @@
     try {
       return ConfigFactory.parseString(text, AS_JSON).root();
     } catch (ConfigException e) {
-      throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration cannot be read: " + e.getMessage(), e);
+      throw new ElmsailException(
+          ErrorCode.BAD_CALL, "the configuration cannot be read: " + e.getMessage(), e);
     }
   }
 
@@ -76,7 +79,8 @@
         throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration has more behind its end");
       }
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.BAD_CALL, "the configuration is not whole JSON: " + e.getMessage(), e);
+      throw new ElmsailException(
+          ErrorCode.BAD_CALL, "the configuration is not whole JSON: " + e.getMessage(), e);
     }
   }
 }
--- a/config/src/main/java/elmsail/config/ValidatedConfig.java
+++ b/config/src/main/java/elmsail/config/ValidatedConfig.java
@@ -17,7 +17,8 @@
   private final Map<String, Service> services;
   private final ClientLimits limits;
 
-  ValidatedConfig(long edition, List<Route> routes, Map<String, Service> services, ClientLimits limits) {
+  ValidatedConfig(
+      long edition, List<Route> routes, Map<String, Service> services, ClientLimits limits) {
     this.edition = edition;
     this.services = Collections.unmodifiableMap(services);
     this.limits = limits;
--- a/config/src/main/java/elmsail/config/watch/ClusterViews.java
+++ b/config/src/main/java/elmsail/config/watch/ClusterViews.java
@@ -10,10 +10,12 @@
 
 /** Puts together what several control-plane nodes say of who is there. Pure. */
 final class ClusterViews {
-  private ClusterViews() {
-  }
+  private ClusterViews() {}
 
-  /** For each voter slot the higher epoch of the two; a voter slot that only one knows is taken over. */
+  /**
+   * For each voter slot the higher epoch of the two; a voter slot that only one knows is taken
+   * over.
+   */
   static VoterSet merge(VoterSet mine, VoterSet response) {
     VoterSet merged = new VoterSet();
     int size = Math.max(mine.voters.size(), response.voters.size());
@@ -35,7 +37,9 @@
   }
 
   static boolean same(ClusterView one, ClusterView other) {
-    return same(one.head, other.head) && same(one.storeSet, other.storeSet) && one.gateways.equals(other.gateways);
+    return same(one.head, other.head)
+        && same(one.storeSet, other.storeSet)
+        && one.gateways.equals(other.gateways);
   }
 
   static boolean same(VoterSet one, VoterSet other) {
@@ -51,7 +55,9 @@
   }
 
   private static boolean same(Voter a, Voter b) {
-    return a.epoch == b.epoch && a.instanceId == b.instanceId && a.address.equals(b.address)
+    return a.epoch == b.epoch
+        && a.instanceId == b.instanceId
+        && a.address.equals(b.address)
         && a.station.equals(b.station);
   }
 }
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -1,33 +1,35 @@
 package elmsail.config.watch;
 
+import elmsail.config.ClusterState;
+import elmsail.config.PlatformClient;
+import elmsail.config.RoutingConfig;
+import elmsail.config.RoutingConfigReader;
+import elmsail.config.ServerEntry;
 import elmsail.rpc.Caller;
+import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
-import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
-import elmsail.config.PlatformClient;
-import elmsail.config.ClusterState;
-import elmsail.config.ServerEntry;
-import elmsail.config.RoutingConfig;
-import elmsail.config.RoutingConfigReader;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Supplier;
 
 /**
- * Holds a pull open at up to three control-plane nodes and keeps the newest that any of them told. Everything on the
- * loop; {@code whenChanged} runs inside the call that changed something.
+ * Holds a pull open at up to three control-plane nodes and keeps the newest that any of them told.
+ * Everything on the loop; {@code whenChanged} runs inside the call that changed something.
  */
 public final class ConfigWatcher implements ClusterState {
   private static final long WAIT_MS = 1_000;
   private static final long YOUNG_MS = 1_500;
+
   /** An epoch above all: nothing is newer. */
   private static final long NO_LIST = Long.MAX_VALUE;
+
   private static final long REVIEW_MS = 1_000;
 
   /** Told that this process shall claim a voter slot of the store set with an epoch. */
@@ -44,7 +46,7 @@
   private final WatchStreams lines;
   private final KnownServers servers = new KnownServers();
   private final List<Runnable> listeners = new ArrayList<>();
-  private Claim join = (slot, epoch) -> { };
+  private Claim join = (slot, epoch) -> {};
   private RoutingConfig config;
   private byte[] configBytes;
   private ClusterView view = new ClusterView();
@@ -58,17 +60,33 @@
    * @param store what a store tells of itself, {@code StoreStatus.NONE} in others
    * @param platform for a gateway that hears no list in time; null: never asked
    */
-  public ConfigWatcher(Caller caller, Timers timers, Settings settings, String role, long instanceId,
-      Supplier<StoreStatus> store, PlatformClient platform) {
+  public ConfigWatcher(
+      Caller caller,
+      Timers timers,
+      Settings settings,
+      String role,
+      long instanceId,
+      Supplier<StoreStatus> store,
+      PlatformClient platform) {
     this.timers = timers;
     this.settings = settings;
     this.role = role;
     this.instanceId = instanceId;
     this.store = store;
-    lines = new WatchStreams(caller, timers, settings, this::request, (line, response) -> heard(response));
-    fallback = platform == null || settings.platform() == null || !role.equals("gateway") ? null
-        : new DirectDiscovery(timers, platform, settings.platform().perSecond(), new Random(instanceId), this::listAgeMs,
-            () -> view.gateways.size(), this::fetched);
+    lines =
+        new WatchStreams(
+            caller, timers, settings, this::request, (line, response) -> heard(response));
+    fallback =
+        platform == null || settings.platform() == null || !role.equals("gateway")
+            ? null
+            : new DirectDiscovery(
+                timers,
+                platform,
+                settings.platform().perSecond(),
+                new Random(instanceId),
+                this::listAgeMs,
+                () -> view.gateways.size(),
+                this::fetched);
   }
 
   /** Begins to ask, once. */
@@ -146,7 +164,10 @@
     return view;
   }
 
-  /** How long ago the control-plane node at this inner address answered, in ms; Long.MAX_VALUE: never in this life. */
+  /**
+   * How long ago the control-plane node at this inner address answered, in ms; Long.MAX_VALUE:
+   * never in this life.
+   */
   public long heardAgoMs(String address) {
     return lines.heardAgoMs(address);
   }
@@ -166,7 +187,9 @@
     return unreadable;
   }
 
-  /** A configuration that is decided, known by another way than a pull; passed over unless newer. */
+  /**
+   * A configuration that is decided, known by another way than a pull; passed over unless newer.
+   */
   public void offerConfig(byte[] bytes) {
     if (takeTimetable(bytes, RoutingConfigReader.read(bytes))) {
       tell();
@@ -208,9 +231,10 @@
   }
 
   /**
-   * Bytes between zones are priced, and three control-plane nodes have the same list: a gateway takes it from the nearest
-   * while that keeps it young, and from the others its age only. Control-plane nodes take it from all, so that no two
-   * wait for each other. Stores send no requests to servers and take none.
+   * Bytes between zones are priced, and three control-plane nodes have the same list: a gateway
+   * takes it from the nearest while that keeps it young, and from the others its age only.
+   * Control-plane nodes take it from all, so that no two wait for each other. Stores send no
+   * requests to servers and take none.
    */
   private boolean wantsList(WatchStream line) {
     if (!role.equals("gateway")) {
@@ -234,7 +258,12 @@
     }
     if (response.listAgeMs >= 0) {
       try {
-        changed |= servers.response(response.listEpoch, response.listVersion, response.servers, now - response.listAgeMs);
+        changed |=
+            servers.response(
+                response.listEpoch,
+                response.listVersion,
+                response.servers,
+                now - response.listAgeMs);
       } catch (ElmsailException e) {
         whole = false;
       }
@@ -259,7 +288,8 @@
   private static RoutingConfig readAs(long edition, byte[] bytes) {
     RoutingConfig read = RoutingConfigReader.read(bytes);
     if (read.edition() != edition) {
-      throw new ElmsailException(ErrorCode.GARBLED, "told edition " + edition + ", came " + read.edition());
+      throw new ElmsailException(
+          ErrorCode.GARBLED, "told edition " + edition + ", came " + read.edition());
     }
     return read;
   }
@@ -274,7 +304,9 @@
   }
 
   private boolean merge(ClusterView response) {
-    return take(ClusterViews.merge(view.head, response.head), ClusterViews.merge(view.storeSet, response.storeSet));
+    return take(
+        ClusterViews.merge(view.head, response.head),
+        ClusterViews.merge(view.storeSet, response.storeSet));
   }
 
   /** Whether anything of the roster is another now. */
--- a/config/src/main/java/elmsail/config/watch/DirectDiscovery.java
+++ b/config/src/main/java/elmsail/config/watch/DirectDiscovery.java
@@ -1,14 +1,17 @@
 package elmsail.config.watch;
 
-import elmsail.runtime.Timers;
 import elmsail.config.PlatformClient;
 import elmsail.config.ServerEntry;
+import elmsail.runtime.Timers;
 import java.util.List;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
-/** A gateway's own asking of the platform while the control-plane nodes' list is too old: sparingly, as all may do so. */
+/**
+ * A gateway's own asking of the platform while the control-plane nodes' list is too old: sparingly,
+ * as all may do so.
+ */
 final class DirectDiscovery {
   private static final long LOOK_MS = 250;
   private static final long OLD_MS = 2_500;
@@ -32,8 +35,14 @@
   private long notBefore;
   private boolean closed;
 
-  DirectDiscovery(Timers timers, PlatformClient platform, double perSecond, RandomGenerator chance, LongSupplier ageMs,
-      IntSupplier doors, Taker taker) {
+  DirectDiscovery(
+      Timers timers,
+      PlatformClient platform,
+      double perSecond,
+      RandomGenerator chance,
+      LongSupplier ageMs,
+      IntSupplier doors,
+      Taker taker) {
     this.timers = timers;
     this.platform = platform;
     this.perSecond = perSecond;
@@ -76,15 +85,18 @@
       return;
     }
     notBefore = timers.now() + apartMs();
-    platform.fetch().whenComplete((servers, thrown) -> {
-      if (closed) {
-        return;
-      }
-      if (thrown == null) {
-        taker.take(servers, platform.takenAt());
-      }
-      next = timers.after(LOOK_MS, this::look);
-    });
+    platform
+        .fetch()
+        .whenComplete(
+            (servers, thrown) -> {
+              if (closed) {
+                return;
+              }
+              if (thrown == null) {
+                taker.take(servers, platform.takenAt());
+              }
+              next = timers.after(LOOK_MS, this::look);
+            });
   }
 
   /** All gateways together keep to a third of the platform's rate, each page being a call. */
--- a/config/src/main/java/elmsail/config/watch/KnownServers.java
+++ b/config/src/main/java/elmsail/config/watch/KnownServers.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * The list as pulled, by epoch and version, and beside it the list that this process fetched itself: what
- * was taken later counts. Pure; times in steady ms.
+ * The list as pulled, by epoch and version, and beside it the list that this process fetched
+ * itself: what was taken later counts. Pure; times in steady ms.
  */
 final class KnownServers {
   private static final long NEVER = Long.MIN_VALUE;
@@ -47,12 +47,14 @@
   }
 
   /**
-   * Takes a list that is told, or its age only (null). A lower version never comes back; the same one only
-   * gets younger. Returns whether the servers changed. Fails with GARBLED, changing nothing.
+   * Takes a list that is told, or its age only (null). A lower version never comes back; the same
+   * one only gets younger. Returns whether the servers changed. Fails with GARBLED, changing
+   * nothing.
    */
   boolean response(long newEpoch, long newVersion, byte[] list, long takenAt) {
     List<ServerEntry> before = servers();
-    int order = newEpoch != epoch ? Long.compare(newEpoch, epoch) : Long.compare(newVersion, version);
+    int order =
+        newEpoch != epoch ? Long.compare(newEpoch, epoch) : Long.compare(newVersion, version);
     if (bytes != null && order == 0) {
       pulledAt = Math.max(pulledAt, takenAt);
     } else if (list != null && (bytes == null || order > 0)) {
--- a/config/src/main/java/elmsail/config/watch/PeerReport.java
+++ b/config/src/main/java/elmsail/config/watch/PeerReport.java
@@ -8,13 +8,26 @@
  * @param role "gateway", "vault" or "controlplane"
  * @param storeSet the voter set that a store knows
  */
-public record PeerReport(String station, String address, String zone, String role, long instanceId, boolean voting,
-    boolean emptied, VoterSet storeSet, long at) {
+public record PeerReport(
+    String station,
+    String address,
+    String zone,
+    String role,
+    long instanceId,
+    boolean voting,
+    boolean emptied,
+    VoterSet storeSet,
+    long at) {
 
   /** Whether all but the time is the same. */
   boolean saysTheSame(PeerReport other) {
-    return station.equals(other.station) && address.equals(other.address) && zone.equals(other.zone)
-        && role.equals(other.role) && instanceId == other.instanceId && voting == other.voting
-        && emptied == other.emptied && ClusterViews.same(storeSet, other.storeSet);
+    return station.equals(other.station)
+        && address.equals(other.address)
+        && zone.equals(other.zone)
+        && role.equals(other.role)
+        && instanceId == other.instanceId
+        && voting == other.voting
+        && emptied == other.emptied
+        && ClusterViews.same(storeSet, other.storeSet);
   }
 }
--- a/config/src/main/java/elmsail/config/watch/RendezvousHash.java
+++ b/config/src/main/java/elmsail/config/watch/RendezvousHash.java
@@ -3,14 +3,17 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** RendezvousHash hashing: each station ranks the candidates in an order of its own, the same everywhere. */
+/**
+ * RendezvousHash hashing: each station ranks the candidates in an order of its own, the same
+ * everywhere.
+ */
 public final class RendezvousHash {
-  private RendezvousHash() {
-  }
+  private RendezvousHash() {}
 
   /**
-   * The first {@code n} candidates (fewer if there are fewer) in the station's order; the candidates' own
-   * order does not matter, and doubles count once. One that comes or goes displaces at most one of a choice.
+   * The first {@code n} candidates (fewer if there are fewer) in the station's order; the
+   * candidates' own order does not matter, and doubles count once. One that comes or goes displaces
+   * at most one of a choice.
    */
   public static List<String> choose(String station, List<String> candidates, int n) {
     List<String> ranked = new ArrayList<>();
--- a/config/src/main/java/elmsail/config/watch/UpdateSources.java
+++ b/config/src/main/java/elmsail/config/watch/UpdateSources.java
@@ -1,8 +1,8 @@
 package elmsail.config.watch;
 
+import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
-import elmsail.rpc.messages.ClusterView;
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,22 +12,22 @@
 import java.util.function.Function;
 
 /**
- * A control-plane node's side of the pulls: what it has to tell, who waits for something newer, and who was heard of.
- * Everything on the loop.
+ * A control-plane node's side of the pulls: what it has to tell, who waits for something newer, and
+ * who was heard of. Everything on the loop.
  */
 public final class UpdateSources {
   private static final int MOST_HELD = 2_000;
   private static final int MOST_HEARD = 4_000;
   private static final long LONGEST_WAIT_MS = 10_000;
 
-  private record Held(PullRequest request, CompletableFuture<PullResponse> answer, Timers.Timer timer) {
-  }
+  private record Held(
+      PullRequest request, CompletableFuture<PullResponse> answer, Timers.Timer timer) {}
 
   private final Timers timers;
   private final Map<String, Held> held = new LinkedHashMap<>();
   private final Map<String, PeerReport> heard = new LinkedHashMap<>();
   private Function<PullRequest, ClusterView> rosters = request -> new ClusterView();
-  private Runnable whenHeard = () -> { };
+  private Runnable whenHeard = () -> {};
   private long edition;
   private byte[] config;
   private long listEpoch;
@@ -52,8 +52,8 @@
   }
 
   /**
-   * A list, in the bytes of {@code ServerList.encode}. Passed over if it is behind the one held; the same
-   * version again only makes it younger.
+   * A list, in the bytes of {@code ServerList.encode}. Passed over if it is behind the one held;
+   * the same version again only makes it younger.
    *
    * @param version from 1, as a watcher without a list has 0
    * @param takenAt steady ms when the platform was asked
@@ -95,8 +95,9 @@
   }
 
   /**
-   * HandlerTable at once if something is newer than the asker has, else when something is or the wait is over
-   * (10 s at most). An asker's second ask ends its first. With 2,000 held, more are answered at once.
+   * HandlerTable at once if something is newer than the asker has, else when something is or the
+   * wait is over (10 s at most). An asker's second ask ends its first. With 2,000 held, more are
+   * answered at once.
    */
   public CompletableFuture<PullResponse> request(PullRequest request) {
     String who = who(request);
@@ -109,7 +110,8 @@
       return CompletableFuture.completedFuture(response(request));
     }
     CompletableFuture<PullResponse> answer = new CompletableFuture<>();
-    Timers.Timer timer = timers.after(Math.min(request.waitMs, LONGEST_WAIT_MS), () -> waited(who, answer));
+    Timers.Timer timer =
+        timers.after(Math.min(request.waitMs, LONGEST_WAIT_MS), () -> waited(who, answer));
     held.put(who, new Held(request, answer, timer));
     return answer;
   }
@@ -136,8 +138,17 @@
   }
 
   private void hear(String who, PullRequest request) {
-    PeerReport now = new PeerReport(request.station, request.address, request.zone, request.role, request.instanceId, request.voting, request.emptied,
-        request.storeSet, timers.now());
+    PeerReport now =
+        new PeerReport(
+            request.station,
+            request.address,
+            request.zone,
+            request.role,
+            request.instanceId,
+            request.voting,
+            request.emptied,
+            request.storeSet,
+            timers.now());
     PeerReport before = heard.remove(who);
     if (before == null && heard.size() >= MOST_HEARD) {
       heard.remove(heard.keySet().iterator().next());
@@ -149,12 +160,15 @@
   }
 
   private boolean newer(PullRequest request) {
-    return config != null && edition > request.edition || newerList(request) || viewVersion != request.viewVersion;
+    return config != null && edition > request.edition
+        || newerList(request)
+        || viewVersion != request.viewVersion;
   }
 
   private boolean newerList(PullRequest request) {
     return servers != null
-        && (listEpoch > request.listEpoch || listEpoch == request.listEpoch && listVersion > request.listVersion);
+        && (listEpoch > request.listEpoch
+            || listEpoch == request.listEpoch && listVersion > request.listVersion);
   }
 
   private PullResponse response(PullRequest request) {
--- a/config/src/main/java/elmsail/config/watch/WatchStream.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStream.java
@@ -5,7 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The pull held open at one control-plane node: its pace, and that control-plane node's own versions. Times in ms. */
+/**
+ * The pull held open at one control-plane node: its pace, and that control-plane node's own
+ * versions. Times in ms.
+ */
 final class WatchStream {
   private static final long APART_MS = 20;
   private static final long FIRST_PAUSE_MS = 100;
@@ -13,8 +16,13 @@
 
   final String address;
   final long openedAt;
-  /** Of this control-plane node's rosters; those of different control-plane nodes, or of its lives, are not comparable. */
+
+  /**
+   * Of this control-plane node's rosters; those of different control-plane nodes, or of its lives,
+   * are not comparable.
+   */
   long viewVersion;
+
   List<String> gateways = new ArrayList<>();
   long heardAt = -1;
   boolean open = true;
@@ -44,7 +52,10 @@
     return pause;
   }
 
-  /** Takes this control-plane node's version: if it has gone on without a roster, the next ask fetches the roster. */
+  /**
+   * Takes this control-plane node's version: if it has gone on without a roster, the next ask
+   * fetches the roster.
+   */
   void heard(PullResponse response, long now) {
     heardAt = now;
     if (response.view != null) {
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -19,7 +19,10 @@
 
 /** Which control-plane nodes are asked, and the asking: one pull open at each. Times in ms. */
 final class WatchStreams {
-  /** A control-plane node silent for so long gives way to another, and its word on the gateways is forgotten. */
+  /**
+   * A control-plane node silent for so long gives way to another, and its word on the gateways is
+   * forgotten.
+   */
   static final long SILENT_MS = 5_000;
 
   private static final Logger LOG = LoggerFactory.getLogger(WatchStreams.class);
@@ -48,7 +51,12 @@
   private boolean closed;
   private long failures;
 
-  WatchStreams(Caller caller, Timers timers, Settings settings, Function<WatchStream, PullRequest> asks, Taker taker) {
+  WatchStreams(
+      Caller caller,
+      Timers timers,
+      Settings settings,
+      Function<WatchStream, PullRequest> asks,
+      Taker taker) {
     this.caller = caller;
     this.timers = timers;
     this.asks = asks;
@@ -61,7 +69,9 @@
     lastHeardAt = timers.now();
   }
 
-  /** Those of the head's voter slots, or the seeds before they are known and while nobody answers. */
+  /**
+   * Those of the head's voter slots, or the seeds before they are known and while nobody answers.
+   */
   void choose(VoterSet head) {
     if (closed) {
       return;
@@ -85,7 +95,10 @@
     }
   }
 
-  /** The gateways that each control-plane node told last, but for those silent; empty if none was heard lately. */
+  /**
+   * The gateways that each control-plane node told last, but for those silent; empty if none was
+   * heard lately.
+   */
   List<List<String>> gateways() {
     List<List<String>> fresh = new ArrayList<>();
     for (WatchStream line : lines.values()) {
@@ -97,8 +110,9 @@
   }
 
   /**
-   * The line that whole lists are best taken from, of those heard lately: by how much of the address is this
-   * process's own (same machine, same net), then in their order. Null if none was heard lately.
+   * The line that whole lists are best taken from, of those heard lately: by how much of the
+   * address is this process's own (same machine, same net), then in their order. Null if none was
+   * heard lately.
    */
   WatchStream nearest() {
     WatchStream best = null;
@@ -185,19 +199,24 @@
       return;
     }
     line.asked(timers.now());
-    caller.call(line.address, asks.apply(line), PullResponse.class, CALL_MS).whenComplete((response, thrown) -> {
-      if (closed || !line.open) {
-        return;
-      }
-      boolean used = thrown == null && heard(line, response);
-      if (!used) {
-        failures++;
-      }
-      if (!closed && line.open) {
-        line.next = timers.after(used ? line.afterAnswer(timers.now()) : line.afterFailure(),
-            () -> request(line));
-      }
-    });
+    caller
+        .call(line.address, asks.apply(line), PullResponse.class, CALL_MS)
+        .whenComplete(
+            (response, thrown) -> {
+              if (closed || !line.open) {
+                return;
+              }
+              boolean used = thrown == null && heard(line, response);
+              if (!used) {
+                failures++;
+              }
+              if (!closed && line.open) {
+                line.next =
+                    timers.after(
+                        used ? line.afterAnswer(timers.now()) : line.afterFailure(),
+                        () -> request(line));
+              }
+            });
   }
 
   private boolean heard(WatchStream line, PullResponse response) {
--- a/config/src/test/java/elmsail/config/Examples.java
+++ b/config/src/test/java/elmsail/config/Examples.java
@@ -4,8 +4,7 @@
 
 /** Configurations and lists as the protocol shows them. */
 public final class Examples {
-  private Examples() {
-  }
+  private Examples() {}
 
   public static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
