--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 
 /**
- * Decides who sits in the stores' voter slots, from what was heard: the founding, and which spare takes a voter slot
- * whose holder is gone or is to be retired. Pure; all times are steady ms.
+ * Decides who sits in the stores' voter slots, from what was heard: the founding, and which spare
+ * takes a voter slot whose holder is gone or is to be retired. Pure; all times are steady ms.
  */
 final class PlacementController {
   static final long GONE_MS = 2_500;
@@ -18,6 +18,7 @@
 
   private static final long FOUND_FEWER_MS = 6_000;
   private static final long ZONES_WAIT_MS = 1_000;
+
   /** A registrar that did not look for so long was held up itself, and listens anew. */
   private static final long HELD_UP_MS = 700;
 
@@ -30,8 +31,7 @@
   private int orderedFrom;
 
   /** Which store is to claim which voter slot, and as what. */
-  record Order(int slot, String address, int epoch) {
-  }
+  record Order(int slot, String address, int epoch) {}
 
   /** Makes one for so many voter slots, listening from now on. */
   PlacementController(int voters, long now) {
@@ -52,14 +52,16 @@
         first = Math.min(first, store.firstAt());
       }
     }
-    boolean enough = there.size() >= voters && (zones.size() >= voters || now - first >= ZONES_WAIT_MS);
+    boolean enough =
+        there.size() >= voters && (zones.size() >= voters || now - first >= ZONES_WAIT_MS);
     if (there.isEmpty() || !enough && now - first < FOUND_FEWER_MS) {
       return null;
     }
     List<HeartbeatTable.Vault> chosen = spread(there);
     VoterSet voterSet = new VoterSet();
     for (HeartbeatTable.Vault store : chosen) {
-      voterSet.voters.add(VoterSetValue.slot(store.address(), store.station(), store.instanceId(), 1));
+      voterSet.voters.add(
+          VoterSetValue.slot(store.address(), store.station(), store.instanceId(), 1));
     }
     return voterSet;
   }
@@ -85,10 +87,12 @@
   /**
    * What is to be claimed at present, or null. Called often, also while the lease is not held.
    *
-   * @param mayDirect whether this control-plane node holds the lease and reads the head's register at a majority
+   * @param mayDirect whether this control-plane node holds the lease and reads the head's register
+   *     at a majority
    * @param retiring stations that are to be emptied
    */
-  Order order(HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, boolean mayDirect, long now) {
+  Order order(
+      HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, boolean mayDirect, long now) {
     if (!mayDirect || now - lastLook > HELD_UP_MS) {
       listening = now;
     }
@@ -98,7 +102,8 @@
       return null;
     }
     forgetDone(storeSet);
-    int slot = order != null && wanted(heard, storeSet, retiring, order.slot(), now) ? order.slot() : -1;
+    int slot =
+        order != null && wanted(heard, storeSet, retiring, order.slot(), now) ? order.slot() : -1;
     for (int i = 0; i < storeSet.voters.size() && slot < 0; i++) {
       if (wanted(heard, storeSet, retiring, i, now)) {
         slot = i;
@@ -108,7 +113,9 @@
       order = null;
       return null;
     }
-    if (order != null && order.slot() == slot && heardWithin(heard, order.address(), GONE_MS, now)) {
+    if (order != null
+        && order.slot() == slot
+        && heardWithin(heard, order.address(), GONE_MS, now)) {
       return order;
     }
     HeartbeatTable.Vault spare = spare(heard, storeSet, retiring, slot, now);
@@ -117,13 +124,17 @@
   }
 
   private void forgetDone(VoterSet storeSet) {
-    if (order != null && (order.slot() >= storeSet.voters.size()
-        || storeSet.voters.get(order.slot()).epoch >= order.epoch())) {
+    if (order != null
+        && (order.slot() >= storeSet.voters.size()
+            || storeSet.voters.get(order.slot()).epoch >= order.epoch())) {
       order = null;
     }
   }
 
-  /** Above the present holder's, and above that of each spare that was sent for the voter slot before. */
+  /**
+   * Above the present holder's, and above that of each spare that was sent for the voter slot
+   * before.
+   */
   private int epoch(VoterSet storeSet, int slot) {
     Voter holder = storeSet.voters.get(slot);
     boolean sameHolder = holder.instanceId == orderedLife && slot == orderedFrom;
@@ -134,7 +145,8 @@
   }
 
   /** Whether the voter slot is to be taken by another, and no other voter slot is in change. */
-  private boolean wanted(HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
+  private boolean wanted(
+      HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
     Voter holder = storeSet.voters.get(slot);
     boolean gone = gone(heard, holder, now);
     if (!gone && !retiring.contains(holder.station)) {
@@ -172,7 +184,8 @@
   }
 
   /** In a zone where no other voter slot is, if there is such a one. */
-  private static HeartbeatTable.Vault spare(HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
+  private static HeartbeatTable.Vault spare(
+      HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
     Set<String> zones = new HashSet<>();
     for (int i = 0; i < storeSet.voters.size(); i++) {
       HeartbeatTable.Vault holder = heard.store(storeSet.voters.get(i).address);
@@ -182,7 +195,8 @@
     }
     HeartbeatTable.Vault any = null;
     for (HeartbeatTable.Vault store : heard.stores()) {
-      if (now - store.lastAt() <= SPARE_MS && VoterSetValue.slotOf(storeSet, store.address()) < 0
+      if (now - store.lastAt() <= SPARE_MS
+          && VoterSetValue.slotOf(storeSet, store.address()) < 0
           && !retiring.contains(store.station())) {
         if (!zones.contains(store.zone())) {
           return store;
--- a/controlplane/src/main/java/elmsail/controlplane/ReadConfigHandler.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ReadConfigHandler.java
@@ -20,13 +20,18 @@
 
   @Override
   public CompletableFuture<HttpReply> handle(HttpCall call) {
-    return register.read(ReplaceConfigHandler.KEY, decided.known(), ANSWER_WITHIN_MS).handle((now, failed) -> {
-      if (failed != null) {
-        return Replies.why(503, "not reached");
-      }
-      byte[] value = decided.valueOf(now);
-      decided.take(now);
-      return value == null ? Replies.why(404, "none yet") : Replies.json(200, ConfigHistory.of(value).bytes());
-    });
+    return register
+        .read(ReplaceConfigHandler.KEY, decided.known(), ANSWER_WITHIN_MS)
+        .handle(
+            (now, failed) -> {
+              if (failed != null) {
+                return Replies.why(503, "not reached");
+              }
+              byte[] value = decided.valueOf(now);
+              decided.take(now);
+              return value == null
+                  ? Replies.why(404, "none yet")
+                  : Replies.json(200, ConfigHistory.of(value).bytes());
+            });
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
@@ -1,27 +1,29 @@
 package elmsail.controlplane;
 
+import elmsail.config.RoutingConfig;
 import elmsail.consensus.Register;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpHandler;
 import elmsail.runtime.http.HttpReply;
-import elmsail.config.RoutingConfig;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
 
 /**
- * {@code POST /RoutingConfig.Replace}: checks the body, then changes the register. Every retry goes through a
- * first round of its own, which settles what became of the try before: so 412 and 400 are sure.
+ * {@code POST /RoutingConfig.Replace}: checks the body, then changes the register. Every retry goes
+ * through a first round of its own, which settles what became of the try before: so 412 and 400 are
+ * sure.
  */
 final class ReplaceConfigHandler implements HttpHandler {
   static final String KEY = "timetable";
 
   /** The operator moves on after a second without an answer. */
   private static final long ANSWER_WITHIN_MS = 900;
+
   private static final long LEAST_TRY_MS = 150;
   private static final long BETWEEN_TRIES_MS = 20;
 
@@ -37,7 +39,11 @@
    * @param reader throws BAD_CALL for a configuration that is invalid
    * @param tell told of the edition that this call got decided
    */
-  ReplaceConfigHandler(Register register, Function<byte[], RoutingConfig> reader, Timers timers, CommittedValue decided,
+  ReplaceConfigHandler(
+      Register register,
+      Function<byte[], RoutingConfig> reader,
+      Timers timers,
+      CommittedValue decided,
       LongConsumer tell) {
     this.register = register;
     this.reader = reader;
@@ -93,10 +99,12 @@
   private void attempt(Order order) {
     long left = order.end - timers.now();
     if (left < LEAST_TRY_MS) {
-      order.reply.complete(order.unclear ? Replies.why(504, "unclear") : Replies.why(503, "not reached"));
+      order.reply.complete(
+          order.unclear ? Replies.why(504, "unclear") : Replies.why(503, "not reached"));
       return;
     }
-    register.change(KEY, found -> wanted(order, found), List.of(), null, left)
+    register
+        .change(KEY, found -> wanted(order, found), List.of(), null, left)
         .whenComplete((held, failed) -> done(order, held, failed));
   }
 
@@ -124,7 +132,8 @@
   private void done(Order order, Register.Held held, Throwable failed) {
     if (failed != null) {
       ErrorCode code = ElmsailException.codeOf(failed);
-      order.unclear |= code != ErrorCode.NOT_REACHED && code != ErrorCode.UNSENT && code != ErrorCode.NOT_SEATED;
+      order.unclear |=
+          code != ErrorCode.NOT_REACHED && code != ErrorCode.UNSENT && code != ErrorCode.NOT_SEATED;
       timers.after(BETWEEN_TRIES_MS, () -> attempt(order));
       return;
     }
--- a/controlplane/src/main/java/elmsail/controlplane/Replies.java
+++ b/controlplane/src/main/java/elmsail/controlplane/Replies.java
@@ -9,8 +9,7 @@
 final class Replies {
   private static final Map<String, String> JSON = Map.of("content-type", "application/json");
 
-  private Replies() {
-  }
+  private Replies() {}
 
   static HttpReply json(int status, byte[] body) {
     return new HttpReply(status, JSON, body);
--- a/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
@@ -1,12 +1,12 @@
 package elmsail.controlplane;
 
-import elmsail.runtime.ErrorCode;
-import elmsail.runtime.ElmsailException;
-import elmsail.runtime.Timers;
 import elmsail.config.PlatformClient;
 import elmsail.config.ServerEntry;
 import elmsail.config.ServerList;
 import elmsail.config.watch.UpdateSources;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -16,9 +16,13 @@
 final class ServerDiscovery {
   private static final long EVERY_MS = 500;
   private static final long MOST_MS = 4_000;
+
   /** Of the platform's rate: the rest is for those whom this list doesn't reach. */
   private static final double SHARE = 0.5;
-  /** What a server has left to be cold is told in whole steps, so that not each list is a new one. */
+
+  /**
+   * What a server has left to be cold is told in whole steps, so that not each list is a new one.
+   */
   private static final long COLD_STEP_MS = 1_000;
 
   private final PlatformClient platform;
@@ -30,8 +34,12 @@
   private long version;
   private byte[] last;
   private long pause = EVERY_MS;
-  /** A first list without the duty, so that nobody waits for a lease after all have ended at once. */
+
+  /**
+   * A first list without the duty, so that nobody waits for a lease after all have ended at once.
+   */
   private static final long FIRST_MS = 100;
+
   private static final long FIRST_TERM = 0;
 
   private boolean firstAsked;
@@ -43,7 +51,12 @@
    * @param perSecond calls that the platform takes from all processes together
    * @param term in which the duty is held at this moment, or 0
    */
-  ServerDiscovery(PlatformClient platform, double perSecond, Timers timers, UpdateSources sources, LongSupplier term) {
+  ServerDiscovery(
+      PlatformClient platform,
+      double perSecond,
+      Timers timers,
+      UpdateSources sources,
+      LongSupplier term) {
     this.platform = platform;
     this.perSecond = perSecond;
     this.timers = timers;
@@ -62,11 +75,15 @@
       return;
     }
     firstAsked = true;
-    platform.fetch().whenComplete((servers, failed) -> {
-      if (failed == null && !closed && !sources.hasServers()) {
-        sources.setServers(FIRST_TERM, 1, ServerList.encode(stepped(servers)), platform.takenAt());
-      }
-    });
+    platform
+        .fetch()
+        .whenComplete(
+            (servers, failed) -> {
+              if (failed == null && !closed && !sources.hasServers()) {
+                sources.setServers(
+                    FIRST_TERM, 1, ServerList.encode(stepped(servers)), platform.takenAt());
+              }
+            });
   }
 
   private void look() {
@@ -79,17 +96,23 @@
       timers.after(EVERY_MS / 5, this::look);
       return;
     }
-    platform.fetch().whenComplete((servers, failed) -> {
-      if (failed == null) {
-        pause = EVERY_MS;
-        take(inTerm, servers);
-      } else {
-        boolean full = ElmsailException.codeOf(failed) == ErrorCode.FULL;
-        pause = Math.min(MOST_MS, full ? pause * 2 : Math.max(EVERY_MS, pause * 3 / 2));
-      }
-      long least = perSecond > 0 ? (long) (platform.lastPages() * 1_000 / (perSecond * SHARE)) : MOST_MS;
-      timers.after(Math.max(pause, least), this::look);
-    });
+    platform
+        .fetch()
+        .whenComplete(
+            (servers, failed) -> {
+              if (failed == null) {
+                pause = EVERY_MS;
+                take(inTerm, servers);
+              } else {
+                boolean full = ElmsailException.codeOf(failed) == ErrorCode.FULL;
+                pause = Math.min(MOST_MS, full ? pause * 2 : Math.max(EVERY_MS, pause * 3 / 2));
+              }
+              long least =
+                  perSecond > 0
+                      ? (long) (platform.lastPages() * 1_000 / (perSecond * SHARE))
+                      : MOST_MS;
+              timers.after(Math.max(pause, least), this::look);
+            });
   }
 
   private void take(long inTerm, List<ServerEntry> servers) {
@@ -111,8 +134,15 @@
     List<ServerEntry> stepped = new ArrayList<>(servers.size());
     for (ServerEntry one : servers) {
       long cold = (one.coldLeftMs() + COLD_STEP_MS - 1) / COLD_STEP_MS * COLD_STEP_MS;
-      stepped.add(new ServerEntry(one.id(), one.service(), one.address(), one.zone(), one.berths(),
-          one.closing(), cold));
+      stepped.add(
+          new ServerEntry(
+              one.id(),
+              one.service(),
+              one.address(),
+              one.zone(),
+              one.berths(),
+              one.closing(),
+              cold));
     }
     return stepped;
   }
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -1,14 +1,14 @@
 package elmsail.controlplane;
 
-import elmsail.rpc.RequestHandlers;
+import elmsail.consensus.Register;
 import elmsail.rpc.Caller;
+import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.LeaseRequest;
 import elmsail.rpc.messages.LeaseResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.consensus.Register;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -19,8 +19,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The one duty of the head office: asking the platform and directing the stores' voter slots. Whoever holds its
- * lease takes a new term from the register first; the list's epochs are these terms.
+ * The one duty of the head office: asking the platform and directing the stores' voter slots.
+ * Whoever holds its lease takes a new term from the register first; the list's epochs are these
+ * terms.
  */
 final class SingletonLease {
   static final String KEY = "duty";
@@ -38,8 +39,10 @@
   private final long who;
   private Lease lease;
   private long term;
+
   /** Counts the times that the lease was won: a term belongs to one of them. */
   private long won;
+
   private boolean taking;
   private boolean closed;
 
@@ -48,7 +51,13 @@
    *
    * @param who drawn anew at each start
    */
-  SingletonLease(Caller caller, Timers timers, Register register, Supplier<VoterSet> head, String ownAddress, long who) {
+  SingletonLease(
+      Caller caller,
+      Timers timers,
+      Register register,
+      Supplier<VoterSet> head,
+      String ownAddress,
+      long who) {
     this.caller = caller;
     this.timers = timers;
     this.register = register;
@@ -58,20 +67,24 @@
   }
 
   /** HandlerTable the askers of the lease, while this process votes. */
-  static void vote(RequestHandlers answering, Timers timers, LeaseVoter voter, BooleanSupplier voting) {
-    answering.on(LeaseRequest.class, request -> {
-      if (!voting.getAsBoolean()) {
-        return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.NOT_SEATED, "no vote"));
-      }
-      LeaseResponse response = new LeaseResponse();
-      if (request.forMs <= 0) {
-        voter.release(request.who, request.round, timers.now());
-      } else {
-        response.leftMs = voter.request(request.who, request.round, timers.now());
-        response.granted = response.leftMs == 0;
-      }
-      return CompletableFuture.completedFuture(response);
-    });
+  static void vote(
+      RequestHandlers answering, Timers timers, LeaseVoter voter, BooleanSupplier voting) {
+    answering.on(
+        LeaseRequest.class,
+        request -> {
+          if (!voting.getAsBoolean()) {
+            return CompletableFuture.failedFuture(
+                new ElmsailException(ErrorCode.NOT_SEATED, "no vote"));
+          }
+          LeaseResponse response = new LeaseResponse();
+          if (request.forMs <= 0) {
+            voter.release(request.who, request.round, timers.now());
+          } else {
+            response.leftMs = voter.request(request.who, request.round, timers.now());
+            response.granted = response.leftMs == 0;
+          }
+          return CompletableFuture.completedFuture(response);
+        });
   }
 
   void start() {
@@ -108,19 +121,22 @@
     for (int i = 0; i < voterSet.voters.size(); i++) {
       int voter = i;
       Voter slot = voterSet.voters.get(i);
-      caller.call(slot.address, request, LeaseResponse.class, ASK_TIMEOUT_MS).thenAccept(response -> {
-        if (closed || round < 0) {
-          return;
-        }
-        long now = timers.now();
-        if (!response.granted) {
-          lease.refused(round, response.leftMs);
-        } else if (lease.granted(round, voter, now)) {
-          term = 0;
-          won++;
-          takeTerm();
-        }
-      });
+      caller
+          .call(slot.address, request, LeaseResponse.class, ASK_TIMEOUT_MS)
+          .thenAccept(
+              response -> {
+                if (closed || round < 0) {
+                  return;
+                }
+                long now = timers.now();
+                if (!response.granted) {
+                  lease.refused(round, response.leftMs);
+                } else if (lease.granted(round, voter, now)) {
+                  term = 0;
+                  won++;
+                  takeTerm();
+                }
+              });
     }
   }
 
@@ -131,18 +147,27 @@
     taking = true;
     long inWon = won;
     long[] next = {0};
-    register.change(KEY, found -> {
-      next[0] = termOf(found.value()) + 1;
-      return new Register.Wanted(ByteBuffer.allocate(16).putLong(next[0]).putLong(who).array(), List.of());
-    }, List.of(), null, TERM_TIMEOUT_MS).whenComplete((held, failed) -> {
-      taking = false;
-      if (failed == null && held.changed() && inWon == won && lease.held(timers.now())) {
-        term = next[0];
-        LOG.info("holds the duty's lease, term {}", term);
-      } else {
-        timers.after(LOOK_MS, this::takeTerm);
-      }
-    });
+    register
+        .change(
+            KEY,
+            found -> {
+              next[0] = termOf(found.value()) + 1;
+              return new Register.Wanted(
+                  ByteBuffer.allocate(16).putLong(next[0]).putLong(who).array(), List.of());
+            },
+            List.of(),
+            null,
+            TERM_TIMEOUT_MS)
+        .whenComplete(
+            (held, failed) -> {
+              taking = false;
+              if (failed == null && held.changed() && inWon == won && lease.held(timers.now())) {
+                term = next[0];
+                LOG.info("holds the duty's lease, term {}", term);
+              } else {
+                timers.after(LOOK_MS, this::takeTerm);
+              }
+            });
   }
 
   private static long termOf(byte[] value) {
--- a/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
@@ -1,19 +1,20 @@
 package elmsail.controlplane;
 
+import elmsail.config.watch.ConfigWatcher;
 import elmsail.rpc.messages.Voter;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpHandler;
 import elmsail.runtime.http.HttpReply;
-import elmsail.config.watch.ConfigWatcher;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Calls that only the holders of the head's voter slots can answer, as the stores speak just to these. Others send
- * the caller there: the control port is the same on all machines.
+ * Calls that only the holders of the head's voter slots can answer, as the stores speak just to
+ * these. Others send the caller there: the control port is the same on all machines.
  */
-record VoterRedirect(HttpHandler handler, Settings settings, ControlPlaneVoters voters, ConfigWatcher puller)
+record VoterRedirect(
+    HttpHandler handler, Settings settings, ControlPlaneVoters voters, ConfigWatcher puller)
     implements HttpHandler {
   private static final long LATELY_MS = 2_500;
 
@@ -35,7 +36,10 @@
     if (nearest == null || control == null) {
       return Replies.now(Replies.why(503, "no other notary is heard"));
     }
-    String to = nearest.substring(0, nearest.lastIndexOf(':')) + control.substring(control.lastIndexOf(':'));
-    return Replies.now(new HttpReply(307, Map.of("location", "http://" + to + call.path()), new byte[0]));
+    String to =
+        nearest.substring(0, nearest.lastIndexOf(':'))
+            + control.substring(control.lastIndexOf(':'));
+    return Replies.now(
+        new HttpReply(307, Map.of("location", "http://" + to + call.path()), new byte[0]));
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/VoterSetValue.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterSetValue.java
@@ -2,8 +2,8 @@
 
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -14,8 +14,7 @@
 final class VoterSetValue {
   private static final int MOST_SEATS = 64;
 
-  private VoterSetValue() {
-  }
+  private VoterSetValue() {}
 
   static byte[] bytes(VoterSet voterSet) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/controlplane/src/test/java/elmsail/controlplane/ConfigStoryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ConfigStoryTest.java
@@ -5,8 +5,8 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import elmsail.runtime.http.HttpReply;
 import elmsail.config.watch.ConfigWatcher;
+import elmsail.runtime.http.HttpReply;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,22 +20,23 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Two operators change the configuration while control-plane nodes are killed, frozen, cut off, lose their power or a
- * disk. What was acknowledged is never lost, no two are on top of the same one, and no gateway ever sees one
- * that isn't there in the end.
+ * Two operators change the configuration while control-plane nodes are killed, frozen, cut off,
+ * lose their power or a disk. What was acknowledged is never lost, no two are on top of the same
+ * one, and no gateway ever sees one that isn't there in the end.
  */
 class ConfigStoryTest {
   private static final int STORIES = 12;
 
   /** One call of an operator. */
-  private record Sent(long basedOn, long edition, CompletableFuture<HttpReply> reply) {
-  }
+  private record Sent(long basedOn, long edition, CompletableFuture<HttpReply> reply) {}
 
   private World world;
   private Random chance;
   private final List<Sent> open = new ArrayList<>();
+
   /** What each acknowledged edition was based on. */
   private final Map<Long, Long> acknowledged = new TreeMap<>();
+
   private final Set<Long> refusedOnce = new HashSet<>();
   private final Set<Long> unclear = new HashSet<>();
   private final Set<Long> seen = new HashSet<>();
@@ -131,7 +132,8 @@
 
   private void send() {
     String to = "n" + (1 + chance.nextInt(3));
-    if (world.net.at(world.address(to)) == null || !world.net.at(world.address(to)).alive()
+    if (world.net.at(world.address(to)) == null
+        || !world.net.at(world.address(to)).alive()
         || world.net.at(world.address(to)).frozen()) {
       return;
     }
@@ -139,7 +141,8 @@
     open.add(new Sent(current, numbers, world.sent(to, String.valueOf(current), numbers)));
     if (chance.nextBoolean()) {
       String other = "n" + (1 + chance.nextInt(3));
-      if (world.net.at(world.address(other)) != null && !world.net.at(world.address(other)).frozen()
+      if (world.net.at(world.address(other)) != null
+          && !world.net.at(world.address(other)).frozen()
           && world.net.at(world.address(other)).alive()) {
         numbers += 1 + chance.nextInt(3);
         open.add(new Sent(current, numbers, world.sent(other, String.valueOf(current), numbers)));
@@ -159,8 +162,17 @@
       int status = sent.reply().isDone() ? sent.reply().join().status() : -1;
       if (status == 200) {
         Long other = sameBase(sent.basedOn());
-        assertThat("seed " + seed + ": two on top of " + sent.basedOn() + ": " + other + " and "
-            + sent.edition(), other == null, is(true));
+        assertThat(
+            "seed "
+                + seed
+                + ": two on top of "
+                + sent.basedOn()
+                + ": "
+                + other
+                + " and "
+                + sent.edition(),
+            other == null,
+            is(true));
         acknowledged.put(sent.edition(), sent.basedOn());
         current = Math.max(current, sent.edition());
       } else if (status == 412 || status == 400) {
@@ -195,7 +207,8 @@
     for (Map.Entry<String, ConfigWatcher> gateway : world.gateways.entrySet()) {
       if (gateway.getValue().config() != null) {
         long edition = gateway.getValue().config().edition();
-        assertThat("seed " + seed, edition >= lastSeen.getOrDefault(gateway.getKey(), 0L), is(true));
+        assertThat(
+            "seed " + seed, edition >= lastSeen.getOrDefault(gateway.getKey(), 0L), is(true));
         lastSeen.put(gateway.getKey(), edition);
         seen.add(edition);
       }
@@ -204,10 +217,15 @@
 
   private void finish(int seed) {
     String[] read = {""};
-    assertThat("seed " + seed, world.until(5_000, () -> {
-      read[0] = world.read("n" + (1 + chance.nextInt(3)));
-      return read[0].startsWith("{");
-    }), is(true));
+    assertThat(
+        "seed " + seed,
+        world.until(
+            5_000,
+            () -> {
+              read[0] = world.read("n" + (1 + chance.nextInt(3)));
+              return read[0].startsWith("{");
+            }),
+        is(true));
     byte[] value = null;
     for (ControlPlaneNode office : world.offices.values()) {
       ConfigHistory editions = ConfigHistory.of(office.committedConfig());
@@ -225,7 +243,8 @@
       assertThat("seed " + seed + ": seen, not there " + edition, has(last, edition), is(true));
     }
     for (long edition : refusedOnce) {
-      assertThat("seed " + seed + ": refused, yet there " + edition, has(last, edition), is(not(true)));
+      assertThat(
+          "seed " + seed + ": refused, yet there " + edition, has(last, edition), is(not(true)));
     }
   }
 
--- a/controlplane/src/test/java/elmsail/controlplane/ControlPlaneNodeTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneNodeTest.java
@@ -87,7 +87,8 @@
       assertThat(statusOne + " " + statusTwo, anyOf(equalTo("200 412"), equalTo("412 200")));
       current = statusOne == 200 ? a : b;
       assertThat(world.read("n3"), equalTo(World.config(current)));
-      assertThat("sent again anywhere", world.replace("n3", Long.parseLong(base), current), is(200));
+      assertThat(
+          "sent again anywhere", world.replace("n3", Long.parseLong(base), current), is(200));
     }
   }
 
@@ -131,7 +132,8 @@
     world.net.cutBoth(world.address("n1"), world.address("n3"));
     assertThat(world.replace("n1", 1, 2), anyOf(is(503), is(504)));
     assertThat(world.replace("n2", 1, 3), is(200));
-    assertThat(world.until(1_000, () -> world.gateways.get("c1").config().edition() == 3), is(true));
+    assertThat(
+        world.until(1_000, () -> world.gateways.get("c1").config().edition() == 3), is(true));
     assertThat(world.read("n1"), equalTo("503"));
     world.net.healAll();
     assertThat(world.until(3_000, () -> world.read("n1").equals(World.config(3))), is(true));
@@ -186,9 +188,10 @@
   void theListIsAskedByOneAndReachesAll() {
     head();
     world.gateway("c1");
-    world.carrierSays = "{\"servers\":[{\"postal_line\":\"p\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\","
-        + "\"edition\":\"v1\",\"berths\":4,\"state\":\"open_for_post\",\"cold_left_ms\":0,\"id\":\"i-1\"}],"
-        + "\"next_token\":null}";
+    world.carrierSays =
+        "{\"servers\":[{\"postal_line\":\"p\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\","
+            + "\"edition\":\"v1\",\"berths\":4,\"state\":\"open_for_post\",\"cold_left_ms\":0,\"id\":\"i-1\"}],"
+            + "\"next_token\":null}";
     assertThat(world.until(3_000, () -> world.gateways.get("c1").servers().size() == 1), is(true));
     world.timers.pass(5_000);
     int before = world.carrierCalls;
@@ -197,7 +200,8 @@
     assertThat(world.carrierCalls - before, greaterThan(17));
     assertThat(world.gateways.get("c1").listAgeMs(), lessThan(2_200L));
     world.carrierSays = world.carrierSays.replace("open_for_post", "closing");
-    assertThat(world.until(700, () -> world.gateways.get("c1").servers().get(0).closing()), is(true));
+    assertThat(
+        world.until(700, () -> world.gateways.get("c1").servers().get(0).closing()), is(true));
   }
 
   @Test
--- a/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
@@ -4,10 +4,10 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.storage.DirectoryRecordStore;
 import elmsail.rpc.RpcEndpoint;
 import elmsail.runtime.NettyLoop;
 import elmsail.runtime.Settings;
+import elmsail.storage.DirectoryRecordStore;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.HttpURLConnection;
@@ -27,8 +27,7 @@
 
 /** One control-plane node with its sockets and its disk, over loopback. */
 class ControlPlaneTest {
-  @TempDir
-  Path dir;
+  @TempDir Path dir;
 
   private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -38,15 +37,32 @@
 
   private static Settings settings(Path dir, boolean firstStart, int controlPort, int innerPort) {
     String control = "127.0.0.1:" + controlPort;
-    return new Settings("n1", "controlplane", "counter", Set.of("head_office"), "127.0.0.1", "z", "r", Map.of(),
-        Map.of("control", control), innerPort - 1, innerPort, List.of(control), firstStart, true,
-        new Settings.Limits(1, 400, 4_000, 1_000, 64), dir.toString(), Set.of(), 1,
-        new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
-            2_000),
+    return new Settings(
+        "n1",
+        "controlplane",
+        "counter",
+        Set.of("head_office"),
+        "127.0.0.1",
+        "z",
+        "r",
+        Map.of(),
+        Map.of("control", control),
+        innerPort - 1,
+        innerPort,
+        List.of(control),
+        firstStart,
+        true,
+        new Settings.Limits(1, 400, 4_000, 1_000, 64),
+        dir.toString(),
+        Set.of(),
+        1,
+        new Settings.Bounds(
+            3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000),
         null);
   }
 
-  private static String call(String control, String method, String path, String body) throws IOException {
+  private static String call(String control, String method, String path, String body)
+      throws IOException {
     HttpURLConnection http =
         (HttpURLConnection) URI.create("http://" + control + path).toURL().openConnection();
     http.setRequestMethod(method);
@@ -73,16 +89,22 @@
   private static void running(Settings settings, Calls calls) throws Exception {
     NettyLoop loop = new NettyLoop();
     RpcEndpoint links = new RpcEndpoint(loop.events(), loop, settings.innerAddress());
-    DirectoryRecordStore records = DirectoryRecordStore.open(Path.of(settings.dataDir()), 64 << 20, loop::soon);
+    DirectoryRecordStore records =
+        DirectoryRecordStore.open(Path.of(settings.dataDir()), 64 << 20, loop::soon);
     CompletableFuture<ControlPlane> started = new CompletableFuture<>();
-    loop.soon(() -> links.listen().thenCompose(
-        none -> ControlPlane.startHeadOffice(settings, loop, links, records)).whenComplete((controlPlane, failed) -> {
-          if (failed == null) {
-            started.complete(controlPlane);
-          } else {
-            started.completeExceptionally(failed);
-          }
-        }));
+    loop.soon(
+        () ->
+            links
+                .listen()
+                .thenCompose(none -> ControlPlane.startHeadOffice(settings, loop, links, records))
+                .whenComplete(
+                    (controlPlane, failed) -> {
+                      if (failed == null) {
+                        started.complete(controlPlane);
+                      } else {
+                        started.completeExceptionally(failed);
+                      }
+                    }));
     try {
       ControlPlane controlPlane = started.get(10, TimeUnit.SECONDS);
       calls.to(settings.slots().get("control"));
@@ -101,19 +123,24 @@
   void takesAndKeepsAConfigurationOverARestart() throws Exception {
     int controlPort = freePort();
     int inner = freePort();
-    running(settings(dir, true, controlPort, inner), control -> {
-      assertThat(call(control, "GET", "/Nothing", null), equalTo("404"));
-      // The voter slot is founded within some hundred ms; each call waits for it for up to 0.9 s.
-      String taken = call(control, "POST", "/Timetable.Replace", World.config(4));
-      for (int i = 0; i < 5 && !taken.equals("{}"); i++) {
-        taken = call(control, "POST", "/Timetable.Replace", World.config(4));
-      }
-      assertThat(taken, is("{}"));
-      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
-    });
-    running(settings(dir, false, controlPort, inner), control -> {
-      assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
-      assertThat(call(control, "POST", "/Timetable.Replace", World.config(4)), is("{}"));
-    });
+    running(
+        settings(dir, true, controlPort, inner),
+        control -> {
+          assertThat(call(control, "GET", "/Nothing", null), equalTo("404"));
+          // The voter slot is founded within some hundred ms; each call waits for it for up to 0.9
+          // s.
+          String taken = call(control, "POST", "/Timetable.Replace", World.config(4));
+          for (int i = 0; i < 5 && !taken.equals("{}"); i++) {
+            taken = call(control, "POST", "/Timetable.Replace", World.config(4));
+          }
+          assertThat(taken, is("{}"));
+          assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
+        });
+    running(
+        settings(dir, false, controlPort, inner),
+        control -> {
+          assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
+          assertThat(call(control, "POST", "/Timetable.Replace", World.config(4)), is("{}"));
+        });
   }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
+++ b/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
@@ -1,11 +1,11 @@
 package elmsail.controlplane;
 
+import elmsail.consensus.Register;
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.Blob;
-import elmsail.consensus.Register;
-import elmsail.simulation.ManualTimers;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.simulation.ManualTimers;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -26,7 +26,9 @@
     UNCLEAR_TAKEN,
     /** Not taken, and never will be: fails with UNCLEAR after 300 ms. */
     UNCLEAR_LOST,
-    /** Another changes the key between the first round and the second: the function is called twice. */
+    /**
+     * Another changes the key between the first round and the second: the function is called twice.
+     */
     OVERTAKEN
   }
 
@@ -51,44 +53,48 @@
       timers.after(timeoutMs, () -> fail(future, ErrorCode.NOT_REACHED));
       return future;
     }
-    timers.after(2, () -> {
-      Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
-      if (known != null && known.round == now.ballot().round) {
-        future.complete(new Versioned(now.ballot(), null));
-      } else {
-        bytesRead += now.value() == null ? 0 : now.value().length;
-        future.complete(now);
-      }
-    });
+    timers.after(
+        2,
+        () -> {
+          Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
+          if (known != null && known.round == now.ballot().round) {
+            future.complete(new Versioned(now.ballot(), null));
+          } else {
+            bytesRead += now.value() == null ? 0 : now.value().length;
+            future.complete(now);
+          }
+        });
     return future;
   }
 
   @Override
-  public CompletableFuture<Held> change(String key, Function<Found, Wanted> change, List<Blob> blobs,
-      byte[] note, long timeoutMs) {
+  public CompletableFuture<Held> change(
+      String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note, long timeoutMs) {
     CompletableFuture<Held> future = new CompletableFuture<>();
     Fate fate = fates.isEmpty() ? Fate.DONE : fates.poll();
     if (unreachable || fate == Fate.NOT_REACHED) {
       timers.after(Math.min(300, timeoutMs), () -> fail(future, ErrorCode.NOT_REACHED));
       return future;
     }
-    timers.after(5, () -> {
-      if (fate == Fate.OVERTAKEN) {
-        change.apply(found(key));
-        put(key, overtakes);
-      }
-      Wanted wanted = change.apply(found(key));
-      if (wanted.value() != null && fate != Fate.UNCLEAR_LOST) {
-        put(key, wanted.value());
-      }
-      Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
-      Held held = new Held(now, wanted.value() != null);
-      if (fate == Fate.UNCLEAR_TAKEN || fate == Fate.UNCLEAR_LOST) {
-        timers.after(Math.min(300, timeoutMs), () -> fail(future, ErrorCode.UNCLEAR));
-      } else {
-        timers.after(5, () -> future.complete(held));
-      }
-    });
+    timers.after(
+        5,
+        () -> {
+          if (fate == Fate.OVERTAKEN) {
+            change.apply(found(key));
+            put(key, overtakes);
+          }
+          Wanted wanted = change.apply(found(key));
+          if (wanted.value() != null && fate != Fate.UNCLEAR_LOST) {
+            put(key, wanted.value());
+          }
+          Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
+          Held held = new Held(now, wanted.value() != null);
+          if (fate == Fate.UNCLEAR_TAKEN || fate == Fate.UNCLEAR_LOST) {
+            timers.after(Math.min(300, timeoutMs), () -> fail(future, ErrorCode.UNCLEAR));
+          } else {
+            timers.after(5, () -> future.complete(held));
+          }
+        });
     return future;
   }
 
--- a/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
@@ -46,7 +46,8 @@
 
   private void arrive(int voter, int asker, Lease lease, long whose, long round, long back) {
     if (timers.now() < frozenUntil[voter]) {
-      timers.after(frozenUntil[voter] - timers.now(), () -> arrive(voter, asker, lease, whose, round, back));
+      timers.after(
+          frozenUntil[voter] - timers.now(), () -> arrive(voter, asker, lease, whose, round, back));
       return;
     }
     if (round < 0) {
@@ -59,7 +60,8 @@
 
   private void answered(int voter, int asker, Lease lease, long round, long left) {
     if (timers.now() < frozenUntil[asker]) {
-      timers.after(frozenUntil[asker] - timers.now(), () -> answered(voter, asker, lease, round, left));
+      timers.after(
+          frozenUntil[asker] - timers.now(), () -> answered(voter, asker, lease, round, left));
     } else if (left == 0) {
       lease.granted(round, voter, timers.now());
     } else {
--- a/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
@@ -5,14 +5,14 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.simulation.ManualTimers;
-import elmsail.runtime.ErrorCode;
+import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
+import elmsail.config.Service;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpReply;
-import elmsail.config.Route;
-import elmsail.config.Service;
-import elmsail.config.RoutingConfig;
+import elmsail.simulation.ManualTimers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,9 +25,10 @@
   private final ManualTimers timers = new ManualTimers();
   private final FakeRegister register = new FakeRegister(timers);
   private final List<Long> response = new ArrayList<>();
-  private final CommittedValue decided = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, 300);
-  private final ReplaceConfigHandler replace = new ReplaceConfigHandler(register, OperatorCallsTest::reader, timers, decided,
-      response::add);
+  private final CommittedValue decided =
+      new CommittedValue(register, ReplaceConfigHandler.KEY, timers, 300);
+  private final ReplaceConfigHandler replace =
+      new ReplaceConfigHandler(register, OperatorCallsTest::reader, timers, decided, response::add);
   private final ReadConfigHandler read = new ReadConfigHandler(register, decided);
 
   /** "7 anything": the edition is the number in front; "bad" is no configuration. */
@@ -148,8 +149,12 @@
 
   @Test
   void anUnclearAnswerThatStaysSoIs504AndTheRepeatIs200() {
-    register.fates.addAll(List.of(FakeRegister.Fate.UNCLEAR_TAKEN, FakeRegister.Fate.NOT_REACHED,
-        FakeRegister.Fate.NOT_REACHED, FakeRegister.Fate.NOT_REACHED));
+    register.fates.addAll(
+        List.of(
+            FakeRegister.Fate.UNCLEAR_TAKEN,
+            FakeRegister.Fate.NOT_REACHED,
+            FakeRegister.Fate.NOT_REACHED,
+            FakeRegister.Fate.NOT_REACHED));
     assertThat(put("0", "3 a"), is(504));
     register.fates.clear();
     assertThat(put("0", "3 a"), is(200));
--- a/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
@@ -173,7 +173,8 @@
       hear("e", "ze", false);
       assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
     }
-    assertThat(pass(300, "a", "b", "c", "d", "e"), equalTo(new PlacementController.Order(1, "e:1", 2)));
+    assertThat(
+        pass(300, "a", "b", "c", "d", "e"), equalTo(new PlacementController.Order(1, "e:1", 2)));
   }
 
   @Test
@@ -187,9 +188,11 @@
   void twoGoneOfFiveAreReplacedOneByOne() {
     founded("a", "b", "c", "d", "e");
     pass(1_000, "a", "b", "c", "d", "e", "f");
-    assertThat(pass(3_000, "a", "b", "c", "f"), equalTo(new PlacementController.Order(3, "f:1", 2)));
+    assertThat(
+        pass(3_000, "a", "b", "c", "f"), equalTo(new PlacementController.Order(3, "f:1", 2)));
     storeSet.voters.set(3, VoterSetValue.slot("f:1", "f", "f".hashCode(), 2));
-    assertThat(pass(300, "a", "b", "c", "f", "g"), equalTo(new PlacementController.Order(4, "g:1", 2)));
+    assertThat(
+        pass(300, "a", "b", "c", "f", "g"), equalTo(new PlacementController.Order(4, "g:1", 2)));
   }
 
   @Test
--- a/controlplane/src/test/java/elmsail/controlplane/ShelfStoryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ShelfStoryTest.java
@@ -5,12 +5,12 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
-import elmsail.rpc.messages.Voter;
-import elmsail.rpc.messages.VoterSet;
 import elmsail.consensus.Register;
 import elmsail.consensus.RegisterClient;
-import elmsail.consensus.VoterSets;
 import elmsail.consensus.VoterSetSource;
+import elmsail.consensus.VoterSets;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
 import elmsail.simulation.Node;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -22,9 +22,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * A writer counts at keys of the store set while stores are lost, wiped, retired and added, one trouble at a time
- * and the control-plane nodes' lease holder now and then with it: what was acknowledged is read back, and a machine that
- * was told to be delivered is removed at once.
+ * A writer counts at keys of the store set while stores are lost, wiped, retired and added, one
+ * trouble at a time and the control-plane nodes' lease holder now and then with it: what was
+ * acknowledged is read back, and a machine that was told to be delivered is removed at once.
  */
 class ShelfStoryTest {
   private static final int STORIES = 6;
@@ -80,7 +80,8 @@
     for (int i = 0; i < KEYS; i++) {
       CompletableFuture<Register.Versioned> read = writer.read("lot/" + i, null, 2_000);
       assertThat("seed " + seed, world.until(3_000, read::isDone), is(true));
-      assertThat("seed " + seed + " key " + i, number(read.join().value()) >= acknowledged[i], is(true));
+      assertThat(
+          "seed " + seed + " key " + i, number(read.join().value()) >= acknowledged[i], is(true));
       assertThat(acknowledged[i], greaterThan(5L));
     }
   }
@@ -93,21 +94,23 @@
 
   private void writer() {
     Node node = world.net.node("10.3.0.9:7720");
-    VoterSetSource voterSets = new VoterSetSource() {
-      @Override
-      public VoterSet of() {
-        for (String name : running) {
-          known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
-        }
-        return known;
-      }
+    VoterSetSource voterSets =
+        new VoterSetSource() {
+          @Override
+          public VoterSet of() {
+            for (String name : running) {
+              known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
+            }
+            return known;
+          }
 
-      @Override
-      public void response(VoterSet newer) {
-        known = VoterSets.merge(known, newer);
-      }
-    };
-    writer = new RegisterClient("shelf", node.caller(), node.timers(), voterSets, 77, "", address -> 1);
+          @Override
+          public void response(VoterSet newer) {
+            known = VoterSets.merge(known, newer);
+          }
+        };
+    writer =
+        new RegisterClient("shelf", node.caller(), node.timers(), voterSets, 77, "", address -> 1);
   }
 
   private void write(long ms) {
@@ -117,16 +120,25 @@
       if (!busy[key]) {
         busy[key] = true;
         long[] wanted = {0};
-        writer.change("lot/" + key, found -> {
-          wanted[0] = number(found.value()) + 1;
-          return new Register.Wanted(ByteBuffer.allocate(8).putLong(wanted[0]).array(), List.of());
-        }, List.of(), null, 1_500).whenComplete((held, failed) -> {
-          busy[key] = false;
-          if (failed == null) {
-            assertThat(wanted[0], greaterThan(acknowledged[key]));
-            acknowledged[key] = wanted[0];
-          }
-        });
+        writer
+            .change(
+                "lot/" + key,
+                found -> {
+                  wanted[0] = number(found.value()) + 1;
+                  return new Register.Wanted(
+                      ByteBuffer.allocate(8).putLong(wanted[0]).array(), List.of());
+                },
+                List.of(),
+                null,
+                1_500)
+            .whenComplete(
+                (held, failed) -> {
+                  busy[key] = false;
+                  if (failed == null) {
+                    assertThat(wanted[0], greaterThan(acknowledged[key]));
+                    acknowledged[key] = wanted[0];
+                  }
+                });
       }
       world.timers.pass(20 + chance.nextInt(60));
     }
--- a/controlplane/src/test/java/elmsail/controlplane/World.java
+++ b/controlplane/src/test/java/elmsail/controlplane/World.java
@@ -1,16 +1,16 @@
 package elmsail.controlplane;
 
-import elmsail.rpc.messages.Voter;
+import elmsail.config.watch.ConfigWatcher;
+import elmsail.config.watch.StoreStatus;
 import elmsail.consensus.ReplicaListener;
+import elmsail.rpc.messages.Voter;
+import elmsail.runtime.Settings;
+import elmsail.runtime.http.HttpCall;
+import elmsail.runtime.http.HttpReply;
 import elmsail.simulation.ManualTimers;
 import elmsail.simulation.Node;
 import elmsail.simulation.SimDisk;
 import elmsail.simulation.SimNet;
-import elmsail.runtime.Settings;
-import elmsail.runtime.http.HttpCall;
-import elmsail.runtime.http.HttpReply;
-import elmsail.config.watch.ConfigWatcher;
-import elmsail.config.watch.StoreStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +20,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
-/** Control-plane nodes, stores and gateways on simulated links and disks, on one clock moved by hand. */
+/**
+ * Control-plane nodes, stores and gateways on simulated links and disks, on one clock moved by
+ * hand.
+ */
 final class World {
   static final String EMPTY = "{\"servers\":[],\"next_token\":null}";
 
@@ -46,24 +49,39 @@
   }
 
   static String ip(String name) {
-    int kind = switch (name.charAt(0)) {
-      case 'n' -> 1;
-      case 'v' -> 2;
-      default -> 3;
-    };
+    int kind =
+        switch (name.charAt(0)) {
+          case 'n' -> 1;
+          case 'v' -> 2;
+          default -> 3;
+        };
     return "10." + kind + ".0." + name.substring(1);
   }
 
   private Settings settings(String name, boolean firstStart, boolean disk) {
     boolean head = name.startsWith("n");
     boolean store = name.startsWith("v");
-    return new Settings(name, "r", store ? "vault" : "counter",
-        Set.of(head ? "head_office" : store ? "vault" : "counter"), ip(name), "z" + name.substring(1), "r",
-        Map.of(), head ? Map.of("control", ip(name) + ":8166") : Map.of(), 7720, 7735, seeds, firstStart,
+    return new Settings(
+        name,
+        "r",
+        store ? "vault" : "counter",
+        Set.of(head ? "head_office" : store ? "vault" : "counter"),
+        ip(name),
+        "z" + name.substring(1),
+        "r",
+        Map.of(),
+        head ? Map.of("control", ip(name) + ":8166") : Map.of(),
+        7720,
+        7735,
+        seeds,
+        firstStart,
         true,
-        new Settings.Limits(1, 400, 4_000, 1_000, 64), disk ? "/data" : null, Set.of(), 1,
-        new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
-            2_000),
+        new Settings.Limits(1, 400, 4_000, 1_000, 64),
+        disk ? "/data" : null,
+        Set.of(),
+        1,
+        new Settings.Bounds(
+            3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000),
         new Settings.Platform("10.9.0.1:8169", 40, 800));
   }
 
@@ -92,8 +110,15 @@
 
   void controlPlane(String name, boolean firstStart, boolean disk) {
     Node node = node(name);
-    ControlPlaneNode office = new ControlPlaneNode(settings(name, firstStart, disk), node.timers(), node.caller(),
-        node.answering(), disk ? disk(name, node) : null, this::platform, whos++);
+    ControlPlaneNode office =
+        new ControlPlaneNode(
+            settings(name, firstStart, disk),
+            node.timers(),
+            node.caller(),
+            node.answering(),
+            disk ? disk(name, node) : null,
+            this::platform,
+            whos++);
     offices.put(name, office);
     office.start();
   }
@@ -108,16 +133,29 @@
 
   void store(String name, boolean firstStart) {
     Node node = node(name);
-    StoreNode house = new StoreNode(settings(name, firstStart, true), node.timers(), node.caller(),
-        node.answering(), disk(name, node), new ReplicaListener() { });
+    StoreNode house =
+        new StoreNode(
+            settings(name, firstStart, true),
+            node.timers(),
+            node.caller(),
+            node.answering(),
+            disk(name, node),
+            new ReplicaListener() {});
     stores.put(name, house);
     house.start();
   }
 
   void gateway(String name) {
     Node node = node(name);
-    ConfigWatcher puller = new ConfigWatcher(node.caller(), node.timers(), settings(name, true, false), "gateway", whos++,
-        () -> StoreStatus.NONE, null);
+    ConfigWatcher puller =
+        new ConfigWatcher(
+            node.caller(),
+            node.timers(),
+            settings(name, true, false),
+            "gateway",
+            whos++,
+            () -> StoreStatus.NONE,
+            null);
     gateways.put(name, puller);
     puller.start();
   }
@@ -140,10 +178,14 @@
     return holds.getAsBoolean();
   }
 
-  CompletableFuture<HttpReply> begin(String controlPlane, String method, String path, String basedOn, String body) {
+  CompletableFuture<HttpReply> begin(
+      String controlPlane, String method, String path, String basedOn, String body) {
     Map<String, String> headers = basedOn == null ? Map.of() : Map.of("elmsail-based-on", basedOn);
-    return offices.get(controlPlane).operators().handle(
-        new HttpCall(method, path, Map.of(), headers, body.getBytes(StandardCharsets.UTF_8)));
+    return offices
+        .get(controlPlane)
+        .operators()
+        .handle(
+            new HttpCall(method, path, Map.of(), headers, body.getBytes(StandardCharsets.UTF_8)));
   }
 
   CompletableFuture<HttpReply> sent(String controlPlane, String basedOn, long edition) {
@@ -156,7 +198,9 @@
   }
 
   int replace(String controlPlane, long basedOn, long edition) {
-    return status(begin(controlPlane, "POST", "/Timetable.Replace", String.valueOf(basedOn), config(edition)));
+    return status(
+        begin(
+            controlPlane, "POST", "/Timetable.Replace", String.valueOf(basedOn), config(edition)));
   }
 
   /** The operator goes from gateway to gateway. */
@@ -174,7 +218,9 @@
   String read(String controlPlane) {
     CompletableFuture<HttpReply> reply = begin(controlPlane, "GET", "/Timetable.Read", null, "");
     int status = status(reply);
-    return status == 200 ? new String(reply.join().body(), StandardCharsets.UTF_8) : String.valueOf(status);
+    return status == 200
+        ? new String(reply.join().body(), StandardCharsets.UTF_8)
+        : String.valueOf(status);
   }
 
   int retire(String controlPlane, String store) {
@@ -182,24 +228,37 @@
   }
 
   String retired(String controlPlane, String store) {
-    CompletableFuture<HttpReply> reply = begin(controlPlane, "GET", "/Retire.Read/" + store, null, "");
+    CompletableFuture<HttpReply> reply =
+        begin(controlPlane, "GET", "/Retire.Read/" + store, null, "");
     int status = status(reply);
-    return status == 200 ? new String(reply.join().body(), StandardCharsets.UTF_8) : String.valueOf(status);
+    return status == 200
+        ? new String(reply.join().body(), StandardCharsets.UTF_8)
+        : String.valueOf(status);
   }
 
-  /** DecommissionList and epochs of the voter slots as the store knows them, with a star where one is not voting. */
+  /**
+   * DecommissionList and epochs of the voter slots as the store knows them, with a star where one
+   * is not voting.
+   */
   String storeSet(String store) {
     StringBuilder voters = new StringBuilder();
     for (Voter slot : stores.get(store).keeper().voterSet().voters) {
       StoreNode house = stores.get(slot.station);
-      voters.append(voters.isEmpty() ? "" : " ").append(slot.station).append('/').append(slot.epoch);
+      voters
+          .append(voters.isEmpty() ? "" : " ")
+          .append(slot.station)
+          .append('/')
+          .append(slot.epoch);
       voters.append(house != null && house.keeper().voting() ? "" : "*");
     }
     return voters.toString();
   }
 
   static String config(long edition) {
-    return "{\"edition\":" + edition + ",\"routes\":[{\"name\":\"r" + edition
+    return "{\"edition\":"
+        + edition
+        + ",\"routes\":[{\"name\":\"r"
+        + edition
         + "\",\"depot\":\"a.example\",\"lane_prefix\":\"/a/\",\"route_class\":\"safe\",\"give_up_ms\":2000,"
         + "\"due_ms\":250,\"precedence\":0,\"postal_line\":\"p\",\"tries\":2}],\"postal_lines\":[{\"name\":"
         + "\"p\","
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -1,19 +1,19 @@
 package elmsail.gateway;
 
+import elmsail.batch.BatchCalls;
+import elmsail.batch.ItemServers;
+import elmsail.config.ClusterState;
 import elmsail.gateway.frontend.ClientListener;
-import elmsail.gateway.requests.RequestProgress;
-import elmsail.gateway.requests.RequestDispatcher;
+import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.requests.ItemDispatcher;
+import elmsail.gateway.requests.RequestDispatcher;
+import elmsail.gateway.requests.RequestProgress;
 import elmsail.gateway.servers.Servers;
-import elmsail.gateway.http.RequestCounters;
-import elmsail.batch.ItemServers;
-import elmsail.batch.BatchCalls;
 import elmsail.runtime.NettyLoop;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import elmsail.runtime.http.HttpReply;
 import elmsail.runtime.http.HttpServer;
-import elmsail.config.ClusterState;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -26,10 +26,17 @@
   private static final long TELL_MS = 10_000;
   private static final int MOST_READY_BODY = 1_024;
   private static final byte[] NOTHING = new byte[0];
-  /** The platform stops sending after two looks a second apart; from then on idle connections end. */
+
+  /**
+   * The platform stops sending after two looks a second apart; from then on idle connections end.
+   */
   private static final long STILL_SENT_MS = 2_500;
+
   private static final long STOP_LOOK_MS = 20;
-  /** A request is cut only where its server was still at work in the second half of the grace time. */
+
+  /**
+   * A request is cut only where its server was still at work in the second half of the grace time.
+   */
   private static final long BEYOND_HALF_MS = 250;
 
   private final NettyLoop loop;
@@ -45,7 +52,8 @@
   private boolean stopping;
   private String toldLast = "";
 
-  private Gateway(Settings settings, NettyLoop loop, Timers timers, ClusterState known, BatchCalls jobs) {
+  private Gateway(
+      Settings settings, NettyLoop loop, Timers timers, ClusterState known, BatchCalls jobs) {
     this.loop = loop;
     this.timers = timers;
     this.known = known;
@@ -62,30 +70,46 @@
    *
    * @return completes on the loop once both are bound; fails with BAD_SETTINGS
    */
-  public static CompletableFuture<Gateway> start(Settings settings, NettyLoop loop, ClusterState known,
-      BatchCalls jobs) {
+  public static CompletableFuture<Gateway> start(
+      Settings settings, NettyLoop loop, ClusterState known, BatchCalls jobs) {
     return start(settings, loop, loop, known, jobs);
   }
 
   /** Likewise by another clock. */
-  static CompletableFuture<Gateway> start(Settings settings, NettyLoop loop, Timers timers, ClusterState known,
-      BatchCalls jobs) {
+  static CompletableFuture<Gateway> start(
+      Settings settings, NettyLoop loop, Timers timers, ClusterState known, BatchCalls jobs) {
     return new Gateway(settings, loop, timers, known, jobs).listen();
   }
 
   private CompletableFuture<Gateway> listen() {
-    CompletableFuture<ClientListener> fronted = ClientListener.listen(timers, loop.events(), settings.slots().get("front"),
-        known, desk, counters, settings.limits().fds());
-    CompletableFuture<HttpServer> looked = HttpServer.listen(loop, settings.slots().get("ready"), call ->
-        CompletableFuture.completedFuture(new HttpReply(
-            call.path().equals("/ready") ? isReady() ? 200 : 503 : 404, Map.of(), NOTHING)),
-        MOST_READY_BODY);
-    return fronted.thenCombine(looked, (f, r) -> {
-      front = f;
-      ready = r;
-      timers.after(TELL_MS, this::tell);
-      return this;
-    });
+    CompletableFuture<ClientListener> fronted =
+        ClientListener.listen(
+            timers,
+            loop.events(),
+            settings.slots().get("front"),
+            known,
+            desk,
+            counters,
+            settings.limits().fds());
+    CompletableFuture<HttpServer> looked =
+        HttpServer.listen(
+            loop,
+            settings.slots().get("ready"),
+            call ->
+                CompletableFuture.completedFuture(
+                    new HttpReply(
+                        call.path().equals("/ready") ? isReady() ? 200 : 503 : 404,
+                        Map.of(),
+                        NOTHING)),
+            MOST_READY_BODY);
+    return fronted.thenCombine(
+        looked,
+        (f, r) -> {
+          front = f;
+          ready = r;
+          timers.after(TELL_MS, this::tell);
+          return this;
+        });
   }
 
   /** Whether the platform is to send clients here. */
@@ -113,8 +137,8 @@
   }
 
   /**
-   * Is not ready from now on, serves what is open and still comes, and ends soon after half of the grace
-   * time.
+   * Is not ready from now on, serves what is open and still comes, and ends soon after half of the
+   * grace time.
    *
    * @return completes on the loop when nothing is open any more
    */
@@ -129,10 +153,12 @@
     front.beginEnd();
     long halfGrace = settings.bounds().graceMs() / 2;
     long end = timers.now() + halfGrace + BEYOND_HALF_MS;
-    timers.after(Math.min(STILL_SENT_MS, halfGrace * 3 / 4), () -> {
-      front.closeIdle();
-      whenEmpty(end, done);
-    });
+    timers.after(
+        Math.min(STILL_SENT_MS, halfGrace * 3 / 4),
+        () -> {
+          front.closeIdle();
+          whenEmpty(end, done);
+        });
     return done;
   }
 
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -1,17 +1,17 @@
 package elmsail.gateway;
 
-import elmsail.rpc.messages.ClusterView;
 import elmsail.batch.BatchCalls;
+import elmsail.config.ClusterState;
+import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
+import elmsail.config.ServerEntry;
+import elmsail.config.Service;
+import elmsail.rpc.messages.ClusterView;
 import elmsail.runtime.Addresses;
 import elmsail.runtime.NettyLoop;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.HttpReply;
 import elmsail.runtime.http.HttpServer;
-import elmsail.config.ClusterState;
-import elmsail.config.Route;
-import elmsail.config.ServerEntry;
-import elmsail.config.Service;
-import elmsail.config.RoutingConfig;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,8 +25,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Serves one made-up stream past a stand-in server over loopback, so that a build can keep an archive of the
- * classes that a first request needs. Not for a process in service.
+ * Serves one made-up stream past a stand-in server over loopback, so that a build can keep an
+ * archive of the classes that a first request needs. Not for a process in service.
  */
 public final class GatewayWarmUp {
   private static final String LOOPBACK = "127.0.0.1:0";
@@ -34,8 +34,7 @@
   private static final byte[] EVENTS =
       "id: 0\ndata: a\n\nid: 1\ndata: b\n\n".getBytes(StandardCharsets.US_ASCII);
 
-  private GatewayWarmUp() {
-  }
+  private GatewayWarmUp() {}
 
   /**
    * To be called on the loop.
@@ -44,63 +43,119 @@
    */
   public static CompletableFuture<String> run(NettyLoop loop) {
     CompletableFuture<String> got = new CompletableFuture<>();
-    HttpServer.listen(loop, LOOPBACK, call -> CompletableFuture.completedFuture(new HttpReply(200,
-        Map.of("Elmsail-Request-Id", String.valueOf(call.headers().get("elmsail-request-id")),
-            "Elmsail-Postmark", "drill", "Content-Type", "text/event-stream",
-            "Elmsail-Server-Load", "1,0,24"),
-        EVENTS)), 1 << 16).thenCompose(server ->
-            Gateway.start(settings(), loop, new OneServer(server.address()), new NoLots()))
-        .whenComplete((gateway, fault) -> {
-          if (fault == null) {
-            request(loop, gateway, got);
-          } else {
-            got.completeExceptionally(fault);
-          }
-        });
+    HttpServer.listen(
+            loop,
+            LOOPBACK,
+            call ->
+                CompletableFuture.completedFuture(
+                    new HttpReply(
+                        200,
+                        Map.of(
+                            "Elmsail-Request-Id",
+                            String.valueOf(call.headers().get("elmsail-request-id")),
+                            "Elmsail-Postmark",
+                            "drill",
+                            "Content-Type",
+                            "text/event-stream",
+                            "Elmsail-Server-Load",
+                            "1,0,24"),
+                        EVENTS)),
+            1 << 16)
+        .thenCompose(
+            server ->
+                Gateway.start(settings(), loop, new OneServer(server.address()), new NoLots()))
+        .whenComplete(
+            (gateway, fault) -> {
+              if (fault == null) {
+                request(loop, gateway, got);
+              } else {
+                got.completeExceptionally(fault);
+              }
+            });
     return got;
   }
 
   private static void request(NettyLoop loop, Gateway gateway, CompletableFuture<String> got) {
     StringBuilder all = new StringBuilder();
-    new Bootstrap().group(loop.events()).channel(NioSocketChannel.class)
-        .handler(new SimpleChannelInboundHandler<ByteBuf>() {
-          @Override
-          public void channelActive(ChannelHandlerContext ctx) {
-            ctx.writeAndFlush(Unpooled.copiedBuffer("POST /drill/1 HTTP/1.1\r\nHost: " + HOST
-                + "\r\nElmsail-Request-Id: d1\r\nElmsail-Deadline-Ms: 2000\r\nElmsail-Tokens: 30,4\r\n"
-                + "Elmsail-Prompt-Prefix: a1:10,b2:10,c3:10\r\nConnection: close\r\n"
-                + "Content-Length: 4\r\n\r\nbody",
-                StandardCharsets.US_ASCII));
-          }
-
-          @Override
-          protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
-            all.append(bytes.toString(StandardCharsets.US_ASCII));
-          }
-
-          @Override
-          public void channelInactive(ChannelHandlerContext ctx) {
-            got.complete(all.toString());
-          }
-        }).connect(Addresses.of(gateway.frontAddress())).addListener(f -> {
-          if (!f.isSuccess()) {
-            got.completeExceptionally(f.cause());
-          }
-        });
+    new Bootstrap()
+        .group(loop.events())
+        .channel(NioSocketChannel.class)
+        .handler(
+            new SimpleChannelInboundHandler<ByteBuf>() {
+              @Override
+              public void channelActive(ChannelHandlerContext ctx) {
+                ctx.writeAndFlush(
+                    Unpooled.copiedBuffer(
+                        "POST /drill/1 HTTP/1.1\r\nHost: "
+                            + HOST
+                            + "\r\nElmsail-Request-Id: d1\r\nElmsail-Deadline-Ms: 2000\r\nElmsail-Tokens: 30,4\r\n"
+                            + "Elmsail-Prompt-Prefix: a1:10,b2:10,c3:10\r\nConnection: close\r\n"
+                            + "Content-Length: 4\r\n\r\nbody",
+                        StandardCharsets.US_ASCII));
+              }
+
+              @Override
+              protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+                all.append(bytes.toString(StandardCharsets.US_ASCII));
+              }
+
+              @Override
+              public void channelInactive(ChannelHandlerContext ctx) {
+                got.complete(all.toString());
+              }
+            })
+        .connect(Addresses.of(gateway.frontAddress()))
+        .addListener(
+            f -> {
+              if (!f.isSuccess()) {
+                got.completeExceptionally(f.cause());
+              }
+            });
   }
 
   private static Settings settings() {
-    return new Settings("drill", "gateway", "counter", Set.of("counter"), "127.0.0.1", "z", "r", Map.of(),
-        Map.of("front", LOOPBACK, "ready", LOOPBACK), 0, 0, List.of(), true, true,
-        new Settings.Limits(1, 256, 1_024, 1, 0), null, Set.of(), 0,
-        new Settings.Bounds(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0), null);
+    return new Settings(
+        "drill",
+        "gateway",
+        "counter",
+        Set.of("counter"),
+        "127.0.0.1",
+        "z",
+        "r",
+        Map.of(),
+        Map.of("front", LOOPBACK, "ready", LOOPBACK),
+        0,
+        0,
+        List.of(),
+        true,
+        true,
+        new Settings.Limits(1, 256, 1_024, 1, 0),
+        null,
+        Set.of(),
+        0,
+        new Settings.Bounds(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0),
+        null);
   }
 
   /** A configuration of one route, and a list of one server. */
   private static final class OneServer implements ClusterState, RoutingConfig {
     private final List<ServerEntry> servers;
-    private final Route route = new Route("drill", HOST, "/drill/", Route.Kind.STREAM, 2_000, 250, 0,
-        List.of(new Route.Share("drill", 1)), 2, true, 150, 0, 0, 0);
+    private final Route route =
+        new Route(
+            "drill",
+            HOST,
+            "/drill/",
+            Route.Kind.STREAM,
+            2_000,
+            250,
+            0,
+            List.of(new Route.Share("drill", 1)),
+            2,
+            true,
+            150,
+            0,
+            0,
+            0);
 
     OneServer(String address) {
       servers = List.of(new ServerEntry("i-drill", "drill", address, "z", 24, false, 0));
@@ -127,8 +182,7 @@
     }
 
     @Override
-    public void whenChanged(Runnable then) {
-    }
+    public void whenChanged(Runnable then) {}
 
     @Override
     public long edition() {
@@ -163,7 +217,8 @@
     }
 
     @Override
-    public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
+    public CompletableFuture<Reply> submit(
+        Route route, String jobId, byte[] body, long deadlineMs) {
       return none();
     }
 
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
@@ -1,12 +1,12 @@
 package elmsail.gateway.frontend;
 
-import elmsail.gateway.requests.RequestLine;
+import elmsail.config.RoutingConfig.ClientLimits;
+import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.requests.Replies;
 import elmsail.gateway.requests.RequestHandle;
-import elmsail.gateway.http.RequestCounters;
+import elmsail.gateway.requests.RequestLine;
 import elmsail.runtime.Timers.Timer;
 import elmsail.runtime.http.StrictRequestDecoder;
-import elmsail.config.RoutingConfig.ClientLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,17 +28,21 @@
 import java.util.ArrayDeque;
 
 /**
- * One client's connection: one request at a time, read whole before it is taken; what the client writes
- * behind it waits. It goes on being read while a request is served, as only that shows that the client left.
+ * One client's connection: one request at a time, read whole before it is taken; what the client
+ * writes behind it waits. It goes on being read while a request is served, as only that shows that
+ * the client left.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int MOST_LINE = 8_192;
   private static final int MOST_PIECE = 32 * 1024;
   private static final byte[] NOTHING = new byte[0];
+
   /** A body may take as long as a head, and for each such piece a second more. */
   private static final int BYTES_PER_SECOND = 64 * 1024;
+
   /** A connection is closed so much later than its client was told. */
   private static final long TOLD_EARLIER_MS = 1_000;
+
   private static final long LEAST_LOOK_MS = 50;
 
   private final ClientListener front;
@@ -66,13 +70,17 @@
 
   void into(ChannelPipeline pipeline) {
     channel = pipeline.channel();
-    pipeline.addLast(new ChannelInboundHandlerAdapter() {
-      @Override
-      public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-        arrived();
-        ctx.fireChannelRead(bytes);
-      }
-    }, decoder, new HttpResponseEncoder(), this);
+    pipeline.addLast(
+        new ChannelInboundHandlerAdapter() {
+          @Override
+          public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            arrived();
+            ctx.fireChannelRead(bytes);
+          }
+        },
+        decoder,
+        new HttpResponseEncoder(),
+        this);
   }
 
   private void arrived() {
@@ -98,8 +106,12 @@
     long left = limits.headMs();
     if (answer == null && inRequest) {
       int bytes = body == null ? 0 : body.readableBytes();
-      left = arrivedMs + limits.headMs() + bytes * 1_000L / BYTES_PER_SECOND
-          + (head == null ? 0 : limits.headMs()) - now;
+      left =
+          arrivedMs
+              + limits.headMs()
+              + bytes * 1_000L / BYTES_PER_SECOND
+              + (head == null ? 0 : limits.headMs())
+              - now;
       if (left <= 0) {
         front.counters().count(RequestCounters.Event.CLIENT_SLOW);
         refuse(408);
@@ -113,7 +125,8 @@
       }
     }
     // A head may begin to come right behind this look.
-    look = front.timers().after(Math.max(LEAST_LOOK_MS, Math.min(left, limits.headMs())), this::look);
+    look =
+        front.timers().after(Math.max(LEAST_LOOK_MS, Math.min(left, limits.headMs())), this::look);
   }
 
   /** Whole seconds that the client is told it may leave the connection idle. */
@@ -157,8 +170,9 @@
       front.counters().count(RequestCounters.Event.TOO_LARGE);
       refuse(413);
     } else if (HttpUtil.is100ContinueExpected(request)) {
-      channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-          Unpooled.EMPTY_BUFFER));
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
     }
   }
 
@@ -192,10 +206,18 @@
     if (body != null) {
       bytes = body.array().length == body.readableBytes() ? body.array() : readBytes();
     }
-    RequestLine asked = new RequestLine(head.method().name(), head.uri(), head.headers(), bytes, arrivedMs);
-    boolean keep = HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
-    ClientResponse one = new ClientResponse(this, front, channel, keep,
-        head.protocolVersion().equals(HttpVersion.HTTP_1_1), head.method().name().equals("HEAD"));
+    RequestLine asked =
+        new RequestLine(head.method().name(), head.uri(), head.headers(), bytes, arrivedMs);
+    boolean keep =
+        HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+    ClientResponse one =
+        new ClientResponse(
+            this,
+            front,
+            channel,
+            keep,
+            head.protocolVersion().equals(HttpVersion.HTTP_1_1),
+            head.method().name().equals("HEAD"));
     answer = one;
     head = null;
     body = null;
@@ -228,7 +250,8 @@
     }
     if (!behind.isEmpty() || decoder.inside()) {
       arrived();
-      // Not at once: answers that come at once would nest as deep as the requests behind each other.
+      // Not at once: answers that come at once would nest as deep as the requests behind each
+      // other.
       channel.eventLoop().execute(this::takeBehind);
     }
   }
@@ -242,7 +265,10 @@
     }
   }
 
-  /** HandlerTable what is no request that can be taken; it has not been read whole, so it has not run. */
+  /**
+   * HandlerTable what is no request that can be taken; it has not been read whole, so it has not
+   * run.
+   */
   private void refuse(int status) {
     ClientResponse one = new ClientResponse(this, front, channel, false, true, false);
     one.linger();
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
@@ -1,14 +1,14 @@
 package elmsail.gateway.frontend;
 
-import elmsail.gateway.requests.RequestDispatcher;
+import elmsail.config.ClusterState;
+import elmsail.config.RoutingConfig;
+import elmsail.config.RoutingConfig.ClientLimits;
 import elmsail.gateway.http.RequestCounters;
+import elmsail.gateway.requests.RequestDispatcher;
 import elmsail.runtime.Addresses;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
-import elmsail.config.ClusterState;
-import elmsail.config.RoutingConfig;
-import elmsail.config.RoutingConfig.ClientLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -27,9 +27,12 @@
 public final class ClientListener {
   private static final int BACKLOG = 1_024;
   private static final ClientLimits BEFORE_ANY = new ClientLimits(16_384, 4 << 20, 3_000, 15_000);
+
   /** Descriptors that are kept for all but clients. */
   private static final int KEPT_DESCRIPTORS = 600;
+
   private static final int LEAST_CONNECTIONS = 200;
+
   /** Bodies of requests under way, all together. */
   private static final long MOST_BODY_BYTES = 48L << 20;
 
@@ -43,7 +46,12 @@
   private long bodyBytes;
   private boolean ending;
 
-  private ClientListener(Timers timers, ClusterState known, RequestDispatcher desk, RequestCounters counters, int fds) {
+  private ClientListener(
+      Timers timers,
+      ClusterState known,
+      RequestDispatcher desk,
+      RequestCounters counters,
+      int fds) {
     this.timers = timers;
     this.known = known;
     this.desk = desk;
@@ -56,30 +64,45 @@
    *
    * @param fds descriptors that the process may hold
    */
-  public static CompletableFuture<ClientListener> listen(Timers timers, EventLoop loop, String address, ClusterState known,
-      RequestDispatcher desk, RequestCounters counters, int fds) {
+  public static CompletableFuture<ClientListener> listen(
+      Timers timers,
+      EventLoop loop,
+      String address,
+      ClusterState known,
+      RequestDispatcher desk,
+      RequestCounters counters,
+      int fds) {
     ClientListener front = new ClientListener(timers, known, desk, counters, fds);
     CompletableFuture<ClientListener> bound = new CompletableFuture<>();
-    ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
-        .childHandler(new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(Channel channel) {
-            front.opened(channel);
+    ChannelFuture binding =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(32 * 1024, 64 * 1024))
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    front.opened(channel);
+                  }
+                })
+            .bind(Addresses.of(address));
+    binding.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            front.listening = binding.channel();
+            bound.complete(front);
+          } else {
+            bound.completeExceptionally(
+                new ElmsailException(
+                    ErrorCode.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
           }
-        }).bind(Addresses.of(address));
-    binding.addListener(done -> {
-      if (done.isSuccess()) {
-        front.listening = binding.channel();
-        bound.complete(front);
-      } else {
-        bound.completeExceptionally(
-            new ElmsailException(ErrorCode.BAD_SETTINGS, "cannot listen on " + address, done.cause()));
-      }
-    });
+        });
     return bound;
   }
 
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientResponse.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientResponse.java
@@ -34,7 +34,12 @@
   private boolean kept;
   private boolean flushing;
 
-  ClientResponse(ClientConnection connection, ClientListener front, Channel channel, boolean keep, boolean chunks,
+  ClientResponse(
+      ClientConnection connection,
+      ClientListener front,
+      Channel channel,
+      boolean keep,
+      boolean chunks,
       boolean headOnly) {
     this.connection = connection;
     this.front = front;
@@ -44,7 +49,10 @@
     this.headOnly = headOnly;
   }
 
-  /** Its client may still be sending: a close over bytes that are not read would take the answer with it. */
+  /**
+   * Its client may still be sending: a close over bytes that are not read would take the answer
+   * with it.
+   */
   void linger() {
     lingers = true;
   }
@@ -64,9 +72,13 @@
     if (empty) {
       body.release();
     }
-    DefaultFullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-        HttpResponseStatus.valueOf(status), empty ? Unpooled.EMPTY_BUFFER : body, headers,
-        DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+    DefaultFullHttpResponse out =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            empty ? Unpooled.EMPTY_BUFFER : body,
+            headers,
+            DefaultHttpHeadersFactory.trailersFactory().newHeaders());
     if (!empty) {
       headers.set("Content-Length", Integer.toString(body.readableBytes()));
     }
@@ -79,8 +91,8 @@
     if (over) {
       return;
     }
-    HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
-        headers);
+    HttpResponse out =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
     if (length >= 0) {
       headers.set("Content-Length", Long.toString(length));
     } else if (chunks) {
@@ -90,7 +102,9 @@
     channel.write(out);
   }
 
-  /** Its end is told in the head, or this is not kept: a client that knows no chunks sees the close. */
+  /**
+   * Its end is told in the head, or this is not kept: a client that knows no chunks sees the close.
+   */
   private void connectionOf(HttpHeaders headers) {
     kept = keep && !front.ending();
     if (kept) {
@@ -151,7 +165,9 @@
     }
     over = true;
     if (!chunks) {
-      channel.config().setOption(ChannelOption.SO_LINGER, 0); // else the close would be the answer's end
+      channel
+          .config()
+          .setOption(ChannelOption.SO_LINGER, 0); // else the close would be the answer's end
     }
     channel.flush();
     connection.answered(this, false);
--- a/gateway/src/main/java/elmsail/gateway/http/Headers.java
+++ b/gateway/src/main/java/elmsail/gateway/http/Headers.java
@@ -22,17 +22,19 @@
   public static final String RETRY_AFTER = "Retry-After";
   public static final String EVENT_STREAM = "text/event-stream";
 
-  private Headers() {
-  }
+  private Headers() {}
 
-  /** A copy without the headers that concern one connection only, and without the length of the body. */
+  /**
+   * A copy without the headers that concern one connection only, and without the length of the
+   * body.
+   */
   public static HttpHeaders endToEnd(HttpHeaders headers) {
     HttpHeaders kept = new DefaultHttpHeaders();
     String named = "";
     for (String value : headers.getAll("Connection")) {
       named += "," + value.toLowerCase(Locale.ROOT);
     }
-    for (Iterator<Map.Entry<String, String>> all = headers.iteratorAsString(); all.hasNext();) {
+    for (Iterator<Map.Entry<String, String>> all = headers.iteratorAsString(); all.hasNext(); ) {
       Map.Entry<String, String> one = all.next();
       if (!ofConnection(one.getKey().toLowerCase(Locale.ROOT), named)) {
         kept.add(one.getKey(), one.getValue());
@@ -43,7 +45,13 @@
 
   private static boolean ofConnection(String name, String named) {
     switch (name) {
-      case "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+      case "connection",
+          "keep-alive",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
           "expect" -> {
         return true;
       }
--- a/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
@@ -1,8 +1,8 @@
 package elmsail.gateway.requests;
 
+import elmsail.gateway.http.Headers;
 import elmsail.gateway.servers.OutgoingRequest;
 import elmsail.gateway.servers.Prompt;
-import elmsail.gateway.http.Headers;
 import elmsail.runtime.SteadyClock;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -11,7 +11,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** One request as it is sent to servers: method, target, headers and body as the client gave them. */
+/**
+ * One request as it is sent to servers: method, target, headers and body as the client gave them.
+ */
 final class ClientRequest implements OutgoingRequest {
   private final String id;
   private final HttpMethod method;
@@ -22,12 +24,22 @@
   private int priority;
   private final boolean item;
   private final SteadyClock clock;
+
   /** On the loop's clock; Long.MAX_VALUE: none is told. */
   private final long endsAt;
+
   private long lastEventId = -1;
 
-  ClientRequest(String id, String method, String uri, HttpHeaders headers, byte[] body, int priority, boolean item,
-      SteadyClock clock, long endsAt) {
+  ClientRequest(
+      String id,
+      String method,
+      String uri,
+      HttpHeaders headers,
+      byte[] body,
+      int priority,
+      boolean item,
+      SteadyClock clock,
+      long endsAt) {
     this.id = id;
     this.method = HttpMethod.valueOf(method);
     this.uri = uri;
@@ -65,8 +77,8 @@
 
   @Override
   public FullHttpRequest message(String serverId) {
-    FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
-        Unpooled.wrappedBuffer(body));
+    FullHttpRequest message =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body));
     HttpHeaders to = message.headers();
     to.set(headers);
     to.set(Headers.REQUEST_ID, id);
--- a/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
@@ -4,8 +4,8 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * Cuts a series of events ({@code text/event-stream}) into its events, bytes unchanged. An event ends with an
- * empty line; lines end with LF, CR LF, or CR that is not the last byte so far.
+ * Cuts a series of events ({@code text/event-stream}) into its events, bytes unchanged. An event
+ * ends with an empty line; lines end with LF, CR LF, or CR that is not the last byte so far.
  */
 final class EventSplitter {
   /** An event longer than this is none. */
@@ -104,7 +104,9 @@
     int to = raw.writerIndex();
     while (at < to) {
       int end = lineEnd(raw, at);
-      if (end - at > 3 && raw.getByte(at) == 'i' && raw.getByte(at + 1) == 'd'
+      if (end - at > 3
+          && raw.getByte(at) == 'i'
+          && raw.getByte(at + 1) == 'd'
           && raw.getByte(at + 2) == ':') {
         id = number(raw, at + 3, end);
       }
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -1,12 +1,12 @@
 package elmsail.gateway.requests;
 
-import elmsail.gateway.servers.Prompt;
-import elmsail.gateway.servers.Server;
-import elmsail.gateway.http.Headers;
-import elmsail.gateway.http.RequestCounters;
-import elmsail.batch.ItemServers;
 import elmsail.batch.BatchItem;
+import elmsail.batch.ItemServers;
 import elmsail.config.Route;
+import elmsail.gateway.http.Headers;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.gateway.servers.Prompt;
+import elmsail.gateway.servers.Server;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
@@ -55,8 +55,17 @@
       return null;
     }
     course.counters().count(RequestCounters.Event.ITEM);
-    ClientRequest letter = new ClientRequest(piece.id(), "POST", piece.lane(), headers, piece.contents(), PRIORITY, true,
-        course.timers(), Long.MAX_VALUE);
+    ClientRequest letter =
+        new ClientRequest(
+            piece.id(),
+            "POST",
+            piece.lane(),
+            headers,
+            piece.contents(),
+            PRIORITY,
+            true,
+            course.timers(),
+            Long.MAX_VALUE);
     if (lastEventId >= 0) {
       letter.goOnBehind(lastEventId);
     }
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
@@ -1,11 +1,11 @@
 package elmsail.gateway.requests;
 
-import elmsail.gateway.servers.Attempt;
-import elmsail.gateway.servers.AttemptListener;
-import elmsail.gateway.http.Headers;
 import elmsail.batch.ItemServers.Ended;
 import elmsail.batch.ItemServers.RunListener;
 import elmsail.batch.ItemServers.Running;
+import elmsail.gateway.http.Headers;
+import elmsail.gateway.servers.Attempt;
+import elmsail.gateway.servers.AttemptListener;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -41,8 +41,11 @@
   @Override
   public void head(HttpResponse head) {
     status = head.status().code();
-    outcome = Outcome.answered(status, head.headers().contains(Headers.NOT_RUN),
-        head.headers().contains(Headers.POSTMARK));
+    outcome =
+        Outcome.answered(
+            status,
+            head.headers().contains(Headers.NOT_RUN),
+            head.headers().contains(Headers.POSTMARK));
     boolean success = status >= 200 && status < 300;
     stream = success && outcome == Outcome.ANSWERED;
     if (success && !stream) {
--- a/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
@@ -58,7 +58,9 @@
     return this != ANSWERED && (!mayHaveRun || repeatable);
   }
 
-  /** The status of our own where nothing was passed on: of all the tries, whether one may have run. */
+  /**
+   * The status of our own where nothing was passed on: of all the tries, whether one may have run.
+   */
   public static int ownStatus(boolean anyMayHaveRun, boolean timeOver) {
     if (!anyMayHaveRun) {
       return 503;
--- a/gateway/src/main/java/elmsail/gateway/requests/Replies.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Replies.java
@@ -1,7 +1,7 @@
 package elmsail.gateway.requests;
 
-import elmsail.gateway.http.Headers;
 import elmsail.batch.BatchCalls;
+import elmsail.gateway.http.Headers;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,15 +13,17 @@
   private static final double SPREAD_S = 0.15;
   private static final double STARTING_S = 0.6;
 
-  private Replies() {
-  }
+  private Replies() {}
 
   /** When a client that was refused is to come back, in seconds. */
   static double soon(RandomGenerator chance) {
     return LEAST_RETRY_S + SPREAD_S * chance.nextDouble();
   }
 
-  /** Likewise from a gateway that hasn't heard yet what it needs: a client waits a third of its time at most. */
+  /**
+   * Likewise from a gateway that hasn't heard yet what it needs: a client waits a third of its time
+   * at most.
+   */
   static double starting(RandomGenerator chance) {
     return STARTING_S + 2 * SPREAD_S * chance.nextDouble();
   }
@@ -53,7 +55,8 @@
 
   private static void retry(HttpHeaders headers, double seconds) {
     if (seconds > 0) {
-      headers.set(Headers.RETRY_AFTER, Double.toString(Math.max(1, Math.round(seconds * 1_000)) / 1_000.0));
+      headers.set(
+          Headers.RETRY_AFTER, Double.toString(Math.max(1, Math.round(seconds * 1_000)) / 1_000.0));
     }
   }
 }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -1,19 +1,23 @@
 package elmsail.gateway.requests;
 
-import elmsail.gateway.http.Headers;
-import elmsail.gateway.http.RequestCounters;
 import elmsail.batch.BatchCalls;
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
+import elmsail.gateway.http.Headers;
+import elmsail.gateway.http.RequestCounters;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-/** Where each whole request of a client goes: to the servers, to the jobs, or back with what is wrong. */
+/**
+ * Where each whole request of a client goes: to the servers, to the jobs, or back with what is
+ * wrong.
+ */
 public final class RequestDispatcher {
   private static final String LOTS = "/lots/";
   private static final String ITEMS = "/items/";
   private static final long MOST_WAIT_MS = 5_000;
+
   /** Where neither the client nor the route tells a time. */
   private static final long MOST_MS = 600_000;
 
@@ -33,7 +37,10 @@
       return own(client, 400, null, RequestCounters.Event.BAD_REQUEST);
     }
     if (now == null) {
-      return own(client, 503, asked.headers().get(Headers.REQUEST_ID),
+      return own(
+          client,
+          503,
+          asked.headers().get(Headers.REQUEST_ID),
           RequestCounters.Event.REFUSED_NO_CONFIGURATION);
     }
     String path = asked.path();
@@ -66,7 +73,8 @@
     return Math.min(most, Headers.number(asked.headers().get(Headers.DEADLINE_MS), most));
   }
 
-  private RequestHandle submit(RequestLine asked, Route route, String id, long endsAt, ResponseSink client) {
+  private RequestHandle submit(
+      RequestLine asked, Route route, String id, long endsAt, ResponseSink client) {
     if (!asked.method().equals("POST")) {
       return own(client, 405, id, RequestCounters.Event.BAD_REQUEST);
     }
@@ -97,14 +105,16 @@
     return values == null || values.isEmpty() ? "" : values.get(0);
   }
 
-  private static RequestHandle response(CompletableFuture<BatchCalls.Reply> reply, ResponseSink client) {
-    reply.whenComplete((r, fault) -> {
-      if (fault == null) {
-        Replies.job(client, r);
-      } else {
-        client.breakOff(); // nothing is sure
-      }
-    });
+  private static RequestHandle response(
+      CompletableFuture<BatchCalls.Reply> reply, ResponseSink client) {
+    reply.whenComplete(
+        (r, fault) -> {
+          if (fault == null) {
+            Replies.job(client, r);
+          } else {
+            client.breakOff(); // nothing is sure
+          }
+        });
     return RequestHandle.NONE;
   }
 
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -1,30 +1,36 @@
 package elmsail.gateway.requests;
 
-import elmsail.gateway.servers.Server;
+import elmsail.config.Route;
+import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.servers.Attempt;
 import elmsail.gateway.servers.AttemptListener;
-import elmsail.gateway.http.RequestCounters;
+import elmsail.gateway.servers.Server;
 import elmsail.runtime.Timers.Timer;
-import elmsail.config.Route;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Set;
 
 /**
- * One client's request from its choice of a first server to its one final answer. What may have run is never
- * run again unless it may be repeated, and never answered with a promise that it has not run.
+ * One client's request from its choice of a first server to its one final answer. What may have run
+ * is never run again unless it may be repeated, and never answered with a promise that it has not
+ * run.
  */
 final class RequestForwarder implements RequestHandle, AttemptListener {
   /** Tries that never left and do not count for the route's own bound. */
   private static final int MOST_UNSENT = 6;
+
   /** With less time left nothing more is sent. */
   private static final long LEAST_MS = 5;
+
   /** A request that would wait for more than so many times its objective is refused at once. */
   private static final double MOST_WAIT = 2;
+
   /** Behind this stand those that set none, and jobs' items. */
   private static final int LEAST_URGENT = 4;
+
   private static final long WATCH_MS = 200;
+
   /** A look that comes so late says more of this process than of any server. */
   private static final long LATE_MS = 150;
 
@@ -42,12 +48,27 @@
   private boolean mayHaveRun;
   private boolean over;
 
-  RequestForwarder(RequestProgress course, Route route, RequestLine asked, String id, long endsAt, ResponseSink client) {
+  RequestForwarder(
+      RequestProgress course,
+      Route route,
+      RequestLine asked,
+      String id,
+      long endsAt,
+      ResponseSink client) {
     this.course = course;
     this.route = route;
     this.endsAt = endsAt;
-    letter = new ClientRequest(id, asked.method(), asked.uri(), asked.headers(), asked.body(),
-        Math.min(LEAST_URGENT, 1 + Math.max(0, route.precedence())), false, course.timers(), endsAt);
+    letter =
+        new ClientRequest(
+            id,
+            asked.method(),
+            asked.uri(),
+            asked.headers(),
+            asked.body(),
+            Math.min(LEAST_URGENT, 1 + Math.max(0, route.precedence())),
+            false,
+            course.timers(),
+            endsAt);
     boolean stream = route.kind() == Route.Kind.STREAM;
     passing = new ResponseRelay(client, stream, stream && route.resume());
   }
@@ -67,35 +88,46 @@
 
   /** Looks now and then whether the server has gone dark, so that the rest may be had elsewhere. */
   private void watch(long lastLook) {
-    watch = course.timers().after(WATCH_MS, () -> {
-      long at = course.timers().now();
-      boolean late = at - lastLook > WATCH_MS + LATE_MS;
-      if (!late && now != null && now.sent() && now.server().dark(at) && mayGoOn()) {
-        course.counters().count(RequestCounters.Event.GONE_DARK);
-        now.timedOut(at);
-        failed(true);
-      }
-      if (!over) {
-        watch(at);
-      }
-    });
+    watch =
+        course
+            .timers()
+            .after(
+                WATCH_MS,
+                () -> {
+                  long at = course.timers().now();
+                  boolean late = at - lastLook > WATCH_MS + LATE_MS;
+                  if (!late && now != null && now.sent() && now.server().dark(at) && mayGoOn()) {
+                    course.counters().count(RequestCounters.Event.GONE_DARK);
+                    now.timedOut(at);
+                    failed(true);
+                  }
+                  if (!over) {
+                    watch(at);
+                  }
+                });
   }
 
   /** Whether one more server is allowed and there. */
   private boolean mayGoOn() {
-    Server other = sentTo + 1 < route.tries() ? course.servers().choose(route, letter.prompt(), been) : null;
+    Server other =
+        sentTo + 1 < route.tries() ? course.servers().choose(route, letter.prompt(), been) : null;
     return other != null && !course.servers().avoided(other);
   }
 
   private void next() {
-    boolean spent = sentTo >= Math.max(1, route.tries()) || unsent >= MOST_UNSENT
-        || mayHaveRun && !route.repeatable() || endsAt - course.timers().now() < LEAST_MS;
+    boolean spent =
+        sentTo >= Math.max(1, route.tries())
+            || unsent >= MOST_UNSENT
+            || mayHaveRun && !route.repeatable()
+            || endsAt - course.timers().now() < LEAST_MS;
     Server server = spent ? null : course.servers().choose(route, letter.prompt(), been);
     if (server == null) {
       giveUp();
       return;
     }
-    if (been.isEmpty() && course.servers().waitMs(server) > route.dueMs() * MOST_WAIT && route.dueMs() > 0) {
+    if (been.isEmpty()
+        && course.servers().waitMs(server) > route.dueMs() * MOST_WAIT
+        && route.dueMs() > 0) {
       refuse(RequestCounters.Event.REFUSED_FULL);
       return;
     }
@@ -115,7 +147,10 @@
     } else if (mayHaveRun) {
       own(Outcome.ownStatus(true, false), RequestCounters.Event.BAD_GATEWAY);
     } else {
-      refuse(sentTo > 0 ? RequestCounters.Event.REFUSED_NOT_RUN : RequestCounters.Event.REFUSED_NO_SERVER);
+      refuse(
+          sentTo > 0
+              ? RequestCounters.Event.REFUSED_NOT_RUN
+              : RequestCounters.Event.REFUSED_NO_SERVER);
     }
   }
 
@@ -132,7 +167,11 @@
       breakOff();
     } else {
       int status = Outcome.ownStatus(mayHaveRun || sent, true);
-      own(status, status == 503 ? RequestCounters.Event.REFUSED_NOT_RUN : RequestCounters.Event.BAD_GATEWAY);
+      own(
+          status,
+          status == 503
+              ? RequestCounters.Event.REFUSED_NOT_RUN
+              : RequestCounters.Event.BAD_GATEWAY);
     }
   }
 
@@ -143,7 +182,8 @@
   private void own(int status, RequestCounters.Event why) {
     finish();
     course.counters().count(why);
-    double back = course.servers().any() ? Replies.soon(course.chance()) : Replies.starting(course.chance());
+    double back =
+        course.servers().any() ? Replies.soon(course.chance()) : Replies.starting(course.chance());
     Replies.own(passing.client(), status, letter.id(), status == 503 ? back : 0);
   }
 
@@ -227,7 +267,9 @@
       return;
     }
     now = null;
-    course.counters().count(sent ? RequestCounters.Event.TRY_SENT_FAILED : RequestCounters.Event.TRY_UNSENT);
+    course
+        .counters()
+        .count(sent ? RequestCounters.Event.TRY_SENT_FAILED : RequestCounters.Event.TRY_UNSENT);
     mayHaveRun |= sent;
     sentTo += sent ? 1 : 0;
     unsent += sent ? 0 : 1;
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestHandle.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestHandle.java
@@ -9,13 +9,12 @@
   void writable(boolean now);
 
   /** One that needs neither. */
-  RequestHandle NONE = new RequestHandle() {
-    @Override
-    public void left() {
-    }
+  RequestHandle NONE =
+      new RequestHandle() {
+        @Override
+        public void left() {}
 
-    @Override
-    public void writable(boolean now) {
-    }
-  };
+        @Override
+        public void writable(boolean now) {}
+      };
 }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestLine.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestLine.java
@@ -8,7 +8,8 @@
  * @param uri path and query as they came
  * @param arrivedMs when its first byte was read, on the loop's clock
  */
-public record RequestLine(String method, String uri, HttpHeaders headers, byte[] body, long arrivedMs) {
+public record RequestLine(
+    String method, String uri, HttpHeaders headers, byte[] body, long arrivedMs) {
 
   /** The path as it came, without the query. */
   public String path() {
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestProgress.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestProgress.java
@@ -1,11 +1,15 @@
 package elmsail.gateway.requests;
 
-import elmsail.gateway.servers.Servers;
+import elmsail.config.ClusterState;
 import elmsail.gateway.http.RequestCounters;
+import elmsail.gateway.servers.Servers;
 import elmsail.runtime.Timers;
-import elmsail.config.ClusterState;
 import java.util.random.RandomGenerator;
 
 /** What every request needs on its way. */
-public record RequestProgress(Timers timers, ClusterState known, Servers servers, RequestCounters counters, RandomGenerator chance) {
-}
+public record RequestProgress(
+    Timers timers,
+    ClusterState known,
+    Servers servers,
+    RequestCounters counters,
+    RandomGenerator chance) {}
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
@@ -9,16 +9,20 @@
 import io.netty.handler.codec.http.HttpUtil;
 
 /**
- * The answers of a request's tries on their way to the client: short ones are held until they are whole, so
- * that a cut one can be tried again; streams go on as they come, from their first bytes on. Where one may be
- * resumed only whole events go on, and the answer stays one: head and stamp are those of the first server.
+ * The answers of a request's tries on their way to the client: short ones are held until they are
+ * whole, so that a cut one can be tried again; streams go on as they come, from their first bytes
+ * on. Where one may be resumed only whole events go on, and the answer stays one: head and stamp
+ * are those of the first server.
  */
 final class ResponseRelay {
   /** Up to so many bytes an answer that is no stream is held. */
   static final int MOST_HELD = 64 * 1024;
 
   private enum Mode {
-    NONE, HOLD, RAW, EVENTS
+    NONE,
+    HOLD,
+    RAW,
+    EVENTS
   }
 
   private final ResponseSink client;
@@ -91,8 +95,9 @@
     head = answer;
     int status = answer.status().code();
     HttpHeaders headers = answer.headers();
-    outcome = Outcome.answered(status, headers.contains(Headers.NOT_RUN),
-        headers.contains(Headers.POSTMARK));
+    outcome =
+        Outcome.answered(
+            status, headers.contains(Headers.NOT_RUN), headers.contains(Headers.POSTMARK));
     boolean success = status >= 200 && status < 300;
     if (success && outcome != Outcome.ANSWERED) {
       return false;
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
@@ -3,7 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** The client's side of one request. Just one final answer; calls behind a client's leave do nothing. */
+/**
+ * The client's side of one request. Just one final answer; calls behind a client's leave do
+ * nothing.
+ */
 public interface ResponseSink {
 
   /** An answer that is whole. */
@@ -25,6 +28,9 @@
   /** ProcessSignals the connection so that no answer, or the begun one, can look complete. */
   void breakOff();
 
-  /** Whether more can be written without being queued for long; told again by {@link RequestHandle#writable}. */
+  /**
+   * Whether more can be written without being queued for long; told again by {@link
+   * RequestHandle#writable}.
+   */
   boolean writable();
 }
--- a/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
@@ -4,7 +4,9 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** One request at one server, from the wait for a connection to its answer's end. All on the loop. */
+/**
+ * One request at one server, from the wait for a connection to its answer's end. All on the loop.
+ */
 public final class Attempt {
   private final Server server;
   private final OutgoingRequest out;
--- a/gateway/src/main/java/elmsail/gateway/servers/AttemptListener.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/AttemptListener.java
@@ -3,7 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** What is heard of one try, in order; behind {@code whole}, {@code failed} or a cancel nothing comes. */
+/**
+ * What is heard of one try, in order; behind {@code whole}, {@code failed} or a cancel nothing
+ * comes.
+ */
 public interface AttemptListener {
   /** The head of an answer that bears the request's id and tells its end. */
   void head(HttpResponse head);
--- a/gateway/src/main/java/elmsail/gateway/servers/PrefixMemory.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/PrefixMemory.java
@@ -4,7 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Which parts of prompts one server was sent lately and so may have kept; the longest unused give way. */
+/**
+ * Which parts of prompts one server was sent lately and so may have kept; the longest unused give
+ * way.
+ */
 final class PrefixMemory {
   private static final int MOST_PARTS = 4_096;
   private static final int FIRST_SIZE = 64;
@@ -33,7 +36,8 @@
 
   /** The server reads this prompt. */
   void add(Prompt prompt) {
-    // The last ones first: of two parts unused for equally long the later one goes before what it stands on.
+    // The last ones first: of two parts unused for equally long the later one goes before what it
+    // stands on.
     for (int i = prompt.keys().length - 1; i >= 0; i--) {
       Integer before = parts.put(prompt.keys()[i], prompt.tokens()[i]);
       held += prompt.tokens()[i] - (before == null ? 0 : before);
--- a/gateway/src/main/java/elmsail/gateway/servers/Prompt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Prompt.java
@@ -1,8 +1,8 @@
 package elmsail.gateway.servers;
 
 /**
- * What a request's prompt is made of: parts in order, each named by a key that stands for it and all before
- * it, as a kept part is of use only behind the same parts.
+ * What a request's prompt is made of: parts in order, each named by a key that stands for it and
+ * all before it, as a kept part is of use only behind the same parts.
  *
  * @param keys one for each part
  * @param tokens of each part
@@ -14,7 +14,10 @@
 
   public static final Prompt NONE = new Prompt(new long[0], new int[0], 0);
 
-  /** Reads {@code ID:TOKENS,ID:TOKENS...} and {@code IN,OUT}; either may be null, what is no number is 0. */
+  /**
+   * Reads {@code ID:TOKENS,ID:TOKENS...} and {@code IN,OUT}; either may be null, what is no number
+   * is 0.
+   */
   public static Prompt read(String parts, String inAndOut) {
     int total = inAndOut == null ? 0 : number(inAndOut, 0, end(inAndOut, 0, ','));
     if (parts == null || parts.isEmpty()) {
--- a/gateway/src/main/java/elmsail/gateway/servers/QuietSocketChannel.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/QuietSocketChannel.java
@@ -9,8 +9,8 @@
   private static final ByteBuffer LOOK = ByteBuffer.allocateDirect(1);
 
   /**
-   * Whether it is open and neither bytes nor an end have come that the loop has not read yet. What is read
-   * here is lost, so where this is false the connection is to be closed.
+   * Whether it is open and neither bytes nor an end have come that the loop has not read yet. What
+   * is read here is lost, so where this is false the connection is to be closed.
    */
   boolean quiet() {
     if (!isActive()) {
--- a/gateway/src/main/java/elmsail/gateway/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -11,32 +11,49 @@
 public final class Server {
   private static final long FIRST_AVOID_MS = 250;
   private static final long MOST_AVOID_MS = 3_000;
+
   /** A told number of running requests counts half as much after so long. */
   private static final double RUNNING_HALF_LIFE_MS = 700;
+
   /** Likewise of waiting ones: a queue of prompts passes faster. */
   private static final double WAITING_HALF_LIFE_MS = 200;
+
   /** Where nothing was heard for so long while requests are open there, the server may be dark. */
   static final long QUIET_MS = 450;
+
   /** And after so long what may be repeated goes elsewhere. */
   static final long DARK_MS = 800;
-  /** HandlerTable that break off one after the other before the server is avoided: single ones happen. */
+
+  /**
+   * HandlerTable that break off one after the other before the server is avoided: single ones
+   * happen.
+   */
   private static final int BREAKS = 2;
 
   /** ItemDispatcher are started while no more than this share of the places is taken. */
   private static final double ITEMS_UP_TO = 0.7;
-  /** Of a server's places one gateway's items may take this share: jobs are at few gateways at a time. */
+
+  /**
+   * Of a server's places one gateway's items may take this share: jobs are at few gateways at a
+   * time.
+   */
   private static final double ITEMS_OF_ONE_DOOR = 0.5;
+
   /** Prompts that begin together are read between all others' tokens, which then come too late. */
   private static final long ITEM_PACE_MS = 80;
+
   private static final double ITEMS_WAIT = 0.5;
 
   private final ServerEntry entry;
   private final PrefixMemory memory;
   final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
+
   /** Tries that run or wait for a connection. */
   private final Set<Attempt> tries = new LinkedHashSet<>();
+
   /** Open, opening and idle ones. */
   int connections;
+
   private int items;
   private long lastItemAt = Long.MIN_VALUE / 2;
   private boolean misplaced;
@@ -222,8 +239,9 @@
   }
 
   /**
-   * How many items of jobs may be started here now: in the places that plain requests leave. What several
-   * gateways start at once beyond these waits behind the plain requests, which are more urgent.
+   * How many items of jobs may be started here now: in the places that plain requests leave. What
+   * several gateways start at once beyond these waits behind the plain requests, which are more
+   * urgent.
    */
   public int itemRoom(long now) {
     boolean pacing = now - lastItemAt < ITEM_PACE_MS;
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
@@ -20,37 +20,43 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * One connection to a server: at most one request at a time. Whatever comes that is not the answer to the
- * present request, whole and in its place, closes it.
+ * One connection to a server: at most one request at a time. Whatever comes that is not the answer
+ * to the present request, whole and in its place, closes it.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int MISDIRECTED = 421;
   private static final int MOST_LINE = 4_096;
   private static final int MOST_HEAD = 16_384;
   private static final int MOST_PIECE = 32 * 1024;
+
   /** An idle connection is not used any more so long before the server closes it. */
   private static final long BEFORE_END_MS = 1_000;
+
   /** Or so large a part of short times. */
   private static final double PART_BEFORE_END = 0.4;
+
   /** Where the server told no time, it may be less than the second that can be told. */
   private static final long UNTOLD_MS = 1_000;
 
   private final Servers servers;
   private final Server server;
-  private final StrictAnswerDecoder decoder = new StrictAnswerDecoder(MOST_LINE, MOST_HEAD, MOST_PIECE) {
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-      return headOnly || super.isContentAlwaysEmpty(message);
-    }
-  };
+  private final StrictAnswerDecoder decoder =
+      new StrictAnswerDecoder(MOST_LINE, MOST_HEAD, MOST_PIECE) {
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+          return headOnly || super.isContentAlwaysEmpty(message);
+        }
+      };
   private Channel channel;
   private Attempt current;
   private boolean inAnswer;
   private boolean informing;
   private boolean headOnly;
   private boolean keep;
+
   /** Answered, but what came with the answer is not looked at yet. */
   private boolean answered;
+
   private long idleMs = UNTOLD_MS;
   private long idleSince;
 
@@ -74,7 +80,9 @@
   }
 
   boolean usable(long now) {
-    return channel.isActive() && !decoder.inside() && fresh(now)
+    return channel.isActive()
+        && !decoder.inside()
+        && fresh(now)
         && (!(channel instanceof QuietSocketChannel c) || c.quiet());
   }
 
@@ -95,11 +103,12 @@
     if (write.isDone() && !write.isSuccess()) {
       servers.timers().soon(() -> unwritten(one)); // not within the call that begins the try
     } else {
-      write.addListener(f -> {
-        if (!f.isSuccess()) {
-          unwritten(one);
-        }
-      });
+      write.addListener(
+          f -> {
+            if (!f.isSuccess()) {
+              unwritten(one);
+            }
+          });
     }
   }
 
@@ -232,7 +241,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    broken(cause instanceof java.io.IOException ? RequestCounters.Event.CLOSED_BY_SERVER : RequestCounters.Event.FAULT);
+    broken(
+        cause instanceof java.io.IOException
+            ? RequestCounters.Event.CLOSED_BY_SERVER
+            : RequestCounters.Event.FAULT);
   }
 
   private void broken(RequestCounters.Event why) {
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerSelector.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerSelector.java
@@ -6,17 +6,24 @@
 public final class ServerSelector {
   /** Prompt tokens that a server reads in a ms. */
   static final double TOKENS_PER_MS = 100;
+
   /** Each request that runs beside makes all tokens come later. */
   static final double RUNNING_MS = 0.5;
+
   /** Each request that waits there for a place. */
   static final double WAITING_MS = 20;
+
   /** Beyond this share of its places a server slows down and may refuse. */
   static final double NEARLY_FULL = 0.8;
+
   static final double FULL_MS = 80;
+
   /** For the way to another zone and back, and what its bytes are priced. */
   static final double OTHER_ZONE_MS = 12;
+
   /** Of what a server holds by the gateways' common reckoning this share is counted on. */
   static final double HOME_SHARE = 0.5;
+
   /** A server that failed lately, or is silent, is taken only where there is no other. */
   static final double AVOIDED_MS = 100_000;
 
@@ -24,17 +31,23 @@
    * One server as it stands.
    *
    * @param knownTokens of the prompt that it was sent before
-   * @param homeTokens of the prompt that other gateways will have sent there, 0 unless it is the prompt's home
+   * @param homeTokens of the prompt that other gateways will have sent there, 0 unless it is the
+   *     prompt's home
    * @param running estimate of requests running, all gateways'
    * @param waiting estimate of requests waiting there
    * @param readingTokens tokens of this gateway's requests there that have no answer yet
    */
-  public record View(int knownTokens, int homeTokens, double running, double waiting, int berths,
-      int readingTokens, boolean sameZone, boolean avoided) {
-  }
+  public record View(
+      int knownTokens,
+      int homeTokens,
+      double running,
+      double waiting,
+      int berths,
+      int readingTokens,
+      boolean sameZone,
+      boolean avoided) {}
 
-  private ServerSelector() {
-  }
+  private ServerSelector() {}
 
   /** The estimated ms until the request's first token, with what it takes from others. */
   public static double cost(View v, int promptTokens) {
@@ -49,7 +62,9 @@
     return v.avoided() ? cost + AVOIDED_MS : cost;
   }
 
-  /** The estimated ms until what waits there is read; those of this gateway may be among those told. */
+  /**
+   * The estimated ms until what waits there is read; those of this gateway may be among those told.
+   */
   public static double waitMs(View v) {
     return Math.max(v.readingTokens() / TOKENS_PER_MS, v.waiting() * WAITING_MS);
   }
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -1,13 +1,13 @@
 package elmsail.gateway.servers;
 
-import elmsail.gateway.http.RequestCounters;
-import elmsail.runtime.Addresses;
-import elmsail.runtime.Timers;
 import elmsail.config.ClusterState;
 import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
-import elmsail.config.RoutingConfig;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -24,15 +24,22 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
-/** The servers that may get something, their connections, and the choice among them. All on the loop. */
+/**
+ * The servers that may get something, their connections, and the choice among them. All on the
+ * loop.
+ */
 public final class Servers {
   /** No connect may take longer before another server is tried. */
   private static final int CONNECT_MS = 150;
+
   /** Nor to one that has failed lately. */
   private static final int DOUBTFUL_CONNECT_MS = 80;
+
   private static final long SWEEP_MS = 500;
+
   /** A connection rests so long behind an answer, as an extra one may come late. */
   private static final long REST_MS = 20;
+
   private static final int LEAST_CONNECTIONS = 4;
   private static final int DEFAULT_CONNECTIONS = 64;
   private static final int DEFAULT_TOKENS = 200_000;
@@ -47,16 +54,26 @@
   private int turn;
   private boolean stopped;
 
-  public Servers(Timers timers, EventLoop loop, ClusterState known, String zone, RequestCounters counters,
+  public Servers(
+      Timers timers,
+      EventLoop loop,
+      ClusterState known,
+      String zone,
+      RequestCounters counters,
       RandomGenerator chance) {
     this.timers = timers;
     this.known = known;
     this.zone = zone;
     this.counters = counters;
     this.chance = chance;
-    bootstrap = new Bootstrap().group(loop).channel(QuietSocketChannel.class)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024));
+    bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(QuietSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(32 * 1024, 64 * 1024));
     known.whenChanged(this::refresh);
     refresh();
     timers.after(SWEEP_MS, this::sweep);
@@ -92,7 +109,7 @@
         }
       }
     }
-    for (Iterator<Server> all = byId.values().iterator(); all.hasNext();) {
+    for (Iterator<Server> all = byId.values().iterator(); all.hasNext(); ) {
       Server s = all.next();
       if (!open.contains(s.id())) {
         all.remove();
@@ -121,11 +138,15 @@
     return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens() / 2;
   }
 
-  /** How many connections to a server this gateway may have, so that all gateways together keep within its cap. */
+  /**
+   * How many connections to a server this gateway may have, so that all gateways together keep
+   * within its cap.
+   */
   int most(Server s) {
     RoutingConfig now = known.config();
     Service service = now == null ? null : now.services().get(s.entry().service());
-    int cap = service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
+    int cap =
+        service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
     return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.view().gateways.size()));
   }
 
@@ -207,8 +228,14 @@
   }
 
   private ServerSelector.View view(Server s, Prompt prompt, boolean home, long now) {
-    return new ServerSelector.View(s.memory().known(prompt), home ? prompt.sharedTokens() : 0, s.running(now),
-        s.waiting(now), s.entry().berths(), s.readingTokens(), zone.equals(s.entry().zone()),
+    return new ServerSelector.View(
+        s.memory().known(prompt),
+        home ? prompt.sharedTokens() : 0,
+        s.running(now),
+        s.waiting(now),
+        s.entry().berths(),
+        s.readingTokens(),
+        zone.equals(s.entry().zone()),
         s.avoided(now));
   }
 
@@ -223,8 +250,8 @@
   }
 
   /**
-   * All gateways of a zone name the same server of it for the prompt's shared part, as long as the list stays;
-   * where the zone has none, all servers count.
+   * All gateways of a zone name the same server of it for the prompt's shared part, as long as the
+   * list stays; where the zone has none, all servers count.
    */
   private Server home(List<Server> open, Prompt prompt) {
     long key = prompt.sharedKey();
@@ -249,8 +276,8 @@
     Attempt one = new Attempt(server, out, heard, timers.now());
     server.begun(one);
     server.memory().add(out.prompt());
-    ServerConnection c = server.doubtful(timers.now()) && server.connections < most(server)
-        ? null : rested(server);
+    ServerConnection c =
+        server.doubtful(timers.now()) && server.connections < most(server) ? null : rested(server);
     if (c != null) {
       c.carry(one);
     } else {
@@ -262,7 +289,7 @@
   private ServerConnection rested(Server s) {
     long now = timers.now();
     boolean full = s.connections >= most(s);
-    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext();) {
+    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext(); ) {
       ServerConnection c = all.next();
       if (now - c.idleSince() >= REST_MS || full) {
         all.remove();
@@ -280,16 +307,21 @@
     server.connections++;
     int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
-    ChannelFuture connect = limited.handler(new ChannelInitializer<Channel>() {
-      @Override
-      protected void initChannel(Channel channel) {
-        c.into(channel.pipeline());
-      }
-    }).connect(Addresses.of(server.entry().address()));
+    ChannelFuture connect =
+        limited
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    c.into(channel.pipeline());
+                  }
+                })
+            .connect(Addresses.of(server.entry().address()));
     one.on(connect.channel());
     connect.channel().closeFuture().addListener(f -> server.connections--);
     if (connect.isDone()) {
-      timers.soon(() -> connected(connect, server, c, one)); // not within the call that begins the try
+      timers.soon(
+          () -> connected(connect, server, c, one)); // not within the call that begins the try
     } else {
       connect.addListener((ChannelFuture f) -> connected(f, server, c, one));
     }
--- a/gateway/src/test/java/elmsail/gateway/FakeKnown.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeKnown.java
@@ -1,11 +1,11 @@
 package elmsail.gateway;
 
-import elmsail.rpc.messages.ClusterView;
 import elmsail.config.ClusterState;
 import elmsail.config.Route;
+import elmsail.config.RoutingConfig;
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
-import elmsail.config.RoutingConfig;
+import elmsail.rpc.messages.ClusterView;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,8 +25,23 @@
 
   /** A route of the name and prefix {@code /name/} to service "s". */
   public void route(String name, Route.Kind kind, int tries, boolean resume) {
-    routes.put("/" + name + "/", new Route(name, HOST, "/" + name + "/", kind, 5_000, 250, 1,
-        List.of(new Route.Share("s", 1)), tries, resume, 150, 0, 0, 0));
+    routes.put(
+        "/" + name + "/",
+        new Route(
+            name,
+            HOST,
+            "/" + name + "/",
+            kind,
+            5_000,
+            250,
+            1,
+            List.of(new Route.Share("s", 1)),
+            tries,
+            resume,
+            150,
+            0,
+            0,
+            0));
   }
 
   public void changed() {
--- a/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
@@ -5,8 +5,8 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.gateway.Wire.Message;
 import elmsail.batch.BatchCalls.Reply;
+import elmsail.gateway.Wire.Message;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -57,29 +57,35 @@
   }
 
   @ParameterizedTest
-  @CsvSource(delimiter = '|', value = {
-      "404 | POST /nowhere/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 0~~",
-      "404 | POST /safe/x HTTP/1.1~Host: other.example~Elmsail-Request-Id: a~Content-Length: 0~~",
-      "400 | POST /safe/x HTTP/1.1~Elmsail-Request-Id: a~Content-Length: 0~~",
-      "400 | POST /safe/x HTTP/1.1~Host: a~Host: b~Elmsail-Request-Id: a~Content-Length: 0~~",
-      "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 0~~",
-      "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Content-Length: 2~~a",
-      "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Transfer-Encoding: chunked~~a",
-      "400 | POST /safe/x HTTP/1.1~Host nony24.example~~",
-      "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 4097~~",
-      "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~"
-          + "Transfer-Encoding: chunked~~1fff~"
-  })
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "404 | POST /nowhere/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 0~~",
+        "404 | POST /safe/x HTTP/1.1~Host: other.example~Elmsail-Request-Id: a~Content-Length: 0~~",
+        "400 | POST /safe/x HTTP/1.1~Elmsail-Request-Id: a~Content-Length: 0~~",
+        "400 | POST /safe/x HTTP/1.1~Host: a~Host: b~Elmsail-Request-Id: a~Content-Length: 0~~",
+        "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 0~~",
+        "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Content-Length: 2~~a",
+        "400 | POST /safe/x HTTP/1.1~Host: nony24.example~Content-Length: 1~Transfer-Encoding: chunked~~a",
+        "400 | POST /safe/x HTTP/1.1~Host nony24.example~~",
+        "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~Content-Length: 4097~~",
+        "413 | POST /safe/x HTTP/1.1~Host: nony24.example~Elmsail-Request-Id: a~"
+            + "Transfer-Encoding: chunked~~1fff~"
+      })
   void whatCannotBeTakenIsRefusedAndNotSentOn(int status, String request) {
-    Wire client = rig.client().write(request.replace("~", "\r\n") + (request.contains("1fff")
-        ? "x".repeat(0x1fff) : ""));
+    Wire client =
+        rig.client()
+            .write(
+                request.replace("~", "\r\n")
+                    + (request.contains("1fff") ? "x".repeat(0x1fff) : ""));
     assertThat(client.message().status(), is(status));
     assertThat(rig.first.alone(), is(true));
   }
 
   @Test
   void aHeadThatIsTooLongIsRefused() {
-    Wire client = rig.client().write("POST /safe/x HTTP/1.1\r\nX: " + "y".repeat(4_000) + "\r\n\r\n");
+    Wire client =
+        rig.client().write("POST /safe/x HTTP/1.1\r\nX: " + "y".repeat(4_000) + "\r\n\r\n");
     assertThat(client.message().status(), is(431));
   }
 
@@ -108,8 +114,12 @@
 
   @Test
   void requestsBehindEachOtherAreAnsweredInTurn() {
-    Wire client = rig.client().write(Rig.requestText("unsafe", "a1") + Rig.requestText("unsafe", "a2")
-        + Rig.requestText("nowhere", "a3"));
+    Wire client =
+        rig.client()
+            .write(
+                Rig.requestText("unsafe", "a1")
+                    + Rig.requestText("unsafe", "a2")
+                    + Rig.requestText("nowhere", "a3"));
     Wire server = rig.first.accept();
     server.message();
     server.write(Rig.answer(200, "a1", "one", "Elmsail-Postmark: p", "Connection: close"));
@@ -130,17 +140,24 @@
   }
 
   @ParameterizedTest
-  @CsvSource(delimiter = '|', value = {
-      "POST /sack/x | handIn sack L1 4",
-      "GET /lots/L7?after=12 | read L7 12 900",
-      "GET /lots/L7 | read L7 0 900",
-      "DELETE /lots/L7 | end L7",
-      "GET /items/L7?id=e5 | item L7 e5"
-  })
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "POST /sack/x | handIn sack L1 4",
+        "GET /lots/L7?after=12 | read L7 12 900",
+        "GET /lots/L7 | read L7 0 900",
+        "DELETE /lots/L7 | end L7",
+        "GET /items/L7?id=e5 | item L7 e5"
+      })
   void callsAboutLotsAreMade(String call, String made) {
     rig.jobs.reply = new Reply(200, "{}".getBytes(StandardCharsets.US_ASCII), 0);
-    Wire client = rig.client().write(call + " HTTP/1.1\r\nHost: " + FakeKnown.HOST
-        + "\r\nElmsail-Request-Id: L1\r\nElmsail-Wait-Ms: 900\r\nContent-Length: 4\r\n\r\nbody");
+    Wire client =
+        rig.client()
+            .write(
+                call
+                    + " HTTP/1.1\r\nHost: "
+                    + FakeKnown.HOST
+                    + "\r\nElmsail-Request-Id: L1\r\nElmsail-Wait-Ms: 900\r\nContent-Length: 4\r\n\r\nbody");
     Message response = client.message();
     assertThat(response.status(), is(200));
     assertThat(response.body(), is("{}"));
--- a/gateway/src/test/java/elmsail/gateway/GatewayWarmUpTest.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayWarmUpTest.java
@@ -17,15 +17,24 @@
     NettyLoop loop = new NettyLoop();
     try {
       CompletableFuture<String> got = new CompletableFuture<>();
-      loop.soon(() -> GatewayWarmUp.run(loop).whenComplete((text, fault) -> {
-        if (fault == null) {
-          got.complete(text);
-        } else {
-          got.completeExceptionally(fault);
-        }
-      }));
-      assertThat(got.get(10, TimeUnit.SECONDS), allOf(startsWith("HTTP/1.1 200"),
-          containsString("data: a"), containsString("data: b"), containsString("\r\n0\r\n\r\n")));
+      loop.soon(
+          () ->
+              GatewayWarmUp.run(loop)
+                  .whenComplete(
+                      (text, fault) -> {
+                        if (fault == null) {
+                          got.complete(text);
+                        } else {
+                          got.completeExceptionally(fault);
+                        }
+                      }));
+      assertThat(
+          got.get(10, TimeUnit.SECONDS),
+          allOf(
+              startsWith("HTTP/1.1 200"),
+              containsString("data: a"),
+              containsString("data: b"),
+              containsString("\r\n0\r\n\r\n")));
     } finally {
       loop.stop().awaitUninterruptibly(5, TimeUnit.SECONDS);
     }
--- a/gateway/src/test/java/elmsail/gateway/ItemsTest.java
+++ b/gateway/src/test/java/elmsail/gateway/ItemsTest.java
@@ -5,11 +5,11 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import elmsail.gateway.Wire.Message;
+import elmsail.batch.BatchItem;
 import elmsail.batch.ItemServers.Ended;
 import elmsail.batch.ItemServers.RunListener;
 import elmsail.batch.ItemServers.Running;
-import elmsail.batch.BatchItem;
+import elmsail.gateway.Wire.Message;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -24,21 +24,23 @@
 
 /** Jobs' items at stand-in servers. */
 class ItemsTest {
-  private static final BatchItem PIECE = new BatchItem("e5", "/sack/3/91", Map.of("Elmsail-Tokens", "540,400"),
-      new byte[] {7, 8}, 940);
+  private static final BatchItem PIECE =
+      new BatchItem(
+          "e5", "/sack/3/91", Map.of("Elmsail-Tokens", "540,400"), new byte[] {7, 8}, 940);
 
   private final BlockingQueue<String> response = new LinkedBlockingQueue<>();
-  private final RunListener heard = new RunListener() {
-    @Override
-    public void event(long id, byte[] data) {
-      response.add(id + ":" + new String(data, StandardCharsets.ISO_8859_1));
-    }
-
-    @Override
-    public void ended(Ended how) {
-      response.add(how.name());
-    }
-  };
+  private final RunListener heard =
+      new RunListener() {
+        @Override
+        public void event(long id, byte[] data) {
+          response.add(id + ":" + new String(data, StandardCharsets.ISO_8859_1));
+        }
+
+        @Override
+        public void ended(Ended how) {
+          response.add(how.name());
+        }
+      };
   private Rig rig;
 
   @BeforeEach
@@ -52,7 +54,8 @@
   }
 
   private Running start(long behind) throws Exception {
-    return rig.onLoop(() -> rig.gateway.itemServers().start(rig.known.named("sack"), PIECE, behind, heard));
+    return rig.onLoop(
+        () -> rig.gateway.itemServers().start(rig.known.named("sack"), PIECE, behind, heard));
   }
 
   private String next() throws Exception {
@@ -72,7 +75,9 @@
     assertThat(asked.header("Priority"), is("8"));
     assertThat(asked.header("Last-Event-Id"), is(nullValue()));
     assertThat(asked.body(), is("\u0007\b"));
-    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk("id: 0\ndata: a\ndata: b\n\nid: 1\nda"));
+    server
+        .write(Rig.streamHead("e5", "p"))
+        .write(Rig.chunk("id: 0\ndata: a\ndata: b\n\nid: 1\nda"));
     assertThat(next(), is("0:a\nb"));
     server.write(Rig.chunk("ta: c\n\n")).write("0\r\n\r\n");
     assertThat(next(), is("1:c"));
@@ -100,7 +105,14 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"500, FAILED", "422, NEVER", "421, NOT_RUN", "504, BROKEN", "503, BROKEN", "404, BROKEN"})
+  @CsvSource({
+    "500, FAILED",
+    "422, NEVER",
+    "421, NOT_RUN",
+    "504, BROKEN",
+    "503, BROKEN",
+    "404, BROKEN"
+  })
   void answersEndIt(int status, String how) throws Exception {
     start(-1);
     Wire server = rig.first.accept();
@@ -150,10 +162,11 @@
     Running run = start(-1);
     Wire server = rig.first.accept();
     server.message();
-    rig.onLoop(() -> {
-      run.cancel();
-      return null;
-    });
+    rig.onLoop(
+        () -> {
+          run.cancel();
+          return null;
+        });
     assertThat(server.ended(), is(true));
     assertThat(response.isEmpty(), is(true));
   }
@@ -164,7 +177,8 @@
     assertThat(room, is(12));
     for (int left = room; left > room - 4; left--) {
       int now = left;
-      assertThat(rig.onLoop(() -> rig.gateway.itemServers().room(rig.known.named("sack"))), is(now));
+      assertThat(
+          rig.onLoop(() -> rig.gateway.itemServers().room(rig.known.named("sack"))), is(now));
       assertThat(start(-1), is(notNullValue()));
       assertThat("prompts are not begun together", start(-1), is(nullValue()));
       rig.timers.pass(80);
--- a/gateway/src/test/java/elmsail/gateway/PassedTimers.java
+++ b/gateway/src/test/java/elmsail/gateway/PassedTimers.java
@@ -63,13 +63,14 @@
 
   /** From a test's thread. */
   public void pass(long ms) {
-    soon(() -> {
-      passed += ms;
-      for (One one : new ArrayList<>(waiting)) {
-        if (one.at <= now()) {
-          one.run();
-        }
-      }
-    });
+    soon(
+        () -> {
+          passed += ms;
+          for (One one : new ArrayList<>(waiting)) {
+            if (one.at <= now()) {
+              one.run();
+            }
+          }
+        });
   }
 }
--- a/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
+++ b/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
@@ -32,8 +32,16 @@
 
   @Test
   void requestAndAnswerPassUnchanged() {
-    Wire client = rig.request("unsafe", "a1", "Elmsail-Deadline-Ms: 2000", "X-Own: 7", "Connection: x-hop",
-        "X-Hop: 1", "TE: trailers", "Proxy-Thing: 1");
+    Wire client =
+        rig.request(
+            "unsafe",
+            "a1",
+            "Elmsail-Deadline-Ms: 2000",
+            "X-Own: 7",
+            "Connection: x-hop",
+            "X-Hop: 1",
+            "TE: trailers",
+            "Proxy-Thing: 1");
     Wire server = rig.first.accept();
     Message asked = server.message();
     assertThat(asked.first(), is("POST /unsafe/2f HTTP/1.1"));
@@ -45,10 +53,12 @@
     assertThat(asked.header("X-Hop"), is(nullValue()));
     assertThat(asked.header("TE"), is(nullValue()));
     assertThat(asked.header("Proxy-Thing"), is(nullValue()));
-    assertThat(Integer.parseInt(asked.header("Elmsail-Deadline-Ms")),
+    assertThat(
+        Integer.parseInt(asked.header("Elmsail-Deadline-Ms")),
         allOf(greaterThan(0), lessThanOrEqualTo(2_000)));
-    server.write(Rig.answer(200, "a1", "bytes", "Elmsail-Postmark: p.1", "X-Server: 3",
-        "Keep-Alive: timeout=9"));
+    server.write(
+        Rig.answer(
+            200, "a1", "bytes", "Elmsail-Postmark: p.1", "X-Server: 3", "Keep-Alive: timeout=9"));
     Message response = client.message();
     assertThat(response.status(), is(200));
     assertThat(response.body(), is("bytes"));
@@ -73,8 +83,12 @@
 
   @Test
   void bodyInChunksArrivesWhole() {
-    Wire client = rig.client().write("POST /unsafe/ HTTP/1.1\r\nHost: " + FakeKnown.HOST
-        + "\r\nElmsail-Request-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    Wire client =
+        rig.client()
+            .write(
+                "POST /unsafe/ HTTP/1.1\r\nHost: "
+                    + FakeKnown.HOST
+                    + "\r\nElmsail-Request-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     Wire server = rig.first.accept();
     Message asked = server.message();
     assertThat(asked.body(), is("abcde"));
@@ -160,8 +174,9 @@
     Wire client = rig.request("safe", "a1");
     Wire server = rig.first.accept();
     server.message();
-    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
-        + "Content-Length: 9\r\n\r\n12");
+    server.write(
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+            + "Content-Length: 9\r\n\r\n12");
     server.reset();
     Wire other = rig.second.accept();
     other.message();
@@ -182,17 +197,18 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {
-      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: zz\r\nElmsail-Postmark: p\r\nContent-Length: 1\r\n\r\nx",
-      "HTTP/1.1 200 OK\r\nElmsail-Postmark: p\r\nContent-Length: 1\r\n\r\nx",
-      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nContent-Length: 1\r\n\r\nx",
-      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\nContent-Length: 1\r\n"
-          + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n\r\nx",
-      "garbage garbage\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
-          + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"
-  })
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: zz\r\nElmsail-Postmark: p\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nElmsail-Postmark: p\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\nContent-Length: 1\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n\r\nx",
+        "garbage garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"
+      })
   void whatIsNoAnswerIsNotPassedOn(String bytes) {
     Wire client = rig.request("unsafe", "a1");
     Wire server = rig.first.accept();
@@ -246,7 +262,8 @@
     Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
-    server.write(Rig.streamHead("a1", "p-first"))
+    server
+        .write(Rig.streamHead("a1", "p-first"))
         .write(Rig.chunk(Rig.event(0) + Rig.event(1) + "id: 2\ndata: ha"));
     assertThat(client.head().header("Elmsail-Postmark"), is("p-first"));
     String both = client.chunk();
@@ -404,7 +421,9 @@
     Wire client = rig.request("resume", "a1");
     Wire server = rig.first.accept();
     server.message();
-    server.write(Rig.streamHead("a1", "p").replace("text/event-stream", "text/plain")).write(Rig.chunk("ab"));
+    server
+        .write(Rig.streamHead("a1", "p").replace("text/event-stream", "text/plain"))
+        .write(Rig.chunk("ab"));
     assertThat(client.head().header("Content-Type"), is("text/plain"));
     assertThat(client.chunk(), is("ab"));
     server.write("0\r\n\r\n");
@@ -417,8 +436,11 @@
     Wire server = rig.first.accept();
     server.message();
     String half = "x".repeat(40_000);
-    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
-        + "Content-Length: 120000\r\n\r\n" + half + half);
+    server.write(
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+            + "Content-Length: 120000\r\n\r\n"
+            + half
+            + half);
     assertThat(client.head().header("Content-Length"), is("120000"));
     assertThat(client.bytes(70_000).length(), is(70_000));
     server.write(half);
@@ -430,8 +452,9 @@
     Wire client = rig.client().write(Rig.requestText("safe", "a1").replace("POST", "HEAD"));
     Wire server = rig.first.accept();
     assertThat(server.message().first(), is("HEAD /safe/2f HTTP/1.1"));
-    server.write("HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
-        + "Content-Length: 120\r\n\r\n");
+    server.write(
+        "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
+            + "Content-Length: 120\r\n\r\n");
     assertThat(client.head().status(), is(200));
     client.write(Rig.requestText("nowhere", "a2"));
     assertThat(client.message().status(), is(404));
--- a/gateway/src/test/java/elmsail/gateway/Rig.java
+++ b/gateway/src/test/java/elmsail/gateway/Rig.java
@@ -1,10 +1,10 @@
 package elmsail.gateway;
 
 import elmsail.batch.BatchCalls;
-import elmsail.runtime.NettyLoop;
-import elmsail.runtime.Settings;
 import elmsail.config.Route;
 import elmsail.config.ServerEntry;
+import elmsail.runtime.NettyLoop;
+import elmsail.runtime.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +16,10 @@
 /** A gateway over loopback with two stand-in servers that the test speaks for. */
 public final class Rig implements AutoCloseable {
   public final NettyLoop loop = new NettyLoop();
+
   /** The loop's, ahead by what the test has passed. */
   public final PassedTimers timers = new PassedTimers(loop);
+
   public final FakeKnown known = new FakeKnown();
   public final FakeLots jobs = new FakeLots();
   public final Wire.Stall first = new Wire.Stall();
@@ -36,7 +38,8 @@
     }
 
     @Override
-    public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
+    public CompletableFuture<Reply> submit(
+        Route route, String jobId, byte[] body, long deadlineMs) {
       return response("handIn " + route.name() + " " + jobId + " " + body.length);
     }
 
@@ -65,42 +68,68 @@
     known.route("lots", Route.Kind.SACK, 2, false);
     known.route("sack", Route.Kind.SACK, 2, false);
     serve(first);
-    Settings settings = new Settings("c1", "gateway", "counter", Set.of("counter"), "127.0.0.1", "z", "r",
-        Map.of(), Map.of("front", "127.0.0.1:0", "ready", "127.0.0.1:0"), 0, 0, List.of(), true, true,
-        new Settings.Limits(1, 256, 4_000, 100, 0), null, Set.of(), 1,
-        new Settings.Bounds(3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
-            2_000), null);
-    gateway = onLoop(() -> Gateway.start(settings, loop, timers, known, jobs)).get(5, TimeUnit.SECONDS);
+    Settings settings =
+        new Settings(
+            "c1",
+            "gateway",
+            "counter",
+            Set.of("counter"),
+            "127.0.0.1",
+            "z",
+            "r",
+            Map.of(),
+            Map.of("front", "127.0.0.1:0", "ready", "127.0.0.1:0"),
+            0,
+            0,
+            List.of(),
+            true,
+            true,
+            new Settings.Limits(1, 256, 4_000, 100, 0),
+            null,
+            Set.of(),
+            1,
+            new Settings.Bounds(
+                3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1,
+                2_000),
+            null);
+    gateway =
+        onLoop(() -> Gateway.start(settings, loop, timers, known, jobs)).get(5, TimeUnit.SECONDS);
   }
 
   /** Runs on the loop and waits for it. */
   public <T> T onLoop(Callable<T> what) throws Exception {
     CompletableFuture<T> done = new CompletableFuture<>();
-    loop.soon(() -> {
-      try {
-        done.complete(what.call());
-      } catch (Exception e) {
-        done.completeExceptionally(e);
-      }
-    });
+    loop.soon(
+        () -> {
+          try {
+            done.complete(what.call());
+          } catch (Exception e) {
+            done.completeExceptionally(e);
+          }
+        });
     return done.get(5, TimeUnit.SECONDS);
   }
 
-  /** The list has these, as i-0, i-1... The first one is in the gateway's zone, so it is chosen first. */
+  /**
+   * The list has these, as i-0, i-1... The first one is in the gateway's zone, so it is chosen
+   * first.
+   */
   public void serve(Wire.Stall... stalls) throws Exception {
     List<ServerEntry> entries = new ArrayList<>();
     for (int i = 0; i < stalls.length; i++) {
-      entries.add(new ServerEntry("i-" + i, "s", stalls[i].address(), i == 0 ? "z" : "far", 24, false, 0));
+      entries.add(
+          new ServerEntry("i-" + i, "s", stalls[i].address(), i == 0 ? "z" : "far", 24, false, 0));
     }
     list(entries);
   }
 
   public void list(List<ServerEntry> entries) throws Exception {
-    onLoop(() -> {
-      known.servers = entries;
-      known.changed();
-      return null;
-    });
+    onLoop(
+        () -> {
+          known.servers = entries;
+          known.changed();
+          return null;
+        });
   }
 
   public Wire client() {
@@ -115,8 +144,15 @@
   }
 
   public static String requestText(String route, String id, String... headers) {
-    StringBuilder text = new StringBuilder("POST /" + route + "/2f HTTP/1.1\r\nHost: " + FakeKnown.HOST
-        + "\r\nElmsail-Request-Id: " + id + "\r\n");
+    StringBuilder text =
+        new StringBuilder(
+            "POST /"
+                + route
+                + "/2f HTTP/1.1\r\nHost: "
+                + FakeKnown.HOST
+                + "\r\nElmsail-Request-Id: "
+                + id
+                + "\r\n");
     for (String h : headers) {
       text.append(h).append("\r\n");
     }
@@ -125,7 +161,8 @@
 
   /** A server's answer with a length. */
   public static String answer(int status, String id, String body, String... headers) {
-    StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " X\r\nElmsail-Request-Id: " + id + "\r\n");
+    StringBuilder text =
+        new StringBuilder("HTTP/1.1 " + status + " X\r\nElmsail-Request-Id: " + id + "\r\n");
     for (String h : headers) {
       text.append(h).append("\r\n");
     }
@@ -142,7 +179,10 @@
 
   /** The head of a stream. */
   public static String streamHead(String id, String stamp) {
-    return "HTTP/1.1 200 OK\r\nElmsail-Request-Id: " + id + "\r\nElmsail-Postmark: " + stamp
+    return "HTTP/1.1 200 OK\r\nElmsail-Request-Id: "
+        + id
+        + "\r\nElmsail-Postmark: "
+        + stamp
         + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   }
 
--- a/gateway/src/test/java/elmsail/gateway/TroubleTest.java
+++ b/gateway/src/test/java/elmsail/gateway/TroubleTest.java
@@ -17,7 +17,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Many requests past two servers in every kind of trouble, drawn from a seed, against the rules. */
+/**
+ * Many requests past two servers in every kind of trouble, drawn from a seed, against the rules.
+ */
 class TroubleTest {
   private static final int REQUESTS = 120;
   private static final int EVENTS = 4;
@@ -27,20 +29,22 @@
 
   /** Speaks for one server, a thread for each connection, until the rig closes. */
   private Thread serve(Wire.Stall stall, long seed) {
-    Thread thread = new Thread(() -> {
-      SplittableRandom chance = new SplittableRandom(seed);
-      try {
-        while (true) {
-          Wire wire = stall.accept();
-          SplittableRandom own = chance.split();
-          Thread one = new Thread(() -> connection(wire, own));
-          one.setDaemon(true);
-          one.start();
-        }
-      } catch (UncheckedIOException e) {
-        return; // the rig has closed
-      }
-    });
+    Thread thread =
+        new Thread(
+            () -> {
+              SplittableRandom chance = new SplittableRandom(seed);
+              try {
+                while (true) {
+                  Wire wire = stall.accept();
+                  SplittableRandom own = chance.split();
+                  Thread one = new Thread(() -> connection(wire, own));
+                  one.setDaemon(true);
+                  one.start();
+                }
+              } catch (UncheckedIOException e) {
+                return; // the rig has closed
+              }
+            });
     thread.setDaemon(true);
     thread.start();
     return thread;
--- a/gateway/src/test/java/elmsail/gateway/Wire.java
+++ b/gateway/src/test/java/elmsail/gateway/Wire.java
@@ -40,8 +40,10 @@
     try {
       int colon = address.indexOf(':');
       Socket socket = new Socket();
-      socket.connect(new InetSocketAddress(address.substring(0, colon),
-          Integer.parseInt(address.substring(colon + 1))), WAIT_MS);
+      socket.connect(
+          new InetSocketAddress(
+              address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+          WAIT_MS);
       return new Wire(socket);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -150,7 +152,8 @@
     Map<String, String> headers = new LinkedHashMap<>();
     for (String line = line(); line != null && !line.isEmpty(); line = line()) {
       int colon = line.indexOf(':');
-      headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+      headers.put(
+          line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
     }
     return new Message(first, headers, "");
   }
--- a/gateway/src/test/java/elmsail/gateway/requests/EventSplitterTest.java
+++ b/gateway/src/test/java/elmsail/gateway/requests/EventSplitterTest.java
@@ -17,11 +17,13 @@
 
 class EventSplitterTest {
   private final List<String> events = new ArrayList<>();
-  private final EventSplitter splitter = new EventSplitter((id, raw) -> {
-    events.add(id + "=" + raw.toString(StandardCharsets.ISO_8859_1));
-    raw.release();
-    return events.size() < 100;
-  });
+  private final EventSplitter splitter =
+      new EventSplitter(
+          (id, raw) -> {
+            events.add(id + "=" + raw.toString(StandardCharsets.ISO_8859_1));
+            raw.release();
+            return events.size() < 100;
+          });
 
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
@@ -73,9 +75,15 @@
   }
 
   @ParameterizedTest
-  @CsvSource(delimiter = '|', value = {
-      "id: 1~data: a~~ | a", "data:a~data: b~~ | a~b", "data~data: b~~ | ~b", "data:  a~~ | \u0020a",
-      "database: a~data: b~~ | b"})
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "id: 1~data: a~~ | a",
+        "data:a~data: b~~ | a~b",
+        "data~data: b~~ | ~b",
+        "data:  a~~ | \u0020a",
+        "database: a~data: b~~ | b"
+      })
   void dataLinesAreJoined(String event, String data) {
     byte[] joined = EventSplitter.data(bytes(event.replace('~', '\n')));
     String wanted = data.startsWith("~") || !event.contains(":  ") ? data : " " + data.trim();
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerSelectorTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerSelectorTest.java
@@ -22,7 +22,8 @@
 
   @Test
   void theOneThatHoldsMostOfThePromptIsTaken() {
-    assertThat(ServerSelector.pick(List.of(EMPTY, with(500, 0, 0), with(900, 0, 0)), 2_000, 0), is(2));
+    assertThat(
+        ServerSelector.pick(List.of(EMPTY, with(500, 0, 0), with(900, 0, 0)), 2_000, 0), is(2));
   }
 
   @Test
@@ -63,7 +64,8 @@
     assertThat(ServerSelector.pick(equal, 10, 0), is(0));
     assertThat(ServerSelector.pick(equal, 10, 1), is(1));
     assertThat(ServerSelector.pick(equal, 10, 5), is(2));
-    assertThat(ServerSelector.pick(equal, 10, Integer.MIN_VALUE), is(Math.floorMod(Integer.MIN_VALUE, 3)));
+    assertThat(
+        ServerSelector.pick(equal, 10, Integer.MIN_VALUE), is(Math.floorMod(Integer.MIN_VALUE, 3)));
   }
 
   @Test
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerTest.java
@@ -16,8 +16,8 @@
 
 /** A server's health and load, by a clock of numbers. */
 class ServerTest {
-  private final Server server = new Server(
-      new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
+  private final Server server =
+      new Server(new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
 
   private static final class Silent implements OutgoingRequest, AttemptListener {
     private final boolean item;
@@ -47,8 +47,7 @@
     }
 
     @Override
-    public void head(HttpResponse head) {
-    }
+    public void head(HttpResponse head) {}
 
     @Override
     public void data(ByteBuf piece) {
@@ -56,12 +55,10 @@
     }
 
     @Override
-    public void whole() {
-    }
+    public void whole() {}
 
     @Override
-    public void failed(boolean sent) {
-    }
+    public void failed(boolean sent) {}
   }
 
   private Attempt begin(long now, boolean item) {
--- a/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
@@ -6,13 +6,13 @@
 import static org.hamcrest.Matchers.nullValue;
 import static org.hamcrest.Matchers.sameInstance;
 
-import elmsail.gateway.FakeKnown;
-import elmsail.gateway.http.RequestCounters;
-import elmsail.simulation.ManualTimers;
-import elmsail.runtime.NettyLoop;
 import elmsail.config.Route;
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
+import elmsail.gateway.FakeKnown;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.NettyLoop;
+import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -29,7 +29,8 @@
   private final Servers servers = door("z1");
 
   private Servers door(String zone) {
-    return new Servers(timers, loop.events(), known, zone, new RequestCounters(), new SplittableRandom(3));
+    return new Servers(
+        timers, loop.events(), known, zone, new RequestCounters(), new SplittableRandom(3));
   }
 
   @AfterEach
@@ -42,7 +43,8 @@
   }
 
   private static Route route(Route.Share... shares) {
-    return new Route("r", "h", "/r/", Route.Kind.SAFE, 1_000, 100, 0, List.of(shares), 1, false, 0, 0, 0, 0);
+    return new Route(
+        "r", "h", "/r/", Route.Kind.SAFE, 1_000, 100, 0, List.of(shares), 1, false, 0, 0, 0, 0);
   }
 
   private void list(ServerEntry... entries) {
@@ -75,7 +77,8 @@
   @Test
   void servicesAreDrawnByTheirWeights() {
     list(entry("a", "s", "z1", false), entry("b", "t", "z1", false));
-    Route route = route(new Route.Share("s", 90), new Route.Share("t", 10), new Route.Share("u", 0));
+    Route route =
+        route(new Route.Share("s", 90), new Route.Share("t", 10), new Route.Share("u", 0));
     int first = 0;
     for (int i = 0; i < 2_000; i++) {
       first += choose(route).id().equals("a") ? 1 : 0;
@@ -128,7 +131,8 @@
       Prompt prompt = Prompt.read("top:300,part" + i + ":600,own" + i + ":100", null);
       Route route = route(new Route.Share("s", 1));
       Server mine = servers.choose(route, prompt, Set.of());
-      Server others = other.choose(route, Prompt.read("top:300,part" + i + ":600,else:100", null), Set.of());
+      Server others =
+          other.choose(route, Prompt.read("top:300,part" + i + ":600,else:100", null), Set.of());
       assertThat(mine.id(), is(others.id()));
       assertThat(mine.entry().zone(), is("z1"));
       homes.add(mine.id());
--- a/rpc/src/main/java/elmsail/rpc/Caller.java
+++ b/rpc/src/main/java/elmsail/rpc/Caller.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Calls to other processes. Everything runs on the process's one loop: futures complete there, never inside
- * {@code call}. They fail with an {@code ElmsailException}: UNSENT, BROKEN, SILENT, FULL, NOT_SEATED,
- * GARBLED, FAULT.
+ * Calls to other processes. Everything runs on the process's one loop: futures complete there,
+ * never inside {@code call}. They fail with an {@code ElmsailException}: UNSENT, BROKEN, SILENT,
+ * FULL, NOT_SEATED, GARBLED, FAULT.
  */
 public interface Caller {
   /** Calls the process whose inner address is {@code peer} ("ip:port"). */
--- a/rpc/src/main/java/elmsail/rpc/Codec.java
+++ b/rpc/src/main/java/elmsail/rpc/Codec.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import io.protostuff.LinkedBuffer;
 import io.protostuff.ProtostuffIOUtil;
 import io.protostuff.Schema;
@@ -11,8 +11,8 @@
 import java.io.OutputStream;
 
 /**
- * Messages to bytes and back. Null fields are left out, so they come back with the default of their class.
- * Used from one thread.
+ * Messages to bytes and back. Null fields are left out, so they come back with the default of their
+ * class. Used from one thread.
  */
 public final class Codec {
 
@@ -25,8 +25,9 @@
   int number(Object message) {
     int number = message == null ? MessageTypes.NONE : MessageTypes.number(message.getClass());
     if (number == MessageTypes.NONE) {
-      throw new ElmsailException(ErrorCode.FAULT, "no message: "
-          + (message == null ? "null" : message.getClass().getName()));
+      throw new ElmsailException(
+          ErrorCode.FAULT,
+          "no message: " + (message == null ? "null" : message.getClass().getName()));
     }
     return number;
   }
--- a/rpc/src/main/java/elmsail/rpc/Connector.java
+++ b/rpc/src/main/java/elmsail/rpc/Connector.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -22,11 +22,18 @@
   private final Codec codec;
   private final RpcCounters counts;
   private final RpcConnection.Owner owner;
+
   /** Run when there is something to look after. */
   private final Runnable watch;
+
   private boolean closed;
 
-  Connector(EventLoop loop, Timers timers, Codec codec, RpcCounters counts, RpcConnection.Owner owner,
+  Connector(
+      EventLoop loop,
+      Timers timers,
+      Codec codec,
+      RpcCounters counts,
+      RpcConnection.Owner owner,
       Runnable watch) {
     this.loop = loop;
     this.timers = timers;
@@ -55,9 +62,15 @@
       return;
     }
     RpcConnection link = new RpcConnection(peer, owner, timers, codec, counts);
-    ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
-        .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES)
-        .handler(link).connect(address);
+    ChannelFuture opening =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .disableResolver()
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES)
+            .handler(link)
+            .connect(address);
     Channel channel = opening.channel();
     peer.channel = channel;
     peer.looked = false;
--- a/rpc/src/main/java/elmsail/rpc/Frame.java
+++ b/rpc/src/main/java/elmsail/rpc/Frame.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufOutputStream;
@@ -9,8 +9,8 @@
 import java.util.zip.CRC32C;
 
 /**
- * What goes over a connection: int length of the rest, byte kind, long call, short type, int CRC32C of
- * kind, call, type and payload, and the payload.
+ * What goes over a connection: int length of the rest, byte kind, long call, short type, int CRC32C
+ * of kind, call, type and payload, and the payload.
  *
  * @param call the number of the call, of its asker's choosing; 0 for pings
  * @param type of {@link MessageTypes}
@@ -19,16 +19,21 @@
 
   static final int ASK = 1;
   static final int ANSWER = 2;
+
   /** The payload is the code's name. */
   static final int FAILURE = 3;
+
   static final int PING = 4;
   static final int PONG = 5;
 
   static final int LENGTH_BYTES = 4;
+
   /** Behind the length, before the payload. */
   static final int HEAD_BYTES = 1 + 8 + 2 + 4;
+
   /** Where the check begins in the head. */
   static final int CHECK_AT = HEAD_BYTES - 4;
+
   /** The longest frame, without its length's own bytes. */
   static final int MOST_BYTES = 16 << 20;
 
--- a/rpc/src/main/java/elmsail/rpc/FrameReader.java
+++ b/rpc/src/main/java/elmsail/rpc/FrameReader.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import io.netty.buffer.ByteBuf;
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
@@ -16,7 +16,10 @@
   private byte[] payload;
   private int filled;
 
-  /** The next whole frame, or null if more bytes are needed; fails with GARBLED, and is of no use then. */
+  /**
+   * The next whole frame, or null if more bytes are needed; fails with GARBLED, and is of no use
+   * then.
+   */
   Frame next(ByteBuf in) {
     if (payload == null) {
       int part = Math.min(head.length - headFilled, in.readableBytes());
@@ -27,9 +30,12 @@
       }
       int length = ByteBuffer.wrap(head).getInt();
       int kind = head[Frame.LENGTH_BYTES];
-      if (length < Frame.HEAD_BYTES || length > Frame.MOST_BYTES || kind < Frame.ASK
+      if (length < Frame.HEAD_BYTES
+          || length > Frame.MOST_BYTES
+          || kind < Frame.ASK
           || kind > Frame.PONG) {
-        throw new ElmsailException(ErrorCode.GARBLED, "frame of " + length + " bytes, kind " + kind);
+        throw new ElmsailException(
+            ErrorCode.GARBLED, "frame of " + length + " bytes, kind " + kind);
       }
       payload = length == Frame.HEAD_BYTES ? EMPTY : new byte[length - Frame.HEAD_BYTES];
       filled = 0;
@@ -51,7 +57,10 @@
     if (fields.getInt(Frame.LENGTH_BYTES + Frame.CHECK_AT) != (int) check.getValue()) {
       throw new ElmsailException(ErrorCode.GARBLED, "checksum");
     }
-    return new Frame(head[Frame.LENGTH_BYTES], fields.getLong(Frame.LENGTH_BYTES + 1),
-        fields.getShort(Frame.LENGTH_BYTES + 9), bytes);
+    return new Frame(
+        head[Frame.LENGTH_BYTES],
+        fields.getLong(Frame.LENGTH_BYTES + 1),
+        fields.getShort(Frame.LENGTH_BYTES + 9),
+        bytes);
   }
 }
--- a/rpc/src/main/java/elmsail/rpc/HandlerTable.java
+++ b/rpc/src/main/java/elmsail/rpc/HandlerTable.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -30,7 +30,9 @@
     Function<Object, CompletionStage<Object>> handler =
         (Function<Object, CompletionStage<Object>>) handlers.get(request.getClass());
     if (handler == null) {
-      return failed(new ElmsailException(ErrorCode.FAULT, "no handler of " + request.getClass().getSimpleName()));
+      return failed(
+          new ElmsailException(
+              ErrorCode.FAULT, "no handler of " + request.getClass().getSimpleName()));
     }
     try {
       CompletionStage<Object> answer = handler.apply(request);
--- a/rpc/src/main/java/elmsail/rpc/MessageTypes.java
+++ b/rpc/src/main/java/elmsail/rpc/MessageTypes.java
@@ -5,12 +5,11 @@
 import elmsail.rpc.messages.Blob;
 import elmsail.rpc.messages.BlobRequest;
 import elmsail.rpc.messages.BlobResponse;
-import elmsail.rpc.messages.JoinRequest;
-import elmsail.rpc.messages.JoinResponse;
-import elmsail.rpc.messages.StateTransferRequest;
-import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.HelloRequest;
 import elmsail.rpc.messages.HelloResponse;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.JoinResponse;
 import elmsail.rpc.messages.LeaseRequest;
 import elmsail.rpc.messages.LeaseResponse;
 import elmsail.rpc.messages.OpaqueMessage;
@@ -18,10 +17,11 @@
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.ReadRequest;
-import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.StateTransferRequest;
+import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.rpc.messages.VoteResponse;
 
 /** The numbers of the messages' types on the wire: a type's place in the table; append only. */
 final class MessageTypes {
@@ -55,8 +55,7 @@
     LeaseResponse.class,
   };
 
-  private MessageTypes() {
-  }
+  private MessageTypes() {}
 
   /** One more than the highest number. */
   static int size() {
--- a/rpc/src/main/java/elmsail/rpc/Peer.java
+++ b/rpc/src/main/java/elmsail/rpc/Peer.java
@@ -4,11 +4,14 @@
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 
-/** What is kept for each process that was called: its connection, or the calls that wait for one. */
+/**
+ * What is kept for each process that was called: its connection, or the calls that wait for one.
+ */
 final class Peer {
 
   /** Ms between attempts at a connection. */
   static final long FIRST_PAUSE = 150;
+
   static final long LONGEST_PAUSE = 1_000;
   static final int MOST_WAITING = 256;
 
@@ -22,6 +25,7 @@
   final ArrayDeque<PendingCall> waiting = new ArrayDeque<>();
   private long waitingBytes;
   private long pause;
+
   /** No attempt before that time. */
   long retryAt;
 
--- a/rpc/src/main/java/elmsail/rpc/PendingCall.java
+++ b/rpc/src/main/java/elmsail/rpc/PendingCall.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import io.netty.buffer.ByteBuf;
 import java.util.concurrent.CompletableFuture;
@@ -14,10 +14,13 @@
   private final Class<?> answer;
   private final RpcCounters counts;
   Timers.Timer timer;
+
   /** The connection that it was sent over; null before, and for calls to oneself. */
   RpcConnection link;
+
   /** Whether the sockets were looked at since it fell due, the process having been held up. */
   boolean looked;
+
   /** The frame while the connection is not there yet; owned by this call. */
   ByteBuf frame;
 
@@ -38,7 +41,8 @@
       counts.answers++;
       future.complete(message);
     } else {
-      future.completeExceptionally(new ElmsailException(ErrorCode.GARBLED, "answer of another type"));
+      future.completeExceptionally(
+          new ElmsailException(ErrorCode.GARBLED, "answer of another type"));
     }
   }
 
--- a/rpc/src/main/java/elmsail/rpc/RequestHandlers.java
+++ b/rpc/src/main/java/elmsail/rpc/RequestHandlers.java
@@ -5,6 +5,9 @@
 
 /** Where the handlers of inner calls are put: one for each kind of message. */
 public interface RequestHandlers {
-  /** The handler runs on the loop; its future may complete later, on the loop, and may fail with a code. */
+  /**
+   * The handler runs on the loop; its future may complete later, on the loop, and may fail with a
+   * code.
+   */
   <Q, A> void on(Class<Q> request, Function<Q, ? extends CompletionStage<A>> handler);
 }
--- a/rpc/src/main/java/elmsail/rpc/RpcAddress.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcAddress.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -10,17 +10,17 @@
 /** Addresses as "ip:port"; names are never looked up. */
 final class RpcAddress {
 
-  private RpcAddress() {
-  }
+  private RpcAddress() {}
 
   /** Fails with BAD_SETTINGS. */
   static InetSocketAddress parse(String address) {
     int colon = address.lastIndexOf(':');
-    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
+    byte[] ip =
+        colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
     try {
       if (ip != null) {
-        return new InetSocketAddress(InetAddress.getByAddress(ip),
-            Integer.parseInt(address.substring(colon + 1)));
+        return new InetSocketAddress(
+            InetAddress.getByAddress(ip), Integer.parseInt(address.substring(colon + 1)));
       }
     } catch (UnknownHostException | IllegalArgumentException e) {
       throw new ElmsailException(ErrorCode.BAD_SETTINGS, "no address: " + address, e);
--- a/rpc/src/main/java/elmsail/rpc/RpcConnection.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcConnection.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -13,8 +13,9 @@
 import java.util.Map;
 
 /**
- * One connection. The side that opened it watches over it: it pings when nothing was heard, and closes it
- * when that brings nothing; the other side answers, and closes only what has long been left.
+ * One connection. The side that opened it watches over it: it pings when nothing was heard, and
+ * closes it when that brings nothing; the other side answers, and closes only what has long been
+ * left.
  */
 final class RpcConnection extends ChannelInboundHandlerAdapter {
 
@@ -28,23 +29,30 @@
 
   /** All in ms. */
   static final long PING_AFTER = 400;
+
   static final long CLOSE_AFTER = 1_200;
   static final long IN_USE_FOR = 5_000;
   static final long IDLE_FOR = 60_000;
+
   /** An accepted connection that its opener has not used, nor closed. */
   static final long LEFT_FOR = 2 * IDLE_FOR;
+
   /** An accepted connection whose answers nobody takes. */
   static final long STUCK_FOR = 10_000;
+
   static final long LOOK_FOR = 10;
 
   static final long MOST_QUEUED_BYTES = 8 << 20;
+
   /** Small, so that what a slow peer has taken shows soon. */
   static final int SEND_BYTES = 256 << 10;
+
   static final int MOST_CALLS = 4_096;
   static final int MOST_ASKS = 1_024;
 
   /** Null on the side that accepted. */
   final Peer peer;
+
   private final Owner owner;
   private final Timers timers;
   private final Codec codec;
@@ -56,14 +64,18 @@
   private boolean everHeard;
   private long lastHeard;
   private long lastUsed;
+
   /** Since when something is outstanding; -1 if nothing is. */
   private long since = -1;
+
   private boolean pinged;
   private boolean suspected;
   private boolean flushing;
   private int asks;
+
   /** Bytes of frames that the socket has not taken whole. */
   private long queued;
+
   private long accepted;
   private long taken;
   private boolean backlog;
@@ -259,12 +271,15 @@
     queued += bytes;
     accepted += bytes;
     counts.bytesOut += bytes;
-    channel.write(frame).addListener((ChannelFuture f) -> {
-      queued -= bytes;
-      if (!f.isSuccess()) {
-        close();
-      }
-    });
+    channel
+        .write(frame)
+        .addListener(
+            (ChannelFuture f) -> {
+              queued -= bytes;
+              if (!f.isSuccess()) {
+                close();
+              }
+            });
     if (!flushing) {
       flushing = true;
       channel.eventLoop().execute(this::flush);
--- a/rpc/src/main/java/elmsail/rpc/RpcCounters.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcCounters.java
@@ -4,20 +4,27 @@
 public final class RpcCounters {
   public long calls;
   public long answers;
+
   /** Calls that the peer answered with a code. */
   public long failures;
+
   public long unsent;
   public long broken;
   public long silent;
   public long full;
+
   /** HandlerTable to calls that had already failed. */
   public long late;
+
   /** HandlerTable that were ready after their link had closed. */
   public long unheard;
+
   /** Links closed for a frame that was none. */
   public long garbled;
+
   /** Links closed for their silence. */
   public long silentLinks;
+
   public long asks;
   public long links;
   public long refusedConnects;
--- a/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
@@ -1,7 +1,7 @@
 package elmsail.rpc;
 
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Timers;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -23,14 +23,17 @@
 import java.util.function.Function;
 
 /**
- * Inner calls over TCP: one connection to each peer, opened when needed, for all calls to it. Everything,
- * the constructor and {@code on} apart, is called on the loop, and all futures complete there.
+ * Inner calls over TCP: one connection to each peer, opened when needed, for all calls to it.
+ * Everything, the constructor and {@code on} apart, is called on the loop, and all futures complete
+ * there.
  */
 public final class RpcEndpoint implements Caller, RequestHandlers, AutoCloseable {
 
   /** All in ms. */
   static final long SWEEP_SOON = 200;
+
   static final long SWEEP_LATER = 1_000;
+
   /** A timer that is later than that tells of a process that was held up. */
   static final long HELD_UP = 100;
 
@@ -81,10 +84,15 @@
   /** Done once others can connect; fails with BAD_SETTINGS if the address cannot be listened at. */
   public CompletableFuture<Void> listen() {
     CompletableFuture<Void> done = new CompletableFuture<>();
-    ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES).childHandler(new Accepting());
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES)
+            .childHandler(new Accepting());
     ChannelFuture bound;
     try {
       bound = server.bind(RpcAddress.parse(ownAddress));
@@ -93,21 +101,24 @@
       return done;
     }
     listener = bound.channel();
-    bound.addListener((ChannelFuture f) -> {
-      if (f.isSuccess()) {
-        int port = ((InetSocketAddress) f.channel().localAddress()).getPort();
-        ownAddress = ownAddress.substring(0, ownAddress.lastIndexOf(':') + 1) + port;
-        done.complete(null);
-      } else {
-        done.completeExceptionally(
-            new ElmsailException(ErrorCode.BAD_SETTINGS, "cannot listen at " + ownAddress, f.cause()));
-      }
-    });
+    bound.addListener(
+        (ChannelFuture f) -> {
+          if (f.isSuccess()) {
+            int port = ((InetSocketAddress) f.channel().localAddress()).getPort();
+            ownAddress = ownAddress.substring(0, ownAddress.lastIndexOf(':') + 1) + port;
+            done.complete(null);
+          } else {
+            done.completeExceptionally(
+                new ElmsailException(
+                    ErrorCode.BAD_SETTINGS, "cannot listen at " + ownAddress, f.cause()));
+          }
+        });
     return done;
   }
 
   @Override
-  public <A> CompletableFuture<A> call(String peer, Object request, Class<A> answer, long timeoutMs) {
+  public <A> CompletableFuture<A> call(
+      String peer, Object request, Class<A> answer, long timeoutMs) {
     counts.calls++;
     long wait = Math.max(0, timeoutMs);
     PendingCall call = new PendingCall(++numbers, answer, timers.now() + wait, counts);
@@ -162,16 +173,18 @@
       return;
     }
     ownCalls++;
-    timers.soon(() -> {
-      if (closed) {
-        ownCalls--;
-        call.fail(ErrorCode.BROKEN, "closed");
-        return;
-      }
-      counts.asks++;
-      answers.handle(request).whenComplete(
-          (answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
-    });
+    timers.soon(
+        () -> {
+          if (closed) {
+            ownCalls--;
+            call.fail(ErrorCode.BROKEN, "closed");
+            return;
+          }
+          counts.asks++;
+          answers
+              .handle(request)
+              .whenComplete((answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
+        });
   }
 
   private void ownAnswer(PendingCall call, Object answer, Throwable thrown) {
@@ -253,7 +266,9 @@
     }
   }
 
-  /** Closes all connections; open calls fail soon after, with BROKEN, those that wait with UNSENT. */
+  /**
+   * Closes all connections; open calls fail soon after, with BROKEN, those that wait with UNSENT.
+   */
   @Override
   public void close() {
     closed = true;
@@ -286,13 +301,16 @@
         link.refuse(frame.call());
         return;
       }
-      answers.handle(request).whenComplete((answer, thrown) -> {
-        if (loop.inEventLoop()) {
-          answer(link, frame.call(), answer, thrown);
-        } else {
-          loop.execute(() -> answer(link, frame.call(), answer, thrown));
-        }
-      });
+      answers
+          .handle(request)
+          .whenComplete(
+              (answer, thrown) -> {
+                if (loop.inEventLoop()) {
+                  answer(link, frame.call(), answer, thrown);
+                } else {
+                  loop.execute(() -> answer(link, frame.call(), answer, thrown));
+                }
+              });
     }
 
     private void answer(RpcConnection link, long call, Object answer, Throwable thrown) {
--- a/rpc/src/main/java/elmsail/rpc/messages/PrepareRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PrepareRequest.java
@@ -10,8 +10,10 @@
   public Ballot ballot = new Ballot();
   public VoterSet voterSet = new VoterSet();
   public List<Blob> blobs = new ArrayList<>();
+
   /**
-   * What the keeper of the views needs to know before this is decided (waiting tokens): null or its bytes.
+   * What the keeper of the views needs to know before this is decided (waiting tokens): null or its
+   * bytes.
    */
   public byte[] note;
 }
--- a/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
@@ -5,15 +5,21 @@
   public String station = "";
   public String address = "";
   public String zone = "";
+
   /** "gateway", "vault" or "controlplane". */
   public String role = "";
+
   public long instanceId;
+
   /** A store's: whether it holds a voter slot and has caught up; the voter set it knows. */
   public boolean voting;
+
   public boolean emptied;
   public VoterSet storeSet = new VoterSet();
+
   /** Versions known, one for each source. */
   public long edition;
+
   public long listEpoch;
   public long listVersion;
   public long viewVersion;
--- a/rpc/src/main/java/elmsail/rpc/messages/ReadRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/ReadRequest.java
@@ -6,6 +6,7 @@
   public String key = "";
   public Ballot known = new Ballot();
   public VoterSet voterSet = new VoterSet();
+
   /** Only the ballot is wanted, never the value. */
   public boolean bare;
 }
--- a/rpc/src/main/java/elmsail/rpc/messages/StateTransferRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/StateTransferRequest.java
@@ -6,8 +6,10 @@
   public String after = "";
   public int mostBytes;
   public VoterSet voterSet = new VoterSet();
+
   /** Blobs' names without their bytes. */
   public boolean bare;
+
   /** Also from one that knows to be replaced: its successor in the voter slot isn't voting. */
   public boolean ofReplaced;
 }
--- a/rpc/src/main/java/elmsail/rpc/messages/Voter.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/Voter.java
@@ -5,10 +5,16 @@
   public String address = "";
   public String station = "";
   public long instanceId;
+
   /** Goes up by one with each new holder or life; the higher one is right. */
   public int epoch;
-  /** Who held the voter slot one epoch earlier, as the claim's maker knew: life 0 if that isn't known. */
+
+  /**
+   * Who held the voter slot one epoch earlier, as the claim's maker knew: life 0 if that isn't
+   * known.
+   */
   public String previousAddress = "";
+
   public long previousInstanceId;
   public int previousEpoch;
 }
--- a/rpc/src/main/java/elmsail/rpc/messages/VoterSet.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/VoterSet.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The voter slots of one set, in their order. A message of an older voter set is refused, and answered with the
- * newer.
+ * The voter slots of one set, in their order. A message of an older voter set is refused, and
+ * answered with the newer.
  */
 public final class VoterSet {
   public List<Voter> voters = new ArrayList<>();
--- a/rpc/src/test/java/elmsail/rpc/CodecTest.java
+++ b/rpc/src/test/java/elmsail/rpc/CodecTest.java
@@ -14,15 +14,15 @@
 import elmsail.rpc.messages.AcceptRequest;
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.rpc.messages.PrepareRequest;
 import elmsail.rpc.messages.PullResponse;
-import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.rpc.messages.VoteResponse;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.io.ByteArrayOutputStream;
 import java.io.File;
 import java.lang.reflect.Field;
@@ -87,9 +87,25 @@
   void numbersStayAsTheyWereGiven() {
     List<String> names = new ArrayList<>();
     words().forEach(type -> names.add(type.getSimpleName()));
-    assertThat(names.subList(0, 16), contains("PullAsk", "PullTold", "PrepareAsk", "AcceptAsk", "ReadAsk",
-        "VoteTold", "ClaimAsk", "ClaimTold", "CopyAsk", "CopyTold", "Note", "Ballot", "Blob", "Roster",
-        "Seat", "Seating"));
+    assertThat(
+        names.subList(0, 16),
+        contains(
+            "PullAsk",
+            "PullTold",
+            "PrepareAsk",
+            "AcceptAsk",
+            "ReadAsk",
+            "VoteTold",
+            "ClaimAsk",
+            "ClaimTold",
+            "CopyAsk",
+            "CopyTold",
+            "Note",
+            "Ballot",
+            "Blob",
+            "Roster",
+            "Seat",
+            "Seating"));
   }
 
   @Test
@@ -151,14 +167,17 @@
 
   @Test
   void whatHasNoNumberIsAFault() {
-    assertThat(assertThrows(ElmsailException.class, () -> codec.copy("word")).code(), is(ErrorCode.FAULT));
-    assertThat(assertThrows(ElmsailException.class, () -> codec.copy(null)).code(), is(ErrorCode.FAULT));
+    assertThat(
+        assertThrows(ElmsailException.class, () -> codec.copy("word")).code(), is(ErrorCode.FAULT));
+    assertThat(
+        assertThrows(ElmsailException.class, () -> codec.copy(null)).code(), is(ErrorCode.FAULT));
   }
 
   @Test
   void unknownNumbersAreGarbled() {
     for (int number : new int[] {-1, 0, MessageTypes.size(), 0x7fff}) {
-      assertThat(assertThrows(ElmsailException.class, () -> codec.read(number, new byte[0], 0, 0)).code(),
+      assertThat(
+          assertThrows(ElmsailException.class, () -> codec.read(number, new byte[0], 0, 0)).code(),
           is(ErrorCode.GARBLED));
     }
   }
@@ -185,7 +204,8 @@
     assertThat(codec.copy(word).edition, is(5L));
   }
 
-  private static Object filled(Class<?> type, Random random, int depth) throws ReflectiveOperationException {
+  private static Object filled(Class<?> type, Random random, int depth)
+      throws ReflectiveOperationException {
     Object word = type.getDeclaredConstructor().newInstance();
     for (Field field : fields(type)) {
       Class<?> of = field.getType();
--- a/rpc/src/test/java/elmsail/rpc/FrameTest.java
+++ b/rpc/src/test/java/elmsail/rpc/FrameTest.java
@@ -8,8 +8,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import elmsail.rpc.messages.OpaqueMessage;
-import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.ArrayList;
@@ -37,8 +37,9 @@
   }
 
   private static ErrorCode codeOf(byte[] bytes) {
-    ElmsailException e = assertThrows(ElmsailException.class,
-        () -> new FrameReader().next(Unpooled.wrappedBuffer(bytes)));
+    ElmsailException e =
+        assertThrows(
+            ElmsailException.class, () -> new FrameReader().next(Unpooled.wrappedBuffer(bytes)));
     return e.code();
   }
 
@@ -89,7 +90,8 @@
 
   @Test
   void lengthsOutOfBoundsAreGarbledBeforeAnythingIsKept() {
-    for (int length : new int[] {-1, 0, Frame.HEAD_BYTES - 1, Frame.MOST_BYTES + 1, Integer.MAX_VALUE}) {
+    for (int length :
+        new int[] {-1, 0, Frame.HEAD_BYTES - 1, Frame.MOST_BYTES + 1, Integer.MAX_VALUE}) {
       ByteBuf bent = Unpooled.wrappedBuffer(request(1, 3));
       bent.setInt(0, length);
       assertThat(codeOf(bytes(bent)), is(ErrorCode.GARBLED));
@@ -109,7 +111,8 @@
     int most = Frame.LENGTH_BYTES + Frame.MOST_BYTES - over;
     byte[] longest = request(1, most - 8);
     Frame frame = new FrameReader().next(Unpooled.wrappedBuffer(longest));
-    OpaqueMessage note = (OpaqueMessage) codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
+    OpaqueMessage note =
+        (OpaqueMessage) codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
     assertThat(note.bytes.length, is(most - 8));
     ElmsailException e = assertThrows(ElmsailException.class, () -> request(1, most + 8));
     assertThat(e.code(), is(ErrorCode.FULL));
