--- a/consensus/src/test/java/elmsail/consensus/RegisterTest.java
+++ b/consensus/src/test/java/elmsail/consensus/RegisterTest.java
@@ -94,10 +94,10 @@
     Register client = set.client(set.founding);
     set.await(put(client, "key", "1"));
     set.await(put(client, "key", "2"));
-    assertThat(set.asked.get("PrepareAsk"), is(6));
+    assertThat(set.asked.get("PrepareRequest"), is(6));
     set.await(put(client, "key", "3"));
     set.await(put(client, "key", "4"));
-    assertThat(set.asked.get("PrepareAsk"), is(6));
+    assertThat(set.asked.get("PrepareRequest"), is(6));
     Register other = set.client(set.founding);
     set.await(put(other, "key", "5"));
     assertThat(append(client, "6"), is("56"));
@@ -404,6 +404,6 @@
     System.out.println("five changers of one key: " + (set.timers.now() - from) + " ms");
     assertThat(read(set.client(set.founding), "key").length(), is(5));
     assertThat(set.timers.now() - from, lessThan(2_000L));
-    assertThat(set.asked.get("AcceptAsk"), greaterThanOrEqualTo(15));
+    assertThat(set.asked.get("AcceptRequest"), greaterThanOrEqualTo(15));
   }
 }
--- a/rpc/src/test/java/elmsail/rpc/CodecTest.java
+++ b/rpc/src/test/java/elmsail/rpc/CodecTest.java
@@ -90,22 +90,22 @@
     assertThat(
         names.subList(0, 16),
         contains(
-            "PullAsk",
-            "PullTold",
-            "PrepareAsk",
-            "AcceptAsk",
-            "ReadAsk",
-            "VoteTold",
-            "ClaimAsk",
-            "ClaimTold",
-            "CopyAsk",
-            "CopyTold",
-            "Note",
+            "PullRequest",
+            "PullResponse",
+            "PrepareRequest",
+            "AcceptRequest",
+            "ReadRequest",
+            "VoteResponse",
+            "JoinRequest",
+            "JoinResponse",
+            "StateTransferRequest",
+            "StateTransferResponse",
+            "OpaqueMessage",
             "Ballot",
             "Blob",
-            "Roster",
-            "Seat",
-            "Seating"));
+            "ClusterView",
+            "Voter",
+            "VoterSet"));
   }
 
   @Test
@@ -235,9 +235,9 @@
     List<Object> list = new ArrayList<>();
     for (int i = random.nextInt(4); i > 0; i--) {
       switch (name) {
-        case "seats" -> list.add(filled(Voter.class, random, depth + 1));
+        case "voters" -> list.add(filled(Voter.class, random, depth + 1));
         case "blobs", "records" -> list.add(filled(Blob.class, random, depth + 1));
-        case "clerks" -> list.add("10.0.0." + random.nextInt());
+        case "gateways" -> list.add("10.0.0." + random.nextInt());
         default -> throw new AssertionError("a list that this test does not know: " + name);
       }
     }
