Check the serving tier with a linter of its own: names, javadoc, lengths, packages

Cause: only line length, unused imports and braces were checked; public items had no javadoc in 90 places, and 20 packages said nothing of themselves. Change: checkstyle-tier.xml for the tier's ten modules, chosen by `checkstyle.rules` in the parent pom (those in service keep checkstyle.xml): names, javadoc of public types, methods and constructors, package-info, method length 60, file length 350 in main code and 600 in tests, imports, and a reason in the line before every suppression. Missing javadoc and package-info written; SimNet split (SimLinks, RunRecord); one-letter names of main code replaced. Listed in the file with the reason, until they are split: the length of Replica, RpcEndpoint, RpcConnection, Servers, DirectoryRecordStore; the names in Servers.

--- a/app/src/main/java/elmsail/app/CheckMain.java
+++ b/app/src/main/java/elmsail/app/CheckMain.java
@@ -33,6 +33,7 @@
     this.err = err;
   }
 
+  /** Checks what the arguments name and ends with 0 where it is sound. */
   public static void main(String[] args) {
     LogProvider.choose();
     System.exit(new CheckMain(System.out, System.err).run(args));
--- a/app/src/main/java/elmsail/app/ControlPlaneMain.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneMain.java
@@ -8,6 +8,7 @@
 
   private ControlPlaneMain() {}
 
+  /** Runs the program until it is signalled to end; {@code --settings FILE} names its settings. */
   public static void main(String[] args) {
     Launch.main(new ControlPlaneMain(), args);
   }
--- a/app/src/main/java/elmsail/app/GatewayMain.java
+++ b/app/src/main/java/elmsail/app/GatewayMain.java
@@ -8,6 +8,7 @@
 
   private GatewayMain() {}
 
+  /** Runs the program until it is signalled to end; {@code --settings FILE} names its settings. */
   public static void main(String[] args) {
     Launch.main(new GatewayMain(), args);
   }
--- a/app/src/main/java/elmsail/app/LogLines.java
+++ b/app/src/main/java/elmsail/app/LogLines.java
@@ -60,8 +60,8 @@
       return;
     }
     for (int i = 0; i < text.length(); i++) {
-      char c = text.charAt(i);
-      line.append(c < ' ' ? ' ' : c);
+      char letter = text.charAt(i);
+      line.append(letter < ' ' ? ' ' : letter);
     }
   }
 }
--- a/batch/src/main/java/elmsail/batch/ItemServers.java
+++ b/batch/src/main/java/elmsail/batch/ItemServers.java
@@ -23,8 +23,10 @@
 
   /** What a run tells, in order; {@code ended} once. */
   interface RunListener {
+    /** One event of the answer, with its number and its data, in order. */
     void event(long id, byte[] data);
 
+    /** The run is over; nothing is called after it. */
     void ended(Ended how);
   }
 
--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -93,6 +93,10 @@
     answering.on(OpaqueMessage.class, this::answer);
   }
 
+  /**
+   * Answers a message of another gateway: that a job was ended. Fails with GARBLED for any other
+   * kind.
+   */
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!request.kind.equals(BatchMessageTypes.ENDED)) {
       return CompletableFuture.failedFuture(
--- a/batch/src/main/java/elmsail/batch/client/BatchContext.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchContext.java
@@ -25,6 +25,7 @@
     Random chance,
     long cancelMs) {
 
+  /** The voters of the store set that is known at present; empty before there is one. */
   public List<Voter> keepers() {
     return known.view().storeSet.voters;
   }
--- a/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -30,6 +30,7 @@
   private final LruCache<byte[]> texts = new LruCache<>(TEXTS_BYTES, t -> t.length + 100);
   private final Map<String, CompletableFuture<byte[]>> fetching = new HashMap<>();
 
+  /** A client with empty caches that reads through this register. */
   public BatchJobClient(Register register) {
     this.register = register;
   }
@@ -78,6 +79,7 @@
             });
   }
 
+  /** Caches the items of a job; {@code bytes} is what they count for in the cache. */
   public void keep(String job, List<BatchItem> pieces, int bytes) {
     bodies.put(job, new Body(pieces, bytes + 100));
   }
@@ -101,6 +103,7 @@
             });
   }
 
+  /** Caches the text of a result. */
   public void keepText(String job, JobRecord.Result result, byte[] text) {
     texts.put(job + "/" + result.textName(), text);
   }
--- a/batch/src/main/java/elmsail/batch/messages/AbandonedJob.java
+++ b/batch/src/main/java/elmsail/batch/messages/AbandonedJob.java
@@ -10,6 +10,7 @@
  */
 public record AbandonedJob(String job, long term, long unheardMs) {
 
+  /** The bytes that {@link #unpacked} reads. */
   public static byte[] packed(List<AbandonedJob> orphans) {
     ByteWriter to = new ByteWriter().number(orphans.size());
     for (AbandonedJob one : orphans) {
@@ -18,6 +19,7 @@
     return to.packed();
   }
 
+  /** Fails with GARBLED where the bytes are not those of {@link #packed}. */
   public static List<AbandonedJob> unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
     int count = from.count();
--- a/batch/src/main/java/elmsail/batch/messages/BatchMessageTypes.java
+++ b/batch/src/main/java/elmsail/batch/messages/BatchMessageTypes.java
@@ -23,6 +23,7 @@
 
   private BatchMessageTypes() {}
 
+  /** A message of that kind. */
   public static OpaqueMessage note(String kind, byte[] bytes) {
     OpaqueMessage note = new OpaqueMessage();
     note.kind = kind;
--- a/batch/src/main/java/elmsail/batch/messages/ByteReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/ByteReader.java
@@ -10,10 +10,12 @@
   private final byte[] bytes;
   private int at;
 
+  /** Reads from the beginning of these bytes, which are not copied. */
   public ByteReader(byte[] bytes) {
     this.bytes = bytes;
   }
 
+  /** The next number; GARBLED where it takes over ten bytes. */
   public long number() {
     long value = 0;
     for (int shift = 0; shift < 64; shift += 7) {
@@ -35,21 +37,25 @@
     return (int) value;
   }
 
+  /** The next number as a flag: 0 is false. */
   public boolean flag() {
     return number() != 0;
   }
 
+  /** The next text. */
   public String text() {
     int length = count();
     return new String(bytes, need(length), length, StandardCharsets.UTF_8);
   }
 
+  /** The next bytes, in an array of their own. */
   public byte[] bytes() {
     int length = count();
     int from = need(length);
     return Arrays.copyOfRange(bytes, from, from + length);
   }
 
+  /** Whether bytes are left. */
   public boolean more() {
     return at < bytes.length;
   }
--- a/batch/src/main/java/elmsail/batch/messages/ByteWriter.java
+++ b/batch/src/main/java/elmsail/batch/messages/ByteWriter.java
@@ -23,14 +23,17 @@
     return this;
   }
 
+  /** A number: 1 for true, 0 for false. */
   public ByteWriter flag(boolean value) {
     return number(value ? 1 : 0);
   }
 
+  /** The length in bytes and the text in UTF-8. */
   public ByteWriter text(String value) {
     return bytes(value.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** The length and the bytes. */
   public ByteWriter bytes(byte[] value) {
     number(value.length);
     room(value.length);
@@ -39,6 +42,7 @@
     return this;
   }
 
+  /** All that was written so far, in an array of its own. */
   public byte[] packed() {
     return Arrays.copyOf(bytes, size);
   }
--- a/batch/src/main/java/elmsail/batch/messages/ContentDigest.java
+++ b/batch/src/main/java/elmsail/batch/messages/ContentDigest.java
@@ -9,6 +9,7 @@
 public final class ContentDigest {
   private ContentDigest() {}
 
+  /** The digest of these bytes. */
   public static long of(byte[] bytes) {
     long hash = 0xcbf29ce484222325L;
     for (byte one : bytes) {
@@ -19,6 +20,7 @@
     return hash ^ hash >>> 33;
   }
 
+  /** The digest of the text in UTF-8. */
   public static long of(String text) {
     return of(text.getBytes(StandardCharsets.UTF_8));
   }
--- a/batch/src/main/java/elmsail/batch/messages/HeartbeatMessage.java
+++ b/batch/src/main/java/elmsail/batch/messages/HeartbeatMessage.java
@@ -19,6 +19,7 @@
   /** One job that the gateway runs. */
   public record Run(String job, long term) {}
 
+  /** The bytes that {@link #unpacked} reads. */
   public byte[] packed() {
     ByteWriter to = new ByteWriter().text(door).number(runs.size());
     for (Run run : runs) {
@@ -27,6 +28,7 @@
     return to.packed();
   }
 
+  /** Fails with GARBLED where the bytes are not those of {@link #packed}. */
   public static HeartbeatMessage unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
     String door = from.text();
--- a/batch/src/main/java/elmsail/batch/messages/JobBody.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobBody.java
@@ -10,6 +10,7 @@
 public final class JobBody {
   private JobBody() {}
 
+  /** The bytes of these items, which {@link #unpacked} reads. */
   public static byte[] packed(List<BatchItem> pieces) {
     ByteWriter to = new ByteWriter().number(pieces.size());
     for (BatchItem piece : pieces) {
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -46,6 +46,7 @@
    * @param textBytes length of the text, 0 where undeliverable
    */
   public record Result(int index, boolean delivered, long term, int textBytes) {
+    /** The name under which the stores keep the text of this result. */
     public String textName() {
       return nameOf(index, term);
     }
@@ -56,10 +57,12 @@
     return "r-" + index + "-" + term;
   }
 
+  /** The key of the record of that job in the register. */
   public static String keyOf(String jobId) {
     return "lot/" + jobId;
   }
 
+  /** Whether every item has a result. */
   public boolean complete() {
     return results.size() >= items.size();
   }
@@ -69,6 +72,7 @@
     return !ended && !complete();
   }
 
+  /** The indexes of the items that have a result. */
   public BitSet listed() {
     BitSet listed = new BitSet(items.size());
     for (Result one : results) {
@@ -116,6 +120,7 @@
         Math.max(ageMs, age));
   }
 
+  /** The next version, in which the job was ended by its client. */
   public JobRecord endedNow() {
     return new JobRecord(
         version + 1,
@@ -133,6 +138,7 @@
         ageMs);
   }
 
+  /** The next version, run by that gateway under the next term. */
   public JobRecord runBy(String door, long age) {
     return new JobRecord(
         version + 1,
@@ -168,6 +174,7 @@
         ageMs);
   }
 
+  /** The bytes that {@link #unpacked} reads; the first number is the version of this format. */
   public byte[] packed() {
     ByteWriter to =
         new ByteWriter()
--- a/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
@@ -28,6 +28,10 @@
 
   private JobRequestReader() {}
 
+  /**
+   * The items of a submitted body. Fails with BAD_CALL, and the reason, where it is not as the
+   * protocol says.
+   */
   public static List<BatchItem> read(byte[] body) {
     try (JsonParser from = JSON.createParser(body)) {
       expect(from.nextToken() == JsonToken.START_OBJECT, "an object");
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -18,10 +18,12 @@
    * @param who drawn for this try, so that a withdrawal takes back no other's add
    */
   public record Add(String route, String job, long tokens, long who) {
+    /** The bytes that {@link #unpacked} reads. */
     public byte[] packed() {
       return new ByteWriter().text(route).text(job).number(tokens).number(who).packed();
     }
 
+    /** Fails with GARBLED where the bytes are not those of {@link #packed}. */
     public static Add unpacked(byte[] bytes) {
       ByteReader from = new ByteReader(bytes);
       return new Add(from.text(), from.text(), from.number(), from.number());
@@ -58,6 +60,7 @@
     return sum;
   }
 
+  /** The bytes that {@link #putAll} reads. */
   public byte[] packed() {
     ByteWriter to = new ByteWriter().number(jobs.size());
     for (Map.Entry<Long, long[]> one : jobs.entrySet()) {
--- a/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
+++ b/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
@@ -43,12 +43,17 @@
   private final JobRunner runner;
   private final Set<String> taking = new HashSet<>();
 
+  /** A monitor that does nothing before {@link #start}. */
   public FailoverMonitor(BatchContext tools, BatchJobClient store, JobRunner runner) {
     this.tools = tools;
     this.store = store;
     this.runner = runner;
   }
 
+  /**
+   * Begins both rounds, each after a time drawn about its period, so that gateways do not go in
+   * step.
+   */
   public void start() {
     tools.timers().after(tools.about(BEAT_MS), this::heartbeat);
     tools.timers().after(tools.about(LOOK_MS), this::look);
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -51,6 +51,7 @@
     this.letMs = tools.cancelMs() * 8 / 10;
   }
 
+  /** Sets where items are sent from now on; before this none is started. */
   public void setServers(ItemServers given) {
     servers = given;
     pumpSoon(0);
@@ -109,10 +110,12 @@
     pumpSoon(0);
   }
 
+  /** Whether this gateway runs the job at present. */
   public boolean runs(String id) {
     return jobs.containsKey(id);
   }
 
+  /** How many jobs this gateway runs at present. */
   public int size() {
     return jobs.size();
   }
--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -61,6 +61,7 @@
     answering.on(OpaqueMessage.class, this::answer);
   }
 
+  /** Answers a batch message of a gateway; NOT_SEATED while this replica has no vote. */
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!voting.getAsBoolean()) {
       return CompletableFuture.completedFuture(
--- a/config/src/main/java/elmsail/config/RoutingConfig.java
+++ b/config/src/main/java/elmsail/config/RoutingConfig.java
@@ -7,6 +7,7 @@
  * path.
  */
 public interface RoutingConfig {
+  /** The number of this version; a higher one is newer. */
   long edition();
 
   /**
@@ -15,10 +16,13 @@
    */
   Route find(String host, String path);
 
+  /** The route of that name, or null. */
   Route named(String name);
 
+  /** All services by their names. */
   Map<String, Service> services();
 
+  /** The limits that hold for every client connection. */
   ClientLimits limits();
 
   /** What a client may send: bytes of head and body, ms for the head, ms idle. */
--- a/config/src/main/java/elmsail/config/ServerList.java
+++ b/config/src/main/java/elmsail/config/ServerList.java
@@ -96,15 +96,15 @@
       return false;
     }
     for (int i = 0; i < one.size(); i++) {
-      ServerEntry a = one.get(i);
-      ServerEntry b = other.get(i);
-      if (a.coldLeftMs() > 0 != b.coldLeftMs() > 0
-          || a.closing() != b.closing()
-          || a.berths() != b.berths()
-          || !a.id().equals(b.id())
-          || !a.address().equals(b.address())
-          || !a.service().equals(b.service())
-          || !a.zone().equals(b.zone())) {
+      ServerEntry before = one.get(i);
+      ServerEntry after = other.get(i);
+      if (before.coldLeftMs() > 0 != after.coldLeftMs() > 0
+          || before.closing() != after.closing()
+          || before.berths() != after.berths()
+          || !before.id().equals(after.id())
+          || !before.address().equals(after.address())
+          || !before.service().equals(after.service())
+          || !before.zone().equals(after.zone())) {
         return false;
       }
     }
--- a/config/src/main/java/elmsail/config/watch/ClusterViews.java
+++ b/config/src/main/java/elmsail/config/watch/ClusterViews.java
@@ -20,9 +20,10 @@
     VoterSet merged = new VoterSet();
     int size = Math.max(mine.voters.size(), response.voters.size());
     for (int i = 0; i < size; i++) {
-      Voter a = i < mine.voters.size() ? mine.voters.get(i) : null;
-      Voter b = i < response.voters.size() ? response.voters.get(i) : null;
-      merged.voters.add(a == null || b != null && b.epoch > a.epoch ? b : a);
+      Voter ours = i < mine.voters.size() ? mine.voters.get(i) : null;
+      Voter theirs = i < response.voters.size() ? response.voters.get(i) : null;
+      merged.voters.add(
+          ours == null || theirs != null && theirs.epoch > ours.epoch ? theirs : ours);
     }
     return merged;
   }
@@ -54,10 +55,10 @@
     return true;
   }
 
-  private static boolean same(Voter a, Voter b) {
-    return a.epoch == b.epoch
-        && a.instanceId == b.instanceId
-        && a.address.equals(b.address)
-        && a.station.equals(b.station);
+  private static boolean same(Voter one, Voter other) {
+    return one.epoch == other.epoch
+        && one.instanceId == other.instanceId
+        && one.address.equals(other.address)
+        && one.station.equals(other.station);
   }
 }
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -34,6 +34,7 @@
 
   /** Told that this process shall claim a voter slot of the store set with an epoch. */
   public interface Claim {
+    /** Take over that slot of the store set under that epoch; may be repeated. */
     void join(int slot, int epoch);
   }
 
--- a/config/src/main/java/elmsail/config/watch/RendezvousHash.java
+++ b/config/src/main/java/elmsail/config/watch/RendezvousHash.java
@@ -11,11 +11,11 @@
   private RendezvousHash() {}
 
   /**
-   * The first {@code n} candidates (fewer if there are fewer) in the station's order; the
+   * The first {@code count} candidates (fewer if there are fewer) in the station's order; the
    * candidates' own order does not matter, and doubles count once. One that comes or goes displaces
    * at most one of a choice.
    */
-  public static List<String> choose(String station, List<String> candidates, int n) {
+  public static List<String> choose(String station, List<String> candidates, int count) {
     List<String> ranked = new ArrayList<>();
     List<Long> scores = new ArrayList<>();
     long own = hash(0, station);
@@ -31,7 +31,7 @@
       ranked.add(at, candidate);
       scores.add(at, score);
     }
-    return List.copyOf(ranked.subList(0, Math.max(0, Math.min(n, ranked.size()))));
+    return List.copyOf(ranked.subList(0, Math.max(0, Math.min(count, ranked.size()))));
   }
 
   private static boolean before(long score, String name, long otherScore, String other) {
@@ -40,12 +40,12 @@
 
   /** FNV-1a over the characters, then the finalizer of SplitMix64 to spread near names. */
   private static long hash(long seed, String text) {
-    long h = 0xcbf29ce484222325L ^ seed;
+    long hash = 0xcbf29ce484222325L ^ seed;
     for (int i = 0; i < text.length(); i++) {
-      h = (h ^ text.charAt(i)) * 0x100000001b3L;
+      hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
     }
-    h = (h ^ h >>> 30) * 0xbf58476d1ce4e5b9L;
-    h = (h ^ h >>> 27) * 0x94d049bb133111ebL;
-    return h ^ h >>> 31;
+    hash = (hash ^ hash >>> 30) * 0xbf58476d1ce4e5b9L;
+    hash = (hash ^ hash >>> 27) * 0x94d049bb133111ebL;
+    return hash ^ hash >>> 31;
   }
 }
--- a/config/src/main/java/elmsail/config/watch/UpdateSources.java
+++ b/config/src/main/java/elmsail/config/watch/UpdateSources.java
@@ -37,6 +37,10 @@
   private long viewVersion;
   private boolean releasing;
 
+  /**
+   * A publisher that knows no configuration yet; its view begins above any earlier process of this
+   * machine.
+   */
   public UpdateSources(Timers timers) {
     this.timers = timers;
     viewVersion = Math.max(1, timers.now());
--- a/config/src/test/java/elmsail/config/PlatformClientTest.java
+++ b/config/src/test/java/elmsail/config/PlatformClientTest.java
@@ -43,7 +43,8 @@
           .append("{\"id\":\"")
           .append(id)
           .append(
-              "\",\"postal_line\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"open_for_post\"}");
+              "\",\"postal_line\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+                  + "\"state\":\"open_for_post\"}");
     }
     return "{\"servers\":["
         + all
--- a/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
+++ b/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
@@ -184,7 +184,8 @@
         "\"postal_line\":\"huvo11a\",\"share\":90 | \"postal_line\":\"x\",\"share\":0 | [0].postal_line: ",
         "\"postal_line\":\"huvo11a\",\"tries\" | \"tries\" | routes[1].postal_line: is missing",
         "\"name\":\"huvo11a\"          | \"name\":\"other\" | the service huvo11a is not known",
-        "\"share_out\":[               | \"share_out\":[{\"share\":1}, | share_out[0].postal_line: is missing",
+        "\"share_out\":[               | \"share_out\":[{\"share\":1},"
+            + " | share_out[0].postal_line: is missing",
         "\"share\":90                  | \"share\":-1 | routes[0].share_out[0].share: is below 0",
         "\"share\":90                  | \"share\":\"90\" | share: is not a number",
         "\"give_up_ms\":2000           | \"give_up_ms\":0 | routes[0].give_up_ms: is 0",
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -49,6 +49,7 @@
     return true;
   }
 
+  /** Whether both are the same holder of a slot: instance, epoch, address and station. */
   public static boolean same(Voter one, Voter other) {
     return one.epoch == other.epoch
         && one.instanceId == other.instanceId
--- a/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
+++ b/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
@@ -131,7 +131,9 @@
     }
   }
 
-  private static int compare(Ballot a, Ballot b) {
-    return a.round != b.round ? Long.compare(a.round, b.round) : Long.compare(a.who, b.who);
+  private static int compare(Ballot one, Ballot other) {
+    return one.round != other.round
+        ? Long.compare(one.round, other.round)
+        : Long.compare(one.who, other.who);
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/Replies.java
+++ b/controlplane/src/main/java/elmsail/controlplane/Replies.java
@@ -23,11 +23,11 @@
   static HttpReply why(int status, String detail) {
     StringBuilder text = new StringBuilder("{\"why\":\"");
     for (int i = 0; i < detail.length(); i++) {
-      char c = detail.charAt(i);
-      if (c == '"' || c == '\\') {
-        text.append('\\').append(c);
+      char letter = detail.charAt(i);
+      if (letter == '"' || letter == '\\') {
+        text.append('\\').append(letter);
       } else {
-        text.append(c < ' ' ? ' ' : c);
+        text.append(letter < ' ' ? ' ' : letter);
       }
     }
     return json(status, text.append("\"}").toString());
--- a/controlplane/src/test/java/elmsail/controlplane/ControlPlaneNodeTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneNodeTest.java
@@ -190,7 +190,8 @@
     world.gateway("c1");
     world.carrierSays =
         "{\"servers\":[{\"postal_line\":\"p\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\","
-            + "\"edition\":\"v1\",\"berths\":4,\"state\":\"open_for_post\",\"cold_left_ms\":0,\"id\":\"i-1\"}],"
+            + "\"edition\":\"v1\",\"berths\":4,\"state\":\"open_for_post\","
+            + "\"cold_left_ms\":0,\"id\":\"i-1\"}],"
             + "\"next_token\":null}";
     assertThat(world.until(3_000, () -> world.gateways.get("c1").servers().size() == 1), is(true));
     world.timers.pass(5_000);
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -122,6 +122,7 @@
     return items;
   }
 
+  /** What has happened to requests since the start. */
   public RequestCounters counters() {
     return counters;
   }
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -88,7 +88,8 @@
                     Unpooled.copiedBuffer(
                         "POST /drill/1 HTTP/1.1\r\nHost: "
                             + HOST
-                            + "\r\nElmsail-Request-Id: d1\r\nElmsail-Deadline-Ms: 2000\r\nElmsail-Tokens: 30,4\r\n"
+                            + "\r\nElmsail-Request-Id: d1\r\nElmsail-Deadline-Ms: 2000\r\n"
+                            + "Elmsail-Tokens: 30,4\r\n"
                             + "Elmsail-Prompt-Prefix: a1:10,b2:10,c3:10\r\nConnection: close\r\n"
                             + "Content-Length: 4\r\n\r\nbody",
                         StandardCharsets.US_ASCII));
--- a/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -39,10 +39,12 @@
 
   private final long[] counts = new long[ALL.length];
 
+  /** Counts one more of these. */
   public void count(Event what) {
     counts[what.ordinal()]++;
   }
 
+  /** How many of these were counted since the start. */
   public long of(Event what) {
     return counts[what.ordinal()];
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
@@ -75,13 +75,13 @@
     boolean lineBegun = false;
     int to = in.writerIndex();
     for (int i = in.readerIndex(); i < to; i++) {
-      byte b = in.getByte(i);
-      if (b != '\n' && b != '\r') {
+      byte letter = in.getByte(i);
+      if (letter != '\n' && letter != '\r') {
         lineBegun = true;
         continue;
       }
       int next = i + 1;
-      if (b == '\r') {
+      if (letter == '\r') {
         if (next == to) {
           return -1; // a line feed may follow
         }
@@ -129,11 +129,11 @@
   }
 
   private static int lineEnd(ByteBuf raw, int from) {
-    int i = from;
-    while (i < raw.writerIndex() && raw.getByte(i) != '\n' && raw.getByte(i) != '\r') {
-      i++;
+    int at = from;
+    while (at < raw.writerIndex() && raw.getByte(at) != '\n' && raw.getByte(at) != '\r') {
+      at++;
     }
-    return i;
+    return at;
   }
 
   /** The {@code data} lines of an event, joined by line feeds; null where it has none. */
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -20,6 +20,7 @@
 
   private final RequestProgress course;
 
+  /** Sends items by the same servers and counters as plain requests. */
   public ItemDispatcher(RequestProgress course) {
     this.course = course;
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
@@ -19,10 +19,12 @@
     this.passed = passed;
   }
 
+  /** Whether the server may have run the request, so that an unsafe one must not be sent again. */
   public boolean mayHaveRun() {
     return mayHaveRun;
   }
 
+  /** Whether an answer of the server is passed on. */
   public boolean passed() {
     return passed;
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -24,6 +24,7 @@
   private final RequestProgress course;
   private final BatchCalls jobs;
 
+  /** Passes batch calls to {@code jobs} and forwards all others. */
   public RequestDispatcher(RequestProgress course, BatchCalls jobs) {
     this.course = course;
     this.jobs = jobs;
--- a/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
@@ -25,6 +25,7 @@
     this.since = since;
   }
 
+  /** The server that it was sent to. */
   public Server server() {
     return server;
   }
@@ -56,8 +57,8 @@
     return paused;
   }
 
-  void on(Channel c) {
-    channel = c;
+  void on(Channel open) {
+    channel = open;
   }
 
   void sending() {
--- a/gateway/src/main/java/elmsail/gateway/servers/OutgoingRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/OutgoingRequest.java
@@ -7,6 +7,7 @@
   /** Its {@code Elmsail-Request-Id}. */
   String id();
 
+  /** The prompt, by which a server with a warm prefix is preferred. */
   Prompt prompt();
 
   /** Whether it is an item of a job. */
--- a/gateway/src/main/java/elmsail/gateway/servers/Prompt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Prompt.java
@@ -64,10 +64,10 @@
     return sum;
   }
 
-  static long mix(long x) {
-    long z = (x ^ x >>> 30) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-    return z ^ z >>> 31;
+  static long mix(long value) {
+    long mixed = (value ^ value >>> 30) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
+    return mixed ^ mixed >>> 31;
   }
 
   private static int end(String text, int from, char what) {
--- a/gateway/src/main/java/elmsail/gateway/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -73,10 +73,12 @@
     memory = new PrefixMemory(kvTokens);
   }
 
+  /** Its entry in the list in force. */
   public ServerEntry entry() {
     return entry;
   }
 
+  /** Its id in the list. */
   public String id() {
     return entry.id();
   }
@@ -108,10 +110,12 @@
     return new ArrayList<>(tries);
   }
 
+  /** How many attempts are open at it, items of batch jobs included. */
   public int open() {
     return tries.size();
   }
 
+  /** How many of the open attempts are items of batch jobs. */
   public int items() {
     return items;
   }
@@ -141,8 +145,8 @@
   }
 
   private static int anew(Attempt one) {
-    Prompt p = one.out().prompt();
-    return p.total() - p.sharedTokens();
+    Prompt prompt = one.out().prompt();
+    return prompt.total() - prompt.sharedTokens();
   }
 
   /** An answer of it began: it lives. */
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
@@ -83,7 +83,7 @@
     return channel.isActive()
         && !decoder.inside()
         && fresh(now)
-        && (!(channel instanceof QuietSocketChannel c) || c.quiet());
+        && (!(channel instanceof QuietSocketChannel quiet) || quiet.quiet());
   }
 
   void close() {
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerSelector.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerSelector.java
@@ -50,23 +50,24 @@
   private ServerSelector() {}
 
   /** The estimated ms until the request's first token, with what it takes from others. */
-  public static double cost(View v, int promptTokens) {
-    double held = Math.max(v.knownTokens(), v.homeTokens() * HOME_SHARE);
+  public static double cost(View view, int promptTokens) {
+    double held = Math.max(view.knownTokens(), view.homeTokens() * HOME_SHARE);
     double anew = Math.max(0, promptTokens - held);
-    double cost = anew / TOKENS_PER_MS + waitMs(v) + v.running() * RUNNING_MS;
-    double full = v.berths() * NEARLY_FULL;
-    if (v.berths() > 0 && v.running() + v.waiting() > full) {
-      cost += FULL_MS * Math.min(2, (v.running() + v.waiting() - full) / (v.berths() - full));
+    double cost = anew / TOKENS_PER_MS + waitMs(view) + view.running() * RUNNING_MS;
+    double full = view.berths() * NEARLY_FULL;
+    if (view.berths() > 0 && view.running() + view.waiting() > full) {
+      cost +=
+          FULL_MS * Math.min(2, (view.running() + view.waiting() - full) / (view.berths() - full));
     }
-    cost += v.sameZone() ? 0 : OTHER_ZONE_MS;
-    return v.avoided() ? cost + AVOIDED_MS : cost;
+    cost += view.sameZone() ? 0 : OTHER_ZONE_MS;
+    return view.avoided() ? cost + AVOIDED_MS : cost;
   }
 
   /**
    * The estimated ms until what waits there is read; those of this gateway may be among those told.
    */
-  public static double waitMs(View v) {
-    return Math.max(v.readingTokens() / TOKENS_PER_MS, v.waiting() * WAITING_MS);
+  public static double waitMs(View view) {
+    return Math.max(view.readingTokens() / TOKENS_PER_MS, view.waiting() * WAITING_MS);
   }
 
   /**
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -54,6 +54,7 @@
   private int turn;
   private boolean stopped;
 
+  /** The servers of the list that {@code known} has; connections run on {@code loop}. */
   public Servers(
       Timers timers,
       EventLoop loop,
--- a/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
+++ b/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
@@ -88,7 +88,8 @@
             .write(
                 "POST /unsafe/ HTTP/1.1\r\nHost: "
                     + FakeKnown.HOST
-                    + "\r\nElmsail-Request-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+                    + "\r\nElmsail-Request-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     Wire server = rig.first.accept();
     Message asked = server.message();
     assertThat(asked.body(), is("abcde"));
--- a/rpc/src/main/java/elmsail/rpc/Codec.java
+++ b/rpc/src/main/java/elmsail/rpc/Codec.java
@@ -64,11 +64,13 @@
     ByteArrayOutputStream out = new ByteArrayOutputStream(BUFFER_BYTES);
     write(number, message, out);
     byte[] bytes = out.toByteArray();
+    // What is read has the number, and so the class, of what was written.
     @SuppressWarnings("unchecked")
     T copy = (T) read(number, bytes, 0, bytes.length);
     return copy;
   }
 
+  // The runtime schema takes and makes plain objects of the class it was made for.
   @SuppressWarnings("unchecked")
   private Schema<Object> schema(int number) {
     Class<?> type = MessageTypes.type(number);
--- a/rpc/src/main/java/elmsail/rpc/HandlerTable.java
+++ b/rpc/src/main/java/elmsail/rpc/HandlerTable.java
@@ -26,6 +26,7 @@
 
   /** Never throws; fails with FAULT if nothing was put here for the ask, or its handler threw. */
   public CompletionStage<Object> handle(Object request) {
+    // Each handler was registered under the class that it takes.
     @SuppressWarnings("unchecked")
     Function<Object, CompletionStage<Object>> handler =
         (Function<Object, CompletionStage<Object>>) handlers.get(request.getClass());
--- a/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
@@ -67,6 +67,7 @@
     this.connector = new Connector(loop, timers, codec, counts, owner, this::watchSoon);
   }
 
+  /** What has happened on the connections of this endpoint since its start. */
   public RpcCounters counts() {
     return counts;
   }
@@ -137,6 +138,7 @@
         failSoon(call, e.code(), "not a message that can be sent");
       }
     }
+    // The future is completed with objects of the class asked for alone: PendingCall checks it.
     @SuppressWarnings("unchecked")
     CompletableFuture<A> future = (CompletableFuture<A>) call.future;
     return future;
--- a/runtime/src/main/java/elmsail/runtime/Addresses.java
+++ b/runtime/src/main/java/elmsail/runtime/Addresses.java
@@ -14,6 +14,7 @@
     return ip(text) != null;
   }
 
+  /** Whether the text is {@code ip:port} with a port of 0 to 65535. */
   public static boolean isAddress(String text) {
     int colon = text.indexOf(':');
     return colon > 0 && isIp(text.substring(0, colon)) && port(text, colon + 1) >= 0;
@@ -41,15 +42,15 @@
     int part = 0;
     int value = -1;
     for (int i = 0; i <= text.length(); i++) {
-      char c = i < text.length() ? text.charAt(i) : '.';
-      if (c == '.') {
+      char digit = i < text.length() ? text.charAt(i) : '.';
+      if (digit == '.') {
         if (value < 0 || part == 4) {
           return null;
         }
         ip[part++] = (byte) value;
         value = -1;
-      } else if (c >= '0' && c <= '9') {
-        value = Math.max(value, 0) * 10 + c - '0';
+      } else if (digit >= '0' && digit <= '9') {
+        value = Math.max(value, 0) * 10 + digit - '0';
         if (value > 255) {
           return null;
         }
@@ -64,11 +65,11 @@
   private static int port(String text, int from) {
     int port = from < text.length() ? 0 : -1;
     for (int i = from; i < text.length(); i++) {
-      char c = text.charAt(i);
-      if (c < '0' || c > '9' || port > 65_535) {
+      char digit = text.charAt(i);
+      if (digit < '0' || digit > '9' || port > 65_535) {
         return -1;
       }
-      port = port * 10 + c - '0';
+      port = port * 10 + digit - '0';
     }
     return port > 65_535 ? -1 : port;
   }
--- a/runtime/src/main/java/elmsail/runtime/Counters.java
+++ b/runtime/src/main/java/elmsail/runtime/Counters.java
@@ -21,6 +21,7 @@
 
     private GatewayProcess() {}
 
+    /** Adds to the value; {@code more} may be negative. */
     public void add(long more) {
       value += more;
     }
@@ -30,6 +31,7 @@
       value = now;
     }
 
+    /** The present value. */
     public long value() {
       return value;
     }
@@ -38,11 +40,13 @@
   private final Timers timers;
   private final Map<String, GatewayProcess> counters = new LinkedHashMap<>();
 
+  /** Counters without names yet; the first line is logged 10 s from now on these timers. */
   public Counters(Timers timers) {
     this.timers = timers;
     timers.after(EVERY_MS, this::tell);
   }
 
+  /** The counter of that name, made at 0 where there is none. */
   public GatewayProcess of(String name) {
     GatewayProcess counter = counters.get(name);
     if (counter == null) {
--- a/runtime/src/main/java/elmsail/runtime/ElmsailException.java
+++ b/runtime/src/main/java/elmsail/runtime/ElmsailException.java
@@ -6,15 +6,20 @@
 
   private final ErrorCode code;
 
+  /** A failure without a cause of its own; the message is the code, a colon and {@code detail}. */
   public ElmsailException(ErrorCode code, String detail) {
     this(code, detail, null);
   }
 
+  /**
+   * A failure with its cause. Only a FAULT has a stack trace: the other codes are ordinary events.
+   */
   public ElmsailException(ErrorCode code, String detail, Throwable cause) {
     super(code + ": " + detail, cause, true, code == ErrorCode.FAULT);
     this.code = code;
   }
 
+  /** What kind of failure it is; callers decide by this alone. */
   public ErrorCode code() {
     return code;
   }
@@ -22,8 +27,8 @@
   /** The code of whatever was thrown, wrapped by futures or not. */
   public static ErrorCode codeOf(Throwable thrown) {
     for (Throwable t = thrown; t != null; t = t.getCause()) {
-      if (t instanceof ElmsailException e) {
-        return e.code;
+      if (t instanceof ElmsailException failure) {
+        return failure.code;
       }
     }
     return ErrorCode.FAULT;
--- a/runtime/src/main/java/elmsail/runtime/SteadyClock.java
+++ b/runtime/src/main/java/elmsail/runtime/SteadyClock.java
@@ -5,5 +5,6 @@
 public interface SteadyClock {
   SteadyClock SYSTEM = () -> System.nanoTime() / 1_000_000;
 
+  /** The present time in ms; it never goes back, also where the system clock is set. */
   long now();
 }
--- a/runtime/src/main/java/elmsail/runtime/Timers.java
+++ b/runtime/src/main/java/elmsail/runtime/Timers.java
@@ -13,6 +13,7 @@
 
   /** A timer that was set. */
   interface Timer {
+    /** Keeps it from running; without effect once it has run or was cancelled. */
     void cancel();
   }
 }
--- a/runtime/src/main/java/elmsail/runtime/http/NettyHttpClient.java
+++ b/runtime/src/main/java/elmsail/runtime/http/NettyHttpClient.java
@@ -39,6 +39,7 @@
 
   private final NettyLoop loop;
 
+  /** A client whose connections all run on that loop. */
   public NettyHttpClient(NettyLoop loop) {
     this.loop = loop;
   }
@@ -100,8 +101,8 @@
     Asked(String address, String pathAndQuery) {
       this.address = address;
       for (int i = 0; i < pathAndQuery.length(); i++) {
-        char c = pathAndQuery.charAt(i);
-        if (c <= ' ' || c > '~') {
+        char letter = pathAndQuery.charAt(i);
+        if (letter <= ' ' || letter > '~') {
           throw new ElmsailException(ErrorCode.BAD_CALL, "not a path: " + pathAndQuery);
         }
       }
--- a/simulation/src/main/java/elmsail/simulation/Node.java
+++ b/simulation/src/main/java/elmsail/simulation/Node.java
@@ -36,22 +36,27 @@
     this.base = base;
   }
 
+  /** Where the process answers, {@code ip:port}. */
   public String address() {
     return address;
   }
 
+  /** Whether the process has not been killed. */
   public boolean alive() {
     return !dead;
   }
 
+  /** Whether its messages and timers are held at present. */
   public boolean frozen() {
     return frozen;
   }
 
+  /** What the process calls others by. */
   public Caller caller() {
     return this;
   }
 
+  /** Where the process registers what it answers. */
   public RequestHandlers answering() {
     return answers;
   }
--- a/simulation/src/main/java/elmsail/simulation/SimDisk.java
+++ b/simulation/src/main/java/elmsail/simulation/SimDisk.java
@@ -50,6 +50,7 @@
   private long instanceId;
   private long syncs;
 
+  /** An empty disk without faults whose choices are drawn from the seed. */
   public SimDisk(long seed, ManualTimers timers) {
     this.random = new Random(seed);
     this.timers = timers;
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -12,33 +12,28 @@
 
 /**
  * A network of processes in one test, all of it from one seed and on one clock that is moved by
- * hand. Faults are of directed links: what goes from one address to another, asks and answers
- * alike. Messages may overtake each other. All are copied through the codec, so nothing is shared.
+ * hand. Faults are of directed links: requests and responses of one address to another alike.
+ * Messages may overtake each other. All are copied through the codec, so nothing is shared.
  */
 public final class SimNet {
 
   /** Ms until a call to a machine without power fails, as its connection does not come about. */
   public static final long CONNECT_WITHIN = 700;
 
-  private record ProcessSignals(String from, String to) {}
-
   private final Random random;
   private final ManualTimers timers;
   private final Codec codec = new Codec();
   private final Map<String, Node> nodes = new LinkedHashMap<>();
-  private final Map<ProcessSignals, SimPath> ways = new LinkedHashMap<>();
+  private final SimLinks links = new SimLinks();
+  private final RunRecord record = new RunRecord();
 
   /** Addresses of processes that died without a word. */
   private final Map<String, Boolean> dark = new LinkedHashMap<>();
 
-  private long leastMs = 1;
-  private long mostMs = 5;
-  private double loss;
   private long sent;
   private long lost;
-  private long digest;
-  private final List<Throwable> faults = new ArrayList<>();
 
+  /** A network without processes, with 1 to 5 ms one way and no faults. */
   public SimNet(long seed, ManualTimers timers) {
     this.random = new Random(seed);
     this.timers = timers;
@@ -67,34 +62,30 @@
 
   /** Ms one way, drawn for each message, for all links that have not their own. */
   public void delay(long least, long most) {
-    leastMs = least;
-    mostMs = most;
-    for (SimPath way : ways.values()) {
-      way.delay(least, most);
-    }
+    links.delay(least, most);
   }
 
+  /** Ms one way, drawn for each message of this direction. */
   public void delay(String from, String to, long least, long most) {
-    way(from, to).delay(least, most);
+    links.link(from, to).delay(least, most);
   }
 
   /** The part of messages, 0 to 1, that vanish on all links. */
   public void loss(double part) {
-    loss = part;
-    for (SimPath way : ways.values()) {
-      way.loss = part;
-    }
+    links.loss(part);
   }
 
+  /** The part of messages, 0 to 1, that vanish in this direction. */
   public void loss(String from, String to, double part) {
-    way(from, to).loss = part;
+    links.link(from, to).loss = part;
   }
 
   /** Messages that way vanish, also those under way. */
   public void cut(String from, String to) {
-    way(from, to).fault = SimPath.Fault.CUT;
+    links.link(from, to).fault = SimPath.Fault.CUT;
   }
 
+  /** Messages of both directions vanish, also those under way. */
   public void cutBoth(String one, String other) {
     cut(one, other);
     cut(other, one);
@@ -114,7 +105,7 @@
    * drawn.
    */
   public void reset(String from, String to) {
-    way(from, to).fault = SimPath.Fault.RESET;
+    links.link(from, to).fault = SimPath.Fault.RESET;
     breakOpen(from, to);
   }
 
@@ -125,26 +116,26 @@
 
   /** Calls that way fail UNSENT at once; open ones go on. */
   public void refuse(String from, String to) {
-    way(from, to).fault = SimPath.Fault.REFUSE;
+    links.link(from, to).fault = SimPath.Fault.REFUSE;
   }
 
-  /** ProcessSignals a cut, reset or refusal; delay and loss stay. */
+  /** Ends a cut, reset or refusal; delay and loss stay. */
   public void heal(String from, String to) {
-    way(from, to).fault = SimPath.Fault.NONE;
+    links.link(from, to).fault = SimPath.Fault.NONE;
   }
 
+  /** Ends the faults of both directions. */
   public void healBoth(String one, String other) {
     heal(one, other);
     heal(other, one);
   }
 
+  /** Ends every cut, reset and refusal; delays and losses stay. */
   public void healAll() {
-    for (SimPath way : ways.values()) {
-      way.fault = SimPath.Fault.NONE;
-    }
+    links.heal();
   }
 
-  /** Kills the process; whether those who called it are told is drawn. */
+  /** Kills the process; whether its callers see the connection end is drawn. */
   public void kill(String address) {
     kill(address, random.nextBoolean());
   }
@@ -152,24 +143,25 @@
   /**
    * Kills the process: nothing of it runs any more, and its messages under way are lost or not.
    *
-   * @param response true: open calls to it break, later ones are UNSENT at once (the process died);
+   * @param seen true: open calls to it break, later ones are UNSENT at once (the process died);
    *     false: open ones are SILENT, later ones UNSENT after {@link #CONNECT_WITHIN} (the machine
    *     lost its power)
    */
-  public void kill(String address, boolean response) {
+  public void kill(String address, boolean seen) {
     Node node = nodes.remove(address);
     if (node == null) {
       return;
     }
     node.die();
-    dark.put(address, !response);
-    if (response) {
+    dark.put(address, !seen);
+    if (seen) {
       for (Node other : new ArrayList<>(nodes.values())) {
         breakOpen(other.address(), address);
       }
     }
   }
 
+  /** Holds the messages and timers of the process from now on; its clock goes on. */
   public void freeze(String address) {
     nodes.get(address).freeze();
   }
@@ -179,27 +171,30 @@
     nodes.get(address).thaw();
   }
 
+  /** How many messages were sent, those that were lost included. */
   public long sent() {
     return sent;
   }
 
+  /** How many messages vanished by loss or by a cut. */
   public long lost() {
     return lost;
   }
 
   /** What handlers failed with that is no {@link ElmsailException}: a good run has none. */
   public List<Throwable> faults() {
-    return faults;
+    return record.faults();
   }
 
   /** Of all that was sent, when, and to whom: equal for two runs that went alike. */
   public long digest() {
-    return digest;
+    return record.digest();
   }
 
   <A> CompletableFuture<A> call(
       Node from, String to, Object request, Class<A> answer, long timeoutMs) {
     SimCall call = new SimCall(from, to, answer);
+    // The future is completed with objects of this class alone: SimCall checks each answer.
     @SuppressWarnings("unchecked")
     CompletableFuture<A> future = (CompletableFuture<A>) call.future;
     if (!from.alive()) {
@@ -224,20 +219,20 @@
 
   private void send(SimCall call, Object request) {
     Node from = call.from;
-    SimPath way = way(from.address(), call.to);
+    SimPath link = links.link(from.address(), call.to);
     Node target = nodes.get(call.to);
-    note(from.address(), call.to, request);
-    if (way.fault == SimPath.Fault.REFUSE) {
+    record.sent(from.address(), call.to, request, timers.now());
+    if (link.fault == SimPath.Fault.REFUSE) {
       from.timers().soon(() -> call.fail(ErrorCode.UNSENT));
-    } else if (way.fault == SimPath.Fault.RESET) {
+    } else if (link.fault == SimPath.Fault.RESET) {
       from.timers().soon(() -> call.fail(ErrorCode.BROKEN));
       if (random.nextBoolean()) {
         carry(from.address(), call.to, () -> arrive(call, target, request));
       }
-    } else if (way.fault == SimPath.Fault.NONE && target == null) {
+    } else if (link.fault == SimPath.Fault.NONE && target == null) {
       boolean silent = dark.getOrDefault(call.to, false);
       from.timers()
-          .after(silent ? CONNECT_WITHIN : way.draw(random), () -> call.fail(ErrorCode.UNSENT));
+          .after(silent ? CONNECT_WITHIN : link.draw(random), () -> call.fail(ErrorCode.UNSENT));
     } else {
       carry(from.address(), call.to, () -> arrive(call, target, request));
     }
@@ -270,7 +265,7 @@
               Object copy = null;
               if (thrown != null) {
                 code = ElmsailException.codeOf(thrown);
-                keepFault(thrown);
+                record.failed(thrown);
               } else {
                 try {
                   copy = codec.copy(answer);
@@ -282,16 +277,6 @@
             });
   }
 
-  private void keepFault(Throwable thrown) {
-    Throwable cause = thrown;
-    while (cause != null && !(cause instanceof ElmsailException)) {
-      cause = cause.getCause();
-    }
-    if (cause == null) {
-      faults.add(thrown);
-    }
-  }
-
   private void answer(SimCall call, Node target, Object answer, ErrorCode code) {
     Runnable end =
         () -> {
@@ -304,24 +289,24 @@
     if (call.from == target) {
       target.timers().soon(end);
     } else {
-      note(target.address(), call.from.address(), answer);
+      record.sent(target.address(), call.from.address(), answer, timers.now());
       carry(target.address(), call.from.address(), () -> call.from.deliver(end));
     }
   }
 
   private void carry(String from, String to, Runnable arrival) {
-    SimPath way = way(from, to);
+    SimPath link = links.link(from, to);
     sent++;
-    boolean vanishes = random.nextDouble() < way.loss;
-    long ms = way.draw(random);
-    if (vanishes || way.fault == SimPath.Fault.CUT) {
+    boolean vanishes = random.nextDouble() < link.loss;
+    long ms = link.draw(random);
+    if (vanishes || link.fault == SimPath.Fault.CUT) {
       lost++;
       return;
     }
     timers.after(
         ms,
         () -> {
-          if (way.fault == SimPath.Fault.CUT) {
+          if (link.fault == SimPath.Fault.CUT) {
             lost++;
           } else {
             arrival.run();
@@ -340,21 +325,4 @@
       }
     }
   }
-
-  private SimPath way(String from, String to) {
-    return ways.computeIfAbsent(
-        new ProcessSignals(from, to),
-        ends -> {
-          SimPath way = new SimPath();
-          way.delay(leastMs, mostMs);
-          way.loss = loss;
-          return way;
-        });
-  }
-
-  private void note(String from, String to, Object message) {
-    String type = message == null ? "" : message.getClass().getSimpleName();
-    digest = digest * 31 + (from + to + type).hashCode();
-    digest = digest * 31 + timers.now();
-  }
 }
--- a/storage/src/main/java/elmsail/storage/DiskWorker.java
+++ b/storage/src/main/java/elmsail/storage/DiskWorker.java
@@ -93,16 +93,16 @@
         folder.write(
             records.nextSeq(),
             to -> {
-              int i = 0;
+              int next = 0;
               for (PendingWrite.Item item : newest.values()) {
-                at[i++] = to.record(item.utf(), item.seq(), item.bytes());
+                at[next++] = to.record(item.utf(), item.seq(), item.bytes());
               }
             });
     synchronized (lock) {
       index.fileIsSafe(file);
-      int i = 0;
+      int next = 0;
       for (PendingWrite.Item item : newest.values()) {
-        land(item, file, at[i++]);
+        land(item, file, at[next++]);
       }
       index.folderIsSynced();
       for (PendingWrite.Item item : newest.values()) {
--- a/storage/src/main/java/elmsail/storage/Files.java
+++ b/storage/src/main/java/elmsail/storage/Files.java
@@ -17,6 +17,7 @@
   /** An empty file, open for appending; one of that name is emptied. */
   Appender create(Path file) throws IOException;
 
+  /** Gives the file its new name in one step; a file of that name is replaced. */
   void rename(Path from, Path to) throws IOException;
 
   /** Also when there is no such file. */
@@ -31,12 +32,15 @@
    */
   int read(Path file, long at, byte[] to, int from, int length) throws IOException;
 
+  /** The bytes of the file. */
   long size(Path file) throws IOException;
 
   /** A file that is being written. */
   interface Appender extends Closeable {
+    /** Adds the bytes at the end; they may be lost with the power until {@link #sync}. */
     void append(byte[] bytes, int from, int length) throws IOException;
 
+    /** Returns when all that was appended is on the disk. */
     void sync() throws IOException;
   }
 }
--- a/storage/src/main/java/elmsail/storage/RecordStore.java
+++ b/storage/src/main/java/elmsail/storage/RecordStore.java
@@ -44,6 +44,7 @@
   /** Names that begin so, in order. */
   Iterable<String> names(String prefix);
 
+  /** The bytes of all version files in the folder. */
   long bytesOnDisk();
 
   @Override
--- a/storage/src/main/java/elmsail/storage/StorageDirectory.java
+++ b/storage/src/main/java/elmsail/storage/StorageDirectory.java
@@ -150,9 +150,9 @@
 
   private long[] voidVersions() {
     long[] all = new long[voids.size()];
-    int i = 0;
+    int next = 0;
     for (long version : voids) {
-      all[i++] = version;
+      all[next++] = version;
     }
     return all;
   }
