--- a/app/src/main/java/elmsail/app/ControlPlaneProcess.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneProcess.java
@@ -51,7 +51,8 @@
 
   @Override
   public void changed(Settings settings) {
-    LOG.info("settings have changed; what a running notary needs of them stays as it was");
+    LOG.info(
+        "settings have changed; what a running control-plane node needs of them stays as it was");
   }
 
   @Override
--- a/app/src/main/java/elmsail/app/DataDirectoryReport.java
+++ b/app/src/main/java/elmsail/app/DataDirectoryReport.java
@@ -93,7 +93,7 @@
 
   void print(PrintStream out) {
     out.println(
-        "life "
+        "instance "
             + Long.toHexString(instanceId)
             + ", "
             + files
@@ -108,20 +108,20 @@
               + set.set()
               + ": "
               + (set.ownSlot() < 0
-                  ? "holds no seat"
-                  : "seat " + set.ownSlot() + (set.votes() ? ", votes" : ", does not vote")));
+                  ? "holds no slot"
+                  : "slot " + set.ownSlot() + (set.votes() ? ", votes" : ", does not vote")));
       for (int i = 0; i < set.voterSet().voters.size(); i++) {
         Voter slot = set.voterSet().voters.get(i);
         out.println(
-            "  seat "
+            "  slot "
                 + i
                 + ": "
                 + slot.address
                 + " "
                 + slot.station
-                + ", life "
+                + ", instance "
                 + Long.toHexString(slot.instanceId)
-                + ", incarnation "
+                + ", epoch "
                 + slot.epoch);
       }
       for (RestoredReplica.Key key : set.keys()) {
@@ -144,7 +144,7 @@
 
   void write(JsonGenerator json) throws IOException {
     json.writeStartObject();
-    json.writeStringField("life", Long.toHexString(instanceId));
+    json.writeStringField("instance_id", Long.toHexString(instanceId));
     json.writeNumberField("files", files);
     json.writeNumberField("bytes", bytes);
     json.writeNumberField("records", records);
@@ -152,16 +152,16 @@
     for (RestoredReplica set : sets) {
       json.writeStartObject();
       json.writeStringField("set", set.set());
-      json.writeNumberField("own_seat", set.ownSlot());
+      json.writeNumberField("own_slot", set.ownSlot());
       json.writeNumberField("caught_up", set.caughtUp());
       json.writeBooleanField("votes", set.votes());
-      json.writeArrayFieldStart("seats");
+      json.writeArrayFieldStart("voters");
       for (Voter slot : set.voterSet().voters) {
         json.writeStartObject();
         json.writeStringField("address", slot.address);
         json.writeStringField("station", slot.station);
-        json.writeStringField("life", Long.toHexString(slot.instanceId));
-        json.writeNumberField("incarnation", slot.epoch);
+        json.writeStringField("instance_id", Long.toHexString(slot.instanceId));
+        json.writeNumberField("epoch", slot.epoch);
         json.writeEndObject();
       }
       json.writeEndArray();
--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -80,7 +80,7 @@
 
   @Override
   public void changed(Settings settings) {
-    LOG.info("settings have changed; what a running clerk needs of them stays as it was");
+    LOG.info("settings have changed; what a running gateway needs of them stays as it was");
   }
 
   @Override
@@ -105,30 +105,24 @@
             });
   }
 
-  /**
-   * The stores' voter slots: what the control-plane nodes and the stores themselves told, the newer
-   * of each.
-   */
+  /** The stores' voters: what control-plane nodes and the stores themselves answered. */
   private static final class StoreVoters implements VoterSetSource {
     private final ConfigWatcher known;
-    private VoterSet response = new VoterSet();
+    private VoterSet learned = new VoterSet();
 
     StoreVoters(ConfigWatcher known) {
       this.known = known;
     }
 
     @Override
-    public VoterSet of() {
-      VoterSet view = known.view().storeSet;
-      if (VoterSets.newer(view, response)) {
-        response = VoterSets.merge(response, view);
-      }
-      return response;
+    public VoterSet current() {
+      learned = VoterSets.merge(learned, known.view().storeSet);
+      return learned;
     }
 
     @Override
-    public void response(VoterSet newer) {
-      response = VoterSets.merge(response, newer);
+    public void learn(VoterSet newer) {
+      learned = VoterSets.merge(learned, newer);
     }
   }
 }
--- a/app/src/test/java/elmsail/app/CheckMainTest.java
+++ b/app/src/test/java/elmsail/app/CheckMainTest.java
@@ -65,7 +65,7 @@
         .run(args);
   }
 
-  private String response() {
+  private String printed() {
     return out.toString(StandardCharsets.UTF_8);
   }
 
@@ -78,7 +78,7 @@
     assertThat(run("--timetable", file(GOOD)), is(Launch.DONE));
     assertThat(run("--timetable", file(GOOD), "--json"), is(Launch.DONE));
     assertThat(
-        response().lines().toList(),
+        printed().lines().toList(),
         contains("edition 7 is valid by itself", "{\"valid\":true,\"edition\":7,\"faults\":[]}"));
   }
 
@@ -86,7 +86,7 @@
   void allPartsAtFaultAreNamedByTheirPlaceInTheWhole() throws Exception {
     assertThat(run("--timetable", file(BAD)), is(Launch.UNUSABLE));
     assertThat(
-        response().lines().toList(),
+        printed().lines().toList(),
         contains(
             "edition: is not a whole number above 0",
             "limits.idle_ms: is not a number",
@@ -98,7 +98,7 @@
     out.reset();
     assertThat(run("--timetable", file(BAD), "--json"), is(Launch.UNUSABLE));
     assertThat(
-        response(),
+        printed(),
         allOf(
             containsString("\"valid\":false"),
             containsString("\"limits.idle_ms: "),
@@ -108,16 +108,16 @@
   @Test
   void whatIsNoWholeConfigurationIsOneFault() throws Exception {
     assertThat(run("--timetable", file(GOOD.substring(0, 30))), is(Launch.UNUSABLE));
-    assertThat(response().lines().count(), is(1L));
+    assertThat(printed().lines().count(), is(1L));
     out.reset();
     assertThat(run("--timetable", file("{\"edition\":1,\"routes\":3}")), is(Launch.UNUSABLE));
     assertThat(
-        response().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
+        printed().lines().toList(), contains("postal_lines: is missing", "routes: is not a list"));
     out.reset();
     String twice = GOOD.replace("\"give_up_ms\":5", "\"give_up_ms\":5,\"give_up_ms\":6");
     assertThat(run("--timetable", file(twice)), is(Launch.UNUSABLE));
-    assertThat(response().lines().count(), is(1L));
-    assertThat(response(), containsString("Duplicate field 'give_up_ms'"));
+    assertThat(printed().lines().count(), is(1L));
+    assertThat(printed(), containsString("Duplicate field 'give_up_ms'"));
   }
 
   @Test
@@ -128,24 +128,24 @@
     Map<String, ByteBuffer> before = bytes(data);
     assertThat(run("--data", data.toString()), is(Launch.DONE));
     assertThat(
-        response(),
+        printed(),
         allOf(
-            containsString("life " + Long.toHexString(instanceId) + ", "),
-            containsString("set head: seat 0, votes"),
+            containsString("instance " + Long.toHexString(instanceId) + ", "),
+            containsString("set head: slot 0, votes"),
             containsString(
-                "  seat 0: 127.0.0.1:7721 n1, life "
+                "  slot 0: 127.0.0.1:7721 n1, instance "
                     + Long.toHexString(instanceId)
-                    + ", incarnation 1"),
-            containsString("  seat 1: 127.0.0.2:7721 n2, life 5, incarnation 1"),
+                    + ", epoch 1"),
+            containsString("  slot 1: 127.0.0.2:7721 n2, instance 5, epoch 1"),
             containsString(
                 "  key time/table: promised 3.4, accepted 2.4, value of 2 bytes, 1 blobs")));
-    assertThat(response(), not(containsString("set notary")));
+    assertThat(printed(), not(containsString("set notary")));
     out.reset();
     assertThat(run("--data", data.toString(), "--json"), is(Launch.DONE));
     assertThat(
-        response(),
+        printed(),
         allOf(
-            containsString("\"own_seat\":0,\"caught_up\":1,\"votes\":true"),
+            containsString("\"own_slot\":0,\"caught_up\":1,\"votes\":true"),
             containsString(
                 "{\"key\":\"time/table\",\"promised\":\"3.4\",\"accepted\":\"2.4\",\"copied\":false,"
                     + "\"value_bytes\":2,\"blobs\":1}")));
@@ -257,6 +257,6 @@
     assertThat(run("--data", "a", "--timetable", "b"), is(Launch.UNUSABLE));
     assertThat(run("--data", "a", "more"), is(Launch.UNUSABLE));
     assertThat(run("--help"), is(Launch.DONE));
-    assertThat(response(), containsString("Exit codes"));
+    assertThat(printed(), containsString("Exit codes"));
   }
 }
--- a/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -120,7 +120,7 @@
             .thenApply(
                 bytes -> {
                   if (bytes == null) {
-                    throw new ElmsailException(ErrorCode.NOT_REACHED, "no keeper has " + name);
+                    throw new ElmsailException(ErrorCode.NOT_REACHED, "no store has " + name);
                   }
                   return bytes;
                 });
--- a/batch/src/test/java/elmsail/batch/ShelfStoryTest.java
+++ b/batch/src/test/java/elmsail/batch/BatchOnRegisterTest.java
@@ -22,7 +22,7 @@
  * Jobs on the register that the tier has, with gateways and stores that die, forget, freeze and are
  * cut off.
  */
-class ShelfStoryTest {
+class BatchOnRegisterTest {
   private static final long LIMIT = 100;
   private static final long TOKENS = 10;
   private static final int PIECES = 5;
--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -96,12 +96,12 @@
               node.timers(),
               new VoterSetSource() {
                 @Override
-                public VoterSet of() {
+                public VoterSet current() {
                   return known[0];
                 }
 
                 @Override
-                public void response(VoterSet newer) {
+                public void learn(VoterSet newer) {
                   known[0] = newer;
                 }
               },
--- a/consensus/src/main/java/elmsail/consensus/QuorumOperation.java
+++ b/consensus/src/main/java/elmsail/consensus/QuorumOperation.java
@@ -66,7 +66,7 @@
       return;
     }
     attempt++;
-    VoterSet voterSet = client.voterSets.of();
+    VoterSet voterSet = client.voterSets.current();
     if (voterSet.voters.isEmpty()) {
       backOff();
     } else {
@@ -87,8 +87,8 @@
     if (!VoterSets.newer(response, under)) {
       return false;
     }
-    client.voterSets.response(response);
-    if (VoterSets.newer(client.voterSets.of(), under)) {
+    client.voterSets.learn(response);
+    if (VoterSets.newer(client.voterSets.current(), under)) {
       again();
     } else {
       backOff();
@@ -114,8 +114,8 @@
   }
 
   final void late(VoterSet response) {
-    if (VoterSets.newer(response, client.voterSets.of())) {
-      client.voterSets.response(response);
+    if (VoterSets.newer(response, client.voterSets.current())) {
+      client.voterSets.learn(response);
     }
   }
 
--- a/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
@@ -177,7 +177,7 @@
   }
 
   private void begin(int slot, int epoch) {
-    LOG.info("{}: claims seat {}, incarnation {}", set, slot, epoch);
+    LOG.info("{}: joins slot {}, epoch {}", set, slot, epoch);
     Round next = new Round(slot, membership.take(slot, epoch));
     round = next;
     keeper
--- a/consensus/src/main/java/elmsail/consensus/VoterSetCodec.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSetCodec.java
@@ -31,7 +31,7 @@
         out.writeInt(slot.previousEpoch);
       }
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.FAULT, "a seating that cannot be written", e);
+      throw new ElmsailException(ErrorCode.FAULT, "a voter set that cannot be written", e);
     }
     return bytes.toByteArray();
   }
@@ -59,7 +59,7 @@
         slot.previousEpoch = in.readInt();
       }
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.DISK, "a seating that cannot be read", e);
+      throw new ElmsailException(ErrorCode.DISK, "a voter set that cannot be read", e);
     }
     return voterSet;
   }
--- a/consensus/src/test/java/elmsail/consensus/World.java
+++ b/consensus/src/test/java/elmsail/consensus/World.java
@@ -249,12 +249,12 @@
         timers,
         new VoterSetSource() {
           @Override
-          public VoterSet of() {
+          public VoterSet current() {
             return held[0];
           }
 
           @Override
-          public void response(VoterSet newer) {
+          public void learn(VoterSet newer) {
             held[0] = VoterSets.merge(held[0], newer);
           }
         },
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -104,7 +104,7 @@
             records == null ? who : records.instanceId(),
             () -> StoreStatus.NONE,
             null);
-    duty = new SingletonLease(caller, timers, register, voters::of, own, who);
+    duty = new SingletonLease(caller, timers, register, voters::current, own, who);
     list =
         settings.platform() == null
             ? null
@@ -191,7 +191,7 @@
   private void tell(String kind) {
     OpaqueMessage note = new OpaqueMessage();
     note.kind = kind;
-    for (Voter slot : voters.of().voters) {
+    for (Voter slot : voters.current().voters) {
       if (!slot.address.equals(settings.innerAddress())) {
         caller.call(slot.address, note, OpaqueMessage.class, NOTE_MS);
       }
@@ -205,7 +205,9 @@
       puller.offerConfig(now.bytes());
     } catch (ElmsailException e) {
       LOG.error(
-          "edition {} was decided and cannot be read here: {}", now.edition(), e.getMessage());
+          "configuration {} was committed and cannot be read here: {}",
+          now.edition(),
+          e.getMessage());
     }
   }
 
@@ -220,7 +222,7 @@
     }
     learnStores(puller.view().storeSet);
     if (!puller.view().head.voters.isEmpty()) {
-      voters.response(puller.view().head);
+      voters.learn(puller.view().head);
     }
   }
 
@@ -234,7 +236,7 @@
 
   private ClusterView view(PullRequest request) {
     ClusterView view = new ClusterView();
-    view.head = voters.of();
+    view.head = voters.current();
     view.storeSet = storeSet;
     view.gateways = gateways;
     if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
@@ -261,10 +263,10 @@
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
-    boolean headMoved = !VoterSets.same(headKnown, voters.of());
+    boolean headMoved = !VoterSets.same(headKnown, voters.current());
     if (order != null && !order.equals(before)) {
       LOG.info(
-          "{} shall take seat {} of the shelf, incarnation {}",
+          "directs {} to join slot {} of the store set, epoch {}",
           order.address(),
           order.slot(),
           order.epoch());
@@ -272,7 +274,7 @@
     if (order != before && (order == null || !order.equals(before))
         || headMoved
         || !clerksNow.equals(gateways)) {
-      headKnown = voters.of();
+      headKnown = voters.current();
       gateways = clerksNow;
       sources.viewChanged();
     }
@@ -298,7 +300,7 @@
             (held, failed) -> {
               founding = false;
               if (failed == null) {
-                LOG.info("the shelf is founded");
+                LOG.info("the store set is founded");
                 founded.take(held.now());
               }
             });
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -64,7 +64,7 @@
     this.born = records != null && (settings.firstStart() || records.read(BORN) != null);
   }
 
-  /** HandlerTable the others only once it is on the disk whether this life may found. */
+  /** Answers the others only once it is on the disk whether this life may found. */
   void start(RequestHandlers answering) {
     if (born && records.read(BORN) == null) {
       records.write(List.of(new Change(BORN, new byte[] {1}))).thenRun(() -> begin(answering));
@@ -89,9 +89,9 @@
             timers,
             own,
             seeds,
-            this::of,
+            this::current,
             voterSet -> keeper.found(voterSet),
-            this::response);
+            this::learn);
     founding.start(answering);
   }
 
@@ -107,16 +107,16 @@
 
   /** Whether it holds a voter slot, voting or not yet. */
   boolean holdsSlot() {
-    return keeper != null && VoterSetValue.slotOf(of(), settings.innerAddress()) >= 0;
+    return keeper != null && VoterSetValue.slotOf(current(), settings.innerAddress()) >= 0;
   }
 
   @Override
-  public VoterSet of() {
+  public VoterSet current() {
     return keeper == null ? learned : keeper.voterSet();
   }
 
   @Override
-  public void response(VoterSet newer) {
+  public void learn(VoterSet newer) {
     if (keeper == null) {
       learned = VoterSets.merge(learned, newer);
     } else if (VoterSets.newer(newer, keeper.voterSet())) {
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -103,7 +103,7 @@
     }
     if (term > 0 && !lease.held(now)) {
       term = 0;
-      LOG.info("the duty's lease is lost");
+      LOG.info("the singleton lease is lost");
     }
     long round = lease.begin(now, voterSet.voters.size());
     if (round != 0) {
@@ -163,7 +163,7 @@
               taking = false;
               if (failed == null && held.changed() && inWon == won && lease.held(timers.now())) {
                 term = next[0];
-                LOG.info("holds the duty's lease, term {}", term);
+                LOG.info("holds the singleton lease, term {}", term);
               } else {
                 timers.after(LOOK_MS, this::takeTerm);
               }
--- a/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
@@ -25,7 +25,7 @@
     }
     String nearest = null;
     long least = LATELY_MS;
-    for (Voter slot : voters.of().voters) {
+    for (Voter slot : voters.current().voters) {
       long ago = puller.heardAgoMs(slot.address);
       if (ago < least) {
         least = ago;
@@ -34,7 +34,7 @@
     }
     String control = settings.slots().get("control");
     if (nearest == null || control == null) {
-      return Replies.now(Replies.why(503, "no other notary is heard"));
+      return Replies.now(Replies.why(503, "no other control-plane node is in touch"));
     }
     String to =
         nearest.substring(0, nearest.lastIndexOf(':'))
--- a/controlplane/src/main/java/elmsail/controlplane/VoterSetValue.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterSetValue.java
@@ -10,9 +10,9 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 
-/** VoterSetSource as a register's values. None is ever changed once it was passed on. */
+/** Voter sets as a register's values. None is ever changed once it was passed on. */
 final class VoterSetValue {
-  private static final int MOST_SEATS = 64;
+  private static final int MOST_SLOTS = 64;
 
   private VoterSetValue() {}
 
@@ -27,7 +27,7 @@
         out.writeInt(slot.epoch);
       }
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.FAULT, "seating", e);
+      throw new ElmsailException(ErrorCode.FAULT, "a voter set", e);
     }
     return bytes.toByteArray();
   }
@@ -40,15 +40,15 @@
     }
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
       int count = in.readInt();
-      if (count < 0 || count > MOST_SEATS) {
-        throw new ElmsailException(ErrorCode.GARBLED, "seats: " + count);
+      if (count < 0 || count > MOST_SLOTS) {
+        throw new ElmsailException(ErrorCode.GARBLED, "voter slots: " + count);
       }
       for (int i = 0; i < count; i++) {
         String address = in.readUTF();
         voterSet.voters.add(slot(address, in.readUTF(), in.readLong(), in.readInt()));
       }
     } catch (IOException e) {
-      throw new ElmsailException(ErrorCode.GARBLED, "seating", e);
+      throw new ElmsailException(ErrorCode.GARBLED, "a voter set", e);
     }
     return voterSet;
   }
--- a/controlplane/src/test/java/elmsail/controlplane/ShelfStoryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/StoreSetStoryTest.java
@@ -26,7 +26,7 @@
  * trouble at a time and the control-plane nodes' lease holder now and then with it: what was
  * acknowledged is read back, and a machine that was told to be delivered is removed at once.
  */
-class ShelfStoryTest {
+class StoreSetStoryTest {
   private static final int STORIES = 6;
   private static final int KEYS = 4;
 
@@ -97,7 +97,7 @@
     VoterSetSource voterSets =
         new VoterSetSource() {
           @Override
-          public VoterSet of() {
+          public VoterSet current() {
             for (String name : running) {
               known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
             }
@@ -105,7 +105,7 @@
           }
 
           @Override
-          public void response(VoterSet newer) {
+          public void learn(VoterSet newer) {
             known = VoterSets.merge(known, newer);
           }
         };
--- a/runtime/src/main/java/elmsail/runtime/ProcessSignals.java
+++ b/runtime/src/main/java/elmsail/runtime/ProcessSignals.java
@@ -53,7 +53,7 @@
   public void term() {
     if (!ending) {
       ending = true;
-      LOG.info("told to end");
+      LOG.info("asked to end");
       term.run();
     }
   }
--- a/runtime/src/test/java/elmsail/runtime/EndsTest.java
+++ b/runtime/src/test/java/elmsail/runtime/ProcessSignalsTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class EndsTest {
+class ProcessSignalsTest {
 
   @TempDir private Path folder;
   private final MovedClock clock = new MovedClock();
