--- /dev/null
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaRequests.java
@@ -0,0 +1,213 @@
+package elmsail.consensus;
+
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.messages.AcceptRequest;
+import elmsail.rpc.messages.BlobRequest;
+import elmsail.rpc.messages.BlobResponse;
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.JoinResponse;
+import elmsail.rpc.messages.PrepareRequest;
+import elmsail.rpc.messages.ReadRequest;
+import elmsail.rpc.messages.StateTransferRequest;
+import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.storage.RecordStore;
+import elmsail.storage.RecordStore.Change;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The requests that a replica answers: votes, reads, blobs, joins of others and state transfer. An
+ * answer leaves only once all that it relies on is safe on disk.
+ */
+final class ReplicaRequests {
+  private static final Logger LOG = LoggerFactory.getLogger(ReplicaRequests.class);
+  private static final int MOST_PAGE_BYTES = 1 << 20;
+
+  private final String set;
+  private final RecordStore records;
+  private final RecordNames names;
+  private final DurableRecords safe;
+  private final ReplicaListener views;
+  private final Membership membership;
+  private final Replica replica;
+
+  ReplicaRequests(
+      String set,
+      RecordStore records,
+      RecordNames names,
+      DurableRecords safe,
+      ReplicaListener views,
+      Membership membership,
+      Replica replica) {
+    this.set = set;
+    this.records = records;
+    this.names = names;
+    this.safe = safe;
+    this.views = views;
+    this.membership = membership;
+    this.replica = replica;
+  }
+
+  void register(RequestHandlers answering) {
+    answering.on(PrepareRequest.class, this::prepare);
+    answering.on(AcceptRequest.class, this::accept);
+    answering.on(ReadRequest.class, this::read);
+    answering.on(BlobRequest.class, this::blob);
+    answering.on(JoinRequest.class, this::joined);
+    answering.on(StateTransferRequest.class, this::copied);
+  }
+
+  private CompletableFuture<VoteResponse> prepare(PrepareRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    Acceptor.Decision decision = Acceptor.prepare(safe.state(request.key), request.ballot);
+    if (decision.answer().code != VoteResponse.DONE) {
+      return CompletableFuture.completedFuture(decision.answer());
+    }
+    return safely(
+        safe.changes(request.key, decision, request.blobs),
+        () -> {
+          if (request.note != null) {
+            decision.answer().note = views.noted(request.key, request.note);
+          }
+          return decision.answer();
+        });
+  }
+
+  private CompletableFuture<VoteResponse> accept(AcceptRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    Acceptor.Decision decision =
+        Acceptor.accept(safe.state(request.key), request.ballot, request.next, request.value);
+    if (decision.answer().code == VoteResponse.DONE
+        && decision.write() != null
+        && !views.admits(request.key, request.value)) {
+      VoteResponse response = new VoteResponse();
+      response.code = VoteResponse.NOT_ADMITTED;
+      return CompletableFuture.completedFuture(response);
+    }
+    if (decision.answer().code != VoteResponse.DONE) {
+      return CompletableFuture.completedFuture(decision.answer());
+    }
+    return safely(
+        safe.changes(request.key, decision, request.blobs),
+        () -> {
+          if (decision.write() != null) {
+            views.taken(request.key, request.value);
+          }
+          return decision.answer();
+        });
+  }
+
+  private CompletableFuture<VoteResponse> read(ReadRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    if (refused != null) {
+      return CompletableFuture.completedFuture(refused);
+    }
+    VoteResponse response = Acceptor.read(safe.state(request.key), request.known, request.bare);
+    return safely(List.of(), () -> response);
+  }
+
+  private CompletableFuture<BlobResponse> blob(BlobRequest request) {
+    VoteResponse refused = refusal(request.set, request.voterSet);
+    BlobResponse response = new BlobResponse();
+    response.voting = refused == null || membership.serves(refused.code, request.ofReplaced);
+    response.voterSet = refused == null ? response.voterSet : refused.voterSet;
+    if (response.voting || refused.code == VoteResponse.OLD_SEATING && membership.voting()) {
+      response.bytes = replica.blob(request.key, request.name);
+      response.known = response.bytes != null;
+    }
+    return response.known
+        ? safely(List.of(), () -> response)
+        : CompletableFuture.completedFuture(response);
+  }
+
+  private CompletableFuture<JoinResponse> joined(JoinRequest request) {
+    if (!set.equals(request.set)) {
+      return CompletableFuture.failedFuture(
+          new ElmsailException(ErrorCode.NOT_SEATED, request.set));
+    }
+    replica.rewriteMembership();
+    VoterSet before = membership.voterSet();
+    JoinResponse response = membership.answer(request);
+    if (membership.voterSet() != before) {
+      LOG.info(
+          "{}: seat {} claimed by {}, incarnation {}",
+          set,
+          request.slot,
+          request.holder.address,
+          request.holder.epoch);
+      replica.voterSetChanged();
+    }
+    return safely(
+        List.of(),
+        () -> {
+          response.voterSet = replica.voterSet();
+          return response;
+        });
+  }
+
+  private CompletableFuture<StateTransferResponse> copied(StateTransferRequest request) {
+    StateTransferResponse response = new StateTransferResponse();
+    response.instanceId = membership.instanceId();
+    response.end = true;
+    VoteResponse refused =
+        set.equals(request.set) ? refusal(request.set, request.voterSet) : new VoteResponse();
+    if (refused != null && !membership.serves(refused.code, request.ofReplaced)) {
+      return CompletableFuture.completedFuture(response);
+    }
+    response.voting = true;
+    if (request.bare) {
+      names.barePage(records, request.after, response);
+    } else {
+      names.page(
+          records,
+          request.after,
+          Math.min(Math.max(request.mostBytes, 1), MOST_PAGE_BYTES),
+          response);
+    }
+    return safely(List.of(), () -> response);
+  }
+
+  /**
+   * Null if an ask under that voter set may be voted on; what it knows that is newer is taken
+   * first.
+   */
+  private VoteResponse refusal(String askedSet, VoterSet asked) {
+    if (!set.equals(askedSet)) {
+      throw new ElmsailException(ErrorCode.NOT_SEATED, askedSet);
+    }
+    int code = membership.vote(asked);
+    if (code != VoteResponse.OLD_SEATING && VoterSets.newer(asked, membership.voterSet())) {
+      replica.learn(asked);
+      code = membership.vote(asked);
+    }
+    replica.rewriteMembership();
+    if (code == VoteResponse.DONE) {
+      return null;
+    }
+    VoteResponse response = new VoteResponse();
+    response.code = code;
+    response.voterSet = replica.voterSet();
+    return response;
+  }
+
+  private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
+    if (!replica.membershipWritten()) {
+      return CompletableFuture.failedFuture(
+          new ElmsailException(ErrorCode.DISK, "the seating is not on disk"));
+    }
+    return safe.safely(changes, answer);
+  }
+}
