Found the configuration's voters by agreement where the seeds are not enough

Cause: the voters of head were the three seeds for any number of losses to be borne, and seeds without a disk never founded. Three seeds with disks and f = 1 found as before.

--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -6,7 +6,7 @@
 import elmsail.consensus.VoterSets;
 import elmsail.rpc.Caller;
 import elmsail.rpc.RequestHandlers;
-import elmsail.rpc.messages.HelloResponse;
+import elmsail.rpc.messages.HelloRequest;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
@@ -74,11 +74,13 @@
   }
 
   private void begin(RequestHandlers answering) {
-    HelloResponse own = new HelloResponse();
+    HelloRequest own = new HelloRequest();
     own.station = settings.station();
     own.address = settings.innerAddress();
+    own.zone = settings.zone();
     own.instanceId = records == null ? 0 : records.instanceId();
-    own.firstStart = born;
+    own.hasDisk = records != null;
+    own.firstStart = records == null ? settings.firstStart() : born;
     List<String> seeds = new ArrayList<>();
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
@@ -88,9 +90,10 @@
             caller,
             timers,
             own,
+            records,
             seeds,
+            2 * settings.bearMachines() + 1,
             this::of,
-            voterSet -> keeper.found(voterSet),
             this::response);
     founding.start(answering);
   }
--- a/rpc/src/main/java/elmsail/rpc/MessageTypes.java
+++ b/rpc/src/main/java/elmsail/rpc/MessageTypes.java
@@ -6,6 +6,8 @@
 import elmsail.rpc.messages.BlobRequest;
 import elmsail.rpc.messages.BlobResponse;
 import elmsail.rpc.messages.ClusterView;
+import elmsail.rpc.messages.FoundingRequest;
+import elmsail.rpc.messages.FoundingResponse;
 import elmsail.rpc.messages.HelloRequest;
 import elmsail.rpc.messages.HelloResponse;
 import elmsail.rpc.messages.JoinRequest;
@@ -53,6 +55,8 @@
     HelloResponse.class,
     LeaseRequest.class,
     LeaseResponse.class,
+    FoundingRequest.class,
+    FoundingResponse.class,
   };
 
   private MessageTypes() {}
--- a/rpc/src/main/java/elmsail/rpc/messages/HelloRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/HelloRequest.java
@@ -4,4 +4,12 @@
 public final class HelloRequest {
   public String station = "";
   public String address = "";
+  public String zone = "";
+  public long instanceId;
+
+  /** Whether the asker has a disk, without which it can hold no voter slot. */
+  public boolean hasDisk;
+
+  /** Whether the asker's instance began at the first start of the whole system. */
+  public boolean firstStart;
 }
--- a/rpc/src/main/java/elmsail/rpc/messages/HelloResponse.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/HelloResponse.java
@@ -10,4 +10,6 @@
   public boolean firstStart;
 
   public VoterSet voterSet = new VoterSet();
+  public String zone = "";
+  public boolean hasDisk;
 }
