Replace a control-plane voter that is gone by a spare, and say when the next loss may come

Cause: nothing replaced a voter of head whose machine never comes back; stores and control-plane nodes pulled at three voters only, so with five the lease's holder would not hear all of them.

--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -227,6 +227,7 @@
     request.listVersion = servers.version();
     request.viewVersion = line.viewVersion;
     request.waitMs = WAIT_MS;
+    request.hasDisk = settings.dataDir() != null;
     return request;
   }
 
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -26,7 +26,10 @@
   static final long SILENT_MS = 5_000;
 
   private static final Logger LOG = LoggerFactory.getLogger(WatchStreams.class);
-  private static final int MOST = 3;
+
+  /** A gateway asks so many; stores and control-plane nodes ask all voters, to be heard by all. */
+  private static final int MOST_OF_GATEWAY = 3;
+
   private static final int MOST_REMEMBERED = 64;
   private static final long LATELY_MS = 1_500;
   private static final long CALL_MS = 1_800;
@@ -41,6 +44,7 @@
   private final Timers timers;
   private final String station;
   private final String self;
+  private final int most;
   private final List<String> seeds = new ArrayList<>();
   private final Function<WatchStream, PullRequest> asks;
   private final Taker taker;
@@ -63,6 +67,7 @@
     this.taker = taker;
     station = settings.station();
     self = settings.innerAddress();
+    most = settings.serves().contains("counter") ? MOST_OF_GATEWAY : Integer.MAX_VALUE;
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
     }
@@ -173,7 +178,7 @@
     candidates.removeIf(address -> address.isEmpty() || address.equals(self));
     List<String> ranked = RendezvousHash.choose(station, candidates, candidates.size());
     passedOverUntil.keySet().retainAll(candidates);
-    if (ranked.size() <= MOST) {
+    if (ranked.size() <= most) {
       return ranked;
     }
     List<String> first = new ArrayList<>(ranked.size());
@@ -182,7 +187,7 @@
       (passedOver(address, now) ? last : first).add(address);
     }
     first.addAll(last);
-    return first.subList(0, MOST);
+    return first.subList(0, most);
   }
 
   private boolean passedOver(String address, long now) {
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -59,6 +59,8 @@
   private final SingletonLease duty;
   private final ServerDiscovery list;
   private final PlacementController registrar;
+  private final HeadPlacement headPlacement;
+  private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
   private final LeaseVoter voter;
   private final OperatorApi operators;
   private VoterSet storeSet = new VoterSet();
@@ -102,7 +104,7 @@
             settings,
             "controlplane",
             records == null ? who : records.instanceId(),
-            () -> StoreStatus.NONE,
+            () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
     duty = new SingletonLease(caller, timers, register, voters::of, own, who);
     list =
@@ -116,6 +118,8 @@
                 duty::term);
     int stores = 2 * settings.bearMachines() + 1;
     registrar = new PlacementController(stores, timers.now());
+    headPlacement =
+        new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
     voter = new LeaseVoter(timers.now(), firstProcess);
     DecommissionHandler retire =
@@ -135,8 +139,10 @@
     sources.setView(this::view);
     answering.on(PullRequest.class, this::pulled);
     answering.on(OpaqueMessage.class, this::noted);
+    voters.whenTakenOver(() -> voter.tookOver(timers.now()));
     SingletonLease.vote(answering, timers, voter, voters::voting);
     puller.whenChanged(this::relay);
+    puller.whenJoinOrdered(voters::join);
     voters.start(answering);
     config.refresh();
     retiring.refresh();
@@ -158,8 +164,19 @@
     return config.value();
   }
 
+  /** This node's part in the set "head". */
+  ControlPlaneVoters voters() {
+    return voters;
+  }
+
+  /** Whether, and since when, the set "head" may lose its next member, as far as seen here. */
+  RedundancyMonitor headRedundancy() {
+    return headPlacement.redundancy();
+  }
+
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
+    headPlacement.note(request, timers.now());
     if ("store".equals(request.role) && request.storeSet != null) {
       learnStores(request.storeSet);
     }
@@ -241,6 +258,7 @@
       view.joinSlot = order.slot();
       view.joinEpoch = order.epoch();
     }
+    headPlacement.tell(request, view);
     return view;
   }
 
@@ -250,7 +268,8 @@
     }
     timers.after(TICK_MS, this::tick);
     long now = timers.now();
-    boolean directs = duty.term() > 0 && config.readableSince() != Long.MAX_VALUE;
+    boolean hears = config.readableSince() != Long.MAX_VALUE;
+    boolean directs = duty.term() > 0 && hears;
     if (directs
         && storeSet.voters.isEmpty()
         && founded.read()
@@ -260,6 +279,12 @@
     }
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    boolean headOrdered = headPlacement.look(voters.of(), voters.voting(), hears, directs, now);
+    if (directs) {
+      storeRedundancy.look(heard, storeSet, now);
+    } else {
+      storeRedundancy.forget();
+    }
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.of());
     if (order != null && !order.equals(before)) {
@@ -271,6 +296,7 @@
     }
     if (order != before && (order == null || !order.equals(before))
         || headMoved
+        || headOrdered
         || !clerksNow.equals(gateways)) {
       headKnown = voters.of();
       gateways = clerksNow;
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -127,6 +127,26 @@
     }
   }
 
+  /** Called each time that this process begins to vote in a slot that another instance held. */
+  void whenTakenOver(Runnable then) {
+    if (keeper != null) {
+      keeper.whenVotingChanges(
+          () -> {
+            int slot = VoterSetValue.slotOf(of(), settings.innerAddress());
+            if (keeper.voting() && slot >= 0 && of().voters.get(slot).epoch > 1) {
+              then.run();
+            }
+          });
+    }
+  }
+
+  /** Takes over a slot as directed; nothing happens where there is no disk. */
+  void join(int slot, int epoch) {
+    if (keeper != null) {
+      keeper.join(slot, epoch);
+    }
+  }
+
   void close() {
     if (founding != null) {
       founding.close();
--- a/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
+++ b/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
@@ -14,7 +14,7 @@
 final class HeartbeatTable {
   private static final int MOST = 1_000;
 
-  /** A store as its last pull told of it; times are steady ms. */
+  /** A store, or another holder of records, as its last pull told of it; times are steady ms. */
   record Vault(
       String address,
       String station,
@@ -28,8 +28,20 @@
   private final TreeMap<String, Vault> stores = new TreeMap<>();
   private final TreeMap<String, Long> gateways = new TreeMap<>();
 
+  private final String role;
+
+  /** Makes one of the stores. */
+  HeartbeatTable() {
+    this("store");
+  }
+
+  /** Makes one of the processes of that role that have a disk, beside the gateways. */
+  HeartbeatTable(String role) {
+    this.role = role;
+  }
+
   void note(PullRequest request, long now) {
-    if ("store".equals(request.role)) {
+    if (role.equals(request.role) && (request.hasDisk || role.equals("store"))) {
       Vault before = stores.get(request.address);
       if (before != null || stores.size() < MOST) {
         VoterSet storeSet = request.storeSet == null ? new VoterSet() : request.storeSet;
--- a/controlplane/src/main/java/elmsail/controlplane/LeaseVoter.java
+++ b/controlplane/src/main/java/elmsail/controlplane/LeaseVoter.java
@@ -40,6 +40,15 @@
     return 0;
   }
 
+  /**
+   * This process has taken a slot over: whoever held it before may have granted the lease until
+   * now.
+   */
+  void tookOver(long now) {
+    until = Math.max(until, now + LEASE_MS);
+    granted = false;
+  }
+
   /** The asker got no majority in that round: what it was granted until then is free again. */
   void release(long who, long round, long now) {
     if (granted && holder == who && round >= holdersRound) {
--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -9,13 +9,21 @@
 import java.util.Set;
 
 /**
- * Decides who sits in the stores' voter slots, from what was heard: the founding, and which spare
- * takes a voter slot whose holder is gone or is to be retired. Pure; all times are steady ms.
+ * Decides who holds the voter slots of the stores, or of the head, from what was heard: the stores'
+ * founding, and which spare takes a slot whose holder is gone or is to be retired. Pure; all times
+ * are steady ms.
  */
 final class PlacementController {
   static final long GONE_MS = 2_500;
   static final long SPARE_MS = 800;
 
+  /**
+   * For the head's slots: above a restart after a short loss of power where that can be, and low
+   * enough that a successor votes within catch_up_s of its start even if its predecessor went only
+   * then (3.0 s, a look each 0.2 s, the order at once, the copy of few keys).
+   */
+  static final long HEAD_GONE_MS = 3_000;
+
   private static final long FOUND_FEWER_MS = 6_000;
   private static final long ZONES_WAIT_MS = 1_000;
 
@@ -23,6 +31,7 @@
   private static final long HELD_UP_MS = 700;
 
   private final int voters;
+  private final long goneMs;
   private long listening;
   private long lastLook;
   private Order order;
@@ -35,6 +44,12 @@
 
   /** Makes one for so many voter slots, listening from now on. */
   PlacementController(int voters, long now) {
+    this(voters, GONE_MS, now);
+  }
+
+  /** Makes one that takes a holder for gone when it was not heard for so long. */
+  PlacementController(int voters, long goneMs, long now) {
+    this.goneMs = goneMs;
     this.voters = voters;
     this.listening = now;
     this.lastLook = now;
@@ -46,7 +61,7 @@
     long first = Long.MAX_VALUE;
     Set<String> zones = new HashSet<>();
     for (HeartbeatTable.Vault store : heard.stores()) {
-      if (!store.voting() && store.storeSet().voters.isEmpty() && now - store.lastAt() <= GONE_MS) {
+      if (!store.voting() && store.storeSet().voters.isEmpty() && now - store.lastAt() <= goneMs) {
         there.add(store);
         zones.add(store.zone());
         first = Math.min(first, store.firstAt());
@@ -93,7 +108,22 @@
    */
   Order order(
       HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, boolean mayDirect, long now) {
-    if (!mayDirect || now - lastLook > HELD_UP_MS) {
+    return order(heard, storeSet, retiring, mayDirect, mayDirect, now);
+  }
+
+  /**
+   * As the other, but silence counts from before the lease was held.
+   *
+   * @param hears whether this node reads at a majority: its own silence isn't the others'
+   */
+  Order order(
+      HeartbeatTable heard,
+      VoterSet storeSet,
+      Set<String> retiring,
+      boolean hears,
+      boolean mayDirect,
+      long now) {
+    if (!hears || now - lastLook > HELD_UP_MS) {
       listening = now;
     }
     lastLook = now;
@@ -113,9 +143,7 @@
       order = null;
       return null;
     }
-    if (order != null
-        && order.slot() == slot
-        && heardWithin(heard, order.address(), GONE_MS, now)) {
+    if (order != null && order.slot() == slot && heardWithin(heard, order.address(), goneMs, now)) {
       return order;
     }
     HeartbeatTable.Vault spare = spare(heard, storeSet, retiring, slot, now);
@@ -175,7 +203,7 @@
   private boolean gone(HeartbeatTable heard, Voter holder, long now) {
     HeartbeatTable.Vault store = heard.store(holder.address);
     long last = store == null ? listening : Math.max(listening, store.lastAt());
-    return now - last > GONE_MS;
+    return now - last > goneMs;
   }
 
   private static boolean heardWithin(HeartbeatTable heard, String address, long ms, long now) {
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
@@ -0,0 +1,82 @@
+package elmsail.controlplane;
+
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells when a set may lose its next member: a slot is missed while its holder isn't heard as
+ * voting, and the set is whole again once all of them vote. Times are steady ms.
+ */
+final class RedundancyMonitor {
+  private static final Logger LOG = LoggerFactory.getLogger(RedundancyMonitor.class);
+
+  /** A pull is held open for 1 s at most. */
+  private static final long HEARD_MS = 1_800;
+
+  private static final long WHOLE = Long.MAX_VALUE;
+
+  private final String set;
+  private long missedSince = WHOLE;
+  private long lastRepairMs;
+  private int repairs;
+
+  RedundancyMonitor(String set) {
+    this.set = set;
+  }
+
+  /** Looks once, while this node is in a position to know. */
+  void look(HeartbeatTable heard, VoterSet voterSet, long now) {
+    int voting = 0;
+    long lastMissed = Long.MAX_VALUE;
+    for (Voter holder : voterSet.voters) {
+      HeartbeatTable.Vault there = heard.store(holder.address);
+      if (votes(there, holder) && now - there.lastAt() <= HEARD_MS) {
+        voting++;
+      } else if (there != null) {
+        lastMissed = Math.min(lastMissed, there.lastAt());
+      }
+    }
+    if (voting < voterSet.voters.size()) {
+      if (missedSince == WHOLE) {
+        missedSince = Math.min(now, lastMissed);
+        LOG.warn("{}: {} of {} slots vote", set, voting, voterSet.voters.size());
+      }
+    } else if (missedSince != WHOLE) {
+      lastRepairMs = now - missedSince;
+      missedSince = WHOLE;
+      repairs++;
+      LOG.info(
+          "{}: all {} slots vote again {} ms after the loss: it bears {} more",
+          set,
+          voting,
+          lastRepairMs,
+          (voting - 1) / 2);
+    }
+  }
+
+  /** This node can't know at present: what it saw last is no ground for a word. */
+  void forget() {
+    missedSince = WHOLE;
+  }
+
+  private static boolean votes(HeartbeatTable.Vault there, Voter holder) {
+    return there != null && there.voting() && there.instanceId() == holder.instanceId;
+  }
+
+  /** Whether a slot is missed now. */
+  boolean missing() {
+    return missedSince != WHOLE;
+  }
+
+  /** How many times all slots voted again. */
+  int repairs() {
+    return repairs;
+  }
+
+  /** From the loss to the repair, the last time; 0 before the first. */
+  long lastRepairMs() {
+    return lastRepairMs;
+  }
+}
--- a/controlplane/src/test/java/elmsail/controlplane/World.java
+++ b/controlplane/src/test/java/elmsail/controlplane/World.java
@@ -4,6 +4,7 @@
 import elmsail.config.watch.StoreStatus;
 import elmsail.consensus.ReplicaListener;
 import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpReply;
@@ -36,12 +37,23 @@
   final Map<String, Node> nodes = new TreeMap<>();
   String carrierSays = EMPTY;
   int carrierCalls;
+
+  /** How long each sync takes on disks that are made from now on; 0: the disk's own way. */
+  long syncMs;
+
   private final long seed;
+  private final int bearMachines;
   private final List<String> seeds = new ArrayList<>();
   private long whos = 1_000;
 
   World(long seed, int seedCount) {
+    this(seed, seedCount, 1);
+  }
+
+  /** With so many machines to be lost at once. */
+  World(long seed, int seedCount, int bearMachines) {
     this.seed = seed;
+    this.bearMachines = bearMachines;
     net = new SimNet(seed, timers);
     for (int i = 1; i <= seedCount; i++) {
       seeds.add(ip("n" + i) + ":8166");
@@ -79,7 +91,7 @@
         new Settings.Limits(1, 400, 4_000, 1_000, 64),
         disk ? "/data" : null,
         Set.of(),
-        1,
+        bearMachines,
         new Settings.Bounds(
             3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000),
         new Settings.Platform("10.9.0.1:8169", 40, 800));
@@ -89,6 +101,9 @@
     SimDisk disk = disks.get(name);
     if (disk == null) {
       disk = new SimDisk(seed * 31 + name.hashCode(), timers);
+      if (syncMs > 0) {
+        disk.syncTime(syncMs, syncMs);
+      }
       disks.put(name, disk);
     }
     return disk.open(node.timers());
@@ -123,6 +138,25 @@
     office.start();
   }
 
+  /** The voter set "head" as that control-plane node knows it. */
+  VoterSet head(String controlPlane) {
+    return offices.get(controlPlane).voters().of();
+  }
+
+  /** Whether all slots of "head", as that node knows it, are held by running nodes that vote. */
+  boolean wholeHead(String controlPlane) {
+    for (Voter slot : head(controlPlane).voters) {
+      ControlPlaneNode office = offices.get(slot.station);
+      if (net.at(slot.address) == null
+          || office == null
+          || !office.voters().voting()
+          || disks.get(slot.station).instanceId() != slot.instanceId) {
+        return false;
+      }
+    }
+    return !head(controlPlane).voters.isEmpty();
+  }
+
   private CompletableFuture<HttpReply> platform(String address, String path, long timeoutMs) {
     carrierCalls++;
     CompletableFuture<HttpReply> reply = new CompletableFuture<>();
--- a/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
@@ -11,7 +11,10 @@
 
   public long instanceId;
 
-  /** A store's: whether it holds a voter slot and has caught up; the voter set it knows. */
+  /**
+   * A store's or control-plane node's: whether it holds a voter slot and has caught up; the voter
+   * set it knows.
+   */
   public boolean voting;
 
   public boolean emptied;
@@ -24,4 +27,7 @@
   public long listVersion;
   public long viewVersion;
   public long waitMs;
+
+  /** Whether the asker has a disk, without which it can hold no voter slot. */
+  public boolean hasDisk;
 }
