A member that claims a slot which another votes in leaves it

Cause: a member back without its disk, told the founding only, claimed a slot that it had held before; its first answer, a failure, made the claim hopeless and hid the next one, which told of the rival. Change: late answers teach; a claim goes on to the slot that its place held last; a rival that votes keeps the slot; it is outbid only where N - q + 1 others answered as voting.

--- a/consensus/src/main/java/elmsail/consensus/JoinQuorum.java
+++ b/consensus/src/main/java/elmsail/consensus/JoinQuorum.java
@@ -8,8 +8,42 @@
 
 /**
  * What the holders answered to one claim, and whom to copy from: N - q + 1 voting ones, or one less
- * and a replaced one whose successor isn't voting; {@link ReplicaJoin} says why that is safe.
- * Without time or network.
+ * and a replaced one whose successor isn't voting. Without time or network.
+ *
+ * <p>A voter slot whose new holder isn't voting yet would otherwise be in the way of a second
+ * newcomer for good, if that one's voter slot was lost too: each would wait for the other. In the
+ * place of one voting holder, a claim is therefore also acknowledged by one such voter slot's two
+ * lives together: its new holder S, and the one R that was voting there right before; and R is
+ * copied from. Why that is as good, let k be the epoch of R and k + 1 that of S:
+ *
+ * <ul>
+ *   <li>S answers that it isn't voting, and has the claim on its disk: S has cast no vote in this
+ *       voter slot, and will cast none under a voter set without the claim.
+ *   <li>R answers that it was voting under k, is voting no more (or is, and acknowledges as such),
+ *       and has the claim on its disk. It voted only under k, votes under no voter set that has S,
+ *       and its records are all that those votes made: they are dropped only behind its own claim
+ *       of a voter slot, which is on its disk first and ends what it answers here; and it claims
+ *       another voter slot only once S told that it votes. If R doesn't know of S yet, its later
+ *       votes are under voter sets with this claim, so they needn't be copied; the copying makes it
+ *       learn of S.
+ *   <li>Nobody else voted in the voter slot, nor will: there is no epoch between k and k + 1; of
+ *       two lives that claim k only one can be voting, and R was. A rival of S in k + 1, or whoever
+ *       claims a later one, that was voting or will be without knowing this claim had
+ *       acknowledgements from N - q + 1 voter slots. So did this claim: N - q of these are voting
+ *       holders in the N - 2 voter slots besides both, where the other has N - q at least, and 2 (N
+ *       - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which
+ *       it knew to hold the voter slot, and never goes back: so it can't have known the rival
+ *       first, and acknowledges none later but telling this claim along with it.
+ *   <li>Only the one that was counted so is copied from though it is replaced. Any other source
+ *       must be voting under what this newcomer learnt from all answers: one that acknowledged
+ *       without knowing of its successor, which votes, doesn't count.
+ *   <li>For that overlap only one voter slot may be acknowledged so, and all who are voting must
+ *       have told of just S.
+ *   <li>What S copies later from this newcomer has all that was decided, as from any that is
+ *       voting.
+ * </ul>
+ *
+ * If S is gone for good, this doesn't help: that it didn't vote is known to it alone.
  */
 final class JoinQuorum {
   private final VoterSet asked;
--- a/consensus/src/main/java/elmsail/consensus/Membership.java
+++ b/consensus/src/main/java/elmsail/consensus/Membership.java
@@ -130,6 +130,7 @@
     Claimed joined = join(request);
     JoinResponse response = new JoinResponse();
     response.instanceId = instanceId;
+    response.voting = voting();
     response.held = joined == Claimed.ADOPTED || joined == Claimed.KNOWN;
     response.noted = joined == Claimed.NOTED;
     response.replaced = response.noted && replaced();
@@ -193,6 +194,19 @@
     return holder;
   }
 
+  /** Whether an earlier instance of this place holds another voter slot than the claimed one. */
+  boolean placeHoldsOther(int slot) {
+    for (int i = 0; i < voterSet.voters.size(); i++) {
+      Voter holder = voterSet.voters.get(i);
+      if (i != slot
+          && holder.instanceId != instanceId
+          && VoterSets.isOf(holder, address, station)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Gives up a claim for another's of the same epoch. */
   void yield(int slot, Voter rival) {
     voterSet = VoterSets.with(voterSet, slot, rival);
--- a/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
@@ -9,14 +9,16 @@
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.Timers;
 import elmsail.storage.RecordStore;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * How a life that holds no voter slot comes to vote: it claims one, and copies all records from
- * those who acknowledged.
+ * How an instance without a voter slot comes to vote: it claims one, and copies from who consented.
  *
  * <p>Let N be the voter slots and q the majority. A claim raises the epoch of its voter slot, and
  * needs acknowledgements from N - q + 1 other holders ("the acknowledgers"), each voting and each
@@ -50,40 +52,7 @@
  *       over.
  * </ul>
  *
- * <p>A voter slot whose new holder isn't voting yet would otherwise be in the way of a second
- * newcomer for good, if that one's voter slot was lost too: each would wait for the other. In the
- * place of one voting holder, a claim is therefore also acknowledged by one such voter slot's two
- * lives together: its new holder S, and the one R that was voting there right before; and R is
- * copied from. Why that is as good, let k be the epoch of R and k + 1 that of S:
- *
- * <ul>
- *   <li>S answers that it isn't voting, and has the claim on its disk: S has cast no vote in this
- *       voter slot, and will cast none under a voter set without the claim.
- *   <li>R answers that it was voting under k, is voting no more (or is, and acknowledges as such),
- *       and has the claim on its disk. It voted only under k, votes under no voter set that has S,
- *       and its records are all that those votes made: they are dropped only behind its own claim
- *       of a voter slot, which is on its disk first and ends what it answers here; and it claims
- *       another voter slot only once S told that it votes. If R doesn't know of S yet, its later
- *       votes are under voter sets with this claim, so they needn't be copied; the copying makes it
- *       learn of S.
- *   <li>Nobody else voted in the voter slot, nor will: there is no epoch between k and k + 1; of
- *       two lives that claim k only one can be voting, and R was. A rival of S in k + 1, or whoever
- *       claims a later one, that was voting or will be without knowing this claim had
- *       acknowledgements from N - q + 1 voter slots. So did this claim: N - q of these are voting
- *       holders in the N - 2 voter slots besides both, where the other has N - q at least, and 2 (N
- *       - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which
- *       it knew to hold the voter slot, and never goes back: so it can't have known the rival
- *       first, and acknowledges none later but telling this claim along with it.
- *   <li>Only the one that was counted so is copied from though it is replaced. Any other source
- *       must be voting under what this newcomer learnt from all answers: one that acknowledged
- *       without knowing of its successor, which votes, doesn't count.
- *   <li>For that overlap only one voter slot may be acknowledged so, and all who are voting must
- *       have told of just S.
- *   <li>What S copies later from this newcomer has all that was decided, as from any that is
- *       voting.
- * </ul>
- *
- * If S is gone for good, this doesn't help: that it didn't vote is known to it alone.
+ * <p>{@link JoinQuorum} says when a holder that was replaced stands in for its successor.
  */
 final class ReplicaJoin {
   private static final Logger LOG = LoggerFactory.getLogger(ReplicaJoin.class);
@@ -157,23 +126,31 @@
       return;
     }
     // Its records may be the only ones of the voter slot it left, until its successor votes there.
+    whenVotes(
+        known.voters.get(replaced),
+        known,
+        votes -> {
+          if (votes
+              && membership.ownSlot() < 0
+              && membership.replacedSeat() == replaced
+              && epoch > membership.voterSet().voters.get(slot).epoch) {
+            membership.spare(true);
+            begin(slot, epoch);
+          }
+        });
+  }
+
+  /** Tells whether that holder answers as one that votes under that voter set. */
+  private void whenVotes(Voter holder, VoterSet under, Consumer<Boolean> then) {
     ReadRequest request = new ReadRequest();
     request.set = set;
-    request.voterSet = known;
+    request.voterSet = under;
     request.bare = true;
     caller
-        .call(known.voters.get(replaced).address, request, VoteResponse.class, CLAIM_CALL_MS)
+        .call(holder.address, request, VoteResponse.class, CLAIM_CALL_MS)
         .whenComplete(
-            (response, failure) -> {
-              if (response != null
-                  && response.code == VoteResponse.DONE
-                  && membership.ownSlot() < 0
-                  && membership.replacedSeat() == replaced
-                  && epoch > membership.voterSet().voters.get(slot).epoch) {
-                membership.spare(true);
-                begin(slot, epoch);
-              }
-            });
+            (response, failure) ->
+                then.accept(response != null && response.code == VoteResponse.DONE));
   }
 
   private void begin(int slot, int epoch) {
@@ -187,13 +164,13 @@
               if (failure == null) {
                 next.request();
               } else {
-                later(next, false);
+                later(next);
               }
             });
   }
 
-  /** Starts over after a while: the same claim, or a higher one if this one can't be won. */
-  private void later(Round from, boolean higher) {
+  /** Starts over after a while, with the same claim or as what was heard meanwhile demands. */
+  private void later(Round from) {
     if (round != from) {
       return;
     }
@@ -203,7 +180,7 @@
         wait,
         () -> {
           if (round == from) {
-            begin(from.slot, from.holder.epoch + (higher ? 1 : 0));
+            from.again();
           }
         });
   }
@@ -214,7 +191,8 @@
     private final Voter holder;
     private JoinQuorum answers;
     private Voter rival;
-    private boolean copying;
+    private final Map<Integer, Long> voting = new HashMap<>();
+    private boolean settled;
 
     Round(int slot, Voter holder) {
       this.slot = slot;
@@ -246,19 +224,24 @@
         }
       }
       if (answers.hopeless()) {
-        // The only voter slot: there is nobody to have it from.
-        later(this, false);
+        later(this); // The only voter slot: there is nobody to have it from.
       }
     }
 
     private void answered(int other, boolean before, JoinResponse response) {
-      if (round != this || copying) {
+      if (round != this) {
         return;
       }
-      if (before) {
-        answers.toldBefore(other, response);
-      } else {
-        answers.response(other, response);
+      if (!settled) {
+        if (before) {
+          answers.toldBefore(other, response);
+        } else {
+          answers.response(other, response);
+        }
+      }
+      // Also what comes once the claim is hopeless: the first answer may be a failure.
+      if (response != null && !before && response.voting) {
+        voting.put(other, response.instanceId);
       }
       if (response != null
           && response.voterSet.voters.size() == membership.voterSet().voters.size()) {
@@ -267,27 +250,75 @@
           rival = theirs;
         }
         keeper.learn(response.voterSet);
-        if (round != this) {
-          return;
-        }
       }
+      if (round == this && !settled) {
+        settle();
+      }
+    }
+
+    private void settle() {
       List<Voter> sources = answers.sources();
       if (sources != null) {
         copy(sources);
       } else if (answers.hopeless()) {
-        copying = true;
+        settled = true;
         if (rival != null && membership.spare()) {
-          round = null;
-          membership.yield(slot, rival);
-          keeper.voterSetChanged();
+          giveWay();
         } else {
-          later(this, rival != null);
+          later(this);
         }
       }
     }
 
+    /** Leaves the slot to the rival; another that this place held is claimed instead. */
+    private void giveWay() {
+      round = null;
+      membership.yield(slot, rival);
+      keeper.voterSetChanged();
+      consider();
+    }
+
+    /**
+     * After a claim in vain. A rival that votes keeps the slot. It is outbid only where enough
+     * others vote for this claim to be completed: a claim that is known and can't be completed
+     * would take the rival's vote from the set, and give none.
+     */
+    private void again() {
+      if (rival == null) {
+        begin(slot, holder.epoch);
+      } else if (membership.spare() || membership.placeHoldsOther(slot)) {
+        giveWay();
+      } else if (othersVoting() >= VoterSets.blocking(membership.voterSet().voters.size())) {
+        begin(slot, holder.epoch + 1);
+      } else {
+        VoterSet theirs = VoterSets.with(membership.voterSet(), slot, rival);
+        whenVotes(rival, theirs, this::rivalAnswered);
+      }
+    }
+
+    private void rivalAnswered(boolean votes) {
+      if (round != this) {
+        return;
+      }
+      if (votes) {
+        giveWay();
+      } else {
+        begin(slot, holder.epoch);
+      }
+    }
+
+    /** How many answered as voting whom the newest voter set names as holders. */
+    private int othersVoting() {
+      int count = 0;
+      for (Map.Entry<Integer, Long> one : voting.entrySet()) {
+        Voter holder = membership.voterSet().voters.get(one.getKey());
+        count += holder.instanceId == one.getValue() ? 1 : 0;
+      }
+      return count;
+    }
+
     private void copy(List<Voter> sources) {
-      copying = true;
+      settled = true;
       keeper.forget();
       new StateTransfer(
               set,
@@ -312,7 +343,7 @@
         round = null;
         keeper.caughtUp(holder.epoch);
       } else {
-        later(this, false);
+        later(this);
       }
     }
   }
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -114,11 +114,15 @@
   /** The voter slot that is held at this address or by this station, or -1. */
   static int ofPlace(VoterSet voterSet, String address, String station) {
     for (int i = 0; i < voterSet.voters.size(); i++) {
-      Voter slot = voterSet.voters.get(i);
-      if (slot.address.equals(address) || !station.isEmpty() && slot.station.equals(station)) {
+      if (isOf(voterSet.voters.get(i), address, station)) {
         return i;
       }
     }
     return -1;
   }
+
+  /** Whether the holder is, or was, at this address or of this station. */
+  static boolean isOf(Voter holder, String address, String station) {
+    return holder.address.equals(address) || !station.isEmpty() && holder.station.equals(station);
+  }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/ClusterBootstrap.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ClusterBootstrap.java
@@ -47,6 +47,7 @@
   private final TreeMap<String, HelloResponse> seedInstances = new TreeMap<>();
   private boolean seedWithoutDisk;
   private long pause = EVERY_MS;
+  private boolean decided;
   private boolean closed;
 
   /**
@@ -170,7 +171,8 @@
   }
 
   private void decided(VoterSet first) {
-    if (!closed && !known()) {
+    if (!closed && !decided) {
+      decided = true;
       LOG.info("head is founded by agreement of the seeds: {} voters", first.voters.size());
       learn.accept(first);
     }
--- a/rpc/src/main/java/elmsail/rpc/messages/JoinResponse.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/JoinResponse.java
@@ -17,4 +17,7 @@
   public boolean replaced;
 
   public VoterSet voterSet = new VoterSet();
+
+  /** Whether the one that answers votes, as far as it knows. */
+  public boolean voting;
 }
