Test losses right behind repairs, replacements and retirements, oldest first

Cause: blobs lie at a majority only, and no test lost a second member right behind a repair with two losses to be borne. Change: BlobSecondLossTest (all placements of a blob and all sources of joins for 1 to 7 voters, and replicas with a member that lacks the blob), SecondLossTest (five voters of each set, two lost at once, as soon as the loss before is repaired, and right behind a retirement).

--- /dev/null
+++ b/consensus/src/test/java/elmsail/consensus/BlobSecondLossTest.java
@@ -0,0 +1,142 @@
+package elmsail.consensus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.consensus.Register.Wanted;
+import elmsail.rpc.messages.Blob;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Blobs lie at a majority only. Each join copies from N - q + 1 other voting holders, so that each
+ * blob is at a majority of the holders again: shown for all placements and sources as sets of
+ * slots, and played with replicas.
+ */
+class BlobSecondLossTest {
+  private int states;
+
+  @Test
+  void eachJoinLeavesEachBlobAtAMajority() {
+    for (int voters : new int[] {1, 3, 5, 7}) {
+      states = 0;
+      assertThat(voters + " voters", joinsLose(voters, VoterSets.blocking(voters)), is(false));
+      System.out.println(voters + " voters: " + states + " joins, each blob at a majority");
+    }
+  }
+
+  @Test
+  void withOneSourceLessABlobIsLost() {
+    for (int voters : new int[] {3, 5, 7}) {
+      assertThat(joinsLose(voters, VoterSets.blocking(voters) - 1), is(true));
+    }
+  }
+
+  /** Whether some order of joins leaves a blob at less than a majority. */
+  private boolean joinsLose(int voters, int sources) {
+    Set<Integer> seen = new HashSet<>();
+    for (int holders = 0; holders < 1 << voters; holders++) {
+      if (Integer.bitCount(holders) == VoterSets.majority(voters)
+          && loses(holders, voters, sources, seen)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean loses(int holders, int voters, int sources, Set<Integer> seen) {
+    if (Integer.bitCount(holders) < VoterSets.majority(voters)) {
+      return true;
+    }
+    if (!seen.add(holders)) {
+      return false;
+    }
+    for (int slot = 0; slot < voters; slot++) {
+      int others = ((1 << voters) - 1) & ~(1 << slot);
+      for (int from = 0; from < 1 << voters; from++) {
+        if ((from & ~others) == 0 && Integer.bitCount(from) == Math.min(sources, voters - 1)) {
+          states++;
+          int copied = (from & holders) != 0 ? 1 << slot : 0;
+          int next = holders & others | (voters == 1 ? holders : copied);
+          if (loses(next, voters, sources, seen)) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
+  private SimSet set;
+
+  private void putWithout(int without) {
+    set = new SimSet().founded();
+    set.kill(without);
+    Blob blob = new Blob();
+    blob.name = "body";
+    blob.bytes = new byte[20_000];
+    set.await(
+        set.client(set.founding)
+            .change(
+                "key", found -> new Wanted(new byte[] {1}, List.of()), List.of(blob), null, 3_000));
+    set.start(without);
+    set.timers.pass(50);
+    assertThat(set.keepers[without].blob("key", "body") == null, is(true));
+  }
+
+  private void wiped(int lost) {
+    set.kill(lost);
+    set.disks[lost].wipe();
+    set.start(lost);
+    set.keepers[lost].learn(set.founding);
+    set.awaitSeated(lost, 5_000);
+    assertThat(set.keepers[lost].voting(), is(true));
+  }
+
+  /** The spare takes the slot of one that is gone, or that is there and retires. */
+  private void replaced(int lost, boolean there) {
+    if (!there) {
+      set.kill(lost);
+    }
+    set.keepers[3].learn(set.founding);
+    set.keepers[3].join(lost, 2);
+    set.awaitSeated(3, 5_000);
+    assertThat(set.keepers[3].voting(), is(true));
+    set.kill(lost);
+  }
+
+  /** One member lacks the blob; one is lost and made whole; right after it another is lost. */
+  @Test
+  void aBlobOutlivesALossRightBehindEachKindOfRepair() {
+    int played = 0;
+    for (int without = 0; without < 3; without++) {
+      for (int first = 0; first < 3; first++) {
+        for (int second = 0; second < 3; second++) {
+          for (int kind = 0; kind < 3; kind++) {
+            if (kind > 0 && second == first) {
+              continue;
+            }
+            putWithout(without);
+            if (kind == 0) {
+              wiped(first);
+            } else {
+              replaced(first, kind == 2);
+            }
+            set.kill(second);
+            set.disks[second].wipe();
+            byte[] read = set.await(set.client(set.founding).blob("key", "body", 5_000));
+            String about = without + " without, " + first + ", then " + second + ", kind " + kind;
+            assertThat(about, read != null && read.length == 20_000, is(true));
+            assertThat(about, set.net.faults(), empty());
+            played++;
+          }
+        }
+      }
+    }
+    assertThat(played, greaterThan(40));
+  }
+}
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/SecondLossTest.java
@@ -0,0 +1,204 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.consensus.Register;
+import elmsail.consensus.RegisterClient;
+import elmsail.consensus.VoterSetSource;
+import elmsail.consensus.VoterSets;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.simulation.Node;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two losses are borne: stores and control-plane nodes are lost two at once, each time as soon as
+ * the loss before is repaired, those whose disks have lasted longest first; also right behind a
+ * retirement. All that was acknowledged, blobs included, is there at the end.
+ */
+class SecondLossTest {
+  private static final int STORIES = 8;
+  private static final int ROUNDS = 6;
+  private static final long CATCH_UP_MS = 4_800;
+  private static final byte[] BODY = new byte[9_000];
+
+  private World world;
+  private Random chance;
+  private Register writer;
+  private VoterSet known;
+  private int written;
+  private int stores;
+  private final List<String> oldestFirst = new ArrayList<>();
+  private final List<String> oldestHeads = new ArrayList<>();
+
+  @Test
+  void twoAtOnceRightBehindEachRepair() {
+    long longest = 0;
+    for (int seed = 1; seed <= STORIES; seed++) {
+      start(seed);
+      for (int round = 0; round < ROUNDS; round++) {
+        write();
+        String about = "seed " + seed + " round " + round;
+        if (chance.nextInt(3) == 0) {
+          retireThenLose(about);
+        } else {
+          loseTwo(chance.nextBoolean(), chance.nextBoolean());
+        }
+        long restarted = world.timers.now();
+        assertThat(about + " " + storeSet(), world.until(CATCH_UP_MS, this::whole), is(true));
+        longest = Math.max(longest, world.timers.now() - restarted);
+      }
+      readAll("seed " + seed);
+    }
+    System.out.println("whole again at the latest " + longest + " ms after the restarts");
+  }
+
+  private void start(int seed) {
+    world = new World(seed, 3, 2);
+    chance = new Random(seed);
+    known = new VoterSet();
+    written = 0;
+    stores = 0;
+    oldestFirst.clear();
+    oldestHeads.clear();
+    world.net.delay(1, 8);
+    for (int i = 1; i <= 5; i++) {
+      world.controlPlane("n" + i, true);
+      oldestHeads.add("n" + i);
+    }
+    for (int i = 0; i < 6; i++) {
+      add(true);
+    }
+    writer();
+    assertThat(world.until(8_000, this::whole), is(true));
+    assertThat(world.replaceAnywhere(0, 1), is(200));
+  }
+
+  private void add(boolean firstStart) {
+    String name = "v" + ++stores;
+    world.store(name, firstStart);
+    oldestFirst.add(name);
+  }
+
+  private void writer() {
+    Node node = world.net.node("10.3.0.9:7720");
+    VoterSetSource voterSets =
+        new VoterSetSource() {
+          @Override
+          public VoterSet of() {
+            for (String name : oldestFirst) {
+              known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
+            }
+            return known;
+          }
+
+          @Override
+          public void response(VoterSet newer) {
+            known = VoterSets.merge(known, newer);
+          }
+        };
+    writer =
+        new RegisterClient("shelf", node.caller(), node.timers(), voterSets, 77, "", address -> 1);
+  }
+
+  /** Three jobs with a body each. */
+  private void write() {
+    for (int i = 0; i < 3; i++) {
+      Blob body = new Blob();
+      body.name = "body";
+      body.bytes = BODY;
+      CompletableFuture<?> change =
+          writer.change(
+              "lot/" + written,
+              found -> new Register.Wanted(new byte[] {1}, List.of()),
+              List.of(body),
+              null,
+              3_000);
+      assertThat(world.until(3_000, change::isDone), is(true));
+      change.join();
+      written++;
+    }
+  }
+
+  private void loseTwo(boolean stores, boolean wiped) {
+    List<String> oldest = stores ? oldestFirst : oldestHeads;
+    List<String> victims = List.copyOf(oldest.subList(0, 2));
+    for (String name : victims) {
+      lose(name, wiped);
+    }
+    world.timers.pass(100 + chance.nextInt(1_500));
+    for (String name : victims) {
+      if (stores) {
+        world.store(name, false);
+      } else {
+        world.controlPlane(name, false);
+      }
+      oldest.remove(name);
+      oldest.add(name);
+    }
+  }
+
+  private void lose(String name, boolean wiped) {
+    if (wiped) {
+      world.wipe(name);
+    } else {
+      world.net.kill(world.address(name), false);
+      world.disks.get(name).powerLoss();
+    }
+  }
+
+  /** One is emptied and removed as soon as it is said to be; two others lose their disks then. */
+  private void retireThenLose(String about) {
+    add(false);
+    world.timers.pass(1_500);
+    String leaving = oldestFirst.get(0);
+    assertThat(about, world.until(4_000, () -> world.retire("n1", leaving) == 200), is(true));
+    String delivered = "{\"state\":\"delivered\"}";
+    assertThat(
+        about, world.until(12_000, () -> world.retired("n2", leaving).equals(delivered)), is(true));
+    world.wipe(leaving);
+    oldestFirst.remove(leaving);
+    loseTwo(true, true);
+  }
+
+  private boolean whole() {
+    VoterSet newest = new VoterSet();
+    for (String name : oldestFirst) {
+      newest = VoterSets.merge(newest, world.stores.get(name).keeper().voterSet());
+    }
+    TreeSet<String> voting = new TreeSet<>();
+    for (Voter slot : newest.voters) {
+      if (oldestFirst.contains(slot.station)
+          && world.stores.get(slot.station).keeper().voting()
+          && world.disks.get(slot.station).instanceId() == slot.instanceId) {
+        voting.add(slot.station);
+      }
+    }
+    return voting.size() == 5 && world.wholeHead(oldestHeads.get(oldestHeads.size() - 1));
+  }
+
+  private String storeSet() {
+    return world.storeSet(oldestFirst.get(0));
+  }
+
+  private void readAll(String about) {
+    for (int i = 0; i < written; i++) {
+      CompletableFuture<Register.Versioned> value = writer.read("lot/" + i, null, 2_000);
+      assertThat(about, world.until(3_000, value::isDone), is(true));
+      assertThat(about + " job " + i, value.join().value(), equalTo(new byte[] {1}));
+      CompletableFuture<byte[]> body = writer.blob("lot/" + i, "body", 2_000);
+      assertThat(about, world.until(3_000, body::isDone), is(true));
+      assertThat(about + " body " + i, body.join().length, is(BODY.length));
+    }
+    String last = oldestHeads.get(oldestHeads.size() - 1);
+    assertThat(about, world.until(2_000, () -> world.read(last).equals(World.config(1))), is(true));
+  }
+}
