--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/FoundingCandidatesTest.java
@@ -0,0 +1,81 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import elmsail.rpc.messages.HelloRequest;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import java.util.StringJoiner;
+import org.junit.jupiter.api.Test;
+
+class FoundingCandidatesTest {
+  private final FoundingCandidates candidates = new FoundingCandidates(5, 0);
+
+  private static HelloRequest hello(String name, String zone) {
+    HelloRequest hello = new HelloRequest();
+    hello.station = name;
+    hello.address = name + ":1";
+    hello.zone = zone;
+    hello.instanceId = name.hashCode();
+    hello.hasDisk = true;
+    hello.firstStart = true;
+    return hello;
+  }
+
+  private void hear(long now, String... names) {
+    for (String name : names) {
+      candidates.heard(hello(name, "zone " + name.charAt(0)), now);
+    }
+  }
+
+  private String proposed(long now) {
+    VoterSet set = candidates.proposal(now);
+    if (set == null) {
+      return null;
+    }
+    StringJoiner names = new StringJoiner(" ");
+    for (Voter voter : set.voters) {
+      names.add(voter.station);
+    }
+    return names.toString();
+  }
+
+  @Test
+  void noZoneHasMoreThanItsShare() {
+    hear(0, "a1", "a2", "a3", "a4", "a5");
+    assertThat("others may still come", proposed(0), is(nullValue()));
+    hear(250, "a1", "a2", "b1", "b2", "c1", "c2");
+    assertThat(proposed(FoundingCandidates.SPREAD_MS), equalTo("a1 a2 b1 b2 c1"));
+  }
+
+  @Test
+  void fourZonesOfUnevenSize() {
+    hear(0, "a1", "a2", "b1", "b2", "c1", "d1");
+    assertThat(proposed(0), is(nullValue()));
+    assertThat(proposed(FoundingCandidates.SPREAD_MS), equalTo("a1 a2 b1 c1 d1"));
+  }
+
+  @Test
+  void fewerAreAnOddNumberAndOnlyLate() {
+    hear(2_900, "a1", "b1", "c1", "c2");
+    assertThat(proposed(2_999), is(nullValue()));
+    assertThat(proposed(FoundingCandidates.FEWER_MS), equalTo("a1 b1 c1"));
+  }
+
+  @Test
+  void whoHasNoDiskOrWasNotThereAtFirstOrIsSilentIsNone() {
+    HelloRequest diskless = hello("a1", "z");
+    diskless.hasDisk = false;
+    HelloRequest later = hello("a2", "z");
+    later.firstStart = false;
+    candidates.heard(diskless, 3_000);
+    candidates.heard(later, 3_000);
+    hear(1_900, "b1");
+    assertThat(proposed(3_000), is(nullValue()));
+    hear(3_000, "c1");
+    assertThat(proposed(3_000), equalTo("c1"));
+  }
+}
--- a/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
@@ -160,4 +160,14 @@
       who[one] = chance.nextLong();
     }
   }
+
+  /** Whoever held the slot before may have granted the lease right before it was taken over. */
+  @Test
+  void aVoterThatTookASlotOverWaitsOutALease() {
+    LeaseVoter voter = new LeaseVoter(0, true);
+    assertThat(voter.request(1, 1, 10), is(0L));
+    voter.tookOver(1_000);
+    assertThat(voter.request(1, 2, 1_001), is(LeaseVoter.LEASE_MS - 1));
+    assertThat(voter.request(2, 1, 1_000 + LeaseVoter.LEASE_MS), is(0L));
+  }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
@@ -236,4 +236,20 @@
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
     assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
   }
+
+  @Test
+  void whereItHearsSilenceCountsFromBeforeTheLease() {
+    founded("a", "b", "c");
+    pass(1_000, "a", "b", "c", "d");
+    for (int i = 0; i < 40; i++) {
+      now += 100;
+      hear("a", "za", true);
+      hear("b", "zb", true);
+      hear("d", "zd", false);
+      assertThat(registrar.order(heard, storeSet, retiring, true, false, now), is(nullValue()));
+    }
+    assertThat(
+        registrar.order(heard, storeSet, retiring, true, true, now),
+        equalTo(new PlacementController.Order(2, "d:1", 2)));
+  }
 }
