Refuse an order for a configuration only on proof

Cause: an order was known by its number and bytes, its base left out, and the last 64 were remembered. A repeat after 64 later changes got 412 although it had been taken; the same bytes on two bases could both be confirmed on one version. A body found invalid, and a base not in force yet, were refused without proof.

Change: an order is its base and its bytes. The last 1,024 are remembered as a chain of bases with 8 bytes of digest each. From the chain a refusal is either proved by a decided value or not given: what is older than all that is remembered, or whose base is not in force yet, gets 503. Validity is asked after the history. Values of the format before are read; their orders count as forgotten.

--- a/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
@@ -14,9 +14,18 @@
 import java.util.function.LongConsumer;
 
 /**
- * {@code POST /RoutingConfig.Replace}: checks the body, then changes the register. Every retry goes
- * through a first round of its own, which settles what became of the try before: so 412 and 400 are
- * sure.
+ * {@code POST /RoutingConfig.Replace}: changes the register, if the order is on top of what is in
+ * force and valid.
+ *
+ * <p>200, 400 and 412 end an operator's order, so they are given only for what a decided value
+ * proves ({@link ConfigHistory}); a change is declined only on a value that a majority accepted, or
+ * that was written back to a majority at a higher ballot. All else is 503, or 504 where something
+ * was sent that may have been accepted, and the order may be sent again, here or elsewhere.
+ *
+ * <p>Whether the body is valid is asked last. One that is in the history is acknowledged again
+ * whatever this build thinks of it; one that would be next and is invalid is refused, which is
+ * certain as long as all builds that run at the same time agree on what is valid. Only what no
+ * build ever took is refused unasked: a call whose base is no number.
  */
 final class ReplaceConfigHandler implements HttpHandler {
   static final String KEY = "timetable";
@@ -54,23 +63,34 @@
 
   /** One call: what it wants and what became of it. */
   private static final class Order {
-    final long edition;
     final long basedOn;
     final byte[] sent;
     final byte[] digest;
     final long end;
+
+    /** 0 where the body is invalid, for the reason that {@link #invalid} gives. */
+    final long edition;
+
+    final String invalid;
     final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
     int status;
     String why = "";
     boolean unclear;
 
-    Order(long edition, long basedOn, byte[] sent, long end) {
-      this.edition = edition;
+    Order(long basedOn, byte[] sent, long edition, String invalid, long end) {
       this.basedOn = basedOn;
       this.sent = sent;
-      this.digest = ConfigHistory.digest(sent);
+      this.edition = edition;
+      this.invalid = invalid;
+      this.digest = ConfigHistory.digest(basedOn, sent);
       this.end = end;
     }
+
+    Register.Wanted declined(int status, String why) {
+      this.status = status;
+      this.why = why;
+      return new Register.Wanted(null, List.of());
+    }
   }
 
   @Override
@@ -79,21 +99,22 @@
     if (basedOn < 0) {
       return Replies.now(Replies.why(400, "Elmsail-Based-On"));
     }
-    long edition;
+    Order order = order(basedOn, call.body());
+    attempt(order);
+    return order.reply;
+  }
+
+  private Order order(long basedOn, byte[] sent) {
+    long end = timers.now() + ANSWER_WITHIN_MS;
     try {
-      edition = reader.apply(call.body()).edition();
+      long edition = reader.apply(sent).edition();
+      return new Order(basedOn, sent, edition, edition > 0 ? null : "edition: not above 0", end);
     } catch (ElmsailException e) {
       if (e.code() != ErrorCode.BAD_CALL && e.code() != ErrorCode.GARBLED) {
         throw e;
       }
-      return Replies.now(Replies.why(400, e.getMessage()));
-    }
-    if (edition <= 0) {
-      return Replies.now(Replies.why(400, "edition: not above 0"));
+      return new Order(basedOn, sent, 0, e.getMessage(), end);
     }
-    Order order = new Order(edition, basedOn, call.body(), timers.now() + ANSWER_WITHIN_MS);
-    attempt(order);
-    return order.reply;
   }
 
   private void attempt(Order order) {
@@ -110,19 +131,21 @@
 
   private static Register.Wanted wanted(Order order, Register.Found found) {
     ConfigHistory current = ConfigHistory.of(found.value());
-    if (current.taken(order.edition, order.digest)) {
-      order.status = 200;
-      return new Register.Wanted(null, List.of());
-    }
-    if (order.basedOn != current.edition()) {
-      order.status = 412;
-      order.why = "current: " + current.edition();
-      return new Register.Wanted(null, List.of());
+    return switch (current.standing(order.basedOn, order.digest)) {
+      case TAKEN -> order.declined(200, "");
+      case NEXT -> next(order, current);
+      case SUPERSEDED -> order.declined(412, "current: " + current.edition());
+      case AHEAD -> order.declined(503, "not in force yet; current: " + current.edition());
+      case FORGOTTEN -> order.declined(503, "too old to tell; current: " + current.edition());
+    };
+  }
+
+  private static Register.Wanted next(Order order, ConfigHistory current) {
+    if (order.invalid != null) {
+      return order.declined(400, order.invalid);
     }
     if (order.edition <= current.edition()) {
-      order.status = 400;
-      order.why = "edition: not above " + current.edition();
-      return new Register.Wanted(null, List.of());
+      return order.declined(400, "edition: not above " + current.edition());
     }
     order.status = 200;
     return new Register.Wanted(
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/ConfigHistoryTest.java
@@ -0,0 +1,168 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** What a history says of an order, against a chain that forgets nothing. */
+class ConfigHistoryTest {
+  private static final int CHAINS = 20;
+  private static final int CHANGES = 1_500;
+  private static final int QUESTIONS_EACH = 6;
+
+  private record Order(long base, String body) {
+    byte[] bytes() {
+      return body.getBytes(StandardCharsets.UTF_8);
+    }
+
+    byte[] digest() {
+      return ConfigHistory.digest(base, bytes());
+    }
+  }
+
+  private static ConfigHistory followed(ConfigHistory last, long number, Order order) {
+    return ConfigHistory.of(last.followedBy(number, order.bytes(), order.digest()).value());
+  }
+
+  @Test
+  void nothingIsCertainThatALongerMemoryWouldDeny() {
+    Map<OrderStanding, Integer> counts = new EnumMap<>(OrderStanding.class);
+    for (int seed = 1; seed <= CHAINS; seed++) {
+      chain(seed, counts);
+    }
+    System.out.println("standings of orders over " + CHAINS + " chains: " + counts);
+    for (OrderStanding each : OrderStanding.values()) {
+      assertThat(each.name(), counts.getOrDefault(each, 0), greaterThan(100));
+    }
+  }
+
+  private static void chain(int seed, Map<OrderStanding, Integer> counts) {
+    Random chance = new Random(seed);
+    // All orders taken, by base; never forgotten.
+    TreeMap<Long, Order> taken = new TreeMap<>();
+    List<Long> numbers = new ArrayList<>(List.of(0L));
+    ConfigHistory last = ConfigHistory.NONE;
+    for (int i = 0; i < CHANGES; i++) {
+      for (int q = 0; q < QUESTIONS_EACH; q++) {
+        Order asked = any(chance, numbers, taken);
+        OrderStanding standing = last.standing(asked.base, asked.digest());
+        counts.merge(standing, 1, Integer::sum);
+        assertThat(
+            "seed " + seed + " change " + i + " order " + asked,
+            standing,
+            is(expected(asked, last.edition(), taken, numbers)));
+      }
+      Order next = new Order(last.edition(), "body " + i);
+      taken.put(next.base, next);
+      last = followed(last, last.edition() + step(chance), next);
+      numbers.add(last.edition());
+      assertThat(last.remembered(), is(Math.min(i + 1, ConfigHistory.REMEMBERED)));
+    }
+  }
+
+  /** Mostly steps of one byte, at times as large as a number can be. */
+  private static long step(Random chance) {
+    return chance.nextInt(50) == 0 ? 1 + chance.nextLong(1L << 50) : 1 + chance.nextInt(9);
+  }
+
+  private static Order any(Random chance, List<Long> numbers, TreeMap<Long, Order> taken) {
+    long base = numbers.get(chance.nextInt(numbers.size()));
+    int kind = chance.nextInt(10);
+    if (kind == 0) {
+      base = numbers.get(numbers.size() - 1) + 1 + chance.nextInt(9);
+    } else if (kind == 1) {
+      base++;
+    } else if (kind == 2) {
+      base = numbers.get(numbers.size() - 1);
+    }
+    Order there = taken.get(base);
+    return there != null && chance.nextBoolean() ? there : new Order(base, "lost " + base);
+  }
+
+  private static OrderStanding expected(
+      Order asked, long edition, TreeMap<Long, Order> taken, List<Long> numbers) {
+    int oldest = Math.max(0, taken.size() - ConfigHistory.REMEMBERED);
+    if (asked.base == edition) {
+      return OrderStanding.NEXT;
+    }
+    if (asked.base > edition) {
+      return OrderStanding.AHEAD;
+    }
+    if (asked.base < numbers.get(oldest)) {
+      return OrderStanding.FORGOTTEN;
+    }
+    return asked.equals(taken.get(asked.base)) ? OrderStanding.TAKEN : OrderStanding.SUPERSEDED;
+  }
+
+  @Test
+  void remembersInFewBytes() {
+    ConfigHistory last = ConfigHistory.NONE;
+    int[] sizes = new int[ConfigHistory.REMEMBERED * 2 + 1];
+    for (int i = 1; i < sizes.length; i++) {
+      last = followed(last, last.edition() + 2, new Order(last.edition(), "b"));
+      sizes[i] = last.value().length - last.bytes().length;
+    }
+    System.out.printf(
+        "bytes of history after 1, 64, 300, 1,024 and 2,048 changes: %d, %d, %d, %d, %d%n",
+        sizes[1], sizes[64], sizes[300], sizes[1_024], sizes[2_048]);
+    assertThat(sizes[300], lessThanOrEqualTo(3_000));
+    assertThat("level", sizes[2_048], is(sizes[1_024]));
+  }
+
+  @Test
+  void ofTheFormatBeforeNoOrderIsTakenOverAndNoneRefused() {
+    byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
+    ByteBuffer old = ByteBuffer.allocate(8 + 4 + 2 * 24 + body.length);
+    old.putLong(7).putInt(2).putLong(5).put(new byte[16]).putLong(7).put(new byte[16]).put(body);
+    ConfigHistory read = ConfigHistory.of(old.array());
+    assertThat(read.edition(), is(7L));
+    assertThat(read.bytes(), equalTo(body));
+    assertThat(read.standing(5, new byte[8]), is(OrderStanding.FORGOTTEN));
+    assertThat(read.standing(7, new byte[8]), is(OrderStanding.NEXT));
+    Order next = new Order(7, "next");
+    ConfigHistory after = followed(read, 9, next);
+    assertThat(after.standing(7, next.digest()), is(OrderStanding.TAKEN));
+    assertThat(after.standing(5, next.digest()), is(OrderStanding.FORGOTTEN));
+  }
+
+  @Test
+  void aDamagedValueIsATypedError() {
+    Order first = new Order(0, "a");
+    byte[] good = followed(ConfigHistory.NONE, 300, first).value();
+    int history = good.length - first.bytes().length;
+    List<byte[]> damaged = new ArrayList<>();
+    for (int length = 0; length < history; length++) {
+      damaged.add(Arrays.copyOf(good, length));
+    }
+    byte[] unknownFormat = good.clone();
+    unknownFormat[0] = 3;
+    damaged.add(unknownFormat);
+    byte[] tooMany = good.clone();
+    ByteBuffer.wrap(tooMany).putInt(9, ConfigHistory.REMEMBERED + 1);
+    damaged.add(tooMany);
+    byte[] otherEnd = good.clone();
+    ByteBuffer.wrap(otherEnd).putLong(1, 301);
+    damaged.add(otherEnd);
+    for (byte[] each : damaged) {
+      ElmsailException thrown =
+          assertThrows(ElmsailException.class, () -> ConfigHistory.of(each), Arrays.toString(each));
+      assertThat(thrown.code(), is(ErrorCode.GARBLED));
+    }
+  }
+}
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/ConfigOrdersTest.java
@@ -0,0 +1,245 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import elmsail.controlplane.OrderStory.Order;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Orders of several operators at several nodes, with lost answers, repeats, kills and wipes. */
+class ConfigOrdersTest {
+  private static final int NODES = 3;
+  private static final int SEEDS = 20;
+  private static final long SETTLE_MS = 20_000;
+
+  private static OrderStory started(String name, int seed) {
+    OrderStory story = new OrderStory(name, seed, NODES);
+    Order first = OrderStory.order(0, 1, "");
+    story.send(first);
+    assertThat(story.pursue(Set.of(first), SETTLE_MS, () -> {}), is(true));
+    assertThat(story.confirmed.contains(first), is(true));
+    return story;
+  }
+
+  /** One of them is confirmed, the others are refused. */
+  private static Order oneWins(OrderStory story, Set<Order> orders) {
+    assertThat("answered", story.pursue(orders, SETTLE_MS, () -> {}), is(true));
+    List<Order> won = new ArrayList<>(orders);
+    won.retainAll(story.confirmed);
+    assertThat("confirmed of " + orders.size(), won.size(), is(1));
+    return won.get(0);
+  }
+
+  @Test
+  void ofEightAtOnceAtDifferentNodesOneIsConfirmed() {
+    int unclear = 0;
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      OrderStory story = started("eight at once", seed);
+      Set<Order> orders = new LinkedHashSet<>();
+      for (int i = 0; i < 8; i++) {
+        Order order = OrderStory.order(1, 2 + i, "x");
+        orders.add(order);
+        story.send(order, "n" + (1 + i % NODES));
+      }
+      Order won = oneWins(story, orders);
+      assertThat(story.current(5_000), is(won.number()));
+      story.finish();
+      unclear += story.unclear;
+    }
+    System.out.println("eight at once: " + SEEDS + " seeds, answers unclear " + unclear);
+  }
+
+  @Test
+  void ofTwoWithOneNumberAndOtherBytesOneIsConfirmed() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      OrderStory story = started("one number", seed);
+      Order one = OrderStory.order(1, 5, "one");
+      Order other = OrderStory.order(1, 5, "other");
+      story.send(one, "n1");
+      story.send(other, "n2");
+      Order won = oneWins(story, Set.of(one, other));
+      Order lost = won.equals(one) ? other : one;
+      Order next = OrderStory.order(5, 6, "");
+      story.send(next);
+      assertThat(story.pursue(Set.of(next), SETTLE_MS, () -> {}), is(true));
+      assertThat(story.repeat(won, SETTLE_MS), is(200));
+      assertThat(story.repeat(lost, SETTLE_MS), is(412));
+      story.finish();
+    }
+  }
+
+  @Test
+  void theSameBytesOnTwoBasesAreNotBothConfirmed() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      OrderStory story = started("two bases", seed);
+      Order mine = OrderStory.order(1, 9, "same");
+      Order taken = OrderStory.order(1, 3, "");
+      Order between = OrderStory.order(3, 9, "same");
+      story.send(taken);
+      assertThat(story.pursue(Set.of(taken), SETTLE_MS, () -> {}), is(true));
+      story.send(between, "n1");
+      story.send(mine, "n2");
+      assertThat(story.pursue(Set.of(mine, between), SETTLE_MS, () -> {}), is(true));
+      assertThat(story.confirmed.contains(between), is(true));
+      assertThat(story.repeat(mine, SETTLE_MS), is(412));
+      story.finish();
+    }
+  }
+
+  @Test
+  void theSameOrderAtAllNodesAtOnceIsConfirmedByAll() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      OrderStory story = started("same order", seed);
+      Order order = OrderStory.order(1, 4, "");
+      for (int i = 1; i <= NODES; i++) {
+        story.send(order, "n" + i);
+      }
+      assertThat(story.pursue(Set.of(order), SETTLE_MS, () -> {}), is(true));
+      story.hear(2_000);
+      assertThat(story.confirmed.contains(order), is(true));
+      assertThat(story.current(5_000), is(4L));
+      story.finish();
+    }
+  }
+
+  @Test
+  void answersLostAtSevenTenthsEndInOneClearAnswerEach() {
+    int lost = 0;
+    int confirmed = 0;
+    for (int seed = 1; seed <= 6; seed++) {
+      OrderStory story = started("lost answers", seed);
+      story.answersLost = 0.7;
+      long current = 1;
+      for (int change = 0; change < 25; change++) {
+        Set<Order> orders = new LinkedHashSet<>();
+        int rivals = 1 + story.chance.nextInt(3);
+        for (int i = 0; i < rivals; i++) {
+          orders.add(OrderStory.order(current, current + 1 + story.chance.nextInt(3), "v" + i));
+        }
+        orders.forEach(story::send);
+        current = oneWins(story, orders).number();
+      }
+      story.finish();
+      lost += story.lostAnswers;
+      confirmed += story.confirmed.size();
+    }
+    System.out.println("lost answers: confirmed " + confirmed + ", answers lost " + lost);
+    assertThat(lost, greaterThan(2 * confirmed));
+  }
+
+  @Test
+  void oneThatWasTakenIsConfirmedAgainAfter1And10And300ChangesAndAWipe() {
+    OrderStory story = started("old repeats", 1);
+    List<Order> taken = new ArrayList<>();
+    List<Order> lost = new ArrayList<>();
+    taken.add(OrderStory.order(0, 1, ""));
+    for (int change = 1; change <= 310; change++) {
+      Order order = OrderStory.order(change, change + 1, "a");
+      story.send(order);
+      if (change % 20 == 0) {
+        Order rival = OrderStory.order(change, change + 1, "b");
+        story.send(rival);
+        Order won = oneWins(story, Set.of(order, rival));
+        lost.add(won.equals(order) ? rival : order);
+        taken.add(won);
+      } else {
+        taken.add(oneWins(story, Set.of(order)));
+      }
+      if (change % 70 == 0) {
+        String node = "n" + (1 + change / 70 % NODES);
+        boolean wiped = change % 140 == 0;
+        if (wiped) {
+          story.world.wipe(node);
+        } else {
+          story.world.kill(node);
+        }
+        story.world.timers.pass(1_500);
+        story.world.controlPlane(node, false);
+        assertThat(
+            story.world.until(10_000, () -> story.world.read(node).startsWith("{")), is(true));
+      }
+      for (int back : new int[] {1, 10, 300}) {
+        if (change >= back && (change % 10 == 0 || change > 300)) {
+          Order old = taken.get(taken.size() - 1 - back);
+          assertThat("after " + back + ": " + old, story.repeat(old, SETTLE_MS), is(200));
+        }
+      }
+    }
+    for (Order each : taken) {
+      assertThat(each.toString(), story.repeat(each, SETTLE_MS), is(200));
+    }
+    for (Order each : lost) {
+      assertThat(each.toString(), story.repeat(each, SETTLE_MS), is(412));
+    }
+    story.finish();
+  }
+
+  @Test
+  void operatorsUnderTroubleAreNeverToldWhatIsNotSo() {
+    int confirmed = 0;
+    int refused = 0;
+    int unclear = 0;
+    int repeats = 0;
+    int troubles = 0;
+    for (int seed = 1; seed <= 10; seed++) {
+      OrderStory story = started("trouble", seed);
+      OrderTrouble trouble = new OrderTrouble(story.world, new Random(seed * 7L), NODES);
+      story.answersLost = 0.4;
+      long current = 1;
+      for (int round = 0; round < 40; round++) {
+        Set<Order> orders = new LinkedHashSet<>();
+        int rivals = 1 + story.chance.nextInt(8);
+        for (int i = 0; i < rivals; i++) {
+          // A base that is out of date or ahead at times; the same number at times.
+          long base = Math.max(0, current - (story.chance.nextInt(6) == 0 ? 1 : 0));
+          base += story.chance.nextInt(12) == 0 ? 1 : 0;
+          orders.add(
+              OrderStory.order(base, base + 1 + story.chance.nextInt(3), "v" + round + i % 4));
+        }
+        for (Order order : orders) {
+          story.send(order);
+          if (story.chance.nextInt(4) == 0) {
+            story.send(order);
+          }
+        }
+        // Not all get their answer in time: their operators give up, for now.
+        story.pursue(orders, 200 + story.chance.nextInt(2_000), trouble::step);
+        if (story.chance.nextInt(3) == 0) {
+          List<Order> all = new ArrayList<>(story.sent);
+          Order old = all.get(story.chance.nextInt(all.size()));
+          story.repeat(old, 300);
+          repeats++;
+        }
+        current = story.current(15_000);
+      }
+      trouble.end();
+      story.hear(2_000);
+      // Whoever gave up asks again at the end; what is ahead of all stays open.
+      story.pursue(new LinkedHashSet<>(story.sent), 3_000, () -> {});
+      for (Order order : story.sent) {
+        if (!story.answered(order)) {
+          story.repeat(order, 300);
+        }
+      }
+      story.finish();
+      confirmed += story.confirmed.size();
+      refused += story.refused.size();
+      unclear += story.unclear;
+      troubles += trouble.begun();
+    }
+    System.out.printf(
+        "trouble: confirmed %d, refused %d, unclear answers %d, old repeats %d, troubles %d%n",
+        confirmed, refused, unclear, repeats, troubles);
+    assertThat(confirmed, greaterThan(200));
+    assertThat(refused, greaterThan(200));
+    assertThat(troubles, greaterThan(20));
+    assertThat(repeats, lessThan(refused + confirmed));
+  }
+}
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
@@ -0,0 +1,233 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.runtime.http.HttpReply;
+import elmsail.simulation.Node;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Operators with orders under way at control-plane nodes. Each order is sent again, at any node,
+ * until a final answer is heard. Checked at each answer: never are two orders confirmed on one
+ * base; one that was confirmed is never refused, and the other way round.
+ */
+final class OrderStory {
+  /** What an operator sends; two with the same fields are the same order. */
+  record Order(long base, long number, String body) {}
+
+  private static final int ANSWER_MS = 1_000;
+  private static final int PAUSE_MS = 60;
+  private static final Pattern EDITION = Pattern.compile("\"edition\":(\\d+)");
+
+  private record Call(Order order, CompletableFuture<HttpReply> reply, long end, boolean lost) {}
+
+  final World world;
+  final Random chance;
+  final Set<Order> confirmed = new LinkedHashSet<>();
+  final Map<Order, Integer> refused = new HashMap<>();
+  final Set<Order> sent = new LinkedHashSet<>();
+  private final Map<Long, Order> confirmedOn = new HashMap<>();
+  private final List<Call> calls = new ArrayList<>();
+  private final int nodes;
+  private final String name;
+  double answersLost;
+  int calledOff;
+  int lostAnswers;
+  int unclear;
+
+  OrderStory(String name, int seed, int nodes) {
+    this.name = name + ", seed " + seed;
+    this.nodes = nodes;
+    chance = new Random(seed);
+    world = new World(seed, nodes);
+    world.net.delay(1, 15);
+    for (int i = 1; i <= nodes; i++) {
+      world.controlPlane("n" + i, true);
+    }
+  }
+
+  /** A valid configuration; {@code variant} tells those of one number apart. */
+  static Order order(long base, long number, String variant) {
+    String body = World.config(number);
+    return new Order(
+        base, number, body.replace("\"r" + number + "\"", "\"r" + number + variant + "\""));
+  }
+
+  private boolean serves(String node) {
+    Node there = world.net.at(world.address(node));
+    return there != null && there.alive() && !there.frozen();
+  }
+
+  private String anyNode() {
+    String node;
+    do {
+      node = "n" + (1 + chance.nextInt(nodes));
+    } while (!serves(node));
+    return node;
+  }
+
+  void send(Order order) {
+    send(order, anyNode());
+  }
+
+  void send(Order order, String node) {
+    sent.add(order);
+    CompletableFuture<HttpReply> reply =
+        world.begin(node, "POST", "/Timetable.Replace", String.valueOf(order.base), order.body);
+    calls.add(
+        new Call(order, reply, world.timers.now() + ANSWER_MS, chance.nextDouble() < answersLost));
+  }
+
+  /** Some ms pass, and the answers that came are heard; returns orders without a clear answer. */
+  List<Order> hear(int ms) {
+    world.timers.pass(ms);
+    List<Order> open = new ArrayList<>();
+    for (Call call : List.copyOf(calls)) {
+      if (!call.reply.isDone() && world.timers.now() < call.end) {
+        continue;
+      }
+      calls.remove(call);
+      int status = call.reply.isDone() && !call.lost ? call.reply.join().status() : -1;
+      lostAnswers += call.lost ? 1 : 0;
+      if (status == 200) {
+        confirm(call.order);
+      } else if (status >= 400 && status < 500) {
+        refuse(call.order, status);
+      } else {
+        unclear++;
+        open.add(call.order);
+      }
+    }
+    return open;
+  }
+
+  private void confirm(Order order) {
+    assertThat(name + ": refused, then confirmed: " + order, refused.containsKey(order), is(false));
+    Order other = confirmedOn.putIfAbsent(order.base, order);
+    assertThat(
+        name + ": two on one base: " + other + " and " + order,
+        other == null || other.equals(order),
+        is(true));
+    confirmed.add(order);
+  }
+
+  private void refuse(Order order, int status) {
+    assertThat(
+        name + ": confirmed, then refused by " + status + ": " + order,
+        confirmed.contains(order),
+        is(false));
+    refused.put(order, status);
+  }
+
+  boolean answered(Order order) {
+    return confirmed.contains(order) || refused.containsKey(order);
+  }
+
+  /** Sends each again until all of them have a final answer; false if the time is over. */
+  boolean pursue(Set<Order> orders, long withinMs, Runnable meanwhile) {
+    long end = world.timers.now() + withinMs;
+    Map<Order, Long> again = new HashMap<>();
+    while (world.timers.now() < end) {
+      meanwhile.run();
+      for (Order open : hear(1 + chance.nextInt(10))) {
+        again.put(open, world.timers.now() + PAUSE_MS + chance.nextInt(PAUSE_MS));
+      }
+      boolean done = true;
+      for (Order order : orders) {
+        if (answered(order)) {
+          continue;
+        }
+        done = false;
+        if (again.getOrDefault(order, Long.MAX_VALUE) <= world.timers.now()) {
+          again.remove(order);
+          send(order);
+        }
+      }
+      if (done) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Sends one that had its answer once more and gives what is answered at last, or 503. */
+  int repeat(Order order, long withinMs) {
+    long end = world.timers.now() + withinMs;
+    while (world.timers.now() < end) {
+      CompletableFuture<HttpReply> reply =
+          world.begin(
+              anyNode(), "POST", "/Timetable.Replace", String.valueOf(order.base), order.body);
+      int status = world.status(reply);
+      if (status == 200) {
+        confirm(order);
+        return status;
+      }
+      if (status >= 400 && status < 500) {
+        refuse(order, status);
+        return status;
+      }
+      unclear++;
+      hear(PAUSE_MS);
+    }
+    return 503;
+  }
+
+  /** The number in force as some node reads it. */
+  long current(long withinMs) {
+    String[] read = {""};
+    boolean came =
+        world.until(
+            withinMs,
+            () -> {
+              read[0] = world.read(anyNode());
+              return read[0].startsWith("{");
+            });
+    assertThat(name + ": read back: " + read[0], came, is(true));
+    Matcher edition = EDITION.matcher(read[0]);
+    assertThat(edition.find(), is(true));
+    return Long.parseLong(edition.group(1));
+  }
+
+  /** All that was confirmed is in the chain of what was in force, and nothing that was refused. */
+  void finish() {
+    long current = current(10_000);
+    ConfigHistory last = null;
+    for (ControlPlaneNode office : world.offices.values()) {
+      byte[] value = office.committedConfig();
+      if (value != null && ConfigHistory.of(value).edition() == current) {
+        last = ConfigHistory.of(value);
+      }
+    }
+    assertThat(name, last.remembered() < ConfigHistory.REMEMBERED, is(true));
+    Set<Order> taken = new HashSet<>();
+    for (Order order : sent) {
+      if (taken(last, order)) {
+        taken.add(order);
+      }
+    }
+    for (Order order : confirmed) {
+      assertThat(name + ": confirmed and lost: " + order, taken.contains(order), is(true));
+    }
+    for (Order order : refused.keySet()) {
+      assertThat(name + ": refused and in force: " + order, taken.contains(order), is(false));
+    }
+  }
+
+  private static boolean taken(ConfigHistory last, Order order) {
+    byte[] sent = order.body.getBytes(StandardCharsets.UTF_8);
+    byte[] digest = ConfigHistory.digest(order.base, sent);
+    return last.standing(order.base, digest) == OrderStanding.TAKEN;
+  }
+}
