Play changes cut off halfway and a thousand changes with members gone

Cause: nothing brought about a change whose accept reached only some voters while it was repeated and raced elsewhere, a member that comes back after hundreds of changes with its old disk or none, or showed that storage stays level.

Change: ConfigOrdersTest cuts the changing node off at each of 71 ms, in three ways, with a rival before or behind the repeat. The simulated network counts the bytes of one process; a control-plane node tells the term of its lease.

--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -158,6 +158,11 @@
     return config.value();
   }
 
+  /** The term in which this node holds the singleton lease at this moment, or 0. */
+  long leaseTerm() {
+    return duty.term();
+  }
+
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
     if ("store".equals(request.role) && request.storeSet != null) {
--- a/controlplane/src/test/java/elmsail/controlplane/ConfigOrdersTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ConfigOrdersTest.java
@@ -181,6 +181,60 @@
     story.finish();
   }
 
+  /**
+   * The node that makes the change is cut off at each ms of it, one way or both, so that its accept
+   * may have reached nobody, itself, one other or all; a rival comes before or after the repeat.
+   */
+  @Test
+  void aChangeCutOffHalfwayIsFinishedOrLostForAll() {
+    int finished = 0;
+    int lost = 0;
+    int stories = 0;
+    for (int cutAt = 0; cutAt <= 70; cutAt++) {
+      for (int variant = 0; variant < 6; variant++) {
+        OrderStory story = started("cut at " + cutAt + " ms, variant " + variant, 100 + cutAt);
+        Order mine = OrderStory.order(1, 5, "mine");
+        Order rival = OrderStory.order(1, 5, "rival");
+        story.send(mine, "n1");
+        story.hear(cutAt);
+        cut(story.world, "n1", variant % 3);
+        boolean rivalFirst = variant >= 3;
+        story.send(rivalFirst ? rival : mine, "n2");
+        story.hear(1 + story.chance.nextInt(30));
+        story.send(rivalFirst ? mine : rival, "n3");
+        story.hear(1_500);
+        story.world.net.healAll();
+        boolean mineWon = oneWins(story, Set.of(mine, rival)).equals(mine);
+        assertThat(story.repeat(mine, SETTLE_MS), is(mineWon ? 200 : 412));
+        assertThat(story.repeat(rival, SETTLE_MS), is(mineWon ? 412 : 200));
+        story.finish();
+        stories++;
+        finished += mineWon && rivalFirst ? 1 : 0;
+        lost += mineWon ? 0 : 1;
+      }
+    }
+    System.out.printf(
+        "cut off halfway: %d stories, first try lost %d, kept although a rival came first %d%n",
+        stories, lost, finished);
+    assertThat(lost, greaterThan(20));
+    assertThat(finished, greaterThan(20));
+  }
+
+  private static void cut(World world, String node, int how) {
+    for (int i = 1; i <= NODES; i++) {
+      String other = "n" + i;
+      if (other.equals(node)) {
+        continue;
+      }
+      if (how != 1) {
+        world.net.cut(world.address(node), world.address(other));
+      }
+      if (how != 2) {
+        world.net.cut(world.address(other), world.address(node));
+      }
+    }
+  }
+
   @Test
   void operatorsUnderTroubleAreNeverToldWhatIsNotSo() {
     int confirmed = 0;
--- a/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
@@ -43,7 +43,6 @@
   private final int nodes;
   private final String name;
   double answersLost;
-  int calledOff;
   int lostAnswers;
   int unclear;
 
@@ -131,6 +130,15 @@
     refused.put(order, status);
   }
 
+  private boolean underWay(Order order) {
+    for (Call call : calls) {
+      if (call.order.equals(order)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean answered(Order order) {
     return confirmed.contains(order) || refused.containsKey(order);
   }
@@ -150,7 +158,7 @@
           continue;
         }
         done = false;
-        if (again.getOrDefault(order, Long.MAX_VALUE) <= world.timers.now()) {
+        if (!underWay(order) && again.getOrDefault(order, 0L) <= world.timers.now()) {
           again.remove(order);
           send(order);
         }
@@ -186,16 +194,14 @@
 
   /** The number in force as some node reads it. */
   long current(long withinMs) {
-    String[] read = {""};
-    boolean came =
-        world.until(
-            withinMs,
-            () -> {
-              read[0] = world.read(anyNode());
-              return read[0].startsWith("{");
-            });
-    assertThat(name + ": read back: " + read[0], came, is(true));
-    Matcher edition = EDITION.matcher(read[0]);
+    long end = world.timers.now() + withinMs;
+    String read = world.read(anyNode());
+    while (!read.startsWith("{") && world.timers.now() < end) {
+      world.timers.pass(PAUSE_MS);
+      read = world.read(anyNode());
+    }
+    assertThat(name + ": read back: " + read, read.startsWith("{"), is(true));
+    Matcher edition = EDITION.matcher(read);
     assertThat(edition.find(), is(true));
     return Long.parseLong(edition.group(1));
   }
--- a/rpc/src/main/java/elmsail/rpc/Codec.java
+++ b/rpc/src/main/java/elmsail/rpc/Codec.java
@@ -69,6 +69,13 @@
     return copy;
   }
 
+  /** How many bytes the message takes, without its frame. */
+  public int size(Object message) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(BUFFER_BYTES);
+    write(number(message), message, out);
+    return out.size();
+  }
+
   @SuppressWarnings("unchecked")
   private Schema<Object> schema(int number) {
     Class<?> type = MessageTypes.type(number);
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -39,6 +39,11 @@
   private long digest;
   private final List<Throwable> faults = new ArrayList<>();
 
+  /** The process whose traffic is counted; null: none. */
+  private String counted;
+
+  private long countedBytes;
+
   public SimNet(long seed, ManualTimers timers) {
     this.random = new Random(seed);
     this.timers = timers;
@@ -183,6 +188,17 @@
     return sent;
   }
 
+  /** From now on the bytes of all messages from and to that address are counted, from 0. */
+  public void countBytes(String address) {
+    counted = address;
+    countedBytes = 0;
+  }
+
+  /** Bytes of messages, without frames, since {@link #countBytes}. */
+  public long countedBytes() {
+    return countedBytes;
+  }
+
   public long lost() {
     return lost;
   }
@@ -356,5 +372,8 @@
     String type = message == null ? "" : message.getClass().getSimpleName();
     digest = digest * 31 + (from + to + type).hashCode();
     digest = digest * 31 + timers.now();
+    if (message != null && (from.equals(counted) || to.equals(counted))) {
+      countedBytes += codec.size(message);
+    }
   }
 }
--- /dev/null
+++ b/storage/src/test/java/elmsail/storage/LevelStorageTest.java
@@ -0,0 +1,168 @@
+package elmsail.storage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.storage.RecordStore.Change;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * What the storage directory holds, and what a start has to read, stays level however many changes
+ * were made: found by reading the directory, as one file a version is written.
+ */
+class LevelStorageTest {
+  private static final long MOST_BYTES = 64L << 20;
+  private static final int CONFIG_BYTES = 24_000;
+
+  /** Beside the live records: as much again, this, and the file that is being written. */
+  private static final long DEAD_BYTES = 1L << 20;
+
+  private static final int MOST_FILES = Compaction.FILES + 4;
+
+  @TempDir Path temp;
+  private final ArrayDeque<Runnable> completions = new ArrayDeque<>();
+
+  /** The largest that the directory and the index were within a stretch of changes. */
+  private static final class Peak {
+    long bytes;
+    int files;
+    int indexed;
+
+    void add(Path dir, DirectoryRecordStore records) throws IOException {
+      long[] found = found(dir);
+      files = Math.max(files, (int) found[0]);
+      bytes = Math.max(bytes, found[1]);
+      indexed = Math.max(indexed, records.indexed());
+    }
+
+    @Override
+    public String toString() {
+      return files + " files of " + bytes + " bytes, " + indexed + " names in memory";
+    }
+  }
+
+  /** Count and bytes of the files. */
+  private static long[] found(Path dir) throws IOException {
+    long[] found = new long[2];
+    try (Stream<Path> all = java.nio.file.Files.list(dir)) {
+      for (Path file : all.toList()) {
+        found[0]++;
+        found[1] += java.nio.file.Files.size(file);
+      }
+    }
+    return found;
+  }
+
+  private DirectoryRecordStore open(Path dir) {
+    return DirectoryRecordStore.byHand(dir, MOST_BYTES, completions::add, new LocalFiles(), 7);
+  }
+
+  private void write(DirectoryRecordStore records, List<Change> changes) {
+    records.write(changes);
+    while (records.turn()) {
+      continue;
+    }
+    while (!completions.isEmpty()) {
+      completions.poll().run();
+    }
+  }
+
+  private static byte[] filled(int bytes, int change) {
+    byte[] filled = new byte[bytes];
+    new Random(change).nextBytes(filled);
+    return filled;
+  }
+
+  /** As a voter writes them: each change of the configuration is a promise and an accept. */
+  private Peak configurations(DirectoryRecordStore records, Path dir, int from, int to)
+      throws IOException {
+    Peak peak = new Peak();
+    for (int i = from; i < to; i++) {
+      write(records, List.of(new Change("head/k/timetable", filled(CONFIG_BYTES, i))));
+      write(records, List.of(new Change("head/k/timetable", filled(CONFIG_BYTES, i))));
+      if (i % 10 == 0) {
+        write(records, List.of(new Change("head/k/duty", filled(40, i))));
+      }
+      peak.add(dir, records);
+    }
+    return peak;
+  }
+
+  @Test
+  void changesOfFewKeysLeaveALevelDirectory() throws IOException {
+    Path dir = temp.resolve("keys");
+    DirectoryRecordStore records = open(dir);
+    Peak early = configurations(records, dir, 0, 200);
+    Peak late = configurations(records, dir, 200, 1_200);
+    System.out.println("changes 1 to 200: " + early);
+    System.out.println("changes 201 to 1,200: " + late);
+    long live = CONFIG_BYTES + 1_000;
+    assertThat(late.bytes, lessThan(2 * live + DEAD_BYTES + CONFIG_BYTES + 1_000));
+    assertThat(late.files, lessThanOrEqualTo(MOST_FILES));
+    assertThat(late.indexed, is(early.indexed));
+    assertThat(records.compactions(), greaterThan(10));
+    reopened(dir, records, "head/k/timetable", filled(CONFIG_BYTES, 1_199));
+  }
+
+  /** A new store reads the same records from no more files than there were. */
+  private void reopened(Path dir, DirectoryRecordStore before, String name, byte[] newest)
+      throws IOException {
+    before.close();
+    long[] there = found(dir);
+    DirectoryRecordStore records = open(dir);
+    System.out.println("read at a start: " + there[0] + " files of " + there[1] + " bytes");
+    assertThat(there[0], lessThanOrEqualTo((long) MOST_FILES));
+    assertThat(records.indexed(), lessThanOrEqualTo(before.indexed()));
+    assertThat(records.read(name), is(newest));
+  }
+
+  /** Batch jobs come and are dropped: the keys and blobs that ended leave nothing. */
+  @Test
+  void keysThatComeAndGoLeaveNothing() throws IOException {
+    Path dir = temp.resolve("jobs");
+    DirectoryRecordStore records = open(dir);
+    int open = 40;
+    List<Peak> peaks = new ArrayList<>();
+    Peak peak = new Peak();
+    for (int job = 0; job < 1_200; job++) {
+      write(
+          records,
+          List.of(
+              new Change("shelf/k/lot%2F" + job, filled(300, job)),
+              new Change("shelf/b/lot%2F" + job + "/body", filled(6_000, job))));
+      if (job >= open) {
+        int ended = job - open;
+        write(
+            records,
+            List.of(
+                new Change("shelf/k/lot%2F" + ended, null),
+                new Change("shelf/b/lot%2F" + ended + "/body", null)));
+      }
+      peak.add(dir, records);
+      if (job % 300 == 299) {
+        System.out.println("jobs to " + (job + 1) + ": " + peak);
+        peaks.add(peak);
+        peak = new Peak();
+      }
+    }
+    long live = open * 6_500L;
+    for (Peak each : peaks) {
+      assertThat(each.bytes, lessThan(2 * live + DEAD_BYTES + 20_000));
+      assertThat(each.files, lessThanOrEqualTo(MOST_FILES));
+    }
+    // Names of removals are kept while an old value lies in a file: as many as these files hold.
+    assertThat(peaks.get(3).indexed, lessThanOrEqualTo(peaks.get(1).indexed + open));
+    reopened(dir, records, "shelf/b/lot%2F1199/body", filled(6_000, 1_199));
+  }
+}
