Keep the list of emptied stations readable and the table of heartbeats open

Cause: DecommissionList wrote a name beyond its bound of 10,000, and the value was refused as garbled by every reader from then on. HeartbeatTable took nobody new after 1,000 addresses, so stores that came and went would have shut out the living.

Change: the list takes no more than 10,000 names and says FULL; the table drops who was heard longest ago.

--- a/controlplane/src/main/java/elmsail/controlplane/DecommissionList.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionList.java
@@ -11,11 +11,16 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** The value of the register's key "retire": the stations that are to be emptied; it only grows. */
+/**
+ * The value of the register's key "retire": the stations that are to be emptied. It only grows, as
+ * a call to empty one may be repeated at any time and its end is asked for by name; so it is
+ * bounded by the number of stations that were ever emptied, and by {@value #MOST}.
+ */
 final class DecommissionList {
   static final String KEY = "retire";
 
-  private static final int MOST = 10_000;
+  /** More are not taken, and the list stays as it is. */
+  static final int MOST = 10_000;
 
   private DecommissionList() {}
 
@@ -39,7 +44,15 @@
     return Collections.unmodifiableSet(names);
   }
 
+  /**
+   * The value with one more name.
+   *
+   * @throws ElmsailException of code FULL: there are {@value #MOST} already
+   */
   static byte[] with(Set<String> names, String one) {
+    if (names.size() >= MOST) {
+      throw new ElmsailException(ErrorCode.FULL, "stations to be emptied: " + names.size());
+    }
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (DataOutputStream out = new DataOutputStream(bytes)) {
       out.writeInt(names.size() + 1);
--- a/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
+++ b/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
@@ -5,14 +5,16 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 
 /**
- * Who has asked this control-plane node for what is new, and when last; at most {@value #MOST} of
- * each role.
+ * Who has asked this control-plane node for what is new, and when last; of each role the {@value
+ * #MOST} that were heard last.
  */
 final class HeartbeatTable {
-  private static final int MOST = 1_000;
+  static final int MOST = 1_000;
 
   /** A store as its last pull told of it; times are steady ms. */
   record Vault(
@@ -31,39 +33,53 @@
   void note(PullRequest request, long now) {
     if ("store".equals(request.role)) {
       Vault before = stores.get(request.address);
-      if (before != null || stores.size() < MOST) {
-        VoterSet storeSet = request.storeSet == null ? new VoterSet() : request.storeSet;
-        long first =
-            before == null || before.instanceId != request.instanceId ? now : before.firstAt;
-        stores.put(
-            request.address,
-            new Vault(
-                request.address,
-                request.station,
-                request.zone,
-                request.instanceId,
-                request.voting,
-                storeSet,
-                first,
-                now));
-      }
-    } else if ("gateway".equals(request.role)
-        && (gateways.containsKey(request.address) || gateways.size() < MOST)) {
+      VoterSet storeSet = request.storeSet == null ? new VoterSet() : request.storeSet;
+      long first = before == null || before.instanceId != request.instanceId ? now : before.firstAt;
+      stores.put(
+          request.address,
+          new Vault(
+              request.address,
+              request.station,
+              request.zone,
+              request.instanceId,
+              request.voting,
+              storeSet,
+              first,
+              now));
+      dropOldest(stores, Vault::lastAt);
+    } else if ("gateway".equals(request.role)) {
       gateways.put(request.address, now);
+      dropOldest(gateways, at -> at);
+    }
+  }
+
+  private static <T> void dropOldest(Map<String, T> heard, ToLongFunction<T> lastAt) {
+    if (heard.size() <= MOST) {
+      return;
+    }
+    String oldest = null;
+    long oldestAt = Long.MAX_VALUE;
+    for (Map.Entry<String, T> each : heard.entrySet()) {
+      long at = lastAt.applyAsLong(each.getValue());
+      if (at < oldestAt) {
+        oldest = each.getKey();
+        oldestAt = at;
+      }
     }
+    heard.remove(oldest);
   }
 
-  /** In the order of their addresses; all that were ever heard in this life. */
+  /** In the order of their addresses. */
   Collection<Vault> stores() {
     return stores.values();
   }
 
-  /** Null if it was never heard. */
+  /** Null if it was not heard, or too long ago. */
   Vault store(String address) {
     return stores.get(address);
   }
 
-  /** Null if it was never heard. */
+  /** Null if it was not heard, or too long ago. */
   Vault station(String name) {
     Vault found = null;
     for (Vault store : stores.values()) {
--- a/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
 
 import elmsail.runtime.http.HttpReply;
 import elmsail.simulation.Node;
@@ -216,6 +217,7 @@
         last = ConfigHistory.of(value);
       }
     }
+    assertThat(name + ": seen by no node: " + current, last, notNullValue());
     assertThat(name, last.remembered() < ConfigHistory.REMEMBERED, is(true));
     Set<Order> taken = new HashSet<>();
     for (Order order : sent) {
