--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -174,6 +174,11 @@
     return headPlacement.redundancy();
   }
 
+  /** The term in which this node holds the singleton lease at this moment, or 0. */
+  long leaseTerm() {
+    return duty.term();
+  }
+
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
     headPlacement.note(request, timers.now());
@@ -281,7 +286,7 @@
     }
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
-    boolean headOrdered = headPlacement.look(voters.of(), voters.voting(), hears, directs, now);
+    boolean headOrdered = headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
     if (directs) {
       storeRedundancy.look(heard, storeSet, now);
     } else {
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -132,8 +132,8 @@
     if (keeper != null) {
       keeper.whenVotingChanges(
           () -> {
-            int slot = VoterSetValue.slotOf(of(), settings.innerAddress());
-            if (keeper.voting() && slot >= 0 && of().voters.get(slot).epoch > 1) {
+            int slot = VoterSetValue.slotOf(current(), settings.innerAddress());
+            if (keeper.voting() && slot >= 0 && current().voters.get(slot).epoch > 1) {
               then.run();
             }
           });
--- a/controlplane/src/test/java/elmsail/controlplane/World.java
+++ b/controlplane/src/test/java/elmsail/controlplane/World.java
@@ -140,7 +140,7 @@
 
   /** The voter set "head" as that control-plane node knows it. */
   VoterSet head(String controlPlane) {
-    return offices.get(controlPlane).voters().of();
+    return offices.get(controlPlane).voters().current();
   }
 
   /** Whether all slots of "head", as that node knows it, are held by running nodes that vote. */
--- a/rpc/src/main/java/elmsail/rpc/Codec.java
+++ b/rpc/src/main/java/elmsail/rpc/Codec.java
@@ -70,6 +70,13 @@
     return copy;
   }
 
+  /** How many bytes the message takes, without its frame. */
+  public int size(Object message) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(BUFFER_BYTES);
+    write(number(message), message, out);
+    return out.size();
+  }
+
   // The runtime schema takes and makes plain objects of the class it was made for.
   @SuppressWarnings("unchecked")
   private Schema<Object> schema(int number) {
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -25,7 +25,7 @@
   private final Codec codec = new Codec();
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private final SimLinks links = new SimLinks();
-  private final RunRecord record = new RunRecord();
+  private final RunRecord record = new RunRecord(codec);
 
   /** Addresses of processes that died without a word. */
   private final Map<String, Boolean> dark = new LinkedHashMap<>();
@@ -176,6 +176,16 @@
     return sent;
   }
 
+  /** From now on the bytes of all messages from and to that address are counted, from 0. */
+  public void countBytes(String address) {
+    record.countBytes(address);
+  }
+
+  /** Bytes of messages, without frames, since {@link #countBytes}. */
+  public long countedBytes() {
+    return record.countedBytes();
+  }
+
   /** How many messages vanished by loss or by a cut. */
   public long lost() {
     return lost;
