Say and check on each connection between processes who is called

Cause: a frame named the call, not the process. A connection to an address whose port now belongs to another process (another role, another machine) was served by that process, and its answers were taken.

Change: the first frame of each direction is a hello with the protocol's version, the address of the process called and its instance id, drawn at each start. The accepting side runs nothing before it has seen that it is the one meant; the caller takes no answer before it has seen that the one meant answers. Refusals are the typed errors MISDIRECTED, UNSUPPORTED_VERSION and GARBLED, have counters, and close that connection only; the address then rests before it is called again. Each direction carries only its own kinds of frame. RpcConnection and RpcEndpoint are split by concern (CallTable, Handshake, Liveness, OutboundQueue, SelfCalls, ConnectionSweeper).

FrameTest: kind 6 is the hello now, so 7 stands for the first unknown kind.

--- a/rpc/src/main/java/elmsail/rpc/Connector.java
+++ b/rpc/src/main/java/elmsail/rpc/Connector.java
@@ -61,7 +61,9 @@
       unreachable(peer, "no address");
       return;
     }
-    RpcConnection link = new RpcConnection(peer, owner, timers, codec, counts);
+    Hello meant = new Hello(Hello.VERSION, peer.address, Hello.ANY_INSTANCE);
+    RpcConnection connection =
+        new RpcConnection(peer, Handshake.ofCaller(meant), owner, timers, codec, counts);
     ChannelFuture opening =
         new Bootstrap()
             .group(loop)
@@ -69,26 +71,26 @@
             .disableResolver()
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BYTES)
-            .handler(link)
+            .handler(connection)
             .connect(address);
     Channel channel = opening.channel();
     peer.channel = channel;
     peer.looked = false;
     peer.connectDueAt = timers.now() + CONNECT_WITHIN;
     peer.connectTimer = timers.after(CONNECT_WITHIN, () -> connectDue(peer, channel));
-    opening.addListener((ChannelFuture f) -> connected(peer, link, f));
+    opening.addListener((ChannelFuture f) -> connected(peer, connection, f));
   }
 
   private void connectDue(Peer peer, Channel channel) {
-    if (!peer.looked && timers.now() - peer.connectDueAt > RpcEndpoint.HELD_UP) {
+    if (!peer.looked && timers.now() - peer.connectDueAt > ConnectionSweeper.HELD_UP) {
       peer.looked = true;
-      peer.connectTimer = timers.after(RpcConnection.LOOK_FOR, () -> connectDue(peer, channel));
+      peer.connectTimer = timers.after(Liveness.LOOK_FOR, () -> connectDue(peer, channel));
     } else {
       channel.close();
     }
   }
 
-  private void connected(Peer peer, RpcConnection link, ChannelFuture opening) {
+  private void connected(Peer peer, RpcConnection connection, ChannelFuture opening) {
     peer.connectTimer.cancel();
     peer.channel = null;
     if (closed || !opening.isSuccess() || !opening.channel().isActive()) {
@@ -99,9 +101,10 @@
     }
     counts.links++;
     peer.connecting = false;
-    peer.link = link;
+    peer.connection = connection;
+    connection.sayHello();
     for (PendingCall call : peer.takeWaiting()) {
-      if (link.send(call, call.frame)) {
+      if (connection.send(call, call.frame)) {
         call.frame = null;
       } else {
         call.fail(ErrorCode.FULL, "too much on its way to the peer");
--- a/rpc/src/main/java/elmsail/rpc/Frame.java
+++ b/rpc/src/main/java/elmsail/rpc/Frame.java
@@ -12,8 +12,8 @@
  * What goes over a connection: int length of the rest, byte kind, long call, short type, int CRC32C
  * of kind, call, type and payload, and the payload.
  *
- * @param call the number of the call, of its asker's choosing; 0 for pings
- * @param type of {@link MessageTypes}
+ * @param call the number of the call, of its asker's choosing; 0 for pings and hellos
+ * @param type of {@connection MessageTypes}
  */
 record Frame(int kind, long call, int type, byte[] payload) {
 
@@ -26,6 +26,9 @@
   static final int PING = 4;
   static final int PONG = 5;
 
+  /** The first frame of each direction; the payload is a {@link Hello}. */
+  static final int HELLO = 6;
+
   static final int LENGTH_BYTES = 4;
 
   /** Behind the length, before the payload. */
@@ -65,6 +68,14 @@
     return out;
   }
 
+  static ByteBuf hello(Hello hello) {
+    ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(FIRST_BYTES);
+    head(out, HELLO, 0, MessageTypes.NONE);
+    out.writeBytes(hello.payload());
+    finish(out);
+    return out;
+  }
+
   static ByteBuf bare(int kind, long call) {
     ByteBuf out = ByteBufAllocator.DEFAULT.ioBuffer(LENGTH_BYTES + HEAD_BYTES);
     head(out, kind, call, MessageTypes.NONE);
--- a/rpc/src/main/java/elmsail/rpc/FrameReader.java
+++ b/rpc/src/main/java/elmsail/rpc/FrameReader.java
@@ -33,7 +33,7 @@
       if (length < Frame.HEAD_BYTES
           || length > Frame.MOST_BYTES
           || kind < Frame.ASK
-          || kind > Frame.PONG) {
+          || kind > Frame.HELLO) {
         throw new ElmsailException(
             ErrorCode.GARBLED, "frame of " + length + " bytes, kind " + kind);
       }
--- a/rpc/src/main/java/elmsail/rpc/Peer.java
+++ b/rpc/src/main/java/elmsail/rpc/Peer.java
@@ -16,7 +16,7 @@
   static final int MOST_WAITING = 256;
 
   final String address;
-  RpcConnection link;
+  RpcConnection connection;
   boolean connecting;
   Channel channel;
   Timers.Timer connectTimer;
@@ -26,6 +26,9 @@
   private long waitingBytes;
   private long pause;
 
+  /** The instance that answered last at the address; {@link Hello#ANY_INSTANCE} before any did. */
+  long instanceId = Hello.ANY_INSTANCE;
+
   /** No attempt before that time. */
   long retryAt;
 
@@ -38,7 +41,7 @@
   boolean queue(PendingCall call) {
     int bytes = call.frame.readableBytes();
     if (waiting.size() >= MOST_WAITING
-        || !waiting.isEmpty() && waitingBytes + bytes > RpcConnection.MOST_QUEUED_BYTES) {
+        || !waiting.isEmpty() && waitingBytes + bytes > OutboundQueue.MOST_QUEUED_BYTES) {
       return false;
     }
     waitingBytes += bytes;
@@ -71,6 +74,6 @@
   }
 
   boolean unused(long now) {
-    return link == null && !connecting && now - retryAt >= RpcConnection.IDLE_FOR;
+    return connection == null && !connecting && now - retryAt >= Liveness.IDLE_FOR;
   }
 }
--- a/rpc/src/main/java/elmsail/rpc/PendingCall.java
+++ b/rpc/src/main/java/elmsail/rpc/PendingCall.java
@@ -16,7 +16,7 @@
   Timers.Timer timer;
 
   /** The connection that it was sent over; null before, and for calls to oneself. */
-  RpcConnection link;
+  RpcConnection connection;
 
   /** Whether the sockets were looked at since it fell due, the process having been held up. */
   boolean looked;
@@ -41,6 +41,7 @@
       counts.answers++;
       future.complete(message);
     } else {
+      counts.otherTypes++;
       future.completeExceptionally(
           new ElmsailException(ErrorCode.GARBLED, "answer of another type"));
     }
--- a/rpc/src/main/java/elmsail/rpc/RpcConnection.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcConnection.java
@@ -8,109 +8,92 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
-import java.util.LinkedHashMap;
-import java.util.Map;
 
 /**
- * One connection. The side that opened it watches over it: it pings when nothing was heard, and
- * closes it when that brings nothing; the other side answers, and closes only what has long been
- * left.
+ * One connection between two processes: frames of calls in one direction, of answers in the other.
  */
 final class RpcConnection extends ChannelInboundHandlerAdapter {
 
-  /** Who the links belong to. */
+  /** Who the connections belong to. */
   interface Owner {
     /** Fails with GARBLED if the ask cannot be read. */
-    void asked(RpcConnection link, Frame request);
+    void asked(RpcConnection connection, Frame request);
 
-    void closed(RpcConnection link);
-  }
-
-  /** All in ms. */
-  static final long PING_AFTER = 400;
-
-  static final long CLOSE_AFTER = 1_200;
-  static final long IN_USE_FOR = 5_000;
-  static final long IDLE_FOR = 60_000;
-
-  /** An accepted connection that its opener has not used, nor closed. */
-  static final long LEFT_FOR = 2 * IDLE_FOR;
-
-  /** An accepted connection whose answers nobody takes. */
-  static final long STUCK_FOR = 10_000;
+    /** The other side has said hello, and the process called is the one that was meant. */
+    void introduced(RpcConnection connection);
 
-  static final long LOOK_FOR = 10;
-
-  static final long MOST_QUEUED_BYTES = 8 << 20;
+    void closed(RpcConnection connection);
+  }
 
   /** Small, so that what a slow peer has taken shows soon. */
   static final int SEND_BYTES = 256 << 10;
 
-  static final int MOST_CALLS = 4_096;
   static final int MOST_ASKS = 1_024;
 
   /** Null on the side that accepted. */
   final Peer peer;
 
   private final Owner owner;
-  private final Timers timers;
   private final Codec codec;
   private final RpcCounters counts;
   private final FrameReader reader = new FrameReader();
-  private final Map<Long, PendingCall> calls = new LinkedHashMap<>();
+  private final CallTable<PendingCall> calls = new CallTable<>();
+  private final OutboundQueue out;
+  private final Handshake handshake;
+  private final Liveness liveness;
   private Channel channel;
   private boolean closed;
-  private boolean everHeard;
-  private long lastHeard;
-  private long lastUsed;
 
-  /** Since when something is outstanding; -1 if nothing is. */
-  private long since = -1;
+  /** What open calls fail with once the connection has ended. */
+  private ErrorCode endedBy = ErrorCode.BROKEN;
 
-  private boolean pinged;
-  private boolean suspected;
-  private boolean flushing;
   private int asks;
 
-  /** Bytes of frames that the socket has not taken whole. */
-  private long queued;
-
-  private long accepted;
-  private long taken;
-  private boolean backlog;
-
-  RpcConnection(Peer peer, Owner owner, Timers timers, Codec codec, RpcCounters counts) {
+  RpcConnection(
+      Peer peer, Handshake handshake, Owner owner, Timers timers, Codec codec, RpcCounters counts) {
     this.peer = peer;
+    this.handshake = handshake;
+    this.out = new OutboundQueue(counts, this::close);
     this.owner = owner;
-    this.timers = timers;
     this.codec = codec;
     this.counts = counts;
-    lastHeard = timers.now();
-    lastUsed = lastHeard;
+    liveness = new Liveness(timers, counts, out, calls, peer != null, this::close);
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    out.channel(channel);
+  }
+
+  /** Looks after the connection, see {@link Liveness}. */
+  Liveness liveness() {
+    return liveness;
+  }
+
+  /** Whether the process meant has answered as such. */
+  boolean introduced() {
+    return handshake.complete();
+  }
+
+  /** The instance that answers; known once it has introduced itself. */
+  long peerInstanceId() {
+    return handshake.peerInstanceId();
   }
 
-  boolean everHeard() {
-    return everHeard;
+  /** Says which process is meant, or which this one is. */
+  void sayHello() {
+    out.write(Frame.hello(handshake.own()));
   }
 
   /** Whether the call could be queued; the frame is taken over if so. */
   boolean send(PendingCall call, ByteBuf frame) {
-    if (closed || calls.size() >= MOST_CALLS || !fits(frame.readableBytes())) {
+    if (closed || !out.fits(frame.readableBytes()) || !calls.add(call.number, call)) {
       return false;
     }
-    call.link = this;
-    calls.put(call.number, call);
-    lastUsed = timers.now();
-    if (since < 0) {
-      since = lastUsed;
-    }
-    write(frame);
+    call.connection = this;
+    liveness.called();
+    out.write(frame);
     return true;
   }
 
@@ -141,8 +124,8 @@
       writeSmall(Frame.failure(call, e.code()));
       return;
     }
-    if (fits(frame.readableBytes())) {
-      write(frame);
+    if (out.fits(frame.readableBytes())) {
+      out.write(frame);
     } else {
       frame.release();
       writeSmall(Frame.failure(call, ErrorCode.FULL));
@@ -164,168 +147,57 @@
   }
 
   void close() {
-    if (!closed) {
-      closed = true;
-      owner.closed(this);
-    }
+    markClosed();
     channel.close();
   }
 
-  /** The process was held up for so long: what the peer said meanwhile has not been looked at. */
-  void forgive(long ms) {
-    long now = timers.now();
-    lastHeard = Math.min(now, lastHeard + ms);
-    if (since >= 0) {
-      since = Math.min(now, since + ms);
-    }
-  }
-
-  /** Looks after the link; true if it needs that again soon. */
-  boolean sweep() {
-    long now = timers.now();
-    progress(now);
-    if (peer == null) {
-      long quiet = now - lastHeard;
-      if (quiet >= LEFT_FOR || quiet >= STUCK_FOR && queued > 0) {
-        close();
-      }
-      return false;
-    }
-    if (!outstanding()) {
-      since = -1;
-      if (now - lastUsed >= IN_USE_FOR) {
-        if (now - lastUsed >= IDLE_FOR) {
-          close();
-        }
-        return false;
-      }
-    } else if (since < 0) {
-      since = now;
-    }
-    long quiet = now - Math.max(lastHeard, since);
-    if (quiet >= CLOSE_AFTER && outstanding()) {
-      if (!suspected) {
-        suspected = true;
-        long at = now + LOOK_FOR;
-        timers.after(LOOK_FOR, () -> judge(at));
-      }
-    } else if (quiet >= PING_AFTER && !pinged) {
-      ping(now);
-    }
-    return true;
-  }
-
-  private void ping(long now) {
-    pinged = true;
-    counts.pings++;
-    if (since < 0) {
-      since = now;
-    }
-    write(Frame.bare(Frame.PING, 0));
-  }
-
-  private void judge(long at) {
-    long now = timers.now();
-    if (now - at > RpcEndpoint.HELD_UP) {
-      timers.after(LOOK_FOR, () -> judge(now + LOOK_FOR));
-      return;
-    }
-    suspected = false;
-    progress(now);
-    if (!closed && outstanding() && now - Math.max(lastHeard, since) >= CLOSE_AFTER) {
-      counts.silentLinks++;
-      close();
-    }
-  }
-
-  private boolean outstanding() {
-    return pinged || queued > 0 || !calls.isEmpty();
-  }
-
-  /** Bytes that the socket takes after it was full were acknowledged by the peer's machine. */
-  private void progress(long now) {
-    ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-    long part = out == null ? 0 : Math.max(0, out.currentProgress());
-    long gone = accepted - queued + part;
-    if (backlog && gone > taken) {
-      lastHeard = now;
+  private void markClosed() {
+    if (!closed) {
+      closed = true;
+      liveness.end();
+      owner.closed(this);
     }
-    taken = gone;
-    backlog = queued - part > 0;
-  }
-
-  private boolean fits(int bytes) {
-    return queued == 0 || queued + bytes <= MOST_QUEUED_BYTES;
   }
 
   /** A frame that is not refused: if even these pile up, nobody reads. */
   private void writeSmall(ByteBuf frame) {
-    write(frame);
-    if (queued > 2 * MOST_QUEUED_BYTES + Frame.MOST_BYTES) {
+    out.write(frame);
+    if (out.overflows()) {
       close();
     }
   }
 
-  private void write(ByteBuf frame) {
-    int bytes = frame.readableBytes();
-    queued += bytes;
-    accepted += bytes;
-    counts.bytesOut += bytes;
-    channel
-        .write(frame)
-        .addListener(
-            (ChannelFuture f) -> {
-              queued -= bytes;
-              if (!f.isSuccess()) {
-                close();
-              }
-            });
-    if (!flushing) {
-      flushing = true;
-      channel.eventLoop().execute(this::flush);
-    }
-  }
-
-  private void flush() {
-    flushing = false;
-    channel.flush();
-  }
-
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     ByteBuf in = (ByteBuf) message;
+    if (closed) {
+      in.release();
+      return;
+    }
     try {
       counts.bytesIn += in.readableBytes();
-      everHeard = true;
-      pinged = false;
-      lastHeard = timers.now();
+      liveness.heard();
       Frame frame = reader.next(in);
       while (frame != null && !closed) {
         take(frame);
         frame = reader.next(in);
       }
     } catch (ElmsailException e) {
-      counts.garbled++;
-      close();
+      refuseConnection(e.code());
     } finally {
       in.release();
     }
   }
 
   private void take(Frame frame) {
+    handshake.admit(frame);
     switch (frame.kind()) {
+      case Frame.HELLO -> owner.introduced(this);
       case Frame.ASK -> {
-        lastUsed = lastHeard;
+        liveness.asked();
         owner.asked(this, frame);
       }
-      case Frame.ANSWER -> {
-        if (!calls.containsKey(frame.call())) {
-          counts.late++;
-          return;
-        }
-        Object answer = codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
-        calls.remove(frame.call()).answered(answer);
-      }
+      case Frame.ANSWER -> answered(frame);
       case Frame.FAILURE -> {
         PendingCall call = calls.remove(frame.call());
         if (call == null) {
@@ -341,13 +213,45 @@
     }
   }
 
+  private void answered(Frame frame) {
+    if (calls.find(frame.call()) == null) {
+      counts.late++;
+      return;
+    }
+    Object answer = codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
+    calls.remove(frame.call()).answered(answer);
+  }
+
+  /** Ends this connection, and nothing else, for what came over it. */
+  private void refuseConnection(ErrorCode code) {
+    switch (code) {
+      case MISDIRECTED -> counts.misdirected++;
+      case UNSUPPORTED_VERSION -> counts.unsupportedVersions++;
+      default -> counts.garbled++;
+    }
+    if (code == ErrorCode.MISDIRECTED || code == ErrorCode.UNSUPPORTED_VERSION) {
+      endedBy = code;
+      if (peer == null) {
+        sayWhoThisIsAndClose();
+        return;
+      }
+    }
+    close();
+  }
+
+  /** So that the caller learns why: nothing that it sent has been looked at. */
+  private void sayWhoThisIsAndClose() {
+    markClosed();
+    channel
+        .writeAndFlush(Frame.hello(handshake.own()))
+        .addListener((ChannelFuture f) -> channel.close());
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     close();
-    PendingCall[] open = calls.values().toArray(new PendingCall[0]);
-    calls.clear();
-    for (PendingCall call : open) {
-      call.fail(ErrorCode.BROKEN, "connection closed");
+    for (PendingCall call : calls.close()) {
+      call.fail(endedBy, "connection closed");
     }
   }
 
--- a/rpc/src/main/java/elmsail/rpc/RpcCounters.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcCounters.java
@@ -13,17 +13,29 @@
   public long silent;
   public long full;
 
-  /** HandlerTable to calls that had already failed. */
+  /** Answers to calls that had already ended, or that never went out on that connection. */
   public long late;
 
-  /** HandlerTable that were ready after their link had closed. */
+  /** HandlerTable that were ready after their connection had closed. */
   public long unheard;
 
-  /** Links closed for a frame that was none. */
+  /** Connections closed for a frame that was none, or that was out of place. */
   public long garbled;
 
-  /** Links closed for their silence. */
-  public long silentLinks;
+  /** Connections closed because the process called is not the one that was meant. */
+  public long misdirected;
+
+  /** Connections closed because the other side speaks another version of the protocol. */
+  public long unsupportedVersions;
+
+  /** Answers whose type is not the one that the call waits for. */
+  public long otherTypes;
+
+  /** Connections that led to another instance than the one before at the same address. */
+  public long newInstances;
+
+  /** Connections closed for their silence. */
+  public long silentConnections;
 
   public long asks;
   public long links;
--- a/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcEndpoint.java
@@ -11,9 +11,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -29,14 +29,6 @@
  */
 public final class RpcEndpoint implements Caller, RequestHandlers, AutoCloseable {
 
-  /** All in ms. */
-  static final long SWEEP_SOON = 200;
-
-  static final long SWEEP_LATER = 1_000;
-
-  /** A timer that is later than that tells of a process that was held up. */
-  static final long HELD_UP = 100;
-
   static final int MOST_ACCEPTED = 4_096;
   private static final int BACKLOG = 512;
 
@@ -48,23 +40,40 @@
   private final Map<String, Peer> peers = new HashMap<>();
   private final Set<RpcConnection> accepted = new LinkedHashSet<>();
   private final RpcConnection.Owner owner = new Hub();
+  private final ConnectionSweeper sweeper;
   private final Connector connector;
+  private final SelfCalls selfCalls;
+
+  /** Drawn at each start: tells the instances of a process at one address apart. */
+  private final long instanceId;
+
   private String ownAddress;
   private Channel listener;
   private boolean closed;
   private long numbers;
-  private int ownCalls;
-  private Timers.Timer sweepTimer;
-  private long sweepAt;
 
   /**
-   * @param ownAddress "ip:port" to listen at; port 0 lets the system choose, see {@link #address()}
+   * @param ownAddress "ip:port" to listen at; port 0 lets the system choose, see {@connection
+   *     #address()}
    */
   public RpcEndpoint(EventLoop loop, Timers timers, String ownAddress) {
     this.loop = loop;
     this.timers = timers;
     this.ownAddress = ownAddress;
-    this.connector = new Connector(loop, timers, codec, counts, owner, this::watchSoon);
+    this.instanceId = drawInstanceId();
+    this.selfCalls = new SelfCalls(timers, codec, counts, answers);
+    this.sweeper = new ConnectionSweeper(timers, this::connectionsInUse, () -> peers.isEmpty());
+    this.connector = new Connector(loop, timers, codec, counts, owner, sweeper::soon);
+  }
+
+  private static long drawInstanceId() {
+    long drawn = new SecureRandom().nextLong();
+    return drawn == Hello.ANY_INSTANCE ? 1 : drawn;
+  }
+
+  /** Drawn at each start; each connection's hello bears it. */
+  public long instanceId() {
+    return instanceId;
   }
 
   public RpcCounters counts() {
@@ -128,7 +137,9 @@
     } else {
       try {
         if (peer.equals(ownAddress)) {
-          callSelf(call, codec.copy(request));
+          if (!selfCalls.start(call, request)) {
+            failSoon(call, ErrorCode.FULL, "too many calls to oneself");
+          }
         } else {
           call.frame = Frame.message(codec, Frame.ASK, call.number, request);
           send(peer, call);
@@ -149,10 +160,10 @@
       peer = new Peer(address, now);
       peers.put(address, peer);
     }
-    if (peer.link != null) {
-      if (peer.link.send(call, call.frame)) {
+    if (peer.connection != null) {
+      if (peer.connection.send(call, call.frame)) {
         call.frame = null;
-        watchSoon();
+        sweeper.soon();
       } else {
         failSoon(call, ErrorCode.FULL, "too much on its way to the peer");
       }
@@ -167,52 +178,19 @@
     }
   }
 
-  private void callSelf(PendingCall call, Object request) {
-    if (ownCalls >= RpcConnection.MOST_ASKS) {
-      failSoon(call, ErrorCode.FULL, "too many calls to oneself");
-      return;
-    }
-    ownCalls++;
-    timers.soon(
-        () -> {
-          if (closed) {
-            ownCalls--;
-            call.fail(ErrorCode.BROKEN, "closed");
-            return;
-          }
-          counts.asks++;
-          answers
-              .handle(request)
-              .whenComplete((answer, thrown) -> timers.soon(() -> ownAnswer(call, answer, thrown)));
-        });
-  }
-
-  private void ownAnswer(PendingCall call, Object answer, Throwable thrown) {
-    ownCalls--;
-    if (thrown != null) {
-      call.refused(ElmsailException.codeOf(thrown));
-      return;
-    }
-    try {
-      call.answered(codec.copy(answer));
-    } catch (ElmsailException e) {
-      call.refused(e.code());
-    }
-  }
-
   private void failSoon(PendingCall call, ErrorCode code, String detail) {
     call.timer.cancel();
     timers.soon(() -> call.fail(code, detail));
   }
 
   private void due(String address, PendingCall call) {
-    if (!call.looked && timers.now() - call.dueAt > HELD_UP) {
+    if (!call.looked && timers.now() - call.dueAt > ConnectionSweeper.HELD_UP) {
       call.looked = true;
-      call.timer = timers.after(RpcConnection.LOOK_FOR, () -> due(address, call));
+      call.timer = timers.after(Liveness.LOOK_FOR, () -> due(address, call));
       return;
     }
-    if (call.link != null) {
-      call.link.forget(call);
+    if (call.connection != null) {
+      call.connection.forget(call);
     } else if (call.frame != null) {
       Peer peer = peers.get(address);
       if (peer != null) {
@@ -224,46 +202,16 @@
     call.fail(ErrorCode.SILENT, "no answer in time");
   }
 
-  /** Sees to it that the links are looked after before long. */
-  private void watchSoon() {
-    long at = timers.now() + SWEEP_SOON;
-    if (!closed && (sweepTimer == null || sweepAt > at)) {
-      watch(at);
-    }
-  }
-
-  private void watch(long at) {
-    if (sweepTimer != null) {
-      sweepTimer.cancel();
-    }
-    sweepAt = at;
-    sweepTimer = timers.after(at - timers.now(), this::sweep);
-  }
-
-  private void sweep() {
-    sweepTimer = null;
+  private List<RpcConnection> connectionsInUse() {
+    List<RpcConnection> connections = new ArrayList<>(accepted);
     long now = timers.now();
-    long late = now - sweepAt;
-    List<RpcConnection> links = new ArrayList<>(accepted);
-    Iterator<Peer> all = peers.values().iterator();
-    while (all.hasNext()) {
-      Peer peer = all.next();
-      if (peer.link != null) {
-        links.add(peer.link);
-      } else if (peer.unused(now)) {
-        all.remove();
+    peers.values().removeIf(peer -> peer.unused(now));
+    for (Peer peer : peers.values()) {
+      if (peer.connection != null) {
+        connections.add(peer.connection);
       }
     }
-    boolean busy = false;
-    for (RpcConnection link : links) {
-      if (late > HELD_UP) {
-        link.forgive(late);
-      }
-      busy |= link.sweep();
-    }
-    if (!links.isEmpty() || !peers.isEmpty()) {
-      watch(now + (busy ? SWEEP_SOON : SWEEP_LATER));
-    }
+    return connections;
   }
 
   /**
@@ -272,19 +220,18 @@
   @Override
   public void close() {
     closed = true;
+    selfCalls.close();
     connector.close();
-    if (sweepTimer != null) {
-      sweepTimer.cancel();
-    }
+    sweeper.close();
     if (listener != null) {
       listener.close();
     }
-    for (RpcConnection link : new ArrayList<>(accepted)) {
-      link.close();
+    for (RpcConnection connection : new ArrayList<>(accepted)) {
+      connection.close();
     }
     for (Peer peer : new ArrayList<>(peers.values())) {
-      if (peer.link != null) {
-        peer.link.close();
+      if (peer.connection != null) {
+        peer.connection.close();
       }
       if (peer.channel != null) {
         peer.channel.close();
@@ -294,11 +241,11 @@
 
   private final class Hub implements RpcConnection.Owner {
     @Override
-    public void asked(RpcConnection link, Frame frame) {
+    public void asked(RpcConnection connection, Frame frame) {
       Object request = codec.read(frame.type(), frame.payload(), 0, frame.payload().length);
       counts.asks++;
-      if (!link.beginAsk()) {
-        link.refuse(frame.call());
+      if (!connection.beginAsk()) {
+        connection.refuse(frame.call());
         return;
       }
       answers
@@ -306,32 +253,45 @@
           .whenComplete(
               (answer, thrown) -> {
                 if (loop.inEventLoop()) {
-                  answer(link, frame.call(), answer, thrown);
+                  answer(connection, frame.call(), answer, thrown);
                 } else {
-                  loop.execute(() -> answer(link, frame.call(), answer, thrown));
+                  loop.execute(() -> answer(connection, frame.call(), answer, thrown));
                 }
               });
     }
 
-    private void answer(RpcConnection link, long call, Object answer, Throwable thrown) {
+    private void answer(RpcConnection connection, long call, Object answer, Throwable thrown) {
       if (thrown == null) {
-        link.answer(call, answer);
+        connection.answer(call, answer);
       } else {
-        link.fail(call, ElmsailException.codeOf(thrown));
+        connection.fail(call, ElmsailException.codeOf(thrown));
+      }
+    }
+
+    @Override
+    public void introduced(RpcConnection connection) {
+      if (connection.peer == null) {
+        connection.sayHello();
+        return;
+      }
+      Peer peer = connection.peer;
+      if (peer.instanceId != Hello.ANY_INSTANCE && peer.instanceId != connection.peerInstanceId()) {
+        counts.newInstances++;
       }
+      peer.instanceId = connection.peerInstanceId();
     }
 
     @Override
-    public void closed(RpcConnection link) {
-      if (link.peer == null) {
-        accepted.remove(link);
-      } else if (link.peer.link == link) {
-        link.peer.link = null;
-        if (link.everHeard()) {
-          link.peer.welcome();
-          link.peer.retryAt = timers.now();
+    public void closed(RpcConnection connection) {
+      if (connection.peer == null) {
+        accepted.remove(connection);
+      } else if (connection.peer.connection == connection) {
+        connection.peer.connection = null;
+        if (connection.introduced()) {
+          connection.peer.welcome();
+          connection.peer.retryAt = timers.now();
         } else {
-          link.peer.rest(timers.now());
+          connection.peer.rest(timers.now());
         }
       }
     }
@@ -344,10 +304,12 @@
         channel.close();
         return;
       }
-      RpcConnection link = new RpcConnection(null, owner, timers, codec, counts);
-      accepted.add(link);
-      channel.pipeline().addLast(link);
-      watchSoon();
+      Hello self = new Hello(Hello.VERSION, ownAddress, instanceId);
+      RpcConnection connection =
+          new RpcConnection(null, Handshake.ofAccepting(self), owner, timers, codec, counts);
+      accepted.add(connection);
+      channel.pipeline().addLast(connection);
+      sweeper.soon();
     }
   }
 }
--- /dev/null
+++ b/rpc/src/test/java/elmsail/rpc/CallInterleavingsTest.java
@@ -0,0 +1,88 @@
+package elmsail.rpc;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import elmsail.rpc.CallModel.Defect;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Every order of sends, arrivals, answers (late, second, spliced), resets, timeouts, reconnects and
+ * replacements of the process at the address, for two calls. In each state that can be reached no
+ * call ran at a process that was not meant, none ran twice, none ended twice, and each answer that
+ * was taken is that call's own.
+ */
+class CallInterleavingsTest {
+
+  /** A smaller scope than this would not have seen the long orders. */
+  private static final int LEAST_STATES = 10_000;
+
+  private record Found(String fault, List<String> path, int states, int deepest) {}
+
+  private static CallModel replay(Defect defect, List<String> path) {
+    CallModel model = new CallModel(defect);
+    path.forEach(model::apply);
+    return model;
+  }
+
+  /** Breadth first, so that the path to a fault is a shortest one. */
+  private static Found explore(Defect defect) {
+    Set<String> seen = new HashSet<>();
+    ArrayDeque<List<String>> paths = new ArrayDeque<>();
+    paths.add(List.of());
+    seen.add(new CallModel(defect).key());
+    int deepest = 0;
+    while (!paths.isEmpty()) {
+      List<String> path = paths.poll();
+      deepest = path.size();
+      for (String action : replay(defect, path).actions()) {
+        List<String> next = new ArrayList<>(path);
+        next.add(action);
+        CallModel model = replay(defect, next);
+        if (model.broken() != null) {
+          return new Found(model.broken(), next, seen.size(), deepest);
+        }
+        if (seen.add(model.key())) {
+          paths.add(next);
+        }
+      }
+    }
+    return new Found(null, List.of(), seen.size(), deepest);
+  }
+
+  /** Also where a process that holds the address by mistake runs whatever reaches it. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Defect.class,
+      names = {"NONE", "FOREIGN_PROCESS_CHECKS_NOTHING"})
+  void noOrderBreaksARule(Defect none) {
+    long before = System.nanoTime();
+    Found found = explore(none);
+    long ms = (System.nanoTime() - before) / 1_000_000;
+    System.out.printf(
+        "call interleavings, %s: %d states, longest shortest path %d, %d ms%n",
+        none, found.states(), found.deepest(), ms);
+    assertThat(found.toString(), found.fault(), is(nullValue()));
+    assertThat(found.states(), is(greaterThan(LEAST_STATES)));
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = Defect.class,
+      mode = EnumSource.Mode.EXCLUDE,
+      names = {"NONE", "FOREIGN_PROCESS_CHECKS_NOTHING"})
+  void eachDefectIsFound(Defect defect) {
+    Found found = explore(defect);
+    System.out.printf("%s: %s by %s%n", defect, found.fault(), found.path());
+    assertThat(defect.name(), found.fault(), is(notNullValue()));
+  }
+}
--- /dev/null
+++ b/rpc/src/test/java/elmsail/rpc/CallModel.java
@@ -0,0 +1,333 @@
+package elmsail.rpc;
+
+import elmsail.runtime.ElmsailException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Two calls of one process to one address, whose process may be replaced by a new instance or by a
+ * process of another address. Connections are pairs of queues; what is taken from them is decided
+ * by the production classes {@link Handshake} and {@link CallTable}. All that may happen next is an
+ * {@link #actions action}, so that a checker can try every order.
+ */
+final class CallModel {
+
+  /** Deliberate mistakes, each in place of one thing that the production code does. */
+  enum Defect {
+    NONE,
+
+    /** No mistake of ours: the foreign process runs whatever reaches it, but says who it is. */
+    FOREIGN_PROCESS_CHECKS_NOTHING,
+
+    /** The same foreign process, and a caller that does not look at who answers. */
+    HELLO_NOT_CHECKED_BY_CALLER,
+    HELLO_NOT_CHECKED_BY_ACCEPTING_SIDE,
+    ANSWERS_TAKEN_IN_ORDER,
+    SECOND_ANSWER_TAKEN,
+    ONE_TABLE_AND_FRAMES_OF_CLOSED_CONNECTIONS,
+    CALL_SENT_AGAIN_AFTER_A_RESET
+  }
+
+  private static final String ADDRESS = "10.0.0.1:7720";
+  private static final int CALLS = 2;
+  private static final int MOST_REPLACEMENTS = 2;
+  private static final Hello MEANT = new Hello(Hello.VERSION, ADDRESS, Hello.ANY_INSTANCE);
+
+  /** The processes that may hold the address: two instances of the one meant, and a foreign one. */
+  private static final Hello[] PROCESSES = {
+    new Hello(Hello.VERSION, ADDRESS, 1),
+    new Hello(Hello.VERSION, ADDRESS, 2),
+    new Hello(Hello.VERSION, "10.0.0.1:7721", 3)
+  };
+
+  private static final int FOREIGN = 2;
+
+  private final Defect defect;
+  private final ModelCall[] calls = new ModelCall[CALLS];
+  private final List<ModelConnection> connections = new ArrayList<>();
+  private final CallTable<ModelCall> shared = new CallTable<>();
+  private ModelConnection current;
+  private int process;
+  private int replacements;
+  private int resets;
+  private boolean duplicated;
+  private boolean spliced;
+  private long numbers;
+  private String broken;
+
+  CallModel(Defect defect) {
+    this.defect = defect;
+    for (int i = 0; i < CALLS; i++) {
+      calls[i] = new ModelCall(i);
+    }
+  }
+
+  /** What is wrong in this state, or null. */
+  String broken() {
+    return broken;
+  }
+
+  /** The names of all that may happen next. */
+  List<String> actions() {
+    List<String> all = new ArrayList<>();
+    for (ModelCall call : calls) {
+      if (!call.sent) {
+        all.add("send " + call.index);
+      } else if (call.ends == 0) {
+        all.add("timeout " + call.index);
+      }
+    }
+    for (int i = 0; i < connections.size(); i++) {
+      connectionActions(connections.get(i), i, all);
+    }
+    for (int i = 0; replacements < MOST_REPLACEMENTS && i < PROCESSES.length; i++) {
+      if (i > 0 && i != process) {
+        all.add("replace " + i);
+      }
+    }
+    return all;
+  }
+
+  private void connectionActions(ModelConnection one, int i, List<String> all) {
+    if (!one.toProcess.isEmpty()) {
+      all.add("reach " + i);
+    }
+    boolean read = one.callerOpen || defect == Defect.ONE_TABLE_AND_FRAMES_OF_CLOSED_CONNECTIONS;
+    if (!one.toCaller.isEmpty() && read) {
+      all.add("return " + i);
+    }
+    if (one.callerOpen && (!one.processOpen || resets == 0)) {
+      all.add("reset " + i);
+    }
+    for (int h = 0; h < one.held.size() && one.processOpen; h++) {
+      all.add("answer " + i + " " + h);
+      if (!duplicated) {
+        all.add("answer-twice " + i + " " + h);
+      }
+    }
+    if (!spliced && one.processOpen && one.accepting.complete()) {
+      all.add("splice " + i);
+    }
+  }
+
+  /** Lets it happen. */
+  void apply(String action) {
+    String[] words = action.split(" ");
+    int i = Integer.parseInt(words[1]);
+    switch (words[0]) {
+      case "send" -> send(calls[i]);
+      case "timeout" -> {
+        calls[i].sentOver.table.remove(calls[i].number);
+        end(calls[i], "silent");
+      }
+      case "reach" -> reach(connections.get(i));
+      case "return" -> comeBack(connections.get(i));
+      case "reset" -> {
+        resets += connections.get(i).processOpen ? 1 : 0;
+        reset(connections.get(i), "broken");
+      }
+      case "answer", "answer-twice" -> {
+        ModelConnection one = connections.get(i);
+        Frame request = one.held.remove(Integer.parseInt(words[2]));
+        one.toCaller.add(answer(one, request.call()));
+        if (words[0].equals("answer-twice")) {
+          duplicated = true;
+          one.toCaller.add(answer(one, request.call()));
+        }
+      }
+      case "splice" -> {
+        // An answer to a call of that number which was never made on this connection.
+        spliced = true;
+        connections.get(i).toCaller.add(answer(connections.get(i), 9));
+      }
+      default -> {
+        process = i;
+        replacements++;
+        connections.forEach(one -> one.processOpen = false);
+      }
+    }
+  }
+
+  private void send(ModelCall call) {
+    if (current == null || !current.callerOpen) {
+      boolean anew = defect == Defect.ONE_TABLE_AND_FRAMES_OF_CLOSED_CONNECTIONS;
+      current =
+          new ModelConnection(
+              process, MEANT, PROCESSES[process], anew ? shared : new CallTable<>());
+      numbers = anew ? 0 : numbers;
+      connections.add(current);
+      current.toProcess.add(hello(current.caller.own()));
+    }
+    call.sent = true;
+    call.number = ++numbers;
+    call.sentOver = current;
+    current.table.add(call.number, call);
+    byte[] which = {(byte) call.index};
+    current.toProcess.add(new Frame(Frame.ASK, call.number, MessageTypes.NONE, which));
+  }
+
+  private void reach(ModelConnection one) {
+    Frame frame = one.toProcess.poll();
+    if (!one.processOpen) {
+      return;
+    }
+    boolean unchecked =
+        defect == Defect.HELLO_NOT_CHECKED_BY_ACCEPTING_SIDE || foreignChecksNothing();
+    try {
+      boolean wasComplete = one.accepting.complete();
+      one.accepting.admit(frame);
+      if (!wasComplete) {
+        one.toCaller.add(hello(one.accepting.own()));
+        return;
+      }
+    } catch (ElmsailException e) {
+      if (!unchecked) {
+        one.toCaller.add(hello(one.accepting.own()));
+        one.processOpen = false;
+        return;
+      }
+      if (frame.kind() == Frame.HELLO) {
+        one.toCaller.add(hello(one.accepting.own()));
+        return;
+      }
+    }
+    run(one, frame);
+  }
+
+  private boolean foreignChecksNothing() {
+    return defect == Defect.FOREIGN_PROCESS_CHECKS_NOTHING
+        || defect == Defect.HELLO_NOT_CHECKED_BY_CALLER;
+  }
+
+  private void run(ModelConnection one, Frame request) {
+    ModelCall call = calls[request.payload()[0]];
+    call.runs++;
+    if (one.process == FOREIGN && !foreignChecksNothing()) {
+      broken = "call " + call.index + " ran at a process that was not meant";
+    } else if (call.runs > 1) {
+      broken = "call " + call.index + " ran twice";
+    }
+    one.held.add(request);
+  }
+
+  private void comeBack(ModelConnection one) {
+    Frame frame = one.toCaller.poll();
+    try {
+      one.caller.admit(frame);
+    } catch (ElmsailException e) {
+      if (defect != Defect.HELLO_NOT_CHECKED_BY_CALLER) {
+        reset(one, e.code().name());
+        return;
+      }
+    }
+    if (frame.kind() == Frame.ANSWER) {
+      answered(one, frame);
+    }
+  }
+
+  private void answered(ModelConnection one, Frame frame) {
+    ModelCall call;
+    if (defect == Defect.ANSWERS_TAKEN_IN_ORDER) {
+      call = firstOpen(one);
+    } else if (defect == Defect.SECOND_ANSWER_TAKEN) {
+      call = callOf(one, frame.call());
+    } else {
+      call = one.table.remove(frame.call());
+    }
+    if (call == null) {
+      return;
+    }
+    ByteBuffer made = ByteBuffer.wrap(frame.payload());
+    int by = made.getInt();
+    int over = made.getInt();
+    boolean own = made.getLong() == call.number && connections.get(over) == call.sentOver;
+    if (!own || by == FOREIGN) {
+      broken = "call " + call.index + " took an answer that is not its own";
+    }
+    end(call, "answered by " + by);
+  }
+
+  private ModelCall firstOpen(ModelConnection one) {
+    for (ModelCall call : calls) {
+      if (call.sentOver == one && call.ends == 0) {
+        one.table.remove(call.number);
+        return call;
+      }
+    }
+    return null;
+  }
+
+  private ModelCall callOf(ModelConnection one, long number) {
+    for (ModelCall call : calls) {
+      if (call.sentOver == one && call.number == number) {
+        return call;
+      }
+    }
+    return null;
+  }
+
+  private void reset(ModelConnection one, String outcome) {
+    one.callerOpen = false;
+    one.processOpen = false;
+    if (defect == Defect.ONE_TABLE_AND_FRAMES_OF_CLOSED_CONNECTIONS) {
+      return; // the calls stay in the one table until their time is over
+    }
+    for (ModelCall call : one.table.close()) {
+      if (defect == Defect.CALL_SENT_AGAIN_AFTER_A_RESET) {
+        send(call);
+      } else {
+        end(call, outcome);
+      }
+    }
+  }
+
+  private void end(ModelCall call, String outcome) {
+    call.ends++;
+    call.outcome = outcome;
+    if (call.ends > 1) {
+      broken = "call " + call.index + " ended twice";
+    }
+  }
+
+  private Frame answer(ModelConnection one, long number) {
+    byte[] made =
+        ByteBuffer.allocate(16)
+            .putInt(one.process)
+            .putInt(connections.indexOf(one))
+            .putLong(number)
+            .array();
+    return new Frame(Frame.ANSWER, number, MessageTypes.NONE, made);
+  }
+
+  private static Frame hello(Hello hello) {
+    return new Frame(Frame.HELLO, 0, MessageTypes.NONE, hello.payload());
+  }
+
+  /** Equal for two states from which the same may follow. */
+  String key() {
+    StringBuilder key = new StringBuilder();
+    key.append(process).append(replacements).append(resets).append(duplicated).append(spliced);
+    for (ModelCall call : calls) {
+      int over = call.sentOver == null ? -1 : connections.indexOf(call.sentOver);
+      key.append('|').append(call.sent).append(call.number).append(',').append(over);
+      key.append(',').append(call.ends).append(call.runs).append(call.outcome);
+    }
+    for (ModelConnection one : connections) {
+      key.append('/').append(one.process).append(one.callerOpen).append(one.processOpen);
+      key.append(one.caller.complete()).append(one.accepting.complete());
+      append(key, one.toProcess);
+      append(key, one.toCaller);
+      append(key, one.held);
+    }
+    return key.append(current == null ? -1 : connections.indexOf(current)).toString();
+  }
+
+  private static void append(StringBuilder key, Iterable<Frame> frames) {
+    key.append('[');
+    for (Frame frame : frames) {
+      key.append(frame.kind()).append('.').append(frame.call()).append(' ');
+    }
+    key.append(']');
+  }
+}
--- a/rpc/src/test/java/elmsail/rpc/FrameTest.java
+++ b/rpc/src/test/java/elmsail/rpc/FrameTest.java
@@ -100,7 +100,7 @@
 
   @Test
   void unknownKindsOfFrameAreGarbled() {
-    for (int kind : new int[] {0, 6, -1}) {
+    for (int kind : new int[] {0, 7, -1}) {
       assertThat(codeOf(bytes(Frame.bare(kind, 1))), is(ErrorCode.GARBLED));
     }
   }
--- /dev/null
+++ b/rpc/src/test/java/elmsail/rpc/ModelCall.java
@@ -0,0 +1,16 @@
+package elmsail.rpc;
+
+/** One call of a {@link CallModel}, with what became of it. */
+final class ModelCall {
+  final int index;
+  long number;
+  ModelConnection sentOver;
+  boolean sent;
+  int ends;
+  int runs;
+  String outcome = "new";
+
+  ModelCall(int index) {
+    this.index = index;
+  }
+}
--- a/runtime/src/main/java/elmsail/runtime/ErrorCode.java
+++ b/runtime/src/main/java/elmsail/runtime/ErrorCode.java
@@ -29,6 +29,10 @@
   DISK,
   /** A frame or message that is none. */
   GARBLED,
+  /** Another process answers at that address than the one that was meant. */
+  MISDIRECTED,
+  /** The other side speaks a version of the protocol that is not known here. */
+  UNSUPPORTED_VERSION,
   /** A fault of our own. */
   FAULT
 }
