Keep other bytes out of a body that is still due; take answers without a length

Causes and changes, connections to model servers: - A server that answers early and reads the rest of a long body later: the connection counted as free at once, so the next request stood behind that rest for as long as the server did not read.

--- /dev/null
+++ b/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
@@ -0,0 +1,164 @@
+package elmsail.gateway.servers;
+
+import elmsail.config.ClusterState;
+import elmsail.config.RoutingConfig;
+import elmsail.config.Service;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Addresses;
+import elmsail.runtime.Timers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import java.util.Iterator;
+
+/**
+ * Gives each attempt a connection to its server: an idle one that has rested, or a new one. All on
+ * the loop.
+ */
+final class ConnectionPool {
+  /** No connect may take longer before another server is tried. */
+  private static final int CONNECT_MS = 150;
+
+  /** Nor to one that has failed lately. */
+  private static final int DOUBTFUL_CONNECT_MS = 80;
+
+  /** A connection rests so long behind an answer, as an extra one may come late. */
+  private static final long REST_MS = 20;
+
+  private static final int LEAST_CONNECTIONS = 4;
+  private static final int DEFAULT_CONNECTIONS = 64;
+  private static final int LOW_WATER_BYTES = 32 * 1024;
+  private static final int HIGH_WATER_BYTES = 64 * 1024;
+
+  private final Timers timers;
+  private final ClusterState known;
+  private final RequestCounters counters;
+  private final Bootstrap bootstrap;
+  private boolean stopped;
+
+  ConnectionPool(Timers timers, EventLoop loop, ClusterState known, RequestCounters counters) {
+    this.timers = timers;
+    this.known = known;
+    this.counters = counters;
+    bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(QuietSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            // So that an end in order is told apart from a reset and from a close by this side.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .option(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
+  }
+
+  Timers timers() {
+    return timers;
+  }
+
+  RequestCounters counters() {
+    return counters;
+  }
+
+  /** Answered connections are not kept from here on. */
+  void stop() {
+    stopped = true;
+  }
+
+  boolean stopped() {
+    return stopped;
+  }
+
+  /** Whether answered connections are kept. */
+  boolean keeps(Server server) {
+    return !stopped && !server.gone();
+  }
+
+  /**
+   * How many connections to a server this gateway may have, so that all gateways together keep
+   * within its cap.
+   */
+  int most(Server s) {
+    RoutingConfig now = known.config();
+    Service service = now == null ? null : now.services().get(s.entry().service());
+    int cap =
+        service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
+    return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.view().gateways.size()));
+  }
+
+  /** Sends the attempt's request over some connection; what is heard of it comes later. */
+  void carry(Server server, Attempt one) {
+    boolean connectFirst = server.doubtful(timers.now()) && server.connections < most(server);
+    ServerConnection kept = connectFirst ? null : rested(server, one.out().id());
+    if (kept != null) {
+      kept.carry(one);
+    } else {
+      connect(server, one);
+    }
+  }
+
+  /** An idle connection that may carry a request of that id, or null. */
+  private ServerConnection rested(Server s, String requestId) {
+    long now = timers.now();
+    boolean full = s.connections >= most(s);
+    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext(); ) {
+      ServerConnection c = all.next();
+      if ((now - c.idleSince() >= REST_MS || full) && !c.hasJustCarried(requestId)) {
+        all.remove();
+        if (c.usable(now)) {
+          return c;
+        }
+        c.close();
+      }
+    }
+    return null;
+  }
+
+  private void connect(Server server, Attempt one) {
+    ServerConnection c = new ServerConnection(this, server);
+    server.connections++;
+    int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
+    Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
+    ChannelFuture connect =
+        limited
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    c.into(channel.pipeline());
+                  }
+                })
+            .connect(Addresses.of(server.entry().address()));
+    one.on(connect.channel());
+    connect.channel().closeFuture().addListener(f -> server.connections--);
+    if (connect.isDone()) {
+      timers.soon(
+          () -> connected(connect, server, c, one)); // not within the call that begins the try
+    } else {
+      connect.addListener((ChannelFuture f) -> connected(f, server, c, one));
+    }
+  }
+
+  private void connected(ChannelFuture f, Server server, ServerConnection c, Attempt one) {
+    if (!f.isSuccess()) {
+      f.channel().close();
+      counters.count(RequestCounters.Event.CONNECT_FAILED);
+      if (!one.over()) { // a cancelled one says nothing of the server
+        server.failed(timers.now());
+        one.failed();
+      }
+      return;
+    }
+    counters.count(RequestCounters.Event.CONNECTED);
+    if (one.over() || server.gone()) {
+      f.channel().close();
+      one.failed();
+    } else {
+      c.carry(one);
+    }
+  }
+}
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
@@ -2,12 +2,15 @@
 
 import elmsail.gateway.http.Headers;
 import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Timers;
 import elmsail.runtime.http.StrictAnswerDecoder;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
@@ -38,7 +41,10 @@
   /** Where the server told no time, it may be less than the second that can be told. */
   private static final long UNTOLD_MS = 1_000;
 
-  private final Servers servers;
+  /** A server that has answered early must go on reading the rest of the body so soon. */
+  private static final long STUCK_BODY_MS = 2_000;
+
+  private final ConnectionPool pool;
   private final Server server;
   private final StrictAnswerDecoder decoder =
       new StrictAnswerDecoder(MOST_LINE, MOST_HEAD, MOST_PIECE) {
@@ -46,6 +52,12 @@
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
           return headOnly || super.isContentAlwaysEmpty(message);
         }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+          endedInOrder |= event instanceof ChannelInputShutdownEvent;
+          super.userEventTriggered(ctx, event); // puts out the end of an answer without a length
+        }
       };
   private Channel channel;
   private Attempt current;
@@ -54,14 +66,29 @@
   private boolean headOnly;
   private boolean keep;
 
+  /** The answer has neither a length nor chunks: it ends with the connection. */
+  private boolean untilEnd;
+
+  /** The server has ended its direction, and not by a reset. */
+  private boolean endedInOrder;
+
+  /** Whether all of the last request has been written. */
+  private boolean written;
+
+  /** Set while the rest of an answered request's body is still being written. */
+  private Timers.Timer finishing;
+
+  /** The id of the last request, whose answer may come a second time. */
+  private String lastId;
+
   /** Answered, but what came with the answer is not looked at yet. */
   private boolean answered;
 
   private long idleMs = UNTOLD_MS;
   private long idleSince;
 
-  ServerConnection(Servers servers, Server server) {
-    this.servers = servers;
+  ServerConnection(ConnectionPool pool, Server server) {
+    this.pool = pool;
     this.server = server;
   }
 
@@ -79,6 +106,14 @@
     return now - idleSince < idleMs - Math.min(BEFORE_END_MS, idleMs * PART_BEFORE_END);
   }
 
+  /**
+   * Whether the last request had that id: a second answer to it would pass for the answer to one
+   * that comes next. One to an earlier request has come before the last answer, and closed this.
+   */
+  boolean hasJustCarried(String requestId) {
+    return requestId.equals(lastId);
+  }
+
   boolean usable(long now) {
     return channel.isActive()
         && !decoder.inside()
@@ -94,6 +129,8 @@
   /** Writes the request; from here on it counts as sent. */
   void carry(Attempt one) {
     current = one;
+    lastId = one.out().id();
+    written = false;
     one.on(channel);
     one.sending();
     channel.config().setAutoRead(!one.paused());
@@ -101,17 +138,28 @@
     headOnly = message.method().equals(HttpMethod.HEAD);
     ChannelFuture write = channel.writeAndFlush(message);
     if (write.isDone() && !write.isSuccess()) {
-      servers.timers().soon(() -> unwritten(one)); // not within the call that begins the try
+      pool.timers().soon(() -> unwritten(one)); // not within the call that begins the try
     } else {
       write.addListener(
           f -> {
-            if (!f.isSuccess()) {
+            if (f.isSuccess()) {
+              written();
+            } else {
               unwritten(one);
             }
           });
     }
   }
 
+  private void written() {
+    written = true;
+    if (finishing != null) {
+      finishing.cancel();
+      finishing = null;
+      free();
+    }
+  }
+
   private void unwritten(Attempt one) {
     if (current == one) {
       broken(RequestCounters.Event.CLOSED_BY_SERVER);
@@ -150,16 +198,14 @@
       return false;
     }
     int code = head.status().code();
-    boolean empty = code == 204 || code == 304;
-    if (!empty && !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
-      broken(RequestCounters.Event.UNREADABLE_ANSWER);
-      return false;
-    }
+    boolean empty = headOnly || code == 204 || code == 304;
+    untilEnd =
+        !empty && !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
     inAnswer = true;
-    keep = HttpUtil.isKeepAlive(head);
+    keep = !untilEnd && HttpUtil.isKeepAlive(head);
     String response = head.headers().get("Keep-Alive");
     idleMs = response == null ? UNTOLD_MS : toldMs(response);
-    long now = servers.timers().now();
+    long now = pool.timers().now();
     server.heard(now);
     if (code == MISDIRECTED) {
       server.misplace();
@@ -196,10 +242,12 @@
     }
     Attempt one = current;
     if (piece.content().isReadable()) {
-      server.stirred(servers.timers().now());
+      server.stirred(pool.timers().now());
       one.data(piece.content().retain());
     }
-    if (last) {
+    if (last && untilEnd && !endedInOrder) {
+      broken(RequestCounters.Event.CLOSED_BY_SERVER);
+    } else if (last) {
       inAnswer = false;
       current = null;
       if (one.over()) {
@@ -211,7 +259,7 @@
       if (!keep) {
         channel.close();
       }
-      servers.counters().count(RequestCounters.Event.TRY_ANSWERED);
+      pool.counters().count(RequestCounters.Event.TRY_ANSWERED);
       one.whole();
     }
   }
@@ -221,18 +269,48 @@
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (answered && !decoder.inside()) {
       answered = false;
-      if (channel.isActive() && servers.keeps(server)) {
-        idleSince = servers.timers().now();
-        server.idle.addLast(this);
-      } else {
-        channel.close();
-      }
+      free();
     } else if (current == null && decoder.inside()) {
       broken(RequestCounters.Event.FOREIGN_ANSWER);
     }
     ctx.fireChannelReadComplete();
   }
 
+  /** Nothing else goes over it before the last request's body has gone out whole. */
+  private void free() {
+    if (!channel.isActive() || !pool.keeps(server)) {
+      channel.close();
+    } else if (written) {
+      idleSince = pool.timers().now();
+      server.idle.addLast(this);
+    } else {
+      long unwritten = unwrittenBytes();
+      finishing = pool.timers().after(STUCK_BODY_MS, () -> goOnOrClose(unwritten));
+    }
+  }
+
+  private void goOnOrClose(long unwrittenBefore) {
+    long unwritten = unwrittenBytes();
+    if (unwritten < unwrittenBefore) {
+      finishing = pool.timers().after(STUCK_BODY_MS, () -> goOnOrClose(unwritten));
+    } else {
+      channel.close();
+    }
+  }
+
+  private long unwrittenBytes() {
+    ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+    return out == null ? 0 : out.totalPendingWriteBytes() - Math.max(0, out.currentProgress());
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    if (event instanceof ChannelInputShutdownEvent) {
+      broken(RequestCounters.Event.CLOSED_BY_SERVER);
+    }
+    super.userEventTriggered(ctx, event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     broken(RequestCounters.Event.CLOSED_BY_SERVER);
@@ -252,10 +330,14 @@
     current = null;
     answered = false;
     inAnswer = false;
+    if (finishing != null) {
+      finishing.cancel();
+      finishing = null;
+    }
     close();
     if (one != null && !one.over()) {
-      servers.counters().count(why);
-      server.broke(servers.timers().now());
+      pool.counters().count(why);
+      server.broke(pool.timers().now());
       one.failed();
     }
   }
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -6,15 +6,8 @@
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
 import elmsail.gateway.http.RequestCounters;
-import elmsail.runtime.Addresses;
 import elmsail.runtime.Timers;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -29,19 +22,8 @@
  * loop.
  */
 public final class Servers {
-  /** No connect may take longer before another server is tried. */
-  private static final int CONNECT_MS = 150;
-
-  /** Nor to one that has failed lately. */
-  private static final int DOUBTFUL_CONNECT_MS = 80;
-
   private static final long SWEEP_MS = 500;
 
-  /** A connection rests so long behind an answer, as an extra one may come late. */
-  private static final long REST_MS = 20;
-
-  private static final int LEAST_CONNECTIONS = 4;
-  private static final int DEFAULT_CONNECTIONS = 64;
   private static final int DEFAULT_TOKENS = 200_000;
 
   private final Timers timers;
@@ -49,10 +31,9 @@
   private final String zone;
   private final RequestCounters counters;
   private final RandomGenerator chance;
-  private final Bootstrap bootstrap;
+  private final ConnectionPool pool;
   private final Map<String, Server> byId = new LinkedHashMap<>();
   private int turn;
-  private boolean stopped;
 
   public Servers(
       Timers timers,
@@ -66,27 +47,12 @@
     this.zone = zone;
     this.counters = counters;
     this.chance = chance;
-    bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(QuietSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(
-                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                new WriteBufferWaterMark(32 * 1024, 64 * 1024));
+    pool = new ConnectionPool(timers, loop, known, counters);
     known.whenChanged(this::refresh);
     refresh();
     timers.after(SWEEP_MS, this::sweep);
   }
 
-  Timers timers() {
-    return timers;
-  }
-
-  RequestCounters counters() {
-    return counters;
-  }
-
   /** Whether any server is open to requests. */
   public boolean any() {
     return !byId.isEmpty();
@@ -138,16 +104,9 @@
     return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens() / 2;
   }
 
-  /**
-   * How many connections to a server this gateway may have, so that all gateways together keep
-   * within its cap.
-   */
+  /** See {@link ConnectionPool#most}. */
   int most(Server s) {
-    RoutingConfig now = known.config();
-    Service service = now == null ? null : now.services().get(s.entry().service());
-    int cap =
-        service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
-    return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.view().gateways.size()));
+    return pool.most(s);
   }
 
   /** Whether a connection for one more request can be had. */
@@ -276,76 +235,10 @@
     Attempt one = new Attempt(server, out, heard, timers.now());
     server.begun(one);
     server.memory().add(out.prompt());
-    ServerConnection c =
-        server.doubtful(timers.now()) && server.connections < most(server) ? null : rested(server);
-    if (c != null) {
-      c.carry(one);
-    } else {
-      connect(server, one);
-    }
+    pool.carry(server, one);
     return one;
   }
 
-  private ServerConnection rested(Server s) {
-    long now = timers.now();
-    boolean full = s.connections >= most(s);
-    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext(); ) {
-      ServerConnection c = all.next();
-      if (now - c.idleSince() >= REST_MS || full) {
-        all.remove();
-        if (c.usable(now)) {
-          return c;
-        }
-        c.close();
-      }
-    }
-    return null;
-  }
-
-  private void connect(Server server, Attempt one) {
-    ServerConnection c = new ServerConnection(this, server);
-    server.connections++;
-    int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
-    Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
-    ChannelFuture connect =
-        limited
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    c.into(channel.pipeline());
-                  }
-                })
-            .connect(Addresses.of(server.entry().address()));
-    one.on(connect.channel());
-    connect.channel().closeFuture().addListener(f -> server.connections--);
-    if (connect.isDone()) {
-      timers.soon(
-          () -> connected(connect, server, c, one)); // not within the call that begins the try
-    } else {
-      connect.addListener((ChannelFuture f) -> connected(f, server, c, one));
-    }
-  }
-
-  private void connected(ChannelFuture f, Server server, ServerConnection c, Attempt one) {
-    if (!f.isSuccess()) {
-      f.channel().close();
-      counters.count(RequestCounters.Event.CONNECT_FAILED);
-      if (!one.over()) { // a cancelled one says nothing of the server
-        server.failed(timers.now());
-        one.failed();
-      }
-      return;
-    }
-    counters.count(RequestCounters.Event.CONNECTED);
-    if (one.over() || server.gone()) {
-      f.channel().close();
-      one.failed();
-    } else {
-      c.carry(one);
-    }
-  }
-
   private void sweep() {
     long now = timers.now();
     for (Server s : byId.values()) {
@@ -355,23 +248,18 @@
         }
       }
     }
-    if (!stopped) {
+    if (!pool.stopped()) {
       timers.after(SWEEP_MS, this::sweep);
     }
   }
 
   /** Closes the idle connections; what runs goes on. */
   public void stop() {
-    stopped = true;
+    pool.stop();
     for (Server s : byId.values()) {
       for (ServerConnection c : new ArrayList<>(s.idle)) {
         c.close();
       }
     }
   }
-
-  /** Whether answered connections are kept. */
-  boolean keeps(Server s) {
-    return !stopped && !s.gone();
-  }
 }
