Count failures of batch items over all runners, and free jobs that were stuck

Change: the job's record (format 2; 1 is still read) holds the count of each unlisted item; an item that failed runs again only once that stands there, so a change of hands hides one answer at most. Behind shelf_s items are given up without their body. A job that is there is 202 whatever its routes.

--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -125,7 +125,7 @@
     }
     for (BatchItem piece : pieces) {
       if (config.find(route.host(), piece.lane()) == null) {
-        return CompletableFuture.completedFuture(Replies.MALFORMED);
+        return knownOr(jobId, Replies.MALFORMED);
       }
     }
     SubmitHandler call =
@@ -143,6 +143,14 @@
     return call.begin().whenComplete((reply, failed) -> bytes -= held);
   }
 
+  /** A job that was taken stays taken, whatever the routes of its items have become since. */
+  private CompletableFuture<Reply> knownOr(String jobId, Reply otherwise) {
+    return store
+        .read(jobId, CALL_MS)
+        .thenApply(record -> record == null ? otherwise : Replies.ACCEPTED)
+        .exceptionally(failed -> replies.unable());
+  }
+
   @Override
   public CompletableFuture<Reply> read(String jobId, long after, long waitMs) {
     if (!proper(jobId)) {
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -1,8 +1,11 @@
 package elmsail.batch.messages;
 
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.TreeMap;
 
 /**
  * What is decided of one job: its items, which of them are listed in which order, who runs it. A
@@ -19,6 +22,8 @@
  * @param runner the inner address of the gateway that runs it
  * @param term up by one with each runner
  * @param ageMs how old the job was, at the least, at this change
+ * @param failures of items that are not listed yet, one entry an item: each runner counts on from
+ *     these
  */
 public record JobRecord(
     long version,
@@ -33,7 +38,31 @@
     boolean ended,
     String runner,
     long term,
-    long ageMs) {
+    long ageMs,
+    List<FailureCount> failures) {
+
+  /** The layout of a packed record. */
+  private static final int FORMAT = 2;
+
+  /** A record of a job of which no item has failed. */
+  public JobRecord(
+      long version,
+      String route,
+      String host,
+      long edition,
+      long runDueMs,
+      long shelfMs,
+      String body,
+      List<Item> items,
+      List<Result> results,
+      boolean ended,
+      String runner,
+      long term,
+      long ageMs) {
+    this(
+        version, route, host, edition, runDueMs, shelfMs, body, items, results, ended, runner, term,
+        ageMs, List.of());
+  }
 
   /** An item's id and the tokens it waits with. */
   public record Item(String id, long tokens) {}
@@ -51,6 +80,13 @@
     }
   }
 
+  /**
+   * How often servers have answered 500 for an item.
+   *
+   * @param index the item's place in the job
+   */
+  public record FailureCount(int index, int count) {}
+
   /** The name of an item's text, as the runner of that term had it. */
   public static String nameOf(int index, long term) {
     return "r-" + index + "-" + term;
@@ -90,8 +126,12 @@
     return sum;
   }
 
-  /** Lists those of the results whose items are not listed yet: the first listed stays. */
-  public JobRecord listing(List<Result> more, long age) {
+  /**
+   * Lists those of the results whose items are not listed yet: the first listed stays.
+   *
+   * @param failed counts of items that are not listed, which replace lower ones
+   */
+  public JobRecord listing(List<Result> more, List<FailureCount> failed, long age) {
     BitSet listed = listed();
     List<Result> all = new ArrayList<>(results);
     for (Result one : more) {
@@ -100,58 +140,56 @@
         all.add(one);
       }
     }
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        all,
-        ended,
-        runner,
-        term,
-        Math.max(ageMs, age));
+    TreeMap<Integer, Integer> counts = new TreeMap<>();
+    failures.forEach(one -> counts.merge(one.index(), one.count(), Math::max));
+    failed.forEach(one -> counts.merge(one.index(), one.count(), Math::max));
+    List<FailureCount> left = new ArrayList<>();
+    counts.forEach(
+        (index, count) -> {
+          if (!listed.get(index)) {
+            left.add(new FailureCount(index, count));
+          }
+        });
+    return changed(all, ended, runner, term, Math.max(ageMs, age), left);
   }
 
+  /** Likewise where no item has failed. */
+  public JobRecord listing(List<Result> more, long age) {
+    return listing(more, List.of(), age);
+  }
+
+  /** How often servers have answered 500 for the item, by all its runners' counts. */
+  public int failuresOf(int index) {
+    for (FailureCount one : failures) {
+      if (one.index() == index) {
+        return one.count();
+      }
+    }
+    return 0;
+  }
+
+  /** The same job, whose client has ended it. */
   public JobRecord endedNow() {
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        results,
-        true,
-        runner,
-        term,
-        ageMs);
+    return changed(results, true, runner, term, ageMs, failures);
   }
 
+  /** The same job, run by another gateway in the next term. */
   public JobRecord runBy(String door, long age) {
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        results,
-        ended,
-        door,
-        term + 1,
-        Math.max(ageMs, age));
+    return changed(results, ended, door, term + 1, Math.max(ageMs, age), failures);
   }
 
   /** The same, written once more so that keepers that missed a change get it. */
   public JobRecord again() {
+    return changed(results, ended, runner, term, ageMs, failures);
+  }
+
+  private JobRecord changed(
+      List<Result> results,
+      boolean ended,
+      String runner,
+      long term,
+      long ageMs,
+      List<FailureCount> failures) {
     return new JobRecord(
         version + 1,
         route,
@@ -165,13 +203,14 @@
         ended,
         runner,
         term,
-        ageMs);
+        ageMs,
+        failures);
   }
 
   public byte[] packed() {
     ByteWriter to =
         new ByteWriter()
-            .number(1)
+            .number(FORMAT)
             .number(version)
             .text(route)
             .text(host)
@@ -191,13 +230,20 @@
     for (Result one : results) {
       to.number(one.index()).flag(one.delivered()).number(one.term()).number(one.textBytes());
     }
+    to.number(failures.size());
+    for (FailureCount one : failures) {
+      to.number(one.index()).number(one.count());
+    }
     return to.packed();
   }
 
   /** Fails with GARBLED. */
   public static JobRecord unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
-    from.number();
+    long format = from.number();
+    if (format < 1 || format > FORMAT) {
+      throw new ElmsailException(ErrorCode.GARBLED, "a record of format " + format);
+    }
     long version = from.number();
     String route = from.text();
     String host = from.text();
@@ -232,6 +278,17 @@
         ended,
         runner,
         term,
-        ageMs);
+        ageMs,
+        format == 1 ? List.of() : failures(from));
+  }
+
+  /** The first format had none. */
+  private static List<FailureCount> failures(ByteReader from) {
+    int count = from.count();
+    List<FailureCount> failures = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      failures.add(new FailureCount((int) from.number(), (int) from.number()));
+    }
+    return List.copyOf(failures);
   }
 }
--- a/batch/src/main/java/elmsail/batch/run/ItemRun.java
+++ b/batch/src/main/java/elmsail/batch/run/ItemRun.java
@@ -13,8 +13,12 @@
   /** The last event kept, -1: none. */
   long last = -1;
 
+  /** Answers of 500, those that former runners recorded too. */
   int failures;
 
+  /** How many of them stand in the job's record. */
+  int recordedFailures;
+
   /** Tries that led nowhere in a row, for the backoff. */
   int vain;
 
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -23,13 +23,11 @@
   private static final long LOOK_MS = 40;
 
   private static final long AGAIN_MS = 20;
-  private static final long FETCH_MS = 1_500;
-  private static final int MOST_FETCHES = 2;
   private static final long MOST_HELD = 16L << 20;
   private static final long MOST_BACKOFF_MS = 200;
 
   private final BatchContext tools;
-  private final BatchJobClient store;
+  private final BodyLoader bodies;
   private final ResultRecorder listing;
   private final Map<String, RunningJob> jobs = new HashMap<>();
   private final TreeMap<RunningJob, RunningJob> byDue = new TreeMap<>();
@@ -37,7 +35,6 @@
   private final long letMs;
   private ItemServers servers;
   private boolean pumpSet;
-  private int fetches;
   private long held;
 
   /**
@@ -45,7 +42,7 @@
    */
   public JobRunner(BatchContext tools, BatchJobClient store, Consumer<String> changed) {
     this.tools = tools;
-    this.store = store;
+    this.bodies = new BodyLoader(tools, store, () -> pumpSoon(0));
     this.listing = new ResultRecorder(tools, store, this, changed);
     this.startMs = tools.cancelMs() * 6 / 10;
     this.letMs = tools.cancelMs() * 8 / 10;
@@ -162,8 +159,10 @@
     boolean left = false;
     for (RunningJob job : running()) {
       if (!job.stopped && !job.ready.isEmpty()) {
-        if (job.pieces == null) {
-          fetch(job);
+        if (job.pieces == null && job.outlived(tools.timers().now())) {
+          giveUp(job);
+        } else if (job.pieces == null) {
+          bodies.fetch(job);
         } else {
           startSome(job, config, room);
         }
@@ -175,32 +174,14 @@
     }
   }
 
-  private void fetch(RunningJob job) {
-    if (job.fetching || fetches >= MOST_FETCHES) {
-      return;
+  /** Nobody gave its body in all its time: what is not listed yet is undeliverable. */
+  private void giveUp(RunningJob job) {
+    while (!job.ready.isEmpty()) {
+      ItemRun item = job.items[job.ready.poll()];
+      if (!item.done) {
+        finish(job, item, false);
+      }
     }
-    job.fetching = true;
-    fetches++;
-    store
-        .pieces(job.id, job.record, FETCH_MS)
-        .whenComplete(
-            (pieces, failed) -> {
-              fetches--;
-              if (failed == null) {
-                job.fetching = false;
-                job.pieces = pieces;
-                pumpSoon(0);
-              } else {
-                tools
-                    .timers()
-                    .after(
-                        tools.about(MOST_BACKOFF_MS),
-                        () -> {
-                          job.fetching = false;
-                          pumpSoon(0);
-                        });
-              }
-            });
   }
 
   private void startSome(RunningJob job, RoutingConfig config, Map<String, Integer> room) {
@@ -217,7 +198,7 @@
       if (route == null && config.edition() <= job.record.edition()) {
         return;
       }
-      if (route == null || job.record.shelfMs() > 0 && job.ageMs(now) > job.record.shelfMs()) {
+      if (route == null || job.outlived(now)) {
         job.ready.poll();
         finish(job, item, false);
         continue;
@@ -313,7 +294,7 @@
         if (item.failures >= Math.max(1, route.tries())) {
           finish(job, item, false);
         } else {
-          again(job, item);
+          listing.soon(job); // it runs again once that is recorded
         }
       }
       default -> again(job, item);
@@ -321,6 +302,23 @@
     pumpSoon(0);
   }
 
+  /**
+   * Takes what the job's record now says of failures. An item that failed is free to run only then:
+   * whoever runs the job next counts on from the record, so each change of hands hides one failure
+   * at most.
+   */
+  void recordedFailures(RunningJob job) {
+    for (ItemRun item : job.items) {
+      int recorded = job.record.failuresOf(item.index);
+      if (recorded > item.recordedFailures) {
+        item.recordedFailures = recorded;
+        if (!item.done && !item.underWay && recorded == item.failures) {
+          again(job, item);
+        }
+      }
+    }
+  }
+
   private void finish(RunningJob job, ItemRun item, boolean delivered) {
     held -= item.bytes();
     job.finish(item, delivered);
--- a/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
+++ b/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
@@ -11,9 +11,9 @@
 import java.util.function.Consumer;
 
 /**
- * Lists finished items: one change of a job's record at a time. The texts go with the first round,
- * so that they are at a majority before anyone is asked to take the listing: whoever finishes it
- * finds them there.
+ * Lists finished items, and counts failed runs of the others: one change of a job's record at a
+ * time. The texts go with the first round, so that they are at a majority before anyone is asked to
+ * take the listing: whoever finishes it finds them there.
  */
 final class ResultRecorder {
   private static final long GATHER_MS = 40;
@@ -37,9 +37,11 @@
     this.changed = changed;
   }
 
-  /** Lists what is finished, with what else is finished in the next moments. */
+  /**
+   * Lists what is finished and counts what failed, with what else is finished in the next moments.
+   */
   void soon(RunningJob job) {
-    if (job.listing || job.stopped || job.finished.isEmpty()) {
+    if (job.listing || job.stopped || !job.hasNews()) {
       return;
     }
     long wait = job.listedAt + GATHER_MS - tools.timers().now();
@@ -59,17 +61,18 @@
   }
 
   private void list(RunningJob job) {
-    if (job.listing || job.stopped || job.finished.isEmpty()) {
+    if (job.listing || job.stopped || !job.hasNews()) {
       return;
     }
     job.listing = true;
     long began = tools.timers().now();
     List<RunningJob.Finished> batch = job.batch(MOST_BYTES);
+    List<JobRecord.FailureCount> counts = job.unrecordedFailures();
     tools
         .register()
         .change(
             JobRecord.keyOf(job.id),
-            found -> wanted(job, batch, found),
+            found -> wanted(job, batch, counts, found),
             texts(batch),
             NO_NOTE,
             CHANGE_MS)
@@ -111,7 +114,10 @@
   }
 
   private Register.Wanted wanted(
-      RunningJob job, List<RunningJob.Finished> batch, Register.Found found) {
+      RunningJob job,
+      List<RunningJob.Finished> batch,
+      List<JobRecord.FailureCount> failed,
+      Register.Found found) {
     JobRecord record = ours(job, found.value());
     if (record == null || job.stopped) {
       return new Register.Wanted(null, List.of());
@@ -123,11 +129,13 @@
         more.add(one.result());
       }
     }
-    if (more.isEmpty()) {
+    boolean counted =
+        failed.stream().allMatch(one -> record.failuresOf(one.index()) >= one.count());
+    if (more.isEmpty() && counted) {
       return new Register.Wanted(null, List.of());
     }
     return new Register.Wanted(
-        record.listing(more, job.ageMs(tools.timers().now())).packed(), List.of());
+        record.listing(more, failed, job.ageMs(tools.timers().now())).packed(), List.of());
   }
 
   private void listed(
@@ -151,6 +159,7 @@
         }
       }
     }
+    runner.recordedFailures(job);
     if (record.complete()) {
       runner.stop(job.id);
     } else {
--- a/batch/src/main/java/elmsail/batch/run/RunningJob.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -54,6 +54,8 @@
     BitSet listed = record.listed();
     for (int i = 0; i < items.length; i++) {
       items[i] = new ItemRun(i);
+      items[i].failures = record.failuresOf(i);
+      items[i].recordedFailures = items[i].failures;
       if (listed.get(i)) {
         items[i].done = true;
       } else {
@@ -71,6 +73,11 @@
     return now - acceptedAt;
   }
 
+  /** Whether its items may be given up. */
+  boolean outlived(long now) {
+    return record.shelfMs() > 0 && ageMs(now) > record.shelfMs();
+  }
+
   void confirmed(long at) {
     confirmedAt = Math.max(confirmedAt, at);
   }
@@ -85,6 +92,22 @@
         new Finished(new JobRecord.Result(item.index, delivered, term, text.length), text));
   }
 
+  /** Whether there is anything that is to stand in the record and doesn't yet. */
+  boolean hasNews() {
+    return !finished.isEmpty() || !unrecordedFailures().isEmpty();
+  }
+
+  /** The counts that the record lacks, of items that are not finished. */
+  List<JobRecord.FailureCount> unrecordedFailures() {
+    List<JobRecord.FailureCount> counts = new ArrayList<>();
+    for (ItemRun item : items) {
+      if (!item.done && item.failures > item.recordedFailures) {
+        counts.add(new JobRecord.FailureCount(item.index, item.failures));
+      }
+    }
+    return counts;
+  }
+
   /** Nothing runs, nothing is ready, nothing waits for its next try: only the listing is left. */
   boolean allDone() {
     for (ItemRun item : items) {
--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/FailingItemsTest.java
@@ -0,0 +1,156 @@
+package elmsail.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.batch.ItemServers.Ended;
+import elmsail.config.Route;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Items that fail, jobs that are stuck, and jobs that are sent again. */
+class FailingItemsTest {
+  private static final String NONE = "\"next_token\":0,\"deliveries\":[]";
+  private static final String GIVEN_UP = "\"state\":\"undeliverable\"";
+
+  private static SimWorld accepted(long seed, int doors, int pieces) {
+    SimWorld world = new SimWorld(seed, doors, 1_000);
+    assertThat(world.status(world.hand(0, "a", pieces, 10)), is(202));
+    world.timers.pass(30);
+    return world;
+  }
+
+  private static SimWorld.Door runner(SimWorld world) {
+    for (SimWorld.Door door : world.doors) {
+      if (door.up && door.servers.open() > 0) {
+        return door;
+      }
+    }
+    throw new AssertionError("nobody runs the item");
+  }
+
+  private static void kill(SimWorld.Door door) {
+    door.up = false;
+    door.servers.drop();
+  }
+
+  /** BUDGET: the answers of 500 are counted over all the gateways that run the job in turn. */
+  @Test
+  void theNextRunnerCountsOnFromTheFailuresOfTheOneBefore() {
+    for (int seed = 0; seed < 20; seed++) {
+      SimWorld world = accepted(seed, 3, 1);
+      world.doors.get(0).servers.last().end(Ended.FAILED);
+      world.timers.pass(300);
+      assertThat(world.read(1, "a", 0), containsString(NONE));
+      kill(world.doors.get(0));
+      world.timers.pass(6_000);
+      runner(world).servers.last().end(Ended.FAILED);
+      world.timers.pass(500);
+      assertThat("two answers, seed " + seed, world.read(1, "a", 0), containsString(GIVEN_UP));
+    }
+  }
+
+  /** BUDGET: whoever takes the job over in between misses one answer at most. */
+  @Test
+  void anItemThatFailedRunsAgainOnlyOnceThatIsOnRecord() {
+    SimWorld world = accepted(31, 1, 1);
+    SimWorld.Door door = world.doors.get(0);
+    world.keepers.forEach(keeper -> world.cut(door.address, keeper.address, true));
+    door.servers.last().end(Ended.FAILED);
+    world.timers.pass(1_000);
+    assertThat(door.servers.runs, hasSize(1));
+    world.cut.clear();
+    world.timers.pass(5_000);
+    assertThat(door.servers.runs, hasSize(2));
+    door.servers.last().end(Ended.FAILED);
+    world.timers.pass(500);
+    assertThat(world.read(0, "a", 0), containsString(GIVEN_UP));
+  }
+
+  /** MIXED: neither cuts nor refusals of servers count, whoever saw them. */
+  @Test
+  void onlyAnswersOf500AreCountedOn() {
+    SimWorld world = accepted(32, 2, 1);
+    world.doors.get(0).servers.last().end(Ended.BROKEN);
+    world.timers.pass(500);
+    world.doors.get(0).servers.last().end(Ended.NOT_RUN);
+    world.timers.pass(500);
+    kill(world.doors.get(0));
+    world.timers.pass(6_000);
+    SimWorld.Door next = runner(world);
+    next.servers.last().end(Ended.FAILED);
+    world.timers.pass(500);
+    assertThat(world.read(1, "a", 0), containsString(NONE));
+    next.servers.last().end(Ended.FAILED);
+    world.timers.pass(500);
+    assertThat(world.read(1, "a", 0), containsString(GIVEN_UP));
+  }
+
+  /** LOST: a job whose body nobody can give is not stuck for ever. */
+  @Test
+  void withoutItsBodyAnItemIsGivenUpBehindItsShelfLife() {
+    SimWorld world = new SimWorld(33, 2, 1_000);
+    world.doors.get(0).servers.room = 0;
+    assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
+    world.keepers.forEach(keeper -> keeper.cells.get("lot/a").blobs.clear());
+    kill(world.doors.get(0));
+    world.timers.pass(58_000);
+    assertThat(world.read(1, "a", 0), containsString(NONE));
+    world.timers.pass(6_000);
+    assertThat(world.read(1, "a", 0), containsString("\"next_token\":2"));
+  }
+
+  /** LOST: an item whose runs all break is tried again and again, and then given up. */
+  @Test
+  void anItemWhoseRunsAllBreakIsGivenUpBehindItsShelfLife() {
+    SimWorld world = accepted(34, 1, 1);
+    SimServers servers = world.doors.get(0).servers;
+    for (int i = 0; i < 120; i++) {
+      servers.last().end(Ended.BROKEN);
+      world.timers.pass(500);
+    }
+    assertThat(servers.runs.size(), greaterThan(50));
+    world.timers.pass(2_000);
+    servers.last().end(Ended.BROKEN);
+    world.timers.pass(1_000);
+    assertThat(world.read(0, "a", 0), containsString(GIVEN_UP));
+  }
+
+  /** LOST: what was taken is taken, whatever the routes have become. */
+  @Test
+  void aJobThatComesAgainIsTakenThoughTheRoutesOfItsItemsAreGone() {
+    SimWorld world = accepted(35, 2, 1);
+    Route route = world.route();
+    world.doors.get(1).config = new SimConfig(2, List.of());
+    byte[] same = SimWorld.job("a", 1, 10);
+    byte[] other = SimWorld.job("b", 1, 10);
+    BatchCalls second = world.doors.get(1).calls;
+    assertThat(world.status(second.submit(route, "a", same, 3_000)), is(202));
+    assertThat(world.status(second.submit(route, "b", other, 3_000)), is(400));
+    world.keepers.get(0).up = false;
+    world.keepers.get(1).up = false;
+    assertThat(world.status(second.submit(route, "b", other, 3_000)), is(503));
+  }
+
+  /** LOST: a job that comes again is turned away neither when full, nor done, nor ended. */
+  @Test
+  void aJobThatComesAgainIsTakenInAnyState() {
+    SimWorld world = new SimWorld(36, 2, 100);
+    assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
+    assertThat("full", world.status(world.hand(1, "b", 1, 10)), is(429));
+    assertThat("while it is full", world.status(world.hand(1, "a", 10, 10)), is(202));
+    world.timers.pass(100);
+    List.copyOf(world.doors.get(0).servers.runs).forEach(SimServers.Run::serve);
+    world.timers.pass(500);
+    assertThat(world.read(1, "a", 9), containsString("\"next_token\":10"));
+    assertThat("when it is done", world.status(world.hand(1, "a", 10, 10)), is(202));
+    assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+    assertThat("again", world.status(world.doors.get(0).calls.end("a")), is(200));
+    assertThat("when it is ended", world.status(world.hand(0, "a", 10, 10)), is(202));
+    int runs = world.doors.get(0).servers.runs.size() + world.doors.get(1).servers.runs.size();
+    assertThat("each item ran once", runs, is(10));
+  }
+}
