Cut items at servers that went dark, see clients leave that write ahead, keep ranks apart

Cause: a run of an item has no deadline and nothing looked whether its server still lives, so one at a server that went dark or left without a close was stuck (LOST). The connection of a client that writes requests ahead was not read while one was served, so it was not seen to leave, and the time of what it wrote ahead began only with the answer before it (GONE, BUDGET). Ranks from 3 on shared one priority. Change: an item's run looks each 250 ms: 3 s of silence at a dark or gone server, 4 s at one that has just told free places, end it. Late whole requests get 503. Priorities go from 1 to 7.

--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 
 /**
  * One client's connection: one request at a time, read whole before it is taken; what the client
@@ -48,7 +47,7 @@
   private final ClientListener front;
   private final ClientLimits limits;
   private final StrictRequestDecoder decoder;
-  private final ArrayDeque<HttpObject> behind = new ArrayDeque<>();
+  private final WaitingParts behind = new WaitingParts();
   private Channel channel;
   private HttpRequest head;
   private ByteBuf body;
@@ -104,7 +103,7 @@
     }
     long now = front.timers().now();
     long left = limits.headMs();
-    if (answer == null && inRequest) {
+    if (answer == null && inRequest && behind.isEmpty()) {
       int bytes = body == null ? 0 : body.readableBytes();
       left =
           arrivedMs
@@ -117,7 +116,7 @@
         refuse(408);
         return;
       }
-    } else if (answer == null) {
+    } else if (answer == null && !inRequest) {
       left = idleSince + limits.idleMs() + TOLD_EARLIER_MS - now;
       if (left <= 0) {
         close();
@@ -139,8 +138,10 @@
     if (closing) {
       ReferenceCountUtil.release(part);
     } else if (answer != null) {
-      behind.add(part);
-      channel.config().setAutoRead(false);
+      behind.add(part, front.timers().now());
+      if (behind.full()) {
+        channel.config().setAutoRead(false);
+      }
     } else {
       take(part);
     }
@@ -202,6 +203,11 @@
   }
 
   private void whole() {
+    if (front.closedToNew()) {
+      front.counters().count(RequestCounters.Event.REFUSED_ENDING);
+      refuse(503);
+      return;
+    }
     byte[] bytes = NOTHING;
     if (body != null) {
       bytes = body.array().length == body.readableBytes() ? body.array() : readBytes();
@@ -245,7 +251,7 @@
     inRequest = false;
     if (!kept) {
       closing = true;
-      dropBehind();
+      behind.release();
       return;
     }
     if (!behind.isEmpty() || decoder.inside()) {
@@ -258,9 +264,13 @@
 
   private void takeBehind() {
     while (answer == null && !closing && !behind.isEmpty()) {
-      take(behind.poll());
+      WaitingParts.Part next = behind.poll();
+      if (next.part() instanceof HttpRequest) {
+        arrivedMs = next.arrivedMs();
+      }
+      take(next.part());
     }
-    if (behind.isEmpty()) {
+    if (!behind.full()) {
       channel.config().setAutoRead(true);
     }
   }
@@ -283,12 +293,6 @@
     keptBytes = 0;
   }
 
-  private void dropBehind() {
-    while (!behind.isEmpty()) {
-      ReferenceCountUtil.release(behind.poll());
-    }
-  }
-
   /** ProcessSignals it if no request is on it, nor a part of one. */
   void closeIfIdle() {
     if (answer == null && !decoder.inside()) {
@@ -313,7 +317,7 @@
     if (look != null) {
       look.cancel();
     }
-    dropBehind();
+    behind.release();
     freeBody();
     body = null;
     RequestHandle leaving = taken;
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
@@ -45,6 +45,7 @@
   private Channel listening;
   private long bodyBytes;
   private boolean ending;
+  private boolean closedToNew;
 
   private ClientListener(
       Timers timers,
@@ -142,6 +143,13 @@
     return ending;
   }
 
+  /**
+   * Whether what is read whole from here on comes too late to be served before the process ends.
+   */
+  boolean closedToNew() {
+    return closedToNew;
+  }
+
   /** Whether a body of so many bytes more can be kept. */
   boolean takesBody(int bytes) {
     if (bodyBytes + bytes > MOST_BODY_BYTES) {
@@ -174,6 +182,7 @@
   /** Takes no new connections, and ends those that no request is on. */
   public void closeIdle() {
     listening.close();
+    closedToNew = true;
     for (ClientConnection c : new ArrayList<>(open)) {
       c.closeIfIdle();
     }
--- a/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -10,6 +10,7 @@
     REFUSED_NO_SERVER,
     REFUSED_NOT_RUN,
     REFUSED_FULL,
+    REFUSED_ENDING,
     NO_ROUTE,
     BAD_REQUEST,
     TOO_LARGE,
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -69,7 +69,7 @@
     if (lastEventId >= 0) {
       letter.goOnBehind(lastEventId);
     }
-    ItemRun run = new ItemRun(lastEventId, heard);
+    ItemRun run = new ItemRun(course.timers(), lastEventId, heard);
     run.on(course.servers().start(server, letter, run));
     return run;
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
@@ -6,11 +6,30 @@
 import elmsail.gateway.http.Headers;
 import elmsail.gateway.servers.Attempt;
 import elmsail.gateway.servers.AttemptListener;
+import elmsail.gateway.servers.Server;
+import elmsail.runtime.Timers;
+import elmsail.runtime.Timers.Timer;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** One run of an item at one server: whole events are told as they come, in their order. */
+/**
+ * One run of an item at one server: whole events are told as they come, in their order. It has no
+ * deadline, so it looks by itself whether anything more is to be expected: a server that went dark
+ * or left never closes the connection, and the item would be stuck there.
+ */
 final class ItemRun implements Running, AttemptListener {
+  private static final long LOOK_MS = 250;
+
+  /** A look that comes so late says more of this process than of the server. */
+  private static final long LATE_MS = 150;
+
+  /** A run that told nothing for so long is cut where its server is dark or gone. */
+  private static final long SILENT_MS = 3_000;
+
+  /** And after so long where its server says that places are free: it waits for none. */
+  private static final long IDLE_SERVER_MS = 4_000;
+
+  private final Timers timers;
   private final RunListener heard;
   private final EventSplitter events = new EventSplitter(this::event);
   private Attempt one;
@@ -19,27 +38,59 @@
   private boolean stream;
   private long last;
   private boolean over;
+  private long heardAt;
+  private Timer look;
 
-  ItemRun(long lastEventId, RunListener heard) {
+  ItemRun(Timers timers, long lastEventId, RunListener heard) {
+    this.timers = timers;
     this.last = lastEventId;
     this.heard = heard;
   }
 
   void on(Attempt begun) {
     one = begun;
+    heardAt = timers.now();
+    look(heardAt);
+  }
+
+  private void look(long lastLook) {
+    look =
+        timers.after(
+            LOOK_MS,
+            () -> {
+              long now = timers.now();
+              if (now - lastLook <= LOOK_MS + LATE_MS && stuck(now)) {
+                broken();
+              } else {
+                look(now);
+              }
+            });
+  }
+
+  private boolean stuck(long now) {
+    long silence = now - heardAt;
+    Server server = one.server();
+    return silence >= SILENT_MS && (server.gone() || server.dark(now))
+        || silence >= IDLE_SERVER_MS && server.toldIdle(now);
   }
 
   @Override
   public void cancel() {
     if (!over) {
-      over = true;
-      events.clear();
+      finish();
       one.cancel();
     }
   }
 
+  private void finish() {
+    over = true;
+    events.clear();
+    look.cancel();
+  }
+
   @Override
   public void head(HttpResponse head) {
+    heardAt = timers.now();
     status = head.status().code();
     outcome =
         Outcome.answered(
@@ -55,6 +106,7 @@
 
   @Override
   public void data(ByteBuf piece) {
+    heardAt = timers.now();
     if (!stream) {
       piece.release();
     } else if (!events.feed(piece) && !over) {
@@ -107,8 +159,7 @@
 
   private void end(Ended how) {
     if (!over) {
-      over = true;
-      events.clear();
+      finish();
       heard.ended(how);
     }
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -26,8 +26,8 @@
   /** A request that would wait for more than so many times its objective is refused at once. */
   private static final double MOST_WAIT = 2;
 
-  /** Behind this stand those that set none, and jobs' items. */
-  private static final int LEAST_URGENT = 4;
+  /** Of requests; behind it stand jobs' items. */
+  private static final int LEAST_URGENT = 7;
 
   private static final long WATCH_MS = 200;
 
--- a/gateway/src/main/java/elmsail/gateway/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -44,6 +44,12 @@
 
   private static final double ITEMS_WAIT = 0.5;
 
+  /** A load that was told longer ago says nothing of free places. */
+  private static final long FRESH_LOAD_MS = 1_000;
+
+  /** With less than this share of its places taken it has some free for all that come. */
+  private static final double IDLE_UP_TO = 0.5;
+
   private final ServerEntry entry;
   private final PrefixMemory memory;
   final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
@@ -209,6 +215,13 @@
     return quietMs(now) > DARK_MS;
   }
 
+  /** Whether it said just now that nothing waits there and that it has many places free. */
+  public boolean toldIdle(long now) {
+    return now - loadAt <= FRESH_LOAD_MS
+        && toldWaiting == 0
+        && toldRunning < entry.berths() * IDLE_UP_TO;
+  }
+
   /** For how long it has said nothing at all though requests are open there. */
   private long quietMs(long now) {
     for (Attempt t : tries) {
--- a/gateway/src/test/java/elmsail/gateway/ItemsTest.java
+++ b/gateway/src/test/java/elmsail/gateway/ItemsTest.java
@@ -196,4 +196,87 @@
     rig.list(List.of());
     assertThat(start(-1), is(nullValue()));
   }
+
+  /** LOST: an item at a server that has gone dark is free to run elsewhere. */
+  @Test
+  void anItemAtADarkServerIsCut() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk(Rig.event(0)));
+    assertThat(next(), is("0:e0"));
+    passInSteps(4_000);
+    assertThat(next(), is("BROKEN"));
+    assertThat(server.ended(), is(true));
+  }
+
+  /** LOST: likewise where the server is no more on the list. */
+  @Test
+  void anItemAtAServerThatIsGoneAndSilentIsCut() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    rig.list(List.of());
+    passInSteps(4_000);
+    assertThat(next(), is("BROKEN"));
+    assertThat(server.ended(), is(true));
+  }
+
+  /** An item waits for its turn at a server that works on others. */
+  @Test
+  void anItemThatWaitsAtABusyServerIsLeftThere() throws Exception {
+    start(-1);
+    Wire server = rig.first.accept();
+    server.message();
+    Wire client = rig.request("stream", "a1", "Elmsail-Deadline-Ms: 5000");
+    Wire busy = rig.first.accept();
+    busy.message();
+    busy.write(
+        Rig.streamHead("a1", "p").replace("\r\n\r\n", "\r\nElmsail-Server-Load: 24,9,24\r\n\r\n"));
+    for (int i = 0; i < 16; i++) {
+      busy.write(Rig.chunk(Rig.event(i)));
+      if (i == 0) {
+        client.head();
+      }
+      assertThat(client.chunk(), is(Rig.event(i)));
+      rig.timers.pass(250);
+    }
+    server.write(Rig.streamHead("e5", "p")).write(Rig.chunk(Rig.event(0))).write("0\r\n\r\n");
+    assertThat(next(), is("0:e0"));
+    assertThat(next(), is("WHOLE"));
+  }
+
+  /** UNASKED: what the envelope says of the prompt reaches the server byte for byte. */
+  @Test
+  void theEnvelopePassesUnchanged() throws Exception {
+    Map<String, String> envelope =
+        Map.of(
+            "Elmsail-Model", "M odel;v=\"1\", x\u00e9/%20",
+            "Elmsail-Tokens", "0540,400",
+            "Elmsail-Prompt-Prefix", "9C2e41:300,,5d07b8:240",
+            "Elmsail-Deadline-Ms", "70000");
+    BatchItem piece = new BatchItem("e5", "/sack/3/91", envelope, new byte[] {7}, 940);
+    rig.onLoop(() -> rig.gateway.itemServers().start(rig.known.named("sack"), piece, -1, heard));
+    Message asked = rig.first.accept().message();
+    envelope.forEach((name, value) -> assertThat(asked.header(name), is(value)));
+  }
+
+  /** UNASKED: an item that is cancelled before its connection is there is not sent. */
+  @Test
+  void anItemThatIsCancelledBeforeItIsSentDoesNotReachTheServer() throws Exception {
+    rig.onLoop(
+        () -> {
+          rig.gateway.itemServers().start(rig.known.named("sack"), PIECE, -1, heard).cancel();
+          return null;
+        });
+    Wire server = rig.first.poll();
+    assertThat(server == null || server.ended(), is(true));
+    assertThat(response.isEmpty(), is(true));
+  }
+
+  private void passInSteps(long ms) {
+    for (long passed = 0; passed < ms; passed += 250) {
+      rig.timers.pass(250);
+    }
+  }
 }
--- a/gateway/src/test/java/elmsail/gateway/Wire.java
+++ b/gateway/src/test/java/elmsail/gateway/Wire.java
@@ -75,6 +75,18 @@
       }
     }
 
+    /** Who has connected by now, or null. */
+    public Wire poll() {
+      try {
+        listening.setSoTimeout(1);
+        return new Wire(listening.accept());
+      } catch (SocketTimeoutException e) {
+        return null;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     /** Whether nobody has connected so far. */
     public boolean alone() {
       try {
@@ -206,7 +218,16 @@
     }
   }
 
-  /** ProcessSignals it by a reset. */
+  /** Sends nothing more, but goes on reading. */
+  public void endSending() {
+    try {
+      socket.shutdownOutput();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Closes it by a reset. */
   public void reset() {
     try {
       socket.setSoLinger(true, 0);
