--- a/gateway/src/test/java/elmsail/gateway/PassedTimers.java
+++ b/gateway/src/test/java/elmsail/gateway/PassedTimers.java
@@ -3,6 +3,8 @@
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** Another's timers, which a test may move ahead: what falls due on the way runs on the loop. */
 public final class PassedTimers implements Timers {
@@ -35,6 +37,8 @@
     }
   }
 
+  private static final int MOST_WAIT_S = 5;
+
   private final Timers timers;
   private final List<One> waiting = new ArrayList<>();
   private volatile long passed;
@@ -61,16 +65,23 @@
     timers.soon(then);
   }
 
-  /** From a test's thread. */
+  /** From a test's thread; has passed, and what fell due has run, when this returns. */
   public void pass(long ms) {
+    CompletableFuture<Void> passed = new CompletableFuture<>();
     soon(
         () -> {
-          passed += ms;
-          for (One one : new ArrayList<>(waiting)) {
-            if (one.at <= now()) {
-              one.run();
-            }
-          }
+          move(ms);
+          passed.complete(null);
         });
+    passed.orTimeout(MOST_WAIT_S, TimeUnit.SECONDS).join();
+  }
+
+  private void move(long ms) {
+    passed += ms;
+    for (One one : new ArrayList<>(waiting)) {
+      if (one.at <= now()) {
+        one.run();
+      }
+    }
   }
 }
