--- a/gateway/src/test/java/elmsail/gateway/Wire.java
+++ b/gateway/src/test/java/elmsail/gateway/Wire.java
@@ -86,6 +86,18 @@
       }
     }
 
+    /** Who has connected by now, or null. */
+    public Wire poll() {
+      try {
+        listening.setSoTimeout(1);
+        return new Wire(listening.accept());
+      } catch (SocketTimeoutException e) {
+        return null;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     /** Whether nobody has connected so far. */
     public boolean alone() {
       try {
@@ -226,8 +238,8 @@
     }
   }
 
-  /** Ends this direction in order; the other one stays. */
-  public void endOutput() {
+  /** Sends nothing more, but goes on reading. */
+  public void endSending() {
     try {
       socket.shutdownOutput();
     } catch (IOException e) {
