--- a/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
@@ -82,9 +82,9 @@
    * How many connections to a server this gateway may have, so that all gateways together keep
    * within its cap.
    */
-  int most(Server s) {
+  int most(Server server) {
     RoutingConfig now = known.config();
-    Service service = now == null ? null : now.services().get(s.entry().service());
+    Service service = now == null ? null : now.services().get(server.entry().service());
     int cap =
         service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
     return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.view().gateways.size()));
@@ -102,24 +102,25 @@
   }
 
   /** An idle connection that may carry a request of that id, or null. */
-  private ServerConnection rested(Server s, String requestId) {
+  private ServerConnection rested(Server server, String requestId) {
     long now = timers.now();
-    boolean full = s.connections >= most(s);
-    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext(); ) {
-      ServerConnection c = all.next();
-      if ((now - c.idleSince() >= REST_MS || full) && !c.hasJustCarried(requestId)) {
+    boolean full = server.connections >= most(server);
+    for (Iterator<ServerConnection> all = server.idle.descendingIterator(); all.hasNext(); ) {
+      ServerConnection connection = all.next();
+      if ((now - connection.idleSince() >= REST_MS || full)
+          && !connection.hasJustCarried(requestId)) {
         all.remove();
-        if (c.usable(now)) {
-          return c;
+        if (connection.usable(now)) {
+          return connection;
         }
-        c.close();
+        connection.close();
       }
     }
     return null;
   }
 
   private void connect(Server server, Attempt one) {
-    ServerConnection c = new ServerConnection(this, server);
+    ServerConnection connection = new ServerConnection(this, server);
     server.connections++;
     int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
@@ -129,7 +130,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    c.into(channel.pipeline());
+                    connection.into(channel.pipeline());
                   }
                 })
             .connect(Addresses.of(server.entry().address()));
@@ -137,15 +138,18 @@
     connect.channel().closeFuture().addListener(f -> server.connections--);
     if (connect.isDone()) {
       timers.soon(
-          () -> connected(connect, server, c, one)); // not within the call that begins the try
+          () ->
+              connected(
+                  connect, server, connection, one)); // not within the call that begins the try
     } else {
-      connect.addListener((ChannelFuture f) -> connected(f, server, c, one));
+      connect.addListener((ChannelFuture attempt) -> connected(attempt, server, connection, one));
     }
   }
 
-  private void connected(ChannelFuture f, Server server, ServerConnection c, Attempt one) {
-    if (!f.isSuccess()) {
-      f.channel().close();
+  private void connected(
+      ChannelFuture attempt, Server server, ServerConnection connection, Attempt one) {
+    if (!attempt.isSuccess()) {
+      attempt.channel().close();
       counters.count(RequestCounters.Event.CONNECT_FAILED);
       if (!one.over()) { // a cancelled one says nothing of the server
         server.failed(timers.now());
@@ -155,10 +159,10 @@
     }
     counters.count(RequestCounters.Event.CONNECTED);
     if (one.over() || server.gone()) {
-      f.channel().close();
+      attempt.channel().close();
       one.failed();
     } else {
-      c.carry(one);
+      connection.carry(one);
     }
   }
 }
