Have stores and control-plane nodes pull at all voters

Cause: each process held pulls at three control-plane nodes. With five voters a store is then not heard by two of them; if one of these directs placement, it takes the store for gone and replaces it, and it never says "delivered".

Change: a gateway asks three, as before; stores and control-plane nodes ask all voters (nine at most), as whoever directs placement goes by what it hears.

--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -20,8 +20,9 @@
 import java.util.function.Supplier;
 
 /**
- * Holds a pull open at up to three control-plane nodes and keeps the newest that any of them told.
- * Everything on the loop; {@code whenChanged} runs inside the call that changed something.
+ * Holds a pull open at up to three control-plane nodes (stores and control-plane nodes at all that
+ * vote) and keeps the newest that any of them told. Everything on the loop; {@code whenChanged}
+ * runs inside the call that changed something.
  */
 public final class ConfigWatcher implements ClusterState {
   private static final long WAIT_MS = 1_000;
@@ -75,7 +76,7 @@
     this.store = store;
     lines =
         new WatchStreams(
-            caller, timers, settings, this::request, (line, response) -> heard(response));
+            caller, timers, settings, role, this::request, (line, response) -> heard(response));
     fallback =
         platform == null || settings.platform() == null || !role.equals("gateway")
             ? null
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -17,7 +17,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Which control-plane nodes are asked, and the asking: one pull open at each. Times in ms. */
+/**
+ * Which control-plane nodes are asked, and the asking: one pull open at each. A gateway asks three
+ * of them; processes that hold records, or may, ask all, as whoever directs placement takes those
+ * for gone that it does not hear. Times in ms.
+ */
 final class WatchStreams {
   /**
    * A control-plane node silent for so long gives way to another, and its word on the gateways is
@@ -26,7 +30,8 @@
   static final long SILENT_MS = 5_000;
 
   private static final Logger LOG = LoggerFactory.getLogger(WatchStreams.class);
-  private static final int MOST = 3;
+  private static final int MOST_OF_GATEWAY = 3;
+  private static final int MOST_OF_OTHERS = 9;
   private static final int MOST_REMEMBERED = 64;
   private static final long LATELY_MS = 1_500;
   private static final long CALL_MS = 1_800;
@@ -41,6 +46,7 @@
   private final Timers timers;
   private final String station;
   private final String self;
+  private final int most;
   private final List<String> seeds = new ArrayList<>();
   private final Function<WatchStream, PullRequest> asks;
   private final Taker taker;
@@ -55,6 +61,7 @@
       Caller caller,
       Timers timers,
       Settings settings,
+      String role,
       Function<WatchStream, PullRequest> asks,
       Taker taker) {
     this.caller = caller;
@@ -63,6 +70,7 @@
     this.taker = taker;
     station = settings.station();
     self = settings.innerAddress();
+    most = role.equals("gateway") ? MOST_OF_GATEWAY : MOST_OF_OTHERS;
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
     }
@@ -173,7 +181,7 @@
     candidates.removeIf(address -> address.isEmpty() || address.equals(self));
     List<String> ranked = RendezvousHash.choose(station, candidates, candidates.size());
     passedOverUntil.keySet().retainAll(candidates);
-    if (ranked.size() <= MOST) {
+    if (ranked.size() <= most) {
       return ranked;
     }
     List<String> first = new ArrayList<>(ranked.size());
@@ -182,7 +190,7 @@
       (passedOver(address, now) ? last : first).add(address);
     }
     first.addAll(last);
-    return first.subList(0, MOST);
+    return first.subList(0, most);
   }
 
   private boolean passedOver(String address, long now) {
--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherViewTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherViewTest.java
@@ -14,6 +14,7 @@
 import elmsail.rpc.messages.VoterSet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
@@ -171,4 +172,23 @@
     timers.pass(32_000);
     assertThat(puller.asked(), containsInAnyOrder(first.toArray()));
   }
+
+  @Test
+  void aStoreAsksAllVotersAndAGatewayThreeOfThem() {
+    String d = "10.4.0.41:7721";
+    String e = "10.5.0.52:7721";
+    links.controlPlane(d);
+    links.controlPlane(e);
+    VoterSet five = voterSet(A, 1, B, 1, C, 1, d, 1, e, 1);
+    a.setView(request -> view(five, new VoterSet()));
+    ConfigWatcher store = puller("store", Set.of("vault"), () -> StoreStatus.NONE);
+    store.start();
+    puller.start();
+    timers.pass(2_000);
+    assertThat(store.asked(), containsInAnyOrder(A, B, C, d, e));
+    assertThat(puller.asked(), hasSize(3));
+    links.cutThere.add(d);
+    timers.pass(20_000);
+    assertThat("silent or not", store.asked(), containsInAnyOrder(A, B, C, d, e));
+  }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
@@ -181,4 +181,22 @@
     System.out.println("delivered was said " + said + " times of 120");
     assertThat(said, greaterThan(100));
   }
+
+  @Test
+  void withFiveVotersEachOfThemHearsEveryStore() {
+    for (int seed = 1; seed <= 5; seed++) {
+      world = new World(seed, 5);
+      for (int i = 1; i <= 5; i++) {
+        world.controlPlane("n" + i, true);
+      }
+      stores(4);
+      world.timers.pass(10_000);
+      assertThat(world.storeSet("v1"), equalTo("v1/1 v2/1 v3/1"));
+      assertThat(world.retire("n" + seed, "v4"), is(200));
+      world.timers.pass(5_000);
+      for (int i = 1; i <= 5; i++) {
+        assertThat(world.retired("n" + i, "v4"), equalTo(DELIVERED));
+      }
+    }
+  }
 }
