--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -76,7 +76,7 @@
     this.store = store;
     lines =
         new WatchStreams(
-            caller, timers, settings, role, this::request, (line, response) -> heard(response));
+            caller, timers, settings, this::request, (line, response) -> heard(response));
     fallback =
         platform == null || settings.platform() == null || !role.equals("gateway")
             ? null
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -17,11 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/**
- * Which control-plane nodes are asked, and the asking: one pull open at each. A gateway asks three
- * of them; processes that hold records, or may, ask all, as whoever directs placement takes those
- * for gone that it does not hear. Times in ms.
- */
+/** Which control-plane nodes are asked, and the asking: one pull open at each. Times in ms. */
 final class WatchStreams {
   /**
    * A control-plane node silent for so long gives way to another, and its word on the gateways is
@@ -30,8 +26,10 @@
   static final long SILENT_MS = 5_000;
 
   private static final Logger LOG = LoggerFactory.getLogger(WatchStreams.class);
+
+  /** A gateway asks so many; stores and control-plane nodes ask all voters, to be heard by all. */
   private static final int MOST_OF_GATEWAY = 3;
-  private static final int MOST_OF_OTHERS = 9;
+
   private static final int MOST_REMEMBERED = 64;
   private static final long LATELY_MS = 1_500;
   private static final long CALL_MS = 1_800;
@@ -61,7 +59,6 @@
       Caller caller,
       Timers timers,
       Settings settings,
-      String role,
       Function<WatchStream, PullRequest> asks,
       Taker taker) {
     this.caller = caller;
@@ -70,7 +67,7 @@
     this.taker = taker;
     station = settings.station();
     self = settings.innerAddress();
-    most = role.equals("gateway") ? MOST_OF_GATEWAY : MOST_OF_OTHERS;
+    most = settings.serves().contains("counter") ? MOST_OF_GATEWAY : Integer.MAX_VALUE;
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
     }
