Found the first three stores before the spares in the cut-off tests

Cause: which three of five stores are founded is free, and the tests named them. Change: the spares start once the three hold their slots.

--- a/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
@@ -20,11 +20,15 @@
 class CutOffStoresTest extends CutOffRig {
   private static final String DELIVERED = "{\"state\":\"delivered\"}";
 
+  /** The first three hold the slots, the others are spares. */
   private void stores(int count) {
-    for (int i = 1; i <= count; i++) {
+    for (int i = 1; i <= 3; i++) {
       world.store("v" + i, true);
     }
     assertThat(world.until(6_000, () -> world.storeSet("v1").equals("v1/1 v2/1 v3/1")), is(true));
+    for (int i = 4; i <= count; i++) {
+      world.store("v" + i, true);
+    }
     world.timers.pass(4_000);
   }
 
