--- a/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
@@ -28,6 +28,10 @@
 
   private JobRequestReader() {}
 
+  /**
+   * The items of a submitted body. Fails with BAD_CALL, and the reason, where it is not as the
+   * protocol says.
+   */
   public static List<BatchItem> read(byte[] body) {
     try (JsonParser from = JSON.createParser(body)) {
       expect(from.nextToken() == JsonToken.START_OBJECT, "an object");
@@ -45,7 +49,7 @@
       expect(pieces != null && !pieces.isEmpty(), "pieces");
       return pieces;
     } catch (IOException | IllegalArgumentException malformed) {
-      throw new ElmsailException(ErrorCode.BAD_CALL, "a lot that cannot be read", malformed);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "a job that cannot be read", malformed);
     }
   }
 
@@ -135,7 +139,7 @@
 
   private static void expect(boolean met, String what) {
     if (!met) {
-      throw new ElmsailException(ErrorCode.BAD_CALL, "a lot needs " + what);
+      throw new ElmsailException(ErrorCode.BAD_CALL, "a job needs " + what);
     }
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -57,6 +57,8 @@
   private final SingletonLease duty;
   private final ServerDiscovery list;
   private final PlacementController registrar;
+  private final HeadPlacement headPlacement;
+  private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
   private final LeaseVoter voter;
   private final HeardStoresInquiry inquiry;
   private final HttpHandler operators;
@@ -92,7 +94,7 @@
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, TIMETABLE_EVERY_MS);
     retiring = new CommittedValue(register, DecommissionList.KEY, timers, OTHERS_EVERY_MS);
     founded = new CommittedValue(register, SHELF_KEY, timers, OTHERS_EVERY_MS);
-    notices = new PeerNotices(caller, voters::of, own);
+    notices = new PeerNotices(caller, voters::current, own);
     sources = new UpdateSources(timers);
     puller =
         new ConfigWatcher(
@@ -101,9 +103,9 @@
             settings,
             "controlplane",
             records == null ? who : records.instanceId(),
-            () -> StoreStatus.NONE,
+            () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
-    duty = new SingletonLease(caller, timers, register, voters::of, own, who);
+    duty = new SingletonLease(caller, timers, register, voters::current, own, who);
     list =
         settings.platform() == null
             ? null
@@ -115,9 +117,11 @@
                 duty::term);
     int stores = 2 * settings.bearMachines() + 1;
     registrar = new PlacementController(stores, timers.now());
+    headPlacement =
+        new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
     voter = new LeaseVoter(timers.now(), firstProcess);
-    inquiry = new HeardStoresInquiry(caller, voters::of, own);
+    inquiry = new HeardStoresInquiry(caller, voters::current, own);
     DecommissionHandler retire =
         new DecommissionHandler(
             register, timers, heard, () -> storeSet, retiring, config.contact(), stores, inquiry);
@@ -145,8 +149,10 @@
     notices.on("decided", config::refresh);
     notices.on("retire", retiring::refresh);
     notices.answer(HeardStoresInquiry.KIND, inquiry::answer);
+    voters.whenTakenOver(() -> voter.tookOver(timers.now()));
     SingletonLease.vote(answering, timers, voter, voters::voting);
     puller.whenChanged(this::relay);
+    puller.whenJoinOrdered(voters::join);
     voters.start(answering);
     config.refresh();
     retiring.refresh();
@@ -168,8 +174,24 @@
     return config.value();
   }
 
+  /** This node's part in the set "head". */
+  ControlPlaneVoters voters() {
+    return voters;
+  }
+
+  /** Whether, and since when, the set "head" may lose its next member, as far as seen here. */
+  RedundancyMonitor headRedundancy() {
+    return headPlacement.redundancy();
+  }
+
+  /** The term in which this node holds the singleton lease at this moment, or 0. */
+  long leaseTerm() {
+    return duty.term();
+  }
+
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
+    headPlacement.note(request, timers.now());
     if ("store".equals(request.role) && request.storeSet != null) {
       learnStores(request.storeSet);
     }
@@ -190,7 +212,9 @@
       puller.offerConfig(now.bytes());
     } catch (ElmsailException e) {
       LOG.error(
-          "edition {} was decided and cannot be read here: {}", now.edition(), e.getMessage());
+          "configuration {} was committed and cannot be read here: {}",
+          now.edition(),
+          e.getMessage());
     }
   }
 
@@ -205,7 +229,7 @@
     }
     learnStores(puller.view().storeSet);
     if (!puller.view().head.voters.isEmpty()) {
-      voters.response(puller.view().head);
+      voters.learn(puller.view().head);
     }
   }
 
@@ -219,20 +243,25 @@
 
   private ClusterView view(PullRequest request) {
     ClusterView view = new ClusterView();
-    view.head = voters.of();
+    view.head = voters.current();
     view.storeSet = storeSet;
     view.gateways = gateways;
-    if (order != null
-        && mayDirect()
-        && "store".equals(request.role)
-        && order.address().equals(request.address)) {
+    if (mayDirect()) {
+      tellOrder(request, view);
+      headPlacement.tell(request, view);
+    }
+    return view;
+  }
+
+  /** Puts the order to join the store set into what the store that it is for is told. */
+  private void tellOrder(PullRequest request, ClusterView view) {
+    if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
       view.joinSlot = order.slot();
       view.joinEpoch = order.epoch();
     }
-    return view;
   }
 
-  /** Whether this process directs the stores' placement at this very moment. */
+  /** Whether this process directs the placement of voters at this very moment. */
   private boolean mayDirect() {
     return duty.term() > 0
         && config.contact().current()
@@ -245,6 +274,7 @@
     }
     timers.after(TICK_MS, this::tick);
     long now = timers.now();
+    boolean hears = config.contact().current();
     boolean directs = mayDirect();
     if (directs
         && storeSet.voters.isEmpty()
@@ -255,19 +285,27 @@
     }
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    boolean headOrdered =
+        headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
+    if (directs) {
+      storeRedundancy.look(heard, storeSet, now);
+    } else {
+      storeRedundancy.forget();
+    }
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
-    boolean headMoved = !VoterSets.same(headKnown, voters.of());
+    boolean headMoved = !VoterSets.same(headKnown, voters.current());
     if (order != null && !order.equals(before)) {
       LOG.info(
-          "{} shall take seat {} of the shelf, incarnation {}",
+          "directs {} to join slot {} of the store set, epoch {}",
           order.address(),
           order.slot(),
           order.epoch());
     }
     if (order != before && (order == null || !order.equals(before))
         || headMoved
+        || headOrdered
         || !clerksNow.equals(gateways)) {
-      headKnown = voters.of();
+      headKnown = voters.current();
       gateways = clerksNow;
       sources.viewChanged();
     }
@@ -293,7 +331,7 @@
             (held, failed) -> {
               founding = false;
               if (failed == null) {
-                LOG.info("the shelf is founded");
+                LOG.info("the store set is founded");
                 founded.take(held.now());
               }
             });
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -20,6 +20,7 @@
 
   private final RequestProgress course;
 
+  /** Sends items by the same servers and counters as plain requests. */
   public ItemDispatcher(RequestProgress course) {
     this.course = course;
   }
@@ -69,7 +70,7 @@
     if (lastEventId >= 0) {
       letter.goOnBehind(lastEventId);
     }
-    ItemRun run = new ItemRun(lastEventId, heard);
+    ItemRun run = new ItemRun(course.timers(), lastEventId, heard);
     run.on(course.servers().start(server, letter, run));
     return run;
   }
