A voter that has just joined listens anew; the word on the next loss by whoever directs

Cause: a spare is pulled at by nobody, so its silence before it votes is no sign of anyone's end; and the log's words were of a loss where voters had just been founded.

--- a/controlplane/src/main/java/elmsail/controlplane/HeadPlacement.java
+++ b/controlplane/src/main/java/elmsail/controlplane/HeadPlacement.java
@@ -44,7 +44,7 @@
   /**
    * Looks once; true if the order became another.
    *
-   * @param voting whether this node votes
+   * @param voting whether this node votes: the others pull at voters only
    * @param hears whether this node reads at a majority
    * @param directs whether it does and holds the lease
    */
@@ -52,7 +52,7 @@
     own.voting = voting;
     heard.note(own, now);
     PlacementController.Order before = order;
-    order = controller.order(heard, head, Set.of(), hears, directs, now);
+    order = controller.order(heard, head, Set.of(), hears && voting, directs, now);
     if (directs) {
       redundancy.look(heard, head, now);
     } else {
--- a/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
+++ b/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
@@ -48,7 +48,7 @@
       missedSince = WHOLE;
       repairs++;
       LOG.info(
-          "{}: all {} slots vote again {} ms after the loss: it bears {} more",
+          "{}: all {} slots vote, {} ms after one was missed: it bears {} losses",
           set,
           voting,
           lastRepairMs,
