Drop the promises of refused jobs at stores that restarted

Cause: a job that was refused leaves a promise, and at times its blob, at the stores. Which of them to drop stood in memory alone, so a store that restarted, or that copied from another, kept them for ever.

Change: a replica tells its listener of keys with a promise and no value, at the start and after a state transfer; JobRetention drops them as it drops those of its own.

--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -105,6 +105,13 @@
     }
   }
 
+  @Override
+  public void promised(String key) {
+    if (key.startsWith(PREFIX)) {
+      storeSet.promised(key.substring(PREFIX.length()), timers.now());
+    }
+  }
+
   @Override
   public void dropped(String key) {
     if (key.startsWith(PREFIX)) {
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -137,6 +137,14 @@
     untaken.remove(id);
   }
 
+  /**
+   * A job of which only a promise is there, left by the process before this one or copied: dropped
+   * like one that was added and never taken.
+   */
+  void promised(String id, long now) {
+    untaken.putIfAbsent(id, now);
+  }
+
   void dropped(String id) {
     jobs.remove(id);
     adds.remove(id);
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -177,6 +177,19 @@
     assertThat(dropped, contains("lot/a"));
   }
 
+  @Test
+  void whatAnEarlierProcessOnlyPromisedIsDropped() {
+    keeper.promised("lot/a");
+    keeper.promised("lot/b");
+    keeper.start();
+    timers.pass(30_000);
+    keeper.taken("lot/b", record(10).packed());
+    timers.pass(25_000);
+    assertThat(dropped, hasSize(0));
+    timers.pass(15_000);
+    assertThat(dropped, contains("lot/a"));
+  }
+
   @Test
   void lotsAreDroppedOnceNobodyMayAskForThem() {
     keeper.start();
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -257,6 +257,8 @@
       byte[] value = value(key);
       if (value != null) {
         views.taken(key, value);
+      } else {
+        views.promised(key);
       }
     }
   }
--- a/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
@@ -24,6 +24,9 @@
    */
   default void taken(String key, byte[] value) {}
 
+  /** The key was found at the start, or copied, with a promise and no value. */
+  default void promised(String key) {}
+
   /** The key was dropped. */
   default void dropped(String key) {}
 }
