--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -59,6 +59,8 @@
   private final SingletonLease duty;
   private final ServerDiscovery list;
   private final PlacementController registrar;
+  private final HeadPlacement headPlacement;
+  private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
   private final LeaseVoter voter;
   private final OperatorApi operators;
   private VoterSet storeSet = new VoterSet();
@@ -102,9 +104,9 @@
             settings,
             "controlplane",
             records == null ? who : records.instanceId(),
-            () -> StoreStatus.NONE,
+            () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
-    duty = new SingletonLease(caller, timers, register, voters::of, own, who);
+    duty = new SingletonLease(caller, timers, register, voters::current, own, who);
     list =
         settings.platform() == null
             ? null
@@ -116,6 +118,8 @@
                 duty::term);
     int stores = 2 * settings.bearMachines() + 1;
     registrar = new PlacementController(stores, timers.now());
+    headPlacement =
+        new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
     voter = new LeaseVoter(timers.now(), firstProcess);
     DecommissionHandler retire =
@@ -135,8 +139,10 @@
     sources.setView(this::view);
     answering.on(PullRequest.class, this::pulled);
     answering.on(OpaqueMessage.class, this::noted);
+    voters.whenTakenOver(() -> voter.tookOver(timers.now()));
     SingletonLease.vote(answering, timers, voter, voters::voting);
     puller.whenChanged(this::relay);
+    puller.whenJoinOrdered(voters::join);
     voters.start(answering);
     config.refresh();
     retiring.refresh();
@@ -158,6 +164,16 @@
     return config.value();
   }
 
+  /** This node's part in the set "head". */
+  ControlPlaneVoters voters() {
+    return voters;
+  }
+
+  /** Whether, and since when, the set "head" may lose its next member, as far as seen here. */
+  RedundancyMonitor headRedundancy() {
+    return headPlacement.redundancy();
+  }
+
   /** The term in which this node holds the singleton lease at this moment, or 0. */
   long leaseTerm() {
     return duty.term();
@@ -165,6 +181,7 @@
 
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
+    headPlacement.note(request, timers.now());
     if ("store".equals(request.role) && request.storeSet != null) {
       learnStores(request.storeSet);
     }
@@ -196,7 +213,7 @@
   private void tell(String kind) {
     OpaqueMessage note = new OpaqueMessage();
     note.kind = kind;
-    for (Voter slot : voters.of().voters) {
+    for (Voter slot : voters.current().voters) {
       if (!slot.address.equals(settings.innerAddress())) {
         caller.call(slot.address, note, OpaqueMessage.class, NOTE_MS);
       }
@@ -210,7 +227,9 @@
       puller.offerConfig(now.bytes());
     } catch (ElmsailException e) {
       LOG.error(
-          "edition {} was decided and cannot be read here: {}", now.edition(), e.getMessage());
+          "configuration {} was committed and cannot be read here: {}",
+          now.edition(),
+          e.getMessage());
     }
   }
 
@@ -225,7 +244,7 @@
     }
     learnStores(puller.view().storeSet);
     if (!puller.view().head.voters.isEmpty()) {
-      voters.response(puller.view().head);
+      voters.learn(puller.view().head);
     }
   }
 
@@ -239,13 +258,14 @@
 
   private ClusterView view(PullRequest request) {
     ClusterView view = new ClusterView();
-    view.head = voters.of();
+    view.head = voters.current();
     view.storeSet = storeSet;
     view.gateways = gateways;
     if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
       view.joinSlot = order.slot();
       view.joinEpoch = order.epoch();
     }
+    headPlacement.tell(request, view);
     return view;
   }
 
@@ -255,7 +275,8 @@
     }
     timers.after(TICK_MS, this::tick);
     long now = timers.now();
-    boolean directs = duty.term() > 0 && config.readableSince() != Long.MAX_VALUE;
+    boolean hears = config.readableSince() != Long.MAX_VALUE;
+    boolean directs = duty.term() > 0 && hears;
     if (directs
         && storeSet.voters.isEmpty()
         && founded.read()
@@ -265,19 +286,26 @@
     }
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    boolean headOrdered = headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
+    if (directs) {
+      storeRedundancy.look(heard, storeSet, now);
+    } else {
+      storeRedundancy.forget();
+    }
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
-    boolean headMoved = !VoterSets.same(headKnown, voters.of());
+    boolean headMoved = !VoterSets.same(headKnown, voters.current());
     if (order != null && !order.equals(before)) {
       LOG.info(
-          "{} shall take seat {} of the shelf, incarnation {}",
+          "directs {} to join slot {} of the store set, epoch {}",
           order.address(),
           order.slot(),
           order.epoch());
     }
     if (order != before && (order == null || !order.equals(before))
         || headMoved
+        || headOrdered
         || !clerksNow.equals(gateways)) {
-      headKnown = voters.of();
+      headKnown = voters.current();
       gateways = clerksNow;
       sources.viewChanged();
     }
@@ -303,7 +331,7 @@
             (held, failed) -> {
               founding = false;
               if (failed == null) {
-                LOG.info("the shelf is founded");
+                LOG.info("the store set is founded");
                 founded.take(held.now());
               }
             });
