Split what waits for the disk off the record store

No change of behaviour is meant.

Measured: all tests of storage pass, PowerLossTest and PendingWriteTest among them.

--- a/storage/src/main/java/elmsail/storage/DirectoryRecordStore.java
+++ b/storage/src/main/java/elmsail/storage/DirectoryRecordStore.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,29 +27,20 @@
 public final class DirectoryRecordStore implements RecordStore {
   private static final Logger LOG = LoggerFactory.getLogger(DirectoryRecordStore.class);
 
-  /** Bytes that may wait for a disk that hangs. */
-  static final long WAITING_BYTES = 64L * 1024 * 1024;
-
-  private static final long BATCH_BYTES = 4L * 1024 * 1024;
   private static final int NAME_BYTES = 1024;
   private static final int CLOSE_MS = 2_000;
   private static final int READS = 4;
 
   private final Object lock = new Object();
   private final RecordIndex index = new RecordIndex();
-  private final ArrayDeque<PendingWrite> queue = new ArrayDeque<>();
+  private final WriteQueue queue = new WriteQueue();
   private final Executor completions;
   private final StorageDirectory folder;
   private final long mostBytes;
   private final DiskWorker work;
   private Thread thread;
 
-  /** Of what waits, that being written included. */
-  private long waitingBytes;
-
   private long nextSeq;
-  private ElmsailException failing;
-  private List<PendingWrite> failedSince = new ArrayList<>();
   private boolean closed;
 
   private DirectoryRecordStore(
@@ -126,13 +116,12 @@
         return CompletableFuture.failedFuture(
             new ElmsailException(ErrorCode.DISK, "the records are closed"));
       }
-      if (failing != null) {
-        failedSince.add(waiting);
+      if (queue.failing()) {
+        queue.failWithTheOthers(waiting);
         return waiting.done;
       }
-      long waits = waitingBytes + waiting.bytes;
-      if (waits > (values ? WAITING_BYTES : WAITING_BYTES + BATCH_BYTES)
-          || values && index.liveBytes() + waits > mostBytes / 10 * 9) {
+      if (!queue.hasRoom(waiting, values)
+          || values && index.liveBytes() + queue.bytesWith(waiting) > mostBytes / 10 * 9) {
         return CompletableFuture.failedFuture(
             new ElmsailException(ErrorCode.FULL, "no room on the disk"));
       }
@@ -142,7 +131,6 @@
         named.waiting = changes.get(i).bytes();
         waiting.items.add(new PendingWrite.Item(named, utf[i], named.waitingSeq, named.waiting));
       }
-      waitingBytes = waits;
       queue.add(waiting);
       lock.notifyAll();
     }
@@ -302,22 +290,14 @@
 
   /** The next batch for the disk's thread; empty if nothing waits. */
   List<PendingWrite> take() {
-    List<PendingWrite> batch = new ArrayList<>();
-    long bytes = 0;
     synchronized (lock) {
-      while (!queue.isEmpty() && (batch.isEmpty() || bytes + queue.peek().bytes <= BATCH_BYTES)) {
-        bytes += queue.peek().bytes;
-        batch.add(queue.poll());
-      }
+      return queue.batch();
     }
-    return batch;
   }
 
   void written(List<PendingWrite> batch) {
     synchronized (lock) {
-      for (PendingWrite waiting : batch) {
-        waitingBytes -= waiting.bytes;
-      }
+      queue.written(batch);
     }
     completions.execute(
         () -> {
@@ -328,12 +308,9 @@
   }
 
   void failed(List<PendingWrite> batch, ElmsailException why) {
-    List<PendingWrite> all = new ArrayList<>(batch);
+    List<PendingWrite> all;
     synchronized (lock) {
-      failing = why;
-      all.addAll(queue);
-      queue.clear();
-      waitingBytes = 0;
+      all = queue.fail(batch);
       for (PendingWrite waiting : all) {
         for (PendingWrite.Item item : waiting.items) {
           item.named().waitingSeq = 0;
@@ -347,9 +324,7 @@
 
   private void tellFailed(List<PendingWrite> all, ElmsailException why) {
     synchronized (lock) {
-      failing = null;
-      all.addAll(failedSince);
-      failedSince = new ArrayList<>();
+      all.addAll(queue.failureIsTold());
     }
     for (PendingWrite waiting : all) {
       waiting.done.completeExceptionally(why);
