Cut small calls and server connections at every byte in tests

Cause: nothing showed what a connection to a server, or a call of the platform's list or of an operator, makes of each part of an answer under each way in which it may end.

Change: ServerConnectionTest plays answers with a length, in chunks and until the end of the connection, cut and split at each byte, ended in order, by a reset and by this side; extra answers in the place of the next one and behind one. CutCallTest does the same for NettyHttpClient over loopback, and gives the operators' server a call cut at each byte.

--- /dev/null
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerConnectionTest.java
@@ -0,0 +1,210 @@
+package elmsail.gateway.servers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.config.ServerEntry;
+import elmsail.gateway.FakeKnown;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.NettyLoop;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What one connection makes of each kind of answer, cut or split at each of its bytes. */
+class ServerConnectionTest {
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\n";
+  private static final String LENGTH = HEAD + "Content-Length: 5\r\n\r\nwhole";
+  private static final String CHUNKED =
+      HEAD + "Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n";
+  private static final String UNTIL_END = HEAD + "\r\nwhole";
+
+  /** How the connection ends. */
+  private enum End {
+    IN_ORDER,
+    RESET,
+    CLOSED_HERE
+  }
+
+  /** Keeps what it hears. */
+  private static final class Heard implements OutgoingRequest, AttemptListener {
+    private final String id;
+    private final StringBuilder body = new StringBuilder();
+    private String outcome = "open";
+
+    Heard(String id) {
+      this.id = id;
+    }
+
+    @Override
+    public String id() {
+      return id;
+    }
+
+    @Override
+    public Prompt prompt() {
+      return Prompt.NONE;
+    }
+
+    @Override
+    public boolean item() {
+      return false;
+    }
+
+    @Override
+    public FullHttpRequest message(String serverId) {
+      return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+    }
+
+    @Override
+    public void head(HttpResponse head) {}
+
+    @Override
+    public void data(ByteBuf piece) {
+      body.append(piece.toString(StandardCharsets.ISO_8859_1));
+      piece.release();
+    }
+
+    @Override
+    public void whole() {
+      outcome = outcome.equals("open") ? "whole " + body : outcome + ", again";
+    }
+
+    @Override
+    public void failed(boolean sent) {
+      outcome = outcome.equals("open") ? "failed, sent " + sent : outcome + ", again";
+    }
+  }
+
+  private final NettyLoop loop = new NettyLoop();
+  private final Server server =
+      new Server(new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
+  private final ConnectionPool pool =
+      new ConnectionPool(loop, loop.events(), new FakeKnown(), new RequestCounters());
+  private EmbeddedChannel channel;
+  private ServerConnection connection;
+
+  @AfterEach
+  void close() {
+    loop.stop();
+  }
+
+  private Heard carry(String id) {
+    Heard heard = new Heard(id);
+    Attempt one = new Attempt(server, heard, heard, loop.now());
+    server.begun(one);
+    connection.carry(one);
+    return heard;
+  }
+
+  private Heard carryOnANewConnection() {
+    channel = new EmbeddedChannel();
+    connection = new ServerConnection(pool, server);
+    connection.into(channel.pipeline());
+    return carry("a1");
+  }
+
+  private void say(String bytes) {
+    if (!bytes.isEmpty() && channel.isActive()) {
+      channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+    }
+  }
+
+  private void end(End how) {
+    if (!channel.isActive()) {
+      return;
+    }
+    switch (how) {
+      case IN_ORDER ->
+          channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+      case RESET -> channel.pipeline().fireExceptionCaught(new IOException("reset"));
+      default -> {
+        // closed here, as at the end of the process
+      }
+    }
+    channel.close();
+    channel.runPendingTasks();
+    channel.finishAndReleaseAll();
+  }
+
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void cutAnswersAreFailuresOfWhatWasSent(End end) {
+    for (String answer : new String[] {LENGTH, CHUNKED, UNTIL_END}) {
+      for (int cut = 0; cut < answer.length(); cut++) {
+        Heard heard = carryOnANewConnection();
+        say(answer.substring(0, cut));
+        end(end);
+        boolean ended = end == End.IN_ORDER && answer.equals(UNTIL_END);
+        boolean inBody = cut >= UNTIL_END.length() - "whole".length();
+        String expected =
+            ended && inBody
+                ? "whole " + answer.substring(UNTIL_END.length() - "whole".length(), cut)
+                : "failed, sent true";
+        assertThat(answer + " cut at " + cut, heard.outcome, is(expected));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void wholeAnswersAreToldOnceHoweverTheyComeAndEnd(End end) {
+    for (String answer : new String[] {LENGTH, CHUNKED, UNTIL_END}) {
+      for (int split = 0; split < answer.length(); split++) {
+        Heard heard = carryOnANewConnection();
+        say(answer.substring(0, split));
+        say(answer.substring(split));
+        end(end);
+        boolean broken = answer.equals(UNTIL_END) && end != End.IN_ORDER;
+        assertThat(heard.outcome, is(broken ? "failed, sent true" : "whole whole"));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void bytesBehindAnAnswerCloseTheConnectionWhereverTheyAreSplit(End end) {
+    String both = LENGTH + LENGTH;
+    for (int split = 1; split < both.length(); split++) {
+      server.idle.clear();
+      Heard first = carryOnANewConnection();
+      say(both.substring(0, split));
+      boolean free = server.idle.contains(connection);
+      assertThat("split at " + split, free, is(split == LENGTH.length()));
+      say(both.substring(split));
+      assertThat("split at " + split, first.outcome, is("whole whole"));
+      assertThat("split at " + split, channel.isActive(), is(false));
+      assertThat("split at " + split, server.idle.isEmpty(), is(true));
+      end(end);
+      assertThat(first.outcome, is("whole whole"));
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void extraAnswerInThePlaceOfTheNextOneIsForeign(End end) {
+    for (int split = 0; split < LENGTH.length(); split++) {
+      Heard first = carryOnANewConnection();
+      say(LENGTH);
+      assertThat(first.outcome, is("whole whole"));
+      server.idle.remove(connection);
+      Heard second = carry("a2");
+      say(LENGTH.substring(0, split));
+      say(LENGTH.substring(split));
+      end(end);
+      assertThat("split at " + split, second.outcome, is("failed, sent true"));
+      assertThat(second.body.length(), is(0));
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/elmsail/runtime/http/CutCallTest.java
@@ -0,0 +1,125 @@
+package elmsail.runtime.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.MovedClock;
+import elmsail.runtime.NettyLoop;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Small calls whose connections end, in order or by a reset, at each byte. */
+@Timeout(60)
+class CutCallTest {
+
+  private static final long LIMIT_MS = 20_000;
+  private static final int MOST_BODY = 100;
+  private static final String LENGTH =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nwhole";
+  private static final String CHUNKED =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n";
+  private static final String UNTIL_END = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nwhole";
+
+  private final NettyLoop loop = new NettyLoop();
+  private final NettyHttpClient client = new NettyHttpClient(loop);
+
+  @AfterEach
+  void end() throws Exception {
+    loop.stop().get();
+  }
+
+  /** Asks a server that reads the call, says these bytes, and ends the connection. */
+  private CompletableFuture<HttpReply> askFor(String bytes, boolean reset) throws IOException {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<HttpReply> reply =
+          client.get("127.0.0.1:" + server.getLocalPort(), "/", LIMIT_MS);
+      try (Socket socket = server.accept()) {
+        readHead(socket);
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        if (reset) {
+          socket.setSoLinger(true, 0);
+        }
+      }
+      return reply;
+    }
+  }
+
+  private static void readHead(Socket socket) throws IOException {
+    int matched = 0;
+    while (matched < "\r\n\r\n".length()) {
+      matched = socket.getInputStream().read() == "\r\n\r\n".charAt(matched) ? matched + 1 : 0;
+    }
+  }
+
+  private static ErrorCode codeOf(CompletableFuture<HttpReply> reply) {
+    return ElmsailException.codeOf(assertThrows(CompletionException.class, reply::join));
+  }
+
+  private static String text(HttpReply reply) {
+    return new String(reply.body(), StandardCharsets.ISO_8859_1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+  void noPartOfAnAnswerIsOne(boolean chunked, boolean reset) throws IOException {
+    String answer = chunked ? CHUNKED : LENGTH;
+    for (int cut = 0; cut < answer.length(); cut++) {
+      CompletableFuture<HttpReply> reply = askFor(answer.substring(0, cut), reset);
+      ErrorCode code = codeOf(reply);
+      boolean known = code == ErrorCode.BROKEN || code == ErrorCode.GARBLED;
+      assertThat("cut at " + cut + ": " + code, known, is(true));
+    }
+    if (!reset) {
+      assertThat(text(askFor(answer, false).join()), is("whole"));
+    }
+  }
+
+  @Test
+  void answerWithoutALengthIsWholeAfterAnOrderlyEndOnly() throws IOException {
+    assertThat(text(askFor(UNTIL_END, false).join()), is("whole"));
+    assertThat(codeOf(askFor(UNTIL_END, true)), is(ErrorCode.BROKEN));
+  }
+
+  @Test
+  void bytesBehindAnAnswerBelongToNoCall() throws IOException {
+    assertThat(text(askFor(LENGTH + LENGTH.replace("whole", "other"), false).join()), is("whole"));
+  }
+
+  @Test
+  void noPartOfACallIsOne() {
+    String call = "POST /Timetable.Replace HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nwhole";
+    for (int cut = 0; cut <= call.length(); cut++) {
+      AtomicInteger calls = new AtomicInteger();
+      EmbeddedChannel channel = new EmbeddedChannel();
+      HttpServerConnection.pipeline(
+          channel,
+          new MovedClock(),
+          given -> {
+            calls.incrementAndGet();
+            return new CompletableFuture<>();
+          },
+          MOST_BODY);
+      channel.pipeline().fireChannelActive();
+      channel.writeInbound(
+          Unpooled.copiedBuffer(call.substring(0, cut), StandardCharsets.ISO_8859_1));
+      channel.finishAndReleaseAll();
+      assertThat("cut at " + cut, calls.get(), is(cut < call.length() ? 0 : 1));
+    }
+  }
+}
