Take the seeds of changed settings in a running gateway

Cause: on SIGHUP, or when the file changes by itself, a running gateway kept the seeds of its start; one that was cut off while all control machines were replaced could never find the new ones. Change: ConfigWatcher.changed takes the new seeds; they are asked where nobody else answers. Records of jobs: tests of the two formats and of counts of failures. Result: ChangedSeedsTest fails without the taking of the seeds and passes with it.

--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -80,7 +80,8 @@
 
   @Override
   public void changed(Settings settings) {
-    LOG.info("settings have changed; what a running clerk needs of them stays as it was");
+    LOG.info("settings have changed; of them, the seeds are taken at once");
+    known.changed(settings);
   }
 
   @Override
--- a/batch/src/test/java/elmsail/batch/MessageCodecTest.java
+++ b/batch/src/test/java/elmsail/batch/MessageCodecTest.java
@@ -14,6 +14,7 @@
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -107,6 +108,43 @@
     }
   }
 
+  private static JobRecord threeItems() {
+    List<JobRecord.Item> items = new ArrayList<>();
+    for (String id : List.of("a", "b", "c")) {
+      items.add(new JobRecord.Item(id, 5));
+    }
+    return new JobRecord(1, "r", "h", 1, 1, 1, "b", items, List.of(), false, "d", 1, 0);
+  }
+
+  @Test
+  void failuresStayWithARecordUntilTheirItemIsListed() {
+    JobRecord.FailureCount ofA = new JobRecord.FailureCount(0, 2);
+    JobRecord.FailureCount ofC = new JobRecord.FailureCount(2, 1);
+    JobRecord failed = threeItems().listing(List.of(), List.of(ofC, ofA), 0);
+    JobRecord next = failed.runBy("e", 10).again();
+    assertThat(JobRecord.unpacked(next.packed()), is(next));
+    assertThat(next.failures(), contains(ofA, ofC));
+    JobRecord lower = next.listing(List.of(), List.of(new JobRecord.FailureCount(0, 1)), 0);
+    assertThat("a lower count does not replace one", lower.failuresOf(0), is(2));
+    JobRecord listed = lower.listing(List.of(new JobRecord.Result(0, false, 2, 0)), 0);
+    assertThat(listed.failures(), contains(ofC));
+    assertThat(listed.failuresOf(0), is(0));
+    assertThat(listed.endedNow().failures(), contains(ofC));
+  }
+
+  @Test
+  void aRecordOfTheFirstFormatIsReadAndOneOfALaterFormatIsNot() {
+    JobRecord record = threeItems();
+    byte[] first = Arrays.copyOf(record.packed(), record.packed().length - 1);
+    first[0] = 1;
+    assertThat(JobRecord.unpacked(first), is(record));
+    byte[] later = record.packed();
+    later[0] = 3;
+    assertThat(
+        assertThrows(ElmsailException.class, () -> JobRecord.unpacked(later)).code(),
+        is(ErrorCode.GARBLED));
+  }
+
   @Test
   void whatIsListedFirstStays() {
     JobRecord record =
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -98,6 +98,12 @@
     }
   }
 
+  /** Takes the seeds of the changed settings; all else stays as it was. */
+  public void changed(Settings changed) {
+    lines.seeds(changed);
+    lines.choose(view.head);
+  }
+
   /** Asks nothing more; what is known stays. */
   public void close() {
     if (review != null) {
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -63,10 +63,16 @@
     this.taker = taker;
     station = settings.station();
     self = settings.innerAddress();
+    seeds(settings);
+    lastHeardAt = timers.now();
+  }
+
+  /** Takes these seeds in place of those before. */
+  void seeds(Settings settings) {
+    seeds.clear();
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
     }
-    lastHeardAt = timers.now();
   }
 
   /**
--- /dev/null
+++ b/config/src/test/java/elmsail/config/watch/ChangedSeedsTest.java
@@ -0,0 +1,56 @@
+package elmsail.config.watch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItems;
+
+import elmsail.runtime.Settings;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The settings file names other seeds while the process runs. */
+class ChangedSeedsTest extends ConfigWatcherRig {
+  private static final String D = "10.4.0.40:7721";
+  private static final String E = "10.4.0.41:7721";
+
+  private static Settings changed() {
+    Settings before = settings(Set.of("counter"));
+    return new Settings(
+        before.station(),
+        before.role(),
+        before.machineClass(),
+        before.serves(),
+        before.ip(),
+        before.zone(),
+        before.region(),
+        Map.of(),
+        Map.of(),
+        7720,
+        7735,
+        List.of("10.4.0.40:8166", "10.4.0.41:8166"),
+        false,
+        true,
+        null,
+        null,
+        Set.of(),
+        1,
+        null,
+        null);
+  }
+
+  @Test
+  void seedsOfChangedSettingsAreAskedOnceNobodyElseAnswers() {
+    puller.start();
+    timers.pass(500);
+    List.of(A, B, C).forEach(links.notaries::remove);
+    UpdateSources d = links.controlPlane(D);
+    links.controlPlane(E);
+    d.setConfig(8, config(8));
+    puller.changed(changed());
+    timers.pass(12_000);
+    assertThat(puller.asked(), hasItems(D, E));
+    assertThat(puller.config().edition(), equalTo(8L));
+  }
+}
