--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -75,6 +75,7 @@
    * @param textBytes length of the text, 0 where undeliverable
    */
   public record Result(int index, boolean delivered, long term, int textBytes) {
+    /** The name under which the stores keep the text of this result. */
     public String textName() {
       return nameOf(index, term);
     }
@@ -92,10 +93,12 @@
     return "r-" + index + "-" + term;
   }
 
+  /** The key of the record of that job in the register. */
   public static String keyOf(String jobId) {
     return "lot/" + jobId;
   }
 
+  /** Whether every item has a result. */
   public boolean complete() {
     return results.size() >= items.size();
   }
@@ -105,6 +108,7 @@
     return !ended && !complete();
   }
 
+  /** The indexes of the items that have a result. */
   public BitSet listed() {
     BitSet listed = new BitSet(items.size());
     for (Result one : results) {
@@ -168,12 +172,12 @@
     return 0;
   }
 
-  /** The same job, whose client has ended it. */
+  /** The next version, in which the job was ended by its client. */
   public JobRecord endedNow() {
     return changed(results, true, runner, term, ageMs, failures);
   }
 
-  /** The same job, run by another gateway in the next term. */
+  /** The next version, run by that gateway under the next term. */
   public JobRecord runBy(String door, long age) {
     return changed(results, ended, door, term + 1, Math.max(ageMs, age), failures);
   }
@@ -207,6 +211,7 @@
         failures);
   }
 
+  /** The bytes that {@link #unpacked} reads; the first number is the version of this format. */
   public byte[] packed() {
     ByteWriter to =
         new ByteWriter()
--- a/gateway/src/test/java/elmsail/gateway/PassedTimers.java
+++ b/gateway/src/test/java/elmsail/gateway/PassedTimers.java
@@ -3,7 +3,7 @@
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** Another's timers, which a test may move ahead: what falls due on the way runs on the loop. */
@@ -65,18 +65,30 @@
     timers.soon(then);
   }
 
-  /** From a test's thread; has passed, and what fell due has run, when this returns. */
+  /**
+   * From a test's thread; done once it returns. Were it only on its way to the loop, bytes that the
+   * test writes next could be read before it, as the loop reads its sockets before it runs tasks.
+   */
   public void pass(long ms) {
-    CompletableFuture<Void> passed = new CompletableFuture<>();
+    CountDownLatch done = new CountDownLatch(1);
     soon(
         () -> {
-          move(ms);
-          passed.complete(null);
+          try {
+            moveAhead(ms);
+          } finally {
+            done.countDown();
+          }
         });
-    passed.orTimeout(MOST_WAIT_S, TimeUnit.SECONDS).join();
+    try {
+      if (!done.await(MOST_WAIT_S, TimeUnit.SECONDS)) {
+        throw new AssertionError("the loop does not run what it was given");
+      }
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
   }
 
-  private void move(long ms) {
+  private void moveAhead(long ms) {
     passed += ms;
     for (One one : new ArrayList<>(waiting)) {
       if (one.at <= now()) {
