--- a/app/src/main/java/elmsail/app/ConfigDiagnostics.java
+++ b/app/src/main/java/elmsail/app/ConfigDiagnostics.java
@@ -118,7 +118,7 @@
     return ConfigValueFactory.fromIterable(plain);
   }
 
-  /** The faults of one list's parts, told by their places in the whole list. */
+  /** The faults of one list's parts, with their places in the whole list. */
   private void parts(ConfigObject around, String key) {
     if (!(root.get(key) instanceof ConfigList all)) {
       note(faultOf(with(around.withoutKey(key), key)));
--- a/app/src/main/java/elmsail/app/Launch.java
+++ b/app/src/main/java/elmsail/app/Launch.java
@@ -20,7 +20,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The command line that the programs share, and a program's life from its settings to its end. */
+/**
+ * The command line that the programs share, and what a program does from its settings to its end.
+ */
 final class Launch {
 
   /** All went well, or SIGTERM was heard and everything was brought to its end. */
@@ -143,7 +145,7 @@
     loop.soon(
         () -> {
           try {
-            // The signals first: SIGHUP would end the process until it is heard.
+            // The signals first: SIGHUP would end the process until a handler is set.
             Held held = new Held(ended);
             new ProcessSignals(loop, file, settings, held::end, held::changed).listen();
             held.running = program.start(settings, loop);
--- a/app/src/main/java/elmsail/app/StartupRehearsal.java
+++ b/app/src/main/java/elmsail/app/StartupRehearsal.java
@@ -59,12 +59,12 @@
 
   /** Asks at each address, then has the program end. */
   private static void request(Runnable end, NettyLoop loop, Settings settings) {
-    NettyHttpClient asker = new NettyHttpClient(loop);
+    NettyHttpClient client = new NettyHttpClient(loop);
     List<CompletableFuture<?>> asked = new ArrayList<>();
     for (String address : settings.slots().values()) {
       for (String path : PATHS) {
         // What is answered, or whether, is the tests' business.
-        asked.add(asker.get(address, path, ASK_MS).exceptionally(failure -> null));
+        asked.add(client.get(address, path, ASK_MS).exceptionally(failure -> null));
       }
     }
     CompletableFuture.allOf(asked.toArray(new CompletableFuture<?>[0])).thenRun(end);
--- a/app/src/test/java/elmsail/app/CheckMainTest.java
+++ b/app/src/test/java/elmsail/app/CheckMainTest.java
@@ -153,13 +153,13 @@
   }
 
   /**
-   * A keeper writes its voter set; a key's record is laid beside it as register's KeyState writes
+   * A replica writes its voter set; a key's record is laid beside it as consensus's KeyState writes
    * it.
    */
   private static long write(Path data) {
     ManualTimers timers = new ManualTimers();
     try (DirectoryRecordStore records = DirectoryRecordStore.open(data, 1 << 24, Runnable::run)) {
-      Replica keeper =
+      Replica replica =
           new Replica(
               "head",
               records,
@@ -173,7 +173,7 @@
       voterSet.voters.add(slot("127.0.0.1:7721", "n1", records.instanceId()));
       voterSet.voters.add(slot("127.0.0.2:7721", "n2", 5));
       voterSet.voters.add(slot("127.0.0.3:7721", "n3", 6));
-      keeper.found(voterSet);
+      replica.found(voterSet);
       byte[] state =
           ByteBuffer.allocate(35)
               .putLong(3)
--- a/app/src/test/java/elmsail/app/LaunchTest.java
+++ b/app/src/test/java/elmsail/app/LaunchTest.java
@@ -29,7 +29,7 @@
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
-  /** ProcessSignals as soon as it is told to, or cannot start. */
+  /** Ends as soon as it is asked to, or cannot start. */
   private static final class Brief implements Program, Program.Running {
     private final RuntimeException fault;
     private int ends;
--- a/batch/src/main/java/elmsail/batch/ItemServers.java
+++ b/batch/src/main/java/elmsail/batch/ItemServers.java
@@ -13,15 +13,15 @@
    * @param lastEventId the last event that the caller has, or -1 to run from the start
    * @return null if nothing was sent, as there is no room
    */
-  Running start(Route route, BatchItem piece, long lastEventId, RunListener heard);
+  Running start(Route route, BatchItem batchItem, long lastEventId, RunListener listener);
 
   /** A run under way. */
   interface Running {
-    /** Closes the connection, so the server drops it; nothing more is heard. */
+    /** Closes the connection, so the server drops it; nothing more is reported. */
     void cancel();
   }
 
-  /** What a run tells, in order; {@code ended} once. */
+  /** What becomes of a run, in order; {@code ended} once. */
   interface RunListener {
     /** One event of the answer, with its number and its data, in order. */
     void event(long id, byte[] data);
--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -35,7 +35,7 @@
  * loop.
  */
 public final class BatchApi implements BatchCalls {
-  private static final long MOST_HAND_IN_MS = 3_000;
+  private static final long MOST_SUBMIT_MS = 3_000;
   private static final long MOST_WAIT_MS = 1_000;
   private static final long CALL_MS = 1_500;
   private static final int MOST_ID = 200;
@@ -43,14 +43,14 @@
   /** Bytes of bodies that are being handed in, and calls held, at most. */
   private static final long MOST_BYTES = 24L << 20;
 
-  private static final int MOST_READINGS = 2_000;
+  private static final int MOST_READS = 2_000;
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final Replies replies;
   private final BatchJobClient store;
   private final JobRunner runner;
   private final FailoverMonitor watch;
-  private final Map<String, List<ReadHandler>> readings = new HashMap<>();
+  private final Map<String, List<ReadHandler>> reads = new HashMap<>();
   private int held;
   private long bytes;
 
@@ -68,11 +68,11 @@
       long seed,
       long cancelMs) {
     Random chance = new Random(seed);
-    tools = new BatchContext(register, caller, timers, known, innerAddress, chance, cancelMs);
+    context = new BatchContext(register, caller, timers, known, innerAddress, chance, cancelMs);
     replies = new Replies(chance);
     store = new BatchJobClient(register);
-    runner = new JobRunner(tools, store, this::changed);
-    watch = new FailoverMonitor(tools, store, runner);
+    runner = new JobRunner(context, store, this::changed);
+    watch = new FailoverMonitor(context, store, runner);
   }
 
   /** Before it nothing runs. */
@@ -80,14 +80,13 @@
     runner.setServers(servers);
   }
 
-  /** Starts the beats to the keepers and the looking for jobs that nobody runs. */
+  /** Starts the heartbeats to the stores and the looking for jobs that nobody runs. */
   public void start() {
     watch.start();
   }
 
   /**
-   * HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with
-   * others.
+   * Answers the messages about jobs; use this, or {@code answer} from a handler shared with others.
    */
   public void listen(RequestHandlers answering) {
     answering.on(OpaqueMessage.class, this::answer);
@@ -100,11 +99,11 @@
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!request.kind.equals(BatchMessageTypes.ENDED)) {
       return CompletableFuture.failedFuture(
-          new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind));
+          new ElmsailException(ErrorCode.GARBLED, "a message of kind " + request.kind));
     }
     ended(new ByteReader(request.bytes).text());
     return CompletableFuture.completedFuture(
-        BatchMessageTypes.note(BatchMessageTypes.ENDED, Replies.EMPTY));
+        BatchMessageTypes.message(BatchMessageTypes.ENDED, Replies.EMPTY));
   }
 
   /** How many jobs this gateway runs. */
@@ -114,34 +113,34 @@
 
   @Override
   public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
-    RoutingConfig config = tools.known().config();
+    RoutingConfig config = context.known().config();
     if (config == null || bytes + body.length > MOST_BYTES) {
       return CompletableFuture.completedFuture(replies.unable());
     }
     if (!proper(jobId)) {
       return CompletableFuture.completedFuture(Replies.MALFORMED);
     }
-    List<BatchItem> pieces;
+    List<BatchItem> batchItems;
     try {
-      pieces = JobRequestReader.read(body);
+      batchItems = JobRequestReader.read(body);
     } catch (ElmsailException malformed) {
       return CompletableFuture.completedFuture(Replies.MALFORMED);
     }
-    for (BatchItem piece : pieces) {
-      if (config.find(route.host(), piece.lane()) == null) {
+    for (BatchItem batchItem : batchItems) {
+      if (config.find(route.host(), batchItem.lane()) == null) {
         return CompletableFuture.completedFuture(Replies.MALFORMED);
       }
     }
     SubmitHandler call =
         new SubmitHandler(
-            tools,
+            context,
             store,
             runner,
             replies,
             jobId,
             route,
-            pieces,
-            Math.min(deadlineMs, MOST_HAND_IN_MS));
+            batchItems,
+            Math.min(deadlineMs, MOST_SUBMIT_MS));
     int held = call.bytes();
     bytes += held;
     return call.begin().whenComplete((reply, failed) -> bytes -= held);
@@ -152,28 +151,28 @@
     if (!proper(jobId)) {
       return CompletableFuture.completedFuture(Replies.NONE);
     }
-    if (held >= MOST_READINGS) {
+    if (held >= MOST_READS) {
       return CompletableFuture.completedFuture(replies.unable());
     }
     ReadHandler reading =
         new ReadHandler(
-            tools,
+            context,
             store,
             replies,
             jobId,
             Math.max(0, after),
             Math.max(0, Math.min(waitMs, MOST_WAIT_MS)));
-    readings.computeIfAbsent(jobId, id -> new ArrayList<>()).add(reading);
+    reads.computeIfAbsent(jobId, id -> new ArrayList<>()).add(reading);
     held++;
     return reading
         .begin()
         .whenComplete(
             (reply, failed) -> {
               held--;
-              List<ReadHandler> of = readings.get(jobId);
+              List<ReadHandler> of = reads.get(jobId);
               of.remove(reading);
               if (of.isEmpty()) {
-                readings.remove(jobId);
+                reads.remove(jobId);
               }
             });
   }
@@ -191,12 +190,12 @@
                 return CompletableFuture.completedFuture(Replies.NONE);
               }
               return store
-                  .pieces(jobId, record, CALL_MS)
+                  .batchItems(jobId, record, CALL_MS)
                   .thenApply(
-                      pieces -> {
-                        for (BatchItem piece : pieces) {
-                          if (piece.id().equals(itemId)) {
-                            return new Reply(200, piece.contents(), 0);
+                      batchItems -> {
+                        for (BatchItem batchItem : batchItems) {
+                          if (batchItem.id().equals(itemId)) {
+                            return new Reply(200, batchItem.contents(), 0);
                           }
                         }
                         return Replies.NONE;
@@ -216,7 +215,7 @@
 
   private CompletableFuture<Reply> end(String jobId, int tries) {
     CompletableFuture<Reply> reply = new CompletableFuture<>();
-    tools
+    context
         .register()
         .change(
             JobRecord.keyOf(jobId),
@@ -256,12 +255,12 @@
       return Replies.NONE;
     }
     ended(jobId);
-    if (!record.runner().equals(tools.self())) {
-      tools
+    if (!record.runner().equals(context.self())) {
+      context
           .caller()
           .call(
               record.runner(),
-              BatchMessageTypes.note(
+              BatchMessageTypes.message(
                   BatchMessageTypes.ENDED, new ByteWriter().text(jobId).packed()),
               OpaqueMessage.class,
               CALL_MS);
@@ -275,7 +274,7 @@
   }
 
   private void changed(String jobId) {
-    List<ReadHandler> of = readings.get(jobId);
+    List<ReadHandler> of = reads.get(jobId);
     if (of != null) {
       for (ReadHandler reading : List.copyOf(of)) {
         reading.wake();
--- a/batch/src/main/java/elmsail/batch/api/ReadHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/ReadHandler.java
@@ -17,7 +17,7 @@
   private static final int MOST_RESULTS = 64;
   private static final byte[] NO_TEXT = {};
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final Replies replies;
   private final String job;
@@ -29,18 +29,18 @@
   private boolean again;
 
   ReadHandler(
-      BatchContext tools,
+      BatchContext context,
       BatchJobClient store,
       Replies replies,
       String job,
       long after,
       long waitMs) {
-    this.tools = tools;
+    this.context = context;
     this.store = store;
     this.replies = replies;
     this.job = job;
     this.after = after;
-    this.until = tools.timers().now() + waitMs;
+    this.until = context.timers().now() + waitMs;
   }
 
   CompletableFuture<Reply> begin() {
@@ -81,14 +81,16 @@
   }
 
   private void found(JobRecord record) {
-    long left = until - tools.timers().now();
+    long left = until - context.timers().now();
     if (record.results().size() > after || !record.open() || left <= 0) {
       give(record);
     } else if (again) {
       look();
     } else {
       poll =
-          tools.timers().after(Math.min(left, POLL_MS / 2 + tools.about(POLL_MS / 2)), this::look);
+          context
+              .timers()
+              .after(Math.min(left, POLL_MS / 2 + context.about(POLL_MS / 2)), this::look);
     }
   }
 
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -17,8 +17,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * One try to hand a job in. The job's tokens are added to the count at a majority of keepers, which
- * tell what else waits. If it fits, the counts are read at a majority once more, now that the add
+ * One try to submit a job. The job's tokens are added to the count at a majority of stores, which
+ * answer what else waits. If it fits, the counts are read at a majority once more, now that the add
  * surely stands at one: of all jobs that are being accepted, the one whose add stood last sees the
  * others. This second look brings the body, so that it is at a majority before anyone is asked to
  * take the job.
@@ -35,13 +35,13 @@
     UNCOUNTED
   }
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final JobRunner runner;
   private final Replies replies;
   private final String job;
   private final Route route;
-  private final List<BatchItem> pieces;
+  private final List<BatchItem> batchItems;
   private final TokenCount.Add add;
   private final JobRecord wanted;
   private final Blob body = new Blob();
@@ -49,7 +49,7 @@
   private final CompletableFuture<Reply> reply = new CompletableFuture<>();
   private Verdict verdict;
 
-  /** The count of both rounds: what either round told. */
+  /** The count of both rounds: what either round brought. */
   private TokenCount seen = new TokenCount();
 
   private boolean maySent;
@@ -63,44 +63,44 @@
   private long began;
 
   SubmitHandler(
-      BatchContext tools,
+      BatchContext context,
       BatchJobClient store,
       JobRunner runner,
       Replies replies,
       String job,
       Route route,
-      List<BatchItem> pieces,
+      List<BatchItem> batchItems,
       long deadlineMs) {
-    this.tools = tools;
+    this.context = context;
     this.store = store;
     this.runner = runner;
     this.replies = replies;
     this.job = job;
     this.route = route;
-    this.pieces = pieces;
-    this.until = tools.timers().now() + deadlineMs;
+    this.batchItems = batchItems;
+    this.until = context.timers().now() + deadlineMs;
     long tokens = 0;
-    List<JobRecord.Item> items = new ArrayList<>(pieces.size());
-    for (BatchItem piece : pieces) {
-      items.add(new JobRecord.Item(piece.id(), piece.tokens()));
-      tokens += piece.tokens();
+    List<JobRecord.Item> items = new ArrayList<>(batchItems.size());
+    for (BatchItem batchItem : batchItems) {
+      items.add(new JobRecord.Item(batchItem.id(), batchItem.tokens()));
+      tokens += batchItem.tokens();
     }
-    add = new TokenCount.Add(route.name(), job, tokens, tools.chance().nextLong());
-    body.bytes = JobBody.packed(pieces);
+    add = new TokenCount.Add(route.name(), job, tokens, context.chance().nextLong());
+    body.bytes = JobBody.packed(batchItems);
     body.name = JobBody.nameOf(body.bytes);
     wanted =
         new JobRecord(
             1,
             route.name(),
             route.host(),
-            tools.known().config().edition(),
+            context.known().config().edition(),
             route.runDueMs(),
             route.shelfMs(),
             body.name,
             items,
             List.of(),
             false,
-            tools.self(),
+            context.self(),
             1,
             0);
   }
@@ -115,13 +115,13 @@
   }
 
   private void round(boolean second) {
-    long left = until - tools.timers().now();
+    long left = until - context.timers().now();
     if (left < LEAST_MS) {
       refuse(maySent ? Replies.UNCLEAR : replies.unable());
       return;
     }
-    began = tools.timers().now();
-    tools
+    began = context.timers().now();
+    context
         .register()
         .change(
             JobRecord.keyOf(job),
@@ -145,8 +145,8 @@
       verdict = Verdict.THERE;
       return new Register.Wanted(null, List.of());
     }
-    if (found.notes().size() < tools.majority()) {
-      // A keeper that tells no count has no room for the add either.
+    if (found.notes().size() < context.majority()) {
+      // A store that answers no count has no room for the add either.
       verdict = Verdict.UNCOUNTED;
       return new Register.Wanted(null, List.of());
     }
@@ -161,16 +161,16 @@
 
   /** Of the newest configuration here; a route that is gone takes nothing more than it did. */
   private long limit() {
-    Route now = tools.known().config().named(route.name());
+    Route now = context.known().config().named(route.name());
     return now == null ? route.mostWaiting() : now.mostWaiting();
   }
 
   private void held(Register.Held held, boolean second) {
     if (held.now().value() != null) {
       JobRecord record = store.decided(job, held.now());
-      boolean own = record.version() == 1 && record.runner().equals(tools.self()) && proposed;
+      boolean own = record.version() == 1 && record.runner().equals(context.self()) && proposed;
       if (own) {
-        store.keep(job, pieces, bytes());
+        store.cache(job, batchItems, bytes());
         runner.adopt(job, record, 0, began);
       }
       reply.complete(Replies.ACCEPTED);
@@ -183,18 +183,18 @@
 
   private void failed(Throwable failed) {
     maySent |= Replies.mayHold(failed);
-    if (until - tools.timers().now() < 2 * LEAST_MS) {
+    if (until - context.timers().now() < 2 * LEAST_MS) {
       refuse(maySent ? Replies.UNCLEAR : replies.unable());
     } else {
       seen = new TokenCount();
-      tools.timers().after(tools.about(AGAIN_MS), () -> round(limit() == 0));
+      context.timers().after(context.about(AGAIN_MS), () -> round(limit() == 0));
     }
   }
 
   private void refuse(Reply how) {
     if (how.status() != Replies.UNCLEAR.status()) {
-      tools.askKeepers(
-          BatchMessageTypes.note(BatchMessageTypes.WITHDRAW, add.packed()),
+      context.askStores(
+          BatchMessageTypes.message(BatchMessageTypes.WITHDRAW, add.packed()),
           CHANGE_MS,
           (slot, answer) -> {});
     }
--- a/batch/src/main/java/elmsail/batch/client/BatchContext.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchContext.java
@@ -26,27 +26,27 @@
     long cancelMs) {
 
   /** The voters of the store set that is known at present; empty before there is one. */
-  public List<Voter> keepers() {
+  public List<Voter> stores() {
     return known.view().storeSet.voters;
   }
 
-  /** How many keepers are a majority; 1 where there are none, so that nothing is ever agreed. */
+  /** How many stores are a majority; 1 where there are none, so that nothing is ever agreed. */
   public int majority() {
-    return keepers().size() / 2 + 1;
+    return stores().size() / 2 + 1;
   }
 
   /**
-   * Asks every keeper; {@code told} hears a null for each that gave no answer, so as many as there
-   * are.
+   * Asks every store; {@code listener} gets a null for each that gave no answer, so as many as
+   * there are.
    */
-  public void askKeepers(
-      OpaqueMessage request, long timeoutMs, BiConsumer<Voter, OpaqueMessage> response) {
-    for (Voter slot : keepers()) {
+  public void askStores(
+      OpaqueMessage request, long timeoutMs, BiConsumer<Voter, OpaqueMessage> listener) {
+    for (Voter slot : stores()) {
       caller
           .call(slot.address, request, OpaqueMessage.class, timeoutMs)
           .whenComplete(
               (answer, failed) ->
-                  response.accept(
+                  listener.accept(
                       slot, failed == null && request.kind.equals(answer.kind) ? answer : null));
     }
   }
--- a/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-/** Jobs' decided records, bodies and texts, as read at the keepers, with bounded caches of each. */
+/** Jobs' decided records, bodies and texts, as read at the stores, with bounded caches of each. */
 public final class BatchJobClient {
   private static final long RECORDS_BYTES = 4L << 20;
   private static final long BODIES_BYTES = 8L << 20;
@@ -21,7 +21,7 @@
 
   private record Seen(Ballot ballot, JobRecord record) {}
 
-  private record Body(List<BatchItem> pieces, int bytes) {}
+  private record Body(List<BatchItem> batchItems, int bytes) {}
 
   private final Register register;
   private final LruCache<Seen> records =
@@ -64,24 +64,25 @@
     return one != null && other != null && one.round == other.round && one.who == other.who;
   }
 
-  /** The pieces of a job that is there; fails if nobody who has them answers. */
-  public CompletableFuture<List<BatchItem>> pieces(String job, JobRecord record, long timeoutMs) {
+  /** The batchItems of a job that is there; fails if nobody who has them answers. */
+  public CompletableFuture<List<BatchItem>> batchItems(
+      String job, JobRecord record, long timeoutMs) {
     Body there = bodies.get(job);
     if (there != null) {
-      return CompletableFuture.completedFuture(there.pieces());
+      return CompletableFuture.completedFuture(there.batchItems());
     }
     return fetch(job, record.body(), timeoutMs)
         .thenApply(
             bytes -> {
-              List<BatchItem> pieces = JobBody.unpacked(bytes);
-              keep(job, pieces, bytes.length);
-              return pieces;
+              List<BatchItem> batchItems = JobBody.unpacked(bytes);
+              cache(job, batchItems, bytes.length);
+              return batchItems;
             });
   }
 
   /** Caches the items of a job; {@code bytes} is what they count for in the cache. */
-  public void keep(String job, List<BatchItem> pieces, int bytes) {
-    bodies.put(job, new Body(pieces, bytes + 100));
+  public void cache(String job, List<BatchItem> batchItems, int bytes) {
+    bodies.put(job, new Body(batchItems, bytes + 100));
   }
 
   /** The text of a listed result; fails if nobody who has it answers. */
@@ -104,7 +105,7 @@
   }
 
   /** Caches the text of a result. */
-  public void keepText(String job, JobRecord.Result result, byte[] text) {
+  public void cacheText(String job, JobRecord.Result result, byte[] text) {
     texts.put(job + "/" + result.textName(), text);
   }
 
--- a/batch/src/main/java/elmsail/batch/messages/AbandonedJob.java
+++ b/batch/src/main/java/elmsail/batch/messages/AbandonedJob.java
@@ -4,17 +4,17 @@
 import java.util.List;
 
 /**
- * An open job of which a keeper has heard nothing from its runner.
+ * An open job of which a store has had no heartbeat.
  *
- * @param unheardMs for how long, and since this keeper's start at most
+ * @param silentMs for how long, and since this store's start at most
  */
-public record AbandonedJob(String job, long term, long unheardMs) {
+public record AbandonedJob(String job, long term, long silentMs) {
 
   /** The bytes that {@link #unpacked} reads. */
-  public static byte[] packed(List<AbandonedJob> orphans) {
-    ByteWriter to = new ByteWriter().number(orphans.size());
-    for (AbandonedJob one : orphans) {
-      to.text(one.job()).number(one.term()).number(one.unheardMs());
+  public static byte[] packed(List<AbandonedJob> abandoned) {
+    ByteWriter to = new ByteWriter().number(abandoned.size());
+    for (AbandonedJob one : abandoned) {
+      to.text(one.job()).number(one.term()).number(one.silentMs());
     }
     return to.packed();
   }
@@ -23,10 +23,10 @@
   public static List<AbandonedJob> unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
     int count = from.count();
-    List<AbandonedJob> orphans = new ArrayList<>(count);
+    List<AbandonedJob> abandoned = new ArrayList<>(count);
     for (int i = 0; i < count; i++) {
-      orphans.add(new AbandonedJob(from.text(), from.number(), from.number()));
+      abandoned.add(new AbandonedJob(from.text(), from.number(), from.number()));
     }
-    return orphans;
+    return abandoned;
   }
 }
--- a/batch/src/main/java/elmsail/batch/messages/HeartbeatMessage.java
+++ b/batch/src/main/java/elmsail/batch/messages/HeartbeatMessage.java
@@ -4,16 +4,17 @@
 import java.util.List;
 
 /**
- * What a gateway says to a keeper of the jobs it runs, twice a second, and what it is told of each.
+ * What a gateway says to a store of the jobs it runs, twice a second, and what is answered for
+ * each.
  */
 public record HeartbeatMessage(String door, List<Run> runs) {
-  /** The keeper holds the job as open and run by this gateway in this term. */
+  /** The store holds the job as open and run by this gateway in this term. */
   public static final int YOURS = 1;
 
   /** The job is ended, or another gateway runs it. */
   public static final int GONE = 2;
 
-  /** This keeper has not heard of it, or only of older terms: it says nothing. */
+  /** This store does not know it, or only older terms: it decides nothing. */
   public static final int UNKNOWN = 0;
 
   /** One job that the gateway runs. */
--- a/batch/src/main/java/elmsail/batch/messages/JobBody.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobBody.java
@@ -6,24 +6,27 @@
 import java.util.List;
 import java.util.Map;
 
-/** The pieces of a job as one blob, written when it is accepted and never changed. */
+/** The batchItems of a job as one blob, written when it is accepted and never changed. */
 public final class JobBody {
   private JobBody() {}
 
   /** The bytes of these items, which {@link #unpacked} reads. */
-  public static byte[] packed(List<BatchItem> pieces) {
-    ByteWriter to = new ByteWriter().number(pieces.size());
-    for (BatchItem piece : pieces) {
-      to.text(piece.id()).text(piece.lane()).number(piece.tokens()).bytes(piece.contents());
-      to.number(piece.envelope().size());
-      for (Map.Entry<String, String> header : piece.envelope().entrySet()) {
+  public static byte[] packed(List<BatchItem> batchItems) {
+    ByteWriter to = new ByteWriter().number(batchItems.size());
+    for (BatchItem batchItem : batchItems) {
+      to.text(batchItem.id())
+          .text(batchItem.lane())
+          .number(batchItem.tokens())
+          .bytes(batchItem.contents());
+      to.number(batchItem.envelope().size());
+      for (Map.Entry<String, String> header : batchItem.envelope().entrySet()) {
         to.text(header.getKey()).text(header.getValue());
       }
     }
     return to.packed();
   }
 
-  /** IndexEntry by what it holds, so that no two bodies share a name. */
+  /** Named by what it holds, so that no two bodies share a name. */
   public static String nameOf(byte[] packed) {
     return "body-" + Long.toHexString(ContentDigest.of(packed));
   }
@@ -32,7 +35,7 @@
   public static List<BatchItem> unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
     int count = from.count();
-    List<BatchItem> pieces = new ArrayList<>(count);
+    List<BatchItem> batchItems = new ArrayList<>(count);
     for (int i = 0; i < count; i++) {
       String id = from.text();
       String lane = from.text();
@@ -42,8 +45,8 @@
       for (int left = from.count(); left > 0; left--) {
         envelope.put(from.text(), from.text());
       }
-      pieces.add(new BatchItem(id, lane, envelope, contents, tokens));
+      batchItems.add(new BatchItem(id, lane, envelope, contents, tokens));
     }
-    return pieces;
+    return batchItems;
   }
 }
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -13,7 +13,7 @@
  * @param edition the configuration's, at the acceptance: an older one says nothing of its routes
  * @param runDueMs ms after the acceptance; results are due
  * @param shelfMs ms after the acceptance; then items may be given up
- * @param body the name of the blob that holds its pieces
+ * @param body the name of the blob that holds its batchItems
  * @param results in the order of their positions, for ever
  * @param ended whether its client has ended it
  * @param runner the inner address of the gateway that runs it
@@ -156,7 +156,7 @@
         Math.max(ageMs, age));
   }
 
-  /** The same, written once more so that keepers that missed a change get it. */
+  /** The same, written once more so that stores that missed a change get it. */
   public JobRecord again() {
     return new JobRecord(
         version + 1,
--- a/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRequestReader.java
@@ -35,38 +35,38 @@
   public static List<BatchItem> read(byte[] body) {
     try (JsonParser from = JSON.createParser(body)) {
       expect(from.nextToken() == JsonToken.START_OBJECT, "an object");
-      List<BatchItem> pieces = null;
+      List<BatchItem> batchItems = null;
       while (from.nextToken() != JsonToken.END_OBJECT) {
         String name = name(from);
         from.nextToken();
         if (name.equals("pieces")) {
-          pieces = pieces(from);
+          batchItems = batchItems(from);
         } else {
           from.skipChildren();
         }
       }
       expect(from.nextToken() == null, "nothing behind the object");
-      expect(pieces != null && !pieces.isEmpty(), "pieces");
-      return pieces;
+      expect(batchItems != null && !batchItems.isEmpty(), "pieces");
+      return batchItems;
     } catch (IOException | IllegalArgumentException malformed) {
       throw new ElmsailException(ErrorCode.BAD_CALL, "a job that cannot be read", malformed);
     }
   }
 
-  private static List<BatchItem> pieces(JsonParser from) throws IOException {
+  private static List<BatchItem> batchItems(JsonParser from) throws IOException {
     expect(from.currentToken() == JsonToken.START_ARRAY, "a list of pieces");
-    List<BatchItem> pieces = new ArrayList<>();
+    List<BatchItem> batchItems = new ArrayList<>();
     Set<String> ids = new HashSet<>();
     while (from.nextToken() != JsonToken.END_ARRAY) {
-      BatchItem piece = piece(from);
-      expect(ids.add(piece.id()), "ids that differ");
-      pieces.add(piece);
-      expect(pieces.size() <= MOST_PIECES, "at most " + MOST_PIECES + " pieces");
+      BatchItem batchItem = batchItem(from);
+      expect(ids.add(batchItem.id()), "ids that differ");
+      batchItems.add(batchItem);
+      expect(batchItems.size() <= MOST_PIECES, "at most " + MOST_PIECES + " pieces");
     }
-    return pieces;
+    return batchItems;
   }
 
-  private static BatchItem piece(JsonParser from) throws IOException {
+  private static BatchItem batchItem(JsonParser from) throws IOException {
     expect(from.currentToken() == JsonToken.START_OBJECT, "a piece");
     String id = null;
     String lane = null;
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * PendingWrite tokens of a route's jobs, as one keeper has them or as the union of several: per job
- * the entry of the highest version. A job about to be accepted stands in it with version 0.
+ * Waiting tokens of a route's jobs, as one store has them or as the union of several: per job the
+ * entry of the highest version. A job about to be accepted stands in it with version 0.
  */
 public final class TokenCount {
   private final Map<Long, long[]> jobs = new HashMap<>();
@@ -38,9 +38,9 @@
     }
   }
 
-  /** Takes what keepers told; null is one that had nothing to tell. */
-  public void putAll(List<byte[]> response) {
-    for (byte[] one : response) {
+  /** Takes the counts of stores; null is one that had none. */
+  public void putAll(List<byte[]> counts) {
+    for (byte[] one : counts) {
       if (one != null) {
         ByteReader from = new ByteReader(one);
         for (int left = from.count(); left > 0; left--) {
--- a/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
+++ b/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
@@ -19,33 +19,33 @@
 import java.util.Set;
 
 /**
- * Tells the keepers what this gateway runs, by which it knows that the jobs are still its own, and
- * takes over jobs whose runner is not heard any more.
+ * Tells the stores what this gateway runs, by which it knows that the jobs are still its own, and
+ * takes over jobs whose runner sends no heartbeats any more.
  */
 public final class FailoverMonitor {
-  private static final long BEAT_MS = 500;
+  private static final long HEARTBEAT_MS = 500;
   private static final long LOOK_MS = 700;
   private static final long ANSWER_MS = 600;
-  private static final long UNHEARD_MS = 2_000;
+  private static final long SILENT_MS = 2_000;
   private static final long RANK_MS = 400;
 
-  /** A keeper alone in not having heard of a job for so long has missed a change of it. */
+  /** A store alone in having had no heartbeat of a job for so long has missed a change of it. */
   private static final long STALE_MS = 6_000;
 
   private static final long CHANGE_MS = 1_500;
   private static final int MOST_TAKING = 8;
 
-  /** Jobs of one beat; the rest are confirmed by reads. */
+  /** Jobs of one heartbeat; the rest are confirmed by reads. */
   private static final int MOST_RUNS = 1_000;
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final JobRunner runner;
   private final Set<String> taking = new HashSet<>();
 
   /** A monitor that does nothing before {@link #start}. */
-  public FailoverMonitor(BatchContext tools, BatchJobClient store, JobRunner runner) {
-    this.tools = tools;
+  public FailoverMonitor(BatchContext context, BatchJobClient store, JobRunner runner) {
+    this.context = context;
     this.store = store;
     this.runner = runner;
   }
@@ -55,28 +55,28 @@
    * step.
    */
   public void start() {
-    tools.timers().after(tools.about(BEAT_MS), this::heartbeat);
-    tools.timers().after(tools.about(LOOK_MS), this::look);
+    context.timers().after(context.about(HEARTBEAT_MS), this::heartbeat);
+    context.timers().after(context.about(LOOK_MS), this::look);
   }
 
   private void heartbeat() {
-    tools.timers().after(BEAT_MS, this::heartbeat);
+    context.timers().after(HEARTBEAT_MS, this::heartbeat);
     List<RunningJob> jobs = runner.running();
     if (jobs.isEmpty()) {
       return;
     }
-    long sent = tools.timers().now();
-    List<RunningJob> response = jobs.size() > MOST_RUNS ? jobs.subList(0, MOST_RUNS) : jobs;
-    List<HeartbeatMessage.Run> runs = new ArrayList<>(response.size());
-    for (RunningJob job : response) {
+    long sent = context.timers().now();
+    List<RunningJob> reported = jobs.size() > MOST_RUNS ? jobs.subList(0, MOST_RUNS) : jobs;
+    List<HeartbeatMessage.Run> runs = new ArrayList<>(reported.size());
+    for (RunningJob job : reported) {
       runs.add(new HeartbeatMessage.Run(job.id, job.term));
     }
-    int[] yours = new int[response.size()];
-    int majority = tools.majority();
+    int[] yours = new int[reported.size()];
+    int majority = context.majority();
     OpaqueMessage heartbeat =
-        BatchMessageTypes.note(
-            BatchMessageTypes.BEAT, new HeartbeatMessage(tools.self(), runs).packed());
-    tools.askKeepers(
+        BatchMessageTypes.message(
+            BatchMessageTypes.HEARTBEAT, new HeartbeatMessage(context.self(), runs).packed());
+    context.askStores(
         heartbeat,
         ANSWER_MS,
         (slot, answer) -> {
@@ -84,7 +84,7 @@
             ByteReader from = new ByteReader(answer.bytes);
             for (int i = 0; i < yours.length && from.more(); i++) {
               long one = from.number();
-              RunningJob job = response.get(i);
+              RunningJob job = reported.get(i);
               if (one == HeartbeatMessage.YOURS && ++yours[i] == majority) {
                 job.confirmed(sent);
               } else if (one == HeartbeatMessage.GONE) {
@@ -95,7 +95,7 @@
         });
     for (RunningJob job : jobs) {
       runner.letGo(job);
-      if (sent - job.confirmedAt > 2 * BEAT_MS) {
+      if (sent - job.confirmedAt > 2 * HEARTBEAT_MS) {
         read(job);
       }
     }
@@ -106,30 +106,30 @@
       return;
     }
     job.reading = true;
-    long began = tools.timers().now();
+    long began = context.timers().now();
     store
         .read(job.id, ANSWER_MS)
         .whenComplete(
             (record, failed) -> {
               job.reading = false;
               if (failed == null && !job.stopped) {
-                runner.heard(job.id, record, began);
+                runner.recordRead(job.id, record, began);
               }
             });
   }
 
   private void look() {
-    tools.timers().after(tools.about(LOOK_MS), this::look);
-    int keepers = tools.keepers().size();
-    if (keepers == 0) {
+    context.timers().after(context.about(LOOK_MS), this::look);
+    int stores = context.stores().size();
+    if (stores == 0) {
       return;
     }
     Map<String, List<AbandonedJob>> reported = new HashMap<>();
     int[] answers = new int[1];
     OpaqueMessage request =
-        BatchMessageTypes.note(
-            BatchMessageTypes.ORPHANS, new ByteWriter().number(UNHEARD_MS).packed());
-    tools.askKeepers(
+        BatchMessageTypes.message(
+            BatchMessageTypes.ABANDONED, new ByteWriter().number(SILENT_MS).packed());
+    context.askStores(
         request,
         ANSWER_MS,
         (slot, answer) -> {
@@ -138,7 +138,7 @@
               reported.computeIfAbsent(one.job(), job -> new ArrayList<>()).add(one);
             }
           }
-          if (++answers[0] == keepers) {
+          if (++answers[0] == stores) {
             reported.forEach(this::judge);
           }
         });
@@ -146,43 +146,43 @@
 
   private void judge(String job, List<AbandonedJob> reports) {
     int rank = rank(job);
-    long unheard = Long.MAX_VALUE;
+    long silent = Long.MAX_VALUE;
     long term = 0;
     int ripe = 0;
     for (AbandonedJob one : reports) {
       term = Math.max(term, one.term());
-      if (one.unheardMs() >= UNHEARD_MS + rank * RANK_MS) {
+      if (one.silentMs() >= SILENT_MS + rank * RANK_MS) {
         ripe++;
-        unheard = Math.min(unheard, one.unheardMs());
+        silent = Math.min(silent, one.silentMs());
       }
     }
     if (taking.size() >= MOST_TAKING || taking.contains(job) || runner.runs(job)) {
       return;
     }
-    if (ripe >= tools.majority()) {
-      take(job, term, unheard);
-    } else if (ripe > 0 && unheard > STALE_MS + rank * LOOK_MS) {
+    if (ripe >= context.majority()) {
+      take(job, term, silent);
+    } else if (ripe > 0 && silent > STALE_MS + rank * LOOK_MS) {
       mend(job);
     }
   }
 
   /** How many gateways come before this one in the job's own order of gateways. */
   private int rank(String job) {
-    long own = ContentDigest.of(tools.self() + "|" + job);
+    long own = ContentDigest.of(context.self() + "|" + job);
     int before = 0;
-    for (String door : tools.known().view().gateways) {
-      if (!door.equals(tools.self()) && ContentDigest.of(door + "|" + job) > own) {
+    for (String door : context.known().view().gateways) {
+      if (!door.equals(context.self()) && ContentDigest.of(door + "|" + job) > own) {
         before++;
       }
     }
     return before;
   }
 
-  private void take(String job, long term, long unheardMs) {
+  private void take(String job, long term, long silentMs) {
     taking.add(job);
-    long began = tools.timers().now();
+    long began = context.timers().now();
     boolean[] proposed = new boolean[1];
-    tools
+    context
         .register()
         .change(
             JobRecord.keyOf(job),
@@ -193,7 +193,7 @@
               }
               proposed[0] = true;
               return new Register.Wanted(
-                  record.runBy(tools.self(), record.ageMs() + unheardMs).packed(), List.of());
+                  record.runBy(context.self(), record.ageMs() + silentMs).packed(), List.of());
             },
             List.of(),
             null,
@@ -205,16 +205,16 @@
               if (proposed[0]
                   && record != null
                   && record.term() == term + 1
-                  && record.runner().equals(tools.self())) {
+                  && record.runner().equals(context.self())) {
                 runner.adopt(job, record, record.ageMs(), began);
               }
             });
   }
 
-  /** Writes a job's record once more, for a keeper that missed it. */
+  /** Writes a job's record once more, for a store that missed it. */
   private void mend(String job) {
     taking.add(job);
-    tools
+    context
         .register()
         .change(
             JobRecord.keyOf(job),
--- a/batch/src/main/java/elmsail/batch/run/ItemRun.java
+++ b/batch/src/main/java/elmsail/batch/run/ItemRun.java
@@ -20,13 +20,13 @@
 
   ItemServers.Running running;
 
-  /** Goes up with each run and each cancel, so that what a former run tells is not heard. */
+  /** Goes up with each run and each cancel, so that what a former run brings is not taken. */
   int run;
 
   boolean underWay;
 
-  /** Whether this run told of an event. */
-  boolean heard;
+  /** Whether an event of this run came. */
+  boolean answered;
 
   boolean done;
   private ByteArrayOutputStream text;
@@ -47,7 +47,7 @@
     }
     text.write(data, 0, data.length);
     last = id;
-    heard = true;
+    answered = true;
     return true;
   }
 
@@ -70,7 +70,7 @@
     last = -1;
   }
 
-  /** ProcessSignals the run under way, unheard from now on. */
+  /** Ends the run under way; nothing of it is taken any more. */
   void cancel() {
     run++;
     underWay = false;
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -28,7 +28,7 @@
   private static final long MOST_HELD = 16L << 20;
   private static final long MOST_BACKOFF_MS = 200;
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final ResultRecorder listing;
   private final Map<String, RunningJob> jobs = new HashMap<>();
@@ -43,12 +43,12 @@
   /**
    * @param changed hears the id of each job in which something was listed or that was stopped
    */
-  public JobRunner(BatchContext tools, BatchJobClient store, Consumer<String> changed) {
-    this.tools = tools;
+  public JobRunner(BatchContext context, BatchJobClient store, Consumer<String> changed) {
+    this.context = context;
     this.store = store;
-    this.listing = new ResultRecorder(tools, store, this, changed);
-    this.startMs = tools.cancelMs() * 6 / 10;
-    this.letMs = tools.cancelMs() * 8 / 10;
+    this.listing = new ResultRecorder(context, store, this, changed);
+    this.startMs = context.cancelMs() * 6 / 10;
+    this.letMs = context.cancelMs() * 8 / 10;
   }
 
   /** Sets where items are sent from now on; before this none is started. */
@@ -69,7 +69,7 @@
       return;
     }
     stop(id);
-    RunningJob job = new RunningJob(id, record, tools.timers().now() - ageMs, confirmedAt);
+    RunningJob job = new RunningJob(id, record, context.timers().now() - ageMs, confirmedAt);
     jobs.put(id, job);
     byDue.put(job, job);
     pumpSoon(0);
@@ -97,7 +97,7 @@
   /**
    * Takes a decided record read after the moment given: goes on if the job is still open and ours.
    */
-  public void heard(String id, JobRecord record, long readAt) {
+  public void recordRead(String id, JobRecord record, long readAt) {
     RunningJob job = jobs.get(id);
     if (job == null) {
       return;
@@ -126,11 +126,11 @@
 
   /** Cuts runs that may not have reached a server yet, of jobs long not known to be ours. */
   void letGo(RunningJob job) {
-    if (tools.timers().now() - job.confirmedAt <= letMs) {
+    if (context.timers().now() - job.confirmedAt <= letMs) {
       return;
     }
     for (ItemRun item : job.items) {
-      if (item.underWay && !item.heard) {
+      if (item.underWay && !item.answered) {
         item.cancel();
         job.underWay--;
         job.ready.add(item.index);
@@ -145,7 +145,7 @@
   void pumpSoon(long ms) {
     if (!pumpSet) {
       pumpSet = true;
-      tools
+      context
           .timers()
           .after(
               ms,
@@ -157,7 +157,7 @@
   }
 
   private void pump() {
-    RoutingConfig config = tools.known().config();
+    RoutingConfig config = context.known().config();
     if (servers == null || config == null || jobs.isEmpty()) {
       return;
     }
@@ -165,7 +165,7 @@
     boolean left = false;
     for (RunningJob job : running()) {
       if (!job.stopped && !job.ready.isEmpty()) {
-        if (job.pieces == null) {
+        if (job.batchItems == null) {
           fetch(job);
         } else {
           startSome(job, config, room);
@@ -185,19 +185,19 @@
     job.fetching = true;
     fetches++;
     store
-        .pieces(job.id, job.record, FETCH_MS)
+        .batchItems(job.id, job.record, FETCH_MS)
         .whenComplete(
-            (pieces, failed) -> {
+            (batchItems, failed) -> {
               fetches--;
               if (failed == null) {
                 job.fetching = false;
-                job.pieces = pieces;
+                job.batchItems = batchItems;
                 pumpSoon(0);
               } else {
-                tools
+                context
                     .timers()
                     .after(
-                        tools.about(MOST_BACKOFF_MS),
+                        context.about(MOST_BACKOFF_MS),
                         () -> {
                           job.fetching = false;
                           pumpSoon(0);
@@ -207,7 +207,7 @@
   }
 
   private void startSome(RunningJob job, RoutingConfig config, Map<String, Integer> room) {
-    long now = tools.timers().now();
+    long now = context.timers().now();
     boolean confirmed = now - job.confirmedAt <= startMs;
     while (!job.stopped && !job.ready.isEmpty()) {
       ItemRun item = job.items[job.ready.peek()];
@@ -215,8 +215,8 @@
         job.ready.poll();
         continue;
       }
-      BatchItem piece = job.pieces.get(item.index);
-      Route route = config.find(job.record.host(), piece.lane());
+      BatchItem batchItem = job.batchItems.get(item.index);
+      Route route = config.find(job.record.host(), batchItem.lane());
       if (route == null && config.edition() <= job.record.edition()) {
         return;
       }
@@ -234,7 +234,7 @@
         return;
       }
       job.ready.poll();
-      if (start(job, item, route, piece)) {
+      if (start(job, item, route, batchItem)) {
         room.put(route.name(), places - 1);
       } else {
         job.ready.add(item.index);
@@ -244,15 +244,15 @@
     }
   }
 
-  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem piece) {
+  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem batchItem) {
     int run = ++item.run;
     item.underWay = true;
-    item.heard = false;
+    item.answered = false;
     job.underWay++;
     ItemServers.Running running =
         servers.start(
             route,
-            piece,
+            batchItem,
             item.last,
             new ItemServers.RunListener() {
               @Override
@@ -332,12 +332,12 @@
   }
 
   private void again(RunningJob job, ItemRun item) {
-    item.vain = item.heard ? 0 : item.vain + 1;
+    item.vain = item.answered ? 0 : item.vain + 1;
     long backoff = Math.min(MOST_BACKOFF_MS, AGAIN_MS << Math.min(item.vain, 5));
-    tools
+    context
         .timers()
         .after(
-            tools.about(backoff),
+            context.about(backoff),
             () -> {
               if (!job.stopped && !item.done && !item.underWay) {
                 job.ready.add(item.index);
--- a/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
+++ b/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
@@ -24,14 +24,14 @@
   /** With a note there is always a first round. */
   private static final byte[] NO_NOTE = {};
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final JobRunner runner;
   private final Consumer<String> changed;
 
   ResultRecorder(
-      BatchContext tools, BatchJobClient store, JobRunner runner, Consumer<String> changed) {
-    this.tools = tools;
+      BatchContext context, BatchJobClient store, JobRunner runner, Consumer<String> changed) {
+    this.context = context;
     this.store = store;
     this.runner = runner;
     this.changed = changed;
@@ -42,12 +42,12 @@
     if (job.listing || job.stopped || job.finished.isEmpty()) {
       return;
     }
-    long wait = job.listedAt + GATHER_MS - tools.timers().now();
+    long wait = job.listedAt + GATHER_MS - context.timers().now();
     if (job.allDone()) {
-      tools.timers().soon(() -> list(job));
+      context.timers().soon(() -> list(job));
     } else if (!job.listingSet) {
       job.listingSet = true;
-      tools
+      context
           .timers()
           .after(
               wait,
@@ -63,9 +63,9 @@
       return;
     }
     job.listing = true;
-    long began = tools.timers().now();
+    long began = context.timers().now();
     List<RunningJob.Finished> batch = job.batch(MOST_BYTES);
-    tools
+    context
         .register()
         .change(
             JobRecord.keyOf(job.id),
@@ -82,7 +82,7 @@
               if (failed == null) {
                 listed(job, batch, held.now(), began);
               } else {
-                tools.timers().after(tools.about(BACKOFF_MS), () -> list(job));
+                context.timers().after(context.about(BACKOFF_MS), () -> list(job));
               }
             });
   }
@@ -106,7 +106,7 @@
       return null;
     }
     JobRecord record = JobRecord.unpacked(value);
-    boolean ours = record.term() == job.term && record.runner().equals(tools.self());
+    boolean ours = record.term() == job.term && record.runner().equals(context.self());
     return ours && !record.ended() ? record : null;
   }
 
@@ -127,7 +127,7 @@
       return new Register.Wanted(null, List.of());
     }
     return new Register.Wanted(
-        record.listing(more, job.ageMs(tools.timers().now())).packed(), List.of());
+        record.listing(more, job.ageMs(context.timers().now())).packed(), List.of());
   }
 
   private void listed(
@@ -140,14 +140,14 @@
       return;
     }
     job.record = record;
-    job.listedAt = tools.timers().now();
+    job.listedAt = context.timers().now();
     job.confirmed(began);
     BitSet listed = record.listed();
     for (RunningJob.Finished one : batch) {
       if (listed.get(one.result().index()) && job.finished.remove(one.result().index()) != null) {
         runner.unheld(one.text().length);
         if (one.result().delivered()) {
-          store.keepText(job.id, one.result(), one.text());
+          store.cacheText(job.id, one.result(), one.text());
         }
       }
     }
--- a/batch/src/main/java/elmsail/batch/run/RunningJob.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -23,7 +23,7 @@
   JobRecord record;
 
   /** Null until they are fetched. */
-  List<BatchItem> pieces;
+  List<BatchItem> batchItems;
 
   boolean fetching;
   final ItemRun[] items;
--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -26,18 +26,18 @@
   private static final String PREFIX = "lot/";
   private static final long LOOK_MS = 5_000;
   private static final long DROP_SLACK_MS = 30_000;
-  private static final int MOST_ORPHANS = 64;
+  private static final int MOST_ABANDONED = 64;
   private static final byte[] NOTHING = {};
 
   private final Timers timers;
   private final BooleanSupplier voting;
   private final Consumer<String> drop;
   private final long statusMs;
-  private final JobStore storeSet = new JobStore();
+  private final JobStore jobs = new JobStore();
 
   /**
-   * @param seated whether this process holds a voter slot and has its memory; else it answers no
-   *     note
+   * @param voting whether this process holds a voter slot and has its memory; else it answers
+   *     NOT_SEATED
    * @param drop drops a key and its blobs here ({@code Replica.drop}); may call {@code dropped}
    * @param statusMs for how long a job may be read after it was sent
    */
@@ -54,8 +54,7 @@
   }
 
   /**
-   * HandlerTable the notes about jobs; use this, or {@code answer} from a handler shared with
-   * others.
+   * Answers the messages about jobs; use this, or {@code answer} from a handler shared with others.
    */
   public void listen(RequestHandlers answering) {
     answering.on(OpaqueMessage.class, this::answer);
@@ -65,21 +64,21 @@
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!voting.getAsBoolean()) {
       return CompletableFuture.completedFuture(
-          BatchMessageTypes.note(BatchMessageTypes.NOT_SEATED, NOTHING));
+          BatchMessageTypes.message(BatchMessageTypes.NOT_SEATED, NOTHING));
     }
     try {
       byte[] response =
           switch (request.kind) {
-            case BatchMessageTypes.BEAT -> heartbeat(HeartbeatMessage.unpacked(request.bytes));
-            case BatchMessageTypes.ORPHANS ->
+            case BatchMessageTypes.HEARTBEAT -> heartbeat(HeartbeatMessage.unpacked(request.bytes));
+            case BatchMessageTypes.ABANDONED ->
                 AbandonedJob.packed(
-                    storeSet.orphans(
-                        new ByteReader(request.bytes).number(), MOST_ORPHANS, timers.now()));
+                    jobs.abandoned(
+                        new ByteReader(request.bytes).number(), MOST_ABANDONED, timers.now()));
             case BatchMessageTypes.WITHDRAW -> withdraw(TokenCount.Add.unpacked(request.bytes));
             default ->
-                throw new ElmsailException(ErrorCode.GARBLED, "a note of kind " + request.kind);
+                throw new ElmsailException(ErrorCode.GARBLED, "a message of kind " + request.kind);
           };
-      return CompletableFuture.completedFuture(BatchMessageTypes.note(request.kind, response));
+      return CompletableFuture.completedFuture(BatchMessageTypes.message(request.kind, response));
     } catch (ElmsailException garbled) {
       return CompletableFuture.failedFuture(garbled);
     }
@@ -90,51 +89,51 @@
     if (!key.startsWith(PREFIX) || note == null || note.length == 0) {
       return null;
     }
-    return storeSet.added(TokenCount.Add.unpacked(note), timers.now());
+    return jobs.added(TokenCount.Add.unpacked(note), timers.now());
   }
 
   @Override
   public boolean admits(String key, byte[] value) {
     return !key.startsWith(PREFIX)
-        || storeSet.admits(key.substring(PREFIX.length()), JobRecord.unpacked(value), timers.now());
+        || jobs.admits(key.substring(PREFIX.length()), JobRecord.unpacked(value), timers.now());
   }
 
   @Override
   public void taken(String key, byte[] value) {
     if (key.startsWith(PREFIX) && value != null) {
-      storeSet.taken(key.substring(PREFIX.length()), JobRecord.unpacked(value), timers.now());
+      jobs.taken(key.substring(PREFIX.length()), JobRecord.unpacked(value), timers.now());
     }
   }
 
   @Override
   public void dropped(String key) {
     if (key.startsWith(PREFIX)) {
-      storeSet.dropped(key.substring(PREFIX.length()));
+      jobs.dropped(key.substring(PREFIX.length()));
     }
   }
 
   /** How many jobs this process keeps. */
   public int size() {
-    return storeSet.size();
+    return jobs.size();
   }
 
   private byte[] heartbeat(HeartbeatMessage heartbeat) {
     ByteWriter response = new ByteWriter();
-    for (int one : storeSet.heard(heartbeat, timers.now())) {
+    for (int one : jobs.answer(heartbeat, timers.now())) {
       response.number(one);
     }
     return response.packed();
   }
 
   private byte[] withdraw(TokenCount.Add add) {
-    storeSet.withdrawn(add);
+    jobs.withdrawn(add);
     return NOTHING;
   }
 
   private void look() {
-    for (String job : storeSet.outlived(statusMs, DROP_SLACK_MS, timers.now())) {
+    for (String job : jobs.outlived(statusMs, DROP_SLACK_MS, timers.now())) {
       drop.accept(PREFIX + job);
-      storeSet.dropped(job);
+      jobs.dropped(job);
     }
     timers.after(LOOK_MS, this::look);
   }
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -13,15 +13,15 @@
 import java.util.Map;
 
 /**
- * What one keeper knows of its jobs, folded from what it took and heard; the time is given with
- * each event.
+ * What one store knows of its jobs, folded from the records it took and the heartbeats; the time is
+ * given with each event.
  */
 final class JobStore {
   /** Adds that are not followed by their job are forgotten after so long, in ms. */
   static final long ADD_MS = 5_000;
 
   /**
-   * Jobs that no longer wait are told of for so long, in ms, to overrule keepers that missed it.
+   * Jobs that no longer wait are reported for so long, in ms, to overrule stores that missed it.
    */
   private static final long TELL_ENDED_MS = 120_000;
 
@@ -43,7 +43,7 @@
     long term;
     long shelfMs;
     long changed;
-    long heard;
+    long lastHeartbeat;
 
     Lot(long digest, long now) {
       this.digest = digest;
@@ -65,7 +65,7 @@
    */
   private final Map<String, Long> untaken = new HashMap<>();
 
-  /** Notes the add and tells the count of its route; null if there are too many adds. */
+  /** Keeps the add and answers the count of its route; null if there are too many adds. */
   byte[] added(TokenCount.Add add, long now) {
     expire(now);
     if (!jobs.containsKey(add.job())) {
@@ -132,7 +132,7 @@
     job.term = record.term();
     job.shelfMs = record.shelfMs();
     job.changed = now;
-    job.heard = now;
+    job.lastHeartbeat = now;
     adds.remove(id);
     untaken.remove(id);
   }
@@ -144,32 +144,32 @@
   }
 
   /** Hears a runner; the answers stand in the order of its jobs. */
-  int[] heard(HeartbeatMessage heartbeat, long now) {
-    int[] response = new int[heartbeat.runs().size()];
-    for (int i = 0; i < response.length; i++) {
+  int[] answer(HeartbeatMessage heartbeat, long now) {
+    int[] answers = new int[heartbeat.runs().size()];
+    for (int i = 0; i < answers.length; i++) {
       HeartbeatMessage.Run run = heartbeat.runs().get(i);
       Lot job = jobs.get(run.job());
       if (job == null || job.term < run.term()) {
-        response[i] = HeartbeatMessage.UNKNOWN;
+        answers[i] = HeartbeatMessage.UNKNOWN;
       } else if (job.term == run.term() && job.runner.equals(heartbeat.door()) && job.open) {
-        job.heard = now;
-        response[i] = HeartbeatMessage.YOURS;
+        job.lastHeartbeat = now;
+        answers[i] = HeartbeatMessage.YOURS;
       } else {
-        response[i] = HeartbeatMessage.GONE;
+        answers[i] = HeartbeatMessage.GONE;
       }
     }
-    return response;
+    return answers;
   }
 
-  List<AbandonedJob> orphans(long unheardMs, int most, long now) {
-    List<AbandonedJob> orphans = new ArrayList<>();
+  List<AbandonedJob> abandoned(long silentMs, int most, long now) {
+    List<AbandonedJob> abandoned = new ArrayList<>();
     for (Map.Entry<String, Lot> one : jobs.entrySet()) {
       Lot job = one.getValue();
-      if (job.open && now - job.heard >= unheardMs && orphans.size() < most) {
-        orphans.add(new AbandonedJob(one.getKey(), job.term, now - job.heard));
+      if (job.open && now - job.lastHeartbeat >= silentMs && abandoned.size() < most) {
+        abandoned.add(new AbandonedJob(one.getKey(), job.term, now - job.lastHeartbeat));
       }
     }
-    return orphans;
+    return abandoned;
   }
 
   /** Jobs that nobody needs any more: the caller drops them. */
@@ -179,7 +179,7 @@
     for (Map.Entry<String, Lot> one : jobs.entrySet()) {
       Lot job = one.getValue();
       long kept = (job.open ? Math.max(job.shelfMs, 0) : 0) + statusMs + slackMs;
-      if (now - job.firstSeen > kept && (!job.open || now - job.heard > statusMs)) {
+      if (now - job.firstSeen > kept && (!job.open || now - job.lastHeartbeat > statusMs)) {
         outlived.add(one.getKey());
       }
     }
--- a/batch/src/test/java/elmsail/batch/BatchOnRegisterTest.java
+++ b/batch/src/test/java/elmsail/batch/BatchOnRegisterTest.java
@@ -47,21 +47,21 @@
       world = new JobStoreWorld(seed, 3, LIMIT);
     }
 
-    JobStoreWorld.Door door() {
-      JobStoreWorld.Door door = world.doors.get(world.chance.nextInt(3));
-      return door.up ? door : null;
+    JobStoreWorld.Gateway gateway() {
+      JobStoreWorld.Gateway gateway = world.gateways.get(world.chance.nextInt(3));
+      return gateway.up ? gateway : null;
     }
 
     void hand(String id) {
-      JobStoreWorld.Door door = door();
-      if (door == null) {
+      JobStoreWorld.Gateway gateway = gateway();
+      if (gateway == null) {
         return;
       }
       Seen seen = jobs.computeIfAbsent(id, job -> new Seen());
       int try1 = seen.statuses.size();
       seen.statuses.add(0);
       hear(
-          world.hand(door, id, PIECES, TOKENS),
+          world.hand(gateway, id, PIECES, TOKENS),
           reply -> {
             seen.statuses.set(try1, reply.status());
             if (reply.status() == 202) {
@@ -95,12 +95,12 @@
     }
 
     void end(String id) {
-      JobStoreWorld.Door door = door();
-      if (door != null) {
+      JobStoreWorld.Gateway gateway = gateway();
+      if (gateway != null) {
         Seen seen = jobs.get(id);
         seen.endAsked = true;
         hear(
-            door.calls.end(id),
+            gateway.calls.end(id),
             reply -> {
               if (reply.status() == 200 && seen.endedAt < 0) {
                 seen.endedAt = world.timers.now();
@@ -111,9 +111,9 @@
     }
 
     void read(String id) {
-      JobStoreWorld.Door door = door();
-      if (door != null) {
-        hear(door.calls.read(id, 0, 0), reply -> check(id, reply));
+      JobStoreWorld.Gateway gateway = gateway();
+      if (gateway != null) {
+        hear(gateway.calls.read(id, 0, 0), reply -> check(id, reply));
       }
     }
 
@@ -136,15 +136,15 @@
     /** Trouble at one store at a time, and at any gateways. */
     void trouble() {
       JobStoreWorld.Vault store = world.stores.get(world.chance.nextInt(3));
-      JobStoreWorld.Door door = world.doors.get(world.chance.nextInt(3));
+      JobStoreWorld.Gateway gateway = world.gateways.get(world.chance.nextInt(3));
       switch (world.chance.nextInt(7)) {
         case 0 -> store.kill(false);
         case 1 -> store.kill(true);
         case 2 -> world.net.isolate(store.address);
         case 3 -> store.disk.stall(1_500);
-        case 4 -> door.kill();
-        case 5 -> world.net.isolate(door.address);
-        default -> world.net.breakOnce(door.address, store.address);
+        case 4 -> gateway.kill();
+        case 5 -> world.net.isolate(gateway.address);
+        default -> world.net.breakOnce(gateway.address, store.address);
       }
     }
 
@@ -155,9 +155,9 @@
           store.start();
         }
       }
-      for (JobStoreWorld.Door door : world.doors) {
-        if (!door.up) {
-          door.start();
+      for (JobStoreWorld.Gateway gateway : world.gateways) {
+        if (!gateway.up) {
+          gateway.start();
         }
       }
     }
@@ -196,7 +196,7 @@
     String where = ", seed " + world.seed;
     for (SimServers servers : world.all) {
       for (SimServers.Run run : servers.runs) {
-        String id = run.piece.id().substring(0, run.piece.id().indexOf('-'));
+        String id = run.batchItem.id().substring(0, run.batchItem.id().indexOf('-'));
         Seen seen = day.jobs.get(id);
         boolean promised = !seen.statuses.stream().anyMatch(s -> s != 429 && s != 503);
         assertThat(id + " ran though each try was refused" + where, promised, is(false));
@@ -208,7 +208,7 @@
     }
     for (Map.Entry<String, Seen> one : day.jobs.entrySet()) {
       if (one.getValue().accepted) {
-        BatchCalls.Reply reply = world.await(world.doors.get(0).calls.read(one.getKey(), 0, 0));
+        BatchCalls.Reply reply = world.await(world.gateways.get(0).calls.read(one.getKey(), 0, 0));
         assertThat(one.getKey() + where, reply.status(), is(200));
         day.check(one.getKey(), reply);
         String body = new String(reply.body(), StandardCharsets.UTF_8);
@@ -229,7 +229,7 @@
           }
         }
         BatchCalls.Reply item =
-            world.await(world.doors.get(1).calls.item(one.getKey(), one.getKey() + "-1"));
+            world.await(world.gateways.get(1).calls.item(one.getKey(), one.getKey() + "-1"));
         assertThat(
             item.status() + new String(item.body(), StandardCharsets.UTF_8) + where,
             is("200body " + one.getKey() + "1" + where));
@@ -260,20 +260,21 @@
   }
 
   @Test
-  void anAcceptedLotOutlivesItsDoorAndAnyOneDisk() {
+  void anAcceptedJobOutlivesItsGatewayAndAnyOneDisk() {
     for (int seed = 0; seed < 9; seed++) {
       JobStoreWorld world = new JobStoreWorld(seed, 3, LIMIT);
-      JobStoreWorld.Door door = world.doors.get(0);
-      CompletableFuture<BatchCalls.Reply> reply = world.hand(door, "a", PIECES, TOKENS);
+      JobStoreWorld.Gateway gateway = world.gateways.get(0);
+      CompletableFuture<BatchCalls.Reply> reply = world.hand(gateway, "a", PIECES, TOKENS);
       assertThat(world.await(reply).status(), is(202));
-      door.kill();
+      gateway.kill();
       world.stores.get(seed % 3).kill(true);
       world.timers.pass(200);
       world.stores.get(seed % 3).start();
       world.timers.pass(9_000);
       String body =
           new String(
-              world.await(world.doors.get(1).calls.read("a", 0, 0)).body(), StandardCharsets.UTF_8);
+              world.await(world.gateways.get(1).calls.read("a", 0, 0)).body(),
+              StandardCharsets.UTF_8);
       assertThat("seed " + seed, body, containsString("\"next_token\":" + PIECES));
     }
   }
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -23,7 +23,8 @@
   private final ManualTimers timers = new ManualTimers();
   private final List<String> dropped = new ArrayList<>();
   private boolean voting = true;
-  private final JobRetention keeper = new JobRetention(timers, () -> voting, dropped::add, 120_000);
+  private final JobRetention retention =
+      new JobRetention(timers, () -> voting, dropped::add, 120_000);
 
   private static JobRecord record(long tokens) {
     return new JobRecord(
@@ -45,31 +46,31 @@
   private long others(String route) {
     TokenCount count = new TokenCount();
     count.putAll(
-        List.of(keeper.noted("lot/probe", new TokenCount.Add(route, "probe", 0, 1).packed())));
+        List.of(retention.noted("lot/probe", new TokenCount.Add(route, "probe", 0, 1).packed())));
     return count.without("probe");
   }
 
   private OpaqueMessage request(String kind, byte[] bytes) {
-    return keeper.answer(BatchMessageTypes.note(kind, bytes)).toCompletableFuture().join();
+    return retention.answer(BatchMessageTypes.message(kind, bytes)).toCompletableFuture().join();
   }
 
-  private List<AbandonedJob> orphans() {
+  private List<AbandonedJob> abandoned() {
     return AbandonedJob.unpacked(
-        request(BatchMessageTypes.ORPHANS, new ByteWriter().number(2_000).packed()).bytes);
+        request(BatchMessageTypes.ABANDONED, new ByteWriter().number(2_000).packed()).bytes);
   }
 
   @Test
   void addsCountUntilTheyRunOutOrAreWithdrawn() {
     TokenCount.Add add = new TokenCount.Add("r", "a", 30, 7);
-    keeper.noted("lot/a", add.packed());
-    keeper.noted("lot/a", add.packed());
+    retention.noted("lot/a", add.packed());
+    retention.noted("lot/a", add.packed());
     assertThat(others("r"), is(30L));
     assertThat(others("else"), is(0L));
     request(BatchMessageTypes.WITHDRAW, new TokenCount.Add("r", "a", 30, 8).packed());
     assertThat("another try's add", others("r"), is(30L));
     request(BatchMessageTypes.WITHDRAW, add.packed());
     assertThat(others("r"), is(0L));
-    keeper.noted("lot/a", add.packed());
+    retention.noted("lot/a", add.packed());
     timers.pass(5_001);
     assertThat(others("r"), is(0L));
   }
@@ -77,32 +78,32 @@
   @Test
   void aFirstRecordIsTakenOnlyWithItsAdd() {
     byte[] value = record(10).packed();
-    assertThat(keeper.admits("lot/a", value), is(false));
-    keeper.noted("lot/a", new TokenCount.Add("r", "a", 20, 7).packed());
-    keeper.noted("lot/b", new TokenCount.Add("r", "b", 20, 7).packed());
-    keeper.noted("lot/c", new TokenCount.Add("r", "c", 19, 7).packed());
-    keeper.noted("lot/d", new TokenCount.Add("else", "d", 20, 7).packed());
-    assertThat(keeper.admits("lot/a", value), is(true));
-    assertThat("fewer tokens were added", keeper.admits("lot/c", value), is(false));
-    assertThat("added on another route", keeper.admits("lot/d", value), is(false));
+    assertThat(retention.admits("lot/a", value), is(false));
+    retention.noted("lot/a", new TokenCount.Add("r", "a", 20, 7).packed());
+    retention.noted("lot/b", new TokenCount.Add("r", "b", 20, 7).packed());
+    retention.noted("lot/c", new TokenCount.Add("r", "c", 19, 7).packed());
+    retention.noted("lot/d", new TokenCount.Add("else", "d", 20, 7).packed());
+    assertThat(retention.admits("lot/a", value), is(true));
+    assertThat("fewer tokens were added", retention.admits("lot/c", value), is(false));
+    assertThat("added on another route", retention.admits("lot/d", value), is(false));
     timers.pass(5_001);
-    assertThat("admitted before", keeper.admits("lot/a", value), is(true));
-    assertThat("run out unused", keeper.admits("lot/b", value), is(false));
+    assertThat("admitted before", retention.admits("lot/a", value), is(true));
+    assertThat("run out unused", retention.admits("lot/b", value), is(false));
     timers.pass(30_001);
-    assertThat("never written", keeper.admits("lot/a", value), is(false));
-    assertThat(keeper.admits("lot/a", record(10).again().packed()), is(true));
+    assertThat("never written", retention.admits("lot/a", value), is(false));
+    assertThat(retention.admits("lot/a", record(10).again().packed()), is(true));
   }
 
   @Test
-  void aLotThatIsBeingWrittenIsCountedHoweverLongTheDiskTakes() {
+  void aJobThatIsBeingWrittenIsCountedHoweverLongTheDiskTakes() {
     TokenCount.Add add = new TokenCount.Add("r", "a", 20, 7);
-    keeper.noted("lot/a", add.packed());
+    retention.noted("lot/a", add.packed());
     timers.pass(4_900);
-    assertThat(keeper.admits("lot/a", record(10).packed()), is(true));
+    assertThat(retention.admits("lot/a", record(10).packed()), is(true));
     request(BatchMessageTypes.WITHDRAW, add.packed());
     timers.pass(10_000);
     assertThat(others("r"), is(20L));
-    keeper.taken("lot/a", record(10).packed());
+    retention.taken("lot/a", record(10).packed());
     assertThat(others("r"), is(20L));
   }
 
@@ -110,18 +111,18 @@
   void theCountFollowsTheNewestRecord() {
     JobRecord first = record(10);
     JobRecord listed = first.listing(List.of(new JobRecord.Result(1, true, 1, 5)), 0);
-    keeper.taken("lot/a", first.packed());
+    retention.taken("lot/a", first.packed());
     assertThat(others("r"), is(20L));
-    keeper.taken("lot/a", listed.packed());
-    keeper.taken("lot/a", first.packed());
+    retention.taken("lot/a", listed.packed());
+    retention.taken("lot/a", first.packed());
     assertThat(others("r"), is(10L));
-    keeper.taken("lot/a", listed.endedNow().packed());
+    retention.taken("lot/a", listed.endedNow().packed());
     assertThat(others("r"), is(0L));
-    assertThat(orphans(), hasSize(0));
+    assertThat(abandoned(), hasSize(0));
   }
 
   @Test
-  void theUnionTakesTheNewestOfEachLot() {
+  void theUnionTakesTheNewestOfEachJob() {
     TokenCount count = new TokenCount();
     TokenCount one = new TokenCount();
     one.put(1, 2, 10);
@@ -133,44 +134,44 @@
   }
 
   @Test
-  void aRunnerThatIsHeardKeepsItsLots() {
-    keeper.taken("lot/a", record(10).packed());
+  void aRunnerThatIsHeardKeepsItsJobs() {
+    retention.taken("lot/a", record(10).packed());
     byte[] heartbeat =
         new HeartbeatMessage(
                 "door", List.of(new HeartbeatMessage.Run("a", 1), new HeartbeatMessage.Run("b", 1)))
             .packed();
     for (int i = 0; i < 10; i++) {
       timers.pass(1_000);
-      ByteReader response = new ByteReader(request(BatchMessageTypes.BEAT, heartbeat).bytes);
+      ByteReader response = new ByteReader(request(BatchMessageTypes.HEARTBEAT, heartbeat).bytes);
       assertThat(
           List.of(response.number(), response.number()),
           contains((long) HeartbeatMessage.YOURS, (long) HeartbeatMessage.UNKNOWN));
     }
     timers.pass(1_999);
-    assertThat(orphans(), hasSize(0));
+    assertThat(abandoned(), hasSize(0));
     timers.pass(1);
-    assertThat(orphans(), contains(new AbandonedJob("a", 1, 2_000)));
-    keeper.taken("lot/a", record(10).runBy("other", 0).packed());
+    assertThat(abandoned(), contains(new AbandonedJob("a", 1, 2_000)));
+    retention.taken("lot/a", record(10).runBy("other", 0).packed());
     assertThat(
-        new ByteReader(request(BatchMessageTypes.BEAT, heartbeat).bytes).number(),
+        new ByteReader(request(BatchMessageTypes.HEARTBEAT, heartbeat).bytes).number(),
         is((long) HeartbeatMessage.GONE));
   }
 
   @Test
   void withoutASeatItSaysNothing() {
-    keeper.taken("lot/a", record(10).packed());
+    retention.taken("lot/a", record(10).packed());
     voting = false;
     assertThat(
-        request(BatchMessageTypes.ORPHANS, new ByteWriter().number(0).packed()).kind,
+        request(BatchMessageTypes.ABANDONED, new ByteWriter().number(0).packed()).kind,
         is(BatchMessageTypes.NOT_SEATED));
   }
 
   @Test
-  void whatCameWithALotThatWasRefusedIsDropped() {
-    keeper.start();
-    keeper.noted("lot/a", new TokenCount.Add("r", "a", 30, 7).packed());
-    keeper.noted("lot/b", new TokenCount.Add("r", "b", 20, 7).packed());
-    keeper.taken("lot/b", record(10).packed());
+  void whatCameWithAJobThatWasRefusedIsDropped() {
+    retention.start();
+    retention.noted("lot/a", new TokenCount.Add("r", "a", 30, 7).packed());
+    retention.noted("lot/b", new TokenCount.Add("r", "b", 20, 7).packed());
+    retention.taken("lot/b", record(10).packed());
     timers.pass(59_000);
     assertThat(dropped, hasSize(0));
     timers.pass(10_000);
@@ -178,21 +179,21 @@
   }
 
   @Test
-  void lotsAreDroppedOnceNobodyMayAskForThem() {
-    keeper.start();
+  void jobsAreDroppedOnceNobodyMayAskForThem() {
+    retention.start();
     JobRecord whole =
         record(10)
             .listing(
                 List.of(new JobRecord.Result(0, false, 1, 0), new JobRecord.Result(1, false, 1, 0)),
                 0);
-    keeper.taken("lot/a", whole.packed());
-    keeper.taken("lot/b", record(10).packed());
+    retention.taken("lot/a", whole.packed());
+    retention.taken("lot/b", record(10).packed());
     timers.pass(150_000);
     assertThat(dropped, hasSize(0));
     timers.pass(5_000);
     assertThat(dropped, contains("lot/a"));
     timers.pass(60_000);
     assertThat(dropped, contains("lot/a", "lot/b"));
-    assertThat(keeper.size(), is(0));
+    assertThat(retention.size(), is(0));
   }
 }
--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -32,7 +32,7 @@
     final String address;
     final SimDisk disk;
     Node node;
-    Replica keeper;
+    Replica store;
     JobRetention jobs;
     boolean up;
 
@@ -47,10 +47,10 @@
       jobs =
           new JobRetention(
               node.timers(),
-              () -> keeper != null && keeper.voting(),
-              key -> keeper.drop(key),
+              () -> store != null && store.voting(),
+              key -> store.drop(key),
               120_000);
-      keeper =
+      store =
           new Replica(
               SET,
               disk.open(node.timers()),
@@ -74,14 +74,14 @@
   }
 
   /** A gateway; each start is a new life with servers of its own. */
-  final class Door {
+  final class Gateway {
     final String address;
     Node node;
     BatchApi calls;
     SimServers servers;
     boolean up;
 
-    Door(int number) {
+    Gateway(int number) {
       address = "10.0.2." + number + ":7720";
     }
 
@@ -140,7 +140,7 @@
   final Random chance;
   final SimNet net;
   final List<Vault> stores = new ArrayList<>();
-  final List<Door> doors = new ArrayList<>();
+  final List<Gateway> gateways = new ArrayList<>();
 
   /** Of all gateways' lives. */
   final List<SimServers> all = new ArrayList<>();
@@ -169,13 +169,13 @@
       founding.voters.add(slot);
     }
     view.storeSet = founding;
-    stores.forEach(store -> store.keeper.found(founding));
+    stores.forEach(store -> store.store.found(founding));
     timers.pass(100);
     for (int i = 0; i < doorCount; i++) {
-      doors.add(new Door(i));
-      view.gateways.add(doors.get(i).address);
+      gateways.add(new Gateway(i));
+      view.gateways.add(gateways.get(i).address);
     }
-    doors.forEach(Door::start);
+    gateways.forEach(Gateway::start);
     gossip();
   }
 
@@ -185,7 +185,7 @@
     view.storeSet = newest;
     for (Vault store : stores) {
       if (store.up) {
-        store.keeper.learn(newest);
+        store.store.learn(newest);
       }
     }
     timers.after(300, this::gossip);
@@ -195,8 +195,8 @@
     VoterSet newest = view.storeSet;
     int best = sum(newest);
     for (Vault store : stores) {
-      if (store.up && sum(store.keeper.voterSet()) > best) {
-        newest = store.keeper.voterSet();
+      if (store.up && sum(store.store.voterSet()) > best) {
+        newest = store.store.voterSet();
         best = sum(newest);
       }
     }
@@ -241,7 +241,7 @@
 
   boolean calm() {
     for (Vault store : stores) {
-      if (!store.up || !store.keeper.voting()) {
+      if (!store.up || !store.store.voting()) {
         return false;
       }
     }
@@ -252,8 +252,9 @@
     return config.named("r-lots");
   }
 
-  CompletableFuture<BatchCalls.Reply> hand(Door door, String id, int pieces, long tokens) {
-    return door.calls.submit(route(), id, SimWorld.job(id, pieces, tokens), 3_000);
+  CompletableFuture<BatchCalls.Reply> hand(
+      Gateway gateway, String id, int batchItems, long tokens) {
+    return gateway.calls.submit(route(), id, SimWorld.job(id, batchItems, tokens), 3_000);
   }
 
   /** Null where no answer comes within 6 s, as the gateway has died. */
--- a/batch/src/test/java/elmsail/batch/LeaseTest.java
+++ b/batch/src/test/java/elmsail/batch/LeaseTest.java
@@ -16,35 +16,35 @@
   private static final String NONE = "\"next_token\":0,\"deliveries\":[]";
 
   @Test
-  void anEndedLotStopsAtOnceAtItsRunner() {
+  void anEndedJobStopsAtOnceAtItsRunner() {
     SimWorld world = new SimWorld(10, 2, 1_000);
-    SimServers servers = world.doors.get(0).servers;
+    SimServers servers = world.gateways.get(0).servers;
     servers.room = 2;
     assertThat(world.status(world.hand(0, "a", 9, 10)), is(202));
     world.timers.pass(100);
-    assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+    assertThat(world.status(world.gateways.get(1).calls.end("a")), is(200));
     world.timers.pass(20);
     assertThat(servers.open(), is(0));
     world.timers.pass(5_000);
     assertThat(servers.runs, hasSize(2));
-    assertThat(world.status(world.doors.get(0).calls.end("a")), is(200));
-    assertThat(world.status(world.doors.get(0).calls.end("never")), is(404));
+    assertThat(world.status(world.gateways.get(0).calls.end("a")), is(200));
+    assertThat(world.status(world.gateways.get(0).calls.end("never")), is(404));
   }
 
   @Test
   void anEndThatTheRunnerIsNotToldOfStopsItInTime() {
     for (int seed = 0; seed < 30; seed++) {
       SimWorld world = new SimWorld(seed, 2, 1_000);
-      SimWorld.Door runner = world.doors.get(0);
+      SimWorld.Gateway runner = world.gateways.get(0);
       runner.servers.room = 1;
       runner.servers.serveMs = 60;
       assertThat(world.status(world.hand(0, "a", 200, 1)), is(202));
       world.timers.pass(200);
-      world.cut(runner.address, world.doors.get(1).address, true);
+      world.cut(runner.address, world.gateways.get(1).address, true);
       if (seed % 2 == 0) {
-        world.keepers.forEach(keeper -> world.cut(runner.address, keeper.address, true));
+        world.stores.forEach(store -> world.cut(runner.address, store.address, true));
       }
-      assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+      assertThat(world.status(world.gateways.get(1).calls.end("a")), is(200));
       long ended = world.timers.now();
       world.timers.pass(10_000);
       assertThat("seed " + seed, runner.servers.last().at - ended, lessThanOrEqualTo(2_400L));
@@ -54,12 +54,12 @@
   @Test
   void aRunnerThatLosesItsLeaseStartsNothingMore() {
     SimWorld world = new SimWorld(11, 1, 1_000);
-    SimWorld.Door runner = world.doors.get(0);
+    SimWorld.Gateway runner = world.gateways.get(0);
     runner.servers.room = 1;
     runner.servers.serveMs = 50;
     assertThat(world.status(world.hand(0, "a", 200, 1)), is(202));
     world.timers.pass(300);
-    world.keepers.forEach(keeper -> world.cut(runner.address, keeper.address, true));
+    world.stores.forEach(store -> world.cut(runner.address, store.address, true));
     long cutAt = world.timers.now();
     world.timers.pass(6_000);
     assertThat(runner.servers.last().at - cutAt, lessThanOrEqualTo(1_800L));
@@ -70,26 +70,27 @@
   }
 
   @Test
-  void aLotWhoseRunnerDiedIsTakenOverAndItsListingStays() {
+  void aJobWhoseRunnerDiedIsTakenOverAndItsListingStays() {
     for (int seed = 0; seed < 20; seed++) {
       SimWorld world = new SimWorld(seed, 3, 1_000);
-      world.doors.get(0).servers.room = 2;
+      world.gateways.get(0).servers.room = 2;
       assertThat(world.status(world.hand(0, "a", 5, 10)), is(202));
       world.timers.pass(50);
-      world.doors.get(0).servers.runs.get(1).serve();
+      world.gateways.get(0).servers.runs.get(1).serve();
       world.timers.pass(200);
       String first = world.read(1, "a", 0);
       assertThat(first, containsString("\"next_token\":1"));
-      world.doors.get(0).up = false;
-      world.doors.get(1).servers.serveMs = 40;
-      world.doors.get(2).servers.serveMs = 40;
+      world.gateways.get(0).up = false;
+      world.gateways.get(1).servers.serveMs = 40;
+      world.gateways.get(2).servers.serveMs = 40;
       world.timers.pass(6_000);
       String later = world.read(2, "a", 0);
       assertThat(later, containsString("\"next_token\":5"));
       assertThat(
           later.substring(later.indexOf('[')),
           startsWith(first.substring(first.indexOf('['), first.length() - 2)));
-      int runs = world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size();
+      int runs =
+          world.gateways.get(1).servers.runs.size() + world.gateways.get(2).servers.runs.size();
       assertThat("each left once, seed " + seed, runs, is(4));
     }
   }
@@ -97,13 +98,13 @@
   @Test
   void theFormerRunnerListsNothingMoreAndTextsAreNotMixed() {
     SimWorld world = new SimWorld(12, 2, 1_000);
-    SimWorld.Door former = world.doors.get(0);
+    SimWorld.Gateway former = world.gateways.get(0);
     assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
     world.timers.pass(30);
     former.servers.last().event(0, "former");
-    world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
+    world.stores.forEach(store -> world.cut(former.address, store.address, true));
     world.timers.pass(5_000);
-    SimServers later = world.doors.get(1).servers;
+    SimServers later = world.gateways.get(1).servers;
     assertThat(later.runs, hasSize(1));
     former.servers.runs.get(0).event(1, "former");
     former.servers.runs.get(0).end(Ended.WHOLE);
@@ -121,12 +122,12 @@
   @Test
   void aFormerRunnerThatComesBackFirstListsNothing() {
     SimWorld world = new SimWorld(20, 2, 1_000);
-    SimWorld.Door former = world.doors.get(0);
+    SimWorld.Gateway former = world.gateways.get(0);
     assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
     world.timers.pass(30);
-    world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
+    world.stores.forEach(store -> world.cut(former.address, store.address, true));
     world.timers.pass(4_000);
-    assertThat(world.doors.get(1).calls.running(), is(1));
+    assertThat(world.gateways.get(1).calls.running(), is(1));
     former.servers.runs.forEach(
         run -> run.heard.event(0, "former".getBytes(StandardCharsets.UTF_8)));
     former.servers.runs.get(0).serve();
@@ -139,40 +140,41 @@
   @Test
   void aFormerRunnerWithNothingToListStopsToo() {
     SimWorld world = new SimWorld(21, 2, 1_000);
-    SimWorld.Door former = world.doors.get(0);
+    SimWorld.Gateway former = world.gateways.get(0);
     former.servers.room = 0;
     assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
-    world.keepers.forEach(keeper -> world.cut(former.address, keeper.address, true));
+    world.stores.forEach(store -> world.cut(former.address, store.address, true));
     world.timers.pass(5_000);
     world.cut.clear();
     world.timers.pass(2_000);
     assertThat(former.calls.running(), is(0));
-    assertThat(world.doors.get(1).calls.running(), is(1));
+    assertThat(world.gateways.get(1).calls.running(), is(1));
   }
 
   @Test
-  void aRunnerThatOneKeeperDoesNotHearIsNotRobbed() {
+  void aRunnerThatOneStoreDoesNotHearKeepsItsJob() {
     SimWorld world = new SimWorld(22, 3, 1_000);
-    SimWorld.Door runner = world.doors.get(0);
+    SimWorld.Gateway runner = world.gateways.get(0);
     assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
     world.timers.pass(30);
-    world.cut(runner.address, world.keepers.get(1).address, true);
+    world.cut(runner.address, world.stores.get(1).address, true);
     world.timers.pass(20_000);
     assertThat(runner.calls.running(), is(1));
-    assertThat(world.doors.get(1).calls.running() + world.doors.get(2).calls.running(), is(0));
+    assertThat(
+        world.gateways.get(1).calls.running() + world.gateways.get(2).calls.running(), is(0));
     runner.servers.runs.get(0).serve();
     world.timers.pass(200);
     assertThat(world.read(2, "a", 0), containsString("\"next_token\":1"));
   }
 
   @Test
-  void aKeeperThatMissedTheEndOfALotIsTold() {
+  void aStoreThatMissedTheEndOfAJobLearnsIt() {
     SimWorld world = new SimWorld(23, 2, 1_000);
     assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
     world.timers.pass(30);
-    SimJobStore stale = world.keepers.get(2);
-    world.doors.forEach(door -> world.cut(door.address, stale.address, true));
-    world.doors.get(0).servers.runs.forEach(SimServers.Run::serve);
+    SimJobStore stale = world.stores.get(2);
+    world.gateways.forEach(gateway -> world.cut(gateway.address, stale.address, true));
+    world.gateways.get(0).servers.runs.forEach(SimServers.Run::serve);
     world.timers.pass(3_000);
     assertThat(SimWorld.waiting(stale), is(20L));
     world.cut.clear();
@@ -181,30 +183,31 @@
   }
 
   @Test
-  void aLiveRunnerIsNotRobbedWhenAKeeperRestarts() {
+  void aLiveRunnerKeepsItsJobsWhenAStoreRestarts() {
     SimWorld world = new SimWorld(13, 3, 1_000);
     assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
     for (int i = 0; i < 12; i++) {
-      world.keepers.get(i % 3).restart();
+      world.stores.get(i % 3).restart();
       world.timers.pass(1_000);
     }
-    world.keepers.get(0).up = false;
+    world.stores.get(0).up = false;
     world.timers.pass(10_000);
-    assertThat(world.doors.get(0).servers.runs, hasSize(1));
+    assertThat(world.gateways.get(0).servers.runs, hasSize(1));
     assertThat(
-        world.doors.get(1).servers.runs.size() + world.doors.get(2).servers.runs.size(), is(0));
+        world.gateways.get(1).servers.runs.size() + world.gateways.get(2).servers.runs.size(),
+        is(0));
   }
 
   @Test
-  void orphansAreSpreadOverTheDoors() {
+  void abandonedJobsAreSpreadOverTheGateways() {
     SimWorld world = new SimWorld(14, 4, 0);
     for (int i = 0; i < 30; i++) {
       assertThat(world.status(world.hand(0, "lot" + i, 1, 10)), is(202));
     }
-    world.doors.get(0).up = false;
+    world.gateways.get(0).up = false;
     world.timers.pass(12_000);
-    for (int door = 1; door < 4; door++) {
-      assertThat(world.doors.get(door).servers.runs.size(), greaterThan(3));
+    for (int gateway = 1; gateway < 4; gateway++) {
+      assertThat(world.gateways.get(gateway).servers.runs.size(), greaterThan(3));
     }
   }
 
@@ -212,20 +215,20 @@
   void positionsNeverChangeUnderRandomTrouble() {
     for (int seed = 0; seed < 25; seed++) {
       SimWorld world = new SimWorld(seed, 3, 0);
-      world.doors.forEach(
-          door -> {
-            door.servers.serveMs = 300;
-            door.servers.room = 3;
+      world.gateways.forEach(
+          gateway -> {
+            gateway.servers.serveMs = 300;
+            gateway.servers.room = 3;
           });
       assertThat(world.status(world.hand(0, "a", 20, 10)), is(202));
       String before = "";
       for (int step = 0; step < 40; step++) {
         world.cut.clear();
-        world.keepers.forEach(keeper -> keeper.up = true);
-        world.keepers.get(world.chance.nextInt(3)).up = world.chance.nextBoolean();
-        SimWorld.Door cutOff = world.doors.get(world.chance.nextInt(3));
+        world.stores.forEach(store -> store.up = true);
+        world.stores.get(world.chance.nextInt(3)).up = world.chance.nextBoolean();
+        SimWorld.Gateway cutOff = world.gateways.get(world.chance.nextInt(3));
         if (step % 8 < 5) {
-          world.keepers.forEach(keeper -> world.cut(cutOff.address, keeper.address, true));
+          world.stores.forEach(store -> world.cut(cutOff.address, store.address, true));
         }
         world.timers.pass(700);
         String now = world.read(step % 3, "a", 0);
@@ -236,7 +239,7 @@
         }
       }
       world.cut.clear();
-      world.keepers.forEach(keeper -> keeper.up = true);
+      world.stores.forEach(store -> store.up = true);
       world.timers.pass(20_000);
       String end = world.read(0, "a", 0);
       assertThat("seed " + seed, end, containsString("\"next_token\":20"));
--- a/batch/src/test/java/elmsail/batch/MessageCodecTest.java
+++ b/batch/src/test/java/elmsail/batch/MessageCodecTest.java
@@ -32,20 +32,20 @@
   }
 
   @Test
-  void aLotIsReadAsItStands() {
-    List<BatchItem> pieces = read("{\"more\":[1,{}],\"pieces\":[" + PIECE + "]}");
-    assertThat(pieces, hasSize(1));
-    assertThat(pieces.get(0).envelope().get("A"), is("b c"));
-    assertThat(pieces.get(0).contents().length, is(8));
-    assertThat(pieces.get(0).tokens(), is(940L));
-    BatchItem back = JobBody.unpacked(JobBody.packed(pieces)).get(0);
+  void aJobIsReadAsItStands() {
+    List<BatchItem> batchItems = read("{\"more\":[1,{}],\"pieces\":[" + PIECE + "]}");
+    assertThat(batchItems, hasSize(1));
+    assertThat(batchItems.get(0).envelope().get("A"), is("b c"));
+    assertThat(batchItems.get(0).contents().length, is(8));
+    assertThat(batchItems.get(0).tokens(), is(940L));
+    BatchItem back = JobBody.unpacked(JobBody.packed(batchItems)).get(0);
     assertThat(back.lane(), is("/p/1"));
-    assertThat(back.envelope(), is(pieces.get(0).envelope()));
-    assertThat(Arrays.equals(back.contents(), pieces.get(0).contents()), is(true));
+    assertThat(back.envelope(), is(batchItems.get(0).envelope()));
+    assertThat(Arrays.equals(back.contents(), batchItems.get(0).contents()), is(true));
   }
 
   @Test
-  void whatIsNotALotIsNotRead() {
+  void whatIsNotAJobIsNotRead() {
     List<String> malformed =
         List.of(
             "",
--- a/batch/src/test/java/elmsail/batch/RunsTest.java
+++ b/batch/src/test/java/elmsail/batch/RunsTest.java
@@ -18,17 +18,17 @@
 class RunsTest {
   private static final String NONE = "\"next_token\":0,\"deliveries\":[]";
 
-  private static SimWorld accepted(long seed, int doors, int pieces) {
-    SimWorld world = new SimWorld(seed, doors, 1_000);
-    assertThat(world.status(world.hand(0, "a", pieces, 10)), is(202));
+  private static SimWorld accepted(long seed, int gateways, int batchItems) {
+    SimWorld world = new SimWorld(seed, gateways, 1_000);
+    assertThat(world.status(world.hand(0, "a", batchItems, 10)), is(202));
     world.timers.pass(30);
     return world;
   }
 
   @Test
-  void aWholeRunIsListedWithItsTextAtEveryDoor() {
+  void aWholeRunIsListedWithItsTextAtEveryGateway() {
     SimWorld world = accepted(1, 2, 1);
-    world.doors.get(0).servers.last().serve();
+    world.gateways.get(0).servers.last().serve();
     world.timers.pass(100);
     assertThat(
         world.read(0, "a", 0),
@@ -42,12 +42,12 @@
   @Test
   void aCutRunGoesOnBehindTheLastEvent() {
     SimWorld world = accepted(2, 1, 1);
-    world.doors.get(0).servers.last().event(0, "one");
-    world.doors.get(0).servers.last().end(Ended.BROKEN);
+    world.gateways.get(0).servers.last().event(0, "one");
+    world.gateways.get(0).servers.last().end(Ended.BROKEN);
     world.timers.pass(400);
-    assertThat(world.doors.get(0).servers.last().last, is(0L));
-    world.doors.get(0).servers.last().event(1, "two");
-    world.doors.get(0).servers.last().end(Ended.WHOLE);
+    assertThat(world.gateways.get(0).servers.last().last, is(0L));
+    world.gateways.get(0).servers.last().event(1, "two");
+    world.gateways.get(0).servers.last().end(Ended.WHOLE);
     world.timers.pass(100);
     assertThat(world.read(0, "a", 0), containsString("\"message\":\"one\\u000atwo\""));
   }
@@ -56,7 +56,7 @@
   void aGapOrARepeatSpoilsTheRunAndNothingOfItIsKept() {
     for (long wrong : new long[] {0, 2, 7}) {
       SimWorld world = accepted(3, 1, 1);
-      SimServers servers = world.doors.get(0).servers;
+      SimServers servers = world.gateways.get(0).servers;
       servers.last().event(0, "one");
       servers.last().event(wrong, "wrong");
       assertThat(servers.last().cancelled, is(true));
@@ -74,7 +74,7 @@
   void aRunThatGoesOnAtTheWrongPlaceIsNotJoined() {
     for (long wrong : new long[] {0, 1, 3}) {
       SimWorld world = accepted(4, 1, 1);
-      SimServers servers = world.doors.get(0).servers;
+      SimServers servers = world.gateways.get(0).servers;
       servers.last().event(0, "one");
       servers.last().event(1, "two");
       servers.last().end(Ended.BROKEN);
@@ -91,7 +91,7 @@
   @Test
   void aServerThatDidNotRunItCostsNoAttempt() {
     SimWorld world = accepted(5, 1, 1);
-    SimServers servers = world.doors.get(0).servers;
+    SimServers servers = world.gateways.get(0).servers;
     for (int i = 0; i < 10; i++) {
       servers.last().end(Ended.NOT_RUN);
       world.timers.pass(400);
@@ -103,7 +103,7 @@
   @Test
   void onlySoManyFailuresMakeAnItemUndeliverable() {
     SimWorld world = accepted(6, 1, 1);
-    SimServers servers = world.doors.get(0).servers;
+    SimServers servers = world.gateways.get(0).servers;
     servers.last().end(Ended.FAILED);
     world.timers.pass(400);
     assertThat(world.read(0, "a", 0), containsString(NONE));
@@ -119,7 +119,7 @@
   @Test
   void whatCanNeverBeDoneIsUndeliverableAtOnce() {
     SimWorld world = accepted(7, 1, 1);
-    world.doors.get(0).servers.last().end(Ended.NEVER);
+    world.gateways.get(0).servers.last().end(Ended.NEVER);
     world.timers.pass(100);
     assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\""));
   }
@@ -127,7 +127,7 @@
   @Test
   void anItemIsGivenUpBehindItsShelfLifeAndNotBefore() {
     SimWorld world = new SimWorld(8, 1, 1_000);
-    world.doors.get(0).servers.room = 0;
+    world.gateways.get(0).servers.room = 0;
     assertThat(world.status(world.hand(0, "a", 2, 10)), is(202));
     world.timers.pass(59_000);
     assertThat(world.read(0, "a", 0), containsString(NONE));
@@ -138,13 +138,13 @@
   @Test
   void withoutItsRouteAnItemIsUndeliverableButNotByAnOlderConfiguration() {
     SimWorld world = new SimWorld(9, 1, 1_000);
-    SimServers servers = world.doors.get(0).servers;
+    SimServers servers = world.gateways.get(0).servers;
     servers.room = 0;
     assertThat(world.status(world.hand(0, "a", 1, 10)), is(202));
-    world.doors.get(0).config = new SimConfig(1, List.of());
+    world.gateways.get(0).config = new SimConfig(1, List.of());
     world.timers.pass(1_000);
     assertThat(world.read(0, "a", 0), containsString(NONE));
-    world.doors.get(0).config = new SimConfig(2, List.of());
+    world.gateways.get(0).config = new SimConfig(2, List.of());
     world.timers.pass(1_000);
     assertThat(world.read(0, "a", 0), containsString("\"state\":\"undeliverable\""));
     assertThat(servers.runs, hasSize(0));
@@ -153,15 +153,15 @@
   @Test
   void aHeldReadIsAnsweredAsSoonAsSomethingIsListed() {
     SimWorld world = accepted(15, 1, 2);
-    CompletableFuture<Reply> held = world.doors.get(0).calls.read("a", 0, 1_000);
+    CompletableFuture<Reply> held = world.gateways.get(0).calls.read("a", 0, 1_000);
     world.timers.pass(300);
     assertThat(held.isDone(), is(false));
-    world.doors.get(0).servers.last().serve();
+    world.gateways.get(0).servers.last().serve();
     world.timers.pass(90);
     assertThat(held.isDone(), is(true));
     assertThat(
         new String(held.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
-    CompletableFuture<Reply> empty = world.doors.get(0).calls.read("a", 1, 5_000);
+    CompletableFuture<Reply> empty = world.gateways.get(0).calls.read("a", 1, 5_000);
     world.timers.pass(1_100);
     assertThat(
         new String(empty.join().body(), StandardCharsets.UTF_8),
@@ -169,37 +169,37 @@
   }
 
   @Test
-  void withoutAMajorityAReadIsUnsureAndOnlyASureDoorSaysThereIsNone() {
+  void withoutAMajorityAReadIsUnsureAndOnlyASureGatewaySaysThereIsNone() {
     SimWorld world = accepted(16, 2, 1);
     assertThat(world.read(1, "b", 0), startsWith("404"));
-    world.keepers.get(0).up = false;
-    world.keepers.get(1).up = false;
+    world.stores.get(0).up = false;
+    world.stores.get(1).up = false;
     assertThat(world.read(1, "a", 0), startsWith("503"));
     assertThat(world.read(1, "b", 0), startsWith("503"));
-    assertThat(world.status(world.doors.get(1).calls.item("b", "b-0")), is(503));
+    assertThat(world.status(world.gateways.get(1).calls.item("b", "b-0")), is(503));
   }
 
   @Test
-  void aBodyIsGivenByteForByteAtEveryDoor() {
+  void aBodyIsGivenByteForByteAtEveryGateway() {
     SimWorld world = accepted(17, 2, 3);
-    for (SimWorld.Door door : world.doors) {
-      Reply reply = world.await(door.calls.item("a", "a-2"));
+    for (SimWorld.Gateway gateway : world.gateways) {
+      Reply reply = world.await(gateway.calls.item("a", "a-2"));
       assertThat(new String(reply.body(), StandardCharsets.UTF_8), is("body a2"));
-      assertThat(world.status(door.calls.item("a", "b-2")), is(404));
+      assertThat(world.status(gateway.calls.item("a", "b-2")), is(404));
     }
-    assertThat(world.status(world.doors.get(1).calls.item("b", "b-2")), is(404));
+    assertThat(world.status(world.gateways.get(1).calls.item("b", "b-2")), is(404));
   }
 
   @Test
-  void aLongLotIsReadInPartsBelowTheLargestAnswer() {
+  void aLongJobIsReadInPartsBelowTheLargestAnswer() {
     SimWorld world = accepted(18, 1, 3);
     String big = "\"".repeat(300_000);
-    for (SimServers.Run run : List.copyOf(world.doors.get(0).servers.runs)) {
+    for (SimServers.Run run : List.copyOf(world.gateways.get(0).servers.runs)) {
       run.event(0, big);
       run.end(Ended.WHOLE);
     }
     world.timers.pass(300);
-    Reply reply = world.await(world.doors.get(0).calls.read("a", 0, 0));
+    Reply reply = world.await(world.gateways.get(0).calls.read("a", 0, 0));
     assertThat(reply.body().length, lessThanOrEqualTo(1 << 20));
     assertThat(
         new String(reply.body(), StandardCharsets.UTF_8), not(containsString("\"next_token\":3")));
--- a/batch/src/test/java/elmsail/batch/SimJobStore.java
+++ b/batch/src/test/java/elmsail/batch/SimJobStore.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 
 /**
- * A voter with the views of a jobs' keeper; what is in it outlives {@code restart}, but for the
+ * A voter with the views of a jobs' store; what is in it outlives {@code restart}, but for the
  * views.
  */
 final class SimJobStore {
--- a/batch/src/test/java/elmsail/batch/SimRegister.java
+++ b/batch/src/test/java/elmsail/batch/SimRegister.java
@@ -17,13 +17,13 @@
  */
 final class SimRegister implements Register {
   private final SimWorld world;
-  private final String door;
+  private final String gateway;
   private final long who;
   private long round;
 
-  SimRegister(SimWorld world, String door, long who) {
+  SimRegister(SimWorld world, String gateway, long who) {
     this.world = world;
-    this.door = door;
+    this.gateway = gateway;
     this.who = who;
   }
 
@@ -62,10 +62,10 @@
       ballot.who = who;
       List<SimJobStore.Told> promises = new ArrayList<>();
       boolean[] over = new boolean[1];
-      for (SimJobStore keeper : world.keepers) {
+      for (SimJobStore store : world.stores) {
         send(
-            keeper,
-            () -> keeper.prepare(key, ballot, blobs, note),
+            store,
+            () -> store.prepare(key, ballot, blobs, note),
             response -> {
               round = Math.max(round, response.promised().round);
               if (!response.done() && !over[0]) {
@@ -113,16 +113,16 @@
     void accept(Ballot ballot, byte[] value, List<Blob> with, boolean changed) {
       sent = true;
       int[] counts = new int[2];
-      for (SimJobStore keeper : world.keepers) {
+      for (SimJobStore store : world.stores) {
         send(
-            keeper,
-            () -> keeper.accept(key, ballot, value, with),
+            store,
+            () -> store.accept(key, ballot, value, with),
             response -> {
               round = Math.max(round, response.promised().round);
               if (response.done() && ++counts[0] == world.majority()) {
                 held.complete(new Held(new Versioned(ballot, value), changed));
               } else if (!response.done()
-                  && ++counts[1] == world.keepers.size() - world.majority() + 1) {
+                  && ++counts[1] == world.stores.size() - world.majority() + 1) {
                 again();
               }
             });
@@ -131,13 +131,13 @@
   }
 
   private <T> void send(
-      SimJobStore keeper, java.util.function.Supplier<T> handle, Consumer<T> heard) {
+      SimJobStore store, java.util.function.Supplier<T> handle, Consumer<T> heard) {
     world.carry(
-        door,
-        keeper.address,
+        gateway,
+        store.address,
         () -> {
           T response = handle.get();
-          world.carry(keeper.address, door, () -> heard.accept(response));
+          world.carry(store.address, gateway, () -> heard.accept(response));
         });
   }
 
@@ -175,11 +175,11 @@
         timeoutMs,
         () -> blob.completeExceptionally(new ElmsailException(ErrorCode.NOT_REACHED, name)));
     int[] none = new int[1];
-    for (SimJobStore keeper : world.keepers) {
+    for (SimJobStore store : world.stores) {
       send(
-          keeper,
+          store,
           () -> {
-            SimJobStore.Cell cell = keeper.cells.get(key);
+            SimJobStore.Cell cell = store.cells.get(key);
             byte[] bytes = cell == null ? null : cell.blobs.get(name);
             return java.util.Optional.ofNullable(bytes);
           },
--- a/batch/src/test/java/elmsail/batch/SimServers.java
+++ b/batch/src/test/java/elmsail/batch/SimServers.java
@@ -13,15 +13,15 @@
 
   /** One start. */
   final class Run implements Running {
-    final BatchItem piece;
+    final BatchItem batchItem;
     final long last;
     final RunListener heard;
     final long at;
     boolean over;
     boolean cancelled;
 
-    Run(BatchItem piece, long last, RunListener heard, long at) {
-      this.piece = piece;
+    Run(BatchItem batchItem, long last, RunListener heard, long at) {
+      this.batchItem = batchItem;
       this.last = last;
       this.heard = heard;
       this.at = at;
@@ -37,7 +37,7 @@
       if (!cancelled && !over) {
         over = true;
         if (how == Ended.WHOLE) {
-          served.add(piece.id());
+          served.add(batchItem.id());
         }
         heard.ended(how);
       }
@@ -46,7 +46,7 @@
     /** The whole output: two events, by the item's id. */
     void serve() {
       for (long id = last + 1; id < 2; id++) {
-        event(id, piece.id() + "/" + id);
+        event(id, batchItem.id() + "/" + id);
       }
       end(Ended.WHOLE);
     }
@@ -85,11 +85,11 @@
   }
 
   @Override
-  public Running start(Route route, BatchItem piece, long lastEventId, RunListener heard) {
+  public Running start(Route route, BatchItem batchItem, long lastEventId, RunListener heard) {
     if (room(route) <= 0) {
       return null;
     }
-    Run run = new Run(piece, lastEventId, heard, timers.now());
+    Run run = new Run(batchItem, lastEventId, heard, timers.now());
     runs.add(run);
     if (serveMs >= 0) {
       timers.after(serveMs, run::serve);
--- a/batch/src/test/java/elmsail/batch/SimWorld.java
+++ b/batch/src/test/java/elmsail/batch/SimWorld.java
@@ -26,28 +26,28 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-/** Doors, keepers and the links between them, all moved by one hand clock and one seed. */
+/** Doors, stores and the links between them, all moved by one hand clock and one seed. */
 final class SimWorld {
   static final long STATUS_MS = 120_000;
   static final String HOST = "h.example";
 
   /** A gateway with its servers; a killed one hears and says nothing more. */
-  static final class Door {
+  static final class Gateway {
     final String address;
     BatchApi calls;
     SimServers servers;
     SimConfig config;
     boolean up = true;
 
-    Door(String address) {
+    Gateway(String address) {
       this.address = address;
     }
   }
 
   final ManualTimers timers = new ManualTimers();
   final Random chance;
-  final List<SimJobStore> keepers = new ArrayList<>();
-  final List<Door> doors = new ArrayList<>();
+  final List<SimJobStore> stores = new ArrayList<>();
+  final List<Gateway> gateways = new ArrayList<>();
   final ClusterView view = new ClusterView();
 
   /** Links that are cut: "from>to". */
@@ -62,17 +62,17 @@
     chance = new Random(seed);
     config = new SimConfig(1, List.of(route(mostWaiting)));
     for (int i = 0; i < 3; i++) {
-      SimJobStore keeper = new SimJobStore("10.0.1." + i + ":7000", this);
-      keepers.add(keeper);
+      SimJobStore store = new SimJobStore("10.0.1." + i + ":7000", this);
+      stores.add(store);
       Voter slot = new Voter();
-      slot.address = keeper.address;
+      slot.address = store.address;
       view.storeSet.voters.add(slot);
     }
     for (int i = 0; i < doorCount; i++) {
       view.gateways.add("10.0.2." + i + ":7000");
     }
     for (int i = 0; i < doorCount; i++) {
-      doors.add(open(new Door(view.gateways.get(i)), i));
+      gateways.add(open(new Gateway(view.gateways.get(i)), i));
     }
   }
 
@@ -98,12 +98,12 @@
     return config.named("r-lots");
   }
 
-  private Door open(Door door, int number) {
+  private Gateway open(Gateway gateway, int number) {
     ClusterState known =
         new ClusterState() {
           @Override
           public RoutingConfig config() {
-            return door.config;
+            return gateway.config;
           }
 
           @Override
@@ -124,32 +124,32 @@
           @Override
           public void whenChanged(Runnable then) {}
         };
-    door.config = config;
-    door.servers = new SimServers(timers);
-    Timers own = own(door);
-    door.calls =
+    gateway.config = config;
+    gateway.servers = new SimServers(timers);
+    Timers own = own(gateway);
+    gateway.calls =
         new BatchApi(
-            new SimRegister(this, door.address, number + 1),
-            caller(door.address),
+            new SimRegister(this, gateway.address, number + 1),
+            caller(gateway.address),
             own,
             known,
-            door.address,
+            gateway.address,
             chance.nextLong(),
             3_000);
-    door.calls.setServers(door.servers);
-    door.calls.start();
-    return door;
+    gateway.calls.setServers(gateway.servers);
+    gateway.calls.start();
+    return gateway;
   }
 
   /** Timers that go off only while the gateway is up. */
-  private Timers own(Door door) {
+  private Timers own(Gateway gateway) {
     return new Timers() {
       @Override
       public Timer after(long ms, Runnable then) {
         return timers.after(
             ms,
             () -> {
-              if (door.up) {
+              if (gateway.up) {
                 then.run();
               }
             });
@@ -168,18 +168,18 @@
   }
 
   int majority() {
-    return keepers.size() / 2 + 1;
+    return stores.size() / 2 + 1;
   }
 
   private boolean up(String address) {
-    for (SimJobStore keeper : keepers) {
-      if (keeper.address.equals(address)) {
-        return keeper.up;
+    for (SimJobStore store : stores) {
+      if (store.address.equals(address)) {
+        return store.up;
       }
     }
-    for (Door door : doors) {
-      if (door.address.equals(address)) {
-        return door.up;
+    for (Gateway gateway : gateways) {
+      if (gateway.address.equals(address)) {
+        return gateway.up;
       }
     }
     return false;
@@ -211,14 +211,14 @@
   }
 
   private CompletionStage<OpaqueMessage> answer(String peer, OpaqueMessage request) {
-    for (SimJobStore keeper : keepers) {
-      if (keeper.address.equals(peer)) {
-        return keeper.views.answer(request);
+    for (SimJobStore store : stores) {
+      if (store.address.equals(peer)) {
+        return store.views.answer(request);
       }
     }
-    for (Door door : doors) {
-      if (door.address.equals(peer)) {
-        return door.calls.answer(request);
+    for (Gateway gateway : gateways) {
+      if (gateway.address.equals(peer)) {
+        return gateway.calls.answer(request);
       }
     }
     return CompletableFuture.failedFuture(new ElmsailException(ErrorCode.UNSENT, peer));
@@ -255,10 +255,10 @@
     };
   }
 
-  /** The JSON of a job whose pieces have the ids LOT-0, LOT-1 and so on. */
-  static byte[] job(String id, int pieces, long tokens) {
+  /** The JSON of a job whose batchItems have the ids LOT-0, LOT-1 and so on. */
+  static byte[] job(String id, int batchItems, long tokens) {
     StringBuilder json = new StringBuilder("{\"pieces\":[");
-    for (int i = 0; i < pieces; i++) {
+    for (int i = 0; i < batchItems; i++) {
       json.append(i == 0 ? "" : ",")
           .append("{\"id\":\"")
           .append(id)
@@ -278,8 +278,8 @@
     return json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
   }
 
-  CompletableFuture<BatchCalls.Reply> hand(int door, String id, int pieces, long tokens) {
-    return doors.get(door).calls.submit(route(), id, job(id, pieces, tokens), 3_000);
+  CompletableFuture<BatchCalls.Reply> hand(int gateway, String id, int batchItems, long tokens) {
+    return gateways.get(gateway).calls.submit(route(), id, job(id, batchItems, tokens), 3_000);
   }
 
   /** Moves the clock until the reply is there, for 10 s at most. */
@@ -290,20 +290,20 @@
     return reply.join();
   }
 
-  /** The tokens that wait on the jobs' route by this keeper's count. */
-  static long waiting(SimJobStore keeper) {
+  /** The tokens that wait on the jobs' route by this store's count. */
+  static long waiting(SimJobStore store) {
     TokenCount count = new TokenCount();
     count.putAll(
         List.of(
-            keeper.views.noted("lot/probe", new TokenCount.Add("r-lots", "probe", 0, 1).packed())));
+            store.views.noted("lot/probe", new TokenCount.Add("r-lots", "probe", 0, 1).packed())));
     return count.without("probe");
   }
 
-  /** How many keepers have the blob. */
+  /** How many stores have the blob. */
   int having(String key, String blob) {
     int having = 0;
-    for (SimJobStore keeper : keepers) {
-      SimJobStore.Cell cell = keeper.cells.get(key);
+    for (SimJobStore store : stores) {
+      SimJobStore.Cell cell = store.cells.get(key);
       having += cell != null && cell.blobs.containsKey(blob) ? 1 : 0;
     }
     return having;
@@ -313,8 +313,8 @@
     return await(reply).status();
   }
 
-  String read(int door, String id, long after) {
-    BatchCalls.Reply reply = await(doors.get(door).calls.read(id, after, 0));
+  String read(int gateway, String id, long after) {
+    BatchCalls.Reply reply = await(gateways.get(gateway).calls.read(id, after, 0));
     return reply.status() + " " + new String(reply.body(), StandardCharsets.UTF_8);
   }
 }
--- a/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
+++ b/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
@@ -20,19 +20,19 @@
 
   private static int runsOf(SimWorld world, String job) {
     int runs = 0;
-    for (SimWorld.Door door : world.doors) {
-      for (SimServers.Run run : door.servers.runs) {
-        runs += run.piece.id().startsWith(job + "-") ? 1 : 0;
+    for (SimWorld.Gateway gateway : world.gateways) {
+      for (SimServers.Run run : gateway.servers.runs) {
+        runs += run.batchItem.id().startsWith(job + "-") ? 1 : 0;
       }
     }
     return runs;
   }
 
   @Test
-  void aLotIsAcceptedOnceFromTwoDoorsAtOnce() {
+  void aJobIsAcceptedOnceFromTwoGatewaysAtOnce() {
     for (int seed = 0; seed < 40; seed++) {
       SimWorld world = new SimWorld(seed, 2, 100);
-      world.doors.forEach(door -> door.servers.serveMs = 30);
+      world.gateways.forEach(gateway -> gateway.servers.serveMs = 30);
       CompletableFuture<Reply> one = world.hand(0, "a", 3, 20);
       CompletableFuture<Reply> other = world.hand(1, "a", 3, 20);
       assertThat(world.status(one), is(202));
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void aLotSentAgainIsAcceptedAgainAndCountedOnce() {
+  void aJobSentAgainIsAcceptedAgainAndCountedOnce() {
     SimWorld world = new SimWorld(1, 3, 100);
     assertThat(world.status(world.hand(0, "a", 6, 10)), is(202));
     assertThat(world.status(world.hand(1, "a", 6, 10)), is(202));
@@ -54,9 +54,9 @@
   }
 
   @Test
-  void beyondTheLimitALotIsRefusedAndNeverRuns() {
+  void beyondTheLimitAJobIsRefusedAndNeverRuns() {
     SimWorld world = new SimWorld(2, 2, 100);
-    world.doors.forEach(door -> door.servers.serveMs = 400);
+    world.gateways.forEach(gateway -> gateway.servers.serveMs = 400);
     assertThat(world.status(world.hand(0, "a", 8, 10)), is(202));
     Reply refused = world.await(world.hand(1, "b", 3, 10));
     assertThat(refused.status(), is(429));
@@ -80,7 +80,7 @@
     assertThat(world.status(world.hand(1, "b", 5, 10)), is(429));
     world.timers.pass(50);
     for (int i = 0; i < 5; i++) {
-      world.doors.get(0).servers.runs.get(i).serve();
+      world.gateways.get(0).servers.runs.get(i).serve();
     }
     world.timers.pass(200);
     assertThat(world.status(world.hand(1, "b", 5, 10)), is(202));
@@ -88,24 +88,24 @@
   }
 
   @Test
-  void theCountFallsAsALotIsEnded() {
+  void theCountFallsAsAJobIsEnded() {
     SimWorld world = new SimWorld(5, 2, 100);
     assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
     assertThat(world.status(world.hand(1, "b", 5, 10)), is(429));
-    assertThat(world.status(world.doors.get(1).calls.end("a")), is(200));
+    assertThat(world.status(world.gateways.get(1).calls.end("a")), is(200));
     assertThat(world.status(world.hand(1, "b", 10, 10)), is(202));
   }
 
   @Test
-  void threeLotsWhichEachMissAnotherDoNotPassTheLimitTogether() {
+  void threeJobsWhichEachMissAnotherDoNotPassTheLimitTogether() {
     int refused = 0;
     for (int seed = 0; seed < 200; seed++) {
       SimWorld world = new SimWorld(seed, 3, 100);
       for (int i = 0; i < 3; i++) {
-        String door = world.doors.get(i).address;
-        world.delays.put(door + ">" + world.keepers.get(i).address, 2L);
-        world.delays.put(door + ">" + world.keepers.get((i + 1) % 3).address, 4L);
-        world.delays.put(door + ">" + world.keepers.get((i + 2) % 3).address, 60L);
+        String gateway = world.gateways.get(i).address;
+        world.delays.put(gateway + ">" + world.stores.get(i).address, 2L);
+        world.delays.put(gateway + ">" + world.stores.get((i + 1) % 3).address, 4L);
+        world.delays.put(gateway + ">" + world.stores.get((i + 2) % 3).address, 60L);
       }
       List<CompletableFuture<Reply>> replies = new ArrayList<>();
       for (int i = 0; i < 3; i++) {
@@ -125,7 +125,7 @@
   }
 
   @Test
-  void manyDoorsAtOnceStayWithinTheLimitAndItsSlack() {
+  void manyGatewaysAtOnceStayWithinTheLimitAndItsSlack() {
     for (int seed = 0; seed < 60; seed++) {
       SimWorld world = new SimWorld(seed, 6, 1_000);
       List<CompletableFuture<Reply>> replies = new ArrayList<>();
@@ -146,24 +146,24 @@
   }
 
   @Test
-  void aKeeperThatComesBackCountsWhatItHas() {
+  void aStoreThatComesBackCountsWhatItHas() {
     SimWorld world = new SimWorld(6, 2, 100);
     assertThat(world.status(world.hand(0, "a", 8, 10)), is(202));
-    world.keepers.get(0).restart();
-    world.keepers.get(1).up = false;
+    world.stores.get(0).restart();
+    world.stores.get(1).up = false;
     assertThat(world.status(world.hand(1, "b", 3, 10)), is(429));
   }
 
   @Test
-  void withoutAMajorityALotIsRefusedWithAPromiseThatHolds() {
+  void withoutAMajorityAJobIsRefusedWithAPromiseThatHolds() {
     SimWorld world = new SimWorld(7, 2, 100);
-    world.keepers.get(0).up = false;
-    world.keepers.get(1).up = false;
+    world.stores.get(0).up = false;
+    world.stores.get(1).up = false;
     Reply refused = world.await(world.hand(0, "a", 3, 10));
     assertThat(refused.status(), is(503));
     assertThat(refused.retryAfterS(), greaterThan(0.0));
-    world.keepers.get(0).up = true;
-    world.keepers.get(1).up = true;
+    world.stores.get(0).up = true;
+    world.stores.get(1).up = true;
     world.timers.pass(20_000);
     assertThat(runsOf(world, "a"), is(0));
     assertThat(world.read(1, "a", 0), containsString("404"));
@@ -176,8 +176,8 @@
       SimWorld world = new SimWorld(seed, 2, seed % 2 == 0 ? 0 : 100);
       CompletableFuture<Reply> reply = world.hand(0, "a", 3, 10);
       world.timers.pass(2 + seed % 25);
-      String door = world.doors.get(0).address;
-      world.keepers.forEach(keeper -> world.cut.add(keeper.address + ">" + door));
+      String gateway = world.gateways.get(0).address;
+      world.stores.forEach(store -> world.cut.add(store.address + ">" + gateway));
       int status = world.status(reply);
       world.cut.clear();
       world.timers.pass(8_000);
@@ -193,13 +193,13 @@
   }
 
   @Test
-  void ofALotThatIsRefusedEverywhereNothingRunsLater() {
+  void ofAJobThatIsRefusedEverywhereNothingRunsLater() {
     for (int seed = 0; seed < 60; seed++) {
       SimWorld world = new SimWorld(seed, 3, 100);
       assertThat(world.status(world.hand(0, "a", 9, 10)), is(202));
       List<CompletableFuture<Reply>> tries = new ArrayList<>();
-      for (int door = 0; door < 3; door++) {
-        tries.add(world.hand(door, "b", 2, 10));
+      for (int gateway = 0; gateway < 3; gateway++) {
+        tries.add(world.hand(gateway, "b", 2, 10));
       }
       List<Integer> statuses = new ArrayList<>();
       tries.forEach(one -> statuses.add(world.status(one)));
@@ -210,15 +210,15 @@
   }
 
   @Test
-  void whereALotOrAListingIsTakenItsBytesAreAtAMajorityBefore() {
+  void whereAJobOrAListingIsTakenItsBytesAreAtAMajorityBefore() {
     for (int seed = 0; seed < 120; seed++) {
       SimWorld world = new SimWorld(seed, 2, seed % 2 == 0 ? 0 : 100);
-      world.doors.get(0).servers.serveMs = 5;
+      world.gateways.get(0).servers.serveMs = 5;
       world.hand(0, "a", 3, 10);
       for (int ms = 0; ms < 200; ms++) {
         world.timers.pass(1);
-        for (SimJobStore keeper : world.keepers) {
-          SimJobStore.Cell cell = keeper.cells.get("lot/a");
+        for (SimJobStore store : world.stores) {
+          SimJobStore.Cell cell = store.cells.get("lot/a");
           if (cell != null && cell.value != null) {
             JobRecord record = JobRecord.unpacked(cell.value);
             assertThat(
@@ -235,17 +235,17 @@
   }
 
   @Test
-  void aDoorThatIsCutOffRefuses() {
+  void aGatewayThatIsCutOffRefuses() {
     SimWorld world = new SimWorld(8, 2, 100);
-    world.keepers.forEach(keeper -> world.cut(world.doors.get(0).address, keeper.address, true));
+    world.stores.forEach(store -> world.cut(world.gateways.get(0).address, store.address, true));
     assertThat(world.status(world.hand(0, "a", 1, 1)), is(503));
     assertThat(world.status(world.hand(1, "a", 1, 1)), is(202));
   }
 
   @Test
-  void malformedLotsAreRefusedForGood() {
+  void malformedJobsAreRefusedForGood() {
     SimWorld world = new SimWorld(9, 1, 100);
-    BatchCalls calls = world.doors.get(0).calls;
+    BatchCalls calls = world.gateways.get(0).calls;
     assertThat(world.status(calls.submit(world.route(), "a", "{".getBytes(), 1_000)), is(400));
     byte[] elsewhere = new String(SimWorld.job("a", 1, 1)).replace("/lots1/", "/other/").getBytes();
     assertThat(world.status(calls.submit(world.route(), "a", elsewhere, 1_000)), is(400));
@@ -253,13 +253,13 @@
         world.status(calls.submit(world.route(), "a", SimWorld.job("a", 201, 1), 1_000)), is(400));
     assertThat(
         world.status(calls.submit(world.route(), "a/b", SimWorld.job("a", 1, 1), 1_000)), is(400));
-    assertThat(world.doors.get(0).servers.runs, is(empty()));
+    assertThat(world.gateways.get(0).servers.runs, is(empty()));
   }
 
   @Test
   void theLimitIsThatOfTheNewestConfiguration() {
     SimWorld world = new SimWorld(10, 2, 100);
-    world.doors.get(1).config = new SimConfig(2, List.of(SimWorld.route(200)));
+    world.gateways.get(1).config = new SimConfig(2, List.of(SimWorld.route(200)));
     assertThat(world.status(world.hand(0, "a", 10, 10)), is(202));
     assertThat(world.status(world.hand(0, "b", 1, 10)), is(429));
     assertThat(world.status(world.hand(1, "b", 1, 10)), is(202));
--- a/config/src/main/java/elmsail/config/ClusterState.java
+++ b/config/src/main/java/elmsail/config/ClusterState.java
@@ -9,8 +9,8 @@
  */
 public interface ClusterState {
   /**
-   * The newest configuration that this life has seen, or null before the first: never an older one
-   * again.
+   * The newest configuration that this process has seen, or null before the first: never an older
+   * one again.
    */
   RoutingConfig config();
 
--- a/config/src/main/java/elmsail/config/PlatformClient.java
+++ b/config/src/main/java/elmsail/config/PlatformClient.java
@@ -17,7 +17,7 @@
   private static final int MOST_PAGES = 500;
   private static final long PAGE_MS = 700;
 
-  private final HttpClient asker;
+  private final HttpClient client;
   private final String address;
   private final Timers timers;
   private CompletableFuture<List<ServerEntry>> running;
@@ -28,8 +28,8 @@
   private int lastPages = 1;
 
   /** {@code address}: the platform's "ip:port". */
-  public PlatformClient(HttpClient asker, String address, Timers timers) {
-    this.asker = asker;
+  public PlatformClient(HttpClient client, String address, Timers timers) {
+    this.client = client;
     this.address = address;
     this.timers = timers;
   }
@@ -37,7 +37,7 @@
   /**
    * All servers, each id once, in the order of their ids. While one fetch runs, others join it.
    * Fails with FULL if the platform has had too many calls (429), GARBLED on any other answer but a
-   * whole page, or on more than 500 pages, and as the asker does.
+   * whole page, or on more than 500 pages, and as the client does.
    */
   public CompletableFuture<List<ServerEntry>> fetch() {
     if (running != null) {
@@ -68,10 +68,10 @@
         token == null
             ? "/servers"
             : "/servers?page_token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
-    asker.get(address, path, PAGE_MS).whenComplete(this::heard);
+    client.get(address, path, PAGE_MS).whenComplete(this::answered);
   }
 
-  private void heard(HttpReply reply, Throwable thrown) {
+  private void answered(HttpReply reply, Throwable thrown) {
     ServerList.Page page = null;
     Throwable fault = thrown;
     if (fault == null) {
--- a/config/src/main/java/elmsail/config/RoutingConfigReader.java
+++ b/config/src/main/java/elmsail/config/RoutingConfigReader.java
@@ -13,7 +13,7 @@
  * known are passed over.
  */
 public final class RoutingConfigReader {
-  /** What holds where {@code limits} are not told: as the protocol's example has them. */
+  /** What holds where {@code limits} are not given: as the protocol's example has them. */
   private static final RoutingConfig.ClientLimits USUAL =
       new RoutingConfig.ClientLimits(16_384, 4_194_304, 3_000, 15_000);
 
@@ -154,19 +154,19 @@
     if (!root.has("limits")) {
       return USUAL;
     }
-    Fields response = root.inner("limits");
+    Fields given = root.inner("limits");
     return new RoutingConfig.ClientLimits(
-        above(response.countOr("envelope_bytes", 0), USUAL.headBytes()),
-        above(response.countOr("parcel_bytes", 0), USUAL.bodyBytes()),
-        above(response.amountOr("envelope_ms", 0), USUAL.headMs()),
-        above(response.amountOr("idle_ms", 0), USUAL.idleMs()));
+        above(given.countOr("envelope_bytes", 0), USUAL.headBytes()),
+        above(given.countOr("parcel_bytes", 0), USUAL.bodyBytes()),
+        above(given.amountOr("envelope_ms", 0), USUAL.headMs()),
+        above(given.amountOr("idle_ms", 0), USUAL.idleMs()));
   }
 
-  private static int above(int response, int usual) {
-    return response > 0 ? response : usual;
+  private static int above(int given, int usual) {
+    return given > 0 ? given : usual;
   }
 
-  private static long above(long response, long usual) {
-    return response > 0 ? response : usual;
+  private static long above(long given, long usual) {
+    return given > 0 ? given : usual;
   }
 }
--- a/config/src/main/java/elmsail/config/watch/UpdateSources.java
+++ b/config/src/main/java/elmsail/config/watch/UpdateSources.java
@@ -99,9 +99,9 @@
   }
 
   /**
-   * HandlerTable at once if something is newer than the asker has, else when something is or the
-   * wait is over (10 s at most). An asker's second ask ends its first. With 2,000 held, more are
-   * answered at once.
+   * Answers at once if something is newer than the asker has, else when something is or the wait is
+   * over (10 s at most). An asker's second ask ends its first. With 2,000 held, more are answered
+   * at once.
    */
   public CompletableFuture<PullResponse> request(PullRequest request) {
     String who = who(request);
--- a/consensus/src/main/java/elmsail/consensus/DurableRecords.java
+++ b/consensus/src/main/java/elmsail/consensus/DurableRecords.java
@@ -87,7 +87,7 @@
   }
 
   /**
-   * HandlerTable once the changes, and all before them, are safe; never if one of those failed
+   * Answers once the changes, and all before them, are safe; never if one of those failed
    * meanwhile.
    */
   <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
--- a/consensus/src/main/java/elmsail/consensus/QuorumOperation.java
+++ b/consensus/src/main/java/elmsail/consensus/QuorumOperation.java
@@ -15,7 +15,7 @@
   private Timers.Timer overdue;
   private int tries;
 
-  /** HandlerTable to earlier attempts carry an earlier number, and are passed over. */
+  /** Answers to earlier attempts carry an earlier number, and are passed over. */
   private int attempt;
 
   QuorumOperation(RegisterClient client, String key, long timeoutMs) {
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -4,8 +4,8 @@
 import elmsail.rpc.messages.VoterSet;
 
 /**
- * VoterSetSource compared and merged: in each voter slot the higher epoch is right, the first of
- * two equals.
+ * Voter sets compared and merged: in each voter slot the higher epoch is right, the first of two
+ * equals.
  */
 public final class VoterSets {
   private VoterSets() {}
--- a/controlplane/src/main/java/elmsail/controlplane/Replies.java
+++ b/controlplane/src/main/java/elmsail/controlplane/Replies.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-/** HandlerTable to operators. */
+/** Answers to operators. */
 final class Replies {
   private static final Map<String, String> JSON = Map.of("content-type", "application/json");
 
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -66,7 +66,7 @@
     this.who = who;
   }
 
-  /** HandlerTable the askers of the lease, while this process votes. */
+  /** Answers the requests for the lease, while this process votes. */
   static void vote(
       RequestHandlers answering, Timers timers, LeaseVoter voter, BooleanSupplier voting) {
     answering.on(
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientConnection.java
@@ -97,7 +97,7 @@
     ctx.fireChannelActive();
   }
 
-  /** ProcessSignals the connection of a client that is too slow, or sends nothing for long. */
+  /** Ends the connection of a client that is too slow, or sends nothing for long. */
   private void look() {
     if (closing) {
       return;
@@ -266,8 +266,7 @@
   }
 
   /**
-   * HandlerTable what is no request that can be taken; it has not been read whole, so it has not
-   * run.
+   * Answers what is no request that can be taken; it has not been read whole, so it has not run.
    */
   private void refuse(int status) {
     ClientResponse one = new ClientResponse(this, front, channel, false, true, false);
@@ -289,7 +288,7 @@
     }
   }
 
-  /** ProcessSignals it if no request is on it, nor a part of one. */
+  /** Ends it if no request is on it, nor a part of one. */
   void closeIfIdle() {
     if (answer == null && !decoder.inside()) {
       close();
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
@@ -179,7 +179,7 @@
     }
   }
 
-  /** ProcessSignals what is left. */
+  /** Ends what is left. */
   public void closeAll() {
     for (ClientConnection c : new ArrayList<>(open)) {
       c.close();
--- a/gateway/src/main/java/elmsail/gateway/requests/Replies.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Replies.java
@@ -7,7 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.random.RandomGenerator;
 
-/** HandlerTable of our own. */
+/** Answers of our own. */
 public final class Replies {
   private static final double LEAST_RETRY_S = 0.05;
   private static final double SPREAD_S = 0.15;
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
@@ -25,7 +25,7 @@
   /** Its proper end. */
   void end();
 
-  /** ProcessSignals the connection so that no answer, or the begun one, can look complete. */
+  /** Ends the connection so that no answer, or the begun one, can look complete. */
   void breakOff();
 
   /**
--- a/gateway/src/main/java/elmsail/gateway/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -25,8 +25,7 @@
   static final long DARK_MS = 800;
 
   /**
-   * HandlerTable that break off one after the other before the server is avoided: single ones
-   * happen.
+   * Answers that break off one after the other before the server is avoided: single ones happen.
    */
   private static final int BREAKS = 2;
 
--- a/gateway/src/test/java/elmsail/gateway/Rig.java
+++ b/gateway/src/test/java/elmsail/gateway/Rig.java
@@ -27,7 +27,7 @@
   public final Gateway gateway;
   private final List<Wire> clients = new ArrayList<>();
 
-  /** HandlerTable calls about jobs with what the test has set. */
+  /** Answers calls about jobs with what the test has set. */
   public static final class FakeLots implements BatchCalls {
     public volatile Reply reply = new Reply(202, new byte[0], 0);
     public volatile String asked = "";
--- a/gateway/src/test/java/elmsail/gateway/Wire.java
+++ b/gateway/src/test/java/elmsail/gateway/Wire.java
@@ -206,7 +206,7 @@
     }
   }
 
-  /** ProcessSignals it by a reset. */
+  /** Ends it by a reset. */
   public void reset() {
     try {
       socket.setSoLinger(true, 0);
--- a/rpc/src/main/java/elmsail/rpc/RpcCounters.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcCounters.java
@@ -13,10 +13,10 @@
   public long silent;
   public long full;
 
-  /** HandlerTable to calls that had already failed. */
+  /** Answers to calls that had already failed. */
   public long late;
 
-  /** HandlerTable that were ready after their link had closed. */
+  /** Answers that were ready after their connection had closed. */
   public long unheard;
 
   /** Links closed for a frame that was none. */
--- a/runtime/src/main/java/elmsail/runtime/Counters.java
+++ b/runtime/src/main/java/elmsail/runtime/Counters.java
@@ -6,8 +6,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * IndexEntry counters, used on the loop alone. Those that changed are logged in one line every 10
- * s, with their values. Names are few and fixed: never made of what others send.
+ * Named counters, used on the loop alone. Those that changed are logged in one line every 10 s,
+ * with their values. Names are few and fixed: never made of what others send.
  */
 public final class Counters {
 
@@ -15,11 +15,11 @@
   private static final long EVERY_MS = 10_000;
 
   /** One number: hold on to it where it is counted often. */
-  public static final class GatewayProcess {
+  public static final class Counter {
     private long value;
-    private long response;
+    private long logged;
 
-    private GatewayProcess() {}
+    private Counter() {}
 
     /** Adds to the value; {@code more} may be negative. */
     public void add(long more) {
@@ -38,19 +38,19 @@
   }
 
   private final Timers timers;
-  private final Map<String, GatewayProcess> counters = new LinkedHashMap<>();
+  private final Map<String, Counter> counters = new LinkedHashMap<>();
 
   /** Counters without names yet; the first line is logged 10 s from now on these timers. */
   public Counters(Timers timers) {
     this.timers = timers;
-    timers.after(EVERY_MS, this::tell);
+    timers.after(EVERY_MS, this::log);
   }
 
   /** The counter of that name, made at 0 where there is none. */
-  public GatewayProcess of(String name) {
-    GatewayProcess counter = counters.get(name);
+  public Counter of(String name) {
+    Counter counter = counters.get(name);
     if (counter == null) {
-      counter = new GatewayProcess();
+      counter = new Counter();
       counters.put(name, counter);
     }
     return counter;
@@ -61,8 +61,8 @@
     of(name).add(1);
   }
 
-  private void tell() {
-    timers.after(EVERY_MS, this::tell);
+  private void log() {
+    timers.after(EVERY_MS, this::log);
     String line = changed();
     if (line != null) {
       LOG.info(line);
@@ -72,10 +72,10 @@
   /** {@code name=value} of those changed since it was last asked, with spaces; null if none is. */
   String changed() {
     StringBuilder line = null;
-    for (Map.Entry<String, GatewayProcess> entry : counters.entrySet()) {
-      GatewayProcess counter = entry.getValue();
-      if (counter.value != counter.response) {
-        counter.response = counter.value;
+    for (Map.Entry<String, Counter> entry : counters.entrySet()) {
+      Counter counter = entry.getValue();
+      if (counter.value != counter.logged) {
+        counter.logged = counter.value;
         line = line == null ? new StringBuilder() : line.append(' ');
         line.append(entry.getKey()).append('=').append(counter.value);
       }
--- a/runtime/src/main/java/elmsail/runtime/NettyLoop.java
+++ b/runtime/src/main/java/elmsail/runtime/NettyLoop.java
@@ -71,7 +71,7 @@
     }
   }
 
-  /** ProcessSignals the loop: nothing set or sent afterwards is run. */
+  /** Ends the loop: nothing set or sent afterwards is run. */
   public Future<?> stop() {
     return group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
--- a/runtime/src/main/java/elmsail/runtime/Signals.java
+++ b/runtime/src/main/java/elmsail/runtime/Signals.java
@@ -16,7 +16,7 @@
    * Runs the action, on a thread of the runtime's, at each such signal from now on.
    *
    * @param name without "SIG"
-   * @throws ElmsailException FAULT if this runtime does not tell of it
+   * @throws ElmsailException FAULT if this runtime does not report it
    */
   static void handle(String name, Runnable action) {
     try {
@@ -30,7 +30,7 @@
           .getMethod("handle", signal, handler)
           .invoke(null, signal.getConstructor(String.class).newInstance(name), run);
     } catch (ReflectiveOperationException e) {
-      throw new ElmsailException(ErrorCode.FAULT, "this runtime does not tell of SIG" + name, e);
+      throw new ElmsailException(ErrorCode.FAULT, "this runtime does not report SIG" + name, e);
     }
   }
 
--- a/runtime/src/main/java/elmsail/runtime/http/HttpServerConnection.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpServerConnection.java
@@ -245,7 +245,7 @@
     }
   }
 
-  /** HandlerTable what is no call, and closes: nothing behind it can be told apart. */
+  /** Answers what is no call, and closes: nothing behind it can be told apart. */
   private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
     forget();
     write(ctx, new HttpReply(status.code(), Map.of(), NOTHING), false, false);
--- a/runtime/src/test/java/elmsail/runtime/CountersTest.java
+++ b/runtime/src/test/java/elmsail/runtime/CountersTest.java
@@ -12,7 +12,7 @@
   void tellsThoseThatChanged() {
     MovedClock clock = new MovedClock();
     Counters counters = new Counters(clock);
-    Counters.GatewayProcess calls = counters.of("calls");
+    Counters.Counter calls = counters.of("calls");
     calls.add(3);
     counters.add("lost");
     counters.of("idle");
--- a/runtime/src/test/java/elmsail/runtime/http/HttpLoopbackTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/HttpLoopbackTest.java
@@ -28,7 +28,7 @@
   private static final long LIMIT_MS = 20_000;
 
   private final NettyLoop loop = new NettyLoop();
-  private final NettyHttpClient asker = new NettyHttpClient(loop);
+  private final NettyHttpClient client = new NettyHttpClient(loop);
 
   @AfterEach
   void end() throws Exception {
@@ -51,13 +51,13 @@
 
   private ErrorCode failure(String address, long limitMs) {
     CompletionException failed =
-        assertThrows(CompletionException.class, () -> asker.get(address, "/", limitMs).join());
+        assertThrows(CompletionException.class, () -> client.get(address, "/", limitMs).join());
     return ElmsailException.codeOf(failed);
   }
 
   @Test
   void asksWhatIsServed() {
-    HttpReply reply = asker.get(serve().address(), "/servers?zone=a%20b", LIMIT_MS).join();
+    HttpReply reply = client.get(serve().address(), "/servers?zone=a%20b", LIMIT_MS).join();
     assertThat(reply.status(), is(200));
     assertThat(reply.headers().get("x-path"), is("/servers"));
     assertThat(new String(reply.body(), StandardCharsets.UTF_8), is("{zone=a b}"));
@@ -129,7 +129,7 @@
   }
 
   private ErrorCode answered(ServerSocket server, String address, String bytes) throws Exception {
-    CompletableFuture<HttpReply> reply = asker.get(address, "/", LIMIT_MS);
+    CompletableFuture<HttpReply> reply = client.get(address, "/", LIMIT_MS);
     try (Socket socket = server.accept()) {
       InputStream in = socket.getInputStream();
       StringBuilder request = new StringBuilder();
--- a/simulation/src/main/java/elmsail/simulation/SimDisk.java
+++ b/simulation/src/main/java/elmsail/simulation/SimDisk.java
@@ -15,7 +15,7 @@
 /**
  * A disk in a test, on a clock moved by hand: it writes one batch at a time, gathers changes
  * meanwhile, and outlives the processes that use it one after the other. After a refused batch, all
- * that waits, and all that is written until the failure was told, fails too, as on a real one.
+ * that waits, and all that is written until the failure was reported, fails too, as on a real one.
  * Deterministic from its seed.
  */
 public final class SimDisk implements RecordStore {
@@ -38,7 +38,7 @@
   private long stalledUntil;
   private boolean refusing;
 
-  /** What fails, until that is told; null: nothing. */
+  /** What fails, until that is reported; null: nothing. */
   private List<CompletableFuture<Void>> failing;
 
   private boolean closed;
@@ -74,7 +74,7 @@
     refusing = true;
   }
 
-  /** ProcessSignals the refusal. */
+  /** Ends the refusal. */
   public void accept() {
     refusing = false;
   }
@@ -101,7 +101,7 @@
     blank = false;
   }
 
-  /** The disk is replaced by an empty one: a new life, and nothing on it. */
+  /** The disk is replaced by an empty one: a new instance id, and nothing on it. */
   public void wipe() {
     powerLoss();
     safe.clear();
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -101,8 +101,8 @@
   }
 
   /**
-   * Calls that way, also open ones, break at once; whether the ask reaches the peer nonetheless is
-   * drawn.
+   * Calls that way, also open ones, break at once; whether the request reaches the peer nonetheless
+   * is drawn.
    */
   public void reset(String from, String to) {
     links.link(from, to).fault = SimPath.Fault.RESET;
--- a/simulation/src/test/java/elmsail/simulation/SimNetTest.java
+++ b/simulation/src/test/java/elmsail/simulation/SimNetTest.java
@@ -33,7 +33,7 @@
   private final SimNet net = new SimNet(5, timers);
   private Node a;
   private Node b;
-  private final List<OpaqueMessage> heard = new ArrayList<>();
+  private final List<OpaqueMessage> received = new ArrayList<>();
 
   @BeforeEach
   void start() {
@@ -48,7 +48,7 @@
         .on(
             OpaqueMessage.class,
             request -> {
-              heard.add(request);
+              received.add(request);
               return CompletableFuture.completedFuture(request);
             });
   }
@@ -74,12 +74,12 @@
     OpaqueMessage asked = note("x");
     CompletableFuture<OpaqueMessage> call = a.caller().call(B, asked, OpaqueMessage.class, 1_000);
     timers.pass(6);
-    assertThat(heard.size(), is(1));
+    assertThat(received.size(), is(1));
     assertThat(call.isDone(), is(false));
     timers.pass(1);
     assertThat(call.join().kind, is("x"));
-    assertThat(heard.get(0), is(not(sameInstance(asked))));
-    assertThat(call.join(), is(not(sameInstance(heard.get(0)))));
+    assertThat(received.get(0), is(not(sameInstance(asked))));
+    assertThat(call.join(), is(not(sameInstance(received.get(0)))));
   }
 
   @Test
@@ -114,7 +114,7 @@
     net.cut(B, A);
     CompletableFuture<OpaqueMessage> call = request();
     timers.pass(999);
-    assertThat("the ask gets there", heard.size(), is(1));
+    assertThat("the ask gets there", received.size(), is(1));
     assertThat(call.isDone(), is(false));
     timers.pass(1);
     assertThat(codeOf(call), is(ErrorCode.SILENT));
@@ -123,7 +123,7 @@
     CompletableFuture<OpaqueMessage> next = request();
     timers.pass(1_000);
     assertThat(codeOf(next), is(ErrorCode.SILENT));
-    assertThat(heard.size(), is(1));
+    assertThat(received.size(), is(1));
     net.healAll();
     CompletableFuture<OpaqueMessage> last = request();
     timers.pass(4);
@@ -136,7 +136,7 @@
     timers.pass(1);
     net.isolate(A);
     timers.pass(10);
-    assertThat(heard, is(empty()));
+    assertThat(received, is(empty()));
     assertThat(net.lost(), is(1L));
   }
 
@@ -153,8 +153,8 @@
       assertThat(codeOf(call), is(ErrorCode.BROKEN));
     }
     timers.pass(10);
-    assertThat(heard.size(), is(greaterThan(5)));
-    assertThat(heard.size(), is(lessThan(36)));
+    assertThat(received.size(), is(greaterThan(5)));
+    assertThat(received.size(), is(lessThan(36)));
   }
 
   @Test
@@ -175,7 +175,7 @@
     timers.pass(0);
     assertThat(codeOf(call), is(ErrorCode.UNSENT));
     timers.pass(100);
-    assertThat(heard, is(empty()));
+    assertThat(received, is(empty()));
   }
 
   @Test
@@ -201,7 +201,7 @@
     }
     assertThat(answered, is(greaterThan(60)));
     assertThat(answered, is(lessThan(140)));
-    assertThat(heard.size(), is(greaterThan(answered)));
+    assertThat(received.size(), is(greaterThan(answered)));
   }
 
   @Test
@@ -229,7 +229,7 @@
     assertThat(codeOf(open), is(ErrorCode.SILENT));
     timers.pass(SimNet.CONNECT_WITHIN - 500);
     assertThat(codeOf(next), is(ErrorCode.UNSENT));
-    assertThat(heard, is(empty()));
+    assertThat(received, is(empty()));
   }
 
   @Test
@@ -263,7 +263,7 @@
     assertThat(b.alive(), is(false));
     timers.pass(1_000);
     assertThat(call.isCompletedExceptionally(), is(true));
-    assertThat(heard, is(empty()));
+    assertThat(received, is(empty()));
     CompletableFuture<OpaqueMessage> next = request();
     timers.pass(4);
     assertThat(next.join().kind, is("x"));
