--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -220,7 +220,7 @@
         .change(
             JobRecord.keyOf(jobId),
             found -> {
-              JobRecord record = found.value() == null ? null : JobRecord.unpacked(found.value());
+              JobRecord record = JobRecord.ofValue(found.value());
               return new Register.Wanted(
                   record == null || record.ended() ? null : record.endedNow().packed(), List.of());
             },
--- a/batch/src/main/java/elmsail/batch/messages/HeartbeatMessage.java
+++ b/batch/src/main/java/elmsail/batch/messages/HeartbeatMessage.java
@@ -7,7 +7,7 @@
  * What a gateway says to a store of the jobs it runs, twice a second, and what is answered for
  * each.
  */
-public record HeartbeatMessage(String door, List<Run> runs) {
+public record HeartbeatMessage(String gateway, List<Run> runs) {
   /** The store holds the job as open and run by this gateway in this term. */
   public static final int YOURS = 1;
 
@@ -22,7 +22,7 @@
 
   /** The bytes that {@link #unpacked} reads. */
   public byte[] packed() {
-    ByteWriter to = new ByteWriter().text(door).number(runs.size());
+    ByteWriter to = new ByteWriter().text(gateway).number(runs.size());
     for (Run run : runs) {
       to.text(run.job()).number(run.term());
     }
@@ -32,12 +32,12 @@
   /** Fails with GARBLED where the bytes are not those of {@link #packed}. */
   public static HeartbeatMessage unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
-    String door = from.text();
+    String gateway = from.text();
     int count = from.count();
     List<Run> runs = new ArrayList<>(count);
     for (int i = 0; i < count; i++) {
       runs.add(new Run(from.text(), from.number()));
     }
-    return new HeartbeatMessage(door, runs);
+    return new HeartbeatMessage(gateway, runs);
   }
 }
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -104,60 +104,26 @@
         all.add(one);
       }
     }
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        all,
-        ended,
-        runner,
-        term,
-        Math.max(ageMs, age));
+    return next(all, ended, runner, term, Math.max(ageMs, age));
   }
 
   /** The next version, in which the job was ended by its client. */
   public JobRecord endedNow() {
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        results,
-        true,
-        runner,
-        term,
-        ageMs);
+    return next(results, true, runner, term, ageMs);
   }
 
   /** The next version, run by that gateway under the next term. */
-  public JobRecord runBy(String door, long age) {
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        results,
-        ended,
-        door,
-        term + 1,
-        Math.max(ageMs, age));
+  public JobRecord runBy(String gateway, long age) {
+    return next(results, ended, gateway, term + 1, Math.max(ageMs, age));
   }
 
   /** The same, written once more so that stores that missed a change get it. */
   public JobRecord again() {
+    return next(results, ended, runner, term, ageMs);
+  }
+
+  /** The next version: what is given replaces this record's, all else stays. */
+  private JobRecord next(List<Result> listed, boolean over, String by, long byTerm, long age) {
     return new JobRecord(
         version + 1,
         route,
@@ -167,11 +133,11 @@
         shelfMs,
         body,
         items,
-        results,
-        ended,
-        runner,
-        term,
-        ageMs);
+        listed,
+        over,
+        by,
+        byTerm,
+        age);
   }
 
   /** The bytes that {@link #unpacked} reads; the first number is the version of this format. */
@@ -201,6 +167,11 @@
     return to.packed();
   }
 
+  /** The record of a key's value; null where the key has none. */
+  public static JobRecord ofValue(byte[] value) {
+    return value == null ? null : unpacked(value);
+  }
+
   /** Fails with GARBLED. */
   public static JobRecord unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
--- a/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
+++ b/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
@@ -170,8 +170,8 @@
   private int rank(String job) {
     long own = ContentDigest.of(context.self() + "|" + job);
     int before = 0;
-    for (String door : context.known().view().gateways) {
-      if (!door.equals(context.self()) && ContentDigest.of(door + "|" + job) > own) {
+    for (String gateway : context.known().view().gateways) {
+      if (!gateway.equals(context.self()) && ContentDigest.of(gateway + "|" + job) > own) {
         before++;
       }
     }
@@ -187,7 +187,7 @@
         .change(
             JobRecord.keyOf(job),
             found -> {
-              JobRecord record = found.value() == null ? null : JobRecord.unpacked(found.value());
+              JobRecord record = JobRecord.ofValue(found.value());
               if (record == null || !record.open() || record.term() != term) {
                 return new Register.Wanted(null, List.of());
               }
@@ -219,7 +219,7 @@
         .change(
             JobRecord.keyOf(job),
             found -> {
-              JobRecord record = found.value() == null ? null : JobRecord.unpacked(found.value());
+              JobRecord record = JobRecord.ofValue(found.value());
               return record == null
                   ? new Register.Wanted(null, List.of())
                   : new Register.Wanted(record.again().packed(), List.of());
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -151,7 +151,7 @@
       Lot job = jobs.get(run.job());
       if (job == null || job.term < run.term()) {
         answers[i] = HeartbeatMessage.UNKNOWN;
-      } else if (job.term == run.term() && job.runner.equals(heartbeat.door()) && job.open) {
+      } else if (job.term == run.term() && job.runner.equals(heartbeat.gateway()) && job.open) {
         job.lastHeartbeat = now;
         answers[i] = HeartbeatMessage.YOURS;
       } else {
--- a/runtime/src/main/java/elmsail/runtime/http/HttpFraming.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpFraming.java
@@ -1,13 +1,16 @@
 package elmsail.runtime.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * What both decoders refuse beyond the codec's own checks: heads with folded lines, and messages
@@ -15,10 +18,18 @@
  */
 final class HttpFraming {
 
+  private final Supplier<HttpMessage> invalid;
   private boolean inHead = true;
   private boolean lineSeen;
   private boolean refused;
 
+  /**
+   * @param invalid makes the message that stands for one refused
+   */
+  HttpFraming(Supplier<HttpMessage> invalid) {
+    this.invalid = invalid;
+  }
+
   static HttpDecoderConfig config(int mostLine, int mostHead, int mostPiece) {
     return new HttpDecoderConfig()
         .setMaxInitialLineLength(mostLine)
@@ -39,22 +50,50 @@
     return new IllegalArgumentException("both a length and chunks");
   }
 
-  /** Whether everything that still comes is to be dropped. */
-  boolean refused() {
-    return refused;
+  /** Whether a message has begun to come and is not whole yet. */
+  boolean inside() {
+    return !inHead || lineSeen;
   }
 
-  void refuse() {
-    refused = true;
+  /**
+   * Whether the decoder may go on with these bytes; else they are dropped, and the first time a
+   * refused message is put out.
+   */
+  boolean admits(ByteBuf in, List<Object> out) {
+    if (refused) {
+      in.skipBytes(in.readableBytes());
+      return false;
+    }
+    if (folded(in)) {
+      refuse("a folded line", in, out);
+      return false;
+    }
+    return true;
   }
 
-  /** Whether a message has begun to come and is not whole yet. */
-  boolean inside() {
-    return !inHead || lineSeen;
+  /**
+   * Looks at what the decoder has put out; where a head is wrong, a refused message replaces it.
+   */
+  void check(ByteBuf in, List<Object> out, int from) {
+    String fault = passed(out, from);
+    if (fault != null) {
+      while (out.size() > from) {
+        ReferenceCountUtil.release(out.remove(out.size() - 1));
+      }
+      refuse(fault, in, out);
+    }
+  }
+
+  private void refuse(String fault, ByteBuf in, List<Object> out) {
+    refused = true;
+    HttpMessage none = invalid.get();
+    none.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(fault)));
+    out.add(none);
+    in.skipBytes(in.readableBytes());
   }
 
   /** Whether a line of the head begins with a space: one folded, or ahead of the message. */
-  boolean folded(ByteBuf in) {
+  private boolean folded(ByteBuf in) {
     if (!inHead) {
       return false;
     }
@@ -80,7 +119,7 @@
   }
 
   /** Takes in what the decoder has put out since; null, or what is wrong with a head among it. */
-  String passed(List<Object> out, int from) {
+  private String passed(List<Object> out, int from) {
     String fault = null;
     for (int i = from; i < out.size(); i++) {
       Object one = out.get(i);
--- a/runtime/src/main/java/elmsail/runtime/http/StrictAnswerDecoder.java
+++ b/runtime/src/main/java/elmsail/runtime/http/StrictAnswerDecoder.java
@@ -2,11 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
-import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -16,7 +14,7 @@
  */
 public class StrictAnswerDecoder extends HttpResponseDecoder {
 
-  private final HttpFraming framing = new HttpFraming();
+  private final HttpFraming framing = new HttpFraming(this::createInvalidMessage);
 
   /** Bytes of the first line, of all header lines, and of one piece of a body. */
   public StrictAnswerDecoder(int mostLine, int mostHead, int mostPiece) {
@@ -30,31 +28,11 @@
 
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-    if (framing.refused()) {
-      in.skipBytes(in.readableBytes());
-      return;
+    if (framing.admits(in, out)) {
+      int before = out.size();
+      super.decode(ctx, in, out);
+      framing.check(in, out, before);
     }
-    if (framing.folded(in)) {
-      refuse("a folded line", in, out);
-      return;
-    }
-    int before = out.size();
-    super.decode(ctx, in, out);
-    String fault = framing.passed(out, before);
-    if (fault != null) {
-      while (out.size() > before) {
-        ReferenceCountUtil.release(out.remove(out.size() - 1));
-      }
-      refuse(fault, in, out);
-    }
-  }
-
-  private void refuse(String fault, ByteBuf in, List<Object> out) {
-    framing.refuse();
-    HttpMessage none = createInvalidMessage();
-    none.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(fault)));
-    out.add(none);
-    in.skipBytes(in.readableBytes());
   }
 
   @Override
