--- a/batch/src/test/java/elmsail/batch/JobLeftoversTest.java
+++ b/batch/src/test/java/elmsail/batch/JobLeftoversTest.java
@@ -42,7 +42,8 @@
       JobStoreWorld world = new JobStoreWorld(wipe ? 2 : 1, 2, MOST_WAITING);
       int accepted = 0;
       for (int i = 0; i < JOBS; i++) {
-        BatchCalls.Reply reply = world.await(world.hand(world.doors.get(i % 2), "job" + i, 4, 60));
+        BatchCalls.Reply reply =
+            world.await(world.hand(world.gateways.get(i % 2), "job" + i, 4, 60));
         accepted += reply != null && reply.status() == 202 ? 1 : 0;
       }
       int most = 0;
--- a/controlplane/src/test/java/elmsail/controlplane/CutOffRig.java
+++ b/controlplane/src/test/java/elmsail/controlplane/CutOffRig.java
@@ -41,6 +41,7 @@
             world.net.reset(there, here);
             world.net.reset(here, there);
           }
+          default -> throw new AssertionError(this);
         }
       }
     }
