--- a/batch/src/main/java/elmsail/batch/run/BodyLoader.java
+++ b/batch/src/main/java/elmsail/batch/run/BodyLoader.java
@@ -9,7 +9,7 @@
   private static final int MOST_FETCHES = 2;
   private static final long BACKOFF_MS = 200;
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final Runnable loaded;
   private int fetches;
@@ -17,8 +17,8 @@
   /**
    * @param loaded called whenever a further job may be looked at
    */
-  BodyLoader(BatchContext tools, BatchJobClient store, Runnable loaded) {
-    this.tools = tools;
+  BodyLoader(BatchContext context, BatchJobClient store, Runnable loaded) {
+    this.context = context;
     this.store = store;
     this.loaded = loaded;
   }
@@ -31,15 +31,15 @@
     job.fetching = true;
     fetches++;
     store
-        .pieces(job.id, job.record, FETCH_MS)
+        .batchItems(job.id, job.record, FETCH_MS)
         .whenComplete(
-            (pieces, failed) -> {
+            (batchItems, failed) -> {
               fetches--;
               if (failed == null) {
-                job.pieces = pieces;
+                job.batchItems = batchItems;
                 free(job);
               } else {
-                tools.timers().after(tools.about(BACKOFF_MS), () -> free(job));
+                context.timers().after(context.about(BACKOFF_MS), () -> free(job));
               }
             });
   }
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -26,7 +26,7 @@
   private static final long MOST_HELD = 16L << 20;
   private static final long MOST_BACKOFF_MS = 200;
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BodyLoader bodies;
   private final ResultRecorder listing;
   private final Map<String, RunningJob> jobs = new HashMap<>();
@@ -40,12 +40,12 @@
   /**
    * @param changed hears the id of each job in which something was listed or that was stopped
    */
-  public JobRunner(BatchContext tools, BatchJobClient store, Consumer<String> changed) {
-    this.tools = tools;
-    this.bodies = new BodyLoader(tools, store, () -> pumpSoon(0));
-    this.listing = new ResultRecorder(tools, store, this, changed);
-    this.startMs = tools.cancelMs() * 6 / 10;
-    this.letMs = tools.cancelMs() * 8 / 10;
+  public JobRunner(BatchContext context, BatchJobClient store, Consumer<String> changed) {
+    this.context = context;
+    this.bodies = new BodyLoader(context, store, () -> pumpSoon(0));
+    this.listing = new ResultRecorder(context, store, this, changed);
+    this.startMs = context.cancelMs() * 6 / 10;
+    this.letMs = context.cancelMs() * 8 / 10;
   }
 
   /** Sets where items are sent from now on; before this none is started. */
@@ -66,7 +66,7 @@
       return;
     }
     stop(id);
-    RunningJob job = new RunningJob(id, record, tools.timers().now() - ageMs, confirmedAt);
+    RunningJob job = new RunningJob(id, record, context.timers().now() - ageMs, confirmedAt);
     jobs.put(id, job);
     byDue.put(job, job);
     pumpSoon(0);
@@ -94,7 +94,7 @@
   /**
    * Takes a decided record read after the moment given: goes on if the job is still open and ours.
    */
-  public void heard(String id, JobRecord record, long readAt) {
+  public void recordRead(String id, JobRecord record, long readAt) {
     RunningJob job = jobs.get(id);
     if (job == null) {
       return;
@@ -123,11 +123,11 @@
 
   /** Cuts runs that may not have reached a server yet, of jobs long not known to be ours. */
   void letGo(RunningJob job) {
-    if (tools.timers().now() - job.confirmedAt <= letMs) {
+    if (context.timers().now() - job.confirmedAt <= letMs) {
       return;
     }
     for (ItemRun item : job.items) {
-      if (item.underWay && !item.heard) {
+      if (item.underWay && !item.answered) {
         item.cancel();
         job.underWay--;
         job.ready.add(item.index);
@@ -142,7 +142,7 @@
   void pumpSoon(long ms) {
     if (!pumpSet) {
       pumpSet = true;
-      tools
+      context
           .timers()
           .after(
               ms,
@@ -154,7 +154,7 @@
   }
 
   private void pump() {
-    RoutingConfig config = tools.known().config();
+    RoutingConfig config = context.known().config();
     if (servers == null || config == null || jobs.isEmpty()) {
       return;
     }
@@ -162,9 +162,9 @@
     boolean left = false;
     for (RunningJob job : running()) {
       if (!job.stopped && !job.ready.isEmpty()) {
-        if (job.pieces == null && job.outlived(tools.timers().now())) {
+        if (job.batchItems == null && job.outlived(context.timers().now())) {
           giveUp(job);
-        } else if (job.pieces == null) {
+        } else if (job.batchItems == null) {
           bodies.fetch(job);
         } else {
           startSome(job, config, room);
@@ -188,7 +188,7 @@
   }
 
   private void startSome(RunningJob job, RoutingConfig config, Map<String, Integer> room) {
-    long now = tools.timers().now();
+    long now = context.timers().now();
     boolean confirmed = now - job.confirmedAt <= startMs;
     while (!job.stopped && !job.ready.isEmpty()) {
       ItemRun item = job.items[job.ready.peek()];
@@ -196,8 +196,8 @@
         job.ready.poll();
         continue;
       }
-      BatchItem piece = job.pieces.get(item.index);
-      Route route = config.find(job.record.host(), piece.lane());
+      BatchItem batchItem = job.batchItems.get(item.index);
+      Route route = config.find(job.record.host(), batchItem.lane());
       if (route == null && config.edition() <= job.record.edition()) {
         return;
       }
@@ -215,7 +215,7 @@
         return;
       }
       job.ready.poll();
-      if (start(job, item, route, piece)) {
+      if (start(job, item, route, batchItem)) {
         room.put(route.name(), places - 1);
       } else {
         job.ready.add(item.index);
@@ -225,15 +225,15 @@
     }
   }
 
-  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem piece) {
+  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem batchItem) {
     int run = ++item.run;
     item.underWay = true;
-    item.heard = false;
+    item.answered = false;
     job.underWay++;
     ItemServers.Running running =
         servers.start(
             route,
-            piece,
+            batchItem,
             item.last,
             new ItemServers.RunListener() {
               @Override
@@ -330,12 +330,12 @@
   }
 
   private void again(RunningJob job, ItemRun item) {
-    item.vain = item.heard ? 0 : item.vain + 1;
+    item.vain = item.answered ? 0 : item.vain + 1;
     long backoff = Math.min(MOST_BACKOFF_MS, AGAIN_MS << Math.min(item.vain, 5));
-    tools
+    context
         .timers()
         .after(
-            tools.about(backoff),
+            context.about(backoff),
             () -> {
               if (!job.stopped && !item.done && !item.underWay) {
                 job.ready.add(item.index);
