Move the founding of the store set out of the control-plane node

Change: StoreFounding holds the founding's key, its one change under way, and when it is open; behaviour as before.

--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -31,7 +31,6 @@
 final class ControlPlaneNode {
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneNode.class);
 
-  private static final String SHELF_KEY = "shelf";
   private static final long TIMETABLE_EVERY_MS = 300;
   private static final long OTHERS_EVERY_MS = 1_000;
   private static final long TICK_MS = 200;
@@ -40,8 +39,6 @@
   /** A store is heard at least so often; the others hear of changes at once anyway. */
   private static final long VAULT_WAIT_MS = 400;
 
-  private static final long FOUND_MS = 900;
-
   private final Settings settings;
   private final Timers timers;
   private final RequestHandlers answering;
@@ -57,6 +54,7 @@
   private final SingletonLease duty;
   private final ServerDiscovery list;
   private final PlacementController registrar;
+  private final StoreFounding founding;
   private final HeadPlacement headPlacement;
   private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
   private final LeaseVoter voter;
@@ -66,7 +64,6 @@
   private VoterSet headKnown = new VoterSet();
   private List<String> gateways = List.of();
   private PlacementController.Order order;
-  private boolean founding;
   private boolean closed;
 
   /**
@@ -93,7 +90,7 @@
         new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, TIMETABLE_EVERY_MS);
     retiring = new CommittedValue(register, DecommissionList.KEY, timers, OTHERS_EVERY_MS);
-    founded = new CommittedValue(register, SHELF_KEY, timers, OTHERS_EVERY_MS);
+    founded = new CommittedValue(register, StoreFounding.KEY, timers, OTHERS_EVERY_MS);
     notices = new PeerNotices(caller, voters::current, own);
     sources = new UpdateSources(timers);
     puller =
@@ -117,6 +114,7 @@
                 duty::term);
     int stores = 2 * settings.bearMachines() + 1;
     registrar = new PlacementController(stores, timers.now());
+    founding = new StoreFounding(register, founded, registrar, heard);
     headPlacement =
         new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
@@ -276,12 +274,8 @@
     long now = timers.now();
     boolean hears = config.contact().current();
     boolean directs = mayDirect();
-    if (directs
-        && storeSet.voters.isEmpty()
-        && founded.read()
-        && founded.value() == null
-        && voters.born()) {
-      found(now);
+    if (directs && storeSet.voters.isEmpty() && founding.open() && voters.born()) {
+      founding.attempt(now);
     }
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
@@ -312,31 +306,6 @@
     relay();
   }
 
-  private void found(long now) {
-    VoterSet first = founding ? null : registrar.founding(heard, now);
-    if (first == null) {
-      return;
-    }
-    founding = true;
-    register
-        .change(
-            SHELF_KEY,
-            found ->
-                new Register.Wanted(
-                    found.value() != null ? null : VoterSetValue.bytes(first), List.of()),
-            List.of(),
-            null,
-            FOUND_MS)
-        .whenComplete(
-            (held, failed) -> {
-              founding = false;
-              if (failed == null) {
-                LOG.info("the store set is founded");
-                founded.take(held.now());
-              }
-            });
-  }
-
   /** Asks and directs nothing any more; what comes in is still answered. */
   void close() {
     closed = true;
