--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -14,7 +14,6 @@
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
-import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
@@ -41,12 +40,10 @@
   /** A store is heard at least so often; the others hear of changes at once anyway. */
   private static final long VAULT_WAIT_MS = 400;
 
-  private static final long NOTE_MS = 300;
   private static final long FOUND_MS = 900;
 
   private final Settings settings;
   private final Timers timers;
-  private final Caller caller;
   private final RequestHandlers answering;
   private final ControlPlaneVoters voters;
   private final Register register;
@@ -54,6 +51,7 @@
   private final CommittedValue retiring;
   private final CommittedValue founded;
   private final HeartbeatTable heard = new HeartbeatTable();
+  private final PeerNotices notices;
   private final UpdateSources sources;
   private final ConfigWatcher puller;
   private final SingletonLease duty;
@@ -62,7 +60,8 @@
   private final HeadPlacement headPlacement;
   private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
   private final LeaseVoter voter;
-  private final OperatorApi operators;
+  private final HeardStoresInquiry inquiry;
+  private final HttpHandler operators;
   private VoterSet storeSet = new VoterSet();
   private VoterSet headKnown = new VoterSet();
   private List<String> gateways = List.of();
@@ -87,7 +86,6 @@
       long who) {
     this.settings = settings;
     this.timers = timers;
-    this.caller = caller;
     this.answering = answering;
     String own = settings.innerAddress();
     voters = new ControlPlaneVoters(settings, timers, caller, answering, records);
@@ -96,6 +94,7 @@
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, TIMETABLE_EVERY_MS);
     retiring = new CommittedValue(register, DecommissionList.KEY, timers, OTHERS_EVERY_MS);
     founded = new CommittedValue(register, SHELF_KEY, timers, OTHERS_EVERY_MS);
+    notices = new PeerNotices(caller, voters::current, own);
     sources = new UpdateSources(timers);
     puller =
         new ConfigWatcher(
@@ -106,7 +105,7 @@
             records == null ? who : records.instanceId(),
             () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
-    duty = new SingletonLease(caller, timers, register, voters::of, own, who);
+    duty = new SingletonLease(caller, timers, register, voters::current, own, who);
     list =
         settings.platform() == null
             ? null
@@ -122,23 +121,34 @@
         new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
     voter = new LeaseVoter(timers.now(), firstProcess);
+    inquiry = new HeardStoresInquiry(caller, voters::current, own);
     DecommissionHandler retire =
-        new DecommissionHandler(register, timers, heard, () -> storeSet, retiring, stores);
+        new DecommissionHandler(
+            register, timers, heard, () -> storeSet, retiring, config.contact(), stores, inquiry);
     operators =
-        new OperatorApi(
-            new ReplaceConfigHandler(
-                register, RoutingConfigReader::read, timers, config, edition -> tell("decided")),
-            new ReadConfigHandler(register, config),
-            new VoterRedirect(retire, settings, voters, puller));
+        new AnswerAgeLimit(
+            timers,
+            new OperatorApi(
+                new ReplaceConfigHandler(
+                    register,
+                    RoutingConfigReader::read,
+                    timers,
+                    config,
+                    edition -> notices.tell("decided")),
+                new ReadConfigHandler(register, config),
+                new VoterRedirect(retire, settings, voters, puller)));
   }
 
   void start() {
     config.whenNewer(this::taken);
-    retiring.whenNewer(value -> tell("retire"));
+    retiring.whenNewer(value -> notices.tell("retire"));
     founded.whenNewer(value -> learnStores(VoterSetValue.of(value)));
     sources.setView(this::view);
     answering.on(PullRequest.class, this::pulled);
-    answering.on(OpaqueMessage.class, this::noted);
+    answering.on(OpaqueMessage.class, notices::handle);
+    notices.on("decided", config::refresh);
+    notices.on("retire", retiring::refresh);
+    notices.answer(HeardStoresInquiry.KIND, inquiry::answer);
     voters.whenTakenOver(() -> voter.tookOver(timers.now()));
     SingletonLease.vote(answering, timers, voter, voters::voting);
     puller.whenChanged(this::relay);
@@ -174,45 +184,25 @@
     return headPlacement.redundancy();
   }
 
+  /** The term in which this node holds the singleton lease at this moment, or 0. */
+  long leaseTerm() {
+    return duty.term();
+  }
+
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
     headPlacement.note(request, timers.now());
     if ("store".equals(request.role) && request.storeSet != null) {
       learnStores(request.storeSet);
     }
-    if (closed || !config.read()) {
+    if (closed || !config.contact().current()) {
       return CompletableFuture.failedFuture(
-          new ElmsailException(ErrorCode.NOT_SEATED, "not known yet what is decided"));
+          new ElmsailException(ErrorCode.NOT_SEATED, "no contact with a majority"));
     }
     if ("store".equals(request.role)) {
       request.waitMs = Math.min(request.waitMs, VAULT_WAIT_MS);
     }
-    return sources.request(request);
-  }
-
-  private CompletableFuture<OpaqueMessage> noted(OpaqueMessage note) {
-    switch (note.kind) {
-      case "decided" -> config.refresh();
-      case "retire" -> retiring.refresh();
-      default -> {
-        return CompletableFuture.failedFuture(
-            new ElmsailException(ErrorCode.GARBLED, "a note of another kind"));
-      }
-    }
-    OpaqueMessage response = new OpaqueMessage();
-    response.kind = note.kind;
-    return CompletableFuture.completedFuture(response);
-  }
-
-  /** Has the other voter slots read the register at once; who misses it reads it soon anyway. */
-  private void tell(String kind) {
-    OpaqueMessage note = new OpaqueMessage();
-    note.kind = kind;
-    for (Voter slot : voters.of().voters) {
-      if (!slot.address.equals(settings.innerAddress())) {
-        caller.call(slot.address, note, OpaqueMessage.class, NOTE_MS);
-      }
-    }
+    return sources.request(request).thenApply(config.contact()::checked);
   }
 
   private void taken(byte[] value) {
@@ -222,7 +212,9 @@
       puller.offerConfig(now.bytes());
     } catch (ElmsailException e) {
       LOG.error(
-          "edition {} was decided and cannot be read here: {}", now.edition(), e.getMessage());
+          "configuration {} was committed and cannot be read here: {}",
+          now.edition(),
+          e.getMessage());
     }
   }
 
@@ -237,7 +229,7 @@
     }
     learnStores(puller.view().storeSet);
     if (!puller.view().head.voters.isEmpty()) {
-      voters.response(puller.view().head);
+      voters.learn(puller.view().head);
     }
   }
 
@@ -251,15 +243,29 @@
 
   private ClusterView view(PullRequest request) {
     ClusterView view = new ClusterView();
-    view.head = voters.of();
+    view.head = voters.current();
     view.storeSet = storeSet;
     view.gateways = gateways;
+    if (mayDirect()) {
+      tellOrder(request, view);
+      headPlacement.tell(request, view);
+    }
+    return view;
+  }
+
+  /** Puts the order to join the store set into what the store that it is for is told. */
+  private void tellOrder(PullRequest request, ClusterView view) {
     if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
       view.joinSlot = order.slot();
       view.joinEpoch = order.epoch();
     }
-    headPlacement.tell(request, view);
-    return view;
+  }
+
+  /** Whether this process directs the placement of voters at this very moment. */
+  private boolean mayDirect() {
+    return duty.term() > 0
+        && config.contact().current()
+        && retiring.contact().within(DecommissionHandler.LIST_KNOWN_WITHIN_MS);
   }
 
   private void tick() {
@@ -268,8 +274,8 @@
     }
     timers.after(TICK_MS, this::tick);
     long now = timers.now();
-    boolean hears = config.readableSince() != Long.MAX_VALUE;
-    boolean directs = duty.term() > 0 && hears;
+    boolean hears = config.contact().current();
+    boolean directs = mayDirect();
     if (directs
         && storeSet.voters.isEmpty()
         && founded.read()
@@ -279,17 +285,18 @@
     }
     PlacementController.Order before = order;
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
-    boolean headOrdered = headPlacement.look(voters.of(), voters.voting(), hears, directs, now);
+    boolean headOrdered =
+        headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
     if (directs) {
       storeRedundancy.look(heard, storeSet, now);
     } else {
       storeRedundancy.forget();
     }
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
-    boolean headMoved = !VoterSets.same(headKnown, voters.of());
+    boolean headMoved = !VoterSets.same(headKnown, voters.current());
     if (order != null && !order.equals(before)) {
       LOG.info(
-          "{} shall take seat {} of the shelf, incarnation {}",
+          "directs {} to join slot {} of the store set, epoch {}",
           order.address(),
           order.slot(),
           order.epoch());
@@ -298,7 +305,7 @@
         || headMoved
         || headOrdered
         || !clerksNow.equals(gateways)) {
-      headKnown = voters.of();
+      headKnown = voters.current();
       gateways = clerksNow;
       sources.viewChanged();
     }
@@ -324,7 +331,7 @@
             (held, failed) -> {
               founding = false;
               if (failed == null) {
-                LOG.info("the shelf is founded");
+                LOG.info("the store set is founded");
                 founded.take(held.now());
               }
             });
--- a/controlplane/src/test/java/elmsail/controlplane/SecondLossTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/SecondLossTest.java
@@ -93,7 +93,7 @@
     VoterSetSource voterSets =
         new VoterSetSource() {
           @Override
-          public VoterSet of() {
+          public VoterSet current() {
             for (String name : oldestFirst) {
               known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
             }
@@ -101,7 +101,7 @@
           }
 
           @Override
-          public void response(VoterSet newer) {
+          public void learn(VoterSet newer) {
             known = VoterSets.merge(known, newer);
           }
         };
--- a/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -10,6 +10,7 @@
     REFUSED_NO_SERVER,
     REFUSED_NOT_RUN,
     REFUSED_FULL,
+    REFUSED_ENDING,
     NO_ROUTE,
     BAD_REQUEST,
     TOO_LARGE,
@@ -39,10 +40,12 @@
 
   private final long[] counts = new long[ALL.length];
 
+  /** Counts one more of these. */
   public void count(Event what) {
     counts[what.ordinal()]++;
   }
 
+  /** How many of these were counted since the start. */
   public long of(Event what) {
     return counts[what.ordinal()];
   }
--- a/gateway/src/main/java/elmsail/gateway/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -44,6 +44,12 @@
 
   private static final double ITEMS_WAIT = 0.5;
 
+  /** A load that was told longer ago says nothing of free places. */
+  private static final long FRESH_LOAD_MS = 1_000;
+
+  /** With less than this share of its places taken it has some free for all that come. */
+  private static final double IDLE_UP_TO = 0.5;
+
   private final ServerEntry entry;
   private final PrefixMemory memory;
   final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
@@ -73,10 +79,12 @@
     memory = new PrefixMemory(kvTokens);
   }
 
+  /** Its entry in the list in force. */
   public ServerEntry entry() {
     return entry;
   }
 
+  /** Its id in the list. */
   public String id() {
     return entry.id();
   }
@@ -108,10 +116,12 @@
     return new ArrayList<>(tries);
   }
 
+  /** How many attempts are open at it, items of batch jobs included. */
   public int open() {
     return tries.size();
   }
 
+  /** How many of the open attempts are items of batch jobs. */
   public int items() {
     return items;
   }
@@ -141,8 +151,8 @@
   }
 
   private static int anew(Attempt one) {
-    Prompt p = one.out().prompt();
-    return p.total() - p.sharedTokens();
+    Prompt prompt = one.out().prompt();
+    return prompt.total() - prompt.sharedTokens();
   }
 
   /** An answer of it began: it lives. */
@@ -209,6 +219,13 @@
     return quietMs(now) > DARK_MS;
   }
 
+  /** Whether it said just now that nothing waits there and that it has many places free. */
+  public boolean toldIdle(long now) {
+    return now - loadAt <= FRESH_LOAD_MS
+        && toldWaiting == 0
+        && toldRunning < entry.berths() * IDLE_UP_TO;
+  }
+
   /** For how long it has said nothing at all though requests are open there. */
   private long quietMs(long now) {
     for (Attempt t : tries) {
