--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -16,7 +16,7 @@
  * @param edition the configuration's, at the acceptance: an older one says nothing of its routes
  * @param runDueMs ms after the acceptance; results are due
  * @param shelfMs ms after the acceptance; then items may be given up
- * @param body the name of the blob that holds its pieces
+ * @param body the name of the blob that holds its batchItems
  * @param results in the order of their positions, for ever
  * @param ended whether its client has ended it
  * @param runner the inner address of the gateway that runs it
@@ -182,7 +182,7 @@
     return changed(results, ended, door, term + 1, Math.max(ageMs, age), failures);
   }
 
-  /** The same, written once more so that keepers that missed a change get it. */
+  /** The same, written once more so that stores that missed a change get it. */
   public JobRecord again() {
     return changed(results, ended, runner, term, ageMs, failures);
   }
@@ -242,6 +242,11 @@
     return to.packed();
   }
 
+  /** The record of a key's value; null where the key has none. */
+  public static JobRecord ofValue(byte[] value) {
+    return value == null ? null : unpacked(value);
+  }
+
   /** Fails with GARBLED. */
   public static JobRecord unpacked(byte[] bytes) {
     ByteReader from = new ByteReader(bytes);
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -20,8 +20,9 @@
 import java.util.function.Supplier;
 
 /**
- * Holds a pull open at up to three control-plane nodes and keeps the newest that any of them told.
- * Everything on the loop; {@code whenChanged} runs inside the call that changed something.
+ * Holds a pull open at up to three control-plane nodes (stores and control-plane nodes at all that
+ * vote) and keeps the newest that any of them told. Everything on the loop; {@code whenChanged}
+ * runs inside the call that changed something.
  */
 public final class ConfigWatcher implements ClusterState {
   private static final long WAIT_MS = 1_000;
@@ -99,6 +100,12 @@
     }
   }
 
+  /** Takes the seeds of the changed settings; all else stays as it was. */
+  public void changed(Settings changed) {
+    lines.seeds(changed);
+    lines.choose(view.head);
+  }
+
   /** Asks nothing more; what is known stays. */
   public void close() {
     if (review != null) {
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -68,10 +68,16 @@
     station = settings.station();
     self = settings.innerAddress();
     most = settings.serves().contains("counter") ? MOST_OF_GATEWAY : Integer.MAX_VALUE;
+    seeds(settings);
+    lastHeardAt = timers.now();
+  }
+
+  /** Takes these seeds in place of those before. */
+  void seeds(Settings settings) {
+    seeds.clear();
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
     }
-    lastHeardAt = timers.now();
   }
 
   /**
--- a/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
@@ -20,7 +20,7 @@
 class CutOffStoresTest extends CutOffRig {
   private static final String DELIVERED = "{\"state\":\"delivered\"}";
 
-  /** The first three are the voters, whatever the order in which the others would be heard. */
+  /** The first three hold the slots, the others are spares. */
   private void stores(int count) {
     for (int i = 1; i <= 3; i++) {
       world.store("v" + i, true);
@@ -185,4 +185,22 @@
     System.out.println("delivered was said " + said + " times of 120");
     assertThat(said, greaterThan(100));
   }
+
+  @Test
+  void withFiveVotersEachOfThemHearsEveryStore() {
+    for (int seed = 1; seed <= 5; seed++) {
+      world = new World(seed, 5);
+      for (int i = 1; i <= 5; i++) {
+        world.controlPlane("n" + i, true);
+      }
+      stores(4);
+      world.timers.pass(10_000);
+      assertThat(world.storeSet("v1"), equalTo("v1/1 v2/1 v3/1"));
+      assertThat(world.retire("n" + seed, "v4"), is(200));
+      world.timers.pass(5_000);
+      for (int i = 1; i <= 5; i++) {
+        assertThat(world.retired("n" + i, "v4"), equalTo(DELIVERED));
+      }
+    }
+  }
 }
