--- a/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
@@ -297,12 +297,9 @@
     }
 
     private void rivalAnswered(boolean votes) {
-      if (round != this) {
-        return;
-      }
-      if (votes) {
+      if (round == this && votes) {
         giveWay();
-      } else {
+      } else if (round == this) {
         begin(slot, holder.epoch);
       }
     }
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -287,11 +287,7 @@
     order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
     boolean headOrdered =
         headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
-    if (directs) {
-      storeRedundancy.look(heard, storeSet, now);
-    } else {
-      storeRedundancy.forget();
-    }
+    storeRedundancy.look(directs, heard, storeSet, now);
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
     if (order != null && !order.equals(before)) {
--- a/controlplane/src/main/java/elmsail/controlplane/HeadPlacement.java
+++ b/controlplane/src/main/java/elmsail/controlplane/HeadPlacement.java
@@ -53,11 +53,7 @@
     heard.note(own, now);
     PlacementController.Order before = order;
     order = controller.order(heard, head, Set.of(), hears && voting, directs, now);
-    if (directs) {
-      redundancy.look(heard, head, now);
-    } else {
-      redundancy.forget();
-    }
+    redundancy.look(directs, heard, head, now);
     boolean changed = order == null ? before != null : !order.equals(before);
     if (changed && order != null) {
       LOG.info(
--- a/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
+++ b/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
@@ -26,8 +26,21 @@
     this.set = set;
   }
 
-  /** Looks once, while this node is in a position to know. */
-  void look(HeartbeatTable heard, VoterSet voterSet, long now) {
+  /**
+   * Looks once.
+   *
+   * @param directs whether this node is in a position to know; what it saw before is forgotten if
+   *     not
+   */
+  void look(boolean directs, HeartbeatTable heard, VoterSet voterSet, long now) {
+    if (directs) {
+      look(heard, voterSet, now);
+    } else {
+      missedSince = WHOLE;
+    }
+  }
+
+  private void look(HeartbeatTable heard, VoterSet voterSet, long now) {
     int voting = 0;
     long lastMissed = Long.MAX_VALUE;
     for (Voter holder : voterSet.voters) {
@@ -56,11 +69,6 @@
     }
   }
 
-  /** This node can't know at present: what it saw last is no ground for a word. */
-  void forget() {
-    missedSince = WHOLE;
-  }
-
   private static boolean votes(HeartbeatTable.Vault there, Voter holder) {
     return there != null && there.voting() && there.instanceId() == holder.instanceId;
   }
