--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -54,7 +54,7 @@
   private final PeerNotices notices;
   private final UpdateSources sources;
   private final ConfigWatcher puller;
-  private final SingletonLease duty;
+  final SingletonLease duty;
   private final ServerDiscovery list;
   private final PlacementController registrar;
   private final HeadPlacement headPlacement;
@@ -184,11 +184,6 @@
     return headPlacement.redundancy();
   }
 
-  /** The term in which this node holds the singleton lease at this moment, or 0. */
-  long leaseTerm() {
-    return duty.term();
-  }
-
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
     headPlacement.note(request, timers.now());
