--- a/rpc/src/test/java/elmsail/rpc/HandshakeTest.java
+++ b/rpc/src/test/java/elmsail/rpc/HandshakeTest.java
@@ -6,6 +6,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import io.netty.buffer.ByteBuf;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,13 @@
     assertThat(Hello.read(ANY.payload()), is(ANY));
   }
 
+  @Test
+  void helloCostsFewBytes() {
+    ByteBuf frame = Frame.hello(SELF);
+    assertThat(frame.readableBytes(), is(28 + ADDRESS.length()));
+    frame.release();
+  }
+
   @Test
   void nothingIsTakenBeforeTheHello() {
     for (int kind : List.of(Frame.ASK, Frame.ANSWER, Frame.FAILURE, Frame.PING, Frame.PONG)) {
