--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * PendingWrite tokens of a route's jobs, as one keeper has them or as the union of several: per job
- * the entry of the highest version. A job about to be accepted stands in it with version 0.
+ * Waiting tokens of a route's jobs, as one store has them or as the union of several: per job the
+ * entry of the highest version. A job about to be accepted stands in it with version 0.
  */
 public final class TokenCount {
   private final Map<Long, long[]> jobs = new HashMap<>();
@@ -18,10 +18,12 @@
    * @param who drawn for this try, so that a withdrawal takes back no other's add
    */
   public record Add(String route, String job, long tokens, long who) {
+    /** The bytes that {@link #unpacked} reads. */
     public byte[] packed() {
       return new ByteWriter().text(route).text(job).number(tokens).number(who).packed();
     }
 
+    /** Fails with GARBLED where the bytes are not those of {@link #packed}. */
     public static Add unpacked(byte[] bytes) {
       ByteReader from = new ByteReader(bytes);
       return new Add(from.text(), from.text(), from.number(), from.number());
@@ -36,9 +38,9 @@
     }
   }
 
-  /** Takes what keepers told; null is one that had nothing to tell. */
-  public void putAll(List<byte[]> response) {
-    for (byte[] one : response) {
+  /** Takes the counts of stores; null is one that had none. */
+  public void putAll(List<byte[]> counts) {
+    for (byte[] one : counts) {
       if (one != null) {
         ByteReader from = new ByteReader(one);
         for (int left = from.count(); left > 0; left--) {
@@ -58,6 +60,7 @@
     return sum;
   }
 
+  /** The bytes that {@link #putAll} reads. */
   public byte[] packed() {
     ByteWriter to = new ByteWriter().number(jobs.size());
     for (Map.Entry<Long, long[]> one : jobs.entrySet()) {
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -23,13 +23,11 @@
   private static final long LOOK_MS = 40;
 
   private static final long AGAIN_MS = 20;
-  private static final long FETCH_MS = 1_500;
-  private static final int MOST_FETCHES = 2;
   private static final long MOST_HELD = 16L << 20;
   private static final long MOST_BACKOFF_MS = 200;
 
-  private final BatchContext tools;
-  private final BatchJobClient store;
+  private final BatchContext context;
+  private final BodyLoader bodies;
   private final ResultRecorder listing;
   private final Map<String, RunningJob> jobs = new HashMap<>();
   private final TreeMap<RunningJob, RunningJob> byDue = new TreeMap<>();
@@ -37,20 +35,20 @@
   private final long letMs;
   private ItemServers servers;
   private boolean pumpSet;
-  private int fetches;
   private long held;
 
   /**
    * @param changed hears the id of each job in which something was listed or that was stopped
    */
-  public JobRunner(BatchContext tools, BatchJobClient store, Consumer<String> changed) {
-    this.tools = tools;
-    this.store = store;
-    this.listing = new ResultRecorder(tools, store, this, changed);
-    this.startMs = tools.cancelMs() * 6 / 10;
-    this.letMs = tools.cancelMs() * 8 / 10;
+  public JobRunner(BatchContext context, BatchJobClient store, Consumer<String> changed) {
+    this.context = context;
+    this.bodies = new BodyLoader(context, store, () -> pumpSoon(0));
+    this.listing = new ResultRecorder(context, store, this, changed);
+    this.startMs = context.cancelMs() * 6 / 10;
+    this.letMs = context.cancelMs() * 8 / 10;
   }
 
+  /** Sets where items are sent from now on; before this none is started. */
   public void setServers(ItemServers given) {
     servers = given;
     pumpSoon(0);
@@ -68,7 +66,7 @@
       return;
     }
     stop(id);
-    RunningJob job = new RunningJob(id, record, tools.timers().now() - ageMs, confirmedAt);
+    RunningJob job = new RunningJob(id, record, context.timers().now() - ageMs, confirmedAt);
     jobs.put(id, job);
     byDue.put(job, job);
     pumpSoon(0);
@@ -96,7 +94,7 @@
   /**
    * Takes a decided record read after the moment given: goes on if the job is still open and ours.
    */
-  public void heard(String id, JobRecord record, long readAt) {
+  public void recordRead(String id, JobRecord record, long readAt) {
     RunningJob job = jobs.get(id);
     if (job == null) {
       return;
@@ -109,10 +107,12 @@
     pumpSoon(0);
   }
 
+  /** Whether this gateway runs the job at present. */
   public boolean runs(String id) {
     return jobs.containsKey(id);
   }
 
+  /** How many jobs this gateway runs at present. */
   public int size() {
     return jobs.size();
   }
@@ -123,11 +123,11 @@
 
   /** Cuts runs that may not have reached a server yet, of jobs long not known to be ours. */
   void letGo(RunningJob job) {
-    if (tools.timers().now() - job.confirmedAt <= letMs) {
+    if (context.timers().now() - job.confirmedAt <= letMs) {
       return;
     }
     for (ItemRun item : job.items) {
-      if (item.underWay && !item.heard) {
+      if (item.underWay && !item.answered) {
         item.cancel();
         job.underWay--;
         job.ready.add(item.index);
@@ -142,7 +142,7 @@
   void pumpSoon(long ms) {
     if (!pumpSet) {
       pumpSet = true;
-      tools
+      context
           .timers()
           .after(
               ms,
@@ -154,7 +154,7 @@
   }
 
   private void pump() {
-    RoutingConfig config = tools.known().config();
+    RoutingConfig config = context.known().config();
     if (servers == null || config == null || jobs.isEmpty()) {
       return;
     }
@@ -162,8 +162,10 @@
     boolean left = false;
     for (RunningJob job : running()) {
       if (!job.stopped && !job.ready.isEmpty()) {
-        if (job.pieces == null) {
-          fetch(job);
+        if (job.batchItems == null && job.outlived(context.timers().now())) {
+          giveUp(job);
+        } else if (job.batchItems == null) {
+          bodies.fetch(job);
         } else {
           startSome(job, config, room);
         }
@@ -175,36 +177,18 @@
     }
   }
 
-  private void fetch(RunningJob job) {
-    if (job.fetching || fetches >= MOST_FETCHES) {
-      return;
+  /** Nobody gave its body in all its time: what is not listed yet is undeliverable. */
+  private void giveUp(RunningJob job) {
+    while (!job.ready.isEmpty()) {
+      ItemRun item = job.items[job.ready.poll()];
+      if (!item.done) {
+        finish(job, item, false);
+      }
     }
-    job.fetching = true;
-    fetches++;
-    store
-        .pieces(job.id, job.record, FETCH_MS)
-        .whenComplete(
-            (pieces, failed) -> {
-              fetches--;
-              if (failed == null) {
-                job.fetching = false;
-                job.pieces = pieces;
-                pumpSoon(0);
-              } else {
-                tools
-                    .timers()
-                    .after(
-                        tools.about(MOST_BACKOFF_MS),
-                        () -> {
-                          job.fetching = false;
-                          pumpSoon(0);
-                        });
-              }
-            });
   }
 
   private void startSome(RunningJob job, RoutingConfig config, Map<String, Integer> room) {
-    long now = tools.timers().now();
+    long now = context.timers().now();
     boolean confirmed = now - job.confirmedAt <= startMs;
     while (!job.stopped && !job.ready.isEmpty()) {
       ItemRun item = job.items[job.ready.peek()];
@@ -212,12 +196,12 @@
         job.ready.poll();
         continue;
       }
-      BatchItem piece = job.pieces.get(item.index);
-      Route route = config.find(job.record.host(), piece.lane());
+      BatchItem batchItem = job.batchItems.get(item.index);
+      Route route = config.find(job.record.host(), batchItem.lane());
       if (route == null && config.edition() <= job.record.edition()) {
         return;
       }
-      if (route == null || job.record.shelfMs() > 0 && job.ageMs(now) > job.record.shelfMs()) {
+      if (route == null || job.outlived(now)) {
         job.ready.poll();
         finish(job, item, false);
         continue;
@@ -231,7 +215,7 @@
         return;
       }
       job.ready.poll();
-      if (start(job, item, route, piece)) {
+      if (start(job, item, route, batchItem)) {
         room.put(route.name(), places - 1);
       } else {
         job.ready.add(item.index);
@@ -241,15 +225,15 @@
     }
   }
 
-  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem piece) {
+  private boolean start(RunningJob job, ItemRun item, Route route, BatchItem batchItem) {
     int run = ++item.run;
     item.underWay = true;
-    item.heard = false;
+    item.answered = false;
     job.underWay++;
     ItemServers.Running running =
         servers.start(
             route,
-            piece,
+            batchItem,
             item.last,
             new ItemServers.RunListener() {
               @Override
@@ -313,7 +297,7 @@
         if (item.failures >= Math.max(1, route.tries())) {
           finish(job, item, false);
         } else {
-          again(job, item);
+          listing.soon(job); // it runs again once that is recorded
         }
       }
       default -> again(job, item);
@@ -321,6 +305,23 @@
     pumpSoon(0);
   }
 
+  /**
+   * Takes what the job's record now says of failures. An item that failed is free to run only then:
+   * whoever runs the job next counts on from the record, so each change of hands hides one failure
+   * at most.
+   */
+  void recordedFailures(RunningJob job) {
+    for (ItemRun item : job.items) {
+      int recorded = job.record.failuresOf(item.index);
+      if (recorded > item.recordedFailures) {
+        item.recordedFailures = recorded;
+        if (!item.done && !item.underWay && recorded == item.failures) {
+          again(job, item);
+        }
+      }
+    }
+  }
+
   private void finish(RunningJob job, ItemRun item, boolean delivered) {
     held -= item.bytes();
     job.finish(item, delivered);
@@ -329,12 +330,12 @@
   }
 
   private void again(RunningJob job, ItemRun item) {
-    item.vain = item.heard ? 0 : item.vain + 1;
+    item.vain = item.answered ? 0 : item.vain + 1;
     long backoff = Math.min(MOST_BACKOFF_MS, AGAIN_MS << Math.min(item.vain, 5));
-    tools
+    context
         .timers()
         .after(
-            tools.about(backoff),
+            context.about(backoff),
             () -> {
               if (!job.stopped && !item.done && !item.underWay) {
                 job.ready.add(item.index);
--- a/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
+++ b/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
@@ -11,9 +11,9 @@
 import java.util.function.Consumer;
 
 /**
- * Lists finished items: one change of a job's record at a time. The texts go with the first round,
- * so that they are at a majority before anyone is asked to take the listing: whoever finishes it
- * finds them there.
+ * Lists finished items, and counts failed runs of the others: one change of a job's record at a
+ * time. The texts go with the first round, so that they are at a majority before anyone is asked to
+ * take the listing: whoever finishes it finds them there.
  */
 final class ResultRecorder {
   private static final long GATHER_MS = 40;
@@ -24,30 +24,32 @@
   /** With a note there is always a first round. */
   private static final byte[] NO_NOTE = {};
 
-  private final BatchContext tools;
+  private final BatchContext context;
   private final BatchJobClient store;
   private final JobRunner runner;
   private final Consumer<String> changed;
 
   ResultRecorder(
-      BatchContext tools, BatchJobClient store, JobRunner runner, Consumer<String> changed) {
-    this.tools = tools;
+      BatchContext context, BatchJobClient store, JobRunner runner, Consumer<String> changed) {
+    this.context = context;
     this.store = store;
     this.runner = runner;
     this.changed = changed;
   }
 
-  /** Lists what is finished, with what else is finished in the next moments. */
+  /**
+   * Lists what is finished and counts what failed, with what else is finished in the next moments.
+   */
   void soon(RunningJob job) {
-    if (job.listing || job.stopped || job.finished.isEmpty()) {
+    if (job.listing || job.stopped || !job.hasNews()) {
       return;
     }
-    long wait = job.listedAt + GATHER_MS - tools.timers().now();
+    long wait = job.listedAt + GATHER_MS - context.timers().now();
     if (job.allDone()) {
-      tools.timers().soon(() -> list(job));
+      context.timers().soon(() -> list(job));
     } else if (!job.listingSet) {
       job.listingSet = true;
-      tools
+      context
           .timers()
           .after(
               wait,
@@ -59,17 +61,18 @@
   }
 
   private void list(RunningJob job) {
-    if (job.listing || job.stopped || job.finished.isEmpty()) {
+    if (job.listing || job.stopped || !job.hasNews()) {
       return;
     }
     job.listing = true;
-    long began = tools.timers().now();
+    long began = context.timers().now();
     List<RunningJob.Finished> batch = job.batch(MOST_BYTES);
-    tools
+    List<JobRecord.FailureCount> counts = job.unrecordedFailures();
+    context
         .register()
         .change(
             JobRecord.keyOf(job.id),
-            found -> wanted(job, batch, found),
+            found -> wanted(job, batch, counts, found),
             texts(batch),
             NO_NOTE,
             CHANGE_MS)
@@ -82,7 +85,7 @@
               if (failed == null) {
                 listed(job, batch, held.now(), began);
               } else {
-                tools.timers().after(tools.about(BACKOFF_MS), () -> list(job));
+                context.timers().after(context.about(BACKOFF_MS), () -> list(job));
               }
             });
   }
@@ -106,12 +109,15 @@
       return null;
     }
     JobRecord record = JobRecord.unpacked(value);
-    boolean ours = record.term() == job.term && record.runner().equals(tools.self());
+    boolean ours = record.term() == job.term && record.runner().equals(context.self());
     return ours && !record.ended() ? record : null;
   }
 
   private Register.Wanted wanted(
-      RunningJob job, List<RunningJob.Finished> batch, Register.Found found) {
+      RunningJob job,
+      List<RunningJob.Finished> batch,
+      List<JobRecord.FailureCount> failed,
+      Register.Found found) {
     JobRecord record = ours(job, found.value());
     if (record == null || job.stopped) {
       return new Register.Wanted(null, List.of());
@@ -123,11 +129,13 @@
         more.add(one.result());
       }
     }
-    if (more.isEmpty()) {
+    boolean counted =
+        failed.stream().allMatch(one -> record.failuresOf(one.index()) >= one.count());
+    if (more.isEmpty() && counted) {
       return new Register.Wanted(null, List.of());
     }
     return new Register.Wanted(
-        record.listing(more, job.ageMs(tools.timers().now())).packed(), List.of());
+        record.listing(more, failed, job.ageMs(context.timers().now())).packed(), List.of());
   }
 
   private void listed(
@@ -140,17 +148,18 @@
       return;
     }
     job.record = record;
-    job.listedAt = tools.timers().now();
+    job.listedAt = context.timers().now();
     job.confirmed(began);
     BitSet listed = record.listed();
     for (RunningJob.Finished one : batch) {
       if (listed.get(one.result().index()) && job.finished.remove(one.result().index()) != null) {
         runner.unheld(one.text().length);
         if (one.result().delivered()) {
-          store.keepText(job.id, one.result(), one.text());
+          store.cacheText(job.id, one.result(), one.text());
         }
       }
     }
+    runner.recordedFailures(job);
     if (record.complete()) {
       runner.stop(job.id);
     } else {
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -20,8 +20,9 @@
 import java.util.function.Supplier;
 
 /**
- * Holds a pull open at up to three control-plane nodes and keeps the newest that any of them told.
- * Everything on the loop; {@code whenChanged} runs inside the call that changed something.
+ * Holds a pull open at up to three control-plane nodes (stores and control-plane nodes at all that
+ * vote) and keeps the newest that any of them told. Everything on the loop; {@code whenChanged}
+ * runs inside the call that changed something.
  */
 public final class ConfigWatcher implements ClusterState {
   private static final long WAIT_MS = 1_000;
@@ -34,6 +35,7 @@
 
   /** Told that this process shall claim a voter slot of the store set with an epoch. */
   public interface Claim {
+    /** Take over that slot of the store set under that epoch; may be repeated. */
     void join(int slot, int epoch);
   }
 
@@ -98,6 +100,12 @@
     }
   }
 
+  /** Takes the seeds of the changed settings; all else stays as it was. */
+  public void changed(Settings changed) {
+    lines.seeds(changed);
+    lines.choose(view.head);
+  }
+
   /** Asks nothing more; what is known stays. */
   public void close() {
     if (review != null) {
@@ -227,6 +235,7 @@
     request.listVersion = servers.version();
     request.viewVersion = line.viewVersion;
     request.waitMs = WAIT_MS;
+    request.hasDisk = settings.dataDir() != null;
     return request;
   }
 
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -26,7 +26,10 @@
   static final long SILENT_MS = 5_000;
 
   private static final Logger LOG = LoggerFactory.getLogger(WatchStreams.class);
-  private static final int MOST = 3;
+
+  /** A gateway asks so many; stores and control-plane nodes ask all voters, to be heard by all. */
+  private static final int MOST_OF_GATEWAY = 3;
+
   private static final int MOST_REMEMBERED = 64;
   private static final long LATELY_MS = 1_500;
   private static final long CALL_MS = 1_800;
@@ -41,6 +44,7 @@
   private final Timers timers;
   private final String station;
   private final String self;
+  private final int most;
   private final List<String> seeds = new ArrayList<>();
   private final Function<WatchStream, PullRequest> asks;
   private final Taker taker;
@@ -63,10 +67,17 @@
     this.taker = taker;
     station = settings.station();
     self = settings.innerAddress();
+    most = settings.serves().contains("counter") ? MOST_OF_GATEWAY : Integer.MAX_VALUE;
+    seeds(settings);
+    lastHeardAt = timers.now();
+  }
+
+  /** Takes these seeds in place of those before. */
+  void seeds(Settings settings) {
+    seeds.clear();
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
     }
-    lastHeardAt = timers.now();
   }
 
   /**
@@ -173,7 +184,7 @@
     candidates.removeIf(address -> address.isEmpty() || address.equals(self));
     List<String> ranked = RendezvousHash.choose(station, candidates, candidates.size());
     passedOverUntil.keySet().retainAll(candidates);
-    if (ranked.size() <= MOST) {
+    if (ranked.size() <= most) {
       return ranked;
     }
     List<String> first = new ArrayList<>(ranked.size());
@@ -182,7 +193,7 @@
       (passedOver(address, now) ? last : first).add(address);
     }
     first.addAll(last);
-    return first.subList(0, MOST);
+    return first.subList(0, most);
   }
 
   private boolean passedOver(String address, long now) {
@@ -198,7 +209,8 @@
     if (closed || !line.open) {
       return;
     }
-    line.asked(timers.now());
+    long askedAt = timers.now();
+    line.asked(askedAt);
     caller
         .call(line.address, asks.apply(line), PullResponse.class, CALL_MS)
         .whenComplete(
@@ -206,7 +218,9 @@
               if (closed || !line.open) {
                 return;
               }
-              boolean used = thrown == null && heard(line, response);
+              // A process that was frozen finds an answer that was true before that.
+              boolean inTime = timers.now() - askedAt <= CALL_MS;
+              boolean used = thrown == null && inTime && heard(line, response);
               if (!used) {
                 failures++;
               }
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -4,8 +4,8 @@
 import elmsail.rpc.messages.VoterSet;
 
 /**
- * VoterSetSource compared and merged: in each voter slot the higher epoch is right, the first of
- * two equals.
+ * Voter sets compared and merged: in each voter slot the higher epoch is right, the first of two
+ * equals.
  */
 public final class VoterSets {
   private VoterSets() {}
@@ -49,6 +49,7 @@
     return true;
   }
 
+  /** Whether both are the same holder of a slot: instance, epoch, address and station. */
   public static boolean same(Voter one, Voter other) {
     return one.epoch == other.epoch
         && one.instanceId == other.instanceId
@@ -114,11 +115,15 @@
   /** The voter slot that is held at this address or by this station, or -1. */
   static int ofPlace(VoterSet voterSet, String address, String station) {
     for (int i = 0; i < voterSet.voters.size(); i++) {
-      Voter slot = voterSet.voters.get(i);
-      if (slot.address.equals(address) || !station.isEmpty() && slot.station.equals(station)) {
+      if (isOf(voterSet.voters.get(i), address, station)) {
         return i;
       }
     }
     return -1;
   }
+
+  /** Whether the holder is, or was, at this address or of this station. */
+  static boolean isOf(Voter holder, String address, String station) {
+    return holder.address.equals(address) || !station.isEmpty() && holder.station.equals(station);
+  }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -6,7 +6,7 @@
 import elmsail.consensus.VoterSets;
 import elmsail.rpc.Caller;
 import elmsail.rpc.RequestHandlers;
-import elmsail.rpc.messages.HelloResponse;
+import elmsail.rpc.messages.HelloRequest;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
@@ -64,7 +64,7 @@
     this.born = records != null && (settings.firstStart() || records.read(BORN) != null);
   }
 
-  /** HandlerTable the others only once it is on the disk whether this life may found. */
+  /** Answers the others only once it is on the disk whether this life may found. */
   void start(RequestHandlers answering) {
     if (born && records.read(BORN) == null) {
       records.write(List.of(new Change(BORN, new byte[] {1}))).thenRun(() -> begin(answering));
@@ -74,11 +74,13 @@
   }
 
   private void begin(RequestHandlers answering) {
-    HelloResponse own = new HelloResponse();
+    HelloRequest own = new HelloRequest();
     own.station = settings.station();
     own.address = settings.innerAddress();
+    own.zone = settings.zone();
     own.instanceId = records == null ? 0 : records.instanceId();
-    own.firstStart = born;
+    own.hasDisk = records != null;
+    own.firstStart = records == null ? settings.firstStart() : born;
     List<String> seeds = new ArrayList<>();
     for (String seed : settings.seeds()) {
       seeds.add(settings.headInner(seed));
@@ -88,10 +90,11 @@
             caller,
             timers,
             own,
+            records,
             seeds,
-            this::of,
-            voterSet -> keeper.found(voterSet),
-            this::response);
+            2 * settings.bearMachines() + 1,
+            this::current,
+            this::learn);
     founding.start(answering);
   }
 
@@ -107,16 +110,16 @@
 
   /** Whether it holds a voter slot, voting or not yet. */
   boolean holdsSlot() {
-    return keeper != null && VoterSetValue.slotOf(of(), settings.innerAddress()) >= 0;
+    return keeper != null && VoterSetValue.slotOf(current(), settings.innerAddress()) >= 0;
   }
 
   @Override
-  public VoterSet of() {
+  public VoterSet current() {
     return keeper == null ? learned : keeper.voterSet();
   }
 
   @Override
-  public void response(VoterSet newer) {
+  public void learn(VoterSet newer) {
     if (keeper == null) {
       learned = VoterSets.merge(learned, newer);
     } else if (VoterSets.newer(newer, keeper.voterSet())) {
@@ -124,6 +127,26 @@
     }
   }
 
+  /** Called each time that this process begins to vote in a slot that another instance held. */
+  void whenTakenOver(Runnable then) {
+    if (keeper != null) {
+      keeper.whenVotingChanges(
+          () -> {
+            int slot = VoterSetValue.slotOf(current(), settings.innerAddress());
+            if (keeper.voting() && slot >= 0 && current().voters.get(slot).epoch > 1) {
+              then.run();
+            }
+          });
+    }
+  }
+
+  /** Takes over a slot as directed; nothing happens where there is no disk. */
+  void join(int slot, int epoch) {
+    if (keeper != null) {
+      keeper.join(slot, epoch);
+    }
+  }
+
   void close() {
     if (founding != null) {
       founding.close();
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -35,6 +35,7 @@
   private final Map<String, Server> byId = new LinkedHashMap<>();
   private int turn;
 
+  /** The servers of the list that {@code known} has; connections run on {@code loop}. */
   public Servers(
       Timers timers,
       EventLoop loop,
--- a/rpc/src/main/java/elmsail/rpc/RpcCounters.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcCounters.java
@@ -16,7 +16,7 @@
   /** Answers to calls that had already ended, or that never went out on that connection. */
   public long late;
 
-  /** HandlerTable that were ready after their connection had closed. */
+  /** Answers that were ready after their connection had closed. */
   public long unheard;
 
   /** Connections closed for a frame that was none, or that was out of place. */
