Bound what is read ahead of a client by bytes as well

Cause: reading up to 64 parts ahead, so that a client is seen to leave, could hold 2 MB of bodies for one connection outside the bound for bodies. Change: reading stops at 64 parts or 64 KB of bodies.

--- a/gateway/src/main/java/elmsail/gateway/frontend/WaitingParts.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/WaitingParts.java
@@ -1,5 +1,6 @@
 package elmsail.gateway.frontend;
 
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
@@ -10,20 +11,27 @@
    * So many are read, then no more: a client that leaves is seen to leave only as long as its
    * connection is read.
    */
-  private static final int MOST = 64;
+  private static final int MOST_PARTS = 64;
+
+  /** Likewise of the bytes of bodies in them. */
+  private static final int MOST_BYTES = 64 * 1024;
 
   /** A part, which whoever polls it releases. */
   record Part(HttpObject part, long arrivedMs) {}
 
   private final ArrayDeque<Part> parts = new ArrayDeque<>();
+  private int bytes;
 
   void add(HttpObject part, long arrivedMs) {
     parts.add(new Part(part, arrivedMs));
+    bytes += bytesOf(part);
   }
 
   /** The oldest, or null. */
   Part poll() {
-    return parts.poll();
+    Part oldest = parts.poll();
+    bytes -= oldest == null ? 0 : bytesOf(oldest.part());
+    return oldest;
   }
 
   boolean isEmpty() {
@@ -32,12 +40,16 @@
 
   /** Whether no more are to be read for now. */
   boolean full() {
-    return parts.size() >= MOST;
+    return parts.size() >= MOST_PARTS || bytes >= MOST_BYTES;
   }
 
   void release() {
     while (!parts.isEmpty()) {
-      ReferenceCountUtil.release(parts.poll().part());
+      ReferenceCountUtil.release(poll().part());
     }
   }
+
+  private static int bytesOf(HttpObject part) {
+    return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
 }
