--- a/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/CutOffStoresTest.java
@@ -20,11 +20,15 @@
 class CutOffStoresTest extends CutOffRig {
   private static final String DELIVERED = "{\"state\":\"delivered\"}";
 
+  /** The first three hold the slots, the others are spares. */
   private void stores(int count) {
-    for (int i = 1; i <= count; i++) {
+    for (int i = 1; i <= 3; i++) {
       world.store("v" + i, true);
     }
     assertThat(world.until(6_000, () -> world.storeSet("v1").equals("v1/1 v2/1 v3/1")), is(true));
+    for (int i = 4; i <= count; i++) {
+      world.store("v" + i, true);
+    }
     world.timers.pass(4_000);
   }
 
@@ -181,4 +185,22 @@
     System.out.println("delivered was said " + said + " times of 120");
     assertThat(said, greaterThan(100));
   }
+
+  @Test
+  void withFiveVotersEachOfThemHearsEveryStore() {
+    for (int seed = 1; seed <= 5; seed++) {
+      world = new World(seed, 5);
+      for (int i = 1; i <= 5; i++) {
+        world.controlPlane("n" + i, true);
+      }
+      stores(4);
+      world.timers.pass(10_000);
+      assertThat(world.storeSet("v1"), equalTo("v1/1 v2/1 v3/1"));
+      assertThat(world.retire("n" + seed, "v4"), is(200));
+      world.timers.pass(5_000);
+      for (int i = 1; i <= 5; i++) {
+        assertThat(world.retired("n" + i, "v4"), equalTo(DELIVERED));
+      }
+    }
+  }
 }
