--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -6,15 +6,8 @@
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
 import elmsail.gateway.http.RequestCounters;
-import elmsail.runtime.Addresses;
 import elmsail.runtime.Timers;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -29,19 +22,8 @@
  * loop.
  */
 public final class Servers {
-  /** No connect may take longer before another server is tried. */
-  private static final int CONNECT_MS = 150;
-
-  /** Nor to one that has failed lately. */
-  private static final int DOUBTFUL_CONNECT_MS = 80;
-
   private static final long SWEEP_MS = 500;
 
-  /** A connection rests so long behind an answer, as an extra one may come late. */
-  private static final long REST_MS = 20;
-
-  private static final int LEAST_CONNECTIONS = 4;
-  private static final int DEFAULT_CONNECTIONS = 64;
   private static final int DEFAULT_TOKENS = 200_000;
 
   private final Timers timers;
@@ -49,10 +31,9 @@
   private final String zone;
   private final RequestCounters counters;
   private final RandomGenerator chance;
-  private final Bootstrap bootstrap;
+  private final ConnectionPool pool;
   private final Map<String, Server> byId = new LinkedHashMap<>();
   private int turn;
-  private boolean stopped;
 
   /** The servers of the list that {@code known} has; connections run on {@code loop}. */
   public Servers(
@@ -67,27 +48,12 @@
     this.zone = zone;
     this.counters = counters;
     this.chance = chance;
-    bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(QuietSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(
-                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                new WriteBufferWaterMark(32 * 1024, 64 * 1024));
+    pool = new ConnectionPool(timers, loop, known, counters);
     known.whenChanged(this::refresh);
     refresh();
     timers.after(SWEEP_MS, this::sweep);
   }
 
-  Timers timers() {
-    return timers;
-  }
-
-  RequestCounters counters() {
-    return counters;
-  }
-
   /** Whether any server is open to requests. */
   public boolean any() {
     return !byId.isEmpty();
@@ -99,33 +65,33 @@
     for (ServerEntry e : known.servers()) {
       if (!e.closing()) {
         open.add(e.id());
-        Server s = byId.get(e.id());
-        if (s != null && !s.entry().address().equals(e.address())) {
+        Server server = byId.get(e.id());
+        if (server != null && !server.entry().address().equals(e.address())) {
           byId.remove(e.id());
-          leave(s);
-          s = null;
+          leave(server);
+          server = null;
         }
-        if (s == null) {
+        if (server == null) {
           byId.put(e.id(), new Server(e, kvTokens(e.service())));
         }
       }
     }
     for (Iterator<Server> all = byId.values().iterator(); all.hasNext(); ) {
-      Server s = all.next();
-      if (!open.contains(s.id())) {
+      Server server = all.next();
+      if (!open.contains(server.id())) {
         all.remove();
-        leave(s);
+        leave(server);
       }
     }
   }
 
   /** What has not been written yet is not written any more; what runs goes on. */
-  private static void leave(Server s) {
-    s.leave();
-    for (ServerConnection c : new ArrayList<>(s.idle)) {
+  private static void leave(Server server) {
+    server.leave();
+    for (ServerConnection c : new ArrayList<>(server.idle)) {
       c.close();
     }
-    for (Attempt t : s.tries()) {
+    for (Attempt t : server.tries()) {
       if (!t.sent()) {
         t.failed();
       }
@@ -134,34 +100,27 @@
 
   private long kvTokens(String service) {
     RoutingConfig now = known.config();
-    Service s = now == null ? null : now.services().get(service);
+    Service server = now == null ? null : now.services().get(service);
     // About half of it is taken by requests that run.
-    return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens() / 2;
+    return server == null || server.kvTokens() <= 0 ? DEFAULT_TOKENS : server.kvTokens() / 2;
   }
 
-  /**
-   * How many connections to a server this gateway may have, so that all gateways together keep
-   * within its cap.
-   */
-  int most(Server s) {
-    RoutingConfig now = known.config();
-    Service service = now == null ? null : now.services().get(s.entry().service());
-    int cap =
-        service == null || service.connections() <= 0 ? DEFAULT_CONNECTIONS : service.connections();
-    return Math.max(LEAST_CONNECTIONS, cap / Math.max(1, known.view().gateways.size()));
+  /** See {@link ConnectionPool#most}. */
+  int most(Server server) {
+    return pool.most(server);
   }
 
   /** Whether a connection for one more request can be had. */
-  boolean room(Server s) {
-    return !s.idle.isEmpty() || s.connections < most(s);
+  boolean room(Server server) {
+    return !server.idle.isEmpty() || server.connections < most(server);
   }
 
   /** The open servers of a service. */
   List<Server> of(String service) {
     List<Server> found = new ArrayList<>();
-    for (Server s : byId.values()) {
-      if (s.entry().service().equals(service)) {
-        found.add(s);
+    for (Server server : byId.values()) {
+      if (server.entry().service().equals(service)) {
+        found.add(server);
       }
     }
     return found;
@@ -184,9 +143,9 @@
     while (!shares.isEmpty()) {
       Route.Share share = drawn(shares);
       shares.remove(share);
-      Server s = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
-      if (s != null) {
-        return s;
+      Server server = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
+      if (server != null) {
+        return server;
       }
     }
     return null;
@@ -197,14 +156,14 @@
       return shares.get(0);
     }
     double sum = 0;
-    for (Route.Share s : shares) {
-      sum += Math.max(0, s.weight());
+    for (Route.Share share : shares) {
+      sum += Math.max(0, share.weight());
     }
     double at = chance.nextDouble() * sum;
-    for (Route.Share s : shares) {
-      at -= Math.max(0, s.weight());
+    for (Route.Share share : shares) {
+      at -= Math.max(0, share.weight());
       if (at < 0) {
-        return s;
+        return share;
       }
     }
     return shares.get(shares.size() - 1);
@@ -214,40 +173,40 @@
   public Server best(List<Server> among, Prompt prompt, Set<Server> not) {
     long now = timers.now();
     List<Server> open = new ArrayList<>(among.size());
-    for (Server s : among) {
-      if (!not.contains(s) && !s.gone() && !s.misplaced() && room(s)) {
-        open.add(s);
+    for (Server server : among) {
+      if (!not.contains(server) && !server.gone() && !server.misplaced() && room(server)) {
+        open.add(server);
       }
     }
     Server home = home(open, prompt);
     List<ServerSelector.View> views = new ArrayList<>(open.size());
-    for (Server s : open) {
-      views.add(view(s, prompt, s == home, now));
+    for (Server server : open) {
+      views.add(view(server, prompt, server == home, now));
     }
     int at = ServerSelector.pick(views, prompt.total(), turn++);
     return at < 0 ? null : open.get(at);
   }
 
-  private ServerSelector.View view(Server s, Prompt prompt, boolean home, long now) {
+  private ServerSelector.View view(Server server, Prompt prompt, boolean home, long now) {
     return new ServerSelector.View(
-        s.memory().known(prompt),
+        server.memory().known(prompt),
         home ? prompt.sharedTokens() : 0,
-        s.running(now),
-        s.waiting(now),
-        s.entry().berths(),
-        s.readingTokens(),
-        zone.equals(s.entry().zone()),
-        s.avoided(now));
+        server.running(now),
+        server.waiting(now),
+        server.entry().berths(),
+        server.readingTokens(),
+        zone.equals(server.entry().zone()),
+        server.avoided(now));
   }
 
   /** The estimated ms that a request waits there until it is read. */
-  public double waitMs(Server s) {
-    return ServerSelector.waitMs(view(s, Prompt.NONE, false, timers.now()));
+  public double waitMs(Server server) {
+    return ServerSelector.waitMs(view(server, Prompt.NONE, false, timers.now()));
   }
 
   /** Whether it failed lately or is silent. */
-  public boolean avoided(Server s) {
-    return s.avoided(timers.now());
+  public boolean avoided(Server server) {
+    return server.avoided(timers.now());
   }
 
   /**
@@ -259,11 +218,11 @@
     Server first = null;
     boolean firstNear = false;
     long most = Long.MIN_VALUE;
-    for (Server s : open) {
-      boolean near = zone.equals(s.entry().zone());
-      long rank = Prompt.mix(key ^ Prompt.mix(s.id().hashCode()));
+    for (Server server : open) {
+      boolean near = zone.equals(server.entry().zone());
+      long rank = Prompt.mix(key ^ Prompt.mix(server.id().hashCode()));
       if (key != 0 && (first == null || near && !firstNear || near == firstNear && rank > most)) {
-        first = s;
+        first = server;
         firstNear = near;
         most = rank;
       }
@@ -277,102 +236,31 @@
     Attempt one = new Attempt(server, out, heard, timers.now());
     server.begun(one);
     server.memory().add(out.prompt());
-    ServerConnection c =
-        server.doubtful(timers.now()) && server.connections < most(server) ? null : rested(server);
-    if (c != null) {
-      c.carry(one);
-    } else {
-      connect(server, one);
-    }
+    pool.carry(server, one);
     return one;
   }
 
-  private ServerConnection rested(Server s) {
-    long now = timers.now();
-    boolean full = s.connections >= most(s);
-    for (Iterator<ServerConnection> all = s.idle.descendingIterator(); all.hasNext(); ) {
-      ServerConnection c = all.next();
-      if (now - c.idleSince() >= REST_MS || full) {
-        all.remove();
-        if (c.usable(now)) {
-          return c;
-        }
-        c.close();
-      }
-    }
-    return null;
-  }
-
-  private void connect(Server server, Attempt one) {
-    ServerConnection c = new ServerConnection(this, server);
-    server.connections++;
-    int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
-    Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
-    ChannelFuture connect =
-        limited
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    c.into(channel.pipeline());
-                  }
-                })
-            .connect(Addresses.of(server.entry().address()));
-    one.on(connect.channel());
-    connect.channel().closeFuture().addListener(f -> server.connections--);
-    if (connect.isDone()) {
-      timers.soon(
-          () -> connected(connect, server, c, one)); // not within the call that begins the try
-    } else {
-      connect.addListener((ChannelFuture f) -> connected(f, server, c, one));
-    }
-  }
-
-  private void connected(ChannelFuture f, Server server, ServerConnection c, Attempt one) {
-    if (!f.isSuccess()) {
-      f.channel().close();
-      counters.count(RequestCounters.Event.CONNECT_FAILED);
-      if (!one.over()) { // a cancelled one says nothing of the server
-        server.failed(timers.now());
-        one.failed();
-      }
-      return;
-    }
-    counters.count(RequestCounters.Event.CONNECTED);
-    if (one.over() || server.gone()) {
-      f.channel().close();
-      one.failed();
-    } else {
-      c.carry(one);
-    }
-  }
-
   private void sweep() {
     long now = timers.now();
-    for (Server s : byId.values()) {
-      for (ServerConnection c : new ArrayList<>(s.idle)) {
+    for (Server server : byId.values()) {
+      for (ServerConnection c : new ArrayList<>(server.idle)) {
         if (!c.fresh(now)) {
           c.close();
         }
       }
     }
-    if (!stopped) {
+    if (!pool.stopped()) {
       timers.after(SWEEP_MS, this::sweep);
     }
   }
 
   /** Closes the idle connections; what runs goes on. */
   public void stop() {
-    stopped = true;
-    for (Server s : byId.values()) {
-      for (ServerConnection c : new ArrayList<>(s.idle)) {
+    pool.stop();
+    for (Server server : byId.values()) {
+      for (ServerConnection c : new ArrayList<>(server.idle)) {
         c.close();
       }
     }
   }
-
-  /** Whether answered connections are kept. */
-  boolean keeps(Server s) {
-    return !stopped && !s.gone();
-  }
 }
