--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -178,6 +178,19 @@
     assertThat(dropped, contains("lot/a"));
   }
 
+  @Test
+  void whatAnEarlierProcessOnlyPromisedIsDropped() {
+    retention.promised("lot/a");
+    retention.promised("lot/b");
+    retention.start();
+    timers.pass(30_000);
+    retention.taken("lot/b", record(10).packed());
+    timers.pass(25_000);
+    assertThat(dropped, hasSize(0));
+    timers.pass(15_000);
+    assertThat(dropped, contains("lot/a"));
+  }
+
   @Test
   void jobsAreDroppedOnceNobodyMayAskForThem() {
     retention.start();
--- a/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
@@ -106,20 +106,21 @@
     long now = timers.now();
     boolean full = server.connections >= most(server);
     for (Iterator<ServerConnection> all = server.idle.descendingIterator(); all.hasNext(); ) {
-      ServerConnection kept = all.next();
-      if ((now - kept.idleSince() >= REST_MS || full) && !kept.hasJustCarried(requestId)) {
+      ServerConnection connection = all.next();
+      if ((now - connection.idleSince() >= REST_MS || full)
+          && !connection.hasJustCarried(requestId)) {
         all.remove();
-        if (kept.usable(now)) {
-          return kept;
+        if (connection.usable(now)) {
+          return connection;
         }
-        kept.close();
+        connection.close();
       }
     }
     return null;
   }
 
   private void connect(Server server, Attempt one) {
-    ServerConnection made = new ServerConnection(this, server);
+    ServerConnection connection = new ServerConnection(this, server);
     server.connections++;
     int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
     Bootstrap limited = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit);
@@ -129,7 +130,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    made.into(channel.pipeline());
+                    connection.into(channel.pipeline());
                   }
                 })
             .connect(Addresses.of(server.entry().address()));
@@ -137,15 +138,18 @@
     connect.channel().closeFuture().addListener(f -> server.connections--);
     if (connect.isDone()) {
       timers.soon(
-          () -> connected(connect, server, made, one)); // not within the call that begins the try
+          () ->
+              connected(
+                  connect, server, connection, one)); // not within the call that begins the try
     } else {
-      connect.addListener((ChannelFuture f) -> connected(f, server, made, one));
+      connect.addListener((ChannelFuture attempt) -> connected(attempt, server, connection, one));
     }
   }
 
-  private void connected(ChannelFuture connect, Server server, ServerConnection made, Attempt one) {
-    if (!connect.isSuccess()) {
-      connect.channel().close();
+  private void connected(
+      ChannelFuture attempt, Server server, ServerConnection connection, Attempt one) {
+    if (!attempt.isSuccess()) {
+      attempt.channel().close();
       counters.count(RequestCounters.Event.CONNECT_FAILED);
       if (!one.over()) { // a cancelled one says nothing of the server
         server.failed(timers.now());
@@ -155,10 +159,10 @@
     }
     counters.count(RequestCounters.Event.CONNECTED);
     if (one.over() || server.gone()) {
-      connect.channel().close();
+      attempt.channel().close();
       one.failed();
     } else {
-      made.carry(one);
+      connection.carry(one);
     }
   }
 }
