--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -178,8 +178,8 @@
   }
 
   /** The next version, run by that gateway under the next term. */
-  public JobRecord runBy(String door, long age) {
-    return changed(results, ended, door, term + 1, Math.max(ageMs, age), failures);
+  public JobRecord runBy(String gateway, long age) {
+    return changed(results, ended, gateway, term + 1, Math.max(ageMs, age), failures);
   }
 
   /** The same, written once more so that stores that missed a change get it. */
--- a/batch/src/test/java/elmsail/batch/FailingItemsTest.java
+++ b/batch/src/test/java/elmsail/batch/FailingItemsTest.java
@@ -16,9 +16,9 @@
   private static final String NONE = "\"next_token\":0,\"deliveries\":[]";
   private static final String GIVEN_UP = "\"state\":\"undeliverable\"";
 
-  private static SimWorld accepted(long seed, int gateways, int pieces) {
+  private static SimWorld accepted(long seed, int gateways, int batchItems) {
     SimWorld world = new SimWorld(seed, gateways, 1_000);
-    assertThat(world.status(world.hand(0, "a", pieces, 10)), is(202));
+    assertThat(world.status(world.hand(0, "a", batchItems, 10)), is(202));
     world.timers.pass(30);
     return world;
   }
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -65,33 +65,33 @@
     for (ServerEntry e : known.servers()) {
       if (!e.closing()) {
         open.add(e.id());
-        Server s = byId.get(e.id());
-        if (s != null && !s.entry().address().equals(e.address())) {
+        Server server = byId.get(e.id());
+        if (server != null && !server.entry().address().equals(e.address())) {
           byId.remove(e.id());
-          leave(s);
-          s = null;
+          leave(server);
+          server = null;
         }
-        if (s == null) {
+        if (server == null) {
           byId.put(e.id(), new Server(e, kvTokens(e.service())));
         }
       }
     }
     for (Iterator<Server> all = byId.values().iterator(); all.hasNext(); ) {
-      Server s = all.next();
-      if (!open.contains(s.id())) {
+      Server server = all.next();
+      if (!open.contains(server.id())) {
         all.remove();
-        leave(s);
+        leave(server);
       }
     }
   }
 
   /** What has not been written yet is not written any more; what runs goes on. */
-  private static void leave(Server s) {
-    s.leave();
-    for (ServerConnection c : new ArrayList<>(s.idle)) {
+  private static void leave(Server server) {
+    server.leave();
+    for (ServerConnection c : new ArrayList<>(server.idle)) {
       c.close();
     }
-    for (Attempt t : s.tries()) {
+    for (Attempt t : server.tries()) {
       if (!t.sent()) {
         t.failed();
       }
@@ -100,27 +100,27 @@
 
   private long kvTokens(String service) {
     RoutingConfig now = known.config();
-    Service s = now == null ? null : now.services().get(service);
+    Service server = now == null ? null : now.services().get(service);
     // About half of it is taken by requests that run.
-    return s == null || s.kvTokens() <= 0 ? DEFAULT_TOKENS : s.kvTokens() / 2;
+    return server == null || server.kvTokens() <= 0 ? DEFAULT_TOKENS : server.kvTokens() / 2;
   }
 
   /** See {@link ConnectionPool#most}. */
-  int most(Server s) {
-    return pool.most(s);
+  int most(Server server) {
+    return pool.most(server);
   }
 
   /** Whether a connection for one more request can be had. */
-  boolean room(Server s) {
-    return !s.idle.isEmpty() || s.connections < most(s);
+  boolean room(Server server) {
+    return !server.idle.isEmpty() || server.connections < most(server);
   }
 
   /** The open servers of a service. */
   List<Server> of(String service) {
     List<Server> found = new ArrayList<>();
-    for (Server s : byId.values()) {
-      if (s.entry().service().equals(service)) {
-        found.add(s);
+    for (Server server : byId.values()) {
+      if (server.entry().service().equals(service)) {
+        found.add(server);
       }
     }
     return found;
@@ -143,9 +143,9 @@
     while (!shares.isEmpty()) {
       Route.Share share = drawn(shares);
       shares.remove(share);
-      Server s = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
-      if (s != null) {
-        return s;
+      Server server = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
+      if (server != null) {
+        return server;
       }
     }
     return null;
@@ -156,14 +156,14 @@
       return shares.get(0);
     }
     double sum = 0;
-    for (Route.Share s : shares) {
-      sum += Math.max(0, s.weight());
+    for (Route.Share share : shares) {
+      sum += Math.max(0, share.weight());
     }
     double at = chance.nextDouble() * sum;
-    for (Route.Share s : shares) {
-      at -= Math.max(0, s.weight());
+    for (Route.Share share : shares) {
+      at -= Math.max(0, share.weight());
       if (at < 0) {
-        return s;
+        return share;
       }
     }
     return shares.get(shares.size() - 1);
@@ -173,40 +173,40 @@
   public Server best(List<Server> among, Prompt prompt, Set<Server> not) {
     long now = timers.now();
     List<Server> open = new ArrayList<>(among.size());
-    for (Server s : among) {
-      if (!not.contains(s) && !s.gone() && !s.misplaced() && room(s)) {
-        open.add(s);
+    for (Server server : among) {
+      if (!not.contains(server) && !server.gone() && !server.misplaced() && room(server)) {
+        open.add(server);
       }
     }
     Server home = home(open, prompt);
     List<ServerSelector.View> views = new ArrayList<>(open.size());
-    for (Server s : open) {
-      views.add(view(s, prompt, s == home, now));
+    for (Server server : open) {
+      views.add(view(server, prompt, server == home, now));
     }
     int at = ServerSelector.pick(views, prompt.total(), turn++);
     return at < 0 ? null : open.get(at);
   }
 
-  private ServerSelector.View view(Server s, Prompt prompt, boolean home, long now) {
+  private ServerSelector.View view(Server server, Prompt prompt, boolean home, long now) {
     return new ServerSelector.View(
-        s.memory().known(prompt),
+        server.memory().known(prompt),
         home ? prompt.sharedTokens() : 0,
-        s.running(now),
-        s.waiting(now),
-        s.entry().berths(),
-        s.readingTokens(),
-        zone.equals(s.entry().zone()),
-        s.avoided(now));
+        server.running(now),
+        server.waiting(now),
+        server.entry().berths(),
+        server.readingTokens(),
+        zone.equals(server.entry().zone()),
+        server.avoided(now));
   }
 
   /** The estimated ms that a request waits there until it is read. */
-  public double waitMs(Server s) {
-    return ServerSelector.waitMs(view(s, Prompt.NONE, false, timers.now()));
+  public double waitMs(Server server) {
+    return ServerSelector.waitMs(view(server, Prompt.NONE, false, timers.now()));
   }
 
   /** Whether it failed lately or is silent. */
-  public boolean avoided(Server s) {
-    return s.avoided(timers.now());
+  public boolean avoided(Server server) {
+    return server.avoided(timers.now());
   }
 
   /**
@@ -218,11 +218,11 @@
     Server first = null;
     boolean firstNear = false;
     long most = Long.MIN_VALUE;
-    for (Server s : open) {
-      boolean near = zone.equals(s.entry().zone());
-      long rank = Prompt.mix(key ^ Prompt.mix(s.id().hashCode()));
+    for (Server server : open) {
+      boolean near = zone.equals(server.entry().zone());
+      long rank = Prompt.mix(key ^ Prompt.mix(server.id().hashCode()));
       if (key != 0 && (first == null || near && !firstNear || near == firstNear && rank > most)) {
-        first = s;
+        first = server;
         firstNear = near;
         most = rank;
       }
@@ -242,8 +242,8 @@
 
   private void sweep() {
     long now = timers.now();
-    for (Server s : byId.values()) {
-      for (ServerConnection c : new ArrayList<>(s.idle)) {
+    for (Server server : byId.values()) {
+      for (ServerConnection c : new ArrayList<>(server.idle)) {
         if (!c.fresh(now)) {
           c.close();
         }
@@ -257,8 +257,8 @@
   /** Closes the idle connections; what runs goes on. */
   public void stop() {
     pool.stop();
-    for (Server s : byId.values()) {
-      for (ServerConnection c : new ArrayList<>(s.idle)) {
+    for (Server server : byId.values()) {
+      for (ServerConnection c : new ArrayList<>(server.idle)) {
         c.close();
       }
     }
