--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -58,7 +58,7 @@
   /**
    * Asks nothing before {@code start}.
    *
-   * @param role "gateway", "vault" or "controlplane"
+   * @param role "gateway", "store" or "controlplane"
    * @param store what a store tells of itself, {@code StoreStatus.NONE} in others
    * @param platform for a gateway that hears no list in time; null: never asked
    */
--- a/config/src/main/java/elmsail/config/watch/PeerReport.java
+++ b/config/src/main/java/elmsail/config/watch/PeerReport.java
@@ -5,7 +5,7 @@
 /**
  * What a process last said of itself with a pull; {@code at} in steady ms.
  *
- * @param role "gateway", "vault" or "controlplane"
+ * @param role "gateway", "store" or "controlplane"
  * @param storeSet the voter set that a store knows
  */
 public record PeerReport(
--- a/config/src/test/java/elmsail/config/watch/ChangedSeedsTest.java
+++ b/config/src/test/java/elmsail/config/watch/ChangedSeedsTest.java
@@ -42,15 +42,15 @@
 
   @Test
   void seedsOfChangedSettingsAreAskedOnceNobodyElseAnswers() {
-    puller.start();
+    watcher.start();
     timers.pass(500);
     List.of(A, B, C).forEach(links.notaries::remove);
     UpdateSources d = links.controlPlane(D);
     links.controlPlane(E);
     d.setConfig(8, config(8));
-    puller.changed(changed());
+    watcher.changed(changed());
     timers.pass(12_000);
-    assertThat(puller.asked(), hasItems(D, E));
-    assertThat(puller.config().edition(), equalTo(8L));
+    assertThat(watcher.asked(), hasItems(D, E));
+    assertThat(watcher.config().edition(), equalTo(8L));
   }
 }
--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
@@ -26,7 +26,7 @@
   final UpdateSources a = links.controlPlane(A);
   final UpdateSources b = links.controlPlane(B);
   final UpdateSources c = links.controlPlane(C);
-  final ConfigWatcher puller = puller("gateway", Set.of("counter"), () -> StoreStatus.NONE);
+  final ConfigWatcher watcher = watcher("gateway", Set.of("counter"), () -> StoreStatus.NONE);
   int changes;
 
   static Settings settings(Set<String> serves) {
@@ -53,13 +53,13 @@
         new Settings.Platform("10.200.0.79:8169", 40, 800));
   }
 
-  ConfigWatcher puller(String role, Set<String> serves, Supplier<StoreStatus> store) {
+  ConfigWatcher watcher(String role, Set<String> serves, Supplier<StoreStatus> store) {
     return new ConfigWatcher(links, timers, settings(serves), role, 77, store, null);
   }
 
   @BeforeEach
   void count() {
-    puller.whenChanged(() -> changes++);
+    watcher.whenChanged(() -> changes++);
   }
 
   static byte[] config(long edition) {
--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherServersTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherServersTest.java
@@ -50,16 +50,16 @@
   @Test
   void theListsAgeIsKeptFromWhatIsTold() {
     a.setServers(1, 1, list("i-1"), timers.now() - 400);
-    puller.start();
+    watcher.start();
     timers.pass(10);
-    assertThat(puller.listAgeMs(), equalTo(405L));
-    assertThat(puller.listTakenAt(), equalTo(605L));
+    assertThat(watcher.listAgeMs(), equalTo(405L));
+    assertThat(watcher.listTakenAt(), equalTo(605L));
     timers.pass(600);
-    assertThat(puller.listAgeMs(), equalTo(1_005L));
+    assertThat(watcher.listAgeMs(), equalTo(1_005L));
     int before = changes;
     a.setServers(1, 1, list("i-1"), timers.now());
     timers.pass(900);
-    assertThat(puller.listAgeMs(), lessThanOrEqualTo(1_000L));
+    assertThat(watcher.listAgeMs(), lessThanOrEqualTo(1_000L));
     assertThat(changes, equalTo(before));
   }
 
@@ -67,25 +67,25 @@
   void aListOfALowerEpochIsIgnored() {
     a.setServers(2, 1, list("i-2"), timers.now());
     b.setServers(1, 50, list("i-1"), timers.now());
-    puller.start();
+    watcher.start();
     timers.pass(2_000);
-    assertThat(puller.servers(), equalTo(ServerList.decode(list("i-2"))));
-    assertThat(puller.listEpoch(), equalTo(2L));
-    assertThat(puller.listVersion(), equalTo(1L));
-    puller.offerServers(2, 2, list("i-3"), timers.now());
-    assertThat(puller.servers(), equalTo(ServerList.decode(list("i-3"))));
-    assertThat(puller.listBytes(), equalTo(list("i-3")));
+    assertThat(watcher.servers(), equalTo(ServerList.decode(list("i-2"))));
+    assertThat(watcher.listEpoch(), equalTo(2L));
+    assertThat(watcher.listVersion(), equalTo(1L));
+    watcher.offerServers(2, 2, list("i-3"), timers.now());
+    assertThat(watcher.servers(), equalTo(ServerList.decode(list("i-3"))));
+    assertThat(watcher.listBytes(), equalTo(list("i-3")));
   }
 
   @Test
   void aClerkTakesListsFromTheNearestWhileItIsYoung() {
-    puller.start();
+    watcher.start();
     for (int version = 1; version <= 3; version++) {
       listsTold(version, a, b, c);
     }
     for (int version = 4; version <= 9; version++) {
       assertThat(listsTold(version, a, b, c), equalTo(1));
-      assertThat(puller.listVersion(), equalTo((long) version));
+      assertThat(watcher.listVersion(), equalTo((long) version));
       assertThat(links.last(A).listEpoch, equalTo(1L));
       assertThat(links.last(B).listEpoch, equalTo(Long.MAX_VALUE));
       assertThat(links.last(C).listEpoch, equalTo(Long.MAX_VALUE));
@@ -94,32 +94,32 @@
 
   @Test
   void aNearestThatIsCutOffOrBehindIsNotWaitedFor() {
-    puller.start();
+    watcher.start();
     for (int version = 1; version <= 3; version++) {
       listsTold(version, a, b, c);
     }
     for (int version = 4; version <= 9; version++) {
       listsTold(version, b, c);
-      assertThat(puller.listAgeMs(), lessThan(2_500L));
+      assertThat(watcher.listAgeMs(), lessThan(2_500L));
     }
-    assertThat(puller.listVersion(), greaterThan(7L));
+    assertThat(watcher.listVersion(), greaterThan(7L));
     links.cutBack.add(A);
     for (int version = 10; version <= 15; version++) {
       listsTold(version, a, b, c);
-      assertThat(puller.listAgeMs(), lessThan(2_500L));
+      assertThat(watcher.listAgeMs(), lessThan(2_500L));
     }
-    assertThat(puller.listVersion(), equalTo(15L));
+    assertThat(watcher.listVersion(), equalTo(15L));
   }
 
   @Test
   void aVaultTakesNoListAndANotaryTakesItFromAll() {
     a.setServers(1, 1, list("i-1"), timers.now());
-    ConfigWatcher store = puller("store", Set.of("vault"), () -> StoreStatus.NONE);
+    ConfigWatcher store = watcher("store", Set.of("vault"), () -> StoreStatus.NONE);
     store.start();
     timers.pass(1_500);
     assertThat(store.servers(), empty());
     ConfigWatcher controlPlane =
-        puller("controlplane", Set.of("head_office"), () -> StoreStatus.NONE);
+        watcher("controlplane", Set.of("head_office"), () -> StoreStatus.NONE);
     controlPlane.start();
     timers.pass(1_500);
     b.setServers(1, 1, list("i-1"), timers.now());
--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherTest.java
@@ -22,23 +22,23 @@
 class ConfigWatcherTest extends ConfigWatcherRig {
   @Test
   void asksEachSeedAndSaysWhoItIs() {
-    puller.start();
-    assertThat(puller.asked(), containsInAnyOrder(A, B, C));
+    watcher.start();
+    assertThat(watcher.asked(), containsInAnyOrder(A, B, C));
     PullRequest request = links.last(A);
     assertThat(request.station, equalTo("counter-x-1"));
     assertThat(request.address, equalTo("10.1.0.13:7720"));
     assertThat(request.role, equalTo("gateway"));
     assertThat(request.instanceId, equalTo(77L));
     assertThat(request.waitMs, equalTo(1_000L));
-    assertThat(puller.config(), nullValue());
-    assertThat(puller.servers(), empty());
-    assertThat(puller.listAgeMs(), equalTo(Long.MAX_VALUE));
+    assertThat(watcher.config(), nullValue());
+    assertThat(watcher.servers(), empty());
+    assertThat(watcher.listAgeMs(), equalTo(Long.MAX_VALUE));
   }
 
   @Test
   void aNotaryDoesNotAskItself() {
     ConfigWatcher controlPlane =
-        puller("controlplane", Set.of("head_office"), () -> StoreStatus.NONE);
+        watcher("controlplane", Set.of("head_office"), () -> StoreStatus.NONE);
     controlPlane.start();
     assertThat(controlPlane.asked(), containsInAnyOrder(B, C));
   }
@@ -46,7 +46,7 @@
   @Test
   void aVaultTellsItsPartAsItIsAtEachAsk() {
     List<StoreStatus> part = new ArrayList<>(List.of(StoreStatus.NONE));
-    ConfigWatcher store = puller("store", Set.of("vault"), () -> part.get(0));
+    ConfigWatcher store = watcher("store", Set.of("vault"), () -> part.get(0));
     store.start();
     assertThat(links.last(A).voting, equalTo(false));
     VoterSet storeSet = voterSet("v:1", 4);
@@ -59,15 +59,15 @@
 
   @Test
   void aChangeIsThereAtOnceAndToldOnce() {
-    puller.start();
+    watcher.start();
     timers.pass(300);
     int before = changes;
     for (UpdateSources controlPlane : List.of(a, b, c)) {
       controlPlane.setConfig(7, config(7));
     }
     timers.pass(5);
-    assertThat(puller.config().edition(), equalTo(7L));
-    assertThat(puller.configBytes(), equalTo(config(7)));
+    assertThat(watcher.config().edition(), equalTo(7L));
+    assertThat(watcher.configBytes(), equalTo(config(7)));
     timers.pass(2_000);
     assertThat(changes, equalTo(before + 1));
   }
@@ -76,17 +76,17 @@
   void anOlderEditionNeverWins() {
     a.setConfig(9, config(9));
     b.setConfig(7, config(7));
-    puller.start();
+    watcher.start();
     timers.pass(100);
-    assertThat(puller.config().edition(), equalTo(9L));
+    assertThat(watcher.config().edition(), equalTo(9L));
     c.setConfig(8, config(8));
     links.controlPlane(A).setConfig(5, config(5));
     timers.pass(5_000);
-    assertThat(puller.config().edition(), equalTo(9L));
-    puller.offerConfig(config(8));
-    assertThat(puller.config().edition(), equalTo(9L));
-    puller.offerConfig(config(10));
-    assertThat(puller.config().edition(), equalTo(10L));
+    assertThat(watcher.config().edition(), equalTo(9L));
+    watcher.offerConfig(config(8));
+    assertThat(watcher.config().edition(), equalTo(9L));
+    watcher.offerConfig(config(10));
+    assertThat(watcher.config().edition(), equalTo(10L));
   }
 
   @Test
@@ -94,19 +94,19 @@
     CompletableFuture<PullResponse> late = new CompletableFuture<>();
     links.notaries.put(A, request -> late);
     b.setConfig(9, config(9));
-    puller.start();
+    watcher.start();
     timers.pass(100);
     PullResponse response = new PullResponse();
     response.edition = 8;
     response.config = config(8);
     late.complete(response);
     timers.pass(100);
-    assertThat(puller.config().edition(), equalTo(9L));
+    assertThat(watcher.config().edition(), equalTo(9L));
   }
 
   @Test
   void asksFollowAtOnceButTwentyMsApart() {
-    puller.start();
+    watcher.start();
     timers.pass(300);
     List<Long> times = links.times(A);
     assertThat(times.subList(0, 2), contains(1_000L, 1_020L));
@@ -120,31 +120,31 @@
   @Test
   void failuresSpreadOut() {
     links.notaries.remove(A);
-    puller.start();
+    watcher.start();
     timers.pass(2_000);
     assertThat(links.times(A), contains(1_000L, 1_105L, 1_310L, 1_715L, 2_220L, 2_725L));
-    assertThat(puller.failures(), greaterThan(4L));
-    assertThat(puller.heardAgoMs(A), equalTo(Long.MAX_VALUE));
-    assertThat(puller.heardAgoMs(B), lessThan(1_100L));
+    assertThat(watcher.failures(), greaterThan(4L));
+    assertThat(watcher.heardAgoMs(A), equalTo(Long.MAX_VALUE));
+    assertThat(watcher.heardAgoMs(B), lessThan(1_100L));
   }
 
   @Test
   void aCutOneWayToOneNotaryLeavesTheOthersWord() {
-    puller.start();
+    watcher.start();
     timers.pass(100);
     links.cutBack.add(A);
     a.setServers(1, 1, list("i-1"), timers.now());
     a.setConfig(7, config(7));
     timers.pass(2_500);
-    assertThat(puller.config(), nullValue());
-    assertThat(puller.heardAgoMs(A), greaterThan(2_400L));
+    assertThat(watcher.config(), nullValue());
+    assertThat(watcher.heardAgoMs(A), greaterThan(2_400L));
     b.setConfig(7, config(7));
     timers.pass(10);
-    assertThat(puller.config().edition(), equalTo(7L));
+    assertThat(watcher.config().edition(), equalTo(7L));
     assertThat(a.heardWithin(2_000), hasSize(1));
     links.cutBack.clear();
     timers.pass(4_000);
-    assertThat(puller.servers(), hasSize(1));
+    assertThat(watcher.servers(), hasSize(1));
     links.cutThere.add(A);
     timers.pass(4_000);
     assertThat(a.heardWithin(1_500), empty());
@@ -157,47 +157,47 @@
     a.setServers(1, 1, list("i-1"), timers.now());
     b.setConfig(6, config(6));
     links.notaries.remove(C);
-    puller.start();
+    watcher.start();
     timers.pass(3_000);
-    assertThat(puller.config().edition(), equalTo(6L));
-    assertThat(puller.servers(), hasSize(1));
-    assertThat(puller.unreadable(), greaterThan(3L));
+    assertThat(watcher.config().edition(), equalTo(6L));
+    assertThat(watcher.servers(), hasSize(1));
+    assertThat(watcher.unreadable(), greaterThan(3L));
     assertThat(links.times(A).size(), lessThan(12));
   }
 
   @Test
   void anotherEditionThanToldIsNotTaken() {
     a.setConfig(9, config(7));
-    puller.start();
+    watcher.start();
     timers.pass(500);
-    assertThat(puller.config(), nullValue());
-    assertThat(puller.unreadable(), greaterThan(0L));
+    assertThat(watcher.config(), nullValue());
+    assertThat(watcher.unreadable(), greaterThan(0L));
   }
 
   @Test
   void aListenersFaultDoesNotEndTheAsking() {
-    puller.whenChanged(
+    watcher.whenChanged(
         () -> {
           throw new IllegalStateException("a listener's fault");
         });
     a.setConfig(7, config(7));
-    puller.start();
+    watcher.start();
     timers.pass(500);
     a.setConfig(8, config(8));
     timers.pass(500);
-    assertThat(puller.config().edition(), equalTo(8L));
+    assertThat(watcher.config().edition(), equalTo(8L));
   }
 
   @Test
   void afterTheCloseNothingIsAsked() {
-    puller.start();
+    watcher.start();
     timers.pass(500);
-    puller.close();
+    watcher.close();
     int asks = links.sent.size();
     a.setConfig(7, config(7));
     timers.pass(10_000);
     assertThat(links.sent, hasSize(asks));
-    assertThat(puller.config(), nullValue());
+    assertThat(watcher.config(), nullValue());
     assertThat(timers.step(), equalTo(false));
   }
 }
--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherViewTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherViewTest.java
@@ -25,31 +25,31 @@
     a.setView(request -> view(head, voterSet("v1:1", 1, "v2:1", 3, "v3:1", 1), "c1:1", "c2:1"));
     b.setView(request -> view(head, voterSet("v4:1", 2, "v2:1", 1, "v3:1", 1), "c2:1", "c3:1"));
     c.setView(request -> view(head, new VoterSet(), "c4:1"));
-    puller.start();
+    watcher.start();
     timers.pass(100);
-    assertThat(addresses(puller.view().storeSet), contains("v4:1#2", "v2:1#3", "v3:1#1"));
-    assertThat(addresses(puller.view().head), contains(A + "#1", B + "#1", C + "#1"));
-    assertThat(puller.view().gateways, contains("c1:1", "c2:1", "c3:1", "c4:1"));
+    assertThat(addresses(watcher.view().storeSet), contains("v4:1#2", "v2:1#3", "v3:1#1"));
+    assertThat(addresses(watcher.view().head), contains(A + "#1", B + "#1", C + "#1"));
+    assertThat(watcher.view().gateways, contains("c1:1", "c2:1", "c3:1", "c4:1"));
     a.setView(request -> view(head, voterSet("v1:1", 1, "v2:1", 1, "v3:1", 1), "c1:1"));
     b.setView(request -> view(head, new VoterSet()));
     timers.pass(100);
-    assertThat(addresses(puller.view().storeSet), contains("v4:1#2", "v2:1#3", "v3:1#1"));
-    assertThat(puller.view().gateways, contains("c1:1", "c4:1"));
+    assertThat(addresses(watcher.view().storeSet), contains("v4:1#2", "v2:1#3", "v3:1#1"));
+    assertThat(watcher.view().gateways, contains("c1:1", "c4:1"));
   }
 
   @Test
   void aNotaryGoneSilentIsNotHeardOnTheClerks() {
     a.setView(request -> view(new VoterSet(), new VoterSet(), "c1:1"));
     b.setView(request -> view(new VoterSet(), new VoterSet(), "c2:1"));
-    puller.start();
+    watcher.start();
     timers.pass(100);
-    assertThat(puller.view().gateways, contains("c1:1", "c2:1"));
+    assertThat(watcher.view().gateways, contains("c1:1", "c2:1"));
     links.notaries.remove(A);
     timers.pass(8_000);
-    assertThat(puller.view().gateways, contains("c2:1"));
+    assertThat(watcher.view().gateways, contains("c2:1"));
     links.notaries.clear();
     timers.pass(10_000);
-    assertThat(puller.view().gateways, contains("c2:1"));
+    assertThat(watcher.view().gateways, contains("c2:1"));
   }
 
   @Test
@@ -69,13 +69,13 @@
           timers.after(response.view == null ? request.waitMs : 0, () -> answer.complete(response));
           return answer;
         });
-    puller.start();
+    watcher.start();
     timers.pass(100);
     assertThat(links.last(A).viewVersion, equalTo(500L));
     version[0] = 1;
     gateway[0] = "c9:1";
     timers.pass(2_200);
-    assertThat(puller.view().gateways, contains("c9:1"));
+    assertThat(watcher.view().gateways, contains("c9:1"));
     assertThat(links.last(A).viewVersion, equalTo(1L));
   }
 
@@ -95,18 +95,18 @@
           timers.after(response.view == null ? request.waitMs : 0, () -> answer.complete(response));
           return answer;
         });
-    puller.start();
+    watcher.start();
     timers.pass(100);
     version[0] = 1;
     timers.pass(2_500);
-    assertThat(puller.view().gateways, contains("v1"));
+    assertThat(watcher.view().gateways, contains("v1"));
   }
 
   @Test
   void aClaimIsPassedOnFromWhoeverSaysSo() {
     List<String> joins = new ArrayList<>();
-    puller.whenJoinOrdered((slot, epoch) -> joins.add(slot + "#" + epoch));
-    puller.start();
+    watcher.whenJoinOrdered((slot, epoch) -> joins.add(slot + "#" + epoch));
+    watcher.start();
     timers.pass(100);
     assertThat(joins, empty());
     b.setView(
@@ -125,12 +125,12 @@
     String moved = "10.9.0.1:7721";
     UpdateSources other = links.controlPlane(moved);
     a.setView(request -> view(voterSet(A, 1, B, 1, moved, 2), new VoterSet()));
-    puller.start();
+    watcher.start();
     timers.pass(50);
-    assertThat(puller.asked(), containsInAnyOrder(A, B, moved));
+    assertThat(watcher.asked(), containsInAnyOrder(A, B, moved));
     other.setConfig(7, config(7));
     timers.pass(50);
-    assertThat(puller.config().edition(), equalTo(7L));
+    assertThat(watcher.config().edition(), equalTo(7L));
     int asksOfC = links.times(C).size();
     timers.pass(3_000);
     assertThat(links.times(C), hasSize(asksOfC));
@@ -141,12 +141,12 @@
     a.setView(
         request ->
             view(voterSet("10.9.0.1:1", 1, "10.9.0.2:1", 1, "10.9.0.3:1", 1), new VoterSet()));
-    puller.start();
+    watcher.start();
     timers.pass(50);
-    assertThat(puller.asked(), not(hasItem(A)));
+    assertThat(watcher.asked(), not(hasItem(A)));
     a.setView(request -> view(voterSet(A, 2, B, 2, C, 2), new VoterSet()));
     timers.pass(40_000);
-    assertThat(puller.asked(), containsInAnyOrder(A, B, C));
+    assertThat(watcher.asked(), containsInAnyOrder(A, B, C));
   }
 
   @Test
@@ -156,21 +156,21 @@
     links.controlPlane(d);
     links.controlPlane(e);
     a.setView(request -> view(voterSet(A, 1, B, 1, C, 1, d, 1, e, 1), new VoterSet()));
-    puller.start();
+    watcher.start();
     timers.pass(2_000);
-    List<String> first = puller.asked();
+    List<String> first = watcher.asked();
     assertThat(first, hasSize(3));
     String gone = first.get(0);
     links.cutThere.add(gone);
     timers.pass(9_000);
-    assertThat(puller.asked(), hasSize(3));
-    assertThat(puller.asked(), not(hasItem(gone)));
+    assertThat(watcher.asked(), hasSize(3));
+    assertThat(watcher.asked(), not(hasItem(gone)));
     for (String stays : first.subList(1, 3)) {
-      assertThat(puller.asked(), hasItem(stays));
+      assertThat(watcher.asked(), hasItem(stays));
     }
     links.cutThere.clear();
     timers.pass(32_000);
-    assertThat(puller.asked(), containsInAnyOrder(first.toArray()));
+    assertThat(watcher.asked(), containsInAnyOrder(first.toArray()));
   }
 
   @Test
@@ -181,12 +181,12 @@
     links.controlPlane(e);
     VoterSet five = voterSet(A, 1, B, 1, C, 1, d, 1, e, 1);
     a.setView(request -> view(five, new VoterSet()));
-    ConfigWatcher store = puller("store", Set.of("vault"), () -> StoreStatus.NONE);
+    ConfigWatcher store = watcher("store", Set.of("vault"), () -> StoreStatus.NONE);
     store.start();
-    puller.start();
+    watcher.start();
     timers.pass(2_000);
     assertThat(store.asked(), containsInAnyOrder(A, B, C, d, e));
-    assertThat(puller.asked(), hasSize(3));
+    assertThat(watcher.asked(), hasSize(3));
     links.cutThere.add(d);
     timers.pass(20_000);
     assertThat("silent or not", store.asked(), containsInAnyOrder(A, B, C, d, e));
--- a/config/src/test/java/elmsail/config/watch/DirectDiscoveryTest.java
+++ b/config/src/test/java/elmsail/config/watch/DirectDiscoveryTest.java
@@ -35,7 +35,7 @@
   private final List<Long> asked = new ArrayList<>();
   private int status = 200;
 
-  private ConfigWatcher puller(String role, long instanceId) {
+  private ConfigWatcher watcher(String role, long instanceId) {
     HttpClient asker =
         (address, path, timeoutMs) -> {
           asked.add(timers.now());
@@ -57,22 +57,22 @@
 
   @Test
   void withoutAnyListTheCarrierIsAskedThreeSecondsAfterTheStart() {
-    ConfigWatcher puller = puller("gateway", 77);
-    puller.start();
+    ConfigWatcher watcher = watcher("gateway", 77);
+    watcher.start();
     timers.pass(2_999);
     assertThat(asked, empty());
     timers.pass(1_300);
     assertThat(asked, hasSize(1));
-    assertThat(puller.servers(), equalTo(OWN));
-    assertThat(puller.listEpoch(), equalTo(0L));
-    assertThat(puller.listVersion(), equalTo(0L));
-    assertThat(puller.listAgeMs(), equalTo(timers.now() - asked.get(0)));
+    assertThat(watcher.servers(), equalTo(OWN));
+    assertThat(watcher.listEpoch(), equalTo(0L));
+    assertThat(watcher.listVersion(), equalTo(0L));
+    assertThat(watcher.listAgeMs(), equalTo(timers.now() - asked.get(0)));
   }
 
   @Test
   void othersThanClerksNeverAskIt() {
     for (String role : List.of("store", "controlplane")) {
-      puller(role, 77).start();
+      watcher(role, 77).start();
     }
     timers.pass(20_000);
     assertThat(asked, empty());
@@ -81,31 +81,31 @@
   @Test
   void whileTheListIsKeptYoungNothingIsAsked() {
     UpdateSources a = links.controlPlane(A);
-    ConfigWatcher puller = puller("gateway", 77);
-    puller.start();
+    ConfigWatcher watcher = watcher("gateway", 77);
+    watcher.start();
     for (int i = 0; i < 20; i++) {
       a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
       timers.pass(1_000);
     }
     assertThat(asked, empty());
-    assertThat(puller.servers(), equalTo(TOLD));
+    assertThat(watcher.servers(), equalTo(TOLD));
   }
 
   @Test
   void anOldListIsReplacedUntilAYoungerOneIsTold() {
     UpdateSources a = links.controlPlane(A);
     a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
-    ConfigWatcher puller = puller("gateway", 77);
-    puller.start();
+    ConfigWatcher watcher = watcher("gateway", 77);
+    watcher.start();
     timers.pass(2_500);
     assertThat(asked, empty());
     timers.pass(1_500);
     assertThat(asked, hasSize(1));
-    assertThat(puller.servers(), equalTo(OWN));
-    assertThat(puller.listVersion(), equalTo(1L));
+    assertThat(watcher.servers(), equalTo(OWN));
+    assertThat(watcher.listVersion(), equalTo(1L));
     a.setServers(1, 1, ServerList.encode(TOLD), timers.now());
     timers.pass(1_100);
-    assertThat(puller.servers(), equalTo(TOLD));
+    assertThat(watcher.servers(), equalTo(TOLD));
   }
 
   @Test
@@ -119,7 +119,7 @@
           }
           return view;
         });
-    puller("gateway", 77).start();
+    watcher("gateway", 77).start();
     timers.pass(60_000);
     assertThat(asked.size(), greaterThan(6));
     for (int i = 1; i < asked.size(); i++) {
@@ -129,19 +129,19 @@
 
   @Test
   void aloneItAsksAsSoonAsTheListIsOldAgain() {
-    ConfigWatcher puller = puller("gateway", 77);
-    puller.start();
+    ConfigWatcher watcher = watcher("gateway", 77);
+    watcher.start();
     timers.pass(4_300);
     for (int i = 0; i < 100; i++) {
       timers.pass(100);
-      assertThat(puller.listAgeMs(), lessThanOrEqualTo(4_000L));
+      assertThat(watcher.listAgeMs(), lessThanOrEqualTo(4_000L));
     }
   }
 
   @Test
   void refusalsAreNotAnsweredInHaste() {
     status = 429;
-    puller("gateway", 77).start();
+    watcher("gateway", 77).start();
     timers.pass(13_000);
     assertThat(asked.size(), lessThanOrEqualTo(10));
     assertThat(asked.size(), greaterThan(3));
@@ -154,7 +154,7 @@
   void manyDoorsSpreadTheirAsks() {
     Set<Long> times = new HashSet<>();
     for (int instanceId = 0; instanceId < 50; instanceId++) {
-      puller("gateway", instanceId * 7_919L).start();
+      watcher("gateway", instanceId * 7_919L).start();
     }
     timers.pass(4_300);
     times.addAll(asked);
@@ -165,10 +165,10 @@
 
   @Test
   void afterTheCloseNothingIsAsked() {
-    ConfigWatcher puller = puller("gateway", 77);
-    puller.start();
+    ConfigWatcher watcher = watcher("gateway", 77);
+    watcher.start();
     timers.pass(3_100);
-    puller.close();
+    watcher.close();
     int before = asked.size();
     timers.pass(20_000);
     assertThat(asked, hasSize(before));
--- a/consensus/src/main/java/elmsail/consensus/Membership.java
+++ b/consensus/src/main/java/elmsail/consensus/Membership.java
@@ -73,7 +73,7 @@
    * The voter slot whose present holder names this life, which was voting there, as the one before;
    * or -1.
    */
-  int replacedSeat() {
+  int replacedSlot() {
     if (caughtUp == 0 || ownSlot() >= 0) {
       return -1;
     }
@@ -88,7 +88,7 @@
 
   /** Has whole records of votes that count, but casts none any more. */
   boolean replaced() {
-    return replacedSeat() >= 0;
+    return replacedSlot() >= 0;
   }
 
   /** True if something was newer: it is to be written. */
@@ -214,7 +214,7 @@
   }
 
   /** A voter slot of this place that another life of it held, or -1. */
-  int lostSeat() {
+  int lostSlot() {
     return ownSlot() >= 0 ? -1 : VoterSets.ofPlace(voterSet, address, station);
   }
 }
--- a/consensus/src/main/java/elmsail/consensus/Register.java
+++ b/consensus/src/main/java/elmsail/consensus/Register.java
@@ -39,7 +39,7 @@
    * A value found half taken is finished first, as the function's {@code Found}.
    *
    * @param blobs sent with the first round, kept wherever it is promised
-   * @param note told to the keepers' views with the first round, or null
+   * @param note told to the replicas' views with the first round, or null
    */
   CompletableFuture<Held> change(
       String key, Function<Found, Wanted> change, List<Blob> blobs, byte[] note, long timeoutMs);
--- a/consensus/src/main/java/elmsail/consensus/RegisterClient.java
+++ b/consensus/src/main/java/elmsail/consensus/RegisterClient.java
@@ -55,7 +55,7 @@
 
   /**
    * @param who of this client alone, in all processes and lives: drawn at random
-   * @param ownAddress a keeper there is asked first
+   * @param ownAddress a replica there is asked first
    * @param distance of an inner address: the lower, the earlier it is asked for bytes
    */
   public RegisterClient(
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -15,7 +15,7 @@
 
 /**
  * The voter's side of one set: records of its keys, its voter set, and whether this process votes.
- * An answer leaves only once all that it relies on is safe on disk. One keeper at most for each
+ * An answer leaves only once all that it relies on is safe on disk. One replica at most for each
  * {@link RequestHandlers}.
  */
 public final class Replica {
@@ -210,7 +210,9 @@
             membershipGiven = false;
             timers.after(REWRITE_MS, this::rewriteMembership);
             LOG.warn(
-                "{}: the seating could not be written: {}", set, ElmsailException.codeOf(failure));
+                "{}: the voter set could not be written: {}",
+                set,
+                ElmsailException.codeOf(failure));
           }
         });
     return written;
@@ -232,7 +234,7 @@
     boolean voting = membership.voting();
     if (voting != publishedVoting) {
       publishedVoting = voting;
-      LOG.info("{}: {}", set, voting ? "seated" : "not seated");
+      LOG.info("{}: {}", set, voting ? "voting" : "not voting");
       for (Runnable watcher : watchers) {
         watcher.run();
       }
--- a/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
@@ -61,7 +61,7 @@
   private static final long MOST_WAIT_MS = 1_000;
 
   private final String set;
-  private final Replica keeper;
+  private final Replica replica;
   private final Membership membership;
   private final RecordStore records;
   private final Caller caller;
@@ -73,13 +73,13 @@
 
   ReplicaJoin(
       String set,
-      Replica keeper,
+      Replica replica,
       Membership membership,
       RecordStore records,
       Caller caller,
       Timers timers) {
     this.set = set;
-    this.keeper = keeper;
+    this.replica = replica;
     this.membership = membership;
     this.records = records;
     this.caller = caller;
@@ -102,7 +102,7 @@
       }
     } else {
       round = null;
-      int lost = membership.lostSeat();
+      int lost = membership.lostSlot();
       if (lost >= 0) {
         membership.spare(false);
         begin(lost, membership.voterSet().voters.get(lost).epoch + 1);
@@ -119,7 +119,7 @@
         || epoch <= known.voters.get(slot).epoch) {
       return;
     }
-    int replaced = membership.replacedSeat();
+    int replaced = membership.replacedSlot();
     if (replaced < 0 || replaced == slot) {
       membership.spare(true);
       begin(slot, epoch);
@@ -132,7 +132,7 @@
         votes -> {
           if (votes
               && membership.ownSlot() < 0
-              && membership.replacedSeat() == replaced
+              && membership.replacedSlot() == replaced
               && epoch > membership.voterSet().voters.get(slot).epoch) {
             membership.spare(true);
             begin(slot, epoch);
@@ -157,7 +157,7 @@
     LOG.info("{}: joins slot {}, epoch {}", set, slot, epoch);
     Round next = new Round(slot, membership.take(slot, epoch));
     round = next;
-    keeper
+    replica
         .voterSetChanged()
         .whenComplete(
             (none, failure) -> {
@@ -249,7 +249,7 @@
         if (theirs.epoch == holder.epoch && theirs.instanceId != holder.instanceId) {
           rival = theirs;
         }
-        keeper.learn(response.voterSet);
+        replica.learn(response.voterSet);
       }
       if (round == this && !settled) {
         settle();
@@ -274,7 +274,7 @@
     private void giveWay() {
       round = null;
       membership.yield(slot, rival);
-      keeper.voterSetChanged();
+      replica.voterSetChanged();
       consider();
     }
 
@@ -316,11 +316,11 @@
 
     private void copy(List<Voter> sources) {
       settled = true;
-      keeper.forget();
+      replica.forget();
       new StateTransfer(
               set,
               names,
-              keeper,
+              replica,
               records,
               caller,
               timers,
@@ -338,7 +338,7 @@
       if (whole) {
         waitMs = FIRST_WAIT_MS;
         round = null;
-        keeper.caughtUp(holder.epoch);
+        replica.caughtUp(holder.epoch);
       } else {
         later(this);
       }
--- a/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
@@ -1,7 +1,7 @@
 package elmsail.consensus;
 
 /**
- * What a keeper folds from its records; called on its loop, before the answer that tells of the
+ * What a replica folds from its records; called on its loop, before the answer that tells of the
  * vote leaves.
  */
 public interface ReplicaListener {
--- a/consensus/src/main/java/elmsail/consensus/ReplicaRequests.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaRequests.java
@@ -143,7 +143,7 @@
     JoinResponse response = membership.answer(request);
     if (membership.voterSet() != before) {
       LOG.info(
-          "{}: seat {} claimed by {}, incarnation {}",
+          "{}: slot {} taken by {}, epoch {}",
           set,
           request.slot,
           request.holder.address,
@@ -206,7 +206,7 @@
   private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
     if (!replica.membershipWritten()) {
       return CompletableFuture.failedFuture(
-          new ElmsailException(ErrorCode.DISK, "the seating is not on disk"));
+          new ElmsailException(ErrorCode.DISK, "the voter set is not on disk"));
     }
     return safe.safely(changes, answer);
   }
--- a/consensus/src/main/java/elmsail/consensus/StateTransfer.java
+++ b/consensus/src/main/java/elmsail/consensus/StateTransfer.java
@@ -34,7 +34,7 @@
 
   private final String set;
   private final RecordNames names;
-  private final Replica keeper;
+  private final Replica replica;
   private final RecordStore records;
   private final Caller caller;
   private final Timers timers;
@@ -58,7 +58,7 @@
   StateTransfer(
       String set,
       RecordNames names,
-      Replica keeper,
+      Replica replica,
       RecordStore records,
       Caller caller,
       Timers timers,
@@ -68,7 +68,7 @@
       Consumer<Boolean> then) {
     this.set = set;
     this.names = names;
-    this.keeper = keeper;
+    this.replica = replica;
     this.records = records;
     this.caller = caller;
     this.timers = timers;
@@ -97,7 +97,7 @@
     request.mostBytes = PAGE_BYTES;
     request.bare = bare;
     request.ofReplaced = holder == replaced;
-    request.voterSet = keeper.membership.voterSet();
+    request.voterSet = replica.membership.voterSet();
     caller
         .call(holder.address, request, StateTransferResponse.class, PAGE_CALL_MS)
         .whenComplete(
@@ -177,7 +177,7 @@
     request.set = set;
     request.key = names.keyOfBlob(name);
     request.name = names.nameOfBlob(name);
-    request.voterSet = keeper.membership.voterSet();
+    request.voterSet = replica.membership.voterSet();
     request.ofReplaced = holder == replaced;
     caller
         .call(holder.address, request, BlobResponse.class, PAGE_CALL_MS)
@@ -193,7 +193,7 @@
                 // Dropped there meanwhile.
                 fetched(null);
               } else {
-                keeper
+                replica
                     .write(List.of(new Change(name, response.bytes)))
                     .whenComplete((none, fault) -> fetched(fault));
               }
@@ -230,7 +230,7 @@
         changes.add(new Change(one.name, merged.bytes()));
       }
     }
-    return changes.isEmpty() ? CompletableFuture.completedFuture(null) : keeper.write(changes);
+    return changes.isEmpty() ? CompletableFuture.completedFuture(null) : replica.write(changes);
   }
 
   private void end(boolean whole) {
--- a/consensus/src/test/java/elmsail/consensus/BlobSecondLossTest.java
+++ b/consensus/src/test/java/elmsail/consensus/BlobSecondLossTest.java
@@ -85,16 +85,16 @@
                 "key", found -> new Wanted(new byte[] {1}, List.of()), List.of(blob), null, 3_000));
     set.start(without);
     set.timers.pass(50);
-    assertThat(set.keepers[without].blob("key", "body") == null, is(true));
+    assertThat(set.replicas[without].blob("key", "body") == null, is(true));
   }
 
   private void wiped(int lost) {
     set.kill(lost);
     set.disks[lost].wipe();
     set.start(lost);
-    set.keepers[lost].learn(set.founding);
+    set.replicas[lost].learn(set.founding);
     set.awaitSeated(lost, 5_000);
-    assertThat(set.keepers[lost].voting(), is(true));
+    assertThat(set.replicas[lost].voting(), is(true));
   }
 
   /** The spare takes the slot of one that is gone, or that is there and retires. */
@@ -102,10 +102,10 @@
     if (!there) {
       set.kill(lost);
     }
-    set.keepers[3].learn(set.founding);
-    set.keepers[3].join(lost, 2);
+    set.replicas[3].learn(set.founding);
+    set.replicas[3].join(lost, 2);
     set.awaitSeated(3, 5_000);
-    assertThat(set.keepers[3].voting(), is(true));
+    assertThat(set.replicas[3].voting(), is(true));
     set.kill(lost);
   }
 
--- a/consensus/src/test/java/elmsail/consensus/History.java
+++ b/consensus/src/test/java/elmsail/consensus/History.java
@@ -198,7 +198,7 @@
     }
     int slot = world.chance.nextInt(addresses.length);
     VoterSet known = world.newest();
-    spare.keeper.learn(known);
+    spare.replica.learn(known);
     List<World.Node> cut = new ArrayList<>();
     for (int i = 1; i <= VoterSets.blocking(addresses.length) - 1; i++) {
       cut.add(world.nodes.get(known.voters.get((slot + i) % addresses.length).address));
@@ -207,7 +207,7 @@
       world.cutOff(spare.address, one.address, true);
     }
     unfinished++;
-    spare.keeper.join(slot, known.voters.get(slot).epoch + 1);
+    spare.replica.join(slot, known.voters.get(slot).epoch + 1);
     world.timers.after(
         50 + world.chance.nextInt(400),
         () -> {
@@ -259,11 +259,11 @@
    */
   private void replace(boolean whole) {
     World.Node idle = world.idle();
-    if (!whole || idle == null || idle.keeper.voterSet().voters.isEmpty()) {
+    if (!whole || idle == null || idle.replica.voterSet().voters.isEmpty()) {
       return;
     }
     int slot = world.chance.nextInt(addresses.length);
-    World.Node old = world.nodes.get(idle.keeper.voterSet().voters.get(slot).address);
+    World.Node old = world.nodes.get(idle.replica.voterSet().voters.get(slot).address);
     if (world.chance.nextBoolean()) {
       world.cutOff(old.address, true);
       world.timers.after(1_000, () -> world.cutOff(old.address, false));
@@ -278,6 +278,6 @@
           });
     }
     replacements++;
-    idle.keeper.join(slot, idle.keeper.voterSet().voters.get(slot).epoch + 1);
+    idle.replica.join(slot, idle.replica.voterSet().voters.get(slot).epoch + 1);
   }
 }
--- a/consensus/src/test/java/elmsail/consensus/JoinInVainTest.java
+++ b/consensus/src/test/java/elmsail/consensus/JoinInVainTest.java
@@ -37,16 +37,16 @@
     set = new SimSet().founded();
     put("old");
     set.net.isolate(SimSet.AT[2]);
-    set.keepers[3].learn(set.founding);
-    set.keepers[3].join(2, 2);
+    set.replicas[3].learn(set.founding);
+    set.replicas[3].join(2, 2);
     set.awaitSeated(3, 5_000);
     set.net.healAll();
-    set.keepers[2].learn(set.keepers[1].voterSet());
+    set.replicas[2].learn(set.replicas[1].voterSet());
     set.timers.pass(50);
     set.net.isolate(SimSet.AT[0]);
-    set.keepers[2].join(0, 2);
+    set.replicas[2].join(0, 2);
     set.awaitSeated(2, 5_000);
-    assertThat(set.keepers[2].voting() && set.keepers[3].voting(), is(true));
+    assertThat(set.replicas[2].voting() && set.replicas[3].voting(), is(true));
     put("new");
   }
 
@@ -65,7 +65,7 @@
     }
     set.timers.pass(20);
     set.start(2);
-    set.keepers[2].learn(set.founding);
+    set.replicas[2].learn(set.founding);
     if (successorIsLate) {
       set.timers.pass(LATE_MS);
       set.start(3);
@@ -92,9 +92,9 @@
         delays(slow);
         allLosePowerAndOneItsDisk((kind & 1) == 1, (kind & 2) == 2);
         set.awaitSeated(2, LONGEST_MS);
-        assertThat(about, set.keepers[2].voting(), is(true));
-        assertThat(about, set.keepers[3].voting(), is(true));
-        assertThat(about, set.keepers[2].voterSet().voters.get(0).address, is(SimSet.AT[2]));
+        assertThat(about, set.replicas[2].voting(), is(true));
+        assertThat(about, set.replicas[3].voting(), is(true));
+        assertThat(about, set.replicas[2].voterSet().voters.get(0).address, is(SimSet.AT[2]));
         set.kill(1);
         assertThat(about, read(), is("new"));
         assertThat(about, set.net.faults(), empty());
@@ -113,8 +113,8 @@
         set = new SimSet().founded();
         put("old");
         set.net.isolate(SimSet.AT[2]);
-        set.keepers[3].learn(set.founding);
-        set.keepers[3].join(2, 2);
+        set.replicas[3].learn(set.founding);
+        set.replicas[3].join(2, 2);
         set.awaitSeated(3, 5_000);
         put("new");
         delays(slow);
@@ -125,15 +125,15 @@
         set.net.healAll();
         set.start(1);
         set.start(2);
-        set.keepers[2].learn(set.founding);
+        set.replicas[2].learn(set.founding);
         set.timers.pass(kind == 0 ? 0 : LATE_MS);
         set.start(3);
         set.timers.pass(6_000);
-        assertThat(about, set.keepers[1].voting() && set.keepers[3].voting(), is(true));
+        assertThat(about, set.replicas[1].voting() && set.replicas[3].voting(), is(true));
         assertThat(about, read(), is("new"));
-        set.keepers[2].join(0, 2);
+        set.replicas[2].join(0, 2);
         set.awaitSeated(2, 5_000);
-        assertThat(about, set.keepers[2].voting(), is(true));
+        assertThat(about, set.replicas[2].voting(), is(true));
         set.kill(1);
         assertThat(about, read(), is("new"));
       }
@@ -171,10 +171,10 @@
         set.net.cutBoth(SimSet.AT[3], SimSet.AT[i]);
       }
     }
-    set.keepers[3].learn(set.founding);
-    set.keepers[3].join(2, 2);
+    set.replicas[3].learn(set.founding);
+    set.replicas[3].join(2, 2);
     set.timers.pass(1_500);
-    assertThat(about, set.keepers[3].voting(), is(false));
+    assertThat(about, set.replicas[3].voting(), is(false));
     if (gone) {
       set.kill(3);
     }
@@ -189,7 +189,7 @@
       set.kill(wiped);
       set.disks[wiped].wipe();
       set.start(wiped);
-      set.keepers[wiped].learn(set.founding);
+      set.replicas[wiped].learn(set.founding);
     }
     set.net.healAll();
     long end = set.timers.now() + LONGEST_MS;
@@ -207,13 +207,13 @@
     VoterSet newest = set.founding;
     for (int i = 0; i < SimSet.AT.length; i++) {
       if (set.net.at(SimSet.AT[i]) != null) {
-        newest = VoterSets.merge(newest, set.keepers[i].voterSet());
+        newest = VoterSets.merge(newest, set.replicas[i].voterSet());
       }
     }
     int voting = 0;
     for (int i = 0; i < SimSet.AT.length; i++) {
       int slot = VoterSets.ofInstance(newest, set.disks[i].instanceId());
-      if (slot >= 0 && set.net.at(SimSet.AT[i]) != null && set.keepers[i].voting()) {
+      if (slot >= 0 && set.net.at(SimSet.AT[i]) != null && set.replicas[i].voting()) {
         voting++;
       }
     }
--- a/consensus/src/test/java/elmsail/consensus/Model.java
+++ b/consensus/src/test/java/elmsail/consensus/Model.java
@@ -174,8 +174,8 @@
   }
 
   /**
-   * What the keeper does with an ask under a voter set: true if it votes; it may have learnt on the
-   * way.
+   * What the replica does with an ask under a voter set: true if it votes; it may have learnt on
+   * the way.
    */
   private boolean votes(int[] state, int process, boolean joined) {
     Membership membership = membership(state, process);
--- a/consensus/src/test/java/elmsail/consensus/RegisterTest.java
+++ b/consensus/src/test/java/elmsail/consensus/RegisterTest.java
@@ -65,16 +65,16 @@
 
   @Test
   void aFoundingSeatsAtOnceAndOnlyOnce() {
-    assertThat(set.keepers[0].voting(), is(false));
+    assertThat(set.replicas[0].voting(), is(false));
     set.founded();
     assertThat(
-        set.keepers[0].voting() && set.keepers[1].voting() && set.keepers[2].voting(), is(true));
-    assertThat(set.keepers[3].voting(), is(false));
+        set.replicas[0].voting() && set.replicas[1].voting() && set.replicas[2].voting(), is(true));
+    assertThat(set.replicas[3].voting(), is(false));
     set.disks[0].wipe();
     set.start(0);
-    set.keepers[0].found(set.founding);
+    set.replicas[0].found(set.founding);
     set.timers.pass(20);
-    assertThat(set.keepers[0].voting(), is(false));
+    assertThat(set.replicas[0].voting(), is(false));
   }
 
   @Test
@@ -114,15 +114,15 @@
   @Test
   void theOnlySeatIsNeverTakenWithoutMemory() {
     set.founding.voters.subList(1, 3).clear();
-    set.keepers[0].found(set.founding);
+    set.replicas[0].found(set.founding);
     set.timers.pass(30);
     set.await(put(set.client(set.founding), "key", "1"));
     set.kill(0);
     set.disks[0].wipe();
     set.start(0);
-    set.keepers[0].learn(set.founding);
+    set.replicas[0].learn(set.founding);
     set.timers.pass(10_000);
-    assertThat(set.keepers[0].voting(), is(false));
+    assertThat(set.replicas[0].voting(), is(false));
   }
 
   @Test
@@ -196,10 +196,10 @@
     set.kill(0);
     set.disks[0].wipe();
     set.start(0);
-    set.keepers[0].learn(set.keepers[1].voterSet());
+    set.replicas[0].learn(set.replicas[1].voterSet());
     set.awaitSeated(0, 2_000);
-    assertThat(set.keepers[0].voterSet().voters.get(0).epoch, is(2));
-    assertThat(new String(set.keepers[0].value("key")), is("1"));
+    assertThat(set.replicas[0].voterSet().voters.get(0).epoch, is(2));
+    assertThat(new String(set.replicas[0].value("key")), is("1"));
     set.await(put(client, "key", "2"));
     assertThat(read(client, "key"), is("2"));
   }
@@ -219,19 +219,19 @@
                 3_000));
     assertThat(held.changed(), is(true));
     for (int i = 0; i < 2; i++) {
-      assertThat(set.keepers[i].blob("lot/1", "one").length, is(5_000));
-      assertThat(set.keepers[i].blob("lot/1", "two").length, is(9));
+      assertThat(set.replicas[i].blob("lot/1", "one").length, is(5_000));
+      assertThat(set.replicas[i].blob("lot/1", "two").length, is(9));
     }
     assertThat(set.await(client.blob("lot/1", "one", 3_000)).length, is(5_000));
     assertThat(set.await(client.blob("lot/1", "none", 3_000)), nullValue());
     set.kill(1);
     assertThat(failure(client.blob("lot/1", "none", 1_000)), is(ErrorCode.NOT_REACHED));
     List<String> keys = new ArrayList<>();
-    set.keepers[0].keys().forEach(keys::add);
+    set.replicas[0].keys().forEach(keys::add);
     assertThat(keys, contains("lot/1"));
-    set.keepers[0].drop("lot/1");
-    assertThat(set.keepers[0].blob("lot/1", "one"), nullValue());
-    assertThat(set.keepers[0].keys().iterator().hasNext(), is(false));
+    set.replicas[0].drop("lot/1");
+    assertThat(set.replicas[0].blob("lot/1", "one"), nullValue());
+    assertThat(set.replicas[0].keys().iterator().hasNext(), is(false));
   }
 
   @Test
@@ -252,12 +252,12 @@
     set.disks[1].wipe();
     set.start(1);
     long from = set.timers.now();
-    set.keepers[1].learn(set.keepers[0].voterSet());
+    set.replicas[1].learn(set.replicas[0].voterSet());
     set.awaitSeated(1, 10_000);
     assertThat(set.timers.now() - from, lessThan(1_000L));
     for (int i = 0; i < 100; i++) {
-      assertThat(set.keepers[1].value("lot/" + i).length, is(200));
-      assertThat(set.keepers[1].blob("lot/" + i, "body").length, is(100_000));
+      assertThat(set.replicas[1].value("lot/" + i).length, is(200));
+      assertThat(set.replicas[1].blob("lot/" + i, "body").length, is(100_000));
     }
   }
 
@@ -276,17 +276,17 @@
     set.disks[1].wipe();
     set.start(1);
     set.net.cutBoth(SimSet.AT[1], SimSet.AT[2]);
-    set.keepers[1].learn(set.keepers[0].voterSet());
+    set.replicas[1].learn(set.replicas[0].voterSet());
     set.timers.pass(1_500);
-    assertThat(set.keepers[1].voting(), is(false));
+    assertThat(set.replicas[1].voting(), is(false));
     long instanceId = set.disks[1].instanceId();
     set.kill(1);
     set.net.healAll();
     set.start(1);
     set.awaitSeated(1, 3_000);
     assertThat(set.disks[1].instanceId(), is(instanceId));
-    assertThat(set.keepers[1].voting(), is(true));
-    assertThat(new String(set.keepers[1].value("key")), is("1"));
+    assertThat(set.replicas[1].voting(), is(true));
+    assertThat(new String(set.replicas[1].value("key")), is("1"));
   }
 
   @Test
@@ -295,21 +295,21 @@
     Register client = set.client(set.founding);
     set.await(put(client, "key", "1"));
     List<Boolean> response = new ArrayList<>();
-    set.keepers[3].whenVotingChanges(() -> response.add(set.keepers[3].voting()));
+    set.replicas[3].whenVotingChanges(() -> response.add(set.replicas[3].voting()));
     set.kill(0);
-    set.keepers[3].learn(set.keepers[1].voterSet());
-    set.keepers[3].join(0, 2);
+    set.replicas[3].learn(set.replicas[1].voterSet());
+    set.replicas[3].join(0, 2);
     set.awaitSeated(3, 3_000);
     assertThat(response, contains(true));
     set.start(0);
     set.timers.pass(20);
-    assertThat(set.keepers[0].voting(), is(true));
+    assertThat(set.replicas[0].voting(), is(true));
     set.kill(1);
     assertThat(append(client, "2"), is("12"));
-    set.keepers[0].learn(set.keepers[2].voterSet());
-    assertThat(set.keepers[0].voting(), is(false));
+    set.replicas[0].learn(set.replicas[2].voterSet());
+    assertThat(set.replicas[0].voting(), is(false));
     set.timers.pass(20);
-    assertThat(set.keepers[0].voterSet().voters.get(0).address, is(SimSet.AT[3]));
+    assertThat(set.replicas[0].voterSet().voters.get(0).address, is(SimSet.AT[3]));
   }
 
   @Test
@@ -317,13 +317,13 @@
     set.founded();
     set.kill(0);
     set.kill(1);
-    set.keepers[3].learn(set.keepers[2].voterSet());
-    set.keepers[3].join(0, 2);
+    set.replicas[3].learn(set.replicas[2].voterSet());
+    set.replicas[3].join(0, 2);
     set.timers.pass(10_000);
-    assertThat(set.keepers[3].voting(), is(false));
+    assertThat(set.replicas[3].voting(), is(false));
     set.start(1);
     set.awaitSeated(3, 3_000);
-    assertThat(set.keepers[3].voting(), is(true));
+    assertThat(set.replicas[3].voting(), is(true));
   }
 
   @Test
--- a/consensus/src/test/java/elmsail/consensus/ReplacedVoterTest.java
+++ b/consensus/src/test/java/elmsail/consensus/ReplacedVoterTest.java
@@ -49,30 +49,30 @@
     set.start(1);
     set.timers.pass(20);
     set.net.cutBoth(SimSet.AT[3], SimSet.AT[2]);
-    set.keepers[3].learn(set.founding);
-    set.keepers[3].join(0, 2);
+    set.replicas[3].learn(set.founding);
+    set.replicas[3].join(0, 2);
     set.timers.pass(1_500);
-    assertThat(set.keepers[1].voterSet().voters.get(0).address, is(SimSet.AT[3]));
-    assertThat(set.keepers[3].voting(), is(false));
+    assertThat(set.replicas[1].voterSet().voters.get(0).address, is(SimSet.AT[3]));
+    assertThat(set.replicas[3].voting(), is(false));
   }
 
   private void wipe(int i) {
     set.kill(i);
     set.disks[i].wipe();
     set.start(i);
-    set.keepers[i].learn(set.keepers[1].voterSet());
+    set.replicas[i].learn(set.replicas[1].voterSet());
   }
 
   private void allSeatedAgainAndNothingLost() {
     set.awaitSeated(2, 10_000);
     set.awaitSeated(3, 10_000);
-    assertThat(set.keepers[2].voting() && set.keepers[3].voting(), is(true));
+    assertThat(set.replicas[2].voting() && set.replicas[3].voting(), is(true));
     assertThat(read(), is("new"));
     set.kill(1);
     set.kill(0);
     assertThat(read(), is("new"));
-    assertThat(set.keepers[2].blob("key", "blob new").length, is(9));
-    assertThat(set.keepers[3].blob("key", "blob new").length, is(9));
+    assertThat(set.replicas[2].blob("key", "blob new").length, is(9));
+    assertThat(set.replicas[3].blob("key", "blob new").length, is(9));
     assertThat(set.net.faults(), empty());
   }
 
@@ -87,9 +87,9 @@
   @Test
   void alsoIfItKnowsAlreadyThatItIsReplaced() {
     claimOfTheSpareAtOneHolder();
-    set.keepers[0].learn(set.keepers[1].voterSet());
+    set.replicas[0].learn(set.replicas[1].voterSet());
     set.timers.pass(20);
-    assertThat(set.keepers[0].voting(), is(false));
+    assertThat(set.replicas[0].voting(), is(false));
     set.kill(0);
     set.start(0);
     wipe(2);
@@ -114,14 +114,14 @@
   @Test
   void aReplacedHolderWithoutItsMemoryDoesNot() {
     claimOfTheSpareAtOneHolder();
-    set.keepers[0].learn(set.keepers[1].voterSet());
+    set.replicas[0].learn(set.replicas[1].voterSet());
     set.kill(0);
     set.disks[0].wipe();
     set.start(0);
     wipe(2);
     set.net.healAll();
     set.timers.pass(10_000);
-    assertThat(set.keepers[2].voting() || set.keepers[3].voting(), is(false));
+    assertThat(set.replicas[2].voting() || set.replicas[3].voting(), is(false));
   }
 
   @Test
@@ -131,7 +131,7 @@
     wipe(2);
     set.net.healAll();
     set.timers.pass(10_000);
-    assertThat(set.keepers[2].voting(), is(false));
+    assertThat(set.replicas[2].voting(), is(false));
     set.start(3);
     allSeatedAgainAndNothingLost();
   }
@@ -139,18 +139,18 @@
   @Test
   void aReplacedHolderTakesAnotherSeatOnlyOnceItsSuccessorVotes() {
     claimOfTheSpareAtOneHolder();
-    set.keepers[0].learn(set.keepers[1].voterSet());
-    set.keepers[0].join(1, 2);
+    set.replicas[0].learn(set.replicas[1].voterSet());
+    set.replicas[0].join(1, 2);
     set.timers.pass(1_000);
-    assertThat(set.keepers[0].membership.ownSlot(), is(-1));
-    assertThat(set.keepers[0].value("key"), is("new".getBytes()));
+    assertThat(set.replicas[0].membership.ownSlot(), is(-1));
+    assertThat(set.replicas[0].value("key"), is("new".getBytes()));
     set.net.healAll();
     set.awaitSeated(3, 5_000);
-    set.keepers[0].learn(set.keepers[3].voterSet());
-    set.keepers[0].join(1, 2);
+    set.replicas[0].learn(set.replicas[3].voterSet());
+    set.replicas[0].join(1, 2);
     set.awaitSeated(0, 5_000);
-    assertThat(set.keepers[0].voterSet().voters.get(1).address, is(SimSet.AT[0]));
-    assertThat(set.keepers[0].voting(), is(true));
+    assertThat(set.replicas[0].voterSet().voters.get(1).address, is(SimSet.AT[0]));
+    assertThat(set.replicas[0].voting(), is(true));
     assertThat(read(), is("new"));
   }
 
@@ -159,10 +159,10 @@
   void aReplacedHolderThatDoesNotKnowItIsNoSourceOnceItsSuccessorVotes() {
     set.founded();
     put("old");
-    set.keepers[3].learn(set.founding);
-    set.keepers[3].join(0, 2);
+    set.replicas[3].learn(set.founding);
+    set.replicas[3].join(0, 2);
     set.awaitSeated(3, 5_000);
-    assertThat(set.keepers[0].voting() && set.keepers[3].voting(), is(true));
+    assertThat(set.replicas[0].voting() && set.replicas[3].voting(), is(true));
     set.kill(1);
     put("new");
     set.start(1);
@@ -170,9 +170,9 @@
     set.kill(2);
     set.disks[2].wipe();
     set.start(2);
-    set.keepers[2].learn(set.founding);
+    set.replicas[2].learn(set.founding);
     set.awaitSeated(2, 10_000);
-    assertThat(set.keepers[2].voting(), is(true));
+    assertThat(set.replicas[2].voting(), is(true));
     set.kill(3);
     assertThat(read(), is("new"));
   }
@@ -184,19 +184,19 @@
     put("new");
     set.net.cutBoth(SimSet.AT[3], SimSet.AT[1]);
     set.net.cutBoth(SimSet.AT[3], SimSet.AT[2]);
-    set.keepers[3].learn(set.founding);
-    set.keepers[3].join(0, 2);
+    set.replicas[3].learn(set.founding);
+    set.replicas[3].join(0, 2);
     set.timers.pass(500);
     wipe(0);
     set.awaitSeated(0, 5_000);
-    assertThat(set.keepers[0].voting(), is(true));
+    assertThat(set.replicas[0].voting(), is(true));
     set.kill(3);
     set.start(3);
     set.net.healAll();
     set.timers.pass(10_000);
-    assertThat(set.keepers[0].voting(), is(true));
-    assertThat(set.keepers[0].voterSet().voters.get(0).epoch, is(2));
-    assertThat(set.keepers[3].voterSet().voters.get(0).address, is(SimSet.AT[0]));
+    assertThat(set.replicas[0].voting(), is(true));
+    assertThat(set.replicas[0].voterSet().voters.get(0).epoch, is(2));
+    assertThat(set.replicas[3].voterSet().voters.get(0).address, is(SimSet.AT[0]));
   }
 
   /** The two that are gone refuse its calls before the third tells it of the newer voter set. */
@@ -205,8 +205,8 @@
     set.founded();
     put("new");
     set.kill(0);
-    set.keepers[3].learn(set.keepers[1].voterSet());
-    set.keepers[3].join(0, 2);
+    set.replicas[3].learn(set.replicas[1].voterSet());
+    set.replicas[3].join(0, 2);
     set.awaitSeated(3, 3_000);
     set.kill(1);
     set.net.delay(20, 20);
--- a/consensus/src/test/java/elmsail/consensus/SimSet.java
+++ b/consensus/src/test/java/elmsail/consensus/SimSet.java
@@ -9,14 +9,14 @@
 import elmsail.simulation.SimNet;
 import java.util.concurrent.CompletableFuture;
 
-/** Three keepers and a spare on the simulated network and disks. */
+/** Three replicas and a spare on the simulated network and disks. */
 final class SimSet {
   static final String[] AT = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7", "10.0.0.4:7"};
 
   final ManualTimers timers = new ManualTimers();
   final SimNet net = new SimNet(11, timers);
   final SimDisk[] disks = new SimDisk[AT.length];
-  final Replica[] keepers = new Replica[AT.length];
+  final Replica[] replicas = new Replica[AT.length];
   final ReplicaListener[] views = new ReplicaListener[AT.length];
   final VoterSet founding = new VoterSet();
   private int clients;
@@ -40,7 +40,7 @@
 
   SimSet founded() {
     for (int i = 0; i < 3; i++) {
-      keepers[i].found(founding);
+      replicas[i].found(founding);
     }
     timers.pass(30);
     return this;
@@ -48,7 +48,7 @@
 
   void start(int i) {
     Node node = net.node(AT[i]);
-    keepers[i] =
+    replicas[i] =
         new Replica(
             "set",
             disks[i].open(node.timers()),
@@ -117,7 +117,7 @@
 
   void awaitSeated(int i, long mostMs) {
     long end = timers.now() + mostMs;
-    while (!keepers[i].voting() && timers.now() < end && timers.step()) {
+    while (!replicas[i].voting() && timers.now() < end && timers.step()) {
       continue;
     }
   }
--- a/consensus/src/test/java/elmsail/consensus/World.java
+++ b/consensus/src/test/java/elmsail/consensus/World.java
@@ -47,7 +47,7 @@
     final String address;
     LossyRecords.Platter platter = new LossyRecords.Platter();
     LossyRecords records;
-    Replica keeper;
+    Replica replica;
     Map<Class<?>, Function<Object, CompletionStage<?>>> handlers = new HashMap<>();
     int starts;
     boolean up;
@@ -64,7 +64,7 @@
       Timers own = timers(this);
       records = new LossyRecords(platter, own, chance);
       Caller caller = keepersCaller.apply(caller(address, own));
-      keeper =
+      replica =
           new Replica(
               "set",
               records,
@@ -149,7 +149,7 @@
   Node idle() {
     Node idle = null;
     for (Node node : nodes.values()) {
-      if (node.up && !node.keeper.voting()) {
+      if (node.up && !node.replica.voting()) {
         idle = node;
       }
     }
@@ -234,7 +234,7 @@
       voterSet.voters.add(slot);
     }
     for (String address : addresses) {
-      nodes.get(address).keeper.found(voterSet);
+      nodes.get(address).replica.found(voterSet);
     }
     timers.pass(50);
     return voterSet;
@@ -278,7 +278,7 @@
     for (Node node : up) {
       Node other = up.get(chance.nextInt(up.size()));
       if (reaches(other.address, node.address) && chance.nextDouble() >= loss) {
-        node.keeper.learn(other.keeper.voterSet());
+        node.replica.learn(other.replica.voterSet());
       }
     }
   }
@@ -289,8 +289,8 @@
     for (Node node : nodes.values()) {
       newest =
           VoterSets.merge(newest, VoterSetCodec.voterSet(node.platter.safe.get("set/seating")));
-      if (node.up && node.keeper != null) {
-        newest = VoterSets.merge(newest, node.keeper.membership.voterSet());
+      if (node.up && node.replica != null) {
+        newest = VoterSets.merge(newest, node.replica.membership.voterSet());
       }
     }
     if (VoterSets.vacant(newest) > 0) {
@@ -309,7 +309,7 @@
       Node node = nodes.get(slot.address);
       if (!node.up
           || node.platter.instanceId != slot.instanceId
-          || !node.keeper.voting()
+          || !node.replica.voting()
           || node.records.read("set/seated") == null
           || !node.records.idle()) {
         missing++;
@@ -360,8 +360,8 @@
     for (Node node : nodes.values()) {
       state.append('\n').append(node.address).append(node.up ? " up" : " down");
       if (node.up) {
-        state.append(node.keeper.voting() ? " seated, knows" : " knows");
-        for (Voter slot : node.keeper.voterSet().voters) {
+        state.append(node.replica.voting() ? " seated, knows" : " knows");
+        for (Voter slot : node.replica.voterSet().voters) {
           state
               .append(' ')
               .append(slot.address)
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
@@ -82,8 +82,8 @@
     JobRetention jobs =
         new JobRetention(
             loop,
-            () -> house[0] != null && house[0].keeper().voting(),
-            key -> house[0].keeper().drop(key),
+            () -> house[0] != null && house[0].replica().voting(),
+            key -> house[0].replica().drop(key),
             settings.bounds().statusMs());
     house[0] = new StoreNode(settings, loop, links, links, records, jobs);
     jobs.listen(links);
@@ -92,14 +92,14 @@
     return new ControlPlane(loop, null, house[0]);
   }
 
-  /** A store's keeper; null at the head office. */
-  public Replica keeper() {
-    return house == null ? null : house.keeper();
+  /** A store's replica; null at the head office. */
+  public Replica replica() {
+    return house == null ? null : house.replica();
   }
 
   /** What a store knows; null at the head office. */
   public ClusterState known() {
-    return house == null ? null : house.puller();
+    return house == null ? null : house.watcher();
   }
 
   private CompletableFuture<HttpReply> counted(HttpHandler handler, HttpCall call) {
@@ -110,7 +110,7 @@
   }
 
   /**
-   * Takes no new calls of operators, gives the duty up, and is done once those in hand are
+   * Takes no new calls of operators, gives the lease up, and is done once those in hand are
    * answered, within 0.8 s at most. On the loop.
    */
   public CompletableFuture<Void> end() {
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -31,13 +31,13 @@
 final class ControlPlaneNode {
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneNode.class);
 
-  private static final long TIMETABLE_EVERY_MS = 300;
+  private static final long CONFIG_EVERY_MS = 300;
   private static final long OTHERS_EVERY_MS = 1_000;
   private static final long TICK_MS = 200;
   private static final long CLERK_MS = 4_000;
 
   /** A store is heard at least so often; the others hear of changes at once anyway. */
-  private static final long VAULT_WAIT_MS = 400;
+  private static final long STORE_WAIT_MS = 400;
 
   private final Settings settings;
   private final Timers timers;
@@ -50,10 +50,10 @@
   private final HeartbeatTable heard = new HeartbeatTable();
   private final PeerNotices notices;
   private final UpdateSources sources;
-  private final ConfigWatcher puller;
-  final SingletonLease duty;
+  private final ConfigWatcher watcher;
+  final SingletonLease lease;
   private final ServerDiscovery list;
-  private final PlacementController registrar;
+  private final PlacementController storePlacement;
   private final StoreFounding founding;
   private final HeadPlacement headPlacement;
   private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
@@ -88,12 +88,12 @@
     voters = new ControlPlaneVoters(settings, timers, caller, answering, records);
     register =
         new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
-    config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, TIMETABLE_EVERY_MS);
+    config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, CONFIG_EVERY_MS);
     retiring = new CommittedValue(register, DecommissionList.KEY, timers, OTHERS_EVERY_MS);
     founded = new CommittedValue(register, StoreFounding.KEY, timers, OTHERS_EVERY_MS);
     notices = new PeerNotices(caller, voters::current, own);
     sources = new UpdateSources(timers);
-    puller =
+    watcher =
         new ConfigWatcher(
             caller,
             timers,
@@ -102,7 +102,7 @@
             records == null ? who : records.instanceId(),
             () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
-    duty = new SingletonLease(caller, timers, register, voters::current, own, who);
+    lease = new SingletonLease(caller, timers, register, voters::current, own, who);
     list =
         settings.platform() == null
             ? null
@@ -111,10 +111,10 @@
                 settings.platform().perSecond(),
                 timers,
                 sources,
-                duty::term);
+                lease::term);
     int stores = 2 * settings.bearMachines() + 1;
-    registrar = new PlacementController(stores, timers.now());
-    founding = new StoreFounding(register, founded, registrar, heard);
+    storePlacement = new PlacementController(stores, timers.now());
+    founding = new StoreFounding(register, founded, storePlacement, heard);
     headPlacement =
         new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
@@ -134,7 +134,7 @@
                     config,
                     edition -> notices.tell("decided")),
                 new ReadConfigHandler(register, config),
-                new VoterRedirect(retire, settings, voters, puller)));
+                new VoterRedirect(retire, settings, voters, watcher)));
   }
 
   void start() {
@@ -149,17 +149,17 @@
     notices.answer(HeardStoresInquiry.KIND, inquiry::answer);
     voters.whenTakenOver(() -> voter.tookOver(timers.now()));
     SingletonLease.vote(answering, timers, voter, voters::voting);
-    puller.whenChanged(this::relay);
-    puller.whenJoinOrdered(voters::join);
+    watcher.whenChanged(this::relay);
+    watcher.whenJoinOrdered(voters::join);
     voters.start(answering);
     config.refresh();
     retiring.refresh();
     founded.refresh();
-    duty.start();
+    lease.start();
     if (list != null) {
       list.start();
     }
-    puller.start();
+    watcher.start();
     tick();
   }
 
@@ -193,7 +193,7 @@
           new ElmsailException(ErrorCode.NOT_SEATED, "no contact with a majority"));
     }
     if ("store".equals(request.role)) {
-      request.waitMs = Math.min(request.waitMs, VAULT_WAIT_MS);
+      request.waitMs = Math.min(request.waitMs, STORE_WAIT_MS);
     }
     return sources.request(request).thenApply(config.contact()::checked);
   }
@@ -202,7 +202,7 @@
     ConfigHistory now = ConfigHistory.of(value);
     sources.setConfig(now.edition(), now.bytes());
     try {
-      puller.offerConfig(now.bytes());
+      watcher.offerConfig(now.bytes());
     } catch (ElmsailException e) {
       LOG.error(
           "configuration {} was committed and cannot be read here: {}",
@@ -213,16 +213,16 @@
 
   /** What other control-plane nodes know that is newer goes on to whoever asks here. */
   private void relay() {
-    if (puller.configBytes() != null) {
-      sources.setConfig(puller.config().edition(), puller.configBytes());
+    if (watcher.configBytes() != null) {
+      sources.setConfig(watcher.config().edition(), watcher.configBytes());
     }
-    if (puller.listBytes() != null) {
+    if (watcher.listBytes() != null) {
       sources.setServers(
-          puller.listEpoch(), puller.listVersion(), puller.listBytes(), puller.listTakenAt());
+          watcher.listEpoch(), watcher.listVersion(), watcher.listBytes(), watcher.listTakenAt());
     }
-    learnStores(puller.view().storeSet);
-    if (!puller.view().head.voters.isEmpty()) {
-      voters.learn(puller.view().head);
+    learnStores(watcher.view().storeSet);
+    if (!watcher.view().head.voters.isEmpty()) {
+      voters.learn(watcher.view().head);
     }
   }
 
@@ -256,7 +256,7 @@
 
   /** Whether this process directs the placement of voters at this very moment. */
   private boolean mayDirect() {
-    return duty.term() > 0
+    return lease.term() > 0
         && config.contact().current()
         && retiring.contact().within(DecommissionHandler.LIST_KNOWN_WITHIN_MS);
   }
@@ -273,7 +273,8 @@
       founding.attempt(now);
     }
     PlacementController.Order before = order;
-    order = registrar.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    order =
+        storePlacement.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
     boolean headOrdered =
         headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
     storeRedundancy.look(directs, heard, storeSet, now);
@@ -300,12 +301,12 @@
   /** Asks and directs nothing any more; what comes in is still answered. */
   void close() {
     closed = true;
-    duty.close();
+    lease.close();
     if (list != null) {
       list.close();
     }
     voters.close();
-    puller.close();
+    watcher.close();
     config.close();
     retiring.close();
     founded.close();
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -16,7 +16,7 @@
 import java.util.List;
 
 /**
- * This process's part in the set "head": a keeper where it has a disk, just the knowledge where
+ * This process's part in the set "head": a replica where it has a disk, just the knowledge where
  * not.
  */
 final class ControlPlaneVoters implements VoterSetSource {
@@ -29,7 +29,7 @@
   private final Timers timers;
   private final Caller caller;
   private final RecordStore records;
-  private final Replica keeper;
+  private final Replica replica;
   private ClusterBootstrap founding;
   private VoterSet learned = new VoterSet();
   private boolean born;
@@ -49,7 +49,7 @@
     this.timers = timers;
     this.caller = caller;
     this.records = records;
-    this.keeper =
+    this.replica =
         records == null
             ? null
             : new Replica(
@@ -105,35 +105,35 @@
 
   /** Whether this process votes now. */
   boolean voting() {
-    return keeper != null && keeper.voting();
+    return replica != null && replica.voting();
   }
 
   /** Whether it holds a voter slot, voting or not yet. */
   boolean holdsSlot() {
-    return keeper != null && VoterSetValue.slotOf(current(), settings.innerAddress()) >= 0;
+    return replica != null && VoterSetValue.slotOf(current(), settings.innerAddress()) >= 0;
   }
 
   @Override
   public VoterSet current() {
-    return keeper == null ? learned : keeper.voterSet();
+    return replica == null ? learned : replica.voterSet();
   }
 
   @Override
   public void learn(VoterSet newer) {
-    if (keeper == null) {
+    if (replica == null) {
       learned = VoterSets.merge(learned, newer);
-    } else if (VoterSets.newer(newer, keeper.voterSet())) {
-      keeper.learn(newer);
+    } else if (VoterSets.newer(newer, replica.voterSet())) {
+      replica.learn(newer);
     }
   }
 
   /** Called each time that this process begins to vote in a slot that another instance held. */
   void whenTakenOver(Runnable then) {
-    if (keeper != null) {
-      keeper.whenVotingChanges(
+    if (replica != null) {
+      replica.whenVotingChanges(
           () -> {
             int slot = VoterSetValue.slotOf(current(), settings.innerAddress());
-            if (keeper.voting() && slot >= 0 && current().voters.get(slot).epoch > 1) {
+            if (replica.voting() && slot >= 0 && current().voters.get(slot).epoch > 1) {
               then.run();
             }
           });
@@ -142,8 +142,8 @@
 
   /** Takes over a slot as directed; nothing happens where there is no disk. */
   void join(int slot, int epoch) {
-    if (keeper != null) {
-      keeper.join(slot, epoch);
+    if (replica != null) {
+      replica.join(slot, epoch);
     }
   }
 
--- a/controlplane/src/main/java/elmsail/controlplane/DecommissionHandler.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionHandler.java
@@ -99,7 +99,7 @@
 
   private HeardStores heardHere() {
     Map<String, Long> agoMs = new TreeMap<>();
-    for (HeartbeatTable.Vault store : heard.stores()) {
+    for (HeartbeatTable.Member store : heard.stores()) {
       agoMs.merge(store.station(), timers.now() - store.lastAt(), Math::min);
     }
     return new HeardStores(contact.unbrokenMs() >= LISTEN_MS && retiring.read(), agoMs);
@@ -166,7 +166,7 @@
   /** Whether enough stores that stay are heard here at present. */
   private boolean roomWithout(String node, Set<String> listed) {
     int there = 0;
-    for (HeartbeatTable.Vault store : heard.stores()) {
+    for (HeartbeatTable.Member store : heard.stores()) {
       boolean stays = !store.station().equals(node) && !listed.contains(store.station());
       there += stays && timers.now() - store.lastAt() <= THERE_MS ? 1 : 0;
     }
@@ -219,7 +219,7 @@
     long now = timers.now();
     VoterSet voterSet = storeSet.get();
     for (Voter slot : voterSet.voters) {
-      HeartbeatTable.Vault holder = heard.store(slot.address);
+      HeartbeatTable.Member holder = heard.store(slot.address);
       if (holder == null
           || now - holder.lastAt() > JUST_NOW_MS
           || holder.lastAt() - listedAt.get(node) < SETTLE_MS
@@ -229,7 +229,7 @@
         return false;
       }
     }
-    HeartbeatTable.Vault itself = heard.station(node);
+    HeartbeatTable.Member itself = heard.station(node);
     boolean stillSeated = itself != null && now - itself.lastAt() <= JUST_NOW_MS && itself.voting();
     return !voterSet.voters.isEmpty() && !stillSeated;
   }
--- a/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
+++ b/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
@@ -17,7 +17,7 @@
   static final int MOST = 1_000;
 
   /** A store, or another holder of records, as its last pull told of it; times are steady ms. */
-  record Vault(
+  record Member(
       String address,
       String station,
       String zone,
@@ -27,7 +27,7 @@
       long firstAt,
       long lastAt) {}
 
-  private final TreeMap<String, Vault> stores = new TreeMap<>();
+  private final TreeMap<String, Member> stores = new TreeMap<>();
   private final TreeMap<String, Long> gateways = new TreeMap<>();
 
   private final String role;
@@ -44,12 +44,12 @@
 
   void note(PullRequest request, long now) {
     if (role.equals(request.role) && (request.hasDisk || role.equals("store"))) {
-      Vault before = stores.get(request.address);
+      Member before = stores.get(request.address);
       VoterSet storeSet = request.storeSet == null ? new VoterSet() : request.storeSet;
       long first = before == null || before.instanceId != request.instanceId ? now : before.firstAt;
       stores.put(
           request.address,
-          new Vault(
+          new Member(
               request.address,
               request.station,
               request.zone,
@@ -58,7 +58,7 @@
               storeSet,
               first,
               now));
-      dropOldest(stores, Vault::lastAt);
+      dropOldest(stores, Member::lastAt);
     } else if ("gateway".equals(request.role)) {
       gateways.put(request.address, now);
       dropOldest(gateways, at -> at);
@@ -82,19 +82,19 @@
   }
 
   /** In the order of their addresses. */
-  Collection<Vault> stores() {
+  Collection<Member> stores() {
     return stores.values();
   }
 
   /** Null if it was not heard, or too long ago. */
-  Vault store(String address) {
+  Member store(String address) {
     return stores.get(address);
   }
 
   /** Null if it was not heard, or too long ago. */
-  Vault station(String name) {
-    Vault found = null;
-    for (Vault store : stores.values()) {
+  Member station(String name) {
+    Member found = null;
+    for (Member store : stores.values()) {
       if (store.station().equals(name) && (found == null || store.lastAt() > found.lastAt())) {
         found = store;
       }
--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -27,7 +27,7 @@
   private static final long FOUND_FEWER_MS = 6_000;
   private static final long ZONES_WAIT_MS = 1_000;
 
-  /** A registrar that did not look for so long was held up itself, and listens anew. */
+  /** A storePlacement that did not look for so long was held up itself, and listens anew. */
   private static final long HELD_UP_MS = 700;
 
   private final int voters;
@@ -57,10 +57,10 @@
 
   /** The first voter set, or null as long as it is not time; asked only while there is none. */
   VoterSet founding(HeartbeatTable heard, long now) {
-    List<HeartbeatTable.Vault> there = new ArrayList<>();
+    List<HeartbeatTable.Member> there = new ArrayList<>();
     long first = Long.MAX_VALUE;
     Set<String> zones = new HashSet<>();
-    for (HeartbeatTable.Vault store : heard.stores()) {
+    for (HeartbeatTable.Member store : heard.stores()) {
       if (!store.voting() && store.storeSet().voters.isEmpty() && now - store.lastAt() <= goneMs) {
         there.add(store);
         zones.add(store.zone());
@@ -72,9 +72,9 @@
     if (there.isEmpty() || !enough && now - first < FOUND_FEWER_MS) {
       return null;
     }
-    List<HeartbeatTable.Vault> chosen = spread(there);
+    List<HeartbeatTable.Member> chosen = spread(there);
     VoterSet voterSet = new VoterSet();
-    for (HeartbeatTable.Vault store : chosen) {
+    for (HeartbeatTable.Member store : chosen) {
       voterSet.voters.add(
           VoterSetValue.slot(store.address(), store.station(), store.instanceId(), 1));
     }
@@ -82,20 +82,20 @@
   }
 
   /** One of each zone first, then others; in the order of their addresses. */
-  private List<HeartbeatTable.Vault> spread(List<HeartbeatTable.Vault> there) {
-    List<HeartbeatTable.Vault> chosen = new ArrayList<>();
+  private List<HeartbeatTable.Member> spread(List<HeartbeatTable.Member> there) {
+    List<HeartbeatTable.Member> chosen = new ArrayList<>();
     Set<String> zones = new HashSet<>();
-    for (HeartbeatTable.Vault store : there) {
+    for (HeartbeatTable.Member store : there) {
       if (chosen.size() < voters && zones.add(store.zone())) {
         chosen.add(store);
       }
     }
-    for (HeartbeatTable.Vault store : there) {
+    for (HeartbeatTable.Member store : there) {
       if (chosen.size() < voters && !chosen.contains(store)) {
         chosen.add(store);
       }
     }
-    chosen.sort(Comparator.comparing(HeartbeatTable.Vault::address));
+    chosen.sort(Comparator.comparing(HeartbeatTable.Member::address));
     return chosen;
   }
 
@@ -146,7 +146,7 @@
     if (order != null && order.slot() == slot && heardWithin(heard, order.address(), goneMs, now)) {
       return order;
     }
-    HeartbeatTable.Vault spare = spare(heard, storeSet, retiring, slot, now);
+    HeartbeatTable.Member spare = spare(heard, storeSet, retiring, slot, now);
     order = spare == null ? null : new Order(slot, spare.address(), epoch(storeSet, slot));
     return order;
   }
@@ -187,7 +187,7 @@
         continue;
       }
       Voter other = storeSet.voters.get(i);
-      HeartbeatTable.Vault store = heard.store(other.address);
+      HeartbeatTable.Member store = heard.store(other.address);
       if (gone(heard, other, now)) {
         away++;
       } else if (store != null && store.voting() && store.instanceId() == other.instanceId) {
@@ -201,28 +201,28 @@
   }
 
   private boolean gone(HeartbeatTable heard, Voter holder, long now) {
-    HeartbeatTable.Vault store = heard.store(holder.address);
+    HeartbeatTable.Member store = heard.store(holder.address);
     long last = store == null ? listening : Math.max(listening, store.lastAt());
     return now - last > goneMs;
   }
 
   private static boolean heardWithin(HeartbeatTable heard, String address, long ms, long now) {
-    HeartbeatTable.Vault store = heard.store(address);
+    HeartbeatTable.Member store = heard.store(address);
     return store != null && now - store.lastAt() <= ms;
   }
 
   /** In a zone where no other voter slot is, if there is such a one. */
-  private static HeartbeatTable.Vault spare(
+  private static HeartbeatTable.Member spare(
       HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, int slot, long now) {
     Set<String> zones = new HashSet<>();
     for (int i = 0; i < storeSet.voters.size(); i++) {
-      HeartbeatTable.Vault holder = heard.store(storeSet.voters.get(i).address);
+      HeartbeatTable.Member holder = heard.store(storeSet.voters.get(i).address);
       if (i != slot && holder != null) {
         zones.add(holder.zone());
       }
     }
-    HeartbeatTable.Vault any = null;
-    for (HeartbeatTable.Vault store : heard.stores()) {
+    HeartbeatTable.Member any = null;
+    for (HeartbeatTable.Member store : heard.stores()) {
       if (now - store.lastAt() <= SPARE_MS
           && VoterSetValue.slotOf(storeSet, store.address()) < 0
           && !retiring.contains(store.station())) {
--- a/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
+++ b/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
@@ -44,7 +44,7 @@
     int voting = 0;
     long lastMissed = Long.MAX_VALUE;
     for (Voter holder : voterSet.voters) {
-      HeartbeatTable.Vault there = heard.store(holder.address);
+      HeartbeatTable.Member there = heard.store(holder.address);
       if (votes(there, holder) && now - there.lastAt() <= HEARD_MS) {
         voting++;
       } else if (there != null) {
@@ -69,7 +69,7 @@
     }
   }
 
-  private static boolean votes(HeartbeatTable.Vault there, Voter holder) {
+  private static boolean votes(HeartbeatTable.Member there, Voter holder) {
     return there != null && there.voting() && there.instanceId() == holder.instanceId;
   }
 
--- a/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.function.LongSupplier;
 
-/** Asks the platform for the list of servers for as long as this process holds the duty. */
+/** Asks the platform for the list of servers for as long as this process holds the lease. */
 final class ServerDiscovery {
   private static final long EVERY_MS = 500;
   private static final long MOST_MS = 4_000;
@@ -36,7 +36,7 @@
   private long pause = EVERY_MS;
 
   /**
-   * A first list without the duty, so that nobody waits for a lease after all have ended at once.
+   * A first list without the lease, so that nobody waits for a lease after all have ended at once.
    */
   private static final long FIRST_MS = 100;
 
@@ -49,7 +49,7 @@
    * Makes one.
    *
    * @param perSecond calls that the platform takes from all processes together
-   * @param term in which the duty is held at this moment, or 0
+   * @param term in which the lease is held at this moment, or 0
    */
   ServerDiscovery(
       PlatformClient platform,
@@ -69,7 +69,7 @@
     look();
   }
 
-  /** Asked once where the others have told none yet; any list of the duty's holder is newer. */
+  /** Asked once where the others have told none yet; any list of the lease's holder is newer. */
   private void first() {
     if (closed || firstAsked || sources.hasServers() || term.getAsLong() != 0) {
       return;
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -19,9 +19,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The one duty of the head office: asking the platform and directing the stores' voter slots.
- * Whoever holds its lease takes a new term from the register first; the list's epochs are these
- * terms.
+ * The single lease of the control plane: its holder asks the platform for servers and directs who
+ * takes voter slots. Whoever holds its lease takes a new term from the register first; the list's
+ * epochs are these terms.
  */
 final class SingletonLease {
   static final String KEY = "duty";
@@ -114,7 +114,7 @@
   /** Sends the round, or the giving up of it where it is negative. */
   private void request(long round, VoterSet voterSet) {
     LeaseRequest request = new LeaseRequest();
-    request.duty = KEY;
+    request.lease = KEY;
     request.who = who;
     request.forMs = round > 0 ? LeaseVoter.LEASE_MS : 0;
     request.round = Math.abs(round);
@@ -174,7 +174,7 @@
     return value == null ? 0 : ByteBuffer.wrap(value).getLong();
   }
 
-  /** The term in which this process holds the duty at this very moment, or 0. */
+  /** The term in which this process holds the lease at this very moment, or 0. */
   long term() {
     return lease != null && lease.held(timers.now()) ? term : 0;
   }
--- a/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
@@ -12,14 +12,14 @@
 import elmsail.storage.RecordStore;
 
 /**
- * A store's part in the set "shelf": its slot is response by the control-plane nodes, and joined
- * when they say so.
+ * A store's part in the set "shelf": its slot is told by the control-plane nodes, and joined when
+ * they say so.
  */
 final class StoreNode {
   static final String SET = "shelf";
 
-  private final Replica keeper;
-  private final ConfigWatcher puller;
+  private final Replica replica;
+  private final ConfigWatcher watcher;
 
   StoreNode(
       Settings settings,
@@ -28,7 +28,7 @@
       RequestHandlers answering,
       RecordStore records,
       ReplicaListener views) {
-    keeper =
+    replica =
         new Replica(
             SET,
             records,
@@ -38,43 +38,43 @@
             timers,
             settings.innerAddress(),
             settings.station());
-    puller =
+    watcher =
         new ConfigWatcher(
             caller,
             timers,
             settings,
             "store",
             records.instanceId(),
-            () -> new StoreStatus(keeper.voting(), false, keeper.voterSet()),
+            () -> new StoreStatus(replica.voting(), false, replica.voterSet()),
             null);
   }
 
   void start() {
-    puller.whenChanged(this::learn);
-    puller.whenJoinOrdered(keeper::join);
-    puller.start();
+    watcher.whenChanged(this::learn);
+    watcher.whenJoinOrdered(replica::join);
+    watcher.start();
   }
 
   private void learn() {
-    VoterSet storeSet = puller.view().storeSet;
+    VoterSet storeSet = watcher.view().storeSet;
     if (storeSet.voters.isEmpty()) {
       return;
     }
-    if (keeper.voterSet().voters.isEmpty()) {
-      keeper.found(storeSet);
+    if (replica.voterSet().voters.isEmpty()) {
+      replica.found(storeSet);
     }
-    keeper.learn(storeSet);
+    replica.learn(storeSet);
   }
 
-  Replica keeper() {
-    return keeper;
+  Replica replica() {
+    return replica;
   }
 
-  ConfigWatcher puller() {
-    return puller;
+  ConfigWatcher watcher() {
+    return watcher;
   }
 
   void close() {
-    puller.close();
+    watcher.close();
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterRedirect.java
@@ -14,7 +14,7 @@
  * these. Others send the caller there: the control port is the same on all machines.
  */
 record VoterRedirect(
-    HttpHandler handler, Settings settings, ControlPlaneVoters voters, ConfigWatcher puller)
+    HttpHandler handler, Settings settings, ControlPlaneVoters voters, ConfigWatcher watcher)
     implements HttpHandler {
   private static final long LATELY_MS = 2_500;
 
@@ -26,7 +26,7 @@
     String nearest = null;
     long least = LATELY_MS;
     for (Voter slot : voters.current().voters) {
-      long ago = puller.heardAgoMs(slot.address);
+      long ago = watcher.heardAgoMs(slot.address);
       if (ago < least) {
         least = ago;
         nearest = slot.address;
--- a/controlplane/src/test/java/elmsail/controlplane/BoundedListsTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/BoundedListsTest.java
@@ -52,7 +52,7 @@
       heard.note(pull("gateway", i), 1_000 + i);
       heard.note(pull("store", 0), 1_000 + i);
     }
-    List<HeartbeatTable.Vault> stores = new ArrayList<>(heard.stores());
+    List<HeartbeatTable.Member> stores = new ArrayList<>(heard.stores());
     assertThat(stores, hasSize(HeartbeatTable.MOST));
     assertThat("the newest", heard.station("s" + (all - 1)), notNullValue());
     assertThat("heard all the time", heard.station("s0"), notNullValue());
--- a/controlplane/src/test/java/elmsail/controlplane/ManyChangesTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ManyChangesTest.java
@@ -237,7 +237,7 @@
 
   private static String holder(World world) {
     for (String node : world.offices.keySet()) {
-      if (alive(world, node) && world.offices.get(node).duty.term() > 0) {
+      if (alive(world, node) && world.offices.get(node).lease.term() > 0) {
         return node;
       }
     }
@@ -246,7 +246,7 @@
 
   private static long term(World world) {
     String node = holder(world);
-    return node == null ? 0 : world.offices.get(node).duty.term();
+    return node == null ? 0 : world.offices.get(node).lease.term();
   }
 
   private static boolean alive(World world, String node) {
--- a/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
@@ -15,7 +15,7 @@
 
 class PlacementControllerTest {
   private final HeartbeatTable heard = new HeartbeatTable();
-  private final PlacementController registrar = new PlacementController(3, 0);
+  private final PlacementController storePlacement = new PlacementController(3, 0);
   private final Set<String> retiring = new HashSet<>();
   private VoterSet storeSet = new VoterSet();
   private long now;
@@ -60,7 +60,7 @@
       for (String name : names) {
         hear(name, "z" + name, VoterSetValue.slotOf(storeSet, name + ":1") >= 0);
       }
-      order = registrar.order(heard, storeSet, retiring, true, now);
+      order = storePlacement.order(heard, storeSet, retiring, true, now);
     }
     return order;
   }
@@ -69,9 +69,9 @@
   void foundsAsSoonAsEnoughAreThereInAnyOrder() {
     hear("c", "z1", false);
     hear("a", "z2", false);
-    assertThat(registrar.founding(heard, now), is(nullValue()));
+    assertThat(storePlacement.founding(heard, now), is(nullValue()));
     hear("b", "z3", false);
-    assertThat(names(registrar.founding(heard, now)), equalTo("a1 b1 c1"));
+    assertThat(names(storePlacement.founding(heard, now)), equalTo("a1 b1 c1"));
   }
 
   @Test
@@ -79,9 +79,9 @@
     hear("a", "z1", false);
     hear("b", "z1", false);
     hear("c", "z2", false);
-    assertThat(registrar.founding(heard, now), is(nullValue()));
+    assertThat(storePlacement.founding(heard, now), is(nullValue()));
     hear("d", "z3", false);
-    assertThat(names(registrar.founding(heard, now)), equalTo("a1 c1 d1"));
+    assertThat(names(storePlacement.founding(heard, now)), equalTo("a1 c1 d1"));
   }
 
   @Test
@@ -90,18 +90,18 @@
     hear("b", "z1", false);
     hear("c", "z1", false);
     now = 1_000;
-    assertThat(names(registrar.founding(heard, now)), equalTo("a1 b1 c1"));
+    assertThat(names(storePlacement.founding(heard, now)), equalTo("a1 b1 c1"));
   }
 
   @Test
   void foundsWithFewerAfterSixSeconds() {
-    assertThat(registrar.founding(heard, now), is(nullValue()));
+    assertThat(storePlacement.founding(heard, now), is(nullValue()));
     for (now = 0; now < 6_000; now += 500) {
       hear("a", "z1", false);
-      assertThat(registrar.founding(heard, now), is(nullValue()));
+      assertThat(storePlacement.founding(heard, now), is(nullValue()));
     }
     hear("a", "z1", false);
-    assertThat(names(registrar.founding(heard, now)), equalTo("a1"));
+    assertThat(names(storePlacement.founding(heard, now)), equalTo("a1"));
   }
 
   @Test
@@ -113,7 +113,7 @@
     now = 3_000;
     hear("b", "z2", false);
     hear("c", "z3", false);
-    assertThat(registrar.founding(heard, now), is(nullValue()));
+    assertThat(storePlacement.founding(heard, now), is(nullValue()));
   }
 
   @Test
@@ -171,7 +171,7 @@
       hear("c", "zc", true);
       hear("d", "zd", false);
       hear("e", "ze", false);
-      assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
+      assertThat(storePlacement.order(heard, storeSet, retiring, true, now), is(nullValue()));
     }
     assertThat(
         pass(300, "a", "b", "c", "d", "e"), equalTo(new PlacementController.Order(1, "e:1", 2)));
@@ -205,7 +205,7 @@
       hear("b", "zb", true);
       hear("c", "zc", false);
       hear("d", "zd", false);
-      assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
+      assertThat(storePlacement.order(heard, storeSet, retiring, true, now), is(nullValue()));
     }
   }
 
@@ -217,7 +217,7 @@
     hear("a", "za", true);
     hear("b", "zb", true);
     hear("d", "zd", false);
-    assertThat(registrar.order(heard, storeSet, retiring, true, now), is(nullValue()));
+    assertThat(storePlacement.order(heard, storeSet, retiring, true, now), is(nullValue()));
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
     assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
   }
@@ -231,7 +231,7 @@
       hear("a", "za", true);
       hear("b", "zb", true);
       hear("d", "zd", false);
-      assertThat(registrar.order(heard, storeSet, retiring, false, now), is(nullValue()));
+      assertThat(storePlacement.order(heard, storeSet, retiring, false, now), is(nullValue()));
     }
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
     assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
@@ -246,10 +246,11 @@
       hear("a", "za", true);
       hear("b", "zb", true);
       hear("d", "zd", false);
-      assertThat(registrar.order(heard, storeSet, retiring, true, false, now), is(nullValue()));
+      assertThat(
+          storePlacement.order(heard, storeSet, retiring, true, false, now), is(nullValue()));
     }
     assertThat(
-        registrar.order(heard, storeSet, retiring, true, true, now),
+        storePlacement.order(heard, storeSet, retiring, true, true, now),
         equalTo(new PlacementController.Order(2, "d:1", 2)));
   }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/SecondLossTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/SecondLossTest.java
@@ -95,7 +95,7 @@
           @Override
           public VoterSet current() {
             for (String name : oldestFirst) {
-              known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
+              known = VoterSets.merge(known, world.stores.get(name).replica().voterSet());
             }
             return known;
           }
@@ -172,12 +172,12 @@
   private boolean whole() {
     VoterSet newest = new VoterSet();
     for (String name : oldestFirst) {
-      newest = VoterSets.merge(newest, world.stores.get(name).keeper().voterSet());
+      newest = VoterSets.merge(newest, world.stores.get(name).replica().voterSet());
     }
     TreeSet<String> voting = new TreeSet<>();
     for (Voter slot : newest.voters) {
       if (oldestFirst.contains(slot.station)
-          && world.stores.get(slot.station).keeper().voting()
+          && world.stores.get(slot.station).replica().voting()
           && world.disks.get(slot.station).instanceId() == slot.instanceId) {
         voting.add(slot.station);
       }
--- a/controlplane/src/test/java/elmsail/controlplane/StoreSetStoryTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/StoreSetStoryTest.java
@@ -99,7 +99,7 @@
           @Override
           public VoterSet current() {
             for (String name : running) {
-              known = VoterSets.merge(known, world.stores.get(name).keeper().voterSet());
+              known = VoterSets.merge(known, world.stores.get(name).replica().voterSet());
             }
             return known;
           }
@@ -205,10 +205,10 @@
   private boolean allSeated() {
     VoterSet newest = new VoterSet();
     for (String name : running) {
-      newest = VoterSets.merge(newest, world.stores.get(name).keeper().voterSet());
+      newest = VoterSets.merge(newest, world.stores.get(name).replica().voterSet());
     }
     for (Voter slot : newest.voters) {
-      if (!running.contains(slot.station) || !world.stores.get(slot.station).keeper().voting()) {
+      if (!running.contains(slot.station) || !world.stores.get(slot.station).replica().voting()) {
         return false;
       }
     }
--- a/controlplane/src/test/java/elmsail/controlplane/World.java
+++ b/controlplane/src/test/java/elmsail/controlplane/World.java
@@ -191,7 +191,7 @@
   }
 
   private void gateway(String name, Node node, PlatformClient platform) {
-    ConfigWatcher puller =
+    ConfigWatcher watcher =
         new ConfigWatcher(
             node.caller(),
             node.timers(),
@@ -200,8 +200,8 @@
             whos++,
             () -> StoreStatus.NONE,
             platform);
-    gateways.put(name, puller);
-    puller.start();
+    gateways.put(name, watcher);
+    watcher.start();
   }
 
   void kill(String name) {
@@ -286,14 +286,14 @@
    */
   String storeSet(String store) {
     StringBuilder voters = new StringBuilder();
-    for (Voter slot : stores.get(store).keeper().voterSet().voters) {
+    for (Voter slot : stores.get(store).replica().voterSet().voters) {
       StoreNode house = stores.get(slot.station);
       voters
           .append(voters.isEmpty() ? "" : " ")
           .append(slot.station)
           .append('/')
           .append(slot.epoch);
-      voters.append(house != null && house.keeper().voting() ? "" : "*");
+      voters.append(house != null && house.replica().voting() ? "" : "*");
     }
     return voters.toString();
   }
--- a/rpc/src/main/java/elmsail/rpc/Frame.java
+++ b/rpc/src/main/java/elmsail/rpc/Frame.java
@@ -13,7 +13,7 @@
  * of kind, call, type and payload, and the payload.
  *
  * @param call the number of the call, of its asker's choosing; 0 for pings and hellos
- * @param type of {@connection MessageTypes}
+ * @param type of {@link MessageTypes}
  */
 record Frame(int kind, long call, int type, byte[] payload) {
 
--- a/rpc/src/main/java/elmsail/rpc/messages/LeaseRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/LeaseRequest.java
@@ -2,7 +2,7 @@
 
 /** Asks a voter for the lease of a duty, or to renew it; or gives up what was granted in vain. */
 public final class LeaseRequest {
-  public String duty = "";
+  public String lease = "";
 
   /** The process that asks, drawn anew at each start. */
   public long who;
--- a/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
@@ -6,7 +6,7 @@
   public String address = "";
   public String zone = "";
 
-  /** "gateway", "vault" or "controlplane". */
+  /** "gateway", "store" or "controlplane". */
   public String role = "";
 
   public long instanceId;
