--- a/app/src/test/java/elmsail/app/DeployPackagesTest.java
+++ b/app/src/test/java/elmsail/app/DeployPackagesTest.java
@@ -36,6 +36,7 @@
           "timeout", Set.of("coreutils"),
           "mkdir", Set.of("coreutils"),
           "rm", Set.of("coreutils"),
+          "mv", Set.of("coreutils"),
           "cp", Set.of("coreutils"));
 
   private static Path root() {
