--- a/app/src/main/java/elmsail/app/LogSetup.java
+++ b/app/src/main/java/elmsail/app/LogSetup.java
@@ -9,9 +9,11 @@
 
 /**
  * Sets the log up in code, as reading a file and a pattern for it would cost more than the rest of
- * the start: plain lines to standard output. Found by Logback as a service.
+ * the start: plain lines to standard output. Found by Logback as a service. The system property
+ * {@value #DEBUG} names loggers, with commas between them, that write their debug lines too.
  */
 public final class LogSetup extends ContextAwareBase implements Configurator {
+  static final String DEBUG = "elmsail.debug";
 
   @Override
   public ExecutionStatus configure(LoggerContext context) {
@@ -24,6 +26,11 @@
     root.setLevel(Level.INFO);
     root.addAppender(lines);
     context.getLogger("io.netty").setLevel(Level.WARN);
+    for (String name : System.getProperty(DEBUG, "").split(",")) {
+      if (!name.isBlank()) {
+        context.getLogger(name).setLevel(Level.DEBUG);
+      }
+    }
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
 }
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -15,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One try to submit a job. The job's tokens are added to the count at a majority of stores, which
@@ -24,6 +26,7 @@
  * take the job.
  */
 final class SubmitHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(SubmitHandler.class);
   private static final long CHANGE_MS = 1_500;
   private static final long LEAST_MS = 150;
   private static final long AGAIN_MS = 60;
@@ -60,7 +63,9 @@
    */
   private boolean proposed;
 
+  private final long submittedAt;
   private long began;
+  private int rounds;
 
   SubmitHandler(
       BatchContext context,
@@ -78,7 +83,8 @@
     this.job = job;
     this.route = route;
     this.batchItems = batchItems;
-    this.until = context.timers().now() + deadlineMs;
+    this.submittedAt = context.timers().now();
+    this.until = submittedAt + deadlineMs;
     long tokens = 0;
     List<JobRecord.Item> items = new ArrayList<>(batchItems.size());
     for (BatchItem batchItem : batchItems) {
@@ -121,6 +127,7 @@
       return;
     }
     began = context.timers().now();
+    rounds++;
     context
         .register()
         .change(
@@ -173,7 +180,7 @@
         store.cache(job, batchItems, bytes());
         runner.adopt(job, record, 0, began);
       }
-      reply.complete(Replies.ACCEPTED);
+      answer(Replies.ACCEPTED);
     } else if (verdict == Verdict.FITS && !second) {
       round(true);
     } else {
@@ -198,6 +205,25 @@
           CHANGE_MS,
           (slot, answer) -> {});
     }
+    answer(how);
+  }
+
+  private void answer(Reply how) {
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "submit {} {}: own={} waiting={} of these pending={} limit={} verdict={} rounds={} ms={}"
+              + " bytes={}",
+          job,
+          how.status(),
+          add.tokens(),
+          seen.without(job),
+          seen.pendingWithout(job),
+          limit(),
+          verdict,
+          rounds,
+          context.timers().now() - submittedAt,
+          body.bytes.length);
+    }
     reply.complete(how);
   }
 }
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -103,6 +103,15 @@
     return results.size() >= items.size();
   }
 
+  /** How many items were given up. */
+  public int undeliverable() {
+    int sum = 0;
+    for (Result one : results) {
+      sum += one.delivered() ? 0 : 1;
+    }
+    return sum;
+  }
+
   /** Whether items of it are to be run. */
   public boolean open() {
     return !ended && !complete();
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -60,6 +60,16 @@
     return sum;
   }
 
+  /** Tokens of other jobs that are still being accepted, part of {@link #without}. */
+  public long pendingWithout(String job) {
+    long own = ContentDigest.of(job);
+    long sum = 0;
+    for (Map.Entry<Long, long[]> one : jobs.entrySet()) {
+      sum += one.getKey() == own || one.getValue()[0] > 0 ? 0 : one.getValue()[1];
+    }
+    return sum;
+  }
+
   /** The bytes that {@link #putAll} reads. */
   public byte[] packed() {
     ByteWriter to = new ByteWriter().number(jobs.size());
--- a/batch/src/main/java/elmsail/batch/run/BodyLoader.java
+++ b/batch/src/main/java/elmsail/batch/run/BodyLoader.java
@@ -37,6 +37,7 @@
               fetches--;
               if (failed == null) {
                 job.batchItems = batchItems;
+                job.timeline.bodyReady(context.timers().now());
                 free(job);
               } else {
                 context.timers().after(context.about(BACKOFF_MS), () -> free(job));
--- a/batch/src/main/java/elmsail/batch/run/ItemRun.java
+++ b/batch/src/main/java/elmsail/batch/run/ItemRun.java
@@ -29,6 +29,9 @@
 
   boolean underWay;
 
+  /** When the run under way was sent, by the steady clock. */
+  long sentAt;
+
   /** Whether an event of this run came. */
   boolean answered;
 
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -66,7 +66,8 @@
       return;
     }
     stop(id);
-    RunningJob job = new RunningJob(id, record, context.timers().now() - ageMs, confirmedAt);
+    long now = context.timers().now();
+    RunningJob job = new RunningJob(id, record, now - ageMs, confirmedAt, now);
     jobs.put(id, job);
     byDue.put(job, job);
     pumpSoon(0);
@@ -79,6 +80,7 @@
       return;
     }
     byDue.remove(job);
+    JobEndLog.report(job, context.timers().now());
     job.stopped = true;
     for (ItemRun item : job.items) {
       held -= item.bytes();
@@ -129,6 +131,7 @@
     for (ItemRun item : job.items) {
       if (item.underWay && !item.answered) {
         item.cancel();
+        job.timeline.cut();
         job.underWay--;
         job.ready.add(item.index);
       }
@@ -165,6 +168,7 @@
         if (job.batchItems == null && job.outlived(context.timers().now())) {
           giveUp(job);
         } else if (job.batchItems == null) {
+          job.timeline.stalled(JobTimeline.Stall.BODY);
           bodies.fetch(job);
         } else {
           startSome(job, config, room);
@@ -212,6 +216,7 @@
       }
       if (!confirmed || places <= 0 || held > MOST_HELD) {
         room.put(route.name(), places);
+        job.timeline.stalled(JobTimeline.Stall.of(confirmed, places));
         return;
       }
       job.ready.poll();
@@ -229,6 +234,7 @@
     int run = ++item.run;
     item.underWay = true;
     item.answered = false;
+    item.sentAt = context.timers().now();
     job.underWay++;
     ItemServers.Running running =
         servers.start(
@@ -249,6 +255,7 @@
                   item.running = null;
                   item.cancel();
                   job.underWay--;
+                  job.timeline.ended(how, item.sentAt, context.timers().now());
                   over(job, item, how, route);
                 }
               }
@@ -261,6 +268,7 @@
       }
       return false;
     }
+    job.timeline.sent(item.sentAt);
     if (item.run == run && item.underWay) {
       item.running = running;
     } else if (item.run > run) {
@@ -272,9 +280,11 @@
   private void kept(RunningJob of, ItemRun to, long id, byte[] data) {
     int before = to.bytes();
     boolean next = to.event(id, data);
+    of.timeline.event(context.timers().now());
     held += to.bytes() - before;
     if (!next) {
       to.cancel();
+      of.timeline.cut();
       of.underWay--;
       held -= to.bytes();
       to.forgetText();
@@ -311,14 +321,8 @@
    * at most.
    */
   void recordedFailures(RunningJob job) {
-    for (ItemRun item : job.items) {
-      int recorded = job.record.failuresOf(item.index);
-      if (recorded > item.recordedFailures) {
-        item.recordedFailures = recorded;
-        if (!item.done && !item.underWay && recorded == item.failures) {
-          again(job, item);
-        }
-      }
+    for (ItemRun item : job.takeRecordedFailures()) {
+      again(job, item);
     }
   }
 
--- a/batch/src/main/java/elmsail/batch/run/RunningJob.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -43,13 +43,17 @@
   boolean reading;
   boolean stopped;
 
-  RunningJob(String id, JobRecord record, long acceptedAt, long confirmedAt) {
+  /** What an operator needs to tell why the job was late. */
+  final JobTimeline timeline;
+
+  RunningJob(String id, JobRecord record, long acceptedAt, long confirmedAt, long now) {
     this.id = id;
     this.record = record;
     this.term = record.term();
     this.acceptedAt = acceptedAt;
     this.confirmedAt = confirmedAt;
     this.listedAt = acceptedAt;
+    this.timeline = new JobTimeline(acceptedAt, now);
     this.items = new ItemRun[record.items().size()];
     BitSet listed = record.listed();
     for (int i = 0; i < items.length; i++) {
@@ -108,6 +112,21 @@
     return counts;
   }
 
+  /** Takes what the record says of failures; gives the items that are free to run again by it. */
+  List<ItemRun> takeRecordedFailures() {
+    List<ItemRun> free = new ArrayList<>();
+    for (ItemRun item : items) {
+      int recorded = record.failuresOf(item.index);
+      if (recorded > item.recordedFailures) {
+        item.recordedFailures = recorded;
+        if (!item.done && !item.underWay && recorded == item.failures) {
+          free.add(item);
+        }
+      }
+    }
+    return free;
+  }
+
   /** Nothing runs, nothing is ready, nothing waits for its next try: only the listing is left. */
   boolean allDone() {
     for (ItemRun item : items) {
