--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -152,12 +152,16 @@
   final SimConfig config;
 
   JobStoreWorld(long seed, int doorCount, long mostWaiting) {
+    this(seed, doorCount, mostWaiting, 3);
+  }
+
+  JobStoreWorld(long seed, int doorCount, long mostWaiting, int storeCount) {
     this.seed = seed;
     chance = new Random(seed);
     net = new SimNet(seed, timers);
     config = new SimConfig(1, List.of(SimWorld.route(mostWaiting)));
     VoterSet founding = new VoterSet();
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < storeCount; i++) {
       Vault store = new Vault(i);
       stores.add(store);
       store.start();
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -25,6 +25,7 @@
   private final Codec codec = new Codec();
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private final SimLinks links = new SimLinks();
+  private final Map<String, SimUplink> uplinks = new LinkedHashMap<>();
   private final RunRecord record = new RunRecord(codec);
 
   /** Addresses of processes that died without a word. */
@@ -70,6 +71,14 @@
     links.link(from, to).delay(least, most);
   }
 
+  /**
+   * What the address sends shares an outgoing link of that rate from now on; others have no such
+   * bound.
+   */
+  public void uplink(String address, double bytesPerMs) {
+    uplinks.put(address, new SimUplink(bytesPerMs));
+  }
+
   /** The part of messages, 0 to 1, that vanish on all links. */
   public void loss(double part) {
     links.loss(part);
@@ -237,14 +246,14 @@
     } else if (link.fault == SimPath.Fault.RESET) {
       from.timers().soon(() -> call.fail(ErrorCode.BROKEN));
       if (random.nextBoolean()) {
-        carry(from.address(), call.to, () -> arrive(call, target, request));
+        carry(from.address(), call.to, request, () -> arrive(call, target, request));
       }
     } else if (link.fault == SimPath.Fault.NONE && target == null) {
       boolean silent = dark.getOrDefault(call.to, false);
       from.timers()
           .after(silent ? CONNECT_WITHIN : link.draw(random), () -> call.fail(ErrorCode.UNSENT));
     } else {
-      carry(from.address(), call.to, () -> arrive(call, target, request));
+      carry(from.address(), call.to, request, () -> arrive(call, target, request));
     }
   }
 
@@ -255,6 +264,7 @@
         carry(
             call.to,
             call.from.address(),
+            null,
             () -> call.from.deliver(() -> call.fail(ErrorCode.BROKEN)));
       }
       return;
@@ -300,15 +310,15 @@
       target.timers().soon(end);
     } else {
       record.sent(target.address(), call.from.address(), answer, timers.now());
-      carry(target.address(), call.from.address(), () -> call.from.deliver(end));
+      carry(target.address(), call.from.address(), answer, () -> call.from.deliver(end));
     }
   }
 
-  private void carry(String from, String to, Runnable arrival) {
+  private void carry(String from, String to, Object message, Runnable arrival) {
     SimPath link = links.link(from, to);
     sent++;
     boolean vanishes = random.nextDouble() < link.loss;
-    long ms = link.draw(random);
+    long ms = link.draw(random) + uplinkMs(from, message);
     if (vanishes || link.fault == SimPath.Fault.CUT) {
       lost++;
       return;
@@ -324,6 +334,11 @@
         });
   }
 
+  private long uplinkMs(String from, Object message) {
+    SimUplink uplink = uplinks.get(from);
+    return uplink == null || message == null ? 0 : uplink.send(timers.now(), codec.size(message));
+  }
+
   private void breakOpen(String from, String to) {
     Node node = nodes.get(from);
     if (node == null) {
