Pass a job's body on through the nearest store, so that it leaves the gateway once

The first round that carries a body or results went from the gateway to each of the 2f + 1 stores, over links of 21 and 30 Mbit/s.

Change: a first round with 16 kB of blobs or more goes to the nearest voter, which asks all voters as if by the proposer itself (same ballot, each voter's own answer) and answers once all have, or 30 ms after a majority promised. Voters answer a repeated promise of one ballot as the first, so the protocol is as it was.

RegisterTest, ModelTest, HistoriesTest, DefectsTest, BatchOnRegisterTest and SubmitHandlerTest pass.

--- /dev/null
+++ b/consensus/src/main/java/elmsail/consensus/PrepareRelay.java
@@ -0,0 +1,118 @@
+package elmsail.consensus;
+
+import elmsail.rpc.Caller;
+import elmsail.rpc.RequestHandlers;
+import elmsail.rpc.messages.PrepareRequest;
+import elmsail.rpc.messages.RelayedPrepareRequest;
+import elmsail.rpc.messages.RelayedPrepareResponse;
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Timers;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A voter's passing on of first rounds that carry large blobs. It adds nothing to a round and
+ * decides nothing: each voter is asked as if by the proposer itself, and the proposer gets each
+ * voter's own answer. The answer to the proposer leaves once all voters have answered, or a little
+ * after a majority promised, so that one slow voter does not hold the round up; what is on its way
+ * to that voter goes on.
+ */
+final class PrepareRelay {
+  /** How long voters beyond a majority are waited for. */
+  private static final long GRACE_MS = 30;
+
+  /** Bytes of blobs that are being passed on at a time, at most. */
+  private static final long MOST_BYTES = 32L << 20;
+
+  private final Caller caller;
+  private final Timers timers;
+  private long bytes;
+
+  PrepareRelay(Caller caller, Timers timers) {
+    this.caller = caller;
+    this.timers = timers;
+  }
+
+  void register(RequestHandlers handlers) {
+    handlers.on(RelayedPrepareRequest.class, this::relay);
+  }
+
+  private CompletableFuture<RelayedPrepareResponse> relay(RelayedPrepareRequest request) {
+    Round round = new Round(request.prepare);
+    if (bytes > 0 && bytes + round.bytes > MOST_BYTES) {
+      return CompletableFuture.failedFuture(
+          new ElmsailException(ErrorCode.FULL, "too many first rounds are being relayed"));
+    }
+    round.begin(Math.max(1, Math.min(request.timeoutMs, RegisterClient.CALL_MS)));
+    return round.response;
+  }
+
+  /** One first round on its way to the voters. */
+  private final class Round {
+    private final PrepareRequest prepare;
+    private final VoterSet voterSet;
+    private final long bytes;
+    private final int majority;
+    private final RelayedPrepareResponse votes = new RelayedPrepareResponse();
+    private final CompletableFuture<RelayedPrepareResponse> response = new CompletableFuture<>();
+    private int pending;
+    private int promises;
+    private int refusals;
+
+    Round(PrepareRequest prepare) {
+      this.prepare = prepare;
+      voterSet = prepare.voterSet;
+      majority = VoterSets.majority(voterSet.voters.size());
+      refusals = VoterSets.vacant(voterSet);
+      bytes = RelayChoice.bytes(prepare.blobs) * voterSet.voters.size();
+    }
+
+    void begin(long timeoutMs) {
+      PrepareRelay.this.bytes += bytes;
+      for (int slot = 0; slot < voterSet.voters.size(); slot++) {
+        if (VoterSets.counts(voterSet, slot)) {
+          pending++;
+          ask(slot, timeoutMs);
+        }
+      }
+      if (pending == 0) {
+        PrepareRelay.this.bytes -= bytes;
+        answer();
+      }
+    }
+
+    private void ask(int slot, long timeoutMs) {
+      caller
+          .call(voterSet.voters.get(slot).address, prepare, VoteResponse.class, timeoutMs)
+          .whenComplete((vote, failure) -> voted(slot, vote));
+    }
+
+    private void voted(int slot, VoteResponse vote) {
+      pending--;
+      if (pending == 0) {
+        PrepareRelay.this.bytes -= bytes;
+      }
+      if (response.isDone()) {
+        return;
+      }
+      if (vote != null) {
+        votes.slots.add(slot);
+        votes.votes.add(vote);
+      }
+      boolean promised = vote != null && vote.code == VoteResponse.DONE;
+      promises += promised ? 1 : 0;
+      refusals += promised ? 0 : 1;
+      if (pending == 0 || refusals > voterSet.voters.size() - majority) {
+        answer();
+      } else if (promised && promises == majority) {
+        timers.after(GRACE_MS, this::answer);
+      }
+    }
+
+    private void answer() {
+      response.complete(votes);
+    }
+  }
+}
--- a/consensus/src/main/java/elmsail/consensus/Proposer.java
+++ b/consensus/src/main/java/elmsail/consensus/Proposer.java
@@ -113,23 +113,21 @@
 
     void prepare() {
       prepared = true;
-      for (int i = 0; i < voters; i++) {
-        if (!VoterSets.counts(voterSet, i)) {
-          continue;
-        }
-        PrepareRequest request = new PrepareRequest();
-        request.set = client.set();
-        request.key = key;
-        request.ballot = ballot;
-        request.voterSet = voterSet;
-        request.blobs = blobs;
-        request.note = note;
-        int slot = i;
-        client
-            .caller
-            .call(voterSet.voters.get(i).address, request, VoteResponse.class, callMs())
-            .whenComplete((response, failure) -> prepared(slot, response));
-      }
+      PrepareRequest request = new PrepareRequest();
+      request.set = client.set();
+      request.key = key;
+      request.ballot = ballot;
+      request.voterSet = voterSet;
+      request.blobs = blobs;
+      request.note = note;
+      new PrepareRound(
+              client,
+              voterSet,
+              request,
+              callMs(),
+              () -> current(number) && !accepting,
+              this::prepared)
+          .send();
     }
 
     private void prepared(int slot, VoteResponse response) {
--- a/consensus/src/main/java/elmsail/consensus/RegisterClient.java
+++ b/consensus/src/main/java/elmsail/consensus/RegisterClient.java
@@ -51,6 +51,7 @@
         }
       };
   private final SplittableRandom chance;
+  final RelayChoice relays;
   private long highestRound;
 
   /**
@@ -72,6 +73,7 @@
     this.voterSets = voterSets;
     this.who = who;
     chance = new SplittableRandom(who);
+    relays = new RelayChoice(timers);
     this.distance =
         address -> address.equals(ownAddress) ? Integer.MIN_VALUE : distance.applyAsInt(address);
   }
--- /dev/null
+++ b/consensus/src/main/java/elmsail/consensus/RelayChoice.java
@@ -0,0 +1,55 @@
+package elmsail.consensus;
+
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Timers;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Which voter passes a client's first rounds on to the others. */
+final class RelayChoice {
+  /** Rounds with fewer bytes of blobs go to each voter directly. */
+  static final int LEAST_BYTES = 16 << 10;
+
+  /** A voter that did not pass a round on is not asked to for so long. */
+  private static final long AVOID_MS = 3_000;
+
+  private final Timers timers;
+
+  /** Until when each voter is avoided, by its address; few, as only voters come in. */
+  private final Map<String, Long> avoidedUntil = new HashMap<>();
+
+  RelayChoice(Timers timers) {
+    this.timers = timers;
+  }
+
+  /** The nearest voter that may be asked, or null where the round is to go directly. */
+  Voter choose(VoterSet voterSet, int[] nearestFirst, List<Blob> blobs) {
+    if (bytes(blobs) < LEAST_BYTES) {
+      return null;
+    }
+    long now = timers.now();
+    avoidedUntil.values().removeIf(until -> until <= now);
+    for (int slot : nearestFirst) {
+      Voter voter = voterSet.voters.get(slot);
+      if (VoterSets.counts(voterSet, slot) && !avoidedUntil.containsKey(voter.address)) {
+        return voter;
+      }
+    }
+    return null;
+  }
+
+  void failed(Voter voter) {
+    avoidedUntil.put(voter.address, timers.now() + AVOID_MS);
+  }
+
+  static long bytes(List<Blob> blobs) {
+    long sum = 0;
+    for (Blob blob : blobs) {
+      sum += blob.bytes.length;
+    }
+    return sum;
+  }
+}
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -79,6 +79,7 @@
       tellValues();
     }
     new ReplicaRequests(set, records, names, safe, views, membership, this).register(answering);
+    new PrepareRelay(caller, timers).register(answering);
     timers.soon(newcomer::consider);
   }
 
--- a/rpc/src/main/java/elmsail/rpc/MessageTypes.java
+++ b/rpc/src/main/java/elmsail/rpc/MessageTypes.java
@@ -19,6 +19,8 @@
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.ReadRequest;
+import elmsail.rpc.messages.RelayedPrepareRequest;
+import elmsail.rpc.messages.RelayedPrepareResponse;
 import elmsail.rpc.messages.StateTransferRequest;
 import elmsail.rpc.messages.StateTransferResponse;
 import elmsail.rpc.messages.VoteResponse;
@@ -57,6 +59,8 @@
     LeaseResponse.class,
     FoundingRequest.class,
     FoundingResponse.class,
+    RelayedPrepareRequest.class,
+    RelayedPrepareResponse.class,
   };
 
   private MessageTypes() {}
--- /dev/null
+++ b/rpc/src/main/java/elmsail/rpc/messages/RelayedPrepareRequest.java
@@ -0,0 +1,12 @@
+package elmsail.rpc.messages;
+
+/**
+ * A first round that the receiver passes on to all voters of its voter set, itself included, so
+ * that what it carries crosses the sender's link once. The ballot stays the sender's.
+ */
+public final class RelayedPrepareRequest {
+  public PrepareRequest prepare = new PrepareRequest();
+
+  /** How long the receiver may wait for the voters, in ms. */
+  public long timeoutMs;
+}
--- a/rpc/src/test/java/elmsail/rpc/CodecTest.java
+++ b/rpc/src/test/java/elmsail/rpc/CodecTest.java
@@ -237,6 +237,8 @@
       switch (name) {
         case "voters" -> list.add(filled(Voter.class, random, depth + 1));
         case "blobs", "records" -> list.add(filled(Blob.class, random, depth + 1));
+        case "slots" -> list.add(random.nextInt());
+        case "votes" -> list.add(filled(VoteResponse.class, random, depth + 1));
         case "gateways" -> list.add("10.0.0." + random.nextInt());
         default -> throw new AssertionError("a list that this test does not know: " + name);
       }
