--- a/consensus/src/test/java/elmsail/consensus/HistoriesTest.java
+++ b/consensus/src/test/java/elmsail/consensus/HistoriesTest.java
@@ -31,11 +31,25 @@
     play(SEEDS / 4, 5, true);
   }
 
+  @Test
+  void relayedRoundsOfThreeSeatsAreLinearizableAndKeepTheirBlobs() {
+    play(SEEDS / 4, 3, false, true);
+  }
+
+  @Test
+  void relayedRoundsOfFiveSeatsAreLinearizableAndKeepTheirBlobs() {
+    play(SEEDS / 8, 5, false, true);
+  }
+
   private static void play(int seeds, int voters) {
-    play(seeds, voters, false);
+    play(seeds, voters, false, false);
   }
 
   private static void play(int seeds, int voters, boolean unfinished) {
+    play(seeds, voters, unfinished, false);
+  }
+
+  private static void play(int seeds, int voters, boolean unfinished, boolean largeBlobs) {
     List<String> faults = new ArrayList<>();
     int[] sums = new int[8];
     for (int seed = 0; seed < seeds; seed++) {
@@ -43,6 +57,9 @@
       if (unfinished) {
         history.withUnfinishedClaims();
       }
+      if (largeBlobs) {
+        history.withLargeBlobs();
+      }
       history.run();
       for (String fault : history.chain.faults) {
         faults.add("seed " + seed + ": " + fault);
--- a/consensus/src/test/java/elmsail/consensus/History.java
+++ b/consensus/src/test/java/elmsail/consensus/History.java
@@ -4,6 +4,7 @@
 import elmsail.consensus.Register.Versioned;
 import elmsail.consensus.Register.Wanted;
 import elmsail.rpc.Caller;
+import elmsail.rpc.messages.Blob;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
@@ -23,6 +24,7 @@
 final class History {
   private static final int CLIENTS = 3;
   private static final long TROUBLE_MS = 12_000;
+  private static final byte[] LARGE = new byte[RelayChoice.LEAST_BYTES];
 
   final World world;
   final Chain chain = new Chain();
@@ -42,6 +44,11 @@
 
   int wipedMeanwhile;
   private boolean spares;
+
+  /** Whether each change carries a blob of so many bytes that its first round is relayed. */
+  private boolean largeBlobs;
+
+  private final List<String> heldMarks = new ArrayList<>();
   private final String[] addresses;
   private long end;
   private int marks;
@@ -60,6 +67,12 @@
     return this;
   }
 
+  /** Every change carries a blob; at the end that of each change that held is read. */
+  History withLargeBlobs() {
+    largeBlobs = true;
+    return this;
+  }
+
   History run() {
     VoterSet founding = world.found(addresses);
     World.Node spare = world.new Node("s");
@@ -102,9 +115,31 @@
     } catch (RuntimeException e) {
       chain.faults.add("no last read: " + e);
     }
+    heldMarks.forEach(this::checkBlob);
     return this;
   }
 
+  private void checkBlob(String mark) {
+    try {
+      byte[] bytes = world.await(clients[0].blob("key", mark, 3_000), 4_000);
+      if (bytes == null || bytes.length != RelayChoice.LEAST_BYTES) {
+        chain.faults.add("held without its blob: " + mark);
+      }
+    } catch (RuntimeException e) {
+      chain.faults.add("no read of the blob of " + mark + ": " + e);
+    }
+  }
+
+  private List<Blob> blobs(String mark) {
+    if (!largeBlobs) {
+      return List.of();
+    }
+    Blob blob = new Blob();
+    blob.name = mark;
+    blob.bytes = LARGE;
+    return List.of(blob);
+  }
+
   private void gossip() {
     world.gossip();
     world.timers.after(100, this::gossip);
@@ -131,7 +166,7 @@
       String mark = "m" + client + "." + marks++ + ";";
       done =
           clients[client]
-              .change("key", found -> append(found.value(), mark), List.of(), null, 3_000)
+              .change("key", found -> append(found.value(), mark), blobs(mark), null, 3_000)
               .whenComplete((held, failure) -> response(mark, from, held, failure));
     }
     done.whenComplete(
@@ -148,6 +183,9 @@
   private void response(String mark, long from, Held held, Throwable failure) {
     if (held != null) {
       changed++;
+      if (largeBlobs) {
+        heldMarks.add(mark);
+      }
       chain.seen(from, world.timers.now(), held.now().value());
       if (!Chain.text(held.now().value()).contains(mark)) {
         chain.faults.add("held without its mark: " + mark);
