Gather the results of 150 ms for one listing, in place of 40

Cause: each listing brings the job's record to every store and, below 16 kB of texts, the texts as well; 25 a second for each job compete with plain streams on links of 21 and 30 Mbit/s. Clients read twice a second.

Change: GATHER_MS.

--- a/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
+++ b/batch/src/main/java/elmsail/batch/run/ResultRecorder.java
@@ -16,7 +16,7 @@
  * take the listing: whoever finishes it finds them there.
  */
 final class ResultRecorder {
-  private static final long GATHER_MS = 40;
+  private static final long GATHER_MS = 150;
   private static final long CHANGE_MS = 2_000;
   private static final long BACKOFF_MS = 150;
   private static final int MOST_BYTES = 1 << 20;
--- a/batch/src/test/java/elmsail/batch/NarrowUplinkTest.java
+++ b/batch/src/test/java/elmsail/batch/NarrowUplinkTest.java
@@ -20,6 +20,12 @@
   private static final int ITEMS = 200;
   private static final int ITEM_BYTES = 1_330;
 
+  /** Of the text of one result. */
+  private static final int TEXT_BYTES = 3_300;
+
+  /** Items end one after the other, 60 a second. */
+  private static final long STAGGER_MS = 16;
+
   /** Within which the call that submits a job is to be answered, of its route. */
   private static final long DUE_MS = 500;
 
@@ -73,6 +79,28 @@
     assertThat(world.net.countedBytes(), lessThanOrEqualTo(body * 3 / 2));
   }
 
+  @Test
+  void resultsLeaveTheGatewayFewTimes() {
+    JobStoreWorld world = world(8);
+    SimServers servers = world.gateways.get(0).servers;
+    servers.room = ITEMS;
+    servers.serveMs = 1_000;
+    servers.staggerMs = STAGGER_MS;
+    servers.padding = "y".repeat(TEXT_BYTES / 2);
+    acceptMs(world, "large");
+    world.net.countBytes(world.gateways.get(0).address);
+    world.timers.pass(1_000 + (ITEMS + 10) * STAGGER_MS);
+    assertThat(servers.served.size(), is(ITEMS));
+    long texts = (long) ITEMS * TEXT_BYTES;
+    System.out.println(
+        "results of "
+            + texts
+            + " bytes took "
+            + world.net.countedBytes()
+            + " on the gateway's link");
+    assertThat(world.net.countedBytes(), lessThanOrEqualTo(texts * 4));
+  }
+
   @Test
   void withTheNearestStoreDownALargeJobIsAcceptedNonetheless() {
     for (int down = 0; down < STORES; down++) {
--- a/batch/src/test/java/elmsail/batch/SimServers.java
+++ b/batch/src/test/java/elmsail/batch/SimServers.java
@@ -46,7 +46,7 @@
     /** The whole output: two events, by the item's id. */
     void serve() {
       for (long id = last + 1; id < 2; id++) {
-        event(id, batchItem.id() + "/" + id);
+        event(id, batchItem.id() + "/" + id + padding);
       }
       end(Ended.WHOLE);
     }
@@ -64,6 +64,12 @@
   /** ItemDispatcher that were finished. */
   Set<String> served = new HashSet<>();
 
+  /** Put behind the data of each event, where long texts matter. */
+  String padding = "";
+
+  /** The next run is served so many ms later than the one before it, beyond {@link #serveMs}. */
+  long staggerMs;
+
   /** After so many ms a run is served; -1: by the test alone. */
   long serveMs = -1;
 
@@ -92,7 +98,7 @@
     Run run = new Run(batchItem, lastEventId, heard, timers.now());
     runs.add(run);
     if (serveMs >= 0) {
-      timers.after(serveMs, run::serve);
+      timers.after(serveMs + staggerMs * runs.size(), run::serve);
     }
     return run;
   }
