Let the first of jobs that contend for a route wait for the others, in place of all withdrawing

A submission adds its tokens, counts all others that are being accepted as well, and withdrew at once where the sum passed the limit: of several that fit one by one, each refused itself for the others. A withdrawal that a store did not get stood in every count for 5 s, as the union over the stores is compared.

Change: jobs that are being accepted have a total order, by digest. One that is over the limit only by jobs behind it leaves its add and looks again for 0.8 s at most; one that is over it by accepted jobs and those before it withdraws. What may be accepted is as before: all that is seen, and its own, within the limit. Retry-After of a 429 is 0.7 to 1.4 s (0.3 to 1.2 before): clients come back once, and items run for seconds.

--- a/batch/src/main/java/elmsail/batch/api/Replies.java
+++ b/batch/src/main/java/elmsail/batch/api/Replies.java
@@ -16,6 +16,11 @@
   /** May have been done or not: makes no promise. */
   static final Reply UNCLEAR = new Reply(504, EMPTY, 0);
 
+  /** When a job that did not fit is to come again, in seconds. */
+  private static final double FULL_LEAST_S = 0.7;
+
+  private static final double FULL_SPREAD_S = 0.7;
+
   private final Random chance;
 
   Replies(Random chance) {
@@ -27,9 +32,12 @@
     return new Reply(503, EMPTY, 0.2 + chance.nextDouble() * 0.3);
   }
 
-  /** Does not fit: jitter, so that two which refused each other do not meet again. */
+  /**
+   * Does not fit. Items run for seconds, so a place comes late; jitter, so that many which were
+   * refused together do not come back together.
+   */
   Reply full() {
-    return new Reply(429, EMPTY, 0.3 + chance.nextDouble() * 0.9);
+    return new Reply(429, EMPTY, FULL_LEAST_S + chance.nextDouble() * FULL_SPREAD_S);
   }
 
   /** Where nothing was to be changed, any failure is a 503. */
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -12,6 +12,7 @@
 import elmsail.config.Route;
 import elmsail.consensus.Register;
 import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.Voter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +25,11 @@
  * surely stands at one: of all jobs that are being accepted, the one whose add stood last sees the
  * others. This second look brings the body, so that it is at a majority before anyone is asked to
  * take the job.
+ *
+ * <p>Jobs that are being accepted count against each other, so that of several that would fit one
+ * by one each may find the route full. Of these the ones that go first in {@link TokenCount#before}
+ * leave their add and look again; the others withdraw. So the first of them is always accepted, or
+ * one that was already past its second look.
  */
 final class SubmitHandler {
   private static final Logger LOG = LoggerFactory.getLogger(SubmitHandler.class);
@@ -31,9 +37,21 @@
   private static final long LEAST_MS = 150;
   private static final long AGAIN_MS = 60;
 
+  /** How soon a contended job looks again, and for how long it does. */
+  private static final long CONTENDED_LOOK_MS = 25;
+
+  private static final long MOST_CONTENDED_MS = 800;
+
+  /** Stores that did not answer a withdrawal are told again, so often and so much later. */
+  private static final int WITHDRAWALS = 4;
+
+  private static final long WITHDRAW_AGAIN_MS = 400;
+
   private enum Verdict {
     THERE,
     FITS,
+    /** Full only by jobs that are being accepted too and go behind this one. */
+    CONTENDED,
     FULL,
     UNCOUNTED
   }
@@ -160,7 +178,12 @@
     seen.putAll(found.notes());
     long limit = limit();
     long sum = seen.without(job) + add.tokens();
-    verdict = limit == 0 || sum <= limit ? Verdict.FITS : Verdict.FULL;
+    if (limit == 0 || sum <= limit) {
+      verdict = Verdict.FITS;
+    } else {
+      boolean first = seen.before(job) + add.tokens() <= limit;
+      verdict = first ? Verdict.CONTENDED : Verdict.FULL;
+    }
     proposed |= second && verdict == Verdict.FITS;
     return new Register.Wanted(
         second && verdict == Verdict.FITS ? wanted.packed() : null, List.of());
@@ -183,6 +206,9 @@
       answer(Replies.ACCEPTED);
     } else if (verdict == Verdict.FITS && !second) {
       round(true);
+    } else if (verdict == Verdict.CONTENDED
+        && context.timers().now() - submittedAt < MOST_CONTENDED_MS) {
+      lookAgain(CONTENDED_LOOK_MS);
     } else {
       refuse(verdict == Verdict.UNCOUNTED ? replies.unable() : replies.full());
     }
@@ -193,21 +219,40 @@
     if (until - context.timers().now() < 2 * LEAST_MS) {
       refuse(maySent ? Replies.UNCLEAR : replies.unable());
     } else {
-      seen = new TokenCount();
-      context.timers().after(context.about(AGAIN_MS), () -> round(limit() == 0));
+      lookAgain(AGAIN_MS);
     }
   }
 
+  /** What was seen is forgotten: others may have withdrawn since. The add stands all the while. */
+  private void lookAgain(long aboutMs) {
+    seen = new TokenCount();
+    context.timers().after(context.about(aboutMs), () -> round(limit() == 0));
+  }
+
   private void refuse(Reply how) {
     if (how.status() != Replies.UNCLEAR.status()) {
-      context.askStores(
-          BatchMessageTypes.message(BatchMessageTypes.WITHDRAW, add.packed()),
-          CHANGE_MS,
-          (slot, answer) -> {});
+      withdraw(context.stores(), WITHDRAWALS);
     }
     answer(how);
   }
 
+  private void withdraw(List<Voter> stores, int tries) {
+    List<Voter> silent = new ArrayList<>();
+    int[] left = {stores.size()};
+    context.ask(
+        stores,
+        BatchMessageTypes.message(BatchMessageTypes.WITHDRAW, add.packed()),
+        WITHDRAW_AGAIN_MS,
+        (store, answer) -> {
+          if (answer == null) {
+            silent.add(store);
+          }
+          if (--left[0] == 0 && !silent.isEmpty() && tries > 1) {
+            context.timers().after(WITHDRAW_AGAIN_MS, () -> withdraw(silent, tries - 1));
+          }
+        });
+  }
+
   private void answer(Reply how) {
     if (LOG.isDebugEnabled()) {
       LOG.debug(
--- a/batch/src/main/java/elmsail/batch/client/BatchContext.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchContext.java
@@ -41,7 +41,16 @@
    */
   public void askStores(
       OpaqueMessage request, long timeoutMs, BiConsumer<Voter, OpaqueMessage> listener) {
-    for (Voter slot : stores()) {
+    ask(stores(), request, timeoutMs, listener);
+  }
+
+  /** Asks these stores likewise. */
+  public void ask(
+      List<Voter> stores,
+      OpaqueMessage request,
+      long timeoutMs,
+      BiConsumer<Voter, OpaqueMessage> listener) {
+    for (Voter slot : stores) {
       caller
           .call(slot.address, request, OpaqueMessage.class, timeoutMs)
           .whenComplete(
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -60,6 +60,21 @@
     return sum;
   }
 
+  /**
+   * Tokens of the accepted jobs but this one, and of those being accepted that go before it. The
+   * order is by digest: any total order does, as long as all who submit use the same one.
+   */
+  public long before(String job) {
+    long own = ContentDigest.of(job);
+    long sum = 0;
+    for (Map.Entry<Long, long[]> one : jobs.entrySet()) {
+      boolean accepted = one.getValue()[0] > 0;
+      boolean counts = accepted ? one.getKey() != own : one.getKey() < own;
+      sum += counts ? one.getValue()[1] : 0;
+    }
+    return sum;
+  }
+
   /** Tokens of other jobs that are still being accepted, part of {@link #without}. */
   public long pendingWithout(String job) {
     long own = ContentDigest.of(job);
