Give every process one set of counters, and checks of invariants

Cause: only gateways told figures, in a line of RequestCounters; control-plane nodes and stores told none, and runtime.Counters was not used. Nothing told whether what must always hold does hold in a running process.

Change: GatewayProcess and ControlPlaneProcess make one ProcessMetrics (Counters and Invariants) and hand it to the batch API, the job retention, the control plane, the stores and the gateway. RequestCounters counts into Counters, so a gateway writes one line, by one mechanism; its counters are named requests_served and so on. BatchCounters, StoreCounters and ControlPlaneCounters hold the first figures of their parts. Invariants counts violations, logs the first five of each with their detail at ERROR and never throws in a process; ProcessMetrics.strict(), which all tests use, throws.

The tests of rpc, storage, config and consensus, whose sources are unchanged, were not run to their end for this commit.

--- a/app/src/main/java/elmsail/app/ControlPlaneProcess.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneProcess.java
@@ -3,6 +3,7 @@
 import elmsail.controlplane.ControlPlane;
 import elmsail.rpc.RpcEndpoint;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.storage.DirectoryRecordStore;
 import elmsail.storage.RecordStore;
@@ -22,6 +23,7 @@
   private ControlPlane controlPlane;
 
   ControlPlaneProcess(Settings settings, NettyLoop loop) {
+    ProcessMetrics metrics = ProcessMetrics.logged(loop);
     links = new RpcEndpoint(loop.events(), loop, settings.innerAddress());
     records =
         settings.dataDir() == null
@@ -30,7 +32,7 @@
                 Path.of(settings.dataDir()), (long) settings.limits().diskMb() << 20, loop::soon);
     if (settings.serves().contains("head_office")) {
       links.listen().exceptionally(Launch::fatal);
-      ControlPlane.startHeadOffice(settings, loop, links, records)
+      ControlPlane.startHeadOffice(settings, loop, links, records, metrics)
           .thenAccept(
               started -> {
                 controlPlane = started;
@@ -41,7 +43,7 @@
               })
           .exceptionally(Launch::fatal);
     } else {
-      controlPlane = ControlPlane.startVault(settings, loop, links, records);
+      controlPlane = ControlPlane.startVault(settings, loop, links, records, metrics);
       links
           .listen()
           .thenRun(() -> LOG.info("listening at {}", settings.innerAddress()))
--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -11,6 +11,7 @@
 import elmsail.rpc.RpcEndpoint;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.NettyHttpClient;
 import java.security.SecureRandom;
@@ -29,6 +30,7 @@
   private Runnable whenEnded;
 
   GatewayProcess(Settings settings, NettyLoop loop) {
+    ProcessMetrics metrics = ProcessMetrics.logged(loop);
     long who = new SecureRandom().nextLong();
     String own = settings.innerAddress();
     links = new RpcEndpoint(loop.events(), loop, own);
@@ -42,11 +44,11 @@
         new RegisterClient(
             "shelf", links, loop, new StoreVoters(known), who, own, address -> near(own, address));
     BatchApi jobs =
-        new BatchApi(storeSet, links, loop, known, own, who, settings.bounds().cancelMs());
+        new BatchApi(storeSet, links, loop, known, own, who, settings.bounds().cancelMs(), metrics);
     jobs.listen(links);
     CompletableFuture<Void> listening = links.listen();
     known.start();
-    Gateway.start(settings, loop, known, jobs)
+    Gateway.start(settings, loop, known, jobs, metrics)
         .thenAcceptBoth(
             listening,
             (started, nothing) -> {
--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -4,6 +4,7 @@
 import elmsail.batch.BatchItem;
 import elmsail.batch.ItemServers;
 import elmsail.batch.client.BatchContext;
+import elmsail.batch.client.BatchCounters;
 import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.BatchMessageTypes;
 import elmsail.batch.messages.ByteReader;
@@ -21,6 +22,7 @@
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -58,6 +60,7 @@
    * @param register of the set "shelf"
    * @param innerAddress this gateway's own, as it stands in the roster
    * @param cancelMs the bound {@code cancel_ms}
+   * @param metrics the process's figures and invariants
    */
   public BatchApi(
       Register register,
@@ -66,9 +69,20 @@
       ClusterState known,
       String innerAddress,
       long seed,
-      long cancelMs) {
+      long cancelMs,
+      ProcessMetrics metrics) {
     Random chance = new Random(seed);
-    context = new BatchContext(register, caller, timers, known, innerAddress, chance, cancelMs);
+    context =
+        new BatchContext(
+            register,
+            caller,
+            timers,
+            known,
+            innerAddress,
+            chance,
+            cancelMs,
+            new BatchCounters(metrics.counters()),
+            metrics.invariants());
     replies = new Replies(chance);
     store = new BatchJobClient(register);
     runner = new JobRunner(context, store, this::changed);
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -173,6 +173,7 @@
         store.cache(job, batchItems, bytes());
         runner.adopt(job, record, 0, began);
       }
+      context.counters().submitAccepted.add(1);
       reply.complete(Replies.ACCEPTED);
     } else if (verdict == Verdict.FITS && !second) {
       round(true);
@@ -198,6 +199,7 @@
           CHANGE_MS,
           (slot, answer) -> {});
     }
+    context.counters().submitRefused.add(1);
     reply.complete(how);
   }
 }
--- a/batch/src/main/java/elmsail/batch/client/BatchContext.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchContext.java
@@ -5,6 +5,7 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.rpc.messages.Voter;
+import elmsail.runtime.Invariants;
 import elmsail.runtime.Timers;
 import java.util.List;
 import java.util.Random;
@@ -15,6 +16,8 @@
  *
  * @param self this gateway's inner address
  * @param cancelMs within which no item of an ended job may be sent any more
+ * @param counters what is counted of jobs here
+ * @param invariants what must hold of them
  */
 public record BatchContext(
     Register register,
@@ -23,7 +26,9 @@
     ClusterState known,
     String self,
     Random chance,
-    long cancelMs) {
+    long cancelMs,
+    BatchCounters counters,
+    Invariants invariants) {
 
   /** The voters of the store set that is known at present; empty before there is one. */
   public List<Voter> stores() {
--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -12,6 +12,8 @@
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Invariants;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Timers;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -33,6 +35,8 @@
   private final BooleanSupplier voting;
   private final Consumer<String> drop;
   private final long statusMs;
+  private final StoreCounters counters;
+  private final Invariants invariants;
   private final JobStore jobs = new JobStore();
 
   /**
@@ -40,12 +44,20 @@
    *     NOT_SEATED
    * @param drop drops a key and its blobs here ({@code Replica.drop}); may call {@code dropped}
    * @param statusMs for how long a job may be read after it was sent
+   * @param metrics the process's figures and invariants
    */
-  public JobRetention(Timers timers, BooleanSupplier voting, Consumer<String> drop, long statusMs) {
+  public JobRetention(
+      Timers timers,
+      BooleanSupplier voting,
+      Consumer<String> drop,
+      long statusMs,
+      ProcessMetrics metrics) {
     this.timers = timers;
     this.voting = voting;
     this.drop = drop;
     this.statusMs = statusMs;
+    counters = new StoreCounters(metrics.counters());
+    invariants = metrics.invariants();
   }
 
   /** Starts the looking for jobs to drop. */
@@ -63,6 +75,7 @@
   /** Answers a batch message of a gateway; NOT_SEATED while this replica has no vote. */
   public CompletionStage<OpaqueMessage> answer(OpaqueMessage request) {
     if (!voting.getAsBoolean()) {
+      counters.messagesNotSeated.add(1);
       return CompletableFuture.completedFuture(
           BatchMessageTypes.message(BatchMessageTypes.NOT_SEATED, NOTHING));
     }
@@ -78,8 +91,10 @@
             default ->
                 throw new ElmsailException(ErrorCode.GARBLED, "a message of kind " + request.kind);
           };
+      counters.messagesAnswered.add(1);
       return CompletableFuture.completedFuture(BatchMessageTypes.message(request.kind, response));
     } catch (ElmsailException garbled) {
+      counters.messagesGarbled.add(1);
       return CompletableFuture.failedFuture(garbled);
     }
   }
@@ -138,6 +153,7 @@
   }
 
   private void look() {
+    counters.jobsKept.set(jobs.size());
     for (String job : jobs.outlived(statusMs, DROP_SLACK_MS, timers.now())) {
       drop.accept(PREFIX + job);
       jobs.dropped(job);
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -14,6 +14,7 @@
 import elmsail.batch.messages.TokenCount;
 import elmsail.batch.store.JobRetention;
 import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,7 +25,7 @@
   private final List<String> dropped = new ArrayList<>();
   private boolean voting = true;
   private final JobRetention retention =
-      new JobRetention(timers, () -> voting, dropped::add, 120_000);
+      new JobRetention(timers, () -> voting, dropped::add, 120_000, ProcessMetrics.strict());
 
   private static JobRecord record(long tokens) {
     return new JobRecord(
--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -12,6 +12,7 @@
 import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.simulation.ManualTimers;
 import elmsail.simulation.Node;
 import elmsail.simulation.SimDisk;
@@ -49,7 +50,8 @@
               node.timers(),
               () -> store != null && store.voting(),
               key -> store.drop(key),
-              120_000);
+              120_000,
+              ProcessMetrics.strict());
       store =
           new Replica(
               SET,
@@ -116,7 +118,8 @@
               known(known),
               address,
               chance.nextLong(),
-              3_000);
+              3_000,
+              ProcessMetrics.strict());
       servers = new SimServers(timers);
       servers.room = 3;
       servers.serveMs = 700;
--- a/batch/src/test/java/elmsail/batch/SimJobStore.java
+++ b/batch/src/test/java/elmsail/batch/SimJobStore.java
@@ -3,6 +3,7 @@
 import elmsail.batch.store.JobRetention;
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.Blob;
+import elmsail.runtime.ProcessMetrics;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +38,9 @@
 
   /** A new process on the same disk. */
   void restart() {
-    views = new JobRetention(world.timers, () -> up, cells::remove, SimWorld.STATUS_MS);
+    views =
+        new JobRetention(
+            world.timers, () -> up, cells::remove, SimWorld.STATUS_MS, ProcessMetrics.strict());
     views.start();
     for (Map.Entry<String, Cell> one : cells.entrySet()) {
       if (one.getValue().value != null) {
--- a/batch/src/test/java/elmsail/batch/SimWorld.java
+++ b/batch/src/test/java/elmsail/batch/SimWorld.java
@@ -12,6 +12,7 @@
 import elmsail.rpc.messages.Voter;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Timers;
 import elmsail.simulation.ManualTimers;
 import java.nio.charset.StandardCharsets;
@@ -135,7 +136,8 @@
             known,
             gateway.address,
             chance.nextLong(),
-            3_000);
+            3_000,
+            ProcessMetrics.strict());
     gateway.calls.setServers(gateway.servers);
     gateway.calls.start();
     return gateway;
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
@@ -5,6 +5,7 @@
 import elmsail.consensus.Replica;
 import elmsail.rpc.RpcEndpoint;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpHandler;
@@ -42,10 +43,15 @@
    * links.listen()}.
    *
    * @param records null where the machine has no disk: calls are passed on, and there is no vote
+   * @param metrics the process's figures and invariants
    * @return done once the control address is bound; fails with BAD_SETTINGS if it can't be
    */
   public static CompletableFuture<ControlPlane> startHeadOffice(
-      Settings settings, NettyLoop loop, RpcEndpoint links, RecordStore records) {
+      Settings settings,
+      NettyLoop loop,
+      RpcEndpoint links,
+      RecordStore records,
+      ProcessMetrics metrics) {
     ControlPlaneNode office =
         new ControlPlaneNode(
             settings,
@@ -54,7 +60,8 @@
             links,
             records,
             new NettyHttpClient(loop),
-            new SecureRandom().nextLong());
+            new SecureRandom().nextLong(),
+            metrics);
     ControlPlane controlPlane = new ControlPlane(loop, office, null);
     HttpHandler operators = office.operators();
     return HttpServer.listen(
@@ -75,17 +82,23 @@
    * links.listen()}.
    *
    * @param records with a disk, always
+   * @param metrics the process's figures and invariants
    */
   public static ControlPlane startVault(
-      Settings settings, NettyLoop loop, RpcEndpoint links, RecordStore records) {
+      Settings settings,
+      NettyLoop loop,
+      RpcEndpoint links,
+      RecordStore records,
+      ProcessMetrics metrics) {
     StoreNode[] house = {null};
     JobRetention jobs =
         new JobRetention(
             loop,
             () -> house[0] != null && house[0].replica().voting(),
             key -> house[0].replica().drop(key),
-            settings.bounds().statusMs());
-    house[0] = new StoreNode(settings, loop, links, links, records, jobs);
+            settings.bounds().statusMs(),
+            metrics);
+    house[0] = new StoreNode(settings, loop, links, links, records, jobs, metrics);
     jobs.listen(links);
     jobs.start();
     house[0].start();
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -17,6 +17,7 @@
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import elmsail.runtime.http.HttpClient;
@@ -64,6 +65,7 @@
   private VoterSet headKnown = new VoterSet();
   private List<String> gateways = List.of();
   private PlacementController.Order order;
+  private final ControlPlaneCounters counters;
   private boolean closed;
 
   /**
@@ -72,6 +74,7 @@
    * @param records null where this process has no disk
    * @param platform for the list of servers
    * @param who drawn at random at each start
+   * @param metrics the process's figures and invariants
    */
   ControlPlaneNode(
       Settings settings,
@@ -80,8 +83,10 @@
       RequestHandlers answering,
       RecordStore records,
       HttpClient platform,
-      long who) {
+      long who,
+      ProcessMetrics metrics) {
     this.settings = settings;
+    counters = new ControlPlaneCounters(metrics.counters());
     this.timers = timers;
     this.answering = answering;
     String own = settings.innerAddress();
@@ -280,7 +285,9 @@
     storeRedundancy.look(directs, heard, storeSet, now);
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
+    counters.leaseHeld.set(lease.term() > 0 ? 1 : 0);
     if (order != null && !order.equals(before)) {
+      counters.joinsDirected.add(1);
       LOG.info(
           "directs {} to join slot {} of the store set, epoch {}",
           order.address(),
--- a/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
@@ -7,6 +7,8 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Counters;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import elmsail.storage.RecordStore;
@@ -18,8 +20,13 @@
 final class StoreNode {
   static final String SET = "shelf";
 
+  private static final long LOOK_MS = 1_000;
+
   private final Replica replica;
   private final ConfigWatcher watcher;
+  private final Timers timers;
+  private final Counters.Counter voting;
+  private boolean closed;
 
   StoreNode(
       Settings settings,
@@ -27,7 +34,10 @@
       Caller caller,
       RequestHandlers answering,
       RecordStore records,
-      ReplicaListener views) {
+      ReplicaListener views,
+      ProcessMetrics metrics) {
+    this.timers = timers;
+    voting = metrics.counters().of("store_voting");
     replica =
         new Replica(
             SET,
@@ -53,6 +63,16 @@
     watcher.whenChanged(this::learn);
     watcher.whenJoinOrdered(replica::join);
     watcher.start();
+    look();
+  }
+
+  /** Takes the gauges of this store. */
+  private void look() {
+    if (closed) {
+      return;
+    }
+    voting.set(replica.voting() ? 1 : 0);
+    timers.after(LOOK_MS, this::look);
   }
 
   private void learn() {
@@ -75,6 +95,7 @@
   }
 
   void close() {
+    closed = true;
     watcher.close();
   }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
@@ -6,6 +6,7 @@
 
 import elmsail.rpc.RpcEndpoint;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.storage.DirectoryRecordStore;
 import java.io.IOException;
@@ -96,7 +97,10 @@
         () ->
             links
                 .listen()
-                .thenCompose(none -> ControlPlane.startHeadOffice(settings, loop, links, records))
+                .thenCompose(
+                    none ->
+                        ControlPlane.startHeadOffice(
+                            settings, loop, links, records, ProcessMetrics.strict()))
                 .whenComplete(
                     (controlPlane, failed) -> {
                       if (failed == null) {
--- a/controlplane/src/test/java/elmsail/controlplane/World.java
+++ b/controlplane/src/test/java/elmsail/controlplane/World.java
@@ -6,6 +6,7 @@
 import elmsail.consensus.ReplicaListener;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpReply;
@@ -134,7 +135,8 @@
             node.answering(),
             disk ? disk(name, node) : null,
             this::platform,
-            whos++);
+            whos++,
+            ProcessMetrics.strict());
     offices.put(name, office);
     office.start();
   }
@@ -175,7 +177,8 @@
             node.caller(),
             node.answering(),
             disk(name, node),
-            new ReplicaListener() {});
+            new ReplicaListener() {},
+            ProcessMetrics.strict());
     stores.put(name, house);
     house.start();
   }
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import elmsail.gateway.requests.RequestProgress;
 import elmsail.gateway.servers.Servers;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import elmsail.runtime.http.HttpReply;
@@ -23,7 +24,6 @@
 /** The data plane of one process, as a whole. All on the loop. */
 public final class Gateway {
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
-  private static final long TELL_MS = 10_000;
   private static final int MOST_READY_BODY = 1_024;
   private static final byte[] NOTHING = new byte[0];
 
@@ -43,21 +43,26 @@
   private final Timers timers;
   private final ClusterState known;
   private final Settings settings;
-  private final RequestCounters counters = new RequestCounters();
+  private final RequestCounters counters;
   private final Servers servers;
   private final ItemDispatcher items;
   private final RequestDispatcher desk;
   private ClientListener front;
   private HttpServer ready;
   private boolean stopping;
-  private String toldLast = "";
 
   private Gateway(
-      Settings settings, NettyLoop loop, Timers timers, ClusterState known, BatchCalls jobs) {
+      Settings settings,
+      NettyLoop loop,
+      Timers timers,
+      ClusterState known,
+      BatchCalls jobs,
+      ProcessMetrics metrics) {
     this.loop = loop;
     this.timers = timers;
     this.known = known;
     this.settings = settings;
+    counters = new RequestCounters(metrics.counters());
     SplittableRandom chance = new SplittableRandom();
     servers = new Servers(timers, loop.events(), known, settings.zone(), counters, chance);
     RequestProgress course = new RequestProgress(timers, known, servers, counters, chance);
@@ -68,17 +73,27 @@
   /**
    * Begins to listen at the slots "front" and "ready"; to be called on the loop.
    *
+   * @param metrics the process's figures and invariants
    * @return completes on the loop once both are bound; fails with BAD_SETTINGS
    */
   public static CompletableFuture<Gateway> start(
-      Settings settings, NettyLoop loop, ClusterState known, BatchCalls jobs) {
-    return start(settings, loop, loop, known, jobs);
+      Settings settings,
+      NettyLoop loop,
+      ClusterState known,
+      BatchCalls jobs,
+      ProcessMetrics metrics) {
+    return start(settings, loop, loop, known, jobs, metrics);
   }
 
   /** Likewise by another clock. */
   static CompletableFuture<Gateway> start(
-      Settings settings, NettyLoop loop, Timers timers, ClusterState known, BatchCalls jobs) {
-    return new Gateway(settings, loop, timers, known, jobs).listen();
+      Settings settings,
+      NettyLoop loop,
+      Timers timers,
+      ClusterState known,
+      BatchCalls jobs,
+      ProcessMetrics metrics) {
+    return new Gateway(settings, loop, timers, known, jobs, metrics).listen();
   }
 
   private CompletableFuture<Gateway> listen() {
@@ -107,7 +122,6 @@
         (f, r) -> {
           front = f;
           ready = r;
-          timers.after(TELL_MS, this::tell);
           return this;
         });
   }
@@ -174,15 +188,4 @@
     LOG.info("stopped: {}", counters);
     done.complete(null);
   }
-
-  private void tell() {
-    String now = counters.toString();
-    if (!now.equals(toldLast)) {
-      LOG.info("counts: {}", now);
-      toldLast = now;
-    }
-    if (!stopping) {
-      timers.after(TELL_MS, this::tell);
-    }
-  }
 }
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -9,6 +9,7 @@
 import elmsail.rpc.messages.ClusterView;
 import elmsail.runtime.Addresses;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.HttpReply;
 import elmsail.runtime.http.HttpServer;
@@ -63,7 +64,12 @@
             1 << 16)
         .thenCompose(
             server ->
-                Gateway.start(settings(), loop, new OneServer(server.address()), new NoLots()))
+                Gateway.start(
+                    settings(),
+                    loop,
+                    new OneServer(server.address()),
+                    new NoLots(),
+                    ProcessMetrics.unlogged()))
         .whenComplete(
             (gateway, fault) -> {
               if (fault == null) {
--- a/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -1,6 +1,9 @@
 package elmsail.gateway.http;
 
-/** Counts of what happened since the start; told every so often. */
+import elmsail.runtime.Counters;
+import java.util.Locale;
+
+/** Counts of what happened to requests since the start, among the figures of the process. */
 public final class RequestCounters {
 
   /** What is counted. */
@@ -38,16 +41,25 @@
 
   private static final Event[] ALL = Event.values();
 
-  private final long[] counts = new long[ALL.length];
+  private static final String PREFIX = "requests_";
+
+  private final Counters.Counter[] counts = new Counters.Counter[ALL.length];
+
+  /** Takes its counters from those of the process. */
+  public RequestCounters(Counters counters) {
+    for (Event event : ALL) {
+      counts[event.ordinal()] = counters.of(PREFIX + event.name().toLowerCase(Locale.ROOT));
+    }
+  }
 
   /** Counts one more of these. */
   public void count(Event what) {
-    counts[what.ordinal()]++;
+    counts[what.ordinal()].add(1);
   }
 
   /** How many of these were counted since the start. */
   public long of(Event what) {
-    return counts[what.ordinal()];
+    return counts[what.ordinal()].value();
   }
 
   /** All that has happened at least once. */
--- a/gateway/src/test/java/elmsail/gateway/Rig.java
+++ b/gateway/src/test/java/elmsail/gateway/Rig.java
@@ -4,6 +4,7 @@
 import elmsail.config.Route;
 import elmsail.config.ServerEntry;
 import elmsail.runtime.NettyLoop;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import java.util.ArrayList;
 import java.util.List;
@@ -93,7 +94,8 @@
                 2_000),
             null);
     gateway =
-        onLoop(() -> Gateway.start(settings, loop, timers, known, jobs)).get(5, TimeUnit.SECONDS);
+        onLoop(() -> Gateway.start(settings, loop, timers, known, jobs, ProcessMetrics.strict()))
+            .get(5, TimeUnit.SECONDS);
   }
 
   /** Runs on the loop and waits for it. */
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerConnectionTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerConnectionTest.java
@@ -6,6 +6,7 @@
 import elmsail.config.ServerEntry;
 import elmsail.gateway.FakeKnown;
 import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Counters;
 import elmsail.runtime.NettyLoop;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -91,7 +92,7 @@
   private final Server server =
       new Server(new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
   private final ConnectionPool pool =
-      new ConnectionPool(loop, loop.events(), new FakeKnown(), new RequestCounters());
+      new ConnectionPool(loop, loop.events(), new FakeKnown(), new RequestCounters(new Counters()));
   private EmbeddedChannel channel;
   private ServerConnection connection;
 
--- a/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
@@ -11,6 +11,7 @@
 import elmsail.config.Service;
 import elmsail.gateway.FakeKnown;
 import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.Counters;
 import elmsail.runtime.NettyLoop;
 import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
@@ -30,7 +31,12 @@
 
   private Servers door(String zone) {
     return new Servers(
-        timers, loop.events(), known, zone, new RequestCounters(), new SplittableRandom(3));
+        timers,
+        loop.events(),
+        known,
+        zone,
+        new RequestCounters(new Counters()),
+        new SplittableRandom(3));
   }
 
   @AfterEach
--- a/runtime/src/main/java/elmsail/runtime/Counters.java
+++ b/runtime/src/main/java/elmsail/runtime/Counters.java
@@ -37,13 +37,14 @@
     }
   }
 
-  private final Timers timers;
   private final Map<String, Counter> counters = new LinkedHashMap<>();
 
+  /** Counters without names yet that are never logged. */
+  public Counters() {}
+
   /** Counters without names yet; the first line is logged 10 s from now on these timers. */
   public Counters(Timers timers) {
-    this.timers = timers;
-    timers.after(EVERY_MS, this::log);
+    timers.after(EVERY_MS, () -> log(timers));
   }
 
   /** The counter of that name, made at 0 where there is none. */
@@ -61,8 +62,8 @@
     of(name).add(1);
   }
 
-  private void log() {
-    timers.after(EVERY_MS, this::log);
+  private void log(Timers timers) {
+    timers.after(EVERY_MS, () -> log(timers));
     String line = changed();
     if (line != null) {
       LOG.info(line);
--- /dev/null
+++ b/runtime/src/main/java/elmsail/runtime/Invariants.java
@@ -0,0 +1,95 @@
+package elmsail.runtime;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Checks of what must always hold, counted among the figures of the process. Used on the loop
+ * alone.
+ *
+ * <p>A running process counts a violation, logs the first few of each invariant and goes on. In
+ * tests the checks are strict: a violation throws. As a future or a loop may swallow what is
+ * thrown, a test also asserts at its end that {@link #violations()} is 0.
+ */
+public final class Invariants {
+
+  /** How many violations of one invariant are logged with their detail. */
+  static final int LOGGED = 5;
+
+  /** Longest detail that is logged. */
+  static final int LONGEST_DETAIL = 500;
+
+  private static final Logger LOG = LoggerFactory.getLogger(Invariants.class);
+  private static final String COUNTER_PREFIX = "invariant_";
+
+  private final Map<Invariant, Counters.Counter> counts = new EnumMap<>(Invariant.class);
+  private final boolean strict;
+
+  private Invariants(Counters counters, boolean strict) {
+    this.strict = strict;
+    for (Invariant invariant : Invariant.values()) {
+      counts.put(invariant, counters.of(COUNTER_PREFIX + invariant));
+    }
+  }
+
+  /** Violations are counted and logged, and nothing is thrown: for a running process. */
+  public static Invariants counting(Counters counters) {
+    return new Invariants(counters, false);
+  }
+
+  /** Violations are counted and thrown as {@link InvariantViolation}: for tests. */
+  public static Invariants strict(Counters counters) {
+    return new Invariants(counters, true);
+  }
+
+  /**
+   * Checks one invariant.
+   *
+   * @param holds whether it does
+   * @param detail what is known of the violation; asked for only where one is logged or thrown
+   */
+  public void check(Invariant invariant, boolean holds, Supplier<String> detail) {
+    if (!holds) {
+      violated(invariant, detail);
+    }
+  }
+
+  /** How many violations of this invariant were seen since the start. */
+  public long violations(Invariant invariant) {
+    return counts.get(invariant).value();
+  }
+
+  /** How many violations of any invariant were seen since the start. */
+  public long violations() {
+    long sum = 0;
+    for (Counters.Counter count : counts.values()) {
+      sum += count.value();
+    }
+    return sum;
+  }
+
+  private void violated(Invariant invariant, Supplier<String> detail) {
+    Counters.Counter count = counts.get(invariant);
+    count.add(1);
+    if (strict) {
+      throw new InvariantViolation(invariant, described(detail));
+    }
+    if (count.value() <= LOGGED) {
+      LOG.error("invariant {} violated ({}): {}", invariant, count.value(), described(detail));
+    }
+  }
+
+  /** The detail, cut; a fault in making it must not become a fault of the process. */
+  private static String described(Supplier<String> detail) {
+    String text;
+    try {
+      text = String.valueOf(detail.get());
+    } catch (RuntimeException fault) {
+      text = "no detail: " + fault;
+    }
+    return text.length() <= LONGEST_DETAIL ? text : text.substring(0, LONGEST_DETAIL);
+  }
+}
