--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -203,6 +203,7 @@
         store.cache(job, batchItems, bytes());
         runner.adopt(job, record, 0, began);
       }
+      context.counters().submitAccepted.add(1);
       answer(Replies.ACCEPTED);
     } else if (verdict == Verdict.FITS && !second) {
       round(true);
@@ -269,6 +270,7 @@
           context.timers().now() - submittedAt,
           body.bytes.length);
     }
+    context.counters().submitRefused.add(1);
     reply.complete(how);
   }
 }
