--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -23,6 +23,7 @@
 import elmsail.runtime.http.HttpHandler;
 import elmsail.storage.RecordStore;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,22 +49,21 @@
   private final CommittedValue retiring;
   private final CommittedValue founded;
   private final HeartbeatTable heard = new HeartbeatTable();
+  private final HeartbeatTable headHeard = new HeartbeatTable(ControlPlaneVoters.ROLE);
   private final PeerNotices notices;
   private final UpdateSources sources;
   private final ConfigWatcher watcher;
   final SingletonLease lease;
   private final ServerDiscovery list;
-  private final PlacementController storePlacement;
   private final StoreFounding founding;
-  private final HeadPlacement headPlacement;
-  private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
+  private final VoterPlacement storePlacement;
+  private final VoterPlacement headPlacement;
   private final LeaseVoter voter;
   private final HeardStoresInquiry inquiry;
   private final HttpHandler operators;
   private VoterSet storeSet = new VoterSet();
   private VoterSet headKnown = new VoterSet();
   private List<String> gateways = List.of();
-  private PlacementController.Order order;
   private boolean closed;
 
   /**
@@ -85,7 +85,7 @@
     this.timers = timers;
     this.answering = answering;
     String own = settings.innerAddress();
-    voters = new ControlPlaneVoters(settings, timers, caller, answering, records);
+    voters = new ControlPlaneVoters(settings, timers, caller, answering, records, who);
     register =
         new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, CONFIG_EVERY_MS);
@@ -98,7 +98,7 @@
             caller,
             timers,
             settings,
-            "controlplane",
+            ControlPlaneVoters.ROLE,
             records == null ? who : records.instanceId(),
             () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
@@ -112,17 +112,21 @@
                 timers,
                 sources,
                 lease::term);
-    int stores = 2 * settings.bearMachines() + 1;
-    storePlacement = new PlacementController(stores, timers.now());
-    founding = new StoreFounding(register, founded, storePlacement, heard);
+    int slots = 2 * settings.bearMachines() + 1;
+    PlacementController storeController = new PlacementController(slots, timers.now());
+    founding = new StoreFounding(register, founded, storeController, heard);
+    storePlacement = new VoterPlacement(StoreNode.SET, heard, storeController);
     headPlacement =
-        new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
+        new VoterPlacement(
+            ControlPlaneVoters.SET,
+            headHeard,
+            new PlacementController(slots, PlacementController.HEAD_GONE_MS, timers.now()));
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
     voter = new LeaseVoter(timers.now(), firstProcess);
     inquiry = new HeardStoresInquiry(caller, voters::current, own);
     DecommissionHandler retire =
         new DecommissionHandler(
-            register, timers, heard, () -> storeSet, retiring, config.contact(), stores, inquiry);
+            register, timers, heard, () -> storeSet, retiring, config.contact(), slots, inquiry);
     operators =
         new AnswerAgeLimit(
             timers,
@@ -184,15 +188,15 @@
 
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
-    headPlacement.note(request, timers.now());
-    if ("store".equals(request.role) && request.storeSet != null) {
+    headHeard.note(request, timers.now());
+    if (HeartbeatTable.STORE_ROLE.equals(request.role) && request.storeSet != null) {
       learnStores(request.storeSet);
     }
     if (closed || !config.contact().current()) {
       return CompletableFuture.failedFuture(
           new ElmsailException(ErrorCode.NOT_SEATED, "no contact with a majority"));
     }
-    if ("store".equals(request.role)) {
+    if (HeartbeatTable.STORE_ROLE.equals(request.role)) {
       request.waitMs = Math.min(request.waitMs, STORE_WAIT_MS);
     }
     return sources.request(request).thenApply(config.contact()::checked);
@@ -240,20 +244,12 @@
     view.storeSet = storeSet;
     view.gateways = gateways;
     if (mayDirect()) {
-      tellOrder(request, view);
+      storePlacement.tell(request, view);
       headPlacement.tell(request, view);
     }
     return view;
   }
 
-  /** Puts the order to join the store set into what the store that it is for is told. */
-  private void tellOrder(PullRequest request, ClusterView view) {
-    if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
-      view.joinSlot = order.slot();
-      view.joinEpoch = order.epoch();
-    }
-  }
-
   /** Whether this process directs the placement of voters at this very moment. */
   private boolean mayDirect() {
     return lease.term() > 0
@@ -267,30 +263,19 @@
     }
     timers.after(TICK_MS, this::tick);
     long now = timers.now();
-    boolean hears = config.contact().current();
+    boolean reads = config.contact().current();
     boolean directs = mayDirect();
     if (directs && storeSet.voters.isEmpty() && founding.open() && voters.born()) {
       founding.attempt(now);
     }
-    PlacementController.Order before = order;
-    order =
-        storePlacement.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    boolean storeOrdered =
+        storePlacement.look(storeSet, DecommissionList.of(retiring.value()), directs, directs, now);
+    headHeard.note(voters.heartbeat(), now);
     boolean headOrdered =
-        headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
-    storeRedundancy.look(directs, heard, storeSet, now);
+        headPlacement.look(voters.current(), Set.of(), reads && voters.voting(), directs, now);
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
-    if (order != null && !order.equals(before)) {
-      LOG.info(
-          "directs {} to join slot {} of the store set, epoch {}",
-          order.address(),
-          order.slot(),
-          order.epoch());
-    }
-    if (order != before && (order == null || !order.equals(before))
-        || headMoved
-        || headOrdered
-        || !clerksNow.equals(gateways)) {
+    if (storeOrdered || headMoved || headOrdered || !clerksNow.equals(gateways)) {
       headKnown = voters.current();
       gateways = clerksNow;
       sources.viewChanged();
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -7,6 +7,7 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.HelloRequest;
+import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
@@ -22,6 +23,9 @@
 final class ControlPlaneVoters implements VoterSetSource {
   static final String SET = "head";
 
+  /** Role of control-plane nodes in their pulls. */
+  static final String ROLE = "controlplane";
+
   /** On disk: this life began at the first start of the whole system. */
   private static final String BORN = "notary/born";
 
@@ -30,6 +34,7 @@
   private final Caller caller;
   private final RecordStore records;
   private final Replica replica;
+  private final PullRequest heartbeat = new PullRequest();
   private ClusterBootstrap founding;
   private VoterSet learned = new VoterSet();
   private boolean born;
@@ -38,13 +43,15 @@
    * Makes one.
    *
    * @param records null where this process has no disk: it has no vote
+   * @param processId names this process among the candidates where it has no disk
    */
   ControlPlaneVoters(
       Settings settings,
       Timers timers,
       Caller caller,
       RequestHandlers answering,
-      RecordStore records) {
+      RecordStore records,
+      long processId) {
     this.settings = settings;
     this.timers = timers;
     this.caller = caller;
@@ -62,6 +69,12 @@
                 settings.innerAddress(),
                 settings.station());
     this.born = records != null && (settings.firstStart() || records.read(BORN) != null);
+    heartbeat.role = ROLE;
+    heartbeat.station = settings.station();
+    heartbeat.address = settings.innerAddress();
+    heartbeat.zone = settings.zone();
+    heartbeat.instanceId = records == null ? processId : records.instanceId();
+    heartbeat.hasDisk = settings.dataDir() != null;
   }
 
   /** Answers the others only once it is on the disk whether this life may found. */
@@ -108,6 +121,12 @@
     return replica != null && replica.voting();
   }
 
+  /** What this node would pull with at itself: it is a candidate as the others are. */
+  PullRequest heartbeat() {
+    heartbeat.voting = voting();
+    return heartbeat;
+  }
+
   /** Whether it holds a voter slot, voting or not yet. */
   boolean holdsSlot() {
     return replica != null && VoterSetValue.slotOf(current(), settings.innerAddress()) >= 0;
--- a/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
+++ b/controlplane/src/main/java/elmsail/controlplane/HeartbeatTable.java
@@ -16,6 +16,9 @@
 final class HeartbeatTable {
   static final int MOST = 1_000;
 
+  /** Role of stores in their pulls. */
+  static final String STORE_ROLE = "store";
+
   /** A store, or another holder of records, as its last pull told of it; times are steady ms. */
   record Member(
       String address,
@@ -34,7 +37,7 @@
 
   /** Makes one of the stores. */
   HeartbeatTable() {
-    this("store");
+    this(STORE_ROLE);
   }
 
   /** Makes one of the processes of that role that have a disk, beside the gateways. */
@@ -42,8 +45,12 @@
     this.role = role;
   }
 
+  String role() {
+    return role;
+  }
+
   void note(PullRequest request, long now) {
-    if (role.equals(request.role) && (request.hasDisk || role.equals("store"))) {
+    if (role.equals(request.role) && (request.hasDisk || role.equals(STORE_ROLE))) {
       Member before = stores.get(request.address);
       VoterSet storeSet = request.storeSet == null ? new VoterSet() : request.storeSet;
       long first = before == null || before.instanceId != request.instanceId ? now : before.firstAt;
