--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -5,6 +5,7 @@
 import elmsail.config.RoutingConfig;
 import elmsail.config.RoutingConfigReader;
 import elmsail.config.ServerEntry;
+import elmsail.consensus.VoterSets;
 import elmsail.rpc.Caller;
 import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.PullRequest;
@@ -314,8 +315,8 @@
 
   private boolean merge(ClusterView response) {
     return take(
-        ClusterViews.merge(view.head, response.head),
-        ClusterViews.merge(view.storeSet, response.storeSet));
+        VoterSets.merge(view.head, response.head),
+        VoterSets.merge(view.storeSet, response.storeSet));
   }
 
   /** Whether anything of the roster is another now. */
@@ -328,7 +329,7 @@
     if (ClusterViews.same(view, merged)) {
       return false;
     }
-    if (!ClusterViews.same(view.head, head)) {
+    if (!VoterSets.same(view.head, head)) {
       timers.soon(() -> lines.choose(view.head));
     }
     view = merged;
--- a/config/src/main/java/elmsail/config/watch/PeerReport.java
+++ b/config/src/main/java/elmsail/config/watch/PeerReport.java
@@ -1,5 +1,6 @@
 package elmsail.config.watch;
 
+import elmsail.consensus.VoterSets;
 import elmsail.rpc.messages.VoterSet;
 
 /**
@@ -28,6 +29,6 @@
         && instanceId == other.instanceId
         && voting == other.voting
         && emptied == other.emptied
-        && ClusterViews.same(storeSet, other.storeSet);
+        && VoterSets.same(storeSet, other.storeSet);
   }
 }
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -58,8 +58,8 @@
   }
 
   /**
-   * {@code known}, itself if nothing in {@code told} is newer; a set's count of voter slots never
-   * changes.
+   * {@code known}, itself if nothing in {@code response} is newer; a set's count of voter slots
+   * never changes.
    */
   public static VoterSet merge(VoterSet known, VoterSet response) {
     if (!newer(response, known)) {
--- /dev/null
+++ b/consensus/src/test/java/elmsail/consensus/VoterSetsTest.java
@@ -0,0 +1,65 @@
+package elmsail.consensus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
+
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Voter sets compared and merged slot by slot. */
+class VoterSetsTest {
+  private static VoterSet set(Voter... voters) {
+    VoterSet set = new VoterSet();
+    set.voters.addAll(List.of(voters));
+    return set;
+  }
+
+  private static Voter voter(String name, int epoch) {
+    Voter voter = new Voter();
+    voter.address = name + ":1";
+    voter.station = name;
+    voter.instanceId = name.hashCode();
+    voter.epoch = epoch;
+    return voter;
+  }
+
+  @Test
+  void eachSlotHasTheHigherEpochOfTheTwo() {
+    VoterSet merged =
+        VoterSets.merge(
+            set(voter("a", 1), voter("e", 3), voter("c", 1)),
+            set(voter("d", 2), voter("b", 1), voter("c", 1)));
+    assertThat(VoterSets.same(merged, set(voter("d", 2), voter("e", 3), voter("c", 1))), is(true));
+  }
+
+  @Test
+  void theFirstOfTwoEqualEpochsStays() {
+    VoterSet known = set(voter("a", 2));
+    assertThat(VoterSets.merge(known, set(voter("b", 2))), is(sameInstance(known)));
+  }
+
+  @Test
+  void anEmptySetTakesTheOtherAndGivesNothing() {
+    VoterSet known = set(voter("a", 1), voter("b", 1));
+    assertThat(VoterSets.same(VoterSets.merge(set(), known), known), is(true));
+    assertThat(VoterSets.merge(known, set()), is(sameInstance(known)));
+  }
+
+  @Test
+  void aSetOfAnotherCountOfSlotsChangesNothing() {
+    VoterSet known = set(voter("a", 1));
+    assertThat(VoterSets.merge(known, set(voter("b", 2), voter("c", 1))), is(sameInstance(known)));
+  }
+
+  @Test
+  void setsAreTheSameIfHoldersAndEpochsAre() {
+    VoterSet known = set(voter("a", 1), voter("b", 1));
+    assertThat(VoterSets.same(known, set(voter("a", 1), voter("b", 1))), is(true));
+    assertThat(VoterSets.same(known, set(voter("a", 1), voter("b", 2))), is(false));
+    assertThat(VoterSets.same(known, set(voter("a", 1), voter("c", 1))), is(false));
+    assertThat(VoterSets.same(known, set(voter("a", 1))), is(false));
+  }
+}
--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -1,5 +1,6 @@
 package elmsail.controlplane;
 
+import elmsail.consensus.VoterSets;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
 import java.util.ArrayList;
@@ -196,8 +197,7 @@
         return false;
       }
     }
-    int quorum = storeSet.voters.size() / 2 + 1;
-    return voting >= Math.max(1, storeSet.voters.size() - quorum + 1) && (gone || away == 0);
+    return voting >= VoterSets.blocking(storeSet.voters.size()) && (gone || away == 0);
   }
 
   private boolean gone(HeartbeatTable heard, Voter holder, long now) {
