--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -103,19 +103,11 @@
   /**
    * What is to be claimed at present, or null. Called often, also while the lease is not held.
    *
+   * @param retiring stations that are to be emptied
+   * @param hears whether silence may be counted, also before the lease is held: this node's own
+   *     silence isn't the others'
    * @param mayDirect whether this control-plane node holds the lease and reads the head's register
    *     at a majority
-   * @param retiring stations that are to be emptied
-   */
-  Order order(
-      HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, boolean mayDirect, long now) {
-    return order(heard, storeSet, retiring, mayDirect, mayDirect, now);
-  }
-
-  /**
-   * As the other, but silence counts from before the lease was held.
-   *
-   * @param hears whether this node reads at a majority: its own silence isn't the others'
    */
   Order order(
       HeartbeatTable heard,
--- a/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
@@ -60,11 +60,35 @@
       for (String name : names) {
         hear(name, "z" + name, VoterSetValue.slotOf(storeSet, name + ":1") >= 0);
       }
-      order = storePlacement.order(heard, storeSet, retiring, true, now);
+      order = order(true, true);
     }
     return order;
   }
 
+  /**
+   * What the controller orders now, as the leaseholder or not, in contact with a majority or not.
+   */
+  private PlacementController.Order order(boolean hears, boolean directs) {
+    return storePlacement.order(heard, storeSet, retiring, hears, directs, now);
+  }
+
+  /** Two of three voters and a spare are heard at once; the voter "c" is not. */
+  private void hearAllButC() {
+    hear("a", "za", true);
+    hear("b", "zb", true);
+    hear("d", "zd", false);
+  }
+
+  private static PlacementController.Order orderTo(String name, int slot, int epoch) {
+    return new PlacementController.Order(slot, name + ":1", epoch);
+  }
+
+  /** The voters "a", "b" and "c" were heard for a second, and the spare "d". */
+  private void threeVotersAndASpareHeard() {
+    founded("a", "b", "c");
+    pass(1_000, "a", "b", "c", "d");
+  }
+
   @Test
   void foundsAsSoonAsEnoughAreThereInAnyOrder() {
     hear("c", "z1", false);
@@ -122,7 +146,7 @@
     assertThat(pass(5_000, "a", "b", "c", "d"), is(nullValue()));
     assertThat(pass(2_500, "a", "b", "d"), is(nullValue()));
     PlacementController.Order order = pass(100, "a", "b", "d");
-    assertThat(order, equalTo(new PlacementController.Order(2, "d:1", 2)));
+    assertThat(order, equalTo(orderTo("d", 2, 2)));
     assertThat("the same spare until it is done", pass(1_000, "a", "b", "d", "e"), equalTo(order));
   }
 
@@ -138,15 +162,15 @@
   @Test
   void onewhoComesBackKeepsItsSeat() {
     founded("a", "b", "c");
-    assertThat(pass(3_000, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
+    assertThat(pass(3_000, "a", "b", "d"), equalTo(orderTo("d", 2, 2)));
     assertThat(pass(200, "a", "b", "c", "d"), is(nullValue()));
   }
 
   @Test
   void aSecondSpareClaimsAboveTheFirst() {
     founded("a", "b", "c");
-    assertThat(pass(3_000, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
-    assertThat(pass(3_000, "a", "b", "e"), equalTo(new PlacementController.Order(2, "e:1", 3)));
+    assertThat(pass(3_000, "a", "b", "d"), equalTo(orderTo("d", 2, 2)));
+    assertThat(pass(3_000, "a", "b", "e"), equalTo(orderTo("e", 2, 3)));
   }
 
   @Test
@@ -154,7 +178,7 @@
     founded("a", "b", "c");
     retiring.add("b");
     assertThat(pass(500, "a", "b", "c"), is(nullValue()));
-    assertThat(pass(500, "a", "b", "c", "d"), equalTo(new PlacementController.Order(1, "d:1", 2)));
+    assertThat(pass(500, "a", "b", "c", "d"), equalTo(orderTo("d", 1, 2)));
   }
 
   @Test
@@ -171,16 +195,14 @@
       hear("c", "zc", true);
       hear("d", "zd", false);
       hear("e", "ze", false);
-      assertThat(storePlacement.order(heard, storeSet, retiring, true, now), is(nullValue()));
+      assertThat(order(true, true), is(nullValue()));
     }
-    assertThat(
-        pass(300, "a", "b", "c", "d", "e"), equalTo(new PlacementController.Order(1, "e:1", 2)));
+    assertThat(pass(300, "a", "b", "c", "d", "e"), equalTo(orderTo("e", 1, 2)));
   }
 
   @Test
   void twoGoneOfThreeMoveNobody() {
-    founded("a", "b", "c");
-    pass(1_000, "a", "b", "c", "d");
+    threeVotersAndASpareHeard();
     assertThat(pass(6_000, "a", "d"), is(nullValue()));
   }
 
@@ -188,69 +210,54 @@
   void twoGoneOfFiveAreReplacedOneByOne() {
     founded("a", "b", "c", "d", "e");
     pass(1_000, "a", "b", "c", "d", "e", "f");
-    assertThat(
-        pass(3_000, "a", "b", "c", "f"), equalTo(new PlacementController.Order(3, "f:1", 2)));
+    assertThat(pass(3_000, "a", "b", "c", "f"), equalTo(orderTo("f", 3, 2)));
     storeSet.voters.set(3, VoterSetValue.slot("f:1", "f", "f".hashCode(), 2));
-    assertThat(
-        pass(300, "a", "b", "c", "f", "g"), equalTo(new PlacementController.Order(4, "g:1", 2)));
+    assertThat(pass(300, "a", "b", "c", "f", "g"), equalTo(orderTo("g", 4, 2)));
   }
 
   @Test
   void aWipedHolderThatIsHeardIsNotReplaced() {
-    founded("a", "b", "c");
-    pass(1_000, "a", "b", "c", "d");
+    threeVotersAndASpareHeard();
     for (int i = 0; i < 50; i++) {
       now += 100;
       hear("a", "za", true);
       hear("b", "zb", true);
       hear("c", "zc", false);
       hear("d", "zd", false);
-      assertThat(storePlacement.order(heard, storeSet, retiring, true, now), is(nullValue()));
+      assertThat(order(true, true), is(nullValue()));
     }
   }
 
   @Test
   void aRegistrarThatWasHeldUpListensAnew() {
-    founded("a", "b", "c");
-    pass(1_000, "a", "b", "c", "d");
+    threeVotersAndASpareHeard();
     now += 10_000;
-    hear("a", "za", true);
-    hear("b", "zb", true);
-    hear("d", "zd", false);
-    assertThat(storePlacement.order(heard, storeSet, retiring, true, now), is(nullValue()));
+    hearAllButC();
+    assertThat(order(true, true), is(nullValue()));
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
-    assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
+    assertThat(pass(300, "a", "b", "d"), equalTo(orderTo("d", 2, 2)));
   }
 
   @Test
   void withoutTheLeaseNothingIsDirectedAndTheTimeBeginsAnew() {
-    founded("a", "b", "c");
-    pass(1_000, "a", "b", "c", "d");
+    threeVotersAndASpareHeard();
     for (int i = 0; i < 40; i++) {
       now += 100;
-      hear("a", "za", true);
-      hear("b", "zb", true);
-      hear("d", "zd", false);
-      assertThat(storePlacement.order(heard, storeSet, retiring, false, now), is(nullValue()));
+      hearAllButC();
+      assertThat(order(false, false), is(nullValue()));
     }
     assertThat(pass(2_400, "a", "b", "d"), is(nullValue()));
-    assertThat(pass(300, "a", "b", "d"), equalTo(new PlacementController.Order(2, "d:1", 2)));
+    assertThat(pass(300, "a", "b", "d"), equalTo(orderTo("d", 2, 2)));
   }
 
   @Test
   void whereItHearsSilenceCountsFromBeforeTheLease() {
-    founded("a", "b", "c");
-    pass(1_000, "a", "b", "c", "d");
+    threeVotersAndASpareHeard();
     for (int i = 0; i < 40; i++) {
       now += 100;
-      hear("a", "za", true);
-      hear("b", "zb", true);
-      hear("d", "zd", false);
-      assertThat(
-          storePlacement.order(heard, storeSet, retiring, true, false, now), is(nullValue()));
+      hearAllButC();
+      assertThat(order(true, false), is(nullValue()));
     }
-    assertThat(
-        storePlacement.order(heard, storeSet, retiring, true, true, now),
-        equalTo(new PlacementController.Order(2, "d:1", 2)));
+    assertThat(order(true, true), equalTo(orderTo("d", 2, 2)));
   }
 }
