--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -35,7 +35,9 @@
   private static final long CONFIG_EVERY_MS = 300;
   private static final long OTHERS_EVERY_MS = 1_000;
   private static final long TICK_MS = 200;
-  private static final long CLERK_MS = 4_000;
+
+  /** A gateway is told to the others while it was heard within so long. */
+  private static final long GATEWAY_LISTED_MS = 4_000;
 
   /** A store is heard at least so often; the others hear of changes at once anyway. */
   private static final long STORE_WAIT_MS = 400;
@@ -230,8 +232,8 @@
     }
   }
 
-  private void learnStores(VoterSet response) {
-    VoterSet merged = VoterSets.merge(storeSet, response);
+  private void learnStores(VoterSet newer) {
+    VoterSet merged = VoterSets.merge(storeSet, newer);
     if (merged != storeSet) {
       storeSet = merged;
       sources.viewChanged();
@@ -273,11 +275,11 @@
     headHeard.note(voters.heartbeat(), now);
     boolean headOrdered =
         headPlacement.look(voters.current(), Set.of(), reads && voters.voting(), directs, now);
-    List<String> clerksNow = heard.gateways(now, CLERK_MS);
+    List<String> gatewaysNow = heard.gateways(now, GATEWAY_LISTED_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
-    if (storeOrdered || headMoved || headOrdered || !clerksNow.equals(gateways)) {
+    if (storeOrdered || headMoved || headOrdered || !gatewaysNow.equals(gateways)) {
       headKnown = voters.current();
-      gateways = clerksNow;
+      gateways = gatewaysNow;
       sources.viewChanged();
     }
     relay();
