--- a/consensus/src/test/java/elmsail/consensus/JoinModel.java
+++ b/consensus/src/test/java/elmsail/consensus/JoinModel.java
@@ -6,7 +6,6 @@
 import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import java.util.ArrayDeque;
 import java.util.List;
 
 /**
@@ -15,15 +14,12 @@
  * from any moment on, which is what the loss of their memory is. Decisions on claims, sources and
  * votes are the production classes'.
  */
-final class JoinModel {
+final class JoinModel extends StateSearch {
   private static final int SEATS = 3;
   private static final int S = 3;
   private static final int X = 4;
   private static final int PROCESSES = 5;
 
-  /** Fields of a process: promised, accepted, marks, copied, known claims (1: S's, 2: X's). */
-  private static final int FIELDS = 5;
-
   private static final int ROUNDS = PROCESSES * FIELDS;
   private static final int BEGUN = 0;
   private static final int SEATED = 1;
@@ -81,26 +77,24 @@
   private final int ballots;
   private final boolean restarts;
   private final VoterSet[] voterSets = new VoterSet[4];
-  private final LongPairs seen = new LongPairs();
-  private final ArrayDeque<long[]> open = new ArrayDeque<>();
-  private String fault;
 
   /**
    * @param restarts each newcomer may end once in the middle of its claim, and begin it again
    */
   JoinModel(Defect defect, int ballots, boolean restarts) {
+    super(BITS);
     this.defect = defect;
     this.ballots = ballots;
     this.restarts = restarts;
     VoterSet founding = new VoterSet();
     for (int i = 0; i < SEATS; i++) {
-      founding.voters.add(slot(i, 1));
+      founding.voters.add(voter(NAMES[i], i, 1));
     }
     for (int known = 0; known < 4; known++) {
       voterSets[known] = founding;
       for (int join = S; join <= X; join++) {
         if ((known & bit(join)) != 0) {
-          Voter holder = slot(join, 2);
+          Voter holder = voter(NAMES[join], join, 2);
           Voter before = founding.voters.get(slotOf(join));
           holder.previousAddress = before.address;
           holder.previousInstanceId = before.instanceId;
@@ -111,13 +105,14 @@
     }
   }
 
-  private static Voter slot(int process, int epoch) {
-    Voter slot = new Voter();
-    slot.address = NAMES[process];
-    slot.station = NAMES[process];
-    slot.instanceId = process + 1;
-    slot.epoch = epoch;
-    return slot;
+  @Override
+  void visit(int[] state) {
+    judge(state);
+    newcomer(state, S);
+    newcomer(state, X);
+    for (int b = 0; b < ballots; b++) {
+      asker(state, b);
+    }
   }
 
   private static int bit(int join) {
@@ -136,76 +131,13 @@
     return ROUNDS + (join - S) * ROUND;
   }
 
-  /** Goes through all states, at most so many; null if none breaks a rule. */
-  String check(int most) {
-    push(new int[SIZE]);
-    while (!open.isEmpty() && fault == null) {
-      if (seen.size() > most) {
-        throw new IllegalStateException("more than " + most + " states");
-      }
-      int[] state = unpacked(open.pollLast());
-      judge(state);
-      newcomer(state, S);
-      newcomer(state, X);
-      for (int b = 0; b < ballots; b++) {
-        asker(state, b);
-      }
-    }
-    return fault;
-  }
-
-  int states() {
-    return seen.size();
-  }
-
-  private void push(int[] state) {
-    long[] packed = {0, 0};
-    int at = 0;
-    for (int i = 0; i < SIZE; i++) {
-      at = at < 64 && at + BITS[i] > 64 ? 64 : at;
-      packed[at / 64] |= (long) state[i] << at % 64;
-      at += BITS[i];
-    }
-    if (seen.add(packed[0], packed[1])) {
-      open.addLast(packed);
-    }
-  }
-
-  private static int[] unpacked(long[] packed) {
-    int[] state = new int[SIZE];
-    int at = 0;
-    for (int i = 0; i < SIZE; i++) {
-      at = at < 64 && at + BITS[i] > 64 ? 64 : at;
-      state[i] = (int) (packed[at / 64] >>> at % 64) & (1 << BITS[i]) - 1;
-      at += BITS[i];
-    }
-    return state;
-  }
-
-  private static Ballot ballot(int round) {
-    return Ballots.of(round, round == 0 ? 0 : 7);
-  }
-
-  private static KeyState key(int[] state, int process) {
-    int at = process * FIELDS;
-    byte[] value = state[at + 1] == 0 ? null : new byte[] {(byte) state[at + 2]};
-    return new KeyState(ballot(state[at]), ballot(state[at + 1]), state[at + 3] == 1, value);
-  }
-
-  private static void put(int[] state, int process, KeyState key) {
-    int at = process * FIELDS;
-    state[at] = (int) key.promised().round;
-    state[at + 1] = (int) key.accepted().round;
-    state[at + 2] = key.value() == null ? 0 : key.value()[0];
-    state[at + 3] = key.copied() ? 1 : 0;
-  }
-
+  /** Which claims a process knows: 1 is that of S, 2 is that of X. */
   private static int knows(int[] state, int process) {
-    return state[process * FIELDS + 4];
+    return state[process * FIELDS + KNOWS];
   }
 
   private void learn(int[] state, int process, int known) {
-    state[process * FIELDS + 4] |= known;
+    state[process * FIELDS + KNOWS] |= known;
     boolean replaced = process == 0 && (known & 1) != 0 || process == 2 && (known & 2) != 0;
     if (replaced && defect == Defect.RECORDS_DROPPED) {
       put(state, process, KeyState.EMPTY);
--- a/consensus/src/test/java/elmsail/consensus/JoinModelTest.java
+++ b/consensus/src/test/java/elmsail/consensus/JoinModelTest.java
@@ -33,21 +33,7 @@
   }
 
   private static String run(JoinModel.Defect defect, int ballots, boolean restarts) {
-    JoinModel model = new JoinModel(defect, ballots, restarts);
-    long from = System.nanoTime();
-    String fault = model.check(MOST);
-    System.out.println(
-        defect
-            + ", two claims, "
-            + ballots
-            + " ballots"
-            + (restarts ? ", restarts" : "")
-            + ": "
-            + model.states()
-            + " states in "
-            + (System.nanoTime() - from) / 1_000_000
-            + " ms, "
-            + (fault == null ? "no fault" : fault));
-    return fault;
+    String name = defect + ", two claims, " + ballots + " ballots" + (restarts ? ", restarts" : "");
+    return new JoinModel(defect, ballots, restarts).checkAndPrint(name, MOST);
   }
 }
--- a/consensus/src/test/java/elmsail/consensus/Model.java
+++ b/consensus/src/test/java/elmsail/consensus/Model.java
@@ -3,9 +3,7 @@
 import elmsail.rpc.messages.Ballot;
 import elmsail.rpc.messages.JoinRequest;
 import elmsail.rpc.messages.VoteResponse;
-import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import java.util.ArrayDeque;
 
 /**
  * All that can happen, in whatever order, with one key of three voter slots (A, B, C), a newcomer N
@@ -14,14 +12,11 @@
  * the production classes'. The second ballot may be the first's {@code next}. Each ballot's value
  * is what was found with a mark added, so that of two decided values the later holds the earlier.
  */
-final class Model {
+final class Model extends StateSearch {
   private static final int A = 0;
   private static final int N = 3;
   private static final int BALLOTS = 3;
 
-  /** Fields of a process: promised, accepted, marks, copied, knows the claim. */
-  private static final int FIELDS = 5;
-
   private static final int NEWCOMER = 4 * FIELDS;
   private static final int BEGUN = NEWCOMER;
   private static final int ACKED = NEWCOMER + 1;
@@ -58,22 +53,20 @@
   private final boolean sticky;
   private final VoterSet before = new VoterSet();
   private final VoterSet after;
-  private final LongPairs seen = new LongPairs();
-  private final ArrayDeque<long[]> open = new ArrayDeque<>();
-  private String fault;
 
   /**
    * @param sticky the second ballot is promised with the first one's accepts, and has no first
    *     round
    */
   Model(Defect defect, int ballots, boolean sticky) {
+    super(BITS);
     this.defect = defect;
     this.ballots = ballots;
     this.sticky = sticky;
     for (int i = 0; i < N; i++) {
-      before.voters.add(slot(i, 1));
+      before.voters.add(voter(NAMES[i], i, 1));
     }
-    after = VoterSets.with(before, A, slot(N, 2));
+    after = VoterSets.with(before, A, voter(NAMES[N], N, 2));
   }
 
   private static int[] bits() {
@@ -88,86 +81,17 @@
     return bits;
   }
 
-  private static Voter slot(int process, int epoch) {
-    Voter slot = new Voter();
-    slot.address = NAMES[process];
-    slot.station = NAMES[process];
-    slot.instanceId = process + 1;
-    slot.epoch = epoch;
-    return slot;
-  }
-
-  /** Goes through all states, at most so many; null if none breaks a rule. */
-  String check(int most) {
-    push(new int[SIZE]);
-    while (!open.isEmpty() && fault == null) {
-      if (seen.size() > most) {
-        throw new IllegalStateException("more than " + most + " states");
-      }
-      int[] state = unpacked(open.pollLast());
-      judge(state);
-      newcomer(state);
-      for (int b = 0; b < ballots; b++) {
-        asker(state, b);
-      }
-    }
-    return fault;
-  }
-
-  int states() {
-    return seen.size();
-  }
-
-  private void push(int[] state) {
-    long[] packed = {0, 0};
-    int at = 0;
-    for (int i = 0; i < SIZE; i++) {
-      int word = at + BITS[i] > 64 || at >= 64 ? 1 : 0;
-      if (word == 1 && at < 64) {
-        at = 64;
-      }
-      packed[word] |= (long) state[i] << (at - 64 * word);
-      at += BITS[i];
-    }
-    if (seen.add(packed[0], packed[1])) {
-      open.addLast(packed);
-    }
-  }
-
-  private static int[] unpacked(long[] packed) {
-    int[] state = new int[SIZE];
-    int at = 0;
-    for (int i = 0; i < SIZE; i++) {
-      int word = at + BITS[i] > 64 || at >= 64 ? 1 : 0;
-      if (word == 1 && at < 64) {
-        at = 64;
-      }
-      state[i] = (int) (packed[word] >>> (at - 64 * word)) & ((1 << BITS[i]) - 1);
-      at += BITS[i];
+  @Override
+  void visit(int[] state) {
+    judge(state);
+    newcomer(state);
+    for (int b = 0; b < ballots; b++) {
+      asker(state, b);
     }
-    return state;
-  }
-
-  private static Ballot ballot(int round) {
-    return Ballots.of(round, round == 0 ? 0 : 7);
-  }
-
-  private static KeyState key(int[] state, int process) {
-    int at = process * FIELDS;
-    byte[] value = state[at + 1] == 0 ? null : new byte[] {(byte) state[at + 2]};
-    return new KeyState(ballot(state[at]), ballot(state[at + 1]), state[at + 3] == 1, value);
-  }
-
-  private static void put(int[] state, int process, KeyState key) {
-    int at = process * FIELDS;
-    state[at] = (int) key.promised().round;
-    state[at + 1] = (int) key.accepted().round;
-    state[at + 2] = key.value() == null ? 0 : key.value()[0];
-    state[at + 3] = key.copied() ? 1 : 0;
   }
 
   private Membership membership(int[] state, int process) {
-    boolean knows = state[process * FIELDS + 4] == 1;
+    boolean knows = state[process * FIELDS + KNOWS] == 1;
     int caughtUp = process < N ? 1 : 2 * state[SEATED];
     return new Membership(
         NAMES[process], NAMES[process], process + 1, knows ? after : before, caughtUp);
@@ -181,7 +105,7 @@
     Membership membership = membership(state, process);
     VoterSet asked = joined ? after : before;
     if (membership.vote(asked) != VoteResponse.OLD_SEATING && membership.learn(asked)) {
-      state[process * FIELDS + 4] = 1;
+      state[process * FIELDS + KNOWS] = 1;
     }
     return membership.vote(asked) == VoteResponse.DONE;
   }
@@ -199,15 +123,15 @@
     if (state[BEGUN] == 0) {
       int[] next = state.clone();
       next[BEGUN] = 1;
-      next[N * FIELDS + 4] = 1;
+      next[N * FIELDS + KNOWS] = 1;
       push(next);
       return;
     }
     int need = defect == Defect.ONE_ACKNOWLEDGER ? 1 : VoterSets.blocking(N);
     for (int other = 0; other < N; other++) {
-      if (state[other * FIELDS + 4] == 0) {
+      if (state[other * FIELDS + KNOWS] == 0) {
         int[] next = state.clone();
-        next[other * FIELDS + 4] = 1;
+        next[other * FIELDS + KNOWS] = 1;
         push(next);
       }
       if (other == A || state[SEATED] == 1) {
@@ -254,7 +178,7 @@
     if ((state[ACKED] & bit) == 0
         && membership(state, other).join(request) != Membership.Claimed.REFUSED) {
       int[] next = state.clone();
-      next[other * FIELDS + 4] = 1;
+      next[other * FIELDS + KNOWS] = 1;
       next[ACKED] |= bit;
       push(next);
     }
--- a/consensus/src/test/java/elmsail/consensus/ModelTest.java
+++ b/consensus/src/test/java/elmsail/consensus/ModelTest.java
@@ -44,21 +44,7 @@
   }
 
   private static String run(Model.Defect defect, int ballots, boolean sticky) {
-    Model model = new Model(defect, ballots, sticky);
-    long from = System.nanoTime();
-    String fault = model.check(MOST);
-    System.out.println(
-        defect
-            + ", "
-            + ballots
-            + " ballots"
-            + (sticky ? ", one promised ahead" : "")
-            + ": "
-            + model.states()
-            + " states in "
-            + (System.nanoTime() - from) / 1_000_000
-            + " ms, "
-            + (fault == null ? "no fault" : fault));
-    return fault;
+    String name = defect + ", " + ballots + " ballots" + (sticky ? ", one promised ahead" : "");
+    return new Model(defect, ballots, sticky).checkAndPrint(name, MOST);
   }
 }
--- /dev/null
+++ b/consensus/src/test/java/elmsail/consensus/StateSearch.java
@@ -0,0 +1,112 @@
+package elmsail.consensus;
+
+import elmsail.rpc.messages.Ballot;
+import elmsail.rpc.messages.Voter;
+import java.util.ArrayDeque;
+
+/**
+ * Goes through all states that a model reaches, each once. A state is an array of small numbers:
+ * first {@link #FIELDS} for each process, then what the model has of its own.
+ */
+abstract class StateSearch {
+  /** Fields of a process: promised, accepted, marks, copied, known claims. */
+  static final int FIELDS = 5;
+
+  /** The field of the claims that a process knows. */
+  static final int KNOWS = 4;
+
+  private final int[] bits;
+  private final LongPairs seen = new LongPairs();
+  private final ArrayDeque<long[]> open = new ArrayDeque<>();
+
+  /** What broke a rule; null as long as nothing did. */
+  String fault;
+
+  /** Makes one whose states have fields of so many bits each, at most two words in all. */
+  StateSearch(int[] bits) {
+    this.bits = bits;
+  }
+
+  /** Judges a state, and pushes each state that may follow it. */
+  abstract void visit(int[] state);
+
+  /** Goes through all states, at most so many; null if none breaks a rule. */
+  final String check(int most) {
+    push(new int[bits.length]);
+    while (!open.isEmpty() && fault == null) {
+      if (seen.size() > most) {
+        throw new IllegalStateException("more than " + most + " states");
+      }
+      visit(unpacked(open.pollLast()));
+    }
+    return fault;
+  }
+
+  /** As {@link #check}, and prints what was gone through. */
+  final String checkAndPrint(String name, int most) {
+    long from = System.nanoTime();
+    String found = check(most);
+    System.out.println(
+        name
+            + ": "
+            + seen.size()
+            + " states in "
+            + (System.nanoTime() - from) / 1_000_000
+            + " ms, "
+            + (found == null ? "no fault" : found));
+    return found;
+  }
+
+  /** Adds a state, if it is a new one, to those that will be visited. */
+  final void push(int[] state) {
+    long[] packed = {0, 0};
+    int at = 0;
+    for (int i = 0; i < bits.length; i++) {
+      at = at < 64 && at + bits[i] > 64 ? 64 : at;
+      packed[at / 64] |= (long) state[i] << at % 64;
+      at += bits[i];
+    }
+    if (seen.add(packed[0], packed[1])) {
+      open.addLast(packed);
+    }
+  }
+
+  private int[] unpacked(long[] packed) {
+    int[] state = new int[bits.length];
+    int at = 0;
+    for (int i = 0; i < bits.length; i++) {
+      at = at < 64 && at + bits[i] > 64 ? 64 : at;
+      state[i] = (int) (packed[at / 64] >>> at % 64) & (1 << bits[i]) - 1;
+      at += bits[i];
+    }
+    return state;
+  }
+
+  static Ballot ballot(int round) {
+    return Ballots.of(round, round == 0 ? 0 : 7);
+  }
+
+  static KeyState key(int[] state, int process) {
+    int at = process * FIELDS;
+    byte[] value = state[at + 1] == 0 ? null : new byte[] {(byte) state[at + 2]};
+    return new KeyState(ballot(state[at]), ballot(state[at + 1]), state[at + 3] == 1, value);
+  }
+
+  static void put(int[] state, int process, KeyState key) {
+    int at = process * FIELDS;
+    state[at] = (int) key.promised().round;
+    state[at + 1] = (int) key.accepted().round;
+    state[at + 2] = key.value() == null ? 0 : key.value()[0];
+    state[at + 3] = key.copied() ? 1 : 0;
+  }
+
+  /** The process of that number as a voter. */
+  static Voter voter(String name, int process, int epoch) {
+    Voter voter = new Voter();
+    voter.address = name;
+    voter.station = name;
+    voter.instanceId = process + 1;
+    voter.epoch = epoch;
+    return voter;
+  }
+}
