--- a/config/src/main/java/elmsail/config/watch/ClusterViews.java
+++ b/config/src/main/java/elmsail/config/watch/ClusterViews.java
@@ -12,9 +12,9 @@
   private ClusterViews() {}
 
   /** The union, in order. */
-  static List<String> union(Collection<List<String>> words) {
+  static List<String> union(Collection<List<String>> lists) {
     TreeSet<String> all = new TreeSet<>();
-    for (List<String> one : words) {
+    for (List<String> one : lists) {
       all.addAll(one);
     }
     return new ArrayList<>(all);
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -46,7 +46,7 @@
   private final long instanceId;
   private final Supplier<StoreStatus> store;
   private final DirectDiscovery fallback;
-  private final WatchStreams lines;
+  private final WatchStreams streams;
   private final KnownServers servers = new KnownServers();
   private final List<Runnable> listeners = new ArrayList<>();
   private Claim join = (slot, epoch) -> {};
@@ -76,9 +76,9 @@
     this.role = role;
     this.instanceId = instanceId;
     this.store = store;
-    lines =
+    streams =
         new WatchStreams(
-            caller, timers, settings, this::request, (line, response) -> heard(response));
+            caller, timers, settings, this::request, (stream, response) -> heard(response));
     fallback =
         platform == null || settings.platform() == null || !role.equals("gateway")
             ? null
@@ -94,7 +94,7 @@
 
   /** Begins to ask, once. */
   public void start() {
-    lines.choose(view.head);
+    streams.choose(view.head);
     review = timers.after(REVIEW_MS, this::review);
     if (fallback != null) {
       fallback.start();
@@ -103,8 +103,8 @@
 
   /** Takes the seeds of the changed settings; all else stays as it was. */
   public void changed(Settings changed) {
-    lines.seeds(changed);
-    lines.choose(view.head);
+    streams.seeds(changed);
+    streams.choose(view.head);
   }
 
   /** Asks nothing more; what is known stays. */
@@ -115,7 +115,7 @@
     if (fallback != null) {
       fallback.close();
     }
-    lines.close();
+    streams.close();
   }
 
   /** Whoever shall claim a voter slot; called each time that a control-plane node says so. */
@@ -175,20 +175,20 @@
 
   /**
    * How long ago the control-plane node at this inner address answered, in ms; Long.MAX_VALUE:
-   * never in this life.
+   * never in this instance.
    */
   public long heardAgoMs(String address) {
-    return lines.heardAgoMs(address);
+    return streams.heardAgoMs(address);
   }
 
   /** Inner addresses of the control-plane nodes that are asked now. */
   public List<String> asked() {
-    return lines.addresses();
+    return streams.addresses();
   }
 
   /** Asks that failed, and answers that could not be used. */
   public long failures() {
-    return lines.failures();
+    return streams.failures();
   }
 
   /** Configurations and lists that came and could not be read. */
@@ -200,7 +200,7 @@
    * A configuration that is decided, known by another way than a pull; passed over unless newer.
    */
   public void offerConfig(byte[] bytes) {
-    if (takeTimetable(bytes, RoutingConfigReader.read(bytes))) {
+    if (takeConfig(bytes, RoutingConfigReader.read(bytes))) {
       tell();
     }
   }
@@ -213,14 +213,14 @@
   }
 
   private void review() {
-    lines.choose(view.head);
+    streams.choose(view.head);
     if (take(view.head, view.storeSet)) {
       tell();
     }
     review = timers.after(REVIEW_MS, this::review);
   }
 
-  private PullRequest request(WatchStream line) {
+  private PullRequest request(WatchStream stream) {
     PullRequest request = new PullRequest();
     StoreStatus part = store.get();
     request.station = settings.station();
@@ -232,9 +232,9 @@
     request.emptied = part.emptied();
     request.storeSet = part.storeSet();
     request.edition = edition();
-    request.listEpoch = wantsList(line) ? servers.epoch() : NO_LIST;
+    request.listEpoch = wantsList(stream) ? servers.epoch() : NO_LIST;
     request.listVersion = servers.version();
-    request.viewVersion = line.viewVersion;
+    request.viewVersion = stream.viewVersion;
     request.waitMs = WAIT_MS;
     request.hasDisk = settings.dataDir() != null;
     return request;
@@ -246,12 +246,12 @@
    * Control-plane nodes take it from all, so that no two wait for each other. Stores send no
    * requests to servers and take none.
    */
-  private boolean wantsList(WatchStream line) {
+  private boolean wantsList(WatchStream stream) {
     if (!role.equals("gateway")) {
       return !role.equals("store");
     }
-    WatchStream nearest = lines.nearest();
-    return nearest == null || nearest == line || listAgeMs() > YOUNG_MS;
+    WatchStream nearest = streams.nearest();
+    return nearest == null || nearest == stream || listAgeMs() > YOUNG_MS;
   }
 
   /** False if a part could not be read; the other parts are taken all the same. */
@@ -261,7 +261,7 @@
     boolean changed = false;
     if (response.config != null && response.edition > edition()) {
       try {
-        changed = takeTimetable(response.config, readAs(response.edition, response.config));
+        changed = takeConfig(response.config, readAs(response.edition, response.config));
       } catch (ElmsailException e) {
         whole = false;
       }
@@ -304,7 +304,7 @@
     return read;
   }
 
-  private boolean takeTimetable(byte[] bytes, RoutingConfig read) {
+  private boolean takeConfig(byte[] bytes, RoutingConfig read) {
     if (read.edition() <= edition()) {
       return false;
     }
@@ -319,18 +319,18 @@
         VoterSets.merge(view.storeSet, response.storeSet));
   }
 
-  /** Whether anything of the roster is another now. */
+  /** Whether anything of the view is another now. */
   private boolean take(VoterSet head, VoterSet storeSet) {
     ClusterView merged = new ClusterView();
     merged.head = head;
     merged.storeSet = storeSet;
-    List<List<String>> words = lines.gateways();
-    merged.gateways = words.isEmpty() ? view.gateways : ClusterViews.union(words);
+    List<List<String>> lists = streams.gateways();
+    merged.gateways = lists.isEmpty() ? view.gateways : ClusterViews.union(lists);
     if (ClusterViews.same(view, merged)) {
       return false;
     }
     if (!VoterSets.same(view.head, head)) {
-      timers.soon(() -> lines.choose(view.head));
+      timers.soon(() -> streams.choose(view.head));
     }
     view = merged;
     return true;
--- a/config/src/main/java/elmsail/config/watch/RendezvousHash.java
+++ b/config/src/main/java/elmsail/config/watch/RendezvousHash.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * RendezvousHash hashing: each station ranks the candidates in an order of its own, the same
+ * Rendezvous hashing: each station ranks the candidates in an order of its own, the same
  * everywhere.
  */
 public final class RendezvousHash {
--- a/config/src/main/java/elmsail/config/watch/StoreStatus.java
+++ b/config/src/main/java/elmsail/config/watch/StoreStatus.java
@@ -5,7 +5,7 @@
 /**
  * What a store tells of itself with each pull.
  *
- * @param seated whether it holds a voter slot and has caught up
+ * @param voting whether it holds a voter slot and has caught up
  * @param emptied whether no job needs its disk any more
  * @param storeSet the voter set that it knows
  */
--- a/config/src/main/java/elmsail/config/watch/UpdateSources.java
+++ b/config/src/main/java/elmsail/config/watch/UpdateSources.java
@@ -26,7 +26,7 @@
   private final Timers timers;
   private final Map<String, Held> held = new LinkedHashMap<>();
   private final Map<String, PeerReport> heard = new LinkedHashMap<>();
-  private Function<PullRequest, ClusterView> rosters = request -> new ClusterView();
+  private Function<PullRequest, ClusterView> views = request -> new ClusterView();
   private Runnable whenHeard = () -> {};
   private long edition;
   private byte[] config;
@@ -81,13 +81,13 @@
     return servers != null;
   }
 
-  /** How each asker's roster is made; it may differ by asker (a voter slot to claim). */
-  public void setView(Function<PullRequest, ClusterView> newRosters) {
-    rosters = newRosters;
+  /** How each asker's view is made; it may differ by asker (a voter slot to claim). */
+  public void setView(Function<PullRequest, ClusterView> newViews) {
+    views = newViews;
     viewChanged();
   }
 
-  /** Something in the rosters has changed: whoever waits is told. */
+  /** Something in the views has changed: whoever waits is told. */
   public void viewChanged() {
     viewVersion = Math.max(viewVersion + 1, timers.now());
     changed();
@@ -184,7 +184,7 @@
     response.servers = newerList(request) ? servers : null;
     response.listAgeMs = servers == null ? -1 : Math.max(0, timers.now() - listTakenAt);
     response.viewVersion = viewVersion;
-    response.view = viewVersion != request.viewVersion ? rosters.apply(request) : null;
+    response.view = viewVersion != request.viewVersion ? views.apply(request) : null;
     return response;
   }
 
--- a/config/src/main/java/elmsail/config/watch/WatchStream.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStream.java
@@ -18,8 +18,8 @@
   final long openedAt;
 
   /**
-   * Of this control-plane node's rosters; those of different control-plane nodes, or of its lives,
-   * are not comparable.
+   * Of this control-plane node's views; those of different control-plane nodes, or of its
+   * instances, are not comparable.
    */
   long viewVersion;
 
@@ -53,8 +53,8 @@
   }
 
   /**
-   * Takes this control-plane node's version: if it has gone on without a roster, the next ask
-   * fetches the roster.
+   * Takes this control-plane node's version: if it has gone on without a view, the next ask fetches
+   * the view.
    */
   void heard(PullResponse response, long now) {
     heardAt = now;
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -37,7 +37,7 @@
 
   /** Takes an answer; false if a part of it could not be read. */
   interface Taker {
-    boolean take(WatchStream line, PullResponse response);
+    boolean take(WatchStream stream, PullResponse response);
   }
 
   private final Caller caller;
@@ -48,7 +48,7 @@
   private final List<String> seeds = new ArrayList<>();
   private final Function<WatchStream, PullRequest> asks;
   private final Taker taker;
-  private final Map<String, WatchStream> lines = new LinkedHashMap<>();
+  private final Map<String, WatchStream> streams = new LinkedHashMap<>();
   private final Map<String, Long> heardAt = new LinkedHashMap<>();
   private final Map<String, Long> passedOverUntil = new HashMap<>();
   private long lastHeardAt;
@@ -89,19 +89,19 @@
     }
     long now = timers.now();
     List<String> chosen = chosen(head, now);
-    Iterator<WatchStream> open = lines.values().iterator();
+    Iterator<WatchStream> open = streams.values().iterator();
     while (open.hasNext()) {
-      WatchStream line = open.next();
-      if (!chosen.contains(line.address)) {
-        line.close();
+      WatchStream stream = open.next();
+      if (!chosen.contains(stream.address)) {
+        stream.close();
         open.remove();
       }
     }
     for (String address : chosen) {
-      if (!lines.containsKey(address)) {
-        WatchStream line = new WatchStream(address, now);
-        lines.put(address, line);
-        request(line);
+      if (!streams.containsKey(address)) {
+        WatchStream stream = new WatchStream(address, now);
+        streams.put(address, stream);
+        request(stream);
       }
     }
   }
@@ -112,26 +112,26 @@
    */
   List<List<String>> gateways() {
     List<List<String>> fresh = new ArrayList<>();
-    for (WatchStream line : lines.values()) {
-      if (line.heardAt >= 0 && timers.now() - line.heardAt <= SILENT_MS) {
-        fresh.add(line.gateways);
+    for (WatchStream stream : streams.values()) {
+      if (stream.heardAt >= 0 && timers.now() - stream.heardAt <= SILENT_MS) {
+        fresh.add(stream.gateways);
       }
     }
     return fresh;
   }
 
   /**
-   * The line that whole lists are best taken from, of those heard lately: by how much of the
+   * The stream that whole lists are best taken from, of those heard lately: by how much of the
    * address is this process's own (same machine, same net), then in their order. Null if none was
    * heard lately.
    */
   WatchStream nearest() {
     WatchStream best = null;
     int most = -1;
-    for (WatchStream line : lines.values()) {
-      int near = near(line.address);
-      if (line.heardAt >= 0 && timers.now() - line.heardAt <= LATELY_MS && near > most) {
-        best = line;
+    for (WatchStream stream : streams.values()) {
+      int near = near(stream.address);
+      if (stream.heardAt >= 0 && timers.now() - stream.heardAt <= LATELY_MS && near > most) {
+        best = stream;
         most = near;
       }
     }
@@ -158,7 +158,7 @@
   }
 
   List<String> addresses() {
-    return List.copyOf(lines.keySet());
+    return List.copyOf(streams.keySet());
   }
 
   long failures() {
@@ -167,10 +167,10 @@
 
   void close() {
     closed = true;
-    for (WatchStream line : lines.values()) {
-      line.close();
+    for (WatchStream stream : streams.values()) {
+      stream.close();
     }
-    lines.clear();
+    streams.clear();
   }
 
   private List<String> chosen(VoterSet head, long now) {
@@ -197,56 +197,56 @@
   }
 
   private boolean passedOver(String address, long now) {
-    WatchStream line = lines.get(address);
-    if (line != null && now - line.lastSign() > SILENT_MS) {
+    WatchStream stream = streams.get(address);
+    if (stream != null && now - stream.lastSign() > SILENT_MS) {
       passedOverUntil.put(address, now + PASSED_OVER_MS);
     }
     Long until = passedOverUntil.get(address);
     return until != null && now < until;
   }
 
-  private void request(WatchStream line) {
-    if (closed || !line.open) {
+  private void request(WatchStream stream) {
+    if (closed || !stream.open) {
       return;
     }
     long askedAt = timers.now();
-    line.asked(askedAt);
+    stream.asked(askedAt);
     caller
-        .call(line.address, asks.apply(line), PullResponse.class, CALL_MS)
+        .call(stream.address, asks.apply(stream), PullResponse.class, CALL_MS)
         .whenComplete(
             (response, thrown) -> {
-              if (closed || !line.open) {
+              if (closed || !stream.open) {
                 return;
               }
               // A process that was frozen finds an answer that was true before that.
               boolean inTime = timers.now() - askedAt <= CALL_MS;
-              boolean used = thrown == null && inTime && heard(line, response);
+              boolean used = thrown == null && inTime && heard(stream, response);
               if (!used) {
                 failures++;
               }
-              if (!closed && line.open) {
-                line.next =
+              if (!closed && stream.open) {
+                stream.next =
                     timers.after(
-                        used ? line.afterAnswer(timers.now()) : line.afterFailure(),
-                        () -> request(line));
+                        used ? stream.afterAnswer(timers.now()) : stream.afterFailure(),
+                        () -> request(stream));
               }
             });
   }
 
-  private boolean heard(WatchStream line, PullResponse response) {
+  private boolean heard(WatchStream stream, PullResponse response) {
     long now = timers.now();
-    line.heard(response, now);
+    stream.heard(response, now);
     lastHeardAt = now;
-    passedOverUntil.remove(line.address);
-    heardAt.remove(line.address);
-    heardAt.put(line.address, now);
+    passedOverUntil.remove(stream.address);
+    heardAt.remove(stream.address);
+    heardAt.put(stream.address, now);
     if (heardAt.size() > MOST_REMEMBERED) {
       heardAt.remove(heardAt.keySet().iterator().next());
     }
     try {
-      return taker.take(line, response);
+      return taker.take(stream, response);
     } catch (RuntimeException e) {
-      LOG.error("an answer of {} was not taken whole", line.address, e);
+      LOG.error("an answer of {} was not taken whole", stream.address, e);
       return false;
     }
   }
--- a/consensus/src/main/java/elmsail/consensus/JoinQuorum.java
+++ b/consensus/src/main/java/elmsail/consensus/JoinQuorum.java
@@ -13,7 +13,7 @@
  * <p>A voter slot whose new holder isn't voting yet would otherwise be in the way of a second
  * newcomer for good, if that one's voter slot was lost too: each would wait for the other. In the
  * place of one voting holder, a claim is therefore also acknowledged by one such voter slot's two
- * lives together: its new holder S, and the one R that was voting there right before; and R is
+ * instances together: its new holder S, and the one R that was voting there right before; and R is
  * copied from. Why that is as good, let k be the epoch of R and k + 1 that of S:
  *
  * <ul>
@@ -27,8 +27,8 @@
  *       votes are under voter sets with this claim, so they needn't be copied; the copying makes it
  *       learn of S.
  *   <li>Nobody else voted in the voter slot, nor will: there is no epoch between k and k + 1; of
- *       two lives that claim k only one can be voting, and R was. A rival of S in k + 1, or whoever
- *       claims a later one, that was voting or will be without knowing this claim had
+ *       two instances that claim k only one can be voting, and R was. A rival of S in k + 1, or
+ *       whoever claims a later one, that was voting or will be without knowing this claim had
  *       acknowledgements from N - q + 1 voter slots. So did this claim: N - q of these are voting
  *       holders in the N - 2 voter slots besides both, where the other has N - q at least, and 2 (N
  *       - q) is more than N - 2. One of them thus knew both; it told this newcomer only of S, which
--- a/consensus/src/main/java/elmsail/consensus/Membership.java
+++ b/consensus/src/main/java/elmsail/consensus/Membership.java
@@ -17,7 +17,7 @@
   private final long instanceId;
   private VoterSet voterSet;
 
-  /** The epoch with which this life was founded, or has copied all that it had to; 0: none. */
+  /** The epoch with which this instance was founded, or has copied all that it had to; 0: none. */
   private int caughtUp;
 
   private boolean spare;
@@ -38,13 +38,13 @@
     return instanceId;
   }
 
-  /** Votes: its own life holds a voter slot, and has caught up under just that epoch. */
+  /** Votes: its own instance holds a voter slot, and has caught up under just that epoch. */
   boolean voting() {
     int slot = ownSlot();
     return slot >= 0 && caughtUp > 0 && voterSet.voters.get(slot).epoch == caughtUp;
   }
 
-  /** The voter slot that this life holds or is claiming, or -1. */
+  /** The voter slot that this instance holds or is claiming, or -1. */
   int ownSlot() {
     return VoterSets.ofInstance(voterSet, instanceId);
   }
@@ -70,8 +70,8 @@
   }
 
   /**
-   * The voter slot whose present holder names this life, which was voting there, as the one before;
-   * or -1.
+   * The voter slot whose present holder names this instance, which was voting there, as the one
+   * before; or -1.
    */
   int replacedSlot() {
     if (caughtUp == 0 || ownSlot() >= 0) {
@@ -99,7 +99,7 @@
     return changed;
   }
 
-  /** Whether this life sits by the founding: never voted, so nothing to catch up with. */
+  /** Whether this instance sits by the founding: never voted, so nothing to catch up with. */
   boolean founded() {
     int slot = ownSlot();
     return slot >= 0 && voterSet.voters.get(slot).epoch == 1 && caughtUp == 0;
@@ -119,7 +119,7 @@
     ADOPTED,
     /** The very same claim is known already. */
     KNOWN,
-    /** ClusterState here from now on, but this life isn't voting: see {@link ReplicaJoin}. */
+    /** ClusterState here from now on, but this instance isn't voting: see {@link ReplicaJoin}. */
     NOTED,
     /** Outbid, or this one is in no position to acknowledge. */
     REFUSED
@@ -172,7 +172,7 @@
     return own ? Claimed.REFUSED : votes ? Claimed.ADOPTED : Claimed.NOTED;
   }
 
-  /** This life's own claim of a voter slot: taken over here first, and not voting. */
+  /** This instance's own claim of a voter slot: taken over here first, and not voting. */
   Voter take(int slot, int epoch) {
     Voter holder = new Voter();
     holder.address = address;
@@ -213,7 +213,7 @@
     spare = false;
   }
 
-  /** A voter slot of this place that another life of it held, or -1. */
+  /** A voter slot of this place that another instance of it held, or -1. */
   int lostSlot() {
     return ownSlot() >= 0 ? -1 : VoterSets.ofPlace(voterSet, address, station);
   }
--- a/consensus/src/main/java/elmsail/consensus/RegisterClient.java
+++ b/consensus/src/main/java/elmsail/consensus/RegisterClient.java
@@ -54,7 +54,7 @@
   private long highestRound;
 
   /**
-   * @param who of this client alone, in all processes and lives: drawn at random
+   * @param who of this client alone, in all processes and instances: drawn at random
    * @param ownAddress a replica there is asked first
    * @param distance of an inner address: the lower, the earlier it is asked for bytes
    */
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -47,7 +47,7 @@
    */
   private VoterSet publishedVoterSet;
 
-  /** Reads its records; votes at once if this life was voting when it ended. */
+  /** Reads its records; votes at once if this instance was voting when it ended. */
   public Replica(
       String set,
       RecordStore records,
@@ -83,9 +83,9 @@
   }
 
   /**
-   * The first voter set of all: taken only while nothing is known here and if it names this life at
-   * epoch 1. A life ends with its disk's content, so one that is named so never voted before; it
-   * votes as soon as this is on disk.
+   * The first voter set of all: taken only while nothing is known here and if it names this
+   * instance at epoch 1. An instance ends with its disk's content, so one that is named so never
+   * voted before; it votes as soon as this is on disk.
    */
   public void found(VoterSet founding) {
     int slot = VoterSets.ofInstance(founding, membership.instanceId());
@@ -108,8 +108,8 @@
 
   /**
    * Merged by the higher epoch of each voter slot, on disk before any vote that relies on it. Where
-   * another life of this address or station holds a voter slot, that is claimed; where this life's
-   * voter slot is another's now, it votes no more.
+   * another instance of this address or station holds a voter slot, that is claimed; where this
+   * instance's voter slot is another's now, it votes no more.
    */
   public void learn(VoterSet response) {
     if (membership.learn(response)) {
@@ -188,8 +188,8 @@
   }
 
   /**
-   * Both together: a vote is written behind them, so that a life that voted never takes itself for
-   * new.
+   * Both together: a vote is written behind them, so that an instance that voted never takes itself
+   * for new.
    */
   private CompletableFuture<Void> writeMembership() {
     int caughtUp = membership.caughtUp();
--- a/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaJoin.java
@@ -29,8 +29,8 @@
  *       promised, and a voter votes only under just the voter set that it knows; so a decision's
  *       votes, and the promises before it, were all made under one voter set.
  *   <li>After its acknowledgement a holder refuses all older voter sets. The rest is q - 1 voter
- *       slots, the old life's included: nothing can be decided or promised by a majority under an
- *       older voter set any more. What was, was by a majority of which at least one other voter
+ *       slots, the old instance's included: nothing can be decided or promised by a majority under
+ *       an older voter set any more. What was, was by a majority of which at least one other voter
  *       slot acknowledged, and voted before that; a copy begun after the acknowledgement has that
  *       accept, or a later one, and that promise, or a higher one. So has this voter slot once it
  *       took the highest of both.
@@ -39,16 +39,16 @@
  *   <li>A value that just one holder accepted may be copied. It was a proposal with a majority's
  *       promise, so having it is as harmless as having accepted it; but it isn't a vote: the record
  *       says so ({@code copied}), and such a record doesn't count towards a majority that took it,
- *       as the promises which the lost life made to others may have been known to it alone.
+ *       as the promises which the lost instance made to others may have been known to it alone.
  *   <li>While the copying goes on this voter slot votes on nothing, so whatever is decided then has
  *       its majority among the others; this voter slot is then as one that has missed some
  *       messages. A key's state is one record, taken at once at each holder, and is merged by its
  *       own ballots; pages needn't be of one moment.
- *   <li>If this process ends in the middle, its life and its claim are on its disk, and that it has
- *       caught up is not. It claims the same again, forgets what it copied, and copies anew: an
+ *   <li>If this process ends in the middle, its instance and its claim are on its disk, and that it
+ *       has caught up is not. It claims the same again, forgets what it copied, and copies anew: an
  *       acknowledger may have lost its memory meanwhile, so that nothing copied earlier is relied
  *       on.
- *   <li>An acknowledger that is no longer voting, or answers with another life, makes it start
+ *   <li>An acknowledger that is no longer voting, or answers with another instance, makes it start
  *       over.
  * </ul>
  *
@@ -89,7 +89,8 @@
   }
 
   /**
-   * Goes on with a claim of this life, or claims the voter slot of an earlier life of this place.
+   * Goes on with a claim of this instance, or claims the voter slot of an earlier instance of this
+   * place.
    */
   void consider() {
     int own = membership.ownSlot();
@@ -110,7 +111,7 @@
     }
   }
 
-  /** Takes the voter slot of another life. */
+  /** Takes the voter slot of another instance. */
   void join(int slot, int epoch) {
     VoterSet known = membership.voterSet();
     if (membership.ownSlot() >= 0
--- a/consensus/src/main/java/elmsail/consensus/RestoredReplica.java
+++ b/consensus/src/main/java/elmsail/consensus/RestoredReplica.java
@@ -11,8 +11,8 @@
  * What a data folder holds of one set, read without taking part in it.
  *
  * @param voterSet as known there; without voter slots if nothing is known
- * @param ownSeat the voter slot that this life holds or is claiming, or -1
- * @param caughtUp the epoch with which this life was founded or has copied all; 0: none
+ * @param ownSeat the voter slot that this instance holds or is claiming, or -1
+ * @param caughtUp the epoch with which this instance was founded or has copied all; 0: none
  * @param votes whether a process started on the folder votes at once
  * @param keys in order of their names
  */
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -78,8 +78,8 @@
   }
 
   /**
-   * Whether the voter slot's votes count: a life that is told of in two voter slots has only the
-   * first, else one process would vote twice.
+   * Whether the voter slot's votes count: an instance that is told of in two voter slots has only
+   * the first, else one process would vote twice.
    */
   static boolean counts(VoterSet voterSet, int slot) {
     return ofInstance(voterSet, voterSet.voters.get(slot).instanceId) == slot;
@@ -102,7 +102,7 @@
     return changed;
   }
 
-  /** The voter slot that this life holds or has claimed, or -1. */
+  /** The voter slot that this instance holds or has claimed, or -1. */
   static int ofInstance(VoterSet voterSet, long instanceId) {
     for (int i = 0; i < voterSet.voters.size(); i++) {
       if (voterSet.voters.get(i).instanceId == instanceId) {
--- a/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
+++ b/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
@@ -117,7 +117,7 @@
     return value;
   }
 
-  /** Whether a read has succeeded in this life. */
+  /** Whether a read has succeeded in this instance. */
   boolean read() {
     return read;
   }
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -26,7 +26,7 @@
   /** Role of control-plane nodes in their pulls. */
   static final String ROLE = "controlplane";
 
-  /** On disk: this life began at the first start of the whole system. */
+  /** On disk: this instance began at the first start of the whole system. */
   private static final String BORN = "notary/born";
 
   private final Settings settings;
@@ -77,7 +77,7 @@
     heartbeat.hasDisk = settings.dataDir() != null;
   }
 
-  /** Answers the others only once it is on the disk whether this life may found. */
+  /** Answers the others only once it is on the disk whether this instance may found. */
   void start(RequestHandlers answering) {
     if (born && records.read(BORN) == null) {
       records.write(List.of(new Change(BORN, new byte[] {1}))).thenRun(() -> begin(answering));
@@ -111,7 +111,7 @@
     founding.start(answering);
   }
 
-  /** Whether this life, or the memory of this disk, began at the first start of all. */
+  /** Whether this instance, or the memory of this disk, began at the first start of all. */
   boolean born() {
     return born;
   }
--- a/rpc/src/main/java/elmsail/rpc/messages/HelloResponse.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/HelloResponse.java
@@ -6,7 +6,7 @@
   public String address = "";
   public long instanceId;
 
-  /** Whether this life began at the first start of the whole system, on an empty disk. */
+  /** Whether this instance began at the first start of the whole system, on an empty disk. */
   public boolean firstStart;
 
   public VoterSet voterSet = new VoterSet();
--- a/rpc/src/main/java/elmsail/rpc/messages/JoinRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/JoinRequest.java
@@ -1,7 +1,7 @@
 package elmsail.rpc.messages;
 
 /**
- * A process with a new life, or a new one, takes a voter slot: acknowledged only once it is on
+ * A new process, or a new instance of one, takes a voter slot: acknowledged only once it is on
  * disk.
  */
 public final class JoinRequest {
--- a/rpc/src/main/java/elmsail/rpc/messages/JoinResponse.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/JoinResponse.java
@@ -4,7 +4,7 @@
 public final class JoinResponse {
   public boolean held;
 
-  /** The life that answers. */
+  /** The instance that answers. */
   public long instanceId;
 
   /** Holds no voter slot, but has the claim on its disk, and will vote under no older voter set. */
--- a/rpc/src/main/java/elmsail/rpc/messages/StateTransferResponse.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/StateTransferResponse.java
@@ -12,6 +12,6 @@
   public boolean end;
   public boolean voting;
 
-  /** The life that answers: another one than that which acknowledged the claim is no source. */
+  /** The instance that answers: another one than that which acknowledged the claim is no source. */
   public long instanceId;
 }
