--- a/app/src/test/java/elmsail/app/CheckMainTest.java
+++ b/app/src/test/java/elmsail/app/CheckMainTest.java
@@ -14,7 +14,7 @@
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import elmsail.storage.DirectoryRecordStore;
 import elmsail.storage.RecordStore.Change;
 import java.io.ByteArrayOutputStream;
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -14,7 +14,7 @@
 import elmsail.batch.messages.TokenCount;
 import elmsail.batch.store.JobRetention;
 import elmsail.rpc.messages.OpaqueMessage;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -12,7 +12,7 @@
 import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import elmsail.simulation.Node;
 import elmsail.simulation.SimDisk;
 import elmsail.simulation.SimNet;
--- a/batch/src/test/java/elmsail/batch/SimServers.java
+++ b/batch/src/test/java/elmsail/batch/SimServers.java
@@ -1,7 +1,7 @@
 package elmsail.batch;
 
 import elmsail.config.Route;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/config/src/test/java/elmsail/config/PlatformClientTest.java
+++ b/config/src/test/java/elmsail/config/PlatformClientTest.java
@@ -8,9 +8,9 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ManualTimers;
 import elmsail.runtime.http.HttpClient;
 import elmsail.runtime.http.HttpReply;
-import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/config/src/test/java/elmsail/config/watch/Links.java
+++ b/config/src/test/java/elmsail/config/watch/Links.java
@@ -5,7 +5,7 @@
 import elmsail.rpc.messages.PullResponse;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/config/src/test/java/elmsail/config/watch/UpdateSourcesTest.java
+++ b/config/src/test/java/elmsail/config/watch/UpdateSourcesTest.java
@@ -11,7 +11,7 @@
 import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/consensus/src/test/java/elmsail/consensus/SimSet.java
+++ b/consensus/src/test/java/elmsail/consensus/SimSet.java
@@ -3,7 +3,7 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import elmsail.simulation.Node;
 import elmsail.simulation.SimDisk;
 import elmsail.simulation.SimNet;
--- a/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
+++ b/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
@@ -5,7 +5,7 @@
 import elmsail.rpc.messages.Blob;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
--- a/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/LeaseTest.java
@@ -5,7 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
--- a/controlplane/src/test/java/elmsail/controlplane/QuorumContactTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/QuorumContactTest.java
@@ -6,7 +6,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
-import elmsail.simulation.ManualTimers;
+import elmsail.runtime.ManualTimers;
 import org.junit.jupiter.api.Test;
 
 class QuorumContactTest {
--- a/rpc/src/test/java/elmsail/rpc/World.java
+++ b/rpc/src/test/java/elmsail/rpc/World.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.fail;
 
+import elmsail.runtime.ManualTimers;
 import io.netty.channel.ManualIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +15,7 @@
 
   final ManualIoEventLoop loop =
       new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
-  final MovedTimers timers = new MovedTimers();
+  final ManualTimers timers = new ManualTimers();
 
   RpcEndpoint links() {
     RpcEndpoint links = new RpcEndpoint(loop, timers, "127.0.0.1:0");
--- a/runtime/src/main/java/elmsail/runtime/Timers.java
+++ b/runtime/src/main/java/elmsail/runtime/Timers.java
@@ -1,8 +1,6 @@
 package elmsail.runtime;
 
-/**
- * The loop's clock and timers; tests move them by hand ({@code elmsail.simulation.ManualTimers}).
- */
+/** The loop's clock and timers; tests move them by hand ({@code ManualTimers}). */
 public interface Timers extends SteadyClock {
 
   /** Runs once, in so many ms, on the loop; a negative time counts as 0. */
--- a/runtime/src/test/java/elmsail/runtime/CountersTest.java
+++ b/runtime/src/test/java/elmsail/runtime/CountersTest.java
@@ -10,7 +10,7 @@
 
   @Test
   void tellsThoseThatChanged() {
-    MovedClock clock = new MovedClock();
+    ManualTimers clock = new ManualTimers();
     Counters counters = new Counters(clock);
     Counters.Counter calls = counters.of("calls");
     calls.add(3);
--- a/runtime/src/test/java/elmsail/runtime/ManualTimers.java
+++ b/runtime/src/test/java/elmsail/runtime/ManualTimers.java
@@ -1,10 +1,10 @@
-package elmsail.simulation;
+package elmsail.runtime;
 
-import elmsail.runtime.Timers;
 import java.util.PriorityQueue;
 
 /**
  * A clock that stands still until it is moved, and timers that go off as it passes them, in order.
+ * Published with this module's tests for those of the other modules.
  */
 public final class ManualTimers implements Timers {
 
@@ -47,6 +47,17 @@
     now = end;
   }
 
+  /** Moves the clock at one go: what fell due on the way runs late, at the end. */
+  public void jump(long ms) {
+    now += ms;
+    pass(0);
+  }
+
+  /** How many timers are set. */
+  public int waiting() {
+    return due.size();
+  }
+
   /** Runs the next thing due, moving the clock to it; false if there is none. */
   public boolean step() {
     Due next = due.poll();
--- a/runtime/src/test/java/elmsail/runtime/ProcessSignalsTest.java
+++ b/runtime/src/test/java/elmsail/runtime/ProcessSignalsTest.java
@@ -17,7 +17,7 @@
 class ProcessSignalsTest {
 
   @TempDir private Path folder;
-  private final MovedClock clock = new MovedClock();
+  private final ManualTimers clock = new ManualTimers();
   private final List<Integer> borne = new ArrayList<>();
   private int terms;
   private Path file;
--- a/runtime/src/test/java/elmsail/runtime/http/CutCallTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/CutCallTest.java
@@ -6,7 +6,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
-import elmsail.runtime.MovedClock;
+import elmsail.runtime.ManualTimers;
 import elmsail.runtime.NettyLoop;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -109,7 +109,7 @@
       EmbeddedChannel channel = new EmbeddedChannel();
       HttpServerConnection.pipeline(
           channel,
-          new MovedClock(),
+          new ManualTimers(),
           given -> {
             calls.incrementAndGet();
             return new CompletableFuture<>();
--- a/runtime/src/test/java/elmsail/runtime/http/ServedTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/ServedTest.java
@@ -9,7 +9,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
-import elmsail.runtime.MovedClock;
+import elmsail.runtime.ManualTimers;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -25,7 +25,7 @@
 
   private static final int MOST_BODY = 20;
 
-  private final MovedClock clock = new MovedClock();
+  private final ManualTimers clock = new ManualTimers();
   private final List<HttpCall> calls = new ArrayList<>();
   private final List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
   private final EmbeddedChannel channel = new EmbeddedChannel();
--- a/simulation/src/main/java/elmsail/simulation/SimDisk.java
+++ b/simulation/src/main/java/elmsail/simulation/SimDisk.java
@@ -2,6 +2,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ManualTimers;
 import elmsail.runtime.Timers;
 import elmsail.storage.RecordStore;
 import java.util.ArrayList;
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -3,6 +3,7 @@
 import elmsail.rpc.Codec;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ManualTimers;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/simulation/src/test/java/elmsail/simulation/SimDiskTest.java
+++ b/simulation/src/test/java/elmsail/simulation/SimDiskTest.java
@@ -15,6 +15,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ManualTimers;
 import elmsail.storage.RecordStore.Change;
 import java.util.ArrayList;
 import java.util.List;
--- a/simulation/src/test/java/elmsail/simulation/SimNetTest.java
+++ b/simulation/src/test/java/elmsail/simulation/SimNetTest.java
@@ -13,6 +13,7 @@
 import elmsail.rpc.messages.OpaqueMessage;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ManualTimers;
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.List;
