--- a/gateway/src/test/java/elmsail/gateway/ClientRulesTest.java
+++ b/gateway/src/test/java/elmsail/gateway/ClientRulesTest.java
@@ -86,8 +86,7 @@
             .write(
                 Rig.requestText("unsafe", "a1", DEADLINE + ": 4000")
                     + Rig.requestText("unsafe", "a2", DEADLINE + ": 4000"));
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     rig.timers.pass(3_000);
     rig.onLoop(() -> null); // before the answer comes
     server.write(Rig.answer(200, "a1", "x", "Elmsail-Postmark: p", "Connection: close"));
@@ -135,8 +134,7 @@
                 Rig.requestText(route, "a1")
                     + Rig.requestText(route, "a2")
                     + Rig.requestText(route, "a3"));
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     client.close();
     assertThat(server.ended(), is(true));
     assertThat("the others are not sent", rig.first.alone(), is(true));
@@ -147,8 +145,7 @@
   @ValueSource(strings = {"safe", "stream", "resume"})
   void aClientThatEndsItsSideHasLeft(String route) {
     Wire client = rig.request(route, "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     client.endSending();
     assertThat(server.ended(), is(true));
   }
@@ -158,8 +155,7 @@
   void aStreamThatItsClientLeftIsNotTakenUpElsewhere() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     client.head();
     client.chunk();
@@ -176,8 +172,7 @@
   @CsvSource({"unsafe, 504", "safe, 504", "stream, 504"})
   void whatIsSilentAtTheRoutesTimeIsAnswered(String route, int status) {
     Wire client = rig.request(route, "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     rig.timers.pass(GIVE_UP_MS);
     assertThat(client.message().status(), is(status));
     assertThat(server.ended(), is(true));
@@ -188,8 +183,7 @@
   @ValueSource(strings = {"stream", "resume"})
   void aStreamUnderWayAtTheRoutesTimeIsCut(String route) {
     Wire client = rig.request(route, "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     client.head();
     client.chunk();
@@ -249,8 +243,7 @@
   @CsvSource({"Elmsail-Not-Run: 1, 503", "X-None: 1, 502"})
   void anAnswerOfOurOwnBearsNoStamp(String header, int status) {
     Wire client = rig.request("once", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.answer(429, "a1", "why", "Elmsail-Postmark: p", header));
     Message response = client.message();
     assertThat(response.status(), is(status));
@@ -263,8 +256,7 @@
   @ValueSource(ints = {500, 422, 504, 400})
   void aFailureOfAServerKeepsItsStatusAndStamp(int status) {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.answer(status, "a1", "why", "Elmsail-Postmark: p", "Versions: 4"));
     Message response = client.message();
     assertThat(response.status(), is(status));
@@ -277,8 +269,7 @@
   void versionsPassAndAResumedStreamKeepsItsFirstHead() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     String event = "versions: 8\nid: 0\ndata: e0\n\n";
     server
         .write(Rig.streamHead("a1", "p-1").replace("\r\n\r\n", "\r\nVersions: 7\r\n\r\n"))
--- a/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
+++ b/gateway/src/test/java/elmsail/gateway/RequestForwarderTest.java
@@ -70,8 +70,7 @@
   @Test
   void connectionsOfBothSidesAreKept() throws Exception {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.answer(200, "a1", "one", "Elmsail-Postmark: p", "Keep-Alive: timeout=9"));
     assertThat(client.message().body(), is("one"));
     rig.timers.pass(100);
@@ -101,8 +100,7 @@
   @Test
   void eventsPassAsTheyCome() {
     Wire client = rig.request("stream", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     assertThat(client.head().header("Elmsail-Postmark"), is("p"));
     assertThat(client.chunk(), is(Rig.event(0)));
@@ -117,8 +115,7 @@
   void whatDidNotRunGoesToAnotherServer(int status) throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(status == 421 ? Rig.answer(421, "a1", "") : Rig.notRun(status, "a1"));
     Wire other = rig.second.accept();
     assertThat(other.message().header("Elmsail-Expect-Server"), is("i-1"));
@@ -150,8 +147,7 @@
   void whatMayHaveRunIsNeitherRepeatedNorRefused() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.reset();
     assertThat(client.message().status(), is(502));
     assertThat(rig.second.alone(), is(true));
@@ -162,8 +158,7 @@
   void aPromiseThatTheServerDidNotGiveIsNotPassedOn(int status) throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.answer(status, "a1", ""));
     assertThat(client.message().status(), is(502));
     assertThat(rig.second.alone(), is(true));
@@ -173,14 +168,12 @@
   void safeRequestsAreRepeated() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("safe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(
         "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
             + "Content-Length: 9\r\n\r\n12");
     server.reset();
-    Wire other = rig.second.accept();
-    other.message();
+    Wire other = rig.second.acceptRequest();
     other.write(Rig.good("a1", "whole"));
     assertThat(client.message().body(), is("whole"));
   }
@@ -189,8 +182,7 @@
   @ValueSource(ints = {500, 422, 504, 400, 404})
   void theServersOwnStatusesPass(int status) {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.answer(status, "a1", "why", "Elmsail-Postmark: p"));
     Message response = client.message();
     assertThat(response.status(), is(status));
@@ -211,8 +203,7 @@
       })
   void whatIsNoAnswerIsNotPassedOn(String bytes) {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(bytes);
     assertThat(client.message().status(), is(502));
     assertThat(server.ended(), is(true));
@@ -221,14 +212,12 @@
   @Test
   void bytesBehindAnAnswerEndTheConnection() throws Exception {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.good("a1", "x") + Rig.good("a1", "extra"));
     assertThat(client.message().body(), is("x"));
     assertThat(server.ended(), is(true));
     client.write(Rig.requestText("unsafe", "a2"));
-    Wire next = rig.first.accept();
-    next.message();
+    Wire next = rig.first.acceptRequest();
     next.write(Rig.good("a2", "right"));
     assertThat(client.message().body(), is("right"));
   }
@@ -236,8 +225,7 @@
   @Test
   void anExtraAnswerOnAnIdleConnectionEndsIt() {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.good("a1", "x"));
     assertThat(client.message().body(), is("x"));
     server.write("HT");
@@ -247,8 +235,7 @@
   @Test
   void aCutStreamNeverLooksComplete() {
     Wire client = rig.request("stream", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     client.head();
     assertThat(client.chunk(), is(Rig.event(0)));
@@ -260,8 +247,7 @@
   void aCutStreamGoesOnAtAnotherServerWithinOneAnswer() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server
         .write(Rig.streamHead("a1", "p-first"))
         .write(Rig.chunk(Rig.event(0) + Rig.event(1) + "id: 2\ndata: ha"));
@@ -283,14 +269,12 @@
   void aRunThatDoesNotGoOnWhereItShouldIsNotJoined() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     client.head();
     client.chunk();
     server.reset();
-    Wire other = rig.second.accept();
-    other.message();
+    Wire other = rig.second.acceptRequest();
     other.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     assertThat(client.chunk(), is(nullValue()));
     assertThat(other.ended(), is(true));
@@ -300,8 +284,7 @@
   void aStreamWithoutAnEventYetRunsAnewWhereItMay() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p-first")).write(Rig.chunk("id: 0\nda"));
     server.reset();
     Wire other = rig.second.accept();
@@ -315,8 +298,7 @@
   @Test
   void aClientThatLeavesEndsTheRunAtItsServer() {
     Wire client = rig.request("stream", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     client.close();
     assertThat(server.ended(), is(true));
   }
@@ -324,8 +306,7 @@
   @Test
   void atTheEndOfItsTimeWhatWasSentIsAnsweredAsSuch() {
     Wire client = rig.request("unsafe", "a1", "Elmsail-Deadline-Ms: 4000");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     rig.timers.pass(4_000);
     assertThat(client.message().status(), is(504));
     assertThat(server.ended(), is(true));
@@ -345,8 +326,7 @@
   @Test
   void aServerThatLeavesGetsNothingNewAndItsIdleConnectionsEnd() throws Exception {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.good("a1", "x"));
     client.message();
     rig.list(List.of());
@@ -360,8 +340,7 @@
   @Test
   void whatRunsAtALeavingServerGoesOn() throws Exception {
     Wire client = rig.request("unsafe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     rig.list(List.of());
     server.write(Rig.good("a1", "x"));
     assertThat(client.message().body(), is("x"));
@@ -372,8 +351,7 @@
   void whatMayBeRepeatedLeavesAServerThatHasGoneDark() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     client.head();
     client.chunk();
@@ -392,8 +370,7 @@
   void whatMayNotBeRepeatedStaysWithASilentServer() throws Exception {
     rig.serve(rig.first, rig.second);
     Wire client = rig.request("stream", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     for (int i = 0; i < 6; i++) {
       rig.timers.pass(210);
     }
@@ -405,8 +382,7 @@
   @Test
   void afterASilenceANewConnectionIsTriedBeforeAnythingIsSent() throws Exception {
     Wire client = rig.request("unsafe", "a1", "Elmsail-Deadline-Ms: 4000");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     rig.timers.pass(4_000);
     assertThat(client.message().status(), is(504));
     client.write(Rig.requestText("unsafe", "a2"));
@@ -419,8 +395,7 @@
   @Test
   void aStreamOfAnotherTypePassesAsItComes() {
     Wire client = rig.request("resume", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server
         .write(Rig.streamHead("a1", "p").replace("text/event-stream", "text/plain"))
         .write(Rig.chunk("ab"));
@@ -433,8 +408,7 @@
   @Test
   void aLongAnswerPassesBeforeItIsWhole() {
     Wire client = rig.request("safe", "a1");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     String half = "x".repeat(40_000);
     server.write(
         "HTTP/1.1 200 OK\r\nElmsail-Request-Id: a1\r\nElmsail-Postmark: p\r\n"
@@ -463,8 +437,7 @@
   @Test
   void aStreamIsCutAtTheEndOfItsTime() {
     Wire client = rig.request("stream", "a1", "Elmsail-Deadline-Ms: 4000");
-    Wire server = rig.first.accept();
-    server.message();
+    Wire server = rig.first.acceptRequest();
     server.write(Rig.streamHead("a1", "p")).write(Rig.chunk(Rig.event(0)));
     client.head();
     client.chunk();
--- a/gateway/src/test/java/elmsail/gateway/Wire.java
+++ b/gateway/src/test/java/elmsail/gateway/Wire.java
@@ -77,6 +77,13 @@
       }
     }
 
+    /** The next connection, with the request on it read whole. */
+    public Wire acceptRequest() {
+      Wire server = accept();
+      server.message();
+      return server;
+    }
+
     /** Connections accepted from here on take few bytes that are not read yet. */
     public void takeFewBytesAhead() {
       try {
