--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -6,6 +6,7 @@
 import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.BatchMessageTypes;
 import elmsail.batch.messages.JobBody;
+import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.TokenCount;
 import elmsail.batch.run.JobRunner;
@@ -91,13 +92,14 @@
     wanted =
         new JobRecord(
             1,
-            route.name(),
-            route.host(),
-            context.known().config().edition(),
-            route.runDueMs(),
-            route.shelfMs(),
-            body.name,
-            items,
+            new JobDescription(
+                route.name(),
+                route.host(),
+                context.known().config().edition(),
+                route.runDueMs(),
+                route.shelfMs(),
+                body.name,
+                items),
             List.of(),
             false,
             context.self(),
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -12,11 +12,7 @@
  * value: each change gives a new one with the next version.
  *
  * @param version 1 at the acceptance, up by one with each change
- * @param route the name of the route that it was handed in on, on which its tokens are counted
- * @param edition the configuration's, at the acceptance: an older one says nothing of its routes
- * @param runDueMs ms after the acceptance; results are due
- * @param shelfMs ms after the acceptance; then items may be given up
- * @param body the name of the blob that holds its batchItems
+ * @param description what stays as it was accepted
  * @param results in the order of their positions, for ever
  * @param ended whether its client has ended it
  * @param runner the inner address of the gateway that runs it
@@ -27,13 +23,7 @@
  */
 public record JobRecord(
     long version,
-    String route,
-    String host,
-    long edition,
-    long runDueMs,
-    long shelfMs,
-    String body,
-    List<Item> items,
+    JobDescription description,
     List<Result> results,
     boolean ended,
     String runner,
@@ -47,21 +37,13 @@
   /** A record of a job of which no item has failed. */
   public JobRecord(
       long version,
-      String route,
-      String host,
-      long edition,
-      long runDueMs,
-      long shelfMs,
-      String body,
-      List<Item> items,
+      JobDescription description,
       List<Result> results,
       boolean ended,
       String runner,
       long term,
       long ageMs) {
-    this(
-        version, route, host, edition, runDueMs, shelfMs, body, items, results, ended, runner, term,
-        ageMs, List.of());
+    this(version, description, results, ended, runner, term, ageMs, List.of());
   }
 
   /** An item's id and the tokens it waits with. */
@@ -98,9 +80,44 @@
     return "lot/" + jobId;
   }
 
+  /** The name of the route that it was handed in on. */
+  public String route() {
+    return description.route();
+  }
+
+  /** The host of that route. */
+  public String host() {
+    return description.host();
+  }
+
+  /** The configuration's version at the acceptance. */
+  public long edition() {
+    return description.edition();
+  }
+
+  /** In so many ms after the acceptance results are due. */
+  public long runDueMs() {
+    return description.runDueMs();
+  }
+
+  /** So many ms after the acceptance items may be given up. */
+  public long shelfMs() {
+    return description.shelfMs();
+  }
+
+  /** The name of the blob that holds its items' requests. */
+  public String body() {
+    return description.body();
+  }
+
+  /** Its items, in the order of the client's. */
+  public List<Item> items() {
+    return description.items();
+  }
+
   /** Whether every item has a result. */
   public boolean complete() {
-    return results.size() >= items.size();
+    return results.size() >= items().size();
   }
 
   /** Whether items of it are to be run. */
@@ -110,7 +127,7 @@
 
   /** The indexes of the items that have a result. */
   public BitSet listed() {
-    BitSet listed = new BitSet(items.size());
+    BitSet listed = new BitSet(items().size());
     for (Result one : results) {
       listed.set(one.index());
     }
@@ -124,8 +141,8 @@
     }
     BitSet listed = listed();
     long sum = 0;
-    for (int i = 0; i < items.size(); i++) {
-      sum += listed.get(i) ? 0 : items.get(i).tokens();
+    for (int i = 0; i < items().size(); i++) {
+      sum += listed.get(i) ? 0 : items().get(i).tokens();
     }
     return sum;
   }
@@ -139,7 +156,7 @@
     BitSet listed = listed();
     List<Result> all = new ArrayList<>(results);
     for (Result one : more) {
-      if (one.index() >= 0 && one.index() < items.size() && !listed.get(one.index())) {
+      if (one.index() >= 0 && one.index() < items().size() && !listed.get(one.index())) {
         listed.set(one.index());
         all.add(one);
       }
@@ -194,21 +211,7 @@
       long term,
       long ageMs,
       List<FailureCount> failures) {
-    return new JobRecord(
-        version + 1,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        items,
-        results,
-        ended,
-        runner,
-        term,
-        ageMs,
-        failures);
+    return new JobRecord(version + 1, description, results, ended, runner, term, ageMs, failures);
   }
 
   /** The bytes that {@link #unpacked} reads; the first number is the version of this format. */
@@ -217,18 +220,18 @@
         new ByteWriter()
             .number(FORMAT)
             .number(version)
-            .text(route)
-            .text(host)
-            .number(edition)
-            .number(runDueMs)
-            .number(shelfMs)
-            .text(body)
+            .text(route())
+            .text(host())
+            .number(edition())
+            .number(runDueMs())
+            .number(shelfMs())
+            .text(body())
             .flag(ended)
             .text(runner)
             .number(term)
             .number(ageMs);
-    to.number(items.size());
-    for (Item item : items) {
+    to.number(items().size());
+    for (Item item : items()) {
       to.text(item.id()).number(item.tokens());
     }
     to.number(results.size());
@@ -277,13 +280,7 @@
     }
     return new JobRecord(
         version,
-        route,
-        host,
-        edition,
-        runDueMs,
-        shelfMs,
-        body,
-        List.copyOf(items),
+        new JobDescription(route, host, edition, runDueMs, shelfMs, body, List.copyOf(items)),
         List.copyOf(results),
         ended,
         runner,
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -10,6 +10,7 @@
 import elmsail.batch.messages.ByteReader;
 import elmsail.batch.messages.ByteWriter;
 import elmsail.batch.messages.HeartbeatMessage;
+import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.TokenCount;
 import elmsail.batch.store.JobRetention;
@@ -29,13 +30,14 @@
   private static JobRecord record(long tokens) {
     return new JobRecord(
         1,
-        "r",
-        "h",
-        1,
-        10_000,
-        60_000,
-        "body-1",
-        List.of(new JobRecord.Item("i0", tokens), new JobRecord.Item("i1", tokens)),
+        new JobDescription(
+            "r",
+            "h",
+            1,
+            10_000,
+            60_000,
+            "body-1",
+            List.of(new JobRecord.Item("i0", tokens), new JobRecord.Item("i1", tokens))),
         List.of(),
         false,
         "door",
--- a/batch/src/test/java/elmsail/batch/MessageCodecTest.java
+++ b/batch/src/test/java/elmsail/batch/MessageCodecTest.java
@@ -9,6 +9,7 @@
 import elmsail.batch.messages.ByteReader;
 import elmsail.batch.messages.ByteWriter;
 import elmsail.batch.messages.JobBody;
+import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.JobRequestReader;
 import elmsail.runtime.ElmsailException;
@@ -16,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -81,23 +83,28 @@
     }
   }
 
-  @Test
-  void aRecordIsTheSameOncePackedAndUnpacked() {
-    JobRecord record =
-        new JobRecord(
-            3,
+  private static JobRecord wholeRecord(List<JobRecord.FailureCount> failures) {
+    return new JobRecord(
+        3,
+        new JobDescription(
             "r",
             "h.example",
             5,
             10_000,
             60_000,
             "body-7",
-            List.of(new JobRecord.Item("a", 1L << 39), new JobRecord.Item("ü", 0)),
-            List.of(new JobRecord.Result(1, true, 2, 77)),
-            true,
-            "10.0.0.1:7",
-            2,
-            1_234);
+            List.of(new JobRecord.Item("a", 1L << 39), new JobRecord.Item("ü", 0))),
+        List.of(new JobRecord.Result(1, true, 2, 77)),
+        true,
+        "10.0.0.1:7",
+        2,
+        1_234,
+        failures);
+  }
+
+  @Test
+  void aRecordIsTheSameOncePackedAndUnpacked() {
+    JobRecord record = wholeRecord(List.of());
     assertThat(JobRecord.unpacked(record.packed()), is(record));
     byte[] packed = record.packed();
     for (int cut = 0; cut < packed.length; cut++) {
@@ -108,12 +115,26 @@
     }
   }
 
+  /** What stores have on disk is read by later programs: a record's bytes stay as they are. */
+  @Test
+  void aRecordsBytesAreThoseOfItsFormat() {
+    JobRecord record = wholeRecord(List.of(new JobRecord.FailureCount(0, 2)));
+    byte[] bytes =
+        HexFormat.of()
+            .parseHex(
+                "0203017209682e6578616d706c6505904ee0d40306626f64792d37010a31302e302e302e313a37"
+                    + "02d20902016180808080801002c3bc00010101024d010002");
+    assertThat(record.packed(), is(bytes));
+    assertThat(JobRecord.unpacked(bytes), is(record));
+  }
+
   private static JobRecord threeItems() {
     List<JobRecord.Item> items = new ArrayList<>();
     for (String id : List.of("a", "b", "c")) {
       items.add(new JobRecord.Item(id, 5));
     }
-    return new JobRecord(1, "r", "h", 1, 1, 1, "b", items, List.of(), false, "d", 1, 0);
+    return new JobRecord(
+        1, new JobDescription("r", "h", 1, 1, 1, "b", items), List.of(), false, "d", 1, 0);
   }
 
   @Test
@@ -150,13 +171,14 @@
     JobRecord record =
         new JobRecord(
             1,
-            "r",
-            "h",
-            1,
-            1,
-            1,
-            "b",
-            List.of(new JobRecord.Item("a", 5), new JobRecord.Item("b", 7)),
+            new JobDescription(
+                "r",
+                "h",
+                1,
+                1,
+                1,
+                "b",
+                List.of(new JobRecord.Item("a", 5), new JobRecord.Item("b", 7))),
             List.of(),
             false,
             "d",
