--- a/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/EventSplitter.java
@@ -29,16 +29,16 @@
     this.sink = sink;
   }
 
-  /** Takes and releases the piece; false where an event is too long or the sink wants no more. */
-  boolean feed(ByteBuf piece) {
+  /** Takes and releases the bytes; false where an event is too long or the sink wants no more. */
+  boolean feed(ByteBuf bytes) {
     ByteBuf all;
     if (rest.isReadable()) {
-      all = Unpooled.buffer(rest.readableBytes() + piece.readableBytes());
-      all.writeBytes(rest).writeBytes(piece);
+      all = Unpooled.buffer(rest.readableBytes() + bytes.readableBytes());
+      all.writeBytes(rest).writeBytes(bytes);
       rest.release();
-      piece.release();
+      bytes.release();
     } else {
-      all = piece;
+      all = bytes;
     }
     rest = Unpooled.EMPTY_BUFFER;
     try {
@@ -75,13 +75,13 @@
     boolean lineBegun = false;
     int to = in.writerIndex();
     for (int i = in.readerIndex(); i < to; i++) {
-      byte letter = in.getByte(i);
-      if (letter != '\n' && letter != '\r') {
+      byte character = in.getByte(i);
+      if (character != '\n' && character != '\r') {
         lineBegun = true;
         continue;
       }
       int next = i + 1;
-      if (letter == '\r') {
+      if (character == '\r') {
         if (next == to) {
           return -1; // a line feed may follow
         }
--- a/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Outcome.java
@@ -1,6 +1,6 @@
 package elmsail.gateway.requests;
 
-/** What one try at a server came to. */
+/** What one attempt at a server came to. */
 public enum Outcome {
   /** No byte of it left. */
   UNSENT(false, false),
@@ -61,7 +61,8 @@
   }
 
   /**
-   * The status of our own where nothing was passed on: of all the tries, whether one may have run.
+   * The status of our own where nothing was passed on: of all the attempts, whether one may have
+   * run.
    */
   public static int ownStatus(boolean anyMayHaveRun, boolean timeOver) {
     if (!anyMayHaveRun) {
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -14,95 +14,97 @@
  * wrong.
  */
 public final class RequestDispatcher {
-  private static final String LOTS = "/lots/";
-  private static final String ITEMS = "/items/";
+  private static final String JOBS_PATH = "/lots/";
+  private static final String ITEMS_PATH = "/items/";
   private static final long MOST_WAIT_MS = 5_000;
 
   /** Where neither the client nor the route tells a time. */
   private static final long MOST_MS = 600_000;
 
-  private final RequestProgress course;
+  private final RequestProgress context;
   private final BatchCalls jobs;
 
   /** Passes batch calls to {@code jobs} and forwards all others. */
-  public RequestDispatcher(RequestProgress course, BatchCalls jobs) {
-    this.course = course;
+  public RequestDispatcher(RequestProgress context, BatchCalls jobs) {
+    this.context = context;
     this.jobs = jobs;
   }
 
   /** Takes the request; it is answered once, now or later. */
-  public RequestHandle take(RequestLine asked, ResponseSink client) {
-    RoutingConfig now = course.known().config();
-    String host = asked.headers().get("Host");
-    if (host == null || host.isEmpty() || asked.headers().getAll("Host").size() > 1) {
-      return own(client, 400, null, RequestCounters.Event.BAD_REQUEST);
+  public RequestHandle take(RequestLine request, ResponseSink client) {
+    RoutingConfig now = context.known().config();
+    String host = request.headers().get("Host");
+    if (host == null || host.isEmpty() || request.headers().getAll("Host").size() > 1) {
+      return answer(client, 400, null, RequestCounters.Event.BAD_REQUEST);
     }
     if (now == null) {
-      return own(
+      return answer(
           client,
           503,
-          asked.headers().get(Headers.REQUEST_ID),
+          request.headers().get(Headers.REQUEST_ID),
           RequestCounters.Event.REFUSED_NO_CONFIGURATION);
     }
-    String path = asked.path();
-    if (path.startsWith(LOTS)) {
-      return aboutLot(asked, path.substring(LOTS.length()), client);
+    String path = request.path();
+    if (path.startsWith(JOBS_PATH)) {
+      return jobCall(request, path.substring(JOBS_PATH.length()), client);
     }
-    if (path.startsWith(ITEMS) && asked.method().equals("GET")) {
-      course.counters().count(RequestCounters.Event.LOT_CALL);
-      return response(jobs.item(path.substring(ITEMS.length()), parameter(asked, "id")), client);
+    if (path.startsWith(ITEMS_PATH) && request.method().equals("GET")) {
+      context.counters().count(RequestCounters.Event.LOT_CALL);
+      return response(
+          jobs.item(path.substring(ITEMS_PATH.length()), parameter(request, "id")), client);
     }
     Route route = now.find(host, path);
-    String id = asked.headers().get(Headers.REQUEST_ID);
+    String id = request.headers().get(Headers.REQUEST_ID);
     if (route == null) {
-      return own(client, 404, id, RequestCounters.Event.NO_ROUTE);
+      return answer(client, 404, id, RequestCounters.Event.NO_ROUTE);
     }
-    if (id == null || id.isEmpty() || asked.headers().getAll(Headers.REQUEST_ID).size() > 1) {
-      return own(client, 400, null, RequestCounters.Event.BAD_REQUEST);
+    if (id == null || id.isEmpty() || request.headers().getAll(Headers.REQUEST_ID).size() > 1) {
+      return answer(client, 400, null, RequestCounters.Event.BAD_REQUEST);
     }
-    long endsAt = asked.arrivedMs() + time(asked, route);
+    long endsAt = request.arrivedMs() + time(request, route);
     if (route.kind() == Route.Kind.SACK) {
-      return submit(asked, route, id, endsAt, client);
+      return submit(request, route, id, endsAt, client);
     }
-    RequestForwarder forward = new RequestForwarder(course, route, asked, id, endsAt, client);
-    forward.start();
-    return forward;
+    RequestForwarder forwarder = new RequestForwarder(context, route, request, id, endsAt, client);
+    forwarder.start();
+    return forwarder;
   }
 
-  private static long time(RequestLine asked, Route route) {
+  private static long time(RequestLine request, Route route) {
     long most = route.giveUpMs() > 0 ? route.giveUpMs() : MOST_MS;
-    return Math.min(most, Headers.number(asked.headers().get(Headers.DEADLINE_MS), most));
+    return Math.min(most, Headers.number(request.headers().get(Headers.DEADLINE_MS), most));
   }
 
   private RequestHandle submit(
-      RequestLine asked, Route route, String id, long endsAt, ResponseSink client) {
-    if (!asked.method().equals("POST")) {
-      return own(client, 405, id, RequestCounters.Event.BAD_REQUEST);
+      RequestLine request, Route route, String id, long endsAt, ResponseSink client) {
+    if (!request.method().equals("POST")) {
+      return answer(client, 405, id, RequestCounters.Event.BAD_REQUEST);
     }
-    course.counters().count(RequestCounters.Event.LOT_CALL);
-    long left = Math.max(1, endsAt - course.timers().now());
-    return response(jobs.submit(route, id, asked.body(), left), client);
+    context.counters().count(RequestCounters.Event.LOT_CALL);
+    long left = Math.max(1, endsAt - context.timers().now());
+    return response(jobs.submit(route, id, request.body(), left), client);
   }
 
-  private RequestHandle aboutLot(RequestLine asked, String job, ResponseSink client) {
-    course.counters().count(RequestCounters.Event.LOT_CALL);
-    switch (asked.method()) {
+  private RequestHandle jobCall(RequestLine request, String job, ResponseSink client) {
+    context.counters().count(RequestCounters.Event.LOT_CALL);
+    switch (request.method()) {
       case "GET" -> {
-        long after = Headers.number(parameter(asked, "after"), 0);
-        long wait = Math.min(MOST_WAIT_MS, Headers.number(asked.headers().get(Headers.WAIT_MS), 0));
+        long after = Headers.number(parameter(request, "after"), 0);
+        long wait =
+            Math.min(MOST_WAIT_MS, Headers.number(request.headers().get(Headers.WAIT_MS), 0));
         return response(jobs.read(job, after, wait), client);
       }
       case "DELETE" -> {
         return response(jobs.end(job), client);
       }
       default -> {
-        return own(client, 405, null, RequestCounters.Event.BAD_REQUEST);
+        return answer(client, 405, null, RequestCounters.Event.BAD_REQUEST);
       }
     }
   }
 
-  private static String parameter(RequestLine asked, String name) {
-    List<String> values = new QueryStringDecoder(asked.uri()).parameters().get(name);
+  private static String parameter(RequestLine request, String name) {
+    List<String> values = new QueryStringDecoder(request.uri()).parameters().get(name);
     return values == null || values.isEmpty() ? "" : values.get(0);
   }
 
@@ -119,9 +121,10 @@
     return RequestHandle.NONE;
   }
 
-  private RequestHandle own(ResponseSink client, int status, String id, RequestCounters.Event why) {
-    course.counters().count(why);
-    Replies.own(client, status, id, status == 503 ? Replies.starting(course.chance()) : 0);
+  private RequestHandle answer(
+      ResponseSink client, int status, String id, RequestCounters.Event why) {
+    context.counters().count(why);
+    Replies.own(client, status, id, status == 503 ? Replies.starting(context.chance()) : 0);
     return RequestHandle.NONE;
   }
 }
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
@@ -9,10 +9,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 
 /**
- * The answers of a request's tries on their way to the client: short ones are held until they are
- * whole, so that a cut one can be tried again; streams go on as they come, from their first bytes
- * on. Where one may be resumed only whole events go on, and the answer stays one: head and stamp
- * are those of the first server.
+ * The answers of a request's attempts on their way to the client: short ones are held until they
+ * are whole, so that a cut one can be tried again; streams go on as they come, from their first
+ * bytes on. Where one may be resumed only whole events go on, and the answer stays one: head and
+ * stamp are those of the first server.
  */
 final class ResponseRelay {
   /** Up to so many bytes an answer that is no stream is held. */
@@ -113,26 +113,26 @@
   }
 
   /** False where the answer must not go on. */
-  boolean data(ByteBuf piece) {
+  boolean data(ByteBuf bytes) {
     switch (mode) {
       case RAW -> {
         begin();
-        client.data(piece);
+        client.data(bytes);
       }
       case EVENTS -> {
-        return events.feed(piece);
+        return events.feed(bytes);
       }
-      case HOLD -> hold(piece);
-      default -> piece.release();
+      case HOLD -> hold(bytes);
+      default -> bytes.release();
     }
     return true;
   }
 
-  private void hold(ByteBuf piece) {
+  private void hold(ByteBuf bytes) {
     if (held == null) {
       held = Unpooled.compositeBuffer(Integer.MAX_VALUE);
     }
-    held.addComponent(true, piece);
+    held.addComponent(true, bytes);
     if (held.readableBytes() > MOST_HELD) {
       if (outcome == Outcome.ANSWERED && !begun) {
         ByteBuf all = held;
@@ -170,7 +170,7 @@
     }
   }
 
-  /** The answer of the present try is whole: what it means, passed on if it is to be. */
+  /** The answer of the present attempt is whole: what it means, passed on if it is to be. */
   Outcome whole() {
     if (mode == Mode.EVENTS && events.partial()) {
       return Outcome.SENT;
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseSink.java
@@ -19,8 +19,8 @@
    */
   void head(int status, HttpHeaders headers, long length);
 
-  /** A piece of it; released here. Goes out when the loop has nothing more to read for it. */
-  void data(ByteBuf piece);
+  /** Bytes of its body; released here. Goes out when the loop has nothing more to read for it. */
+  void data(ByteBuf bytes);
 
   /** Its proper end. */
   void end();
--- a/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
@@ -10,7 +10,7 @@
 public final class Attempt {
   private final Server server;
   private final OutgoingRequest out;
-  private final AttemptListener heard;
+  private final AttemptListener listener;
   private final long since;
   private Channel channel;
   private boolean sent;
@@ -18,10 +18,10 @@
   private boolean paused;
   private boolean answered;
 
-  Attempt(Server server, OutgoingRequest out, AttemptListener heard, long since) {
+  Attempt(Server server, OutgoingRequest out, AttemptListener listener, long since) {
     this.server = server;
     this.out = out;
-    this.heard = heard;
+    this.listener = listener;
     this.since = since;
   }
 
@@ -93,28 +93,28 @@
 
   void head(HttpResponse head) {
     begun();
-    heard.head(head);
+    listener.head(head);
   }
 
-  void data(ByteBuf piece) {
+  void data(ByteBuf bytes) {
     if (over) {
-      piece.release();
+      bytes.release();
     } else {
-      heard.data(piece);
+      listener.data(bytes);
     }
   }
 
   void whole() {
     if (!over) {
       end();
-      heard.whole();
+      listener.whole();
     }
   }
 
   void failed() {
     if (!over) {
       end();
-      heard.failed(sent);
+      listener.failed(sent);
     }
   }
 
--- a/gateway/src/main/java/elmsail/gateway/servers/AttemptListener.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/AttemptListener.java
@@ -4,15 +4,15 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * What is heard of one try, in order; behind {@code whole}, {@code failed} or a cancel nothing
+ * What happens to one attempt, in order; behind {@code whole}, {@code failed} or a cancel nothing
  * comes.
  */
 public interface AttemptListener {
   /** The head of an answer that bears the request's id and tells its end. */
   void head(HttpResponse head);
 
-  /** A piece of its body, to be released by the one who gets it. */
-  void data(ByteBuf piece);
+  /** Bytes of its body, to be released by the one who gets it. */
+  void data(ByteBuf bytes);
 
   /** The answer has come to its proper end. */
   void whole();
--- a/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
@@ -91,13 +91,13 @@
   }
 
   /** Sends the attempt's request over some connection; what is heard of it comes later. */
-  void carry(Server server, Attempt one) {
+  void carry(Server server, Attempt attempt) {
     boolean connectFirst = server.doubtful(timers.now()) && server.connections < most(server);
-    ServerConnection kept = connectFirst ? null : rested(server, one.out().id());
+    ServerConnection kept = connectFirst ? null : rested(server, attempt.out().id());
     if (kept != null) {
-      kept.carry(one);
+      kept.carry(attempt);
     } else {
-      connect(server, one);
+      connect(server, attempt);
     }
   }
 
@@ -119,7 +119,7 @@
     return null;
   }
 
-  private void connect(Server server, Attempt one) {
+  private void connect(Server server, Attempt attempt) {
     ServerConnection connection = new ServerConnection(this, server);
     server.connections++;
     int limit = server.doubtful(timers.now()) ? DOUBTFUL_CONNECT_MS : CONNECT_MS;
@@ -134,35 +134,39 @@
                   }
                 })
             .connect(Addresses.of(server.entry().address()));
-    one.on(connect.channel());
+    attempt.on(connect.channel());
     connect.channel().closeFuture().addListener(f -> server.connections--);
     if (connect.isDone()) {
       timers.soon(
           () ->
               connected(
-                  connect, server, connection, one)); // not within the call that begins the try
+                  connect,
+                  server,
+                  connection,
+                  attempt)); // not within the call that begins the attempt
     } else {
-      connect.addListener((ChannelFuture attempt) -> connected(attempt, server, connection, one));
+      connect.addListener(
+          (ChannelFuture connecting) -> connected(connecting, server, connection, attempt));
     }
   }
 
   private void connected(
-      ChannelFuture attempt, Server server, ServerConnection connection, Attempt one) {
-    if (!attempt.isSuccess()) {
-      attempt.channel().close();
+      ChannelFuture connecting, Server server, ServerConnection connection, Attempt attempt) {
+    if (!connecting.isSuccess()) {
+      connecting.channel().close();
       counters.count(RequestCounters.Event.CONNECT_FAILED);
-      if (!one.over()) { // a cancelled one says nothing of the server
+      if (!attempt.over()) { // a cancelled one says nothing of the server
         server.failed(timers.now());
-        one.failed();
+        attempt.failed();
       }
       return;
     }
     counters.count(RequestCounters.Event.CONNECTED);
-    if (one.over() || server.gone()) {
-      attempt.channel().close();
-      one.failed();
+    if (attempt.over() || server.gone()) {
+      connecting.channel().close();
+      attempt.failed();
     } else {
-      connection.carry(one);
+      connection.carry(attempt);
     }
   }
 }
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
@@ -127,25 +127,25 @@
   }
 
   /** Writes the request; from here on it counts as sent. */
-  void carry(Attempt one) {
-    current = one;
-    lastId = one.out().id();
+  void carry(Attempt attempt) {
+    current = attempt;
+    lastId = attempt.out().id();
     written = false;
-    one.on(channel);
-    one.sending();
-    channel.config().setAutoRead(!one.paused());
-    FullHttpRequest message = one.out().message(server.id());
+    attempt.on(channel);
+    attempt.sending();
+    channel.config().setAutoRead(!attempt.paused());
+    FullHttpRequest message = attempt.out().message(server.id());
     headOnly = message.method().equals(HttpMethod.HEAD);
     ChannelFuture write = channel.writeAndFlush(message);
     if (write.isDone() && !write.isSuccess()) {
-      pool.timers().soon(() -> unwritten(one)); // not within the call that begins the try
+      pool.timers().soon(() -> unwritten(attempt)); // not within the call that begins the attempt
     } else {
       write.addListener(
           f -> {
             if (f.isSuccess()) {
               written();
             } else {
-              unwritten(one);
+              unwritten(attempt);
             }
           });
     }
@@ -160,8 +160,8 @@
     }
   }
 
-  private void unwritten(Attempt one) {
-    if (current == one) {
+  private void unwritten(Attempt attempt) {
+    if (current == attempt) {
       broken(RequestCounters.Event.CLOSED_BY_SERVER);
     }
   }
@@ -179,8 +179,8 @@
     if (part instanceof HttpResponse head && !begin(head)) {
       return;
     }
-    if (part instanceof HttpContent piece) {
-      piece(piece);
+    if (part instanceof HttpContent content) {
+      content(content);
     }
   }
 
@@ -231,8 +231,8 @@
     return Headers.number(keepAlive.substring(from, to), 0) * 1_000;
   }
 
-  private void piece(HttpContent piece) {
-    boolean last = piece instanceof LastHttpContent;
+  private void content(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
     if (informing) {
       informing = !last;
       return;
@@ -240,17 +240,17 @@
     if (!inAnswer) {
       return;
     }
-    Attempt one = current;
-    if (piece.content().isReadable()) {
+    Attempt attempt = current;
+    if (content.content().isReadable()) {
       server.stirred(pool.timers().now());
-      one.data(piece.content().retain());
+      attempt.data(content.content().retain());
     }
     if (last && untilEnd && !endedInOrder) {
       broken(RequestCounters.Event.CLOSED_BY_SERVER);
     } else if (last) {
       inAnswer = false;
       current = null;
-      if (one.over()) {
+      if (attempt.over()) {
         channel.close();
         return;
       }
@@ -260,7 +260,7 @@
         channel.close();
       }
       pool.counters().count(RequestCounters.Event.TRY_ANSWERED);
-      one.whole();
+      attempt.whole();
     }
   }
 
@@ -326,7 +326,7 @@
   }
 
   private void broken(RequestCounters.Event why) {
-    Attempt one = current;
+    Attempt attempt = current;
     current = null;
     answered = false;
     inAnswer = false;
@@ -335,10 +335,10 @@
       finishing = null;
     }
     close();
-    if (one != null && !one.over()) {
+    if (attempt != null && !attempt.over()) {
       pool.counters().count(why);
       server.broke(pool.timers().now());
-      one.failed();
+      attempt.failed();
     }
   }
 }
