--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -3,9 +3,11 @@
 import elmsail.batch.BatchCalls.Reply;
 import elmsail.batch.BatchItem;
 import elmsail.batch.client.BatchContext;
+import elmsail.batch.client.BatchCounters;
 import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.messages.BatchMessageTypes;
 import elmsail.batch.messages.JobBody;
+import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.TokenCount;
 import elmsail.batch.run.JobRunner;
@@ -115,13 +117,14 @@
     wanted =
         new JobRecord(
             1,
-            route.name(),
-            route.host(),
-            context.known().config().edition(),
-            route.runDueMs(),
-            route.shelfMs(),
-            body.name,
-            items,
+            new JobDescription(
+                route.name(),
+                route.host(),
+                context.known().config().edition(),
+                route.runDueMs(),
+                route.shelfMs(),
+                body.name,
+                items),
             List.of(),
             false,
             context.self(),
@@ -203,7 +206,6 @@
         store.cache(job, batchItems, bytes());
         runner.adopt(job, record, 0, began);
       }
-      context.counters().submitAccepted.add(1);
       answer(Replies.ACCEPTED);
     } else if (verdict == Verdict.FITS && !second) {
       round(true);
@@ -270,7 +272,20 @@
           context.timers().now() - submittedAt,
           body.bytes.length);
     }
-    context.counters().submitRefused.add(1);
+    count(how);
     reply.complete(how);
   }
+
+  private void count(Reply how) {
+    BatchCounters counters = context.counters();
+    if (how.status() == Replies.ACCEPTED.status()) {
+      counters.submitAccepted.add(1);
+    } else {
+      counters.submitRefused.add(1);
+    }
+    if (verdict == Verdict.FULL || verdict == Verdict.CONTENDED) {
+      boolean due = seen.accepted(job) + add.tokens() > limit();
+      (due ? counters.submitFull : counters.submitFullByPending).add(1);
+    }
+  }
 }
--- a/batch/src/main/java/elmsail/batch/client/BatchCounters.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchCounters.java
@@ -11,9 +11,17 @@
   /** Jobs that were refused here, for whatever reason. */
   public final Counters.Counter submitRefused;
 
+  /** Of the refused: the accepted jobs and the one itself pass the route's limit. */
+  public final Counters.Counter submitFull;
+
+  /** Of the refused: they fit, but for jobs that were being accepted at the same time. */
+  public final Counters.Counter submitFullByPending;
+
   /** Takes its counters from those of the process. */
   public BatchCounters(Counters counters) {
     submitAccepted = counters.of("batch_submit_accepted");
     submitRefused = counters.of("batch_submit_refused");
+    submitFull = counters.of("batch_submit_full");
+    submitFullByPending = counters.of("batch_submit_full_by_pending");
   }
 }
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -75,6 +75,11 @@
     return sum;
   }
 
+  /** Tokens of accepted jobs but this one, part of {@link #without}. */
+  public long accepted(String job) {
+    return without(job) - pendingWithout(job);
+  }
+
   /** Tokens of other jobs that are still being accepted, part of {@link #without}. */
   public long pendingWithout(String job) {
     long own = ContentDigest.of(job);
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -10,12 +10,13 @@
 import elmsail.batch.messages.ByteReader;
 import elmsail.batch.messages.ByteWriter;
 import elmsail.batch.messages.HeartbeatMessage;
+import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
 import elmsail.batch.messages.TokenCount;
 import elmsail.batch.store.JobRetention;
 import elmsail.rpc.messages.OpaqueMessage;
+import elmsail.runtime.ManualTimers;
 import elmsail.runtime.ProcessMetrics;
-import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -30,13 +31,14 @@
   private static JobRecord record(long tokens) {
     return new JobRecord(
         1,
-        "r",
-        "h",
-        1,
-        10_000,
-        60_000,
-        "body-1",
-        List.of(new JobRecord.Item("i0", tokens), new JobRecord.Item("i1", tokens)),
+        new JobDescription(
+            "r",
+            "h",
+            1,
+            10_000,
+            60_000,
+            "body-1",
+            List.of(new JobRecord.Item("i0", tokens), new JobRecord.Item("i1", tokens))),
         List.of(),
         false,
         "door",
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -24,6 +24,7 @@
 import elmsail.runtime.http.HttpHandler;
 import elmsail.storage.RecordStore;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,7 +36,9 @@
   private static final long CONFIG_EVERY_MS = 300;
   private static final long OTHERS_EVERY_MS = 1_000;
   private static final long TICK_MS = 200;
-  private static final long CLERK_MS = 4_000;
+
+  /** A gateway is told to the others while it was heard within so long. */
+  private static final long GATEWAY_LISTED_MS = 4_000;
 
   /** A store is heard at least so often; the others hear of changes at once anyway. */
   private static final long STORE_WAIT_MS = 400;
@@ -49,22 +52,21 @@
   private final CommittedValue retiring;
   private final CommittedValue founded;
   private final HeartbeatTable heard = new HeartbeatTable();
+  private final HeartbeatTable headHeard = new HeartbeatTable(ControlPlaneVoters.ROLE);
   private final PeerNotices notices;
   private final UpdateSources sources;
   private final ConfigWatcher watcher;
   final SingletonLease lease;
   private final ServerDiscovery list;
-  private final PlacementController storePlacement;
   private final StoreFounding founding;
-  private final HeadPlacement headPlacement;
-  private final RedundancyMonitor storeRedundancy = new RedundancyMonitor(StoreNode.SET);
+  private final VoterPlacement storePlacement;
+  private final VoterPlacement headPlacement;
   private final LeaseVoter voter;
   private final HeardStoresInquiry inquiry;
   private final HttpHandler operators;
   private VoterSet storeSet = new VoterSet();
   private VoterSet headKnown = new VoterSet();
   private List<String> gateways = List.of();
-  private PlacementController.Order order;
   private final ControlPlaneCounters counters;
   private boolean closed;
 
@@ -90,7 +92,7 @@
     this.timers = timers;
     this.answering = answering;
     String own = settings.innerAddress();
-    voters = new ControlPlaneVoters(settings, timers, caller, answering, records);
+    voters = new ControlPlaneVoters(settings, timers, caller, answering, records, who);
     register =
         new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, CONFIG_EVERY_MS);
@@ -103,7 +105,7 @@
             caller,
             timers,
             settings,
-            "controlplane",
+            ControlPlaneVoters.ROLE,
             records == null ? who : records.instanceId(),
             () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
@@ -117,17 +119,21 @@
                 timers,
                 sources,
                 lease::term);
-    int stores = 2 * settings.bearMachines() + 1;
-    storePlacement = new PlacementController(stores, timers.now());
-    founding = new StoreFounding(register, founded, storePlacement, heard);
+    int slots = 2 * settings.bearMachines() + 1;
+    PlacementController storeController = new PlacementController(slots, timers.now());
+    founding = new StoreFounding(register, founded, storeController, heard);
+    storePlacement = new VoterPlacement(StoreNode.SET, heard, storeController);
     headPlacement =
-        new HeadPlacement(settings, records == null ? who : records.instanceId(), timers.now());
+        new VoterPlacement(
+            ControlPlaneVoters.SET,
+            headHeard,
+            new PlacementController(slots, PlacementController.HEAD_GONE_MS, timers.now()));
     boolean firstProcess = records != null && settings.firstStart() && records.fresh();
     voter = new LeaseVoter(timers.now(), firstProcess);
     inquiry = new HeardStoresInquiry(caller, voters::current, own);
     DecommissionHandler retire =
         new DecommissionHandler(
-            register, timers, heard, () -> storeSet, retiring, config.contact(), stores, inquiry);
+            register, timers, heard, () -> storeSet, retiring, config.contact(), slots, inquiry);
     operators =
         new AnswerAgeLimit(
             timers,
@@ -189,15 +195,15 @@
 
   private CompletableFuture<PullResponse> pulled(PullRequest request) {
     heard.note(request, timers.now());
-    headPlacement.note(request, timers.now());
-    if ("store".equals(request.role) && request.storeSet != null) {
+    headHeard.note(request, timers.now());
+    if (HeartbeatTable.STORE_ROLE.equals(request.role) && request.storeSet != null) {
       learnStores(request.storeSet);
     }
     if (closed || !config.contact().current()) {
       return CompletableFuture.failedFuture(
           new ElmsailException(ErrorCode.NOT_SEATED, "no contact with a majority"));
     }
-    if ("store".equals(request.role)) {
+    if (HeartbeatTable.STORE_ROLE.equals(request.role)) {
       request.waitMs = Math.min(request.waitMs, STORE_WAIT_MS);
     }
     return sources.request(request).thenApply(config.contact()::checked);
@@ -231,8 +237,8 @@
     }
   }
 
-  private void learnStores(VoterSet response) {
-    VoterSet merged = VoterSets.merge(storeSet, response);
+  private void learnStores(VoterSet newer) {
+    VoterSet merged = VoterSets.merge(storeSet, newer);
     if (merged != storeSet) {
       storeSet = merged;
       sources.viewChanged();
@@ -245,20 +251,12 @@
     view.storeSet = storeSet;
     view.gateways = gateways;
     if (mayDirect()) {
-      tellOrder(request, view);
+      storePlacement.tell(request, view);
       headPlacement.tell(request, view);
     }
     return view;
   }
 
-  /** Puts the order to join the store set into what the store that it is for is told. */
-  private void tellOrder(PullRequest request, ClusterView view) {
-    if (order != null && "store".equals(request.role) && order.address().equals(request.address)) {
-      view.joinSlot = order.slot();
-      view.joinEpoch = order.epoch();
-    }
-  }
-
   /** Whether this process directs the placement of voters at this very moment. */
   private boolean mayDirect() {
     return lease.term() > 0
@@ -272,34 +270,24 @@
     }
     timers.after(TICK_MS, this::tick);
     long now = timers.now();
-    boolean hears = config.contact().current();
+    boolean reads = config.contact().current();
     boolean directs = mayDirect();
     if (directs && storeSet.voters.isEmpty() && founding.open() && voters.born()) {
       founding.attempt(now);
     }
-    PlacementController.Order before = order;
-    order =
-        storePlacement.order(heard, storeSet, DecommissionList.of(retiring.value()), directs, now);
+    boolean storeOrdered =
+        storePlacement.look(storeSet, DecommissionList.of(retiring.value()), directs, directs, now);
+    headHeard.note(voters.heartbeat(), now);
     boolean headOrdered =
-        headPlacement.look(voters.current(), voters.voting(), hears, directs, now);
-    storeRedundancy.look(directs, heard, storeSet, now);
-    List<String> clerksNow = heard.gateways(now, CLERK_MS);
+        headPlacement.look(voters.current(), Set.of(), reads && voters.voting(), directs, now);
+    List<String> gatewaysNow = heard.gateways(now, GATEWAY_LISTED_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
     counters.leaseHeld.set(lease.term() > 0 ? 1 : 0);
-    if (order != null && !order.equals(before)) {
-      counters.joinsDirected.add(1);
-      LOG.info(
-          "directs {} to join slot {} of the store set, epoch {}",
-          order.address(),
-          order.slot(),
-          order.epoch());
-    }
-    if (order != before && (order == null || !order.equals(before))
-        || headMoved
-        || headOrdered
-        || !clerksNow.equals(gateways)) {
+    counters.joinsDirected.add(storeOrdered && storePlacement.directs() ? 1 : 0);
+    counters.joinsDirected.add(headOrdered && headPlacement.directs() ? 1 : 0);
+    if (storeOrdered || headMoved || headOrdered || !gatewaysNow.equals(gateways)) {
       headKnown = voters.current();
-      gateways = clerksNow;
+      gateways = gatewaysNow;
       sources.viewChanged();
     }
     relay();
--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -1,5 +1,6 @@
 package elmsail.controlplane;
 
+import elmsail.consensus.VoterSets;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
 import java.util.ArrayList;
@@ -102,19 +103,11 @@
   /**
    * What is to be claimed at present, or null. Called often, also while the lease is not held.
    *
+   * @param retiring stations that are to be emptied
+   * @param hears whether silence may be counted, also before the lease is held: this node's own
+   *     silence isn't the others'
    * @param mayDirect whether this control-plane node holds the lease and reads the head's register
    *     at a majority
-   * @param retiring stations that are to be emptied
-   */
-  Order order(
-      HeartbeatTable heard, VoterSet storeSet, Set<String> retiring, boolean mayDirect, long now) {
-    return order(heard, storeSet, retiring, mayDirect, mayDirect, now);
-  }
-
-  /**
-   * As the other, but silence counts from before the lease was held.
-   *
-   * @param hears whether this node reads at a majority: its own silence isn't the others'
    */
   Order order(
       HeartbeatTable heard,
@@ -196,8 +189,7 @@
         return false;
       }
     }
-    int quorum = storeSet.voters.size() / 2 + 1;
-    return voting >= Math.max(1, storeSet.voters.size() - quorum + 1) && (gone || away == 0);
+    return voting >= VoterSets.blocking(storeSet.voters.size()) && (gone || away == 0);
   }
 
   private boolean gone(HeartbeatTable heard, Voter holder, long now) {
--- a/runtime/src/test/java/elmsail/runtime/InvariantsTest.java
+++ b/runtime/src/test/java/elmsail/runtime/InvariantsTest.java
@@ -65,7 +65,7 @@
 
   @Test
   void processesGoOnAndTestsDoNot() {
-    MovedClock clock = new MovedClock();
+    ManualTimers clock = new ManualTimers();
     ProcessMetrics.logged(clock).invariants().check(ONE, false, this::detail);
     assertThat("the line of figures", clock.waiting(), is(1));
     ProcessMetrics.unlogged().invariants().check(ONE, false, this::detail);
