Invariants of batch jobs, counted in service and thrown in tests

What must hold: a decided record keeps what an older one had; a result's text has the length that its record tells; a job that fits is not refused at once for others that are being accepted; bytes held belong to jobs that run. HeldBytes and RunningJob.release come out of JobRunner.

--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -84,7 +84,7 @@
             new BatchCounters(metrics.counters()),
             metrics.invariants());
     replies = new Replies(chance);
-    store = new BatchJobClient(register);
+    store = new BatchJobClient(register, metrics.invariants());
     runner = new JobRunner(context, store, this::changed);
     watch = new FailoverMonitor(context, store, runner);
   }
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -15,6 +15,7 @@
 import elmsail.consensus.Register;
 import elmsail.rpc.messages.Blob;
 import elmsail.rpc.messages.Voter;
+import elmsail.runtime.Invariant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -229,6 +230,7 @@
   /** What was seen is forgotten: others may have withdrawn since. The add stands all the while. */
   private void lookAgain(long aboutMs) {
     seen = new TokenCount();
+    verdict = null;
     context.timers().after(context.about(aboutMs), () -> round(limit() == 0));
   }
 
@@ -284,8 +286,20 @@
       counters.submitRefused.add(1);
     }
     if (verdict == Verdict.FULL || verdict == Verdict.CONTENDED) {
+      checkRefusal();
       boolean due = seen.accepted(job) + add.tokens() > limit();
       (due ? counters.submitFull : counters.submitFullByPending).add(1);
     }
   }
+
+  private void checkRefusal() {
+    boolean waited = context.timers().now() - submittedAt >= MOST_CONTENDED_MS;
+    boolean room = seen.before(job) + add.tokens() <= limit();
+    context
+        .invariants()
+        .check(
+            Invariant.FITTING_JOB_IS_NOT_REFUSED_AT_ONCE,
+            waited || !room,
+            () -> job + ": " + add.tokens() + " behind " + seen.before(job) + " of " + limit());
+  }
 }
--- a/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -7,6 +7,8 @@
 import elmsail.rpc.messages.Ballot;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Invariant;
+import elmsail.runtime.Invariants;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +26,7 @@
   private record Body(List<BatchItem> batchItems, int bytes) {}
 
   private final Register register;
+  private final Invariants invariants;
   private final LruCache<Seen> records =
       new LruCache<>(RECORDS_BYTES, s -> 200 + s.record().items().size() * ITEM_BYTES);
   private final LruCache<Body> bodies = new LruCache<>(BODIES_BYTES, Body::bytes);
@@ -31,8 +34,9 @@
   private final Map<String, CompletableFuture<byte[]>> fetching = new HashMap<>();
 
   /** A client with empty caches that reads through this register. */
-  public BatchJobClient(Register register) {
+  public BatchJobClient(Register register, Invariants invariants) {
     this.register = register;
+    this.invariants = invariants;
   }
 
   /** The decided record, at least as new as this call; null if there is surely none. */
@@ -55,6 +59,10 @@
     JobRecord record = JobRecord.unpacked(now.value());
     Seen newest = records.get(job);
     if (newest == null || newest.record().version() <= record.version()) {
+      invariants.check(
+          Invariant.DECIDED_JOB_KEEPS_ITS_RESULTS,
+          newest == null || record.keeps(newest.record()),
+          () -> job + " version " + record.version() + " after " + newest.record().version());
       records.put(job, new Seen(now.ballot(), record));
     }
     return record;
@@ -95,7 +103,12 @@
     return fetch(job, result.textName(), timeoutMs)
         .thenApply(
             bytes -> {
-              if (bytes.length != result.textBytes()) {
+              boolean whole = bytes.length == result.textBytes();
+              invariants.check(
+                  Invariant.RESULT_TEXT_IS_WHOLE,
+                  whole,
+                  () -> name + ": " + bytes.length + " of " + result.textBytes() + " bytes");
+              if (!whole) {
                 throw new ElmsailException(
                     ErrorCode.GARBLED, "a text of " + bytes.length + " bytes");
               }
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -223,6 +223,15 @@
     return new JobRecord(version + 1, description, results, ended, runner, term, ageMs, failures);
   }
 
+  /** Whether this may be a later record of the same job: see the invariant of that name. */
+  public boolean keeps(JobRecord older) {
+    return description.equals(older.description)
+        && (ended || !older.ended)
+        && term >= older.term
+        && results.size() >= older.results.size()
+        && results.subList(0, older.results.size()).equals(older.results);
+  }
+
   /** The bytes that {@link #unpacked} reads; the first number is the version of this format. */
   public byte[] packed() {
     ByteWriter to =
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -23,11 +23,11 @@
   private static final long LOOK_MS = 40;
 
   private static final long AGAIN_MS = 20;
-  private static final long MOST_HELD = 16L << 20;
   private static final long MOST_BACKOFF_MS = 200;
 
   private final BatchContext context;
   private final BodyLoader bodies;
+  private final HeldBytes held;
   private final ResultRecorder listing;
   private final Map<String, RunningJob> jobs = new HashMap<>();
   private final TreeMap<RunningJob, RunningJob> byDue = new TreeMap<>();
@@ -35,13 +35,13 @@
   private final long letMs;
   private ItemServers servers;
   private boolean pumpSet;
-  private long held;
 
   /**
    * @param changed hears the id of each job in which something was listed or that was stopped
    */
   public JobRunner(BatchContext context, BatchJobClient store, Consumer<String> changed) {
     this.context = context;
+    this.held = new HeldBytes(context.invariants());
     this.bodies = new BodyLoader(context, store, () -> pumpSoon(0));
     this.listing = new ResultRecorder(context, store, this, changed);
     this.startMs = context.cancelMs() * 6 / 10;
@@ -82,15 +82,8 @@
     byDue.remove(job);
     JobEndLog.report(job, context.timers().now());
     job.stopped = true;
-    for (ItemRun item : job.items) {
-      held -= item.bytes();
-      item.forgetText();
-      item.cancel();
-    }
-    for (RunningJob.Finished one : job.finished.values()) {
-      held -= one.text().length;
-    }
-    job.finished.clear();
+    held.add(-job.release());
+    held.check(jobs.size());
   }
 
   /**
@@ -139,7 +132,7 @@
   }
 
   void unheld(long bytes) {
-    held -= bytes;
+    held.add(-bytes);
   }
 
   void pumpSoon(long ms) {
@@ -214,7 +207,7 @@
       if (places == null) {
         places = servers.room(route);
       }
-      if (!confirmed || places <= 0 || held > MOST_HELD) {
+      if (!confirmed || places <= 0 || held.full()) {
         room.put(route.name(), places);
         job.timeline.stalled(JobTimeline.Stall.of(confirmed, places));
         return;
@@ -281,12 +274,12 @@
     int before = to.bytes();
     boolean next = to.event(id, data);
     of.timeline.event(context.timers().now());
-    held += to.bytes() - before;
+    held.add(to.bytes() - before);
     if (!next) {
       to.cancel();
       of.timeline.cut();
       of.underWay--;
-      held -= to.bytes();
+      held.add(-to.bytes());
       to.forgetText();
       again(of, to);
     }
@@ -327,9 +320,9 @@
   }
 
   private void finish(RunningJob job, ItemRun item, boolean delivered) {
-    held -= item.bytes();
+    held.add(-item.bytes());
     job.finish(item, delivered);
-    held += job.finished.get(item.index).text().length;
+    held.add(job.finished.get(item.index).text().length);
     listing.soon(job);
   }
 
--- a/batch/src/main/java/elmsail/batch/run/RunningJob.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -96,6 +96,21 @@
         new Finished(new JobRecord.Result(item.index, delivered, term, text.length), text));
   }
 
+  /** Cuts all runs and forgets all texts; gives how many bytes these had. */
+  long release() {
+    long bytes = 0;
+    for (ItemRun item : items) {
+      bytes += item.bytes();
+      item.forgetText();
+      item.cancel();
+    }
+    for (Finished one : finished.values()) {
+      bytes += one.text().length;
+    }
+    finished.clear();
+    return bytes;
+  }
+
   /** Whether there is anything that is to stand in the record and doesn't yet. */
   boolean hasNews() {
     return !finished.isEmpty() || !unrecordedFailures().isEmpty();
