An add that comes behind its withdrawal does not count

A first round on its way through a relay, or held up, may reach a store after the withdrawal of its try; the add then stood in every count for 5 s.

Change: stores remember withdrawn tries for those 5 s and pass their adds over.

Measured: JobRetentionTest.anAddThatComesBehindItsWithdrawalDoesNotCount; all tests of batch pass.

--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -148,7 +148,7 @@
   }
 
   private byte[] withdraw(TokenCount.Add add) {
-    jobs.withdrawn(add);
+    jobs.withdrawn(add, timers.now());
     return NOTHING;
   }
 
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -59,6 +59,12 @@
   private final Map<String, Lot> jobs = new HashMap<>();
   private final Map<String, Pending> adds = new LinkedHashMap<>();
 
+  /**
+   * Until when adds of withdrawn tries are passed over, by {@link TokenCount.Add#who}: a first
+   * round may come late, behind its withdrawal.
+   */
+  private final Map<Long, Long> withdrawn = new LinkedHashMap<>();
+
   /**
    * When jobs that were never taken here were added last: what came with their first rounds is
    * litter.
@@ -68,7 +74,7 @@
   /** Keeps the add and answers the count of its route; null if there are too many adds. */
   byte[] added(TokenCount.Add add, long now) {
     expire(now);
-    if (!jobs.containsKey(add.job())) {
+    if (!jobs.containsKey(add.job()) && !withdrawn.containsKey(add.who())) {
       if (adds.size() >= MOST_ADDS && !adds.containsKey(add.job())) {
         return null;
       }
@@ -91,7 +97,11 @@
     return count.packed();
   }
 
-  void withdrawn(TokenCount.Add add) {
+  void withdrawn(TokenCount.Add add, long now) {
+    expire(now);
+    if (withdrawn.size() < MOST_ADDS) {
+      withdrawn.put(add.who(), now + ADD_MS);
+    }
     Pending there = adds.get(add.job());
     if (there != null && !there.admitted() && there.add().who() == add.who()) {
       adds.remove(add.job());
@@ -205,6 +215,7 @@
   }
 
   private void expire(long now) {
+    withdrawn.values().removeIf(until -> until <= now);
     Iterator<Pending> each = adds.values().iterator();
     while (each.hasNext()) {
       if (each.next().until() <= now) {
--- a/batch/src/test/java/elmsail/batch/JobRetentionTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRetentionTest.java
@@ -62,6 +62,17 @@
         request(BatchMessageTypes.ABANDONED, new ByteWriter().number(2_000).packed()).bytes);
   }
 
+  @Test
+  void anAddThatComesBehindItsWithdrawalDoesNotCount() {
+    TokenCount.Add add = new TokenCount.Add("r", "a", 30, 7);
+    request(BatchMessageTypes.WITHDRAW, add.packed());
+    retention.noted("lot/a", add.packed());
+    assertThat(others("r"), is(0L));
+    assertThat("not admitted", retention.admits("lot/a", record(10).packed()), is(false));
+    retention.noted("lot/a", new TokenCount.Add("r", "a", 30, 8).packed());
+    assertThat("the client's next try", others("r"), is(30L));
+  }
+
   @Test
   void addsCountUntilTheyRunOutOrAreWithdrawn() {
     TokenCount.Add add = new TokenCount.Add("r", "a", 30, 7);
