Avoid servers that answer with errors, and retry behind such an error

Cause: a gateway judged a server by its connections and by silence alone. Any head of an answer counted as a sign of health, so a server that answered everything with 500 after 1 ms went on being chosen, looked idle and drew load; its errors reached clients though the request might have been retried, and used up the tries of jobs' items.

Change: - ErrorBackoff, a circuit breaker per server: a 500, 502 or 504 of its own (without Elmsail-Not-Run; a 504 only with time left, as one at the deadline tells of load) ejects it for 1 s, doubling to 8 s; a success closes it. - OutlierDetector, per service and gateway: at most half are ejected; those with the fewest errors come back first, of these the longest ejected. - Half-open servers get one probe at a time, from requests that can be retried; where none comes, from any request 2 s later (SelectionMode). - RequestForwarder keeps a server's error while what may be repeated is retried at one that served lately; where that comes to nothing the first error goes on with its own status, stamp and body (HeldFailure). - Items aren't sent again to a server that failed them while another is available, and probe only without a recorded failure and with tries left. - Counters SERVER_ERRORED, RETRIED_AFTER_ERROR, PROBED.

--- a/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
@@ -75,6 +75,11 @@
     return item;
   }
 
+  @Override
+  public long endsAt() {
+    return endsAt;
+  }
+
   @Override
   public FullHttpRequest message(String serverId) {
     FullHttpRequest message =
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -6,6 +6,7 @@
 import elmsail.gateway.http.Headers;
 import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.servers.Prompt;
+import elmsail.gateway.servers.SelectionMode;
 import elmsail.gateway.servers.Server;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -19,6 +20,7 @@
   private static final int PRIORITY = 8;
 
   private final RequestProgress course;
+  private final ItemFailures failures = new ItemFailures();
 
   /** Sends items by the same servers and counters as plain requests. */
   public ItemDispatcher(RequestProgress course) {
@@ -39,10 +41,10 @@
   public Running start(Route route, BatchItem piece, long lastEventId, RunListener heard) {
     long now = course.timers().now();
     List<Server> open = course.servers().of(route);
-    Set<Server> full = new HashSet<>();
+    Set<Server> excluded = serversThatFailed(piece.id(), open);
     for (Server s : open) {
       if (s.itemRoom(now) <= 0) {
-        full.add(s);
+        excluded.add(s);
       }
     }
     HttpHeaders headers = new DefaultHttpHeaders();
@@ -51,8 +53,16 @@
     }
     headers.set("Host", route.host());
     Prompt prompt = Prompt.read(headers.get(Headers.PROMPT_PREFIX), headers.get(Headers.TOKENS));
-    Server server = course.servers().choose(route, prompt, full);
-    if (server == null) {
+    boolean mayProbe = route.tries() > 1 && !failures.any(piece.id());
+    Server server =
+        course
+            .servers()
+            .choose(
+                route,
+                prompt,
+                excluded,
+                mayProbe ? SelectionMode.PROBE_ALLOWED : SelectionMode.SINGLE);
+    if (server == null || !mayProbe && course.servers().avoided(server)) {
       return null;
     }
     course.counters().count(RequestCounters.Event.ITEM);
@@ -70,8 +80,52 @@
     if (lastEventId >= 0) {
       letter.goOnBehind(lastEventId);
     }
-    ItemRun run = new ItemRun(course.timers(), lastEventId, heard);
+    ItemRun run =
+        new ItemRun(
+            course.timers(), lastEventId, new FailureRecorder(piece.id(), server.id(), heard));
     run.on(course.servers().start(server, letter, run));
     return run;
   }
+
+  /** The servers that failed the item, as long as there are others that can be chosen. */
+  private Set<Server> serversThatFailed(String itemId, List<Server> open) {
+    Set<Server> failed = new HashSet<>();
+    boolean others = false;
+    for (Server server : open) {
+      if (failures.failed(itemId, server.id())) {
+        failed.add(server);
+      } else {
+        others |= course.servers().available(server);
+      }
+    }
+    return others ? failed : new HashSet<>();
+  }
+
+  /** Keeps which server failed the item, and passes all on. */
+  private final class FailureRecorder implements RunListener {
+    private final String itemId;
+    private final String serverId;
+    private final RunListener listener;
+
+    FailureRecorder(String itemId, String serverId, RunListener listener) {
+      this.itemId = itemId;
+      this.serverId = serverId;
+      this.listener = listener;
+    }
+
+    @Override
+    public void event(long id, byte[] data) {
+      listener.event(id, data);
+    }
+
+    @Override
+    public void ended(Ended how) {
+      switch (how) {
+        case FAILED -> failures.add(itemId, serverId);
+        case WHOLE, NEVER -> failures.remove(itemId);
+        default -> {}
+      }
+      listener.ended(how);
+    }
+  }
 }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -4,6 +4,7 @@
 import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.servers.Attempt;
 import elmsail.gateway.servers.AttemptListener;
+import elmsail.gateway.servers.SelectionMode;
 import elmsail.gateway.servers.Server;
 import elmsail.runtime.Timers.Timer;
 import io.netty.buffer.ByteBuf;
@@ -46,6 +47,10 @@
   private int sentTo;
   private int unsent;
   private boolean mayHaveRun;
+
+  /** The first server's error, while the request is retried, or null. */
+  private HeldFailure failure;
+
   private boolean over;
 
   RequestForwarder(
@@ -109,18 +114,31 @@
 
   /** Whether one more server is allowed and there. */
   private boolean mayGoOn() {
-    Server other =
-        sentTo + 1 < route.tries() ? course.servers().choose(route, letter.prompt(), been) : null;
+    Server other = oneMoreAllowed() ? course.servers().choose(route, letter.prompt(), been) : null;
     return other != null && !course.servers().avoided(other);
   }
 
+  private boolean oneMoreAllowed() {
+    return sentTo + 1 < route.tries();
+  }
+
+  /** An error of the server that gets the request next is made up for if it may be retried. */
+  private SelectionMode selectionMode() {
+    if (failure != null) {
+      return SelectionMode.AFTER_ERROR;
+    }
+    boolean retried = route.repeatable() && oneMoreAllowed() && passing.lastEvent() < 0;
+    return retried ? SelectionMode.PROBE_PREFERRED : SelectionMode.SINGLE;
+  }
+
   private void next() {
     boolean spent =
         sentTo >= Math.max(1, route.tries())
             || unsent >= MOST_UNSENT
             || mayHaveRun && !route.repeatable()
             || endsAt - course.timers().now() < LEAST_MS;
-    Server server = spent ? null : course.servers().choose(route, letter.prompt(), been);
+    Server server =
+        spent ? null : course.servers().choose(route, letter.prompt(), been, selectionMode());
     if (server == null) {
       giveUp();
       return;
@@ -144,6 +162,8 @@
   private void giveUp() {
     if (passing.begun()) {
       breakOff();
+    } else if (failure != null) {
+      passOnFailure();
     } else if (mayHaveRun) {
       own(Outcome.ownStatus(true, false), RequestCounters.Event.BAD_GATEWAY);
     } else {
@@ -165,6 +185,8 @@
     course.counters().count(RequestCounters.Event.TIMED_OUT);
     if (passing.begun()) {
       breakOff();
+    } else if (failure != null) {
+      passOnFailure();
     } else {
       int status = Outcome.ownStatus(mayHaveRun || sent, true);
       own(
@@ -175,6 +197,15 @@
     }
   }
 
+  /** The retry came to nothing: the first server's answer stands. */
+  private void passOnFailure() {
+    HeldFailure answer = failure;
+    failure = null;
+    finish();
+    course.counters().count(RequestCounters.Event.SERVED);
+    answer.passOn(passing.client());
+  }
+
   private void refuse(RequestCounters.Event why) {
     own(503, why);
   }
@@ -197,6 +228,10 @@
     over = true;
     now = null;
     passing.drop();
+    if (failure != null) {
+      failure.release();
+      failure = null;
+    }
     if (end != null) {
       end.cancel();
     }
@@ -247,6 +282,9 @@
 
   @Override
   public void whole() {
+    if (retryAfterError()) {
+      return;
+    }
     switch (passing.whole()) {
       case ANSWERED -> {
         finish();
@@ -261,6 +299,22 @@
     }
   }
 
+  /** Retries the request elsewhere if the answer is a server's error and that may mend it. */
+  private boolean retryAfterError() {
+    boolean timeLeft = endsAt - course.timers().now() >= LEAST_MS;
+    boolean mayRetry = failure == null && route.repeatable() && timeLeft;
+    if (!mayRetry || !passing.holdsFailure() || !mayGoOn()) {
+      return false;
+    }
+    failure = passing.takeFailure();
+    course.counters().count(RequestCounters.Event.RETRIED_AFTER_ERROR);
+    now = null;
+    mayHaveRun = true;
+    sentTo++;
+    next();
+    return true;
+  }
+
   @Override
   public void failed(boolean sent) {
     if (over) {
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
@@ -170,6 +170,21 @@
     }
   }
 
+  /** Whether the answer is an error that another server may mend, and the client has none of it. */
+  boolean holdsFailure() {
+    return !begun
+        && mode == Mode.HOLD
+        && outcome == Outcome.ANSWERED
+        && HeldFailure.retryable(head.status().code());
+  }
+
+  /** Takes the whole answer of the present try out of the relay; see {@link #holdsFailure}. */
+  HeldFailure takeFailure() {
+    HeldFailure taken = new HeldFailure(head, held == null ? Unpooled.EMPTY_BUFFER : held);
+    held = null;
+    return taken;
+  }
+
   /** The answer of the present try is whole: what it means, passed on if it is to be. */
   Outcome whole() {
     if (mode == Mode.EVENTS && events.partial()) {
--- a/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Attempt.java
@@ -1,5 +1,6 @@
 package elmsail.gateway.servers;
 
+import elmsail.gateway.http.Headers;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
@@ -91,6 +92,21 @@
     }
   }
 
+  /**
+   * Tells the server's circuit breaker what the answer says of it: whether it is ejected by this.
+   */
+  boolean judge(HttpResponse head, long now) {
+    boolean notRun = head.headers().contains(Headers.NOT_RUN);
+    return switch (ResponseClass.of(head.status().code(), notRun, out.endsAt() - now)) {
+      case SUCCESS -> {
+        server.succeeded(now);
+        yield false;
+      }
+      case SERVER_ERROR -> server.errored(now);
+      case NEUTRAL -> false;
+    };
+  }
+
   void head(HttpResponse head) {
     begun();
     heard.head(head);
--- a/gateway/src/main/java/elmsail/gateway/servers/OutgoingRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/OutgoingRequest.java
@@ -13,6 +13,11 @@
   /** Whether it is an item of a job. */
   boolean item();
 
+  /** When it has to be answered, on the loop's clock; Long.MAX_VALUE: at no certain time. */
+  default long endsAt() {
+    return Long.MAX_VALUE;
+  }
+
   /** Made just before it is written, so that the time left in it is right. */
   FullHttpRequest message(String serverId);
 }
--- a/gateway/src/main/java/elmsail/gateway/servers/Server.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Server.java
@@ -51,6 +51,8 @@
 
   private final ServerEntry entry;
   private final PrefixMemory memory;
+  private final OutlierDetector outliers;
+  private final ErrorBackoff errors;
   final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
 
   /** Tries that run or wait for a connection. */
@@ -59,6 +61,9 @@
   /** Open, opening and idle ones. */
   int connections;
 
+  /** The request that tries it again after errors, or null. */
+  private Attempt probe;
+
   private int items;
   private long lastItemAt = Long.MIN_VALUE / 2;
   private boolean misplaced;
@@ -73,8 +78,10 @@
   private int toldWaiting;
   private int ownWhenTold;
 
-  Server(ServerEntry entry, long kvTokens) {
+  Server(ServerEntry entry, long kvTokens, OutlierDetector outliers) {
     this.entry = entry;
+    this.outliers = outliers;
+    errors = outliers.add();
     memory = new PrefixMemory(kvTokens);
   }
 
@@ -108,6 +115,7 @@
 
   void leave() {
     gone = true;
+    outliers.remove(errors);
   }
 
   /** Tries that may be cancelled while one looks at them. */
@@ -129,20 +137,33 @@
     return readingTokens;
   }
 
-  void begun(Attempt one) {
+  /** Whether this attempt is the probe of a server that erred. */
+  boolean begun(Attempt one) {
     tries.add(one);
     if (one.out().item()) {
       items++;
       lastItemAt = one.since();
     }
     readingTokens += anew(one);
+    boolean probes = errors.probe(one.since());
+    probe = probes ? one : probe;
+    return probes;
   }
 
   void answering(Attempt one) {
     readingTokens -= anew(one);
+    probeEnded(one);
+  }
+
+  private void probeEnded(Attempt one) {
+    if (one == probe) {
+      probe = null;
+      errors.probeEnded();
+    }
   }
 
   void ended(Attempt one) {
+    probeEnded(one);
     if (tries.remove(one)) {
       items -= one.out().item() ? 1 : 0;
       readingTokens -= one.answered() ? 0 : anew(one);
@@ -162,6 +183,35 @@
     avoidedUntil = Long.MIN_VALUE;
   }
 
+  /** It answered with a success. */
+  void succeeded(long now) {
+    errors.succeeded(now);
+  }
+
+  /** Whether its last answers are good and one of them is new. */
+  boolean servedLately(long now) {
+    return errors.servedLately(now);
+  }
+
+  /** It answered with an error of its own: whether it is ejected by this. */
+  boolean errored(long now) {
+    return outliers.errored(errors, now);
+  }
+
+  /**
+   * Whether to take it only where there is no other, since it answered with errors.
+   *
+   * @param early whether an error of the request would be made up for
+   */
+  boolean ejected(boolean early, long now) {
+    return errors.avoided(early, now);
+  }
+
+  /** Whether its backoff after errors is over, and nothing has tried it again yet. */
+  boolean awaitsProbe(long now) {
+    return errors.mayProbe(true, now);
+  }
+
   /** Only bytes of an answer that began earlier. */
   void stirred(long now) {
     heardAt = now;
@@ -261,11 +311,13 @@
    */
   public int itemRoom(long now) {
     boolean pacing = now - lastItemAt < ITEM_PACE_MS;
-    if (gone || misplaced || pacing || avoided(now) || waiting(now) >= ITEMS_WAIT) {
+    boolean avoided = avoided(now) || ejected(true, now);
+    if (gone || misplaced || pacing || avoided || waiting(now) >= ITEMS_WAIT) {
       return 0;
     }
     int own = Math.max(2, (int) (entry.berths() * ITEMS_OF_ONE_DOOR)) - items;
     int free = (int) (entry.berths() * ITEMS_UP_TO - running(now));
-    return Math.max(0, Math.min(own, free));
+    int room = Math.max(0, Math.min(own, free));
+    return errors.ejected() ? Math.min(1, room) : room; // one probe at a time
   }
 }
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerConnection.java
@@ -207,6 +207,9 @@
     idleMs = response == null ? UNTOLD_MS : toldMs(response);
     long now = pool.timers().now();
     server.heard(now);
+    if (current.judge(head, now)) {
+      pool.counters().count(RequestCounters.Event.SERVER_ERRORED);
+    }
     if (code == MISDIRECTED) {
       server.misplace();
     }
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -9,6 +9,7 @@
 import elmsail.runtime.Timers;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -33,6 +34,7 @@
   private final RandomGenerator chance;
   private final ConnectionPool pool;
   private final Map<String, Server> byId = new LinkedHashMap<>();
+  private final Map<String, OutlierDetector> outliersByService = new HashMap<>();
   private int turn;
 
   /** The servers of the list that {@code known} has; connections run on {@code loop}. */
@@ -72,7 +74,7 @@
           server = null;
         }
         if (server == null) {
-          byId.put(e.id(), new Server(e, kvTokens(e.service())));
+          byId.put(e.id(), newServer(e));
         }
       }
     }
@@ -85,6 +87,12 @@
     }
   }
 
+  private Server newServer(ServerEntry entry) {
+    OutlierDetector outliers =
+        outliersByService.computeIfAbsent(entry.service(), name -> new OutlierDetector());
+    return new Server(entry, kvTokens(entry.service()), outliers);
+  }
+
   /** What has not been written yet is not written any more; what runs goes on. */
   private static void leave(Server server) {
     server.leave();
@@ -137,13 +145,22 @@
     return found;
   }
 
-  /** A server for the request that is not among those it has been at, or null. */
+  /** As {@link #choose(Route, Prompt, Set, boolean)}, for a request that must not err. */
   public Server choose(Route route, Prompt prompt, Set<Server> not) {
+    return choose(route, prompt, not, SelectionMode.SINGLE);
+  }
+
+  /**
+   * A server for the request that is not among those it has been at, or null.
+   *
+   * @param mode what an error of the server would cost
+   */
+  public Server choose(Route route, Prompt prompt, Set<Server> not, SelectionMode mode) {
     List<Route.Share> shares = new ArrayList<>(route.shares());
     while (!shares.isEmpty()) {
       Route.Share share = drawn(shares);
       shares.remove(share);
-      Server server = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
+      Server server = share.weight() > 0 ? best(of(share.service()), prompt, not, mode) : null;
       if (server != null) {
         return server;
       }
@@ -170,7 +187,7 @@
   }
 
   /** The best of these with room for a connection, or null. */
-  public Server best(List<Server> among, Prompt prompt, Set<Server> not) {
+  private Server best(List<Server> among, Prompt prompt, Set<Server> not, SelectionMode mode) {
     long now = timers.now();
     List<Server> open = new ArrayList<>(among.size());
     for (Server server : among) {
@@ -178,16 +195,39 @@
         open.add(server);
       }
     }
+    Server halfOpen = mode == SelectionMode.PROBE_PREFERRED ? halfOpen(open, now) : null;
+    if (halfOpen != null) {
+      return halfOpen;
+    }
+    SelectionMode applied = applicable(mode, open, now);
     Server home = home(open, prompt);
     List<ServerSelector.View> views = new ArrayList<>(open.size());
     for (Server server : open) {
-      views.add(view(server, prompt, server == home, now));
+      views.add(view(server, prompt, server == home, applied, now));
     }
     int at = ServerSelector.pick(views, prompt.total(), turn++);
     return at < 0 ? null : open.get(at);
   }
 
-  private ServerSelector.View view(Server server, Prompt prompt, boolean home, long now) {
+  private static Server halfOpen(List<Server> open, long now) {
+    for (Server server : open) {
+      if (server.awaitsProbe(now) && !server.avoided(now)) {
+        return server;
+      }
+    }
+    return null;
+  }
+
+  /** Where no server served lately, those that erred are still to be told from the others. */
+  private static SelectionMode applicable(SelectionMode mode, List<Server> open, long now) {
+    boolean noneServedLately =
+        mode == SelectionMode.AFTER_ERROR
+            && open.stream().allMatch(server -> passedOver(server, mode, now));
+    return noneServedLately ? SelectionMode.SINGLE : mode;
+  }
+
+  private ServerSelector.View view(
+      Server server, Prompt prompt, boolean home, SelectionMode mode, long now) {
     return new ServerSelector.View(
         server.memory().known(prompt),
         home ? prompt.sharedTokens() : 0,
@@ -196,17 +236,30 @@
         server.entry().berths(),
         server.readingTokens(),
         zone.equals(server.entry().zone()),
-        server.avoided(now));
+        passedOver(server, mode, now));
+  }
+
+  private static boolean passedOver(Server server, SelectionMode mode, long now) {
+    return server.avoided(now)
+        || server.ejected(mode.probesEarly(), now)
+        || mode == SelectionMode.AFTER_ERROR && !server.servedLately(now);
   }
 
   /** The estimated ms that a request waits there until it is read. */
   public double waitMs(Server server) {
-    return ServerSelector.waitMs(view(server, Prompt.NONE, false, timers.now()));
+    return ServerSelector.waitMs(
+        view(server, Prompt.NONE, false, SelectionMode.SINGLE, timers.now()));
   }
 
-  /** Whether it failed lately or is silent. */
+  /** Whether it failed or erred lately or is silent. */
   public boolean avoided(Server server) {
-    return server.avoided(timers.now());
+    long now = timers.now();
+    return server.avoided(now) || server.ejected(false, now);
+  }
+
+  /** Whether it can be chosen and neither failed nor erred lately. */
+  public boolean available(Server server) {
+    return !server.gone() && !server.misplaced() && !avoided(server);
   }
 
   /**
@@ -234,7 +287,9 @@
   public Attempt start(Server server, OutgoingRequest out, AttemptListener heard) {
     counters.count(RequestCounters.Event.TRY);
     Attempt one = new Attempt(server, out, heard, timers.now());
-    server.begun(one);
+    if (server.begun(one)) {
+      counters.count(RequestCounters.Event.PROBED);
+    }
     server.memory().add(out.prompt());
     pool.carry(server, one);
     return one;
--- /dev/null
+++ b/gateway/src/test/java/elmsail/gateway/servers/ErringServersModelTest.java
@@ -0,0 +1,228 @@
+package elmsail.gateway.servers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.gateway.FakeKnown;
+import elmsail.gateway.http.Headers;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.NettyLoop;
+import elmsail.simulation.ManualTimers;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many gateways before one service of which some servers err at once, by a clock of numbers: the
+ * gateways choose by their own selectors and learn from answers alone.
+ */
+class ErringServersModelTest {
+  private static final int GATEWAYS = 59;
+  private static final int REQUESTS_PER_SECOND = 7;
+
+  /** All serve for so long, and then some err until the end. */
+  private static final long CALM_MS = 2_000;
+
+  private static final long DURATION_MS = 6_000;
+  private static final long SERVED_MS = 60;
+  private static final long ERROR_MS = 1;
+  private static final int BERTHS = 8;
+  private static final int REQUESTS_PER_GATEWAY = (int) (DURATION_MS * REQUESTS_PER_SECOND / 1_000);
+
+  /**
+   * What may not be repeated finds a server out at its first error, once more by the late probe 3 s
+   * after it, and not again before 7 s.
+   */
+  private static final int ERRORS_PER_GATEWAY_AND_SERVER = 2;
+
+  private static final double MOST_OF_BEFORE = 0.6;
+
+  private final NettyLoop loop = new NettyLoop();
+  private final ManualTimers timers = new ManualTimers();
+  private final FakeKnown known = new FakeKnown();
+  private final SplittableRandom chance = new SplittableRandom(11);
+  private int[] running;
+  private int errors;
+  private int requests;
+  private int servedByErring;
+
+  @AfterEach
+  void close() {
+    loop.stop();
+  }
+
+  /** What differs between runs. */
+  private record Scenario(
+      int servers, int erring, double errorShare, double repeatableShare, boolean detecting) {}
+
+  private double errorShare(Scenario scenario) {
+    errors = 0;
+    requests = 0;
+    servedByErring = 0;
+    running = new int[scenario.servers()];
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int i = 0; i < scenario.servers(); i++) {
+      entries.add(new ServerEntry("i-" + i, "s", "127.0.0.1:1", "z", BERTHS, false, 0));
+    }
+    known.servers = entries;
+    long intervalMs = 1_000 / REQUESTS_PER_SECOND;
+    for (int g = 0; g < GATEWAYS; g++) {
+      Servers servers =
+          new Servers(timers, loop.events(), known, "z", new RequestCounters(), chance.split());
+      long offset = chance.nextLong(intervalMs);
+      for (long at = offset; at < CALM_MS + DURATION_MS; at += intervalMs) {
+        boolean repeatable = chance.nextDouble() < scenario.repeatableShare();
+        boolean calm = at < CALM_MS;
+        timers.after(at, () -> new Request(servers, scenario, repeatable, calm).send());
+      }
+    }
+    timers.pass(CALM_MS + DURATION_MS + 10 * SERVED_MS);
+    return (double) errors / requests;
+  }
+
+  /** One request of a client, which is sent to two servers at most. */
+  private final class Request implements OutgoingRequest, AttemptListener {
+    private final Servers servers;
+    private final Scenario scenario;
+    private final boolean repeatable;
+    private final boolean calm;
+    private final Set<Server> attempted = new HashSet<>();
+
+    Request(Servers servers, Scenario scenario, boolean repeatable, boolean calm) {
+      this.servers = servers;
+      this.calm = calm;
+      this.scenario = scenario;
+      this.repeatable = repeatable;
+      requests += calm ? 0 : 1;
+    }
+
+    void send() {
+      boolean retried = repeatable && attempted.isEmpty();
+      SelectionMode mode = retried ? SelectionMode.PROBE_PREFERRED : SelectionMode.SINGLE;
+      mode = attempted.isEmpty() ? mode : SelectionMode.AFTER_ERROR;
+      Server server = servers.choose(route(repeatable), Prompt.NONE, attempted, mode);
+      attempted.add(server);
+      Attempt attempt = new Attempt(server, this, this, timers.now());
+      server.begun(attempt);
+      attempt.sending();
+      int index = Integer.parseInt(server.id().substring(2));
+      boolean errs =
+          !calm && index < scenario.erring() && chance.nextDouble() < scenario.errorShare();
+      running[index]++;
+      servedByErring += !calm && index < scenario.erring() ? 1 : 0;
+      timers.after(errs ? ERROR_MS : SERVED_MS, () -> answer(attempt, index, errs ? 500 : 200));
+    }
+
+    private void answer(Attempt attempt, int index, int status) {
+      running[index]--;
+      HttpResponse head =
+          new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+      head.headers().set(Headers.POSTMARK, "p");
+      Server server = attempt.server();
+      server.heard(timers.now());
+      server.load(running[index] + ",0," + BERTHS, timers.now());
+      if (scenario.detecting()) {
+        attempt.judge(head, timers.now());
+      }
+      attempt.head(head);
+      attempt.whole();
+      if (status != 500) {
+        return;
+      }
+      Server other =
+          scenario.detecting() && repeatable && attempted.size() == 1
+              ? servers.choose(route(true), Prompt.NONE, attempted)
+              : null;
+      if (other != null && !servers.avoided(other)) {
+        send();
+      } else {
+        errors++;
+      }
+    }
+
+    @Override
+    public String id() {
+      return "a";
+    }
+
+    @Override
+    public Prompt prompt() {
+      return Prompt.NONE;
+    }
+
+    @Override
+    public boolean item() {
+      return false;
+    }
+
+    @Override
+    public FullHttpRequest message(String serverId) {
+      throw new AssertionError("not sent here");
+    }
+
+    @Override
+    public void head(HttpResponse head) {}
+
+    @Override
+    public void data(ByteBuf piece) {
+      piece.release();
+    }
+
+    @Override
+    public void whole() {}
+
+    @Override
+    public void failed(boolean sent) {}
+  }
+
+  private static Route route(boolean repeatable) {
+    Route.Kind kind = repeatable ? Route.Kind.SAFE : Route.Kind.UNSAFE;
+    List<Route.Share> shares = List.of(new Route.Share("s", 1));
+    return new Route("r", "h", "/r/", kind, 1_000, 100, 0, shares, 2, false, 0, 0, 0, 0);
+  }
+
+  private void compared(String what, Scenario after, double mostAfter) {
+    Scenario without =
+        new Scenario(
+            after.servers(), after.erring(), after.errorShare(), after.repeatableShare(), false);
+    double before = errorShare(without);
+    double now = errorShare(after);
+    System.out.printf("%s: errors before %.4f, after %.4f%n", what, before, now);
+    assertThat(what, now, is(lessThan(mostAfter)));
+    assertThat(what, now, is(lessThan(before * MOST_OF_BEFORE)));
+  }
+
+  @Test
+  void fourOfThirtyOneServersThatAlwaysErr() {
+    double most = 4.0 * ERRORS_PER_GATEWAY_AND_SERVER / REQUESTS_PER_GATEWAY;
+    compared("4 of 31, none repeatable", new Scenario(31, 4, 1, 0, true), most);
+    compared("4 of 31, half repeatable", new Scenario(31, 4, 1, 0.5, true), 0.06);
+    compared("4 of 31, all repeatable", new Scenario(31, 4, 1, 1, true), 0.01);
+  }
+
+  @Test
+  void oneOfTwoServersThatErrsNowAndThen() {
+    compared("1 of 2 at 40 %, half repeatable", new Scenario(2, 1, 0.4, 0.5, true), 0.1);
+    assertThat("it is not shut out", servedByErring, is(greaterThan(requests / 50)));
+  }
+
+  @Test
+  void whereAllErrNoneIsShutOut() {
+    double share = errorShare(new Scenario(2, 2, 1, 0.5, true));
+    assertThat("each request was sent", share, is(1.0));
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/elmsail/gateway/servers/SelectionModeTest.java
@@ -0,0 +1,128 @@
+package elmsail.gateway.servers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.sameInstance;
+
+import elmsail.config.Route;
+import elmsail.config.ServerEntry;
+import elmsail.gateway.FakeKnown;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.runtime.NettyLoop;
+import elmsail.simulation.ManualTimers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which of four servers is chosen once some have erred, with nothing sent. */
+class SelectionModeTest {
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/r/",
+          Route.Kind.SAFE,
+          1_000,
+          100,
+          0,
+          List.of(new Route.Share("s", 1)),
+          2,
+          false,
+          0,
+          0,
+          0,
+          0);
+
+  private final NettyLoop loop = new NettyLoop();
+  private final ManualTimers timers = new ManualTimers();
+  private final FakeKnown known = new FakeKnown();
+  private Servers servers;
+  private List<Server> all;
+
+  @BeforeEach
+  void open() {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      entries.add(new ServerEntry("i-" + i, "s", "127.0.0.1:1", "z", 24, false, 0));
+    }
+    known.servers = entries;
+    RequestCounters counters = new RequestCounters();
+    servers = new Servers(timers, loop.events(), known, "z", counters, new SplittableRandom(3));
+    all = servers.of("s");
+  }
+
+  @AfterEach
+  void close() {
+    loop.stop();
+  }
+
+  private Server choose(SelectionMode mode, Server... attempted) {
+    return servers.choose(ROUTE, Prompt.NONE, Set.of(attempted), mode);
+  }
+
+  @Test
+  void anErringServerIsPassedOverInEveryMode() {
+    all.get(0).errored(timers.now());
+    for (SelectionMode mode : SelectionMode.values()) {
+      for (int i = 0; i < 8; i++) {
+        assertThat(mode.name(), choose(mode), is(not(sameInstance(all.get(0)))));
+      }
+    }
+  }
+
+  @Test
+  void aRequestThatMetAnErrorGoesToAServerThatServedLately() {
+    all.get(2).succeeded(timers.now());
+    for (int i = 0; i < 8; i++) {
+      assertThat(choose(SelectionMode.AFTER_ERROR, all.get(0)), is(sameInstance(all.get(2))));
+    }
+  }
+
+  @Test
+  void whereNoneServedLatelyItGoesToOneThatDidNotErr() {
+    all.get(0).errored(timers.now());
+    all.get(1).errored(timers.now());
+    for (int i = 0; i < 8; i++) {
+      assertThat(
+          choose(SelectionMode.AFTER_ERROR, all.get(0), all.get(2)), is(sameInstance(all.get(3))));
+    }
+  }
+
+  @Test
+  void aHalfOpenServerIsProbedFirstByWhatPrefersIt() {
+    all.get(0).errored(timers.now());
+    timers.pass(ErrorBackoff.FIRST_MS);
+    for (int i = 0; i < 8; i++) {
+      assertThat(choose(SelectionMode.SINGLE), is(not(sameInstance(all.get(0)))));
+      assertThat(choose(SelectionMode.PROBE_PREFERRED), is(sameInstance(all.get(0))));
+    }
+    timers.pass(ErrorBackoff.LATE_PROBE_MS);
+    boolean tried = false;
+    for (int i = 0; i < 8; i++) {
+      tried |= choose(SelectionMode.SINGLE) == all.get(0);
+    }
+    assertThat("it is not shut out for good", tried, is(true));
+  }
+
+  @Test
+  void aServerThatCannotBeReachedIsNotProbed() {
+    all.get(0).errored(timers.now());
+    timers.pass(ErrorBackoff.FIRST_MS);
+    all.get(0).failed(timers.now());
+    assertThat(choose(SelectionMode.PROBE_PREFERRED), is(not(sameInstance(all.get(0)))));
+  }
+
+  @Test
+  void atMostHalfAreEjected() {
+    for (Server server : all) {
+      server.errored(timers.now());
+    }
+    long ejected = all.stream().filter(s -> s.ejected(false, timers.now())).count();
+    assertThat(ejected, is(2L));
+  }
+}
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerConnectionTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerConnectionTest.java
@@ -89,7 +89,10 @@
 
   private final NettyLoop loop = new NettyLoop();
   private final Server server =
-      new Server(new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
+      new Server(
+          new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0),
+          1_000,
+          new OutlierDetector());
   private final ConnectionPool pool =
       new ConnectionPool(loop, loop.events(), new FakeKnown(), new RequestCounters());
   private EmbeddedChannel channel;
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerTest.java
@@ -17,7 +17,10 @@
 /** A server's health and load, by a clock of numbers. */
 class ServerTest {
   private final Server server =
-      new Server(new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0), 1_000);
+      new Server(
+          new ServerEntry("i-1", "s", "127.0.0.1:1", "z", 24, false, 0),
+          1_000,
+          new OutlierDetector());
 
   private static final class Silent implements OutgoingRequest, AttemptListener {
     private final boolean item;
