Serve open requests until five sixths of the grace time; divide shares by rotation

Cause: a stop cut what was open 0.25 s after half of grace_s. And a share's part of some hundred requests was drawn by chance.

Change: a stop serves until five sixths of grace_s and 0.25 s (less where grace_s is short). Each route's shares take turns by smooth weighted round robin, begun at a random place, so that each gateway is off by about one request.

--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -35,9 +35,16 @@
   private static final long STOP_LOOK_MS = 20;
 
   /**
-   * A request is cut only where its server was still at work in the second half of the grace time.
+   * Requests are served until the last sixth of the grace time begins: one whose server has
+   * answered by then is not cut.
    */
-  private static final long BEYOND_HALF_MS = 250;
+  private static final int GRACE_PARTS = 6;
+
+  /** Until an answer that was whole at its server just then has passed. */
+  private static final long LAST_ANSWERS_MS = 250;
+
+  /** The process needs the rest of a short grace time to end by itself. */
+  private static final int MOST_LAST_ANSWERS_PART = 24;
 
   private final NettyLoop loop;
   private final Timers timers;
@@ -138,8 +145,8 @@
   }
 
   /**
-   * Is not ready from now on, serves what is open and still comes, and ends soon after half of the
-   * grace time.
+   * Is not ready from now on, serves what is open and still comes, and ends soon after five sixths
+   * of the grace time.
    *
    * @return completes on the loop when nothing is open any more
    */
@@ -152,10 +159,10 @@
     stopping = true;
     LOG.info("stopping; {} connections of clients are open", front.connections());
     front.beginEnd();
-    long halfGrace = settings.bounds().graceMs() / 2;
-    long end = timers.now() + halfGrace + BEYOND_HALF_MS;
+    long grace = settings.bounds().graceMs();
+    long end = timers.now() + servedForMs(grace);
     timers.after(
-        Math.min(STILL_SENT_MS, halfGrace * 3 / 4),
+        Math.min(STILL_SENT_MS, grace * 3 / 8),
         () -> {
           front.closeIdle();
           whenEmpty(end, done);
@@ -163,6 +170,12 @@
     return done;
   }
 
+  /** For how long after the order to stop open requests are served on. */
+  private static long servedForMs(long graceMs) {
+    return graceMs * (GRACE_PARTS - 1) / GRACE_PARTS
+        + Math.min(LAST_ANSWERS_MS, graceMs / MOST_LAST_ANSWERS_PART);
+  }
+
   private void whenEmpty(long end, CompletableFuture<Void> done) {
     if (front.connections() > 0 && timers.now() < end) {
       timers.after(STOP_LOOK_MS, () -> whenEmpty(end, done));
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -30,7 +30,7 @@
   private final ClusterState known;
   private final String zone;
   private final RequestCounters counters;
-  private final RandomGenerator chance;
+  private final ShareRotations rotations;
   private final ConnectionPool pool;
   private final Map<String, Server> byId = new LinkedHashMap<>();
   private int turn;
@@ -47,7 +47,7 @@
     this.known = known;
     this.zone = zone;
     this.counters = counters;
-    this.chance = chance;
+    rotations = new ShareRotations(chance);
     pool = new ConnectionPool(timers, loop, known, counters);
     known.whenChanged(this::refresh);
     refresh();
@@ -139,9 +139,10 @@
 
   /** A server for the request that is not among those it has been at, or null. */
   public Server choose(Route route, Prompt prompt, Set<Server> not) {
+    ShareRotation rotation = rotations.of(route);
     List<Route.Share> shares = new ArrayList<>(route.shares());
     while (!shares.isEmpty()) {
-      Route.Share share = drawn(shares);
+      Route.Share share = rotation.next(shares);
       shares.remove(share);
       Server server = share.weight() > 0 ? best(of(share.service()), prompt, not) : null;
       if (server != null) {
@@ -151,24 +152,6 @@
     return null;
   }
 
-  private Route.Share drawn(List<Route.Share> shares) {
-    if (shares.size() == 1) {
-      return shares.get(0);
-    }
-    double sum = 0;
-    for (Route.Share share : shares) {
-      sum += Math.max(0, share.weight());
-    }
-    double at = chance.nextDouble() * sum;
-    for (Route.Share share : shares) {
-      at -= Math.max(0, share.weight());
-      if (at < 0) {
-        return share;
-      }
-    }
-    return shares.get(shares.size() - 1);
-  }
-
   /** The best of these with room for a connection, or null. */
   public Server best(List<Server> among, Prompt prompt, Set<Server> not) {
     long now = timers.now();
--- /dev/null
+++ b/gateway/src/main/java/elmsail/gateway/servers/ShareRotation.java
@@ -0,0 +1,63 @@
+package elmsail.gateway.servers;
+
+import elmsail.config.Route;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Smooth weighted round robin over the shares of one route: of any run of requests each share gets
+ * its part to within about one request. Drawn independently, a share's part of some hundred
+ * requests would be off by several hundredths. It begins at a random place, as all gateways would
+ * favour the same share at first otherwise.
+ */
+final class ShareRotation {
+  /** More than the requests after which the rotation of usual weights repeats itself. */
+  private static final int MOST_SKIPPED = 1_000;
+
+  private final List<Route.Share> shares;
+
+  /** What each share is owed, in requests; negative where it was ahead. */
+  private final Map<Route.Share, Double> owed = new HashMap<>();
+
+  ShareRotation(List<Route.Share> shares, RandomGenerator chance) {
+    this.shares = List.copyOf(shares);
+    if (shares.size() > 1) {
+      for (int skipped = chance.nextInt(MOST_SKIPPED); skipped > 0; skipped--) {
+        next(shares);
+      }
+    }
+  }
+
+  boolean isOf(List<Route.Share> others) {
+    return shares.equals(others);
+  }
+
+  /**
+   * The next request's share among these, of which there is one at least. A share without a server
+   * is asked for again without those that were taken before; it counts as served, so that it does
+   * not get everything once it has a server again.
+   */
+  Route.Share next(List<Route.Share> among) {
+    if (among.size() == 1) {
+      return among.get(0);
+    }
+    double sum = 0;
+    for (Route.Share share : among) {
+      sum += share.weight();
+    }
+    Route.Share most = null;
+    for (Route.Share share : among) {
+      if (share.weight() > 0) {
+        owed.merge(share, share.weight() / sum, Double::sum);
+        most = most == null || owed.get(share) > owed.get(most) ? share : most;
+      }
+    }
+    if (most == null) {
+      return among.get(0);
+    }
+    owed.merge(most, -1.0, Double::sum);
+    return most;
+  }
+}
--- a/gateway/src/test/java/elmsail/gateway/FakeKnown.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeKnown.java
@@ -44,6 +44,27 @@
             0));
   }
 
+  /** All routes hold a request for so long. */
+  public void giveUpAfter(long ms) {
+    routes.replaceAll(
+        (prefix, one) ->
+            new Route(
+                one.name(),
+                one.host(),
+                one.prefix(),
+                one.kind(),
+                ms,
+                one.dueMs(),
+                one.precedence(),
+                one.shares(),
+                one.tries(),
+                one.resume(),
+                one.gapAimMs(),
+                one.runDueMs(),
+                one.shelfMs(),
+                one.mostWaiting()));
+  }
+
   public void changed() {
     listeners.forEach(Runnable::run);
   }
