--- a/app/src/main/java/elmsail/app/ControlPlaneProcess.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneProcess.java
@@ -7,6 +7,7 @@
 import elmsail.runtime.Settings;
 import elmsail.storage.DirectoryRecordStore;
 import elmsail.storage.RecordStore;
+import elmsail.storage.StorageCounters;
 import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,13 +24,9 @@
   private ControlPlane controlPlane;
 
   ControlPlaneProcess(Settings settings, NettyLoop loop) {
-    ProcessMetrics metrics = ProcessMetrics.logged(loop);
     links = new RpcEndpoint(loop.events(), loop, settings.innerAddress());
-    records =
-        settings.dataDir() == null
-            ? null
-            : DirectoryRecordStore.open(
-                Path.of(settings.dataDir()), (long) settings.limits().diskMb() << 20, loop::soon);
+    ProcessMetrics metrics = ProcessFigures.start(loop, links);
+    records = settings.dataDir() == null ? null : records(settings, loop, metrics);
     if (settings.serves().contains("head_office")) {
       links.listen().exceptionally(Launch::fatal);
       ControlPlane.startHeadOffice(settings, loop, links, records, metrics)
@@ -51,6 +48,15 @@
     }
   }
 
+  private static RecordStore records(Settings settings, NettyLoop loop, ProcessMetrics metrics) {
+    long mostBytes = (long) settings.limits().diskMb() << 20;
+    DirectoryRecordStore records =
+        DirectoryRecordStore.open(Path.of(settings.dataDir()), mostBytes, loop::soon);
+    records.countIn(new StorageCounters(metrics.counters()));
+    metrics.counters().readGauge("storage_bytes_on_disk", records::bytesOnDisk);
+    return records;
+  }
+
   @Override
   public void changed(Settings settings) {
     LOG.info(
--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -30,10 +30,10 @@
   private Runnable whenEnded;
 
   GatewayProcess(Settings settings, NettyLoop loop) {
-    ProcessMetrics metrics = ProcessMetrics.logged(loop);
     long who = new SecureRandom().nextLong();
     String own = settings.innerAddress();
     links = new RpcEndpoint(loop.events(), loop, own);
+    ProcessMetrics metrics = ProcessFigures.start(loop, links);
     PlatformClient platform =
         settings.platform() == null
             ? null
--- a/app/src/test/java/elmsail/app/CheckMainTest.java
+++ b/app/src/test/java/elmsail/app/CheckMainTest.java
@@ -14,6 +14,7 @@
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.simulation.ManualTimers;
 import elmsail.storage.DirectoryRecordStore;
 import elmsail.storage.RecordStore.Change;
@@ -168,7 +169,8 @@
               new NoCalls(),
               timers,
               "127.0.0.1:7721",
-              "n1");
+              "n1",
+              ProcessMetrics.strict());
       VoterSet voterSet = new VoterSet();
       voterSet.voters.add(slot("127.0.0.1:7721", "n1", records.instanceId()));
       voterSet.voters.add(slot("127.0.0.2:7721", "n2", 5));
--- a/batch/src/main/java/elmsail/batch/store/JobRetention.java
+++ b/batch/src/main/java/elmsail/batch/store/JobRetention.java
@@ -57,6 +57,7 @@
     this.drop = drop;
     this.statusMs = statusMs;
     counters = new StoreCounters(metrics.counters());
+    metrics.counters().readGauge("store_batch_jobs_kept", jobs::size);
     invariants = metrics.invariants();
   }
 
@@ -153,7 +154,6 @@
   }
 
   private void look() {
-    counters.jobsKept.set(jobs.size());
     for (String job : jobs.outlived(statusMs, DROP_SLACK_MS, timers.now())) {
       drop.accept(PREFIX + job);
       jobs.dropped(job);
--- a/batch/src/main/java/elmsail/batch/store/StoreCounters.java
+++ b/batch/src/main/java/elmsail/batch/store/StoreCounters.java
@@ -14,14 +14,10 @@
   /** Gateways' messages about jobs that could not be read. */
   public final Counters.Counter messagesGarbled;
 
-  /** Jobs kept at present. */
-  public final Counters.Counter jobsKept;
-
   /** Takes its counters from those of the process. */
   public StoreCounters(Counters counters) {
     messagesAnswered = counters.of("store_batch_messages_answered");
     messagesNotSeated = counters.of("store_batch_messages_not_seated");
     messagesGarbled = counters.of("store_batch_messages_garbled");
-    jobsKept = counters.of("store_batch_jobs_kept");
   }
 }
--- a/batch/src/test/java/elmsail/batch/JobStoreWorld.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreWorld.java
@@ -61,7 +61,8 @@
               node.caller(),
               node.timers(),
               address,
-              "st-" + address);
+              "st-" + address,
+              ProcessMetrics.strict());
       jobs.listen(node.answering());
       jobs.start();
     }
--- a/consensus/src/main/java/elmsail/consensus/Membership.java
+++ b/consensus/src/main/java/elmsail/consensus/Membership.java
@@ -44,6 +44,11 @@
     return slot >= 0 && caughtUp > 0 && voterSet.voters.get(slot).epoch == caughtUp;
   }
 
+  /** Whether this life claims a voter slot, and has not caught up yet. */
+  boolean joining() {
+    return !voting() && ownSlot() >= 0;
+  }
+
   /** The voter slot that this life holds or is claiming, or -1. */
   int ownSlot() {
     return VoterSets.ofInstance(voterSet, instanceId);
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -3,7 +3,9 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Counters;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Timers;
 import elmsail.storage.RecordStore;
 import elmsail.storage.RecordStore.Change;
@@ -47,7 +49,11 @@
    */
   private VoterSet publishedVoterSet;
 
-  /** Reads its records; votes at once if this life was voting when it ended. */
+  /**
+   * Reads its records; votes at once if this life was voting when it ended.
+   *
+   * @param metrics the process's figures and invariants
+   */
   public Replica(
       String set,
       RecordStore records,
@@ -56,7 +62,8 @@
       Caller caller,
       Timers timers,
       String ownAddress,
-      String station) {
+      String station,
+      ProcessMetrics metrics) {
     this.set = set;
     this.records = records;
     this.views = views;
@@ -78,10 +85,19 @@
     if (publishedVoting) {
       tellValues();
     }
-    new ReplicaRequests(set, records, names, safe, views, membership, this).register(answering);
+    new ReplicaRequests(set, records, names, safe, views, membership, this, metrics)
+        .register(answering);
+    gauges(metrics.counters());
     timers.soon(newcomer::consider);
   }
 
+  private void gauges(Counters counters) {
+    counters.readGauge("replica_voting", () -> voting() ? 1 : 0);
+    counters.readGauge("replica_join_under_way", () -> membership.joining() ? 1 : 0);
+    counters.readGauge("replica_keys_kept", () -> records.count(names.keys()));
+    counters.readGauge("replica_blobs_kept", () -> records.count(names.blobs()));
+  }
+
   /**
    * The first voter set of all: taken only while nothing is known here and if it names this life at
    * epoch 1. A life ends with its disk's content, so one that is named so never voted before; it
--- /dev/null
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaCounters.java
@@ -0,0 +1,66 @@
+package elmsail.consensus;
+
+import elmsail.rpc.messages.VoteResponse;
+import elmsail.runtime.Counters;
+import elmsail.runtime.MetricName;
+
+/** What a replica counts of the requests that it answers; on the loop. */
+final class ReplicaCounters {
+  private static final String REFUSED = "replica_refused";
+  private static final String REASON = "reason";
+
+  /** Prepare requests that were promised. */
+  final Counters.Counter preparesAnswered;
+
+  /** Accept requests that were accepted. */
+  final Counters.Counter acceptsAnswered;
+
+  /** Reads of a key's state that were answered. */
+  final Counters.Counter readsAnswered;
+
+  /** Refused: a higher ballot was promised to another. */
+  private final Counters.Counter refusedOutbid;
+
+  /** Refused: the request was made under an older voter set. */
+  private final Counters.Counter refusedOldVoterSet;
+
+  /** Refused: this replica does not vote. */
+  private final Counters.Counter refusedNotVoting;
+
+  /** Refused: the value may not be taken here. */
+  private final Counters.Counter refusedNotAdmitted;
+
+  /** Refused: what the answer relies on could not be written. */
+  private final Counters.Counter refusedDisk;
+
+  ReplicaCounters(Counters counters) {
+    preparesAnswered = counters.of("replica_prepares_answered");
+    acceptsAnswered = counters.of("replica_accepts_answered");
+    readsAnswered = counters.of("replica_reads_answered");
+    refusedOutbid = refused(counters, "outbid");
+    refusedOldVoterSet = refused(counters, "old_voter_set");
+    refusedNotVoting = refused(counters, "not_voting");
+    refusedNotAdmitted = refused(counters, "not_admitted");
+    refusedDisk = refused(counters, "disk");
+  }
+
+  private static Counters.Counter refused(Counters counters, String reason) {
+    return counters.of(new MetricName(REFUSED + "_" + reason, REFUSED, REASON, reason));
+  }
+
+  /** Counts a refusal by the code of the answer. */
+  void refused(int code) {
+    switch (code) {
+      case VoteResponse.OUTBID -> refusedOutbid.add(1);
+      case VoteResponse.OLD_SEATING -> refusedOldVoterSet.add(1);
+      case VoteResponse.NOT_SEATED -> refusedNotVoting.add(1);
+      case VoteResponse.NOT_ADMITTED -> refusedNotAdmitted.add(1);
+      default -> throw new IllegalArgumentException("not a refusal: " + code);
+    }
+  }
+
+  /** Counts an answer that could not be given, as the disk refused. */
+  void refusedByDisk() {
+    refusedDisk.add(1);
+  }
+}
--- a/consensus/src/main/java/elmsail/consensus/ReplicaRequests.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaRequests.java
@@ -14,6 +14,9 @@
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Invariant;
+import elmsail.runtime.Invariants;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.storage.RecordStore;
 import elmsail.storage.RecordStore.Change;
 import java.util.List;
@@ -37,6 +40,8 @@
   private final ReplicaListener views;
   private final Membership membership;
   private final Replica replica;
+  private final ReplicaCounters counters;
+  private final Invariants invariants;
 
   ReplicaRequests(
       String set,
@@ -45,7 +50,8 @@
       DurableRecords safe,
       ReplicaListener views,
       Membership membership,
-      Replica replica) {
+      Replica replica,
+      ProcessMetrics metrics) {
     this.set = set;
     this.records = records;
     this.names = names;
@@ -53,6 +59,8 @@
     this.views = views;
     this.membership = membership;
     this.replica = replica;
+    counters = new ReplicaCounters(metrics.counters());
+    invariants = metrics.invariants();
   }
 
   void register(RequestHandlers answering) {
@@ -69,8 +77,9 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    Acceptor.Decision decision = Acceptor.prepare(safe.state(request.key), request.ballot);
+    Acceptor.Decision decision = Acceptor.prepare(state(request.key), request.ballot);
     if (decision.answer().code != VoteResponse.DONE) {
+      counters.refused(decision.answer().code);
       return CompletableFuture.completedFuture(decision.answer());
     }
     return safely(
@@ -79,6 +88,7 @@
           if (request.note != null) {
             decision.answer().note = views.noted(request.key, request.note);
           }
+          counters.preparesAnswered.add(1);
           return decision.answer();
         });
   }
@@ -89,15 +99,17 @@
       return CompletableFuture.completedFuture(refused);
     }
     Acceptor.Decision decision =
-        Acceptor.accept(safe.state(request.key), request.ballot, request.next, request.value);
+        Acceptor.accept(state(request.key), request.ballot, request.next, request.value);
     if (decision.answer().code == VoteResponse.DONE
         && decision.write() != null
         && !views.admits(request.key, request.value)) {
       VoteResponse response = new VoteResponse();
       response.code = VoteResponse.NOT_ADMITTED;
+      counters.refused(response.code);
       return CompletableFuture.completedFuture(response);
     }
     if (decision.answer().code != VoteResponse.DONE) {
+      counters.refused(decision.answer().code);
       return CompletableFuture.completedFuture(decision.answer());
     }
     return safely(
@@ -106,6 +118,7 @@
           if (decision.write() != null) {
             views.taken(request.key, request.value);
           }
+          counters.acceptsAnswered.add(1);
           return decision.answer();
         });
   }
@@ -115,8 +128,27 @@
     if (refused != null) {
       return CompletableFuture.completedFuture(refused);
     }
-    VoteResponse response = Acceptor.read(safe.state(request.key), request.known, request.bare);
-    return safely(List.of(), () -> response);
+    VoteResponse response = Acceptor.read(state(request.key), request.known, request.bare);
+    return safely(
+        List.of(),
+        () -> {
+          counters.readsAnswered.add(1);
+          return response;
+        });
+  }
+
+  /** What is held of a key, checked. */
+  private KeyState state(String key) {
+    KeyState state = safe.state(key);
+    check(invariants, set, key, state);
+    return state;
+  }
+
+  static void check(Invariants invariants, String set, String key, KeyState state) {
+    invariants.check(
+        Invariant.ACCEPTED_BALLOT_PROMISED,
+        Ballots.compare(state.accepted(), state.promised()) <= 0,
+        () -> set + ": key " + key);
   }
 
   private CompletableFuture<BlobResponse> blob(BlobRequest request) {
@@ -197,6 +229,7 @@
     if (code == VoteResponse.DONE) {
       return null;
     }
+    counters.refused(code);
     VoteResponse response = new VoteResponse();
     response.code = code;
     response.voterSet = replica.voterSet();
@@ -205,9 +238,16 @@
 
   private <A> CompletableFuture<A> safely(List<Change> changes, Supplier<A> answer) {
     if (!replica.membershipWritten()) {
+      counters.refusedByDisk();
       return CompletableFuture.failedFuture(
           new ElmsailException(ErrorCode.DISK, "the voter set is not on disk"));
     }
-    return safe.safely(changes, answer);
+    return safe.safely(changes, answer)
+        .whenComplete(
+            (given, failed) -> {
+              if (failed != null) {
+                counters.refusedByDisk();
+              }
+            });
   }
 }
--- a/consensus/src/test/java/elmsail/consensus/SimSet.java
+++ b/consensus/src/test/java/elmsail/consensus/SimSet.java
@@ -3,10 +3,12 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.simulation.ManualTimers;
 import elmsail.simulation.Node;
 import elmsail.simulation.SimDisk;
 import elmsail.simulation.SimNet;
+import elmsail.storage.RecordStore;
 import java.util.concurrent.CompletableFuture;
 
 /** Three replicas and a spare on the simulated network and disks. */
@@ -17,6 +19,8 @@
   final SimNet net = new SimNet(11, timers);
   final SimDisk[] disks = new SimDisk[AT.length];
   final Replica[] replicas = new Replica[AT.length];
+  final RecordStore[] records = new RecordStore[AT.length];
+  final ProcessMetrics[] metrics = new ProcessMetrics[AT.length];
   final ReplicaListener[] views = new ReplicaListener[AT.length];
   final VoterSet founding = new VoterSet();
   private int clients;
@@ -48,16 +52,19 @@
 
   void start(int i) {
     Node node = net.node(AT[i]);
+    metrics[i] = ProcessMetrics.strict();
+    records[i] = disks[i].open(node.timers());
     replicas[i] =
         new Replica(
             "set",
-            disks[i].open(node.timers()),
+            records[i],
             views[i],
             node.answering(),
             node.caller(),
             node.timers(),
             AT[i],
-            "s" + i);
+            "s" + i,
+            metrics[i]);
   }
 
   void kill(int i) {
--- a/consensus/src/test/java/elmsail/consensus/World.java
+++ b/consensus/src/test/java/elmsail/consensus/World.java
@@ -6,6 +6,7 @@
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Timers;
 import elmsail.simulation.ManualTimers;
 import java.util.ArrayList;
@@ -73,7 +74,8 @@
               caller,
               own,
               address,
-              "st-" + address);
+              "st-" + address,
+              ProcessMetrics.strict());
     }
 
     void crash() {
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlane.java
@@ -11,10 +11,13 @@
 import elmsail.runtime.http.HttpHandler;
 import elmsail.runtime.http.HttpReply;
 import elmsail.runtime.http.HttpServer;
+import elmsail.runtime.http.MetricsEndpoint;
 import elmsail.runtime.http.NettyHttpClient;
 import elmsail.storage.RecordStore;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A control-plane node with its sockets, in one of two shapes: at the head office, where operators
@@ -22,7 +25,9 @@
  * after {@link #end()}.
  */
 public final class ControlPlane {
+  private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
   private static final int MOST_BODY = 8 << 20;
+  private static final int MOST_METRICS_BODY = 1_024;
   private static final long END_WITHIN_MS = 800;
   private static final long LOOK_MS = 10;
 
@@ -30,6 +35,7 @@
   private final ControlPlaneNode office;
   private final StoreNode house;
   private HttpServer serving;
+  private boolean ending;
   private int inHand;
 
   private ControlPlane(NettyLoop loop, ControlPlaneNode office, StoreNode house) {
@@ -64,10 +70,14 @@
             metrics);
     ControlPlane controlPlane = new ControlPlane(loop, office, null);
     HttpHandler operators = office.operators();
+    MetricsEndpoint figures = new MetricsEndpoint(metrics.counters(), loop);
     return HttpServer.listen(
             loop,
             settings.slots().get("control"),
-            call -> controlPlane.counted(operators, call),
+            call ->
+                MetricsEndpoint.PATH.equals(call.path())
+                    ? figures.handle(call)
+                    : controlPlane.counted(operators, call),
             MOST_BODY)
         .thenApply(
             serving -> {
@@ -102,7 +112,25 @@
     jobs.listen(links);
     jobs.start();
     house[0].start();
-    return new ControlPlane(loop, null, house[0]);
+    ControlPlane controlPlane = new ControlPlane(loop, null, house[0]);
+    controlPlane.tellFigures(settings.metricsAddress(), metrics);
+    return controlPlane;
+  }
+
+  /** A store serves all the same where its figures can't be had. */
+  private void tellFigures(String address, ProcessMetrics metrics) {
+    HttpServer.listen(
+            loop, address, new MetricsEndpoint(metrics.counters(), loop), MOST_METRICS_BODY)
+        .whenComplete(
+            (listening, failed) -> {
+              if (failed != null) {
+                LOG.warn("no figures are told at {}: {}", address, failed.getMessage());
+              } else if (ending) {
+                listening.close();
+              } else {
+                serving = listening;
+              }
+            });
   }
 
   /** A store's replica; null at the head office. */
@@ -127,6 +155,7 @@
    * answered, within 0.8 s at most. On the loop.
    */
   public CompletableFuture<Void> end() {
+    ending = true;
     if (serving != null) {
       serving.close();
     }
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneCounters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneCounters.java
@@ -5,15 +5,48 @@
 /** What a control-plane node counts; on the loop. */
 final class ControlPlaneCounters {
 
-  /** Times that a store was told to join the voters. */
-  final Counters.Counter joinsDirected;
+  /** Pulls of other processes that were answered. */
+  final Counters.Counter pullsAnswered;
+
+  /** Pulls that were refused, as there is no contact with a majority of the voters. */
+  final Counters.Counter pullsNoContact;
+
+  /** Operators' configuration orders that were acknowledged: 200. */
+  final Counters.Counter ordersAcknowledged;
+
+  /** Orders that were refused, so that nothing of them was taken: 400, 412 and 503. */
+  final Counters.Counter ordersRefused;
+
+  /** Orders of which it is unclear whether they were taken: 504. */
+  final Counters.Counter ordersUnclear;
 
-  /** 1 while this node holds the singleton lease. */
-  final Counters.Counter leaseHeld;
+  /** Lists of servers that were read from the platform. */
+  final Counters.Counter listsRead;
+
+  /** Calls for the list of servers that failed. */
+  final Counters.Counter listsFailed;
+
+  /** Times that a process was told to join the voters of the stores. */
+  final Counters.Counter joinsDirected;
 
   /** Takes its counters from those of the process. */
   ControlPlaneCounters(Counters counters) {
+    pullsAnswered = counters.of("control_pulls_answered");
+    pullsNoContact = counters.of("control_pulls_no_contact");
+    ordersAcknowledged = counters.of("control_orders_acknowledged");
+    ordersRefused = counters.of("control_orders_refused");
+    ordersUnclear = counters.of("control_orders_unclear");
+    listsRead = counters.of("control_lists_read");
+    listsFailed = counters.of("control_lists_failed");
     joinsDirected = counters.of("control_joins_directed");
-    leaseHeld = counters.of("control_lease_held");
+  }
+
+  /** Counts how an operator's order ended, by the status of its answer. */
+  void orderEnded(int status) {
+    switch (status) {
+      case 200 -> ordersAcknowledged.add(1);
+      case 504 -> ordersUnclear.add(1);
+      default -> ordersRefused.add(1);
+    }
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -15,6 +15,7 @@
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Counters;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ProcessMetrics;
@@ -90,7 +91,7 @@
     this.timers = timers;
     this.answering = answering;
     String own = settings.innerAddress();
-    voters = new ControlPlaneVoters(settings, timers, caller, answering, records);
+    voters = new ControlPlaneVoters(settings, timers, caller, answering, records, metrics);
     register =
         new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, CONFIG_EVERY_MS);
@@ -116,7 +117,8 @@
                 settings.platform().perSecond(),
                 timers,
                 sources,
-                lease::term);
+                lease::term,
+                counters);
     int stores = 2 * settings.bearMachines() + 1;
     storePlacement = new PlacementController(stores, timers.now());
     founding = new StoreFounding(register, founded, storePlacement, heard);
@@ -137,9 +139,18 @@
                     RoutingConfigReader::read,
                     timers,
                     config,
-                    edition -> notices.tell("decided")),
+                    edition -> notices.tell("decided"),
+                    counters),
                 new ReadConfigHandler(register, config),
                 new VoterRedirect(retire, settings, voters, watcher)));
+    gauges(metrics.counters());
+  }
+
+  private void gauges(Counters figures) {
+    figures.readGauge("control_lease_held", () -> lease.term() > 0 ? 1 : 0);
+    figures.readGauge("control_in_contact", () -> config.contact().current() ? 1 : 0);
+    figures.readGauge("control_store_voters_voting", storeRedundancy::voting);
+    figures.readGauge("control_head_voters_voting", headPlacement.redundancy()::voting);
   }
 
   void start() {
@@ -194,13 +205,21 @@
       learnStores(request.storeSet);
     }
     if (closed || !config.contact().current()) {
+      counters.pullsNoContact.add(1);
       return CompletableFuture.failedFuture(
           new ElmsailException(ErrorCode.NOT_SEATED, "no contact with a majority"));
     }
     if ("store".equals(request.role)) {
       request.waitMs = Math.min(request.waitMs, STORE_WAIT_MS);
     }
-    return sources.request(request).thenApply(config.contact()::checked);
+    return sources
+        .request(request)
+        .thenApply(config.contact()::checked)
+        .whenComplete(this::pullEnded);
+  }
+
+  private void pullEnded(PullResponse answer, Throwable failed) {
+    (failed == null ? counters.pullsAnswered : counters.pullsNoContact).add(1);
   }
 
   private void taken(byte[] value) {
@@ -285,7 +304,6 @@
     storeRedundancy.look(directs, heard, storeSet, now);
     List<String> clerksNow = heard.gateways(now, CLERK_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
-    counters.leaseHeld.set(lease.term() > 0 ? 1 : 0);
     if (order != null && !order.equals(before)) {
       counters.joinsDirected.add(1);
       LOG.info(
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -8,6 +8,7 @@
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.HelloRequest;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import elmsail.storage.RecordStore;
@@ -38,13 +39,15 @@
    * Makes one.
    *
    * @param records null where this process has no disk: it has no vote
+   * @param metrics the process's figures and invariants
    */
   ControlPlaneVoters(
       Settings settings,
       Timers timers,
       Caller caller,
       RequestHandlers answering,
-      RecordStore records) {
+      RecordStore records,
+      ProcessMetrics metrics) {
     this.settings = settings;
     this.timers = timers;
     this.caller = caller;
@@ -60,7 +63,8 @@
                 caller,
                 timers,
                 settings.innerAddress(),
-                settings.station());
+                settings.station(),
+                metrics);
     this.born = records != null && (settings.firstStart() || records.read(BORN) != null);
   }
 
--- a/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
+++ b/controlplane/src/main/java/elmsail/controlplane/RedundancyMonitor.java
@@ -21,6 +21,7 @@
   private long missedSince = WHOLE;
   private long lastRepairMs;
   private int repairs;
+  private int voting;
 
   RedundancyMonitor(String set) {
     this.set = set;
@@ -37,11 +38,12 @@
       look(heard, voterSet, now);
     } else {
       missedSince = WHOLE;
+      voting = 0;
     }
   }
 
   private void look(HeartbeatTable heard, VoterSet voterSet, long now) {
-    int voting = 0;
+    voting = 0;
     long lastMissed = Long.MAX_VALUE;
     for (Voter holder : voterSet.voters) {
       HeartbeatTable.Member there = heard.store(holder.address);
@@ -73,6 +75,11 @@
     return there != null && there.voting() && there.instanceId() == holder.instanceId;
   }
 
+  /** How many holders were heard as voting at the last look; 0 where this node cannot know. */
+  int voting() {
+    return voting;
+  }
+
   /** Whether a slot is missed now. */
   boolean missing() {
     return missedSince != WHOLE;
--- a/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ReplaceConfigHandler.java
@@ -41,24 +41,28 @@
   private final Timers timers;
   private final CommittedValue decided;
   private final LongConsumer tell;
+  private final ControlPlaneCounters counters;
 
   /**
    * Makes one.
    *
    * @param reader throws BAD_CALL for a configuration that is invalid
    * @param tell told of the edition that this call got decided
+   * @param counters of this node
    */
   ReplaceConfigHandler(
       Register register,
       Function<byte[], RoutingConfig> reader,
       Timers timers,
       CommittedValue decided,
-      LongConsumer tell) {
+      LongConsumer tell,
+      ControlPlaneCounters counters) {
     this.register = register;
     this.reader = reader;
     this.timers = timers;
     this.decided = decided;
     this.tell = tell;
+    this.counters = counters;
   }
 
   /** One call: what it wants and what became of it. */
@@ -97,10 +101,12 @@
   public CompletableFuture<HttpReply> handle(HttpCall call) {
     long basedOn = number(call.headers().get("elmsail-based-on"));
     if (basedOn < 0) {
+      counters.orderEnded(400);
       return Replies.now(Replies.why(400, "Elmsail-Based-On"));
     }
     Order order = order(basedOn, call.body());
     attempt(order);
+    order.reply.thenAccept(reply -> counters.orderEnded(reply.status()));
     return order.reply;
   }
 
--- a/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ServerDiscovery.java
@@ -30,6 +30,7 @@
   private final Timers timers;
   private final UpdateSources sources;
   private final LongSupplier term;
+  private final ControlPlaneCounters counters;
   private long epoch;
   private long version;
   private byte[] last;
@@ -50,18 +51,21 @@
    *
    * @param perSecond calls that the platform takes from all processes together
    * @param term in which the lease is held at this moment, or 0
+   * @param counters of this node
    */
   ServerDiscovery(
       PlatformClient platform,
       double perSecond,
       Timers timers,
       UpdateSources sources,
-      LongSupplier term) {
+      LongSupplier term,
+      ControlPlaneCounters counters) {
     this.platform = platform;
     this.perSecond = perSecond;
     this.timers = timers;
     this.sources = sources;
     this.term = term;
+    this.counters = counters;
   }
 
   void start() {
@@ -79,6 +83,7 @@
         .fetch()
         .whenComplete(
             (servers, failed) -> {
+              (failed == null ? counters.listsRead : counters.listsFailed).add(1);
               if (failed == null && !closed && !sources.hasServers()) {
                 sources.setServers(
                     FIRST_TERM, 1, ServerList.encode(stepped(servers)), platform.takenAt());
@@ -100,6 +105,7 @@
         .fetch()
         .whenComplete(
             (servers, failed) -> {
+              (failed == null ? counters.listsRead : counters.listsFailed).add(1);
               if (failed == null) {
                 pause = EVERY_MS;
                 take(inTerm, servers);
--- a/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
@@ -7,7 +7,6 @@
 import elmsail.rpc.Caller;
 import elmsail.rpc.RequestHandlers;
 import elmsail.rpc.messages.VoterSet;
-import elmsail.runtime.Counters;
 import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
@@ -20,13 +19,8 @@
 final class StoreNode {
   static final String SET = "shelf";
 
-  private static final long LOOK_MS = 1_000;
-
   private final Replica replica;
   private final ConfigWatcher watcher;
-  private final Timers timers;
-  private final Counters.Counter voting;
-  private boolean closed;
 
   StoreNode(
       Settings settings,
@@ -36,8 +30,6 @@
       RecordStore records,
       ReplicaListener views,
       ProcessMetrics metrics) {
-    this.timers = timers;
-    voting = metrics.counters().of("store_voting");
     replica =
         new Replica(
             SET,
@@ -47,7 +39,8 @@
             caller,
             timers,
             settings.innerAddress(),
-            settings.station());
+            settings.station(),
+            metrics);
     watcher =
         new ConfigWatcher(
             caller,
@@ -63,16 +56,6 @@
     watcher.whenChanged(this::learn);
     watcher.whenJoinOrdered(replica::join);
     watcher.start();
-    look();
-  }
-
-  /** Takes the gauges of this store. */
-  private void look() {
-    if (closed) {
-      return;
-    }
-    voting.set(replica.voting() ? 1 : 0);
-    timers.after(LOOK_MS, this::look);
   }
 
   private void learn() {
@@ -95,7 +78,6 @@
   }
 
   void close() {
-    closed = true;
     watcher.close();
   }
 }
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneFiguresTest.java
@@ -0,0 +1,25 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.runtime.Counters;
+import org.junit.jupiter.api.Test;
+
+class ControlPlaneFiguresTest {
+  private final Counters counters = new Counters();
+  private final ControlPlaneCounters own = new ControlPlaneCounters(counters);
+
+  @Test
+  void tellsHowOrdersEnded() {
+    own.orderEnded(200);
+    for (int status : new int[] {400, 412, 503}) {
+      own.orderEnded(status);
+    }
+    own.orderEnded(504);
+    own.orderEnded(504);
+    assertThat(counters.of("control_orders_acknowledged").value(), is(1L));
+    assertThat(counters.of("control_orders_refused").value(), is(3L));
+    assertThat(counters.of("control_orders_unclear").value(), is(2L));
+  }
+}
--- a/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/ControlPlaneTest.java
@@ -1,6 +1,7 @@
 package elmsail.controlplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
@@ -36,6 +37,11 @@
     }
   }
 
+  /** A port whose next one is free. */
+  private static int portBeforeFreeOne() throws IOException {
+    return freePort() - 1;
+  }
+
   private static Settings settings(Path dir, boolean firstStart, int controlPort, int innerPort) {
     String control = "127.0.0.1:" + controlPort;
     return new Settings(
@@ -139,6 +145,10 @@
           }
           assertThat(taken, is("{}"));
           assertThat(call(control, "GET", "/Timetable.Read", null), equalTo(World.config(4)));
+          String figures = call(control, "GET", "/metrics", null);
+          assertThat(figures, containsString("elmsail_control_orders_acknowledged 1\n"));
+          assertThat(figures, containsString("elmsail_replica_voting 1\n"));
+          assertThat(call(control, "POST", "/metrics", ""), equalTo("405"));
         });
     running(
         settings(dir, false, controlPort, inner),
@@ -147,4 +157,36 @@
           assertThat(call(control, "POST", "/Timetable.Replace", World.config(4)), is("{}"));
         });
   }
+
+  @Test
+  @Timeout(60)
+  void aStoreTellsItsFiguresAtItsThirdInnerPort() throws Exception {
+    Settings settings = settings(dir, true, freePort(), portBeforeFreeOne());
+    NettyLoop loop = new NettyLoop();
+    RpcEndpoint links = new RpcEndpoint(loop.events(), loop, "127.0.0.1:0");
+    DirectoryRecordStore records =
+        DirectoryRecordStore.open(Path.of(settings.dataDir()), 64 << 20, loop::soon);
+    CompletableFuture<ControlPlane> started = new CompletableFuture<>();
+    loop.soon(
+        () -> {
+          ControlPlane store =
+              ControlPlane.startVault(settings, loop, links, records, ProcessMetrics.strict());
+          // The address is bound behind what the loop is doing now.
+          loop.soon(() -> loop.soon(() -> started.complete(store)));
+        });
+    try {
+      ControlPlane store = started.get(10, TimeUnit.SECONDS);
+      String figures = call(settings.metricsAddress(), "GET", "/metrics", null);
+      assertThat(figures, containsString("elmsail_replica_voting 0\n"));
+      assertThat(figures, containsString("elmsail_store_batch_jobs_kept 0\n"));
+      assertThat(call(settings.metricsAddress(), "GET", "/ready", null), equalTo("404"));
+      CompletableFuture<Void> ended = new CompletableFuture<>();
+      loop.soon(() -> store.end().thenRun(() -> ended.complete(null)));
+      ended.get(1, TimeUnit.SECONDS);
+    } finally {
+      loop.soon(links::close);
+      records.close();
+      loop.stop().get(5, TimeUnit.SECONDS);
+    }
+  }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
@@ -8,6 +8,7 @@
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
 import elmsail.config.Service;
+import elmsail.runtime.Counters;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import elmsail.runtime.http.HttpCall;
@@ -22,13 +23,20 @@
 
 /** Replace and Read against the register's contract, its failures and its races. */
 class OperatorCallsTest {
+  private final Counters figures = new Counters();
   private final ManualTimers timers = new ManualTimers();
   private final FakeRegister register = new FakeRegister(timers);
   private final List<Long> response = new ArrayList<>();
   private final CommittedValue decided =
       new CommittedValue(register, ReplaceConfigHandler.KEY, timers, 300);
   private final ReplaceConfigHandler replace =
-      new ReplaceConfigHandler(register, OperatorCallsTest::reader, timers, decided, response::add);
+      new ReplaceConfigHandler(
+          register,
+          OperatorCallsTest::reader,
+          timers,
+          decided,
+          response::add,
+          new ControlPlaneCounters(figures));
   private final ReadConfigHandler read = new ReadConfigHandler(register, decided);
 
   /** "7 anything": the edition is the number in front; "bad" is no configuration. */
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -13,8 +13,10 @@
 import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
+import elmsail.runtime.http.HttpCall;
 import elmsail.runtime.http.HttpReply;
 import elmsail.runtime.http.HttpServer;
+import elmsail.runtime.http.MetricsEndpoint;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -44,6 +46,7 @@
   private final ClusterState known;
   private final Settings settings;
   private final RequestCounters counters;
+  private final MetricsEndpoint figures;
   private final Servers servers;
   private final ItemDispatcher items;
   private final RequestDispatcher desk;
@@ -63,6 +66,7 @@
     this.known = known;
     this.settings = settings;
     counters = new RequestCounters(metrics.counters());
+    figures = new MetricsEndpoint(metrics.counters(), timers);
     SplittableRandom chance = new SplittableRandom();
     servers = new Servers(timers, loop.events(), known, settings.zone(), counters, chance);
     RequestProgress course = new RequestProgress(timers, known, servers, counters, chance);
@@ -107,16 +111,7 @@
             counters,
             settings.limits().fds());
     CompletableFuture<HttpServer> looked =
-        HttpServer.listen(
-            loop,
-            settings.slots().get("ready"),
-            call ->
-                CompletableFuture.completedFuture(
-                    new HttpReply(
-                        call.path().equals("/ready") ? isReady() ? 200 : 503 : 404,
-                        Map.of(),
-                        NOTHING)),
-            MOST_READY_BODY);
+        HttpServer.listen(loop, settings.slots().get("ready"), this::lookedAt, MOST_READY_BODY);
     return fronted.thenCombine(
         looked,
         (f, r) -> {
@@ -126,6 +121,15 @@
         });
   }
 
+  /** Answers at the slot "ready": whether the platform is to send, and the process's figures. */
+  private CompletableFuture<HttpReply> lookedAt(HttpCall call) {
+    if (!call.path().equals("/ready")) {
+      return figures.handle(call);
+    }
+    return CompletableFuture.completedFuture(
+        new HttpReply(isReady() ? 200 : 503, Map.of(), NOTHING));
+  }
+
   /** Whether the platform is to send clients here. */
   public boolean isReady() {
     return !stopping && known.config() != null && servers.any();
--- a/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
@@ -1,6 +1,7 @@
 package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
@@ -48,6 +49,27 @@
     assertThat(ready().status(), is(503));
   }
 
+  @Test
+  void tellsItsFiguresWhereItIsAskedWhetherItIsReady() throws Exception {
+    rig.request("nowhere", "a1").message();
+    String asked = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    try (Wire wire = Wire.to(rig.gateway.readyAddress())) {
+      Message told = wire.write(asked).message();
+      assertThat(told.status(), is(200));
+      assertThat(told.body(), containsString("# TYPE elmsail_requests_no_route counter\n"));
+      assertThat(told.body(), containsString("elmsail_requests_no_route 1\n"));
+    }
+    rig.list(List.of());
+    assertThat("no reason to be ready", ready().status(), is(503));
+    try (Wire wire = Wire.to(rig.gateway.readyAddress())) {
+      assertThat("told also while not ready", wire.write(asked).message().status(), is(200));
+    }
+    try (Wire wire = Wire.to(rig.gateway.readyAddress())) {
+      String posted = "POST /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+      assertThat(wire.write(posted).message().status(), is(405));
+    }
+  }
+
   @Test
   void beforeTheFirstConfigurationNothingIsDenied() {
     rig.known.configured = false;
--- a/rpc/src/main/java/elmsail/rpc/RpcCounters.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcCounters.java
@@ -1,5 +1,7 @@
 package elmsail.rpc;
 
+import elmsail.runtime.Counters;
+
 /** How inner calls went, since the start; read on the loop. */
 public final class RpcCounters {
   public long calls;
@@ -43,4 +45,29 @@
   public long pings;
   public long bytesIn;
   public long bytesOut;
+
+  /** Makes these part of the figures of the process. */
+  public void tellIn(Counters counters) {
+    counters.read("rpc_calls", () -> calls);
+    counters.read("rpc_answers", () -> answers);
+    counters.read("rpc_failures", () -> failures);
+    counters.read("rpc_unsent", () -> unsent);
+    counters.read("rpc_broken", () -> broken);
+    counters.read("rpc_silent", () -> silent);
+    counters.read("rpc_full", () -> full);
+    counters.read("rpc_late_answers", () -> late);
+    counters.read("rpc_unheard_answers", () -> unheard);
+    counters.read("rpc_garbled_connections", () -> garbled);
+    counters.read("rpc_misdirected_connections", () -> misdirected);
+    counters.read("rpc_unsupported_versions", () -> unsupportedVersions);
+    counters.read("rpc_unexpected_answer_types", () -> otherTypes);
+    counters.read("rpc_new_instances", () -> newInstances);
+    counters.read("rpc_silent_connections", () -> silentConnections);
+    counters.read("rpc_requests_received", () -> asks);
+    counters.read("rpc_connections_made", () -> links);
+    counters.read("rpc_connections_refused", () -> refusedConnects);
+    counters.read("rpc_pings", () -> pings);
+    counters.read("rpc_bytes_received", () -> bytesIn);
+    counters.read("rpc_bytes_sent", () -> bytesOut);
+  }
 }
--- /dev/null
+++ b/rpc/src/test/java/elmsail/rpc/RpcCountersTest.java
@@ -0,0 +1,31 @@
+package elmsail.rpc;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.runtime.Counters;
+import elmsail.runtime.MetricsText;
+import java.lang.reflect.Field;
+import org.junit.jupiter.api.Test;
+
+class RpcCountersTest {
+
+  @Test
+  void eachIsPartOfTheFiguresOfTheProcess() throws IllegalAccessException {
+    RpcCounters own = new RpcCounters();
+    Counters counters = new Counters();
+    own.tellIn(counters);
+    long next = 101;
+    for (Field field : RpcCounters.class.getFields()) {
+      field.setLong(own, next++);
+    }
+    String text = MetricsText.of(counters);
+    for (long value = 101; value < next; value++) {
+      long told = value;
+      assertThat(
+          "lines with " + value,
+          text.lines().filter(line -> line.endsWith(" " + told)).count(),
+          is(1L));
+    }
+  }
+}
--- a/runtime/src/main/java/elmsail/runtime/Counters.java
+++ b/runtime/src/main/java/elmsail/runtime/Counters.java
@@ -2,59 +2,99 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Named counters, used on the loop alone. Those that changed are logged in one line every 10 s,
- * with their values. Names are few and fixed: never made of what others send.
+ * The named figures of a process: counters, gauges and histograms, used on the loop alone. Those
+ * that changed are logged in one line every 10 s; {@link MetricsText} writes all of them. Names are
+ * few and fixed: never made of what others send.
  */
 public final class Counters {
 
   private static final Logger LOG = LoggerFactory.getLogger("elmsail.counters");
   private static final long EVERY_MS = 10_000;
 
+  /** What a figure is. */
+  enum Kind {
+    /** It only grows, from 0 at the start of the process. */
+    COUNTER,
+    /** A present state: a length, a size, 1 or 0. */
+    GAUGE
+  }
+
   /** One number: hold on to it where it is counted often. */
   public static final class Counter {
+    private Kind kind;
+    private LongSupplier source;
     private long value;
     private long logged;
 
-    private Counter() {}
+    private Counter(Kind kind) {
+      this.kind = kind;
+    }
 
-    /** Adds to the value; {@code more} may be negative. */
+    /** Adds to the value; {@code more} is negative for gauges alone. */
     public void add(long more) {
       value += more;
     }
 
-    /** For what is not a sum: a length, a size. */
+    /** For what is not a sum: a length, a size. The figure is a gauge from then on. */
     public void set(long now) {
+      kind = Kind.GAUGE;
       value = now;
     }
 
     /** The present value. */
     public long value() {
-      return value;
+      return source == null ? value : source.getAsLong();
+    }
+
+    Kind kind() {
+      return kind;
     }
   }
 
-  private final Map<String, Counter> counters = new LinkedHashMap<>();
+  private final Map<MetricName, Counter> counters = new LinkedHashMap<>();
+  private final Map<MetricName, Histogram> histograms = new LinkedHashMap<>();
 
-  /** Counters without names yet that are never logged. */
+  /** Figures without names yet that are never logged. */
   public Counters() {}
 
-  /** Counters without names yet; the first line is logged 10 s from now on these timers. */
+  /** Figures without names yet; the first line is logged 10 s from now on these timers. */
   public Counters(Timers timers) {
     timers.after(EVERY_MS, () -> log(timers));
   }
 
   /** The counter of that name, made at 0 where there is none. */
   public Counter of(String name) {
-    Counter counter = counters.get(name);
-    if (counter == null) {
-      counter = new Counter();
-      counters.put(name, counter);
-    }
-    return counter;
+    return of(MetricName.plain(name));
+  }
+
+  /** The counter of that name, made at 0 where there is none. */
+  public Counter of(MetricName name) {
+    return counters.computeIfAbsent(name, made -> new Counter(Kind.COUNTER));
+  }
+
+  /** The gauge of that name, made at 0 where there is none. */
+  public Counter gauge(String name) {
+    return counters.computeIfAbsent(MetricName.plain(name), made -> new Counter(Kind.GAUGE));
+  }
+
+  /** A counter that is kept elsewhere, and read there whenever the figures are told. */
+  public void read(String name, LongSupplier source) {
+    of(name).source = source;
+  }
+
+  /** A gauge that is kept elsewhere, and read there whenever the figures are told. */
+  public void readGauge(String name, LongSupplier source) {
+    gauge(name).source = source;
+  }
+
+  /** The histogram of that name, in ms, made empty where there is none. */
+  public Histogram histogram(String name) {
+    return histograms.computeIfAbsent(MetricName.plain(name), made -> Histogram.withUsualBounds());
   }
 
   /** Counts one more. */
@@ -62,6 +102,14 @@
     of(name).add(1);
   }
 
+  Map<MetricName, Counter> counters() {
+    return counters;
+  }
+
+  Map<MetricName, Histogram> histograms() {
+    return histograms;
+  }
+
   private void log(Timers timers) {
     timers.after(EVERY_MS, () -> log(timers));
     String line = changed();
@@ -70,17 +118,37 @@
     }
   }
 
-  /** {@code name=value} of those changed since it was last asked, with spaces; null if none is. */
+  /**
+   * {@code name=value} of those that changed since it was last asked, with spaces, and of
+   * histograms what was observed since then; null if nothing changed.
+   */
   String changed() {
-    StringBuilder line = null;
-    for (Map.Entry<String, Counter> entry : counters.entrySet()) {
+    StringBuilder line = new StringBuilder();
+    for (Map.Entry<MetricName, Counter> entry : counters.entrySet()) {
       Counter counter = entry.getValue();
-      if (counter.value != counter.logged) {
-        counter.logged = counter.value;
-        line = line == null ? new StringBuilder() : line.append(' ');
-        line.append(entry.getKey()).append('=').append(counter.value);
+      long value = counter.value();
+      if (value != counter.logged) {
+        counter.logged = value;
+        append(line, entry.getKey().logged(), "", value);
+      }
+    }
+    for (Map.Entry<MetricName, Histogram> entry : histograms.entrySet()) {
+      Histogram.Recent recent = entry.getValue().takeRecent();
+      if (recent.count() > 0) {
+        String name = entry.getKey().logged();
+        append(line, name, "_count", recent.count());
+        append(line, name, "_p50", recent.p50Ms());
+        append(line, name, "_p99", recent.p99Ms());
+        append(line, name, "_max", recent.maxMs());
       }
     }
-    return line == null ? null : line.toString();
+    return line.length() == 0 ? null : line.toString();
+  }
+
+  private static void append(StringBuilder line, String name, String suffix, long value) {
+    if (line.length() > 0) {
+      line.append(' ');
+    }
+    line.append(name).append(suffix).append('=').append(value);
   }
 }
--- a/runtime/src/main/java/elmsail/runtime/Invariants.java
+++ b/runtime/src/main/java/elmsail/runtime/Invariants.java
@@ -23,7 +23,9 @@
   static final int LONGEST_DETAIL = 500;
 
   private static final Logger LOG = LoggerFactory.getLogger(Invariants.class);
-  private static final String COUNTER_PREFIX = "invariant_";
+  private static final String LOG_PREFIX = "invariant_";
+  private static final String FAMILY = "invariant_violations";
+  private static final String LABEL = "name";
 
   private final Map<Invariant, Counters.Counter> counts = new EnumMap<>(Invariant.class);
   private final boolean strict;
@@ -31,7 +33,8 @@
   private Invariants(Counters counters, boolean strict) {
     this.strict = strict;
     for (Invariant invariant : Invariant.values()) {
-      counts.put(invariant, counters.of(COUNTER_PREFIX + invariant));
+      MetricName name = new MetricName(LOG_PREFIX + invariant, FAMILY, LABEL, invariant.name());
+      counts.put(invariant, counters.of(name));
     }
   }
 
--- /dev/null
+++ b/runtime/src/main/java/elmsail/runtime/LoopDelay.java
@@ -0,0 +1,34 @@
+package elmsail.runtime;
+
+/**
+ * How late the loop runs its timers: a timer of 500 ms is set again and again, and what it is late
+ * by goes into a histogram. A process that is starved of processor time, frozen, or held up by one
+ * long task shows in it.
+ */
+public final class LoopDelay {
+  static final long EVERY_MS = 500;
+
+  private final Timers timers;
+  private final Histogram delay;
+  private long dueAt;
+
+  private LoopDelay(Timers timers, Histogram delay) {
+    this.timers = timers;
+    this.delay = delay;
+  }
+
+  /** Starts to measure; called on the loop, once for each process. */
+  public static void start(Timers timers, Counters counters) {
+    new LoopDelay(timers, counters.histogram("loop_delay_ms")).next();
+  }
+
+  private void next() {
+    dueAt = timers.now() + EVERY_MS;
+    timers.after(EVERY_MS, this::measure);
+  }
+
+  private void measure() {
+    delay.observe(timers.now() - dueAt);
+    next();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/elmsail/runtime/MetricsText.java
@@ -0,0 +1,97 @@
+package elmsail.runtime;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * All figures of a process in the Prometheus text format: a {@code # TYPE} line for each family,
+ * then a line for each figure. The size is bounded: families that no longer fit are left out.
+ */
+public final class MetricsText {
+
+  /** The media type of the format. */
+  public static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+  /** Longest text in characters, all of which are ASCII. */
+  static final int MOST_CHARS = 64 * 1024;
+
+  private static final String PREFIX = "elmsail_";
+
+  private MetricsText() {}
+
+  /** The present figures. */
+  public static String of(Counters counters) {
+    StringBuilder text = new StringBuilder();
+    for (Map.Entry<String, StringBuilder> family : families(counters).entrySet()) {
+      if (text.length() + family.getValue().length() <= MOST_CHARS) {
+        text.append(family.getValue());
+      }
+    }
+    return text.toString();
+  }
+
+  private static Map<String, StringBuilder> families(Counters counters) {
+    Map<String, StringBuilder> families = new LinkedHashMap<>();
+    for (Map.Entry<MetricName, Counters.Counter> entry : counters.counters().entrySet()) {
+      Counters.Counter counter = entry.getValue();
+      String family = sanitized(entry.getKey().family());
+      String type = counter.kind() == Counters.Kind.GAUGE ? "gauge" : "counter";
+      StringBuilder lines = families.computeIfAbsent(family, name -> typeLine(name, type));
+      lines.append(family).append(labels(entry.getKey()));
+      lines.append(' ').append(counter.value()).append('\n');
+    }
+    for (Map.Entry<MetricName, Histogram> entry : counters.histograms().entrySet()) {
+      String family = sanitized(entry.getKey().family());
+      StringBuilder lines = families.computeIfAbsent(family, name -> typeLine(name, "histogram"));
+      append(lines, family, entry.getValue());
+    }
+    return families;
+  }
+
+  private static StringBuilder typeLine(String family, String type) {
+    return new StringBuilder("# TYPE ").append(family).append(' ').append(type).append('\n');
+  }
+
+  private static void append(StringBuilder lines, String family, Histogram histogram) {
+    for (int bucket = 0; bucket < histogram.bounds(); bucket++) {
+      bucketLine(
+          lines, family, Long.toString(histogram.boundMs(bucket)), histogram.cumulative(bucket));
+    }
+    bucketLine(lines, family, "+Inf", histogram.count());
+    lines.append(family).append("_sum ").append(histogram.sum()).append('\n');
+    lines.append(family).append("_count ").append(histogram.count()).append('\n');
+  }
+
+  private static void bucketLine(StringBuilder lines, String family, String bound, long below) {
+    lines.append(family).append("_bucket{le=\"").append(bound).append("\"} ");
+    lines.append(below).append('\n');
+  }
+
+  private static String labels(MetricName name) {
+    return name.label() == null
+        ? ""
+        : "{" + legal(name.label()) + "=\"" + escaped(name.labelValue()) + "\"}";
+  }
+
+  private static String sanitized(String family) {
+    return PREFIX + legal(family);
+  }
+
+  /** Names are of letters, digits and underscores; every other character becomes an underscore. */
+  private static String legal(String name) {
+    StringBuilder legal = new StringBuilder(name.length());
+    for (int i = 0; i < name.length(); i++) {
+      char letter = name.charAt(i);
+      boolean allowed =
+          letter >= 'a' && letter <= 'z'
+              || letter >= 'A' && letter <= 'Z'
+              || letter >= '0' && letter <= '9';
+      legal.append(allowed ? letter : '_');
+    }
+    return legal.toString();
+  }
+
+  private static String escaped(String value) {
+    return value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+  }
+}
--- a/runtime/src/main/java/elmsail/runtime/Settings.java
+++ b/runtime/src/main/java/elmsail/runtime/Settings.java
@@ -75,6 +75,14 @@
     return serves.contains("head_office") ? headInner(ip) : ip + ":" + innerFirst;
   }
 
+  /**
+   * Where a store answers {@code GET /metrics}: the third inner port, as the first two are those of
+   * {@link #innerAddress()}. The other processes answer it on their "ready" and "control" slots.
+   */
+  public String metricsAddress() {
+    return ip + ":" + (innerFirst + 2);
+  }
+
   /** The inner address of the control-plane node of a control address or a bare ip. */
   public String headInner(String address) {
     int colon = address.indexOf(':');
--- /dev/null
+++ b/runtime/src/test/java/elmsail/runtime/LoopDelayTest.java
@@ -0,0 +1,51 @@
+package elmsail.runtime;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+class LoopDelayTest {
+
+  /** A clock whose timers run late by what is set here. */
+  private static final class LateTimers implements Timers {
+    private final MovedClock clock = new MovedClock();
+    private long lateMs;
+
+    @Override
+    public long now() {
+      return clock.now();
+    }
+
+    @Override
+    public Timer after(long ms, Runnable then) {
+      return clock.after(ms + lateMs, then);
+    }
+
+    @Override
+    public void soon(Runnable then) {
+      clock.soon(then);
+    }
+  }
+
+  private final LateTimers timers = new LateTimers();
+  private final Counters counters = new Counters();
+
+  @Test
+  void tellsHowLateTimersRun() {
+    LoopDelay.start(timers, counters);
+    timers.clock.pass(5_000);
+    assertThat(
+        counters.changed(),
+        is("loop_delay_ms_count=10 loop_delay_ms_p50=0 loop_delay_ms_p99=0 loop_delay_ms_max=0"));
+    timers.lateMs = 700;
+    timers.clock.pass(LoopDelay.EVERY_MS);
+    timers.clock.pass(LoopDelay.EVERY_MS + timers.lateMs);
+    assertThat(
+        counters.changed(),
+        is(
+            "loop_delay_ms_count=2 loop_delay_ms_p50=1 loop_delay_ms_p99=700"
+                + " loop_delay_ms_max=700"));
+    assertThat("one timer at a time", timers.clock.waiting(), is(1));
+  }
+}
--- a/storage/src/main/java/elmsail/storage/DirectoryRecordStore.java
+++ b/storage/src/main/java/elmsail/storage/DirectoryRecordStore.java
@@ -1,7 +1,9 @@
 package elmsail.storage;
 
+import elmsail.runtime.Counters;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.SteadyClock;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -38,6 +40,7 @@
   private final StorageDirectory folder;
   private final long mostBytes;
   private final DiskWorker work;
+  private volatile StorageCounters counters = new StorageCounters(new Counters());
   private Thread thread;
 
   private long nextSeq;
@@ -50,7 +53,7 @@
     folder = new StorageDirectory(dir, files);
     folder.open(index, newLife);
     nextSeq = folder.nextSeq();
-    work = new DiskWorker(this, folder, index, lock, mostBytes);
+    work = new DiskWorker(this, folder, index, lock, mostBytes, SteadyClock.SYSTEM);
   }
 
   /**
@@ -86,6 +89,11 @@
     return work.turn();
   }
 
+  /** Counts from now on; the counters are touched by the executor of the completions alone. */
+  public void countIn(StorageCounters counters) {
+    this.counters = counters;
+  }
+
   @Override
   public long instanceId() {
     return folder.instanceId();
@@ -295,12 +303,13 @@
     }
   }
 
-  void written(List<PendingWrite> batch) {
+  void written(List<PendingWrite> batch, long ms) {
     synchronized (lock) {
       queue.written(batch);
     }
     completions.execute(
         () -> {
+          counters.written(batch, ms);
           for (PendingWrite waiting : batch) {
             waiting.done.complete(null);
           }
@@ -323,6 +332,7 @@
   }
 
   private void tellFailed(List<PendingWrite> all, ElmsailException why) {
+    counters.failed();
     synchronized (lock) {
       all.addAll(queue.failureIsTold());
     }
--- a/storage/src/main/java/elmsail/storage/DiskWorker.java
+++ b/storage/src/main/java/elmsail/storage/DiskWorker.java
@@ -2,6 +2,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.SteadyClock;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -24,6 +25,7 @@
   private final Object lock;
   private final Compaction compaction;
   private final long mostBytes;
+  private final SteadyClock clock;
 
   /** After a failed step, until a batch was written again. */
   private boolean held;
@@ -36,12 +38,14 @@
       StorageDirectory folder,
       RecordIndex index,
       Object lock,
-      long mostBytes) {
+      long mostBytes,
+      SteadyClock clock) {
     this.records = records;
     this.folder = folder;
     this.index = index;
     this.lock = lock;
     this.mostBytes = mostBytes;
+    this.clock = clock;
     compaction = new Compaction(mostBytes);
   }
 
@@ -51,6 +55,7 @@
     if (batch.isEmpty()) {
       return step(false);
     }
+    long began = clock.now();
     try {
       write(batch);
       held = false;
@@ -68,7 +73,7 @@
           batch, new ElmsailException(ErrorCode.FAULT, "a batch could not be written: " + e, e));
       return true;
     }
-    records.written(batch);
+    records.written(batch, clock.now() - began);
     step(false);
     return true;
   }
--- a/storage/src/main/java/elmsail/storage/RecordStore.java
+++ b/storage/src/main/java/elmsail/storage/RecordStore.java
@@ -44,6 +44,15 @@
   /** Names that begin so, in order. */
   Iterable<String> names(String prefix);
 
+  /** How many names begin so. */
+  default int count(String prefix) {
+    int count = 0;
+    for (String name : names(prefix)) {
+      count++;
+    }
+    return count;
+  }
+
   /** The bytes of all version files in the folder. */
   long bytesOnDisk();
 
