--- a/consensus/src/test/java/elmsail/consensus/World.java
+++ b/consensus/src/test/java/elmsail/consensus/World.java
@@ -7,6 +7,7 @@
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ManualTimers;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Timers;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -73,7 +74,8 @@
               caller,
               own,
               address,
-              "st-" + address);
+              "st-" + address,
+              ProcessMetrics.strict());
     }
 
     void crash() {
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -15,6 +15,7 @@
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Counters;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import elmsail.runtime.ProcessMetrics;
@@ -92,7 +93,7 @@
     this.timers = timers;
     this.answering = answering;
     String own = settings.innerAddress();
-    voters = new ControlPlaneVoters(settings, timers, caller, answering, records, who);
+    voters = new ControlPlaneVoters(settings, timers, caller, answering, records, who, metrics);
     register =
         new RegisterClient(ControlPlaneVoters.SET, caller, timers, voters, who, own, address -> 1);
     config = new CommittedValue(register, ReplaceConfigHandler.KEY, timers, CONFIG_EVERY_MS);
@@ -118,7 +119,8 @@
                 settings.platform().perSecond(),
                 timers,
                 sources,
-                lease::term);
+                lease::term,
+                counters);
     int slots = 2 * settings.bearMachines() + 1;
     PlacementController storeController = new PlacementController(slots, timers.now());
     founding = new StoreFounding(register, founded, storeController, heard);
@@ -143,9 +145,18 @@
                     RoutingConfigReader::read,
                     timers,
                     config,
-                    edition -> notices.tell("decided")),
+                    edition -> notices.tell("decided"),
+                    counters),
                 new ReadConfigHandler(register, config),
                 new VoterRedirect(retire, settings, voters, watcher)));
+    gauges(metrics.counters());
+  }
+
+  private void gauges(Counters figures) {
+    figures.readGauge("control_lease_held", () -> lease.term() > 0 ? 1 : 0);
+    figures.readGauge("control_in_contact", () -> config.contact().current() ? 1 : 0);
+    figures.readGauge("control_store_voters_voting", storePlacement.redundancy()::voting);
+    figures.readGauge("control_head_voters_voting", headPlacement.redundancy()::voting);
   }
 
   void start() {
@@ -200,13 +211,21 @@
       learnStores(request.storeSet);
     }
     if (closed || !config.contact().current()) {
+      counters.pullsNoContact.add(1);
       return CompletableFuture.failedFuture(
           new ElmsailException(ErrorCode.NOT_SEATED, "no contact with a majority"));
     }
     if (HeartbeatTable.STORE_ROLE.equals(request.role)) {
       request.waitMs = Math.min(request.waitMs, STORE_WAIT_MS);
     }
-    return sources.request(request).thenApply(config.contact()::checked);
+    return sources
+        .request(request)
+        .thenApply(config.contact()::checked)
+        .whenComplete(this::pullEnded);
+  }
+
+  private void pullEnded(PullResponse answer, Throwable failed) {
+    (failed == null ? counters.pullsAnswered : counters.pullsNoContact).add(1);
   }
 
   private void taken(byte[] value) {
@@ -282,7 +301,6 @@
         headPlacement.look(voters.current(), Set.of(), reads && voters.voting(), directs, now);
     List<String> gatewaysNow = heard.gateways(now, GATEWAY_LISTED_MS);
     boolean headMoved = !VoterSets.same(headKnown, voters.current());
-    counters.leaseHeld.set(lease.term() > 0 ? 1 : 0);
     counters.joinsDirected.add(storeOrdered && storePlacement.directs() ? 1 : 0);
     counters.joinsDirected.add(headOrdered && headPlacement.directs() ? 1 : 0);
     if (storeOrdered || headMoved || headOrdered || !gatewaysNow.equals(gateways)) {
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -9,6 +9,7 @@
 import elmsail.rpc.messages.HelloRequest;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import elmsail.storage.RecordStore;
@@ -44,6 +45,7 @@
    *
    * @param records null where this process has no disk: it has no vote
    * @param processId names this process among the candidates where it has no disk
+   * @param metrics the process's figures and invariants
    */
   ControlPlaneVoters(
       Settings settings,
@@ -51,7 +53,8 @@
       Caller caller,
       RequestHandlers answering,
       RecordStore records,
-      long processId) {
+      long processId,
+      ProcessMetrics metrics) {
     this.settings = settings;
     this.timers = timers;
     this.caller = caller;
@@ -67,7 +70,8 @@
                 caller,
                 timers,
                 settings.innerAddress(),
-                settings.station());
+                settings.station(),
+                metrics);
     this.born = records != null && (settings.firstStart() || records.read(BORN) != null);
     heartbeat.role = ROLE;
     heartbeat.station = settings.station();
