--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/SteadyContentionTest.java
@@ -0,0 +1,62 @@
+package elmsail.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** Jobs that go on coming all the while the first ones wait for each other. */
+class SteadyContentionTest {
+  private static final int GATEWAYS = 8;
+  private static final long LIMIT = 1_000;
+  private static final long BURST_MS = 1_500;
+
+  private static long acceptedTokens(long seed, int everyMs) {
+    SimWorld world = new SimWorld(seed, GATEWAYS, LIMIT);
+    List<CompletableFuture<BatchCalls.Reply>> replies = new ArrayList<>();
+    List<Long> tokens = new ArrayList<>();
+    for (int i = 0; i * everyMs < BURST_MS; i++) {
+      long own = 60 + world.chance.nextInt(140);
+      tokens.add(own);
+      replies.add(world.hand(i % GATEWAYS, "job" + seed + "-" + i, 1, own));
+      world.timers.pass(everyMs);
+    }
+    long accepted = 0;
+    for (int i = 0; i < replies.size(); i++) {
+      accepted += world.status(replies.get(i)) == 202 ? tokens.get(i) : 0;
+    }
+    return accepted;
+  }
+
+  private static void measure(int everyMs) {
+    long sum = 0;
+    long least = LIMIT;
+    for (int seed = 0; seed < 10; seed++) {
+      long accepted = acceptedTokens(seed, everyMs);
+      assertThat(accepted, lessThanOrEqualTo(LIMIT));
+      sum += accepted;
+      least = Math.min(least, accepted);
+    }
+    System.out.println("a job each " + everyMs + " ms: mean " + sum / 10 + ", at least " + least);
+    assertThat(sum / 10, greaterThanOrEqualTo(LIMIT * 7 / 10));
+  }
+
+  @Test
+  void aJobEach20Ms() {
+    measure(20);
+  }
+
+  @Test
+  void aJobEach5Ms() {
+    measure(5);
+  }
+
+  @Test
+  void aJobEach2Ms() {
+    measure(2);
+  }
+}
