--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/RefusedJobTest.java
@@ -0,0 +1,65 @@
+package elmsail.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** A job that was refused for the limit is not run, even if one store had taken it. */
+class RefusedJobTest {
+  private static final long LIMIT = 1_000;
+  private static final long TOKENS = 600;
+
+  /**
+   * The acceptance reaches one store alone; the next look reaches the two others, where another job
+   * is being accepted.
+   */
+  private static int statusThenRun(int cutAfter, String rival) {
+    JobStoreWorld world = new JobStoreWorld(cutAfter, 3, LIMIT);
+    world.timers.pass(1_000);
+    String first = world.gateways.get(0).address;
+    String second = world.gateways.get(1).address;
+    String alone = world.stores.get(0).address;
+    CompletableFuture<BatchCalls.Reply> reply =
+        world.hand(world.gateways.get(0), "refused", 1, TOKENS);
+    world.timers.pass(cutAfter);
+    for (int i = 1; i < 3; i++) {
+      world.net.cut(first, world.stores.get(i).address);
+    }
+    world.timers.pass(1_470 - cutAfter);
+    world.net.healAll();
+    world.net.cutBoth(first, alone);
+    world.net.cutBoth(second, alone);
+    world.timers.pass(25);
+    CompletableFuture<BatchCalls.Reply> other = world.hand(world.gateways.get(1), rival, 1, TOKENS);
+    BatchCalls.Reply answered = world.await(reply);
+    BatchCalls.Reply otherAnswered = world.await(other);
+    world.net.healAll();
+    world.timers.pass(15_000);
+    boolean ran = world.served.contains("refused-0");
+    System.out.println(
+        "cut after "
+            + cutAfter
+            + " ms, "
+            + rival
+            + ": "
+            + answered.status()
+            + ", the rival "
+            + otherAnswered.status()
+            + ", run: "
+            + ran);
+    return ran ? answered.status() : 0;
+  }
+
+  @Test
+  void aJobThatWasRefusedForTheLimitIsNotRun() {
+    int refusedAndRun = 0;
+    for (int cutAfter = 4; cutAfter < 24; cutAfter++) {
+      for (String rival : new String[] {"rival", "other", "third"}) {
+        refusedAndRun += statusThenRun(cutAfter, rival) == 429 ? 1 : 0;
+      }
+    }
+    assertThat(refusedAndRun, is(0));
+  }
+}
--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/RelayTroubleTest.java
@@ -0,0 +1,149 @@
+package elmsail.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.TokenCount;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** Large jobs whose bodies are relayed, while the relay, its links or the uplink are in trouble. */
+class RelayTroubleTest {
+  private static final double BYTES_PER_MS = 21_000_000 / 8.0 / 1_000;
+  private static final int STORES = 5;
+  private static final int ITEMS = 200;
+  private static final int ITEM_BYTES = 1_330;
+  private static final long BODY_BYTES = (long) ITEMS * ITEM_BYTES;
+
+  /** Within which a job is accepted where its body goes to every store directly, and some more. */
+  private static final long DIRECT_MS = 800;
+
+  private static byte[] job(String id, int items, long tokens) {
+    String contents =
+        Base64.getEncoder()
+            .encodeToString("x".repeat(ITEM_BYTES).getBytes(StandardCharsets.US_ASCII));
+    StringBuilder json = new StringBuilder("{\"pieces\":[");
+    for (int i = 0; i < items; i++) {
+      json.append(i == 0 ? "" : ",")
+          .append("{\"id\":\"" + id + "-" + i + "\",\"lane\":\"/lots1/x/1\",\"envelope\":{},")
+          .append("\"contents\":\"" + contents + "\",\"tokens\":" + tokens + "}");
+    }
+    return json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static JobStoreWorld world(long seed, int gateways, long limit) {
+    JobStoreWorld world = new JobStoreWorld(seed, gateways, limit, STORES);
+    world.net.uplink(world.gateways.get(0).address, BYTES_PER_MS);
+    world.timers.pass(1_000);
+    return world;
+  }
+
+  private static CompletableFuture<BatchCalls.Reply> submit(JobStoreWorld world, String id) {
+    return world.gateways.get(0).calls.submit(world.route(), id, job(id, ITEMS, 10), 3_000);
+  }
+
+  @Test
+  void aRelayThatFailsAtOnceToReachTheOthersDoesNotHoldAJobUp() {
+    JobStoreWorld world = world(1, 1, 1_000_000);
+    String relay = world.stores.get(0).address;
+    for (int i = 1; i < STORES; i++) {
+      world.net.refuse(relay, world.stores.get(i).address);
+    }
+    long began = world.timers.now();
+    int status = world.await(submit(world, "job")).status();
+    long ms = world.timers.now() - began;
+    System.out.println("relay alone: " + status + " in " + ms + " ms");
+    assertThat(status, is(202));
+    assertThat("ms", ms, lessThanOrEqualTo(DIRECT_MS));
+  }
+
+  @Test
+  void aRelayThatIsCutOffFromTheOthersDoesNotHoldAJobUp() {
+    JobStoreWorld world = world(2, 1, 1_000_000);
+    String relay = world.stores.get(0).address;
+    for (int i = 1; i < STORES; i++) {
+      world.net.cut(relay, world.stores.get(i).address);
+    }
+    long began = world.timers.now();
+    int status = world.await(submit(world, "job")).status();
+    System.out.println("relay cut: " + status + " in " + (world.timers.now() - began) + " ms");
+    assertThat(status, is(202));
+  }
+
+  /** Gives the bytes on the gateway's link by the body's size, of so many jobs at once. */
+  private static double bodiesSent(int jobs) {
+    JobStoreWorld world = world(3, 1, 1_000_000);
+    world.net.countBytes(world.gateways.get(0).address);
+    long began = world.timers.now();
+    List<CompletableFuture<BatchCalls.Reply>> replies = new ArrayList<>();
+    for (int i = 0; i < jobs; i++) {
+      replies.add(submit(world, "job" + i));
+    }
+    int accepted = 0;
+    for (CompletableFuture<BatchCalls.Reply> reply : replies) {
+      accepted += world.await(reply).status() == 202 ? 1 : 0;
+    }
+    long ms = world.timers.now() - began;
+    world.timers.pass(2_000);
+    double sent = (double) world.net.countedBytes() / BODY_BYTES;
+    System.out.println(
+        jobs + " jobs at once: " + accepted + " accepted in " + ms + " ms, bodies sent " + sent);
+    return sent;
+  }
+
+  @Test
+  void fourJobsAtOnceLeaveTheGatewayOnceEach() {
+    assertThat(bodiesSent(4), lessThanOrEqualTo(4 * 1.5));
+  }
+
+  @Test
+  void twelveJobsAtOnceLeaveTheGatewayOnceEach() {
+    assertThat(bodiesSent(12), lessThanOrEqualTo(12 * 1.5));
+  }
+
+  /** One store of five is a slow machine: its answers come 60 ms after those of the others. */
+  @Test
+  void aSlowStoreIsNotSentTheBodyByTheGatewayAgain() {
+    JobStoreWorld world = world(4, 1, 1_000_000);
+    String slow = world.stores.get(4).address;
+    for (int i = 0; i < 4; i++) {
+      world.net.delay(slow, world.stores.get(i).address, 60, 70);
+    }
+    world.net.delay(slow, world.gateways.get(0).address, 60, 70);
+    world.net.countBytes(world.gateways.get(0).address);
+    world.await(submit(world, "job"));
+    world.timers.pass(1_000);
+    double sent = (double) world.net.countedBytes() / BODY_BYTES;
+    System.out.println("one slow store: bodies sent " + sent);
+    assertThat(sent, lessThanOrEqualTo(1.5));
+  }
+
+  /** The relay's message to one store is slow, so that the job's withdrawal overtakes it. */
+  @Test
+  void aRefusedJobIsNotCountedWhenItsRelayedRoundComesLate() {
+    for (int offset = 0; offset < 130; offset += 5) {
+      JobStoreWorld world = world(50 + offset, 2, 1_000);
+      JobStoreWorld.Vault behind = world.stores.get(4);
+      world.net.delay(world.stores.get(0).address, behind.address, 900, 900);
+      CompletableFuture<BatchCalls.Reply> large =
+          world.gateways.get(0).calls.submit(world.route(), "a", job("a", ITEMS, 3), 3_000);
+      world.timers.pass(offset);
+      world.hand(world.gateways.get(1), "c" + offset, 1, 600);
+      int status = world.await(large).status();
+      if (status == 429) {
+        world.timers.pass(1_300);
+        String key = JobRecord.keyOf("probe");
+        byte[] probe = new TokenCount.Add("r-lots", "probe", 0, 1).packed();
+        TokenCount count = new TokenCount();
+        count.putAll(List.of(behind.jobs.noted(key, probe)));
+        assertThat("offset " + offset, count.pendingWithout("probe"), is(0L));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/ReusedJobIdTest.java
@@ -0,0 +1,44 @@
+package elmsail.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.batch.client.BatchJobClient;
+import elmsail.batch.messages.JobDescription;
+import elmsail.batch.messages.JobRecord;
+import elmsail.consensus.Register;
+import elmsail.rpc.messages.Ballot;
+import elmsail.runtime.ProcessMetrics;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** An id that is submitted again after the stores have dropped its first job. */
+class ReusedJobIdTest {
+  private static JobRecord accepted(long edition) {
+    return new JobRecord(
+        1,
+        new JobDescription("r", "h", edition, 1, 1, "body", List.of(new JobRecord.Item("i", 10))),
+        List.of(),
+        false,
+        "gateway",
+        1,
+        0);
+  }
+
+  private static Register.Versioned at(long round, JobRecord record) {
+    Ballot ballot = new Ballot();
+    ballot.round = round;
+    return new Register.Versioned(ballot, record.packed());
+  }
+
+  @Test
+  void theSecondJobViolatesNothing() {
+    BatchJobClient client = new BatchJobClient(null, ProcessMetrics.strict().invariants());
+    JobRecord first = accepted(1);
+    client.decided("job", at(1, first));
+    client.decided("job", at(2, first.endedNow()));
+    JobRecord second = accepted(2);
+    assertThat(client.decided("job", at(3, second)).version(), is(1L));
+    assertThat(client.decided("job", at(4, second.runBy("other", 0))).version(), is(2L));
+  }
+}
