Look before adding, and let rivals through one by one; never refuse what may have been taken

Change: a submission looks first and adds nothing, adds then, and looks once more with its body. Full by accepted jobs: 429. Behind others that are being accepted: withdraws, looks again in 60 ms, for 0.6 s at most. First among them: keeps its add. Behind an acceptance that is unclear: 504. Stores keep adds and withdrawals by try. A relay without a majority is left; what is on its way to a voter is not sent again; a relay's time grows with the bytes that share the link.

RefusedJobTest, WithdrawnAddTest, RelayTroubleTest and ReusedJobIdTest, seven of them red before, pass (RefusedJobTest now cuts up to 48 ms, as there is a round more); all tests of batch, RegisterTest; HistoriesTest.

--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -23,16 +23,15 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One try to submit a job. The job's tokens are added to the count at a majority of stores, which
- * answer what else waits. If it fits, the counts are read at a majority once more, now that the add
- * surely stands at one: of all jobs that are being accepted, the one whose add stood last sees the
- * others. This second look brings the body, so that it is at a majority before anyone is asked to
- * take the job.
+ * One try to submit a job, in three rounds. The first looks at what waits on the route, and adds
+ * nothing, so that jobs which have no chance are in nobody's way. The second adds the job's tokens
+ * at a majority of stores. The third looks once more, now that the add surely stands at a majority:
+ * of all jobs that are being accepted, the one whose add stood last sees the others. It brings the
+ * body, so that it is at a majority before anyone is asked to take the job.
  *
  * <p>Jobs that are being accepted count against each other, so that of several that would fit one
  * by one each may find the route full. Of these the ones that go first in {@link TokenCount#before}
- * leave their add and look again; the others withdraw. So the first of them is always accepted, or
- * one that was already past its second look.
+ * leave their add and look again; the others withdraw, and begin anew once the first are through.
  */
 final class SubmitHandler {
   private static final Logger LOG = LoggerFactory.getLogger(SubmitHandler.class);
@@ -40,21 +39,34 @@
   private static final long LEAST_MS = 150;
   private static final long AGAIN_MS = 60;
 
-  /** How soon a contended job looks again, and for how long it does. */
-  private static final long CONTENDED_LOOK_MS = 25;
+  /** How soon a job that waits for others being accepted looks again, where it goes first. */
+  private static final long FIRST_LOOK_MS = 25;
 
-  private static final long MOST_CONTENDED_MS = 800;
+  /** And where it goes behind them. */
+  private static final long BEHIND_LOOK_MS = 60;
+
+  /** For how long a job waits for others being accepted. */
+  private static final long MOST_WAIT_MS = 600;
 
   /** Stores that did not answer a withdrawal are told again, so often and so much later. */
   private static final int WITHDRAWALS = 4;
 
   private static final long WITHDRAW_AGAIN_MS = 400;
 
+  private enum Round {
+    LOOK,
+    ADD,
+    TAKE
+  }
+
   private enum Verdict {
     THERE,
     FITS,
     /** Full only by jobs that are being accepted too and go behind this one. */
-    CONTENDED,
+    FIRST,
+    /** Full only by jobs that are being accepted too. */
+    BEHIND,
+    /** Full by accepted jobs. */
     FULL,
     UNCOUNTED
   }
@@ -66,12 +78,15 @@
   private final String job;
   private final Route route;
   private final List<BatchItem> batchItems;
-  private final TokenCount.Add add;
   private final JobRecord wanted;
   private final Blob body = new Blob();
   private final long until;
   private final CompletableFuture<Reply> reply = new CompletableFuture<>();
   private Verdict verdict;
+  private TokenCount.Add add;
+
+  /** Whether the add may stand at a store. */
+  private boolean added;
 
   /** The count of both rounds: what either round brought. */
   private TokenCount seen = new TokenCount();
@@ -138,38 +153,43 @@
   }
 
   CompletableFuture<Reply> begin() {
-    round(limit() == 0);
+    round(firstRound());
     return reply;
   }
 
-  private void round(boolean second) {
+  private Round firstRound() {
+    return limit() == 0 ? Round.TAKE : Round.LOOK;
+  }
+
+  private void round(Round round) {
     long left = until - context.timers().now();
     if (left < LEAST_MS) {
-      refuse(maySent ? Replies.UNCLEAR : replies.unable());
+      refuse(replies.unable());
       return;
     }
     began = context.timers().now();
     rounds++;
+    added |= round != Round.LOOK;
     context
         .register()
         .change(
             JobRecord.keyOf(job),
-            found -> decide(found, second),
-            second ? List.of(body) : List.of(),
-            add.packed(),
+            found -> decide(found, round),
+            round == Round.TAKE ? List.of(body) : List.of(),
+            (round == Round.LOOK ? add.looking() : add).packed(),
             Math.min(CHANGE_MS, left))
         .whenComplete(
             (held, failed) -> {
               if (failed != null) {
                 failed(failed);
               } else {
-                held(held, second);
+                held(held, round);
               }
             });
   }
 
   /** May be called again after a lost race. */
-  private Register.Wanted decide(Register.Found found, boolean second) {
+  private Register.Wanted decide(Register.Found found, Round round) {
     if (found.value() != null) {
       verdict = Verdict.THERE;
       return new Register.Wanted(null, List.of());
@@ -180,17 +200,22 @@
       return new Register.Wanted(null, List.of());
     }
     seen.putAll(found.notes());
+    verdict = judge(round);
+    boolean take = round == Round.TAKE && verdict == Verdict.FITS;
+    proposed |= take;
+    return new Register.Wanted(take ? wanted.packed() : null, List.of());
+  }
+
+  private Verdict judge(Round round) {
     long limit = limit();
-    long sum = seen.without(job) + add.tokens();
-    if (limit == 0 || sum <= limit) {
-      verdict = Verdict.FITS;
-    } else {
-      boolean first = seen.before(job) + add.tokens() <= limit;
-      verdict = first ? Verdict.CONTENDED : Verdict.FULL;
+    if (limit == 0 || seen.without(job) + add.tokens() <= limit) {
+      return Verdict.FITS;
     }
-    proposed |= second && verdict == Verdict.FITS;
-    return new Register.Wanted(
-        second && verdict == Verdict.FITS ? wanted.packed() : null, List.of());
+    if (seen.accepted(job) + add.tokens() > limit) {
+      return Verdict.FULL;
+    }
+    boolean first = seen.before(job) + add.tokens() <= limit;
+    return first && round != Round.LOOK ? Verdict.FIRST : Verdict.BEHIND;
   }
 
   /** Of the newest configuration here; a route that is gone takes nothing more than it did. */
@@ -199,7 +224,7 @@
     return now == null ? route.mostWaiting() : now.mostWaiting();
   }
 
-  private void held(Register.Held held, boolean second) {
+  private void held(Register.Held held, Round round) {
     if (held.now().value() != null) {
       JobRecord record = store.decided(job, held.now());
       boolean own = record.version() == 1 && record.runner().equals(context.self()) && proposed;
@@ -208,11 +233,16 @@
         runner.adopt(job, record, 0, began);
       }
       answer(Replies.ACCEPTED);
-    } else if (verdict == Verdict.FITS && !second) {
-      round(true);
-    } else if (verdict == Verdict.CONTENDED
-        && context.timers().now() - submittedAt < MOST_CONTENDED_MS) {
-      lookAgain(CONTENDED_LOOK_MS);
+      return;
+    }
+    boolean mayWait = context.timers().now() - submittedAt < MOST_WAIT_MS;
+    if (verdict == Verdict.FITS) {
+      round(round == Round.LOOK ? Round.ADD : Round.TAKE);
+    } else if (verdict == Verdict.FIRST && mayWait) {
+      later(FIRST_LOOK_MS, Round.ADD);
+    } else if (verdict == Verdict.BEHIND && mayWait) {
+      withdraw();
+      later(BEHIND_LOOK_MS, Round.LOOK);
     } else {
       refuse(verdict == Verdict.UNCOUNTED ? replies.unable() : replies.full());
     }
@@ -221,39 +251,54 @@
   private void failed(Throwable failed) {
     maySent |= Replies.mayHold(failed);
     if (until - context.timers().now() < 2 * LEAST_MS) {
-      refuse(maySent ? Replies.UNCLEAR : replies.unable());
+      refuse(replies.unable());
     } else {
-      lookAgain(AGAIN_MS);
+      later(AGAIN_MS, firstRound());
     }
   }
 
-  /** What was seen is forgotten: others may have withdrawn since. The add stands all the while. */
-  private void lookAgain(long aboutMs) {
+  /** What was seen is forgotten: others may have withdrawn since. */
+  private void later(long aboutMs, Round round) {
     seen = new TokenCount();
     verdict = null;
-    context.timers().after(context.about(aboutMs), () -> round(limit() == 0));
+    context.timers().after(context.about(aboutMs), () -> round(round));
   }
 
+  /**
+   * Ends the try with a promise that nothing of it runs; but once an acceptance was sent, a store
+   * may have taken it alone, and whoever comes upon that finishes it.
+   */
   private void refuse(Reply how) {
-    if (how.status() != Replies.UNCLEAR.status()) {
-      withdraw(context.stores(), WITHDRAWALS);
+    if (maySent) {
+      answer(Replies.UNCLEAR);
+      return;
     }
+    withdraw();
     answer(how);
   }
 
-  private void withdraw(List<Voter> stores, int tries) {
+  /** Takes the add back; the next one is told apart from it. */
+  private void withdraw() {
+    if (added) {
+      withdraw(add, context.stores(), WITHDRAWALS);
+      added = false;
+      add = new TokenCount.Add(add.route(), job, add.tokens(), context.chance().nextLong());
+    }
+  }
+
+  private void withdraw(TokenCount.Add of, List<Voter> stores, int tries) {
     List<Voter> silent = new ArrayList<>();
     int[] left = {stores.size()};
     context.ask(
         stores,
-        BatchMessageTypes.message(BatchMessageTypes.WITHDRAW, add.packed()),
+        BatchMessageTypes.message(BatchMessageTypes.WITHDRAW, of.packed()),
         WITHDRAW_AGAIN_MS,
         (store, answer) -> {
           if (answer == null) {
             silent.add(store);
           }
           if (--left[0] == 0 && !silent.isEmpty() && tries > 1) {
-            context.timers().after(WITHDRAW_AGAIN_MS, () -> withdraw(silent, tries - 1));
+            context.timers().after(WITHDRAW_AGAIN_MS, () -> withdraw(of, silent, tries - 1));
           }
         });
   }
@@ -285,7 +330,7 @@
     } else {
       counters.submitRefused.add(1);
     }
-    if (verdict == Verdict.FULL || verdict == Verdict.CONTENDED) {
+    if (verdict == Verdict.FULL || verdict == Verdict.FIRST || verdict == Verdict.BEHIND) {
       checkRefusal();
       boolean due = seen.accepted(job) + add.tokens() > limit();
       (due ? counters.submitFull : counters.submitFullByPending).add(1);
@@ -293,7 +338,7 @@
   }
 
   private void checkRefusal() {
-    boolean waited = context.timers().now() - submittedAt >= MOST_CONTENDED_MS;
+    boolean waited = context.timers().now() - submittedAt >= MOST_WAIT_MS;
     boolean room = seen.before(job) + add.tokens() <= limit();
     context
         .invariants()
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -223,13 +223,18 @@
     return new JobRecord(version + 1, description, results, ended, runner, term, ageMs, failures);
   }
 
-  /** Whether this may be a later record of the same job: see the invariant of that name. */
+  /**
+   * Whether this may be a later record of the same job, by the invariant
+   * DECIDED_JOB_KEEPS_ITS_RESULTS; or is one of another job, of a client that uses an id again.
+   */
   public boolean keeps(JobRecord older) {
-    return description.equals(older.description)
-        && (ended || !older.ended)
-        && term >= older.term
-        && results.size() >= older.results.size()
-        && results.subList(0, older.results.size()).equals(older.results);
+    boolean another = !description.equals(older.description);
+    boolean grown =
+        (ended || !older.ended)
+            && term >= older.term
+            && results.size() >= older.results.size()
+            && results.subList(0, older.results.size()).equals(older.results);
+    return another || grown;
   }
 
   /** The bytes that {@link #unpacked} reads; the first number is the version of this format. */
--- a/batch/src/main/java/elmsail/batch/messages/TokenCount.java
+++ b/batch/src/main/java/elmsail/batch/messages/TokenCount.java
@@ -18,6 +18,11 @@
    * @param who drawn for this try, so that a withdrawal takes back no other's add
    */
   public record Add(String route, String job, long tokens, long who) {
+    /** Asks for the count alone: adds nothing. */
+    public Add looking() {
+      return new Add(route, job, 0, who);
+    }
+
     /** The bytes that {@link #unpacked} reads. */
     public byte[] packed() {
       return new ByteWriter().text(route).text(job).number(tokens).number(who).packed();
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -56,14 +56,23 @@
    */
   private record Pending(TokenCount.Add add, long until, boolean admitted) {}
 
+  /** One try to submit a job. */
+  private record TryId(String job, long who) {
+    static TryId of(TokenCount.Add add) {
+      return new TryId(add.job(), add.who());
+    }
+  }
+
   private final Map<String, Lot> jobs = new HashMap<>();
-  private final Map<String, Pending> adds = new LinkedHashMap<>();
+
+  /** Adds of tries whose job is not taken yet, by try. */
+  private final Map<TryId, Pending> adds = new LinkedHashMap<>();
 
   /**
    * Until when adds of withdrawn tries are passed over, by {@link TokenCount.Add#who}: a first
    * round may come late, behind its withdrawal.
    */
-  private final Map<Long, Long> withdrawn = new LinkedHashMap<>();
+  private final Map<TryId, Long> withdrawn = new LinkedHashMap<>();
 
   /**
    * When jobs that were never taken here were added last: what came with their first rounds is
@@ -74,13 +83,13 @@
   /** Keeps the add and answers the count of its route; null if there are too many adds. */
   byte[] added(TokenCount.Add add, long now) {
     expire(now);
-    if (!jobs.containsKey(add.job()) && !withdrawn.containsKey(add.who())) {
-      if (adds.size() >= MOST_ADDS && !adds.containsKey(add.job())) {
+    if (!jobs.containsKey(add.job()) && !withdrawn.containsKey(TryId.of(add))) {
+      if (adds.size() >= MOST_ADDS && !adds.containsKey(TryId.of(add))) {
         return null;
       }
-      Pending before = adds.remove(add.job());
+      Pending before = adds.remove(TryId.of(add));
       boolean admitted = before != null && before.admitted();
-      adds.put(add.job(), new Pending(add, now + (admitted ? WRITE_MS : ADD_MS), admitted));
+      adds.put(TryId.of(add), new Pending(add, now + (admitted ? WRITE_MS : ADD_MS), admitted));
       untaken.put(add.job(), now);
     }
     TokenCount count = new TokenCount();
@@ -100,11 +109,11 @@
   void withdrawn(TokenCount.Add add, long now) {
     expire(now);
     if (withdrawn.size() < MOST_ADDS) {
-      withdrawn.put(add.who(), now + ADD_MS);
+      withdrawn.put(TryId.of(add), now + ADD_MS);
     }
-    Pending there = adds.get(add.job());
-    if (there != null && !there.admitted() && there.add().who() == add.who()) {
-      adds.remove(add.job());
+    Pending there = adds.get(TryId.of(add));
+    if (there != null && !there.admitted()) {
+      adds.remove(TryId.of(add));
     }
   }
 
@@ -116,14 +125,16 @@
     if (record.version() > 1 || jobs.containsKey(job)) {
       return true;
     }
-    Pending add = adds.get(job);
-    if (add == null
-        || !add.add().route().equals(record.route())
-        || add.add().tokens() < record.waiting()) {
-      return false;
+    for (Pending one : adds.values()) {
+      TokenCount.Add add = one.add();
+      if (add.job().equals(job)
+          && add.route().equals(record.route())
+          && add.tokens() >= record.waiting()) {
+        adds.put(TryId.of(add), new Pending(add, now + WRITE_MS, true));
+        return true;
+      }
     }
-    adds.put(job, new Pending(add.add(), now + WRITE_MS, true));
-    return true;
+    return false;
   }
 
   void taken(String id, JobRecord record, long now) {
@@ -143,7 +154,7 @@
     job.shelfMs = record.shelfMs();
     job.changed = now;
     job.lastHeartbeat = now;
-    adds.remove(id);
+    forgetAdds(id);
     untaken.remove(id);
   }
 
@@ -157,7 +168,7 @@
 
   void dropped(String id) {
     jobs.remove(id);
-    adds.remove(id);
+    forgetAdds(id);
     untaken.remove(id);
   }
 
@@ -203,13 +214,21 @@
     }
     for (Map.Entry<String, Long> one : untaken.entrySet()) {
       // Without its add a first record is not admitted, so no promise is needed against it.
-      if (now - one.getValue() > UNTAKEN_MS && !adds.containsKey(one.getKey())) {
+      if (now - one.getValue() > UNTAKEN_MS && !hasAdd(one.getKey())) {
         outlived.add(one.getKey());
       }
     }
     return outlived;
   }
 
+  private void forgetAdds(String job) {
+    adds.values().removeIf(one -> one.add().job().equals(job));
+  }
+
+  private boolean hasAdd(String job) {
+    return adds.values().stream().anyMatch(one -> one.add().job().equals(job));
+  }
+
   int size() {
     return jobs.size();
   }
--- a/consensus/src/main/java/elmsail/consensus/PrepareRound.java
+++ b/consensus/src/main/java/elmsail/consensus/PrepareRound.java
@@ -15,10 +15,13 @@
  * as well: voters answer a repeated promise as they did the first time.
  */
 final class PrepareRound {
-  /** Hears each voter's answer once; null where there is none. */
-  @FunctionalInterface
+  /** Hears of each voter once. */
   interface VoteListener {
+    /** The voter's answer; null where there is none. */
     void voted(int slot, VoteResponse vote);
+
+    /** A majority has promised, and the round is on its way to this voter too. */
+    void underWay(int slot);
   }
 
   /** A relay is waited for so long, and longer by the round's bytes at the slowest rate. */
@@ -33,6 +36,7 @@
   private final VoterSet voterSet;
   private final PrepareRequest request;
   private final long callMs;
+  private final long relayMs;
   private final BooleanSupplier wanted;
   private final VoteListener listener;
   private final boolean[] answered;
@@ -40,6 +44,8 @@
   private Timers.Timer overdue;
 
   /**
+   * @param callMs for how long a voter that is asked directly is waited for
+   * @param relayMs for how long a relay is, as its round may share a narrow link with others
    * @param wanted whether the round still matters; else it is not sent again
    */
   PrepareRound(
@@ -47,12 +53,14 @@
       VoterSet voterSet,
       PrepareRequest request,
       long callMs,
+      long relayMs,
       BooleanSupplier wanted,
       VoteListener listener) {
     this.client = client;
     this.voterSet = voterSet;
     this.request = request;
     this.callMs = callMs;
+    this.relayMs = relayMs;
     this.wanted = wanted;
     this.listener = listener;
     answered = new boolean[voterSet.voters.size()];
@@ -71,18 +79,20 @@
     RelayedPrepareRequest relayed = new RelayedPrepareRequest();
     relayed.prepare = request;
     relayed.timeoutMs = Math.max(1, callMs - RELAY_MARGIN_MS);
-    long patience = RELAY_MS + RelayChoice.bytes(request.blobs) / SLOWEST_BYTES_PER_MS;
+    long bytes = RelayChoice.bytes(request.blobs);
+    long patience = RELAY_MS + client.relays.begun(bytes) / SLOWEST_BYTES_PER_MS;
     overdue = client.timers.after(patience, () -> relayFailed(relay));
     client
         .caller
-        .call(relay.address, relayed, RelayedPrepareResponse.class, callMs)
+        .call(relay.address, relayed, RelayedPrepareResponse.class, relayMs)
         .whenComplete(
             (response, failure) -> {
               overdue.cancel();
+              client.relays.ended(bytes);
               if (response == null) {
                 relayFailed(relay);
               } else {
-                relayed(response);
+                relayed(relay, response);
               }
             });
   }
@@ -92,19 +102,20 @@
     sendDirectly();
   }
 
-  /**
-   * Voters that did not answer in the relay's time count as silent, unless they are asked again.
-   */
-  private void relayed(RelayedPrepareResponse response) {
-    for (int i = 0; i < response.slots.size() && i < response.votes.size(); i++) {
+  /** A relay that reached no majority may be cut off itself: the others are asked directly. */
+  private void relayed(Voter relay, RelayedPrepareResponse response) {
+    int heard = Math.min(response.slots.size(), response.votes.size());
+    for (int i = 0; i < heard; i++) {
       voted(response.slots.get(i), response.votes.get(i));
     }
-    if (direct) {
+    if (heard < VoterSets.majority(answered.length)) {
+      relayFailed(relay);
       return;
     }
-    for (int slot = 0; slot < answered.length; slot++) {
-      if (VoterSets.counts(voterSet, slot)) {
-        voted(slot, null);
+    for (int slot = 0; slot < answered.length && !direct; slot++) {
+      if (VoterSets.counts(voterSet, slot) && !answered[slot]) {
+        answered[slot] = true;
+        listener.underWay(slot);
       }
     }
   }
--- a/consensus/src/main/java/elmsail/consensus/Proposer.java
+++ b/consensus/src/main/java/elmsail/consensus/Proposer.java
@@ -125,8 +125,19 @@
               voterSet,
               request,
               callMs(),
+              Math.max(1, leftMs()),
               () -> current(number) && !accepting,
-              this::prepared)
+              new PrepareRound.VoteListener() {
+                @Override
+                public void voted(int slot, VoteResponse vote) {
+                  prepared(slot, vote);
+                }
+
+                @Override
+                public void underWay(int slot) {
+                  preparing(slot);
+                }
+              })
           .send();
     }
 
@@ -160,6 +171,16 @@
       }
     }
 
+    /** The blobs are on their way to it: its accept needn't bring them. */
+    private void preparing(int slot) {
+      if (accepting && number == number()) {
+        answered[slot] = true;
+        sendAccept(slot, true);
+      } else {
+        prepared(slot, null);
+      }
+    }
+
     private void retry(VoteResponse last) {
       if (last != null && last.code == VoteResponse.OUTBID && outbid++ == 0) {
         again();
--- a/consensus/src/main/java/elmsail/consensus/RelayChoice.java
+++ b/consensus/src/main/java/elmsail/consensus/RelayChoice.java
@@ -21,6 +21,9 @@
   /** Until when each voter is avoided, by its address; few, as only voters come in. */
   private final Map<String, Long> avoidedUntil = new HashMap<>();
 
+  /** Bytes of this client's relayed rounds that share its link now. */
+  private long underWay;
+
   RelayChoice(Timers timers) {
     this.timers = timers;
   }
@@ -45,6 +48,17 @@
     avoidedUntil.put(voter.address, timers.now() + AVOID_MS);
   }
 
+  /** A relayed round of so many bytes begins; gives the bytes of all that are under way. */
+  long begun(long bytes) {
+    underWay += bytes;
+    return underWay;
+  }
+
+  /** It has ended, one way or another. */
+  void ended(long bytes) {
+    underWay -= bytes;
+  }
+
   static long bytes(List<Blob> blobs) {
     long sum = 0;
     for (Blob blob : blobs) {
--- a/runtime/src/main/java/elmsail/runtime/Invariant.java
+++ b/runtime/src/main/java/elmsail/runtime/Invariant.java
@@ -12,8 +12,8 @@
   ACCEPTED_BALLOT_PROMISED,
 
   /**
-   * A decided record of a batch job keeps all that an older one has: what was accepted, the results
-   * at their positions, that it was ended, and terms that only go up.
+   * A decided record of a batch job keeps all that an older one has: the results at their
+   * positions, that it was ended, and terms that only go up.
    */
   DECIDED_JOB_KEEPS_ITS_RESULTS,
 
--- a/runtime/src/test/java/elmsail/runtime/http/MetricsEndpointTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/MetricsEndpointTest.java
@@ -5,8 +5,8 @@
 import static org.hamcrest.Matchers.is;
 
 import elmsail.runtime.Counters;
-import elmsail.runtime.MetricsText;
 import elmsail.runtime.ManualTimers;
+import elmsail.runtime.MetricsText;
 import elmsail.runtime.NettyLoop;
 import java.net.URI;
 import java.net.http.HttpClient;
