--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -111,16 +111,7 @@
             () -> new StoreStatus(voters.voting(), false, new VoterSet()),
             null);
     lease = new SingletonLease(caller, timers, register, voters::current, own, who);
-    list =
-        settings.platform() == null
-            ? null
-            : new ServerDiscovery(
-                new PlatformClient(platform, settings.platform().address(), timers),
-                settings.platform().perSecond(),
-                timers,
-                sources,
-                lease::term,
-                counters);
+    list = settings.platform() == null ? null : discovery(platform);
     int slots = 2 * settings.bearMachines() + 1;
     PlacementController storeController = new PlacementController(slots, timers.now());
     founding = new StoreFounding(register, founded, storeController, heard);
@@ -152,6 +143,16 @@
     gauges(metrics.counters());
   }
 
+  private ServerDiscovery discovery(HttpClient platform) {
+    return new ServerDiscovery(
+        new PlatformClient(platform, settings.platform().address(), timers),
+        settings.platform().perSecond(),
+        timers,
+        sources,
+        lease::term,
+        counters);
+  }
+
   private void gauges(Counters figures) {
     figures.readGauge("control_lease_held", () -> lease.term() > 0 ? 1 : 0);
     figures.readGauge("control_in_contact", () -> config.contact().current() ? 1 : 0);
--- a/simulation/src/main/java/elmsail/simulation/SimNet.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNet.java
@@ -26,7 +26,6 @@
   private final Codec codec = new Codec();
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private final SimLinks links = new SimLinks();
-  private final Map<String, SimUplink> uplinks = new LinkedHashMap<>();
   private final RunRecord record = new RunRecord(codec);
 
   /** Addresses of processes that died without a word. */
@@ -77,7 +76,7 @@
    * bound.
    */
   public void uplink(String address, double bytesPerMs) {
-    uplinks.put(address, new SimUplink(bytesPerMs));
+    links.uplink(address, bytesPerMs);
   }
 
   /** The part of messages, 0 to 1, that vanish on all links. */
@@ -319,7 +318,7 @@
     SimPath link = links.link(from, to);
     sent++;
     boolean vanishes = random.nextDouble() < link.loss;
-    long ms = link.draw(random) + uplinkMs(from, message);
+    long ms = link.draw(random) + links.uplinkMs(from, timers.now(), message);
     if (vanishes || link.fault == SimPath.Fault.CUT) {
       lost++;
       return;
@@ -335,11 +334,6 @@
         });
   }
 
-  private long uplinkMs(String from, Object message) {
-    SimUplink uplink = uplinks.get(from);
-    return uplink == null || message == null ? 0 : uplink.send(timers.now(), codec.size(message));
-  }
-
   private void breakOpen(String from, String to) {
     Node node = nodes.get(from);
     if (node == null) {
