--- a/batch/src/test/java/elmsail/batch/RelayTroubleTest.java
+++ b/batch/src/test/java/elmsail/batch/RelayTroubleTest.java
@@ -1,6 +1,7 @@
 package elmsail.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -107,6 +108,51 @@
     assertThat(bodiesSent(12), lessThanOrEqualTo(12 * 1.5));
   }
 
+  /** Twelve large jobs at four gateways, of which five fit; each gateway has three of them. */
+  @Test
+  void ofLargeJobsThatContendMostThatFitAreAccepted() {
+    int sum = 0;
+    double bodies = 0;
+    int fewest = 5;
+    for (int seed = 70; seed < 80; seed++) {
+      JobStoreWorld world = world(seed, 4, 10_000);
+      for (JobStoreWorld.Gateway gateway : world.gateways) {
+        world.net.uplink(gateway.address, BYTES_PER_MS);
+      }
+      world.net.countBytes(world.gateways.get(0).address);
+      List<CompletableFuture<BatchCalls.Reply>> replies = new ArrayList<>();
+      for (int i = 0; i < 12; i++) {
+        String id = "contends" + seed + "-" + i;
+        replies.add(
+            world.gateways.get(i % 4).calls.submit(world.route(), id, job(id, ITEMS, 10), 3_000));
+        world.timers.pass(world.chance.nextInt(20));
+      }
+      int accepted = 0;
+      long began = world.timers.now();
+      for (CompletableFuture<BatchCalls.Reply> reply : replies) {
+        accepted += world.await(reply).status() == 202 ? 1 : 0;
+      }
+      double sent = (double) world.net.countedBytes() / BODY_BYTES;
+      System.out.println(
+          "contended, seed "
+              + seed
+              + ": "
+              + accepted
+              + " accepted in "
+              + (world.timers.now() - began)
+              + " ms, bodies sent by the first gateway "
+              + sent);
+      assertThat(accepted, lessThanOrEqualTo(5));
+      fewest = Math.min(fewest, accepted);
+      sum += accepted;
+      bodies += sent;
+    }
+    System.out.println("contended: accepted " + sum / 10.0 + " of 5, bodies sent " + bodies / 10);
+    assertThat("accepted in the worst run", fewest, greaterThanOrEqualTo(3));
+    assertThat("accepted in 10 runs, of 50", sum, greaterThanOrEqualTo(35));
+    assertThat("bodies sent by a gateway with three jobs", bodies / 10, lessThanOrEqualTo(6.0));
+  }
+
   /** One store of five is a slow machine: its answers come 60 ms after those of the others. */
   @Test
   void aSlowStoreIsNotSentTheBodyByTheGatewayAgain() {
