--- a/batch/src/test/java/elmsail/batch/RelayTroubleTest.java
+++ b/batch/src/test/java/elmsail/batch/RelayTroubleTest.java
@@ -192,4 +192,40 @@
       }
     }
   }
+
+  /**
+   * Gives how many of twenty large jobs, one each 600 ms, were accepted later than {@code mostMs}.
+   */
+  private static int late(JobStoreWorld world, String what, long mostMs) {
+    int late = 0;
+    long longest = 0;
+    for (int i = 0; i < 20; i++) {
+      long began = world.timers.now();
+      int status = world.await(submit(world, "job" + i)).status();
+      long ms = world.timers.now() - began;
+      assertThat(status, is(202));
+      longest = Math.max(longest, ms);
+      late += ms > mostMs ? 1 : 0;
+      world.timers.pass(Math.max(0, 600 - ms));
+    }
+    System.out.println(what + ": late " + late + " of 20 jobs, the longest " + longest + " ms");
+    return late;
+  }
+
+  @Test
+  void whileARelayIsFrozenFewJobsAreLate() {
+    JobStoreWorld world = world(90, 1, 1_000_000);
+    world.net.freeze(world.stores.get(0).address);
+    assertThat(late(world, "frozen relay", DIRECT_MS), lessThanOrEqualTo(5));
+  }
+
+  @Test
+  void whileARelayReachesNobodyFewJobsAreLate() {
+    JobStoreWorld world = world(91, 1, 1_000_000);
+    String relay = world.stores.get(0).address;
+    for (int i = 1; i < STORES; i++) {
+      world.net.refuse(relay, world.stores.get(i).address);
+    }
+    assertThat(late(world, "lonely relay", DIRECT_MS), lessThanOrEqualTo(5));
+  }
 }
