Answer a read that a change overtakes with a configuration

Cause: Timetable.Read asks the voters for what is newer than the value known here. If they had nothing newer and a change was taken here while their answers were on the way, the known value had moved on and the read was answered 404.

Change: the newer value is given then.

--- a/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
+++ b/controlplane/src/main/java/elmsail/controlplane/CommittedValue.java
@@ -97,15 +97,17 @@
     }
   }
 
-  /** The bytes of a read made with {@link #known()}: those kept where nothing was newer. */
+  /**
+   * The bytes of a read made with {@link #known()}: those kept where nothing was newer. Something
+   * newer may have been taken here while that read's answers were on their way; it was decided
+   * since, so it is given instead.
+   */
   byte[] valueOf(Register.Versioned now) {
-    if (now.value() == null
-        && now.ballot() != null
-        && ballot != null
-        && compare(now.ballot(), ballot) == 0) {
-      return value;
-    }
-    return now.value();
+    boolean spared =
+        now.value() == null
+            && ballot != null
+            && (now.ballot() == null || compare(now.ballot(), ballot) <= 0);
+    return spared ? value : now.value();
   }
 
   Ballot known() {
--- a/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
+++ b/controlplane/src/test/java/elmsail/controlplane/FakeRegister.java
@@ -39,6 +39,9 @@
   /** How long a read takes. */
   long readMs = 2;
 
+  /** How long its answer is on its way then. */
+  long answerMs;
+
   byte[] overtakes;
   int reads;
   int bytesRead;
@@ -61,11 +64,13 @@
         readMs,
         () -> {
           Versioned now = values.getOrDefault(key, new Versioned(new Ballot(), null));
-          if (known != null && known.round == now.ballot().round) {
-            future.complete(new Versioned(now.ballot(), null));
+          boolean spared = known != null && known.round == now.ballot().round;
+          bytesRead += spared || now.value() == null ? 0 : now.value().length;
+          Versioned told = spared ? new Versioned(now.ballot(), null) : now;
+          if (answerMs == 0) {
+            future.complete(told);
           } else {
-            bytesRead += now.value() == null ? 0 : now.value().length;
-            future.complete(now);
+            timers.after(answerMs, () -> future.complete(told));
           }
         });
     return future;
--- a/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OperatorCallsTest.java
@@ -223,6 +223,21 @@
     assertThat(last.value().length - last.bytes().length, lessThanOrEqualTo(9_300));
   }
 
+  /** The voters say that nothing is newer than what was known; then a change is taken here. */
+  @Test
+  void aReadThatAChangeOvertakesIsAnsweredWithAConfiguration() {
+    assertThat(put("0", "3 a"), is(200));
+    register.answerMs = 50;
+    HttpCall call = new HttpCall("GET", "/Timetable.Read", Map.of(), Map.of(), new byte[0]);
+    CompletableFuture<HttpReply> reading = read.handle(call);
+    timers.pass(3);
+    assertThat(put("3", "5 b"), is(200));
+    assertThat(reading.isDone(), is(false));
+    HttpReply reply = answer(reading);
+    assertThat(reply.status(), is(200));
+    assertThat(new String(reply.body(), StandardCharsets.UTF_8), equalTo("5 b"));
+  }
+
   @Test
   void readingOftenCostsNoBytes() {
     assertThat(put("0", "3 a"), is(200));
