Let the holder that votes supersede a rival claim of the same epoch

Cause: two may claim a slot with one epoch; one of them wins. Whoever had heard of the loser first kept it, as the first of two equal epochs counted: it asked one voter too few, and a store that left was never called delivered.

Change: a holder that votes is marked as confirmed in the voter set that it tells, and supersedes an unconfirmed one of the same epoch wherever sets are merged. At most one claim of an epoch can be acknowledged by enough, so no two are confirmed.

--- a/config/src/main/java/elmsail/config/watch/ClusterViews.java
+++ b/config/src/main/java/elmsail/config/watch/ClusterViews.java
@@ -13,8 +13,8 @@
   private ClusterViews() {}
 
   /**
-   * For each voter slot the higher epoch of the two; a voter slot that only one knows is taken
-   * over.
+   * For each voter slot the holder that supersedes the other; a voter slot that only one knows is
+   * taken over.
    */
   static VoterSet merge(VoterSet mine, VoterSet response) {
     VoterSet merged = new VoterSet();
@@ -22,8 +22,7 @@
     for (int i = 0; i < size; i++) {
       Voter ours = i < mine.voters.size() ? mine.voters.get(i) : null;
       Voter theirs = i < response.voters.size() ? response.voters.get(i) : null;
-      merged.voters.add(
-          ours == null || theirs != null && theirs.epoch > ours.epoch ? theirs : ours);
+      merged.voters.add(ours == null || theirs != null && theirs.supersedes(ours) ? theirs : ours);
     }
     return merged;
   }
--- a/consensus/src/main/java/elmsail/consensus/Membership.java
+++ b/consensus/src/main/java/elmsail/consensus/Membership.java
@@ -28,6 +28,7 @@
     this.instanceId = instanceId;
     this.voterSet = voterSet;
     this.caughtUp = caughtUp;
+    confirm();
   }
 
   VoterSet voterSet() {
@@ -55,6 +56,26 @@
 
   void caughtUp(int epoch) {
     caughtUp = epoch;
+    confirm();
+  }
+
+  /** Tells that this life votes, so that no other claim of the same epoch is taken for right. */
+  private void confirm() {
+    if (!voting()) {
+      return;
+    }
+    int slot = ownSlot();
+    Voter known = voterSet.voters.get(slot);
+    Voter holder = new Voter();
+    holder.address = known.address;
+    holder.station = known.station;
+    holder.instanceId = known.instanceId;
+    holder.epoch = known.epoch;
+    holder.previousAddress = known.previousAddress;
+    holder.previousInstanceId = known.previousInstanceId;
+    holder.previousEpoch = known.previousEpoch;
+    holder.confirmed = true;
+    voterSet = VoterSets.with(voterSet, slot, holder);
   }
 
   /**
--- a/consensus/src/main/java/elmsail/consensus/VoterSets.java
+++ b/consensus/src/main/java/elmsail/consensus/VoterSets.java
@@ -4,8 +4,8 @@
 import elmsail.rpc.messages.VoterSet;
 
 /**
- * Voter sets compared and merged: in each voter slot the higher epoch is right, the first of two
- * equals.
+ * Voter sets compared and merged: in each voter slot the higher epoch is right; of two equals the
+ * one that votes, else the first.
  */
 public final class VoterSets {
   private VoterSets() {}
@@ -58,21 +58,22 @@
   }
 
   /**
-   * {@code known}, itself if nothing in {@code told} is newer; a set's count of voter slots never
-   * changes.
+   * {@code known}, itself if nothing in {@code response} supersedes it; a set's count of voter
+   * slots never changes.
    */
   public static VoterSet merge(VoterSet known, VoterSet response) {
-    if (!newer(response, known)) {
-      return known;
-    }
     if (known.voters.isEmpty()) {
-      return response;
+      return response.voters.isEmpty() ? known : response;
     }
-    VoterSet merged = new VoterSet();
+    if (response.voters.size() != known.voters.size()) {
+      return known;
+    }
+    VoterSet merged = known;
     for (int i = 0; i < known.voters.size(); i++) {
-      Voter ours = known.voters.get(i);
       Voter theirs = response.voters.get(i);
-      merged.voters.add(theirs.epoch > ours.epoch ? theirs : ours);
+      if (theirs.supersedes(known.voters.get(i))) {
+        merged = with(merged, i, theirs);
+      }
     }
     return merged;
   }
--- /dev/null
+++ b/consensus/src/test/java/elmsail/consensus/RivalClaimsTest.java
@@ -0,0 +1,80 @@
+package elmsail.consensus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
+
+import elmsail.rpc.messages.JoinRequest;
+import elmsail.rpc.messages.Voter;
+import elmsail.rpc.messages.VoterSet;
+import org.junit.jupiter.api.Test;
+
+/** Two claims of one slot with one epoch: whoever heard of the loser first learns who won. */
+class RivalClaimsTest {
+  private static Voter voter(String station, long instanceId, int epoch) {
+    Voter voter = new Voter();
+    voter.address = station + ":7720";
+    voter.station = station;
+    voter.instanceId = instanceId;
+    voter.epoch = epoch;
+    return voter;
+  }
+
+  private static VoterSet set(Voter second) {
+    VoterSet set = new VoterSet();
+    set.voters.add(voter("a", 1, 1));
+    set.voters.add(second);
+    set.voters.add(voter("c", 3, 1));
+    return set;
+  }
+
+  private static Membership of(Voter itself, VoterSet known, int caughtUp) {
+    return new Membership(itself.address, itself.station, itself.instanceId, known, caughtUp);
+  }
+
+  @Test
+  void theHolderThatVotesTakesTheLosersPlace() {
+    Voter winner = voter("b", 22, 2);
+    Voter loser = voter("d", 4, 2);
+    Membership winning = of(winner, set(winner), 0);
+    assertThat(VoterSets.merge(set(loser), winning.voterSet()).voters.get(1).instanceId, is(4L));
+    winning.caughtUp(2);
+    VoterSet told = winning.voterSet();
+    assertThat(VoterSets.merge(set(loser), told).voters.get(1).instanceId, is(22L));
+    assertThat("and keeps it", VoterSets.merge(told, set(loser)), is(sameInstance(told)));
+    VoterSet next = set(voter("d", 4, 3));
+    assertThat("until the next epoch", VoterSets.merge(told, next).voters.get(1).epoch, is(3));
+  }
+
+  /** Its disk tells that it votes, so it says so after a restart as well. */
+  @Test
+  void oneThatStartsAgainIsTakenForRightAgain() {
+    Voter winner = voter("b", 22, 2);
+    VoterSet told = of(winner, set(winner), 2).voterSet();
+    assertThat(VoterSets.merge(set(voter("d", 4, 2)), told).voters.get(1).instanceId, is(22L));
+  }
+
+  @Test
+  void aVoterThatAcknowledgedTheLoserLearnsToo() {
+    Voter winner = voter("b", 22, 2);
+    Membership third = of(voter("c", 3, 1), set(voter("b", 2, 1)), 1);
+    JoinRequest lost = new JoinRequest();
+    lost.slot = 1;
+    lost.holder = voter("d", 4, 2);
+    assertThat(third.join(lost), is(Membership.Claimed.ADOPTED));
+    assertThat(third.learn(of(winner, set(winner), 2).voterSet()), is(true));
+    assertThat(third.voterSet().voters.get(1).instanceId, is(22L));
+    assertThat(third.voting(), is(true));
+  }
+
+  /** The loser's own process gives its claim up. */
+  @Test
+  void theLoserHoldsNothingAnyMore() {
+    Voter winner = voter("b", 22, 2);
+    Membership losing = of(voter("d", 4, 2), set(voter("b", 2, 1)), 0);
+    losing.take(1, 2);
+    assertThat(losing.ownSlot(), is(1));
+    assertThat(losing.learn(of(winner, set(winner), 2).voterSet()), is(true));
+    assertThat(losing.ownSlot(), is(-1));
+  }
+}
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneVoters.java
@@ -122,7 +122,7 @@
   public void learn(VoterSet newer) {
     if (replica == null) {
       learned = VoterSets.merge(learned, newer);
-    } else if (VoterSets.newer(newer, replica.voterSet())) {
+    } else if (VoterSets.merge(replica.voterSet(), newer) != replica.voterSet()) {
       replica.learn(newer);
     }
   }
--- a/rpc/src/main/java/elmsail/rpc/messages/Voter.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/Voter.java
@@ -17,4 +17,15 @@
 
   public long previousInstanceId;
   public int previousEpoch;
+
+  /**
+   * Whether this holder votes, or voted, under this epoch. Two may claim a voter slot with one
+   * epoch; at most one of them ever votes under it, and the other's claim is void then.
+   */
+  public boolean confirmed;
+
+  /** Whether this is right where both are told of the same voter slot. */
+  public boolean supersedes(Voter other) {
+    return epoch > other.epoch || epoch == other.epoch && confirmed && !other.confirmed;
+  }
 }
