Finish another's write only where a second look finds it unfinished too

Cause: each read that met a write under way outbid it at once.

Change: a read that finds no majority agreed looks again after its usual wait, and finishes only what is still the same.

--- a/consensus/src/main/java/elmsail/consensus/QuorumRead.java
+++ b/consensus/src/main/java/elmsail/consensus/QuorumRead.java
@@ -21,6 +21,9 @@
   private static final long FINISH_AFTER_MS = 15;
   private final Ballot known;
 
+  /** The highest ballot that some voters had accepted when an attempt saw no majority agree. */
+  private Ballot unfinished = new Ballot();
+
   QuorumRead(RegisterClient client, String key, Ballot known, long timeoutMs) {
     super(client, key, timeoutMs);
     this.known = known;
@@ -122,8 +125,7 @@
         settled = true;
         settle(vote.accepted);
       } else if (answered + refused == voters) {
-        settled = true;
-        finish();
+        disagreed();
       } else if (answered >= majority) {
         finishSoon();
       }
@@ -135,12 +137,34 @@
           FINISH_AFTER_MS,
           () -> {
             if (current(number) && !settled) {
-              settled = true;
-              finish();
+              disagreed();
             }
           });
     }
 
+    /**
+     * Finishes only what an earlier attempt had found unfinished as well: its writer is most likely
+     * still at it, and a finish would outbid it. Many readers would keep all writers from success.
+     */
+    private void disagreed() {
+      settled = true;
+      Ballot highest = highestAccepted();
+      if (Ballots.same(highest, unfinished)) {
+        finish();
+      } else {
+        unfinished = highest;
+        backOff();
+      }
+    }
+
+    private Ballot highestAccepted() {
+      Ballot highest = new Ballot();
+      for (VoteResponse one : response) {
+        highest = one == null ? highest : Ballots.higher(highest, one.accepted);
+      }
+      return highest;
+    }
+
     private boolean agreed(Ballot accepted) {
       int same = 0;
       for (VoteResponse one : response) {
