Test the cut of the counted machines into two halves

Orders race at both halves, the configuration is read at all nodes, jobs are written and read, a store is retired in the cut.

--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/JobWriter.java
@@ -0,0 +1,144 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+
+import elmsail.consensus.Register;
+import elmsail.consensus.RegisterClient;
+import elmsail.consensus.VoterSetSource;
+import elmsail.consensus.VoterSets;
+import elmsail.rpc.messages.Blob;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.simulation.Node;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Writes keys with a body each to the stores, as a gateway that reaches all of them, and reads them
+ * again: one that was acknowledged is never said not to be there.
+ */
+final class JobWriter {
+  private static final int MOST_OPEN = 3;
+  private static final int CALL_MS = 1_500;
+  private static final byte[] BODY = new byte[3_000];
+  private static final byte[] RECORD = {1};
+
+  private final String name;
+  private final World world;
+  private final Random chance;
+  private final Register register;
+  private final Set<String> forgotten = new HashSet<>();
+  private final List<Integer> written = new ArrayList<>();
+  private VoterSet known = new VoterSet();
+  private int next;
+  private int open;
+
+  JobWriter(String name, World world, Random chance) {
+    this.name = name;
+    this.world = world;
+    this.chance = chance;
+    Node node = world.net.node("10.3.0.9:7720");
+    VoterSetSource voterSets =
+        new VoterSetSource() {
+          @Override
+          public VoterSet current() {
+            return newest();
+          }
+
+          @Override
+          public void learn(VoterSet newer) {
+            known = VoterSets.merge(known, newer);
+          }
+        };
+    register =
+        new RegisterClient("shelf", node.caller(), node.timers(), voterSets, 77, "", address -> 1);
+  }
+
+  /** That store is gone for good. */
+  void forget(String store) {
+    forgotten.add(store);
+  }
+
+  VoterSet newest() {
+    for (String store : world.stores.keySet()) {
+      boolean there = world.net.at(world.address(store)) != null;
+      if (there && !forgotten.contains(store) && world.stores.get(store).replica().voting()) {
+        known = VoterSets.merge(known, world.stores.get(store).replica().voterSet());
+      }
+    }
+    return known;
+  }
+
+  int written() {
+    return written.size();
+  }
+
+  /** Begins a write or a read, if few are under way. */
+  void step() {
+    if (open >= MOST_OPEN || newest().voters.isEmpty()) {
+      return;
+    }
+    open++;
+    if (written.isEmpty() || chance.nextBoolean()) {
+      write(next++);
+    } else {
+      read(written.get(chance.nextInt(written.size())));
+    }
+  }
+
+  private void write(int job) {
+    Blob body = new Blob();
+    body.name = "body";
+    body.bytes = BODY;
+    register
+        .change(
+            "lot/" + job,
+            found -> new Register.Wanted(RECORD, List.of()),
+            List.of(body),
+            null,
+            CALL_MS)
+        .whenComplete(
+            (held, failed) -> {
+              open--;
+              if (failed == null) {
+                written.add(job);
+              }
+            });
+  }
+
+  private void read(int job) {
+    register
+        .read("lot/" + job, null, CALL_MS)
+        .whenComplete(
+            (now, failed) -> {
+              open--;
+              if (failed == null && now.value() == null) {
+                lost.add(job);
+              }
+            });
+  }
+
+  /** Read as not there though they were acknowledged. */
+  private final List<Integer> lost = new ArrayList<>();
+
+  /** Each is there with its body, and always was. */
+  void readAll() {
+    assertThat(name + ": said not to be there", lost, equalTo(List.of()));
+    for (int job : List.copyOf(written)) {
+      String about = name + ": job " + job;
+      CompletableFuture<Register.Versioned> value = register.read("lot/" + job, null, CALL_MS);
+      assertThat(about, world.until(2 * CALL_MS, value::isDone), is(true));
+      assertThat(about, value.join().value(), equalTo(RECORD));
+      CompletableFuture<byte[]> body = register.blob("lot/" + job, "body", CALL_MS);
+      assertThat(about, world.until(2 * CALL_MS, body::isDone), is(true));
+      assertThat(about, body.join(), notNullValue());
+      assertThat(about, body.join().length, is(BODY.length));
+    }
+  }
+}
--- a/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
+++ b/controlplane/src/test/java/elmsail/controlplane/OrderStory.java
@@ -48,16 +48,21 @@
   int unclear;
 
   OrderStory(String name, int seed, int nodes) {
-    this.name = name + ", seed " + seed;
-    this.nodes = nodes;
-    chance = new Random(seed);
-    world = new World(seed, nodes);
+    this(name + ", seed " + seed, new World(seed, nodes), new Random(seed), nodes);
     world.net.delay(1, 15);
     for (int i = 1; i <= nodes; i++) {
       world.controlPlane("n" + i, true);
     }
   }
 
+  /** In a world whose nodes n1 to that number are started by others. */
+  OrderStory(String name, World world, Random chance, int nodes) {
+    this.name = name;
+    this.nodes = nodes;
+    this.chance = chance;
+    this.world = world;
+  }
+
   /** A valid configuration; {@code variant} tells those of one number apart. */
   static Order order(long base, long number, String variant) {
     String body = World.config(number);
@@ -131,6 +136,11 @@
     refused.put(order, status);
   }
 
+  /** How many calls have no answer yet. */
+  int underWay() {
+    return calls.size();
+  }
+
   private boolean underWay(Order order) {
     for (Call call : calls) {
       if (call.order.equals(order)) {
