Add a soak of the tier's real processes under random faults

Cause: the simulated world plays the parts in one process; nothing played the two programs as processes with kills, pauses, cuts and lost answers overlapping on real sockets.

Change: module soak, test code alone. Ten processes (GatewayMain, ControlPlaneMain) on loopback addresses, one a machine; a Netty channel extension on the soak's class path leads each connection between them by way of the lab's relay. Stand-ins for servers, the platform's list, operators and clients feed accounts that hold the invariants.

--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/BatchClient.java
@@ -0,0 +1,185 @@
+package elmsail.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** The calls about batch jobs, each at any gateway and told to the accounts. */
+final class BatchClient {
+  private static final long CALL_MS = 3_500;
+  private static final String WAIT_MS = "1000";
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final JobAccount jobs;
+  private final QuotaAccount quota;
+  private final Map<String, InetSocketAddress> fronts;
+  private final List<String> names;
+  private final SoakClock clock;
+
+  /**
+   * @param fronts the addresses for clients by machine
+   */
+  BatchClient(
+      JobAccount jobs, QuotaAccount quota, Map<String, InetSocketAddress> fronts, SoakClock clock) {
+    this.jobs = jobs;
+    this.quota = quota;
+    this.fronts = Map.copyOf(fronts);
+    this.names = fronts.keySet().stream().sorted().toList();
+    this.clock = clock;
+  }
+
+  /** A job of so many items with these tokens each at most, or with exactly the tokens given. */
+  static SubmittedJob draw(Random random, String route, int items, int mostTokens) {
+    List<SubmittedJob.Item> drawn = new ArrayList<>();
+    for (int i = 0; i < items; i++) {
+      long tokens = mostTokens / 2 + random.nextInt(mostTokens / 2);
+      drawn.add(item(random, route, tokens));
+    }
+    return new SubmittedJob(hex(random), route, List.copyOf(drawn));
+  }
+
+  static SubmittedJob.Item item(Random random, String route, long tokens) {
+    String id = hex(random);
+    return new SubmittedJob.Item(id, SoakConfig.prefix(route) + "item", "body of " + id, tokens);
+  }
+
+  static String hex(Random random) {
+    return String.format("%016x", random.nextLong());
+  }
+
+  String anyMachine(Random random) {
+    return names.get(random.nextInt(names.size()));
+  }
+
+  List<String> machines() {
+    return names;
+  }
+
+  /** Tells the accounts of a job that is about to be sent. */
+  void announce(SubmittedJob job) {
+    jobs.submitting(job);
+    quota.submitting(job);
+  }
+
+  /** One try; the status is 0 where there is no answer. */
+  int submit(SubmittedJob job, String machine) {
+    long sentMs = clock.now();
+    int status;
+    try {
+      status =
+          call(machine, "POST", SoakConfig.prefix(job.route()) + job.id())
+              .header("Elmsail-Request-Id", job.id())
+              .header("Content-Type", "application/json")
+              .body(json(job).getBytes(StandardCharsets.UTF_8))
+              .send(CALL_MS)
+              .status();
+    } catch (IOException e) {
+      status = 0;
+    }
+    long atMs = clock.now();
+    jobs.tried(job.id(), status, atMs);
+    quota.tried(job.id(), machine, sentMs, atMs, status);
+    return status;
+  }
+
+  private static String json(SubmittedJob job) {
+    ObjectNode root = JSON.createObjectNode();
+    ArrayNode pieces = root.putArray("pieces");
+    for (SubmittedJob.Item item : job.items()) {
+      ObjectNode piece = pieces.addObject();
+      long out = item.tokens() / 4;
+      piece.put("id", item.id()).put("lane", item.lane());
+      piece
+          .putObject("envelope")
+          .put("Elmsail-Model", "m")
+          .put("Elmsail-Tokens", (item.tokens() - out) + "," + out)
+          .put("Elmsail-Prompt-Prefix", item.id().substring(0, 8) + ":" + (item.tokens() - out));
+      piece.put(
+          "contents",
+          Base64.getEncoder().encodeToString(item.body().getBytes(StandardCharsets.UTF_8)));
+      piece.put("tokens", item.tokens());
+    }
+    return root.toString();
+  }
+
+  /** Reads from a position; the next position, or the same if there is nothing. */
+  JobRead read(String job, String machine, int after, boolean wait) {
+    long sentMs = clock.now();
+    try {
+      HttpCall call = call(machine, "GET", "/lots/" + job + "?after=" + after);
+      if (wait) {
+        call.header("Elmsail-Wait-Ms", WAIT_MS);
+      }
+      HttpAnswer answer = call.send(CALL_MS);
+      JobRead read = parsed(job, machine, sentMs, after, answer);
+      jobs.read(read);
+      return read;
+    } catch (IOException e) {
+      return new JobRead(job, machine, sentMs, clock.now(), 0, after, 0, after, List.of());
+    }
+  }
+
+  private JobRead parsed(String job, String machine, long sentMs, int after, HttpAnswer answer)
+      throws IOException {
+    List<Delivery> deliveries = new ArrayList<>();
+    int total = 0;
+    int next = after;
+    if (answer.status() == 200) {
+      JsonNode root = JSON.readTree(answer.text());
+      total = root.path("total").asInt(-1);
+      next = root.path("next_token").asInt(-1);
+      for (JsonNode one : root.path("deliveries")) {
+        deliveries.add(
+            new Delivery(
+                one.path("id").asText(), one.path("state").asText(), one.path("message").asText()));
+      }
+    }
+    return new JobRead(
+        job, machine, sentMs, clock.now(), answer.status(), after, total, next, deliveries);
+  }
+
+  /** Asks for an item's body. */
+  void body(SubmittedJob job, SubmittedJob.Item item, String machine) {
+    long sentMs = clock.now();
+    try {
+      HttpAnswer answer =
+          call(machine, "GET", "/items/" + job.id() + "?id=" + item.id()).send(CALL_MS);
+      jobs.body(item.id(), machine, answer.status(), answer.text(), sentMs, clock.now());
+    } catch (IOException e) {
+      // No answer says nothing.
+    }
+  }
+
+  /** Asks for the job's end; the status, 0 where there is no answer. */
+  int end(SubmittedJob job, String machine) {
+    jobs.endAsked(job.id(), clock.now());
+    quota.endAsked(job.id(), clock.now());
+    try {
+      int status = call(machine, "DELETE", "/lots/" + job.id()).send(CALL_MS).status();
+      jobs.ended(job.id(), machine, status, clock.now());
+      if (status == 200) {
+        quota.ended(job.id(), clock.now());
+      }
+      return status;
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  boolean complete(SubmittedJob job) {
+    return jobs.complete(job.id());
+  }
+
+  private HttpCall call(String machine, String method, String target) {
+    return new HttpCall(fronts.get(machine), method, target).header("Host", SoakConfig.HOST);
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/Cluster.java
@@ -0,0 +1,190 @@
+package elmsail.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import willowdoor.lab.relay.Pair;
+import willowdoor.lab.relay.Relay;
+
+/** The processes, the relay between them, and the troubles that they are in. */
+final class Cluster implements AutoCloseable {
+  private final Topology topology;
+  private final TroubleLog troubles;
+  private final SoakClock clock;
+  private final Relay relay;
+  private final Map<Topology.Node, TierProcess> processes = new LinkedHashMap<>();
+  private final Map<Trouble, TroubleLog.Entry> active = new LinkedHashMap<>();
+  private Set<Pair> cut = new HashSet<>();
+
+  Cluster(
+      Topology topology,
+      Path folder,
+      long seed,
+      Findings findings,
+      TroubleLog troubles,
+      SoakClock clock)
+      throws IOException {
+    this.topology = topology;
+    this.troubles = troubles;
+    this.clock = clock;
+    this.relay = new Relay(seed);
+    for (Topology.Node node : topology.nodes()) {
+      processes.put(node, new TierProcess(topology, node, folder, findings, clock));
+    }
+    for (Topology.Node caller : topology.nodes()) {
+      for (Topology.Node called : topology.nodes()) {
+        relay.stream(
+            caller.name(), called.name(), topology.face(caller, called), topology.inner(called));
+      }
+    }
+  }
+
+  void startAll() throws IOException {
+    for (TierProcess process : processes.values()) {
+      process.start(true);
+    }
+  }
+
+  List<Path> logs() {
+    return processes.values().stream().map(TierProcess::log).toList();
+  }
+
+  synchronized void begin(Trouble trouble) throws IOException {
+    active.put(trouble, troubles.begin(machines(trouble), destabilises(trouble), clock.now()));
+    for (Topology.Node node : struck(trouble)) {
+      switch (trouble.kind()) {
+        case KILL_PROCESS, KILL_MACHINE, LOSE_DISK -> {
+          relay.refuse(node.name(), caller -> true, true);
+          processes.get(node).kill();
+        }
+        case FREEZE -> processes.get(node).freeze();
+        default -> {
+          // The links' troubles are put in force together.
+        }
+      }
+    }
+    applyCuts();
+  }
+
+  synchronized void end(Trouble trouble) throws IOException {
+    for (Topology.Node node : struck(trouble)) {
+      switch (trouble.kind()) {
+        case LOSE_DISK -> {
+          processes.get(node).wipe();
+          restart(node);
+        }
+        case KILL_PROCESS, KILL_MACHINE -> restart(node);
+        case FREEZE -> processes.get(node).thaw();
+        default -> {
+          // The links' troubles are taken back together.
+        }
+      }
+    }
+    if (trouble.kind() == TroubleKind.LOSE_ANSWERS) {
+      relay.reset(Set.of(new Pair(trouble.other(), trouble.target())));
+    }
+    TroubleLog.Entry entry = active.remove(trouble);
+    applyCuts();
+    troubles.end(entry, clock.now());
+  }
+
+  private void restart(Topology.Node node) throws IOException {
+    processes.get(node).start(false);
+    relay.refuse(node.name(), caller -> true, false);
+  }
+
+  /** The processes that a trouble of processes stops or ends. */
+  private List<Topology.Node> struck(Trouble trouble) {
+    if (trouble.kind().ofLinks()) {
+      return List.of();
+    }
+    return topology.nodes().stream()
+        .filter(
+            node ->
+                node.name().equals(trouble.target())
+                    || node.machine().name().equals(trouble.target()))
+        .toList();
+  }
+
+  private List<Topology.Node> named(Trouble trouble) {
+    Set<String> names = Set.of(trouble.target(), trouble.other());
+    return topology.nodes().stream()
+        .filter(node -> names.contains(node.name()) || names.contains(node.machine().name()))
+        .toList();
+  }
+
+  private Set<String> machines(Trouble trouble) {
+    Set<String> machines = new HashSet<>();
+    named(trouble).forEach(node -> machines.add(node.machine().name()));
+    return machines;
+  }
+
+  /** Whether more than one gateway, or its links, is concerned. */
+  private boolean destabilises(Trouble trouble) {
+    return named(trouble).stream().noneMatch(node -> node.role() == ProcessRole.GATEWAY)
+        || trouble.kind().ofMachine();
+  }
+
+  private void applyCuts() throws IOException {
+    Set<Pair> wanted = new HashSet<>();
+    active.keySet().forEach(trouble -> wanted.addAll(cuts(trouble)));
+    Set<Pair> healed = new LinkedHashSet<>(cut);
+    healed.removeAll(wanted);
+    relay.change(healed, faults -> faults.cut(false));
+    Set<Pair> added = new LinkedHashSet<>(wanted);
+    added.removeAll(cut);
+    relay.change(added, faults -> faults.cut(true));
+    cut = wanted;
+  }
+
+  private List<Pair> cuts(Trouble trouble) {
+    List<Pair> pairs = new ArrayList<>();
+    switch (trouble.kind()) {
+      case CUT_MACHINE -> {
+        sending(trouble.target(), pairs);
+        receiving(trouble.target(), pairs);
+      }
+      case CUT_SENDING -> sending(trouble.target(), pairs);
+      case CUT_RECEIVING -> receiving(trouble.target(), pairs);
+      case CUT_PAIR -> {
+        pairs.add(new Pair(trouble.target(), trouble.other()));
+        pairs.add(new Pair(trouble.other(), trouble.target()));
+      }
+      case LOSE_ANSWERS -> pairs.add(new Pair(trouble.target(), trouble.other()));
+      default -> {
+        // No links.
+      }
+    }
+    return pairs;
+  }
+
+  private void sending(String machine, List<Pair> pairs) {
+    for (Topology.Node from : topology.nodes()) {
+      for (Topology.Node to : topology.nodes()) {
+        if (from.machine().name().equals(machine) && !to.machine().name().equals(machine)) {
+          pairs.add(new Pair(from.name(), to.name()));
+        }
+      }
+    }
+  }
+
+  private void receiving(String machine, List<Pair> pairs) {
+    List<Pair> there = new ArrayList<>();
+    sending(machine, there);
+    there.forEach(pair -> pairs.add(pair.back()));
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (TierProcess process : processes.values()) {
+      process.kill();
+    }
+    relay.close();
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/Findings.java
@@ -0,0 +1,34 @@
+package elmsail.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** The violations of one run, and how often each invariant was checked. */
+final class Findings {
+  private static final int MOST_KEPT = 200;
+
+  private final List<Violation> violations = new ArrayList<>();
+  private final Map<Invariant, Long> checks = new EnumMap<>(Invariant.class);
+
+  /** Counts a check, and keeps its violation if it does not hold. */
+  synchronized void check(Invariant invariant, boolean holds, long atMs, String detail) {
+    checks.merge(invariant, 1L, Long::sum);
+    if (!holds && violations.size() < MOST_KEPT) {
+      violations.add(new Violation(invariant, atMs, detail));
+    }
+  }
+
+  synchronized List<Violation> violations() {
+    return List.copyOf(violations);
+  }
+
+  synchronized long checks(Invariant invariant) {
+    return checks.getOrDefault(invariant, 0L);
+  }
+
+  synchronized Map<Invariant, Long> checks() {
+    return new EnumMap<>(checks);
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/LogScan.java
@@ -0,0 +1,33 @@
+package elmsail.soak;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Looks through a process's log for what it says of itself. */
+final class LogScan {
+  private static final Pattern COUNTER = Pattern.compile("invariant_\\w+\\W{1,3}(\\d+)");
+  private static final Pattern LOOP_FAULT = Pattern.compile("fault \\d+ on the loop");
+
+  private LogScan() {}
+
+  /**
+   * Whether a line tells of a broken invariant or a fault of the program. A line that counts
+   * invariants is clean while all its counts are 0.
+   */
+  static boolean broken(String line) {
+    if (LOOP_FAULT.matcher(line).find() || line.contains("OutOfMemoryError")) {
+      return true;
+    }
+    if (!line.contains("invariant")) {
+      return false;
+    }
+    Matcher counter = COUNTER.matcher(line);
+    boolean counted = false;
+    boolean above = false;
+    while (counter.find()) {
+      counted = true;
+      above |= Long.parseLong(counter.group(1)) > 0;
+    }
+    return above || !counted;
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/QuotaAccount.java
@@ -0,0 +1,172 @@
+package elmsail.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The tokens that wait on each route, as clients and servers saw them, and the invariants of it.
+ */
+final class QuotaAccount {
+  private static final int FULL = 429;
+
+  /** Tokens that wait no more. */
+  private record Release(long atMs, long tokens) {}
+
+  /** A try; a status of 0 stands for no answer. */
+  private record Try(String machine, long sentMs, long atMs, int status) {
+    boolean unclear() {
+      return status != 202 && status != FULL && status != 503;
+    }
+  }
+
+  private static final class JobTokens {
+    private final SubmittedJob job;
+    private final List<Try> tries = new ArrayList<>();
+    private final Map<String, Release> releases = new LinkedHashMap<>();
+    private long acceptedAt = Long.MAX_VALUE;
+    private long mayWaitFrom = Long.MAX_VALUE;
+    private long endAskedAt = Long.MAX_VALUE;
+    private long endedAt = Long.MAX_VALUE;
+
+    JobTokens(SubmittedJob job) {
+      this.job = job;
+    }
+
+    private long released(long untilMs) {
+      return releases.values().stream()
+          .filter(release -> release.atMs() <= untilMs)
+          .mapToLong(Release::tokens)
+          .sum();
+    }
+
+    /** At least so many tokens wait at that time. */
+    long waits(long atMs) {
+      return acceptedAt <= atMs && atMs < endAskedAt ? job.tokens() - released(atMs) : 0;
+    }
+
+    /** At most so many tokens wait at any moment between the two. */
+    long mayWait(long fromMs, long toMs) {
+      long settled = fromMs - Bounds.SETTLE_MS;
+      return mayWaitFrom > toMs || endedAt < settled ? 0 : job.tokens() - released(settled);
+    }
+  }
+
+  private final Findings findings;
+  private final TroubleLog troubles;
+  private final Map<String, Long> limits;
+  private final Map<String, JobTokens> jobs = new HashMap<>();
+
+  /**
+   * @param limits what may wait on each route that has a limit
+   */
+  QuotaAccount(Findings findings, TroubleLog troubles, Map<String, Long> limits) {
+    this.findings = findings;
+    this.troubles = troubles;
+    this.limits = Map.copyOf(limits);
+  }
+
+  synchronized void submitting(SubmittedJob job) {
+    if (limits.containsKey(job.route())) {
+      jobs.put(job.id(), new JobTokens(job));
+    }
+  }
+
+  /** A try was answered, or not in time: then its status is 0. */
+  synchronized void tried(String job, String machine, long sentMs, long atMs, int status) {
+    JobTokens tokens = jobs.get(job);
+    if (tokens == null) {
+      return;
+    }
+    Try one = new Try(machine, sentMs, atMs, status);
+    tokens.tries.add(one);
+    if (status == 202 || one.unclear()) {
+      tokens.mayWaitFrom = Math.min(tokens.mayWaitFrom, sentMs);
+    }
+    if (status == 202 && tokens.acceptedAt == Long.MAX_VALUE) {
+      tokens.acceptedAt = atMs;
+      within(tokens.job.route(), atMs);
+    }
+  }
+
+  private void within(String route, long atMs) {
+    long waiting =
+        jobs.values().stream()
+            .filter(one -> one.job.route().equals(route))
+            .mapToLong(one -> one.waits(atMs))
+            .sum();
+    long limit = limits.get(route);
+    findings.check(
+        Invariant.QUOTA_KEPT,
+        waiting <= limit * (1 + Bounds.QUOTA_OVER),
+        atMs,
+        waiting + " tokens wait on " + route + " of " + limit);
+  }
+
+  /** A server has finished the item, or it can never be done. */
+  synchronized void released(SubmittedJob job, String itemId, long atMs) {
+    JobTokens tokens = jobs.get(job.id());
+    if (tokens != null) {
+      long freed =
+          job.items().stream()
+              .filter(item -> item.id().equals(itemId))
+              .mapToLong(SubmittedJob.Item::tokens)
+              .sum();
+      tokens.releases.putIfAbsent(itemId, new Release(atMs, freed));
+    }
+  }
+
+  synchronized void endAsked(String job, long atMs) {
+    JobTokens tokens = jobs.get(job);
+    if (tokens != null) {
+      tokens.endAskedAt = Math.min(tokens.endAskedAt, atMs);
+    }
+  }
+
+  synchronized void ended(String job, long atMs) {
+    JobTokens tokens = jobs.get(job);
+    if (tokens != null) {
+      tokens.endedAt = Math.min(tokens.endedAt, atMs);
+    }
+  }
+
+  /** The checks that need the whole run: was a job that fits refused at every try? */
+  synchronized void close() {
+    for (JobTokens tokens : jobs.values()) {
+      if (!tokens.tries.isEmpty()) {
+        fits(tokens);
+      }
+    }
+  }
+
+  private void fits(JobTokens tokens) {
+    Try first = tokens.tries.get(0);
+    Try last = tokens.tries.get(tokens.tries.size() - 1);
+    long others = 0;
+    for (JobTokens other : jobs.values()) {
+      if (other != tokens && other.job.route().equals(tokens.job.route())) {
+        others += other.mayWait(first.sentMs(), last.atMs());
+      }
+    }
+    long limit = limits.get(tokens.job.route());
+    boolean fits = others + tokens.job.tokens() <= limit;
+    if (fits && troubles.inTouch(last.machine(), last.atMs(), last.atMs())) {
+      findings.check(
+          Invariant.FITTING_ACCEPTED,
+          !tokens.tries.stream().allMatch(one -> one.status() == FULL),
+          last.atMs(),
+          "job "
+              + tokens.job.id()
+              + " of "
+              + tokens.job.tokens()
+              + " tokens beside at most "
+              + others
+              + " of "
+              + limit
+              + ": "
+              + tokens.tries);
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/RequestAccount.java
@@ -0,0 +1,106 @@
+package elmsail.soak;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What clients and servers saw of plain requests and streams, and the invariants of it. */
+final class RequestAccount {
+  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+  private static final class RequestState {
+    private final boolean repeatable;
+    private final Set<String> postmarks = new HashSet<>();
+    private int runs;
+    private int status;
+
+    RequestState(boolean repeatable) {
+      this.repeatable = repeatable;
+    }
+  }
+
+  private final Findings findings;
+  private final Map<String, RequestState> requests = new HashMap<>();
+
+  RequestAccount(Findings findings) {
+    this.findings = findings;
+  }
+
+  /**
+   * A client is about to send a request.
+   *
+   * @param repeatable whether it may run more than once
+   */
+  synchronized void sending(String id, boolean repeatable) {
+    requests.put(id, new RequestState(repeatable));
+  }
+
+  /** A server begins to run it; false where nobody sent it. */
+  synchronized boolean reached(String id, String postmark, long atMs) {
+    RequestState state = requests.get(id);
+    if (state == null) {
+      return false;
+    }
+    state.runs++;
+    state.postmarks.add(postmark);
+    if (!state.repeatable) {
+      findings.check(
+          Invariant.RUN_ONCE,
+          state.runs == 1,
+          atMs,
+          "request " + id + " ran " + state.runs + " times");
+    }
+    return true;
+  }
+
+  /** The whole answer came. */
+  synchronized void answered(String id, int status, String postmark, String body, long atMs) {
+    RequestState state = requests.get(id);
+    state.status = status;
+    if (status >= 200 && status < 300) {
+      boolean same = state.postmarks.contains(postmark) && body.equals(expected(id));
+      findings.check(
+          Invariant.ANSWER_SAME,
+          same,
+          atMs,
+          "request " + id + " was answered " + postmark + ": " + body);
+    }
+  }
+
+  /** The body of a whole answer: its events as the server writes them. */
+  static String expected(String id) {
+    StringBuilder events = new StringBuilder();
+    for (int event = 0; event < ItemScript.of(id).events(); event++) {
+      events.append(event(id, event));
+    }
+    return events.toString();
+  }
+
+  static String event(String id, int event) {
+    return "id: " + event + "\ndata: " + ItemScript.data(id, event) + "\n\n";
+  }
+
+  /** The checks that need the whole run. */
+  synchronized void close(long atMs) {
+    requests.forEach(
+        (id, state) -> {
+          if (!state.repeatable && PROMISES.contains(state.status)) {
+            findings.check(
+                Invariant.REQUEST_REFUSED,
+                state.runs == 0,
+                atMs,
+                "request " + id + " was refused with " + state.status + " and ran");
+          }
+        });
+  }
+
+  /** How many were answered with a success. */
+  synchronized long served() {
+    return requests.values().stream().filter(one -> one.status / 100 == 2).count();
+  }
+
+  synchronized int size() {
+    return requests.size();
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/RequestClient.java
@@ -0,0 +1,63 @@
+package elmsail.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+
+/** A stand-in for clients of plain requests and streams; each try has an id of its own. */
+final class RequestClient implements Runnable {
+  private static final long CALL_MS = 4_000;
+  private static final List<String> KINDS = List.of("safe", "unsafe", "stream");
+
+  private final RequestAccount account;
+  private final List<InetSocketAddress> fronts;
+  private final SoakClock clock;
+  private final Random random;
+  private final BooleanSupplier over;
+
+  RequestClient(
+      RequestAccount account,
+      List<InetSocketAddress> fronts,
+      SoakClock clock,
+      long seed,
+      BooleanSupplier over) {
+    this.account = account;
+    this.fronts = List.copyOf(fronts);
+    this.clock = clock;
+    this.random = new Random(seed);
+    this.over = over;
+  }
+
+  @Override
+  public void run() {
+    while (!over.getAsBoolean()) {
+      one();
+      SoakClock.pause(50 + random.nextInt(200));
+    }
+  }
+
+  private void one() {
+    String kind = KINDS.get(random.nextInt(KINDS.size()));
+    String id = String.format("%016x", random.nextLong());
+    HttpCall call =
+        new HttpCall(fronts.get(random.nextInt(fronts.size())), "POST", "/" + kind + "/x")
+            .header("Host", SoakConfig.HOST)
+            .header("Elmsail-Request-Id", id)
+            .header("Elmsail-Deadline-Ms", Long.toString(CALL_MS))
+            .header("Elmsail-Model", "m")
+            .header("Elmsail-Tokens", "100,50")
+            .header("Elmsail-Prompt-Prefix", id.substring(0, 8) + ":100")
+            .body(id.getBytes(StandardCharsets.US_ASCII));
+    account.sending(id, kind.equals("safe"));
+    try {
+      HttpAnswer answer = call.send(CALL_MS);
+      account.answered(
+          id, answer.status(), answer.header("Elmsail-Postmark"), answer.text(), clock.now());
+    } catch (IOException e) {
+      // No answer, or not a whole one: nothing is promised.
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/ServerWitness.java
@@ -0,0 +1,91 @@
+package elmsail.soak;
+
+import java.util.Map;
+
+/** Tells the accounts what servers see, and the servers how a run ends. */
+final class ServerWitness {
+
+  /** How one run goes: its status, and whether it is cut off where its script says. */
+  record Plan(int status, boolean cut, ItemScript script) {}
+
+  private final SoakClock clock;
+  private final JobAccount jobs;
+  private final QuotaAccount quota;
+  private final RequestAccount requests;
+  private final Map<String, String> machines;
+  private final Findings findings;
+
+  /**
+   * @param machines the names of the machines by their addresses
+   */
+  ServerWitness(
+      SoakClock clock,
+      JobAccount jobs,
+      QuotaAccount quota,
+      RequestAccount requests,
+      Map<String, String> machines,
+      Findings findings) {
+    this.clock = clock;
+    this.jobs = jobs;
+    this.quota = quota;
+    this.requests = requests;
+    this.machines = Map.copyOf(machines);
+    this.findings = findings;
+  }
+
+  long now() {
+    return clock.now();
+  }
+
+  /** A server begins a run. */
+  Plan begin(ItemRun run, String postmark) {
+    ItemScript script = ItemScript.of(run.id());
+    ItemRun named =
+        new ItemRun(
+            run.id(),
+            machines.getOrDefault(run.machine(), run.machine()),
+            run.server(),
+            run.host(),
+            run.path(),
+            run.body(),
+            run.lastEventId(),
+            run.atMs());
+    if (jobs.reached(named)) {
+      return item(run, script);
+    }
+    boolean known = requests.reached(run.id(), postmark, run.atMs());
+    findings.check(Invariant.ITEM_AS_SENT, known, run.atMs(), "nobody sent " + named);
+    return new Plan(200, false, script);
+  }
+
+  private Plan item(ItemRun run, ItemScript script) {
+    if (script.impossible()) {
+      jobs.impossible(run.id(), clock.now());
+      quota.released(jobs.jobOf(run.id()), run.id(), clock.now());
+      return new Plan(422, false, script);
+    }
+    if (jobs.failures(run.id()) < script.failures()) {
+      if (jobs.failed(run.id(), clock.now())) {
+        quota.released(jobs.jobOf(run.id()), run.id(), clock.now());
+      }
+      return new Plan(500, false, script);
+    }
+    return new Plan(200, jobs.runs(run.id()) == 1, script);
+  }
+
+  /** An event is about to be sent. */
+  void event(String id, int event) {
+    if (jobs.jobOf(id) != null) {
+      jobs.event(id, event);
+    }
+  }
+
+  /** The last event was sent; the end of the output is about to be. */
+  void finished(String id) {
+    SubmittedJob job = jobs.jobOf(id);
+    if (job != null) {
+      jobs.finished(id, clock.now());
+      quota.released(job, id, clock.now());
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/SoakClock.java
@@ -0,0 +1,24 @@
+package elmsail.soak;
+
+/** Milliseconds on the steady clock since the run began; all that is seen bears times of it. */
+final class SoakClock {
+  private final long began = System.nanoTime();
+
+  long now() {
+    return (System.nanoTime() - began) / 1_000_000;
+  }
+
+  /**
+   * Waits, also for nothing.
+   *
+   * @throws IllegalStateException if the thread is told to end
+   */
+  static void pause(long ms) {
+    try {
+      Thread.sleep(Math.max(0, ms));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("told to end", e);
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/SoakLongTest.java
@@ -0,0 +1,33 @@
+package elmsail.soak;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anEmptyMap;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+
+/** The soak over many seeds, one after the other; only where they are named. */
+@EnabledIfSystemProperty(named = SoakLongTest.SEEDS, matches = "\\d+-\\d+")
+class SoakLongTest {
+  /** The first and the last seed, with a dash between them. */
+  static final String SEEDS = "soak.seeds";
+
+  @Test
+  void holdsAllInvariantsFromEachSeed() throws Exception {
+    String[] bounds = System.getProperty(SEEDS).split("-");
+    Map<Long, List<Violation>> broken = new TreeMap<>();
+    for (long seed = Long.parseLong(bounds[0]); seed <= Long.parseLong(bounds[1]); seed++) {
+      SoakOutcome outcome = SoakRun.play(SoakPlan.full(seed));
+      System.out.println(outcome.summary());
+      outcome.violations().forEach(one -> System.out.println("  " + one));
+      if (!outcome.violations().isEmpty()) {
+        broken.put(seed, outcome.violations());
+      }
+    }
+    assertThat(broken, is(anEmptyMap()));
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/StallWatch.java
@@ -0,0 +1,48 @@
+package elmsail.soak;
+
+/** Looks for times in which this computer held its threads up, and notes them as troubles. */
+final class StallWatch implements AutoCloseable {
+  private static final long TICK_MS = 20;
+  private static final long STALL_MS = 200;
+
+  private final SoakClock clock;
+  private final TroubleLog troubles;
+  private final Thread thread = new Thread(this::watch, "stall-watch");
+  private volatile boolean closed;
+  private volatile long stalls;
+  private volatile long longest;
+
+  StallWatch(SoakClock clock, TroubleLog troubles) {
+    this.clock = clock;
+    this.troubles = troubles;
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void watch() {
+    long last = clock.now();
+    while (!closed) {
+      SoakClock.pause(TICK_MS);
+      long now = clock.now();
+      if (now - last > STALL_MS) {
+        troubles.stalled(last, now);
+        stalls++;
+        longest = Math.max(longest, now - last);
+      }
+      last = now;
+    }
+  }
+
+  long stalls() {
+    return stalls;
+  }
+
+  long longestMs() {
+    return longest;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/TierProcess.java
@@ -0,0 +1,157 @@
+package elmsail.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import willowdoor.lab.fleet.Loopback;
+
+/** One process of the tier: its folder, its log, and the signals it gets. */
+final class TierProcess {
+  private static final long SIGNAL_MS = 10_000;
+  private static final List<String> FLAGS =
+      List.of(
+          "-XX:+UseSerialGC",
+          "-XX:TieredStopAtLevel=1",
+          "-Xss512k",
+          "-XX:-UsePerfData",
+          "-Xms32m",
+          "-Xmx96m",
+          "-XX:MaxDirectMemorySize=64m",
+          "-XX:+ExitOnOutOfMemoryError",
+          "-Dio.netty.leakDetection.level=disabled",
+          "-Dio.netty.jfr.enabled=false",
+          "-Dio.netty.bootstrap.extensions=serviceload");
+
+  private final Topology topology;
+  private final Topology.Node node;
+  private final Path folder;
+  private final Findings findings;
+  private final SoakClock clock;
+  private Process process;
+  private boolean endMeant;
+
+  TierProcess(
+      Topology topology, Topology.Node node, Path folder, Findings findings, SoakClock clock) {
+    this.topology = topology;
+    this.node = node;
+    this.folder = folder.toAbsolutePath();
+    this.findings = findings;
+    this.clock = clock;
+  }
+
+  Path log() {
+    return folder.resolve(node.name() + ".log");
+  }
+
+  private Path data() {
+    return folder.resolve(node.name() + "-data");
+  }
+
+  synchronized void start(boolean firstStart) throws IOException {
+    Files.createDirectories(data());
+    Path settings = folder.resolve(node.name() + ".json");
+    Files.write(settings, topology.settings(node, firstStart, data()));
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(FLAGS);
+    command.add("-D" + RelayedConnects.OWN_IP + "=" + topology.ip(node.machine()));
+    command.add("-D" + RelayedConnects.FACES + "=" + faces());
+    command.addAll(List.of("-cp", classPath(), node.role().program));
+    command.addAll(List.of("--settings", settings.toString()));
+    endMeant = false;
+    Process started =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
+            .start();
+    process = started;
+    started.onExit().thenAccept(this::ended);
+  }
+
+  private synchronized void ended(Process over) {
+    findings.check(
+        Invariant.PROCESS_LIVES,
+        endMeant,
+        clock.now(),
+        node.name() + " ended by itself with " + over.exitValue());
+  }
+
+  private String faces() {
+    return topology.nodes().stream()
+        .map(
+            other ->
+                Loopback.text(topology.inner(other))
+                    + "="
+                    + Loopback.text(topology.face(node, other)))
+        .collect(Collectors.joining(","));
+  }
+
+  /** All that the tests run with but the lab, whose jar holds copies of the libraries. */
+  private static String classPath() {
+    String whole =
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    return Stream.of(whole.split(File.pathSeparator))
+        .filter(entry -> !entry.contains("willowdoor-lab") && !entry.contains("/lab/target/"))
+        .collect(Collectors.joining(File.pathSeparator));
+  }
+
+  /** Ends the process at once. */
+  synchronized void kill() throws IOException {
+    endMeant = true;
+    Process old = process;
+    if (old == null) {
+      return;
+    }
+    old.destroyForcibly();
+    try {
+      if (!old.waitFor(SIGNAL_MS, TimeUnit.MILLISECONDS)) {
+        throw new IOException(node.name() + " does not end");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  void freeze() throws IOException {
+    signal("STOP");
+  }
+
+  void thaw() throws IOException {
+    signal("CONT");
+  }
+
+  private synchronized void signal(String name) throws IOException {
+    if (process == null || !process.isAlive()) {
+      return;
+    }
+    Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+    try {
+      if (!kill.waitFor(SIGNAL_MS, TimeUnit.MILLISECONDS)) {
+        throw new IOException("kill does not end");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  /** Loses the disk; only while the process is down. */
+  void wipe() throws IOException {
+    if (!Files.exists(data())) {
+      return;
+    }
+    try (Stream<Path> files = Files.walk(data())) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+}
