--- a/soak/src/test/java/elmsail/soak/BatchClient.java
+++ b/soak/src/test/java/elmsail/soak/BatchClient.java
@@ -37,7 +37,7 @@
     this.clock = clock;
   }
 
-  /** A job of so many items with these tokens each at most, or with exactly the tokens given. */
+  /** A job of so many items, each of half these tokens to all of them. */
   static SubmittedJob draw(Random random, String route, int items, int mostTokens) {
     List<SubmittedJob.Item> drawn = new ArrayList<>();
     for (int i = 0; i < items; i++) {
--- a/soak/src/test/java/elmsail/soak/BatchWorker.java
+++ b/soak/src/test/java/elmsail/soak/BatchWorker.java
@@ -3,17 +3,40 @@
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 
-/** A client with one batch job after the other: handed in, read, sometimes ended. */
+/** A client with one batch job after the other: handed in, read, sometimes ended early. */
 final class BatchWorker implements Runnable {
   private static final long SUBMIT_MS = 8_000;
-  private static final int MOST_ITEMS = 6;
   private static final int MOST_TOKENS = 300;
-  private static final int ENDED_OF_100 = 15;
   private static final int EARLIER_OF_100 = 25;
   private static final int BODY_OF_100 = 15;
 
+  /** What a client's jobs are like: their route, their items, and how many are ended early. */
+  enum Habit {
+    BULK(SoakConfig.BULK, 1, 6, 15),
+    LIMITED(SoakConfig.LIMITED, 1, 6, 15),
+    /** So many items that most have not run when the job is ended. */
+    LARGE(SoakConfig.BULK, 120, 200, 100);
+
+    private final String route;
+    private final int leastItems;
+    private final int mostItems;
+    private final int endedOf100;
+
+    Habit(String route, int leastItems, int mostItems, int endedOf100) {
+      this.route = route;
+      this.leastItems = leastItems;
+      this.mostItems = mostItems;
+      this.endedOf100 = endedOf100;
+    }
+
+    SubmittedJob draw(Random random) {
+      int items = leastItems + random.nextInt(mostItems - leastItems + 1);
+      return BatchClient.draw(random, route, items, MOST_TOKENS);
+    }
+  }
+
   private final BatchClient client;
-  private final String route;
+  private final Habit habit;
   private final SoakClock clock;
   private final Random random;
   private final BooleanSupplier loadOver;
@@ -25,13 +48,13 @@
    */
   BatchWorker(
       BatchClient client,
-      String route,
+      Habit habit,
       SoakClock clock,
       long seed,
       BooleanSupplier loadOver,
       BooleanSupplier readsOver) {
     this.client = client;
-    this.route = route;
+    this.habit = habit;
     this.clock = clock;
     this.random = new Random(seed);
     this.loadOver = loadOver;
@@ -41,8 +64,7 @@
   @Override
   public void run() {
     while (!loadOver.getAsBoolean()) {
-      SubmittedJob job =
-          BatchClient.draw(random, route, 1 + random.nextInt(MOST_ITEMS), MOST_TOKENS);
+      SubmittedJob job = habit.draw(random);
       client.announce(job);
       if (submit(job)) {
         follow(job);
@@ -63,8 +85,8 @@
   }
 
   private void follow(SubmittedJob job) {
-    boolean ends = random.nextInt(100) < ENDED_OF_100;
-    long endAt = clock.now() + random.nextInt(1_000);
+    boolean ends = random.nextInt(100) < habit.endedOf100;
+    long endAt = clock.now() + 200 + random.nextInt(1_000);
     int position = 0;
     while (!client.complete(job) && !readsOver.getAsBoolean()) {
       if (ends && clock.now() >= endAt) {
--- a/soak/src/test/java/elmsail/soak/JobAccount.java
+++ b/soak/src/test/java/elmsail/soak/JobAccount.java
@@ -42,6 +42,7 @@
     private long acceptedAt = -1;
     private long endAskedAt = -1;
     private long endedAt = -1;
+    private final List<ItemRun> runsAfterEnd = new ArrayList<>();
 
     JobState(SubmittedJob job) {
       this.job = job;
@@ -209,13 +210,19 @@
             && run.body().equals(item.item.body())
             && run.lastEventId() <= item.lastEvent;
     findings.check(Invariant.ITEM_AS_SENT, same, run.atMs(), run + " of " + item.item);
+    afterEnd(item, run);
+    return true;
+  }
+
+  private void afterEnd(ItemState item, ItemRun run) {
     long ended = item.job.endedAt;
-    if (ended >= 0 && run.atMs() > ended + Bounds.CANCEL_MS) {
-      boolean exempt = !troubles.inTouch(run.machine(), run.atMs(), run.atMs());
-      findings.check(
-          Invariant.ENDED_NEVER_RUNS, exempt, run.atMs(), run + " of a job ended at " + ended);
+    if (ended < 0) {
+      return;
+    }
+    boolean late = run.atMs() > ended + Bounds.CANCEL_MS;
+    if (late && troubles.inTouch(run.machine(), run.atMs(), run.atMs())) {
+      item.job.runsAfterEnd.add(run);
     }
-    return true;
   }
 
   /** A server has sent this event of an item. */
@@ -288,6 +295,13 @@
   /** The checks that need the whole run, once all is quiet. */
   synchronized void close(long atMs) {
     for (JobState state : jobs.values()) {
+      if (state.endedAt >= 0) {
+        findings.check(
+            Invariant.ENDED_NEVER_RUNS,
+            state.runsAfterEnd.isEmpty(),
+            atMs,
+            "job " + state.job.id() + " ended at " + state.endedAt + ": " + state.runsAfterEnd);
+      }
       int runs = state.items.values().stream().mapToInt(item -> item.runs).sum();
       if (state.acceptedAt >= 0) {
         findings.check(
--- /dev/null
+++ b/soak/src/test/java/elmsail/soak/JobAccountTest.java
@@ -0,0 +1,252 @@
+package elmsail.soak;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class JobAccountTest {
+  private static final String HOST = "h.example";
+  private static final int TRIES = 3;
+  private static final long ACCEPTED = 1_000;
+  private static final long SETTLED = ACCEPTED + Bounds.SETTLE_MS + 1;
+  private static final long ENDED = 20_000;
+
+  private final Findings findings = new Findings();
+  private final TroubleLog troubles = new TroubleLog();
+  private final JobAccount account = new JobAccount(findings, troubles, HOST, TRIES);
+  private SubmittedJob job;
+  private String first;
+  private String second;
+
+  @BeforeEach
+  void submit() {
+    List<SubmittedJob.Item> items = new ArrayList<>();
+    for (int i = 0; items.size() < 2; i++) {
+      ItemScript script = ItemScript.of("item" + i);
+      if (!script.impossible() && script.failures() == 0) {
+        items.add(new SubmittedJob.Item("item" + i, "/bulk/i", "body " + i, 10));
+      }
+    }
+    job = new SubmittedJob("job", SoakConfig.BULK, items);
+    first = items.get(0).id();
+    second = items.get(1).id();
+    account.submitting(job);
+  }
+
+  private List<Invariant> broken() {
+    return findings.violations().stream().map(Violation::invariant).distinct().toList();
+  }
+
+  private void accept() {
+    account.tried("job", 202, ACCEPTED);
+  }
+
+  private static Delivery whole(String id) {
+    return new Delivery(id, "delivered", ItemScript.of(id).text(id));
+  }
+
+  private static Delivery given(String id) {
+    return new Delivery(id, "undeliverable", "");
+  }
+
+  private void read(long sentMs, int after, Delivery... deliveries) {
+    List<Delivery> listed = List.of(deliveries);
+    int next = after + listed.size();
+    account.read(new JobRead("job", "counter-1", sentMs, sentMs + 5, 200, after, 2, next, listed));
+  }
+
+  private void status(long sentMs, int status) {
+    account.read(new JobRead("job", "counter-1", sentMs, sentMs + 5, status, 0, 0, 0, List.of()));
+  }
+
+  private boolean run(String id, int lastEventId, long atMs) {
+    String body = job.items().get(id.equals(first) ? 0 : 1).body();
+    return account.reached(
+        new ItemRun(id, "counter-1", "s", HOST, "/bulk/i", body, lastEventId, atMs));
+  }
+
+  @Test
+  void aProperStoryBreaksNothing() {
+    accept();
+    assertThat(run(first, -1, 1_100), is(true));
+    account.event(first, 0);
+    assertThat(run(first, 0, 1_200), is(true));
+    account.finished(first, 1_300);
+    account.body(second, "counter-2", 200, job.items().get(1).body(), SETTLED, SETTLED);
+    status(1_100, 404);
+    read(1_400, 0, whole(first));
+    read(4_000, 0, whole(first), whole(second));
+    read(6_000, 2);
+    account.close(7_000);
+    assertThat(findings.violations(), is(empty()));
+    assertThat(findings.checks(Invariant.JOB_KNOWN), greaterThan(0L));
+  }
+
+  @Test
+  void findsAJobThatIsUnknownLater() {
+    accept();
+    status(SETTLED, 404);
+    assertThat(broken(), contains(Invariant.JOB_KNOWN));
+  }
+
+  @Test
+  void findsAJobThatIsGoneLater() {
+    accept();
+    status(SETTLED, 410);
+    assertThat(broken(), contains(Invariant.JOB_KNOWN));
+  }
+
+  @Test
+  void findsAnEndOfAnAcceptedJobThatIsUnknown() {
+    accept();
+    account.ended("job", "counter-2", 404, SETTLED);
+    assertThat(broken(), contains(Invariant.JOB_KNOWN));
+  }
+
+  @Test
+  void findsAPositionThatIsNotThereAnyMore() {
+    accept();
+    read(1_400, 0, whole(first));
+    read(1_400 + 5 + Bounds.SETTLE_MS, 0);
+    assertThat(broken(), is(empty()));
+    read(1_400 + 6 + Bounds.SETTLE_MS, 0);
+    assertThat(broken(), contains(Invariant.POSITION_THERE));
+  }
+
+  @Test
+  void findsAPositionThatChanged() {
+    accept();
+    read(1_400, 0, whole(first), whole(second));
+    read(1_500, 0, whole(second), whole(first));
+    assertThat(broken(), hasItem(Invariant.POSITION_STABLE));
+  }
+
+  @Test
+  void findsAnItemAtTwoPositions() {
+    accept();
+    read(1_400, 0, whole(first), whole(first));
+    assertThat(broken(), contains(Invariant.ITEMS_ONCE));
+  }
+
+  @Test
+  void findsAnItemOfAnotherJob() {
+    accept();
+    read(1_400, 0, whole("stranger"));
+    assertThat(broken(), contains(Invariant.ITEMS_ONCE));
+  }
+
+  @Test
+  void findsAWrongTotal() {
+    accept();
+    account.read(new JobRead("job", "counter-1", 1_400, 1_405, 200, 0, 3, 0, List.of()));
+    assertThat(broken(), contains(Invariant.ITEMS_ONCE));
+  }
+
+  @Test
+  void findsATextThatIsNotWhole() {
+    accept();
+    read(1_400, 0, new Delivery(first, "delivered", ItemScript.data(first, 0)));
+    assertThat(broken(), contains(Invariant.TEXT_WHOLE));
+  }
+
+  @Test
+  void findsAnItemGivenUpWithoutCause() {
+    accept();
+    account.failed(first, 1_200);
+    account.failed(first, 1_210);
+    read(1_400, 0, given(first));
+    assertThat(broken(), contains(Invariant.UNDELIVERABLE_CAUSE));
+  }
+
+  @Test
+  void anItemMayBeGivenUpWithCause() {
+    accept();
+    account.impossible(first, 1_200);
+    for (int i = 0; i < TRIES; i++) {
+      assertThat(account.failed(second, 1_210), is(i == TRIES - 1));
+    }
+    read(1_400, 0, given(first), given(second));
+    assertThat(broken(), is(empty()));
+  }
+
+  @Test
+  void findsAJobThatIsNotListedWhole() {
+    accept();
+    read(1_400, 0, whole(first));
+    account.close(60_000);
+    assertThat(broken(), contains(Invariant.JOB_FINISHED));
+  }
+
+  @Test
+  void findsABodyThatIsNotThereOrAnother() {
+    accept();
+    account.body(first, "counter-1", 404, "", SETTLED, SETTLED + 5);
+    account.body(first, "counter-1", 200, "another", SETTLED, SETTLED + 5);
+    account.finished(first, SETTLED + 6);
+    account.body(first, "counter-1", 404, "", SETTLED + 7, SETTLED + 8);
+    assertThat(findings.violations().size(), is(2));
+    assertThat(broken(), contains(Invariant.BODY_SAME));
+  }
+
+  @Test
+  void findsARunWithAnotherBodyOrAfterAnEventThatNeverWas() {
+    accept();
+    account.reached(new ItemRun(first, "m", "s", HOST, "/bulk/i", "another", -1, 1_100));
+    run(first, 0, 1_200);
+    assertThat(findings.violations().size(), is(2));
+    assertThat(broken(), contains(Invariant.ITEM_AS_SENT));
+    assertThat(
+        account.reached(new ItemRun("nobody's", "m", "s", HOST, "/x", "", -1, 1)), is(false));
+  }
+
+  @Test
+  void findsARefusedJobThatRuns() {
+    account.tried("job", 429, 900);
+    account.tried("job", 503, 1_500);
+    run(first, -1, 3_000);
+    account.close(9_000);
+    assertThat(broken(), contains(Invariant.REFUSED_NEVER_RUNS));
+  }
+
+  @Test
+  void aJobWithoutAClearAnswerMayRun() {
+    account.tried("job", 429, 900);
+    account.tried("job", 0, 1_500);
+    run(first, -1, 3_000);
+    account.close(9_000);
+    assertThat(broken(), is(empty()));
+  }
+
+  @Test
+  void findsARunLongAfterTheEnd() {
+    accept();
+    account.endAsked("job", ENDED - 50);
+    account.ended("job", "counter-1", 200, ENDED);
+    run(first, -1, ENDED + Bounds.CANCEL_MS);
+    account.close(ENDED + 10_000);
+    assertThat(broken(), is(empty()));
+    run(first, -1, ENDED + Bounds.CANCEL_MS + 1);
+    account.close(ENDED + 10_000);
+    assertThat(broken(), contains(Invariant.ENDED_NEVER_RUNS));
+  }
+
+  @Test
+  void aMachineOutOfTouchMayRunLongAfterTheEnd() {
+    accept();
+    account.endAsked("job", ENDED - 50);
+    account.ended("job", "counter-1", 200, ENDED);
+    troubles.begin(Set.of("counter-1"), false, ENDED);
+    run(first, -1, ENDED + Bounds.CANCEL_MS + 1);
+    account.close(ENDED + 10_000);
+    assertThat(broken(), is(empty()));
+  }
+}
--- a/soak/src/test/java/elmsail/soak/ModelServer.java
+++ b/soak/src/test/java/elmsail/soak/ModelServer.java
@@ -16,7 +16,7 @@
 
 /** A stand-in for a model server: each request ends as its {@link ItemScript} says. */
 final class ModelServer implements AutoCloseable {
-  static final int BERTHS = 8;
+  static final int BERTHS = 4;
   private static final int BACKLOG = 256;
   private static final int IDLE_MS = 30_000;
   private static final String NOT_RUN = "Elmsail-Not-Run: 1\r\n";
--- a/soak/src/test/java/elmsail/soak/SoakRun.java
+++ b/soak/src/test/java/elmsail/soak/SoakRun.java
@@ -130,10 +130,10 @@
   private List<Thread> load(StandIns standIns) {
     List<Runnable> parts = new ArrayList<>();
     long seed = plan.seed() * 1_000;
-    for (String route : List.of(SoakConfig.BULK, SoakConfig.LIMITED)) {
-      for (int i = 0; i < plan.batchWorkers(); i++) {
+    for (BatchWorker.Habit habit : BatchWorker.Habit.values()) {
+      for (int i = 0; i < plan.workers(habit); i++) {
         parts.add(
-            new BatchWorker(standIns.batch, route, clock, seed++, () -> loadOver, () -> readsOver));
+            new BatchWorker(standIns.batch, habit, clock, seed++, () -> loadOver, () -> readsOver));
       }
     }
     for (int i = 0; i < plan.requestClients(); i++) {
