Contend for the limited route in the soak, and tell which refusals have no try to blame

Cause: with few clients on the route with a limit no job was ever refused, so three invariants were hardly checked.

--- a/soak/src/test/java/elmsail/soak/BatchWorker.java
+++ b/soak/src/test/java/elmsail/soak/BatchWorker.java
@@ -5,28 +5,32 @@
 
 /** A client with one batch job after the other: handed in, read, sometimes ended early. */
 final class BatchWorker implements Runnable {
-  private static final long SUBMIT_MS = 8_000;
   private static final int MOST_TOKENS = 300;
+  private static final int MOST_DELAY_MS = 1_000;
   private static final int EARLIER_OF_100 = 25;
   private static final int BODY_OF_100 = 15;
 
-  /** What a client's jobs are like: their route, their items, and how many are ended early. */
+  /** What a client's jobs are like: route, items, how many it ends early, how long it tries. */
   enum Habit {
-    BULK(SoakConfig.BULK, 1, 6, 15),
-    LIMITED(SoakConfig.LIMITED, 1, 6, 15),
+    BULK(SoakConfig.BULK, 1, 6, 15, 8_000),
+    LIMITED(SoakConfig.LIMITED, 2, 10, 15, 8_000),
+    /** Gives up after a try or a few. */
+    IMPATIENT(SoakConfig.LIMITED, 1, 10, 15, 700),
     /** So many items that most have not run when the job is ended. */
-    LARGE(SoakConfig.BULK, 120, 200, 100);
+    LARGE(SoakConfig.BULK, 120, 200, 60, 8_000);
 
     private final String route;
     private final int leastItems;
     private final int mostItems;
     private final int endedOf100;
+    private final long submitMs;
 
-    Habit(String route, int leastItems, int mostItems, int endedOf100) {
+    Habit(String route, int leastItems, int mostItems, int endedOf100, long submitMs) {
       this.route = route;
       this.leastItems = leastItems;
       this.mostItems = mostItems;
       this.endedOf100 = endedOf100;
+      this.submitMs = submitMs;
     }
 
     SubmittedJob draw(Random random) {
@@ -63,6 +67,7 @@
 
   @Override
   public void run() {
+    SoakClock.pause(random.nextInt(MOST_DELAY_MS));
     while (!loadOver.getAsBoolean()) {
       SubmittedJob job = habit.draw(random);
       client.announce(job);
@@ -74,7 +79,7 @@
   }
 
   private boolean submit(SubmittedJob job) {
-    long until = clock.now() + SUBMIT_MS;
+    long until = clock.now() + habit.submitMs;
     while (clock.now() < until) {
       if (client.submit(job, client.anyMachine(random)) == 202) {
         return true;
--- a/soak/src/test/java/elmsail/soak/ItemScript.java
+++ b/soak/src/test/java/elmsail/soak/ItemScript.java
@@ -25,7 +25,7 @@
     int failures = chance < 8 ? 1 : chance < 11 ? MANY_FAILURES : 0;
     boolean impossible = chance >= 11 && chance < 15;
     int cutAfter = chance >= 15 && chance < 25 ? random.nextInt(events) : -1;
-    return new ItemScript(events, failures, impossible, cutAfter, 5 + random.nextInt(40));
+    return new ItemScript(events, failures, impossible, cutAfter, 20 + random.nextInt(80));
   }
 
   static String data(String id, int event) {
--- a/soak/src/test/java/elmsail/soak/QuotaAccount.java
+++ b/soak/src/test/java/elmsail/soak/QuotaAccount.java
@@ -165,8 +165,33 @@
               + others
               + " of "
               + limit
-              + ": "
+              + ", beside tries in flight too room at "
+              + roomy(tokens, others, limit)
+              + " of its tries: "
               + tokens.tries);
     }
   }
+
+  /** At how many of its tries it fits even if each try that others had under way is counted. */
+  private long roomy(JobTokens tokens, long others, long limit) {
+    return tokens.tries.stream()
+        .filter(one -> others + inFlight(tokens, one) + tokens.job.tokens() <= limit)
+        .count();
+  }
+
+  private long inFlight(JobTokens tokens, Try during) {
+    long sum = 0;
+    for (JobTokens other : jobs.values()) {
+      boolean under =
+          other != tokens
+              && other.job.route().equals(tokens.job.route())
+              && other.tries.stream().anyMatch(one -> overlap(one, during));
+      sum += under ? other.job.tokens() : 0;
+    }
+    return sum;
+  }
+
+  private static boolean overlap(Try one, Try two) {
+    return one.sentMs() <= two.atMs() && two.sentMs() <= one.atMs();
+  }
 }
