Have the soak's servers drop plain requests without an answer at times

Cause: no server failed a plain request after it ran, so repeats of what must run once were only tempted by kills.

--- a/soak/src/test/java/elmsail/soak/ItemScript.java
+++ b/soak/src/test/java/elmsail/soak/ItemScript.java
@@ -11,7 +11,8 @@
  * @param events how many events its stream has
  * @param failures how many of its first runs end with a 500
  * @param impossible whether every run ends with a 422
- * @param cutAfter the event behind which its first run is cut off, -1 for none
+ * @param cutAfter the event behind which its first run is cut off, -1 for none; a plain request's
+ *     connection is closed at once instead
  * @param paceMs between events
  */
 record ItemScript(int events, int failures, boolean impossible, int cutAfter, int paceMs) {
--- a/soak/src/test/java/elmsail/soak/ModelServer.java
+++ b/soak/src/test/java/elmsail/soak/ModelServer.java
@@ -151,6 +151,9 @@
                 first - 1,
                 witness.now()),
             postmark);
+    if (plan.status() == ServerWitness.DROPPED) {
+      return false;
+    }
     if (plan.status() != 200) {
       whole(out, plan.status(), head, "");
       return true;
--- a/soak/src/test/java/elmsail/soak/RequestAccount.java
+++ b/soak/src/test/java/elmsail/soak/RequestAccount.java
@@ -54,6 +54,12 @@
     return true;
   }
 
+  /** How often it reached a server. */
+  synchronized int runs(String id) {
+    RequestState state = requests.get(id);
+    return state == null ? 0 : state.runs;
+  }
+
   /** The whole answer came. */
   synchronized void answered(String id, int status, String postmark, String body, long atMs) {
     RequestState state = requests.get(id);
--- a/soak/src/test/java/elmsail/soak/ServerWitness.java
+++ b/soak/src/test/java/elmsail/soak/ServerWitness.java
@@ -4,6 +4,8 @@
 
 /** Tells the accounts what servers see, and the servers how a run ends. */
 final class ServerWitness {
+  /** In the place of a status: the connection is closed without an answer. */
+  static final int DROPPED = 0;
 
   /** How one run goes: its status, and whether it is cut off where its script says. */
   record Plan(int status, boolean cut, ItemScript script) {}
@@ -55,7 +57,8 @@
     }
     boolean known = requests.reached(run.id(), postmark, run.atMs());
     findings.check(Invariant.ITEM_AS_SENT, known, run.atMs(), "nobody sent " + named);
-    return new Plan(200, false, script);
+    boolean dropped = script.cutAfter() >= 0 && requests.runs(run.id()) == 1;
+    return new Plan(dropped ? DROPPED : 200, false, script);
   }
 
   private Plan item(ItemRun run, ItemScript script) {
