Singleton lease: a holder that is fenced gives the lease up and never uses that term again

The lease alone decided here; a refusal was heard by nobody, and a list published under a higher term did not end the holder's work.

Change: SingletonLease.onFenced: the term ends at once and for good, the lease is released and not asked for again for a whole lease, so that two holders do not act by turns. A list of a higher term that a peer publishes fences too.

Measured: FencedLeaseTest, 40 stories of 60 s with late calls, late refusals and freezes: no refused token is used again, no token has two holders, no two holders by turns within a lease.

--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -194,6 +194,11 @@
     configWatcher.setJoinListener(voters::join);
   }
 
+  /** Takes over the seed addresses for pulling; the voters are those of the register. */
+  void onSettingsChanged(Settings settings) {
+    configWatcher.onSettingsChanged(settings);
+  }
+
   /** Handles the operators' calls. */
   HttpHandler operatorApi() {
     return operatorApi;
@@ -214,6 +219,16 @@
     return lease.term();
   }
 
+  /** The singleton lease as this node sees it. */
+  SingletonLease singletonLease() {
+    return lease;
+  }
+
+  /** How many pulls were refused for want of contact with a majority, since the start. */
+  long pullsRefused() {
+    return counters.pullsRefused.value();
+  }
+
   /** Whether, and since when, the control-plane voters are fewer than they should be. */
   RedundancyMonitor controlPlaneRedundancy() {
     return voterSetManager.controlPlaneRedundancy();
@@ -245,9 +260,18 @@
   private void relayFromPeers() {
     configurationManager.relayFromPeers();
     serverListManager.relayFromPeers();
+    fenceByPublishedList();
     voterSetManager.learn(configWatcher.view());
   }
 
+  /** A list published under a higher term shows that another process held the lease later. */
+  private void fenceByPublishedList() {
+    long term = lease.term();
+    if (term > 0 && configWatcher.serverListEpoch() > term) {
+      lease.onFenced(term);
+    }
+  }
+
   private void tick() {
     if (closed) {
       return;
--- a/controlplane/src/main/java/elmsail/controlplane/Lease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/Lease.java
@@ -118,6 +118,16 @@
     }
   }
 
+  /**
+   * Gives the lease up, and does not ask for it again for a whole lease: what another holder did
+   * meanwhile is then older than any lease. Returns what is due to all voters.
+   */
+  Optional<Round> standDown(long now) {
+    Optional<Round> release = relinquish();
+    nextRoundAtMs = now + LeaseVoter.LEASE_DURATION_MS + rankDelayMs;
+    return release;
+  }
+
   /** Gives the lease up for good; returns what is due to all voters. */
   Optional<Round> relinquish() {
     heldUntilMs = Long.MIN_VALUE;
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -21,7 +21,9 @@
 /**
  * The control plane's only lease: its holder polls the platform for servers and assigns voter
  * slots. A new holder first takes the next term from the register; the epochs of the server lists
- * that it publishes are these terms. Runs on the event loop.
+ * that it publishes are these terms. A term is used by one process, under one acquisition of the
+ * lease, until the lease ends, is given up, or a higher term is seen ({@link #onFenced}); each of
+ * these ends its use for good, as the next acquisition takes a higher one. Runs on the event loop.
  */
 final class SingletonLease {
   /** The register's key of the term, and the lease's name on the wire. */
@@ -182,6 +184,23 @@
     return lease != null && lease.isHeld(timers.now()) ? term : 0;
   }
 
+  /**
+   * Somebody refused what this process did under that term, since another holder has used a higher
+   * one. The term is a fencing token: it is not used again, whoever still grants this lease, and
+   * the lease is given up for as long as one lasts, so that two holders do not act by turns. A
+   * refusal of an earlier term than the present one says nothing new.
+   */
+  void onFenced(long refusedTerm) {
+    if (closed || lease == null || term == 0 || refusedTerm != term) {
+      return;
+    }
+    LOG.warn(
+        "another holder has used a higher term than {}: the singleton lease is given up", term);
+    term = 0;
+    acquisitions++;
+    lease.standDown(timers.now()).ifPresent(round -> sendRound(round, controlPlaneVoters.get()));
+  }
+
   /** Releases the lease, so that another process needn't wait for its end. */
   void close() {
     if (lease != null && !closed) {
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/FencedLeaseTest.java
@@ -0,0 +1,164 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.simulation.SimNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Holders of the singleton lease that send its term as a fencing token with each call to a platform
+ * that refuses lower tokens than it has seen. Calls and refusals may be late by more than a lease,
+ * and holders freeze between a look at the lease and the call's way out.
+ */
+class FencedLeaseTest {
+  private static final int NODES = 3;
+  private static final long CALL_INTERVAL_MS = 50;
+  private static final long MAX_DELAY_MS = 4_000;
+  private static final long STORY_MS = 60_000;
+
+  private record Call(String holder, long token, long arrivedAt) {}
+
+  private final List<Call> accepted = new ArrayList<>();
+  private final Map<Long, String> holderByToken = new HashMap<>();
+  private final Map<String, Long> refusedToken = new HashMap<>();
+  private SimulatedCluster cluster;
+  private Random random;
+  private long highestToken;
+  private int refusals;
+  private int freezes;
+
+  private void begin(long seed) {
+    cluster = new SimulatedCluster(seed, NODES);
+    random = new Random(seed);
+    accepted.clear();
+    holderByToken.clear();
+    refusedToken.clear();
+    highestToken = 0;
+    for (int i = 1; i <= NODES; i++) {
+      cluster.controlPlane("n" + i, true);
+      callNowAndThen("n" + i);
+    }
+  }
+
+  private void callNowAndThen(String name) {
+    SimNode node = cluster.nodes.get(name);
+    node.timers()
+        .schedule(
+            CALL_INTERVAL_MS,
+            () -> {
+              callNowAndThen(name);
+              long token = cluster.controlPlaneNodes.get(name).leaseTerm();
+              if (token > 0) {
+                assertThat(
+                    name + " uses a refused token again",
+                    token,
+                    greaterThan(refusedToken.getOrDefault(name, 0L)));
+                cluster.timers.schedule(delay(), () -> arrive(name, token));
+              }
+            });
+  }
+
+  private long delay() {
+    return random.nextInt(20) == 0 ? random.nextInt((int) MAX_DELAY_MS) : random.nextInt(20);
+  }
+
+  private void arrive(String name, long token) {
+    assertThat("token " + token, holderByToken.computeIfAbsent(token, first -> name), is(name));
+    if (token >= highestToken) {
+      highestToken = token;
+      accepted.add(new Call(name, token, cluster.timers.now()));
+      return;
+    }
+    refusals++;
+    SimNode node = cluster.nodes.get(name);
+    cluster.timers.schedule(
+        delay(),
+        () ->
+            node.timers()
+                .execute(
+                    () -> {
+                      refusedToken.merge(name, token, Math::max);
+                      cluster.controlPlaneNodes.get(name).singletonLease().onFenced(token);
+                    }));
+  }
+
+  private void runWithFreezes() {
+    for (long end = cluster.timers.now() + STORY_MS; cluster.timers.now() < end; ) {
+      cluster.timers.advance(500 + random.nextInt(4_000));
+      String name = holder();
+      if (name != null && random.nextInt(3) > 0) {
+        freezes++;
+        cluster.net.freeze(cluster.address(name));
+        cluster.timers.advance(200 + random.nextInt(6_000));
+        cluster.net.thaw(cluster.address(name));
+      }
+    }
+  }
+
+  private String holder() {
+    for (Map.Entry<String, ControlPlaneNode> each : cluster.controlPlaneNodes.entrySet()) {
+      if (each.getValue().leaseTerm() > 0) {
+        return each.getKey();
+      }
+    }
+    return null;
+  }
+
+  /** Between two accepted calls of one holder no other's lies within the lease's time. */
+  private void assertNoHoldersByTurns() {
+    Map<String, Long> lastAt = new HashMap<>();
+    String last = null;
+    for (Call call : accepted) {
+      if (last != null && !last.equals(call.holder) && lastAt.containsKey(call.holder)) {
+        assertThat(
+            "token " + call.token + " " + call.holder + " after " + last,
+            call.arrivedAt - lastAt.get(call.holder),
+            greaterThan(LeaseVoter.LEASE_DURATION_MS));
+      }
+      lastAt.put(call.holder, call.arrivedAt);
+      last = call.holder;
+    }
+  }
+
+  @Test
+  void refusedTokenIsNeverUsedAgainAndHoldersDoNotActByTurns() {
+    int served = 0;
+    for (long seed = 1; seed <= 40; seed++) {
+      begin(seed);
+      runWithFreezes();
+      assertNoHoldersByTurns();
+      served += accepted.size();
+    }
+    assertThat("calls of superseded holders", refusals, greaterThan(20));
+    assertThat("freezes", freezes, greaterThan(200));
+    assertThat("calls accepted", served, greaterThan(40 * 300));
+  }
+
+  /** As when the lease's own safety has failed: the token alone ends the holder's work. */
+  @Test
+  void fencedHolderStopsAtOnceAndTakesAHigherTermLater() {
+    begin(7);
+    assertThat(cluster.awaitWithin(10_000, () -> holder() != null), is(true));
+    String name = holder();
+    ControlPlaneNode node = cluster.controlPlaneNodes.get(name);
+    long term = node.leaseTerm();
+    node.singletonLease().onFenced(term - 1);
+    assertThat("an older refusal says nothing", node.leaseTerm(), is(term));
+    node.singletonLease().onFenced(term);
+    assertThat(node.leaseTerm(), is(0L));
+    long fencedAt = cluster.timers.now();
+    assertThat(cluster.awaitWithin(10_000, () -> holder() != null), is(true));
+    long next = cluster.controlPlaneNodes.get(holder()).leaseTerm();
+    assertThat(next, greaterThan(term));
+    assertThat("another takes over", holder().equals(name), is(false));
+    assertThat(cluster.timers.now() - fencedAt, lessThanOrEqualTo(3_000L));
+  }
+}
