--- a/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ConnectionPool.java
@@ -53,6 +53,8 @@
             .group(loop)
             .channel(IdleCheckSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            // See startConnectTimer.
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
             // Tells an orderly end from a reset and from a close by this side.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(
@@ -143,10 +145,9 @@
         server.health().isConnectionDoubtful(timers.now())
             ? SUSPECT_CONNECT_TIMEOUT_MS
             : CONNECT_TIMEOUT_MS;
-    Bootstrap timedBootstrap =
-        bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs);
     ChannelFuture connect =
-        timedBootstrap
+        bootstrap
+            .clone()
             .handler(
                 new ChannelInitializer<Channel>() {
                   @Override
@@ -157,6 +158,7 @@
             .connect(Addresses.parse(server.entry().address()));
     attempt.bindTo(connect.channel());
     connect.channel().closeFuture().addListener(f -> server.connectionCount--);
+    startConnectTimer(connect, connectTimeoutMs);
     if (connect.isDone()) {
       // Not within the call that starts the attempt.
       timers.execute(() -> onConnectDone(connect, server, connection, attempt));
@@ -166,6 +168,22 @@
     }
   }
 
+  /**
+   * Closes a connection that has not come about in time, which fails its connect. Not by the
+   * library's own timer, which fires before the sockets are read where this process stood still.
+   */
+  private void startConnectTimer(ChannelFuture connect, int connectTimeoutMs) {
+    Timers.Timer timer =
+        timers.schedule(
+            connectTimeoutMs,
+            () -> {
+              if (!connect.isDone()) {
+                connect.channel().close();
+              }
+            });
+    connect.addListener(done -> timer.cancel());
+  }
+
   private void onConnectDone(
       ChannelFuture connecting, Server server, ServerConnection connection, Attempt attempt) {
     if (!connecting.isSuccess()) {
--- a/runtime/src/test/java/elmsail/runtime/NettyEventLoopTest.java
+++ b/runtime/src/test/java/elmsail/runtime/NettyEventLoopTest.java
@@ -1,9 +1,23 @@
 package elmsail.runtime;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -61,4 +75,74 @@
     loop.schedule(1, () -> {}).cancel();
     assertThat(loop.faultCount(), is(0L));
   }
+
+  /**
+   * The loop stands still while a datagram arrives and a timer falls due; the timer is found due in
+   * the same turn, before the sockets are looked at again.
+   */
+  @Test
+  void lateTimerRunsAfterTheSocketsWereRead() throws Exception {
+    List<String> order = new CopyOnWriteArrayList<>();
+    CountDownLatch both = new CountDownLatch(2);
+    Channel receiver =
+        new Bootstrap()
+            .group(loop.eventLoop())
+            .channel(NioDatagramChannel.class)
+            .handler(
+                new SimpleChannelInboundHandler<DatagramPacket>() {
+                  @Override
+                  protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                    order.add("socket");
+                    both.countDown();
+                  }
+                })
+            .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .sync()
+            .channel();
+    loop.execute(
+        () -> {
+          loop.schedule(
+              1,
+              () -> {
+                order.add("timer");
+                both.countDown();
+              });
+          sendTo((InetSocketAddress) receiver.localAddress());
+          sleepLongerThanATimerMayBeLate();
+        });
+    assertThat(both.await(10, TimeUnit.SECONDS), is(true));
+    assertThat(order, contains("socket", "timer"));
+  }
+
+  @Test
+  void lateTimerThatIsCancelledWhileItWaitsForTheSocketsDoesNotRun() throws Exception {
+    AtomicBoolean ran = new AtomicBoolean();
+    CountDownLatch done = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          Timers.Timer late = loop.schedule(1, () -> ran.set(true));
+          sleepLongerThanATimerMayBeLate();
+          // Run in the same turn as the late timer, which has yielded by then.
+          loop.schedule(0, late::cancel);
+          loop.schedule(100, done::countDown);
+        });
+    assertThat(done.await(10, TimeUnit.SECONDS), is(true));
+    assertThat(ran.get(), is(false));
+  }
+
+  private static void sendTo(InetSocketAddress address) {
+    try (DatagramSocket sender = new DatagramSocket()) {
+      sender.send(new java.net.DatagramPacket(new byte[1], 1, address));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static void sleepLongerThanATimerMayBeLate() {
+    try {
+      Thread.sleep(3 * NettyEventLoop.LATE_TIMER_MS);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
 }
--- a/simulation/src/main/java/elmsail/simulation/SimNetwork.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNetwork.java
@@ -3,6 +3,7 @@
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ManualTimers;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,12 +20,18 @@
   /** Time until a call to a machine without power fails with NOT_SENT. */
   public static final long CONNECT_TIMEOUT_MS = 700;
 
+  /** The period over which a processor's quota is dealt out. */
+  public static final long QUOTA_PERIOD_MS = 100;
+
   private final Random random;
   private final ManualTimers timers;
   private final Map<String, SimNode> nodes = new LinkedHashMap<>();
   private final SimLinkTable links = new SimLinkTable();
   private final SimTransport transport;
 
+  /** The part of each period for which the process at an address runs; absent: all of it. */
+  private final Map<String, Long> quotaMs = new HashMap<>();
+
   /** Addresses whose process was killed; true if its machine has lost its power. */
   private final Map<String, Boolean> poweredOff = new LinkedHashMap<>();
 
@@ -43,6 +50,9 @@
     poweredOff.remove(address);
     SimNode node = new SimNode(this, address, timers);
     nodes.put(address, node);
+    if (quotaMs.containsKey(address)) {
+      timers.schedule(random.nextInt((int) QUOTA_PERIOD_MS), () -> renewQuota(address, node));
+    }
     return node;
   }
 
@@ -176,6 +186,29 @@
     nodes.get(address).thaw();
   }
 
+  /**
+   * From now on every process at that address runs for a part of each {@link #QUOTA_PERIOD_MS} and
+   * stands still for the rest: the worst that a quota of the processor does to a busy process. The
+   * periods of different processes are not aligned.
+   *
+   * @param share above 0, below 1
+   */
+  public void limitProcessor(String address, double share) {
+    quotaMs.put(address, Math.max(1, Math.round(share * QUOTA_PERIOD_MS)));
+    SimNode node = nodes.get(address);
+    if (node != null) {
+      timers.schedule(random.nextInt((int) QUOTA_PERIOD_MS), () -> renewQuota(address, node));
+    }
+  }
+
+  private void renewQuota(String address, SimNode node) {
+    if (nodes.get(address) == node) {
+      node.renewQuota();
+      timers.schedule(quotaMs.get(address), node::spendQuota);
+      timers.schedule(QUOTA_PERIOD_MS, () -> renewQuota(address, node));
+    }
+  }
+
   /** How many messages were sent, including lost ones. */
   public long messagesSent() {
     return transport.messagesSent();
--- a/simulation/src/main/java/elmsail/simulation/SimNode.java
+++ b/simulation/src/main/java/elmsail/simulation/SimNode.java
@@ -14,8 +14,9 @@
 
 /**
  * One process of a {@link SimNetwork}, from its start until it is killed. Nothing of a killed
- * process runs any more. While a process is frozen its messages and timers are deferred; when it is
- * thawed the messages run first, as an event loop reads its sockets before its timers.
+ * process runs any more. While a process is frozen, or has spent its share of the processor, its
+ * messages and timers are deferred; when it runs again the messages come first, as an event loop
+ * reads its sockets before its timers.
  */
 public final class SimNode implements RpcClient {
 
@@ -29,6 +30,7 @@
   final Set<SimCall> openCalls = new LinkedHashSet<>();
   private boolean dead;
   private boolean isFrozen;
+  private boolean hasSpentQuota;
 
   SimNode(SimNetwork net, String address, Timers base) {
     this.net = net;
@@ -82,7 +84,7 @@
     if (dead) {
       return;
     }
-    if (isFrozen) {
+    if (standsStill()) {
       deferredMessages.add(message);
     } else {
       message.run();
@@ -103,6 +105,26 @@
 
   void thaw() {
     isFrozen = false;
+    runDeferred();
+  }
+
+  void spendQuota() {
+    hasSpentQuota = !dead;
+  }
+
+  void renewQuota() {
+    hasSpentQuota = false;
+    runDeferred();
+  }
+
+  private boolean standsStill() {
+    return isFrozen || hasSpentQuota;
+  }
+
+  private void runDeferred() {
+    if (standsStill()) {
+      return;
+    }
     List<Runnable> held = new ArrayList<>(deferredMessages);
     held.addAll(deferredTimers);
     deferredMessages.clear();
@@ -145,7 +167,7 @@
       if (dead || cancelled) {
         return;
       }
-      if (isFrozen) {
+      if (standsStill()) {
         deferredTimers.add(this);
       } else {
         task.run();
