Listen addresses: one that is held ends the program with a line and code 1

The code was 2.

Change: ListenAddress binds them all; AddressUnavailableException names the address; the program prints role, address, reason and the setting to change, and exits with 1. Addresses are bound one after the other, readiness last. SIGHUP: the seeds are taken by all three programs, other changed settings are named as needing a restart (SettingsDiff). RpcAddress is gone: Addresses parses for rpc too. ControlPlane, one class for two roles with null fields, becomes ControlPlaneServer and StoreServer.

Load reports: a datagram whose sender is not the address it came from, that cannot be read, or whose sender is no member of the fleet, is dropped and counted (load_reports_malformed, _misattributed, _foreign). Before, such a sender's address made the zone's aggregator fail at sending. A larger receive buffer keeps what arrives in a pause.

--- a/app/src/main/java/elmsail/app/ApplicationRunner.java
+++ b/app/src/main/java/elmsail/app/ApplicationRunner.java
@@ -1,9 +1,11 @@
 package elmsail.app;
 
+import elmsail.runtime.AddressUnavailableException;
 import elmsail.runtime.NettyEventLoop;
 import elmsail.runtime.ProcessSignals;
 import elmsail.runtime.Settings;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.slf4j.Logger;
@@ -54,7 +56,7 @@
       log.info("ended");
       return ExitCode.OK;
     } catch (CompletionException e) {
-      log.error("could not start", e.getCause());
+      logStartFailure(log, settings, e.getCause());
       return ExitCode.ofStartFailure(e);
     } finally {
       loop.shutdown().awaitUninterruptibly(LOOP_SHUTDOWN_MS);
@@ -65,13 +67,28 @@
    * Logs a failure that comes after {@code start} returned, such as an address in use, and exits
    * the process. May be called from any thread; always returns null, for use in futures.
    */
-  static Void exitAfterFailure(Throwable failure) {
-    LoggerFactory.getLogger(ApplicationRunner.class).error("could not start", failure);
+  static Void exitAfterFailure(Settings settings, Throwable failure) {
+    logStartFailure(LoggerFactory.getLogger(ApplicationRunner.class), settings, failure);
     int code = ExitCode.ofStartFailure(failure).code();
     new Thread(() -> System.exit(code), "exit").start();
     return null;
   }
 
+  /** One line says all that an operator needs about an address that cannot be bound. */
+  private static void logStartFailure(Logger log, Settings settings, Throwable failure) {
+    Optional<AddressUnavailableException> taken = AddressUnavailableException.findIn(failure);
+    if (taken.isPresent()) {
+      String address = taken.get().address();
+      log.error(
+          "role {}: {}; end the process that holds the address, or change {}",
+          settings.role(),
+          taken.get().detail(),
+          settings.settingOf(address));
+    } else {
+      log.error("could not start", failure);
+    }
+  }
+
   /** Forwards signals to the instance. They come on the loop, so after the application's start. */
   private static final class SignalTarget {
     private final CompletableFuture<Void> stopped;
--- a/app/src/main/java/elmsail/app/ControlPlaneProcess.java
+++ b/app/src/main/java/elmsail/app/ControlPlaneProcess.java
@@ -1,6 +1,8 @@
 package elmsail.app;
 
-import elmsail.controlplane.ControlPlane;
+import elmsail.controlplane.ControlPlaneServer;
+import elmsail.controlplane.RunningService;
+import elmsail.controlplane.StoreServer;
 import elmsail.rpc.RpcEndpoint;
 import elmsail.runtime.NettyEventLoop;
 import elmsail.runtime.ProcessMetrics;
@@ -9,6 +11,7 @@
 import elmsail.storage.RecordStore;
 import elmsail.storage.StorageCounters;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,32 +22,35 @@
 final class ControlPlaneProcess implements Application.Instance {
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneProcess.class);
 
+  /** In the settings' {@code serves}: a control-plane node, not a store. */
+  private static final String OPERATORS = "head_office";
+
   private final RpcEndpoint rpc;
   private final RecordStore recordStore;
-  private ControlPlane controlPlane;
+  private RunningService service;
 
   ControlPlaneProcess(Settings settings, NettyEventLoop loop) {
     rpc = new RpcEndpoint(loop.eventLoop(), loop, settings.rpcAddress());
     ProcessMetrics metrics = ProcessGauges.register(loop, rpc);
     recordStore = settings.dataDir() == null ? null : recordStore(settings, loop, metrics);
-    if (settings.services().contains("head_office")) {
-      rpc.listen().exceptionally(ApplicationRunner::exitAfterFailure);
-      ControlPlane.startControlPlaneNode(settings, loop, rpc, recordStore, metrics)
-          .thenAccept(
-              started -> {
-                controlPlane = started;
-                LOG.info(
-                    "listening at {} and {}",
-                    settings.listenAddresses().get("control"),
-                    settings.rpcAddress());
-              })
-          .exceptionally(ApplicationRunner::exitAfterFailure);
-    } else {
-      controlPlane = ControlPlane.startStore(settings, loop, rpc, recordStore, metrics);
-      rpc.listen()
-          .thenRun(() -> LOG.info("listening at {}", settings.rpcAddress()))
-          .exceptionally(ApplicationRunner::exitAfterFailure);
-    }
+    boolean servesOperators = settings.services().contains(OPERATORS);
+    String listenAddress =
+        servesOperators ? settings.listenAddresses().get("control") : settings.metricsAddress();
+    rpc.listen()
+        .thenCompose(nothing -> startService(settings, loop, metrics))
+        .thenAccept(
+            started -> {
+              service = started;
+              LOG.info("listening at {} and {}", listenAddress, settings.rpcAddress());
+            })
+        .exceptionally(failure -> ApplicationRunner.exitAfterFailure(settings, failure));
+  }
+
+  private CompletableFuture<? extends RunningService> startService(
+      Settings settings, NettyEventLoop loop, ProcessMetrics metrics) {
+    return settings.services().contains(OPERATORS)
+        ? ControlPlaneServer.start(settings, loop, rpc, recordStore, metrics)
+        : StoreServer.start(settings, loop, rpc, recordStore, metrics);
   }
 
   private static RecordStore recordStore(
@@ -59,17 +65,18 @@
 
   @Override
   public void onSettingsChanged(Settings settings) {
-    LOG.info(
-        "settings have changed; what a running control-plane node needs of them stays as it was");
+    if (service != null) {
+      service.onSettingsChanged(settings);
+    }
   }
 
   @Override
   public void shutDown(Runnable onStopped) {
-    if (controlPlane == null) {
+    if (service == null) {
       close(onStopped);
       return;
     }
-    controlPlane.shutdown().whenComplete((done, failed) -> close(onStopped));
+    service.shutdown().whenComplete((done, failed) -> close(onStopped));
   }
 
   private void close(Runnable onStopped) {
--- a/app/src/main/java/elmsail/app/ExitCode.java
+++ b/app/src/main/java/elmsail/app/ExitCode.java
@@ -1,5 +1,6 @@
 package elmsail.app;
 
+import elmsail.runtime.AddressUnavailableException;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 
@@ -30,6 +31,9 @@
 
   /** The exit code of a program that could not start for this reason. */
   static ExitCode ofStartFailure(Throwable failure) {
+    if (AddressUnavailableException.findIn(failure).isPresent()) {
+      return FAILED;
+    }
     return ElmsailException.codeOf(failure) == ErrorCode.INVALID_SETTINGS ? INVALID_USAGE : FAILED;
   }
 }
--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -17,7 +17,6 @@
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.NettyHttpClient;
 import java.security.SecureRandom;
-import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -67,12 +66,11 @@
             new BatchSettings(ownAddress, settings.bounds().cancelMs(), instanceId),
             metrics);
     jobs.registerHandlers(rpc);
-    CompletableFuture<Void> listening = rpc.listen();
     watcher.start();
-    Gateway.start(settings, loop, watcher, jobs, metrics)
-        .thenAcceptBoth(
-            listening,
-            (started, nothing) -> {
+    rpc.listen()
+        .thenCompose(nothing -> Gateway.start(settings, loop, watcher, jobs, metrics))
+        .thenAccept(
+            started -> {
               gateway = started;
               jobs.setServers(started.itemServers());
               jobs.start();
@@ -82,7 +80,7 @@
                 stopGateway();
               }
             })
-        .exceptionally(ApplicationRunner::exitAfterFailure);
+        .exceptionally(failure -> ApplicationRunner.exitAfterFailure(settings, failure));
   }
 
   /**
@@ -104,7 +102,6 @@
 
   @Override
   public void onSettingsChanged(Settings settings) {
-    LOG.info("settings have changed; of them, the seeds are taken at once");
     watcher.onSettingsChanged(settings);
   }
 
--- a/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/StoreNode.java
@@ -77,6 +77,11 @@
     replica.learn(jobStoreVoters);
   }
 
+  /** Takes over the seed addresses. */
+  void onSettingsChanged(Settings settings) {
+    configWatcher.onSettingsChanged(settings);
+  }
+
   Replica replica() {
     return replica;
   }
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -87,7 +87,7 @@
     servers =
         new Servers(timers, loop.eventLoop(), clusterState, settings.zone(), counters, random);
     RequestContext context = new RequestContext(timers, clusterState, servers, counters, random);
-    loadChannel = new LoadChannel(this::onLoadReport);
+    loadChannel = new LoadChannel(this::onLoadReport, metrics.counters());
     loadExchange =
         new LoadExchange(
             timers,
@@ -96,17 +96,20 @@
             settings.zone(),
             random.nextLong(),
             servers::ownLoads,
-            loadChannel::send);
+            loadChannel::send,
+            metrics.counters());
     servers.setPeerLoads(loadExchange, loadExchange::onLoadChanged);
     itemDispatcher = new ItemDispatcher(context);
     dispatcher = new RequestDispatcher(context, jobs);
   }
 
   /**
-   * Begins to listen at the slots "front" and "ready"; to be called on the loop.
+   * Begins to listen at the RPC address, for load reports, and at the slots "front" and "ready"; to
+   * be called on the loop.
    *
    * @param metrics the process's figures and invariants
-   * @return completes on the loop once both are bound; fails with BAD_SETTINGS
+   * @return completes on the loop once all are bound, the readiness probe's last; fails with {@link
+   *     elmsail.runtime.AddressUnavailableException}
    */
   public static CompletableFuture<Gateway> start(
       Settings settings,
@@ -133,30 +136,37 @@
   }
 
   private CompletableFuture<Gateway> listen() {
-    loadChannel.open(loop.eventLoop(), settings.rpcAddress());
-    loadExchange.start();
-    CompletableFuture<ClientListener> clientsBound =
-        ClientListener.listen(
+    return loadChannel
+        .open(loop.eventLoop(), settings.rpcAddress())
+        .thenCompose(nothing -> listenForClients())
+        .thenCompose(clients -> listenForReadinessProbes())
+        .thenApply(
+            probes -> {
+              loadExchange.start();
+              return this;
+            });
+  }
+
+  private CompletableFuture<Void> listenForClients() {
+    return ClientListener.listen(
             timers,
             loop.eventLoop(),
             settings.listenAddresses().get("front"),
             clusterState,
             dispatcher,
             counters,
-            settings.limits().maxFileDescriptors());
-    CompletableFuture<HttpServer> readinessBound =
-        HttpServer.listen(
+            settings.limits().maxFileDescriptors())
+        .thenAccept(listener -> clientListener = listener);
+  }
+
+  /** The last address that is bound: whoever is answered "ready" can connect. */
+  private CompletableFuture<Void> listenForReadinessProbes() {
+    return HttpServer.listen(
             loop,
             settings.listenAddresses().get("ready"),
             this::handleReadinessCall,
-            MAX_READINESS_BODY_BYTES);
-    return clientsBound.thenCombine(
-        readinessBound,
-        (f, r) -> {
-          clientListener = f;
-          readinessServer = r;
-          return this;
-        });
+            MAX_READINESS_BODY_BYTES)
+        .thenAccept(server -> readinessServer = server);
   }
 
   /** Serves the readiness probe, and the metrics at all other paths. */
--- a/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
+++ b/gateway/src/main/java/elmsail/gateway/frontend/ClientListener.java
@@ -5,13 +5,12 @@
 import elmsail.config.RoutingConfig.ClientLimits;
 import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.requests.RequestDispatcher;
+import elmsail.runtime.AddressUnavailableException;
 import elmsail.runtime.Addresses;
-import elmsail.runtime.ElmsailException;
-import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ListenAddress;
 import elmsail.runtime.Timers;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -64,8 +63,8 @@
   }
 
   /**
-   * Binds the address. Completes on the loop; fails with {@code INVALID_SETTINGS} if the address
-   * cannot be bound.
+   * Binds the address. Completes on the loop; fails with {@link AddressUnavailableException} if the
+   * address cannot be bound.
    *
    * @param address as {@code ip:port}
    * @param maxDescriptors file descriptors that the process may open
@@ -80,8 +79,7 @@
       int maxDescriptors) {
     ClientListener listener =
         new ClientListener(timers, clusterState, dispatcher, counters, maxDescriptors);
-    CompletableFuture<ClientListener> bound = new CompletableFuture<>();
-    ChannelFuture binding =
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop)
             .channel(NioServerSocketChannel.class)
@@ -97,20 +95,13 @@
                   protected void initChannel(Channel channel) {
                     listener.onConnected(channel);
                   }
-                })
-            .bind(Addresses.parse(address));
-    binding.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            listener.serverChannel = binding.channel();
-            bound.complete(listener);
-          } else {
-            bound.completeExceptionally(
-                new ElmsailException(
-                    ErrorCode.INVALID_SETTINGS, "cannot listen on " + address, done.cause()));
-          }
-        });
-    return bound;
+                });
+    return ListenAddress.bind(bootstrap, address)
+        .thenApply(
+            channel -> {
+              listener.serverChannel = channel;
+              return listener;
+            });
   }
 
   private void onConnected(Channel channel) {
@@ -173,8 +164,7 @@
 
   /** The bound address, as {@code ip:port}. */
   public String address() {
-    InetSocketAddress local = (InetSocketAddress) serverChannel.localAddress();
-    return local.getAddress().getHostAddress() + ":" + local.getPort();
+    return Addresses.format((InetSocketAddress) serverChannel.localAddress());
   }
 
   /** How many connections are open. */
--- /dev/null
+++ b/gateway/src/main/java/elmsail/gateway/load/ListedPeers.java
@@ -0,0 +1,55 @@
+package elmsail.gateway.load;
+
+import elmsail.config.ClusterState;
+import elmsail.runtime.MonotonicClock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The gateways whose load reports are taken: those that the control plane lists, and those that it
+ * listed lately, as a gateway that the control plane cannot reach for a moment still serves. Owned
+ * by the event loop; times in ms on its clock.
+ */
+final class ListedPeers {
+  /** A gateway counts for this time after it was last seen in the list. */
+  static final long EXPIRY_MS = 30_000;
+
+  /** An unchanged list is read again after this time. */
+  private static final long REREAD_INTERVAL_MS = 1_000;
+
+  private final ClusterState clusterState;
+  private final MonotonicClock clock;
+  private final Map<String, Long> lastListedAt = new HashMap<>();
+
+  /** The list that was read last: it is replaced as a whole when it changes. */
+  private List<String> lastList = List.of();
+
+  private long lastReadAt;
+
+  ListedPeers(ClusterState clusterState, MonotonicClock clock) {
+    this.clusterState = clusterState;
+    this.clock = clock;
+  }
+
+  /** Whether a gateway at that RPC address is, or was lately, a member of the fleet. */
+  boolean includes(String address) {
+    readList();
+    Long listedAt = lastListedAt.get(address);
+    return listedAt != null && clock.now() - listedAt <= EXPIRY_MS;
+  }
+
+  private void readList() {
+    List<String> list = clusterState.view().gateways;
+    long now = clock.now();
+    if (list == lastList && now - lastReadAt < REREAD_INTERVAL_MS) {
+      return;
+    }
+    lastList = list;
+    lastReadAt = now;
+    lastListedAt.values().removeIf(listedAt -> now - listedAt > EXPIRY_MS);
+    for (String gateway : list) {
+      lastListedAt.put(gateway, now);
+    }
+  }
+}
--- a/gateway/src/main/java/elmsail/gateway/load/LoadChannel.java
+++ b/gateway/src/main/java/elmsail/gateway/load/LoadChannel.java
@@ -3,12 +3,13 @@
 import elmsail.rpc.MessageCodec;
 import elmsail.rpc.messages.LoadReport;
 import elmsail.runtime.Addresses;
+import elmsail.runtime.Counters;
 import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ListenAddress;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -19,51 +20,73 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Sends and receives load reports as UDP datagrams at the port of the internal address. If the port
- * cannot be bound nothing is exchanged, and this gateway goes by its own load. Owned by the
+ * Sends and receives load reports as UDP datagrams at the port of the internal address. A datagram
+ * that is no report, or that names another sender than the address it came from, is dropped and
+ * counted. So every sender that is passed on has an address that can be replied to. Owned by the
  * gateway's event loop.
  */
 public final class LoadChannel {
   private static final Logger LOG = LoggerFactory.getLogger(LoadChannel.class);
+  private static final String MALFORMED = "load_reports_malformed";
+  private static final String MISATTRIBUTED = "load_reports_misattributed";
   private static final int MAX_DATAGRAM_BYTES = 8_192;
   private static final int MAX_ADDRESSES = 4_096;
 
+  /**
+   * Holds what arrives while this process stands still for a tenth of a second: some hundred
+   * reports. The system may grant less.
+   */
+  private static final int RECEIVE_BUFFER_BYTES = 1 << 20;
+
   private final MessageCodec codec = new MessageCodec();
   private final Consumer<LoadReport> onReport;
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private Channel channel;
   private LoadReport lastSent;
   private byte[] lastSentBytes;
-  private long malformedCount;
+  private final Counters.Counter malformed;
+  private final Counters.Counter misattributed;
+  private boolean closed;
 
-  /** Passes each received report on; opened by {@link #open}. */
-  public LoadChannel(Consumer<LoadReport> onReport) {
+  /**
+   * Passes each received report on; opened by {@link #open}.
+   *
+   * @param counters where dropped datagrams are counted
+   */
+  public LoadChannel(Consumer<LoadReport> onReport, Counters counters) {
     this.onReport = onReport;
+    malformed = counters.counter(MALFORMED);
+    misattributed = counters.counter(MISATTRIBUTED);
   }
 
-  /** Binds the address; a failure is logged. */
-  public void open(EventLoop loop, String address) {
-    ChannelFuture bound =
+  /**
+   * Binds the address, ip:port. Completes on the loop; fails with {@link
+   * elmsail.runtime.AddressUnavailableException}.
+   */
+  public CompletableFuture<Void> open(EventLoop loop, String address) {
+    Bootstrap bootstrap =
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
-            .handler(new Receiver())
-            .bind(Addresses.parse(address));
-    bound.addListener(
-        (ChannelFuture done) -> {
-          if (done.isSuccess()) {
-            channel = done.channel();
-          } else {
-            LOG.warn("no load reports: {} cannot be bound", address, done.cause());
-          }
-        });
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            .handler(new Receiver());
+    return ListenAddress.bind(bootstrap, address).thenAccept(this::onBound);
+  }
+
+  private void onBound(Channel bound) {
+    if (closed) {
+      bound.close();
+    } else {
+      channel = bound;
+    }
   }
 
   /** Sends a report. It is lost if the channel is closed or its buffer is full. */
@@ -83,13 +106,9 @@
         new DatagramPacket(Unpooled.wrappedBuffer(lastSentBytes), address), channel.voidPromise());
   }
 
-  /** How many received datagrams were no reports. */
-  public long malformedCount() {
-    return malformedCount;
-  }
-
   /** Sends and receives nothing more. */
   public void close() {
+    closed = true;
     if (channel != null) {
       channel.close();
       channel = null;
@@ -99,11 +118,17 @@
   private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      LoadReport report;
       try {
-        onReport.accept(
-            codec.fromDatagram(ByteBufUtil.getBytes(packet.content()), LoadReport.class));
+        report = codec.fromDatagram(ByteBufUtil.getBytes(packet.content()), LoadReport.class);
       } catch (ElmsailException e) {
-        malformedCount++;
+        malformed.add(1);
+        return;
+      }
+      if (report.sender.equals(Addresses.format(packet.sender()))) {
+        onReport.accept(report);
+      } else {
+        misattributed.add(1);
       }
     }
 
--- a/gateway/src/main/java/elmsail/gateway/load/LoadExchange.java
+++ b/gateway/src/main/java/elmsail/gateway/load/LoadExchange.java
@@ -2,6 +2,7 @@
 
 import elmsail.config.ClusterState;
 import elmsail.rpc.messages.LoadReport;
+import elmsail.runtime.Counters;
 import elmsail.runtime.Timers;
 import java.util.Map;
 import java.util.function.BiConsumer;
@@ -17,6 +18,7 @@
  * clock.
  */
 public final class LoadExchange implements PeerLoads {
+  private static final String FOREIGN = "load_reports_foreign";
   private static final long MIN_REPORT_INTERVAL_MS = 10;
 
   /** An unchanged report is repeated after this time, as datagrams may be lost. */
@@ -34,6 +36,8 @@
   private final LoadReports reports;
   private final LoadAggregator aggregator;
   private final PeerIntroducer introducer;
+  private final ListedPeers listedPeers;
+  private final Counters.Counter foreignReports;
   private long lastReportAt = Long.MIN_VALUE / 2;
   private boolean reportScheduled;
   private long lastActiveAt = Long.MIN_VALUE / 2;
@@ -46,6 +50,7 @@
    * @param instanceId different after each start of the process
    * @param ownLoads this gateway's own load by server id
    * @param send sends a report to an internal address; it may be lost
+   * @param counters where reports of unknown senders are counted
    */
   public LoadExchange(
       Timers timers,
@@ -54,13 +59,16 @@
       String zone,
       long instanceId,
       Supplier<Map<String, ServerLoad>> ownLoads,
-      BiConsumer<String, LoadReport> send) {
+      BiConsumer<String, LoadReport> send,
+      Counters counters) {
     this.timers = timers;
     this.ownAddress = ownAddress;
     this.ownLoads = ownLoads;
     this.send = send;
     members = new ZoneMembers(ownAddress, zone, timers);
     table = new LoadTable(zone, timers);
+    listedPeers = new ListedPeers(clusterState, timers);
+    foreignReports = counters.counter(FOREIGN);
     reports = new LoadReports(ownAddress, zone, instanceId);
     aggregator =
         new LoadAggregator(timers, members, table, reports, ownLoads, send, this::isActive);
@@ -94,9 +102,16 @@
         Math.max(0, lastReportAt + MIN_REPORT_INTERVAL_MS - timers.now()), this::report);
   }
 
-  /** Takes a received report; one of this gateway itself, or without a sender, is ignored. */
+  /**
+   * Takes a received report. One of this gateway itself is ignored; one of a sender that is not
+   * among the gateways listed by the control plane, and was not lately, is dropped and counted.
+   */
   public void onReport(LoadReport report) {
-    if (closed || report.sender.isEmpty() || report.sender.equals(ownAddress)) {
+    if (closed || report.sender.equals(ownAddress)) {
+      return;
+    }
+    if (!listedPeers.includes(report.sender)) {
+      foreignReports.add(1);
       return;
     }
     boolean isNewInstance = members.onReport(report.sender, report.zone, report.instanceId);
--- a/rpc/src/main/java/elmsail/rpc/Connector.java
+++ b/rpc/src/main/java/elmsail/rpc/Connector.java
@@ -1,5 +1,6 @@
 package elmsail.rpc;
 
+import elmsail.runtime.Addresses;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import io.netty.bootstrap.Bootstrap;
@@ -47,7 +48,7 @@
     }
     InetSocketAddress address;
     try {
-      address = RpcAddress.parse(peer.address);
+      address = Addresses.parse(peer.address);
     } catch (ElmsailException e) {
       onUnreachable(peer, "not an address ip:port");
       return;
--- a/rpc/src/main/java/elmsail/rpc/RpcServer.java
+++ b/rpc/src/main/java/elmsail/rpc/RpcServer.java
@@ -1,10 +1,10 @@
 package elmsail.rpc;
 
+import elmsail.runtime.AddressUnavailableException;
 import elmsail.runtime.ElmsailException;
-import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ListenAddress;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -68,9 +68,11 @@
     accepted.remove(connection);
   }
 
-  /** Completes once others can connect; fails with INVALID_SETTINGS if the address is not free. */
+  /**
+   * Completes once others can connect; fails with {@link AddressUnavailableException} if the
+   * address is not free.
+   */
   CompletableFuture<Void> listen() {
-    CompletableFuture<Void> done = new CompletableFuture<>();
     ServerBootstrap server =
         new ServerBootstrap()
             .group(context.loop())
@@ -80,28 +82,20 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_SNDBUF, RpcConnection.SEND_BUFFER_BYTES)
             .childHandler(new AcceptedConnectionInitializer());
-    ChannelFuture bound;
     try {
-      bound = server.bind(RpcAddress.parse(localAddress));
+      return ListenAddress.bind(server, localAddress).thenAccept(this::onBound);
     } catch (ElmsailException e) {
-      done.completeExceptionally(e);
-      return done;
+      return CompletableFuture.failedFuture(e);
     }
-    listener = bound.channel();
-    bound.addListener((ChannelFuture future) -> onBound(future, done));
-    return done;
   }
 
-  private void onBound(ChannelFuture bound, CompletableFuture<Void> done) {
-    if (!bound.isSuccess()) {
-      done.completeExceptionally(
-          new ElmsailException(
-              ErrorCode.INVALID_SETTINGS, "cannot listen at " + localAddress, bound.cause()));
-      return;
+  private void onBound(Channel channel) {
+    listener = channel;
+    if (closed) {
+      channel.close();
     }
-    int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    int port = ((InetSocketAddress) channel.localAddress()).getPort();
     localAddress = localAddress.substring(0, localAddress.lastIndexOf(':') + 1) + port;
-    done.complete(null);
   }
 
   /** Stops listening and closes all accepted connections. */
--- a/runtime/src/main/java/elmsail/runtime/Addresses.java
+++ b/runtime/src/main/java/elmsail/runtime/Addresses.java
@@ -39,6 +39,11 @@
     }
   }
 
+  /** The address as {@code ip:port}, the form that {@link #parse} reads. */
+  public static String format(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
   private static byte[] parseIpv4(String text) {
     byte[] ip = new byte[4];
     int part = 0;
--- a/runtime/src/main/java/elmsail/runtime/ProcessSignals.java
+++ b/runtime/src/main/java/elmsail/runtime/ProcessSignals.java
@@ -4,14 +4,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Handles the platform's requests to a running process: SIGTERM stops it, SIGHUP or a modified
- * settings file reloads its settings. Both run on the event loop. A settings file that cannot be
- * used is logged, and the previous settings stay.
+ * settings file reloads its settings. Both run on the event loop. Which changes are in force and
+ * which need a restart is logged by name. A settings file that cannot be used is logged, and the
+ * previous settings stay.
  */
 public final class ProcessSignals {
 
@@ -84,12 +87,24 @@
       return;
     }
     if (!next.equals(current)) {
+      logChanges(SettingsDiff.changedFields(current, next));
       current = next;
-      LOG.info("settings have changed");
       onSettingsChanged.accept(next);
     }
   }
 
+  private static void logChanges(List<String> changed) {
+    List<String> needRestart = new ArrayList<>(changed);
+    if (needRestart.remove(SettingsDiff.SEEDS)) {
+      LOG.info("settings have changed: {} is in force", SettingsDiff.SEEDS);
+    }
+    if (!needRestart.isEmpty()) {
+      LOG.warn(
+          "settings have changed: restart this process to put {} in force",
+          String.join(", ", needRestart));
+    }
+  }
+
   private FileTime readLastModified() {
     try {
       return Files.getLastModifiedTime(file);
--- a/runtime/src/main/java/elmsail/runtime/Settings.java
+++ b/runtime/src/main/java/elmsail/runtime/Settings.java
@@ -93,6 +93,16 @@
     return ip + ":" + (firstInternalPort + 2);
   }
 
+  /** The name, in the settings file, of the field that holds or implies this listen address. */
+  public String settingOf(String address) {
+    for (Map.Entry<String, String> slot : listenAddresses.entrySet()) {
+      if (slot.getValue().equals(address)) {
+        return "mail_slots." + slot.getKey();
+      }
+    }
+    return "inner_ports";
+  }
+
   /** The RPC address of the control-plane node with that control address or ip. */
   public String controlPlaneRpcAddress(String address) {
     int colon = address.indexOf(':');
--- a/runtime/src/main/java/elmsail/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/elmsail/runtime/http/HttpServer.java
@@ -1,12 +1,11 @@
 package elmsail.runtime.http;
 
+import elmsail.runtime.AddressUnavailableException;
 import elmsail.runtime.Addresses;
-import elmsail.runtime.ElmsailException;
-import elmsail.runtime.ErrorCode;
+import elmsail.runtime.ListenAddress;
 import elmsail.runtime.NettyEventLoop;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -41,40 +40,31 @@
    *
    * @param address ip:port; port 0 for a free one
    * @param maxBodyBytes a request with a larger body is answered with 413
-   * @return completes on the event loop once the address is bound; fails with {@code
-   *     INVALID_SETTINGS} if it cannot be bound
+   * @return completes on the event loop once the address is bound; fails with {@link
+   *     AddressUnavailableException} if it cannot be bound
    */
   public static CompletableFuture<HttpServer> listen(
       NettyEventLoop loop, String address, HttpHandler handler, int maxBodyBytes) {
     HttpServer serving = new HttpServer(loop, handler, maxBodyBytes);
-    CompletableFuture<HttpServer> bound = new CompletableFuture<>();
-    ChannelFuture binding =
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop.eventLoop())
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(serving.new ConnectionInitializer())
-            .bind(Addresses.parse(address));
-    binding.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            serving.listener = binding.channel();
-            bound.complete(serving);
-          } else {
-            bound.completeExceptionally(
-                new ElmsailException(
-                    ErrorCode.INVALID_SETTINGS, "cannot listen on " + address, done.cause()));
-          }
-        });
-    return bound;
+            .childHandler(serving.new ConnectionInitializer());
+    return ListenAddress.bind(bootstrap, address)
+        .thenApply(
+            listener -> {
+              serving.listener = listener;
+              return serving;
+            });
   }
 
   /** The address that it listens on, ip:port. */
   public String address() {
-    InetSocketAddress local = (InetSocketAddress) listener.localAddress();
-    return local.getAddress().getHostAddress() + ":" + local.getPort();
+    return Addresses.format((InetSocketAddress) listener.localAddress());
   }
 
   /** The number of open connections. */
