Optional in place of null for "none"; the periodic check of a run stands once

RoutingConfig.match, ServerPicker.pick and PlacementController return an Optional, VoterPlacement keeps one; PeriodicCheck serves RequestForwarder and ItemRun, whose checks differed only in their interval. A check later than 150 ms is passed over as before, now counted from when it was due.

--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -134,7 +134,7 @@
       return CompletableFuture.completedFuture(BatchReplies.BAD_REQUEST);
     }
     for (BatchItem item : items) {
-      if (config.match(route.host(), item.path()) == null) {
+      if (config.match(route.host(), item.path()).isEmpty()) {
         return acceptedBeforeOr(jobId, BatchReplies.BAD_REQUEST);
       }
     }
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
@@ -256,15 +257,16 @@
    */
   private boolean startItem(RunningJob job, ItemRun itemRun, JobDispatch dispatch) {
     BatchItem item = job.items.get(itemRun.itemIndex);
-    Route route = dispatch.config().match(job.record.host(), item.path());
-    if (route == null && dispatch.config().version() <= job.record.configVersion()) {
+    Optional<Route> matched = dispatch.config().match(job.record.host(), item.path());
+    if (matched.isEmpty() && dispatch.config().version() <= job.record.configVersion()) {
       return false; // this configuration is older than the job's and does not know its routes
     }
-    if (route == null || job.isExpired(dispatch.now())) {
+    if (matched.isEmpty() || job.isExpired(dispatch.now())) {
       job.ready.poll();
       itemRunner.finish(job, itemRun, false);
       return true;
     }
+    Route route = matched.get();
     int capacity = dispatch.budget().remaining(route);
     if (!dispatch.leaseConfirmed() || capacity <= 0 || unrecordedBytes.isFull()) {
       job.timeline.onStalled(JobTimeline.Stall.of(dispatch.leaseConfirmed(), capacity));
--- a/batch/src/test/java/elmsail/batch/SimConfig.java
+++ b/batch/src/test/java/elmsail/batch/SimConfig.java
@@ -5,17 +5,18 @@
 import elmsail.config.Service;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** A routing configuration of these routes only. */
 record SimConfig(long version, List<Route> routes) implements RoutingConfig {
   @Override
-  public Route match(String host, String path) {
+  public Optional<Route> match(String host, String path) {
     for (Route route : routes) {
       if (route.host().equals(host) && path.startsWith(route.prefix())) {
-        return route;
+        return Optional.of(route);
       }
     }
-    return null;
+    return Optional.empty();
   }
 
   @Override
--- a/config/src/main/java/elmsail/config/RoutingConfig.java
+++ b/config/src/main/java/elmsail/config/RoutingConfig.java
@@ -1,6 +1,7 @@
 package elmsail.config;
 
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * A validated routing configuration: routes by host and path prefix, the services that they forward
@@ -15,9 +16,9 @@
    * with the longest.
    *
    * @param host as of the {@code Host} header, with or without a port, in any case; may be null
-   * @return null if no route matches
+   * @return empty if no route matches
    */
-  Route match(String host, String path);
+  Optional<Route> match(String host, String path);
 
   /** The route of that name; null if there is none. */
   Route routeByName(String name);
--- a/config/src/main/java/elmsail/config/ValidatedConfig.java
+++ b/config/src/main/java/elmsail/config/ValidatedConfig.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 
 /** The routes of a configuration by name and, longest prefix first, by host. Immutable. */
 final class ValidatedConfig implements RoutingConfig {
@@ -45,23 +46,23 @@
   }
 
   @Override
-  public Route match(String host, String path) {
+  public Optional<Route> match(String host, String path) {
     if (host == null) {
-      return null;
+      return Optional.empty();
     }
     List<Route> routesOfHost = byHost.get(host);
     if (routesOfHost == null) {
       routesOfHost = byHost.get(normalizedHost(host));
     }
     if (routesOfHost == null) {
-      return null;
+      return Optional.empty();
     }
     for (int i = 0; i < routesOfHost.size(); i++) {
       if (path.startsWith(routesOfHost.get(i).prefix())) {
-        return routesOfHost.get(i);
+        return Optional.of(routesOfHost.get(i));
       }
     }
-    return null;
+    return Optional.empty();
   }
 
   @Override
--- a/config/src/test/java/elmsail/config/RouteMatchTest.java
+++ b/config/src/test/java/elmsail/config/RouteMatchTest.java
@@ -36,8 +36,7 @@
   }
 
   private static String matchedRoute(RoutingConfig config, String host, String path) {
-    Route route = config.match(host, path);
-    return route == null ? null : route.name();
+    return config.match(host, path).map(Route::name).orElse(null);
   }
 
   @Test
--- a/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
+++ b/controlplane/src/main/java/elmsail/controlplane/PlacementController.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -65,8 +66,8 @@
     this.lastTickMs = now;
   }
 
-  /** The initial voter set; null as long as too few candidates are there and it is too early. */
-  VoterSet initialVoterSet(HeartbeatTable heartbeats, long now) {
+  /** The initial voter set; empty as long as too few candidates are there and it is too early. */
+  Optional<VoterSet> initialVoterSet(HeartbeatTable heartbeats, long now) {
     List<HeartbeatTable.Member> candidates = new ArrayList<>();
     long firstHeartbeatAtMs = Long.MAX_VALUE;
     Set<String> zones = new HashSet<>();
@@ -84,7 +85,7 @@
             && (zones.size() >= targetVoterCount
                 || now - firstHeartbeatAtMs >= ZONE_SPREAD_WAIT_MS);
     if (candidates.isEmpty() || !hasEnough && now - firstHeartbeatAtMs < REDUCED_SET_AFTER_MS) {
-      return null;
+      return Optional.empty();
     }
     List<HeartbeatTable.Member> chosen = spreadOverZones(candidates);
     VoterSet voterSet = new VoterSet();
@@ -92,7 +93,7 @@
       voterSet.voters.add(
           VoterSetValue.voter(member.address(), member.machine(), member.instanceId(), 1));
     }
-    return voterSet;
+    return Optional.of(voterSet);
   }
 
   /** Chooses one of each zone first, then others, in the order of addresses. */
@@ -114,7 +115,7 @@
   }
 
   /**
-   * The assignment at present; null if none is needed or no spare is there. Called at an interval,
+   * The assignment at present; empty if none is needed or no spare is there. Called at an interval,
    * also while this node can't assign, so that missing heartbeats count from before.
    *
    * @param decommissioning machines whose stores are to be decommissioned
@@ -122,7 +123,7 @@
    *     node itself may be partitioned
    * @param canAssign whether this node holds the lease and reads the register at a majority
    */
-  Assignment assignment(
+  Optional<Assignment> assignment(
       HeartbeatTable heartbeats,
       VoterSet voterSet,
       Set<String> decommissioning,
@@ -135,23 +136,24 @@
     lastTickMs = now;
     if (!canAssign) {
       assignment = null;
-      return null;
+      return Optional.empty();
     }
     clearIfCompleted(voterSet);
     int slot = slotToReplace(heartbeats, voterSet, decommissioning, now);
     if (slot == NO_SLOT) {
       assignment = null;
-      return null;
+      return Optional.empty();
     }
     if (assignment != null
         && assignment.slot() == slot
         && hasHeartbeatWithin(heartbeats, assignment.address(), goneAfterMs, now)) {
-      return assignment;
+      return Optional.of(assignment);
     }
-    HeartbeatTable.Member spare = chooseSpare(heartbeats, voterSet, decommissioning, slot, now);
     assignment =
-        spare == null ? null : new Assignment(slot, spare.address(), nextEpoch(voterSet, slot));
-    return assignment;
+        chooseSpare(heartbeats, voterSet, decommissioning, slot, now)
+            .map(spare -> new Assignment(slot, spare.address(), nextEpoch(voterSet, slot)))
+            .orElse(null);
+    return Optional.ofNullable(assignment);
   }
 
   /** The slot assigned already while it needs a replacement, else the first that needs one. */
@@ -235,8 +237,8 @@
     return member != null && now - member.lastHeartbeatAtMs() <= maxAgeMs;
   }
 
-  /** A spare with a recent heartbeat, in a zone without another voter if possible; null if none. */
-  private static HeartbeatTable.Member chooseSpare(
+  /** A spare with a recent heartbeat, in a zone without another voter if possible. */
+  private static Optional<HeartbeatTable.Member> chooseSpare(
       HeartbeatTable heartbeats,
       VoterSet voterSet,
       Set<String> decommissioning,
@@ -255,11 +257,11 @@
           && VoterSetValue.slotOf(voterSet, member.address()) < 0
           && !decommissioning.contains(member.machine())) {
         if (!zones.contains(member.zone())) {
-          return member;
+          return Optional.of(member);
         }
         fallback = fallback == null ? member : fallback;
       }
     }
-    return fallback;
+    return Optional.ofNullable(fallback);
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/StoreBootstrap.java
+++ b/controlplane/src/main/java/elmsail/controlplane/StoreBootstrap.java
@@ -48,11 +48,12 @@
 
   /** Proposes the initial voter set if there are enough candidates and no proposal in flight. */
   void tryBootstrap(long now) {
-    VoterSet initialVoterSet =
-        changeInFlight ? null : placementController.initialVoterSet(storeHeartbeats, now);
-    if (initialVoterSet == null) {
-      return;
+    if (!changeInFlight) {
+      placementController.initialVoterSet(storeHeartbeats, now).ifPresent(this::propose);
     }
+  }
+
+  private void propose(VoterSet initialVoterSet) {
     changeInFlight = true;
     register
         .change(
--- a/controlplane/src/main/java/elmsail/controlplane/VoterPlacement.java
+++ b/controlplane/src/main/java/elmsail/controlplane/VoterPlacement.java
@@ -3,7 +3,7 @@
 import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.VoterSet;
-import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,7 +22,7 @@
   private final HeartbeatTable heartbeats;
   private final PlacementController controller;
   private final RedundancyMonitor redundancy;
-  private PlacementController.Assignment assignment;
+  private Optional<PlacementController.Assignment> assignment = Optional.empty();
 
   /**
    * Creates one without an assignment.
@@ -53,35 +53,43 @@
       boolean isObserving,
       boolean canAssign,
       long now) {
-    PlacementController.Assignment previous = assignment;
+    Optional<PlacementController.Assignment> previous = assignment;
     assignment =
         controller.assignment(heartbeats, voterSet, decommissioning, isObserving, canAssign, now);
     redundancy.observe(canAssign, heartbeats, voterSet, now);
-    boolean changed = !Objects.equals(assignment, previous);
-    if (changed && assignment != null) {
-      LOG.info(
-          "{}: {} shall take slot {}, epoch {}",
-          voterSetName,
-          assignment.address(),
-          assignment.slot(),
-          assignment.epoch());
+    boolean changed = !assignment.equals(previous);
+    if (changed) {
+      assignment.ifPresent(this::logAssignment);
     }
     return changed;
   }
 
+  private void logAssignment(PlacementController.Assignment made) {
+    LOG.info(
+        "{}: {} shall take slot {}, epoch {}",
+        voterSetName,
+        made.address(),
+        made.slot(),
+        made.epoch());
+  }
+
   /** Whether a spare is to take over a slot at present. */
   boolean hasAssignment() {
-    return assignment != null;
+    return assignment.isPresent();
   }
 
   /** Adds the assignment to the view for the process that it is for. */
   void addAssignmentTo(PullRequest request, ClusterView view) {
-    if (assignment != null
-        && heartbeats.role().isRoleOf(request)
-        && assignment.address().equals(request.address)) {
-      view.joinSlot = assignment.slot();
-      view.joinEpoch = assignment.epoch();
+    if (!heartbeats.role().isRoleOf(request)) {
+      return;
     }
+    assignment
+        .filter(made -> made.address().equals(request.address))
+        .ifPresent(
+            made -> {
+              view.joinSlot = made.slot();
+              view.joinEpoch = made.epoch();
+            });
   }
 
   RedundancyMonitor redundancy() {
--- a/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PlacementControllerTest.java
@@ -10,6 +10,7 @@
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.StringJoiner;
 import org.junit.jupiter.api.Test;
@@ -70,7 +71,9 @@
    * What the controller orders now, as the leaseholder or not, in contact with a majority or not.
    */
   private PlacementController.Assignment assign(boolean hears, boolean directs) {
-    return controller.assignment(heartbeats, storeSet, decommissioning, hears, directs, now);
+    return controller
+        .assignment(heartbeats, storeSet, decommissioning, hears, directs, now)
+        .orElse(null);
   }
 
   /** Two of three voters and a spare are heard at once; the voter "c" is not. */
@@ -94,9 +97,10 @@
   void bootstrapsAsSoonAsEnoughCandidatesAreThere() {
     receiveHeartbeat("c", "z1", false);
     receiveHeartbeat("a", "z2", false);
-    assertThat(controller.initialVoterSet(heartbeats, now), is(nullValue()));
+    assertThat(controller.initialVoterSet(heartbeats, now), is(Optional.empty()));
     receiveHeartbeat("b", "z3", false);
-    assertThat(names(controller.initialVoterSet(heartbeats, now)), equalTo("a1 b1 c1"));
+    assertThat(
+        names(controller.initialVoterSet(heartbeats, now).orElseThrow()), equalTo("a1 b1 c1"));
   }
 
   @Test
@@ -104,9 +108,10 @@
     receiveHeartbeat("a", "z1", false);
     receiveHeartbeat("b", "z1", false);
     receiveHeartbeat("c", "z2", false);
-    assertThat(controller.initialVoterSet(heartbeats, now), is(nullValue()));
+    assertThat(controller.initialVoterSet(heartbeats, now), is(Optional.empty()));
     receiveHeartbeat("d", "z3", false);
-    assertThat(names(controller.initialVoterSet(heartbeats, now)), equalTo("a1 c1 d1"));
+    assertThat(
+        names(controller.initialVoterSet(heartbeats, now).orElseThrow()), equalTo("a1 c1 d1"));
   }
 
   @Test
@@ -115,18 +120,19 @@
     receiveHeartbeat("b", "z1", false);
     receiveHeartbeat("c", "z1", false);
     now = 1_000;
-    assertThat(names(controller.initialVoterSet(heartbeats, now)), equalTo("a1 b1 c1"));
+    assertThat(
+        names(controller.initialVoterSet(heartbeats, now).orElseThrow()), equalTo("a1 b1 c1"));
   }
 
   @Test
   void bootstrapsWithFewerVotersAfterSixSeconds() {
-    assertThat(controller.initialVoterSet(heartbeats, now), is(nullValue()));
+    assertThat(controller.initialVoterSet(heartbeats, now), is(Optional.empty()));
     for (now = 0; now < 6_000; now += 500) {
       receiveHeartbeat("a", "z1", false);
-      assertThat(controller.initialVoterSet(heartbeats, now), is(nullValue()));
+      assertThat(controller.initialVoterSet(heartbeats, now), is(Optional.empty()));
     }
     receiveHeartbeat("a", "z1", false);
-    assertThat(names(controller.initialVoterSet(heartbeats, now)), equalTo("a1"));
+    assertThat(names(controller.initialVoterSet(heartbeats, now).orElseThrow()), equalTo("a1"));
   }
 
   @Test
@@ -138,7 +144,7 @@
     now = 3_000;
     receiveHeartbeat("b", "z2", false);
     receiveHeartbeat("c", "z3", false);
-    assertThat(controller.initialVoterSet(heartbeats, now), is(nullValue()));
+    assertThat(controller.initialVoterSet(heartbeats, now), is(Optional.empty()));
   }
 
   @Test
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -197,8 +198,8 @@
     }
 
     @Override
-    public Route match(String host, String path) {
-      return route;
+    public Optional<Route> match(String host, String path) {
+      return Optional.of(route);
     }
 
     @Override
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -59,7 +60,7 @@
     headers.set("Host", route.host());
     Prompt prompt = Prompt.parse(headers.get(Headers.PROMPT_PREFIX), headers.get(Headers.TOKENS));
     boolean mayProbe = route.maxAttempts() > 1 && !failures.hasFailed(item.id());
-    Server server =
+    Optional<Server> picked =
         context
             .picker()
             .pick(
@@ -67,9 +68,10 @@
                 prompt,
                 excluded,
                 mayProbe ? SelectionMode.PROBE_ALLOWED : SelectionMode.NOT_RETRYABLE);
-    if (server == null || !mayProbe && context.picker().isUnhealthy(server)) {
+    if (picked.isEmpty() || !mayProbe && context.picker().isUnhealthy(picked.get())) {
       return null;
     }
+    Server server = picked.get();
     context.counters().count(RequestCounters.Event.ITEM_STARTED);
     ClientRequest request = new ClientRequest(item, headers, ITEM_PRIORITY, context.timers());
     if (resumeAfterEventId >= 0) {
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemRun.java
@@ -8,7 +8,6 @@
 import elmsail.gateway.servers.AttemptListener;
 import elmsail.gateway.servers.Server;
 import elmsail.runtime.Timers;
-import elmsail.runtime.Timers.Timer;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -20,9 +19,6 @@
 final class ItemRun implements RunHandle, AttemptListener {
   private static final long CHECK_INTERVAL_MS = 250;
 
-  /** A check that runs later than this says more of this process than of the server. */
-  private static final long MAX_CHECK_DELAY_MS = 150;
-
   /** A run without bytes for so long ends if its server is unresponsive or removed. */
   private static final long UNRESPONSIVE_SERVER_TIMEOUT_MS = 3_000;
 
@@ -39,33 +35,26 @@
   private long lastEventId;
   private boolean finished;
   private long lastReceivedAt;
-  private Timer checkTimer;
+  private final PeriodicCheck serverCheck;
 
   /** Expects events after this id, or from any id if it is -1. */
   ItemRun(Timers timers, long lastEventId, RunListener listener) {
     this.timers = timers;
     this.lastEventId = lastEventId;
     this.listener = listener;
+    serverCheck = new PeriodicCheck(timers, CHECK_INTERVAL_MS, this::checkServer);
   }
 
   void onStarted(Attempt started) {
     attempt = started;
     lastReceivedAt = timers.now();
-    checkTimer(lastReceivedAt);
+    serverCheck.start();
   }
 
-  private void checkTimer(long lastCheckAt) {
-    checkTimer =
-        timers.schedule(
-            CHECK_INTERVAL_MS,
-            () -> {
-              long now = timers.now();
-              if (now - lastCheckAt <= CHECK_INTERVAL_MS + MAX_CHECK_DELAY_MS && isStuck(now)) {
-                broken();
-              } else {
-                checkTimer(now);
-              }
-            });
+  private void checkServer() {
+    if (isStuck(timers.now())) {
+      broken();
+    }
   }
 
   private boolean isStuck(long now) {
@@ -87,7 +76,7 @@
   private void finish() {
     finished = true;
     events.discard();
-    checkTimer.cancel();
+    serverCheck.cancel();
   }
 
   @Override
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import elmsail.gateway.http.RequestCounters;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -53,11 +54,12 @@
       return relayBatchReply(
           jobs.readItemBody(path.substring(ITEMS_PATH.length()), parameter(request, "id")), client);
     }
-    Route route = config.match(host, path);
+    Optional<Route> matched = config.match(host, path);
     String id = request.headers().get(Headers.REQUEST_ID);
-    if (route == null) {
+    if (matched.isEmpty()) {
       return sendLocalReply(client, 404, id, RequestCounters.Event.NO_ROUTE);
     }
+    Route route = matched.get();
     if (id == null || id.isEmpty() || request.headers().getAll(Headers.REQUEST_ID).size() > 1) {
       return sendLocalReply(client, 400, null, RequestCounters.Event.BAD_REQUEST);
     }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -23,9 +24,6 @@
 
   private static final long CHECK_INTERVAL_MS = 200;
 
-  /** A check that runs later than this says more of this process than of the server. */
-  private static final long MAX_CHECK_DELAY_MS = 150;
-
   private final RequestContext context;
   private final Route route;
   private final ClientRequest request;
@@ -36,7 +34,7 @@
   private final long deadlineAt;
 
   private Timer deadlineTimer;
-  private Timer checkTimer;
+  private final PeriodicCheck serverCheck;
 
   /** The attempt that runs, or null. */
   private Attempt attempt;
@@ -69,6 +67,7 @@
     request = new ClientRequest(id, received, priority, context.timers(), deadlineAt);
     boolean stream = route.kind() == Route.Kind.STREAM;
     relay = new ResponseRelay(client, stream, stream && route.resumable());
+    serverCheck = new PeriodicCheck(context.timers(), CHECK_INTERVAL_MS, this::checkServer);
   }
 
   /** Starts the first attempt, or replies at once if none can be made. */
@@ -81,7 +80,7 @@
     deadlineTimer = context.timers().schedule(remainingMs, this::onDeadline);
     startAttempt();
     if (!finished && route.isIdempotent()) {
-      scheduleServerCheck(context.timers().now());
+      serverCheck.start();
     }
   }
 
@@ -89,16 +88,10 @@
     return deadlineAt - context.timers().now();
   }
 
-  private void scheduleServerCheck(long lastCheckAt) {
-    checkTimer = context.timers().schedule(CHECK_INTERVAL_MS, () -> checkServer(lastCheckAt));
-  }
-
   /** Leaves a server that has become unresponsive if the request can be retried elsewhere. */
-  private void checkServer(long lastCheckAt) {
+  private void checkServer() {
     long now = context.timers().now();
-    boolean late = now - lastCheckAt > CHECK_INTERVAL_MS + MAX_CHECK_DELAY_MS;
-    if (!late
-        && attempt != null
+    if (attempt != null
         && attempt.isSent()
         && attempt.server().isUnresponsive(now)
         && hasRetryTarget()) {
@@ -106,9 +99,6 @@
       attempt.timedOut(now);
       onFailure(true);
     }
-    if (!finished) {
-      scheduleServerCheck(now);
-    }
   }
 
   /**
@@ -116,19 +106,21 @@
    * server and thereby takes a turn of the route's round robin.
    */
   private boolean hasRetryTarget() {
-    Server other =
-        RetryPolicy.allowsOneMore(route, sentAttempts)
-            ? context.picker().pick(route, request.prompt(), attemptedServers)
-            : null;
-    return other != null && !context.picker().isUnhealthy(other);
+    return RetryPolicy.allowsOneMore(route, sentAttempts)
+        && context
+            .picker()
+            .pick(route, request.prompt(), attemptedServers)
+            .filter(other -> !context.picker().isUnhealthy(other))
+            .isPresent();
   }
 
   private void startAttempt() {
-    Server server = pickServer();
-    if (server == null) {
+    Optional<Server> picked = pickServer();
+    if (picked.isEmpty()) {
       giveUp();
       return;
     }
+    Server server = picked.get();
     if (attemptedServers.isEmpty()
         && context.picker().rejects(server, request.prompt(), route.latencyTargetMs())) {
       reject(RequestCounters.Event.REJECTED_OVERLOADED);
@@ -144,10 +136,10 @@
     attempt.setReadPaused(!relay.clientAcceptsData());
   }
 
-  /** The next attempt's server, or null if no attempt may start or no server can be had. */
-  private Server pickServer() {
+  /** The next attempt's server; empty if no attempt may start or no server can be had. */
+  private Optional<Server> pickServer() {
     if (RetryPolicy.isExhausted(route, sentAttempts, notSentAttempts, mayHaveRun, remainingMs())) {
-      return null;
+      return Optional.empty();
     }
     boolean resumes = relay.lastEventId() >= 0;
     return context
@@ -239,9 +231,7 @@
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
-    if (checkTimer != null) {
-      checkTimer.cancel();
-    }
+    serverCheck.cancel();
   }
 
   @Override
--- a/gateway/src/main/java/elmsail/gateway/servers/ServerPicker.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/ServerPicker.java
@@ -5,6 +5,7 @@
 import elmsail.runtime.MonotonicClock;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 
@@ -49,7 +50,7 @@
   }
 
   /** As {@link #pick(Route, Prompt, Set, SelectionMode)} with {@code NOT_RETRYABLE}. */
-  public Server pick(Route route, Prompt prompt, Set<Server> excluded) {
+  public Optional<Server> pick(Route route, Prompt prompt, Set<Server> excluded) {
     return pick(route, prompt, excluded, SelectionMode.NOT_RETRYABLE);
   }
 
@@ -59,26 +60,27 @@
    *
    * @param excluded servers that must not be picked, such as those of earlier attempts
    * @param mode what an error of the server would cost the request
-   * @return the server, or null if no service of the route has a usable one
+   * @return the server; empty if no service of the route has a usable one
    */
-  public Server pick(Route route, Prompt prompt, Set<Server> excluded, SelectionMode mode) {
+  public Optional<Server> pick(
+      Route route, Prompt prompt, Set<Server> excluded, SelectionMode mode) {
     SmoothWeightedRoundRobin roundRobin = roundRobins.of(route);
     List<Route.WeightedService> remaining = new ArrayList<>(route.weightedServices());
     while (!remaining.isEmpty()) {
       Route.WeightedService share = roundRobin.next(remaining);
       remaining.remove(share);
-      Server server =
+      Optional<Server> server =
           share.weight() > 0
               ? pickAmong(serversByService.apply(share.service()), prompt, excluded, mode)
-              : null;
-      if (server != null) {
+              : Optional.empty();
+      if (server.isPresent()) {
         return server;
       }
     }
-    return null;
+    return Optional.empty();
   }
 
-  private Server pickAmong(
+  private Optional<Server> pickAmong(
       List<Server> servers, Prompt prompt, Set<Server> excluded, SelectionMode mode) {
     long now = clock.now();
     List<Server> usable = new ArrayList<>(servers.size());
@@ -90,21 +92,22 @@
         usable.add(server);
       }
     }
-    Server probeTarget =
-        mode == SelectionMode.PROBE_PREFERRED ? firstAwaitingProbe(usable, now) : null;
-    return probeTarget != null ? probeTarget : pickCheapest(usable, prompt, mode, now);
+    Optional<Server> probeTarget =
+        mode == SelectionMode.PROBE_PREFERRED ? firstAwaitingProbe(usable, now) : Optional.empty();
+    return probeTarget.isPresent() ? probeTarget : pickCheapest(usable, prompt, mode, now);
   }
 
-  private static Server firstAwaitingProbe(List<Server> usable, long now) {
+  private static Optional<Server> firstAwaitingProbe(List<Server> usable, long now) {
     for (Server server : usable) {
       if (server.health().awaitsProbe(now) && !server.health().isSuspect(now)) {
-        return server;
+        return Optional.of(server);
       }
     }
-    return null;
+    return Optional.empty();
   }
 
-  private Server pickCheapest(List<Server> usable, Prompt prompt, SelectionMode mode, long now) {
+  private Optional<Server> pickCheapest(
+      List<Server> usable, Prompt prompt, SelectionMode mode, long now) {
     SelectionMode effectiveMode = effectiveMode(mode, usable, now);
     Server affinityServer = affinity.ownServer(usable, prompt);
     List<ServerSelector.Candidate> candidates = new ArrayList<>(usable.size());
@@ -116,7 +119,7 @@
             ? ServerSelector.pickSpread(
                 candidates, affinity.ranks(usable, prompt), prompt.totalTokens())
             : ServerSelector.pick(candidates, prompt.totalTokens(), turn++);
-    return index < 0 ? null : usable.get(index);
+    return index < 0 ? Optional.empty() : Optional.of(usable.get(index));
   }
 
   /** Without any recent success, servers that returned errors still differ from the others. */
--- a/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** What a test says is known. */
 public final class FakeClusterState implements ClusterState, RoutingConfig {
@@ -100,9 +101,11 @@
   }
 
   @Override
-  public Route match(String host, String path) {
+  public Optional<Route> match(String host, String path) {
     int end = path.indexOf('/', 1);
-    return !HOST.equals(host) || end < 0 ? null : routes.get(path.substring(0, end + 1));
+    return !HOST.equals(host) || end < 0
+        ? Optional.empty()
+        : Optional.ofNullable(routes.get(path.substring(0, end + 1)));
   }
 
   @Override
--- a/gateway/src/test/java/elmsail/gateway/servers/OutlierEjectionModelTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/OutlierEjectionModelTest.java
@@ -119,7 +119,8 @@
       boolean retried = repeatable && attempted.isEmpty();
       SelectionMode mode = retried ? SelectionMode.PROBE_PREFERRED : SelectionMode.NOT_RETRYABLE;
       mode = attempted.isEmpty() ? mode : SelectionMode.AFTER_ERROR;
-      Server server = servers.picker().pick(route(repeatable), Prompt.NONE, attempted, mode);
+      Server server =
+          servers.picker().pick(route(repeatable), Prompt.NONE, attempted, mode).orElseThrow();
       attempted.add(server);
       Attempt attempt = new Attempt(server, this, this, timers.now());
       server.onAttemptStarted(attempt);
@@ -151,7 +152,7 @@
       }
       Server other =
           scenario.detecting() && repeatable && attempted.size() == 1
-              ? servers.picker().pick(route(true), Prompt.NONE, attempted)
+              ? servers.picker().pick(route(true), Prompt.NONE, attempted).orElse(null)
               : null;
       if (other != null && !servers.picker().isUnhealthy(other)) {
         send();
--- a/gateway/src/test/java/elmsail/gateway/servers/SelectionModeTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/SelectionModeTest.java
@@ -63,7 +63,7 @@
   }
 
   private Server choose(SelectionMode mode, Server... attempted) {
-    return servers.picker().pick(ROUTE, Prompt.NONE, Set.of(attempted), mode);
+    return servers.picker().pick(ROUTE, Prompt.NONE, Set.of(attempted), mode).orElse(null);
   }
 
   @Test
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerSelectionModelTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerSelectionModelTest.java
@@ -148,7 +148,7 @@
           yield all.get(draws.nextInt(all.size()));
         }
         case ORACLE -> fastest(gateway.serversOf("s"));
-        default -> gateway.picker().pick(ROUTE, prompt, Set.of());
+        default -> gateway.picker().pick(ROUTE, prompt, Set.of()).orElse(null);
       };
     }
 
--- a/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServersTest.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
@@ -63,7 +64,7 @@
   }
 
   private Server choose(Route route) {
-    return servers.picker().pick(route, Prompt.NONE, Set.of());
+    return servers.picker().pick(route, Prompt.NONE, Set.of()).orElse(null);
   }
 
   @Test
@@ -125,7 +126,10 @@
         int first = 0;
         for (int i = 0; i < requests; i++) {
           Servers door = doors.get(chance.nextInt(gateways));
-          first += door.picker().pick(route, Prompt.NONE, Set.of()).id().equals("a") ? 1 : 0;
+          first +=
+              door.picker().pick(route, Prompt.NONE, Set.of()).orElseThrow().id().equals("a")
+                  ? 1
+                  : 0;
         }
         farthest = Math.max(farthest, Math.abs(first / (double) requests - weight / 100.0));
       }
@@ -236,10 +240,10 @@
     Set<Server> been = new HashSet<>();
     Route route = route(new Route.WeightedService("s", 1));
     for (int i = 0; i < 2; i++) {
-      been.add(servers.picker().pick(route, Prompt.NONE, been));
+      been.add(servers.picker().pick(route, Prompt.NONE, been).orElseThrow());
     }
     assertThat(been.size(), is(2));
-    assertThat(servers.picker().pick(route, Prompt.NONE, been), is(nullValue()));
+    assertThat(servers.picker().pick(route, Prompt.NONE, been), is(Optional.empty()));
   }
 
   @Test
@@ -254,11 +258,12 @@
     for (int i = 0; i < 60; i++) {
       Prompt prompt = Prompt.parse("top:300,part" + i + ":600,own" + i + ":100", null);
       Route route = route(new Route.WeightedService("s", 1));
-      Server mine = servers.picker().pick(route, prompt, Set.of());
+      Server mine = servers.picker().pick(route, prompt, Set.of()).orElseThrow();
       Server others =
           other
               .picker()
-              .pick(route, Prompt.parse("top:300,part" + i + ":600,else:100", null), Set.of());
+              .pick(route, Prompt.parse("top:300,part" + i + ":600,else:100", null), Set.of())
+              .orElseThrow();
       assertThat(mine.id(), is(others.id()));
       assertThat(mine.entry().zone(), is("z1"));
       homes.add(mine.id());
