--- a/gateway/src/test/java/elmsail/gateway/AdvanceableTimers.java
+++ b/gateway/src/test/java/elmsail/gateway/AdvanceableTimers.java
@@ -21,6 +21,12 @@
       this.task = then;
     }
 
+    private void runOnRealTime() {
+      if (dueAt <= now()) {
+        run();
+      }
+    }
+
     private void run() {
       if (!done) {
         cancel();
@@ -46,6 +52,8 @@
   private final Timers delegate;
   private final List<PendingTimer> pending = new ArrayList<>();
   private final AtomicLong advancedMs = new AtomicLong();
+  private volatile boolean stopped;
+  private volatile long stoppedAt;
 
   AdvanceableTimers(Timers timers) {
     this.delegate = timers;
@@ -53,14 +61,14 @@
 
   @Override
   public long now() {
-    return delegate.now() + advancedMs.get();
+    return (stopped ? stoppedAt : delegate.now()) + advancedMs.get();
   }
 
   @Override
   public Timer schedule(long ms, Runnable then) {
     PendingTimer one = new PendingTimer(now() + ms, then);
     pending.add(one);
-    one.realTimer = delegate.schedule(ms, one::run);
+    one.realTimer = delegate.schedule(ms, one::runOnRealTime);
     return one;
   }
 
@@ -69,6 +77,15 @@
     delegate.execute(then);
   }
 
+  /**
+   * From now on only {@link #advance} moves the clock: for tests of what is done in time, which
+   * then hold however slowly the machine runs them. From a test's thread.
+   */
+  public void stopRealTime() {
+    stoppedAt = delegate.now();
+    stopped = true;
+  }
+
   /**
    * From a test's thread; done once it returns. Were it only on its way to the loop, bytes that the
    * test writes next could be read before it, as the loop reads its sockets before it runs tasks.
--- a/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayHttpTest.java
@@ -132,6 +132,7 @@
   /** Idle is what has no request on it: one whose head or body is still coming isn't. */
   @Test
   void requestStartedBeforeTheIdleTimeoutIsServed() {
+    harness.timers.stopRealTime();
     String text = GatewayTestHarness.requestText("unsafe", "a2");
     for (int cut : new int[] {1, 30, text.length() - 2}) {
       RawConnection client = harness.request("nowhere", "a1");
@@ -153,6 +154,7 @@
 
   @Test
   void requestLongerThanTheIdleTimeoutIsAnswered() {
+    harness.timers.stopRealTime();
     harness.clusterState.setRouteTimeoutMs(60_000);
     for (String route : new String[] {"safe", "unsafe", "stream"}) {
       RawConnection client = harness.request("nowhere", "a1");
@@ -173,6 +175,7 @@
   /** The end of idle connections in a stop passes over one whose request was just passed on. */
   @Test
   void requestForwardedDuringShutdownIsAnswered() throws Exception {
+    harness.timers.stopRealTime();
     RawConnection client = harness.request("nowhere", "a1");
     assertThat(client.readMessage().status(), is(404));
     CompletableFuture<Void> stopped = harness.onLoop(harness.gateway::stop);
@@ -185,7 +188,14 @@
     Message response = client.readMessage();
     assertThat(response.body(), is("two"));
     assertThat(response.header("Connection"), is("close"));
-    stopped.get(RawConnection.WAIT_MS, TimeUnit.MILLISECONDS);
+    advanceUntilDone(stopped);
+  }
+
+  private void advanceUntilDone(CompletableFuture<Void> stopped) {
+    for (int ms = 0; ms < LONG_MS && !stopped.isDone(); ms += 20) {
+      harness.timers.advance(20);
+    }
+    assertThat(stopped.isDone(), is(true));
   }
 
   /** What a client still writes behind a request that ends its connection isn't passed on. */
@@ -326,6 +336,7 @@
     RawConnection before = harness.request(route, "a1");
     RawConnection first = harness.firstServer.accept();
     first.readMessage();
+    harness.timers.stopRealTime();
     CompletableFuture<Void> stopped = harness.onLoop(harness.gateway::stop);
     harness.timers.advance(2_400);
     RawConnection during = harness.request(route, "a2");
@@ -337,7 +348,7 @@
     second.write(GatewayTestHarness.okResponse("a2", "two"));
     assertThat(before.readMessage().body(), is("one"));
     assertThat(during.readMessage().body(), is("two"));
-    stopped.get(RawConnection.WAIT_MS, TimeUnit.MILLISECONDS);
+    advanceUntilDone(stopped);
   }
 
   @ParameterizedTest
