Soak: the limits of the final reads leave out times in which the computer stood still

Such times count as faults in all other checks; the final reads counted them against the gateway. That both fell together is likely, as the summary did not say when a stall was.

Change: TimeLimit moves on by what the computer stood still; the times of the stalls are written beside the violations.

--- a/soak/src/test/java/elmsail/soak/FinalChecks.java
+++ b/soak/src/test/java/elmsail/soak/FinalChecks.java
@@ -14,13 +14,20 @@
   private final SoakEnvironment environment;
   private final Findings findings;
   private final SoakClock clock;
+  private final StallDetector stalls;
   private final Random random;
   private final long seed;
 
-  FinalChecks(SoakEnvironment environment, Findings findings, SoakClock clock, long seed) {
+  FinalChecks(
+      SoakEnvironment environment,
+      Findings findings,
+      SoakClock clock,
+      StallDetector stalls,
+      long seed) {
     this.environment = environment;
     this.findings = findings;
     this.clock = clock;
+    this.stalls = stalls;
     this.random = new Random(seed);
     this.seed = seed;
   }
@@ -45,9 +52,9 @@
     Operator operator =
         new Operator(environment.configs, environment.controls, clock, seed, () -> false);
     for (String node : environment.controls.keySet()) {
-      long deadlineMs = clock.nowMs() + READ_TIMEOUT_MS;
+      TimeLimit limit = limit(READ_TIMEOUT_MS);
       long version = operator.read(node);
-      while (version < environment.configs.newest() && clock.nowMs() < deadlineMs) {
+      while (version < environment.configs.newest() && !limit.isOver()) {
         SoakClock.pause(POLL_MS);
         version = operator.read(node);
       }
@@ -61,9 +68,9 @@
 
   /** Reads all pages; returns false if a gateway does not respond in time. */
   private boolean readAll(SubmittedJob job, String machine) {
-    long deadlineMs = clock.nowMs() + READ_TIMEOUT_MS;
+    TimeLimit limit = limit(READ_TIMEOUT_MS);
     int after = 0;
-    while (clock.nowMs() < deadlineMs) {
+    while (!limit.isOver()) {
       JobRead read = environment.batch.read(job.id(), machine, after, false);
       if (read.status() == OK && read.deliveries().isEmpty()) {
         return true;
@@ -79,6 +86,10 @@
     return false;
   }
 
+  private TimeLimit limit(long ms) {
+    return new TimeLimit(clock, stalls::totalMs, ms);
+  }
+
   private void checkReadInTime(boolean holds, String where) {
     findings.check(Invariant.RECOVERED, holds, clock.nowMs(), where + " is not read in time");
   }
@@ -92,9 +103,9 @@
     }
     SubmittedJob job = new SubmittedJob(BatchClient.hex(random), SoakConfig.LIMITED, items);
     environment.batch.recordSubmit(job);
-    long deadlineMs = clock.nowMs() + Bounds.EXACT_FIT_MS;
+    TimeLimit limit = limit(Bounds.EXACT_FIT_MS);
     boolean accepted = false;
-    while (!accepted && clock.nowMs() < deadlineMs) {
+    while (!accepted && !limit.isOver()) {
       accepted = environment.batch.submit(job, environment.batch.anyMachine(random)) == 202;
       SoakClock.pause(POLL_MS);
     }
--- a/soak/src/test/java/elmsail/soak/SoakRun.java
+++ b/soak/src/test/java/elmsail/soak/SoakRun.java
@@ -43,6 +43,7 @@
     deleteRecursively(folder);
     Files.createDirectories(folder);
     String summary;
+    List<String> stallTimes;
     int accepted;
     try (Loopback loopback = Loopback.claim();
         StallDetector stalls = new StallDetector(clock, faults)) {
@@ -55,14 +56,16 @@
       try (SoakEnvironment environment = new SoakEnvironment(topology, findings, faults, clock);
           Cluster cluster =
               new Cluster(topology, folder, plan.seed(), builds, findings, faults, clock)) {
-        runWorkload(environment, cluster, schedule);
+        runWorkload(environment, cluster, schedule, stalls);
         scanLogs(cluster);
         summary = summary(environment, schedule, stalls) + builds.summary();
         accepted = environment.jobs.accepted().size();
+        stallTimes = stalls.described();
       }
     }
     List<Violation> violations = findings.violations();
     writeReport("summary.txt", List.of(summary));
+    writeReport("stalls.txt", stallTimes);
     writeReport("violations.txt", violations.stream().map(Violation::toString).toList());
     if (violations.isEmpty()) {
       deleteRecursively(folder);
@@ -70,7 +73,8 @@
     return new SoakOutcome(plan.seed(), violations, accepted, summary, folder);
   }
 
-  private void runWorkload(SoakEnvironment environment, Cluster cluster, List<Fault> schedule)
+  private void runWorkload(
+      SoakEnvironment environment, Cluster cluster, List<Fault> schedule, StallDetector stalls)
       throws IOException {
     cluster.startAll();
     if (!started(environment)) {
@@ -82,7 +86,7 @@
     loadOver = true;
     boolean back = pollUntil(healed + RECOVER_MS, () -> isServing(environment));
     checkRecovered(back, "not all answer " + RECOVER_MS + " ms after the last fault");
-    FinalChecks checks = new FinalChecks(environment, findings, clock, plan.seed());
+    FinalChecks checks = new FinalChecks(environment, findings, clock, stalls, plan.seed());
     checks.readUntilComplete(healed + Bounds.QUIET_MS);
     readsOver = true;
     join(threads);
