--- /dev/null
+++ b/gateway/src/test/java/elmsail/gateway/servers/GatewayFleet.java
@@ -0,0 +1,111 @@
+package elmsail.gateway.servers;
+
+import elmsail.config.ServerEntry;
+import elmsail.gateway.FakeClusterState;
+import elmsail.gateway.http.RequestCounters;
+import elmsail.gateway.load.LoadExchange;
+import elmsail.rpc.messages.LoadReport;
+import elmsail.runtime.Counters;
+import elmsail.runtime.ManualTimers;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Gateways of three zones before servers that tell no load, every third of them slower: the
+ * production choice of servers over simulated ones, on one clock that the test moves.
+ */
+final class GatewayFleet {
+  static final int ZONES = 3;
+  static final int GATEWAYS_PER_ZONE = 8;
+  static final int SERVERS_PER_ZONE = 5;
+  static final int SLOTS = 8;
+  static final double TOKENS_PER_MS = 100;
+  private static final int MAX_QUEUED = 12;
+  private static final double SLOW_SERVER_FACTOR = 1.3;
+  private static final long DATAGRAM_MS = 1;
+  private static final long FIRST_REPORTS_MS = 2_000;
+
+  final ManualTimers timers = new ManualTimers();
+  final Map<String, SimulatedServer> models = new HashMap<>();
+  final List<Servers> gateways = new ArrayList<>();
+  final SplittableRandom draws;
+  private final FakeClusterState known = new FakeClusterState();
+  private final Map<String, LoadExchange> exchanges = new HashMap<>();
+
+  /**
+   * @param draws of the fleet and of what is laid on it
+   * @param sharesLoads whether the gateways exchange their loads
+   */
+  GatewayFleet(EventLoop loop, SplittableRandom draws, boolean sharesLoads) {
+    this.draws = draws;
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int i = 0; i < ZONES * SERVERS_PER_ZONE; i++) {
+      String id = "i-" + i;
+      entries.add(new ServerEntry(id, "s", "127.0.0.1:1", "z" + i % ZONES, SLOTS, false, 0));
+      models.put(id, new SimulatedServer(timers, SLOTS, MAX_QUEUED, slowness(i)));
+    }
+    known.servers = entries;
+    for (int g = 0; g < ZONES * GATEWAYS_PER_ZONE; g++) {
+      known.view.gateways.add("g" + g + ":1");
+    }
+    for (int g = 0; g < ZONES * GATEWAYS_PER_ZONE; g++) {
+      gateways.add(gateway(loop, "g" + g + ":1", "z" + g % ZONES, sharesLoads));
+    }
+    timers.advance(FIRST_REPORTS_MS);
+  }
+
+  private static double slowness(int server) {
+    return server % 3 == 0 ? SLOW_SERVER_FACTOR : 1;
+  }
+
+  private Servers gateway(EventLoop loop, String address, String zone, boolean sharesLoads) {
+    RequestCounters counters = new RequestCounters(new Counters());
+    Servers servers = new Servers(timers, loop, known, zone, counters, draws.split());
+    if (sharesLoads) {
+      LoadExchange exchange =
+          new LoadExchange(
+              timers,
+              known,
+              address,
+              zone,
+              draws.nextLong(),
+              servers::ownLoads,
+              this::carry,
+              new Counters());
+      exchanges.put(address, exchange);
+      servers.setPeerLoads(exchange, exchange::onLoadChanged);
+      exchange.start();
+    }
+    return servers;
+  }
+
+  private void carry(String to, LoadReport report) {
+    timers.schedule(DATAGRAM_MS, () -> exchanges.get(to).onReport(report));
+  }
+
+  /** A gateway that a client's connection was given to. */
+  Servers anyGateway() {
+    return gateways.get(draws.nextInt(gateways.size()));
+  }
+
+  /**
+   * Requests a second at which either all slots are taken or all servers read all the time.
+   *
+   * @param tokens of a prompt, in the mean
+   * @param holdMs from the first token to the last, in the mean
+   */
+  static double capacityPerSecond(int tokens, int holdMs) {
+    double speed = 0;
+    for (int i = 0; i < ZONES * SERVERS_PER_ZONE; i++) {
+      speed += 1 / slowness(i);
+    }
+    double readMs = tokens / TOKENS_PER_MS;
+    double byReading = 1_000 / readMs;
+    double bySlots = SLOTS * 1_000.0 / (readMs + holdMs);
+    return speed * Math.min(byReading, bySlots);
+  }
+}
--- a/gateway/src/test/java/elmsail/gateway/servers/ServerSelectionModelTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/ServerSelectionModelTest.java
@@ -4,12 +4,6 @@
 import static org.hamcrest.Matchers.greaterThan;
 
 import elmsail.config.Route;
-import elmsail.config.ServerEntry;
-import elmsail.gateway.FakeClusterState;
-import elmsail.gateway.http.RequestCounters;
-import elmsail.gateway.load.LoadExchange;
-import elmsail.rpc.messages.LoadReport;
-import elmsail.runtime.Counters;
 import elmsail.runtime.ManualTimers;
 import elmsail.runtime.NettyEventLoop;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -18,7 +12,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -40,16 +33,8 @@
     ORACLE
   }
 
-  private static final int ZONES = 3;
-  private static final int GATEWAYS_PER_ZONE = 8;
-  private static final int SERVERS_PER_ZONE = 5;
-  private static final int SLOTS = 8;
-  private static final int MAX_QUEUED = 12;
-  private static final double SLOW_SERVER_FACTOR = 1.3;
-  private static final double TOKENS_PER_MS = 100;
   private static final long DURATION_MS = 10_000;
   private static final long LATENCY_TARGET_MS = 300;
-  private static final long DATAGRAM_MS = 1;
 
   /** So many requests come at the same moment. */
   private static final int BURST_SIZE = 3;
@@ -69,13 +54,9 @@
 
   /** One run: its own clock, servers and gateways. */
   private final class World {
-    final ManualTimers timers = new ManualTimers();
-    final FakeClusterState known = new FakeClusterState();
-    final NettyEventLoop loop = new NettyEventLoop();
-    final Map<String, SimulatedServer> models = new HashMap<>();
-    final Map<String, LoadExchange> exchanges = new HashMap<>();
-    final List<Servers> gateways = new ArrayList<>();
     final Choice choice;
+    final GatewayFleet fleet;
+    final ManualTimers timers;
     final SplittableRandom draws;
     int requests;
     int inAim;
@@ -83,53 +64,16 @@
     World(Choice choice, long seed) {
       this.choice = choice;
       draws = new SplittableRandom(seed);
+      NettyEventLoop loop = new NettyEventLoop();
       loops.add(loop);
-      List<ServerEntry> entries = new ArrayList<>();
-      for (int i = 0; i < ZONES * SERVERS_PER_ZONE; i++) {
-        String id = "i-" + i;
-        entries.add(new ServerEntry(id, "s", "127.0.0.1:1", "z" + i % ZONES, SLOTS, false, 0));
-        models.put(
-            id,
-            new SimulatedServer(timers, SLOTS, MAX_QUEUED, i % 3 == 0 ? SLOW_SERVER_FACTOR : 1));
-      }
-      known.servers = entries;
-      for (int g = 0; g < ZONES * GATEWAYS_PER_ZONE; g++) {
-        known.view.gateways.add("g" + g + ":1");
-      }
-      for (int g = 0; g < ZONES * GATEWAYS_PER_ZONE; g++) {
-        gateways.add(gateway("g" + g + ":1", "z" + g % ZONES));
-      }
-      timers.advance(2_000);
-    }
-
-    private Servers gateway(String address, String zone) {
-      RequestCounters counters = new RequestCounters(new Counters());
-      Servers servers = new Servers(timers, loop.eventLoop(), known, zone, counters, draws.split());
-      if (choice == Choice.SHARED_LOADS || choice == Choice.SHARED_WITH_ADMISSION) {
-        LoadExchange exchange =
-            new LoadExchange(
-                timers,
-                known,
-                address,
-                zone,
-                draws.nextLong(),
-                servers::ownLoads,
-                this::carry,
-                new Counters());
-        exchanges.put(address, exchange);
-        servers.setPeerLoads(exchange, exchange::onLoadChanged);
-        exchange.start();
-      }
-      return servers;
-    }
-
-    private void carry(String to, LoadReport report) {
-      timers.schedule(DATAGRAM_MS, () -> exchanges.get(to).onReport(report));
+      boolean sharesLoads = choice == Choice.SHARED_LOADS || choice == Choice.SHARED_WITH_ADMISSION;
+      fleet = new GatewayFleet(loop.eventLoop(), draws, sharesLoads);
+      timers = fleet.timers;
     }
 
     /** The share of requests whose first token came in time, at that share of capacity. */
     double shareInAim(double load) {
-      double perSecond = load * capacityPerSecond();
+      double perSecond = load * GatewayFleet.capacityPerSecond(MEAN_TOKENS, MEAN_HOLD_MS);
       double at = 0;
       while (at < DURATION_MS) {
         at += -Math.log(1 - draws.nextDouble()) * 1_000 * BURST_SIZE / perSecond;
@@ -157,9 +101,11 @@
       Server best = null;
       double least = Double.POSITIVE_INFINITY;
       for (Server server : all) {
-        SimulatedServer model = models.get(server.id());
+        SimulatedServer model = fleet.models.get(server.id());
         double place =
-            Math.max(0, model.openRequests() + 1 - SLOTS) * (double) MEAN_HOLD_MS / SLOTS;
+            Math.max(0, model.openRequests() + 1 - GatewayFleet.SLOTS)
+                * (double) MEAN_HOLD_MS
+                / GatewayFleet.SLOTS;
         double cost = model.backlogMs() + place + model.openRequests() * 0.1;
         if (cost < least) {
           least = cost;
@@ -187,18 +133,6 @@
           0,
           0);
 
-  /** Requests a second at which either all places are taken or all servers read all the time. */
-  private static double capacityPerSecond() {
-    double speed = 0;
-    for (int i = 0; i < ZONES * SERVERS_PER_ZONE; i++) {
-      speed += i % 3 == 0 ? 1 / SLOW_SERVER_FACTOR : 1;
-    }
-    double readMs = MEAN_TOKENS / TOKENS_PER_MS;
-    double byReading = 1_000 / readMs;
-    double byPlaces = SLOTS * 1_000.0 / (readMs + MEAN_HOLD_MS);
-    return speed * Math.min(byReading, byPlaces);
-  }
-
   /** One client's request, sent once. */
   private static final class Request extends NoOpRequest {
     private final World world;
@@ -215,7 +149,7 @@
     }
 
     void send() {
-      Servers gateway = world.gateways.get(world.draws.nextInt(world.gateways.size()));
+      Servers gateway = world.fleet.anyGateway();
       Server server = world.pick(gateway, prompt);
       boolean admission = world.choice == Choice.SHARED_WITH_ADMISSION;
       if (admission && gateway.picker().rejects(server, prompt, LATENCY_TARGET_MS)) {
@@ -248,7 +182,11 @@
               attempt.onComplete();
             }
           };
-      world.models.get(server.id()).submit(prompt.totalTokens() / TOKENS_PER_MS, hold, client);
+      world
+          .fleet
+          .models
+          .get(server.id())
+          .submit(prompt.totalTokens() / GatewayFleet.TOKENS_PER_MS, hold, client);
     }
 
     @Override
