Soak: processes that run for a share of each tenth of a second

-Dsoak.quota=SHARE stops and continues each of the ten processes in turns, each at its own time, while the schedule's faults come.

--- a/soak/src/test/java/elmsail/soak/Cluster.java
+++ b/soak/src/test/java/elmsail/soak/Cluster.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -58,6 +59,18 @@
     }
   }
 
+  List<String> names() {
+    return processes.keySet().stream().map(Topology.Node::name).toList();
+  }
+
+  /** The process ids by name, without those that are down or suspended. */
+  Map<String, Long> runningPids() {
+    Map<String, Long> pids = new HashMap<>();
+    processes.forEach(
+        (node, process) -> process.runningPid().ifPresent(pid -> pids.put(node.name(), pid)));
+    return pids;
+  }
+
   List<Path> logs() {
     return processes.values().stream().map(NodeProcess::log).toList();
   }
--- a/soak/src/test/java/elmsail/soak/NodeProcess.java
+++ b/soak/src/test/java/elmsail/soak/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -38,6 +39,7 @@
   private final SoakClock clock;
   private Process process;
   private boolean stopExpected;
+  private boolean suspended;
 
   NodeProcess(
       Topology topology,
@@ -76,6 +78,7 @@
     command.addAll(List.of("-cp", classPath(build), node.role().program));
     command.addAll(List.of("--settings", settings.toString()));
     stopExpected = false;
+    suspended = false;
     Process started =
         new ProcessBuilder(command)
             .redirectErrorStream(true)
@@ -146,14 +149,23 @@
     }
   }
 
-  void suspend() throws IOException {
+  synchronized void suspend() throws IOException {
+    suspended = true;
     signal("STOP");
   }
 
-  void resume() throws IOException {
+  synchronized void resume() throws IOException {
+    suspended = false;
     signal("CONT");
   }
 
+  /** The id of the process; empty while it is down or suspended. */
+  synchronized Optional<Long> runningPid() {
+    return process == null || suspended || !process.isAlive()
+        ? Optional.empty()
+        : Optional.of(process.pid());
+  }
+
   private synchronized void signal(String name) throws IOException {
     if (process == null || !process.isAlive()) {
       return;
--- a/soak/src/test/java/elmsail/soak/SoakRun.java
+++ b/soak/src/test/java/elmsail/soak/SoakRun.java
@@ -25,6 +25,7 @@
   private final Findings findings = new Findings();
   private final FaultHistory faults = new FaultHistory();
   private volatile boolean loadOver;
+  private String quotaSummary = "";
   private volatile boolean readsOver;
 
   private SoakRun(SoakPlan plan, Path folder) {
@@ -58,7 +59,7 @@
               new Cluster(topology, folder, plan.seed(), builds, findings, faults, clock)) {
         runWorkload(environment, cluster, schedule, stalls);
         scanLogs(cluster);
-        summary = summary(environment, schedule, stalls) + builds.summary();
+        summary = summary(environment, schedule, stalls) + builds.summary() + quotaSummary;
         accepted = environment.jobs.accepted().size();
         stallTimes = stalls.described();
       }
@@ -81,7 +82,7 @@
       return;
     }
     List<Thread> threads = load(environment);
-    new FaultInjector(cluster, clock).run(schedule);
+    injectFaults(cluster, schedule);
     long healed = clock.nowMs();
     loadOver = true;
     boolean back = pollUntil(healed + RECOVER_MS, () -> isServing(environment));
@@ -98,6 +99,13 @@
     environment.requests.checkAtEnd(now);
   }
 
+  private void injectFaults(Cluster cluster, List<Fault> schedule) throws IOException {
+    try (ProcessorQuota quota = new ProcessorQuota(cluster.names(), cluster::runningPids)) {
+      new FaultInjector(cluster, clock).run(schedule);
+      quotaSummary = quota.summary();
+    }
+  }
+
   private boolean started(SoakEnvironment environment) {
     Operator operator = operator(environment, 0, () -> false);
     long deadlineMs = clock.nowMs() + START_MS;
