Configurations: tenants with their keys, open routes, fleet sizes; settings of revocation and duties

Cause: a configuration's senders, unstamped and fleet_size, and the settings' revoke_ms, report_window_s and rounds were not read, so nothing could check a key or call the platform. Change: TenantsReader validates tenants (two of one name, or two with one key, are invalid; no key stands in an error's text); Route.isOpen, Service.fleetSize; Settings.Bounds and Platform. Nothing uses them yet.

--- a/config/src/main/java/elmsail/config/ConfigFields.java
+++ b/config/src/main/java/elmsail/config/ConfigFields.java
@@ -125,6 +125,22 @@
     return elements;
   }
 
+  /** The elements of a list of strings, each of at least one character. */
+  List<String> requiredStrings(String key) {
+    if (!has(key)) {
+      throw invalid(key, "is missing");
+    }
+    ConfigList values = (ConfigList) valueOfType(key, ConfigValueType.LIST, "a list");
+    List<String> elements = new ArrayList<>(values.size());
+    for (int i = 0; i < values.size(); i++) {
+      if (!(values.get(i).unwrapped() instanceof String element) || element.isEmpty()) {
+        throw invalid(key + "[" + i + "]", "is not a text of one character or more");
+      }
+      elements.add(element);
+    }
+    return elements;
+  }
+
   private ConfigValue valueOfType(String key, ConfigValueType type, String reason) {
     ConfigValue value = object.get(key);
     if (value.valueType() != type) {
--- a/config/src/main/java/elmsail/config/Route.java
+++ b/config/src/main/java/elmsail/config/Route.java
@@ -20,8 +20,10 @@
  *     are due ({@code run_due_ms})
  * @param itemTtlMs time from a batch job's submission after which an item may be given up ({@code
  *     shelf_s})
- * @param maxWaitingTokens tokens of batch jobs that may wait on the route, 0: no limit ({@code
- *     most_waiting})
+ * @param maxWaitingTokens tokens of one tenant's batch jobs that may wait on the route, 0: no limit
+ *     ({@code most_waiting})
+ * @param isOpen whether requests need no key, also where the configuration has tenants ({@code
+ *     unstamped})
  */
 public record Route(
     String name,
@@ -37,7 +39,42 @@
     long tokenGapTargetMs,
     long completionTargetMs,
     long itemTtlMs,
-    long maxWaitingTokens) {
+    long maxWaitingTokens,
+    boolean isOpen) {
+
+  /** A route whose requests carry the key of a tenant. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      Kind kind,
+      long timeoutMs,
+      long latencyTargetMs,
+      int priority,
+      List<WeightedService> weightedServices,
+      int maxAttempts,
+      boolean resumable,
+      long tokenGapTargetMs,
+      long completionTargetMs,
+      long itemTtlMs,
+      long maxWaitingTokens) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeoutMs,
+        latencyTargetMs,
+        priority,
+        weightedServices,
+        maxAttempts,
+        resumable,
+        tokenGapTargetMs,
+        completionTargetMs,
+        itemTtlMs,
+        maxWaitingTokens,
+        false);
+  }
 
   /** What may be done with a request of the route ({@code route_class}). */
   public enum Kind {
--- a/config/src/main/java/elmsail/config/RoutingConfig.java
+++ b/config/src/main/java/elmsail/config/RoutingConfig.java
@@ -23,6 +23,19 @@
   /** The route of that name; null if there is none. */
   Route routeByName(String name);
 
+  /**
+   * Whether requests need the key of a tenant, on all routes that are not open ({@link
+   * Route#isOpen}).
+   */
+  default boolean requiresKeys() {
+    return false;
+  }
+
+  /** The tenant that a key belongs to; empty if no tenant has it. */
+  default Optional<Tenant> tenantByKey(String key) {
+    return Optional.empty();
+  }
+
   /** All services by name; unmodifiable. */
   Map<String, Service> services();
 
--- a/config/src/main/java/elmsail/config/RoutingConfigReader.java
+++ b/config/src/main/java/elmsail/config/RoutingConfigReader.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -12,6 +13,8 @@
  * for the caller to check. Unknown fields are ignored. Stateless.
  */
 public final class RoutingConfigReader {
+  private static final int MS_PER_SECOND = 1_000;
+
   /** The defaults of {@code limits}, as in the protocol's example. */
   private static final RoutingConfig.ClientLimits DEFAULT_LIMITS =
       new RoutingConfig.ClientLimits(16_384, 4_194_304, 3_000, 15_000);
@@ -25,7 +28,8 @@
    * @throws elmsail.runtime.ElmsailException INVALID_ARGUMENT, with the path of the first fault: no
    *     complete JSON, no version, a field of a wrong type, an unknown service, two routes or
    *     services of one name, two routes with one host and prefix, weights that add up to 0, a
-   *     route other than a batch route without {@code give_up_ms}, a prefix without its slashes
+   *     route other than a batch route without {@code give_up_ms}, a prefix without its slashes,
+   *     two tenants of one name or with one key, a fleet size whose floor is above its ceiling
    */
   public static RoutingConfig read(byte[] bytes) {
     ConfigFields root = ConfigFields.root(StrictJson.read(bytes));
@@ -51,7 +55,8 @@
       }
       routes.add(route);
     }
-    return new ValidatedConfig(version, routes, services, clientLimits(root));
+    return new ValidatedConfig(
+        version, routes, services, TenantsReader.read(root), clientLimits(root));
   }
 
   private static Service service(ConfigFields fields) {
@@ -67,7 +72,22 @@
         fields.stringOr("health", "/health"),
         fields.nonNegativeIntOr("berth_cap", 0),
         maxConcurrency,
-        kvCacheTokens);
+        kvCacheTokens,
+        fleetSize(fields));
+  }
+
+  private static Optional<FleetSize> fleetSize(ConfigFields service) {
+    if (!service.has("fleet_size")) {
+      return Optional.empty();
+    }
+    ConfigFields fields = service.requiredObject("fleet_size");
+    int minServers = fields.nonNegativeIntOr("floor", 0);
+    int maxServers = fields.nonNegativeIntOr("ceiling", Integer.MAX_VALUE);
+    if (minServers > maxServers) {
+      throw fields.invalid("floor", "is above the ceiling");
+    }
+    long bootMs = (long) Math.ceil(fields.numberOr("boot_s", 0) * MS_PER_SECOND);
+    return Optional.of(new FleetSize(minServers, maxServers, Math.max(0, bootMs)));
   }
 
   private static Route route(ConfigFields fields, Map<String, Service> services) {
@@ -102,8 +122,9 @@
         fields.booleanOrFalse("resume"),
         fields.nonNegativeLongOr("gap_aim_ms", 0),
         fields.nonNegativeLongOr("run_due_ms", 0),
-        (long) Math.ceil(itemTtlSeconds * 1_000),
-        fields.nonNegativeLongOr("most_waiting", 0));
+        (long) Math.ceil(itemTtlSeconds * MS_PER_SECOND),
+        fields.nonNegativeLongOr("most_waiting", 0),
+        fields.booleanOrFalse("unstamped"));
   }
 
   private static Route.Kind kind(ConfigFields fields) {
--- /dev/null
+++ b/config/src/main/java/elmsail/config/TenantsReader.java
@@ -0,0 +1,48 @@
+package elmsail.config;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Reads and validates the tenants of a configuration and their keys. Stateless. */
+final class TenantsReader {
+  private TenantsReader() {}
+
+  /**
+   * The tenants by each of their keys; empty if the configuration has no list of tenants. A list
+   * without any key is present, and admits nobody.
+   *
+   * <p>No key stands in the message of an exception, as operators' tools log them.
+   */
+  static Optional<Map<String, Tenant>> read(ConfigFields root) {
+    if (!root.has("senders")) {
+      return Optional.empty();
+    }
+    Map<String, Tenant> tenantsByKey = new HashMap<>();
+    Set<String> names = new HashSet<>();
+    for (ConfigFields fields : root.requiredObjects("senders")) {
+      Tenant tenant =
+          new Tenant(fields.requiredString("name"), fields.nonNegativeIntOr("precedence", 0));
+      if (!names.add(tenant.name())) {
+        throw fields.invalid("name", "two tenants are called " + tenant.name());
+      }
+      addKeys(fields, tenant, tenantsByKey);
+    }
+    return Optional.of(tenantsByKey);
+  }
+
+  private static void addKeys(
+      ConfigFields fields, Tenant tenant, Map<String, Tenant> tenantsByKey) {
+    if (!fields.has("passes")) {
+      return;
+    }
+    for (String key : fields.requiredStrings("passes")) {
+      Tenant other = tenantsByKey.put(key, tenant);
+      if (other != null && other != tenant) {
+        throw fields.invalid("passes", other.name() + " has one of these keys too");
+      }
+    }
+  }
+}
--- a/config/src/main/java/elmsail/config/ValidatedConfig.java
+++ b/config/src/main/java/elmsail/config/ValidatedConfig.java
@@ -16,12 +16,23 @@
   private final Map<String, Route> byName = new LinkedHashMap<>();
   private final Map<String, List<Route>> byHost = new HashMap<>();
   private final Map<String, Service> services;
+  private final Optional<Map<String, Tenant>> tenantsByKey;
   private final ClientLimits limits;
 
+  /**
+   * Creates a configuration of validated parts.
+   *
+   * @param tenantsByKey empty if requests need no keys
+   */
   ValidatedConfig(
-      long version, List<Route> routes, Map<String, Service> services, ClientLimits limits) {
+      long version,
+      List<Route> routes,
+      Map<String, Service> services,
+      Optional<Map<String, Tenant>> tenantsByKey,
+      ClientLimits limits) {
     this.version = version;
     this.services = Collections.unmodifiableMap(services);
+    this.tenantsByKey = tenantsByKey;
     this.limits = limits;
     for (Route route : routes) {
       byName.put(route.name(), route);
@@ -70,6 +81,16 @@
     return byName.get(name);
   }
 
+  @Override
+  public boolean requiresKeys() {
+    return tenantsByKey.isPresent();
+  }
+
+  @Override
+  public Optional<Tenant> tenantByKey(String key) {
+    return tenantsByKey.map(tenants -> tenants.get(key));
+  }
+
   @Override
   public Map<String, Service> services() {
     return services;
--- a/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
+++ b/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -259,4 +260,29 @@
             .equals(ConfigDigest.of(SampleConfigs.bytes(GOOD + " "))),
         equalTo(false));
   }
+
+  @Test
+  void fleetSizeOfAServiceIsRead() {
+    RoutingConfig config =
+        read(
+            """
+            {"edition":1,"routes":[],"postal_lines":[{"name":"s",
+            "fleet_size":{"floor":9,"ceiling":21,"boot_s":4.5}},{"name":"t"}]}""");
+    assertThat(
+        config.services().get("s").fleetSize(), equalTo(Optional.of(new FleetSize(9, 21, 4_500))));
+    assertThat(config.services().get("t").fleetSize(), equalTo(Optional.empty()));
+  }
+
+  @Test
+  void unstampedRouteIsOpen() {
+    RoutingConfig config =
+        read(
+            """
+            {"edition":1,"routes":[{"name":"o","depot":"h","lane_prefix":"/o/","route_class":"safe",
+            "give_up_ms":1,"postal_line":"s","unstamped":true},{"name":"k","depot":"h",
+            "lane_prefix":"/k/","route_class":"safe","give_up_ms":1,"postal_line":"s",
+            "unstamped":false}],"postal_lines":[{"name":"s"}]}""");
+    assertThat(config.routeByName("o").isOpen(), equalTo(true));
+    assertThat(config.routeByName("k").isOpen(), equalTo(false));
+  }
 }
--- a/runtime/src/main/java/elmsail/runtime/Settings.java
+++ b/runtime/src/main/java/elmsail/runtime/Settings.java
@@ -45,7 +45,16 @@
   public record Limits(
       double cpuShare, int memoryMb, int maxFileDescriptors, double linkMbps, int diskMb) {}
 
-  /** Time bounds in ms; {@code quotaOver} is a ratio. */
+  /**
+   * Time bounds in ms; {@code quotaOver} is a ratio.
+   *
+   * @param revokeMs within which a key that was removed from the configuration is refused
+   *     everywhere, also by processes that are partitioned; 0 if that is not required ({@code
+   *     revoked_everywhere})
+   * @param usageWindowMs length of a window whose usage is reported; 0 if none is ({@code
+   *     report_window_s})
+   * @param usageLateMs within which a closed window is to be reported ({@code usage_late_s})
+   */
   public record Bounds(
       long inTouchMs,
       long ackMs,
@@ -59,16 +68,73 @@
       long cancelMs,
       long settleMs,
       double quotaOver,
-      long reuseAfterMs) {}
+      long reuseAfterMs,
+      long revokeMs,
+      long usageWindowMs,
+      long usageLateMs) {
+
+    /** Without revocation everywhere and without usage reports. */
+    public Bounds(
+        long inTouchMs,
+        long ackMs,
+        long catchUpMs,
+        long drainMs,
+        long graceMs,
+        long lostSlackMs,
+        long inForceMs,
+        long passMs,
+        long statusMs,
+        long cancelMs,
+        long settleMs,
+        double quotaOver,
+        long reuseAfterMs) {
+      this(
+          inTouchMs,
+          ackMs,
+          catchUpMs,
+          drainMs,
+          graceMs,
+          lostSlackMs,
+          inForceMs,
+          passMs,
+          statusMs,
+          cancelMs,
+          settleMs,
+          quotaOver,
+          reuseAfterMs,
+          0,
+          0,
+          0);
+    }
+  }
 
   /**
-   * The platform's list of servers.
+   * The platform: its list of servers, and the calls that one process at a time makes.
    *
    * @param address "ip:port"
-   * @param maxCallsPerSecond of all processes together
+   * @param maxCallsPerSecond of all processes together, for the list
    * @param lagMs how far the list is behind
+   * @param duties the singleton duties that the platform expects ({@code rounds}), {@link
+   *     #USAGE_DUTY} and {@link #FLEET_DUTY} among them
+   * @param maxDutyCallsPerSecond of all processes together, for the duties ({@code round_per_s})
    */
-  public record Platform(String address, double maxCallsPerSecond, long lagMs) {}
+  public record Platform(
+      String address,
+      double maxCallsPerSecond,
+      long lagMs,
+      Set<String> duties,
+      double maxDutyCallsPerSecond) {
+    /** The duty to report each window's usage. */
+    public static final String USAGE_DUTY = "usage";
+
+    /** The duty to set the number of servers of each zone. */
+    public static final String FLEET_DUTY = "fleet";
+
+    /** A platform that expects no singleton duties. */
+    public Platform(String address, double maxCallsPerSecond, long lagMs) {
+      this(address, maxCallsPerSecond, lagMs, Set.of(), 0);
+    }
+  }
 
   /** Whether this process may vote on the configuration: it serves operators and has a disk. */
   public boolean isControlPlaneVoter() {
--- a/runtime/src/main/java/elmsail/runtime/SettingsFile.java
+++ b/runtime/src/main/java/elmsail/runtime/SettingsFile.java
@@ -156,7 +156,10 @@
         bounds.millisOr("cancel_ms", 3_000),
         bounds.millisOr("settle_ms", 1_000),
         bounds.numberOr("quota_over", 0.1, 0, 1_000),
-        bounds.secondsAsMillisOr("reuse_after_s", 2));
+        bounds.secondsAsMillisOr("reuse_after_s", 2),
+        bounds.booleanOr("revoked_everywhere", false) ? bounds.millisOr("revoke_ms", 5_000) : 0,
+        bounds.secondsAsMillisOr("report_window_s", 0),
+        bounds.secondsAsMillisOr("usage_late_s", 0));
   }
 
   private static Settings.Platform platform(SettingsObject platform) {
@@ -166,7 +169,9 @@
     return new Settings.Platform(
         address(platform.pathOf("address"), platform.string("address")),
         platform.numberOr("per_s", 10, 0.001, 1e9),
-        platform.millisOr("lag_ms", 1_000));
+        platform.millisOr("lag_ms", 1_000),
+        names(platform.pathOf("rounds"), platform.listOrEmpty("rounds")),
+        platform.numberOr("round_per_s", 0, 0, 1e9));
   }
 
   private static Set<String> names(String path, List<Object> given) {
--- a/runtime/src/test/java/elmsail/runtime/PinnedNamesTest.java
+++ b/runtime/src/test/java/elmsail/runtime/PinnedNamesTest.java
@@ -36,8 +36,11 @@
        "data_dir": "/data", "clauses": ["base"], "bear_losses": {"machines": 2},
        "bounds": {"in_touch_ms": 1, "ack_ms": 2, "catch_up_s": 3, "drain_ms": 4, "grace_s": 5,
          "lost_slack_ms": 6, "in_force_ms": 7, "pass_ms": 8, "status_s": 9, "cancel_ms": 10,
-         "settle_ms": 11, "quota_over": 0.3, "reuse_after_s": 13},
-       "carrier_api": {"address": "10.9.0.1:8169", "per_s": 40.0, "lag_ms": 800}}
+         "settle_ms": 11, "quota_over": 0.3, "reuse_after_s": 13,
+         "revoked_everywhere": true, "revoke_ms": 5001, "report_window_s": 14,
+         "usage_late_s": 15},
+       "carrier_api": {"address": "10.9.0.1:8169", "per_s": 40.0, "lag_ms": 800,
+                       "rounds": ["usage", "fleet"], "round_per_s": 50.0}}
       """;
 
   /** Null where they cannot be used. */
@@ -56,7 +59,7 @@
     Settings whole = SettingsFile.parse(SETTINGS);
     Set<String> keys = new TreeSet<>();
     all.entrySet().forEach(entry -> keys.add(entry.getKey()));
-    assertThat(keys.size(), is(39));
+    assertThat(keys.size(), is(45));
     for (String key : keys) {
       String without = all.withoutPath(key).root().render(ConfigRenderOptions.concise());
       assertThat(key, settings(without), is(not(equalTo(whole))));
@@ -91,8 +94,10 @@
                 "/data",
                 Set.of("base"),
                 2,
-                new Settings.Bounds(1, 2, 3_000, 4, 5_000, 6, 7, 8, 9_000, 10, 11, 0.3, 13_000),
-                new Settings.Platform("10.9.0.1:8169", 40, 800))));
+                new Settings.Bounds(
+                    1, 2, 3_000, 4, 5_000, 6, 7, 8, 9_000, 10, 11, 0.3, 13_000, 5_001, 14_000,
+                    15_000),
+                new Settings.Platform("10.9.0.1:8169", 40, 800, Set.of("usage", "fleet"), 50))));
   }
 
   @Test
--- a/runtime/src/test/java/elmsail/runtime/SettingsFileTest.java
+++ b/runtime/src/test/java/elmsail/runtime/SettingsFileTest.java
@@ -87,6 +87,30 @@
     assertThat(s.rpcAddress(), is("10.1.0.13:7720"));
   }
 
+  @Test
+  void readsRevocationAndDuties() {
+    Settings s =
+        SettingsFile.parse(
+            with(
+                """
+                "bounds":{"revoked_everywhere":true,"revoke_ms":5000,"report_window_s":5,
+                "usage_late_s":10},"carrier_api":{"address":"10.200.0.79:8169",
+                "rounds":["usage","fleet"],"round_per_s":50.0}"""));
+    assertThat(s.bounds().revokeMs(), is(5_000L));
+    assertThat(s.bounds().usageWindowMs(), is(5_000L));
+    assertThat(s.bounds().usageLateMs(), is(10_000L));
+    assertThat(s.platform().duties(), containsInAnyOrder("usage", "fleet"));
+    assertThat(s.platform().maxDutyCallsPerSecond(), is(50.0));
+  }
+
+  @Test
+  void withoutRevocationEverywhereItsTimeMeansNothing() {
+    Settings s =
+        SettingsFile.parse(with("\"bounds\":{\"revoked_everywhere\":false,\"revoke_ms\":5000}"));
+    assertThat(s.bounds().revokeMs(), is(0L));
+    assertThat(s.bounds().usageWindowMs(), is(0L));
+  }
+
   @Test
   void treatsNullAsMissing() {
     Settings s = SettingsFile.parse(with("\"data_dir\":null,\"carrier_api\":null,\"bounds\":null"));
