Event loop: the test of late timers fails without their yield

Cause: the test's timer was scheduled from a task, so the loop read its sockets before it in any case; with LATE_TIMER_MS endless it passed. Change: the loop stands still between its look at the sockets and its timers, within the read of another socket; the same order is asserted.

--- a/runtime/src/test/java/elmsail/runtime/NettyEventLoopTest.java
+++ b/runtime/src/test/java/elmsail/runtime/NettyEventLoopTest.java
@@ -77,43 +77,53 @@
   }
 
   /**
-   * The loop stands still while a datagram arrives and a timer falls due; the timer is found due in
-   * the same turn, before the sockets are looked at again.
+   * The loop stands still after it has looked at its sockets and before it runs its timers: what
+   * arrives meanwhile at another socket is read before a timer that became due meanwhile.
    */
   @Test
   void lateTimerRunsAfterTheSocketsWereRead() throws Exception {
     List<String> order = new CopyOnWriteArrayList<>();
     CountDownLatch both = new CountDownLatch(2);
     Channel receiver =
-        new Bootstrap()
-            .group(loop.eventLoop())
-            .channel(NioDatagramChannel.class)
-            .handler(
-                new SimpleChannelInboundHandler<DatagramPacket>() {
-                  @Override
-                  protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                    order.add("socket");
+        bindDatagramChannel(
+            () -> {
+              order.add("socket");
+              both.countDown();
+            });
+    Channel stalling =
+        bindDatagramChannel(
+            () -> {
+              loop.schedule(
+                  1,
+                  () -> {
+                    order.add("timer");
                     both.countDown();
-                  }
-                })
-            .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-            .sync()
-            .channel();
-    loop.execute(
-        () -> {
-          loop.schedule(
-              1,
-              () -> {
-                order.add("timer");
-                both.countDown();
-              });
-          sendTo((InetSocketAddress) receiver.localAddress());
-          sleepLongerThanATimerMayBeLate();
-        });
+                  });
+              sendTo((InetSocketAddress) receiver.localAddress());
+              sleepLongerThanATimerMayBeLate();
+            });
+    sendTo((InetSocketAddress) stalling.localAddress());
     assertThat(both.await(10, TimeUnit.SECONDS), is(true));
     assertThat(order, contains("socket", "timer"));
   }
 
+  /** A channel on the loop that runs the action with each datagram. */
+  private Channel bindDatagramChannel(Runnable onDatagram) throws InterruptedException {
+    return new Bootstrap()
+        .group(loop.eventLoop())
+        .channel(NioDatagramChannel.class)
+        .handler(
+            new SimpleChannelInboundHandler<DatagramPacket>() {
+              @Override
+              protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                onDatagram.run();
+              }
+            })
+        .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        .sync()
+        .channel();
+  }
+
   @Test
   void lateTimerThatIsCancelledWhileItWaitsForTheSocketsDoesNotRun() throws Exception {
     AtomicBoolean ran = new AtomicBoolean();
