Platform duties: POST in the HTTP client, and one client for all calls of the lease holder

HttpClient had only GET; it now sends any small request (framing of path and headers checked), GET and POST as defaults beside it. PlatformDutyClient posts with Elmsail-Duty-Holder and Elmsail-Fence, only while the lease is held in the caller's term, under half of the platform's rate with a burst of a fifth of a second (TokenBucket), and gives a typed outcome; a 409 gives the term up (DutyLease.onFenced, implemented by SingletonLease). Not wired to a duty yet.

Tests: HttpLoopbackTest (POST, framing), PlatformDutyClientTest. The fakes of HttpClient in PlatformClientTest, FallbackDiscoveryTest and SimulatedCluster take the request in place of its path; what they assert is unchanged.

--- a/config/src/test/java/elmsail/config/PlatformClientTest.java
+++ b/config/src/test/java/elmsail/config/PlatformClientTest.java
@@ -23,10 +23,10 @@
   private final List<String> requestedPaths = new ArrayList<>();
   private final List<CompletableFuture<SimpleHttpResponse>> pendingReplies = new ArrayList<>();
   private final HttpClient httpClient =
-      (address, path, timeoutMs) -> {
+      (address, request, timeoutMs) -> {
         assertThat(address, equalTo("10.200.0.79:8169"));
         assertThat(timeoutMs, equalTo(700L));
-        requestedPaths.add(path);
+        requestedPaths.add(request.pathAndQuery());
         pendingReplies.add(new CompletableFuture<>());
         return pendingReplies.get(pendingReplies.size() - 1);
       };
--- a/config/src/test/java/elmsail/config/watch/FallbackDiscoveryTest.java
+++ b/config/src/test/java/elmsail/config/watch/FallbackDiscoveryTest.java
@@ -37,7 +37,7 @@
 
   private ConfigWatcher watcher(PeerRole role, long instanceId) {
     HttpClient asker =
-        (address, path, timeoutMs) -> {
+        (address, request, timeoutMs) -> {
           fetchTimes.add(timers.now());
           CompletableFuture<SimpleHttpResponse> reply = new CompletableFuture<>();
           timers.schedule(
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -25,7 +25,7 @@
  * lease, until the lease ends, is given up, or a higher term is seen ({@link #onFenced}); each of
  * these ends its use for good, as the next acquisition takes a higher one. Runs on the event loop.
  */
-final class SingletonLease {
+final class SingletonLease implements DutyLease {
   /** The register's key of the term, and the lease's name on the wire. */
   static final String KEY = "duty";
 
@@ -179,8 +179,8 @@
     }
   }
 
-  /** The term in which this process holds the lease at this very moment; 0 if it does not. */
-  long term() {
+  @Override
+  public long term() {
     return lease != null && lease.isHeld(timers.now()) ? term : 0;
   }
 
@@ -190,7 +190,8 @@
    * the lease is given up for as long as one lasts, so that two holders do not act by turns. A
    * refusal of an earlier term than the present one says nothing new.
    */
-  void onFenced(long refusedTerm) {
+  @Override
+  public void onFenced(long refusedTerm) {
     if (closed || lease == null || term == 0 || refusedTerm != term) {
       return;
     }
--- a/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
+++ b/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
@@ -10,6 +10,7 @@
 import elmsail.runtime.ManualTimers;
 import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
+import elmsail.runtime.http.HttpClientRequest;
 import elmsail.runtime.http.SimpleHttpRequest;
 import elmsail.runtime.http.SimpleHttpResponse;
 import elmsail.simulation.SimDisk;
@@ -44,6 +45,12 @@
   /** How long each sync takes on disks that are made from now on; 0: the disk's own way. */
   long syncMs;
 
+  /** Rate of the platform's duties; 0: it expects none. */
+  double dutyCallsPerSecond;
+
+  /** Length of the windows whose usage is reported; 0: none is. */
+  long usageWindowMs;
+
   private final long seed;
   private final int bearMachines;
   private final List<String> seeds = new ArrayList<>();
@@ -73,6 +80,13 @@
     return "10." + kind + ".0." + name.substring(1);
   }
 
+  /** Settings of a control-plane node whose platform expects both duties at that rate. */
+  static Settings settingsWithDuties(String name, double dutyCallsPerSecond) {
+    SimulatedCluster cluster = new SimulatedCluster(1, 1);
+    cluster.dutyCallsPerSecond = dutyCallsPerSecond;
+    return cluster.settings(name, true, true);
+  }
+
   private Settings settings(String name, boolean firstStart, boolean disk) {
     boolean head = name.startsWith("n");
     boolean store = name.startsWith("v");
@@ -96,8 +110,29 @@
         Set.of(),
         bearMachines,
         new Settings.Bounds(
-            3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000),
-        new Settings.Platform("10.9.0.1:8169", 40, 800));
+            3_000,
+            4_000,
+            5_000,
+            3_000,
+            8_000,
+            200,
+            2_000,
+            120,
+            120_000,
+            3_000,
+            1_000,
+            0.1,
+            2_000,
+            0,
+            usageWindowMs,
+            usageWindowMs * 2),
+        new Settings.Platform("10.9.0.1:8169", 40, 800, duties(), dutyCallsPerSecond));
+  }
+
+  private Set<String> duties() {
+    return dutyCallsPerSecond > 0
+        ? Set.of(Settings.Platform.USAGE_DUTY, Settings.Platform.FLEET_DUTY)
+        : Set.of();
   }
 
   private SimDisk disk(String name, SimNode node) {
@@ -162,7 +197,7 @@
   }
 
   private CompletableFuture<SimpleHttpResponse> platform(
-      String address, String path, long timeoutMs) {
+      String address, HttpClientRequest request, long timeoutMs) {
     platformCalls++;
     CompletableFuture<SimpleHttpResponse> reply = new CompletableFuture<>();
     byte[] body = platformReply.getBytes(StandardCharsets.UTF_8);
--- a/runtime/src/main/java/elmsail/runtime/http/NettyHttpClient.java
+++ b/runtime/src/main/java/elmsail/runtime/http/NettyHttpClient.java
@@ -45,9 +45,9 @@
   }
 
   @Override
-  public CompletableFuture<SimpleHttpResponse> get(
-      String address, String pathAndQuery, long timeoutMs) {
-    PendingRequest asked = new PendingRequest(address, pathAndQuery);
+  public CompletableFuture<SimpleHttpResponse> send(
+      String address, HttpClientRequest request, long timeoutMs) {
+    PendingRequest asked = new PendingRequest(address, request);
     ChannelFuture connecting =
         new Bootstrap()
             .group(loop.eventLoop())
@@ -94,21 +94,14 @@
   static final class PendingRequest extends ChannelInboundHandlerAdapter {
     final CompletableFuture<SimpleHttpResponse> response = new CompletableFuture<>();
     private final String address;
-    private final String requestText;
+    private final HttpClientRequest request;
     private boolean sent;
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-    PendingRequest(String address, String pathAndQuery) {
+    PendingRequest(String address, HttpClientRequest request) {
       this.address = address;
-      for (int i = 0; i < pathAndQuery.length(); i++) {
-        char letter = pathAndQuery.charAt(i);
-        if (letter <= ' ' || letter > '~') {
-          throw new ElmsailException(ErrorCode.INVALID_ARGUMENT, "not a path: " + pathAndQuery);
-        }
-      }
-      requestText =
-          "GET " + pathAndQuery + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n";
+      this.request = request;
     }
 
     void initPipeline(Channel channel) {
@@ -121,7 +114,8 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       sent = true;
-      ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), requestText));
+      ByteBuf head = ByteBufUtil.writeAscii(ctx.alloc(), request.formatHead(address));
+      ctx.writeAndFlush(Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(request.body())));
     }
 
     @Override
--- a/runtime/src/test/java/elmsail/runtime/http/HttpLoopbackTest.java
+++ b/runtime/src/test/java/elmsail/runtime/http/HttpLoopbackTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.function.Executable;
 
 @Timeout(30)
 class HttpLoopbackTest {
@@ -64,6 +65,62 @@
     assertThat(new String(response.body(), StandardCharsets.UTF_8), is("{zone=a b}"));
   }
 
+  @Test
+  void serverReceivesThePostedHeadersAndBody() {
+    List<SimpleHttpRequest> received = new ArrayList<>();
+    HttpServer server =
+        HttpServer.listen(
+                loop,
+                "127.0.0.1:0",
+                request -> {
+                  received.add(request);
+                  return CompletableFuture.completedFuture(
+                      new SimpleHttpResponse(409, Map.of(), new byte[0]));
+                },
+                100)
+            .join();
+    byte[] body = "{\"window_no\":7}".getBytes(StandardCharsets.UTF_8);
+    SimpleHttpResponse response =
+        client
+            .post(server.address(), "/usage", Map.of("Elmsail-Fence", "12"), body, TIMEOUT_MS)
+            .join();
+    assertThat(response.status(), is(409));
+    SimpleHttpRequest request = received.get(0);
+    assertThat(request.method(), is("POST"));
+    assertThat(request.path(), is("/usage"));
+    assertThat(request.headers().get("elmsail-fence"), is("12"));
+    assertThat(request.headers().get("content-length"), is("15"));
+    assertThat(request.body(), is(body));
+  }
+
+  @Test
+  void emptyPostSaysItsLength() {
+    HttpServer server = serve();
+    assertThat(
+        client.post(server.address(), "/p", Map.of(), new byte[0], TIMEOUT_MS).join().status(),
+        is(200));
+    assertThat(
+        HttpClientRequest.post("/p", Map.of(), new byte[0]).formatHead("h"),
+        is("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
+    assertThat(
+        HttpClientRequest.get("/p").formatHead("h"),
+        is("GET /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+  }
+
+  @Test
+  void requestsThatWouldBreakTheirFramingAreRefused() {
+    assertInvalid(() -> HttpClientRequest.get("/a b"));
+    assertInvalid(() -> HttpClientRequest.get("/a\r\nX: y"));
+    assertInvalid(() -> HttpClientRequest.post("/", Map.of("X\r\nY", "1"), new byte[0]));
+    assertInvalid(() -> HttpClientRequest.post("/", Map.of("X", "1\r\nY: 2"), new byte[0]));
+    assertInvalid(() -> HttpClientRequest.post("/", Map.of("X:", "1"), new byte[0]));
+  }
+
+  private static void assertInvalid(Executable makesRequest) {
+    ElmsailException refused = assertThrows(ElmsailException.class, makesRequest);
+    assertThat(refused.code(), is(ErrorCode.INVALID_ARGUMENT));
+  }
+
   @Test
   void listenFailsOnAnAddressInUse() throws Exception {
     try (ServerSocket taken = new ServerSocket(0, 1, HERE)) {
