Batch: a job keeps its tenant; calls name the caller's tenant, items the tenant they run for

Cause: a job's record did not say whose key it was submitted with, so neither its items nor later calls could be told apart by tenant. Change: TenantName; JobDescription.tenant; job records with a tenant have format 3, which appends the name. Records without one stay in format 2, byte for byte. A process of the former version rejects format 3 (MALFORMED): such a store does not vote on the job, such a gateway answers 503 for it and does not take it over, rather than write it anew without its tenant. So stores are replaced before a configuration with tenants comes into force. BatchService and ItemServers take the tenant; the gateway passes none yet. Measured: PinnedJobBytesTest and MessageCodecTest green (formats 1 and 2 unchanged, 3 added; unknown formats are 4 and above now, and 3 without a tenant is rejected too).

--- a/batch/src/main/java/elmsail/batch/ItemServers.java
+++ b/batch/src/main/java/elmsail/batch/ItemServers.java
@@ -13,11 +13,13 @@
   /**
    * Sends one item to a server of the route's service, with {@code Elmsail-Expect-Server}.
    *
+   * @param tenant that the item is run for
    * @param lastEventId the last event that the caller has, after which the run resumes; -1 to run
    *     from the beginning
    * @return null if there is no capacity; then nothing was sent and the listener is not called
    */
-  RunHandle start(Route route, BatchItem item, long lastEventId, RunListener listener);
+  RunHandle start(
+      TenantName tenant, Route route, BatchItem item, long lastEventId, RunListener listener);
 
   /** A run in flight. */
   interface RunHandle {
--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -4,6 +4,7 @@
 import elmsail.batch.BatchService;
 import elmsail.batch.BatchSettings;
 import elmsail.batch.ItemServers;
+import elmsail.batch.TenantName;
 import elmsail.batch.client.BatchContext;
 import elmsail.batch.client.BatchJobClient;
 import elmsail.batch.client.BatchMetrics;
@@ -119,7 +120,8 @@
   }
 
   @Override
-  public CompletableFuture<Reply> submit(Route route, String jobId, byte[] body, long deadlineMs) {
+  public CompletableFuture<Reply> submit(
+      TenantName tenant, Route route, String jobId, byte[] body, long deadlineMs) {
     RoutingConfig config = context.clusterState().config();
     if (config == null || pendingSubmitBytes + body.length > MAX_PENDING_SUBMIT_BYTES) {
       return CompletableFuture.completedFuture(replies.unavailable());
@@ -138,7 +140,7 @@
         return acceptedBeforeOr(jobId, BatchReplies.BAD_REQUEST);
       }
     }
-    return submit(new Submission(jobId, route, items, Math.min(deadlineMs, MAX_SUBMIT_MS)));
+    return submit(new Submission(tenant, jobId, route, items, Math.min(deadlineMs, MAX_SUBMIT_MS)));
   }
 
   private CompletableFuture<Reply> submit(Submission submission) {
@@ -157,7 +159,8 @@
   }
 
   @Override
-  public CompletableFuture<Reply> readResults(String jobId, long after, long waitMs) {
+  public CompletableFuture<Reply> readResults(
+      TenantName tenant, String jobId, long after, long waitMs) {
     if (!isValidJobId(jobId)) {
       return CompletableFuture.completedFuture(BatchReplies.NOT_FOUND);
     }
@@ -182,7 +185,7 @@
   }
 
   @Override
-  public CompletableFuture<Reply> readItemBody(String jobId, String itemId) {
+  public CompletableFuture<Reply> readItemBody(TenantName tenant, String jobId, String itemId) {
     if (!isValidJobId(jobId) || itemId == null) {
       return CompletableFuture.completedFuture(BatchReplies.NOT_FOUND);
     }
@@ -208,7 +211,7 @@
   }
 
   @Override
-  public CompletableFuture<Reply> cancel(String jobId) {
+  public CompletableFuture<Reply> cancel(TenantName tenant, String jobId) {
     return isValidJobId(jobId)
         ? cancelHandler.cancel(jobId)
         : CompletableFuture.completedFuture(BatchReplies.NOT_FOUND);
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -119,7 +119,8 @@
         route.completionTargetMs(),
         route.itemTtlMs(),
         body.name,
-        items);
+        items,
+        submission.tenant());
   }
 
   /** The size of the encoded body. */
--- a/batch/src/main/java/elmsail/batch/messages/JobDescription.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobDescription.java
@@ -1,5 +1,6 @@
 package elmsail.batch.messages;
 
+import elmsail.batch.TenantName;
 import java.util.List;
 
 /**
@@ -14,6 +15,8 @@
  *     never
  * @param bodyBlobName the blob that holds the requests of the items, see {@link JobBodyCodec}
  * @param items in the order in which the client submitted them
+ * @param tenant whose key the job was submitted with; its tokens count against the limit of that
+ *     tenant, and its items are run in that tenant's name, also after its keys were taken away
  */
 public record JobDescription(
     String routeName,
@@ -22,4 +25,26 @@
     long completionTargetMs,
     long itemTtlMs,
     String bodyBlobName,
-    List<JobRecord.Item> items) {}
+    List<JobRecord.Item> items,
+    TenantName tenant) {
+
+  /** A job without a tenant. */
+  public JobDescription(
+      String routeName,
+      String host,
+      long configVersion,
+      long completionTargetMs,
+      long itemTtlMs,
+      String bodyBlobName,
+      List<JobRecord.Item> items) {
+    this(
+        routeName,
+        host,
+        configVersion,
+        completionTargetMs,
+        itemTtlMs,
+        bodyBlobName,
+        items,
+        TenantName.NONE);
+  }
+}
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -1,5 +1,6 @@
 package elmsail.batch.messages;
 
+import elmsail.batch.TenantName;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
@@ -104,6 +105,11 @@
     return description.host();
   }
 
+  /** The tenant that the job belongs to. */
+  public TenantName tenant() {
+    return description.tenant();
+  }
+
   /** The version of the configuration when the job was accepted. */
   public long configVersion() {
     return description.configVersion();
--- a/batch/src/main/java/elmsail/batch/messages/JobRecordCodec.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecordCodec.java
@@ -1,5 +1,6 @@
 package elmsail.batch.messages;
 
+import elmsail.batch.TenantName;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import java.util.ArrayList;
@@ -10,19 +11,29 @@
  * processes. The layout is fixed: stores read records that earlier versions wrote. A new layout
  * takes the next format number, and {@link #decode} goes on reading the earlier ones.
  *
- * <p>Format 2: format number, version, route name, host, configuration version, completion target,
+ * <p>Format 3: format number, version, route name, host, configuration version, completion target,
  * item time to live, name of the body blob, cancelled, runner, term, age; then the items, results
- * and failed attempts, each as a count followed by its entries. Format 1 ends after the results.
+ * and failed attempts, each as a count followed by its entries; then the name of the tenant. Format
+ * 2 ends after the failed attempts, format 1 after the results.
+ *
+ * <p>The record of a job without a tenant is written in format 2, which processes of the former
+ * version read and write too. They reject one with a tenant, rather than lose the tenant with the
+ * next change.
  */
 final class JobRecordCodec {
   private static final int FORMAT_WITHOUT_FAILED_ATTEMPTS = 1;
-  private static final int FORMAT = 2;
+  private static final int FORMAT_WITHOUT_TENANT = 2;
+  private static final int FORMAT = 3;
 
   private JobRecordCodec() {}
 
-  /** The record in the newest format. */
+  /** The record in the oldest format that holds all of it. */
   static byte[] encode(JobRecord record) {
-    ByteWriter writer = new ByteWriter().writeVarint(FORMAT).writeVarint(record.version());
+    boolean hasTenant = !record.tenant().isNone();
+    ByteWriter writer =
+        new ByteWriter()
+            .writeVarint(hasTenant ? FORMAT : FORMAT_WITHOUT_TENANT)
+            .writeVarint(record.version());
     writeDescription(writer, record.description());
     writer
         .writeBoolean(record.cancelled())
@@ -32,6 +43,9 @@
     writeItems(writer, record.items());
     writeResults(writer, record.results());
     writeFailedAttempts(writer, record.failedAttempts());
+    if (hasTenant) {
+      writer.writeString(record.tenant().value());
+    }
     return writer.toByteArray();
   }
 
@@ -54,15 +68,24 @@
     String runner = reader.readString();
     long term = reader.readVarint();
     long ageMs = reader.readVarint();
-    JobDescription description = fields.withItems(readItems(reader));
+    List<JobRecord.Item> items = readItems(reader);
     List<JobRecord.Result> results = readResults(reader);
     List<JobRecord.FailedAttempts> failedAttempts =
         format == FORMAT_WITHOUT_FAILED_ATTEMPTS ? List.of() : readFailedAttempts(reader);
+    TenantName tenant =
+        format <= FORMAT_WITHOUT_TENANT ? TenantName.NONE : new TenantName(reader.readString());
     return new JobRecord(
-        version, description, results, cancelled, runner, term, ageMs, failedAttempts);
+        version,
+        fields.describe(items, tenant),
+        results,
+        cancelled,
+        runner,
+        term,
+        ageMs,
+        failedAttempts);
   }
 
-  /** The fields of a description that precede its items; other fields stand in between. */
+  /** The fields of a description that precede the others of the record. */
   private record DescriptionFields(
       String routeName,
       String host,
@@ -70,9 +93,16 @@
       long completionTargetMs,
       long itemTtlMs,
       String bodyBlobName) {
-    JobDescription withItems(List<JobRecord.Item> items) {
+    JobDescription describe(List<JobRecord.Item> items, TenantName tenant) {
       return new JobDescription(
-          routeName, host, configVersion, completionTargetMs, itemTtlMs, bodyBlobName, items);
+          routeName,
+          host,
+          configVersion,
+          completionTargetMs,
+          itemTtlMs,
+          bodyBlobName,
+          items,
+          tenant);
     }
   }
 
--- a/batch/src/main/java/elmsail/batch/run/ItemRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/ItemRunner.java
@@ -43,7 +43,11 @@
     int run = itemRun.begin(context.timers().now());
     ItemServers.RunHandle handle =
         servers.start(
-            route, item, itemRun.lastEventId(), new CurrentRunListener(job, itemRun, run, route));
+            job.record.tenant(),
+            route,
+            item,
+            itemRun.lastEventId(),
+            new CurrentRunListener(job, itemRun, run, route));
     if (handle == null) {
       itemRun.abortStart(run);
       return false;
--- a/batch/src/test/java/elmsail/batch/BatchFaultSimulationTest.java
+++ b/batch/src/test/java/elmsail/batch/BatchFaultSimulationTest.java
@@ -102,7 +102,7 @@
         ObservedJob observed = jobs.get(id);
         observed.cancelRequested = true;
         check(
-            gateway.batchApi.cancel(id),
+            gateway.batchApi.cancel(TenantName.NONE, id),
             reply -> {
               if (reply.status() == 200 && observed.cancelledAt < 0) {
                 observed.cancelledAt = cluster.timers.now();
@@ -115,7 +115,7 @@
     void read(String id) {
       ReplicatedBatchCluster.Gateway gateway = gateway();
       if (gateway != null) {
-        check(gateway.batchApi.readResults(id, 0, 0), reply -> check(id, reply));
+        check(gateway.batchApi.readResults(TenantName.NONE, id, 0, 0), reply -> check(id, reply));
       }
     }
 
@@ -225,7 +225,8 @@
   private static void checkResults(FaultRun faultRun, String jobId, ObservedJob observed) {
     String where = ", seed " + faultRun.cluster.seed;
     BatchApi batchApi = faultRun.cluster.gateways.get(0).batchApi;
-    BatchService.Reply reply = faultRun.cluster.await(batchApi.readResults(jobId, 0, 0));
+    BatchService.Reply reply =
+        faultRun.cluster.await(batchApi.readResults(TenantName.NONE, jobId, 0, 0));
     assertThat(jobId + where, reply.status(), is(200));
     faultRun.check(jobId, reply);
     String body = new String(reply.body(), StandardCharsets.UTF_8);
@@ -238,7 +239,8 @@
 
   private static void checkItemBody(FaultRun faultRun, String jobId) {
     BatchApi batchApi = faultRun.cluster.gateways.get(1).batchApi;
-    BatchService.Reply item = faultRun.cluster.await(batchApi.readItemBody(jobId, jobId + "-1"));
+    BatchService.Reply item =
+        faultRun.cluster.await(batchApi.readItemBody(TenantName.NONE, jobId, jobId + "-1"));
     String where = ", seed " + faultRun.cluster.seed;
     assertThat(jobId + where, item.status(), is(200));
     assertThat(
@@ -281,7 +283,9 @@
       cluster.timers.advance(9_000);
       String body =
           new String(
-              cluster.await(cluster.gateways.get(1).batchApi.readResults("a", 0, 0)).body(),
+              cluster
+                  .await(cluster.gateways.get(1).batchApi.readResults(TenantName.NONE, "a", 0, 0))
+                  .body(),
               StandardCharsets.UTF_8);
       assertThat("seed " + seed, body, containsString("\"next_token\":" + ITEMS));
     }
--- a/batch/src/test/java/elmsail/batch/BodyRelayFaultTest.java
+++ b/batch/src/test/java/elmsail/batch/BodyRelayFaultTest.java
@@ -36,7 +36,12 @@
         .gateways
         .get(0)
         .batchApi
-        .submit(cluster.route(), id, JobJson.largeJob(id, ITEMS, 10, ITEM_BYTES), 3_000);
+        .submit(
+            TenantName.NONE,
+            cluster.route(),
+            id,
+            JobJson.largeJob(id, ITEMS, 10, ITEM_BYTES),
+            3_000);
   }
 
   @Test
@@ -119,7 +124,12 @@
                 .gateways
                 .get(i % 4)
                 .batchApi
-                .submit(cluster.route(), id, JobJson.largeJob(id, ITEMS, 10, ITEM_BYTES), 3_000));
+                .submit(
+                    TenantName.NONE,
+                    cluster.route(),
+                    id,
+                    JobJson.largeJob(id, ITEMS, 10, ITEM_BYTES),
+                    3_000));
         cluster.timers.advance(cluster.random.nextInt(20));
       }
       int accepted = 0;
@@ -177,7 +187,12 @@
               .gateways
               .get(0)
               .batchApi
-              .submit(cluster.route(), "a", JobJson.largeJob("a", ITEMS, 3, ITEM_BYTES), 3_000);
+              .submit(
+                  TenantName.NONE,
+                  cluster.route(),
+                  "a",
+                  JobJson.largeJob("a", ITEMS, 3, ITEM_BYTES),
+                  3_000);
       cluster.timers.advance(offset);
       cluster.submit(cluster.gateways.get(1), "c" + offset, 1, 600);
       int status = cluster.await(large).status();
--- a/batch/src/test/java/elmsail/batch/FailingItemsTest.java
+++ b/batch/src/test/java/elmsail/batch/FailingItemsTest.java
@@ -131,11 +131,11 @@
     byte[] same = JobJson.job("a", 1, 10);
     byte[] other = JobJson.job("b", 1, 10);
     BatchService second = cluster.gateways.get(1).batchApi;
-    assertThat(cluster.status(second.submit(route, "a", same, 3_000)), is(202));
-    assertThat(cluster.status(second.submit(route, "b", other, 3_000)), is(400));
+    assertThat(cluster.status(second.submit(TenantName.NONE, route, "a", same, 3_000)), is(202));
+    assertThat(cluster.status(second.submit(TenantName.NONE, route, "b", other, 3_000)), is(400));
     cluster.stores.get(0).up = false;
     cluster.stores.get(1).up = false;
-    assertThat(cluster.status(second.submit(route, "b", other, 3_000)), is(503));
+    assertThat(cluster.status(second.submit(TenantName.NONE, route, "b", other, 3_000)), is(503));
   }
 
   /** LOST: a resubmission is accepted over quota, after completion and after cancellation. */
@@ -151,8 +151,12 @@
     cluster.timers.advance(500);
     assertThat(cluster.read(1, "a", 9), containsString("\"next_token\":10"));
     assertThat("after its completion", cluster.status(cluster.submit(1, "a", 10, 10)), is(202));
-    assertThat(cluster.status(cluster.gateways.get(1).batchApi.cancel("a")), is(200));
-    assertThat("again", cluster.status(cluster.gateways.get(0).batchApi.cancel("a")), is(200));
+    assertThat(
+        cluster.status(cluster.gateways.get(1).batchApi.cancel(TenantName.NONE, "a")), is(200));
+    assertThat(
+        "again",
+        cluster.status(cluster.gateways.get(0).batchApi.cancel(TenantName.NONE, "a")),
+        is(200));
     assertThat("after its cancellation", cluster.status(cluster.submit(0, "a", 10, 10)), is(202));
     int runs =
         cluster.gateways.get(0).servers.runs.size() + cluster.gateways.get(1).servers.runs.size();
--- a/batch/src/test/java/elmsail/batch/JobLeaseTest.java
+++ b/batch/src/test/java/elmsail/batch/JobLeaseTest.java
@@ -22,13 +22,16 @@
     servers.capacity = 2;
     assertThat(cluster.status(cluster.submit(0, "a", 9, 10)), is(202));
     cluster.timers.advance(100);
-    assertThat(cluster.status(cluster.gateways.get(1).batchApi.cancel("a")), is(200));
+    assertThat(
+        cluster.status(cluster.gateways.get(1).batchApi.cancel(TenantName.NONE, "a")), is(200));
     cluster.timers.advance(20);
     assertThat(servers.openRuns(), is(0));
     cluster.timers.advance(5_000);
     assertThat(servers.runs, hasSize(2));
-    assertThat(cluster.status(cluster.gateways.get(0).batchApi.cancel("a")), is(200));
-    assertThat(cluster.status(cluster.gateways.get(0).batchApi.cancel("never")), is(404));
+    assertThat(
+        cluster.status(cluster.gateways.get(0).batchApi.cancel(TenantName.NONE, "a")), is(200));
+    assertThat(
+        cluster.status(cluster.gateways.get(0).batchApi.cancel(TenantName.NONE, "never")), is(404));
   }
 
   @Test
@@ -44,7 +47,8 @@
       if (seed % 2 == 0) {
         cluster.stores.forEach(store -> cluster.cut(runner.address, store.address, true));
       }
-      assertThat(cluster.status(cluster.gateways.get(1).batchApi.cancel("a")), is(200));
+      assertThat(
+          cluster.status(cluster.gateways.get(1).batchApi.cancel(TenantName.NONE, "a")), is(200));
       long ended = cluster.timers.now();
       cluster.timers.advance(10_000);
       assertThat(
--- a/batch/src/test/java/elmsail/batch/JobRunnerTest.java
+++ b/batch/src/test/java/elmsail/batch/JobRunnerTest.java
@@ -153,7 +153,8 @@
   @Test
   void aWaitingReadIsAnsweredAsSoonAsAResultIsRecorded() {
     SimBatchCluster cluster = accepted(15, 1, 2);
-    CompletableFuture<Reply> held = cluster.gateways.get(0).batchApi.readResults("a", 0, 1_000);
+    CompletableFuture<Reply> held =
+        cluster.gateways.get(0).batchApi.readResults(TenantName.NONE, "a", 0, 1_000);
     cluster.timers.advance(300);
     assertThat(held.isDone(), is(false));
     cluster.gateways.get(0).servers.lastRun().complete();
@@ -161,7 +162,8 @@
     assertThat(held.isDone(), is(true));
     assertThat(
         new String(held.join().body(), StandardCharsets.UTF_8), containsString("\"next_token\":1"));
-    CompletableFuture<Reply> empty = cluster.gateways.get(0).batchApi.readResults("a", 1, 5_000);
+    CompletableFuture<Reply> empty =
+        cluster.gateways.get(0).batchApi.readResults(TenantName.NONE, "a", 1, 5_000);
     cluster.timers.advance(1_100);
     assertThat(
         new String(empty.join().body(), StandardCharsets.UTF_8),
@@ -176,18 +178,23 @@
     cluster.stores.get(1).up = false;
     assertThat(cluster.read(1, "a", 0), startsWith("503"));
     assertThat(cluster.read(1, "b", 0), startsWith("503"));
-    assertThat(cluster.status(cluster.gateways.get(1).batchApi.readItemBody("b", "b-0")), is(503));
+    assertThat(
+        cluster.status(cluster.gateways.get(1).batchApi.readItemBody(TenantName.NONE, "b", "b-0")),
+        is(503));
   }
 
   @Test
   void anItemBodyIsReadUnchangedAtEveryGateway() {
     SimBatchCluster cluster = accepted(17, 2, 3);
     for (SimBatchCluster.Gateway gateway : cluster.gateways) {
-      Reply reply = cluster.await(gateway.batchApi.readItemBody("a", "a-2"));
+      Reply reply = cluster.await(gateway.batchApi.readItemBody(TenantName.NONE, "a", "a-2"));
       assertThat(new String(reply.body(), StandardCharsets.UTF_8), is("body a2"));
-      assertThat(cluster.status(gateway.batchApi.readItemBody("a", "b-2")), is(404));
+      assertThat(
+          cluster.status(gateway.batchApi.readItemBody(TenantName.NONE, "a", "b-2")), is(404));
     }
-    assertThat(cluster.status(cluster.gateways.get(1).batchApi.readItemBody("b", "b-2")), is(404));
+    assertThat(
+        cluster.status(cluster.gateways.get(1).batchApi.readItemBody(TenantName.NONE, "b", "b-2")),
+        is(404));
   }
 
   @Test
@@ -199,7 +206,8 @@
       run.end(RunOutcome.COMPLETED);
     }
     cluster.timers.advance(300);
-    Reply reply = cluster.await(cluster.gateways.get(0).batchApi.readResults("a", 0, 0));
+    Reply reply =
+        cluster.await(cluster.gateways.get(0).batchApi.readResults(TenantName.NONE, "a", 0, 0));
     assertThat(reply.body().length, lessThanOrEqualTo(1 << 20));
     assertThat(
         new String(reply.body(), StandardCharsets.UTF_8), not(containsString("\"next_token\":3")));
--- a/batch/src/test/java/elmsail/batch/MessageCodecTest.java
+++ b/batch/src/test/java/elmsail/batch/MessageCodecTest.java
@@ -152,16 +152,41 @@
     assertThat(withResult.withCancellation().failedAttempts(), contains(ofC));
   }
 
+  private static JobRecord withTenant() {
+    List<JobRecord.Item> items = List.of(new JobRecord.Item("a", 5));
+    return JobRecord.accepted(
+        new JobDescription("r", "h", 1, 1, 1, "b", items, new TenantName("t")), "d");
+  }
+
+  @Test
+  void theTenantOfARecordSurvivesTheCodecAndEachCutIsRejected() {
+    byte[] packed = withTenant().encode();
+    assertThat(JobRecord.decode(packed), is(withTenant()));
+    for (int cut = 0; cut < packed.length; cut++) {
+      byte[] part = Arrays.copyOf(packed, cut);
+      assertThat(
+          assertThrows(ElmsailException.class, () -> JobRecord.decode(part)).code(),
+          is(ErrorCode.MALFORMED));
+    }
+  }
+
   @Test
   void formatOneIsDecodedAndALaterFormatIsRejected() {
     JobRecord record = threeItems();
     byte[] first = Arrays.copyOf(record.encode(), record.encode().length - 1);
     first[0] = 1;
     assertThat(JobRecord.decode(first), is(record));
-    byte[] later = record.encode();
-    later[0] = 3;
+    for (byte later : new byte[] {4, 127}) {
+      byte[] bytes = withTenant().encode();
+      bytes[0] = later;
+      assertThat(
+          assertThrows(ElmsailException.class, () -> JobRecord.decode(bytes)).code(),
+          is(ErrorCode.MALFORMED));
+    }
+    byte[] withoutTenant = record.encode();
+    withoutTenant[0] = 3;
     assertThat(
-        assertThrows(ElmsailException.class, () -> JobRecord.decode(later)).code(),
+        assertThrows(ElmsailException.class, () -> JobRecord.decode(withoutTenant)).code(),
         is(ErrorCode.MALFORMED));
   }
 
--- a/batch/src/test/java/elmsail/batch/NarrowUplinkTest.java
+++ b/batch/src/test/java/elmsail/batch/NarrowUplinkTest.java
@@ -32,7 +32,11 @@
     long startedAt = cluster.timers.now();
     CompletableFuture<BatchService.Reply> reply =
         gateway.batchApi.submit(
-            cluster.route(), id, JobJson.largeJob(id, ITEMS, 10, ITEM_BYTES), 3_000);
+            TenantName.NONE,
+            cluster.route(),
+            id,
+            JobJson.largeJob(id, ITEMS, 10, ITEM_BYTES),
+            3_000);
     assertThat(cluster.await(reply).status(), is(202));
     return cluster.timers.now() - startedAt;
   }
--- a/batch/src/test/java/elmsail/batch/PinnedJobBytesTest.java
+++ b/batch/src/test/java/elmsail/batch/PinnedJobBytesTest.java
@@ -30,6 +30,10 @@
   private static final String RECORD_OF_FORMAT_2 =
       "0203017209682e6578616d706c6505904ee0d40306626f64792d37010d31302e302e302e"
           + "313a3737323002d20902016180808080801002c3bc00020101024d00000100010002";
+  private static final String RECORD_OF_FORMAT_3 =
+      "0303017209682e6578616d706c6505904ee0d40306626f64792d37010d31302e302e302e"
+          + "313a3737323002d20902016180808080801002c3bc00020101024d00000100010002"
+          + "036bc3bc";
   private static final String BODY =
       "010178042f702f31ac0703ab00ff020141036220630c436f6e74656e742d547970650a74"
           + "6578742f706c61696e";
@@ -43,6 +47,10 @@
   }
 
   private static JobRecord job(List<JobRecord.FailedAttempts> failures) {
+    return job(failures, TenantName.NONE);
+  }
+
+  private static JobRecord job(List<JobRecord.FailedAttempts> failures, TenantName tenant) {
     return new JobRecord(
         3,
         new JobDescription(
@@ -52,7 +60,8 @@
             10_000,
             60_000,
             "body-7",
-            List.of(new JobRecord.Item("a", 1L << 39), new JobRecord.Item("\u00fc", 0))),
+            List.of(new JobRecord.Item("a", 1L << 39), new JobRecord.Item("\u00fc", 0)),
+            tenant),
         List.of(new JobRecord.Result(1, true, 2, 77), new JobRecord.Result(0, false, 1, 0)),
         true,
         "10.0.0.1:7720",
@@ -68,6 +77,23 @@
     assertThat(JobRecord.decode(bytes(RECORD_OF_FORMAT_2)), is(record));
   }
 
+  /** Stores of the former version do not know this format, and reject it. */
+  @Test
+  void aRecordWithATenantHasTheseBytes() {
+    JobRecord record = job(List.of(new JobRecord.FailedAttempts(0, 2)), new TenantName("k\u00fc"));
+    assertThat(record.encode(), equalTo(bytes(RECORD_OF_FORMAT_3)));
+    assertThat(JobRecord.decode(bytes(RECORD_OF_FORMAT_3)), is(record));
+    assertThat(
+        record.rewritten().withRunner("d", 1).withCancellation().tenant(), is(record.tenant()));
+  }
+
+  @Test
+  void recordsOfEarlierFormatsHaveNoTenant() {
+    for (String earlier : List.of(RECORD_OF_FORMAT_1, RECORD_OF_FORMAT_2)) {
+      assertThat(JobRecord.decode(bytes(earlier)).tenant(), is(TenantName.NONE));
+    }
+  }
+
   /** The layout before failures were kept. */
   @Test
   void aRecordOfTheFirstFormatIsReadToo() {
--- a/batch/src/test/java/elmsail/batch/ReplicatedBatchCluster.java
+++ b/batch/src/test/java/elmsail/batch/ReplicatedBatchCluster.java
@@ -264,7 +264,12 @@
   }
 
   CompletableFuture<BatchService.Reply> submit(Gateway gateway, String id, int items, long tokens) {
-    return gateway.batchApi.submit(route(), id, JobJson.job(id, items, tokens), 3_000);
+    return submit(TenantName.NONE, gateway, id, items, tokens);
+  }
+
+  CompletableFuture<BatchService.Reply> submit(
+      TenantName tenant, Gateway gateway, String id, int items, long tokens) {
+    return gateway.batchApi.submit(tenant, route(), id, JobJson.job(id, items, tokens), 3_000);
   }
 
   /** The reply, or null if there is none within 6 s, as the gateway has crashed. */
--- a/batch/src/test/java/elmsail/batch/SimBatchCluster.java
+++ b/batch/src/test/java/elmsail/batch/SimBatchCluster.java
@@ -172,6 +172,11 @@
     };
   }
 
+  /** Puts a configuration in force at all gateways. */
+  void configure(SimConfig config) {
+    gateways.forEach(gateway -> gateway.initialConfig = config);
+  }
+
   int majority() {
     return stores.size() / 2 + 1;
   }
@@ -261,10 +266,15 @@
   }
 
   CompletableFuture<BatchService.Reply> submit(int gateway, String id, int items, long tokens) {
+    return submit(TenantName.NONE, gateway, id, items, tokens);
+  }
+
+  CompletableFuture<BatchService.Reply> submit(
+      TenantName tenant, int gateway, String id, int items, long tokens) {
     return gateways
         .get(gateway)
         .batchApi
-        .submit(route(), id, JobJson.job(id, items, tokens), 3_000);
+        .submit(tenant, route(), id, JobJson.job(id, items, tokens), 3_000);
   }
 
   /** Advances the clock until there is a reply, by 10 s at most. */
@@ -301,7 +311,8 @@
   }
 
   String read(int gateway, String id, long after) {
-    BatchService.Reply reply = await(gateways.get(gateway).batchApi.readResults(id, after, 0));
+    BatchService.Reply reply =
+        await(gateways.get(gateway).batchApi.readResults(TenantName.NONE, id, after, 0));
     return reply.status() + " " + new String(reply.body(), StandardCharsets.UTF_8);
   }
 }
--- a/batch/src/test/java/elmsail/batch/SimConfig.java
+++ b/batch/src/test/java/elmsail/batch/SimConfig.java
@@ -3,12 +3,48 @@
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
 import elmsail.config.Service;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 /** A routing configuration of these routes only. */
-record SimConfig(long version, List<Route> routes) implements RoutingConfig {
+record SimConfig(long version, List<Route> routes, boolean requiresKeys) implements RoutingConfig {
+
+  /** Without tenants. */
+  SimConfig(long version, List<Route> routes) {
+    this(version, routes, false);
+  }
+
+  /** The next version, with tenants. */
+  SimConfig withKeysRequired() {
+    return new SimConfig(version + 1, routes, true);
+  }
+
+  /** The next version, with a copy of the first route that needs no key. */
+  SimConfig withOpenRoute(String prefix) {
+    Route first = routes.get(0);
+    List<Route> more = new ArrayList<>(routes);
+    more.add(
+        new Route(
+            first.name() + "-open",
+            first.host(),
+            prefix,
+            first.kind(),
+            first.timeoutMs(),
+            first.latencyTargetMs(),
+            first.priority(),
+            first.weightedServices(),
+            first.maxAttempts(),
+            first.resumable(),
+            first.tokenGapTargetMs(),
+            first.completionTargetMs(),
+            first.itemTtlMs(),
+            first.maxWaitingTokens(),
+            true));
+    return new SimConfig(version + 1, more, requiresKeys);
+  }
+
   @Override
   public Optional<Route> match(String host, String path) {
     for (Route route : routes) {
--- a/batch/src/test/java/elmsail/batch/SimServers.java
+++ b/batch/src/test/java/elmsail/batch/SimServers.java
@@ -15,6 +15,7 @@
 
   /** One run of an item. */
   final class Run implements RunHandle {
+    final TenantName tenant;
     final BatchItem item;
     final long lastEventId;
     final RunListener listener;
@@ -22,7 +23,8 @@
     boolean ended;
     boolean cancelled;
 
-    Run(BatchItem item, long lastEventId, RunListener listener, long startedAt) {
+    Run(TenantName tenant, BatchItem item, long lastEventId, RunListener listener, long startedAt) {
+      this.tenant = tenant;
       this.item = item;
       this.lastEventId = lastEventId;
       this.listener = listener;
@@ -95,11 +97,12 @@
   }
 
   @Override
-  public RunHandle start(Route route, BatchItem item, long lastEventId, RunListener listener) {
+  public RunHandle start(
+      TenantName tenant, Route route, BatchItem item, long lastEventId, RunListener listener) {
     if (availableCapacity(route) <= 0) {
       return null;
     }
-    Run run = new Run(item, lastEventId, listener, timers.now());
+    Run run = new Run(tenant, item, lastEventId, listener, timers.now());
     runs.add(run);
     if (serviceTimeMs >= 0) {
       timers.schedule(serviceTimeMs + staggerMs * runs.size(), run::complete);
--- a/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
+++ b/batch/src/test/java/elmsail/batch/SubmitHandlerTest.java
@@ -93,7 +93,8 @@
     SimBatchCluster cluster = new SimBatchCluster(5, 2, 100);
     assertThat(cluster.status(cluster.submit(0, "a", 10, 10)), is(202));
     assertThat(cluster.status(cluster.submit(1, "b", 5, 10)), is(429));
-    assertThat(cluster.status(cluster.gateways.get(1).batchApi.cancel("a")), is(200));
+    assertThat(
+        cluster.status(cluster.gateways.get(1).batchApi.cancel(TenantName.NONE, "a")), is(200));
     assertThat(cluster.status(cluster.submit(1, "b", 10, 10)), is(202));
   }
 
@@ -253,15 +254,21 @@
     SimBatchCluster cluster = new SimBatchCluster(9, 1, 100);
     BatchService calls = cluster.gateways.get(0).batchApi;
     assertThat(
-        cluster.status(calls.submit(cluster.route(), "a", "{".getBytes(UTF_8), 1_000)), is(400));
+        cluster.status(
+            calls.submit(TenantName.NONE, cluster.route(), "a", "{".getBytes(UTF_8), 1_000)),
+        is(400));
     byte[] withoutRoute =
         new String(JobJson.job("a", 1, 1), UTF_8).replace("/lots1/", "/other/").getBytes(UTF_8);
-    assertThat(cluster.status(calls.submit(cluster.route(), "a", withoutRoute, 1_000)), is(400));
     assertThat(
-        cluster.status(calls.submit(cluster.route(), "a", JobJson.job("a", 201, 1), 1_000)),
+        cluster.status(calls.submit(TenantName.NONE, cluster.route(), "a", withoutRoute, 1_000)),
+        is(400));
+    assertThat(
+        cluster.status(
+            calls.submit(TenantName.NONE, cluster.route(), "a", JobJson.job("a", 201, 1), 1_000)),
         is(400));
     assertThat(
-        cluster.status(calls.submit(cluster.route(), "a/b", JobJson.job("a", 1, 1), 1_000)),
+        cluster.status(
+            calls.submit(TenantName.NONE, cluster.route(), "a/b", JobJson.job("a", 1, 1), 1_000)),
         is(400));
     assertThat(cluster.gateways.get(0).servers.runs, is(empty()));
   }
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -1,6 +1,7 @@
 package elmsail.gateway;
 
 import elmsail.batch.BatchService;
+import elmsail.batch.TenantName;
 import elmsail.config.ClusterState;
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
@@ -226,22 +227,23 @@
 
     @Override
     public CompletableFuture<Reply> submit(
-        Route route, String jobId, byte[] body, long deadlineMs) {
+        TenantName tenant, Route route, String jobId, byte[] body, long deadlineMs) {
       return none();
     }
 
     @Override
-    public CompletableFuture<Reply> readResults(String jobId, long after, long waitMs) {
+    public CompletableFuture<Reply> readResults(
+        TenantName tenant, String jobId, long after, long waitMs) {
       return none();
     }
 
     @Override
-    public CompletableFuture<Reply> readItemBody(String jobId, String itemId) {
+    public CompletableFuture<Reply> readItemBody(TenantName tenant, String jobId, String itemId) {
       return none();
     }
 
     @Override
-    public CompletableFuture<Reply> cancel(String jobId) {
+    public CompletableFuture<Reply> cancel(TenantName tenant, String jobId) {
       return none();
     }
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -2,6 +2,7 @@
 
 import elmsail.batch.BatchItem;
 import elmsail.batch.ItemServers;
+import elmsail.batch.TenantName;
 import elmsail.config.Route;
 import elmsail.gateway.http.Headers;
 import elmsail.gateway.http.RequestCounters;
@@ -44,7 +45,11 @@
 
   @Override
   public RunHandle start(
-      Route route, BatchItem item, long resumeAfterEventId, RunListener listener) {
+      TenantName tenant,
+      Route route,
+      BatchItem item,
+      long resumeAfterEventId,
+      RunListener listener) {
     long now = context.timers().now();
     List<Server> openServers = context.servers().serversOf(route);
     Set<Server> excluded = serversThatFailed(item.id(), openServers);
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -1,6 +1,7 @@
 package elmsail.gateway.requests;
 
 import elmsail.batch.BatchService;
+import elmsail.batch.TenantName;
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
 import elmsail.gateway.http.Headers;
@@ -52,7 +53,8 @@
     if (path.startsWith(ITEMS_PATH) && request.method().equals("GET")) {
       context.counters().count(RequestCounters.Event.BATCH_CALL);
       return relayBatchReply(
-          jobs.readItemBody(path.substring(ITEMS_PATH.length()), parameter(request, "id")), client);
+          jobs.readItemBody(
+              TenantName.NONE, path.substring(ITEMS_PATH.length()), parameter(request, "id")), client);
     }
     Optional<Route> matched = config.match(host, path);
     String id = request.headers().get(Headers.REQUEST_ID);
@@ -86,7 +88,7 @@
     }
     context.counters().count(RequestCounters.Event.BATCH_CALL);
     long remainingMs = Math.max(1, deadlineAt - context.timers().now());
-    return relayBatchReply(jobs.submit(route, id, request.body(), remainingMs), client);
+    return relayBatchReply(jobs.submit(TenantName.NONE, route, id, request.body(), remainingMs), client);
   }
 
   private RequestHandle handleJobCall(ReceivedRequest request, String jobId, ResponseSink client) {
@@ -97,10 +99,10 @@
         long wait =
             Math.min(
                 MAX_WAIT_MS, Headers.parseNonNegative(request.headers().get(Headers.WAIT_MS), 0));
-        return relayBatchReply(jobs.readResults(jobId, after, wait), client);
+        return relayBatchReply(jobs.readResults(TenantName.NONE, jobId, after, wait), client);
       }
       case "DELETE" -> {
-        return relayBatchReply(jobs.cancel(jobId), client);
+        return relayBatchReply(jobs.cancel(TenantName.NONE, jobId), client);
       }
       default -> {
         return sendLocalReply(client, 405, null, RequestCounters.Event.BAD_REQUEST);
--- a/gateway/src/test/java/elmsail/gateway/BatchItemExecutionTest.java
+++ b/gateway/src/test/java/elmsail/gateway/BatchItemExecutionTest.java
@@ -10,6 +10,7 @@
 import elmsail.batch.ItemServers.RunHandle;
 import elmsail.batch.ItemServers.RunListener;
 import elmsail.batch.ItemServers.RunOutcome;
+import elmsail.batch.TenantName;
 import elmsail.gateway.RawConnection.Message;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -49,7 +50,7 @@
             harness
                 .gateway
                 .itemServers()
-                .start(harness.clusterState.routeByName("sack"), ITEM, behind, listener));
+                .start(TenantName.NONE, harness.clusterState.routeByName("sack"), ITEM, behind, listener));
   }
 
   private String next() throws Exception {
@@ -296,7 +297,7 @@
             harness
                 .gateway
                 .itemServers()
-                .start(harness.clusterState.routeByName("sack"), item, -1, listener));
+                .start(TenantName.NONE, harness.clusterState.routeByName("sack"), item, -1, listener));
     Message received = harness.firstServer.accept().readMessage();
     envelope.forEach((name, value) -> assertThat(received.header(name), is(value)));
   }
@@ -309,7 +310,7 @@
           harness
               .gateway
               .itemServers()
-              .start(harness.clusterState.routeByName("sack"), ITEM, -1, listener)
+              .start(TenantName.NONE, harness.clusterState.routeByName("sack"), ITEM, -1, listener)
               .cancel();
           return null;
         });
--- a/gateway/src/test/java/elmsail/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayTestHarness.java
@@ -1,6 +1,7 @@
 package elmsail.gateway;
 
 import elmsail.batch.BatchService;
+import elmsail.batch.TenantName;
 import elmsail.config.Route;
 import elmsail.config.ServerEntry;
 import elmsail.runtime.NettyEventLoop;
@@ -38,22 +39,23 @@
 
     @Override
     public CompletableFuture<Reply> submit(
-        Route route, String jobId, byte[] body, long deadlineMs) {
+        TenantName tenant, Route route, String jobId, byte[] body, long deadlineMs) {
       return response("handIn " + route.name() + " " + jobId + " " + body.length);
     }
 
     @Override
-    public CompletableFuture<Reply> readResults(String jobId, long after, long waitMs) {
+    public CompletableFuture<Reply> readResults(
+        TenantName tenant, String jobId, long after, long waitMs) {
       return response("read " + jobId + " " + after + " " + waitMs);
     }
 
     @Override
-    public CompletableFuture<Reply> readItemBody(String jobId, String itemId) {
+    public CompletableFuture<Reply> readItemBody(TenantName tenant, String jobId, String itemId) {
       return response("item " + jobId + " " + itemId);
     }
 
     @Override
-    public CompletableFuture<Reply> cancel(String jobId) {
+    public CompletableFuture<Reply> cancel(TenantName tenant, String jobId) {
       return response("end " + jobId);
     }
   }
