Batch: waiting tokens are counted per tenant and route

Cause: reservations and job records were counted by route alone, so one tenant's jobs used up the limit of all others. Change: QuotaKey (route, tenant) is what is counted together, in JobStore, Reservations and SubmitHandler; the mechanism (READ, RESERVE, COMMIT) is as it was. A reservation's binary form ends with the tenant, if there is one; without one the bytes are the old ones. A store of the former version ignores the tenant and reports the whole route, so that gateways refuse too much beside it, never too little; a reservation without a tenant counts under the key without one.

--- a/batch/src/main/java/elmsail/batch/api/AdmissionCheck.java
+++ b/batch/src/main/java/elmsail/batch/api/AdmissionCheck.java
@@ -3,16 +3,16 @@
 import elmsail.batch.messages.WaitingTokens;
 
 /**
- * The judgement whether a job fits into the limit of its route. A pure function of the counted
- * tokens.
+ * The judgement whether a job fits into the limit of its tenant on its route. A pure function of
+ * the counted tokens.
  *
  * <p>Jobs that are reserved at the same time count against each other, so that of several that
- * would fit one by one, each may find the route full. The order of {@link
+ * would fit one by one, each may find the limit reached. The order of {@link
  * WaitingTokens#totalAheadOf} breaks the tie: a job that fits behind those that precede it keeps
  * its reservation, and the others yield.
  *
  * @param tokens of the job
- * @param limit on the waiting tokens of the route; 0 for none
+ * @param limit on the waiting tokens of the tenant on the route; 0 for none
  */
 record AdmissionCheck(String jobId, long tokens, long limit) {
 
--- a/batch/src/main/java/elmsail/batch/api/AdmissionVerdict.java
+++ b/batch/src/main/java/elmsail/batch/api/AdmissionVerdict.java
@@ -4,7 +4,7 @@
 enum AdmissionVerdict {
   /** The job has a record already: its submission was accepted before. */
   ALREADY_ACCEPTED,
-  /** The job fits into the limit of its route. */
+  /** The job fits into the limit of its tenant on its route. */
   FITS,
   /** It exceeds the limit only by reserved jobs that it precedes; it keeps its reservation. */
   CONTENDED_FIRST,
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -6,6 +6,7 @@
 import elmsail.batch.messages.JobBodyCodec;
 import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.QuotaKey;
 import elmsail.batch.messages.WaitingTokens;
 import elmsail.batch.run.JobRunner;
 import elmsail.config.Route;
@@ -16,10 +17,11 @@
 
 /**
  * One call that submits a job, in three rounds at the stores. {@code READ} counts the waiting
- * tokens of the route and reserves nothing, so that jobs without a chance are in nobody's way.
- * {@code RESERVE} adds the tokens of the job to the count of a majority. {@code COMMIT} counts once
- * more: of all jobs that are being accepted, the one whose reservation came last sees the others.
- * It carries the body, so that a majority has it before any store is asked to accept the record.
+ * tokens of the tenant on the route and reserves nothing, so that jobs without a chance are in
+ * nobody's way. {@code RESERVE} adds the tokens of the job to the count of a majority. {@code
+ * COMMIT} counts once more: of all jobs that are being accepted, the one whose reservation came
+ * last sees the others. It carries the body, so that a majority has it before any store is asked to
+ * accept the record.
  *
  * <p>A job that does not fit because of other reservations waits for a while, see {@link
  * AdmissionCheck}: it keeps its reservation if it is first in the order, else it withdraws it and
@@ -95,8 +97,8 @@
   }
 
   private WaitingTokens.Reservation newReservation() {
-    return new WaitingTokens.Reservation(
-        submission.route().name(), jobId, tokens, context.random().nextLong());
+    QuotaKey quotaKey = new QuotaKey(submission.route().name(), submission.tenant());
+    return new WaitingTokens.Reservation(quotaKey, jobId, tokens, context.random().nextLong());
   }
 
   private static Blob bodyBlob(Submission submission) {
--- a/batch/src/main/java/elmsail/batch/client/BatchCounters.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchCounters.java
@@ -10,7 +10,9 @@
   /** Submissions that were rejected, for whatever reason. */
   public final Counters.Counter submitRejected;
 
-  /** Of the rejected: with the accepted jobs alone it exceeds the limit of the route. */
+  /**
+   * Of the rejected: with the accepted jobs alone it exceeds the limit of its tenant on the route.
+   */
   public final Counters.Counter submitOverQuota;
 
   /** Of the rejected: it fits, except for jobs that were being accepted at the same time. */
--- a/batch/src/main/java/elmsail/batch/messages/JobDescription.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobDescription.java
@@ -6,7 +6,8 @@
 /**
  * What is fixed of a job when it is accepted.
  *
- * @param routeName the route that the job was submitted on; its tokens count against that route
+ * @param routeName the route that the job was submitted on; its tokens count against that route's
+ *     limit
  * @param host the host of that route; the routes of the items are looked up under it
  * @param configVersion of the configuration at the acceptance; an earlier configuration says
  *     nothing of the routes of this job
@@ -15,8 +16,8 @@
  *     never
  * @param bodyBlobName the blob that holds the requests of the items, see {@link JobBodyCodec}
  * @param items in the order in which the client submitted them
- * @param tenant whose key the job was submitted with; its tokens count against the limit of that
- *     tenant, and its items are run in that tenant's name, also after its keys were taken away
+ * @param tenant whose key the job was submitted with; its tokens count together with the tenant's
+ *     others, and its items are run in its name, also after its keys were taken away
  */
 public record JobDescription(
     String routeName,
--- a/batch/src/main/java/elmsail/batch/messages/JobRecord.java
+++ b/batch/src/main/java/elmsail/batch/messages/JobRecord.java
@@ -48,7 +48,7 @@
    * An item as far as the record needs it.
    *
    * @param id unique in the job
-   * @param tokens counted against the route's limit while the item has no result
+   * @param tokens counted against the limit of the tenant on the route while the item has no result
    */
   public record Item(String id, long tokens) {}
 
@@ -100,6 +100,11 @@
     return description.routeName();
   }
 
+  /** The count that the waiting tokens of the job are part of. */
+  public QuotaKey quotaKey() {
+    return new QuotaKey(description.routeName(), description.tenant());
+  }
+
   /** The host of that route. */
   public String host() {
     return description.host();
--- a/batch/src/main/java/elmsail/batch/messages/WaitingTokens.java
+++ b/batch/src/main/java/elmsail/batch/messages/WaitingTokens.java
@@ -1,13 +1,15 @@
 package elmsail.batch.messages;
 
+import elmsail.batch.TenantName;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * The waiting tokens of the jobs of one route, as one store counts them or merged from several
- * stores. For each job the entry of the highest version stands, so that merging is commutative and
- * idempotent. A job with a reservation that is not accepted yet has version 0. Not thread-safe.
+ * The waiting tokens of the jobs of one {@link QuotaKey}, as one store counts them or merged from
+ * several stores. For each job the entry of the highest version stands, so that merging is
+ * commutative and idempotent. A job with a reservation that is not accepted yet has version 0. Not
+ * thread-safe.
  */
 public final class WaitingTokens {
   /** The version of a job that is reserved and not accepted yet. */
@@ -33,25 +35,38 @@
 
   /**
    * What a gateway sends to the stores with the first round of a submission: this job is about to
-   * wait on that route with so many tokens.
+   * wait with so many tokens, which count under that key.
+   *
+   * <p>The binary form ends with the name of the tenant, if there is one. A process of the former
+   * version writes none and ignores one: it counts all jobs of a route together.
    *
    * @param attemptId random, so that the withdrawal of one attempt leaves the reservations of
    *     others
    */
-  public record Reservation(String routeName, String jobId, long tokens, long attemptId) {
-    /** A reservation of no tokens: it only reads the count of its route. */
+  public record Reservation(QuotaKey quotaKey, String jobId, long tokens, long attemptId) {
+
+    /** A reservation for a job without a tenant. */
+    public Reservation(String routeName, String jobId, long tokens, long attemptId) {
+      this(new QuotaKey(routeName, TenantName.NONE), jobId, tokens, attemptId);
+    }
+
+    /** A reservation of no tokens: it only reads the count of its key. */
     public Reservation withoutTokens() {
-      return new Reservation(routeName, jobId, 0, attemptId);
+      return new Reservation(quotaKey, jobId, 0, attemptId);
     }
 
     /** The bytes that {@link #decode} reads. */
     public byte[] encode() {
-      return new ByteWriter()
-          .writeString(routeName)
-          .writeString(jobId)
-          .writeVarint(tokens)
-          .writeVarint(attemptId)
-          .toByteArray();
+      ByteWriter writer =
+          new ByteWriter()
+              .writeString(quotaKey.routeName())
+              .writeString(jobId)
+              .writeVarint(tokens)
+              .writeVarint(attemptId);
+      if (!quotaKey.tenant().isNone()) {
+        writer.writeString(quotaKey.tenant().value());
+      }
+      return writer.toByteArray();
     }
 
     /**
@@ -62,8 +77,13 @@
      */
     public static Reservation decode(byte[] bytes) {
       ByteReader reader = new ByteReader(bytes);
-      return new Reservation(
-          reader.readString(), reader.readString(), reader.readVarint(), reader.readVarint());
+      String routeName = reader.readString();
+      String jobId = reader.readString();
+      long tokens = reader.readVarint();
+      long attemptId = reader.readVarint();
+      TenantName tenant =
+          reader.hasRemaining() ? new TenantName(reader.readString()) : TenantName.NONE;
+      return new Reservation(new QuotaKey(routeName, tenant), jobId, tokens, attemptId);
     }
   }
 
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -4,6 +4,7 @@
 import elmsail.batch.messages.ContentDigest;
 import elmsail.batch.messages.HeartbeatMessage;
 import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.QuotaKey;
 import elmsail.batch.messages.WaitingTokens;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -30,7 +31,7 @@
     final long digest;
     final long firstSeenAt;
     long version;
-    String routeName = "";
+    QuotaKey quotaKey;
     long waitingTokens;
     boolean open;
     String runner = "";
@@ -46,7 +47,7 @@
 
     void apply(JobRecord record, long now) {
       version = record.version();
-      routeName = record.routeName();
+      quotaKey = record.quotaKey();
       waitingTokens = record.waitingTokens();
       open = record.isOpen();
       runner = record.runner();
@@ -65,8 +66,8 @@
       return held ? HeartbeatMessage.LEASE_HELD : HeartbeatMessage.LEASE_LOST;
     }
 
-    boolean isCounted(String route, long now) {
-      return routeName.equals(route) && (waitingTokens > 0 || now - changedAt < REPORT_CLOSED_MS);
+    boolean isCounted(QuotaKey key, long now) {
+      return key.equals(quotaKey) && (waitingTokens > 0 || now - changedAt < REPORT_CLOSED_MS);
     }
 
     boolean isExpired(long statusMs, long slackMs, long now) {
@@ -85,7 +86,7 @@
   private final Map<String, Long> neverAccepted = new HashMap<>();
 
   /**
-   * Keeps a reservation and returns the count of its route.
+   * Keeps a reservation and returns the count of its key.
    *
    * @return encoded {@link WaitingTokens}, or null if there are too many reservations
    */
@@ -97,17 +98,17 @@
       }
       neverAccepted.put(reservation.jobId(), now);
     }
-    return count(reservation.routeName(), now).encode();
+    return count(reservation.quotaKey(), now).encode();
   }
 
-  private WaitingTokens count(String routeName, long now) {
+  private WaitingTokens count(QuotaKey key, long now) {
     WaitingTokens waitingTokens = new WaitingTokens();
     for (JobState state : jobs.values()) {
-      if (state.isCounted(routeName, now)) {
+      if (state.isCounted(key, now)) {
         waitingTokens.put(state.digest, state.version, state.waitingTokens);
       }
     }
-    reservations.addTo(waitingTokens, routeName);
+    reservations.addTo(waitingTokens, key);
     return waitingTokens;
   }
 
--- a/batch/src/main/java/elmsail/batch/store/Reservations.java
+++ b/batch/src/main/java/elmsail/batch/store/Reservations.java
@@ -2,6 +2,7 @@
 
 import elmsail.batch.messages.ContentDigest;
 import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.QuotaKey;
 import elmsail.batch.messages.WaitingTokens;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -97,7 +98,7 @@
   }
 
   /**
-   * Whether the first record of a job has a reservation of its route and of enough tokens here. If
+   * Whether the first record of a job has a reservation under its key and of enough tokens here. If
    * it has, the reservation stands until the record is written.
    */
   boolean admit(String jobId, JobRecord record, long now) {
@@ -107,7 +108,7 @@
     }
     for (Map.Entry<Long, PendingReservation> entry : ofJob.entrySet()) {
       WaitingTokens.Reservation reservation = entry.getValue().reservation();
-      if (reservation.routeName().equals(record.routeName())
+      if (reservation.quotaKey().equals(record.quotaKey())
           && reservation.tokens() >= record.waitingTokens()) {
         entry.setValue(new PendingReservation(reservation, now + ADMITTED_TTL_MS, true));
         return true;
@@ -116,12 +117,12 @@
     return false;
   }
 
-  /** Adds the reservations of one route to its count. */
-  void addTo(WaitingTokens waitingTokens, String routeName) {
+  /** Adds the reservations under one key to its count. */
+  void addTo(WaitingTokens waitingTokens, QuotaKey key) {
     for (Map<Long, PendingReservation> ofJob : reservationsByJob.values()) {
       for (PendingReservation pending : ofJob.values()) {
         WaitingTokens.Reservation reservation = pending.reservation();
-        if (reservation.routeName().equals(routeName)) {
+        if (reservation.quotaKey().equals(key)) {
           waitingTokens.put(
               ContentDigest.of(reservation.jobId()),
               WaitingTokens.RESERVED_VERSION,
--- a/batch/src/test/java/elmsail/batch/JobStoreServiceTest.java
+++ b/batch/src/test/java/elmsail/batch/JobStoreServiceTest.java
@@ -12,6 +12,7 @@
 import elmsail.batch.messages.HeartbeatMessage;
 import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.QuotaKey;
 import elmsail.batch.messages.WaitingTokens;
 import elmsail.batch.store.JobStoreService;
 import elmsail.rpc.messages.OpaqueMessage;
@@ -42,11 +43,15 @@
   }
 
   private long waitingTokensOf(String route) {
+    return waitingTokensOf(new QuotaKey(route, TenantName.NONE));
+  }
+
+  private long waitingTokensOf(QuotaKey key) {
     WaitingTokens count = new WaitingTokens();
     count.mergeAll(
         List.of(
             service.onSideEffect(
-                "lot/probe", new WaitingTokens.Reservation(route, "probe", 0, 1).encode())));
+                "lot/probe", new WaitingTokens.Reservation(key, "probe", 0, 1).encode())));
     return count.totalExcept("probe");
   }
 
@@ -106,6 +111,40 @@
     assertThat(service.admits("lot/a", record(10).rewritten().encode()), is(true));
   }
 
+  private static JobRecord recordOf(TenantName tenant, long tokens) {
+    List<JobRecord.Item> items = List.of(new JobRecord.Item("i", tokens));
+    return JobRecord.accepted(
+        new JobDescription("r", "h", 1, 10_000, 60_000, "body-1", items, tenant), "door");
+  }
+
+  @Test
+  void eachTenantOfARouteHasACountOfItsOwn() {
+    QuotaKey ofArgus = new QuotaKey("r", new TenantName("argus"));
+    QuotaKey ofBora = new QuotaKey("r", new TenantName("bora"));
+    service.onSideEffect("lot/a", new WaitingTokens.Reservation(ofArgus, "a", 30, 7).encode());
+    service.onSideEffect("lot/b", new WaitingTokens.Reservation(ofBora, "b", 5, 8).encode());
+    service.onSideEffect("lot/c", new WaitingTokens.Reservation("r", "c", 2, 9).encode());
+    assertThat(waitingTokensOf(ofArgus), is(30L));
+    assertThat(waitingTokensOf(ofBora), is(5L));
+    assertThat("without a tenant", waitingTokensOf("r"), is(2L));
+    service.onAccepted("lot/a", recordOf(ofArgus.tenant(), 20).encode());
+    assertThat("accepted", waitingTokensOf(ofArgus), is(20L));
+    assertThat(waitingTokensOf(ofBora), is(5L));
+  }
+
+  @Test
+  void aFirstRecordIsNotAdmittedByTheReservationOfAnotherTenant() {
+    TenantName argus = new TenantName("argus");
+    byte[] value = recordOf(argus, 10).encode();
+    QuotaKey ofBora = new QuotaKey("r", new TenantName("bora"));
+    service.onSideEffect("lot/a", new WaitingTokens.Reservation(ofBora, "a", 10, 7).encode());
+    service.onSideEffect("lot/a", new WaitingTokens.Reservation("r", "a", 10, 8).encode());
+    assertThat(service.admits("lot/a", value), is(false));
+    QuotaKey ofArgus = new QuotaKey("r", argus);
+    service.onSideEffect("lot/a", new WaitingTokens.Reservation(ofArgus, "a", 10, 9).encode());
+    assertThat(service.admits("lot/a", value), is(true));
+  }
+
   @Test
   void anAdmittedJobCountsHoweverLongTheDiskTakes() {
     WaitingTokens.Reservation reservation = new WaitingTokens.Reservation("r", "a", 20, 7);
--- a/batch/src/test/java/elmsail/batch/PinnedJobBytesTest.java
+++ b/batch/src/test/java/elmsail/batch/PinnedJobBytesTest.java
@@ -12,6 +12,7 @@
 import elmsail.batch.messages.JobBodyCodec;
 import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
+import elmsail.batch.messages.QuotaKey;
 import elmsail.batch.messages.WaitingTokens;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
@@ -40,6 +41,7 @@
   private static final String ABANDONED = "02026a31039423026a320100";
   private static final String HEARTBEAT = "0d31302e302e302e313a3737323002026a3103026a3201";
   private static final String ADD = "0172026a31ac07f9ffffffffffffffff01";
+  private static final String ADD_OF_TENANT = ADD + "036bc3bc";
   private static final String COUNT = "01d08a90839edcd8fd5602ac07";
 
   private static byte[] bytes(String hex) {
@@ -166,6 +168,18 @@
     assertThat(AbandonedJob.decode(bytes(ABANDONED)), is(abandoned));
   }
 
+  /** A process of the former version reads the first four fields and ignores the tenant. */
+  @Test
+  void aReservationOfATenantHasTheseBytes() {
+    QuotaKey key = new QuotaKey("r", new TenantName("k\u00fc"));
+    WaitingTokens.Reservation add = new WaitingTokens.Reservation(key, "j1", 940, -7);
+    assertThat(add.encode(), equalTo(bytes(ADD_OF_TENANT)));
+    assertThat(WaitingTokens.Reservation.decode(bytes(ADD_OF_TENANT)), is(add));
+    assertThat(add.withoutTokens().quotaKey(), is(key));
+    QuotaKey keyOfEarlier = WaitingTokens.Reservation.decode(bytes(ADD)).quotaKey();
+    assertThat(keyOfEarlier, is(new QuotaKey("r", TenantName.NONE)));
+  }
+
   @Test
   void countsOfWaitingTokensHaveTheseBytes() {
     WaitingTokens.Reservation add = new WaitingTokens.Reservation("r", "j1", 940, -7);
