Batch: to others a tenant's job does not exist; an id that is taken is a conflict

Cause: whoever named a job's id could read, cancel and be acknowledged it. Change: JobAccess decides on the record that was read: 404 for another tenant's job in readResults, readItemBody and cancel (503 while the record can't be read). A job without a tenant, and every job where the configuration has no tenants, may be accessed by whoever may call. An id that is another tenant's job answers 409 to a submission: 202 would acknowledge what is not kept, 404 would deny a route that is there, 429 and 503 invite to send it again. That the id exists becomes known by it; ids are random. A gateway runs a job only if the committed description is the one it proposed, else two tenants' submissions of one id at one gateway would run the loser's items. A job without a tenant has no items on routes that need a key (401).

--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -28,6 +28,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -136,8 +137,12 @@
       return CompletableFuture.completedFuture(BatchReplies.BAD_REQUEST);
     }
     for (BatchItem item : items) {
-      if (config.match(route.host(), item.path()).isEmpty()) {
-        return acceptedBeforeOr(jobId, BatchReplies.BAD_REQUEST);
+      Optional<Route> itemRoute = config.match(route.host(), item.path());
+      if (itemRoute.isEmpty()) {
+        return acceptedBeforeOr(tenant, jobId, BatchReplies.BAD_REQUEST);
+      }
+      if (config.requiresKeys() && tenant.isNone() && !itemRoute.get().isOpen()) {
+        return acceptedBeforeOr(tenant, jobId, BatchReplies.UNAUTHORIZED);
       }
     }
     return submit(new Submission(tenant, jobId, route, items, Math.min(deadlineMs, MAX_SUBMIT_MS)));
@@ -151,10 +156,18 @@
   }
 
   /** A job that was accepted stays accepted, also after the routes of its items were removed. */
-  private CompletableFuture<Reply> acceptedBeforeOr(String jobId, Reply fallback) {
+  private CompletableFuture<Reply> acceptedBeforeOr(
+      TenantName tenant, String jobId, Reply fallback) {
+    JobAccess access = new JobAccess(context, tenant);
     return jobClient
         .read(jobId, CALL_TIMEOUT_MS)
-        .thenApply(record -> record == null ? fallback : BatchReplies.ACCEPTED)
+        .thenApply(
+            record -> {
+              if (record == null) {
+                return fallback;
+              }
+              return access.permits(record) ? BatchReplies.ACCEPTED : BatchReplies.CONFLICT;
+            })
         .exceptionally(failure -> replies.unavailable());
   }
 
@@ -169,7 +182,14 @@
     }
     long boundedWaitMs = Math.max(0, Math.min(waitMs, MAX_READ_WAIT_MS));
     ReadHandler handler =
-        new ReadHandler(context, jobClient, replies, jobId, Math.max(0, after), boundedWaitMs);
+        new ReadHandler(
+            context,
+            jobClient,
+            replies,
+            new JobAccess(context, tenant),
+            jobId,
+            Math.max(0, after),
+            boundedWaitMs);
     pendingReads.computeIfAbsent(jobId, id -> new ArrayList<>()).add(handler);
     pendingReadCount++;
     return handler.start().whenComplete((reply, failure) -> removePendingRead(jobId, handler));
@@ -189,11 +209,12 @@
     if (!isValidJobId(jobId) || itemId == null) {
       return CompletableFuture.completedFuture(BatchReplies.NOT_FOUND);
     }
+    JobAccess access = new JobAccess(context, tenant);
     return jobClient
         .read(jobId, CALL_TIMEOUT_MS)
         .thenCompose(
             record ->
-                record == null
+                record == null || !access.permits(record)
                     ? CompletableFuture.completedFuture(BatchReplies.NOT_FOUND)
                     : jobClient
                         .readItems(jobId, record, CALL_TIMEOUT_MS)
@@ -213,7 +234,7 @@
   @Override
   public CompletableFuture<Reply> cancel(TenantName tenant, String jobId) {
     return isValidJobId(jobId)
-        ? cancelHandler.cancel(jobId)
+        ? cancelHandler.cancel(new JobAccess(context, tenant), jobId)
         : CompletableFuture.completedFuture(BatchReplies.NOT_FOUND);
   }
 
--- a/batch/src/main/java/elmsail/batch/api/BatchReplies.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchReplies.java
@@ -13,6 +13,12 @@
   static final Reply BAD_REQUEST = new Reply(400, EMPTY_BODY, 0);
   static final Reply NOT_FOUND = new Reply(404, EMPTY_BODY, 0);
 
+  /** A key is needed, and the caller has none. */
+  static final Reply UNAUTHORIZED = new Reply(401, EMPTY_BODY, 0);
+
+  /** The id is that of another tenant's job. The call takes no effect. */
+  static final Reply CONFLICT = new Reply(409, EMPTY_BODY, 0);
+
   /** The call may have taken effect or not; this promises nothing. */
   static final Reply OUTCOME_UNKNOWN = new Reply(504, EMPTY_BODY, 0);
 
@@ -36,8 +42,8 @@
   }
 
   /**
-   * 429: the job does not fit into the limit of its route. Items run for seconds, so capacity comes
-   * late; the jitter keeps jobs that were rejected together from returning together.
+   * 429: the job does not fit into the limit of its tenant on its route. Items run for seconds, so
+   * capacity comes late; the jitter keeps jobs that were rejected together from returning together.
    */
   Reply overQuota() {
     return new Reply(
--- a/batch/src/main/java/elmsail/batch/api/CancelHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/CancelHandler.java
@@ -39,9 +39,9 @@
     this.onCancelled = onCancelled;
   }
 
-  /** Cancels the job; the future never fails. */
-  CompletableFuture<Reply> cancel(String jobId) {
-    return cancel(jobId, ATTEMPTS)
+  /** Cancels the job if the caller may access it; the future never fails. */
+  CompletableFuture<Reply> cancel(JobAccess access, String jobId) {
+    return cancel(access, jobId, ATTEMPTS)
         .exceptionally(
             failure ->
                 BatchReplies.mayHaveTakenEffect(failure)
@@ -49,19 +49,20 @@
                     : replies.unavailable());
   }
 
-  private CompletableFuture<Reply> cancel(String jobId, int attemptsLeft) {
+  private CompletableFuture<Reply> cancel(JobAccess access, String jobId, int attemptsLeft) {
     CompletableFuture<Reply> attempt =
         jobClient
-            .change(jobId, CancelHandler::cancelled, CHANGE_TIMEOUT_MS)
-            .thenApply(record -> onCommitted(jobId, record));
+            .change(jobId, current -> cancelled(access, current), CHANGE_TIMEOUT_MS)
+            .thenApply(record -> onCommitted(access, jobId, record));
     return attemptsLeft > 1
-        ? attempt.exceptionallyCompose(failure -> retry(jobId, attemptsLeft - 1, failure))
+        ? attempt.exceptionallyCompose(failure -> retry(access, jobId, attemptsLeft - 1, failure))
         : attempt;
   }
 
   /** If the retry fails too, a failure that may have taken effect outweighs one that has not. */
-  private CompletableFuture<Reply> retry(String jobId, int attemptsLeft, Throwable firstFailure) {
-    return cancel(jobId, attemptsLeft)
+  private CompletableFuture<Reply> retry(
+      JobAccess access, String jobId, int attemptsLeft, Throwable firstFailure) {
+    return cancel(access, jobId, attemptsLeft)
         .exceptionallyCompose(
             failure ->
                 CompletableFuture.failedFuture(
@@ -69,12 +70,13 @@
   }
 
   /** The cancelled record, or null if there is nothing to cancel. */
-  private static JobRecord cancelled(JobRecord current) {
-    return current == null || current.cancelled() ? null : current.withCancellation();
+  private static JobRecord cancelled(JobAccess access, JobRecord current) {
+    boolean cancellable = current != null && !current.cancelled() && access.permits(current);
+    return cancellable ? current.withCancellation() : null;
   }
 
-  private Reply onCommitted(String jobId, JobRecord record) {
-    if (record == null) {
+  private Reply onCommitted(JobAccess access, String jobId, JobRecord record) {
+    if (record == null || !access.permits(record)) {
       return BatchReplies.NOT_FOUND;
     }
     onCancelled.accept(jobId);
--- a/batch/src/main/java/elmsail/batch/api/ReadHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/ReadHandler.java
@@ -24,6 +24,7 @@
   private final BatchContext context;
   private final BatchJobClient jobClient;
   private final BatchReplies replies;
+  private final JobAccess access;
   private final String jobId;
   private final long afterPosition;
   private final long deadline;
@@ -33,6 +34,7 @@
   private boolean rereadRequested;
 
   /**
+   * @param access of the caller
    * @param afterPosition the number of results that the client has
    * @param waitMs how long to wait for a further result, in ms
    */
@@ -40,12 +42,14 @@
       BatchContext context,
       BatchJobClient jobClient,
       BatchReplies replies,
+      JobAccess access,
       String jobId,
       long afterPosition,
       long waitMs) {
     this.context = context;
     this.jobClient = jobClient;
     this.replies = replies;
+    this.access = access;
     this.jobId = jobId;
     this.afterPosition = afterPosition;
     this.deadline = context.timers().now() + waitMs;
@@ -81,7 +85,7 @@
               readInFlight = false;
               if (failure != null) {
                 replyFuture.complete(replies.unavailable());
-              } else if (record == null) {
+              } else if (record == null || !access.permits(record)) {
                 replyFuture.complete(BatchReplies.NOT_FOUND);
               } else {
                 onRecord(record);
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -219,8 +219,15 @@
   }
 
   private void onAccepted(JobRecord record) {
+    if (!new JobAccess(context, submission.tenant()).permits(record)) {
+      rejectAsConflict();
+      return;
+    }
     boolean committedHere =
-        record.version() == 1 && record.runner().equals(context.localAddress()) && commitProposed;
+        record.version() == 1
+            && record.runner().equals(context.localAddress())
+            && record.description().equals(proposedRecord.description())
+            && commitProposed;
     if (committedHere) {
       jobClient.cacheItems(jobId, submission.items(), bodyBytes());
       runner.adopt(jobId, record, 0, roundStartedAt);
@@ -258,6 +265,12 @@
     respond(reply);
   }
 
+  /** Another tenant's job has the id, so that no record of this one can be committed any more. */
+  private void rejectAsConflict() {
+    withdrawReservation();
+    respond(BatchReplies.CONFLICT);
+  }
+
   /** Withdraws the reservation; a later one has another attempt id. */
   private void withdrawReservation() {
     if (mayBeReserved) {
--- a/batch/src/test/java/elmsail/batch/BatchFaultSimulationTest.java
+++ b/batch/src/test/java/elmsail/batch/BatchFaultSimulationTest.java
@@ -1,6 +1,7 @@
 package elmsail.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
@@ -27,6 +28,11 @@
   private static final long LIMIT = 100;
   private static final long TOKENS = 10;
   private static final int ITEMS = 5;
+  private static final List<TenantName> TWO_TENANTS =
+      List.of(new TenantName("argus"), new TenantName("bora"));
+
+  /** Of the run with two tenants, which has twice the jobs. */
+  private static final int TENANT_SEEDS = Integer.getInteger("batch.tenantSeeds", 6);
 
   /** What clients have observed of one job. */
   private static final class ObservedJob {
@@ -42,10 +48,20 @@
     final ReplicatedBatchCluster cluster;
     final Map<String, ObservedJob> jobs = new LinkedHashMap<>();
     final List<Throwable> violations = new ArrayList<>();
+    final List<TenantName> tenants;
     int numbers;
 
-    FaultRun(long seed) {
+    /** The jobs belong to these tenants in turns. */
+    FaultRun(long seed, List<TenantName> tenants) {
       cluster = new ReplicatedBatchCluster(seed, 3, LIMIT);
+      this.tenants = tenants;
+      if (tenants.size() > 1) {
+        cluster.config = cluster.config.withKeysRequired();
+      }
+    }
+
+    TenantName tenantOf(String id) {
+      return tenants.get(Integer.parseInt(id.substring("lot".length())) % tenants.size());
     }
 
     ReplicatedBatchCluster.Gateway gateway() {
@@ -62,12 +78,12 @@
       int attempt = observed.statuses.size();
       observed.statuses.add(0);
       check(
-          cluster.submit(gateway, id, ITEMS, TOKENS),
+          cluster.submit(tenantOf(id), gateway, id, ITEMS, TOKENS),
           reply -> {
             observed.statuses.set(attempt, reply.status());
             if (reply.status() == 202) {
               observed.accepted = true;
-              checkQuota();
+              tenants.forEach(this::checkQuota);
             }
           });
     }
@@ -84,16 +100,21 @@
               });
     }
 
-    void checkQuota() {
+    void checkQuota(TenantName tenant) {
       long waiting = 0;
       for (Map.Entry<String, ObservedJob> job : jobs.entrySet()) {
-        if (job.getValue().accepted && !job.getValue().cancelRequested) {
+        if (tenantOf(job.getKey()).equals(tenant)
+            && job.getValue().accepted
+            && !job.getValue().cancelRequested) {
           for (int i = 0; i < ITEMS; i++) {
             waiting += cluster.served.contains(job.getKey() + "-" + i) ? 0 : TOKENS;
           }
         }
       }
-      assertThat("waiting, seed " + cluster.seed, waiting, lessThanOrEqualTo(LIMIT * 11 / 10));
+      assertThat(
+          "waiting of '" + tenant.value() + "', seed " + cluster.seed,
+          waiting,
+          lessThanOrEqualTo(LIMIT * 11 / 10));
     }
 
     void end(String id) {
@@ -102,7 +123,7 @@
         ObservedJob observed = jobs.get(id);
         observed.cancelRequested = true;
         check(
-            gateway.batchApi.cancel(TenantName.NONE, id),
+            gateway.batchApi.cancel(tenantOf(id), id),
             reply -> {
               if (reply.status() == 200 && observed.cancelledAt < 0) {
                 observed.cancelledAt = cluster.timers.now();
@@ -115,7 +136,25 @@
     void read(String id) {
       ReplicatedBatchCluster.Gateway gateway = gateway();
       if (gateway != null) {
-        check(gateway.batchApi.readResults(TenantName.NONE, id, 0, 0), reply -> check(id, reply));
+        check(gateway.batchApi.readResults(tenantOf(id), id, 0, 0), reply -> check(id, reply));
+      }
+      if (gateway != null && tenants.size() > 1) {
+        readByAnother(gateway, id);
+      }
+    }
+
+    /** What is another tenant's is never shown. */
+    private void readByAnother(ReplicatedBatchCluster.Gateway gateway, String id) {
+      for (TenantName other : tenants) {
+        if (!other.equals(tenantOf(id))) {
+          check(
+              gateway.batchApi.readResults(other, id, 0, 0),
+              reply ->
+                  assertThat(
+                      other.value() + " reads " + id + ", seed " + cluster.seed,
+                      reply.status(),
+                      anyOf(is(404), is(503))));
+        }
       }
     }
 
@@ -166,8 +205,10 @@
 
     void run() {
       for (int step = 0; step < 60; step++) {
-        if (cluster.random.nextInt(3) > 0) {
-          submit("lot" + numbers++);
+        for (int i = 0; i < tenants.size(); i++) {
+          if (cluster.random.nextInt(3) > 0) {
+            submit("lot" + numbers++);
+          }
         }
         for (Map.Entry<String, ObservedJob> job : jobs.entrySet()) {
           if (!job.getValue().accepted && cluster.random.nextBoolean()) {
@@ -213,6 +254,7 @@
     String jobId = run.item.id().substring(0, run.item.id().indexOf('-'));
     ObservedJob observed = faultRun.jobs.get(jobId);
     boolean rejected = observed.statuses.stream().allMatch(s -> s == 429 || s == 503);
+    assertThat(jobId + where, run.tenant, is(faultRun.tenantOf(jobId)));
     assertThat(jobId + " ran though each attempt was rejected" + where, rejected, is(false));
     if (observed.cancelledAt >= 0) {
       assertThat(
@@ -226,7 +268,7 @@
     String where = ", seed " + faultRun.cluster.seed;
     BatchApi batchApi = faultRun.cluster.gateways.get(0).batchApi;
     BatchService.Reply reply =
-        faultRun.cluster.await(batchApi.readResults(TenantName.NONE, jobId, 0, 0));
+        faultRun.cluster.await(batchApi.readResults(faultRun.tenantOf(jobId), jobId, 0, 0));
     assertThat(jobId + where, reply.status(), is(200));
     faultRun.check(jobId, reply);
     String body = new String(reply.body(), StandardCharsets.UTF_8);
@@ -240,33 +282,60 @@
   private static void checkItemBody(FaultRun faultRun, String jobId) {
     BatchApi batchApi = faultRun.cluster.gateways.get(1).batchApi;
     BatchService.Reply item =
-        faultRun.cluster.await(batchApi.readItemBody(TenantName.NONE, jobId, jobId + "-1"));
+        faultRun.cluster.await(
+            batchApi.readItemBody(faultRun.tenantOf(jobId), jobId, jobId + "-1"));
     String where = ", seed " + faultRun.cluster.seed;
     assertThat(jobId + where, item.status(), is(200));
     assertThat(
         jobId + where, new String(item.body(), StandardCharsets.UTF_8), is("body " + jobId + "1"));
   }
 
-  @Test
-  void invariantsHoldUnderRandomFaults() {
-    int accepted = 0;
-    int refused = 0;
-    int ended = 0;
-    for (int seed = 0; seed < 16; seed++) {
-      FaultRun faultRun = new FaultRun(seed);
-      faultRun.run();
-      assertThat("faults, seed " + seed, faultRun.cluster.net.handlerFaults(), is(empty()));
-      assertThat("seed " + seed, faultRun.violations, is(empty()));
-      checkEnd(faultRun);
+  /** How many jobs were accepted, refused at least once, and cancelled. */
+  private static final class Outcomes {
+    int accepted;
+    int refused;
+    int ended;
+
+    void add(FaultRun faultRun) {
       for (ObservedJob observed : faultRun.jobs.values()) {
         accepted += observed.accepted ? 1 : 0;
         ended += observed.cancelledAt >= 0 ? 1 : 0;
         refused += observed.statuses.contains(429) ? 1 : 0;
       }
     }
-    assertThat(accepted, greaterThan(200));
-    assertThat(refused, greaterThan(20));
-    assertThat(ended, greaterThan(10));
+  }
+
+  private static Outcomes runSeeds(int seeds, List<TenantName> tenants) {
+    Outcomes outcomes = new Outcomes();
+    for (int seed = 0; seed < seeds; seed++) {
+      FaultRun faultRun = new FaultRun(seed, tenants);
+      faultRun.run();
+      assertThat("faults, seed " + seed, faultRun.cluster.net.handlerFaults(), is(empty()));
+      assertThat("seed " + seed, faultRun.violations, is(empty()));
+      checkEnd(faultRun);
+      outcomes.add(faultRun);
+    }
+    return outcomes;
+  }
+
+  @Test
+  void invariantsHoldUnderRandomFaults() {
+    Outcomes outcomes = runSeeds(16, List.of(TenantName.NONE));
+    assertThat(outcomes.accepted, greaterThan(200));
+    assertThat(outcomes.refused, greaterThan(20));
+    assertThat(outcomes.ended, greaterThan(10));
+  }
+
+  /** QUOTA and the others for each of two tenants that share the route, gateways and stores. */
+  @Test
+  void invariantsHoldForEachTenantUnderRandomFaults() {
+    Outcomes outcomes = runSeeds(TENANT_SEEDS, TWO_TENANTS);
+    assertThat(outcomes.accepted, greaterThan(20 * TENANT_SEEDS));
+    assertThat(outcomes.refused, greaterThan(TENANT_SEEDS));
+    assertThat(outcomes.ended, greaterThan(TENANT_SEEDS / 2));
+    System.out.printf(
+        "two tenants, %d seeds: %d jobs accepted, %d refused at least once, %d cancelled%n",
+        TENANT_SEEDS, outcomes.accepted, outcomes.refused, outcomes.ended);
   }
 
   @Test
--- a/batch/src/test/java/elmsail/batch/ReplicatedBatchCluster.java
+++ b/batch/src/test/java/elmsail/batch/ReplicatedBatchCluster.java
@@ -153,7 +153,9 @@
   final Set<String> served = new HashSet<>();
 
   final ClusterView view = new ClusterView();
-  final SimConfig config;
+
+  /** In force at all gateways. */
+  SimConfig config;
 
   ReplicatedBatchCluster(long seed, int gatewayCount, long mostWaiting) {
     this(seed, gatewayCount, mostWaiting, 3);
