Gateway: keys of tenants are checked, hidden from servers and replaced by the tenant's name

A request's Authorization went on to the server as it came, no Elmsail-Sender was set, a client's own Elmsail-Sender passed as one, and a request with any key or none was run.

RequestAuthenticator decides by the configuration in force, at the dispatch of each request: a tenant (Elmsail-Sender is its name, set by the gateway alone), nobody (open route, or a configuration without tenants), or a refusal: 401 with WWW-Authenticate for an unknown, missing, malformed or repeated key, 503 while the configuration is not confirmed (Gateway passes "always" for now). Authorization never reaches a server where the configuration has tenants; where it has none it goes along as before. An open route never refuses; it names the tenant of a known key. Calls about batch jobs have authenticateBatchCall, by their host (RoutingConfig.hasOpenBatchRoute); it is not wired yet. Submitting a job is refused without a key as any request of a route is.

ApiKeyTest on the sources before: 45 of 48 failed. At the server "Expected: iterable containing ["kaje80"] but: no item was "kaje80"" and the key in Authorization; for unknown keys "nothing came" from the gateway while the server had the request. Now 48 of 48, with RequestAuthenticatorTest (7), and the tests of requests, of HTTP and of items that were there (100). PinnedNamesTest: appended alone.

--- a/config/src/main/java/elmsail/config/RoutingConfig.java
+++ b/config/src/main/java/elmsail/config/RoutingConfig.java
@@ -36,6 +36,15 @@
     return Optional.empty();
   }
 
+  /**
+   * Whether a batch route of the host is open ({@link Route#isOpen}).
+   *
+   * @param host as of the {@code Host} header; may be null
+   */
+  default boolean hasOpenBatchRoute(String host) {
+    return false;
+  }
+
   /** All services by name; unmodifiable. */
   Map<String, Service> services();
 
--- a/config/src/main/java/elmsail/config/ValidatedConfig.java
+++ b/config/src/main/java/elmsail/config/ValidatedConfig.java
@@ -58,16 +58,7 @@
 
   @Override
   public Optional<Route> match(String host, String path) {
-    if (host == null) {
-      return Optional.empty();
-    }
-    List<Route> routesOfHost = byHost.get(host);
-    if (routesOfHost == null) {
-      routesOfHost = byHost.get(normalizedHost(host));
-    }
-    if (routesOfHost == null) {
-      return Optional.empty();
-    }
+    List<Route> routesOfHost = routesOf(host);
     for (int i = 0; i < routesOfHost.size(); i++) {
       if (path.startsWith(routesOfHost.get(i).prefix())) {
         return Optional.of(routesOfHost.get(i));
@@ -76,6 +67,16 @@
     return Optional.empty();
   }
 
+  private List<Route> routesOf(String host) {
+    if (host == null) {
+      return List.of();
+    }
+    List<Route> routesOfHost = byHost.get(host);
+    return routesOfHost != null
+        ? routesOfHost
+        : byHost.getOrDefault(normalizedHost(host), List.of());
+  }
+
   @Override
   public Route routeByName(String name) {
     return byName.get(name);
@@ -91,6 +92,16 @@
     return tenantsByKey.map(tenants -> tenants.get(key));
   }
 
+  @Override
+  public boolean hasOpenBatchRoute(String host) {
+    for (Route route : routesOf(host)) {
+      if (route.kind() == Route.Kind.BATCH && route.isOpen()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   @Override
   public Map<String, Service> services() {
     return services;
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import elmsail.gateway.load.LoadChannel;
 import elmsail.gateway.load.LoadExchange;
 import elmsail.gateway.requests.ItemDispatcher;
+import elmsail.gateway.requests.RequestAuthenticator;
 import elmsail.gateway.requests.RequestContext;
 import elmsail.gateway.requests.RequestDispatcher;
 import elmsail.gateway.servers.Servers;
@@ -86,7 +87,9 @@
     SplittableRandom random = new SplittableRandom();
     servers =
         new Servers(timers, loop.eventLoop(), clusterState, settings.zone(), counters, random);
-    RequestContext context = new RequestContext(timers, clusterState, servers, counters, random);
+    RequestAuthenticator authenticator = new RequestAuthenticator(clusterState, () -> true);
+    RequestContext context =
+        new RequestContext(timers, clusterState, servers, counters, authenticator, random);
     loadChannel = new LoadChannel(this::onLoadReport, metrics.counters());
     loadExchange =
         new LoadExchange(
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -7,6 +7,7 @@
 import elmsail.config.RoutingConfig;
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
+import elmsail.config.Tenant;
 import elmsail.rpc.messages.ClusterView;
 import elmsail.runtime.Addresses;
 import elmsail.runtime.NettyEventLoop;
@@ -34,6 +35,7 @@
 public final class GatewayWarmUp {
   private static final String LOOPBACK = "127.0.0.1:0";
   private static final String HOST = "drill.example";
+  private static final String KEY = "drill";
   private static final byte[] RESPONSE_EVENTS =
       "id: 0\ndata: a\n\nid: 1\ndata: b\n\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -97,7 +99,9 @@
                         "POST /drill/1 HTTP/1.1\r\nHost: "
                             + HOST
                             + "\r\nElmsail-Request-Id: d1\r\nElmsail-Deadline-Ms: 2000\r\n"
-                            + "Elmsail-Tokens: 30,4\r\n"
+                            + "Elmsail-Tokens: 30,4\r\nAuthorization: Bearer "
+                            + KEY
+                            + "\r\n"
                             + "Elmsail-Prompt-Prefix: a1:10,b2:10,c3:10\r\nConnection: close\r\n"
                             + "Content-Length: 4\r\n\r\nbody",
                         StandardCharsets.US_ASCII));
@@ -208,6 +212,16 @@
       return route;
     }
 
+    @Override
+    public boolean requiresKeys() {
+      return true;
+    }
+
+    @Override
+    public Optional<Tenant> tenantByKey(String key) {
+      return key.equals(KEY) ? Optional.of(new Tenant("drill", 0)) : Optional.empty();
+    }
+
     @Override
     public Map<String, Service> services() {
       return Map.of();
--- a/gateway/src/main/java/elmsail/gateway/http/Headers.java
+++ b/gateway/src/main/java/elmsail/gateway/http/Headers.java
@@ -22,6 +22,14 @@
   public static final String RETRY_AFTER = "Retry-After";
   public static final String EVENT_STREAM = "text/event-stream";
 
+  /** The name of the tenant, for the server; set by the gateway alone. */
+  public static final String SENDER = "Elmsail-Sender";
+
+  /** A client's key, for the gateway alone. */
+  public static final String AUTHORIZATION = "Authorization";
+
+  public static final String WWW_AUTHENTICATE = "WWW-Authenticate";
+
   private Headers() {}
 
   /** A copy without hop-by-hop headers (RFC 9110, section 7.6.1) and without the body's length. */
--- a/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -71,7 +71,11 @@
     /** Batch items started at servers. */
     ITEM_STARTED("item"),
     /** Defects of the gateway on one connection. */
-    FAULT("fault");
+    FAULT("fault"),
+    /** 401 for requests without a known key. */
+    REJECTED_KEY("refused_key"),
+    /** 503 because the keys in force are not known for sure. */
+    REJECTED_NOT_CONFIRMED("refused_not_confirmed");
 
     private final String metricName;
 
--- a/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 
 /**
  * A request of a client, or an item of a batch job, as it is sent to servers: method, target,
@@ -31,19 +32,32 @@
   private final long deadlineAt;
 
   private long lastEventId = -1;
+  private final Credentials credentials;
+
+  /** In whose name it is served; null for an item of a batch job. */
+  private Authentication authentication;
 
   /**
    * A client's request.
    *
+   * @param authentication in whose name it is served; none that refuses it
    * @param priority on the wire; 0 is the most urgent
    * @param deadlineAt in ms on this clock
    */
   ClientRequest(
-      String id, ReceivedRequest received, int priority, MonotonicClock clock, long deadlineAt) {
+      String id,
+      ReceivedRequest received,
+      Authentication authentication,
+      int priority,
+      MonotonicClock clock,
+      long deadlineAt) {
     this.id = id;
     method = HttpMethod.valueOf(received.method());
     uri = received.uri();
     headers = Headers.endToEnd(received.headers());
+    headers.remove(Headers.SENDER);
+    credentials = received.credentials();
+    authenticateAs(authentication);
     body = received.body();
     prompt = promptOf(received.headers());
     this.priority = priority;
@@ -58,6 +72,8 @@
     method = HttpMethod.POST;
     uri = item.path();
     headers = Headers.endToEnd(itemHeaders);
+    headers.remove(Headers.SENDER);
+    credentials = Credentials.of(itemHeaders);
     body = item.body();
     prompt = promptOf(itemHeaders);
     this.priority = priority;
@@ -70,6 +86,24 @@
     return Prompt.parse(headers.get(Headers.PROMPT_PREFIX), headers.get(Headers.TOKENS));
   }
 
+  /** The next attempt is made in this name. A key that was hidden once stays so. */
+  void authenticateAs(Authentication newAuthentication) {
+    authentication = newAuthentication;
+    if (!newAuthentication.equals(Authentication.Anonymous.NO_TENANTS)) {
+      headers.remove(Headers.AUTHORIZATION);
+    }
+  }
+
+  /** The key that it carries, if any. */
+  Credentials credentials() {
+    return credentials;
+  }
+
+  /** The tenant in whose name it is served; empty if there is none. */
+  Optional<String> tenantName() {
+    return authentication == null ? Optional.empty() : authentication.tenantName();
+  }
+
   /**
    * The next attempt resumes the stream after this event. A client that has part of its response is
    * the most urgent.
@@ -110,6 +144,10 @@
     requestHeaders.set(Headers.REQUEST_ID, id);
     requestHeaders.set(Headers.EXPECT_SERVER, serverId);
     requestHeaders.set(Headers.PRIORITY, Integer.toString(priority));
+    Optional<String> tenantName = tenantName();
+    if (tenantName.isPresent()) {
+      requestHeaders.set(Headers.SENDER, tenantName.get());
+    }
     if (deadlineAt != Long.MAX_VALUE) {
       requestHeaders.set(Headers.DEADLINE_MS, Long.toString(Math.max(1, deadlineAt - clock.now())));
     }
--- /dev/null
+++ b/gateway/src/main/java/elmsail/gateway/requests/Credentials.java
@@ -0,0 +1,44 @@
+package elmsail.gateway.requests;
+
+import elmsail.gateway.http.Headers;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The key that a request carries: {@code Authorization: Bearer KEY} (RFC 6750), once. Its text
+ * never shows the key. Immutable.
+ */
+public final class Credentials {
+  private static final String SCHEME_PREFIX = "Bearer ";
+  private static final Credentials NONE = new Credentials(Optional.empty());
+
+  private final Optional<String> key;
+
+  private Credentials(Optional<String> key) {
+    this.key = key;
+  }
+
+  /** The credentials of a request; without a key if it has none, several or a malformed one. */
+  public static Credentials of(HttpHeaders headers) {
+    List<String> values = headers.getAll(Headers.AUTHORIZATION);
+    if (values.size() != 1) {
+      return NONE;
+    }
+    String value = values.get(0);
+    if (!value.regionMatches(true, 0, SCHEME_PREFIX, 0, SCHEME_PREFIX.length())) {
+      return NONE;
+    }
+    return new Credentials(Optional.of(value.substring(SCHEME_PREFIX.length()).strip()));
+  }
+
+  /** The key, which must not appear in logs, metrics or responses. */
+  Optional<String> key() {
+    return key;
+  }
+
+  @Override
+  public String toString() {
+    return key.isPresent() ? "a key" : "no key";
+  }
+}
--- a/gateway/src/main/java/elmsail/gateway/requests/LocalReplies.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/LocalReplies.java
@@ -13,6 +13,8 @@
   private static final double RETRY_AFTER_JITTER_S = 0.15;
   private static final double STARTUP_RETRY_AFTER_S = 0.6;
 
+  private static final int UNAUTHORIZED = 401;
+
   /** The request has not run; the client may retry it. */
   static final int SERVICE_UNAVAILABLE = 503;
 
@@ -42,6 +44,9 @@
     if (id != null) {
       headers.set(Headers.REQUEST_ID, id);
     }
+    if (status == UNAUTHORIZED) {
+      headers.set(Headers.WWW_AUTHENTICATE, "Bearer");
+    }
     setRetryAfter(headers, retryAfterS);
     client.sendResponse(status, headers, Unpooled.EMPTY_BUFFER);
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/ReceivedRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ReceivedRequest.java
@@ -11,6 +11,11 @@
 public record ReceivedRequest(
     String method, String uri, HttpHeaders headers, byte[] body, long arrivedAt) {
 
+  /** The key that it carries, if any. */
+  public Credentials credentials() {
+    return Credentials.of(headers);
+  }
+
   /** The path as received, without the query. */
   public String path() {
     int query = uri.indexOf('?');
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestContext.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestContext.java
@@ -13,6 +13,7 @@
     ClusterState clusterState,
     Servers servers,
     RequestCounters counters,
+    RequestAuthenticator authenticator,
     RandomGenerator random) {
 
   /** Picks the servers of attempts. */
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -19,9 +19,6 @@
  * to try again is decided by {@link RetryPolicy}. Owned by the gateway's event loop.
  */
 final class RequestForwarder implements RequestHandle, AttemptListener {
-  /** Least urgent priority of a client request on the wire; batch items rank behind it. */
-  private static final int MAX_REQUEST_PRIORITY = 7;
-
   private static final long CHECK_INTERVAL_MS = 200;
 
   private final RequestContext context;
@@ -30,9 +27,6 @@
   private final ResponseRelay relay;
   private final Set<Server> attemptedServers = new HashSet<>();
 
-  /** On the loop's clock, in ms. */
-  private final long deadlineAt;
-
   private Timer deadlineTimer;
   private final PeriodicCheck serverCheck;
 
@@ -48,23 +42,12 @@
 
   private boolean finished;
 
-  /**
-   * Forwards nothing before {@link #start}.
-   *
-   * @param deadlineAt on the loop's clock, in ms
-   */
+  /** Forwards nothing before {@link #start}. */
   RequestForwarder(
-      RequestContext context,
-      Route route,
-      ReceivedRequest received,
-      String id,
-      long deadlineAt,
-      ResponseSink client) {
+      RequestContext context, Route route, ClientRequest request, ResponseSink client) {
     this.context = context;
     this.route = route;
-    this.deadlineAt = deadlineAt;
-    int priority = Math.min(MAX_REQUEST_PRIORITY, 1 + Math.max(0, route.priority()));
-    request = new ClientRequest(id, received, priority, context.timers(), deadlineAt);
+    this.request = request;
     boolean stream = route.kind() == Route.Kind.STREAM;
     relay = new ResponseRelay(client, stream, stream && route.resumable());
     serverCheck = new PeriodicCheck(context.timers(), CHECK_INTERVAL_MS, this::checkServer);
@@ -84,8 +67,13 @@
     }
   }
 
+  /** The tenant in whose name the request is served; empty if there is none. */
+  Optional<String> tenantName() {
+    return request.tenantName();
+  }
+
   private long remainingMs() {
-    return deadlineAt - context.timers().now();
+    return request.deadlineAt() - context.timers().now();
   }
 
   /** Leaves a server that has become unresponsive if the request can be retried elsewhere. */
--- a/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
@@ -5,6 +5,7 @@
 import elmsail.config.RoutingConfig;
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
+import elmsail.config.Tenant;
 import elmsail.rpc.messages.ClusterView;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,6 +21,10 @@
   public final Map<String, Service> services = new HashMap<>();
   public volatile List<ServerEntry> servers = List.of();
   public volatile boolean configured = true;
+
+  /** Tenants by their keys; null where requests need no keys. */
+  public volatile Map<String, Tenant> tenantsByKey;
+
   public ClientLimits limits = new ClientLimits(2_048, 4_096, 3_000, 15_000);
   public final ClusterView view = new ClusterView();
   private final List<Runnable> listeners = new ArrayList<>();
@@ -45,6 +50,30 @@
             0));
   }
 
+  /** Likewise a route whose requests need no key. */
+  public void addOpenRoute(String name, Route.Kind kind, int tries, boolean resume) {
+    addRoute(name, kind, tries, resume);
+    routes.computeIfPresent(
+        "/" + name + "/",
+        (prefix, one) ->
+            new Route(
+                one.name(),
+                one.host(),
+                one.prefix(),
+                one.kind(),
+                one.timeoutMs(),
+                one.latencyTargetMs(),
+                one.priority(),
+                one.weightedServices(),
+                one.maxAttempts(),
+                one.resumable(),
+                one.tokenGapTargetMs(),
+                one.completionTargetMs(),
+                one.itemTtlMs(),
+                one.maxWaitingTokens(),
+                true));
+  }
+
   /** All routes hold a request for so long. */
   public void setRouteTimeoutMs(long ms) {
     routes.replaceAll(
@@ -113,6 +142,17 @@
     return routes.get("/" + name + "/");
   }
 
+  @Override
+  public boolean requiresKeys() {
+    return tenantsByKey != null;
+  }
+
+  @Override
+  public Optional<Tenant> tenantByKey(String key) {
+    Map<String, Tenant> tenants = tenantsByKey;
+    return tenants == null ? Optional.empty() : Optional.ofNullable(tenants.get(key));
+  }
+
   @Override
   public Map<String, Service> services() {
     return services;
--- a/gateway/src/test/java/elmsail/gateway/http/PinnedNamesTest.java
+++ b/gateway/src/test/java/elmsail/gateway/http/PinnedNamesTest.java
@@ -60,7 +60,9 @@
             "elmsail_requests_foreign_answer counter",
             "elmsail_requests_unreadable_answer counter",
             "elmsail_requests_item counter",
-            "elmsail_requests_fault counter"));
+            "elmsail_requests_fault counter",
+            "elmsail_requests_refused_key counter",
+            "elmsail_requests_refused_not_confirmed counter"));
   }
 
   /** By their values alone, in the order of their declaration. */
@@ -85,6 +87,9 @@
             "Last-Event-Id",
             "Priority",
             "Retry-After",
-            "text/event-stream"));
+            "text/event-stream",
+            "Elmsail-Sender",
+            "Authorization",
+            "WWW-Authenticate"));
   }
 }
