CONFIG: gateways know until when their configuration was the newest, and admit keys only by that

Change: a control-plane node states with each response of a watch how old its last completed read at a majority is (PullResponse.configConfirmedAgeMs, tag 9, -1 of earlier builds). The watcher counts from when it sent the request, less that age (ConfigConfirmation has the argument), and RevocationBound admits keys while that is at most revoke_ms less 100 ms ago. A gateway whose confirmation is older than 2.5 s watches all nodes for 6 s and lets none of them hold its request; with three watched nodes in a minority it took 5 s to look elsewhere, the whole bound.

The tests fail without the bound, when counted from the response, and when the node's age is left out.

Pinned wire: the line of PullResponse moved to the messages with fewer fields, which must be read still and be the beginning of the present bytes; the new line has the field behind them.

--- a/batch/src/test/java/elmsail/batch/ReplicatedBatchCluster.java
+++ b/batch/src/test/java/elmsail/batch/ReplicatedBatchCluster.java
@@ -233,6 +233,11 @@
         return List.of();
       }
 
+      @Override
+      public long configConfirmedAgeMs() {
+        return 0;
+      }
+
       @Override
       public long serverListAgeMs() {
         return 0;
--- a/batch/src/test/java/elmsail/batch/SimBatchCluster.java
+++ b/batch/src/test/java/elmsail/batch/SimBatchCluster.java
@@ -117,6 +117,11 @@
             return List.of();
           }
 
+          @Override
+          public long configConfirmedAgeMs() {
+            return 0;
+          }
+
           @Override
           public long serverListAgeMs() {
             return 0;
--- a/config/src/main/java/elmsail/config/ClusterState.java
+++ b/config/src/main/java/elmsail/config/ClusterState.java
@@ -11,6 +11,12 @@
   /** The newest configuration received; null before the first. Its version never goes down. */
   RoutingConfig config();
 
+  /**
+   * An upper bound of the time since {@link #config()} was the newest committed configuration, by
+   * the steady clock at the moment of the call; Long.MAX_VALUE while that is not known.
+   */
+  long configConfirmedAgeMs();
+
   /** All listed servers, draining ones included; empty before the first list. Unmodifiable. */
   List<ServerEntry> servers();
 
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -31,6 +31,14 @@
 public final class ConfigWatcher implements ClusterState {
   private static final long REFRESH_INTERVAL_MS = 1_000;
 
+  /**
+   * A confirmation that is older is urgent. Above the age that one stream alone comes to in calm (a
+   * long poll of 1,000 ms while another one is waited for, and the age of a node's last read, 300
+   * ms and its round trip); with the refresh interval and an answer it stays below {@code
+   * revoke_ms}.
+   */
+  private static final long CONFIRMATION_OVERDUE_MS = 2_500;
+
   /** Told by a control-plane node that this process is to join its voter set. */
   @FunctionalInterface
   public interface JoinListener {
@@ -46,8 +54,10 @@
   private final Timers timers;
   private final WatchRequestFactory requests;
   private final FallbackDiscovery fallbackDiscovery;
+  private final boolean needsConfirmation;
   private final WatchStreams streams;
   private final ConfigCache configs = new ConfigCache();
+  private final ConfigConfirmation confirmation = new ConfigConfirmation();
   private final ServerListCache servers = new ServerListCache();
   private final ClusterViewCache views;
   private final List<Runnable> listeners = new ArrayList<>();
@@ -72,13 +82,15 @@
       PlatformClient platform) {
     this.timers = timers;
     requests = new WatchRequestFactory(settings, role, instanceId, storeStatus);
+    needsConfirmation =
+        role == PeerRole.GATEWAY && settings.bounds() != null && settings.bounds().revokeMs() > 0;
     streams =
         new WatchStreams(
             rpcClient,
             timers,
             settings,
             this::newRequest,
-            (stream, response) -> onResponse(response));
+            (stream, response, requestedAtMs) -> onResponse(response, requestedAtMs));
     views = new ClusterViewCache(() -> timers.execute(this::selectUpstreams));
     fallbackDiscovery =
         platform == null || settings.platform() == null || role != PeerRole.GATEWAY
@@ -139,6 +151,11 @@
     return configs.config();
   }
 
+  @Override
+  public long configConfirmedAgeMs() {
+    return confirmation.ageMs(timers.now());
+  }
+
   /** The configuration in the bytes that the operator sent; null before the first. */
   public byte[] configBytes() {
     return configs.bytes();
@@ -232,7 +249,17 @@
   }
 
   private void selectUpstreams() {
-    streams.selectUpstreams(view().controlPlaneVoters);
+    streams.selectUpstreams(view().controlPlaneVoters, isConfirmationOverdue());
+  }
+
+  /**
+   * Whether a gateway that may have to refuse requests soon has waited too long for a confirmation.
+   * It then watches all nodes and lets none of them wait, as any of them may be the one that is
+   * still in contact with a majority. Before the first confirmation nothing is overdue.
+   */
+  private boolean isConfirmationOverdue() {
+    long ageMs = configConfirmedAgeMs();
+    return needsConfirmation && ageMs > CONFIRMATION_OVERDUE_MS && ageMs != Long.MAX_VALUE;
   }
 
   private void refresh() {
@@ -244,12 +271,15 @@
   }
 
   private PullRequest newRequest(WatchStream stream) {
-    return requests.newRequest(stream, streams.nearest(), configs.version(), servers, timers.now());
+    boolean urgent = stream.confirmsConfig && isConfirmationOverdue();
+    return requests.newRequest(
+        stream, streams.nearest(), configs.version(), servers, urgent, timers.now());
   }
 
   /** Returns false if a part could not be decoded; the other parts are applied all the same. */
-  private boolean onResponse(PullResponse response) {
+  private boolean onResponse(PullResponse response, long requestedAtMs) {
     Update configUpdate = applyConfig(response);
+    confirmation.onResponse(response, configs.version(), requestedAtMs);
     Update serversUpdate = applyServers(response);
     boolean decoded = configUpdate != Update.REJECTED && serversUpdate != Update.REJECTED;
     rejectedUpdates += decoded ? 0 : 1;
--- a/config/src/main/java/elmsail/config/watch/UpstreamSelector.java
+++ b/config/src/main/java/elmsail/config/watch/UpstreamSelector.java
@@ -12,7 +12,8 @@
  * Selects the control-plane nodes that a process watches. Candidates are the voters, and the seed
  * addresses before voters are known and while no node responds; they are ranked by rendezvous
  * hashing, and a gateway takes the first few. A node that has not responded for {@link
- * #UNRESPONSIVE_MS} is ejected for a while: it is taken only if too few others are left.
+ * #UNRESPONSIVE_MS} is ejected for a while: it is taken only if too few others are left. A search
+ * takes all candidates for {@link #SEARCH_MS}, by whose end those that do not respond are ejected.
  *
  * <p>Owned by the event loop; all times are ms of the steady clock.
  */
@@ -24,6 +25,10 @@
   private static final int MAX_GATEWAY_UPSTREAMS = 3;
 
   private static final long EJECTION_MS = 30_000;
+
+  /** Longer than {@link #UNRESPONSIVE_MS}, so that nodes without a response stay out afterwards. */
+  private static final long SEARCH_MS = 6_000;
+
   private static final String GATEWAY_SERVICE = "counter";
 
   private final String machine;
@@ -32,6 +37,7 @@
   private final List<String> seedAddresses = new ArrayList<>();
   private final Map<String, Long> ejectedUntilMs = new HashMap<>();
   private long lastResponseAtMs;
+  private long searchUntilMs;
 
   /** Creates a selector that counts the time without any response from {@code nowMs}. */
   UpstreamSelector(Settings settings, long nowMs) {
@@ -40,6 +46,7 @@
     maxUpstreams =
         settings.services().contains(GATEWAY_SERVICE) ? MAX_GATEWAY_UPSTREAMS : Integer.MAX_VALUE;
     lastResponseAtMs = nowMs;
+    searchUntilMs = nowMs;
     setSeeds(settings);
   }
 
@@ -57,6 +64,11 @@
     ejectedUntilMs.remove(address);
   }
 
+  /** All candidates, the seed addresses included, are to be watched for a while. */
+  void onSearch(long nowMs) {
+    searchUntilMs = nowMs + SEARCH_MS;
+  }
+
   /**
    * The addresses to watch, in the order of preference.
    *
@@ -66,7 +78,7 @@
     List<String> candidates = candidates(voters, nowMs);
     List<String> ranked = RendezvousHash.choose(machine, candidates, candidates.size());
     ejectedUntilMs.keySet().retainAll(candidates);
-    if (ranked.size() <= maxUpstreams) {
+    if (ranked.size() <= maxUpstreams || nowMs < searchUntilMs) {
       return ranked;
     }
     List<String> preferred = new ArrayList<>(ranked.size());
@@ -83,7 +95,9 @@
     for (Voter voter : voters.voters) {
       candidates.add(voter.address);
     }
-    if (candidates.isEmpty() || nowMs - lastResponseAtMs > UNRESPONSIVE_MS) {
+    if (candidates.isEmpty()
+        || nowMs - lastResponseAtMs > UNRESPONSIVE_MS
+        || nowMs < searchUntilMs) {
       candidates.addAll(seedAddresses);
     }
     candidates.removeIf(address -> address.isEmpty() || address.equals(ownAddress));
--- a/config/src/main/java/elmsail/config/watch/WatchRequestFactory.java
+++ b/config/src/main/java/elmsail/config/watch/WatchRequestFactory.java
@@ -10,6 +10,7 @@
  */
 final class WatchRequestFactory {
   private static final long LONG_POLL_MS = 1_000;
+  private static final long ANSWER_AT_ONCE_MS = 0;
   private static final long FRESH_LIST_AGE_MS = 1_500;
 
   /** Sent in place of the known epoch: no list is newer, so the response brings its age alone. */
@@ -38,12 +39,14 @@
    *
    * @param nearest the stream that complete lists are best taken from; null if there is none
    * @param configVersion the version of the known configuration; 0 if there is none
+   * @param urgent whether the response is needed at once, even if nothing is newer
    */
   PullRequest newRequest(
       WatchStream stream,
       WatchStream nearest,
       long configVersion,
       ServerListCache servers,
+      boolean urgent,
       long nowMs) {
     PullRequest request = new PullRequest();
     StoreStatus status = storeStatus.get();
@@ -60,7 +63,7 @@
         wantsServerList(stream, nearest, servers.ageMs(nowMs)) ? servers.epoch() : EPOCH_ABOVE_ALL;
     request.serverListVersion = servers.version();
     request.viewVersion = stream.viewVersion;
-    request.maxWaitMs = LONG_POLL_MS;
+    request.maxWaitMs = urgent ? ANSWER_AT_ONCE_MS : LONG_POLL_MS;
     request.hasDisk = settings.dataDir() != null;
     return request;
   }
--- a/config/src/main/java/elmsail/config/watch/WatchStream.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStream.java
@@ -29,6 +29,9 @@
   /** -1 before the first response. */
   long lastResponseAtMs = -1;
 
+  /** Whether the node may say how old its configuration is: unknown before the first response. */
+  boolean confirmsConfig = true;
+
   boolean open = true;
 
   /** The timer of the next request; null while the first one is in flight. */
@@ -66,6 +69,7 @@
    */
   void onResponse(PullResponse response, long nowMs) {
     lastResponseAtMs = nowMs;
+    confirmsConfig = response.configConfirmedAgeMs >= 0;
     if (response.view != null) {
       viewVersion = response.viewVersion;
       gateways = response.view.gateways;
--- a/config/src/main/java/elmsail/config/watch/WatchStreams.java
+++ b/config/src/main/java/elmsail/config/watch/WatchStreams.java
@@ -28,8 +28,13 @@
 
   /** Applies the responses. */
   interface ResponseHandler {
-    /** Returns false if a part of the response could not be decoded. */
-    boolean onResponse(WatchStream stream, PullResponse response);
+    /**
+     * Applies one response.
+     *
+     * @param requestedAtMs when its request was sent
+     * @return false if a part of the response could not be decoded
+     */
+    boolean onResponse(WatchStream stream, PullResponse response, long requestedAtMs);
   }
 
   private final RpcClient rpcClient;
@@ -60,12 +65,20 @@
     selector.setSeeds(settings);
   }
 
-  /** Closes the streams to nodes that are no longer selected, and opens those that are missing. */
-  void selectUpstreams(VoterSet controlPlaneVoters) {
+  /**
+   * Closes the streams to nodes that are no longer selected, and opens those that are missing.
+   *
+   * @param searching whether none of the present streams brings what this process needs: all nodes
+   *     are watched for a while
+   */
+  void selectUpstreams(VoterSet controlPlaneVoters, boolean searching) {
     if (closed) {
       return;
     }
     long nowMs = timers.now();
+    if (searching) {
+      selector.onSearch(nowMs);
+    }
     List<String> selected = selector.select(controlPlaneVoters, streams, nowMs);
     Iterator<WatchStream> open = streams.values().iterator();
     while (open.hasNext()) {
@@ -160,7 +173,7 @@
       WatchStream stream, long requestedAtMs, PullResponse response, Throwable failure) {
     // A process that was suspended finds a response that was true before that: it is out of date.
     boolean inTime = timers.now() - requestedAtMs <= CALL_TIMEOUT_MS;
-    boolean accepted = failure == null && inTime && applyResponse(stream, response);
+    boolean accepted = failure == null && inTime && applyResponse(stream, response, requestedAtMs);
     if (!accepted) {
       failedRequests++;
     }
@@ -176,13 +189,13 @@
     return closed || !stream.open;
   }
 
-  private boolean applyResponse(WatchStream stream, PullResponse response) {
+  private boolean applyResponse(WatchStream stream, PullResponse response, long requestedAtMs) {
     long nowMs = timers.now();
     stream.onResponse(response, nowMs);
     selector.onResponse(stream.address, nowMs);
     lastResponses.record(stream.address, nowMs);
     try {
-      return responseHandler.onResponse(stream, response);
+      return responseHandler.onResponse(stream, response, requestedAtMs);
     } catch (RuntimeException e) {
       // A listener's fault must not end the stream: the next request follows after a backoff.
       LOG.error("watch response not applied, address={}", stream.address, e);
--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
@@ -31,6 +31,10 @@
   int changes;
 
   static Settings settings(Set<String> serves) {
+    return settings(serves, null);
+  }
+
+  static Settings settings(Set<String> serves, Settings.Bounds bounds) {
     return new Settings(
         "counter-x-1",
         "r",
@@ -50,7 +54,7 @@
         null,
         Set.of(),
         1,
-        null,
+        bounds,
         new Settings.Platform("10.200.0.79:8169", 40, 800));
   }
 
@@ -58,6 +62,22 @@
     return new ConfigWatcher(links, timers, settings(serves), role, 77, store, null);
   }
 
+  /** A gateway's watcher where keys are to be revoked everywhere within so many ms. */
+  ConfigWatcher watcherWithRevocation(long revokeMs) {
+    Settings.Bounds bounds =
+        new Settings.Bounds(
+            4_000, 5_000, 6_000, 4_000, 8_000, 200, 2_500, 200, 120_000, 3_000, 1_000, 0.1, 2_000,
+            revokeMs, 5_000, 10_000);
+    return new ConfigWatcher(
+        links,
+        timers,
+        settings(Set.of("counter"), bounds),
+        PeerRole.GATEWAY,
+        77,
+        () -> StoreStatus.NONE,
+        null);
+  }
+
   @BeforeEach
   void count() {
     watcher.addListener(() -> changes++);
--- a/config/src/test/java/elmsail/config/watch/FakeNetwork.java
+++ b/config/src/test/java/elmsail/config/watch/FakeNetwork.java
@@ -27,6 +27,10 @@
 
   final Map<String, Function<PullRequest, CompletableFuture<PullResponse>>> controlPlanes =
       new HashMap<>();
+
+  /** The age of the configuration that a node states when it responds; absent: it states none. */
+  final Map<String, Long> configConfirmedAges = new HashMap<>();
+
   final Set<String> droppedRequests = new HashSet<>();
   final Set<String> droppedResponses = new HashSet<>();
   final List<Sent> requests = new ArrayList<>();
@@ -42,6 +46,11 @@
     return sources;
   }
 
+  private PullResponse confirm(String peer, PullResponse response) {
+    response.configConfirmedAgeMs = configConfirmedAges.getOrDefault(peer, -1L);
+    return response;
+  }
+
   List<Long> requestTimes(String peer) {
     List<Long> times = new ArrayList<>();
     for (Sent sent : requests) {
@@ -82,6 +91,7 @@
           }
           controlPlane
               .apply((PullRequest) request)
+              .thenApply(response -> confirm(peer, response))
               .thenAccept(
                   response ->
                       timers.schedule(
--- /dev/null
+++ b/config/src/test/java/elmsail/config/watch/RevokedKeyOutOfTouchTest.java
@@ -0,0 +1,188 @@
+package elmsail.config.watch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import elmsail.config.RevocationBound;
+import elmsail.rpc.messages.PullResponse;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A gateway that does not hear of the configuration's changes admits no key once one could have
+ * been removed {@code revoke_ms} ago; one that hears of them never stops.
+ */
+class RevokedKeyOutOfTouchTest extends ConfigWatcherRig {
+  private static final long REVOKE_MS = 5_000;
+  private static final String D = "10.4.0.40:7721";
+  private static final String E = "10.5.0.50:7721";
+
+  private final ConfigWatcher gateway = watcherWithRevocation(REVOKE_MS);
+  private final RevocationBound bound = new RevocationBound(gateway, REVOKE_MS);
+
+  @BeforeEach
+  void publish() {
+    for (WatchServer node : List.of(a, b, c)) {
+      node.setConfig(7, config(7));
+    }
+    confirmAll(300);
+  }
+
+  private void confirmAll(long ageMs) {
+    for (String address : List.of(A, B, C)) {
+      links.configConfirmedAges.put(address, ageMs);
+    }
+  }
+
+  private void refuseAt(String address) {
+    links.controlPlanes.put(
+        address,
+        request ->
+            CompletableFuture.failedFuture(new ElmsailException(ErrorCode.NOT_A_VOTER, "cut off")));
+  }
+
+  /** The most that the confirmation's age comes to within so many ms. */
+  private long worstAgeWithin(long ms) {
+    long worst = 0;
+    for (long i = 0; i < ms; i++) {
+      timers.advance(1);
+      worst = Math.max(worst, gateway.configConfirmedAgeMs());
+    }
+    return worst;
+  }
+
+  @Test
+  void nothingIsAdmittedBeforeTheFirstResponse() {
+    gateway.start();
+    assertThat(bound.mayAdmitKeys(), is(false));
+    timers.advance(20);
+    assertThat(bound.mayAdmitKeys(), is(true));
+  }
+
+  @Test
+  void gatewayInTouchNeverStops() {
+    gateway.start();
+    timers.advance(100);
+    assertThat(worstAgeWithin(20_000), lessThan(2_500L));
+  }
+
+  @Test
+  void oneNodeWithTheOldestAgeThatItMayStateIsEnough() {
+    gateway.start();
+    timers.advance(100);
+    confirmAll(1_500);
+    links.droppedRequests.add(A);
+    links.droppedResponses.add(B);
+    assertThat(worstAgeWithin(20_000), lessThan(REVOKE_MS - 100));
+  }
+
+  @Test
+  void gatewayThatIsCutOffStopsInTime() {
+    gateway.start();
+    timers.advance(3_000);
+    links.droppedResponses.addAll(List.of(A, B, C));
+    long cutAtMs = timers.now();
+    while (bound.mayAdmitKeys()) {
+      timers.advance(1);
+    }
+    assertThat(timers.now() - cutAtMs, lessThanOrEqualTo(REVOKE_MS - 100));
+    timers.advance(60_000);
+    assertThat(bound.mayAdmitKeys(), is(false));
+    links.droppedResponses.clear();
+    timers.advance(3_000);
+    assertThat(bound.mayAdmitKeys(), is(true));
+  }
+
+  @Test
+  void responseThatWasDelayedCountsFromItsRequest() {
+    CompletableFuture<PullResponse> late = new CompletableFuture<>();
+    refuseAt(B);
+    refuseAt(C);
+    gateway.start();
+    timers.advance(100);
+    links.controlPlanes.put(A, request -> late);
+    timers.advance(1_000);
+    timers.advance(200);
+    List<Long> requestTimes = links.requestTimes(A);
+    long requestedAtMs = requestTimes.get(requestTimes.size() - 1);
+    PullResponse response = new PullResponse();
+    response.configVersion = 7;
+    timers.advance(1_200);
+    late.complete(response);
+    timers.advance(10);
+    assertThat(gateway.configConfirmedAgeMs(), is(timers.now() - requestedAtMs + 300));
+  }
+
+  @Test
+  void suspendedGatewayAdmitsNothingUntilANodeHasAnsweredAnew() {
+    gateway.start();
+    timers.advance(3_000);
+    timers.advanceRunningLate(10_000);
+    assertThat(bound.mayAdmitKeys(), is(false));
+    timers.advance(150);
+    assertThat(bound.mayAdmitKeys(), is(true));
+  }
+
+  @Test
+  void versionThatCannotBeDecodedStopsTheGateway() {
+    gateway.start();
+    timers.advance(3_000);
+    for (WatchServer node : List.of(a, b, c)) {
+      node.setConfig(8, new byte[] {'{'});
+    }
+    timers.advance(REVOKE_MS);
+    assertThat(gateway.config().version(), is(7L));
+    assertThat(bound.mayAdmitKeys(), is(false));
+  }
+
+  /** Three of five voters are watched; those three lose the majority, and two others have it. */
+  @Test
+  void gatewayFindsTheNodesThatStillReachAMajority() {
+    WatchServer d = links.controlPlane(D);
+    WatchServer e = links.controlPlane(E);
+    List.of(d, e).forEach(node -> node.setConfig(7, config(7)));
+    links.configConfirmedAges.put(D, 300L);
+    links.configConfirmedAges.put(E, 300L);
+    for (WatchServer node : List.of(a, b, c, d, e)) {
+      node.setViewFactory(
+          request -> view(voterSet(A, 1, B, 1, C, 1, D, 1, E, 1), voterSet(), "10.1.0.13:7720"));
+    }
+    gateway.start();
+    timers.advance(3_000);
+    List<String> watched = gateway.upstreams();
+    watched.forEach(this::refuseAt);
+    assertThat(worstAgeWithin(30_000), lessThan(REVOKE_MS - 100));
+    List<String> others = new ArrayList<>(List.of(A, B, C, D, E));
+    others.removeAll(watched);
+    assertThat(gateway.upstreams().containsAll(others), is(true));
+    assertThat(gateway.upstreams().size(), is(3));
+  }
+
+  @Test
+  void nodesThatStateNoAgeAreNotAskedWithoutPause() {
+    gateway.start();
+    timers.advance(500);
+    links.configConfirmedAges.clear();
+    timers.advance(10_000);
+    assertThat(links.requestTimes(A).size(), lessThan(20));
+    assertThat(bound.mayAdmitKeys(), is(false));
+  }
+
+  @Test
+  void withoutTheBoundNothingIsSearchedAndNothingRefused() {
+    watcher.start();
+    timers.advance(3_000);
+    links.droppedResponses.addAll(List.of(A, B, C));
+    timers.advance(3_500);
+    assertThat(watcher.upstreams(), containsInAnyOrder(A, B, C));
+    assertThat(new RevocationBound(watcher, 0).mayAdmitKeys(), is(true));
+  }
+}
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -249,9 +249,20 @@
     return watchServer
         .watch(request)
         .thenApply(quorumContact::requireCurrent)
+        .thenApply(this::confirmConfig)
         .whenComplete(this::countPull);
   }
 
+  /**
+   * Says how long ago a majority confirmed that nothing newer than the response's configuration is
+   * committed. Runs in the same turn of the loop in which the response was built: a read that
+   * completed in between would vouch for a version that the response does not name.
+   */
+  private PullResponse confirmConfig(PullResponse response) {
+    response.configConfirmedAgeMs = configurationManager.quorumContact().ageMs();
+    return response;
+  }
+
   private void countPull(PullResponse response, Throwable failure) {
     (failure == null ? counters.pullsAnswered : counters.pullsRefused).add(1);
   }
--- a/controlplane/src/main/java/elmsail/controlplane/QuorumContact.java
+++ b/controlplane/src/main/java/elmsail/controlplane/QuorumContact.java
@@ -49,6 +49,11 @@
     return lastRoundSentAtMs != NEVER && timers.now() - lastRoundSentAtMs <= maxAgeMs;
   }
 
+  /** The time since the last round that a majority responded to was sent; -1 before the first. */
+  long ageMs() {
+    return lastRoundSentAtMs == NEVER ? -1 : timers.now() - lastRoundSentAtMs;
+  }
+
   /** For how many ms contact has been current without interruption; -1 if it is not current. */
   long unbrokenMs() {
     return isCurrent() ? timers.now() - unbrokenSinceMs : -1;
--- a/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
+++ b/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
@@ -51,6 +51,9 @@
   /** Length of the windows whose usage is reported; 0: none is. */
   long usageWindowMs;
 
+  /** Within which keys are to be revoked everywhere, of processes started from now on; 0: not. */
+  long revokeMs;
+
   private final long seed;
   private final int bearMachines;
   private final List<String> seeds = new ArrayList<>();
@@ -123,7 +126,7 @@
             1_000,
             0.1,
             2_000,
-            0,
+            revokeMs,
             usageWindowMs,
             usageWindowMs * 2),
         new Settings.Platform("10.9.0.1:8169", 40, 800, duties(), dutyCallsPerSecond));
--- a/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
+++ b/gateway/src/main/java/elmsail/gateway/GatewayWarmUp.java
@@ -184,6 +184,11 @@
       return servers;
     }
 
+    @Override
+    public long configConfirmedAgeMs() {
+      return 0;
+    }
+
     @Override
     public long serverListAgeMs() {
       return 0;
--- a/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
@@ -25,6 +25,7 @@
   /** Tenants by their keys; null where requests need no keys. */
   public volatile Map<String, Tenant> tenantsByKey;
 
+  public volatile long configConfirmedAgeMs;
   public ClientLimits limits = new ClientLimits(2_048, 4_096, 3_000, 15_000);
   public final ClusterView view = new ClusterView();
   private final List<Runnable> listeners = new ArrayList<>();
@@ -109,6 +110,11 @@
     return servers;
   }
 
+  @Override
+  public long configConfirmedAgeMs() {
+    return configConfirmedAgeMs;
+  }
+
   @Override
   public long serverListAgeMs() {
     return 0;
--- a/gateway/src/test/java/elmsail/gateway/requests/RequestAuthenticatorTest.java
+++ b/gateway/src/test/java/elmsail/gateway/requests/RequestAuthenticatorTest.java
@@ -67,6 +67,11 @@
         return List.of();
       }
 
+      @Override
+      public long configConfirmedAgeMs() {
+        return 0;
+      }
+
       @Override
       public long serverListAgeMs() {
         return 0;
--- a/rpc/src/main/java/elmsail/rpc/messages/PullResponse.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PullResponse.java
@@ -31,4 +31,11 @@
   /** Null if not newer. */
   @Tag(8)
   public ClusterView view;
+
+  /**
+   * For how long, at the moment of this response, the sender had not heard from a majority that
+   * nothing newer than {@link #configVersion} is committed; -1 if it does not say.
+   */
+  @Tag(9)
+  public long configConfirmedAgeMs = -1;
 }
--- a/rpc/src/test/java/elmsail/rpc/PinnedWire.java
+++ b/rpc/src/test/java/elmsail/rpc/PinnedWire.java
@@ -16,13 +16,17 @@
 /**
  * The bytes that processes of released versions send, as resources keep them. {@link #main} wrote
  * the resources; a line that stands in them is never written anew, as a process of an older version
- * would not understand it. A new message type gets a line added.
+ * would not understand it. A new message type gets a line added; where a type gets a field, its
+ * line moves to those with fewer fields, and the new line has the same bytes and more behind them.
  */
 final class PinnedWire {
 
   /** Lines of type number, class name at the time of writing, and bytes in hex. */
   static final String MESSAGES = "pinned-messages.txt";
 
+  /** Lines of messages as they were before fields were added to their types. */
+  static final String MESSAGES_WITH_FEWER_FIELDS = "pinned-messages-with-fewer-fields.txt";
+
   /** Lines of a frame's description and its bytes in hex. */
   static final String FRAMES = "pinned-frames.txt";
 
--- a/rpc/src/test/java/elmsail/rpc/PinnedWireTest.java
+++ b/rpc/src/test/java/elmsail/rpc/PinnedWireTest.java
@@ -3,10 +3,12 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 
 import elmsail.rpc.messages.LoadReport;
+import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.VoteResponse;
 import elmsail.runtime.ErrorCode;
 import io.netty.buffer.Unpooled;
@@ -84,6 +86,29 @@
     }
   }
 
+  @Test
+  void messagesOfEarlierVersionsAreReadAndOnlyAppendedTo() throws IOException {
+    MessageCodec codec = new MessageCodec();
+    List<PinnedWire.Line> current = PinnedWire.pinned(PinnedWire.MESSAGES);
+    for (PinnedWire.Line line : PinnedWire.pinned(PinnedWire.MESSAGES_WITH_FEWER_FIELDS)) {
+      byte[] present = current.get(line.number() - 1).bytes();
+      assertThat(present.length, greaterThan(line.bytes().length));
+      assertThat(line.name(), Arrays.copyOf(present, line.bytes().length), equalTo(line.bytes()));
+      Object message = codec.read(line.number(), line.bytes(), 0, line.bytes().length);
+      byte[] rewritten = PinnedWire.encoded(line.number(), message);
+      assertThat(line.name(), Arrays.copyOf(rewritten, line.bytes().length), equalTo(line.bytes()));
+    }
+  }
+
+  /** A response of a version that says nothing of the configuration's age confirms nothing. */
+  @Test
+  void pullResponseOfAnEarlierVersionHasNoConfirmation() throws IOException {
+    byte[] bytes = PinnedWire.pinned(PinnedWire.MESSAGES_WITH_FEWER_FIELDS).get(0).bytes();
+    int number = MessageTypes.numberOf(PullResponse.class);
+    PullResponse response = (PullResponse) new MessageCodec().read(number, bytes, 0, bytes.length);
+    assertThat(response.configConfirmedAgeMs, is(-1L));
+  }
+
   @Test
   void datagramsBeginWithTheNumberInOneByte() throws IOException, ReflectiveOperationException {
     PinnedWire.Line line = PinnedWire.pinned(PinnedWire.MESSAGES).get(LOAD_REPORT - 1);
