Gateway's tests: the item of ServerErrorRetryTest runs for no tenant

Cause: ItemServers.start takes the tenant since jobs have one; this test was not adapted with it. Change: the call names no tenant; formatting of two files of the same merge. Assertions unchanged.

--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -57,7 +57,8 @@
       context.counters().count(RequestCounters.Event.BATCH_CALL);
       return relayBatchReply(
           jobs.readItemBody(
-              TenantName.NONE, path.substring(ITEMS_PATH.length()), parameter(request, "id")), client);
+              TenantName.NONE, path.substring(ITEMS_PATH.length()), parameter(request, "id")),
+          client);
     }
     Optional<Route> matched = config.match(host, path);
     String id = request.headers().get(Headers.REQUEST_ID);
@@ -102,7 +103,8 @@
     }
     context.counters().count(RequestCounters.Event.BATCH_CALL);
     long remainingMs = Math.max(1, deadlineAt - context.timers().now());
-    return relayBatchReply(jobs.submit(TenantName.NONE, route, id, request.body(), remainingMs), client);
+    return relayBatchReply(
+        jobs.submit(TenantName.NONE, route, id, request.body(), remainingMs), client);
   }
 
   private RequestHandle handleJobCall(ReceivedRequest request, String jobId, ResponseSink client) {
--- a/gateway/src/test/java/elmsail/gateway/BatchItemExecutionTest.java
+++ b/gateway/src/test/java/elmsail/gateway/BatchItemExecutionTest.java
@@ -50,7 +50,12 @@
             harness
                 .gateway
                 .itemServers()
-                .start(TenantName.NONE, harness.clusterState.routeByName("sack"), ITEM, behind, listener));
+                .start(
+                    TenantName.NONE,
+                    harness.clusterState.routeByName("sack"),
+                    ITEM,
+                    behind,
+                    listener));
   }
 
   private String next() throws Exception {
@@ -297,7 +302,8 @@
             harness
                 .gateway
                 .itemServers()
-                .start(TenantName.NONE, harness.clusterState.routeByName("sack"), item, -1, listener));
+                .start(
+                    TenantName.NONE, harness.clusterState.routeByName("sack"), item, -1, listener));
     Message received = harness.firstServer.accept().readMessage();
     envelope.forEach((name, value) -> assertThat(received.header(name), is(value)));
   }
--- a/gateway/src/test/java/elmsail/gateway/ServerErrorRetryTest.java
+++ b/gateway/src/test/java/elmsail/gateway/ServerErrorRetryTest.java
@@ -8,6 +8,7 @@
 import elmsail.batch.BatchItem;
 import elmsail.batch.ItemServers.RunListener;
 import elmsail.batch.ItemServers.RunOutcome;
+import elmsail.batch.TenantName;
 import elmsail.config.Route;
 import elmsail.gateway.RawConnection.Message;
 import elmsail.gateway.http.RequestCounters;
@@ -233,7 +234,12 @@
                 harness
                     .gateway
                     .itemServers()
-                    .start(harness.clusterState.routeByName("sack"), ITEM, -1, listener));
+                    .start(
+                        TenantName.NONE,
+                        harness.clusterState.routeByName("sack"),
+                        ITEM,
+                        -1,
+                        listener));
     assertThat(run, is(notNullValue()));
   }
 }
