Gateway: keys: the tenant's precedence decides before the route's

A client request's Priority was 1 plus the route's precedence, capped at 7; the tenant's had no part in it. Servers know few values (1 to 7 are kept for client requests; 0 for resumed streams, 8 for items) and precedences are unbounded, so RequestPriority divides the seven levels among the precedences of tenants that the configuration has, and each part among those of its routes: never out of order, and distinct as far as the levels suffice. RoutingConfig lists both. Without tenants all values are as before (RequestHandlingTest.routePrecedenceMapsToADistinctPriority, unchanged). A request in nobody's name counts as of precedence 0, the default of a tenant's.

--- a/config/src/main/java/elmsail/config/RoutingConfig.java
+++ b/config/src/main/java/elmsail/config/RoutingConfig.java
@@ -1,5 +1,6 @@
 package elmsail.config;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -45,6 +46,16 @@
     return false;
   }
 
+  /** The priorities of tenants that have a key, distinct and ascending; empty without tenants. */
+  default List<Integer> tenantPriorities() {
+    return List.of();
+  }
+
+  /** The priorities of all routes that take requests for a server, distinct and ascending. */
+  default List<Integer> routePriorities() {
+    return List.of();
+  }
+
   /** All services by name; unmodifiable. */
   Map<String, Service> services();
 
--- a/config/src/main/java/elmsail/config/ValidatedConfig.java
+++ b/config/src/main/java/elmsail/config/ValidatedConfig.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** The routes of a configuration by name and, longest prefix first, by host. Immutable. */
 final class ValidatedConfig implements RoutingConfig {
@@ -17,6 +18,8 @@
   private final Map<String, List<Route>> byHost = new HashMap<>();
   private final Map<String, Service> services;
   private final Optional<Map<String, Tenant>> tenantsByKey;
+  private final List<Integer> tenantPriorities;
+  private final List<Integer> routePriorities;
   private final ClientLimits limits;
 
   /**
@@ -33,6 +36,11 @@
     this.version = version;
     this.services = Collections.unmodifiableMap(services);
     this.tenantsByKey = tenantsByKey;
+    tenantPriorities =
+        ascending(tenantsByKey.orElse(Map.of()).values().stream().map(Tenant::priority));
+    routePriorities =
+        ascending(
+            routes.stream().filter(route -> route.kind() != Route.Kind.BATCH).map(Route::priority));
     this.limits = limits;
     for (Route route : routes) {
       byName.put(route.name(), route);
@@ -43,6 +51,10 @@
     }
   }
 
+  private static List<Integer> ascending(Stream<Integer> priorities) {
+    return priorities.distinct().sorted().toList();
+  }
+
   /** A host in lower case and without its port; the brackets of an IPv6 address stay. */
   static String normalizedHost(String host) {
     int colon = host.lastIndexOf(':');
@@ -102,6 +114,16 @@
     return false;
   }
 
+  @Override
+  public List<Integer> tenantPriorities() {
+    return tenantPriorities;
+  }
+
+  @Override
+  public List<Integer> routePriorities() {
+    return routePriorities;
+  }
+
   @Override
   public Map<String, Service> services() {
     return services;
--- a/config/src/test/java/elmsail/config/TenantsReaderTest.java
+++ b/config/src/test/java/elmsail/config/TenantsReaderTest.java
@@ -9,6 +9,7 @@
 
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,6 +36,18 @@
     assertThat(config.tenantByKey("a"), equalTo(Optional.empty()));
   }
 
+  @Test
+  void prioritiesAreListedOnceAndAscending() {
+    RoutingConfig config =
+        read(
+            """
+            [{"name":"a","passes":["k1","k2"],"precedence":3},{"name":"b","passes":["k3"]},
+             {"name":"c","passes":["k4"],"precedence":3},{"name":"keyless","precedence":9}]""");
+    assertThat(config.tenantPriorities(), equalTo(List.of(0, 3)));
+    assertThat(read("[]").tenantPriorities(), equalTo(List.of()));
+    assertThat("without batch routes", config.routePriorities(), equalTo(List.of(0)));
+  }
+
   @Test
   void configurationWithoutTenantsRequiresNoKeys() {
     RoutingConfig config = RoutingConfigReader.read(SampleConfigs.bytes(SampleConfigs.config(7)));
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -20,9 +20,6 @@
   private static final String ITEMS_PATH = "/items/";
   private static final long MAX_WAIT_MS = 5_000;
 
-  /** Least urgent priority of a client request on the wire; batch items rank behind it. */
-  private static final int MAX_REQUEST_PRIORITY = 7;
-
   /** Where neither the client nor the route sets a timeout. */
   private static final long MAX_REQUEST_MS = 600_000;
 
@@ -78,18 +75,14 @@
     if (route.kind() == Route.Kind.BATCH) {
       return submitJob(request, route, id, deadlineAt, client);
     }
+    int priority = RequestPriority.of(config, authentication, route.priority());
     ClientRequest outgoing =
-        new ClientRequest(
-            id, request, authentication, priority(route), context.timers(), deadlineAt);
+        new ClientRequest(id, request, authentication, priority, context.timers(), deadlineAt);
     RequestForwarder forwarder = new RequestForwarder(context, route, outgoing, client);
     forwarder.start();
     return forwarder;
   }
 
-  private static int priority(Route route) {
-    return Math.min(MAX_REQUEST_PRIORITY, 1 + Math.max(0, route.priority()));
-  }
-
   private static long timeoutMs(ReceivedRequest request, Route route) {
     long maxMs = route.timeoutMs() > 0 ? route.timeoutMs() : MAX_REQUEST_MS;
     return Math.min(
--- a/gateway/src/test/java/elmsail/gateway/ApiKeyTest.java
+++ b/gateway/src/test/java/elmsail/gateway/ApiKeyTest.java
@@ -245,6 +245,16 @@
     assertRefused(client, "a2");
   }
 
+  @Test
+  void tenantsPriorityComesBeforeThatOfTheRoute() {
+    harness.clusterState.tenantsByKey =
+        Map.of(KEY, new Tenant("kaje80", 0), OTHER_KEY, new Tenant("vopu11", 4));
+    harness.request("safe", "a1", KNOWN_KEY);
+    assertThat(valuesAtServer("Priority"), contains("1"));
+    harness.request("safe", "a2", "Authorization: Bearer " + OTHER_KEY);
+    assertThat(valuesAtServer("Priority"), contains("5"));
+  }
+
   @Test
   void refusalsAreCountedAndTellNoKey() {
     RawConnection client = harness.request("safe", "a1", "Authorization: Bearer not-a-known-key");
--- a/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
@@ -159,6 +159,19 @@
     return tenants == null ? Optional.empty() : Optional.ofNullable(tenants.get(key));
   }
 
+  @Override
+  public List<Integer> tenantPriorities() {
+    Map<String, Tenant> tenants = tenantsByKey;
+    return tenants == null
+        ? List.of()
+        : tenants.values().stream().map(Tenant::priority).distinct().sorted().toList();
+  }
+
+  @Override
+  public List<Integer> routePriorities() {
+    return routes.values().stream().map(Route::priority).distinct().sorted().toList();
+  }
+
   @Override
   public Map<String, Service> services() {
     return services;
