CONFIG: a gateway admits keys only while its configuration is confirmed, and is not ready otherwise

Cause: RequestAuthenticator was told that the configuration is always recent enough.

A gateway that would refuse every key says that it is not ready: clients come by others, and where all are so the platform uses all. Open routes are not bound. The test settings of gateways have revoke_ms 5,000.

--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -3,6 +3,8 @@
 import elmsail.batch.BatchService;
 import elmsail.batch.ItemServers;
 import elmsail.config.ClusterState;
+import elmsail.config.RevocationBound;
+import elmsail.config.RoutingConfig;
 import elmsail.gateway.frontend.ClientListener;
 import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.load.LoadChannel;
@@ -59,6 +61,7 @@
   private final NettyEventLoop loop;
   private final Timers timers;
   private final ClusterState clusterState;
+  private final RevocationBound revocationBound;
   private final Settings settings;
   private final RequestCounters counters;
   private final MetricsEndpoint metricsEndpoint;
@@ -87,7 +90,12 @@
     SplittableRandom random = new SplittableRandom();
     servers =
         new Servers(timers, loop.eventLoop(), clusterState, settings.zone(), counters, random);
-    RequestAuthenticator authenticator = new RequestAuthenticator(clusterState, () -> true);
+    revocationBound = new RevocationBound(clusterState, settings.bounds().revokeMs());
+    metrics
+        .counters()
+        .registerGauge("config_confirmed", () -> revocationBound.mayAdmitKeys() ? 1 : 0);
+    RequestAuthenticator authenticator =
+        new RequestAuthenticator(clusterState, revocationBound::mayAdmitKeys);
     RequestContext context =
         new RequestContext(timers, clusterState, servers, counters, authenticator, random);
     loadChannel = new LoadChannel(this::onLoadReport, metrics.counters());
@@ -184,9 +192,17 @@
   /**
    * Whether the platform is to send clients here: with a configuration and a server, and not
    * shutting down.
+   *
+   * <p>A gateway that would refuse every request with a key is not ready: clients that come by
+   * another gateway are served. Where all of them have lost the control plane nothing is lost by
+   * it, as the platform uses all while fewer than half of a zone are ready.
    */
   public boolean isReady() {
-    return !stopping && clusterState.config() != null && servers.hasAny();
+    RoutingConfig config = clusterState.config();
+    return !stopping
+        && config != null
+        && (!config.requiresKeys() || revocationBound.mayAdmitKeys())
+        && servers.hasAny();
   }
 
   /** Runs items of batch jobs. */
--- a/gateway/src/test/java/elmsail/gateway/GatewaySettings.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewaySettings.java
@@ -7,6 +7,8 @@
 
 /** Settings of a gateway on loopback, for tests. */
 public final class GatewaySettings {
+  /** Within which a key that was removed is refused. */
+  public static final long REVOKE_MS = 5_000;
 
   private GatewaySettings() {}
 
@@ -32,7 +34,8 @@
         Set.of(),
         1,
         new Settings.Bounds(
-            3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000),
+            3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000,
+            REVOKE_MS, 0, 0),
         null);
   }
 }
