Batch: tenants share a gateway's free slots, whatever number of jobs each has

Cause: slots went to the jobs that are due first, so that the jobs which one tenant had submitted before kept those of others waiting until all of them were through. Change: TenantShares, a pure class: each turn of a dispatch goes to the tenant with the fewest items in flight at the gateway, then to the job that is due first. With one tenant or none the order is as it was. Measured: before, TenantJobsTest.aFloodOfOneTenantsJobsLeavesSlotsToAnother printed 'items of the other tenant within 1 s Expected: is <10L> but: was <0L>' (20 jobs of 10 items before one of 10, four slots); green after it, with TenantSharesTest, JobRunnerTest, JobLeaseTest, IdleItemsTest.

--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -16,10 +16,11 @@
 import java.util.function.Consumer;
 
 /**
- * Runs the jobs whose lease this gateway holds. Items are dispatched as the servers have capacity,
- * those of the jobs that are due first before the others. An item is started only while the lease
- * was confirmed lately, so that no item of a cancelled or taken-over job is started later than the
- * bound {@code cancel_ms}. Confined to the gateway's event loop.
+ * Runs the jobs whose lease this gateway holds. Items are dispatched as the servers have capacity:
+ * tenants share it ({@link TenantShares}), and of one tenant's jobs those that are due first come
+ * before the others. An item is started only while the lease was confirmed lately, so that no item
+ * of a cancelled or taken-over job is started later than the bound {@code cancel_ms}. Confined to
+ * the gateway's event loop.
  */
 public final class JobRunner {
   /** How soon capacity is queried again if there was none; a run that ends dispatches at once. */
@@ -198,27 +199,29 @@
       return;
     }
     CapacityBudget budget = new CapacityBudget(servers);
-    boolean itemsLeft = false;
-    for (RunningJob job : jobsByDueTime()) {
-      if (job.hasReadyItems()) {
-        dispatch(job, config, budget);
-        itemsLeft |= job.hasReadyItems();
-      }
-    }
-    if (itemsLeft) {
+    List<RunningJob> dispatched = jobsByDueTime();
+    new TenantShares(dispatched).giveTurns(job -> dispatchNextItem(job, config, budget));
+    if (dispatched.stream().anyMatch(RunningJob::hasReadyItems)) {
       scheduleDispatch(CAPACITY_POLL_INTERVAL_MS);
     }
   }
 
-  private void dispatch(RunningJob job, RoutingConfig config, CapacityBudget budget) {
+  /**
+   * Starts the next item of a job, or fails what can be run no more.
+   *
+   * @return whether the one after it may be tried
+   */
+  private boolean dispatchNextItem(RunningJob job, RoutingConfig config, CapacityBudget budget) {
     if (job.items != null) {
-      startItems(job, config, budget);
-    } else if (job.isExpired(context.timers().now())) {
+      return startNextItem(job, config, budget);
+    }
+    if (job.isExpired(context.timers().now())) {
       failReadyItems(job);
     } else {
       job.timeline.onStalled(JobTimeline.Stall.BODY_NOT_LOADED);
       bodyLoader.fetch(job);
     }
+    return false;
   }
 
   /** The body could not be read within the time to live of the items. */
@@ -231,23 +234,22 @@
     }
   }
 
-  /** What holds for all items of one job in one dispatch. */
+  /** What holds for an item that is dispatched. */
   private record JobDispatch(
       RoutingConfig config, CapacityBudget budget, long now, boolean leaseConfirmed) {}
 
-  private void startItems(RunningJob job, RoutingConfig config, CapacityBudget budget) {
+  private boolean startNextItem(RunningJob job, RoutingConfig config, CapacityBudget budget) {
     long now = context.timers().now();
     boolean leaseConfirmed = now - job.confirmedAt <= startLeaseMs;
     JobDispatch dispatch = new JobDispatch(config, budget, now, leaseConfirmed);
-    boolean more = true;
-    while (more && job.hasReadyItems()) {
+    while (job.hasReadyItems()) {
       ItemRun itemRun = job.itemRuns[job.ready.peek()];
-      if (itemRun.done || itemRun.isInFlight()) {
-        job.ready.poll();
-      } else {
-        more = startItem(job, itemRun, dispatch);
+      if (!itemRun.done && !itemRun.isInFlight()) {
+        return startItem(job, itemRun, dispatch);
       }
+      job.ready.poll();
     }
+    return false;
   }
 
   /**
--- a/batch/src/main/java/elmsail/batch/run/RunningJob.java
+++ b/batch/src/main/java/elmsail/batch/run/RunningJob.java
@@ -107,6 +107,15 @@
     return !stopped && !ready.isEmpty();
   }
 
+  /** The number of items that are being run. */
+  int itemsInFlight() {
+    int inFlight = 0;
+    for (ItemRun itemRun : itemRuns) {
+      inFlight += itemRun.isInFlight() ? 1 : 0;
+    }
+    return inFlight;
+  }
+
   /** The lease was certainly held at this time, in ms of the steady clock. */
   void confirm(long at) {
     confirmedAt = Math.max(confirmedAt, at);
--- a/batch/src/test/java/elmsail/batch/TenantJobsTest.java
+++ b/batch/src/test/java/elmsail/batch/TenantJobsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -185,4 +186,28 @@
         cluster.status(service.submit(nobody, cluster.route(), "a", openItems, 1_000)), is(202));
     assertThat(cluster.status(service.submit(ARGUS, cluster.route(), "b", items, 1_000)), is(202));
   }
+
+  /** Starved: the jobs that one tenant submitted before do not keep another's waiting. */
+  @Test
+  void aFloodOfOneTenantsJobsLeavesSlotsToAnother() {
+    SimBatchCluster cluster = cluster(10, 1, 0);
+    SimServers servers = cluster.gateways.get(0).servers;
+    servers.capacity = 4;
+    servers.serviceTimeMs = 100;
+    for (int i = 0; i < 20; i++) {
+      assertThat(cluster.status(cluster.submit(ARGUS, 0, "a" + i, 10, 10)), is(202));
+    }
+    assertThat(cluster.status(cluster.submit(BORA, 0, "b", 10, 10)), is(202));
+    cluster.timers.advance(1_000);
+    long completed = servers.served.stream().filter(item -> item.startsWith("b-")).count();
+    assertThat("items of the other tenant within 1 s", completed, is(10L));
+    int runsBefore = servers.runs.size();
+    cluster.timers.advance(1_000);
+    // A run takes 100 ms, and its slot is noticed by the next look at the capacity, within 40 ms.
+    int runsPerSlot = 1_000 / 140;
+    assertThat(
+        "all slots are used",
+        servers.runs.size() - runsBefore,
+        greaterThanOrEqualTo(4 * runsPerSlot));
+  }
 }
