Gateway: batch calls and items by tenant

Cause: RequestDispatcher let every batch call through without a key and passed no tenant on; items were sent without the tenant's name, and the envelope's Authorization went to the server. Change: a submission is authenticated by its route, a call about a job by its host (authenticateBatchCall); both pass the tenant to BatchService. Authentication.OfJob: an item is sent in the name of its job's tenant, for which no key is asked, as taking one away ends no job. An envelope's Elmsail-Sender never passes, its Authorization only where the configuration has no tenants. A 401 of the batch service names the scheme.

--- a/gateway/src/main/java/elmsail/gateway/requests/Authentication.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/Authentication.java
@@ -1,5 +1,6 @@
 package elmsail.gateway.requests;
 
+import elmsail.batch.TenantName;
 import elmsail.config.Tenant;
 import elmsail.gateway.http.RequestCounters;
 import java.util.Optional;
@@ -19,9 +20,19 @@
     }
   }
 
+  /** An item of a batch job, served in the name of the job's tenant, whatever became of its key. */
+  record OfJob(TenantName tenant) implements Authentication {
+    @Override
+    public Optional<String> tenantName() {
+      return Optional.of(tenant.value());
+    }
+  }
+
   /** Served in nobody's name. */
   enum Anonymous implements Authentication {
-    /** The route is open, and the request carries no known key. */
+    /**
+     * The route is open and the request carries no known key, or it is an item without a tenant.
+     */
     OPEN_ROUTE,
     /** The configuration has no tenants, and no key is looked at. */
     NO_TENANTS
--- a/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ClientRequest.java
@@ -34,7 +34,7 @@
   private long lastEventId = -1;
   private final Credentials credentials;
 
-  /** In whose name it is served; null for an item of a batch job. */
+  /** In whose name it is served. */
   private Authentication authentication;
 
   /**
@@ -66,14 +66,24 @@
     this.deadlineAt = deadlineAt;
   }
 
-  /** An item of a batch job, without a deadline. */
-  ClientRequest(BatchItem item, HttpHeaders itemHeaders, int priority, MonotonicClock clock) {
+  /**
+   * An item of a batch job, without a deadline.
+   *
+   * @param authentication in whose name it is served; none that refuses it
+   */
+  ClientRequest(
+      BatchItem item,
+      HttpHeaders itemHeaders,
+      Authentication authentication,
+      int priority,
+      MonotonicClock clock) {
     id = item.id();
     method = HttpMethod.POST;
     uri = item.path();
     headers = Headers.endToEnd(itemHeaders);
     headers.remove(Headers.SENDER);
     credentials = Credentials.of(itemHeaders);
+    authenticateAs(authentication);
     body = item.body();
     prompt = promptOf(itemHeaders);
     this.priority = priority;
@@ -101,7 +111,7 @@
 
   /** The tenant in whose name it is served; empty if there is none. */
   Optional<String> tenantName() {
-    return authentication == null ? Optional.empty() : authentication.tenantName();
+    return authentication.tenantName();
   }
 
   /**
--- a/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ItemDispatcher.java
@@ -78,7 +78,8 @@
     }
     Server server = picked.get();
     context.counters().count(RequestCounters.Event.ITEM_STARTED);
-    ClientRequest request = new ClientRequest(item, headers, ITEM_PRIORITY, context.timers());
+    ClientRequest request =
+        new ClientRequest(item, headers, authenticationOf(tenant), ITEM_PRIORITY, context.timers());
     if (resumeAfterEventId >= 0) {
       request.resumeAfter(resumeAfterEventId);
     }
@@ -91,6 +92,16 @@
     return run;
   }
 
+  /** In whose name an item is served: no key is asked for, as its job was accepted with one. */
+  private Authentication authenticationOf(TenantName tenant) {
+    if (!tenant.isNone()) {
+      return new Authentication.OfJob(tenant);
+    }
+    return context.clusterState().config().requiresKeys()
+        ? Authentication.Anonymous.OPEN_ROUTE
+        : Authentication.Anonymous.NO_TENANTS;
+  }
+
   /** The servers that failed the item, as long as there are others that can be chosen. */
   private Set<Server> serversThatFailed(String itemId, List<Server> openServers) {
     Set<Server> failed = new HashSet<>();
--- a/gateway/src/main/java/elmsail/gateway/requests/LocalReplies.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/LocalReplies.java
@@ -44,9 +44,7 @@
     if (id != null) {
       headers.set(Headers.REQUEST_ID, id);
     }
-    if (status == UNAUTHORIZED) {
-      headers.set(Headers.WWW_AUTHENTICATE, "Bearer");
-    }
+    setChallenge(headers, status);
     setRetryAfter(headers, retryAfterS);
     client.sendResponse(status, headers, Unpooled.EMPTY_BUFFER);
   }
@@ -65,10 +63,18 @@
     if (body.length > 0) {
       headers.set("Content-Type", body[0] == '{' ? "application/json" : "application/octet-stream");
     }
+    setChallenge(headers, reply.status());
     setRetryAfter(headers, reply.retryAfterS());
     client.sendResponse(reply.status(), headers, Unpooled.wrappedBuffer(body));
   }
 
+  /** What a 401 has to name (RFC 9110, section 15.5.2). */
+  private static void setChallenge(HttpHeaders headers, int status) {
+    if (status == UNAUTHORIZED) {
+      headers.set(Headers.WWW_AUTHENTICATE, "Bearer");
+    }
+  }
+
   private static void setRetryAfter(HttpHeaders headers, double seconds) {
     if (seconds > 0) {
       headers.set(
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestDispatcher.java
@@ -47,15 +47,9 @@
           RequestCounters.Event.REJECTED_NO_CONFIG);
     }
     String path = request.path();
-    if (path.startsWith(JOBS_PATH)) {
-      return handleJobCall(request, path.substring(JOBS_PATH.length()), client);
-    }
-    if (path.startsWith(ITEMS_PATH) && request.method().equals("GET")) {
-      context.counters().count(RequestCounters.Event.BATCH_CALL);
-      return relayBatchReply(
-          jobs.readItemBody(
-              TenantName.NONE, path.substring(ITEMS_PATH.length()), parameter(request, "id")),
-          client);
+    boolean readsItem = path.startsWith(ITEMS_PATH) && request.method().equals("GET");
+    if (readsItem || path.startsWith(JOBS_PATH)) {
+      return handleBatchCall(request, host, readsItem, client);
     }
     Optional<Route> matched = config.match(host, path);
     String id = request.headers().get(Headers.REQUEST_ID);
@@ -73,7 +67,7 @@
     }
     long deadlineAt = request.arrivedAt() + timeoutMs(request, route);
     if (route.kind() == Route.Kind.BATCH) {
-      return submitJob(request, route, id, deadlineAt, client);
+      return submitJob(request, route, authentication, id, deadlineAt, client);
     }
     int priority = RequestPriority.of(config, authentication, route.priority());
     ClientRequest outgoing =
@@ -90,17 +84,50 @@
   }
 
   private RequestHandle submitJob(
-      ReceivedRequest request, Route route, String id, long deadlineAt, ResponseSink client) {
+      ReceivedRequest request,
+      Route route,
+      Authentication authentication,
+      String id,
+      long deadlineAt,
+      ResponseSink client) {
     if (!request.method().equals("POST")) {
       return sendLocalReply(client, 405, id, RequestCounters.Event.BAD_REQUEST);
     }
     context.counters().count(RequestCounters.Event.BATCH_CALL);
     long remainingMs = Math.max(1, deadlineAt - context.timers().now());
     return relayBatchReply(
-        jobs.submit(TenantName.NONE, route, id, request.body(), remainingMs), client);
+        jobs.submit(tenantOf(authentication), route, id, request.body(), remainingMs), client);
+  }
+
+  private static TenantName tenantOf(Authentication authentication) {
+    return authentication.tenantName().map(TenantName::new).orElse(TenantName.NONE);
+  }
+
+  /** A call about a job that was submitted before; its path names no route. */
+  private RequestHandle handleBatchCall(
+      ReceivedRequest request, String host, boolean readsItem, ResponseSink client) {
+    Authentication authentication =
+        context.authenticator().authenticateBatchCall(host, request.credentials());
+    if (authentication instanceof Authentication.Refused refused) {
+      String id = request.headers().get(Headers.REQUEST_ID);
+      return sendLocalReply(client, refused.reason().status(), id, refused.reason().event());
+    }
+    TenantName tenant = tenantOf(authentication);
+    return readsItem
+        ? readItemBody(request, tenant, client)
+        : handleJobCall(request, tenant, client);
+  }
+
+  private RequestHandle readItemBody(
+      ReceivedRequest request, TenantName tenant, ResponseSink client) {
+    context.counters().count(RequestCounters.Event.BATCH_CALL);
+    String jobId = request.path().substring(ITEMS_PATH.length());
+    return relayBatchReply(jobs.readItemBody(tenant, jobId, parameter(request, "id")), client);
   }
 
-  private RequestHandle handleJobCall(ReceivedRequest request, String jobId, ResponseSink client) {
+  private RequestHandle handleJobCall(
+      ReceivedRequest request, TenantName tenant, ResponseSink client) {
+    String jobId = request.path().substring(JOBS_PATH.length());
     context.counters().count(RequestCounters.Event.BATCH_CALL);
     switch (request.method()) {
       case "GET" -> {
@@ -108,10 +135,10 @@
         long wait =
             Math.min(
                 MAX_WAIT_MS, Headers.parseNonNegative(request.headers().get(Headers.WAIT_MS), 0));
-        return relayBatchReply(jobs.readResults(TenantName.NONE, jobId, after, wait), client);
+        return relayBatchReply(jobs.readResults(tenant, jobId, after, wait), client);
       }
       case "DELETE" -> {
-        return relayBatchReply(jobs.cancel(TenantName.NONE, jobId), client);
+        return relayBatchReply(jobs.cancel(tenant, jobId), client);
       }
       default -> {
         return sendLocalReply(client, 405, null, RequestCounters.Event.BAD_REQUEST);
--- a/gateway/src/test/java/elmsail/gateway/BatchItemExecutionTest.java
+++ b/gateway/src/test/java/elmsail/gateway/BatchItemExecutionTest.java
@@ -1,6 +1,8 @@
 package elmsail.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
@@ -11,9 +13,12 @@
 import elmsail.batch.ItemServers.RunListener;
 import elmsail.batch.ItemServers.RunOutcome;
 import elmsail.batch.TenantName;
+import elmsail.config.Tenant;
 import elmsail.gateway.RawConnection.Message;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -23,6 +28,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Jobs' items at stand-in servers. */
 class BatchItemExecutionTest extends GatewaySocketTest {
@@ -308,6 +314,61 @@
     envelope.forEach((name, value) -> assertThat(received.header(name), is(value)));
   }
 
+  /** The lines of the head with which an item is sent. */
+  private List<String> sentHead(TenantName tenant, Map<String, String> envelope) throws Exception {
+    BatchItem item = new BatchItem("e5", "/sack/3/91", envelope, new byte[] {7}, 940);
+    harness.onLoop(
+        () ->
+            harness
+                .gateway
+                .itemServers()
+                .start(tenant, harness.clusterState.routeByName("sack"), item, -1, listener));
+    RawConnection server = harness.firstServer.accept();
+    List<String> lines = new ArrayList<>();
+    for (String line = server.readLine(); !line.isEmpty(); line = server.readLine()) {
+      lines.add(line);
+    }
+    return lines;
+  }
+
+  /** The values of a header, of any spelling. */
+  private static List<String> values(List<String> head, String name) {
+    String start = name.toLowerCase(Locale.ROOT) + ":";
+    return head.stream()
+        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(start))
+        .map(line -> line.substring(start.length()).strip())
+        .toList();
+  }
+
+  /** UNASKED: the server learns the job's tenant, whatever the envelope says in any spelling. */
+  @ParameterizedTest
+  @ValueSource(strings = {"Elmsail-Sender", "elmsail-sender", "ELMSAIL-SENDER"})
+  void itemIsSentInTheNameOfTheJobsTenantAlone(String name) throws Exception {
+    // The tenant of the job is not configured any more.
+    harness.clusterState.tenantsByKey = Map.of("k", new Tenant("vopu11", 0));
+    List<String> head =
+        sentHead(
+            new TenantName("kaje80"),
+            Map.of(name, "vopu11", "authorization", "Bearer x", "AUTHORIZATION", "Bearer y"));
+    assertThat(values(head, "Elmsail-Sender"), contains("kaje80"));
+    assertThat(values(head, "Authorization"), empty());
+  }
+
+  @Test
+  void itemWithoutATenantIsSentInNobodysName() throws Exception {
+    harness.clusterState.tenantsByKey = Map.of("k", new Tenant("vopu11", 0));
+    List<String> head =
+        sentHead(TenantName.NONE, Map.of("Elmsail-Sender", "vopu11", "Authorization", "Bearer k"));
+    assertThat(values(head, "Elmsail-Sender"), empty());
+    assertThat(values(head, "Authorization"), empty());
+  }
+
+  @Test
+  void authorizationOfAnItemPassesWhereTheConfigurationHasNoTenants() throws Exception {
+    List<String> head = sentHead(TenantName.NONE, Map.of("Authorization", "Basic x"));
+    assertThat(values(head, "Authorization"), contains("Basic x"));
+  }
+
   /** UNASKED: an item that is cancelled before its connection is there is not sent. */
   @Test
   void itemCancelledBeforeSendingDoesNotReachTheServer() throws Exception {
--- a/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
+++ b/gateway/src/test/java/elmsail/gateway/FakeClusterState.java
@@ -148,6 +148,12 @@
     return routes.get("/" + name + "/");
   }
 
+  @Override
+  public boolean hasOpenBatchRoute(String host) {
+    return routes.values().stream()
+        .anyMatch(route -> route.kind() == Route.Kind.BATCH && route.isOpen());
+  }
+
   @Override
   public boolean requiresKeys() {
     return tenantsByKey != null;
--- a/gateway/src/test/java/elmsail/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewayTestHarness.java
@@ -31,8 +31,10 @@
   public static final class FakeBatchCalls implements BatchService {
     public volatile Reply reply = new Reply(202, new byte[0], 0);
     public volatile String lastCall = "";
+    public volatile TenantName lastTenant = TenantName.NONE;
 
-    private CompletableFuture<Reply> response(String what) {
+    private CompletableFuture<Reply> response(TenantName tenant, String what) {
+      lastTenant = tenant;
       lastCall = what;
       return CompletableFuture.completedFuture(reply);
     }
@@ -40,23 +42,23 @@
     @Override
     public CompletableFuture<Reply> submit(
         TenantName tenant, Route route, String jobId, byte[] body, long deadlineMs) {
-      return response("handIn " + route.name() + " " + jobId + " " + body.length);
+      return response(tenant, "handIn " + route.name() + " " + jobId + " " + body.length);
     }
 
     @Override
     public CompletableFuture<Reply> readResults(
         TenantName tenant, String jobId, long after, long waitMs) {
-      return response("read " + jobId + " " + after + " " + waitMs);
+      return response(tenant, "read " + jobId + " " + after + " " + waitMs);
     }
 
     @Override
     public CompletableFuture<Reply> readItemBody(TenantName tenant, String jobId, String itemId) {
-      return response("item " + jobId + " " + itemId);
+      return response(tenant, "item " + jobId + " " + itemId);
     }
 
     @Override
     public CompletableFuture<Reply> cancel(TenantName tenant, String jobId) {
-      return response("end " + jobId);
+      return response(tenant, "end " + jobId);
     }
   }
 
