--- a/config/src/main/java/elmsail/config/ConfigAmendment.java
+++ b/config/src/main/java/elmsail/config/ConfigAmendment.java
@@ -1,10 +1,6 @@
 package elmsail.config;
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
-import com.typesafe.config.ConfigList;
-import com.typesafe.config.ConfigObject;
-import com.typesafe.config.ConfigValue;
-import com.typesafe.config.ConfigValueType;
 import elmsail.config.ConfigDocument.Item;
 import elmsail.config.ConfigDocument.Value;
 import java.nio.charset.StandardCharsets;
@@ -46,7 +42,7 @@
    *     removed twice or added as well
    */
   public static ConfigAmendment read(byte[] bytes) {
-    ConfigObject root = StrictJson.read(bytes);
+    Map<String, Object> root = StrictJson.read(bytes);
     ConfigFields fields = ConfigFields.root(root);
     long version = fields.requiredPositiveLong(VERSION_FIELD);
     Map<String, Map<String, Item>> upserts = new LinkedHashMap<>();
@@ -82,16 +78,14 @@
   }
 
   private static Set<String> readNames(ConfigFields lists, String list, Set<String> upsertedNames) {
-    ConfigValue value = lists.object().get(list);
-    if (value.valueType() != ConfigValueType.LIST) {
+    if (!(lists.object().get(list) instanceof List<?> elements)) {
       throw lists.invalid(list, "is not a list");
     }
     Set<String> names = new LinkedHashSet<>();
-    for (ConfigValue element : (ConfigList) value) {
-      if (element.valueType() != ConfigValueType.STRING) {
+    for (Object element : elements) {
+      if (!(element instanceof String name)) {
         throw lists.invalid(list, "holds what is not a name");
       }
-      String name = (String) element.unwrapped();
       if (!names.add(name) || upsertedNames.contains(name)) {
         throw lists.invalid(list, name + " is named twice");
       }
--- a/config/src/main/java/elmsail/config/ConfigFields.java
+++ b/config/src/main/java/elmsail/config/ConfigFields.java
@@ -1,13 +1,10 @@
 package elmsail.config;
 
-import com.typesafe.config.ConfigList;
-import com.typesafe.config.ConfigObject;
-import com.typesafe.config.ConfigValue;
-import com.typesafe.config.ConfigValueType;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Typed access to the fields of one object of a configuration. Types are not converted: a string is
@@ -16,12 +13,12 @@
  *
  * @param path of the object within the document, empty for the root
  */
-record ConfigFields(String path, ConfigObject object) {
+record ConfigFields(String path, Map<String, Object> object) {
   /** 2^53: JSON readers agree on all integers up to it. */
   private static final double MAX_EXACT_INTEGER = 9_007_199_254_740_992.0;
 
   /** The fields of a document's root object. */
-  static ConfigFields root(ConfigObject object) {
+  static ConfigFields root(Map<String, Object> object) {
     return new ConfigFields("", object);
   }
 
@@ -37,8 +34,7 @@
 
   /** Whether the field is present and not null. */
   boolean has(String key) {
-    ConfigValue value = object.get(key);
-    return value != null && value.valueType() != ConfigValueType.NULL;
+    return object.get(key) != null;
   }
 
   /** A string of at least one character. */
@@ -52,15 +48,12 @@
 
   /** A string, which may be empty. */
   String stringOr(String key, String defaultValue) {
-    return has(key)
-        ? (String) valueOfType(key, ConfigValueType.STRING, "a text").unwrapped()
-        : defaultValue;
+    return has(key) ? valueOfType(key, String.class, "a text") : defaultValue;
   }
 
   /** A boolean; false if it is absent. */
   boolean booleanOrFalse(String key) {
-    return has(key)
-        && (Boolean) valueOfType(key, ConfigValueType.BOOLEAN, "true or false").unwrapped();
+    return has(key) && valueOfType(key, Boolean.class, "true or false");
   }
 
   /** Any finite number. */
@@ -68,8 +61,7 @@
     if (!has(key)) {
       return defaultValue;
     }
-    double number =
-        ((Number) valueOfType(key, ConfigValueType.NUMBER, "a number").unwrapped()).doubleValue();
+    double number = valueOfType(key, Number.class, "a number").doubleValue();
     if (!Double.isFinite(number)) {
       throw invalid(key, "is too large a number");
     }
@@ -104,8 +96,7 @@
 
   /** An object, which has to be present: see {@link #has}. */
   ConfigFields requiredObject(String key) {
-    return new ConfigFields(
-        pathOf(key), (ConfigObject) valueOfType(key, ConfigValueType.OBJECT, "an object"));
+    return new ConfigFields(pathOf(key), asObject(valueOfType(key, Map.class, "an object")));
   }
 
   /** The elements of a list of objects. */
@@ -113,14 +104,14 @@
     if (!has(key)) {
       throw invalid(key, "is missing");
     }
-    ConfigList values = (ConfigList) valueOfType(key, ConfigValueType.LIST, "a list");
+    List<?> values = valueOfType(key, List.class, "a list");
     List<ConfigFields> elements = new ArrayList<>(values.size());
     for (int i = 0; i < values.size(); i++) {
       String indexedKey = key + "[" + i + "]";
-      if (!(values.get(i) instanceof ConfigObject element)) {
+      if (!(values.get(i) instanceof Map<?, ?> element)) {
         throw invalid(indexedKey, "is not an object");
       }
-      elements.add(new ConfigFields(pathOf(indexedKey), element));
+      elements.add(new ConfigFields(pathOf(indexedKey), asObject(element)));
     }
     return elements;
   }
@@ -130,10 +121,10 @@
     if (!has(key)) {
       throw invalid(key, "is missing");
     }
-    ConfigList values = (ConfigList) valueOfType(key, ConfigValueType.LIST, "a list");
+    List<?> values = valueOfType(key, List.class, "a list");
     List<String> elements = new ArrayList<>(values.size());
     for (int i = 0; i < values.size(); i++) {
-      if (!(values.get(i).unwrapped() instanceof String element) || element.isEmpty()) {
+      if (!(values.get(i) instanceof String element) || element.isEmpty()) {
         throw invalid(key + "[" + i + "]", "is not a text of one character or more");
       }
       elements.add(element);
@@ -141,11 +132,17 @@
     return elements;
   }
 
-  private ConfigValue valueOfType(String key, ConfigValueType type, String reason) {
-    ConfigValue value = object.get(key);
-    if (value.valueType() != type) {
+  /** Objects that were read have strings for keys alone. */
+  @SuppressWarnings("unchecked")
+  private static Map<String, Object> asObject(Map<?, ?> value) {
+    return (Map<String, Object>) value;
+  }
+
+  private <T> T valueOfType(String key, Class<T> type, String reason) {
+    Object value = object.get(key);
+    if (!type.isInstance(value)) {
       throw invalid(key, "is not " + reason);
     }
-    return value;
+    return type.cast(value);
   }
 }
--- a/config/src/main/java/elmsail/config/StrictJson.java
+++ b/config/src/main/java/elmsail/config/StrictJson.java
@@ -6,21 +6,21 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
-import com.typesafe.config.ConfigException;
-import com.typesafe.config.ConfigFactory;
-import com.typesafe.config.ConfigObject;
-import com.typesafe.config.ConfigParseOptions;
-import com.typesafe.config.ConfigSyntax;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
- * Reads a document that is exactly one JSON object. Typesafe Config accepts duplicate keys,
- * comments and more, so Jackson checks the syntax strictly before it. Stateless.
+ * Reads a document that is exactly one JSON object, in one pass, as a gateway does it on its event
+ * loop. Objects are maps by key, lists are lists, and values are strings, booleans, numbers or
+ * null. Stateless.
  */
 final class StrictJson {
   private static final int MAX_NESTING_DEPTH = 50;
@@ -30,10 +30,6 @@
           .streamReadConstraints(
               StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING_DEPTH).build())
           .build();
-  private static final ConfigParseOptions PARSE_OPTIONS =
-      ConfigParseOptions.defaults()
-          .setSyntax(ConfigSyntax.JSON)
-          .setOriginDescription("configuration");
 
   private StrictJson() {}
 
@@ -41,16 +37,23 @@
    * Parses a document.
    *
    * @throws ElmsailException INVALID_ARGUMENT if the bytes are not one complete JSON object in
-   *     UTF-8 with each key once, nested at most 50 deep
+   *     UTF-8 with each key once, nested at most 50 deep, or hold an integer beyond 64 bits
    */
-  static ConfigObject read(byte[] bytes) {
-    String text = decodeUtf8(bytes);
-    checkSyntax(text);
-    try {
-      return ConfigFactory.parseString(text, PARSE_OPTIONS).root();
-    } catch (ConfigException e) {
+  static Map<String, Object> read(byte[] bytes) {
+    try (JsonParser parser = JSON.createParser(decodeUtf8(bytes))) {
+      if (parser.nextToken() != JsonToken.START_OBJECT) {
+        throw new ElmsailException(
+            ErrorCode.INVALID_ARGUMENT, "the configuration is not a JSON object");
+      }
+      Map<String, Object> root = readObject(parser);
+      if (parser.nextToken() != null) {
+        throw new ElmsailException(
+            ErrorCode.INVALID_ARGUMENT, "the configuration has more behind its end");
+      }
+      return root;
+    } catch (IOException e) {
       throw new ElmsailException(
-          ErrorCode.INVALID_ARGUMENT, "the configuration cannot be read: " + e.getMessage(), e);
+          ErrorCode.INVALID_ARGUMENT, "the configuration is not whole JSON: " + e.getMessage(), e);
     }
   }
 
@@ -62,33 +65,51 @@
     }
   }
 
-  private static void checkSyntax(String text) {
-    try (JsonParser parser = JSON.createParser(text)) {
-      if (parser.nextToken() != JsonToken.START_OBJECT) {
-        throw new ElmsailException(
-            ErrorCode.INVALID_ARGUMENT, "the configuration is not a JSON object");
-      }
-      int depth = 1;
-      while (depth > 0) {
-        JsonToken token = parser.nextToken();
-        if (token == null) {
-          throw new ElmsailException(ErrorCode.INVALID_ARGUMENT, "the configuration is cut short");
-        }
-        if (token.isStructStart()) {
-          depth++;
-        } else if (token.isStructEnd()) {
-          depth--;
-        } else if (token == JsonToken.VALUE_STRING) {
-          parser.getTextLength();
-        }
-      }
-      if (parser.nextToken() != null) {
-        throw new ElmsailException(
-            ErrorCode.INVALID_ARGUMENT, "the configuration has more behind its end");
-      }
-    } catch (IOException e) {
+  private static Map<String, Object> readObject(JsonParser parser) throws IOException {
+    Map<String, Object> object = new LinkedHashMap<>();
+    while (nextToken(parser) != JsonToken.END_OBJECT) {
+      String key = parser.currentName();
+      nextToken(parser);
+      object.put(key, readValue(parser));
+    }
+    return object;
+  }
+
+  private static List<Object> readList(JsonParser parser) throws IOException {
+    List<Object> list = new ArrayList<>();
+    while (nextToken(parser) != JsonToken.END_ARRAY) {
+      list.add(readValue(parser));
+    }
+    return list;
+  }
+
+  private static Object readValue(JsonParser parser) throws IOException {
+    return switch (parser.currentToken()) {
+      case START_OBJECT -> readObject(parser);
+      case START_ARRAY -> readList(parser);
+      case VALUE_STRING -> parser.getText();
+      case VALUE_NUMBER_INT -> readInteger(parser);
+      case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+      case VALUE_TRUE -> true;
+      case VALUE_FALSE -> false;
+      case VALUE_NULL -> null;
+      default -> throw new AssertionError(parser.currentToken());
+    };
+  }
+
+  private static Long readInteger(JsonParser parser) throws IOException {
+    if (parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
       throw new ElmsailException(
-          ErrorCode.INVALID_ARGUMENT, "the configuration is not whole JSON: " + e.getMessage(), e);
+          ErrorCode.INVALID_ARGUMENT, "the configuration has an integer beyond 64 bits");
+    }
+    return parser.getLongValue();
+  }
+
+  private static JsonToken nextToken(JsonParser parser) throws IOException {
+    JsonToken token = parser.nextToken();
+    if (token == null) {
+      throw new ElmsailException(ErrorCode.INVALID_ARGUMENT, "the configuration is cut short");
     }
+    return token;
   }
 }
--- a/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
+++ b/config/src/test/java/elmsail/config/RoutingConfigReaderTest.java
@@ -135,6 +135,8 @@
         "{\"a\":${b}}",
         "{\"a\":tru}",
         "{\"a\":1 2}",
+        "{\"a\":9223372036854775808}",
+        "{\"a\":[-12345678901234567890123]}",
         "{\"a\":\"x\" \"y\"}"
       })
   void rejectsInvalidJson(String text) {
