Control plane: the policy that decides how many servers a service has in a zone

Cause: nothing sets the number of servers; each is paid for by the second and bursts find too few. Change: FleetSizePolicy, pure: more at once by demand against a target share of the slots, fewer only after a whole window without need; nothing is taken away on missing reports. Nothing calls it yet. Measured: FleetSizePolicyTest green.

--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
@@ -0,0 +1,73 @@
+package elmsail.controlplane;
+
+import elmsail.config.FleetSize;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Decides how many servers a service is to have in one zone. More are ordered as soon as the demand
+ * asks for them, since new servers take their time to boot; fewer only after no moment of a whole
+ * {@linkplain #STABILIZATION_WINDOW_MS window} would have needed as many, so that a short lull, or
+ * a lost reading, takes no server away. Does no I/O; times are in ms of the steady clock. Runs on
+ * the event loop.
+ */
+final class FleetSizePolicy {
+  /** Share of all slots that the demand is to take: the rest is for what comes in clumps. */
+  static final double TARGET_UTILIZATION = 0.5;
+
+  /** The largest size recommended within this time before now is the one that is wanted. */
+  static final long STABILIZATION_WINDOW_MS = 30_000;
+
+  /**
+   * What is known of a service in one zone at a moment.
+   *
+   * @param servers that take requests
+   * @param slotsPerServer requests that one server runs at once, at least 1
+   * @param openRequests requests and items of all gateways that run or wait there
+   * @param isComplete whether enough gateways have reported lately for the demand to be believed
+   */
+  record Observation(int servers, int slotsPerServer, double openRequests, boolean isComplete) {}
+
+  private record Recommendation(long atMs, int servers) {}
+
+  private final long startedAtMs;
+
+  /** Oldest first; each is larger than all that follow it, so the first is the largest. */
+  private final Deque<Recommendation> recommendations = new ArrayDeque<>();
+
+  /** Creates one that has observed nothing before that time. */
+  FleetSizePolicy(long startedAtMs) {
+    this.startedAtMs = startedAtMs;
+  }
+
+  /**
+   * Takes a reading.
+   *
+   * @return how many servers are wanted, within the bounds
+   */
+  int observe(Observation observation, FleetSize bounds, long now) {
+    boolean mayShrink = observation.isComplete() && now - startedAtMs >= STABILIZATION_WINDOW_MS;
+    int needed = (int) Math.ceil(observation.openRequests() / usableSlots(observation));
+    int recommended = mayShrink ? needed : Math.max(needed, observation.servers());
+    return clamp(windowMaximum(recommended, now), bounds);
+  }
+
+  private static double usableSlots(Observation observation) {
+    return Math.max(1, observation.slotsPerServer()) * TARGET_UTILIZATION;
+  }
+
+  private int windowMaximum(int recommended, long now) {
+    while (!recommendations.isEmpty() && recommendations.peekLast().servers() <= recommended) {
+      recommendations.removeLast();
+    }
+    recommendations.addLast(new Recommendation(now, recommended));
+    while (now - recommendations.peekFirst().atMs() > STABILIZATION_WINDOW_MS) {
+      recommendations.removeFirst();
+    }
+    return recommendations.peekFirst().servers();
+  }
+
+  private static int clamp(int servers, FleetSize bounds) {
+    return Math.max(bounds.minServers(), Math.min(bounds.maxServers(), servers));
+  }
+}
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/FleetSizePolicyTest.java
@@ -0,0 +1,84 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import elmsail.config.FleetSize;
+import org.junit.jupiter.api.Test;
+
+class FleetSizePolicyTest {
+  private static final FleetSize BOUNDS = new FleetSize(4, 20, 4_000);
+  private static final int SLOTS = 10;
+  private static final long STARTED_AT_MS = 1_000;
+  private static final long WINDOW_FULL_MS =
+      STARTED_AT_MS + FleetSizePolicy.STABILIZATION_WINDOW_MS;
+
+  private final FleetSizePolicy policy = new FleetSizePolicy(STARTED_AT_MS);
+
+  private int observe(int servers, double openRequests, long now) {
+    return policy.observe(
+        new FleetSizePolicy.Observation(servers, SLOTS, openRequests, true), BOUNDS, now);
+  }
+
+  private int observeIncomplete(int servers, double openRequests, long now) {
+    return policy.observe(
+        new FleetSizePolicy.Observation(servers, SLOTS, openRequests, false), BOUNDS, now);
+  }
+
+  @Test
+  void demandAboveTheTargetOrdersMoreAtOnce() {
+    assertThat(observe(8, 60, STARTED_AT_MS), is(12));
+  }
+
+  @Test
+  void neverBeyondTheBounds() {
+    assertThat(observe(8, 1_000, STARTED_AT_MS), is(20));
+    FleetSizePolicy idle = new FleetSizePolicy(STARTED_AT_MS);
+    assertThat(
+        idle.observe(new FleetSizePolicy.Observation(8, SLOTS, 0, true), BOUNDS, WINDOW_FULL_MS),
+        is(4));
+  }
+
+  @Test
+  void nothingIsTakenAwayBeforeAWholeWindowWasObserved() {
+    for (long now = STARTED_AT_MS; now < WINDOW_FULL_MS; now += 500) {
+      assertThat(observe(8, 0, now), is(8));
+    }
+  }
+
+  @Test
+  void lullShorterThanTheWindowTakesNoServerAway() {
+    observe(8, 60, WINDOW_FULL_MS);
+    long now = WINDOW_FULL_MS;
+    while (now < WINDOW_FULL_MS + FleetSizePolicy.STABILIZATION_WINDOW_MS) {
+      now += 500;
+      assertThat(observe(12, 1, now), is(12));
+    }
+    assertThat(observe(12, 1, now + 500), is(4));
+  }
+
+  @Test
+  void missingReportsTakeNoServerAway() {
+    observe(8, 30, WINDOW_FULL_MS);
+    long later = WINDOW_FULL_MS + 2 * FleetSizePolicy.STABILIZATION_WINDOW_MS;
+    assertThat(observeIncomplete(8, 0, later), is(8));
+  }
+
+  @Test
+  void missingReportsDoNotHinderGrowth() {
+    assertThat(observeIncomplete(8, 70, STARTED_AT_MS), is(14));
+  }
+
+  @Test
+  void steadyDemandWithNoiseDoesNotFlap() {
+    int orders = 0;
+    int servers = 10;
+    for (long now = STARTED_AT_MS; now < 10 * WINDOW_FULL_MS; now += 500) {
+      double noise = (now / 500 * 7_919 % 11) - 5;
+      int wanted = observe(servers, 48 + noise, now);
+      orders += wanted == servers ? 0 : 1;
+      servers = wanted;
+    }
+    assertThat(orders <= 2, is(true));
+  }
+}
