Control plane: the number of model servers is set by demand, as a singleton duty

Cause: nothing called POST /fleet-size, so each service kept the size that it started with. Change: gateways report with their pulls what they have open at services with a fleet size, items that wait included in part (DemandMeter, PullRequest.demand, tag 15); DemandTable estimates the demand of all gateways from those that pull here; FleetSizeManager orders what FleetSizePolicy wants, under the lease's term, for each service and zone in which it runs. An order that holds is not repeated; one without a clear outcome is, after a second. The first reading of a holder is its baseline, so that servers that are replaced one by one, or crash, change nothing.

--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -73,6 +73,7 @@
             started -> {
               gateway = started;
               jobs.setServers(started.itemServers());
+              watcher.setDemandSource(() -> started.demand(jobs.waitingItems()));
               jobs.start();
               LOG.info(
                   "listening at {} and {}", settings.listenAddresses().get("front"), ownAddress);
--- a/batch/src/main/java/elmsail/batch/api/BatchApi.java
+++ b/batch/src/main/java/elmsail/batch/api/BatchApi.java
@@ -115,6 +115,11 @@
         BatchMessageTypes.message(BatchMessageTypes.CANCELLED, BatchReplies.EMPTY_BODY));
   }
 
+  /** The items of this gateway's jobs that wait for capacity, by the service of their route. */
+  public Map<String, Integer> waitingItems() {
+    return runner.waitingItems();
+  }
+
   /** The number of jobs that this gateway runs. */
   public int runningJobs() {
     return runner.size();
--- a/batch/src/main/java/elmsail/batch/run/JobRunner.java
+++ b/batch/src/main/java/elmsail/batch/run/JobRunner.java
@@ -8,6 +8,8 @@
 import elmsail.config.Route;
 import elmsail.config.RoutingConfig;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -139,6 +141,31 @@
     return jobs.size();
   }
 
+  /**
+   * The items that could be started now, by the service that has the largest weight on the route of
+   * their job.
+   */
+  public Map<String, Integer> waitingItems() {
+    Map<String, Integer> waiting = new HashMap<>();
+    RoutingConfig config = context.clusterState().config();
+    if (config == null) {
+      return waiting;
+    }
+    for (RunningJob job : jobs.values()) {
+      Route route = config.routeByName(job.record.routeName());
+      if (route != null && job.hasReadyItems()) {
+        waiting.merge(mainService(route), job.ready.size(), Integer::sum);
+      }
+    }
+    return waiting;
+  }
+
+  private static String mainService(Route route) {
+    return Collections.max(
+            route.weightedServices(), Comparator.comparingDouble(Route.WeightedService::weight))
+        .service();
+  }
+
   /** The jobs that this gateway runs, those that are due first at the head; a copy. */
   List<RunningJob> jobsByDueTime() {
     return new ArrayList<>(jobsByDueTime);
--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -8,6 +8,7 @@
 import elmsail.rpc.messages.ClusterView;
 import elmsail.rpc.messages.PullRequest;
 import elmsail.rpc.messages.PullResponse;
+import elmsail.rpc.messages.ServiceDemand;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
@@ -141,6 +142,11 @@
     joinListener = newJoinListener;
   }
 
+  /** Sets what a gateway reports, with each request, of what it has open at the servers. */
+  public void setDemandSource(Supplier<List<ServiceDemand>> demand) {
+    requests.setDemandSource(demand);
+  }
+
   @Override
   public void addListener(Runnable listener) {
     listeners.add(listener);
--- a/config/src/main/java/elmsail/config/watch/WatchRequestFactory.java
+++ b/config/src/main/java/elmsail/config/watch/WatchRequestFactory.java
@@ -1,7 +1,9 @@
 package elmsail.config.watch;
 
 import elmsail.rpc.messages.PullRequest;
+import elmsail.rpc.messages.ServiceDemand;
 import elmsail.runtime.Settings;
+import java.util.List;
 import java.util.function.Supplier;
 
 /**
@@ -20,6 +22,7 @@
   private final PeerRole role;
   private final long instanceId;
   private final Supplier<StoreStatus> storeStatus;
+  private Supplier<List<ServiceDemand>> demand = List::of;
 
   /**
    * Creates the factory of one process.
@@ -34,6 +37,11 @@
     this.storeStatus = storeStatus;
   }
 
+  /** Sets what a gateway reports of its open requests; read at each request. */
+  void setDemandSource(Supplier<List<ServiceDemand>> newDemand) {
+    demand = newDemand;
+  }
+
   /**
    * The next request of a stream.
    *
@@ -65,6 +73,7 @@
     request.viewVersion = stream.viewVersion;
     request.maxWaitMs = urgent ? ANSWER_AT_ONCE_MS : LONG_POLL_MS;
     request.hasDisk = settings.dataDir() != null;
+    request.demand = demand.get();
     return request;
   }
 
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -31,7 +31,8 @@
  *   <li>{@link ConfigurationManager}: the routing configuration,
  *   <li>{@link ServerListManager}: the list of model servers,
  *   <li>{@link VoterSetManager}: the two voter sets and the heartbeats,
- *   <li>{@link DecommissionManager}: the stores to decommission.
+ *   <li>{@link DecommissionManager}: the stores to decommission,
+ *   <li>{@link FleetSizeManager}: the number of model servers in each zone.
  * </ul>
  */
 final class ControlPlaneNode {
@@ -53,6 +54,7 @@
   private final DecommissionManager decommissionManager;
   private final VoterSetManager voterSetManager;
   private final ServerListManager serverListManager;
+  private final Optional<FleetSizeManager> fleetSizeManager;
   private final HttpHandler operatorApi;
   private boolean closed;
 
@@ -100,6 +102,7 @@
             counters);
     serverListManager =
         new ServerListManager(watchServer, configWatcher, createServerDiscovery(platform));
+    fleetSizeManager = createFleetSizeManager(platform);
     operatorApi = createOperatorApi();
     registerGauges();
   }
@@ -148,6 +151,23 @@
             counters));
   }
 
+  /** Empty where the platform does not expect the duty. */
+  private Optional<FleetSizeManager> createFleetSizeManager(HttpClient platform) {
+    Settings.Platform platformSettings = environment.settings().platform();
+    if (platformSettings == null
+        || !platformSettings.duties().contains(Settings.Platform.FLEET_DUTY)) {
+      return Optional.empty();
+    }
+    PlatformDutyClient dutyClient =
+        new PlatformDutyClient(
+            platform,
+            environment.settings(),
+            timers,
+            lease,
+            new DutyCounters(environment.metrics().counters()));
+    return Optional.of(new FleetSizeManager(timers, configWatcher, dutyClient, lease));
+  }
+
   private HttpHandler createOperatorApi() {
     DecommissionHandler decommissionHandler = new DecommissionHandler(decommissionManager);
     return new StaleReplyFilter(
@@ -180,6 +200,7 @@
     voterSetManager.refresh();
     lease.tick();
     serverListManager.start();
+    fleetSizeManager.ifPresent(FleetSizeManager::start);
     configWatcher.start();
     tick();
   }
@@ -237,6 +258,7 @@
   /** A pull is answered only in contact with a majority, before the wait and after it. */
   private CompletableFuture<PullResponse> onPull(PullRequest request) {
     voterSetManager.onHeartbeat(request);
+    fleetSizeManager.ifPresent(manager -> manager.onPull(request));
     QuorumContact quorumContact = configurationManager.quorumContact();
     if (closed || !quorumContact.isCurrent()) {
       counters.pullsRefused.add(1);
@@ -299,6 +321,7 @@
     closed = true;
     lease.close();
     serverListManager.close();
+    fleetSizeManager.ifPresent(FleetSizeManager::close);
     voters.close();
     configWatcher.close();
     configurationManager.close();
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/FleetSizeManager.java
@@ -0,0 +1,190 @@
+package elmsail.controlplane;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import elmsail.config.ClusterState;
+import elmsail.config.FleetSize;
+import elmsail.config.RoutingConfig;
+import elmsail.config.ServerEntry;
+import elmsail.config.Service;
+import elmsail.rpc.messages.PullRequest;
+import elmsail.runtime.Timers;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalInt;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The singleton duty to set the number of servers: while this node holds the singleton lease it
+ * orders, for each service that allows it and each zone in which that service runs, as many servers
+ * as {@link FleetSizePolicy} wants. An order that holds already is not repeated; one whose outcome
+ * is unknown is, after a backoff, with what is wanted by then. Every node keeps the demand, so that
+ * a new holder decides from its first moment on. Runs on the event loop.
+ */
+final class FleetSizeManager {
+  /** The path of the platform's call. */
+  static final String PATH = "/fleet-size";
+
+  private static final long TICK_INTERVAL_MS = 500;
+  private static final long RETRY_DELAY_MS = 1_000;
+  private static final JsonFactory JSON = new JsonFactory();
+  private static final Logger LOG = LoggerFactory.getLogger(FleetSizeManager.class);
+
+  /** One number that is set: the servers of a service in a zone. */
+  private record Subject(String service, String zone) {}
+
+  /** What is known of a subject at a moment. */
+  private record Fleet(FleetSize bounds, int servers, int slotsPerServer) {}
+
+  /** What this holder has ordered. */
+  private static final class Order {
+    final FleetSizePolicy policy = new FleetSizePolicy();
+
+    /** The size that the platform holds; empty while that is what the servers show, or unknown. */
+    OptionalInt acceptedSize = OptionalInt.empty();
+
+    /** Whether an order may have been taken whose outcome is not known. */
+    boolean isUncertain;
+
+    boolean inFlight;
+    long notBeforeMs;
+  }
+
+  private final Timers timers;
+  private final ClusterState clusterState;
+  private final PlatformDutyClient platform;
+  private final DutyLease lease;
+  private final DemandTable demand = new DemandTable();
+  private final Map<Subject, Order> orders = new HashMap<>();
+  private long ordersTerm;
+  private boolean closed;
+
+  /**
+   * Creates one that calls nobody before {@link #start()}.
+   *
+   * @param clusterState the configuration, the servers and the gateways as this node knows them
+   */
+  FleetSizeManager(
+      Timers timers, ClusterState clusterState, PlatformDutyClient platform, DutyLease lease) {
+    this.timers = timers;
+    this.clusterState = clusterState;
+    this.platform = platform;
+    this.lease = lease;
+  }
+
+  void start() {
+    timers.schedule(TICK_INTERVAL_MS, this::tick);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** Takes the demand of a gateway's pull. */
+  void onPull(PullRequest request) {
+    demand.onPull(request, timers.now());
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    timers.schedule(TICK_INTERVAL_MS, this::tick);
+    long now = timers.now();
+    demand.expire(now);
+    long term = lease.term();
+    if (term != ordersTerm) {
+      orders.clear(); // what another holder ordered meanwhile is not known
+      ordersTerm = term;
+    }
+    if (term > 0) {
+      fleets().forEach((subject, fleet) -> update(subject, fleet, term, now));
+    }
+  }
+
+  /** The fleets to be set: of services with bounds, in the zones that list servers of them. */
+  private Map<Subject, Fleet> fleets() {
+    Map<Subject, Fleet> fleets = new LinkedHashMap<>();
+    RoutingConfig config = clusterState.config();
+    if (config == null) {
+      return fleets;
+    }
+    for (ServerEntry server : clusterState.servers()) {
+      Service service = config.services().get(server.service());
+      if (service != null && service.fleetSize().isPresent()) {
+        Fleet counted =
+            new Fleet(
+                service.fleetSize().get(), server.draining() ? 0 : 1, server.maxConcurrency());
+        fleets.merge(new Subject(server.service(), server.zone()), counted, FleetSizeManager::plus);
+      }
+    }
+    return fleets;
+  }
+
+  private static Fleet plus(Fleet left, Fleet right) {
+    return new Fleet(
+        left.bounds(),
+        left.servers() + right.servers(),
+        Math.max(left.slotsPerServer(), right.slotsPerServer()));
+  }
+
+  private void update(Subject subject, Fleet fleet, long term, long now) {
+    int gateways = clusterState.view().gateways.size();
+    FleetSizePolicy.Observation observation =
+        new FleetSizePolicy.Observation(
+            fleet.servers(),
+            fleet.slotsPerServer(),
+            demand.openRequests(subject.service(), subject.zone(), gateways),
+            demand.isComplete(gateways));
+    Order order = orders.computeIfAbsent(subject, added -> new Order());
+    int wanted = order.policy.observe(observation, fleet.bounds(), now);
+    boolean holds = !order.isUncertain && order.acceptedSize.orElse(fleet.servers()) == wanted;
+    if (!holds && !order.inFlight && now >= order.notBeforeMs) {
+      send(subject, order, wanted, term);
+    }
+  }
+
+  private void send(Subject subject, Order order, int wanted, long term) {
+    order.inFlight = true;
+    platform
+        .post(PATH, encode(subject, wanted), term)
+        .thenAccept(outcome -> onOutcome(subject, order, wanted, outcome));
+  }
+
+  private void onOutcome(
+      Subject subject, Order order, int wanted, PlatformDutyClient.Outcome outcome) {
+    order.inFlight = false;
+    if (outcome == PlatformDutyClient.Outcome.ACCEPTED) {
+      order.acceptedSize = OptionalInt.of(wanted);
+      order.isUncertain = false;
+      LOG.info(
+          "ordered {} servers of {} in {}, term {}",
+          wanted,
+          subject.service(),
+          subject.zone(),
+          ordersTerm);
+    } else {
+      order.isUncertain |= outcome == PlatformDutyClient.Outcome.UNKNOWN;
+      order.notBeforeMs = timers.now() + RETRY_DELAY_MS;
+    }
+  }
+
+  private static byte[] encode(Subject subject, int wanted) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator json = JSON.createGenerator(bytes)) {
+      json.writeStartObject();
+      json.writeStringField("postal_line", subject.service());
+      json.writeStringField("zone", subject.zone());
+      json.writeNumberField("wanted", wanted);
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e); // an array takes all that is written
+    }
+    return bytes.toByteArray();
+  }
+}
--- a/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
+++ b/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
@@ -3,6 +3,7 @@
 import elmsail.config.FleetSize;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalInt;
 
 /**
  * Decides how many servers a service is to have in one zone. More are ordered as soon as the demand
@@ -21,7 +22,7 @@
   /**
    * What is known of a service in one zone at a moment.
    *
-   * @param servers that take requests
+   * @param servers that take requests; while servers are replaced one by one, some more
    * @param slotsPerServer requests that one server runs at once, at least 1
    * @param openRequests requests and items of all gateways that run or wait there
    * @param isComplete whether enough gateways have reported lately for the demand to be believed
@@ -30,26 +31,30 @@
 
   private record Recommendation(long atMs, int servers) {}
 
-  private final long startedAtMs;
+  /** The last size that was wanted; empty before the first reading. */
+  private OptionalInt wanted = OptionalInt.empty();
+
+  private long firstReadingAtMs;
 
   /** Oldest first; each is larger than all that follow it, so the first is the largest. */
   private final Deque<Recommendation> recommendations = new ArrayDeque<>();
 
-  /** Creates one that has observed nothing before that time. */
-  FleetSizePolicy(long startedAtMs) {
-    this.startedAtMs = startedAtMs;
-  }
-
   /**
    * Takes a reading.
    *
    * @return how many servers are wanted, within the bounds
    */
   int observe(Observation observation, FleetSize bounds, long now) {
-    boolean mayShrink = observation.isComplete() && now - startedAtMs >= STABILIZATION_WINDOW_MS;
+    if (wanted.isEmpty()) {
+      wanted = OptionalInt.of(observation.servers());
+      firstReadingAtMs = now;
+    }
+    boolean mayShrink =
+        observation.isComplete() && now - firstReadingAtMs >= STABILIZATION_WINDOW_MS;
     int needed = (int) Math.ceil(observation.openRequests() / usableSlots(observation));
-    int recommended = mayShrink ? needed : Math.max(needed, observation.servers());
-    return clamp(windowMaximum(recommended, now), bounds);
+    int recommended = mayShrink ? needed : Math.max(needed, wanted.getAsInt());
+    wanted = OptionalInt.of(clamp(windowMaximum(recommended, now), bounds));
+    return wanted.getAsInt();
   }
 
   private static double usableSlots(Observation observation) {
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import elmsail.gateway.requests.RequestDispatcher;
 import elmsail.gateway.servers.Servers;
 import elmsail.rpc.messages.LoadReport;
+import elmsail.rpc.messages.ServiceDemand;
 import elmsail.runtime.NettyEventLoop;
 import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
@@ -23,6 +24,7 @@
 import elmsail.runtime.http.MetricsEndpoint;
 import elmsail.runtime.http.SimpleHttpRequest;
 import elmsail.runtime.http.SimpleHttpResponse;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -205,6 +207,15 @@
         && servers.hasAny();
   }
 
+  /**
+   * What this gateway has open at the services whose number of servers the tier sets.
+   *
+   * @param waitingItems items by service that wait at this gateway for capacity
+   */
+  public List<ServiceDemand> demand(Map<String, Integer> waitingItems) {
+    return servers.demand(waitingItems);
+  }
+
   /** Runs items of batch jobs. */
   public ItemServers itemServers() {
     return itemDispatcher;
--- /dev/null
+++ b/gateway/src/main/java/elmsail/gateway/servers/DemandMeter.java
@@ -0,0 +1,76 @@
+package elmsail.gateway.servers;
+
+import elmsail.config.RoutingConfig;
+import elmsail.config.Service;
+import elmsail.rpc.messages.ServiceDemand;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Measures what this gateway has open at the services whose number of servers the tier sets: by
+ * zone, the requests and items at the servers, and a part of the items that wait here for capacity.
+ * Pure.
+ */
+final class DemandMeter {
+  /**
+   * Items are due within several times the time that one runs, so that those that wait need fewer
+   * slots than there are of them.
+   */
+  private static final double SLOTS_PER_WAITING_ITEM = 0.25;
+
+  private record Subject(String service, String zone) {}
+
+  private DemandMeter() {}
+
+  /**
+   * The demand by service and zone.
+   *
+   * @param servers in use
+   * @param waitingItems items by service that wait at this gateway for capacity
+   * @return nothing of services whose number of servers is not set
+   */
+  static List<ServiceDemand> measure(
+      Collection<Server> servers, RoutingConfig config, Map<String, Integer> waitingItems) {
+    Map<Subject, ServiceDemand> demands = new LinkedHashMap<>();
+    for (Server server : servers) {
+      String service = server.entry().service();
+      if (isSized(config, service)) {
+        Subject subject = new Subject(service, server.entry().zone());
+        demands.computeIfAbsent(subject, DemandMeter::newDemand).openRequests +=
+            server.openAttemptCount();
+      }
+    }
+    waitingItems.forEach((service, items) -> spread(demands.values(), service, items));
+    return new ArrayList<>(demands.values());
+  }
+
+  private static boolean isSized(RoutingConfig config, String serviceName) {
+    Service service = config.services().get(serviceName);
+    return service != null && service.fleetSize().isPresent();
+  }
+
+  private static ServiceDemand newDemand(Subject subject) {
+    ServiceDemand demand = new ServiceDemand();
+    demand.service = subject.service();
+    demand.zone = subject.zone();
+    return demand;
+  }
+
+  /** Adds what waiting items need to the zones of their service, in equal parts. */
+  private static void spread(Collection<ServiceDemand> demands, String service, int items) {
+    Set<ServiceDemand> zones = new HashSet<>();
+    for (ServiceDemand demand : demands) {
+      if (demand.service.equals(service)) {
+        zones.add(demand);
+      }
+    }
+    for (ServiceDemand demand : zones) {
+      demand.openRequests += (int) Math.ceil(items * SLOTS_PER_WAITING_ITEM / zones.size());
+    }
+  }
+}
--- a/gateway/src/main/java/elmsail/gateway/servers/Servers.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/Servers.java
@@ -8,6 +8,7 @@
 import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.load.PeerLoads;
 import elmsail.gateway.load.ServerLoad;
+import elmsail.rpc.messages.ServiceDemand;
 import elmsail.runtime.Timers;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -98,6 +99,16 @@
     return loads;
   }
 
+  /**
+   * What this gateway has open at the services whose number of servers the tier sets.
+   *
+   * @param waitingItems items by service that wait at this gateway for capacity
+   */
+  public List<ServiceDemand> demand(Map<String, Integer> waitingItems) {
+    RoutingConfig config = clusterState.config();
+    return config == null ? List.of() : DemandMeter.measure(byId.values(), config, waitingItems);
+  }
+
   /** Whether any server takes new requests. */
   public boolean hasAny() {
     return !byId.isEmpty();
--- a/rpc/src/main/java/elmsail/rpc/MessageTypes.java
+++ b/rpc/src/main/java/elmsail/rpc/MessageTypes.java
@@ -23,6 +23,7 @@
 import elmsail.rpc.messages.RelayedPrepareRequest;
 import elmsail.rpc.messages.RelayedPrepareResponse;
 import elmsail.rpc.messages.ServerLoadEntry;
+import elmsail.rpc.messages.ServiceDemand;
 import elmsail.rpc.messages.StateTransferRequest;
 import elmsail.rpc.messages.StateTransferResponse;
 import elmsail.rpc.messages.VoteResponse;
@@ -65,6 +66,7 @@
     RelayedPrepareResponse.class,
     LoadReport.class,
     ServerLoadEntry.class,
+    ServiceDemand.class,
   };
 
   private MessageTypes() {}
--- a/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/PullRequest.java
@@ -1,6 +1,8 @@
 package elmsail.rpc.messages;
 
 import io.protostuff.Tag;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * The heartbeat and long poll of a process to a control-plane node: says what the sender is and
@@ -61,4 +63,8 @@
   /** Whether the sender has a disk, without which it can hold no voter slot. */
   @Tag(14)
   public boolean hasDisk;
+
+  /** What a gateway has open at services whose number of servers the tier sets. */
+  @Tag(15)
+  public List<ServiceDemand> demand = new ArrayList<>();
 }
--- a/rpc/src/test/java/elmsail/rpc/MessageCodecTest.java
+++ b/rpc/src/test/java/elmsail/rpc/MessageCodecTest.java
@@ -19,6 +19,7 @@
 import elmsail.rpc.messages.PrepareRequest;
 import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.ServerLoadEntry;
+import elmsail.rpc.messages.ServiceDemand;
 import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
@@ -242,6 +243,7 @@
         case "voters" -> list.add(filled(Voter.class, random, depth + 1));
         case "blobs", "records" -> list.add(filled(Blob.class, random, depth + 1));
         case "servers" -> list.add(filled(ServerLoadEntry.class, random, depth + 1));
+        case "demand" -> list.add(filled(ServiceDemand.class, random, depth + 1));
         case "slots" -> list.add(random.nextInt());
         case "votes" -> list.add(filled(VoteResponse.class, random, depth + 1));
         case "gateways" -> list.add("10.0.0." + random.nextInt());
