Gateway: keys: a key revoked while its request is under way admits no further attempt

RequestForwarder looks the key up again, in the configuration then in force, before every attempt but the first. Where it does not admit the request any more there is none: 401 if the request certainly has not run and nothing of a response was sent, else what an attempt that may have run ends with today (502, the first server's error, a cut stream). A running attempt goes on, also at a silent server. A key that another tenant holds now names that one. Counted as requests_key_revoked. ReceivedRequest prints no headers, which may hold a key.

PinnedNamesTest: appended alone.

--- a/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
+++ b/gateway/src/main/java/elmsail/gateway/http/RequestCounters.java
@@ -75,7 +75,9 @@
     /** 401 for requests without a known key. */
     REJECTED_KEY("refused_key"),
     /** 503 because the keys in force are not known for sure. */
-    REJECTED_NOT_CONFIRMED("refused_not_confirmed");
+    REJECTED_NOT_CONFIRMED("refused_not_confirmed"),
+    /** Requests without a further attempt because their key did not admit them any more. */
+    KEY_REVOKED("key_revoked");
 
     private final String metricName;
 
--- a/gateway/src/main/java/elmsail/gateway/requests/ReceivedRequest.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ReceivedRequest.java
@@ -11,6 +11,12 @@
 public record ReceivedRequest(
     String method, String uri, HttpHeaders headers, byte[] body, long arrivedAt) {
 
+  /** Without its headers, which may contain a key. */
+  @Override
+  public String toString() {
+    return method + " " + path();
+  }
+
   /** The key that it carries, if any. */
   public Credentials credentials() {
     return Credentials.of(headers);
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -90,11 +90,12 @@
   }
 
   /**
-   * Whether the route allows one more attempt and a healthy server is there for it. Picks that
-   * server and thereby takes a turn of the route's round robin.
+   * Whether the key and the route allow one more attempt and a healthy server is there for it.
+   * Picks that server and thereby takes a turn of the route's round robin.
    */
   private boolean hasRetryTarget() {
-    return RetryPolicy.allowsOneMore(route, sentAttempts)
+    return !(authenticate() instanceof Authentication.Refused)
+        && RetryPolicy.allowsOneMore(route, sentAttempts)
         && context
             .picker()
             .pick(route, request.prompt(), attemptedServers)
@@ -102,6 +103,30 @@
             .isPresent();
   }
 
+  /** By the configuration in force now. */
+  private Authentication authenticate() {
+    return context.authenticator().authenticate(route, request.credentials());
+  }
+
+  private void startFurtherAttempt() {
+    Authentication authentication = authenticate();
+    if (authentication instanceof Authentication.Refused refused) {
+      onKeyRevoked(refused.reason());
+    } else {
+      request.authenticateAs(authentication);
+      startAttempt();
+    }
+  }
+
+  private void onKeyRevoked(Authentication.Reason reason) {
+    context.counters().count(RequestCounters.Event.KEY_REVOKED);
+    if (mayHaveRun) {
+      giveUp();
+    } else {
+      sendLocalReply(reason.status(), reason.event());
+    }
+  }
+
   private void startAttempt() {
     Optional<Server> picked = pickServer();
     if (picked.isEmpty()) {
@@ -275,7 +300,7 @@
       case NOT_RUN -> {
         context.counters().count(RequestCounters.Event.ATTEMPT_NOT_RUN);
         sentAttempts++;
-        startAttempt();
+        startFurtherAttempt();
       }
       default -> onFailure(true);
     }
@@ -292,7 +317,7 @@
     attempt = null;
     mayHaveRun = true;
     sentAttempts++;
-    startAttempt();
+    startFurtherAttempt();
     return true;
   }
 
@@ -314,7 +339,7 @@
     if (relay.isOutOfOrder()) {
       abort();
     } else {
-      startAttempt();
+      startFurtherAttempt();
     }
   }
 }
--- a/gateway/src/test/java/elmsail/gateway/http/PinnedNamesTest.java
+++ b/gateway/src/test/java/elmsail/gateway/http/PinnedNamesTest.java
@@ -62,7 +62,8 @@
             "elmsail_requests_item counter",
             "elmsail_requests_fault counter",
             "elmsail_requests_refused_key counter",
-            "elmsail_requests_refused_not_confirmed counter"));
+            "elmsail_requests_refused_not_confirmed counter",
+            "elmsail_requests_key_revoked counter"));
   }
 
   /** By their values alone, in the order of their declaration. */
--- a/gateway/src/test/java/elmsail/gateway/requests/RequestAuthenticatorTest.java
+++ b/gateway/src/test/java/elmsail/gateway/requests/RequestAuthenticatorTest.java
@@ -163,6 +163,9 @@
     assertThat(bearer("secret").toString(), not(containsString("secret")));
     assertThat(authenticate("jobs", bearer("secret")).toString(), not(containsString("secret")));
     assertThat(authenticate("jobs", bearer("k1")).toString(), not(containsString("k1")));
+    HttpHeaders headers = new DefaultHttpHeaders().add(Headers.AUTHORIZATION, "Bearer secret");
+    ReceivedRequest request = new ReceivedRequest("GET", "/x?k=secret", headers, new byte[0], 0);
+    assertThat(request.toString(), equalTo("GET /x"));
     assertThat(OF_TENANT.tenantName(), equalTo(Optional.of("t")));
   }
 }
