--- a/config/src/main/java/elmsail/config/ConfigFields.java
+++ b/config/src/main/java/elmsail/config/ConfigFields.java
@@ -132,7 +132,7 @@
     return elements;
   }
 
-  /** Objects that were read have strings for keys alone. */
+  // Objects that were read have strings for keys alone.
   @SuppressWarnings("unchecked")
   private static Map<String, Object> asObject(Map<?, ?> value) {
     return (Map<String, Object>) value;
