--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherSeedsTest.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherSeedsTest.java
@@ -15,7 +15,7 @@
   private static final String D = "10.4.0.40:7721";
   private static final String E = "10.4.0.41:7721";
 
-  private static Settings changed() {
+  static Settings changed() {
     Settings before = settings(Set.of("counter"));
     return new Settings(
         before.machine(),
--- a/config/src/test/java/elmsail/config/watch/RevokedKeyOutOfTouchTest.java
+++ b/config/src/test/java/elmsail/config/watch/RevokedKeyOutOfTouchTest.java
@@ -166,6 +166,18 @@
     assertThat(gateway.upstreams().size(), is(3));
   }
 
+  @Test
+  void changedSeedsBringAConfirmationInTime() {
+    gateway.start();
+    timers.advance(3_000);
+    List.of(A, B, C).forEach(links.controlPlanes::remove);
+    String seed = "10.4.0.40:7721";
+    links.controlPlane(seed).setConfig(7, config(7));
+    links.configConfirmedAges.put(seed, 300L);
+    gateway.onSettingsChanged(ConfigWatcherSeedsTest.changed());
+    assertThat(worstAgeWithin(20_000), lessThan(REVOKE_MS - 100));
+  }
+
   @Test
   void nodesThatStateNoAgeAreNotAskedWithoutPause() {
     gateway.start();
