Singleton lease: a holder that gets it back after another waits for lease_ms from its last use

The lease lasts 2,000 ms, and a holder gives it up at its stop: where A stood still for a lease, B took it and was stopped, A had it back. Now a process that finds in the register that others may have had a term since its own last one uses the new term only from lease_ms + 500 ms after its last use. lease_ms is read from the settings (default 3,000).

Tests changed: PinnedNamesTest of runtime pins one more key (46), SettingsFileTest reads it; callers of Settings.Bounds.

--- a/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
+++ b/config/src/test/java/elmsail/config/watch/ConfigWatcherRig.java
@@ -67,7 +67,7 @@
     Settings.Bounds bounds =
         new Settings.Bounds(
             4_000, 5_000, 6_000, 4_000, 8_000, 200, 2_500, 200, 120_000, 3_000, 1_000, 0.1, 2_000,
-            revokeMs, 5_000, 10_000);
+            revokeMs, 5_000, 10_000, 3_000);
     return new ConfigWatcher(
         links,
         timers,
--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -23,7 +23,9 @@
  * slots. A new holder first takes the next term from the register; the epochs of the server lists
  * that it publishes are these terms. A term is used by one process, under one acquisition of the
  * lease, until the lease ends, is given up, or a higher term is seen ({@link #onFenced}); each of
- * these ends its use for good, as the next acquisition takes a higher one. Runs on the event loop.
+ * these ends its use for good, as the next acquisition takes a higher one. A process that gets the
+ * lease back after another had it waits until a whole lease has passed since its own last use. Runs
+ * on the event loop.
  */
 final class SingletonLease implements DutyLease {
   /** The register's key of the term, and the lease's name on the wire. */
@@ -34,15 +36,28 @@
   private static final long REQUEST_TIMEOUT_MS = 500;
   private static final long TERM_CHANGE_TIMEOUT_MS = 800;
 
+  /** What a process did last in a term may take effect so much later. */
+  private static final long HAND_BACK_MARGIN_MS = 500;
+
   private final RpcClient rpcClient;
   private final Timers timers;
   private final Register register;
   private final Supplier<VoterSet> controlPlaneVoters;
   private final String localAddress;
   private final long processId;
+  private final long handBackMs;
   private Lease lease;
   private long term;
 
+  /** The last term that this process had; 0 if none. */
+  private long lastTerm;
+
+  /** When {@link #term()} last said that the lease is held. */
+  private long lastUsedAtMs;
+
+  /** The term is not used before. */
+  private long usableFromMs;
+
   /** How many times the lease was acquired; a term belongs to one of them. */
   private long acquisitions;
 
@@ -58,6 +73,7 @@
     this.controlPlaneVoters = controlPlaneVoters;
     this.localAddress = environment.localAddress();
     this.processId = environment.processId();
+    this.handBackMs = environment.settings().bounds().leaseMs() + HAND_BACK_MARGIN_MS;
   }
 
   /** Registers the voter's side: requests are granted by {@code leaseVoter} while it may vote. */
@@ -151,7 +167,9 @@
                   && outcome.changed()
                   && acquisition == acquisitions
                   && lease.isHeld(timers.now())) {
+                usableFromMs = usableFromMs(change.term);
                 term = change.term;
+                lastTerm = term;
                 LOG.info("holds the singleton lease, term {}", term);
               } else {
                 timers.schedule(TICK_INTERVAL_MS, this::acquireTerm);
@@ -159,6 +177,16 @@
             });
   }
 
+  /**
+   * From when on the new term may be used. If another process may have had a term since this one's
+   * last, it is not before the time of a lease has passed since then: else the two would act by
+   * turns within that time.
+   */
+  private long usableFromMs(long newTerm) {
+    boolean othersBetween = lastTerm > 0 && newTerm > lastTerm + 1;
+    return othersBetween ? lastUsedAtMs + handBackMs : timers.now();
+  }
+
   /** One attempt to take the next term; the last proposal is the one that counts. */
   private static final class TermChange {
     private final long processId;
@@ -181,7 +209,12 @@
 
   @Override
   public long term() {
-    return lease != null && lease.isHeld(timers.now()) ? term : 0;
+    long now = timers.now();
+    if (term == 0 || lease == null || !lease.isHeld(now) || now < usableFromMs) {
+      return 0;
+    }
+    lastUsedAtMs = now;
+    return term;
   }
 
   /**
--- /dev/null
+++ b/controlplane/src/test/java/elmsail/controlplane/LeaseTurnsTest.java
@@ -0,0 +1,101 @@
+package elmsail.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Holders of the singleton lease that stand still until another gets it, which releases it at once
+ * as it is stopped: the first does not use the lease again within the time that the platform sets
+ * for that.
+ */
+class LeaseTurnsTest {
+  private static final long LEASE_MS = 3_000;
+  private static final int NODES = 3;
+
+  private SimulatedCluster cluster;
+  private final Map<String, Long> lastUseMs = new HashMap<>();
+  private String lastUser;
+  private long shortestReturnMs;
+  private int returns;
+
+  private void useAlways(String name) {
+    cluster
+        .nodes
+        .get(name)
+        .timers()
+        .schedule(
+            5,
+            () -> {
+              useAlways(name);
+              if (cluster.controlPlaneNodes.get(name).leaseTerm() > 0) {
+                onUse(name);
+              }
+            });
+  }
+
+  private void onUse(String name) {
+    long now = cluster.timers.now();
+    if (lastUser != null && !lastUser.equals(name) && lastUseMs.containsKey(name)) {
+      returns++;
+      shortestReturnMs = Math.min(shortestReturnMs, now - lastUseMs.get(name));
+    }
+    lastUser = name;
+    lastUseMs.put(name, now);
+  }
+
+  private String holder() {
+    for (Map.Entry<String, ControlPlaneNode> each : cluster.controlPlaneNodes.entrySet()) {
+      if (each.getValue().leaseTerm() > 0) {
+        return each.getKey();
+      }
+    }
+    return null;
+  }
+
+  private void takeTurns(long seed) {
+    cluster = new SimulatedCluster(seed, NODES);
+    lastUseMs.clear();
+    lastUser = null;
+    for (int i = 1; i <= NODES; i++) {
+      cluster.controlPlane("n" + i, true);
+      useAlways("n" + i);
+    }
+    assertThat(cluster.awaitWithin(10_000, () -> holder() != null), is(true));
+    for (int i = 0; i < 4; i++) {
+      cluster.timers.advance(3_000 + seed * 37 % 600);
+      String first = holder();
+      cluster.net.freeze(cluster.address(first));
+      cluster.awaitWithin(10_000, () -> lastUser != null && !lastUser.equals(first));
+      String second = lastUser;
+      cluster.net.thaw(cluster.address(first));
+      cluster.controlPlaneNodes.get(second).close();
+      for (String other : cluster.nodes.keySet()) {
+        if (!other.equals(first) && !other.equals(second)) {
+          cluster.net.freeze(cluster.address(other));
+          cluster.timers.advance(400);
+          cluster.net.thaw(cluster.address(other));
+        }
+      }
+      cluster.awaitWithin(10_000, () -> first.equals(lastUser));
+      cluster.kill(second);
+      cluster.controlPlane(second, false);
+      useAlways(second);
+    }
+  }
+
+  @Test
+  void lostLeaseIsNotUsedAgainWithinTheTimeOfALeaseIfAnotherHadIt() {
+    shortestReturnMs = Long.MAX_VALUE;
+    for (long seed = 1; seed <= 30; seed++) {
+      takeTurns(seed);
+    }
+    assertThat("returns", returns, greaterThan(30));
+    assertThat(shortestReturnMs, greaterThanOrEqualTo(LEASE_MS));
+  }
+}
--- a/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
+++ b/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
@@ -128,7 +128,8 @@
             2_000,
             revokeMs,
             usageWindowMs,
-            usageWindowMs * 2),
+            usageWindowMs * 2,
+            3_000),
         new Settings.Platform("10.9.0.1:8169", 40, 800, duties(), dutyCallsPerSecond));
   }
 
--- a/gateway/src/test/java/elmsail/gateway/GatewaySettings.java
+++ b/gateway/src/test/java/elmsail/gateway/GatewaySettings.java
@@ -35,7 +35,7 @@
         1,
         new Settings.Bounds(
             3_000, 4_000, 5_000, 3_000, 8_000, 200, 2_000, 120, 120_000, 3_000, 1_000, 0.1, 2_000,
-            REVOKE_MS, 0, 0),
+            REVOKE_MS, 0, 0, 3_000),
         null);
   }
 }
--- a/runtime/src/main/java/elmsail/runtime/Settings.java
+++ b/runtime/src/main/java/elmsail/runtime/Settings.java
@@ -54,6 +54,7 @@
    * @param usageWindowMs length of a window whose usage is reported; 0 if none is ({@code
    *     report_window_s})
    * @param usageLateMs within which a closed window is to be reported ({@code usage_late_s})
+   * @param leaseMs within which two processes may not take turns at a singleton duty
    */
   public record Bounds(
       long inTouchMs,
@@ -71,7 +72,10 @@
       long reuseAfterMs,
       long revokeMs,
       long usageWindowMs,
-      long usageLateMs) {
+      long usageLateMs,
+      long leaseMs) {
+    /** Unless the settings say otherwise. */
+    static final long DEFAULT_LEASE_MS = 3_000;
 
     /** Without revocation everywhere and without usage reports. */
     public Bounds(
@@ -104,7 +108,8 @@
           reuseAfterMs,
           0,
           0,
-          0);
+          0,
+          DEFAULT_LEASE_MS);
     }
   }
 
--- a/runtime/src/main/java/elmsail/runtime/SettingsFile.java
+++ b/runtime/src/main/java/elmsail/runtime/SettingsFile.java
@@ -159,7 +159,8 @@
         bounds.secondsAsMillisOr("reuse_after_s", 2),
         bounds.booleanOr("revoked_everywhere", false) ? bounds.millisOr("revoke_ms", 5_000) : 0,
         bounds.secondsAsMillisOr("report_window_s", 0),
-        bounds.secondsAsMillisOr("usage_late_s", 0));
+        bounds.secondsAsMillisOr("usage_late_s", 0),
+        bounds.millisOr("lease_ms", Settings.Bounds.DEFAULT_LEASE_MS));
   }
 
   private static Settings.Platform platform(SettingsObject platform) {
--- a/runtime/src/test/java/elmsail/runtime/PinnedNamesTest.java
+++ b/runtime/src/test/java/elmsail/runtime/PinnedNamesTest.java
@@ -38,7 +38,7 @@
          "lost_slack_ms": 6, "in_force_ms": 7, "pass_ms": 8, "status_s": 9, "cancel_ms": 10,
          "settle_ms": 11, "quota_over": 0.3, "reuse_after_s": 13,
          "revoked_everywhere": true, "revoke_ms": 5001, "report_window_s": 14,
-         "usage_late_s": 15},
+         "usage_late_s": 15, "lease_ms": 16},
        "carrier_api": {"address": "10.9.0.1:8169", "per_s": 40.0, "lag_ms": 800,
                        "rounds": ["usage", "fleet"], "round_per_s": 50.0}}
       """;
@@ -59,7 +59,7 @@
     Settings whole = SettingsFile.parse(SETTINGS);
     Set<String> keys = new TreeSet<>();
     all.entrySet().forEach(entry -> keys.add(entry.getKey()));
-    assertThat(keys.size(), is(45));
+    assertThat(keys.size(), is(46));
     for (String key : keys) {
       String without = all.withoutPath(key).root().render(ConfigRenderOptions.concise());
       assertThat(key, settings(without), is(not(equalTo(whole))));
@@ -96,7 +96,7 @@
                 2,
                 new Settings.Bounds(
                     1, 2, 3_000, 4, 5_000, 6, 7, 8, 9_000, 10, 11, 0.3, 13_000, 5_001, 14_000,
-                    15_000),
+                    15_000, 16),
                 new Settings.Platform("10.9.0.1:8169", 40, 800, Set.of("usage", "fleet"), 50))));
   }
 
--- a/runtime/src/test/java/elmsail/runtime/SettingsFileTest.java
+++ b/runtime/src/test/java/elmsail/runtime/SettingsFileTest.java
@@ -94,11 +94,12 @@
             with(
                 """
                 "bounds":{"revoked_everywhere":true,"revoke_ms":5000,"report_window_s":5,
-                "usage_late_s":10},"carrier_api":{"address":"10.200.0.79:8169",
+                "usage_late_s":10,"lease_ms":3500},"carrier_api":{"address":"10.200.0.79:8169",
                 "rounds":["usage","fleet"],"round_per_s":50.0}"""));
     assertThat(s.bounds().revokeMs(), is(5_000L));
     assertThat(s.bounds().usageWindowMs(), is(5_000L));
     assertThat(s.bounds().usageLateMs(), is(10_000L));
+    assertThat(s.bounds().leaseMs(), is(3_500L));
     assertThat(s.platform().duties(), containsInAnyOrder("usage", "fleet"));
     assertThat(s.platform().maxDutyCallsPerSecond(), is(50.0));
   }
@@ -109,6 +110,7 @@
         SettingsFile.parse(with("\"bounds\":{\"revoked_everywhere\":false,\"revoke_ms\":5000}"));
     assertThat(s.bounds().revokeMs(), is(0L));
     assertThat(s.bounds().usageWindowMs(), is(0L));
+    assertThat(s.bounds().leaseMs(), is(3_000L));
   }
 
   @Test
