--- a/controlplane/src/main/java/elmsail/controlplane/NodeEnvironment.java
+++ b/controlplane/src/main/java/elmsail/controlplane/NodeEnvironment.java
@@ -5,6 +5,7 @@
 import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
+import elmsail.runtime.WallClock;
 import elmsail.storage.RecordStore;
 
 /**
@@ -18,6 +19,7 @@
  * @param records this process's records on disk; null where it has no disk
  * @param processId identifies this process, drawn at random at each start
  * @param metrics the process's counters, gauges and invariants
+ * @param wallClock the machine's time of day, which nothing is timed by
  */
 record NodeEnvironment(
     Settings settings,
@@ -26,7 +28,20 @@
     RequestHandlers handlers,
     RecordStore records,
     long processId,
-    ProcessMetrics metrics) {
+    ProcessMetrics metrics,
+    WallClock wallClock) {
+
+  /** With the machine's own time of day. */
+  NodeEnvironment(
+      Settings settings,
+      Timers timers,
+      RpcClient rpcClient,
+      RequestHandlers handlers,
+      RecordStore records,
+      long processId,
+      ProcessMetrics metrics) {
+    this(settings, timers, rpcClient, handlers, records, processId, metrics, WallClock.SYSTEM);
+  }
 
   boolean hasDisk() {
     return records != null;
--- a/rpc/src/main/java/elmsail/rpc/MessageTypes.java
+++ b/rpc/src/main/java/elmsail/rpc/MessageTypes.java
@@ -26,9 +26,15 @@
 import elmsail.rpc.messages.ServiceDemand;
 import elmsail.rpc.messages.StateTransferRequest;
 import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.UsageCount;
+import elmsail.rpc.messages.UsageReport;
+import elmsail.rpc.messages.UsageReportResponse;
+import elmsail.rpc.messages.UsageWindow;
 import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.rpc.messages.WallClockRequest;
+import elmsail.rpc.messages.WallClockResponse;
 
 /** The numbers of message types on the wire: a type's index in the table. Append only. */
 final class MessageTypes {
@@ -67,6 +73,12 @@
     LoadReport.class,
     ServerLoadEntry.class,
     ServiceDemand.class,
+    UsageReport.class,
+    UsageReportResponse.class,
+    UsageWindow.class,
+    UsageCount.class,
+    WallClockRequest.class,
+    WallClockResponse.class,
   };
 
   private MessageTypes() {}
--- a/rpc/src/test/java/elmsail/rpc/MessageCodecTest.java
+++ b/rpc/src/test/java/elmsail/rpc/MessageCodecTest.java
@@ -20,6 +20,8 @@
 import elmsail.rpc.messages.PullResponse;
 import elmsail.rpc.messages.ServerLoadEntry;
 import elmsail.rpc.messages.ServiceDemand;
+import elmsail.rpc.messages.UsageCount;
+import elmsail.rpc.messages.UsageWindow;
 import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.Voter;
 import elmsail.rpc.messages.VoterSet;
@@ -246,6 +248,8 @@
         case "demand" -> list.add(filled(ServiceDemand.class, random, depth + 1));
         case "slots" -> list.add(random.nextInt());
         case "votes" -> list.add(filled(VoteResponse.class, random, depth + 1));
+        case "windows" -> list.add(filled(UsageWindow.class, random, depth + 1));
+        case "counts" -> list.add(filled(UsageCount.class, random, depth + 1));
         case "gateways" -> list.add("10.0.0." + random.nextInt());
         default -> throw new AssertionError("a list that this test does not know: " + name);
       }
