Reports of use: counted at the gateways, decided in the register, then sent by the lease holder

Gateways count a request for its tenant with the first byte of a server's success (UsageMeter) and tell the totals of the last windows to the lease's holder once a second, what changed alone; to all voters while none is known to hold it. UsageReporter at the holder decides a window's counts 3 s after its close by a compare-and-set of the register's key 'usage' (UsageLedger), and sends only what is committed, again with backoff until it is taken in. The next holder sends what is left there and goes on.

Tests changed: PinnedNamesTest of controlplane pins the duties' metrics beside the others, which are unchanged. The control plane's tests use the gateway module, so that one simulation runs both sides.

--- a/app/src/main/java/elmsail/app/GatewayProcess.java
+++ b/app/src/main/java/elmsail/app/GatewayProcess.java
@@ -17,6 +17,7 @@
 import elmsail.runtime.Settings;
 import elmsail.runtime.http.NettyHttpClient;
 import java.security.SecureRandom;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +33,7 @@
 
   private final RpcEndpoint rpc;
   private final ConfigWatcher watcher;
+  private final Optional<GatewayUsage> usage;
   private Gateway gateway;
   private boolean stopping;
   private Runnable onStopped;
@@ -66,12 +68,14 @@
             new BatchSettings(ownAddress, settings.bounds().cancelMs(), instanceId),
             metrics);
     jobs.registerHandlers(rpc);
+    usage = GatewayUsage.create(settings, loop, rpc, watcher, instanceId);
     watcher.start();
     rpc.listen()
         .thenCompose(nothing -> Gateway.start(settings, loop, watcher, jobs, metrics))
         .thenAccept(
             started -> {
               gateway = started;
+              usage.ifPresent(each -> each.start(started));
               jobs.setServers(started.itemServers());
               watcher.setDemandSource(() -> started.demand(jobs.waitingItems()));
               jobs.start();
@@ -122,6 +126,7 @@
         .stop()
         .whenComplete(
             (done, failed) -> {
+              usage.ifPresent(GatewayUsage::close);
               watcher.close();
               rpc.close();
               onStopped.run();
--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -32,7 +32,8 @@
  *   <li>{@link ServerListManager}: the list of model servers,
  *   <li>{@link VoterSetManager}: the two voter sets and the heartbeats,
  *   <li>{@link DecommissionManager}: the stores to decommission,
- *   <li>{@link FleetSizeManager}: the number of model servers in each zone.
+ *   <li>{@link FleetSizeManager}: the number of model servers in each zone, where the platform expects it,
+ *   <li>{@link UsageManager}: the reports of use, where the platform expects them.
  * </ul>
  */
 final class ControlPlaneNode {
@@ -55,6 +56,7 @@
   private final VoterSetManager voterSetManager;
   private final ServerListManager serverListManager;
   private final Optional<FleetSizeManager> fleetSizeManager;
+  private final Optional<UsageManager> usageManager;
   private final HttpHandler operatorApi;
   private boolean closed;
 
@@ -102,7 +104,9 @@
             counters);
     serverListManager =
         new ServerListManager(watchServer, configWatcher, createServerDiscovery(platform));
-    fleetSizeManager = createFleetSizeManager(platform);
+    Optional<PlatformDutyClient> dutyClient = createDutyClient(platform);
+    usageManager = createUsageManager(register, dutyClient);
+    fleetSizeManager = createFleetSizeManager(dutyClient);
     operatorApi = createOperatorApi();
     registerGauges();
   }
@@ -151,21 +155,28 @@
             counters));
   }
 
-  /** Empty where the platform does not expect the duty. */
-  private Optional<FleetSizeManager> createFleetSizeManager(HttpClient platform) {
-    Settings.Platform platformSettings = environment.settings().platform();
-    if (platformSettings == null
-        || !platformSettings.duties().contains(Settings.Platform.FLEET_DUTY)) {
+  /** One client for the calls of all duties; empty where the platform expects none. */
+  private Optional<PlatformDutyClient> createDutyClient(HttpClient platform) {
+    Settings settings = environment.settings();
+    if (settings.platform() == null || settings.platform().duties().isEmpty()) {
       return Optional.empty();
     }
-    PlatformDutyClient dutyClient =
-        new PlatformDutyClient(
-            platform,
-            environment.settings(),
-            timers,
-            lease,
-            new DutyCounters(environment.metrics().counters()));
-    return Optional.of(new FleetSizeManager(timers, configWatcher, dutyClient, lease));
+    DutyCounters dutyCounters = new DutyCounters(environment.metrics().counters());
+    return Optional.of(new PlatformDutyClient(platform, settings, timers, lease, dutyCounters));
+  }
+
+  private Optional<UsageManager> createUsageManager(
+      Register register, Optional<PlatformDutyClient> dutyClient) {
+    return dutyClient
+        .filter(client -> UsageManager.isWanted(environment.settings()))
+        .map(client -> new UsageManager(environment, lease, register, voters::current, client));
+  }
+
+  private Optional<FleetSizeManager> createFleetSizeManager(
+      Optional<PlatformDutyClient> dutyClient) {
+    return dutyClient
+        .filter(client -> FleetSizeManager.isWanted(environment.settings()))
+        .map(client -> new FleetSizeManager(timers, configWatcher, client, lease));
   }
 
   private HttpHandler createOperatorApi() {
@@ -201,6 +212,7 @@
     lease.tick();
     serverListManager.start();
     fleetSizeManager.ifPresent(FleetSizeManager::start);
+    usageManager.ifPresent(UsageManager::start);
     configWatcher.start();
     tick();
   }
@@ -322,6 +334,7 @@
     lease.close();
     serverListManager.close();
     fleetSizeManager.ifPresent(FleetSizeManager::close);
+    usageManager.ifPresent(UsageManager::close);
     voters.close();
     configWatcher.close();
     configurationManager.close();
--- a/controlplane/src/main/java/elmsail/controlplane/FleetSizeManager.java
+++ b/controlplane/src/main/java/elmsail/controlplane/FleetSizeManager.java
@@ -8,6 +8,7 @@
 import elmsail.config.ServerEntry;
 import elmsail.config.Service;
 import elmsail.rpc.messages.PullRequest;
+import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -77,6 +78,12 @@
     this.lease = lease;
   }
 
+  /** Whether the platform expects the duty. */
+  static boolean isWanted(Settings settings) {
+    return settings.platform() != null
+        && settings.platform().duties().contains(Settings.Platform.FLEET_DUTY);
+  }
+
   void start() {
     timers.schedule(TICK_INTERVAL_MS, this::tick);
   }
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/UsageJson.java
@@ -0,0 +1,39 @@
+package elmsail.controlplane;
+
+import java.nio.charset.StandardCharsets;
+import java.util.SortedMap;
+
+/** The body of a report of use, as the platform takes it; equal counts give equal bytes. */
+final class UsageJson {
+  private static final char FIRST_PRINTABLE = ' ';
+
+  private UsageJson() {}
+
+  static byte[] encode(long window, SortedMap<String, Long> counts) {
+    StringBuilder json = new StringBuilder(64 + counts.size() * 24);
+    json.append("{\"window_no\":").append(window).append(",\"counts\":{");
+    String separator = "";
+    for (SortedMap.Entry<String, Long> count : counts.entrySet()) {
+      json.append(separator);
+      appendString(json, count.getKey());
+      json.append(':').append(count.getValue());
+      separator = ",";
+    }
+    return json.append("}}").toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static void appendString(StringBuilder json, String text) {
+    json.append('"');
+    for (int i = 0; i < text.length(); i++) {
+      char each = text.charAt(i);
+      if (each == '"' || each == '\\') {
+        json.append('\\').append(each);
+      } else if (each < FIRST_PRINTABLE) {
+        json.append(String.format("\\u%04x", (int) each));
+      } else {
+        json.append(each);
+      }
+    }
+    json.append('"');
+  }
+}
--- /dev/null
+++ b/controlplane/src/main/java/elmsail/controlplane/UsageManager.java
@@ -0,0 +1,99 @@
+package elmsail.controlplane;
+
+import elmsail.config.watch.ClockExchange;
+import elmsail.config.watch.ClusterClock;
+import elmsail.consensus.Register;
+import elmsail.rpc.messages.UsageReport;
+import elmsail.rpc.messages.UsageReportResponse;
+import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.Settings;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * A node's part in the duty to report the use of the servers: takes the gateways' counts, agrees
+ * with the other machines on the time of day, and reports while it holds the lease ({@link
+ * UsageReporter}). Runs on the event loop.
+ */
+final class UsageManager {
+  /** Clocks of gateways are a little ahead of this node's, at most by so many windows. */
+  private static final int MAX_WINDOWS_AHEAD = 1;
+
+  private final NodeEnvironment environment;
+  private final DutyLease lease;
+  private final ClockExchange clockExchange;
+  private final ClusterClock clock;
+  private final UsageTable table;
+  private final UsageCounters counters;
+  private final UsageReporter reporter;
+
+  /**
+   * Creates one that does nothing before {@link #start}.
+   *
+   * @param environment of this process, whose settings ask for the duty
+   * @param register of the control-plane voters
+   * @param voters of the control plane as this node knows them
+   */
+  UsageManager(
+      NodeEnvironment environment,
+      DutyLease lease,
+      Register register,
+      Supplier<VoterSet> voters,
+      PlatformDutyClient platform) {
+    this.environment = environment;
+    this.lease = lease;
+    Settings.Bounds bounds = environment.settings().bounds();
+    clockExchange =
+        new ClockExchange(
+            environment.rpcClient(),
+            environment.timers(),
+            environment.wallClock(),
+            voters,
+            environment.localAddress());
+    clock = clockExchange.clusterClock();
+    counters = new UsageCounters(environment.metrics().counters());
+    table = new UsageTable(UsageReporter.reportableWindows(bounds) + MAX_WINDOWS_AHEAD + 1);
+    reporter =
+        new UsageReporter(
+            environment.timers(),
+            lease,
+            register,
+            table,
+            clock,
+            platform,
+            counters,
+            bounds,
+            new Random(environment.processId()));
+  }
+
+  /** Whether these settings ask for reports of use. */
+  static boolean isWanted(Settings settings) {
+    return settings.platform() != null
+        && settings.platform().duties().contains(Settings.Platform.USAGE_DUTY)
+        && settings.bounds().usageWindowMs() > 0;
+  }
+
+  void start() {
+    ClockExchange.registerHandler(environment.handlers(), environment.wallClock());
+    environment.handlers().register(UsageReport.class, this::onReport);
+    clockExchange.start();
+    reporter.start();
+  }
+
+  private CompletableFuture<UsageReportResponse> onReport(UsageReport report) {
+    counters.reportsReceived.add(1);
+    if (clock.hasTime()) {
+      table.onReport(report, reporter.windowAt(clock.now()) + MAX_WINDOWS_AHEAD);
+    }
+    UsageReportResponse response = new UsageReportResponse();
+    response.holdsLease = lease.term() > 0;
+    response.processId = environment.processId();
+    return CompletableFuture.completedFuture(response);
+  }
+
+  void close() {
+    clockExchange.close();
+    reporter.close();
+  }
+}
--- a/controlplane/src/test/java/elmsail/controlplane/PinnedNamesTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/PinnedNamesTest.java
@@ -107,23 +107,31 @@
   }
 
   @Test
-  void metrics() {
-    ProcessMetrics metrics = ProcessMetrics.strict();
-    NodeEnvironment environment =
-        new NodeEnvironment(
-            SettingsFile.parse(SETTINGS),
-            new ManualTimers(),
-            new NoCalls(),
-            new HandlerRegistry(),
-            null,
-            1,
-            metrics);
-    new ControlPlaneNode(environment, (address, path, limitMs) -> new CompletableFuture<>());
+  void metricsOfTheDuties() {
     assertThat(
-        PrometheusText.format(metrics.counters())
-            .lines()
-            .filter(line -> line.startsWith("# TYPE elmsail_control_"))
+        metricTypes(
+                SETTINGS.replace(
+                    "\"address\":\"10.9.0.1:8169\"}",
+                    "\"address\":\"10.9.0.1:8169\",\"rounds\":[\"usage\"],\"round_per_s\":50},"
+                        + "\"bounds\":{\"report_window_s\":5,\"usage_late_s\":10}"))
+            .stream()
+            .filter(line -> line.contains("_duty_") || line.contains("_usage_"))
             .toList(),
+        contains(
+            "# TYPE elmsail_control_duty_calls counter",
+            "# TYPE elmsail_control_duty_calls_fenced counter",
+            "# TYPE elmsail_control_duty_calls_rate_limited counter",
+            "# TYPE elmsail_control_duty_calls_unclear counter",
+            "# TYPE elmsail_control_usage_reports_received counter",
+            "# TYPE elmsail_control_usage_windows_decided counter",
+            "# TYPE elmsail_control_usage_windows_accepted counter",
+            "# TYPE elmsail_control_usage_windows_skipped counter"));
+  }
+
+  @Test
+  void metrics() {
+    assertThat(
+        metricTypes(SETTINGS),
         contains(
             "# TYPE elmsail_control_pulls_answered counter",
             "# TYPE elmsail_control_pulls_no_contact counter",
@@ -138,4 +146,22 @@
             "# TYPE elmsail_control_store_voters_voting gauge",
             "# TYPE elmsail_control_head_voters_voting gauge"));
   }
+
+  private static List<String> metricTypes(String settings) {
+    ProcessMetrics metrics = ProcessMetrics.strict();
+    NodeEnvironment environment =
+        new NodeEnvironment(
+            SettingsFile.parse(settings),
+            new ManualTimers(),
+            new NoCalls(),
+            new HandlerRegistry(),
+            null,
+            1,
+            metrics);
+    new ControlPlaneNode(environment, (address, path, limitMs) -> new CompletableFuture<>());
+    return PrometheusText.format(metrics.counters())
+        .lines()
+        .filter(line -> line.startsWith("# TYPE elmsail_control_"))
+        .toList();
+  }
 }
--- a/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
+++ b/controlplane/src/test/java/elmsail/controlplane/SimulatedCluster.java
@@ -10,6 +10,8 @@
 import elmsail.runtime.ManualTimers;
 import elmsail.runtime.ProcessMetrics;
 import elmsail.runtime.Settings;
+import elmsail.runtime.WallClock;
+import elmsail.runtime.http.HttpClient;
 import elmsail.runtime.http.HttpClientRequest;
 import elmsail.runtime.http.SimpleHttpRequest;
 import elmsail.runtime.http.SimpleHttpResponse;
@@ -18,6 +20,7 @@
 import elmsail.simulation.SimNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,6 +35,8 @@
 final class SimulatedCluster {
   static final String EMPTY = "{\"servers\":[],\"next_token\":null}";
 
+  private static final long TIME_OF_DAY_AT_START_MS = 1_767_225_600_000L;
+
   final ManualTimers timers = new ManualTimers();
   final SimNetwork net;
   final Map<String, SimDisk> disks = new TreeMap<>();
@@ -54,6 +59,12 @@
   /** Within which keys are to be revoked everywhere, of processes started from now on; 0: not. */
   long revokeMs;
 
+  /** How far each machine's time of day is off; by its name. */
+  final Map<String, Long> clockSkewMs = new HashMap<>();
+
+  /** Takes the calls of the platform's duties. */
+  final SimulatedDutyPlatform dutyPlatform;
+
   private final long seed;
   private final int bearMachines;
   private final List<String> seeds = new ArrayList<>();
@@ -68,6 +79,7 @@
     this.seed = seed;
     this.bearMachines = bearMachines;
     net = new SimNetwork(seed, timers);
+    dutyPlatform = new SimulatedDutyPlatform(seed, timers);
     for (int i = 1; i <= seedCount; i++) {
       seeds.add(ip("n" + i) + ":8166");
     }
@@ -139,6 +151,21 @@
         : Set.of();
   }
 
+  /** The true time of day. */
+  long trueTimeMs() {
+    return TIME_OF_DAY_AT_START_MS + timers.now();
+  }
+
+  /** A machine's time of day. */
+  WallClock wallClock(String name) {
+    return () -> trueTimeMs() + clockSkewMs.getOrDefault(name, 0L);
+  }
+
+  /** The settings of a gateway. */
+  Settings gatewaySettings(String name) {
+    return settings(name, true, false);
+  }
+
   private SimDisk disk(String name, SimNode node) {
     SimDisk disk = disks.get(name);
     if (disk == null) {
@@ -175,8 +202,14 @@
             node.requestHandlers(),
             disk ? disk(name, node) : null,
             nextProcessId++,
-            ProcessMetrics.strict());
-    ControlPlaneNode controlPlaneNode = new ControlPlaneNode(environment, this::platform);
+            ProcessMetrics.strict(),
+            wallClock(name));
+    HttpClient platform =
+        (address, request, timeoutMs) ->
+            request.method().equals("POST")
+                ? dutyPlatform.call(node, name, request, timeoutMs)
+                : platform(address, request, timeoutMs);
+    ControlPlaneNode controlPlaneNode = new ControlPlaneNode(environment, platform);
     controlPlaneNodes.put(name, controlPlaneNode);
     controlPlaneNode.start();
   }
--- a/gateway/src/main/java/elmsail/gateway/Gateway.java
+++ b/gateway/src/main/java/elmsail/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import elmsail.gateway.requests.RequestContext;
 import elmsail.gateway.requests.RequestDispatcher;
 import elmsail.gateway.servers.Servers;
+import elmsail.gateway.usage.UsageListener;
 import elmsail.rpc.messages.LoadReport;
 import elmsail.rpc.messages.ServiceDemand;
 import elmsail.runtime.NettyEventLoop;
@@ -74,6 +75,7 @@
   private final LoadChannel loadChannel;
   private ClientListener clientListener;
   private HttpServer readinessServer;
+  private UsageListener usageListener = tenant -> {};
   private boolean stopping;
 
   private Gateway(
@@ -99,7 +101,8 @@
     RequestAuthenticator authenticator =
         new RequestAuthenticator(clusterState, revocationBound::mayAdmitKeys);
     RequestContext context =
-        new RequestContext(timers, clusterState, servers, counters, authenticator, random);
+        new RequestContext(
+            timers, clusterState, servers, counters, authenticator, this::onRequestStarted, random);
     loadChannel = new LoadChannel(this::onLoadReport, metrics.counters());
     loadExchange =
         new LoadExchange(
@@ -144,6 +147,15 @@
     return new Gateway(settings, loop, timers, clusterState, jobs, metrics).listen();
   }
 
+  private void onRequestStarted(String tenant) {
+    usageListener.onRequestStarted(tenant);
+  }
+
+  /** Sets the one listener that learns of requests that servers have started. */
+  public void setUsageListener(UsageListener listener) {
+    usageListener = listener;
+  }
+
   private void onLoadReport(LoadReport report) {
     loadExchange.onReport(report);
   }
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestContext.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestContext.java
@@ -4,6 +4,7 @@
 import elmsail.gateway.http.RequestCounters;
 import elmsail.gateway.servers.ServerPicker;
 import elmsail.gateway.servers.Servers;
+import elmsail.gateway.usage.UsageListener;
 import elmsail.runtime.Timers;
 import java.util.random.RandomGenerator;
 
@@ -14,6 +15,7 @@
     Servers servers,
     RequestCounters counters,
     RequestAuthenticator authenticator,
+    UsageListener usage,
     RandomGenerator random) {
 
   /** Picks the servers of attempts. */
--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -40,6 +40,9 @@
   /** The first server's error response while the request is retried, or null. */
   private RetainedErrorResponse firstError;
 
+  /** Whether it was reported that a server has started the request, which happens once. */
+  private boolean startReported;
+
   private boolean finished;
 
   /** Forwards nothing before {@link #start}. */
@@ -274,6 +277,10 @@
 
   @Override
   public void onData(ByteBuf bytes) {
+    if (!startReported && relay.isSuccess()) {
+      startReported = true;
+      tenantName().ifPresent(context.usage()::onRequestStarted);
+    }
     if (!relay.onData(bytes)) {
       onUnusableResponse();
     }
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
@@ -117,6 +117,12 @@
     return !hasStarted || !success || mode == Mode.EVENTS;
   }
 
+  /** Whether the attempt's response is a server's success. */
+  boolean isSuccess() {
+    int status = onHead == null ? 0 : onHead.status().code();
+    return status >= 200 && status < 300 && outcome == AttemptOutcome.RESPONDED;
+  }
+
   /** Takes bytes of the body; false if they must not be relayed. */
   boolean onData(ByteBuf bytes) {
     switch (mode) {
