Control plane: Map.Entry by its own name, one line of javadoc wrapped

Cause: Error Prone's NonCanonicalType, an error in this build, in UsageJson and UsageLedger. Measured: all modules compile with their tests.

--- a/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
+++ b/controlplane/src/main/java/elmsail/controlplane/ControlPlaneNode.java
@@ -32,7 +32,8 @@
  *   <li>{@link ServerListManager}: the list of model servers,
  *   <li>{@link VoterSetManager}: the two voter sets and the heartbeats,
  *   <li>{@link DecommissionManager}: the stores to decommission,
- *   <li>{@link FleetSizeManager}: the number of model servers in each zone, where the platform expects it,
+ *   <li>{@link FleetSizeManager}: the number of model servers in each zone, where the platform
+ *       expects it,
  *   <li>{@link UsageManager}: the reports of use, where the platform expects them.
  * </ul>
  */
--- a/controlplane/src/main/java/elmsail/controlplane/UsageJson.java
+++ b/controlplane/src/main/java/elmsail/controlplane/UsageJson.java
@@ -1,6 +1,7 @@
 package elmsail.controlplane;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.SortedMap;
 
 /** The body of a report of use, as the platform takes it; equal counts give equal bytes. */
@@ -13,7 +14,7 @@
     StringBuilder json = new StringBuilder(64 + counts.size() * 24);
     json.append("{\"window_no\":").append(window).append(",\"counts\":{");
     String separator = "";
-    for (SortedMap.Entry<String, Long> count : counts.entrySet()) {
+    for (Map.Entry<String, Long> count : counts.entrySet()) {
       json.append(separator);
       appendString(json, count.getKey());
       json.append(':').append(count.getValue());
--- a/controlplane/src/main/java/elmsail/controlplane/UsageLedger.java
+++ b/controlplane/src/main/java/elmsail/controlplane/UsageLedger.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.LongFunction;
@@ -62,10 +63,10 @@
           out.writeByte(FORMAT);
           out.writeLong(lastDecided);
           out.writeInt(unsent.size());
-          for (SortedMap.Entry<Long, SortedMap<String, Long>> window : unsent.entrySet()) {
+          for (Map.Entry<Long, SortedMap<String, Long>> window : unsent.entrySet()) {
             out.writeLong(window.getKey());
             out.writeInt(window.getValue().size());
-            for (SortedMap.Entry<String, Long> count : window.getValue().entrySet()) {
+            for (Map.Entry<String, Long> count : window.getValue().entrySet()) {
               out.writeUTF(count.getKey());
               out.writeLong(count.getValue());
             }
