--- a/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/RequestForwarder.java
@@ -40,9 +40,6 @@
   /** The first server's error response while the request is retried, or null. */
   private RetainedErrorResponse firstError;
 
-  /** Whether it was reported that a server has started the request, which happens once. */
-  private boolean startReported;
-
   private boolean finished;
 
   /** Forwards nothing before {@link #start}. */
@@ -52,7 +49,7 @@
     this.route = route;
     this.request = request;
     boolean stream = route.kind() == Route.Kind.STREAM;
-    relay = new ResponseRelay(client, stream, stream && route.resumable());
+    relay = new ResponseRelay(client, stream, stream && route.resumable(), this::onStarted);
     serverCheck = new PeriodicCheck(context.timers(), CHECK_INTERVAL_MS, this::checkServer);
   }
 
@@ -75,6 +72,10 @@
     return request.tenantName();
   }
 
+  private void onStarted() {
+    tenantName().ifPresent(context.usage()::onRequestStarted);
+  }
+
   private long remainingMs() {
     return request.deadlineAt() - context.timers().now();
   }
@@ -277,10 +278,6 @@
 
   @Override
   public void onData(ByteBuf bytes) {
-    if (!startReported && relay.isSuccess()) {
-      startReported = true;
-      tenantName().ifPresent(context.usage()::onRequestStarted);
-    }
     if (!relay.onData(bytes)) {
       onUnusableResponse();
     }
--- a/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
+++ b/gateway/src/main/java/elmsail/gateway/requests/ResponseRelay.java
@@ -37,14 +37,18 @@
   private long lastEventId = -1;
   private boolean resuming;
   private boolean isOutOfOrder;
+  private final Runnable startListener;
+  private boolean startReported;
 
   /**
    * Relays to one client.
    *
    * @param stream whether successes are relayed as they arrive, whatever their type
    * @param resumable whether another attempt may continue the stream
+   * @param startListener runs once, when the first byte of a server's success has come
    */
-  ResponseRelay(ResponseSink client, boolean stream, boolean resumable) {
+  ResponseRelay(ResponseSink client, boolean stream, boolean resumable, Runnable startListener) {
+    this.startListener = startListener;
     this.client = client;
     this.stream = stream;
     this.resumable = resumable;
@@ -117,14 +121,17 @@
     return !hasStarted || !success || mode == Mode.EVENTS;
   }
 
-  /** Whether the attempt's response is a server's success. */
-  boolean isSuccess() {
+  private void reportStartOnce() {
     int status = onHead == null ? 0 : onHead.status().code();
-    return status >= 200 && status < 300 && outcome == AttemptOutcome.RESPONDED;
+    if (!startReported && status >= 200 && status < 300) {
+      startReported = true;
+      startListener.run();
+    }
   }
 
   /** Takes bytes of the body; false if they must not be relayed. */
   boolean onData(ByteBuf bytes) {
+    reportStartOnce();
     switch (mode) {
       case RAW -> {
         sendHeadOnce();
