--- a/gateway/src/test/java/elmsail/gateway/RevokedKeyAtUnconfirmedGatewayTest.java
+++ b/gateway/src/test/java/elmsail/gateway/RevokedKeyAtUnconfirmedGatewayTest.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A gateway that cannot tell which keys were removed runs nothing by a key, and denies none. */
 class RevokedKeyAtUnconfirmedGatewayTest extends GatewaySocketTest {
@@ -62,6 +64,33 @@
     assertThat(harness.batchCalls.lastCall, is(""));
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"safe", "unsafe", "stream", "resume"})
+  void confirmationThatLapsesAdmitsNoFurtherAttempt(String route) throws Exception {
+    harness.listServers(harness.firstServer, harness.secondServer);
+    RawConnection client = harness.request(route, "a1", KEY);
+    RawConnection server = harness.firstServer.acceptRequest();
+    confirmAgeMs(GatewaySettings.REVOKE_MS);
+    server.write(GatewayTestHarness.notRunResponse(503, "a1"));
+    assertThat(client.readMessage().status(), is(503));
+    assertThat(harness.secondServer.hasNoConnection(), is(true));
+    assertThat(notConfirmed(), is(1L));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"GET /lots/L7", "DELETE /lots/L7", "GET /items/L7?id=e5"})
+  void callAboutAJobIsRefusedAndMayBeRetried(String line) {
+    confirmAgeMs(GatewaySettings.REVOKE_MS);
+    Message response =
+        harness
+            .connectClient()
+            .write(line + " HTTP/1.1\r\nHost: " + FakeClusterState.HOST + "\r\n" + KEY + "\r\n\r\n")
+            .readMessage();
+    assertThat(response.status(), is(503));
+    assertThat(Double.parseDouble(response.header("Retry-After")), greaterThan(0.0));
+    assertThat(harness.batchCalls.lastCall, is(""));
+  }
+
   @Test
   void nothingIsConfirmedAtTheStart() {
     confirmAgeMs(Long.MAX_VALUE);
