--- a/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
+++ b/config/src/main/java/elmsail/config/watch/ConfigWatcher.java
@@ -205,12 +205,7 @@
     return views.view();
   }
 
-  /**
-   * Time since the last response of a control-plane node.
-   *
-   * @param address its RPC address, "ip:port"
-   * @return in ms; Long.MAX_VALUE if it has not responded to this process
-   */
+  /** Time since a node at this RPC address responded, in ms; Long.MAX_VALUE if it has not. */
   public long lastResponseAgeMs(String address) {
     return streams.lastResponseAgeMs(address);
   }
