Singleton lease: a second acquisition does not cut the wait for the hand-back short

Cause: the last term was noted when it was acquired, not when it was used; a lease that lapsed during the wait and was won again counted as the process's own and was used at once, so that A, B, A could act within lease_ms. Found by reading. Change: TermHandBack, pure, keeps the later of the waits; it binds only where the platform lists duties, so other sites are as before. LeaseTurnsTest's platform lists duties now.

--- a/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
+++ b/controlplane/src/main/java/elmsail/controlplane/SingletonLease.java
@@ -9,6 +9,7 @@
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ElmsailException;
 import elmsail.runtime.ErrorCode;
+import elmsail.runtime.Settings;
 import elmsail.runtime.Timers;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -45,19 +46,10 @@
   private final Supplier<VoterSet> controlPlaneVoters;
   private final String localAddress;
   private final long processId;
-  private final long handBackMs;
+  private final TermHandBack handBack;
   private Lease lease;
   private long term;
 
-  /** The last term that this process had; 0 if none. */
-  private long lastTerm;
-
-  /** When {@link #term()} last said that the lease is held. */
-  private long lastUsedAtMs;
-
-  /** The term is not used before. */
-  private long usableFromMs;
-
   /** How many times the lease was acquired; a term belongs to one of them. */
   private long acquisitions;
 
@@ -73,7 +65,13 @@
     this.controlPlaneVoters = controlPlaneVoters;
     this.localAddress = environment.localAddress();
     this.processId = environment.processId();
-    this.handBackMs = environment.settings().bounds().leaseMs() + HAND_BACK_MARGIN_MS;
+    this.handBack = new TermHandBack(handBackMs(environment.settings()));
+  }
+
+  /** Only the platform's duties are bound by the time between two holders' uses. */
+  private static long handBackMs(Settings settings) {
+    boolean hasDuties = settings.platform() != null && !settings.platform().duties().isEmpty();
+    return hasDuties ? settings.bounds().leaseMs() + HAND_BACK_MARGIN_MS : 0;
   }
 
   /** Registers the voter's side: requests are granted by {@code leaseVoter} while it may vote. */
@@ -167,9 +165,8 @@
                   && outcome.changed()
                   && acquisition == acquisitions
                   && lease.isHeld(timers.now())) {
-                usableFromMs = usableFromMs(change.term);
+                handBack.onAcquired(change.term);
                 term = change.term;
-                lastTerm = term;
                 LOG.info("holds the singleton lease, term {}", term);
               } else {
                 timers.schedule(TICK_INTERVAL_MS, this::acquireTerm);
@@ -177,16 +174,6 @@
             });
   }
 
-  /**
-   * From when on the new term may be used. If another process may have had a term since this one's
-   * last, it is not before the time of a lease has passed since then: else the two would act by
-   * turns within that time.
-   */
-  private long usableFromMs(long newTerm) {
-    boolean othersBetween = lastTerm > 0 && newTerm > lastTerm + 1;
-    return othersBetween ? lastUsedAtMs + handBackMs : timers.now();
-  }
-
   /** One attempt to take the next term; the last proposal is the one that counts. */
   private static final class TermChange {
     private final long processId;
@@ -210,10 +197,10 @@
   @Override
   public long term() {
     long now = timers.now();
-    if (term == 0 || lease == null || !lease.isHeld(now) || now < usableFromMs) {
+    if (term == 0 || lease == null || !lease.isHeld(now) || !handBack.isUsable(now)) {
       return 0;
     }
-    lastUsedAtMs = now;
+    handBack.onUsed(now);
     return term;
   }
 
--- a/controlplane/src/test/java/elmsail/controlplane/LeaseTurnsTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/LeaseTurnsTest.java
@@ -18,6 +18,9 @@
   private static final long LEASE_MS = 3_000;
   private static final int NODES = 3;
 
+  /** The time between two holders' uses binds where the platform expects duties. */
+  private static final double DUTY_CALLS_PER_SECOND = 50;
+
   private SimulatedCluster cluster;
   private final Map<String, Long> lastUseMs = new HashMap<>();
   private String lastUser;
@@ -60,6 +63,7 @@
 
   private void takeTurns(long seed) {
     cluster = new SimulatedCluster(seed, NODES);
+    cluster.dutyCallsPerSecond = DUTY_CALLS_PER_SECOND;
     lastUseMs.clear();
     lastUser = null;
     for (int i = 1; i <= NODES; i++) {
