Fleet size: a new holder takes no booting servers away; waiting items are counted once; never none

Cause: the first reading of a holder was its baseline, so servers that its predecessor had ordered and that still booted were ordered away as they came up; the part of waiting items was rounded up in each zone; a lower bound of 0 could order a zone to none, for good. Found by reading.

--- a/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
+++ b/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
@@ -16,6 +16,12 @@
   /** Share of all slots that the demand is to take: the rest is for what comes in clumps. */
   static final double TARGET_UTILIZATION = 0.5;
 
+  /** How long after a server has booted it may be missing from the list. */
+  private static final long LIST_DELAY_MS = 3_000;
+
+  /** A zone without servers shows no demand, and would never get any again. */
+  private static final int MIN_SERVERS = 1;
+
   /** The largest size recommended within this time before now is the one that is wanted. */
   static final long STABILIZATION_WINDOW_MS = 30_000;
 
@@ -52,11 +58,22 @@
     boolean mayShrink =
         observation.isComplete() && now - firstReadingAtMs >= STABILIZATION_WINDOW_MS;
     int needed = (int) Math.ceil(observation.openRequests() / usableSlots(observation));
-    int recommended = mayShrink ? needed : Math.max(needed, wanted.getAsInt());
+    int recommended = mayShrink ? needed : Math.max(needed, present(observation, bounds, now));
     wanted = OptionalInt.of(clamp(windowMaximum(recommended, now), bounds));
     return wanted.getAsInt();
   }
 
+  /**
+   * The size to keep without need for more. At first, servers that an earlier holder ordered may
+   * still boot and are no more listed than those that have crashed.
+   */
+  private int present(Observation observation, FleetSize bounds, long now) {
+    boolean mayBeBooting = now - firstReadingAtMs <= bounds.bootMs() + LIST_DELAY_MS;
+    return mayBeBooting
+        ? Math.max(wanted.getAsInt(), observation.servers())
+        : wanted.getAsInt();
+  }
+
   private static double usableSlots(Observation observation) {
     return Math.max(1, observation.slotsPerServer()) * TARGET_UTILIZATION;
   }
@@ -73,6 +90,7 @@
   }
 
   private static int clamp(int servers, FleetSize bounds) {
-    return Math.max(bounds.minServers(), Math.min(bounds.maxServers(), servers));
+    int minServers = Math.max(MIN_SERVERS, bounds.minServers());
+    return Math.max(minServers, Math.min(bounds.maxServers(), servers));
   }
 }
--- a/gateway/src/main/java/elmsail/gateway/servers/DemandMeter.java
+++ b/gateway/src/main/java/elmsail/gateway/servers/DemandMeter.java
@@ -5,11 +5,9 @@
 import elmsail.rpc.messages.ServiceDemand;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Measures what this gateway has open at the services whose number of servers the tier sets: by
@@ -61,16 +59,17 @@
     return demand;
   }
 
-  /** Adds what waiting items need to the zones of their service, in equal parts. */
+  /** Adds what waiting items need to the zones of their service, as equally as it goes. */
   private static void spread(Collection<ServiceDemand> demands, String service, int items) {
-    Set<ServiceDemand> zones = new HashSet<>();
+    List<ServiceDemand> zones = new ArrayList<>();
     for (ServiceDemand demand : demands) {
       if (demand.service.equals(service)) {
         zones.add(demand);
       }
     }
-    for (ServiceDemand demand : zones) {
-      demand.openRequests += (int) Math.ceil(items * SLOTS_PER_WAITING_ITEM / zones.size());
+    int slots = (int) Math.round(items * SLOTS_PER_WAITING_ITEM);
+    for (int slot = 0; slot < slots && !zones.isEmpty(); slot++) {
+      zones.get((items + slot) % zones.size()).openRequests++;
     }
   }
 }
--- a/gateway/src/test/java/elmsail/gateway/servers/DemandMeterTest.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/DemandMeterTest.java
@@ -49,6 +49,17 @@
         contains("sized a 10", "sized b 10"));
   }
 
+  @Test
+  void fewWaitingItemsAreNotCountedOnceInEachZone() {
+    List<Server> servers =
+        List.of(server("1", "sized", "a"), server("2", "sized", "b"), server("3", "sized", "c"));
+    int sum = 0;
+    for (ServiceDemand demand : DemandMeter.measure(servers, CONFIG, Map.of("sized", 4))) {
+      sum += demand.openRequests;
+    }
+    assertThat(sum, is(1));
+  }
+
   @Test
   void servicesWhoseSizeIsNotSetAreLeftOut() {
     List<Server> servers = List.of(server("1", "fixed", "a"));
