Reports of use: counts are taken in only once the time of day is agreed; the exchange schedules itself first

Cause: a node whose own clock had stepped dropped windows and acknowledged them all the same; a fault while asking the voters ended the exchange of clocks for good. Found by reading. Change: such a report fails and is sent again; the timer comes first.

--- a/config/src/main/java/elmsail/config/watch/ClockExchange.java
+++ b/config/src/main/java/elmsail/config/watch/ClockExchange.java
@@ -75,6 +75,7 @@
     if (closed) {
       return;
     }
+    timers.schedule(clusterClock.isAgreed() ? INTERVAL_MS : FIRST_INTERVAL_MS, this::start);
     clusterClock.onSample(OWN_CLOCK, ownClock.currentMs());
     List<Voter> known = voters.get().voters;
     if (known.size() == 1 && known.get(0).address.equals(ownAddress)) {
@@ -85,7 +86,6 @@
         ask(voter.address);
       }
     }
-    timers.schedule(clusterClock.isAgreed() ? INTERVAL_MS : FIRST_INTERVAL_MS, this::start);
   }
 
   private void ask(String address) {
--- a/controlplane/src/main/java/elmsail/controlplane/UsageManager.java
+++ b/controlplane/src/main/java/elmsail/controlplane/UsageManager.java
@@ -6,6 +6,8 @@
 import elmsail.rpc.messages.UsageReport;
 import elmsail.rpc.messages.UsageReportResponse;
 import elmsail.rpc.messages.VoterSet;
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.Settings;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -83,9 +85,11 @@
 
   private CompletableFuture<UsageReportResponse> onReport(UsageReport report) {
     counters.reportsReceived.add(1);
-    if (clock.hasTime()) {
-      table.onReport(report, reporter.windowAt(clock.now()) + MAX_WINDOWS_AHEAD);
+    if (!clock.isAgreed()) {
+      return CompletableFuture.failedFuture(
+          new ElmsailException(ErrorCode.NO_QUORUM, "the time of day is not agreed on yet"));
     }
+    table.onReport(report, reporter.windowAt(clock.now()) + MAX_WINDOWS_AHEAD);
     UsageReportResponse response = new UsageReportResponse();
     response.holdsLease = lease.term() > 0;
     response.processId = environment.processId();
