Batch: a job sent again to its gateway is taken up there after a change of the configuration too

Cause: the committed description had to equal the proposed one, its configuration's version included. Change: tenant and body are compared, which is what tells two submissions of one id apart. Measured: TenantJobsTest.

--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -226,7 +226,8 @@
     boolean committedHere =
         record.version() == 1
             && record.runner().equals(context.localAddress())
-            && record.description().equals(proposedRecord.description())
+            && record.description().tenant().equals(submission.tenant())
+            && record.description().bodyBlobName().equals(body.name)
             && commitProposed;
     if (committedHere) {
       jobClient.cacheItems(jobId, submission.items(), bodyBytes());
