--- a/gateway/src/test/java/elmsail/gateway/servers/GatewayFleet.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/GatewayFleet.java
@@ -41,6 +41,13 @@
    * @param sharesLoads whether the gateways exchange their loads
    */
   GatewayFleet(EventLoop loop, SplittableRandom draws, boolean sharesLoads) {
+    this(loop, draws, sharesLoads, GATEWAYS_PER_ZONE);
+  }
+
+  /**
+   * @param gatewaysPerZone how many gateways the requests are spread over
+   */
+  GatewayFleet(EventLoop loop, SplittableRandom draws, boolean sharesLoads, int gatewaysPerZone) {
     this.draws = draws;
     List<ServerEntry> entries = new ArrayList<>();
     for (int i = 0; i < ZONES * SERVERS_PER_ZONE; i++) {
@@ -49,10 +56,10 @@
       models.put(id, new SimulatedServer(timers, SLOTS, MAX_QUEUED, slowness(i)));
     }
     known.servers = entries;
-    for (int g = 0; g < ZONES * GATEWAYS_PER_ZONE; g++) {
+    for (int g = 0; g < ZONES * gatewaysPerZone; g++) {
       known.view.gateways.add("g" + g + ":1");
     }
-    for (int g = 0; g < ZONES * GATEWAYS_PER_ZONE; g++) {
+    for (int g = 0; g < ZONES * gatewaysPerZone; g++) {
       gateways.add(gateway(loop, "g" + g + ":1", "z" + g % ZONES, sharesLoads));
     }
     timers.advance(FIRST_REPORTS_MS);
--- a/gateway/src/test/java/elmsail/gateway/servers/SimulatedServer.java
+++ b/gateway/src/test/java/elmsail/gateway/servers/SimulatedServer.java
@@ -45,6 +45,11 @@
     return running + queue.size();
   }
 
+  /** The value of the load header: requests that run, requests that wait, slots. */
+  String loadHeader() {
+    return running + "," + queue.size() + "," + slots;
+  }
+
   /** How long a prompt that is let in now waits for those before it, in ms. */
   double backlogMs() {
     double queued = queue.stream().mapToDouble(Waiting::readMs).sum() * slowness;
--- /dev/null
+++ b/gateway/src/test/java/elmsail/gateway/servers/StaleReportedLoadModelTest.java
@@ -0,0 +1,161 @@
+package elmsail.gateway.servers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+
+import elmsail.config.Route;
+import elmsail.runtime.NettyEventLoop;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many gateways before servers that report their load: each gateway hears from a server so seldom
+ * that the report is old when the next request is to be sent. What all gateways have open is known
+ * sooner, and must be used.
+ */
+class StaleReportedLoadModelTest {
+  private static final long DURATION_MS = 10_000;
+  private static final long LATENCY_TARGET_MS = 300;
+  private static final int GATEWAYS_PER_ZONE = 20;
+
+  /** So many requests come at the same moment. */
+  private static final int BURST_SIZE = 3;
+
+  /** Of each request: prompt tokens, and ms from the first token to the last. */
+  private static final int MEAN_TOKENS = 1_700;
+
+  private static final int MEAN_HOLD_MS = 160;
+
+  private static final HttpResponse OK =
+      new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/r/",
+          Route.Kind.STREAM,
+          2_000,
+          LATENCY_TARGET_MS,
+          0,
+          List.of(new Route.WeightedService("s", 1)),
+          1,
+          false,
+          0,
+          0,
+          0,
+          0);
+
+  private final NettyEventLoop loop = new NettyEventLoop();
+  private GatewayFleet fleet;
+  private int sent;
+  private int inTime;
+
+  @AfterEach
+  void close() {
+    loop.shutdown();
+  }
+
+  /** One client's request, sent once. */
+  private final class Request extends NoOpRequest implements SimulatedServer.Client {
+    private final Prompt prompt;
+    private final long since = fleet.timers.now();
+    private Server server;
+    private Attempt attempt;
+    private long firstTokenAt;
+
+    Request() {
+      int tokens = 300 + fleet.draws.nextInt(2 * (MEAN_TOKENS - 300));
+      int part = fleet.draws.nextInt(400);
+      prompt = Prompt.parse("top:100,p" + part + ":100,own:" + (tokens - 200), null);
+    }
+
+    void send() {
+      sent++;
+      Servers gateway = fleet.anyGateway();
+      server = gateway.picker().pick(ROUTE, prompt, Set.of()).orElseThrow();
+      if (gateway.picker().rejects(server, prompt, LATENCY_TARGET_MS)) {
+        return;
+      }
+      attempt = new Attempt(server, this, this, since);
+      server.onAttemptStarted(attempt);
+      attempt.markSent();
+      double holdMs = MEAN_HOLD_MS * (0.25 + 1.5 * fleet.draws.nextDouble());
+      model().submit(prompt.totalTokens() / GatewayFleet.TOKENS_PER_MS, holdMs, this);
+    }
+
+    private SimulatedServer model() {
+      return fleet.models.get(server.id());
+    }
+
+    @Override
+    public void onRejected() {
+      server.load().recordReport(model().loadHeader(), fleet.timers.now());
+      attempt.cancel();
+    }
+
+    @Override
+    public void onFirstToken() {
+      firstTokenAt = fleet.timers.now();
+      server.health().recordResponse(firstTokenAt);
+      server.load().recordReport(model().loadHeader(), firstTokenAt);
+      attempt.onHead(OK);
+      inTime += firstTokenAt - since <= LATENCY_TARGET_MS ? 1 : 0;
+    }
+
+    @Override
+    public void onEnded() {
+      server.load().recordSlotHoldTime(fleet.timers.now() - firstTokenAt);
+      attempt.onComplete();
+    }
+
+    @Override
+    public Prompt prompt() {
+      return prompt;
+    }
+  }
+
+  /** The share of requests whose first token came in time, at that share of capacity. */
+  private double shareInTime(double load, long seed, boolean sharesLoads) {
+    fleet =
+        new GatewayFleet(
+            loop.eventLoop(), new SplittableRandom(seed), sharesLoads, GATEWAYS_PER_ZONE);
+    sent = 0;
+    inTime = 0;
+    double perSecond = load * GatewayFleet.capacityPerSecond(MEAN_TOKENS, MEAN_HOLD_MS);
+    double at = 0;
+    while (at < DURATION_MS) {
+      at += -Math.log(1 - fleet.draws.nextDouble()) * 1_000 * BURST_SIZE / perSecond;
+      for (int i = 0; i < BURST_SIZE; i++) {
+        fleet.timers.schedule((long) at, () -> new Request().send());
+      }
+    }
+    fleet.timers.advance(DURATION_MS + 5_000);
+    return (double) inTime / sent;
+  }
+
+  @Test
+  void oldReportsDoNotHideWhatAllGatewaysHaveOpen() {
+    for (double load : new double[] {0.6, 0.8, 0.9, 1.1}) {
+      for (long seed = 1; seed <= 3; seed++) {
+        double alone = shareInTime(load, seed, false);
+        double shared = shareInTime(load, seed, true);
+        System.out.printf(
+            "load %.1f, seed %d: in time %.3f by reports alone, %.3f with the loads of all%n",
+            load, seed, alone, shared);
+        String where = "at " + load + ", seed " + seed;
+        assertThat(where, shared, greaterThan(alone - 0.01));
+        if (load < 1) {
+          assertThat(where, shared, greaterThan(0.9));
+        }
+      }
+    }
+  }
+}
