--- a/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
+++ b/controlplane/src/main/java/elmsail/controlplane/FleetSizePolicy.java
@@ -69,9 +69,7 @@
    */
   private int present(Observation observation, FleetSize bounds, long now) {
     boolean mayBeBooting = now - firstReadingAtMs <= bounds.bootMs() + LIST_DELAY_MS;
-    return mayBeBooting
-        ? Math.max(wanted.getAsInt(), observation.servers())
-        : wanted.getAsInt();
+    return mayBeBooting ? Math.max(wanted.getAsInt(), observation.servers()) : wanted.getAsInt();
   }
 
   private static double usableSlots(Observation observation) {
--- a/controlplane/src/test/java/elmsail/controlplane/FleetSizePolicyTest.java
+++ b/controlplane/src/test/java/elmsail/controlplane/FleetSizePolicyTest.java
@@ -110,8 +110,7 @@
     int wanted = 8;
     for (long now = 0; now <= 3 * FleetSizePolicy.STABILIZATION_WINDOW_MS; now += 500) {
       wanted =
-          policy.observe(
-              new FleetSizePolicy.Observation(wanted, SLOTS, 0, true), unbounded, now);
+          policy.observe(new FleetSizePolicy.Observation(wanted, SLOTS, 0, true), unbounded, now);
     }
     assertThat(wanted, is(1));
   }
