--- a/batch/src/main/java/elmsail/batch/api/SubmissionReport.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmissionReport.java
@@ -7,6 +7,7 @@
 import elmsail.runtime.Invariant;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * The outcome of a submission, for the log, the counters and the invariants.
@@ -26,25 +27,31 @@
   private static final Logger LOG = LoggerFactory.getLogger(SubmissionReport.class);
 
   /**
-   * Logs the outcome at debug level.
+   * Logs the outcome: at info level if the job was refused although its record had been proposed,
+   * at debug level otherwise.
    *
+   * @param proposed whether a round proposed the record
    * @param bodyBytes the size of the encoded body
    */
-  void log(int bodyBytes) {
-    if (LOG.isDebugEnabled()) {
-      LOG.debug(
-          "job submission answered: job={} status={} tokens={} waiting={} pending={} limit={}"
-              + " verdict={} rounds={} ms={} bytes={}",
-          check.jobId(),
-          reply.status(),
-          check.tokens(),
-          counted.totalExcept(check.jobId()),
-          counted.reservedExcept(check.jobId()),
-          check.limit(),
-          verdict,
-          rounds,
-          elapsedMs,
-          bodyBytes);
+  void log(boolean proposed, int bodyBytes) {
+    Level level =
+        proposed && reply.status() != BatchReplies.ACCEPTED.status() ? Level.INFO : Level.DEBUG;
+    if (LOG.isEnabledForLevel(level)) {
+      LOG.atLevel(level)
+          .log(
+              "job submission answered: job={} status={} tokens={} waiting={} pending={} limit={}"
+                  + " verdict={} rounds={} proposed={} ms={} bytes={}",
+              check.jobId(),
+              reply.status(),
+              check.tokens(),
+              counted.totalExcept(check.jobId()),
+              counted.reservedExcept(check.jobId()),
+              check.limit(),
+              verdict,
+              rounds,
+              proposed,
+              elapsedMs,
+              bodyBytes);
     }
   }
 
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -299,7 +299,7 @@
     long elapsedMs = context.timers().now() - startedAt;
     SubmissionReport report =
         new SubmissionReport(reply, admissionCheck(), waitingTokens, verdict, rounds, elapsedMs);
-    report.log(bodyBytes());
+    report.log(commitProposed, bodyBytes());
     report.count(context.metrics(), MAX_CONTENTION_WAIT_MS);
     replyFuture.complete(reply);
   }
--- a/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
+++ b/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
@@ -14,6 +14,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Keeps the leases of this gateway's jobs, and takes over jobs whose runner no longer sends
@@ -23,6 +25,8 @@
  * register commits only one of the proposals. Confined to the gateway's event loop.
  */
 public final class FailoverMonitor {
+  private static final Logger LOG = LoggerFactory.getLogger(FailoverMonitor.class);
+
   private static final long SCAN_INTERVAL_MS = 700;
   private static final long RESPONSE_TIMEOUT_MS = 600;
   private static final long HEARTBEAT_TIMEOUT_MS = 2_000;
@@ -173,6 +177,7 @@
           && committed != null
           && committed.term() == overdue.term() + 1
           && committed.runner().equals(context.localAddress())) {
+        LOG.info("batch job taken over: job={} term={}", jobId, committed.term());
         runner.adopt(jobId, committed, committed.ageMs(), startedAt);
       }
     }
@@ -185,6 +190,13 @@
     takeoversInFlight.add(jobId);
     jobClient
         .change(jobId, current -> current == null ? null : current.rewritten(), CHANGE_TIMEOUT_MS)
-        .whenComplete((record, failure) -> takeoversInFlight.remove(jobId));
+        .whenComplete(
+            (record, failure) -> {
+              takeoversInFlight.remove(jobId);
+              LOG.info(
+                  "record of a batch job that few stores have was committed again: job={} result={}",
+                  jobId,
+                  failure != null ? "failed" : record == null ? "none" : "record");
+            });
   }
 }
--- a/consensus/src/main/java/elmsail/consensus/Proposer.java
+++ b/consensus/src/main/java/elmsail/consensus/Proposer.java
@@ -15,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One change of a key (a proposer of CASPaxos). Runs a prepare phase and an accept phase at a
@@ -25,6 +27,8 @@
  * gave it under the same voter set.
  */
 final class Proposer extends QuorumOperation<CommittedState> {
+  private static final Logger LOG = LoggerFactory.getLogger(Proposer.class);
+
   /** How many attempts are retried after voters did not admit the value. */
   private static final int MAX_ADMISSION_REFUSALS = 2;
 
@@ -228,6 +232,14 @@
       if (isDone()) {
         return;
       }
+      if (proposed.value() == null && acceptSent) {
+        LOG.info(
+            "change declined after an accept request was sent: set={} key={} round={} found={}",
+            client.set(),
+            key,
+            ballot.round,
+            highest.accepted.round);
+      }
       if (proposed.value() != null) {
         accept(proposed.value(), true, proposed.blobs());
       } else if (Ballots.isNone(highest.accepted) || isAcceptedByMajority(highest.accepted)) {
