A declined change can't be committed later: no job refused with 429 runs

Cause: one call of Register.change sends an accept request that one voter takes, sees it fail at a majority, starts over under a higher ballot and declines, as two other voters have accepted nothing. A majority that promised and accepted nothing shows that nothing was committed before, not that nothing will be: the next prepare phase that reaches the third voter finds the value there as the highest accepted and commits it. The same holds where the key has a value (a change declined on a committed value below the ballot it sent), and where the change function throws after a proposal (read as a refusal).

Change: PromiseQuorum says when a decline needs no write: nothing sent, or the value found is committed at a ballot not below the last one sent. Otherwise the value found, or its absence, is committed at the higher ballot, as CASPaxos does for every unchanged value; after that each majority meets it first. A register value may now be a committed absence: QuorumRead, the store's restart and JobStore take it (a void record is dropped, the key is kept as long as a closed job's). ProposedValue.declinedAndFenced extends the promise to values of earlier calls; a submission uses it after a round of unknown outcome, which it now refuses with 429 where it said 504, and DELETE and the repair of records use it where there is no record. A change function that throws after a proposal gives OUTCOME_UNKNOWN.

A change that proposed nothing is declined without an accept, as before.

--- a/batch/src/main/java/elmsail/batch/api/AdmissionVerdict.java
+++ b/batch/src/main/java/elmsail/batch/api/AdmissionVerdict.java
@@ -22,6 +22,11 @@
   /** Fewer than a majority of the stores have returned their count of the waiting tokens. */
   UNKNOWN;
 
+  /** Whether the round leaves the job without a record and without a round that proposes one. */
+  boolean isRefusal() {
+    return this != ALREADY_ACCEPTED && this != FITS;
+  }
+
   /** Whether the job currently exceeds the limit. */
   boolean exceedsLimit() {
     return this == OVER_QUOTA || this == CONTENDED_FIRST || this == CONTENDED;
--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -74,7 +74,10 @@
   /** The verdict of the last round; null if no round since the last wait has reached a verdict. */
   private AdmissionVerdict verdict;
 
-  /** Whether a store may have accepted the record in a round whose outcome is unknown. */
+  /**
+   * Whether the record may be committed by a round whose outcome is unknown. A round that refuses
+   * the job prevents that.
+   */
   private boolean mayBeCommitted;
 
   /** Whether any round has proposed the record. If not, a committed record is from another call. */
@@ -194,7 +197,13 @@
     verdict = evaluate(found, round);
     boolean commit = round == AdmissionRound.COMMIT && verdict == AdmissionVerdict.FITS;
     commitProposed |= commit;
-    return BatchJobClient.proposal(commit ? proposedRecord : null);
+    if (commit) {
+      return BatchJobClient.proposal(proposedRecord);
+    }
+    // After a round of unknown outcome, a refusal is final only if it also voids that round.
+    return mayBeCommitted && verdict.isRefusal()
+        ? Register.ProposedValue.declinedAndFenced()
+        : Register.ProposedValue.declined();
   }
 
   private AdmissionVerdict evaluate(Register.ObservedState found, AdmissionRound round) {
@@ -214,6 +223,9 @@
       onAccepted(jobClient.onCommitted(jobId, committed));
       return;
     }
+    if (verdict.isRefusal()) {
+      mayBeCommitted = false;
+    }
     boolean mayWait = context.timers().now() - startedAt < MAX_CONTENTION_WAIT_MS;
     if (verdict == AdmissionVerdict.FITS) {
       startRound(round == AdmissionRound.READ ? AdmissionRound.RESERVE : AdmissionRound.COMMIT);
@@ -266,9 +278,9 @@
   }
 
   /**
-   * Rejects the job, which guarantees to the client that the job never runs. If a commit may have
-   * been sent, there is no such guarantee, and the reply is that the outcome is unknown: one store
-   * may have accepted the record, and any proposer that finds the record there completes its
+   * Rejects the job, which guarantees to the client that the job never runs. After a round of
+   * unknown outcome there is no such guarantee, and the reply is that the outcome is unknown: one
+   * store may have accepted the record, and any proposer that finds the record there completes its
    * commit.
    */
   private void reject(Reply reply) {
--- a/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
+++ b/batch/src/main/java/elmsail/batch/client/BatchJobClient.java
@@ -70,23 +70,32 @@
    *
    * @param change maps the current record, or null if there is none, to the record to propose, or
    *     to null to leave the current record unchanged; may be called more than once
-   * @return the record that is committed afterwards, or null if there is none
+   * @return the record that is committed afterwards, or null if there is none; then no record that
+   *     was proposed before is committed later, and only a new submission can create the job
    */
   public CompletableFuture<JobRecord> change(
       String jobId, UnaryOperator<JobRecord> change, long timeoutMs) {
     return register
         .change(
             JobRecord.registerKey(jobId),
-            found -> proposal(change.apply(JobRecord.decodeNullable(found.value()))),
+            found -> propose(JobRecord.decodeNullable(found.value()), change),
             List.of(),
             null,
             timeoutMs)
         .thenApply(result -> onCommitted(jobId, result.current()));
   }
 
+  private static Register.ProposedValue propose(JobRecord found, UnaryOperator<JobRecord> change) {
+    JobRecord proposed = change.apply(found);
+    boolean remainsAbsent = found == null && proposed == null;
+    return remainsAbsent ? Register.ProposedValue.declinedAndFenced() : proposal(proposed);
+  }
+
   /** The value to propose for a record; null leaves the current value unchanged. */
   public static Register.ProposedValue proposal(JobRecord record) {
-    return new Register.ProposedValue(record == null ? null : record.encode(), List.of());
+    return record == null
+        ? Register.ProposedValue.declined()
+        : new Register.ProposedValue(record.encode(), List.of());
   }
 
   /**
--- a/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
+++ b/batch/src/main/java/elmsail/batch/run/FailoverMonitor.java
@@ -184,7 +184,8 @@
   }
 
   /**
-   * Commits the record of a job again without changes, so that stores that missed it receive it.
+   * Commits the record of a job again without changes, so that stores that missed it receive it. If
+   * the job has none, its absence is committed, and the store that reports the job drops it.
    */
   private void rewriteRecord(String jobId) {
     takeoversInFlight.add(jobId);
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -88,6 +88,13 @@
    */
   private final Map<String, Long> neverAccepted = new HashMap<>();
 
+  /**
+   * The jobs whose absence this store has accepted last, each with the time of that. The key is
+   * kept as long as that of a closed job: a store that was down meanwhile may still have a record
+   * which the absence makes void.
+   */
+  private final Map<String, Long> acceptedAbsences = new HashMap<>();
+
   /**
    * Stores a reservation and returns the waiting tokens of its quota key.
    *
@@ -148,6 +155,17 @@
     state.apply(record, now);
     reservations.remove(jobId);
     neverAccepted.remove(jobId);
+    acceptedAbsences.remove(jobId);
+  }
+
+  /**
+   * Applies that the store has accepted the absence of a job's record and written it to disk: a
+   * record that the store accepted before was never committed and is void. Reservations remain, as
+   * another submission of the job may have made them.
+   */
+  void onAbsenceAccepted(String jobId, long now) {
+    jobs.remove(jobId);
+    acceptedAbsences.put(jobId, now);
   }
 
   /**
@@ -164,6 +182,7 @@
     jobs.remove(jobId);
     reservations.remove(jobId);
     neverAccepted.remove(jobId);
+    acceptedAbsences.remove(jobId);
   }
 
   /**
@@ -204,9 +223,10 @@
   /**
    * The ids of the jobs whose retention time is over. The caller drops them.
    *
-   * @param retentionMs how long a closed job is kept after this store first accepted it, in ms; an
-   *     open job is kept longer by the time to live of its items, and in any case while its last
-   *     heartbeat is at most {@code retentionMs} old
+   * @param retentionMs how long a closed job is kept after this store first accepted it, or the
+   *     absence of a job after this store accepted that, in ms; an open job is kept longer by the
+   *     time to live of its items, and in any case while its last heartbeat is at most {@code
+   *     retentionMs} old
    * @param slackMs added to the retention time to allow for clock differences and late messages, in
    *     ms
    */
@@ -220,7 +240,14 @@
     }
     for (Map.Entry<String, Long> entry : neverAccepted.entrySet()) {
       // Without a reservation the first record is not admitted, so the promise is not needed.
-      if (now - entry.getValue() > NEVER_ACCEPTED_TTL_MS && !reservations.has(entry.getKey())) {
+      if (now - entry.getValue() > NEVER_ACCEPTED_TTL_MS
+          && !reservations.has(entry.getKey())
+          && !acceptedAbsences.containsKey(entry.getKey())) {
+        expired.add(entry.getKey());
+      }
+    }
+    for (Map.Entry<String, Long> entry : acceptedAbsences.entrySet()) {
+      if (now - entry.getValue() > retentionMs + slackMs && !reservations.has(entry.getKey())) {
         expired.add(entry.getKey());
       }
     }
--- a/batch/src/main/java/elmsail/batch/store/JobStoreService.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStoreService.java
@@ -116,13 +116,20 @@
   @Override
   public boolean admits(String key, byte[] value) {
     return !JobRecord.isRegisterKey(key)
+        || value == null
         || jobs.admits(JobRecord.jobIdOf(key), JobRecord.decode(value), timers.now());
   }
 
   @Override
   public void onAccepted(String key, byte[] value) {
-    if (JobRecord.isRegisterKey(key) && value != null) {
-      jobs.onAccepted(JobRecord.jobIdOf(key), JobRecord.decode(value), timers.now());
+    if (!JobRecord.isRegisterKey(key)) {
+      return;
+    }
+    String jobId = JobRecord.jobIdOf(key);
+    if (value == null) {
+      jobs.onAbsenceAccepted(jobId, timers.now());
+    } else {
+      jobs.onAccepted(jobId, JobRecord.decode(value), timers.now());
     }
   }
 
--- /dev/null
+++ b/batch/src/test/java/elmsail/batch/RefusedJobTest.java
@@ -0,0 +1,87 @@
+package elmsail.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against review/1: a job that was refused with 429 ran after all stores had been killed at
+ * once. The tests force the order of events: one store accepts the record of the job, all stores
+ * are killed, another job takes the quota, and the other two stores answer the next round.
+ */
+class RefusedJobTest {
+  private static final long LIMIT = 1_000;
+  private static final long TOKENS = 600;
+  private static final String JOB = "refused";
+  private static final String KEY = "lot/" + JOB;
+
+  /** Longer than it takes until a store that missed a change has its record committed again. */
+  private static final long REPAIR_MS = 30_000;
+
+  private final ReplicatedBatchCluster cluster = new ReplicatedBatchCluster(7, 3, LIMIT);
+
+  /** Whether the store has the body of the job, which came with the last prepare request. */
+  private boolean hasBody(int store) {
+    String bodyPrefix = ReplicatedBatchCluster.VOTER_SET_NAME + "/b/lot%2F" + JOB + "/";
+    return cluster.stores.get(store).disk.names(bodyPrefix).iterator().hasNext();
+  }
+
+  private boolean hasAccepted(int store) {
+    return cluster.stores.get(store).replica.acceptedValue(KEY) != null;
+  }
+
+  /** Advances the clock until the first store alone has accepted the record of the job. */
+  private void awaitAcceptAtFirstStoreOnly(int gateway) {
+    String address = cluster.gateways.get(gateway).address;
+    for (int ms = 0; ms < 2_000 && !(hasBody(0) && (hasBody(1) || hasBody(2))); ms++) {
+      cluster.timers.advance(1);
+    }
+    cluster.net.cut(address, cluster.stores.get(1).address);
+    cluster.net.cut(address, cluster.stores.get(2).address);
+    for (int ms = 0; ms < 500 && !hasAccepted(0); ms++) {
+      cluster.timers.advance(1);
+    }
+    assertThat("the first store has accepted the record", hasAccepted(0), is(true));
+    assertThat(
+        "another store has accepted the record", hasAccepted(1) || hasAccepted(2), is(false));
+  }
+
+  /** Kills all stores, and starts all but the first again, at once, with their disks. */
+  private void killAllStoresAndStartTwo() {
+    cluster.stores.forEach(store -> store.kill(false));
+    cluster.net.healAll();
+    cluster.stores.get(1).start();
+    cluster.stores.get(2).start();
+  }
+
+  private void startFirstStoreAndAwaitRepair() {
+    cluster.stores.get(0).start();
+    cluster.timers.advance(REPAIR_MS);
+  }
+
+  private boolean hasRun() {
+    return cluster.completedItemIds.contains(JOB + "-0");
+  }
+
+  @Test
+  void jobRefusedInTheCallThatProposedItNeverRuns() {
+    cluster.timers.advance(1_000);
+    CompletableFuture<BatchService.Reply> refused =
+        cluster.submit(cluster.gateways.get(0), JOB, 1, TOKENS);
+    awaitAcceptAtFirstStoreOnly(0);
+    killAllStoresAndStartTwo();
+    CompletableFuture<BatchService.Reply> rival =
+        cluster.submit(cluster.gateways.get(1), "rival", 1, TOKENS);
+    BatchService.Reply rivalReply = cluster.await(rival);
+    BatchService.Reply reply = cluster.await(refused);
+    assertThat(rivalReply.status(), is(202));
+    assertThat(reply, is(notNullValue()));
+    startFirstStoreAndAwaitRepair();
+    System.out.println("refused: " + reply.status() + ", run: " + hasRun());
+    assertThat(reply.status(), is(429));
+    assertThat(hasRun(), is(false));
+  }
+}
--- a/batch/src/test/java/elmsail/batch/SimJobStore.java
+++ b/batch/src/test/java/elmsail/batch/SimJobStore.java
@@ -48,7 +48,7 @@
             ProcessMetrics.strict());
     service.start();
     for (Map.Entry<String, StoredKey> entry : keys.entrySet()) {
-      if (entry.getValue().value != null) {
+      if (entry.getValue().accepted.round > 0) {
         service.onAccepted(entry.getKey(), entry.getValue().value);
       }
     }
--- a/batch/src/test/java/elmsail/batch/SimRegister.java
+++ b/batch/src/test/java/elmsail/batch/SimRegister.java
@@ -33,7 +33,7 @@
     final List<Blob> blobs;
     final byte[] sideEffect;
     final CompletableFuture<CommittedState> result = new CompletableFuture<>();
-    boolean acceptSent;
+    Ballot lastSent = new Ballot();
 
     Proposal(
         String key,
@@ -50,7 +50,8 @@
 
     void timeOut() {
       result.completeExceptionally(
-          new ElmsailException(acceptSent ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.NO_QUORUM, key));
+          new ElmsailException(
+              lastSent.round > 0 ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.NO_QUORUM, key));
     }
 
     void retry() {
@@ -111,7 +112,9 @@
       ProposedValue proposed = change.apply(new ObservedState(value, sideEffects));
       if (proposed.value() != null) {
         accept(ballot, proposed.value(), proposed.blobs(), true);
-      } else if (matching < cluster.majority() && value != null) {
+      } else if (proposed.fencesEarlierProposals()
+          || matching < cluster.majority()
+          || SimJobStore.isLower(newest, lastSent)) {
         accept(ballot, value, List.of(), false);
       } else {
         result.complete(new CommittedState(new VersionedValue(newest, value), false));
@@ -119,7 +122,7 @@
     }
 
     void accept(Ballot ballot, byte[] value, List<Blob> acceptBlobs, boolean changed) {
-      acceptSent = true;
+      lastSent = ballot;
       int[] grantedAndRejected = new int[2];
       for (SimJobStore store : cluster.stores) {
         send(
--- a/consensus/src/main/java/elmsail/consensus/AcceptorState.java
+++ b/consensus/src/main/java/elmsail/consensus/AcceptorState.java
@@ -13,7 +13,7 @@
  * @param accepted the ballot under which {@code value} was accepted
  * @param fromStateTransfer whether {@code accepted} was copied from another voter when this replica
  *     joined; such a record is not a vote of this voter
- * @param value null if nothing was accepted
+ * @param value null if nothing was accepted, or the absence of a value was
  */
 record AcceptorState(Ballot promised, Ballot accepted, boolean fromStateTransfer, byte[] value) {
   private static final int HEADER_BYTES = 4 * Long.BYTES + 1;
--- a/consensus/src/main/java/elmsail/consensus/Proposer.java
+++ b/consensus/src/main/java/elmsail/consensus/Proposer.java
@@ -12,7 +12,6 @@
 import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.VoterSet;
 import elmsail.runtime.ErrorCode;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -35,7 +34,10 @@
   private final Function<ObservedState, ProposedValue> change;
   private final List<Blob> blobs;
   private final byte[] sideEffect;
-  private boolean acceptSent;
+
+  /** The ballot of the last accept request of this change; round 0 if none was sent. */
+  private Ballot lastSent = new Ballot();
+
   private int admissionRefusals;
   private int preemptedAttempts;
 
@@ -58,7 +60,7 @@
 
   @Override
   ErrorCode timeoutErrorCode() {
-    return acceptSent ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.NO_QUORUM;
+    return Ballots.isNone(lastSent) ? ErrorCode.NO_QUORUM : ErrorCode.OUTCOME_UNKNOWN;
   }
 
   @Override
@@ -81,13 +83,15 @@
     new ChangeAttempt(voterSet, client.nextBallot(), promise != null).prepare();
   }
 
-  /** Calls the change function. If it throws, the operation fails and the result is null. */
+  /**
+   * Calls the change function. If it throws, the operation fails and the result is null. The
+   * exception is the result of the change, unless an earlier proposal may still be committed.
+   */
   private ProposedValue propose(ObservedState observed) {
     try {
       return change.apply(observed);
     } catch (RuntimeException e) {
-      // The function belongs to the caller, so its exception is the result of the change.
-      fail(e);
+      fail(Ballots.isNone(lastSent) ? e : failure(ErrorCode.OUTCOME_UNKNOWN, e));
       return null;
     }
   }
@@ -215,52 +219,36 @@
 
     /** A majority promised: applies the change to the value of the highest accepted ballot. */
     private void chooseValue() {
-      VoteResponse highest = null;
-      List<byte[]> sideEffects = new ArrayList<>();
-      for (VoteResponse promise : promises) {
-        if (promise == null) {
-          continue;
-        }
-        if (highest == null || Ballots.compare(promise.accepted, highest.accepted) > 0) {
-          highest = promise;
-        }
-        if (promise.sideEffect != null) {
-          sideEffects.add(promise.sideEffect);
-        }
-      }
-      ProposedValue proposed = propose(new ObservedState(highest.value, sideEffects));
+      PromiseQuorum quorum = new PromiseQuorum(promises, majority);
+      byte[] found = quorum.value();
+      ProposedValue proposed = propose(new ObservedState(found, quorum.sideEffects()));
       if (isDone()) {
         return;
       }
-      if (proposed.value() == null && acceptSent) {
-        LOG.info(
-            "change declined after an accept request was sent: set={} key={} round={} found={}",
-            client.set(),
-            key,
-            ballot.round,
-            highest.accepted.round);
-      }
       if (proposed.value() != null) {
         accept(proposed.value(), true, proposed.blobs());
-      } else if (Ballots.isNone(highest.accepted) || isAcceptedByMajority(highest.accepted)) {
-        complete(new CommittedState(new VersionedValue(highest.accepted, highest.value), false));
+      } else if (!proposed.fencesEarlierProposals() && quorum.isSettledSince(lastSent)) {
+        complete(new CommittedState(new VersionedValue(quorum.highestAccepted(), found), false));
       } else {
+        logFence(quorum.highestAccepted());
         // The change was declined, but the value on which this decision is based is not committed
-        // yet, so that value is committed first.
-        accept(highest.value, false, List.of());
+        // yet, or a value that was proposed before may still be committed instead. Committing the
+        // value that was found, or its absence, at this higher ballot prevents that.
+        accept(found, false, List.of());
       }
     }
 
-    private boolean isAcceptedByMajority(Ballot accepted) {
-      int votes = 0;
-      for (VoteResponse promise : promises) {
-        if (promise != null
-            && !promise.fromStateTransfer
-            && Ballots.areEqual(promise.accepted, accepted)) {
-          votes++;
-        }
+    private void logFence(Ballot found) {
+      if (!Ballots.isNone(lastSent)) {
+        LOG.info(
+            "change declined after an accept request was sent, committing the value found:"
+                + " set={} key={} sent={} found={} ballot={}",
+            client.set(),
+            key,
+            lastSent.round,
+            found.round,
+            ballot.round);
       }
-      return votes >= majority;
     }
 
     /**
@@ -268,10 +256,11 @@
      * to the voters whose prepare is concluded, was never sent, or carried no blobs. All other
      * voters get it when their prepare is concluded.
      *
+     * @param value null commits the absence of a value
      * @param valueBlobs the blobs of the value itself; null counts as none
      */
     void accept(byte[] value, boolean changed, List<Blob> valueBlobs) {
-      acceptSent = true;
+      lastSent = ballot;
       this.changed = changed;
       refusals = VoterSets.uncountedSlots(voterSet);
       AcceptRequest request = new AcceptRequest();
--- a/consensus/src/main/java/elmsail/consensus/QuorumRead.java
+++ b/consensus/src/main/java/elmsail/consensus/QuorumRead.java
@@ -187,7 +187,10 @@
       return same >= majority;
     }
 
-    /** Completes with the value of the ballot, which is read from a voter if no vote has it. */
+    /**
+     * Completes with the value of the ballot. If no vote has it, it was not requested from these
+     * voters or is absent, and one of them is asked again.
+     */
     private void completeAt(Ballot accepted) {
       if (Ballots.isNone(accepted) || Ballots.areEqual(accepted, knownBallot)) {
         completeWith(accepted, null);
@@ -212,12 +215,9 @@
       if (!isCurrent()) {
         return;
       }
-      boolean hasValue =
-          vote != null
-              && vote.code == VoteResponse.OK
-              && Ballots.areEqual(vote.accepted, accepted)
-              && vote.value != null;
-      if (hasValue) {
+      boolean isUnchanged =
+          vote != null && vote.code == VoteResponse.OK && Ballots.areEqual(vote.accepted, accepted);
+      if (isUnchanged) {
         completeWith(accepted, vote.value);
       } else {
         retryNow();
--- a/consensus/src/main/java/elmsail/consensus/Register.java
+++ b/consensus/src/main/java/elmsail/consensus/Register.java
@@ -19,7 +19,8 @@
    * A committed value.
    *
    * @param ballot the ballot under which the value was accepted; round 0 if the key was never set
-   * @param value null if the key was never set, or if the caller named this ballot as known
+   * @param value null if the key has no value, or if the caller named this ballot as known. A key
+   *     without a value has a ballot if a declined change committed the absence
    */
   record VersionedValue(Ballot ballot, byte[] value) {}
 
@@ -28,8 +29,34 @@
    *
    * @param value the new value; null leaves the key unchanged (the change is "declined")
    * @param blobs the blobs that each voter stores when it accepts the value; null counts as none
+   * @param fencesEarlierProposals whether a declined change must also prevent that values which
+   *     other calls proposed before are committed later, see {@link #declinedAndFenced()}
    */
-  record ProposedValue(byte[] value, List<Blob> blobs) {}
+  record ProposedValue(byte[] value, List<Blob> blobs, boolean fencesEarlierProposals) {
+
+    /** A new value, or null. */
+    public ProposedValue(byte[] value, List<Blob> blobs) {
+      this(value, blobs, false);
+    }
+
+    /**
+     * Declines the change: no value that this call proposed is committed later. A value that
+     * another call proposed, by this client or another, may still be committed if its outcome is
+     * unknown.
+     */
+    public static ProposedValue declined() {
+      return new ProposedValue(null, List.of(), false);
+    }
+
+    /**
+     * Declines the change and commits the current value, or its absence, again under this call's
+     * ballot. When the call completes, no value that any call proposed before and that is not the
+     * current one can be committed any more. Costs an accept phase.
+     */
+    public static ProposedValue declinedAndFenced() {
+      return new ProposedValue(null, List.of(), true);
+    }
+  }
 
   /**
    * The argument of a change function.
@@ -44,7 +71,8 @@
    * The outcome of a change.
    *
    * @param current the committed value
-   * @param changed false if the change was declined
+   * @param changed false if the change was declined; then no value that the call proposed is
+   *     committed later
    */
   record CommittedState(VersionedValue current, boolean changed) {}
 
@@ -62,11 +90,12 @@
   /**
    * Changes a key. If an earlier proposer left a value that only a minority accepted, the function
    * observes that value. This call commits it: as the base of the new value, or unchanged if the
-   * change is declined.
+   * change is declined. If this call has proposed a value itself before it is declined, it commits
+   * the current value, or its absence, again, so that the proposed value can't be committed later.
    *
    * @param change called with the current state; called again with the then current state after a
    *     conflict with another proposer. If the function throws, the future fails with that
-   *     exception
+   *     exception, or with {@code OUTCOME_UNKNOWN} if an accept request was sent before
    * @param blobs the blobs to send with the prepare phase; each voter that promises stores them
    * @param sideEffect passed to the voters' {@link ReplicaListener#onSideEffect} in the prepare
    *     phase, or null
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -187,11 +187,11 @@
 
   private void notifyAcceptedValues() {
     for (String key : keys()) {
-      byte[] value = acceptedValue(key);
-      if (value != null) {
-        listener.onAccepted(key, value);
-      } else {
+      AcceptorState state = durableRecords.state(key);
+      if (Ballots.isNone(state.accepted())) {
         listener.onPromised(key);
+      } else {
+        listener.onAccepted(key, state.value());
       }
     }
   }
--- a/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
@@ -16,17 +16,27 @@
     return null;
   }
 
-  /** Whether this voter may accept the value; if not, it responds {@code NOT_ADMITTED}. */
+  /**
+   * Whether this voter may accept the value; if not, it responds {@code NOT_ADMITTED}.
+   *
+   * @param value null if the absence of a value is to be committed
+   */
   default boolean admits(String key, byte[] value) {
     return true;
   }
 
   /**
    * A value was accepted and is on disk, was read from disk at the start, or was copied by a join.
+   *
+   * @param value null if the absence of a value was accepted: earlier values of the key that this
+   *     voter accepted are void
    */
   default void onAccepted(String key, byte[] value) {}
 
-  /** A key with a promise and no value was read from disk at the start, or was copied by a join. */
+  /**
+   * A key with a promise and without an accepted ballot was read from disk at the start, or was
+   * copied by a join.
+   */
   default void onPromised(String key) {}
 
   /** The key was removed here. */
--- a/consensus/src/test/java/elmsail/consensus/SimCluster.java
+++ b/consensus/src/test/java/elmsail/consensus/SimCluster.java
@@ -76,7 +76,8 @@
 
   /** A client at an address of its own, whose calls are counted in {@link #requestCounts}. */
   RegisterClient client(VoterSet known) {
-    String address = "10.0.1." + ++clients + ":7";
+    clients++;
+    String address = lastClientAddress();
     SimNode node = net.startNode(address);
     return new RegisterClient(
         "set",
@@ -88,6 +89,11 @@
         voterAddress -> voterAddress.charAt(7) - '0');
   }
 
+  /** The address of the client that was created last. */
+  String lastClientAddress() {
+    return "10.0.1." + clients + ":7";
+  }
+
   final java.util.Map<String, Integer> requestCounts = new java.util.TreeMap<>();
 
   private final class CountingClient implements RpcClient {
--- a/rpc/src/main/java/elmsail/rpc/messages/AcceptRequest.java
+++ b/rpc/src/main/java/elmsail/rpc/messages/AcceptRequest.java
@@ -24,9 +24,9 @@
   @Tag(4)
   public Ballot nextBallot = new Ballot();
 
-  /** The proposed value. */
+  /** The proposed value; null commits that the key has none. */
   @Tag(5)
-  public byte[] value = {};
+  public byte[] value;
 
   /**
    * The voter set that the sender knows; a request under an older one than the receiver's is
