A decommission order refused with 409 does not take effect later

What callers saw: an order to take a store out of service that got no clear answer at one node, sent again at another, was answered 409 (too few would remain), which is final; later the store was listed and taken out all the same. The first node said 503 for it, which reads as "nothing happened".

The first call's accept lay at one voter; the second call declined on a majority that had accepted nothing, and the proposal was committed when the first voter was met again. DecommissionHandler answered 503 whatever the failure was.

Change: the refusal commits the list it was decided on (declinedAndFenced), so an earlier proposal is void; 504 where an accept request was sent.

Measured: RefusedDecommissionTest red before (first on 503 for 504; with that alone mended, on the listing accepted after the 409), green now.

--- a/controlplane/src/main/java/elmsail/controlplane/DecommissionHandler.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionHandler.java
@@ -1,5 +1,7 @@
 package elmsail.controlplane;
 
+import elmsail.runtime.ElmsailException;
+import elmsail.runtime.ErrorCode;
 import elmsail.runtime.http.HttpHandler;
 import elmsail.runtime.http.SimpleHttpRequest;
 import elmsail.runtime.http.SimpleHttpResponse;
@@ -12,7 +14,7 @@
  *
  * <p>The statuses 404 and 409 are final, so the handler returns them only if a majority of the
  * control-plane nodes agrees. If the majority cannot be queried, the status is 503 and the operator
- * retries.
+ * retries; 504 if the store may have been listed.
  */
 final class DecommissionHandler implements HttpHandler {
   static final String BEGIN_PATH = "/Retire.Begin/";
@@ -49,7 +51,13 @@
     return manager
         .begin(machine)
         .thenApply(DecommissionHandler::beginReply)
-        .exceptionally(failure -> Replies.error(503, "not reached"));
+        .exceptionally(DecommissionHandler::failureReply);
+  }
+
+  private static SimpleHttpResponse failureReply(Throwable failure) {
+    return ElmsailException.codeOf(failure) == ErrorCode.OUTCOME_UNKNOWN
+        ? Replies.error(504, "unclear")
+        : Replies.error(503, "not reached");
   }
 
   private static SimpleHttpResponse beginReply(DecommissionManager.BeginResult result) {
--- a/controlplane/src/main/java/elmsail/controlplane/DecommissionManager.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionManager.java
@@ -200,9 +200,13 @@
       listed = DecommissionList.decode(observed.value());
       boolean isListed = listed.contains(machine);
       tooFewAvailable = !isListed && !hasEnoughStoresWithout(machine, listed);
-      boolean add = !isListed && !tooFewAvailable;
-      return new Register.ProposedValue(
-          add ? DecommissionList.encodeWith(listed, machine) : null, List.of());
+      if (tooFewAvailable) {
+        // The refusal is final, so it must also hold if an earlier request left a proposal.
+        return Register.ProposedValue.declinedAndFenced();
+      }
+      return isListed
+          ? Register.ProposedValue.declined()
+          : new Register.ProposedValue(DecommissionList.encodeWith(listed, machine), List.of());
     }
   }
 
