--- a/consensus/src/test/java/elmsail/consensus/InjectedDefects.java
+++ b/consensus/src/test/java/elmsail/consensus/InjectedDefects.java
@@ -1,10 +1,12 @@
 package elmsail.consensus;
 
 import elmsail.rpc.RpcClient;
+import elmsail.rpc.messages.AcceptRequest;
 import elmsail.rpc.messages.JoinRequest;
 import elmsail.rpc.messages.JoinResponse;
 import elmsail.rpc.messages.StateTransferRequest;
 import elmsail.rpc.messages.StateTransferResponse;
+import elmsail.rpc.messages.VoteResponse;
 import elmsail.rpc.messages.VoterSet;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -80,6 +82,30 @@
     return history;
   }
 
+  /** Clients behave as if the absence on which a change is declined were committed already. */
+  static RandomHistory declineWithoutWrite(long seed) {
+    RandomHistory history = new RandomHistory(seed).withDeclinedChanges();
+    FaultyCluster cluster = history.cluster;
+    history.rpcClientWrapper =
+        rpcClient ->
+            new RpcClient() {
+              @Override
+              public <A> CompletableFuture<A> call(
+                  String peer, Object request, Class<A> responseType, long timeoutMs) {
+                if (!(request instanceof AcceptRequest accept) || accept.value != null) {
+                  return rpcClient.call(peer, request, responseType, timeoutMs);
+                }
+                VoteResponse accepted = new VoteResponse();
+                accepted.accepted = accept.ballot;
+                accepted.promised = accept.ballot;
+                CompletableFuture<A> response = new CompletableFuture<>();
+                cluster.timers.schedule(1, () -> response.complete(responseType.cast(accepted)));
+                return response;
+              }
+            };
+    return history;
+  }
+
   /** All defects by name. */
   static Map<String, LongFunction<RandomHistory>> all() {
     return Map.of(
@@ -90,6 +116,8 @@
         "votes after disk loss",
         InjectedDefects::voteAfterDiskLoss,
         "join with one acknowledgement",
-        InjectedDefects::joinWithOneAcknowledgement);
+        InjectedDefects::joinWithOneAcknowledgement,
+        "declines without a write",
+        InjectedDefects::declineWithoutWrite);
   }
 }
--- a/consensus/src/test/java/elmsail/consensus/InjectedDefectsTest.java
+++ b/consensus/src/test/java/elmsail/consensus/InjectedDefectsTest.java
@@ -31,6 +31,11 @@
     assertDetected("join with one acknowledgement");
   }
 
+  @Test
+  void declineWithoutAWriteIsDetected() {
+    assertDetected("declines without a write");
+  }
+
   private static void assertDetected(String name) {
     Map<String, LongFunction<RandomHistory>> defects = InjectedDefects.all();
     int detected = 0;
--- a/consensus/src/test/java/elmsail/consensus/LinearizabilityTest.java
+++ b/consensus/src/test/java/elmsail/consensus/LinearizabilityTest.java
@@ -42,6 +42,23 @@
     runHistories(SEEDS / 8, 5, false, true);
   }
 
+  /** Guards against review/1: a change that was declined after it proposed is never committed. */
+  @Test
+  void declinedChangesAreNeverCommitted() {
+    List<String> violations = new ArrayList<>();
+    int declined = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      RandomHistory history = new RandomHistory(seed).withDeclinedChanges().run();
+      for (String violation : history.checker.violations) {
+        violations.add("seed " + seed + ": " + violation);
+      }
+      declined += history.declinedAfterProposal();
+    }
+    System.out.println(SEEDS + " histories: " + declined + " changes declined after a proposal");
+    assertThat(violations, empty());
+    assertThat(declined, greaterThan(SEEDS / 4));
+  }
+
   private static void runHistories(int seeds, int voters) {
     runHistories(seeds, voters, false, false);
   }
--- a/consensus/src/test/java/elmsail/consensus/RandomHistory.java
+++ b/consensus/src/test/java/elmsail/consensus/RandomHistory.java
@@ -50,6 +50,9 @@
   /** Whether each change carries a blob so large that its prepare is relayed. */
   private boolean largeBlobs;
 
+  /** Null if there are no such changes. */
+  private DeclinedChangeHistory declinedChanges;
+
   private final List<String> committedMarks = new ArrayList<>();
   private final String[] addresses;
   private long end;
@@ -75,6 +78,12 @@
     return this;
   }
 
+  /** Adds changes that may be declined after they proposed a value, each of a key of its own. */
+  RandomHistory withDeclinedChanges() {
+    declinedChanges = new DeclinedChangeHistory(cluster.random);
+    return this;
+  }
+
   RandomHistory run() {
     VoterSet initialVoters = cluster.bootstrap(addresses);
     FaultyCluster.Node spare = cluster.new Node("s");
@@ -118,9 +127,17 @@
       checker.violations.add("final read failed: " + e);
     }
     committedMarks.forEach(this::checkBlob);
+    if (declinedChanges != null) {
+      declinedChanges.checkAtEnd(cluster, addresses, clients[0], checker);
+    }
     return this;
   }
 
+  /** The number of changes that were declined after they had proposed a value. */
+  int declinedAfterProposal() {
+    return declinedChanges == null ? 0 : declinedChanges.declinedAfterProposal();
+  }
+
   private void checkBlob(String mark) {
     try {
       byte[] bytes = cluster.await(clients[0].readBlob("key", mark, 3_000), 4_000);
@@ -153,7 +170,9 @@
     }
     long startedAt = cluster.timers.now();
     CompletableFuture<?> done;
-    if (cluster.random.nextInt(3) == 0) {
+    if (declinedChanges != null && cluster.random.nextInt(3) > 0) {
+      done = declinedChanges.runOne(clients[client]);
+    } else if (cluster.random.nextInt(3) == 0) {
       done =
           clients[client]
               .read("key", null, 3_000)
