A refusal voids what another gateway may have proposed of the job

A gateway proposes a job and ends, or its client hears nothing; the next gateway answers 429, which promises that none of it runs, and a later repair commits the first gateway's record.

Cause: a refusal rested on a majority without a record; whether another attempt had proposed one was not known there.

Change: stores know which attempts of a job reserved tokens and were not withdrawn, and which promises come from an earlier process (UnacceptedJobs, kept 60 s, an accepted absence as long as a closed job). The count that answers a submission's first round marks the job itself then, in the encoding there is; such a submission refuses by committing the absence. Where nothing was proposed, a refusal costs what it did: no accept request.

Measured: RefusedJobTest, seven cases: one call, two calls, two gateways, a gateway that ended (stores restarted or not), DELETE answered 404, and a refusal without any write.

--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -68,6 +68,9 @@
   /** Whether any store may hold the reservation. */
   private boolean mayBeReserved;
 
+  /** Whether this submission has ever reserved tokens. */
+  private boolean hasReserved;
+
   /** The waiting tokens counted in all rounds since the last wait. */
   private WaitingTokens waitingTokens = new WaitingTokens();
 
@@ -75,8 +78,8 @@
   private AdmissionVerdict verdict;
 
   /**
-   * Whether the record may be committed by a round whose outcome is unknown. A round that refuses
-   * the job prevents that.
+   * Whether a record may be committed by a round whose outcome is unknown, of this submission or of
+   * another attempt. A round that refuses the job prevents that.
    */
   private boolean mayBeCommitted;
 
@@ -174,6 +177,7 @@
     rounds++;
     boolean reserves = round != AdmissionRound.READ;
     mayBeReserved |= reserves;
+    hasReserved |= reserves;
     context
         .register()
         .change(
@@ -215,6 +219,8 @@
       return AdmissionVerdict.UNKNOWN;
     }
     waitingTokens.mergeAll(found.sideEffects());
+    // Another attempt to submit the job, at this gateway or another, may have proposed its record.
+    mayBeCommitted |= !hasReserved && waitingTokens.isUnresolved(jobId);
     return admissionCheck().evaluate(waitingTokens, round);
   }
 
--- a/batch/src/main/java/elmsail/batch/messages/WaitingTokens.java
+++ b/batch/src/main/java/elmsail/batch/messages/WaitingTokens.java
@@ -120,6 +120,25 @@
     }
   }
 
+  /**
+   * Marks the job whose submission this count answers: an attempt other than the one that is
+   * answered may have proposed a record, so a record may still be committed. The mark is a
+   * reservation of the job itself, which the submission's own check leaves out; it is sent to no
+   * other submission.
+   */
+  public void markUnresolved(String jobId) {
+    put(ContentDigest.of(jobId), RESERVED_VERSION, 1);
+  }
+
+  /**
+   * Whether a store has marked the job as unresolved or counts a reservation of it. Meaningful only
+   * in a round in which the submission itself reserves no tokens.
+   */
+  public boolean isUnresolved(String jobId) {
+    Entry entry = entries.get(ContentDigest.of(jobId));
+    return entry != null && entry.isReservation() && entry.tokens() > 0;
+  }
+
   /** The tokens of all jobs except this job. */
   public long totalExcept(String jobId) {
     long ownDigest = ContentDigest.of(jobId);
--- a/batch/src/main/java/elmsail/batch/store/JobStore.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStore.java
@@ -25,9 +25,6 @@
    */
   private static final long CLOSED_JOB_COUNT_MS = 120_000;
 
-  /** How long the data of a job without an accepted record at this store is kept, in ms. */
-  private static final long NEVER_ACCEPTED_TTL_MS = 60_000;
-
   /** The state derived from the newest accepted record of a job. */
   private static final class JobState {
     final long digest;
@@ -81,34 +78,29 @@
   private final Map<String, JobState> jobs = new HashMap<>();
   private final Reservations reservations = new Reservations();
 
-  /**
-   * The jobs without an accepted record at this store, each with the time of its last reservation
-   * or of the first report of its promise. Such a job leaves blobs and a promise at the store,
-   * which are dropped later.
-   */
-  private final Map<String, Long> neverAccepted = new HashMap<>();
-
-  /**
-   * The jobs whose absence this store has accepted last, each with the time of that. The key is
-   * kept as long as that of a closed job: a store that was down meanwhile may still have a record
-   * which the absence makes void.
-   */
-  private final Map<String, Long> acceptedAbsences = new HashMap<>();
+  private final UnacceptedJobs unacceptedJobs = new UnacceptedJobs();
 
   /**
-   * Stores a reservation and returns the waiting tokens of its quota key.
+   * Stores a reservation and returns the waiting tokens of its quota key. If the job has no record
+   * here and another attempt may have proposed one, the count contains the job itself, see {@link
+   * WaitingTokens#markUnresolved}.
    *
    * @return encoded {@link WaitingTokens}, or null if the store has too many reservations
    */
   byte[] reserve(WaitingTokens.Reservation reservation, long now) {
     reservations.expire(now);
+    boolean unresolved = unacceptedJobs.mayBeProposedByOther(reservation);
     if (!jobs.containsKey(reservation.jobId()) && !reservations.isWithdrawn(reservation)) {
       if (!reservations.add(reservation, now)) {
         return null;
       }
-      neverAccepted.put(reservation.jobId(), now);
+      unacceptedJobs.onReserved(reservation, now);
     }
-    return count(reservation.quotaKey(), now).encode();
+    WaitingTokens counted = count(reservation.quotaKey(), now);
+    if (unresolved) {
+      counted.markUnresolved(reservation.jobId());
+    }
+    return counted.encode();
   }
 
   private WaitingTokens count(QuotaKey key, long now) {
@@ -126,6 +118,7 @@
   void withdraw(WaitingTokens.Reservation reservation, long now) {
     reservations.expire(now);
     reservations.withdraw(reservation, now);
+    unacceptedJobs.onWithdrawn(reservation);
   }
 
   /**
@@ -154,8 +147,7 @@
     }
     state.apply(record, now);
     reservations.remove(jobId);
-    neverAccepted.remove(jobId);
-    acceptedAbsences.remove(jobId);
+    unacceptedJobs.remove(jobId);
   }
 
   /**
@@ -165,7 +157,7 @@
    */
   void onAbsenceAccepted(String jobId, long now) {
     jobs.remove(jobId);
-    acceptedAbsences.put(jobId, now);
+    unacceptedJobs.onAbsenceAccepted(jobId, now);
   }
 
   /**
@@ -174,15 +166,14 @@
    * accepted.
    */
   void onPromised(String jobId, long now) {
-    neverAccepted.putIfAbsent(jobId, now);
+    unacceptedJobs.onPromised(jobId, now);
   }
 
   /** Removes all state of a job that the replica has dropped. */
   void onDropped(String jobId) {
     jobs.remove(jobId);
     reservations.remove(jobId);
-    neverAccepted.remove(jobId);
-    acceptedAbsences.remove(jobId);
+    unacceptedJobs.remove(jobId);
   }
 
   /**
@@ -238,22 +229,22 @@
         expired.add(entry.getKey());
       }
     }
-    for (Map.Entry<String, Long> entry : neverAccepted.entrySet()) {
-      // Without a reservation the first record is not admitted, so the promise is not needed.
-      if (now - entry.getValue() > NEVER_ACCEPTED_TTL_MS
-          && !reservations.has(entry.getKey())
-          && !acceptedAbsences.containsKey(entry.getKey())) {
-        expired.add(entry.getKey());
-      }
-    }
-    for (Map.Entry<String, Long> entry : acceptedAbsences.entrySet()) {
-      if (now - entry.getValue() > retentionMs + slackMs && !reservations.has(entry.getKey())) {
-        expired.add(entry.getKey());
-      }
-    }
+    unacceptedJobs.forEachExpired(
+        retentionMs + slackMs,
+        now,
+        jobId -> {
+          if (!reservations.has(jobId)) {
+            expired.add(jobId);
+          }
+        });
     return expired;
   }
 
+  /** The number of jobs whose absence this store has accepted last. */
+  int absences() {
+    return unacceptedJobs.absences();
+  }
+
   /** The number of jobs with an accepted record. */
   int size() {
     return jobs.size();
--- a/batch/src/main/java/elmsail/batch/store/JobStoreService.java
+++ b/batch/src/main/java/elmsail/batch/store/JobStoreService.java
@@ -58,6 +58,7 @@
     this.retentionMs = retentionMs;
     counters = new StoreCounters(metrics.counters());
     metrics.counters().registerGauge("store_batch_jobs_kept", jobs::size);
+    metrics.counters().registerGauge("store_batch_absences_kept", jobs::absences);
   }
 
   /** Starts the periodic scan for expired jobs. */
@@ -152,6 +153,11 @@
     return jobs.size();
   }
 
+  /** The number of jobs whose absence this store has accepted last. */
+  public int absences() {
+    return jobs.absences();
+  }
+
   private byte[] onHeartbeat(HeartbeatMessage heartbeat) {
     ByteWriter response = new ByteWriter();
     for (int status : jobs.onHeartbeat(heartbeat, timers.now())) {
--- a/batch/src/test/java/elmsail/batch/RefusedJobTest.java
+++ b/batch/src/test/java/elmsail/batch/RefusedJobTest.java
@@ -2,7 +2,6 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.notNullValue;
 
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
@@ -66,22 +65,112 @@
     return cluster.completedItemIds.contains(JOB + "-0");
   }
 
+  private void acceptRivalAtSecondGateway() {
+    CompletableFuture<BatchService.Reply> rival =
+        cluster.submit(cluster.gateways.get(1), "rival", 1, TOKENS);
+    assertThat(cluster.await(rival).status(), is(202));
+  }
+
+  private CompletableFuture<BatchService.Reply> submitAt(int gateway) {
+    return cluster.submit(cluster.gateways.get(gateway), JOB, 1, TOKENS);
+  }
+
   @Test
   void jobRefusedInTheCallThatProposedItNeverRuns() {
     cluster.timers.advance(1_000);
-    CompletableFuture<BatchService.Reply> refused =
-        cluster.submit(cluster.gateways.get(0), JOB, 1, TOKENS);
+    CompletableFuture<BatchService.Reply> refused = submitAt(0);
     awaitAcceptAtFirstStoreOnly(0);
     killAllStoresAndStartTwo();
-    CompletableFuture<BatchService.Reply> rival =
-        cluster.submit(cluster.gateways.get(1), "rival", 1, TOKENS);
-    BatchService.Reply rivalReply = cluster.await(rival);
-    BatchService.Reply reply = cluster.await(refused);
-    assertThat(rivalReply.status(), is(202));
-    assertThat(reply, is(notNullValue()));
+    acceptRivalAtSecondGateway();
+    assertThat(cluster.await(refused).status(), is(429));
+    startFirstStoreAndAwaitRepair();
+    assertThat(hasRun(), is(false));
+  }
+
+  @Test
+  void jobRefusedByTwoGatewaysNeverRuns() {
+    cluster.timers.advance(1_000);
+    CompletableFuture<BatchService.Reply> refused = submitAt(0);
+    awaitAcceptAtFirstStoreOnly(0);
+    killAllStoresAndStartTwo();
+    acceptRivalAtSecondGateway();
+    assertThat(cluster.await(refused).status(), is(429));
+    assertThat(cluster.await(submitAt(2)).status(), is(429));
+    startFirstStoreAndAwaitRepair();
+    assertThat(hasRun(), is(false));
+  }
+
+  /** The first call of the gateway that proposed the job ends without an outcome. */
+  @Test
+  void jobRefusedInTheCallAfterTheOneThatProposedItNeverRuns() {
+    cluster.timers.advance(1_000);
+    CompletableFuture<BatchService.Reply> refused = submitAt(0);
+    awaitAcceptAtFirstStoreOnly(0);
+    cluster.stores.forEach(store -> store.kill(false));
+    cluster.net.healAll();
+    cluster.timers.advance(1_600);
+    cluster.stores.get(1).start();
+    cluster.stores.get(2).start();
+    acceptRivalAtSecondGateway();
+    assertThat(cluster.await(refused).status(), is(429));
     startFirstStoreAndAwaitRepair();
-    System.out.println("refused: " + reply.status() + ", run: " + hasRun());
-    assertThat(reply.status(), is(429));
     assertThat(hasRun(), is(false));
   }
+
+  /** The gateway that proposed the job ends without an answer, and another one refuses the job. */
+  @Test
+  void jobRefusedAfterTheGatewayThatProposedItEndedNeverRuns() {
+    cluster.timers.advance(1_000);
+    submitAt(0);
+    awaitAcceptAtFirstStoreOnly(0);
+    cluster.gateways.get(0).kill();
+    killAllStoresAndStartTwo();
+    acceptRivalAtSecondGateway();
+    assertThat(cluster.await(submitAt(2)).status(), is(429));
+    startFirstStoreAndAwaitRepair();
+    assertThat(hasRun(), is(false));
+  }
+
+  /** As above, but the stores keep running, so that they know of the attempt. */
+  @Test
+  void jobRefusedAfterTheGatewayThatProposedItWasCutOffNeverRuns() {
+    cluster.timers.advance(1_000);
+    submitAt(0);
+    awaitAcceptAtFirstStoreOnly(0);
+    cluster.gateways.get(0).kill();
+    cluster.stores.get(0).kill(false);
+    cluster.net.healAll();
+    // The reservations of the attempt expire, the stores' knowledge of it does not.
+    cluster.timers.advance(6_000);
+    acceptRivalAtSecondGateway();
+    assertThat(cluster.await(submitAt(2)).status(), is(429));
+    startFirstStoreAndAwaitRepair();
+    assertThat(hasRun(), is(false));
+  }
+
+  /** A DELETE that finds no job is final for what was proposed before. */
+  @Test
+  void jobThatWasNotFoundByItsCancellationNeverRuns() {
+    cluster.timers.advance(1_000);
+    submitAt(0);
+    awaitAcceptAtFirstStoreOnly(0);
+    cluster.gateways.get(0).kill();
+    killAllStoresAndStartTwo();
+    CompletableFuture<BatchService.Reply> cancelled =
+        cluster.gateways.get(2).batchApi.cancel(TenantName.NONE, JOB);
+    assertThat(cluster.await(cancelled).status(), is(404));
+    startFirstStoreAndAwaitRepair();
+    assertThat(hasRun(), is(false));
+  }
+
+  /** Clients don't pay: a job refused before any round proposed it leaves no write behind. */
+  @Test
+  void jobRefusedBeforeItWasProposedIsRefusedWithoutAnAccept() {
+    acceptRivalAtSecondGateway();
+    assertThat(cluster.await(submitAt(0)).status(), is(429));
+    assertThat(cluster.await(submitAt(2)).status(), is(429));
+    for (ReplicatedBatchCluster.StoreNode store : cluster.stores) {
+      assertThat(store.service.absences(), is(0));
+    }
+  }
 }
--- a/consensus/src/main/java/elmsail/consensus/Replica.java
+++ b/consensus/src/main/java/elmsail/consensus/Replica.java
@@ -188,11 +188,12 @@
   private void notifyAcceptedValues() {
     for (String key : keys()) {
       AcceptorState state = durableRecords.state(key);
-      if (Ballots.isNone(state.accepted())) {
-        listener.onPromised(key);
-      } else {
+      if (!Ballots.isNone(state.accepted())) {
         listener.onAccepted(key, state.value());
       }
+      if (state.value() == null && Ballots.compare(state.promised(), state.accepted()) > 0) {
+        listener.onPromised(key);
+      }
     }
   }
 }
--- a/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
+++ b/consensus/src/main/java/elmsail/consensus/ReplicaListener.java
@@ -34,8 +34,8 @@
   default void onAccepted(String key, byte[] value) {}
 
   /**
-   * A key with a promise and without an accepted ballot was read from disk at the start, or was
-   * copied by a join.
+   * A key without a value whose promise is newer than its accepted ballot, if it has one, was read
+   * from disk at the start or was copied by a join.
    */
   default void onPromised(String key) {}
 
