The reservation of a submission is a class of its own

SubmitHandler kept the reservation, whether a store may hold it and whether there ever was one; SubmissionReservation does now. Steps of RefusedJobTest that stood several times are named.

--- a/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
+++ b/batch/src/main/java/elmsail/batch/api/SubmitHandler.java
@@ -6,7 +6,6 @@
 import elmsail.batch.messages.JobBodyCodec;
 import elmsail.batch.messages.JobDescription;
 import elmsail.batch.messages.JobRecord;
-import elmsail.batch.messages.QuotaKey;
 import elmsail.batch.messages.WaitingTokens;
 import elmsail.batch.run.JobRunner;
 import elmsail.config.Route;
@@ -63,13 +62,7 @@
   private final long startedAt;
   private final long deadline;
   private final CompletableFuture<Reply> replyFuture = new CompletableFuture<>();
-  private WaitingTokens.Reservation reservation;
-
-  /** Whether any store may hold the reservation. */
-  private boolean mayBeReserved;
-
-  /** Whether this submission has ever reserved tokens. */
-  private boolean hasReserved;
+  private final SubmissionReservation reservation;
 
   /** The waiting tokens counted in all rounds since the last wait. */
   private WaitingTokens waitingTokens = new WaitingTokens();
@@ -104,16 +97,11 @@
     this.tokens = submission.tokens();
     this.startedAt = context.timers().now();
     this.deadline = startedAt + submission.timeoutMs();
-    this.reservation = newReservation();
+    this.reservation = new SubmissionReservation(context, submission);
     this.body = bodyBlob(submission);
     this.proposedRecord = JobRecord.accepted(describe(submission), context.localAddress());
   }
 
-  private WaitingTokens.Reservation newReservation() {
-    QuotaKey quotaKey = new QuotaKey(submission.route().name(), submission.tenant());
-    return new WaitingTokens.Reservation(quotaKey, jobId, tokens, context.random().nextLong());
-  }
-
   private static Blob bodyBlob(Submission submission) {
     Blob blob = new Blob();
     blob.bytes = JobBodyCodec.encode(submission.items());
@@ -175,16 +163,13 @@
     }
     roundStartedAt = context.timers().now();
     rounds++;
-    boolean reserves = round != AdmissionRound.READ;
-    mayBeReserved |= reserves;
-    hasReserved |= reserves;
     context
         .register()
         .change(
             JobRecord.registerKey(jobId),
             found -> propose(found, round),
             round == AdmissionRound.COMMIT ? List.of(body) : List.of(),
-            (reserves ? reservation : reservation.withoutTokens()).encode(),
+            reservation.encodeFor(round),
             Math.min(CHANGE_TIMEOUT_MS, remainingMs))
         .whenComplete(
             (result, failure) -> {
@@ -220,7 +205,7 @@
     }
     waitingTokens.mergeAll(found.sideEffects());
     // Another attempt to submit the job, at this gateway or another, may have proposed its record.
-    mayBeCommitted |= !hasReserved && waitingTokens.isUnresolved(jobId);
+    mayBeCommitted |= !reservation.hasReserved() && waitingTokens.isUnresolved(jobId);
     return admissionCheck().evaluate(waitingTokens, round);
   }
 
@@ -238,7 +223,7 @@
     } else if (verdict == AdmissionVerdict.CONTENDED_FIRST && mayWait) {
       scheduleRound(CONTENDED_FIRST_RETRY_MS, AdmissionRound.RESERVE);
     } else if (verdict == AdmissionVerdict.CONTENDED && mayWait) {
-      withdrawReservation();
+      reservation.withdraw();
       scheduleRound(CONTENDED_RETRY_MS, AdmissionRound.READ);
     } else {
       boolean counted = verdict != AdmissionVerdict.UNKNOWN;
@@ -294,25 +279,16 @@
       respond(BatchReplies.OUTCOME_UNKNOWN);
       return;
     }
-    withdrawReservation();
+    reservation.withdraw();
     respond(reply);
   }
 
   /** Another tenant's job has the id, so the record of this job can no longer be committed. */
   private void rejectAsConflict() {
-    withdrawReservation();
+    reservation.withdraw();
     respond(BatchReplies.CONFLICT);
   }
 
-  /** Withdraws the reservation. A later reservation of this call has a new attempt id. */
-  private void withdrawReservation() {
-    if (mayBeReserved) {
-      new ReservationWithdrawal(context, reservation).start();
-      mayBeReserved = false;
-      reservation = newReservation();
-    }
-  }
-
   private void respond(Reply reply) {
     long elapsedMs = context.timers().now() - startedAt;
     SubmissionReport report =
--- a/batch/src/test/java/elmsail/batch/RefusedJobTest.java
+++ b/batch/src/test/java/elmsail/batch/RefusedJobTest.java
@@ -56,13 +56,18 @@
     cluster.stores.get(2).start();
   }
 
-  private void startFirstStoreAndAwaitRepair() {
+  private void assertNotRunAfterFirstStoreReturned() {
     cluster.stores.get(0).start();
     cluster.timers.advance(REPAIR_MS);
+    assertThat(cluster.completedItemIds.contains(JOB + "-0"), is(false));
   }
 
-  private boolean hasRun() {
-    return cluster.completedItemIds.contains(JOB + "-0");
+  /** Submits the job at the first gateway until the first store alone has accepted its record. */
+  private CompletableFuture<BatchService.Reply> proposeToFirstStoreOnly() {
+    cluster.timers.advance(1_000);
+    CompletableFuture<BatchService.Reply> reply = submitAt(0);
+    awaitAcceptAtFirstStoreOnly(0);
+    return reply;
   }
 
   private void acceptRivalAtSecondGateway() {
@@ -77,35 +82,27 @@
 
   @Test
   void jobRefusedInTheCallThatProposedItNeverRuns() {
-    cluster.timers.advance(1_000);
-    CompletableFuture<BatchService.Reply> refused = submitAt(0);
-    awaitAcceptAtFirstStoreOnly(0);
+    CompletableFuture<BatchService.Reply> refused = proposeToFirstStoreOnly();
     killAllStoresAndStartTwo();
     acceptRivalAtSecondGateway();
     assertThat(cluster.await(refused).status(), is(429));
-    startFirstStoreAndAwaitRepair();
-    assertThat(hasRun(), is(false));
+    assertNotRunAfterFirstStoreReturned();
   }
 
   @Test
   void jobRefusedByTwoGatewaysNeverRuns() {
-    cluster.timers.advance(1_000);
-    CompletableFuture<BatchService.Reply> refused = submitAt(0);
-    awaitAcceptAtFirstStoreOnly(0);
+    CompletableFuture<BatchService.Reply> refused = proposeToFirstStoreOnly();
     killAllStoresAndStartTwo();
     acceptRivalAtSecondGateway();
     assertThat(cluster.await(refused).status(), is(429));
     assertThat(cluster.await(submitAt(2)).status(), is(429));
-    startFirstStoreAndAwaitRepair();
-    assertThat(hasRun(), is(false));
+    assertNotRunAfterFirstStoreReturned();
   }
 
   /** The first call of the gateway that proposed the job ends without an outcome. */
   @Test
   void jobRefusedInTheCallAfterTheOneThatProposedItNeverRuns() {
-    cluster.timers.advance(1_000);
-    CompletableFuture<BatchService.Reply> refused = submitAt(0);
-    awaitAcceptAtFirstStoreOnly(0);
+    CompletableFuture<BatchService.Reply> refused = proposeToFirstStoreOnly();
     cluster.stores.forEach(store -> store.kill(false));
     cluster.net.healAll();
     cluster.timers.advance(1_600);
@@ -113,30 +110,24 @@
     cluster.stores.get(2).start();
     acceptRivalAtSecondGateway();
     assertThat(cluster.await(refused).status(), is(429));
-    startFirstStoreAndAwaitRepair();
-    assertThat(hasRun(), is(false));
+    assertNotRunAfterFirstStoreReturned();
   }
 
   /** The gateway that proposed the job ends without an answer, and another one refuses the job. */
   @Test
   void jobRefusedAfterTheGatewayThatProposedItEndedNeverRuns() {
-    cluster.timers.advance(1_000);
-    submitAt(0);
-    awaitAcceptAtFirstStoreOnly(0);
+    proposeToFirstStoreOnly();
     cluster.gateways.get(0).kill();
     killAllStoresAndStartTwo();
     acceptRivalAtSecondGateway();
     assertThat(cluster.await(submitAt(2)).status(), is(429));
-    startFirstStoreAndAwaitRepair();
-    assertThat(hasRun(), is(false));
+    assertNotRunAfterFirstStoreReturned();
   }
 
   /** As above, but the stores keep running, so that they know of the attempt. */
   @Test
   void jobRefusedAfterTheGatewayThatProposedItWasCutOffNeverRuns() {
-    cluster.timers.advance(1_000);
-    submitAt(0);
-    awaitAcceptAtFirstStoreOnly(0);
+    proposeToFirstStoreOnly();
     cluster.gateways.get(0).kill();
     cluster.stores.get(0).kill(false);
     cluster.net.healAll();
@@ -144,23 +135,19 @@
     cluster.timers.advance(6_000);
     acceptRivalAtSecondGateway();
     assertThat(cluster.await(submitAt(2)).status(), is(429));
-    startFirstStoreAndAwaitRepair();
-    assertThat(hasRun(), is(false));
+    assertNotRunAfterFirstStoreReturned();
   }
 
   /** A DELETE that finds no job is final for what was proposed before. */
   @Test
   void jobThatWasNotFoundByItsCancellationNeverRuns() {
-    cluster.timers.advance(1_000);
-    submitAt(0);
-    awaitAcceptAtFirstStoreOnly(0);
+    proposeToFirstStoreOnly();
     cluster.gateways.get(0).kill();
     killAllStoresAndStartTwo();
     CompletableFuture<BatchService.Reply> cancelled =
         cluster.gateways.get(2).batchApi.cancel(TenantName.NONE, JOB);
     assertThat(cluster.await(cancelled).status(), is(404));
-    startFirstStoreAndAwaitRepair();
-    assertThat(hasRun(), is(false));
+    assertNotRunAfterFirstStoreReturned();
   }
 
   /** Clients don't pay: a job refused before any round proposed it leaves no write behind. */
--- a/batch/src/test/java/elmsail/batch/api/PinnedNamesTest.java
+++ b/batch/src/test/java/elmsail/batch/api/PinnedNamesTest.java
@@ -49,7 +49,8 @@
             "elmsail_store_batch_messages_answered counter",
             "elmsail_store_batch_messages_not_seated counter",
             "elmsail_store_batch_messages_garbled counter",
-            "elmsail_store_batch_jobs_kept gauge"));
+            "elmsail_store_batch_jobs_kept gauge",
+            "elmsail_store_batch_absences_kept gauge"));
   }
 
   @Test
