A refused decommission order writes a list that older nodes can read

Cause: a committed absence travels as an accept request without a value, which a voter of an older build takes for an empty value; for the list of decommissioned machines it would store that, and the list would be unreadable. Job stores of an older build refuse it, as no record can be read from it.

Change: a list that was never written is committed as an empty one.

No fleet of two builds was run.

--- a/controlplane/src/main/java/elmsail/controlplane/DecommissionList.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionList.java
@@ -56,14 +56,20 @@
           ErrorCode.RESOURCE_EXHAUSTED,
           VALUE_NAME + " is full: " + names.size() + " names, not added: " + added);
     }
+    Set<String> extended = new TreeSet<>(names);
+    extended.add(added);
+    return encode(extended);
+  }
+
+  /** Encodes the list. */
+  static byte[] encode(Set<String> names) {
     return ValueCodec.encode(
         VALUE_NAME,
         out -> {
-          out.writeInt(names.size() + 1);
+          out.writeInt(names.size());
           for (String name : names) {
             out.writeUTF(name);
           }
-          out.writeUTF(added);
         });
   }
 }
--- a/controlplane/src/main/java/elmsail/controlplane/DecommissionManager.java
+++ b/controlplane/src/main/java/elmsail/controlplane/DecommissionManager.java
@@ -201,8 +201,7 @@
       boolean isListed = listed.contains(machine);
       tooFewAvailable = !isListed && !hasEnoughStoresWithout(machine, listed);
       if (tooFewAvailable) {
-        // The refusal is final, so it must also hold if an earlier request left a proposal.
-        return Register.ProposedValue.declinedAndFenced();
+        return refusal(observed.value());
       }
       return isListed
           ? Register.ProposedValue.declined()
@@ -210,6 +209,17 @@
     }
   }
 
+  /**
+   * Commits the list as it is. The refusal is final, so it must also hold if an earlier request
+   * left a proposal. A list that was never written is written as an empty one, which nodes of an
+   * older version can read.
+   */
+  private static Register.ProposedValue refusal(byte[] listValue) {
+    return listValue == null
+        ? new Register.ProposedValue(DecommissionList.encode(Set.of()), List.of())
+        : Register.ProposedValue.declinedAndFenced();
+  }
+
   /** Whether enough of the remaining stores have sent a recent heartbeat to this node. */
   private boolean hasEnoughStoresWithout(String machine, Set<String> listed) {
     int available = 0;
