--- a/soak/src/test/java/elmsail/soak/ConfigSoakRun.java
+++ b/soak/src/test/java/elmsail/soak/ConfigSoakRun.java
@@ -20,6 +20,7 @@
   private static final long POLL_MS = 100;
   private static final long CALL_MS = 1_000;
   private static final long JOIN_MS = 15_000;
+  private static final int MAX_SIGNAL_PAUSE_MS = 1_200;
 
   private final ConfigSoakPlan plan;
   private final Path folder;
@@ -77,7 +78,13 @@
     List<Thread> threads = startLoad(environment);
     SignalInjector injector =
         new SignalInjector(
-            topology, cluster.processes(), faults, probes::onStart, clock, plan.seed());
+            topology,
+            cluster.processes(),
+            faults,
+            probes::onStart,
+            clock,
+            plan.seed(),
+            MAX_SIGNAL_PAUSE_MS);
     try (ProcessorQuota quota = new ProcessorQuota(cluster.names(), cluster::runningPids)) {
       injector.run(plan.loadMs());
       quotaSummary = quota.summary();
--- a/soak/src/test/java/elmsail/soak/JobHistoryChecker.java
+++ b/soak/src/test/java/elmsail/soak/JobHistoryChecker.java
@@ -61,6 +61,7 @@
   private final int maxAttempts;
   private final Map<String, JobState> jobs = new HashMap<>();
   private final Map<String, ItemState> items = new HashMap<>();
+  private int acceptedCount;
 
   /**
    * @param host the routes' host
@@ -89,6 +90,7 @@
     }
     if (status == 202 && state.acceptedAtMs < 0) {
       state.acceptedAtMs = atMs;
+      acceptedCount++;
     }
   }
 
@@ -294,6 +296,10 @@
     return accepted;
   }
 
+  synchronized int acceptedCount() {
+    return acceptedCount;
+  }
+
   /** The number of jobs that were refused at each of their tries. */
   synchronized int refusedAtEachTry() {
     int refused = 0;
--- a/soak/src/test/java/elmsail/soak/SignalInjector.java
+++ b/soak/src/test/java/elmsail/soak/SignalInjector.java
@@ -15,7 +15,6 @@
  * touch; in some runs control-plane nodes too. Run by one thread.
  */
 final class SignalInjector {
-  private static final int MAX_PAUSE_MS = 1_200;
   private static final long POLL_MS = 50;
 
   /** {@code grace_s}: a process that still runs then is killed. */
@@ -36,6 +35,7 @@
   private final SoakClock clock;
   private final Random random;
   private final boolean signalsControlPlane;
+  private final int maxPauseMs;
   private final List<Stopping> stopping = new ArrayList<>();
   private final List<Suspended> suspended = new ArrayList<>();
   private int signals;
@@ -43,6 +43,7 @@
   /**
    * @param startListener called with the machine of each process that is started again, and the
    *     time
+   * @param maxPauseMs the longest time from one signal to the next
    */
   SignalInjector(
       Topology topology,
@@ -50,7 +51,8 @@
       FaultHistory faults,
       ObjLongConsumer<String> startListener,
       SoakClock clock,
-      long seed) {
+      long seed,
+      int maxPauseMs) {
     this.topology = topology;
     this.processes = processes;
     this.faults = faults;
@@ -58,6 +60,7 @@
     this.clock = clock;
     this.random = new Random(seed);
     this.signalsControlPlane = seed % 3 == 0;
+    this.maxPauseMs = maxPauseMs;
   }
 
   int signals() {
@@ -71,7 +74,7 @@
     while (clock.nowMs() < endMs || !stopping.isEmpty() || !suspended.isEmpty()) {
       if (clock.nowMs() < endMs && clock.nowMs() >= nextMs) {
         signalSome();
-        nextMs = clock.nowMs() + random.nextInt(MAX_PAUSE_MS);
+        nextMs = clock.nowMs() + random.nextInt(maxPauseMs);
       }
       restartThoseGone();
       resumeThoseDue();
--- a/soak/src/test/java/elmsail/soak/SoakRun.java
+++ b/soak/src/test/java/elmsail/soak/SoakRun.java
@@ -17,6 +17,9 @@
   private static final long CALL_MS = 1_000;
   private static final long JOIN_MS = 10_000;
 
+  /** Between signals beside outages, so that most gateways answer. */
+  private static final int MAX_SIGNAL_PAUSE_MS = 5_000;
+
   private final SoakPlan plan;
   private final Path folder;
   private final SoakClock clock = new SoakClock();
@@ -80,7 +83,7 @@
       return;
     }
     List<Thread> threads = load(environment);
-    disturb(topology, cluster);
+    disturb(environment, topology, cluster);
     long healed = clock.nowMs();
     loadOver = true;
     boolean back = pollUntil(healed + RECOVER_MS, () -> isServing(environment));
@@ -98,12 +101,13 @@
     environment.requests.checkAtEnd(now);
   }
 
-  private void disturb(Topology topology, Cluster cluster) throws IOException {
+  private void disturb(SoakEnvironment environment, Topology topology, Cluster cluster)
+      throws IOException {
     try (ProcessorQuota quota = new ProcessorQuota(cluster.names(), cluster::runningPids)) {
       disturbanceSummary =
           switch (plan.disturbance()) {
             case FAULTS -> injectFaults(topology, cluster);
-            case OUTAGES -> injectOutages(topology, cluster);
+            case OUTAGES -> injectOutages(environment, topology, cluster);
           };
       disturbanceSummary += quota.summary();
     }
@@ -119,12 +123,25 @@
   }
 
   /** Outages of the stores, and meanwhile signals to the other processes. */
-  private String injectOutages(Topology topology, Cluster cluster) throws IOException {
+  private String injectOutages(SoakEnvironment environment, Topology topology, Cluster cluster)
+      throws IOException {
     SignalInjector signals =
         new SignalInjector(
-            topology, cluster.processes(), faults, (machine, atMs) -> {}, clock, plan.seed());
+            topology,
+            cluster.processes(),
+            faults,
+            (machine, atMs) -> {},
+            clock,
+            plan.seed(),
+            MAX_SIGNAL_PAUSE_MS);
     OutageInjector outages =
-        new OutageInjector(topology, cluster.processes(), faults, clock, plan.seed());
+        new OutageInjector(
+            topology,
+            cluster.processes(),
+            faults,
+            environment.jobs::acceptedCount,
+            clock,
+            plan.seed());
     CompletableFuture<Void> signalled =
         CompletableFuture.runAsync(
             () -> {
@@ -194,7 +211,13 @@
     for (int i = 0; i < plan.burstClients(); i++) {
       parts.add(
           new BurstClient(
-              environment.batch, environment, clock, seed++, () -> loadOver, () -> readsOver));
+              environment.batch,
+              environment,
+              clock,
+              seed++,
+              i % 2 == 1,
+              () -> loadOver,
+              () -> readsOver));
     }
     for (int i = 0; i < plan.requestClients(); i++) {
       parts.add(
