--- a/soak/src/test/java/elmsail/soak/NodeProcess.java
+++ b/soak/src/test/java/elmsail/soak/NodeProcess.java
@@ -77,12 +77,15 @@
     Build build = builds.select(node);
     noteInLog("--- starts from build " + build);
     logBytesAtStart = Files.size(log());
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(FLAGS);
+    List<String> java = new ArrayList<>();
+    java.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    java.addAll(FLAGS);
+    ClassDataArchive archive = ClassDataArchive.of(java, classPath(build), node.role().program);
+    List<String> command = new ArrayList<>(java);
+    command.add(archive.option());
     command.add("-D" + RelayedConnects.OWN_IP + "=" + topology.ip(node.machine()));
     command.add("-D" + RelayedConnects.FACES + "=" + relayedAddresses());
-    command.addAll(List.of("-cp", classPath(build), node.role().program));
+    command.addAll(List.of("-cp", archive.classPath(), node.role().program));
     command.addAll(List.of("--settings", settings.toString()));
     suspended = false;
     Process started =
