--- a/soak/src/test/java/elmsail/soak/SoakRun.java
+++ b/soak/src/test/java/elmsail/soak/SoakRun.java
@@ -173,14 +173,18 @@
 
   /** Whether all gateways serve requests and jobs, and all nodes return the configuration. */
   private boolean isServing(SoakEnvironment environment) {
-    Operator operator = operator(environment, 1, () -> false);
     for (String machine : environment.batch.machines()) {
       if (!ready(environment, machine)
-          || operator.read(machine) < environment.configs.newest()
           || environment.batch.read("none", machine, 0, false).status() != 404) {
         return false;
       }
     }
+    Operator operator = operator(environment, 1, () -> false);
+    for (String node : environment.controls.keySet()) {
+      if (operator.read(node) < environment.configs.newest()) {
+        return false;
+      }
+    }
     return true;
   }
 
